--- /dev/null
+++ b/Makefile
@@ -0,0 +1,16 @@
+.PHONY: build test lint run
+
+build:
+	mkdir -p bin && go build -o bin/ ./cmd/...
+
+lint:
+	@unformatted="$$(gofmt -l .)"; if [ -n "$$unformatted" ]; then echo "gofmt needed: $$unformatted" >&2; exit 1; fi
+	go vet ./...
+	go tool staticcheck ./...
+
+test: build lint
+	go test -race -count=1 ./...
+
+# Needs RELAY_CONFIG to name a configuration, as docs/architecture.md says.
+run: build
+	exec bin/olivedale
--- a/api.go
+++ b/api.go
@@ -164,11 +164,19 @@
 	Wait         time.Duration // time-out
 }
 
-// Refuse is the final answer to a call that is not taken.
-type Refuse struct{ Call string }
+// Refuse is the final answer to a call that is not taken. The caller should
+// keep away for Wait; 0: no advice.
+type Refuse struct {
+	Call string
+	Wait time.Duration
+}
 
-// Fail is the final answer to a call that could not be made to stand.
-type Fail struct{ Call string }
+// Fail is the final answer to a call that could not be made to stand. The
+// caller should keep away for Wait; 0: no advice.
+type Fail struct {
+	Call string
+	Wait time.Duration
+}
 
 // Cancel calls an attempt off.
 type Cancel struct {
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -1,6 +1,8 @@
 package wire
 
 import (
+	"encoding/json"
+	"fmt"
 	"time"
 
 	"lapiscourse"
@@ -39,14 +41,35 @@
 func (d *Decoder) start(r *row) *Item {
 	s := &Start{Seed: value[uint64](r, 1, "seed")}
 	in := value[settings](r, 2, "profileData")
+	s.Settings = in.decode(func(field string, err error) { r.fail("profileData."+field, err) })
+	return &Item{Start: s}
+}
+
+// ReadSettings decodes the settings object that START carries.
+func ReadSettings(text []byte) (lapiscourse.Settings, error) {
+	var in settings
+	if err := json.Unmarshal(text, &in); err != nil {
+		return lapiscourse.Settings{}, fmt.Errorf("settings: %w", err)
+	}
+	var first error
+	s := in.decode(func(field string, err error) {
+		if first == nil {
+			first = fmt.Errorf("settings: %s: %w", field, err)
+		}
+	})
+	return s, first
+}
+
+// decode makes the module's settings and calls fail for each value that can't be.
+func (in *settings) decode(fail func(field string, err error)) lapiscourse.Settings {
 	dur := func(v ms, field string) time.Duration {
 		t, err := millis(float64(v))
 		if err != nil {
-			r.fail("profileData."+field, err)
+			fail(field, err)
 		}
 		return t
 	}
-	s.Settings = lapiscourse.Settings{
+	s := lapiscourse.Settings{
 		GroupSize: in.GroupSize, Topology: in.Domain.Topology,
 		AskList:     in.Discovery == "ask",
 		MaxAttempts: in.Limits.MaxAttempts, MayCancel: in.Limits.Cancel,
@@ -60,7 +83,7 @@
 		if i < len(in.Domain.SkilledPools) {
 			class.Pools = in.Domain.SkilledPools[i]
 		}
-		s.Settings.Classes = append(s.Settings.Classes, class)
+		s.Classes = append(s.Classes, class)
 	}
-	return &Item{Start: s}
+	return s
 }
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -268,7 +268,10 @@
 	case lapiscourse.Send:
 		return []any{"RELAY", a.Call, a.Server, toMillis(a.Wait)}, nil
 	case lapiscourse.Refuse:
-		return []any{"BUSY", a.Call, nil}, nil
+		if a.Wait <= 0 {
+			return []any{"BUSY", a.Call, nil}, nil
+		}
+		return []any{"BUSY", a.Call, toMillis(a.Wait)}, nil
 	case lapiscourse.Fail:
 		return []any{"RESPOND_ERROR", a.Call}, nil
 	case lapiscourse.Cancel:
