--- a/facade.go
+++ b/facade.go
@@ -34,6 +34,7 @@
 	Stood Stage = iota // the call stands
 	Ended              // the attempt is over, as Code tells
 	Left               // the caller left; Attempt does not count
+	Told               // the server tells of itself by Load; Call and Attempt do not count
 )
 
 // A Progress is what Report tells of an attempt.
@@ -45,6 +46,7 @@
 	Cause        Cause
 	Hint         time.Duration // wait that a full server asks for; 0: none
 	Took         time.Duration
+	Load         Load
 	Final        bool // the call is finished; no order for it is wanted
 }
 
@@ -94,7 +96,9 @@
 		e = Stands{Call: p.Call, Server: p.Server, Attempt: p.Attempt, Took: p.Took}
 	case Ended:
 		e = Returned{Call: p.Call, Server: p.Server, Attempt: p.Attempt, Code: p.Code,
-			Cause: p.Cause, Hint: p.Hint, Took: p.Took, Terminal: p.Final}
+			Cause: p.Cause, Hint: p.Hint, Took: p.Took, Terminal: p.Final, Load: p.Load}
+	case Told:
+		e = Probed{Server: p.Server, OK: true, Load: p.Load}
 	default:
 		e = Gone{Call: p.Call}
 	}
--- /dev/null
+++ b/internal/call/call.go
@@ -0,0 +1,422 @@
+// Package call is the core of the call controller: requests, attempts and their
+// outcomes. It knows no wire and no socket. One goroutine owns a Core; nothing
+// in it blocks or locks.
+package call
+
+import (
+	"container/heap"
+	"time"
+
+	"lapiscourse"
+)
+
+// A Time is a reading of the system's Unix clock.
+type Time = lapiscourse.Time
+
+// Causes of releases, of Q.850.
+const (
+	CauseNormal    = 16 // normal clearing
+	CauseNoCircuit = 34 // refused: trying again is harmless
+	CauseFailed    = 41 // temporary failure, or a call that was cut
+)
+
+// A Decider is the module: it says where calls go.
+type Decider interface {
+	Pick(now Time, r lapiscourse.Request) lapiscourse.Order
+	Report(now Time, p lapiscourse.Progress) lapiscourse.Order
+	Tick(now Time) []lapiscourse.Order
+	Next() Time
+	List(now Time, servers []lapiscourse.Server, full bool)
+}
+
+// A Client is the connection on which a set-up came; it gets the answer.
+type Client interface {
+	Stands(id string, description []byte)
+	Refused(id string, cause int, wait time.Duration)
+	Front() Front
+}
+
+// A Front is one dialect towards callers. What ends a call that stands goes out
+// on any of its connections, for no connection owns such a call.
+type Front interface {
+	Release(id string, cause int)
+}
+
+// A Setup is what an exchange is told of a call.
+type Setup struct {
+	ID, Class, Number string
+	Attempt           int
+	Wait              time.Duration
+	Description       []byte
+}
+
+// Exchanges carries set-ups and releases to the exchanges.
+type Exchanges interface {
+	// Invite sends a set-up or queues it until the link is up. Whatever becomes
+	// of it comes back by Answered or Ended, never from within Invite.
+	Invite(server string, s Setup)
+	// Cancel gives a set-up up; unsent tells that it had not been written.
+	Cancel(server, id string, attempt int) (unsent bool)
+	// Release ends a call at an exchange that answered it.
+	Release(server, id string, attempt, cause int)
+	// ReleaseAnywhere ends a call that stands at an exchange nobody remembers.
+	ReleaseAnywhere(id string, cause int)
+}
+
+// A Request is a set-up from a caller.
+type Request struct {
+	ID, Class, Number string
+	First             int
+	Until             Time
+	Cut               bool // it stood, was cut and comes again
+	Description       []byte
+}
+
+// Counters count what the core takes in, sends and answers.
+type Counters struct {
+	Requests, Stood, Refused, Failed, GivenUp, Repeated   int
+	Attempts, Cancels, LateAnswers                        int
+	ReleasedByExchange, ReleasedByCaller, ReleasedUnknown int
+	Ends                                                  [ends]int
+}
+
+type state int
+
+const (
+	waiting  state = iota // no attempt is out
+	trying                // one attempt is out
+	standing              // the call stands
+)
+
+// A call is open from its set-up until its final answer, or its release if it stood.
+type call struct {
+	Request
+	client  Client
+	front   Front
+	state   state
+	server  string
+	attempt int
+	sent    Time
+	expires Time // of the attempt that is out
+	stood   Time
+}
+
+// memory is how long the ids of calls that are over are remembered. It covers
+// releases that cross each other or come twice.
+const memory = 30 * time.Second
+
+// A Core decides nothing about routes; it keeps the rules of one final answer
+// and of one attempt at a time whatever the two sides do.
+type Core struct {
+	desk   Decider
+	out    Exchanges
+	now    func() Time
+	calls  map[string]*call
+	timers timers
+	over   map[string]Time // calls that are over, and when to forget them
+	swept  Time
+	Counters
+}
+
+// New makes a Core that takes the time from now.
+func New(desk Decider, out Exchanges, now func() Time) *Core {
+	return &Core{desk: desk, out: out, now: now, calls: make(map[string]*call), over: make(map[string]Time)}
+}
+
+// Open counts the calls whose final answer is still owed.
+func (c *Core) Open() (n int) {
+	for _, k := range c.calls {
+		if k.state != standing {
+			n++
+		}
+	}
+	return n
+}
+
+// Standing counts the calls that stand.
+func (c *Core) Standing() int { return len(c.calls) - c.Open() }
+
+// SetUp takes a call from a caller.
+func (c *Core) SetUp(client Client, r Request) {
+	c.Requests++
+	if k := c.calls[r.ID]; k != nil {
+		// A set-up that crossed the close of its connection is sent once more: it
+		// is answered on the new connection and not started a second time.
+		c.Repeated++
+		if k.state != standing {
+			k.client = client
+		}
+		return
+	}
+	k := &call{Request: r, client: client, front: client.Front(), attempt: -1}
+	delete(c.over, r.ID)
+	c.calls[r.ID] = k
+	c.obey(k, c.desk.Pick(c.now(), lapiscourse.Request{Call: r.ID, Class: r.Class, Number: r.Number,
+		First: r.First, Until: r.Until, Cut: r.Cut}))
+}
+
+// obey carries out the module's word on a call.
+func (c *Core) obey(k *call, o lapiscourse.Order) {
+	switch o.Move {
+	case lapiscourse.Try:
+		c.try(k, o)
+	case lapiscourse.Deny:
+		if c.answerable(k) {
+			c.Refused++
+			c.finish(k, CalledOff)
+			k.client.Refused(k.ID, CauseNoCircuit, o.Wait)
+		}
+	case lapiscourse.GiveUp:
+		if c.answerable(k) {
+			c.Failed++
+			c.finish(k, TimedOut)
+			k.client.Refused(k.ID, CauseFailed, o.Wait)
+		}
+	case lapiscourse.CallOff:
+		if k.state == trying && o.Attempt == k.attempt {
+			c.give(k, CalledOff)
+		}
+	}
+}
+
+// answerable guards against a second final answer.
+func (c *Core) answerable(k *call) bool { return c.calls[k.ID] == k && k.state != standing }
+
+func (c *Core) try(k *call, o lapiscourse.Order) {
+	if k.state != waiting || c.calls[k.ID] != k {
+		return // guards against a second attempt while one is out or the call is over
+	}
+	now := c.now()
+	k.state, k.server, k.sent = trying, o.Server, now
+	k.attempt++
+	k.expires = min(now+o.Wait, k.Until)
+	c.Attempts++
+	heap.Push(&c.timers, timer{at: k.expires, call: k, attempt: k.attempt})
+	c.out.Invite(k.server, Setup{ID: k.ID, Class: k.Class, Number: k.Number, Attempt: k.attempt,
+		Wait: k.expires - now, Description: k.Description})
+}
+
+// give ends the attempt that is out from this side and tells the module.
+func (c *Core) give(k *call, e End) {
+	c.Cancels++
+	if c.out.Cancel(k.server, k.ID, k.attempt) {
+		e = Unsent
+	}
+	c.endAttempt(k, e, false)
+}
+
+// endAttempt tells the module that the attempt that is out has ended, and goes on with the call.
+func (c *Core) endAttempt(k *call, e End, final bool) {
+	c.Ends[e]++
+	k.state = waiting
+	code, cause := e.outcome()
+	now := c.now()
+	o := c.desk.Report(now, lapiscourse.Progress{Call: k.ID, Server: k.server, Attempt: k.attempt,
+		Stage: lapiscourse.Ended, Code: code, Cause: cause, Took: now - k.sent, Final: final})
+	if !final {
+		c.obey(k, o)
+	}
+}
+
+// finish ends a call that does not stand. An attempt that is still out is given up.
+func (c *Core) finish(k *call, e End) {
+	delete(c.calls, k.ID)
+	c.over[k.ID] = c.now() + memory
+	if k.state == trying {
+		c.Cancels++
+		c.out.Cancel(k.server, k.ID, k.attempt)
+		c.endAttempt(k, e, true)
+	}
+}
+
+// Hangup takes a caller's release, also of a set-up that is open and on whatever
+// connection it comes. It tells whether the call was known to stand.
+func (c *Core) Hangup(id string, cause int) (stood bool) {
+	k := c.calls[id]
+	switch {
+	case k == nil:
+		if _, ok := c.over[id]; ok {
+			return false // it crossed our release, or comes twice
+		}
+		// After a restart nothing is known of calls that stand; the exchange must hear of it.
+		c.ReleasedUnknown++
+		c.over[id] = c.now() + memory
+		c.out.ReleaseAnywhere(id, cause)
+		return true
+	case k.state == standing:
+		c.ReleasedByCaller++
+		c.out.Release(k.server, id, k.attempt, cause)
+		c.endStanding(k, CallerLeft)
+		return true
+	}
+	c.leave(k)
+	return false
+}
+
+// leave ends a set-up whose caller no longer waits; no answer is owed.
+func (c *Core) leave(k *call) {
+	c.GivenUp++
+	c.desk.Report(c.now(), lapiscourse.Progress{Call: k.ID, Stage: lapiscourse.Left})
+	c.finish(k, CallerLeft)
+}
+
+// Closed gives up the set-ups that are open on a caller's connection. Calls that
+// stand belong to no connection.
+func (c *Core) Closed(client Client) {
+	for _, k := range c.calls {
+		if k.client == client && k.state != standing {
+			c.leave(k)
+		}
+	}
+}
+
+// Answered takes an exchange's answer to a set-up.
+func (c *Core) Answered(server, id string, attempt int, description []byte) {
+	k := c.calls[id]
+	if k == nil || k.state != trying || k.server != server || k.attempt != attempt {
+		if k != nil && k.state == standing && k.server == server && k.attempt == attempt {
+			return // repeated
+		}
+		// It crossed our CANCEL: the exchange must not hold the line, and the
+		// caller must not get a second answer.
+		c.LateAnswers++
+		c.out.Release(server, id, attempt, CauseNormal)
+		return
+	}
+	now := c.now()
+	k.state, k.stood = standing, now
+	c.desk.Report(now, lapiscourse.Progress{Call: id, Server: server, Attempt: attempt,
+		Stage: lapiscourse.Stood, Took: now - k.sent})
+	c.Stood++
+	k.client.Stands(id, description)
+	k.client, k.Description = nil, nil
+}
+
+// Ended takes the end of a set-up that did not come to stand.
+func (c *Core) Ended(server, id string, attempt int, e End) {
+	k := c.calls[id]
+	if k == nil || k.state != trying || k.server != server || k.attempt != attempt {
+		return // it was given up before
+	}
+	c.endAttempt(k, e, false)
+}
+
+// Released takes an exchange's release of a call that stands, or of one that
+// this call controller has forgotten by a restart.
+func (c *Core) Released(server, id string, cause int, fronts ...Front) {
+	k := c.calls[id]
+	switch {
+	case k == nil:
+		if _, ok := c.over[id]; ok {
+			return // it comes again on the next connection that is opened
+		}
+		c.ReleasedUnknown++
+		c.over[id] = c.now() + memory
+		for _, f := range fronts {
+			f.Release(id, cause)
+		}
+	case k.server != server:
+		return // an earlier attempt's, given up since
+	case k.state == standing:
+		c.ReleasedByExchange++
+		e := Completed
+		if cause != CauseNormal {
+			e = Cut
+		}
+		c.endStanding(k, e)
+		k.front.Release(id, cause)
+	case k.state == trying:
+		c.endAttempt(k, BrokeOnWay, false) // released before it was answered
+	}
+}
+
+func (c *Core) endStanding(k *call, e End) {
+	delete(c.calls, k.ID)
+	c.over[k.ID] = c.now() + memory
+	c.endAttempt(k, e, true)
+}
+
+// Lost cuts the calls that have stood at an exchange since before a time: its
+// process is known to have ended since, and no release will come from it.
+func (c *Core) Lost(server string, before Time) {
+	for _, k := range c.calls {
+		if k.server == server && k.state == standing && k.stood < before {
+			c.endStanding(k, ExchangeLost)
+			k.front.Release(k.ID, CauseFailed)
+		}
+	}
+}
+
+// List tells the module of the exchanges.
+func (c *Core) List(servers []lapiscourse.Server, full bool) {
+	c.desk.List(c.now(), servers, full)
+}
+
+// Told passes on what an exchange says of its lines.
+func (c *Core) Told(server string, load lapiscourse.Load) {
+	c.desk.Report(c.now(), lapiscourse.Progress{Server: server, Stage: lapiscourse.Told, Load: load})
+}
+
+// Tick does what is due.
+func (c *Core) Tick() {
+	now := c.now()
+	for len(c.timers) > 0 && c.timers[0].at <= now {
+		t := heap.Pop(&c.timers).(timer)
+		if k := t.call; k.state == trying && k.attempt == t.attempt && c.calls[k.ID] == k {
+			c.give(k, TimedOut)
+		}
+	}
+	for _, o := range c.desk.Tick(now) {
+		if k := c.calls[o.Call]; k != nil {
+			c.obey(k, o)
+		}
+	}
+	if now > c.swept+time.Second {
+		c.swept = now
+		for id, until := range c.over {
+			if until < now {
+				delete(c.over, id)
+			}
+		}
+	}
+}
+
+// Next is when Tick is due.
+func (c *Core) Next() Time {
+	if len(c.timers) > 0 {
+		return min(c.timers[0].at, c.desk.Next())
+	}
+	return c.desk.Next()
+}
+
+// Stop answers whatever is still open, at the end of an orderly stop.
+func (c *Core) Stop() {
+	for _, k := range c.calls {
+		if k.state != standing {
+			c.Refused++
+			c.finish(k, Stopped)
+			k.client.Refused(k.ID, CauseNoCircuit, 0)
+		}
+	}
+}
+
+// A timer ends an attempt.
+type timer struct {
+	at      Time
+	call    *call
+	attempt int
+}
+
+type timers []timer
+
+func (t timers) Len() int           { return len(t) }
+func (t timers) Less(i, j int) bool { return t[i].at < t[j].at }
+func (t timers) Swap(i, j int)      { t[i], t[j] = t[j], t[i] }
+func (t *timers) Push(x any)        { *t = append(*t, x.(timer)) }
+func (t *timers) Pop() any {
+	old := *t
+	x := old[len(old)-1]
+	old[len(old)-1] = timer{}
+	*t = old[:len(old)-1]
+	return x
+}
--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,166 @@
+// Package config reads what the platform tells a call controller at its start.
+package config
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/netip"
+	"os"
+	"strconv"
+	"time"
+
+	"lapiscourse"
+	"lapiscourse/internal/wire"
+)
+
+// A Config is the file that RELAY_CONFIG names.
+type Config struct {
+	Name     string
+	Listen   string
+	Seed     uint64
+	MemoryMB int
+	Sockets  int
+	Names    string // address of the name service
+	Known    Known
+	Settings lapiscourse.Settings
+	Connect  time.Duration
+}
+
+// Known holds the name service's events up to the start.
+type Known struct {
+	N      int     `json:"n"`
+	Events []Event `json:"events"`
+}
+
+// An Event is one change of the list of exchanges.
+type Event struct {
+	N       int  `json:"n"`
+	Members List `json:"members"`
+}
+
+// A List is the whole list (Complete) or what has changed.
+type List struct {
+	Revision int      `json:"revision"`
+	Complete bool     `json:"complete"`
+	Members  []Member `json:"members"`
+}
+
+// A Member is one exchange.
+type Member struct {
+	ID      string `json:"id"`
+	Address string `json:"host_port"`
+	Zone    string `json:"locality"`
+	Kind    string `json:"flavor"`
+	Cell    int    `json:"cell"`
+	Phase   string `json:"phase"`
+	Started int64  `json:"up_since_ms"` // Unix milliseconds of a late start, or 0
+}
+
+// Phases of a Member.
+const (
+	Ready       = "Ready"
+	Terminating = "Terminating"
+	Gone        = "Gone"
+)
+
+// Load reads the file at path.
+func Load(path string) (*Config, error) {
+	if path == "" {
+		return nil, errors.New("config: RELAY_CONFIG is not set")
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("config: %w", err)
+	}
+	c, err := Parse(text)
+	if err != nil {
+		return nil, fmt.Errorf("config: %s: %w", path, err)
+	}
+	return c, nil
+}
+
+// Parse reads the text of a configuration.
+func Parse(text []byte) (*Config, error) {
+	var in struct {
+		Name   string `json:"name"`
+		Listen string `json:"listen"`
+		Seed   string `json:"seed"`
+		Limits struct {
+			MemoryMB int `json:"memory_mb"`
+			Sockets  int `json:"sockets"`
+		} `json:"limits"`
+		Names    string          `json:"names"`
+		Known    Known           `json:"known"`
+		Settings json.RawMessage `json:"settings"`
+	}
+	if err := json.Unmarshal(text, &in); err != nil {
+		return nil, err
+	}
+	c := &Config{Name: in.Name, Listen: in.Listen, MemoryMB: in.Limits.MemoryMB, Sockets: in.Limits.Sockets,
+		Names: in.Names, Known: in.Known}
+	for field, addr := range map[string]string{"listen": in.Listen, "names": in.Names} {
+		if _, err := netip.ParseAddrPort(addr); err != nil {
+			return nil, fmt.Errorf("%s: %w", field, err)
+		}
+	}
+	var err error
+	if c.Seed, err = strconv.ParseUint(in.Seed, 16, 64); err != nil {
+		return nil, fmt.Errorf("seed: %w", err)
+	}
+	if c.MemoryMB <= 0 || c.Sockets < 64 {
+		return nil, fmt.Errorf("limits: %d MB and %d sockets are too little", c.MemoryMB, c.Sockets)
+	}
+	if len(in.Settings) == 0 {
+		return nil, errors.New("settings: missing")
+	}
+	if c.Settings, err = wire.ReadSettings(in.Settings); err != nil {
+		return nil, err
+	}
+	var limits struct {
+		Limits struct {
+			ConnectTimeout float64 `json:"connectTimeout"`
+		} `json:"limits"`
+	}
+	if err := json.Unmarshal(in.Settings, &limits); err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	if c.Connect = time.Duration(limits.Limits.ConnectTimeout * float64(time.Millisecond)); c.Connect <= 0 {
+		return nil, fmt.Errorf("settings: limits.connectTimeout: %v ms", limits.Limits.ConnectTimeout)
+	}
+	for _, e := range c.Known.Events {
+		for _, m := range e.Members.Members {
+			if err := m.Check(); err != nil {
+				return nil, fmt.Errorf("known: event %d: %w", e.N, err)
+			}
+		}
+	}
+	return c, nil
+}
+
+// Check tells what is wrong with a member.
+func (m *Member) Check() error {
+	if m.ID == "" {
+		return errors.New("a member without an id")
+	}
+	if _, ok := phases[m.Phase]; !ok {
+		return fmt.Errorf("%s: phase %q", m.ID, m.Phase)
+	}
+	if m.Phase == Gone {
+		return nil
+	}
+	if _, err := netip.ParseAddrPort(m.Address); err != nil {
+		return fmt.Errorf("%s: %w", m.ID, err)
+	}
+	return nil
+}
+
+var phases = map[string]lapiscourse.Phase{
+	Ready: lapiscourse.In, Terminating: lapiscourse.Lame, Gone: lapiscourse.Out,
+}
+
+// Server is the member as the module knows it.
+func (m *Member) Server() lapiscourse.Server {
+	return lapiscourse.Server{ID: m.ID, Pool: m.Cell, Phase: phases[m.Phase],
+		Started: lapiscourse.Time(m.Started) * time.Millisecond}
+}
--- /dev/null
+++ b/internal/net/link.go
@@ -0,0 +1,278 @@
+package net
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log"
+	"net"
+	"slices"
+	"syscall"
+	"time"
+
+	"github.com/panjf2000/gnet/v2"
+
+	"lapiscourse/internal/call"
+)
+
+// A dialect writes and reads what goes over a link. It may keep what it needs to
+// know of open calls; reset tells it of a new connection.
+type dialect interface {
+	invite(b []byte, s call.Setup) []byte
+	cancel(b []byte, id string, attempt int) []byte
+	release(b []byte, id string, attempt, cause int) []byte
+	feed(l *link, p []byte) error
+	reset()
+	sweep(now time.Duration)
+}
+
+// Times of a link.
+const (
+	firstPause = 100 * time.Millisecond // before a failed dial is repeated, doubling
+	lastPause  = 2 * time.Second
+	confirm    = 32 * time.Second // a release that nobody confirms is forgotten then
+	clogged    = 256 << 10        // bytes; an exchange that reads so slowly gets no more set-ups
+)
+
+// A link is the way to one exchange: one connection that carries all calls, its
+// dials, and what waits for it. It is keyed by the exchange's id, for a successor
+// may have the same address.
+type link struct {
+	n        *Node
+	id, addr string
+	talk     dialect
+	s        *stream // nil while the link is down
+	serial   int     // of the latest dial; what an earlier one brings is dropped
+	dialing  bool
+	dialAt   time.Duration // when to dial again
+	pause    time.Duration
+	broke    bool // a connection was lost and the exchange not reached since
+	draining bool
+	gone     bool
+	queue    []call.Setup
+	out      map[string]int // set-ups that are written and not answered: id, attempt
+	byes     map[string]bye // releases that are not confirmed
+}
+
+type bye struct {
+	attempt, cause int
+	at             time.Duration
+}
+
+func (n *Node) newLink(id, addr string, talk dialect) *link {
+	return &link{n: n, id: id, addr: addr, talk: talk, out: make(map[string]int), byes: make(map[string]bye)}
+}
+
+// invite writes a set-up, or queues it while the link is dialled.
+func (l *link) invite(s call.Setup) {
+	switch {
+	case l.draining || l.gone:
+		l.tell(s.ID, s.Attempt, call.Unsent) // guards the drain rule, whatever was decided
+	case l.s == nil:
+		l.queue = append(l.queue, s)
+		l.dial()
+	case l.s.c.OutboundBuffered() > clogged:
+		// Guards against set-ups that lie in a buffer and reach a server after it drains.
+		l.tell(s.ID, s.Attempt, call.Unsent)
+	default:
+		l.send(s)
+	}
+}
+
+func (l *link) send(s call.Setup) {
+	l.out[s.ID] = s.Attempt
+	l.n.Invites++
+	l.n.write(l.s, func(b []byte) []byte { return l.talk.invite(b, s) })
+}
+
+// tell passes an end to the core, but not from within a call of the core.
+func (l *link) tell(id string, attempt int, e call.End) {
+	l.n.later = append(l.n.later, func() { l.n.core.Ended(l.id, id, attempt, e) })
+}
+
+func (l *link) cancel(id string, attempt int) (unsent bool) {
+	i := slices.IndexFunc(l.queue, func(s call.Setup) bool { return s.ID == id && s.Attempt == attempt })
+	if i >= 0 {
+		l.queue = slices.Delete(l.queue, i, i+1)
+		return true
+	}
+	if a, ok := l.out[id]; ok && a == attempt && l.s != nil {
+		delete(l.out, id)
+		l.n.write(l.s, func(b []byte) []byte { return l.talk.cancel(b, id, attempt) })
+	}
+	return false
+}
+
+// release ends a call there; it is said again on a new connection until confirmed.
+func (l *link) release(id string, attempt, cause int) {
+	l.byes[id] = bye{attempt, cause, l.n.now()}
+	if l.s != nil {
+		l.n.write(l.s, func(b []byte) []byte { return l.talk.release(b, id, attempt, cause) })
+	}
+}
+
+// dial dials elsewhere and hands the connection in.
+func (l *link) dial() {
+	if l.dialing || l.gone || l.s != nil || l.n.el == nil {
+		return
+	}
+	l.dialing = true
+	l.serial++
+	serial, el := l.serial, l.n.el
+	l.n.Dials++
+	go func() {
+		c, err := net.DialTimeout("tcp", l.addr, l.n.connect)
+		if err == nil {
+			ctx := gnet.NewContext(context.Background(), &dialled{l, serial})
+			if _, err = el.Enroll(ctx, c); err == nil {
+				return // OnOpen follows
+			}
+			_ = c.Close()
+		}
+		l.n.exec(func() { l.n.turn(func() { l.failed(serial, err) }) })
+	}()
+}
+
+// dialled is the context of a connection that was dialled, until OnOpen.
+type dialled struct {
+	link   *link
+	serial int
+}
+
+// up takes the connection of a dial; false turns it away.
+func (l *link) up(serial int, c gnet.Conn) bool {
+	if serial != l.serial || !l.dialing || l.gone {
+		return false
+	}
+	l.dialing, l.broke, l.pause = false, false, 0
+	l.s = &stream{c: c}
+	c.SetContext(l)
+	l.talk.reset()
+	for id, b := range l.byes {
+		l.n.write(l.s, func(out []byte) []byte { return l.talk.release(out, id, b.attempt, b.cause) })
+	}
+	queue := l.queue
+	l.queue = nil
+	for _, s := range queue {
+		l.send(s)
+	}
+	return true
+}
+
+func (l *link) failed(serial int, err error) {
+	if serial != l.serial || !l.dialing {
+		return
+	}
+	l.dialing = false
+	l.n.DialsFailed++
+	end := dialEnd(err)
+	l.unqueue(end)
+	if l.broke && end == call.DialRefused {
+		// The connection broke and nobody listens any more: the process is dead and its
+		// calls with it. No release will come from there, so the callers hear it from here.
+		l.broke = false
+		l.n.core.Lost(l.id, l.n.now()+1)
+	}
+	l.pause = min(max(2*l.pause, firstPause), lastPause)
+	l.dialAt = l.n.now() + l.pause
+}
+
+func dialEnd(err error) call.End {
+	var timeout net.Error
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return call.DialRefused
+	case errors.As(err, &timeout) && timeout.Timeout():
+		return call.DialTimedOut
+	}
+	return call.DialFailed
+}
+
+func (l *link) unqueue(e call.End) {
+	queue := l.queue
+	l.queue = nil
+	for _, s := range queue {
+		l.tell(s.ID, s.Attempt, e)
+	}
+}
+
+func (l *link) traffic(p []byte) {
+	if err := l.talk.feed(l, p); err != nil {
+		l.n.Malformed++
+		log.Printf("event=malformed from=exchange id=%s err=%q", l.id, err)
+		l.down(call.Malformed)
+		return
+	}
+}
+
+// closed takes the end of the connection as gnet tells it.
+func (l *link) closed(err error) {
+	switch {
+	case errors.Is(err, syscall.ECONNRESET), errors.Is(err, syscall.EPIPE):
+		l.down(call.ConnectionReset)
+	case err == nil, errors.Is(err, io.EOF):
+		l.down(call.ConnectionShut)
+	default:
+		l.down(call.ConnectionReset)
+	}
+}
+
+// down ends the connection and what is open on it, and dials anew.
+func (l *link) down(e call.End) {
+	if l.s == nil {
+		return
+	}
+	l.n.LinksLost++
+	l.n.close(l.s)
+	l.s = nil
+	l.broke = true
+	l.lose(e)
+	l.dial()
+}
+
+func (l *link) lose(e call.End) {
+	for id, attempt := range l.out {
+		l.tell(id, attempt, e)
+	}
+	clear(l.out)
+}
+
+// drain stops what is not yet sent; calls that stand go on.
+func (l *link) drain() {
+	l.draining = true
+	l.unqueue(call.Unsent)
+}
+
+// end takes the exchange off the list.
+func (l *link) end() {
+	l.gone = true
+	l.unqueue(call.Unsent)
+	if l.s != nil {
+		l.n.close(l.s)
+		l.s = nil
+	}
+	l.lose(call.ExchangeLost)
+	l.n.core.Lost(l.id, l.n.now()+1)
+}
+
+// move gives the exchange another address.
+func (l *link) move(addr string) {
+	l.addr = addr
+	l.serial++ // a dial that is on its way goes to the old one
+	l.dialing = false
+	l.down(call.ConnectionShut)
+	l.dial()
+}
+
+// tick dials when it is time and forgets what nobody confirmed.
+func (l *link) tick(now time.Duration) {
+	if l.s == nil && !l.dialing && now >= l.dialAt {
+		l.dial()
+	}
+	for id, b := range l.byes {
+		if now-b.at > confirm {
+			delete(l.byes, id)
+		}
+	}
+	l.talk.sweep(now)
+}
--- /dev/null
+++ b/internal/net/link_sip.go
@@ -0,0 +1,162 @@
+package net
+
+import (
+	"strconv"
+	"strings"
+	"time"
+
+	"lapiscourse"
+	"lapiscourse/internal/call"
+	"lapiscourse/internal/net/sip"
+)
+
+// sipDialect speaks SIP with one exchange. The CSeq number of a set-up is its
+// attempt's number plus 1, so that an answer that crosses a CANCEL is not taken for
+// that of a later attempt.
+type sipDialect struct {
+	n       *Node
+	in      sip.Reader
+	dialogs map[string]*dialog // by Call-ID
+}
+
+type dialog struct {
+	number string
+	ends   time.Duration // forgotten then; 0: while the call is open
+}
+
+func newSIP(n *Node) *sipDialect { return &sipDialect{n: n, dialogs: make(map[string]*dialog)} }
+
+func (d *sipDialect) reset() { d.in = sip.Reader{} }
+
+// sweep forgets dialogs whose other side never said its last word.
+func (d *sipDialect) sweep(now time.Duration) {
+	for id, g := range d.dialogs {
+		if g.ends > 0 && now > g.ends {
+			delete(d.dialogs, id)
+		}
+	}
+}
+
+func (d *sipDialect) end(id string) {
+	if g := d.dialogs[id]; g != nil {
+		g.ends = d.n.now() + confirm
+	}
+}
+
+func (d *sipDialect) number(id string) string {
+	if g := d.dialogs[id]; g != nil {
+		return g.number
+	}
+	return id // of a call from before a restart only the id is known
+}
+
+func (d *sipDialect) invite(b []byte, s call.Setup) []byte {
+	d.dialogs[s.ID] = &dialog{number: s.Number}
+	return sip.AppendRequest(b, &sip.Request{Method: "INVITE", Number: s.Number, CallID: s.ID, CSeq: s.Attempt + 1,
+		Headers: []sip.Header{{Name: "X-Cos", Value: s.Class},
+			{Name: "X-Timer-Ms", Value: strconv.FormatInt(max(s.Wait.Milliseconds(), 1), 10)}},
+		Body: s.Description})
+}
+
+func (d *sipDialect) cancel(b []byte, id string, attempt int) []byte {
+	d.end(id)
+	return sip.AppendRequest(b, &sip.Request{Method: "CANCEL", Number: d.number(id), CallID: id, CSeq: attempt + 1})
+}
+
+func (d *sipDialect) release(b []byte, id string, attempt, cause int) []byte {
+	d.end(id)
+	return sip.AppendRequest(b, &sip.Request{Method: "BYE", Number: d.number(id), CallID: id, CSeq: attempt + 2,
+		Headers: []sip.Header{{Name: "Reason", Value: "Q.850;cause=" + strconv.Itoa(cause)}}})
+}
+
+func (d *sipDialect) feed(l *link, p []byte) error {
+	return d.in.Feed(p, func(m *sip.Message) bool {
+		if m.Status > 0 {
+			d.response(l, m)
+		} else {
+			d.request(l, m)
+		}
+		return l.s != nil
+	})
+}
+
+func (d *sipDialect) response(l *link, m *sip.Message) {
+	switch {
+	case m.Status < 200:
+	case m.CSeqMethod == "BYE":
+		delete(l.byes, m.CallID)
+	case m.CSeqMethod == "INVITE":
+		attempt := m.CSeq - 1
+		if a, ok := l.out[m.CallID]; ok && a == attempt {
+			delete(l.out, m.CallID)
+		}
+		d.n.write(l.s, func(b []byte) []byte {
+			return sip.AppendRequest(b, &sip.Request{Method: "ACK", Number: d.number(m.CallID), CallID: m.CallID, CSeq: m.CSeq})
+		})
+		if m.Status < 300 {
+			d.n.core.Answered(l.id, m.CallID, attempt, m.Body)
+			return
+		}
+		d.end(m.CallID)
+		d.n.core.Ended(l.id, m.CallID, attempt, sipEnd(m))
+	}
+}
+
+// sipEnd tells how a set-up ended by the response to its INVITE.
+func sipEnd(m *sip.Message) call.End {
+	switch note := m.Header("X-Diagnosis"); {
+	case note == "number_busy":
+		return call.CalleeBusy
+	case m.Status == 503 && note == "all_trunks_busy":
+		return call.NoCircuit
+	}
+	switch m.Status {
+	case 503:
+		return call.ProcessorFull
+	case 480:
+		return call.NeverLeft
+	case 504, 487:
+		return call.BrokeOnWay
+	}
+	return call.Fault
+}
+
+func (d *sipDialect) request(l *link, m *sip.Message) {
+	answer := func(status int, phrase string) {
+		d.n.write(l.s, func(b []byte) []byte { return sip.AppendResponse(b, m, status, phrase) })
+	}
+	switch m.Method {
+	case "ACK": // wants no answer
+	case "NOTIFY": // nor does this
+		if load, ok := occupancy(m.Header("X-Occupancy")); ok {
+			d.n.core.Told(l.id, load)
+		}
+	case "BYE":
+		answer(200, "OK")
+		delete(l.byes, m.CallID)
+		d.end(m.CallID)
+		d.n.core.Released(l.id, m.CallID, m.ReleaseCause(), d.n.fronts...)
+	case "OPTIONS":
+		answer(200, "OK")
+	default:
+		answer(405, "Method Not Allowed")
+	}
+}
+
+// occupancy reads the state of a group of lines, such as 'free:305;size:310'.
+func occupancy(text string) (load lapiscourse.Load, ok bool) {
+	for part := range strings.SplitSeq(text, ";") {
+		name, value, _ := strings.Cut(strings.TrimSpace(part), ":")
+		v, err := strconv.ParseFloat(value, 64)
+		if err != nil || v < 0 {
+			continue
+		}
+		switch f := (lapiscourse.Figure{Value: v, Given: true}); name {
+		case "free":
+			load.Free, ok = f, true
+		case "size":
+			load.Lines, ok = f, true
+		}
+	}
+	return load, ok
+}
--- /dev/null
+++ b/internal/net/loop.go
@@ -0,0 +1,111 @@
+// Package net joins the core to real sockets: gnet's event loop, the callers'
+// connections, the links to the exchanges and the name service. One goroutine,
+// the event loop, owns everything here, the core and the module; it never
+// blocks. What has to block or is not gnet's runs elsewhere and hands its result
+// in by Loop.exec: dials (gnet dials without a limit of time) and the timer
+// (gnet's own ticker runs on a goroutine beside the loop).
+package net
+
+import (
+	"context"
+	"errors"
+	"log"
+	"time"
+
+	"github.com/panjf2000/gnet/v2"
+)
+
+// A stream is a connection of either side. Writes of one turn of the loop go out
+// together when the turn ends.
+type stream struct {
+	c     gnet.Conn
+	out   []byte
+	dirty bool
+	shut  bool // closed, or to be closed when the turn ends
+	gone  bool // the socket is closed
+}
+
+// loop is what the parts share: the clock, the batched writes and the timer.
+type loop struct {
+	el     gnet.EventLoop
+	dirty  []*stream
+	timer  *time.Timer
+	origin time.Time
+	unix   time.Duration
+}
+
+func (l *loop) start() {
+	l.origin = time.Now()
+	l.unix = time.Duration(l.origin.UnixNano())
+}
+
+// now is the Unix clock as read at the start, carried on by the monotonic one: a
+// step of the system's clock must not make every call late.
+func (l *loop) now() time.Duration { return l.unix + time.Since(l.origin) }
+
+// write appends to what a stream sends; f gets the buffer and returns it longer.
+func (l *loop) write(s *stream, f func([]byte) []byte) {
+	if s.shut {
+		return
+	}
+	s.out = f(s.out)
+	if !s.dirty {
+		s.dirty = true
+		l.dirty = append(l.dirty, s)
+	}
+}
+
+// close closes a stream when the turn ends, behind what it still has to send.
+func (l *loop) close(s *stream) {
+	if s.shut {
+		return
+	}
+	s.shut = true
+	if !s.dirty {
+		s.dirty = true
+		l.dirty = append(l.dirty, s)
+	}
+}
+
+// flush sends what the turn has written. A write that fails closes its
+// connection, which may write to others: hence the loop over a growing list.
+func (l *loop) flush() {
+	for i := 0; i < len(l.dirty); i++ {
+		s := l.dirty[i]
+		s.dirty = false
+		out := s.out
+		s.out = s.out[:0]
+		if s.gone {
+			continue
+		}
+		if len(out) > 0 {
+			if _, err := s.c.Write(out); err != nil {
+				continue // gnet has called OnClose
+			}
+		}
+		if cap(s.out) > 64<<10 {
+			s.out = nil // a burst must not pin memory
+		}
+		if s.shut && !s.gone {
+			_ = s.c.EventLoop().Close(s.c) // OnClose tells the rest
+		}
+	}
+	clear(l.dirty)
+	l.dirty = l.dirty[:0]
+}
+
+// runnable lets a function run on the event loop.
+type runnable func()
+
+// Run implements gnet.Runnable.
+func (r runnable) Run(context.Context) error {
+	r()
+	return nil
+}
+
+// exec runs f on the event loop; it may be called from anywhere.
+func (l *loop) exec(f func()) {
+	if err := l.el.Execute(context.Background(), runnable(f)); err != nil && !errors.Is(err, errShutdown) {
+		log.Printf("event=exec_failed err=%q", err)
+	}
+}
--- /dev/null
+++ b/internal/net/node.go
@@ -0,0 +1,421 @@
+package net
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log"
+	"math/rand/v2"
+	"net"
+	"time"
+
+	"github.com/panjf2000/gnet/v2"
+	gerrors "github.com/panjf2000/gnet/v2/pkg/errors"
+
+	"lapiscourse"
+	"lapiscourse/internal/call"
+	"lapiscourse/internal/config"
+	"lapiscourse/internal/names"
+)
+
+var errShutdown = gerrors.ErrEngineInShutdown
+
+// Times of the node.
+const (
+	poll     = 150 * time.Millisecond  // between two queries; each also asks again for one that was lost
+	linger   = 750 * time.Millisecond  // after SIGTERM set-ups are still to be expected for so long
+	patience = 3300 * time.Millisecond // after SIGTERM whatever is open is answered by then
+	quiet    = 60 * time.Millisecond   // the last answers get this to leave
+	reserve  = 40                      // descriptors that are neither callers' nor links'
+)
+
+// Counters count what the sockets bring.
+type Counters struct {
+	Clients, ClientsShut, ClientsTurnedAway  int
+	Malformed, Tests                         int
+	Invites, Dials, DialsFailed, LinksLost   int
+	ReleasesSaid, ReleasesLost               int
+	Queries, QueriesFailed, Answers, BadNews int
+}
+
+// A Node is a running call controller.
+type Node struct {
+	gnet.BuiltinEventEngine
+	loop
+	Counters
+	cfg      *config.Config
+	connect  time.Duration
+	core     *call.Core
+	json     *jsonFront
+	fronts   []call.Front
+	links    map[string]*link
+	list     *names.List
+	dns      gnet.Conn
+	pollAt   time.Duration
+	later    []func() // what is to be done when the core's turn is over
+	inTurn   bool
+	eng      gnet.Engine
+	rng      *rand.Rand
+	stopAt   time.Duration // when SIGTERM came, 0: not yet
+	stopping bool          // the engine is being stopped
+	failed   error
+}
+
+// New makes a node from its configuration.
+func New(cfg *config.Config) (*Node, error) {
+	n := &Node{cfg: cfg, connect: cfg.Connect, links: make(map[string]*link), rng: rand.New(rand.NewPCG(cfg.Seed, 1))}
+	n.loop.start()
+	desk, err := lapiscourse.NewDesk(n.now(), cfg.Settings, cfg.Seed, func(line string) {
+		log.Printf("event=module text=%q", line)
+	})
+	if err != nil {
+		return nil, err
+	}
+	n.core = call.New(desk, n, n.now)
+	n.json = &jsonFront{n: n, max: cfg.Sockets*2/3 - reserve}
+	n.fronts = []call.Front{n.json}
+	var known []config.Member
+	n.list, known = names.Start(cfg.Known)
+	servers := make([]lapiscourse.Server, 0, len(known))
+	for _, m := range known {
+		servers = append(servers, m.Server())
+		n.addLink(m)
+	}
+	n.core.List(servers, true)
+	return n, nil
+}
+
+func (n *Node) addLink(m config.Member) {
+	l := n.newLink(m.ID, m.Address, newSIP(n))
+	l.draining = m.Phase == config.Terminating
+	n.links[m.ID] = l
+}
+
+// Run serves until Stop has done its work.
+func (n *Node) Run() error {
+	err := gnet.Run(n, "tcp://"+n.cfg.Listen, gnet.WithNumEventLoop(1), gnet.WithLogger(gnetLog{}),
+		gnet.WithLoadBalancing(gnet.LeastConnections), gnet.WithReuseAddr(true))
+	if err != nil {
+		return fmt.Errorf("serving %s: %w", n.cfg.Listen, err)
+	}
+	return n.failed
+}
+
+// OnBoot implements gnet.EventHandler.
+func (n *Node) OnBoot(eng gnet.Engine) gnet.Action {
+	n.eng = eng
+	go n.boot()
+	return gnet.None
+}
+
+// boot brings the name service's socket, and with it the event loop, to the node.
+func (n *Node) boot() {
+	fail := func(err error) {
+		n.failed = fmt.Errorf("starting: %w", err)
+		_ = n.eng.Stop(context.Background())
+	}
+	c, err := net.Dial("udp", n.cfg.Names)
+	if err != nil {
+		fail(err)
+		return
+	}
+	ctx := gnet.NewContext(gnet.NewNetConnContext(context.Background(), c), dnsMark{})
+	var done <-chan gnet.RegisteredResult
+	for { // the loops start beside OnBoot
+		if done, err = n.eng.Register(ctx); !errors.Is(err, gerrors.ErrEmptyEngine) {
+			break
+		}
+		time.Sleep(time.Millisecond)
+	}
+	if err != nil {
+		fail(err)
+		return
+	}
+	res := <-done
+	if res.Err != nil {
+		fail(res.Err)
+		return
+	}
+	el := res.Conn.EventLoop()
+	err = el.Execute(context.Background(), runnable(func() {
+		n.el, n.dns = el, res.Conn
+		n.timer = time.AfterFunc(time.Hour, func() { n.exec(n.tick) })
+		n.turn(func() {
+			for _, l := range n.links {
+				l.dial()
+			}
+			log.Printf("event=started name=%s listen=%s exchanges=%d", n.cfg.Name, n.cfg.Listen, len(n.links))
+		})
+	}))
+	if err != nil {
+		fail(err)
+	}
+}
+
+type dnsMark struct{}
+
+// turn runs f as one turn of the loop, and after it what f has left to do, the
+// writes and the timer. A turn within a turn (a close by a failed write) is part of it.
+func (n *Node) turn(f func()) {
+	if n.inTurn {
+		f()
+		return
+	}
+	n.inTurn = true
+	f()
+	for len(n.later) > 0 || len(n.dirty) > 0 {
+		later := n.later
+		n.later = nil
+		for _, f := range later {
+			f()
+		}
+		if len(n.later) == 0 {
+			n.flush()
+		}
+	}
+	n.inTurn = false
+	n.rearm()
+}
+
+// rearm sets the timer to what is due next.
+func (n *Node) rearm() {
+	if n.timer == nil {
+		return
+	}
+	next := min(n.core.Next(), n.pollAt)
+	if n.stopAt > 0 {
+		next = min(next, n.now()+quiet/4)
+	}
+	n.timer.Reset(max(next-n.now(), 0))
+}
+
+func (n *Node) tick() {
+	n.turn(func() {
+		now := n.now()
+		n.core.Tick()
+		if now >= n.pollAt {
+			n.pollAt = now + poll
+			n.query()
+			for _, l := range n.links {
+				l.tick(now)
+			}
+			n.json.sayAgain()
+		}
+		if n.stopAt > 0 {
+			n.stop(now)
+		}
+	})
+}
+
+// Stop begins an orderly stop, as SIGTERM asks for. It may be called from anywhere.
+func (n *Node) Stop() {
+	n.exec(func() {
+		n.turn(func() {
+			if n.stopAt == 0 {
+				n.stopAt = n.now()
+				log.Printf("event=stopping open=%d standing=%d", n.core.Open(), n.core.Standing())
+			}
+		})
+	})
+}
+
+// stop goes on accepting while set-ups may still come, then ends when nothing is owed.
+func (n *Node) stop(now time.Duration) {
+	past := now - n.stopAt
+	if n.stopping || past < linger {
+		return
+	}
+	if past >= patience {
+		n.core.Stop()
+	}
+	if n.core.Open() > 0 || len(n.json.unsaid) > 0 && past < patience {
+		return
+	}
+	n.stopping = true
+	time.AfterFunc(quiet, func() { _ = n.eng.Stop(context.Background()) })
+}
+
+// Invite implements call.Exchanges.
+func (n *Node) Invite(server string, s call.Setup) {
+	if l := n.links[server]; l != nil {
+		l.invite(s)
+		return
+	}
+	n.later = append(n.later, func() { n.core.Ended(server, s.ID, s.Attempt, call.Unsent) })
+}
+
+// Cancel implements call.Exchanges.
+func (n *Node) Cancel(server, id string, attempt int) bool {
+	l := n.links[server]
+	return l != nil && l.cancel(id, attempt)
+}
+
+// Release implements call.Exchanges.
+func (n *Node) Release(server, id string, attempt, cause int) {
+	if l := n.links[server]; l != nil {
+		l.release(id, attempt, cause)
+	}
+}
+
+// ReleaseAnywhere implements call.Exchanges.
+func (n *Node) ReleaseAnywhere(id string, cause int) {
+	for _, l := range n.links {
+		l.release(id, 0, cause)
+	}
+}
+
+// query asks the name service for the list.
+func (n *Node) query() {
+	if n.dns == nil {
+		n.QueriesFailed++
+		return
+	}
+	text, err := n.list.Query(uint16(n.rng.Uint32()))
+	if err == nil {
+		n.Queries++
+		_, err = n.dns.Write(text)
+	}
+	if err != nil {
+		n.QueriesFailed++
+	}
+}
+
+// news takes an answer of the name service.
+func (n *Node) news(text []byte) {
+	changed, err := n.list.Answer(text)
+	if err != nil {
+		n.BadNews++
+		if n.BadNews == 1 { // the counter tells how many there were
+			log.Printf("event=bad_news err=%q", err)
+		}
+		return
+	}
+	n.Answers++
+	if len(changed) == 0 {
+		return
+	}
+	servers := make([]lapiscourse.Server, 0, len(changed))
+	for _, m := range changed {
+		servers = append(servers, m.Server())
+		log.Printf("event=exchange id=%s phase=%s cell=%d addr=%s started=%d", m.ID, m.Phase, m.Cell, m.Address, m.Started)
+	}
+	n.core.List(servers, false) // before the links tell of ends: nothing is to go there again
+	for _, m := range changed {
+		l := n.links[m.ID]
+		switch {
+		case m.Phase == config.Gone:
+			if l != nil {
+				l.end()
+				delete(n.links, m.ID)
+			}
+		case l == nil:
+			n.addLink(m)
+			n.links[m.ID].dial()
+		default:
+			if l.addr != m.Address {
+				l.move(m.Address)
+			}
+			if l.draining = m.Phase == config.Terminating; l.draining {
+				l.drain()
+			}
+			if m.Started > 0 { // a process that started since has none of the calls
+				n.core.Lost(m.ID, time.Duration(m.Started)*time.Millisecond)
+			}
+		}
+	}
+}
+
+// OnOpen implements gnet.EventHandler.
+func (n *Node) OnOpen(c gnet.Conn) (out []byte, action gnet.Action) {
+	n.turn(func() {
+		ok := true
+		switch x := c.Context().(type) {
+		case dnsMark: // gnet opens a connected datagram socket like a connection
+		case *dialled:
+			ok = x.link.up(x.serial, c)
+		default:
+			ok = n.json.opened(c)
+		}
+		if !ok {
+			c.SetContext(nil)
+			action = gnet.Close
+		}
+	})
+	return nil, action
+}
+
+// OnTraffic implements gnet.EventHandler.
+func (n *Node) OnTraffic(c gnet.Conn) (action gnet.Action) {
+	p, err := c.Next(-1)
+	if err != nil {
+		return gnet.None
+	}
+	n.turn(func() {
+		switch x := c.Context().(type) {
+		case dnsMark:
+			n.news(p)
+		case *client:
+			x.traffic(p)
+		case *link:
+			if x.s != nil && x.s.c == c {
+				x.traffic(p)
+			}
+		}
+	})
+	return gnet.None
+}
+
+// OnClose implements gnet.EventHandler.
+func (n *Node) OnClose(c gnet.Conn, err error) gnet.Action {
+	n.turn(func() {
+		switch x := c.Context().(type) {
+		case dnsMark:
+			// Guards against queries on a descriptor that has become another connection's.
+			n.dns = nil
+			log.Printf("event=names_lost err=%q", fmt.Sprint(err))
+		case *client:
+			x.s.gone, x.s.shut = true, true
+			x.closed()
+		case *link:
+			if x.s != nil && x.s.c == c {
+				x.s.gone, x.s.shut = true, true
+				x.closed(err)
+			}
+		}
+	})
+	return gnet.None
+}
+
+// Report writes the counters.
+func (n *Node) Report() {
+	c, k := &n.Counters, &n.core.Counters
+	log.Printf("event=counters requests=%d stood=%d refused=%d failed=%d given_up=%d repeated=%d open=%d standing=%d",
+		k.Requests, k.Stood, k.Refused, k.Failed, k.GivenUp, k.Repeated, n.core.Open(), n.core.Standing())
+	log.Printf("event=counters attempts=%d invites=%d cancels=%d late_answers=%d released_by_exchange=%d released_by_caller=%d released_unknown=%d",
+		k.Attempts, c.Invites, k.Cancels, k.LateAnswers, k.ReleasedByExchange, k.ReleasedByCaller, k.ReleasedUnknown)
+	log.Printf("event=counters clients=%d clients_shut=%d clients_turned_away=%d malformed=%d tests=%d dials=%d dials_failed=%d links_lost=%d releases_said=%d releases_lost=%d",
+		c.Clients, c.ClientsShut, c.ClientsTurnedAway, c.Malformed, c.Tests, c.Dials, c.DialsFailed, c.LinksLost, c.ReleasesSaid, c.ReleasesLost)
+	log.Printf("event=counters queries=%d queries_failed=%d answers=%d bad_news=%d serial=%d",
+		c.Queries, c.QueriesFailed, c.Answers, c.BadNews, n.list.Serial())
+	for _, e := range call.Ends() {
+		if k.Ends[e] > 0 {
+			log.Printf("event=ends end=%s count=%d", e, k.Ends[e])
+		}
+	}
+}
+
+// ReportSoon writes the counters from wherever it is called.
+func (n *Node) ReportSoon() { n.exec(n.Report) }
+
+// gnetLog passes gnet's errors on and drops the rest.
+type gnetLog struct{}
+
+func (gnetLog) Debugf(string, ...any) {}
+func (gnetLog) Infof(string, ...any)  {}
+func (gnetLog) Warnf(string, ...any)  {}
+func (gnetLog) Errorf(format string, args ...any) {
+	log.Printf("event=gnet err=%q", fmt.Sprintf(format, args...))
+}
+func (gnetLog) Fatalf(format string, args ...any) {
+	log.Fatalf("event=gnet err=%q", fmt.Sprintf(format, args...))
+}
