Let proven servers have more at once, and count ended calls' lines as free

Lines: each send took one per node off the told figure, and an ended call gave none back (place, returned). Credit: two calls a period until a window had passed (depth, flooded).

--- a/controller.go
+++ b/controller.go
@@ -90,11 +90,13 @@
 	clean                   bool          // there was evidence of none since
 	heard                   Time          // last answer of any kind
 	took, last              time.Duration // that calls took to stand: smoothed, the latest
+	floor                   time.Duration // the least that a call took to stand
 	stood                   Time          // when the latest stood
 	since                   Time          // counted from then on
 	best                    float64       // set-ups a second that it said it can take, at most
 	waitUntil               Time          // it asked to be left alone until then
 	cold                    bool
+	proven                  float64 // set-ups that it has answered at once while it was held back
 	free                    float64 // lines that it can have free by what this node knows
 	freeUntil               Time    // that counts until then
 	standing                float64 // calls of all nodes that stand there, as told
@@ -276,11 +278,23 @@
 	}
 	share := 1 - (wait-c.late).Seconds()/window.Seconds()
 	s.ceiling = max(c.rate(s, &s.answered)*min(max(share, sharp), 1), c.least())
-	s.pressed, s.clean = c.now, false
+	s.pressed, s.clean, s.proven = c.now, false, 0
 	c.note(s, "ceiling %.1f/s of %.1f/s offered, wait %v", s.ceiling, c.rate(s, &s.offered),
 		wait.Round(time.Millisecond))
 }
 
+// prove lets a server without a ceiling have more at once for each answer that came
+// as quickly as any while calls were held back for want of credit. The danger is a node
+// of many calls that is held for long to the few that suit one of few calls. It could
+// harm where set-ups that are quick one by one jam a processor together.
+func (c *Controller) prove(s *server) {
+	s.floor = min(s.floor, s.last)
+	if math.IsInf(s.ceiling, 1) && s.credit < 1 && s.last <= s.floor+c.late/50 {
+		s.proven++
+		s.credit++
+	}
+}
+
 // least is this node's part of a trickle that any server can take.
 func (c *Controller) least() float64 { return 1 / c.silence.Seconds() / float64(c.set.GroupSize) }
 
@@ -302,6 +316,7 @@
 		if !s.cold && c.now-s.since >= window {
 			c.carried[s.Pool] = max(c.carried[s.Pool], rate)
 		}
+		s.proven *= fade
 		s.credit = min(s.credit+s1*s.ceiling*period.Seconds(), c.depth(s))
 		s.climb = min(s.climb+c.pace(s, rate)*period.Seconds(), min(1+rate, burst))
 		if s.climb >= 1 && c.now-s.Started >= c.set.Cold {
@@ -350,7 +365,7 @@
 // without one, what it answers this node within the late mark as well.
 func (c *Controller) depth(s *server) float64 {
 	if math.IsInf(s.ceiling, 1) {
-		return burst + c.carried[s.Pool]*c.late.Seconds()
+		return burst + max(c.carried[s.Pool]*c.late.Seconds(), s.proven)
 	}
 	return max(burst, burst*s.ceiling*period.Seconds())
 }
@@ -486,6 +501,7 @@
 	s.took += (e.Took - s.took) / 4
 	s.last, s.stood = e.Took-c.pause, c.now
 	s.clean = s.last <= c.late/2
+	c.prove(s)
 	if s.last > c.late {
 		c.press(s, s.last)
 		s.waitUntil = max(s.waitUntil, c.now+min(s.last, window)-c.late)
@@ -502,6 +518,9 @@
 	if k.at, k.avoid = nil, s; lost {
 		k.avoid = nil
 	}
+	if k.standing { // its line is free again, and so are lines of others
+		s.free += float64(c.set.GroupSize)
+	}
 	c.report(s, e.Load)
 	if e.Terminal || k.answered || k.standing {
 		c.finish(k)
@@ -675,7 +694,7 @@
 // named may have just started.
 func (c *Controller) fresh(l Server) *server {
 	s := &server{Server: l, ceiling: math.Inf(1), credit: burst, climb: 1,
-		pressed: c.now - window, heard: c.now, since: c.now}
+		pressed: c.now - window, heard: c.now, since: c.now, floor: c.late}
 	if l.Started > 0 && c.now-l.Started < c.set.Cold {
 		s.cold, s.climb = true, c.rng.Float64()
 	}
@@ -757,7 +776,7 @@
 	if k.tier >= top {
 		room = k.class.Aim / 2
 	}
-	return float64(len(s.pending)) >= burst+c.carried[s.Pool]*room.Seconds()
+	return float64(len(s.pending)) >= burst+max(c.carried[s.Pool]*room.Seconds(), s.proven)
 }
 
 // quick tells whether a server has just answered this node quickly. Against that a
