Add the H.248 front and links on the same core, and tests of core and parsers

The front is off without deploy/h248.toml. A found fault with its test: a CRLF keep-alive that came in pieces on a SIP connection was taken for a first line (Reader.Feed looked for it only before any scan).

--- a/cmd/olivedale/main.go
+++ b/cmd/olivedale/main.go
@@ -30,7 +30,11 @@
 	}
 	runtime.GOMAXPROCS(1) // the platform gives one core, which others share
 	debug.SetMemoryLimit(int64(cfg.MemoryMB) << 20 * 3 / 4)
-	n, err := net.New(cfg)
+	h, err := config.LoadH248(config.H248Path)
+	if err != nil {
+		return err
+	}
+	n, err := net.New(cfg, h)
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/internal/call/call_test.go
@@ -0,0 +1,230 @@
+package call
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"lapiscourse"
+)
+
+// A script is a Decider that says what the test has written down.
+type script struct {
+	orders   []lapiscourse.Order // for Pick and for reports of ends, in turn
+	ticks    []lapiscourse.Order
+	progress []lapiscourse.Progress
+}
+
+func (s *script) pop(id string) lapiscourse.Order {
+	if len(s.orders) == 0 {
+		return lapiscourse.Order{Call: id}
+	}
+	o := s.orders[0]
+	s.orders = s.orders[1:]
+	o.Call = id
+	return o
+}
+func (s *script) Pick(_ Time, r lapiscourse.Request) lapiscourse.Order { return s.pop(r.Call) }
+func (s *script) Report(_ Time, p lapiscourse.Progress) lapiscourse.Order {
+	s.progress = append(s.progress, p)
+	if p.Stage != lapiscourse.Ended || p.Final {
+		return lapiscourse.Order{}
+	}
+	return s.pop(p.Call)
+}
+func (s *script) Tick(Time) []lapiscourse.Order {
+	t := s.ticks
+	s.ticks = nil
+	return t
+}
+func (s *script) Next() Time                            { return 1 << 62 }
+func (s *script) List(Time, []lapiscourse.Server, bool) {}
+
+// world is the client, the front and the exchanges; it notes what it is told.
+type world struct {
+	said   []string
+	unsent bool
+}
+
+func (w *world) note(format string, args ...any) {
+	w.said = append(w.said, fmt.Sprintf(format, args...))
+}
+func (w *world) Stands(id string, d []byte) { w.note("stands %s %s", id, d) }
+func (w *world) Refused(id string, cause int, wait time.Duration) {
+	w.note("refused %s %d %v", id, cause, wait)
+}
+func (w *world) Front() Front                 { return w }
+func (w *world) Release(id string, cause int) { w.note("release %s %d", id, cause) }
+
+type exchanges struct{ *world }
+
+func (x exchanges) Invite(server string, s Setup) { x.note("invite %s %s %d", server, s.ID, s.Attempt) }
+func (x exchanges) Cancel(server, id string, attempt int) bool {
+	x.note("cancel %s %s %d", server, id, attempt)
+	return x.unsent
+}
+func (x exchanges) Release(server, id string, attempt, cause int) {
+	x.note("bye %s %s %d", server, id, cause)
+}
+func (x exchanges) ReleaseAnywhere(id string, cause int) { x.note("bye anywhere %s %d", id, cause) }
+
+type bench struct {
+	*world
+	script
+	core *Core
+	now  Time
+}
+
+func newBench(orders ...lapiscourse.Order) *bench {
+	b := &bench{world: &world{}, now: time.Hour}
+	b.orders = orders
+	b.core = New(&b.script, exchanges{b.world}, func() Time { return b.now })
+	return b
+}
+
+func (b *bench) setUp(id string) {
+	b.core.SetUp(b.world, Request{ID: id, Class: "c", Until: b.now + 3*time.Second})
+}
+
+func (b *bench) want(t *testing.T, said ...string) {
+	t.Helper()
+	if fmt.Sprint(b.said) != fmt.Sprint(said) {
+		t.Errorf("got  %q\nwant %q", b.said, said)
+	}
+	b.said = nil
+}
+
+func try(server string) lapiscourse.Order {
+	return lapiscourse.Order{Move: lapiscourse.Try, Server: server, Wait: 2 * time.Second}
+}
+
+func TestStandsAndEnds(t *testing.T) {
+	b := newBench(try("s"))
+	b.setUp("x")
+	b.core.Answered("s", "x", 0, []byte("sdp"))
+	b.core.Answered("s", "x", 0, []byte("sdp")) // repeated
+	b.core.Released("s", "x", CauseNormal, b.world)
+	b.core.Released("s", "x", CauseNormal, b.world) // again on the next connection
+	b.want(t, "invite s x 0", "stands x sdp", "release x 16")
+	if got := b.progress[len(b.progress)-1]; got.Code != lapiscourse.Delivered || !got.Final {
+		t.Errorf("the end was reported as %+v", got)
+	}
+}
+
+func TestAnswerCrossingCancelIsReleased(t *testing.T) {
+	b := newBench(try("s"), lapiscourse.Order{Move: lapiscourse.Deny, Wait: time.Second})
+	b.setUp("x")
+	b.ticks = []lapiscourse.Order{{Call: "x", Move: lapiscourse.CallOff}}
+	b.core.Tick()
+	b.core.Answered("s", "x", 0, []byte("sdp"))
+	b.want(t, "invite s x 0", "cancel s x 0", "refused x 34 1s", "bye s x 16")
+}
+
+func TestOneAttemptAtATime(t *testing.T) {
+	b := newBench(try("s"))
+	b.setUp("x")
+	b.ticks = []lapiscourse.Order{{Call: "x", Move: lapiscourse.Try, Server: "t", Wait: time.Second}}
+	b.core.Tick()
+	b.want(t, "invite s x 0")
+}
+
+func TestTimeoutIsToldAndAnswered(t *testing.T) {
+	b := newBench(try("s"), lapiscourse.Order{Move: lapiscourse.GiveUp})
+	b.setUp("x")
+	b.now += 2 * time.Second
+	b.core.Tick()
+	b.core.Ended("s", "x", 0, ProcessorFull) // too late
+	b.want(t, "invite s x 0", "cancel s x 0", "refused x 41 0s")
+	if got := b.progress[0]; got.Code != lapiscourse.Expired {
+		t.Errorf("a time-out was reported as %+v", got)
+	}
+}
+
+func TestCancelBeforeTheFirstByteProvesNothingRan(t *testing.T) {
+	b := newBench(try("s"), try("t"))
+	b.unsent = true
+	b.setUp("x")
+	b.now += 2 * time.Second
+	b.core.Tick()
+	if got := b.progress[0]; got.Code != lapiscourse.Unused {
+		t.Errorf("a set-up that was never written was reported as %+v", got)
+	}
+}
+
+func TestCallerLeavesOnAnotherConnection(t *testing.T) {
+	b := newBench(try("s"), try("s"), try("s"))
+	b.setUp("x")
+	if b.core.Hangup("x", CauseNormal) {
+		t.Error("an open set-up was told to have stood")
+	}
+	b.core.Closed(b.world) // nothing is left to give up
+	b.setUp("y")
+	b.core.Answered("s", "y", 0, nil)
+	b.core.Closed(b.world) // a call that stands belongs to no connection
+	b.core.Hangup("y", CauseNormal)
+	b.core.Hangup("y", CauseNormal)
+	b.core.Released("s", "y", CauseNormal, b.world)
+	b.setUp("z")
+	b.core.Closed(b.world)
+	b.want(t, "invite s x 0", "cancel s x 0", "invite s y 0", "stands y ", "bye s y 16", "invite s z 0", "cancel s z 0")
+}
+
+func TestReleaseAfterARestart(t *testing.T) {
+	b := newBench()
+	b.core.Released("s", "x", CauseFailed, b.world)
+	b.core.Released("s", "x", CauseFailed, b.world)
+	b.core.Hangup("y", CauseNormal)
+	b.core.Hangup("y", CauseNormal)
+	b.want(t, "release x 41", "bye anywhere y 16")
+}
+
+func TestRepeatedSetUpIsAnsweredOnceOnItsNewConnection(t *testing.T) {
+	b := newBench(try("s"))
+	b.setUp("x")
+	other := &world{}
+	b.core.SetUp(other, Request{ID: "x"})
+	b.core.Closed(b.world)
+	b.core.Answered("s", "x", 0, []byte("sdp"))
+	b.want(t, "invite s x 0")
+	if fmt.Sprint(other.said) != "[stands x sdp]" {
+		t.Errorf("the new connection got %q", other.said)
+	}
+}
+
+func TestLostExchangeCutsWhatStoodBefore(t *testing.T) {
+	b := newBench(try("s"), try("s"))
+	b.setUp("x")
+	b.core.Answered("s", "x", 0, nil)
+	started := b.now + time.Second
+	b.now += 2 * time.Second
+	b.setUp("y")
+	b.core.Answered("s", "y", 0, nil)
+	b.core.Lost("s", started)
+	b.want(t, "invite s x 0", "stands x ", "invite s y 0", "stands y ", "release x 41")
+}
+
+func TestStopAnswersWhatIsOpen(t *testing.T) {
+	b := newBench(try("s"))
+	b.setUp("x")
+	b.core.Stop()
+	b.want(t, "invite s x 0", "cancel s x 0", "refused x 34 0s")
+	if b.core.Open() != 0 {
+		t.Error("a call is still open")
+	}
+}
+
+// Only ends that prove that nothing ran may lead to a resend without the guard.
+func TestEndsThatProveNothingRan(t *testing.T) {
+	proof := map[End]bool{NoCircuit: true, ProcessorFull: true, NeverLeft: true, Unsent: true,
+		DialRefused: true, DialTimedOut: true, DialFailed: true}
+	for _, e := range Ends() {
+		code, _ := e.outcome()
+		proves := code == lapiscourse.Full || code == lapiscourse.DialFailed || code == lapiscourse.Unused
+		if proves != proof[e] {
+			t.Errorf("%v: told as proof %v", e, proves)
+		}
+		if e.String() == "" {
+			t.Errorf("end %d has no name", e)
+		}
+	}
+}
--- a/internal/net/link.go
+++ b/internal/net/link.go
@@ -18,7 +18,7 @@
 // A dialect writes and reads what goes over a link. It may keep what it needs to
 // know of open calls; reset tells it of a new connection.
 type dialect interface {
-	invite(b []byte, s call.Setup) []byte
+	invite(b []byte, s call.Setup) ([]byte, error) // fails if the set-up cannot be said
 	cancel(b []byte, id string, attempt int) []byte
 	release(b []byte, id string, attempt, cause int) []byte
 	feed(l *link, p []byte) error
@@ -40,6 +40,7 @@
 type link struct {
 	n        *Node
 	id, addr string
+	pool     int
 	talk     dialect
 	s        *stream // nil while the link is down
 	serial   int     // of the latest dial; what an earlier one brings is dropped
@@ -59,8 +60,8 @@
 	at             time.Duration
 }
 
-func (n *Node) newLink(id, addr string, talk dialect) *link {
-	return &link{n: n, id: id, addr: addr, talk: talk, out: make(map[string]int), byes: make(map[string]bye)}
+func (n *Node) newLink(id, addr string, pool int, talk dialect) *link {
+	return &link{n: n, id: id, addr: addr, pool: pool, talk: talk, out: make(map[string]int), byes: make(map[string]bye)}
 }
 
 // invite writes a set-up, or queues it while the link is dialled.
@@ -80,9 +81,18 @@
 }
 
 func (l *link) send(s call.Setup) {
+	var err error
+	l.n.write(l.s, func(b []byte) []byte {
+		b, err = l.talk.invite(b, s)
+		return b
+	})
+	if err != nil {
+		l.n.Unsayable++
+		l.tell(s.ID, s.Attempt, call.Unsent)
+		return
+	}
 	l.out[s.ID] = s.Attempt
 	l.n.Invites++
-	l.n.write(l.s, func(b []byte) []byte { return l.talk.invite(b, s) })
 }
 
 // tell passes an end to the core, but not from within a call of the core.
--- a/internal/net/link_sip.go
+++ b/internal/net/link_sip.go
@@ -50,12 +50,17 @@
 	return id // of a call from before a restart only the id is known
 }
 
-func (d *sipDialect) invite(b []byte, s call.Setup) []byte {
-	d.dialogs[s.ID] = &dialog{number: s.Number}
-	return sip.AppendRequest(b, &sip.Request{Method: "INVITE", Number: s.Number, CallID: s.ID, CSeq: s.Attempt + 1,
+func (d *sipDialect) invite(b []byte, s call.Setup) ([]byte, error) {
+	from := len(b)
+	b = sip.AppendRequest(b, &sip.Request{Method: "INVITE", Number: s.Number, CallID: s.ID, CSeq: s.Attempt + 1,
 		Headers: []sip.Header{{Name: "X-Cos", Value: s.Class},
 			{Name: "X-Timer-Ms", Value: strconv.FormatInt(max(s.Wait.Milliseconds(), 1), 10)}},
 		Body: s.Description})
+	if len(b)-from > sip.Limit {
+		return b[:from], sip.ErrTooLong
+	}
+	d.dialogs[s.ID] = &dialog{number: s.Number}
+	return b, nil
 }
 
 func (d *sipDialect) cancel(b []byte, id string, attempt int) []byte {
--- a/internal/net/node.go
+++ b/internal/net/node.go
@@ -7,6 +7,8 @@
 	"log"
 	"math/rand/v2"
 	"net"
+	"os"
+	"strings"
 	"time"
 
 	"github.com/panjf2000/gnet/v2"
@@ -32,7 +34,7 @@
 // Counters count what the sockets bring.
 type Counters struct {
 	Clients, ClientsShut, ClientsTurnedAway  int
-	Malformed, Tests                         int
+	Malformed, Tests, Repeats, Unsayable     int
 	Invites, Dials, DialsFailed, LinksLost   int
 	ReleasesSaid, ReleasesLost               int
 	Queries, QueriesFailed, Answers, BadNews int
@@ -47,6 +49,9 @@
 	connect  time.Duration
 	core     *call.Core
 	json     *jsonFront
+	h248     *h248Front // nil: off
+	h248cfg  *config.H248
+	local    map[string]string // the addresses listened on, as configured by as bound
 	fronts   []call.Front
 	links    map[string]*link
 	list     *names.List
@@ -61,9 +66,9 @@
 	failed   error
 }
 
-// New makes a node from its configuration.
-func New(cfg *config.Config) (*Node, error) {
-	n := &Node{cfg: cfg, connect: cfg.Connect, links: make(map[string]*link), rng: rand.New(rand.NewPCG(cfg.Seed, 1))}
+// New makes a node from its configuration; without h the H.248 front is off.
+func New(cfg *config.Config, h *config.H248) (*Node, error) {
+	n := &Node{cfg: cfg, h248cfg: h, connect: cfg.Connect, local: make(map[string]string), links: make(map[string]*link), rng: rand.New(rand.NewPCG(cfg.Seed, 1))}
 	n.loop.start()
 	desk, err := lapiscourse.NewDesk(n.now(), cfg.Settings, cfg.Seed, func(line string) {
 		log.Printf("event=module text=%q", line)
@@ -74,6 +79,11 @@
 	n.core = call.New(desk, n, n.now)
 	n.json = &jsonFront{n: n, max: cfg.Sockets*2/3 - reserve}
 	n.fronts = []call.Front{n.json}
+	if h != nil { // the fronts share the budget of sockets
+		n.json.max /= 2
+		n.h248 = newH248Front(n, n.json.max)
+		n.fronts = append(n.fronts, n.h248)
+	}
 	var known []config.Member
 	n.list, known = names.Start(cfg.Known)
 	servers := make([]lapiscourse.Server, 0, len(known))
@@ -81,19 +91,28 @@
 		servers = append(servers, m.Server())
 		n.addLink(m)
 	}
+	if h != nil {
+		for _, s := range h.Servers {
+			if n.links[s.ID] != nil {
+				return nil, fmt.Errorf("the H.248 server %s is on the name service's list as well", s.ID)
+			}
+			servers = append(servers, lapiscourse.Server{ID: s.ID, Pool: s.Pool})
+			n.links[s.ID] = n.newLink(s.ID, s.Address, s.Pool, newH248(n, s.ID))
+		}
+	}
 	n.core.List(servers, true)
 	return n, nil
 }
 
 func (n *Node) addLink(m config.Member) {
-	l := n.newLink(m.ID, m.Address, newSIP(n))
+	l := n.newLink(m.ID, m.Address, m.Cell, newSIP(n))
 	l.draining = m.Phase == config.Terminating
 	n.links[m.ID] = l
 }
 
 // Run serves until Stop has done its work.
 func (n *Node) Run() error {
-	err := gnet.Run(n, "tcp://"+n.cfg.Listen, gnet.WithNumEventLoop(1), gnet.WithLogger(gnetLog{}),
+	err := gnet.Rotate(n, n.listeners(), gnet.WithNumEventLoop(1), gnet.WithLogger(gnetLog{}),
 		gnet.WithLoadBalancing(gnet.LeastConnections), gnet.WithReuseAddr(true))
 	if err != nil {
 		return fmt.Errorf("serving %s: %w", n.cfg.Listen, err)
@@ -101,9 +120,43 @@
 	return n.failed
 }
 
+func (n *Node) listeners() []string {
+	all := []string{"tcp://" + n.cfg.Listen}
+	if n.h248cfg != nil {
+		all = append(all, "tcp://"+n.h248cfg.Listen)
+		if n.h248cfg.Admin != "" {
+			all = append(all, "tcp://"+n.h248cfg.Admin)
+		}
+	}
+	return all
+}
+
+// bound finds the address that a listener has, by which its connections are known.
+func (n *Node) bound(configured string) error {
+	fd, err := n.eng.DupListener("tcp", configured)
+	if err != nil {
+		return fmt.Errorf("listener %s: %w", configured, err)
+	}
+	file := os.NewFile(uintptr(fd), configured)
+	defer func() { _ = file.Close() }()
+	ln, err := net.FileListener(file)
+	if err != nil {
+		return fmt.Errorf("listener %s: %w", configured, err)
+	}
+	defer func() { _ = ln.Close() }()
+	n.local[ln.Addr().String()] = configured
+	return nil
+}
+
 // OnBoot implements gnet.EventHandler.
 func (n *Node) OnBoot(eng gnet.Engine) gnet.Action {
 	n.eng = eng
+	for _, addr := range n.listeners() {
+		if err := n.bound(strings.TrimPrefix(addr, "tcp://")); err != nil {
+			n.failed = err
+			return gnet.Shutdown
+		}
+	}
 	go n.boot()
 	return gnet.None
 }
@@ -206,6 +259,9 @@
 				l.tick(now)
 			}
 			n.json.sayAgain()
+			if n.h248 != nil {
+				n.h248.sweep(now)
+			}
 		}
 		if n.stopAt > 0 {
 			n.stop(now)
@@ -215,14 +271,14 @@
 
 // Stop begins an orderly stop, as SIGTERM asks for. It may be called from anywhere.
 func (n *Node) Stop() {
-	n.exec(func() {
-		n.turn(func() {
-			if n.stopAt == 0 {
-				n.stopAt = n.now()
-				log.Printf("event=stopping open=%d standing=%d", n.core.Open(), n.core.Standing())
-			}
-		})
-	})
+	n.exec(func() { n.turn(n.beginStop) })
+}
+
+func (n *Node) beginStop() {
+	if n.stopAt == 0 {
+		n.stopAt = n.now()
+		log.Printf("event=stopping open=%d standing=%d", n.core.Open(), n.core.Standing())
+	}
 }
 
 // stop goes on accepting while set-ups may still come, then ends when nothing is owed.
@@ -340,7 +396,14 @@
 		case *dialled:
 			ok = x.link.up(x.serial, c)
 		default:
-			ok = n.json.opened(c)
+			switch at := n.local[c.LocalAddr().String()]; {
+			case n.h248 != nil && at == n.h248cfg.Listen:
+				ok = n.h248.opened(c, false)
+			case n.h248 != nil && at == n.h248cfg.Admin:
+				ok = n.h248.opened(c, true)
+			default:
+				ok = n.json.opened(c)
+			}
 		}
 		if !ok {
 			c.SetContext(nil)
@@ -362,6 +425,8 @@
 			n.news(p)
 		case *client:
 			x.traffic(p)
+		case *panel:
+			x.traffic(p)
 		case *link:
 			if x.s != nil && x.s.c == c {
 				x.traffic(p)
@@ -382,6 +447,9 @@
 		case *client:
 			x.s.gone, x.s.shut = true, true
 			x.closed()
+		case *panel:
+			x.s.gone, x.s.shut = true, true
+			x.closed()
 		case *link:
 			if x.s != nil && x.s.c == c {
 				x.s.gone, x.s.shut = true, true
@@ -399,8 +467,8 @@
 		k.Requests, k.Stood, k.Refused, k.Failed, k.GivenUp, k.Repeated, n.core.Open(), n.core.Standing())
 	log.Printf("event=counters attempts=%d invites=%d cancels=%d late_answers=%d released_by_exchange=%d released_by_caller=%d released_unknown=%d",
 		k.Attempts, c.Invites, k.Cancels, k.LateAnswers, k.ReleasedByExchange, k.ReleasedByCaller, k.ReleasedUnknown)
-	log.Printf("event=counters clients=%d clients_shut=%d clients_turned_away=%d malformed=%d tests=%d dials=%d dials_failed=%d links_lost=%d releases_said=%d releases_lost=%d",
-		c.Clients, c.ClientsShut, c.ClientsTurnedAway, c.Malformed, c.Tests, c.Dials, c.DialsFailed, c.LinksLost, c.ReleasesSaid, c.ReleasesLost)
+	log.Printf("event=counters clients=%d clients_shut=%d clients_turned_away=%d malformed=%d tests=%d repeats=%d unsayable=%d dials=%d dials_failed=%d links_lost=%d releases_said=%d releases_lost=%d",
+		c.Clients, c.ClientsShut, c.ClientsTurnedAway, c.Malformed, c.Tests, c.Repeats, c.Unsayable, c.Dials, c.DialsFailed, c.LinksLost, c.ReleasesSaid, c.ReleasesLost)
 	log.Printf("event=counters queries=%d queries_failed=%d answers=%d bad_news=%d serial=%d",
 		c.Queries, c.QueriesFailed, c.Answers, c.BadNews, n.list.Serial())
 	for _, e := range call.Ends() {
--- a/internal/net/sip/sip.go
+++ b/internal/net/sip/sip.go
@@ -86,9 +86,9 @@
 	for {
 		rest := r.rest[used:]
 		if r.head == nil {
-			for r.scanned == 0 && bytes.HasPrefix(rest, crlf2[:2]) { // keep-alive of RFC 5626
+			for bytes.HasPrefix(rest, crlf2[:2]) { // keep-alive of RFC 5626, perhaps in pieces
 				used += 2
-				rest = r.rest[used:]
+				rest, r.scanned = r.rest[used:], 0
 			}
 			i := bytes.Index(rest[max(0, r.scanned-3):], crlf2)
 			if i < 0 {
