--- /dev/null
+++ b/growth_test.go
@@ -0,0 +1,98 @@
+package lapiscourse
+
+import (
+	"math"
+	"testing"
+	"time"
+)
+
+// A node of many calls must not be held for seconds to the few calls a period that
+// suit one of few calls, while every answer comes at once.
+func TestProvenServerGetsMore(t *testing.T) {
+	r := newRig(t, testSettings(), a)
+	asked, sent := 0, 0
+	for end := r.now + time.Second; r.now < end; r.pass(5 * ms) {
+		for range 2 { // 400 a second
+			asked++
+			if id, s := r.ask("read", 0); s != "" {
+				sent++
+				r.stands(id, s, 20*ms)
+				r.feed(Returned{Call: id, Server: s, Code: Delivered, Terminal: true})
+			}
+		}
+	}
+	if sent < asked*3/4 {
+		t.Errorf("in its first second a node sent %d of %d calls to a server that answers at once", sent, asked)
+	}
+}
+
+// Answers that take longer than the quickest prove nothing: the set-ups wait for each other.
+func TestQueueingServerIsNotProven(t *testing.T) {
+	r := newRig(t, testSettings(), a)
+	id, s := r.ask("read", 0)
+	r.stands(id, s, 20*ms)
+	for range 40 {
+		if id, s := r.ask("read", 0); s != "" {
+			r.stands(id, s, 120*ms)
+		}
+		r.pass(5 * ms)
+	}
+	if p := r.c.servers[0].proven; p > 1 {
+		t.Errorf("a server that lets set-ups wait is proven for %v at once", p)
+	}
+}
+
+// A server's lines must not look taken once the calls on them have ended.
+func TestEndedCallsGiveTheirLinesBack(t *testing.T) {
+	r := newRig(t, testSettings(), a)
+	r.feed(Probed{Server: "a", OK: true, Load: Load{Free: Figure{40, true}, Lines: Figure{40, true}}})
+	for i := range 30 { // each ends before the next comes
+		id, s := r.ask("write", 0)
+		if s == "" {
+			t.Fatalf("call %d found no line though all before it had ended", i)
+		}
+		r.stands(id, s, 20*ms)
+		r.feed(Returned{Call: id, Server: s, Code: Delivered, Terminal: true})
+		r.pass(20 * ms)
+	}
+}
+
+// Where answers are quick a set-up that was overtaken is lost long before a period
+// has gone by, and does not press its server.
+func TestLostSetUpPressesNoQuickServer(t *testing.T) {
+	set := testSettings()
+	set.Resend = 120 * ms
+	r := newRig(t, set, a)
+	r.steady(20*ms, 4*time.Second, 15*ms)
+	if _, s := r.ask("read", 0); s == "" {
+		t.Fatal("the server was not used")
+	}
+	for range 30 {
+		r.pass(10 * ms)
+		if id, s := r.ask("read", 0); s != "" {
+			r.stands(id, s, 15*ms)
+		}
+	}
+	if c := r.c.servers[0].ceiling; !math.IsInf(c, 1) {
+		t.Errorf("one lost set-up set a ceiling of %v", c)
+	}
+}
+
+// Whoever is turned down is told when to come back.
+func TestRefusalNamesAWait(t *testing.T) {
+	r := newRig(t, testSettings(), a)
+	r.c.servers[0].waitUntil = r.now + 2*time.Second
+	r.ask("read", 0)
+	if f, ok := r.acts[len(r.acts)-1].(Refuse); !ok || f.Wait != 2*time.Second {
+		t.Errorf("got %+v, want a refusal for 2 s", r.acts)
+	}
+	r.c.servers[0].waitUntil = r.now + time.Hour
+	r.ask("read", 0)
+	if f, ok := r.acts[len(r.acts)-1].(Refuse); !ok || f.Wait != window {
+		t.Errorf("got %+v, want a refusal for a window", r.acts)
+	}
+	r.askAs(Ask{Call: "odd", Class: "nobody", Until: r.now + time.Second})
+	if f, ok := r.acts[len(r.acts)-1].(Refuse); !ok || f.Wait <= 0 {
+		t.Errorf("an unknown class: %+v, want a refusal with a wait", r.acts)
+	}
+}
