--- a/internal/net/standin_test.go
+++ b/internal/net/standin_test.go
@@ -401,7 +401,6 @@
 	mu   sync.Mutex
 	ctx  map[string]string // by termination
 	raw  map[uint32]int    // replies to a transaction
-	pend int
 }
 
 func dialH248(t *testing.T, addr string, h *heard, mid string) *h248Caller {
