--- /dev/null
+++ b/internal/agent/agent.go
@@ -0,0 +1,319 @@
+package agent
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/BurntSushi/toml"
+
+	"lapiscourse/internal/config"
+	"lapiscourse/internal/net/h248"
+)
+
+// Times of supervision.
+const (
+	restartFirst = 200 * time.Millisecond // before a process that ended is started again, doubling
+	restartLast  = 10 * time.Second
+	stable       = 10 * time.Second // one that ran so long is started again without delay
+	drainLimit   = 15 * time.Second // a process that drains is killed then
+)
+
+// A Spec is a wanted instance, as JSON under its name in etcd.
+type Spec struct {
+	Config json.RawMessage `json:"config"` // what RELAY_CONFIG is to name
+	H248   *config.H248    `json:"h248"`   // switches its H.248 front on
+}
+
+// States of an instance.
+const (
+	Starting = "starting"
+	Running  = "running"
+	Waiting  = "waiting" // it ended and is to be started again
+	Draining = "draining"
+	Drained  = "drained"
+	Faulty   = "faulty" // its specification can't be used
+)
+
+// An Agent supervises instances.
+type Agent struct {
+	program string
+	dir     string
+	mu      sync.Mutex
+	all     map[string]*instance
+	wg      sync.WaitGroup
+	closed  bool
+}
+
+// An instance is one wanted process, or one that drains. Its goroutine owns the process.
+type instance struct {
+	name  string
+	value []byte
+	spec  Spec
+	stop  chan struct{} // closed: drain and end
+	done  chan struct{} // closed: it has ended
+	once  sync.Once
+
+	mu     sync.Mutex
+	state  string
+	pid    int
+	starts int
+}
+
+// New makes an agent that runs program, an absolute path, for every instance and keeps their files in dir.
+func New(program, dir string) *Agent {
+	return &Agent{program: program, dir: dir, all: make(map[string]*instance)}
+}
+
+// names that may become a folder: the danger is a key such as "../x".
+var usable = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9_.-]{0,62}$`)
+
+// Replace implements Wanted.
+func (a *Agent) Replace(all map[string][]byte) {
+	a.mu.Lock()
+	var gone []string
+	for name := range a.all {
+		if _, ok := all[name]; !ok {
+			gone = append(gone, name)
+		}
+	}
+	a.mu.Unlock()
+	for _, name := range gone {
+		a.Change(name, nil)
+	}
+	for name, value := range all {
+		a.Change(name, value)
+	}
+}
+
+// Change implements Wanted. A changed specification drains the old process before
+// the new one starts: both would listen on the same address.
+func (a *Agent) Change(name string, value []byte) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.closed {
+		return
+	}
+	old := a.all[name]
+	if old != nil && value != nil && bytes.Equal(old.value, value) {
+		return
+	}
+	if old != nil {
+		old.drain("no longer wanted")
+		delete(a.all, name)
+	}
+	if value == nil {
+		return
+	}
+	i := &instance{name: name, value: value, stop: make(chan struct{}), done: make(chan struct{}), state: Starting}
+	a.all[name] = i
+	if err := i.read(); err != nil {
+		log.Printf("event=bad_spec name=%q err=%q", name, err)
+		i.state = Faulty
+		close(i.done)
+		return
+	}
+	a.wg.Add(1)
+	go func() {
+		defer a.wg.Done()
+		defer close(i.done)
+		if old != nil {
+			<-old.done
+		}
+		a.supervise(i)
+	}()
+}
+
+func (i *instance) read() error {
+	if !usable.MatchString(i.name) {
+		return errors.New("the name can't be used")
+	}
+	if err := json.Unmarshal(i.value, &i.spec); err != nil {
+		return err
+	}
+	if _, err := config.Parse(i.spec.Config); err != nil {
+		return err
+	}
+	return nil
+}
+
+func (i *instance) drain(why string) {
+	i.once.Do(func() {
+		log.Printf("event=drain name=%s why=%q", i.name, why)
+		close(i.stop)
+	})
+}
+
+func (i *instance) set(state string, pid int) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.state, i.pid = state, pid
+	if state == Running {
+		i.starts++
+	}
+}
+
+// Close drains all instances and waits for their ends.
+func (a *Agent) Close() {
+	a.mu.Lock()
+	a.closed = true
+	for _, i := range a.all {
+		if i.state != Faulty {
+			i.drain("the agent stops")
+		}
+	}
+	a.mu.Unlock()
+	a.wg.Wait()
+}
+
+// supervise runs an instance's process again and again until it is to drain.
+func (a *Agent) supervise(i *instance) {
+	pause := restartFirst
+	for {
+		began := time.Now()
+		err := a.run(i)
+		select {
+		case <-i.stop:
+			i.set(Drained, 0)
+			return
+		default:
+		}
+		if time.Since(began) > stable {
+			pause = restartFirst
+		}
+		log.Printf("event=ended name=%s err=%q again_in=%v", i.name, fmt.Sprint(err), pause)
+		i.set(Waiting, 0)
+		select {
+		case <-i.stop:
+			i.set(Drained, 0)
+			return
+		case <-time.After(pause):
+		}
+		pause = min(2*pause, restartLast)
+	}
+}
+
+// run starts the process and waits for its end; when it is to drain it gets SIGTERM.
+func (a *Agent) run(i *instance) error {
+	select {
+	case <-i.stop:
+		return nil
+	default:
+	}
+	dir, err := filepath.Abs(filepath.Join(a.dir, i.name))
+	if err != nil {
+		return err
+	}
+	path, err := write(dir, &i.spec)
+	if err != nil {
+		return fmt.Errorf("writing its files: %w", err)
+	}
+	cmd := exec.Command(a.program)
+	cmd.Dir = dir
+	cmd.Env = append(os.Environ(), "RELAY_CONFIG="+path)
+	cmd.Stdout, cmd.Stderr = os.Stdout, os.Stderr
+	if err := cmd.Start(); err != nil {
+		return err
+	}
+	i.set(Running, cmd.Process.Pid)
+	log.Printf("event=running name=%s pid=%d", i.name, cmd.Process.Pid)
+	ended := make(chan error, 1)
+	go func() { ended <- cmd.Wait() }()
+	select {
+	case err := <-ended:
+		return err
+	case <-i.stop:
+	}
+	i.set(Draining, cmd.Process.Pid)
+	if err := cmd.Process.Signal(syscall.SIGTERM); err != nil && !errors.Is(err, os.ErrProcessDone) {
+		log.Printf("event=signal_failed name=%s err=%q", i.name, err)
+	}
+	select {
+	case err := <-ended:
+		return err
+	case <-time.After(drainLimit):
+		_ = cmd.Process.Kill()
+		return <-ended
+	}
+}
+
+// write lays out the files of an instance: its configuration and, if wanted, deploy/h248.toml.
+func write(dir string, spec *Spec) (path string, err error) {
+	if err := os.MkdirAll(filepath.Join(dir, "deploy"), 0o700); err != nil {
+		return "", err
+	}
+	path = filepath.Join(dir, "config.json")
+	if err := os.WriteFile(path, spec.Config, 0o600); err != nil {
+		return "", err
+	}
+	front := filepath.Join(dir, config.H248Path)
+	if spec.H248 == nil {
+		if err := os.Remove(front); err != nil && !errors.Is(err, os.ErrNotExist) {
+			return "", err
+		}
+		return path, nil
+	}
+	var text bytes.Buffer
+	if err := toml.NewEncoder(&text).Encode(spec.H248); err != nil {
+		return "", err
+	}
+	return path, os.WriteFile(front, text.Bytes(), 0o600)
+}
+
+// Handle answers olivectl: AuditValue of ROOT lists the instances, AuditValue of
+// instance/NAME tells of one, ServiceChange drains it.
+func (a *Agent) Handle(c *h248.Command) ([]*h248.Node, *h248.Error) {
+	name, one := strings.CutPrefix(c.Termination, "instance/")
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	i := a.all[name]
+	switch {
+	case one && i == nil:
+		return nil, &h248.Error{Code: h248.UnknownTermination, Text: c.Termination}
+	case !one && !strings.EqualFold(c.Termination, "ROOT"):
+		return nil, &h248.Error{Code: h248.UnknownTermination, Text: c.Termination}
+	case c.Name == "AuditValue" && one:
+		return []*h248.Node{i.node()}, nil
+	case c.Name == "AuditValue":
+		stats := &h248.Node{Name: "Statistics"}
+		names := make([]string, 0, len(a.all))
+		for name := range a.all {
+			names = append(names, name)
+		}
+		slices.Sort(names)
+		for _, name := range names {
+			stats.Kids = append(stats.Kids, a.all[name].node())
+		}
+		return []*h248.Node{stats}, nil
+	case c.Name == "ServiceChange" && one && strings.EqualFold(h248.Value(c.Descriptors, "Services", "Method"), "Graceful"):
+		if i.state != Faulty {
+			i.drain("asked for")
+		}
+		return nil, nil
+	}
+	return nil, &h248.Error{Code: h248.NotImplemented, Text: c.Name}
+}
+
+// node tells of an instance.
+func (i *instance) node() *h248.Node {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	n := &h248.Node{Name: "oa/instance", Kids: []*h248.Node{{Name: "name", Value: i.name, Quoted: true}, {Name: "state", Value: i.state},
+		{Name: "pid", Value: strconv.Itoa(i.pid)}, {Name: "starts", Value: strconv.Itoa(i.starts)}}}
+	if i.spec.H248 != nil && i.spec.H248.Admin != "" {
+		n.Kids = append(n.Kids, &h248.Node{Name: "admin", Value: i.spec.H248.Admin, Quoted: true})
+	}
+	return n
+}
