--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -146,6 +146,9 @@
 	if _, err := config.Parse(i.spec.Config); err != nil {
 		return err
 	}
+	if i.spec.H248 != nil {
+		return i.spec.H248.Check()
+	}
 	return nil
 }
 
--- a/internal/config/h248.go
+++ b/internal/config/h248.go
@@ -14,16 +14,16 @@
 
 // H248 switches the H.248 front on.
 type H248 struct {
-	Listen  string       `toml:"listen"` // where panels and gateways connect
-	Admin   string       `toml:"admin"`  // where the agent and olivectl connect; "": nowhere
-	Servers []H248Server `toml:"server"` // call servers that speak H.248
+	Listen  string       `toml:"listen" json:"listen"` // where panels and gateways connect
+	Admin   string       `toml:"admin" json:"admin"`   // where the agent and olivectl connect; "": nowhere
+	Servers []H248Server `toml:"server" json:"server"` // call servers that speak H.248
 }
 
 // An H248Server is a call server that speaks H.248.
 type H248Server struct {
-	ID      string `toml:"id"`
-	Address string `toml:"address"`
-	Pool    int    `toml:"pool"`
+	ID      string `toml:"id" json:"id"`
+	Address string `toml:"address" json:"address"`
+	Pool    int    `toml:"pool" json:"pool"`
 }
 
 // LoadH248 reads the file at path; without a file the front is off, and nil returned.
@@ -39,13 +39,14 @@
 	if unknown := meta.Undecoded(); len(unknown) > 0 {
 		return nil, fmt.Errorf("config: %s: unknown key %s", path, unknown[0])
 	}
-	if err := h.check(); err != nil {
+	if err := h.Check(); err != nil {
 		return nil, fmt.Errorf("config: %s: %w", path, err)
 	}
 	return &h, nil
 }
 
-func (h *H248) check() error {
+// Check tells what is wrong with the front's settings.
+func (h *H248) Check() error {
 	if _, err := netip.ParseAddrPort(h.Listen); err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
--- /dev/null
+++ b/internal/names/names_test.go
@@ -0,0 +1,136 @@
+package names
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"testing"
+
+	"golang.org/x/net/dns/dnsmessage"
+
+	"lapiscourse/internal/config"
+)
+
+type line struct {
+	id       string
+	priority uint16
+	started  int64
+	noAddr   bool
+}
+
+func answer(t testing.TB, id uint16, serial uint32, lines ...line) []byte {
+	t.Helper()
+	b := dnsmessage.NewBuilder(nil, dnsmessage.Header{ID: id, Response: true})
+	b.EnableCompression()
+	head := func(name string) dnsmessage.ResourceHeader {
+		return dnsmessage.ResourceHeader{Name: dnsmessage.MustNewName(name), Class: dnsmessage.ClassINET}
+	}
+	check := func(err error) {
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	check(b.StartQuestions())
+	check(b.Question(dnsmessage.Question{Name: service, Type: dnsmessage.TypeSRV, Class: dnsmessage.ClassINET}))
+	check(b.StartAnswers())
+	for _, l := range lines {
+		check(b.SRVResource(head(Service), dnsmessage.SRVResource{Priority: l.priority, Weight: 40, Port: 5060,
+			Target: dnsmessage.MustNewName(l.id + ".east.hosts.")}))
+	}
+	check(b.StartAuthorities())
+	check(b.SOAResource(head(Service), dnsmessage.SOAResource{NS: service, MBox: service, Serial: serial}))
+	check(b.StartAdditionals())
+	for _, l := range lines {
+		if !l.noAddr {
+			check(b.AResource(head(l.id+".east.hosts."), dnsmessage.AResource{A: [4]byte{10, 1, 0, 9}}))
+		}
+		check(b.TXTResource(head(l.id+".east.hosts."), dnsmessage.TXTResource{TXT: []string{"kind=std", "cell=2", fmt.Sprint("started=", l.started)}}))
+	}
+	text, err := b.Finish()
+	check(err)
+	return text
+}
+
+func member(id, phase string, started int64) config.Member {
+	return config.Member{ID: id, Address: "10.1.0.9:5060", Zone: "east", Kind: "std", Cell: 2, Phase: phase, Started: started}
+}
+
+func started(t *testing.T) *List {
+	t.Helper()
+	l, all := Start(config.Known{N: 3, Events: []config.Event{
+		{N: 1, Members: config.List{Complete: true, Members: []config.Member{member("a", config.Ready, 0), member("b", config.Ready, 0)}}},
+		{N: 2, Members: config.List{Members: []config.Member{member("b", config.Gone, 0)}}},
+		{N: 3, Members: config.List{Members: []config.Member{member("c", config.Terminating, 0)}}}}})
+	if len(all) != 2 || all[0].ID != "a" || all[1].Phase != config.Terminating {
+		t.Fatalf("start: %+v", all)
+	}
+	if _, err := l.Query(7); err != nil {
+		t.Fatal(err)
+	}
+	return l
+}
+
+func TestChanges(t *testing.T) {
+	l := started(t)
+	got, err := l.Answer(answer(t, 7, 5, line{id: "a", priority: 1}, line{id: "d", started: 1234}))
+	want := []config.Member{member("a", config.Terminating, 0), member("c", config.Gone, 0), member("d", config.Ready, 1234)}
+	if err != nil || !slices.Equal(got, want) || l.Serial() != 5 {
+		t.Errorf("got %+v, %v, serial %d", got, err, l.Serial())
+	}
+	if got, err := l.Answer(answer(t, 7, 4)); err != nil || len(got) != 0 || l.Serial() != 5 {
+		t.Errorf("an answer that was overtaken: %+v, %v", got, err)
+	}
+	if got, err := l.Answer(answer(t, 7, 6, line{id: "d", started: 1234})); err != nil || len(got) != 1 || got[0].Phase != config.Gone {
+		t.Errorf("got %+v, %v", got, err)
+	}
+}
+
+func TestManyLinesFit(t *testing.T) {
+	l := started(t)
+	var lines []line
+	for i := range 60 {
+		lines = append(lines, line{id: fmt.Sprint("s-", i)})
+	}
+	text := answer(t, 7, 9, lines...)
+	if got, err := l.Answer(text); err != nil || len(got) != 62 || len(text) < 4000 {
+		t.Errorf("%d changes, %v, of %d bytes", len(got), err, len(text))
+	}
+}
+
+func TestBadAnswersChangeNothing(t *testing.T) {
+	l := started(t)
+	good := answer(t, 7, 9, line{id: "z"})
+	bad := map[string][]byte{"empty": {}, "another id": answer(t, 8, 9), "no address": answer(t, 7, 9, line{id: "z", noAddr: true}),
+		"cut": good[:len(good)-3], "long": append(slices.Clone(good), make([]byte, Limit)...)}
+	failed := slices.Clone(good)
+	failed[3] |= 2 // SERVFAIL
+	bad["failed"] = failed
+	for what, text := range bad {
+		if got, err := l.Answer(text); err == nil || l.Serial() != 3 {
+			t.Errorf("%s: %+v, serial %d", what, got, l.Serial())
+		}
+	}
+	rng := rand.New(rand.NewPCG(1, 1))
+	for range 5000 { // a few bytes of a good answer are spoilt
+		text := slices.Clone(good)
+		for range 1 + rng.IntN(4) {
+			text[rng.IntN(len(text))] = byte(rng.Uint32())
+		}
+		fresh := started(t)
+		_, _ = fresh.Answer(text)
+	}
+}
+
+func TestQuery(t *testing.T) {
+	text, err := started(t).Query(9)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var p dnsmessage.Parser
+	h, err := p.Start(text)
+	q, err2 := p.Question()
+	if err != nil || err2 != nil || h.ID != 9 || q.Type != dnsmessage.TypeSRV || !strings.HasPrefix(q.Name.String(), "_api._tcp.") {
+		t.Errorf("%+v %+v %v %v", h, q, err, err2)
+	}
+}
--- a/internal/net/client.go
+++ b/internal/net/client.go
@@ -41,13 +41,13 @@
 	front *jsonFront
 	s     *stream
 	in    jsonl.Reader
-	open  int       // set-ups that are not answered
-	said  []release // not confirmed
+	open  map[string]bool // set-ups that are not answered
+	said  []release       // not confirmed
 }
 
 func (f *jsonFront) opened(c gnet.Conn) bool {
 	if len(f.clients) >= f.max { // guards the socket budget
-		i := slices.IndexFunc(f.clients, func(k *client) bool { return k.open == 0 && !k.s.shut })
+		i := slices.IndexFunc(f.clients, func(k *client) bool { return len(k.open) == 0 && !k.s.shut })
 		if i < 0 {
 			f.n.ClientsTurnedAway++
 			return false
@@ -56,7 +56,7 @@
 		f.n.close(f.clients[i].s)
 	}
 	f.n.Clients++
-	k := &client{front: f, s: &stream{c: c}}
+	k := &client{front: f, s: &stream{c: c}, open: make(map[string]bool)}
 	c.SetContext(k)
 	f.clients = append(f.clients, k)
 	f.sayAgain()
@@ -136,18 +136,17 @@
 		if err != nil {
 			return err
 		}
-		k.open++
+		k.open[r.ID] = true
 		n.core.SetUp(k, r)
 	case jsonl.Finish:
 		if !isID(m.Tag) {
 			return fmt.Errorf("tag %.20q", m.Tag)
 		}
+		delete(k.open, m.Tag)
 		if n.core.Hangup(m.Tag, m.RC) {
 			n.write(k.s, func(b []byte) []byte {
 				return jsonl.Append(b, &jsonl.Message{Verb: jsonl.Finished, Tag: m.Tag})
 			})
-		} else if k.open > 0 {
-			k.open--
 		}
 	case jsonl.Finished:
 		k.said = slices.DeleteFunc(k.said, func(r release) bool { return r.id == m.Tag })
@@ -210,7 +209,7 @@
 
 // Stands implements call.Client.
 func (k *client) Stands(id string, description []byte) {
-	k.open--
+	delete(k.open, id)
 	k.front.n.write(k.s, func(b []byte) []byte {
 		return jsonl.Append(b, &jsonl.Message{Verb: jsonl.Started, Tag: id, Blob: description})
 	})
@@ -218,7 +217,7 @@
 
 // Refused implements call.Client.
 func (k *client) Refused(id string, cause int, wait time.Duration) {
-	k.open--
+	delete(k.open, id)
 	m := &jsonl.Message{Verb: jsonl.Finish, Tag: id, RC: cause, HasRC: true}
 	if wait > 0 {
 		m.Opts = []jsonl.Opt{{Name: "wait", Value: strconv.FormatInt(wait.Milliseconds(), 10)}}
--- a/internal/net/node_test.go
+++ b/internal/net/node_test.go
@@ -11,6 +11,7 @@
 	"lapiscourse/internal/config"
 	"lapiscourse/internal/net/h248"
 	"lapiscourse/internal/net/jsonl"
+	"lapiscourse/internal/net/sip"
 )
 
 // site is a running node with its stand-ins.
@@ -411,3 +412,95 @@
 	k := dialJSON(t, s.json(), h, "aaaaaaaa")
 	h.wait(t, k.setUp("keep.1", 4*time.Second), 1) // all others go on
 }
+
+// After a restart nothing is known of calls that stand: a BYE is passed on, once.
+func TestReleaseOfAnUnknownCall(t *testing.T) {
+	s, h := startSite(t, false), newHeard()
+	dialJSON(t, s.json(), h, "aaaaaaaa")
+	const id = "00000000000000aa"
+	eventually(t, "the link is up", func() bool {
+		up := make(chan bool, 1)
+		s.n.exec(func() { up <- s.n.links["s-0"].s != nil && len(s.n.json.clients) > 0 })
+		return <-up
+	})
+	s.servers[0].mu.Lock()
+	for c := range s.servers[0].conn {
+		bye := sip.AppendRequest(nil, &sip.Request{Method: "BYE", Number: "x", CallID: id, CSeq: 2,
+			Headers: []sip.Header{{Name: "Reason", Value: "Q.850;cause=41"}}})
+		_, _ = c.Write(append(bye, bye...))
+	}
+	s.servers[0].mu.Unlock()
+	if got := h.wait(t, id, 1); got != "end 41" {
+		t.Errorf("heard %q", got)
+	}
+}
+
+// A release that no connection can carry waits for the next one.
+func TestReleaseWaitsForAConnection(t *testing.T) {
+	s, h := startSite(t, false), newHeard()
+	k := dialJSON(t, s.json(), h, "aaaaaaaa")
+	key := k.setUp("keep.1", 4*time.Second)
+	h.wait(t, key, 1)
+	k.close()
+	eventually(t, "no caller is connected", func() bool {
+		n := make(chan int, 1)
+		s.n.exec(func() { n <- len(s.n.json.clients) })
+		return <-n == 0
+	})
+	s.servers[0].stop()
+	eventually(t, "the call is cut", func() bool {
+		n := make(chan int, 1)
+		s.n.exec(func() { n <- len(s.n.json.unsaid) })
+		return <-n == 1
+	})
+	dialJSON(t, s.json(), h, "bbbbbbbb")
+	if got := h.wait(t, key, 2); got != "stands "+accept("keep.1")+" end 41" {
+		t.Errorf("heard %q", got)
+	}
+}
+
+// Callers beyond the budget of sockets take the place of idle ones, not of calls.
+func TestSocketBudget(t *testing.T) {
+	s, h := startSite(t, false), newHeard()
+	done := make(chan bool)
+	s.n.exec(func() { s.n.json.max = 2; done <- true })
+	<-done
+	busy := dialJSON(t, s.json(), h, "aaaaaaaa")
+	busy.setUp("silent.1", 5*time.Second)
+	eventually(t, "the set-up is out", func() bool { return s.r.tries("silent.1") == 1 })
+	for range 5 {
+		dialJSON(t, s.json(), h, "bbbbbbbb")
+	}
+	last := dialJSON(t, s.json(), h, "cccccccc")
+	if got := h.wait(t, last.setUp("keep.1", 4*time.Second), 1); got == "" {
+		t.Error("no answer on the last connection")
+	}
+	if n := s.r.total(&s.r.gaveUp); n != 0 {
+		t.Errorf("%d set-ups were given up for want of sockets", n)
+	}
+}
+
+// After SIGTERM set-ups are still taken for a while, and all of them answered.
+func TestStopAnswersLateComers(t *testing.T) {
+	s, h := startSite(t, false), newHeard()
+	k := dialJSON(t, s.json(), h, "aaaaaaaa")
+	open := k.setUp("silent.1", 1500*time.Millisecond)
+	eventually(t, "the set-up is out", func() bool { return s.r.tries("silent.1") == 1 })
+	s.n.Stop()
+	late := dialJSON(t, s.json(), h, "bbbbbbbb")
+	if got := h.wait(t, late.setUp("keep.1", 4*time.Second), 1); got == "" {
+		t.Error("a set-up just after SIGTERM got no answer")
+	}
+	if got := h.wait(t, open, 1); got != "end 41" {
+		t.Errorf("the open set-up got %q", got)
+	}
+	select {
+	case err := <-s.done:
+		s.done <- err
+		if err != nil {
+			t.Error(err)
+		}
+	case <-time.After(10 * time.Second):
+		t.Error("the node did not stop")
+	}
+}
