Keep a later attempt's dialog when an earlier one's last word comes late

Found by reading: a 487 to a cancelled attempt set the end of the dialog by Call-ID alone (sipDialect.response), so the BYE of a later attempt that stood over 32 s would have named the id and not the number called.

--- a/internal/net/link_sip.go
+++ b/internal/net/link_sip.go
@@ -20,8 +20,9 @@
 }
 
 type dialog struct {
-	number string
-	ends   time.Duration // forgotten then; 0: while the call is open
+	number  string
+	attempt int
+	ends    time.Duration // forgotten then; 0: while the call is open
 }
 
 func newSIP(n *Node) *sipDialect { return &sipDialect{n: n, dialogs: make(map[string]*dialog)} }
@@ -59,7 +60,7 @@
 	if len(b)-from > sip.Limit {
 		return b[:from], sip.ErrTooLong
 	}
-	d.dialogs[s.ID] = &dialog{number: s.Number}
+	d.dialogs[s.ID] = &dialog{number: s.Number, attempt: s.Attempt}
 	return b, nil
 }
 
@@ -102,7 +103,9 @@
 			d.n.core.Answered(l.id, m.CallID, attempt, m.Body)
 			return
 		}
-		d.end(m.CallID)
+		if g := d.dialogs[m.CallID]; g != nil && g.attempt == attempt {
+			d.end(m.CallID) // the last word on an earlier attempt must not end a later one's dialog
+		}
 		d.n.core.Ended(l.id, m.CallID, attempt, sipEnd(m))
 	}
 }
