--- a/internal/net/node_test.go
+++ b/internal/net/node_test.go
@@ -40,6 +40,17 @@
  "domain":{"topology":"pools","releaseGuard":300,"resend":1500,"skilledPools":[[0,1,2,3]]},
  "limits":{"maxAttempts":4,"cancel":true,"connectTimeout":500},"safety":{"startCapacity":0.5,"cold":1000}}`
 
+// testConfig is a configuration without a name service or exchanges.
+func testConfig(t *testing.T) *config.Config {
+	t.Helper()
+	cfg, err := config.Parse([]byte(`{"name":"n0","listen":"127.0.0.1:0","seed":"1f","names":"127.0.0.1:9",
+		"limits":{"memory_mb":192,"sockets":1024},"settings":` + settings + "}"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return cfg
+}
+
 // startSite starts a node with a stand-in server a flag: true for H.248.
 func startSite(t *testing.T, dialects ...bool) *site {
 	t.Helper()
@@ -354,7 +365,16 @@
 		s.n.exec(func() { drained <- s.n.links["s-0"].draining })
 		return <-drained
 	})
+	invited := func() int {
+		s.servers[0].mu.Lock()
+		defer s.servers[0].mu.Unlock()
+		return s.servers[0].invited
+	}
+	before := invited()
 	h.wait(t, k.setUp("keep.2", 4*time.Second), 1)
+	if n := invited(); n != before {
+		t.Errorf("%d set-ups went to a server that drains", n-before)
+	}
 	s.names.set(lines[1])
 	if got := h.wait(t, key, 2); got != "stands "+accept("keep.1")+" end 41" {
 		t.Errorf("the call at the server that is gone: %q", got)
--- a/internal/net/standin_test.go
+++ b/internal/net/standin_test.go
@@ -84,7 +84,8 @@
 	ln   net.Listener
 	mu   sync.Mutex
 	conn map[net.Conn]bool
-	h248 bool
+
+	invited int // set-ups that came, by mu
 }
 
 func startServer(t *testing.T, r *rules, h248 bool) *standIn {
@@ -93,7 +94,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := &standIn{r: r, ln: ln, conn: make(map[net.Conn]bool), h248: h248}
+	s := &standIn{r: r, ln: ln, conn: make(map[net.Conn]bool)}
 	go func() {
 		for {
 			c, err := ln.Accept()
@@ -152,6 +153,9 @@
 			switch m.Method {
 			case "INVITE":
 				number := m.User()
+				s.mu.Lock()
+				s.invited++
+				s.mu.Unlock()
 				nth := s.r.begin(m.CallID, number, m.Body)
 				status, note := 0, ""
 				switch kind, _, _ := strings.Cut(number, "."); {
@@ -250,6 +254,9 @@
 				}
 				desc, _ := description(cmd, "Remote")
 				number := h248.Value(cmd.Descriptors, "Media", "TerminationState", "oc/number")
+				s.mu.Lock()
+				s.invited++
+				s.mu.Unlock()
 				nth := s.r.begin(id, number, desc)
 				code := 0
 				switch kind := kindOf(number); {
