--- a/cmd/olivedale/main.go
+++ b/cmd/olivedale/main.go
@@ -38,7 +38,9 @@
 	if err != nil {
 		return err
 	}
-	signals := make(chan os.Signal, 1)
+	// Room for several: a signal that finds the channel full is dropped, and a SIGTERM
+	// just behind a SIGUSR1 must not be.
+	signals := make(chan os.Signal, 8)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
 	go func() {
 		for s := range signals {
