Send releases to the connection that asked for the call, not to testers

Checked: a probe logged the connection of each release. Of those that nobody confirmed, all were on connections that had only passed a test (ECHO) or said nothing, and that stay for good; the one that had asked for the call was open every time. Ruled out: releases lost by exchanges or in the core (each went out within milliseconds), closes for want of sockets (no unconfirmed ones elsewhere).

At fault: jsonFront.say (client.go) took the connection last heard from, whatever it had said.

Now the release goes to the asker, else to a connection that has confirmed releases, else to one that had a call stand; a silent one carries it only as a last resort, and it is then said again.

--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -37,9 +37,10 @@
 }
 
 // A Front is one dialect towards callers. What ends a call that stands goes out
-// on any of its connections, for no connection owns such a call.
+// on any of its connections, for no connection owns such a call; asker is the one
+// that asked for the call, nil if it is not known.
 type Front interface {
-	Release(id string, cause int)
+	Release(asker Client, id string, cause int)
 }
 
 // A Setup is what an exchange is told of a call.
@@ -289,7 +290,7 @@
 		Stage: lapiscourse.Stood, Took: now - k.sent})
 	c.Stood++
 	k.client.Stands(id, description)
-	k.client, k.Description = nil, nil
+	k.Description = nil
 }
 
 // Ended takes the end of a set-up that did not come to stand.
@@ -313,7 +314,7 @@
 		c.ReleasedUnknown++
 		c.over[id] = c.now() + memory
 		for _, f := range fronts {
-			f.Release(id, cause)
+			f.Release(nil, id, cause)
 		}
 	case k.server != server:
 		return // an earlier attempt's, given up since
@@ -324,7 +325,7 @@
 			e = Cut
 		}
 		c.endStanding(k, e)
-		k.front.Release(id, cause)
+		k.front.Release(k.client, id, cause)
 	case k.state == trying:
 		c.endAttempt(k, BrokeOnWay, false) // released before it was answered
 	}
@@ -342,7 +343,7 @@
 	for _, k := range c.calls {
 		if k.server == server && k.state == standing && k.stood < before {
 			c.endStanding(k, ExchangeLost)
-			k.front.Release(k.ID, CauseFailed)
+			k.front.Release(k.client, k.ID, CauseFailed)
 		}
 	}
 }
--- a/internal/call/call_test.go
+++ b/internal/call/call_test.go
@@ -53,8 +53,8 @@
 func (w *world) Refused(id string, cause int, wait time.Duration) {
 	w.note("refused %s %d %v", id, cause, wait)
 }
-func (w *world) Front() Front                 { return w }
-func (w *world) Release(id string, cause int) { w.note("release %s %d", id, cause) }
+func (w *world) Front() Front                           { return w }
+func (w *world) Release(_ Client, id string, cause int) { w.note("release %s %d", id, cause) }
 
 type exchanges struct{ *world }
 
--- a/internal/net/client.go
+++ b/internal/net/client.go
@@ -27,13 +27,15 @@
 	n       *Node
 	clients []*client // the one last heard from comes last
 	max     int
-	unsaid  []release // no connection was open
+	unsaid  []release // no connection was open that has asked for calls
 }
 
 type release struct {
 	id    string
 	cause int
 	at    time.Duration
+	asker call.Client // asked for the call; nil: not known
+	on    *client     // carried it, but may not pass it on
 }
 
 // A client is one connection from a caller.
@@ -43,6 +45,8 @@
 	in    jsonl.Reader
 	open  map[string]bool // set-ups that are not answered
 	said  []release       // not confirmed
+	asked bool            // a call stood that it asked for
+	heard bool            // it has confirmed a release
 }
 
 func (f *jsonFront) opened(c gnet.Conn) bool {
@@ -59,7 +63,6 @@
 	k := &client{front: f, s: &stream{c: c}, open: make(map[string]bool)}
 	c.SetContext(k)
 	f.clients = append(f.clients, k)
-	f.sayAgain()
 	return true
 }
 
@@ -77,23 +80,51 @@
 }
 
 // Release implements call.Front.
-func (f *jsonFront) Release(id string, cause int) { f.say(release{id, cause, f.n.now()}) }
+func (f *jsonFront) Release(asker call.Client, id string, cause int) {
+	f.say(release{id: id, cause: cause, at: f.n.now(), asker: asker})
+}
 
-// say writes a release on the connection last heard from: it is the least
-// likely to be closed by its caller just now.
-func (f *jsonFront) say(r release) {
+// carrier is the connection for a release: the one that asked for the call, else the
+// one last heard from that has confirmed a release, else one that got a call to stand. It
+// guards against connections that test the program or say nothing and stay: they read
+// releases and tell nobody. If there are no others the latest must do (sure is false).
+func (f *jsonFront) carrier(r release) (best *client, sure bool) {
+	rank := -1
 	for _, k := range slices.Backward(f.clients) {
-		if k.s.shut {
+		at := 0
+		switch {
+		case k.s.shut:
 			continue
+		case r.asker == call.Client(k):
+			return k, true
+		case k.heard:
+			at = 2
+		case k.asked:
+			at = 1
 		}
-		k.said = append(slices.DeleteFunc(k.said, func(old release) bool { return r.at-old.at > unheard }), r)
+		if at > rank {
+			best, rank = k, at
+		}
+	}
+	return best, rank > 0
+}
+
+// say writes a release. What no sure connection could carry is said again on the
+// next that turns out to be one.
+func (f *jsonFront) say(r release) {
+	k, sure := f.carrier(r)
+	if k != nil && (sure || r.on == nil || r.on.s.shut) {
+		r.on = k
 		f.n.ReleasesSaid++
 		f.n.write(k.s, func(b []byte) []byte {
 			return jsonl.Append(b, &jsonl.Message{Verb: jsonl.Finish, Tag: r.id, RC: r.cause, HasRC: true})
 		})
-		return
 	}
-	f.unsaid = append(f.unsaid, r)
+	if sure {
+		k.said = append(slices.DeleteFunc(k.said, func(old release) bool { return r.at-old.at > unheard }), r)
+	} else {
+		f.unsaid = append(f.unsaid, r)
+	}
 }
 
 func (k *client) closed() {
@@ -103,7 +134,7 @@
 	now := f.n.now()
 	for _, r := range k.said {
 		if now-r.at < unheard { // it may have crossed the close
-			f.say(release{r.id, r.cause, now})
+			f.say(release{id: r.id, cause: r.cause, at: now, asker: r.asker})
 		}
 	}
 }
@@ -149,7 +180,9 @@
 			})
 		}
 	case jsonl.Finished:
+		said := len(k.said)
 		k.said = slices.DeleteFunc(k.said, func(r release) bool { return r.id == m.Tag })
+		k.heard = k.heard || len(k.said) < said
 	case jsonl.Echo:
 		n.Tests++
 		n.write(k.s, func(b []byte) []byte {
@@ -210,6 +243,7 @@
 // Stands implements call.Client.
 func (k *client) Stands(id string, description []byte) {
 	delete(k.open, id)
+	k.asked = true
 	k.front.n.write(k.s, func(b []byte) []byte {
 		return jsonl.Append(b, &jsonl.Message{Verb: jsonl.Started, Tag: id, Blob: description})
 	})
--- a/internal/net/h248_front.go
+++ b/internal/net/h248_front.go
@@ -371,7 +371,7 @@
 
 // Release implements call.Front: it tells the panel of the call's end, on any of
 // its connections, and again on the next until the panel replies.
-func (f *h248Front) Release(id string, cause int) {
+func (f *h248Front) Release(_ call.Client, id string, cause int) {
 	k := f.calls[id]
 	if k == nil {
 		return // of a call that this process never knew: panels learn it by their audit
--- a/internal/net/node_test.go
+++ b/internal/net/node_test.go
@@ -455,6 +455,37 @@
 	}
 }
 
+// Releases go to the connection that asked for the call, or to one that has had calls,
+// not to those that test the program, or say nothing, and stay.
+func TestReleaseGoesToWhoAsked(t *testing.T) {
+	s, h := startSite(t, false), newHeard()
+	k, other := dialJSON(t, s.json(), h, "aaaaaaaa"), dialJSON(t, s.json(), h, "bbbbbbbb")
+	var keys []string
+	for i, c := range []*jsonCaller{k, other} {
+		keys = append(keys, c.setUp(fmt.Sprintf("keep.%d", i), 4*time.Second))
+		h.wait(t, keys[i], 1)
+	}
+	tester := newHeard()
+	dialJSON(t, s.json(), tester, "cccccccc").send(&jsonl.Message{Verb: jsonl.Echo, HasRC: true})
+	tester.wait(t, "echo", 1)
+	dialJSON(t, s.json(), tester, "dddddddd")
+	other.close()
+	eventually(t, "two that never asked are left", func() bool {
+		n := make(chan int, 1)
+		s.n.exec(func() { n <- len(s.n.json.clients) })
+		return <-n == 3
+	})
+	s.servers[0].stop()
+	for i, key := range keys {
+		if got := h.wait(t, key, 2); got != "stands "+accept(fmt.Sprintf("keep.%d", i))+" end 41" {
+			t.Errorf("heard %q", got)
+		}
+		if got := tester.of(key); got != "" {
+			t.Errorf("a connection that never asked heard %q", got)
+		}
+	}
+}
+
 // A release that no connection can carry waits for the next one.
 func TestReleaseWaitsForAConnection(t *testing.T) {
 	s, h := startSite(t, false), newHeard()
