Read the configuration again on SIGHUP and take the new name service

Checked: 129 is the shell's 128 + SIGHUP: main.go asked for SIGTERM, SIGINT and SIGUSR1 only, so the signal's default ended the program. The socket to the name service (node.go, begin) was opened once and neither moved nor opened again after a loss.

Now signals are asked for before anything else, SIGHUP has the file read outside the loop, and a resolver moves its socket at once; list, serial, calls and connections stay. Bad files change nothing.

--- a/cmd/olivedale/main.go
+++ b/cmd/olivedale/main.go
@@ -24,6 +24,11 @@
 }
 
 func run() error {
+	// Room for several: a signal that finds the channel full is dropped, and a SIGTERM
+	// just behind a SIGUSR1 must not be. Asked for before anything else, so that none ends
+	// the program while it starts.
+	signals := make(chan os.Signal, 8)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP, syscall.SIGUSR1)
 	cfg, err := config.Load(os.Getenv("RELAY_CONFIG"))
 	if err != nil {
 		return err
@@ -38,15 +43,15 @@
 	if err != nil {
 		return err
 	}
-	// Room for several: a signal that finds the channel full is dropped, and a SIGTERM
-	// just behind a SIGUSR1 must not be.
-	signals := make(chan os.Signal, 8)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
 	go func() {
+		<-n.Started()
 		for s := range signals {
-			if s == syscall.SIGUSR1 {
+			switch s {
+			case syscall.SIGHUP:
+				reload(n)
+			case syscall.SIGUSR1:
 				n.ReportSoon()
-			} else {
+			default:
 				n.Stop()
 			}
 		}
@@ -55,3 +60,13 @@
 	n.Report()
 	return err
 }
+
+// reload reads the configuration again. One that is bad changes nothing.
+func reload(n *net.Node) {
+	cfg, err := config.Load(os.Getenv("RELAY_CONFIG"))
+	if err != nil {
+		log.Printf("event=reload_failed err=%q", err)
+		return
+	}
+	n.Reload(cfg)
+}
--- a/internal/net/node.go
+++ b/internal/net/node.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"os"
+	"reflect"
 	"strings"
 	"time"
 
@@ -55,7 +56,7 @@
 	fronts   []call.Front
 	links    map[string]*link
 	list     *names.List
-	dns      gnet.Conn
+	names    *resolver
 	pollAt   time.Duration
 	later    []func() // what is to be done when the core's turn is over
 	inTurn   bool
@@ -71,6 +72,7 @@
 func New(cfg *config.Config, h *config.H248) (*Node, error) {
 	n := &Node{started: make(chan struct{}), cfg: cfg, h248cfg: h, connect: cfg.Connect, local: make(map[string]string), links: make(map[string]*link), rng: rand.New(rand.NewPCG(cfg.Seed, 1))}
 	n.loop.start()
+	n.names = &resolver{n: n, addr: cfg.Names}
 	desk, err := lapiscourse.NewDesk(n.now(), cfg.Settings, cfg.Seed, func(line string) {
 		log.Printf("event=module text=%q", line)
 	})
@@ -189,15 +191,7 @@
 func (n *Node) begin(el gnet.EventLoop) {
 	n.el = el
 	n.timer = time.AfterFunc(time.Hour, func() { n.exec(n.tick) })
-	go func() {
-		c, err := net.Dial("udp", n.cfg.Names)
-		if err == nil {
-			_, err = el.Enroll(gnet.NewContext(context.Background(), dnsMark{}), c) // OnOpen follows
-		}
-		if err != nil {
-			n.fail(err)
-		}
-	}()
+	n.names.open()
 	for _, l := range n.links {
 		l.dial()
 	}
@@ -211,9 +205,6 @@
 	close(n.started)
 }
 
-// dnsMark is the context of the name service's socket.
-type dnsMark struct{}
-
 // Started is closed once the node serves.
 func (n *Node) Started() <-chan struct{} { return n.started }
 
@@ -258,7 +249,7 @@
 		n.core.Tick()
 		if now >= n.pollAt {
 			n.pollAt = now + poll
-			n.query()
+			n.names.poll(now)
 			for _, l := range n.links {
 				l.tick(now)
 			}
@@ -273,6 +264,24 @@
 	})
 }
 
+// Reload takes a configuration that was read again; it may be called from anywhere
+// once the node has started. Connections, calls and the list with its numbers stay. Only
+// the name service's address can change while the program runs.
+func (n *Node) Reload(cfg *config.Config) {
+	n.exec(func() {
+		n.turn(func() {
+			log.Printf("event=reloaded names=%s", cfg.Names)
+			if cfg.Name != n.cfg.Name || cfg.Listen != n.cfg.Listen || cfg.MemoryMB != n.cfg.MemoryMB ||
+				cfg.Sockets != n.cfg.Sockets || !reflect.DeepEqual(cfg.Settings, n.cfg.Settings) {
+				log.Printf("event=reload_partial err=%q", "name, listen, limits and settings change at a restart only")
+			}
+			if cfg.Names != n.names.addr {
+				n.names.move(cfg.Names)
+			}
+		})
+	})
+}
+
 // Stop begins an orderly stop, as SIGTERM asks for. It may be called from anywhere.
 func (n *Node) Stop() {
 	n.exec(func() { n.turn(n.beginStop) })
@@ -330,22 +339,6 @@
 	}
 }
 
-// query asks the name service for the list.
-func (n *Node) query() {
-	if n.dns == nil {
-		n.QueriesFailed++
-		return
-	}
-	text, err := n.list.Query(uint16(n.rng.Uint32()))
-	if err == nil {
-		n.Queries++
-		_, err = n.dns.Write(text)
-	}
-	if err != nil {
-		n.QueriesFailed++
-	}
-}
-
 // news takes an answer of the name service.
 func (n *Node) news(text []byte) {
 	changed, err := n.list.Answer(text)
@@ -399,8 +392,8 @@
 		}
 		ok := true
 		switch x := c.Context().(type) {
-		case dnsMark: // gnet opens a connected datagram socket like a connection
-			n.dns = c
+		case nameSocket: // gnet opens a connected datagram socket like a connection
+			ok = n.names.up(x.serial, c)
 		case *dialled:
 			ok = x.link.up(x.serial, c)
 		default:
@@ -429,8 +422,10 @@
 	}
 	n.turn(func() {
 		switch x := c.Context().(type) {
-		case dnsMark:
-			n.news(p)
+		case nameSocket:
+			if n.names.c == c {
+				n.news(p)
+			}
 		case *client:
 			x.traffic(p)
 		case *panel:
@@ -448,10 +443,8 @@
 func (n *Node) OnClose(c gnet.Conn, err error) gnet.Action {
 	n.turn(func() {
 		switch x := c.Context().(type) {
-		case dnsMark:
-			// Guards against queries on a descriptor that has become another connection's.
-			n.dns = nil
-			log.Printf("event=names_lost err=%q", fmt.Sprint(err))
+		case nameSocket:
+			n.names.closed(c)
 		case *client:
 			x.s.gone, x.s.shut = true, true
 			x.closed()
--- /dev/null
+++ b/internal/net/resolver.go
@@ -0,0 +1,114 @@
+package net
+
+import (
+	"context"
+	"log"
+	"net"
+	"time"
+
+	"github.com/panjf2000/gnet/v2"
+)
+
+// redial is the pause before the name service's socket is opened again after it
+// could not be opened or was lost.
+const redial = 200 * time.Millisecond
+
+// A resolver is the socket to the name service. What is asked and answered is the
+// list's; the resolver owns the address and survives its change and its loss.
+type resolver struct {
+	n       *Node
+	addr    string
+	c       gnet.Conn // nil while there is none
+	serial  int       // of the latest opening; what an earlier one brings is dropped
+	opening bool
+	openAt  time.Duration // when to open again
+}
+
+// nameSocket is the context of a socket to the name service.
+type nameSocket struct{ serial int }
+
+// move takes another address at once. Answers of the old one, which may be on their
+// way, are not read any more.
+func (r *resolver) move(addr string) {
+	r.addr = addr
+	r.drop()
+	r.open()
+}
+
+func (r *resolver) drop() {
+	r.serial++
+	r.opening = false
+	if c := r.c; c != nil {
+		r.c = nil
+		_ = r.n.el.Close(c)
+	}
+}
+
+func (r *resolver) open() {
+	r.opening = true
+	r.serial++
+	serial, addr, el := r.serial, r.addr, r.n.el
+	go func() {
+		c, err := net.Dial("udp", addr)
+		if err == nil {
+			ctx := gnet.NewContext(context.Background(), nameSocket{serial})
+			if _, err = el.Enroll(ctx, c); err == nil {
+				return // OnOpen follows
+			}
+			_ = c.Close()
+		}
+		r.n.exec(func() { r.failed(serial, err) })
+	}()
+}
+
+func (r *resolver) failed(serial int, err error) {
+	if serial != r.serial {
+		return
+	}
+	r.opening = false
+	r.openAt = r.n.now() + redial
+	log.Printf("event=names_failed addr=%s err=%q", r.addr, err)
+}
+
+// up takes an opened socket; false turns it away.
+func (r *resolver) up(serial int, c gnet.Conn) bool {
+	if serial != r.serial {
+		return false
+	}
+	r.opening, r.c = false, c
+	r.query()
+	return true
+}
+
+// closed guards against queries on a descriptor that has become another connection's.
+func (r *resolver) closed(c gnet.Conn) {
+	if r.c == c {
+		r.c = nil
+		r.openAt = r.n.now() + redial
+		log.Printf("event=names_lost addr=%s", r.addr)
+	}
+}
+
+// poll asks for the list, over a new socket if the last was lost.
+func (r *resolver) poll(now time.Duration) {
+	if r.c == nil && !r.opening && now >= r.openAt {
+		r.open()
+	}
+	r.query()
+}
+
+func (r *resolver) query() {
+	n := r.n
+	if r.c == nil {
+		n.QueriesFailed++
+		return
+	}
+	text, err := n.list.Query(uint16(n.rng.Uint32()))
+	if err == nil {
+		n.Queries++
+		_, err = r.c.Write(text)
+	}
+	if err != nil {
+		n.QueriesFailed++
+	}
+}
