Turn down reused ids, impossible figures and silent connections in time

Checked: a probe logged what each connection brought and was told. The served ones had sent the id of an open call with another description and got its answer; those left without a word had come a little later, when that call stood. The floods are 200 set-ups under one id, each refused and then asked of the module anew, and so was each release of an unknown id remembered. 250 to 370 set-ups with an impossible pool or width went to exchanges, which answered them with an error. Half and silent first messages had no limit of time. Ruled out: memory (6 of 64 MB) and processor (0.07 s a second).

At fault: Core.SetUp (call.go), which moved any call to whoever named its id and forgot ended ids; client.request (client.go), which checked neither pool nor width nor bounded the time left.

Now an id in use closes the connection unless it is the same set-up over a new one, an ended id is answered as failed, impossible ones too, half and silent connections are closed after 2 s, and what the core holds has limits from the memory limit. Malformed input is logged once a second.

--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -4,7 +4,9 @@
 package call
 
 import (
+	"bytes"
 	"container/heap"
+	"errors"
 	"time"
 
 	"lapiscourse"
@@ -76,6 +78,7 @@
 // Counters count what the core takes in, sends and answers.
 type Counters struct {
 	Requests, Stood, Refused, Failed, GivenUp, Repeated   int
+	Reused, Crowded                                       int
 	Attempts, Cancels, LateAnswers                        int
 	ReleasedByExchange, ReleasedByCaller, ReleasedUnknown int
 	Ends                                                  [ends]int
@@ -114,46 +117,84 @@
 	now    func() Time
 	calls  map[string]*call
 	timers timers
-	over   map[string]Time // calls that are over, and when to forget them
-	swept  Time
+	over   *recent // calls that are over
+	alien  *recent // calls that were released and never known here
+	limits Limits
+	open   int // calls whose final answer is owed
+	bytes  int // of their descriptions
 	Counters
 }
 
+// Limits bound what a Core holds, whatever callers send.
+type Limits struct {
+	Open   int // calls whose final answer is owed
+	Bytes  int // of their descriptions
+	Recent int // ids of calls that are over
+}
+
 // New makes a Core that takes the time from now.
-func New(desk Decider, out Exchanges, now func() Time) *Core {
-	return &Core{desk: desk, out: out, now: now, calls: make(map[string]*call), over: make(map[string]Time)}
+func New(desk Decider, out Exchanges, now func() Time, limits Limits) *Core {
+	return &Core{desk: desk, out: out, now: now, limits: limits, calls: make(map[string]*call),
+		over: newRecent(limits.Recent), alien: newRecent(limits.Recent)}
 }
 
 // Open counts the calls whose final answer is still owed.
-func (c *Core) Open() (n int) {
-	for _, k := range c.calls {
-		if k.state != standing {
-			n++
-		}
-	}
-	return n
-}
+func (c *Core) Open() int { return c.open }
 
 // Standing counts the calls that stand.
 func (c *Core) Standing() int { return len(c.calls) - c.Open() }
 
-// SetUp takes a call from a caller.
-func (c *Core) SetUp(client Client, r Request) {
+// ErrReused tells of a set-up under the id of another call.
+var ErrReused = errors.New("the id is that of another call")
+
+// SetUp takes a call from a caller. It fails if the id belongs to another call, which
+// goes on as if nothing had come.
+func (c *Core) SetUp(client Client, r Request) error {
 	c.Requests++
 	if k := c.calls[r.ID]; k != nil {
+		if k.state == standing || k.client == client || !k.same(&r) {
+			// Guards against a caller who would get the answer to another's call.
+			c.Reused++
+			return ErrReused
+		}
 		// A set-up that crossed the close of its connection is sent once more: it
 		// is answered on the new connection and not started a second time.
 		c.Repeated++
-		if k.state != standing {
-			k.client = client
-		}
-		return
+		k.client = client
+		return nil
+	}
+	if c.over.has(r.ID) {
+		// Every set-up has a new id. This one may have run already, and an attempt of it may
+		// have been given up just now: it is neither sent again nor shown to the module.
+		c.Reused++
+		client.Refused(r.ID, CauseFailed, 0)
+		return nil
+	}
+	if c.open >= c.limits.Open || c.bytes+len(r.Description) > c.limits.Bytes {
+		c.Crowded++ // guards memory against callers who ask at full speed
+		client.Refused(r.ID, CauseNoCircuit, 0)
+		return nil
 	}
 	k := &call{Request: r, client: client, front: client.Front(), attempt: -1}
-	delete(c.over, r.ID)
 	c.calls[r.ID] = k
+	c.open++
+	c.bytes += len(r.Description)
 	c.obey(k, c.desk.Pick(c.now(), lapiscourse.Request{Call: r.ID, Class: r.Class, Number: r.Number,
 		First: r.First, Until: r.Until, Cut: r.Cut}))
+	return nil
+}
+
+// same tells whether a set-up says what the call's own said.
+func (k *call) same(r *Request) bool {
+	return k.Class == r.Class && k.Number == r.Number && k.First == r.First && k.Cut == r.Cut &&
+		bytes.Equal(k.Description, r.Description)
+}
+
+// answered takes a call off those whose final answer is owed.
+func (c *Core) answered(k *call) {
+	c.open--
+	c.bytes -= len(k.Description)
+	k.Description = nil
 }
 
 // obey carries out the module's word on a call.
@@ -222,7 +263,8 @@
 // finish ends a call that does not stand. An attempt that is still out is given up.
 func (c *Core) finish(k *call, e End) {
 	delete(c.calls, k.ID)
-	c.over[k.ID] = c.now() + memory
+	c.over.add(k.ID, c.now()+memory)
+	c.answered(k)
 	if k.state == trying {
 		c.Cancels++
 		c.out.Cancel(k.server, k.ID, k.attempt)
@@ -236,12 +278,12 @@
 	k := c.calls[id]
 	switch {
 	case k == nil:
-		if _, ok := c.over[id]; ok {
+		if c.over.has(id) || c.alien.has(id) {
 			return false // it crossed our release, or comes twice
 		}
 		// After a restart nothing is known of calls that stand; the exchange must hear of it.
 		c.ReleasedUnknown++
-		c.over[id] = c.now() + memory
+		c.alien.add(id, c.now()+memory)
 		c.out.ReleaseAnywhere(id, cause)
 		return true
 	case k.state == standing:
@@ -290,7 +332,7 @@
 		Stage: lapiscourse.Stood, Took: now - k.sent})
 	c.Stood++
 	k.client.Stands(id, description)
-	k.Description = nil
+	c.answered(k)
 }
 
 // Ended takes the end of a set-up that did not come to stand.
@@ -308,11 +350,11 @@
 	k := c.calls[id]
 	switch {
 	case k == nil:
-		if _, ok := c.over[id]; ok {
+		if c.over.has(id) || c.alien.has(id) {
 			return // it comes again on the next connection that is opened
 		}
 		c.ReleasedUnknown++
-		c.over[id] = c.now() + memory
+		c.alien.add(id, c.now()+memory)
 		for _, f := range fronts {
 			f.Release(nil, id, cause)
 		}
@@ -333,7 +375,7 @@
 
 func (c *Core) endStanding(k *call, e End) {
 	delete(c.calls, k.ID)
-	c.over[k.ID] = c.now() + memory
+	c.over.add(k.ID, c.now()+memory)
 	c.endAttempt(k, e, true)
 }
 
@@ -372,14 +414,8 @@
 			c.obey(k, o)
 		}
 	}
-	if now > c.swept+time.Second {
-		c.swept = now
-		for id, until := range c.over {
-			if until < now {
-				delete(c.over, id)
-			}
-		}
-	}
+	c.over.sweep(now)
+	c.alien.sweep(now)
 }
 
 // Next is when Tick is due.
--- a/internal/call/call_test.go
+++ b/internal/call/call_test.go
@@ -1,7 +1,9 @@
 package call
 
 import (
+	"errors"
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -78,12 +80,12 @@
 func newBench(orders ...lapiscourse.Order) *bench {
 	b := &bench{world: &world{}, now: time.Hour}
 	b.orders = orders
-	b.core = New(&b.script, exchanges{b.world}, func() Time { return b.now })
+	b.core = New(&b.script, exchanges{b.world}, func() Time { return b.now }, Limits{Open: 3, Bytes: 100, Recent: 3})
 	return b
 }
 
 func (b *bench) setUp(id string) {
-	b.core.SetUp(b.world, Request{ID: id, Class: "c", Until: b.now + 3*time.Second})
+	_ = b.core.SetUp(b.world, Request{ID: id, Class: "c", Until: b.now + 3*time.Second})
 }
 
 func (b *bench) want(t *testing.T, said ...string) {
@@ -182,7 +184,9 @@
 	b := newBench(try("s"))
 	b.setUp("x")
 	other := &world{}
-	b.core.SetUp(other, Request{ID: "x"})
+	if err := b.core.SetUp(other, Request{ID: "x", Class: "c"}); err != nil {
+		t.Error(err)
+	}
 	b.core.Closed(b.world)
 	b.core.Answered("s", "x", 0, []byte("sdp"))
 	b.want(t, "invite s x 0")
@@ -191,6 +195,66 @@
 	}
 }
 
+// A set-up under the id of another call gets neither that call's answer nor ends it.
+func TestReusedIDs(t *testing.T) {
+	b := newBench(try("s"), try("s"))
+	b.setUp("x")
+	other := &world{}
+	for what, k := range map[string]struct {
+		client Client
+		r      Request
+	}{
+		"another description": {other, Request{ID: "x", Class: "c", Description: []byte("mine")}},
+		"another number":      {other, Request{ID: "x", Class: "c", Number: "1"}},
+		"twice on one":        {b.world, Request{ID: "x", Class: "c"}},
+	} {
+		if err := b.core.SetUp(k.client, k.r); !errors.Is(err, ErrReused) {
+			t.Errorf("%s: %v", what, err)
+		}
+	}
+	b.core.Closed(other)
+	b.core.Answered("s", "x", 0, []byte("sdp"))
+	if err := b.core.SetUp(other, Request{ID: "x", Class: "c"}); !errors.Is(err, ErrReused) {
+		t.Errorf("a call that stands: %v", err)
+	}
+	b.core.Hangup("x", CauseNormal)
+	b.setUp("x")
+	b.want(t, "invite s x 0", "stands x sdp", "bye s x 16", "refused x 41 0s")
+	if len(other.said) > 0 {
+		t.Errorf("the other caller got %q", other.said)
+	}
+}
+
+// What callers send at full speed is refused past the limits, and all of it is let go.
+func TestLimits(t *testing.T) {
+	b := newBench(try("s"), try("s"), try("s"), try("s"))
+	for _, id := range []string{"1", "2", "3", "4"} {
+		b.setUp(id)
+	}
+	b.core.Closed(b.world)
+	if err := b.core.SetUp(b.world, Request{ID: "5", Description: make([]byte, 101)}); err != nil {
+		t.Error(err)
+	}
+	b.setUp("6")
+	got := fmt.Sprint(b.said)
+	if strings.Count(got, "invite") != 4 || strings.Count(got, "cancel") != 3 || strings.Count(got, "refused") != 2 ||
+		!strings.Contains(got, "refused 4 34") || !strings.Contains(got, "refused 5 34") {
+		t.Error(got)
+	}
+	b.core.Closed(b.world)
+	for i := range 50 {
+		b.core.Hangup(fmt.Sprint("alien", i), CauseNormal)
+	}
+	if n := len(b.core.alien.ids) + len(b.core.alien.queue); n > 12 {
+		t.Errorf("%d entries of releases that nobody knows", n)
+	}
+	b.now += memory + 1
+	b.core.Tick()
+	if c := b.core; c.open+c.bytes+len(c.calls)+len(c.over.ids)+len(c.alien.ids) != 0 {
+		t.Errorf("left: %d open, %d bytes, %d calls, %d and %d ids", c.open, c.bytes, len(c.calls), len(c.over.ids), len(c.alien.ids))
+	}
+}
+
 func TestLostExchangeCutsWhatStoodBefore(t *testing.T) {
 	b := newBench(try("s"), try("s"))
 	b.setUp("x")
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net/netip"
 	"os"
+	"slices"
 	"strconv"
 	"time"
 
@@ -25,6 +26,7 @@
 	Known    Known
 	Settings lapiscourse.Settings
 	Connect  time.Duration
+	Widest   int // circuits that a call may ask for
 }
 
 // Known holds the name service's events up to the start.
@@ -121,6 +123,9 @@
 		Limits struct {
 			ConnectTimeout float64 `json:"connectTimeout"`
 		} `json:"limits"`
+		Domain struct {
+			Circuits []int `json:"circuitsByClass"`
+		} `json:"domain"`
 	}
 	if err := json.Unmarshal(in.Settings, &limits); err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
@@ -128,6 +133,7 @@
 	if c.Connect = time.Duration(limits.Limits.ConnectTimeout * float64(time.Millisecond)); c.Connect <= 0 {
 		return nil, fmt.Errorf("settings: limits.connectTimeout: %v ms", limits.Limits.ConnectTimeout)
 	}
+	c.Widest = slices.Max(append(limits.Domain.Circuits, 1))
 	for _, e := range c.Known.Events {
 		for _, m := range e.Members.Members {
 			if err := m.Check(); err != nil {
--- a/internal/net/client.go
+++ b/internal/net/client.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"log"
 	"slices"
 	"strconv"
 	"strings"
@@ -10,6 +9,7 @@
 
 	"github.com/panjf2000/gnet/v2"
 
+	"lapiscourse"
 	"lapiscourse/internal/call"
 	"lapiscourse/internal/net/jsonl"
 	"lapiscourse/internal/net/sip"
@@ -17,9 +17,10 @@
 
 // Times of the callers' side.
 const (
-	margin     = 5 * time.Millisecond // the last answer goes out so much before the caller gives up
-	unheard    = time.Second          // a release on a connection that closes within this is said again
-	keepUnsaid = 8 * time.Second      // a release that no connection could carry is dropped then
+	margin     = 5 * time.Millisecond  // the last answer goes out so much before the caller gives up
+	unheard    = time.Second           // a release on a connection that closes within this is said again
+	keepUnsaid = 8 * time.Second       // a release that no connection could carry is dropped then
+	crossing   = 50 * time.Millisecond // a first set-up may be on its way for so long
 )
 
 // jsonFront is the callers' side of the platform's protocol.
@@ -51,21 +52,57 @@
 
 func (f *jsonFront) opened(c gnet.Conn) bool {
 	if len(f.clients) >= f.max { // guards the socket budget
-		i := slices.IndexFunc(f.clients, func(k *client) bool { return len(k.open) == 0 && !k.s.shut })
-		if i < 0 {
+		k := f.idlest()
+		if k == nil {
 			f.n.ClientsTurnedAway++
 			return false
 		}
 		f.n.ClientsShut++
-		f.n.close(f.clients[i].s)
+		f.n.close(k.s)
 	}
 	f.n.Clients++
-	k := &client{front: f, s: &stream{c: c}, open: make(map[string]bool)}
+	k := &client{front: f, s: &stream{c: c, born: f.n.now()}, open: make(map[string]bool)}
 	c.SetContext(k)
 	f.clients = append(f.clients, k)
 	return true
 }
 
+// idlest is the connection to close for a new one, of those without an open set-up: one
+// that never had a call stand, else the one not heard from for longest. A silent one whose
+// first set-up may be on its way comes last.
+func (f *jsonFront) idlest() *client {
+	now := f.n.now()
+	var found, young *client
+	for _, k := range f.clients {
+		switch {
+		case len(k.open) > 0 || k.s.shut:
+		case !k.s.spoke && now-k.s.born < crossing:
+			if young == nil {
+				young = k
+			}
+		case !k.asked:
+			return k
+		case found == nil:
+			found = k
+		}
+	}
+	if found == nil {
+		return young
+	}
+	return found
+}
+
+// sweep closes connections that are silent or stop half way.
+func (f *jsonFront) sweep(now time.Duration) {
+	for _, k := range f.clients {
+		if !k.s.shut && len(k.open) == 0 && k.s.overdue(now) {
+			f.n.ClientsSilent++
+			f.n.close(k.s)
+		}
+	}
+	f.sayAgain()
+}
+
 func (f *jsonFront) sayAgain() {
 	unsaid := f.unsaid
 	f.unsaid = nil
@@ -130,7 +167,9 @@
 func (k *client) closed() {
 	f := k.front
 	f.clients = slices.DeleteFunc(f.clients, func(other *client) bool { return other == k })
-	f.n.core.Closed(k)
+	if len(k.open) > 0 {
+		f.n.core.Closed(k)
+	}
 	now := f.n.now()
 	for _, r := range k.said {
 		if now-r.at < unheard { // it may have crossed the close
@@ -145,30 +184,44 @@
 		f.clients = append(slices.DeleteFunc(f.clients, func(other *client) bool { return other == k }), k)
 	}
 	var bad error
+	spoke := false
 	err := k.in.Feed(p, func(m *jsonl.Message) bool {
 		bad = k.take(m)
+		spoke = true
 		return bad == nil
 	})
 	if err == nil {
 		err = bad
 	}
 	if err != nil {
-		f.n.Malformed++
-		log.Printf("event=malformed from=caller err=%q", err)
+		f.n.malformed("caller", err)
 		f.n.close(k.s)
+		return
 	}
+	k.s.read(f.n.now(), spoke, k.in.Half())
 }
 
 func (k *client) take(m *jsonl.Message) error {
 	n := k.front.n
 	switch m.Verb {
 	case jsonl.Start:
-		r, err := k.request(m)
+		r, possible, err := k.request(m)
 		if err != nil {
 			return err
 		}
+		if !possible {
+			n.Impossible++
+			k.Refused(r.ID, call.CauseFailed, 0)
+			return nil
+		}
+		mine := k.open[r.ID]
 		k.open[r.ID] = true
-		n.core.SetUp(k, r)
+		if err := n.core.SetUp(k, r); err != nil {
+			if !mine {
+				delete(k.open, r.ID)
+			}
+			return fmt.Errorf("tag %s: %w", r.ID, err)
+		}
 	case jsonl.Finish:
 		if !isID(m.Tag) {
 			return fmt.Errorf("tag %.20q", m.Tag)
@@ -208,19 +261,23 @@
 	return true
 }
 
-func (k *client) request(m *jsonl.Message) (call.Request, error) {
-	r := call.Request{ID: m.Tag, Class: m.Opt("class"), Number: m.Opt("key"), First: -1, Description: m.Blob}
+// request reads a set-up. One that can be read and makes no sense is not possible: its
+// caller is told so, and no exchange is troubled with it.
+func (k *client) request(m *jsonl.Message) (r call.Request, possible bool, err error) {
+	n := k.front.n
+	r = call.Request{ID: m.Tag, Class: m.Opt("class"), Number: m.Opt("key"), First: -1, Description: m.Blob}
 	if !isID(r.ID) {
-		return r, fmt.Errorf("tag %.20q", m.Tag)
+		return r, false, fmt.Errorf("tag %.20q", m.Tag)
 	}
 	left, err := strconv.ParseFloat(m.Opt("left"), 64)
 	if err != nil || !(left >= 0 && left < 1e9) {
-		return r, fmt.Errorf("left %.20q", m.Opt("left"))
+		return r, false, fmt.Errorf("left %.20q", m.Opt("left"))
 	}
-	r.Until = k.front.n.now() + time.Duration(left*float64(time.Millisecond)) - margin
+	r.Until = n.until(time.Duration(left * float64(time.Millisecond)))
 	if !sip.Clean(r.Class) || !sip.Clean(r.Number) {
-		return r, fmt.Errorf("class %.20q or key %.20q", r.Class, r.Number)
+		return r, false, fmt.Errorf("class %.20q or key %.20q", r.Class, r.Number)
 	}
+	width := 1
 	for part := range strings.SplitSeq(m.Opt("extras"), ";") {
 		name, value, _ := strings.Cut(part, ":")
 		if name == "" {
@@ -228,16 +285,39 @@
 		}
 		v, err := strconv.Atoi(value)
 		if err != nil {
-			return r, fmt.Errorf("extras %.40q", m.Opt("extras"))
+			return r, false, fmt.Errorf("extras %.40q", m.Opt("extras"))
 		}
 		switch name {
 		case "dest":
 			r.First = v
+		case "width":
+			width = v
 		case "again":
 			r.Cut = v == 1
 		}
 	}
-	return r, nil
+	return r, width >= 1 && width <= n.cfg.Widest && n.possible(r.Class, r.First), nil
+}
+
+// until is when a caller who waits for so long gives up. It guards the module's timers
+// against callers who claim to wait for days.
+func (n *Node) until(left time.Duration) time.Duration {
+	longest := time.Duration(0)
+	for _, k := range n.cfg.Settings.Classes {
+		longest = max(longest, k.Deadline)
+	}
+	return n.now() + min(left, longest) - margin
+}
+
+// possible tells whether a class may go to a pool; -1 stands for none in particular. Of
+// classes that do not exist the module is asked.
+func (n *Node) possible(class string, first int) bool {
+	i := slices.IndexFunc(n.cfg.Settings.Classes, func(k lapiscourse.Class) bool { return k.Name == class })
+	if i < 0 || first == -1 {
+		return true
+	}
+	pools := n.cfg.Settings.Classes[i].Pools
+	return first >= 0 && (pools == nil || slices.Contains(pools, first))
 }
 
 // Stands implements call.Client.
--- a/internal/net/h248/tpkt.go
+++ b/internal/net/h248/tpkt.go
@@ -19,6 +19,9 @@
 // A Framer cuts a stream of TPKT frames into messages. Its zero value is ready.
 type Framer struct{ rest []byte }
 
+// Half tells whether part of a frame waits for the rest.
+func (f *Framer) Half() bool { return len(f.rest) > 0 }
+
 // Feed takes a piece and calls each for every message that it completes, until
 // each returns false. After an error the connection is of no more use. The text
 // is valid during the call only. Half a message is never handed out.
--- a/internal/net/h248_front.go
+++ b/internal/net/h248_front.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"log"
 	"slices"
 	"strconv"
 	"strings"
@@ -71,7 +70,7 @@
 		return false
 	}
 	f.n.Clients++
-	p := &panel{front: f, s: &stream{c: c}, admin: admin}
+	p := &panel{front: f, s: &stream{c: c, born: f.n.now()}, admin: admin}
 	c.SetContext(p)
 	f.panels = append(f.panels, p)
 	return true
@@ -86,7 +85,9 @@
 	if i := len(f.panels) - 1; f.panels[i] != p {
 		f.panels = append(slices.DeleteFunc(f.panels, func(other *panel) bool { return other == p }), p)
 	}
+	spoke := false
 	err := p.in.Feed(data, func(text []byte) bool {
+		spoke = true
 		m, bad := h248.Parse(text)
 		if bad != nil { // nothing of it has run
 			if b, err := h248.AppendFrame(nil, &h248.Message{MID: f.n.self(), Err: bad}); err == nil {
@@ -101,13 +102,12 @@
 	if err != nil {
 		p.malformed(err)
 	}
+	p.s.read(f.n.now(), spoke, p.in.Half())
 }
 
 func (p *panel) malformed(err error) {
-	n := p.front.n
-	n.Malformed++
-	log.Printf("event=malformed from=panel err=%q", err)
-	n.close(p.s)
+	p.front.n.malformed("panel", err)
+	p.front.n.close(p.s)
 }
 
 func (p *panel) take(m *h248.Message) {
@@ -320,11 +320,17 @@
 			return &h248.Error{Code: h248.BadValue, Text: "oc/first"}
 		}
 	}
-	r.Until = f.n.now() + time.Duration(left*float64(time.Millisecond)) - margin
+	if !f.n.possible(r.Class, r.First) {
+		return &h248.Error{Code: h248.BadValue, Text: "oc/first"}
+	}
+	r.Until = f.n.until(time.Duration(left * float64(time.Millisecond)))
 	r.ID = fmt.Sprintf("%016x", f.n.rng.Uint64())
 	k := &h248Call{front: f, on: p, entry: e, mid: mid, transaction: t.ID, termination: c.Termination, id: r.ID}
 	f.calls[k.id] = k
-	f.n.core.SetUp(k, r)
+	if err := f.n.core.SetUp(k, r); err != nil {
+		f.forget(k)
+		return &h248.Error{Code: h248.InternalFailure, Text: err.Error()}
+	}
 	return nil
 }
 
@@ -392,6 +398,12 @@
 }
 
 func (f *h248Front) sweep(now time.Duration) {
+	for _, p := range f.panels {
+		if !p.s.shut && p.s.overdue(now) && !f.open(p) {
+			f.n.ClientsSilent++
+			f.n.close(p.s)
+		}
+	}
 	for id, o := range f.owed {
 		if now-o.at > longTimer {
 			delete(f.owed, id)
@@ -400,6 +412,16 @@
 	}
 }
 
+// open tells whether a set-up is open on a connection.
+func (f *h248Front) open(p *panel) bool {
+	for _, k := range f.calls {
+		if k.on == p {
+			return true
+		}
+	}
+	return false
+}
+
 // closed gives up the set-ups that are open on the connection. Their transactions
 // get the reply that says so, should they be repeated.
 func (p *panel) closed() {
--- a/internal/net/jsonl/jsonl.go
+++ b/internal/net/jsonl/jsonl.go
@@ -54,6 +54,9 @@
 // A Reader puts messages together from the pieces that arrive. Its zero value is ready.
 type Reader struct{ rest []byte }
 
+// Half tells whether part of a line waits for the rest.
+func (r *Reader) Half() bool { return len(r.rest) > 0 }
+
 // Feed takes a piece and calls each for every line that it completes, until each
 // returns false. After an error the connection is of no more use.
 func (r *Reader) Feed(p []byte, each func(*Message) bool) error {
--- a/internal/net/link.go
+++ b/internal/net/link.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"io"
-	"log"
 	"net"
 	"slices"
 	"syscall"
@@ -208,8 +207,7 @@
 
 func (l *link) traffic(p []byte) {
 	if err := l.talk.feed(l, p); err != nil {
-		l.n.Malformed++
-		log.Printf("event=malformed from=exchange id=%s err=%q", l.id, err)
+		l.n.malformed("exchange "+l.id, err)
 		l.down(call.Malformed)
 		return
 	}
--- a/internal/net/link_h248_test.go
+++ b/internal/net/link_h248_test.go
@@ -24,7 +24,7 @@
 	n := &Node{}
 	n.loop.start()
 	n.cfg = testConfig(t)
-	n.core = call.New(nil, nil, n.now)
+	n.core = call.New(nil, nil, n.now, call.Limits{})
 	d := newH248(n, "s")
 	l := &link{n: n, id: "s", s: &stream{}, talk: d, byes: make(map[string]bye)}
 	notify := &h248.Transaction{ID: 5, Actions: []*h248.Action{{Context: "1", Commands: []*h248.Command{{Name: "Notify",
--- a/internal/net/link_sip_test.go
+++ b/internal/net/link_sip_test.go
@@ -11,7 +11,7 @@
 func TestLateFinalResponseKeepsTheLaterDialog(t *testing.T) {
 	n := &Node{}
 	n.loop.start()
-	n.core = call.New(nil, nil, n.now)
+	n.core = call.New(nil, nil, n.now, call.Limits{})
 	d := newSIP(n)
 	l := &link{n: n, s: &stream{shut: true}, talk: d, out: make(map[string]int)}
 	for attempt := range 2 {
--- a/internal/net/loop.go
+++ b/internal/net/loop.go
@@ -23,6 +23,31 @@
 	dirty bool
 	shut  bool // closed, or to be closed when the turn ends
 	gone  bool // the socket is closed
+
+	born  time.Duration
+	spoke bool          // it has brought a whole message
+	half  time.Duration // since when part of a message waits for the rest, 0: none does
+}
+
+// firstWord is how long a caller's connection may take for its first whole message, or
+// for the rest of a later one while no call is open on it.
+const firstWord = 2 * time.Second
+
+// read notes what a piece has brought: whole messages, or part of one.
+func (s *stream) read(now time.Duration, spoke, half bool) {
+	s.spoke = s.spoke || spoke
+	switch {
+	case !half:
+		s.half = 0
+	case s.half == 0 || spoke:
+		s.half = now
+	}
+}
+
+// overdue guards the descriptors against connections that say nothing, or half of
+// something, and stay. One that has asked once may stay for good.
+func (s *stream) overdue(now time.Duration) bool {
+	return !s.spoke && now-s.born > firstWord || s.half > 0 && now-s.half > firstWord
 }
 
 // loop is what the parts share: the clock, the batched writes and the timer.
--- a/internal/net/node.go
+++ b/internal/net/node.go
@@ -34,6 +34,7 @@
 // Counters count what the sockets bring.
 type Counters struct {
 	Clients, ClientsShut, ClientsTurnedAway  int
+	ClientsSilent, Impossible                int
 	Malformed, Tests, Repeats, Unsayable     int
 	Invites, Dials, DialsFailed, LinksLost   int
 	ReleasesSaid, ReleasesLost               int
@@ -58,7 +59,8 @@
 	list     *names.List
 	names    *resolver
 	pollAt   time.Duration
-	later    []func() // what is to be done when the core's turn is over
+	badAt    time.Duration // when something malformed was last logged
+	later    []func()      // what is to be done when the core's turn is over
 	inTurn   bool
 	eng      gnet.Engine
 	rng      *rand.Rand
@@ -79,7 +81,7 @@
 	if err != nil {
 		return nil, err
 	}
-	n.core = call.New(desk, n, n.now)
+	n.core = call.New(desk, n, n.now, call.Limits{Open: cfg.MemoryMB << 6, Bytes: cfg.MemoryMB << 17, Recent: cfg.MemoryMB << 7})
 	n.json = &jsonFront{n: n, max: cfg.Sockets*2/3 - reserve}
 	n.fronts = []call.Front{n.json}
 	if h != nil { // the fronts share the budget of sockets
@@ -253,7 +255,7 @@
 			for _, l := range n.links {
 				l.tick(now)
 			}
-			n.json.sayAgain()
+			n.json.sweep(now)
 			if n.h248 != nil {
 				n.h248.sweep(now)
 			}
@@ -461,15 +463,25 @@
 	return gnet.None
 }
 
+// malformed counts what could not be read, and logs one such a second: a flood must
+// not become one of log lines.
+func (n *Node) malformed(from string, err error) {
+	n.Malformed++
+	if now := n.now(); n.badAt == 0 || now-n.badAt > time.Second {
+		n.badAt = now
+		log.Printf("event=malformed from=%q count=%d err=%q", from, n.Malformed, err)
+	}
+}
+
 // Report writes the counters.
 func (n *Node) Report() {
 	c, k := &n.Counters, &n.core.Counters
-	log.Printf("event=counters requests=%d stood=%d refused=%d failed=%d given_up=%d repeated=%d open=%d standing=%d",
-		k.Requests, k.Stood, k.Refused, k.Failed, k.GivenUp, k.Repeated, n.core.Open(), n.core.Standing())
+	log.Printf("event=counters requests=%d stood=%d refused=%d failed=%d given_up=%d repeated=%d reused=%d crowded=%d impossible=%d open=%d standing=%d",
+		k.Requests, k.Stood, k.Refused, k.Failed, k.GivenUp, k.Repeated, k.Reused, k.Crowded, c.Impossible, n.core.Open(), n.core.Standing())
 	log.Printf("event=counters attempts=%d invites=%d cancels=%d late_answers=%d released_by_exchange=%d released_by_caller=%d released_unknown=%d",
 		k.Attempts, c.Invites, k.Cancels, k.LateAnswers, k.ReleasedByExchange, k.ReleasedByCaller, k.ReleasedUnknown)
-	log.Printf("event=counters clients=%d clients_shut=%d clients_turned_away=%d malformed=%d tests=%d repeats=%d unsayable=%d dials=%d dials_failed=%d links_lost=%d releases_said=%d releases_lost=%d",
-		c.Clients, c.ClientsShut, c.ClientsTurnedAway, c.Malformed, c.Tests, c.Repeats, c.Unsayable, c.Dials, c.DialsFailed, c.LinksLost, c.ReleasesSaid, c.ReleasesLost)
+	log.Printf("event=counters clients=%d clients_shut=%d clients_turned_away=%d clients_silent=%d malformed=%d tests=%d repeats=%d unsayable=%d dials=%d dials_failed=%d links_lost=%d releases_said=%d releases_lost=%d",
+		c.Clients, c.ClientsShut, c.ClientsTurnedAway, c.ClientsSilent, c.Malformed, c.Tests, c.Repeats, c.Unsayable, c.Dials, c.DialsFailed, c.LinksLost, c.ReleasesSaid, c.ReleasesLost)
 	log.Printf("event=counters queries=%d queries_failed=%d answers=%d bad_news=%d serial=%d",
 		c.Queries, c.QueriesFailed, c.Answers, c.BadNews, n.list.Serial())
 	for _, e := range call.Ends() {
--- a/internal/net/node_test.go
+++ b/internal/net/node_test.go
@@ -1,8 +1,10 @@
 package net
 
 import (
+	"bufio"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"strings"
 	"testing"
@@ -433,6 +435,63 @@
 	h.wait(t, k.setUp("keep.1", 4*time.Second), 1) // all others go on
 }
 
+// Whoever asks for what cannot be, or under the id of another's call, is told or closed; the
+// other's call goes on, and no exchange hears of it.
+func TestImpossibleAndReusedAreTurnedDown(t *testing.T) {
+	s, h := startSite(t, false), newHeard()
+	k := dialJSON(t, s.json(), h, "aaaaaaaa")
+	open := k.setUp("silent.1", 5*time.Second)
+	eventually(t, "the set-up is out", func() bool { return s.r.tries("silent.1") == 1 })
+	start := func(id, extras, blob string) string {
+		return fmt.Sprintf(`{"verb":"START","tag":%q,"opts":{"class":"voice","left":"900","key":"keep.2","extras":%q},"blob":%q}`+"\n", id, extras, blob)
+	}
+	const id = "00000000000000bb"
+	for _, bad := range []struct{ text, want string }{
+		{start(open, "dest:0;width:1;via:-1", "x"), ""},
+		{start(id, "dest:-3", "x"), id}, {start(id, "dest:99", "x"), id}, {start(id, "width:0", "x"), id}, {start(id, "width:400", "x"), id},
+	} {
+		c, err := net.Dial("tcp", s.json())
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = c.Write([]byte(bad.text))
+		_ = c.SetReadDeadline(time.Now().Add(10 * time.Second))
+		line, _ := bufio.NewReader(c).ReadString('\n')
+		if bad.want == "" && line != "" || !strings.Contains(line, bad.want) || strings.Contains(line, jsonl.Started) {
+			t.Errorf("%q got %q", bad.text, line)
+		}
+		_ = c.Close()
+	}
+	k.hangUp(open)
+	eventually(t, "the other's set-up was still open", func() bool { return s.r.total(&s.r.gaveUp) == 1 })
+	if n := s.r.tries("keep.2"); n != 0 {
+		t.Errorf("%d set-ups came to an exchange", n)
+	}
+}
+
+// A connection that says nothing, or half a message, is closed in time; one that has asked
+// once may stay.
+func TestSilentAndHalfMessagesAreClosed(t *testing.T) {
+	s, h := startSite(t, false), newHeard()
+	asked := dialJSON(t, s.json(), h, "aaaaaaaa")
+	asked.send(&jsonl.Message{Verb: jsonl.Echo, HasRC: true})
+	h.wait(t, "echo", 1)
+	for i, text := range []string{"", `{"verb":"START"`, `{"verb":"ECHO","tag":"1","opts":{},"rc":0}` + "\n" + `{"ver`} {
+		c, err := net.Dial("tcp", s.json())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = c.Close() }()
+		_, _ = c.Write([]byte(text))
+		_ = c.SetReadDeadline(time.Now().Add(20 * time.Second))
+		if _, err := io.Copy(io.Discard, c); err != nil {
+			t.Errorf("connection %d was not closed: %v", i, err)
+		}
+	}
+	asked.send(&jsonl.Message{Verb: jsonl.Echo, HasRC: true})
+	h.wait(t, "echo", 2)
+}
+
 // After a restart nothing is known of calls that stand: a BYE is passed on, once.
 func TestReleaseOfAnUnknownCall(t *testing.T) {
 	s, h := startSite(t, false), newHeard()
--- a/internal/net/resolver.go
+++ b/internal/net/resolver.go
@@ -82,7 +82,7 @@
 
 // closed guards against queries on a descriptor that has become another connection's.
 func (r *resolver) closed(c gnet.Conn) {
-	if r.c == c {
+	if r.c == c && !r.n.stopping {
 		r.c = nil
 		r.openAt = r.n.now() + redial
 		log.Printf("event=names_lost addr=%s", r.addr)
