Dial a link anew that stops half way in an answer or stays mute

From then on the links' set-ups all timed out and no release came, with the connection open: the reader waited for the rest of a message. Ruled out: processor and memory, lost dials (none), callers' side (releases had never come).

At fault: link.go, which ended a connection only when the other side did.

Now half a message may wait for 300 ms for its rest; a connection that brings nothing while set-ups are given up or several wait ends after one to four connect timeouts. What was open on it has run for all that is known; calls that stand go on, and their releases come on the new connection.

--- a/internal/call/end.go
+++ b/internal/call/end.go
@@ -22,6 +22,7 @@
 	DialFailed                 // the connection failed in another way before it was up
 	ConnectionReset            // the connection was reset after the set-up was written
 	ConnectionShut             // the exchange closed the connection
+	Mute                       // nothing came on the connection while set-ups were given up
 	Malformed                  // what came could not be read; the connection was closed
 	TimedOut                   // no answer in time
 	CalledOff                  // the module called it off
@@ -33,7 +34,7 @@
 
 var names = [ends]string{"completed", "cut", "callee_busy", "fault", "no_circuit", "processor_full",
 	"never_left", "broke_on_way", "unsent", "dial_refused", "dial_timed_out", "dial_failed",
-	"connection_reset", "connection_shut", "malformed", "timed_out", "called_off", "caller_left",
+	"connection_reset", "connection_shut", "mute", "malformed", "timed_out", "called_off", "caller_left",
 	"exchange_lost", "stopped"}
 
 func (e End) String() string {
@@ -75,7 +76,7 @@
 		return lapiscourse.Expired, lapiscourse.NoCause
 	case CalledOff, CallerLeft, Stopped:
 		return lapiscourse.Revoked, lapiscourse.NoCause
-	case Cut, BrokeOnWay, ConnectionReset, ConnectionShut, Malformed, ExchangeLost:
+	case Cut, BrokeOnWay, ConnectionReset, ConnectionShut, Mute, Malformed, ExchangeLost:
 		return lapiscourse.Dropped, lapiscourse.NoCause
 	}
 	// An end that is not known here may have run.
--- a/internal/net/link.go
+++ b/internal/net/link.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"log"
 	"net"
 	"slices"
 	"syscall"
@@ -21,6 +22,7 @@
 	cancel(b []byte, id string, attempt int) []byte
 	release(b []byte, id string, attempt, cause int) []byte
 	feed(l *link, p []byte) error
+	half() bool // part of a message waits for the rest
 	reset()
 	sweep(now time.Duration)
 }
@@ -29,8 +31,9 @@
 const (
 	firstPause = 100 * time.Millisecond // before a failed dial is repeated, doubling
 	lastPause  = 2 * time.Second
-	confirm    = 32 * time.Second // a release that nobody confirms is forgotten then
-	clogged    = 256 << 10        // bytes; an exchange that reads so slowly gets no more set-ups
+	confirm    = 32 * time.Second       // a release that nobody confirms is forgotten then
+	clogged    = 256 << 10              // bytes; an exchange that reads so slowly gets no more set-ups
+	halfAnswer = 300 * time.Millisecond // the rest of a message comes within this or never
 )
 
 // A link is the way to one exchange: one connection that carries all calls, its
@@ -52,6 +55,11 @@
 	queue    []call.Setup
 	out      map[string]int // set-ups that are written and not answered: id, attempt
 	byes     map[string]bye // releases that are not confirmed
+	heard    time.Duration  // when the connection last brought something
+	asked    int            // set-ups that were written since
+	askedAt  time.Duration  // when the first of them was
+	half     time.Duration  // since when part of a message waits for the rest, 0: none does
+	vain     int            // set-ups that were given up since the connection last brought something
 }
 
 type bye struct {
@@ -92,6 +100,9 @@
 	}
 	l.out[s.ID] = s.Attempt
 	l.n.Invites++
+	if l.asked++; l.asked == 1 {
+		l.askedAt = l.n.now()
+	}
 }
 
 // tell passes an end to the core, but not from within a call of the core.
@@ -107,6 +118,7 @@
 	}
 	if a, ok := l.out[id]; ok && a == attempt && l.s != nil {
 		delete(l.out, id)
+		l.vain++
 		l.n.write(l.s, func(b []byte) []byte { return l.talk.cancel(b, id, attempt) })
 	}
 	return false
@@ -155,6 +167,7 @@
 	}
 	l.dialing, l.broke, l.pause = false, false, 0
 	l.s = &stream{c: c}
+	l.heard, l.half, l.asked, l.vain = l.n.now(), 0, 0, 0
 	c.SetContext(l)
 	l.talk.reset()
 	for id, b := range l.byes {
@@ -211,8 +224,36 @@
 		l.down(call.Malformed)
 		return
 	}
+	now := l.n.now()
+	l.heard, l.asked, l.vain = now, 0, 0
+	if !l.talk.half() {
+		l.half = 0
+	} else if l.half == 0 {
+		l.half = now
+	}
 }
 
+// listen ends a connection that has become useless and stays open. One that stopped in
+// the middle of a message brings nothing more that could be read; one that brings nothing
+// at all while set-ups are given up, or while several wait, leads to a process that hangs or
+// to nobody. The danger is an exchange whose calls all go into a hole, and whose releases
+// do not come. It could harm at an exchange that is slow and hardly used: the fewer set-ups
+// were given up, the longer the silence must be.
+func (l *link) listen(now time.Duration) {
+	silent, connect := now-l.heard, l.n.connect
+	switch {
+	case l.s == nil:
+	case l.half > 0 && now-l.half > halfAnswer:
+		l.n.malformed("exchange "+l.id, errHalf)
+		l.down(call.Malformed)
+	case l.vain > 0 && silent > 4*connect/time.Duration(min(l.vain, 4)), l.asked > 2 && now-l.askedAt > 2*connect:
+		log.Printf("event=mute id=%s asked=%d given_up=%d silent=%v", l.id, l.asked, l.vain, silent)
+		l.down(call.Mute)
+	}
+}
+
+var errHalf = errors.New("a message stopped half way")
+
 // closed takes the end of the connection as gnet tells it.
 func (l *link) closed(err error) {
 	switch {
@@ -274,6 +315,7 @@
 
 // tick dials when it is time and forgets what nobody confirmed.
 func (l *link) tick(now time.Duration) {
+	l.listen(now)
 	if l.s == nil && !l.dialing && now >= l.dialAt {
 		l.dial()
 	}
--- a/internal/net/link_h248.go
+++ b/internal/net/link_h248.go
@@ -44,6 +44,8 @@
 	}
 }
 
+func (d *h248Dialect) half() bool { return d.in.Half() }
+
 func (d *h248Dialect) sweep(now time.Duration) {
 	for id, a := range d.asks {
 		if now-a.at > longTimer {
--- a/internal/net/link_sip.go
+++ b/internal/net/link_sip.go
@@ -27,7 +27,8 @@
 
 func newSIP(n *Node) *sipDialect { return &sipDialect{n: n, dialogs: make(map[string]*dialog)} }
 
-func (d *sipDialect) reset() { d.in = sip.Reader{} }
+func (d *sipDialect) reset()     { d.in = sip.Reader{} }
+func (d *sipDialect) half() bool { return d.in.Half() }
 
 // sweep forgets dialogs whose other side never said its last word.
 func (d *sipDialect) sweep(now time.Duration) {
--- a/internal/net/node_test.go
+++ b/internal/net/node_test.go
@@ -398,6 +398,30 @@
 	}
 }
 
+// A connection to an exchange that stops half way in an answer, or brings nothing any more,
+// and stays open is given up for a new one; so is what is open on it.
+func TestUselessLinkIsDialledAnew(t *testing.T) {
+	for _, kind := range []string{"half", "mute"} {
+		t.Run(kind, func(t *testing.T) {
+			s, h := startSite(t, false), newHeard()
+			k := dialJSON(t, s.json(), h, "aaaaaaaa")
+			first := s.n.links["s-0"].serial
+			stood := k.setUp("keep.1", 5*time.Second)
+			h.wait(t, stood, 1)
+			k.setUp(kind+".1", 200*time.Millisecond)
+			eventually(t, "the link is dialled anew", func() bool {
+				serial := make(chan int, 1)
+				s.n.exec(func() { serial <- s.n.links["s-0"].serial })
+				return <-serial > first
+			})
+			eventually(t, "there is service", func() bool { return strings.HasPrefix(h.wait(t, k.setUp("keep.2", 5*time.Second), 1), "stands") })
+			if got := h.of(stood); got != "stands "+accept("keep.1") {
+				t.Errorf("the call that stood: %q", got) // it belongs to no connection
+			}
+		})
+	}
+}
+
 // The name service's socket must not be taken for a caller's connection.
 func TestNameServiceIsNoCaller(t *testing.T) {
 	s, h := startSite(t, false), newHeard()
--- a/internal/net/sip/sip.go
+++ b/internal/net/sip/sip.go
@@ -74,6 +74,9 @@
 	length  int // of the body of head
 }
 
+// Half tells whether part of a message waits for the rest.
+func (r *Reader) Half() bool { return r.head != nil || len(r.rest) > 0 }
+
 var crlf2 = []byte("\r\n\r\n")
 
 // Feed takes a piece and calls each for every message that it completes, until
--- a/internal/net/standin_test.go
+++ b/internal/net/standin_test.go
@@ -78,7 +78,8 @@
 
 // standIn is a call server of either dialect. What it does is said by the number called:
 // 'ok' stands and is released from there, 'keep' stands, 'busy', 'full', 'moot' and
-// 'reset' (on the first attempt) are turned down, 'silent' is not answered.
+// 'reset' (on the first attempt) are turned down, 'silent' is not answered. After 'half', whose
+// answer stops half way, and 'mute' the connection stays open and brings nothing more.
 type standIn struct {
 	r    *rules
 	ln   net.Listener
@@ -137,12 +138,16 @@
 	}
 	var in sip.Reader
 	buf := make([]byte, 4096)
+	mute := false
 	for {
 		n, err := c.Read(buf)
 		if err != nil {
 			return
 		}
 		_ = in.Feed(buf[:n], func(m *sip.Message) bool {
+			if mute {
+				return true
+			}
 			respond := func(status int, headers []sip.Header, body []byte) {
 				b := fmt.Appendf(nil, "SIP/2.0 %d X\r\nCall-ID: %s\r\nCSeq: %d %s\r\n", status, m.CallID, m.CSeq, m.CSeqMethod)
 				for _, h := range headers {
@@ -159,6 +164,13 @@
 				nth := s.r.begin(m.CallID, number, m.Body)
 				status, note := 0, ""
 				switch kind, _, _ := strings.Cut(number, "."); {
+				case kind == "half":
+					send(fmt.Appendf(nil, "SIP/2.0 200 OK\r\nCall-ID: %s\r\nCSeq: %d INVITE\r\nContent-Length: 3000000000\r\n", m.CallID, m.CSeq))
+					mute = true
+					return true
+				case kind == "mute":
+					mute = true
+					return true
 				case kind == "ok" || kind == "keep" || nth > 1 && kind != "silent" && kind != "busy":
 					respond(180, nil, nil)
 					respond(200, nil, []byte(accept(number)))
