Judge a silent link by the silences it has shown before

Checked: a probe of the longest gap between messages while set-ups wait gave 2 to 13 ms on live links. Ruled out: slow dials (the new connection is up at once).

At fault: link.listen, with fixed times and a look every 150 ms.

Now a link is dead after four times its longest gap of late, half the connect timeout at least, and is looked at on every tick; half a message waits for 150 ms.

--- a/internal/net/link.go
+++ b/internal/net/link.go
@@ -33,7 +33,7 @@
 	lastPause  = 2 * time.Second
 	confirm    = 32 * time.Second       // a release that nobody confirms is forgotten then
 	clogged    = 256 << 10              // bytes; an exchange that reads so slowly gets no more set-ups
-	halfAnswer = 300 * time.Millisecond // the rest of a message comes within this or never
+	halfAnswer = 150 * time.Millisecond // the rest of a message comes within this or never
 )
 
 // A link is the way to one exchange: one connection that carries all calls, its
@@ -56,10 +56,10 @@
 	out      map[string]int // set-ups that are written and not answered: id, attempt
 	byes     map[string]bye // releases that are not confirmed
 	heard    time.Duration  // when the connection last brought something
-	asked    int            // set-ups that were written since
-	askedAt  time.Duration  // when the first of them was
+	asked    int            // set-ups that have waited since, or were written since
+	askedAt  time.Duration  // when the first of them began to
+	gap      time.Duration  // the longest of late that something waited for the next to come
 	half     time.Duration  // since when part of a message waits for the rest, 0: none does
-	vain     int            // set-ups that were given up since the connection last brought something
 }
 
 type bye struct {
@@ -118,7 +118,6 @@
 	}
 	if a, ok := l.out[id]; ok && a == attempt && l.s != nil {
 		delete(l.out, id)
-		l.vain++
 		l.n.write(l.s, func(b []byte) []byte { return l.talk.cancel(b, id, attempt) })
 	}
 	return false
@@ -167,7 +166,7 @@
 	}
 	l.dialing, l.broke, l.pause = false, false, 0
 	l.s = &stream{c: c}
-	l.heard, l.half, l.asked, l.vain = l.n.now(), 0, 0, 0
+	l.heard, l.half, l.asked, l.gap = l.n.now(), 0, 0, 0
 	c.SetContext(l)
 	l.talk.reset()
 	for id, b := range l.byes {
@@ -225,7 +224,11 @@
 		return
 	}
 	now := l.n.now()
-	l.heard, l.asked, l.vain = now, 0, 0
+	l.gap -= l.gap / 16
+	if l.asked > 0 {
+		l.gap = max(l.gap, now-l.askedAt)
+	}
+	l.heard, l.asked, l.askedAt = now, len(l.out), now
 	if !l.talk.half() {
 		l.half = 0
 	} else if l.half == 0 {
@@ -233,21 +236,30 @@
 	}
 }
 
+// patience is how long a connection may bring nothing while set-ups wait: several times
+// as long as it has kept others waiting of late, and no less than what a new connection takes
+// at the least. Where few wait, the silence must last for longer.
+func (l *link) patience() time.Duration {
+	connect := l.n.connect
+	if l.asked < 3 {
+		return 4 * connect
+	}
+	return min(max(4*l.gap, connect/2), 4*connect)
+}
+
 // listen ends a connection that has become useless and stays open. One that stopped in
 // the middle of a message brings nothing more that could be read; one that brings nothing
-// at all while set-ups are given up, or while several wait, leads to a process that hangs or
-// to nobody. The danger is an exchange whose calls all go into a hole, and whose releases
-// do not come. It could harm at an exchange that is slow and hardly used: the fewer set-ups
-// were given up, the longer the silence must be.
+// at all while set-ups wait leads to a process that hangs or to nobody. The danger is an
+// exchange whose calls all go into a hole, and whose releases do not come. It could harm at
+// an exchange that is slow and hardly used.
 func (l *link) listen(now time.Duration) {
-	silent, connect := now-l.heard, l.n.connect
 	switch {
 	case l.s == nil:
 	case l.half > 0 && now-l.half > halfAnswer:
 		l.n.malformed("exchange "+l.id, errHalf)
 		l.down(call.Malformed)
-	case l.vain > 0 && silent > 4*connect/time.Duration(min(l.vain, 4)), l.asked > 2 && now-l.askedAt > 2*connect:
-		log.Printf("event=mute id=%s asked=%d given_up=%d silent=%v", l.id, l.asked, l.vain, silent)
+	case l.asked > 0 && now-l.askedAt > l.patience():
+		log.Printf("event=mute id=%s asked=%d waiting=%d silent=%v gap=%v", l.id, l.asked, len(l.out), now-l.heard, l.gap)
 		l.down(call.Mute)
 	}
 }
@@ -315,7 +327,6 @@
 
 // tick dials when it is time and forgets what nobody confirmed.
 func (l *link) tick(now time.Duration) {
-	l.listen(now)
 	if l.s == nil && !l.dialing && now >= l.dialAt {
 		l.dial()
 	}
--- a/internal/net/node.go
+++ b/internal/net/node.go
@@ -249,6 +249,9 @@
 	n.turn(func() {
 		now := n.now()
 		n.core.Tick()
+		for _, l := range n.links {
+			l.listen(now)
+		}
 		if now >= n.pollAt {
 			n.pollAt = now + poll
 			n.names.poll(now)
