Excuse a server for the silence of a dead connection

Checked: the module's lines show ceilings of 50 to 80/s set 150 to 200 ms into each silence, though the server's processor was idle; the links were back 0.3 s later. Ruled out: the links (up again), the processor of the node, late answers (overtaken ones count as lost already).

At fault: endPeriod and returned in controller.go, which press a server for its silence and never take it back; and pick, which left no server where the only other one holds back.

Now what silence alone has cost is given back when the attempts end as dropped, and a dropped call may go to the same server again after the guard if no other is open.

--- a/controller.go
+++ b/controller.go
@@ -87,6 +87,7 @@
 	credit                  float64       // set-ups that may go at once under the ceiling
 	climb                   float64       // set-ups of second choice that may go at once
 	pressed                 Time          // last evidence of pressure
+	before                  *standing     // as it stood before it fell silent, nil: it has not
 	clean                   bool          // there was evidence of none since
 	heard                   Time          // last answer of any kind
 	took, last              time.Duration // that calls took to stand: smoothed, the latest
@@ -106,6 +107,12 @@
 	noted                   Time    // no line for the staff until then
 }
 
+// A standing is what silence can cost a server.
+type standing struct {
+	ceiling, proven float64
+	pressed         Time
+}
+
 // A call is one open call.
 type call struct {
 	id, number string
@@ -123,6 +130,7 @@
 	notBefore  Time    // release guard
 	waiting    bool    // for the release guard
 	avoid      *server // the last attempt failed there
+	dropped    bool    // by its connection: the server is taken again if no other is open
 }
 
 // New makes the controller of a node that has just started.
@@ -283,6 +291,26 @@
 		wait.Round(time.Millisecond))
 }
 
+// suspect presses a server for its silence, which may be that of the way there.
+func (c *Controller) suspect(s *server, wait time.Duration) {
+	if s.before == nil {
+		s.before = &standing{s.ceiling, s.proven, s.pressed}
+	}
+	c.press(s, wait)
+}
+
+// excuse gives back what silence alone has cost a server whose connection turns out to have
+// failed. The danger is that a dead connection is paid for like a jam, for seconds, by calls
+// that the server could take. It could harm where a server in a jam resets connections.
+func (s *server) excuse() {
+	if b := s.before; b != nil {
+		s.ceiling, s.proven, s.pressed, s.before = b.ceiling, b.proven, b.pressed, nil
+	}
+}
+
+// speaks notes an answer of any kind.
+func (c *Controller) speaks(s *server) { s.heard, s.before = c.now, nil }
+
 // prove lets a server without a ceiling have more at once for each answer that came
 // as quickly as any while calls were held back for want of credit. The danger is a node
 // of many calls that is held for long to the few that suit one of few calls. It could
@@ -310,7 +338,7 @@
 		s.sent.roll(c.n)
 		s.answered.roll(c.n)
 		if age := c.waits(s); age > c.late {
-			c.press(s, age)
+			c.suspect(s, age)
 		}
 		rate := c.rate(s, &s.answered)
 		if !s.cold && c.now-s.since >= window {
@@ -374,6 +402,7 @@
 
 func (c *Controller) pick(k *call) *server {
 	var open []*server
+	var spare *server
 	for _, s := range c.servers {
 		if s.Phase != In || !c.mayServe(s, k) {
 			continue
@@ -381,7 +410,11 @@
 		if s.Pool == k.first && k.attempts == 0 {
 			s.offered.add()
 		}
-		if s != k.avoid && !c.holdsBack(s, k) {
+		switch {
+		case s == k.avoid && !k.dropped, c.holdsBack(s, k):
+		case s == k.avoid:
+			spare = s
+		default:
 			open = append(open, s)
 		}
 	}
@@ -391,7 +424,7 @@
 		}
 	}
 	if len(open) == 0 {
-		return nil
+		return spare
 	}
 	a, b := c.draw(open), c.draw(open)
 	if len(b.pending) < len(a.pending) {
@@ -516,7 +549,7 @@
 	s.remove(k)
 	s.overtake(k.sentAt - min(period, c.late/4))
 	s.answered.add()
-	s.heard = c.now
+	c.speaks(s)
 	s.took += (e.Took - s.took) / 4
 	s.last, s.stood = e.Took-c.pause, c.now
 	s.clean = s.last <= c.late/2
@@ -534,7 +567,7 @@
 	}
 	s := k.at
 	lost := s.remove(k)
-	if k.at, k.avoid = nil, s; lost {
+	if k.at, k.avoid, k.dropped = nil, s, e.Code == Dropped; lost {
 		k.avoid = nil
 	}
 	if k.standing { // its line is free again, and so are lines of others
@@ -547,7 +580,7 @@
 	}
 	switch e.Code {
 	case Full:
-		s.heard = c.now
+		c.speaks(s)
 		if e.Cause == NoLine { // all lines stand; the processor may be idle
 			s.free, s.freeUntil, s.short = 0, c.now+c.late, c.now+window
 		} else if c.quick(s) { // it turns calls away, but those that it takes stand at once
@@ -563,8 +596,10 @@
 	case Unused:
 		c.place(k)
 	case Expired, Dropped, Revoked:
-		if !lost && (e.Code == Expired && !k.cancelled || k.cancelled && s.heard < k.sentAt) {
-			c.press(s, window)
+		if e.Code == Dropped {
+			s.excuse()
+		} else if !lost && (e.Code == Expired && !k.cancelled || k.cancelled && s.heard < k.sentAt) {
+			c.suspect(s, window)
 		}
 		k.notBefore, k.waiting = c.now+c.set.Release, true
 		if k.notBefore >= k.until {
@@ -573,7 +608,7 @@
 		}
 		c.do(Defer{At: k.notBefore, Key: k.key})
 	default:
-		s.heard = c.now
+		c.speaks(s)
 		s.answered.add()
 		if e.Cause == NumberBusy {
 			if k.number != "" {
