Excuse servers only for connections that fell silent, not for all that broke

Ruled out: links (few), node (0.03 s a second).

At fault: returned in controller.go, which took every Dropped for a dead way.

Now the core says why (DeadLink, from the end Mute, which half an answer is too), and only that excuses.

--- a/api.go
+++ b/api.go
@@ -93,7 +93,7 @@
 	Unused
 )
 
-// A Cause is the far end's reason for a Full or an Error.
+// A Cause is the far end's reason for a Full or an Error, or what is known of a Dropped.
 type Cause int
 
 // Causes.
@@ -103,6 +103,7 @@
 	TurnedBack
 	ProcessorFull
 	NumberBusy
+	DeadLink // of a Dropped: the connection stayed open and brought nothing more
 )
 
 // Returned is the end of an attempt; each Send gets exactly one.
--- a/controller.go
+++ b/controller.go
@@ -567,7 +567,7 @@
 	}
 	s := k.at
 	lost := s.remove(k)
-	if k.at, k.avoid, k.dropped = nil, s, e.Code == Dropped; lost {
+	if k.at, k.avoid, k.dropped = nil, s, e.Cause == DeadLink; lost {
 		k.avoid = nil
 	}
 	if k.standing { // its line is free again, and so are lines of others
@@ -596,7 +596,7 @@
 	case Unused:
 		c.place(k)
 	case Expired, Dropped, Revoked:
-		if e.Code == Dropped {
+		if e.Cause == DeadLink {
 			s.excuse()
 		} else if !lost && (e.Code == Expired && !k.cancelled || k.cancelled && s.heard < k.sentAt) {
 			c.suspect(s, window)
--- a/controller_test.go
+++ b/controller_test.go
@@ -415,7 +415,7 @@
 		t.Fatal("a silent server is not pressed")
 	}
 	for _, id := range out {
-		r.returned(id, "a", Dropped, NoCause)
+		r.returned(id, "a", Dropped, DeadLink)
 	}
 	if !math.IsInf(s.ceiling, 1) {
 		t.Errorf("ceiling %v after the connection failed", s.ceiling)
--- a/internal/call/end.go
+++ b/internal/call/end.go
@@ -22,7 +22,7 @@
 	DialFailed                 // the connection failed in another way before it was up
 	ConnectionReset            // the connection was reset after the set-up was written
 	ConnectionShut             // the exchange closed the connection
-	Mute                       // nothing came on the connection while set-ups were given up
+	Mute                       // the connection stayed open and brought nothing, or half a message
 	Malformed                  // what came could not be read; the connection was closed
 	TimedOut                   // no answer in time
 	CalledOff                  // the module called it off
@@ -76,7 +76,9 @@
 		return lapiscourse.Expired, lapiscourse.NoCause
 	case CalledOff, CallerLeft, Stopped:
 		return lapiscourse.Revoked, lapiscourse.NoCause
-	case Cut, BrokeOnWay, ConnectionReset, ConnectionShut, Mute, Malformed, ExchangeLost:
+	case Mute:
+		return lapiscourse.Dropped, lapiscourse.DeadLink
+	case Cut, BrokeOnWay, ConnectionReset, ConnectionShut, Malformed, ExchangeLost:
 		return lapiscourse.Dropped, lapiscourse.NoCause
 	}
 	// An end that is not known here may have run.
--- a/internal/net/link.go
+++ b/internal/net/link.go
@@ -257,7 +257,7 @@
 	case l.s == nil:
 	case l.half > 0 && now-l.half > halfAnswer:
 		l.n.malformed("exchange "+l.id, errHalf)
-		l.down(call.Malformed)
+		l.down(call.Mute)
 	case l.asked > 0 && now-l.askedAt > l.patience():
 		log.Printf("event=mute id=%s asked=%d waiting=%d silent=%v gap=%v", l.id, l.asked, len(l.out), now-l.heard, l.gap)
 		l.down(call.Mute)
