Bound what callers and exchanges can make the program hold

Looked at: every queue, map and buffer against callers at full speed, and against exchanges and panels that confirm nothing. Without a bound were: text that a caller does not read, releases of made-up ids (each went to every exchange and was repeated for 32 s), the module's timers and numbers of refused calls, stored H.248 replies and notices, contexts of calls that ended without a word.

Now a caller who leaves his part of an eighth of the memory unread is closed; 256 unknown releases a second pass; the rest has caps from the memory limit. A timer is set for calls that were placed only. A body with text behind it that begins no message is not handed on cut short, an empty list of exchanges counts as a spoilt answer, and a stop waits for the longest deadline.

--- a/cmd/benchlink/main_test.go
+++ b/cmd/benchlink/main_test.go
@@ -42,8 +42,8 @@
 	want := []string{
 		`{"nodes":[]}`,
 		`{"nodes":[{"node":0,"decisions":[["DEFER",102,0]]},{"node":1,"decisions":[["DEFER",102,0]]}]}`,
-		`{"nodes":[{"node":1,"decisions":[["DEFER",2000,1],["RELAY","aa","srv",1997]]}]}`,
-		`{"nodes":[{"node":0,"decisions":[["DEFER",104,0],["DEFER",2000,1],["RELAY","bb","srv",1996]]}]}`,
+		`{"nodes":[{"node":1,"decisions":[["RELAY","aa","srv",1997],["DEFER",2000,1]]}]}`,
+		`{"nodes":[{"node":0,"decisions":[["DEFER",104,0],["RELAY","bb","srv",1996],["DEFER",2000,1]]}]}`,
 		`{"nodes":[]}`,
 	}
 	if strings.Join(got, "\n") != strings.Join(want, "\n") {
--- a/controller.go
+++ b/controller.go
@@ -25,6 +25,7 @@
 	s2      = 1.2                    // past this: all calls but the urgent
 	burst   = 2                      // calls that a pressed server may get at once
 	fade    = 0.998                  // what a pool carried counts less by this each period
+	numbers = 8192                   // dialled of late that are remembered, at most
 	crowd   = 2                      // more calls than that for a number are not one caller's
 	climb   = 1.5                    // growth of sends to an unproven server over what it answered
 	regrow  = 0.03                   // a clean period lifts a ceiling by this share
@@ -481,8 +482,10 @@
 		c.refuse(k)
 		return
 	}
-	c.do(Defer{At: k.until, Key: k.key})
 	c.place(k)
+	if !k.answered { // guards the timers against floods of calls that are refused at once
+		c.do(Defer{At: k.until, Key: k.key})
+	}
 }
 
 // place sends a call or refuses it.
@@ -784,6 +787,9 @@
 		return marked
 	}
 	n := c.dialled[k.number]
+	if n == nil && len(c.dialled) >= numbers {
+		return marked // guards memory against callers who make up numbers
+	}
 	if n == nil {
 		c.dialled[k.number] = &number{first: c.now, asks: 1, until: c.now + k.class.Deadline}
 		return marked
--- a/controller_test.go
+++ b/controller_test.go
@@ -396,6 +396,19 @@
 	}
 }
 
+// A flood of calls that are refused leaves no timers and a bounded number of numbers.
+func TestFloodLeavesLittle(t *testing.T) {
+	r := newRig(t, testSettings())
+	for range 2 * numbers {
+		if _, to := r.ask("read", 0); to != "" {
+			t.Fatal("sent to", to)
+		}
+	}
+	if n := len(r.c.dialled); n > numbers || len(r.bells) > 1 || len(r.c.calls)+len(r.c.keys) > 0 {
+		t.Errorf("%d numbers, %d timers, %d calls", n, len(r.bells), len(r.c.calls))
+	}
+}
+
 // What a server's silence has cost it is given back when its connection turns out to have
 // failed, and its calls may go there again once the guard has passed.
 func TestDeadConnectionIsExcused(t *testing.T) {
--- a/example_test.go
+++ b/example_test.go
@@ -33,6 +33,6 @@
 	do(c.Handle(now, lapiscourse.Returned{Call: "c1", Server: "core-1", Code: lapiscourse.Delivered, Terminal: true}))
 	// Output:
 	// lapiscourse.Defer {At:10.1s Key:0}
-	// lapiscourse.Defer {At:12s Key:1}
 	// lapiscourse.Send {Call:c1 Server:core-1 Wait:2s}
+	// lapiscourse.Defer {At:12s Key:1}
 }
--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -78,7 +78,7 @@
 // Counters count what the core takes in, sends and answers.
 type Counters struct {
 	Requests, Stood, Refused, Failed, GivenUp, Repeated   int
-	Reused, Crowded                                       int
+	Reused, Crowded, AliensDropped                        int
 	Attempts, Cancels, LateAnswers                        int
 	ReleasedByExchange, ReleasedByCaller, ReleasedUnknown int
 	Ends                                                  [ends]int
@@ -109,6 +109,10 @@
 // releases that cross each other or come twice.
 const memory = 30 * time.Second
 
+// aliensASecond bounds the releases of unknown calls that go to the exchanges. After a
+// restart in the middle of a mass cut all of a node's calls may be released at once.
+const aliensASecond = 256
+
 // A Core decides nothing about routes; it keeps the rules of one final answer
 // and of one attempt at a time whatever the two sides do.
 type Core struct {
@@ -122,6 +126,9 @@
 	limits Limits
 	open   int // calls whose final answer is owed
 	bytes  int // of their descriptions
+
+	aliens   int // releases of unknown calls since aliensAt
+	aliensAt Time
 	Counters
 }
 
@@ -285,6 +292,14 @@
 			return false // it crossed our release, or comes twice
 		}
 		// After a restart nothing is known of calls that stand; the exchange must hear of it.
+		// So many a second at the most: exchanges must not pay for callers who make up ids.
+		if now := c.now(); now-c.aliensAt > time.Second {
+			c.aliensAt, c.aliens = now, 0
+		}
+		if c.aliens++; c.aliens > aliensASecond {
+			c.AliensDropped++
+			return true
+		}
 		c.ReleasedUnknown++
 		c.alien.add(id, c.now()+memory)
 		c.out.ReleaseAnywhere(id, cause)
--- a/internal/call/call_test.go
+++ b/internal/call/call_test.go
@@ -248,6 +248,14 @@
 	if n := len(b.core.alien.ids) + len(b.core.alien.queue); n > 12 {
 		t.Errorf("%d entries of releases that nobody knows", n)
 	}
+	b.said = nil
+	b.now += 2 * time.Second
+	for i := range 2 * aliensASecond {
+		b.core.Hangup(fmt.Sprint("made up", i), CauseNormal)
+	}
+	if len(b.said) != aliensASecond {
+		t.Errorf("%d releases of unknown calls went to the exchanges in a second", len(b.said))
+	}
 	b.now += memory + 1
 	b.core.Tick()
 	if c := b.core; c.open+c.bytes+len(c.calls)+len(c.over.ids)+len(c.alien.ids) != 0 {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -66,6 +66,14 @@
 	Gone        = "Gone"
 )
 
+// Longest is the longest deadline of a class.
+func (c *Config) Longest() (d time.Duration) {
+	for _, k := range c.Settings.Classes {
+		d = max(d, k.Deadline)
+	}
+	return d
+}
+
 // Load reads the file at path.
 func Load(path string) (*Config, error) {
 	if path == "" {
--- a/internal/names/names.go
+++ b/internal/names/names.go
@@ -89,6 +89,10 @@
 	if int32(serial-l.serial) <= 0 { // RFC 1982: overtaken on the way, or no news
 		return nil, nil
 	}
+	if len(members) == 0 && len(l.members) > 0 {
+		// Guards against an answer that has lost its records: the list at hand serves better than none.
+		return nil, errors.New("names: answer: an empty list")
+	}
 	l.serial = serial
 	var changed []config.Member
 	for id, old := range l.members {
--- a/internal/names/names_test.go
+++ b/internal/names/names_test.go
@@ -101,7 +101,7 @@
 func TestBadAnswersChangeNothing(t *testing.T) {
 	l := started(t)
 	good := answer(t, 7, 9, line{id: "z"})
-	bad := map[string][]byte{"empty": {}, "another id": answer(t, 8, 9), "no address": answer(t, 7, 9, line{id: "z", noAddr: true}),
+	bad := map[string][]byte{"empty": {}, "another id": answer(t, 8, 9), "no records": answer(t, 7, 9), "no address": answer(t, 7, 9, line{id: "z", noAddr: true}),
 		"cut": good[:len(good)-3], "long": append(slices.Clone(good), make([]byte, Limit)...)}
 	failed := slices.Clone(good)
 	failed[3] |= 2 // SERVFAIL
--- a/internal/net/client.go
+++ b/internal/net/client.go
@@ -61,7 +61,7 @@
 		f.n.close(k.s)
 	}
 	f.n.Clients++
-	k := &client{front: f, s: &stream{c: c, born: f.n.now()}, open: make(map[string]bool)}
+	k := &client{front: f, s: &stream{c: c, born: f.n.now(), caller: true}, open: make(map[string]bool)}
 	c.SetContext(k)
 	f.clients = append(f.clients, k)
 	return true
@@ -302,11 +302,7 @@
 // until is when a caller who waits for so long gives up. It guards the module's timers
 // against callers who claim to wait for days.
 func (n *Node) until(left time.Duration) time.Duration {
-	longest := time.Duration(0)
-	for _, k := range n.cfg.Settings.Classes {
-		longest = max(longest, k.Deadline)
-	}
-	return n.now() + min(left, longest) - margin
+	return n.now() + min(left, n.cfg.Longest()) - margin
 }
 
 // possible tells whether a class may go to a pool; -1 stands for none in particular. Of
--- a/internal/net/h248_front.go
+++ b/internal/net/h248_front.go
@@ -57,7 +57,7 @@
 }
 
 func newH248Front(n *Node, max int) *h248Front {
-	return &h248Front{n: n, max: max, seen: newStore(), calls: make(map[string]*h248Call),
+	return &h248Front{n: n, max: max, seen: newStore(n.cfg.MemoryMB << 6), calls: make(map[string]*h248Call),
 		context: make(map[string]*h248Call), owed: make(map[uint32]*notice)}
 }
 
@@ -70,7 +70,7 @@
 		return false
 	}
 	f.n.Clients++
-	p := &panel{front: f, s: &stream{c: c, born: f.n.now()}, admin: admin}
+	p := &panel{front: f, s: &stream{c: c, born: f.n.now(), caller: true}, admin: admin}
 	c.SetContext(p)
 	f.panels = append(f.panels, p)
 	return true
@@ -139,6 +139,10 @@
 	e, fresh := f.seen.begin(mid, t.ID, f.n.now())
 	switch {
 	case fresh:
+	case e == nil:
+		p.send(frame(f.n.self(), &h248.Transaction{Kind: h248.Reply, ID: t.ID,
+			Err: &h248.Error{Code: h248.Insufficient, Text: "too many transactions"}}))
+		return
 	case e.reply != nil:
 		f.n.Repeats++
 		p.send(e.reply)
@@ -177,7 +181,7 @@
 
 func (p *panel) reply(e *entry, t *h248.Transaction) {
 	t.Kind = h248.Reply
-	e.reply, e.at = frame(p.front.n.self(), t), p.front.n.now()
+	p.front.seen.keep(e, frame(p.front.n.self(), t), p.front.n.now())
 	p.send(e.reply)
 }
 
@@ -387,7 +391,11 @@
 	o := &notice{mid: k.mid, at: f.n.now(), text: frame(f.n.self(), &h248.Transaction{Kind: h248.Request, ID: f.lastID,
 		Actions: []*h248.Action{{Context: k.ctx, Commands: []*h248.Command{{Name: "Notify", Termination: k.termination,
 			Descriptors: []*h248.Node{observed(cause)}}}}}})}
-	f.owed[f.lastID] = o
+	if len(f.owed) < f.n.cfg.MemoryMB<<4 { // guards memory against panels that confirm nothing
+		f.owed[f.lastID] = o
+	} else {
+		f.n.ReleasesLost++
+	}
 	f.n.ReleasesSaid++
 	for _, p := range slices.Backward(f.panels) {
 		if p.mid == k.mid && !p.s.shut {
--- a/internal/net/h248_store.go
+++ b/internal/net/h248_store.go
@@ -16,6 +16,8 @@
 type store struct {
 	seen  map[string]*entry
 	swept time.Duration
+	most  int // entries; past that, or half a KiB for each, new transactions are not taken
+	bytes int // of the replies
 }
 
 // An entry is a transaction that came.
@@ -24,17 +26,18 @@
 	at    time.Duration
 }
 
-func newStore() *store { return &store{seen: make(map[string]*entry)} }
+func newStore(most int) *store { return &store{seen: make(map[string]*entry), most: most} }
 
 func key(mid string, id uint32) string { return strconv.FormatUint(uint64(id), 10) + " " + mid }
 
-// begin tells whether a transaction is new, and takes it down if so.
+// begin tells whether a transaction is new, and takes it down if so; there is no entry if
+// too many are remembered.
 func (s *store) begin(mid string, id uint32, now time.Duration) (*entry, bool) {
 	if now-s.swept > time.Second {
 		s.swept = now
 		for k, e := range s.seen {
 			if e.reply != nil && now-e.at > longTimer {
-				delete(s.seen, k)
+				s.drop(k, e)
 			}
 		}
 	}
@@ -42,11 +45,25 @@
 	if e := s.seen[k]; e != nil {
 		return e, false
 	}
+	if len(s.seen) >= s.most || s.bytes >= s.most<<9 {
+		return nil, false // guards memory: what could not be remembered might run twice
+	}
 	e := &entry{at: now}
 	s.seen[k] = e
 	return e, true
 }
 
+// keep takes down the reply to a transaction.
+func (s *store) keep(e *entry, reply []byte, now time.Duration) {
+	s.bytes += len(reply)
+	e.reply, e.at = reply, now
+}
+
+func (s *store) drop(k string, e *entry) {
+	s.bytes -= len(e.reply)
+	delete(s.seen, k)
+}
+
 // forget drops the replies that the other side acknowledges. One acknowledgement
 // can name any range, so the entries are gone through and not the range.
 func (s *store) forget(mid string, ranges [][2]uint32) {
@@ -54,7 +71,7 @@
 		if r[1]-r[0] < 16 {
 			for id := uint64(r[0]); id <= uint64(r[1]); id++ {
 				if e := s.seen[key(mid, uint32(id))]; e != nil && e.reply != nil {
-					delete(s.seen, key(mid, uint32(id)))
+					s.drop(key(mid, uint32(id)), e)
 				}
 			}
 		} // wider ones end by the timer
--- a/internal/net/link.go
+++ b/internal/net/link.go
@@ -125,7 +125,9 @@
 
 // release ends a call there; it is said again on a new connection until confirmed.
 func (l *link) release(id string, attempt, cause int) {
-	l.byes[id] = bye{attempt, cause, l.n.now()}
+	if len(l.byes) < l.n.cfg.MemoryMB<<5 { // guards memory against an exchange that confirms nothing
+		l.byes[id] = bye{attempt, cause, l.n.now()}
+	}
 	if l.s != nil {
 		l.n.write(l.s, func(b []byte) []byte { return l.talk.release(b, id, attempt, cause) })
 	}
--- a/internal/net/link_h248.go
+++ b/internal/net/link_h248.go
@@ -31,7 +31,7 @@
 }
 
 func newH248(n *Node, id string) *h248Dialect {
-	return &h248Dialect{n: n, id: id, asks: make(map[uint32]*ask), ctx: make(map[string]string), seen: newStore()}
+	return &h248Dialect{n: n, id: id, asks: make(map[uint32]*ask), ctx: make(map[string]string), seen: newStore(n.cfg.MemoryMB << 4)}
 }
 
 // reset forgets Adds: with their connection they were given up on both sides.
@@ -52,6 +52,11 @@
 			delete(d.asks, id)
 		}
 	}
+	for t := range d.ctx { // of calls that ended without a word, such as at a process that died
+		if id, _, ok := callOf(t); ok && !d.n.core.Has(id) {
+			delete(d.ctx, t)
+		}
+	}
 }
 
 // termination names an attempt at the server.
@@ -203,6 +208,10 @@
 // request carries out what the server tells, each transaction once.
 func (d *h248Dialect) request(l *link, mid string, t *h248.Transaction) {
 	e, fresh := d.seen.begin(mid, t.ID, d.n.now())
+	if e == nil {
+		d.n.Strays++
+		return // the server says it again when it gets no reply
+	}
 	if fresh {
 		reply := &h248.Transaction{Kind: h248.Reply, ID: t.ID}
 		for _, a := range t.Actions {
@@ -218,7 +227,7 @@
 				break
 			}
 		}
-		e.reply = frame(d.n.self(), reply)
+		d.seen.keep(e, frame(d.n.self(), reply), d.n.now())
 	} else {
 		d.n.Repeats++
 	}
--- a/internal/net/loop.go
+++ b/internal/net/loop.go
@@ -27,6 +27,8 @@
 	born  time.Duration
 	spoke bool          // it has brought a whole message
 	half  time.Duration // since when part of a message waits for the rest, 0: none does
+
+	caller bool // it may be closed for what it does not read
 }
 
 // firstWord is how long a caller's connection may take for its first whole message, or
@@ -57,6 +59,7 @@
 	timer  *time.Timer
 	origin time.Time
 	unix   time.Duration
+	unread int // bytes that may wait for a caller who does not read
 }
 
 func (l *loop) start() {
@@ -108,6 +111,10 @@
 				continue // gnet has called OnClose
 			}
 		}
+		if s.caller && !s.gone && s.c.OutboundBuffered() > l.unread {
+			// Guards memory against callers who ask and do not read.
+			s.shut = true
+		}
 		if cap(s.out) > 64<<10 {
 			s.out = nil // a burst must not pin memory
 		}
--- a/internal/net/node.go
+++ b/internal/net/node.go
@@ -24,11 +24,12 @@
 
 // Times of the node.
 const (
-	poll     = 150 * time.Millisecond  // between two queries; each also asks again for one that was lost
-	linger   = 750 * time.Millisecond  // after SIGTERM set-ups are still to be expected for so long
-	patience = 3300 * time.Millisecond // after SIGTERM whatever is open is answered by then
-	quiet    = 60 * time.Millisecond   // the last answers get this to leave
-	reserve  = 40                      // descriptors that are neither callers' nor links'
+	poll     = 150 * time.Millisecond // between two queries; each also asks again for one that was lost
+	linger   = 750 * time.Millisecond // after SIGTERM set-ups are still to be expected for so long
+	patience = 3 * time.Second        // or the longest deadline, if it is longer
+	parting  = 300 * time.Millisecond // after SIGTERM whatever is open is answered by patience and this
+	quiet    = 60 * time.Millisecond  // the last answers get this to leave
+	reserve  = 40                     // descriptors that are neither callers' nor links'
 )
 
 // Counters count what the sockets bring.
@@ -84,6 +85,7 @@
 	}
 	n.core = call.New(desk, n, n.now, call.Limits{Open: cfg.MemoryMB << 6, Bytes: cfg.MemoryMB << 17, Recent: cfg.MemoryMB << 7})
 	n.json = &jsonFront{n: n, max: cfg.Sockets*2/3 - reserve}
+	n.unread = cfg.MemoryMB << 20 / 8 / n.json.max
 	n.fronts = []call.Front{n.json}
 	if h != nil { // the fronts share the budget of sockets
 		n.json.max /= 2
@@ -302,14 +304,14 @@
 
 // stop goes on accepting while set-ups may still come, then ends when nothing is owed.
 func (n *Node) stop(now time.Duration) {
-	past := now - n.stopAt
+	past, last := now-n.stopAt, max(patience, n.cfg.Longest())+parting
 	if n.stopping || past < linger {
 		return
 	}
-	if past >= patience {
+	if past >= last {
 		n.core.Stop()
 	}
-	if n.core.Open() > 0 || len(n.json.unsaid) > 0 && past < patience {
+	if n.core.Open() > 0 || len(n.json.unsaid) > 0 && past < last {
 		return
 	}
 	n.stopping = true
@@ -482,8 +484,8 @@
 	c, k := &n.Counters, &n.core.Counters
 	log.Printf("event=counters requests=%d stood=%d refused=%d failed=%d given_up=%d repeated=%d reused=%d crowded=%d impossible=%d open=%d standing=%d",
 		k.Requests, k.Stood, k.Refused, k.Failed, k.GivenUp, k.Repeated, k.Reused, k.Crowded, c.Impossible, n.core.Open(), n.core.Standing())
-	log.Printf("event=counters attempts=%d invites=%d cancels=%d late_answers=%d released_by_exchange=%d released_by_caller=%d released_unknown=%d",
-		k.Attempts, c.Invites, k.Cancels, k.LateAnswers, k.ReleasedByExchange, k.ReleasedByCaller, k.ReleasedUnknown)
+	log.Printf("event=counters attempts=%d invites=%d cancels=%d late_answers=%d released_by_exchange=%d released_by_caller=%d released_unknown=%d unknown_dropped=%d",
+		k.Attempts, c.Invites, k.Cancels, k.LateAnswers, k.ReleasedByExchange, k.ReleasedByCaller, k.ReleasedUnknown, k.AliensDropped)
 	log.Printf("event=counters clients=%d clients_shut=%d clients_turned_away=%d clients_silent=%d malformed=%d tests=%d repeats=%d unsayable=%d dials=%d dials_failed=%d links_lost=%d strays=%d releases_said=%d releases_lost=%d",
 		c.Clients, c.ClientsShut, c.ClientsTurnedAway, c.ClientsSilent, c.Malformed, c.Tests, c.Repeats, c.Unsayable, c.Dials, c.DialsFailed, c.LinksLost, c.Strays, c.ReleasesSaid, c.ReleasesLost)
 	log.Printf("event=counters queries=%d queries_failed=%d answers=%d bad_news=%d serial=%d",
--- a/internal/net/node_test.go
+++ b/internal/net/node_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -516,6 +517,48 @@
 	h.wait(t, "echo", 2)
 }
 
+// A caller who asks and does not read is closed, and takes no more memory than that.
+func TestCallerWhoDoesNotRead(t *testing.T) {
+	s := startSite(t, false)
+	c, err := net.Dial("tcp", s.json())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	line := []byte(`{"verb":"ECHO","tag":"1","opts":{},"rc":0}` + "\n")
+	many := bytes.Repeat(line, 1000)
+	_ = c.SetWriteDeadline(time.Now().Add(30 * time.Second))
+	for sent := 0; ; sent += len(many) {
+		if _, err := c.Write(many); err != nil {
+			break // reset, for it is closed with unread text
+		}
+		if sent > 256<<20 {
+			t.Fatal("the caller was heard without end")
+		}
+	}
+}
+
+// Every transaction is remembered, so past the limits none is taken, until replies are
+// acknowledged or forgotten.
+func TestStoreIsBounded(t *testing.T) {
+	for _, size := range []int{1, 2000} {
+		s := newStore(10)
+		taken := 0
+		for id := range uint32(100) {
+			if e, _ := s.begin("<p>", id, 1); e != nil {
+				taken++
+				s.keep(e, make([]byte, size), 1)
+			}
+		}
+		if want := min(10, 10<<9/size+1); taken != want {
+			t.Errorf("%d replies of %d bytes, want %d", taken, size, want)
+		}
+		if s.forget("<p>", [][2]uint32{{0, 9}}); len(s.seen)+s.bytes != 0 {
+			t.Errorf("left: %d entries, %d bytes", len(s.seen), s.bytes)
+		}
+	}
+}
+
 // After a restart nothing is known of calls that stand: a BYE is passed on, once.
 func TestReleaseOfAnUnknownCall(t *testing.T) {
 	s, h := startSite(t, false), newHeard()
--- a/internal/net/sip/sip.go
+++ b/internal/net/sip/sip.go
@@ -16,6 +16,9 @@
 // ErrTooLong tells of a message over Limit.
 var ErrTooLong = errors.New("sip: a message is over 16 KiB")
 
+// ErrLength tells of a Content-Length behind which no message begins.
+var ErrLength = errors.New("sip: no message begins behind the body")
+
 // A Header is one header line, its name in the long form.
 type Header struct{ Name, Value string }
 
@@ -116,6 +119,9 @@
 		if len(rest) < r.length {
 			return nil
 		}
+		if !plausible(rest[r.length:]) {
+			return ErrLength
+		}
 		m := r.head
 		m.Body = bytes.Clone(rest[:r.length])
 		r.head = nil
@@ -126,6 +132,18 @@
 	}
 }
 
+// plausible tells whether a message may begin with b, as far as it has come. It guards
+// against a body whose length was told too short, which would be handed on cut off.
+func plausible(b []byte) bool {
+	b = bytes.TrimLeft(b, "\r\n")
+	i := 0
+	for i < len(b) && b[i] >= 'A' && b[i] <= 'Z' {
+		i++
+	}
+	begins := func(b []byte, with string) bool { return strings.HasPrefix(with, string(b[:min(len(b), len(with))])) }
+	return i == len(b) || begins(b, "SIP/2.0 ") || i > 0 && begins(b[i:], " sip:")
+}
+
 // long gives the long form of a compact header name.
 var long = map[string]string{"i": "Call-ID", "l": "Content-Length", "v": "Via", "f": "From", "t": "To", "m": "Contact"}
 
--- a/internal/net/sip/sip_test.go
+++ b/internal/net/sip/sip_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"errors"
+	"fmt"
 	"math/rand/v2"
 	"reflect"
 	"strings"
@@ -65,6 +67,13 @@
 			t.Errorf("%q was read as %+v", bad, got)
 		}
 	}
+	short := "SIP/2.0 200 OK\r\nCall-ID: x\r\nCSeq: 1 INVITE\r\nContent-Length: 4\r\n\r\nv=0\r\nc=IN IP4 10.1.1.1\r\n"
+	for _, cut := range []int{0, 4, 11, 13, 16} { // so much more of the body belongs to it than its length tells
+		text := strings.Replace(short, ": 4", fmt.Sprint(": ", cut), 1)
+		if got, err := read([]byte(text)); !errors.Is(err, ErrLength) || len(got) > 0 {
+			t.Errorf("%d bytes of the body were handed out: %v", cut, err)
+		}
+	}
 	long := head + "Call-ID: x\r\nCSeq: 1 BYE\r\nContent-Length: 16384\r\n\r\n"
 	for _, text := range []string{long, strings.Repeat("x", Limit)} {
 		if _, err := read([]byte(text)); err != ErrTooLong {
@@ -87,6 +96,9 @@
 	f.Fuzz(func(t *testing.T, text []byte, seed uint64) {
 		whole, err := read(text)
 		cut, err2 := read(cuts(rand.New(rand.NewPCG(seed, 0)), text)...)
+		if errors.Is(err, ErrLength) {
+			return // what is behind a message may come too late to tell
+		}
 		if (err == nil) != (err2 == nil) || !reflect.DeepEqual(whole, cut) {
 			t.Errorf("whole %d messages and %v, in pieces %d and %v", len(whole), err, len(cut), err2)
 		}
