Let the module's period follow the late mark, so that it keeps pace

Checked: a line each half second on why calls are held back. The second choice was held by its climb, which grew by half in a window of 3 s; the aims here are 300 to 500 ms, the late mark 125 ms. Ruled out: pressure (no ceiling), lines (20 to 35 free), links.

At fault: the constants period and window in controller.go. At the site's own figures the late mark is 500 ms, so a fifth of it is the same 100 ms as before.

--- a/controller.go
+++ b/controller.go
@@ -17,27 +17,24 @@
 
 // The figures of the mechanism. docs/design.md gives the reason of each.
 const (
-	period  = 100 * time.Millisecond // counts are summed up this often
-	periods = 30                     // N: the window spans at least so many periods,
-	most    = 300                    // at most so many,
-	enough  = 5                      // and as many as bring so many calls a server
-	s1      = 0.92                   // past this share of the ceiling: the cheapest tier waits
-	s2      = 1.2                    // past this: all calls but the urgent
-	burst   = 2                      // calls that a pressed server may get at once
-	fade    = 0.998                  // what a pool carried counts less by this each period
-	numbers = 8192                   // dialled of late that are remembered, at most
-	crowd   = 2                      // more calls than that for a number are not one caller's
-	climb   = 1.5                    // growth of sends to an unproven server over what it answered
-	regrow  = 0.03                   // a clean period lifts a ceiling by this share
-	sharp   = 0.25                   // least share of the recent rate a ceiling is set to
+	parts   = 5     // periods of the late mark: counts are summed up this often
+	periods = 30    // N: the window spans at least so many periods,
+	most    = 300   // at most so many,
+	enough  = 5     // and as many as bring so many calls a server
+	s1      = 0.92  // past this share of the ceiling: the cheapest tier waits
+	s2      = 1.2   // past this: all calls but the urgent
+	burst   = 2     // calls that a pressed server may get at once
+	fade    = 0.998 // what a pool carried counts less by this each period
+	numbers = 8192  // dialled of late that are remembered, at most
+	crowd   = 2     // more calls than that for a number are not one caller's
+	climb   = 1.5   // growth of sends to an unproven server over what it answered
+	regrow  = 0.03  // a clean period lifts a ceiling by this share
+	sharp   = 0.25  // least share of the recent rate a ceiling is set to
 )
 
 // askAgain is the key of the bell after a failed call for the list.
 const askAgain = -1
 
-// window spans the least periods that the estimate is taken over.
-const window = periods * period
-
 // Tiers of calls, the cheapest first.
 const (
 	again  = iota // dialled again: its aim has mostly passed
@@ -52,6 +49,8 @@
 	classes map[string]*class
 	late    time.Duration // an answer slower than this is a time-out in all but name
 	silence time.Duration // a server that answers nothing for so long is taken for hung
+	period  time.Duration // counts are summed up this often
+	window  time.Duration // the least that the estimate is taken over
 	rng     *rand.Rand
 	now     Time
 	rolled  Time          // end of the last full period
@@ -160,6 +159,8 @@
 	if set.Resend > 0 {
 		c.late = min(c.late, set.Resend)
 	}
+	c.period = max(c.late/parts, time.Millisecond)
+	c.window = periods * c.period
 	return c, nil
 }
 
@@ -189,7 +190,7 @@
 // Begin starts the periods; its actions come before those of any event.
 func (c *Controller) Begin(now Time) []Action {
 	c.now, c.rolled, c.n = now, now, periods
-	acts := []Action{Defer{At: now + period, Key: 0}}
+	acts := []Action{Defer{At: now + c.period, Key: 0}}
 	if c.set.AskList {
 		acts = append(acts, Watch{})
 	}
@@ -202,11 +203,11 @@
 func (c *Controller) Handle(now Time, e Event) []Action {
 	c.wakeUp(max(c.now, now))
 	c.out = nil
-	for c.rolled+period <= c.now {
-		c.rolled += period
+	for c.rolled+c.period <= c.now {
+		c.rolled += c.period
 		c.endPeriod()
-		if c.now-c.rolled > window {
-			c.rolled = c.now - window
+		if c.now-c.rolled > c.window {
+			c.rolled = c.now - c.window
 		}
 	}
 	switch e := e.(type) {
@@ -258,7 +259,7 @@
 
 // span is the time that the window of a server covers so far.
 func (c *Controller) span(s *server) float64 {
-	return min(max(c.now-s.since, window/3), time.Duration(c.n)*period).Seconds()
+	return min(max(c.now-s.since, c.window/3), time.Duration(c.n)*c.period).Seconds()
 }
 
 // rate is a count over the window, a second. A refusal costs the server
@@ -285,7 +286,7 @@
 	if math.IsInf(s.ceiling, 1) {
 		s.credit = min(s.credit, c.rng.Float64())
 	}
-	share := 1 - (wait-c.late).Seconds()/window.Seconds()
+	share := 1 - (wait-c.late).Seconds()/c.window.Seconds()
 	s.ceiling = max(c.rate(s, &s.answered)*min(max(share, sharp), 1), c.least())
 	s.pressed, s.clean, s.proven = c.now, false, 0
 	c.note(s, "ceiling %.1f/s of %.1f/s offered, wait %v", s.ceiling, c.rate(s, &s.offered),
@@ -342,23 +343,23 @@
 			c.suspect(s, age)
 		}
 		rate := c.rate(s, &s.answered)
-		if !s.cold && c.now-s.since >= window {
+		if !s.cold && c.now-s.since >= c.window {
 			c.carried[s.Pool] = max(c.carried[s.Pool], rate)
 		}
 		s.proven *= fade
-		s.credit = min(s.credit+s1*s.ceiling*period.Seconds(), c.depth(s))
-		s.climb = min(s.climb+c.pace(s, rate)*period.Seconds(), min(1+rate, burst))
+		s.credit = min(s.credit+s1*s.ceiling*c.period.Seconds(), c.depth(s))
+		s.climb = min(s.climb+c.pace(s, rate)*c.period.Seconds(), min(1+rate, burst))
 		if s.climb >= 1 && c.now-s.Started >= c.set.Cold {
 			s.cold = false
 		}
 		if c.now-s.pressed < c.late || math.IsInf(s.ceiling, 1) {
 			continue
 		}
-		clean := time.Duration(c.n) * period // the time that tells, while no answer does
+		clean := time.Duration(c.n) * c.period // the time that tells, while no answer does
 		if s.clean {
-			clean = window
+			clean = c.window
 		}
-		s.ceiling *= 1 + regrow*float64(window)/float64(clean)
+		s.ceiling *= 1 + regrow*float64(c.window)/float64(clean)
 		if c.now-s.pressed > clean && s.credit >= burst {
 			s.ceiling = math.Inf(1)
 			c.note(s, "ceiling lapsed")
@@ -396,7 +397,7 @@
 	if math.IsInf(s.ceiling, 1) {
 		return burst + max(c.carried[s.Pool]*c.late.Seconds(), s.proven)
 	}
-	return max(burst, burst*s.ceiling*period.Seconds())
+	return max(burst, burst*s.ceiling*c.period.Seconds())
 }
 
 // ---- Step 4: the pool pick.
@@ -519,7 +520,7 @@
 // come back when their wanted time has passed, if at all; it is half the late mark at
 // least, so that they do not come back to the same jam, and a window at most.
 func (c *Controller) away(k *call) time.Duration {
-	wait := window
+	wait := c.window
 	for _, s := range c.servers {
 		if k.class == nil || s.Phase != In || !c.mayServe(s, k) {
 			continue
@@ -550,7 +551,7 @@
 	k.standing = true
 	s := k.at
 	s.remove(k)
-	s.overtake(k.sentAt - min(period, c.late/4))
+	s.overtake(k.sentAt - min(c.period, c.late/4))
 	s.answered.add()
 	c.speaks(s)
 	s.took += (e.Took - s.took) / 4
@@ -559,7 +560,7 @@
 	c.prove(s)
 	if s.last > c.late {
 		c.press(s, s.last)
-		s.waitUntil = max(s.waitUntil, c.now+min(s.last, window)-c.late)
+		s.waitUntil = max(s.waitUntil, c.now+min(s.last, c.window)-c.late)
 	}
 }
 
@@ -585,12 +586,12 @@
 	case Full:
 		c.speaks(s)
 		if e.Cause == NoLine { // all lines stand; the processor may be idle
-			s.free, s.freeUntil, s.short = 0, c.now+c.late, c.now+window
+			s.free, s.freeUntil, s.short = 0, c.now+c.late, c.now+c.window
 		} else if c.quick(s) { // it turns calls away, but those that it takes stand at once
 			c.press(s, c.late)
 		} else {
-			c.press(s, window)
-			s.waitUntil = max(s.waitUntil, c.now+min(e.Hint, window))
+			c.press(s, c.window)
+			s.waitUntil = max(s.waitUntil, c.now+min(e.Hint, c.window))
 		}
 		c.place(k)
 	case DialFailed:
@@ -602,7 +603,7 @@
 		if e.Cause == DeadLink {
 			s.excuse()
 		} else if !lost && (e.Code == Expired && !k.cancelled || k.cancelled && s.heard < k.sentAt) {
-			c.suspect(s, window)
+			c.suspect(s, c.window)
 		}
 		k.notBefore, k.waiting = c.now+c.set.Release, true
 		if k.notBefore >= k.until {
@@ -615,7 +616,7 @@
 		s.answered.add()
 		if e.Cause == NumberBusy {
 			if k.number != "" {
-				c.crowded[k.number] = c.now + window
+				c.crowded[k.number] = c.now + c.window
 			}
 			c.fail(k)
 			return
@@ -632,15 +633,15 @@
 // it. It covers jams of any cause; a report that is late itself could hold back in vain.
 func (c *Controller) report(s *server, load Load) {
 	if free := load.Free; usable(free) {
-		s.free, s.freeUntil = free.Value, c.now+window
+		s.free, s.freeUntil = free.Value, c.now+c.window
 		if usable(load.Lines) {
 			s.standing = max(load.Lines.Value-free.Value, 0)
 		}
 		if free.Value < float64(c.set.GroupSize) {
-			s.short = c.now + window
+			s.short = c.now + c.window
 		}
 	}
-	wait, told := s.tells(load)
+	wait, told := c.tells(s, load)
 	if told {
 		s.clean = wait <= c.late/2
 	}
@@ -652,7 +653,7 @@
 
 // tells makes a wait, a window at most, of a report: the wait told, else the backlog at
 // the best pace the server has told, else the share it wants held back, of a window.
-func (s *server) tells(load Load) (wait time.Duration, told bool) {
+func (c *Controller) tells(s *server, load Load) (wait time.Duration, told bool) {
 	if usable(load.CanTake) {
 		s.best = max(s.best, load.CanTake.Value)
 	}
@@ -663,11 +664,11 @@
 	case usable(load.Backlog) && s.best > 0:
 		seconds = load.Backlog.Value / s.best
 	case usable(load.HoldBack):
-		seconds = load.HoldBack.Value * window.Seconds()
+		seconds = load.HoldBack.Value * c.window.Seconds()
 	default:
 		return 0, false
 	}
-	return time.Duration(min(seconds, window.Seconds()) * float64(time.Second)), true
+	return time.Duration(min(seconds, c.window.Seconds()) * float64(time.Second)), true
 }
 
 // usable tells whether a figure was given and is one that can be.
@@ -692,7 +693,7 @@
 // bell wakes the periods (key 0) or a call.
 func (c *Controller) bell(key int64) {
 	if key == 0 {
-		c.do(Defer{At: c.rolled + period, Key: 0})
+		c.do(Defer{At: c.rolled + c.period, Key: 0})
 		c.rescue()
 		c.forget()
 		return
@@ -716,7 +717,7 @@
 
 func (c *Controller) list(e List) {
 	if e.Failed { // what was known stays; ask again, but not at once
-		c.do(Defer{At: c.now + window, Key: askAgain})
+		c.do(Defer{At: c.now + c.window, Key: askAgain})
 		return
 	}
 	if e.Full {
@@ -751,7 +752,7 @@
 // named may have just started.
 func (c *Controller) fresh(l Server) *server {
 	s := &server{Server: l, ceiling: math.Inf(1), credit: burst, climb: 1,
-		pressed: c.now - window, heard: c.now, since: c.now, floor: c.late}
+		pressed: c.now - c.window, heard: c.now, since: c.now, floor: c.late}
 	if l.Started > 0 && c.now-l.Started < c.set.Cold {
 		s.cold, s.climb = true, c.rng.Float64()
 	}
@@ -762,7 +763,7 @@
 // that no one has found busy or dialled for long.
 func (c *Controller) forget() {
 	maps.DeleteFunc(c.dialled, func(_ string, n *number) bool { return c.now >= n.until })
-	maps.DeleteFunc(c.crowded, func(_ string, next Time) bool { return c.now > next+window })
+	maps.DeleteFunc(c.crowded, func(_ string, next Time) bool { return c.now > next+c.window })
 	c.servers = slices.DeleteFunc(c.servers, func(s *server) bool {
 		return s.Phase == Out && len(s.pending)+len(s.lost) == 0
 	})
@@ -773,7 +774,7 @@
 	if c.now < s.noted {
 		return
 	}
-	s.noted = c.now + 10*window
+	s.noted = c.now + 10*c.window
 	c.do(Log{Text: "server " + s.ID + ": " + fmt.Sprintf(format, args...)})
 }
 
@@ -804,7 +805,7 @@
 func (c *Controller) jammed(k *call) bool {
 	next, ok := c.crowded[k.number]
 	if ok && c.now >= next {
-		c.crowded[k.number] = c.now + window
+		c.crowded[k.number] = c.now + c.window
 	}
 	return ok && c.now < next
 }
@@ -871,7 +872,7 @@
 		return
 	}
 	c.now, c.pause = now, 0
-	if still := now - c.rolled - period; still > period {
+	if still := now - c.rolled - c.period; still > c.period {
 		c.pause = still
 		for _, s := range c.servers {
 			for _, k := range s.pending {
