Send scouts to stuck servers and excuse those whose set-ups were lost

When all that were out at once were lost, the server was stuck behind one pending call for up to 2.8 s, and its ceiling fell from 50/s to 2.3/s meanwhile, for what it answered fell with what it was sent. Ruled out: jams (quick answers), links (none silent), lines.

At fault: stuck in controller.go, which let nothing pass to find out, and stands, which let a ceiling set for silence stand when the silence was explained.

--- a/controller.go
+++ b/controller.go
@@ -302,8 +302,9 @@
 }
 
 // excuse gives back what silence alone has cost a server whose connection turns out to have
-// failed. The danger is that a dead connection is paid for like a jam, for seconds, by calls
-// that the server could take. It could harm where a server in a jam resets connections.
+// failed, or set-ups or answers on their way. The danger is that what was lost is paid for
+// like a jam, for seconds, by calls that the server could take. It could harm where a server
+// in a jam resets connections.
 func (s *server) excuse() {
 	if b := s.before; b != nil {
 		s.ceiling, s.proven, s.pressed, s.before = b.ceiling, b.proven, b.pressed, nil
@@ -551,7 +552,9 @@
 	k.standing = true
 	s := k.at
 	s.remove(k)
-	s.overtake(k.sentAt - min(c.period, c.late/4))
+	if s.overtake(k.sentAt-min(c.period, c.late/4)) && e.Took-c.pause <= c.late/2 {
+		s.excuse() // those that it overtook were lost, and with them what looked like silence
+	}
 	s.answered.add()
 	c.speaks(s)
 	s.took += (e.Took - s.took) / 4
@@ -847,8 +850,16 @@
 
 // stuck tells whether this node's oldest set-up at a server waits too long: more
 // would only wait behind it. It covers hung servers and jams that no report tells of;
-// it could harm where answers are slow on the way and not at the processor.
-func (c *Controller) stuck(s *server) bool { return c.waits(s) > c.late }
+// it could harm where answers are slow on the way and not at the processor. Now and then a
+// call goes all the same, later each time: if it stands, those before it were lost on the way.
+// The danger is a lost set-up that keeps a server from all calls for as long as it lasts.
+func (c *Controller) stuck(s *server) bool {
+	if c.waits(s) <= c.late {
+		return false
+	}
+	n := len(s.pending)
+	return c.now-s.pending[n-1].sentAt < c.late<<min(n-1, 8)
+}
 
 // waits is how long this node's oldest set-up at a server has been waiting. A single one
 // at a server that was quick just before may be lost: it counts half, so that another
@@ -888,11 +899,13 @@
 // already and a processor has one line. The danger is a set-up or an answer that got
 // lost on the way: it must neither look like a wait at the server nor wait for its own
 // time-out. It could harm at a server that answers out of order.
-func (s *server) overtake(before Time) {
+func (s *server) overtake(before Time) (lost bool) {
 	for len(s.pending) > 0 && s.pending[0].sentAt < before {
 		s.lost = append(s.lost, s.pending[0])
 		s.pending = s.pending[1:]
+		lost = true
 	}
+	return lost
 }
 
 // rescue calls off lost set-ups, and those at a silent server while another could
