Learn what a pool carries from the first five answers after a start

Checked: a probe that counted why calls are held back: 'flooded' for up to 36 calls a quarter second, at servers that answered in 40 ms with two set-ups out. Carried rates, which allow more, were empty until a whole window (0.77 s here) had passed.

At fault: endPeriod in controller.go, which took a rate into 'carried' only after a window.

--- a/controller.go
+++ b/controller.go
@@ -20,7 +20,7 @@
 	parts   = 5     // periods of the late mark: counts are summed up this often
 	periods = 30    // N: the window spans at least so many periods,
 	most    = 300   // at most so many,
-	enough  = 5     // and as many as bring so many calls a server
+	enough  = 5     // and as many as bring so many calls a server; so many answers tell a rate
 	s1      = 0.92  // past this share of the ceiling: the cheapest tier waits
 	s2      = 1.2   // past this: all calls but the urgent
 	burst   = 2     // calls that a pressed server may get at once
@@ -344,7 +344,7 @@
 			c.suspect(s, age)
 		}
 		rate := c.rate(s, &s.answered)
-		if !s.cold && c.now-s.since >= c.window {
+		if !s.cold && (c.now-s.since >= c.window || s.answered.sum >= enough) {
 			c.carried[s.Pool] = max(c.carried[s.Pool], rate)
 		}
 		s.proven *= fade
--- a/controller_test.go
+++ b/controller_test.go
@@ -416,6 +416,22 @@
 	}
 }
 
+// A node that has just started learns from its first answers what its servers can have at
+// once, not only when a whole window has passed.
+func TestStartLearnsFromFirstAnswers(t *testing.T) {
+	r := newRig(t, testSettings(), a)
+	r.steady(100*ms, 800*ms, 50*ms)
+	sent := 0
+	for range 10 {
+		if _, to := r.ask("read", 0); to == "a" {
+			sent++
+		}
+	}
+	if sent <= burst || sent == 10 {
+		t.Errorf("%d of 10 calls sent at once", sent)
+	}
+}
+
 // A flood of calls that are refused leaves no timers and a bounded number of numbers.
 func TestFloodLeavesLittle(t *testing.T) {
 	r := newRig(t, testSettings())
