End an orderly stop before SIGKILL even where deadlines are long

Checked: a call with 8 s left at a silent server: the node had not stopped after 3.7 s, so SIGKILL would have found the call unanswered. Ruled out: shorter deadlines (all calls end by themselves before the last moment).

At fault: max in place of min in Node.stop, internal/net/node.go.

TestStopIsOverBeforeTheKill fails without the change.

--- a/internal/net/node.go
+++ b/internal/net/node.go
@@ -26,7 +26,7 @@
 const (
 	poll     = 150 * time.Millisecond // between two queries; each also asks again for one that was lost
 	linger   = 750 * time.Millisecond // after SIGTERM set-ups are still to be expected for so long
-	patience = 3 * time.Second        // or the longest deadline, if it is longer
+	patience = 3 * time.Second        // or the longest deadline, if it is shorter: SIGKILL follows 0.7 s behind
 	parting  = 300 * time.Millisecond // after SIGTERM whatever is open is answered by patience and this
 	quiet    = 60 * time.Millisecond  // the last answers get this to leave
 	reserve  = 40                     // descriptors that are neither callers' nor links'
@@ -302,9 +302,10 @@
 	}
 }
 
-// stop goes on accepting while set-ups may still come, then ends when nothing is owed.
+// stop goes on accepting while set-ups may still come, then ends when nothing is owed. It
+// guards against SIGKILL, which does not wait for calls that may be open for longer.
 func (n *Node) stop(now time.Duration) {
-	past, last := now-n.stopAt, max(patience, n.cfg.Longest())+parting
+	past, last := now-n.stopAt, min(patience, n.cfg.Longest())+parting
 	if n.stopping || past < linger {
 		return
 	}
--- a/internal/net/node_test.go
+++ b/internal/net/node_test.go
@@ -681,3 +681,23 @@
 		t.Error("the node did not stop")
 	}
 }
+
+// SIGKILL does not wait for a call that may stay open for longer: it is answered before.
+func TestStopIsOverBeforeTheKill(t *testing.T) {
+	s, h := startSite(t, false), newHeard()
+	open := dialJSON(t, s.json(), h, "aaaaaaaa").setUp("silent.1", 8*time.Second)
+	eventually(t, "the set-up is out", func() bool { return s.r.tries("silent.1") == 1 })
+	s.n.Stop()
+	select {
+	case err := <-s.done:
+		s.done <- err
+		if err != nil {
+			t.Error(err)
+		}
+	case <-time.After(patience + 700*time.Millisecond):
+		t.Error("the node has not stopped when SIGKILL may come")
+	}
+	if got := h.wait(t, open, 1); got != "end 34" {
+		t.Errorf("the open set-up got %q", got)
+	}
+}
