Keep a silence open to excuse while older set-ups still wait

Checked: a trace of the SIP messages: about 18% of the set-ups got no answer, at random, and were called off at 125 to 150 ms. At 21.4 s three of four were lost in a row; those behind them stood after 98 to 103 ms, and the ceiling fell from none to 37/s all the same, with 45 refusals in the next half second at 76 calls/s offered instead of 45, as the refused came back. Ruled out: links (one of 25 losses was a mute one), lines (over 100 free), jams (no answer over the late mark of 125 ms just before).

At fault, in controller.go: speaks made the pressure final at the answer to a set-up sent together with the lost one, before one sent later could tell; stands excused only below half the late mark. Now an answer leaves it open while older set-ups wait for longer than the late mark, and any that is not late excuses. A late answer and 'processor full' stay final, by press itself.

--- a/controller.go
+++ b/controller.go
@@ -288,17 +288,19 @@
 	}
 	share := 1 - (wait-c.late).Seconds()/c.window.Seconds()
 	s.ceiling = max(c.rate(s, &s.answered)*min(max(share, sharp), 1), c.least())
-	s.pressed, s.clean, s.proven = c.now, false, 0
+	s.pressed, s.clean, s.proven, s.before = c.now, false, 0, nil
 	c.note(s, "ceiling %.1f/s of %.1f/s offered, wait %v", s.ceiling, c.rate(s, &s.offered),
 		wait.Round(time.Millisecond))
 }
 
 // suspect presses a server for its silence, which may be that of the way there.
 func (c *Controller) suspect(s *server, wait time.Duration) {
-	if s.before == nil {
-		s.before = &standing{s.ceiling, s.proven, s.pressed}
+	before := s.before
+	if before == nil {
+		before = &standing{s.ceiling, s.proven, s.pressed}
 	}
 	c.press(s, wait)
+	s.before = before
 }
 
 // excuse gives back what silence alone has cost a server whose connection turns out to have
@@ -311,8 +313,12 @@
 	}
 }
 
-// speaks notes an answer of any kind.
-func (c *Controller) speaks(s *server) { s.heard, s.before = c.now, nil }
+// speaks notes an answer of any kind. It says nothing of set-ups that still wait for longer.
+func (c *Controller) speaks(s *server) {
+	if s.heard = c.now; c.waits(s) <= c.late {
+		s.before = nil
+	}
+}
 
 // prove lets a server without a ceiling have more at once for each answer that came
 // as quickly as any while calls were held back for want of credit. The danger is a node
@@ -552,7 +558,7 @@
 	k.standing = true
 	s := k.at
 	s.remove(k)
-	if s.overtake(k.sentAt-min(c.period, c.late/4)) && e.Took-c.pause <= c.late/2 {
+	if s.overtake(k.sentAt-min(c.period, c.late/4)) && e.Took-c.pause <= c.late {
 		s.excuse() // those that it overtook were lost, and with them what looked like silence
 	}
 	s.answered.add()
--- a/controller_test.go
+++ b/controller_test.go
@@ -469,6 +469,40 @@
 	}
 }
 
+// Answers to set-ups sent with a lost one tell nothing of it; one sent later that is not late
+// does. A 'processor full' is never excused.
+func TestSilenceOfALostSetUpStaysOpen(t *testing.T) {
+	for _, full := range []bool{false, true} {
+		r := newRig(t, testSettings(), a)
+		r.steady(20*ms, 4*time.Second, 30*ms)
+		s := r.c.servers[0]
+		var ids []string
+		for range 3 { // the first is lost
+			id, to := r.ask("write", 0)
+			if to != "a" {
+				t.Fatal("a steady server is not sent to")
+			}
+			ids = append(ids, id)
+			r.pass(95 * ms)
+		}
+		for i := 0; math.IsInf(s.ceiling, 1); i++ {
+			if i > 100 {
+				t.Fatal("a silent server is not pressed")
+			}
+			r.pass(5 * ms)
+		}
+		if full {
+			r.returned(ids[1], "a", Full, ProcessorFull)
+		} else {
+			r.stands(ids[1], "a", 450*ms)
+		}
+		r.stands(ids[2], "a", 400*ms)
+		if excused := math.IsInf(s.ceiling, 1); excused == full {
+			t.Errorf("processor full %v: excused %v", full, excused)
+		}
+	}
+}
+
 // What a server's silence has cost it is given back when its connection turns out to have
 // failed, and its calls may go there again once the guard has passed.
 func TestDeadConnectionIsExcused(t *testing.T) {
