Bound the least ceiling by what the pool has carried

Checked: a trace of the SIP messages and a line each quarter second: the server was slow from 1.4 s on, not dead (notices and releases kept coming; four answers came in 140 to 440 ms where calls were left there for longer). It carried some 15 calls a second of all nodes while it was well; the least ceiling of the three nodes sends it 6.5 a second together, about all that it can do at a third of its pace, and it never got well.

At fault: press in controller.go, whose floor was the same for servers of any size. Now it is a quarter of what the pool carried for this node, where that is less.

--- a/controller.go
+++ b/controller.go
@@ -287,7 +287,7 @@
 		s.credit = min(s.credit, c.rng.Float64())
 	}
 	share := 1 - (wait-c.late).Seconds()/c.window.Seconds()
-	s.ceiling = max(c.rate(s, &s.answered)*min(max(share, sharp), 1), c.least())
+	s.ceiling = max(c.rate(s, &s.answered)*min(max(share, sharp), 1), c.trickle(s))
 	s.pressed, s.clean, s.proven, s.before = c.now, false, 0, nil
 	c.note(s, "ceiling %.1f/s of %.1f/s offered, wait %v", s.ceiling, c.rate(s, &s.offered),
 		wait.Round(time.Millisecond))
@@ -303,10 +303,8 @@
 	s.before = before
 }
 
-// excuse gives back what silence alone has cost a server whose connection turns out to have
-// failed, or set-ups or answers on their way. The danger is that what was lost is paid for
-// like a jam, for seconds, by calls that the server could take. It could harm where a server
-// in a jam resets connections.
+// excuse gives back what silence has cost a server where a connection, set-ups or answers were
+// lost. The danger is to pay for that like for a jam. It could harm where a jam resets connections.
 func (s *server) excuse() {
 	if b := s.before; b != nil {
 		s.ceiling, s.proven, s.pressed, s.before = b.ceiling, b.proven, b.pressed, nil
@@ -335,6 +333,15 @@
 // least is this node's part of a trickle that any server can take.
 func (c *Controller) least() float64 { return 1 / c.silence.Seconds() / float64(c.set.GroupSize) }
 
+// trickle is the least ceiling: a part of what the pool carried, where that is little. The
+// danger is a small server that is slow and kept so by calls that only find that out.
+func (c *Controller) trickle(s *server) float64 {
+	if carried, ok := c.carried[s.Pool]; ok {
+		return min(max(carried, c.least())*sharp, c.least())
+	}
+	return c.least()
+}
+
 // endPeriod closes a period for all servers.
 func (c *Controller) endPeriod() {
 	maps.DeleteFunc(c.carried, func(_ int, rate float64) bool { return rate < c.least()*sharp })
@@ -854,11 +861,10 @@
 // calls away at random while it is idle, and would be left by all.
 func (c *Controller) quick(s *server) bool { return s.last < c.late/2 && c.now-s.stood < c.late }
 
-// stuck tells whether this node's oldest set-up at a server waits too long: more
-// would only wait behind it. It covers hung servers and jams that no report tells of;
-// it could harm where answers are slow on the way and not at the processor. Now and then a
-// call goes all the same, later each time: if it stands, those before it were lost on the way.
-// The danger is a lost set-up that keeps a server from all calls for as long as it lasts.
+// stuck tells whether this node's oldest set-up at a server waits too long: more would only
+// wait behind it. It covers hung servers and jams that no report tells of; it could harm where
+// answers are slow on the way. The danger is a lost set-up that keeps a server from all calls:
+// now and then one goes all the same, later each time, and if it stands, others were lost.
 func (c *Controller) stuck(s *server) bool {
 	if c.waits(s) <= c.late {
 		return false
--- a/controller_test.go
+++ b/controller_test.go
@@ -445,6 +445,27 @@
 	}
 }
 
+// A small server that has become slow must not be kept so by calls that find it out.
+func TestTrickleIsAPartOfWhatIsCarried(t *testing.T) {
+	ceiling := func(gap time.Duration) float64 {
+		r := newRig(t, testSettings(), a)
+		r.steady(gap, 8*time.Second, 30*ms)
+		s := r.c.servers[0]
+		for range 60 { // it answers nothing any more
+			r.ask("write", 0)
+			r.pass(100 * ms)
+		}
+		return s.ceiling
+	}
+	least := 1 / 0.5 / 4.0
+	if small := ceiling(1500 * ms); small > least/2 {
+		t.Errorf("a small server still gets %.2f calls a second of %.2f", small, least)
+	}
+	if large := ceiling(20 * ms); large < least {
+		t.Errorf("a large server gets %.2f calls a second of %.2f", large, least)
+	}
+}
+
 // A lost set-up must not keep a server from all calls for as long as it lasts: another goes
 // and tells, as far as the ceiling leaves room, and what the silence has cost is given back.
 func TestScoutTellsOfALostSetUp(t *testing.T) {
