Put commands on cobra, logs on zap and settings in one operator's file

The records and the console to come need settings of their own, commands with help and exit codes, and logs that programs can read. Until now there was one file for the H.248 front, three programs with hand-made usage lines and log lines made by Printf.

The old deploy/h248.toml is still read where the new file has no [h248].

Ruled out: go-toml's strict mode, which has positions of unknown keys, for a second TOML library; a short scan finds the line.

--- a/cmd/oliveagent/main.go
+++ b/cmd/oliveagent/main.go
@@ -3,68 +3,86 @@
 
 import (
 	"context"
-	"flag"
 	"fmt"
-	"log"
 	"net"
 	"os"
 	"os/signal"
 	"path/filepath"
-	"strings"
 	"syscall"
 	"time"
 
+	"github.com/spf13/cobra"
 	clientv3 "go.etcd.io/etcd/client/v3"
 
 	"lapiscourse/internal/agent"
+	"lapiscourse/internal/cli"
 	"lapiscourse/internal/control"
+	"lapiscourse/internal/logs"
 )
 
+// flags are what the command line says.
+type flags struct {
+	etcd                         []string
+	prefix, program, dir, listen string
+	log                          logs.Options
+}
+
 func main() {
-	etcd := flag.String("etcd", "127.0.0.1:2379", "addresses of etcd, with commas")
-	prefix := flag.String("prefix", "/olivedale/instances/", "keys below it are wanted instances")
-	program := flag.String("program", "bin/olivedale", "the program to run")
-	dir := flag.String("dir", "", "folder for the files of the instances")
-	listen := flag.String("listen", "127.0.0.1:2950", "where olivectl connects")
-	flag.Parse()
-	log.SetFlags(log.LUTC | log.Ltime | log.Lmicroseconds)
-	if err := run(*etcd, *prefix, *program, *dir, *listen); err != nil {
-		log.Printf("event=failed err=%q", err)
-		os.Exit(1)
+	var f flags
+	root := &cobra.Command{
+		Use:     "oliveagent",
+		Short:   "Keep the instances of this machine as etcd wants them",
+		Example: "  oliveagent --etcd 127.0.0.1:2379 --dir /var/lib/olivedale --program bin/olivedale",
+		RunE:    func(*cobra.Command, []string) error { return run(f) },
 	}
+	set := root.Flags()
+	set.StringSliceVar(&f.etcd, "etcd", []string{"127.0.0.1:2379"}, "addresses of etcd")
+	set.StringVar(&f.prefix, "prefix", "/olivedale/instances/", "keys below it are wanted instances")
+	set.StringVar(&f.program, "program", "bin/olivedale", "the program to run")
+	set.StringVar(&f.dir, "dir", "", "folder for the files of the instances (needed)")
+	set.StringVar(&f.listen, "listen", "127.0.0.1:2950", "where olivectl connects")
+	set.StringVar(&f.log.Form, "log-form", logs.Text, "form of log lines: text or json")
+	set.StringVar(&f.log.Level, "log-level", "info", "least level of log lines: debug, info, warn, error")
+	root.AddCommand(cli.VersionCommand())
+	os.Exit(cli.Run(root))
 }
 
-func run(etcd, prefix, program, dir, listen string) error {
-	if dir == "" {
-		return fmt.Errorf("-dir is missing")
+func run(f flags) error {
+	if f.dir == "" {
+		return cli.Usage("--dir is missing: name a folder for the files of the instances")
+	}
+	if err := f.log.Check(); err != nil {
+		return cli.Usage("--log-%w", err)
 	}
+	zl := logs.New(os.Stderr, f.log)
+	log := zl.Sugar()
 	// A relative path would be taken from the instance's folder.
-	program, err := filepath.Abs(program)
+	program, err := filepath.Abs(f.program)
 	if err != nil {
-		return fmt.Errorf("-program: %w", err)
+		return fmt.Errorf("--program: %w", err)
 	}
-	client, err := clientv3.New(clientv3.Config{Endpoints: strings.Split(etcd, ","), DialTimeout: 5 * time.Second,
+	client, err := clientv3.New(clientv3.Config{Endpoints: f.etcd, DialTimeout: 5 * time.Second, Logger: zl.Named("etcd"),
 		DialKeepAliveTime: 5 * time.Second, DialKeepAliveTimeout: 3 * time.Second})
 	if err != nil {
 		return fmt.Errorf("etcd: %w", err)
 	}
 	defer func() { _ = client.Close() }()
-	ln, err := net.Listen("tcp", listen)
+	ln, err := net.Listen("tcp", f.listen)
 	if err != nil {
 		return err
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	a := agent.New(program, dir)
+	a := agent.New(program, f.dir, zl)
 	go func() {
 		if err := control.Serve(ln, "<agent>", a.Handle); err != nil {
-			log.Printf("event=control_failed err=%q", err)
+			log.Errorw("control_failed", "err", err)
 			stop()
 		}
 	}()
-	log.Printf("event=started listen=%s prefix=%s", ln.Addr(), prefix)
-	_ = agent.Watch(ctx, client, prefix, a) // it ends with ctx only
-	log.Printf("event=stopping")
+	log.Infow("started", "listen", ln.Addr().String(), "prefix", f.prefix)
+	_ = agent.Watch(ctx, client, f.prefix, a, log) // it ends with ctx only
+	log.Infow("stopping")
 	a.Close()
 	return ln.Close()
 }
--- a/cmd/olivedale/main.go
+++ b/cmd/olivedale/main.go
@@ -1,54 +1,98 @@
 // Command olivedale is the call controller: it takes call set-ups from callers
 // and passes them to exchanges as the decision module says. The platform tells
-// it all it needs by the file that RELAY_CONFIG names.
+// it all it needs by the file that RELAY_CONFIG names; the operator's own file is
+// deploy/olivedale.toml.
 package main
 
 import (
-	"log"
+	"fmt"
 	"os"
 	"os/signal"
+	"path/filepath"
 	"runtime"
 	"runtime/debug"
 	"syscall"
 
+	"github.com/spf13/cobra"
+	"go.uber.org/zap"
+
+	"lapiscourse/internal/cli"
 	"lapiscourse/internal/config"
+	"lapiscourse/internal/logs"
 	"lapiscourse/internal/net"
 )
 
 func main() {
-	log.SetFlags(log.LUTC | log.Ltime | log.Lmicroseconds)
-	if err := run(); err != nil {
-		log.Printf("event=failed err=%q", err)
-		os.Exit(1)
+	root := &cobra.Command{
+		Use:   "olivedale",
+		Short: "Serve as a call controller",
+		Long: "olivedale serves as the call controller that RELAY_CONFIG and " + config.OperatorPath + " describe.\n" +
+			"SIGTERM stops it in good order, SIGHUP has it read RELAY_CONFIG again, SIGUSR1 writes the counters.",
+		Example: "  RELAY_CONFIG=/etc/olivedale/config.json olivedale",
+		RunE:    func(*cobra.Command, []string) error { return serve() },
+	}
+	root.AddCommand(checkCommand(), cli.VersionCommand())
+	os.Exit(cli.Run(root))
+}
+
+func checkCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:     "check [FILE]",
+		Short:   "Read the operator's file and start nothing",
+		Long:    "check reads the operator's file, " + config.OperatorPath + " if none is named, and tells by line and key what is wrong with it.",
+		Example: "  olivedale check deploy/olivedale.toml",
+		Args:    cobra.MaximumNArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			path, found := config.OperatorPath, "good"
+			if len(args) == 1 {
+				path = args[0]
+				if err := config.CheckOperator(path); err != nil {
+					return err
+				}
+			} else if _, old, err := config.LoadOperator(""); err != nil {
+				return err
+			} else if _, err := os.Stat(path); err != nil {
+				if found = "not there, all it could switch on is off"; old {
+					found = "not there, " + config.H248Path + " is used; move it to section [h248]"
+				}
+			}
+			_, err := fmt.Fprintln(c.OutOrStdout(), filepath.Clean(path)+": "+found)
+			return err
+		},
 	}
 }
 
-func run() error {
+func serve() error {
 	// Room for several: a signal that finds the channel full is dropped, and a SIGTERM
 	// just behind a SIGUSR1 must not be. Asked for before anything else, so that none ends
 	// the program while it starts.
 	signals := make(chan os.Signal, 8)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP, syscall.SIGUSR1)
-	cfg, err := config.Load(os.Getenv("RELAY_CONFIG"))
+	o, old, err := config.LoadOperator("")
 	if err != nil {
 		return err
 	}
-	runtime.GOMAXPROCS(1) // the platform gives one core, which others share
-	debug.SetMemoryLimit(int64(cfg.MemoryMB) << 20 * 3 / 4)
-	h, err := config.LoadH248(config.H248Path)
+	zl := logs.New(os.Stderr, o.Log.Options())
+	log := zl.Sugar()
+	if old {
+		log.Warnw("deprecated", "file", config.H248Path, "instead", "section [h248] of "+config.OperatorPath)
+	}
+	cfg, err := config.Load(os.Getenv("RELAY_CONFIG"))
 	if err != nil {
-		return err
+		return failed(log, err)
 	}
-	n, err := net.New(cfg, h)
+	runtime.GOMAXPROCS(1) // the platform gives one core, which others share
+	debug.SetMemoryLimit(int64(cfg.MemoryMB) << 20 * 3 / 4)
+	n, err := net.New(cfg, net.Options{H248: o.H248, Log: zl})
 	if err != nil {
-		return err
+		return failed(log, err)
 	}
 	go func() {
 		<-n.Started()
 		for s := range signals {
 			switch s {
 			case syscall.SIGHUP:
-				reload(n)
+				reload(n, log)
 			case syscall.SIGUSR1:
 				n.ReportSoon()
 			default:
@@ -58,14 +102,23 @@
 	}()
 	err = n.Run()
 	n.Report()
-	return err
+	return failed(log, err)
+}
+
+// failed logs the error that ends the program, if there is one.
+func failed(log *zap.SugaredLogger, err error) error {
+	if err != nil {
+		log.Errorw("failed", "err", err)
+		return cli.ErrReported
+	}
+	return nil
 }
 
 // reload reads the configuration again. One that is bad changes nothing.
-func reload(n *net.Node) {
+func reload(n *net.Node, log *zap.SugaredLogger) {
 	cfg, err := config.Load(os.Getenv("RELAY_CONFIG"))
 	if err != nil {
-		log.Printf("event=reload_failed err=%q", err)
+		log.Warnw("reload_failed", "err", err)
 		return
 	}
 	n.Reload(cfg)
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"log"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -18,6 +17,7 @@
 	"time"
 
 	"github.com/BurntSushi/toml"
+	"go.uber.org/zap"
 
 	"lapiscourse/internal/config"
 	"lapiscourse/internal/net/h248"
@@ -35,6 +35,9 @@
 type Spec struct {
 	Config json.RawMessage `json:"config"` // what RELAY_CONFIG is to name
 	H248   *config.H248    `json:"h248"`   // switches its H.248 front on
+	Log    config.Log      `json:"log"`
+	// Records switches its records on; without a folder they are kept beside its other files.
+	Records *config.Records `json:"records"`
 }
 
 // States of an instance.
@@ -51,6 +54,7 @@
 type Agent struct {
 	program string
 	dir     string
+	log     *zap.SugaredLogger
 	mu      sync.Mutex
 	all     map[string]*instance
 	wg      sync.WaitGroup
@@ -73,8 +77,8 @@
 }
 
 // New makes an agent that runs program, an absolute path, for every instance and keeps their files in dir.
-func New(program, dir string) *Agent {
-	return &Agent{program: program, dir: dir, all: make(map[string]*instance)}
+func New(program, dir string, log *zap.Logger) *Agent {
+	return &Agent{program: program, dir: dir, log: log.Sugar(), all: make(map[string]*instance)}
 }
 
 // names that may become a folder: the danger is a key such as "../x".
@@ -111,7 +115,7 @@
 		return
 	}
 	if old != nil {
-		old.drain("no longer wanted")
+		a.drain(old, "no longer wanted")
 		delete(a.all, name)
 	}
 	if value == nil {
@@ -120,7 +124,7 @@
 	i := &instance{name: name, value: value, stop: make(chan struct{}), done: make(chan struct{}), state: Starting}
 	a.all[name] = i
 	if err := i.read(); err != nil {
-		log.Printf("event=bad_spec name=%q err=%q", name, err)
+		a.log.Warnw("bad_spec", "name", name, "err", err)
 		i.state = Faulty
 		close(i.done)
 		return
@@ -146,15 +150,20 @@
 	if _, err := config.Parse(i.spec.Config); err != nil {
 		return err
 	}
-	if i.spec.H248 != nil {
-		return i.spec.H248.Check()
+	if r := i.spec.Records; r != nil && r.Dir == "" {
+		r.Dir = "records"
 	}
-	return nil
+	return i.spec.operator().Check()
 }
 
-func (i *instance) drain(why string) {
+// operator is the operator's file of an instance.
+func (s *Spec) operator() *config.Operator {
+	return &config.Operator{Log: s.Log, H248: s.H248, Records: s.Records}
+}
+
+func (a *Agent) drain(i *instance, why string) {
 	i.once.Do(func() {
-		log.Printf("event=drain name=%s why=%q", i.name, why)
+		a.log.Infow("drain", "name", i.name, "why", why)
 		close(i.stop)
 	})
 }
@@ -174,7 +183,7 @@
 	a.closed = true
 	for _, i := range a.all {
 		if i.state != Faulty {
-			i.drain("the agent stops")
+			a.drain(i, "the agent stops")
 		}
 	}
 	a.mu.Unlock()
@@ -196,7 +205,7 @@
 		if time.Since(began) > stable {
 			pause = restartFirst
 		}
-		log.Printf("event=ended name=%s err=%q again_in=%v", i.name, fmt.Sprint(err), pause)
+		a.log.Infow("ended", "name", i.name, "err", fmt.Sprint(err), "again_in", pause)
 		i.set(Waiting, 0)
 		select {
 		case <-i.stop:
@@ -231,7 +240,7 @@
 		return err
 	}
 	i.set(Running, cmd.Process.Pid)
-	log.Printf("event=running name=%s pid=%d", i.name, cmd.Process.Pid)
+	a.log.Infow("running", "name", i.name, "pid", cmd.Process.Pid)
 	ended := make(chan error, 1)
 	go func() { ended <- cmd.Wait() }()
 	select {
@@ -241,7 +250,7 @@
 	}
 	i.set(Draining, cmd.Process.Pid)
 	if err := cmd.Process.Signal(syscall.SIGTERM); err != nil && !errors.Is(err, os.ErrProcessDone) {
-		log.Printf("event=signal_failed name=%s err=%q", i.name, err)
+		a.log.Warnw("signal_failed", "name", i.name, "err", err)
 	}
 	select {
 	case err := <-ended:
@@ -252,7 +261,7 @@
 	}
 }
 
-// write lays out the files of an instance: its configuration and, if wanted, deploy/h248.toml.
+// write lays out the files of an instance: its configuration and the operator's file.
 func write(dir string, spec *Spec) (path string, err error) {
 	if err := os.MkdirAll(filepath.Join(dir, "deploy"), 0o700); err != nil {
 		return "", err
@@ -261,18 +270,15 @@
 	if err := os.WriteFile(path, spec.Config, 0o600); err != nil {
 		return "", err
 	}
-	front := filepath.Join(dir, config.H248Path)
-	if spec.H248 == nil {
-		if err := os.Remove(front); err != nil && !errors.Is(err, os.ErrNotExist) {
-			return "", err
-		}
-		return path, nil
+	// An earlier agent wrote the front's settings to a file of their own.
+	if err := os.Remove(filepath.Join(dir, config.H248Path)); err != nil && !errors.Is(err, os.ErrNotExist) {
+		return "", err
 	}
 	var text bytes.Buffer
-	if err := toml.NewEncoder(&text).Encode(spec.H248); err != nil {
+	if err := toml.NewEncoder(&text).Encode(spec.operator()); err != nil {
 		return "", err
 	}
-	return path, os.WriteFile(front, text.Bytes(), 0o600)
+	return path, os.WriteFile(filepath.Join(dir, config.OperatorPath), text.Bytes(), 0o600)
 }
 
 // Handle answers olivectl: AuditValue of ROOT lists the instances, AuditValue of
@@ -302,7 +308,7 @@
 		return []*h248.Node{stats}, nil
 	case c.Name == "ServiceChange" && one && strings.EqualFold(h248.Value(c.Descriptors, "Services", "Method"), "Graceful"):
 		if i.state != Faulty {
-			i.drain("asked for")
+			a.drain(i, "asked for")
 		}
 		return nil, nil
 	}
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -16,6 +16,7 @@
 	pb "go.etcd.io/etcd/api/v3/etcdserverpb"
 	"go.etcd.io/etcd/api/v3/mvccpb"
 	clientv3 "go.etcd.io/etcd/client/v3"
+	"go.uber.org/zap"
 	"google.golang.org/grpc"
 
 	"lapiscourse/internal/config"
@@ -188,7 +189,7 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		_ = Watch(ctx, client, prefix, w)
+		_ = Watch(ctx, client, prefix, w, zap.NewNop().Sugar())
 	}()
 	t.Cleanup(func() {
 		cancel()
@@ -253,7 +254,7 @@
 	if out, err := exec.Command("go", "build", "-o", program, "lapiscourse/cmd/olivedale").CombinedOutput(); err != nil {
 		t.Fatalf("%v\n%s", err, out)
 	}
-	f, a := startEtcd(t), New(program, dir)
+	f, a := startEtcd(t), New(program, dir, zap.NewNop())
 	t.Cleanup(a.Close)
 	text, admin := spec(t)
 	f.put("one", text)
--- a/internal/agent/watch.go
+++ b/internal/agent/watch.go
@@ -6,11 +6,11 @@
 	"context"
 	"errors"
 	"fmt"
-	"log"
 	"time"
 
 	"go.etcd.io/etcd/api/v3/mvccpb"
 	clientv3 "go.etcd.io/etcd/client/v3"
+	"go.uber.org/zap"
 )
 
 // Times of the watch after a failure, doubling.
@@ -27,7 +27,7 @@
 
 // Watch lists the prefix, then follows its changes; after a compaction or a broken
 // watch it lists anew. It returns when ctx is done.
-func Watch(ctx context.Context, client *clientv3.Client, prefix string, w Wanted) error {
+func Watch(ctx context.Context, client *clientv3.Client, prefix string, w Wanted, log *zap.SugaredLogger) error {
 	pause := firstPause
 	for ctx.Err() == nil {
 		began := time.Now()
@@ -35,7 +35,7 @@
 		if ctx.Err() != nil {
 			break
 		}
-		log.Printf("event=watch_broken prefix=%s err=%q", prefix, err)
+		log.Warnw("watch_broken", "prefix", prefix, "err", err)
 		if time.Since(began) > lastPause {
 			pause = firstPause
 		}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -41,21 +41,69 @@
 	}
 }
 
-func TestH248(t *testing.T) {
-	if h, err := LoadH248("../../deploy/h248.example.toml"); err != nil || len(h.Servers) != 1 || h.Servers[0].ID != "s-h248-1" {
-		t.Errorf("the example: %+v, %v", h, err)
+func TestOperator(t *testing.T) {
+	text, err := os.ReadFile("../../deploy/olivedale.example.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	o, err := ParseOperator(text)
+	if err != nil || len(o.H248.Servers) != 1 || o.H248.Servers[0].ID != "s-h248-1" || o.Records.Total != 512<<20 {
+		t.Errorf("the example: %+v, %v", o, err)
+	}
+	// Every key of the example has a comment, with its default where it has one.
+	for i, line := range strings.Split(string(text), "\n") {
+		if strings.Contains(line, " = ") && !(strings.Contains(line, "# ") && strings.Contains(line, "default")) {
+			t.Errorf("line %d of the example has no comment that tells the default: %s", i+1, line)
+		}
+	}
+	if o, old, err := LoadOperator(t.TempDir()); o == nil || o.H248 != nil || o.Records != nil || old || err != nil {
+		t.Errorf("no file: %+v, %v, %v", o, old, err)
 	}
-	if h, err := LoadH248(filepath.Join(t.TempDir(), "none.toml")); h != nil || err != nil {
-		t.Errorf("no file: %+v, %v", h, err)
+	if o, err = ParseOperator([]byte("[records]\ndir = \"/x\"")); err != nil || o.Records.Queue != 1<<20 || o.Records.Sync != Duration(200*time.Millisecond) {
+		t.Errorf("defaults: %+v, %v", o, err)
 	}
-	for _, text := range []string{"listen = 3", "", "listen = \"127.0.0.1:1\"\nodd = 1", "listen = \"127.0.0.1:1\"\nadmin = \"10.0.0.1:2\"",
-		"listen = \"127.0.0.1:1\"\n[[server]]\nid = \"\"\naddress = \"127.0.0.1:2\""} {
-		path := filepath.Join(t.TempDir(), "h248.toml")
-		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+}
+
+// What is wrong is told with line and key.
+func TestBadOperatorFiles(t *testing.T) {
+	for text, want := range map[string]string{
+		"[log]\nlevel = \"loud\"": "line 1: log",
+		"[h248]\n\nlisten = 3":    "line 3 (last key \"h248.listen\")",
+		"[h248]":                  "line 1: h248.listen",
+		"[h248]\nlisten = \"127.0.0.1:1\"\nodd = 1":                                         "line 3: h248.odd: unknown key",
+		"[h248]\nlisten = \"127.0.0.1:1\"\nadmin = \"10.0.0.1:2\"":                          "line 3: h248.admin",
+		"[h248]\nlisten=\"127.0.0.1:1\"\n[[h248.server]]\nid=\"\"\naddress=\"127.0.0.1:2\"": "line 4: h248.server.id",
+		"[records]\ndir = \"x\"\nqueue = \"1000000\"":                                       "line 3: records.queue",
+		"[records]\ndir = \"x\"\nsync = \"5\"":                                              "line 3: records.sync",
+		"[records]\ndir = \"x\"\n# sync\nsync = \"1h\"":                                     "line 4: records.sync",
+		"[records]\ntotal = \"1MiB\"\ndir = \"x\"":                                          "line 2: records.total",
+		"[recods]\ndir = \"x\"":                                                             "line 1: recods",
+		"[records\n":                                                                        "line 2:",
+	} {
+		if o, err := ParseOperator([]byte(text)); err == nil || !strings.HasPrefix(err.Error(), want) {
+			t.Errorf("%q: want %q, got %+v, %v", text, want, o, err)
+		}
+	}
+}
+
+// A file of the front alone, as it was before, still switches it on; both at once do not.
+func TestOldH248File(t *testing.T) {
+	root := t.TempDir()
+	write := func(name, text string) {
+		t.Helper()
+		if err := os.MkdirAll(filepath.Join(root, "deploy"), 0o700); err != nil {
 			t.Fatal(err)
 		}
-		if h, err := LoadH248(path); err == nil {
-			t.Errorf("%q was read as %+v", text, h)
+		if err := os.WriteFile(filepath.Join(root, name), []byte(text), 0o600); err != nil {
+			t.Fatal(err)
 		}
 	}
+	write(H248Path, "listen = \"127.0.0.1:1\"")
+	if o, old, err := LoadOperator(root); err != nil || !old || o.H248 == nil {
+		t.Errorf("%+v, %v, %v", o, old, err)
+	}
+	write(OperatorPath, "[h248]\nlisten = \"127.0.0.1:2\"")
+	if _, _, err := LoadOperator(root); err == nil || !strings.Contains(err.Error(), "both stand") {
+		t.Error(err)
+	}
 }
--- a/internal/config/h248.go
+++ b/internal/config/h248.go
@@ -9,7 +9,7 @@
 	"github.com/BurntSushi/toml"
 )
 
-// H248Path is where the file of the H.248 front is looked for, from the root.
+// H248Path is where the file of the H.248 front stood before there was one operator's file.
 const H248Path = "deploy/h248.toml"
 
 // H248 switches the H.248 front on.
@@ -48,24 +48,24 @@
 // Check tells what is wrong with the front's settings.
 func (h *H248) Check() error {
 	if _, err := netip.ParseAddrPort(h.Listen); err != nil {
-		return fmt.Errorf("listen: %w", err)
+		return &KeyError{"listen", err}
 	}
 	if h.Admin != "" {
 		addr, err := netip.ParseAddrPort(h.Admin)
 		if err != nil {
-			return fmt.Errorf("admin: %w", err)
+			return &KeyError{"admin", err}
 		}
 		if !addr.Addr().IsLoopback() { // whoever reaches it can drain the program
-			return fmt.Errorf("admin: %s is no loopback address", h.Admin)
+			return bad("admin", "%s is no loopback address", h.Admin)
 		}
 	}
 	seen := make(map[string]bool)
 	for _, s := range h.Servers {
 		if _, err := netip.ParseAddrPort(s.Address); err != nil {
-			return fmt.Errorf("server %q: %w", s.ID, err)
+			return bad("server.address", "server %q: %w", s.ID, err)
 		}
 		if s.ID == "" || seen[s.ID] {
-			return fmt.Errorf("server %q: the id is missing or there twice", s.ID)
+			return bad("server.id", "%q is missing or there twice", s.ID)
 		}
 		seen[s.ID] = true
 	}
--- a/internal/net/link.go
+++ b/internal/net/link.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"io"
-	"log"
 	"net"
 	"slices"
 	"syscall"
@@ -261,7 +260,7 @@
 		l.n.malformed("exchange "+l.id, errHalf)
 		l.down(call.Mute)
 	case l.asked > 0 && now-l.askedAt > l.patience():
-		log.Printf("event=mute id=%s asked=%d waiting=%d silent=%v gap=%v", l.id, l.asked, len(l.out), now-l.heard, l.gap)
+		l.n.log.Warnw("mute", "id", l.id, "asked", l.asked, "waiting", len(l.out), "silent", now-l.heard, "gap", l.gap)
 		l.down(call.Mute)
 	}
 }
--- a/internal/net/link_sip_test.go
+++ b/internal/net/link_sip_test.go
@@ -1,6 +1,8 @@
 package net
 
 import (
+	"go.uber.org/zap"
+
 	"testing"
 
 	"lapiscourse/internal/call"
@@ -12,7 +14,7 @@
 // ids that nobody sent reach the core, which would have nothing to do but fail here.
 func TestPairingOfAnswers(t *testing.T) {
 	n := &Node{}
-	n.loop.start()
+	n.loop.start(zap.NewNop())
 	n.core = call.New(nil, nil, n.now, call.Limits{})
 	d := newSIP(n)
 	l := &link{n: n, s: &stream{shut: true}, talk: d, out: make(map[string]int)}
--- a/internal/net/loop.go
+++ b/internal/net/loop.go
@@ -9,10 +9,10 @@
 import (
 	"context"
 	"errors"
-	"log"
 	"time"
 
 	"github.com/panjf2000/gnet/v2"
+	"go.uber.org/zap"
 )
 
 // A stream is a connection of either side. Writes of one turn of the loop go out
@@ -59,10 +59,12 @@
 	timer  *time.Timer
 	origin time.Time
 	unix   time.Duration
+	log    *zap.SugaredLogger
 	unread int // bytes that may wait for a caller who does not read
 }
 
-func (l *loop) start() {
+func (l *loop) start(log *zap.Logger) {
+	l.log = log.Sugar()
 	l.origin = time.Now()
 	l.unix = time.Duration(l.origin.UnixNano())
 }
@@ -138,6 +140,6 @@
 // exec runs f on the event loop; it may be called from anywhere.
 func (l *loop) exec(f func()) {
 	if err := l.el.Execute(context.Background(), runnable(f)); err != nil && !errors.Is(err, errShutdown) {
-		log.Printf("event=exec_failed err=%q", err)
+		l.log.Warnw("exec_failed", "err", err)
 	}
 }
--- a/internal/net/node.go
+++ b/internal/net/node.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"log"
 	"math/rand/v2"
 	"net"
 	"os"
@@ -13,6 +12,7 @@
 
 	"github.com/panjf2000/gnet/v2"
 	gerrors "github.com/panjf2000/gnet/v2/pkg/errors"
+	"go.uber.org/zap"
 
 	"lapiscourse"
 	"lapiscourse/internal/call"
@@ -72,13 +72,23 @@
 	started  chan struct{}
 }
 
-// New makes a node from its configuration; without h the H.248 front is off.
-func New(cfg *config.Config, h *config.H248) (*Node, error) {
+// Options are what an operator chooses. The zero value is the call controller alone.
+type Options struct {
+	H248 *config.H248 // nil: its front is off
+	Log  *zap.Logger  // nil: nothing is logged
+}
+
+// New makes a node from its configuration.
+func New(cfg *config.Config, o Options) (*Node, error) {
+	if o.Log == nil {
+		o.Log = zap.NewNop()
+	}
+	h := o.H248
 	n := &Node{started: make(chan struct{}), cfg: cfg, h248cfg: h, connect: cfg.Connect, local: make(map[string]string), links: make(map[string]*link), rng: rand.New(rand.NewPCG(cfg.Seed, 1))}
-	n.loop.start()
+	n.loop.start(o.Log)
 	n.names = &resolver{n: n, addr: cfg.Names}
 	desk, err := lapiscourse.NewDesk(n.now(), cfg.Settings, cfg.Seed, func(line string) {
-		log.Printf("event=module text=%q", line)
+		n.log.Infow("module", "text", line)
 	})
 	if err != nil {
 		return nil, err
@@ -120,7 +130,7 @@
 
 // Run serves until Stop has done its work.
 func (n *Node) Run() error {
-	err := gnet.Rotate(n, n.listeners(), gnet.WithNumEventLoop(1), gnet.WithLogger(gnetLog{}),
+	err := gnet.Rotate(n, n.listeners(), gnet.WithNumEventLoop(1), gnet.WithLogger(gnetLog{n.log}),
 		gnet.WithLoadBalancing(gnet.LeastConnections), gnet.WithReuseAddr(true))
 	if err != nil {
 		return fmt.Errorf("serving %s: %w", n.cfg.Listen, err)
@@ -201,12 +211,12 @@
 		l.dial()
 	}
 	set := n.cfg.Settings
-	log.Printf("event=settings group=%d resend=%v release=%v cold=%v attempts=%d connect=%v", set.GroupSize,
-		set.Resend, set.Release, set.Cold, set.MaxAttempts, n.connect)
+	n.log.Infow("settings", "group", set.GroupSize, "resend", set.Resend, "release", set.Release, "cold", set.Cold, "attempts", set.MaxAttempts,
+		"connect", n.connect)
 	for _, k := range set.Classes {
-		log.Printf("event=settings class=%s aim=%v deadline=%v credit=%v", k.Name, k.Aim, k.Deadline, k.Credit)
+		n.log.Infow("settings", "class", k.Name, "aim", k.Aim, "deadline", k.Deadline, "credit", k.Credit)
 	}
-	log.Printf("event=started name=%s listen=%s exchanges=%d", n.cfg.Name, n.cfg.Listen, len(n.links))
+	n.log.Infow("started", "name", n.cfg.Name, "listen", n.cfg.Listen, "exchanges", len(n.links))
 	close(n.started)
 }
 
@@ -278,10 +288,10 @@
 func (n *Node) Reload(cfg *config.Config) {
 	n.exec(func() {
 		n.turn(func() {
-			log.Printf("event=reloaded names=%s", cfg.Names)
+			n.log.Infow("reloaded", "names", cfg.Names)
 			if cfg.Name != n.cfg.Name || cfg.Listen != n.cfg.Listen || cfg.MemoryMB != n.cfg.MemoryMB ||
 				cfg.Sockets != n.cfg.Sockets || !reflect.DeepEqual(cfg.Settings, n.cfg.Settings) {
-				log.Printf("event=reload_partial err=%q", "name, listen, limits and settings change at a restart only")
+				n.log.Infow("reload_partial", "err", "name, listen, limits and settings change at a restart only")
 			}
 			if cfg.Names != n.names.addr {
 				n.names.move(cfg.Names)
@@ -298,7 +308,7 @@
 func (n *Node) beginStop() {
 	if n.stopAt == 0 {
 		n.stopAt = n.now()
-		log.Printf("event=stopping open=%d standing=%d", n.core.Open(), n.core.Standing())
+		n.log.Infow("stopping", "open", n.core.Open(), "standing", n.core.Standing())
 	}
 }
 
@@ -354,7 +364,7 @@
 	if err != nil {
 		n.BadNews++
 		if n.BadNews == 1 { // the counter tells how many there were
-			log.Printf("event=bad_news err=%q", err)
+			n.log.Warnw("bad_news", "err", err)
 		}
 		return
 	}
@@ -365,7 +375,7 @@
 	servers := make([]lapiscourse.Server, 0, len(changed))
 	for _, m := range changed {
 		servers = append(servers, m.Server())
-		log.Printf("event=exchange id=%s phase=%s cell=%d addr=%s started=%d", m.ID, m.Phase, m.Cell, m.Address, m.Started)
+		n.log.Infow("exchange", "id", m.ID, "phase", m.Phase, "cell", m.Cell, "addr", m.Address, "started", m.Started)
 	}
 	n.core.List(servers, false) // before the links tell of ends: nothing is to go there again
 	for _, m := range changed {
@@ -476,24 +486,25 @@
 	n.Malformed++
 	if now := n.now(); n.badAt == 0 || now-n.badAt > time.Second {
 		n.badAt = now
-		log.Printf("event=malformed from=%q count=%d err=%q", from, n.Malformed, err)
+		n.log.Warnw("malformed", "from", from, "count", n.Malformed, "err", err)
 	}
 }
 
 // Report writes the counters.
 func (n *Node) Report() {
 	c, k := &n.Counters, &n.core.Counters
-	log.Printf("event=counters requests=%d stood=%d refused=%d failed=%d given_up=%d repeated=%d reused=%d crowded=%d impossible=%d open=%d standing=%d",
-		k.Requests, k.Stood, k.Refused, k.Failed, k.GivenUp, k.Repeated, k.Reused, k.Crowded, c.Impossible, n.core.Open(), n.core.Standing())
-	log.Printf("event=counters attempts=%d invites=%d cancels=%d late_answers=%d released_by_exchange=%d released_by_caller=%d released_unknown=%d unknown_dropped=%d",
-		k.Attempts, c.Invites, k.Cancels, k.LateAnswers, k.ReleasedByExchange, k.ReleasedByCaller, k.ReleasedUnknown, k.AliensDropped)
-	log.Printf("event=counters clients=%d clients_shut=%d clients_turned_away=%d clients_silent=%d malformed=%d tests=%d repeats=%d unsayable=%d dials=%d dials_failed=%d links_lost=%d strays=%d releases_said=%d releases_lost=%d",
-		c.Clients, c.ClientsShut, c.ClientsTurnedAway, c.ClientsSilent, c.Malformed, c.Tests, c.Repeats, c.Unsayable, c.Dials, c.DialsFailed, c.LinksLost, c.Strays, c.ReleasesSaid, c.ReleasesLost)
-	log.Printf("event=counters queries=%d queries_failed=%d answers=%d bad_news=%d serial=%d",
-		c.Queries, c.QueriesFailed, c.Answers, c.BadNews, n.list.Serial())
+	n.log.Infow("counters", "requests", k.Requests, "stood", k.Stood, "refused", k.Refused, "failed", k.Failed, "given_up", k.GivenUp,
+		"repeated", k.Repeated, "reused", k.Reused, "crowded", k.Crowded, "impossible", c.Impossible, "open", n.core.Open(),
+		"standing", n.core.Standing())
+	n.log.Infow("counters", "attempts", k.Attempts, "invites", c.Invites, "cancels", k.Cancels, "late_answers", k.LateAnswers, "released_by_exchange", k.ReleasedByExchange,
+		"released_by_caller", k.ReleasedByCaller, "released_unknown", k.ReleasedUnknown, "unknown_dropped", k.AliensDropped)
+	n.log.Infow("counters", "clients", c.Clients, "clients_shut", c.ClientsShut, "clients_turned_away", c.ClientsTurnedAway, "clients_silent", c.ClientsSilent, "malformed", c.Malformed,
+		"tests", c.Tests, "repeats", c.Repeats, "unsayable", c.Unsayable, "dials", c.Dials, "dials_failed", c.DialsFailed,
+		"links_lost", c.LinksLost, "strays", c.Strays, "releases_said", c.ReleasesSaid, "releases_lost", c.ReleasesLost)
+	n.log.Infow("counters", "queries", c.Queries, "queries_failed", c.QueriesFailed, "answers", c.Answers, "bad_news", c.BadNews, "serial", n.list.Serial())
 	for _, e := range call.Ends() {
 		if k.Ends[e] > 0 {
-			log.Printf("event=ends end=%s count=%d", e, k.Ends[e])
+			n.log.Infow("ends", "end", e.String(), "count", k.Ends[e])
 		}
 	}
 }
@@ -502,14 +513,14 @@
 func (n *Node) ReportSoon() { n.exec(n.Report) }
 
 // gnetLog passes gnet's errors on and drops the rest.
-type gnetLog struct{}
+type gnetLog struct{ log *zap.SugaredLogger }
 
 func (gnetLog) Debugf(string, ...any) {}
 func (gnetLog) Infof(string, ...any)  {}
 func (gnetLog) Warnf(string, ...any)  {}
-func (gnetLog) Errorf(format string, args ...any) {
-	log.Printf("event=gnet err=%q", fmt.Sprintf(format, args...))
+func (g gnetLog) Errorf(format string, args ...any) {
+	g.log.Errorw("gnet", "err", fmt.Sprintf(format, args...))
 }
-func (gnetLog) Fatalf(format string, args ...any) {
-	log.Fatalf("event=gnet err=%q", fmt.Sprintf(format, args...))
+func (g gnetLog) Fatalf(format string, args ...any) {
+	g.log.Fatalw("gnet", "err", fmt.Sprintf(format, args...))
 }
--- a/internal/net/node_test.go
+++ b/internal/net/node_test.go
@@ -83,7 +83,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if s.n, err = New(cfg, h); err != nil {
+	if s.n, err = New(cfg, Options{H248: h}); err != nil {
 		t.Fatal(err)
 	}
 	go func() { s.done <- s.n.Run() }()
--- a/internal/net/resolver.go
+++ b/internal/net/resolver.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"log"
 	"net"
 	"time"
 
@@ -67,7 +66,7 @@
 	}
 	r.opening = false
 	r.openAt = r.n.now() + redial
-	log.Printf("event=names_failed addr=%s err=%q", r.addr, err)
+	r.n.log.Warnw("names_failed", "addr", r.addr, "err", err)
 }
 
 // up takes an opened socket; false turns it away.
@@ -85,7 +84,7 @@
 	if r.c == c && !r.n.stopping {
 		r.c = nil
 		r.openAt = r.n.now() + redial
-		log.Printf("event=names_lost addr=%s", r.addr)
+		r.n.log.Warnw("names_lost", "addr", r.addr)
 	}
 }
 
