Record every call's life, orders with their reasons, servers and clocks

The store had nobody to write to it. The core now tells an Observer of each set-up, order, attempt, end, answer, release and limit; internal/net turns that into records, with servers, ceilings, limits met, counters, SIGTERM and the clocks beside it. Answers that the module never sees are given by the core alone now, impossible set-ups too. The agent exchanges time stamps with its instances (RFC 5905, section 8), which record all four: clocks can be compared afterwards.

--- a/api.go
+++ b/api.go
@@ -155,8 +155,25 @@
 func (Probed) event()   {}
 func (Bell) event()     {}
 
+// A Why is the module's reason for an order or a ceiling, as far as it tells it.
+type Why string
+
+// Reasons.
+const (
+	NoClass      Why = "no_class"      // no such class
+	NumberJammed Why = "number_jammed" // all lines of the number were busy just now
+	NoServer     Why = "no_server"     // none that may take the call has room for it in time
+	Exhausted    Why = "exhausted"     // no attempt or no time is left
+	NumberIsBusy Why = "number_busy"   // a server answered so
+	LostOnWay    Why = "lost"          // a later set-up stands already
+	ServerSilent Why = "silent"        // the server answers nothing, and another would
+	Pressed      Why = "pressed"       // evidence that the server is slow
+	Lapsed       Why = "lapsed"        // none of it for long
+	Excused      Why = "excused"       // the evidence was a loss on the way
+)
+
 // An Action is what the module wants done: Send, Refuse, Fail, Cancel, Defer,
-// Watch or Log, to be carried out in the order given.
+// Watch, Log or Ceiling, to be carried out in the order given.
 type Action interface{ action() }
 
 // Send starts an attempt; the first of a call is number 0.
@@ -170,6 +187,7 @@
 type Refuse struct {
 	Call string
 	Wait time.Duration
+	Why  Why
 }
 
 // Fail is the final answer to a call that could not be made to stand. The
@@ -177,12 +195,14 @@
 type Fail struct {
 	Call string
 	Wait time.Duration
+	Why  Why
 }
 
 // Cancel calls an attempt off.
 type Cancel struct {
 	Call    string
 	Attempt int
+	Why     Why
 }
 
 // Defer asks for a Bell with Key at or after At.
@@ -197,10 +217,18 @@
 // Log is a line for the staff.
 type Log struct{ Text string }
 
-func (Send) action()   {}
-func (Refuse) action() {}
-func (Fail) action()   {}
-func (Cancel) action() {}
-func (Defer) action()  {}
-func (Watch) action()  {}
-func (Log) action()    {}
+// Ceiling tells that the ceiling of a server is another now; nothing is to be done.
+type Ceiling struct {
+	Server    string
+	PerSecond float64 // set-ups; +Inf: none
+	Why       Why
+}
+
+func (Send) action()    {}
+func (Refuse) action()  {}
+func (Fail) action()    {}
+func (Cancel) action()  {}
+func (Defer) action()   {}
+func (Watch) action()   {}
+func (Log) action()     {}
+func (Ceiling) action() {}
--- a/cmd/olivedale/main.go
+++ b/cmd/olivedale/main.go
@@ -83,7 +83,7 @@
 	}
 	runtime.GOMAXPROCS(1) // the platform gives one core, which others share
 	debug.SetMemoryLimit(int64(cfg.MemoryMB) << 20 * 3 / 4)
-	n, err := net.New(cfg, net.Options{H248: o.H248, Log: zl})
+	n, err := net.New(cfg, net.Options{H248: o.H248, Records: o.Records, Log: zl, Program: cli.Version()})
 	if err != nil {
 		return failed(log, err)
 	}
--- a/controller.go
+++ b/controller.go
@@ -289,6 +289,7 @@
 	share := 1 - (wait-c.late).Seconds()/c.window.Seconds()
 	s.ceiling = max(c.rate(s, &s.answered)*min(max(share, sharp), 1), c.trickle(s))
 	s.pressed, s.clean, s.proven, s.before = c.now, false, 0, nil
+	c.do(Ceiling{s.ID, s.ceiling, Pressed})
 	c.note(s, "ceiling %.1f/s of %.1f/s offered, wait %v", s.ceiling, c.rate(s, &s.offered),
 		wait.Round(time.Millisecond))
 }
@@ -305,8 +306,9 @@
 
 // excuse gives back what silence has cost a server where a connection, set-ups or answers were
 // lost. The danger is to pay for that like for a jam. It could harm where a jam resets connections.
-func (s *server) excuse() {
+func (c *Controller) excuse(s *server) {
 	if b := s.before; b != nil {
+		c.do(Ceiling{s.ID, b.ceiling, Excused})
 		s.ceiling, s.proven, s.pressed, s.before = b.ceiling, b.proven, b.pressed, nil
 	}
 }
@@ -376,6 +378,7 @@
 		s.ceiling *= 1 + regrow*float64(c.window)/float64(clean)
 		if c.now-s.pressed > clean && s.credit >= burst {
 			s.ceiling = math.Inf(1)
+			c.do(Ceiling{s.ID, s.ceiling, Lapsed})
 			c.note(s, "ceiling lapsed")
 		}
 	}
@@ -485,7 +488,7 @@
 	c.calls[k.id], c.keys[k.key] = k, k
 	c.asked.add()
 	if k.class == nil {
-		c.refuse(k)
+		c.refuse(k, NoClass)
 		return
 	}
 	k.tier = k.class.tier
@@ -496,7 +499,7 @@
 		k.tier = urgent
 	}
 	if c.jammed(k) {
-		c.refuse(k)
+		c.refuse(k, NumberJammed)
 		return
 	}
 	c.place(k)
@@ -508,12 +511,12 @@
 // place sends a call or refuses it.
 func (c *Controller) place(k *call) {
 	if k.attempts >= c.set.MaxAttempts || c.now >= k.until {
-		c.fail(k)
+		c.fail(k, Exhausted)
 		return
 	}
 	s := c.pick(k)
 	if s == nil || c.now+min(s.took, c.late) >= k.until {
-		c.refuse(k)
+		c.refuse(k, NoServer)
 		return
 	}
 	k.attempts++
@@ -528,8 +531,8 @@
 	c.do(Send{Call: k.id, Server: s.ID, Wait: k.until - c.now})
 }
 
-func (c *Controller) refuse(k *call) { c.do(Refuse{Call: k.id, Wait: c.away(k)}); c.finish(k) }
-func (c *Controller) fail(k *call)   { c.do(Fail{Call: k.id, Wait: c.away(k)}); c.finish(k) }
+func (c *Controller) refuse(k *call, why Why) { c.do(Refuse{k.id, c.away(k), why}); c.finish(k) }
+func (c *Controller) fail(k *call, why Why)   { c.do(Fail{k.id, c.away(k), why}); c.finish(k) }
 
 // away is how long a caller who is turned down should keep away: until the first server
 // that may take the call is likely to have a place for it. Callers who are told nothing
@@ -568,7 +571,7 @@
 	s := k.at
 	s.remove(k)
 	if s.overtake(k.sentAt-min(c.period, c.late/4)) && e.Took-c.pause <= c.late {
-		s.excuse() // those that it overtook were lost, and with them what looked like silence
+		c.excuse(s) // those that it overtook were lost, and with them what looked like silence
 	}
 	s.answered.add()
 	c.speaks(s)
@@ -619,13 +622,13 @@
 		c.place(k)
 	case Expired, Dropped, Revoked:
 		if e.Cause == DeadLink {
-			s.excuse()
+			c.excuse(s)
 		} else if !lost && (e.Code == Expired && !k.cancelled || k.cancelled && s.heard < k.sentAt) {
 			c.suspect(s, c.window)
 		}
 		k.notBefore, k.waiting = c.now+c.set.Release, true
 		if k.notBefore >= k.until {
-			c.fail(k)
+			c.fail(k, Exhausted)
 			return
 		}
 		c.do(Defer{At: k.notBefore, Key: k.key})
@@ -636,7 +639,7 @@
 			if k.number != "" {
 				c.crowded[k.number] = c.now + c.window
 			}
-			c.fail(k)
+			c.fail(k, NumberIsBusy)
 			return
 		}
 		c.place(k) // a fault of the signalling
@@ -724,7 +727,7 @@
 	switch {
 	case k == nil || k.standing:
 	case c.now >= k.until:
-		c.fail(k)
+		c.fail(k, Exhausted)
 	case k.waiting && c.now >= k.notBefore:
 		k.waiting = false
 		c.place(k)
@@ -766,8 +769,7 @@
 	}
 }
 
-// fresh is a server of which nothing is known yet. One that the list has just
-// named may have just started.
+// fresh is a server of which nothing is known yet. One just named may have just started.
 func (c *Controller) fresh(l Server) *server {
 	s := &server{Server: l, ceiling: math.Inf(1), credit: burst, climb: 1,
 		pressed: c.now - c.window, heard: c.now, since: c.now, floor: c.late}
@@ -777,8 +779,7 @@
 	return s
 }
 
-// forget drops servers that are gone once nothing is out there, and numbers
-// that no one has found busy or dialled for long.
+// forget drops servers that are gone once nothing is out there, and numbers not met for long.
 func (c *Controller) forget() {
 	maps.DeleteFunc(c.dialled, func(_ string, n *number) bool { return c.now >= n.until })
 	maps.DeleteFunc(c.crowded, func(_ string, next Time) bool { return c.now > next+c.window })
@@ -921,15 +922,14 @@
 	return lost
 }
 
-// rescue calls off lost set-ups, and those at a silent server while another could
-// still take them.
+// rescue calls off lost set-ups, and those at a silent server while another could take them.
 func (c *Controller) rescue() {
 	if !c.set.MayCancel {
 		return
 	}
 	for _, s := range c.servers {
 		for _, k := range s.lost {
-			c.callOff(k)
+			c.callOff(k, LostOnWay)
 		}
 		if !c.silent(s) {
 			continue
@@ -937,20 +937,20 @@
 		c.note(s, "answers nothing")
 		for _, k := range s.pending {
 			if c.elsewhere(k) {
-				c.callOff(k)
+				c.callOff(k, ServerSilent)
 			}
 		}
 	}
 }
 
 // callOff cancels a call's attempt if time is left to make it stand by another.
-func (c *Controller) callOff(k *call) {
+func (c *Controller) callOff(k *call, why Why) {
 	if k.cancelled || k.answered || k.attempts >= c.set.MaxAttempts ||
 		c.now-k.sentAt < c.late || c.now+c.set.Release+c.late > k.until {
 		return
 	}
 	k.cancelled = true
-	c.do(Cancel{Call: k.id, Attempt: k.attempts - 1})
+	c.do(Cancel{Call: k.id, Attempt: k.attempts - 1, Why: why})
 }
 
 // elsewhere tells whether another server that answers quickly would take a call now. In
--- a/controller_test.go
+++ b/controller_test.go
@@ -699,7 +699,7 @@
 	other, _ := r.ask("read", 1)
 	r.stands(other, "b", 40*ms)
 	acts = r.pass(100 * ms)
-	if !slices.Contains(acts, Action(Cancel{Call: id, Attempt: 0})) {
+	if !slices.Contains(acts, Action(Cancel{Call: id, Attempt: 0, Why: ServerSilent})) {
 		t.Fatalf("the call at a silent server was not called off: %v", acts)
 	}
 	if _, s := r.ask("write", 0); s == "a" {
--- a/facade.go
+++ b/facade.go
@@ -14,6 +14,8 @@
 	bells bells
 	later []Order // for other calls than the one at hand; Tick hands them out
 	log   func(string)
+	// Ceilings, if set, is told of each ceiling that changes.
+	Ceilings func(Ceiling)
 }
 
 // A Request is a call that the module is asked to place.
@@ -69,6 +71,7 @@
 	Server  string
 	Attempt int
 	Wait    time.Duration
+	Why     Why // as far as the module tells it
 }
 
 // NewDesk starts the module of a node. Lines for the staff go to log.
@@ -149,15 +152,19 @@
 		case Send:
 			orders = append(orders, Order{Call: a.Call, Move: Try, Server: a.Server, Wait: a.Wait})
 		case Refuse:
-			orders = append(orders, Order{Call: a.Call, Move: Deny, Wait: a.Wait})
+			orders = append(orders, Order{Call: a.Call, Move: Deny, Wait: a.Wait, Why: a.Why})
 		case Fail:
-			orders = append(orders, Order{Call: a.Call, Move: GiveUp, Wait: a.Wait})
+			orders = append(orders, Order{Call: a.Call, Move: GiveUp, Wait: a.Wait, Why: a.Why})
 		case Cancel:
-			orders = append(orders, Order{Call: a.Call, Move: CallOff, Attempt: a.Attempt})
+			orders = append(orders, Order{Call: a.Call, Move: CallOff, Attempt: a.Attempt, Why: a.Why})
 		case Defer:
 			heap.Push(&d.bells, a)
 		case Log:
 			d.log(a.Text)
+		case Ceiling:
+			if d.Ceilings != nil {
+				d.Ceilings(a)
+			}
 		}
 	}
 	return orders
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -55,6 +56,7 @@
 	program string
 	dir     string
 	log     *zap.SugaredLogger
+	peer    string // under this name instances record exchanges of time stamps
 	mu      sync.Mutex
 	all     map[string]*instance
 	wg      sync.WaitGroup
@@ -78,7 +80,7 @@
 
 // New makes an agent that runs program, an absolute path, for every instance and keeps their files in dir.
 func New(program, dir string, log *zap.Logger) *Agent {
-	return &Agent{program: program, dir: dir, log: log.Sugar(), all: make(map[string]*instance)}
+	return &Agent{program: program, dir: dir, log: log.Sugar(), peer: peerName(), all: make(map[string]*instance)}
 }
 
 // names that may become a folder: the danger is a key such as "../x".
@@ -240,6 +242,11 @@
 		return err
 	}
 	i.set(Running, cmd.Process.Pid)
+	watch, end := context.WithCancel(context.Background())
+	defer end()
+	if i.spec.H248 != nil && i.spec.H248.Admin != "" && i.spec.Records != nil {
+		go a.clock(watch, i)
+	}
 	a.log.Infow("running", "name", i.name, "pid", cmd.Process.Pid)
 	ended := make(chan error, 1)
 	go func() { ended <- cmd.Wait() }()
--- /dev/null
+++ b/internal/agent/clock.go
@@ -0,0 +1,46 @@
+package agent
+
+import (
+	"context"
+	"os"
+	"time"
+
+	"lapiscourse/internal/control"
+)
+
+// Times of the exchanges by which an instance's records can be laid beside those of others.
+const (
+	clockFirst = 200 * time.Millisecond // between the first exchanges of a start
+	clockLast  = 15 * time.Second       // doubling up to this
+)
+
+// peerName is under what name instances record the exchanges: clocks can be compared by way
+// of a machine's agent, so it is the machine's.
+func peerName() string {
+	name, err := os.Hostname()
+	if err != nil || name == "" {
+		name = "agent"
+	}
+	return name
+}
+
+// clock exchanges time stamps with an instance until ctx is done. An exchange that fails is
+// left out: the next one is as good.
+func (a *Agent) clock(ctx context.Context, i *instance) {
+	var last control.Stamps
+	pause := clockFirst
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(pause):
+		}
+		s, err := control.Exchange(ctx, i.spec.H248.Admin, a.peer, last)
+		if err != nil {
+			last = control.Stamps{}
+			continue
+		}
+		last = s
+		pause = min(2*pause, clockLast)
+	}
+}
--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -75,6 +75,70 @@
 	Description       []byte
 }
 
+// An Observer is told what happens to calls, in the order it happens. It must not block and
+// must not call the Core.
+type Observer interface {
+	// SetUp tells of a set-up that was taken; its answer follows in any case.
+	SetUp(now Time, r *Request)
+	// Ordered tells the module's word on a call.
+	Ordered(now Time, o *lapiscourse.Order)
+	// Tried tells that an attempt starts.
+	Tried(now Time, server string, s *Setup)
+	// AttemptEnded tells how the attempt that was out has ended, also where it had stood.
+	AttemptEnded(now Time, server, id string, attempt int, e End, took time.Duration)
+	// Answered tells the one final answer.
+	Answered(now Time, a *Answer)
+	// Released tells that a call that stood is over.
+	Released(now Time, r *Release)
+	// Limited tells that something was turned away or passed over that got no answer of its own.
+	Limited(now Time, l Limit, id string)
+}
+
+// An Outcome is how a set-up came to its final answer.
+type Outcome int
+
+// Outcomes. Refused and Failed as the module says. Those from Crowded on are answered
+// without it, and the module never hears of all but Stopped.
+const (
+	Stood Outcome = iota
+	Refused
+	Failed
+	GivenUp    // by the caller: no answer is owed
+	Crowded    // past the Limits
+	Reused     // under the id of a call that is over
+	Impossible // to a pool the class may not go to, or too wide
+	HaltedOpen // still open at the end of an orderly stop
+)
+
+// An Answer is the end of a set-up.
+type Answer struct {
+	ID, Class string
+	Outcome   Outcome
+	Cause     int
+	Wait      time.Duration // the caller is asked to keep away for; 0: not
+	Took      time.Duration // since the set-up came
+	Server    string        // where the call stands, or its last attempt was
+	Attempts  int
+}
+
+// A Release is the end of a call that stood.
+type Release struct {
+	ID, Class, Server string
+	Cause             int
+	End               End // Completed, Cut, CallerLeft or ExchangeLost
+	Stood             time.Duration
+}
+
+// A Limit is a reason to turn something away.
+type Limit int
+
+// Limits that were met.
+const (
+	RepeatedSetUp  Limit = iota // the set-up of an open call came again: it is not started twice
+	ReusedID                    // the id is that of another call
+	UnknownRelease              // too many releases of calls that nobody knows
+)
+
 // Counters count what the core takes in, sends and answers.
 type Counters struct {
 	Requests, Stood, Refused, Failed, GivenUp, Repeated   int
@@ -97,6 +161,7 @@
 	Request
 	client  Client
 	front   Front
+	asked   Time
 	state   state
 	server  string
 	attempt int
@@ -117,6 +182,7 @@
 // and of one attempt at a time whatever the two sides do.
 type Core struct {
 	desk   Decider
+	watch  Observer // nil: none
 	out    Exchanges
 	now    func() Time
 	calls  map[string]*call
@@ -145,6 +211,9 @@
 		over: newRecent(limits.Recent), alien: newRecent(limits.Recent)}
 }
 
+// Observe has o told of everything from now on; nil ends it.
+func (c *Core) Observe(o Observer) { c.watch = o }
+
 // Open counts the calls whose final answer is still owed.
 func (c *Core) Open() int { return c.open }
 
@@ -165,11 +234,13 @@
 		if k.state == standing || k.client == client || !k.same(&r) {
 			// Guards against a caller who would get the answer to another's call.
 			c.Reused++
+			c.limited(ReusedID, r.ID)
 			return ErrReused
 		}
 		// A set-up that crossed the close of its connection is sent once more: it
 		// is answered on the new connection and not started a second time.
 		c.Repeated++
+		c.limited(RepeatedSetUp, r.ID)
 		k.client = client
 		return nil
 	}
@@ -177,23 +248,64 @@
 		// Every set-up has a new id. This one may have run already, and an attempt of it may
 		// have been given up just now: it is neither sent again nor shown to the module.
 		c.Reused++
-		client.Refused(r.ID, CauseFailed, 0)
+		c.turnAway(client, &r, Reused, CauseFailed)
 		return nil
 	}
 	if c.open >= c.limits.Open || c.bytes+len(r.Description) > c.limits.Bytes {
 		c.Crowded++ // guards memory against callers who ask at full speed
-		client.Refused(r.ID, CauseNoCircuit, 0)
+		c.turnAway(client, &r, Crowded, CauseNoCircuit)
 		return nil
 	}
-	k := &call{Request: r, client: client, front: client.Front(), attempt: -1}
+	now := c.now()
+	k := &call{Request: r, client: client, front: client.Front(), attempt: -1, asked: now}
 	c.calls[r.ID] = k
 	c.open++
 	c.bytes += len(r.Description)
-	c.obey(k, c.desk.Pick(c.now(), lapiscourse.Request{Call: r.ID, Class: r.Class, Number: r.Number,
+	if c.watch != nil {
+		c.watch.SetUp(now, &r)
+	}
+	c.obey(k, c.desk.Pick(now, lapiscourse.Request{Call: r.ID, Class: r.Class, Number: r.Number,
 		First: r.First, Until: r.Until, Cut: r.Cut}))
 	return nil
 }
 
+// TurnAway answers a set-up that can be read and makes no sense; no exchange is troubled with it.
+func (c *Core) TurnAway(client Client, r Request) {
+	c.turnAway(client, &r, Impossible, CauseFailed)
+}
+
+// turnAway answers a set-up that the module never hears of.
+func (c *Core) turnAway(client Client, r *Request, o Outcome, cause int) {
+	if c.watch != nil {
+		now := c.now()
+		c.watch.SetUp(now, r)
+		c.watch.Answered(now, &Answer{ID: r.ID, Class: r.Class, Outcome: o, Cause: cause})
+	}
+	client.Refused(r.ID, cause, 0)
+}
+
+// refuse gives the final answer to a call that does not stand.
+func (c *Core) refuse(k *call, o Outcome, e End, cause int, wait time.Duration) {
+	c.finish(k, e)
+	c.tell(k, o, cause, wait)
+	k.client.Refused(k.ID, cause, wait)
+}
+
+// tell tells the observer of a call's final answer.
+func (c *Core) tell(k *call, o Outcome, cause int, wait time.Duration) {
+	if c.watch != nil {
+		now := c.now()
+		c.watch.Answered(now, &Answer{ID: k.ID, Class: k.Class, Outcome: o, Cause: cause, Wait: wait,
+			Took: now - k.asked, Server: k.server, Attempts: k.attempt + 1})
+	}
+}
+
+func (c *Core) limited(l Limit, id string) {
+	if c.watch != nil {
+		c.watch.Limited(c.now(), l, id)
+	}
+}
+
 // same tells whether a set-up says what the call's own said.
 func (k *call) same(r *Request) bool {
 	return k.Class == r.Class && k.Number == r.Number && k.First == r.First && k.Cut == r.Cut &&
@@ -209,20 +321,21 @@
 
 // obey carries out the module's word on a call.
 func (c *Core) obey(k *call, o lapiscourse.Order) {
+	if c.watch != nil && o.Move != lapiscourse.Hold {
+		c.watch.Ordered(c.now(), &o)
+	}
 	switch o.Move {
 	case lapiscourse.Try:
 		c.try(k, o)
 	case lapiscourse.Deny:
 		if c.answerable(k) {
 			c.Refused++
-			c.finish(k, CalledOff)
-			k.client.Refused(k.ID, CauseNoCircuit, o.Wait)
+			c.refuse(k, Refused, CalledOff, CauseNoCircuit, o.Wait)
 		}
 	case lapiscourse.GiveUp:
 		if c.answerable(k) {
 			c.Failed++
-			c.finish(k, TimedOut)
-			k.client.Refused(k.ID, CauseFailed, o.Wait)
+			c.refuse(k, Failed, TimedOut, CauseFailed, o.Wait)
 		}
 	case lapiscourse.CallOff:
 		if k.state == trying && o.Attempt == k.attempt {
@@ -244,8 +357,12 @@
 	k.expires = min(now+o.Wait, k.Until)
 	c.Attempts++
 	heap.Push(&c.timers, timer{at: k.expires, call: k, attempt: k.attempt})
-	c.out.Invite(k.server, Setup{ID: k.ID, Class: k.Class, Number: k.Number, Attempt: k.attempt,
-		Wait: k.expires - now, Description: k.Description})
+	s := Setup{ID: k.ID, Class: k.Class, Number: k.Number, Attempt: k.attempt,
+		Wait: k.expires - now, Description: k.Description}
+	if c.watch != nil {
+		c.watch.Tried(now, k.server, &s)
+	}
+	c.out.Invite(k.server, s)
 }
 
 // give ends the attempt that is out from this side and tells the module.
@@ -263,6 +380,9 @@
 	k.state = waiting
 	code, cause := e.outcome()
 	now := c.now()
+	if c.watch != nil {
+		c.watch.AttemptEnded(now, k.server, k.ID, k.attempt, e, now-k.sent)
+	}
 	o := c.desk.Report(now, lapiscourse.Progress{Call: k.ID, Server: k.server, Attempt: k.attempt,
 		Stage: lapiscourse.Ended, Code: code, Cause: cause, Took: now - k.sent, Final: final})
 	if !final {
@@ -298,6 +418,7 @@
 		}
 		if c.aliens++; c.aliens > aliensASecond {
 			c.AliensDropped++
+			c.limited(UnknownRelease, id)
 			return true
 		}
 		c.ReleasedUnknown++
@@ -307,7 +428,7 @@
 	case k.state == standing:
 		c.ReleasedByCaller++
 		c.out.Release(k.server, id, k.attempt, cause)
-		c.endStanding(k, CallerLeft)
+		c.endStanding(k, CallerLeft, cause)
 		return true
 	}
 	c.leave(k)
@@ -319,6 +440,7 @@
 	c.GivenUp++
 	c.desk.Report(c.now(), lapiscourse.Progress{Call: k.ID, Stage: lapiscourse.Left})
 	c.finish(k, CallerLeft)
+	c.tell(k, GivenUp, 0, 0)
 }
 
 // Closed gives up the set-ups that are open on a caller's connection. Calls that
@@ -349,6 +471,7 @@
 	c.desk.Report(now, lapiscourse.Progress{Call: id, Server: server, Attempt: attempt,
 		Stage: lapiscourse.Stood, Took: now - k.sent})
 	c.Stood++
+	c.tell(k, Stood, 0, 0)
 	k.client.Stands(id, description)
 	c.answered(k)
 }
@@ -384,14 +507,18 @@
 		if cause != CauseNormal {
 			e = Cut
 		}
-		c.endStanding(k, e)
+		c.endStanding(k, e, cause)
 		k.front.Release(k.client, id, cause)
 	case k.state == trying:
 		c.endAttempt(k, BrokeOnWay, false) // released before it was answered
 	}
 }
 
-func (c *Core) endStanding(k *call, e End) {
+func (c *Core) endStanding(k *call, e End, cause int) {
+	if c.watch != nil {
+		now := c.now()
+		c.watch.Released(now, &Release{ID: k.ID, Class: k.Class, Server: k.server, Cause: cause, End: e, Stood: now - k.stood})
+	}
 	delete(c.calls, k.ID)
 	c.over.add(k.ID, c.now()+memory)
 	c.endAttempt(k, e, true)
@@ -402,7 +529,7 @@
 func (c *Core) Lost(server string, before Time) {
 	for _, k := range c.calls {
 		if k.server == server && k.state == standing && k.stood < before {
-			c.endStanding(k, ExchangeLost)
+			c.endStanding(k, ExchangeLost, CauseFailed)
 			k.front.Release(k.client, k.ID, CauseFailed)
 		}
 	}
@@ -449,8 +576,7 @@
 	for _, k := range c.calls {
 		if k.state != standing {
 			c.Refused++
-			c.finish(k, Stopped)
-			k.client.Refused(k.ID, CauseNoCircuit, 0)
+			c.refuse(k, HaltedOpen, Stopped, CauseNoCircuit, 0)
 		}
 	}
 }
--- a/internal/net/client.go
+++ b/internal/net/client.go
@@ -211,7 +211,7 @@
 		}
 		if !possible {
 			n.Impossible++
-			k.Refused(r.ID, call.CauseFailed, 0)
+			n.core.TurnAway(k, r)
 			return nil
 		}
 		mine := k.open[r.ID]
--- a/internal/net/h248_front.go
+++ b/internal/net/h248_front.go
@@ -10,6 +10,7 @@
 	"github.com/panjf2000/gnet/v2"
 
 	"lapiscourse/internal/call"
+	"lapiscourse/internal/control"
 	"lapiscourse/internal/net/h248"
 	"lapiscourse/internal/net/sip"
 )
@@ -224,6 +225,10 @@
 		f.hangup(k, cause)
 	case "ServiceChange":
 		return done, p.serviceChange(mid, c)
+	case "Modify":
+		var err *h248.Error
+		done.Descriptors, err = p.clock(c)
+		return done, err
 	case "AuditValue":
 		if !strings.EqualFold(c.Termination, "ROOT") {
 			return nil, &h248.Error{Code: h248.UnknownTermination, Text: "only ROOT can be audited"}
@@ -235,6 +240,24 @@
 	return done, nil
 }
 
+// clock answers the agent's question for our time, and records the time stamps of its last
+// exchange. Only on the admin address: others could make the records say what they like.
+func (p *panel) clock(c *h248.Command) ([]*h248.Node, *h248.Error) {
+	n := p.front.n
+	received := n.now()
+	if !p.admin || !strings.EqualFold(c.Termination, "ROOT") {
+		return nil, &h248.Error{Code: h248.NotImplemented, Text: "Modify of " + c.Termination}
+	}
+	peer, last, err := control.ReadClock(c)
+	if err != nil {
+		return nil, &h248.Error{Code: h248.BadValue, Text: err.Error()}
+	}
+	if peer != "" && last[0] != 0 && last[3] != 0 {
+		n.rec.clock(peer, last)
+	}
+	return control.Clock("", control.Stamps{1: int64(received), 2: int64(n.now())}).Descriptors, nil
+}
+
 func (p *panel) serviceChange(mid string, c *h248.Command) *h248.Error {
 	f := p.front
 	method := h248.Value(c.Descriptors, "Services", "Method")
@@ -464,6 +487,10 @@
 	add("open", n.core.Open())
 	add("standing", n.core.Standing())
 	add("malformed", n.Malformed)
+	if n.rec != nil {
+		add("recorded", int(n.rec.log.Written()))
+		add("recordslost", int(n.rec.log.Lost()))
+	}
 	return []*h248.Node{{Name: "Media", Kids: []*h248.Node{{Name: "TerminationState",
 		Kids: []*h248.Node{{Name: "ServiceStates", Value: state}}}}}, stats}
 }
--- a/internal/net/link_h248_test.go
+++ b/internal/net/link_h248_test.go
@@ -24,7 +24,7 @@
 // A server's transaction that comes again after a reset is answered again and done once.
 func TestServerTransactionIsDoneOnce(t *testing.T) {
 	n := &Node{}
-	n.loop.start(zap.NewNop())
+	n.loop.start(zap.NewNop(), time.Now)
 	n.cfg = testConfig(t)
 	n.core = call.New(nil, nil, n.now, call.Limits{})
 	d := newH248(n, "s")
--- a/internal/net/link_sip_test.go
+++ b/internal/net/link_sip_test.go
@@ -4,6 +4,7 @@
 	"go.uber.org/zap"
 
 	"testing"
+	"time"
 
 	"lapiscourse/internal/call"
 	"lapiscourse/internal/net/sip"
@@ -14,7 +15,7 @@
 // ids that nobody sent reach the core, which would have nothing to do but fail here.
 func TestPairingOfAnswers(t *testing.T) {
 	n := &Node{}
-	n.loop.start(zap.NewNop())
+	n.loop.start(zap.NewNop(), time.Now)
 	n.core = call.New(nil, nil, n.now, call.Limits{})
 	d := newSIP(n)
 	l := &link{n: n, s: &stream{shut: true}, talk: d, out: make(map[string]int)}
--- a/internal/net/loop.go
+++ b/internal/net/loop.go
@@ -57,16 +57,17 @@
 	el     gnet.EventLoop
 	dirty  []*stream
 	timer  *time.Timer
+	clock  func() time.Time // the system's
 	origin time.Time
 	unix   time.Duration
 	log    *zap.SugaredLogger
 	unread int // bytes that may wait for a caller who does not read
 }
 
-func (l *loop) start(log *zap.Logger) {
-	l.log = log.Sugar()
+func (l *loop) start(log *zap.Logger, clock func() time.Time) {
+	l.log, l.clock = log.Sugar(), clock
 	l.origin = time.Now()
-	l.unix = time.Duration(l.origin.UnixNano())
+	l.unix = time.Duration(clock().UnixNano())
 }
 
 // now is the Unix clock as read at the start, carried on by the monotonic one: a
--- a/internal/net/node.go
+++ b/internal/net/node.go
@@ -67,6 +67,7 @@
 	eng      gnet.Engine
 	rng      *rand.Rand
 	stopAt   time.Duration // when SIGTERM came, 0: not yet
+	rec      *recorder     // nil: off
 	stopping bool          // the engine is being stopped
 	failed   error
 	started  chan struct{}
@@ -74,8 +75,11 @@
 
 // Options are what an operator chooses. The zero value is the call controller alone.
 type Options struct {
-	H248 *config.H248 // nil: its front is off
-	Log  *zap.Logger  // nil: nothing is logged
+	H248    *config.H248     // nil: its front is off
+	Records *config.Records  // nil: nothing is recorded
+	Log     *zap.Logger      // nil: nothing is logged
+	Program string           // version, for the records
+	Clock   func() time.Time // the system's; nil: time.Now
 }
 
 // New makes a node from its configuration.
@@ -83,17 +87,26 @@
 	if o.Log == nil {
 		o.Log = zap.NewNop()
 	}
+	if o.Clock == nil {
+		o.Clock = time.Now
+	}
 	h := o.H248
 	n := &Node{started: make(chan struct{}), cfg: cfg, h248cfg: h, connect: cfg.Connect, local: make(map[string]string), links: make(map[string]*link), rng: rand.New(rand.NewPCG(cfg.Seed, 1))}
-	n.loop.start(o.Log)
+	n.loop.start(o.Log, o.Clock)
 	n.names = &resolver{n: n, addr: cfg.Names}
 	desk, err := lapiscourse.NewDesk(n.now(), cfg.Settings, cfg.Seed, func(line string) {
 		n.log.Infow("module", "text", line)
+		n.rec.note(line)
 	})
 	if err != nil {
 		return nil, err
 	}
 	n.core = call.New(desk, n, n.now, call.Limits{Open: cfg.MemoryMB << 6, Bytes: cfg.MemoryMB << 17, Recent: cfg.MemoryMB << 7})
+	if o.Records != nil {
+		if err := n.startRecords(o, desk); err != nil {
+			return nil, err
+		}
+	}
 	n.json = &jsonFront{n: n, max: cfg.Sockets*2/3 - reserve}
 	n.unread = cfg.MemoryMB << 20 / 8 / n.json.max
 	n.fronts = []call.Front{n.json}
@@ -107,6 +120,7 @@
 	servers := make([]lapiscourse.Server, 0, len(known))
 	for _, m := range known {
 		servers = append(servers, m.Server())
+		n.rec.server(m.Server(), m.Address)
 		n.addLink(m)
 	}
 	if h != nil {
@@ -115,6 +129,7 @@
 				return nil, fmt.Errorf("the H.248 server %s is on the name service's list as well", s.ID)
 			}
 			servers = append(servers, lapiscourse.Server{ID: s.ID, Pool: s.Pool})
+			n.rec.server(lapiscourse.Server{ID: s.ID, Pool: s.Pool}, s.Address)
 			n.links[s.ID] = n.newLink(s.ID, s.Address, s.Pool, newH248(n, s.ID))
 		}
 	}
@@ -132,6 +147,7 @@
 func (n *Node) Run() error {
 	err := gnet.Rotate(n, n.listeners(), gnet.WithNumEventLoop(1), gnet.WithLogger(gnetLog{n.log}),
 		gnet.WithLoadBalancing(gnet.LeastConnections), gnet.WithReuseAddr(true))
+	n.rec.close() // the loop has ended, this goroutine may speak for it
 	if err != nil {
 		return fmt.Errorf("serving %s: %w", n.cfg.Listen, err)
 	}
@@ -268,6 +284,7 @@
 		if now >= n.pollAt {
 			n.pollAt = now + poll
 			n.names.poll(now)
+			n.rec.tick(now)
 			for _, l := range n.links {
 				l.tick(now)
 			}
@@ -295,6 +312,7 @@
 			}
 			if cfg.Names != n.names.addr {
 				n.names.move(cfg.Names)
+				n.rec.configured("names", cfg.Names)
 			}
 		})
 	})
@@ -308,6 +326,7 @@
 func (n *Node) beginStop() {
 	if n.stopAt == 0 {
 		n.stopAt = n.now()
+		n.rec.stopping()
 		n.log.Infow("stopping", "open", n.core.Open(), "standing", n.core.Standing())
 	}
 }
@@ -375,6 +394,7 @@
 	servers := make([]lapiscourse.Server, 0, len(changed))
 	for _, m := range changed {
 		servers = append(servers, m.Server())
+		n.rec.server(m.Server(), m.Address)
 		n.log.Infow("exchange", "id", m.ID, "phase", m.Phase, "cell", m.Cell, "addr", m.Address, "started", m.Started)
 	}
 	n.core.List(servers, false) // before the links tell of ends: nothing is to go there again
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -29,10 +29,10 @@
 	KindTry           // an attempt starts: Call, Server, Attempt, Wait (its time)
 	KindTryEnd        // an attempt has ended: Call, Server, Attempt, End, Took
 	KindAnswer        // the final answer: Call, Class, Code (an Outcome), Cause, Wait, Took, Server, Attempt
-	KindRelease       // a call that stood is over: Call, Server, Cause, By, Took (how long it stood)
+	KindRelease       // a call that stood is over: Call, Class, Server, Cause, End, Took (how long it stood)
 	KindServer        // news of Server: Code (a Phase), Pool, Flag (cold), Since (its start), Text (address)
-	KindCeiling       // the ceiling of Server: Text (raised, lowered, lapsed), Value
-	KindConfig        // what is in force has changed: By (which), Text
+	KindCeiling       // the ceiling of Server: Text (pressed, lapsed, excused), Value; +Inf: none
+	KindConfig        // what is in force: By (which), Text; "class": Class, Wait (aim), Took (deadline); "cold": Wait, Value (share at the start)
 	KindLimit         // a limit turned something away: By (which), Count, Call where it was one
 	KindClock         // By (peer), T (four time stamps); without a peer T[0] is the system's clock, T[1] ours
 	KindNote          // a line of the module: Text, Server
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -246,13 +246,18 @@
 		}
 		n := node{Node: reply.Number}
 		for _, a := range reply.Actions {
+			if _, ok := a.(lapiscourse.Ceiling); ok {
+				continue // tells the staff; the simulator has no row for it
+			}
 			cells, err := encode(a)
 			if err != nil {
 				return nil, fmt.Errorf("node %d: %w", reply.Number, err)
 			}
 			n.Decisions = append(n.Decisions, cells)
 		}
-		out.Nodes = append(out.Nodes, n)
+		if len(n.Decisions) > 0 {
+			out.Nodes = append(out.Nodes, n)
+		}
 	}
 	var buf bytes.Buffer
 	enc := json.NewEncoder(&buf)
