Add internal/incident: the course of an incident out of many instances' records

Records alone are not an account. One Part takes a store's records in one pass: counts by class, server, window and start, histograms, drains with their last send, cold starts, pressure, set-ups without an answer and why. A Fleet puts parts together on one time line and finds, by rule, when a server came under pressure and how long until each instance noticed, what was turned away or cut, sends after the news, cold servers pushed, instances killed, gaps, clocks that were set or differ. Each finding names the records it rests on. Clock offsets are intervals from exchanged time stamps; the order of two events is told only where they allow it.

Tested with an incident on four nodes (one killed, one 3.7 s ahead, one set back by 2 s, a drain, a dead server): totals equal a count of records one by one, and where no gap is, the cores' counters and what the stand-ins saw. Not linked into the call controller.

--- /dev/null
+++ b/internal/net/recorder_test.go
@@ -0,0 +1,367 @@
+package net
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"lapiscourse/internal/call"
+	"lapiscourse/internal/config"
+	"lapiscourse/internal/control"
+	"lapiscourse/internal/incident"
+	"lapiscourse/internal/record"
+)
+
+// fleet is several nodes with the same stand-in servers and name service.
+type fleet struct {
+	names   *nameServer
+	r       *rules
+	servers []*standIn
+	lines   []nameLine
+}
+
+func startFleet(t *testing.T, servers int) *fleet {
+	t.Helper()
+	f := &fleet{names: startNames(t), r: newRules()}
+	for i := range servers {
+		s := startServer(t, f.r, false)
+		f.servers = append(f.servers, s)
+		f.lines = append(f.lines, nameLine{id: fmt.Sprint("s-", i), addr: s.addr(), cell: i})
+	}
+	f.names.set(f.lines...)
+	return f
+}
+
+// node starts one more node; skew is how far its clock is ahead.
+func (f *fleet) node(t *testing.T, name, dir string, skew *atomic.Int64) *site {
+	t.Helper()
+	var known []config.Member
+	for _, l := range f.lines {
+		known = append(known, config.Member{ID: l.id, Address: l.addr, Zone: "east", Kind: "std", Cell: l.cell, Phase: config.Ready})
+	}
+	text, err := json.Marshal(map[string]any{"name": name, "listen": "127.0.0.1:0", "seed": "1f", "names": f.names.c.LocalAddr().String(),
+		"limits": map[string]any{"memory_mb": 192, "sockets": 1024}, "settings": json.RawMessage(settings),
+		"known": config.Known{N: 1, Events: []config.Event{{N: 1, Members: config.List{Complete: true, Members: known}}}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	cfg, err := config.Parse(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	rec := &config.Records{Dir: dir, Sync: config.Duration(10 * time.Millisecond)}
+	if err := rec.Check(); err != nil {
+		t.Fatal(err)
+	}
+	s := &site{names: f.names, r: f.r, servers: f.servers, done: make(chan error, 1)}
+	s.n, err = New(cfg, Options{Records: rec, Program: "test", H248: &config.H248{Listen: "127.0.0.2:0", Admin: "127.0.0.3:0"},
+		Clock: func() time.Time { return time.Now().Add(time.Duration(skew.Load())) }})
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { s.done <- s.n.Run() }()
+	select {
+	case <-s.n.Started():
+	case <-time.After(10 * time.Second):
+		t.Fatal("the node did not start")
+	}
+	return s
+}
+
+// stop ends a node in good order.
+func (s *site) stop(t *testing.T) {
+	t.Helper()
+	s.n.Stop()
+	select {
+	case <-s.done:
+	case <-time.After(10 * time.Second):
+		t.Fatal("the node did not stop")
+	}
+}
+
+// copyStore copies a store as it is just now: what a kill at this moment would leave.
+func copyStore(t *testing.T, from, to string) {
+	t.Helper()
+	if err := os.MkdirAll(to, 0o700); err != nil {
+		t.Fatal(err)
+	}
+	entries, err := os.ReadDir(from)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, e := range entries {
+		b, err := os.ReadFile(filepath.Join(from, e.Name()))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := os.WriteFile(filepath.Join(to, e.Name()), b, 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// naive counts a store's records one by one, without the analysis.
+func naive(t *testing.T, dir string) (counts map[string]uint64, lives map[string]string) {
+	t.Helper()
+	counts, lives = make(map[string]uint64), make(map[string]string)
+	r, err := record.OpenDir(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = r.Close() }()
+	var rec record.Record
+	for r.Next(&rec) == nil {
+		what := rec.Kind.String()
+		switch rec.Kind {
+		case record.KindAnswer:
+			what += " " + record.Outcome(rec.Code).String()
+		case record.KindTryEnd:
+			counts["end "+rec.End]++
+		case record.KindTry:
+			counts["try "+rec.Server]++
+			if rec.Attempt > 0 {
+				counts["retry"]++
+			}
+		case record.KindRelease:
+			if rec.End == "cut" || rec.End == "exchange_lost" {
+				counts["cut"]++
+			}
+		}
+		counts[what]++
+		if rec.Call != "" {
+			lives[rec.Call] += what + ","
+		}
+		if rec.Kind == record.KindGap {
+			counts["lost"] += rec.Lost()
+		}
+	}
+	return counts, lives
+}
+
+// analyse makes the report of stores.
+func analyse(t *testing.T, dirs ...string) *incident.Report {
+	t.Helper()
+	var parts []*incident.Part
+	for _, dir := range dirs {
+		r, err := record.OpenDir(dir)
+		if err != nil {
+			t.Fatal(err)
+		}
+		p := incident.NewPart()
+		var rec record.Record
+		for r.Next(&rec) == nil {
+			h := r.Header()
+			p.Take(&h, &rec)
+		}
+		_ = r.Close()
+		p.Close()
+		parts = append(parts, p)
+	}
+	return incident.Combine(parts)
+}
+
+// What the records tell of calls is what the core counted and what the servers saw, call by call.
+func TestRecordsTellEveryCall(t *testing.T) {
+	f, h := startFleet(t, 2), newHeard()
+	dir := t.TempDir()
+	s := f.node(t, "n0", dir, new(atomic.Int64))
+	k := dialJSON(t, s.json(), h, "aaaaaaaa")
+	for i := range 10 {
+		h.wait(t, k.setUp(fmt.Sprint("ok.", i), 4*time.Second), 2)
+	}
+	kept := k.setUp("keep.1", 4*time.Second)
+	h.wait(t, kept, 1)
+	k.hangUp(kept)
+	eventually(t, "the release went out", func() bool { return f.r.total(&f.r.released) == 1 })
+	left := k.setUp("silent.2", 4*time.Second)
+	eventually(t, "it is out", func() bool { return f.r.tries("silent.2") == 1 })
+	k.hangUp(left)
+	eventually(t, "it is given up", func() bool { return f.r.total(&f.r.gaveUp) == 1 })
+	for _, number := range []string{"busy.1", "full.1", "moot.1", "reset.1"} {
+		h.wait(t, k.setUp(number, 4*time.Second), 1)
+	}
+	silent := k.setUp("silent.1", 300*time.Millisecond)
+	h.wait(t, silent, 1)
+	s.stop(t)
+
+	c := &s.n.core.Counters
+	counts, lives := naive(t, dir)
+	for what, want := range map[string]int{"setup": c.Requests, "answer stood": c.Stood, "answer refused": c.Refused, "answer failed": c.Failed,
+		"answer given_up": c.GivenUp, "try": c.Attempts, "release": c.ReleasedByCaller + c.ReleasedByExchange, "start": 1, "stopping": 1, "end": 1, "lost": 0, "gap": 0} {
+		if counts[what] != uint64(want) {
+			t.Errorf("%d records of %s, the core counted %d", counts[what], what, want)
+		}
+	}
+	for end, n := range c.Ends {
+		if what := "end " + call.End(end).String(); counts[what] != uint64(n) {
+			t.Errorf("%d records of %s, the core counted %d", counts[what], what, n)
+		}
+	}
+	for i, server := range f.servers {
+		server.mu.Lock()
+		if got := counts[fmt.Sprint("try s-", i)]; got != uint64(server.invited) {
+			t.Errorf("%d attempts recorded at server %d, it saw %d", got, i, server.invited)
+		}
+		server.mu.Unlock()
+	}
+	for id, life := range lives {
+		if strings.Count(life, "answer") != 1 || !strings.HasPrefix(life, "setup,order,") {
+			t.Errorf("the life of %s: %s", id, life)
+		}
+	}
+	if got := lives[kept]; got != "setup,order,try,answer stood,release,try_end," {
+		t.Errorf("the life of a call that was kept: %s", got)
+	}
+	r := analyse(t, dir)
+	if r.Total.Offered != uint64(c.Requests) || r.Total.Stood() != uint64(c.Stood) || r.AtLeast || r.Instances[0].Tallies["stood"] != uint64(c.Stood) {
+		t.Errorf("the report: %+v", r.Total.Counts)
+	}
+}
+
+// TestIncident plays an incident on four nodes: one is killed, one's clock is 3.7 s ahead, one's
+// is set back by 2 s in the middle, one loses a segment; a server drains, another dies. The
+// report must equal a count of the records one by one, and for nodes without gaps what the
+// cores counted.
+func TestIncident(t *testing.T) {
+	f, h := startFleet(t, 3), newHeard()
+	root := t.TempDir()
+	var skews [4]atomic.Int64
+	skews[1].Store(int64(3700 * time.Millisecond))
+	var nodes []*site
+	var callers []*jsonCaller
+	var stamps [4]control.Stamps
+	dirs := make([]string, 4)
+	for i := range 4 {
+		dirs[i] = filepath.Join(root, fmt.Sprint("n", i))
+		nodes = append(nodes, f.node(t, fmt.Sprint("n", i), dirs[i], &skews[i]))
+		callers = append(callers, dialJSON(t, nodes[i].json(), h, fmt.Sprintf("%08x", i)))
+	}
+	exchange := func() {
+		for i, n := range nodes {
+			var err error
+			if stamps[i], err = control.Exchange(context.Background(), n.admin(), "test", stamps[i]); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	dial := func(number string, n int) {
+		var keys []string
+		for i, k := range callers {
+			for j := range n {
+				keys = append(keys, k.setUp(fmt.Sprintf("%s.%d.%d", number, i, j), 4*time.Second))
+			}
+		}
+		for _, key := range keys {
+			h.wait(t, key, 1)
+		}
+	}
+	exchange()
+	dial("ok", 10)
+	exchange()
+	skews[2].Add(int64(-2 * time.Second))
+	dial("busy", 3)
+	dial("full", 3)
+	lines := append([]nameLine(nil), f.lines...)
+	lines[1].draining = true
+	f.names.set(lines...)
+	for _, n := range nodes {
+		eventually(t, "the drain is known", func() bool {
+			drained := make(chan bool, 1)
+			n.n.exec(func() { drained <- n.n.links["s-1"].draining })
+			return <-drained
+		})
+	}
+	dial("ok", 5)
+	dial("keep", 2)
+	eventually(t, "the records of n3 are on disk", func() bool {
+		open := make(chan bool, 1)
+		nodes[3].n.exec(func() { open <- nodes[3].n.rec.log.Written() == nodes[3].n.rec.log.Records() })
+		return <-open
+	})
+	killed := filepath.Join(root, "killed")
+	copyStore(t, dirs[3], killed)
+	f.servers[2].stop()
+	dial("ok", 5)
+	time.Sleep(1100 * time.Millisecond) // clocks are looked at once a second
+	exchange()
+	for _, n := range nodes {
+		n.stop(t)
+	}
+	dirs[3] = killed
+
+	var sum [4]map[string]uint64
+	for i, dir := range dirs {
+		sum[i], _ = naive(t, dir)
+	}
+	r := analyse(t, dirs...)
+	var offered, stood, failed, tries uint64
+	for i, in := range r.Instances {
+		n, c := sum[i], in.Total
+		for what, got := range map[string]uint64{"setup": c.Offered, "answer stood": c.Stood(), "answer refused": c.Of(record.Refused),
+			"answer failed": c.Of(record.Failed), "try": c.Tries, "retry": c.Retried, "cut": c.Cut, "release": c.Released} {
+			if got != n[what] {
+				t.Errorf("%s: %d %s, one by one %d", in.Name, got, what, n[what])
+			}
+		}
+		if core := &nodes[i].n.core.Counters; i != 3 && (c.Offered != uint64(core.Requests) || c.Stood() != uint64(core.Stood) || c.Tries != uint64(core.Attempts) || in.AtLeast) {
+			t.Errorf("%s: %+v, the core counted %+v", in.Name, c.Counts, core)
+		}
+		offered, stood, failed, tries = offered+n["setup"], stood+n["answer stood"], failed+n["answer failed"], tries+n["try"]
+	}
+	if r.Total.Offered != offered || r.Total.Stood() != stood || r.Total.Of(record.Failed) != failed || r.Total.Tries != tries {
+		t.Errorf("in all %+v, one by one %d %d %d %d", r.Total.Counts, offered, stood, failed, tries)
+	}
+	if !r.Instances[3].AtLeast || !r.AtLeast {
+		t.Error("records without an end are taken for whole")
+	}
+	o := r.Instances[1].Starts[0].Offset
+	if !o.Known || o.Lo > 3700*time.Millisecond || o.Hi < 3700*time.Millisecond || o.Hi-o.Lo > time.Second {
+		t.Errorf("the skewed clock: %v to %v", o.Lo, o.Hi)
+	}
+	found := make(map[string]int)
+	for _, f := range r.Findings {
+		found[f.Kind]++
+		switch f.Kind {
+		case incident.FoundStep:
+			if f.Instance != "n2" || !strings.Contains(f.Text, "-2s") {
+				t.Errorf("%+v", f)
+			}
+		case incident.FoundDrain:
+			if f.Server != "s-1" || len(f.Noticed) != 4 {
+				t.Errorf("%+v", f)
+			}
+			for _, n := range f.Noticed[1:] {
+				if n.Lo > time.Second || n.Hi < -time.Second {
+					t.Errorf("%s heard %v to %v after the first", n.Instance, n.Lo, n.Hi)
+				}
+			}
+		case incident.FoundSkew:
+			if f.Instance != "n1" {
+				t.Errorf("%+v", f)
+			}
+		}
+	}
+	if found[incident.FoundStep] != 1 || found[incident.FoundDrain] != 1 || found[incident.FoundSkew] != 1 || found[incident.FoundLateSend] != 0 {
+		t.Errorf("found %v", found)
+	}
+	var windows incident.Counts
+	for _, w := range r.Windows {
+		windows.Offered += w.Offered
+		windows.Cut += w.Cut
+		for i, n := range w.Outcomes {
+			windows.Outcomes[i] += n
+		}
+	}
+	if windows.Offered != offered || windows.Outcomes != r.Total.Outcomes || windows.Cut != r.Total.Cut {
+		t.Errorf("windows hold %+v of %+v", windows, r.Total.Counts)
+	}
+	if n := f.r.total(&f.r.copies) + f.r.total(&f.r.early); n != 0 {
+		t.Errorf("%d rules broken", n)
+	}
+}
