--- a/internal/incident/find.go
+++ b/internal/incident/find.go
@@ -238,7 +238,11 @@
 			}
 			if all = all[n:]; n > 1 {
 				phase, _, _ := strings.Cut(f.Text, ";")
-				f.Text = fmt.Sprintf("%s; %d instances heard of it, the last send was %v after the news", phase, n, most.Round(time.Millisecond))
+				sent := "nothing was sent after the news"
+				if most > 0 {
+					sent = fmt.Sprintf("the last send was %v after the news", most.Round(time.Millisecond))
+				}
+				f.Text = fmt.Sprintf("%s; %d instances heard of it, %s", phase, n, sent)
 			}
 			r.found(f)
 		}
--- a/internal/record/reader.go
+++ b/internal/record/reader.go
@@ -15,7 +15,7 @@
 	Bytes  int64    `json:"bytes"`          // that are no record
 	From   uint64   `json:"from,omitempty"` // numbers that are lost; 0: none, or not known
 	To     uint64   `json:"to,omitempty"`
-	Cause  GapCause `json:"-"`
+	Cause  GapCause `json:"cause"`
 	Text   string   `json:"text"`
 }
 
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -142,6 +142,9 @@
 // String implements fmt.Stringer.
 func (g GapCause) String() string { return nameOf(gapNames, uint8(g)) }
 
+// MarshalText implements encoding.TextMarshaler.
+func (g GapCause) MarshalText() ([]byte, error) { return []byte(g.String()), nil }
+
 // A Record is one thing that happened. Which fields count is said at its Kind.
 type Record struct {
 	Seq     uint64
--- a/internal/record/record_test.go
+++ b/internal/record/record_test.go
@@ -706,3 +706,75 @@
 	}
 	b.ReportMetric(float64(n)/b.Elapsed().Seconds(), "records/s")
 }
+
+// Copies of one store, each with other segments missing, are read as one: a record that any of
+// them has is there, once.
+func TestCopiesAreOne(t *testing.T) {
+	const n = 300
+	_, files, data, starts := made(t, n)
+	rapid.Check(t, func(rt *rapid.T) {
+		root, err := os.MkdirTemp("", "copies")
+		if err != nil {
+			rt.Fatal(err)
+		}
+		defer func() { _ = os.RemoveAll(root) }()
+		have := make([]bool, len(files))
+		for c := range rapid.IntRange(1, 3).Draw(rt, "copies") {
+			dir := filepath.Join(root, fmt.Sprint(c))
+			if err := os.Mkdir(dir, 0o700); err != nil {
+				rt.Fatal(err)
+			}
+			for i, name := range files {
+				if !rapid.Bool().Draw(rt, "there") {
+					continue
+				}
+				have[i] = true
+				if err := os.WriteFile(filepath.Join(dir, name), data[i], 0o600); err != nil {
+					rt.Fatal(err)
+				}
+			}
+		}
+		stores, err := Find(root)
+		if err != nil {
+			rt.Fatal(err)
+		}
+		var want, got []string
+		next, first := 1, 0
+		for i := range files {
+			if have[i] {
+				if first > 0 && first < next {
+					want = append(want, fmt.Sprintf("gap %d-%d missing", first, next-1))
+				}
+				for j := range starts[i] {
+					r := sample(next + j - 1)
+					r.Seq = uint64(next + j)
+					want = append(want, line(r))
+				}
+				first = next + len(starts[i])
+			}
+			next += len(starts[i])
+		}
+		if len(stores) > 1 {
+			rt.Fatalf("%d stores", len(stores))
+		}
+		if len(stores) == 1 {
+			u, err := OpenStore(stores[0])
+			if err != nil {
+				rt.Fatal(err)
+			}
+			defer func() { _ = u.Close() }()
+			var rec Record
+			for u.Next(&rec) == nil {
+				got = append(got, line(&rec))
+			}
+			if u.Conflicts() > 0 {
+				rt.Fatalf("%d conflicts", u.Conflicts())
+			}
+		}
+		for i := range max(len(got), len(want)) {
+			if i >= len(got) || i >= len(want) || got[i] != want[i] {
+				rt.Fatalf("line %d: got %q, want %q", i, got[min(i, len(got)):min(i+2, len(got))], want[min(i, len(want)):min(i+2, len(want))])
+			}
+		}
+	})
+}
