--- a/internal/net/h248_front.go
+++ b/internal/net/h248_front.go
@@ -233,7 +233,7 @@
 		if !strings.EqualFold(c.Termination, "ROOT") {
 			return nil, &h248.Error{Code: h248.UnknownTermination, Text: "only ROOT can be audited"}
 		}
-		done.Descriptors = f.n.audit()
+		done.Descriptors = f.n.audit(p.admin)
 	default:
 		return nil, &h248.Error{Code: h248.NotImplemented, Text: c.Name}
 	}
@@ -467,8 +467,8 @@
 	}
 }
 
-// audit is the state and the counters of the program.
-func (n *Node) audit() []*h248.Node {
+// audit is the state and the counters of the program, for who manages it by class and server.
+func (n *Node) audit(admin bool) []*h248.Node {
 	state := "InService"
 	if n.stopAt > 0 {
 		state = "OutOfService"
@@ -491,6 +491,9 @@
 		add("recorded", int(n.rec.log.Written()))
 		add("recordslost", int(n.rec.log.Lost()))
 	}
+	if n.meter != nil && admin { // whom calls go to is no business of a panel
+		stats.Kids = append(stats.Kids, n.meter.audit()...)
+	}
 	return []*h248.Node{{Name: "Media", Kids: []*h248.Node{{Name: "TerminationState",
 		Kids: []*h248.Node{{Name: "ServiceStates", Value: state}}}}}, stats}
 }
--- a/internal/net/link.go
+++ b/internal/net/link.go
@@ -59,6 +59,7 @@
 	askedAt  time.Duration  // when the first of them began to
 	gap      time.Duration  // the longest of late that something waited for the next to come
 	half     time.Duration  // since when part of a message waits for the rest, 0: none does
+	meter    serverMeter
 }
 
 type bye struct {
--- a/internal/net/node.go
+++ b/internal/net/node.go
@@ -68,6 +68,7 @@
 	rng      *rand.Rand
 	stopAt   time.Duration // when SIGTERM came, 0: not yet
 	rec      *recorder     // nil: off
+	meter    *meter        // nil: nobody may ask
 	stopping bool          // the engine is being stopped
 	failed   error
 	started  chan struct{}
@@ -102,10 +103,8 @@
 		return nil, err
 	}
 	n.core = call.New(desk, n, n.now, call.Limits{Open: cfg.MemoryMB << 6, Bytes: cfg.MemoryMB << 17, Recent: cfg.MemoryMB << 7})
-	if o.Records != nil {
-		if err := n.startRecords(o, desk); err != nil {
-			return nil, err
-		}
+	if err := n.observe(o, desk); err != nil {
+		return nil, err
 	}
 	n.json = &jsonFront{n: n, max: cfg.Sockets*2/3 - reserve}
 	n.unread = cfg.MemoryMB << 20 / 8 / n.json.max
@@ -140,6 +139,7 @@
 func (n *Node) addLink(m config.Member) {
 	l := n.newLink(m.ID, m.Address, m.Cell, newSIP(n))
 	l.draining = m.Phase == config.Terminating
+	l.meter.started = time.Duration(m.Started) * time.Millisecond
 	n.links[m.ID] = l
 }
 
@@ -416,6 +416,7 @@
 			if l.draining = m.Phase == config.Terminating; l.draining {
 				l.drain()
 			}
+			l.meter.started = time.Duration(m.Started) * time.Millisecond
 			if m.Started > 0 { // a process that started since has none of the calls
 				n.core.Lost(m.ID, time.Duration(m.Started)*time.Millisecond)
 			}
--- a/internal/net/node_test.go
+++ b/internal/net/node_test.go
@@ -175,6 +175,7 @@
 // TestBothDialectsAlike plays the same calls with either dialect on either side: the
 // rules must be kept alike and the service be the same.
 func TestBothDialectsAlike(t *testing.T) {
+	t.Parallel()
 	want := played{
 		Heard: map[string]string{"ok": "stands  end 16", "keep": "stands ", "moot": "stands ", "reset": "stands ",
 			"busy": "end 41", "silent": "end 41"},
@@ -184,6 +185,7 @@
 	for _, back := range []bool{false, true} {
 		for _, front := range []bool{false, true} {
 			t.Run(fmt.Sprintf("front H.248 %v, back H.248 %v", front, back), func(t *testing.T) {
+				t.Parallel()
 				s, h := startSite(t, back, back), newHeard()
 				got := play(t, s, func(name string) caller {
 					if front {
@@ -201,6 +203,7 @@
 
 // TestMixed has both dialects on both sides at once on one node.
 func TestMixed(t *testing.T) {
+	t.Parallel()
 	s := startSite(t, false, true)
 	h := newHeard()
 	callers := []caller{dialJSON(t, s.json(), h, "aaaaaaaa"), dialH248(t, s.panel(), h, "<one>"),
@@ -229,6 +232,7 @@
 // A repeated transaction gets the stored reply and starts nothing, on the same
 // connection, while it runs, and after a reset on a new one.
 func TestRepeatedTransaction(t *testing.T) {
+	t.Parallel()
 	s, h := startSite(t, true), newHeard()
 	k := dialH248(t, s.panel(), h, "<panel>")
 	add := addTransaction("panel/7", 7, "keep.1", 4*time.Second)
@@ -262,6 +266,7 @@
 
 // A command that is cut at any byte never runs, and runs once when the rest comes.
 func TestCutAtEveryByte(t *testing.T) {
+	t.Parallel()
 	s, h := startSite(t, true), newHeard()
 	frame, err := h248.AppendFrame(nil, &h248.Message{MID: "<cut>", Transactions: []*h248.Transaction{
 		addTransaction("cut/1", 1, "keep.1", 4*time.Second)}})
@@ -290,6 +295,7 @@
 }
 
 func TestH248Errors(t *testing.T) {
+	t.Parallel()
 	s, h := startSite(t, true), newHeard()
 	k := dialH248(t, s.panel(), h, "<p>")
 	one := func(context, name, termination string, d ...*h248.Node) *h248.Transaction {
@@ -325,6 +331,7 @@
 }
 
 func TestAuditAndDrain(t *testing.T) {
+	t.Parallel()
 	s, h := startSite(t, true), newHeard()
 	k := dialH248(t, s.admin(), h, "<ctl>")
 	graceful := &h248.Node{Name: "Services", Kids: []*h248.Node{{Name: "Method", Value: "Graceful"}, {Name: "Reason", Quoted: true, Value: "905"}}}
@@ -353,6 +360,7 @@
 }
 
 func TestDrainAndGoneStopSends(t *testing.T) {
+	t.Parallel()
 	s, h := startSite(t, false, false), newHeard()
 	k := dialJSON(t, s.json(), h, "aaaaaaaa")
 	key := k.setUp("keep.1", 4*time.Second)
@@ -386,6 +394,7 @@
 
 // A process that dies cuts its calls: its connection is reset and nobody listens.
 func TestDeadServerCutsItsCalls(t *testing.T) {
+	t.Parallel()
 	s, h := startSite(t, false, false), newHeard()
 	k := dialJSON(t, s.json(), h, "aaaaaaaa")
 	key := k.setUp("keep.1", 4*time.Second)
@@ -402,6 +411,7 @@
 // A connection to an exchange that stops half way in an answer, or brings nothing any more,
 // and stays open is given up for a new one; so is what is open on it.
 func TestUselessLinkIsDialledAnew(t *testing.T) {
+	t.Parallel()
 	for _, kind := range []string{"half", "mute"} {
 		t.Run(kind, func(t *testing.T) {
 			s, h := startSite(t, false), newHeard()
@@ -425,6 +435,7 @@
 
 // The name service's socket must not be taken for a caller's connection.
 func TestNameServiceIsNoCaller(t *testing.T) {
+	t.Parallel()
 	s, h := startSite(t, false), newHeard()
 	k := dialJSON(t, s.json(), h, "aaaaaaaa")
 	eventually(t, "answers are read", func() bool {
@@ -442,6 +453,7 @@
 }
 
 func TestBadInputClosesItsConnection(t *testing.T) {
+	t.Parallel()
 	s, h := startSite(t, false), newHeard()
 	for _, bad := range []string{"{}\n", "x\n", `{"verb":"START","tag":"nohex","opts":{}}` + "\n", strings.Repeat("x", 20000),
 		`{"verb":"START","tag":"9b1f03aa5c7e2d41","opts":{"class":"voice","left":"900","key":"a\r\nX: y"},"blob":""}` + "\n"} {
@@ -463,6 +475,7 @@
 // Whoever asks for what cannot be, or under the id of another's call, is told or closed; the
 // other's call goes on, and no exchange hears of it.
 func TestImpossibleAndReusedAreTurnedDown(t *testing.T) {
+	t.Parallel()
 	s, h := startSite(t, false), newHeard()
 	k := dialJSON(t, s.json(), h, "aaaaaaaa")
 	open := k.setUp("silent.1", 5*time.Second)
@@ -497,6 +510,7 @@
 // A connection that says nothing, or half a message, is closed in time; one that has asked
 // once may stay.
 func TestSilentAndHalfMessagesAreClosed(t *testing.T) {
+	t.Parallel()
 	s, h := startSite(t, false), newHeard()
 	asked := dialJSON(t, s.json(), h, "aaaaaaaa")
 	asked.send(&jsonl.Message{Verb: jsonl.Echo, HasRC: true})
@@ -519,6 +533,7 @@
 
 // A caller who asks and does not read is closed, and takes no more memory than that.
 func TestCallerWhoDoesNotRead(t *testing.T) {
+	t.Parallel()
 	s := startSite(t, false)
 	c, err := net.Dial("tcp", s.json())
 	if err != nil {
@@ -541,6 +556,7 @@
 // Every transaction is remembered, so past the limits none is taken, until replies are
 // acknowledged or forgotten.
 func TestStoreIsBounded(t *testing.T) {
+	t.Parallel()
 	for _, size := range []int{1, 2000} {
 		s := newStore(10)
 		taken := 0
@@ -561,6 +577,7 @@
 
 // After a restart nothing is known of calls that stand: a BYE is passed on, once.
 func TestReleaseOfAnUnknownCall(t *testing.T) {
+	t.Parallel()
 	s, h := startSite(t, false), newHeard()
 	dialJSON(t, s.json(), h, "aaaaaaaa")
 	const id = "00000000000000aa"
@@ -584,6 +601,7 @@
 // Releases go to the connection that asked for the call, or to one that has had calls,
 // not to those that test the program, or say nothing, and stay.
 func TestReleaseGoesToWhoAsked(t *testing.T) {
+	t.Parallel()
 	s, h := startSite(t, false), newHeard()
 	k, other := dialJSON(t, s.json(), h, "aaaaaaaa"), dialJSON(t, s.json(), h, "bbbbbbbb")
 	var keys []string
@@ -614,6 +632,7 @@
 
 // A release that no connection can carry waits for the next one.
 func TestReleaseWaitsForAConnection(t *testing.T) {
+	t.Parallel()
 	s, h := startSite(t, false), newHeard()
 	k := dialJSON(t, s.json(), h, "aaaaaaaa")
 	key := k.setUp("keep.1", 4*time.Second)
@@ -638,6 +657,7 @@
 
 // Callers beyond the budget of sockets take the place of idle ones, not of calls.
 func TestSocketBudget(t *testing.T) {
+	t.Parallel()
 	s, h := startSite(t, false), newHeard()
 	done := make(chan bool)
 	s.n.exec(func() { s.n.json.max = 2; done <- true })
@@ -659,6 +679,7 @@
 
 // After SIGTERM set-ups are still taken for a while, and all of them answered.
 func TestStopAnswersLateComers(t *testing.T) {
+	t.Parallel()
 	s, h := startSite(t, false), newHeard()
 	k := dialJSON(t, s.json(), h, "aaaaaaaa")
 	open := k.setUp("silent.1", 1500*time.Millisecond)
@@ -684,6 +705,7 @@
 
 // SIGKILL does not wait for a call that may stay open for longer: it is answered before.
 func TestStopIsOverBeforeTheKill(t *testing.T) {
+	t.Parallel()
 	s, h := startSite(t, false), newHeard()
 	open := dialJSON(t, s.json(), h, "aaaaaaaa").setUp("silent.1", 8*time.Second)
 	eventually(t, "the set-up is out", func() bool { return s.r.tries("silent.1") == 1 })
--- a/internal/net/recorder.go
+++ b/internal/net/recorder.go
@@ -137,6 +137,9 @@
 
 // ceiling tells of a server's ceiling; +Inf is none.
 func (w *recorder) ceiling(c lapiscourse.Ceiling) {
+	if w == nil {
+		return
+	}
 	r := w.put(record.KindCeiling)
 	r.Server, r.Value, r.Text = c.Server, c.PerSecond, string(c.Why)
 	w.done()
@@ -251,15 +254,29 @@
 	w.n.log.Infow("records_end", "written", w.log.Written(), "lost", w.log.Lost())
 }
 
-// startRecords switches the records on; everything that is known at the start is in them.
-func (n *Node) startRecords(o Options, desk *lapiscourse.Desk) error {
-	w, err := newRecorder(n, o.Records, o.Program)
-	if err != nil {
-		return err
+// observe has those told of calls that the operator's file asks for; everything that is
+// known at the start is in the records.
+func (n *Node) observe(o Options, desk *lapiscourse.Desk) error {
+	var watch call.Observer
+	if o.Records != nil {
+		w, err := newRecorder(n, o.Records, o.Program)
+		if err != nil {
+			return err
+		}
+		n.rec, watch = w, w
+	}
+	if o.H248 != nil && o.H248.Admin != "" {
+		n.meter = newMeter(n, watch)
+		watch = n.meter
+	}
+	if watch == nil {
+		return nil
+	}
+	n.core.Observe(watch)
+	desk.Ceilings = func(c lapiscourse.Ceiling) {
+		n.rec.ceiling(c)
+		n.meter.ceiling(c)
 	}
-	n.rec = w
-	desk.Ceilings = w.ceiling
-	n.core.Observe(w)
 	return nil
 }
 
--- a/internal/net/recorder_test.go
+++ b/internal/net/recorder_test.go
@@ -6,15 +6,19 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/HdrHistogram/hdrhistogram-go"
+
 	"lapiscourse/internal/call"
 	"lapiscourse/internal/config"
 	"lapiscourse/internal/control"
 	"lapiscourse/internal/incident"
+	"lapiscourse/internal/net/h248"
 	"lapiscourse/internal/record"
 )
 
@@ -26,7 +30,7 @@
 	lines   []nameLine
 }
 
-func startFleet(t *testing.T, servers int) *fleet {
+func startFleet(t testing.TB, servers int) *fleet {
 	t.Helper()
 	f := &fleet{names: startNames(t), r: newRules()}
 	for i := range servers {
@@ -38,8 +42,8 @@
 	return f
 }
 
-// node starts one more node; skew is how far its clock is ahead.
-func (f *fleet) node(t *testing.T, name, dir string, skew *atomic.Int64) *site {
+// node starts one more node; skew is how far its clock is ahead. Without dir it records nothing.
+func (f *fleet) node(t testing.TB, name, dir string, skew *atomic.Int64) *site {
 	t.Helper()
 	var known []config.Member
 	for _, l := range f.lines {
@@ -55,9 +59,12 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	rec := &config.Records{Dir: dir, Sync: config.Duration(10 * time.Millisecond)}
-	if err := rec.Check(); err != nil {
-		t.Fatal(err)
+	var rec *config.Records
+	if dir != "" {
+		rec = &config.Records{Dir: dir, Sync: config.Duration(10 * time.Millisecond)}
+		if err := rec.Check(); err != nil {
+			t.Fatal(err)
+		}
 	}
 	s := &site{names: f.names, r: f.r, servers: f.servers, done: make(chan error, 1)}
 	s.n, err = New(cfg, Options{Records: rec, Program: "test", H248: &config.H248{Listen: "127.0.0.2:0", Admin: "127.0.0.3:0"},
@@ -75,7 +82,7 @@
 }
 
 // stop ends a node in good order.
-func (s *site) stop(t *testing.T) {
+func (s *site) stop(t testing.TB) {
 	t.Helper()
 	s.n.Stop()
 	select {
@@ -86,7 +93,7 @@
 }
 
 // copyStore copies a store as it is just now: what a kill at this moment would leave.
-func copyStore(t *testing.T, from, to string) {
+func copyStore(t testing.TB, from, to string) {
 	t.Helper()
 	if err := os.MkdirAll(to, 0o700); err != nil {
 		t.Fatal(err)
@@ -107,7 +114,7 @@
 }
 
 // naive counts a store's records one by one, without the analysis.
-func naive(t *testing.T, dir string) (counts map[string]uint64, lives map[string]string) {
+func naive(t testing.TB, dir string) (counts map[string]uint64, lives map[string]string) {
 	t.Helper()
 	counts, lives = make(map[string]uint64), make(map[string]string)
 	r, err := record.OpenDir(dir)
@@ -145,7 +152,7 @@
 }
 
 // analyse makes the report of stores.
-func analyse(t *testing.T, dirs ...string) *incident.Report {
+func analyse(t testing.TB, dirs ...string) *incident.Report {
 	t.Helper()
 	var parts []*incident.Part
 	for _, dir := range dirs {
@@ -168,6 +175,7 @@
 
 // What the records tell of calls is what the core counted and what the servers saw, call by call.
 func TestRecordsTellEveryCall(t *testing.T) {
+	t.Parallel()
 	f, h := startFleet(t, 2), newHeard()
 	dir := t.TempDir()
 	s := f.node(t, "n0", dir, new(atomic.Int64))
@@ -188,6 +196,28 @@
 	}
 	silent := k.setUp("silent.1", 300*time.Millisecond)
 	h.wait(t, silent, 1)
+	audit, err := control.Ask(context.Background(), s.admin(), control.Audit("ROOT"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := h248.Value(audit.Descriptors, "Statistics", "oc/class", "oc/requests"); got != "17" {
+		t.Errorf("the class had %s requests, want 17", got)
+	}
+	tries := 0
+	for _, n := range h248.Find(audit.Descriptors, "Statistics").Kids {
+		if n.Name == "oc/server" {
+			v, err := strconv.Atoi(h248.Value(n.Kids, "oc/attempts"))
+			if tries += v; err != nil || h248.Value(n.Kids, "oc/phase") != "listed" {
+				t.Errorf("%+v", n)
+			}
+		}
+	}
+	if got := h248.Value(audit.Descriptors, "Statistics", "oc/attempts"); got != strconv.Itoa(tries) {
+		t.Errorf("%d attempts by server, %s in all", tries, got)
+	}
+	if audit, err = control.Ask(context.Background(), s.panel(), control.Audit("ROOT")); err != nil || h248.Find(audit.Descriptors, "Statistics", "oc/server") != nil {
+		t.Errorf("a panel is told of servers, %v", err)
+	}
 	s.stop(t)
 
 	c := &s.n.core.Counters
@@ -229,6 +259,7 @@
 // report must equal a count of the records one by one, and for nodes without gaps what the
 // cores counted.
 func TestIncident(t *testing.T) {
+	t.Parallel()
 	f, h := startFleet(t, 3), newHeard()
 	root := t.TempDir()
 	var skews [4]atomic.Int64
@@ -387,3 +418,38 @@
 		t.Errorf("%d rules broken", n)
 	}
 }
+
+// BenchmarkSetUp times set-ups one by one with records off and on; about five a second are let
+// through, so run it with -benchtime 200x.
+func BenchmarkSetUp(b *testing.B) {
+	for _, on := range []bool{false, true} {
+		b.Run(fmt.Sprint("records=", on), func(b *testing.B) {
+			f, h := startFleet(b, 1), newHeard()
+			dir := ""
+			if on {
+				dir = b.TempDir()
+			}
+			s := f.node(b, "n0", dir, new(atomic.Int64))
+			k := dialJSON(b, s.json(), h, "aaaaaaaa")
+			took := hdrhistogram.New(1, int64(time.Second), 3)
+			refused := 0
+			for b.Loop() {
+				for {
+					time.Sleep(20 * time.Millisecond) // the module lets no more go at once than it has seen answered
+					began := time.Now()
+					key := k.setUp("keep.1", 4*time.Second)
+					if said := h.wait(b, key, 1); strings.HasPrefix(said, "stands") {
+						_ = took.RecordValue(int64(time.Since(began)))
+						k.hangUp(key)
+						break
+					}
+					refused++
+				}
+			}
+			b.ReportMetric(float64(refused), "refused")
+			b.ReportMetric(float64(took.ValueAtQuantile(50)), "p50-ns")
+			b.ReportMetric(float64(took.ValueAtQuantile(99)), "p99-ns")
+			s.stop(b)
+		})
+	}
+}
--- a/internal/net/standin_test.go
+++ b/internal/net/standin_test.go
@@ -89,7 +89,7 @@
 	invited int // set-ups that came, by mu
 }
 
-func startServer(t *testing.T, r *rules, h248 bool) *standIn {
+func startServer(t testing.TB, r *rules, h248 bool) *standIn {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -338,7 +338,7 @@
 }
 
 // wait waits until a key has heard so many things.
-func (h *heard) wait(t *testing.T, key string, n int) string {
+func (h *heard) wait(t testing.TB, key string, n int) string {
 	t.Helper()
 	end := time.After(6 * time.Second)
 	for {
@@ -364,7 +364,7 @@
 	salt string
 }
 
-func dialJSON(t *testing.T, addr string, h *heard, salt string) *jsonCaller {
+func dialJSON(t testing.TB, addr string, h *heard, salt string) *jsonCaller {
 	t.Helper()
 	c, err := net.Dial("tcp", addr)
 	if err != nil {
@@ -552,7 +552,7 @@
 	started  int64
 }
 
-func startNames(t *testing.T) *nameServer {
+func startNames(t testing.TB) *nameServer {
 	t.Helper()
 	c, err := net.ListenPacket("udp", "127.0.0.1:0")
 	if err != nil {
