Add internal/numbering: tables of numbers, their analysis, versions and pins

Calls are placed by their server of first choice only. Rules in TOML compile to an immutable table; what is wrong (equal entries, overlaps, loops, unreachable entries, holes in time, pools that no class may use) is told with its entry, all at once. Registry keeps versions: a call's pin outlives any swap, activation at a time, of two operators one wins. Diff lists the prefixes that go another way, not those renamed.

Property tests: trie against linear scan, ranges against their numbers, digest against reordering, registry against a model. Found by them: the draw by weight hung on the order of routes. Not linked into any program yet.

--- /dev/null
+++ b/internal/numbering/registry_test.go
@@ -0,0 +1,191 @@
+package numbering
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// variant is a table that differs from others by its default's pool.
+func variant(t testing.TB, pool int) *Table {
+	t.Helper()
+	return compiled(t, fmt.Sprintf("version = \"v%d\"\ndefault = \"r\"\n[[route]]\nname = \"r\"\n[[route.target]]\npool = %d\n", pool, pool))
+}
+
+func TestLifeOfAVersion(t *testing.T) {
+	var r Registry
+	a, b, c := variant(t, 0), variant(t, 1), variant(t, 2)
+	if p := r.Pin(); p.Table() != nil {
+		t.Error("a pin of nothing")
+	}
+	for _, x := range []*Table{a, b, a} {
+		if err := r.Load(now, x); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if len(r.List()) != 2 || r.Active() != nil {
+		t.Errorf("%+v", r.List())
+	}
+	if err := r.Activate(now, a.Digest(), "", 0); err != nil {
+		t.Fatal(err)
+	}
+	call := r.Pin()
+	// Two operators who saw the same: one wins, the other is told.
+	if err := r.Activate(now, b.Digest(), a.Digest(), 0); err != nil {
+		t.Fatal(err)
+	}
+	if err := r.Activate(now, a.Digest(), a.Digest(), 0); !errors.Is(err, ErrStale) {
+		t.Errorf("the second of two: %v", err)
+	}
+	if call.Table() != a || r.Pin().Table() != b {
+		t.Error("a call does not keep its table")
+	}
+	if err := r.Activate(now, c.Digest(), b.Digest(), 0); !errors.Is(err, ErrUnknown) {
+		t.Errorf("what is not loaded: %v", err)
+	}
+	// At a time: nothing changes before, and another must not slip in between.
+	if err := r.Load(now, c); err != nil {
+		t.Fatal(err)
+	}
+	if err := r.Activate(now, c.Digest(), b.Digest(), now+time.Hour); err != nil {
+		t.Fatal(err)
+	}
+	if err := r.Activate(now, a.Digest(), b.Digest(), 0); !errors.Is(err, ErrStale) {
+		t.Errorf("over one that waits: %v", err)
+	}
+	if r.Tick(now+time.Hour-1) || r.Active() != b || r.Next() != now+time.Hour {
+		t.Error("it came into force too early")
+	}
+	if !r.Tick(now+time.Hour) || r.Active() != c || r.Tick(now+2*time.Hour) {
+		t.Error("it did not come into force once")
+	}
+	if err := r.Rollback(now, b.Digest()); !errors.Is(err, ErrStale) {
+		t.Errorf("a rollback over another's: %v", err)
+	}
+	if err := r.Rollback(now, c.Digest()); err != nil || r.Active() != b {
+		t.Errorf("%v", err)
+	}
+	call.Release()
+	call.Release()
+	for _, s := range r.List() {
+		if s.Digest == a.Digest() && s.Pins != 0 || s.Pins < 0 {
+			t.Errorf("%+v", s)
+		}
+	}
+}
+
+// Whatever is loaded, put in force and held in whatever order: a call's table never changes, what
+// a call holds is never let go, counts are right, and there are never too many.
+func TestRegistryKeepsItsPromises(t *testing.T) {
+	var tables []*Table
+	for i := range 12 {
+		tables = append(tables, variant(t, i))
+	}
+	rapid.Check(t, func(rt *rapid.T) {
+		var r Registry
+		type held struct {
+			pin  *Pin
+			want *Table
+		}
+		var calls []held
+		at := now
+		for range rapid.IntRange(1, 80).Draw(rt, "steps") {
+			at += Time(rapid.IntRange(0, 1000).Draw(rt, "pass"))
+			x := tables[rapid.IntRange(0, len(tables)-1).Draw(rt, "table")]
+			saw := ""
+			if r.Active() != nil {
+				saw = r.Active().Digest()
+			}
+			before := r.Active()
+			switch rapid.IntRange(0, 6).Draw(rt, "do") {
+			case 0, 1:
+				if err := r.Load(at, x); err != nil && !errors.Is(err, ErrFull) {
+					rt.Fatal(err)
+				}
+			case 2:
+				later := at + Time(rapid.IntRange(0, 500).Draw(rt, "in"))
+				if err := r.Activate(at, x.Digest(), saw, later); err == nil && later <= at && r.Active() != x {
+					rt.Fatal("activated, and not in force")
+				} else if err != nil && r.Active() != before {
+					rt.Fatal("refused, and changed")
+				}
+			case 3:
+				if err := r.Rollback(at, saw); err != nil && r.Active() != before {
+					rt.Fatal("refused, and changed")
+				}
+			case 4:
+				if p := r.Pin(); p != nil {
+					calls = append(calls, held{p, r.Active()})
+				}
+			case 5:
+				if n := len(calls); n > 0 {
+					i := rapid.IntRange(0, n-1).Draw(rt, "call")
+					calls[i].pin.Release()
+					calls[i].pin.Release()
+					calls = slices.Delete(calls, i, i+1)
+				}
+			case 6:
+				r.Tick(at)
+			}
+			pins := make(map[string]int)
+			for _, c := range calls {
+				if c.pin.Table() != c.want {
+					rt.Fatal("a call's table changed")
+				}
+				pins[c.want.Digest()]++
+			}
+			list := r.List()
+			if len(list) > mostVersions {
+				rt.Fatalf("%d versions", len(list))
+			}
+			for _, s := range list {
+				if s.Pins != pins[s.Digest] {
+					rt.Fatalf("%d hold %s, %d are told", pins[s.Digest], s.Digest, s.Pins)
+				}
+				delete(pins, s.Digest)
+			}
+			if len(pins) > 0 {
+				rt.Fatalf("let go though held: %v", pins)
+			}
+		}
+	})
+}
+
+func TestDiff(t *testing.T) {
+	a := compiled(t, rules)
+	if changes, _ := Diff(a, a); len(changes) > 0 {
+		t.Errorf("%+v", changes)
+	}
+	r, err := Parse([]byte(rules))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Prefix[1].Prefix = "5623" // 5622 goes with 562 now, 5623 to the centre
+	r.Barred = r.Barred[:1]     // 569 is barred no more for alarms
+	r.Route[0].Name, r.Prefix[0].Route = "renamed", "renamed"
+	b, err := Compile(r, env)
+	if err != nil {
+		t.Fatal(err)
+	}
+	changes, more := Diff(a, b)
+	var got []string
+	for _, c := range changes {
+		got = append(got, c.Prefix)
+	}
+	if fmt.Sprint(got) != "[5622 5623 569]" || more {
+		t.Errorf("%+v", changes)
+	}
+	// Diff tells of exactly the numbers that are decided otherwise.
+	for n := range 10000 {
+		number := fmt.Sprintf("56%04d", n)
+		q := Query{Number: "+" + number, Class: "alarm", At: now, Ported: Ported{State: Stays}}
+		told := slices.ContainsFunc(got, func(p string) bool { return len(p) <= len(number) && number[:len(p)] == p })
+		if x, y := a.Analyse(&q), b.Analyse(&q); (fmt.Sprint(x.Verdict, x.Cause, x.Pools()) != fmt.Sprint(y.Verdict, y.Cause, y.Pools())) && !told {
+			t.Errorf("%s: %s, then %s, and no word of it", number, word(x), word(y))
+		}
+	}
+}
