Route calls by the number called, by a table that each call keeps to its end

internal/numbering was not used by anything. With [numbers] the core asks a Router at each set-up: the table in force, held by the call until its end however it ends, names the permitted pools in their order, or a Q.850 cause by which the call is refused unseen. SIGHUP reads the table again, beside the loop, and swaps it whole; a bad one changes nothing.

Numbers that may have moved are routed as they are so far.

--- a/api.go
+++ b/api.go
@@ -66,6 +66,7 @@
 	Class  string
 	Number string // the number called
 	First  int    // pool of first choice
+	Pools  []int  // pools it may go to, the preferred first; nil: those of its class
 	Until  Time   // the caller gives this try up
 	Again  bool   // the caller marks it as dialled again
 	Cut    bool   // it stood, was cut and comes again
--- a/cmd/olivedale/main.go
+++ b/cmd/olivedale/main.go
@@ -27,7 +27,7 @@
 		Use:   "olivedale",
 		Short: "Serve as a call controller",
 		Long: "olivedale serves as the call controller that RELAY_CONFIG and " + config.OperatorPath + " describe.\n" +
-			"SIGTERM stops it in good order, SIGHUP has it read RELAY_CONFIG again, SIGUSR1 writes the counters.",
+			"SIGTERM stops it in good order, SIGHUP has it read RELAY_CONFIG and the table of numbers again, SIGUSR1 writes the counters.",
 		Example: "  RELAY_CONFIG=/etc/olivedale/config.json olivedale",
 		RunE:    func(*cobra.Command, []string) error { return serve() },
 	}
@@ -83,7 +83,7 @@
 	}
 	runtime.GOMAXPROCS(1) // the platform gives one core, which others share
 	debug.SetMemoryLimit(int64(cfg.MemoryMB) << 20 * 3 / 4)
-	n, err := net.New(cfg, net.Options{H248: o.H248, Records: o.Records, Log: zl, Program: cli.Version()})
+	n, err := net.New(cfg, net.Options{H248: o.H248, Records: o.Records, Numbers: o.Numbers, Log: zl, Program: cli.Version()})
 	if err != nil {
 		return failed(log, err)
 	}
@@ -93,6 +93,7 @@
 			switch s {
 			case syscall.SIGHUP:
 				reload(n, log)
+				n.ReloadNumbers()
 			case syscall.SIGUSR1:
 				n.ReportSoon()
 			default:
--- a/controller.go
+++ b/controller.go
@@ -115,22 +115,21 @@
 
 // A call is one open call.
 type call struct {
-	id, number string
-	class      *class
-	tier       int
-	first      int
-	until      Time
-	key        int64
-	attempts   int
-	at         *server // where the attempt is that is out, nil: none
-	sentAt     Time
-	cancelled  bool
-	standing   bool
-	answered   bool    // the final answer is given
-	notBefore  Time    // release guard
-	waiting    bool    // for the release guard
-	avoid      *server // the last attempt failed there
-	dropped    bool    // by its connection: the server is taken again if no other is open
+	id, number            string
+	class                 *class
+	tier, first, attempts int
+	pools                 []int // permitted, the preferred first; nil: those of its class
+	until                 Time
+	key                   int64
+	at                    *server // where the attempt is that is out, nil: none
+	sentAt                Time
+	cancelled             bool
+	standing              bool
+	answered              bool    // the final answer is given
+	notBefore             Time    // release guard
+	waiting               bool    // for the release guard
+	avoid                 *server // the last attempt failed there
+	dropped               bool    // by its connection: the server is taken again if no other is open
 }
 
 // New makes the controller of a node that has just started.
@@ -439,9 +438,9 @@
 			open = append(open, s)
 		}
 	}
-	for _, s := range open {
-		if s.Pool == k.first {
-			return s
+	for _, pool := range append([]int{k.first}, k.pools...) {
+		if i := slices.IndexFunc(open, func(s *server) bool { return s.Pool == pool }); i >= 0 {
+			return open[i]
 		}
 	}
 	if len(open) == 0 {
@@ -473,7 +472,8 @@
 
 // mayServe tells whether a server is among the call's pools.
 func (c *Controller) mayServe(s *server, k *call) bool {
-	return k.class.Pools == nil || slices.Contains(k.class.Pools, s.Pool)
+	has := func(pools []int) bool { return pools == nil || slices.Contains(pools, s.Pool) }
+	return has(k.class.Pools) && has(k.pools)
 }
 
 // ---- The life of a call.
@@ -484,7 +484,7 @@
 	}
 	c.lastKey++
 	k := &call{id: e.Call, number: e.Number, class: c.classes[e.Class], first: e.First,
-		until: e.Until, key: c.lastKey}
+		until: e.Until, key: c.lastKey, pools: e.Pools}
 	c.calls[k.id], c.keys[k.key] = k, k
 	c.asked.add()
 	if k.class == nil {
--- a/facade.go
+++ b/facade.go
@@ -24,6 +24,7 @@
 	Class  string
 	Number string // the number called
 	First  int    // pool of first choice
+	Pools  []int  // pools it may go to, the preferred first; nil: those of its class
 	Until  Time   // the caller gives up
 	Cut    bool   // it stood, was cut and comes again
 }
@@ -88,7 +89,7 @@
 // Pick asks where a call is to go.
 func (d *Desk) Pick(now Time, r Request) Order {
 	return d.one(r.Call, d.c.Handle(now, Ask{Call: r.Call, Class: r.Class, Number: r.Number,
-		First: r.First, Until: r.Until, Cut: r.Cut}))
+		First: r.First, Pools: r.Pools, Until: r.Until, Cut: r.Cut}))
 }
 
 // Report tells what became of an attempt and asks what is to follow.
--- a/growth_test.go
+++ b/growth_test.go
@@ -101,3 +101,37 @@
 		t.Errorf("an unknown class: %+v, want a refusal with a wait", r.acts)
 	}
 }
+
+// A call goes to its permitted pools only, in their order, and to none where all of them are out.
+func TestPermittedPools(t *testing.T) {
+	settings := testSettings()
+	c, err := New(settings, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	now := Time(time.Hour)
+	c.Begin(now)
+	c.Handle(now, List{Full: true, Servers: []Server{{ID: "a", Pool: 0}, {ID: "b", Pool: 1}, {ID: "c", Pool: 2}}})
+	ask := func(id string, pools ...int) string {
+		now += 50 * time.Millisecond
+		acts := c.Handle(now, Ask{Call: id, Class: settings.Classes[0].Name, First: pools[0], Pools: pools, Until: now + time.Second})
+		for _, a := range acts {
+			if s, ok := a.(Send); ok {
+				c.Handle(now, Stands{Call: id, Server: s.Server, Took: time.Millisecond})
+				return s.Server
+			}
+		}
+		return ""
+	}
+	if got := ask("1", 2, 1); got != "c" {
+		t.Errorf("the preferred pool is 2, sent to %q", got)
+	}
+	c.Handle(now, List{Servers: []Server{{ID: "c", Pool: 2, Phase: Lame}}})
+	if got := ask("2", 2, 1); got != "b" {
+		t.Errorf("the next pool is 1, sent to %q", got)
+	}
+	c.Handle(now, List{Servers: []Server{{ID: "b", Pool: 1, Phase: Out}}})
+	if got := ask("3", 2, 1); got != "" {
+		t.Errorf("all permitted pools are out, sent to %q", got)
+	}
+}
--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -5,6 +5,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"container/heap"
 	"errors"
 	"time"
@@ -73,6 +74,7 @@
 	Until             Time
 	Cut               bool // it stood, was cut and comes again
 	Description       []byte
+	Table             string // that it is routed by, set by the Core; "": none
 }
 
 // An Observer is told what happens to calls, in the order it happens. It must not block and
@@ -94,6 +96,22 @@
 	Limited(now Time, l Limit, id string)
 }
 
+// A Router says, by the number called, to which pools a call may go. Like the module it is
+// asked on the loop and must not block.
+type Router interface {
+	// Route decides on a set-up. What it decides by stays the same for the call: it is held until
+	// Release of the Routing.
+	Route(now Time, r *Request) Routing
+}
+
+// A Routing is a Router's word on one call.
+type Routing struct {
+	Pools   []int  // the preferred first
+	Cause   int    // of Q.850: the call is refused at once; 0: it is not
+	Table   string // what it was decided by, for the records
+	Release func() // ends the hold; nil: there is none
+}
+
 // An Outcome is how a set-up came to its final answer.
 type Outcome int
 
@@ -107,6 +125,7 @@
 	Crowded    // past the Limits
 	Reused     // under the id of a call that is over
 	Impossible // to a pool the class may not go to, or too wide
+	Barred     // by its number
 	HaltedOpen // still open at the end of an orderly stop
 )
 
@@ -142,7 +161,7 @@
 // Counters count what the core takes in, sends and answers.
 type Counters struct {
 	Requests, Stood, Refused, Failed, GivenUp, Repeated   int
-	Reused, Crowded, AliensDropped                        int
+	Reused, Crowded, Barred, AliensDropped                int
 	Attempts, Cancels, LateAnswers                        int
 	ReleasedByExchange, ReleasedByCaller, ReleasedUnknown int
 	Ends                                                  [ends]int
@@ -162,6 +181,7 @@
 	client  Client
 	front   Front
 	asked   Time
+	route   Routing
 	state   state
 	server  string
 	attempt int
@@ -183,6 +203,7 @@
 type Core struct {
 	desk   Decider
 	watch  Observer // nil: none
+	router Router   // nil: calls go by their pool of first choice
 	out    Exchanges
 	now    func() Time
 	calls  map[string]*call
@@ -214,6 +235,9 @@
 // Observe has o told of everything from now on; nil ends it.
 func (c *Core) Observe(o Observer) { c.watch = o }
 
+// RouteBy has calls routed by their numbers from now on; nil ends it.
+func (c *Core) RouteBy(r Router) { c.router = r }
+
 // Open counts the calls whose final answer is still owed.
 func (c *Core) Open() int { return c.open }
 
@@ -258,6 +282,16 @@
 	}
 	now := c.now()
 	k := &call{Request: r, client: client, front: client.Front(), attempt: -1, asked: now}
+	first := r.First
+	if c.router != nil {
+		if k.route = c.router.Route(now, &r); k.route.Cause != 0 || len(k.route.Pools) == 0 {
+			k.release()
+			c.Barred++
+			c.turnAway(client, &r, Barred, cmp.Or(k.route.Cause, CauseFailed))
+			return nil
+		}
+		first, r.Table = k.route.Pools[0], k.route.Table
+	}
 	c.calls[r.ID] = k
 	c.open++
 	c.bytes += len(r.Description)
@@ -265,10 +299,18 @@
 		c.watch.SetUp(now, &r)
 	}
 	c.obey(k, c.desk.Pick(now, lapiscourse.Request{Call: r.ID, Class: r.Class, Number: r.Number,
-		First: r.First, Until: r.Until, Cut: r.Cut}))
+		First: first, Pools: k.route.Pools, Until: r.Until, Cut: r.Cut}))
 	return nil
 }
 
+// release lets go of what the call is routed by.
+func (k *call) release() {
+	if k.route.Release != nil {
+		k.route.Release()
+		k.route.Release = nil
+	}
+}
+
 // TurnAway answers a set-up that can be read and makes no sense; no exchange is troubled with it.
 func (c *Core) TurnAway(client Client, r Request) {
 	c.turnAway(client, &r, Impossible, CauseFailed)
@@ -393,6 +435,7 @@
 // finish ends a call that does not stand. An attempt that is still out is given up.
 func (c *Core) finish(k *call, e End) {
 	delete(c.calls, k.ID)
+	k.release()
 	c.over.add(k.ID, c.now()+memory)
 	c.answered(k)
 	if k.state == trying {
@@ -520,6 +563,7 @@
 		c.watch.Released(now, &Release{ID: k.ID, Class: k.Class, Server: k.server, Cause: cause, End: e, Stood: now - k.stood})
 	}
 	delete(c.calls, k.ID)
+	k.release()
 	c.over.add(k.ID, c.now()+memory)
 	c.endAttempt(k, e, true)
 }
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -24,6 +24,20 @@
 	Log     Log      `toml:"log"`
 	H248    *H248    `toml:"h248"`
 	Records *Records `toml:"records"`
+	Numbers *Numbers `toml:"numbers"`
+}
+
+// Numbers switches routing by number on.
+type Numbers struct {
+	File string `toml:"file" json:"file"` // rules, as docs/operate/numbering.md describes them
+}
+
+// Check tells what is wrong with the section; the rules are read by who uses them.
+func (n *Numbers) Check() error {
+	if n.File == "" {
+		return bad("file", "missing; name the file of rules")
+	}
+	return nil
 }
 
 // Log says how log lines look.
@@ -153,6 +167,9 @@
 	if o.Records != nil {
 		sections = append(sections, section{"records", o.Records.Check})
 	}
+	if o.Numbers != nil {
+		sections = append(sections, section{"numbers", o.Numbers.Check})
+	}
 	for _, s := range sections {
 		if err := s.check(); err != nil {
 			var key *KeyError
--- a/internal/console/tracker.go
+++ b/internal/console/tracker.go
@@ -159,7 +159,7 @@
 		if aim, ok := k.aims[r.Class]; ok && r.Took > aim {
 			count(func(c *Counts) *uint64 { return &c.Late })
 		}
-	case record.Refused, record.Crowded, record.Stopped:
+	case record.Refused, record.Crowded, record.Stopped, record.Barred:
 		count(func(c *Counts) *uint64 { return &c.Refused })
 	case record.GivenUp:
 		count(func(c *Counts) *uint64 { return &c.GivenUp })
--- a/internal/net/meter.go
+++ b/internal/net/meter.go
@@ -101,7 +101,7 @@
 			k.late++
 		}
 		m.server(a.Server).stood++
-	case call.Refused, call.Crowded, call.HaltedOpen:
+	case call.Refused, call.Crowded, call.HaltedOpen, call.Barred:
 		k.refused++
 	case call.GivenUp:
 		k.givenUp++
--- a/internal/net/node.go
+++ b/internal/net/node.go
@@ -69,6 +69,7 @@
 	stopAt   time.Duration // when SIGTERM came, 0: not yet
 	rec      *recorder     // nil: off
 	meter    *meter        // nil: nobody may ask
+	numbers  *numbers      // nil: off
 	stopping bool          // the engine is being stopped
 	failed   error
 	started  chan struct{}
@@ -78,6 +79,7 @@
 type Options struct {
 	H248    *config.H248     // nil: its front is off
 	Records *config.Records  // nil: nothing is recorded
+	Numbers *config.Numbers  // nil: calls go by their pool of first choice
 	Log     *zap.Logger      // nil: nothing is logged
 	Program string           // version, for the records
 	Clock   func() time.Time // the system's; nil: time.Now
@@ -106,6 +108,12 @@
 	if err := n.observe(o, desk); err != nil {
 		return nil, err
 	}
+	if o.Numbers != nil {
+		if n.numbers, err = newNumbers(n, o.Numbers); err != nil {
+			return nil, err
+		}
+		n.core.RouteBy(n.numbers)
+	}
 	n.json = &jsonFront{n: n, max: cfg.Sockets*2/3 - reserve}
 	n.unread = cfg.MemoryMB << 20 / 8 / n.json.max
 	n.fronts = []call.Front{n.json}
@@ -515,7 +523,7 @@
 func (n *Node) Report() {
 	c, k := &n.Counters, &n.core.Counters
 	n.log.Infow("counters", "requests", k.Requests, "stood", k.Stood, "refused", k.Refused, "failed", k.Failed, "given_up", k.GivenUp,
-		"repeated", k.Repeated, "reused", k.Reused, "crowded", k.Crowded, "impossible", c.Impossible, "open", n.core.Open(),
+		"repeated", k.Repeated, "reused", k.Reused, "crowded", k.Crowded, "barred", k.Barred, "impossible", c.Impossible, "open", n.core.Open(),
 		"standing", n.core.Standing())
 	n.log.Infow("counters", "attempts", k.Attempts, "invites", c.Invites, "cancels", k.Cancels, "late_answers", k.LateAnswers, "released_by_exchange", k.ReleasedByExchange,
 		"released_by_caller", k.ReleasedByCaller, "released_unknown", k.ReleasedUnknown, "unknown_dropped", k.AliensDropped)
--- a/internal/net/recorder.go
+++ b/internal/net/recorder.go
@@ -85,7 +85,7 @@
 
 // SetUp implements call.Observer.
 func (w *recorder) SetUp(now call.Time, q *call.Request) {
-	w.r = record.Record{Kind: record.KindSetUp, At: now, Call: q.ID, Class: q.Class, Number: q.Number, Pool: q.First, Flag: q.Cut, Wait: q.Until - now}
+	w.r = record.Record{Kind: record.KindSetUp, At: now, Call: q.ID, Class: q.Class, Number: q.Number, Pool: q.First, Flag: q.Cut, Wait: q.Until - now, Text: q.Table}
 	w.done()
 }
 
@@ -112,7 +112,7 @@
 }
 
 var outcomes = [...]record.Outcome{call.Stood: record.Stood, call.Refused: record.Refused, call.Failed: record.Failed, call.GivenUp: record.GivenUp,
-	call.Crowded: record.Crowded, call.Reused: record.Reused, call.Impossible: record.Impossible, call.HaltedOpen: record.Stopped}
+	call.Crowded: record.Crowded, call.Reused: record.Reused, call.Impossible: record.Impossible, call.HaltedOpen: record.Stopped, call.Barred: record.Barred}
 
 // Answered implements call.Observer.
 func (w *recorder) Answered(now call.Time, a *call.Answer) {
--- a/internal/net/recorder_test.go
+++ b/internal/net/recorder_test.go
@@ -28,6 +28,7 @@
 	r       *rules
 	servers []*standIn
 	lines   []nameLine
+	numbers *config.Numbers // of nodes started from now on
 }
 
 func startFleet(t testing.TB, servers int) *fleet {
@@ -67,7 +68,7 @@
 		}
 	}
 	s := &site{names: f.names, r: f.r, servers: f.servers, done: make(chan error, 1)}
-	s.n, err = New(cfg, Options{Records: rec, Program: "test", H248: &config.H248{Listen: "127.0.0.2:0", Admin: "127.0.0.3:0"},
+	s.n, err = New(cfg, Options{Records: rec, Numbers: f.numbers, Program: "test", H248: &config.H248{Listen: "127.0.0.2:0", Admin: "127.0.0.3:0"},
 		Clock: func() time.Time { return time.Now().Add(time.Duration(skew.Load())) }})
 	if err != nil {
 		t.Fatal(err)
--- a/internal/numbering/diff.go
+++ b/internal/numbering/diff.go
@@ -2,14 +2,16 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 )
 
 // A Change is a prefix whose numbers go another way by a second table.
 type Change struct {
-	Prefix   string `json:"prefix"`
-	Old, New string
+	Prefix string `json:"prefix"`
+	Old    string `json:"old"`
+	New    string `json:"new"`
 }
 
 // mostChanges bounds a list of them.
@@ -122,6 +124,28 @@
 }
 
 // String says what a condition is, whatever its name.
-func (w when) String() string {
-	return fmt.Sprintf("%v %s %v %v %v %v", w.not, w.zone, w.weekdays, w.hours, w.dates, len(w.holidays))
+func (w *when) String() string {
+	var parts []string
+	if w.not {
+		parts = append(parts, "not")
+	}
+	var days []string
+	for _, name := range [...]string{"mon", "tue", "wed", "thu", "fri", "sat", "sun"} {
+		if w.weekdays[weekdayNames[name]] {
+			days = append(days, name)
+		}
+	}
+	if len(days) < 7 {
+		parts = append(parts, strings.Join(days, " "))
+	}
+	for _, h := range w.hours {
+		parts = append(parts, fmt.Sprintf("%02d:%02d-%02d:%02d", h.from/60, h.from%60, h.to/60, h.to%60))
+	}
+	for _, d := range w.dates {
+		parts = append(parts, fmt.Sprintf("%d to %d", d.from, d.to))
+	}
+	for _, d := range slices.Sorted(maps.Keys(w.holidays)) {
+		parts = append(parts, fmt.Sprintf("but %d", d))
+	}
+	return strings.Join(append(parts, w.zone.String()), " ")
 }
--- a/internal/numbering/registry_test.go
+++ b/internal/numbering/registry_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -179,6 +180,15 @@
 	if fmt.Sprint(got) != "[5622 5623 569]" || more {
 		t.Errorf("%+v", changes)
 	}
+	// Another holiday alone is a change, though there are as many.
+	if r, err = Parse([]byte(strings.Replace(rules, "2026-12-25", "2026-12-24", 1))); err != nil {
+		t.Fatal(err)
+	}
+	if c, err := Compile(r, env); err != nil {
+		t.Error(err)
+	} else if changes, _ := Diff(a, c); len(changes) != 8 { // 5622 and the seven blocks of the range
+		t.Errorf("another holiday: %+v", changes)
+	}
 	// Diff tells of exactly the numbers that are decided otherwise.
 	for n := range 10000 {
 		number := fmt.Sprintf("56%04d", n)
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -24,7 +24,7 @@
 	KindStart         // the program has started; Flag: the last one had ended in good order; Text: what recovery did
 	KindStopping      // SIGTERM came
 	KindEnd           // orderly end; Count: records of this start
-	KindSetUp         // a set-up was taken: Call, Class, Number, Pool, Flag (was cut), Wait (time left)
+	KindSetUp         // a set-up was taken: Call, Class, Number, Pool, Flag (was cut), Wait (time left), Text (table of numbers)
 	KindOrder         // the module's word on Call: Code (a Move), Server, Wait, Text (reason as far as told)
 	KindTry           // an attempt starts: Call, Server, Attempt, Wait (its time)
 	KindTryEnd        // an attempt has ended: Call, Server, Attempt, End, Took
@@ -96,12 +96,13 @@
 	Reused
 	Impossible
 	Stopped // answered at the end of an orderly stop
+	Barred  // by its number
 )
 
 // Outcomes is how many there are, for arrays that count them.
-const Outcomes = int(Stopped) + 1
+const Outcomes = int(Barred) + 1
 
-var outcomeNames = []string{"none", "stood", "refused", "failed", "given_up", "crowded", "reused", "impossible", "stopped"}
+var outcomeNames = []string{"none", "stood", "refused", "failed", "given_up", "crowded", "reused", "impossible", "stopped", "barred"}
 
 // String implements fmt.Stringer.
 func (o Outcome) String() string { return nameOf(outcomeNames, uint8(o)) }
--- a/internal/report/html.go
+++ b/internal/report/html.go
@@ -89,7 +89,7 @@
 
 func rowOf(name string, t *incident.Tally, atLeast bool) Row {
 	r := Row{Name: name, Offered: t.Offered, Stood: t.Stood(), Late: t.Late, Refused: t.TurnedAway(), Failed: t.Of(record.Failed), GivenUp: t.Of(record.GivenUp),
-		Other: t.Of(record.Reused) + t.Of(record.Impossible), Cut: t.Cut, Tries: t.Tries, Retried: t.Retried,
+		Other: t.Of(record.Reused) + t.Of(record.Impossible) + t.Of(record.Barred), Cut: t.Cut, Tries: t.Tries, Retried: t.Retried,
 		P50: t.Percentile(50), P95: t.Percentile(95), P99: t.Percentile(99)}
 	if atLeast {
 		r.Note = "at least"
