Manage versions of number tables in service, and keep them over a crash

A table could only be changed by SIGHUP, and a restart went back to the file. Over the admin address operators load, activate (also at a time), roll back, cancel and list versions; olivectl numbers does it for all instances of an agent and exits 1 where they differ. An order is checked on a copy, what it comes to is made safe by internal/store, and only then in force; one runs at a time, so that of two operators one wins and the other is told. A torn or damaged version gives way to the last good one, logged as numbers_damaged.

--- a/cmd/olivectl/numbers.go
+++ b/cmd/olivectl/numbers.go
@@ -18,10 +18,10 @@
 func numbersCommand() *cobra.Command {
 	c := &cobra.Command{
 		Use: "numbers", Short: "Check, compare and try tables of numbers",
-		Long:    "The numbers commands work on files of rules, as [numbers] of olivedale.toml names one. What they tell is\nwhat a call controller with the same file does: both run the same analysis.",
+		Long:    "check, show and diff work on files of rules, as [numbers] of olivedale.toml names one; what they tell is\nwhat a call controller with the same file does: both run the same analysis. list, load, activate,\nrollback and cancel manage the versions of instances in service, over their admin addresses.",
 		Example: "  olivectl numbers show --file deploy/numbers.toml --explain \"+56 2 2555 0100\"",
 	}
-	c.AddCommand(numbersCheck(), numbersShow(), numbersDiff())
+	c.AddCommand(numbersCheck(), numbersShow(), numbersDiff(), numbersList(), numbersLoad(), numbersActivate(), numbersRollback(), numbersCancel())
 	return c
 }
 
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -29,7 +29,8 @@
 
 // Numbers switches routing by number on.
 type Numbers struct {
-	File string `toml:"file" json:"file"` // rules, as docs/operate/numbering.md describes them
+	File  string `toml:"file" json:"file"`   // rules, as docs/operate/numbering.md describes them
+	State string `toml:"state" json:"state"` // folder for the versions loaded in service; "": they do not survive a restart
 }
 
 // Check tells what is wrong with the section; the rules are read by who uses them.
--- /dev/null
+++ b/internal/control/numbers.go
@@ -0,0 +1,93 @@
+package control
+
+import (
+	"strconv"
+	"time"
+
+	"lapiscourse/internal/net/h248"
+	"lapiscourse/internal/numbering"
+)
+
+// NumbersTermination is the termination by which an instance's table of numbers is managed:
+// AuditValue lists the versions and the last order, Modify gives an order.
+const NumbersTermination = "numbers"
+
+// NumbersOrder makes the command of an order.
+func NumbersOrder(o numbering.Order) *h248.Command {
+	state := &h248.Node{Name: "TerminationState"}
+	put := func(name, value string) {
+		if value != "" {
+			state.Kids = append(state.Kids, &h248.Node{Name: name, Value: value, Quoted: true})
+		}
+	}
+	put("oc/do", o.Op)
+	put("oc/file", o.File)
+	put("oc/digest", o.Digest)
+	put("oc/saw", o.Saw)
+	if o.At != 0 {
+		put("oc/at", strconv.FormatInt(int64(o.At), 10))
+	}
+	return &h248.Command{Name: "Modify", Termination: NumbersTermination, Descriptors: []*h248.Node{{Name: "Media", Kids: []*h248.Node{state}}}}
+}
+
+// ReadNumbersOrder reads what NumbersOrder made.
+func ReadNumbersOrder(c *h248.Command) (o numbering.Order, err error) {
+	at := func(name string) string { return h248.Value(c.Descriptors, "Media", "TerminationState", "oc/"+name) }
+	o = numbering.Order{Op: at("do"), File: at("file"), Digest: at("digest"), Saw: at("saw")}
+	if v := at("at"); v != "" {
+		var n int64
+		if n, err = strconv.ParseInt(v, 10, 64); err == nil {
+			o.At = time.Duration(n)
+		}
+	}
+	return o, err
+}
+
+// NumbersNodes tells of versions and the last order.
+func NumbersNodes(all []numbering.Status, job numbering.Job) []*h248.Node {
+	stats := &h248.Node{Name: "Statistics"}
+	node := func(kind string, pairs ...string) {
+		n := &h248.Node{Name: kind}
+		for i := 0; i < len(pairs); i += 2 {
+			if pairs[i+1] != "" {
+				n.Kids = append(n.Kids, &h248.Node{Name: "oc/" + pairs[i], Value: pairs[i+1], Quoted: true})
+			}
+		}
+		stats.Kids = append(stats.Kids, n)
+	}
+	for _, s := range all {
+		node("oc/version", "digest", s.Digest, "name", s.Name, "state", s.State, "entries", strconv.Itoa(s.Entries), "pins", strconv.Itoa(s.Pins),
+			"since", strconv.FormatInt(int64(s.Since), 10), "due", strconv.FormatInt(int64(s.Due), 10))
+	}
+	if job.ID > 0 {
+		state := "done"
+		if job.Running {
+			state = "running"
+		}
+		node("oc/job", "id", strconv.FormatUint(job.ID, 10), "op", job.Order.Op, "state", state, "err", job.Err, "digest", job.Digest)
+	}
+	return []*h248.Node{stats}
+}
+
+// ReadNumbers reads what NumbersNodes made.
+func ReadNumbers(nodes []*h248.Node) (all []numbering.Status, job numbering.Job) {
+	stats := h248.Find(nodes, "Statistics")
+	if stats == nil {
+		return nil, job
+	}
+	for _, n := range stats.Kids {
+		at := func(name string) string { return h248.Value(n.Kids, "oc/"+name) }
+		number := func(name string) int64 {
+			v, _ := strconv.ParseInt(at(name), 10, 64) // what is no number is not told
+			return v
+		}
+		switch n.Name {
+		case "oc/version":
+			all = append(all, numbering.Status{Digest: at("digest"), Name: at("name"), State: at("state"), Entries: int(number("entries")), Pins: int(number("pins")),
+				Since: time.Duration(number("since")), Due: time.Duration(number("due"))})
+		case "oc/job":
+			job = numbering.Job{ID: uint64(number("id")), Order: numbering.Order{Op: at("op")}, Running: at("state") == "running", Err: at("err"), Digest: at("digest")}
+		}
+	}
+	return all, job
+}
--- a/internal/net/h248_front.go
+++ b/internal/net/h248_front.go
@@ -227,9 +227,17 @@
 		return done, p.serviceChange(mid, c)
 	case "Modify":
 		var err *h248.Error
-		done.Descriptors, err = p.clock(c)
+		if p.admin && c.Termination == control.NumbersTermination {
+			done.Descriptors, err = f.n.orderNumbers(c)
+		} else {
+			done.Descriptors, err = p.clock(c)
+		}
 		return done, err
 	case "AuditValue":
+		if p.admin && c.Termination == control.NumbersTermination && f.n.numbers != nil {
+			done.Descriptors = control.NumbersNodes(f.n.numbers.desk.List(), f.n.numbers.desk.Job())
+			return done, nil
+		}
 		if !strings.EqualFold(c.Termination, "ROOT") {
 			return nil, &h248.Error{Code: h248.UnknownTermination, Text: "only ROOT can be audited"}
 		}
--- a/internal/net/node.go
+++ b/internal/net/node.go
@@ -293,6 +293,7 @@
 			n.pollAt = now + poll
 			n.names.poll(now)
 			n.rec.tick(now)
+			n.numbers.tick(now)
 			for _, l := range n.links {
 				l.tick(now)
 			}
--- a/internal/numbering/registry_test.go
+++ b/internal/numbering/registry_test.go
@@ -199,3 +199,81 @@
 		}
 	}
 }
+
+// What is written down before an order comes into force is what the registry comes to, whatever
+// the order; an order whose saving fails changes nothing; and a restart from what was last written
+// down finds the version that was in force.
+func TestOrdersSurviveACrash(t *testing.T) {
+	var tables []*Table
+	for i := range 4 {
+		tables = append(tables, variant(t, i))
+	}
+	rapid.Check(t, func(rt *rapid.T) {
+		var d Desk
+		at := now
+		for _, x := range tables {
+			if err := d.Load(at, x); err != nil {
+				rt.Fatal(err)
+			}
+		}
+		if err := d.Activate(at, tables[0].Digest(), "", 0); err != nil {
+			rt.Fatal(err)
+		}
+		var disk Standing
+		for range rapid.IntRange(1, 30).Draw(rt, "orders") {
+			at += Time(rapid.IntRange(0, 1000).Draw(rt, "pass"))
+			d.Tick(at)
+			o := Order{Op: rapid.SampledFrom([]string{OpActivate, OpActivate, OpRollback, OpCancel, "odd"}).Draw(rt, "op"),
+				Digest: tables[rapid.IntRange(0, 3).Draw(rt, "table")].Digest(), Saw: d.Active().Digest()}
+			if rapid.Bool().Draw(rt, "later") {
+				o.At = at + Time(rapid.IntRange(0, 2000).Draw(rt, "in"))
+			}
+			before := d.Standing()
+			_, save, err := d.Begin(at, o)
+			if d.Standing() != before {
+				rt.Fatal("Begin changed what stands")
+			}
+			if err != nil {
+				continue
+			}
+			if _, _, err := d.Begin(at, o); !errors.Is(err, ErrBusy) {
+				rt.Fatalf("a second order: %v", err)
+			}
+			at += Time(rapid.IntRange(0, 3000).Draw(rt, "saving"))
+			if d.Tick(at) {
+				rt.Fatal("something came into force under an order")
+			}
+			if rapid.Bool().Draw(rt, "fails") {
+				if err := d.Finish(at, errors.New("the disk")); err == nil || d.Standing() != before {
+					rt.Fatal("not saved, and in force")
+				}
+				continue
+			}
+			disk = *save
+			if err := d.Finish(at, nil); err != nil {
+				rt.Fatalf("saved, and refused: %v", err)
+			}
+			// A crash now, or a moment later: the same comes to be in force.
+			var again Desk
+			for _, x := range tables {
+				if err := again.Load(at, x); err != nil {
+					rt.Fatal(err)
+				}
+			}
+			s, err := DecodeStanding(disk.Encode())
+			if err != nil {
+				rt.Fatal(err)
+			}
+			if err := again.Restore(at, s); err != nil {
+				rt.Fatal(err)
+			}
+			later := at + Time(rapid.IntRange(0, 5000).Draw(rt, "later by"))
+			again.Tick(later)
+			d.Tick(later)
+			at = later
+			if again.Active() != d.Active() {
+				rt.Fatalf("after a crash %s, without %s", again.Active().Version, d.Active().Version)
+			}
+		}
+	})
+}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -159,6 +159,55 @@
 	return v, ErrNone
 }
 
+// Before finds the values of a name that are whole and older than a serial, the latest first.
+func (s *Store) Before(name string, serial uint64) (all []Value) {
+	serials, err := s.serials(name)
+	if err != nil {
+		return nil
+	}
+	for _, n := range serials {
+		if n >= serial {
+			continue
+		}
+		if b, err := s.fs.Read(fileName(name, n)); err == nil {
+			if data, err := decode(b, n); err == nil {
+				all = append(all, Value{Serial: n, Data: data})
+			}
+		}
+	}
+	return all
+}
+
+// Drop removes all values of a name.
+func (s *Store) Drop(name string) error {
+	all, err := s.serials(name)
+	if err != nil {
+		return err
+	}
+	for _, n := range all {
+		if err := s.fs.Remove(fileName(name, n)); err != nil && !errors.Is(err, os.ErrNotExist) {
+			return fmt.Errorf("store: %s: %w", name, err)
+		}
+	}
+	return nil
+}
+
+// Names are those that values are kept under.
+func (s *Store) Names() ([]string, error) {
+	files, err := s.fs.List()
+	if err != nil {
+		return nil, fmt.Errorf("store: %w", err)
+	}
+	var all []string
+	for _, f := range files {
+		if name, _, ok := strings.Cut(f, "-"); ok && strings.HasSuffix(f, suffix) && usable(name) && !slices.Contains(all, name) {
+			all = append(all, name)
+		}
+	}
+	slices.Sort(all)
+	return all, nil
+}
+
 func encode(serial uint64, data []byte) []byte {
 	b := make([]byte, headSize, headSize+len(data))
 	copy(b, magic[:])
