Look ported numbers up before the module is asked, within the caller's time

Numbers marked ported were routed as they are. The core holds such a call as routing until Core.Routed brings the word; until then the module has not heard of it, and giving up, a closed connection, an orderly stop and the end of its time answer it once like any other, and cancel the look-up. The word comes from the table that the call began with. [numbers.lookup] names the servers, the share of a caller's time and the fallback: route as it is, or refuse with cause 34 and a wait.

--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -110,8 +110,15 @@
 	Cause   int    // of Q.850: the call is refused at once; 0: it is not
 	Table   string // what it was decided by, for the records
 	Release func() // ends the hold; nil: there is none
+	// Pending tells that the number is being looked up: Core.Routed brings the word. Release ends
+	// that as well, if the call ends before.
+	Pending bool
+	Wait    time.Duration // of a refusal: the caller is asked to keep away for; 0: not
 }
 
+// refuses tells whether the word is that the call is refused.
+func (r *Routing) refuses() bool { return r.Cause != 0 || len(r.Pools) == 0 }
+
 // An Outcome is how a set-up came to its final answer.
 type Outcome int
 
@@ -173,6 +180,7 @@
 	waiting  state = iota // no attempt is out
 	trying                // one attempt is out
 	standing              // the call stands
+	routing               // its number is looked up; the module has not heard of it
 )
 
 // A call is open from its set-up until its final answer, or its release if it stood.
@@ -282,15 +290,14 @@
 	}
 	now := c.now()
 	k := &call{Request: r, client: client, front: client.Front(), attempt: -1, asked: now}
-	first := r.First
 	if c.router != nil {
-		if k.route = c.router.Route(now, &r); k.route.Cause != 0 || len(k.route.Pools) == 0 {
+		if k.route = c.router.Route(now, &r); !k.route.Pending && k.route.refuses() {
 			k.release()
 			c.Barred++
 			c.turnAway(client, &r, Barred, cmp.Or(k.route.Cause, CauseFailed))
 			return nil
 		}
-		first, r.Table = k.route.Pools[0], k.route.Table
+		r.Table = k.route.Table
 	}
 	c.calls[r.ID] = k
 	c.open++
@@ -298,11 +305,43 @@
 	if c.watch != nil {
 		c.watch.SetUp(now, &r)
 	}
-	c.obey(k, c.desk.Pick(now, lapiscourse.Request{Call: r.ID, Class: r.Class, Number: r.Number,
-		First: first, Pools: k.route.Pools, Until: r.Until, Cut: r.Cut}))
+	if k.route.Pending {
+		k.state = routing
+		// Guards against a look-up of which nothing is heard any more: its caller gets an answer.
+		heap.Push(&c.timers, timer{at: k.Until, call: k, attempt: k.attempt})
+		return nil
+	}
+	c.place(k)
 	return nil
 }
 
+// place asks the module for a call.
+func (c *Core) place(k *call) {
+	first := k.First
+	if len(k.route.Pools) > 0 {
+		first = k.route.Pools[0]
+	}
+	c.obey(k, c.desk.Pick(c.now(), lapiscourse.Request{Call: k.ID, Class: k.Class, Number: k.Number,
+		First: first, Pools: k.route.Pools, Until: k.Until, Cut: k.Cut}))
+}
+
+// Routed brings the word on a call whose number was looked up. Of a call that has ended meanwhile
+// it changes nothing. What the call holds stays; the word's own Release does not count.
+func (c *Core) Routed(id string, r Routing) {
+	k := c.calls[id]
+	if k == nil || k.state != routing {
+		return
+	}
+	k.state = waiting
+	k.route.Pools, k.route.Cause, k.route.Pending = r.Pools, r.Cause, false
+	if r.refuses() {
+		c.Barred++
+		c.refuse(k, Barred, CalledOff, cmp.Or(r.Cause, CauseFailed), r.Wait)
+		return
+	}
+	c.place(k)
+}
+
 // release lets go of what the call is routed by.
 func (k *call) release() {
 	if k.route.Release != nil {
@@ -481,7 +520,9 @@
 // leave ends a set-up whose caller no longer waits; no answer is owed.
 func (c *Core) leave(k *call) {
 	c.GivenUp++
-	c.desk.Report(c.now(), lapiscourse.Progress{Call: k.ID, Stage: lapiscourse.Left})
+	if k.state != routing {
+		c.desk.Report(c.now(), lapiscourse.Progress{Call: k.ID, Stage: lapiscourse.Left})
+	}
 	c.finish(k, CallerLeft)
 	c.tell(k, GivenUp, 0, 0)
 }
@@ -596,6 +637,9 @@
 		t := heap.Pop(&c.timers).(timer)
 		if k := t.call; k.state == trying && k.attempt == t.attempt && c.calls[k.ID] == k {
 			c.give(k, TimedOut)
+		} else if k.state == routing && c.calls[k.ID] == k {
+			c.Failed++
+			c.refuse(k, Failed, TimedOut, CauseFailed, 0)
 		}
 	}
 	for _, o := range c.desk.Tick(now) {
--- a/internal/call/route_test.go
+++ b/internal/call/route_test.go
@@ -76,3 +76,60 @@
 		t.Errorf("%v, %d repeated", err, b.core.Repeated)
 	}
 }
+
+// pending is a Router that decides later.
+type pending struct{ held int }
+
+func (r *pending) Route(Time, *Request) Routing {
+	r.held++
+	return Routing{Pending: true, Release: func() { r.held-- }}
+}
+
+// A call whose number is looked up is owed one answer like any other: it goes on with the word, is
+// refused by it, or ends before; whatever comes after that changes nothing.
+func TestCallsWaitForTheWord(t *testing.T) {
+	b := newBench(try("s"))
+	desk := &asked{script: &b.script}
+	b.core.desk = desk
+	r := &pending{}
+	b.core.RouteBy(r)
+	b.setUp("goes on")
+	if len(desk.all) != 0 || r.held != 1 || b.core.Open() != 1 {
+		t.Errorf("%d asked, %d held, %d open", len(desk.all), r.held, b.core.Open())
+	}
+	b.core.Routed("goes on", Routing{Pools: []int{3}})
+	b.core.Routed("goes on", Routing{Cause: 1}) // a second word
+	b.core.Answered("s", "goes on", 0, nil)
+	b.want(t, "invite s goes on 0", "stands goes on ")
+	if desk.all[0].First != 3 || r.held != 1 {
+		t.Errorf("%+v, %d held", desk.all[0], r.held)
+	}
+	b.core.Hangup("goes on", CauseNormal)
+	b.said = nil
+
+	b.setUp("refused")
+	b.core.Routed("refused", Routing{Cause: 34, Wait: 2 * time.Second})
+	b.setUp("left")
+	b.core.Hangup("left", CauseNormal)
+	b.core.Routed("left", Routing{Pools: []int{1}})
+	b.setUp("closed")
+	b.core.Closed(b.world)
+	b.core.Routed("closed", Routing{Pools: []int{1}})
+	b.core.Routed("nobody", Routing{Pools: []int{1}})
+	b.want(t, "refused refused 34 2s")
+	if r.held != 0 || len(desk.all) != 1 || len(b.progress) != 2 { // it stood, and ended
+		t.Errorf("%d held, %d asked, %+v", r.held, len(desk.all), b.progress)
+	}
+
+	// Of a look-up nothing is heard any more: the caller is answered when its time is over.
+	b.setUp("forgotten")
+	b.now += 3 * time.Second
+	b.core.Tick()
+	b.want(t, "refused forgotten 41 0s")
+	b.setUp("stop")
+	b.core.Stop()
+	b.want(t, "refused stop 34 0s")
+	if r.held != 0 || b.core.Open() != 0 {
+		t.Errorf("%d held, %d open", r.held, b.core.Open())
+	}
+}
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"io/fs"
+	"net/netip"
 	"os"
 	"path/filepath"
 	"strings"
@@ -31,13 +32,52 @@
 type Numbers struct {
 	File  string `toml:"file" json:"file"`   // rules, as docs/operate/numbering.md describes them
 	State string `toml:"state" json:"state"` // folder for the versions loaded in service; "": they do not survive a restart
+	// Lookup asks for numbers that may have moved; without servers they are routed as they are.
+	Lookup Lookup `toml:"lookup" json:"lookup"`
 }
 
+// A Lookup is how numbers that may have moved are asked for.
+type Lookup struct {
+	Servers  []string `toml:"servers" json:"servers"`   // in their order
+	Suffix   string   `toml:"suffix" json:"suffix"`     // domain of numbers
+	Share    float64  `toml:"share" json:"share"`       // of a caller's time that a look-up may take
+	Fallback string   `toml:"fallback" json:"fallback"` // where nobody can tell: route or refuse
+}
+
+// Fallbacks of a Lookup.
+const (
+	FallbackRoute  = "route"
+	FallbackRefuse = "refuse"
+)
+
 // Check tells what is wrong with the section; the rules are read by who uses them.
 func (n *Numbers) Check() error {
 	if n.File == "" {
 		return bad("file", "missing; name the file of rules")
 	}
+	l := &n.Lookup
+	if l.Suffix == "" {
+		l.Suffix = "e164.arpa"
+	}
+	if l.Share == 0 {
+		l.Share = 0.25
+	}
+	if l.Fallback == "" {
+		l.Fallback = FallbackRoute
+	}
+	for _, s := range l.Servers {
+		if _, err := netip.ParseAddrPort(s); err != nil {
+			return &KeyError{"lookup.servers", err}
+		}
+	}
+	switch {
+	case len(l.Servers) > 8:
+		return bad("lookup.servers", "%d are more than 8", len(l.Servers))
+	case l.Share < 0 || l.Share > 0.5:
+		return bad("lookup.share", "%v is not between 0 and 0.5", l.Share)
+	case l.Fallback != FallbackRoute && l.Fallback != FallbackRefuse:
+		return bad("lookup.fallback", "%q is neither %q nor %q", l.Fallback, FallbackRoute, FallbackRefuse)
+	}
 	return nil
 }
 
--- a/internal/net/node.go
+++ b/internal/net/node.go
@@ -155,6 +155,7 @@
 func (n *Node) Run() error {
 	err := gnet.Rotate(n, n.listeners(), gnet.WithNumEventLoop(1), gnet.WithLogger(gnetLog{n.log}),
 		gnet.WithLoadBalancing(gnet.LeastConnections), gnet.WithReuseAddr(true))
+	n.numbers.close()
 	n.rec.close() // the loop has ended, this goroutine may speak for it
 	if err != nil {
 		return fmt.Errorf("serving %s: %w", n.cfg.Listen, err)
--- a/internal/net/numbers.go
+++ b/internal/net/numbers.go
@@ -9,19 +9,23 @@
 	"lapiscourse/internal/call"
 	"lapiscourse/internal/config"
 	"lapiscourse/internal/control"
+	"lapiscourse/internal/enum"
 	"lapiscourse/internal/net/h248"
 	"lapiscourse/internal/numbering"
+	"lapiscourse/internal/portability"
 	durable "lapiscourse/internal/store"
 )
 
 // numbers routes calls by the table of numbers in force. The desk belongs to the loop; tables are
 // read, compiled and saved elsewhere, one order at a time, and handed in whole.
 type numbers struct {
-	n    *Node
-	file string
-	env  numbering.Env
-	desk numbering.Desk
-	kept *durable.Store // nil: versions do not survive a restart
+	n      *Node
+	file   string
+	env    numbering.Env
+	desk   numbering.Desk
+	kept   *durable.Store // nil: versions do not survive a restart
+	lookup config.Lookup
+	client *enum.Client // nil: nobody is asked
 }
 
 // Names in the store: what stands, and the rules of a version by its digest.
@@ -34,6 +38,13 @@
 	for _, k := range n.cfg.Settings.Classes {
 		r.env.Classes = append(r.env.Classes, numbering.Class{Name: k.Name, Pools: k.Pools})
 	}
+	r.lookup = o.Lookup
+	if len(o.Lookup.Servers) > 0 {
+		var err error
+		if r.client, err = enum.Dial(o.Lookup.Servers, o.Lookup.Suffix, portability.Defaults(len(o.Lookup.Servers))); err != nil {
+			return nil, err
+		}
+	}
 	if o.State != "" {
 		var err error
 		if r.kept, err = durable.Open(o.State); err != nil {
@@ -245,9 +256,66 @@
 func (r *numbers) Route(now call.Time, q *call.Request) call.Routing {
 	pin := r.desk.Pin()
 	t := pin.Table()
-	// Nobody looks numbers up yet: those that may have moved are routed as they are.
-	d := t.Analyse(&numbering.Query{Number: q.Number, Class: q.Class, At: now, Seed: numbering.Seed(q.ID), Ported: numbering.Ported{State: numbering.Undecided}})
-	return call.Routing{Pools: d.Pools(), Cause: d.Cause, Table: t.Digest(), Release: pin.Release}
+	ask := numbering.Query{Number: q.Number, Class: q.Class, At: now, Seed: numbering.Seed(q.ID)}
+	d := t.Analyse(&ask)
+	if d.Verdict == numbering.Ask {
+		id := q.ID
+		wait := r.budget(q.Class).Of(q.Until - now)
+		if r.client != nil && wait > 0 && r.client.Ask(id, d.Number.String(), wait, func(res portability.Result) {
+			r.n.exec(func() { r.n.turn(func() { r.found(id, pin, ask, res) }) })
+		}) {
+			return call.Routing{Pending: true, Table: t.Digest(), Release: func() {
+				r.client.Cancel(id)
+				pin.Release()
+			}}
+		}
+		ask.Ported.State = numbering.Undecided
+		d = t.Analyse(&ask)
+	}
+	word := r.word(&ask, &d)
+	word.Table, word.Release = t.Digest(), pin.Release
+	return word
+}
+
+// found goes on with a call whose number was looked up, by the table that it began with.
+func (r *numbers) found(id string, pin *numbering.Pin, ask numbering.Query, res portability.Result) {
+	t := pin.Table()
+	if t == nil {
+		return // the call has ended meanwhile
+	}
+	ask.Ported = res.Ported
+	d := t.Analyse(&ask)
+	r.n.core.Routed(id, r.word(&ask, &d))
+}
+
+// word is a decision as the core takes it.
+func (r *numbers) word(ask *numbering.Query, d *numbering.Decision) call.Routing {
+	if ask.Ported.State == numbering.Undecided && r.lookup.Fallback == config.FallbackRefuse {
+		return call.Routing{Cause: call.CauseNoCircuit, Wait: undecidedWait}
+	}
+	return call.Routing{Pools: d.Pools(), Cause: d.Cause}
+}
+
+// undecidedWait is what callers are asked to keep away for where nobody can tell a number's way.
+const undecidedWait = 2 * time.Second
+
+// budget is what a look-up for a call of a class may take: two attempts that take half the wanted
+// time each, the release guard between them and the answer must still fit behind it.
+func (r *numbers) budget(class string) portability.Budget {
+	b := portability.Budget{Attempt: 500 * time.Millisecond, Guard: r.n.cfg.Settings.Release, Answer: 10 * margin, Share: r.lookup.Share}
+	for _, k := range r.n.cfg.Settings.Classes {
+		if k.Name == class {
+			b.Attempt = k.Aim / 2
+		}
+	}
+	return b
+}
+
+// close ends the look-ups once the loop has ended.
+func (r *numbers) close() {
+	if r != nil && r.client != nil {
+		r.client.Close()
+	}
 }
 
 // ReloadNumbers reads the table of numbers again, as SIGHUP asks for, and puts it in force for
