--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -39,6 +39,7 @@
 	Log    config.Log      `json:"log"`
 	// Records switches its records on; without a folder they are kept beside its other files.
 	Records *config.Records `json:"records"`
+	Numbers *config.Numbers `json:"numbers"` // switches routing by number on
 }
 
 // States of an instance.
@@ -160,7 +161,7 @@
 
 // operator is the operator's file of an instance.
 func (s *Spec) operator() *config.Operator {
-	return &config.Operator{Log: s.Log, H248: s.H248, Records: s.Records}
+	return &config.Operator{Log: s.Log, H248: s.H248, Records: s.Records, Numbers: s.Numbers}
 }
 
 func (a *Agent) drain(i *instance, why string) {
--- a/internal/numbering/numbering_test.go
+++ b/internal/numbering/numbering_test.go
@@ -193,6 +193,7 @@
 		route + "[[prefix]]\nprefix = \"1\"\nroute = \"x\"\n":                                                                                        `prefix 1 (1): there is no route "x"`,
 		route + "[[prefix]]\nprefix = \"12\"\nroute = \"r\"\n[[barred]]\nprefix = \"1\"\n":                                                           "prefix 1 (12): unreachable: barred 1 bars it",
 		route + "[[range]]\nfirst = \"10\"\nlast = \"30\"\nroute = \"r\"\n[[range]]\nfirst = \"25\"\nlast = \"40\"\nroute = \"r\"\n":                 "range 2 (25 to 40): overlaps range 1",
+		route + "[[prefix]]\nprefix = \"12\"\nroute = \"r\"\n[[range]]\nfirst = \"1000\"\nlast = \"1499\"\nroute = \"r\"\n":                          "prefix 1 (12): it lies within range 1 (1000 to 1499)",
 		route + "[[range]]\nfirst = \"10\"\nlast = \"300\"\nroute = \"r\"\n":                                                                         "range 1 (10 to 300): first and last are digits",
 		"default = \"r\"\n" + route + "[[translate]]\nmatch = \"1\"\nstrip = 1\nadd = \"2\"\n[[translate]]\nmatch = \"2\"\nstrip = 1\nadd = \"1\"\n": "translate 1 (1): a loop, by way of entries [1 2 1]",
 		"default = \"r\"\n" + route + "[[translate]]\nmatch = \"1\"\n[[translate]]\nmatch = \"1\"\n":                                                 "translate 2 (1): unreachable: translate 1 matches the same",
--- a/internal/numbering/table.go
+++ b/internal/numbering/table.go
@@ -434,6 +434,7 @@
 			c.fault(names(int32(len(r.Prefix)+order[i]+1)), "overlaps range %d", order[i-1]+1)
 		}
 	}
+	c.across(r, order)
 	if len(entries) > mostPrefixes {
 		c.fault("range", "ranges take %d prefixes, more than %d", len(entries), mostPrefixes)
 		return
@@ -446,6 +447,36 @@
 	c.t.numbers = t
 }
 
+// across finds prefixes that lie within a range, or across its end, and are no longer than its
+// numbers. Which of the two is the longer match would hang on the blocks that the range is made of:
+// in its middle the prefix would win, at its ends the range. The rules must say it. order is that of
+// the ranges by length and first number.
+func (c *compiler) across(r *Rules, order []int) {
+	byLength := make(map[int][]int)
+	for _, i := range order {
+		if x := r.Range[i]; isDigits(x.First) && len(x.First) == len(x.Last) {
+			byLength[len(x.First)] = append(byLength[len(x.First)], i)
+		}
+	}
+	for n, p := range r.Prefix {
+		for length, ranges := range byLength {
+			if len(p.Prefix) > length {
+				continue // it is one of numbers that go on: always the longer match
+			}
+			rest := length - len(p.Prefix)
+			lo, hi := p.Prefix+strings.Repeat("0", rest), p.Prefix+strings.Repeat("9", rest)
+			// Ranges of one length do not overlap: only the first and the last that the prefix meets can
+			// reach beyond it.
+			at, _ := slices.BinarySearchFunc(ranges, lo, func(i int, lo string) int { return strings.Compare(r.Range[i].Last, lo) })
+			for ; at < len(ranges) && r.Range[ranges[at]].First <= hi; at++ {
+				if x := r.Range[ranges[at]]; x.First < lo || x.Last > hi {
+					c.fault(fmt.Sprintf("prefix %d (%s)", n+1, p.Prefix), "it lies within range %d (%s to %s), or across its end; split the range there", ranges[at]+1, x.First, x.Last)
+				}
+			}
+		}
+	}
+}
+
 // blocks are the prefixes that cover the numbers from first to last, both of one length: as few
 // as can be, two for each digit and step at the most.
 func blocks(first, last string) []string {
