Let emergency calls come first in the module

An emergency number went its route at once, but the module held it back like any other call when a server's credit ran out. The Router says that a call is urgent; the desk hands it to the module's urgent tier, that of calls that were cut and come again. controller.go is not touched. What is left, and in the ROADMAP: the rule of numbers whose lines were all busy turns it down still.

--- a/facade.go
+++ b/facade.go
@@ -27,6 +27,7 @@
 	Pools  []int  // pools it may go to, the preferred first; nil: those of its class
 	Until  Time   // the caller gives up
 	Cut    bool   // it stood, was cut and comes again
+	Urgent bool   // an emergency: it comes first, as a call that was cut does
 }
 
 // A Stage says how far an attempt of which Report tells has come.
@@ -89,7 +90,7 @@
 // Pick asks where a call is to go.
 func (d *Desk) Pick(now Time, r Request) Order {
 	return d.one(r.Call, d.c.Handle(now, Ask{Call: r.Call, Class: r.Class, Number: r.Number,
-		First: r.First, Pools: r.Pools, Until: r.Until, Cut: r.Cut}))
+		First: r.First, Pools: r.Pools, Until: r.Until, Cut: r.Cut || r.Urgent}))
 }
 
 // Report tells what became of an attempt and asks what is to follow.
--- a/growth_test.go
+++ b/growth_test.go
@@ -135,3 +135,29 @@
 		t.Errorf("all permitted pools are out, sent to %q", got)
 	}
 }
+
+// An emergency goes where an ordinary call is held back, as a call that was cut does.
+func TestEmergencyComesFirst(t *testing.T) {
+	settings := testSettings()
+	for _, urgent := range []bool{false, true} {
+		d, err := NewDesk(Time(time.Hour), settings, 1, func(string) {})
+		if err != nil {
+			t.Fatal(err)
+		}
+		now := Time(time.Hour)
+		d.List(now, []Server{{ID: "a", Pool: 0}}, true)
+		sent := 0
+		for i := range 20 { // a burst: ordinary calls are held to what the server has shown
+			o := d.Pick(now, Request{Call: string(rune('a' + i)), Class: settings.Classes[0].Name, Until: now + time.Second, Urgent: urgent})
+			if o.Move == Try {
+				sent++
+			}
+			// Not as quick as the first: that proves nothing, and credit runs out.
+			took := min(time.Duration(1+99*i), 100) * time.Millisecond
+			d.Report(now, Progress{Call: string(rune('a' + i)), Server: "a", Stage: Stood, Took: took})
+		}
+		if urgent != (sent == 20) {
+			t.Errorf("urgent %v: %d of 20 sent", urgent, sent)
+		}
+	}
+}
--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -113,6 +113,7 @@
 	// Pending tells that the number is being looked up: Core.Routed brings the word. Release ends
 	// that as well, if the call ends before.
 	Pending bool
+	Urgent  bool          // an emergency: the module takes it before others
 	Wait    time.Duration // of a refusal: the caller is asked to keep away for; 0: not
 }
 
@@ -322,7 +323,7 @@
 		first = k.route.Pools[0]
 	}
 	c.obey(k, c.desk.Pick(c.now(), lapiscourse.Request{Call: k.ID, Class: k.Class, Number: k.Number,
-		First: first, Pools: k.route.Pools, Until: k.Until, Cut: k.Cut}))
+		First: first, Pools: k.route.Pools, Until: k.Until, Cut: k.Cut, Urgent: k.route.Urgent}))
 }
 
 // Routed brings the word on a call whose number was looked up. Of a call that has ended meanwhile
@@ -333,7 +334,7 @@
 		return
 	}
 	k.state = waiting
-	k.route.Pools, k.route.Cause, k.route.Pending = r.Pools, r.Cause, false
+	k.route.Pools, k.route.Cause, k.route.Urgent, k.route.Pending = r.Pools, r.Cause, r.Urgent, false
 	if r.refuses() {
 		c.Barred++
 		c.refuse(k, Barred, CalledOff, cmp.Or(r.Cause, CauseFailed), r.Wait)
--- a/internal/call/route_test.go
+++ b/internal/call/route_test.go
@@ -11,14 +11,15 @@
 
 // table is a Router whose word changes; it counts who holds it.
 type table struct {
-	pools []int
-	cause int
-	held  int
+	pools  []int
+	cause  int
+	urgent bool
+	held   int
 }
 
 func (r *table) Route(Time, *Request) Routing {
 	r.held++
-	return Routing{Pools: slices.Clone(r.pools), Cause: r.cause, Table: fmt.Sprint(r.pools), Release: func() { r.held-- }}
+	return Routing{Pools: slices.Clone(r.pools), Cause: r.cause, Urgent: r.urgent, Table: fmt.Sprint(r.pools), Release: func() { r.held-- }}
 }
 
 // asked notes what the module is asked.
@@ -49,12 +50,20 @@
 	if q := desk.all[0]; q.First != 2 || !slices.Equal(q.Pools, []int{2, 1}) {
 		t.Errorf("the module was asked for %+v", q)
 	}
+	if r.urgent = true; desk.all[0].Urgent {
+		t.Error("an ordinary call was urgent to the module")
+	}
 	b.core.Hangup("left", CauseNormal)
 	b.core.Hangup("stands", CauseNormal)
 	b.core.Ended("s", "lost", 0, NoCircuit) // the module denies it
 	if r.held != 0 {
 		t.Errorf("%d held after their ends", r.held)
 	}
+	b.setUp("emergency")
+	if !desk.all[len(desk.all)-1].Urgent {
+		t.Error("an emergency was not urgent to the module")
+	}
+	b.core.Hangup("emergency", CauseNormal)
 	// What a number bars the module never hears of; what comes again is not started twice.
 	r.cause = 21
 	n := len(desk.all)
--- a/internal/net/numbers.go
+++ b/internal/net/numbers.go
@@ -293,7 +293,7 @@
 	if ask.Ported.State == numbering.Undecided && r.lookup.Fallback == config.FallbackRefuse {
 		return call.Routing{Cause: call.CauseNoCircuit, Wait: undecidedWait}
 	}
-	return call.Routing{Pools: d.Pools(), Cause: d.Cause}
+	return call.Routing{Pools: d.Pools(), Cause: d.Cause, Urgent: d.Emergency}
 }
 
 // undecidedWait is what callers are asked to keep away for where nobody can tell a number's way.
