Share what property tests and olivectl's records commands had several times

Four packages had the same TestMain that fixes the seed of property tests; it is proptest.Main now. olivectl read points in time from flags in two places and opened stores in two more; moment and openStores serve them.

Behaviour and assertions are as they were; lint and the race suite pass.

--- a/cmd/olivectl/records.go
+++ b/cmd/olivectl/records.go
@@ -56,12 +56,9 @@
 // ready reads the texts of the flags.
 func (f *filter) ready() error {
 	for text, at := range map[*string]*record.Time{&f.from: &f.since, &f.to: &f.until} {
-		t, err := cli.When(*text, time.Now())
-		if err != nil {
-			return cli.Usage("%w", err)
-		}
-		if !t.IsZero() {
-			*at = record.Time(t.UnixNano())
+		var err error
+		if *at, err = moment(*text); err != nil {
+			return err
 		}
 	}
 	f.kind = make(map[record.Kind]bool)
@@ -75,6 +72,27 @@
 	return nil
 }
 
+// moment reads a point in time from a flag; 0 is none.
+func moment(text string) (record.Time, error) {
+	t, err := cli.When(text, time.Now())
+	if err != nil {
+		return 0, cli.Usage("%w", err)
+	}
+	if t.IsZero() {
+		return 0, nil
+	}
+	return record.Time(t.UnixNano()), nil
+}
+
+// openStores opens the stores that are, or lie in, folders to be read as one.
+func openStores(dirs []string) (*record.Merger, error) {
+	stores, err := record.Find(dirs...)
+	if err != nil {
+		return nil, err
+	}
+	return record.OpenStores(stores)
+}
+
 func (f *filter) wants(h *record.Header, r *record.Record) bool {
 	in := func(list []string, s string) bool { return len(list) == 0 || slices.Contains(list, s) }
 	return (f.since == 0 || r.At >= f.since) && (f.until == 0 || r.At <= f.until) && in(f.call, r.Call) && in(f.server, r.Server) &&
@@ -146,11 +164,7 @@
 			if err := p.ready(); err != nil {
 				return err
 			}
-			stores, err := record.Find(args...)
-			if err != nil {
-				return err
-			}
-			m, err := record.OpenStores(stores)
+			m, err := openStores(args)
 			if err != nil {
 				return err
 			}
@@ -190,11 +204,7 @@
 			if last < 0 || last > 1<<20 {
 				return cli.Usage("--lines: %d is not between 0 and %d", last, 1<<20)
 			}
-			stores, err := record.Find(args...)
-			if err != nil {
-				return err
-			}
-			m, err := record.OpenStores(stores)
+			m, err := openStores(args)
 			if err != nil {
 				return err
 			}
--- a/cmd/olivectl/report.go
+++ b/cmd/olivectl/report.go
@@ -34,12 +34,9 @@
 			var o report.Options
 			o.Workers = workers
 			for text, at := range map[*string]*record.Time{&from: &o.From, &to: &o.To} {
-				t, err := cli.When(*text, time.Now())
-				if err != nil {
-					return cli.Usage("%w", err)
-				}
-				if !t.IsZero() {
-					*at = record.Time(t.UnixNano())
+				var err error
+				if *at, err = moment(*text); err != nil {
+					return err
 				}
 			}
 			ctx, stop := signal.NotifyContext(c.Context(), syscall.SIGINT, syscall.SIGTERM)
--- a/internal/incident/incident_test.go
+++ b/internal/incident/incident_test.go
@@ -1,30 +1,20 @@
 package incident
 
 import (
-	"flag"
 	"fmt"
 	"math"
 	"math/rand/v2"
-	"os"
 	"strings"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
 
+	"lapiscourse/internal/proptest"
 	"lapiscourse/internal/record"
 )
 
-// TestMain makes property tests draw the same cases every time, unless a seed is given.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	for name, value := range map[string]string{"rapid.seed": "7", "rapid.nofailfile": "true"} {
-		if f := flag.Lookup(name); f.Value.String() == f.DefValue {
-			_ = f.Value.Set(value)
-		}
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { proptest.Main(m) }
 
 const day = Time(1_790_000_000) * time.Second
 
--- a/internal/numbering/numbering_test.go
+++ b/internal/numbering/numbering_test.go
@@ -1,10 +1,8 @@
 package numbering
 
 import (
-	"flag"
 	"fmt"
 	"math/rand/v2"
-	"os"
 	"runtime"
 	"slices"
 	"strings"
@@ -12,18 +10,11 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	"lapiscourse/internal/proptest"
 )
 
-// TestMain makes property tests draw the same cases every time, unless a seed is given.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	for name, value := range map[string]string{"rapid.seed": "7", "rapid.nofailfile": "true"} {
-		if f := flag.Lookup(name); f.Value.String() == f.DefValue {
-			_ = f.Value.Set(value)
-		}
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { proptest.Main(m) }
 
 var now = Time(time.Date(2026, 12, 1, 12, 0, 0, 0, time.UTC).UnixNano())
 
--- a/internal/portability/resolver_test.go
+++ b/internal/portability/resolver_test.go
@@ -1,12 +1,10 @@
 package portability
 
 import (
-	"flag"
 	"fmt"
 	"maps"
 	"math"
 	"math/rand/v2"
-	"os"
 	"slices"
 	"testing"
 	"time"
@@ -14,18 +12,10 @@
 	"pgregory.net/rapid"
 
 	"lapiscourse/internal/numbering"
+	"lapiscourse/internal/proptest"
 )
 
-// TestMain makes property tests draw the same cases every time, unless a seed is given.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	for name, value := range map[string]string{"rapid.seed": "7", "rapid.nofailfile": "true"} {
-		if f := flag.Lookup(name); f.Value.String() == f.DefValue {
-			_ = f.Value.Set(value)
-		}
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { proptest.Main(m) }
 
 const now = Time(1_790_000_000) * time.Second
 
--- a/internal/record/record_test.go
+++ b/internal/record/record_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"errors"
-	"flag"
 	"fmt"
 	"io"
 	"os"
@@ -16,20 +15,13 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	"lapiscourse/internal/proptest"
 )
 
 const wall = Time(1_700_000_000_000_000_000)
 
-// TestMain makes property tests draw the same cases every time, unless a seed is given.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	for name, value := range map[string]string{"rapid.seed": "7", "rapid.nofailfile": "true"} {
-		if f := flag.Lookup(name); f.Value.String() == f.DefValue {
-			_ = f.Value.Set(value)
-		}
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { proptest.Main(m) }
 
 // options are those of a small store.
 func options(dir string) Options {
