--- a/Makefile
+++ b/Makefile
@@ -5,6 +5,7 @@
 
 lint:
 	@unformatted="$$(gofmt -l .)"; if [ -n "$$unformatted" ]; then echo "gofmt needed: $$unformatted" >&2; exit 1; fi
+	@hidden="$$(git ls-files --others --ignored --exclude-standard -- '*.go' go.mod go.sum)"; if [ -n "$$hidden" ]; then echo "kept out by .gitignore: $$hidden" >&2; exit 1; fi
 	go vet ./...
 	go tool staticcheck ./...
 
