Let emergency calls pass the rule of numbers whose lines were all busy

An emergency number that was busy a moment ago turned further emergency calls away for a window, as it does a crowd that dials one number: nothing may bar or delay these. The module's rule now holds for the tiers below urgent.

The trie counts bits by math/bits, which its comment had promised.

A test that fails without it.

--- a/controller.go
+++ b/controller.go
@@ -498,7 +498,7 @@
 	if e.Cut {
 		k.tier = urgent
 	}
-	if c.jammed(k) {
+	if k.tier < urgent && c.jammed(k) {
 		c.refuse(k, NumberJammed)
 		return
 	}
--- a/growth_test.go
+++ b/growth_test.go
@@ -161,3 +161,37 @@
 		}
 	}
 }
+
+// An emergency is not turned away for its number's lines having all been busy of late, as a crowd
+// that dials that number is.
+func TestEmergencyPassesJammedNumber(t *testing.T) {
+	now := Time(time.Hour)
+	settings := testSettings()
+	d, err := NewDesk(now, settings, 1, func(string) {})
+	if err != nil {
+		t.Fatal(err)
+	}
+	d.List(now, []Server{{ID: "a", Pool: 0}}, true)
+	ask := func(id string, urgent bool) Order {
+		now += 5 * time.Millisecond
+		return d.Pick(now, Request{Call: id, Class: settings.Classes[0].Name, Number: "133", Until: now + time.Second, Urgent: urgent})
+	}
+	jammed := ""
+	for i := range 12 { // callers find all lines busy
+		id := string(rune('a' + i))
+		o := ask(id, false)
+		if o.Move == Deny && o.Why == NumberJammed {
+			jammed = id
+			break
+		}
+		if o.Move == Try {
+			d.Report(now, Progress{Call: id, Server: o.Server, Stage: Ended, Code: Error, Cause: NumberBusy, Took: time.Millisecond})
+		}
+	}
+	if jammed == "" {
+		t.Fatal("no call was turned away for its number")
+	}
+	if o := ask("urgent", true); o.Move != Try {
+		t.Errorf("an emergency to the same number: %+v", o)
+	}
+}
--- a/internal/numbering/trie.go
+++ b/internal/numbering/trie.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/bits"
 	"slices"
 )
 
@@ -94,15 +95,8 @@
 
 func (e *equal) Error() string { return fmt.Sprintf("%s is there twice", e.digits) }
 
-// popcount of the ten bits of a mask, by a table in a word: the nodes are hot.
-func below(mask uint16, digit byte) int32 {
-	m := mask & (1<<digit - 1)
-	n := int32(0)
-	for ; m != 0; m &= m - 1 {
-		n++
-	}
-	return n
-}
+// below counts the children that stand in front of a digit's.
+func below(mask uint16, digit byte) int32 { return int32(bits.OnesCount16(mask & (1<<digit - 1))) }
 
 // find returns the entry of the longest prefix of a number and its length; -1 if there is none.
 func (t *trie) find(digits []byte) (e int32, length int) {
