Replay numbers by both fronts against a plain reader, and show tables in force

Routing by number had been checked table by table; what a whole call controller does under swaps, look-ups that fail and draining pools had not. And operators could not see from where they look which table is in force.

internal/numbering/numberingtest reads a file of rules as a person would and shares no code with the analysis. 100,000 numbers go through both fronts while tables are swapped; each call's records must say what the reader finds in the table in force at its set-up, attempt by attempt. A module without limits stands in where rates matter. Digests in force are in the audit and in olivectl top, where stragglers are marked; look-ups count in event=counters, without waiting for the client's goroutine.

Found by the replay: the record of a table in force had a digest of its own text in front, so nobody could match it with set-ups.

Ruled out: the module itself for the replay, which lets a few calls a second to unknown servers.

--- a/internal/console/console_test.go
+++ b/internal/console/console_test.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"math"
 	"net"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -308,3 +309,35 @@
 		t.Error("the cursor stays hidden")
 	}
 }
+
+// An instance whose table of numbers is another than most have is marked, and counted in the first
+// line; without any table there is no such column.
+func TestStragglers(t *testing.T) {
+	snap := &Snapshot{At: time.Unix(1000, 0), Instances: []Instance{
+		{Name: "a", State: StateRunning, Numbers: "1111111111111111", Seen: time.Unix(1000, 0)},
+		{Name: "b", State: StateRunning, Numbers: "2222222222222222", Seen: time.Unix(1000, 0)},
+		{Name: "c", State: StateRunning, Numbers: "2222222222222222", Seen: time.Unix(1000, 0)},
+		{Name: "d", State: StateEnded, Seen: time.Unix(1000, 0)}}}
+	var marked []string
+	for i, row := range snap.fleet().rows {
+		if row[3].bad {
+			marked = append(marked, snap.Instances[i].Name)
+		}
+	}
+	if snap.Numbers() != "2222222222222222" || !slices.Equal(marked, []string{"a"}) {
+		t.Errorf("most have %q, marked are %v", snap.Numbers(), marked)
+	}
+	m := Model{snap: snap, width: 120}
+	if line := m.summary(); !strings.Contains(line, "(1 not on table 22222222)") {
+		t.Errorf("%q", line)
+	}
+	if plain := snap.Plain(120); !strings.Contains(plain, "NUMBERS") || !strings.Contains(plain, "11111111") {
+		t.Error(plain)
+	}
+	for i := range snap.Instances {
+		snap.Instances[i].Numbers = ""
+	}
+	if plain := snap.Plain(120); strings.Contains(plain, "NUMBERS") {
+		t.Error(plain)
+	}
+}
--- a/internal/console/json.go
+++ b/internal/console/json.go
@@ -61,6 +61,7 @@
 		Standing int       `json:"standing"`
 		Lost     uint64    `json:"records_lost"`
 		Gap      bool      `json:"gap,omitempty"`
+		Numbers  string    `json:"numbers,omitempty"`
 		Counts
 		Rates   rates    `json:"a_second"`
 		Classes []class  `json:"classes"`
@@ -102,7 +103,7 @@
 	}{At: s.At, Source: s.Source, Total: total, Rates: of(all), NotRated: left, Instances: []instance{}, Servers: servers(s.Servers()), Classes: classes(s.Classes()), Events: []event{}}
 	for _, in := range s.Instances {
 		out.Instances = append(out.Instances, instance{in.Name, in.Agent, in.State, in.Problem, in.Starts, in.Seen, max(s.At.Sub(in.Seen).Seconds(), 0), in.Open, in.Standing,
-			in.Lost, in.Gap, in.Total, of(in.Rates), classes(in.Classes), servers(in.Servers)})
+			in.Lost, in.Gap, in.Numbers, in.Total, of(in.Rates), classes(in.Classes), servers(in.Servers)})
 	}
 	for _, e := range s.Events {
 		out.Events = append(out.Events, event(e))
--- a/internal/console/snapshot.go
+++ b/internal/console/snapshot.go
@@ -78,6 +78,7 @@
 	Open     int // calls whose answer is owed
 	Standing int
 	Lost     uint64 // records
+	Numbers  string // digest of the table of numbers in force; "": none, or not told
 	Gap      bool   // records are lost just before Seen
 	Classes  []Class
 	Servers  []Server
@@ -154,6 +155,24 @@
 	return c, r, left
 }
 
+// Numbers is the digest of the table of numbers that most instances have in force; of two that are
+// equally many the one that comes first in the alphabet. An instance with another is a straggler, or
+// the first of a change.
+func (s *Snapshot) Numbers() (most string) {
+	have := make(map[string]int)
+	for _, in := range s.Instances {
+		if in.Numbers != "" {
+			have[in.Numbers]++
+		}
+	}
+	for digest, n := range have {
+		if most == "" || n > have[most] || n == have[most] && digest < most {
+			most = digest
+		}
+	}
+	return most
+}
+
 // Servers puts together what the instances know of each server.
 func (s *Snapshot) Servers() []Server {
 	by := make(map[string]*Server)
--- a/internal/console/source.go
+++ b/internal/console/source.go
@@ -297,7 +297,7 @@
 		return Counts{number(kids, "requests"), number(kids, "stood"), number(kids, "late"), number(kids, "refused"), number(kids, "failed"),
 			number(kids, "givenup"), number(kids, "cut"), number(kids, "attempts")}
 	}
-	in.Classes, in.Servers = nil, nil
+	in.Classes, in.Servers, in.Numbers = nil, nil, ""
 	if s := h248.Find(c.Descriptors, "Statistics"); s != nil {
 		in.Total, in.Open, in.Standing, in.Lost = counts(s.Kids), int(number(s.Kids, "open")), int(number(s.Kids, "standing")), number(s.Kids, "recordslost")
 		for _, k := range s.Kids {
@@ -306,6 +306,8 @@
 				in.Classes = append(in.Classes, Class{Name: h248.Value(k.Kids, "oc/name"), Counts: counts(k.Kids)})
 				in.Total.Late += number(k.Kids, "late")
 				in.Total.Cut += number(k.Kids, "cut")
+			case "oc/table":
+				in.Numbers = h248.Value(k.Kids, "oc/digest")
 			case "oc/server":
 				x := Server{Name: h248.Value(k.Kids, "oc/name"), Pool: int(number(k.Kids, "pool")), Phase: h248.Value(k.Kids, "oc/phase"),
 					Cold: h248.Value(k.Kids, "oc/cold") == "1", Tries: number(k.Kids, "attempts"), Stood: number(k.Kids, "stood"), Cut: number(k.Kids, "cut"), Ceiling: math.Inf(1)}
@@ -336,6 +338,9 @@
 	case old.Starts != in.Starts:
 		note("", "started anew", fmt.Sprintf("start %d", in.Starts), true)
 	}
+	if known && old.Numbers != in.Numbers && in.Numbers != "" {
+		note("", "numbers", "table "+brief(in.Numbers)+" is in force", false)
+	}
 	for _, s := range in.Servers {
 		for _, o := range old.Servers {
 			if o.Name != s.Name {
--- a/internal/console/table.go
+++ b/internal/console/table.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -143,18 +144,29 @@
 var fleetColumns = []column{{"INSTANCE", 14, true}, {"STATE", 9, true}, {"AGE", 6, false}, {"OFFER/S", 8, false}, {"STOOD/S", 8, false}, {"REFUS/S", 8, false},
 	{"FAIL/S", 7, false}, {"OPEN", 6, false}, {"STAND", 7, false}, {"CUT", 6, false}, {"LATE", 6, false}, {"LOST", 6, false}, {"OFFERED", 9, false}, {"STARTS", 7, false}}
 
+// brief is what people tell digests apart by.
+func brief(digest string) string { return digest[:min(len(digest), 8)] }
+
 func (s *Snapshot) fleet() *table {
 	t := &table{columns: fleetColumns}
+	numbers := s.Numbers()
+	if numbers != "" {
+		t.columns = slices.Insert(slices.Clone(fleetColumns), 3, column{"NUMBERS", 8, true})
+	}
 	for _, in := range s.Instances {
 		old := s.At.Sub(in.Seen)
 		if in.Seen.IsZero() {
 			old = 0
 		}
 		bad := in.State == StateSilent || in.State == StateKilled
-		t.add(in.Name, text(in.Name), text(in.State).warn(bad), cell{text: age(old), key: old.Seconds(), bad: old > 10*time.Second && in.State != StateEnded},
+		cells := []cell{text(in.Name), text(in.State).warn(bad), cell{text: age(old), key: old.Seconds(), bad: old > 10*time.Second && in.State != StateEnded},
 			rate(in.Rates.Offered), rate(in.Rates.Stood), rate(in.Rates.Refused).warn(in.Rates.Refused > 0), rate(in.Rates.Failed).warn(in.Rates.Failed > 0),
 			number(uint64(max(in.Open, 0))), number(uint64(max(in.Standing, 0))), number(in.Total.Cut), number(in.Total.Late),
-			number(in.Lost).warn(in.Lost > 0), number(in.Total.Offered), number(uint64(max(in.Starts, 0))))
+			number(in.Lost).warn(in.Lost > 0), number(in.Total.Offered), number(uint64(max(in.Starts, 0)))}
+		if numbers != "" {
+			cells = slices.Insert(cells, 3, text(brief(in.Numbers)).warn(in.Numbers != numbers && in.State == StateRunning))
+		}
+		t.add(in.Name, cells...)
 	}
 	return t
 }
--- a/internal/console/tracker.go
+++ b/internal/console/tracker.go
@@ -92,6 +92,13 @@
 		if r.By == "class" && len(k.aims) < mostClasses {
 			k.aims[r.Class] = r.Wait
 		}
+		if r.By == "numbers" {
+			digest, _, _ := strings.Cut(r.Text, " ")
+			if k.Numbers != "" && k.Numbers != digest {
+				t.event(r, k.Name, "", "numbers", "table "+brief(digest)+" is in force", false)
+			}
+			k.Numbers = digest
+		}
 	case record.KindSetUp:
 		if len(k.open) < 1<<18 {
 			k.open[r.Call] = r.Class
--- a/internal/control/numbers.go
+++ b/internal/control/numbers.go
@@ -6,6 +6,7 @@
 
 	"lapiscourse/internal/net/h248"
 	"lapiscourse/internal/numbering"
+	"lapiscourse/internal/portability"
 )
 
 // NumbersTermination is the termination by which an instance's table of numbers is managed:
@@ -91,3 +92,21 @@
 	}
 	return all, job
 }
+
+// TableNode tells of the table of numbers in force.
+func TableNode(digest, version string) *h248.Node {
+	return &h248.Node{Name: "oc/table", Kids: []*h248.Node{{Name: "oc/digest", Value: digest, Quoted: true}, {Name: "oc/name", Value: version, Quoted: true}}}
+}
+
+// LookupsNode tells of the look-ups of ported numbers.
+func LookupsNode(c *portability.Counters) *h248.Node {
+	n := &h248.Node{Name: "oc/lookups"}
+	for _, f := range []struct {
+		name string
+		v    int
+	}{{"asked", c.Asked}, {"hits", c.Hits}, {"undecided", c.Undecided}, {"sent", c.Sent}, {"answered", c.Answered}, {"timedout", c.TimedOut},
+		{"strays", c.Strays}, {"lies", c.Lies}, {"broken", c.Broken}} {
+		n.Kids = append(n.Kids, &h248.Node{Name: "oc/" + f.name, Value: strconv.Itoa(f.v)})
+	}
+	return n
+}
--- a/internal/enum/client.go
+++ b/internal/enum/client.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"lapiscourse/internal/portability"
@@ -22,6 +23,7 @@
 	socks  []net.Conn
 	in     chan func() // what is to be done by the goroutine that owns res
 	tells  map[string]func(portability.Result)
+	latest atomic.Pointer[portability.Counters] // as they stood when something was last done
 	stop   context.CancelFunc
 	done   chan struct{}
 	once   sync.Once
@@ -101,17 +103,11 @@
 	})
 }
 
-// Counters are the resolver's, as they stand.
+// Counters are the resolver's, as they stood a moment ago. It does not wait: a loop that serves
+// may ask.
 func (c *Client) Counters() (n portability.Counters) {
-	got := make(chan portability.Counters, 1)
-	select {
-	case c.in <- func() { got <- c.res.Counters }:
-	case <-c.done:
-		return n
-	}
-	select {
-	case n = <-got:
-	case <-c.done:
+	if latest := c.latest.Load(); latest != nil {
+		n = *latest
 	}
 	return n
 }
@@ -143,6 +139,8 @@
 		case <-timer.C:
 			c.carry(c.res.Tick(now()))
 		}
+		n := c.res.Counters
+		c.latest.Store(&n)
 	}
 }
 
--- /dev/null
+++ b/internal/net/drain_test.go
@@ -0,0 +1,107 @@
+package net
+
+import (
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"lapiscourse/internal/config"
+)
+
+// The pools of a number drain one after the other, the fallback first: calls go to what is left of
+// them, to no other pool, and are answered at once where nothing is left. What comes back is used.
+func TestPoolsThatDrain(t *testing.T) {
+	t.Parallel()
+	f, h := startFleet(t, 3), newHeard()
+	for _, s := range f.servers {
+		s.lively = true
+	}
+	rules := filepath.Join(t.TempDir(), "numbers.toml")
+	text := "default = \"r\"\n[[route]]\nname = \"r\"\n[[route.target]]\npool = 0\n[[route.target]]\npool = 1\nstep = 1\n"
+	if err := os.WriteFile(rules, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	f.numbers = &config.Numbers{File: rules}
+	if err := f.numbers.Check(); err != nil {
+		t.Fatal(err)
+	}
+	s := f.node(t, "n0", "", new(atomic.Int64))
+	callers := []caller{dialJSON(t, s.json(), h, "aaaaaaaa"), dialH248(t, s.panel(), h, "<one>")}
+	invited := func() (all [3]int) {
+		for i, x := range f.servers {
+			x.mu.Lock()
+			all[i] = x.invited
+			x.mu.Unlock()
+		}
+		return all
+	}
+	drains := func(which ...int) {
+		lines := append([]nameLine(nil), f.lines...)
+		for _, i := range which {
+			lines[i].draining = true
+		}
+		f.names.set(lines...)
+		eventually(t, "the node is told", func() bool {
+			got := make(chan bool, 1)
+			s.n.exec(func() {
+				same := true
+				for i, l := range lines {
+					same = same && s.n.links[l.id].draining == lines[i].draining
+				}
+				got <- same
+			})
+			return <-got
+		})
+	}
+	// goes sets calls up on both fronts until two have gone to one of the servers that may have
+	// them, or where none may until two have been answered at once. None may go elsewhere. What the
+	// module turns away since it does not know a server well yet is tried again.
+	goes := func(what, number string, may ...int) {
+		t.Helper()
+		for good, end := 0, time.Now().Add(10*time.Second); good < 2; {
+			if time.Now().After(end) {
+				t.Fatalf("%s: %d of 2 calls went where they may", what, good)
+			}
+			before, began := invited(), time.Now()
+			key := callers[good%2].setUp(number, 4*time.Second)
+			eventually(t, what+": it ends", func() bool { return strings.Contains(h.of(key), "end") })
+			took, to := time.Since(began), -1
+			for i, n := range invited() {
+				if n == before[i] {
+					continue
+				}
+				if to = i; !slices.Contains(may, i) {
+					t.Errorf("%s: a call went to %d", what, i)
+				}
+			}
+			switch {
+			case slices.Contains(may, to), len(may) == 0 && to < 0 && took < time.Second:
+				good++
+			case len(may) == 0 && to < 0:
+				t.Errorf("%s: a call was turned away after %v", what, took)
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+	goes("all are there", "1230", 0, 1)
+	drains(1)
+	goes("the fallback drains", "1230", 0)
+	drains(0, 1)
+	goes("all pools of the route drain", "1230")
+	drains(0)
+	goes("the fallback is back", "1230", 1)
+	drains(1)
+	goes("the first is back, the fallback drains", "1230", 0)
+	goes("its server turns calls down once", "1236", 0)
+	if n := invited()[2]; n > 0 {
+		t.Errorf("%d calls to a pool that the route does not have", n)
+	}
+	s.stop(t)
+	if n := f.r.total(&f.r.copies) + f.r.total(&f.r.early); n != 0 {
+		t.Errorf("%d rules broken", n)
+	}
+}
--- a/internal/net/h248_front.go
+++ b/internal/net/h248_front.go
@@ -501,6 +501,7 @@
 	}
 	if n.meter != nil && admin { // whom calls go to is no business of a panel
 		stats.Kids = append(stats.Kids, n.meter.audit()...)
+		stats.Kids = append(stats.Kids, n.numbers.audit()...)
 	}
 	return []*h248.Node{{Name: "Media", Kids: []*h248.Node{{Name: "TerminationState",
 		Kids: []*h248.Node{{Name: "ServiceStates", Value: state}}}}}, stats}
--- /dev/null
+++ b/internal/net/load_test.go
@@ -0,0 +1,170 @@
+package net
+
+import (
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"lapiscourse"
+)
+
+// straight is a module without limits: a call goes to its pools in their order, one after another;
+// after an attempt that may have run the release guard passes first. It shows what lies around the
+// module at rates that the module would not let through to servers it does not know.
+type straight struct {
+	left map[string][]int // pools of an open call that were not tried yet
+	held []heldCall       // by time
+}
+
+type heldCall struct {
+	at   time.Duration
+	call string
+}
+
+func newStraight() *straight { return &straight{left: make(map[string][]int)} }
+
+func (d *straight) Pick(_ time.Duration, r lapiscourse.Request) lapiscourse.Order {
+	d.left[r.Call] = r.Pools
+	return d.next(r.Call)
+}
+
+func (d *straight) next(call string) lapiscourse.Order {
+	pools := d.left[call]
+	if len(pools) == 0 {
+		delete(d.left, call)
+		return lapiscourse.Order{Call: call, Move: lapiscourse.Deny}
+	}
+	d.left[call] = pools[1:]
+	return lapiscourse.Order{Call: call, Move: lapiscourse.Try, Server: fmt.Sprint("s-", pools[0]), Wait: 100 * time.Millisecond}
+}
+
+func (d *straight) Report(now time.Duration, p lapiscourse.Progress) lapiscourse.Order {
+	switch {
+	case p.Stage == lapiscourse.Told:
+	case p.Stage != lapiscourse.Ended || p.Final:
+		delete(d.left, p.Call)
+	case p.Code == lapiscourse.Expired || p.Code == lapiscourse.Dropped || p.Code == lapiscourse.Revoked:
+		d.held = append(d.held, heldCall{now + guard + 50*time.Millisecond, p.Call})
+	default:
+		return d.next(p.Call)
+	}
+	return lapiscourse.Order{Call: p.Call, Move: lapiscourse.Hold}
+}
+
+func (d *straight) Tick(now time.Duration) (all []lapiscourse.Order) {
+	for len(d.held) > 0 && d.held[0].at <= now {
+		if _, ok := d.left[d.held[0].call]; ok {
+			all = append(all, d.next(d.held[0].call))
+		}
+		d.held = d.held[1:]
+	}
+	return all
+}
+
+func (d *straight) Next() time.Duration {
+	if len(d.held) > 0 {
+		return d.held[0].at
+	}
+	return time.Duration(1<<63 - 1)
+}
+
+func (d *straight) List(time.Duration, []lapiscourse.Server, bool) {}
+
+// A load sets calls up on several callers and notes when each heard its first word and its end.
+type load struct {
+	h       *heard
+	callers []caller
+	left    time.Duration // the callers' time
+	slots   chan struct{} // calls that are open, at the most
+
+	mu     sync.Mutex
+	sent   map[string]time.Time // when it was to be sent: a stall of this side counts
+	first  map[string]time.Time
+	ended  map[string]bool
+	twice  int // words after the end
+	number map[string]string
+}
+
+func newLoad(h *heard, left time.Duration, open int, callers ...caller) *load {
+	l := &load{h: h, callers: callers, left: left, slots: make(chan struct{}, open), sent: make(map[string]time.Time),
+		first: make(map[string]time.Time), ended: make(map[string]bool), number: make(map[string]string)}
+	h.hook = l.hear
+	return l
+}
+
+func (l *load) hear(key, what string) {
+	if strings.HasSuffix(key, "/pending") || strings.HasPrefix(what, "done") {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.ended[key] {
+		l.twice++
+		return
+	}
+	if _, ok := l.first[key]; !ok {
+		l.first[key] = time.Now()
+	}
+	if !strings.HasPrefix(what, "stands") {
+		l.ended[key] = true
+		<-l.slots
+	}
+}
+
+// run sets so many calls up, at a rate a second or, at 0, as fast as they end.
+func (l *load) run(n int, rate float64, number func(i int) string) {
+	began := time.Now()
+	for i := range n {
+		at := time.Now()
+		if rate > 0 {
+			at = began.Add(time.Duration(float64(i) / rate * float64(time.Second)))
+			time.Sleep(time.Until(at))
+		}
+		l.slots <- struct{}{}
+		to := number(i)
+		key := l.callers[i%len(l.callers)].setUp(to, l.left)
+		l.mu.Lock()
+		l.sent[key], l.number[key] = at, to
+		l.mu.Unlock()
+	}
+}
+
+// settle waits until all calls have ended; each must have heard its first word within its time. It
+// returns how long that took for those whose first attempt stands.
+func (l *load) settle(t testing.TB) *hdrhistogram.Histogram {
+	t.Helper()
+	open := func() int {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		return len(l.sent) - len(l.ended)
+	}
+	for end := time.Now().Add(l.left + 10*time.Second); open() > 0 && time.Now().Before(end); {
+		time.Sleep(5 * time.Millisecond)
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	took := hdrhistogram.New(1, 60_000_000, 3)
+	silent, late := 0, 0
+	for key, sent := range l.sent {
+		first, ok := l.first[key]
+		if !ok || !l.ended[key] {
+			silent++
+			continue
+		}
+		if first.Sub(sent) > l.left {
+			late++
+		}
+		if l.number[key][len(l.number[key])-1] >= '5' {
+			continue // its first attempt does not stand: how long that takes is the server's doing
+		}
+		_ = took.RecordValue(max(first.Sub(sent).Microseconds(), 1))
+	}
+	if silent > 0 || late > 0 || l.twice > 0 {
+		t.Errorf("of %d calls %d have no answer or no end, %d were answered late, %d words came after the end", len(l.sent), silent, late, l.twice)
+	}
+	return took
+}
--- a/internal/net/node.go
+++ b/internal/net/node.go
@@ -83,6 +83,8 @@
 	Log     *zap.Logger      // nil: nothing is logged
 	Program string           // version, for the records
 	Clock   func() time.Time // the system's; nil: time.Now
+
+	module call.Decider // tests of what lies around it put one of their own in; nil: the module
 }
 
 // New makes a node from its configuration.
@@ -104,7 +106,11 @@
 	if err != nil {
 		return nil, err
 	}
-	n.core = call.New(desk, n, n.now, call.Limits{Open: cfg.MemoryMB << 6, Bytes: cfg.MemoryMB << 17, Recent: cfg.MemoryMB << 7})
+	var module call.Decider = desk
+	if o.module != nil {
+		module = o.module
+	}
+	n.core = call.New(module, n, n.now, call.Limits{Open: cfg.MemoryMB << 6, Bytes: cfg.MemoryMB << 17, Recent: cfg.MemoryMB << 7})
 	if err := n.observe(o, desk); err != nil {
 		return nil, err
 	}
@@ -533,6 +539,10 @@
 		"tests", c.Tests, "repeats", c.Repeats, "unsayable", c.Unsayable, "dials", c.Dials, "dials_failed", c.DialsFailed,
 		"links_lost", c.LinksLost, "strays", c.Strays, "releases_said", c.ReleasesSaid, "releases_lost", c.ReleasesLost)
 	n.log.Infow("counters", "queries", c.Queries, "queries_failed", c.QueriesFailed, "answers", c.Answers, "bad_news", c.BadNews, "serial", n.list.Serial())
+	if l, ok := n.numbers.lookups(); ok {
+		n.log.Infow("counters", "lookups", l.Asked, "hits", l.Hits, "coalesced", l.Coalesced, "stale", l.StaleHits, "undecided", l.Undecided, "no_room", l.Crowded,
+			"sent", l.Sent, "answered", l.Answered, "timed_out", l.TimedOut, "refused", l.Refused, "strays", l.Strays, "lies", l.Lies, "broken", l.Broken)
+	}
 	for _, e := range call.Ends() {
 		if k.Ends[e] > 0 {
 			n.log.Infow("ends", "end", e.String(), "count", k.Ends[e])
--- a/internal/net/recorder.go
+++ b/internal/net/recorder.go
@@ -72,14 +72,19 @@
 
 func (w *recorder) done() { w.log.Put(&w.r) }
 
-// configured tells what is in force.
+// configured tells what is in force, and a digest by which it is told from another.
 func (w *recorder) configured(what string, v any) {
+	text := fmt.Sprintf("%+v", v)
+	w.table(what, fmt.Sprintf("%016x", xxhash.Sum64String(text)), text)
+}
+
+// table tells that something with a digest of its own is in force.
+func (w *recorder) table(what, digest, text string) {
 	if w == nil {
 		return
 	}
-	text := fmt.Sprintf("%+v", v)
 	r := w.put(record.KindConfig)
-	r.By, r.Text = what, fmt.Sprintf("%016x %s", xxhash.Sum64String(text), text)
+	r.By, r.Text = what, digest+" "+text
 	w.done()
 }
 
--- /dev/null
+++ b/internal/net/replay_test.go
@@ -0,0 +1,249 @@
+package net
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"lapiscourse/internal/config"
+	"lapiscourse/internal/numbering"
+	"lapiscourse/internal/numbering/numberingtest"
+	"lapiscourse/internal/record"
+)
+
+// A replayer is a node with servers for a dozen pools, whose table of numbers is swapped all the time.
+type replayer struct {
+	f     *fleet
+	s     *site
+	h     *heard
+	dir   string
+	file  string
+	rules map[string]*numberingtest.Rules // by digest
+	texts [][]byte
+	order []string // digests of texts
+	swaps int
+	stop  chan struct{}
+	done  chan struct{}
+}
+
+const replayPools = 12
+
+func startReplay(t testing.TB, lookup config.Lookup) *replayer {
+	t.Helper()
+	r := &replayer{f: startFleet(t, replayPools), h: newHeard(), dir: t.TempDir(), file: filepath.Join(t.TempDir(), "numbers.toml"),
+		rules: make(map[string]*numberingtest.Rules), stop: make(chan struct{}), done: make(chan struct{})}
+	r.f.queue = 16 << 20
+	r.f.pools = "[[0,1,2,3,4,5,6,7,8,9,10,11]]"
+	for _, s := range r.f.servers {
+		s.lively = true
+	}
+	rng := rand.New(rand.NewPCG(21, 22))
+	for n := range 5 {
+		rules := numberingtest.Any(rng, n, replayPools, "voice")
+		for i := range rules.Prefix {
+			rules.Prefix[i].Ported = i%3 == 0 && len(lookup.Servers) > 0
+		}
+		text, err := rules.TOML()
+		if err != nil {
+			t.Fatal(err)
+		}
+		table, err := numbering.Make(text, numbering.Env{Now: time.Duration(time.Now().UnixNano())})
+		if err != nil {
+			t.Fatal(err)
+		}
+		r.rules[table.Digest()], r.texts, r.order = rules, append(r.texts, text), append(r.order, table.Digest())
+	}
+	r.put(t, 0)
+	r.f.numbers = &config.Numbers{File: r.file, Lookup: lookup}
+	if err := r.f.numbers.Check(); err != nil {
+		t.Fatal(err)
+	}
+	r.f.module = newStraight()
+	r.s = r.f.node(t, "n0", r.dir, new(atomic.Int64))
+	return r
+}
+
+func (r *replayer) put(t testing.TB, n int) {
+	t.Helper()
+	if err := os.WriteFile(r.file, r.texts[n], 0o600); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func (r *replayer) active() string {
+	got := make(chan string, 1)
+	r.s.n.exec(func() { got <- r.s.n.numbers.desk.Active().Digest() })
+	return <-got
+}
+
+// swap puts another table in force every so often until stop is closed.
+func (r *replayer) swap(t testing.TB, every time.Duration) {
+	defer close(r.done)
+	tick := time.NewTicker(every)
+	defer tick.Stop()
+	for n := 1; ; n++ {
+		select {
+		case <-r.stop:
+			return
+		case <-tick.C:
+		}
+		k := n % len(r.texts)
+		r.put(t, k)
+		r.s.n.ReloadNumbers()
+		for end := time.Now().Add(5 * time.Second); r.active() != r.order[k]; time.Sleep(time.Millisecond) {
+			if time.Now().After(end) {
+				t.Error("a table did not come into force")
+				return
+			}
+		}
+		r.swaps++
+	}
+}
+
+// check goes through the records of the replay: each call must have gone by the table that was in
+// force when it came, to the pools that a reader of that file finds, in their order, and to its end.
+// Where its number may have moved and was looked up the answer may have come in time or not: the call
+// goes where it has moved to, or as it is.
+// It returns how many calls there are, how many attempts were made when another table was in force
+// already, and how many calls can have gone where their number has moved to.
+func (r *replayer) check(t testing.TB) (calls, across, moved int) {
+	t.Helper()
+	in, err := record.OpenDir(r.dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = in.Close() }()
+	type life struct {
+		digest, number, class string
+		at                    time.Duration
+		pools                 []int
+	}
+	open := make(map[string]*life)
+	inForce := ""
+	bad := 0
+	fail := func(format string, args ...any) {
+		if bad++; bad <= 10 {
+			t.Errorf(format, args...)
+		}
+	}
+	for rec := new(record.Record); in.Next(rec) == nil; {
+		switch rec.Kind {
+		case record.KindConfig:
+			if rec.By == "numbers" {
+				inForce, _, _ = strings.Cut(rec.Text, " ")
+			}
+		case record.KindSetUp:
+			calls++
+			open[rec.Call] = &life{digest: rec.Text, number: rec.Number, class: rec.Class, at: rec.At}
+			if rec.Text != "" && rec.Text != inForce {
+				fail("%s was pinned to %s, in force was %s", rec.Call, rec.Text, inForce)
+			}
+			if rec.Text == "" { // it is refused by its number
+				open[rec.Call].digest = inForce
+			}
+		case record.KindTry:
+			k := open[rec.Call]
+			if k.digest != inForce {
+				across++
+			}
+			pool := slices.IndexFunc(r.f.lines, func(l nameLine) bool { return l.id == rec.Server })
+			k.pools = append(k.pools, pool)
+		case record.KindAnswer:
+			k := open[rec.Call]
+			delete(open, rec.Call)
+			rules := r.rules[k.digest]
+			if rules == nil {
+				fail("%s went by a table that there is not: %q", rec.Call, k.digest)
+				continue
+			}
+			want := rules.Decide(k.number, k.class, time.Unix(0, int64(k.at)))
+			outcome := record.Outcome(rec.Code).String()
+			if to := movedTo(k.number); to != "" {
+				there := rules.DecideMoved(k.number, to, k.class, time.Unix(0, int64(k.at)))
+				// Counted only where it cannot have gone as it is.
+				if !want.Begins(k.pools) && there.Cause == 0 {
+					want, moved = there, moved+1
+				} else if there.Cause != 0 && outcome == "barred" && len(k.pools) == 0 {
+					want = there
+				}
+			}
+			switch {
+			case want.Cause != 0 && (outcome != "barred" || rec.Cause != want.Cause || len(k.pools) > 0),
+				want.Cause == 0 && !want.Begins(k.pools),
+				outcome == "refused" && len(k.pools) != want.Pools(),
+				want.Cause == 0 && outcome != "stood" && outcome != "refused":
+				fail("%s to %s: %s with cause %d after pools %v; its table says %v", rec.Call, k.number, outcome, rec.Cause, k.pools, want)
+			}
+		}
+	}
+	if len(open) > 0 || bad > 10 {
+		t.Errorf("%d calls without an answer in the records, %d calls that went wrong", len(open), bad)
+	}
+	return calls, across, moved
+}
+
+// replay plays so many calls on both fronts while tables are swapped.
+func replay(t testing.TB, n int, rate float64, every time.Duration, look config.Lookup) {
+	r := startReplay(t, look)
+	panel := dialH248(t, r.s.panel(), r.h, "<one>")
+	panel.acks = true // replies that are not acknowledged are kept for 30 s, so many at the most
+	l := newLoad(r.h, 5*time.Second, 1024, dialJSON(t, r.s.json(), r.h, "aaaaaaaa"), panel)
+	rng := rand.New(rand.NewPCG(31, 32))
+	if every > 0 {
+		go r.swap(t, every)
+	} else {
+		close(r.done)
+	}
+	began := time.Now()
+	l.run(n, rate, func(int) string { return fmt.Sprint(1_000_000 + rng.IntN(9_000_000)) })
+	took := l.settle(t)
+	whole := time.Since(began)
+	close(r.stop)
+	<-r.done
+	r.s.stop(t)
+	calls, across, moved := r.check(t)
+	if calls != n || (across > 0) != (every > 0) || (r.swaps > 0) != (every > 0) || (moved > 0) != (len(look.Servers) > 0) {
+		t.Errorf("%d calls in the records of %d, %d attempts after a swap, %d swaps", calls, n, across, r.swaps)
+	}
+	if n := r.f.r.total(&r.f.r.copies) + r.f.r.total(&r.f.r.early) + r.f.r.total(&r.f.r.tampered); n != 0 {
+		t.Errorf("%d rules broken", n)
+	}
+	t.Logf("%d calls in %v, %d swaps, %d moved, %d attempts by a table that was no longer in force; answered after p50 %v us, p99 %v us, at most %v us",
+		calls, whole.Round(time.Millisecond), r.swaps, moved, across, took.ValueAtQuantile(50), took.ValueAtQuantile(99), took.Max())
+}
+
+// Numbers are replayed by both fronts while tables change in the middle of set-ups.
+func TestReplayByBothFronts(t *testing.T) {
+	t.Parallel()
+	replay(t, 3000, 0, 20*time.Millisecond, config.Lookup{})
+}
+
+// So they are while every third number is looked up, by a server that is in no hurry.
+func TestReplayWithLookups(t *testing.T) {
+	t.Parallel()
+	look := startENUM(t)
+	look.moves = movedTo
+	look.mode.Store(slow)
+	replay(t, 2000, 0, 20*time.Millisecond, config.Lookup{Servers: []string{look.addr}})
+}
+
+// The whole replay: go test -run '^$' -bench ReplayByBothFronts -benchtime 1x ./internal/net
+func BenchmarkReplayByBothFronts(b *testing.B) {
+	for range b.N {
+		replay(b, 100_000, 0, 50*time.Millisecond, config.Lookup{})
+	}
+}
+
+// Swaps under 2,000 set-ups a second, for ten seconds, beside the same load without any.
+func BenchmarkSwapUnderLoad(b *testing.B) {
+	for range b.N {
+		replay(b, 20_000, 2000, 0, config.Lookup{})
+		replay(b, 20_000, 2000, 250*time.Millisecond, config.Lookup{})
+	}
+}
