Let one quick answer end no ceiling early where calls are few

A single quick answer shortened the life of a ceiling from its long window to three seconds, after which the controller sent at full rate again until its next late answer: some hundred of them in turn kept the processors full and answers waiting behind set-ups.

The short life now needs five answers within the window, as a rate does, or the server's own word. With 8 controllers there are always so many: nothing changes there.

--- a/controller.go
+++ b/controller.go
@@ -88,7 +88,7 @@
 	climb                   float64       // set-ups of second choice that may go at once
 	pressed                 Time          // last evidence of pressure
 	before                  *standing     // as it stood before it fell silent, nil: it has not
-	clean                   bool          // there was evidence of none since
+	clean, told             bool          // there was evidence of none since; it is its own word
 	heard                   Time          // last answer of any kind
 	took, last              time.Duration // that calls took to stand: smoothed, the latest
 	floor                   time.Duration // the least that a call took to stand
@@ -370,8 +370,8 @@
 		if c.now-s.pressed < c.late || math.IsInf(s.ceiling, 1) {
 			continue
 		}
-		clean := time.Duration(c.n) * c.period // the time that tells, while no answer does
-		if s.clean {
+		clean := time.Duration(c.n) * c.period               // the time that tells, while no answer does
+		if s.clean && (s.told || s.answered.sum >= enough) { // one answer tells little where calls are few
 			clean = c.window
 		}
 		s.ceiling *= 1 + regrow*float64(c.window)/float64(clean)
@@ -577,7 +577,7 @@
 	c.speaks(s)
 	s.took += (e.Took - s.took) / 4
 	s.last, s.stood = e.Took-c.pause, c.now
-	s.clean = s.last <= c.late/2
+	s.clean, s.told = s.last <= c.late/2, false
 	c.prove(s)
 	if s.last > c.late {
 		c.press(s, s.last)
@@ -664,7 +664,7 @@
 	}
 	wait, told := c.tells(s, load)
 	if told {
-		s.clean = wait <= c.late/2
+		s.clean, s.told = wait <= c.late/2, true
 	}
 	if wait > c.late && c.now-s.stood > c.late {
 		c.press(s, wait)
--- a/growth_test.go
+++ b/growth_test.go
@@ -195,3 +195,28 @@
 		t.Errorf("an emergency to the same number: %+v", o)
 	}
 }
+
+// Where calls are few a single quick answer does not end a ceiling early: of hundreds of nodes each
+// would be back at full rate a moment after the other. A server's own word does.
+func TestOneQuickAnswerEndsNoCeiling(t *testing.T) {
+	for _, c := range []struct {
+		answers int
+		told    bool
+	}{{1, false}, {enough, false}, {0, true}} {
+		r := newRig(t, testSettings(), a)
+		s := r.c.servers[0]
+		r.pass(time.Minute)
+		r.c.press(s, r.c.late*3/2)
+		s.clean, s.told, s.credit = true, c.told, burst
+		for range c.answers {
+			s.answered.add()
+		}
+		for end := r.now + 2*r.c.window; r.now < end; {
+			r.pass(r.c.period)
+			s.credit = burst
+		}
+		if lapsed := math.IsInf(s.ceiling, 1); lapsed != (c.told || c.answers >= enough) {
+			t.Errorf("%+v: within %v the ceiling has lapsed: %v", c, 2*r.c.window, lapsed)
+		}
+	}
+}
