Make a message's cost on the fronts independent of open connections

Both fronts kept their connections in a slice ordered by the last word and went through it at each read, at each release and, all of it, at every tick; an H.248 Add went through all calls for its termination. With thousands of panels a controller would spend its core on that.

Connections sit in lists now (internal/net/roster.go): a word moves one to the end, a release asks the list of those who have confirmed some, then of those who asked for calls, the tick looks at the first of those that may be overdue. Terminations and message ids are found by maps, which hold what is open.

Ruled out: a heap by time, where every word would be a sift.

--- a/internal/net/client.go
+++ b/internal/net/client.go
@@ -26,7 +26,9 @@
 // jsonFront is the callers' side of the platform's protocol.
 type jsonFront struct {
 	n       *Node
-	clients []*client // the one last heard from comes last
+	clients roster[*client]
+	ranks   [3]roster[*client] // the same by how sure they are to pass a release on, see rank
+	silent  roster[*client]    // those that may be overdue
 	max     int
 	unsaid  []release // no connection was open that has asked for calls
 }
@@ -48,10 +50,33 @@
 	said  []release       // not confirmed
 	asked bool            // a call stood that it asked for
 	heard bool            // it has confirmed a release
+
+	seat, rankSeat, silentSeat seat
+	at                         int // its rank
+}
+
+// rank is how sure a connection is to pass a release on: one that has confirmed some, one that got a
+// call to stand, any other.
+func (k *client) rank() int {
+	switch {
+	case k.heard:
+		return 2
+	case k.asked:
+		return 1
+	}
+	return 0
+}
+
+// rise seats a connection by its rank once that has changed.
+func (k *client) rise() {
+	if r := k.rank(); r != k.at && k.rankSeat != nil {
+		k.front.ranks[k.at].leave(&k.rankSeat)
+		k.at, k.rankSeat = r, k.front.ranks[r].add(k)
+	}
 }
 
 func (f *jsonFront) opened(c gnet.Conn) bool {
-	if len(f.clients) >= f.max { // guards the socket budget
+	if f.clients.len() >= f.max { // guards the socket budget
 		k := f.idlest()
 		if k == nil {
 			f.n.ClientsTurnedAway++
@@ -63,7 +88,7 @@
 	f.n.Clients++
 	k := &client{front: f, s: &stream{c: c, born: f.n.now(), caller: true}, open: make(map[string]bool)}
 	c.SetContext(k)
-	f.clients = append(f.clients, k)
+	k.seat, k.rankSeat, k.silentSeat = f.clients.add(k), f.ranks[0].add(k), f.silent.add(k)
 	return true
 }
 
@@ -73,7 +98,7 @@
 func (f *jsonFront) idlest() *client {
 	now := f.n.now()
 	var found, young *client
-	for _, k := range f.clients {
+	for k := range f.clients.oldest() {
 		switch {
 		case len(k.open) > 0 || k.s.shut:
 		case !k.s.spoke && now-k.s.born < crossing:
@@ -94,8 +119,11 @@
 
 // sweep closes connections that are silent or stop half way.
 func (f *jsonFront) sweep(now time.Duration) {
-	for _, k := range f.clients {
-		if !k.s.shut && len(k.open) == 0 && k.s.overdue(now) {
+	for k := range f.silent.oldest() {
+		if !k.s.overdue(now) {
+			break // those behind it have been silent for less long
+		}
+		if !k.s.shut && len(k.open) == 0 {
 			f.n.ClientsSilent++
 			f.n.close(k.s)
 		}
@@ -126,24 +154,17 @@
 // guards against connections that test the program or say nothing and stay: they read
 // releases and tell nobody. If there are no others the latest must do (sure is false).
 func (f *jsonFront) carrier(r release) (best *client, sure bool) {
-	rank := -1
-	for _, k := range slices.Backward(f.clients) {
-		at := 0
-		switch {
-		case k.s.shut:
-			continue
-		case r.asker == call.Client(k):
-			return k, true
-		case k.heard:
-			at = 2
-		case k.asked:
-			at = 1
-		}
-		if at > rank {
-			best, rank = k, at
+	if k, ok := r.asker.(*client); ok && k.seat != nil && !k.s.shut {
+		return k, true
+	}
+	for rank := len(f.ranks) - 1; rank >= 0; rank-- {
+		for k := range f.ranks[rank].latest() {
+			if !k.s.shut {
+				return k, rank > 0
+			}
 		}
 	}
-	return best, rank > 0
+	return nil, false
 }
 
 // say writes a release. What no sure connection could carry is said again on the
@@ -166,7 +187,9 @@
 
 func (k *client) closed() {
 	f := k.front
-	f.clients = slices.DeleteFunc(f.clients, func(other *client) bool { return other == k })
+	f.clients.leave(&k.seat)
+	f.ranks[k.at].leave(&k.rankSeat)
+	f.silent.leave(&k.silentSeat)
 	if len(k.open) > 0 {
 		f.n.core.Closed(k)
 	}
@@ -180,9 +203,8 @@
 
 func (k *client) traffic(p []byte) {
 	f := k.front
-	if i := len(f.clients) - 1; f.clients[i] != k {
-		f.clients = append(slices.DeleteFunc(f.clients, func(other *client) bool { return other == k }), k)
-	}
+	f.clients.heard(k.seat)
+	f.ranks[k.at].heard(k.rankSeat)
 	var bad error
 	spoke := false
 	err := k.in.Feed(p, func(m *jsonl.Message) bool {
@@ -198,7 +220,11 @@
 		f.n.close(k.s)
 		return
 	}
-	k.s.read(f.n.now(), spoke, k.in.Half())
+	now := f.n.now()
+	k.s.read(now, spoke, k.in.Half())
+	if k.seat != nil {
+		f.silent.watch(&k.silentSeat, k, k.s, now)
+	}
 }
 
 func (k *client) take(m *jsonl.Message) error {
@@ -236,6 +262,7 @@
 		said := len(k.said)
 		k.said = slices.DeleteFunc(k.said, func(r release) bool { return r.id == m.Tag })
 		k.heard = k.heard || len(k.said) < said
+		k.rise()
 	case jsonl.Echo:
 		n.Tests++
 		n.write(k.s, func(b []byte) []byte {
@@ -320,6 +347,7 @@
 func (k *client) Stands(id string, description []byte) {
 	delete(k.open, id)
 	k.asked = true
+	k.rise()
 	k.front.n.write(k.s, func(b []byte) []byte {
 		return jsonl.Append(b, &jsonl.Message{Verb: jsonl.Started, Tag: id, Blob: description})
 	})
--- a/internal/net/h248_front.go
+++ b/internal/net/h248_front.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -20,7 +19,10 @@
 // calls go through the same core, and so keep the same rules.
 type h248Front struct {
 	n       *Node
-	panels  []*panel // the one last heard from comes last
+	panels  roster[*panel]
+	mids    map[string]*roster[*panel] // the same by message id
+	silent  roster[*panel]             // those that may be overdue
+	terms   map[string]*h248Call       // calls by message id and termination
 	max     int
 	seen    *store
 	calls   map[string]*h248Call // by the call's id
@@ -37,6 +39,8 @@
 	in    h248.Framer
 	mid   string
 	admin bool
+
+	seat, midSeat, silentSeat seat
 }
 
 // An h248Call is the front's side of a call, and the client that gets its answer.
@@ -58,7 +62,7 @@
 }
 
 func newH248Front(n *Node, max int) *h248Front {
-	return &h248Front{n: n, max: max, seen: newStore(n.cfg.MemoryMB << 6), calls: make(map[string]*h248Call),
+	return &h248Front{n: n, max: max, seen: newStore(n.cfg.MemoryMB << 6), calls: make(map[string]*h248Call), mids: make(map[string]*roster[*panel]), terms: make(map[string]*h248Call),
 		context: make(map[string]*h248Call), owed: make(map[uint32]*notice)}
 }
 
@@ -66,14 +70,14 @@
 func (n *Node) self() string { return "<" + n.cfg.Name + ">" }
 
 func (f *h248Front) opened(c gnet.Conn, admin bool) bool {
-	if len(f.panels) >= f.max { // guards the socket budget
+	if f.panels.len() >= f.max { // guards the socket budget
 		f.n.ClientsTurnedAway++
 		return false
 	}
 	f.n.Clients++
 	p := &panel{front: f, s: &stream{c: c, born: f.n.now(), caller: true}, admin: admin}
 	c.SetContext(p)
-	f.panels = append(f.panels, p)
+	p.seat, p.silentSeat = f.panels.add(p), f.silent.add(p)
 	return true
 }
 
@@ -83,8 +87,9 @@
 
 func (p *panel) traffic(data []byte) {
 	f := p.front
-	if i := len(f.panels) - 1; f.panels[i] != p {
-		f.panels = append(slices.DeleteFunc(f.panels, func(other *panel) bool { return other == p }), p)
+	f.panels.heard(p.seat)
+	if p.midSeat != nil {
+		f.mids[p.mid].heard(p.midSeat)
 	}
 	spoke := false
 	err := p.in.Feed(data, func(text []byte) bool {
@@ -103,7 +108,28 @@
 	if err != nil {
 		p.malformed(err)
 	}
-	p.s.read(f.n.now(), spoke, p.in.Half())
+	now := f.n.now()
+	p.s.read(now, spoke, p.in.Half())
+	if p.seat != nil {
+		f.silent.watch(&p.silentSeat, p, p.s, now)
+	}
+}
+
+// named seats a panel by the message id that it goes by.
+func (p *panel) named(mid string) {
+	f := p.front
+	if at := f.mids[p.mid]; at != nil {
+		if at.leave(&p.midSeat); at.len() == 0 {
+			delete(f.mids, p.mid)
+		}
+	}
+	if p.mid = mid; mid == "" || p.seat == nil {
+		return
+	}
+	if f.mids[mid] == nil {
+		f.mids[mid] = &roster[*panel]{}
+	}
+	p.midSeat = f.mids[mid].add(p)
 }
 
 func (p *panel) malformed(err error) {
@@ -114,7 +140,7 @@
 func (p *panel) take(m *h248.Message) {
 	f := p.front
 	if p.mid != m.MID {
-		p.mid = m.MID
+		p.named(m.MID)
 		for _, o := range f.owed { // what could not be said, or was not replied to
 			if o.mid == p.mid {
 				p.send(o.text)
@@ -321,8 +347,14 @@
 func (f *h248Front) forget(k *h248Call) {
 	delete(f.calls, k.id)
 	delete(f.context, k.ctx)
+	if name := term(k.mid, k.termination); f.terms[name] == k {
+		delete(f.terms, name)
+	}
 }
 
+// term names a panel's termination.
+func term(mid, termination string) string { return mid + " " + termination }
+
 // add sets a call up. Everything is looked at before anything is done.
 func (p *panel) add(mid string, e *entry, t *h248.Transaction, a *h248.Action) *h248.Error {
 	f, c := p.front, a.Commands[0]
@@ -332,10 +364,8 @@
 	if c.Termination == "$" || c.Termination == "*" || strings.EqualFold(c.Termination, "ROOT") {
 		return &h248.Error{Code: h248.UnknownTermination, Text: "an Add names its termination"}
 	}
-	for _, k := range f.calls {
-		if k.mid == mid && k.termination == c.Termination {
-			return &h248.Error{Code: h248.TerminationInContext, Text: c.Termination}
-		}
+	if f.terms[term(mid, c.Termination)] != nil {
+		return &h248.Error{Code: h248.TerminationInContext, Text: c.Termination}
 	}
 	desc, ok := description(c, "Remote")
 	if !ok {
@@ -361,7 +391,7 @@
 	r.Until = f.n.until(time.Duration(left * float64(time.Millisecond)))
 	r.ID = fmt.Sprintf("%016x", f.n.rng.Uint64())
 	k := &h248Call{front: f, on: p, entry: e, mid: mid, transaction: t.ID, termination: c.Termination, id: r.ID}
-	f.calls[k.id] = k
+	f.calls[k.id], f.terms[term(mid, k.termination)] = k, k
 	if err := f.n.core.SetUp(k, r); err != nil {
 		f.forget(k)
 		return &h248.Error{Code: h248.InternalFailure, Text: err.Error()}
@@ -428,17 +458,22 @@
 		f.n.ReleasesLost++
 	}
 	f.n.ReleasesSaid++
-	for _, p := range slices.Backward(f.panels) {
-		if p.mid == k.mid && !p.s.shut {
-			p.send(o.text)
-			return
+	if at := f.mids[k.mid]; at != nil {
+		for p := range at.latest() {
+			if !p.s.shut {
+				p.send(o.text)
+				return
+			}
 		}
 	}
 }
 
 func (f *h248Front) sweep(now time.Duration) {
-	for _, p := range f.panels {
-		if !p.s.shut && p.s.overdue(now) && !f.open(p) {
+	for p := range f.silent.oldest() {
+		if !p.s.overdue(now) {
+			break // those behind it have been silent for less long
+		}
+		if !p.s.shut && !f.open(p) {
 			f.n.ClientsSilent++
 			f.n.close(p.s)
 		}
@@ -465,7 +500,9 @@
 // get the reply that says so, should they be repeated.
 func (p *panel) closed() {
 	f := p.front
-	f.panels = slices.DeleteFunc(f.panels, func(other *panel) bool { return other == p })
+	f.panels.leave(&p.seat)
+	f.silent.leave(&p.silentSeat)
+	p.named("")
 	for _, k := range f.calls {
 		if k.on == p {
 			f.forget(k)
--- /dev/null
+++ b/internal/net/idle_test.go
@@ -0,0 +1,79 @@
+package net
+
+import (
+	"fmt"
+	"net"
+	"path/filepath"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"lapiscourse/internal/config"
+	"lapiscourse/internal/net/jsonl"
+)
+
+// idle opens connections to the front of the platform's protocol that test it once, and stay.
+func idle(t testing.TB, s *site, n int) {
+	t.Helper()
+	buf := make([]byte, 256)
+	for range n {
+		c, err := net.Dial("tcp", s.json())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = c.Close() })
+		if _, err := c.Write(jsonl.Append(nil, &jsonl.Message{Verb: jsonl.Echo})); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := c.Read(buf); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// amid sets so many calls up on both fronts, a thousand a second, amid idle connections, and tells
+// how long they took.
+func amid(t testing.TB, idlers, calls int) {
+	f := startFleet(t, 1)
+	f.servers[0].lively = true
+	f.sockets = 4*idlers + 4096
+	f.module = newStraight()
+	f.numbers = &config.Numbers{File: filepath.Join(t.TempDir(), "numbers.toml")}
+	writeFile(t, f.numbers.File, "default = \"r\"\n[[route]]\nname = \"r\"\n[[route.target]]\npool = 0\n")
+	s := f.node(t, "n0", "", new(atomic.Int64))
+	idle(t, s, idlers)
+	h := newHeard()
+	panel := dialH248(t, s.panel(), h, "<one>")
+	panel.acks = true
+	l := newLoad(h, 5*time.Second, 4096, dialJSON(t, s.json(), h, "aaaaaaaa"), panel)
+	l.run(calls, 1000, func(int) string { return "1230" })
+	took := l.settle(t)
+	s.stop(t)
+	t.Logf("%d idle connections: stands after p50 %v us, p99 %v us, at most %v us", idlers, took.ValueAtQuantile(50), took.ValueAtQuantile(99), took.Max())
+}
+
+// Calls find their way amid idle connections, and releases find theirs.
+func TestCallsAmidIdleConnections(t *testing.T) {
+	t.Parallel()
+	amid(t, 200, 300)
+}
+
+// What a message costs does not hang on how many connections there are:
+// go test -run '^$' -bench Idle -benchtime 1x ./internal/net
+func BenchmarkIdleConnections(b *testing.B) {
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
+		b.Fatal(err)
+	}
+	for _, n := range []int{100, 5000, 9000, 20000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			if uint64(2*n+200) > limit.Cur {
+				b.Skipf("%d descriptors are allowed, both ends of %d connections need more", limit.Cur, n)
+			}
+			for range b.N {
+				amid(b, n, 10_000)
+			}
+		})
+	}
+}
--- a/internal/net/load_test.go
+++ b/internal/net/load_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"os"
 	"strings"
 	"sync"
 	"testing"
@@ -168,3 +169,10 @@
 	}
 	return took
 }
+
+func writeFile(t testing.TB, path, text string) {
+	t.Helper()
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+}
--- a/internal/net/node_test.go
+++ b/internal/net/node_test.go
@@ -583,7 +583,7 @@
 	const id = "00000000000000aa"
 	eventually(t, "the link is up", func() bool {
 		up := make(chan bool, 1)
-		s.n.exec(func() { up <- s.n.links["s-0"].s != nil && len(s.n.json.clients) > 0 })
+		s.n.exec(func() { up <- s.n.links["s-0"].s != nil && s.n.json.clients.len() > 0 })
 		return <-up
 	})
 	s.servers[0].mu.Lock()
@@ -616,7 +616,7 @@
 	other.close()
 	eventually(t, "two that never asked are left", func() bool {
 		n := make(chan int, 1)
-		s.n.exec(func() { n <- len(s.n.json.clients) })
+		s.n.exec(func() { n <- s.n.json.clients.len() })
 		return <-n == 3
 	})
 	s.servers[0].stop()
@@ -640,7 +640,7 @@
 	k.close()
 	eventually(t, "no caller is connected", func() bool {
 		n := make(chan int, 1)
-		s.n.exec(func() { n <- len(s.n.json.clients) })
+		s.n.exec(func() { n <- s.n.json.clients.len() })
 		return <-n == 0
 	})
 	s.servers[0].stop()
--- a/internal/net/recorder_test.go
+++ b/internal/net/recorder_test.go
@@ -33,6 +33,7 @@
 	module  call.Decider    // of the next node, in place of the module
 	pools   string          // that calls may go to; "": those of settings
 	queue   config.Size     // of records; 0: the default
+	sockets int             // 0: 1024
 }
 
 func startFleet(t testing.TB, servers int) *fleet {
@@ -55,7 +56,7 @@
 		known = append(known, config.Member{ID: l.id, Address: l.addr, Zone: "east", Kind: "std", Cell: l.cell, Phase: config.Ready})
 	}
 	text, err := json.Marshal(map[string]any{"name": name, "listen": "127.0.0.1:0", "seed": "1f", "names": f.names.c.LocalAddr().String(),
-		"limits": map[string]any{"memory_mb": 192, "sockets": 1024}, "settings": json.RawMessage(strings.Replace(settings, "[[0,1,2,3]]", cmp.Or(f.pools, "[[0,1,2,3]]"), 1)),
+		"limits": map[string]any{"memory_mb": 192, "sockets": cmp.Or(f.sockets, 1024)}, "settings": json.RawMessage(strings.Replace(settings, "[[0,1,2,3]]", cmp.Or(f.pools, "[[0,1,2,3]]"), 1)),
 		"known": config.Known{N: 1, Events: []config.Event{{N: 1, Members: config.List{Complete: true, Members: known}}}}})
 	if err != nil {
 		t.Fatal(err)
