Add the laboratory's sockets, make demo, exploration of the small, the paper's curves

There was no way to see the product at work without inputs made by hand, and the core had been tested by orders of events that somebody thought of.

Not linked into the call controller.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint run
+.PHONY: build test lint run demo
 
 build:
 	mkdir -p bin && go build -o bin/ ./cmd/...
@@ -15,3 +15,7 @@
 # Needs RELAY_CONFIG to name a configuration, as docs/architecture.md says.
 run: build
 	exec bin/olivedale
+
+# Shows the product on this machine for a minute; ends by itself or on Ctrl-C.
+demo: build
+	bin/olivelab demo --report bin/demo.html
--- a/cmd/olivelab/main.go
+++ b/cmd/olivelab/main.go
@@ -18,6 +18,7 @@
 			"In virtual time a minute takes a fraction of a second, and a seed repeats it to the byte. Load on sockets is bounded\n" +
 			"and stops by itself; everything stays on loopback addresses.",
 	}
-	root.AddCommand(runCommand(), sweepCommand(), compareCommand(), reportCommand(), shrinkCommand(), cli.VersionCommand())
+	root.AddCommand(runCommand(), sweepCommand(), compareCommand(), reportCommand(), shrinkCommand(), curveCommand(),
+		demoCommand(), serveCommand(), loadCommand(), cli.VersionCommand())
 	os.Exit(cli.Run(root))
 }
--- a/cmd/olivelab/virtual.go
+++ b/cmd/olivelab/virtual.go
@@ -23,6 +23,7 @@
 	"lapiscourse/internal/lab/experiment"
 	"lapiscourse/internal/lab/result"
 	"lapiscourse/internal/lab/rules"
+	"lapiscourse/internal/lab/sabourin"
 	"lapiscourse/internal/lab/scenario"
 	"lapiscourse/internal/lab/show"
 	"lapiscourse/internal/lab/virtual"
@@ -205,6 +206,7 @@
 func compareCommand() *cobra.Command {
 	var d days
 	var rev, repo string
+	var module bool
 	c := &cobra.Command{
 		Use: "compare SCENARIO.toml... --base REV", Short: "Play the same days with this program and with an earlier commit", Args: cobra.MinimumNArgs(1),
 		Long: "compare builds core and module of an earlier commit under today's laboratory, in a work tree that it removes after, and\n" +
@@ -220,7 +222,7 @@
 			}
 			ctx, stop := interrupted(c)
 			defer stop()
-			old, err := base.Make(ctx, repo, rev)
+			old, err := base.Make(ctx, repo, rev, module)
 			if err != nil {
 				return err
 			}
@@ -273,6 +275,7 @@
 	d.flags(c, 16)
 	c.Flags().StringVar(&rev, "base", "", "commit, branch or tag to compare with")
 	c.Flags().StringVar(&repo, "repository", ".", "the repository")
+	c.Flags().BoolVar(&module, "module", false, "take the module alone from that commit, and all else from HEAD")
 	return c
 }
 
@@ -324,6 +327,51 @@
 	return c
 }
 
+func curveCommand() *cobra.Command {
+	var out string
+	c := &cobra.Command{
+		Use: "curve -o FILE.html", Short: "Redraw the paper's curves of handled against offered load", Args: cobra.NoArgs,
+		Example: "  olivelab curve -o curve.html",
+		RunE: func(c *cobra.Command, _ []string) error {
+			if out == "" {
+				return cli.Usage("-o names the file to write")
+			}
+			var curves []show.Curve
+			part := show.Part{Title: "Handled load against offered load", About: "Sabourin's counting of calls at the door of the laboratory's exchange (lines) beside his theory (dashed), " +
+				"for rejected calls that cost nothing, 30% and 50% of an accepted one. Thresholds 0.8 and 0.9, periods of 100 ms, a window of 3 s, as in the paper; " +
+				"half of the calls outgoing, four in ten incoming, one in ten urgent, which is ours.",
+				Heading: []string{"offered", "cost of a rejected call", "handled", "theory", "total", "theory"}}
+			for _, reject := range []float64{0, 0.3, 0.5} {
+				m := sabourin.Paper(reject)
+				run, theory := show.Curve{Name: fmt.Sprintf("rejected calls cost %v", reject)}, show.Curve{Name: fmt.Sprintf("theory, %v", reject), Dashed: true}
+				for offered := 0.1; offered < 2.55; offered += 0.1 {
+					want, load := m.Theory(offered)
+					theory.X, theory.Y = append(theory.X, offered), append(theory.Y, want)
+					if load > 1 {
+						continue // no steady state
+					}
+					got, total := m.Run(offered, 400*time.Second, 1)
+					run.X, run.Y = append(run.X, offered), append(run.Y, got)
+					part.Rows = append(part.Rows, []string{fmt.Sprintf("%.1f", offered), fmt.Sprint(reject), number(got), number(want), number(total), number(load)})
+				}
+				curves = append(curves, run, theory)
+			}
+			svg, err := show.Plot("handled load", "offered load", "", curves)
+			if err != nil {
+				return err
+			}
+			part.Plots = append(part.Plots, svg)
+			w, err := os.Create(out)
+			if err != nil {
+				return err
+			}
+			return errors.Join(show.Page(w, "Overload control by counting calls", []show.Part{part}), w.Close())
+		},
+	}
+	c.Flags().StringVarP(&out, "out", "o", "", "the file to write")
+	return c
+}
+
 func shrinkCommand() *cobra.Command {
 	var seed uint64
 	var out string
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -13,132 +13,25 @@
 	"testing"
 	"time"
 
-	pb "go.etcd.io/etcd/api/v3/etcdserverpb"
-	"go.etcd.io/etcd/api/v3/mvccpb"
 	clientv3 "go.etcd.io/etcd/client/v3"
 	"go.uber.org/zap"
-	"google.golang.org/grpc"
 
 	"lapiscourse/internal/config"
 	"lapiscourse/internal/control"
+	"lapiscourse/internal/lab/etcd"
 	"lapiscourse/internal/net/h248"
 )
 
 const prefix = "/olivedale/instances/"
 
-// fakeEtcd serves Range and Watch over its own small history, from the public API.
-type fakeEtcd struct {
-	pb.UnimplementedKVServer
-	pb.UnimplementedWatchServer
-	mu        sync.Mutex
-	changed   chan struct{} // closed at a change
-	revision  int64
-	compacted int64
-	keys      map[string]*mvccpb.KeyValue
-	events    []*mvccpb.Event
-	lists     int
-	watches   int
-	server    *grpc.Server
-	addr      string
-}
-
-func startEtcd(t *testing.T) *fakeEtcd {
+func startEtcd(t *testing.T) *etcd.Server {
 	t.Helper()
-	f := &fakeEtcd{changed: make(chan struct{}), revision: 1, keys: make(map[string]*mvccpb.KeyValue), addr: "127.0.0.1:0"}
-	f.serve(t)
-	t.Cleanup(func() { f.server.Stop() })
-	return f
-}
-
-func (f *fakeEtcd) serve(t *testing.T) {
-	t.Helper()
-	ln, err := net.Listen("tcp", f.addr)
+	f, err := etcd.Start("127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	f.addr = ln.Addr().String()
-	f.server = grpc.NewServer()
-	pb.RegisterKVServer(f.server, f)
-	pb.RegisterWatchServer(f.server, f)
-	go func() { _ = f.server.Serve(ln) }()
-}
-
-func (f *fakeEtcd) put(name string, value []byte) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.revision++
-	kv := &mvccpb.KeyValue{Key: []byte(prefix + name), Value: value, ModRevision: f.revision}
-	e := &mvccpb.Event{Type: mvccpb.PUT, Kv: kv}
-	if value == nil {
-		e.Type = mvccpb.DELETE
-		delete(f.keys, name)
-	} else {
-		f.keys[name] = kv
-	}
-	f.events = append(f.events, e)
-	close(f.changed)
-	f.changed = make(chan struct{})
-}
-
-// compact forgets the history; watches that are behind it are told so.
-func (f *fakeEtcd) compact() {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.compacted = f.revision
-	f.events = nil
-}
-
-func (f *fakeEtcd) Range(_ context.Context, r *pb.RangeRequest) (*pb.RangeResponse, error) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.lists++
-	out := &pb.RangeResponse{Header: &pb.ResponseHeader{Revision: f.revision}}
-	for _, kv := range f.keys {
-		if string(kv.Key) >= string(r.Key) && string(kv.Key) < string(r.RangeEnd) {
-			out.Kvs = append(out.Kvs, kv)
-		}
-	}
-	return out, nil
-}
-
-func (f *fakeEtcd) Watch(s pb.Watch_WatchServer) error {
-	r, err := s.Recv()
-	if err != nil {
-		return err
-	}
-	from := r.GetCreateRequest().GetStartRevision()
-	f.mu.Lock()
-	f.watches++
-	f.mu.Unlock()
-	if err := s.Send(&pb.WatchResponse{Header: &pb.ResponseHeader{Revision: from}, Created: true}); err != nil {
-		return err
-	}
-	for {
-		f.mu.Lock()
-		changed, compacted := f.changed, f.compacted
-		out := &pb.WatchResponse{Header: &pb.ResponseHeader{Revision: f.revision}}
-		for _, e := range f.events {
-			if e.Kv.ModRevision >= from {
-				out.Events = append(out.Events, e)
-			}
-		}
-		next := f.revision + 1
-		f.mu.Unlock()
-		if from <= compacted {
-			return s.Send(&pb.WatchResponse{Header: out.Header, Canceled: true, CompactRevision: compacted + 1})
-		}
-		if len(out.Events) > 0 {
-			if err := s.Send(out); err != nil {
-				return err
-			}
-		}
-		from = next
-		select {
-		case <-s.Context().Done():
-			return s.Context().Err()
-		case <-changed:
-		}
-	}
+	t.Cleanup(func() { f.Stop() })
+	return f
 }
 
 // record is a Wanted that keeps what it was told.
@@ -179,9 +72,9 @@
 	}
 }
 
-func watch(t *testing.T, f *fakeEtcd, w Wanted) {
+func watch(t *testing.T, f *etcd.Server, w Wanted) {
 	t.Helper()
-	client, err := clientv3.New(clientv3.Config{Endpoints: []string{f.addr}, DialTimeout: 5 * time.Second})
+	client, err := clientv3.New(clientv3.Config{Endpoints: []string{f.Addr()}, DialTimeout: 5 * time.Second})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -200,19 +93,21 @@
 
 func TestWatchListsAnewAfterCompactionAndReconnects(t *testing.T) {
 	f, r := startEtcd(t), &record{}
-	f.put("a", []byte("1"))
+	f.Set(prefix+"a", []byte("1"))
 	watch(t, f, r)
 	eventually(t, "the list is there", func() bool { return r.String() == "map[a:1]" })
-	f.put("b", []byte("1"))
-	f.put("a", nil)
+	f.Set(prefix+"b", []byte("1"))
+	f.Set(prefix+"a", nil)
 	eventually(t, "changes are followed", func() bool { return r.String() == "map[b:1]" })
-	f.server.Stop() // changes are missed, and their history is gone
-	f.put("c", []byte("1"))
-	f.put("b", []byte("2"))
-	f.compact()
-	f.serve(t)
+	f.Stop() // changes are missed, and their history is gone
+	f.Set(prefix+"c", []byte("1"))
+	f.Set(prefix+"b", []byte("2"))
+	f.Forget()
+	if err := f.Serve(); err != nil {
+		t.Fatal(err)
+	}
 	eventually(t, "the list is read anew", func() bool { return r.String() == "map[b:2 c:1]" })
-	f.put("c", nil)
+	f.Set(prefix+"c", nil)
 	eventually(t, "changes are followed again", func() bool { return r.String() == "map[b:2]" })
 }
 
@@ -257,9 +152,9 @@
 	f, a := startEtcd(t), New(program, dir, zap.NewNop())
 	t.Cleanup(a.Close)
 	text, admin := spec(t)
-	f.put("one", text)
-	f.put("../bad", text)
-	f.put("worse", []byte("{"))
+	f.Set(prefix+"one", text)
+	f.Set(prefix+"../bad", text)
+	f.Set(prefix+"worse", []byte("{"))
 	watch(t, f, a)
 	ask := func(addr string, c *h248.Command) (*h248.Command, error) {
 		return control.Ask(context.Background(), addr, c)
@@ -299,6 +194,6 @@
 	if _, err := ask(ln.Addr().String(), control.Drain("instance/none")); err == nil {
 		t.Error("an unknown instance was drained")
 	}
-	f.put("one", nil)
+	f.Set(prefix+"one", nil)
 	eventually(t, "it is forgotten", func() bool { return stateOf(a, "one") == "" })
 }
--- a/internal/lab/base/base.go
+++ b/internal/lab/base/base.go
@@ -26,8 +26,12 @@
 	repo    string
 }
 
-// Make builds cmd/olivelab with core and module of a revision of the repository at repo.
-func Make(ctx context.Context, repo, rev string) (*Build, error) {
+// module is the decision module's file.
+const module = "controller.go"
+
+// Make builds cmd/olivelab with core and module of a revision of the repository at repo; with moduleOnly
+// all but the module is of today's HEAD, so that modules from before the core's present form can play.
+func Make(ctx context.Context, repo, rev string, moduleOnly bool) (*Build, error) {
 	top, err := git(ctx, repo, "rev-parse", "--show-toplevel")
 	if err != nil {
 		return nil, err
@@ -42,9 +46,22 @@
 	}
 	b := &Build{Commit: commit, dir: dir, repo: top, Program: filepath.Join(dir, "olivelab")}
 	tree := filepath.Join(dir, "tree")
-	if _, err := git(ctx, top, "worktree", "add", "--detach", "--force", tree, commit); err != nil {
+	at := commit
+	if moduleOnly {
+		at = "HEAD"
+	}
+	if _, err := git(ctx, top, "worktree", "add", "--detach", "--force", tree, at); err != nil {
 		return nil, errors.Join(err, b.Remove())
 	}
+	if moduleOnly {
+		text, err := git(ctx, top, "show", commit+":"+module)
+		if err == nil {
+			err = os.WriteFile(filepath.Join(tree, module), []byte(text+"\n"), 0o644)
+		}
+		if err != nil {
+			return nil, errors.Join(fmt.Errorf("base: %w", err), b.Remove())
+		}
+	}
 	for _, path := range overlay {
 		if err := lay(filepath.Join(top, path), filepath.Join(tree, path)); err != nil {
 			return nil, errors.Join(fmt.Errorf("base: %w", err), b.Remove())
--- /dev/null
+++ b/internal/lab/demo/demo_test.go
@@ -0,0 +1,57 @@
+package demo
+
+import (
+	"bytes"
+	"context"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+)
+
+// The demo runs to its end, says what happened, makes its report, and leaves nothing running or lying
+// about; broken off it does the same.
+func TestDemo(t *testing.T) {
+	t.Parallel()
+	dir := t.TempDir()
+	if out, err := exec.Command("go", "build", "-o", dir+"/", "lapiscourse/cmd/olivedale", "lapiscourse/cmd/oliveagent", "lapiscourse/cmd/olivectl").CombinedOutput(); err != nil {
+		t.Fatalf("%v\n%s", err, out)
+	}
+	if err := Run(context.Background(), Options{Bin: t.TempDir()}); err == nil || !strings.Contains(err.Error(), "make build") {
+		t.Errorf("without programs: %v", err)
+	}
+	run := func(ctx context.Context, long time.Duration) (string, string) {
+		t.Helper()
+		agent, err := free()
+		if err != nil {
+			t.Fatal(err)
+		}
+		var out bytes.Buffer
+		report := filepath.Join(dir, "report.html")
+		if err := Run(ctx, Options{Bin: dir, Dir: filepath.Join(t.TempDir(), "files"), Report: report, Agent: agent, Controllers: 2, Exchanges: 2, Rate: 30, For: long, Seed: 1, Out: &out}); err != nil {
+			t.Fatalf("%v\n%s", err, out.String())
+		}
+		if c, err := net.DialTimeout("tcp", agent, 200*time.Millisecond); err == nil {
+			_ = c.Close()
+			t.Error("the agent still listens")
+		}
+		return out.String(), report
+	}
+	said, report := run(context.Background(), 5*time.Second)
+	for _, want := range []string{"three times slower", "drains", "is killed", "are cut", "have stopped", "the report is"} {
+		if !strings.Contains(said, want) {
+			t.Errorf("it does not say %q:\n%s", want, said)
+		}
+	}
+	if page, err := os.ReadFile(report); err != nil || !bytes.Contains(page, []byte("</html>")) {
+		t.Errorf("the report: %v", err)
+	}
+	ctx, stop := context.WithTimeout(context.Background(), 1500*time.Millisecond)
+	defer stop()
+	if said, _ := run(ctx, time.Minute); !strings.Contains(said, "have stopped") {
+		t.Errorf("broken off:\n%s", said)
+	}
+}
--- a/internal/lab/exchange/exchange.go
+++ b/internal/lab/exchange/exchange.go
@@ -278,6 +278,16 @@
 	x.serve(now)
 }
 
+// TurnAway takes a set-up that a rule at the exchange's door turns away: it costs what a rejection costs.
+func (x *Exchange) TurnAway(now Time, from string, a Attempt) {
+	if x.state != Running {
+		return
+	}
+	x.Counters.SetUps++
+	x.reject.push(job{workReject, &call{Attempt: a, from: from, phase: over, came: now}})
+	x.serve(now)
+}
+
 func (x *Exchange) enqueue(w work, k *call) {
 	x.front.push(job{w, k})
 	x.ahead += x.mean(w)
--- /dev/null
+++ b/internal/lab/socket/load.go
@@ -0,0 +1,270 @@
+package socket
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"lapiscourse/internal/lab/scenario"
+	"lapiscourse/internal/net/jsonl"
+)
+
+// A Load sets calls up on call controllers in an open loop: calls come whether or not those before were
+// answered, and how long one took counts from when it was to be sent, so that a stall of either side
+// shows. It stops by itself.
+type Load struct {
+	Addrs   []string // of the platform's front of the controllers
+	Rate    float64  // calls a second over all
+	For     time.Duration
+	Left    time.Duration // that callers wait
+	Pools   int
+	Classes []scenario.Class
+	Seed    uint64
+	Open    int // set-ups that may be open at once; past it calls are counted as not sent
+
+	mu    sync.Mutex
+	calls map[string]*loadCall
+	stats LoadStats
+	conns []*loadConn
+}
+
+// LoadStats are what callers got.
+type LoadStats struct {
+	Sent, Stood, Refused, Failed, GaveUp, Ended, Cut, NotSent, Lost int
+	Took                                                            *hdrhistogram.Histogram // in microseconds, until calls stood
+}
+
+type loadCall struct {
+	due    time.Time
+	conn   *loadConn
+	stands bool
+	timer  *time.Timer
+}
+
+type loadConn struct {
+	l    *Load
+	addr string
+	mu   sync.Mutex
+	c    net.Conn
+}
+
+// Stats are those of now.
+func (l *Load) Stats() LoadStats {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.stats
+	if s.Took != nil {
+		s.Took = hdrhistogram.Import(s.Took.Export())
+	}
+	return s
+}
+
+// Run sends until its time is over or ctx ends, and then waits for what is open.
+func (l *Load) Run(ctx context.Context) error {
+	if len(l.Addrs) == 0 || l.Rate <= 0 || len(l.Classes) == 0 {
+		return errors.New("load: addresses, a rate and classes are needed")
+	}
+	if l.Open == 0 {
+		l.Open = 10_000
+	}
+	l.mu.Lock()
+	l.calls, l.stats.Took = make(map[string]*loadCall), hdrhistogram.New(1, 120_000_000, 3)
+	l.mu.Unlock()
+	for _, addr := range l.Addrs {
+		l.conns = append(l.conns, &loadConn{l: l, addr: addr})
+	}
+	defer func() {
+		for _, k := range l.conns {
+			k.close()
+		}
+	}()
+	rng := rand.New(rand.NewPCG(l.Seed, 3))
+	began := time.Now()
+	due := began
+	salt := rng.Uint32()
+	for n := uint32(0); ; n++ {
+		due = due.Add(time.Duration(rng.ExpFloat64() / l.Rate * float64(time.Second)))
+		if due.Sub(began) > l.For {
+			break
+		}
+		if wait := time.Until(due); wait > 0 {
+			select {
+			case <-ctx.Done():
+				return nil
+			case <-time.After(wait):
+			}
+		} else if ctx.Err() != nil {
+			return nil
+		}
+		l.send(rng, due, fmt.Sprintf("%08x%08x", salt, n))
+	}
+	for end := time.Now().Add(l.Left + time.Second); time.Now().Before(end) && ctx.Err() == nil; time.Sleep(10 * time.Millisecond) {
+		if l.open() == 0 {
+			break
+		}
+	}
+	return nil
+}
+
+// open counts the calls that have no answer yet.
+func (l *Load) open() (n int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, c := range l.calls {
+		if !c.stands {
+			n++
+		}
+	}
+	return n
+}
+
+func (l *Load) send(rng *rand.Rand, due time.Time, id string) {
+	x := rng.Float64()
+	class := l.Classes[0].Name
+	for _, k := range l.Classes {
+		if class = k.Name; x < k.Share {
+			break
+		}
+		x -= k.Share
+	}
+	conn := l.conns[rng.IntN(len(l.conns))]
+	pool := rng.IntN(max(l.Pools, 1))
+	number := fmt.Sprint("5", 100_000+rng.IntN(900_000))
+	l.mu.Lock()
+	if len(l.calls) >= l.Open {
+		l.stats.NotSent++
+		l.mu.Unlock()
+		return
+	}
+	call := &loadCall{due: due, conn: conn}
+	l.calls[id] = call
+	l.stats.Sent++
+	l.mu.Unlock()
+	err := conn.send(&jsonl.Message{Verb: jsonl.Start, Tag: id, Blob: []byte("v=0\r\ns=" + number + "\r\n"), Opts: []jsonl.Opt{{Name: "class", Value: class},
+		{Name: "left", Value: fmt.Sprint(l.Left.Milliseconds())}, {Name: "key", Value: number}, {Name: "extras", Value: fmt.Sprintf("dest:%d;width:1;via:-1", pool)}}})
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if err != nil {
+		l.stats.Lost++
+		delete(l.calls, id)
+		return
+	}
+	call.timer = time.AfterFunc(l.Left, func() { l.giveUp(id) })
+}
+
+// giveUp ends a call whose answer did not come in time.
+func (l *Load) giveUp(id string) {
+	l.mu.Lock()
+	call := l.calls[id]
+	if call == nil || call.stands {
+		l.mu.Unlock()
+		return
+	}
+	l.stats.GaveUp++
+	delete(l.calls, id)
+	l.mu.Unlock()
+	_ = call.conn.send(&jsonl.Message{Verb: jsonl.Finish, Tag: id, RC: 16, HasRC: true})
+}
+
+func (l *Load) take(k *loadConn, m *jsonl.Message) {
+	l.mu.Lock()
+	call := l.calls[m.Tag]
+	switch m.Verb {
+	case jsonl.Started:
+		if call != nil && !call.stands {
+			call.stands = true
+			l.stats.Stood++
+			_ = l.stats.Took.RecordValue(max(time.Since(call.due).Microseconds(), 1))
+		}
+	case jsonl.Finish:
+		if call != nil {
+			switch {
+			case call.stands && m.RC == 16:
+				l.stats.Ended++
+			case call.stands:
+				l.stats.Cut++
+			case m.RC == 34:
+				l.stats.Refused++
+			default:
+				l.stats.Failed++
+			}
+			delete(l.calls, m.Tag)
+		}
+		l.mu.Unlock()
+		_ = k.send(&jsonl.Message{Verb: jsonl.Finished, Tag: m.Tag})
+		return
+	}
+	l.mu.Unlock()
+}
+
+// dropped takes that a connection is gone: what was open on it has no answer.
+func (l *Load) dropped(k *loadConn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for id, c := range l.calls {
+		if c.conn == k && !c.stands {
+			l.stats.Lost++
+			delete(l.calls, id)
+		}
+	}
+}
+
+// send writes a message, on a new connection if there is none.
+func (k *loadConn) send(m *jsonl.Message) error {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.c == nil {
+		c, err := net.DialTimeout("tcp", k.addr, time.Second)
+		if err != nil {
+			return fmt.Errorf("load: %w", err)
+		}
+		k.c = c
+		go k.read(c)
+	}
+	_ = k.c.SetWriteDeadline(time.Now().Add(time.Second))
+	if _, err := k.c.Write(jsonl.Append(nil, m)); err != nil {
+		_ = k.c.Close()
+		k.c = nil
+		return fmt.Errorf("load: %w", err)
+	}
+	return nil
+}
+
+func (k *loadConn) read(c net.Conn) {
+	var in jsonl.Reader
+	buf := make([]byte, 16<<10)
+	for {
+		n, err := c.Read(buf)
+		if err == nil {
+			err = in.Feed(buf[:n], func(m *jsonl.Message) bool {
+				k.l.take(k, m)
+				return true
+			})
+		}
+		if err != nil {
+			break
+		}
+	}
+	k.mu.Lock()
+	if k.c == c {
+		k.c = nil
+	}
+	k.mu.Unlock()
+	_ = c.Close()
+	k.l.dropped(k)
+}
+
+func (k *loadConn) close() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.c != nil {
+		_ = k.c.Close()
+		k.c = nil
+	}
+}
