Answer a call that the module forgets when its caller's time is over

Found by exploring every order of events: a call that the module held had no timer in the core. The module as it is never forgets one, but one answer a call, in time, is the core's rule, and it hung on the module's own bell.

A call that waits is looked at when its caller's time is over. The module's word of that moment, which may ask the caller to keep away, comes first; then the core answers, and tells the module that the call has left.

Ruled out: a timer for every call from its set-up, which all calls would pay for.

--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -425,6 +425,10 @@
 			c.give(k, CalledOff)
 		}
 	}
+	if k.state == waiting && c.calls[k.ID] == k {
+		// Guards against a module that forgets a call: its caller gets an answer all the same.
+		heap.Push(&c.timers, timer{at: k.Until, call: k, attempt: k.attempt})
+	}
 }
 
 // answerable guards against a second final answer.
@@ -652,6 +656,7 @@
 // Tick does what is due.
 func (c *Core) Tick() {
 	now := c.now()
+	var held []*call // by the module, past their time
 	for len(c.timers) > 0 && c.timers[0].at <= now {
 		t := heap.Pop(&c.timers).(timer)
 		if k := t.call; k.state == trying && k.attempt == t.attempt && c.calls[k.ID] == k {
@@ -659,6 +664,8 @@
 		} else if k.state == routing && c.calls[k.ID] == k {
 			c.Failed++
 			c.refuse(k, Failed, TimedOut, CauseFailed, 0)
+		} else if k.state == waiting && now >= k.Until {
+			held = append(held, k)
 		}
 	}
 	for _, o := range c.desk.Tick(now) {
@@ -666,6 +673,13 @@
 			c.obey(k, o)
 		}
 	}
+	for _, k := range held { // the module's word, which may ask the caller to wait, comes first
+		if k.state == waiting && c.calls[k.ID] == k {
+			c.Failed++
+			c.desk.Report(now, lapiscourse.Progress{Call: k.ID, Stage: lapiscourse.Left})
+			c.refuse(k, Failed, TimedOut, CauseFailed, 0)
+		}
+	}
 	c.over.sweep(now)
 	c.alien.sweep(now)
 }
--- a/internal/call/call_test.go
+++ b/internal/call/call_test.go
@@ -328,3 +328,26 @@
 		t.Errorf("told as %+v", got)
 	}
 }
+
+// A call that the module holds and forgets has its answer when its caller's time is over; the module is
+// told. (Exploring every order of events found it answered after that.)
+func TestForgottenCallIsAnswered(t *testing.T) {
+	b := newBench(lapiscourse.Order{Move: lapiscourse.Hold})
+	b.setUp("x")
+	if next := b.core.Next(); next != b.now+3*time.Second {
+		t.Errorf("looked at in %v", next-b.now)
+	}
+	b.now += 3 * time.Second
+	b.core.Tick()
+	b.want(t, "refused x 41 0s")
+	if got := b.progress[len(b.progress)-1]; got.Stage != lapiscourse.Left || b.core.Open() != 0 {
+		t.Errorf("told as %+v, %d open", got, b.core.Open())
+	}
+	// Where the module has its word just then, that counts.
+	b = newBench(lapiscourse.Order{Move: lapiscourse.Hold})
+	b.setUp("y")
+	b.now += 3 * time.Second
+	b.ticks = []lapiscourse.Order{{Call: "y", Move: lapiscourse.GiveUp, Wait: time.Second}}
+	b.core.Tick()
+	b.want(t, "refused y 41 1s")
+}
