Test the laboratory's rules and scenarios, and set both floors side by side

Scenarios in deploy/lab are read by a test, and what makes no sense names its key. An answer after its caller's time is one breach, not two. Exploration demands that every caller is answered once all is over.

No code of the call controller is touched.

--- a/internal/lab/explore/explore.go
+++ b/internal/lab/explore/explore.go
@@ -419,15 +419,16 @@
 		}
 		m.word = action{word: lapiscourse.Hold}
 		next := m.core.Next()
-		if next >= 1<<61 { // the module alone knows of the call: it owes the answer
+		if next >= 1<<61 {
+			m.fail("%d calls are open and nothing will be done about them", m.core.Open())
 			return
 		}
 		m.now = max(m.now, next)
 		m.core.Tick()
 	}
 	for i := range m.calls {
-		if k := &m.calls[i]; k.out >= 0 && !k.stood && m.now > k.until {
-			m.fail("c%d has an attempt out and no answer after its caller's time", i)
+		if k := &m.calls[i]; k.asked && !k.left && !k.closed && k.finals == 0 {
+			m.fail("c%d has no answer when all is over", i)
 		}
 	}
 }
--- a/internal/lab/rules/rules.go
+++ b/internal/lab/rules/rules.go
@@ -134,6 +134,7 @@
 type life struct {
 	owed    bool
 	over    bool
+	missed  bool // no answer when its caller gave up: told once, whatever comes later
 	until   Time
 	out     string // server of the attempt that is out; "": none
 	n       int
@@ -231,6 +232,8 @@
 		}
 	case Stands, Refused:
 		switch {
+		case l.missed:
+			l.missed = false
 		case !l.owed:
 			c.breach(OneAnswer, e, l, "a second final answer to %s: %v", e.Call, e.Kind)
 		case e.At > l.until+c.limits.Slack:
@@ -289,7 +292,7 @@
 		}
 		if l.owed {
 			c.breach(InTime, Event{At: at, Node: k.node, Call: k.call}, l, "%s has no answer when its caller gives up", k.call)
-			l.owed, l.over = false, true
+			l.owed, l.over, l.missed = false, true, true
 		}
 		if at >= l.until+keep {
 			delete(c.calls, k)
--- /dev/null
+++ b/internal/lab/scenario/scenario_test.go
@@ -0,0 +1,66 @@
+package scenario
+
+import (
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+)
+
+// The scenarios that come with the program can be read, and say what they are for.
+func TestDeployed(t *testing.T) {
+	files, err := filepath.Glob("../../../deploy/lab/*.toml")
+	if err != nil || len(files) < 6 {
+		t.Fatal(files, err)
+	}
+	for _, path := range files {
+		s, err := Load(path)
+		if err != nil {
+			t.Error(err)
+			continue
+		}
+		if s.About == "" || s.Name != strings.TrimSuffix(filepath.Base(path), ".toml") {
+			t.Errorf("%s: named %q, about %q", path, s.Name, s.About)
+		}
+	}
+}
+
+// What a file leaves out is as by default; what makes no sense names its key.
+func TestParse(t *testing.T) {
+	s, err := Parse([]byte("[callers]\nload = 1.5\n[[class]]\nname = \"a\"\nshare = 1.0\nholding = \"2s\"\naim = \"1s\"\ngive_up = \"5s\"\nworth = 2.0\n"))
+	if err != nil || s.Callers.Load != 1.5 || len(s.Class) != 1 || s.Fleet.Controllers != Default().Fleet.Controllers || s.Exchange.Warm.D() != 15*time.Second {
+		t.Errorf("%+v, %v", s, err)
+	}
+	for text, want := range map[string]string{
+		"lenght = \"1s\"":                                   "lenght: unknown key",
+		"length = \"1\"":                                    "no length of time",
+		"length = \"48h\"":                                  "length",
+		"[fleet]\ncontrollers = 0":                          "fleet.controllers",
+		"[callers]\nshape = \"square\"":                     "callers.shape",
+		"[exchange]\nset_up = \"-1s\"":                      "set_up",
+		"[[fault]]\nkind = \"flood\"\nat = \"1s\"":          "fault 1 (flood)",
+		"[[fault]]\nkind = \"slow\"\nat = \"1s\"":           "factor is missing",
+		"[[fault]]\nkind = \"cut\"\nat = \"1s\"\nshare=2.0": "between 0 and 1",
+		"[[class]]\nname = \"a\"\nshare = 0.5\nholding = \"2s\"\naim = \"1s\"\ngive_up = \"5s\"": "shares come to 0.5",
+		"[callers\n": "line 2",
+	} {
+		if _, err := Parse([]byte(text)); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%q: %v, want %q", text, err, want)
+		}
+	}
+}
+
+// A wave and a ramp offer what they say.
+func TestOffered(t *testing.T) {
+	s := Default()
+	s.Callers.Load, s.Callers.Shape, s.Callers.Swing, s.Callers.Period = 1, "wave", 0.5, ms(40000)
+	for at, want := range map[time.Duration]float64{0: 1, 10 * time.Second: 1.5, 30 * time.Second: 0.5} {
+		if got := s.Offered(at); got < want-0.01 || got > want+0.01 {
+			t.Errorf("wave at %v: %v", at, got)
+		}
+	}
+	s.Callers.Shape, s.Callers.Swing = "ramp", 3
+	if a, b := s.Offered(0), s.Offered(s.Length.D()); a != 1 || b != 3 {
+		t.Errorf("ramp from %v to %v", a, b)
+	}
+}
--- a/internal/lab/socket/socket_test.go
+++ b/internal/lab/socket/socket_test.go
@@ -5,28 +5,32 @@
 	"encoding/json"
 	"fmt"
 	"net"
+	"slices"
 	"testing"
 	"time"
 
 	"lapiscourse/internal/config"
 	"lapiscourse/internal/lab/exchange"
+	"lapiscourse/internal/lab/experiment"
+	"lapiscourse/internal/lab/result"
 	"lapiscourse/internal/lab/scenario"
+	"lapiscourse/internal/lab/virtual"
 	node "lapiscourse/internal/net"
 )
 
-// start runs a real call controller, with two emulated exchanges and their directory.
-func start(t *testing.T) (addr string, names *Names, all []*Exchange, lines []Line) {
+// brief is what calls hold where a test must not wait for them.
+var brief = map[string]time.Duration{"resident-call": 200 * time.Millisecond, "concierge-call": 200 * time.Millisecond, "delivery-call": 200 * time.Millisecond}
+
+// start runs a real call controller, with so many emulated exchanges and their directory.
+func start(t testing.TB, set exchange.Settings, exchanges int) (addr string, names *Names, all []*Exchange, lines []Line) {
 	t.Helper()
-	sc := scenario.Default()
 	names, err := ListenNames("127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(names.Close)
 	var members []config.Member
-	for i := range 2 {
-		set := sc.Model()
-		set.Holding = map[string]time.Duration{"resident-call": 200 * time.Millisecond, "concierge-call": 200 * time.Millisecond, "delivery-call": 200 * time.Millisecond}
+	for i := range exchanges {
 		x, err := Listen("127.0.0.1:0", set, false, uint64(i))
 		if err != nil {
 			t.Fatal(err)
@@ -73,7 +77,10 @@
 // exchanges counted, also when calls are cut and an exchange dies.
 func TestLoadAndExchanges(t *testing.T) {
 	t.Parallel()
-	addr, names, all, lines := start(t)
+	sc := scenario.Default()
+	set := sc.Model()
+	set.Holding = brief
+	addr, names, all, lines := start(t, set, 2)
 	l := &Load{Addrs: []string{addr}, Rate: 30, For: 3 * time.Second, Left: 3 * time.Second, Pools: 2, Classes: scenario.Default().Class, Seed: 1}
 	done := make(chan error, 1)
 	go func() { done <- l.Run(context.Background()) }()
@@ -113,3 +120,55 @@
 		t.Error("a load without addresses ran")
 	}
 }
+
+// The same scenario on both floors: one controller, three exchanges, calls by chance, nobody tries twice.
+// go test -run '^$' -bench Floors -benchtime 1x ./internal/lab/socket
+func BenchmarkFloors(b *testing.B) {
+	for range b.N {
+		for _, load := range []float64{0.6, 0.9, 1.3} {
+			sc := scenario.Default()
+			sc.Length, sc.Fleet.Controllers = scenario.Duration(30*time.Second), 1
+			sc.Callers.Load, sc.Callers.Lean, sc.Callers.Shift, sc.Callers.Tries, sc.Callers.Patience = load, 1, scenario.Span{}, 0, [2]float64{1.0 / 3, 1.0 / 3}
+			near := scenario.Span{scenario.Duration(50 * time.Microsecond), scenario.Duration(150 * time.Microsecond)} // as loopback has it
+			sc.Wire.Near, sc.Wire.Far, sc.Wire.Client = near, near, scenario.Duration(100*time.Microsecond)
+			if err := sc.Check(); err != nil {
+				b.Fatal(err)
+			}
+			days, err := experiment.Play(context.Background(), &sc, experiment.Seeds(1, 12), virtual.Options{})
+			if err != nil {
+				b.Fatal(err)
+			}
+			share := func(n, m int) float64 { return float64(n) / float64(max(m, 1)) }
+			addr, _, _, _ := start(b, sc.Model(), 3)
+			l := &Load{Addrs: []string{addr}, Rate: load * sc.Rate(), For: sc.Length.D(), Left: 3 * time.Second, Pools: 3, Classes: sc.Class, Seed: 1}
+			if err := l.Run(context.Background()); err != nil {
+				b.Fatal(err)
+			}
+			s := l.Stats()
+			for _, x := range []struct {
+				name   string
+				socket float64
+			}{{"stood", share(s.Stood, s.Sent)}, {"refused", share(s.Refused, s.Sent)},
+				{"p50 ms", float64(s.Took.ValueAtQuantile(50)) / 1000}, {"p99 ms", float64(s.Took.ValueAtQuantile(99)) / 1000}} {
+				v := daysOf(days, x.name)
+				b.Logf("load %v, %s: virtual %.3f, days from %.3f to %.3f; sockets %.3f", load, x.name, experiment.Bootstrap(v, false).Mean, slices.Min(v), slices.Max(v), x.socket)
+			}
+		}
+	}
+}
+
+func daysOf(all []*result.Result, name string) (v []float64) {
+	for _, r := range all {
+		switch name {
+		case "stood":
+			v = append(v, float64(r.Stood)/float64(r.Offered))
+		case "refused":
+			v = append(v, float64(r.Refused)/float64(r.Offered))
+		case "p50 ms":
+			v = append(v, r.P50)
+		default:
+			v = append(v, r.P99)
+		}
+	}
+	return v
+}
