Keep the replay of numbers steady on a busy machine

From a fresh clone, with all packages' tests at once, the replay by both fronts failed: a thousand calls open at once held up their own answers past the 250 ms after which a link counts as mute. Links were closed, releases of standing calls went down with them, and the stand-in counted a set-up on a closed connection as still out.

--- a/internal/net/standin_test.go
+++ b/internal/net/standin_test.go
@@ -141,6 +141,12 @@
 	var in sip.Reader
 	buf := make([]byte, 4096)
 	mute := false
+	mine := make(map[string]bool) // set-ups that are out on this connection end with it
+	defer func() {
+		for id := range mine {
+			s.r.end(id, true)
+		}
+	}()
 	for {
 		n, err := c.Read(buf)
 		if err != nil {
@@ -168,6 +174,9 @@
 					key = m.CallID
 				}
 				nth := s.r.begin(m.CallID, number, key, m.Body)
+				if s.lively {
+					mine[m.CallID] = true
+				}
 				status, note, kind := 0, "", kindOf(number)
 				if s.lively {
 					kind = digits(number, nth)
@@ -181,6 +190,7 @@
 					mute = true
 					return true
 				case kind == "ok" || kind == "keep" || nth > 1 && !s.lively && kind != "silent" && kind != "busy":
+					delete(mine, m.CallID)
 					respond(180, nil, nil)
 					respond(200, nil, []byte(accept(number)))
 					if kind == "ok" {
@@ -203,9 +213,11 @@
 					return true
 				}
 				s.r.end(m.CallID, kindOf(number) == "reset")
+				delete(mine, m.CallID)
 				respond(status, []sip.Header{{Name: "X-Diagnosis", Value: note}}, nil)
 			case "CANCEL":
 				s.r.end(m.CallID, true)
+				delete(mine, m.CallID)
 				s.r.count(&s.r.gaveUp)
 				respond(200, nil, nil)
 				m.CSeqMethod = "INVITE"
