--- a/internal/lab/show/show.go
+++ b/internal/lab/show/show.go
@@ -80,7 +80,11 @@
 			p.Legend.Add(c.Name, line)
 		}
 	}
-	return svg(p, 16*vg.Centimeter, 8.5*vg.Centimeter)
+	// Room for the legend above the curves, and for the last figure of the axis.
+	p.X.Max += 0.04 * (p.X.Max - p.X.Min)
+	p.Y.Max += 0.06 * float64(len(curves)+1) * (p.Y.Max - p.Y.Min)
+	p.Legend.Padding, p.Legend.ThumbnailWidth = vg.Points(3), vg.Points(24)
+	return svg(p, 16*vg.Centimeter, 9*vg.Centimeter)
 }
 
 func svg(p *plot.Plot, width, height vg.Length) (template.HTML, error) {
