Answer calls whose caller's time is over in one way

The core had three places that answered such a call, two that set the timer for it and two that told the module, one each for look-ups, for calls that the module holds, and for attempts that come too late. There is one of each now (mind, left, expire), and Tick asks once whether a call is still its own.

--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -309,8 +309,7 @@
 	}
 	if k.route.Pending {
 		k.state = routing
-		// Guards against a look-up of which nothing is heard any more: its caller gets an answer.
-		heap.Push(&c.timers, timer{at: k.Until, call: k, attempt: k.attempt})
+		c.mind(k)
 		return nil
 	}
 	c.place(k)
@@ -344,6 +343,9 @@
 	c.place(k)
 }
 
+// unplaced tells whether no attempt of an open call is out.
+func (k *call) unplaced() bool { return k.state == waiting || k.state == routing }
+
 // release lets go of what the call is routed by.
 func (k *call) release() {
 	if k.route.Release != nil {
@@ -426,11 +428,22 @@
 		}
 	}
 	if k.state == waiting && c.calls[k.ID] == k {
-		// Guards against a module that forgets a call: its caller gets an answer all the same.
-		heap.Push(&c.timers, timer{at: k.Until, call: k, attempt: k.attempt})
+		c.mind(k)
 	}
 }
 
+// mind has a call without an attempt looked at when its caller's time is over. It guards against a
+// look-up of which nothing is heard any more, and a module that forgets a call.
+func (c *Core) mind(k *call) {
+	heap.Push(&c.timers, timer{at: k.Until, call: k, attempt: k.attempt})
+}
+
+// expire answers a call whose caller's time is over.
+func (c *Core) expire(k *call) {
+	c.Failed++
+	c.refuse(k, Failed, TimedOut, CauseFailed, 0)
+}
+
 // answerable guards against a second final answer.
 func (c *Core) answerable(k *call) bool { return c.calls[k.ID] == k && k.state != standing }
 
@@ -440,8 +453,7 @@
 	}
 	now := c.now()
 	if now >= k.Until { // guards against a module that would try for ever: the attempt would end as it begins
-		c.Failed++
-		c.refuse(k, Failed, TimedOut, CauseFailed, 0)
+		c.expire(k)
 		return
 	}
 	k.state, k.server, k.sent = trying, o.Server, now
@@ -528,12 +540,17 @@
 	return false
 }
 
-// leave ends a set-up whose caller no longer waits; no answer is owed.
-func (c *Core) leave(k *call) {
-	c.GivenUp++
+// left tells the module that a call's caller waits no more, if it has heard of the call.
+func (c *Core) left(k *call) {
 	if k.state != routing {
 		c.desk.Report(c.now(), lapiscourse.Progress{Call: k.ID, Stage: lapiscourse.Left})
 	}
+}
+
+// leave ends a set-up whose caller no longer waits; no answer is owed.
+func (c *Core) leave(k *call) {
+	c.GivenUp++
+	c.left(k)
 	c.finish(k, CallerLeft)
 	c.tell(k, GivenUp, 0, 0)
 }
@@ -656,15 +673,14 @@
 // Tick does what is due.
 func (c *Core) Tick() {
 	now := c.now()
-	var held []*call // by the module, past their time
+	var held []*call // by the module or a look-up, past their time
 	for len(c.timers) > 0 && c.timers[0].at <= now {
 		t := heap.Pop(&c.timers).(timer)
-		if k := t.call; k.state == trying && k.attempt == t.attempt && c.calls[k.ID] == k {
+		switch k := t.call; {
+		case c.calls[k.ID] != k:
+		case k.state == trying && k.attempt == t.attempt:
 			c.give(k, TimedOut)
-		} else if k.state == routing && c.calls[k.ID] == k {
-			c.Failed++
-			c.refuse(k, Failed, TimedOut, CauseFailed, 0)
-		} else if k.state == waiting && now >= k.Until {
+		case k.unplaced() && now >= k.Until:
 			held = append(held, k)
 		}
 	}
@@ -674,10 +690,9 @@
 		}
 	}
 	for _, k := range held { // the module's word, which may ask the caller to wait, comes first
-		if k.state == waiting && c.calls[k.ID] == k {
-			c.Failed++
-			c.desk.Report(now, lapiscourse.Progress{Call: k.ID, Stage: lapiscourse.Left})
-			c.refuse(k, Failed, TimedOut, CauseFailed, 0)
+		if k.unplaced() && c.calls[k.ID] == k {
+			c.left(k)
+			c.expire(k)
 		}
 	}
 	c.over.sweep(now)
