--- a/cmd/olivectl/report.go
+++ b/cmd/olivectl/report.go
@@ -6,8 +6,6 @@
 	"fmt"
 	"io"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/dustin/go-humanize"
@@ -39,7 +37,7 @@
 					return err
 				}
 			}
-			ctx, stop := signal.NotifyContext(c.Context(), syscall.SIGINT, syscall.SIGTERM)
+			ctx, stop := cli.Interruptible(c)
 			defer stop()
 			return makeReport(ctx, c, args, o, html, asJSON)
 		},
--- a/cmd/olivectl/top.go
+++ b/cmd/olivectl/top.go
@@ -6,8 +6,6 @@
 	"fmt"
 	"io"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	tea "charm.land/bubbletea/v2"
@@ -93,7 +91,7 @@
 		return err
 	}
 	defer func() { err = errors.Join(err, src.Close()) }()
-	ctx, stop := signal.NotifyContext(c.Context(), syscall.SIGTERM, syscall.SIGINT)
+	ctx, stop := cli.Interruptible(c)
 	defer stop()
 	switch {
 	case f.once || f.asJSON:
--- a/cmd/olivelab/sockets.go
+++ b/cmd/olivelab/sockets.go
@@ -35,7 +35,7 @@
 			case o.Rate <= 0 || o.Rate > 1000 || o.For < time.Second || o.For > time.Hour:
 				return cli.Usage("--rate is up to 1000 calls a second, --for 1s to 1h")
 			}
-			ctx, stop := interrupted(c)
+			ctx, stop := cli.Interruptible(c)
 			defer stop()
 			o.Out = c.OutOrStdout()
 			return demo.Run(ctx, o)
@@ -75,7 +75,7 @@
 			if n < 1 || n > 256 {
 				return cli.Usage("--exchanges is 1 to 256")
 			}
-			ctx, stop := interrupted(c)
+			ctx, stop := cli.Interruptible(c)
 			defer stop()
 			dir, err := socket.ListenNames(names)
 			if err != nil {
@@ -141,7 +141,7 @@
 				return cli.Usage("--rate is up to 100000 calls a second, --for up to 1h")
 			}
 			l.Classes = scenario.Default().Class
-			ctx, stop := interrupted(c)
+			ctx, stop := cli.Interruptible(c)
 			defer stop()
 			if err := l.Run(ctx); err != nil {
 				return err
--- a/cmd/olivelab/virtual.go
+++ b/cmd/olivelab/virtual.go
@@ -2,28 +2,21 @@
 
 import (
 	"cmp"
-	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"os"
-	"os/exec"
-	"os/signal"
 	"slices"
 	"strconv"
 	"strings"
-	"syscall"
 	"time"
 
 	"github.com/BurntSushi/toml"
 	"github.com/spf13/cobra"
 
 	"lapiscourse/internal/cli"
-	"lapiscourse/internal/lab/base"
 	"lapiscourse/internal/lab/experiment"
 	"lapiscourse/internal/lab/result"
 	"lapiscourse/internal/lab/rules"
-	"lapiscourse/internal/lab/sabourin"
 	"lapiscourse/internal/lab/scenario"
 	"lapiscourse/internal/lab/show"
 	"lapiscourse/internal/lab/virtual"
@@ -51,8 +44,27 @@
 	return experiment.Seeds(d.first, d.n), nil
 }
 
-func interrupted(c *cobra.Command) (context.Context, context.CancelFunc) {
-	return signal.NotifyContext(c.Context(), syscall.SIGINT, syscall.SIGTERM)
+// read reads a scenario and says which days are played.
+func (d *days) read(path string) (*scenario.Scenario, []uint64, error) {
+	sc, err := scenario.Load(path)
+	if err != nil {
+		return nil, nil, err
+	}
+	seeds, err := d.seeds()
+	return sc, seeds, err
+}
+
+// save keeps results if a file is named.
+func (d *days) save(f *experiment.File) error {
+	if d.out == "" {
+		return nil
+	}
+	return f.Save(d.out)
+}
+
+// interval is a figure with its interval and its worst day, as a table has them.
+func interval(iv experiment.Interval) []string {
+	return []string{show.Number(iv.Mean), show.Number(iv.Low) + " to " + show.Number(iv.High), show.Number(iv.Worst)}
 }
 
 // commit is what results say they are of.
@@ -66,11 +78,7 @@
 		Use: "run SCENARIO.toml", Short: "Play a scenario in virtual time", Args: cobra.ExactArgs(1),
 		Example: "  olivelab run deploy/lab/coldstart.toml --days 20\n  olivelab run deploy/lab/coldstart.toml --days 1 --seed 7 --until 12s --call c1234",
 		RunE: func(c *cobra.Command, args []string) error {
-			sc, err := scenario.Load(args[0])
-			if err != nil {
-				return err
-			}
-			seeds, err := d.seeds()
+			sc, seeds, err := d.read(args[0])
 			if err != nil {
 				return err
 			}
@@ -85,17 +93,15 @@
 					}
 				}
 			}
-			ctx, stop := interrupted(c)
+			ctx, stop := cli.Interruptible(c)
 			defer stop()
 			all, err := experiment.Play(ctx, sc, seeds, opt)
 			if err != nil {
 				return err
 			}
 			file := &experiment.File{Scenario: sc, Commit: commit(), Machine: experiment.Machine(), Points: []experiment.Point{{Results: all}}}
-			if d.out != "" {
-				if err := file.Save(d.out); err != nil {
-					return err
-				}
+			if err := d.save(file); err != nil {
+				return err
 			}
 			if d.json {
 				return json.NewEncoder(c.OutOrStdout()).Encode(all)
@@ -117,13 +123,11 @@
 	var rows [][]string
 	for _, f := range result.Figures {
 		iv := experiment.Bootstrap(experiment.Of(all, f), f.Less)
-		rows = append(rows, []string{f.Name, number(iv.Mean), number(iv.Low) + " to " + number(iv.High), number(iv.Worst)})
+		rows = append(rows, append([]string{f.Name}, interval(iv)...))
 	}
 	return cli.Table(c.OutOrStdout(), false, nil, []string{"FIGURE", "MEAN", "95%", "WORST DAY"}, rows)
 }
 
-func number(v float64) string { return strconv.FormatFloat(v, 'f', 3, 64) }
-
 // broken tells of rules that were broken, and how to see it again.
 func broken(c *cobra.Command, path string, all []*result.Result) error {
 	n := 0
@@ -135,9 +139,7 @@
 			}
 			_, _ = fmt.Fprintf(c.ErrOrStderr(), "again: olivelab run %s --days 1 --seed %d --until %v\n", path, r.Seed, (b.At + time.Second).Truncate(time.Second))
 		}
-		for _, k := range r.Broken {
-			n += k
-		}
+		n += r.Breached()
 	}
 	if n > 0 {
 		return fmt.Errorf("rules were broken %d times", n)
@@ -152,11 +154,7 @@
 		Use: "sweep SCENARIO.toml --vary KEY --values A,B,...", Short: "Play a scenario over values of a setting", Args: cobra.ExactArgs(1),
 		Example: "  olivelab sweep deploy/lab/quiet.toml --vary callers.load --values 0.6,0.8,1,1.2,1.6,2 -o load.json",
 		RunE: func(c *cobra.Command, args []string) error {
-			sc, err := scenario.Load(args[0])
-			if err != nil {
-				return err
-			}
-			seeds, err := d.seeds()
+			sc, seeds, err := d.read(args[0])
 			if err != nil {
 				return err
 			}
@@ -167,7 +165,7 @@
 			if vary == "" || values == "" {
 				return cli.Usage("--vary and --values say what changes; see the example")
 			}
-			ctx, stop := interrupted(c)
+			ctx, stop := cli.Interruptible(c)
 			defer stop()
 			file := &experiment.File{Scenario: sc, Commit: commit(), Machine: experiment.Machine(), Vary: vary}
 			var rows [][]string
@@ -186,12 +184,10 @@
 				for _, r := range all {
 					n += len(r.Broken)
 				}
-				rows = append(rows, []string{value, number(iv.Mean), number(iv.Low) + " to " + number(iv.High), number(iv.Worst), strconv.Itoa(n)})
+				rows = append(rows, slices.Concat([]string{value}, interval(iv), []string{strconv.Itoa(n)}))
 			}
-			if d.out != "" {
-				if err := file.Save(d.out); err != nil {
-					return err
-				}
+			if err := d.save(file); err != nil {
+				return err
 			}
 			return cli.Table(c.OutOrStdout(), d.json, file, []string{strings.ToUpper(vary), strings.ToUpper(figure), "95%", "WORST DAY", "RULES BROKEN"}, rows)
 		},
@@ -203,175 +199,6 @@
 	return c
 }
 
-func compareCommand() *cobra.Command {
-	var d days
-	var rev, repo string
-	var module bool
-	c := &cobra.Command{
-		Use: "compare SCENARIO.toml... --base REV", Short: "Play the same days with this program and with an earlier commit", Args: cobra.MinimumNArgs(1),
-		Long: "compare builds core and module of an earlier commit under today's laboratory, in a work tree that it removes after, and\n" +
-			"plays the same seeds with both. Differences are taken day by day; where the interval takes in nought it says so.",
-		Example: "  olivelab compare deploy/lab/*.toml --base HEAD~3 --days 24",
-		RunE: func(c *cobra.Command, args []string) error {
-			seeds, err := d.seeds()
-			if err != nil {
-				return err
-			}
-			if rev == "" {
-				return cli.Usage("--base names the commit to compare with")
-			}
-			ctx, stop := interrupted(c)
-			defer stop()
-			old, err := base.Make(ctx, repo, rev, module)
-			if err != nil {
-				return err
-			}
-			defer func() { _ = old.Remove() }()
-			type comparison struct {
-				Scenario    string                  `json:"scenario"`
-				Base        string                  `json:"base"`
-				Differences []experiment.Difference `json:"differences"`
-			}
-			var out []comparison
-			for _, path := range args {
-				sc, err := scenario.Load(path)
-				if err != nil {
-					return err
-				}
-				before, err := playOld(ctx, old, path, d)
-				if err != nil {
-					return err
-				}
-				now, err := experiment.Play(ctx, sc, seeds, virtual.Options{})
-				if err != nil {
-					return err
-				}
-				diffs, err := experiment.Compare(before, now)
-				if err != nil {
-					return err
-				}
-				out = append(out, comparison{sc.Name, old.Commit, diffs})
-				if d.json {
-					continue
-				}
-				var rows [][]string
-				for _, x := range diffs {
-					rows = append(rows, []string{x.Figure, number(x.Base), number(x.Now), fmt.Sprintf("%+.3f", x.Diff.Mean), fmt.Sprintf("%+.3f to %+.3f", x.Diff.Low, x.Diff.High),
-						number(x.WorstBase), number(x.WorstNow), x.Verdict})
-				}
-				if _, err := fmt.Fprintf(c.OutOrStdout(), "%s, %d days, base %.12s\n", sc.Name, len(seeds), old.Commit); err != nil {
-					return err
-				}
-				if err := cli.Table(c.OutOrStdout(), false, nil, []string{"FIGURE", "BASE", "NOW", "DIFFERENCE", "95%", "WORST BASE", "WORST NOW", ""}, rows); err != nil {
-					return err
-				}
-			}
-			if d.json {
-				return json.NewEncoder(c.OutOrStdout()).Encode(out)
-			}
-			return nil
-		},
-	}
-	d.flags(c, 16)
-	c.Flags().StringVar(&rev, "base", "", "commit, branch or tag to compare with")
-	c.Flags().StringVar(&repo, "repository", ".", "the repository")
-	c.Flags().BoolVar(&module, "module", false, "take the module alone from that commit, and all else from HEAD")
-	return c
-}
-
-// playOld has the earlier program play the days.
-func playOld(ctx context.Context, b *base.Build, path string, d days) ([]*result.Result, error) {
-	p := exec.CommandContext(ctx, b.Program, "run", path, "--json", "--seed", strconv.FormatUint(d.first, 10), "--days", strconv.Itoa(d.n))
-	p.Stderr = os.Stderr
-	text, err := p.Output()
-	if err != nil {
-		return nil, fmt.Errorf("playing %s with %.12s: %w", path, b.Commit, err)
-	}
-	var all []*result.Result
-	if err := json.Unmarshal(text, &all); err != nil {
-		return nil, fmt.Errorf("what %.12s said: %w", b.Commit, err)
-	}
-	return all, nil
-}
-
-func reportCommand() *cobra.Command {
-	var out, title string
-	c := &cobra.Command{
-		Use: "report RESULTS.json... -o FILE.html", Short: "Make a page of results", Args: cobra.MinimumNArgs(1),
-		Example: "  olivelab report load.json coldstart.json -o study.html",
-		RunE: func(c *cobra.Command, args []string) error {
-			if out == "" {
-				return cli.Usage("-o names the file to write")
-			}
-			var parts []show.Part
-			for _, path := range args {
-				f, err := experiment.Load(path)
-				if err != nil {
-					return err
-				}
-				p, err := show.Of(f)
-				if err != nil {
-					return err
-				}
-				parts = append(parts, p)
-			}
-			w, err := os.Create(out)
-			if err != nil {
-				return err
-			}
-			return errors.Join(show.Page(w, title, parts), w.Close())
-		},
-	}
-	c.Flags().StringVarP(&out, "out", "o", "", "the file to write")
-	c.Flags().StringVar(&title, "title", "Laboratory", "the page's title")
-	return c
-}
-
-func curveCommand() *cobra.Command {
-	var out string
-	c := &cobra.Command{
-		Use: "curve -o FILE.html", Short: "Redraw the paper's curves of handled against offered load", Args: cobra.NoArgs,
-		Example: "  olivelab curve -o curve.html",
-		RunE: func(c *cobra.Command, _ []string) error {
-			if out == "" {
-				return cli.Usage("-o names the file to write")
-			}
-			var curves []show.Curve
-			part := show.Part{Title: "Handled load against offered load", About: "Sabourin's counting of calls at the door of the laboratory's exchange (lines) beside his theory (dashed), " +
-				"for rejected calls that cost nothing, 30% and 50% of an accepted one. Thresholds 0.8 and 0.9, periods of 100 ms, a window of 3 s, as in the paper; " +
-				"half of the calls outgoing, four in ten incoming, one in ten urgent, which is ours.",
-				Heading: []string{"offered", "cost of a rejected call", "handled", "theory", "total", "theory"}}
-			for _, reject := range []float64{0, 0.3, 0.5} {
-				m := sabourin.Paper(reject)
-				run, theory := show.Curve{Name: fmt.Sprintf("rejected calls cost %v", reject)}, show.Curve{Name: fmt.Sprintf("theory, %v", reject), Dashed: true}
-				for offered := 0.1; offered < 2.55; offered += 0.1 {
-					want, load := m.Theory(offered)
-					theory.X, theory.Y = append(theory.X, offered), append(theory.Y, want)
-					if load > 1 {
-						continue // no steady state
-					}
-					got, total := m.Run(offered, 400*time.Second, 1)
-					run.X, run.Y = append(run.X, offered), append(run.Y, got)
-					part.Rows = append(part.Rows, []string{fmt.Sprintf("%.1f", offered), fmt.Sprint(reject), number(got), number(want), number(total), number(load)})
-				}
-				curves = append(curves, run, theory)
-			}
-			svg, err := show.Plot("handled load", "offered load", "", curves)
-			if err != nil {
-				return err
-			}
-			part.Plots = append(part.Plots, svg)
-			w, err := os.Create(out)
-			if err != nil {
-				return err
-			}
-			return errors.Join(show.Page(w, "Overload control by counting calls", []show.Part{part}), w.Close())
-		},
-	}
-	c.Flags().StringVarP(&out, "out", "o", "", "the file to write")
-	return c
-}
-
 func shrinkCommand() *cobra.Command {
 	var seed uint64
 	var out string
@@ -383,7 +210,7 @@
 			if err != nil {
 				return err
 			}
-			ctx, stop := interrupted(c)
+			ctx, stop := cli.Interruptible(c)
 			defer stop()
 			small := experiment.Shrink(ctx, sc, seed, virtual.Options{})
 			if small == nil {
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -9,8 +9,10 @@
 	"fmt"
 	"io"
 	"os"
+	"os/signal"
 	"runtime/debug"
 	"strings"
+	"syscall"
 	"text/tabwriter"
 
 	"github.com/spf13/cobra"
@@ -129,6 +131,11 @@
 		}}
 }
 
+// Interruptible is a command's context that ends with Ctrl-C or SIGTERM.
+func Interruptible(c *cobra.Command) (context.Context, context.CancelFunc) {
+	return signal.NotifyContext(c.Context(), syscall.SIGINT, syscall.SIGTERM)
+}
+
 // Terminal tells whether a file is a terminal that wants colour and progress.
 func Terminal(f *os.File) bool {
 	st, err := f.Stat()
--- a/internal/console/model.go
+++ b/internal/console/model.go
@@ -393,17 +393,15 @@
 	if silent > 0 {
 		line += fmt.Sprintf(" (%d silent)", silent)
 	}
-	if numbers := s.Numbers(); numbers != "" {
-		other := 0
-		for _, in := range s.Instances {
-			if in.State == StateRunning && in.Numbers != numbers {
-				other++
-			}
-		}
-		if other > 0 {
-			line += fmt.Sprintf("  (%d not on table %s)", other, brief(numbers))
+	numbers, other := s.Numbers(), 0
+	for i := range s.Instances {
+		if s.Instances[i].strays(numbers) {
+			other++
 		}
 	}
+	if other > 0 {
+		line += fmt.Sprintf("  (%d not on table %s)", other, brief(numbers))
+	}
 	note := ""
 	if left > 0 {
 		note = "+" // some rates are not known
--- a/internal/console/snapshot.go
+++ b/internal/console/snapshot.go
@@ -173,6 +173,11 @@
 	return most
 }
 
+// strays tells whether an instance that runs has another table than most have.
+func (in *Instance) strays(most string) bool {
+	return most != "" && in.State == StateRunning && in.Numbers != most
+}
+
 // Servers puts together what the instances know of each server.
 func (s *Snapshot) Servers() []Server {
 	by := make(map[string]*Server)
--- a/internal/console/table.go
+++ b/internal/console/table.go
@@ -164,7 +164,7 @@
 			number(uint64(max(in.Open, 0))), number(uint64(max(in.Standing, 0))), number(in.Total.Cut), number(in.Total.Late),
 			number(in.Lost).warn(in.Lost > 0), number(in.Total.Offered), number(uint64(max(in.Starts, 0)))}
 		if numbers != "" {
-			cells = slices.Insert(cells, 3, text(brief(in.Numbers)).warn(in.Numbers != numbers && in.State == StateRunning))
+			cells = slices.Insert(cells, 3, text(brief(in.Numbers)).warn(in.strays(numbers)))
 		}
 		t.add(in.Name, cells...)
 	}
--- a/internal/lab/base/base.go
+++ b/internal/lab/base/base.go
@@ -16,7 +16,7 @@
 
 // overlay is what comes from today: the laboratory and what it stands on. The product's own parts,
 // core and module, stay as they were.
-var overlay = []string{"internal/lab", "cmd/olivelab", "internal/cli", "internal/logs", "go.mod", "go.sum"}
+var overlay = []string{"internal/lab", "cmd/olivelab", "internal/cli", "internal/logs", "internal/svg", "go.mod", "go.sum"}
 
 // A Build is a program made of an earlier commit.
 type Build struct {
--- a/internal/lab/exchange/exchange.go
+++ b/internal/lab/exchange/exchange.go
@@ -57,6 +57,14 @@
 	return 1 / (s.SetUp + s.Answer + s.Release).Seconds()
 }
 
+// Warmth is the share of its capacity that a processor has so long after a cold start.
+func (s *Settings) Warmth(age time.Duration) float64 {
+	if age >= s.Warm {
+		return 1
+	}
+	return s.Start + (1-s.Start)*float64(age)/float64(s.Warm)
+}
+
 // An Attempt names a set-up: two of one call may pass through one exchange.
 type Attempt struct {
 	Call string
@@ -71,12 +79,11 @@
 	Answered Kind = iota // the called side has answered: the call stands
 	Full                 // turned away: the processor is full; it never ran
 	NoLine               // turned away: no line is free; it never ran
-	Busy                 // the number is busy
 	Released             // a call that stood is over, with Cause
 	Dropped              // given up as it was asked to: the set-up is over
 )
 
-var kindNames = [...]string{"answered", "full", "no_line", "busy", "released", "dropped"}
+var kindNames = [...]string{"answered", "full", "no_line", "released", "dropped"}
 
 // String implements fmt.Stringer.
 func (k Kind) String() string { return kindNames[k] }
@@ -202,10 +209,8 @@
 // Speed is the share of its full speed that the processor has.
 func (x *Exchange) Speed(now Time) float64 {
 	v := 1 / x.slow
-	if x.cold && x.set.Warm > 0 {
-		if age := now - x.began; age < x.set.Warm {
-			v *= x.set.Start + (1-x.set.Start)*float64(age)/float64(x.set.Warm)
-		}
+	if x.cold {
+		v *= x.set.Warmth(now - x.began)
 	}
 	return v
 }
@@ -265,9 +270,7 @@
 		return
 	}
 	if x.Wait(now) > x.set.Full && x.set.Full > 0 {
-		k.phase = over
-		x.reject.push(job{workReject, k})
-		x.serve(now)
+		x.turnAway(now, k)
 		return
 	}
 	x.calls[a] = k
@@ -284,10 +287,18 @@
 		return
 	}
 	x.Counters.SetUps++
-	x.reject.push(job{workReject, &call{Attempt: a, from: from, phase: over, came: now}})
+	x.turnAway(now, &call{Attempt: a, from: from, came: now})
+}
+
+func (x *Exchange) turnAway(now Time, k *call) {
+	k.phase = over
+	x.reject.push(job{workReject, k})
 	x.serve(now)
 }
 
+// Has tells whether it knows of an attempt.
+func (x *Exchange) Has(a Attempt) bool { return x.calls[a] != nil }
+
 func (x *Exchange) enqueue(w work, k *call) {
 	x.front.push(job{w, k})
 	x.ahead += x.mean(w)
--- a/internal/lab/result/result.go
+++ b/internal/lab/result/result.go
@@ -161,13 +161,13 @@
 }
 
 // Try takes a set-up of a caller to a controller.
-func (t *Tally) Try(Time, int) { t.r.Tries++ }
+func (t *Tally) Try() { t.r.Tries++ }
 
 // Sent takes a set-up of a controller to an exchange.
-func (t *Tally) Sent(Time, int) { t.r.Sends++ }
+func (t *Tally) Sent() { t.r.Sends++ }
 
 // Refused takes a caller's news that the call does not stand.
-func (t *Tally) Refused(_ Time, _ int, refused bool) {
+func (t *Tally) Refused(refused bool) {
 	if refused {
 		t.r.Refused++
 	} else {
@@ -176,11 +176,11 @@
 }
 
 // GaveUp takes that a caller gave a try up.
-func (t *Tally) GaveUp(Time, int) { t.r.GaveUp++ }
+func (t *Tally) GaveUp() { t.r.GaveUp++ }
 
 // Stood takes that a call stands, so long after its caller first asked, at the exchange of its first
 // choice or at another.
-func (t *Tally) Stood(_ Time, _ int, c *Call, took time.Duration, second bool) {
+func (t *Tally) Stood(c *Call, took time.Duration, second bool) {
 	k := &t.sc.Class[c.class]
 	t.r.Stood++
 	_ = t.took.RecordValue(max(took.Microseconds(), 1))
@@ -198,7 +198,7 @@
 }
 
 // Cut takes that a call that stood was cut: it has earned nothing.
-func (t *Tally) Cut(_ Time, c *Call) {
+func (t *Tally) Cut(c *Call) {
 	t.r.Cut++
 	t.classes[c.class].Cut++
 	t.bins[c.bin].earned -= c.earned
@@ -325,6 +325,14 @@
 	}
 }
 
+// Breached counts how often rules were broken.
+func (r *Result) Breached() (n int) {
+	for _, times := range r.Broken {
+		n += times
+	}
+	return n
+}
+
 // WriteJSON writes it as one object.
 func (r *Result) WriteJSON(w io.Writer) error {
 	enc := json.NewEncoder(w)
--- a/internal/lab/rules/rules.go
+++ b/internal/lab/rules/rules.go
@@ -244,19 +244,11 @@
 		l.owed, l.over = false, true
 	case Invite:
 		c.invite(e, l)
-	case Cancel:
+	case Cancel, Broke:
 		if l.out == e.Server && l.n == e.N {
 			l.out, l.guarded, l.since = "", true, e.At
 		}
-	case Broke:
-		if l.out == e.Server && l.n == e.N {
-			l.out, l.guarded, l.since = "", true, e.At
-		}
-	case Unsent, TurnedBack:
-		if l.out == e.Server && l.n == e.N {
-			l.out = ""
-		}
-	case Answer:
+	case Unsent, TurnedBack, Answer:
 		if l.out == e.Server && l.n == e.N {
 			l.out = ""
 		}
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"math"
+	"math/rand/v2"
 	"os"
 	"slices"
 	"strings"
@@ -18,7 +19,8 @@
 	"lapiscourse/internal/lab/exchange"
 )
 
-// A Duration is written as Go writes it: "300ms", "1m".
+// A Duration is written as Go writes it: "300ms", "1m". It is not the operator's file's, whose form is
+// the product's to change: this package is laid over earlier commits, which may not have it.
 type Duration time.Duration
 
 // UnmarshalText implements encoding.TextUnmarshaler.
@@ -40,6 +42,11 @@
 // A Span is a range to draw from, evenly.
 type Span [2]Duration
 
+// Draw draws from it.
+func (s Span) Draw(rng *rand.Rand) time.Duration {
+	return s[0].D() + time.Duration(rng.Float64()*float64(s[1]-s[0]))
+}
+
 // A Scenario is an experiment.
 type Scenario struct {
 	Name     string   `toml:"name" json:"name"`
@@ -113,6 +120,20 @@
 	Late    float64  `toml:"late" json:"late"` // share of the worth that a late call earns
 }
 
+// Pick is the index of the class that an even draw between 0 and 1 falls on, by the shares.
+func Pick(all []Class, x float64) int {
+	for i := range all {
+		if x < all[i].Share {
+			return i
+		}
+		x -= all[i].Share
+	}
+	return len(all) - 1 // shares may come to a little less than 1
+}
+
+// Back is when callers who were cut come again, unless a fault says otherwise.
+var Back = span(280, 2900)
+
 // Kinds of faults.
 const (
 	Slow      = "slow"       // processors take Factor times longer
--- a/internal/lab/show/show.go
+++ b/internal/lab/show/show.go
@@ -3,7 +3,6 @@
 package show
 
 import (
-	"bytes"
 	_ "embed"
 	"fmt"
 	"html/template"
@@ -13,14 +12,12 @@
 	"strings"
 
 	"gonum.org/v1/plot"
-	"gonum.org/v1/plot/font"
 	"gonum.org/v1/plot/plotter"
 	"gonum.org/v1/plot/vg"
-	"gonum.org/v1/plot/vg/draw"
-	"gonum.org/v1/plot/vg/vgsvg"
 
 	"lapiscourse/internal/lab/experiment"
 	"lapiscourse/internal/lab/result"
+	"lapiscourse/internal/svg"
 )
 
 // A Curve is one line of a plot; Low and High, if there, are its interval at each point.
@@ -34,8 +31,6 @@
 // shades are told apart in grey as well; the same curve keeps its shade over all plots of a page.
 var shades = []color.RGBA{{0, 90, 160, 255}, {200, 80, 0, 255}, {20, 130, 60, 255}, {130, 40, 130, 255}, {90, 90, 90, 255}, {170, 140, 0, 255}}
 
-func init() { plot.DefaultFont = font.Font{Typeface: "Liberation", Variant: "Sans"} }
-
 // An interval is a curve with bars upright at each point.
 type interval struct {
 	plotter.XYs
@@ -84,27 +79,13 @@
 	p.X.Max += 0.04 * (p.X.Max - p.X.Min)
 	p.Y.Max += 0.06 * float64(len(curves)+1) * (p.Y.Max - p.Y.Min)
 	p.Legend.Padding, p.Legend.ThumbnailWidth = vg.Points(3), vg.Points(24)
-	return svg(p, 16*vg.Centimeter, 9*vg.Centimeter)
-}
-
-func svg(p *plot.Plot, width, height vg.Length) (template.HTML, error) {
-	c := vgsvg.New(width, height)
-	p.Draw(draw.New(c))
-	var b bytes.Buffer
-	if _, err := c.WriteTo(&b); err != nil {
-		return "", fmt.Errorf("show: %w", err)
-	}
-	text := b.String()
-	if i := strings.Index(text, "<svg"); i > 0 {
-		text = text[i:] // without the XML head, which has no place in a page
-	}
-	return template.HTML(text), nil //nolint:gosec // vgsvg escapes all texts
+	return svg.Draw(p, 16*vg.Centimeter, 9*vg.Centimeter)
 }
 
 //go:embed page.html
 var pageText string
 
-var page = template.Must(template.New("page").Funcs(template.FuncMap{"f3": func(v float64) string { return strconv.FormatFloat(v, 'f', 3, 64) }}).Parse(pageText))
+var page = template.Must(template.New("page").Parse(pageText))
 
 // A Part is one experiment on a page.
 type Part struct {
@@ -143,7 +124,7 @@
 	}
 	for _, pt := range f.Points {
 		score := experiment.Bootstrap(experiment.Of(pt.Results, result.Figures[0]), false)
-		row := []string{pt.Value, strconv.Itoa(score.Days), three(score.Mean), three(score.Low) + " to " + three(score.High), three(score.Worst)}
+		row := []string{pt.Value, strconv.Itoa(score.Days), Number(score.Mean), Number(score.Low) + " to " + Number(score.High), Number(score.Worst)}
 		for _, name := range []string{"service", "worst_10s", "worst_class", "refused", "sends", "setup_p50_ms", "setup_p99_ms", "fairness", "cold_sends"} {
 			fig, err := result.FigureNamed(name)
 			if err != nil {
@@ -153,14 +134,12 @@
 			if strings.HasSuffix(name, "_ms") {
 				row = append(row, strconv.FormatFloat(m, 'f', 0, 64))
 			} else {
-				row = append(row, three(m))
+				row = append(row, Number(m))
 			}
 		}
 		broken := 0
 		for _, r := range pt.Results {
-			for _, n := range r.Broken {
-				broken += n
-			}
+			broken += r.Breached()
 		}
 		p.Rows = append(p.Rows, append(row, strconv.Itoa(broken)))
 	}
@@ -171,26 +150,22 @@
 		}
 		return err
 	}
-	if len(f.Points) > 1 {
-		var service, setup []Curve
-		for _, name := range []string{"score", "service", "worst_10s", "worst_class"} {
+	against := func(title, y string, names ...string) error {
+		var curves []Curve
+		for _, name := range names {
 			c, err := over(f, name)
 			if err != nil {
-				return p, err
+				return err
 			}
-			service = append(service, c)
+			curves = append(curves, c)
 		}
-		for _, name := range []string{"setup_p50_ms", "setup_p99_ms"} {
-			c, err := over(f, name)
-			if err != nil {
-				return p, err
-			}
-			setup = append(setup, c)
-		}
-		if err := add("service against "+f.Vary, f.Vary, "", service); err != nil {
+		return add(title+" against "+f.Vary, f.Vary, y, curves)
+	}
+	if len(f.Points) > 1 {
+		if err := against("service", "", "score", "service", "worst_10s", "worst_class"); err != nil {
 			return p, err
 		}
-		return p, add("time until a call stands against "+f.Vary, f.Vary, "ms", setup)
+		return p, against("time until a call stands", "ms", "setup_p50_ms", "setup_p99_ms")
 	}
 	if len(f.Points) == 0 || len(f.Points[0].Results) == 0 {
 		return p, nil
@@ -217,7 +192,8 @@
 	return p, nil
 }
 
-func three(v float64) string { return strconv.FormatFloat(v, 'f', 3, 64) }
+// Number is how figures are written.
+func Number(v float64) string { return strconv.FormatFloat(v, 'f', 3, 64) }
 
 // over is a figure against what a sweep varied; values that are no numbers stand in their order.
 func over(f *experiment.File, name string) (Curve, error) {
--- a/internal/lab/socket/exchange.go
+++ b/internal/lab/socket/exchange.go
@@ -4,6 +4,7 @@
 package socket
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -11,6 +12,7 @@
 	"sync"
 	"time"
 
+	"lapiscourse/internal/lab/agenda"
 	"lapiscourse/internal/lab/exchange"
 	"lapiscourse/internal/net/sip"
 )
@@ -92,7 +94,7 @@
 		e.shut()
 		return
 	}
-	if next := e.x.Next(); next < time.Hour*1e5 {
+	if next := e.x.Next(); next < agenda.Never {
 		e.timer.Reset(max(next-now, 0))
 	}
 }
@@ -176,13 +178,16 @@
 	_ = p.c.Close()
 	e.Do(func(x *exchange.Exchange, now exchange.Time) {
 		delete(e.peers, p.name)
+		x.Reset(now, p.name)
 		for a, d := range e.calls { // its set-ups are dropped; calls that stand are told of on its next connection
-			if d.from == p.name {
+			switch {
+			case d.from != p.name:
+			case x.Has(a):
 				d.from = ""
+			default:
+				delete(e.calls, a)
 			}
-			_ = a
 		}
-		x.Reset(now, p.name)
 		close(p.out)
 	})
 }
@@ -244,8 +249,6 @@
 		p.send(diagnosis(503, "cpu_full"))
 	case exchange.NoLine:
 		p.send(diagnosis(503, "all_trunks_busy"))
-	case exchange.Busy:
-		p.send(diagnosis(486, "number_busy"))
 	case exchange.Dropped:
 		p.send(respond(487, invite, "INVITE", nil))
 	case exchange.Released:
@@ -259,14 +262,6 @@
 	for name := range e.peers {
 		all = append(all, name)
 	}
-	slices.SortFunc(all, func(a, b string) int {
-		if len(a) != len(b) {
-			return len(a) - len(b)
-		}
-		if a < b {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(all, func(a, b string) int { return cmp.Or(len(a)-len(b), cmp.Compare(a, b)) })
 	return all
 }
--- a/internal/lab/socket/load.go
+++ b/internal/lab/socket/load.go
@@ -125,14 +125,7 @@
 }
 
 func (l *Load) send(rng *rand.Rand, due time.Time, id string) {
-	x := rng.Float64()
-	class := l.Classes[0].Name
-	for _, k := range l.Classes {
-		if class = k.Name; x < k.Share {
-			break
-		}
-		x -= k.Share
-	}
+	class := l.Classes[scenario.Pick(l.Classes, rng.Float64())].Name
 	conn := l.conns[rng.IntN(len(l.conns))]
 	pool := rng.IntN(max(l.Pools, 1))
 	number := fmt.Sprint("5", 100_000+rng.IntN(900_000))
--- a/internal/lab/socket/socket_test.go
+++ b/internal/lab/socket/socket_test.go
@@ -16,6 +16,7 @@
 	"lapiscourse/internal/lab/scenario"
 	"lapiscourse/internal/lab/virtual"
 	node "lapiscourse/internal/net"
+	"lapiscourse/internal/net/sip"
 )
 
 // brief is what calls hold where a test must not wait for them.
@@ -172,3 +173,36 @@
 	}
 	return v
 }
+
+// What a controller had out on a connection that closes is forgotten. (It once stayed for good.)
+func TestClosedConnectionIsForgotten(t *testing.T) {
+	t.Parallel()
+	sc := scenario.Default()
+	set := sc.Model()
+	set.SetUp = time.Hour // none comes to stand
+	x, err := Listen("127.0.0.1:0", set, false, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer x.Close()
+	c, err := net.Dial("tcp", x.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := c.Write(sip.AppendRequest(nil, &sip.Request{Method: "INVITE", Number: "5", CallID: "a", CSeq: 1})); err != nil {
+		t.Fatal(err)
+	}
+	known := func() int {
+		x.mu.Lock()
+		defer x.mu.Unlock()
+		return len(x.calls)
+	}
+	for want := 1; want >= 0; want-- {
+		for end := time.Now().Add(5 * time.Second); known() != want; time.Sleep(time.Millisecond) {
+			if time.Now().After(end) {
+				t.Fatalf("%d set-ups are known, want %d", known(), want)
+			}
+		}
+		_ = c.Close()
+	}
+}
--- a/internal/lab/virtual/crowd.go
+++ b/internal/lab/virtual/crowd.go
@@ -1,6 +1,7 @@
 package virtual
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -21,7 +22,6 @@
 	rng    *rand.Rand
 	next   int
 	tries  map[string]*try // by the id of the set-up, until its call is over
-	up     []*try          // that stand
 	burst  float64
 	lean   int  // pool of first choice of most calls
 	closed bool // nobody calls any more
@@ -42,13 +42,12 @@
 
 // A try is one set-up.
 type try struct {
-	id    string
-	of    *caller
-	n     *node
-	conn  call.Client
-	at    *site // that answered it
-	over  bool  // it has its answer, or was given up
-	index int   // among those that stand, -1: it does not
+	id     string
+	of     *caller
+	n      *node
+	at     *site // that answered it
+	over   bool  // it has its answer, or was given up
+	stands bool
 }
 
 func newCrowd(w *World) *crowd {
@@ -66,8 +65,8 @@
 	return 2*d + 5*time.Second
 }
 
-// rate is how many calls a second come now.
-func (c *crowd) rate() float64 { return c.w.sc.Rate() * c.w.sc.Offered(c.w.now) * c.burst }
+// rate is how many calls a second come at a time.
+func (c *crowd) rate(at Time) float64 { return c.w.rate * c.w.sc.Offered(at) * c.burst }
 
 // arrive has calls come by a Poisson process whose rate changes: drawn at the highest rate that there
 // can be for a while, and thinned.
@@ -75,7 +74,7 @@
 	const look = 100 * time.Millisecond
 	top := 0.0
 	for d := time.Duration(0); d <= look; d += look / 4 {
-		top = max(top, c.w.sc.Rate()*c.w.sc.Offered(c.w.now+d)*c.burst)
+		top = max(top, c.rate(c.w.now+d))
 	}
 	var step func()
 	until := c.w.now + look
@@ -92,7 +91,7 @@
 			return
 		}
 		c.w.after(gap, func() {
-			if c.rng.Float64()*top < c.rate() && !c.closed {
+			if c.rng.Float64()*top < c.rate(c.w.now) && !c.closed {
 				c.call(nil)
 			}
 			step()
@@ -108,7 +107,7 @@
 	if s[1] <= 0 {
 		return
 	}
-	c.w.after(s[0].D()+time.Duration(c.rng.Float64()*float64(s[1]-s[0])), func() {
+	c.w.after(s.Draw(c.rng), func() {
 		if !c.closed {
 			c.shift()
 		}
@@ -122,13 +121,8 @@
 	if cut != nil {
 		k.class, k.k, k.number, k.first, k.cut = cut.class, cut.k, cut.number, cut.first, true
 	} else {
-		x := c.rng.Float64()
-		for i := range sc.Class {
-			if k.class, k.k = &sc.Class[i], i; x < sc.Class[i].Share {
-				break
-			}
-			x -= sc.Class[i].Share
-		}
+		k.k = scenario.Pick(sc.Class, c.rng.Float64())
+		k.class = &sc.Class[k.k]
 		k.number = fmt.Sprint("5", c.rng.IntN(200_000*sc.Fleet.Exchanges))
 		if c.rng.Float64() < sc.Callers.Hot {
 			k.number = "5000"
@@ -155,9 +149,9 @@
 		n = w.nodes[(home+i)%len(w.nodes)]
 	}
 	c.next++
-	t := &try{id: fmt.Sprintf("c%d", c.next), of: k, n: n, index: -1}
+	t := &try{id: fmt.Sprintf("c%d", c.next), of: k, n: n}
 	k.tries++
-	w.tally.Try(w.now, n.i)
+	w.tally.Try()
 	p := w.sc.Callers.Patience
 	patience := time.Duration(float64(k.class.GiveUp.D()) * (p[0] + (p[1]-p[0])*k.draw))
 	if patience <= 0 {
@@ -176,7 +170,6 @@
 		if w.opt.Client != nil {
 			client = w.opt.Client(n.name, client)
 		}
-		t.conn = client
 		_ = n.core.SetUp(client, call.Request{ID: t.id, Class: k.class.Name, Number: k.number, First: k.first, Until: n.clock() + patience - wire - margin, Cut: k.cut})
 		n.settle()
 	})
@@ -184,7 +177,7 @@
 		if t.over {
 			return
 		}
-		w.tally.GaveUp(w.now, n.i)
+		w.tally.GaveUp()
 		c.failed(t, 0)
 		w.after(wire, func() {
 			if n.core == nil || n.life != life {
@@ -208,7 +201,7 @@
 	if k.tries > sc.Callers.Tries || c.closed {
 		return
 	}
-	gap := sc.Callers.Wait[0].D() + time.Duration(c.rng.Float64()*float64(sc.Callers.Wait[1]-sc.Callers.Wait[0]))
+	gap := sc.Callers.Wait.Draw(c.rng)
 	gap <<= min(k.tries-1, 4)
 	if !sc.Callers.Heedless {
 		gap = max(gap, wait)
@@ -230,37 +223,30 @@
 	if t == nil || t.over {
 		return
 	}
-	c.w.tally.Refused(c.w.now, t.n.i, cause == call.CauseNoCircuit)
+	c.w.tally.Refused(cause == call.CauseNoCircuit)
 	c.failed(t, wait)
 }
 
 // stands brings a caller the news that the call stands.
 func (c *crowd) stands(id string) {
 	t := c.tries[id]
-	if t == nil || t.over || t.index >= 0 {
+	if t == nil || t.over || t.stands {
 		return
 	}
-	t.over = true
-	t.index = len(c.up)
-	c.up = append(c.up, t)
+	t.over, t.stands = true, true
 	k := t.of
-	c.w.tally.Stood(c.w.now, t.n.i, k.call, c.w.now-k.began, t.at != nil && t.at.pool != k.first)
+	c.w.tally.Stood(k.call, c.w.now-k.began, t.at != nil && t.at.pool != k.first)
 }
 
 // released brings a caller the end of a call that stood.
 func (c *crowd) released(id string, cause int) {
 	t := c.tries[id]
-	if t == nil || t.index < 0 {
+	if t == nil || !t.stands {
 		return
 	}
-	last := len(c.up) - 1
-	c.up[t.index] = c.up[last]
-	c.up[t.index].index = t.index
-	c.up = c.up[:last]
-	t.index = -1
 	delete(c.tries, id)
 	if cause != exchange.CauseNormal {
-		c.w.tally.Cut(c.w.now, t.of.call)
+		c.w.tally.Cut(t.of.call)
 		if back := c.back(); !c.closed && back > 0 {
 			c.w.after(back, func() {
 				if !c.closed {
@@ -273,13 +259,13 @@
 
 // back is when a caller who was cut comes again.
 func (c *crowd) back() time.Duration {
-	from, to := 280*time.Millisecond, 2900*time.Millisecond
+	back := scenario.Back
 	for _, f := range c.w.sc.Fault {
 		if f.Kind == scenario.Cut && f.Back[1] > 0 {
-			from, to = f.Back[0].D(), f.Back[1].D()
+			back = f.Back
 		}
 	}
-	return from + time.Duration(c.rng.Float64()*float64(to-from))
+	return back.Draw(c.rng)
 }
 
 // lost tells callers that their controller's connections are reset.
@@ -290,15 +276,7 @@
 			all = append(all, t)
 		}
 	}
-	slices.SortFunc(all, func(a, b *try) int {
-		if len(a.id) != len(b.id) {
-			return len(a.id) - len(b.id)
-		}
-		if a.id < b.id {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(all, func(a, b *try) int { return cmp.Or(len(a.id)-len(b.id), cmp.Compare(a.id, b.id)) })
 	for _, t := range all {
 		c.w.after(c.w.sc.Wire.Client.D(), func() { c.failed(t, 0) })
 	}
--- a/internal/lab/virtual/node.go
+++ b/internal/lab/virtual/node.go
@@ -86,8 +86,9 @@
 		return
 	}
 	// Guards against a module that wants to be looked at for ever at one moment: the clock goes on.
-	next := max(n.core.Next()-epoch, n.w.now, n.ticked+leastTick)
-	if next >= n.wake || n.core.Next() > 100*epoch {
+	due := n.core.Next()
+	next := max(due-epoch, n.w.now, n.ticked+leastTick)
+	if next >= n.wake || due > 100*epoch {
 		return
 	}
 	n.wake = next
@@ -110,25 +111,36 @@
 	n.core = nil
 	n.w.see(rules.Event{Kind: rules.Killed, Node: n.name})
 	for _, s := range n.w.sites {
-		n.w.carry(n.wireTo(s), n.zone == s.zone, func() {
-			s.do(func(x *exchange.Exchange, now Time) { x.Reset(now, n.name) })
-		})
+		n.reset(s)
 	}
 	n.w.crowd.lost(n)
 }
 
-func (n *node) wireTo(s *site) *wire {
+// reset has an exchange see that the connection to the node is gone.
+func (n *node) reset(s *site) {
+	n.carryTo(s, func() { s.do(func(x *exchange.Exchange, now Time) { x.Reset(now, n.name) }) })
+}
+
+// carryTo has something arrive at an exchange.
+func (n *node) carryTo(s *site, f func()) {
 	if n.to[s] == nil {
 		n.to[s] = &wire{}
 	}
-	return n.to[s]
+	n.w.carry(n.to[s], n.zone == s.zone, f)
 }
 
-func (n *node) wireBack(s *site) *wire {
+// carryBack has something arrive from an exchange; what a start of the node after this one may see as
+// well is anew.
+func (n *node) carryBack(s *site, anew bool, f func()) {
 	if n.back[s] == nil {
 		n.back[s] = &wire{}
 	}
-	return n.back[s]
+	life := n.life
+	n.w.carry(n.back[s], n.zone == s.zone, func() {
+		if n.core != nil && (anew || n.life == life) {
+			f()
+		}
+	})
 }
 
 // told brings news of an exchange.
@@ -151,17 +163,13 @@
 // from takes what an exchange says, as it leaves the exchange.
 func (n *node) from(s *site, m exchange.Message) {
 	w := n.w
-	life := n.life
 	answer := m.Kind == exchange.Answered
 	if answer && w.half > 0 && w.rng.Float64() < w.half {
 		return // half of it arrives, which is as good as nothing
 	}
 	spoilt := answer && w.spoil > 0 && w.rng.Float64() < w.spoil
 	again := answer && w.twice > 0 && w.rng.Float64() < w.twice
-	w.carry(n.wireBack(s), n.zone == s.zone, func() {
-		if n.core == nil || n.life != life && m.Kind != exchange.Released {
-			return
-		}
+	n.carryBack(s, m.Kind == exchange.Released, func() {
 		if spoilt {
 			n.lostLink(s, call.Malformed)
 			return
@@ -191,9 +199,6 @@
 	case exchange.NoLine:
 		see(rules.TurnedBack)
 		n.core.Ended(s.id, m.Call, m.N, call.NoCircuit)
-	case exchange.Busy:
-		see(rules.TurnedBack)
-		n.core.Ended(s.id, m.Call, m.N, call.CalleeBusy)
 	case exchange.Released:
 		n.core.Released(s.id, m.Call, m.Cause, n.front)
 	}
@@ -202,12 +207,7 @@
 
 // lostLink tells that the connection to an exchange broke: what was out there has ended.
 func (n *node) lostLink(s *site, e call.End) {
-	w := n.w
-	life := n.life
-	w.carry(n.wireBack(s), n.zone == s.zone, func() {
-		if n.core == nil || n.life != life {
-			return
-		}
+	n.carryBack(s, false, func() {
 		var all []exchange.Attempt
 		for a, at := range n.out {
 			if at == s {
@@ -217,15 +217,13 @@
 		slices.SortFunc(all, func(a, b exchange.Attempt) int { return cmp.Or(cmp.Compare(a.Call, b.Call), a.N-b.N) })
 		for _, a := range all {
 			delete(n.out, a)
-			w.see(rules.Event{Kind: rules.Broke, Node: n.name, Call: a.Call, Server: s.id, N: a.N})
+			n.w.see(rules.Event{Kind: rules.Broke, Node: n.name, Call: a.Call, Server: s.id, N: a.N})
 			n.core.Ended(s.id, a.Call, a.N, e)
 		}
 		n.settle()
 	})
 	if s.x.State() != exchange.Down {
-		w.carry(n.wireTo(s), n.zone == s.zone, func() {
-			s.do(func(x *exchange.Exchange, now Time) { x.Reset(now, n.name) })
-		})
+		n.reset(s)
 	}
 }
 
@@ -239,15 +237,14 @@
 	to := w.bySite[server]
 	a := exchange.Attempt{Call: s.ID, N: s.Attempt}
 	w.see(rules.Event{Kind: rules.Invite, Node: n.name, Call: s.ID, Server: server, N: s.Attempt})
-	w.tally.Sent(w.now, n.i)
+	w.tally.Sent()
 	if to == nil {
 		return // the directory never named it: a breach put in by a test
 	}
 	n.out[a] = to
 	if to.x.State() == exchange.Down && !to.vanished { // nobody listens there
-		life := n.life
-		w.carry(n.wireBack(to), n.zone == to.zone, func() {
-			if n.core == nil || n.life != life || n.out[a] != to {
+		n.carryBack(to, false, func() {
+			if n.out[a] != to {
 				return
 			}
 			delete(n.out, a)
@@ -258,7 +255,7 @@
 		return
 	}
 	class := s.Class
-	w.carry(n.wireTo(to), n.zone == to.zone, func() {
+	n.carryTo(to, func() {
 		if to.sends != nil {
 			to.sends[int((w.now-to.born)/time.Second)]++
 		}
@@ -298,7 +295,7 @@
 
 func (n *node) send(server string, f func(*exchange.Exchange, Time)) {
 	if to := n.w.bySite[server]; to != nil {
-		n.w.carry(n.wireTo(to), n.zone == to.zone, func() { to.do(f) })
+		n.carryTo(to, func() { to.do(f) })
 	}
 }
 
--- a/internal/lab/virtual/world.go
+++ b/internal/lab/virtual/world.go
@@ -5,6 +5,7 @@
 package virtual
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -50,6 +51,9 @@
 	sites  []*site // all that there ever were, in the order of their start
 	bySite map[string]*site
 	places []*site // by pool: the one that is there now
+	byName map[string]*node
+	model  exchange.Settings // of every exchange
+	rate   float64           // of calls a second, as planned
 	check  *rules.Checker
 	tally  *result.Tally
 	crowd  *crowd
@@ -91,14 +95,16 @@
 }
 
 func newWorld(sc *scenario.Scenario, seed uint64, opt Options) *World {
-	w := &World{sc: sc, opt: opt, seed: seed, rng: rand.New(rand.NewPCG(seed, 1)), bySite: make(map[string]*site), check: rules.New(rules.Defaults())}
+	w := &World{sc: sc, opt: opt, seed: seed, rng: rand.New(rand.NewPCG(seed, 1)), bySite: make(map[string]*site), byName: make(map[string]*node),
+		check: rules.New(rules.Defaults()), model: sc.Model(), rate: sc.Rate()}
 	w.tally = result.NewTally(sc)
 	for i := range sc.Fleet.Exchanges {
 		s := w.start(fmt.Sprint("x", i), i, false)
 		w.places = append(w.places, s)
 	}
 	for i := range sc.Fleet.Controllers {
-		w.nodes = append(w.nodes, newNode(w, i))
+		n := newNode(w, i)
+		w.nodes, w.byName[n.name] = append(w.nodes, n), n
 	}
 	for _, n := range w.nodes {
 		n.begin()
@@ -125,9 +131,7 @@
 func (w *World) after(d time.Duration, f func()) { w.plan.Add(w.now+max(d, 0), f) }
 
 // draw draws from a range.
-func (w *World) draw(s scenario.Span) time.Duration {
-	return s[0].D() + time.Duration(w.rng.Float64()*float64(s[1]-s[0]))
-}
+func (w *World) draw(s scenario.Span) time.Duration { return s.Draw(w.rng) }
 
 func (w *World) see(e rules.Event) {
 	e.At = w.now
@@ -170,7 +174,7 @@
 // start starts an exchange in a place.
 func (w *World) start(id string, pool int, cold bool) *site {
 	s := &site{w: w, id: id, pool: pool, zone: pool % w.sc.Fleet.Zones, born: w.now, cold: cold, wake: agenda.Never}
-	s.x = exchange.New(w.sc.Model(), w.now, cold, rand.New(rand.NewPCG(w.seed, uint64(len(w.sites))+1000)))
+	s.x = exchange.New(w.model, w.now, cold, rand.New(rand.NewPCG(w.seed, uint64(len(w.sites))+1000)))
 	if cold {
 		s.sends = make(map[int]int)
 	}
@@ -200,9 +204,8 @@
 
 func (s *site) pump() {
 	for _, m := range s.x.Take() {
-		var i int
-		if _, err := fmt.Sscanf(m.To, "n%d", &i); err == nil && !s.vanished {
-			s.w.nodes[i].from(s, m)
+		if !s.vanished {
+			s.w.byName[m.To].from(s, m)
 		}
 	}
 	if next := s.x.Next(); next < s.wake {
@@ -263,29 +266,19 @@
 		}
 	}
 	slices.SortFunc(r.Cold, func(a, b result.Cold) int {
-		switch {
-		case a.Born != b.Born:
-			return int(a.Born - b.Born)
-		case a.Exchange < b.Exchange:
-			return -1
-		}
-		return 1
+		return cmp.Or(cmp.Compare(a.Born, b.Born), cmp.Compare(a.Exchange, b.Exchange))
 	})
 }
 
 // curve is what reached a cold exchange second by second, over what it could do.
 func (s *site) curve() (all []float64) {
-	m := s.w.sc.Model()
-	for i := range int(s.w.sc.Exchange.Warm.D()/time.Second) + 5 {
-		at := s.born + time.Duration(i)*time.Second
-		if at > s.w.now {
+	m := &s.w.model
+	for i := range int(m.Warm/time.Second) + 5 {
+		age := time.Duration(i) * time.Second
+		if s.born+age > s.w.now {
 			break
 		}
-		speed := 1.0
-		if age := at - s.born; age < m.Warm {
-			speed = m.Start + (1-m.Start)*float64(age)/float64(m.Warm)
-		}
-		all = append(all, float64(s.sends[i])/(m.Capacity()*speed))
+		all = append(all, float64(s.sends[i])/(m.Capacity()*m.Warmth(age)))
 	}
 	return all
 }
--- a/internal/report/plot.go
+++ b/internal/report/plot.go
@@ -1,7 +1,6 @@
 package report
 
 import (
-	"bytes"
 	"fmt"
 	"html/template"
 	"image/color"
@@ -9,14 +8,13 @@
 	"time"
 
 	"gonum.org/v1/plot"
-	"gonum.org/v1/plot/font"
 	"gonum.org/v1/plot/plotter"
 	"gonum.org/v1/plot/vg"
 	"gonum.org/v1/plot/vg/draw"
-	"gonum.org/v1/plot/vg/vgsvg"
 
 	"lapiscourse/internal/incident"
 	"lapiscourse/internal/record"
+	"lapiscourse/internal/svg"
 )
 
 // Colours that differ in print without colour, too: by how dark they are.
@@ -30,9 +28,6 @@
 	dark   = color.RGBA{0x44, 0x44, 0x44, 0xff}
 )
 
-// Axes and legends in the page's manner; a browser takes what it has in place of it.
-func init() { plot.DefaultFont = font.Font{Typeface: "Liberation", Variant: "Sans"} }
-
 const (
 	plotWidth  = 26 * vg.Centimeter
 	plotHeight = 7 * vg.Centimeter
@@ -160,21 +155,6 @@
 	return m
 }
 
-// svg draws a plot as an element to stand in a page.
-func svg(p *plot.Plot, height vg.Length) (template.HTML, error) {
-	c := vgsvg.New(plotWidth, height)
-	p.Draw(draw.New(c))
-	var b bytes.Buffer
-	if _, err := c.WriteTo(&b); err != nil {
-		return "", fmt.Errorf("report: %w", err)
-	}
-	text := b.Bytes()
-	if i := bytes.Index(text, []byte("<svg")); i > 0 { // what is before it belongs to a file of its own
-		text = text[i:]
-	}
-	return template.HTML(text), nil //nolint:gosec // vgsvg escapes all texts
-}
-
 // calls draws what became of calls over time.
 func (r *Result) calls() (template.HTML, error) {
 	p := r.axes("Calls", "a second")
@@ -201,7 +181,7 @@
 	p.Y.Max *= 1.25 // room for the legend
 	p.Legend.Left = false
 	p.Add(r.marks())
-	return svg(p, plotHeight)
+	return svg.Draw(p, plotWidth, plotHeight)
 }
 
 // delays draws how long calls took to stand.
@@ -223,7 +203,7 @@
 	p.Y.Min = 0
 	p.Y.Max *= 1.2
 	p.Add(r.marks())
-	return svg(p, plotHeight)
+	return svg.Draw(p, plotWidth, plotHeight)
 }
 
 // A span is a bar of the servers' plot.
@@ -288,7 +268,7 @@
 	p.NominalY(shown...)
 	p.Y.Min, p.Y.Max = -0.6, float64(len(names))-0.4
 	p.Add(all)
-	return svg(p, vg.Length(1.6+0.55*float64(len(names)))*vg.Centimeter+vg.Centimeter)
+	return svg.Draw(p, plotWidth, vg.Length(1.6+0.55*float64(len(names)))*vg.Centimeter+vg.Centimeter)
 }
 
 func short(s string, n int) string {
