Add the rig: many real processes, and seeded faults between any two of them

Need: how controllers, agents, directory and store behave together when parts fail had to be shown by the programs themselves; make demo starts two controllers and kills one.

Change: internal/lab/rig starts up to 40 controllers under an agent a zone, with exchanges, a directory for each, the stand-in of etcd and open-loop callers, and a relay on each way between them that cuts, cuts one way, delays, loses, repeats, reorders, resets, holds half open and throttles. Processes are stopped, killed and ended in order; exchanges slow down, hang, crash and are replaced; the store stalls, lags, loses answers, is without a leader, is restored. Schedules are drawn from a seed, written as TOML and played again.

Ruled out: network namespaces (rights), a library in the processes (a platform of its own), faults by switches in what ships. Left: the way between agent and instance has no relay yet, nor have controllers among themselves, who do not speak yet.

--- a/cmd/olivelab/main.go
+++ b/cmd/olivelab/main.go
@@ -19,6 +19,6 @@
 			"and stops by itself; everything stays on loopback addresses.",
 	}
 	root.AddCommand(runCommand(), sweepCommand(), compareCommand(), reportCommand(), shrinkCommand(), curveCommand(),
-		demoCommand(), serveCommand(), loadCommand(), cli.VersionCommand())
+		demoCommand(), serveCommand(), loadCommand(), holdCommand(), cli.VersionCommand())
 	os.Exit(cli.Run(root))
 }
--- /dev/null
+++ b/internal/lab/rig/schedule.go
@@ -0,0 +1,366 @@
+package rig
+
+import (
+	"cmp"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/BurntSushi/toml"
+
+	"lapiscourse/internal/lab/scenario"
+)
+
+// Kinds of steps on a path. Each ends after For, but for reset, which has no length.
+const (
+	Cut      = "cut"       // nothing passes between From and To, and nobody is told
+	OneWay   = "one_way"   // nothing passes from From to To; the way back is open
+	Delay    = "delay"     // By later both ways, and up to Spread more
+	Lose     = "lose"      // Share of the datagrams get lost
+	Twice    = "twice"     // Share of the datagrams come twice
+	Reorder  = "reorder"   // datagrams are up to Spread late, each its own time
+	Reset    = "reset"     // connections are reset
+	HalfOpen = "half_open" // new connections come up and lead nowhere
+	Throttle = "throttle"  // streams carry Rate bytes a second
+)
+
+// Kinds of steps on processes and exchanges named by From.
+const (
+	Stop  = "stop"  // SIGSTOP, and SIGCONT after For
+	Kill  = "kill"  // SIGKILL; the agent starts it again
+	End   = "end"   // SIGTERM; the agent starts it again
+	Slow  = "slow"  // an exchange's processor takes Factor times longer
+	Hang  = "hang"  // an exchange takes everything and does nothing
+	Crash = "crash" // an exchange ends; after For a cold one takes its place
+	Swap  = "swap"  // an exchange drains for For and ends; a cold one starts at once
+	Drop  = "drop"  // Share of an exchange's standing calls is cut
+)
+
+// Kinds of steps on the store, "etcd".
+const (
+	Stall    = "watch_stall"  // watches bring nothing, without an error
+	Compact  = "compact"      // its history is forgotten
+	Stale    = "stale"        // serializable reads are three revisions behind
+	NoLeader = "no_leader"    // requests fail
+	LoseSome = "lose_answers" // the answers to the next writes are lost, though they take hold
+	Mute     = "mute_leases"  // leases are not kept alive
+	Restore  = "restore"      // it goes back by a revision, as another cluster
+)
+
+// onPaths, onParts and onStore list the kinds.
+var (
+	onPaths = []string{Cut, OneWay, Delay, Lose, Twice, Reorder, Reset, HalfOpen, Throttle}
+	onParts = []string{Stop, Kill, End, Slow, Hang, Crash, Swap, Drop}
+	onStore = []string{Stall, Compact, Stale, NoLeader, LoseSome, Mute, Restore}
+	// atOnce are those that have no length.
+	atOnce = []string{Reset, Kill, End, Drop, Compact, Restore}
+)
+
+// A Step is a fault. Its times count from when the stage was ready and calls began to come, so that a
+// schedule means the same on a slow machine.
+type Step struct {
+	At     scenario.Duration `toml:"at" json:"at"`
+	For    scenario.Duration `toml:"for" json:"for,omitempty"`
+	Kind   string            `toml:"kind" json:"kind"`
+	Name   string            `toml:"name,omitempty" json:"name,omitempty"` // of the cut, for the report: a zone, an agent, a half
+	From   []string          `toml:"from" json:"from"`                     // names, or "z1" for a zone, "n*" for all of a kind
+	To     []string          `toml:"to,omitempty" json:"to,omitempty"`
+	By     scenario.Duration `toml:"by,omitempty" json:"by,omitempty"`
+	Spread scenario.Duration `toml:"spread,omitempty" json:"spread,omitempty"`
+	Share  float64           `toml:"share,omitempty" json:"share,omitempty"`
+	Factor float64           `toml:"factor,omitempty" json:"factor,omitempty"`
+	Rate   int               `toml:"rate,omitempty" json:"rate,omitempty"`
+}
+
+// String implements fmt.Stringer.
+func (s *Step) String() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%v %s", s.At.D(), s.Kind)
+	if s.Name != "" {
+		fmt.Fprintf(&b, " (%s)", s.Name)
+	}
+	fmt.Fprintf(&b, " %s", strings.Join(s.From, ","))
+	if len(s.To) > 0 {
+		fmt.Fprintf(&b, " - %s", strings.Join(s.To, ","))
+	}
+	if s.For > 0 {
+		fmt.Fprintf(&b, " for %v", s.For.D())
+	}
+	return b.String()
+}
+
+// A Schedule is what goes wrong in a run. Written to a file it plays the run again.
+type Schedule struct {
+	Seed uint64  `toml:"seed" json:"seed"` // it was drawn from; also of callers and relays
+	Step []*Step `toml:"step" json:"step"`
+}
+
+// Size bounds schedules.
+const mostSteps = 256
+
+// Check tells what cannot be played on a topology.
+func (s *Schedule) Check(t *Topology) error {
+	if len(s.Step) > mostSteps {
+		return fmt.Errorf("schedule: %d steps, %d at most", len(s.Step), mostSteps)
+	}
+	for i, x := range s.Step {
+		if err := x.check(t); err != nil {
+			return fmt.Errorf("schedule: step %d (%s): %w", i+1, x.Kind, err)
+		}
+	}
+	return nil
+}
+
+func (s *Step) check(t *Topology) error {
+	path := slices.Contains(onPaths, s.Kind)
+	from, err := t.Match(s.From)
+	if err != nil {
+		return fmt.Errorf("from: %w", err)
+	}
+	switch {
+	case !path && !slices.Contains(onParts, s.Kind) && !slices.Contains(onStore, s.Kind):
+		return fmt.Errorf("none of %s", strings.Join(slices.Concat(onPaths, onParts, onStore), ", "))
+	case s.At < 0 || s.For < 0 || s.By < 0 || s.Spread < 0 || s.Rate < 0:
+		return errors.New("times and rate must not be negative")
+	case s.Share < 0 || s.Share > 1:
+		return errors.New("share is between 0 and 1")
+	case (s.Kind == Lose || s.Kind == Twice || s.Kind == Drop) && s.Share == 0:
+		return errors.New("share is missing")
+	case s.Kind == Throttle && s.Rate == 0:
+		return errors.New("rate is missing")
+	case s.Kind == Slow && s.Factor <= 0:
+		return errors.New("factor is missing")
+	case s.For == 0 && !slices.Contains(atOnce, s.Kind):
+		return errors.New("for is missing: nothing would end it")
+	case path:
+		to, err := t.Match(s.To)
+		if err != nil {
+			return fmt.Errorf("to: %w", err)
+		}
+		if !t.joined(from, to) {
+			return fmt.Errorf("no path stands between %s and %s", strings.Join(s.From, ","), strings.Join(s.To, ","))
+		}
+		return nil
+	}
+	for _, name := range from {
+		if !slices.Contains(able(name), s.Kind) {
+			return fmt.Errorf("%s is nothing that can %s", name, s.Kind)
+		}
+	}
+	return nil
+}
+
+// able lists what can go wrong with a part itself.
+func able(name string) []string {
+	switch {
+	case name == "etcd":
+		return onStore
+	case name == "names":
+		return nil
+	case name[0] == 'x':
+		return []string{Slow, Hang, Crash, Swap, Drop}
+	case name[0] == 'a': // one that ends in order has its controllers end
+		return []string{Stop, Kill}
+	}
+	return []string{Stop, Kill, End}
+}
+
+// Load reads a schedule's file; an unknown key is an error.
+func Load(path string) (*Schedule, error) {
+	s := &Schedule{}
+	meta, err := toml.DecodeFile(path, s)
+	if err != nil {
+		return nil, fmt.Errorf("schedule: %s: %w", path, err)
+	}
+	if unknown := meta.Undecoded(); len(unknown) > 0 {
+		return nil, fmt.Errorf("schedule: %s: %s: unknown key", path, unknown[0])
+	}
+	return s, nil
+}
+
+// Save writes it to a file.
+func (s *Schedule) Save(path string) error {
+	w, err := os.Create(path)
+	if err != nil {
+		return fmt.Errorf("schedule: %w", err)
+	}
+	return errors.Join(toml.NewEncoder(w).Encode(s), w.Close())
+}
+
+// A Topology is how many there are of each part, and which zone each is in. Controllers are n0, n1 and
+// so on, exchanges x0, agents a0, zones z0; "names" is the directory and "etcd" the store, of which
+// there is one for all. Part i of a kind is in zone i modulo the number of zones, and a controller's
+// agent is that of its zone.
+type Topology struct {
+	Controllers, Exchanges, Zones int
+}
+
+// most bounds what one machine is asked to run.
+const (
+	mostControllers = 40
+	mostExchanges   = 32
+)
+
+// Check tells what cannot be run.
+func (t *Topology) Check() error {
+	switch {
+	case t.Controllers < 1 || t.Controllers > mostControllers:
+		return fmt.Errorf("rig: %d controllers, 1 to %d can be run", t.Controllers, mostControllers)
+	case t.Exchanges < 1 || t.Exchanges > mostExchanges:
+		return fmt.Errorf("rig: %d exchanges, 1 to %d can be run", t.Exchanges, mostExchanges)
+	case t.Zones < 1 || t.Zones > t.Controllers:
+		return fmt.Errorf("rig: %d zones, 1 to %d (one agent a zone, a controller each)", t.Zones, t.Controllers)
+	}
+	return nil
+}
+
+// zoneOf is the zone of a part by its name, -1 for what is in none.
+func (t *Topology) zoneOf(name string) int {
+	if i, err := strconv.Atoi(name[1:]); err == nil && strings.Contains("nxa", name[:1]) {
+		return i % t.Zones
+	}
+	return -1
+}
+
+// parts are the names of a kind.
+func (t *Topology) parts(kind byte) (all []string) {
+	n := map[byte]int{'n': t.Controllers, 'x': t.Exchanges, 'a': t.Zones}[kind]
+	for i := range n {
+		all = append(all, fmt.Sprintf("%c%d", kind, i))
+	}
+	return all
+}
+
+func (t *Topology) all() []string {
+	return slices.Concat(t.parts('n'), t.parts('x'), t.parts('a'), []string{"names", "etcd"})
+}
+
+// Match is the parts that patterns name: a name, a zone, "n*" for all of a kind, "*" for everything.
+func (t *Topology) Match(patterns []string) (names []string, err error) {
+	all := t.all()
+	for _, p := range patterns {
+		found := slices.DeleteFunc(slices.Clone(all), func(name string) bool {
+			switch {
+			case p == name, p == "*":
+				return false
+			case strings.HasPrefix(p, "z"):
+				return p != fmt.Sprint("z", t.zoneOf(name))
+			case len(p) == 2 && p[1] == '*':
+				return name[0] != p[0] || t.zoneOf(name) < 0
+			}
+			return true
+		})
+		if len(found) == 0 {
+			return nil, fmt.Errorf("%q names nothing here", p)
+		}
+		names = append(names, found...)
+	}
+	if len(names) == 0 {
+		return nil, errors.New("nothing is named")
+	}
+	slices.Sort(names)
+	return slices.Compact(names), nil
+}
+
+// served is what a part of a kind dials or asks.
+var served = map[byte]string{'n': "xd", 'a': "e"}
+
+// joined tells whether a path stands between any of two groups.
+func (t *Topology) joined(from, to []string) bool {
+	ends := func(a, b string) bool {
+		serves := b[0]
+		if b == "names" {
+			serves = 'd'
+		}
+		return strings.IndexByte(served[a[0]], serves) >= 0 && a != "names"
+	}
+	for _, a := range from {
+		for _, b := range to {
+			if ends(a, b) || ends(b, a) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// Draw draws a schedule of n faults over a time. The last fifth of it is left for recovery.
+func Draw(t *Topology, n int, over time.Duration, seed uint64) *Schedule {
+	rng := rand.New(rand.NewPCG(seed, 16))
+	s := &Schedule{Seed: seed}
+	within := func(low, high time.Duration) scenario.Duration {
+		d := low + time.Duration(rng.Float64()*float64(high-low))
+		return scenario.Duration(d.Round(time.Millisecond))
+	}
+	one := func(kind byte) []string { all := t.parts(kind); return []string{all[rng.IntN(len(all))]} }
+	for range n {
+		x := &Step{At: within(0, over*3/5), For: within(over/20, over/5)}
+		zone := fmt.Sprint("z", rng.IntN(t.Zones))
+		// By how a part is named, so that a file says what was meant.
+		switch rng.IntN(19) {
+		case 0: // a zone's controllers cut off from the exchanges of the others
+			x.Kind, x.Name, x.From = Cut, "zone", []string{zone}
+			for _, other := range t.parts('x') {
+				if fmt.Sprint("z", t.zoneOf(other)) != zone {
+					x.To = append(x.To, other)
+				}
+			}
+			if len(x.To) == 0 {
+				x.To = []string{"x*"}
+			}
+		case 1:
+			x.Kind, x.From, x.To = OneWay, one('n'), one('x')
+		case 2:
+			x.Kind, x.From, x.To = OneWay, one('x'), []string{"n*"}
+		case 3:
+			x.Kind, x.From, x.To, x.By, x.Spread = Delay, []string{zone}, []string{"x*"}, within(10*time.Millisecond, 400*time.Millisecond), within(0, 50*time.Millisecond)
+		case 4:
+			x.Kind, x.From, x.To, x.For = Reset, one('x'), []string{"n*"}, 0
+		case 5:
+			x.Kind, x.From, x.To = HalfOpen, []string{"n*"}, one('x')
+		case 6:
+			x.Kind, x.From, x.To, x.Rate = Throttle, one('n'), []string{"x*"}, 2000+rng.IntN(20_000)
+		case 7:
+			x.Kind, x.From, x.To, x.Share = Lose, []string{"n*"}, []string{"names"}, 0.2+0.7*rng.Float64()
+		case 8:
+			x.Kind, x.From, x.To, x.Spread = Reorder, []string{"n*"}, []string{"names"}, within(200*time.Millisecond, time.Second)
+		case 9:
+			x.Kind, x.Name, x.From, x.To = Cut, "directory", []string{zone}, []string{"names"}
+		case 10:
+			x.Kind, x.Name, x.From, x.To = Cut, "agent", one('a'), []string{"etcd"}
+		case 11:
+			x.Kind, x.From = Stop, one('n')
+		case 12:
+			x.Kind, x.From, x.For = Kill, one('n'), 0
+			if rng.IntN(4) == 0 {
+				x.Kind = End
+			}
+		case 13:
+			x.Kind, x.From, x.Factor = Slow, one('x'), 2+4*rng.Float64()
+		case 14:
+			x.Kind, x.From = Hang, one('x')
+		case 15:
+			x.Kind, x.From = Crash, one('x')
+			if rng.IntN(2) == 0 {
+				x.Kind, x.For = Swap, within(2500*time.Millisecond, 4*time.Second)
+			}
+		case 16:
+			x.Kind, x.From, x.Share, x.For = Drop, one('x'), 0.2+0.5*rng.Float64(), 0
+		case 17:
+			x.Kind, x.From = onStore[rng.IntN(len(onStore))], []string{"etcd"}
+			if slices.Contains(atOnce, x.Kind) {
+				x.For = 0
+			}
+		case 18:
+			x.Kind, x.From, x.To, x.Share = Twice, []string{"n*"}, []string{"names"}, 0.3+0.6*rng.Float64()
+		}
+		s.Step = append(s.Step, x)
+	}
+	slices.SortFunc(s.Step, func(a, b *Step) int { return cmp.Compare(a.At, b.At) })
+	return s
+}
--- /dev/null
+++ b/internal/lab/rig/schedule_test.go
@@ -0,0 +1,186 @@
+package rig
+
+import (
+	"path/filepath"
+	"reflect"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"lapiscourse/internal/lab/rules"
+	"lapiscourse/internal/lab/scenario"
+)
+
+func TestDrawnSchedulesCanBePlayedAndWritten(t *testing.T) {
+	t.Parallel()
+	kinds := make(map[string]bool)
+	for seed := range uint64(200) {
+		top := &Topology{Controllers: 1 + int(seed%24), Exchanges: 1 + int(seed%7), Zones: 1 + int(seed%3)}
+		top.Zones = min(top.Zones, top.Controllers)
+		s := Draw(top, 8, 20*time.Second, seed)
+		if err := s.Check(top); err != nil {
+			t.Fatalf("seed %d, %+v: %v", seed, *top, err)
+		}
+		if !reflect.DeepEqual(s, Draw(top, 8, 20*time.Second, seed)) {
+			t.Fatalf("seed %d: drawn twice, and not the same", seed)
+		}
+		path := filepath.Join(t.TempDir(), "s.toml")
+		if err := s.Save(path); err != nil {
+			t.Fatal(err)
+		}
+		again, err := Load(path)
+		if err != nil || !reflect.DeepEqual(s, again) {
+			t.Fatalf("seed %d: written and read it is another: %v", seed, err)
+		}
+		for _, x := range s.Step {
+			kinds[x.Kind] = true
+			if end := x.At.D() + x.For.D(); end > 16*time.Second {
+				t.Errorf("seed %d: %v ends at %v, the last fifth is for recovery", seed, x, end)
+			}
+		}
+	}
+	for _, k := range slices.Concat(onPaths, onParts, onStore) {
+		if !kinds[k] {
+			t.Errorf("no schedule has %s", k)
+		}
+	}
+}
+
+func TestScheduleErrorsNameTheStep(t *testing.T) {
+	t.Parallel()
+	top := &Topology{Controllers: 4, Exchanges: 2, Zones: 2}
+	long := scenario.Duration(time.Second)
+	for _, c := range []struct {
+		step Step
+		want string
+	}{
+		{Step{Kind: "melt", From: []string{"n0"}}, "none of cut"},
+		{Step{Kind: Cut, From: []string{"n9"}, To: []string{"x0"}, For: long}, `"n9" names nothing`},
+		{Step{Kind: Cut, From: []string{"n0"}, To: []string{"n1"}, For: long}, "no path stands between"},
+		{Step{Kind: Cut, From: []string{"n0"}, To: []string{"x0"}}, "for is missing"},
+		{Step{Kind: Lose, From: []string{"n*"}, To: []string{"names"}, For: long}, "share is missing"},
+		{Step{Kind: Throttle, From: []string{"n*"}, To: []string{"x*"}, For: long}, "rate is missing"},
+		{Step{Kind: Stop, From: []string{"x0"}, For: long}, "x0 is nothing that can stop"},
+		{Step{Kind: Hang, From: []string{"a0"}, For: long}, "a0 is nothing that can hang"},
+		{Step{Kind: NoLeader, From: []string{"n0"}, For: long}, "n0 is nothing that can no_leader"},
+	} {
+		err := (&Schedule{Step: []*Step{&c.step}}).Check(top)
+		if err == nil || !strings.Contains(err.Error(), c.want) || !strings.Contains(err.Error(), "step 1") {
+			t.Errorf("%+v: %v, want %q", c.step, err, c.want)
+		}
+	}
+	for _, c := range []struct {
+		patterns string
+		want     string
+	}{{"z1", "a1 n1 n3 x1"}, {"n*", "n0 n1 n2 n3"}, {"names,x0", "names x0"}, {"*", "a0 a1 etcd n0 n1 n2 n3 names x0 x1"}} {
+		got, err := top.Match(strings.Split(c.patterns, ","))
+		if err != nil || strings.Join(got, " ") != c.want {
+			t.Errorf("%s names %v (%v), want %s", c.patterns, got, err, c.want)
+		}
+	}
+}
+
+// The wires tell of each rule that is broken on them, and of nothing else.
+func TestTapsSeeBrokenRules(t *testing.T) {
+	t.Parallel()
+	invite := func(n string) string {
+		return "INVITE sip:5@net SIP/2.0\r\nCall-ID: c1\r\nCSeq: " + n + " INVITE\r\nContent-Length: 0\r\n\r\n"
+	}
+	cancel := "CANCEL sip:5@net SIP/2.0\r\nCall-ID: c1\r\nCSeq: 1 CANCEL\r\nContent-Length: 0\r\n\r\n"
+	answer := func(status string) string {
+		return "SIP/2.0 " + status + " X\r\nCall-ID: c1\r\nCSeq: 1 INVITE\r\nContent-Length: 0\r\n\r\n"
+	}
+	for _, c := range []struct {
+		name string
+		play func(w *watch, a, b tap)
+		want rules.Rule
+	}{
+		{"one attempt", func(_ *watch, a, _ tap) { a(There, []byte(invite("1"))) }, ""},
+		{"turned away, and sent elsewhere at once", func(_ *watch, a, b tap) {
+			a(There, []byte(invite("1")))
+			a(Back, []byte(answer("503")))
+			b(There, []byte(invite("2")))
+		}, ""},
+		{"two attempts, in pieces", func(_ *watch, a, b tap) {
+			for _, c := range []byte(invite("1")) {
+				a(There, []byte{c})
+			}
+			b(There, []byte(invite("2")))
+		}, rules.OneAttempt},
+		{"sent again at once after it was given up", func(_ *watch, a, b tap) {
+			a(There, []byte(invite("1")+cancel))
+			b(There, []byte(invite("2")))
+		}, rules.ReleaseKept},
+		{"sent again at once after its connection broke", func(_ *watch, a, b tap) {
+			a(There, []byte(invite("1")))
+			a(There, nil)
+			b(There, []byte(invite("2")))
+		}, rules.ReleaseKept},
+		{"sent to one that drains", func(w *watch, a, _ tap) {
+			w.began = w.began.Add(-time.Minute)
+			w.check.See(rules.Event{At: time.Second, Kind: rules.Told, Node: "n0", Server: "x0", On: true})
+			a(There, []byte(invite("1")))
+		}, rules.DrainsKept},
+		{"the answer twice", func(w *watch, a, _ tap) {
+			w.see(rules.Event{Kind: rules.Stands, Node: "n0", Call: "c1"})
+			w.see(rules.Event{Kind: rules.Stands, Node: "n0", Call: "c1"})
+		}, rules.OneAnswer},
+	} {
+		w := newWatch(time.Now())
+		w.see(rules.Event{Kind: rules.SetUp, Node: "n0", Call: "c1", Until: time.Hour})
+		c.play(w, w.signalling("n0", "x0"), w.signalling("n0", "x1"))
+		got := rules.Rule("")
+		if all := w.check.Breaches(); len(all) > 0 {
+			got = all[0].Rule
+		}
+		if got != c.want || w.unread != 0 {
+			t.Errorf("%s: %q is broken, want %q; %d streams unread", c.name, got, c.want, w.unread)
+		}
+	}
+}
+
+// A controller that is stopped may be late, and is told what came meanwhile when it goes on; all else
+// counts as before.
+func TestStoppedControllerIsExcused(t *testing.T) {
+	t.Parallel()
+	c := rules.New(rules.Defaults())
+	at := func(s float64, k rules.Kind, on bool) {
+		c.See(rules.Event{At: time.Duration(s * float64(time.Second)), Kind: k, Node: "n0", Call: "c1", Server: "x0", On: on, Until: 2 * time.Second})
+	}
+	at(1, rules.SetUp, false)
+	at(1.5, rules.Told, true)
+	at(1.5, rules.Paused, true)
+	at(6, rules.Paused, false)
+	at(6.1, rules.Invite, false)
+	at(6.2, rules.Refused, false)
+	for _, b := range c.Breaches() {
+		if b.Rule != rules.OneAnswer { // it was sent on after its caller's time, which is over
+			t.Errorf("%v", b)
+		}
+	}
+	c.See(rules.Event{At: 7 * time.Second, Kind: rules.SetUp, Node: "n0", Call: "c2", Until: 8 * time.Second})
+	c.See(rules.Event{At: 8500 * time.Millisecond, Kind: rules.Invite, Node: "n0", Call: "c2", Server: "x0"})
+	if c.Count(rules.InTime) != 1 || c.Count(rules.DrainsKept) != 1 {
+		t.Errorf("after it went on: %d in_time, %d drains_kept, want 1 each", c.Count(rules.InTime), c.Count(rules.DrainsKept))
+	}
+}
+
+// Shrinking finds the two steps that it takes, though one play in three hides it.
+func TestShrinkFindsWhatItTakes(t *testing.T) {
+	t.Parallel()
+	whole := Draw(&Topology{Controllers: 4, Exchanges: 2, Zones: 2}, 12, 20*time.Second, 5)
+	need := []*Step{whole.Step[2], whole.Step[9]}
+	plays := 0
+	small, err := Shrink(t.Context(), whole, 3, func(s *Schedule) (bool, error) {
+		plays++
+		return plays%3 != 0 && slices.Contains(s.Step, need[0]) && slices.Contains(s.Step, need[1]), nil
+	})
+	if err != nil || small == nil || !slices.Equal(small.Step, need) || small.Seed != whole.Seed {
+		t.Fatalf("%+v, %v after %d plays", small, err, plays)
+	}
+	small, err = Shrink(t.Context(), whole, 3, func(*Schedule) (bool, error) { return false, nil })
+	if err != nil || small != nil {
+		t.Errorf("of one that never goes wrong %+v, %v is left", small, err)
+	}
+}
--- /dev/null
+++ b/internal/lab/rig/strike.go
@@ -0,0 +1,311 @@
+package rig
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+
+	"lapiscourse/internal/lab/exchange"
+	"lapiscourse/internal/lab/rules"
+	"lapiscourse/internal/lab/socket"
+)
+
+// step has a fault begin, and end.
+func (r *Run) step(ctx context.Context, s *Step) {
+	if !r.sleep(ctx, s.At.D()) {
+		return
+	}
+	r.mu.Lock()
+	r.struck = append(r.struck, Struck{time.Since(r.began).Seconds(), s})
+	r.mu.Unlock()
+	r.say("-> %v", s)
+	if slices.Contains(onPaths, s.Kind) {
+		r.onPaths(ctx, s)
+		return
+	}
+	names, _ := r.o.Topology.Match(s.From) // the schedule was checked
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	for _, name := range names {
+		wg.Go(func() {
+			switch {
+			case name == "etcd":
+				r.onStore(ctx, s)
+			case name[0] == 'x':
+				r.onExchange(ctx, s, name)
+			default:
+				r.onProcess(ctx, s, name)
+			}
+		})
+	}
+}
+
+// onStore has the store go wrong for a while.
+func (r *Run) onStore(ctx context.Context, s *Step) {
+	while := func(set func(on bool)) {
+		set(true)
+		r.pause(ctx, s.For.D())
+		set(false)
+	}
+	some := func(n int, set func(int)) func(on bool) {
+		return func(on bool) {
+			if !on {
+				n = 0
+			}
+			set(n)
+		}
+	}
+	switch s.Kind {
+	case Stall:
+		while(r.etcd.Stall)
+	case NoLeader:
+		while(r.etcd.NoLeader)
+	case Mute:
+		while(r.etcd.MuteLeases)
+	case Stale:
+		while(some(3, func(n int) { r.etcd.Stale(int64(n)) }))
+	case LoseSome:
+		while(some(5, r.etcd.LoseAnswers))
+	case Compact:
+		r.etcd.Forget()
+	case Restore:
+		r.etcd.Set("/rig/mark", []byte(s.String())) // what the restore loses: no controller stops being wanted
+		if err := r.etcd.Restore(r.etcd.Revision()-1, true); err != nil {
+			r.say("%v is not done: %v", s, err) // its history is too short
+		}
+	}
+}
+
+func (r *Run) onPaths(ctx context.Context, s *Step) {
+	if s.Kind == Reset {
+		for _, p := range r.between(s) {
+			if p.reset != nil {
+				p.reset()
+			}
+		}
+		return
+	}
+	set := func(on bool) {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		if r.active[s] = on; !on {
+			delete(r.active, s)
+		}
+		for _, p := range r.paths {
+			r.shape(p, s, on)
+		}
+	}
+	set(true)
+	defer set(false)
+	r.pause(ctx, s.For.D())
+}
+
+// between are the paths that a step is about.
+func (r *Run) between(s *Step) (all []*path) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, p := range r.paths {
+		if there, back := r.touches(p, s); there || back {
+			all = append(all, p)
+		}
+	}
+	return all
+}
+
+// touches tells which ways of a path lie from From to To of a step.
+func (r *Run) touches(p *path, s *Step) (there, back bool) {
+	from, _ := r.o.Topology.Match(s.From)
+	to, _ := r.o.Topology.Match(s.To)
+	there = slices.Contains(from, p.from) && slices.Contains(to, p.to)
+	back = slices.Contains(from, p.to) && slices.Contains(to, p.from)
+	return there, back
+}
+
+// shape puts a step's fault on a path, or takes it off; the lock is held.
+func (r *Run) shape(p *path, s *Step, on bool) {
+	there, back := r.touches(p, s)
+	if !there && !back {
+		return
+	}
+	var f Shape
+	switch s.Kind {
+	case Cut, OneWay:
+		f.Cut = true
+	case Delay:
+		f.Delay, f.Spread = s.By.D(), s.Spread.D()
+	case Lose:
+		f.Lose = s.Share
+	case Twice:
+		f.Twice = s.Share
+	case Reorder:
+		f.Spread = s.Spread.D()
+	case Throttle:
+		f.Rate = s.Rate
+	}
+	p.alter(func() {
+		switch {
+		case !on:
+			delete(p.shapes[There], s)
+			delete(p.shapes[Back], s)
+			delete(p.held, s)
+		case s.Kind == HalfOpen:
+			p.held[s] = true
+		case s.Kind == OneWay && there:
+			p.shapes[There][s] = f
+		case s.Kind == OneWay:
+			p.shapes[Back][s] = f
+		default:
+			p.shapes[There][s], p.shapes[Back][s] = f, f
+		}
+	})
+}
+
+func (r *Run) place(name string) *place {
+	return r.places[slices.IndexFunc(r.places, func(p *place) bool { return p.name == name })]
+}
+
+func (r *Run) onExchange(ctx context.Context, s *Step, name string) {
+	p := r.place(name)
+	p.mu.Lock()
+	x, line, busy := p.x, p.line, p.clear || p.old != nil
+	p.mu.Unlock()
+	switch s.Kind {
+	case Slow:
+		x.Do(func(m *exchange.Exchange, _ exchange.Time) { m.Slow(s.Factor) })
+		r.pause(ctx, s.For.D())
+		x.Do(func(m *exchange.Exchange, _ exchange.Time) { m.Slow(1) })
+	case Hang:
+		x.Do(func(m *exchange.Exchange, now exchange.Time) { m.Hang(now, true) })
+		r.pause(ctx, s.For.D())
+		x.Do(func(m *exchange.Exchange, now exchange.Time) { m.Hang(now, false) })
+	case Drop:
+		x.Do(func(m *exchange.Exchange, now exchange.Time) { m.Cutting(now, int(s.Share*float64(m.Standing()))) })
+	case Crash:
+		if busy {
+			return // another fault is about to replace it
+		}
+		p.mu.Lock()
+		p.clear = true
+		p.mu.Unlock()
+		r.end(x, line)
+		r.tell()
+		r.pause(ctx, s.For.D())
+		r.replace(p)
+	case Swap:
+		if busy {
+			return
+		}
+		p.mu.Lock()
+		old := line
+		old.Drains = true
+		p.old = &old
+		p.mu.Unlock()
+		r.replace(p)
+		r.pause(ctx, s.For.D())
+		x.Do(func(m *exchange.Exchange, now exchange.Time) { m.Cutting(now, m.Standing()) })
+		r.pause(ctx, 200*time.Millisecond)
+		p.mu.Lock()
+		p.old = nil
+		p.mu.Unlock()
+		r.end(x, line)
+		r.tell()
+	}
+}
+
+// end ends an exchange's process: its connections are reset, and nobody listens there.
+func (r *Run) end(x *socket.Exchange, l socket.Line) {
+	x.Close()
+	r.refuse(l.ID)
+}
+
+// replace starts a cold exchange in a place, and has the directory say so.
+func (r *Run) replace(p *place) {
+	if err := r.put(p, true); err != nil {
+		r.breach("rig", "", "no exchange could be started: %v", err)
+		return
+	}
+	r.tell()
+}
+
+func (r *Run) onProcess(ctx context.Context, s *Step, name string) {
+	if name[0] == 'a' {
+		r.onAgent(ctx, s, name)
+		return
+	}
+	i := slices.IndexFunc(r.nodes, func(n *node) bool { return n.name == name })
+	n := r.nodes[i]
+	n.mu.Lock()
+	busy := n.asked || n.away || n.proc == nil
+	if !busy {
+		n.asked, n.away = s.Kind != Stop, s.Kind == Stop
+	}
+	h := n.proc
+	n.mu.Unlock()
+	if busy {
+		return // another fault has it
+	}
+	switch s.Kind {
+	case Stop:
+		r.watch.see(rules.Event{Kind: rules.Paused, Node: name, On: true})
+		_ = h.signal(syscall.SIGSTOP)
+		r.pause(ctx, s.For.D())
+		r.watch.see(rules.Event{Kind: rules.Paused, Node: name})
+		_ = h.signal(syscall.SIGCONT)
+		n.mu.Lock()
+		n.away = false
+		n.mu.Unlock()
+		return
+	case Kill:
+		r.load.Away(i, true)
+		r.watch.see(rules.Event{Kind: rules.Killed, Node: name})
+		_ = h.signal(syscall.SIGKILL)
+	case End:
+		// New set-ups come for a while yet, as the platform says.
+		_ = h.signal(syscall.SIGTERM)
+		r.pause(ctx, 250*time.Millisecond)
+		r.load.Away(i, true)
+		for !h.gone() && r.pause(ctx, 20*time.Millisecond) {
+		}
+		r.watch.see(rules.Event{Kind: rules.Killed, Node: name})
+	}
+	r.back(ctx, n)
+}
+
+// back waits until a controller that was ended serves again, and has calls go there.
+func (r *Run) back(ctx context.Context, n *node) {
+	i := slices.Index(r.nodes, n)
+	r.load.Away(i, true)
+	r.watch.started(n.name)
+	began := time.Now()
+	for !n.serves() {
+		if time.Since(began) > startLimit {
+			r.breach("starts", n.name, "%s does not serve %v after its end", n.name, startLimit)
+			return
+		}
+		if !r.pause(ctx, 50*time.Millisecond) {
+			return
+		}
+		r.look(ctx)
+	}
+	n.mu.Lock()
+	n.asked = false
+	n.mu.Unlock()
+	r.load.Away(i, false)
+}
+
+func (r *Run) onAgent(ctx context.Context, s *Step, name string) {
+	a := r.agents[slices.IndexFunc(r.agents, func(a *agent) bool { return a.name == name })]
+	switch s.Kind {
+	case Stop:
+		_ = a.cmd.Process.Signal(syscall.SIGSTOP)
+		r.pause(ctx, s.For.D())
+		_ = a.cmd.Process.Signal(syscall.SIGCONT)
+	case Kill: // its controllers go on; nobody starts them again
+		r.mu.Lock()
+		a.dead = true
+		r.mu.Unlock()
+		_ = a.cmd.Process.Kill()
+	}
+}
--- /dev/null
+++ b/internal/lab/rig/taps.go
@@ -0,0 +1,204 @@
+package rig
+
+import (
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/miekg/dns"
+
+	"lapiscourse/internal/lab/exchange"
+	"lapiscourse/internal/lab/rules"
+	"lapiscourse/internal/net/sip"
+)
+
+// A watch sees what passes over the wires of a run and has the rules checked. What it knows of the
+// processes comes from the relays and the callers alone. It may be used from anywhere.
+type watch struct {
+	change sync.Mutex // of the directory
+
+	mu      sync.Mutex
+	check   *rules.Checker
+	last    rules.Time
+	known   map[string]map[string]bool // by controller: exchanges told as draining or gone
+	serials map[uint32]news
+	serial  uint32
+	began   time.Time
+	unread  int // streams that could not be read any further
+}
+
+// news is what the directory says with a serial number: the exchanges that take calls.
+type news map[string]bool
+
+// slack of clocks and wires that the rules are seen by: relays, callers and checker share a machine with
+// all the processes, and a verdict must not hang on how busy it is.
+const slack = 150 * time.Millisecond
+
+func newWatch(began time.Time) *watch {
+	limits := rules.Defaults()
+	limits.Slack = slack
+	return &watch{began: began, check: rules.New(limits), known: make(map[string]map[string]bool), serials: make(map[uint32]news)}
+}
+
+// see takes an event as of now. Until is taken as a time from now.
+func (w *watch) see(e rules.Event) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.seeLocked(e)
+}
+
+func (w *watch) seeLocked(e rules.Event) {
+	w.last = max(time.Since(w.began), w.last)
+	e.At = w.last
+	e.Until += e.At
+	w.check.See(e)
+}
+
+// telling has the directory change, with what it says from then on. One change follows another, so that
+// the serial number is the same for all controllers.
+func (w *watch) telling(all news, change func()) {
+	w.change.Lock()
+	defer w.change.Unlock()
+	w.mu.Lock()
+	w.serial++
+	w.serials[w.serial] = all
+	w.mu.Unlock()
+	change()
+}
+
+// begin sets the clock to nought as calls begin to come.
+func (w *watch) begin(at time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.began = at
+}
+
+// started notes that a controller begins, or begins again, and has been told nothing.
+func (w *watch) started(node string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	delete(w.known, node)
+}
+
+// told sees an answer of the directory as it reaches a controller.
+func (w *watch) told(node string, b []byte) {
+	var m dns.Msg
+	if m.Unpack(b) != nil || len(m.Ns) == 0 {
+		return
+	}
+	soa, ok := m.Ns[0].(*dns.SOA)
+	if !ok {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	now, ok := w.serials[soa.Serial]
+	if !ok {
+		return
+	}
+	known := w.known[node]
+	if known == nil {
+		known = make(map[string]bool)
+		w.known[node] = known
+	}
+	for _, all := range w.serials {
+		for id := range all {
+			if out := !now[id]; out != known[id] {
+				known[id] = out
+				w.seeLocked(rules.Event{Kind: rules.Told, Node: node, Server: id, On: out})
+			}
+		}
+	}
+}
+
+// signalling makes the tap of a connection between a controller and an exchange. What has been sent on
+// it and not answered has broken when the connection ends.
+func (w *watch) signalling(node, server string) tap {
+	var readers [2]sip.Reader
+	var dead [2]bool
+	var mu sync.Mutex
+	out := make(map[exchange.Attempt]bool)
+	return func(way Way, b []byte) {
+		mu.Lock()
+		defer mu.Unlock()
+		if dead[way] {
+			return
+		}
+		if b == nil {
+			dead = [2]bool{true, true}
+			for a := range out {
+				w.see(rules.Event{Kind: rules.Broke, Node: node, Call: a.Call, Server: server, N: a.N})
+			}
+			return
+		}
+		err := readers[way].Feed(b, func(m *sip.Message) bool {
+			e := rules.Event{Node: node, Call: m.CallID, Server: server, N: m.CSeq - 1}
+			a := exchange.Attempt{Call: e.Call, N: e.N}
+			switch {
+			case way == There && m.Method == "INVITE":
+				e.Kind = rules.Invite
+				out[a] = true
+			case way == There && m.Method == "CANCEL":
+				e.Kind = rules.Cancel
+				delete(out, a)
+			case way == Back && m.Method == "" && m.CSeqMethod == "INVITE" && m.Status >= 200 && out[a]:
+				e.Kind = rules.Answer
+				if m.Status >= 300 {
+					e.Kind = rules.TurnedBack
+				}
+				delete(out, a)
+			default:
+				return true
+			}
+			w.see(e)
+			return true
+		})
+		if err != nil {
+			dead[way] = true
+			w.mu.Lock()
+			w.unread++
+			w.mu.Unlock()
+		}
+	}
+}
+
+// A Breach is a rule broken, or something that does not hold across processes, and what it takes to see
+// it again.
+type Breach struct {
+	Rule   string   `json:"rule"`
+	Text   string   `json:"text"`
+	Node   string   `json:"node,omitempty"`
+	Call   string   `json:"call,omitempty"`
+	At     float64  `json:"at_s"`
+	Step   string   `json:"step,omitempty"` // the latest fault that had begun
+	Around []string `json:"around,omitempty"`
+}
+
+// String implements fmt.Stringer.
+func (b Breach) String() string {
+	s := fmt.Sprintf("%s broken at %.3f s: %s", b.Rule, b.At, b.Text)
+	if b.Step != "" {
+		s += " (latest fault: " + b.Step + ")"
+	}
+	return s
+}
+
+// breaches are those found, with the fault that had begun latest before each.
+func (w *watch) breaches(begun []Struck) (all []Breach) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.check.End(time.Since(w.began))
+	for _, b := range w.check.Breaches() {
+		x := Breach{Rule: string(b.Rule), Text: b.Text, Node: b.Node, Call: b.Call, At: b.At.Seconds()}
+		for _, s := range begun {
+			if s.At <= x.At {
+				x.Step = s.Step.String()
+			}
+		}
+		for _, e := range b.Around {
+			x.Around = append(x.Around, e.String())
+		}
+		all = append(all, x)
+	}
+	return all
+}
--- a/internal/lab/socket/exchange.go
+++ b/internal/lab/socket/exchange.go
@@ -28,6 +28,7 @@
 	calls  map[exchange.Attempt]*dialog
 	timer  *time.Timer
 	closed bool
+	fell   bool
 	next   int
 }
 
@@ -77,6 +78,13 @@
 	return e.x.Standing()
 }
 
+// Fell tells whether it was pushed over while it was cold.
+func (e *Exchange) Fell() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.fell
+}
+
 // Do has something done to the model, such as a fault, and sends what it says.
 func (e *Exchange) Do(f func(x *exchange.Exchange, now exchange.Time)) {
 	e.mu.Lock()
@@ -91,6 +99,7 @@
 		return
 	}
 	if e.x.State() == exchange.Down {
+		e.fell = true
 		e.shut()
 		return
 	}
