Tell what is lost where the first segment of a store has no header left

Cause: a Reader told of missing numbers only between two records that it had returned.

Change: the first segment that is there tells by its name where the store begins; what is missing from there on is a gap, also where that segment's header or its first records are not intact. What retention has removed is no loss, as before: the first file that is left names its own first number.

Measured: the property test of any damage (flips, cuts, zeros, removal) now wants a gap from the first file's number on; it failed on the old reader within the first cases (gap 1-58) and passes.

--- a/internal/record/reader.go
+++ b/internal/record/reader.go
@@ -146,7 +146,7 @@
 		if r.cause != NoGap {
 			gap.Code = uint8(r.cause)
 		}
-		if gap.Since > gap.At { // the clock was set back between two starts
+		if gap.Since > gap.At || gap.Since == 0 { // the clock was set back between two starts, or nothing is known from before
 			gap.Since = gap.At
 		}
 		if n := len(r.damages); n > 0 && r.more == 0 && r.cause != NoGap && r.damages[n-1].From == 0 {
@@ -217,6 +217,15 @@
 	return r.seg.name, r.scan.at - r.scan.bad, r.scan.rest()
 }
 
+// start notes the segment at hand. The name of the first one tells where the store begins, though nothing
+// of its beginning may be intact.
+func (r *Reader) start(s segment) {
+	r.seg = s
+	if !r.begun && s.first > 0 {
+		r.begun, r.last = true, s.first-1
+	}
+}
+
 // open opens the next segment that can be read.
 func (r *Reader) open() error {
 	for {
@@ -264,10 +273,11 @@
 			default:
 				r.damaged(Damage{File: s.name, Offset: 0, Bytes: size, Cause: Damaged, Text: "no intact header"})
 			}
-			r.seg = s
+			r.start(s)
 			continue
 		}
-		r.seg, r.cur, r.scan, r.header = s, f, scan, h
+		r.start(s)
+		r.cur, r.scan, r.header = f, scan, h
 		return nil
 	}
 }
--- a/internal/record/record_test.go
+++ b/internal/record/record_test.go
@@ -429,13 +429,14 @@
 }
 
 // Any flip, cut or removal yields exactly the records that are intact, and gaps for exactly
-// the others that have one behind them.
+// the others that have one behind them, from the number on that the first file there names.
 func TestAnyDamage(t *testing.T) {
 	const n = 300
 	dir, files, data, starts := made(t, n)
 	rapid.Check(t, func(rt *rapid.T) {
 		lost := make(map[int]bool) // by number
 		first := 0                 // of the segment
+		began := -1                // the least number that a file which is there names
 		for s, name := range files {
 			b := slices.Clone(data[s])
 			frames := starts[s]
@@ -490,6 +491,9 @@
 				b = nil
 				lose(0, len(frames))
 			}
+			if b != nil && began < 0 {
+				began = first + 1
+			}
 			first += len(frames)
 			if b == nil {
 				_ = os.Remove(path)
@@ -498,18 +502,18 @@
 			}
 		}
 		var want []string
-		gap, begun := 0, false
-		for i := 1; i <= n; i++ {
+		gap := 0
+		for i := max(began, 1); i <= n; i++ {
 			if lost[i] {
 				if gap == 0 {
 					gap = i
 				}
 				continue
 			}
-			if gap > 0 && begun {
+			if gap > 0 {
 				want = append(want, fmt.Sprintf("gap %d-%d", gap, i-1))
 			}
-			gap, begun = 0, true
+			gap = 0
 			r := sample(i - 1)
 			r.Seq = uint64(i)
 			want = append(want, line(r))
