--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -2,10 +2,12 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
+	"net/netip"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -40,6 +42,16 @@
 	// Records switches its records on; without a folder they are kept beside its other files.
 	Records *config.Records `json:"records"`
 	Numbers *config.Numbers `json:"numbers"` // switches routing by number on
+	// Reach is where its admin door is reached, if not at h248.admin: behind a forwarder.
+	Reach string `json:"reach"`
+}
+
+// admin is where its admin door is reached, "": it has none.
+func (s *Spec) admin() string {
+	if s.H248 == nil || s.H248.Admin == "" {
+		return ""
+	}
+	return cmp.Or(s.Reach, s.H248.Admin)
 }
 
 // States of an instance.
@@ -156,6 +168,11 @@
 	if r := i.spec.Records; r != nil && r.Dir == "" {
 		r.Dir = "records"
 	}
+	if reach := i.spec.Reach; reach != "" {
+		if _, err := netip.ParseAddrPort(reach); err != nil {
+			return fmt.Errorf("reach: %w", err)
+		}
+	}
 	return i.spec.operator().Check()
 }
 
@@ -245,7 +262,7 @@
 	i.set(Running, cmd.Process.Pid)
 	watch, end := context.WithCancel(context.Background())
 	defer end()
-	if i.spec.H248 != nil && i.spec.H248.Admin != "" && i.spec.Records != nil {
+	if i.spec.admin() != "" && i.spec.Records != nil {
 		go a.clock(watch, i)
 	}
 	a.log.Infow("running", "name", i.name, "pid", cmd.Process.Pid)
@@ -329,8 +346,8 @@
 	defer i.mu.Unlock()
 	n := &h248.Node{Name: "oa/instance", Kids: []*h248.Node{{Name: "name", Value: i.name, Quoted: true}, {Name: "state", Value: i.state},
 		{Name: "pid", Value: strconv.Itoa(i.pid)}, {Name: "starts", Value: strconv.Itoa(i.starts)}}}
-	if i.spec.H248 != nil && i.spec.H248.Admin != "" {
-		n.Kids = append(n.Kids, &h248.Node{Name: "admin", Value: i.spec.H248.Admin, Quoted: true})
+	if admin := i.spec.admin(); admin != "" {
+		n.Kids = append(n.Kids, &h248.Node{Name: "admin", Value: admin, Quoted: true})
 	}
 	return n
 }
--- a/internal/agent/clock.go
+++ b/internal/agent/clock.go
@@ -35,7 +35,7 @@
 			return
 		case <-time.After(pause):
 		}
-		s, err := control.Exchange(ctx, i.spec.H248.Admin, a.peer, last)
+		s, err := control.Exchange(ctx, i.spec.admin(), a.peer, last)
 		if err != nil {
 			last = control.Stamps{}
 			continue
--- a/internal/lab/rig/instance.go
+++ b/internal/lab/rig/instance.go
@@ -15,6 +15,7 @@
 type Instance struct {
 	Name, Listen, Panel, Admin, Names string // addresses: of callers, of the H.248 front, of its admin door, of the directory
 	Records                           string // folder
+	Reach                             string // where its agent reaches its admin door; "": at Admin
 	Zone                              string
 	Seed                              uint64
 	Group                             int // controllers of the fleet
@@ -36,6 +37,7 @@
 	text, err := json.Marshal(map[string]any{
 		"h248":    map[string]any{"Listen": i.Panel, "Admin": i.Admin},
 		"records": map[string]any{"dir": i.Records},
+		"reach":   i.Reach,
 		"config": map[string]any{"name": i.Name, "listen": i.Listen, "seed": fmt.Sprintf("%x", i.Seed), "names": i.Names,
 			"limits": map[string]any{"memory_mb": 192, "sockets": 1024}, "known": known,
 			"settings": map[string]any{"groupSize": i.Group, "classes": classes, "myZone": i.Zone,
--- a/internal/lab/rig/run.go
+++ b/internal/lab/rig/run.go
@@ -84,6 +84,7 @@
 	zone                int
 	names               *socket.Names
 	ask                 *datagrams // the way to its directory
+	door                *stream    // the way from its agent to its admin door
 	to                  map[string]*stream
 
 	mu     sync.Mutex
@@ -245,6 +246,10 @@
 			return err
 		}
 	}
+	if n.door, err = relayStream(r.agents[n.zone].name, n.name, func() string { return n.admin }, nil); err != nil {
+		return err
+	}
+	r.join(n.door.path)
 	for _, p := range r.places {
 		if err := r.lead(n, p.line, p.name); err != nil {
 			return err
@@ -273,7 +278,7 @@
 		return err
 	}
 	i := &Instance{Name: n.name, Listen: n.listen, Admin: n.admin, Panel: panel, Names: n.ask.in.LocalAddr().String(), Records: filepath.Join(r.o.Dir, "records", n.name),
-		Zone: fmt.Sprint("z", n.zone), Seed: r.rng.Uint64(), Group: r.o.Topology.Controllers, Lines: r.lines(n)}
+		Reach: n.door.ln.Addr().String(), Zone: fmt.Sprint("z", n.zone), Seed: r.rng.Uint64(), Group: r.o.Topology.Controllers, Lines: r.lines(n)}
 	text, err := i.Spec(&r.sc)
 	if err != nil {
 		return err
--- a/internal/lab/rig/schedule.go
+++ b/internal/lab/rig/schedule.go
@@ -268,7 +268,7 @@
 }
 
 // served is what a part of a kind dials or asks.
-var served = map[byte]string{'n': "xd", 'a': "e"}
+var served = map[byte]string{'n': "xd", 'a': "en"}
 
 // joined tells whether a path stands between any of two groups.
 func (t *Topology) joined(from, to []string) bool {
@@ -277,6 +277,9 @@
 		if b == "names" {
 			serves = 'd'
 		}
+		if a[0] == 'a' && serves == 'n' && t.zoneOf(a) != t.zoneOf(b) {
+			return false // an agent has the controllers of its zone
+		}
 		return strings.IndexByte(served[a[0]], serves) >= 0 && a != "names"
 	}
 	for _, a := range from {
@@ -333,6 +336,9 @@
 			x.Kind, x.Name, x.From, x.To = Cut, "directory", []string{zone}, []string{"names"}
 		case 10:
 			x.Kind, x.Name, x.From, x.To = Cut, "agent", one('a'), []string{"etcd"}
+			if rng.IntN(2) == 0 {
+				x.To = []string{fmt.Sprint("z", t.zoneOf(x.From[0]))} // its controllers
+			}
 		case 11:
 			x.Kind, x.From = Stop, one('n')
 		case 12:
--- a/internal/lab/rig/schedule_test.go
+++ b/internal/lab/rig/schedule_test.go
@@ -184,3 +184,26 @@
 		t.Errorf("of one that never goes wrong %+v, %v is left", small, err)
 	}
 }
+
+// The schedules that come with the product can be played on the scenario that they name.
+func TestKeptSchedules(t *testing.T) {
+	t.Parallel()
+	kept, err := filepath.Glob("../../../deploy/lab/schedules/*.toml")
+	if err != nil || len(kept) == 0 {
+		t.Fatalf("%v, %v", kept, err)
+	}
+	sc, err := scenario.Load("../../../deploy/lab/zones.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	top := &Topology{Controllers: sc.Fleet.Controllers, Exchanges: sc.Fleet.Exchanges, Zones: sc.Fleet.Zones}
+	for _, path := range kept {
+		s, err := Load(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := s.Check(top); err != nil {
+			t.Errorf("%s: %v", path, err)
+		}
+	}
+}
--- a/internal/lab/rig/strike.go
+++ b/internal/lab/rig/strike.go
@@ -266,8 +266,10 @@
 		_ = h.signal(syscall.SIGTERM)
 		r.pause(ctx, 250*time.Millisecond)
 		r.load.Away(i, true)
-		for !h.gone() && r.pause(ctx, 20*time.Millisecond) {
-		}
+	}
+	for !h.gone() && r.pause(ctx, 5*time.Millisecond) { // till then it seems to serve
+	}
+	if s.Kind == End {
 		r.watch.see(rules.Event{Kind: rules.Killed, Node: name})
 	}
 	r.back(ctx, n)
