Let the rig fill a controller's disk, by the limit of its files' size

Need: a disk that fills up was the one failure of the rig's list without a step, and a small file system is not to be mounted.

Change: a step "disk" sets the process's limit of file sizes to nought for a while, so that its records and its log cannot be written (EFBIG; Go programs outlive the signal). Drawn schedules have it, and the test of faults between processes, which now reads the records of two controllers to their end.

--- a/internal/lab/rig/run_test.go
+++ b/internal/lab/rig/run_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"os"
 	"os/exec"
@@ -17,6 +18,7 @@
 
 	"lapiscourse/internal/control"
 	"lapiscourse/internal/lab/scenario"
+	"lapiscourse/internal/record"
 )
 
 // built is the folder of programs, "": none was needed.
@@ -68,6 +70,7 @@
 		{At: at(3.5), For: at(1.5), Kind: Cut, Name: "agent", From: []string{"a2"}, To: []string{"etcd"}},
 		{At: at(4), Kind: End, From: []string{"n5"}},
 		{At: at(5), For: at(1), Kind: Hang, From: []string{"x1"}},
+		{At: at(5.5), For: at(1.5), Kind: Disk, From: []string{"n3"}},
 	}}
 	o := options(t, s, 10*time.Second)
 	started := func(ctx context.Context, r *Run) error {
@@ -110,9 +113,18 @@
 	if again, err := Load(filepath.Join(o.Dir, "schedule.toml")); err != nil || len(again.Step) != len(s.Step) {
 		t.Errorf("the schedule it leaves: %v", err)
 	}
+	// Records go on to an end in good order, over a kill and over a disk that was full for a while.
 	for _, n := range []string{"n0", "n3"} {
-		if found, err := filepath.Glob(filepath.Join(o.Dir, "records", n, "*")); err != nil || len(found) == 0 {
-			t.Errorf("no records of %s: %v", n, err)
+		var last record.Record
+		in, err := record.OpenDir(filepath.Join(o.Dir, "records", n))
+		if err != nil {
+			t.Fatal(err)
+		}
+		for err == nil {
+			err = in.Next(&last)
+		}
+		if _ = in.Close(); !errors.Is(err, io.EOF) || last.Kind != record.KindEnd || last.Seq < 100 {
+			t.Errorf("%s: %d records, the last is of kind %v: %v", n, last.Seq, last.Kind, err)
 		}
 	}
 }
--- a/internal/lab/rig/schedule.go
+++ b/internal/lab/rig/schedule.go
@@ -34,6 +34,7 @@
 	Stop  = "stop"  // SIGSTOP, and SIGCONT after For
 	Kill  = "kill"  // SIGKILL; the agent starts it again
 	End   = "end"   // SIGTERM; the agent starts it again
+	Disk  = "disk"  // a controller's writes to files fail, as on a full disk
 	Slow  = "slow"  // an exchange's processor takes Factor times longer
 	Hang  = "hang"  // an exchange takes everything and does nothing
 	Crash = "crash" // an exchange ends; after For a cold one takes its place
@@ -55,7 +56,7 @@
 // onPaths, onParts and onStore list the kinds.
 var (
 	onPaths = []string{Cut, OneWay, Delay, Lose, Twice, Reorder, Reset, HalfOpen, Throttle}
-	onParts = []string{Stop, Kill, End, Slow, Hang, Crash, Swap, Drop}
+	onParts = []string{Stop, Kill, End, Disk, Slow, Hang, Crash, Swap, Drop}
 	onStore = []string{Stall, Compact, Stale, NoLeader, LoseSome, Mute, Restore}
 	// atOnce are those that have no length.
 	atOnce = []string{Reset, Kill, End, Drop, Compact, Restore}
@@ -167,7 +168,7 @@
 	case name[0] == 'a': // one that ends in order has its controllers end
 		return []string{Stop, Kill}
 	}
-	return []string{Stop, Kill, End}
+	return []string{Stop, Kill, End, Disk}
 }
 
 // Load reads a schedule's file; an unknown key is an error.
@@ -305,7 +306,7 @@
 		x := &Step{At: within(0, over*3/5), For: within(over/20, over/5)}
 		zone := fmt.Sprint("z", rng.IntN(t.Zones))
 		// By how a part is named, so that a file says what was meant.
-		switch rng.IntN(19) {
+		switch rng.IntN(20) {
 		case 0: // a zone's controllers cut off from the exchanges of the others
 			x.Kind, x.Name, x.From = Cut, "zone", []string{zone}
 			for _, other := range t.parts('x') {
@@ -364,6 +365,8 @@
 			}
 		case 18:
 			x.Kind, x.From, x.To, x.Share = Twice, []string{"n*"}, []string{"names"}, 0.3+0.6*rng.Float64()
+		case 19:
+			x.Kind, x.From = Disk, one('n')
 		}
 		s.Step = append(s.Step, x)
 	}
--- a/internal/lab/rig/strike.go
+++ b/internal/lab/rig/strike.go
@@ -7,6 +7,8 @@
 	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"lapiscourse/internal/lab/exchange"
 	"lapiscourse/internal/lab/rules"
 	"lapiscourse/internal/lab/socket"
@@ -236,6 +238,10 @@
 	}
 	i := slices.IndexFunc(r.nodes, func(n *node) bool { return n.name == name })
 	n := r.nodes[i]
+	if s.Kind == Disk {
+		r.fullDisk(ctx, s, n)
+		return
+	}
 	n.mu.Lock()
 	busy := n.asked || n.away || n.proc == nil
 	if !busy {
@@ -275,6 +281,31 @@
 	r.back(ctx, n)
 }
 
+// fullDisk has a controller's writes to files fail, by the limit of their size: its records and its log.
+// A process that is started meanwhile has room again.
+func (r *Run) fullDisk(ctx context.Context, s *Step, n *node) {
+	n.mu.Lock()
+	h := n.proc
+	n.mu.Unlock()
+	if h == nil {
+		return
+	}
+	limit := func(cur uint64) error {
+		if h.gone() {
+			return nil
+		}
+		return unix.Prlimit(h.pid, unix.RLIMIT_FSIZE, &unix.Rlimit{Cur: cur, Max: unix.RLIM_INFINITY}, nil)
+	}
+	if err := limit(0); err != nil {
+		r.breach("rig", n.name, "no limit could be set: %v", err)
+		return
+	}
+	r.pause(ctx, s.For.D())
+	if err := limit(unix.RLIM_INFINITY); err != nil {
+		r.breach("rig", n.name, "no limit could be lifted: %v", err)
+	}
+}
+
 // back waits until a controller that was ended serves again, and has calls go there.
 func (r *Run) back(ctx context.Context, n *node) {
 	i := slices.Index(r.nodes, n)
