--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -104,6 +104,7 @@
 	Wait     Span       `toml:"wait" json:"wait"`         // before one, doubling
 	Patience [2]float64 `toml:"patience" json:"patience"` // share of the class's give-up time after which a try is given up
 	Heedless bool       `toml:"heedless" json:"heedless"` // they do not keep away as they are asked to
+	Roam     bool       `toml:"roam" json:"roam"`         // further tries come to any controller, not to the same
 	Shift    Span       `toml:"shift" json:"shift"`       // so often the exchange of first choice of most calls changes
 	Lean     float64    `toml:"lean" json:"lean"`         // so many times as many calls want to go to that one as to another
 	Hot      float64    `toml:"hot" json:"hot"`           // share of calls that are for one number
--- a/internal/lab/virtual/crowd.go
+++ b/internal/lab/virtual/crowd.go
@@ -37,6 +37,7 @@
 	tries  int
 	draw   float64 // settles its patience
 	call   *result.Call
+	home   int  // its controller
 	cut    bool // it stood before, was cut and comes again
 }
 
@@ -136,9 +137,12 @@
 			k.first = min(k.first, len(c.w.places)-1)
 		}
 	}
-	home := c.rng.IntN(len(c.w.nodes))
-	k.call = c.w.tally.Offered(c.w.now, k.k, home)
-	c.try(k, home)
+	k.home = c.rng.IntN(len(c.w.nodes))
+	if cut != nil && !sc.Callers.Roam {
+		k.home = cut.home
+	}
+	k.call = c.w.tally.Offered(c.w.now, k.k, k.home)
+	c.try(k, k.home)
 }
 
 // try sends a set-up to a controller, or to the next that runs.
@@ -210,6 +214,9 @@
 		return // too late: they walk up the stairs
 	}
 	home := c.rng.IntN(len(c.w.nodes))
+	if !sc.Callers.Roam {
+		home = k.home
+	}
 	c.w.after(gap, func() {
 		if !c.closed {
 			c.try(k, home)
