--- a/cmd/olivelab/rig.go
+++ b/cmd/olivelab/rig.go
@@ -15,19 +15,21 @@
 	"lapiscourse/internal/cli"
 	"lapiscourse/internal/lab/rig"
 	"lapiscourse/internal/lab/scenario"
+	"lapiscourse/internal/lab/show"
 )
 
 // sockets are the flags of runs with many processes.
 type sockets struct {
-	bin, dir, schedule string
-	faults             int
-	length             time.Duration
+	bin, dir, schedule, page string
+	faults                   int
+	length                   time.Duration
 }
 
 func (f *sockets) flags(c *cobra.Command) {
 	c.Flags().StringVar(&f.bin, "bin", "", "sockets: folder of the programs (default: that of this one)")
 	c.Flags().StringVar(&f.dir, "dir", "", "sockets: folder for schedules, records and results, kept after (default: one that is removed)")
 	c.Flags().StringVar(&f.schedule, "schedule", "", "sockets: play the faults of this file instead of drawn ones")
+	c.Flags().StringVar(&f.page, "page", "", "sockets: file for a page with faults beside what callers got")
 	c.Flags().IntVar(&f.faults, "faults", 8, "sockets: how many faults are drawn for each day")
 	c.Flags().DurationVar(&f.length, "for", 20*time.Second, "sockets: how long calls come")
 }
@@ -103,6 +105,19 @@
 			return err
 		}
 	}
+	if f.page != "" {
+		var parts []show.Part
+		for _, res := range all {
+			p, err := res.Part()
+			if err != nil {
+				return err
+			}
+			parts = append(parts, p)
+		}
+		if err := writePage(f.page, "Faults between processes", parts); err != nil {
+			return err
+		}
+	}
 	if asJSON {
 		if err := json.NewEncoder(c.OutOrStdout()).Encode(all); err != nil {
 			return err
--- a/internal/lab/rig/run.go
+++ b/internal/lab/rig/run.go
@@ -70,6 +70,7 @@
 	active map[*Step]bool
 	struck []Struck
 	extra  []Breach
+	course []Second
 }
 
 // Struck is a fault that has begun.
@@ -485,6 +486,11 @@
 			r.mu.Unlock()
 		}
 	})
+	watching.Go(func() {
+		for r.pause(watch, time.Second) {
+			r.sample()
+		}
+	})
 	err := <-calls
 	wg.Wait()
 	unwatch()
@@ -499,6 +505,26 @@
 	return r.result(), nil
 }
 
+// A Second is what callers of each zone had got until then, since calls began.
+type Second struct {
+	At    float64 `json:"at_s"`
+	Sent  []int   `json:"sent"`
+	Stood []int   `json:"stood"`
+}
+
+// sample notes what callers have got until now.
+func (r *Run) sample() {
+	s := Second{At: time.Since(r.began).Seconds(), Sent: make([]int, r.o.Topology.Zones), Stood: make([]int, r.o.Topology.Zones)}
+	for i, l := range r.each() {
+		z := r.nodes[i].zone
+		s.Sent[z] += l.Sent
+		s.Stood[z] += l.Stood
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.course = append(r.course, s)
+}
+
 // each is what callers of each controller got.
 func (r *Run) each() (all []socket.LoadStats) {
 	for i := range r.nodes {
@@ -681,13 +707,14 @@
 	Broken   int       `json:"broken"` // rules and what must hold, all told
 	Seen     int       `json:"seen"`   // events on the wires
 	Unread   int       `json:"unread"` // streams that could not be read to their end
+	Course   []Second  `json:"course"`
 	Schedule *Schedule `json:"schedule"`
 }
 
 func (r *Run) result() *Result {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	res := &Result{Seed: r.o.Schedule.Seed, Topology: r.o.Topology, For: r.o.For.Seconds(), Struck: r.struck, Schedule: r.o.Schedule}
+	res := &Result{Seed: r.o.Schedule.Seed, Topology: r.o.Topology, For: r.o.For.Seconds(), Struck: r.struck, Course: r.course, Schedule: r.o.Schedule}
 	for z := range r.o.Topology.Zones {
 		s := socket.NewLoadStats()
 		for i, n := range r.nodes {
--- a/internal/lab/rig/run_test.go
+++ b/internal/lab/rig/run_test.go
@@ -110,6 +110,9 @@
 	if err := res.Save(o.Dir); err != nil {
 		t.Fatal(err)
 	}
+	if p, err := res.Part(); err != nil || len(p.Plots) != 1 || len(p.Facts) != len(s.Step) || len(res.Course) < 8 {
+		t.Errorf("as a page: %v, %d plots, %q, %d seconds", err, len(p.Plots), p.Facts, len(res.Course))
+	}
 	if again, err := Load(filepath.Join(o.Dir, "schedule.toml")); err != nil || len(again.Step) != len(s.Step) {
 		t.Errorf("the schedule it leaves: %v", err)
 	}
