Give the virtual floor a wire between controllers, as the deployment has it

Need: what controllers may tell each other is to be played at 300 to 1,000 before it is built; the virtual floor had no datagrams between them.

Change: Options.Talk has each start of a controller speak and hear, to one by its number or to all others. Datagrams of 256 bytes at most come 2.1 to 13 ms late (wire.peer), get lost by a share (wire.peer_lose), and do not pass a cut between zones; results count them and their bytes by who was meant, as the platform prices them. Without Talk nothing is drawn, and runs are as before.

--- a/internal/lab/result/result.go
+++ b/internal/lab/result/result.go
@@ -118,6 +118,9 @@
 	GaveUp  int `json:"gave_up"`
 	Cut     int `json:"cut"`
 
+	Datagrams int `json:"datagrams,omitempty"` // between controllers, by who was meant
+	Told      int `json:"told_bytes,omitempty"`
+
 	P50 float64 `json:"setup_p50_ms"`
 	P95 float64 `json:"setup_p95_ms"`
 	P99 float64 `json:"setup_p99_ms"`
@@ -163,6 +166,12 @@
 // Try takes a set-up of a caller to a controller.
 func (t *Tally) Try() { t.r.Tries++ }
 
+// Told takes a datagram of a controller to another.
+func (t *Tally) Told(bytes int) {
+	t.r.Datagrams++
+	t.r.Told += bytes
+}
+
 // Sent takes a set-up of a controller to an exchange.
 func (t *Tally) Sent() { t.r.Sends++ }
 
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -92,6 +92,8 @@
 	Far    Span     `toml:"far" json:"far"`   // between zones
 	News   Span     `toml:"news" json:"news"` // of the directory, to each controller
 	Client Duration `toml:"client" json:"client"`
+	Peer   Span     `toml:"peer" json:"peer"`           // of datagrams between controllers
+	Lose   float64  `toml:"peer_lose" json:"peer_lose"` // share of those that get lost
 }
 
 // Callers are how calls come.
@@ -207,7 +209,7 @@
 		Fleet: Fleet{Controllers: 7, Exchanges: 3, Zones: 3, Clients: 4},
 		Exchange: Exchange{SetUp: ms(15), Answer: ms(8), Release: ms(7), Reject: ms(4), Repeat: ms(2), Vary: 0.3, Full: ms(2900), Again: ms(500),
 			Ring: ms(40), Lines: 2000, Planned: 0.8, Start: 0.31, Warm: ms(15000), Fall: 3},
-		Wire:    Wire{Near: span(0.3, 1.5), Far: span(13, 22), News: span(500, 3000), Client: ms(1)},
+		Wire:    Wire{Near: span(0.3, 1.5), Far: span(13, 22), News: span(500, 3000), Client: ms(1), Peer: span(2.1, 13)},
 		Callers: Callers{Load: 0.7, Shape: "poisson", Period: ms(30000), Tries: 3, Wait: span(500, 2000), Patience: [2]float64{0.3, 0.4}, Shift: span(11000, 20000), Lean: 2},
 		Class: []Class{
 			{"resident-call", 0.61, ms(9000), ms(1500), ms(9000), 1, 0.25},
@@ -274,6 +276,8 @@
 		return fmt.Errorf("fleet.exchanges: %d is not between 1 and %d", f.Exchanges, mostExchanges)
 	case f.Zones < 1 || f.Clients < 1:
 		return errors.New("fleet: zones and clients must be one at least")
+	case s.Wire.Lose < 0 || s.Wire.Lose > 1:
+		return fmt.Errorf("wire.peer_lose: %v is not between 0 and 1", s.Wire.Lose)
 	case s.Exchange.Planned <= 0 || s.Exchange.Planned > 1:
 		return fmt.Errorf("exchange.planned: %v is not between 0 and 1", s.Exchange.Planned)
 	case c.Load < 0 || c.Load > 20:
--- a/internal/lab/virtual/links.go
+++ b/internal/lab/virtual/links.go
@@ -1,6 +1,8 @@
 package virtual
 
 import (
+	"fmt"
+	"slices"
 	"time"
 
 	"lapiscourse/internal/call"
@@ -83,3 +85,29 @@
 	}
 	n.w.after(lookOwed, look)
 }
+
+// say sends a datagram to another controller, or to all others. It comes late or not at all, and does not
+// pass a cut between zones; it counts as told for each who was meant, as the platform prices it.
+func (n *node) say(to int, b []byte) {
+	w := n.w
+	if len(b) > mostSaid {
+		panic(fmt.Sprintf("a datagram of %d bytes between controllers, %d at most", len(b), mostSaid)) // it would void a run
+	}
+	for _, o := range w.nodes {
+		if o == n || to != Everyone && o.i != to {
+			continue
+		}
+		w.tally.Told(len(b))
+		cut := n.zone != o.zone && (w.severed[n.zone] > 0 || w.severed[o.zone] > 0)
+		if cut || w.rng.Float64() < w.sc.Wire.Lose {
+			continue
+		}
+		got := slices.Clone(b)
+		w.after(w.draw(w.sc.Wire.Peer), func() {
+			if o.core != nil && o.hears != nil {
+				o.hears(n.i, got)
+				o.settle()
+			}
+		})
+	}
+}
--- a/internal/lab/virtual/node.go
+++ b/internal/lab/virtual/node.go
@@ -32,8 +32,9 @@
 	newsAt Time
 	missed []lapiscourse.Server
 	gone   map[string]bool // told as drained or gone, by which the checker is told once
-	dead   map[*site]bool  // connections that carry nothing; true: that is found out, a new one is made
-	leaves bool            // it is being stopped: no new calls come
+	hears  func(from int, b []byte)
+	dead   map[*site]bool // connections that carry nothing; true: that is found out, a new one is made
+	leaves bool           // it is being stopped: no new calls come
 }
 
 func newNode(w *World, i int) *node {
@@ -74,6 +75,14 @@
 		}
 	}
 	n.core.List(list, true)
+	if w.opt.Talk != nil {
+		life := n.life
+		n.hears = w.opt.Talk(n.i, func(to int, b []byte) {
+			if n.life == life {
+				n.say(to, b)
+			}
+		})
+	}
 	n.settle()
 }
 
--- a/internal/lab/virtual/world.go
+++ b/internal/lab/virtual/world.go
@@ -35,10 +35,19 @@
 	Module func(node string, d call.Decider) call.Decider
 	Wire   func(node string, x call.Exchanges) call.Exchanges
 	Client func(node string, c call.Client) call.Client
+	// Talk, if set, has controllers speak to each other: at each start of one it is given the way to say
+	// something, to one by its number or to Everyone, and returns what takes what arrives.
+	Talk func(node int, say func(to int, b []byte)) (hears func(from int, b []byte))
 	// Watch is told of everything that the checker sees.
 	Watch func(rules.Event)
 }
 
+// Everyone are all controllers but the one that speaks.
+const Everyone = -1
+
+// mostSaid is the most that a datagram between controllers may hold, as the platform has it.
+const mostSaid = 256
+
 // A World is a run.
 type World struct {
 	sc     *scenario.Scenario
--- a/internal/lab/virtual/world_test.go
+++ b/internal/lab/virtual/world_test.go
@@ -259,3 +259,73 @@
 		}
 	}
 }
+
+// Controllers that speak are heard as the platform has it: late, with losses, not over a cut, and again
+// after a restart; what was on its way to one that ended is not heard by its next start's ears alone.
+func TestControllersSpeak(t *testing.T) {
+	sc := scenario.Default()
+	sc.Length, sc.Fleet.Controllers, sc.Wire.Lose = secs(10), 6, 0.3
+	sc.Fault = []scenario.Fault{{Kind: scenario.Sever, At: secs(2), For: secs(4)}, {Kind: scenario.Kill, At: secs(7), Share: 0.1, By: secs(0.5)}}
+	play := func() (r *result.Result, starts int, heard map[[2]int][]time.Duration) {
+		heard = make(map[[2]int][]time.Duration)
+		var now time.Duration
+		say := make(map[int]func(int, []byte))
+		said := time.Duration(0)
+		r = Run(&sc, 4, Options{
+			Talk: func(node int, out func(int, []byte)) func(int, []byte) {
+				starts++
+				say[node] = out
+				return func(from int, b []byte) {
+					if string(b) != fmt.Sprint("from ", from) {
+						t.Errorf("%d heard %q of %d", node, b, from)
+					}
+					heard[[2]int{from, node}] = append(heard[[2]int{from, node}], now)
+				}
+			},
+			Watch: func(e rules.Event) { // what passes sets the pace: everyone speaks ten times a second
+				if now = e.At; now-said < 100*time.Millisecond {
+					return
+				}
+				said = now
+				for i := range sc.Fleet.Controllers {
+					say[i](Everyone, fmt.Append(nil, "from ", i))
+				}
+				say[0](1, []byte("from 0"))
+			},
+		})
+		return r, starts, heard
+	}
+	r, starts, heard := play()
+	in := 0
+	for pair, all := range heard {
+		in += len(all)
+		cut := 0
+		for _, at := range all {
+			if at > 2100*time.Millisecond && at < 6*time.Second {
+				cut++
+			}
+		}
+		// A zone of three is apart: of each pair of zones one in three is open.
+		if pair[0]%3 == pair[1]%3 && cut == 0 {
+			t.Errorf("%v of one zone heard nothing in the cut", pair)
+		}
+	}
+	silent := 0
+	for a := range 6 {
+		for b := range 6 {
+			quiet := true
+			for _, at := range heard[[2]int{a, b}] {
+				quiet = quiet && (at < 2100*time.Millisecond || at > 6*time.Second)
+			}
+			if a%3 != b%3 && quiet {
+				silent++
+			}
+		}
+	}
+	if share := float64(in) / float64(r.Datagrams); silent != 16 || starts != 7 || share < 0.4 || share > 0.75 || len(r.Broken) > 0 {
+		t.Errorf("%d of %d datagrams heard, %d pairs silent in the cut, %d starts, broken %v", in, r.Datagrams, silent, starts, r.Broken)
+	}
+	if again, _, _ := play(); again.Datagrams != r.Datagrams || again.Events != r.Events || again.Told != r.Told {
+		t.Errorf("played again: %d datagrams, %d events; before %d, %d", again.Datagrams, again.Events, r.Datagrams, r.Events)
+	}
+}
