Round what a ceiling allows in a window by a part that each controller draws

Change: at each sign of pressure a controller draws by what part of a set-up it rounds the count of that server's window, so that many together send what their ceilings allow. One set-up a window stays let through. A test of 400 nodes wants 2.4 a node where the window holds 2.4; without the part they send 2.00.

--- a/controller.go
+++ b/controller.go
@@ -88,6 +88,7 @@
 	offered, sent, answered counter
 	ceiling                 float64       // set-ups a second, +Inf: none
 	credit                  float64       // set-ups that may go at once under the ceiling
+	part                    float64       // of a set-up, by which those of a window are rounded
 	climb                   float64       // set-ups of second choice that may go at once
 	pressed                 Time          // last evidence of pressure
 	before                  *standing     // as it stood before it fell silent, nil: it has not
@@ -286,7 +287,7 @@
 	}
 	share := 1 - (wait-c.late).Seconds()/c.window.Seconds()
 	s.ceiling = max(c.rate(s, &s.answered)*min(max(share, sharp), 1), c.trickle(s))
-	s.pressed, s.clean, s.proven, s.before = c.now, false, 0, nil
+	s.pressed, s.clean, s.proven, s.before, s.part = c.now, false, 0, nil, c.rng.Float64()
 	c.do(Ceiling{s.ID, s.ceiling, Pressed})
 	c.note(s, "ceiling %.1f/s of %.1f/s offered, wait %v", s.ceiling, c.rate(s, &s.offered),
 		wait.Round(time.Millisecond))
@@ -405,7 +406,7 @@
 	case again:
 		need = c.depth(s)
 	}
-	return s.credit < need || float64(s.sent.sum+1) > max(1, share*s.ceiling*c.span(s))
+	return s.credit < need || float64(s.sent.sum+1) > max(1, share*s.ceiling*c.span(s)+s.part)
 }
 
 // depth is the credit that a server can have: two calls, or two periods of the ceiling;
--- a/many_test.go
+++ b/many_test.go
@@ -119,3 +119,36 @@
 		}
 	}
 }
+
+// A ceiling of so many set-ups a window and a part of one more lets that part of the nodes send one more.
+// (All rounded it down: a fleet of 300 that could send 2.2 in each window sent 2, and exchanges worked 91%
+// of the time where 97% were to be had.)
+func TestCeilingsOfManyNodesAddUp(t *testing.T) {
+	const nodes, perWindow = 400, 2.4
+	sent := 0
+	for seed := range uint64(nodes) {
+		set := testSettings()
+		set.GroupSize = nodes
+		c, err := New(set, seed)
+		if err != nil {
+			t.Fatal(err)
+		}
+		r := &rig{t: t, c: c, now: time.Hour}
+		r.take(c.Begin(r.now))
+		r.feed(List{Full: true, Cached: true, Servers: []Server{a}})
+		r.pass(10 * c.window)
+		s := c.servers[0]
+		c.press(s, c.late*3/2)
+		s.ceiling = perWindow / s2 / c.span(s)
+		for range 6 { // all at once, of top worth: the window alone holds them back
+			s.credit = burst
+			if _, to := r.ask("write", 0); to != "" {
+				sent++
+				s.pending, c.out = nil, 0
+			}
+		}
+	}
+	if mean := float64(sent) / nodes; mean < perWindow-0.15 || mean > perWindow+0.15 {
+		t.Errorf("%.2f set-ups a node in a window that may hold %.1f", mean, perWindow)
+	}
+}
