--- a/internal/net/recorder_test.go
+++ b/internal/net/recorder_test.go
@@ -300,6 +300,7 @@
 	}
 	again := func() { // n0 ends in good order and starts anew: its next records are another segment
 		nodes[0].stop(t)
+		eventually(t, "its store is let go", func() bool { return !record.Live(dirs[0]) }) // a slow disk gets longer than a node waits
 		nodes[0], stamps[0] = f.node(t, "n0", dirs[0], &skews[0]), control.Stamps{}
 		callers[0] = dialJSON(t, nodes[0].json(), h, fmt.Sprintf("%08x", time.Now().UnixNano()&0xffffffff))
 	}
