--- a/internal/lab/etcd/kv.go
+++ b/internal/lab/etcd/kv.go
@@ -203,7 +203,7 @@
 	defer s.mu.Unlock()
 	err = s.write(func(t *change) error {
 		put := make(map[string]bool)
-		if err := errorsOf(s.txns(r.Success, put), s.txns(r.Failure, make(map[string]bool))); err != nil {
+		if err := cmp.Or(s.txns(r.Success, put), s.txns(r.Failure, make(map[string]bool))); err != nil {
 			return err
 		}
 		out, err = t.txn(r)
@@ -216,15 +216,6 @@
 	return out, nil
 }
 
-func errorsOf(all ...error) error {
-	for _, err := range all {
-		if err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
 // mostOps bounds a transaction, as etcd does.
 const mostOps = 128
 
@@ -245,7 +236,7 @@
 			}
 			put[key] = true
 		case *pb.RequestOp_RequestTxn:
-			if err := errorsOf(s.txns(r.RequestTxn.Success, maps.Clone(put)), s.txns(r.RequestTxn.Failure, maps.Clone(put))); err != nil {
+			if err := cmp.Or(s.txns(r.RequestTxn.Success, maps.Clone(put)), s.txns(r.RequestTxn.Failure, maps.Clone(put))); err != nil {
 				return err
 			}
 		case *pb.RequestOp_RequestRange:
--- a/internal/lab/rig/schedule.go
+++ b/internal/lab/rig/schedule.go
@@ -101,7 +101,7 @@
 	Step []*Step `toml:"step" json:"step"`
 }
 
-// Size bounds schedules.
+// mostSteps bounds a schedule.
 const mostSteps = 256
 
 // Check tells what cannot be played on a topology.
--- a/internal/lab/virtual/links.go
+++ b/internal/lab/virtual/links.go
@@ -21,9 +21,12 @@
 
 // apart tells whether a cut between zones lies on the way to an exchange.
 func (n *node) apart(s *site) bool {
-	return n.zone != s.zone && (n.w.severed[n.zone] > 0 || n.w.severed[s.zone] > 0)
+	return n.w.apart(n.zone, s.zone)
 }
 
+// apart tells whether a cut lies between two zones.
+func (w *World) apart(a, b int) bool { return a != b && (w.severed[a] > 0 || w.severed[b] > 0) }
+
 // mute tells whether the connection to an exchange carries nothing. One that was found out is made anew
 // as soon as the way is open.
 func (n *node) mute(s *site) bool {
@@ -98,8 +101,7 @@
 			continue
 		}
 		w.tally.Told(len(b))
-		cut := n.zone != o.zone && (w.severed[n.zone] > 0 || w.severed[o.zone] > 0)
-		if cut || w.rng.Float64() < w.sc.Wire.Lose {
+		if w.apart(n.zone, o.zone) || w.rng.Float64() < w.sc.Wire.Lose {
 			continue
 		}
 		got := slices.Clone(b)
