--- a/api.go
+++ b/api.go
@@ -171,6 +171,7 @@
 	Pressed      Why = "pressed"       // evidence that the server is slow
 	Lapsed       Why = "lapsed"        // none of it for long
 	Excused      Why = "excused"       // the evidence was a loss on the way
+	FleetHolds   Why = "fleet"         // as no_server, and the fleet's word made the difference
 )
 
 // An Action is what the module wants done: Send, Refuse, Fail, Cancel, Defer,
@@ -233,3 +234,29 @@
 func (Watch) action()   {}
 func (Log) action()     {}
 func (Ceiling) action() {}
+
+// A Fleet is what the module tells of what it does, and asks of what all controllers together hold back. Its
+// methods are called within Handle, must not block and must not call the module. It is asked only of servers
+// that the module would send to by its list and its own evidence.
+type Fleet interface {
+	// Offered tells of a new call of a tier whose first choice is a server.
+	Offered(now Time, server string, tier int)
+	// Sent tells of a set-up; first: to the first choice, by the call's first attempt.
+	Sent(now Time, server string, first bool)
+	// Back tells that a set-up waits no more: it stood after took, or ended otherwise.
+	Back(now Time, server string, stood bool, took time.Duration)
+	// Pressed tells of evidence that a server is slow.
+	Pressed(now Time, server string)
+	// Holds tells why the fleet holds a call back from a server, "" if it does not; told: it has a word on the
+	// server, which then stands in the place of this node's own ceiling.
+	Holds(now Time, server string, tier int, first bool) (holds Why, told bool)
+}
+
+// alone is the Fleet of a node that shares nothing.
+type alone struct{}
+
+func (alone) Offered(Time, string, int)                 {}
+func (alone) Sent(Time, string, bool)                   {}
+func (alone) Back(Time, string, bool, time.Duration)    {}
+func (alone) Pressed(Time, string)                      {}
+func (alone) Holds(Time, string, int, bool) (Why, bool) { return "", false }
--- a/cmd/olivelab/compare.go
+++ b/cmd/olivelab/compare.go
@@ -16,7 +16,6 @@
 	"lapiscourse/internal/lab/result"
 	"lapiscourse/internal/lab/scenario"
 	"lapiscourse/internal/lab/show"
-	"lapiscourse/internal/lab/virtual"
 )
 
 func compareCommand() *cobra.Command {
@@ -58,7 +57,7 @@
 				if err != nil {
 					return err
 				}
-				now, err := experiment.Play(ctx, sc, seeds, virtual.Options{})
+				now, err := experiment.Play(ctx, sc, seeds, options())
 				if err != nil {
 					return err
 				}
--- a/cmd/olivelab/virtual.go
+++ b/cmd/olivelab/virtual.go
@@ -67,6 +67,12 @@
 	return []string{show.Number(iv.Mean), show.Number(iv.Low) + " to " + show.Number(iv.High), show.Number(iv.Worst)}
 }
 
+// options are what days are played with.
+func options() virtual.Options { return virtual.Options{Share: sharing} }
+
+// sharing has controllers share what they know; nil: this program is of a commit that cannot.
+var sharing = virtual.Options{}.Share
+
 // commit is what results say they are of.
 func commit() string { return cli.Version() }
 
@@ -86,7 +92,8 @@
 			if err != nil {
 				return err
 			}
-			opt := virtual.Options{Until: until}
+			opt := options()
+			opt.Until = until
 			switch floor {
 			case "virtual":
 			case "sockets":
@@ -203,7 +210,7 @@
 					if err != nil {
 						return err
 					}
-					all, err := experiment.Play(ctx, one, seeds, virtual.Options{})
+					all, err := experiment.Play(ctx, one, seeds, options())
 					if err != nil {
 						return err
 					}
@@ -259,7 +266,7 @@
 			default:
 				return cli.Usage("--floor is virtual or sockets, not %q", floor)
 			}
-			small := experiment.Shrink(ctx, sc, seed, virtual.Options{})
+			small := experiment.Shrink(ctx, sc, seed, options())
 			if small == nil {
 				return fmt.Errorf("%s breaks no rule with seed %d", args[0], seed)
 			}
--- a/controller.go
+++ b/controller.go
@@ -69,6 +69,8 @@
 	crowded map[string]Time // numbers whose lines were all busy, and when to try them again
 	dialled map[string]*number
 	carried map[int]float64 // per pool: the best rate it answered this node of late
+	fleet   Fleet           // what the others know
+	why     Why             // no server was picked
 }
 
 type class struct {
@@ -141,7 +143,7 @@
 		return nil, fmt.Errorf("lapiscourse: settings: %w", err)
 	}
 	c := &Controller{
-		set: set, classes: make(map[string]*class), calls: make(map[string]*call),
+		set: set, fleet: alone{}, classes: make(map[string]*class), calls: make(map[string]*call),
 		crowded: make(map[string]Time), dialled: make(map[string]*number),
 		carried: make(map[int]float64), keys: make(map[int64]*call), rng: rand.New(rand.NewPCG(seed, 0)),
 	}
@@ -150,16 +152,12 @@
 		best, aim = max(best, k.Credit), min(aim, k.Aim)
 	}
 	for _, k := range set.Classes {
-		tier := cheap
+		c.classes[k.Name] = &class{k, cheap}
 		if k.Credit >= best {
-			tier = top
+			c.classes[k.Name].tier = top
 		}
-		c.classes[k.Name] = &class{Class: k, tier: tier}
-	}
-	c.silence, c.late = aim/2, aim/2
-	if set.Resend > 0 {
-		c.late = min(c.late, set.Resend)
 	}
+	c.silence, c.late = aim/2, min(aim/2, cmp.Or(set.Resend, aim))
 	c.period = max(c.late/parts, time.Millisecond)
 	c.window = periods * c.period
 	return c, nil
@@ -288,6 +286,7 @@
 	share := 1 - (wait-c.late).Seconds()/c.window.Seconds()
 	s.ceiling = max(c.rate(s, &s.answered)*min(max(share, sharp), 1), c.trickle(s))
 	s.pressed, s.clean, s.proven, s.before, s.part = c.now, false, 0, nil, c.rng.Float64()
+	c.fleet.Pressed(c.now, s.ID)
 	c.do(Ceiling{s.ID, s.ceiling, Pressed})
 	c.note(s, "ceiling %.1f/s of %.1f/s offered, wait %v", s.ceiling, c.rate(s, &s.offered),
 		wait.Round(time.Millisecond))
@@ -397,6 +396,10 @@
 	case c.waits(s) > c.late: // guards calls against waiting behind others at a hung or jammed server
 		return !c.scout(s)
 	}
+	if holds, told := c.fleet.Holds(c.now, s.ID, k.tier, s.Pool == k.first); told {
+		c.why = cmp.Or(holds, c.why)
+		return holds != ""
+	}
 	share, need := s1, 1.0
 	switch k.tier {
 	case urgent:
@@ -424,12 +427,14 @@
 	var open []*server
 	var spare *server
 	swamped := c.swamped(k)
+	c.why = NoServer
 	for _, s := range c.servers {
 		if s.Phase != In || !c.mayServe(s, k) {
 			continue
 		}
 		if s.Pool == k.first && k.attempts == 0 {
 			s.offered.add()
+			c.fleet.Offered(c.now, s.ID, k.tier)
 		}
 		switch {
 		case swamped, s == k.avoid && !k.dropped, c.holdsBack(s, k):
@@ -447,11 +452,8 @@
 	if len(open) == 0 {
 		return spare
 	}
-	a, b := c.draw(open), c.draw(open)
-	if len(b.pending) < len(a.pending) {
-		return b
-	}
-	return a
+	fewer := func(a, b *server) int { return len(a.pending) - len(b.pending) }
+	return slices.MinFunc([]*server{c.draw(open), c.draw(open)}, fewer)
 }
 
 // draw takes one of the servers, in proportion to the calls that stand there where that is
@@ -513,13 +515,14 @@
 	}
 	s := c.pick(k)
 	if s == nil || c.now+min(s.took, c.late) >= k.until {
-		c.refuse(k, NoServer)
+		c.refuse(k, c.why)
 		return
 	}
 	k.attempts++
 	c.out++
 	k.at, k.sentAt, k.cancelled = s, c.now, false
 	s.sent.add()
+	c.fleet.Sent(c.now, s.ID, s.Pool == k.first && k.attempts == 1)
 	s.credit = max(s.credit-1, -burst)
 	s.free -= float64(c.set.GroupSize) // the others send as well
 	if s.cold || s.Pool != k.first {
@@ -576,6 +579,7 @@
 	c.stood.add()
 	c.speaks(s)
 	s.took += (e.Took - s.took) / 4
+	c.fleet.Back(c.now, s.ID, true, e.Took-c.pause)
 	s.last, s.stood = e.Took-c.pause, c.now
 	s.clean, s.told = s.last <= c.late/2, false
 	c.prove(s)
@@ -599,6 +603,7 @@
 		s.free += float64(c.set.GroupSize)
 	} else {
 		c.out--
+		c.fleet.Back(c.now, s.ID, false, c.now-k.sentAt)
 	}
 	c.report(s, e.Load)
 	if e.Terminal || k.answered || k.standing {
@@ -736,18 +741,15 @@
 		c.do(Defer{At: c.now + c.window, Key: askAgain})
 		return
 	}
-	if e.Full {
-		for _, s := range c.servers {
-			if !slices.ContainsFunc(e.Servers, func(l Server) bool { return l.ID == s.ID }) {
-				s.Phase = Out
-			}
+	for _, s := range c.servers {
+		if e.Full && !slices.ContainsFunc(e.Servers, func(l Server) bool { return l.ID == s.ID }) {
+			s.Phase = Out
 		}
 	}
 	for _, l := range e.Servers {
-		if l.ID == "" {
+		if s := c.find(l.ID); l.ID == "" {
 			continue
-		}
-		if s := c.find(l.ID); s == nil {
+		} else if s == nil {
 			if l.Started == 0 && !e.Full {
 				l.Started = c.now
 			}
--- a/facade.go
+++ b/facade.go
@@ -87,6 +87,12 @@
 	return d, nil
 }
 
+// Late is what the module takes for a late answer.
+func (d *Desk) Late() time.Duration { return d.c.late }
+
+// Share has the module tell f what it does and ask it what the fleet holds back, from now on.
+func (d *Desk) Share(f Fleet) { d.c.fleet = f }
+
 // Pick asks where a call is to go.
 func (d *Desk) Pick(now Time, r Request) Order {
 	return d.one(r.Call, d.c.Handle(now, Ask{Call: r.Call, Class: r.Class, Number: r.Number,
--- a/internal/lab/base/base.go
+++ b/internal/lab/base/base.go
@@ -67,6 +67,12 @@
 			return nil, errors.Join(fmt.Errorf("base: %w", err), b.Remove())
 		}
 	}
+	if _, err := os.Stat(filepath.Join(tree, "internal/share")); errors.Is(err, fs.ErrNotExist) {
+		// Controllers of that commit share nothing: what has them share is left out.
+		if err := os.Remove(filepath.Join(tree, "cmd/olivelab/share.go")); err != nil {
+			return nil, errors.Join(fmt.Errorf("base: %w", err), b.Remove())
+		}
+	}
 	c := exec.CommandContext(ctx, "go", "build", "-mod=mod", "-o", b.Program, "./cmd/olivelab")
 	c.Dir = tree
 	if out, err := c.CombinedOutput(); err != nil {
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -60,12 +60,22 @@
 	Fault    []Fault  `toml:"fault" json:"fault,omitempty"`
 }
 
+// What hostile controllers tell: that no server is pressed, or that all are.
+const (
+	LieWell    = "well"
+	LiePressed = "pressed"
+)
+
 // A Fleet is how many there are of each.
 type Fleet struct {
 	Controllers int `toml:"controllers" json:"controllers"`
 	Exchanges   int `toml:"exchanges" json:"exchanges"`
 	Zones       int `toml:"zones" json:"zones"`
 	Clients     int `toml:"clients" json:"clients"` // connections of callers to each controller
+	// Share has controllers share what they know; of them a share Liars is hostile and tells Lie, "well" or "pressed".
+	Share bool    `toml:"share" json:"share,omitempty"`
+	Liars float64 `toml:"liars" json:"liars,omitempty"`
+	Lie   string  `toml:"lie" json:"lie,omitempty"`
 }
 
 // An Exchange is what each exchange is like; the zero value of a field takes its default.
@@ -276,6 +286,8 @@
 		return fmt.Errorf("fleet.exchanges: %d is not between 1 and %d", f.Exchanges, mostExchanges)
 	case f.Zones < 1 || f.Clients < 1:
 		return errors.New("fleet: zones and clients must be one at least")
+	case f.Liars < 0 || f.Liars > 1 || f.Liars > 0 && f.Lie != LieWell && f.Lie != LiePressed:
+		return errors.New("fleet: liars is a share between 0 and 1, lie is \"well\" or \"pressed\"")
 	case s.Wire.Lose < 0 || s.Wire.Lose > 1:
 		return fmt.Errorf("wire.peer_lose: %v is not between 0 and 1", s.Wire.Lose)
 	case s.Exchange.Planned <= 0 || s.Exchange.Planned > 1:
--- /dev/null
+++ b/internal/lab/together/together.go
@@ -0,0 +1,49 @@
+// Package together has the virtual floor's controllers share what they know by internal/share, as the
+// product has it, and hostile ones among them. It is apart from the floor, so that the floor can play
+// versions of the product that share nothing.
+package together
+
+import (
+	"time"
+
+	"lapiscourse"
+	"lapiscourse/internal/call"
+	"lapiscourse/internal/lab/scenario"
+	"lapiscourse/internal/lab/virtual"
+	"lapiscourse/internal/share"
+)
+
+type member struct {
+	m   *share.Member
+	say func(to int, b []byte)
+}
+
+// Start is a virtual.Options.Share.
+func Start(sc *scenario.Scenario, node, life int, seed uint64, now time.Duration, d call.Decider, say func(to int, b []byte)) virtual.Sharer {
+	desk, ok := d.(*lapiscourse.Desk)
+	if !ok {
+		return nil // a test has put something else in its place
+	}
+	m, err := share.New(now, share.Options{Self: node, Peers: sc.Fleet.Controllers, Boot: uint32(life), Seed: seed, Late: desk.Late()})
+	if err != nil {
+		panic(err) // the scenario was checked
+	}
+	if liars := int(sc.Fleet.Liars * float64(sc.Fleet.Controllers)); node < liars {
+		return newLiar(sc, node, uint32(life), now, say)
+	}
+	desk.Share(m)
+	return &member{m, say}
+}
+
+// Hears implements virtual.Sharer. What cannot be read is counted by the Member.
+func (s *member) Hears(now time.Duration, from int, b []byte) { _ = s.m.Hear(now, from, b) }
+
+// Tick implements virtual.Sharer.
+func (s *member) Tick(now time.Duration) {
+	for _, p := range s.m.Tick(now) {
+		s.say(p.To, p.B)
+	}
+}
+
+// Next implements virtual.Sharer.
+func (s *member) Next() time.Duration { return s.m.Next() }
--- a/internal/lab/virtual/node.go
+++ b/internal/lab/virtual/node.go
@@ -33,6 +33,8 @@
 	missed []lapiscourse.Server
 	gone   map[string]bool // told as drained or gone, by which the checker is told once
 	hears  func(from int, b []byte)
+	shares Sharer
+	turn   Time           // when it next does something of its own, for the others
 	dead   map[*site]bool // connections that carry nothing; true: that is found out, a new one is made
 	leaves bool           // it is being stopped: no new calls come
 }
@@ -83,9 +85,39 @@
 			}
 		})
 	}
+	n.shares, n.turn = nil, agenda.Never
+	if w.opt.Share != nil && w.sc.Fleet.Share {
+		life := n.life
+		n.shares = w.opt.Share(w.sc, n.i, n.life, seed, n.clock(), desk, func(to int, b []byte) {
+			if n.life == life {
+				n.say(to, b)
+			}
+		})
+		n.hears = func(from int, b []byte) { n.shares.Hears(n.clock(), from, b) }
+	}
 	n.settle()
 }
 
+// share has the node do what it does for the others when that is due.
+func (n *node) share() {
+	if n.shares == nil {
+		return
+	}
+	next := max(n.shares.Next()-epoch, n.w.now)
+	if next >= n.turn || next > 100*epoch {
+		return
+	}
+	n.turn = next
+	life := n.life
+	n.w.plan.Add(next, func() {
+		if n.life == life && n.turn == next && n.core != nil {
+			n.turn = agenda.Never
+			n.shares.Tick(n.clock())
+			n.settle()
+		}
+	})
+}
+
 // clock is what the node's clock shows.
 func (n *node) clock() call.Time { return epoch + n.w.now }
 
@@ -97,6 +129,7 @@
 	if n.core == nil {
 		return
 	}
+	n.share()
 	// Guards against a module that wants to be looked at for ever at one moment: the clock goes on.
 	due := n.core.Next()
 	next := max(due-epoch, n.w.now, n.ticked+leastTick)
--- a/internal/lab/virtual/world.go
+++ b/internal/lab/virtual/world.go
@@ -38,10 +38,20 @@
 	// Talk, if set, has controllers speak to each other: at each start of one it is given the way to say
 	// something, to one by its number or to Everyone, and returns what takes what arrives.
 	Talk func(node int, say func(to int, b []byte)) (hears func(from int, b []byte))
+	// Share, if set, has controllers share what they know where the scenario says so. It is called at each
+	// start of one, with what it decides by and the way to say something.
+	Share func(sc *scenario.Scenario, node, life int, seed uint64, now time.Duration, d call.Decider, say func(to int, b []byte)) Sharer
 	// Watch is told of everything that the checker sees.
 	Watch func(rules.Event)
 }
 
+// A Sharer is a controller's part in what controllers share. Times are of the controllers' clocks.
+type Sharer interface {
+	Hears(now time.Duration, from int, b []byte)
+	Tick(now time.Duration)
+	Next() time.Duration
+}
+
 // Everyone are all controllers but the one that speaks.
 const Everyone = -1
 
--- /dev/null
+++ b/internal/share/share.go
@@ -0,0 +1,566 @@
+// Package share is what call controllers know and do together. Each tells what it sees of the servers to one
+// of them, its teller, which sums up, settles how much the fleet may send to each server, and tells all who
+// report to it by what chance a call is to be held back; each draws by that chance. Nobody is elected: a
+// controller reports to the live one that rendezvous hashing names, and obeys that one only.
+//
+// The package owns who is there, the sums and the chances. It has no socket and no clock: what is heard, what
+// the module does and the Time come in, datagrams go out. It never opens a server that the module would not
+// send to by its own list and evidence: it is asked after those.
+package share
+
+import (
+	"cmp"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/dgryski/go-rendezvous"
+
+	"lapiscourse"
+)
+
+// A Time is a reading of the controller's own clock. Clocks of controllers need not agree.
+type Time = time.Duration
+
+const (
+	ms     = time.Millisecond
+	second = time.Second
+)
+
+// Options of a Member.
+type Options struct {
+	Self, Peers int    // number of this controller, and how many numbers there are; at most 1600
+	Boot        uint32 // greater at each start, as the seconds of the clock are
+	Seed        uint64 // of chance
+	Late        Time   // what the module takes for late
+	Period      Time   // between reports while anything is pressed; 0: as Peers ask for, 500 ms up to 300
+	Beat        Time   // between reports while all is calm; 0: 10 s
+	Slot        Time   // a teller keeps its part for so long; 0: 2 min
+}
+
+// Check fills in the defaults and tells what is wrong.
+func (o *Options) Check() error {
+	switch {
+	case o.Peers < 1 || o.Peers > mostPeers:
+		return fmt.Errorf("share: %d controllers, 1 to %d can share", o.Peers, mostPeers)
+	case o.Self < 0 || o.Self >= o.Peers:
+		return fmt.Errorf("share: number %d of %d controllers", o.Self, o.Peers)
+	case o.Late <= 0 || min(o.Period, o.Beat, o.Slot) < 0:
+		return errors.New("share: a time is nought or negative")
+	}
+	o.Period = cmp.Or(o.Period, max(500*ms, 500*ms*Time(o.Peers)/300))
+	o.Beat = cmp.Or(o.Beat, 10*second)
+	o.Slot = cmp.Or(o.Slot, 2*time.Minute)
+	return nil
+}
+
+// A Packet is a datagram to another controller.
+type Packet struct {
+	To int
+	B  []byte
+}
+
+// Bounds and times of a Member.
+const (
+	mostServers = 64          // of which a controller tells
+	wordFor     = 2000 * ms   // a word holds for so long
+	waitTeller  = 6           // reports without a word after which the next is asked: where three in ten get lost one run in 1,400 is so long
+	shunFor     = 30 * second // a teller that was silent or wrong is passed over for so long
+	asleep      = 2000 * ms   // a controller that stood still for longer forgets what it had counted
+	atOnce      = 64          // datagrams that leave together
+	spread      = 10 * ms     // between such
+	checks      = 8           // of a word against one's own answers
+	wrongs      = 6           // of these: the teller is not believed
+	ratio       = 4           // between what a word tells of a wait and one's own
+	keepServer  = 60 * second // a server nothing is sent to is forgotten
+	retryAll    = 4           // slots after which nobody is held for gone any more
+	never       = Time(1 << 62)
+)
+
+// A view is what this controller sees of a server, and what it was told.
+type view struct {
+	sight
+	server  string
+	pending []Time // when the set-ups without an answer were sent, at most 16 of them
+	wait    Time   // smoothed, of its answers; 0: none of late
+	waitAt  Time
+	used    Time
+	term    term
+	until   Time // the term holds
+	held    int  // calls held back by it
+}
+
+// Counters count what a Member did.
+type Counters struct {
+	Said, SaidBytes, Heard, HeardBytes int
+	Unread, Alien, Stale               int // could not be read; from whom they may not come; overtaken
+	Held, Passed                       int // calls that a word held back, and let go
+	Tellers, Silent, Wrong             int // changes of teller; because it was silent; because it was wrong
+}
+
+// A Member is a controller's part. It is not safe for concurrent use.
+type Member struct {
+	Counters
+	o       Options
+	rng     *rand.Rand
+	views   map[string]*view
+	byKey   map[uint32]*view
+	now     Time
+	counted Time // the span of the next report began
+	reportAt,
+	tellAt, rollAt Time
+	seq     uint32
+	hot     Time // own evidence of pressure came last; 0: never
+	asked   Time // a teller last wanted reports often; 0: never
+	wordAt  Time // the latest word came
+	wordSeq uint32
+	wordOf  uint32 // boot of the teller it came from
+	since   Time   // reports go to this teller since
+	owed    int    // reports it has had without a word
+	shunned map[int]Time
+	ringOf  int64 // slot that the teller was chosen for
+	at      int   // the teller
+	agree   [checks]bool
+	nAgree  int
+	present []byte // by the latest roll; nil: all
+	live    int
+	teller  *teller
+	out     []Packet
+	outAt   Time
+}
+
+// New makes a Member of a controller that has just started.
+func New(now Time, o Options) (*Member, error) {
+	if err := o.Check(); err != nil {
+		return nil, err
+	}
+	m := &Member{o: o, rng: rand.New(rand.NewPCG(o.Seed, 5)), views: make(map[string]*view), byKey: make(map[uint32]*view), now: now, counted: now,
+		shunned: make(map[int]Time), teller: newTeller(o.Peers, o.Late, o.Beat), live: o.Peers, ringOf: -1, since: now}
+	m.teller.ran = now
+	// Guards against a fleet that starts together and then always speaks together.
+	m.reportAt = now + Time(m.rng.Float64()*float64(o.Beat)/4)
+	m.tellAt, m.rollAt = now+Time(m.rng.Float64()*float64(o.Period)), now+Time(m.rng.Float64()*float64(o.Beat))
+	m.choose()
+	return m, nil
+}
+
+// Key is by what a server is named between controllers.
+func Key(server string) uint32 { return uint32(xxhash.Sum64String(server) & 0xffffff) }
+
+// view is what is seen of a server; nil: there are too many.
+func (m *Member) view(server string) *view {
+	v := m.views[server]
+	if v == nil {
+		if len(m.views) >= mostServers {
+			for name, o := range m.views { // guards memory against servers that come and go
+				if len(o.pending) == 0 && m.now-o.used > keepServer {
+					delete(m.views, name)
+					delete(m.byKey, o.key)
+				}
+			}
+			if len(m.views) >= mostServers {
+				return nil
+			}
+		}
+		v = &view{server: server, sight: sight{key: Key(server)}}
+		if m.byKey[v.key] != nil {
+			return nil // guards against two servers under one name: the second goes untold
+		}
+		m.views[server], m.byKey[v.key] = v, v
+	}
+	v.used = m.now
+	return v
+}
+
+// Offered implements lapiscourse.Fleet.
+func (m *Member) Offered(now Time, server string, tier int) {
+	m.pass(now)
+	if v := m.view(server); v != nil && tier >= 0 && tier < tiers {
+		v.off[tier]++
+	}
+}
+
+// Sent implements lapiscourse.Fleet.
+func (m *Member) Sent(now Time, server string, first bool) {
+	m.pass(now)
+	if v := m.view(server); v != nil {
+		if !first {
+			v.over++
+		}
+		if len(v.pending) < 16 {
+			v.pending = append(v.pending, now)
+		}
+	}
+}
+
+// Back implements lapiscourse.Fleet.
+func (m *Member) Back(now Time, server string, stood bool, took Time) {
+	m.pass(now)
+	v := m.view(server)
+	if v == nil {
+		return
+	}
+	if i := slices.Index(v.pending, now-took); i >= 0 {
+		v.pending = slices.Delete(v.pending, i, i+1)
+	} else if len(v.pending) > 0 {
+		v.pending = v.pending[1:] // the host measures took by a clock of its own
+	}
+	if !stood {
+		return
+	}
+	v.done++
+	if v.wait == 0 || now-v.waitAt > freshFor {
+		v.wait = took
+	} else {
+		v.wait += (took - v.wait) / 2
+	}
+	v.waitAt = now
+	m.compare(now, v, took)
+}
+
+// Pressed implements lapiscourse.Fleet.
+func (m *Member) Pressed(now Time, server string) {
+	m.pass(now)
+	if v := m.view(server); v != nil {
+		v.pressed = true
+	}
+	if m.o.Peers > 1 && !m.often(now) {
+		m.reportAt = min(m.reportAt, now) // the first sign is told at once
+	}
+	m.hot = now
+}
+
+// Holds implements lapiscourse.Fleet.
+func (m *Member) Holds(now Time, server string, tier int, first bool) (holds lapiscourse.Why, told bool) {
+	m.pass(now)
+	v := m.views[server]
+	if v == nil || now >= v.until {
+		return "", false
+	}
+	part := 0
+	switch t := &v.term; {
+	case !first:
+		part = t.over
+	case tier < t.tier && t.part > 0:
+		part = mostHeld
+	case tier == t.tier:
+		part = t.part
+	}
+	// A word that holds nothing back of a call says nothing of a server that it does not hold to be pressed.
+	if first && v.term.tier == 0 && v.term.part == 0 && !v.term.presses(m.o.Late) {
+		return "", false
+	}
+	if m.rng.IntN(255) < part {
+		m.Held++
+		v.held++
+		return lapiscourse.FleetHolds, true
+	}
+	m.Passed++
+	return "", true
+}
+
+// presses tells whether a term claims that calls wait there.
+func (t *term) presses(late Time) bool { return Time(t.wait)*waitUnit > Time(target/2*float64(late)) }
+
+// pass moves the clock. A controller that stood still has figures that nobody can use.
+func (m *Member) pass(now Time) {
+	if now-m.now > asleep {
+		m.counted = now
+		for _, v := range m.views {
+			v.off, v.over, v.done, v.wait, v.pressed, v.until = [tiers]int{}, 0, 0, 0, false, 0
+		}
+		m.owed, m.hot, m.asked = 0, 0, 0
+	}
+	m.now = max(m.now, now)
+}
+
+// compare holds a word against an answer of one's own. A teller whose words do not fit what this controller
+// sees, most of the time, is wrong or lies, and is passed over; whatever it said no longer counts.
+func (m *Member) compare(now Time, v *view, took Time) {
+	if now >= v.until || m.at == m.o.Self || v.term.part == 0 && v.term.tier == 0 {
+		return
+	}
+	claim, floor := Time(v.term.wait)*waitUnit, m.o.Late/8
+	fits := claim < ratio*max(took, floor) && took < ratio*max(claim, floor)
+	m.agree[m.nAgree%checks] = fits
+	if m.nAgree++; m.nAgree < checks {
+		return
+	}
+	n := 0
+	for _, ok := range m.agree {
+		if !ok {
+			n++
+		}
+	}
+	if n >= wrongs {
+		m.Wrong++
+		m.shun(now)
+	}
+}
+
+// shun passes over the teller, and forgets what it said.
+func (m *Member) shun(now Time) {
+	if len(m.shunned) >= m.o.Peers/2 { // guards against a controller that is cut off: it would shun all
+		clear(m.shunned)
+	}
+	m.shunned[m.at] = now + shunFor
+	for _, v := range m.views {
+		v.until = 0
+	}
+	m.ringOf = -1
+	m.choose()
+}
+
+// choose names the teller of this slot: the first by rendezvous hashing of those that are not gone or passed
+// over.
+func (m *Member) choose() {
+	slot := int64(m.now / m.o.Slot)
+	for i, until := range m.shunned {
+		if m.now >= until {
+			delete(m.shunned, i)
+			m.ringOf = -1
+		}
+	}
+	if slot == m.ringOf {
+		return
+	}
+	if m.ringOf = slot; slot%retryAll == 0 {
+		m.present = nil // those held for gone may be there and hold this one for gone: all are tried again
+	}
+	var able []string
+	for i := range m.o.Peers {
+		if _, no := m.shunned[i]; !no && (m.present == nil || has(m.present, i) || i == m.o.Self) {
+			able = append(able, strconv.Itoa(i))
+		}
+	}
+	was := m.at
+	m.at = m.o.Self
+	if len(able) > 0 {
+		name := rendezvous.New(able, xxhash.Sum64String).Lookup("slot " + strconv.FormatInt(slot, 10))
+		m.at, _ = strconv.Atoi(name)
+	}
+	if m.at != was {
+		m.Tellers++
+		m.owed, m.nAgree, m.wordSeq, m.wordOf, m.since = 0, 0, 0, 0, m.now
+	}
+}
+
+// often tells whether reports are to be sent each period.
+func (m *Member) often(now Time) bool {
+	return m.hot > 0 && now-m.hot < coolDown || m.asked > 0 && now-m.asked < wordFor
+}
+
+// Tick does what is due and returns what is to be sent.
+func (m *Member) Tick(now Time) []Packet {
+	if m.o.Peers == 1 {
+		return nil
+	}
+	m.pass(now)
+	m.choose()
+	if now >= m.reportAt {
+		m.report(now)
+	}
+	if now >= m.tellAt {
+		m.tellAt = now + m.o.Period
+		m.tell(now)
+	}
+	if now >= m.rollAt {
+		m.rollAt = now + m.o.Beat
+		m.call(now)
+	}
+	if len(m.out) == 0 || now < m.outAt {
+		return nil
+	}
+	n := min(len(m.out), atOnce)
+	sent := m.out[:n:n]
+	m.out, m.outAt = m.out[n:], now+spread
+	for _, p := range sent {
+		m.Said++
+		m.SaidBytes += len(p.B)
+	}
+	return sent
+}
+
+// Next is when Tick is due.
+func (m *Member) Next() Time {
+	if m.o.Peers == 1 {
+		return never
+	}
+	next := min(m.reportAt, m.rollAt)
+	if m.teller.reporting(m.now) {
+		next = min(next, m.tellAt)
+	}
+	if len(m.out) > 0 {
+		next = min(next, m.outAt)
+	}
+	return next
+}
+
+// post queues a message.
+func (m *Member) post(to int, b []byte) {
+	if len(m.out) >= 2*m.o.Peers+16 {
+		return // guards memory where nothing leaves; what is said is soon old
+	}
+	m.out = append(m.out, Packet{to, b})
+}
+
+// report tells the teller what was seen.
+func (m *Member) report(now Time) {
+	often := m.often(now)
+	gap := m.o.Beat
+	if often {
+		gap = m.o.Period
+	}
+	// Even where all began at once, reports come evenly: each draws a little.
+	m.reportAt = now + gap*9/10 + Time(m.rng.Float64()*float64(gap)/5)
+	if m.at != m.o.Self {
+		if m.owed++; m.owed > waitTeller {
+			m.Silent++
+			m.shun(now)
+			m.owed = 1
+		}
+	}
+	m.seq++
+	r := &report{head: head{kind: kindReport, from: m.o.Self, boot: m.o.Boot, seq: m.seq}, span: min(int((now-m.counted)/waitUnit), mostWait),
+		hot: m.hot > 0 && now-m.hot < coolDown}
+	m.counted = now
+	for _, v := range m.views {
+		x := v.sight
+		if v.wait > 0 && now-v.waitAt < freshFor {
+			x.wait = int(v.wait / waitUnit)
+		}
+		if len(v.pending) > 0 {
+			x.wait = max(x.wait, int((now-v.pending[0])/waitUnit))
+		}
+		x.wait = min(x.wait, mostWait)
+		if busy := x.off != [tiers]int{} || x.over > 0 || x.done > 0 || x.wait > 0; busy {
+			r.sights = append(r.sights, x)
+		}
+		v.off, v.over, v.done, v.pressed = [tiers]int{}, 0, 0, false
+	}
+	// What matters most comes first, in an order that does not hang on the map's.
+	slices.SortFunc(r.sights, func(a, b sight) int {
+		return cmp.Or(cmp.Compare(b.wait, a.wait), cmp.Compare(a.key, b.key))
+	})
+	if m.at == m.o.Self {
+		m.teller.hear(now, r)
+		return
+	}
+	m.post(m.at, r.append(nil))
+}
+
+// tell makes the sums and tells those who report.
+func (m *Member) tell(now Time) {
+	t := m.teller
+	if !t.reporting(now) {
+		return
+	}
+	t.count(now)
+	live, _ := estimate(t.peers, now, m.o.Beat)
+	w := word{head: head{kind: kindWord, from: m.o.Self, boot: m.o.Boot}, live: min(int(live+0.5), mostPeers), terms: t.terms()}
+	all := now-t.called >= callIn
+	if all {
+		t.called = now
+	}
+	t.period++
+	for i := range t.peers {
+		p := &t.peers[i]
+		// Those who report often are told each time; the others now and then, so that they begin to.
+		if i == m.o.Self || p.heard == 0 || p.presence(now, m.o.Beat) == Dead || now-p.heard > freshFor && !all {
+			continue
+		}
+		w.seq = t.period
+		m.post(i, w.append(nil))
+	}
+	if m.at == m.o.Self {
+		w.seq = t.period
+		m.obey(now, &w)
+	}
+}
+
+// call tells who is there to those who reported within the last beats.
+func (m *Member) call(now Time) {
+	t := m.teller
+	live, _ := estimate(t.peers, now, m.o.Beat)
+	if live < 1 {
+		return
+	}
+	t.most = max(t.most*15/16, int(live+0.5))
+	r := roll{head: head{kind: kindRoll, from: m.o.Self, boot: m.o.Boot, seq: t.period}, live: int(live + 0.5), of: t.most, present: bits(t.peers, now, m.o.Beat)}
+	for i := range t.peers {
+		if i != m.o.Self && t.peers[i].presence(now, m.o.Beat) == Live {
+			m.post(i, r.append(nil))
+		}
+	}
+}
+
+// Hear takes a datagram. from is the number that its address or signature stands for, -1 where neither
+// tells one. An error says what is wrong with it; nothing of such a one is used.
+func (m *Member) Hear(now Time, from int, b []byte) error {
+	m.pass(now)
+	m.Heard++
+	m.HeardBytes += len(b)
+	x, err := decode(b)
+	if err != nil {
+		m.Unread++
+		return err
+	}
+	var h *head
+	switch x := x.(type) {
+	case *report:
+		h = &x.head
+	case *word:
+		h = &x.head
+	case *roll:
+		h = &x.head
+	}
+	if from >= 0 && h.from != from || h.from >= m.o.Peers || h.from == m.o.Self {
+		m.Alien++
+		return fmt.Errorf("share: it says that it is of controller %d and came from %d", h.from, from)
+	}
+	switch x := x.(type) {
+	case *report:
+		was := m.teller.reporting(now)
+		if !m.teller.hear(now, x) {
+			m.Stale++
+		} else if !was && m.teller.reporting(now) {
+			m.tellAt, m.teller.ran = now, now-m.o.Period
+		}
+	case *word:
+		if h.from != m.at || h.boot < m.wordOf || h.boot == m.wordOf && h.seq <= m.wordSeq {
+			m.Stale++ // of another teller, or overtaken
+			return nil
+		}
+		m.wordOf, m.wordSeq = h.boot, h.seq
+		m.obey(now, x)
+	case *roll:
+		if h.from != m.at {
+			m.Stale++
+			return nil
+		}
+		m.owed, m.live, m.present = 0, x.live, x.present
+		m.ringOf = -1
+	}
+	return nil
+}
+
+// obey takes a word.
+func (m *Member) obey(now Time, w *word) {
+	if m.asked == 0 || now-m.asked > wordFor {
+		// Called in: the next report comes within a period, not all of them now.
+		m.reportAt = min(m.reportAt, now+Time(m.rng.Float64()*float64(m.o.Period)))
+	}
+	m.owed, m.wordAt, m.asked, m.live = 0, now, now, w.live
+	for _, v := range m.views {
+		v.until = 0 // the word is the whole of what is held back
+	}
+	for _, t := range w.terms {
+		if v := m.byKey[t.key]; v != nil { // a server that the own list does not name is nobody
+			v.term, v.until = t, now+wordFor
+		}
+	}
+}
--- /dev/null
+++ b/internal/share/share_test.go
@@ -0,0 +1,495 @@
+package share
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"reflect"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+const late = 500 * ms
+
+// A fleet of Members and the way between them.
+type fleet struct {
+	t      testing.TB
+	now    Time
+	rng    *rand.Rand
+	all    []*Member // nil: it is down
+	boot   []uint32
+	wire   []carried
+	lose   float64
+	cut    func(a, b int) bool
+	queue  []waiting // set-ups at the server
+	credit float64
+}
+
+type waiting struct {
+	m  *Member
+	at Time
+}
+
+type carried struct {
+	at       Time
+	from, to int
+	b        []byte
+}
+
+func newFleet(t testing.TB, n int, seed uint64) *fleet {
+	f := &fleet{t: t, now: 1000 * second, rng: rand.New(rand.NewPCG(seed, 3)), all: make([]*Member, n), boot: make([]uint32, n)}
+	for i := range f.all {
+		f.start(i)
+	}
+	return f
+}
+
+func (f *fleet) start(i int) {
+	f.boot[i]++
+	m, err := New(f.now, Options{Self: i, Peers: len(f.all), Boot: f.boot[i], Seed: uint64(i) + 1000*uint64(f.boot[i]), Late: late})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.all[i] = m
+}
+
+// step lets 10 ms pass: work is done by each Member, and messages arrive 5 to 40 ms late, in any order.
+func (f *fleet) step(work func(i int, m *Member)) {
+	f.now += 10 * ms
+	var rest []carried
+	for _, c := range f.wire {
+		if c.at > f.now {
+			rest = append(rest, c)
+		} else if m := f.all[c.to]; m != nil {
+			_ = m.Hear(f.now, c.from, c.b) // what cannot be read is counted
+		}
+	}
+	f.wire = rest
+	for i, m := range f.all {
+		if m == nil {
+			continue
+		}
+		if work != nil {
+			work(i, m)
+		}
+		if m.Next() > f.now {
+			continue
+		}
+		for _, p := range m.Tick(f.now) {
+			if len(p.B) > Most {
+				f.t.Fatalf("a message of %d bytes, %d at most", len(p.B), Most)
+			}
+			if f.rng.Float64() < f.lose || f.cut != nil && f.cut(i, p.To) {
+				continue
+			}
+			for range 1 + f.rng.IntN(20)/19 { // one in twenty comes twice
+				f.wire = append(f.wire, carried{f.now + Time(5+f.rng.IntN(35))*ms, i, p.To, p.B})
+			}
+		}
+	}
+}
+
+func (f *fleet) pass(d Time, work func(i int, m *Member)) {
+	for end := f.now + d; f.now < end; {
+		f.step(work)
+	}
+}
+
+// jam offers calls to server "s" and answers them as an exchange of so many a second would, late while there
+// are more. It returns how many were let go of those offered, a second, over the last half of the time.
+func (f *fleet) jam(d Time, offered, capacity float64) (passed float64) {
+	from, n, up := f.now+d/2, 0, 0
+	for _, m := range f.all {
+		if m != nil {
+			up++
+		}
+	}
+	for end := f.now + d; f.now < end; {
+		f.step(func(i int, m *Member) {
+			if f.rng.Float64() >= offered*0.01/float64(up) {
+				return
+			}
+			m.Offered(f.now, "s", 1)
+			if why, _ := m.Holds(f.now, "s", 1, true); why != "" {
+				return
+			}
+			if m.Sent(f.now, "s", true); f.now > from {
+				n++
+			}
+			f.queue = append(f.queue, waiting{m, f.now})
+		})
+		for f.credit += capacity * 0.01; f.credit >= 1 && len(f.queue) > 0; f.credit-- {
+			x := f.queue[0]
+			f.queue = f.queue[1:]
+			took := f.now - x.at + 60*ms
+			x.m.Back(f.now, "s", true, took) // of one that is dead it tells nobody
+			if took > late {
+				x.m.Pressed(f.now, "s")
+			}
+		}
+		f.credit = min(f.credit, 1)
+	}
+	return float64(n) / (d / 2).Seconds()
+}
+
+// What the fleet lets go comes to what the server answers, with any loss of messages.
+func TestFleetSendsWhatTheServerAnswers(t *testing.T) {
+	for _, c := range []struct {
+		n    int
+		lose float64
+	}{{2, 0}, {40, 0}, {40, 0.3}, {300, 0}, {300, 0.3}} {
+		f := newFleet(t, c.n, 7)
+		f.lose = c.lose
+		if got := f.jam(40*second, 60, 30); got < (0.85-c.lose/3)*30 || got > 1.15*30 {
+			t.Errorf("%d controllers, %.0f%% lost: %.1f set-ups a second go to a server that answers 30 of 60 offered", c.n, 100*c.lose, got)
+		}
+	}
+}
+
+// Once the jam is over nothing is held back, and hardly anything is said.
+func TestCalmIsCheap(t *testing.T) {
+	f := newFleet(t, 60, 5)
+	f.jam(20*second, 60, 30)
+	if got := f.jam(20*second, 20, 30); got < 18 {
+		t.Errorf("%.1f of 20 calls a second are let go after the jam", got)
+	}
+	f.pass(20*second, nil)
+	said, bytes := 0, 0
+	for _, m := range f.all {
+		said, bytes = said-m.Said, bytes-m.SaidBytes
+		if m.teller.reporting(f.now) {
+			t.Errorf("controller %d still asks for reports", m.o.Self)
+		}
+	}
+	f.pass(100*second, nil)
+	for _, m := range f.all {
+		said, bytes = said+m.Said, bytes+m.SaidBytes
+	}
+	if each := float64(bytes) / 60 / 100; each > 8 {
+		t.Errorf("%.1f bytes and %.2f messages a second of each controller in calm, 8 bytes at most", each, float64(said)/6000)
+	}
+}
+
+// The estimate of how many there are is right on average where messages get lost.
+func TestEstimateIsUnbiasedUnderLoss(t *testing.T) {
+	for _, lose := range []float64{0, 0.1, 0.3} {
+		sum, n := 0.0, 0
+		f := newFleet(t, 80, 11)
+		f.lose = lose
+		for i := 60; i < 80; i++ {
+			f.all[i] = nil // twenty never start
+		}
+		f.pass(60*second, nil)
+		for range 60 {
+			f.pass(3*second, nil)
+			for _, m := range f.all[:60] {
+				if m.at == m.o.Self && m.teller.heard > 0 && f.now-m.teller.heard < 2*second && f.now-m.since > 35*second {
+					live, _ := estimate(m.teller.peers, f.now, m.o.Beat)
+					sum, n = sum+live, n+1
+				}
+			}
+		}
+		if n < 20 {
+			t.Fatalf("loss %v: a teller was found %d times", lose, n)
+		}
+		if mean := sum / float64(n); math.Abs(mean-59) > 2 { // a teller does not hear itself while all is calm, or does
+			t.Errorf("loss %v: %.1f of 60 controllers are held to be there", lose, mean)
+		}
+	}
+}
+
+// tellers are those whom controllers that are up obey, by how many do.
+func (f *fleet) tellers() map[int]int {
+	all := make(map[int]int)
+	for _, m := range f.all {
+		if m != nil {
+			all[m.at]++
+		}
+	}
+	return all
+}
+
+// When the teller dies in a jam another takes its part, though seven in ten die with it, and those that come
+// back join.
+func TestTellerDies(t *testing.T) {
+	f := newFleet(t, 60, 3)
+	f.jam(15*second, 60, 30)
+	was := f.all[20].at
+	for i := range f.all {
+		if i%10 < 7 || i == was {
+			f.all[i] = nil
+		}
+	}
+	died := f.now
+	for len(f.tellers()) > 1 || f.all[f.all[58].at] == nil {
+		if f.jam(second/2, 60, 30); f.now-died > 15*second {
+			t.Fatalf("15 s after the death of %d they obey %v", was, f.tellers())
+		}
+	}
+	if got := f.jam(20*second, 60, 30); got > 1.15*30 {
+		t.Errorf("%.1f set-ups a second go to a server that answers 30", got)
+	}
+	for i := range f.all {
+		if f.all[i] == nil {
+			f.start(i)
+		}
+	}
+	f.jam(20*second, 60, 30)
+	if n := len(f.tellers()); n > 1 {
+		t.Errorf("after all came back they obey %v", f.tellers())
+	}
+}
+
+// Halves that do not hear each other go on, each by its own sums, and are one again some time after.
+func TestHalvesMeetAgain(t *testing.T) {
+	f := newFleet(t, 40, 9)
+	f.jam(10*second, 60, 30)
+	f.cut = func(a, b int) bool { return a%2 != b%2 }
+	if got := f.jam(20*second, 60, 30); got > 1.2*30 {
+		t.Errorf("%.1f set-ups a second of two halves go to a server that answers 30", got)
+	}
+	if n := len(f.tellers()); n < 2 {
+		t.Errorf("halves that do not hear each other obey %v", f.tellers())
+	}
+	f.cut = nil
+	f.jam(40*second, 60, 30)
+	if n := len(f.tellers()); n > 1 {
+		t.Errorf("40 s after they met they obey %v", f.tellers())
+	}
+	// A cut of minutes, after which each half holds the other for gone.
+	f.cut = func(a, b int) bool { return a%2 != b%2 }
+	f.pass(200*second, nil)
+	f.cut = nil
+	f.pass(Time(retryAll)*2*f.all[0].o.Slot, nil)
+	if n := len(f.tellers()); n > 1 {
+		t.Errorf("after a long cut and %d slots they obey %v", 2*retryAll, f.tellers())
+	}
+}
+
+// A teller that is wrong is passed over by what each sees for itself: one that says that all is held back
+// where answers come at once, and one that says that calls hardly wait where they wait for long.
+func TestLiesAreFoundOut(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		term term
+		took Time
+	}{
+		{"all pressed", term{tier: 2, part: 128, wait: 3000}, 60 * ms},
+		{"all well", term{tier: 0, part: 1, wait: 10}, 900 * ms},
+	} {
+		f := newFleet(t, 2, 1)
+		m := f.all[0]
+		for m.at == 0 {
+			m.shun(f.now) // the other is to be its teller
+		}
+		liar := m.at
+		c.term.key = Key("s")
+		for i := 1; m.Wrong == 0 && i < 100; i++ {
+			f.now += 200 * ms
+			m.Tick(f.now)
+			w := word{head: head{kind: kindWord, from: liar, boot: 9, seq: uint32(i)}, terms: []term{c.term}}
+			if err := m.Hear(f.now, liar, w.append(nil)); err != nil {
+				t.Fatal(err)
+			}
+			m.Offered(f.now, "s", 2)
+			if why, _ := m.Holds(f.now, "s", 2, true); why == "" {
+				m.Sent(f.now, "s", true)
+				m.Back(f.now, "s", true, c.took)
+			}
+		}
+		if m.Wrong == 0 || m.at == liar {
+			t.Errorf("%s: it is believed after 20 s", c.name)
+		}
+		if why, told := m.Holds(f.now, "s", 2, true); told {
+			t.Errorf("%s: its word still holds: %q", c.name, why)
+		}
+	}
+}
+
+// What one controller tells moves no sum by more than its weight, whatever it tells.
+func TestWeightOfOneIsBounded(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		n := rapid.IntRange(5, 60).Draw(rt, "n")
+		honest := func() *teller {
+			tl := newTeller(n, late, 10*second)
+			tl.ran = 99 * second
+			for i := range n - 1 {
+				tl.hear(100*second, &report{head: head{from: i, boot: 1, seq: 1}, span: 100, sights: []sight{{key: 1, off: [tiers]int{0, 2, 1, 0}, done: 3, wait: 10}}})
+			}
+			return tl
+		}
+		count := func() int { return rapid.IntRange(0, mostCount).Draw(rt, "count") }
+		a, b := honest(), honest()
+		b.hear(100*second, &report{head: head{from: n - 1, boot: 1, seq: 1}, span: rapid.IntRange(0, mostWait).Draw(rt, "span"), sights: []sight{
+			{key: 1, off: [tiers]int{count(), count(), count(), count()}, over: count(), done: count(), wait: rapid.IntRange(0, mostWait).Draw(rt, "wait")}}})
+		a.count(100 * second)
+		b.count(100 * second)
+		x, y := a.sums[1], b.sums[1]
+		bound := max(heaviest*3, lightest) + 1e-9
+		if d := y.offered() - x.offered(); d < 0 || d > bound {
+			rt.Errorf("one of %d moved what is offered by %.1f a second, %.1f at most", n, d, bound)
+		}
+		if d := y.done - x.done; d < 0 || d > bound {
+			rt.Errorf("one of %d moved what is answered by %.1f a second", n, d)
+		}
+		if x.wait != y.wait {
+			rt.Errorf("one of %d moved the wait from %v to %v", n, x.wait, y.wait)
+		}
+	})
+}
+
+// Chances keep their order and bounds: dearer tiers are never held back more than cheaper ones, calls that
+// were cut never, nobody entirely; and what they let go of what was offered is the budget.
+func TestTermsKeepTheirBounds(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		tl := newTeller(3, late, 10*second)
+		for key := range uint32(rapid.IntRange(1, 12).Draw(rt, "servers")) {
+			s := &sum{key: key, budget: rapid.SampledFrom([]float64{math.Inf(1), 0.5, 3, 20}).Draw(rt, "budget"), done: rapid.Float64Range(0, 40).Draw(rt, "done")}
+			for k := range s.off {
+				s.off[k] = rapid.Float64Range(0, 20).Draw(rt, "off")
+			}
+			tl.sums[key] = s
+		}
+		for _, x := range tl.terms() {
+			s, m := tl.sums[x.key], Member{rng: rand.New(rand.NewPCG(1, 1)), o: Options{Late: late}}
+			v := &view{term: x, until: never}
+			m.views = map[string]*view{"s": v}
+			var held [tiers]float64
+			for k := range held {
+				for range 2000 {
+					if why, _ := m.Holds(0, "s", k, true); why != "" {
+						held[k] += 1. / 2000
+					}
+				}
+			}
+			if held[tiers-1] > 0 {
+				rt.Errorf("%+v holds back calls that were cut", x)
+			}
+			for k := 1; k < tiers; k++ {
+				if held[k] > held[k-1]+0.02 {
+					rt.Errorf("%+v holds back %v", x, held)
+				}
+			}
+			pass := 0.0
+			for k := range held {
+				if held[k] > 0.995 {
+					rt.Errorf("%+v lets nobody through: %v", x, held)
+				}
+				pass += s.off[k] * (1 - held[k])
+			}
+			if most := max(s.budget, s.off[tiers-1]) + 0.02*s.offered() + 0.6; pass > most {
+				rt.Errorf("%+v lets %.1f a second go, the budget is %.1f", x, pass, s.budget)
+			}
+		}
+	})
+}
+
+// Memory stays bounded whatever names come in.
+func TestMemoryIsBounded(t *testing.T) {
+	f := newFleet(t, 4, 2)
+	m := f.all[0]
+	for i := range 100_000 {
+		f.now += ms
+		server := fmt.Sprint("s", i)
+		m.Offered(f.now, server, 1)
+		m.Sent(f.now, server, true)
+		_ = m.Hear(f.now, 1, (&report{head: head{kind: kindReport, from: 1, boot: 1, seq: uint32(i + 1)}, span: 1, hot: true,
+			sights: []sight{{key: uint32(i), off: [tiers]int{5, 5, 5, 5}}}}).append(nil))
+		m.Tick(f.now)
+	}
+	if a, b, c, d := len(m.views), len(m.byKey), len(m.teller.sums), len(m.out); a > mostServers || b > mostServers || c > mostKept || d > 2*4+16 {
+		t.Errorf("%d and %d servers, %d sums and %d messages are held", a, b, c, d)
+	}
+}
+
+// Reports that come twice, late or from an earlier start change nothing.
+func TestOldReportsCountForNothing(t *testing.T) {
+	tl := newTeller(2, late, 10*second)
+	at := func(boot, seq uint32) *report { return &report{head: head{from: 1, boot: boot, seq: seq}, span: 50} }
+	now := 100 * second
+	for i, c := range []struct {
+		r    *report
+		want bool
+	}{{at(5, 1), true}, {at(5, 1), false}, {at(5, 3), true}, {at(5, 2), false}, {at(4, 9), false}, {at(6, 1), true}, {at(5, 4), false}} {
+		if got := tl.hear(now, c.r); got != c.want {
+			t.Errorf("report %d (start %d, number %d): taken %v, want %v", i, c.r.boot, c.r.seq, got, c.want)
+		}
+	}
+	if !tl.hear(now+15*second, at(6, 2)) || !tl.hear(now+60*second, at(3, 1)) {
+		t.Error("a controller whose clock was set back is not heard again")
+	}
+	if tl.hear(now, &report{head: head{from: 2, boot: 1, seq: 1}}) {
+		t.Error("a report of a controller that there is not was taken")
+	}
+}
+
+// A controller that stood still says nothing of the time before, and obeys no word from then.
+func TestStoppedControllerForgets(t *testing.T) {
+	f := newFleet(t, 2, 1)
+	m := f.all[0]
+	m.Offered(f.now, "s", 1)
+	m.Sent(f.now, "s", true)
+	m.views["s"].term, m.views["s"].until = term{tier: 3, part: 250, wait: 100}, f.now+60*second
+	f.now += 5 * second
+	if _, told := m.Holds(f.now, "s", 1, true); told {
+		t.Error("a word from before still holds")
+	}
+	m.report(f.now)
+	for _, p := range m.out {
+		x, err := decode(p.B)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if r, ok := x.(*report); ok && len(r.sights) > 0 && r.sights[0].off != [tiers]int{} {
+			t.Errorf("it tells what it saw before it was stopped: %+v", r.sights[0])
+		}
+	}
+}
+
+func TestCheck(t *testing.T) {
+	for _, o := range []Options{{Peers: 0, Late: late}, {Peers: mostPeers + 1, Late: late}, {Peers: 3, Self: 3, Late: late}, {Peers: 3}, {Peers: 3, Late: late, Beat: -1}} {
+		if _, err := New(0, o); err == nil {
+			t.Errorf("%+v was taken", o)
+		}
+	}
+	m, err := New(0, Options{Peers: 1, Late: late})
+	if err != nil || m.Next() != never || m.Tick(second) != nil {
+		t.Errorf("a controller alone speaks, or %v", err)
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	r := report{head: head{kind: kindReport, from: 3, boot: 1_700_000_000, seq: 9}, span: 50, hot: true, sights: []sight{{key: 0xabcdef, off: [tiers]int{1, 2, 3, 4}, over: 5, done: 6, wait: 7, pressed: true}, {key: 1, done: 300}}}
+	w := word{head: head{kind: kindWord, from: 2, boot: 5, seq: 7}, live: 300, terms: []term{{1, 2, 250, 3, 400}, {5, 0, 0, 255, 0}}}
+	l := roll{head: head{kind: kindRoll, from: 2, boot: 5, seq: 7}, live: 299, of: 300, present: []byte{255, 1}}
+	f.Add(r.append(nil))
+	f.Add(w.append(nil))
+	f.Add(l.append(nil))
+	f.Add([]byte{0x11})
+	f.Fuzz(func(t *testing.T, b []byte) {
+		x, err := decode(b)
+		if err != nil {
+			return
+		}
+		var again []byte
+		switch x := x.(type) {
+		case *report:
+			again = x.append(nil)
+		case *word:
+			again = x.append(nil)
+		case *roll:
+			again = x.append(nil)
+		}
+		if len(again) > Most {
+			t.Fatalf("%d bytes were written", len(again))
+		}
+		y, err := decode(again)
+		if err != nil {
+			t.Fatalf("what was written cannot be read: %v", err)
+		}
+		if len(again) < Most-20 && !reflect.DeepEqual(x, y) { // else it may not have fit
+			t.Fatalf("%+v was written and %+v read", x, y)
+		}
+	})
+}
