Have controllers share over datagrams: socket, section [share], olivectl peers, rig

Need: what controllers share was pure and played in virtual time only.

Section [share] of the operator's file switches it on; the platform's peers, number and peerMessages are read. Where it cannot be joined the controller says so and decides alone. Audit of 'share' on the admin address and olivectl peers [--explain SERVER] tell who obeys whom, what is held back and why. The rig puts a relay on each way between controllers, draws losses, halves, disorder, repeats and one-way cuts there, and has a hostile process with the fleet's keys lie. A controller asks those that the hashing names before its teller whether they are there, by a report of nothing, and obeys one that speaks.

Ruled out: go-rendezvous of the registry: its Remove leaves an index stale and panics (index out of range in rdv.go:62); rank by xxhash is four lines.

--- a/cmd/olivectl/main.go
+++ b/cmd/olivectl/main.go
@@ -24,7 +24,7 @@
 		Short:   "Ask and steer call controllers",
 		Example: "  olivectl list\n  olivectl status panel-east --json",
 	}
-	root.AddCommand(cli.VersionCommand(), listCommand(), statusCommand(), drainCommand(), recordsCommand(), reportCommand(), topCommand(), numbersCommand())
+	root.AddCommand(cli.VersionCommand(), listCommand(), statusCommand(), drainCommand(), recordsCommand(), reportCommand(), topCommand(), numbersCommand(), peersCommand())
 	return root
 }
 
--- a/cmd/olivedale/main.go
+++ b/cmd/olivedale/main.go
@@ -83,7 +83,7 @@
 	}
 	runtime.GOMAXPROCS(1) // the platform gives one core, which others share
 	debug.SetMemoryLimit(int64(cfg.MemoryMB) << 20 * 3 / 4)
-	n, err := net.New(cfg, net.Options{H248: o.H248, Records: o.Records, Numbers: o.Numbers, Log: zl, Program: cli.Version()})
+	n, err := net.New(cfg, net.Options{H248: o.H248, Records: o.Records, Numbers: o.Numbers, Share: o.Share, Log: zl, Program: cli.Version()})
 	if err != nil {
 		return failed(log, err)
 	}
@@ -94,6 +94,7 @@
 			case syscall.SIGHUP:
 				reload(n, log)
 				n.ReloadNumbers()
+				n.ReloadKeys()
 			case syscall.SIGUSR1:
 				n.ReportSoon()
 			default:
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -42,6 +42,7 @@
 	// Records switches its records on; without a folder they are kept beside its other files.
 	Records *config.Records `json:"records"`
 	Numbers *config.Numbers `json:"numbers"` // switches routing by number on
+	Share   *config.Share   `json:"share"`   // has it share what it knows with others
 	// Reach is where its admin door is reached, if not at h248.admin: behind a forwarder.
 	Reach string `json:"reach"`
 }
@@ -178,7 +179,7 @@
 
 // operator is the operator's file of an instance.
 func (s *Spec) operator() *config.Operator {
-	return &config.Operator{Log: s.Log, H248: s.H248, Records: s.Records, Numbers: s.Numbers}
+	return &config.Operator{Log: s.Log, H248: s.H248, Records: s.Records, Numbers: s.Numbers, Share: s.Share}
 }
 
 func (a *Agent) drain(i *instance, why string) {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -27,6 +27,12 @@
 	Settings lapiscourse.Settings
 	Connect  time.Duration
 	Widest   int // circuits that a call may ask for
+	// PeerListen and Peers are where datagrams of other controllers arrive, and the addresses of all by their
+	// numbers, this one's too; empty where the platform has controllers not speak to each other.
+	PeerListen  string
+	Peers       []string
+	Number      *int // this one's among them; nil: not told
+	PeersBarred bool // the settings do not permit that they speak
 }
 
 // Known holds the name service's events up to the start.
@@ -102,13 +108,15 @@
 		} `json:"limits"`
 		Names    string          `json:"names"`
 		Known    Known           `json:"known"`
+		Listens  string          `json:"peer_listen"`
+		Peers    []string        `json:"peers"`
 		Settings json.RawMessage `json:"settings"`
 	}
 	if err := json.Unmarshal(text, &in); err != nil {
 		return nil, err
 	}
 	c := &Config{Name: in.Name, Listen: in.Listen, MemoryMB: in.Limits.MemoryMB, Sockets: in.Limits.Sockets,
-		Names: in.Names, Known: in.Known}
+		Names: in.Names, Known: in.Known, PeerListen: in.Listens, Peers: in.Peers}
 	for field, addr := range map[string]string{"listen": in.Listen, "names": in.Names} {
 		if _, err := netip.ParseAddrPort(addr); err != nil {
 			return nil, fmt.Errorf("%s: %w", field, err)
@@ -128,8 +136,10 @@
 		return nil, err
 	}
 	var limits struct {
+		Number *int `json:"myNumber"`
 		Limits struct {
 			ConnectTimeout float64 `json:"connectTimeout"`
+			PeerMessages   *bool   `json:"peerMessages"`
 		} `json:"limits"`
 		Domain struct {
 			Circuits []int `json:"circuitsByClass"`
@@ -141,6 +151,8 @@
 	if c.Connect = time.Duration(limits.Limits.ConnectTimeout * float64(time.Millisecond)); c.Connect <= 0 {
 		return nil, fmt.Errorf("settings: limits.connectTimeout: %v ms", limits.Limits.ConnectTimeout)
 	}
+	c.Number = limits.Number
+	c.PeersBarred = limits.Limits.PeerMessages != nil && !*limits.Limits.PeerMessages
 	c.Widest = slices.Max(append(limits.Domain.Circuits, 1))
 	for _, e := range c.Known.Events {
 		for _, m := range e.Members.Members {
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -26,6 +26,7 @@
 	H248    *H248    `toml:"h248"`
 	Records *Records `toml:"records"`
 	Numbers *Numbers `toml:"numbers"`
+	Share   *Share   `toml:"share"`
 }
 
 // Numbers switches routing by number on.
@@ -211,6 +212,9 @@
 	if o.Numbers != nil {
 		sections = append(sections, section{"numbers", o.Numbers.Check})
 	}
+	if o.Share != nil {
+		sections = append(sections, section{"share", o.Share.Check})
+	}
 	for _, s := range sections {
 		if err := s.check(); err != nil {
 			var key *KeyError
--- a/internal/lab/rig/instance.go
+++ b/internal/lab/rig/instance.go
@@ -18,7 +18,8 @@
 	Reach                             string // where its agent reaches its admin door; "": at Admin
 	Zone                              string
 	Seed                              uint64
-	Group                             int // controllers of the fleet
+	Group                             int            // controllers of the fleet
+	Share                             map[string]any // section [share] of its operator's file; nil: it decides alone
 	Lines                             []socket.Line
 }
 
@@ -38,6 +39,7 @@
 		"h248":    map[string]any{"Listen": i.Panel, "Admin": i.Admin},
 		"records": map[string]any{"dir": i.Records},
 		"reach":   i.Reach,
+		"share":   i.Share,
 		"config": map[string]any{"name": i.Name, "listen": i.Listen, "seed": fmt.Sprintf("%x", i.Seed), "names": i.Names,
 			"limits": map[string]any{"memory_mb": 192, "sockets": 1024}, "known": known,
 			"settings": map[string]any{"groupSize": i.Group, "classes": classes, "myZone": i.Zone,
--- a/internal/lab/rig/relay.go
+++ b/internal/lab/rig/relay.go
@@ -95,7 +95,9 @@
 	pieceBytes  = 8 << 10
 	mostFlows   = 64   // senders of datagrams to one address
 	mostWaiting = 4096 // datagrams under way
-	dialLimit   = 2 * time.Second
+	// mostDatagram is more than the directory's longest answer: there is a relay for each pair of controllers.
+	mostDatagram = 9 << 10
+	dialLimit    = 2 * time.Second
 )
 
 // A stream relays connections to where addr says.
@@ -331,7 +333,7 @@
 		}
 	}
 	go func() {
-		b := make([]byte, 64<<10)
+		b := make([]byte, mostDatagram)
 		for {
 			n, asker, err := in.ReadFrom(b)
 			if err != nil {
@@ -358,7 +360,7 @@
 	}
 	d.flows[asker.String()] = c
 	go func() {
-		b := make([]byte, 64<<10)
+		b := make([]byte, mostDatagram)
 		for {
 			n, err := c.Read(b)
 			if errors.Is(err, net.ErrClosed) {
--- a/internal/lab/rig/run.go
+++ b/internal/lab/rig/run.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"encoding/hex"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -56,6 +57,7 @@
 	rng    *rand.Rand
 	ports  Ports
 	tether *tether
+	key    []byte // that controllers sign with
 	log    *os.File
 	watch  *watch
 	etcd   *etcd.Server
@@ -87,6 +89,8 @@
 	ask                 *datagrams // the way to its directory
 	door                *stream    // the way from its agent to its admin door
 	to                  map[string]*stream
+	hears               string       // where datagrams of the others arrive
+	peers               []*datagrams // the ways to the others, by number
 
 	mu     sync.Mutex
 	proc   *handle
@@ -201,6 +205,9 @@
 		}
 		r.load.Addrs, r.load.Nodes = append(r.load.Addrs, n.listen), append(r.load.Nodes, n.name)
 	}
+	if err := r.introduce(); err != nil {
+		return err
+	}
 	r.tell()
 	for _, n := range r.nodes {
 		if err := r.want(n); err != nil {
@@ -259,6 +266,52 @@
 	return nil
 }
 
+// keys is the file of the fleet's keys.
+func (r *Run) keys() string { return filepath.Join(r.o.Dir, "share.keys") }
+
+// introduce puts a relay on each way from a controller to another, where they share what they know.
+func (r *Run) introduce() (err error) {
+	if !r.o.Topology.Share {
+		return nil
+	}
+	r.key = make([]byte, 32)
+	for i := range r.key {
+		r.key[i] = byte(r.rng.Uint32())
+	}
+	if err := os.WriteFile(r.keys(), []byte(hex.EncodeToString(r.key)+"\n"), 0o600); err != nil {
+		return fmt.Errorf("rig: %w", err)
+	}
+	for _, n := range r.nodes {
+		if n.hears, err = r.ports.Free(); err != nil {
+			return err
+		}
+	}
+	for i, a := range r.nodes {
+		for j, b := range r.nodes {
+			rng := rand.New(rand.NewPCG(r.o.Schedule.Seed, uint64(1000+i*len(r.nodes)+j)))
+			d, err := relayDatagrams(a.name, b.name, b.hears, rng, nil)
+			if err != nil {
+				return err
+			}
+			a.peers = append(a.peers, d)
+			r.join(d.path)
+		}
+	}
+	return nil
+}
+
+// sharing is a controller's section [share].
+func (r *Run) sharing(n *node) map[string]any {
+	if !r.o.Topology.Share {
+		return nil
+	}
+	var peers []string
+	for _, d := range n.peers {
+		peers = append(peers, d.in.LocalAddr().String())
+	}
+	return map[string]any{"listen": n.hears, "peers": peers, "number": slices.Index(r.nodes, n), "keys": r.keys(), "beat": "2s"}
+}
+
 // lead puts a relay on the way from a controller to an exchange.
 func (r *Run) lead(n *node, l socket.Line, place string) error {
 	s, err := relayStream(n.name, place, func() string { return l.Addr }, func() tap { return r.watch.signalling(n.name, l.ID) })
@@ -279,7 +332,8 @@
 		return err
 	}
 	i := &Instance{Name: n.name, Listen: n.listen, Admin: n.admin, Panel: panel, Names: n.ask.in.LocalAddr().String(), Records: filepath.Join(r.o.Dir, "records", n.name),
-		Reach: n.door.ln.Addr().String(), Zone: fmt.Sprint("z", n.zone), Seed: r.rng.Uint64(), Group: r.o.Topology.Controllers, Lines: r.lines(n)}
+		Reach: n.door.ln.Addr().String(), Zone: fmt.Sprint("z", n.zone), Seed: r.rng.Uint64(), Group: r.o.Topology.Controllers, Lines: r.lines(n),
+		Share: r.sharing(n)}
 	text, err := i.Spec(&r.sc)
 	if err != nil {
 		return err
--- a/internal/lab/rig/schedule.go
+++ b/internal/lab/rig/schedule.go
@@ -39,6 +39,7 @@
 	Hang  = "hang"  // an exchange takes everything and does nothing
 	Crash = "crash" // an exchange ends; after For a cold one takes its place
 	Swap  = "swap"  // an exchange drains for For and ends; a cold one starts at once
+	Lie   = "lie"   // a hostile process that has the fleet's keys tells all, under a controller's number, that all is well or, by Share 1, pressed
 	Drop  = "drop"  // Share of an exchange's standing calls is cut
 )
 
@@ -56,7 +57,7 @@
 // onPaths, onParts and onStore list the kinds.
 var (
 	onPaths = []string{Cut, OneWay, Delay, Lose, Twice, Reorder, Reset, HalfOpen, Throttle}
-	onParts = []string{Stop, Kill, End, Disk, Slow, Hang, Crash, Swap, Drop}
+	onParts = []string{Stop, Kill, End, Disk, Slow, Hang, Crash, Swap, Drop, Lie}
 	onStore = []string{Stall, Compact, Stale, NoLeader, LoseSome, Mute, Restore}
 	// atOnce are those that have no length.
 	atOnce = []string{Reset, Kill, End, Drop, Compact, Restore}
@@ -138,6 +139,8 @@
 		return errors.New("factor is missing")
 	case s.For == 0 && !slices.Contains(atOnce, s.Kind):
 		return errors.New("for is missing: nothing would end it")
+	case s.Kind == Lie && !t.Share:
+		return errors.New("controllers share nothing here")
 	case path:
 		to, err := t.Match(s.To)
 		if err != nil {
@@ -168,7 +171,7 @@
 	case name[0] == 'a': // one that ends in order has its controllers end
 		return []string{Stop, Kill}
 	}
-	return []string{Stop, Kill, End, Disk}
+	return []string{Stop, Kill, End, Disk, Lie}
 }
 
 // Load reads a schedule's file; an unknown key is an error.
@@ -199,6 +202,7 @@
 // agent is that of its zone.
 type Topology struct {
 	Controllers, Exchanges, Zones int
+	Share                         bool `json:",omitempty"` // controllers share what they know, and there are paths between them
 }
 
 // most bounds what one machine is asked to run.
@@ -278,6 +282,9 @@
 		if b == "names" {
 			serves = 'd'
 		}
+		if a[0] == 'n' && b[0] == 'n' && b != "names" {
+			return t.Share && a != b
+		}
 		if a[0] == 'a' && serves == 'n' && t.zoneOf(a) != t.zoneOf(b) {
 			return false // an agent has the controllers of its zone
 		}
@@ -306,7 +313,11 @@
 		x := &Step{At: within(0, over*3/5), For: within(over/20, over/5)}
 		zone := fmt.Sprint("z", rng.IntN(t.Zones))
 		// By how a part is named, so that a file says what was meant.
-		switch rng.IntN(20) {
+		kinds := 20
+		if t.Share {
+			kinds = 26 // and what goes wrong between controllers
+		}
+		switch rng.IntN(kinds) {
 		case 0: // a zone's controllers cut off from the exchanges of the others
 			x.Kind, x.Name, x.From = Cut, "zone", []string{zone}
 			for _, other := range t.parts('x') {
@@ -367,6 +378,25 @@
 			x.Kind, x.From, x.To, x.Share = Twice, []string{"n*"}, []string{"names"}, 0.3+0.6*rng.Float64()
 		case 19:
 			x.Kind, x.From = Disk, one('n')
+		case 20:
+			x.Kind, x.From, x.To, x.Share = Lose, []string{"n*"}, []string{"n*"}, 0.3
+		case 21: // halves that do not hear each other
+			x.Kind, x.Name = Cut, "half"
+			for i, name := range t.parts('n') {
+				if i%2 == 0 {
+					x.From = append(x.From, name)
+				} else {
+					x.To = append(x.To, name)
+				}
+			}
+		case 22:
+			x.Kind, x.From, x.To, x.Spread = Reorder, []string{"n*"}, []string{"n*"}, within(200*time.Millisecond, 2*time.Second)
+		case 23:
+			x.Kind, x.From, x.To = OneWay, one('n'), []string{"n*"}
+		case 24:
+			x.Kind, x.From, x.To, x.Share = Twice, []string{"n*"}, []string{"n*"}, 0.5
+		case 25:
+			x.Kind, x.From, x.Share = Lie, one('n'), float64(rng.IntN(2))
 		}
 		s.Step = append(s.Step, x)
 	}
--- /dev/null
+++ b/internal/lab/rig/share_test.go
@@ -0,0 +1,123 @@
+package rig
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"lapiscourse/internal/control"
+	"lapiscourse/internal/share"
+)
+
+// shares asks a controller what it shares.
+func (r *Run) shares(ctx context.Context, name string) (*share.State, error) {
+	reply, err := r.Ask(ctx, name, control.Audit(control.ShareTermination))
+	if err != nil {
+		return nil, err
+	}
+	s := control.ReadShare(reply.Descriptors)
+	if s == nil {
+		return nil, fmt.Errorf("%s shares nothing", name)
+	}
+	return s, nil
+}
+
+// one tells whether all controllers obey one teller, and have heard it; all but those that hold a teller for
+// wrong, who pass it over for half a minute.
+func one(ctx context.Context, r *Run) error {
+	tellers := make(map[int][]string)
+	for _, n := range r.nodes {
+		s, err := r.shares(ctx, n.name)
+		if err != nil {
+			return err
+		}
+		if s.Counters.Wrong > 0 {
+			continue
+		}
+		tellers[s.Teller] = append(tellers[s.Teller], n.name)
+		if s.Heard < 0 && s.Teller != s.Self {
+			return fmt.Errorf("%s has heard nothing of its teller", n.name)
+		}
+	}
+	if len(tellers) > 1 {
+		return fmt.Errorf("they obey %v", tellers)
+	}
+	return nil
+}
+
+// Nine processes that share, offered half as much again as the exchanges can do: their teller is killed, halves
+// do not hear each other, three in ten datagrams get lost and the rest come late, in any order and twice, one is
+// stopped for 3 s, and a hostile one that has the keys tells lies of both kinds. No rule is broken, they hold calls
+// back by the fleet's word, and obey one teller again in the end.
+func TestSharingUnderFaults(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts processes")
+	}
+	s := &Schedule{Seed: 5, Step: []*Step{
+		{At: at(2), For: at(8), Kind: Lose, From: []string{"n*"}, To: []string{"n*"}, Share: 0.3},
+		{At: at(2.5), For: at(3), Kind: Stop, From: []string{"n4"}},
+		{At: at(3), For: at(3), Kind: Cut, Name: "half", From: []string{"n0", "n2", "n6", "n8"}, To: []string{"n1", "n3", "n5", "n7"}},
+		{At: at(5), For: at(4), Kind: Reorder, From: []string{"n*"}, To: []string{"n*"}, Spread: at(0.7)},
+		{At: at(5), For: at(4), Kind: Twice, From: []string{"n*"}, To: []string{"n*"}, Share: 0.5},
+		{At: at(6), For: at(3), Kind: Lie, From: []string{"n3"}, Share: 1},
+		{At: at(7), For: at(3), Kind: Lie, From: []string{"n7"}},
+	}}
+	o := options(t, s, 16*time.Second)
+	o.Scenario.Callers.Load = 1.5
+	o.Topology = Topology{Controllers: 9, Exchanges: 3, Zones: 3, Share: true}
+	var killed string
+	kill := func(ctx context.Context, r *Run) error { // the teller, whoever it is
+		if killed == "" {
+			s, err := r.shares(ctx, "n0")
+			if err != nil {
+				return err
+			}
+			killed = fmt.Sprint("n", s.Teller)
+			r.onProcess(ctx, &Step{Kind: Kill}, killed)
+		}
+		return nil
+	}
+	held := func(ctx context.Context, r *Run) error {
+		n := 0
+		for _, name := range r.o.Topology.parts('n') {
+			s, err := r.shares(ctx, name)
+			if err != nil {
+				return err
+			}
+			if s.Counters.Held > 0 {
+				n++
+			}
+		}
+		if n < len(r.nodes)*2/3 {
+			return fmt.Errorf("%d of %d have held a call back by the fleet's word", n, len(r.nodes))
+		}
+		return nil
+	}
+	o.Holds = []Holds{
+		{Name: "one_teller_at_first", After: 500 * time.Millisecond, By: 9 * time.Second, Check: one},
+		{Name: "teller_killed", After: 6500 * time.Millisecond, By: 9 * time.Second, Check: kill},
+		{Name: "holds_back", After: 2 * time.Second, By: 15 * time.Second, Check: held},
+		{Name: "one_teller", After: 11 * time.Second, By: 16 * time.Second, Check: one},
+	}
+	var out bytes.Buffer
+	o.Out = &out
+	res, err := Play(t.Context(), o)
+	if err != nil {
+		t.Fatalf("%v\n%s", err, out.String())
+	}
+	for _, b := range res.Breaches {
+		t.Errorf("%v\n  %s", b, strings.Join(b.Around, "\n  "))
+	}
+	if killed == "" || len(res.Struck) != len(s.Step) {
+		t.Errorf("%q was killed, %d of %d faults struck", killed, len(res.Struck), len(s.Step))
+	}
+	for _, z := range res.Zones {
+		if z.Stood*10 < z.Sent*3 {
+			t.Errorf("%+v", z)
+		}
+	}
+	t.Logf("%+v", res.Zones)
+}
--- a/internal/lab/rig/strike.go
+++ b/internal/lab/rig/strike.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"crypto/hmac"
+	"crypto/sha256"
+	"net"
 	"slices"
 	"sync"
 	"syscall"
@@ -12,6 +15,9 @@
 	"lapiscourse/internal/lab/exchange"
 	"lapiscourse/internal/lab/rules"
 	"lapiscourse/internal/lab/socket"
+	"lapiscourse/internal/lab/together"
+	"lapiscourse/internal/peer"
+	"lapiscourse/internal/share"
 )
 
 // step has a fault begin, and end.
@@ -238,9 +244,13 @@
 	}
 	i := slices.IndexFunc(r.nodes, func(n *node) bool { return n.name == name })
 	n := r.nodes[i]
-	if s.Kind == Disk {
+	switch s.Kind {
+	case Disk:
 		r.fullDisk(ctx, s, n)
 		return
+	case Lie:
+		r.lie(ctx, s, i)
+		return
 	}
 	n.mu.Lock()
 	busy := n.asked || n.away || n.proc == nil
@@ -281,6 +291,41 @@
 	r.back(ctx, n)
 }
 
+// lie has a hostile process speak under a controller's number: it has the fleet's keys, and says twice a second
+// to all others, as one who reports and as a teller, that all servers are well, or that all are pressed.
+func (r *Run) lie(ctx context.Context, s *Step, as int) {
+	c, err := net.ListenPacket("udp4", "127.0.0.1:0")
+	if err != nil {
+		r.breach("rig", "", "no socket for a hostile process: %v", err)
+		return
+	}
+	defer func() { _ = c.Close() }()
+	sign := func(b []byte) []byte {
+		h := hmac.New(sha256.New, r.key)
+		_, _ = h.Write(b)
+		return append(b, h.Sum(nil)[:peer.Signed]...)
+	}
+	var keys []uint32
+	for _, p := range r.places {
+		p.mu.Lock()
+		keys = append(keys, share.Key(p.line.ID))
+		p.mu.Unlock()
+	}
+	for end, seq := time.Now().Add(s.For.D()), uint32(1); time.Now().Before(end); seq++ {
+		for i, n := range r.nodes {
+			to, err := net.ResolveUDPAddr("udp4", n.hears)
+			if err != nil || i == as {
+				continue
+			}
+			_, _ = c.WriteTo(sign(together.Report(as, 1<<31, seq, keys, s.Share > 0)), to) // of the losses of a liar nobody hears
+			_, _ = c.WriteTo(sign(together.Word(as, 1<<31, seq, keys, s.Share > 0)), to)
+		}
+		if !r.pause(ctx, 500*time.Millisecond) {
+			return
+		}
+	}
+}
+
 // fullDisk has a controller's writes to files fail, by the limit of their size: its records and its log.
 // A process that is started meanwhile has room again.
 func (r *Run) fullDisk(ctx context.Context, s *Step, n *node) {
--- a/internal/net/h248_front.go
+++ b/internal/net/h248_front.go
@@ -264,6 +264,10 @@
 			done.Descriptors = control.NumbersNodes(f.n.numbers.desk.List(), f.n.numbers.desk.Job())
 			return done, nil
 		}
+		if p.admin && c.Termination == control.ShareTermination && f.n.share != nil {
+			done.Descriptors = control.ShareNodes(f.n.share.member.State(f.n.now()))
+			return done, nil
+		}
 		if !strings.EqualFold(c.Termination, "ROOT") {
 			return nil, &h248.Error{Code: h248.UnknownTermination, Text: "only ROOT can be audited"}
 		}
@@ -539,6 +543,7 @@
 	if n.meter != nil && admin { // whom calls go to is no business of a panel
 		stats.Kids = append(stats.Kids, n.meter.audit()...)
 		stats.Kids = append(stats.Kids, n.numbers.audit()...)
+		stats.Kids = append(stats.Kids, n.share.audit()...)
 	}
 	return []*h248.Node{{Name: "Media", Kids: []*h248.Node{{Name: "TerminationState",
 		Kids: []*h248.Node{{Name: "ServiceStates", Value: state}}}}}, stats}
--- a/internal/net/node.go
+++ b/internal/net/node.go
@@ -70,6 +70,7 @@
 	rec      *recorder     // nil: off
 	meter    *meter        // nil: nobody may ask
 	numbers  *numbers      // nil: off
+	share    *sharing      // nil: off
 	stopping bool          // the engine is being stopped
 	failed   error
 	started  chan struct{}
@@ -80,6 +81,7 @@
 	H248    *config.H248     // nil: its front is off
 	Records *config.Records  // nil: nothing is recorded
 	Numbers *config.Numbers  // nil: calls go by their pool of first choice
+	Share   *config.Share    // nil: it decides alone
 	Log     *zap.Logger      // nil: nothing is logged
 	Program string           // version, for the records
 	Clock   func() time.Time // the system's; nil: time.Now
@@ -120,6 +122,11 @@
 		}
 		n.core.RouteBy(n.numbers)
 	}
+	if o.Share != nil {
+		if n.share, err = newSharing(n, o.Share, desk); err != nil {
+			return nil, err
+		}
+	}
 	n.json = &jsonFront{n: n, max: cfg.Sockets*2/3 - reserve}
 	n.unread = cfg.MemoryMB << 20 / 8 / n.json.max
 	n.fronts = []call.Front{n.json}
@@ -161,6 +168,7 @@
 func (n *Node) Run() error {
 	err := gnet.Rotate(n, n.listeners(), gnet.WithNumEventLoop(1), gnet.WithLogger(gnetLog{n.log}),
 		gnet.WithLoadBalancing(gnet.LeastConnections), gnet.WithReuseAddr(true))
+	n.share.close()
 	n.numbers.close()
 	n.rec.close() // the loop has ended, this goroutine may speak for it
 	if err != nil {
@@ -238,6 +246,7 @@
 	n.el = el
 	n.timer = time.AfterFunc(time.Hour, func() { n.exec(n.tick) })
 	n.names.open()
+	n.share.open()
 	for _, l := range n.links {
 		l.dial()
 	}
@@ -282,7 +291,7 @@
 	if n.timer == nil {
 		return
 	}
-	next := min(n.core.Next(), n.pollAt)
+	next := min(n.core.Next(), n.pollAt, n.share.next())
 	if n.stopAt > 0 {
 		next = min(next, n.now()+quiet/4)
 	}
@@ -293,6 +302,7 @@
 	n.turn(func() {
 		now := n.now()
 		n.core.Tick()
+		n.share.tick(now)
 		for _, l := range n.links {
 			l.listen(now)
 		}
@@ -539,6 +549,7 @@
 		"tests", c.Tests, "repeats", c.Repeats, "unsayable", c.Unsayable, "dials", c.Dials, "dials_failed", c.DialsFailed,
 		"links_lost", c.LinksLost, "strays", c.Strays, "releases_said", c.ReleasesSaid, "releases_lost", c.ReleasesLost)
 	n.log.Infow("counters", "queries", c.Queries, "queries_failed", c.QueriesFailed, "answers", c.Answers, "bad_news", c.BadNews, "serial", n.list.Serial())
+	n.share.report()
 	if l, ok := n.numbers.lookups(); ok {
 		n.log.Infow("counters", "lookups", l.Asked, "hits", l.Hits, "coalesced", l.Coalesced, "stale", l.StaleHits, "undecided", l.Undecided, "no_room", l.Crowded,
 			"sent", l.Sent, "answered", l.Answered, "timed_out", l.TimedOut, "refused", l.Refused, "strays", l.Strays, "lies", l.Lies, "broken", l.Broken)
--- /dev/null
+++ b/internal/net/share.go
@@ -0,0 +1,155 @@
+package net
+
+import (
+	"fmt"
+	"math"
+	"strconv"
+	"time"
+
+	"lapiscourse"
+	"lapiscourse/internal/config"
+	"lapiscourse/internal/net/h248"
+	"lapiscourse/internal/peer"
+	"lapiscourse/internal/share"
+)
+
+// sharing is the controller's part in what all share: the socket beside the loop, the decisions on it.
+// The nil *sharing is off.
+type sharing struct {
+	n      *Node
+	o      *config.Share
+	member *share.Member
+	socket *peer.Conn // nil until the loop runs
+	keys   [][]byte
+	unread time.Duration // when a datagram that could not be read was last logged
+	teller int           // as last logged
+}
+
+// bootEpoch is 2024-01-01 in Unix milliseconds: starts are numbered from then in quarters of a second, so
+// that the numbers grow from start to start for 34 years.
+const bootEpoch = 1_704_067_200_000
+
+// newSharing reads the keys and makes the member; desk is told to ask it. Where the platform's settings bar talk
+// between controllers it says so and is off.
+func newSharing(n *Node, o *config.Share, desk *lapiscourse.Desk) (*sharing, error) {
+	if n.cfg.PeersBarred {
+		n.log.Warnw("share_off", "why", "the settings do not permit messages between controllers")
+		return nil, nil
+	}
+	number, err := o.Join(n.cfg)
+	if err != nil { // whom it could speak to is not known: it decides alone, as the others do if need be
+		n.log.Errorw("share_off", "err", err)
+		return nil, nil
+	}
+	s := &sharing{n: n, o: o, teller: -1}
+	if o.Keys != "" {
+		if s.keys, err = peer.LoadKeys(o.Keys); err != nil {
+			return nil, fmt.Errorf("share: %w", err)
+		}
+	}
+	boot := uint32((n.now().Milliseconds() - bootEpoch) / 250)
+	s.member, err = share.New(n.now(), share.Options{Self: number, Peers: len(o.Peers), Boot: boot, Seed: n.cfg.Seed, Late: desk.Late(),
+		Period: time.Duration(o.Period), Beat: time.Duration(o.Beat)})
+	if err != nil {
+		return nil, err
+	}
+	desk.Share(s.member)
+	return s, nil
+}
+
+// open opens the socket once the loop runs. Without it the controller decides alone, and says so.
+func (s *sharing) open() {
+	if s == nil {
+		return
+	}
+	var err error
+	s.socket, err = peer.Open(peer.Options{Listen: s.o.Listen, Peers: s.o.Peers, Keys: s.keys, Rate: s.o.Rate, Take: func() { s.n.exec(s.take) }})
+	if err != nil {
+		s.n.log.Errorw("share_failed", "err", err)
+		return
+	}
+	s.n.log.Infow("share", "listen", s.socket.Addr(), "number", s.member.State(s.n.now()).Self, "peers", len(s.o.Peers), "signed", len(s.keys) > 0)
+}
+
+// take hears what has arrived.
+func (s *sharing) take() {
+	s.n.turn(func() {
+		now := s.n.now()
+		for _, d := range s.socket.Arrived() {
+			if err := s.member.Hear(now, d.From, d.B); err != nil && now-s.unread > 10*second {
+				s.unread = now
+				s.n.log.Warnw("share_unread", "from", d.From, "err", err)
+			}
+		}
+	})
+}
+
+// next is when tick is due.
+func (s *sharing) next() time.Duration {
+	if s == nil || s.socket == nil {
+		return math.MaxInt64
+	}
+	return s.member.Next()
+}
+
+func (s *sharing) tick(now time.Duration) {
+	if s == nil || s.socket == nil {
+		return
+	}
+	for _, p := range s.member.Tick(now) {
+		s.socket.Send(p.To, p.B)
+	}
+	if at := s.member.Teller(); at != s.teller {
+		s.n.log.Infow("teller", "number", at, "was", s.teller)
+		s.teller = at
+	}
+}
+
+func (s *sharing) close() {
+	if s != nil && s.socket != nil {
+		s.socket.Close()
+	}
+}
+
+// ReloadKeys reads the keys of what controllers tell each other again, as SIGHUP asks for. A bad file is logged
+// and changes nothing. It may be called from anywhere once the node has started.
+func (n *Node) ReloadKeys() {
+	s := n.share
+	if s == nil || s.o.Keys == "" || s.socket == nil {
+		return
+	}
+	keys, err := peer.LoadKeys(s.o.Keys)
+	if err == nil {
+		err = s.socket.SetKeys(keys)
+	}
+	if err != nil {
+		n.log.Warnw("reload_failed", "err", err)
+		return
+	}
+	n.log.Infow("reloaded", "keys", len(keys))
+}
+
+// audit tells of it in a line, for who looks at the instance.
+func (s *sharing) audit() []*h248.Node {
+	if s == nil {
+		return nil
+	}
+	st := s.member.State(s.n.now())
+	n := &h248.Node{Name: "oc/share"}
+	for _, f := range [][2]string{{"number", strconv.Itoa(st.Self)}, {"teller", strconv.Itoa(st.Teller)}, {"live", strconv.Itoa(st.Live)}, {"of", strconv.Itoa(st.Peers)},
+		{"held", strconv.Itoa(st.Counters.Held)}} {
+		n.Kids = append(n.Kids, &h248.Node{Name: "oc/" + f[0], Value: f[1]})
+	}
+	return []*h248.Node{n}
+}
+
+// report writes the counters.
+func (s *sharing) report() {
+	if s == nil || s.socket == nil {
+		return
+	}
+	c, p := s.member.Counters, s.socket.Counters()
+	s.n.log.Infow("counters", "said", c.Said, "said_bytes", c.SaidBytes, "heard", c.Heard, "heard_bytes", c.HeardBytes, "unread", c.Unread, "alien", c.Alien, "stale", c.Stale,
+		"held", c.Held, "passed", c.Passed, "tellers", c.Tellers, "silent", c.Silent, "wrong", c.Wrong)
+	s.n.log.Infow("counters", "sent", p.Sent, "dropped", p.Dropped, "arrived", p.Arrived, "overrun", p.Overrun, "strangers", p.Strangers, "forged", p.Forged, "too_long", p.TooLong)
+}
--- /dev/null
+++ b/internal/peer/peer.go
@@ -0,0 +1,305 @@
+// Package peer carries datagrams between call controllers: it owns the socket, signs what leaves, checks
+// whom what arrives is from, and paces. What the datagrams mean is nothing to it.
+package peer
+
+import (
+	"crypto/hmac"
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"net"
+	"net/netip"
+	"os"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/time/rate"
+)
+
+// Bounds of a datagram, as the platform has them.
+const (
+	Most = 256 // bytes; a longer one would void the platform's run
+	// Signed is what a signature takes of it: an HMAC-SHA-256 (RFC 2104), cut to 128 bits (RFC 2104, section 5).
+	Signed = 16
+)
+
+// Bounds of what waits.
+const (
+	mostLeaving  = 2048 // datagrams; more are dropped and counted
+	mostArriving = 1024
+	mostKeys     = 2
+	leastKey     = 16 // bytes
+)
+
+// A Datagram is one with whom it is from, by the place in the list of peers; -1: its address is none of these.
+type Datagram struct {
+	From int
+	B    []byte
+}
+
+// Options of a Conn.
+type Options struct {
+	Listen string
+	Peers  []string // addresses by number
+	// Keys sign what leaves, with the first, and what arrives must be signed with one of them. While keys change,
+	// all take two. Without keys datagrams come from the addresses of Peers only.
+	Keys [][]byte
+	Rate int // datagrams a second that leave; 0: 2,000
+	// Take is called on a goroutine of the Conn's own when something has arrived that Arrived gives.
+	Take func()
+}
+
+// Counters count what a Conn did.
+type Counters struct {
+	Sent, Dropped     uint64 // dropped: too many wait to leave, or the system took none
+	Arrived, Overrun  uint64 // overrun: too many wait to be taken
+	Strangers, Forged uint64 // from an address that is no peer's; not signed with a key
+	TooLong           uint64
+}
+
+// A Conn is a controller's socket to its peers. Send and Arrived may be called from anywhere.
+type Conn struct {
+	o      Options
+	c      *net.UDPConn
+	peers  []netip.AddrPort
+	number map[netip.AddrPort]int
+	leave  chan leaving
+	done   chan struct{}
+	wg     sync.WaitGroup
+
+	mu   sync.Mutex
+	keys [][]byte
+	in   []Datagram
+
+	sent, dropped, arrived, overrun, strangers, forged, tooLong atomic.Uint64
+}
+
+type leaving struct {
+	to int
+	b  []byte
+}
+
+// CheckKeys tells what is wrong with keys.
+func CheckKeys(keys [][]byte) error {
+	if len(keys) > mostKeys {
+		return fmt.Errorf("%d keys, %d at most: the one that signs and the one before or after it", len(keys), mostKeys)
+	}
+	for i, k := range keys {
+		if len(k) < leastKey {
+			return fmt.Errorf("key %d has %d bytes, %d at least", i+1, len(k), leastKey)
+		}
+	}
+	return nil
+}
+
+// LoadKeys reads keys from a file: one a line in hex, the one that signs first. What follows a # is a comment.
+func LoadKeys(path string) (keys [][]byte, err error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("keys: %w", err)
+	}
+	for i, line := range strings.Split(string(text), "\n") {
+		line, _, _ = strings.Cut(line, "#")
+		if line = strings.TrimSpace(line); line == "" {
+			continue
+		}
+		k, err := hex.DecodeString(line)
+		if err != nil { // the error would show part of a key
+			return nil, fmt.Errorf("keys: %s: line %d is no hex", path, i+1)
+		}
+		keys = append(keys, k)
+	}
+	if len(keys) == 0 {
+		return nil, fmt.Errorf("keys: %s: there is none; write 32 hex digits at least", path)
+	}
+	if err := CheckKeys(keys); err != nil {
+		return nil, fmt.Errorf("keys: %s: %w", path, err)
+	}
+	return keys, nil
+}
+
+// Open opens the socket and starts its two goroutines.
+func Open(o Options) (*Conn, error) {
+	if err := CheckKeys(o.Keys); err != nil {
+		return nil, fmt.Errorf("peer: %w", err)
+	}
+	p := &Conn{o: o, keys: o.Keys, number: make(map[netip.AddrPort]int, len(o.Peers)), leave: make(chan leaving, mostLeaving), done: make(chan struct{})}
+	for i, s := range o.Peers {
+		a, err := netip.ParseAddrPort(s)
+		if err != nil {
+			return nil, fmt.Errorf("peer: %w", err)
+		}
+		p.peers = append(p.peers, a)
+		p.number[a] = i
+	}
+	at, err := net.ResolveUDPAddr("udp4", o.Listen)
+	if err == nil {
+		p.c, err = net.ListenUDP("udp4", at)
+	}
+	if err != nil {
+		return nil, fmt.Errorf("peer: %w", err)
+	}
+	if p.o.Rate <= 0 {
+		p.o.Rate = 2000
+	}
+	p.wg.Go(p.read)
+	p.wg.Go(p.write)
+	return p, nil
+}
+
+// Addr is where it listens.
+func (p *Conn) Addr() string { return p.c.LocalAddr().String() }
+
+// Close ends it. What has not left by then does not leave.
+func (p *Conn) Close() {
+	close(p.done)
+	_ = p.c.Close()
+	p.wg.Wait()
+}
+
+// SetKeys takes other keys from now on.
+func (p *Conn) SetKeys(keys [][]byte) error {
+	if err := CheckKeys(keys); err != nil {
+		return fmt.Errorf("peer: %w", err)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.keys = keys
+	return nil
+}
+
+func (p *Conn) signing() [][]byte {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.keys
+}
+
+func sign(key, b []byte) []byte {
+	h := hmac.New(sha256.New, key)
+	_, _ = h.Write(b) // it never fails
+	return h.Sum(nil)[:Signed]
+}
+
+// Send has a datagram leave. It never blocks: what finds the queue full is dropped and counted.
+func (p *Conn) Send(to int, b []byte) {
+	if to < 0 || to >= len(p.peers) {
+		return
+	}
+	select {
+	case p.leave <- leaving{to, b}:
+	default:
+		p.dropped.Add(1)
+	}
+}
+
+// write sends what is queued, no faster than the rate: a teller's words to all would fill the buffers of
+// the way between, and get lost there together.
+func (p *Conn) write() {
+	pace := rate.NewLimiter(rate.Limit(p.o.Rate), 64)
+	for {
+		var l leaving
+		select {
+		case l = <-p.leave:
+		case <-p.done:
+			return
+		}
+		if wait := pace.Reserve().Delay(); wait > 0 {
+			select {
+			case <-time.After(wait):
+			case <-p.done:
+				return
+			}
+		}
+		b := l.b
+		if keys := p.signing(); len(keys) > 0 {
+			b = append(append(make([]byte, 0, len(b)+Signed), b...), sign(keys[0], b)...)
+		}
+		if len(b) > Most {
+			p.tooLong.Add(1)
+			continue
+		}
+		if _, err := p.c.WriteToUDPAddrPort(b, p.peers[l.to]); err != nil {
+			p.dropped.Add(1) // nobody listens there, or the socket is closing: datagrams get lost
+			continue
+		}
+		p.sent.Add(1)
+	}
+}
+
+func (p *Conn) read() {
+	b := make([]byte, 2*Most)
+	for {
+		n, from, err := p.c.ReadFromUDPAddrPort(b)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			select { // a refusal that an earlier datagram met; guards against a loop on an error that stays
+			case <-p.done:
+				return
+			case <-time.After(time.Millisecond):
+			}
+			continue
+		}
+		p.got(netip.AddrPortFrom(from.Addr().Unmap(), from.Port()), b[:n])
+	}
+}
+
+// got checks a datagram and keeps it for Arrived.
+func (p *Conn) got(from netip.AddrPort, b []byte) {
+	if len(b) > Most {
+		p.tooLong.Add(1)
+		return
+	}
+	number, listed := p.number[from]
+	if !listed {
+		number = -1
+	}
+	if keys := p.signing(); len(keys) > 0 {
+		at := len(b) - Signed
+		good := false
+		for _, k := range keys {
+			good = good || at >= 0 && hmac.Equal(sign(k, b[:at]), b[at:])
+		}
+		if !good {
+			p.forged.Add(1)
+			return
+		}
+		b = b[:at]
+	} else if !listed { // without keys the address is all that tells whom it is from
+		p.strangers.Add(1)
+		return
+	}
+	p.mu.Lock()
+	full, first := len(p.in) >= mostArriving, len(p.in) == 0
+	if !full {
+		p.in = append(p.in, Datagram{number, append([]byte(nil), b...)})
+	}
+	p.mu.Unlock()
+	if full {
+		p.overrun.Add(1)
+		return
+	}
+	p.arrived.Add(1)
+	if first && p.o.Take != nil {
+		p.o.Take() // once for all that comes until they are taken: a flood must not fill the loop's queue
+	}
+}
+
+// Arrived gives what has arrived since it was last called.
+func (p *Conn) Arrived() []Datagram {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	in := p.in
+	p.in = nil
+	return in
+}
+
+// Counters are what it has counted by now.
+func (p *Conn) Counters() Counters {
+	return Counters{Sent: p.sent.Load(), Dropped: p.dropped.Load(), Arrived: p.arrived.Load(), Overrun: p.overrun.Load(),
+		Strangers: p.strangers.Load(), Forged: p.forged.Load(), TooLong: p.tooLong.Load()}
+}
--- a/internal/share/share.go
+++ b/internal/share/share.go
@@ -10,15 +10,14 @@
 
 import (
 	"cmp"
+	"encoding/binary"
 	"errors"
 	"fmt"
 	"math/rand/v2"
 	"slices"
-	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/dgryski/go-rendezvous"
 
 	"lapiscourse"
 )
@@ -77,6 +76,7 @@
 	wrongs      = 6           // of these: the teller is not believed
 	ratio       = 4           // between what a word tells of a wait and one's own
 	keepServer  = 60 * second // a server nothing is sent to is forgotten
+	mostPassed  = 8           // of those before the teller that are asked whether they are there
 	retryAll    = 4           // slots after which nobody is held for gone any more
 	never       = Time(1 << 62)
 )
@@ -121,13 +121,16 @@
 	wordOf  uint32 // boot of the teller it came from
 	since   Time   // reports go to this teller since
 	owed    int    // reports it has had without a word
-	shunned map[int]Time
+	shunned map[int]shunned
+	passed  []int // those that rendezvous hashing names before the teller: they are asked now and then whether they are there
+	knockAt Time
 	ringOf  int64 // slot that the teller was chosen for
 	at      int   // the teller
 	agree   [checks]bool
 	nAgree  int
 	present []byte // by the latest roll; nil: all
 	live    int
+	of      int // controllers there were at most, by the latest roll
 	teller  *teller
 	out     []Packet
 	outAt   Time
@@ -139,7 +142,7 @@
 		return nil, err
 	}
 	m := &Member{o: o, rng: rand.New(rand.NewPCG(o.Seed, 5)), views: make(map[string]*view), byKey: make(map[uint32]*view), now: now, counted: now,
-		shunned: make(map[int]Time), teller: newTeller(o.Peers, o.Late, o.Beat), live: o.Peers, ringOf: -1, since: now}
+		shunned: make(map[int]shunned), teller: newTeller(o.Peers, o.Late, o.Beat), live: o.Peers, ringOf: -1, since: now}
 	m.teller.ran = now
 	// Guards against a fleet that starts together and then always speaks together.
 	m.reportAt = now + Time(m.rng.Float64()*float64(o.Beat)/4)
@@ -241,20 +244,15 @@
 	if v == nil || now >= v.until {
 		return "", false
 	}
-	part := 0
-	switch t := &v.term; {
-	case !first:
-		part = t.over
-	case tier < t.tier && t.part > 0:
-		part = mostHeld
-	case tier == t.tier:
-		part = t.part
+	part := float64(v.term.over) / 255
+	if first && tier >= 0 && tier < tiers {
+		part = v.term.holds()[tier]
 	}
 	// A word that holds nothing back of a call says nothing of a server that it does not hold to be pressed.
 	if first && v.term.tier == 0 && v.term.part == 0 && !v.term.presses(m.o.Late) {
 		return "", false
 	}
-	if m.rng.IntN(255) < part {
+	if m.rng.Float64() < part {
 		m.Held++
 		v.held++
 		return lapiscourse.FleetHolds, true
@@ -298,16 +296,22 @@
 	}
 	if n >= wrongs {
 		m.Wrong++
-		m.shun(now)
+		m.shun(now, true)
 	}
 }
 
+// A shunned teller is passed over until a time, or until it speaks again unless it was wrong.
+type shunned struct {
+	until Time
+	wrong bool
+}
+
 // shun passes over the teller, and forgets what it said.
-func (m *Member) shun(now Time) {
+func (m *Member) shun(now Time, wrong bool) {
 	if len(m.shunned) >= m.o.Peers/2 { // guards against a controller that is cut off: it would shun all
 		clear(m.shunned)
 	}
-	m.shunned[m.at] = now + shunFor
+	m.shunned[m.at] = shunned{now + shunFor, wrong}
 	for _, v := range m.views {
 		v.until = 0
 	}
@@ -315,12 +319,28 @@
 	m.choose()
 }
 
+// Teller is whom this controller reports to and obeys.
+func (m *Member) Teller() int { return m.at }
+
+// ranks are the numbers of n controllers in the order in which they are to be the teller of a slot: rendezvous
+// hashing (Thaler and Ravishankar 1998). The registry's go-rendezvous tells the first only, and its Remove leaves
+// the index of the name that it moves as it was.
+func ranks(slot int64, n int) []int {
+	all, weight := make([]int, n), make([]uint64, n)
+	b := binary.LittleEndian.AppendUint64(make([]byte, 0, 16), uint64(slot))
+	for i := range all {
+		all[i], weight[i] = i, xxhash.Sum64(binary.LittleEndian.AppendUint64(b, uint64(i)))
+	}
+	slices.SortFunc(all, func(i, j int) int { return cmp.Compare(weight[j], weight[i]) })
+	return all
+}
+
 // choose names the teller of this slot: the first by rendezvous hashing of those that are not gone or passed
 // over.
 func (m *Member) choose() {
 	slot := int64(m.now / m.o.Slot)
-	for i, until := range m.shunned {
-		if m.now >= until {
+	for i, s := range m.shunned {
+		if m.now >= s.until {
 			delete(m.shunned, i)
 			m.ringOf = -1
 		}
@@ -331,17 +351,16 @@
 	if m.ringOf = slot; slot%retryAll == 0 {
 		m.present = nil // those held for gone may be there and hold this one for gone: all are tried again
 	}
-	var able []string
-	for i := range m.o.Peers {
-		if _, no := m.shunned[i]; !no && (m.present == nil || has(m.present, i) || i == m.o.Self) {
-			able = append(able, strconv.Itoa(i))
-		}
-	}
 	was := m.at
-	m.at = m.o.Self
-	if len(able) > 0 {
-		name := rendezvous.New(able, xxhash.Sum64String).Lookup("slot " + strconv.FormatInt(slot, 10))
-		m.at, _ = strconv.Atoi(name)
+	m.passed = m.passed[:0]
+	for _, m.at = range ranks(slot, m.o.Peers) {
+		s, shunned := m.shunned[m.at]
+		if m.at == m.o.Self || !shunned && (m.present == nil || has(m.present, m.at)) {
+			break
+		}
+		if !s.wrong && len(m.passed) < mostPassed {
+			m.passed = append(m.passed, m.at)
+		}
 	}
 	if m.at != was {
 		m.Tellers++
@@ -420,7 +439,7 @@
 	if m.at != m.o.Self {
 		if m.owed++; m.owed > waitTeller {
 			m.Silent++
-			m.shun(now)
+			m.shun(now, false)
 			m.owed = 1
 		}
 	}
@@ -448,9 +467,29 @@
 	})
 	if m.at == m.o.Self {
 		m.teller.hear(now, r)
+	} else {
+		m.post(m.at, r.append(nil))
+	}
+	if len(m.passed) > 0 && now >= m.knockAt {
+		// One before the teller may be there after all, as after a cut. It is told nothing, so that no sum has this
+		// controller twice; if it answers it is obeyed again, and all come to obey the same.
+		m.knockAt = now + m.o.Beat
+		r.sights, r.hot = nil, false
+		m.post(m.passed[m.rng.IntN(len(m.passed))], r.append(nil))
+	}
+}
+
+// back notes that one spoke that was passed over.
+func (m *Member) back(from int) {
+	if !slices.Contains(m.passed, from) {
 		return
 	}
-	m.post(m.at, r.append(nil))
+	delete(m.shunned, from)
+	if m.present != nil {
+		m.present[from/8] |= 1 << (from % 8)
+	}
+	m.ringOf = -1
+	m.choose()
 }
 
 // tell makes the sums and tells those who report.
@@ -522,6 +561,9 @@
 		m.Alien++
 		return fmt.Errorf("share: it says that it is of controller %d and came from %d", h.from, from)
 	}
+	if h.kind != kindReport {
+		m.back(h.from)
+	}
 	switch x := x.(type) {
 	case *report:
 		was := m.teller.reporting(now)
@@ -542,7 +584,8 @@
 			m.Stale++
 			return nil
 		}
-		m.owed, m.live, m.present = 0, x.live, x.present
+		m.owed, m.wordAt, m.live, m.of = 0, now, x.live, x.of
+		m.present = append(x.present, make([]byte, max((m.o.Peers+7)/8-len(x.present), 0))...)
 		m.ringOf = -1
 	}
 	return nil
--- a/internal/share/share_test.go
+++ b/internal/share/share_test.go
@@ -280,8 +280,9 @@
 	} {
 		f := newFleet(t, 2, 1)
 		m := f.all[0]
-		for m.at == 0 {
-			m.shun(f.now) // the other is to be its teller
+		for i := 0; m.at == 0 && i < 100; i++ {
+			f.now += m.o.Slot // the other is to be its teller
+			m.Tick(f.now)
 		}
 		liar := m.at
 		c.term.key = Key("s")
