Have a word hold at servers not met before, and calls held back ask none without room

The teller's sums of one exchange (33/s): 39.7 off 55.7 over 21.6 done 23.4 wait 2.40 told 192 budget 13.4 over, the calls of second choice and repeats, took two thirds of it. Two causes: a word counted only at servers that a controller had sent something to, and one with a call in three seconds has met few; and a call held back asks all servers in turn, each of which let 2% in: one in five at a dozen. A word's time is four periods now, as a period of 1.7 s lost it between two words.

Change: a word is kept whole and holds at servers met later; a server without room lets no call of second choice in.

--- a/internal/lab/rig/schedule.go
+++ b/internal/lab/rig/schedule.go
@@ -314,7 +314,7 @@
 		zone := fmt.Sprint("z", rng.IntN(t.Zones))
 		// By how a part is named, so that a file says what was meant.
 		kinds := 20
-		if t.Share {
+		if t.Share && t.Controllers > 1 {
 			kinds = 26 // and what goes wrong between controllers
 		}
 		switch rng.IntN(kinds) {
--- a/internal/share/share.go
+++ b/internal/share/share.go
@@ -51,7 +51,7 @@
 	case o.Late <= 0 || min(o.Period, o.Beat, o.Slot) < 0:
 		return errors.New("share: a time is nought or negative")
 	}
-	o.Period = cmp.Or(o.Period, max(500*ms, 500*ms*Time(o.Peers)/300))
+	o.Period = cmp.Or(o.Period, max(500*ms, 500*ms*Time(o.Peers)/600))
 	o.Beat = cmp.Or(o.Beat, 10*second)
 	o.Slot = cmp.Or(o.Slot, 2*time.Minute)
 	return nil
@@ -66,7 +66,7 @@
 // Bounds and times of a Member.
 const (
 	mostServers = 64          // of which a controller tells
-	wordFor     = 2000 * ms   // a word holds for so long
+	leastWord   = 2000 * ms   // a word holds for so long at least, and for four periods
 	waitTeller  = 6           // reports without a word after which the next is asked: where three in ten get lost one run in 1,400 is so long
 	shunFor     = 30 * second // a teller that was silent or wrong is passed over for so long
 	asleep      = 2000 * ms   // a controller that stood still for longer forgets what it had counted
@@ -75,6 +75,7 @@
 	checks      = 8           // of a word against one's own answers
 	wrongs      = 6           // of these: the teller is not believed
 	ratio       = 4           // between what a word tells of a wait and one's own
+	waitFresh   = 2500 * ms   // an answer tells of the wait for so long
 	keepServer  = 60 * second // a server nothing is sent to is forgotten
 	mostPassed  = 8           // of those before the teller that are asked whether they are there
 	retryAll    = 4           // slots after which nobody is held for gone any more
@@ -118,6 +119,8 @@
 	asked   Time // a teller last wanted reports often; 0: never
 	wordAt  Time // the latest word came
 	wordSeq uint32
+	terms   []term // of the latest word
+	termsTo Time   // they hold until then
 	wordOf  uint32 // boot of the teller it came from
 	since   Time   // reports go to this teller since
 	owed    int    // reports it has had without a word
@@ -142,7 +145,7 @@
 		return nil, err
 	}
 	m := &Member{o: o, rng: rand.New(rand.NewPCG(o.Seed, 5)), views: make(map[string]*view), byKey: make(map[uint32]*view), now: now, counted: now,
-		shunned: make(map[int]shunned), teller: newTeller(o.Peers, o.Late, o.Beat), live: o.Peers, ringOf: -1, since: now}
+		shunned: make(map[int]shunned), teller: newTeller(o.Peers, o.Late, o.Beat, o.Period), live: o.Peers, ringOf: -1, since: now}
 	m.teller.ran = now
 	// Guards against a fleet that starts together and then always speaks together.
 	m.reportAt = now + Time(m.rng.Float64()*float64(o.Beat)/4)
@@ -174,6 +177,10 @@
 			return nil // guards against two servers under one name: the second goes untold
 		}
 		m.views[server], m.byKey[v.key] = v, v
+		// A word may have told of it before: where calls are few, most servers are met for the first time in a jam.
+		if i := slices.IndexFunc(m.terms, func(t term) bool { return t.key == v.key }); i >= 0 {
+			v.term, v.until = m.terms[i], m.termsTo
+		}
 	}
 	v.used = m.now
 	return v
@@ -216,7 +223,7 @@
 		return
 	}
 	v.done++
-	if v.wait == 0 || now-v.waitAt > freshFor {
+	if v.wait == 0 || now-v.waitAt > waitFresh {
 		v.wait = took
 	} else {
 		v.wait += (took - v.wait) / 2
@@ -240,7 +247,7 @@
 // Holds implements lapiscourse.Fleet.
 func (m *Member) Holds(now Time, server string, tier int, first bool) (holds lapiscourse.Why, told bool) {
 	m.pass(now)
-	v := m.views[server]
+	v := m.view(server)
 	if v == nil || now >= v.until {
 		return "", false
 	}
@@ -271,7 +278,7 @@
 		for _, v := range m.views {
 			v.off, v.over, v.done, v.wait, v.pressed, v.until = [tiers]int{}, 0, 0, 0, false, 0
 		}
-		m.owed, m.hot, m.asked = 0, 0, 0
+		m.owed, m.hot, m.asked, m.terms = 0, 0, 0, nil
 	}
 	m.now = max(m.now, now)
 }
@@ -312,6 +319,7 @@
 		clear(m.shunned)
 	}
 	m.shunned[m.at] = shunned{now + shunFor, wrong}
+	m.terms = nil
 	for _, v := range m.views {
 		v.until = 0
 	}
@@ -319,6 +327,9 @@
 	m.choose()
 }
 
+// wordFor is how long a word holds: some may get lost.
+func (m *Member) wordFor() Time { return max(leastWord, 4*m.o.Period) }
+
 // Teller is whom this controller reports to and obeys.
 func (m *Member) Teller() int { return m.at }
 
@@ -370,7 +381,7 @@
 
 // often tells whether reports are to be sent each period.
 func (m *Member) often(now Time) bool {
-	return m.hot > 0 && now-m.hot < coolDown || m.asked > 0 && now-m.asked < wordFor
+	return m.hot > 0 && now-m.hot < coolDown || m.asked > 0 && now-m.asked < m.wordFor()
 }
 
 // Tick does what is due and returns what is to be sent.
@@ -449,7 +460,7 @@
 	m.counted = now
 	for _, v := range m.views {
 		x := v.sight
-		if v.wait > 0 && now-v.waitAt < freshFor {
+		if v.wait > 0 && now-v.waitAt < waitFresh {
 			x.wait = int(v.wait / waitUnit)
 		}
 		if len(v.pending) > 0 {
@@ -509,7 +520,7 @@
 	for i := range t.peers {
 		p := &t.peers[i]
 		// Those who report often are told each time; the others now and then, so that they begin to.
-		if i == m.o.Self || p.heard == 0 || p.presence(now, m.o.Beat) == Dead || now-p.heard > freshFor && !all {
+		if i == m.o.Self || p.heard == 0 || p.presence(now, m.o.Beat) == Dead || now-p.heard > t.freshFor && !all {
 			continue
 		}
 		w.seq = t.period
@@ -593,7 +604,7 @@
 
 // obey takes a word.
 func (m *Member) obey(now Time, w *word) {
-	if m.asked == 0 || now-m.asked > wordFor {
+	if m.asked == 0 || now-m.asked > m.wordFor() {
 		// Called in: the next report comes within a period, not all of them now.
 		m.reportAt = min(m.reportAt, now+Time(m.rng.Float64()*float64(m.o.Period)))
 	}
@@ -601,9 +612,10 @@
 	for _, v := range m.views {
 		v.until = 0 // the word is the whole of what is held back
 	}
+	m.terms, m.termsTo = w.terms, now+m.wordFor()
 	for _, t := range w.terms {
 		if v := m.byKey[t.key]; v != nil { // a server that the own list does not name is nobody
-			v.term, v.until = t, now+wordFor
+			v.term, v.until = t, m.termsTo
 		}
 	}
 }
--- a/internal/share/state.go
+++ b/internal/share/state.go
@@ -76,7 +76,7 @@
 	}
 	for _, v := range m.views {
 		x := ServerState{ID: v.server, Waiting: len(v.pending), Obeyed: now < v.until, Held: v.held}
-		if v.wait > 0 && now-v.waitAt < freshFor {
+		if v.wait > 0 && now-v.waitAt < waitFresh {
 			x.Wait = v.wait
 		}
 		if x.Obeyed {
--- a/internal/share/teller.go
+++ b/internal/share/teller.go
@@ -8,24 +8,24 @@
 
 // Figures of a teller.
 const (
-	freshFor  = 2500 * ms // a report counts for so long
-	callIn    = 1000 * ms // all are asked for reports once in this at most
-	coolDown  = 3000 * ms // without evidence for so long, no more reports are asked for
-	mostKept  = 64        // servers of which a teller keeps sums; the least busy go first
-	smoothed  = 1.0       // seconds over which sums are smoothed
-	target    = 0.5       // of the late mark: a server that has calls wait longer is pressed
-	clearBy   = 10.0      // late marks in which a wait is to be cleared
-	deepest   = 0.25      // of the answered rate: a budget is cut to no less at once
-	regrow    = 0.6       // a second: a budget grows by this while the wait is short
-	roomy     = 1.02      // a budget that is so many times what is offered for roomyFor binds nobody
-	roomyFor  = 2000 * ms
-	heaviest  = 8    // times the median: what one controller tells weighs no more
-	lightest  = 8.0  // calls a second that one may tell of in any case
-	fadeBest  = 0.02 // a second: what a server carried at most is forgotten by this
-	fadeCan   = 0.10 // a second: so is what it answered while it was pressed
-	resume    = 0.9  // of that a budget begins again with once calls wait no longer
-	mostHeld  = 250  // of 255: a word never holds back all
-	leastFlow = 0.5  // set-ups a second that all together may try at a server that answers nothing
+	leastFresh = 2500 * ms // a report counts for so long at least, and for five periods
+	callIn     = 1000 * ms // all are asked for reports once in this at most
+	coolDown   = 3000 * ms // without evidence for so long, no more reports are asked for
+	mostKept   = 64        // servers of which a teller keeps sums; the least busy go first
+	smoothed   = 1.0       // seconds over which sums are smoothed
+	target     = 0.5       // of the late mark: a server that has calls wait longer is pressed
+	clearBy    = 10.0      // late marks in which a wait is to be cleared
+	deepest    = 0.25      // of the answered rate: a budget is cut to no less at once
+	regrow     = 0.6       // a second: a budget grows by this while the wait is short
+	roomy      = 1.02      // a budget that is so many times what is offered for roomyFor binds nobody
+	roomyFor   = 2000 * ms
+	heaviest   = 8    // times the median: what one controller tells weighs no more
+	lightest   = 8.0  // calls a second that one may tell of in any case
+	fadeBest   = 0.02 // a second: what a server carried at most is forgotten by this
+	fadeCan    = 0.10 // a second: so is what it answered while it was pressed
+	resume     = 0.9  // of that a budget begins again with once calls wait no longer
+	mostHeld   = 250  // of 255: a word never holds back all
+	leastFlow  = 0.5  // set-ups a second that all together may try at a server that answers nothing
 )
 
 // A sum is what the fleet does at a server, by what its controllers told a teller, and what follows.
@@ -55,20 +55,21 @@
 // Sabourin's mechanism over the sum of those who report to it: the estimate is of what they offer, the
 // ceiling of what was answered to them.
 type teller struct {
-	late   float64 // seconds
-	beat   Time
-	peers  []peer
-	sums   map[uint32]*sum
-	hot    Time // evidence of pressure came last
-	heard  Time // a report came last
-	called Time // all were asked for reports last
-	period uint32
-	ran    Time // when the sums were last made
-	most   int  // controllers there at once, of late
+	late     float64 // seconds
+	freshFor Time    // a report counts for so long
+	beat     Time
+	peers    []peer
+	sums     map[uint32]*sum
+	hot      Time // evidence of pressure came last
+	heard    Time // a report came last
+	called   Time // all were asked for reports last
+	period   uint32
+	ran      Time // when the sums were last made
+	most     int  // controllers there at once, of late
 }
 
-func newTeller(peers int, late, beat Time) *teller {
-	return &teller{late: late.Seconds(), beat: beat, peers: make([]peer, peers), sums: make(map[uint32]*sum)}
+func newTeller(peers int, late, beat, period Time) *teller {
+	return &teller{freshFor: max(leastFresh, 5*period), late: late.Seconds(), beat: beat, peers: make([]peer, peers), sums: make(map[uint32]*sum)}
 }
 
 // hear takes a report. It tells whether it was news.
@@ -130,7 +131,7 @@
 // fresh is a controller's report if it still counts.
 func (t *teller) fresh(now Time, i int) *report {
 	p := &t.peers[i]
-	if p.last == nil || now-p.heard > freshFor {
+	if p.last == nil || now-p.heard > t.freshFor {
 		p.last = nil
 		return nil
 	}
@@ -290,7 +291,9 @@
 		if held > 0 {
 			open = min(p.left/held, 1)
 		}
-		p.term.over = part(1 - open)
+		// A call held back elsewhere asks all servers in turn: a chance left open at each without room would let one in
+		// five in at a dozen of them.
+		p.term.over = int((1-open)*255 + 0.5)
 		if math.IsInf(p.budget, 1) {
 			continue // nothing is said of it
 		}
