Find lying tellers out by few answers, and weigh what one controller tells by less

Change: an answer is held against the word once, claims that are far off count for more, a teller of whom no three answers have fitted holds back 80% at most; waits weigh by what a controller does at the server; the weight of one is 1.5 median ones (chances come from ratios of sums); one in fifty controllers has to find a server slow before all are asked for reports.

--- a/cmd/olivelab/rig.go
+++ b/cmd/olivelab/rig.go
@@ -36,7 +36,7 @@
 
 // options are those of a day; done removes what is not to be kept.
 func (f *sockets) options(sc *scenario.Scenario, seed uint64, out io.Writer) (o rig.Options, done func() error, err error) {
-	t := rig.Topology{Controllers: sc.Fleet.Controllers, Exchanges: sc.Fleet.Exchanges, Zones: sc.Fleet.Zones}
+	t := rig.Topology{Controllers: sc.Fleet.Controllers, Exchanges: sc.Fleet.Exchanges, Zones: sc.Fleet.Zones, Share: sc.Fleet.Share}
 	if err := t.Check(); err != nil {
 		return o, nil, err
 	}
--- a/internal/share/present.go
+++ b/internal/share/present.go
@@ -30,6 +30,7 @@
 // A peer is what a teller knows of a controller, by its number. It is all that a teller keeps of it.
 type peer struct {
 	boot, seq uint32
+	hot       Time // when it last told of a server that is slow; 0: never
 	heard     Time // when its latest report came; 0: none did
 	got, lost float64
 	last      *report // its latest; nil: too old
--- a/internal/share/share.go
+++ b/internal/share/share.go
@@ -13,6 +13,7 @@
 	"encoding/binary"
 	"errors"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -72,8 +73,10 @@
 	asleep      = 2000 * ms   // a controller that stood still for longer forgets what it had counted
 	atOnce      = 64          // datagrams that leave together
 	spread      = 10 * ms     // between such
-	checks      = 8           // of a word against one's own answers
-	wrongs      = 6           // of these: the teller is not believed
+	compareFor  = 1000 * ms   // an answer is compared with a word that comes so much later at most
+	tooMuch     = 4.0         // doubt: eight answers that are off by little, or two that are off by far, more than fit
+	trusted     = 3           // answers that fit a teller's words before it may hold back more than
+	untried     = 0.8         // this
 	ratio       = 4           // between what a word tells of a wait and one's own
 	waitFresh   = 2500 * ms   // an answer tells of the wait for so long
 	keepServer  = 60 * second // a server nothing is sent to is forgotten
@@ -85,14 +88,17 @@
 // A view is what this controller sees of a server, and what it was told.
 type view struct {
 	sight
-	server  string
-	pending []Time // when the set-ups without an answer were sent, at most 16 of them
-	wait    Time   // smoothed, of its answers; 0: none of late
-	waitAt  Time
-	used    Time
-	term    term
-	until   Time // the term holds
-	held    int  // calls held back by it
+	server   string
+	pending  []Time // when the set-ups without an answer were sent, at most 16 of them
+	wait     Time   // smoothed, of its answers; 0: none of late
+	waitAt   Time
+	took     Time // of the latest answer, which came then and was compared with a word, or not yet
+	tookAt   Time
+	compared bool
+	used     Time
+	term     term
+	until    Time // the term holds
+	held     int  // calls held back by it
 }
 
 // Counters count what a Member did.
@@ -127,11 +133,11 @@
 	shunned map[int]shunned
 	passed  []int // those that rendezvous hashing names before the teller: they are asked now and then whether they are there
 	knockAt Time
-	ringOf  int64 // slot that the teller was chosen for
-	at      int   // the teller
-	agree   [checks]bool
-	nAgree  int
-	present []byte // by the latest roll; nil: all
+	ringOf  int64   // slot that the teller was chosen for
+	at      int     // the teller
+	fits    int     // answers that fit the teller's words
+	doubt   float64 // of the teller's words, by one's own answers
+	present []byte  // by the latest roll; nil: all
 	live    int
 	of      int // controllers there were at most, by the latest roll
 	teller  *teller
@@ -229,7 +235,8 @@
 		v.wait += (took - v.wait) / 2
 	}
 	v.waitAt = now
-	m.compare(now, v, took)
+	v.took, v.tookAt, v.compared = took, now, false
+	m.compare(now, v)
 }
 
 // Pressed implements lapiscourse.Fleet.
@@ -259,6 +266,10 @@
 	if first && v.term.tier == 0 && v.term.part == 0 && !v.term.presses(m.o.Late) {
 		return "", false
 	}
+	if (m.fits < trusted || m.doubt > 0) && m.at != m.o.Self {
+		// Guards against a liar that has all held back: then no answer would come that tells.
+		part = min(part, untried)
+	}
 	if m.rng.Float64() < part {
 		m.Held++
 		v.held++
@@ -283,25 +294,24 @@
 	m.now = max(m.now, now)
 }
 
-// compare holds a word against an answer of one's own. A teller whose words do not fit what this controller
-// sees, most of the time, is wrong or lies, and is passed over; whatever it said no longer counts.
-func (m *Member) compare(now Time, v *view, took Time) {
-	if now >= v.until || m.at == m.o.Self || v.term.part == 0 && v.term.tier == 0 {
+// compare holds a word against an answer of one's own that came just now. A teller whose words do not fit what
+// this controller sees, more than they do, is wrong or lies, and is passed over; whatever it said no longer
+// counts. A claim that is further off counts for more: who says that all wait for half a minute where calls
+// stand at once is found out by two or three answers.
+func (m *Member) compare(now Time, v *view) {
+	if v.compared || now >= v.until || m.at == m.o.Self || now-v.tookAt > compareFor {
 		return
 	}
-	claim, floor := Time(v.term.wait)*waitUnit, m.o.Late/8
-	fits := claim < ratio*max(took, floor) && took < ratio*max(claim, floor)
-	m.agree[m.nAgree%checks] = fits
-	if m.nAgree++; m.nAgree < checks {
+	v.compared = true
+	claim, took := float64(Time(v.term.wait)*waitUnit), float64(v.took)
+	floor := float64(m.o.Late) / 8
+	off := math.Abs(math.Log(max(claim, floor)/max(took, floor))) / math.Log(ratio)
+	if off <= 1 {
+		m.doubt = max(m.doubt-1, 0)
+		m.fits++
 		return
 	}
-	n := 0
-	for _, ok := range m.agree {
-		if !ok {
-			n++
-		}
-	}
-	if n >= wrongs {
+	if m.doubt += min(off, 4) / 2; m.doubt >= tooMuch {
 		m.Wrong++
 		m.shun(now, true)
 	}
@@ -375,7 +385,7 @@
 	}
 	if m.at != was {
 		m.Tellers++
-		m.owed, m.nAgree, m.wordSeq, m.wordOf, m.since = 0, 0, 0, 0, m.now
+		m.owed, m.doubt, m.fits, m.wordSeq, m.wordOf, m.since = 0, 0, 0, 0, 0, m.now
 	}
 }
 
@@ -618,4 +628,9 @@
 			v.term, v.until = t, m.termsTo
 		}
 	}
+	for _, t := range w.terms { // in their order, not the map's: a run is to repeat
+		if v := m.byKey[t.key]; v != nil {
+			m.compare(now, v)
+		}
+	}
 }
--- a/internal/share/teller.go
+++ b/internal/share/teller.go
@@ -19,13 +19,16 @@
 	regrow     = 0.6       // a second: a budget grows by this while the wait is short
 	roomy      = 1.02      // a budget that is so many times what is offered for roomyFor binds nobody
 	roomyFor   = 2000 * ms
-	heaviest   = 8    // times the median: what one controller tells weighs no more
-	lightest   = 8.0  // calls a second that one may tell of in any case
-	fadeBest   = 0.02 // a second: what a server carried at most is forgotten by this
-	fadeCan    = 0.10 // a second: so is what it answered while it was pressed
-	resume     = 0.9  // of that a budget begins again with once calls wait no longer
-	mostHeld   = 250  // of 255: a word never holds back all
-	leastFlow  = 0.5  // set-ups a second that all together may try at a server that answers nothing
+	// What one controller tells weighs so many times the median at most. Chances come from ratios of sums, so that
+	// what is cut off busy controllers is cut off both sides.
+	heaviest  = 1.5
+	lightest  = 1.0  // calls a second that one may tell of in any case
+	atLeast   = 0.2  // a second: the weight of a wait of a call that alone is out
+	fadeBest  = 0.02 // a second: what a server carried at most is forgotten by this
+	fadeCan   = 0.10 // a second: so is what it answered while it was pressed
+	resume    = 0.9  // of that a budget begins again with once calls wait no longer
+	mostHeld  = 250  // of 255: a word never holds back all
+	leastFlow = 0.5  // set-ups a second that all together may try at a server that answers nothing
 )
 
 // A sum is what the fleet does at a server, by what its controllers told a teller, and what follows.
@@ -85,11 +88,30 @@
 	}
 	t.heard = now
 	if r.hot {
-		t.hot = now
+		t.peers[r.from].hot = now
+		if t.evidence(now) {
+			t.hot = now
+		}
 	}
 	return true
 }
 
+// evidence tells whether enough controllers have found a server slow of late: one in fifty. In calm there is
+// always one of hundreds that meets a late answer, and all would be asked to report for it.
+func (t *teller) evidence(now Time) bool {
+	hot, there := 0, 0
+	for i := range t.peers {
+		p := &t.peers[i]
+		if p.presence(now, t.beat) == Live {
+			there++
+		}
+		if p.hot > 0 && now-p.hot < coolDown {
+			hot++
+		}
+	}
+	return hot*50 >= there
+}
+
 // reporting tells whether reports are wanted often.
 func (t *teller) reporting(now Time) bool {
 	if t.hot > 0 && now-t.hot < coolDown {
@@ -114,8 +136,9 @@
 			for _, s := range r.sights {
 				n += max(s.off[0]+s.off[1]+s.off[2]+s.off[3]+s.over, s.done)
 			}
-			rates[i] = float64(n) / r.seconds()
-			all = append(all, rates[i])
+			if rates[i] = float64(n) / r.seconds(); n > 0 {
+				all = append(all, rates[i])
+			}
 		}
 	}
 	most := max(heaviest*median(all), lightest)
@@ -125,6 +148,24 @@
 	return rates
 }
 
+// A weighted is a figure with its weight.
+type weighted struct{ v, w float64 }
+
+// middle is the weighted median of some figures, which it sorts; 0 of none.
+func middle(all []weighted) float64 {
+	slices.SortFunc(all, func(a, b weighted) int { return cmp.Compare(a.v, b.v) })
+	sum := 0.0
+	for _, x := range all {
+		sum += x.w
+	}
+	for _, x := range all {
+		if sum -= 2 * x.w; sum <= 0 {
+			return x.v
+		}
+	}
+	return 0
+}
+
 // seconds is the span of a report; one of nothing counts as a short one.
 func (r *report) seconds() float64 { return max(float64(r.span)*waitUnit/1e9, 0.1) }
 
@@ -143,7 +184,7 @@
 	dt := min((now - t.ran).Seconds(), 2)
 	t.ran = now
 	weight := t.weigh(now)
-	raw, waits := make(map[uint32]*sum), make(map[uint32][]float64)
+	raw, waits := make(map[uint32]*sum), make(map[uint32][]weighted)
 	for i := range t.peers {
 		r := t.fresh(now, i)
 		if r == nil {
@@ -165,7 +206,10 @@
 			s.over += per * float64(x.over)
 			s.done += per * float64(x.done)
 			if x.wait > 0 {
-				waits[x.key] = append(waits[x.key], float64(x.wait)*waitUnit/1e9)
+				// What a controller tells of a wait has the weight of what it does there, so that those that tell of
+				// all servers all the time do not speak for those that do something there now and then.
+				n := x.off[0] + x.off[1] + x.off[2] + x.off[3] + x.over + x.done
+				waits[x.key] = append(waits[x.key], weighted{float64(x.wait) * waitUnit / 1e9, per*float64(n) + atLeast*weight[i]})
 			}
 		}
 	}
@@ -188,7 +232,7 @@
 		s.done += a * (x.done - s.done)
 		s.told = len(waits[key])
 		if s.told > 0 {
-			s.wait += max(a, 0.5) * (median(waits[key]) - s.wait)
+			s.wait += max(a, 0.5) * (middle(waits[key]) - s.wait)
 		}
 		t.settle(s, now, dt)
 		if now-s.seen > 30*second {
