--- a/internal/lab/rig/run.go
+++ b/internal/lab/rig/run.go
@@ -67,6 +67,8 @@
 	places []*place
 	began  time.Time // calls began to come
 
+	saying sync.Mutex // Options.Out
+
 	mu     sync.Mutex
 	paths  []*path
 	active map[*Step]bool
@@ -158,6 +160,8 @@
 }
 
 func (r *Run) say(format string, args ...any) {
+	r.saying.Lock() // steps may begin at the same moment
+	defer r.saying.Unlock()
 	_, _ = fmt.Fprintf(r.o.Out, "%6.2fs  "+format+"\n", append([]any{time.Since(r.began).Seconds()}, args...)...)
 }
 
