End a process whose holder opens its pipe when the rig is gone already

Cause: beside other work TestKilledRigLeavesNothing failed once with 'all controllers end: not within 10 s'; a controller and its holder were left behind. Poll tells no end of a FIFO whose writer went before this reader opened it (tether.go, Hold), so the holder waited for ever.

Change: the holder reads once after it has opened the pipe; an end there ends the process.

--- a/internal/lab/rig/run_test.go
+++ b/internal/lab/rig/run_test.go
@@ -16,6 +16,8 @@
 	"testing"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"lapiscourse/internal/control"
 	"lapiscourse/internal/lab/scenario"
 	"lapiscourse/internal/record"
@@ -222,6 +224,32 @@
 	until(t, "all controllers end", func() bool { return !answers(addrs[0]) && !answers(addrs[1]) })
 }
 
+// A holder that opens its pipe when the rig is gone already ends its process. (It waited for ever: once, under
+// load, a controller was left behind by TestKilledRigLeavesNothing.)
+func TestHolderThatComesLateEndsItsProcess(t *testing.T) {
+	t.Parallel()
+	path := filepath.Join(t.TempDir(), "alive")
+	if err := unix.Mkfifo(path, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	c := exec.Command("sleep", "60")
+	if err := c.Start(); err != nil {
+		t.Fatal(err)
+	}
+	held := make(chan error, 1)
+	go func() { held <- Hold(path, c.Process.Pid) }()
+	select {
+	case err := <-held:
+		if err != nil {
+			t.Error(err)
+		}
+	case <-time.After(10 * time.Second):
+		t.Error("it waits for a rig that is gone")
+	}
+	_ = c.Process.Kill()
+	_ = c.Wait()
+}
+
 func answers(addr string) bool {
 	c, err := net.DialTimeout("tcp", addr, 200*time.Millisecond)
 	if err == nil {
--- a/internal/lab/rig/tether.go
+++ b/internal/lab/rig/tether.go
@@ -34,6 +34,10 @@
 		return errors.Join(fmt.Errorf("hold %d: %s: %w", pid, path, err), signalTo(fd, syscall.SIGKILL))
 	}
 	defer func() { _ = unix.Close(pipe) }()
+	// A rig that was gone before this opened its end leaves a pipe that poll never tells the end of; reading does.
+	if n, err := unix.Read(pipe, make([]byte, 1)); n == 0 && err == nil {
+		return signalTo(fd, syscall.SIGKILL)
+	}
 	for {
 		on := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}, {Fd: int32(pipe), Events: unix.POLLIN}}
 		if _, err := unix.Poll(on, -1); err != nil && !errors.Is(err, unix.EINTR) {
