Write a word once for all who hear it, and say shared things of control and rig once

A teller encoded the same word and the same roll for each of up to 300 hearers, and estimated who is there twice a period; the nodes of an audit stood twice in internal/control, a rig test's way through Play twice, times in the section [share] as bare nanoseconds.

Behaviour is as before.

--- a/internal/config/share.go
+++ b/internal/config/share.go
@@ -3,6 +3,7 @@
 import (
 	"net/netip"
 	"slices"
+	"time"
 )
 
 // Share has a controller share what it knows with the others.
@@ -29,7 +30,7 @@
 		s.Rate = 2000
 	}
 	if s.Beat == 0 {
-		s.Beat = Duration(10_000_000_000)
+		s.Beat = Duration(10 * time.Second)
 	}
 	if s.Listen != "" {
 		if _, err := netip.ParseAddrPort(s.Listen); err != nil {
@@ -48,9 +49,9 @@
 		return bad("number", "%d is not between 0 and %d", *s.Number, mostPeers-1)
 	case s.Rate < 1 || s.Rate > mostRate:
 		return bad("rate", "%d is not between 1 and %d datagrams a second", s.Rate, mostRate)
-	case s.Period != 0 && (s.Period < Duration(100_000_000) || s.Period > Duration(10_000_000_000)):
+	case s.Period != 0 && (s.Period < Duration(100*time.Millisecond) || s.Period > Duration(10*time.Second)):
 		return bad("period", "it is not between 100ms and 10s")
-	case s.Beat < Duration(1_000_000_000) || s.Beat > Duration(600_000_000_000):
+	case s.Beat < Duration(time.Second) || s.Beat > Duration(10*time.Minute):
 		return bad("beat", "it is not between 1s and 10m")
 	}
 	return nil
--- a/internal/control/numbers.go
+++ b/internal/control/numbers.go
@@ -47,15 +47,7 @@
 // NumbersNodes tells of versions and the last order.
 func NumbersNodes(all []numbering.Status, job numbering.Job) []*h248.Node {
 	stats := &h248.Node{Name: "Statistics"}
-	node := func(kind string, pairs ...string) {
-		n := &h248.Node{Name: kind}
-		for i := 0; i < len(pairs); i += 2 {
-			if pairs[i+1] != "" {
-				n.Kids = append(n.Kids, &h248.Node{Name: "oc/" + pairs[i], Value: pairs[i+1], Quoted: true})
-			}
-		}
-		stats.Kids = append(stats.Kids, n)
-	}
+	node := func(kind string, of ...string) { stats.Kids = append(stats.Kids, pairs(kind, of...)) }
 	for _, s := range all {
 		node("oc/version", "digest", s.Digest, "name", s.Name, "state", s.State, "entries", strconv.Itoa(s.Entries), "pins", strconv.Itoa(s.Pins),
 			"since", strconv.FormatInt(int64(s.Since), 10), "due", strconv.FormatInt(int64(s.Due), 10))
--- a/internal/control/share.go
+++ b/internal/control/share.go
@@ -13,11 +13,13 @@
 // ShareTermination is the termination by which AuditValue tells what an instance shares with the others.
 const ShareTermination = "share"
 
-// pairs is a node of values by name, in their order.
+// pairs is a node of values by name, in their order; those that are empty are left out.
 func pairs(kind string, of ...string) *h248.Node {
 	n := &h248.Node{Name: kind}
 	for i := 0; i+1 < len(of); i += 2 {
-		n.Kids = append(n.Kids, &h248.Node{Name: "oc/" + of[i], Value: of[i+1], Quoted: true})
+		if of[i+1] != "" {
+			n.Kids = append(n.Kids, &h248.Node{Name: "oc/" + of[i], Value: of[i+1], Quoted: true})
+		}
 	}
 	return n
 }
--- a/internal/lab/rig/run_test.go
+++ b/internal/lab/rig/run_test.go
@@ -92,13 +92,7 @@
 		return nil
 	}
 	o.Holds = []Holds{{Name: "started_again", After: 4500 * time.Millisecond, By: 9 * time.Second, Check: started}}
-	var out bytes.Buffer
-	o.Out = &out
-	res, err := Play(t.Context(), o)
-	if err != nil {
-		t.Fatalf("%v\n%s", err, out.String())
-	}
-	noBreach(t, res)
+	res := unbroken(t, o)
 	if len(res.Struck) != len(s.Step) || res.Seen < 1000 || res.Unread != 0 {
 		t.Errorf("%d of %d faults, %d events, %d streams unread", len(res.Struck), len(s.Step), res.Seen, res.Unread)
 	}
@@ -132,12 +126,19 @@
 	}
 }
 
-// noBreach fails a test for each breach of a run.
-func noBreach(t *testing.T, res *Result) {
+// unbroken plays a run, and fails a test for each breach of it.
+func unbroken(t *testing.T, o Options) *Result {
 	t.Helper()
+	var out bytes.Buffer
+	o.Out = &out
+	res, err := Play(t.Context(), o)
+	if err != nil {
+		t.Fatalf("%v\n%s", err, out.String())
+	}
 	for _, b := range res.Breaches {
 		t.Errorf("%v\n  %s", b, strings.Join(b.Around, "\n  "))
 	}
+	return res
 }
 
 // index of a controller.
--- a/internal/lab/rig/share_test.go
+++ b/internal/lab/rig/share_test.go
@@ -1,7 +1,6 @@
 package rig
 
 import (
-	"bytes"
 	"context"
 	"fmt"
 	"testing"
@@ -101,13 +100,7 @@
 		{Name: "holds_back", After: 2 * time.Second, By: 15 * time.Second, Check: held},
 		{Name: "one_teller", After: 11 * time.Second, By: 16 * time.Second, Check: one},
 	}
-	var out bytes.Buffer
-	o.Out = &out
-	res, err := Play(t.Context(), o)
-	if err != nil {
-		t.Fatalf("%v\n%s", err, out.String())
-	}
-	noBreach(t, res)
+	res := unbroken(t, o)
 	if killed == "" || len(res.Struck) != len(s.Step) {
 		t.Errorf("%q was killed, %d of %d faults struck", killed, len(res.Struck), len(s.Step))
 	}
--- a/internal/share/share.go
+++ b/internal/share/share.go
@@ -521,23 +521,23 @@
 	}
 	t.count(now)
 	live, _ := estimate(t.peers, now, m.o.Beat)
-	w := word{head: head{kind: kindWord, from: m.o.Self, boot: m.o.Boot}, live: min(int(live+0.5), mostPeers), terms: t.terms()}
+	t.most = max(t.most, int(live+0.5))
+	t.period++
+	w := word{head: head{kind: kindWord, from: m.o.Self, boot: m.o.Boot, seq: t.period}, live: min(int(live+0.5), mostPeers), terms: t.terms()}
+	b := w.append(nil)
 	all := now-t.called >= callIn
 	if all {
 		t.called = now
 	}
-	t.period++
 	for i := range t.peers {
 		p := &t.peers[i]
 		// Those who report often are told each time; the others now and then, so that they begin to.
 		if i == m.o.Self || p.heard == 0 || p.presence(now, m.o.Beat) == Dead || now-p.heard > t.freshFor && !all {
 			continue
 		}
-		w.seq = t.period
-		m.post(i, w.append(nil))
+		m.post(i, b)
 	}
 	if m.at == m.o.Self {
-		w.seq = t.period
 		m.obey(now, &w)
 	}
 }
@@ -551,9 +551,10 @@
 	}
 	t.most = max(t.most*15/16, int(live+0.5))
 	r := roll{head: head{kind: kindRoll, from: m.o.Self, boot: m.o.Boot, seq: t.period}, live: int(live + 0.5), of: t.most, present: bits(t.peers, now, m.o.Beat)}
+	b := r.append(nil)
 	for i := range t.peers {
 		if i != m.o.Self && t.peers[i].presence(now, m.o.Beat) == Live {
-			m.post(i, r.append(nil))
+			m.post(i, b)
 		}
 	}
 }
--- a/internal/share/teller.go
+++ b/internal/share/teller.go
@@ -242,8 +242,6 @@
 		}
 	}
 	t.prune()
-	live, _ := estimate(t.peers, now, t.beat)
-	t.most = max(t.most, int(live+0.5))
 }
 
 // prune keeps the busiest servers.
