Hold a set-up until its turn ends, and take one given up off the connection it came on

1. internal/net/client.go: take() deleted an id given up from the open set-ups of the connection the give-up came on. Where that was another than the set-up's own, the entry stayed for good: the connection never counts as idle again, and its table grows with ids from outside. The same where a set-up comes again on a new connection. The core now tells the connection that no answer is owed there any more (Client.Waived). 2. internal/net/link.go: invite() wrote at once, so a set-up given up, or reset, in the turn in which it came still reached the exchange as INVITE and CANCEL. It is queued to the end of the turn; Cancel finds it there, unsent. 3. A queued set-up carried the X-Timer-Ms of before the dial, and was sent though its time had run out while the link came up. Setup.Expires goes with it; what remains is told, and nothing is sent on when nothing remains. 4. internal/call/call.go: finish() told the module 'revoked' of an attempt that had never been written.

--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -37,6 +37,9 @@
 type Client interface {
 	Stands(id string, description []byte)
 	Refused(id string, cause int, wait time.Duration)
+	// Waived tells that no answer is owed here any more: the caller has given the set-up up, or
+	// waits for its answer on another connection.
+	Waived(id string)
 	Front() Front
 }
 
@@ -51,7 +54,8 @@
 type Setup struct {
 	ID, Class, Number string
 	Attempt           int
-	Wait              time.Duration
+	Wait              time.Duration // from now
+	Expires           Time          // then nobody waits for it any more
 	Description       []byte
 }
 
@@ -275,6 +279,7 @@
 		// is answered on the new connection and not started a second time.
 		c.Repeated++
 		c.limited(RepeatedSetUp, r.ID)
+		k.client.Waived(r.ID)
 		k.client = client
 		return nil
 	}
@@ -462,7 +467,7 @@
 	c.Attempts++
 	heap.Push(&c.timers, timer{at: k.expires, call: k, attempt: k.attempt})
 	s := Setup{ID: k.ID, Class: k.Class, Number: k.Number, Attempt: k.attempt,
-		Wait: k.expires - now, Description: k.Description}
+		Wait: k.expires - now, Expires: k.expires, Description: k.Description}
 	if c.watch != nil {
 		c.watch.Tried(now, k.server, &s)
 	}
@@ -502,7 +507,9 @@
 	c.answered(k)
 	if k.state == trying {
 		c.Cancels++
-		c.out.Cancel(k.server, k.ID, k.attempt)
+		if c.out.Cancel(k.server, k.ID, k.attempt) {
+			e = Unsent
+		}
 		c.endAttempt(k, e, true)
 	}
 }
@@ -552,6 +559,7 @@
 	c.GivenUp++
 	c.left(k)
 	c.finish(k, CallerLeft)
+	k.client.Waived(k.ID)
 	c.tell(k, GivenUp, 0, 0)
 }
 
--- a/internal/call/call_test.go
+++ b/internal/call/call_test.go
@@ -55,6 +55,7 @@
 func (w *world) Refused(id string, cause int, wait time.Duration) {
 	w.note("refused %s %d %v", id, cause, wait)
 }
+func (w *world) Waived(id string)                       { w.note("waived %s", id) }
 func (w *world) Front() Front                           { return w }
 func (w *world) Release(_ Client, id string, cause int) { w.note("release %s %d", id, cause) }
 
@@ -168,7 +169,7 @@
 	b.core.Released("s", "y", CauseNormal, b.world)
 	b.setUp("z")
 	b.core.Closed(b.world)
-	b.want(t, "invite s x 0", "cancel s x 0", "invite s y 0", "stands y ", "bye s y 16", "invite s z 0", "cancel s z 0")
+	b.want(t, "invite s x 0", "cancel s x 0", "waived x", "invite s y 0", "stands y ", "bye s y 16", "invite s z 0", "cancel s z 0", "waived z")
 }
 
 func TestReleaseAfterARestart(t *testing.T) {
@@ -189,7 +190,7 @@
 	}
 	b.core.Closed(b.world)
 	b.core.Answered("s", "x", 0, []byte("sdp"))
-	b.want(t, "invite s x 0")
+	b.want(t, "invite s x 0", "waived x")
 	if fmt.Sprint(other.said) != "[stands x sdp]" {
 		t.Errorf("the new connection got %q", other.said)
 	}
--- a/internal/call/route_test.go
+++ b/internal/call/route_test.go
@@ -125,7 +125,7 @@
 	b.core.Closed(b.world)
 	b.core.Routed("closed", Routing{Pools: []int{1}})
 	b.core.Routed("nobody", Routing{Pools: []int{1}})
-	b.want(t, "refused refused 34 2s")
+	b.want(t, "refused refused 34 2s", "waived left", "waived closed")
 	if r.held != 0 || len(desk.all) != 1 || len(b.progress) != 2 { // it stood, and ended
 		t.Errorf("%d held, %d asked, %+v", r.held, len(desk.all), b.progress)
 	}
--- a/internal/lab/explore/explore.go
+++ b/internal/lab/explore/explore.go
@@ -245,6 +245,9 @@
 // Refused implements call.Client.
 func (c client) Refused(id string, _ int, _ time.Duration) { c.final(id) }
 
+// Waived implements call.Client.
+func (c client) Waived(string) {}
+
 // Front implements call.Client.
 func (c client) Front() call.Front { return front(c) }
 
--- a/internal/lab/virtual/node.go
+++ b/internal/lab/virtual/node.go
@@ -402,5 +402,8 @@
 	w.after(w.sc.Wire.Client.D(), func() { w.crowd.refused(id, cause, wait) })
 }
 
+// Waived implements call.Client.
+func (c *conn) Waived(string) {}
+
 // Front implements call.Client.
 func (c *conn) Front() call.Front { return c.n.front }
--- a/internal/net/client.go
+++ b/internal/net/client.go
@@ -363,5 +363,9 @@
 	k.front.n.write(k.s, func(b []byte) []byte { return jsonl.Append(b, m) })
 }
 
+// Waived implements call.Client. It guards the connection's table against set-ups that are given
+// up, or asked for again, on another connection: nothing else would take them off it.
+func (k *client) Waived(id string) { delete(k.open, id) }
+
 // Front implements call.Client.
 func (k *client) Front() call.Front { return k.front }
--- /dev/null
+++ b/internal/net/crossing_test.go
@@ -0,0 +1,378 @@
+package net
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"lapiscourse"
+	"lapiscourse/internal/config"
+	"lapiscourse/internal/net/jsonl"
+	"lapiscourse/internal/net/sip"
+)
+
+// Crossings: two things happen at one moment, and both orders are forced. Bytes are handed to a
+// connection within a turn of the loop that the test holds, so no order hangs on a scheduler.
+
+// A far is an exchange that does what the test says: it notes what comes and sends what it is told.
+type far struct {
+	t    testing.TB
+	ln   net.Listener
+	mu   sync.Mutex
+	wake *sync.Cond
+	came []string // method, Call-ID and CSeq, in order, of all connections
+	last map[string]*sip.Message
+	conn net.Conn // the latest
+	all  []net.Conn
+	held bool // it takes connections and reads nothing
+}
+
+func startFar(t testing.TB, addr string) *far {
+	t.Helper()
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	x := &far{t: t, ln: ln, last: make(map[string]*sip.Message)}
+	x.wake = sync.NewCond(&x.mu)
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			x.mu.Lock()
+			x.conn = c
+			x.all = append(x.all, c)
+			held := x.held
+			x.wake.Broadcast()
+			x.mu.Unlock()
+			if !held {
+				go x.read(c)
+			}
+		}
+	}()
+	t.Cleanup(x.stop)
+	return x
+}
+
+func (x *far) addr() string { return x.ln.Addr().String() }
+
+// stop ends its process: nobody listens, its connections are reset.
+func (x *far) stop() {
+	_ = x.ln.Close()
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	for _, c := range x.all {
+		_ = c.(*net.TCPConn).SetLinger(0)
+		_ = c.Close()
+	}
+}
+
+func (x *far) read(c net.Conn) {
+	var in sip.Reader
+	buf := make([]byte, 8192)
+	for {
+		n, err := c.Read(buf)
+		if err != nil {
+			return
+		}
+		_ = in.Feed(buf[:n], func(m *sip.Message) bool {
+			x.mu.Lock()
+			x.came = append(x.came, fmt.Sprintf("%s %s %d", m.Method, m.CallID, m.CSeq))
+			x.last[m.Method+m.CallID] = m
+			x.wake.Broadcast()
+			x.mu.Unlock()
+			return true
+		})
+	}
+}
+
+// heard tells how many messages of a method came for a call.
+func (x *far) heard(method, id string) (n int) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	for _, s := range x.came {
+		if strings.HasPrefix(s, method+" "+id+" ") {
+			n++
+		}
+	}
+	return n
+}
+
+// awaits waits until so many messages of a method have come for a call.
+func (x *far) awaits(method, id string, n int) {
+	x.t.Helper()
+	eventually(x.t, fmt.Sprintf("%d of %s %s", n, method, id), func() bool { return x.heard(method, id) >= n })
+}
+
+func (x *far) connected() net.Conn {
+	x.t.Helper()
+	eventually(x.t, "a connection to the exchange", func() bool {
+		x.mu.Lock()
+		defer x.mu.Unlock()
+		return x.conn != nil
+	})
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.conn
+}
+
+// response is an answer as it goes over the wire.
+func response(id, method string, status, cseq int, body string) []byte {
+	return fmt.Appendf(nil, "SIP/2.0 %d X\r\nCall-ID: %s\r\nCSeq: %d %s\r\nContent-Length: %d\r\n\r\n%s", status, id, cseq, method, len(body), body)
+}
+
+// finish is a release by the exchange as it goes over the wire.
+func finish(id string, cause int) []byte {
+	return sip.AppendRequest(nil, &sip.Request{Method: "BYE", Number: "1", CallID: id, CSeq: 90,
+		Headers: []sip.Header{{Name: "Reason", Value: fmt.Sprint("Q.850;cause=", cause)}}})
+}
+
+func (x *far) send(b []byte) { _, _ = x.connected().Write(b) }
+
+// A fixed module sends attempts where the test says, in turn, and repeats at once what ended.
+type fixed struct {
+	mu      sync.Mutex
+	servers []string
+	wait    time.Duration // before what may have run is sent again
+	held    map[string]time.Duration
+	reports []lapiscourse.Progress
+}
+
+func (d *fixed) Pick(now time.Duration, r lapiscourse.Request) lapiscourse.Order { return d.next(r.Call) }
+
+func (d *fixed) next(id string) lapiscourse.Order {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if len(d.servers) == 0 {
+		return lapiscourse.Order{Call: id, Move: lapiscourse.GiveUp}
+	}
+	s := d.servers[0]
+	d.servers = d.servers[1:]
+	return lapiscourse.Order{Call: id, Move: lapiscourse.Try, Server: s, Wait: 3 * time.Second}
+}
+
+func (d *fixed) Report(now time.Duration, p lapiscourse.Progress) lapiscourse.Order {
+	d.mu.Lock()
+	d.reports = append(d.reports, p)
+	d.mu.Unlock()
+	switch {
+	case p.Stage == lapiscourse.Left:
+		d.mu.Lock()
+		delete(d.held, p.Call)
+		d.mu.Unlock()
+	case p.Stage != lapiscourse.Ended || p.Final:
+	case p.Code == lapiscourse.Full || p.Code == lapiscourse.Unused || p.Code == lapiscourse.DialFailed || p.Code == lapiscourse.Error:
+		return d.next(p.Call)
+	default:
+		d.mu.Lock()
+		if d.held == nil {
+			d.held = make(map[string]time.Duration)
+		}
+		d.held[p.Call] = now + d.wait
+		d.mu.Unlock()
+	}
+	return lapiscourse.Order{Call: p.Call}
+}
+
+func (d *fixed) Tick(now time.Duration) (orders []lapiscourse.Order) {
+	d.mu.Lock()
+	var due []string
+	for id, at := range d.held {
+		if now >= at {
+			due = append(due, id)
+			delete(d.held, id)
+		}
+	}
+	d.mu.Unlock()
+	for _, id := range due {
+		orders = append(orders, d.next(id))
+	}
+	return orders
+}
+
+func (d *fixed) Next() time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	next := time.Duration(1 << 62)
+	for _, at := range d.held {
+		next = min(next, at)
+	}
+	return next
+}
+func (d *fixed) List(time.Duration, []lapiscourse.Server, bool) {}
+
+// codes lists what the module was told of the ends of a call's attempts.
+func (d *fixed) codes(id string) (all []lapiscourse.Code) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, p := range d.reports {
+		if p.Call == id && p.Stage == lapiscourse.Ended {
+			all = append(all, p.Code)
+		}
+	}
+	return all
+}
+
+// A scene is a node, its exchanges s-0, s-1, ... and one caller.
+type scene struct {
+	*site
+	t      *testing.T
+	module *fixed
+	far    []*far
+	h      *heard
+	k      *jsonCaller
+}
+
+func startScene(t *testing.T, far []*far, module *fixed, known ...config.Member) *scene {
+	t.Helper()
+	x := &scene{site: &site{names: startNames(t), r: newRules(), done: make(chan error, 1)}, t: t, module: module, far: far, h: newHeard()}
+	var lines []nameLine
+	for i, f := range far {
+		id := fmt.Sprint("s-", i)
+		lines = append(lines, nameLine{id: id, addr: f.addr(), cell: i})
+		known = append(known, config.Member{ID: id, Address: f.addr(), Zone: "east", Kind: "std", Cell: i, Phase: config.Ready})
+	}
+	x.names.set(lines...)
+	text, err := json.Marshal(map[string]any{"name": "n0", "listen": "127.0.0.1:0", "seed": "1f", "names": x.names.c.LocalAddr().String(),
+		"limits": map[string]any{"memory_mb": 192, "sockets": 1024}, "settings": json.RawMessage(settings),
+		"known": config.Known{N: 1, Events: []config.Event{{N: 1, Members: config.List{Complete: true, Members: known}}}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	cfg, err := config.Parse(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	o := Options{}
+	if module != nil {
+		o.module = module
+	}
+	if x.n, err = New(cfg, o); err != nil {
+		t.Fatal(err)
+	}
+	go func() { x.done <- x.n.Run() }()
+	select {
+	case <-x.n.Started():
+	case <-time.After(10 * time.Second):
+		t.Fatal("the node did not start")
+	}
+	t.Cleanup(func() {
+		x.n.Stop()
+		select {
+		case <-x.done:
+		case <-time.After(10 * time.Second):
+			t.Error("the node did not stop")
+		}
+	})
+	for i := range far {
+		x.up(i)
+	}
+	x.k = x.dial("aaaaaaaa")
+	return x
+}
+
+// up waits until the link to an exchange is up.
+func (x *scene) up(i int) {
+	x.t.Helper()
+	eventually(x.t, "the link is up", func() (up bool) {
+		x.turn(func() { l := x.n.links[fmt.Sprint("s-", i)]; up = l != nil && l.s != nil })
+		return up
+	})
+}
+
+// dial brings one more caller, whose connection is there when it returns.
+func (x *scene) dial(salt string) *jsonCaller {
+	x.t.Helper()
+	before := len(strings.Fields(x.h.of("echo")))
+	k := dialJSON(x.t, x.json(), x.h, salt)
+	k.send(&jsonl.Message{Verb: jsonl.Echo, Tag: "t"})
+	x.h.wait(x.t, "echo", before+1)
+	return k
+}
+
+// turn runs f as one turn of the loop.
+func (x *scene) turn(f func()) {
+	done := make(chan struct{})
+	x.n.exec(func() { x.n.turn(f); close(done) })
+	<-done
+}
+
+// says hands bytes of an exchange in, as if they had come in this turn.
+func (x *scene) says(i int, b []byte) {
+	x.n.links[fmt.Sprint("s-", i)].traffic(b)
+}
+
+// client is the node's side of the caller that has a set-up open, else of the one that came last.
+func (x *scene) client(id string) (found *client) {
+	for k := range x.n.json.clients.oldest() {
+		if id == "" || k.open[id] {
+			found = k
+		}
+	}
+	return found
+}
+
+// line is a message of a caller as it goes over the wire.
+func line(verb, id string) []byte {
+	return jsonl.Append(nil, &jsonl.Message{Verb: verb, Tag: id, RC: 16, HasRC: true})
+}
+
+// start is a set-up as it goes over the wire.
+func start(id string, left time.Duration) []byte {
+	return jsonl.Append(nil, &jsonl.Message{Verb: jsonl.Start, Tag: id, Blob: []byte("o"), Opts: []jsonl.Opt{{Name: "class", Value: "voice"},
+		{Name: "left", Value: fmt.Sprint(left.Milliseconds())}, {Name: "key", Value: "1"}, {Name: "extras", Value: "dest:0;width:1;via:-1"}}})
+}
+
+// settled checks that nothing is owed any more: no call is open, no connection waits for an answer.
+func (x *scene) settled() {
+	x.t.Helper()
+	eventually(x.t, "nothing is owed", func() bool {
+		open, waits := 0, 0
+		x.turn(func() {
+			open = x.n.core.Open()
+			for k := range x.n.json.clients.oldest() {
+				waits += len(k.open)
+			}
+			for _, l := range x.n.links {
+				waits += len(l.queue) + len(l.out)
+			}
+		})
+		return open == 0 && waits == 0
+	})
+}
+
+const tag = "00000000000000aa"
+
+// A caller gives its set-up up in the turn in which it came: it is not sent at all, whether the link is up
+// or still dialled.
+func TestGivenUpInTheTurnOfTheSend(t *testing.T) {
+	t.Parallel()
+	x := startScene(t, []*far{startFar(t, "127.0.0.1:0")}, &fixed{servers: []string{"s-0", "s-0"}})
+	x.turn(func() { x.client("").traffic(append(start(tag, time.Second), line(jsonl.Finish, tag)...)) })
+	x.settled()
+	x.turn(func() { x.client("").traffic(start("00000000000000ab", 300*time.Millisecond)) })
+	x.far[0].awaits("INVITE", "00000000000000ab", 1) // what came behind it is there
+	if n := x.far[0].heard("INVITE", tag) + x.far[0].heard("CANCEL", tag); n != 0 {
+		t.Errorf("a set-up whose caller had left brought the exchange %d messages", n)
+	}
+	if codes := x.module.codes(tag); len(codes) != 1 || codes[0] != lapiscourse.Unused {
+		t.Errorf("the module was told %v", codes)
+	}
+}
+
+// A set-up is given up on another connection than it came on: nothing of it stays behind there.
+func TestGivenUpOnAnotherConnection(t *testing.T) {
+	t.Parallel()
+	x := startScene(t, []*far{startFar(t, "127.0.0.1:0")}, &fixed{servers: []string{"s-0"}})
+	id := x.k.setUp("1", 3*time.Second)
+	x.far[0].awaits("INVITE", id, 1)
+	x.dial("bbbbbbbb").hangUp(id)
+	x.far[0].awaits("CANCEL", id, 1)
+	x.settled()
+}
--- a/internal/net/h248_front.go
+++ b/internal/net/h248_front.go
@@ -431,6 +431,9 @@
 	k.fail(code, text)
 }
 
+// Waived implements call.Client. What gives an H.248 call up replies to its transaction itself.
+func (k *h248Call) Waived(string) {}
+
 // Front implements call.Client.
 func (k *h248Call) Front() call.Front { return k.front }
 
--- a/internal/net/link.go
+++ b/internal/net/link.go
@@ -71,23 +71,42 @@
 	return &link{n: n, id: id, addr: addr, pool: pool, talk: talk, out: make(map[string]int), byes: make(map[string]bye)}
 }
 
-// invite writes a set-up, or queues it while the link is dialled.
+// invite queues a set-up until this turn of the loop has come to its end, or while the link is
+// dialled: what the same turn brings of its caller or of the exchange still stops it.
 func (l *link) invite(s call.Setup) {
-	switch {
-	case l.draining || l.gone:
+	if l.draining || l.gone {
 		l.tell(s.ID, s.Attempt, call.Unsent) // guards the drain rule, whatever was decided
-	case l.s == nil:
-		l.queue = append(l.queue, s)
+		return
+	}
+	l.queue = append(l.queue, s)
+	if l.s == nil {
 		l.dial()
-	case l.s.c.OutboundBuffered() > clogged:
-		// Guards against set-ups that lie in a buffer and reach a server after it drains.
-		l.tell(s.ID, s.Attempt, call.Unsent)
-	default:
+	} else if len(l.queue) == 1 {
+		l.n.later = append(l.n.later, l.unload)
+	}
+}
+
+// unload sends what is queued while the link is up.
+func (l *link) unload() {
+	if l.s == nil {
+		return // it went down in this turn; the dial that follows takes the queue along
+	}
+	queue := l.queue
+	l.queue = nil
+	for _, s := range queue {
 		l.send(s)
 	}
 }
 
 func (l *link) send(s call.Setup) {
+	now := l.n.now()
+	if now >= s.Expires || l.s.c.OutboundBuffered() > clogged {
+		// Guards against set-ups whose time ran out while they waited for the link, and against those that
+		// would lie in a buffer and reach a server after it drains.
+		l.tell(s.ID, s.Attempt, call.Unsent)
+		return
+	}
+	s.Wait = s.Expires - now // the time of a dial is gone
 	var err error
 	l.n.write(l.s, func(b []byte) []byte {
 		b, err = l.talk.invite(b, s)
@@ -101,7 +120,7 @@
 	l.out[s.ID] = s.Attempt
 	l.n.Invites++
 	if l.asked++; l.asked == 1 {
-		l.askedAt = l.n.now()
+		l.askedAt = now
 	}
 }
 
@@ -174,11 +193,7 @@
 	for id, b := range l.byes {
 		l.n.write(l.s, func(out []byte) []byte { return l.talk.release(out, id, b.attempt, b.cause) })
 	}
-	queue := l.queue
-	l.queue = nil
-	for _, s := range queue {
-		l.send(s)
-	}
+	l.unload()
 	return true
 }
 
