--- a/internal/names/names.go
+++ b/internal/names/names.go
@@ -27,13 +27,14 @@
 type List struct {
 	serial  uint32
 	members map[string]config.Member
-	asked   [4]uint16 // ids of the latest queries; an answer to any of them will do
+	asked   [32]uint16 // ids of the latest queries; an answer to any of them will do, be it some seconds late
 	next    int
+	hollow  int // the id of the last good answer that named none, -1: the last one named some
 }
 
 // Start takes the list that the configuration holds and returns it.
 func Start(known config.Known) (*List, []config.Member) {
-	l := &List{serial: uint32(known.N), members: make(map[string]config.Member)}
+	l := &List{serial: uint32(known.N), members: make(map[string]config.Member), hollow: -1}
 	for _, e := range known.Events {
 		if e.Members.Complete {
 			clear(l.members)
@@ -89,11 +90,13 @@
 	if int32(serial-l.serial) <= 0 { // RFC 1982: overtaken on the way, or no news
 		return nil, nil
 	}
-	if len(members) == 0 && len(l.members) > 0 {
-		// Guards against an answer that has lost its records: the list at hand serves better than none.
+	if id := int(text[0])<<8 | int(text[1]); len(members) == 0 && len(l.members) > 0 && (l.hollow < 0 || l.hollow == id) {
+		// Guards against an answer that has lost its records: the list at hand serves better than none. When
+		// the next query is answered alike it is so, and nothing may go to those that are gone.
+		l.hollow = id
 		return nil, errors.New("names: answer: an empty list")
 	}
-	l.serial = serial
+	l.serial, l.hollow = serial, -1
 	var changed []config.Member
 	for id, old := range l.members {
 		if _, ok := members[id]; !ok {
--- a/internal/names/names_test.go
+++ b/internal/names/names_test.go
@@ -122,6 +122,51 @@
 	}
 }
 
+// That all exchanges are gone is believed when the answers to two queries say so: one that has lost its records,
+// be it repeated, is not, nor are two with a list between them.
+func TestAllGone(t *testing.T) {
+	l := started(t)
+	if _, err := l.Query(8); err != nil {
+		t.Fatal(err)
+	}
+	for i, text := range [][]byte{answer(t, 7, 9), answer(t, 7, 9), answer(t, 7, 9)} {
+		if got, err := l.Answer(text); err == nil {
+			t.Errorf("copy %d: %+v", i, got)
+		}
+	}
+	if got, err := l.Answer(answer(t, 7, 10, line{id: "a"})); err != nil || len(got) != 1 {
+		t.Errorf("a list: %+v, %v", got, err)
+	}
+	if got, err := l.Answer(answer(t, 8, 11)); err == nil {
+		t.Errorf("the first since: %+v", got)
+	}
+	got, err := l.Answer(answer(t, 7, 11))
+	if err != nil || len(got) != 1 || got[0].Phase != config.Gone {
+		t.Errorf("the second: %+v, %v", got, err)
+	}
+}
+
+// Serials may stand still, go back and go round; answers may come seconds late and again. Only a newer serial is news.
+func TestSerials(t *testing.T) {
+	l := started(t)
+	for i := range 30 { // as many as are asked in 4.5 s
+		if _, err := l.Query(uint16(100 + i)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for _, c := range []struct {
+		serial uint32
+		id     string
+		news   bool
+	}{{3, "b", false}, {2, "b", false}, {4, "b", true}, {4, "c", false}, {3, "d", false}, {1 << 31, "e", true}, {1<<32 - 1, "f", true}, {1, "g", true}, {1<<32 - 1, "h", false}} {
+		before := l.Serial()
+		got, err := l.Answer(answer(t, 100, c.serial, line{id: c.id}))
+		if err != nil || (len(got) > 0) != c.news || (l.Serial() != before) != c.news {
+			t.Errorf("serial %d after %d: %+v, %v", c.serial, before, got, err)
+		}
+	}
+}
+
 func TestQuery(t *testing.T) {
 	text, err := started(t).Query(9)
 	if err != nil {
--- a/internal/net/crossing_test.go
+++ b/internal/net/crossing_test.go
@@ -144,7 +144,9 @@
 	reports []lapiscourse.Progress
 }
 
-func (d *fixed) Pick(now time.Duration, r lapiscourse.Request) lapiscourse.Order { return d.next(r.Call) }
+func (d *fixed) Pick(now time.Duration, r lapiscourse.Request) lapiscourse.Order {
+	return d.next(r.Call)
+}
 
 func (d *fixed) next(id string) lapiscourse.Order {
 	d.mu.Lock()
--- a/internal/net/link.go
+++ b/internal/net/link.go
@@ -159,10 +159,10 @@
 	}
 	l.dialing = true
 	l.serial++
-	serial, el := l.serial, l.n.el
+	serial, el, addr := l.serial, l.n.el, l.addr // the address may change under way
 	l.n.Dials++
 	go func() {
-		c, err := net.DialTimeout("tcp", l.addr, l.n.connect)
+		c, err := l.n.dialTo(addr, l.n.connect)
 		if err == nil {
 			ctx := gnet.NewContext(context.Background(), &dialled{l, serial})
 			if _, err = el.Enroll(ctx, c); err == nil {
--- a/internal/net/node.go
+++ b/internal/net/node.go
@@ -50,6 +50,7 @@
 	Counters
 	cfg      *config.Config
 	connect  time.Duration
+	dialTo   dialer
 	core     *call.Core
 	json     *jsonFront
 	h248     *h248Front // nil: off
@@ -87,6 +88,14 @@
 	Clock   func() time.Time // the system's; nil: time.Now
 
 	module call.Decider // tests of what lies around it put one of their own in; nil: the module
+	dial   dialer       // tests order dials by one of their own; nil: net.DialTimeout
+}
+
+// A dialer opens a connection to an exchange, away from the loop.
+type dialer func(addr string, limit time.Duration) (net.Conn, error)
+
+func dialTCP(addr string, limit time.Duration) (net.Conn, error) {
+	return net.DialTimeout("tcp", addr, limit)
 }
 
 // New makes a node from its configuration.
@@ -97,8 +106,11 @@
 	if o.Clock == nil {
 		o.Clock = time.Now
 	}
+	if o.dial == nil {
+		o.dial = dialTCP
+	}
 	h := o.H248
-	n := &Node{started: make(chan struct{}), cfg: cfg, h248cfg: h, connect: cfg.Connect, local: make(map[string]string), links: make(map[string]*link), rng: rand.New(rand.NewPCG(cfg.Seed, 1))}
+	n := &Node{started: make(chan struct{}), cfg: cfg, h248cfg: h, connect: cfg.Connect, dialTo: o.dial, local: make(map[string]string), links: make(map[string]*link), rng: rand.New(rand.NewPCG(cfg.Seed, 1))}
 	n.loop.start(o.Log, o.Clock)
 	n.names = &resolver{n: n, addr: cfg.Names}
 	desk, err := lapiscourse.NewDesk(n.now(), cfg.Settings, cfg.Seed, func(line string) {
@@ -414,6 +426,7 @@
 		return
 	}
 	n.Answers++
+	n.names.answered(n.now())
 	if len(changed) == 0 {
 		return
 	}
--- a/internal/net/standin_test.go
+++ b/internal/net/standin_test.go
@@ -588,6 +588,11 @@
 	serial uint32
 	lines  []nameLine
 	drop   int // queries to leave without an answer
+	each   int // so many answers to each address that asks, then none; 0: no limit
+	given  map[string]int
+	kept   [][]byte // answers held back, while keep
+	keep   bool
+	asker  net.Addr // the last
 }
 
 type nameLine struct {
@@ -603,7 +608,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := &nameServer{c: c}
+	s := &nameServer{c: c, given: make(map[string]int)}
 	go func() {
 		buf := make([]byte, 1024)
 		for {
@@ -611,7 +616,18 @@
 			if err != nil {
 				return
 			}
-			if b := s.answer(buf[:n]); b != nil {
+			b := s.answer(buf[:n])
+			s.mu.Lock()
+			s.asker = from
+			if s.given[from.String()]++; s.each > 0 && s.given[from.String()] > s.each {
+				b = nil
+			}
+			if s.keep && b != nil {
+				s.kept = append(s.kept, b)
+				b = nil
+			}
+			s.mu.Unlock()
+			if b != nil {
 				_, _ = c.WriteTo(b, from)
 			}
 		}
