Tell a second answer to an earlier attempt from the answer to the one that is out

Fault: answer() paired by Call-ID alone and forgot a dialog as soon as it was turned down. A call that is turned down at A, then at B, and is out at A again took a second copy of A's first 503 for the answer to the attempt that is out: 'never ran', so the next attempt left 5 ms later with no guard and no CANCEL, two at once. Of an attempt that was cancelled and answered 487 the same. Change: a dialog stays 2 s after the answer; where an earlier attempt was answered there, the number in CSeq decides, if this exchange has been seen to repeat ours; if not, the attempt that is out is given up and the guard kept.

--- a/internal/net/link.go
+++ b/internal/net/link.go
@@ -31,6 +31,7 @@
 	firstPause = 100 * time.Millisecond // before a failed dial is repeated, doubling
 	lastPause  = 2 * time.Second
 	confirm    = 32 * time.Second       // a release that nobody confirms is forgotten then
+	again      = 2 * time.Second        // an answer that turns a set-up down may come a second time within this
 	clogged    = 256 << 10              // bytes; an exchange that reads so slowly gets no more set-ups
 	halfAnswer = 150 * time.Millisecond // the rest of a message comes within this or never
 )
--- a/internal/net/link_sip.go
+++ b/internal/net/link_sip.go
@@ -10,14 +10,26 @@
 	"lapiscourse/internal/net/sip"
 )
 
-// sipDialect speaks SIP with one exchange. Answers are paired by Call-ID and method alone:
-// exchanges are not bound to repeat the number in CSeq.
+// sipDialect speaks SIP with one exchange. Answers are paired by Call-ID and method: exchanges are
+// not bound to repeat the number in CSeq. Where an earlier attempt of the call was answered there,
+// the number tells a second copy of that answer from the one that is waited for, if the exchange has
+// been seen to repeat it.
 type sipDialect struct {
 	n       *Node
 	in      sip.Reader
 	dialogs map[string]*dialog // by Call-ID
+	numbers echo
 }
 
+// echo is what is known of an exchange's numbers in CSeq: nothing, that it repeats ours, that it does not.
+type echo int
+
+const (
+	untold echo = iota
+	repeats
+	others
+)
+
 // A dialog is the latest attempt of a call at the exchange.
 type dialog struct {
 	number    string
@@ -25,6 +37,7 @@
 	cancelled bool
 	answered  bool          // the last word on it has come
 	owed      bool          // so has not that on an earlier one, which was cancelled
+	before    bool          // an earlier one was answered: the answer may come a second time
 	ends      time.Duration // forgotten then; 0: while the call is open
 }
 
@@ -66,7 +79,8 @@
 		return b[:from], sip.ErrTooLong
 	}
 	old := d.dialogs[s.ID]
-	d.dialogs[s.ID] = &dialog{number: s.Number, attempt: s.Attempt, owed: old != nil && old.cancelled && !old.answered}
+	d.dialogs[s.ID] = &dialog{number: s.Number, attempt: s.Attempt, owed: old != nil && old.cancelled && !old.answered,
+		before: old != nil && (old.answered || old.before)}
 	return b, nil
 }
 
@@ -120,14 +134,25 @@
 	switch {
 	case m.Status == 487 && g.owed:
 		g.owed = false // on an earlier attempt: it must not end a later one
+	case out && m.Status >= 300 && g.before && d.numbers == repeats && m.CSeq != attempt+1:
+		d.n.Strays++ // a second copy of the answer to an earlier attempt: this one is still out
 	case out:
 		delete(l.out, m.CallID)
 		g.answered = true
+		if !g.before && !g.owed {
+			d.learn(m, attempt)
+		}
 		if m.Status < 300 {
 			d.n.core.Answered(l.id, m.CallID, attempt, m.Body)
 			return
 		}
-		d.forget(l, m.CallID)
+		g.ends = d.n.now() + again
+		if g.before && d.numbers != repeats {
+			// Guards against a second attempt at once: it may be such a copy, and this attempt still out.
+			d.n.write(l.s, func(b []byte) []byte { return d.cancel(b, m.CallID, attempt) })
+			d.n.core.Ended(l.id, m.CallID, attempt, call.BrokeOnWay)
+			return
+		}
 		d.n.core.Ended(l.id, m.CallID, attempt, sipEnd(m))
 	case g.answered:
 		d.n.Strays++ // a second copy
@@ -139,6 +164,17 @@
 	}
 }
 
+// learn notes whether an exchange repeats our number, by an answer that can be to one attempt alone. That to a
+// call's first attempt tells nothing: an exchange that numbers by itself may begin as we do.
+func (d *sipDialect) learn(m *sip.Message, attempt int) {
+	switch {
+	case m.CSeq != attempt+1:
+		d.numbers = others
+	case d.numbers == untold && attempt > 0:
+		d.numbers = repeats
+	}
+}
+
 // forget drops a dialog that is over on both sides.
 func (d *sipDialect) forget(l *link, id string) {
 	if _, out := l.out[id]; !out {
