End only when nothing is owed, and read what a broken connection still brought

SIGTERM: stop() took the decision to end, then let 60 ms pass and ended whatever had come in them. What came was sent on and its caller lost ('the node ended with a set-up open'). Nothing may be owed for 60 ms now; what comes begins the wait anew. 2. Owed are also answers in the write buffer of a slow reader ('the node ended with answers in its buffer') and releases for an exchange that is being dialled ('the node ended and took the release along'). 3. When SIGKILL is near, a set-up that comes is answered 34 at once; it was tried, and cut off. 4. rearm() put the look off with every turn: with turns closer than 15 ms it came with the 150 ms poll only. 5. gnet closes a connection whose write fails without reading it. An exchange that answers as its connection breaks, while another set-up is written there, lost its answer: 'the caller heard "end 41"', '2 attempts', and the call stood there with nobody to release it. OnClose reads what is left first; of a caller's connection the releases count. 6. An idle connection was closed with a set-up in its socket ('the set-up was not taken'): it is read first.

Ruled out: gnet's order of EPOLLIN before EPOLLRDHUP (connection_linux.go) reads before it closes, as long as no write fails first.

--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -364,6 +364,11 @@
 	c.turnAway(client, &r, Impossible, CauseFailed)
 }
 
+// Halted answers a set-up that comes as the call controller ends.
+func (c *Core) Halted(client Client, r Request) {
+	c.turnAway(client, &r, HaltedOpen, CauseNoCircuit)
+}
+
 // turnAway answers a set-up that the module never hears of.
 func (c *Core) turnAway(client Client, r *Request, o Outcome, cause int) {
 	if c.watch != nil {
--- a/internal/net/client.go
+++ b/internal/net/client.go
@@ -105,6 +105,7 @@
 			if young == nil {
 				young = k
 			}
+		case f.speaks(k):
 		case !k.asked:
 			return k
 		case found == nil:
@@ -117,13 +118,25 @@
 	return found
 }
 
+// speaks takes what an idle connection has brought just now, and tells whether there was anything. It guards
+// set-ups and releases that cross the close of their connection: those sent again would be late, these lost.
+func (f *jsonFront) speaks(k *client) (spoke bool) {
+	f.n.leftover(k.s.c, func(p []byte) {
+		spoke = true
+		if !k.s.shut {
+			k.traffic(p)
+		}
+	})
+	return spoke
+}
+
 // sweep closes connections that are silent or stop half way.
 func (f *jsonFront) sweep(now time.Duration) {
 	for k := range f.silent.oldest() {
 		if !k.s.overdue(now) {
 			break // those behind it have been silent for less long
 		}
-		if !k.s.shut && len(k.open) == 0 {
+		if !k.s.shut && len(k.open) == 0 && !f.speaks(k) {
 			f.n.ClientsSilent++
 			f.n.close(k.s)
 		}
@@ -240,6 +253,10 @@
 			n.core.TurnAway(k, r)
 			return nil
 		}
+		if n.stopping || n.outOfTime(n.now()) { // against a set-up that would be open when the process ends
+			n.core.Halted(k, r)
+			return nil
+		}
 		mine := k.open[r.ID]
 		k.open[r.ID] = true
 		if err := n.core.SetUp(k, r); err != nil {
@@ -275,6 +292,14 @@
 	return nil
 }
 
+// lastWords takes what a connection brought before it broke: releases count on whatever connection they come.
+// The set-ups on it have lost their caller.
+func (k *client) lastWords(p []byte) {
+	_ = k.in.Feed(p, func(m *jsonl.Message) bool {
+		return m.Verb == jsonl.Start || k.take(m) == nil
+	})
+}
+
 // isID tells whether a text is a call's id; anything else must not reach a header.
 func isID(s string) bool {
 	if len(s) != 16 {
--- a/internal/net/crossing_test.go
+++ b/internal/net/crossing_test.go
@@ -262,7 +262,7 @@
 	if x.n, err = New(cfg, o); err != nil {
 		t.Fatal(err)
 	}
-	go func() { x.done <- x.n.Run() }()
+	go func() { x.done <- x.n.Run(); close(x.done) }()
 	select {
 	case <-x.n.Started():
 	case <-time.After(10 * time.Second):
@@ -302,11 +302,14 @@
 	return k
 }
 
-// turn runs f as one turn of the loop.
+// turn runs f as one turn of the loop; once the node has ended, it does nothing.
 func (x *scene) turn(f func()) {
 	done := make(chan struct{})
 	x.n.exec(func() { x.n.turn(f); close(done) })
-	<-done
+	select {
+	case <-done:
+	case <-x.done:
+	}
 }
 
 // says hands bytes of an exchange in, as if they had come in this turn.
--- a/internal/net/node.go
+++ b/internal/net/node.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
 	"os"
 	"reflect"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/panjf2000/gnet/v2"
@@ -28,7 +30,7 @@
 	linger   = 750 * time.Millisecond // after SIGTERM set-ups are still to be expected for so long
 	patience = 3 * time.Second        // or the longest deadline, if it is shorter: SIGKILL follows 0.7 s behind
 	parting  = 300 * time.Millisecond // after SIGTERM whatever is open is answered by patience and this
-	quiet    = 60 * time.Millisecond  // the last answers get this to leave
+	quiet    = 60 * time.Millisecond  // for so long nothing may be owed before it ends
 	reserve  = 40                     // descriptors that are neither callers' nor links'
 )
 
@@ -72,6 +74,8 @@
 	meter    *meter        // nil: nobody may ask
 	numbers  *numbers      // nil: off
 	share    *sharing      // nil: off
+	lookAt   time.Duration // when to look next whether it can end
+	restAt   time.Duration // since when nothing has been owed then, 0: something is
 	stopping bool          // the engine is being stopped
 	failed   error
 	started  chan struct{}
@@ -305,7 +309,7 @@
 	}
 	next := min(n.core.Next(), n.pollAt, n.share.next())
 	if n.stopAt > 0 {
-		next = min(next, n.now()+quiet/4)
+		next = min(next, n.lookAt)
 	}
 	n.timer.Reset(max(next-n.now(), 0))
 }
@@ -331,7 +335,8 @@
 				n.h248.sweep(now)
 			}
 		}
-		if n.stopAt > 0 {
+		if n.stopAt > 0 && now >= n.lookAt {
+			n.lookAt = now + quiet/4 // not from each turn on: traffic would put it off for ever
 			n.stop(now)
 		}
 	})
@@ -372,18 +377,69 @@
 // stop goes on accepting while set-ups may still come, then ends when nothing is owed. It
 // guards against SIGKILL, which does not wait for calls that may be open for longer.
 func (n *Node) stop(now time.Duration) {
-	past, last := now-n.stopAt, min(patience, n.cfg.Longest())+parting
-	if n.stopping || past < linger {
+	if n.stopping || now-n.stopAt < linger {
 		return
 	}
-	if past >= last {
+	switch out := n.outOfTime(now); {
+	case out:
 		n.core.Stop()
+	case n.owes():
+		n.restAt = 0
+		return
+	}
+	if n.restAt == 0 {
+		n.restAt = now
 	}
-	if n.core.Open() > 0 || len(n.json.unsaid) > 0 && past < last {
+	if now-n.restAt < quiet { // what comes now is still taken, and begins the wait anew
 		return
 	}
 	n.stopping = true
-	time.AfterFunc(quiet, func() { _ = n.eng.Stop(context.Background()) })
+	go func() { _ = n.eng.Stop(context.Background()) }()
+}
+
+// outOfTime tells whether SIGKILL is near: whatever is open, or comes, is answered at once.
+func (n *Node) outOfTime(now time.Duration) bool {
+	return n.stopAt > 0 && now-n.stopAt >= min(patience, n.cfg.Longest())+parting
+}
+
+// owes tells whether anybody waits for something that this process alone can bring: an answer that is not
+// given or not written out, a release that no caller or exchange has been sent.
+func (n *Node) owes() bool {
+	if n.core.Open() > 0 || len(n.json.unsaid) > 0 {
+		return true
+	}
+	for k := range n.json.clients.oldest() {
+		if !k.s.shut && k.s.c.OutboundBuffered() > 0 {
+			return true
+		}
+	}
+	for _, l := range n.links {
+		if l.s == nil && len(l.byes) > 0 || l.s != nil && l.s.c.OutboundBuffered() > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// leftover hands on what a connection has brought and nobody has read, as far as it is there now.
+func (n *Node) leftover(c gnet.Conn, each func(p []byte)) {
+	buf := make([]byte, 16<<10)
+	for range 64 { // bounds what a peer that goes on sending can take of a turn
+		k, err := syscall.Read(c.Fd(), buf)
+		if err == syscall.EINTR {
+			continue
+		}
+		if err != nil || k <= 0 {
+			return
+		}
+		each(buf[:k])
+	}
+}
+
+// failedWrite tells whether a connection is closed because a write failed: it may have brought something before.
+func failedWrite(err error) bool {
+	var call *os.SyscallError
+	return errors.As(err, &call) && strings.HasPrefix(call.Syscall, "write")
 }
 
 // Invite implements call.Exchanges.
@@ -526,13 +582,27 @@
 			n.names.closed(c)
 		case *client:
 			x.s.gone, x.s.shut = true, true
+			if failedWrite(err) {
+				n.leftover(c, x.lastWords)
+			}
 			x.closed()
 		case *panel:
 			x.s.gone, x.s.shut = true, true
 			x.closed()
 		case *link:
+			if x.s == nil || x.s.c != c {
+				break
+			}
+			x.s.gone = true
+			if failedWrite(err) { // the answers that the exchange gave before count: a set-up that stands is not lost
+				n.leftover(c, func(p []byte) {
+					if x.s != nil && x.s.c == c {
+						x.traffic(p)
+					}
+				})
+			}
 			if x.s != nil && x.s.c == c {
-				x.s.gone, x.s.shut = true, true
+				x.s.shut = true
 				x.closed(err)
 			}
 		}
