Keep calls that may not run twice from running twice, by each class's own settings

Change: after an attempt that may have run, a call of 'side_effect' fails at once; one of 'token' goes only to servers of its group within its window, and is refused only where the group is all. At the end of an orderly stop a call that may have run is told 41, not 34. A word that is not known counts as the strictest. pace(): the climb of 1.5 had been chosen for a multiple of 3; it is half of what the settings name, 1.5 at the most. TestStopAnswersWhatIsOpen wanted 34 for a call with an attempt out: that told a caller of any class that trying again is harmless.

--- a/api.go
+++ b/api.go
@@ -1,6 +1,9 @@
 package lapiscourse
 
-import "time"
+import (
+	"fmt"
+	"time"
+)
 
 // A Time is a clock reading: the time passed since an origin that only the
 // host knows. The module compares readings and never asks a clock itself.
@@ -18,6 +21,29 @@
 	Release     time.Duration // guard before a call may be sent again
 	Cold        time.Duration // a started server is warm after this
 	Start       float64       // share of its capacity a started server has
+	Multiple    float64       // of what it can do by then, that all nodes may send it; 0: not told
+}
+
+// check tells what a deployment's settings cannot be.
+func (s Settings) check() error {
+	switch {
+	case s.Topology != "pools":
+		return fmt.Errorf("topology %q is not supported", s.Topology)
+	case len(s.Classes) == 0:
+		return fmt.Errorf("no classes")
+	case s.GroupSize < 1 || s.MaxAttempts < 1:
+		return fmt.Errorf("group size %d or max attempts %d is below 1", s.GroupSize, s.MaxAttempts)
+	case min(s.Resend, s.Release, s.Cold) < 0:
+		return fmt.Errorf("a time is negative")
+	case !(s.Start >= 0 && s.Start <= 1):
+		return fmt.Errorf("start share %v is not within 0 and 1", s.Start)
+	}
+	for _, k := range s.Classes {
+		if k.Aim <= 0 || k.Deadline < k.Aim || !(k.Credit >= 0) {
+			return fmt.Errorf("class %q: aim %v, deadline %v, credit %v", k.Name, k.Aim, k.Deadline, k.Credit)
+		}
+	}
+	return nil
 }
 
 // A Class is a kind of call.
@@ -28,8 +54,32 @@
 	Credit    float64
 	LateWorth float64 // share of the credit for a call that stands late
 	Pools     []int   // pools that can take it; nil: all
+	Effect    Effect
+	Scope     Scope         // of Once: which servers know a repeat
+	Window    time.Duration // of Once: from the first send that may have run
 }
 
+// An Effect says what a call that runs twice does.
+type Effect int
+
+// Effects. Of a call that may have run, one of Once goes only to servers that would know the repeat, and one
+// of Never to none; neither is refused as one that may safely come again.
+const (
+	Harmless Effect = iota
+	Once            // servers within its Scope discard a repeat for a while
+	Never           // it may not be repeated
+)
+
+// A Scope is the part of the servers that discard a repeat together.
+type Scope int
+
+// Scopes.
+const (
+	Everywhere Scope = iota
+	WithinZone
+	WithinPool
+)
+
 // An Event is something the host tells the module: List, Ask, Stands,
 // Returned, Gone, Probed or Bell.
 type Event interface{ event() }
@@ -48,6 +98,7 @@
 type Server struct {
 	ID      string
 	Pool    int
+	Zone    string
 	Phase   Phase
 	Started Time
 }
@@ -94,6 +145,9 @@
 	Unused
 )
 
+// MayHaveRun tells whether an attempt that ended so may have run.
+func (c Code) MayHaveRun() bool { return c != Full && c != DialFailed && c != Unused }
+
 // A Cause is the far end's reason for a Full or an Error, or what is known of a Dropped.
 type Cause int
 
--- a/controller.go
+++ b/controller.go
@@ -135,6 +135,8 @@
 	waiting               bool    // for the release guard
 	avoid                 *server // the last attempt failed there
 	dropped               bool    // by its connection: the server is taken again if no other is open
+	ran                   *server // where it first may have run, of a call that must not twice
+	ranAt                 Time    // when that attempt was sent
 }
 
 // New makes the controller of a node that has just started.
@@ -163,27 +165,6 @@
 	return c, nil
 }
 
-func (s Settings) check() error {
-	switch {
-	case s.Topology != "pools":
-		return fmt.Errorf("topology %q is not supported", s.Topology)
-	case len(s.Classes) == 0:
-		return fmt.Errorf("no classes")
-	case s.GroupSize < 1 || s.MaxAttempts < 1:
-		return fmt.Errorf("group size %d or max attempts %d is below 1", s.GroupSize, s.MaxAttempts)
-	case min(s.Resend, s.Release, s.Cold) < 0:
-		return fmt.Errorf("a time is negative")
-	case !(s.Start >= 0 && s.Start <= 1):
-		return fmt.Errorf("start share %v is not within 0 and 1", s.Start)
-	}
-	for _, k := range s.Classes {
-		if k.Aim <= 0 || k.Deadline < k.Aim || !(k.Credit >= 0) {
-			return fmt.Errorf("class %q: aim %v, deadline %v, credit %v", k.Name, k.Aim, k.Deadline, k.Credit)
-		}
-	}
-	return nil
-}
-
 // Begin starts the periods; its actions come before those of any event.
 func (c *Controller) Begin(now Time) []Action {
 	c.now, c.rolled, c.n = now, now, periods
@@ -472,7 +453,14 @@
 // mayServe tells whether a server is among the call's pools.
 func (c *Controller) mayServe(s *server, k *call) bool {
 	has := func(pools []int) bool { return pools == nil || slices.Contains(pools, s.Pool) }
-	return has(k.class.Pools) && has(k.pools)
+	return has(k.class.Pools) && has(k.pools) && (k.ran == nil || c.repeats(k, s))
+}
+
+// repeats tells whether a call that may have run may go to a server: one that would discard the repeat.
+func (c *Controller) repeats(k *call, s *server) bool {
+	same := k.class.Scope == Everywhere || k.class.Scope == WithinZone && s.Zone == k.ran.Zone ||
+		k.class.Scope == WithinPool && s.Pool == k.ran.Pool
+	return same && k.class.Effect == Once && c.now-k.ranAt < k.class.Window
 }
 
 // ---- The life of a call.
@@ -532,8 +520,17 @@
 	c.do(Send{Call: k.id, Server: s.ID, Wait: k.until - c.now})
 }
 
-func (c *Controller) refuse(k *call, why Why) { c.do(Refuse{k.id, c.away(k), why}); c.finish(k) }
-func (c *Controller) fail(k *call, why Why)   { c.do(Fail{k.id, c.away(k), why}); c.finish(k) }
+// refuse turns a call down. Who is refused may come again: not said of one that may have run for good.
+func (c *Controller) refuse(k *call, why Why) {
+	if k.ran != nil && (k.class.Effect == Never || k.class.Scope != Everywhere) {
+		c.fail(k, why)
+		return
+	}
+	c.do(Refuse{k.id, c.away(k), why})
+	c.finish(k)
+}
+
+func (c *Controller) fail(k *call, why Why) { c.do(Fail{k.id, c.away(k), why}); c.finish(k) }
 
 // away is how long a caller who is turned down should keep away: until the first server
 // that may take the call is likely to have a place for it. Callers who are told nothing
@@ -606,6 +603,9 @@
 		c.fleet.Back(c.now, s.ID, false, c.now-k.sentAt)
 	}
 	c.report(s, e.Load)
+	if k.class.Effect != Harmless && k.ran == nil && e.Code.MayHaveRun() {
+		k.ran, k.ranAt = s, k.sentAt
+	}
 	if e.Terminal || k.answered || k.standing {
 		c.finish(k)
 		return
@@ -631,7 +631,7 @@
 			c.suspect(s, c.window)
 		}
 		k.notBefore, k.waiting = c.now+c.set.Release, true
-		if k.notBefore >= k.until {
+		if k.notBefore >= k.until || k.class.Effect == Never {
 			c.fail(k, Exhausted)
 			return
 		}
@@ -832,12 +832,13 @@
 }
 
 // pace is the rate of set-ups to an unproven server: a growing part of what it answered,
-// or for a cold one the share of what its pool has carried that it can do by its age.
+// or for a cold one the share of what its pool has carried that it can do by its age, and half of
+// what the settings let all send it at the most.
 // The danger is a server pushed over while it starts; a warm successor waits in vain.
 func (c *Controller) pace(s *server, rate float64) float64 {
 	if carried := c.carried[s.Pool]; s.cold && carried > 0 {
-		age := min(float64(c.now-s.Started)/float64(c.set.Cold), 1)
-		return max(climb*carried*(c.set.Start+(1-c.set.Start)*age), c.least())
+		share := c.set.Start + (1-c.set.Start)*min(float64(c.now-s.Started)/float64(c.set.Cold), 1)
+		return max(cmp.Or(min(climb, c.set.Multiple/2), climb)*carried*share, c.least())
 	}
 	return max(climb*rate, c.least())
 }
@@ -946,7 +947,7 @@
 
 // callOff cancels a call's attempt if time is left to make it stand by another.
 func (c *Controller) callOff(k *call, why Why) {
-	if k.cancelled || k.answered || k.attempts >= c.set.MaxAttempts ||
+	if k.cancelled || k.answered || k.attempts >= c.set.MaxAttempts || k.class.Effect == Never ||
 		c.now-k.sentAt < c.late || c.now+c.set.Release+c.late > k.until {
 		return
 	}
--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -201,6 +201,7 @@
 	attempt int
 	sent    Time
 	expires Time // of the attempt that is out
+	ran     bool // an attempt may have run
 	stood   Time
 }
 
@@ -493,6 +494,7 @@
 	c.Ends[e]++
 	k.state = waiting
 	code, cause := e.outcome()
+	k.ran = k.ran || code.MayHaveRun()
 	now := c.now()
 	if c.watch != nil {
 		c.watch.AttemptEnded(now, k.server, k.ID, k.attempt, e, now-k.sent)
@@ -724,7 +726,12 @@
 func (c *Core) Stop() {
 	for _, k := range c.each(func(k *call) bool { return k.state != standing }) {
 		c.Refused++
-		c.refuse(k, HaltedOpen, Stopped, CauseNoCircuit, 0)
+		cause := CauseNoCircuit
+		if c.finish(k, Stopped); k.ran { // against a caller who is told that trying again is harmless
+			cause = CauseFailed
+		}
+		c.tell(k, HaltedOpen, cause, 0)
+		k.client.Refused(k.ID, cause, 0)
 	}
 }
 
--- a/internal/call/call_test.go
+++ b/internal/call/call_test.go
@@ -279,11 +279,17 @@
 func TestStopAnswersWhatIsOpen(t *testing.T) {
 	b := newBench(try("s"))
 	b.setUp("x")
+	b.setUp("held") // no attempt was made: trying again is harmless
 	b.core.Stop()
-	b.want(t, "invite s x 0", "cancel s x 0", "refused x 34 0s")
+	b.want(t, "invite s x 0", "refused held 34 0s", "cancel s x 0", "refused x 41 0s")
 	if b.core.Open() != 0 {
 		t.Error("a call is still open")
 	}
+	b = newBench(try("s"))
+	b.unsent = true // nor is what was never written one that may have run
+	b.setUp("x")
+	b.core.Stop()
+	b.want(t, "invite s x 0", "cancel s x 0", "refused x 34 0s")
 }
 
 // Only ends that prove that nothing ran may lead to a resend without the guard.
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -187,6 +187,6 @@
 
 // Server is the member as the module knows it.
 func (m *Member) Server() lapiscourse.Server {
-	return lapiscourse.Server{ID: m.ID, Pool: m.Cell, Phase: phases[m.Phase],
+	return lapiscourse.Server{ID: m.ID, Pool: m.Cell, Zone: m.Zone, Phase: phases[m.Phase],
 		Started: lapiscourse.Time(m.Started) * time.Millisecond}
 }
--- a/internal/wire/row.go
+++ b/internal/wire/row.go
@@ -109,8 +109,7 @@
 			return nil
 		}
 		e := &row{name: r.name, cells: cells}
-		s := lapiscourse.Server{ID: e.str(0, "server"), Pool: e.num(3, "pointCode")}
-		e.optStr(1, "az")
+		s := lapiscourse.Server{ID: e.str(0, "server"), Pool: e.num(3, "pointCode"), Zone: e.optStr(1, "az")}
 		e.optStr(2, "classOfHost")
 		phase, ok := phases[e.str(4, "phase")]
 		if !ok {
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -20,6 +20,9 @@
 		Deadline  ms      `json:"deadline"`
 		Credit    float64 `json:"credit"`
 		LateWorth float64 `json:"lateWorth"`
+		Effect    string  `json:"effect"`
+		Group     string  `json:"group"`
+		Window    ms      `json:"dedupWindow"`
 	} `json:"classes"`
 	Discovery string `json:"discovery"`
 	Domain    struct {
@@ -35,6 +38,7 @@
 	Safety struct {
 		Cold          ms      `json:"cold"`
 		StartCapacity float64 `json:"startCapacity"`
+		FallMultiple  float64 `json:"fallMultiple"`
 	} `json:"safety"`
 }
 
@@ -75,11 +79,12 @@
 		MaxAttempts: in.Limits.MaxAttempts, MayCancel: in.Limits.Cancel,
 		Resend:  dur(in.Domain.Resend, "domain.resend"),
 		Release: dur(in.Domain.ReleaseGuard, "domain.releaseGuard"),
-		Cold:    dur(in.Safety.Cold, "safety.cold"), Start: in.Safety.StartCapacity,
+		Cold:    dur(in.Safety.Cold, "safety.cold"), Start: in.Safety.StartCapacity, Multiple: in.Safety.FallMultiple,
 	}
 	for i, c := range in.Classes {
 		class := lapiscourse.Class{Name: c.Name, Aim: dur(c.Aim, "classes.aim"),
-			Deadline: dur(c.Deadline, "classes.deadline"), Credit: c.Credit, LateWorth: c.LateWorth}
+			Deadline: dur(c.Deadline, "classes.deadline"), Credit: c.Credit, LateWorth: c.LateWorth,
+			Effect: effect(c.Effect), Scope: scope(c.Group), Window: dur(c.Window, "classes.dedupWindow")}
 		if i < len(in.Domain.SkilledPools) {
 			class.Pools = in.Domain.SkilledPools[i]
 		}
@@ -87,3 +92,25 @@
 	}
 	return s
 }
+
+// effect reads what a repeat does. A word that is not known is taken for the strictest.
+func effect(word string) lapiscourse.Effect {
+	switch word {
+	case "", "pure":
+		return lapiscourse.Harmless
+	case "token":
+		return lapiscourse.Once
+	}
+	return lapiscourse.Never
+}
+
+// scope reads which servers know a repeat. A word that is not known is taken for the narrowest.
+func scope(word string) lapiscourse.Scope {
+	switch word {
+	case "all":
+		return lapiscourse.Everywhere
+	case "zone":
+		return lapiscourse.WithinZone
+	}
+	return lapiscourse.WithinPool
+}
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -33,7 +33,7 @@
 		GroupSize: 3, Topology: "pools", MaxAttempts: 2, MayCancel: true, Release: 150 * time.Millisecond,
 		Cold: 9 * time.Second, Start: 0.5,
 		Classes: []lapiscourse.Class{{Name: "read", Aim: 900500 * time.Microsecond, Deadline: 5 * time.Second, Credit: 1,
-			LateWorth: 0.2, Pools: []int{0, 2}}},
+			LateWorth: 0.2, Pools: []int{0, 2}, Scope: lapiscourse.WithinPool}},
 	}}
 	if !reflect.DeepEqual(got, want) {
 		t.Errorf("got %+v, want %+v", got, want)
@@ -71,7 +71,7 @@
 	}
 	one, two := items[0].Event.(lapiscourse.List), items[1].Event.(lapiscourse.List)
 	if !one.Full || one.Servers[0].ID != "a" || two.Full || two.Servers[0] != (lapiscourse.Server{
-		ID: "b", Pool: 1, Phase: lapiscourse.Lame, Started: 6100500 * time.Microsecond}) {
+		ID: "b", Pool: 1, Zone: "z", Phase: lapiscourse.Lame, Started: 6100500 * time.Microsecond}) {
 		t.Errorf("got %+v and %+v", one, two)
 	}
 }
@@ -133,3 +133,34 @@
 		}
 	})
 }
+
+// What a class's calls do when they run twice stands by the class's own words; one that is not known counts as the
+// strictest, and one that is absent as what a deployment without any means.
+func TestEffectsOfClasses(t *testing.T) {
+	const text = `{"groupSize":1,"classes":[
+		{"name":"a","aim":1,"deadline":2,"effect":"side_effect","group":"all","dedupWindow":5},
+		{"name":"b","aim":1,"deadline":2,"effect":"token","group":"zone","dedupWindow":5000.5},
+		{"name":"c","aim":1,"deadline":2},{"name":"d","aim":1,"deadline":2,"effect":"pure"},
+		{"name":"e","aim":1,"deadline":2,"effect":"token","group":"all"},{"name":"f","aim":1,"deadline":2,"effect":"token","group":"cell"},
+		{"name":"g","aim":1,"deadline":2,"effect":"twofold","group":"rack"}],
+		"domain":{"topology":"pools"},"limits":{"maxAttempts":2},"safety":{"startCapacity":0.5,"fallMultiple":2}}`
+	s, err := ReadSettings([]byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := map[string]lapiscourse.Class{
+		"a": {Effect: lapiscourse.Never, Scope: lapiscourse.Everywhere, Window: 5 * time.Millisecond},
+		"b": {Effect: lapiscourse.Once, Scope: lapiscourse.WithinZone, Window: 5000500 * time.Microsecond},
+		"c": {Scope: lapiscourse.WithinPool}, "d": {Scope: lapiscourse.WithinPool},
+		"e": {Effect: lapiscourse.Once}, "f": {Effect: lapiscourse.Once, Scope: lapiscourse.WithinPool},
+		"g": {Effect: lapiscourse.Never, Scope: lapiscourse.WithinPool},
+	}
+	if len(s.Classes) != len(want) || s.Multiple != 2 {
+		t.Errorf("%d classes, multiple %v", len(s.Classes), s.Multiple)
+	}
+	for _, k := range s.Classes {
+		if w := want[k.Name]; k.Effect != w.Effect || k.Scope != w.Scope || k.Window != w.Window {
+			t.Errorf("class %s: %+v, want %+v", k.Name, k, w)
+		}
+	}
+}
