Look a set-up's deadline and width up by the name of its own class

Found by reading every use of a setting: client.go bounded each set-up by the longest deadline and the widest call of all classes. A class of short deadlines could claim another's time, and a narrow one another's lines.

Change: config.Deadline and config.Width go by the class's name; the one place where the platform writes by position (circuitsByClass, skilledPools) is read into names. A class that does not exist keeps the longest.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"net/netip"
 	"os"
-	"slices"
 	"strconv"
 	"time"
 
@@ -26,7 +25,7 @@
 	Known    Known
 	Settings lapiscourse.Settings
 	Connect  time.Duration
-	Widest   int // circuits that a call may ask for
+	widths   map[string]int // circuits that a call may ask for, by the name of its class
 	// PeerListen and Peers are where datagrams of other controllers arrive, and the addresses of all by their
 	// numbers, this one's too; empty where the platform has controllers not speak to each other.
 	PeerListen  string
@@ -72,6 +71,19 @@
 	Gone        = "Gone"
 )
 
+// Width is how many circuits a call of a class may ask for.
+func (c *Config) Width(class string) int { return max(c.widths[class], 1) }
+
+// Deadline is how long callers of a class keep trying; of a class that does not exist, the longest of all.
+func (c *Config) Deadline(class string) time.Duration {
+	for _, k := range c.Settings.Classes {
+		if k.Name == class {
+			return k.Deadline
+		}
+	}
+	return c.Longest()
+}
+
 // Longest is the longest deadline of a class.
 func (c *Config) Longest() (d time.Duration) {
 	for _, k := range c.Settings.Classes {
@@ -153,7 +165,12 @@
 	}
 	c.Number = limits.Number
 	c.PeersBarred = limits.Limits.PeerMessages != nil && !*limits.Limits.PeerMessages
-	c.Widest = slices.Max(append(limits.Domain.Circuits, 1))
+	c.widths = make(map[string]int)
+	for i, k := range c.Settings.Classes { // the one place where settings go by position, as the platform writes them
+		if i < len(limits.Domain.Circuits) {
+			c.widths[k.Name] = limits.Domain.Circuits[i]
+		}
+	}
 	for _, e := range c.Known.Events {
 		for _, m := range e.Members.Members {
 			if err := m.Check(); err != nil {
--- a/internal/net/client.go
+++ b/internal/net/client.go
@@ -325,7 +325,7 @@
 	if err != nil || !(left >= 0 && left < 1e9) {
 		return r, false, fmt.Errorf("left %.20q", m.Opt("left"))
 	}
-	r.Until = n.until(time.Duration(left * float64(time.Millisecond)))
+	r.Until = n.until(r.Class, time.Duration(left*float64(time.Millisecond)))
 	if !sip.Clean(r.Class) || !sip.Clean(r.Number) {
 		return r, false, fmt.Errorf("class %.20q or key %.20q", r.Class, r.Number)
 	}
@@ -348,13 +348,13 @@
 			r.Cut = v == 1
 		}
 	}
-	return r, width >= 1 && width <= n.cfg.Widest && n.possible(r.Class, r.First), nil
+	return r, width >= 1 && width <= n.cfg.Width(r.Class) && n.possible(r.Class, r.First), nil
 }
 
-// until is when a caller who waits for so long gives up. It guards the module's timers
-// against callers who claim to wait for days.
-func (n *Node) until(left time.Duration) time.Duration {
-	return n.now() + min(left, n.cfg.Longest()) - margin
+// until is when a caller of a class who waits for so long gives up. It guards the module's timers
+// against callers who claim to wait for days: nobody waits for longer than the class's own deadline.
+func (n *Node) until(class string, left time.Duration) time.Duration {
+	return n.now() + min(left, n.cfg.Deadline(class)) - margin
 }
 
 // possible tells whether a class may go to a pool; -1 stands for none in particular. Of
--- a/internal/net/crossing_test.go
+++ b/internal/net/crossing_test.go
@@ -232,6 +232,12 @@
 }
 
 func startScene(t *testing.T, far []*far, module *fixed, more ...func(*Options)) *scene {
+	t.Helper()
+	return startSceneOf(t, settings, far, module, more...)
+}
+
+// startSceneOf serves a deployment of other settings.
+func startSceneOf(t *testing.T, settings string, far []*far, module *fixed, more ...func(*Options)) *scene {
 	t.Helper()
 	x := &scene{site: &site{names: startNames(t), r: newRules(), done: make(chan error, 1)}, t: t, module: module, far: far, h: newHeard()}
 	var lines []nameLine
--- /dev/null
+++ b/internal/net/settings_test.go
@@ -0,0 +1,75 @@
+package net
+
+import (
+	"fmt"
+	"strconv"
+	"testing"
+	"time"
+
+	"lapiscourse/internal/net/jsonl"
+)
+
+// deployment writes settings whose classes stand in the order given.
+func deployment(classes, pools, circuits string) string {
+	return fmt.Sprintf(`{"groupSize":1,"classes":[%s],"domain":{"topology":"pools","releaseGuard":300,"resend":1500,"skilledPools":[%s],
+		"circuitsByClass":[%s]},"limits":{"maxAttempts":4,"cancel":true,"connectTimeout":500},"safety":{"startCapacity":0.5,"cold":1000}}`,
+		classes, pools, circuits)
+}
+
+// Two deployments are served one after the other in one process, with classes of the same names in another order, an
+// absent and an unknown one. Each call goes by its own class of its own deployment: how long it may take, how wide it
+// may be, and where it may go.
+func TestDeploymentsFindNothingOfEachOther(t *testing.T) {
+	const (
+		long  = `{"name":"long","aim":2000,"deadline":9000,"credit":1}`
+		short = `{"name":"short","aim":300,"deadline":800,"credit":1}`
+		swap  = `{"name":"short","aim":2000,"deadline":6000,"credit":1}`
+		other = `{"name":"long","aim":300,"deadline":700,"credit":1}`
+	)
+	for i, d := range []struct {
+		settings string
+		deadline map[string]int // in ms
+		width    map[string]int
+		pool     map[string]int // the only one
+	}{
+		{deployment(long+","+short, "[0],[1]", "1,3"), map[string]int{"long": 9000, "short": 800}, map[string]int{"long": 1, "short": 3}, map[string]int{"long": 0, "short": 1}},
+		{deployment(swap+","+other, "[0],[1]", "2"), map[string]int{"long": 700, "short": 6000}, map[string]int{"long": 1, "short": 2}, map[string]int{"long": 1, "short": 0}},
+		{deployment(short+","+long, "[1],[0]", "3,1"), map[string]int{"long": 9000, "short": 800}, map[string]int{"long": 1, "short": 3}, map[string]int{"long": 0, "short": 1}},
+	} {
+		far := []*far{startFar(t, "127.0.0.1:0"), startFar(t, "127.0.0.1:0")}
+		x := startSceneOf(t, d.settings, far, nil)
+		ask := func(class string, width, dest, n int) string {
+			id := fmt.Sprintf("%016x", 0x100*i+n)
+			x.k.send(&jsonl.Message{Verb: jsonl.Start, Tag: id, Blob: []byte("o"), Opts: []jsonl.Opt{{Name: "class", Value: class}, {Name: "left", Value: "60000"},
+				{Name: "key", Value: fmt.Sprint(n)}, {Name: "extras", Value: fmt.Sprintf("dest:%d;width:%d;via:-1", dest, width)}}})
+			return id
+		}
+		for n, class := range []string{"long", "short"} {
+			pool := d.pool[class]
+			id := ask(class, d.width[class], pool, 10*n)
+			far[pool].awaits("INVITE", id, 1)
+			far[pool].mu.Lock()
+			m := far[pool].last["INVITE"+id]
+			far[pool].mu.Unlock()
+			if ms, err := strconv.Atoi(m.Header("X-Timer-Ms")); err != nil || ms > d.deadline[class] || ms < d.deadline[class]-100 || m.Header("X-Cos") != class {
+				t.Errorf("deployment %d, %s: class %s, %s ms, want %d", i, class, m.Header("X-Cos"), m.Header("X-Timer-Ms"), d.deadline[class])
+			}
+			far[pool].send(response(id, "INVITE", 200, 1, "a"))
+			x.h.wait(t, id, 1)
+			for what, id := range map[string]string{"too wide": ask(class, d.width[class]+1, pool, 10*n+1), "another's pool": ask(class, 1, 1-pool, 10*n+2)} {
+				if got := x.h.wait(t, id, 1); got != "end 41" {
+					t.Errorf("deployment %d, %s, %s: %q", i, class, what, got)
+				}
+			}
+		}
+		if got := x.h.wait(t, ask("nobody", 1, 0, 99), 1); got != "end 34" {
+			t.Errorf("deployment %d, a class that does not exist: %q", i, got)
+		}
+		x.n.Stop()
+		select {
+		case <-x.done:
+		case <-time.After(8 * time.Second):
+			t.Fatal("the node did not end")
+		}
+	}
+}
