--- a/controller.go
+++ b/controller.go
@@ -832,13 +832,13 @@
 }
 
 // pace is the rate of set-ups to an unproven server: a growing part of what it answered,
-// or for a cold one the share of what its pool has carried that it can do by its age, and half of
-// what the settings let all send it at the most.
+// or for a cold one the share of what its pool has carried that it can do by its age, and three
+// quarters of what the settings let all send it at the most.
 // The danger is a server pushed over while it starts; a warm successor waits in vain.
 func (c *Controller) pace(s *server, rate float64) float64 {
 	if carried := c.carried[s.Pool]; s.cold && carried > 0 {
 		share := c.set.Start + (1-c.set.Start)*min(float64(c.now-s.Started)/float64(c.set.Cold), 1)
-		return max(cmp.Or(min(climb, c.set.Multiple/2), climb)*carried*share, c.least())
+		return max(cmp.Or(min(climb, c.set.Multiple*3/4), climb)*carried*share, c.least())
 	}
 	return max(climb*rate, c.least())
 }
