Say by the class whether trying again is harmless for a set-up cut off by the stop

Found by reading again: at the end of an orderly stop every call that had been tried was told 41, 'failed', whatever its class, and TestStopAnswersWhatIsOpen had been changed from 34 to 41 for a call of a harmless class with it. The settings say of such a class that it may run twice; told 41, its caller does not come again and the call is lost to it.

Lines at fault: call.go, Stop(): `k.ran` alone. Change: Request.Once, looked up by the name of the class in either front (config.Once), goes with the call; 41 only where it may have run and must not run twice. The test wants 34 again where it did before, and 41 or 34 for a class of 'once', written or not. Without the change: 'cancel s x 0, refused x 41 0s'.

--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -78,6 +78,7 @@
 	First             int
 	Until             Time
 	Cut               bool // it stood, was cut and comes again
+	Once              bool // its class's calls may not simply run twice
 	Description       []byte
 	Table             string // that it is routed by, set by the Core; "": none
 }
@@ -727,7 +728,7 @@
 	for _, k := range c.each(func(k *call) bool { return k.state != standing }) {
 		c.Refused++
 		cause := CauseNoCircuit
-		if c.finish(k, Stopped); k.ran { // against a caller who is told that trying again is harmless
+		if c.finish(k, Stopped); k.ran && k.Once { // against a caller who is told that trying again is harmless
 			cause = CauseFailed
 		}
 		c.tell(k, HaltedOpen, cause, 0)
--- a/internal/call/call_test.go
+++ b/internal/call/call_test.go
@@ -281,15 +281,21 @@
 	b.setUp("x")
 	b.setUp("held") // no attempt was made: trying again is harmless
 	b.core.Stop()
-	b.want(t, "invite s x 0", "refused held 34 0s", "cancel s x 0", "refused x 41 0s")
+	b.want(t, "invite s x 0", "refused held 34 0s", "cancel s x 0", "refused x 34 0s")
 	if b.core.Open() != 0 {
 		t.Error("a call is still open")
 	}
-	b = newBench(try("s"))
-	b.unsent = true // nor is what was never written one that may have run
-	b.setUp("x")
-	b.core.Stop()
-	b.want(t, "invite s x 0", "cancel s x 0", "refused x 34 0s")
+	for _, unsent := range []bool{false, true} { // of a class whose calls may not run twice: it may have run if it was written
+		b = newBench(try("s"))
+		b.unsent = unsent
+		_ = b.core.SetUp(b.world, Request{ID: "x", Class: "c", Once: true, Until: b.now + 3*time.Second})
+		b.core.Stop()
+		want := "refused x 41 0s"
+		if unsent {
+			want = "refused x 34 0s"
+		}
+		b.want(t, "invite s x 0", "cancel s x 0", want)
+	}
 }
 
 // Only ends that prove that nothing ran may lead to a resend without the guard.
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -74,6 +74,16 @@
 // Width is how many circuits a call of a class may ask for.
 func (c *Config) Width(class string) int { return max(c.widths[class], 1) }
 
+// Once tells whether calls of a class may not simply run twice.
+func (c *Config) Once(class string) bool {
+	for _, k := range c.Settings.Classes {
+		if k.Name == class {
+			return k.Effect != lapiscourse.Harmless
+		}
+	}
+	return false
+}
+
 // Deadline is how long callers of a class keep trying; of a class that does not exist, the longest of all.
 func (c *Config) Deadline(class string) time.Duration {
 	for _, k := range c.Settings.Classes {
--- a/internal/net/client.go
+++ b/internal/net/client.go
@@ -325,6 +325,7 @@
 	if err != nil || !(left >= 0 && left < 1e9) {
 		return r, false, fmt.Errorf("left %.20q", m.Opt("left"))
 	}
+	r.Once = n.cfg.Once(r.Class)
 	r.Until = n.until(r.Class, time.Duration(left*float64(time.Millisecond)))
 	if !sip.Clean(r.Class) || !sip.Clean(r.Number) {
 		return r, false, fmt.Errorf("class %.20q or key %.20q", r.Class, r.Number)
--- a/internal/net/h248_front.go
+++ b/internal/net/h248_front.go
@@ -392,6 +392,7 @@
 	if !f.n.possible(r.Class, r.First) {
 		return &h248.Error{Code: h248.BadValue, Text: "oc/first"}
 	}
+	r.Once = f.n.cfg.Once(r.Class)
 	r.Until = f.n.until(r.Class, time.Duration(left*float64(time.Millisecond)))
 	r.ID = fmt.Sprintf("%016x", f.n.rng.Uint64())
 	k := &h248Call{front: f, on: p, entry: e, mid: mid, transaction: t.ID, termination: c.Termination, id: r.ID}
