Keep what is owed to one exchange from another that has its address, and from one that lives on

An exchange is taken off the list and lives on: end() closed its connection and told the callers that their calls are cut, the exchange never (link.go, end(); core.Lost sends nothing). It held the lines until its own end. Core.Dropped releases them there first. A new exchange has the address of one that drains. The old one's link redialled there for good, so releases meant for the old one reached the new (dial()). It is not dialled now while another of the list has the address that came later, or stays while this one drains; what stood there is lost. The old link had been redialled before any news of the new exchange: a release that the new one sent on that connection was taken for the old one's and dropped as 'an earlier attempt's' (link_sip.go, request(): l.id). It counts as that of the exchange where the call stands, if that is at this address.

--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -667,10 +667,27 @@
 	c.endAttempt(k, e, true)
 }
 
+// Where tells at which exchange a call stands, "" if it does not.
+func (c *Core) Where(id string) string {
+	if k := c.calls[id]; k != nil && k.state == standing {
+		return k.server
+	}
+	return ""
+}
+
 // Lost cuts the calls that have stood at an exchange since before a time: its
 // process is known to have ended since, and no release will come from it.
-func (c *Core) Lost(server string, before Time) {
+func (c *Core) Lost(server string, before Time) { c.lost(server, before, false) }
+
+// Dropped cuts the calls that stand at an exchange that is not to be used any more. It may live on
+// all the same, and must not hold their lines then.
+func (c *Core) Dropped(server string) { c.lost(server, c.now()+1, true) }
+
+func (c *Core) lost(server string, before Time, alive bool) {
 	for _, k := range c.each(func(k *call) bool { return k.server == server && k.state == standing && k.stood < before }) {
+		if alive {
+			c.out.Release(server, k.ID, k.attempt, CauseFailed)
+		}
 		c.endStanding(k, ExchangeLost, CauseFailed)
 		k.front.Release(k.client, k.ID, CauseFailed)
 	}
--- a/internal/net/link.go
+++ b/internal/net/link.go
@@ -158,6 +158,12 @@
 	if l.dialing || l.gone || l.s != nil || l.n.el == nil {
 		return
 	}
+	if l.succeeded() { // guards against set-ups and releases for this exchange that would reach another
+		l.unqueue(call.DialRefused)
+		l.dialAt = l.n.now() + lastPause
+		l.n.later = append(l.n.later, func() { l.n.core.Lost(l.id, l.n.now()+1) })
+		return
+	}
 	l.dialing = true
 	l.serial++
 	serial, el, addr := l.serial, l.n.el, l.addr // the address may change under way
@@ -326,12 +332,33 @@
 func (l *link) end() {
 	l.gone = true
 	l.unqueue(call.Unsent)
+	l.n.core.Dropped(l.id) // releases go out before the connection is closed
 	if l.s != nil {
 		l.n.close(l.s)
 		l.s = nil
 	}
 	l.lose(call.ExchangeLost)
-	l.n.core.Lost(l.id, l.n.now()+1)
+}
+
+// succeeded tells whether an exchange's address belongs to another by now, which came later or stays while this one
+// drains: its process has ended.
+func (l *link) succeeded() bool {
+	for _, o := range l.n.links {
+		if o != l && o.addr == l.addr && !o.draining && (l.draining || o.meter.started > l.meter.started) {
+			return true
+		}
+	}
+	return false
+}
+
+// speaker is the exchange that a release comes from: where the call stands, if that is at this link's address. The
+// danger is an exchange that took over another's address, and speaks on a connection that was made for that one.
+func (l *link) speaker(id string) string {
+	at := l.n.core.Where(id)
+	if o := l.n.links[at]; o != nil && o.addr == l.addr {
+		return at
+	}
+	return l.id
 }
 
 // move gives the exchange another address.
--- a/internal/net/link_sip.go
+++ b/internal/net/link_sip.go
@@ -215,7 +215,7 @@
 		answer(200, "OK")
 		delete(l.byes, m.CallID)
 		d.forget(l, m.CallID)
-		d.n.core.Released(l.id, m.CallID, m.ReleaseCause(), d.n.fronts...)
+		d.n.core.Released(l.speaker(m.CallID), m.CallID, m.ReleaseCause(), d.n.fronts...)
 	case "OPTIONS":
 		answer(200, "OK")
 	default:
