Leave no set-up in the buffer of an exchange that reads nothing, where nothing takes it back

Queues, guards and dials can; gnet's write buffer cannot. link.go, send(), let up to 256 KiB lie there ('clogged'): an exchange that hangs with its socket full, and reads on seconds later, was sent set-ups whose callers had left, and others after news that it drains.

Change: while anything waits to be read there, a set-up is 'unsent' and goes elsewhere. What one turn writes still goes out in one piece.

--- a/internal/net/link.go
+++ b/internal/net/link.go
@@ -32,7 +32,6 @@
 	lastPause  = 2 * time.Second
 	confirm    = 32 * time.Second       // a release that nobody confirms is forgotten then
 	again      = 2 * time.Second        // an answer that turns a set-up down may come a second time within this
-	clogged    = 256 << 10              // bytes; an exchange that reads so slowly gets no more set-ups
 	halfAnswer = 150 * time.Millisecond // the rest of a message comes within this or never
 )
 
@@ -101,9 +100,9 @@
 
 func (l *link) send(s call.Setup) {
 	now := l.n.now()
-	if now >= s.Expires || l.s.c.OutboundBuffered() > clogged {
-		// Guards against set-ups whose time ran out while they waited for the link, and against those that
-		// would lie in a buffer and reach a server after it drains.
+	if now >= s.Expires || l.s.c.OutboundBuffered() > 0 {
+		// Guards against set-ups whose time ran out while they waited for the link, and against those that would
+		// lie in a buffer, since the exchange reads nothing, and reach it after it drains or their callers left.
 		l.tell(s.ID, s.Attempt, call.Unsent)
 		return
 	}
