Owe panels what callers of the other front are owed when a connection or the process ends

OnClose: of a panel whose connection breaks under a write the last words were not read: 'never: 1 of BYE'.

Change: Node.speaks, Node.ending, stream.unwritten serve both fronts; a notice remembers whether it was said. TestStopWaitsForASlowReader plays both fronts now; the rest is in owed_test.go, the break in both orders.

--- a/internal/net/client.go
+++ b/internal/net/client.go
@@ -105,7 +105,7 @@
 			if young == nil {
 				young = k
 			}
-		case f.speaks(k):
+		case f.n.speaks(k.s, k.traffic):
 		case !k.asked:
 			return k
 		case found == nil:
@@ -118,25 +118,13 @@
 	return found
 }
 
-// speaks takes what an idle connection has brought just now, and tells whether there was anything. It guards
-// set-ups and releases that cross the close of their connection: those sent again would be late, these lost.
-func (f *jsonFront) speaks(k *client) (spoke bool) {
-	f.n.leftover(k.s.c, func(p []byte) {
-		spoke = true
-		if !k.s.shut {
-			k.traffic(p)
-		}
-	})
-	return spoke
-}
-
 // sweep closes connections that are silent or stop half way.
 func (f *jsonFront) sweep(now time.Duration) {
 	for k := range f.silent.oldest() {
 		if !k.s.overdue(now) {
 			break // those behind it have been silent for less long
 		}
-		if !k.s.shut && len(k.open) == 0 && !f.speaks(k) {
+		if !k.s.shut && len(k.open) == 0 && !f.n.speaks(k.s, k.traffic) {
 			f.n.ClientsSilent++
 			f.n.close(k.s)
 		}
@@ -257,7 +245,7 @@
 			n.core.TurnAway(k, r)
 			return nil
 		}
-		if n.stopping || n.outOfTime(n.now()) { // against a set-up that would be open when the process ends
+		if n.ending() {
 			n.core.Halted(k, r)
 			return nil
 		}
--- a/internal/net/ending_test.go
+++ b/internal/net/ending_test.go
@@ -173,90 +173,118 @@
 	x.ends()
 }
 
-// An exchange is down as its caller releases a call that stands there, and SIGTERM comes: the release is not lost
-// with the process.
-func TestStopWaitsForARelease(t *testing.T) {
-	t.Parallel()
-	a := startFar(t, "127.0.0.1:0")
-	gate, gated := make(chan struct{}), make(chan bool, 8)
-	opened := make(chan struct{})
-	x := startScene(t, []*far{a}, &fixed{servers: []string{"s-0"}}, func(o *Options) {
-		o.dial = func(addr string, limit time.Duration) (net.Conn, error) {
-			select {
-			case <-opened:
-				gated <- true
-				<-gate
-			default:
-			}
-			return dialTCP(addr, limit)
+// A gate holds dials from a moment on.
+type gate struct {
+	shut, open chan struct{} // closed: dials are held, they go on
+	held       chan bool     // a dial is held
+}
+
+func newGate() *gate {
+	return &gate{shut: make(chan struct{}), open: make(chan struct{}), held: make(chan bool, 8)}
+}
+
+func (g *gate) option(o *Options) {
+	o.dial = func(addr string, limit time.Duration) (net.Conn, error) {
+		select {
+		case <-g.shut:
+			g.held <- true
+			<-g.open
+		default:
 		}
-	})
-	close(opened)
-	id := x.k.setUp("1", 3*time.Second)
+		return dialTCP(addr, limit)
+	}
+}
+
+// standsAsItBreaks sets a call up that stands at an exchange whose connection then breaks; its next dial is held.
+func (x *scene) standsAsItBreaks(a *far, g *gate) (id string) {
+	x.t.Helper()
+	close(g.shut)
+	id = x.k.setUp("1", 3*time.Second)
 	a.awaits("INVITE", id, 1)
 	a.send(response(id, "INVITE", 200, 1, "a"))
-	x.h.wait(t, id, 1)
+	x.h.wait(x.t, id, 1)
 	reset(a.connected())
-	<-gated
+	<-g.held
+	return id
+}
+
+// outlivesTheLinger stops the node and tells whether it still serves once it could have ended.
+func (x *scene) outlivesTheLinger() bool {
+	x.t.Helper()
+	x.n.Stop()
+	eventually(x.t, "the linger is over", func() (over bool) {
+		over = !x.running()
+		x.turn(func() { over = x.n.stopAt > 0 && x.n.now()-x.n.stopAt > linger+2*quiet })
+		return over
+	})
+	return x.running()
+}
+
+// An exchange is down as its caller releases a call that stands there, and SIGTERM comes: the release is not lost
+// with the process.
+func TestStopWaitsForARelease(t *testing.T) {
+	t.Parallel()
+	a, g := startFar(t, "127.0.0.1:0"), newGate()
+	x := startScene(t, []*far{a}, &fixed{servers: []string{"s-0"}}, g.option)
+	id := x.standsAsItBreaks(a, g)
 	x.k.hangUp(id)
 	eventually(t, "the release waits", func() (waits bool) {
 		x.turn(func() { waits = len(x.n.links["s-0"].byes) == 1 })
 		return waits
 	})
-	x.n.Stop()
-	eventually(t, "the linger is over", func() (over bool) {
-		over = !x.running()
-		x.turn(func() { over = x.n.now()-x.n.stopAt > linger+2*quiet })
-		return over
-	})
-	if !x.running() {
+	if !x.outlivesTheLinger() {
 		t.Error("the node ended and took the release along")
 	}
-	close(gate)
+	close(g.open)
 	a.awaits("BYE", id, 1)
 	x.ends()
 }
 
-// A caller reads slowly as the node stops: its answers are written out before the end.
+// A caller of either front reads slowly as the node stops: its answers are written out before the end.
 func TestStopWaitsForASlowReader(t *testing.T) {
 	t.Parallel()
-	x := startScene(t, []*far{startFar(t, "127.0.0.1:0")}, &fixed{})
+	for _, front := range []string{"JSON", "H.248"} {
+		t.Run(front, func(t *testing.T) { t.Parallel(); slowReader(t, front == "H.248") })
+	}
+}
+
+func slowReader(t *testing.T, isPanel bool) {
+	x := startScene(t, []*far{startFar(t, "127.0.0.1:0")}, &fixed{}, panels)
 	ln := x.json()
+	if isPanel {
+		ln = x.panel()
+	}
 	c, err := net.Dial("tcp", ln)
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer func() { _ = c.Close() }()
 	_ = c.(*net.TCPConn).SetReadBuffer(4 << 10)
-	_, _ = c.Write(line(jsonl.Echo, "slow"))
-	var mine *client
+	var mine *stream
 	eventually(t, "the connection is there", func() bool {
 		x.turn(func() {
-			mine = nil
 			for k := range x.n.json.clients.oldest() {
 				if k.s.c.RemoteAddr().String() == c.LocalAddr().String() {
-					mine = k
+					mine = k.s
 				}
 			}
+			for p := range x.n.h248.panels.oldest() {
+				mine = p.s
+			}
 		})
 		return mine != nil
 	})
 	lines := 0
 	x.turn(func() {
-		_ = mine.s.c.SetWriteBuffer(4 << 10)
-		mine.s.caller = false // the bound on what waits for a caller is not what is looked at
-		for ; mine.s.c.OutboundBuffered() < 64<<10; lines++ {
-			x.n.write(mine.s, func(b []byte) []byte { return append(b, line(jsonl.Finish, fmt.Sprintf("%016x", lines))...) })
+		_ = mine.c.SetWriteBuffer(4 << 10)
+		mine.caller = false // the bound on what waits for a caller is not what is looked at,
+		mine.spoke = true   // nor how long one may say nothing
+		for ; mine.c.OutboundBuffered() < 64<<10; lines++ {
+			x.n.write(mine, func(b []byte) []byte { return append(b, line(jsonl.Finish, fmt.Sprintf("%016x", lines))...) })
 			x.n.flush()
 		}
 	})
-	x.n.Stop()
-	eventually(t, "the linger is over", func() (over bool) {
-		over = !x.running()
-		x.turn(func() { over = x.n.now()-x.n.stopAt > linger+2*quiet })
-		return over
-	})
-	if !x.running() {
+	if !x.outlivesTheLinger() {
 		t.Error("the node ended with answers in its buffer")
 	}
 	_ = c.SetReadDeadline(time.Now().Add(8 * time.Second))
--- a/internal/net/h248_front.go
+++ b/internal/net/h248_front.go
@@ -59,6 +59,7 @@
 	mid  string
 	text []byte
 	at   time.Duration
+	said bool // it has gone out on a connection
 }
 
 func newH248Front(n *Node, max int) *h248Front {
@@ -115,6 +116,32 @@
 	}
 }
 
+// lastWords takes what a connection brought before it broke. The set-ups on it have lost their caller.
+func (p *panel) lastWords(data []byte) {
+	_ = p.in.Feed(data, func(text []byte) bool {
+		m, bad := h248.Parse(text)
+		if bad == nil {
+			p.take(m)
+		}
+		return bad == nil
+	})
+}
+
+// owes tells whether a panel waits for a reply that is not written out, or for a release that has not been sent.
+func (f *h248Front) owes() bool {
+	for _, o := range f.owed {
+		if !o.said {
+			return true
+		}
+	}
+	for p := range f.panels.oldest() {
+		if p.s.unwritten() {
+			return true
+		}
+	}
+	return false
+}
+
 // named seats a panel by the message id that it goes by.
 func (p *panel) named(mid string) {
 	f := p.front
@@ -142,8 +169,9 @@
 	if p.mid != m.MID {
 		p.named(m.MID)
 		for _, o := range f.owed { // what could not be said, or was not replied to
-			if o.mid == p.mid {
+			if o.mid == p.mid && !p.s.shut {
 				p.send(o.text)
+				o.said = true
 			}
 		}
 	}
@@ -163,6 +191,18 @@
 // whatever connection it comes.
 func (p *panel) request(mid string, t *h248.Transaction) {
 	f := p.front
+	var adds, all int
+	for _, a := range t.Actions {
+		for _, c := range a.Commands {
+			all++
+			if c.Name == "Add" {
+				adds++
+			}
+		}
+	}
+	if adds > 0 && p.s.gone { // its caller has left; repeated on another connection it is one that has not run
+		return
+	}
 	e, fresh := f.seen.begin(mid, t.ID, f.n.now())
 	switch {
 	case fresh:
@@ -184,15 +224,6 @@
 		p.send(frame(f.n.self(), &h248.Transaction{Kind: h248.Pending, ID: t.ID}))
 		return
 	}
-	var adds, all int
-	for _, a := range t.Actions {
-		for _, c := range a.Commands {
-			all++
-			if c.Name == "Add" {
-				adds++
-			}
-		}
-	}
 	switch {
 	case adds == 1 && all == 1:
 		if err := p.add(mid, e, t, t.Actions[len(t.Actions)-1]); err != nil {
@@ -397,6 +428,10 @@
 	r.ID = fmt.Sprintf("%016x", f.n.rng.Uint64())
 	k := &h248Call{front: f, on: p, entry: e, mid: mid, transaction: t.ID, termination: c.Termination, id: r.ID}
 	f.calls[k.id], f.terms[term(mid, k.termination)] = k, k
+	if f.n.ending() {
+		f.n.core.Halted(k, r)
+		return nil
+	}
 	if err := f.n.core.SetUp(k, r); err != nil {
 		f.forget(k)
 		return &h248.Error{Code: h248.InternalFailure, Text: err.Error()}
@@ -470,6 +505,7 @@
 		for p := range at.latest() {
 			if !p.s.shut {
 				p.send(o.text)
+				o.said = true
 				return
 			}
 		}
@@ -481,7 +517,7 @@
 		if !p.s.overdue(now) {
 			break // those behind it have been silent for less long
 		}
-		if !p.s.shut && !f.open(p) {
+		if !p.s.shut && !f.open(p) && !f.n.speaks(p.s, p.traffic) {
 			f.n.ClientsSilent++
 			f.n.close(p.s)
 		}
--- a/internal/net/loop.go
+++ b/internal/net/loop.go
@@ -35,6 +35,9 @@
 // for the rest of a later one while no call is open on it.
 const firstWord = 2 * time.Second
 
+// unwritten tells whether something waits for the other side to read.
+func (s *stream) unwritten() bool { return !s.shut && s.c.OutboundBuffered() > 0 }
+
 // read notes what a piece has brought: whole messages, or part of one.
 func (s *stream) read(now time.Duration, spoke, half bool) {
 	s.spoke = s.spoke || spoke
--- a/internal/net/node.go
+++ b/internal/net/node.go
@@ -402,6 +402,9 @@
 	return n.stopAt > 0 && now-n.stopAt >= min(patience, n.cfg.Longest())+parting
 }
 
+// ending tells whether a set-up that comes now would be open when the process ends.
+func (n *Node) ending() bool { return n.stopping || n.outOfTime(n.now()) }
+
 // owes tells whether anybody waits for something that this process alone can bring: an answer that is not
 // given or not written out, a release that no caller or exchange has been sent.
 func (n *Node) owes() bool {
@@ -409,10 +412,13 @@
 		return true
 	}
 	for k := range n.json.clients.oldest() {
-		if !k.s.shut && k.s.c.OutboundBuffered() > 0 {
+		if k.s.unwritten() {
 			return true
 		}
 	}
+	if n.h248 != nil && n.h248.owes() {
+		return true
+	}
 	for _, l := range n.links {
 		if l.s == nil && len(l.byes) > 0 || l.s != nil && l.s.c.OutboundBuffered() > 0 {
 			return true
@@ -436,6 +442,18 @@
 	}
 }
 
+// speaks takes what an idle connection has brought just now, and tells whether there was anything. It guards
+// set-ups and releases that cross the close of their connection: those sent again would be late, these lost.
+func (n *Node) speaks(s *stream, traffic func(p []byte)) (spoke bool) {
+	n.leftover(s.c, func(p []byte) {
+		spoke = true
+		if !s.shut {
+			traffic(p)
+		}
+	})
+	return spoke
+}
+
 // failedWrite tells whether a connection is closed because a write failed: it may have brought something before.
 func failedWrite(err error) bool {
 	var call *os.SyscallError
@@ -588,6 +606,9 @@
 			x.closed()
 		case *panel:
 			x.s.gone, x.s.shut = true, true
+			if failedWrite(err) {
+				n.leftover(c, x.lastWords)
+			}
 			x.closed()
 		case *link:
 			if x.s == nil || x.s.c != c {
--- a/internal/net/owed_test.go
+++ b/internal/net/owed_test.go
@@ -1,9 +1,14 @@
 package net
 
 import (
+	"fmt"
+	"net"
+	"strings"
 	"testing"
 	"time"
 
+	"lapiscourse/internal/config"
+	"lapiscourse/internal/net/h248"
 	"lapiscourse/internal/net/sip"
 )
 
@@ -51,3 +56,184 @@
 	}
 	b.awaits("CANCEL", id, 1)
 }
+
+// panels opens the front of H.248.
+func panels(o *Options) { o.H248 = &config.H248{Listen: "127.0.0.2:0", Admin: "127.0.0.3:0"} }
+
+// dialPanel brings a panel, which has said its name when it returns.
+func (x *scene) dialPanel(mid string) *h248Caller {
+	x.t.Helper()
+	p := dialH248(x.t, x.panel(), x.h, mid)
+	p.last = 100
+	before := len(strings.Fields(x.h.of(strings.Trim(mid, "<>")+"/100"))) / 2
+	p.send(&h248.Transaction{ID: 100, Actions: []*h248.Action{{Context: "-", Commands: []*h248.Command{{Name: "AuditValue", Termination: "ROOT"}}}}})
+	x.h.wait(x.t, strings.Trim(mid, "<>")+"/100", before+1)
+	return p
+}
+
+// latestPanel is the node's side of the panel that spoke last.
+func (x *scene) latestPanel() *panel {
+	for p := range x.n.h248.panels.latest() {
+		return p
+	}
+	return nil
+}
+
+// framed is transactions as they go over the wire.
+func framed(t *testing.T, mid string, all ...*h248.Transaction) (b []byte) {
+	t.Helper()
+	for _, tr := range all {
+		var err error
+		if b, err = h248.AppendFrame(b, &h248.Message{MID: mid, Transactions: []*h248.Transaction{tr}}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return b
+}
+
+// invited waits for the nth set-up to come and tells its id.
+func (x *far) invited(n int) (id string) {
+	x.t.Helper()
+	eventually(x.t, fmt.Sprint(n, " set-ups"), func() bool {
+		x.mu.Lock()
+		defer x.mu.Unlock()
+		seen := 0
+		for _, s := range x.came {
+			if f := strings.Fields(s); f[0] == "INVITE" {
+				if seen++; seen == n {
+					id = f[1]
+				}
+			}
+		}
+		return id != ""
+	})
+	return id
+}
+
+// A panel releases a call that stands and its connection breaks, as something is written to it: the exchange hears of
+// the release in either order. A set-up behind it has lost its caller, and counts as one that never came.
+func TestPanelsReleaseBesideTheBreak(t *testing.T) {
+	both(t, "the release", "the failed write", func(t *testing.T, release bool) {
+		a := startFar(t, "127.0.0.1:0")
+		x := startScene(t, []*far{a}, &fixed{servers: []string{"s-0", "s-0"}}, panels)
+		p := x.dialPanel("<p>")
+		key := p.setUp("1", 3*time.Second)
+		id := a.invited(1)
+		a.send(response(id, "INVITE", 200, 1, "a"))
+		x.h.wait(t, key, 1)
+		p.mu.Lock()
+		context := p.ctx[key]
+		p.mu.Unlock()
+		off := &h248.Transaction{ID: 7, Actions: []*h248.Action{{Context: context, Commands: []*h248.Command{{Name: "Subtract", Termination: key}}}}}
+		add := addTransaction("p/8", 8, "1", 3*time.Second)
+		if release {
+			p.send(off)
+			a.awaits("BYE", id, 1)
+			reset(p.c)
+		} else {
+			x.turn(func() {
+				_, _ = p.c.Write(framed(t, "<p>", off, add))
+				reset(p.c)
+				x.latestPanel().send([]byte("x"))
+			})
+			a.awaits("BYE", id, 1)
+		}
+		x.settled()
+		again := dialH248(t, x.panel(), x.h, "<p>")
+		again.send(add) // on a new connection it is one that has not run
+		if other := a.invited(2); other == id || a.heard("BYE", id) != 1 {
+			t.Errorf("%d releases, then %s", a.heard("BYE", id), other)
+		}
+		x.turn(func() { x.latestPanel().closed() })
+	})
+}
+
+// A panel that has been silent for too long speaks as its connection is to be closed: it is heard, and stays.
+func TestPanelsIdleCloseCrossesASetUp(t *testing.T) {
+	t.Parallel()
+	a := startFar(t, "127.0.0.1:0")
+	x := startScene(t, []*far{a}, &fixed{servers: []string{"s-0"}}, panels)
+	c, err := net.Dial("tcp", x.panel())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	eventually(t, "the panel is there", func() (there bool) {
+		x.turn(func() { there = x.latestPanel() != nil })
+		return there
+	})
+	x.turn(func() {
+		p := x.latestPanel()
+		p.s.born -= 2 * firstWord
+		_, _ = c.Write(framed(t, "<p>", addTransaction("p/1", 1, "1", 3*time.Second)))
+		x.n.h248.sweep(x.n.now())
+		if p.s.shut {
+			t.Error("it is closed with a set-up on it")
+		}
+	})
+	a.invited(1)
+}
+
+// The node stops while the release of a call waits for its panel to come back: it is said before the end.
+func TestStopWaitsForAPanel(t *testing.T) {
+	t.Parallel()
+	a := startFar(t, "127.0.0.1:0")
+	x := startScene(t, []*far{a}, &fixed{servers: []string{"s-0"}}, panels)
+	p := x.dialPanel("<p>")
+	key := p.setUp("1", 3*time.Second)
+	id := a.invited(1)
+	a.send(response(id, "INVITE", 200, 1, "a"))
+	x.h.wait(t, key, 1)
+	p.close()
+	eventually(t, "the panel has left", func() (left bool) {
+		x.turn(func() { left = x.latestPanel() == nil })
+		return left
+	})
+	a.send(finish(id, 16))
+	eventually(t, "the release waits", func() (waits bool) {
+		x.turn(func() { waits = len(x.n.h248.owed) == 1 })
+		return waits
+	})
+	if !x.outlivesTheLinger() {
+		t.Fatal("the node ended and took the release along")
+	}
+	x.dialPanel("<p>")
+	if got := x.h.wait(t, key, 2); !strings.HasSuffix(got, "end 16") {
+		t.Error(got)
+	}
+	x.ends()
+}
+
+// SIGKILL is near: what a panel has open, and what it sends now, is answered at once, each once.
+func TestStopRunsOutOfTimeForPanels(t *testing.T) {
+	t.Parallel()
+	a := startFar(t, "127.0.0.1:0")
+	x := startScene(t, []*far{a}, &fixed{servers: []string{"s-0", "s-0"}}, panels)
+	p := x.dialPanel("<p>")
+	key := p.setUp("1", 8*time.Second)
+	id := a.invited(1)
+	x.n.Stop()
+	eventually(t, "time is out", func() (out bool) {
+		x.turn(func() {
+			if out = x.n.outOfTime(x.n.now()); out {
+				x.latestPanel().traffic(framed(t, "<p>", addTransaction("p/200", 200, "1", 3*time.Second)))
+			}
+		})
+		return out
+	})
+	x.ends()
+	eventually(t, "both are answered", func() bool { return x.h.of(key) != "" && x.h.of("p/200") != "" })
+	if got := x.h.of(key) + " " + x.h.of("p/200"); got != "end 34 end 34" {
+		t.Errorf("the panel heard %q", got)
+	}
+	if n := a.heard("CANCEL", id); n != 1 {
+		t.Errorf("%d given up", n)
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, s := range a.came {
+		if !strings.Contains(s, id) {
+			t.Errorf("the exchange heard %s", s)
+		}
+	}
+}
