Let releases of unknown calls give way to those of calls that stood, while an exchange is away

Found by asking of each bounded table what its entries are still owed. link.go, release(): byes holds so many releases for an exchange that is down (MemoryMB << 5), and what came when it was full was dropped unseen. Releases of calls that nobody knows go there as well, up to 256 a second: callers who make up ids fill it in four seconds at 32 MB, and the exchange that comes back holds the lines of calls that its callers had released. Change: entries of unknown calls give way; what is dropped all the same is counted in releases_lost.

--- a/internal/net/link.go
+++ b/internal/net/link.go
@@ -65,6 +65,7 @@
 type bye struct {
 	attempt, cause int
 	at             time.Duration
+	unknown        bool // nobody here has known the call: it may be made up
 }
 
 func (n *Node) newLink(id, addr string, pool int, talk dialect) *link {
@@ -143,15 +144,37 @@
 }
 
 // release ends a call there; it is said again on a new connection until confirmed.
-func (l *link) release(id string, attempt, cause int) {
-	if len(l.byes) < l.n.cfg.MemoryMB<<5 { // guards memory against an exchange that confirms nothing
-		l.byes[id] = bye{attempt, cause, l.n.now()}
+func (l *link) release(id string, b bye) {
+	b.at = l.n.now()
+	keeps := l.keeps(b)
+	if keeps {
+		l.byes[id] = b
 	}
-	if l.s != nil {
-		l.n.write(l.s, func(b []byte) []byte { return l.talk.release(b, id, attempt, cause) })
+	switch {
+	case l.s != nil:
+		l.n.write(l.s, func(out []byte) []byte { return l.talk.release(out, id, b.attempt, b.cause) })
+	case !keeps && !b.unknown:
+		l.n.ReleasesLost++
 	}
 }
 
+// keeps guards memory against an exchange that confirms nothing. Releases of calls that nobody knows give way to those
+// of calls that stood there: the danger is callers who make up ids while an exchange is away.
+func (l *link) keeps(b bye) bool {
+	if len(l.byes) < l.n.cfg.MemoryMB<<5 {
+		return true
+	}
+	if !b.unknown {
+		for id, old := range l.byes {
+			if old.unknown {
+				delete(l.byes, id)
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // dial dials elsewhere and hands the connection in.
 func (l *link) dial() {
 	if l.dialing || l.gone || l.s != nil || l.n.el == nil {
--- a/internal/net/node.go
+++ b/internal/net/node.go
@@ -478,14 +478,14 @@
 // Release implements call.Exchanges.
 func (n *Node) Release(server, id string, attempt, cause int) {
 	if l := n.links[server]; l != nil {
-		l.release(id, attempt, cause)
+		l.release(id, bye{attempt: attempt, cause: cause})
 	}
 }
 
 // ReleaseAnywhere implements call.Exchanges.
 func (n *Node) ReleaseAnywhere(id string, cause int) {
 	for _, l := range n.links {
-		l.release(id, 0, cause)
+		l.release(id, bye{cause: cause, unknown: true})
 	}
 }
 
--- a/internal/net/owed_test.go
+++ b/internal/net/owed_test.go
@@ -9,6 +9,7 @@
 
 	"lapiscourse/internal/config"
 	"lapiscourse/internal/net/h248"
+	"lapiscourse/internal/net/jsonl"
 	"lapiscourse/internal/net/sip"
 )
 
@@ -57,6 +58,29 @@
 	b.awaits("CANCEL", id, 1)
 }
 
+// An exchange is away, and callers release as many calls that nobody knows as are remembered for it. The release of a
+// call that stands there is said when it is back, whether it came before those or after.
+func TestReleaseAmidReleasesOfUnknownCalls(t *testing.T) {
+	both(t, "the call's own", "the others", func(t *testing.T, own bool) {
+		a, g := startFar(t, "127.0.0.1:0"), newGate()
+		x := startSceneOf(t, settings, 2, []*far{a}, &fixed{servers: []string{"s-0"}}, g.option)
+		id := x.standsAsItBreaks(a, g)
+		x.turn(func() {
+			k := x.client("")
+			order(own, func() { k.traffic(line(jsonl.Finish, id)) }, func() {
+				for i := range 2 * x.n.cfg.MemoryMB << 5 {
+					k.traffic(line(jsonl.Finish, fmt.Sprintf("f%015x", i)))
+				}
+			})
+			if n := len(x.n.links["s-0"].byes); n != x.n.cfg.MemoryMB<<5 {
+				t.Errorf("%d releases are remembered", n)
+			}
+		})
+		close(g.open)
+		a.awaits("BYE", id, 1)
+	})
+}
+
 // panels opens the front of H.248.
 func panels(o *Options) { o.H248 = &config.H248{Listen: "127.0.0.2:0", Admin: "127.0.0.3:0"} }
 
