Read what an exchange has answered before its connection is closed as mute, stuck or moved

Found by asking who pays where this process itself stands still (a paused machine, a small share of a core): the module excuses the time in which its own period was not rung (wakeUp), link.listen did not. A tick that comes before the sockets are read closed a good connection with the answers in it: every call open there was tried elsewhere while it stood at the first, for nobody. The same in move(), where an exchange gets another address.

Change: listen() and move() read first (Node.speaks), listen() judges again by what came. And a message half way counts from the last whole one: pieces that each end within the next message looked like one that had stopped (traffic()). Ruled out as causes elsewhere: timers of calls end at the caller's own time, callers' idle connections are read already.

--- a/internal/net/link.go
+++ b/internal/net/link.go
@@ -59,6 +59,7 @@
 	askedAt  time.Duration  // when the first of them began to
 	gap      time.Duration  // the longest of late that something waited for the next to come
 	half     time.Duration  // since when part of a message waits for the rest, 0: none does
+	whole    bool           // the latest piece has brought a whole message
 	meter    serverMeter
 }
 
@@ -264,6 +265,7 @@
 }
 
 func (l *link) traffic(p []byte) {
+	l.whole = false
 	if err := l.talk.feed(l, p); err != nil {
 		l.n.malformed("exchange "+l.id, err)
 		l.down(call.Malformed)
@@ -277,7 +279,7 @@
 	l.heard, l.asked, l.askedAt = now, len(l.out), now
 	if !l.talk.half() {
 		l.half = 0
-	} else if l.half == 0 {
+	} else if l.half == 0 || l.whole { // else pieces that each end within the next message look like one that stopped
 		l.half = now
 	}
 }
@@ -297,19 +299,27 @@
 // the middle of a message brings nothing more that could be read; one that brings nothing
 // at all while set-ups wait leads to a process that hangs or to nobody. The danger is an
 // exchange whose calls all go into a hole, and whose releases do not come. It could harm at
-// an exchange that is slow and hardly used.
+// an exchange that is slow and hardly used. Where this process itself stood still, what came
+// meanwhile is read first: answers that lie in the socket must not be lost for being late to us.
 func (l *link) listen(now time.Duration) {
+	if l.s == nil || !l.stuck(now) && !l.mute(now) {
+		return
+	}
+	l.n.speaks(l.s, l.traffic)
 	switch {
 	case l.s == nil:
-	case l.half > 0 && now-l.half > halfAnswer:
+	case l.stuck(now):
 		l.n.malformed("exchange "+l.id, errHalf)
 		l.down(call.Mute)
-	case l.asked > 0 && now-l.askedAt > l.patience():
+	case l.mute(now):
 		l.n.log.Warnw("mute", "id", l.id, "asked", l.asked, "waiting", len(l.out), "silent", now-l.heard, "gap", l.gap)
 		l.down(call.Mute)
 	}
 }
 
+func (l *link) stuck(now time.Duration) bool { return l.half > 0 && now-l.half > halfAnswer }
+func (l *link) mute(now time.Duration) bool  { return l.asked > 0 && now-l.askedAt > l.patience() }
+
 var errHalf = errors.New("a message stopped half way")
 
 // closed takes the end of the connection as gnet tells it.
@@ -385,6 +395,9 @@
 
 // move gives the exchange another address.
 func (l *link) move(addr string) {
+	if l.s != nil {
+		l.n.speaks(l.s, l.traffic) // what it answered before counts: a call that stands must not be tried again
+	}
 	l.addr = addr
 	l.serial++ // a dial that is on its way goes to the old one
 	l.dialing = false
--- a/internal/net/link_h248.go
+++ b/internal/net/link_h248.go
@@ -117,6 +117,7 @@
 func (d *h248Dialect) feed(l *link, p []byte) error {
 	var bad error
 	err := d.in.Feed(p, func(text []byte) bool {
+		l.whole = true
 		m, e := h248.Parse(text)
 		if e != nil {
 			bad = e
--- a/internal/net/link_sip.go
+++ b/internal/net/link_sip.go
@@ -100,6 +100,7 @@
 
 func (d *sipDialect) feed(l *link, p []byte) error {
 	return d.in.Feed(p, func(m *sip.Message) bool {
+		l.whole = true
 		if m.Status > 0 {
 			d.response(l, m)
 		} else {
--- a/internal/net/owed_test.go
+++ b/internal/net/owed_test.go
@@ -81,6 +81,74 @@
 	})
 }
 
+// The node stands still, and an answer comes meanwhile to a connection that looks mute or stuck half way once it goes
+// on, or that is to be closed for a new address: the answer counts, and the call is tried nowhere else.
+func TestAnswerWhileTheNodeStoodStill(t *testing.T) {
+	t.Parallel()
+	for _, how := range []string{"mute", "half way", "moved"} {
+		t.Run(how, func(t *testing.T) {
+			t.Parallel()
+			a, b := startFar(t, "127.0.0.1:0"), startFar(t, "127.0.0.1:0")
+			x := startScene(t, []*far{a, b}, &fixed{servers: []string{"s-0", "s-1", "s-1"}})
+			id := x.k.setUp("1", 5*time.Second)
+			a.awaits("INVITE", id, 1)
+			answer := response(id, "INVITE", 200, 1, "a")
+			c := a.connected()
+			x.turn(func() {
+				l, now := x.n.links["s-0"], x.n.now()
+				if how == "half way" {
+					x.says(0, answer[:20])
+					answer = answer[20:]
+					l.half -= 2 * halfAnswer
+				} else {
+					l.askedAt -= 2 * l.patience()
+				}
+				_, _ = c.Write(answer)
+				if how == "moved" {
+					l.move(b.addr())
+				} else {
+					l.listen(now)
+				}
+			})
+			if got := x.h.wait(t, id, 1); got != "stands a" {
+				t.Error(got)
+			}
+			x.settled()
+			if n := len(x.module.codes(id)); n != 0 {
+				t.Errorf("%d ends of attempts of a call that stands", n)
+			}
+		})
+	}
+}
+
+// Pieces of an exchange's messages each bring the rest of one and part of the next, for longer than the rest of one may
+// take: the connection stays. Where no message ends any more it does not.
+func TestPiecesThatEndWithinMessages(t *testing.T) {
+	t.Parallel()
+	x := startScene(t, []*far{startFar(t, "127.0.0.1:0")}, &fixed{})
+	x.turn(func() {
+		l, m := x.n.links["s-0"], response(tag, "INVITE", 486, 1, "")
+		s := l.s
+		x.says(0, m[:20])
+		for range 5 {
+			l.half -= halfAnswer * 3 / 4
+			x.says(0, append(m[20:len(m):len(m)], m[:20]...))
+			l.listen(x.n.now())
+		}
+		if l.s != s {
+			t.Error("a connection that brings whole messages was closed")
+		}
+		for range 5 {
+			l.half -= halfAnswer * 3 / 4
+			x.says(0, []byte("x"))
+			l.listen(x.n.now())
+		}
+		if l.s == s {
+			t.Error("a connection that brings nothing whole stays")
+		}
+	})
+}
+
 // panels opens the front of H.248.
 func panels(o *Options) { o.H248 = &config.H248{Listen: "127.0.0.2:0", Admin: "127.0.0.3:0"} }
 
