--- a/internal/net/moment_test.go
+++ b/internal/net/moment_test.go
@@ -72,6 +72,9 @@
 				func() { x.says(0, response(id, "INVITE", 200, 1, "a")) })
 		})
 		a.awaits("BYE", id, 1)
+		if !giveUp {
+			x.h.wait(t, id, 1) // it may still be on its way
+		}
 		x.settled()
 		if got := x.h.of(id); giveUp && got != "" || !giveUp && got != "stands a" {
 			t.Errorf("the caller heard %q", got)
