Tell no wait to callers where the deployment's settings have none told

Found by reading WIRE's limits against what is read of them: limits.retryAfter ('clients receive stayAway') was not read, and every refusal carried a wait. Change: Settings.NoWait, read in internal/wire, applied where the module (away()) and the router of numbers make a wait; both fronts and the simulator's wire then leave it out. Where the key is absent waits are told as before. Without it: '"retryAfter":false,: {"verb":"FINISH",...,"opts":{"wait":"6000"},"rc":34}'.

--- a/api.go
+++ b/api.go
@@ -16,6 +16,7 @@
 	Classes     []Class       // in the order of the host's class names
 	MaxAttempts int           // attempts a call may have
 	MayCancel   bool          // the host can call an attempt off
+	NoWait      bool          // callers are not told how long to keep away
 	AskList     bool          // the list of servers comes only when asked for
 	Resend      time.Duration // a waiting set-up is repeated after this; 0: never
 	Release     time.Duration // guard before a call may be sent again
@@ -24,6 +25,14 @@
 	Multiple    float64       // of what it can do by then, that all nodes may send it; 0: not told
 }
 
+// Told is what a caller who is turned down is told of a wait: nothing where the deployment has none told.
+func (s Settings) Told(wait time.Duration) time.Duration {
+	if s.NoWait {
+		return 0
+	}
+	return wait
+}
+
 // check tells what a deployment's settings cannot be.
 func (s Settings) check() error {
 	switch {
--- a/controller.go
+++ b/controller.go
@@ -548,7 +548,7 @@
 		}
 		wait = min(wait, until)
 	}
-	return max(wait, c.late/2)
+	return c.set.Told(max(wait, c.late/2))
 }
 
 // finish marks a call as answered and forgets it once nothing is out for it.
--- a/internal/net/numbers.go
+++ b/internal/net/numbers.go
@@ -272,7 +272,7 @@
 // word is a decision as the core takes it.
 func (r *numbers) word(ask *numbering.Query, d *numbering.Decision) call.Routing {
 	if ask.Ported.State == numbering.Undecided && r.lookup.Fallback == config.FallbackRefuse {
-		return call.Routing{Cause: call.CauseNoCircuit, Wait: undecidedWait}
+		return call.Routing{Cause: call.CauseNoCircuit, Wait: r.n.cfg.Settings.Told(undecidedWait)}
 	}
 	return call.Routing{Pools: d.Pools(), Cause: d.Cause, Urgent: d.Emergency}
 }
--- a/internal/net/settings_test.go
+++ b/internal/net/settings_test.go
@@ -1,8 +1,11 @@
 package net
 
 import (
+	"bufio"
 	"fmt"
+	"net"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -73,3 +76,24 @@
 		}
 	}
 }
+
+// Who is turned down is told how long to keep away, unless the settings say that callers are not told.
+func TestWaitIsToldWhereSettingsAllow(t *testing.T) {
+	t.Parallel()
+	for key, want := range map[string]bool{"": true, `"retryAfter":true,`: true, `"retryAfter":false,`: false} {
+		x := startSceneOf(t, strings.Replace(settings, `"limits":{`, `"limits":{`+key, 1), 192, nil, nil)
+		c, err := net.Dial("tcp", x.json())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = c.Close() }()
+		_ = c.SetDeadline(time.Now().Add(8 * time.Second))
+		if _, err := c.Write(start(tag, 2*time.Second)); err != nil {
+			t.Fatal(err)
+		}
+		text, err := bufio.NewReader(c).ReadString('\n')
+		if err != nil || !strings.Contains(text, tag) || strings.Contains(text, `"wait"`) != want {
+			t.Errorf("%q: %s, %v", key, text, err)
+		}
+	}
+}
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -32,8 +32,9 @@
 		Topology     string  `json:"topology"`
 	} `json:"domain"`
 	Limits struct {
-		Cancel      bool `json:"cancel"`
-		MaxAttempts int  `json:"maxAttempts"`
+		Cancel      bool  `json:"cancel"`
+		MaxAttempts int   `json:"maxAttempts"`
+		RetryAfter  *bool `json:"retryAfter"` // absent: waits are told
 	} `json:"limits"`
 	Safety struct {
 		Cold          ms      `json:"cold"`
@@ -77,6 +78,7 @@
 		GroupSize: in.GroupSize, Topology: in.Domain.Topology,
 		AskList:     in.Discovery == "ask",
 		MaxAttempts: in.Limits.MaxAttempts, MayCancel: in.Limits.Cancel,
+		NoWait:  in.Limits.RetryAfter != nil && !*in.Limits.RetryAfter,
 		Resend:  dur(in.Domain.Resend, "domain.resend"),
 		Release: dur(in.Domain.ReleaseGuard, "domain.releaseGuard"),
 		Cold:    dur(in.Safety.Cold, "safety.cold"), Start: in.Safety.StartCapacity, Multiple: in.Safety.FallMultiple,
