Have callers leave sooner than they told in virtual time, and see that nothing is sent on for them

Need: callers of the laboratory left only when the time that they had told ran out, when the controller gives up by itself. A caller who leaves before, while its set-up waits for the guard, a dial or another attempt, was played nowhere. callers.leave is the share of tries given up at a moment drawn evenly before that time.

The test counts who left and fails where that would tell little. The program is as before.

--- a/internal/lab/rules/rules_test.go
+++ b/internal/lab/rules/rules_test.go
@@ -62,6 +62,7 @@
 		"to one that drains, told twice":    {DrainsKept, []Event{{Kind: Told, Server: "x", On: true, At: ms}, {Kind: Told, Server: "x", On: true, At: 1900 * ms}, {Kind: SetUp, At: 1990 * ms}, invite("x", 0, 2002*ms), stands}},
 		"to one that is back":               {"", []Event{{Kind: Told, Server: "x", On: true, At: ms}, {Kind: Told, Server: "x", At: 1900 * ms}, {Kind: SetUp, At: 1990 * ms}, invite("x", 0, 2500*ms), stands}},
 		"sent after its answer":             {OneAnswer, []Event{setUp, refused, invite("x", 0, 0)}},
+		"sent after its caller left":        {OneAnswer, []Event{setUp, {Kind: CallerEnd}, invite("x", 0, 0)}},
 		"a cold one pushed over":            {ColdSpared, []Event{{Kind: PushedOver, Server: "x"}}},
 		"an old cancel ends no new attempt": {OneAttempt, []Event{setUp, invite("x", 0, 0), end(TurnedBack, "x", 0, 0), invite("x", 1, 0), end(Cancel, "x", 0, 0), invite("y", 2, 0), stands}},
 	} {
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -112,14 +112,15 @@
 	Shape    string     `toml:"shape" json:"shape"` // poisson, wave, ramp
 	Swing    float64    `toml:"swing" json:"swing"` // of a wave: share of the load; of a ramp: load at its end over that at its start
 	Period   Duration   `toml:"period" json:"period"`
-	Tries    int        `toml:"tries" json:"tries"`       // further ones, by themselves
-	Wait     Span       `toml:"wait" json:"wait"`         // before one, doubling
-	Patience [2]float64 `toml:"patience" json:"patience"` // share of the class's give-up time after which a try is given up
-	Heedless bool       `toml:"heedless" json:"heedless"` // they do not keep away as they are asked to
-	Roam     bool       `toml:"roam" json:"roam"`         // further tries come to any controller, not to the same
-	Shift    Span       `toml:"shift" json:"shift"`       // so often the exchange of first choice of most calls changes
-	Lean     float64    `toml:"lean" json:"lean"`         // so many times as many calls want to go to that one as to another
-	Hot      float64    `toml:"hot" json:"hot"`           // share of calls that are for one number
+	Tries    int        `toml:"tries" json:"tries"`           // further ones, by themselves
+	Wait     Span       `toml:"wait" json:"wait"`             // before one, doubling
+	Patience [2]float64 `toml:"patience" json:"patience"`     // share of the class's give-up time after which a try is given up
+	Leave    float64    `toml:"leave" json:"leave,omitempty"` // share of tries given up sooner than the caller had said
+	Heedless bool       `toml:"heedless" json:"heedless"`     // they do not keep away as they are asked to
+	Roam     bool       `toml:"roam" json:"roam"`             // further tries come to any controller, not to the same
+	Shift    Span       `toml:"shift" json:"shift"`           // so often the exchange of first choice of most calls changes
+	Lean     float64    `toml:"lean" json:"lean"`             // so many times as many calls want to go to that one as to another
+	Hot      float64    `toml:"hot" json:"hot"`               // share of calls that are for one number
 }
 
 // A Class is a kind of call.
@@ -298,6 +299,8 @@
 		return fmt.Errorf("callers.shape: %q is none of poisson, wave, ramp", c.Shape)
 	case c.Shape == "wave" && (c.Swing < 0 || c.Swing > 1):
 		return fmt.Errorf("callers.swing: %v of a wave is not between 0 and 1", c.Swing)
+	case c.Leave < 0 || c.Leave > 1:
+		return fmt.Errorf("callers.leave: %v is not between 0 and 1", c.Leave)
 	case c.Lean < 0 || c.Hot < 0 || c.Hot > 1:
 		return errors.New("callers: lean must not be negative, hot is a share between 0 and 1")
 	case len(s.Class) == 0:
--- a/internal/lab/virtual/crowd.go
+++ b/internal/lab/virtual/crowd.go
@@ -161,6 +161,10 @@
 	if patience <= 0 {
 		patience = k.class.GiveUp.D()
 	}
+	stays := patience
+	if w.sc.Callers.Leave > 0 && c.rng.Float64() < w.sc.Callers.Leave {
+		stays = time.Duration(c.rng.Float64() * float64(patience))
+	}
 	c.tries[t.id] = t
 	life := n.life
 	wire := w.sc.Wire.Client.D()
@@ -177,7 +181,7 @@
 		_ = n.core.SetUp(client, call.Request{ID: t.id, Class: k.class.Name, Number: k.number, First: k.first, Until: n.clock() + patience - wire - margin, Cut: k.cut})
 		n.settle()
 	})
-	w.after(patience, func() {
+	w.after(stays, func() {
 		if t.over {
 			return
 		}
--- a/internal/lab/virtual/world_test.go
+++ b/internal/lab/virtual/world_test.go
@@ -62,6 +62,40 @@
 	healthy(t, 24, 15)
 }
 
+// Nor when half of the callers leave before the time that they told, wherever their set-ups wait just then: nothing is
+// sent on for who has left, and who comes again is another call.
+func TestHealthyThoughCallersLeave(t *testing.T) {
+	t.Parallel()
+	all, held := 0, 0 // held: left while no attempt was out
+	for seed := range uint64(24) {
+		sc := rough(seed, 15)
+		sc.Callers.Leave = 0.5
+		left, out := make(map[string]bool), make(map[string]bool)
+		r := Run(sc, seed, Options{Watch: func(e rules.Event) {
+			switch id := e.Node + " " + e.Call; e.Kind {
+			case rules.Invite:
+				if left[id] {
+					t.Errorf("seed %d: sent on for who has left: %v", seed, e)
+				}
+				out[id] = true
+			case rules.Cancel, rules.Unsent, rules.TurnedBack, rules.Broke, rules.Answer:
+				delete(out, id)
+			case rules.CallerEnd:
+				if left[id] = true; !out[id] {
+					held++
+				}
+			}
+		}})
+		if len(r.Broken) > 0 {
+			complain(t, sc, r)
+		}
+		all += len(left)
+	}
+	if all < 1000 || held < 50 {
+		t.Errorf("%d left, %d of them while no attempt was out: that tells little", all, held)
+	}
+}
+
 // The same on 200 days: go test -run '^$' -bench Healthy -benchtime 1x ./internal/lab/virtual
 func BenchmarkHealthy(b *testing.B) {
 	for range b.N {
