Answer what lies unread as the process ends, and release a call whose answer could not be written

A set-up whole in its socket when the node had decided to end was never answered. It is read first and told 34, in both fronts. Half a line read before, its rest after, is the same case. 2. node.go, OnClose after a failed write: an exchange answers as its caller's connection is reset; the write of the answer fails, the call stands, nobody knows of it and nobody releases it: it held its line till its exchange ended it. stream.told keeps what this turn's writing tells; what could not be written is released there. What had been written before stays, whatever breaks later (TestCallStandsThoughItsConnectionBreaks, seen to fail where told is not cleared). Without: 'reset, the answer first: never: 1 of BYE'.

Found right, with tests: a caller that resets, closes or half closes before the answer (CANCEL, then BYE for an answer that crosses it), closes beside it, half closes beside it and hears it. Half closed counts as left.

--- a/internal/net/client.go
+++ b/internal/net/client.go
@@ -366,6 +366,7 @@
 	delete(k.open, id)
 	k.asked = true
 	k.rise()
+	k.s.told = append(k.s.told, id)
 	k.front.n.write(k.s, func(b []byte) []byte {
 		return jsonl.Append(b, &jsonl.Message{Verb: jsonl.Started, Tag: id, Blob: description})
 	})
--- a/internal/net/loop.go
+++ b/internal/net/loop.go
@@ -21,8 +21,9 @@
 	c     gnet.Conn
 	out   []byte
 	dirty bool
-	shut  bool // closed, or to be closed when the turn ends
-	gone  bool // the socket is closed
+	told  []string // calls of which out tells that they stand
+	shut  bool     // closed, or to be closed when the turn ends
+	gone  bool     // the socket is closed
 
 	born  time.Duration
 	spoke bool          // it has brought a whole message
@@ -117,12 +118,13 @@
 				continue // gnet has called OnClose
 			}
 		}
+		s.told = s.told[:0]
 		if s.caller && !s.gone && s.c.OutboundBuffered() > l.unread {
 			// Guards memory against callers who ask and do not read.
 			s.shut = true
 		}
 		if cap(s.out) > 64<<10 {
-			s.out = nil // a burst must not pin memory
+			s.out, s.told = nil, nil // a burst must not pin memory
 		}
 		if s.shut && !s.gone {
 			_ = s.c.EventLoop().Close(s.c) // OnClose tells the rest
--- a/internal/net/node.go
+++ b/internal/net/node.go
@@ -594,6 +594,16 @@
 
 // OnClose implements gnet.EventHandler.
 func (n *Node) OnClose(c gnet.Conn, err error) gnet.Action {
+	if n.stopping && !n.inTurn { // what came since the last turn is taken, and answered before the connection is closed
+		n.turn(func() {
+			switch x := c.Context().(type) {
+			case *client:
+				n.speaks(x.s, x.traffic)
+			case *panel:
+				n.speaks(x.s, x.traffic)
+			}
+		})
+	}
 	n.turn(func() {
 		switch x := c.Context().(type) {
 		case nameSocket:
@@ -602,6 +612,9 @@
 			x.s.gone, x.s.shut = true, true
 			if failedWrite(err) {
 				n.leftover(c, x.lastWords)
+				for _, id := range x.s.told { // nobody has heard that they stand, and nobody would release them
+					n.core.Hangup(id, call.CauseNormal)
+				}
 			}
 			x.closed()
 		case *panel:
--- a/internal/net/owed_test.go
+++ b/internal/net/owed_test.go
@@ -149,6 +149,150 @@
 	})
 }
 
+// A caller's connection is gone, in whatever way, as the answer to its set-up comes: nobody has heard that the call
+// stands, and the exchange hears that it is over. Half closed counts as gone: on the wire it is the same until
+// something is written, and a set-up of a caller that left must not be sent on.
+func TestCallerIsGoneAsTheAnswerComes(t *testing.T) {
+	for _, how := range []string{"reset", "closed", "half closed"} {
+		t.Run(how, func(t *testing.T) {
+			both(t, "the end", "the answer", func(t *testing.T, end bool) {
+				a := startFar(t, "127.0.0.1:0")
+				x := startScene(t, []*far{a}, &fixed{servers: []string{"s-0"}})
+				k := x.dial("cccccccc")
+				id := k.setUp("1", 3*time.Second)
+				a.awaits("INVITE", id, 1)
+				leave := func() {
+					switch how {
+					case "reset":
+						reset(k.c)
+					case "closed":
+						k.close()
+					default:
+						_ = k.c.(*net.TCPConn).CloseWrite()
+					}
+				}
+				if end {
+					leave()
+					a.awaits("CANCEL", id, 1)
+					x.settled()
+					a.send(response(id, "INVITE", 200, 1, "a"))
+					a.awaits("BYE", id, 1)
+					return
+				}
+				x.turn(func() { // the connection has ended before the answer is written to it
+					leave()
+					x.says(0, response(id, "INVITE", 200, 1, "a"))
+				})
+				x.settled()
+				switch how {
+				case "reset":
+					a.awaits("BYE", id, 1)
+				case "half closed": // it hears the answer, and may release the call on another connection
+					if got := x.h.wait(t, id, 1); got != "stands a" {
+						t.Error(got)
+					}
+					x.k.hangUp(id)
+					a.awaits("BYE", id, 1)
+				}
+				if n := a.heard("CANCEL", id); n != 0 {
+					t.Errorf("a call that stands was given up %d times", n)
+				}
+			})
+		})
+	}
+}
+
+// The word that a call stands has been written, and its caller's connection breaks later, under another write: the call
+// goes on, for no connection owns it.
+func TestCallStandsThoughItsConnectionBreaks(t *testing.T) {
+	t.Parallel()
+	a := startFar(t, "127.0.0.1:0")
+	x := startScene(t, []*far{a}, &fixed{servers: []string{"s-0"}})
+	k := x.dial("cccccccc")
+	id := k.setUp("1", 3*time.Second)
+	a.awaits("INVITE", id, 1)
+	a.send(response(id, "INVITE", 200, 1, "a"))
+	x.h.wait(t, id, 1)
+	x.turn(func() {
+		mine := x.client("")
+		reset(k.c)
+		x.n.write(mine.s, func(b []byte) []byte { return append(b, line(jsonl.Echoed, "t")...) })
+	})
+	eventually(t, "the connection is gone", func() (gone bool) {
+		x.turn(func() { gone = x.n.json.clients.len() == 1 })
+		return gone
+	})
+	x.turn(func() {
+		if !x.n.core.Has(id) {
+			t.Error("the call was released")
+		}
+	})
+	a.send(finish(id, 16))
+	if got := x.h.wait(t, id, 2); got != "stands a end 16" { // on the connection that is there
+		t.Error(got)
+	}
+}
+
+// A set-up lies whole in the socket as the node decides to end: it is answered, as one that trying again does not harm,
+// and not sent. Where it comes first it is served. Half a line is no set-up, until the rest comes.
+func TestStopCrossesASetUp(t *testing.T) {
+	for _, front := range []string{"JSON", "H.248"} {
+		t.Run(front, func(t *testing.T) {
+			both(t, "the decision", "the set-up", func(t *testing.T, decision bool) {
+				a := startFar(t, "127.0.0.1:0")
+				x := startScene(t, []*far{a}, &fixed{servers: []string{"s-0"}}, panels)
+				c, key, text := x.k.c, tag, start(tag, 2*time.Second)
+				if front == "H.248" {
+					p := x.dialPanel("<p>")
+					c, key, text = p.c, "p/8", framed(t, "<p>", addTransaction("p/8", 8, "1", 2*time.Second))
+				}
+				_, _ = c.Write(text[:len(text)/2])
+				x.n.Stop()
+				done := make(chan struct{})
+				x.n.exec(func() {
+					defer close(done)
+					var mine *stream
+					x.n.turn(func() {
+						x.n.stopAt -= linger
+						x.n.restAt = x.n.now() - 2*quiet
+						order(decision, func() { x.n.stop(x.n.now()) }, func() {
+							_, _ = c.Write(text[len(text)/2:])
+							p, k := x.latestPanel(), x.client("")
+							if mine = k.s; p != nil {
+								mine = p.s
+							}
+							switch {
+							case decision: // it is not read before the connections are closed
+							case p != nil:
+								x.n.speaks(p.s, p.traffic)
+							default:
+								x.n.speaks(k.s, k.traffic)
+							}
+						})
+					})
+					if decision {
+						_ = x.n.el.Close(mine.c) // as the engine closes them all
+					}
+				})
+				<-done
+				if !decision {
+					a.send(response(a.invited(1), "INVITE", 486, 1, ""))
+				}
+				x.ends()
+				want := map[bool]string{true: "end 34", false: "end 41"}[decision]
+				if got := x.h.wait(t, key, 1); got != want {
+					t.Error(got)
+				}
+				a.mu.Lock()
+				defer a.mu.Unlock()
+				if decision && len(a.came) != 0 {
+					t.Errorf("the exchange heard %v", a.came)
+				}
+			})
+		})
+	}
+}
+
 // panels opens the front of H.248.
 func panels(o *Options) { o.H248 = &config.H248{Listen: "127.0.0.2:0", Admin: "127.0.0.3:0"} }
 
