--- a/internal/net/owed_test.go
+++ b/internal/net/owed_test.go
@@ -233,6 +233,35 @@
 	}
 }
 
+// A caller who never lets the loop rest owes and is owed nothing: the node ends all the same, and in good time.
+func TestStopAmidSteadyTraffic(t *testing.T) {
+	t.Parallel()
+	x := startScene(t, []*far{startFar(t, "127.0.0.1:0")}, &fixed{})
+	c, err := net.Dial("tcp", x.json())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	rounds := make(chan int, 1)
+	go func() {
+		buf, n := make([]byte, 256), 0
+		for ; ; n++ {
+			if _, err := c.Write(line(jsonl.Echo, "t")); err != nil {
+				break
+			}
+			if _, err := c.Read(buf); err != nil {
+				break
+			}
+		}
+		rounds <- n
+	}()
+	x.n.Stop()
+	x.ends()
+	if n := <-rounds; n < 100 {
+		t.Errorf("%d rounds are no steady traffic", n)
+	}
+}
+
 // A set-up lies whole in the socket as the node decides to end: it is answered, as one that trying again does not harm,
 // and not sent. Where it comes first it is served. Half a line is no set-up, until the rest comes.
 func TestStopCrossesASetUp(t *testing.T) {
