Hear SIGTERM while a file is being read again, and read one again that is still being written

A SIGTERM behind a SIGHUP waited for the file, and the time until SIGKILL is counted from when it is heard: what is open then was answered too late or never. Behind eight others it was dropped. It has a channel and a goroutine of its own now. 2. reload() read the file once: where SIGHUP finds it half written, the name service's new address was never asked, and every later drain missed. It is read up to ten times, 200 ms apart; what is wrong is said once, as before. Without: 'it did not end'; 'read udp: i/o timeout' at the new name service. A pipe in the file's place orders both.

--- a/cmd/olivedale/main.go
+++ b/cmd/olivedale/main.go
@@ -12,6 +12,7 @@
 	"runtime"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"github.com/spf13/cobra"
 	"go.uber.org/zap"
@@ -63,11 +64,12 @@
 }
 
 func serve() error {
-	// Room for several: a signal that finds the channel full is dropped, and a SIGTERM
-	// just behind a SIGUSR1 must not be. Asked for before anything else, so that none ends
-	// the program while it starts.
-	signals := make(chan os.Signal, 8)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP, syscall.SIGUSR1)
+	// Asked for before anything else, so that none ends the program while it starts. Those that end it have a
+	// channel of their own: a signal that finds its channel full is dropped, and one must not wait behind
+	// the reading of a file while the time until SIGKILL runs.
+	signals, ends := make(chan os.Signal, 8), make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP, syscall.SIGUSR1)
+	signal.Notify(ends, syscall.SIGTERM, syscall.SIGINT)
 	o, old, err := config.LoadOperator("")
 	if err != nil {
 		return err
@@ -87,19 +89,22 @@
 	if err != nil {
 		return failed(log, err)
 	}
+	go func() {
+		<-n.Started()
+		for range ends {
+			n.Stop()
+		}
+	}()
 	go func() {
 		<-n.Started()
 		for s := range signals {
-			switch s {
-			case syscall.SIGHUP:
-				reload(n, log)
-				n.ReloadNumbers()
-				n.ReloadKeys()
-			case syscall.SIGUSR1:
+			if s == syscall.SIGUSR1 {
 				n.ReportSoon()
-			default:
-				n.Stop()
+				continue
 			}
+			reload(n, log)
+			n.ReloadNumbers()
+			n.ReloadKeys()
 		}
 	}()
 	err = n.Run()
@@ -116,12 +121,23 @@
 	return nil
 }
 
-// reload reads the configuration again. One that is bad changes nothing.
+// reload reads the configuration again. One that is bad changes nothing; it is read some times more, against a
+// file that is still being written: the name service's new address would never be heard of.
 func reload(n *net.Node, log *zap.SugaredLogger) {
-	cfg, err := config.Load(os.Getenv("RELAY_CONFIG"))
-	if err != nil {
-		log.Warnw("reload_failed", "err", err)
-		return
+	for i := range rereads {
+		cfg, err := config.Load(os.Getenv("RELAY_CONFIG"))
+		if err == nil {
+			n.Reload(cfg)
+			return
+		}
+		if i == 0 {
+			log.Warnw("reload_failed", "err", err)
+		}
+		time.Sleep(reread)
 	}
-	n.Reload(cfg)
 }
+
+const (
+	rereads = 10
+	reread  = 200 * time.Millisecond
+)
--- a/cmd/olivedale/main_test.go
+++ b/cmd/olivedale/main_test.go
@@ -150,6 +150,68 @@
 	}
 }
 
+// SIGHUP finds a file that is not whole yet: what it says once it is counts.
+func TestReloadOfAFileBeingWritten(t *testing.T) {
+	var names [2]net.PacketConn
+	for i := range names {
+		var err error
+		if names[i], err = net.ListenPacket("udp", "127.0.0.1:0"); err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = names[i].Close() }()
+	}
+	r := start(t, names[0].LocalAddr().String())
+	r.test(t)
+	asked(t, names[0])
+	if err := os.Remove(r.path); err != nil {
+		t.Fatal(err)
+	}
+	if err := syscall.Mkfifo(r.path, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	r.signal(t, syscall.SIGHUP)
+	pipe, err := os.OpenFile(r.path, os.O_WRONLY, 0) // waits for the reader
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := os.Remove(r.path); err != nil { // before the reader can look again
+		t.Fatal(err)
+	}
+	_, _ = pipe.WriteString(`{"listen":`)
+	_ = pipe.Close()
+	r.configure(t, names[1].LocalAddr().String())
+	asked(t, names[1])
+}
+
+// SIGTERM is heard while the file that SIGHUP asked for is still being read.
+func TestStopDoesNotWaitForAReload(t *testing.T) {
+	r := start(t, "127.0.0.1:9")
+	r.test(t)
+	if err := os.Remove(r.path); err != nil {
+		t.Fatal(err)
+	}
+	if err := syscall.Mkfifo(r.path, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	r.signal(t, syscall.SIGHUP)
+	pipe, err := os.OpenFile(r.path, os.O_WRONLY, 0) // once this returns it is being read
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = pipe.Close() }()
+	r.signal(t, syscall.SIGTERM)
+	ended := make(chan error, 1)
+	go func() { ended <- r.Wait() }()
+	select {
+	case err := <-ended:
+		if err != nil {
+			t.Error(err)
+		}
+	case <-time.After(8 * time.Second):
+		t.Error("it did not end")
+	}
+}
+
 // A bad configuration stops the start with a plain message.
 func TestBadConfigurationStopsTheStart(t *testing.T) {
 	cmd := exec.Command(build(t))
