Say no release of an earlier attempt again once a later one is out at the same exchange

Found by asking of link.byes what its entries are owed to. SIP here names a call by its Call-ID alone. An attempt whose answer crossed our CANCEL is released (BYE), unconfirmed; a later attempt of the call stands at the same exchange; the connection breaks, and up() said the old BYE again on the new one: the exchange ended the call that stands. The later attempt's own release is said again as before (same test). Without: '1 releases of a call that stands'.

Also: the H.248 dialect kept what it had asked on broken connections for 30 s, one more for each unconfirmed release at each new connection: no bound but time. reset() forgets all; up() asks anew. Without: '200 transactions are remembered'.

--- a/internal/net/link.go
+++ b/internal/net/link.go
@@ -120,6 +120,7 @@
 		return
 	}
 	l.out[s.ID] = s.Attempt
+	delete(l.byes, s.ID) // an earlier attempt's, written before: said again on another connection it would end this one
 	l.n.Invites++
 	if l.asked++; l.asked == 1 {
 		l.askedAt = now
--- a/internal/net/link_h248.go
+++ b/internal/net/link_h248.go
@@ -34,14 +34,11 @@
 	return &h248Dialect{n: n, id: id, asks: make(map[uint32]*ask), ctx: make(map[string]string), seen: newStore(n.cfg.MemoryMB << 4)}
 }
 
-// reset forgets Adds: with their connection they were given up on both sides.
+// reset forgets what was asked on another connection: Adds were given up with it on both sides, and releases that
+// are not confirmed are asked for anew on this one. It guards memory where connections break again and again.
 func (d *h248Dialect) reset() {
 	d.in = h248.Framer{}
-	for id, a := range d.asks {
-		if a.add {
-			delete(d.asks, id)
-		}
-	}
+	clear(d.asks)
 }
 
 func (d *h248Dialect) half() bool { return d.in.Half() }
--- a/internal/net/link_h248_test.go
+++ b/internal/net/link_h248_test.go
@@ -41,6 +41,26 @@
 	}
 }
 
+// A release that is not confirmed is asked for again on each new connection; what was asked on those before is forgotten.
+func TestReleasesAskedOnManyConnections(t *testing.T) {
+	n := &Node{cfg: testConfig(t)}
+	n.loop.start(zap.NewNop(), time.Now)
+	d := newH248(n, "s")
+	for range 100 {
+		d.reset()
+		d.release(nil, "00000000000000aa", 0, 16)
+		d.cancel(nil, "00000000000000ab", 0)
+	}
+	if len(d.asks) != 2 {
+		t.Errorf("%d transactions are remembered", len(d.asks))
+	}
+	l := &link{n: n, id: "s", s: &stream{}, talk: d, byes: map[string]bye{"00000000000000aa": {}}}
+	d.reply(l, &h248.Transaction{Kind: h248.Reply, ID: d.last - 1})
+	if len(l.byes) != 0 || len(d.asks) != 1 {
+		t.Errorf("the latest of them is not confirmed: %d releases, %d transactions", len(l.byes), len(d.asks))
+	}
+}
+
 // A server that says that it drains gets nothing new from then on; one that is out
 // has lost its calls, and one that returns is used again.
 func TestServerServiceChange(t *testing.T) {
--- a/internal/net/owed_test.go
+++ b/internal/net/owed_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"lapiscourse/internal/call"
 	"lapiscourse/internal/config"
 	"lapiscourse/internal/net/h248"
 	"lapiscourse/internal/net/jsonl"
@@ -322,6 +323,37 @@
 	}
 }
 
+// An earlier attempt was released at an exchange that confirms nothing, and a later one stands there, under the same id
+// on the wire. When the connection breaks and comes up again, the old release is not said again: it would end the call.
+func TestOldReleaseEndsNoLaterAttempt(t *testing.T) {
+	t.Parallel()
+	a := startFar(t, "127.0.0.1:0")
+	x := startScene(t, []*far{a}, &fixed{wait: guard, servers: []string{"s-0", "s-0", "s-0"}})
+	id := x.k.setUp("1", 5*time.Second)
+	a.awaits("INVITE", id, 1)
+	x.turn(func() { // its answer crosses our giving it up
+		x.n.core.Ended("s-0", id, 0, call.TimedOut)
+		x.n.links["s-0"].cancel(id, 0)
+		x.says(0, response(id, "INVITE", 200, 1, "late"))
+	})
+	a.awaits("BYE", id, 1)
+	a.awaits("INVITE", id, 2)
+	a.send(response(id, "INVITE", 200, 2, "b"))
+	if got := x.h.wait(t, id, 1); got != "stands b" {
+		t.Fatal(got)
+	}
+	reset(a.connected())
+	last := x.k.setUp("1", 3*time.Second)
+	a.awaits("INVITE", last, 1)
+	if n := a.heard("BYE", id); n != 1 {
+		t.Errorf("%d releases of a call that stands", n-1)
+	}
+	x.k.hangUp(id) // its own release is said, and again on the next connection
+	a.awaits("BYE", id, 2)
+	reset(a.connected())
+	a.awaits("BYE", id, 3)
+}
+
 // panels opens the front of H.248.
 func panels(o *Options) { o.H248 = &config.H248{Listen: "127.0.0.2:0", Admin: "127.0.0.3:0"} }
 
