--- a/internal/net/crossing_test.go
+++ b/internal/net/crossing_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"net"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -24,7 +25,9 @@
 	ln   net.Listener
 	mu   sync.Mutex
 	wake *sync.Cond
-	came []string // method, Call-ID and CSeq, in order, of all connections
+	came []string // method, Call-ID and CSeq, in order, of all connections; 'CLOSED' where one has ended
+	via  []int    // the connection that each came on
+	when []time.Time
 	last map[string]*sip.Message
 	conn net.Conn // the latest
 	all  []net.Conn
@@ -79,19 +82,27 @@
 	for {
 		n, err := c.Read(buf)
 		if err != nil {
+			x.take(c, "CLOSED", nil)
 			return
 		}
 		_ = in.Feed(buf[:n], func(m *sip.Message) bool {
-			x.mu.Lock()
-			x.came = append(x.came, fmt.Sprintf("%s %s %d", m.Method, m.CallID, m.CSeq))
-			x.last[m.Method+m.CallID] = m
-			x.wake.Broadcast()
-			x.mu.Unlock()
+			x.take(c, fmt.Sprintf("%s %s %d", m.Method, m.CallID, m.CSeq), m)
 			return true
 		})
 	}
 }
 
+func (x *far) take(c net.Conn, what string, m *sip.Message) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.came = append(x.came, what)
+	x.via, x.when = append(x.via, slices.Index(x.all, c)), append(x.when, time.Now())
+	if m != nil {
+		x.last[m.Method+m.CallID] = m
+	}
+	x.wake.Broadcast()
+}
+
 // heard tells how many messages of a method came for a call.
 func (x *far) heard(method, id string) (n int) {
 	x.mu.Lock()
