Start no set-up whose give-up was read before it, on another connection

Found by TestCrossingsByChance beside other work: ': sent on 756.171334ms after its caller had left', with no attempt that the node itself knew to be for nobody, and a lag of the machine below that. Ruled out: the loop late by as much (its turns were not), a give-up lost with its connection (what lies in the socket is read before the reset). Cause: callers give up on whatever connection. Where that one is read first, core.Hangup takes the id for a call of before a restart, releases it at every exchange and remembers it (alien); SetUp looked only at calls that are over and began it. Change: an id that was released before it was asked for is answered and not begun.

--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -292,6 +292,12 @@
 		c.turnAway(client, &r, Reused, CauseFailed)
 		return nil
 	}
+	if c.alien.has(r.ID) {
+		// It has been given up already: that came on another connection, and was read first.
+		c.GivenUp++
+		c.turnAway(client, &r, GivenUp, CauseFailed)
+		return nil
+	}
 	if c.open >= c.limits.Open || c.bytes+len(r.Description) > c.limits.Bytes {
 		c.Crowded++ // guards memory against callers who ask at full speed
 		c.turnAway(client, &r, Crowded, CauseNoCircuit)
