Say once how tests open two name services, hold a reload, and set where attempts go

Found by reading the change over: TestReloadOfAFileBeingWritten opened its two name services as TestReload does, and put a pipe in the configuration's place as TestStopDoesNotWaitForAReload does; four tests set the module's servers under its lock, line by line; owes() asked of a link by hand what stream.unwritten() tells. Now twoNames, rereads, fixed.sends, unwritten. Behaviour and assertions are as before.

--- a/cmd/olivedale/main_test.go
+++ b/cmd/olivedale/main_test.go
@@ -115,17 +115,40 @@
 	}
 }
 
-// After SIGHUP the name service that the file names now is asked, connections stay, and a
-// bad file changes nothing.
-func TestReload(t *testing.T) {
-	var names [2]net.PacketConn
+// twoNames opens two name services.
+func twoNames(t *testing.T) (names [2]net.PacketConn) {
+	t.Helper()
 	for i := range names {
 		var err error
 		if names[i], err = net.ListenPacket("udp", "127.0.0.1:0"); err != nil {
 			t.Fatal(err)
 		}
-		defer func() { _ = names[i].Close() }()
+		t.Cleanup(func() { _ = names[i].Close() })
+	}
+	return names
+}
+
+// rereads puts a pipe in the configuration's place and sends SIGHUP: the program is reading it when this returns.
+func (r *running) rereads(t *testing.T) *os.File {
+	t.Helper()
+	if err := os.Remove(r.path); err != nil {
+		t.Fatal(err)
+	}
+	if err := syscall.Mkfifo(r.path, 0o600); err != nil {
+		t.Fatal(err)
 	}
+	r.signal(t, syscall.SIGHUP)
+	pipe, err := os.OpenFile(r.path, os.O_WRONLY, 0) // waits for the reader
+	if err != nil {
+		t.Fatal(err)
+	}
+	return pipe
+}
+
+// After SIGHUP the name service that the file names now is asked, connections stay, and a
+// bad file changes nothing.
+func TestReload(t *testing.T) {
+	names := twoNames(t)
 	r := start(t, names[0].LocalAddr().String())
 	c := r.test(t)
 	asked(t, names[0])
@@ -152,28 +175,11 @@
 
 // SIGHUP finds a file that is not whole yet: what it says once it is counts.
 func TestReloadOfAFileBeingWritten(t *testing.T) {
-	var names [2]net.PacketConn
-	for i := range names {
-		var err error
-		if names[i], err = net.ListenPacket("udp", "127.0.0.1:0"); err != nil {
-			t.Fatal(err)
-		}
-		defer func() { _ = names[i].Close() }()
-	}
+	names := twoNames(t)
 	r := start(t, names[0].LocalAddr().String())
 	r.test(t)
 	asked(t, names[0])
-	if err := os.Remove(r.path); err != nil {
-		t.Fatal(err)
-	}
-	if err := syscall.Mkfifo(r.path, 0o600); err != nil {
-		t.Fatal(err)
-	}
-	r.signal(t, syscall.SIGHUP)
-	pipe, err := os.OpenFile(r.path, os.O_WRONLY, 0) // waits for the reader
-	if err != nil {
-		t.Fatal(err)
-	}
+	pipe := r.rereads(t)
 	if err := os.Remove(r.path); err != nil { // before the reader can look again
 		t.Fatal(err)
 	}
@@ -187,17 +193,7 @@
 func TestStopDoesNotWaitForAReload(t *testing.T) {
 	r := start(t, "127.0.0.1:9")
 	r.test(t)
-	if err := os.Remove(r.path); err != nil {
-		t.Fatal(err)
-	}
-	if err := syscall.Mkfifo(r.path, 0o600); err != nil {
-		t.Fatal(err)
-	}
-	r.signal(t, syscall.SIGHUP)
-	pipe, err := os.OpenFile(r.path, os.O_WRONLY, 0) // once this returns it is being read
-	if err != nil {
-		t.Fatal(err)
-	}
+	pipe := r.rereads(t)
 	defer func() { _ = pipe.Close() }()
 	r.signal(t, syscall.SIGTERM)
 	ended := make(chan error, 1)
--- a/internal/net/crossing_test.go
+++ b/internal/net/crossing_test.go
@@ -155,6 +155,13 @@
 	reports []lapiscourse.Progress
 }
 
+// sends says anew where attempts go from now on.
+func (d *fixed) sends(servers ...string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.servers = servers
+}
+
 func (d *fixed) Pick(now time.Duration, r lapiscourse.Request) lapiscourse.Order {
 	return d.next(r.Call)
 }
--- a/internal/net/moment_test.go
+++ b/internal/net/moment_test.go
@@ -110,9 +110,7 @@
 					}, x.n.core.Tick)
 				})
 				x.settled()
-				x.module.mu.Lock()
-				x.module.servers = []string{"s-0"}
-				x.module.mu.Unlock()
+				x.module.sends("s-0")
 				last := x.k.setUp("1", 2*time.Second)
 				a.awaits("INVITE", last, 1)
 				if n := a.heard("INVITE", id); n != 1 || x.h.of(id) != "" {
@@ -263,11 +261,7 @@
 			t.Errorf("%d unsaid, %d counted as lost", n, x.n.ReleasesLost)
 		}
 	})
-	x.module.mu.Lock()
-	for range 3 {
-		x.module.servers = append(x.module.servers, "s-0")
-	}
-	x.module.mu.Unlock()
+	x.module.sends("s-0", "s-0", "s-0")
 	stands, open := x.k.setUp("1", 3*time.Second), x.k.setUp("1", 8*time.Second)
 	a.awaits("INVITE", open, 1)
 	a.send(response(stands, "INVITE", 200, 1, "a"))
--- a/internal/net/node.go
+++ b/internal/net/node.go
@@ -420,7 +420,7 @@
 		return true
 	}
 	for _, l := range n.links {
-		if l.s == nil && len(l.byes) > 0 || l.s != nil && l.s.c.OutboundBuffered() > 0 {
+		if l.s == nil && len(l.byes) > 0 || l.s != nil && l.s.unwritten() {
 			return true
 		}
 	}
--- a/internal/net/owed_test.go
+++ b/internal/net/owed_test.go
@@ -49,9 +49,7 @@
 		x.turn(func() { empty = x.n.links["s-0"].s.c.OutboundBuffered() == 0 })
 		return empty
 	})
-	x.module.mu.Lock()
-	x.module.servers = []string{"s-0"}
-	x.module.mu.Unlock()
+	x.module.sends("s-0")
 	last := x.k.setUp("1", 3*time.Second)
 	a.awaits("INVITE", last, 1)
 	if n := a.heard("INVITE", id); n != 0 {
@@ -370,9 +368,7 @@
 			order(giveUp, func() { all[1].traffic(line(jsonl.Finish, tag)) }, func() { all[0].traffic(start(tag, 2*time.Second)) })
 		})
 		x.settled()
-		x.module.mu.Lock()
-		x.module.servers = []string{"s-0"}
-		x.module.mu.Unlock()
+		x.module.sends("s-0")
 		last := other.setUp("1", 2*time.Second)
 		a.awaits("INVITE", last, 1)
 		if n := a.heard("INVITE", tag); n != 0 {
