--- /dev/null
+++ b/internal/net/settings_record_test.go
@@ -0,0 +1,67 @@
+package net
+
+import (
+	"errors"
+	"io"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"lapiscourse/internal/config"
+	"lapiscourse/internal/record"
+)
+
+// The store keeps the settings in force as a text with a digest, and analyses compare the digests of
+// instances of different versions: these bytes must not follow the names in the source.
+func TestSettingsRecordKeepsItsBytes(t *testing.T) {
+	cfg, err := config.Parse([]byte(`{"name":"n0","listen":"127.0.0.1:0","seed":"1f","names":"127.0.0.1:9",
+		"limits":{"memory_mb":192,"sockets":1024},"settings":{"groupSize":3,"discovery":"ask","classes":[
+		{"name":"voice","aim":2000,"deadline":9000,"credit":1,"lateWorth":0.2,"effect":"token","group":"zone","dedupWindow":4000},
+		{"name":"alarm","aim":500,"deadline":3000,"credit":12.5,"effect":"no"}],
+		"domain":{"topology":"pools","releaseGuard":300,"resend":1500,"skilledPools":[[0,1],[2]]},
+		"limits":{"maxAttempts":4,"cancel":true,"connectTimeout":500,"retryAfter":false},
+		"safety":{"startCapacity":0.5,"cold":1000,"fallMultiple":1.5}}}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	records := &config.Records{Dir: t.TempDir()}
+	if err := records.Check(); err != nil {
+		t.Fatal(err)
+	}
+	node, err := New(cfg, Options{Records: records})
+	if err != nil {
+		t.Fatal(err)
+	}
+	node.rec.close()
+	want, err := os.ReadFile(filepath.Join("testdata", "settings_record.txt"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := settingsRecord(t, records.Dir); got != strings.TrimSuffix(string(want), "\n") {
+		t.Errorf("got  %s\nwant %s", got, want)
+	}
+}
+
+// settingsRecord returns the text of the record that holds the settings.
+func settingsRecord(t *testing.T, dir string) string {
+	t.Helper()
+	reader, err := record.OpenDir(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = reader.Close() }()
+	for {
+		var r record.Record
+		err := reader.Next(&r)
+		if errors.Is(err, io.EOF) {
+			t.Fatal("no record of the settings")
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+		if r.Kind == record.KindConfig && r.By == "settings" {
+			return r.Text
+		}
+	}
+}
