--- /dev/null
+++ b/internal/record/golden_test.go
@@ -0,0 +1,180 @@
+package record
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"lapiscourse/internal/proptest"
+)
+
+var goldenStore = filepath.Join("testdata", "golden", "store")
+
+// Fixed numbers in place of those that a writer draws at random.
+const (
+	goldenStoreID   = 0x5707_0000_0000_0001
+	goldenFirstBoot = 0xb007_0000_0000_0001
+	goldenNonce     = 0x4053_0000_0000_0001
+)
+
+// goldenStarts are the records of two starts of one instance: all kinds, and all codes of those that have codes.
+func goldenStarts() [][]Record {
+	var first []Record
+	add := func(r Record) {
+		r.At = wall + Time(len(first))*1_234_567
+		first = append(first, r)
+	}
+	add(Record{Kind: KindStart, Flag: true, Text: "a new store"})
+	add(Record{Kind: KindConfig, By: "class", Class: "voice", Wait: time.Second, Took: 3 * time.Second})
+	add(Record{Kind: KindConfig, By: "cold", Wait: 30 * time.Second, Value: 0.25})
+	add(Record{Kind: KindConfig, By: "settings", Text: `{"groupSize":1}`})
+	for code := range uint8(len(phaseNames) + 1) { // the last is one that a newer program may write
+		add(Record{Kind: KindServer, Server: "s-1", Code: code, Pool: int(code) - 1, Flag: code == 0, Since: wall - time.Minute, Text: "127.0.0.1:9"})
+	}
+	add(Record{Kind: KindSetUp, Call: "0123456789abcdef", Class: "voice", Number: "+56 2 2555 0100", Pool: -1, Wait: 3 * time.Second, Text: "7b3cbfb4b82e4e7b"})
+	add(Record{Kind: KindSetUp, Call: "c-2", Class: "alarm", Number: "133\xff", Pool: 2, Flag: true})
+	for code := range uint8(len(moveNames) + 1) {
+		add(Record{Kind: KindOrder, Call: "0123456789abcdef", Code: code, Server: "s-1", Wait: 500 * time.Millisecond, Text: "no_server"})
+	}
+	add(Record{Kind: KindTry, Call: "0123456789abcdef", Server: "s-1", Attempt: 1, Wait: 500 * time.Millisecond})
+	add(Record{Kind: KindTryEnd, Call: "0123456789abcdef", Server: "s-1", Attempt: 1, End: "connected", Took: 1500 * time.Microsecond})
+	for code := range uint8(len(outcomeNames) + 1) {
+		add(Record{Kind: KindAnswer, Call: "0123456789abcdef", Class: "voice", Code: code, Cause: 41, Wait: time.Second, Took: 20 * time.Millisecond, Server: "s-1", Attempt: -1})
+	}
+	add(Record{Kind: KindRelease, Call: "0123456789abcdef", Class: "voice", Server: "s-1", Cause: 16, End: "completed", Took: time.Hour})
+	add(Record{Kind: KindCeiling, Server: "s-1", Text: "pressed", Value: 12.5})
+	add(Record{Kind: KindCeiling, Server: "s-1", Text: "lapsed", Value: math.Inf(1)})
+	add(Record{Kind: KindLimit, By: "calls", Count: 3, Call: "c-3"})
+	add(Record{Kind: KindClock, By: "agent", T: [4]int64{int64(wall), int64(wall) + 2, -3, math.MaxInt64}})
+	add(Record{Kind: KindClock, T: [4]int64{int64(wall) + 5, int64(wall)}})
+	add(Record{Kind: KindNote, Text: "a line with \"quotes\", \x1b[2J, \xff and é", Server: "s-1"})
+	add(Record{Kind: KindTally, By: "requests", Count: math.MaxUint64})
+	for code := range uint8(len(gapNames) + 1) {
+		add(Record{Kind: KindGap, From: uint64(len(first) + 1), Since: wall + 1, Code: code, Text: "set aside"})
+	}
+	add(Record{Kind: Kind(200), By: "a kind of a newer program"})
+	add(Record{Kind: KindStopping})
+	add(Record{Kind: KindEnd, Count: uint64(len(first) + 1)})
+	later := wall + 10*time.Second
+	second := []Record{
+		{Kind: KindStart, At: later, Flag: true, Text: fmt.Sprint("last record ", len(first))},
+		{Kind: KindEnd, At: later + time.Second, Count: 2},
+	}
+	return [][]Record{first, second}
+}
+
+// The same records are written as the same bytes as when the store was committed.
+func TestGoldenStoreIsWrittenTheSame(t *testing.T) {
+	written, fixed := t.TempDir(), t.TempDir()
+	for i, records := range goldenStarts() {
+		o := options(written)
+		o.Segment = 1 << 10
+		o.Wall = records[0].At
+		l, found := open(t, o)
+		if !found.Clean {
+			t.Errorf("start %d: %v", i, found)
+		}
+		for _, r := range records {
+			l.Put(&r)
+		}
+		shut(t, l)
+	}
+	fixDrawnNumbers(t, written, fixed)
+	proptest.GoldenDir(t, goldenStore, fixed)
+}
+
+// The committed store is read as the records that were written, and shown in the same words.
+func TestGoldenStoreIsRead(t *testing.T) {
+	r, err := OpenDir(goldenStore)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = r.Close() }()
+	var asJSON, lines []byte
+	seq := uint64(0)
+	for _, records := range goldenStarts() {
+		for _, want := range records {
+			seq++
+			want.Seq = seq
+			var got Record
+			if err := r.Next(&got); err != nil || got != want {
+				t.Fatalf("record %d: %v\n got %+v\nwant %+v", seq, err, got, want)
+			}
+			h := r.Header()
+			if asJSON, err = got.AppendJSON(asJSON, &h); err != nil {
+				t.Fatal(err)
+			}
+			lines = append(append(lines, got.Line(&h)...), '\n')
+		}
+	}
+	if err := r.Next(&Record{}); !errors.Is(err, io.EOF) {
+		t.Errorf("at the end: %v", err)
+	}
+	if damages, more := r.Damages(); len(damages) > 0 || more > 0 {
+		t.Errorf("damages %+v and %d more", damages, more)
+	}
+	if got := r.Header().Store; got != goldenStoreID {
+		t.Errorf("store %x", got)
+	}
+	proptest.Golden(t, filepath.Join("testdata", "golden", "records.jsonl"), asJSON)
+	proptest.Golden(t, filepath.Join("testdata", "golden", "records.txt"), lines)
+}
+
+// fixDrawnNumbers copies a store with fixed numbers in place of those that its writer drew at random.
+func fixDrawnNumbers(t *testing.T, from, to string) {
+	t.Helper()
+	all, err := segments(from)
+	if err != nil {
+		t.Fatal(err)
+	}
+	boots := make(map[uint64]uint64)
+	for i, s := range all {
+		raw, err := os.ReadFile(filepath.Join(from, s.name))
+		if err != nil {
+			t.Fatal(err)
+		}
+		h, err := decodeHeader(raw)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if h.First != s.first || h.Boot != s.boot {
+			t.Errorf("the header of %s is of first record %d and boot %x", s.name, h.First, h.Boot)
+		}
+		if !bytes.Equal(reframe(t, raw, &h), raw) {
+			t.Errorf("%s holds more than its header and its frames", s.name)
+		}
+		if _, ok := boots[h.Boot]; !ok {
+			boots[h.Boot] = goldenFirstBoot + uint64(len(boots))
+		}
+		h.Store, h.Boot, h.Nonce = goldenStoreID, boots[h.Boot], goldenNonce+uint64(i)
+		path := filepath.Join(to, segmentName(h.First, h.Boot, s.index))
+		if err := os.WriteFile(path, reframe(t, raw, &h), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// reframe writes the payloads of a segment under another header.
+func reframe(t *testing.T, raw []byte, h *Header) []byte {
+	t.Helper()
+	old, err := decodeHeader(raw)
+	if err != nil {
+		t.Fatal(err)
+	}
+	out := appendHeader(nil, h)
+	for rest := raw[headerSize:]; len(rest) > 0; {
+		payload, size, what := frameAt(rest, frameSeed(old.Nonce))
+		if what != intact {
+			t.Fatalf("no intact frame %d bytes before the end", len(rest))
+		}
+		out = appendFrame(out, payload, frameSeed(h.Nonce))
+		rest = rest[size:]
+	}
+	return out
+}
