--- /dev/null
+++ b/internal/numbering/golden_test.go
@@ -0,0 +1,109 @@
+package numbering
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"lapiscourse/internal/proptest"
+)
+
+func golden(name string) string { return filepath.Join("testdata", "golden", name) }
+
+func goldenTable(t *testing.T, name string) *Table {
+	t.Helper()
+	table, _, err := Read(golden(name), env)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return table
+}
+
+func indented(t *testing.T, value any) []byte {
+	t.Helper()
+	b, err := json.MarshalIndent(value, "", "  ")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return append(b, '\n')
+}
+
+// A table has the digest and decides as when the rules were committed, step by step.
+func TestGoldenDecisions(t *testing.T) {
+	night := Time(time.Date(2026, 12, 1, 3, 0, 0, 0, time.UTC).UnixNano())
+	moved, ok := MakeDigits("56225550101")
+	if !ok {
+		t.Fatal("no digits")
+	}
+	var b bytes.Buffer
+	for _, name := range []string{"rules.toml", "next.toml"} {
+		table := goldenTable(t, name)
+		fmt.Fprintf(&b, "%s: version %s, digest %s, %d prefixes, %d bytes\n", name, table.Version, table.Digest(), table.Entries(), table.Size())
+		for _, q := range []Query{
+			{Number: "9", At: now, Seed: Seed("c-1")},
+			{Number: "9", At: night, Seed: Seed("c-1")},
+			{Number: "133", At: now, Class: "alarm"},
+			{Number: "+56 600 123", At: now},
+			{Number: "+56 9 0123 4567", At: now, Class: "alarm"},
+			{Number: "+56 9 1234 5678", At: now},
+			{Number: "+56 9 1234 5678", At: now, Ported: Ported{State: Stays}},
+			{Number: "+56 9 1234 5678", At: now, Ported: Ported{State: Moved, Routing: moved}},
+			{Number: "+56 9 1234 5678", At: now, Ported: Ported{State: Undecided}},
+			{Number: "0056 2 2555 0150", At: now},
+			{Number: "+49 30 123456", At: now, Seed: Seed("0123456789abcdef")},
+			{Number: "abc", At: now},
+		} {
+			d, steps := table.Explain(&q)
+			fmt.Fprintf(&b, "\n%q class=%q at=%d seed=%016x\n%s\n", q.Number, q.Class, q.At, q.Seed, word(d))
+			for _, s := range steps {
+				fmt.Fprintln(&b, " ", s)
+			}
+		}
+		b.WriteByte('\n')
+	}
+	proptest.Golden(t, golden("decisions.txt"), b.Bytes())
+	changes, more := Diff(goldenTable(t, "rules.toml"), goldenTable(t, "next.toml"))
+	if more {
+		t.Error("the list of changes is cut")
+	}
+	proptest.Golden(t, golden("changes.json"), indented(t, changes))
+}
+
+// The standing that survives a restart is written and read as before, and so are the versions' states.
+func TestGoldenStanding(t *testing.T) {
+	var d Desk
+	var digests []string
+	for _, name := range []string{"rules.toml", "next.toml"} {
+		table := goldenTable(t, name)
+		digests = append(digests, table.Digest())
+		if err := d.Load(now, table); err != nil {
+			t.Fatal(err)
+		}
+	}
+	third := compiled(t, rules)
+	if err := d.Load(now, third); err != nil {
+		t.Fatal(err)
+	}
+	for _, step := range []error{
+		d.Activate(now+1, digests[0], "", 0),
+		d.Activate(now+2, digests[1], digests[0], 0),
+		d.Activate(now+3, third.Digest(), digests[1], now+Time(time.Hour)),
+	} {
+		if step != nil {
+			t.Fatal(step)
+		}
+	}
+	proptest.Golden(t, golden("versions.json"), indented(t, d.List()))
+	proptest.Golden(t, golden("standing.json"), d.Standing().Encode())
+	text, err := os.ReadFile(golden("standing.json"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s, err := DecodeStanding(text); err != nil || s != d.Standing() {
+		t.Errorf("read %+v, %v; want %+v", s, err, d.Standing())
+	}
+}
