--- /dev/null
+++ b/cmd/olivedale/golden_test.go
@@ -0,0 +1,54 @@
+package main
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"runtime"
+	"strings"
+	"testing"
+
+	"github.com/spf13/cobra"
+
+	"lapiscourse/internal/cli"
+	"lapiscourse/internal/proptest"
+)
+
+// output executes one command and returns what it printed, with its error as the last line.
+func output(c *cobra.Command, args ...string) []byte {
+	var out bytes.Buffer
+	c.SilenceErrors, c.SilenceUsage = true, true
+	c.SetOut(&out)
+	c.SetErr(&out)
+	c.SetArgs(append([]string{}, args...)) // nil would be those of the test
+	if err := c.Execute(); err != nil {
+		out.WriteString(err.Error() + "\n")
+	}
+	return out.Bytes()
+}
+
+// check tells the same of a good file, of one with faults and of one that is not there as when it was committed.
+func TestGoldenCheck(t *testing.T) {
+	golden, err := filepath.Abs(filepath.Join("testdata", "golden"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	dir := t.TempDir()
+	if err := os.CopyFS(dir, os.DirFS(golden)); err != nil {
+		t.Fatal(err)
+	}
+	t.Chdir(dir)
+	var all []byte
+	for _, file := range []string{"good.toml", "unknown-key.toml", "bad-value.toml", "absent.toml"} {
+		all = append(all, output(checkCommand(), file)...)
+	}
+	proptest.Golden(t, filepath.Join(golden, "check.txt"), append(all, output(checkCommand())...))
+}
+
+// version prints one line that ends with the toolchain's version; the rest differs from build to build.
+func TestGoldenVersion(t *testing.T) {
+	out := string(output(cli.VersionCommand()))
+	if !strings.HasSuffix(out, " "+runtime.Version()+"\n") || strings.Count(out, "\n") != 1 {
+		t.Errorf("version printed %q", out)
+	}
+}
