--- /dev/null
+++ b/cmd/olivelab/golden_test.go
@@ -0,0 +1,28 @@
+package main
+
+import (
+	"bytes"
+	"path/filepath"
+	"testing"
+
+	"lapiscourse/internal/proptest"
+)
+
+// A day in virtual time has the same result, byte for byte, as when it was committed.
+func TestGoldenDays(t *testing.T) {
+	for name, args := range map[string][]string{
+		"sever": {"--seed", "7"},
+		"lost":  {"--seed", "3"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := runCommand()
+			var out bytes.Buffer
+			c.SetOut(&out)
+			c.SetArgs(append([]string{"../../deploy/lab/" + name + ".toml", "--json", "--days", "1"}, args...))
+			if err := c.Execute(); err != nil {
+				t.Fatal(err)
+			}
+			proptest.Golden(t, filepath.Join("testdata", "golden", name+".json"), out.Bytes())
+		})
+	}
+}
