--- /dev/null
+++ b/internal/net/h248/golden_test.go
@@ -0,0 +1,108 @@
+package h248
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"lapiscourse/internal/goldentest"
+)
+
+// errorCodes are all codes in their order.
+var errorCodes = []int{SyntaxInMessage, ProtocolError, SyntaxInTransaction, VersionNotSupported, UnknownContext, UnknownAction, SyntaxInAction, UnknownTermination,
+	NoTerminationMatched, NoTermination, TerminationInContext, MissingRemote, SyntaxInCommand, UnknownCommand, UnknownProperty, BadValue, InternalFailure, NotImplemented,
+	NotReady, ServiceUnavailable, Insufficient, TemporaryFailure}
+
+// goldenMessages are frames of every kind of transaction and every command.
+func goldenMessages(t *testing.T) (all []goldentest.Message) {
+	add := func(name string, m *Message) {
+		m.MID = "[127.0.0.2]:2944"
+		b, err := AppendFrame(nil, m)
+		if err != nil {
+			t.Fatalf("%s: %v", name, err)
+		}
+		all = append(all, goldentest.Message{Name: name, Bytes: b})
+	}
+	request := func(name, context string, commands ...*Command) {
+		add(name, &Message{Transactions: []*Transaction{{Kind: Request, ID: 7, Actions: []*Action{{Context: context, Commands: commands}}}}})
+	}
+	media := func(kids ...*Node) []*Node { return []*Node{{Name: "Media", Kids: kids}} }
+	state := &Node{Name: "TerminationState", Kids: []*Node{{Name: "oc/class", Value: "voice"}, {Name: "oc/peer", Value: "a \"b\"\n", Quoted: true}, {Name: "oc/none", Quoted: true}}}
+	request("add", "$", &Command{Name: "Add", Termination: "call/9b1f03aa5c7e2d41/0", Descriptors: media(state, &Node{Name: "Remote", Octets: []byte("v=0\r\ns={-} \\x\r\n")})})
+	request("subtract and notify", "5", &Command{Name: "Subtract", Termination: "p/1"}, &Command{Name: "Notify", Termination: "p/2",
+		Descriptors: []*Node{{Name: "ObservedEvents", Value: "1", Kids: []*Node{{Name: "oc/rel", Kids: []*Node{{Name: "cause", Value: "16"}}}}}}})
+	request("modify, move and audits", "-", &Command{Name: "Modify", Termination: "ROOT", Descriptors: media(state)}, &Command{Name: "Move", Termination: "*"},
+		&Command{Name: "AuditValue", Termination: "ROOT"}, &Command{Name: "AuditCapability", Termination: "$"})
+	request("service change", "-", &Command{Name: "ServiceChange", Termination: "ROOT",
+		Descriptors: []*Node{{Name: "Services", Kids: []*Node{{Name: "Method", Value: "Graceful"}, {Name: "Reason", Value: "905", Quoted: true}}}}})
+	add("replies", &Message{Transactions: []*Transaction{
+		{Kind: Reply, ID: 1<<32 - 1, Actions: []*Action{{Context: "9", Commands: []*Command{{Name: "Add", Termination: "p/1", Descriptors: media(&Node{Name: "Local", Octets: []byte{}})}}}}},
+		{Kind: Reply, ID: 0, Actions: []*Action{{Context: "-", Commands: []*Command{{Name: "AuditValue", Termination: "ROOT", Descriptors: []*Node{
+			{Name: "Statistics", Kids: []*Node{{Name: "oc/requests", Value: "12"}, {Name: "oc/server", Kids: []*Node{{Name: "oc/name", Value: "s-1", Quoted: true}}}}}}}}}}},
+		{Kind: Pending, ID: 8}, {Kind: Ack, Acked: [][2]uint32{{1, 3}, {9, 9}}}}})
+	add("errors", &Message{Err: &Error{Code: SyntaxInMessage, Text: "no \"MEGACO\" header"}, Transactions: []*Transaction{
+		{Kind: Reply, ID: 1, Err: &Error{Code: NotImplemented}},
+		{Kind: Reply, ID: 2, Actions: []*Action{{Context: "5", Commands: []*Command{{Name: "Add", Termination: "p/1", Err: &Error{Code: BadValue, Text: "x"}}}, Err: &Error{Code: NotReady}}}}}})
+	codes := &Transaction{Kind: Reply, ID: 3}
+	for _, code := range errorCodes {
+		codes.Actions = append(codes.Actions, &Action{Context: "$", Err: &Error{Code: code, Text: "e"}})
+	}
+	add("every error code", &Message{Transactions: []*Transaction{codes}})
+	for _, received := range []struct{ name, text string }{{"received in the long form", pretty}, {"received in the short form", compact}} {
+		length := len(received.text) + frameHead
+		frame := append([]byte{3, 0, byte(length >> 8), byte(length)}, received.text...)
+		all = append(all, goldentest.Message{Name: received.name, Bytes: frame})
+	}
+	return all
+}
+
+// dumpMessage writes a message under labels that are fixed.
+func dumpMessage(b *strings.Builder, m *Message) {
+	fault := func(indent string, e *Error) {
+		if e != nil {
+			_, _ = fmt.Fprintf(b, "%serror %d %q\n", indent, e.Code, e.Text)
+		}
+	}
+	var nodes func(indent string, all []*Node)
+	nodes = func(indent string, all []*Node) {
+		for _, n := range all {
+			_, _ = fmt.Fprintf(b, "%snode %q value %q quoted %v octets %q none %v\n", indent, n.Name, n.Value, n.Quoted, n.Octets, n.Octets == nil)
+			nodes(indent+"  ", n.Kids)
+		}
+	}
+	_, _ = fmt.Fprintf(b, "from %q\n", m.MID)
+	fault("", m.Err)
+	for _, t := range m.Transactions {
+		_, _ = fmt.Fprintf(b, "transaction kind %d id %d acked %v\n", t.Kind, t.ID, t.Acked)
+		fault("  ", t.Err)
+		for _, a := range t.Actions {
+			_, _ = fmt.Fprintf(b, "  action context %q\n", a.Context)
+			fault("    ", a.Err)
+			for _, c := range a.Commands {
+				_, _ = fmt.Fprintf(b, "    command %q termination %q\n", c.Name, c.Termination)
+				fault("      ", c.Err)
+				nodes("      ", c.Descriptors)
+			}
+		}
+	}
+}
+
+// Messages are written as the committed bytes, and these are read as the committed dump.
+func TestGoldenMessages(t *testing.T) {
+	var dump strings.Builder
+	for _, m := range goldentest.Messages(t, "messages.txt", goldenMessages(t)) {
+		texts, err := read(m.Bytes)
+		if err != nil || len(texts) != 1 {
+			t.Errorf("%s: %d messages, %v", m.Name, len(texts), err)
+			continue
+		}
+		_, _ = fmt.Fprintf(&dump, "== %s\n", m.Name)
+		parsed, bad := Parse([]byte(texts[0]))
+		if bad != nil {
+			t.Errorf("%s: %v", m.Name, bad)
+			continue
+		}
+		dumpMessage(&dump, parsed)
+	}
+	goldentest.Compare(t, "parsed.txt", dump.String())
+}
