--- /dev/null
+++ b/internal/peer/golden_test.go
@@ -0,0 +1,67 @@
+package peer
+
+import (
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"lapiscourse/internal/goldentest"
+)
+
+// goldenCases are payloads with the keys that sign them.
+var goldenCases = []struct {
+	name    string
+	keys    [][]byte
+	payload string
+}{
+	{"not signed", nil, "hello"},
+	{"signed with the first of two keys", [][]byte{keyA, keyB}, "hello"},
+	{"empty and signed", [][]byte{keyB}, ""},
+	{"the longest that is signed", [][]byte{keyA}, string(make([]byte, Most-Signed))},
+}
+
+// exchangeWith is a controller whose only peer is a plain socket of the test.
+func exchangeWith(t *testing.T, keys [][]byte) (*Conn, *net.UDPConn) {
+	t.Helper()
+	raw, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = raw.Close() })
+	c, err := Open(Options{Listen: "127.0.0.1:0", Peers: []string{raw.LocalAddr().String()}, Keys: keys})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(c.Close)
+	return c, raw
+}
+
+// Datagrams leave as the committed bytes, and these are taken for what was sent.
+func TestGoldenDatagrams(t *testing.T) {
+	var sent []goldentest.Message
+	var conns []*Conn
+	var raws []*net.UDPConn
+	for _, g := range goldenCases {
+		c, raw := exchangeWith(t, g.keys)
+		conns, raws = append(conns, c), append(raws, raw)
+		c.Send(0, []byte(g.payload))
+		b := make([]byte, 2*Most)
+		if err := raw.SetReadDeadline(time.Now().Add(10 * time.Second)); err != nil {
+			t.Fatal(err)
+		}
+		n, err := raw.Read(b)
+		if err != nil {
+			t.Fatalf("%s: %v", g.name, err)
+		}
+		sent = append(sent, goldentest.Message{Name: g.name, Bytes: b[:n]})
+	}
+	for i, m := range goldentest.Messages(t, "datagrams.txt", sent) {
+		if _, err := raws[i].WriteToUDPAddrPort(m.Bytes, netip.MustParseAddrPort(conns[i].Addr())); err != nil {
+			t.Fatal(err)
+		}
+		if d := receive(t, conns[i]); d.From != 0 || string(d.B) != goldenCases[i].payload {
+			t.Errorf("%s: %q came from %d", m.Name, d.B, d.From)
+		}
+	}
+}
