--- /dev/null
+++ b/internal/logs/golden_test.go
@@ -0,0 +1,82 @@
+package logs
+
+import (
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"io/fs"
+	"maps"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+
+	"lapiscourse/internal/goldentest"
+)
+
+// constantText is the value of a string literal; any other expression is no constant here.
+func constantText(e ast.Expr) (string, bool) {
+	literal, ok := e.(*ast.BasicLit)
+	if !ok || literal.Kind != token.STRING {
+		return "", false
+	}
+	text, err := strconv.Unquote(literal.Value)
+	return text, err == nil
+}
+
+// eventOf reads a call of a logger: level, event and keys on one line; "" if it is none.
+func eventOf(t *testing.T, call *ast.CallExpr) string {
+	t.Helper()
+	method, ok := call.Fun.(*ast.SelectorExpr)
+	if !ok || !slices.Contains([]string{"Debugw", "Infow", "Warnw", "Errorw"}, method.Sel.Name) {
+		return ""
+	}
+	event, ok := constantText(call.Args[0])
+	if !ok {
+		t.Errorf("an event of %s is no literal", method.Sel.Name)
+	}
+	line := strings.ToLower(strings.TrimSuffix(method.Sel.Name, "w")) + " " + event + ":"
+	for i := 1; i < len(call.Args); i += 2 {
+		key, ok := constantText(call.Args[i])
+		if !ok {
+			t.Errorf("event %s: argument %d is no literal key", event, i)
+		}
+		line += " " + key
+	}
+	return line
+}
+
+// addEvents notes the events that a file of a program writes.
+func addEvents(t *testing.T, path string, events map[string]bool) error {
+	file, err := parser.ParseFile(token.NewFileSet(), path, nil, parser.SkipObjectResolution)
+	if err != nil {
+		return err
+	}
+	ast.Inspect(file, func(n ast.Node) bool {
+		if call, ok := n.(*ast.CallExpr); ok {
+			if line := eventOf(t, call); line != "" {
+				events[line] = true
+			}
+		}
+		return true
+	})
+	return nil
+}
+
+// Events of all programs, their levels and the keys of their fields are as committed, in whichever package they are.
+func TestGoldenEvents(t *testing.T) {
+	events := make(map[string]bool)
+	for _, folder := range []string{"cmd", "internal"} {
+		err := filepath.WalkDir(filepath.Join("..", "..", folder), func(path string, entry fs.DirEntry, err error) error {
+			if err != nil || entry.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+				return err
+			}
+			return addEvents(t, path, events)
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	goldentest.Compare(t, "events.txt", strings.Join(slices.Sorted(maps.Keys(events)), "\n")+"\n")
+}
