--- /dev/null
+++ b/cmd/olivectl/golden_test.go
@@ -0,0 +1,216 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	stdnet "net"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"lapiscourse/internal/agent"
+	"lapiscourse/internal/config"
+	"lapiscourse/internal/control"
+	"lapiscourse/internal/goldentest"
+	"lapiscourse/internal/net"
+	"lapiscourse/internal/net/h248"
+	"lapiscourse/internal/numbering"
+	"lapiscourse/internal/share"
+)
+
+// serve answers commands on a port of its own.
+func serve(t *testing.T, handle control.Handler) (addr string) {
+	t.Helper()
+	ln, err := stdnet.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = ln.Close() })
+	go func() { _ = control.Serve(ln, "<stand-in>", handle) }()
+	return ln.Addr().String()
+}
+
+// serveAgent is a stand-in for an agent that runs one instance, n0, with that admin address.
+func serveAgent(t *testing.T, admin string) (addr string) {
+	t.Helper()
+	return serve(t, func(c *h248.Command) ([]*h248.Node, *h248.Error) {
+		n := &h248.Node{Name: "oa/instance", Kids: []*h248.Node{{Name: "name", Value: "n0", Quoted: true}, {Name: "state", Value: "running"},
+			{Name: "pid", Value: "7"}, {Name: "starts", Value: "1"}, {Name: "admin", Value: admin, Quoted: true}}}
+		if c.Termination == "ROOT" {
+			return []*h248.Node{{Name: "Statistics", Kids: []*h248.Node{n}}}, nil
+		}
+		return []*h248.Node{n}, nil
+	})
+}
+
+// mustRun executes a command line that must succeed.
+func mustRun(t *testing.T, args ...string) string {
+	t.Helper()
+	out, err := run(t, args...)
+	if err != nil {
+		t.Errorf("%v: %v\n%s", args, err, out)
+	}
+	return out
+}
+
+// What olivectl tells of an agent's instances is as committed. Their specification is faulty, so that no process runs.
+func TestGoldenAgent(t *testing.T) {
+	a := agent.New(filepath.Join(t.TempDir(), "none"), t.TempDir(), zap.NewNop())
+	t.Cleanup(a.Close)
+	a.Change("east", []byte(`{"config":{},"h248":{"listen":"127.0.0.1:2944","admin":"127.0.0.1:2945"}}`))
+	a.Change("west", []byte(`{`))
+	addr := serve(t, a.Handle)
+	goldentest.Compare(t, "list.json", mustRun(t, "list", "--agent", addr, "--json"))
+	goldentest.Compare(t, "list.txt", mustRun(t, "list", "--agent", addr))
+	goldentest.Compare(t, "status_faulty.json", mustRun(t, "status", "east", "--agent", addr, "--json"))
+	goldentest.Compare(t, "drain.txt", mustRun(t, "drain", "east", "--agent", addr))
+}
+
+// goldenState is a state of which every value differs from its zero.
+func goldenState() *share.State {
+	return &share.State{Self: 3, Peers: 300, Boot: 77, Teller: 5, Since: 3 * time.Second, Heard: 400 * time.Millisecond, Live: 260, Of: 300, Part: true, Often: true, Shunned: 1,
+		Servers:   []share.ServerState{{ID: "s-1", Waiting: 2, Wait: 130 * time.Millisecond, Obeyed: true, Claim: 900 * time.Millisecond, Hold: [4]float64{0.98, 0.5, 0, 1}, Over: 0.25, Held: 12}},
+		Told:      []share.SumState{{Key: share.Key("s-1"), Offered: 40.5, Over: 2, Done: 30, Wait: time.Second, Told: 100, Budget: 28}},
+		Reporters: []share.PeerState{{Number: 2, Presence: share.Suspected, Heard: time.Second, Lost: 0.125, Last: 500 * time.Millisecond}},
+		Counters:  share.Counters{Said: 1, SaidBytes: 2, Heard: 3, Unread: 5, Alien: 6, Held: 8, Passed: 9, Silent: 11, Wrong: 12}}
+}
+
+// What olivectl tells of what instances share, and of their versions of numbers, is as committed.
+func TestGoldenInstance(t *testing.T) {
+	admin := serve(t, func(c *h248.Command) ([]*h248.Node, *h248.Error) {
+		if c.Termination == control.ShareTermination {
+			return control.ShareNodes(goldenState()), nil
+		}
+		const begins = 1764547200 * time.Second
+		return control.NumbersNodes([]numbering.Status{
+			{Digest: "7b3cbfb4b82e4e7b", Name: "of today", State: numbering.InForce, Entries: 12, Pins: 3, Since: begins},
+			{Digest: "00c41f7a00c41f7a", Name: "of tomorrow", State: numbering.Waiting, Entries: 13, Due: begins + time.Hour},
+			{Digest: "11c41f7a00c41f7a", Name: "spare", State: numbering.Loaded, Entries: 1},
+		}, numbering.Job{ID: 4, Order: numbering.Order{Op: numbering.OpLoad}, Err: "no such file"}), nil
+	})
+	addr := serveAgent(t, admin)
+	for file, args := range map[string][]string{
+		"peers.json": {"peers", "--json"}, "peers.txt": {"peers"}, "peers_explain.txt": {"peers", "--explain", "s-1"},
+		"numbers_list.json": {"numbers", "list", "--json"}, "numbers_list.txt": {"numbers", "list"},
+	} {
+		goldentest.Compare(t, file, mustRun(t, append(args, "--agent", addr)...))
+	}
+}
+
+// free is an address of this machine that nobody listens on just now.
+func free(t *testing.T) string {
+	t.Helper()
+	ln, err := stdnet.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = ln.Close() }()
+	return ln.Addr().String()
+}
+
+const instanceConfig = `{"name":"n0","listen":"%s","seed":"1f","names":"127.0.0.1:9","limits":{"memory_mb":192,"sockets":1024},
+	"known":{"n":1,"events":[{"n":1,"members":{"complete":true,"members":[{"id":"s-0","host_port":"127.0.0.1:9","locality":"east","flavor":"std","cell":0,"phase":"Ready"}]}}]},
+	"settings":{"groupSize":1,"classes":[{"name":"voice","aim":1000,"deadline":3000,"credit":1}],
+	"domain":{"topology":"pools","releaseGuard":300},"limits":{"maxAttempts":2,"connectTimeout":500,"peerMessages":true}}}`
+
+const instanceRules = `version = "of today"
+default = "all"
+[[route]]
+name = "all"
+[[route.target]]
+pool = 0
+`
+
+// startInstance runs an instance with all that has statistics, and returns its admin address.
+func startInstance(t *testing.T) (admin string) {
+	t.Helper()
+	dir := t.TempDir()
+	rules := filepath.Join(dir, "numbers.toml")
+	if err := os.WriteFile(rules, []byte(instanceRules), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	admin = free(t)
+	peer, number := free(t), 0
+	o := &config.Operator{H248: &config.H248{Listen: free(t), Admin: admin}, Records: &config.Records{Dir: filepath.Join(dir, "records")},
+		Numbers: &config.Numbers{File: rules, Lookup: config.Lookup{Servers: []string{"127.0.0.1:9"}}},
+		Share:   &config.Share{Listen: peer, Peers: []string{peer, free(t)}, Number: &number}}
+	if err := o.Check(); err != nil {
+		t.Fatal(err)
+	}
+	cfg, err := config.Parse(fmt.Appendf(nil, instanceConfig, free(t)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	n, err := net.New(cfg, net.Options{H248: o.H248, Records: o.Records, Numbers: o.Numbers, Share: o.Share})
+	if err != nil {
+		t.Fatal(err)
+	}
+	done := make(chan error, 1)
+	go func() { done <- n.Run() }()
+	select {
+	case <-n.Started():
+	case err := <-done:
+		t.Fatal(err)
+	case <-time.After(10 * time.Second):
+		t.Fatal("the instance did not start")
+	}
+	t.Cleanup(func() {
+		n.Stop()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	})
+	return admin
+}
+
+// shape writes the names of a JSON value's members in their order, with types; of an array, the first element's.
+func shape(t *testing.T, text string) string {
+	t.Helper()
+	var b strings.Builder
+	in := json.NewDecoder(strings.NewReader(text))
+	next := func() json.Token {
+		token, err := in.Token()
+		if err != nil {
+			t.Fatal(err)
+		}
+		return token
+	}
+	var value func(path string)
+	value = func(path string) {
+		switch token := next(); token {
+		case json.Delim('{'):
+			_, _ = fmt.Fprintf(&b, "%s object\n", path)
+			for in.More() {
+				value(fmt.Sprintf("%s.%v", path, next()))
+			}
+			next()
+		case json.Delim('['):
+			_, _ = fmt.Fprintf(&b, "%s array\n", path)
+			for first := true; in.More(); first = false {
+				before := b.String()
+				value(path + "[]")
+				if !first {
+					b.Reset()
+					b.WriteString(before)
+				}
+			}
+			next()
+		default:
+			_, _ = fmt.Fprintf(&b, "%s %T\n", path, token)
+		}
+	}
+	value("")
+	return b.String()
+}
+
+// The names and types of what olivectl tells of an instance in service are as committed, and so is a replay.
+func TestGoldenService(t *testing.T) {
+	addr := serveAgent(t, startInstance(t))
+	goldentest.Compare(t, "status_fields.txt", shape(t, mustRun(t, "status", "n0", "--agent", addr, "--json")))
+	goldentest.Compare(t, "top_fields.txt", shape(t, mustRun(t, "top", "--agent", addr, "--interval", "100ms", "--json")))
+	goldentest.Compare(t, "top_replay.json", mustRun(t, "top", "--replay", kept, "--json"))
+}
