--- a/cmd/olivectl/golden_test.go
+++ b/cmd/olivectl/golden_test.go
@@ -207,9 +207,25 @@
 	return b.String()
 }
 
+// statistics writes the names of nodes below each other.
+func statistics(b *strings.Builder, path string, nodes []*h248.Node) {
+	for _, n := range nodes {
+		_, _ = fmt.Fprintf(b, "%s%s\n", path, n.Name)
+		statistics(b, path+n.Name+" ", n.Kids)
+	}
+}
+
 // The names and types of what olivectl tells of an instance in service are as committed, and so is a replay.
 func TestGoldenService(t *testing.T) {
-	addr := serveAgent(t, startInstance(t))
+	admin := startInstance(t)
+	audit, err := control.Ask(t.Context(), admin, control.Audit("ROOT"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var names strings.Builder
+	statistics(&names, "", audit.Descriptors)
+	goldentest.Compare(t, "statistics.txt", names.String())
+	addr := serveAgent(t, admin)
 	goldentest.Compare(t, "status_fields.txt", shape(t, mustRun(t, "status", "n0", "--agent", addr, "--json")))
 	goldentest.Compare(t, "top_fields.txt", shape(t, mustRun(t, "top", "--agent", addr, "--interval", "100ms", "--json")))
 	goldentest.Compare(t, "top_replay.json", mustRun(t, "top", "--replay", kept, "--json"))
