--- a/cmd/olivectl/golden_test.go
+++ b/cmd/olivectl/golden_test.go
@@ -10,7 +10,7 @@
 	"testing"
 	"time"
 
-	"lapiscourse/internal/proptest"
+	"lapiscourse/internal/goldentest"
 )
 
 // compileTime is the only part of an output that differs from run to run.
@@ -63,7 +63,7 @@
 			t.Errorf("%s: %v, want error %q", c.args, err, c.err)
 		}
 		out, _, _ = strings.Cut(out, "Error: ") // the command line's own words on errors are not compared
-		proptest.Golden(t, filepath.Join(golden, c.file), []byte(compileTime.ReplaceAllString(out, "compiled in TIME")))
+		goldentest.CompareFile(t, filepath.Join(golden, c.file), []byte(compileTime.ReplaceAllString(out, "compiled in TIME")))
 	}
 }
 
@@ -80,7 +80,7 @@
 		if err != nil {
 			t.Error(err)
 		}
-		proptest.Golden(t, filepath.Join(golden, "records-tail.jsonl"), []byte(out))
+		goldentest.CompareFile(t, filepath.Join(golden, "records-tail.jsonl"), []byte(out))
 	}()
 	for {
 		select {
--- a/cmd/olivedale/golden_test.go
+++ b/cmd/olivedale/golden_test.go
@@ -11,7 +11,7 @@
 	"github.com/spf13/cobra"
 
 	"lapiscourse/internal/cli"
-	"lapiscourse/internal/proptest"
+	"lapiscourse/internal/goldentest"
 )
 
 // output executes one command and returns what it printed, with its error as the last line.
@@ -42,7 +42,7 @@
 	for _, file := range []string{"good.toml", "unknown-key.toml", "bad-value.toml", "absent.toml"} {
 		all = append(all, output(checkCommand(), file)...)
 	}
-	proptest.Golden(t, filepath.Join(golden, "check.txt"), append(all, output(checkCommand())...))
+	goldentest.CompareFile(t, filepath.Join(golden, "check.txt"), append(all, output(checkCommand())...))
 }
 
 // version prints one line that ends with the toolchain's version; the rest differs from build to build.
--- a/cmd/olivelab/golden_test.go
+++ b/cmd/olivelab/golden_test.go
@@ -5,7 +5,7 @@
 	"path/filepath"
 	"testing"
 
-	"lapiscourse/internal/proptest"
+	"lapiscourse/internal/goldentest"
 )
 
 // A day in virtual time has the same result, byte for byte, as when it was committed.
@@ -22,7 +22,7 @@
 			if err := c.Execute(); err != nil {
 				t.Fatal(err)
 			}
-			proptest.Golden(t, filepath.Join("testdata", "golden", name+".json"), out.Bytes())
+			goldentest.CompareFile(t, filepath.Join("testdata", "golden", name+".json"), out.Bytes())
 		})
 	}
 }
--- a/internal/proptest/golden.go
+++ b/internal/goldentest/files.go
@@ -1,4 +1,4 @@
-package proptest
+package goldentest
 
 import (
 	"bytes"
@@ -13,9 +13,9 @@
 
 var update = flag.Bool("update", false, "write the golden files instead of comparing with them")
 
-// Golden compares what a test made with a committed file, byte for byte, and reports the first line that
+// CompareFile compares what a test made with a committed file, byte for byte, and reports the first line that
 // differs. With -update it writes the file.
-func Golden(t testing.TB, path string, got []byte) {
+func CompareFile(t testing.TB, path string, got []byte) {
 	t.Helper()
 	if *update {
 		if err := errors.Join(os.MkdirAll(filepath.Dir(path), 0o755), os.WriteFile(path, got, 0o644)); err != nil {
@@ -33,9 +33,9 @@
 	}
 }
 
-// GoldenDir compares the files in a directory with those in a committed one, by name and byte for byte. With
+// CompareDir compares the files in a directory with those in a committed one, by name and byte for byte. With
 // -update it replaces the committed files. Neither directory may hold others.
-func GoldenDir(t testing.TB, path, got string) {
+func CompareDir(t testing.TB, path, got string) {
 	t.Helper()
 	names := fileNames(t, got)
 	if *update {
@@ -51,7 +51,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		Golden(t, filepath.Join(path, name), data)
+		CompareFile(t, filepath.Join(path, name), data)
 	}
 }
 
@@ -68,10 +68,10 @@
 	return names
 }
 
-// mostShown bounds how much of a line that differs is shown, in bytes.
-const mostShown = 300
+// maxShownBytes bounds how much of a differing line is shown.
+const maxShownBytes = 300
 
-// firstDifference tells the first line in which two texts differ, from shortly before the byte that does.
+// firstDifference returns the first line in which two texts differ, from shortly before the byte that does.
 func firstDifference(got, want []byte) string {
 	gotLines, wantLines := bytes.Split(got, []byte("\n")), bytes.Split(want, []byte("\n"))
 	for i := range min(len(gotLines), len(wantLines)) {
@@ -83,8 +83,8 @@
 		for same < min(len(g), len(w)) && g[same] == w[same] {
 			same++
 		}
-		from := max(same-mostShown/2, 0)
-		g, w = g[from:min(from+mostShown, len(g))], w[from:min(from+mostShown, len(w))]
+		from := max(same-maxShownBytes/2, 0)
+		g, w = g[from:min(from+maxShownBytes, len(g))], w[from:min(from+maxShownBytes, len(w))]
 		return fmt.Sprintf("line %d differs at byte %d\n got %q\nwant %q", i+1, same+1, g, w)
 	}
 	return fmt.Sprintf("got %d lines, want %d", len(gotLines), len(wantLines))
--- /dev/null
+++ b/internal/goldentest/goldentest.go
@@ -0,0 +1,77 @@
+// Package goldentest compares what tests produce with committed files under testdata/golden.
+// Only tests import it. With the flag -update tests write these files instead.
+package goldentest
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+)
+
+// A Message is an encoded message and the name of its case.
+type Message struct {
+	Name  string
+	Bytes []byte
+}
+
+// Compare compares a text with a committed file and shows the first line that differs.
+func Compare(t testing.TB, file, got string) {
+	t.Helper()
+	CompareFile(t, filepath.Join("testdata", "golden", file), []byte(got))
+}
+
+// Messages compares encoded messages with a committed file and returns the committed ones.
+func Messages(t testing.TB, file string, encoded []Message) []Message {
+	t.Helper()
+	Compare(t, file, format(encoded))
+	text, err := os.ReadFile(filepath.Join("testdata", "golden", file))
+	if err != nil {
+		t.Fatal(err)
+	}
+	committed, err := parse(string(text))
+	if err != nil {
+		t.Fatalf("%s: %v", file, err)
+	}
+	return committed
+}
+
+// format writes each message as a heading and one quoted string a line of the message.
+func format(messages []Message) string {
+	var b strings.Builder
+	for _, m := range messages {
+		_, _ = fmt.Fprintf(&b, "== %s\n", m.Name)
+		for line := range strings.SplitAfterSeq(string(m.Bytes), "\n") {
+			if line != "" {
+				b.WriteString(strconv.QuoteToASCII(line) + "\n")
+			}
+		}
+	}
+	return b.String()
+}
+
+var errNoHeading = errors.New("bytes before the first heading")
+
+// parse reads what format wrote.
+func parse(text string) (messages []Message, err error) {
+	for line := range strings.Lines(text) {
+		line = strings.TrimSuffix(line, "\n")
+		if name, ok := strings.CutPrefix(line, "== "); ok {
+			messages = append(messages, Message{Name: name})
+			continue
+		}
+		if len(messages) == 0 {
+			return nil, errNoHeading
+		}
+		piece, err := strconv.Unquote(line)
+		if err != nil {
+			return nil, fmt.Errorf("%q: %w", line, err)
+		}
+		last := &messages[len(messages)-1]
+		last.Bytes = append(last.Bytes, piece...)
+	}
+	return messages, nil
+}
--- a/internal/numbering/golden_test.go
+++ b/internal/numbering/golden_test.go
@@ -9,7 +9,7 @@
 	"testing"
 	"time"
 
-	"lapiscourse/internal/proptest"
+	"lapiscourse/internal/goldentest"
 )
 
 func golden(name string) string { return filepath.Join("testdata", "golden", name) }
@@ -65,12 +65,12 @@
 		}
 		b.WriteByte('\n')
 	}
-	proptest.Golden(t, golden("decisions.txt"), b.Bytes())
+	goldentest.CompareFile(t, golden("decisions.txt"), b.Bytes())
 	changes, more := Diff(goldenTable(t, "rules.toml"), goldenTable(t, "next.toml"))
 	if more {
 		t.Error("the list of changes is cut")
 	}
-	proptest.Golden(t, golden("changes.json"), indented(t, changes))
+	goldentest.CompareFile(t, golden("changes.json"), indented(t, changes))
 }
 
 // The standing that survives a restart is written and read as before, and so are the versions' states.
@@ -97,8 +97,8 @@
 			t.Fatal(step)
 		}
 	}
-	proptest.Golden(t, golden("versions.json"), indented(t, d.List()))
-	proptest.Golden(t, golden("standing.json"), d.Standing().Encode())
+	goldentest.CompareFile(t, golden("versions.json"), indented(t, d.List()))
+	goldentest.CompareFile(t, golden("standing.json"), d.Standing().Encode())
 	text, err := os.ReadFile(golden("standing.json"))
 	if err != nil {
 		t.Fatal(err)
--- a/internal/record/golden_test.go
+++ b/internal/record/golden_test.go
@@ -11,7 +11,7 @@
 	"testing"
 	"time"
 
-	"lapiscourse/internal/proptest"
+	"lapiscourse/internal/goldentest"
 )
 
 var goldenStore = filepath.Join("testdata", "golden", "store")
@@ -86,7 +86,7 @@
 		shut(t, l)
 	}
 	fixDrawnNumbers(t, written, fixed)
-	proptest.GoldenDir(t, goldenStore, fixed)
+	goldentest.CompareDir(t, goldenStore, fixed)
 }
 
 // The committed store is read as the records that were written, and shown in the same words.
@@ -122,8 +122,8 @@
 	if got := r.Header().Store; got != goldenStoreID {
 		t.Errorf("store %x", got)
 	}
-	proptest.Golden(t, filepath.Join("testdata", "golden", "records.jsonl"), asJSON)
-	proptest.Golden(t, filepath.Join("testdata", "golden", "records.txt"), lines)
+	goldentest.CompareFile(t, filepath.Join("testdata", "golden", "records.jsonl"), asJSON)
+	goldentest.CompareFile(t, filepath.Join("testdata", "golden", "records.txt"), lines)
 }
 
 // fixDrawnNumbers copies a store with fixed numbers in place of those that its writer drew at random.
--- a/internal/report/golden_test.go
+++ b/internal/report/golden_test.go
@@ -6,7 +6,7 @@
 	"testing"
 	"time"
 
-	"lapiscourse/internal/proptest"
+	"lapiscourse/internal/goldentest"
 )
 
 // The accounts of the committed stores are the same bytes as when they were committed.
@@ -24,8 +24,8 @@
 			if err := r.WriteHTML(&page, time.Unix(1_800_000_000, 0).UTC()); err != nil {
 				t.Fatal(err)
 			}
-			proptest.Golden(t, filepath.Join("testdata", "golden", name+".json"), asJSON.Bytes())
-			proptest.Golden(t, filepath.Join("testdata", "golden", name+".html"), page.Bytes())
+			goldentest.CompareFile(t, filepath.Join("testdata", "golden", name+".json"), asJSON.Bytes())
+			goldentest.CompareFile(t, filepath.Join("testdata", "golden", name+".html"), page.Bytes())
 		})
 	}
 }
--- a/internal/store/golden_test.go
+++ b/internal/store/golden_test.go
@@ -5,7 +5,7 @@
 	"path/filepath"
 	"testing"
 
-	"lapiscourse/internal/proptest"
+	"lapiscourse/internal/goldentest"
 )
 
 var goldenState = filepath.Join("testdata", "golden", "state")
@@ -44,7 +44,7 @@
 			t.Fatal(err)
 		}
 	}
-	proptest.GoldenDir(t, goldenState, dir)
+	goldentest.CompareDir(t, goldenState, dir)
 }
 
 // The committed values are found whole, with those to fall back on.
