--- a/cmd/benchlink/main.go
+++ b/cmd/benchlink/main.go
@@ -11,8 +11,8 @@
 	"io"
 	"os"
 
-	"lapiscourse"
-	"lapiscourse/internal/wire"
+	"olivedale/internal/admission"
+	"olivedale/internal/simproto"
 )
 
 func main() {
@@ -25,7 +25,7 @@
 // run answers each line of in until its end.
 func run(in io.Reader, out io.Writer) error {
 	r := bufio.NewReaderSize(in, 1<<20)
-	h := host{nodes: make(map[int]*lapiscourse.Controller)}
+	h := host{nodes: make(map[int]*admission.Controller)}
 	for {
 		line, err := r.ReadBytes('\n')
 		if text := bytes.TrimSpace(line); len(text) > 0 {
@@ -48,8 +48,8 @@
 
 // A host keeps one Controller for each node that runs.
 type host struct {
-	dec   wire.Decoder
-	nodes map[int]*lapiscourse.Controller
+	dec   simproto.Decoder
+	nodes map[int]*admission.Controller
 }
 
 func (h *host) answer(line []byte) ([]byte, error) {
@@ -57,28 +57,28 @@
 	if err != nil {
 		return nil, err
 	}
-	var replies []wire.Reply
+	var replies []simproto.Reply
 	for _, n := range batch.Nodes {
 		actions, err := h.feed(batch.Now, n)
 		if err != nil {
 			return nil, fmt.Errorf("node %d: %w", n.Number, err)
 		}
-		replies = append(replies, wire.Reply{Number: n.Number, Actions: actions})
+		replies = append(replies, simproto.Reply{Number: n.Number, Actions: actions})
 	}
-	return wire.Encode(replies)
+	return simproto.Encode(replies)
 }
 
 // feed hands a node its items. What it had to say before a kill in the same
 // batch is void, like all else it knew.
-func (h *host) feed(now lapiscourse.Time, n wire.Node) ([]lapiscourse.Action, error) {
-	var actions []lapiscourse.Action
+func (h *host) feed(now admission.Time, n simproto.Node) ([]admission.Action, error) {
+	var actions []admission.Action
 	for _, it := range n.Items {
 		switch {
 		case it.Kill:
 			delete(h.nodes, n.Number)
 			actions = nil
 		case it.Start != nil:
-			c, err := lapiscourse.New(it.Start.Settings, it.Start.Seed)
+			c, err := admission.New(it.Start.Settings, it.Start.Seed)
 			if err != nil {
 				return nil, fmt.Errorf("START: %w", err)
 			}
--- a/cmd/oliveagent/main.go
+++ b/cmd/oliveagent/main.go
@@ -14,17 +14,17 @@
 	"github.com/spf13/cobra"
 	clientv3 "go.etcd.io/etcd/client/v3"
 
-	"lapiscourse/internal/agent"
-	"lapiscourse/internal/cli"
-	"lapiscourse/internal/control"
-	"lapiscourse/internal/logs"
+	"olivedale/internal/adminapi"
+	"olivedale/internal/agent"
+	"olivedale/internal/cli"
+	"olivedale/internal/logging"
 )
 
 // flags are what the command line says.
 type flags struct {
 	etcd                         []string
 	prefix, program, dir, listen string
-	log                          logs.Options
+	log                          logging.Options
 }
 
 func main() {
@@ -41,7 +41,7 @@
 	set.StringVar(&f.program, "program", "bin/olivedale", "the program to run")
 	set.StringVar(&f.dir, "dir", "", "folder for the files of the instances (needed)")
 	set.StringVar(&f.listen, "listen", "127.0.0.1:2950", "where olivectl connects")
-	set.StringVar(&f.log.Form, "log-form", logs.Text, "form of log lines: text or json")
+	set.StringVar(&f.log.Form, "log-form", logging.Text, "form of log lines: text or json")
 	set.StringVar(&f.log.Level, "log-level", "info", "least level of log lines: debug, info, warn, error")
 	root.AddCommand(cli.VersionCommand())
 	os.Exit(cli.Run(root))
@@ -54,7 +54,7 @@
 	if err := f.log.Check(); err != nil {
 		return cli.Usage("--log-%w", err)
 	}
-	zl := logs.New(os.Stderr, f.log)
+	zl := logging.New(os.Stderr, f.log)
 	log := zl.Sugar()
 	// A relative path would be taken from the instance's folder.
 	program, err := filepath.Abs(f.program)
@@ -75,7 +75,7 @@
 	defer stop()
 	a := agent.New(program, f.dir, zl)
 	go func() {
-		if err := control.Serve(ln, "<agent>", a.Handle); err != nil {
+		if err := adminapi.Serve(ln, "<agent>", a.Handle); err != nil {
 			log.Errorw("control_failed", "err", err)
 			stop()
 		}
--- a/cmd/olivectl/golden_agent_test.go
+++ b/cmd/olivectl/golden_agent_test.go
@@ -12,25 +12,25 @@
 
 	"go.uber.org/zap"
 
-	"lapiscourse/internal/agent"
-	"lapiscourse/internal/config"
-	"lapiscourse/internal/control"
-	"lapiscourse/internal/goldentest"
-	"lapiscourse/internal/net"
-	"lapiscourse/internal/net/h248"
-	"lapiscourse/internal/numbering"
-	"lapiscourse/internal/share"
+	"olivedale/internal/adminapi"
+	"olivedale/internal/agent"
+	"olivedale/internal/codec/h248"
+	"olivedale/internal/config"
+	"olivedale/internal/goldentest"
+	"olivedale/internal/numbering"
+	"olivedale/internal/overload"
+	"olivedale/internal/server"
 )
 
 // serve answers commands on a port of its own.
-func serve(t *testing.T, handle control.Handler) (addr string) {
+func serve(t *testing.T, handle adminapi.Handler) (addr string) {
 	t.Helper()
 	ln, err := stdnet.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = ln.Close() })
-	go func() { _ = control.Serve(ln, "<stand-in>", handle) }()
+	go func() { _ = adminapi.Serve(ln, "<stand-in>", handle) }()
 	return ln.Addr().String()
 }
 
@@ -71,22 +71,22 @@
 }
 
 // goldenState is a state of which every value differs from its zero.
-func goldenState() *share.State {
-	return &share.State{Self: 3, Peers: 300, Boot: 77, Teller: 5, Since: 3 * time.Second, Heard: 400 * time.Millisecond, Live: 260, Of: 300, Part: true, Often: true, Shunned: 1,
-		Servers:   []share.ServerState{{ID: "s-1", Waiting: 2, Wait: 130 * time.Millisecond, Obeyed: true, Claim: 900 * time.Millisecond, Hold: [4]float64{0.98, 0.5, 0, 1}, Over: 0.25, Held: 12}},
-		Told:      []share.SumState{{Key: share.Key("s-1"), Offered: 40.5, Over: 2, Done: 30, Wait: time.Second, Told: 100, Budget: 28}},
-		Reporters: []share.PeerState{{Number: 2, Presence: share.Suspected, Heard: time.Second, Lost: 0.125, Last: 500 * time.Millisecond}},
-		Counters:  share.Counters{Said: 1, SaidBytes: 2, Heard: 3, Unread: 5, Alien: 6, Held: 8, Passed: 9, Silent: 11, Wrong: 12}}
+func goldenState() *overload.State {
+	return &overload.State{Self: 3, Peers: 300, Boot: 77, Teller: 5, Since: 3 * time.Second, Heard: 400 * time.Millisecond, Live: 260, Of: 300, Part: true, Often: true, Shunned: 1,
+		Servers:   []overload.ServerState{{ID: "s-1", Waiting: 2, Wait: 130 * time.Millisecond, Obeyed: true, Claim: 900 * time.Millisecond, Hold: [4]float64{0.98, 0.5, 0, 1}, Over: 0.25, Held: 12}},
+		Told:      []overload.SumState{{Key: overload.Key("s-1"), Offered: 40.5, Over: 2, Done: 30, Wait: time.Second, Told: 100, Budget: 28}},
+		Reporters: []overload.PeerState{{Number: 2, Presence: overload.Suspected, Heard: time.Second, Lost: 0.125, Last: 500 * time.Millisecond}},
+		Counters:  overload.Counters{Said: 1, SaidBytes: 2, Heard: 3, Unread: 5, Alien: 6, Held: 8, Passed: 9, Silent: 11, Wrong: 12}}
 }
 
 // What olivectl tells of what instances share, and of their versions of numbers, is as committed.
 func TestGoldenInstance(t *testing.T) {
 	admin := serve(t, func(c *h248.Command) ([]*h248.Node, *h248.Error) {
-		if c.Termination == control.ShareTermination {
-			return control.ShareNodes(goldenState()), nil
+		if c.Termination == adminapi.ShareTermination {
+			return adminapi.ShareNodes(goldenState()), nil
 		}
 		const begins = 1764547200 * time.Second
-		return control.NumbersNodes([]numbering.Status{
+		return adminapi.NumbersNodes([]numbering.Status{
 			{Digest: "7b3cbfb4b82e4e7b", Name: "of today", State: numbering.InForce, Entries: 12, Pins: 3, Since: begins},
 			{Digest: "00c41f7a00c41f7a", Name: "of tomorrow", State: numbering.Waiting, Entries: 13, Due: begins + time.Hour},
 			{Digest: "11c41f7a00c41f7a", Name: "spare", State: numbering.Loaded, Entries: 1},
@@ -145,7 +145,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	n, err := net.New(cfg, net.Options{H248: o.H248, Records: o.Records, Numbers: o.Numbers, Share: o.Share})
+	n, err := server.New(cfg, server.Options{H248: o.H248, Records: o.Records, Numbers: o.Numbers, Share: o.Share})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -218,7 +218,7 @@
 // The names and types of what olivectl tells of an instance in service are as committed, and so is a replay.
 func TestGoldenService(t *testing.T) {
 	admin := startInstance(t)
-	audit, err := control.Ask(t.Context(), admin, control.Audit("ROOT"))
+	audit, err := adminapi.Ask(t.Context(), admin, adminapi.Audit("ROOT"))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/cmd/olivectl/golden_test.go
+++ b/cmd/olivectl/golden_test.go
@@ -10,7 +10,7 @@
 	"testing"
 	"time"
 
-	"lapiscourse/internal/goldentest"
+	"olivedale/internal/goldentest"
 )
 
 // compileTime is the only part of an output that differs from run to run.
--- a/cmd/olivectl/numbers.go
+++ b/cmd/olivectl/numbers.go
@@ -10,9 +10,9 @@
 	"github.com/dustin/go-humanize"
 	"github.com/spf13/cobra"
 
-	"lapiscourse/internal/cli"
-	"lapiscourse/internal/config"
-	"lapiscourse/internal/numbering"
+	"olivedale/internal/cli"
+	"olivedale/internal/config"
+	"olivedale/internal/numbering"
 )
 
 func numbersCommand() *cobra.Command {
--- a/cmd/olivectl/peers.go
+++ b/cmd/olivectl/peers.go
@@ -12,16 +12,16 @@
 
 	"github.com/spf13/cobra"
 
-	"lapiscourse/internal/cli"
-	"lapiscourse/internal/control"
-	"lapiscourse/internal/share"
+	"olivedale/internal/adminapi"
+	"olivedale/internal/cli"
+	"olivedale/internal/overload"
 )
 
 // A peerRow is what an instance says of what it shares.
 type peerRow struct {
-	Instance string       `json:"instance"`
-	State    *share.State `json:"state,omitempty"`
-	Err      string       `json:"error,omitempty"`
+	Instance string          `json:"instance"`
+	State    *overload.State `json:"state,omitempty"`
+	Err      string          `json:"error,omitempty"`
 }
 
 func peersCommand() *cobra.Command {
@@ -42,9 +42,9 @@
 			var lost []error
 			for _, i := range instances {
 				r := peerRow{Instance: i.Name}
-				reply, err := control.Ask(c.Context(), i.Admin, control.Audit(control.ShareTermination))
+				reply, err := adminapi.Ask(c.Context(), i.Admin, adminapi.Audit(adminapi.ShareTermination))
 				if err == nil {
-					if r.State = control.ReadShare(reply.Descriptors); r.State == nil {
+					if r.State = adminapi.ReadShare(reply.Descriptors); r.State == nil {
 						err = errors.New("it shares nothing; section [share] of its operator's file switches that on")
 					}
 				}
@@ -114,12 +114,12 @@
 
 // explainTable tells of one server, by instance; of those that tell, the sums after what they see.
 func explainTable(all []peerRow, server string) (heading []string, rows [][]string) {
-	key := share.Key(server)
+	key := overload.Key(server)
 	for _, r := range all {
 		if r.State == nil {
 			continue
 		}
-		if i := slices.IndexFunc(r.State.Servers, func(v share.ServerState) bool { return v.ID == server }); i >= 0 {
+		if i := slices.IndexFunc(r.State.Servers, func(v overload.ServerState) bool { return v.ID == server }); i >= 0 {
 			v := &r.State.Servers[i]
 			word, claim := "none", "-"
 			if v.Obeyed {
--- a/cmd/olivectl/records.go
+++ b/cmd/olivectl/records.go
@@ -15,8 +15,8 @@
 	"github.com/dustin/go-humanize"
 	"github.com/spf13/cobra"
 
-	"lapiscourse/internal/cli"
-	"lapiscourse/internal/record"
+	"olivedale/internal/cli"
+	"olivedale/internal/record"
 )
 
 func recordsCommand() *cobra.Command {
--- a/cmd/olivectl/report.go
+++ b/cmd/olivectl/report.go
@@ -12,9 +12,9 @@
 	"github.com/google/renameio/v2"
 	"github.com/spf13/cobra"
 
-	"lapiscourse/internal/cli"
-	"lapiscourse/internal/record"
-	"lapiscourse/internal/report"
+	"olivedale/internal/cli"
+	"olivedale/internal/record"
+	"olivedale/internal/report"
 )
 
 func reportCommand() *cobra.Command {
--- a/cmd/olivectl/top.go
+++ b/cmd/olivectl/top.go
@@ -11,9 +11,9 @@
 	tea "charm.land/bubbletea/v2"
 	"github.com/spf13/cobra"
 
-	"lapiscourse/internal/cli"
-	"lapiscourse/internal/console"
-	"lapiscourse/internal/record"
+	"olivedale/internal/cli"
+	"olivedale/internal/console"
+	"olivedale/internal/record"
 )
 
 // topFlags are what the command line says.
--- a/cmd/olivedale/golden_test.go
+++ b/cmd/olivedale/golden_test.go
@@ -10,8 +10,8 @@
 
 	"github.com/spf13/cobra"
 
-	"lapiscourse/internal/cli"
-	"lapiscourse/internal/goldentest"
+	"olivedale/internal/cli"
+	"olivedale/internal/goldentest"
 )
 
 // output executes one command and returns what it printed, with its error as the last line.
--- a/cmd/olivedale/main.go
+++ b/cmd/olivedale/main.go
@@ -17,10 +17,10 @@
 	"github.com/spf13/cobra"
 	"go.uber.org/zap"
 
-	"lapiscourse/internal/cli"
-	"lapiscourse/internal/config"
-	"lapiscourse/internal/logs"
-	"lapiscourse/internal/net"
+	"olivedale/internal/cli"
+	"olivedale/internal/config"
+	"olivedale/internal/logging"
+	"olivedale/internal/server"
 )
 
 func main() {
@@ -74,7 +74,7 @@
 	if err != nil {
 		return err
 	}
-	zl := logs.New(os.Stderr, o.Log.Options())
+	zl := logging.New(os.Stderr, o.Log.Options())
 	log := zl.Sugar()
 	if old {
 		log.Warnw("deprecated", "file", config.H248Path, "instead", "section [h248] of "+config.OperatorPath)
@@ -85,7 +85,7 @@
 	}
 	runtime.GOMAXPROCS(1) // the platform gives one core, which others share
 	debug.SetMemoryLimit(int64(cfg.MemoryMB) << 20 * 3 / 4)
-	n, err := net.New(cfg, net.Options{H248: o.H248, Records: o.Records, Numbers: o.Numbers, Share: o.Share, Log: zl, Program: cli.Version()})
+	n, err := server.New(cfg, server.Options{H248: o.H248, Records: o.Records, Numbers: o.Numbers, Share: o.Share, Log: zl, Program: cli.Version()})
 	if err != nil {
 		return failed(log, err)
 	}
@@ -123,7 +123,7 @@
 
 // reload reads the configuration again. One that is bad changes nothing; it is read some times more, against a
 // file that is still being written: the name service's new address would never be heard of.
-func reload(n *net.Node, log *zap.SugaredLogger) {
+func reload(n *server.Node, log *zap.SugaredLogger) {
 	for i := range rereads {
 		cfg, err := config.Load(os.Getenv("RELAY_CONFIG"))
 		if err == nil {
--- a/cmd/olivelab/compare.go
+++ b/cmd/olivelab/compare.go
@@ -10,12 +10,12 @@
 
 	"github.com/spf13/cobra"
 
-	"lapiscourse/internal/cli"
-	"lapiscourse/internal/lab/base"
-	"lapiscourse/internal/lab/experiment"
-	"lapiscourse/internal/lab/result"
-	"lapiscourse/internal/lab/scenario"
-	"lapiscourse/internal/lab/show"
+	"olivedale/internal/cli"
+	"olivedale/internal/lab/base"
+	"olivedale/internal/lab/experiment"
+	"olivedale/internal/lab/result"
+	"olivedale/internal/lab/scenario"
+	"olivedale/internal/lab/show"
 )
 
 func compareCommand() *cobra.Command {
--- a/cmd/olivelab/golden_test.go
+++ b/cmd/olivelab/golden_test.go
@@ -5,7 +5,7 @@
 	"path/filepath"
 	"testing"
 
-	"lapiscourse/internal/goldentest"
+	"olivedale/internal/goldentest"
 )
 
 // A day in virtual time has the same result, byte for byte, as when it was committed.
--- a/cmd/olivelab/main.go
+++ b/cmd/olivelab/main.go
@@ -7,7 +7,7 @@
 
 	"github.com/spf13/cobra"
 
-	"lapiscourse/internal/cli"
+	"olivedale/internal/cli"
 )
 
 func main() {
--- a/cmd/olivelab/pages.go
+++ b/cmd/olivelab/pages.go
@@ -8,10 +8,10 @@
 
 	"github.com/spf13/cobra"
 
-	"lapiscourse/internal/cli"
-	"lapiscourse/internal/lab/experiment"
-	"lapiscourse/internal/lab/sabourin"
-	"lapiscourse/internal/lab/show"
+	"olivedale/internal/cli"
+	"olivedale/internal/lab/experiment"
+	"olivedale/internal/lab/sabourin"
+	"olivedale/internal/lab/show"
 )
 
 // writePage writes parts as a page to a file.
--- a/cmd/olivelab/rig.go
+++ b/cmd/olivelab/rig.go
@@ -12,10 +12,10 @@
 
 	"github.com/spf13/cobra"
 
-	"lapiscourse/internal/cli"
-	"lapiscourse/internal/lab/rig"
-	"lapiscourse/internal/lab/scenario"
-	"lapiscourse/internal/lab/show"
+	"olivedale/internal/cli"
+	"olivedale/internal/lab/rig"
+	"olivedale/internal/lab/scenario"
+	"olivedale/internal/lab/show"
 )
 
 // sockets are the flags of runs with many processes.
--- a/cmd/olivelab/share.go
+++ b/cmd/olivelab/share.go
@@ -1,6 +1,6 @@
 package main
 
-import "lapiscourse/internal/lab/together"
+import "olivedale/internal/lab/together"
 
-// This file is left out where the program is built round a commit that has no internal/share.
+// This file is left out where the program is built round a commit that has no internal/overload.
 func init() { sharing = together.Start }
--- a/cmd/olivelab/sockets.go
+++ b/cmd/olivelab/sockets.go
@@ -8,10 +8,10 @@
 
 	"github.com/spf13/cobra"
 
-	"lapiscourse/internal/cli"
-	"lapiscourse/internal/lab/demo"
-	"lapiscourse/internal/lab/scenario"
-	"lapiscourse/internal/lab/socket"
+	"olivedale/internal/cli"
+	"olivedale/internal/lab/demo"
+	"olivedale/internal/lab/scenario"
+	"olivedale/internal/lab/socket"
 )
 
 func demoCommand() *cobra.Command {
--- a/cmd/olivelab/virtual.go
+++ b/cmd/olivelab/virtual.go
@@ -13,13 +13,13 @@
 	"github.com/BurntSushi/toml"
 	"github.com/spf13/cobra"
 
-	"lapiscourse/internal/cli"
-	"lapiscourse/internal/lab/experiment"
-	"lapiscourse/internal/lab/result"
-	"lapiscourse/internal/lab/rules"
-	"lapiscourse/internal/lab/scenario"
-	"lapiscourse/internal/lab/show"
-	"lapiscourse/internal/lab/virtual"
+	"olivedale/internal/cli"
+	"olivedale/internal/lab/experiment"
+	"olivedale/internal/lab/result"
+	"olivedale/internal/lab/rules"
+	"olivedale/internal/lab/scenario"
+	"olivedale/internal/lab/show"
+	"olivedale/internal/lab/virtual"
 )
 
 // days are the flags that say which days are played.
--- a/internal/control/clock.go
+++ b/internal/adminapi/clock.go
@@ -1,4 +1,4 @@
-package control
+package adminapi
 
 import (
 	"context"
@@ -7,7 +7,7 @@
 	"strings"
 	"time"
 
-	"lapiscourse/internal/net/h248"
+	"olivedale/internal/codec/h248"
 )
 
 // Stamps are the four time stamps of an exchange, Unix nanoseconds, as RFC 5905, section 8,
--- a/internal/control/control.go
+++ b/internal/adminapi/control.go
@@ -1,7 +1,7 @@
 // Package control asks and answers over H.248-style commands for those who manage
 // instances: AuditValue for state and counters, ServiceChange to drain. Unlike the
 // call controller it may block; it is used by the agent and by olivectl.
-package control
+package adminapi
 
 import (
 	"context"
@@ -11,7 +11,7 @@
 	"strconv"
 	"time"
 
-	"lapiscourse/internal/net/h248"
+	"olivedale/internal/codec/h248"
 )
 
 // Patience is how long one exchange of messages may take.
--- a/internal/control/golden_test.go
+++ b/internal/adminapi/golden_test.go
@@ -1,4 +1,4 @@
-package control
+package adminapi
 
 import (
 	"fmt"
@@ -7,20 +7,20 @@
 	"testing"
 	"time"
 
-	"lapiscourse/internal/goldentest"
-	"lapiscourse/internal/net/h248"
-	"lapiscourse/internal/numbering"
-	"lapiscourse/internal/portability"
-	"lapiscourse/internal/share"
+	"olivedale/internal/codec/h248"
+	"olivedale/internal/goldentest"
+	"olivedale/internal/numbering"
+	"olivedale/internal/overload"
+	"olivedale/internal/portability"
 )
 
 // goldenShare is a state of which every value differs from its zero.
-func goldenShare() *share.State {
-	return &share.State{Self: 3, Peers: 300, Boot: 77, Teller: 5, Since: 3 * time.Second, Heard: 400 * time.Millisecond, Live: 260, Of: 300, Part: true, Often: true, Shunned: 1,
-		Servers:   []share.ServerState{{ID: "s-1", Waiting: 2, Wait: 130 * time.Millisecond, Obeyed: true, Claim: 900 * time.Millisecond, Hold: [4]float64{0.98, 0.5, 0, 1}, Over: 0.25, Held: 12}},
-		Told:      []share.SumState{{Key: 0x0102ff, Offered: 40.5, Over: 2, Done: 30, Wait: time.Second, Told: 100, Budget: 28}, {Key: 9, Budget: math.Inf(1)}},
-		Reporters: []share.PeerState{{Number: 1, Presence: share.Live, Heard: time.Second, Lost: 0.125, Last: 500 * time.Millisecond}, {Number: 2, Presence: share.Suspected}, {Number: 4, Presence: share.Dead}},
-		Counters:  share.Counters{Said: 1, SaidBytes: 2, Heard: 3, HeardBytes: 4, Unread: 5, Alien: 6, Stale: 7, Held: 8, Passed: 9, Tellers: 10, Silent: 11, Wrong: 12}}
+func goldenShare() *overload.State {
+	return &overload.State{Self: 3, Peers: 300, Boot: 77, Teller: 5, Since: 3 * time.Second, Heard: 400 * time.Millisecond, Live: 260, Of: 300, Part: true, Often: true, Shunned: 1,
+		Servers:   []overload.ServerState{{ID: "s-1", Waiting: 2, Wait: 130 * time.Millisecond, Obeyed: true, Claim: 900 * time.Millisecond, Hold: [4]float64{0.98, 0.5, 0, 1}, Over: 0.25, Held: 12}},
+		Told:      []overload.SumState{{Key: 0x0102ff, Offered: 40.5, Over: 2, Done: 30, Wait: time.Second, Told: 100, Budget: 28}, {Key: 9, Budget: math.Inf(1)}},
+		Reporters: []overload.PeerState{{Number: 1, Presence: overload.Live, Heard: time.Second, Lost: 0.125, Last: 500 * time.Millisecond}, {Number: 2, Presence: overload.Suspected}, {Number: 4, Presence: overload.Dead}},
+		Counters:  overload.Counters{Said: 1, SaidBytes: 2, Heard: 3, HeardBytes: 4, Unread: 5, Alien: 6, Stale: 7, Held: 8, Passed: 9, Tellers: 10, Silent: 11, Wrong: 12}}
 }
 
 // goldenCommands are the commands and replies between instances and those who manage them.
@@ -53,7 +53,7 @@
 	reply("table and look-ups", "ROOT", TableNode("d0", "of today"),
 		LookupsNode(&portability.Counters{Asked: 1, Hits: 2, Coalesced: 3, StaleHits: 4, Undecided: 5, Crowded: 6, Sent: 7, Answered: 8, TimedOut: 9, Refused: 10, Strays: 11, Lies: 12, Broken: 13}))
 	reply("share", ShareTermination, ShareNodes(goldenShare())...)
-	reply("share without values", ShareTermination, ShareNodes(&share.State{})...)
+	reply("share without values", ShareTermination, ShareNodes(&overload.State{})...)
 	return all
 }
 
--- a/internal/control/numbers.go
+++ b/internal/adminapi/numbers.go
@@ -1,12 +1,12 @@
-package control
+package adminapi
 
 import (
 	"strconv"
 	"time"
 
-	"lapiscourse/internal/net/h248"
-	"lapiscourse/internal/numbering"
-	"lapiscourse/internal/portability"
+	"olivedale/internal/codec/h248"
+	"olivedale/internal/numbering"
+	"olivedale/internal/portability"
 )
 
 // NumbersTermination is the termination by which an instance's table of numbers is managed:
--- a/internal/control/share.go
+++ b/internal/adminapi/share.go
@@ -1,4 +1,4 @@
-package control
+package adminapi
 
 import (
 	"math"
@@ -6,8 +6,8 @@
 	"strings"
 	"time"
 
-	"lapiscourse/internal/net/h248"
-	"lapiscourse/internal/share"
+	"olivedale/internal/codec/h248"
+	"olivedale/internal/overload"
 )
 
 // ShareTermination is the termination by which AuditValue tells what an instance shares with the others.
@@ -33,7 +33,7 @@
 
 // ShareNodes tells of what is shared. Of a large fleet not all reporters fit; those that were not heard for
 // longest come first.
-func ShareNodes(s *share.State) []*h248.Node {
+func ShareNodes(s *overload.State) []*h248.Node {
 	stats := &h248.Node{Name: "Statistics"}
 	put := func(n *h248.Node) { stats.Kids = append(stats.Kids, n) }
 	c := &s.Counters
@@ -60,22 +60,22 @@
 }
 
 // ReadShare reads what ShareNodes made; nil: the reply tells nothing of it.
-func ReadShare(nodes []*h248.Node) *share.State {
+func ReadShare(nodes []*h248.Node) *overload.State {
 	stats := h248.Find(nodes, "Statistics")
 	if stats == nil {
 		return nil
 	}
-	var s *share.State
+	var s *overload.State
 	for _, n := range stats.Kids {
 		r := reading{n}
 		switch n.Name {
 		case "oc/share":
-			s = &share.State{Self: r.whole("number"), Peers: r.whole("peers"), Boot: uint32(r.whole("boot")), Teller: r.whole("teller"), Since: r.time("since"), Heard: r.time("heard"),
+			s = &overload.State{Self: r.whole("number"), Peers: r.whole("peers"), Boot: uint32(r.whole("boot")), Teller: r.whole("teller"), Since: r.time("since"), Heard: r.time("heard"),
 				Live: r.whole("live"), Of: r.whole("most"), Part: r.at("part") == "true", Often: r.at("often") == "true", Shunned: r.whole("shunned"),
-				Counters: share.Counters{Said: r.whole("said"), SaidBytes: r.whole("saidbytes"), Heard: r.whole("taken"), Unread: r.whole("unread"), Alien: r.whole("alien"),
+				Counters: overload.Counters{Said: r.whole("said"), SaidBytes: r.whole("saidbytes"), Heard: r.whole("taken"), Unread: r.whole("unread"), Alien: r.whole("alien"),
 					Held: r.whole("held"), Passed: r.whole("passed"), Silent: r.whole("silent"), Wrong: r.whole("wrong")}}
 		case "oc/server":
-			v := share.ServerState{ID: r.at("name"), Waiting: r.whole("waiting"), Wait: r.time("wait"), Obeyed: r.at("obeyed") == "true", Claim: r.time("claim"),
+			v := overload.ServerState{ID: r.at("name"), Waiting: r.whole("waiting"), Wait: r.time("wait"), Obeyed: r.at("obeyed") == "true", Claim: r.time("claim"),
 				Over: r.number("over"), Held: r.whole("held")}
 			for i, h := range strings.Fields(r.at("hold")) {
 				if i < len(v.Hold) {
@@ -88,12 +88,12 @@
 		case "oc/sum":
 			key, _ := strconv.ParseUint(r.at("key"), 16, 32)
 			if s != nil {
-				s.Told = append(s.Told, share.SumState{Key: uint32(key), Offered: r.number("offered"), Over: r.number("over"), Done: r.number("done"), Wait: r.time("wait"),
+				s.Told = append(s.Told, overload.SumState{Key: uint32(key), Offered: r.number("offered"), Over: r.number("over"), Done: r.number("done"), Wait: r.time("wait"),
 					Told: r.whole("told"), Budget: r.number("budget")})
 			}
 		case "oc/reporter":
-			p := share.PeerState{Number: r.whole("number"), Heard: r.time("heard"), Lost: r.number("lost"), Last: r.time("span")}
-			for _, known := range []share.Presence{share.Live, share.Suspected, share.Dead} {
+			p := overload.PeerState{Number: r.whole("number"), Heard: r.time("heard"), Lost: r.number("lost"), Last: r.time("span")}
+			for _, known := range []overload.Presence{overload.Live, overload.Suspected, overload.Dead} {
 				if known.String() == r.at("presence") {
 					p.Presence = known
 				}
--- a/controller.go
+++ b/internal/admission/controller.go
@@ -1,10 +1,10 @@
-// Package lapiscourse makes the decisions of a call controller: which call
+// Package admission makes the decisions of a call controller: which call
 // set-ups go to which central server, and which are refused. Its types, events
 // and actions are in api.go; everything that is decided is decided here.
 //
 // Read top-down: the mechanism first (windows, ceilings, tiers, the pool
 // pick), then the life of a call, then the guards.
-package lapiscourse
+package admission
 
 import (
 	"cmp"
@@ -142,7 +142,7 @@
 // New makes the controller of a node that has just started.
 func New(set Settings, seed uint64) (*Controller, error) {
 	if err := set.check(); err != nil {
-		return nil, fmt.Errorf("lapiscourse: settings: %w", err)
+		return nil, fmt.Errorf("admission: settings: %w", err)
 	}
 	c := &Controller{
 		set: set, fleet: alone{}, classes: make(map[string]*class), calls: make(map[string]*call),
--- a/share_test.go
+++ b/internal/admission/share_test.go
@@ -1,4 +1,4 @@
-package lapiscourse
+package admission
 
 import (
 	"testing"
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -22,8 +22,8 @@
 	"github.com/BurntSushi/toml"
 	"go.uber.org/zap"
 
-	"lapiscourse/internal/config"
-	"lapiscourse/internal/net/h248"
+	"olivedale/internal/codec/h248"
+	"olivedale/internal/config"
 )
 
 // Times of supervision.
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -16,10 +16,10 @@
 	clientv3 "go.etcd.io/etcd/client/v3"
 	"go.uber.org/zap"
 
-	"lapiscourse/internal/config"
-	"lapiscourse/internal/control"
-	"lapiscourse/internal/lab/etcd"
-	"lapiscourse/internal/net/h248"
+	"olivedale/internal/adminapi"
+	"olivedale/internal/codec/h248"
+	"olivedale/internal/config"
+	"olivedale/internal/lab/etcd"
 )
 
 const prefix = "/olivedale/instances/"
@@ -134,7 +134,7 @@
 }
 
 func stateOf(a *Agent, name string) string {
-	d, err := a.Handle(control.Audit("instance/" + name))
+	d, err := a.Handle(adminapi.Audit("instance/" + name))
 	if err != nil {
 		return ""
 	}
@@ -146,7 +146,7 @@
 func TestAgent(t *testing.T) {
 	dir := t.TempDir()
 	program := filepath.Join(dir, "olivedale")
-	if out, err := exec.Command("go", "build", "-o", program, "lapiscourse/cmd/olivedale").CombinedOutput(); err != nil {
+	if out, err := exec.Command("go", "build", "-o", program, "olivedale/cmd/olivedale").CombinedOutput(); err != nil {
 		t.Fatalf("%v\n%s", err, out)
 	}
 	f, a := startEtcd(t), New(program, dir, zap.NewNop())
@@ -157,10 +157,10 @@
 	f.Set(prefix+"worse", []byte("{"))
 	watch(t, f, a)
 	ask := func(addr string, c *h248.Command) (*h248.Command, error) {
-		return control.Ask(context.Background(), addr, c)
+		return adminapi.Ask(context.Background(), addr, c)
 	}
 	eventually(t, "the instance serves", func() bool {
-		c, err := ask(admin, control.Audit("ROOT"))
+		c, err := ask(admin, adminapi.Audit("ROOT"))
 		return err == nil && h248.Value(c.Descriptors, "Media", "TerminationState", "ServiceStates") == "InService"
 	})
 	if got := stateOf(a, "worse"); !strings.HasPrefix(got, Faulty) {
@@ -171,12 +171,12 @@
 		t.Fatal(err)
 	}
 	defer func() { _ = ln.Close() }()
-	go func() { _ = control.Serve(ln, "<agent>", a.Handle) }()
-	c, err := ask(ln.Addr().String(), control.Audit("ROOT"))
+	go func() { _ = adminapi.Serve(ln, "<agent>", a.Handle) }()
+	c, err := ask(ln.Addr().String(), adminapi.Audit("ROOT"))
 	if err != nil || len(h248.Find(c.Descriptors, "Statistics").Kids) != 3 {
 		t.Fatalf("the list: %+v, %v", c, err)
 	}
-	d, _ := a.Handle(control.Audit("instance/one"))
+	d, _ := a.Handle(adminapi.Audit("instance/one"))
 	var pid int
 	if _, err := fmt.Sscan(h248.Value(d, "oa/instance", "pid"), &pid); err != nil {
 		t.Fatal(err)
@@ -187,11 +187,11 @@
 	}
 	_ = process.Kill()
 	eventually(t, "a process that died is started again", func() bool { return stateOf(a, "one") == Running+" 2" })
-	if _, err := ask(ln.Addr().String(), control.Drain("instance/one")); err != nil {
+	if _, err := ask(ln.Addr().String(), adminapi.Drain("instance/one")); err != nil {
 		t.Fatal(err)
 	}
 	eventually(t, "it drains", func() bool { return strings.HasPrefix(stateOf(a, "one"), Drained) })
-	if _, err := ask(ln.Addr().String(), control.Drain("instance/none")); err == nil {
+	if _, err := ask(ln.Addr().String(), adminapi.Drain("instance/none")); err == nil {
 		t.Error("an unknown instance was drained")
 	}
 	f.Set(prefix+"one", nil)
--- a/internal/agent/clock.go
+++ b/internal/agent/clock.go
@@ -5,7 +5,7 @@
 	"os"
 	"time"
 
-	"lapiscourse/internal/control"
+	"olivedale/internal/adminapi"
 )
 
 // Times of the exchanges by which an instance's records can be laid beside those of others.
@@ -27,7 +27,7 @@
 // clock exchanges time stamps with an instance until ctx is done. An exchange that fails is
 // left out: the next one is as good.
 func (a *Agent) clock(ctx context.Context, i *instance) {
-	var last control.Stamps
+	var last adminapi.Stamps
 	pause := clockFirst
 	for {
 		select {
@@ -35,9 +35,9 @@
 			return
 		case <-time.After(pause):
 		}
-		s, err := control.Exchange(ctx, i.spec.admin(), a.peer, last)
+		s, err := adminapi.Exchange(ctx, i.spec.admin(), a.peer, last)
 		if err != nil {
-			last = control.Stamps{}
+			last = adminapi.Stamps{}
 			continue
 		}
 		last = s
--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -11,11 +11,11 @@
 	"slices"
 	"time"
 
-	"lapiscourse"
+	"olivedale/internal/admission"
 )
 
 // A Time is a reading of the system's Unix clock.
-type Time = lapiscourse.Time
+type Time = admission.Time
 
 // Causes of releases, of Q.850.
 const (
@@ -26,11 +26,11 @@
 
 // A Decider is the module: it says where calls go.
 type Decider interface {
-	Pick(now Time, r lapiscourse.Request) lapiscourse.Order
-	Report(now Time, p lapiscourse.Progress) lapiscourse.Order
-	Tick(now Time) []lapiscourse.Order
+	Pick(now Time, r admission.Request) admission.Order
+	Report(now Time, p admission.Progress) admission.Order
+	Tick(now Time) []admission.Order
 	Next() Time
-	List(now Time, servers []lapiscourse.Server, full bool)
+	List(now Time, servers []admission.Server, full bool)
 }
 
 // A Client is the connection on which a set-up came; it gets the answer.
@@ -89,7 +89,7 @@
 	// SetUp tells of a set-up that was taken; its answer follows in any case.
 	SetUp(now Time, r *Request)
 	// Ordered tells the module's word on a call.
-	Ordered(now Time, o *lapiscourse.Order)
+	Ordered(now Time, o *admission.Order)
 	// Tried tells that an attempt starts.
 	Tried(now Time, server string, s *Setup)
 	// AttemptEnded tells how the attempt that was out has ended, also where it had stood.
@@ -335,7 +335,7 @@
 	if len(k.route.Pools) > 0 {
 		first = k.route.Pools[0]
 	}
-	c.obey(k, c.desk.Pick(c.now(), lapiscourse.Request{Call: k.ID, Class: k.Class, Number: k.Number,
+	c.obey(k, c.desk.Pick(c.now(), admission.Request{Call: k.ID, Class: k.Class, Number: k.Number,
 		First: first, Pools: k.route.Pools, Until: k.Until, Cut: k.Cut, Urgent: k.route.Urgent}))
 }
 
@@ -423,24 +423,24 @@
 }
 
 // obey carries out the module's word on a call.
-func (c *Core) obey(k *call, o lapiscourse.Order) {
-	if c.watch != nil && o.Move != lapiscourse.Hold {
+func (c *Core) obey(k *call, o admission.Order) {
+	if c.watch != nil && o.Move != admission.Hold {
 		c.watch.Ordered(c.now(), &o)
 	}
 	switch o.Move {
-	case lapiscourse.Try:
+	case admission.Try:
 		c.try(k, o)
-	case lapiscourse.Deny:
+	case admission.Deny:
 		if c.answerable(k) {
 			c.Refused++
 			c.refuse(k, Refused, CalledOff, CauseNoCircuit, o.Wait)
 		}
-	case lapiscourse.GiveUp:
+	case admission.GiveUp:
 		if c.answerable(k) {
 			c.Failed++
 			c.refuse(k, Failed, TimedOut, CauseFailed, o.Wait)
 		}
-	case lapiscourse.CallOff:
+	case admission.CallOff:
 		if k.state == trying && o.Attempt == k.attempt {
 			c.give(k, CalledOff)
 		}
@@ -465,7 +465,7 @@
 // answerable guards against a second final answer.
 func (c *Core) answerable(k *call) bool { return c.calls[k.ID] == k && k.state != standing }
 
-func (c *Core) try(k *call, o lapiscourse.Order) {
+func (c *Core) try(k *call, o admission.Order) {
 	if k.state != waiting || c.calls[k.ID] != k {
 		return // guards against a second attempt while one is out or the call is over
 	}
@@ -506,8 +506,8 @@
 	if c.watch != nil {
 		c.watch.AttemptEnded(now, k.server, k.ID, k.attempt, e, now-k.sent)
 	}
-	o := c.desk.Report(now, lapiscourse.Progress{Call: k.ID, Server: k.server, Attempt: k.attempt,
-		Stage: lapiscourse.Ended, Code: code, Cause: cause, Took: now - k.sent, Final: final})
+	o := c.desk.Report(now, admission.Progress{Call: k.ID, Server: k.server, Attempt: k.attempt,
+		Stage: admission.Ended, Code: code, Cause: cause, Took: now - k.sent, Final: final})
 	if !final {
 		c.obey(k, o)
 	}
@@ -564,7 +564,7 @@
 // left tells the module that a call's caller waits no more, if it has heard of the call.
 func (c *Core) left(k *call) {
 	if k.state != routing {
-		c.desk.Report(c.now(), lapiscourse.Progress{Call: k.ID, Stage: lapiscourse.Left})
+		c.desk.Report(c.now(), admission.Progress{Call: k.ID, Stage: admission.Left})
 	}
 }
 
@@ -612,8 +612,8 @@
 	}
 	now := c.now()
 	k.state, k.stood = standing, now
-	c.desk.Report(now, lapiscourse.Progress{Call: id, Server: server, Attempt: attempt,
-		Stage: lapiscourse.Stood, Took: now - k.sent})
+	c.desk.Report(now, admission.Progress{Call: id, Server: server, Attempt: attempt,
+		Stage: admission.Stood, Took: now - k.sent})
 	c.Stood++
 	c.tell(k, Stood, 0, 0)
 	k.client.Stands(id, description)
@@ -700,13 +700,13 @@
 }
 
 // List tells the module of the exchanges.
-func (c *Core) List(servers []lapiscourse.Server, full bool) {
+func (c *Core) List(servers []admission.Server, full bool) {
 	c.desk.List(c.now(), servers, full)
 }
 
 // Told passes on what an exchange says of its lines.
-func (c *Core) Told(server string, load lapiscourse.Load) {
-	c.desk.Report(c.now(), lapiscourse.Progress{Server: server, Stage: lapiscourse.Told, Load: load})
+func (c *Core) Told(server string, load admission.Load) {
+	c.desk.Report(c.now(), admission.Progress{Server: server, Stage: admission.Told, Load: load})
 }
 
 // Tick does what is due.
--- a/internal/call/call_test.go
+++ b/internal/call/call_test.go
@@ -7,40 +7,40 @@
 	"testing"
 	"time"
 
-	"lapiscourse"
+	"olivedale/internal/admission"
 )
 
 // A script is a Decider that says what the test has written down.
 type script struct {
-	orders   []lapiscourse.Order // for Pick and for reports of ends, in turn
-	ticks    []lapiscourse.Order
-	progress []lapiscourse.Progress
+	orders   []admission.Order // for Pick and for reports of ends, in turn
+	ticks    []admission.Order
+	progress []admission.Progress
 }
 
-func (s *script) pop(id string) lapiscourse.Order {
+func (s *script) pop(id string) admission.Order {
 	if len(s.orders) == 0 {
-		return lapiscourse.Order{Call: id}
+		return admission.Order{Call: id}
 	}
 	o := s.orders[0]
 	s.orders = s.orders[1:]
 	o.Call = id
 	return o
 }
-func (s *script) Pick(_ Time, r lapiscourse.Request) lapiscourse.Order { return s.pop(r.Call) }
-func (s *script) Report(_ Time, p lapiscourse.Progress) lapiscourse.Order {
+func (s *script) Pick(_ Time, r admission.Request) admission.Order { return s.pop(r.Call) }
+func (s *script) Report(_ Time, p admission.Progress) admission.Order {
 	s.progress = append(s.progress, p)
-	if p.Stage != lapiscourse.Ended || p.Final {
-		return lapiscourse.Order{}
+	if p.Stage != admission.Ended || p.Final {
+		return admission.Order{}
 	}
 	return s.pop(p.Call)
 }
-func (s *script) Tick(Time) []lapiscourse.Order {
+func (s *script) Tick(Time) []admission.Order {
 	t := s.ticks
 	s.ticks = nil
 	return t
 }
-func (s *script) Next() Time                            { return 1 << 62 }
-func (s *script) List(Time, []lapiscourse.Server, bool) {}
+func (s *script) Next() Time                          { return 1 << 62 }
+func (s *script) List(Time, []admission.Server, bool) {}
 
 // world is the client, the front and the exchanges; it notes what it is told.
 type world struct {
@@ -78,7 +78,7 @@
 	now  Time
 }
 
-func newBench(orders ...lapiscourse.Order) *bench {
+func newBench(orders ...admission.Order) *bench {
 	b := &bench{world: &world{}, now: time.Hour}
 	b.orders = orders
 	b.core = New(&b.script, exchanges{b.world}, func() Time { return b.now }, Limits{Open: 3, Bytes: 100, Recent: 3})
@@ -97,8 +97,8 @@
 	b.said = nil
 }
 
-func try(server string) lapiscourse.Order {
-	return lapiscourse.Order{Move: lapiscourse.Try, Server: server, Wait: 2 * time.Second}
+func try(server string) admission.Order {
+	return admission.Order{Move: admission.Try, Server: server, Wait: 2 * time.Second}
 }
 
 func TestStandsAndEnds(t *testing.T) {
@@ -109,15 +109,15 @@
 	b.core.Released("s", "x", CauseNormal, b.world)
 	b.core.Released("s", "x", CauseNormal, b.world) // again on the next connection
 	b.want(t, "invite s x 0", "stands x sdp", "release x 16")
-	if got := b.progress[len(b.progress)-1]; got.Code != lapiscourse.Delivered || !got.Final {
+	if got := b.progress[len(b.progress)-1]; got.Code != admission.Delivered || !got.Final {
 		t.Errorf("the end was reported as %+v", got)
 	}
 }
 
 func TestAnswerCrossingCancelIsReleased(t *testing.T) {
-	b := newBench(try("s"), lapiscourse.Order{Move: lapiscourse.Deny, Wait: time.Second})
+	b := newBench(try("s"), admission.Order{Move: admission.Deny, Wait: time.Second})
 	b.setUp("x")
-	b.ticks = []lapiscourse.Order{{Call: "x", Move: lapiscourse.CallOff}}
+	b.ticks = []admission.Order{{Call: "x", Move: admission.CallOff}}
 	b.core.Tick()
 	b.core.Answered("s", "x", 0, []byte("sdp"))
 	b.want(t, "invite s x 0", "cancel s x 0", "refused x 34 1s", "bye s x 16")
@@ -126,19 +126,19 @@
 func TestOneAttemptAtATime(t *testing.T) {
 	b := newBench(try("s"))
 	b.setUp("x")
-	b.ticks = []lapiscourse.Order{{Call: "x", Move: lapiscourse.Try, Server: "t", Wait: time.Second}}
+	b.ticks = []admission.Order{{Call: "x", Move: admission.Try, Server: "t", Wait: time.Second}}
 	b.core.Tick()
 	b.want(t, "invite s x 0")
 }
 
 func TestTimeoutIsToldAndAnswered(t *testing.T) {
-	b := newBench(try("s"), lapiscourse.Order{Move: lapiscourse.GiveUp})
+	b := newBench(try("s"), admission.Order{Move: admission.GiveUp})
 	b.setUp("x")
 	b.now += 2 * time.Second
 	b.core.Tick()
 	b.core.Ended("s", "x", 0, ProcessorFull) // too late
 	b.want(t, "invite s x 0", "cancel s x 0", "refused x 41 0s")
-	if got := b.progress[0]; got.Code != lapiscourse.Expired {
+	if got := b.progress[0]; got.Code != admission.Expired {
 		t.Errorf("a time-out was reported as %+v", got)
 	}
 }
@@ -149,7 +149,7 @@
 	b.setUp("x")
 	b.now += 2 * time.Second
 	b.core.Tick()
-	if got := b.progress[0]; got.Code != lapiscourse.Unused {
+	if got := b.progress[0]; got.Code != admission.Unused {
 		t.Errorf("a set-up that was never written was reported as %+v", got)
 	}
 }
@@ -304,7 +304,7 @@
 		DialRefused: true, DialTimedOut: true, DialFailed: true}
 	for _, e := range Ends() {
 		code, _ := e.outcome()
-		proves := code == lapiscourse.Full || code == lapiscourse.DialFailed || code == lapiscourse.Unused
+		proves := code == admission.Full || code == admission.DialFailed || code == admission.Unused
 		if proves != proof[e] {
 			t.Errorf("%v: told as proof %v", e, proves)
 		}
@@ -317,7 +317,7 @@
 // A module that tries again past the caller's time is not followed: the call has its answer, and
 // Tick comes to an end. (The laboratory's seeded defects found it running for ever.)
 func TestNoAttemptPastTheCallersTime(t *testing.T) {
-	orders := make([]lapiscourse.Order, 100)
+	orders := make([]admission.Order, 100)
 	for i := range orders {
 		orders[i] = try("s")
 	}
@@ -333,11 +333,11 @@
 // The release of an earlier attempt at the same exchange, whose answer was lost, ends the attempt that
 // is out on the wire as well: the next would be a second one out. (The laboratory's checker found it.)
 func TestReleaseBeforeAnswerGivesTheAttemptUp(t *testing.T) {
-	b := newBench(try("s"), lapiscourse.Order{Move: lapiscourse.Hold})
+	b := newBench(try("s"), admission.Order{Move: admission.Hold})
 	b.setUp("x")
 	b.core.Released("s", "x", CauseNormal, b.world)
 	b.want(t, "invite s x 0", "cancel s x 0")
-	if got := b.progress[len(b.progress)-1]; got.Code != lapiscourse.Dropped {
+	if got := b.progress[len(b.progress)-1]; got.Code != admission.Dropped {
 		t.Errorf("told as %+v", got)
 	}
 }
@@ -345,7 +345,7 @@
 // A call that the module holds and forgets has its answer when its caller's time is over; the module is
 // told. (Exploring every order of events found it answered after that.)
 func TestForgottenCallIsAnswered(t *testing.T) {
-	b := newBench(lapiscourse.Order{Move: lapiscourse.Hold})
+	b := newBench(admission.Order{Move: admission.Hold})
 	b.setUp("x")
 	if next := b.core.Next(); next != b.now+3*time.Second {
 		t.Errorf("looked at in %v", next-b.now)
@@ -353,14 +353,14 @@
 	b.now += 3 * time.Second
 	b.core.Tick()
 	b.want(t, "refused x 41 0s")
-	if got := b.progress[len(b.progress)-1]; got.Stage != lapiscourse.Left || b.core.Open() != 0 {
+	if got := b.progress[len(b.progress)-1]; got.Stage != admission.Left || b.core.Open() != 0 {
 		t.Errorf("told as %+v, %d open", got, b.core.Open())
 	}
 	// Where the module has its word just then, that counts.
-	b = newBench(lapiscourse.Order{Move: lapiscourse.Hold})
+	b = newBench(admission.Order{Move: admission.Hold})
 	b.setUp("y")
 	b.now += 3 * time.Second
-	b.ticks = []lapiscourse.Order{{Call: "y", Move: lapiscourse.GiveUp, Wait: time.Second}}
+	b.ticks = []admission.Order{{Call: "y", Move: admission.GiveUp, Wait: time.Second}}
 	b.core.Tick()
 	b.want(t, "refused y 41 1s")
 }
--- a/internal/call/end.go
+++ b/internal/call/end.go
@@ -1,6 +1,6 @@
 package call
 
-import "lapiscourse"
+import "olivedale/internal/admission"
 
 // An End is a way in which a connection, and with it what is out there, or a
 // single attempt can end. All of them are listed here and nowhere else.
@@ -56,31 +56,31 @@
 // outcome is the one place where an End becomes the module's outcome. What may
 // have run must not be told as one that proves it never ran: the release guard
 // hangs on it.
-func (e End) outcome() (lapiscourse.Code, lapiscourse.Cause) {
+func (e End) outcome() (admission.Code, admission.Cause) {
 	switch e {
 	case Completed:
-		return lapiscourse.Delivered, lapiscourse.NoCause
+		return admission.Delivered, admission.NoCause
 	case CalleeBusy:
-		return lapiscourse.Error, lapiscourse.NumberBusy
+		return admission.Error, admission.NumberBusy
 	case Fault:
-		return lapiscourse.Error, lapiscourse.NoCause
+		return admission.Error, admission.NoCause
 	case NoCircuit:
-		return lapiscourse.Full, lapiscourse.NoLine
+		return admission.Full, admission.NoLine
 	case ProcessorFull:
-		return lapiscourse.Full, lapiscourse.ProcessorFull
+		return admission.Full, admission.ProcessorFull
 	case NeverLeft, Unsent:
-		return lapiscourse.Unused, lapiscourse.NoCause
+		return admission.Unused, admission.NoCause
 	case DialRefused, DialTimedOut, DialFailed:
-		return lapiscourse.DialFailed, lapiscourse.NoCause
+		return admission.DialFailed, admission.NoCause
 	case TimedOut:
-		return lapiscourse.Expired, lapiscourse.NoCause
+		return admission.Expired, admission.NoCause
 	case CalledOff, CallerLeft, Stopped:
-		return lapiscourse.Revoked, lapiscourse.NoCause
+		return admission.Revoked, admission.NoCause
 	case Mute:
-		return lapiscourse.Dropped, lapiscourse.DeadLink
+		return admission.Dropped, admission.DeadLink
 	case Cut, BrokeOnWay, ConnectionReset, ConnectionShut, Malformed, ExchangeLost:
-		return lapiscourse.Dropped, lapiscourse.NoCause
+		return admission.Dropped, admission.NoCause
 	}
 	// An end that is not known here may have run.
-	return lapiscourse.Dropped, lapiscourse.NoCause
+	return admission.Dropped, admission.NoCause
 }
--- a/internal/call/route_test.go
+++ b/internal/call/route_test.go
@@ -6,7 +6,7 @@
 	"testing"
 	"time"
 
-	"lapiscourse"
+	"olivedale/internal/admission"
 )
 
 // table is a Router whose word changes; it counts who holds it.
@@ -25,17 +25,17 @@
 // asked notes what the module is asked.
 type asked struct {
 	*script
-	all []lapiscourse.Request
+	all []admission.Request
 }
 
-func (a *asked) Pick(now Time, r lapiscourse.Request) lapiscourse.Order {
+func (a *asked) Pick(now Time, r admission.Request) admission.Order {
 	a.all = append(a.all, r)
 	return a.script.Pick(now, r)
 }
 
 // A call holds its table from its set-up to its end, however it ends, and lets go once.
 func TestCallsHoldTheirTable(t *testing.T) {
-	b := newBench(try("s"), try("s"), try("s"), lapiscourse.Order{Move: lapiscourse.Deny})
+	b := newBench(try("s"), try("s"), try("s"), admission.Order{Move: admission.Deny})
 	desk := &asked{script: &b.script}
 	b.core.desk = desk
 	r := &table{pools: []int{2, 1}}
--- a/internal/net/h248/golden_test.go
+++ b/internal/codec/h248/golden_test.go
@@ -5,7 +5,7 @@
 	"strings"
 	"testing"
 
-	"lapiscourse/internal/goldentest"
+	"olivedale/internal/goldentest"
 )
 
 // errorCodes are all codes in their order.
--- a/internal/net/jsonl/golden_test.go
+++ b/internal/codec/jsonl/golden_test.go
@@ -5,7 +5,7 @@
 	"strings"
 	"testing"
 
-	"lapiscourse/internal/goldentest"
+	"olivedale/internal/goldentest"
 )
 
 // goldenMessages are messages of every verb in both directions, and lines as other programs write them.
--- a/internal/net/sip/golden_test.go
+++ b/internal/codec/sip/golden_test.go
@@ -5,7 +5,7 @@
 	"strings"
 	"testing"
 
-	"lapiscourse/internal/goldentest"
+	"olivedale/internal/goldentest"
 )
 
 // goldenMessages are all requests and responses that the program sends, and some that exchanges send.
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -10,8 +10,8 @@
 	"strconv"
 	"time"
 
-	"lapiscourse"
-	"lapiscourse/internal/wire"
+	"olivedale/internal/admission"
+	"olivedale/internal/simproto"
 )
 
 // A Config is the file that RELAY_CONFIG names.
@@ -23,7 +23,7 @@
 	Sockets  int
 	Names    string // address of the name service
 	Known    Known
-	Settings lapiscourse.Settings
+	Settings admission.Settings
 	Connect  time.Duration
 	widths   map[string]int // circuits that a call may ask for, by the name of its class
 	// PeerListen and Peers are where datagrams of other controllers arrive, and the addresses of all by their
@@ -78,7 +78,7 @@
 func (c *Config) Once(class string) bool {
 	for _, k := range c.Settings.Classes {
 		if k.Name == class {
-			return k.Effect != lapiscourse.Harmless
+			return k.Effect != admission.Harmless
 		}
 	}
 	return false
@@ -154,7 +154,7 @@
 	if len(in.Settings) == 0 {
 		return nil, errors.New("settings: missing")
 	}
-	if c.Settings, err = wire.ReadSettings(in.Settings); err != nil {
+	if c.Settings, err = simproto.ReadSettings(in.Settings); err != nil {
 		return nil, err
 	}
 	var limits struct {
@@ -208,12 +208,12 @@
 	return nil
 }
 
-var phases = map[string]lapiscourse.Phase{
-	Ready: lapiscourse.In, Terminating: lapiscourse.Lame, Gone: lapiscourse.Out,
+var phases = map[string]admission.Phase{
+	Ready: admission.In, Terminating: admission.Lame, Gone: admission.Out,
 }
 
 // Server is the member as the module knows it.
-func (m *Member) Server() lapiscourse.Server {
-	return lapiscourse.Server{ID: m.ID, Pool: m.Cell, Zone: m.Zone, Phase: phases[m.Phase],
-		Started: lapiscourse.Time(m.Started) * time.Millisecond}
+func (m *Member) Server() admission.Server {
+	return admission.Server{ID: m.ID, Pool: m.Cell, Zone: m.Zone, Phase: phases[m.Phase],
+		Started: admission.Time(m.Started) * time.Millisecond}
 }
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -13,7 +13,7 @@
 	"github.com/BurntSushi/toml"
 	"github.com/dustin/go-humanize"
 
-	"lapiscourse/internal/logs"
+	"olivedale/internal/logging"
 )
 
 // OperatorPath is where the operator's file is looked for, from the root.
@@ -89,7 +89,7 @@
 }
 
 // Options are what the logger takes.
-func (l Log) Options() logs.Options { return logs.Options{Form: l.Form, Level: l.Level} }
+func (l Log) Options() logging.Options { return logging.Options{Form: l.Form, Level: l.Level} }
 
 // A Duration is a length of time, written as Go writes it: "200ms", "1h".
 type Duration time.Duration
--- a/internal/console/console_test.go
+++ b/internal/console/console_test.go
@@ -17,9 +17,9 @@
 	tea "charm.land/bubbletea/v2"
 	"charm.land/lipgloss/v2"
 
-	"lapiscourse/internal/control"
-	"lapiscourse/internal/net/h248"
-	"lapiscourse/internal/record"
+	"olivedale/internal/adminapi"
+	"olivedale/internal/codec/h248"
+	"olivedale/internal/record"
 )
 
 const kept = "../report/testdata/incident"
@@ -213,12 +213,12 @@
 // An instance that stops answering is shown as such with the age of what is known; an agent
 // that does not answer takes its instances along.
 func TestSilence(t *testing.T) {
-	serve := func(handle control.Handler) (string, net.Listener) {
+	serve := func(handle adminapi.Handler) (string, net.Listener) {
 		ln, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
 			t.Fatal(err)
 		}
-		go func() { _ = control.Serve(ln, "<x>", handle) }()
+		go func() { _ = adminapi.Serve(ln, "<x>", handle) }()
 		return ln.Addr().String(), ln
 	}
 	stood := 0
--- a/internal/console/model.go
+++ b/internal/console/model.go
@@ -11,7 +11,7 @@
 	tea "charm.land/bubbletea/v2"
 	"charm.land/lipgloss/v2"
 
-	"lapiscourse/internal/record"
+	"olivedale/internal/record"
 )
 
 // A view of the console.
--- a/internal/console/table.go
+++ b/internal/console/table.go
@@ -10,7 +10,7 @@
 
 	"charm.land/lipgloss/v2"
 
-	"lapiscourse/internal/record"
+	"olivedale/internal/record"
 )
 
 // A column of a table. Columns are dropped from the right where the screen is narrow.
--- a/internal/names/names.go
+++ b/internal/discovery/names.go
@@ -1,6 +1,6 @@
 // Package names keeps the list of exchanges by the name service's DNS answers:
 // it writes queries, reads answers and tells what has changed. It owns no socket.
-package names
+package discovery
 
 import (
 	"errors"
@@ -12,7 +12,7 @@
 
 	"golang.org/x/net/dns/dnsmessage"
 
-	"lapiscourse/internal/config"
+	"olivedale/internal/config"
 )
 
 // Service is the name whose SRV records list the exchanges.
--- a/internal/names/names_test.go
+++ b/internal/discovery/names_test.go
@@ -1,4 +1,4 @@
-package names
+package discovery
 
 import (
 	"fmt"
@@ -9,7 +9,7 @@
 
 	"golang.org/x/net/dns/dnsmessage"
 
-	"lapiscourse/internal/config"
+	"olivedale/internal/config"
 )
 
 type line struct {
--- a/internal/enum/client.go
+++ b/internal/enum/client.go
@@ -12,7 +12,7 @@
 	"sync/atomic"
 	"time"
 
-	"lapiscourse/internal/portability"
+	"olivedale/internal/portability"
 )
 
 // A Client looks numbers up over UDP. One goroutine owns the resolver and decides; one a socket
--- a/internal/enum/client_test.go
+++ b/internal/enum/client_test.go
@@ -10,8 +10,8 @@
 
 	"github.com/miekg/dns"
 
-	"lapiscourse/internal/numbering"
-	"lapiscourse/internal/portability"
+	"olivedale/internal/numbering"
+	"olivedale/internal/portability"
 )
 
 // standIn is a server of the tests: it does what mode says.
--- a/internal/enum/enum.go
+++ b/internal/enum/enum.go
@@ -11,8 +11,8 @@
 
 	"github.com/miekg/dns"
 
-	"lapiscourse/internal/numbering"
-	"lapiscourse/internal/portability"
+	"olivedale/internal/numbering"
+	"olivedale/internal/portability"
 )
 
 // MostBytes bounds an answer; EDNS asks for no more, so that nothing comes in pieces.
--- a/internal/incident/clock.go
+++ b/internal/incident/clock.go
@@ -4,7 +4,7 @@
 	"math"
 	"time"
 
-	"lapiscourse/internal/record"
+	"olivedale/internal/record"
 )
 
 // Time is a Unix clock reading of some instance, or of the reference.
--- a/internal/incident/count.go
+++ b/internal/incident/count.go
@@ -5,7 +5,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
-	"lapiscourse/internal/record"
+	"olivedale/internal/record"
 )
 
 // Counts are what is counted of calls, over all, a class, a server, an instance or a window.
--- a/internal/incident/find.go
+++ b/internal/incident/find.go
@@ -7,7 +7,7 @@
 	"strings"
 	"time"
 
-	"lapiscourse/internal/record"
+	"olivedale/internal/record"
 )
 
 // Kinds of findings.
--- a/internal/incident/incident_test.go
+++ b/internal/incident/incident_test.go
@@ -10,11 +10,11 @@
 
 	"pgregory.net/rapid"
 
-	"lapiscourse/internal/proptest"
-	"lapiscourse/internal/record"
+	"olivedale/internal/record"
+	"olivedale/internal/testutil"
 )
 
-func TestMain(m *testing.M) { proptest.Main(m) }
+func TestMain(m *testing.M) { testutil.Main(m) }
 
 const day = Time(1_790_000_000) * time.Second
 
--- a/internal/incident/part.go
+++ b/internal/incident/part.go
@@ -8,7 +8,7 @@
 	"strings"
 	"time"
 
-	"lapiscourse/internal/record"
+	"olivedale/internal/record"
 )
 
 // Bounds of a Part, whatever its records say.
--- a/internal/lab/agenda/agenda_test.go
+++ b/internal/lab/agenda/agenda_test.go
@@ -7,10 +7,10 @@
 
 	"pgregory.net/rapid"
 
-	"lapiscourse/internal/proptest"
+	"olivedale/internal/testutil"
 )
 
-func TestMain(m *testing.M) { proptest.Main(m) }
+func TestMain(m *testing.M) { testutil.Main(m) }
 
 // What comes off is in the order of time, and of one time in the order in which it was put down.
 func TestOrder(t *testing.T) {
--- a/internal/lab/base/base.go
+++ b/internal/lab/base/base.go
@@ -16,7 +16,7 @@
 
 // overlay is what comes from today: the laboratory and what it stands on. The product's own parts,
 // core and module, stay as they were.
-var overlay = []string{"internal/lab", "cmd/olivelab", "internal/cli", "internal/logs", "internal/svg", "go.mod", "go.sum"}
+var overlay = []string{"internal/lab", "cmd/olivelab", "internal/cli", "internal/logging", "internal/svg", "go.mod", "go.sum"}
 
 // A Build is a program made of an earlier commit.
 type Build struct {
@@ -27,7 +27,7 @@
 }
 
 // module is the decision module's file.
-const module = "controller.go"
+const module = "internal/admission/controller.go"
 
 // Make builds cmd/olivelab with core and module of a revision of the repository at repo; with moduleOnly
 // all but the module is of today's HEAD, so that modules from before the core's present form can play.
@@ -67,7 +67,7 @@
 			return nil, errors.Join(fmt.Errorf("base: %w", err), b.Remove())
 		}
 	}
-	if _, err := os.Stat(filepath.Join(tree, "internal/share")); errors.Is(err, fs.ErrNotExist) {
+	if _, err := os.Stat(filepath.Join(tree, "internal/overload")); errors.Is(err, fs.ErrNotExist) {
 		// Controllers of that commit share nothing: what has them share is left out.
 		if err := os.Remove(filepath.Join(tree, "cmd/olivelab/share.go")); err != nil {
 			return nil, errors.Join(fmt.Errorf("base: %w", err), b.Remove())
--- a/internal/lab/demo/demo.go
+++ b/internal/lab/demo/demo.go
@@ -17,13 +17,13 @@
 	"syscall"
 	"time"
 
-	"lapiscourse/internal/control"
-	"lapiscourse/internal/lab/etcd"
-	"lapiscourse/internal/lab/exchange"
-	"lapiscourse/internal/lab/rig"
-	"lapiscourse/internal/lab/scenario"
-	"lapiscourse/internal/lab/socket"
-	"lapiscourse/internal/net/h248"
+	"olivedale/internal/adminapi"
+	"olivedale/internal/codec/h248"
+	"olivedale/internal/lab/etcd"
+	"olivedale/internal/lab/exchange"
+	"olivedale/internal/lab/rig"
+	"olivedale/internal/lab/scenario"
+	"olivedale/internal/lab/socket"
 )
 
 // Options say what is run.
@@ -269,7 +269,7 @@
 func (s *stage) killed() error {
 	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
 	defer cancel()
-	c, err := control.Ask(ctx, s.o.Agent, control.Audit("instance/n0"))
+	c, err := adminapi.Ask(ctx, s.o.Agent, adminapi.Audit("instance/n0"))
 	if err != nil {
 		return fmt.Errorf("demo: asking the agent: %w", err)
 	}
--- a/internal/lab/demo/demo_test.go
+++ b/internal/lab/demo/demo_test.go
@@ -11,7 +11,7 @@
 	"testing"
 	"time"
 
-	"lapiscourse/internal/lab/rig"
+	"olivedale/internal/lab/rig"
 )
 
 // The demo runs to its end, says what happened, makes its report, and leaves nothing running or lying
@@ -19,7 +19,7 @@
 func TestDemo(t *testing.T) {
 	t.Parallel()
 	dir := t.TempDir()
-	if out, err := exec.Command("go", "build", "-o", dir+"/", "lapiscourse/cmd/olivedale", "lapiscourse/cmd/oliveagent", "lapiscourse/cmd/olivectl").CombinedOutput(); err != nil {
+	if out, err := exec.Command("go", "build", "-o", dir+"/", "olivedale/cmd/olivedale", "olivedale/cmd/oliveagent", "olivedale/cmd/olivectl").CombinedOutput(); err != nil {
 		t.Fatalf("%v\n%s", err, out)
 	}
 	if err := Run(context.Background(), Options{Bin: t.TempDir()}); err == nil || !strings.Contains(err.Error(), "make build") {
--- a/internal/lab/exchange/exchange.go
+++ b/internal/lab/exchange/exchange.go
@@ -12,7 +12,7 @@
 
 	"gonum.org/v1/gonum/stat/distuv"
 
-	"lapiscourse/internal/lab/agenda"
+	"olivedale/internal/lab/agenda"
 )
 
 // A Time is a reading of the clock that the host keeps.
--- a/internal/lab/experiment/experiment.go
+++ b/internal/lab/experiment/experiment.go
@@ -19,9 +19,9 @@
 	"golang.org/x/sync/errgroup"
 	"gonum.org/v1/gonum/stat"
 
-	"lapiscourse/internal/lab/result"
-	"lapiscourse/internal/lab/scenario"
-	"lapiscourse/internal/lab/virtual"
+	"olivedale/internal/lab/result"
+	"olivedale/internal/lab/scenario"
+	"olivedale/internal/lab/virtual"
 )
 
 // Seeds are n seeds that begin with first.
--- a/internal/lab/experiment/experiment_test.go
+++ b/internal/lab/experiment/experiment_test.go
@@ -9,11 +9,11 @@
 	"testing"
 	"time"
 
-	"lapiscourse"
-	"lapiscourse/internal/call"
-	"lapiscourse/internal/lab/result"
-	"lapiscourse/internal/lab/scenario"
-	"lapiscourse/internal/lab/virtual"
+	"olivedale/internal/admission"
+	"olivedale/internal/call"
+	"olivedale/internal/lab/result"
+	"olivedale/internal/lab/scenario"
+	"olivedale/internal/lab/virtual"
 )
 
 // Of intervals of 95% about as many hold the true mean.
@@ -125,10 +125,10 @@
 // hasty sends again at once what a reset has ended.
 type hasty struct{ call.Decider }
 
-func (h hasty) Report(now call.Time, p lapiscourse.Progress) lapiscourse.Order {
+func (h hasty) Report(now call.Time, p admission.Progress) admission.Order {
 	o := h.Decider.Report(now, p)
-	if p.Stage == lapiscourse.Ended && !p.Final && p.Code == lapiscourse.Dropped {
-		return lapiscourse.Order{Call: p.Call, Move: lapiscourse.Try, Server: p.Server, Wait: time.Second}
+	if p.Stage == admission.Ended && !p.Final && p.Code == admission.Dropped {
+		return admission.Order{Call: p.Call, Move: admission.Try, Server: p.Server, Wait: time.Second}
 	}
 	return o
 }
--- a/internal/lab/explore/explore.go
+++ b/internal/lab/explore/explore.go
@@ -10,8 +10,8 @@
 	"strings"
 	"time"
 
-	"lapiscourse"
-	"lapiscourse/internal/call"
+	"olivedale/internal/admission"
+	"olivedale/internal/call"
 )
 
 // A Result says what was gone through.
@@ -49,7 +49,7 @@
 	call    int
 	server  int
 	attempt int
-	word    lapiscourse.Move
+	word    admission.Move
 	to      int // server of a Try
 }
 
@@ -59,13 +59,13 @@
 		s += fmt.Sprintf(" x%d/%d", a.server, a.attempt)
 	}
 	switch a.word {
-	case lapiscourse.Try:
+	case admission.Try:
 		s += fmt.Sprintf(", the module: try x%d", a.to)
-	case lapiscourse.Deny:
+	case admission.Deny:
 		s += ", the module: deny"
-	case lapiscourse.GiveUp:
+	case admission.GiveUp:
 		s += ", the module: give up"
-	case lapiscourse.CallOff:
+	case admission.CallOff:
 		s += ", the module: call off"
 	}
 	return s
@@ -97,7 +97,7 @@
 	calls  []life
 	held   []held
 	word   action
-	ticks  []lapiscourse.Order
+	ticks  []admission.Order
 	broken string
 }
 
@@ -130,33 +130,33 @@
 func server(id string) int { return int(id[len(id)-1] - '0') }
 
 // order is the module's word on a call.
-func (m *machine) order(id string) lapiscourse.Order {
-	o := lapiscourse.Order{Call: id, Move: m.word.word, Wait: wait}
-	if o.Move == lapiscourse.Try {
+func (m *machine) order(id string) admission.Order {
+	o := admission.Order{Call: id, Move: m.word.word, Wait: wait}
+	if o.Move == admission.Try {
 		o.Server = fmt.Sprint("x", m.word.to)
 		if m.calls[number(id)].sent >= m.b.Attempts {
-			o.Move = lapiscourse.Hold
+			o.Move = admission.Hold
 		}
 	}
-	if o.Move == lapiscourse.CallOff {
+	if o.Move == admission.CallOff {
 		o.Attempt = m.calls[number(id)].n
 	}
 	return o
 }
 
 // Pick implements call.Decider.
-func (m *machine) Pick(_ call.Time, r lapiscourse.Request) lapiscourse.Order { return m.order(r.Call) }
+func (m *machine) Pick(_ call.Time, r admission.Request) admission.Order { return m.order(r.Call) }
 
 // Report implements call.Decider.
-func (m *machine) Report(_ call.Time, p lapiscourse.Progress) lapiscourse.Order {
-	if p.Stage != lapiscourse.Ended || p.Final {
-		return lapiscourse.Order{Call: p.Call}
+func (m *machine) Report(_ call.Time, p admission.Progress) admission.Order {
+	if p.Stage != admission.Ended || p.Final {
+		return admission.Order{Call: p.Call}
 	}
 	return m.order(p.Call)
 }
 
 // Tick implements call.Decider.
-func (m *machine) Tick(call.Time) []lapiscourse.Order {
+func (m *machine) Tick(call.Time) []admission.Order {
 	all := m.ticks
 	m.ticks = nil
 	return all
@@ -166,7 +166,7 @@
 func (m *machine) Next() call.Time { return 1 << 62 }
 
 // List implements call.Decider.
-func (m *machine) List(call.Time, []lapiscourse.Server, bool) {}
+func (m *machine) List(call.Time, []admission.Server, bool) {}
 
 // Invite implements call.Exchanges.
 func (m *machine) Invite(to string, s call.Setup) {
@@ -318,7 +318,7 @@
 			k.out = -1
 		}
 	case "order":
-		m.ticks = []lapiscourse.Order{m.order(id)}
+		m.ticks = []admission.Order{m.order(id)}
 		m.core.Tick()
 	case "pass":
 		if next := m.core.Next(); next < 1<<61 {
@@ -335,9 +335,9 @@
 
 // can lists what can happen next.
 func (m *machine) can() (all []action) {
-	words := []action{{word: lapiscourse.Hold}, {word: lapiscourse.Deny}, {word: lapiscourse.GiveUp}}
+	words := []action{{word: admission.Hold}, {word: admission.Deny}, {word: admission.GiveUp}}
 	for s := range m.b.Servers {
-		words = append(words, action{word: lapiscourse.Try, to: s})
+		words = append(words, action{word: admission.Try, to: s})
 	}
 	each := func(a action) {
 		for _, w := range words {
@@ -360,7 +360,7 @@
 				live = true
 				each(action{kind: "order", call: i, server: -1})
 				if k.out >= 0 {
-					all = append(all, action{kind: "order", call: i, server: -1, word: lapiscourse.CallOff})
+					all = append(all, action{kind: "order", call: i, server: -1, word: admission.CallOff})
 				}
 			}
 		}
@@ -420,7 +420,7 @@
 		if m.core.Open() == 0 || m.broken != "" {
 			break
 		}
-		m.word = action{word: lapiscourse.Hold}
+		m.word = action{word: admission.Hold}
 		next := m.core.Next()
 		if next >= 1<<61 {
 			m.fail("%d calls are open and nothing will be done about them", m.core.Open())
--- a/internal/lab/explore/explore_test.go
+++ b/internal/lab/explore/explore_test.go
@@ -3,7 +3,7 @@
 import (
 	"testing"
 
-	"lapiscourse/internal/call"
+	"olivedale/internal/call"
 )
 
 // Whatever the order of events and whatever the module says, the core keeps its rules.
--- a/internal/lab/result/result.go
+++ b/internal/lab/result/result.go
@@ -13,9 +13,9 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
-	"lapiscourse/internal/lab/exchange"
-	"lapiscourse/internal/lab/rules"
-	"lapiscourse/internal/lab/scenario"
+	"olivedale/internal/lab/exchange"
+	"olivedale/internal/lab/rules"
+	"olivedale/internal/lab/scenario"
 )
 
 // A Time is the time since the start of the run.
--- a/internal/lab/rig/floors_test.go
+++ b/internal/lab/rig/floors_test.go
@@ -5,10 +5,10 @@
 	"testing"
 	"time"
 
-	"lapiscourse/internal/lab/experiment"
-	"lapiscourse/internal/lab/result"
-	"lapiscourse/internal/lab/scenario"
-	"lapiscourse/internal/lab/virtual"
+	"olivedale/internal/lab/experiment"
+	"olivedale/internal/lab/result"
+	"olivedale/internal/lab/scenario"
+	"olivedale/internal/lab/virtual"
 )
 
 // The same scenario on both floors: twelve controllers, twelve exchanges, nobody tries twice.
--- a/internal/lab/rig/instance.go
+++ b/internal/lab/rig/instance.go
@@ -6,9 +6,9 @@
 	"fmt"
 	"net"
 
-	"lapiscourse/internal/config"
-	"lapiscourse/internal/lab/scenario"
-	"lapiscourse/internal/lab/socket"
+	"olivedale/internal/config"
+	"olivedale/internal/lab/scenario"
+	"olivedale/internal/lab/socket"
 )
 
 // An Instance is a call controller that an agent is to run.
--- a/internal/lab/rig/page.go
+++ b/internal/lab/rig/page.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"html/template"
 
-	"lapiscourse/internal/lab/show"
+	"olivedale/internal/lab/show"
 )
 
 // Part is the run as a part of a page: what went wrong beside what callers of each zone got.
--- a/internal/lab/rig/run.go
+++ b/internal/lab/rig/run.go
@@ -19,12 +19,12 @@
 	"syscall"
 	"time"
 
-	"lapiscourse/internal/control"
-	"lapiscourse/internal/lab/etcd"
-	"lapiscourse/internal/lab/rules"
-	"lapiscourse/internal/lab/scenario"
-	"lapiscourse/internal/lab/socket"
-	"lapiscourse/internal/net/h248"
+	"olivedale/internal/adminapi"
+	"olivedale/internal/codec/h248"
+	"olivedale/internal/lab/etcd"
+	"olivedale/internal/lab/rules"
+	"olivedale/internal/lab/scenario"
+	"olivedale/internal/lab/socket"
 )
 
 // Options say what is run.
@@ -481,7 +481,7 @@
 		wg.Go(func() {
 			ctx, cancel := context.WithTimeout(ctx, 500*time.Millisecond)
 			defer cancel()
-			c, err := control.Ask(ctx, a.addr, control.Audit("ROOT"))
+			c, err := adminapi.Ask(ctx, a.addr, adminapi.Audit("ROOT"))
 			if err != nil {
 				return // it may be stopped, or not listen yet
 			}
@@ -681,7 +681,7 @@
 	if i < 0 {
 		return nil, fmt.Errorf("rig: there is no %s", controller)
 	}
-	return control.Ask(ctx, r.nodes[i].admin, c)
+	return adminapi.Ask(ctx, r.nodes[i].admin, c)
 }
 
 // Etcd is the store of the agents.
--- a/internal/lab/rig/run_test.go
+++ b/internal/lab/rig/run_test.go
@@ -18,9 +18,9 @@
 
 	"golang.org/x/sys/unix"
 
-	"lapiscourse/internal/control"
-	"lapiscourse/internal/lab/scenario"
-	"lapiscourse/internal/record"
+	"olivedale/internal/adminapi"
+	"olivedale/internal/lab/scenario"
+	"olivedale/internal/record"
 )
 
 // built is the folder of programs, "": none was needed.
@@ -32,7 +32,7 @@
 		return "", err
 	}
 	built = dir
-	if out, err := exec.Command("go", "build", "-o", dir+"/", "lapiscourse/cmd/olivedale", "lapiscourse/cmd/oliveagent").CombinedOutput(); err != nil {
+	if out, err := exec.Command("go", "build", "-o", dir+"/", "olivedale/cmd/olivedale", "olivedale/cmd/oliveagent").CombinedOutput(); err != nil {
 		return "", errors.New(string(out))
 	}
 	lab, err := os.Executable() // it has the command that the rig wants of olivelab
@@ -85,7 +85,7 @@
 			if starts < 2 {
 				return fmt.Errorf("its agent has started %s %d times", name, starts)
 			}
-			if _, err := r.Ask(ctx, name, control.Audit("ROOT")); err != nil {
+			if _, err := r.Ask(ctx, name, adminapi.Audit("ROOT")); err != nil {
 				return err
 			}
 		}
--- a/internal/lab/rig/schedule.go
+++ b/internal/lab/rig/schedule.go
@@ -13,7 +13,7 @@
 
 	"github.com/BurntSushi/toml"
 
-	"lapiscourse/internal/lab/scenario"
+	"olivedale/internal/lab/scenario"
 )
 
 // Kinds of steps on a path. Each ends after For, but for reset, which has no length.
--- a/internal/lab/rig/schedule_test.go
+++ b/internal/lab/rig/schedule_test.go
@@ -8,8 +8,8 @@
 	"testing"
 	"time"
 
-	"lapiscourse/internal/lab/rules"
-	"lapiscourse/internal/lab/scenario"
+	"olivedale/internal/lab/rules"
+	"olivedale/internal/lab/scenario"
 )
 
 func TestDrawnSchedulesCanBePlayedAndWritten(t *testing.T) {
--- a/internal/lab/rig/share_test.go
+++ b/internal/lab/rig/share_test.go
@@ -6,17 +6,17 @@
 	"testing"
 	"time"
 
-	"lapiscourse/internal/control"
-	"lapiscourse/internal/share"
+	"olivedale/internal/adminapi"
+	"olivedale/internal/overload"
 )
 
 // shares asks a controller what it shares.
-func (r *Run) shares(ctx context.Context, name string) (*share.State, error) {
-	reply, err := r.Ask(ctx, name, control.Audit(control.ShareTermination))
+func (r *Run) shares(ctx context.Context, name string) (*overload.State, error) {
+	reply, err := r.Ask(ctx, name, adminapi.Audit(adminapi.ShareTermination))
 	if err != nil {
 		return nil, err
 	}
-	s := control.ReadShare(reply.Descriptors)
+	s := adminapi.ReadShare(reply.Descriptors)
 	if s == nil {
 		return nil, fmt.Errorf("%s shares nothing", name)
 	}
--- a/internal/lab/rig/strike.go
+++ b/internal/lab/rig/strike.go
@@ -12,12 +12,12 @@
 
 	"golang.org/x/sys/unix"
 
-	"lapiscourse/internal/lab/exchange"
-	"lapiscourse/internal/lab/rules"
-	"lapiscourse/internal/lab/socket"
-	"lapiscourse/internal/lab/together"
-	"lapiscourse/internal/peer"
-	"lapiscourse/internal/share"
+	"olivedale/internal/lab/exchange"
+	"olivedale/internal/lab/rules"
+	"olivedale/internal/lab/socket"
+	"olivedale/internal/lab/together"
+	"olivedale/internal/overload"
+	"olivedale/internal/transport"
 )
 
 // step has a fault begin, and end.
@@ -303,12 +303,12 @@
 	sign := func(b []byte) []byte {
 		h := hmac.New(sha256.New, r.key)
 		_, _ = h.Write(b)
-		return append(b, h.Sum(nil)[:peer.Signed]...)
+		return append(b, h.Sum(nil)[:transport.Signed]...)
 	}
 	var keys []uint32
 	for _, p := range r.places {
 		p.mu.Lock()
-		keys = append(keys, share.Key(p.line.ID))
+		keys = append(keys, overload.Key(p.line.ID))
 		p.mu.Unlock()
 	}
 	for end, seq := time.Now().Add(s.For.D()), uint32(1); time.Now().Before(end); seq++ {
--- a/internal/lab/rig/taps.go
+++ b/internal/lab/rig/taps.go
@@ -7,9 +7,9 @@
 
 	"github.com/miekg/dns"
 
-	"lapiscourse/internal/lab/exchange"
-	"lapiscourse/internal/lab/rules"
-	"lapiscourse/internal/net/sip"
+	"olivedale/internal/codec/sip"
+	"olivedale/internal/lab/exchange"
+	"olivedale/internal/lab/rules"
 )
 
 // A watch sees what passes over the wires of a run and has the rules checked. What it knows of the
--- a/internal/lab/rules/rules.go
+++ b/internal/lab/rules/rules.go
@@ -10,7 +10,7 @@
 	"strings"
 	"time"
 
-	"lapiscourse/internal/lab/agenda"
+	"olivedale/internal/lab/agenda"
 )
 
 // A Time is a reading of the clock that all that is seen is told by.
--- a/internal/lab/sabourin/curve.go
+++ b/internal/lab/sabourin/curve.go
@@ -7,7 +7,7 @@
 	"math/rand/v2"
 	"time"
 
-	"lapiscourse/internal/lab/exchange"
+	"olivedale/internal/lab/exchange"
 )
 
 // A Mix is the kinds of calls in the order in which they are turned away: non-urgent outgoing calls
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -15,8 +15,8 @@
 
 	"github.com/BurntSushi/toml"
 
-	"lapiscourse"
-	"lapiscourse/internal/lab/exchange"
+	"olivedale/internal/admission"
+	"olivedale/internal/lab/exchange"
 )
 
 // A Duration is written as Go writes it: "300ms", "1m". It is not the operator's file's, whose form is
@@ -345,11 +345,11 @@
 }
 
 // Settings are what a controller is told.
-func (s *Scenario) Settings() lapiscourse.Settings {
-	set := lapiscourse.Settings{GroupSize: s.Fleet.Controllers, Topology: "pools", MaxAttempts: 4, MayCancel: true, Resend: s.Exchange.Again.D(),
+func (s *Scenario) Settings() admission.Settings {
+	set := admission.Settings{GroupSize: s.Fleet.Controllers, Topology: "pools", MaxAttempts: 4, MayCancel: true, Resend: s.Exchange.Again.D(),
 		Release: 300 * time.Millisecond, Cold: s.Exchange.Warm.D(), Start: s.Exchange.Start}
 	for _, k := range s.Class {
-		set.Classes = append(set.Classes, lapiscourse.Class{Name: k.Name, Aim: k.Aim.D(), Deadline: k.GiveUp.D(), Credit: k.Worth, LateWorth: k.Late})
+		set.Classes = append(set.Classes, admission.Class{Name: k.Name, Aim: k.Aim.D(), Deadline: k.GiveUp.D(), Credit: k.Worth, LateWorth: k.Late})
 	}
 	return set
 }
--- a/internal/lab/show/show.go
+++ b/internal/lab/show/show.go
@@ -16,9 +16,9 @@
 	"gonum.org/v1/plot/plotter"
 	"gonum.org/v1/plot/vg"
 
-	"lapiscourse/internal/lab/experiment"
-	"lapiscourse/internal/lab/result"
-	"lapiscourse/internal/svg"
+	"olivedale/internal/lab/experiment"
+	"olivedale/internal/lab/result"
+	"olivedale/internal/svg"
 )
 
 // A Curve is one line of a plot; Low and High, if there, are its interval at each point.
--- a/internal/lab/show/show_test.go
+++ b/internal/lab/show/show_test.go
@@ -7,9 +7,9 @@
 	"testing"
 	"time"
 
-	"lapiscourse/internal/lab/experiment"
-	"lapiscourse/internal/lab/scenario"
-	"lapiscourse/internal/lab/virtual"
+	"olivedale/internal/lab/experiment"
+	"olivedale/internal/lab/scenario"
+	"olivedale/internal/lab/virtual"
 )
 
 // A page is whole, refers to nothing outside, and nothing from a scenario breaks out of it.
--- a/internal/lab/socket/exchange.go
+++ b/internal/lab/socket/exchange.go
@@ -12,9 +12,9 @@
 	"sync"
 	"time"
 
-	"lapiscourse/internal/lab/agenda"
-	"lapiscourse/internal/lab/exchange"
-	"lapiscourse/internal/net/sip"
+	"olivedale/internal/codec/sip"
+	"olivedale/internal/lab/agenda"
+	"olivedale/internal/lab/exchange"
 )
 
 // An Exchange serves SIP over TCP on a loopback address. Its methods may be called from anywhere.
--- a/internal/lab/socket/load.go
+++ b/internal/lab/socket/load.go
@@ -11,9 +11,9 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
-	"lapiscourse/internal/lab/rules"
-	"lapiscourse/internal/lab/scenario"
-	"lapiscourse/internal/net/jsonl"
+	"olivedale/internal/codec/jsonl"
+	"olivedale/internal/lab/rules"
+	"olivedale/internal/lab/scenario"
 )
 
 // A Load sets calls up on call controllers in an open loop: calls come whether or not those before were
--- a/internal/lab/socket/socket_test.go
+++ b/internal/lab/socket/socket_test.go
@@ -9,14 +9,14 @@
 	"testing"
 	"time"
 
-	"lapiscourse/internal/config"
-	"lapiscourse/internal/lab/exchange"
-	"lapiscourse/internal/lab/experiment"
-	"lapiscourse/internal/lab/result"
-	"lapiscourse/internal/lab/scenario"
-	"lapiscourse/internal/lab/virtual"
-	node "lapiscourse/internal/net"
-	"lapiscourse/internal/net/sip"
+	"olivedale/internal/codec/sip"
+	"olivedale/internal/config"
+	"olivedale/internal/lab/exchange"
+	"olivedale/internal/lab/experiment"
+	"olivedale/internal/lab/result"
+	"olivedale/internal/lab/scenario"
+	"olivedale/internal/lab/virtual"
+	node "olivedale/internal/server"
 )
 
 // brief is what calls hold where a test must not wait for them.
--- a/internal/lab/together/liar.go
+++ b/internal/lab/together/liar.go
@@ -6,8 +6,8 @@
 
 	"google.golang.org/protobuf/encoding/protowire"
 
-	"lapiscourse/internal/lab/scenario"
-	"lapiscourse/internal/share"
+	"olivedale/internal/lab/scenario"
+	"olivedale/internal/overload"
 )
 
 // A liar has the fleet's key and tells all others, as one who reports and as a teller, that no server is
@@ -25,7 +25,7 @@
 func newLiar(sc *scenario.Scenario, self int, boot uint32, now time.Duration, say func(to int, b []byte)) *liar {
 	l := &liar{self: self, peers: sc.Fleet.Controllers, boot: boot, pressed: sc.Fleet.Lie == scenario.LiePressed, next: now + time.Second, say: say}
 	for i := range sc.Fleet.Exchanges {
-		l.keys = append(l.keys, share.Key(fmt.Sprint("x", i)))
+		l.keys = append(l.keys, overload.Key(fmt.Sprint("x", i)))
 	}
 	return l
 }
--- a/internal/lab/together/together.go
+++ b/internal/lab/together/together.go
@@ -1,4 +1,4 @@
-// Package together has the virtual floor's controllers share what they know by internal/share, as the
+// Package together has the virtual floor's controllers share what they know by internal/overload, as the
 // product has it, and hostile ones among them. It is apart from the floor, so that the floor can play
 // versions of the product that share nothing.
 package together
@@ -6,25 +6,25 @@
 import (
 	"time"
 
-	"lapiscourse"
-	"lapiscourse/internal/call"
-	"lapiscourse/internal/lab/scenario"
-	"lapiscourse/internal/lab/virtual"
-	"lapiscourse/internal/share"
+	"olivedale/internal/admission"
+	"olivedale/internal/call"
+	"olivedale/internal/lab/scenario"
+	"olivedale/internal/lab/virtual"
+	"olivedale/internal/overload"
 )
 
 type member struct {
-	m   *share.Member
+	m   *overload.Member
 	say func(to int, b []byte)
 }
 
 // Start is a virtual.Options.Share.
 func Start(sc *scenario.Scenario, node, life int, seed uint64, now time.Duration, d call.Decider, say func(to int, b []byte)) virtual.Sharer {
-	desk, ok := d.(*lapiscourse.Desk)
+	desk, ok := d.(*admission.Desk)
 	if !ok {
 		return nil // a test has put something else in its place
 	}
-	m, err := share.New(now, share.Options{Self: node, Peers: sc.Fleet.Controllers, Boot: uint32(life), Seed: seed, Late: desk.Late()})
+	m, err := overload.New(now, overload.Options{Self: node, Peers: sc.Fleet.Controllers, Boot: uint32(life), Seed: seed, Late: desk.Late()})
 	if err != nil {
 		panic(err) // the scenario was checked
 	}
--- a/internal/lab/together/together_test.go
+++ b/internal/lab/together/together_test.go
@@ -9,11 +9,11 @@
 	"testing"
 	"time"
 
-	"lapiscourse/internal/call"
-	"lapiscourse/internal/lab/result"
-	"lapiscourse/internal/lab/scenario"
-	"lapiscourse/internal/lab/virtual"
-	"lapiscourse/internal/share"
+	"olivedale/internal/call"
+	"olivedale/internal/lab/result"
+	"olivedale/internal/lab/scenario"
+	"olivedale/internal/lab/virtual"
+	"olivedale/internal/overload"
 )
 
 // many are the scenarios of large fleets, made small.
@@ -88,7 +88,7 @@
 type holder struct {
 	virtual.Sharer
 	self int
-	see  func(now time.Duration, self int, s *share.State)
+	see  func(now time.Duration, self int, s *overload.State)
 }
 
 func (h holder) Tick(now time.Duration) {
@@ -112,7 +112,7 @@
 			slow, half := sc.Fault[0].At.D(), time.Duration(0)
 			first, before := make(map[string]map[int]bool), make(map[string]bool)
 			opt := virtual.Options{Share: func(sc *scenario.Scenario, node, life int, seed uint64, now time.Duration, d call.Decider, say func(int, []byte)) virtual.Sharer {
-				return holder{Start(sc, node, life, seed, now, d, say), node, func(now time.Duration, self int, s *share.State) {
+				return holder{Start(sc, node, life, seed, now, d, say), node, func(now time.Duration, self int, s *overload.State) {
 					at := now - 1000*time.Hour
 					if at < slow-3*time.Second || half > 0 {
 						return
--- a/internal/lab/virtual/crowd.go
+++ b/internal/lab/virtual/crowd.go
@@ -8,11 +8,11 @@
 	"slices"
 	"time"
 
-	"lapiscourse/internal/call"
-	"lapiscourse/internal/lab/exchange"
-	"lapiscourse/internal/lab/result"
-	"lapiscourse/internal/lab/rules"
-	"lapiscourse/internal/lab/scenario"
+	"olivedale/internal/call"
+	"olivedale/internal/lab/exchange"
+	"olivedale/internal/lab/result"
+	"olivedale/internal/lab/rules"
+	"olivedale/internal/lab/scenario"
 )
 
 // A crowd is all callers. Calls come whether or not those before were answered (an open loop); what
--- a/internal/lab/virtual/faults.go
+++ b/internal/lab/virtual/faults.go
@@ -4,17 +4,17 @@
 	"fmt"
 	"time"
 
-	"lapiscourse"
-	"lapiscourse/internal/call"
-	"lapiscourse/internal/lab/exchange"
-	"lapiscourse/internal/lab/scenario"
+	"olivedale/internal/admission"
+	"olivedale/internal/call"
+	"olivedale/internal/lab/exchange"
+	"olivedale/internal/lab/scenario"
 )
 
 // some draws so many of the exchanges that run.
 func (w *World) some(of float64) (all []*site) {
 	var live []*site
 	for _, s := range w.places {
-		if s.x.State() == exchange.Running && s.state == lapiscourse.In {
+		if s.x.State() == exchange.Running && s.state == admission.In {
 			live = append(live, s)
 		}
 	}
@@ -112,12 +112,12 @@
 	case scenario.NamesLie:
 		all := w.some(f.Share)
 		for _, s := range all {
-			s.set(lapiscourse.Out)
+			s.set(admission.Out)
 		}
 		end(func() {
 			for _, s := range all {
 				if s.x.State() == exchange.Running {
-					s.set(lapiscourse.In)
+					s.set(admission.In)
 				}
 			}
 		})
@@ -179,10 +179,10 @@
 
 // deploy has an exchange drain and stop, and another start cold in its place at once.
 func (w *World) deploy(s *site, drain time.Duration) {
-	if s.x.State() != exchange.Running || s.state != lapiscourse.In {
+	if s.x.State() != exchange.Running || s.state != admission.In {
 		return
 	}
-	s.set(lapiscourse.Lame)
+	s.set(admission.Lame)
 	w.replace(s)
 	w.after(drain, func() { // what still stands there is cut as it stops
 		s.do(func(x *exchange.Exchange, now Time) { x.Cutting(now, x.Standing()) })
--- a/internal/lab/virtual/links.go
+++ b/internal/lab/virtual/links.go
@@ -5,9 +5,9 @@
 	"slices"
 	"time"
 
-	"lapiscourse/internal/call"
-	"lapiscourse/internal/lab/exchange"
-	"lapiscourse/internal/lab/rules"
+	"olivedale/internal/call"
+	"olivedale/internal/lab/exchange"
+	"olivedale/internal/lab/rules"
 )
 
 // Times of connections and restarts.
--- a/internal/lab/virtual/node.go
+++ b/internal/lab/virtual/node.go
@@ -6,11 +6,11 @@
 	"slices"
 	"time"
 
-	"lapiscourse"
-	"lapiscourse/internal/call"
-	"lapiscourse/internal/lab/agenda"
-	"lapiscourse/internal/lab/exchange"
-	"lapiscourse/internal/lab/rules"
+	"olivedale/internal/admission"
+	"olivedale/internal/call"
+	"olivedale/internal/lab/agenda"
+	"olivedale/internal/lab/exchange"
+	"olivedale/internal/lab/rules"
 )
 
 // A node is a call controller: the product's core and module on the run's clock.
@@ -30,7 +30,7 @@
 	wake   Time
 	ticked Time // when it was last looked at
 	newsAt Time
-	missed []lapiscourse.Server
+	missed []admission.Server
 	gone   map[string]bool // told as drained or gone, by which the checker is told once
 	hears  func(from int, b []byte)
 	shares Sharer
@@ -52,7 +52,7 @@
 	n.dead, n.leaves = make(map[*site]bool), false
 	n.newsAt = w.now
 	seed := w.seed*1_000_003 + uint64(n.i)*101 + uint64(n.life)
-	desk, err := lapiscourse.NewDesk(n.clock(), w.sc.Settings(), seed, func(string) {})
+	desk, err := admission.NewDesk(n.clock(), w.sc.Settings(), seed, func(string) {})
 	if err != nil {
 		panic(err) // the scenario was checked
 	}
@@ -70,9 +70,9 @@
 	for k := range w.sc.Fleet.Clients {
 		n.conns = append(n.conns, &conn{n: n, k: k})
 	}
-	var list []lapiscourse.Server
+	var list []admission.Server
 	for _, s := range w.places {
-		if s.state != lapiscourse.Out {
+		if s.state != admission.Out {
 			list = append(list, s.server())
 		}
 	}
@@ -189,15 +189,15 @@
 }
 
 // told brings news of an exchange.
-func (n *node) told(v lapiscourse.Server) {
+func (n *node) told(v admission.Server) {
 	for _, m := range append(n.missed, v) {
-		out := m.Phase != lapiscourse.In
+		out := m.Phase != admission.In
 		if out != n.gone[m.ID] {
 			n.gone[m.ID] = out
 			n.w.see(rules.Event{Kind: rules.Told, Node: n.name, Server: m.ID, On: out})
 		}
-		n.core.List([]lapiscourse.Server{m}, false)
-		if m.Phase == lapiscourse.Out {
+		n.core.List([]admission.Server{m}, false)
+		if m.Phase == admission.Out {
 			n.core.Lost(m.ID, n.clock()+1)
 		}
 	}
--- a/internal/lab/virtual/world.go
+++ b/internal/lab/virtual/world.go
@@ -11,13 +11,13 @@
 	"slices"
 	"time"
 
-	"lapiscourse"
-	"lapiscourse/internal/call"
-	"lapiscourse/internal/lab/agenda"
-	"lapiscourse/internal/lab/exchange"
-	"lapiscourse/internal/lab/result"
-	"lapiscourse/internal/lab/rules"
-	"lapiscourse/internal/lab/scenario"
+	"olivedale/internal/admission"
+	"olivedale/internal/call"
+	"olivedale/internal/lab/agenda"
+	"olivedale/internal/lab/exchange"
+	"olivedale/internal/lab/result"
+	"olivedale/internal/lab/rules"
+	"olivedale/internal/lab/scenario"
 )
 
 // A Time is the time since the start of the run.
@@ -185,7 +185,7 @@
 	x        *exchange.Exchange
 	born     Time
 	cold     bool
-	state    lapiscourse.Phase // as the directory will say
+	state    admission.Phase // as the directory will say
 	vanished bool
 	fell     bool
 	wake     Time        // when it is next looked at
@@ -205,8 +205,8 @@
 }
 
 // server is the directory's line on a site.
-func (s *site) server() lapiscourse.Server {
-	v := lapiscourse.Server{ID: s.id, Pool: s.pool, Phase: s.state}
+func (s *site) server() admission.Server {
+	v := admission.Server{ID: s.id, Pool: s.pool, Phase: s.state}
 	if s.cold {
 		v.Started = epoch + s.born + s.w.skew
 	}
@@ -242,7 +242,7 @@
 }
 
 // set changes a site's state in the directory, and tells the controllers.
-func (s *site) set(state lapiscourse.Phase) {
+func (s *site) set(state admission.Phase) {
 	s.state = state
 	s.w.news(s)
 }
@@ -255,7 +255,7 @@
 	}
 }
 
-func (w *World) newsTo(n *node, v lapiscourse.Server) {
+func (w *World) newsTo(n *node, v admission.Server) {
 	life := n.life
 	n.newsAt = max(w.now+w.draw(w.sc.Wire.News)+w.namesLate, n.newsAt+1) // in order
 	w.plan.Add(n.newsAt, func() {
@@ -275,7 +275,7 @@
 	for _, n := range s.w.nodes {
 		n.lostLink(s, call.ConnectionReset)
 	}
-	s.set(lapiscourse.Out)
+	s.set(admission.Out)
 }
 
 // account adds what the exchanges have seen to a result.
--- a/internal/lab/virtual/world_test.go
+++ b/internal/lab/virtual/world_test.go
@@ -9,11 +9,11 @@
 	"testing"
 	"time"
 
-	"lapiscourse"
-	"lapiscourse/internal/call"
-	"lapiscourse/internal/lab/result"
-	"lapiscourse/internal/lab/rules"
-	"lapiscourse/internal/lab/scenario"
+	"olivedale/internal/admission"
+	"olivedale/internal/call"
+	"olivedale/internal/lab/result"
+	"olivedale/internal/lab/rules"
+	"olivedale/internal/lab/scenario"
 )
 
 func secs(s float64) scenario.Duration { return scenario.Duration(s * float64(time.Second)) }
@@ -132,8 +132,8 @@
 	rule  rules.Rule
 	every int
 	n     int
-	list  map[string]lapiscourse.Phase // what the directory says
-	first string                       // the one that is cold
+	list  map[string]admission.Phase // what the directory says
+	first string                     // the one that is cold
 }
 
 func (d *defect) due() bool {
@@ -142,9 +142,9 @@
 }
 
 // List notes what the directory says, for those who do not keep it.
-func (d *defect) List(now call.Time, all []lapiscourse.Server, full bool) {
+func (d *defect) List(now call.Time, all []admission.Server, full bool) {
 	for _, s := range all {
-		if d.list[s.ID] = s.Phase; s.Started > 0 && s.Phase == lapiscourse.In {
+		if d.list[s.ID] = s.Phase; s.Started > 0 && s.Phase == admission.In {
 			d.first = s.ID
 		}
 	}
@@ -152,26 +152,26 @@
 }
 
 // Pick sends to one that drains, or all calls to the one that is cold.
-func (d *defect) Pick(now call.Time, r lapiscourse.Request) lapiscourse.Order {
+func (d *defect) Pick(now call.Time, r admission.Request) admission.Order {
 	o := d.Decider.Pick(now, r)
 	switch {
-	case d.rule == rules.DrainsKept && o.Move == lapiscourse.Try:
+	case d.rule == rules.DrainsKept && o.Move == admission.Try:
 		for id, phase := range d.list {
-			if phase == lapiscourse.Lame {
+			if phase == admission.Lame {
 				o.Server = id
 			}
 		}
 	case d.rule == rules.ColdSpared && d.first != "":
-		return lapiscourse.Order{Call: r.Call, Move: lapiscourse.Try, Server: d.first, Wait: time.Second}
+		return admission.Order{Call: r.Call, Move: admission.Try, Server: d.first, Wait: time.Second}
 	}
 	return o
 }
 
 // Report sends again at once what has timed out.
-func (d *defect) Report(now call.Time, p lapiscourse.Progress) lapiscourse.Order {
+func (d *defect) Report(now call.Time, p admission.Progress) admission.Order {
 	o := d.Decider.Report(now, p)
-	if d.rule == rules.ReleaseKept && p.Stage == lapiscourse.Ended && !p.Final && (p.Code == lapiscourse.Expired || p.Code == lapiscourse.Revoked) {
-		return lapiscourse.Order{Call: p.Call, Move: lapiscourse.Try, Server: p.Server, Wait: time.Second}
+	if d.rule == rules.ReleaseKept && p.Stage == admission.Ended && !p.Final && (p.Code == admission.Expired || p.Code == admission.Revoked) {
+		return admission.Order{Call: p.Call, Move: admission.Try, Server: p.Server, Wait: time.Second}
 	}
 	return o
 }
@@ -214,7 +214,7 @@
 			defects := make(map[string]*defect)
 			of := func(node string) *defect {
 				if defects[node] == nil {
-					defects[node] = &defect{rule: rule, every: 50, list: make(map[string]lapiscourse.Phase)}
+					defects[node] = &defect{rule: rule, every: 50, list: make(map[string]admission.Phase)}
 				}
 				return defects[node]
 			}
--- a/internal/logs/golden_test.go
+++ b/internal/logging/golden_test.go
@@ -1,4 +1,4 @@
-package logs
+package logging
 
 import (
 	"go/ast"
@@ -12,7 +12,7 @@
 	"strings"
 	"testing"
 
-	"lapiscourse/internal/goldentest"
+	"olivedale/internal/goldentest"
 )
 
 // constantText is the value of a string literal; any other expression is no constant here.
--- a/internal/logs/logs.go
+++ b/internal/logging/logs.go
@@ -1,6 +1,6 @@
 // Package logs makes the programs' loggers: zap, with lines of logfmt for people and of JSON
 // for programs that collect them. What happened stands behind time and level: event=started.
-package logs
+package logging
 
 import (
 	"fmt"
--- a/internal/logs/logs_test.go
+++ b/internal/logging/logs_test.go
@@ -1,4 +1,4 @@
-package logs
+package logging
 
 import (
 	"bytes"
--- a/internal/numbering/golden_test.go
+++ b/internal/numbering/golden_test.go
@@ -9,7 +9,7 @@
 	"testing"
 	"time"
 
-	"lapiscourse/internal/goldentest"
+	"olivedale/internal/goldentest"
 )
 
 func golden(name string) string { return filepath.Join("testdata", "golden", name) }
--- a/internal/numbering/numbering_test.go
+++ b/internal/numbering/numbering_test.go
@@ -11,10 +11,10 @@
 
 	"pgregory.net/rapid"
 
-	"lapiscourse/internal/proptest"
+	"olivedale/internal/testutil"
 )
 
-func TestMain(m *testing.M) { proptest.Main(m) }
+func TestMain(m *testing.M) { testutil.Main(m) }
 
 var now = Time(time.Date(2026, 12, 1, 12, 0, 0, 0, time.UTC).UnixNano())
 
--- a/internal/numbering/replay_test.go
+++ b/internal/numbering/replay_test.go
@@ -6,7 +6,7 @@
 	"testing"
 	"time"
 
-	"lapiscourse/internal/numbering/numberingtest"
+	"olivedale/internal/numbering/numberingtest"
 )
 
 // differs tells whether a decision is another than a reader of the file comes to.
--- a/internal/share/golden_test.go
+++ b/internal/overload/golden_test.go
@@ -1,11 +1,11 @@
-package share
+package overload
 
 import (
 	"fmt"
 	"strings"
 	"testing"
 
-	"lapiscourse/internal/goldentest"
+	"olivedale/internal/goldentest"
 )
 
 // goldenMessages are datagrams of every kind, with edge values and with more than fits.
--- a/internal/share/present.go
+++ b/internal/overload/present.go
@@ -1,4 +1,4 @@
-package share
+package overload
 
 import (
 	"math"
--- a/internal/share/share.go
+++ b/internal/overload/share.go
@@ -6,7 +6,7 @@
 // The package owns who is there, the sums and the chances. It has no socket and no clock: what is heard, what
 // the module does and the Time come in, datagrams go out. It never opens a server that the module would not
 // send to by its own list and evidence: it is asked after those.
-package share
+package overload
 
 import (
 	"cmp"
@@ -20,7 +20,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"lapiscourse"
+	"olivedale/internal/admission"
 )
 
 // A Time is a reading of the controller's own clock. Clocks of controllers need not agree.
@@ -192,7 +192,7 @@
 	return v
 }
 
-// Offered implements lapiscourse.Fleet.
+// Offered implements admission.Fleet.
 func (m *Member) Offered(now Time, server string, tier int) {
 	m.pass(now)
 	if v := m.view(server); v != nil && tier >= 0 && tier < tiers {
@@ -200,7 +200,7 @@
 	}
 }
 
-// Sent implements lapiscourse.Fleet.
+// Sent implements admission.Fleet.
 func (m *Member) Sent(now Time, server string, first bool) {
 	m.pass(now)
 	if v := m.view(server); v != nil {
@@ -213,7 +213,7 @@
 	}
 }
 
-// Back implements lapiscourse.Fleet.
+// Back implements admission.Fleet.
 func (m *Member) Back(now Time, server string, stood bool, took Time) {
 	m.pass(now)
 	v := m.view(server)
@@ -239,7 +239,7 @@
 	m.compare(now, v)
 }
 
-// Pressed implements lapiscourse.Fleet.
+// Pressed implements admission.Fleet.
 func (m *Member) Pressed(now Time, server string) {
 	m.pass(now)
 	if v := m.view(server); v != nil {
@@ -251,8 +251,8 @@
 	m.hot = now
 }
 
-// Holds implements lapiscourse.Fleet.
-func (m *Member) Holds(now Time, server string, tier int, first bool) (holds lapiscourse.Why, told bool) {
+// Holds implements admission.Fleet.
+func (m *Member) Holds(now Time, server string, tier int, first bool) (holds admission.Why, told bool) {
 	m.pass(now)
 	v := m.view(server)
 	if v == nil || now >= v.until {
@@ -273,7 +273,7 @@
 	if m.rng.Float64() < part {
 		m.Held++
 		v.held++
-		return lapiscourse.FleetHolds, true
+		return admission.FleetHolds, true
 	}
 	m.Passed++
 	return "", true
--- a/internal/portability/resolver.go
+++ b/internal/portability/resolver.go
@@ -11,7 +11,7 @@
 	"slices"
 	"time"
 
-	"lapiscourse/internal/numbering"
+	"olivedale/internal/numbering"
 )
 
 // A Time is a reading of the Unix clock.
--- a/internal/portability/resolver_test.go
+++ b/internal/portability/resolver_test.go
@@ -11,11 +11,11 @@
 
 	"pgregory.net/rapid"
 
-	"lapiscourse/internal/numbering"
-	"lapiscourse/internal/proptest"
+	"olivedale/internal/numbering"
+	"olivedale/internal/testutil"
 )
 
-func TestMain(m *testing.M) { proptest.Main(m) }
+func TestMain(m *testing.M) { testutil.Main(m) }
 
 const now = Time(1_790_000_000) * time.Second
 
--- a/internal/record/golden_test.go
+++ b/internal/record/golden_test.go
@@ -11,7 +11,7 @@
 	"testing"
 	"time"
 
-	"lapiscourse/internal/goldentest"
+	"olivedale/internal/goldentest"
 )
 
 var goldenStore = filepath.Join("testdata", "golden", "store")
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -67,7 +67,7 @@
 // A Move is the module's order.
 type Move uint8
 
-// Moves, as of lapiscourse.Move.
+// Moves, as of admission.Move.
 const (
 	Hold Move = iota
 	Try
--- a/internal/record/record_test.go
+++ b/internal/record/record_test.go
@@ -16,12 +16,12 @@
 
 	"pgregory.net/rapid"
 
-	"lapiscourse/internal/proptest"
+	"olivedale/internal/testutil"
 )
 
 const wall = Time(1_700_000_000_000_000_000)
 
-func TestMain(m *testing.M) { proptest.Main(m) }
+func TestMain(m *testing.M) { testutil.Main(m) }
 
 // options are those of a small store.
 func options(dir string) Options {
--- a/internal/report/golden_test.go
+++ b/internal/report/golden_test.go
@@ -6,7 +6,7 @@
 	"testing"
 	"time"
 
-	"lapiscourse/internal/goldentest"
+	"olivedale/internal/goldentest"
 )
 
 // The accounts of the committed stores are the same bytes as when they were committed.
--- a/internal/report/html.go
+++ b/internal/report/html.go
@@ -11,8 +11,8 @@
 	"strings"
 	"time"
 
-	"lapiscourse/internal/incident"
-	"lapiscourse/internal/record"
+	"olivedale/internal/incident"
+	"olivedale/internal/record"
 )
 
 //go:embed page.html
--- a/internal/report/json.go
+++ b/internal/report/json.go
@@ -6,8 +6,8 @@
 	"io"
 	"time"
 
-	"lapiscourse/internal/incident"
-	"lapiscourse/internal/record"
+	"olivedale/internal/incident"
+	"olivedale/internal/record"
 )
 
 // Totals are counts as JSON shows them; every figure is a plain count of records.
--- a/internal/report/plot.go
+++ b/internal/report/plot.go
@@ -12,9 +12,9 @@
 	"gonum.org/v1/plot/vg"
 	"gonum.org/v1/plot/vg/draw"
 
-	"lapiscourse/internal/incident"
-	"lapiscourse/internal/record"
-	"lapiscourse/internal/svg"
+	"olivedale/internal/incident"
+	"olivedale/internal/record"
+	"olivedale/internal/svg"
 )
 
 // Colours that differ in print without colour, too: by how dark they are.
--- a/internal/report/read.go
+++ b/internal/report/read.go
@@ -13,8 +13,8 @@
 
 	"golang.org/x/sync/errgroup"
 
-	"lapiscourse/internal/incident"
-	"lapiscourse/internal/record"
+	"olivedale/internal/incident"
+	"olivedale/internal/record"
 )
 
 // Options say what is read.
--- a/internal/report/report_test.go
+++ b/internal/report/report_test.go
@@ -17,7 +17,7 @@
 
 	"golang.org/x/net/html"
 
-	"lapiscourse/internal/record"
+	"olivedale/internal/record"
 )
 
 func read(t testing.TB, o Options, dirs ...string) *Result {
--- a/internal/net/chance_test.go
+++ b/internal/server/chance_test.go
@@ -1,4 +1,4 @@
-package net
+package server
 
 import (
 	"fmt"
@@ -8,7 +8,7 @@
 	"testing"
 	"time"
 
-	"lapiscourse/internal/net/jsonl"
+	"olivedale/internal/codec/jsonl"
 )
 
 // Crossings by chance: what callers, exchanges and the list do is drawn from a seed, several things in one turn of the
--- a/internal/net/client.go
+++ b/internal/server/client.go
@@ -1,4 +1,4 @@
-package net
+package server
 
 import (
 	"fmt"
@@ -9,10 +9,10 @@
 
 	"github.com/panjf2000/gnet/v2"
 
-	"lapiscourse"
-	"lapiscourse/internal/call"
-	"lapiscourse/internal/net/jsonl"
-	"lapiscourse/internal/net/sip"
+	"olivedale/internal/admission"
+	"olivedale/internal/call"
+	"olivedale/internal/codec/jsonl"
+	"olivedale/internal/codec/sip"
 )
 
 // Times of the callers' side.
@@ -353,7 +353,7 @@
 // possible tells whether a class may go to a pool; -1 stands for none in particular. Of
 // classes that do not exist the module is asked.
 func (n *Node) possible(class string, first int) bool {
-	i := slices.IndexFunc(n.cfg.Settings.Classes, func(k lapiscourse.Class) bool { return k.Name == class })
+	i := slices.IndexFunc(n.cfg.Settings.Classes, func(k admission.Class) bool { return k.Name == class })
 	if i < 0 || first == -1 {
 		return true
 	}
--- a/internal/net/crossing_test.go
+++ b/internal/server/crossing_test.go
@@ -1,4 +1,4 @@
-package net
+package server
 
 import (
 	"encoding/json"
@@ -10,10 +10,10 @@
 	"testing"
 	"time"
 
-	"lapiscourse"
-	"lapiscourse/internal/config"
-	"lapiscourse/internal/net/jsonl"
-	"lapiscourse/internal/net/sip"
+	"olivedale/internal/admission"
+	"olivedale/internal/codec/jsonl"
+	"olivedale/internal/codec/sip"
+	"olivedale/internal/config"
 )
 
 // Crossings: two things happen at one moment, and both orders are forced. Bytes are handed to a
@@ -152,7 +152,7 @@
 	servers []string
 	wait    time.Duration // before what may have run is sent again
 	held    map[string]time.Duration
-	reports []lapiscourse.Progress
+	reports []admission.Progress
 }
 
 // sends says anew where attempts go from now on.
@@ -162,32 +162,32 @@
 	d.servers = servers
 }
 
-func (d *fixed) Pick(now time.Duration, r lapiscourse.Request) lapiscourse.Order {
+func (d *fixed) Pick(now time.Duration, r admission.Request) admission.Order {
 	return d.next(r.Call)
 }
 
-func (d *fixed) next(id string) lapiscourse.Order {
+func (d *fixed) next(id string) admission.Order {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if len(d.servers) == 0 {
-		return lapiscourse.Order{Call: id, Move: lapiscourse.GiveUp}
+		return admission.Order{Call: id, Move: admission.GiveUp}
 	}
 	s := d.servers[0]
 	d.servers = d.servers[1:]
-	return lapiscourse.Order{Call: id, Move: lapiscourse.Try, Server: s, Wait: 3 * time.Second}
+	return admission.Order{Call: id, Move: admission.Try, Server: s, Wait: 3 * time.Second}
 }
 
-func (d *fixed) Report(now time.Duration, p lapiscourse.Progress) lapiscourse.Order {
+func (d *fixed) Report(now time.Duration, p admission.Progress) admission.Order {
 	d.mu.Lock()
 	d.reports = append(d.reports, p)
 	d.mu.Unlock()
 	switch {
-	case p.Stage == lapiscourse.Left:
+	case p.Stage == admission.Left:
 		d.mu.Lock()
 		delete(d.held, p.Call)
 		d.mu.Unlock()
-	case p.Stage != lapiscourse.Ended || p.Final:
-	case p.Code == lapiscourse.Full || p.Code == lapiscourse.Unused || p.Code == lapiscourse.DialFailed || p.Code == lapiscourse.Error:
+	case p.Stage != admission.Ended || p.Final:
+	case p.Code == admission.Full || p.Code == admission.Unused || p.Code == admission.DialFailed || p.Code == admission.Error:
 		return d.next(p.Call)
 	default:
 		d.mu.Lock()
@@ -197,10 +197,10 @@
 		d.held[p.Call] = now + d.wait
 		d.mu.Unlock()
 	}
-	return lapiscourse.Order{Call: p.Call}
+	return admission.Order{Call: p.Call}
 }
 
-func (d *fixed) Tick(now time.Duration) (orders []lapiscourse.Order) {
+func (d *fixed) Tick(now time.Duration) (orders []admission.Order) {
 	d.mu.Lock()
 	var due []string
 	for id, at := range d.held {
@@ -225,14 +225,14 @@
 	}
 	return next
 }
-func (d *fixed) List(time.Duration, []lapiscourse.Server, bool) {}
+func (d *fixed) List(time.Duration, []admission.Server, bool) {}
 
 // codes lists what the module was told of the ends of a call's attempts.
-func (d *fixed) codes(id string) (all []lapiscourse.Code) {
+func (d *fixed) codes(id string) (all []admission.Code) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, p := range d.reports {
-		if p.Call == id && p.Stage == lapiscourse.Ended {
+		if p.Call == id && p.Stage == admission.Ended {
 			all = append(all, p.Code)
 		}
 	}
@@ -395,7 +395,7 @@
 	if n := x.far[0].heard("INVITE", tag) + x.far[0].heard("CANCEL", tag); n != 0 {
 		t.Errorf("a set-up whose caller had left brought the exchange %d messages", n)
 	}
-	if codes := x.module.codes(tag); len(codes) != 1 || codes[0] != lapiscourse.Unused {
+	if codes := x.module.codes(tag); len(codes) != 1 || codes[0] != admission.Unused {
 		t.Errorf("the module was told %v", codes)
 	}
 }
--- a/internal/net/drain_test.go
+++ b/internal/server/drain_test.go
@@ -1,4 +1,4 @@
-package net
+package server
 
 import (
 	"os"
@@ -9,7 +9,7 @@
 	"testing"
 	"time"
 
-	"lapiscourse/internal/config"
+	"olivedale/internal/config"
 )
 
 // The pools of a number drain one after the other, the fallback first: calls go to what is left of
--- a/internal/net/ending_test.go
+++ b/internal/server/ending_test.go
@@ -1,4 +1,4 @@
-package net
+package server
 
 import (
 	"fmt"
@@ -8,7 +8,7 @@
 	"testing"
 	"time"
 
-	"lapiscourse/internal/net/jsonl"
+	"olivedale/internal/codec/jsonl"
 )
 
 // ends waits until the node has ended by itself.
--- a/internal/net/golden_test.go
+++ b/internal/server/golden_test.go
@@ -1,4 +1,4 @@
-package net
+package server
 
 import (
 	"fmt"
@@ -11,12 +11,12 @@
 	"testing"
 	"time"
 
-	"lapiscourse/internal/config"
-	"lapiscourse/internal/control"
-	"lapiscourse/internal/goldentest"
-	"lapiscourse/internal/net/h248"
-	"lapiscourse/internal/net/jsonl"
-	"lapiscourse/internal/net/sip"
+	"olivedale/internal/adminapi"
+	"olivedale/internal/codec/h248"
+	"olivedale/internal/codec/jsonl"
+	"olivedale/internal/codec/sip"
+	"olivedale/internal/config"
+	"olivedale/internal/goldentest"
 )
 
 // A tap notes every byte that the node sends on a connection.
@@ -309,7 +309,7 @@
 	s.panel.request(mid, 6, "*", &h248.Command{Name: "Subtract", Termination: "p/5"})
 	s.panel.awaits(`Reply=6`)
 	s.exchange.awaits(`CANCEL sip:204`)
-	for n, c := range []*h248.Command{control.Audit("ROOT"), control.Audit("other"), {Name: "Move", Termination: "p/1"}, {Name: "Subtract", Termination: "p/9"}} {
+	for n, c := range []*h248.Command{adminapi.Audit("ROOT"), adminapi.Audit("other"), {Name: "Move", Termination: "p/1"}, {Name: "Subtract", Termination: "p/9"}} {
 		s.panel.request(mid, uint32(10+n), "*", c)
 		s.panel.awaits(fmt.Sprint("Reply=", 10+n))
 	}
@@ -320,7 +320,7 @@
 // manage asks what olivectl and the agent ask.
 func (s *script) manage() {
 	const mid = "<ctl>"
-	for n, c := range []*h248.Command{control.Audit("ROOT"), control.Audit(control.NumbersTermination), control.Clock("agent-1", control.Stamps{}), control.Drain("ROOT")} {
+	for n, c := range []*h248.Command{adminapi.Audit("ROOT"), adminapi.Audit(adminapi.NumbersTermination), adminapi.Clock("agent-1", adminapi.Stamps{}), adminapi.Drain("ROOT")} {
 		s.admin.request(mid, uint32(20+n), "-", c)
 		s.admin.awaits(fmt.Sprint("Reply=", 20+n))
 	}
--- a/internal/net/h248_front.go
+++ b/internal/server/h248_front.go
@@ -1,4 +1,4 @@
-package net
+package server
 
 import (
 	"fmt"
@@ -8,10 +8,10 @@
 
 	"github.com/panjf2000/gnet/v2"
 
-	"lapiscourse/internal/call"
-	"lapiscourse/internal/control"
-	"lapiscourse/internal/net/h248"
-	"lapiscourse/internal/net/sip"
+	"olivedale/internal/adminapi"
+	"olivedale/internal/call"
+	"olivedale/internal/codec/h248"
+	"olivedale/internal/codec/sip"
 )
 
 // h248Front is the callers' side in H.248: panels and gateways add a termination
@@ -284,19 +284,19 @@
 		return done, p.serviceChange(mid, c)
 	case "Modify":
 		var err *h248.Error
-		if p.admin && c.Termination == control.NumbersTermination {
+		if p.admin && c.Termination == adminapi.NumbersTermination {
 			done.Descriptors, err = f.n.orderNumbers(c)
 		} else {
 			done.Descriptors, err = p.clock(c)
 		}
 		return done, err
 	case "AuditValue":
-		if p.admin && c.Termination == control.NumbersTermination && f.n.numbers != nil {
-			done.Descriptors = control.NumbersNodes(f.n.numbers.desk.List(), f.n.numbers.desk.Job())
+		if p.admin && c.Termination == adminapi.NumbersTermination && f.n.numbers != nil {
+			done.Descriptors = adminapi.NumbersNodes(f.n.numbers.desk.List(), f.n.numbers.desk.Job())
 			return done, nil
 		}
-		if p.admin && c.Termination == control.ShareTermination && f.n.share != nil {
-			done.Descriptors = control.ShareNodes(f.n.share.member.State(f.n.now()))
+		if p.admin && c.Termination == adminapi.ShareTermination && f.n.share != nil {
+			done.Descriptors = adminapi.ShareNodes(f.n.share.member.State(f.n.now()))
 			return done, nil
 		}
 		if !strings.EqualFold(c.Termination, "ROOT") {
@@ -317,14 +317,14 @@
 	if !p.admin || !strings.EqualFold(c.Termination, "ROOT") {
 		return nil, &h248.Error{Code: h248.NotImplemented, Text: "Modify of " + c.Termination}
 	}
-	peer, last, err := control.ReadClock(c)
+	peer, last, err := adminapi.ReadClock(c)
 	if err != nil {
 		return nil, &h248.Error{Code: h248.BadValue, Text: err.Error()}
 	}
 	if peer != "" && last[0] != 0 && last[3] != 0 {
 		n.rec.clock(peer, last)
 	}
-	return control.Clock("", control.Stamps{1: int64(received), 2: int64(n.now())}).Descriptors, nil
+	return adminapi.Clock("", adminapi.Stamps{1: int64(received), 2: int64(n.now())}).Descriptors, nil
 }
 
 func (p *panel) serviceChange(mid string, c *h248.Command) *h248.Error {
--- a/internal/net/h248_store.go
+++ b/internal/server/h248_store.go
@@ -1,10 +1,10 @@
-package net
+package server
 
 import (
 	"strconv"
 	"time"
 
-	"lapiscourse/internal/net/h248"
+	"olivedale/internal/codec/h248"
 )
 
 // longTimer is how long a reply is kept for repeats of its transaction (LONG-TIMER
--- a/internal/net/idle_test.go
+++ b/internal/server/idle_test.go
@@ -1,4 +1,4 @@
-package net
+package server
 
 import (
 	"fmt"
@@ -9,8 +9,8 @@
 	"testing"
 	"time"
 
-	"lapiscourse/internal/config"
-	"lapiscourse/internal/net/jsonl"
+	"olivedale/internal/codec/jsonl"
+	"olivedale/internal/config"
 )
 
 // idle opens connections to the front of the platform's protocol that test it once, and stay.
@@ -60,7 +60,7 @@
 }
 
 // What a message costs does not hang on how many connections there are:
-// go test -run '^$' -bench Idle -benchtime 1x ./internal/net
+// go test -run '^$' -bench Idle -benchtime 1x ./internal/server
 func BenchmarkIdleConnections(b *testing.B) {
 	var limit syscall.Rlimit
 	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
--- a/internal/net/link.go
+++ b/internal/server/link.go
@@ -1,4 +1,4 @@
-package net
+package server
 
 import (
 	"context"
@@ -11,7 +11,7 @@
 
 	"github.com/panjf2000/gnet/v2"
 
-	"lapiscourse/internal/call"
+	"olivedale/internal/call"
 )
 
 // A dialect writes and reads what goes over a link. It may keep what it needs to
--- a/internal/net/link_h248.go
+++ b/internal/server/link_h248.go
@@ -1,13 +1,13 @@
-package net
+package server
 
 import (
 	"strconv"
 	"strings"
 	"time"
 
-	"lapiscourse"
-	"lapiscourse/internal/call"
-	"lapiscourse/internal/net/h248"
+	"olivedale/internal/admission"
+	"olivedale/internal/call"
+	"olivedale/internal/codec/h248"
 )
 
 // h248Dialect speaks H.248 with one call server: an Add sets a call up there, a
@@ -255,11 +255,11 @@
 		method := h248.Value(c.Descriptors, "Services", "Method")
 		switch strings.ToLower(method) {
 		case "graceful":
-			d.n.phase(l, lapiscourse.Lame)
+			d.n.phase(l, admission.Lame)
 		case "forced":
-			d.n.phase(l, lapiscourse.Out)
+			d.n.phase(l, admission.Out)
 		case "restart":
-			d.n.phase(l, lapiscourse.In)
+			d.n.phase(l, admission.In)
 		default:
 			return &h248.Error{Code: h248.BadValue, Text: "method " + method}
 		}
@@ -271,16 +271,16 @@
 
 // phase takes a server's own news of its state. Nothing is sent to one that
 // drains or is out from here on.
-func (n *Node) phase(l *link, phase lapiscourse.Phase) {
-	s := lapiscourse.Server{ID: l.id, Pool: l.pool, Phase: phase}
-	if phase == lapiscourse.In {
+func (n *Node) phase(l *link, phase admission.Phase) {
+	s := admission.Server{ID: l.id, Pool: l.pool, Phase: phase}
+	if phase == admission.In {
 		s.Started = n.now()
 	}
-	n.core.List([]lapiscourse.Server{s}, false)
+	n.core.List([]admission.Server{s}, false)
 	switch phase {
-	case lapiscourse.Lame:
+	case admission.Lame:
 		l.drain()
-	case lapiscourse.Out:
+	case admission.Out:
 		l.drain()
 		l.lose(call.ExchangeLost)
 		n.core.Lost(l.id, n.now()+1)
--- a/internal/net/link_h248_test.go
+++ b/internal/server/link_h248_test.go
@@ -1,4 +1,4 @@
-package net
+package server
 
 import (
 	"go.uber.org/zap"
@@ -7,8 +7,8 @@
 	"testing"
 	"time"
 
-	"lapiscourse/internal/call"
-	"lapiscourse/internal/net/h248"
+	"olivedale/internal/call"
+	"olivedale/internal/codec/h248"
 )
 
 func TestEndsOfErrorCodes(t *testing.T) {
--- a/internal/net/link_sip.go
+++ b/internal/server/link_sip.go
@@ -1,13 +1,13 @@
-package net
+package server
 
 import (
 	"strconv"
 	"strings"
 	"time"
 
-	"lapiscourse"
-	"lapiscourse/internal/call"
-	"lapiscourse/internal/net/sip"
+	"olivedale/internal/admission"
+	"olivedale/internal/call"
+	"olivedale/internal/codec/sip"
 )
 
 // sipDialect speaks SIP with one exchange. Answers are paired by Call-ID and method: exchanges are
@@ -225,14 +225,14 @@
 }
 
 // occupancy reads the state of a group of lines, such as 'free:305;size:310'.
-func occupancy(text string) (load lapiscourse.Load, ok bool) {
+func occupancy(text string) (load admission.Load, ok bool) {
 	for part := range strings.SplitSeq(text, ";") {
 		name, value, _ := strings.Cut(strings.TrimSpace(part), ":")
 		v, err := strconv.ParseFloat(value, 64)
 		if err != nil || v < 0 {
 			continue
 		}
-		switch f := (lapiscourse.Figure{Value: v, Given: true}); name {
+		switch f := (admission.Figure{Value: v, Given: true}); name {
 		case "free":
 			load.Free, ok = f, true
 		case "size":
--- a/internal/net/link_sip_test.go
+++ b/internal/server/link_sip_test.go
@@ -1,4 +1,4 @@
-package net
+package server
 
 import (
 	"go.uber.org/zap"
@@ -6,8 +6,8 @@
 	"testing"
 	"time"
 
-	"lapiscourse/internal/call"
-	"lapiscourse/internal/net/sip"
+	"olivedale/internal/call"
+	"olivedale/internal/codec/sip"
 )
 
 // Answers are paired by Call-ID and method, whatever number their CSeq has. The last word on
--- a/internal/net/load_test.go
+++ b/internal/server/load_test.go
@@ -1,4 +1,4 @@
-package net
+package server
 
 import (
 	"fmt"
@@ -10,7 +10,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
-	"lapiscourse"
+	"olivedale/internal/admission"
 )
 
 // straight is a module without limits: a call goes to its pools in their order, one after another;
@@ -32,35 +32,35 @@
 	return &straight{left: make(map[string][]int), wait: 150 * time.Millisecond}
 }
 
-func (d *straight) Pick(_ time.Duration, r lapiscourse.Request) lapiscourse.Order {
+func (d *straight) Pick(_ time.Duration, r admission.Request) admission.Order {
 	d.left[r.Call] = r.Pools
 	return d.next(r.Call)
 }
 
-func (d *straight) next(call string) lapiscourse.Order {
+func (d *straight) next(call string) admission.Order {
 	pools := d.left[call]
 	if len(pools) == 0 {
 		delete(d.left, call)
-		return lapiscourse.Order{Call: call, Move: lapiscourse.Deny}
+		return admission.Order{Call: call, Move: admission.Deny}
 	}
 	d.left[call] = pools[1:]
-	return lapiscourse.Order{Call: call, Move: lapiscourse.Try, Server: fmt.Sprint("s-", pools[0]), Wait: d.wait}
+	return admission.Order{Call: call, Move: admission.Try, Server: fmt.Sprint("s-", pools[0]), Wait: d.wait}
 }
 
-func (d *straight) Report(now time.Duration, p lapiscourse.Progress) lapiscourse.Order {
+func (d *straight) Report(now time.Duration, p admission.Progress) admission.Order {
 	switch {
-	case p.Stage == lapiscourse.Told:
-	case p.Stage != lapiscourse.Ended || p.Final:
+	case p.Stage == admission.Told:
+	case p.Stage != admission.Ended || p.Final:
 		delete(d.left, p.Call)
-	case p.Code == lapiscourse.Expired || p.Code == lapiscourse.Dropped || p.Code == lapiscourse.Revoked:
+	case p.Code == admission.Expired || p.Code == admission.Dropped || p.Code == admission.Revoked:
 		d.held = append(d.held, heldCall{now + guard + 50*time.Millisecond, p.Call})
 	default:
 		return d.next(p.Call)
 	}
-	return lapiscourse.Order{Call: p.Call, Move: lapiscourse.Hold}
+	return admission.Order{Call: p.Call, Move: admission.Hold}
 }
 
-func (d *straight) Tick(now time.Duration) (all []lapiscourse.Order) {
+func (d *straight) Tick(now time.Duration) (all []admission.Order) {
 	for len(d.held) > 0 && d.held[0].at <= now {
 		if _, ok := d.left[d.held[0].call]; ok {
 			all = append(all, d.next(d.held[0].call))
@@ -77,7 +77,7 @@
 	return time.Duration(1<<63 - 1)
 }
 
-func (d *straight) List(time.Duration, []lapiscourse.Server, bool) {}
+func (d *straight) List(time.Duration, []admission.Server, bool) {}
 
 // A load sets calls up on several callers and notes when each heard its first word and its end.
 type load struct {
--- a/internal/net/lookup_test.go
+++ b/internal/server/lookup_test.go
@@ -1,4 +1,4 @@
-package net
+package server
 
 import (
 	"fmt"
@@ -15,8 +15,8 @@
 
 	"github.com/miekg/dns"
 
-	"lapiscourse/internal/config"
-	"lapiscourse/internal/numbering"
+	"olivedale/internal/config"
+	"olivedale/internal/numbering"
 )
 
 // Modes of an enumServer.
@@ -272,7 +272,7 @@
 
 // The server is silent for a minute at 200 set-ups a second; the memory is set against that of the
 // same minute with one that answers:
-// go test -run '^$' -bench SilentLookups -benchtime 1x -timeout 10m ./internal/net
+// go test -run '^$' -bench SilentLookups -benchtime 1x -timeout 10m ./internal/server
 func BenchmarkSilentLookups(b *testing.B) {
 	for range b.N {
 		answers := lookupRun(b, good, config.FallbackRoute, 12_000, 200)
--- a/internal/net/loop.go
+++ b/internal/server/loop.go
@@ -4,7 +4,7 @@
 // blocks. What has to block or is not gnet's runs elsewhere and hands its result
 // in by Loop.exec: dials (gnet dials without a limit of time) and the timer
 // (gnet's own ticker runs on a goroutine beside the loop).
-package net
+package server
 
 import (
 	"context"
--- a/internal/net/meter.go
+++ b/internal/server/meter.go
@@ -1,4 +1,4 @@
-package net
+package server
 
 import (
 	"cmp"
@@ -7,9 +7,9 @@
 	"strconv"
 	"time"
 
-	"lapiscourse"
-	"lapiscourse/internal/call"
-	"lapiscourse/internal/net/h248"
+	"olivedale/internal/admission"
+	"olivedale/internal/call"
+	"olivedale/internal/codec/h248"
 )
 
 // A meter counts calls by class and by server for those who ask on the admin address. It is
@@ -69,7 +69,7 @@
 }
 
 // Ordered implements call.Observer.
-func (m *meter) Ordered(now call.Time, o *lapiscourse.Order) {
+func (m *meter) Ordered(now call.Time, o *admission.Order) {
 	if m.next != nil {
 		m.next.Ordered(now, o)
 	}
@@ -132,7 +132,7 @@
 }
 
 // ceiling notes what the module says of a server.
-func (m *meter) ceiling(c lapiscourse.Ceiling) {
+func (m *meter) ceiling(c admission.Ceiling) {
 	if m == nil {
 		return
 	}
--- a/internal/net/moment_test.go
+++ b/internal/server/moment_test.go
@@ -1,4 +1,4 @@
-package net
+package server
 
 import (
 	"fmt"
@@ -7,8 +7,8 @@
 	"testing"
 	"time"
 
-	"lapiscourse"
-	"lapiscourse/internal/net/jsonl"
+	"olivedale/internal/admission"
+	"olivedale/internal/codec/jsonl"
 )
 
 // both plays a crossing in its two orders, each on a node of its own.
@@ -239,7 +239,7 @@
 	if n := len(x.module.codes(open)); n != 1 {
 		t.Errorf("%d ends of attempts of a call that stands", n)
 	}
-	if c := x.module.codes(open)[0]; c == lapiscourse.Full || c == lapiscourse.Unused || c == lapiscourse.DialFailed {
+	if c := x.module.codes(open)[0]; c == admission.Full || c == admission.Unused || c == admission.DialFailed {
 		t.Errorf("an attempt that was out counts as one that never ran: %v", c)
 	}
 }
--- a/internal/net/node.go
+++ b/internal/server/node.go
@@ -1,4 +1,4 @@
-package net
+package server
 
 import (
 	"context"
@@ -16,10 +16,10 @@
 	gerrors "github.com/panjf2000/gnet/v2/pkg/errors"
 	"go.uber.org/zap"
 
-	"lapiscourse"
-	"lapiscourse/internal/call"
-	"lapiscourse/internal/config"
-	"lapiscourse/internal/names"
+	"olivedale/internal/admission"
+	"olivedale/internal/call"
+	"olivedale/internal/config"
+	"olivedale/internal/discovery"
 )
 
 var errShutdown = gerrors.ErrEngineInShutdown
@@ -61,7 +61,7 @@
 	local    map[string]string // the addresses listened on, as configured by as bound
 	fronts   []call.Front
 	links    map[string]*link
-	list     *names.List
+	list     *discovery.List
 	names    *resolver
 	pollAt   time.Duration
 	badAt    time.Duration // when something malformed was last logged
@@ -117,7 +117,7 @@
 	n := &Node{started: make(chan struct{}), cfg: cfg, h248cfg: h, connect: cfg.Connect, dialTo: o.dial, local: make(map[string]string), links: make(map[string]*link), rng: rand.New(rand.NewPCG(cfg.Seed, 1))}
 	n.loop.start(o.Log, o.Clock)
 	n.names = &resolver{n: n, addr: cfg.Names}
-	desk, err := lapiscourse.NewDesk(n.now(), cfg.Settings, cfg.Seed, func(line string) {
+	desk, err := admission.NewDesk(n.now(), cfg.Settings, cfg.Seed, func(line string) {
 		n.log.Infow("module", "text", line)
 		n.rec.note(line)
 	})
@@ -152,8 +152,8 @@
 		n.fronts = append(n.fronts, n.h248)
 	}
 	var known []config.Member
-	n.list, known = names.Start(cfg.Known)
-	servers := make([]lapiscourse.Server, 0, len(known))
+	n.list, known = discovery.Start(cfg.Known)
+	servers := make([]admission.Server, 0, len(known))
 	for _, m := range known {
 		servers = append(servers, m.Server())
 		n.rec.server(m.Server(), m.Address)
@@ -164,8 +164,8 @@
 			if n.links[s.ID] != nil {
 				return nil, fmt.Errorf("the H.248 server %s is on the name service's list as well", s.ID)
 			}
-			servers = append(servers, lapiscourse.Server{ID: s.ID, Pool: s.Pool})
-			n.rec.server(lapiscourse.Server{ID: s.ID, Pool: s.Pool}, s.Address)
+			servers = append(servers, admission.Server{ID: s.ID, Pool: s.Pool})
+			n.rec.server(admission.Server{ID: s.ID, Pool: s.Pool}, s.Address)
 			n.links[s.ID] = n.newLink(s.ID, s.Address, s.Pool, newH248(n, s.ID))
 		}
 	}
@@ -504,7 +504,7 @@
 	if len(changed) == 0 {
 		return
 	}
-	servers := make([]lapiscourse.Server, 0, len(changed))
+	servers := make([]admission.Server, 0, len(changed))
 	for _, m := range changed {
 		servers = append(servers, m.Server())
 		n.rec.server(m.Server(), m.Address)
--- a/internal/net/node_test.go
+++ b/internal/server/node_test.go
@@ -1,4 +1,4 @@
-package net
+package server
 
 import (
 	"bufio"
@@ -11,10 +11,10 @@
 	"testing"
 	"time"
 
-	"lapiscourse/internal/config"
-	"lapiscourse/internal/net/h248"
-	"lapiscourse/internal/net/jsonl"
-	"lapiscourse/internal/net/sip"
+	"olivedale/internal/codec/h248"
+	"olivedale/internal/codec/jsonl"
+	"olivedale/internal/codec/sip"
+	"olivedale/internal/config"
 )
 
 // site is a running node with its stand-ins.
--- a/internal/net/numbers.go
+++ b/internal/server/numbers.go
@@ -1,18 +1,18 @@
-package net
+package server
 
 import (
 	"errors"
 	"fmt"
 	"time"
 
-	"lapiscourse/internal/call"
-	"lapiscourse/internal/config"
-	"lapiscourse/internal/control"
-	"lapiscourse/internal/enum"
-	"lapiscourse/internal/net/h248"
-	"lapiscourse/internal/numbering"
-	"lapiscourse/internal/portability"
-	durable "lapiscourse/internal/store"
+	"olivedale/internal/adminapi"
+	"olivedale/internal/call"
+	"olivedale/internal/codec/h248"
+	"olivedale/internal/config"
+	"olivedale/internal/enum"
+	"olivedale/internal/numbering"
+	"olivedale/internal/portability"
+	durable "olivedale/internal/store"
 )
 
 // numbers routes calls by the table of numbers in force. The desk belongs to the loop; tables are
@@ -306,9 +306,9 @@
 		return nil
 	}
 	t := r.desk.Active()
-	all = append(all, control.TableNode(t.Digest(), t.Version))
+	all = append(all, adminapi.TableNode(t.Digest(), t.Version))
 	if c, ok := r.lookups(); ok {
-		all = append(all, control.LookupsNode(&c))
+		all = append(all, adminapi.LookupsNode(&c))
 	}
 	return all
 }
@@ -355,14 +355,14 @@
 	if n.numbers == nil {
 		return nil, &h248.Error{Code: h248.UnknownTermination, Text: "no section [numbers]"}
 	}
-	o, err := control.ReadNumbersOrder(c)
+	o, err := adminapi.ReadNumbersOrder(c)
 	if err == nil {
 		_, err = n.numbers.order(o, nil)
 	}
 	if err != nil {
 		return nil, &h248.Error{Code: h248.BadValue, Text: err.Error()}
 	}
-	return control.NumbersNodes(nil, n.numbers.desk.Job()), nil
+	return adminapi.NumbersNodes(nil, n.numbers.desk.Job()), nil
 }
 
 var _ call.Router = (*numbers)(nil)
--- a/internal/net/numbers_test.go
+++ b/internal/server/numbers_test.go
@@ -1,4 +1,4 @@
-package net
+package server
 
 import (
 	"context"
@@ -10,12 +10,12 @@
 	"testing"
 	"time"
 
-	"lapiscourse/internal/call"
-	"lapiscourse/internal/config"
-	"lapiscourse/internal/control"
-	"lapiscourse/internal/net/h248"
-	"lapiscourse/internal/numbering"
-	"lapiscourse/internal/record"
+	"olivedale/internal/adminapi"
+	"olivedale/internal/call"
+	"olivedale/internal/codec/h248"
+	"olivedale/internal/config"
+	"olivedale/internal/numbering"
+	"olivedale/internal/record"
 )
 
 // numberRules are rules by which all numbers go to one pool, but those that begin with 9, which
@@ -158,16 +158,16 @@
 	f.numbers = &config.Numbers{File: write("first.toml", numberRules(0)), State: filepath.Join(dir, "state")}
 	s := f.node(t, "n0", "", new(atomic.Int64))
 	ask := func(s *site, c *h248.Command) ([]numbering.Status, numbering.Job, error) {
-		reply, err := control.Ask(context.Background(), s.admin(), c)
+		reply, err := adminapi.Ask(context.Background(), s.admin(), c)
 		if err != nil {
 			return nil, numbering.Job{}, err
 		}
-		versions, job := control.ReadNumbers(reply.Descriptors)
+		versions, job := adminapi.ReadNumbers(reply.Descriptors)
 		return versions, job, nil
 	}
 	list := func(s *site) ([]numbering.Status, numbering.Job) {
 		t.Helper()
-		versions, job, err := ask(s, control.Audit(control.NumbersTermination))
+		versions, job, err := ask(s, adminapi.Audit(adminapi.NumbersTermination))
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -184,7 +184,7 @@
 	}
 	order := func(s *site, o numbering.Order) numbering.Job {
 		t.Helper()
-		_, begun, err := ask(s, control.NumbersOrder(o))
+		_, begun, err := ask(s, adminapi.NumbersOrder(o))
 		if err != nil {
 			return numbering.Job{Err: err.Error()}
 		}
@@ -215,10 +215,10 @@
 	if versions, _ := list(s); len(versions) != 2 {
 		t.Errorf("%+v", versions)
 	}
-	if _, _, err := ask(&site{n: s.n}, &h248.Command{Name: "Modify", Termination: control.NumbersTermination}); err == nil {
+	if _, _, err := ask(&site{n: s.n}, &h248.Command{Name: "Modify", Termination: adminapi.NumbersTermination}); err == nil {
 		t.Error("an order without a word was taken")
 	}
-	if _, err := control.Ask(context.Background(), s.panel(), control.NumbersOrder(numbering.Order{Op: numbering.OpCancel})); err == nil {
+	if _, err := adminapi.Ask(context.Background(), s.panel(), adminapi.NumbersOrder(numbering.Order{Op: numbering.OpCancel})); err == nil {
 		t.Error("a panel may order")
 	}
 
--- a/internal/net/owed_test.go
+++ b/internal/server/owed_test.go
@@ -1,4 +1,4 @@
-package net
+package server
 
 import (
 	"fmt"
@@ -8,11 +8,11 @@
 	"testing"
 	"time"
 
-	"lapiscourse/internal/call"
-	"lapiscourse/internal/config"
-	"lapiscourse/internal/net/h248"
-	"lapiscourse/internal/net/jsonl"
-	"lapiscourse/internal/net/sip"
+	"olivedale/internal/call"
+	"olivedale/internal/codec/h248"
+	"olivedale/internal/codec/jsonl"
+	"olivedale/internal/codec/sip"
+	"olivedale/internal/config"
 )
 
 // An exchange reads nothing and what it was sent waits here: a set-up is not left in that buffer, where nothing takes
--- a/internal/net/recorder.go
+++ b/internal/server/recorder.go
@@ -1,4 +1,4 @@
-package net
+package server
 
 import (
 	"fmt"
@@ -7,10 +7,10 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"lapiscourse"
-	"lapiscourse/internal/call"
-	"lapiscourse/internal/config"
-	"lapiscourse/internal/record"
+	"olivedale/internal/admission"
+	"olivedale/internal/call"
+	"olivedale/internal/config"
+	"olivedale/internal/record"
 )
 
 // Times of the recorder.
@@ -95,14 +95,14 @@
 }
 
 // Ordered implements call.Observer.
-func (w *recorder) Ordered(now call.Time, o *lapiscourse.Order) {
+func (w *recorder) Ordered(now call.Time, o *admission.Order) {
 	w.r = record.Record{Kind: record.KindOrder, At: now, Call: o.Call, Code: uint8(moves[o.Move]), Server: o.Server, Attempt: o.Attempt, Wait: o.Wait, Text: string(o.Why)}
 	w.done()
 }
 
 // moves are the module's in the numbers of the format, which must stay.
-var moves = map[lapiscourse.Move]record.Move{lapiscourse.Hold: record.Hold, lapiscourse.Try: record.Try, lapiscourse.Deny: record.Deny,
-	lapiscourse.GiveUp: record.GiveUp, lapiscourse.CallOff: record.CallOff}
+var moves = map[admission.Move]record.Move{admission.Hold: record.Hold, admission.Try: record.Try, admission.Deny: record.Deny,
+	admission.GiveUp: record.GiveUp, admission.CallOff: record.CallOff}
 
 // Tried implements call.Observer.
 func (w *recorder) Tried(now call.Time, server string, s *call.Setup) {
@@ -141,7 +141,7 @@
 }
 
 // ceiling tells of a server's ceiling; +Inf is none.
-func (w *recorder) ceiling(c lapiscourse.Ceiling) {
+func (w *recorder) ceiling(c admission.Ceiling) {
 	if w == nil {
 		return
 	}
@@ -160,16 +160,16 @@
 }
 
 // server tells news of a server.
-func (w *recorder) server(s lapiscourse.Server, addr string) {
+func (w *recorder) server(s admission.Server, addr string) {
 	if w == nil {
 		return
 	}
 	r := w.put(record.KindServer)
 	r.Server, r.Pool, r.Since, r.Text = s.ID, s.Pool, s.Started, addr
 	switch s.Phase {
-	case lapiscourse.Lame:
+	case admission.Lame:
 		r.Code = uint8(record.Drains)
-	case lapiscourse.Out:
+	case admission.Out:
 		r.Code = uint8(record.Gone)
 	}
 	r.Flag = s.Started > 0 && r.At-s.Started < w.n.cfg.Settings.Cold
@@ -261,7 +261,7 @@
 
 // observe has those told of calls that the operator's file asks for; everything that is
 // known at the start is in the records.
-func (n *Node) observe(o Options, desk *lapiscourse.Desk) error {
+func (n *Node) observe(o Options, desk *admission.Desk) error {
 	var watch call.Observer
 	if o.Records != nil {
 		w, err := newRecorder(n, o.Records, o.Program)
@@ -278,7 +278,7 @@
 		return nil
 	}
 	n.core.Observe(watch)
-	desk.Ceilings = func(c lapiscourse.Ceiling) {
+	desk.Ceilings = func(c admission.Ceiling) {
 		n.rec.ceiling(c)
 		n.meter.ceiling(c)
 	}
--- a/internal/net/recorder_test.go
+++ b/internal/server/recorder_test.go
@@ -1,4 +1,4 @@
-package net
+package server
 
 import (
 	"cmp"
@@ -15,12 +15,12 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
-	"lapiscourse/internal/call"
-	"lapiscourse/internal/config"
-	"lapiscourse/internal/control"
-	"lapiscourse/internal/incident"
-	"lapiscourse/internal/net/h248"
-	"lapiscourse/internal/record"
+	"olivedale/internal/adminapi"
+	"olivedale/internal/call"
+	"olivedale/internal/codec/h248"
+	"olivedale/internal/config"
+	"olivedale/internal/incident"
+	"olivedale/internal/record"
 )
 
 // fleet is several nodes with the same stand-in servers and name service.
@@ -203,7 +203,7 @@
 	}
 	silent := k.setUp("silent.1", 300*time.Millisecond)
 	h.wait(t, silent, 1)
-	audit, err := control.Ask(context.Background(), s.admin(), control.Audit("ROOT"))
+	audit, err := adminapi.Ask(context.Background(), s.admin(), adminapi.Audit("ROOT"))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -222,7 +222,7 @@
 	if got := h248.Value(audit.Descriptors, "Statistics", "oc/attempts"); got != strconv.Itoa(tries) {
 		t.Errorf("%d attempts by server, %s in all", tries, got)
 	}
-	if audit, err = control.Ask(context.Background(), s.panel(), control.Audit("ROOT")); err != nil || h248.Find(audit.Descriptors, "Statistics", "oc/server") != nil {
+	if audit, err = adminapi.Ask(context.Background(), s.panel(), adminapi.Audit("ROOT")); err != nil || h248.Find(audit.Descriptors, "Statistics", "oc/server") != nil {
 		t.Errorf("a panel is told of servers, %v", err)
 	}
 	s.stop(t)
@@ -273,7 +273,7 @@
 	skews[1].Store(int64(3700 * time.Millisecond))
 	var nodes []*site
 	var callers []*jsonCaller
-	var stamps [4]control.Stamps
+	var stamps [4]adminapi.Stamps
 	dirs := make([]string, 4)
 	for i := range 4 {
 		dirs[i] = filepath.Join(root, fmt.Sprint("n", i))
@@ -283,7 +283,7 @@
 	exchange := func() {
 		for i, n := range nodes {
 			var err error
-			if stamps[i], err = control.Exchange(context.Background(), n.admin(), "test", stamps[i]); err != nil {
+			if stamps[i], err = adminapi.Exchange(context.Background(), n.admin(), "test", stamps[i]); err != nil {
 				t.Fatal(err)
 			}
 		}
@@ -302,7 +302,7 @@
 	again := func() { // n0 ends in good order and starts anew: its next records are another segment
 		nodes[0].stop(t)
 		eventually(t, "its store is let go", func() bool { return !record.Live(dirs[0]) }) // a slow disk gets longer than a node waits
-		nodes[0], stamps[0] = f.node(t, "n0", dirs[0], &skews[0]), control.Stamps{}
+		nodes[0], stamps[0] = f.node(t, "n0", dirs[0], &skews[0]), adminapi.Stamps{}
 		callers[0] = dialJSON(t, nodes[0].json(), h, fmt.Sprintf("%08x", time.Now().UnixNano()&0xffffffff))
 	}
 	exchange()
--- a/internal/net/replay_test.go
+++ b/internal/server/replay_test.go
@@ -1,4 +1,4 @@
-package net
+package server
 
 import (
 	"fmt"
@@ -11,10 +11,10 @@
 	"testing"
 	"time"
 
-	"lapiscourse/internal/config"
-	"lapiscourse/internal/numbering"
-	"lapiscourse/internal/numbering/numberingtest"
-	"lapiscourse/internal/record"
+	"olivedale/internal/config"
+	"olivedale/internal/numbering"
+	"olivedale/internal/numbering/numberingtest"
+	"olivedale/internal/record"
 )
 
 // A replayer is a node with servers for a dozen pools, whose table of numbers is swapped all the time.
@@ -235,7 +235,7 @@
 	replay(t, 1000, 32, 0, 50*time.Millisecond, config.Lookup{Servers: []string{look.addr}})
 }
 
-// The whole replay: go test -run '^$' -bench ReplayByBothFronts -benchtime 1x ./internal/net
+// The whole replay: go test -run '^$' -bench ReplayByBothFronts -benchtime 1x ./internal/server
 func BenchmarkReplayByBothFronts(b *testing.B) {
 	for range b.N {
 		replay(b, 100_000, 4096, 0, 50*time.Millisecond, config.Lookup{})
--- a/internal/net/resolver.go
+++ b/internal/server/resolver.go
@@ -1,4 +1,4 @@
-package net
+package server
 
 import (
 	"context"
--- a/internal/net/roster_test.go
+++ b/internal/server/roster_test.go
@@ -1,4 +1,4 @@
-package net
+package server
 
 import (
 	"fmt"
@@ -78,7 +78,7 @@
 }
 
 // What keeping the order costs a message, by connections, beside the slice that was there before:
-// go test -run '^$' -bench Order ./internal/net
+// go test -run '^$' -bench Order ./internal/server
 func BenchmarkOrder(b *testing.B) {
 	for _, n := range []int{100, 5000, 20000} {
 		rng := rand.New(rand.NewPCG(1, 1))
--- a/internal/net/settings_record_test.go
+++ b/internal/server/settings_record_test.go
@@ -1,4 +1,4 @@
-package net
+package server
 
 import (
 	"errors"
@@ -8,8 +8,8 @@
 	"strings"
 	"testing"
 
-	"lapiscourse/internal/config"
-	"lapiscourse/internal/record"
+	"olivedale/internal/config"
+	"olivedale/internal/record"
 )
 
 // The store keeps the settings in force as a text with a digest, and analyses compare the digests of
--- a/internal/net/settings_test.go
+++ b/internal/server/settings_test.go
@@ -1,4 +1,4 @@
-package net
+package server
 
 import (
 	"bufio"
@@ -9,7 +9,7 @@
 	"testing"
 	"time"
 
-	"lapiscourse/internal/net/jsonl"
+	"olivedale/internal/codec/jsonl"
 )
 
 // deployment writes settings whose classes stand in the order given.
--- a/internal/net/share.go
+++ b/internal/server/share.go
@@ -1,4 +1,4 @@
-package net
+package server
 
 import (
 	"fmt"
@@ -6,11 +6,11 @@
 	"strconv"
 	"time"
 
-	"lapiscourse"
-	"lapiscourse/internal/config"
-	"lapiscourse/internal/net/h248"
-	"lapiscourse/internal/peer"
-	"lapiscourse/internal/share"
+	"olivedale/internal/admission"
+	"olivedale/internal/codec/h248"
+	"olivedale/internal/config"
+	"olivedale/internal/overload"
+	"olivedale/internal/transport"
 )
 
 // sharing is the controller's part in what all share: the socket beside the loop, the decisions on it.
@@ -18,8 +18,8 @@
 type sharing struct {
 	n      *Node
 	o      *config.Share
-	member *share.Member
-	socket *peer.Conn // nil until the loop runs
+	member *overload.Member
+	socket *transport.Conn // nil until the loop runs
 	keys   [][]byte
 	unread time.Duration // when a datagram that could not be read was last logged
 	teller int           // as last logged
@@ -31,7 +31,7 @@
 
 // newSharing reads the keys and makes the member; desk is told to ask it. Where the platform's settings bar talk
 // between controllers it says so and is off.
-func newSharing(n *Node, o *config.Share, desk *lapiscourse.Desk) (*sharing, error) {
+func newSharing(n *Node, o *config.Share, desk *admission.Desk) (*sharing, error) {
 	if n.cfg.PeersBarred {
 		n.log.Warnw("share_off", "why", "the settings do not permit messages between controllers")
 		return nil, nil
@@ -43,12 +43,12 @@
 	}
 	s := &sharing{n: n, o: o, teller: -1}
 	if o.Keys != "" {
-		if s.keys, err = peer.LoadKeys(o.Keys); err != nil {
+		if s.keys, err = transport.LoadKeys(o.Keys); err != nil {
 			return nil, fmt.Errorf("share: %w", err)
 		}
 	}
 	boot := uint32((n.now().Milliseconds() - bootEpoch) / 250)
-	s.member, err = share.New(n.now(), share.Options{Self: number, Peers: len(o.Peers), Boot: boot, Seed: n.cfg.Seed, Late: desk.Late(),
+	s.member, err = overload.New(n.now(), overload.Options{Self: number, Peers: len(o.Peers), Boot: boot, Seed: n.cfg.Seed, Late: desk.Late(),
 		Period: time.Duration(o.Period), Beat: time.Duration(o.Beat)})
 	if err != nil {
 		return nil, err
@@ -63,7 +63,7 @@
 		return
 	}
 	var err error
-	s.socket, err = peer.Open(peer.Options{Listen: s.o.Listen, Peers: s.o.Peers, Keys: s.keys, Rate: s.o.Rate, Take: func() { s.n.exec(s.take) }})
+	s.socket, err = transport.Open(transport.Options{Listen: s.o.Listen, Peers: s.o.Peers, Keys: s.keys, Rate: s.o.Rate, Take: func() { s.n.exec(s.take) }})
 	if err != nil {
 		s.n.log.Errorw("share_failed", "err", err)
 		return
@@ -118,7 +118,7 @@
 	if s == nil || s.o.Keys == "" || s.socket == nil {
 		return
 	}
-	keys, err := peer.LoadKeys(s.o.Keys)
+	keys, err := transport.LoadKeys(s.o.Keys)
 	if err == nil {
 		err = s.socket.SetKeys(keys)
 	}
--- a/internal/net/standin_test.go
+++ b/internal/server/standin_test.go
@@ -1,4 +1,4 @@
-package net
+package server
 
 import (
 	"fmt"
@@ -11,11 +11,11 @@
 
 	"golang.org/x/net/dns/dnsmessage"
 
-	"lapiscourse"
-	"lapiscourse/internal/call"
-	"lapiscourse/internal/net/h248"
-	"lapiscourse/internal/net/jsonl"
-	"lapiscourse/internal/net/sip"
+	"olivedale/internal/admission"
+	"olivedale/internal/call"
+	"olivedale/internal/codec/h248"
+	"olivedale/internal/codec/jsonl"
+	"olivedale/internal/codec/sip"
 )
 
 const guard = 300 * time.Millisecond
@@ -111,7 +111,7 @@
 type deaf struct{}
 
 func (deaf) SetUp(call.Time, *call.Request)                                       {}
-func (deaf) Ordered(call.Time, *lapiscourse.Order)                                {}
+func (deaf) Ordered(call.Time, *admission.Order)                                  {}
 func (deaf) Tried(call.Time, string, *call.Setup)                                 {}
 func (deaf) AttemptEnded(call.Time, string, string, int, call.End, time.Duration) {}
 func (deaf) Answered(call.Time, *call.Answer)                                     {}
--- a/internal/wire/row.go
+++ b/internal/simproto/row.go
@@ -1,11 +1,11 @@
-package wire
+package simproto
 
 import (
 	"encoding/json"
 	"fmt"
 	"time"
 
-	"lapiscourse"
+	"olivedale/internal/admission"
 )
 
 // A row reads the values of one event and keeps the first error.
@@ -79,37 +79,37 @@
 }
 
 // load reads a report; values that are missing, null or below 0 count as not given.
-func (r *row) load(i int, field string) lapiscourse.Load {
+func (r *row) load(i int, field string) admission.Load {
 	if null(r.cells[i]) {
-		return lapiscourse.Load{}
+		return admission.Load{}
 	}
 	in := value[map[string]*float64](r, i, field)
-	figure := func(name string, unit float64) lapiscourse.Figure {
+	figure := func(name string, unit float64) admission.Figure {
 		v := in[name]
 		if v == nil || *v < 0 {
-			return lapiscourse.Figure{}
+			return admission.Figure{}
 		}
-		return lapiscourse.Figure{Value: *v * unit, Given: true}
+		return admission.Figure{Value: *v * unit, Given: true}
 	}
-	return lapiscourse.Load{
+	return admission.Load{
 		Wait: figure("recent_ms", 1e-3), Backlog: figure("backlog", 1), CanTake: figure("can_take", 1),
 		HoldBack: figure("hold_back", 1), Free: figure("free", 1), Lines: figure("size", 1),
 	}
 }
 
-var phases = map[string]lapiscourse.Phase{
-	"IN": lapiscourse.In, "LAME": lapiscourse.Lame, "OUT": lapiscourse.Out,
+var phases = map[string]admission.Phase{
+	"IN": admission.In, "LAME": admission.Lame, "OUT": admission.Out,
 }
 
-func (r *row) entries(i int, field string) []lapiscourse.Server {
-	var list []lapiscourse.Server
+func (r *row) entries(i int, field string) []admission.Server {
+	var list []admission.Server
 	for _, cells := range value[[][]json.RawMessage](r, i, field) {
 		if len(cells) != 7 {
 			r.fail(field, fmt.Errorf("want 7 values an entry, got %d", len(cells)))
 			return nil
 		}
 		e := &row{name: r.name, cells: cells}
-		s := lapiscourse.Server{ID: e.str(0, "server"), Pool: e.num(3, "pointCode"), Zone: e.optStr(1, "az")}
+		s := admission.Server{ID: e.str(0, "server"), Pool: e.num(3, "pointCode"), Zone: e.optStr(1, "az")}
 		e.optStr(2, "classOfHost")
 		phase, ok := phases[e.str(4, "phase")]
 		if !ok {
--- a/internal/wire/settings.go
+++ b/internal/simproto/settings.go
@@ -1,11 +1,11 @@
-package wire
+package simproto
 
 import (
 	"encoding/json"
 	"fmt"
 	"time"
 
-	"lapiscourse"
+	"olivedale/internal/admission"
 )
 
 // ms is a time in milliseconds in the settings.
@@ -51,10 +51,10 @@
 }
 
 // ReadSettings decodes the settings object that START carries.
-func ReadSettings(text []byte) (lapiscourse.Settings, error) {
+func ReadSettings(text []byte) (admission.Settings, error) {
 	var in settings
 	if err := json.Unmarshal(text, &in); err != nil {
-		return lapiscourse.Settings{}, fmt.Errorf("settings: %w", err)
+		return admission.Settings{}, fmt.Errorf("settings: %w", err)
 	}
 	var first error
 	s := in.decode(func(field string, err error) {
@@ -66,7 +66,7 @@
 }
 
 // decode makes the module's settings and calls fail for each value that can't be.
-func (in *settings) decode(fail func(field string, err error)) lapiscourse.Settings {
+func (in *settings) decode(fail func(field string, err error)) admission.Settings {
 	dur := func(v ms, field string) time.Duration {
 		t, err := millis(float64(v))
 		if err != nil {
@@ -74,7 +74,7 @@
 		}
 		return t
 	}
-	s := lapiscourse.Settings{
+	s := admission.Settings{
 		GroupSize: in.GroupSize, Topology: in.Domain.Topology,
 		AskList:     in.Discovery == "ask",
 		MaxAttempts: in.Limits.MaxAttempts, MayCancel: in.Limits.Cancel,
@@ -84,7 +84,7 @@
 		Cold:    dur(in.Safety.Cold, "safety.cold"), Start: in.Safety.StartCapacity, Multiple: in.Safety.FallMultiple,
 	}
 	for i, c := range in.Classes {
-		class := lapiscourse.Class{Name: c.Name, Aim: dur(c.Aim, "classes.aim"),
+		class := admission.Class{Name: c.Name, Aim: dur(c.Aim, "classes.aim"),
 			Deadline: dur(c.Deadline, "classes.deadline"), Credit: c.Credit, LateWorth: c.LateWorth,
 			Effect: effect(c.Effect), Scope: scope(c.Group), Window: dur(c.Window, "classes.dedupWindow")}
 		if i < len(in.Domain.SkilledPools) {
@@ -96,23 +96,23 @@
 }
 
 // effect reads what a repeat does. A word that is not known is taken for the strictest.
-func effect(word string) lapiscourse.Effect {
+func effect(word string) admission.Effect {
 	switch word {
 	case "", "pure":
-		return lapiscourse.Harmless
+		return admission.Harmless
 	case "token":
-		return lapiscourse.Once
+		return admission.Once
 	}
-	return lapiscourse.Never
+	return admission.Never
 }
 
 // scope reads which servers know a repeat. A word that is not known is taken for the narrowest.
-func scope(word string) lapiscourse.Scope {
+func scope(word string) admission.Scope {
 	switch word {
 	case "all":
-		return lapiscourse.Everywhere
+		return admission.Everywhere
 	case "zone":
-		return lapiscourse.WithinZone
+		return admission.WithinZone
 	}
-	return lapiscourse.WithinPool
+	return admission.WithinPool
 }
--- a/internal/wire/wire.go
+++ b/internal/simproto/wire.go
@@ -1,6 +1,6 @@
 // Package wire reads and writes the line format in which a host talks to
 // several access nodes at once. It translates and checks; it decides nothing.
-package wire
+package simproto
 
 import (
 	"bytes"
@@ -9,12 +9,12 @@
 	"math"
 	"time"
 
-	"lapiscourse"
+	"olivedale/internal/admission"
 )
 
 // A Batch is what one line brings: the clock and the items of each node.
 type Batch struct {
-	Now   lapiscourse.Time
+	Now   admission.Time
 	Nodes []Node
 }
 
@@ -28,26 +28,26 @@
 type Item struct {
 	Start *Start
 	Kill  bool
-	Event lapiscourse.Event
+	Event admission.Event
 }
 
 // Start begins a node without any state.
 type Start struct {
 	Seed     uint64
-	Settings lapiscourse.Settings
+	Settings admission.Settings
 }
 
 // A Reply is a node's actions.
 type Reply struct {
 	Number  int
-	Actions []lapiscourse.Action
+	Actions []admission.Action
 }
 
 // A Decoder reads lines and keeps what spans them: their count and the
 // numbered server lists. Its zero value is ready for use.
 type Decoder struct {
 	line  int
-	pages map[int][]lapiscourse.Server
+	pages map[int][]admission.Server
 }
 
 type rawBatch struct {
@@ -139,7 +139,7 @@
 		return d.start(r)
 	case "PAGE":
 		if d.pages == nil {
-			d.pages = make(map[int][]lapiscourse.Server)
+			d.pages = make(map[int][]admission.Server)
 		}
 		d.pages[r.num(1, "rosterId")] = r.entries(2, "lines")
 		return nil
@@ -150,26 +150,26 @@
 		r.num(4, "units")
 		flags := r.num(6, "flags")
 		r.optNum(9, "via", -1)
-		return event(lapiscourse.Ask{
+		return event(admission.Ask{
 			Call: r.str(1, "opId"), First: r.num(3, "farEnd"), Until: r.time(5, "validUntil"),
 			Again: flags&2 != 0, Cut: flags&16 != 0,
 			Number: r.optStr(8, "entity"), Class: r.str(10, "service"),
 		})
 	case "HEADERS":
-		return event(lapiscourse.Stands{Call: r.str(1, "opId"), Attempt: r.num(2, "leg"),
+		return event(admission.Stands{Call: r.str(1, "opId"), Attempt: r.num(2, "leg"),
 			Server: r.str(3, "server"), Took: r.time(4, "elapsed")})
 	case "GONE":
-		return event(lapiscourse.Gone{Call: r.str(1, "opId")})
+		return event(admission.Gone{Call: r.str(1, "opId")})
 	case "PROBED":
 		code := r.str(1, "code")
 		server, _ := r.str(2, "server"), r.time(3, "elapsed")
-		return event(lapiscourse.Probed{Server: server, OK: code == "delivered", Load: r.load(4, "telemetry")})
+		return event(admission.Probed{Server: server, OK: code == "delivered", Load: r.load(4, "telemetry")})
 	case "RETURNED":
 		return returned(r)
 	case "KILL":
 		return &Item{Kill: true}
 	case "BELL":
-		return event(lapiscourse.Bell{Key: r.int64(1, "keyBack")})
+		return event(admission.Bell{Key: r.int64(1, "keyBack")})
 	default: // HEARD: the module sends no messages and has no use for them
 		r.num(1, "sender")
 		r.str(2, "content")
@@ -177,7 +177,7 @@
 	}
 }
 
-func event(e lapiscourse.Event) *Item { return &Item{Event: e} }
+func event(e admission.Event) *Item { return &Item{Event: e} }
 
 func (d *Decoder) members(r *row) *Item {
 	how, number := r.str(1, "how"), r.num(2, "rosterId")
@@ -186,14 +186,14 @@
 		return nil
 	}
 	if how == "failed" {
-		return event(lapiscourse.List{Failed: true})
+		return event(admission.List{Failed: true})
 	}
 	page, ok := d.pages[number]
 	if !ok {
 		r.fail("rosterId", fmt.Errorf("no PAGE has number %d", number))
 		return nil
 	}
-	list := lapiscourse.List{Servers: page}
+	list := admission.List{Servers: page}
 	switch how {
 	case "delta":
 	case "full":
@@ -206,10 +206,10 @@
 	return event(list)
 }
 
-var codes = map[string]lapiscourse.Code{
-	"delivered": lapiscourse.Delivered, "app_error": lapiscourse.Error, "shed": lapiscourse.Full,
-	"expired": lapiscourse.Expired, "dial_failed": lapiscourse.DialFailed,
-	"dropped": lapiscourse.Dropped, "revoked": lapiscourse.Revoked, "unused": lapiscourse.Unused,
+var codes = map[string]admission.Code{
+	"delivered": admission.Delivered, "app_error": admission.Error, "shed": admission.Full,
+	"expired": admission.Expired, "dial_failed": admission.DialFailed,
+	"dropped": admission.Dropped, "revoked": admission.Revoked, "unused": admission.Unused,
 }
 
 func returned(r *row) *Item {
@@ -219,13 +219,13 @@
 		r.fail("code", fmt.Errorf("unknown code %q", text))
 	}
 	note := r.optNum(7, "clearCode", 0)
-	e := lapiscourse.Returned{Call: r.str(1, "opId"), Attempt: r.num(2, "leg"), Server: r.str(3, "server"),
+	e := admission.Returned{Call: r.str(1, "opId"), Attempt: r.num(2, "leg"), Server: r.str(3, "server"),
 		Code: code, Took: r.time(5, "elapsed"), Terminal: r.flag(6, "terminal"), Load: r.load(8, "telemetry")}
 	if note > 0 {
 		e.Hint = time.Duration(note>>4) * time.Millisecond
 		switch cause := note & 15; cause {
 		case 1, 2, 3, 4:
-			e.Cause = lapiscourse.Cause(cause)
+			e.Cause = admission.Cause(cause)
 		}
 	}
 	return event(e)
@@ -246,7 +246,7 @@
 		}
 		n := node{Node: reply.Number}
 		for _, a := range reply.Actions {
-			if _, ok := a.(lapiscourse.Ceiling); ok {
+			if _, ok := a.(admission.Ceiling); ok {
 				continue // tells the staff; the simulator has no row for it
 			}
 			cells, err := encode(a)
@@ -268,24 +268,24 @@
 	return buf.Bytes(), nil
 }
 
-func encode(a lapiscourse.Action) ([]any, error) {
+func encode(a admission.Action) ([]any, error) {
 	switch a := a.(type) {
-	case lapiscourse.Send:
+	case admission.Send:
 		return []any{"RELAY", a.Call, a.Server, toMillis(a.Wait)}, nil
-	case lapiscourse.Refuse:
+	case admission.Refuse:
 		if a.Wait <= 0 {
 			return []any{"BUSY", a.Call, nil}, nil
 		}
 		return []any{"BUSY", a.Call, toMillis(a.Wait)}, nil
-	case lapiscourse.Fail:
+	case admission.Fail:
 		return []any{"RESPOND_ERROR", a.Call}, nil
-	case lapiscourse.Cancel:
+	case admission.Cancel:
 		return []any{"ABORT_ATTEMPT", a.Call, a.Attempt}, nil
-	case lapiscourse.Defer:
+	case admission.Defer:
 		return []any{"DEFER", toMillis(a.At), a.Key}, nil
-	case lapiscourse.Watch:
+	case admission.Watch:
 		return []any{"TRACK", true}, nil
-	case lapiscourse.Log:
+	case admission.Log:
 		return []any{"PRINT", a.Text}, nil
 	}
 	return nil, fmt.Errorf("action %T has no form on the wire", a)
--- a/internal/wire/wire_test.go
+++ b/internal/simproto/wire_test.go
@@ -1,4 +1,4 @@
-package wire
+package simproto
 
 import (
 	"reflect"
@@ -6,7 +6,7 @@
 	"testing"
 	"time"
 
-	"lapiscourse"
+	"olivedale/internal/admission"
 )
 
 const start = `["START",7,{"groupSize":3,"future":{"x":1},"classes":[{"name":"read","aim":900.5,"deadline":5000,` +
@@ -29,11 +29,11 @@
 func TestDecodeStart(t *testing.T) {
 	items := decodeOne(t, &Decoder{}, start)
 	got := items[0].Start
-	want := &Start{Seed: 7, Settings: lapiscourse.Settings{
+	want := &Start{Seed: 7, Settings: admission.Settings{
 		GroupSize: 3, Topology: "pools", MaxAttempts: 2, MayCancel: true, Release: 150 * time.Millisecond,
 		Cold: 9 * time.Second, Start: 0.5,
-		Classes: []lapiscourse.Class{{Name: "read", Aim: 900500 * time.Microsecond, Deadline: 5 * time.Second, Credit: 1,
-			LateWorth: 0.2, Pools: []int{0, 2}, Scope: lapiscourse.WithinPool}},
+		Classes: []admission.Class{{Name: "read", Aim: 900500 * time.Microsecond, Deadline: 5 * time.Second, Credit: 1,
+			LateWorth: 0.2, Pools: []int{0, 2}, Scope: admission.WithinPool}},
 	}}
 	if !reflect.DeepEqual(got, want) {
 		t.Errorf("got %+v, want %+v", got, want)
@@ -43,17 +43,17 @@
 func TestDecodeEvents(t *testing.T) {
 	for _, test := range []struct {
 		text string
-		want lapiscourse.Event
+		want admission.Event
 	}{
-		{`["ASK","ab",null,3,1,1500.5,18,null,"n1",-1,"read"]`, lapiscourse.Ask{Call: "ab", First: 3,
+		{`["ASK","ab",null,3,1,1500.5,18,null,"n1",-1,"read"]`, admission.Ask{Call: "ab", First: 3,
 			Until: 1500500 * time.Microsecond, Again: true, Cut: true, Number: "n1", Class: "read"}},
-		{`["HEADERS","ab",1,"s",12.5]`, lapiscourse.Stands{Call: "ab", Attempt: 1, Server: "s", Took: 12500 * time.Microsecond}},
-		{`["GONE","ab"]`, lapiscourse.Gone{Call: "ab"}},
-		{`["BELL",77]`, lapiscourse.Bell{Key: 77}},
-		{`["RETURNED","ab",0,"s","shed",2.0,false,4003,{"recent_ms":-1,"backlog":4,"new":1}]`, lapiscourse.Returned{
-			Call: "ab", Server: "s", Code: lapiscourse.Full, Cause: lapiscourse.ProcessorFull, Hint: 250 * time.Millisecond,
-			Took: 2 * time.Millisecond, Load: lapiscourse.Load{Backlog: lapiscourse.Figure{Value: 4, Given: true}}}},
-		{`["PROBED","delivered","s",0,null]`, lapiscourse.Probed{Server: "s", OK: true}},
+		{`["HEADERS","ab",1,"s",12.5]`, admission.Stands{Call: "ab", Attempt: 1, Server: "s", Took: 12500 * time.Microsecond}},
+		{`["GONE","ab"]`, admission.Gone{Call: "ab"}},
+		{`["BELL",77]`, admission.Bell{Key: 77}},
+		{`["RETURNED","ab",0,"s","shed",2.0,false,4003,{"recent_ms":-1,"backlog":4,"new":1}]`, admission.Returned{
+			Call: "ab", Server: "s", Code: admission.Full, Cause: admission.ProcessorFull, Hint: 250 * time.Millisecond,
+			Took: 2 * time.Millisecond, Load: admission.Load{Backlog: admission.Figure{Value: 4, Given: true}}}},
+		{`["PROBED","delivered","s",0,null]`, admission.Probed{Server: "s", OK: true}},
 	} {
 		items := decodeOne(t, &Decoder{}, test.text)
 		if !reflect.DeepEqual(items[0].Event, test.want) {
@@ -66,12 +66,12 @@
 func TestPageNumbersAreReused(t *testing.T) {
 	items := decodeOne(t, &Decoder{}, `["PAGE",0,[["a","z","k",0,"IN",1,null]]],["MEMBERS","full",0,1],`+
 		`["PAGE",0,[["b","z","k",1,"LAME",1,6100.5]]],["MEMBERS","delta",0,2],["MEMBERS","failed",9,2],["KILL"]`)
-	if len(items) != 4 || !items[3].Kill || !items[2].Event.(lapiscourse.List).Failed {
+	if len(items) != 4 || !items[3].Kill || !items[2].Event.(admission.List).Failed {
 		t.Fatalf("got %d items, want three lists and a kill", len(items))
 	}
-	one, two := items[0].Event.(lapiscourse.List), items[1].Event.(lapiscourse.List)
-	if !one.Full || one.Servers[0].ID != "a" || two.Full || two.Servers[0] != (lapiscourse.Server{
-		ID: "b", Pool: 1, Zone: "z", Phase: lapiscourse.Lame, Started: 6100500 * time.Microsecond}) {
+	one, two := items[0].Event.(admission.List), items[1].Event.(admission.List)
+	if !one.Full || one.Servers[0].ID != "a" || two.Full || two.Servers[0] != (admission.Server{
+		ID: "b", Pool: 1, Zone: "z", Phase: admission.Lame, Started: 6100500 * time.Microsecond}) {
 		t.Errorf("got %+v and %+v", one, two)
 	}
 }
@@ -108,17 +108,17 @@
 }
 
 func TestEncode(t *testing.T) {
-	got, err := Encode([]Reply{{Number: 1}, {Number: 2, Actions: []lapiscourse.Action{
-		lapiscourse.Send{Call: "ab", Server: "s", Wait: 80500 * time.Microsecond},
-		lapiscourse.Refuse{Call: "c"}, lapiscourse.Fail{Call: "d"}, lapiscourse.Cancel{Call: "e", Attempt: 1},
-		lapiscourse.Defer{At: 8912250 * time.Microsecond, Key: 77}, lapiscourse.Log{Text: "a<b"}, lapiscourse.Watch{},
+	got, err := Encode([]Reply{{Number: 1}, {Number: 2, Actions: []admission.Action{
+		admission.Send{Call: "ab", Server: "s", Wait: 80500 * time.Microsecond},
+		admission.Refuse{Call: "c"}, admission.Fail{Call: "d"}, admission.Cancel{Call: "e", Attempt: 1},
+		admission.Defer{At: 8912250 * time.Microsecond, Key: 77}, admission.Log{Text: "a<b"}, admission.Watch{},
 	}}})
 	want := `{"nodes":[{"node":2,"decisions":[["RELAY","ab","s",80.5],["BUSY","c",null],["RESPOND_ERROR","d"],` +
 		`["ABORT_ATTEMPT","e",1],["DEFER",8912.25,77],["PRINT","a<b"],["TRACK",true]]}]}` + "\n"
 	if err != nil || string(got) != want {
 		t.Errorf("got %s (%v)\nwant %s", got, err, want)
 	}
-	if _, err := Encode([]Reply{{Actions: []lapiscourse.Action{nil}}}); err == nil {
+	if _, err := Encode([]Reply{{Actions: []admission.Action{nil}}}); err == nil {
 		t.Error("an unknown action was encoded")
 	}
 }
@@ -148,12 +148,12 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	want := map[string]lapiscourse.Class{
-		"a": {Effect: lapiscourse.Never, Scope: lapiscourse.Everywhere, Window: 5 * time.Millisecond},
-		"b": {Effect: lapiscourse.Once, Scope: lapiscourse.WithinZone, Window: 5000500 * time.Microsecond},
-		"c": {Scope: lapiscourse.WithinPool}, "d": {Scope: lapiscourse.WithinPool},
-		"e": {Effect: lapiscourse.Once}, "f": {Effect: lapiscourse.Once, Scope: lapiscourse.WithinPool},
-		"g": {Effect: lapiscourse.Never, Scope: lapiscourse.WithinPool},
+	want := map[string]admission.Class{
+		"a": {Effect: admission.Never, Scope: admission.Everywhere, Window: 5 * time.Millisecond},
+		"b": {Effect: admission.Once, Scope: admission.WithinZone, Window: 5000500 * time.Microsecond},
+		"c": {Scope: admission.WithinPool}, "d": {Scope: admission.WithinPool},
+		"e": {Effect: admission.Once}, "f": {Effect: admission.Once, Scope: admission.WithinPool},
+		"g": {Effect: admission.Never, Scope: admission.WithinPool},
 	}
 	if len(s.Classes) != len(want) || s.Multiple != 2 {
 		t.Errorf("%d classes, multiple %v", len(s.Classes), s.Multiple)
--- a/internal/store/golden_test.go
+++ b/internal/store/golden_test.go
@@ -5,7 +5,7 @@
 	"path/filepath"
 	"testing"
 
-	"lapiscourse/internal/goldentest"
+	"olivedale/internal/goldentest"
 )
 
 var goldenState = filepath.Join("testdata", "golden", "state")
--- a/internal/proptest/proptest.go
+++ b/internal/testutil/proptest.go
@@ -1,5 +1,5 @@
 // Package proptest is what the packages with property tests share. Only tests import it.
-package proptest
+package testutil
 
 import (
 	"flag"
--- a/internal/peer/golden_test.go
+++ b/internal/transport/golden_test.go
@@ -1,4 +1,4 @@
-package peer
+package transport
 
 import (
 	"net"
@@ -6,7 +6,7 @@
 	"testing"
 	"time"
 
-	"lapiscourse/internal/goldentest"
+	"olivedale/internal/goldentest"
 )
 
 // goldenCases are payloads with the keys that sign them.
--- a/internal/peer/peer.go
+++ b/internal/transport/peer.go
@@ -1,6 +1,6 @@
 // Package peer carries datagrams between call controllers: it owns the socket, signs what leaves, checks
 // whom what arrives is from, and paces. What the datagrams mean is nothing to it.
-package peer
+package transport
 
 import (
 	"crypto/hmac"
--- a/internal/peer/peer_test.go
+++ b/internal/transport/peer_test.go
@@ -1,4 +1,4 @@
-package peer
+package transport
 
 import (
 	"bytes"
