--- a/cmd/benchlink/main.go
+++ b/cmd/benchlink/main.go
@@ -25,7 +25,7 @@
 // run answers each line of in until its end.
 func run(in io.Reader, out io.Writer) error {
 	r := bufio.NewReaderSize(in, 1<<20)
-	h := host{nodes: make(map[int]*admission.Controller)}
+	h := host{nodes: make(map[int]*admission.StateMachine)}
 	for {
 		line, err := r.ReadBytes('\n')
 		if text := bytes.TrimSpace(line); len(text) > 0 {
@@ -49,7 +49,7 @@
 // A host keeps one Controller for each node that runs.
 type host struct {
 	dec   simproto.Decoder
-	nodes map[int]*admission.Controller
+	nodes map[int]*admission.StateMachine
 }
 
 func (h *host) answer(line []byte) ([]byte, error) {
@@ -78,7 +78,7 @@
 			delete(h.nodes, n.Number)
 			actions = nil
 		case it.Start != nil:
-			c, err := admission.New(it.Start.Settings, it.Start.Seed)
+			c, err := admission.NewStateMachine(it.Start.Settings, it.Start.Seed)
 			if err != nil {
 				return nil, fmt.Errorf("START: %w", err)
 			}
--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -1,9 +1,6 @@
 // Package admission makes the decisions of a call controller: which call
 // set-ups go to which central server, and which are refused. Its types, events
 // and actions are in api.go; everything that is decided is decided here.
-//
-// Read top-down: the mechanism first (windows, ceilings, tiers, the pool
-// pick), then the life of a call, then the guards.
 package admission
 
 import (
@@ -33,8 +30,7 @@
 	sharp   = 0.25  // least share of the recent rate a ceiling is set to
 )
 
-// askAgain is the key of the bell after a failed call for the list.
-const askAgain = -1
+const askAgain = -1 // timer key of the next request for the server list, after one that failed
 
 // Tiers of calls, the cheapest first.
 const (
@@ -44,8 +40,8 @@
 	urgent        // cut and coming again
 )
 
-// A Controller decides for one access node. It is not safe for concurrent use.
-type Controller struct {
+// A StateMachine decides for one access node. It is not safe for concurrent use.
+type StateMachine struct {
 	set     Settings
 	classes map[string]*class
 	late    time.Duration // an answer slower than this is a time-out in all but name
@@ -69,8 +65,8 @@
 	crowded map[string]Time // numbers whose lines were all busy, and when to try them again
 	dialled map[string]*number
 	carried map[int]float64 // per pool: the best rate it answered this node of late
-	fleet   Fleet           // what the others know
-	why     Why             // no server was picked
+	fleet   OverloadControl // what the others know
+	why     Reason          // no server was picked
 }
 
 type class struct {
@@ -139,38 +135,38 @@
 	ranAt                 Time    // when that attempt was sent
 }
 
-// New makes the controller of a node that has just started.
-func New(set Settings, seed uint64) (*Controller, error) {
-	if err := set.check(); err != nil {
+// NewStateMachine makes the controller of a node that has just started.
+func NewStateMachine(set Settings, seed uint64) (*StateMachine, error) {
+	if err := set.validate(); err != nil {
 		return nil, fmt.Errorf("admission: settings: %w", err)
 	}
-	c := &Controller{
-		set: set, fleet: alone{}, classes: make(map[string]*class), calls: make(map[string]*call),
+	c := &StateMachine{
+		set: set, fleet: noOverloadControl{}, classes: make(map[string]*class), calls: make(map[string]*call),
 		crowded: make(map[string]Time), dialled: make(map[string]*number),
 		carried: make(map[int]float64), keys: make(map[int64]*call), rng: rand.New(rand.NewPCG(seed, 0)),
 	}
-	best, aim := 0.0, set.Classes[0].Aim
+	best, aim := 0.0, set.Classes[0].LatencyObjective
 	for _, k := range set.Classes {
-		best, aim = max(best, k.Credit), min(aim, k.Aim)
+		best, aim = max(best, k.Weight), min(aim, k.LatencyObjective)
 	}
 	for _, k := range set.Classes {
 		c.classes[k.Name] = &class{k, cheap}
-		if k.Credit >= best {
+		if k.Weight >= best {
 			c.classes[k.Name].tier = top
 		}
 	}
-	c.silence, c.late = aim/2, min(aim/2, cmp.Or(set.Resend, aim))
+	c.silence, c.late = aim/2, min(aim/2, cmp.Or(set.ResendInterval, aim))
 	c.period = max(c.late/parts, time.Millisecond)
 	c.window = periods * c.period
 	return c, nil
 }
 
 // Begin starts the periods; its actions come before those of any event.
-func (c *Controller) Begin(now Time) []Action {
+func (c *StateMachine) Begin(now Time) []Action {
 	c.now, c.rolled, c.n = now, now, periods
-	acts := []Action{Defer{At: now + c.period, Key: 0}}
-	if c.set.AskList {
-		acts = append(acts, Watch{})
+	acts := []Action{SetTimer{At: now + c.period, Key: 0}}
+	if c.set.WatchServersOnRequest {
+		acts = append(acts, WatchServers{})
 	}
 	return acts
 }
@@ -178,7 +174,7 @@
 // Handle takes one event and returns what is to be done. The slice is the
 // caller's. Events that name an unknown call or server change nothing, nor do figures
 // that are negative or no numbers; a clock that goes back is taken as standing still.
-func (c *Controller) Handle(now Time, e Event) []Action {
+func (c *StateMachine) Handle(now Time, e Event) []Action {
 	c.wakeUp(max(c.now, now))
 	c.acts = nil
 	for c.rolled+c.period <= c.now {
@@ -189,29 +185,29 @@
 		}
 	}
 	switch e := e.(type) {
-	case List:
+	case ServersUpdated:
 		c.list(e)
-	case Ask:
+	case CallOffered:
 		c.ask(e)
-	case Stands:
+	case CallEstablished:
 		c.stands(e)
-	case Returned:
+	case AttemptEnded:
 		c.returned(e)
-	case Probed:
+	case LoadReported:
 		if s := c.find(e.Server); s != nil {
 			c.report(s, e.Load)
 		}
-	case Gone:
-		if k := c.calls[e.Call]; k != nil {
+	case CallAbandoned:
+		if k := c.calls[e.CallID]; k != nil {
 			c.finish(k)
 		}
-	case Bell:
+	case TimerFired:
 		c.bell(e.Key)
 	}
 	return c.acts
 }
 
-func (c *Controller) do(a Action) { c.acts = append(c.acts, a) }
+func (c *StateMachine) do(a Action) { c.acts = append(c.acts, a) }
 
 // ---- The mechanism, step 1: the window and the estimate.
 
@@ -236,17 +232,17 @@
 }
 
 // span is the time that the window of a server covers so far.
-func (c *Controller) span(s *server) float64 {
+func (c *StateMachine) span(s *server) float64 {
 	return min(max(c.now-s.since, c.window/3), time.Duration(c.n)*c.period).Seconds()
 }
 
 // rate is a count over the window, a second. A refusal costs the server
 // nothing, so of the paper's estimate only what was sent is left.
-func (c *Controller) rate(s *server, n *counter) float64 { return float64(n.sum) / c.span(s) }
+func (c *StateMachine) rate(s *server, n *counter) float64 { return float64(n.sum) / c.span(s) }
 
 // stretch settles N. The danger is a node of many that offers a server a call in several
 // seconds: over a short window it counts one or none, and either is far from the rate.
-func (c *Controller) stretch() {
+func (c *StateMachine) stretch() {
 	c.asked.roll(c.n)
 	if c.asked.sum < enough*len(c.servers) {
 		c.n = min(c.n+1, most-1)
@@ -260,21 +256,21 @@
 // press notes evidence that a server is slow by wait: its ceiling becomes the
 // rate at which it has lately answered this node, less what clears the wait
 // within a window.
-func (c *Controller) press(s *server, wait time.Duration) {
+func (c *StateMachine) press(s *server, wait time.Duration) {
 	if math.IsInf(s.ceiling, 1) {
 		s.credit = min(s.credit, c.rng.Float64())
 	}
 	share := 1 - (wait-c.late).Seconds()/c.window.Seconds()
 	s.ceiling = max(c.rate(s, &s.answered)*min(max(share, sharp), 1), c.trickle(s))
 	s.pressed, s.clean, s.proven, s.before, s.part = c.now, false, 0, nil, c.rng.Float64()
-	c.fleet.Pressed(c.now, s.ID)
-	c.do(Ceiling{s.ID, s.ceiling, Pressed})
+	c.fleet.RecordOverload(c.now, s.ID)
+	c.do(RateLimitChanged{s.ID, s.ceiling, ReasonOverloaded})
 	c.note(s, "ceiling %.1f/s of %.1f/s offered, wait %v", s.ceiling, c.rate(s, &s.offered),
 		wait.Round(time.Millisecond))
 }
 
 // suspect presses a server for its silence, which may be that of the way there.
-func (c *Controller) suspect(s *server, wait time.Duration) {
+func (c *StateMachine) suspect(s *server, wait time.Duration) {
 	before := cmp.Or(s.before, &standing{s.ceiling, s.proven, s.pressed})
 	c.press(s, wait)
 	s.before = before
@@ -282,15 +278,15 @@
 
 // excuse gives back what silence has cost a server where a connection, set-ups or answers were
 // lost. The danger is to pay for that like for a jam. It could harm where a jam resets connections.
-func (c *Controller) excuse(s *server) {
+func (c *StateMachine) excuse(s *server) {
 	if b := s.before; b != nil {
-		c.do(Ceiling{s.ID, b.ceiling, Excused})
+		c.do(RateLimitChanged{s.ID, b.ceiling, ReasonSuspicionCleared})
 		s.ceiling, s.proven, s.pressed, s.before = b.ceiling, b.proven, b.pressed, nil
 	}
 }
 
 // speaks notes an answer of any kind. It says nothing of set-ups that still wait for longer.
-func (c *Controller) speaks(s *server) {
+func (c *StateMachine) speaks(s *server) {
 	if s.heard = c.now; c.waits(s) <= c.late {
 		s.before = nil
 	}
@@ -300,7 +296,7 @@
 // as quickly as any while calls were held back for want of credit. The danger is a node
 // of many calls that is held for long to the few that suit one of few calls. It could
 // harm where set-ups that are quick one by one jam a processor together.
-func (c *Controller) prove(s *server) {
+func (c *StateMachine) prove(s *server) {
 	s.floor = min(s.floor, s.last)
 	if math.IsInf(s.ceiling, 1) && s.credit < 1 && s.last <= s.floor+c.late/50 {
 		s.proven++
@@ -309,11 +305,13 @@
 }
 
 // least is this node's part of a trickle that any server can take.
-func (c *Controller) least() float64 { return 1 / c.silence.Seconds() / float64(c.set.GroupSize) }
+func (c *StateMachine) least() float64 {
+	return 1 / c.silence.Seconds() / float64(c.set.ControllerCount)
+}
 
 // trickle is the least ceiling: a part of what the pool carried, where that is little. The
 // danger is a small server that is slow and kept so by calls that only find that out.
-func (c *Controller) trickle(s *server) float64 {
+func (c *StateMachine) trickle(s *server) float64 {
 	if carried, ok := c.carried[s.Pool]; ok {
 		return min(max(carried, c.least())*sharp, c.least())
 	}
@@ -321,7 +319,7 @@
 }
 
 // endPeriod closes a period for all servers.
-func (c *Controller) endPeriod() {
+func (c *StateMachine) endPeriod() {
 	maps.DeleteFunc(c.carried, func(_ int, rate float64) bool { return rate < c.least()*sharp })
 	for pool := range c.carried {
 		c.carried[pool] *= fade
@@ -344,7 +342,7 @@
 		s.proven *= fade
 		s.credit = min(s.credit+s1*s.ceiling*c.period.Seconds(), c.depth(s))
 		s.climb = min(s.climb+c.pace(s, rate)*c.period.Seconds(), min(1+rate, burst))
-		if s.climb >= 1 && c.now-s.Started >= c.set.Cold {
+		if s.climb >= 1 && c.now-s.Started >= c.set.SlowStartPeriod {
 			s.cold = false
 		}
 		if c.now-s.pressed < c.late || math.IsInf(s.ceiling, 1) {
@@ -357,7 +355,7 @@
 		s.ceiling *= 1 + regrow*float64(c.window)/float64(clean)
 		if c.now-s.pressed > clean && s.credit >= burst {
 			s.ceiling = math.Inf(1)
-			c.do(Ceiling{s.ID, s.ceiling, Lapsed})
+			c.do(RateLimitChanged{s.ID, s.ceiling, ReasonLimitExpired})
 			c.note(s, "ceiling lapsed")
 		}
 	}
@@ -366,7 +364,7 @@
 // ---- Step 3: the tiers.
 
 // holdsBack tells whether a server's pool holds a call back.
-func (c *Controller) holdsBack(s *server, k *call) bool {
+func (c *StateMachine) holdsBack(s *server, k *call) bool {
 	switch {
 	case c.now < s.waitUntil, c.flooded(s, k):
 		return true
@@ -377,7 +375,7 @@
 	case c.waits(s) > c.late: // guards calls against waiting behind others at a hung or jammed server
 		return !c.scout(s)
 	}
-	if holds, told := c.fleet.Holds(c.now, s.ID, k.tier, s.Pool == k.first); told {
+	if holds, told := c.fleet.Throttle(c.now, s.ID, k.tier, s.Pool == k.first); told {
 		c.why = cmp.Or(holds, c.why)
 		return holds != ""
 	}
@@ -395,7 +393,7 @@
 
 // depth is the credit that a server can have: two calls, or two periods of the ceiling;
 // without one, what it answers this node within the late mark as well.
-func (c *Controller) depth(s *server) float64 {
+func (c *StateMachine) depth(s *server) float64 {
 	if math.IsInf(s.ceiling, 1) {
 		return burst + max(c.carried[s.Pool]*c.late.Seconds(), s.proven)
 	}
@@ -404,18 +402,18 @@
 
 // ---- Step 4: the pool pick.
 
-func (c *Controller) pick(k *call) *server {
+func (c *StateMachine) pick(k *call) *server {
 	var open []*server
 	var spare *server
 	swamped := c.swamped(k)
-	c.why = NoServer
+	c.why = ReasonNoServer
 	for _, s := range c.servers {
-		if s.Phase != In || !c.mayServe(s, k) {
+		if s.State != Active || !c.mayServe(s, k) {
 			continue
 		}
 		if s.Pool == k.first && k.attempts == 0 {
 			s.offered.add()
-			c.fleet.Offered(c.now, s.ID, k.tier)
+			c.fleet.RecordOffered(c.now, s.ID, k.tier)
 		}
 		switch {
 		case swamped, s == k.avoid && !k.dropped, c.holdsBack(s, k):
@@ -440,7 +438,7 @@
 // draw takes one of the servers, in proportion to the calls that stand there where that is
 // told. The danger is a small server that gets as much of the overflow of hundreds of
 // nodes as a large one. It could harm where an idle server is larger than it looks.
-func (c *Controller) draw(open []*server) *server {
+func (c *StateMachine) draw(open []*server) *server {
 	drawn, sum := open[0], 0.0
 	for _, s := range open {
 		if sum += 1 + s.standing; c.rng.Float64()*sum < 1+s.standing {
@@ -451,54 +449,54 @@
 }
 
 // mayServe tells whether a server is among the call's pools.
-func (c *Controller) mayServe(s *server, k *call) bool {
+func (c *StateMachine) mayServe(s *server, k *call) bool {
 	has := func(pools []int) bool { return pools == nil || slices.Contains(pools, s.Pool) }
 	return has(k.class.Pools) && has(k.pools) && (k.ran == nil || c.repeats(k, s))
 }
 
 // repeats tells whether a call that may have run may go to a server: one that would discard the repeat.
-func (c *Controller) repeats(k *call, s *server) bool {
-	same := k.class.Scope == Everywhere || k.class.Scope == WithinZone && s.Zone == k.ran.Zone ||
-		k.class.Scope == WithinPool && s.Pool == k.ran.Pool
-	return same && k.class.Effect == Once && c.now-k.ranAt < k.class.Window
+func (c *StateMachine) repeats(k *call, s *server) bool {
+	scope := k.class.DeduplicationScope
+	same := scope == ScopeFleet || scope == ScopeZone && s.Zone == k.ran.Zone || scope == ScopePool && s.Pool == k.ran.Pool
+	return same && k.class.Repeatability == Deduplicated && c.now-k.ranAt < k.class.DeduplicationWindow
 }
 
 // ---- The life of a call.
 
-func (c *Controller) ask(e Ask) {
-	if c.calls[e.Call] != nil {
+func (c *StateMachine) ask(e CallOffered) {
+	if c.calls[e.CallID] != nil {
 		return
 	}
 	c.lastKey++
-	k := &call{id: e.Call, number: e.Number, class: c.classes[e.Class], first: e.First,
-		until: e.Until, key: c.lastKey, pools: e.Pools}
+	k := &call{id: e.CallID, number: e.Number, class: c.classes[e.Class], first: e.PreferredPool,
+		until: e.Deadline, key: c.lastKey, pools: e.Pools}
 	c.calls[k.id], c.keys[k.key] = k, k
 	c.asked.add()
 	if k.class == nil {
-		c.refuse(k, NoClass)
+		c.refuse(k, ReasonUnknownClass)
 		return
 	}
 	k.tier = k.class.tier
-	if c.repeated(k, e.Again) {
+	if c.repeated(k, e.Redialed) {
 		k.tier = again
 	}
-	if e.Cut {
+	if e.Reestablish {
 		k.tier = urgent
 	}
 	if k.tier < urgent && c.jammed(k) {
-		c.refuse(k, NumberJammed)
+		c.refuse(k, ReasonDestinationCongested)
 		return
 	}
 	c.place(k)
 	if !k.answered { // guards the timers against floods of calls that are refused at once
-		c.do(Defer{At: k.until, Key: k.key})
+		c.do(SetTimer{At: k.until, Key: k.key})
 	}
 }
 
 // place sends a call or refuses it.
-func (c *Controller) place(k *call) {
+func (c *StateMachine) place(k *call) {
 	if k.attempts >= c.set.MaxAttempts || c.now >= k.until {
-		c.fail(k, Exhausted)
+		c.fail(k, ReasonExhausted)
 		return
 	}
 	s := c.pick(k)
@@ -510,36 +508,36 @@
 	c.out++
 	k.at, k.sentAt, k.cancelled = s, c.now, false
 	s.sent.add()
-	c.fleet.Sent(c.now, s.ID, s.Pool == k.first && k.attempts == 1)
+	c.fleet.RecordSent(c.now, s.ID, s.Pool == k.first && k.attempts == 1)
 	s.credit = max(s.credit-1, -burst)
-	s.free -= float64(c.set.GroupSize) // the others send as well
+	s.free -= float64(c.set.ControllerCount) // the others send as well
 	if s.cold || s.Pool != k.first {
 		s.climb = max(s.climb-1, 0)
 	}
 	s.pending = append(s.pending, k)
-	c.do(Send{Call: k.id, Server: s.ID, Wait: k.until - c.now})
+	c.do(SendAttempt{CallID: k.id, Server: s.ID, Timeout: k.until - c.now})
 }
 
 // refuse turns a call down. Who is refused may come again: not said of one that may have run for good.
-func (c *Controller) refuse(k *call, why Why) {
-	if k.ran != nil && (k.class.Effect == Never || k.class.Scope != Everywhere) {
+func (c *StateMachine) refuse(k *call, why Reason) {
+	if k.ran != nil && (k.class.Repeatability == NonRepeatable || k.class.DeduplicationScope != ScopeFleet) {
 		c.fail(k, why)
 		return
 	}
-	c.do(Refuse{k.id, c.away(k), why})
+	c.do(RejectCall{k.id, c.away(k), why})
 	c.finish(k)
 }
 
-func (c *Controller) fail(k *call, why Why) { c.do(Fail{k.id, c.away(k), why}); c.finish(k) }
+func (c *StateMachine) fail(k *call, why Reason) { c.do(FailCall{k.id, c.away(k), why}); c.finish(k) }
 
 // away is how long a caller who is turned down should keep away: until the first server
 // that may take the call is likely to have a place for it. Callers who are told nothing
 // come back when their wanted time has passed, if at all; it is half the late mark at
 // least, so that they do not come back to the same jam, and a window at most.
-func (c *Controller) away(k *call) time.Duration {
+func (c *StateMachine) away(k *call) time.Duration {
 	wait := c.window
 	for _, s := range c.servers {
-		if k.class == nil || s.Phase != In || !c.mayServe(s, k) {
+		if k.class == nil || s.State != Active || !c.mayServe(s, k) {
 			continue
 		}
 		until := s.waitUntil - c.now
@@ -548,11 +546,11 @@
 		}
 		wait = min(wait, until)
 	}
-	return c.set.Told(max(wait, c.late/2))
+	return c.set.RetryAfter(max(wait, c.late/2))
 }
 
 // finish marks a call as answered and forgets it once nothing is out for it.
-func (c *Controller) finish(k *call) {
+func (c *StateMachine) finish(k *call) {
 	k.answered = true
 	delete(c.keys, k.key)
 	if k.at == nil {
@@ -560,8 +558,8 @@
 	}
 }
 
-func (c *Controller) stands(e Stands) {
-	k := c.calls[e.Call]
+func (c *StateMachine) stands(e CallEstablished) {
+	k := c.calls[e.CallID]
 	if k == nil || k.at == nil || k.standing || e.Attempt != k.attempts-1 {
 		return
 	}
@@ -569,15 +567,15 @@
 	c.out--
 	s := k.at
 	s.remove(k)
-	if s.overtake(k.sentAt-min(c.period, c.late/4)) && e.Took-c.pause <= c.late {
+	if s.overtake(k.sentAt-min(c.period, c.late/4)) && e.SetupTime-c.pause <= c.late {
 		c.excuse(s) // those that it overtook were lost, and with them what looked like silence
 	}
 	s.answered.add()
 	c.stood.add()
 	c.speaks(s)
-	s.took += (e.Took - s.took) / 4
-	c.fleet.Back(c.now, s.ID, true, e.Took-c.pause)
-	s.last, s.stood = e.Took-c.pause, c.now
+	s.took += (e.SetupTime - s.took) / 4
+	c.fleet.RecordResult(c.now, s.ID, true, e.SetupTime-c.pause)
+	s.last, s.stood = e.SetupTime-c.pause, c.now
 	s.clean, s.told = s.last <= c.late/2, false
 	c.prove(s)
 	if s.last > c.late {
@@ -586,65 +584,65 @@
 	}
 }
 
-func (c *Controller) returned(e Returned) {
-	k := c.calls[e.Call]
+func (c *StateMachine) returned(e AttemptEnded) {
+	k := c.calls[e.CallID]
 	if k == nil || k.at == nil || e.Attempt != k.attempts-1 {
 		return
 	}
 	s := k.at
 	lost := s.remove(k)
-	if k.at, k.avoid, k.dropped = nil, s, e.Cause == DeadLink; lost {
+	if k.at, k.avoid, k.dropped = nil, s, e.Cause == CauseConnectionUnresponsive; lost {
 		k.avoid = nil
 	}
 	if k.standing { // its line is free again, and so are lines of others
-		s.free += float64(c.set.GroupSize)
+		s.free += float64(c.set.ControllerCount)
 	} else {
 		c.out--
-		c.fleet.Back(c.now, s.ID, false, c.now-k.sentAt)
+		c.fleet.RecordResult(c.now, s.ID, false, c.now-k.sentAt)
 	}
 	c.report(s, e.Load)
-	if k.class.Effect != Harmless && k.ran == nil && e.Code.MayHaveRun() {
+	if k.class.Repeatability != Idempotent && k.ran == nil && e.Result.MayHaveRun() {
 		k.ran, k.ranAt = s, k.sentAt
 	}
-	if e.Terminal || k.answered || k.standing {
+	if e.Final || k.answered || k.standing {
 		c.finish(k)
 		return
 	}
-	switch e.Code {
-	case Full:
+	switch e.Result {
+	case ServerBusy:
 		c.speaks(s)
-		if e.Cause == NoLine { // all lines stand; the processor may be idle
+		if e.Cause == CauseNoCircuit { // all lines stand; the processor may be idle
 			s.free, s.freeUntil, s.short = 0, c.now+c.late, c.now+c.window
 		} else if c.quick(s) { // it turns calls away, but those that it takes stand at once
 			c.press(s, c.late)
 		} else {
 			c.press(s, c.window)
-			s.waitUntil = max(s.waitUntil, c.now+min(e.Hint, c.window))
+			s.waitUntil = max(s.waitUntil, c.now+min(e.RetryAfter, c.window))
 		}
 	case DialFailed:
 		s.waitUntil = max(s.waitUntil, c.now+c.silence)
-	case Unused:
-	case Expired, Dropped, Revoked:
-		if e.Cause == DeadLink {
+	case NotSent:
+	case TimedOut, ConnectionLost, Canceled:
+		if e.Cause == CauseConnectionUnresponsive {
 			c.excuse(s)
-		} else if !lost && (e.Code == Expired && !k.cancelled || k.cancelled && s.heard < k.sentAt) {
+		} else if !lost && (e.Result == TimedOut && !k.cancelled || k.cancelled && s.heard < k.sentAt) {
 			c.suspect(s, c.window)
 		}
-		k.notBefore, k.waiting = c.now+c.set.Release, true
-		if k.notBefore >= k.until || k.class.Effect == Never {
-			c.fail(k, Exhausted)
+		k.notBefore, k.waiting = c.now+c.set.RetryGuard, true
+		if k.notBefore >= k.until || k.class.Repeatability == NonRepeatable {
+			c.fail(k, ReasonExhausted)
 			return
 		}
-		c.do(Defer{At: k.notBefore, Key: k.key})
+		c.do(SetTimer{At: k.notBefore, Key: k.key})
 		return
 	default: // a fault of the signalling
 		c.speaks(s)
 		s.answered.add()
-		if e.Cause == NumberBusy {
+		if e.Cause == CauseDestinationBusy {
 			if k.number != "" {
 				c.crowded[k.number] = c.now + c.window
 			}
-			c.fail(k, NumberIsBusy)
+			c.fail(k, ReasonDestinationBusy)
 			return
 		}
 	}
@@ -657,13 +655,13 @@
 // A wait past the late mark is evidence as a late answer is, where this node has no fresh
 // answer of its own: the danger is a node of few calls that knows of a jam only by joining
 // it. It covers jams of any cause; a report that is late itself could hold back in vain.
-func (c *Controller) report(s *server, load Load) {
-	if free := load.Free; usable(free) {
+func (c *StateMachine) report(s *server, load LoadReport) {
+	if free := load.FreeCircuits; usable(free) {
 		s.free, s.freeUntil = free.Value, c.now+c.window
-		if usable(load.Lines) {
-			s.standing = max(load.Lines.Value-free.Value, 0)
+		if usable(load.TotalCircuits) {
+			s.standing = max(load.TotalCircuits.Value-free.Value, 0)
 		}
-		if free.Value < float64(c.set.GroupSize) {
+		if free.Value < float64(c.set.ControllerCount) {
 			s.short = c.now + c.window
 		}
 	}
@@ -679,18 +677,18 @@
 
 // tells makes a wait, a window at most, of a report: the wait told, else the backlog at
 // the best pace the server has told, else the share it wants held back, of a window.
-func (c *Controller) tells(s *server, load Load) (wait time.Duration, told bool) {
-	if usable(load.CanTake) {
-		s.best = max(s.best, load.CanTake.Value)
+func (c *StateMachine) tells(s *server, load LoadReport) (wait time.Duration, told bool) {
+	if usable(load.Capacity) {
+		s.best = max(s.best, load.Capacity.Value)
 	}
 	seconds := 0.0
 	switch {
-	case usable(load.Wait):
-		seconds = load.Wait.Value
-	case usable(load.Backlog) && s.best > 0:
-		seconds = load.Backlog.Value / s.best
-	case usable(load.HoldBack):
-		seconds = load.HoldBack.Value * c.window.Seconds()
+	case usable(load.QueueDelay):
+		seconds = load.QueueDelay.Value
+	case usable(load.QueueLength) && s.best > 0:
+		seconds = load.QueueLength.Value / s.best
+	case usable(load.ThrottleShare):
+		seconds = load.ThrottleShare.Value * c.window.Seconds()
 	default:
 		return 0, false
 	}
@@ -698,9 +696,9 @@
 }
 
 // usable tells whether a figure was given and is one that can be.
-func usable(f Figure) bool { return f.Given && f.Value >= 0 && !math.IsInf(f.Value, 1) }
+func usable(f Optional) bool { return f.Valid && f.Value >= 0 && !math.IsInf(f.Value, 1) }
 
-func (c *Controller) find(id string) *server {
+func (c *StateMachine) find(id string) *server {
 	if i := slices.IndexFunc(c.servers, func(s *server) bool { return s.ID == id }); i >= 0 {
 		return c.servers[i]
 	}
@@ -717,17 +715,17 @@
 }
 
 // bell wakes the periods (key 0) or a call.
-func (c *Controller) bell(key int64) {
+func (c *StateMachine) bell(key int64) {
 	switch k := c.keys[key]; {
 	case key == 0:
-		c.do(Defer{At: c.rolled + c.period, Key: 0})
+		c.do(SetTimer{At: c.rolled + c.period, Key: 0})
 		c.rescue()
 		c.forget()
 	case key == askAgain:
-		c.do(Watch{})
+		c.do(WatchServers{})
 	case k == nil || k.standing:
 	case c.now >= k.until:
-		c.fail(k, Exhausted)
+		c.fail(k, ReasonExhausted)
 	case k.waiting && c.now >= k.notBefore:
 		k.waiting = false
 		c.place(k)
@@ -736,14 +734,14 @@
 
 // ---- The list of servers.
 
-func (c *Controller) list(e List) {
+func (c *StateMachine) list(e ServersUpdated) {
 	if e.Failed { // what was known stays; ask again, but not at once
-		c.do(Defer{At: c.now + c.window, Key: askAgain})
+		c.do(SetTimer{At: c.now + c.window, Key: askAgain})
 		return
 	}
 	for _, s := range c.servers {
 		if e.Full && !slices.ContainsFunc(e.Servers, func(l Server) bool { return l.ID == s.ID }) {
-			s.Phase = Out
+			s.State = Removed
 		}
 	}
 	for _, l := range e.Servers {
@@ -766,31 +764,31 @@
 }
 
 // fresh is a server of which nothing is known yet. One just named may have just started.
-func (c *Controller) fresh(l Server) *server {
+func (c *StateMachine) fresh(l Server) *server {
 	s := &server{Server: l, ceiling: math.Inf(1), credit: burst, climb: 1,
 		pressed: c.now - c.window, heard: c.now, since: c.now, floor: c.late}
-	if l.Started > 0 && c.now-l.Started < c.set.Cold {
+	if l.Started > 0 && c.now-l.Started < c.set.SlowStartPeriod {
 		s.cold, s.climb = true, c.rng.Float64()
 	}
 	return s
 }
 
 // forget drops servers that are gone once nothing is out there, and numbers not met for long.
-func (c *Controller) forget() {
+func (c *StateMachine) forget() {
 	maps.DeleteFunc(c.dialled, func(_ string, n *number) bool { return c.now >= n.until })
 	maps.DeleteFunc(c.crowded, func(_ string, next Time) bool { return c.now > next+c.window })
 	c.servers = slices.DeleteFunc(c.servers, func(s *server) bool {
-		return s.Phase == Out && len(s.pending)+len(s.lost) == 0
+		return s.State == Removed && len(s.pending)+len(s.lost) == 0
 	})
 }
 
 // note writes a line on a server for the staff, one in ten windows at most.
-func (c *Controller) note(s *server, format string, args ...any) {
+func (c *StateMachine) note(s *server, format string, args ...any) {
 	if c.now < s.noted {
 		return
 	}
 	s.noted = c.now + 10*c.window
-	c.do(Log{Text: "server " + s.ID + ": " + fmt.Sprintf(format, args...)})
+	c.do(LogMessage{Text: "server " + s.ID + ": " + fmt.Sprintf(format, args...)})
 }
 
 // ---- Guards.
@@ -798,7 +796,7 @@
 // repeated tells whether a call is one dialled again whose wanted time has passed, or
 // one of a crowd that dials the same number: it earns little, and comes last. A
 // caller who was refused at once and is back within the wanted time is as good as new.
-func (c *Controller) repeated(k *call, marked bool) bool {
+func (c *StateMachine) repeated(k *call, marked bool) bool {
 	n := c.dialled[k.number]
 	if n == nil {
 		if k.number != "" && len(c.dialled) < numbers { // guards memory against callers who make up numbers
@@ -807,13 +805,13 @@
 		return marked
 	}
 	n.asks++
-	return n.asks > crowd || c.now-n.first > k.class.Aim-c.late/2
+	return n.asks > crowd || c.now-n.first > k.class.LatencyObjective-c.late/2
 }
 
 // jammed tells whether a call is for a number whose lines were all busy of late,
 // the danger being a crowd that dials one number and takes the processors' time
 // for calls that cannot stand. One call a window finds out whether a line is free.
-func (c *Controller) jammed(k *call) bool {
+func (c *StateMachine) jammed(k *call) bool {
 	next, ok := c.crowded[k.number]
 	if ok && c.now >= next {
 		c.crowded[k.number] = c.now + c.window
@@ -824,7 +822,7 @@
 // silent tells whether a server has stopped answering; the danger is a processor that takes
 // set-ups and answers none. A lone set-up tells it only while answers elsewhere are quick: in
 // a jam of many servers, calling it off leaves its work undone and adds as much at the next.
-func (c *Controller) silent(s *server) bool {
+func (c *StateMachine) silent(s *server) bool {
 	late := func(o *server) bool { return o != s && o.last > c.late/2 && c.now-o.stood < 2*c.late }
 	n := len(s.pending)
 	return n > 0 && c.now-max(s.heard, s.pending[0].sentAt) > c.silence &&
@@ -835,10 +833,11 @@
 // or for a cold one the share of what its pool has carried that it can do by its age, and three
 // quarters of what the settings let all send it at the most.
 // The danger is a server pushed over while it starts; a warm successor waits in vain.
-func (c *Controller) pace(s *server, rate float64) float64 {
+func (c *StateMachine) pace(s *server, rate float64) float64 {
 	if carried := c.carried[s.Pool]; s.cold && carried > 0 {
-		share := c.set.Start + (1-c.set.Start)*min(float64(c.now-s.Started)/float64(c.set.Cold), 1)
-		return max(cmp.Or(min(climb, c.set.Multiple*3/4), climb)*carried*share, c.least())
+		age := min(float64(c.now-s.Started)/float64(c.set.SlowStartPeriod), 1)
+		share := c.set.SlowStartShare + (1-c.set.SlowStartShare)*age
+		return max(cmp.Or(min(climb, c.set.SlowStartFactor*3/4), climb)*carried*share, c.least())
 	}
 	return max(climb*rate, c.least())
 }
@@ -847,14 +846,14 @@
 // at the best rate it has answered of late, another could not stand in good time. The
 // danger is a flood that comes before any answer can be late: calls that were cut and
 // come again all at once, or a sudden jump. It could harm when answers come in bulk.
-func (c *Controller) flooded(s *server, k *call) bool {
+func (c *StateMachine) flooded(s *server, k *call) bool {
 	return float64(len(s.pending)) >= burst+max(c.carried[s.Pool]*c.room(k), s.proven)
 }
 
 // room is how long a call may wait for those before it, in seconds.
-func (c *Controller) room(k *call) float64 {
+func (c *StateMachine) room(k *call) float64 {
 	if k.tier >= top {
-		return (k.class.Aim / 2).Seconds()
+		return (k.class.LatencyObjective / 2).Seconds()
 	}
 	return c.late.Seconds()
 }
@@ -862,18 +861,18 @@
 // swamped is flooded over all servers together. The danger is a node of many servers and
 // few calls at each: when one looks slow to it, what all nodes have sent there in the meantime
 // takes long to clear. It could harm where many servers fall silent at once.
-func (c *Controller) swamped(k *call) bool {
+func (c *StateMachine) swamped(k *call) bool {
 	return k.tier < urgent && c.best > 0 && float64(c.out) >= burst+c.best*c.room(k)
 }
 
 // quick tells whether a server has just answered this node quickly. Against that a
 // single 'processor full' weighs little: the danger is a server that turns a few
 // calls away at random while it is idle, and would be left by all.
-func (c *Controller) quick(s *server) bool { return s.last < c.late/2 && c.now-s.stood < c.late }
+func (c *StateMachine) quick(s *server) bool { return s.last < c.late/2 && c.now-s.stood < c.late }
 
 // scout lets a call go to a stuck server that was quick, whatever its ceiling, and later each
 // time. The danger is a lost set-up that keeps a server from all calls, and nobody finds out.
-func (c *Controller) scout(s *server) bool {
+func (c *StateMachine) scout(s *server) bool {
 	n := len(s.pending)
 	return s.last < c.late/2 && c.now-s.pending[n-1].sentAt >= c.late<<min(n-1, 8)
 }
@@ -881,7 +880,7 @@
 // waits is how long this node's oldest set-up at a server has been waiting. A single one
 // at a server that was quick just before may be lost: it counts half, so that another
 // call can go and tell.
-func (c *Controller) waits(s *server) time.Duration {
+func (c *StateMachine) waits(s *server) time.Duration {
 	if len(s.pending) == 0 {
 		return 0
 	}
@@ -895,7 +894,7 @@
 // wakeUp moves the clock. The danger is a node that itself stood still: the answers that
 // wait for it would look late, and every server pressed. Time in which not even its own
 // period was rung counts neither as waiting nor as slow answers.
-func (c *Controller) wakeUp(now Time) {
+func (c *StateMachine) wakeUp(now Time) {
 	if now == c.now {
 		return
 	}
@@ -925,13 +924,13 @@
 }
 
 // rescue calls off lost set-ups, and those at a silent server while another could take them.
-func (c *Controller) rescue() {
-	if !c.set.MayCancel {
+func (c *StateMachine) rescue() {
+	if !c.set.CanCancel {
 		return
 	}
 	for _, s := range c.servers {
 		for _, k := range s.lost {
-			c.callOff(k, LostOnWay)
+			c.callOff(k, ReasonLost)
 		}
 		if !c.silent(s) {
 			continue
@@ -939,26 +938,27 @@
 		c.note(s, "answers nothing")
 		for _, k := range s.pending {
 			if c.elsewhere(k) {
-				c.callOff(k, ServerSilent)
+				c.callOff(k, ReasonServerUnresponsive)
 			}
 		}
 	}
 }
 
 // callOff cancels a call's attempt if time is left to make it stand by another.
-func (c *Controller) callOff(k *call, why Why) {
-	if k.cancelled || k.answered || k.attempts >= c.set.MaxAttempts || k.class.Effect == Never ||
-		c.now-k.sentAt < c.late || c.now+c.set.Release+c.late > k.until {
+func (c *StateMachine) callOff(k *call, why Reason) {
+	unrepeatable := k.attempts >= c.set.MaxAttempts || k.class.Repeatability == NonRepeatable
+	tooLate := c.now+c.set.RetryGuard+c.late > k.until
+	if k.cancelled || k.answered || unrepeatable || c.now-k.sentAt < c.late || tooLate {
 		return
 	}
 	k.cancelled = true
-	c.do(Cancel{Call: k.id, Attempt: k.attempts - 1, Why: why})
+	c.do(CancelAttempt{CallID: k.id, Attempt: k.attempts - 1, Reason: why})
 }
 
 // elsewhere tells whether another server that answers quickly would take a call now. In
 // a jam of all servers, moving calls only adds the work of those given up.
-func (c *Controller) elsewhere(k *call) bool {
+func (c *StateMachine) elsewhere(k *call) bool {
 	return slices.ContainsFunc(c.servers, func(s *server) bool {
-		return s != k.at && s.Phase == In && c.mayServe(s, k) && c.quick(s) && !c.holdsBack(s, k)
+		return s != k.at && s.State == Active && c.mayServe(s, k) && c.quick(s) && !c.holdsBack(s, k)
 	})
 }
--- a/internal/admission/controller_test.go
+++ b/internal/admission/controller_test.go
@@ -19,12 +19,12 @@
 // testSettings are made up for the tests.
 func testSettings() Settings {
 	return Settings{
-		GroupSize: 4, Topology: "pools", MaxAttempts: 3, MayCancel: true,
-		Resend: 600 * ms, Release: 250 * ms,
-		Cold: 10 * time.Second, Start: 0.4,
+		ControllerCount: 4, Topology: "pools", MaxAttempts: 3, CanCancel: true,
+		ResendInterval: 600 * ms, RetryGuard: 250 * ms,
+		SlowStartPeriod: 10 * time.Second, SlowStartShare: 0.4,
 		Classes: []Class{
-			{Name: "read", Aim: 1400 * ms, Deadline: 8 * time.Second, Credit: 1, LateWorth: 0.2},
-			{Name: "write", Aim: 1000 * ms, Deadline: 6 * time.Second, Credit: 5, LateWorth: 0.2},
+			{Name: "read", LatencyObjective: 1400 * ms, Deadline: 8 * time.Second, Weight: 1, LateWeightFactor: 0.2},
+			{Name: "write", LatencyObjective: 1000 * ms, Deadline: 6 * time.Second, Weight: 5, LateWeightFactor: 0.2},
 		},
 	}
 }
@@ -32,28 +32,28 @@
 // A rig hands events to a Controller and keeps its timers.
 type rig struct {
 	t     *testing.T
-	c     *Controller
+	c     *StateMachine
 	now   Time
 	acts  []Action
-	bells []Defer
+	bells []SetTimer
 	calls int
 }
 
 func newRig(t *testing.T, set Settings, servers ...Server) *rig {
 	t.Helper()
-	c, err := New(set, 1)
+	c, err := NewStateMachine(set, 1)
 	if err != nil {
 		t.Fatal(err)
 	}
 	r := &rig{t: t, c: c, now: time.Hour}
 	r.take(c.Begin(r.now))
-	r.feed(List{Full: true, Cached: true, Servers: servers})
+	r.feed(ServersUpdated{Full: true, Cached: true, Servers: servers})
 	return r
 }
 
 func (r *rig) take(acts []Action) []Action {
 	for _, a := range acts {
-		if d, ok := a.(Defer); ok {
+		if d, ok := a.(SetTimer); ok {
 			r.bells = append(r.bells, d)
 			continue
 		}
@@ -73,8 +73,8 @@
 	var all []Action
 	for end := r.now + d; r.now < end; {
 		r.now = min(r.now+5*ms, end)
-		due := []Defer{}
-		r.bells = slices.DeleteFunc(r.bells, func(b Defer) bool {
+		due := []SetTimer{}
+		r.bells = slices.DeleteFunc(r.bells, func(b SetTimer) bool {
 			if b.At <= r.now {
 				due = append(due, b)
 				return true
@@ -82,7 +82,7 @@
 			return false
 		})
 		for _, b := range due {
-			all = append(all, r.feed(Bell{Key: b.Key})...)
+			all = append(all, r.feed(TimerFired{Key: b.Key})...)
 		}
 	}
 	return all
@@ -92,14 +92,14 @@
 func (r *rig) ask(class string, first int) (id, server string) {
 	r.calls++
 	id = fmt.Sprintf("%016x", r.calls)
-	return id, r.askAs(Ask{Call: id, Class: class, Number: id, First: first, Until: r.now + 3*time.Second})
+	return id, r.askAs(CallOffered{CallID: id, Class: class, Number: id, PreferredPool: first, Deadline: r.now + 3*time.Second})
 }
 
-func (r *rig) askAs(e Ask) string { return sentTo(r.feed(e)) }
+func (r *rig) askAs(e CallOffered) string { return sentTo(r.feed(e)) }
 
 func sentTo(acts []Action) string {
 	for _, a := range acts {
-		if s, ok := a.(Send); ok {
+		if s, ok := a.(SendAttempt); ok {
 			return s.Server
 		}
 	}
@@ -107,11 +107,11 @@
 }
 
 func (r *rig) stands(id, server string, took time.Duration) {
-	r.feed(Stands{Call: id, Server: server, Took: took})
+	r.feed(CallEstablished{CallID: id, Server: server, SetupTime: took})
 }
 
-func (r *rig) returned(id, server string, code Code, cause Cause) []Action {
-	return r.feed(Returned{Call: id, Server: server, Code: code, Cause: cause})
+func (r *rig) returned(id, server string, code AttemptResult, cause FailureCause) []Action {
+	return r.feed(AttemptEnded{CallID: id, Server: server, Result: code, Cause: cause})
 }
 
 func has[T Action](acts []Action) bool {
@@ -126,7 +126,7 @@
 		if id, s := r.ask("read", 0); s != "" {
 			sent++
 			r.stands(id, s, took)
-			r.feed(Returned{Call: id, Server: s, Code: Delivered, Terminal: true})
+			r.feed(AttemptEnded{CallID: id, Server: s, Result: Delivered, Final: true})
 		}
 		r.pass(gap)
 	}
@@ -146,7 +146,7 @@
 	r := newRig(t, testSettings(), a)
 	r.steady(100*ms, 4*time.Second, 50*ms)
 	id, s := r.ask("read", 0)
-	r.returned(id, s, Full, ProcessorFull)
+	r.returned(id, s, ServerBusy, CauseProcessorBusy)
 	if c := r.c.servers[0].ceiling; math.IsInf(c, 1) || c > 10 {
 		t.Fatalf("ceiling after 'processor full' is %v, want at most the recent rate of 10", c)
 	}
@@ -169,7 +169,7 @@
 func TestNoLineSetsNoCeiling(t *testing.T) {
 	r := newRig(t, testSettings(), a, b)
 	id, s := r.ask("read", 0)
-	if acts := r.returned(id, s, Full, NoLine); sentTo(acts) != "b" {
+	if acts := r.returned(id, s, ServerBusy, CauseNoCircuit); sentTo(acts) != "b" {
 		t.Errorf("a call that found no line was not sent elsewhere: %v", acts)
 	}
 	if !math.IsInf(r.c.servers[0].ceiling, 1) {
@@ -178,7 +178,7 @@
 	if _, s := r.ask("read", 0); s == "a" {
 		t.Error("a pool without a free line was tried again at once")
 	}
-	r.feed(Probed{Server: "a", OK: true, Load: Load{Free: Figure{3, true}}})
+	r.feed(LoadReported{Server: "a", OK: true, Load: LoadReport{FreeCircuits: Optional{3, true}}})
 	if _, s := r.ask("read", 0); s != "a" {
 		t.Error("a pool that has lines again was not used")
 	}
@@ -190,8 +190,8 @@
 // When lines run short they must not go to calls that are worth little.
 func TestShortOfLinesTakesNoRepeats(t *testing.T) {
 	r := newRig(t, testSettings(), a)
-	r.feed(Probed{Server: "a", OK: true, Load: Load{Free: Figure{3, true}}})
-	e := Ask{Call: "x", Class: "read", Number: "x", Until: r.now + time.Second, Again: true}
+	r.feed(LoadReported{Server: "a", OK: true, Load: LoadReport{FreeCircuits: Optional{3, true}}})
+	e := CallOffered{CallID: "x", Class: "read", Number: "x", Deadline: r.now + time.Second, Redialed: true}
 	if s := r.askAs(e); s != "" {
 		t.Error("a call dialled again took one of the last lines")
 	}
@@ -205,7 +205,7 @@
 	r := newRig(t, testSettings(), a)
 	r.steady(100*ms, 4*time.Second, 40*ms)
 	id, s := r.ask("read", 0)
-	r.feed(Returned{Call: id, Server: s, Code: Full, Cause: ProcessorFull, Hint: 2 * time.Second})
+	r.feed(AttemptEnded{CallID: id, Server: s, Result: ServerBusy, Cause: CauseProcessorBusy, RetryAfter: 2 * time.Second})
 	srv := r.c.servers[0]
 	if math.IsInf(srv.ceiling, 1) || srv.ceiling < 9 || srv.waitUntil > r.now {
 		t.Errorf("ceiling %v, left alone for %v: want about the recent rate of 10, and no wait", srv.ceiling, srv.waitUntil-r.now)
@@ -219,7 +219,7 @@
 	sent := 0
 	for i := range 60 {
 		id := fmt.Sprint("f", i)
-		if r.askAs(Ask{Call: id, Number: id, Class: "read", Until: r.now + 3*time.Second, Cut: true}) != "" {
+		if r.askAs(CallOffered{CallID: id, Number: id, Class: "read", Deadline: r.now + 3*time.Second, Reestablish: true}) != "" {
 			sent++
 		}
 	}
@@ -232,7 +232,7 @@
 	r := newRig(t, testSettings(), a)
 	r.steady(200*ms, 4*time.Second, 50*ms)
 	id, s := r.ask("read", 0)
-	r.returned(id, s, Full, ProcessorFull)
+	r.returned(id, s, ServerBusy, CauseProcessorBusy)
 	r.steady(500*ms, 3*r.c.window, 50*ms)
 	if c := r.c.servers[0].ceiling; !math.IsInf(c, 1) {
 		t.Errorf("ceiling %v still stands after clean windows", c)
@@ -244,7 +244,7 @@
 	r := newRig(t, testSettings(), a)
 	r.steady(200*ms, 4*time.Second, 50*ms)
 	id, s := r.ask("read", 0)
-	r.returned(id, s, Full, ProcessorFull)
+	r.returned(id, s, ServerBusy, CauseProcessorBusy)
 	r.pass(r.c.window - 500*ms)
 	r.steady(10*ms, time.Second, 50*ms)
 	if c := r.c.servers[0].ceiling; math.IsInf(c, 1) {
@@ -258,7 +258,7 @@
 	r.steady(100*ms, 4*time.Second, 50*ms)
 	r.pass(time.Second)
 	id, s := r.ask("read", 0)
-	r.returned(id, s, Full, ProcessorFull)
+	r.returned(id, s, ServerBusy, CauseProcessorBusy)
 	r.pass(r.c.window - 200*ms)
 	sent := 0
 	for range 20 {
@@ -303,7 +303,7 @@
 
 func TestRefusedWhenNoneRemains(t *testing.T) {
 	r := newRig(t, testSettings())
-	if _, s := r.ask("read", 0); s != "" || !has[Refuse](r.acts) {
+	if _, s := r.ask("read", 0); s != "" || !has[RejectCall](r.acts) {
 		t.Errorf("without servers: %v, want a refusal", r.acts)
 	}
 }
@@ -313,10 +313,10 @@
 	r := newRig(t, testSettings(), a)
 	id, _ := r.ask("read", 0)
 	acts := r.pass(3*time.Second + 5*ms)
-	if !slices.ContainsFunc(acts, func(a Action) bool { f, ok := a.(Fail); return ok && f.Call == id }) {
+	if !slices.ContainsFunc(acts, func(a Action) bool { f, ok := a.(FailCall); return ok && f.CallID == id }) {
 		t.Errorf("no final answer when the caller's time was up: %v", acts)
 	}
-	if acts := r.returned(id, "a", Expired, NoCause); len(acts) != 0 {
+	if acts := r.returned(id, "a", TimedOut, CauseNone); len(acts) != 0 {
 		t.Errorf("actions after the final answer: %v", acts)
 	}
 }
@@ -325,22 +325,22 @@
 	r := newRig(t, testSettings(), a)
 	id, _ := r.ask("read", 0)
 	r.now += 3 * time.Second // the outcome comes before the timer
-	if acts := r.returned(id, "a", Expired, NoCause); !has[Fail](acts) {
+	if acts := r.returned(id, "a", TimedOut, CauseNone); !has[FailCall](acts) {
 		t.Errorf("an expired attempt at the deadline left the call open: %v", acts)
 	}
 }
 
 // Rule 3.
 func TestNothingToDraining(t *testing.T) {
-	for _, phase := range []Phase{Lame, Out} {
+	for _, phase := range []ServerState{Draining, Removed} {
 		r := newRig(t, testSettings(), a)
-		r.feed(List{Servers: []Server{{ID: "a", Phase: phase}}})
+		r.feed(ServersUpdated{Servers: []Server{{ID: "a", State: phase}}})
 		if _, s := r.ask("write", 0); s != "" {
 			t.Errorf("phase %v: a call was sent", phase)
 		}
 	}
 	r := newRig(t, testSettings(), a, b)
-	r.feed(List{Full: true, Servers: []Server{b}})
+	r.feed(ServersUpdated{Full: true, Servers: []Server{b}})
 	if _, s := r.ask("read", 0); s == "a" {
 		t.Error("a call went to a server that a full list lacks")
 	}
@@ -349,7 +349,7 @@
 // Rule 4: a node that knows nothing sends a cold server next to nothing.
 func TestColdServerClimbs(t *testing.T) {
 	r := newRig(t, testSettings())
-	r.feed(List{Servers: []Server{{ID: "n", Pool: 0, Started: r.now - time.Second}}})
+	r.feed(ServersUpdated{Servers: []Server{{ID: "n", Pool: 0, Started: r.now - time.Second}}})
 	if sent := r.steady(10*ms, 2*time.Second, 50*ms); sent > 4 {
 		t.Errorf("%d set-ups in the first 2 s to a cold server, want at most 4", sent)
 	}
@@ -361,7 +361,7 @@
 // A new id without a start time, seen as a change, has just started.
 func TestUnknownNewServerIsCold(t *testing.T) {
 	r := newRig(t, testSettings(), a)
-	r.feed(List{Servers: []Server{b}})
+	r.feed(ServersUpdated{Servers: []Server{b}})
 	if !r.c.servers[1].cold {
 		t.Error("a server that appeared among changes counts as warm")
 	}
@@ -371,7 +371,7 @@
 func TestColdServerInheritsPool(t *testing.T) {
 	r := newRig(t, testSettings(), a)
 	r.steady(20*ms, 4*time.Second, 30*ms)
-	r.feed(List{Servers: []Server{{ID: "a", Phase: Out}, {ID: "n", Pool: 0, Started: r.now}}})
+	r.feed(ServersUpdated{Servers: []Server{{ID: "a", State: Removed}, {ID: "n", Pool: 0, Started: r.now}}})
 	sent := r.steady(10*ms, 2*time.Second, 30*ms)
 	if sent < 15 || sent > 60 {
 		t.Errorf("%d set-ups in 2 s to the successor of a server that carried 50 a second, want 15 to 60", sent)
@@ -380,14 +380,14 @@
 
 // Rule 5.
 func TestReleaseGuard(t *testing.T) {
-	for _, code := range []Code{Expired, Dropped, Revoked} {
+	for _, code := range []AttemptResult{TimedOut, ConnectionLost, Canceled} {
 		r := newRig(t, testSettings(), a, b)
 		id, s := r.ask("write", 0)
 		r.pass(100 * ms)
-		if acts := r.returned(id, s, code, NoCause); has[Send](acts) {
+		if acts := r.returned(id, s, code, CauseNone); has[SendAttempt](acts) {
 			t.Errorf("code %v: sent again at once", code)
 		}
-		if acts := r.pass(245 * ms); has[Send](acts) {
+		if acts := r.pass(245 * ms); has[SendAttempt](acts) {
 			t.Errorf("code %v: sent again within the guard", code)
 		}
 		if acts := r.pass(10 * ms); sentTo(acts) != "b" {
@@ -401,13 +401,13 @@
 func TestPaceFollowsTheSettings(t *testing.T) {
 	taken := func(scale time.Duration) (sent int) {
 		set := testSettings()
-		set.Resend, set.Release, set.Cold = set.Resend/scale, set.Release/scale, set.Cold/scale
+		set.ResendInterval, set.RetryGuard, set.SlowStartPeriod = set.ResendInterval/scale, set.RetryGuard/scale, set.SlowStartPeriod/scale
 		for i := range set.Classes {
-			set.Classes[i].Aim, set.Classes[i].Deadline = set.Classes[i].Aim/scale, set.Classes[i].Deadline/scale
+			set.Classes[i].LatencyObjective, set.Classes[i].Deadline = set.Classes[i].LatencyObjective/scale, set.Classes[i].Deadline/scale
 		}
 		r := newRig(t, set, a, b)
 		r.steady(80*ms/scale, 8*time.Second/scale, 80*ms/scale)
-		r.feed(List{Servers: []Server{{ID: "a", Phase: Lame}}})
+		r.feed(ServersUpdated{Servers: []Server{{ID: "a", State: Draining}}})
 		return r.steady(80*ms/scale, 16*time.Second/scale, 80*ms/scale)
 	}
 	slow, fast := taken(1), taken(4)
@@ -520,7 +520,7 @@
 			r.pass(5 * ms)
 		}
 		if full {
-			r.returned(ids[1], "a", Full, ProcessorFull)
+			r.returned(ids[1], "a", ServerBusy, CauseProcessorBusy)
 		} else {
 			r.stands(ids[1], "a", 450*ms)
 		}
@@ -550,7 +550,7 @@
 		t.Fatal("a silent server is not pressed")
 	}
 	for _, id := range out {
-		r.returned(id, "a", Dropped, DeadLink)
+		r.returned(id, "a", ConnectionLost, CauseConnectionUnresponsive)
 	}
 	if !math.IsInf(s.ceiling, 1) {
 		t.Errorf("ceiling %v after the connection failed", s.ceiling)
@@ -571,7 +571,7 @@
 func TestFaultIsTriedAgain(t *testing.T) {
 	r := newRig(t, testSettings(), a, b)
 	id, s := r.ask("read", 0)
-	if acts := r.returned(id, s, Error, NoCause); sentTo(acts) != "b" {
+	if acts := r.returned(id, s, ServerError, CauseNone); sentTo(acts) != "b" {
 		t.Errorf("a signalling fault was not tried elsewhere: %v", acts)
 	}
 }
@@ -581,7 +581,7 @@
 	set.MaxAttempts = 1
 	r := newRig(t, set, a, b)
 	id, s := r.ask("write", 0)
-	if acts := r.returned(id, s, DialFailed, NoCause); has[Send](acts) || !has[Fail](acts) {
+	if acts := r.returned(id, s, DialFailed, CauseNone); has[SendAttempt](acts) || !has[FailCall](acts) {
 		t.Errorf("with one attempt allowed: %v", acts)
 	}
 }
@@ -589,10 +589,10 @@
 func TestCrowdedNumber(t *testing.T) {
 	r := newRig(t, testSettings(), a)
 	ask := func(id string) string {
-		return r.askAs(Ask{Call: id, Class: "read", Number: "crowd", Until: r.now + 3*time.Second})
+		return r.askAs(CallOffered{CallID: id, Class: "read", Number: "crowd", Deadline: r.now + 3*time.Second})
 	}
-	r.returned("1", ask("1"), Error, NumberBusy)
-	if !has[Fail](r.acts) {
+	r.returned("1", ask("1"), ServerError, CauseDestinationBusy)
+	if !has[FailCall](r.acts) {
 		t.Errorf("a busy number is the end of the call: %v", r.acts)
 	}
 	if ask("2") != "" {
@@ -611,11 +611,11 @@
 func TestDialledAgainComesLast(t *testing.T) {
 	r := newRig(t, testSettings(), a)
 	r.steady(100*ms, 4*time.Second, 50*ms)
-	r.askAs(Ask{Call: "x1", Class: "read", Number: "n", Until: r.now + ms})
+	r.askAs(CallOffered{CallID: "x1", Class: "read", Number: "n", Deadline: r.now + ms})
 	r.pass(2 * time.Second)
 	s := r.c.servers[0]
 	s.ceiling, s.pressed, s.credit = 20, r.now, 1.5
-	if got := r.askAs(Ask{Call: "x2", Class: "read", Number: "n", Until: r.now + time.Second}); got != "" {
+	if got := r.askAs(CallOffered{CallID: "x2", Class: "read", Number: "n", Deadline: r.now + time.Second}); got != "" {
 		t.Error("a call dialled again took room from fresh ones")
 	}
 	if _, got := r.ask("read", 0); got == "" {
@@ -654,7 +654,7 @@
 	if r.pass(200 * ms); !r.c.calls[lost].cancelled {
 		t.Error("a lost set-up was not called off")
 	}
-	r.returned(lost, s, Revoked, NoCause)
+	r.returned(lost, s, Canceled, CauseNone)
 	if acts := r.pass(260 * ms); sentTo(acts) != "a" {
 		t.Errorf("a lost set-up was not sent again: %v", acts)
 	}
@@ -693,19 +693,19 @@
 	id, s := r.ask("read", 0)
 	r.ask("read", 0)
 	acts := r.pass(800 * ms)
-	if has[Cancel](acts) {
+	if has[CancelAttempt](acts) {
 		t.Error("a call was called off though no other server is known to answer quickly")
 	}
 	other, _ := r.ask("read", 1)
 	r.stands(other, "b", 40*ms)
 	acts = r.pass(100 * ms)
-	if !slices.Contains(acts, Action(Cancel{Call: id, Attempt: 0, Why: ServerSilent})) {
+	if !slices.Contains(acts, Action(CancelAttempt{CallID: id, Attempt: 0, Reason: ReasonServerUnresponsive})) {
 		t.Fatalf("the call at a silent server was not called off: %v", acts)
 	}
 	if _, s := r.ask("write", 0); s == "a" {
 		t.Error("a new call went to a silent server")
 	}
-	r.returned(id, s, Revoked, NoCause)
+	r.returned(id, s, Canceled, CauseNone)
 	r.c.servers[1].climb = 1
 	if acts := r.pass(300 * ms); sentTo(acts) != "b" {
 		t.Errorf("the call was not moved: %v", acts)
@@ -715,7 +715,7 @@
 // Small servers must not be overrun by everybody's second choices.
 func TestOverflowClimbs(t *testing.T) {
 	r := newRig(t, testSettings(), a, b)
-	r.feed(List{Servers: []Server{{ID: "a", Phase: Lame}}})
+	r.feed(ServersUpdated{Servers: []Server{{ID: "a", State: Draining}}})
 	sent := 0
 	for range 50 {
 		if _, s := r.ask("read", 0); s == "b" {
@@ -736,7 +736,7 @@
 			r.stands(id, s, 900*ms)
 		}
 		for _, act := range r.acts {
-			if l, ok := act.(Log); ok {
+			if l, ok := act.(LogMessage); ok {
 				logs++
 				if !strings.HasPrefix(l.Text, "server a: ceiling ") {
 					t.Errorf("log line %q", l.Text)
@@ -753,19 +753,19 @@
 // Where the list must be asked for, a failed call is made again, but not at once.
 func TestListIsAskedFor(t *testing.T) {
 	set := testSettings()
-	set.AskList = true
-	c, err := New(set, 1)
+	set.WatchServersOnRequest = true
+	c, err := NewStateMachine(set, 1)
 	if err != nil {
 		t.Fatal(err)
 	}
-	if !has[Watch](c.Begin(0)) {
+	if !has[WatchServers](c.Begin(0)) {
 		t.Error("the list was not asked for at the start")
 	}
 	r := newRig(t, set, a)
-	if acts := r.feed(List{Failed: true}); has[Watch](acts) {
+	if acts := r.feed(ServersUpdated{Failed: true}); has[WatchServers](acts) {
 		t.Error("asked again at once")
 	}
-	if !has[Watch](r.pass(r.c.window + 5*ms)) {
+	if !has[WatchServers](r.pass(r.c.window + 5*ms)) {
 		t.Error("not asked again after a failed call")
 	}
 	if _, s := r.ask("read", 0); s != "a" {
@@ -777,15 +777,15 @@
 	for name, spoil := range map[string]func(*Settings){
 		"topology":       func(s *Settings) { s.Topology = "mesh" },
 		"no classes":     func(s *Settings) { s.Classes = nil },
-		"group size":     func(s *Settings) { s.GroupSize = 0 },
+		"group size":     func(s *Settings) { s.ControllerCount = 0 },
 		"max attempts":   func(s *Settings) { s.MaxAttempts = 0 },
-		"negative":       func(s *Settings) { s.Release = -1 },
-		"start share":    func(s *Settings) { s.Start = math.NaN() },
-		"class \"read\"": func(s *Settings) { s.Classes[0].Aim = 0 },
+		"negative":       func(s *Settings) { s.RetryGuard = -1 },
+		"start share":    func(s *Settings) { s.SlowStartShare = math.NaN() },
+		"class \"read\"": func(s *Settings) { s.Classes[0].LatencyObjective = 0 },
 	} {
 		set := testSettings()
 		spoil(&set)
-		if _, err := New(set, 1); err == nil || !strings.Contains(err.Error(), name) {
+		if _, err := NewStateMachine(set, 1); err == nil || !strings.Contains(err.Error(), name) {
 			t.Errorf("%s: error %v does not name it", name, err)
 		}
 	}
@@ -794,14 +794,14 @@
 func TestUnknownNamesAreIgnored(t *testing.T) {
 	r := newRig(t, testSettings(), a)
 	for _, e := range []Event{
-		Stands{Call: "?"}, Returned{Call: "?", Terminal: true}, Gone{Call: "?"}, Bell{Key: 99},
-		Probed{Server: "?"}, List{Servers: []Server{{ID: "z", Phase: Out}}},
+		CallEstablished{CallID: "?"}, AttemptEnded{CallID: "?", Final: true}, CallAbandoned{CallID: "?"}, TimerFired{Key: 99},
+		LoadReported{Server: "?"}, ServersUpdated{Servers: []Server{{ID: "z", State: Removed}}},
 	} {
 		if acts := r.feed(e); len(acts) != 0 {
 			t.Errorf("%T: %v", e, acts)
 		}
 	}
-	if acts := r.feed(Ask{Call: "u", Class: "?", Until: r.now + time.Second}); !has[Refuse](acts) {
+	if acts := r.feed(CallOffered{CallID: "u", Class: "?", Deadline: r.now + time.Second}); !has[RejectCall](acts) {
 		t.Errorf("a call of an unknown class: %v", acts)
 	}
 }
@@ -812,7 +812,7 @@
 	rng   *rand.Rand
 	until map[string]Time
 	done  map[string]bool
-	out   map[string]Send
+	out   map[string]SendAttempt
 	leg   map[string]int
 	stood map[string]bool
 	free  map[string]Time // release guard
@@ -824,25 +824,25 @@
 	s.trace = append(s.trace, acts...)
 	for _, act := range acts {
 		switch x := act.(type) {
-		case Send:
-			if s.done[x.Call] {
+		case SendAttempt:
+			if s.done[x.CallID] {
 				s.t.Fatalf("%v: sent after the end", x)
 			}
-			if _, ok := s.out[x.Call]; ok {
+			if _, ok := s.out[x.CallID]; ok {
 				s.t.Fatalf("%v: two attempts out", x)
 			}
-			if s.now < s.free[x.Call] {
+			if s.now < s.free[x.CallID] {
 				s.t.Fatalf("%v: sent within the release guard", x)
 			}
 			if s.shut[x.Server] {
 				s.t.Fatalf("%v: sent to a draining or gone server", x)
 			}
-			s.out[x.Call] = x
-			s.leg[x.Call]++
-		case Refuse:
-			s.end(x.Call)
-		case Fail:
-			s.end(x.Call)
+			s.out[x.CallID] = x
+			s.leg[x.CallID]++
+		case RejectCall:
+			s.end(x.CallID)
+		case FailCall:
+			s.end(x.CallID)
 		}
 	}
 }
@@ -866,23 +866,23 @@
 		s.calls++
 		id := fmt.Sprint("c", s.calls)
 		s.until[id] = s.now + time.Duration(200+s.rng.IntN(3000))*ms
-		s.check(s.feed(Ask{Call: id, Class: []string{"read", "write"}[s.rng.IntN(2)], First: s.rng.IntN(4),
-			Number: fmt.Sprint(s.rng.IntN(300)), Until: s.until[id], Cut: s.rng.IntN(9) == 0}))
+		s.check(s.feed(CallOffered{CallID: id, Class: []string{"read", "write"}[s.rng.IntN(2)], PreferredPool: s.rng.IntN(4),
+			Number: fmt.Sprint(s.rng.IntN(300)), Deadline: s.until[id], Reestablish: s.rng.IntN(9) == 0}))
 	case n < 8 && len(ids) > 0:
 		s.settle(ids[s.rng.IntN(len(ids))])
 	case n == 8:
 		id := fmt.Sprint("s", s.rng.IntN(4))
-		phase := Phase(s.rng.IntN(3))
-		l := Server{ID: id, Pool: int(id[1] - '0'), Phase: phase}
-		if phase == In && s.shut[id] {
+		phase := ServerState(s.rng.IntN(3))
+		l := Server{ID: id, Pool: int(id[1] - '0'), State: phase}
+		if phase == Active && s.shut[id] {
 			l.Started = s.now
 		}
-		s.shut[id] = phase != In
-		s.check(s.feed(List{Servers: []Server{l}}))
+		s.shut[id] = phase != Active
+		s.check(s.feed(ServersUpdated{Servers: []Server{l}}))
 	case len(ids) > 0 && s.rng.IntN(4) == 0:
 		id := ids[s.rng.IntN(len(ids))]
 		s.done[id] = true
-		s.check(s.feed(Gone{Call: id}))
+		s.check(s.feed(CallAbandoned{CallID: id}))
 	}
 }
 
@@ -891,17 +891,17 @@
 	x := s.out[id]
 	if !s.stood[id] && !s.done[id] && s.rng.IntN(2) == 0 {
 		s.stood[id], s.done[id] = true, true
-		s.check(s.feed(Stands{Call: id, Server: x.Server, Attempt: s.leg[id] - 1, Took: time.Duration(s.rng.IntN(2000)) * ms}))
+		s.check(s.feed(CallEstablished{CallID: id, Server: x.Server, Attempt: s.leg[id] - 1, SetupTime: time.Duration(s.rng.IntN(2000)) * ms}))
 		return
 	}
 	delete(s.out, id)
-	e := Returned{Call: id, Server: x.Server, Attempt: s.leg[id] - 1, Code: Code(s.rng.IntN(8)), Terminal: s.done[id]}
-	if e.Code == Delivered {
-		e.Terminal = true
+	e := AttemptEnded{CallID: id, Server: x.Server, Attempt: s.leg[id] - 1, Result: AttemptResult(s.rng.IntN(8)), Final: s.done[id]}
+	if e.Result == Delivered {
+		e.Final = true
 		s.done[id] = true
 	}
-	if e.Code == Expired || e.Code == Dropped || e.Code == Revoked {
-		s.free[id] = s.now + s.c.set.Release
+	if e.Result == TimedOut || e.Result == ConnectionLost || e.Result == Canceled {
+		s.free[id] = s.now + s.c.set.RetryGuard
 	}
 	s.check(s.feed(e))
 }
@@ -919,7 +919,7 @@
 	return &storm{
 		rig: newRig(t, testSettings(), Server{ID: "s0"}, Server{ID: "s1", Pool: 1}, Server{ID: "s2", Pool: 2}),
 		rng: rand.New(rand.NewPCG(seed, 7)), until: map[string]Time{}, done: map[string]bool{},
-		out: map[string]Send{}, leg: map[string]int{}, stood: map[string]bool{}, free: map[string]Time{}, shut: map[string]bool{},
+		out: map[string]SendAttempt{}, leg: map[string]int{}, stood: map[string]bool{}, free: map[string]Time{}, shut: map[string]bool{},
 	}
 }
 
--- a/internal/admission/effect_test.go
+++ b/internal/admission/effect_test.go
@@ -13,32 +13,32 @@
 	cases := []struct {
 		what  string
 		class Class
-		code  Code
+		code  AttemptResult
 		after time.Duration
 		may   string // servers of the second attempt; "fail" or "refuse" instead
 	}{
-		{"harmless", Class{}, Expired, 0, "bc"},
-		{"never, never ran", Class{Effect: Never}, Full, 0, "bc"},
-		{"never, not dialled", Class{Effect: Never}, DialFailed, 0, "bc"},
-		{"never, not sent", Class{Effect: Never}, Unused, 0, "abc"},
-		{"never, timed out", Class{Effect: Never}, Expired, 0, "fail"},
-		{"never, broke", Class{Effect: Never}, Dropped, 0, "fail"},
-		{"never, called off", Class{Effect: Never}, Revoked, 0, "fail"},
-		{"never, fault", Class{Effect: Never}, Error, 0, "fail"},
-		{"once, everywhere", Class{Effect: Once, Window: time.Second}, Expired, 0, "bc"},
-		{"once, zone", Class{Effect: Once, Scope: WithinZone, Window: time.Second}, Expired, 0, "b"},
-		{"once, pool", Class{Effect: Once, Scope: WithinPool, Window: time.Second}, Expired, 0, "fail"},
-		{"once, zone, never ran", Class{Effect: Once, Scope: WithinZone, Window: time.Second}, Full, 0, "bc"},
-		{"once, everywhere, too late", Class{Effect: Once, Window: time.Second}, Expired, 2 * time.Second, "refuse"},
-		{"once, zone, too late", Class{Effect: Once, Scope: WithinZone, Window: time.Second}, Expired, 2 * time.Second, "fail"},
+		{"harmless", Class{}, TimedOut, 0, "bc"},
+		{"never, never ran", Class{Repeatability: NonRepeatable}, ServerBusy, 0, "bc"},
+		{"never, not dialled", Class{Repeatability: NonRepeatable}, DialFailed, 0, "bc"},
+		{"never, not sent", Class{Repeatability: NonRepeatable}, NotSent, 0, "abc"},
+		{"never, timed out", Class{Repeatability: NonRepeatable}, TimedOut, 0, "fail"},
+		{"never, broke", Class{Repeatability: NonRepeatable}, ConnectionLost, 0, "fail"},
+		{"never, called off", Class{Repeatability: NonRepeatable}, Canceled, 0, "fail"},
+		{"never, fault", Class{Repeatability: NonRepeatable}, ServerError, 0, "fail"},
+		{"once, everywhere", Class{Repeatability: Deduplicated, DeduplicationWindow: time.Second}, TimedOut, 0, "bc"},
+		{"once, zone", Class{Repeatability: Deduplicated, DeduplicationScope: ScopeZone, DeduplicationWindow: time.Second}, TimedOut, 0, "b"},
+		{"once, pool", Class{Repeatability: Deduplicated, DeduplicationScope: ScopePool, DeduplicationWindow: time.Second}, TimedOut, 0, "fail"},
+		{"once, zone, never ran", Class{Repeatability: Deduplicated, DeduplicationScope: ScopeZone, DeduplicationWindow: time.Second}, ServerBusy, 0, "bc"},
+		{"once, everywhere, too late", Class{Repeatability: Deduplicated, DeduplicationWindow: time.Second}, TimedOut, 2 * time.Second, "refuse"},
+		{"once, zone, too late", Class{Repeatability: Deduplicated, DeduplicationScope: ScopeZone, DeduplicationWindow: time.Second}, TimedOut, 2 * time.Second, "fail"},
 	}
 	for _, k := range cases {
 		seen := make(map[string]bool)
 		for seed := range uint64(60) {
 			class := k.class
-			class.Name, class.Aim, class.Deadline, class.Credit = "k", 2*time.Second, 20*time.Second, 1
-			c, err := New(Settings{GroupSize: 1, Topology: "pools", Classes: []Class{class}, MaxAttempts: 4, MayCancel: true,
-				Release: 300 * time.Millisecond, Cold: time.Second, Start: 0.5}, seed)
+			class.Name, class.LatencyObjective, class.Deadline, class.Weight = "k", 2*time.Second, 20*time.Second, 1
+			c, err := NewStateMachine(Settings{ControllerCount: 1, Topology: "pools", Classes: []Class{class}, MaxAttempts: 4, CanCancel: true,
+				RetryGuard: 300 * time.Millisecond, SlowStartPeriod: time.Second, SlowStartShare: 0.5}, seed)
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -46,37 +46,37 @@
 			var acts []Action
 			run := func(e Event) { acts = append(acts, c.Handle(now, e)...) }
 			c.Begin(now)
-			run(List{Full: true, Cached: true, Servers: servers})
+			run(ServersUpdated{Full: true, Cached: true, Servers: servers})
 			// A period in which the others become used to calls of second choice.
 			for range 30 {
 				now += 100 * time.Millisecond
-				run(Bell{Key: 0})
+				run(TimerFired{Key: 0})
 			}
 			acts = nil
-			run(Ask{Call: "x", Class: "k", First: 0, Until: now + 15*time.Second})
-			if s, ok := acts[0].(Send); !ok || s.Server != "a" {
+			run(CallOffered{CallID: "x", Class: "k", PreferredPool: 0, Deadline: now + 15*time.Second})
+			if s, ok := acts[0].(SendAttempt); !ok || s.Server != "a" {
 				t.Fatalf("%s: first %+v", k.what, acts)
 			}
 			for end := now + k.after; now < end; {
 				now += 100 * time.Millisecond
-				run(Bell{Key: 0})
+				run(TimerFired{Key: 0})
 			}
 			acts = nil
-			run(Returned{Call: "x", Server: "a", Code: k.code})
+			run(AttemptEnded{CallID: "x", Server: "a", Result: k.code})
 			now += 400 * time.Millisecond
 			for _, a := range acts {
-				if d, ok := a.(Defer); ok && d.Key > 0 {
-					run(Bell{Key: d.Key})
+				if d, ok := a.(SetTimer); ok && d.Key > 0 {
+					run(TimerFired{Key: d.Key})
 				}
 			}
 			what := "nothing"
 			for _, a := range acts {
 				switch a := a.(type) {
-				case Send:
+				case SendAttempt:
 					what = a.Server
-				case Refuse:
+				case RejectCall:
 					what = "refuse"
-				case Fail:
+				case FailCall:
 					what = "fail"
 				}
 			}
@@ -104,32 +104,32 @@
 
 // A lost set-up of a call that may not run twice is not called off: the answer may still come, and nothing else can.
 func TestNeverIsNotCalledOff(t *testing.T) {
-	for _, effect := range []Effect{Harmless, Never} {
-		c, err := New(Settings{GroupSize: 1, Topology: "pools", MaxAttempts: 4, MayCancel: true, Release: 300 * time.Millisecond, Cold: time.Second, Start: 0.5,
-			Classes: []Class{{Name: "k", Aim: time.Second, Deadline: 9 * time.Second, Credit: 1, Effect: effect}}}, 1)
+	for _, effect := range []Repeatability{Idempotent, NonRepeatable} {
+		c, err := NewStateMachine(Settings{ControllerCount: 1, Topology: "pools", MaxAttempts: 4, CanCancel: true, RetryGuard: 300 * time.Millisecond, SlowStartPeriod: time.Second, SlowStartShare: 0.5,
+			Classes: []Class{{Name: "k", LatencyObjective: time.Second, Deadline: 9 * time.Second, Weight: 1, Repeatability: effect}}}, 1)
 		if err != nil {
 			t.Fatal(err)
 		}
 		now, off := Time(time.Hour), 0
 		run := func(e Event) {
 			for _, a := range c.Handle(now, e) {
-				if _, ok := a.(Cancel); ok {
+				if _, ok := a.(CancelAttempt); ok {
 					off++
 				}
 			}
 		}
 		c.Begin(now)
-		run(List{Full: true, Cached: true, Servers: []Server{{ID: "a", Pool: 0}, {ID: "b", Pool: 1}}})
-		run(Ask{Call: "lost", Class: "k", Until: now + 8*time.Second})
+		run(ServersUpdated{Full: true, Cached: true, Servers: []Server{{ID: "a", Pool: 0}, {ID: "b", Pool: 1}}})
+		run(CallOffered{CallID: "lost", Class: "k", Deadline: now + 8*time.Second})
 		now += 200 * time.Millisecond
-		run(Ask{Call: "next", Class: "k", Until: now + 8*time.Second})
+		run(CallOffered{CallID: "next", Class: "k", Deadline: now + 8*time.Second})
 		now += 20 * time.Millisecond
-		run(Stands{Call: "next", Server: "a", Took: 20 * time.Millisecond}) // it overtook the other
+		run(CallEstablished{CallID: "next", Server: "a", SetupTime: 20 * time.Millisecond}) // it overtook the other
 		for range 30 {
 			now += 100 * time.Millisecond
-			run(Bell{Key: 0})
+			run(TimerFired{Key: 0})
 		}
-		if (off > 0) != (effect == Harmless) {
+		if (off > 0) != (effect == Idempotent) {
 			t.Errorf("effect %v: called off %d times", effect, off)
 		}
 	}
--- a/internal/admission/facade.go
+++ b/internal/admission/facade.go
@@ -5,130 +5,130 @@
 	"time"
 )
 
-// A Desk is the module in blocking style, for a host that does not want to know
+// A Engine is the module in blocking style, for a host that does not want to know
 // its events and actions: Pick hands in a call, Report says what became of an
 // attempt, Tick lets time pass. It keeps the module's timers and decides nothing.
 // Like the Controller it is not safe for concurrent use.
-type Desk struct {
-	c     *Controller
+type Engine struct {
+	c     *StateMachine
 	bells bells
-	later []Order // for other calls than the one at hand; Tick hands them out
+	later []Decision // for other calls than the one at hand; Tick hands them out
 	log   func(string)
-	// Ceilings, if set, is told of each ceiling that changes.
-	Ceilings func(Ceiling)
+	// OnRateLimitChange, if set, is told of each ceiling that changes.
+	OnRateLimitChange func(RateLimitChanged)
 }
 
 // A Request is a call that the module is asked to place.
 type Request struct {
-	Call   string
-	Class  string
-	Number string // the number called
-	First  int    // pool of first choice
-	Pools  []int  // pools it may go to, the preferred first; nil: those of its class
-	Until  Time   // the caller gives up
-	Cut    bool   // it stood, was cut and comes again
-	Urgent bool   // an emergency: it comes first, as a call that was cut does
+	CallID        string
+	Class         string
+	Number        string // the number called
+	PreferredPool int    // pool of first choice
+	Pools         []int  // pools it may go to, the preferred first; nil: those of its class
+	Deadline      Time   // the caller gives up
+	Reestablish   bool   // it stood, was cut and comes again
+	Emergency     bool   // an emergency: it comes first, as a call that was cut does
 }
 
-// A Stage says how far an attempt of which Report tells has come.
-type Stage int
+// A ReportKind says how far an attempt of which Report tells has come.
+type ReportKind int
 
 // Stages of an attempt.
 const (
-	Stood Stage = iota // the call stands
-	Ended              // the attempt is over, as Code tells
-	Left               // the caller left; Attempt does not count
-	Told               // the server tells of itself by Load; Call and Attempt do not count
+	ReportEstablished ReportKind = iota // the call stands
+	ReportEnded                         // the attempt is over, as Code tells
+	ReportAbandoned                     // the caller left; Attempt does not count
+	ReportLoad                          // the server tells of itself by Load; Call and Attempt do not count
 )
 
-// A Progress is what Report tells of an attempt.
-type Progress struct {
-	Call, Server string
-	Attempt      int
-	Stage        Stage
-	Code         Code
-	Cause        Cause
-	Hint         time.Duration // wait that a full server asks for; 0: none
-	Took         time.Duration
-	Load         Load
-	Final        bool // the call is finished; no order for it is wanted
+// A AttemptReport is what Report tells of an attempt.
+type AttemptReport struct {
+	CallID, Server string
+	Attempt        int
+	Kind           ReportKind
+	Result         AttemptResult
+	Cause          FailureCause
+	RetryAfter     time.Duration // wait that a full server asks for; 0: none
+	Elapsed        time.Duration
+	Load           LoadReport
+	Final          bool // the call is finished; no order for it is wanted
 }
 
-// A Move is what is to be done with a call.
-type Move int
+// A DecisionKind is what is to be done with a call.
+type DecisionKind int
 
-// Moves. With Hold the call stays open and a later Tick tells more.
+// Moves. With None the call stays open and a later Tick tells more.
 const (
-	Hold    Move = iota
-	Try          // start an attempt at Server that may last for Wait
-	Deny         // answer that the call is refused, and may come back after Wait
-	GiveUp       // answer that the call has failed, and may come back after Wait
-	CallOff      // end the attempt that is out
+	None   DecisionKind = iota
+	Send                // start an attempt at Server that may last for Wait
+	Reject              // answer that the call is refused, and may come back after Wait
+	Fail                // answer that the call has failed, and may come back after Wait
+	Cancel              // end the attempt that is out
 )
 
-// An Order is the module's word on one call.
-type Order struct {
-	Call    string
-	Move    Move
+// An Decision is the module's word on one call.
+type Decision struct {
+	CallID  string
+	Kind    DecisionKind
 	Server  string
 	Attempt int
 	Wait    time.Duration
-	Why     Why // as far as the module tells it
+	Reason  Reason // as far as the module tells it
 }
 
-// NewDesk starts the module of a node. Lines for the staff go to log.
-func NewDesk(now Time, set Settings, seed uint64, log func(string)) (*Desk, error) {
-	c, err := New(set, seed)
+// NewEngine starts the module of a node. Lines for the staff go to log.
+func NewEngine(now Time, set Settings, seed uint64, log func(string)) (*Engine, error) {
+	c, err := NewStateMachine(set, seed)
 	if err != nil {
 		return nil, err
 	}
-	d := &Desk{c: c, log: log}
+	d := &Engine{c: c, log: log}
 	d.take(c.Begin(now))
 	return d, nil
 }
 
-// Late is what the module takes for a late answer.
-func (d *Desk) Late() time.Duration { return d.c.late }
+// LatencyThreshold is what the module takes for a late answer.
+func (d *Engine) LatencyThreshold() time.Duration { return d.c.late }
 
-// Share has the module tell f what it does and ask it what the fleet holds back, from now on.
-func (d *Desk) Share(f Fleet) { d.c.fleet = f }
+// SetOverloadControl has the module tell f what it does and ask it what the fleet holds back, from now on.
+func (d *Engine) SetOverloadControl(f OverloadControl) { d.c.fleet = f }
 
 // Pick asks where a call is to go.
-func (d *Desk) Pick(now Time, r Request) Order {
-	return d.one(r.Call, d.c.Handle(now, Ask{Call: r.Call, Class: r.Class, Number: r.Number,
-		First: r.First, Pools: r.Pools, Until: r.Until, Cut: r.Cut || r.Urgent}))
+func (d *Engine) Place(now Time, r Request) Decision {
+	return d.one(r.CallID, d.c.Handle(now, CallOffered{CallID: r.CallID, Class: r.Class, Number: r.Number,
+		PreferredPool: r.PreferredPool, Pools: r.Pools, Deadline: r.Deadline, Reestablish: r.Reestablish || r.Emergency}))
 }
 
 // Report tells what became of an attempt and asks what is to follow.
-func (d *Desk) Report(now Time, p Progress) Order {
+func (d *Engine) Report(now Time, p AttemptReport) Decision {
 	var e Event
-	switch p.Stage {
-	case Stood:
-		e = Stands{Call: p.Call, Server: p.Server, Attempt: p.Attempt, Took: p.Took}
-	case Ended:
-		e = Returned{Call: p.Call, Server: p.Server, Attempt: p.Attempt, Code: p.Code,
-			Cause: p.Cause, Hint: p.Hint, Took: p.Took, Terminal: p.Final, Load: p.Load}
-	case Told:
-		e = Probed{Server: p.Server, OK: true, Load: p.Load}
+	switch p.Kind {
+	case ReportEstablished:
+		e = CallEstablished{CallID: p.CallID, Server: p.Server, Attempt: p.Attempt, SetupTime: p.Elapsed}
+	case ReportEnded:
+		e = AttemptEnded{CallID: p.CallID, Server: p.Server, Attempt: p.Attempt, Result: p.Result,
+			Cause: p.Cause, RetryAfter: p.RetryAfter, Elapsed: p.Elapsed, Final: p.Final, Load: p.Load}
+	case ReportLoad:
+		e = LoadReported{Server: p.Server, OK: true, Load: p.Load}
 	default:
-		e = Gone{Call: p.Call}
+		e = CallAbandoned{CallID: p.CallID}
 	}
-	return d.one(p.Call, d.c.Handle(now, e))
+	return d.one(p.CallID, d.c.Handle(now, e))
 }
 
 // Tick lets time pass up to now and returns the orders that this brings.
-func (d *Desk) Tick(now Time) []Order {
+func (d *Engine) Tick(now Time) []Decision {
 	orders := d.later
 	d.later = nil
 	for len(d.bells) > 0 && d.bells[0].At <= now {
-		b := heap.Pop(&d.bells).(Defer)
-		orders = append(orders, d.take(d.c.Handle(now, Bell{Key: b.Key}))...)
+		b := heap.Pop(&d.bells).(SetTimer)
+		orders = append(orders, d.take(d.c.Handle(now, TimerFired{Key: b.Key}))...)
 	}
 	return orders
 }
 
 // Next is when Tick is due. The periods of the module never end, so there is always a time.
-func (d *Desk) Next() Time {
+func (d *Engine) NextDeadline() Time {
 	if len(d.later) > 0 || len(d.bells) == 0 {
 		return 0
 	}
@@ -136,15 +136,15 @@
 }
 
 // List tells of the servers: all of them (full) or those that changed.
-func (d *Desk) List(now Time, servers []Server, full bool) {
-	d.later = append(d.later, d.take(d.c.Handle(now, List{Full: full, Cached: full, Servers: servers}))...)
+func (d *Engine) UpdateServers(now Time, servers []Server, full bool) {
+	d.later = append(d.later, d.take(d.c.Handle(now, ServersUpdated{Full: full, Cached: full, Servers: servers}))...)
 }
 
 // one returns the order for a call and keeps those for others.
-func (d *Desk) one(call string, acts []Action) Order {
-	found := Order{Call: call}
+func (d *Engine) one(call string, acts []Action) Decision {
+	found := Decision{CallID: call}
 	for _, o := range d.take(acts) {
-		if o.Call == call && found.Move == Hold {
+		if o.CallID == call && found.Kind == None {
 			found = o
 		} else {
 			d.later = append(d.later, o)
@@ -154,24 +154,24 @@
 }
 
 // take turns actions into orders, sets timers and writes log lines.
-func (d *Desk) take(acts []Action) (orders []Order) {
+func (d *Engine) take(acts []Action) (orders []Decision) {
 	for _, a := range acts {
 		switch a := a.(type) {
-		case Send:
-			orders = append(orders, Order{Call: a.Call, Move: Try, Server: a.Server, Wait: a.Wait})
-		case Refuse:
-			orders = append(orders, Order{Call: a.Call, Move: Deny, Wait: a.Wait, Why: a.Why})
-		case Fail:
-			orders = append(orders, Order{Call: a.Call, Move: GiveUp, Wait: a.Wait, Why: a.Why})
-		case Cancel:
-			orders = append(orders, Order{Call: a.Call, Move: CallOff, Attempt: a.Attempt, Why: a.Why})
-		case Defer:
+		case SendAttempt:
+			orders = append(orders, Decision{CallID: a.CallID, Kind: Send, Server: a.Server, Wait: a.Timeout})
+		case RejectCall:
+			orders = append(orders, Decision{CallID: a.CallID, Kind: Reject, Wait: a.RetryAfter, Reason: a.Reason})
+		case FailCall:
+			orders = append(orders, Decision{CallID: a.CallID, Kind: Fail, Wait: a.RetryAfter, Reason: a.Reason})
+		case CancelAttempt:
+			orders = append(orders, Decision{CallID: a.CallID, Kind: Cancel, Attempt: a.Attempt, Reason: a.Reason})
+		case SetTimer:
 			heap.Push(&d.bells, a)
-		case Log:
+		case LogMessage:
 			d.log(a.Text)
-		case Ceiling:
-			if d.Ceilings != nil {
-				d.Ceilings(a)
+		case RateLimitChanged:
+			if d.OnRateLimitChange != nil {
+				d.OnRateLimitChange(a)
 			}
 		}
 	}
@@ -179,12 +179,12 @@
 }
 
 // bells are the timers that run, the next to ring first.
-type bells []Defer
+type bells []SetTimer
 
 func (b bells) Len() int           { return len(b) }
 func (b bells) Less(i, j int) bool { return b[i].At < b[j].At }
 func (b bells) Swap(i, j int)      { b[i], b[j] = b[j], b[i] }
-func (b *bells) Push(x any)        { *b = append(*b, x.(Defer)) }
+func (b *bells) Push(x any)        { *b = append(*b, x.(SetTimer)) }
 func (b *bells) Pop() any {
 	old := *b
 	x := old[len(old)-1]
--- a/internal/admission/fleet_test.go
+++ b/internal/admission/fleet_test.go
@@ -10,16 +10,16 @@
 func fleet(t *testing.T, n int, servers ...Server) []*rig {
 	t.Helper()
 	set := testSettings()
-	set.GroupSize = n
+	set.ControllerCount = n
 	var nodes []*rig
 	for seed := range n {
-		c, err := New(set, uint64(seed))
+		c, err := NewStateMachine(set, uint64(seed))
 		if err != nil {
 			t.Fatal(err)
 		}
 		r := &rig{t: t, c: c, now: time.Hour}
 		r.take(c.Begin(r.now))
-		r.feed(List{Full: true, Cached: true, Servers: servers})
+		r.feed(ServersUpdated{Full: true, Cached: true, Servers: servers})
 		nodes = append(nodes, r)
 	}
 	return nodes
@@ -31,7 +31,7 @@
 		r.steady(10*time.Second, 40*time.Second, 50*ms)
 		id, s := r.ask("read", 0)
 		r.pass(800 * ms)
-		r.returned(id, s, Expired, NoCause)
+		r.returned(id, s, TimedOut, CauseNone)
 		r.pass(r.c.window)
 		if _, s := r.ask("read", 0); s != "" {
 			sent++
@@ -57,9 +57,9 @@
 	for range 40 {
 		other, _ := r.ask("read", 1)
 		r.stands(other, "b", 50*ms)
-		called = has[Cancel](r.pass(50*ms)) || called
+		called = has[CancelAttempt](r.pass(50*ms)) || called
 	}
-	r.returned(id, "a", Revoked, NoCause)
+	r.returned(id, "a", Canceled, CauseNone)
 	if got := r.c.find("a").ceiling; !called || got > was/2 {
 		t.Errorf("called off: %v; ceiling %.2f/s of %.2f/s answered before", called, got, was)
 	}
@@ -68,7 +68,7 @@
 func TestOverflowSparesSmallServers(t *testing.T) {
 	small, large := 0, 0
 	full := func(r *rig, name string, free, lines float64) {
-		r.feed(Probed{Server: name, OK: true, Load: Load{Free: Figure{free, true}, Lines: Figure{lines, true}}})
+		r.feed(LoadReported{Server: name, OK: true, Load: LoadReport{FreeCircuits: Optional{free, true}, TotalCircuits: Optional{lines, true}}})
 	}
 	for _, r := range fleet(t, 300, a, b, Server{ID: "c", Pool: 2}) {
 		full(r, "a", 0, 100)
@@ -96,7 +96,7 @@
 			r.stands(id, s, 50*ms)
 			r.pass(10 * time.Second)
 		}
-		r.feed(Probed{Server: "a", OK: true, Load: Load{Free: Figure{0, true}}})
+		r.feed(LoadReported{Server: "a", OK: true, Load: LoadReport{FreeCircuits: Optional{0, true}}})
 		for range 3 {
 			if _, s := r.ask("read", 0); s == "b" {
 				sent++
@@ -118,7 +118,7 @@
 		r.stands(id, "a", time.Second)
 		was := s.ceiling
 		if clean {
-			r.feed(Probed{Server: "a", OK: true, Load: Load{Wait: Figure{0.01, true}}})
+			r.feed(LoadReported{Server: "a", OK: true, Load: LoadReport{QueueDelay: Optional{0.01, true}}})
 		}
 		r.pass(3 * time.Second)
 		return s.ceiling / was
@@ -129,12 +129,12 @@
 }
 
 func TestReportSetsCeilingWhereNothingWasSent(t *testing.T) {
-	for name, load := range map[string]Load{
-		"wait":    {Wait: Figure{1.5, true}},
-		"backlog": {Backlog: Figure{90, true}, CanTake: Figure{60, true}},
+	for name, load := range map[string]LoadReport{
+		"wait":    {QueueDelay: Optional{1.5, true}},
+		"backlog": {QueueLength: Optional{90, true}, Capacity: Optional{60, true}},
 	} {
 		r := fleet(t, 100, a)[0]
-		r.feed(Probed{Server: "a", OK: true, Load: load})
+		r.feed(LoadReported{Server: "a", OK: true, Load: load})
 		if _, s := r.ask("read", 0); s != "" {
 			t.Errorf("%s: a call went to a server that just reported a wait of 1.5 s", name)
 		}
@@ -142,7 +142,7 @@
 		id, _ := r.ask("read", 0)
 		r.stands(id, "a", 40*ms)
 		r.c.find("a").ceiling, r.c.find("a").credit = math.Inf(1), burst
-		r.feed(Probed{Server: "a", OK: true, Load: load})
+		r.feed(LoadReported{Server: "a", OK: true, Load: load})
 		if _, s := r.ask("read", 0); s == "" {
 			t.Errorf("%s: a report, perhaps late, outweighed an answer of this moment", name)
 		}
@@ -154,7 +154,7 @@
 	sent := [3]int{}
 	for _, r := range nodes { // each sends a call in two seconds: 100 a second in all
 		r.steady(2*time.Second, 40*time.Second, 40*ms)
-		r.feed(List{Servers: []Server{{ID: "a", Pool: 0, Started: r.now}}})
+		r.feed(ServersUpdated{Servers: []Server{{ID: "a", Pool: 0, Started: r.now}}})
 		for i, d := range []time.Duration{time.Second, 4 * time.Second, 5 * time.Second} {
 			sent[i] = sent[i] + r.steady(200*ms, d, 40*ms)
 		}
@@ -170,7 +170,7 @@
 // A node of many calls must not be held to a few a period where nothing is pressed.
 func TestManyCallsPassWithoutCeiling(t *testing.T) {
 	set := testSettings()
-	set.GroupSize = 1
+	set.ControllerCount = 1
 	r := newRig(t, set, a)
 	r.steady(100*ms, 5*time.Second, 40*ms)
 	asked, sent := 0, 0
--- a/internal/admission/growth_test.go
+++ b/internal/admission/growth_test.go
@@ -17,7 +17,7 @@
 			if id, s := r.ask("read", 0); s != "" {
 				sent++
 				r.stands(id, s, 20*ms)
-				r.feed(Returned{Call: id, Server: s, Code: Delivered, Terminal: true})
+				r.feed(AttemptEnded{CallID: id, Server: s, Result: Delivered, Final: true})
 			}
 		}
 	}
@@ -45,14 +45,14 @@
 // A server's lines must not look taken once the calls on them have ended.
 func TestEndedCallsGiveTheirLinesBack(t *testing.T) {
 	r := newRig(t, testSettings(), a)
-	r.feed(Probed{Server: "a", OK: true, Load: Load{Free: Figure{40, true}, Lines: Figure{40, true}}})
+	r.feed(LoadReported{Server: "a", OK: true, Load: LoadReport{FreeCircuits: Optional{40, true}, TotalCircuits: Optional{40, true}}})
 	for i := range 30 { // each ends before the next comes
 		id, s := r.ask("write", 0)
 		if s == "" {
 			t.Fatalf("call %d found no line though all before it had ended", i)
 		}
 		r.stands(id, s, 20*ms)
-		r.feed(Returned{Call: id, Server: s, Code: Delivered, Terminal: true})
+		r.feed(AttemptEnded{CallID: id, Server: s, Result: Delivered, Final: true})
 		r.pass(20 * ms)
 	}
 }
@@ -61,7 +61,7 @@
 // has gone by, and does not press its server.
 func TestLostSetUpPressesNoQuickServer(t *testing.T) {
 	set := testSettings()
-	set.Resend = 120 * ms
+	set.ResendInterval = 120 * ms
 	r := newRig(t, set, a)
 	r.steady(20*ms, 4*time.Second, 15*ms)
 	if _, s := r.ask("read", 0); s == "" {
@@ -88,16 +88,16 @@
 	r := newRig(t, testSettings(), a)
 	r.c.servers[0].waitUntil = r.now + 2*time.Second
 	r.ask("read", 0)
-	if f, ok := r.acts[len(r.acts)-1].(Refuse); !ok || f.Wait != 2*time.Second {
+	if f, ok := r.acts[len(r.acts)-1].(RejectCall); !ok || f.RetryAfter != 2*time.Second {
 		t.Errorf("got %+v, want a refusal for 2 s", r.acts)
 	}
 	r.c.servers[0].waitUntil = r.now + time.Hour
 	r.ask("read", 0)
-	if f, ok := r.acts[len(r.acts)-1].(Refuse); !ok || f.Wait != r.c.window {
+	if f, ok := r.acts[len(r.acts)-1].(RejectCall); !ok || f.RetryAfter != r.c.window {
 		t.Errorf("got %+v, want a refusal for a window", r.acts)
 	}
-	r.askAs(Ask{Call: "odd", Class: "nobody", Until: r.now + time.Second})
-	if f, ok := r.acts[len(r.acts)-1].(Refuse); !ok || f.Wait <= 0 {
+	r.askAs(CallOffered{CallID: "odd", Class: "nobody", Deadline: r.now + time.Second})
+	if f, ok := r.acts[len(r.acts)-1].(RejectCall); !ok || f.RetryAfter <= 0 {
 		t.Errorf("an unknown class: %+v, want a refusal with a wait", r.acts)
 	}
 }
@@ -105,19 +105,19 @@
 // A call goes to its permitted pools only, in their order, and to none where all of them are out.
 func TestPermittedPools(t *testing.T) {
 	settings := testSettings()
-	c, err := New(settings, 1)
+	c, err := NewStateMachine(settings, 1)
 	if err != nil {
 		t.Fatal(err)
 	}
 	now := Time(time.Hour)
 	c.Begin(now)
-	c.Handle(now, List{Full: true, Servers: []Server{{ID: "a", Pool: 0}, {ID: "b", Pool: 1}, {ID: "c", Pool: 2}}})
+	c.Handle(now, ServersUpdated{Full: true, Servers: []Server{{ID: "a", Pool: 0}, {ID: "b", Pool: 1}, {ID: "c", Pool: 2}}})
 	ask := func(id string, pools ...int) string {
 		now += 50 * time.Millisecond
-		acts := c.Handle(now, Ask{Call: id, Class: settings.Classes[0].Name, First: pools[0], Pools: pools, Until: now + time.Second})
+		acts := c.Handle(now, CallOffered{CallID: id, Class: settings.Classes[0].Name, PreferredPool: pools[0], Pools: pools, Deadline: now + time.Second})
 		for _, a := range acts {
-			if s, ok := a.(Send); ok {
-				c.Handle(now, Stands{Call: id, Server: s.Server, Took: time.Millisecond})
+			if s, ok := a.(SendAttempt); ok {
+				c.Handle(now, CallEstablished{CallID: id, Server: s.Server, SetupTime: time.Millisecond})
 				return s.Server
 			}
 		}
@@ -126,11 +126,11 @@
 	if got := ask("1", 2, 1); got != "c" {
 		t.Errorf("the preferred pool is 2, sent to %q", got)
 	}
-	c.Handle(now, List{Servers: []Server{{ID: "c", Pool: 2, Phase: Lame}}})
+	c.Handle(now, ServersUpdated{Servers: []Server{{ID: "c", Pool: 2, State: Draining}}})
 	if got := ask("2", 2, 1); got != "b" {
 		t.Errorf("the next pool is 1, sent to %q", got)
 	}
-	c.Handle(now, List{Servers: []Server{{ID: "b", Pool: 1, Phase: Out}}})
+	c.Handle(now, ServersUpdated{Servers: []Server{{ID: "b", Pool: 1, State: Removed}}})
 	if got := ask("3", 2, 1); got != "" {
 		t.Errorf("all permitted pools are out, sent to %q", got)
 	}
@@ -140,21 +140,21 @@
 func TestEmergencyComesFirst(t *testing.T) {
 	settings := testSettings()
 	for _, urgent := range []bool{false, true} {
-		d, err := NewDesk(Time(time.Hour), settings, 1, func(string) {})
+		d, err := NewEngine(Time(time.Hour), settings, 1, func(string) {})
 		if err != nil {
 			t.Fatal(err)
 		}
 		now := Time(time.Hour)
-		d.List(now, []Server{{ID: "a", Pool: 0}}, true)
+		d.UpdateServers(now, []Server{{ID: "a", Pool: 0}}, true)
 		sent := 0
 		for i := range 20 { // a burst: ordinary calls are held to what the server has shown
-			o := d.Pick(now, Request{Call: string(rune('a' + i)), Class: settings.Classes[0].Name, Until: now + time.Second, Urgent: urgent})
-			if o.Move == Try {
+			o := d.Place(now, Request{CallID: string(rune('a' + i)), Class: settings.Classes[0].Name, Deadline: now + time.Second, Emergency: urgent})
+			if o.Kind == Send {
 				sent++
 			}
 			// Not as quick as the first: that proves nothing, and credit runs out.
 			took := min(time.Duration(1+99*i), 100) * time.Millisecond
-			d.Report(now, Progress{Call: string(rune('a' + i)), Server: "a", Stage: Stood, Took: took})
+			d.Report(now, AttemptReport{CallID: string(rune('a' + i)), Server: "a", Kind: ReportEstablished, Elapsed: took})
 		}
 		if urgent != (sent == 20) {
 			t.Errorf("urgent %v: %d of 20 sent", urgent, sent)
@@ -167,31 +167,31 @@
 func TestEmergencyPassesJammedNumber(t *testing.T) {
 	now := Time(time.Hour)
 	settings := testSettings()
-	d, err := NewDesk(now, settings, 1, func(string) {})
+	d, err := NewEngine(now, settings, 1, func(string) {})
 	if err != nil {
 		t.Fatal(err)
 	}
-	d.List(now, []Server{{ID: "a", Pool: 0}}, true)
-	ask := func(id string, urgent bool) Order {
+	d.UpdateServers(now, []Server{{ID: "a", Pool: 0}}, true)
+	ask := func(id string, urgent bool) Decision {
 		now += 5 * time.Millisecond
-		return d.Pick(now, Request{Call: id, Class: settings.Classes[0].Name, Number: "133", Until: now + time.Second, Urgent: urgent})
+		return d.Place(now, Request{CallID: id, Class: settings.Classes[0].Name, Number: "133", Deadline: now + time.Second, Emergency: urgent})
 	}
 	jammed := ""
 	for i := range 12 { // callers find all lines busy
 		id := string(rune('a' + i))
 		o := ask(id, false)
-		if o.Move == Deny && o.Why == NumberJammed {
+		if o.Kind == Reject && o.Reason == ReasonDestinationCongested {
 			jammed = id
 			break
 		}
-		if o.Move == Try {
-			d.Report(now, Progress{Call: id, Server: o.Server, Stage: Ended, Code: Error, Cause: NumberBusy, Took: time.Millisecond})
+		if o.Kind == Send {
+			d.Report(now, AttemptReport{CallID: id, Server: o.Server, Kind: ReportEnded, Result: ServerError, Cause: CauseDestinationBusy, Elapsed: time.Millisecond})
 		}
 	}
 	if jammed == "" {
 		t.Fatal("no call was turned away for its number")
 	}
-	if o := ask("urgent", true); o.Move != Try {
+	if o := ask("urgent", true); o.Kind != Send {
 		t.Errorf("an emergency to the same number: %+v", o)
 	}
 }
--- a/internal/admission/many_test.go
+++ b/internal/admission/many_test.go
@@ -11,7 +11,7 @@
 func wide(t *testing.T) *rig {
 	t.Helper()
 	set := testSettings()
-	set.GroupSize = 100
+	set.ControllerCount = 100
 	var all []Server
 	for i := range 24 {
 		all = append(all, Server{ID: fmt.Sprint("s", i), Pool: i})
@@ -45,7 +45,7 @@
 	if id, s := r.ask("read", 3); s != "" || !r.answered(id) {
 		t.Errorf("a further call went to %q, or was not refused at once", s)
 	}
-	if s := r.askAs(Ask{Call: "cut", Class: "read", Number: "7", First: 3, Until: r.now + 3*time.Second, Cut: true}); s == "" {
+	if s := r.askAs(CallOffered{CallID: "cut", Class: "read", Number: "7", PreferredPool: 3, Deadline: r.now + 3*time.Second, Reestablish: true}); s == "" {
 		t.Error("a call that was cut and comes again was held back")
 	}
 }
@@ -104,8 +104,8 @@
 			other, o := r.ask("write", 12+i%4)
 			third, p := r.ask("write", 16+i%4)
 			for _, a := range r.pass(150 * ms) {
-				x, is := a.(Cancel)
-				off = off || is && x.Call == id
+				x, is := a.(CancelAttempt)
+				off = off || is && x.CallID == id
 			}
 			if o != "" {
 				r.stands(other, o, 60*ms)
@@ -128,14 +128,14 @@
 	sent := 0
 	for seed := range uint64(nodes) {
 		set := testSettings()
-		set.GroupSize = nodes
-		c, err := New(set, seed)
+		set.ControllerCount = nodes
+		c, err := NewStateMachine(set, seed)
 		if err != nil {
 			t.Fatal(err)
 		}
 		r := &rig{t: t, c: c, now: time.Hour}
 		r.take(c.Begin(r.now))
-		r.feed(List{Full: true, Cached: true, Servers: []Server{a}})
+		r.feed(ServersUpdated{Full: true, Cached: true, Servers: []Server{a}})
 		r.pass(10 * c.window)
 		s := c.servers[0]
 		c.press(s, c.late*3/2)
--- a/internal/admission/odd_test.go
+++ b/internal/admission/odd_test.go
@@ -15,16 +15,16 @@
 	}
 	for name, spoil := range map[string]func(*Settings){
 		"as usual":            func(*Settings) {},
-		"alone":               func(s *Settings) { s.GroupSize = 1 },
-		"one of a thousand":   func(s *Settings) { s.GroupSize = 1000 },
-		"start share 0":       func(s *Settings) { s.Start = 0 },
-		"never cold":          func(s *Settings) { s.Cold = 0 },
-		"no repeats":          func(s *Settings) { s.Resend = 0 },
-		"no release guard":    func(s *Settings) { s.Release = 0 },
-		"aim is all there is": func(s *Settings) { s.Classes[0].Deadline = s.Classes[0].Aim },
-		"worthless":           func(s *Settings) { s.Classes[0].Credit, s.Classes[1].Credit = 0, 0 },
+		"alone":               func(s *Settings) { s.ControllerCount = 1 },
+		"one of a thousand":   func(s *Settings) { s.ControllerCount = 1000 },
+		"start share 0":       func(s *Settings) { s.SlowStartShare = 0 },
+		"never cold":          func(s *Settings) { s.SlowStartPeriod = 0 },
+		"no repeats":          func(s *Settings) { s.ResendInterval = 0 },
+		"no release guard":    func(s *Settings) { s.RetryGuard = 0 },
+		"aim is all there is": func(s *Settings) { s.Classes[0].Deadline = s.Classes[0].LatencyObjective },
+		"worthless":           func(s *Settings) { s.Classes[0].Weight, s.Classes[1].Weight = 0, 0 },
 		"one attempt":         func(s *Settings) { s.MaxAttempts = 1 },
-		"may not cancel":      func(s *Settings) { s.MayCancel = false },
+		"may not cancel":      func(s *Settings) { s.CanCancel = false },
 	} {
 		for _, servers := range [][]Server{{a}, {a, b}, many} {
 			set := testSettings()
@@ -39,7 +39,7 @@
 				}
 				stood++
 				r.stands(id, s, 40*ms)
-				r.feed(Returned{Call: id, Server: s, Code: Delivered, Terminal: true})
+				r.feed(AttemptEnded{CallID: id, Server: s, Result: Delivered, Final: true})
 			}
 			if stood < asked*9/10 {
 				t.Errorf("%s, %d servers: %d of %d calls were sent on a calm day", name, len(servers), stood, asked)
@@ -52,10 +52,10 @@
 func TestStartShareNought(t *testing.T) {
 	for _, size := range []int{1, 1000} {
 		set := testSettings()
-		set.Start, set.GroupSize = 0, size
+		set.SlowStartShare, set.ControllerCount = 0, size
 		r := newRig(t, set, a)
 		r.steady(500*ms, 20*time.Second, 40*ms)
-		r.feed(List{Servers: []Server{{ID: "a", Started: r.now}}})
+		r.feed(ServersUpdated{Servers: []Server{{ID: "a", Started: r.now}}})
 		if sent := r.steady(500*ms, 20*time.Second, 40*ms); sent < 15 {
 			t.Errorf("group of %d: %d of 40 calls in 20 s went to a server that started with share 0", size, sent)
 		}
@@ -67,8 +67,8 @@
 	r := newRig(t, testSettings(), a, b)
 	r.steady(100*ms, 4*time.Second, 40*ms)
 	for _, v := range []float64{math.NaN(), math.Inf(1), math.Inf(-1), -1} {
-		f := Figure{v, true}
-		r.feed(Probed{Server: "a", OK: true, Load: Load{f, f, f, f, f, f}})
+		f := Optional{v, true}
+		r.feed(LoadReported{Server: "a", OK: true, Load: LoadReport{f, f, f, f, f, f}})
 		id, s := r.ask("read", 0)
 		if s != "a" {
 			t.Errorf("a report of %v sent a call to %q", v, s)
@@ -77,16 +77,16 @@
 		r.pass(r.c.period)
 	}
 	r.now -= time.Hour
-	if acts := r.feed(Bell{}); len(acts) != 0 {
+	if acts := r.feed(TimerFired{}); len(acts) != 0 {
 		t.Errorf("a clock that went back: %v", acts)
 	}
 	r.now += time.Hour
 	if acts := r.feed(nil); len(acts) != 0 {
 		t.Errorf("no event: %v", acts)
 	}
-	r.feed(Stands{Call: "", Took: -time.Second})
-	r.feed(Returned{Call: "", Code: Code(99), Cause: Cause(-1), Hint: -time.Hour})
-	r.feed(List{Servers: []Server{{}}})
+	r.feed(CallEstablished{CallID: "", SetupTime: -time.Second})
+	r.feed(AttemptEnded{CallID: "", Result: AttemptResult(99), Cause: FailureCause(-1), RetryAfter: -time.Hour})
+	r.feed(ServersUpdated{Servers: []Server{{}}})
 	if _, s := r.ask("read", 0); s != "a" {
 		t.Errorf("empty names sent a call to %q", s)
 	}
@@ -97,10 +97,10 @@
 	r := newRig(t, testSettings(), a)
 	for i := range 5 {
 		id := fmt.Sprint("x", i)
-		if s := r.askAs(Ask{Call: id, Class: "read", Until: r.now + time.Second}); s != "a" {
+		if s := r.askAs(CallOffered{CallID: id, Class: "read", Deadline: r.now + time.Second}); s != "a" {
 			t.Fatalf("call %d without a number went to %q", i, s)
 		}
-		r.returned(id, "a", Error, NumberBusy)
+		r.returned(id, "a", ServerError, CauseDestinationBusy)
 		r.pass(r.c.period)
 	}
 	if n := len(r.c.dialled) + len(r.c.crowded); n != 0 {
--- a/internal/admission/share_test.go
+++ b/internal/admission/share_test.go
@@ -7,7 +7,7 @@
 
 // told is a Fleet that says what a test has it say, and notes what it is told.
 type told struct {
-	holds   func(server string, tier int, first bool) (Why, bool)
+	holds   func(server string, tier int, first bool) (Reason, bool)
 	asked   int
 	offered map[string]int
 	sent    map[string]int
@@ -15,19 +15,19 @@
 	pressed int
 }
 
-func (f *told) Offered(_ Time, server string, _ int) { f.offered[server]++ }
-func (f *told) Sent(_ Time, server string, _ bool) {
+func (f *told) RecordOffered(_ Time, server string, _ int) { f.offered[server]++ }
+func (f *told) RecordSent(_ Time, server string, _ bool) {
 	f.sent[server]++
 	f.waiting[server]++
 }
-func (f *told) Back(_ Time, server string, _ bool, _ time.Duration) { f.waiting[server]-- }
-func (f *told) Pressed(Time, string)                                { f.pressed++ }
-func (f *told) Holds(_ Time, server string, tier int, first bool) (Why, bool) {
+func (f *told) RecordResult(_ Time, server string, _ bool, _ time.Duration) { f.waiting[server]-- }
+func (f *told) RecordOverload(Time, string)                                 { f.pressed++ }
+func (f *told) Throttle(_ Time, server string, tier int, first bool) (Reason, bool) {
 	f.asked++
 	return f.holds(server, tier, first)
 }
 
-func newTold(holds func(server string, tier int, first bool) (Why, bool)) *told {
+func newTold(holds func(server string, tier int, first bool) (Reason, bool)) *told {
 	return &told{holds: holds, offered: map[string]int{}, sent: map[string]int{}, waiting: map[string]int{}}
 }
 
@@ -36,9 +36,9 @@
 func TestFleetHoldsBack(t *testing.T) {
 	r := newRig(t, testSettings(), Server{ID: "s0"}, Server{ID: "s1", Pool: 1})
 	held := map[string]bool{"s0": true}
-	f := newTold(func(server string, _ int, _ bool) (Why, bool) {
+	f := newTold(func(server string, _ int, _ bool) (Reason, bool) {
 		if held[server] {
-			return FleetHolds, true
+			return ReasonFleetThrottle, true
 		}
 		return "", true
 	})
@@ -47,15 +47,15 @@
 		t.Errorf("a call held back from s0 went to %q, want s1", s)
 	}
 	held["s1"] = true
-	acts := r.feed(Ask{Call: "x", Class: "read", Number: "9", Until: r.now + time.Second})
-	why := Why("none")
+	acts := r.feed(CallOffered{CallID: "x", Class: "read", Number: "9", Deadline: r.now + time.Second})
+	why := Reason("none")
 	for _, a := range acts {
-		if a, is := a.(Refuse); is {
-			why = a.Why
+		if a, is := a.(RejectCall); is {
+			why = a.Reason
 		}
 	}
-	if why != FleetHolds {
-		t.Errorf("a call held back from both was answered %v, want a refusal with reason %q", acts, FleetHolds)
+	if why != ReasonFleetThrottle {
+		t.Errorf("a call held back from both was answered %v, want a refusal with reason %q", acts, ReasonFleetThrottle)
 	}
 	if f.offered["s0"] != 2 || f.sent["s1"] != 1 {
 		t.Errorf("the fleet was told of %v offered and %v sent", f.offered, f.sent)
@@ -65,13 +65,13 @@
 // No word of the fleet has a set-up sent where this node's own list or evidence forbids it: it is not even
 // asked.
 func TestFleetOpensNothing(t *testing.T) {
-	all := func(string, int, bool) (Why, bool) { return "", true }
+	all := func(string, int, bool) (Reason, bool) { return "", true }
 	for _, c := range []struct {
 		name string
 		do   func(r *rig)
 	}{
-		{"draining", func(r *rig) { r.feed(List{Servers: []Server{{ID: "s0", Phase: Lame}}}) }},
-		{"gone", func(r *rig) { r.feed(List{Servers: []Server{{ID: "s0", Phase: Out}}}) }},
+		{"draining", func(r *rig) { r.feed(ServersUpdated{Servers: []Server{{ID: "s0", State: Draining}}}) }},
+		{"gone", func(r *rig) { r.feed(ServersUpdated{Servers: []Server{{ID: "s0", State: Removed}}}) }},
 		{"asked to be left alone", func(r *rig) { r.c.servers[0].waitUntil = r.now + time.Second }},
 		{"without a free line", func(r *rig) { r.c.servers[0].free, r.c.servers[0].freeUntil = 0, r.now+time.Second }},
 		{"cold and sent its share", func(r *rig) { r.c.servers[0].cold, r.c.servers[0].climb = true, 0 }},
@@ -96,7 +96,7 @@
 func TestFleetIsToldOfEachEnd(t *testing.T) {
 	for seed := range uint64(10) {
 		s := newStorm(t, seed)
-		f := newTold(func(string, int, bool) (Why, bool) { return "", false })
+		f := newTold(func(string, int, bool) (Reason, bool) { return "", false })
 		s.c.fleet = f
 		for range 1500 {
 			s.step()
--- a/internal/call/end.go
+++ b/internal/call/end.go
@@ -2,53 +2,53 @@
 
 import "olivedale/internal/admission"
 
-// An End is a way in which a connection, and with it what is out there, or a
+// An AttemptEnd is a way in which a connection, and with it what is out there, or a
 // single attempt can end. All of them are listed here and nowhere else.
-type End int
+type AttemptEnd int
 
-// The ends. 'Unsent' ones prove that no exchange has seen the set-up.
+// The ends. 'NotSent' ones prove that no exchange has seen the set-up.
 const (
-	Completed       End = iota // released in the normal way after it stood
-	Cut                        // released by the exchange for a fault after it stood
-	CalleeBusy                 // all lines of the number are busy
-	Fault                      // the exchange reports an error
-	NoCircuit                  // the exchange has no line; it never ran
-	ProcessorFull              // the exchange's processor is full; it never ran
-	NeverLeft                  // the exchange reports that the set-up never left
-	BrokeOnWay                 // the exchange reports that the set-up broke on its way
-	Unsent                     // given up before its first byte was written
-	DialRefused                // the exchange's address refused the connection
-	DialTimedOut               // the connection did not come up in time
-	DialFailed                 // the connection failed in another way before it was up
-	ConnectionReset            // the connection was reset after the set-up was written
-	ConnectionShut             // the exchange closed the connection
-	Mute                       // the connection stayed open and brought nothing, or half a message
-	Malformed                  // what came could not be read; the connection was closed
-	TimedOut                   // no answer in time
-	CalledOff                  // the module called it off
-	CallerLeft                 // the caller gave the set-up up or released the call
-	ExchangeLost               // the exchange is gone, or has started anew without its calls
-	Stopped                    // this call controller stops
+	Completed        AttemptEnd = iota // released in the normal way after it stood
+	EndedByFault                       // released by the exchange for a fault after it stood
+	DestinationBusy                    // all lines of the number are busy
+	BackendError                       // the exchange reports an error
+	NoCircuit                          // the exchange has no line; it never ran
+	ProcessorBusy                      // the exchange's processor is full; it never ran
+	NotForwarded                       // the exchange reports that the set-up never left
+	FailedInTransit                    // the exchange reports that the set-up broke on its way
+	NotSent                            // given up before its first byte was written
+	DialRefused                        // the exchange's address refused the connection
+	DialTimedOut                       // the connection did not come up in time
+	DialFailed                         // the connection failed in another way before it was up
+	ConnectionReset                    // the connection was reset after the set-up was written
+	ConnectionClosed                   // the exchange closed the connection
+	Unresponsive                       // the connection stayed open and brought nothing, or half a message
+	Malformed                          // what came could not be read; the connection was closed
+	TimedOut                           // no answer in time
+	Canceled                           // the module called it off
+	CallerReleased                     // the caller gave the set-up up or released the call
+	BackendLost                        // the exchange is gone, or has started anew without its calls
+	ShuttingDown                       // this call controller stops
 	ends
 )
 
-var names = [ends]string{"completed", "cut", "callee_busy", "fault", "no_circuit", "processor_full",
+var attemptEndNames = [ends]string{"completed", "cut", "callee_busy", "fault", "no_circuit", "processor_full",
 	"never_left", "broke_on_way", "unsent", "dial_refused", "dial_timed_out", "dial_failed",
 	"connection_reset", "connection_shut", "mute", "malformed", "timed_out", "called_off", "caller_left",
 	"exchange_lost", "stopped"}
 
-func (e End) String() string {
+func (e AttemptEnd) String() string {
 	if e < 0 || e >= ends {
 		return "unknown"
 	}
-	return names[e]
+	return attemptEndNames[e]
 }
 
-// Ends lists every End, for counters and tests.
-func Ends() []End {
-	all := make([]End, ends)
+// AllAttemptEnds lists every End, for counters and tests.
+func AllAttemptEnds() []AttemptEnd {
+	all := make([]AttemptEnd, ends)
 	for i := range all {
-		all[i] = End(i)
+		all[i] = AttemptEnd(i)
 	}
 	return all
 }
@@ -56,31 +56,31 @@
 // outcome is the one place where an End becomes the module's outcome. What may
 // have run must not be told as one that proves it never ran: the release guard
 // hangs on it.
-func (e End) outcome() (admission.Code, admission.Cause) {
+func (e AttemptEnd) outcome() (admission.AttemptResult, admission.FailureCause) {
 	switch e {
 	case Completed:
-		return admission.Delivered, admission.NoCause
-	case CalleeBusy:
-		return admission.Error, admission.NumberBusy
-	case Fault:
-		return admission.Error, admission.NoCause
+		return admission.Delivered, admission.CauseNone
+	case DestinationBusy:
+		return admission.ServerError, admission.CauseDestinationBusy
+	case BackendError:
+		return admission.ServerError, admission.CauseNone
 	case NoCircuit:
-		return admission.Full, admission.NoLine
-	case ProcessorFull:
-		return admission.Full, admission.ProcessorFull
-	case NeverLeft, Unsent:
-		return admission.Unused, admission.NoCause
+		return admission.ServerBusy, admission.CauseNoCircuit
+	case ProcessorBusy:
+		return admission.ServerBusy, admission.CauseProcessorBusy
+	case NotForwarded, NotSent:
+		return admission.NotSent, admission.CauseNone
 	case DialRefused, DialTimedOut, DialFailed:
-		return admission.DialFailed, admission.NoCause
+		return admission.DialFailed, admission.CauseNone
 	case TimedOut:
-		return admission.Expired, admission.NoCause
-	case CalledOff, CallerLeft, Stopped:
-		return admission.Revoked, admission.NoCause
-	case Mute:
-		return admission.Dropped, admission.DeadLink
-	case Cut, BrokeOnWay, ConnectionReset, ConnectionShut, Malformed, ExchangeLost:
-		return admission.Dropped, admission.NoCause
+		return admission.TimedOut, admission.CauseNone
+	case Canceled, CallerReleased, ShuttingDown:
+		return admission.Canceled, admission.CauseNone
+	case Unresponsive:
+		return admission.ConnectionLost, admission.CauseConnectionUnresponsive
+	case EndedByFault, FailedInTransit, ConnectionReset, ConnectionClosed, Malformed, BackendLost:
+		return admission.ConnectionLost, admission.CauseNone
 	}
 	// An end that is not known here may have run.
-	return admission.Dropped, admission.NoCause
+	return admission.ConnectionLost, admission.CauseNone
 }
--- a/internal/call/route_test.go
+++ b/internal/call/route_test.go
@@ -17,9 +17,9 @@
 	held   int
 }
 
-func (r *table) Route(Time, *Request) Routing {
+func (r *table) Route(Time, *Request) Route {
 	r.held++
-	return Routing{Pools: slices.Clone(r.pools), Cause: r.cause, Urgent: r.urgent, Table: fmt.Sprint(r.pools), Release: func() { r.held-- }}
+	return Route{Pools: slices.Clone(r.pools), Cause: r.cause, Emergency: r.urgent, Table: fmt.Sprint(r.pools), Release: func() { r.held-- }}
 }
 
 // asked notes what the module is asked.
@@ -28,50 +28,50 @@
 	all []admission.Request
 }
 
-func (a *asked) Pick(now Time, r admission.Request) admission.Order {
+func (a *asked) Place(now Time, r admission.Request) admission.Decision {
 	a.all = append(a.all, r)
-	return a.script.Pick(now, r)
+	return a.script.Place(now, r)
 }
 
 // A call holds its table from its set-up to its end, however it ends, and lets go once.
 func TestCallsHoldTheirTable(t *testing.T) {
-	b := newBench(try("s"), try("s"), try("s"), admission.Order{Move: admission.Deny})
+	b := newBench(try("s"), try("s"), try("s"), admission.Decision{Kind: admission.Reject})
 	desk := &asked{script: &b.script}
 	b.core.desk = desk
 	r := &table{pools: []int{2, 1}}
-	b.core.RouteBy(r)
+	b.core.SetRouter(r)
 	b.setUp("stands")
-	b.core.Answered("s", "stands", 0, nil)
+	b.core.AttemptAnswered("s", "stands", 0, nil)
 	b.setUp("left")
 	b.setUp("lost")
 	if r.held != 3 {
 		t.Errorf("%d held, want 3", r.held)
 	}
-	if q := desk.all[0]; q.First != 2 || !slices.Equal(q.Pools, []int{2, 1}) {
+	if q := desk.all[0]; q.PreferredPool != 2 || !slices.Equal(q.Pools, []int{2, 1}) {
 		t.Errorf("the module was asked for %+v", q)
 	}
-	if r.urgent = true; desk.all[0].Urgent {
+	if r.urgent = true; desk.all[0].Emergency {
 		t.Error("an ordinary call was urgent to the module")
 	}
-	b.core.Hangup("left", CauseNormal)
-	b.core.Hangup("stands", CauseNormal)
-	b.core.Ended("s", "lost", 0, NoCircuit) // the module denies it
+	b.core.ReleaseByCaller("left", CauseNormal)
+	b.core.ReleaseByCaller("stands", CauseNormal)
+	b.core.AttemptEnded("s", "lost", 0, NoCircuit) // the module denies it
 	if r.held != 0 {
 		t.Errorf("%d held after their ends", r.held)
 	}
 	b.setUp("emergency")
-	if !desk.all[len(desk.all)-1].Urgent {
+	if !desk.all[len(desk.all)-1].Emergency {
 		t.Error("an emergency was not urgent to the module")
 	}
-	b.core.Hangup("emergency", CauseNormal)
+	b.core.ReleaseByCaller("emergency", CauseNormal)
 	// What a number bars the module never hears of; what comes again is not started twice.
 	r.cause = 21
 	n := len(desk.all)
 	b.said = nil
 	b.setUp("barred")
 	b.want(t, "refused barred 21 0s")
-	if r.held != 0 || len(desk.all) != n || b.core.Barred != 1 || b.core.Open() != 0 {
-		t.Errorf("%d held, %d asked, %d barred, %d open", r.held, len(desk.all)-n, b.core.Barred, b.core.Open())
+	if r.held != 0 || len(desk.all) != n || b.core.ByPolicy != 1 || b.core.OpenCalls() != 0 {
+		t.Errorf("%d held, %d asked, %d barred, %d open", r.held, len(desk.all)-n, b.core.ByPolicy, b.core.OpenCalls())
 	}
 }
 
@@ -79,9 +79,9 @@
 // said, not by what its number led to.
 func TestRepeatedSetUpOfARoutedCall(t *testing.T) {
 	b := newBench(try("s"))
-	b.core.RouteBy(&table{pools: []int{7}})
+	b.core.SetRouter(&table{pools: []int{7}})
 	b.setUp("x")
-	if err := b.core.SetUp(&world{}, Request{ID: "x", Class: "c", Until: b.now + 3*time.Second}); err != nil || b.core.Repeated != 1 {
+	if err := b.core.Offer(&world{}, Request{ID: "x", Class: "c", Deadline: b.now + 3*time.Second}); err != nil || b.core.Repeated != 1 {
 		t.Errorf("%v, %d repeated", err, b.core.Repeated)
 	}
 }
@@ -89,9 +89,9 @@
 // pending is a Router that decides later.
 type pending struct{ held int }
 
-func (r *pending) Route(Time, *Request) Routing {
+func (r *pending) Route(Time, *Request) Route {
 	r.held++
-	return Routing{Pending: true, Release: func() { r.held-- }}
+	return Route{Pending: true, Release: func() { r.held-- }}
 }
 
 // A call whose number is looked up is owed one answer like any other: it goes on with the word, is
@@ -101,30 +101,30 @@
 	desk := &asked{script: &b.script}
 	b.core.desk = desk
 	r := &pending{}
-	b.core.RouteBy(r)
+	b.core.SetRouter(r)
 	b.setUp("goes on")
-	if len(desk.all) != 0 || r.held != 1 || b.core.Open() != 1 {
-		t.Errorf("%d asked, %d held, %d open", len(desk.all), r.held, b.core.Open())
+	if len(desk.all) != 0 || r.held != 1 || b.core.OpenCalls() != 1 {
+		t.Errorf("%d asked, %d held, %d open", len(desk.all), r.held, b.core.OpenCalls())
 	}
-	b.core.Routed("goes on", Routing{Pools: []int{3}})
-	b.core.Routed("goes on", Routing{Cause: 1}) // a second word
-	b.core.Answered("s", "goes on", 0, nil)
+	b.core.RouteResolved("goes on", Route{Pools: []int{3}})
+	b.core.RouteResolved("goes on", Route{Cause: 1}) // a second word
+	b.core.AttemptAnswered("s", "goes on", 0, nil)
 	b.want(t, "invite s goes on 0", "stands goes on ")
-	if desk.all[0].First != 3 || r.held != 1 {
+	if desk.all[0].PreferredPool != 3 || r.held != 1 {
 		t.Errorf("%+v, %d held", desk.all[0], r.held)
 	}
-	b.core.Hangup("goes on", CauseNormal)
+	b.core.ReleaseByCaller("goes on", CauseNormal)
 	b.said = nil
 
 	b.setUp("refused")
-	b.core.Routed("refused", Routing{Cause: 34, Wait: 2 * time.Second})
+	b.core.RouteResolved("refused", Route{Cause: 34, RetryAfter: 2 * time.Second})
 	b.setUp("left")
-	b.core.Hangup("left", CauseNormal)
-	b.core.Routed("left", Routing{Pools: []int{1}})
+	b.core.ReleaseByCaller("left", CauseNormal)
+	b.core.RouteResolved("left", Route{Pools: []int{1}})
 	b.setUp("closed")
-	b.core.Closed(b.world)
-	b.core.Routed("closed", Routing{Pools: []int{1}})
-	b.core.Routed("nobody", Routing{Pools: []int{1}})
+	b.core.CallerDisconnected(b.world)
+	b.core.RouteResolved("closed", Route{Pools: []int{1}})
+	b.core.RouteResolved("nobody", Route{Pools: []int{1}})
 	b.want(t, "refused refused 34 2s", "waived left", "waived closed")
 	if r.held != 0 || len(desk.all) != 1 || len(b.progress) != 2 { // it stood, and ended
 		t.Errorf("%d held, %d asked, %+v", r.held, len(desk.all), b.progress)
@@ -136,9 +136,9 @@
 	b.core.Tick()
 	b.want(t, "refused forgotten 41 0s")
 	b.setUp("stop")
-	b.core.Stop()
+	b.core.RejectOpenCalls()
 	b.want(t, "refused stop 34 0s")
-	if r.held != 0 || b.core.Open() != 0 {
-		t.Errorf("%d held, %d open", r.held, b.core.Open())
+	if r.held != 0 || b.core.OpenCalls() != 0 {
+		t.Errorf("%d held, %d open", r.held, b.core.OpenCalls())
 	}
 }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -78,7 +78,7 @@
 func (c *Config) Once(class string) bool {
 	for _, k := range c.Settings.Classes {
 		if k.Name == class {
-			return k.Effect != admission.Harmless
+			return k.Repeatability != admission.Idempotent
 		}
 	}
 	return false
@@ -208,12 +208,12 @@
 	return nil
 }
 
-var phases = map[string]admission.Phase{
-	Ready: admission.In, Terminating: admission.Lame, Gone: admission.Out,
+var phases = map[string]admission.ServerState{
+	Ready: admission.Active, Terminating: admission.Draining, Gone: admission.Removed,
 }
 
 // Server is the member as the module knows it.
 func (m *Member) Server() admission.Server {
-	return admission.Server{ID: m.ID, Pool: m.Cell, Zone: m.Zone, Phase: phases[m.Phase],
+	return admission.Server{ID: m.ID, Pool: m.Cell, Zone: m.Zone, State: phases[m.Phase],
 		Started: admission.Time(m.Started) * time.Millisecond}
 }
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -19,7 +19,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if c.Seed != 0x8c1f30d27a5be964 || c.Connect != 500*time.Millisecond || c.Settings.Release != 300*time.Millisecond {
+	if c.Seed != 0x8c1f30d27a5be964 || c.Connect != 500*time.Millisecond || c.Settings.RetryGuard != 300*time.Millisecond {
 		t.Errorf("%+v", c)
 	}
 	m := c.Known.Events[0].Members.Members[0]
--- a/internal/lab/experiment/experiment_test.go
+++ b/internal/lab/experiment/experiment_test.go
@@ -125,10 +125,10 @@
 // hasty sends again at once what a reset has ended.
 type hasty struct{ call.Decider }
 
-func (h hasty) Report(now call.Time, p admission.Progress) admission.Order {
+func (h hasty) Report(now call.Time, p admission.AttemptReport) admission.Decision {
 	o := h.Decider.Report(now, p)
-	if p.Stage == admission.Ended && !p.Final && p.Code == admission.Dropped {
-		return admission.Order{Call: p.Call, Move: admission.Try, Server: p.Server, Wait: time.Second}
+	if p.Kind == admission.ReportEnded && !p.Final && p.Result == admission.ConnectionLost {
+		return admission.Decision{CallID: p.CallID, Kind: admission.Send, Server: p.Server, Wait: time.Second}
 	}
 	return o
 }
--- a/internal/lab/explore/explore.go
+++ b/internal/lab/explore/explore.go
@@ -40,7 +40,7 @@
 	Depth          int
 	States         int // it ends there, and Whole is false
 	// Wire, if set, stands between the core and the wire: tests put breaches in by it.
-	Wire func(call.Exchanges) call.Exchanges
+	Wire func(call.Backends) call.Backends
 }
 
 // An action is one thing that happens, with what the module says if it is asked.
@@ -49,7 +49,7 @@
 	call    int
 	server  int
 	attempt int
-	word    admission.Move
+	word    admission.DecisionKind
 	to      int // server of a Try
 }
 
@@ -59,13 +59,13 @@
 		s += fmt.Sprintf(" x%d/%d", a.server, a.attempt)
 	}
 	switch a.word {
-	case admission.Try:
+	case admission.Send:
 		s += fmt.Sprintf(", the module: try x%d", a.to)
-	case admission.Deny:
+	case admission.Reject:
 		s += ", the module: deny"
-	case admission.GiveUp:
+	case admission.Fail:
 		s += ", the module: give up"
-	case admission.CallOff:
+	case admission.Cancel:
 		s += ", the module: call off"
 	}
 	return s
@@ -93,11 +93,11 @@
 type machine struct {
 	b      Bounds
 	now    time.Duration
-	core   *call.Core
+	core   *call.Manager
 	calls  []life
 	held   []held
 	word   action
-	ticks  []admission.Order
+	ticks  []admission.Decision
 	broken string
 }
 
@@ -111,11 +111,11 @@
 	for i := range m.calls {
 		m.calls[i].out = -1
 	}
-	var out call.Exchanges = m
+	var out call.Backends = m
 	if b.Wire != nil {
 		out = b.Wire(m)
 	}
-	m.core = call.New(m, out, func() call.Time { return m.now }, call.Limits{Open: 8, Bytes: 1 << 10, Recent: 64})
+	m.core = call.NewManager(m, out, func() call.Time { return m.now }, call.Limits{OpenCalls: 8, DescriptionBytes: 1 << 10, CompletedIDs: 64})
 	return m
 }
 
@@ -130,43 +130,45 @@
 func server(id string) int { return int(id[len(id)-1] - '0') }
 
 // order is the module's word on a call.
-func (m *machine) order(id string) admission.Order {
-	o := admission.Order{Call: id, Move: m.word.word, Wait: wait}
-	if o.Move == admission.Try {
+func (m *machine) order(id string) admission.Decision {
+	o := admission.Decision{CallID: id, Kind: m.word.word, Wait: wait}
+	if o.Kind == admission.Send {
 		o.Server = fmt.Sprint("x", m.word.to)
 		if m.calls[number(id)].sent >= m.b.Attempts {
-			o.Move = admission.Hold
+			o.Kind = admission.None
 		}
 	}
-	if o.Move == admission.CallOff {
+	if o.Kind == admission.Cancel {
 		o.Attempt = m.calls[number(id)].n
 	}
 	return o
 }
 
 // Pick implements call.Decider.
-func (m *machine) Pick(_ call.Time, r admission.Request) admission.Order { return m.order(r.Call) }
+func (m *machine) Place(_ call.Time, r admission.Request) admission.Decision {
+	return m.order(r.CallID)
+}
 
 // Report implements call.Decider.
-func (m *machine) Report(_ call.Time, p admission.Progress) admission.Order {
-	if p.Stage != admission.Ended || p.Final {
-		return admission.Order{Call: p.Call}
+func (m *machine) Report(_ call.Time, p admission.AttemptReport) admission.Decision {
+	if p.Kind != admission.ReportEnded || p.Final {
+		return admission.Decision{CallID: p.CallID}
 	}
-	return m.order(p.Call)
+	return m.order(p.CallID)
 }
 
 // Tick implements call.Decider.
-func (m *machine) Tick(call.Time) []admission.Order {
+func (m *machine) Tick(call.Time) []admission.Decision {
 	all := m.ticks
 	m.ticks = nil
 	return all
 }
 
 // Next implements call.Decider.
-func (m *machine) Next() call.Time { return 1 << 62 }
+func (m *machine) NextDeadline() call.Time { return 1 << 62 }
 
 // List implements call.Decider.
-func (m *machine) List(call.Time, []admission.Server, bool) {}
+func (m *machine) UpdateServers(call.Time, []admission.Server, bool) {}
 
 // Invite implements call.Exchanges.
 func (m *machine) Invite(to string, s call.Setup) {
@@ -177,10 +179,10 @@
 	if k.finals > 0 || k.left || k.closed {
 		m.fail("c%d is sent to %s after its end", number(s.ID), to)
 	}
-	if s.Wait <= 0 || m.now >= k.until {
+	if s.Timeout <= 0 || m.now >= k.until {
 		m.fail("c%d is sent to %s with no time left", number(s.ID), to)
 	}
-	k.out, k.n, k.expires = server(to), s.Attempt, m.now+s.Wait
+	k.out, k.n, k.expires = server(to), s.Attempt, m.now+s.Timeout
 	k.sent++
 	m.held = append(m.held, held{call: number(s.ID), server: server(to), n: s.Attempt})
 }
@@ -214,8 +216,8 @@
 	}
 }
 
-// ReleaseAnywhere implements call.Exchanges.
-func (m *machine) ReleaseAnywhere(string, int) {}
+// ReleaseEverywhere implements call.Exchanges.
+func (m *machine) ReleaseEverywhere(string, int) {}
 
 // client is the connection that a call came on.
 type client struct{ m *machine }
@@ -233,8 +235,8 @@
 	}
 }
 
-// Stands implements call.Client.
-func (c client) Stands(id string, _ []byte) {
+// CallEstablished implements call.Client.
+func (c client) CallEstablished(id string, _ []byte) {
 	c.final(id)
 	k := &c.m.calls[number(id)]
 	if k.stood = true; k.out < 0 {
@@ -242,19 +244,19 @@
 	}
 }
 
-// Refused implements call.Client.
-func (c client) Refused(id string, _ int, _ time.Duration) { c.final(id) }
+// CallRejected implements call.Client.
+func (c client) CallRejected(id string, _ int, _ time.Duration) { c.final(id) }
 
-// Waived implements call.Client.
-func (c client) Waived(string) {}
+// CallForgotten implements call.Client.
+func (c client) CallForgotten(string) {}
 
-// Front implements call.Client.
-func (c client) Front() call.Front { return front(c) }
+// Frontend implements call.Client.
+func (c client) Frontend() call.Frontend { return front(c) }
 
 type front struct{ m *machine }
 
-// Release implements call.Front.
-func (f front) Release(_ call.Client, id string, _ int) {
+// NotifyRelease implements call.Front.
+func (f front) NotifyRelease(_ call.Client, id string, _ int) {
 	k := &f.m.calls[number(id)]
 	if !k.stood || k.over {
 		f.m.fail("a release of %s, which does not stand", id)
@@ -271,39 +273,39 @@
 	switch a.kind {
 	case "set-up":
 		k.asked, k.until = true, m.now+patience
-		_ = m.core.SetUp(client{m}, call.Request{ID: id, Class: "c", Until: k.until})
+		_ = m.core.Offer(client{m}, call.Request{ID: id, Class: "c", Deadline: k.until})
 	case "hang-up":
 		k.left = true
 		if k.stood {
 			k.over, k.out = true, -1
 		}
-		m.core.Hangup(id, call.CauseNormal)
+		m.core.ReleaseByCaller(id, call.CauseNormal)
 	case "close":
 		for i := range m.calls {
 			if c := &m.calls[i]; c.asked && c.finals == 0 {
 				c.closed = true
 			}
 		}
-		m.core.Closed(client{m})
+		m.core.CallerDisconnected(client{m})
 	case "answer":
 		h := m.find(to, id, a.attempt)
 		h.answered = true
-		m.core.Answered(to, id, a.attempt, nil)
+		m.core.AttemptAnswered(to, id, a.attempt, nil)
 	case "full", "reset":
 		h := m.find(to, id, a.attempt)
 		h.gone = true
 		if k.out == a.server && k.n == a.attempt {
 			k.out = -1
 		}
-		e := call.ProcessorFull
+		e := call.ProcessorBusy
 		if a.kind == "reset" {
 			e = call.ConnectionReset
 		}
-		m.core.Ended(to, id, a.attempt, e)
+		m.core.AttemptEnded(to, id, a.attempt, e)
 	case "release":
 		h := m.find(to, id, a.attempt)
 		h.gone = true
-		m.core.Released(to, id, call.CauseNormal, front{m})
+		m.core.BackendReleased(to, id, call.CauseNormal, front{m})
 		if k.over {
 			k.out = -1
 		}
@@ -313,15 +315,15 @@
 				h.gone = true
 			}
 		}
-		m.core.Lost(to, m.now+1)
+		m.core.BackendRestarted(to, m.now+1)
 		if k := &m.calls[a.call]; k.over {
 			k.out = -1
 		}
 	case "order":
-		m.ticks = []admission.Order{m.order(id)}
+		m.ticks = []admission.Decision{m.order(id)}
 		m.core.Tick()
 	case "pass":
-		if next := m.core.Next(); next < 1<<61 {
+		if next := m.core.NextDeadline(); next < 1<<61 {
 			m.now = max(m.now, next)
 			m.core.Tick()
 		}
@@ -335,9 +337,9 @@
 
 // can lists what can happen next.
 func (m *machine) can() (all []action) {
-	words := []action{{word: admission.Hold}, {word: admission.Deny}, {word: admission.GiveUp}}
+	words := []action{{word: admission.None}, {word: admission.Reject}, {word: admission.Fail}}
 	for s := range m.b.Servers {
-		words = append(words, action{word: admission.Try, to: s})
+		words = append(words, action{word: admission.Send, to: s})
 	}
 	each := func(a action) {
 		for _, w := range words {
@@ -360,7 +362,7 @@
 				live = true
 				each(action{kind: "order", call: i, server: -1})
 				if k.out >= 0 {
-					all = append(all, action{kind: "order", call: i, server: -1, word: admission.CallOff})
+					all = append(all, action{kind: "order", call: i, server: -1, word: admission.Cancel})
 				}
 			}
 		}
@@ -399,7 +401,7 @@
 		if k.out < 0 || k.stood {
 			expires = 0
 		}
-		fmt.Fprint(&b, k.asked, k.left, k.closed, k.finals, k.stood, k.over, k.out, k.n, k.sent, until, expires, m.core.Has(fmt.Sprint("c", 0)), ";")
+		fmt.Fprint(&b, k.asked, k.left, k.closed, k.finals, k.stood, k.over, k.out, k.n, k.sent, until, expires, m.core.Contains(fmt.Sprint("c", 0)), ";")
 	}
 	all := slices.Clone(m.held)
 	slices.SortFunc(all, func(x, y held) int {
@@ -410,20 +412,20 @@
 			fmt.Fprint(&b, h, ";")
 		}
 	}
-	fmt.Fprint(&b, m.core.Open(), m.core.Standing())
+	fmt.Fprint(&b, m.core.OpenCalls(), m.core.EstablishedCalls())
 	return b.String()
 }
 
 // settles tells whether every caller gets an answer if nothing but time goes on.
 func (m *machine) settles() {
 	for range 64 {
-		if m.core.Open() == 0 || m.broken != "" {
+		if m.core.OpenCalls() == 0 || m.broken != "" {
 			break
 		}
-		m.word = action{word: admission.Hold}
-		next := m.core.Next()
+		m.word = action{word: admission.None}
+		next := m.core.NextDeadline()
 		if next >= 1<<61 {
-			m.fail("%d calls are open and nothing will be done about them", m.core.Open())
+			m.fail("%d calls are open and nothing will be done about them", m.core.OpenCalls())
 			return
 		}
 		m.now = max(m.now, next)
--- a/internal/lab/explore/explore_test.go
+++ b/internal/lab/explore/explore_test.go
@@ -22,14 +22,14 @@
 }
 
 // forgetful does not say on the wire that a set-up is given up.
-type forgetful struct{ call.Exchanges }
+type forgetful struct{ call.Backends }
 
 func (forgetful) Cancel(string, string, int) bool { return false }
 
 // A breach that is put in is found, by the fewest events that show it.
 func TestBreachIsFound(t *testing.T) {
 	t.Parallel()
-	r := Run(Bounds{Calls: 1, Servers: 2, Attempts: 2, Depth: 6, States: 60_000, Wire: func(x call.Exchanges) call.Exchanges { return forgetful{x} }})
+	r := Run(Bounds{Calls: 1, Servers: 2, Attempts: 2, Depth: 6, States: 60_000, Wire: func(x call.Backends) call.Backends { return forgetful{x} }})
 	if r.Failure == nil {
 		t.Fatalf("not found in %d states", r.States)
 	}
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -346,10 +346,10 @@
 
 // Settings are what a controller is told.
 func (s *Scenario) Settings() admission.Settings {
-	set := admission.Settings{GroupSize: s.Fleet.Controllers, Topology: "pools", MaxAttempts: 4, MayCancel: true, Resend: s.Exchange.Again.D(),
-		Release: 300 * time.Millisecond, Cold: s.Exchange.Warm.D(), Start: s.Exchange.Start}
+	set := admission.Settings{ControllerCount: s.Fleet.Controllers, Topology: "pools", MaxAttempts: 4, CanCancel: true, ResendInterval: s.Exchange.Again.D(),
+		RetryGuard: 300 * time.Millisecond, SlowStartPeriod: s.Exchange.Warm.D(), SlowStartShare: s.Exchange.Start}
 	for _, k := range s.Class {
-		set.Classes = append(set.Classes, admission.Class{Name: k.Name, Aim: k.Aim.D(), Deadline: k.GiveUp.D(), Credit: k.Worth, LateWorth: k.Late})
+		set.Classes = append(set.Classes, admission.Class{Name: k.Name, LatencyObjective: k.Aim.D(), Deadline: k.GiveUp.D(), Weight: k.Worth, LateWeightFactor: k.Late})
 	}
 	return set
 }
--- a/internal/lab/together/together.go
+++ b/internal/lab/together/together.go
@@ -20,18 +20,18 @@
 
 // Start is a virtual.Options.Share.
 func Start(sc *scenario.Scenario, node, life int, seed uint64, now time.Duration, d call.Decider, say func(to int, b []byte)) virtual.Sharer {
-	desk, ok := d.(*admission.Desk)
+	desk, ok := d.(*admission.Engine)
 	if !ok {
 		return nil // a test has put something else in its place
 	}
-	m, err := overload.New(now, overload.Options{Self: node, Peers: sc.Fleet.Controllers, Boot: uint32(life), Seed: seed, Late: desk.Late()})
+	m, err := overload.New(now, overload.Options{Self: node, Peers: sc.Fleet.Controllers, Boot: uint32(life), Seed: seed, Late: desk.LatencyThreshold()})
 	if err != nil {
 		panic(err) // the scenario was checked
 	}
 	if liars := int(sc.Fleet.Liars * float64(sc.Fleet.Controllers)); node < liars {
 		return newLiar(sc, node, uint32(life), now, say)
 	}
-	desk.Share(m)
+	desk.SetOverloadControl(m)
 	return &member{m, say}
 }
 
--- a/internal/lab/virtual/crowd.go
+++ b/internal/lab/virtual/crowd.go
@@ -178,7 +178,7 @@
 		if w.opt.Client != nil {
 			client = w.opt.Client(n.name, client)
 		}
-		_ = n.core.SetUp(client, call.Request{ID: t.id, Class: k.class.Name, Number: k.number, First: k.first, Until: n.clock() + patience - wire - margin, Cut: k.cut})
+		_ = n.core.Offer(client, call.Request{ID: t.id, Class: k.class.Name, Number: k.number, PreferredPool: k.first, Deadline: n.clock() + patience - wire - margin, Reestablish: k.cut})
 		n.settle()
 	})
 	w.after(stays, func() {
@@ -192,7 +192,7 @@
 				return
 			}
 			w.see(rules.Event{Kind: rules.CallerEnd, Node: n.name, Call: t.id})
-			n.core.Hangup(t.id, call.CauseNormal)
+			n.core.ReleaseByCaller(t.id, call.CauseNormal)
 			n.settle()
 		})
 	})
--- a/internal/lab/virtual/faults.go
+++ b/internal/lab/virtual/faults.go
@@ -14,7 +14,7 @@
 func (w *World) some(of float64) (all []*site) {
 	var live []*site
 	for _, s := range w.places {
-		if s.x.State() == exchange.Running && s.state == admission.In {
+		if s.x.State() == exchange.Running && s.state == admission.Active {
 			live = append(live, s)
 		}
 	}
@@ -112,12 +112,12 @@
 	case scenario.NamesLie:
 		all := w.some(f.Share)
 		for _, s := range all {
-			s.set(admission.Out)
+			s.set(admission.Removed)
 		}
 		end(func() {
 			for _, s := range all {
 				if s.x.State() == exchange.Running {
-					s.set(admission.In)
+					s.set(admission.Active)
 				}
 			}
 		})
@@ -179,10 +179,10 @@
 
 // deploy has an exchange drain and stop, and another start cold in its place at once.
 func (w *World) deploy(s *site, drain time.Duration) {
-	if s.x.State() != exchange.Running || s.state != admission.In {
+	if s.x.State() != exchange.Running || s.state != admission.Active {
 		return
 	}
-	s.set(admission.Lame)
+	s.set(admission.Draining)
 	w.replace(s)
 	w.after(drain, func() { // what still stands there is cut as it stops
 		s.do(func(x *exchange.Exchange, now Time) { x.Cutting(now, x.Standing()) })
--- a/internal/lab/virtual/links.go
+++ b/internal/lab/virtual/links.go
@@ -49,7 +49,7 @@
 			}
 			delete(n.out, a)
 			n.w.see(rules.Event{Kind: rules.TurnedBack, Node: n.name, Call: a.Call, Server: s.id, N: a.N})
-			n.core.Ended(s.id, a.Call, a.N, call.DialTimedOut)
+			n.core.AttemptEnded(s.id, a.Call, a.N, call.DialTimedOut)
 			n.settle()
 		})
 		return
@@ -59,7 +59,7 @@
 			return
 		}
 		n.dead[s] = true
-		n.lostLink(s, call.Mute)
+		n.lostLink(s, call.Unresponsive)
 	})
 }
 
--- a/internal/lab/virtual/node.go
+++ b/internal/lab/virtual/node.go
@@ -20,7 +20,7 @@
 	name   string
 	zone   int
 	life   int // which start this is
-	core   *call.Core
+	core   *call.Manager
 	desk   call.Decider
 	front  *front
 	conns  []*conn
@@ -52,7 +52,7 @@
 	n.dead, n.leaves = make(map[*site]bool), false
 	n.newsAt = w.now
 	seed := w.seed*1_000_003 + uint64(n.i)*101 + uint64(n.life)
-	desk, err := admission.NewDesk(n.clock(), w.sc.Settings(), seed, func(string) {})
+	desk, err := admission.NewEngine(n.clock(), w.sc.Settings(), seed, func(string) {})
 	if err != nil {
 		panic(err) // the scenario was checked
 	}
@@ -60,11 +60,11 @@
 	if w.opt.Module != nil {
 		n.desk = w.opt.Module(n.name, n.desk)
 	}
-	var out call.Exchanges = (*port)(n)
+	var out call.Backends = (*port)(n)
 	if w.opt.Wire != nil {
 		out = w.opt.Wire(n.name, out)
 	}
-	n.core = call.New(n.desk, out, n.clock, call.Limits{Open: 12288, Bytes: 24 << 20, Recent: 24576})
+	n.core = call.NewManager(n.desk, out, n.clock, call.Limits{OpenCalls: 12288, DescriptionBytes: 24 << 20, CompletedIDs: 24576})
 	n.front = &front{n: n}
 	n.conns = nil
 	for k := range w.sc.Fleet.Clients {
@@ -72,11 +72,11 @@
 	}
 	var list []admission.Server
 	for _, s := range w.places {
-		if s.state != admission.Out {
+		if s.state != admission.Removed {
 			list = append(list, s.server())
 		}
 	}
-	n.core.List(list, true)
+	n.core.UpdateServers(list, true)
 	if w.opt.Talk != nil {
 		life := n.life
 		n.hears = w.opt.Talk(n.i, func(to int, b []byte) {
@@ -131,7 +131,7 @@
 	}
 	n.share()
 	// Guards against a module that wants to be looked at for ever at one moment: the clock goes on.
-	due := n.core.Next()
+	due := n.core.NextDeadline()
 	next := max(due-epoch, n.w.now, n.ticked+leastTick)
 	if next >= n.wake || due > 100*epoch {
 		return
@@ -191,14 +191,14 @@
 // told brings news of an exchange.
 func (n *node) told(v admission.Server) {
 	for _, m := range append(n.missed, v) {
-		out := m.Phase != admission.In
+		out := m.State != admission.Active
 		if out != n.gone[m.ID] {
 			n.gone[m.ID] = out
 			n.w.see(rules.Event{Kind: rules.Told, Node: n.name, Server: m.ID, On: out})
 		}
-		n.core.List([]admission.Server{m}, false)
-		if m.Phase == admission.Out {
-			n.core.Lost(m.ID, n.clock()+1)
+		n.core.UpdateServers([]admission.Server{m}, false)
+		if m.State == admission.Removed {
+			n.core.BackendRestarted(m.ID, n.clock()+1)
 		}
 	}
 	n.missed = nil
@@ -247,21 +247,21 @@
 		if t := n.w.crowd.tries[m.Call]; t != nil && !t.over {
 			t.at = s
 		}
-		n.core.Answered(s.id, m.Call, m.N, nil)
+		n.core.AttemptAnswered(s.id, m.Call, m.N, nil)
 	case exchange.Full:
 		see(rules.TurnedBack)
-		n.core.Ended(s.id, m.Call, m.N, call.ProcessorFull)
+		n.core.AttemptEnded(s.id, m.Call, m.N, call.ProcessorBusy)
 	case exchange.NoLine:
 		see(rules.TurnedBack)
-		n.core.Ended(s.id, m.Call, m.N, call.NoCircuit)
+		n.core.AttemptEnded(s.id, m.Call, m.N, call.NoCircuit)
 	case exchange.Released:
-		n.core.Released(s.id, m.Call, m.Cause, n.front)
+		n.core.BackendReleased(s.id, m.Call, m.Cause, n.front)
 	}
 	n.settle()
 }
 
 // lostLink tells that the connection to an exchange broke: what was out there has ended.
-func (n *node) lostLink(s *site, e call.End) {
+func (n *node) lostLink(s *site, e call.AttemptEnd) {
 	n.carryBack(s, false, func() {
 		var all []exchange.Attempt
 		for a, at := range n.out {
@@ -273,7 +273,7 @@
 		for _, a := range all {
 			delete(n.out, a)
 			n.w.see(rules.Event{Kind: rules.Broke, Node: n.name, Call: a.Call, Server: s.id, N: a.N})
-			n.core.Ended(s.id, a.Call, a.N, e)
+			n.core.AttemptEnded(s.id, a.Call, a.N, e)
 		}
 		n.settle()
 	})
@@ -304,7 +304,7 @@
 			}
 			delete(n.out, a)
 			w.see(rules.Event{Kind: rules.TurnedBack, Node: n.name, Call: a.Call, Server: to.id, N: a.N})
-			n.core.Ended(to.id, a.Call, a.N, call.DialRefused)
+			n.core.AttemptEnded(to.id, a.Call, a.N, call.DialRefused)
 			n.settle()
 		})
 		return
@@ -349,8 +349,8 @@
 	n.send(server, func(x *exchange.Exchange, now Time) { x.Release(now, exchange.Attempt{Call: id, N: attempt}) })
 }
 
-// ReleaseAnywhere implements call.Exchanges.
-func (p *port) ReleaseAnywhere(id string, _ int) {
+// ReleaseEverywhere implements call.Exchanges.
+func (p *port) ReleaseEverywhere(id string, _ int) {
 	n := (*node)(p)
 	for _, s := range n.w.places {
 		n.send(s.id, func(x *exchange.Exchange, now Time) { x.ReleaseCall(now, id) })
@@ -376,8 +376,8 @@
 // A front is the callers' side of a node.
 type front struct{ n *node }
 
-// Release implements call.Front.
-func (f *front) Release(_ call.Client, id string, cause int) {
+// NotifyRelease implements call.Front.
+func (f *front) NotifyRelease(_ call.Client, id string, cause int) {
 	w := f.n.w
 	w.after(w.sc.Wire.Client.D(), func() { w.crowd.released(id, cause) })
 }
@@ -388,22 +388,22 @@
 	k int
 }
 
-// Stands implements call.Client.
-func (c *conn) Stands(id string, _ []byte) {
+// CallEstablished implements call.Client.
+func (c *conn) CallEstablished(id string, _ []byte) {
 	w := c.n.w
 	w.see(rules.Event{Kind: rules.Stands, Node: c.n.name, Call: id})
 	w.after(w.sc.Wire.Client.D(), func() { w.crowd.stands(id) })
 }
 
-// Refused implements call.Client.
-func (c *conn) Refused(id string, cause int, wait time.Duration) {
+// CallRejected implements call.Client.
+func (c *conn) CallRejected(id string, cause int, wait time.Duration) {
 	w := c.n.w
 	w.see(rules.Event{Kind: rules.Refused, Node: c.n.name, Call: id})
 	w.after(w.sc.Wire.Client.D(), func() { w.crowd.refused(id, cause, wait) })
 }
 
-// Waived implements call.Client.
-func (c *conn) Waived(string) {}
+// CallForgotten implements call.Client.
+func (c *conn) CallForgotten(string) {}
 
-// Front implements call.Client.
-func (c *conn) Front() call.Front { return c.n.front }
+// Frontend implements call.Client.
+func (c *conn) Frontend() call.Frontend { return c.n.front }
--- a/internal/lab/virtual/world.go
+++ b/internal/lab/virtual/world.go
@@ -33,7 +33,7 @@
 	// Module and Wire, if set, stand between core and module, and between core and wire. Tests put
 	// breaches of the rules in by them, to see that they are found.
 	Module func(node string, d call.Decider) call.Decider
-	Wire   func(node string, x call.Exchanges) call.Exchanges
+	Wire   func(node string, x call.Backends) call.Backends
 	Client func(node string, c call.Client) call.Client
 	// Talk, if set, has controllers speak to each other: at each start of one it is given the way to say
 	// something, to one by its number or to Everyone, and returns what takes what arrives.
@@ -185,7 +185,7 @@
 	x        *exchange.Exchange
 	born     Time
 	cold     bool
-	state    admission.Phase // as the directory will say
+	state    admission.ServerState // as the directory will say
 	vanished bool
 	fell     bool
 	wake     Time        // when it is next looked at
@@ -206,7 +206,7 @@
 
 // server is the directory's line on a site.
 func (s *site) server() admission.Server {
-	v := admission.Server{ID: s.id, Pool: s.pool, Phase: s.state}
+	v := admission.Server{ID: s.id, Pool: s.pool, State: s.state}
 	if s.cold {
 		v.Started = epoch + s.born + s.w.skew
 	}
@@ -242,7 +242,7 @@
 }
 
 // set changes a site's state in the directory, and tells the controllers.
-func (s *site) set(state admission.Phase) {
+func (s *site) set(state admission.ServerState) {
 	s.state = state
 	s.w.news(s)
 }
@@ -275,7 +275,7 @@
 	for _, n := range s.w.nodes {
 		n.lostLink(s, call.ConnectionReset)
 	}
-	s.set(admission.Out)
+	s.set(admission.Removed)
 }
 
 // account adds what the exchanges have seen to a result.
--- a/internal/lab/virtual/world_test.go
+++ b/internal/lab/virtual/world_test.go
@@ -128,12 +128,12 @@
 // A defect is a breach of a rule, put in between the parts of a node.
 type defect struct {
 	call.Decider
-	call.Exchanges
+	call.Backends
 	rule  rules.Rule
 	every int
 	n     int
-	list  map[string]admission.Phase // what the directory says
-	first string                     // the one that is cold
+	list  map[string]admission.ServerState // what the directory says
+	first string                           // the one that is cold
 }
 
 func (d *defect) due() bool {
@@ -142,46 +142,46 @@
 }
 
 // List notes what the directory says, for those who do not keep it.
-func (d *defect) List(now call.Time, all []admission.Server, full bool) {
+func (d *defect) UpdateServers(now call.Time, all []admission.Server, full bool) {
 	for _, s := range all {
-		if d.list[s.ID] = s.Phase; s.Started > 0 && s.Phase == admission.In {
+		if d.list[s.ID] = s.State; s.Started > 0 && s.State == admission.Active {
 			d.first = s.ID
 		}
 	}
-	d.Decider.List(now, all, full)
+	d.Decider.UpdateServers(now, all, full)
 }
 
 // Pick sends to one that drains, or all calls to the one that is cold.
-func (d *defect) Pick(now call.Time, r admission.Request) admission.Order {
-	o := d.Decider.Pick(now, r)
+func (d *defect) Place(now call.Time, r admission.Request) admission.Decision {
+	o := d.Decider.Place(now, r)
 	switch {
-	case d.rule == rules.DrainsKept && o.Move == admission.Try:
+	case d.rule == rules.DrainsKept && o.Kind == admission.Send:
 		for id, phase := range d.list {
-			if phase == admission.Lame {
+			if phase == admission.Draining {
 				o.Server = id
 			}
 		}
 	case d.rule == rules.ColdSpared && d.first != "":
-		return admission.Order{Call: r.Call, Move: admission.Try, Server: d.first, Wait: time.Second}
+		return admission.Decision{CallID: r.CallID, Kind: admission.Send, Server: d.first, Wait: time.Second}
 	}
 	return o
 }
 
 // Report sends again at once what has timed out.
-func (d *defect) Report(now call.Time, p admission.Progress) admission.Order {
+func (d *defect) Report(now call.Time, p admission.AttemptReport) admission.Decision {
 	o := d.Decider.Report(now, p)
-	if d.rule == rules.ReleaseKept && p.Stage == admission.Ended && !p.Final && (p.Code == admission.Expired || p.Code == admission.Revoked) {
-		return admission.Order{Call: p.Call, Move: admission.Try, Server: p.Server, Wait: time.Second}
+	if d.rule == rules.ReleaseKept && p.Kind == admission.ReportEnded && !p.Final && (p.Result == admission.TimedOut || p.Result == admission.Canceled) {
+		return admission.Decision{CallID: p.CallID, Kind: admission.Send, Server: p.Server, Wait: time.Second}
 	}
 	return o
 }
 
 // Invite sends a set-up twice.
 func (d *defect) Invite(server string, s call.Setup) {
-	d.Exchanges.Invite(server, s)
+	d.Backends.Invite(server, s)
 	if d.rule == rules.OneAttempt && d.due() {
 		s.Attempt += 5
-		d.Exchanges.Invite(server, s)
+		d.Backends.Invite(server, s)
 	}
 }
 
@@ -191,15 +191,15 @@
 	call.Client
 }
 
-// Stands answers twice, or not at all.
-func (a *answering) Stands(id string, description []byte) {
+// CallEstablished answers twice, or not at all.
+func (a *answering) CallEstablished(id string, description []byte) {
 	switch {
 	case a.d.rule == rules.InTime && a.d.due():
 		return
 	case a.d.rule == rules.OneAnswer && a.d.due():
-		a.Refused(id, 41, 0)
+		a.CallRejected(id, 41, 0)
 	}
-	a.Client.Stands(id, description)
+	a.Client.CallEstablished(id, description)
 }
 
 // Each rule has its breach put in, and the checker of that rule finds it.
@@ -214,13 +214,13 @@
 			defects := make(map[string]*defect)
 			of := func(node string) *defect {
 				if defects[node] == nil {
-					defects[node] = &defect{rule: rule, every: 50, list: make(map[string]admission.Phase)}
+					defects[node] = &defect{rule: rule, every: 50, list: make(map[string]admission.ServerState)}
 				}
 				return defects[node]
 			}
 			r := Run(&sc, 3, Options{
 				Module: func(node string, d call.Decider) call.Decider { of(node).Decider = d; return of(node) },
-				Wire:   func(node string, x call.Exchanges) call.Exchanges { of(node).Exchanges = x; return of(node) },
+				Wire:   func(node string, x call.Backends) call.Backends { of(node).Backends = x; return of(node) },
 				Client: func(node string, c call.Client) call.Client {
 					return &answering{of(node), c}
 				}})
--- a/internal/overload/share.go
+++ b/internal/overload/share.go
@@ -192,16 +192,16 @@
 	return v
 }
 
-// Offered implements admission.Fleet.
-func (m *Member) Offered(now Time, server string, tier int) {
+// RecordOffered implements admission.Fleet.
+func (m *Member) RecordOffered(now Time, server string, tier int) {
 	m.pass(now)
 	if v := m.view(server); v != nil && tier >= 0 && tier < tiers {
 		v.off[tier]++
 	}
 }
 
-// Sent implements admission.Fleet.
-func (m *Member) Sent(now Time, server string, first bool) {
+// RecordSent implements admission.Fleet.
+func (m *Member) RecordSent(now Time, server string, first bool) {
 	m.pass(now)
 	if v := m.view(server); v != nil {
 		if !first {
@@ -213,8 +213,8 @@
 	}
 }
 
-// Back implements admission.Fleet.
-func (m *Member) Back(now Time, server string, stood bool, took Time) {
+// RecordResult implements admission.Fleet.
+func (m *Member) RecordResult(now Time, server string, stood bool, took Time) {
 	m.pass(now)
 	v := m.view(server)
 	if v == nil {
@@ -239,8 +239,8 @@
 	m.compare(now, v)
 }
 
-// Pressed implements admission.Fleet.
-func (m *Member) Pressed(now Time, server string) {
+// RecordOverload implements admission.Fleet.
+func (m *Member) RecordOverload(now Time, server string) {
 	m.pass(now)
 	if v := m.view(server); v != nil {
 		v.pressed = true
@@ -251,8 +251,8 @@
 	m.hot = now
 }
 
-// Holds implements admission.Fleet.
-func (m *Member) Holds(now Time, server string, tier int, first bool) (holds admission.Why, told bool) {
+// Throttle implements admission.Fleet.
+func (m *Member) Throttle(now Time, server string, tier int, first bool) (holds admission.Reason, told bool) {
 	m.pass(now)
 	v := m.view(server)
 	if v == nil || now >= v.until {
@@ -273,7 +273,7 @@
 	if m.rng.Float64() < part {
 		m.Held++
 		v.held++
-		return admission.FleetHolds, true
+		return admission.ReasonFleetThrottle, true
 	}
 	m.Passed++
 	return "", true
--- a/internal/overload/share_test.go
+++ b/internal/overload/share_test.go
@@ -112,11 +112,11 @@
 			if f.rng.Float64() >= offered*0.01/float64(up) {
 				return
 			}
-			m.Offered(f.now, "s", 1)
-			if why, _ := m.Holds(f.now, "s", 1, true); why != "" {
+			m.RecordOffered(f.now, "s", 1)
+			if why, _ := m.Throttle(f.now, "s", 1, true); why != "" {
 				return
 			}
-			if m.Sent(f.now, "s", true); f.now > from {
+			if m.RecordSent(f.now, "s", true); f.now > from {
 				n++
 			}
 			f.queue = append(f.queue, waiting{m, f.now})
@@ -125,9 +125,9 @@
 			x := f.queue[0]
 			f.queue = f.queue[1:]
 			took := f.now - x.at + 60*ms
-			x.m.Back(f.now, "s", true, took) // of one that is dead it tells nobody
+			x.m.RecordResult(f.now, "s", true, took) // of one that is dead it tells nobody
 			if took > late {
-				x.m.Pressed(f.now, "s")
+				x.m.RecordOverload(f.now, "s")
 			}
 		}
 		f.credit = min(f.credit, 1)
@@ -296,16 +296,16 @@
 			if err := m.Hear(f.now, liar, w.append(nil)); err != nil {
 				t.Fatal(err)
 			}
-			m.Offered(f.now, "s", 2)
-			if why, _ := m.Holds(f.now, "s", 2, true); why == "" {
-				m.Sent(f.now, "s", true)
-				m.Back(f.now, "s", true, c.took)
+			m.RecordOffered(f.now, "s", 2)
+			if why, _ := m.Throttle(f.now, "s", 2, true); why == "" {
+				m.RecordSent(f.now, "s", true)
+				m.RecordResult(f.now, "s", true, c.took)
 			}
 		}
 		if m.Wrong == 0 || m.at == liar {
 			t.Errorf("%s: it is believed after 20 s", c.name)
 		}
-		if why, told := m.Holds(f.now, "s", 2, true); told {
+		if why, told := m.Throttle(f.now, "s", 2, true); told {
 			t.Errorf("%s: its word still holds: %q", c.name, why)
 		}
 	}
@@ -362,7 +362,7 @@
 			var held [tiers]float64
 			for k := range held {
 				for range 2000 {
-					if why, _ := m.Holds(0, "s", k, true); why != "" {
+					if why, _ := m.Throttle(0, "s", k, true); why != "" {
 						held[k] += 1. / 2000
 					}
 				}
@@ -396,8 +396,8 @@
 	for i := range 100_000 {
 		f.now += ms
 		server := fmt.Sprint("s", i)
-		m.Offered(f.now, server, 1)
-		m.Sent(f.now, server, true)
+		m.RecordOffered(f.now, server, 1)
+		m.RecordSent(f.now, server, true)
 		_ = m.Hear(f.now, 1, (&report{head: head{kind: kindReport, from: 1, boot: 1, seq: uint32(i + 1)}, span: 1, hot: true,
 			sights: []sight{{key: uint32(i), off: [tiers]int{5, 5, 5, 5}}}}).append(nil))
 		m.Tick(f.now)
@@ -432,11 +432,11 @@
 func TestStoppedControllerForgets(t *testing.T) {
 	f := newFleet(t, 2, 1)
 	m := f.all[0]
-	m.Offered(f.now, "s", 1)
-	m.Sent(f.now, "s", true)
+	m.RecordOffered(f.now, "s", 1)
+	m.RecordSent(f.now, "s", true)
 	m.views["s"].term, m.views["s"].until = term{tier: 3, part: 250, wait: 100}, f.now+60*second
 	f.now += 5 * second
-	if _, told := m.Holds(f.now, "s", 1, true); told {
+	if _, told := m.Throttle(f.now, "s", 1, true); told {
 		t.Error("a word from before still holds")
 	}
 	m.report(f.now)
@@ -507,11 +507,11 @@
 	w := word{terms: []term{{key: Key("new"), tier: 2, part: 255, over: 255, wait: 100}}}
 	m.obey(f.now, &w)
 	for _, first := range []bool{true, false} {
-		if why, told := m.Holds(f.now, "new", 1, first); !told || !first && why == "" {
+		if why, told := m.Throttle(f.now, "new", 1, first); !told || !first && why == "" {
 			t.Errorf("first choice %v: %q, %v", first, why, told)
 		}
 	}
-	if _, told := m.Holds(f.now+m.wordFor(), "new", 1, true); told {
+	if _, told := m.Throttle(f.now+m.wordFor(), "new", 1, true); told {
 		t.Error("the word still holds when its time is over")
 	}
 }
--- a/internal/server/chance_test.go
+++ b/internal/server/chance_test.go
@@ -246,7 +246,7 @@
 			}
 		}
 		open, standing := 0, 0
-		x.turn(func() { open, standing = x.n.core.Open(), x.n.core.Standing() })
+		x.turn(func() { open, standing = x.n.core.OpenCalls(), x.n.core.EstablishedCalls() })
 		left = fmt.Sprintf("%d open, %d standing, %v stand at exchanges", open, standing, c.stands())
 		return open == 0 && standing == 0 && len(c.stands()) == 0
 	})
--- a/internal/server/client.go
+++ b/internal/server/client.go
@@ -145,8 +145,8 @@
 	}
 }
 
-// Release implements call.Front.
-func (f *jsonFront) Release(asker call.Client, id string, cause int) {
+// NotifyRelease implements call.Front.
+func (f *jsonFront) NotifyRelease(asker call.Client, id string, cause int) {
 	f.say(release{id: id, cause: cause, at: f.n.now(), asker: asker})
 }
 
@@ -196,7 +196,7 @@
 	f.ranks[k.at].leave(&k.rankSeat)
 	f.silent.leave(&k.silentSeat)
 	if len(k.open) > 0 {
-		f.n.core.Closed(k)
+		f.n.core.CallerDisconnected(k)
 	}
 	now := f.n.now()
 	for _, r := range k.said {
@@ -242,16 +242,16 @@
 		}
 		if !possible {
 			n.Impossible++
-			n.core.TurnAway(k, r)
+			n.core.RejectInvalid(k, r)
 			return nil
 		}
 		if n.ending() {
-			n.core.Halted(k, r)
+			n.core.RejectShuttingDown(k, r)
 			return nil
 		}
 		mine := k.open[r.ID]
 		k.open[r.ID] = true
-		if err := n.core.SetUp(k, r); err != nil {
+		if err := n.core.Offer(k, r); err != nil {
 			if !mine {
 				delete(k.open, r.ID)
 			}
@@ -262,7 +262,7 @@
 			return fmt.Errorf("tag %.20q", m.Tag)
 		}
 		delete(k.open, m.Tag)
-		if n.core.Hangup(m.Tag, m.RC) {
+		if n.core.ReleaseByCaller(m.Tag, m.RC) {
 			n.write(k.s, func(b []byte) []byte {
 				return jsonl.Append(b, &jsonl.Message{Verb: jsonl.Finished, Tag: m.Tag})
 			})
@@ -309,7 +309,7 @@
 // caller is told so, and no exchange is troubled with it.
 func (k *client) request(m *jsonl.Message) (r call.Request, possible bool, err error) {
 	n := k.front.n
-	r = call.Request{ID: m.Tag, Class: m.Opt("class"), Number: m.Opt("key"), First: -1, Description: m.Blob}
+	r = call.Request{ID: m.Tag, Class: m.Opt("class"), Number: m.Opt("key"), PreferredPool: -1, Description: m.Blob}
 	if !isID(r.ID) {
 		return r, false, fmt.Errorf("tag %.20q", m.Tag)
 	}
@@ -317,8 +317,8 @@
 	if err != nil || !(left >= 0 && left < 1e9) {
 		return r, false, fmt.Errorf("left %.20q", m.Opt("left"))
 	}
-	r.Once = n.cfg.Once(r.Class)
-	r.Until = n.until(r.Class, time.Duration(left*float64(time.Millisecond)))
+	r.RepeatUnsafe = n.cfg.Once(r.Class)
+	r.Deadline = n.until(r.Class, time.Duration(left*float64(time.Millisecond)))
 	if !sip.Clean(r.Class) || !sip.Clean(r.Number) {
 		return r, false, fmt.Errorf("class %.20q or key %.20q", r.Class, r.Number)
 	}
@@ -334,14 +334,14 @@
 		}
 		switch name {
 		case "dest":
-			r.First = v
+			r.PreferredPool = v
 		case "width":
 			width = v
 		case "again":
-			r.Cut = v == 1
+			r.Reestablish = v == 1
 		}
 	}
-	return r, width >= 1 && width <= n.cfg.Width(r.Class) && n.possible(r.Class, r.First), nil
+	return r, width >= 1 && width <= n.cfg.Width(r.Class) && n.possible(r.Class, r.PreferredPool), nil
 }
 
 // until is when a caller of a class who waits for so long gives up. It guards the module's timers
@@ -361,8 +361,8 @@
 	return first >= 0 && (pools == nil || slices.Contains(pools, first))
 }
 
-// Stands implements call.Client.
-func (k *client) Stands(id string, description []byte) {
+// CallEstablished implements call.Client.
+func (k *client) CallEstablished(id string, description []byte) {
 	delete(k.open, id)
 	k.asked = true
 	k.rise()
@@ -372,8 +372,8 @@
 	})
 }
 
-// Refused implements call.Client.
-func (k *client) Refused(id string, cause int, wait time.Duration) {
+// CallRejected implements call.Client.
+func (k *client) CallRejected(id string, cause int, wait time.Duration) {
 	delete(k.open, id)
 	m := &jsonl.Message{Verb: jsonl.Finish, Tag: id, RC: cause, HasRC: true}
 	if wait > 0 {
@@ -382,9 +382,9 @@
 	k.front.n.write(k.s, func(b []byte) []byte { return jsonl.Append(b, m) })
 }
 
-// Waived implements call.Client. It guards the connection's table against set-ups that are given
+// CallForgotten implements call.Client. It guards the connection's table against set-ups that are given
 // up, or asked for again, on another connection: nothing else would take them off it.
-func (k *client) Waived(id string) { delete(k.open, id) }
+func (k *client) CallForgotten(id string) { delete(k.open, id) }
 
-// Front implements call.Client.
-func (k *client) Front() call.Front { return k.front }
+// Frontend implements call.Client.
+func (k *client) Frontend() call.Frontend { return k.front }
--- a/internal/server/crossing_test.go
+++ b/internal/server/crossing_test.go
@@ -152,7 +152,7 @@
 	servers []string
 	wait    time.Duration // before what may have run is sent again
 	held    map[string]time.Duration
-	reports []admission.Progress
+	reports []admission.AttemptReport
 }
 
 // sends says anew where attempts go from now on.
@@ -162,45 +162,45 @@
 	d.servers = servers
 }
 
-func (d *fixed) Pick(now time.Duration, r admission.Request) admission.Order {
-	return d.next(r.Call)
+func (d *fixed) Place(now time.Duration, r admission.Request) admission.Decision {
+	return d.next(r.CallID)
 }
 
-func (d *fixed) next(id string) admission.Order {
+func (d *fixed) next(id string) admission.Decision {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if len(d.servers) == 0 {
-		return admission.Order{Call: id, Move: admission.GiveUp}
+		return admission.Decision{CallID: id, Kind: admission.Fail}
 	}
 	s := d.servers[0]
 	d.servers = d.servers[1:]
-	return admission.Order{Call: id, Move: admission.Try, Server: s, Wait: 3 * time.Second}
+	return admission.Decision{CallID: id, Kind: admission.Send, Server: s, Wait: 3 * time.Second}
 }
 
-func (d *fixed) Report(now time.Duration, p admission.Progress) admission.Order {
+func (d *fixed) Report(now time.Duration, p admission.AttemptReport) admission.Decision {
 	d.mu.Lock()
 	d.reports = append(d.reports, p)
 	d.mu.Unlock()
 	switch {
-	case p.Stage == admission.Left:
+	case p.Kind == admission.ReportAbandoned:
 		d.mu.Lock()
-		delete(d.held, p.Call)
+		delete(d.held, p.CallID)
 		d.mu.Unlock()
-	case p.Stage != admission.Ended || p.Final:
-	case p.Code == admission.Full || p.Code == admission.Unused || p.Code == admission.DialFailed || p.Code == admission.Error:
-		return d.next(p.Call)
+	case p.Kind != admission.ReportEnded || p.Final:
+	case p.Result == admission.ServerBusy || p.Result == admission.NotSent || p.Result == admission.DialFailed || p.Result == admission.ServerError:
+		return d.next(p.CallID)
 	default:
 		d.mu.Lock()
 		if d.held == nil {
 			d.held = make(map[string]time.Duration)
 		}
-		d.held[p.Call] = now + d.wait
+		d.held[p.CallID] = now + d.wait
 		d.mu.Unlock()
 	}
-	return admission.Order{Call: p.Call}
+	return admission.Decision{CallID: p.CallID}
 }
 
-func (d *fixed) Tick(now time.Duration) (orders []admission.Order) {
+func (d *fixed) Tick(now time.Duration) (orders []admission.Decision) {
 	d.mu.Lock()
 	var due []string
 	for id, at := range d.held {
@@ -216,7 +216,7 @@
 	return orders
 }
 
-func (d *fixed) Next() time.Duration {
+func (d *fixed) NextDeadline() time.Duration {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	next := time.Duration(1 << 62)
@@ -225,15 +225,15 @@
 	}
 	return next
 }
-func (d *fixed) List(time.Duration, []admission.Server, bool) {}
+func (d *fixed) UpdateServers(time.Duration, []admission.Server, bool) {}
 
 // codes lists what the module was told of the ends of a call's attempts.
-func (d *fixed) codes(id string) (all []admission.Code) {
+func (d *fixed) codes(id string) (all []admission.AttemptResult) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, p := range d.reports {
-		if p.Call == id && p.Stage == admission.Ended {
-			all = append(all, p.Code)
+		if p.CallID == id && p.Kind == admission.ReportEnded {
+			all = append(all, p.Result)
 		}
 	}
 	return all
@@ -369,7 +369,7 @@
 	eventually(x.t, "nothing is owed", func() bool {
 		open, waits := 0, 0
 		x.turn(func() {
-			open = x.n.core.Open()
+			open = x.n.core.OpenCalls()
 			for k := range x.n.json.clients.oldest() {
 				waits += len(k.open)
 			}
@@ -395,7 +395,7 @@
 	if n := x.far[0].heard("INVITE", tag) + x.far[0].heard("CANCEL", tag); n != 0 {
 		t.Errorf("a set-up whose caller had left brought the exchange %d messages", n)
 	}
-	if codes := x.module.codes(tag); len(codes) != 1 || codes[0] != admission.Unused {
+	if codes := x.module.codes(tag); len(codes) != 1 || codes[0] != admission.NotSent {
 		t.Errorf("the module was told %v", codes)
 	}
 }
--- a/internal/server/ending_test.go
+++ b/internal/server/ending_test.go
@@ -116,13 +116,13 @@
 	x.turn(func() {
 		_, _ = x.k.c.Write(start(tag, 2*time.Second))
 		for k := x.n.json.idlest(); k != nil; k = x.n.json.idlest() {
-			if k == x.client(tag) || x.n.core.Has(tag) && k.open[tag] {
+			if k == x.client(tag) || x.n.core.Contains(tag) && k.open[tag] {
 				t.Error("a connection with a set-up on it is to be closed")
 				return
 			}
 			k.s.shut = true // as it would be closed: the next
 		}
-		if !x.n.core.Has(tag) {
+		if !x.n.core.Contains(tag) {
 			t.Error("the set-up was not taken")
 		}
 	})
--- a/internal/server/h248_front.go
+++ b/internal/server/h248_front.go
@@ -373,7 +373,7 @@
 // transaction, which must not be left without a reply.
 func (f *h248Front) hangup(k *h248Call, cause int) {
 	f.forget(k)
-	f.n.core.Hangup(k.id, cause)
+	f.n.core.ReleaseByCaller(k.id, cause)
 	if k.on != nil {
 		k.fail(h248.TemporaryFailure, "given up by the caller")
 	}
@@ -407,7 +407,7 @@
 		return &h248.Error{Code: h248.MissingRemote, Text: "no Remote descriptor"}
 	}
 	value := func(name string) string { return h248.Value(c.Descriptors, "Media", "TerminationState", "oc/"+name) }
-	r := call.Request{Class: value("class"), Number: value("number"), First: -1, Description: desc, Cut: value("again") == "1"}
+	r := call.Request{Class: value("class"), Number: value("number"), PreferredPool: -1, Description: desc, Reestablish: value("again") == "1"}
 	if !sip.Clean(r.Class) || !sip.Clean(r.Number) {
 		return &h248.Error{Code: h248.BadValue, Text: "oc/class or oc/number"}
 	}
@@ -416,31 +416,31 @@
 		return &h248.Error{Code: h248.BadValue, Text: "oc/left"}
 	}
 	if first := value("first"); first != "" {
-		if r.First, err = strconv.Atoi(first); err != nil {
+		if r.PreferredPool, err = strconv.Atoi(first); err != nil {
 			return &h248.Error{Code: h248.BadValue, Text: "oc/first"}
 		}
 	}
-	if !f.n.possible(r.Class, r.First) {
+	if !f.n.possible(r.Class, r.PreferredPool) {
 		return &h248.Error{Code: h248.BadValue, Text: "oc/first"}
 	}
-	r.Once = f.n.cfg.Once(r.Class)
-	r.Until = f.n.until(r.Class, time.Duration(left*float64(time.Millisecond)))
+	r.RepeatUnsafe = f.n.cfg.Once(r.Class)
+	r.Deadline = f.n.until(r.Class, time.Duration(left*float64(time.Millisecond)))
 	r.ID = fmt.Sprintf("%016x", f.n.rng.Uint64())
 	k := &h248Call{front: f, on: p, entry: e, mid: mid, transaction: t.ID, termination: c.Termination, id: r.ID}
 	f.calls[k.id], f.terms[term(mid, k.termination)] = k, k
 	if f.n.ending() {
-		f.n.core.Halted(k, r)
+		f.n.core.RejectShuttingDown(k, r)
 		return nil
 	}
-	if err := f.n.core.SetUp(k, r); err != nil {
+	if err := f.n.core.Offer(k, r); err != nil {
 		f.forget(k)
 		return &h248.Error{Code: h248.InternalFailure, Text: err.Error()}
 	}
 	return nil
 }
 
-// Stands implements call.Client.
-func (k *h248Call) Stands(id string, description []byte) {
+// CallEstablished implements call.Client.
+func (k *h248Call) CallEstablished(id string, description []byte) {
 	f := k.front
 	if !h248.Fits(description) {
 		f.n.later = append(f.n.later, func() { f.hangup(k, call.CauseFailed) })
@@ -453,8 +453,8 @@
 		Descriptors: []*h248.Node{{Name: "Media", Kids: []*h248.Node{{Name: "Local", Octets: description}}}}}}})
 }
 
-// Refused implements call.Client.
-func (k *h248Call) Refused(id string, cause int, wait time.Duration) {
+// CallRejected implements call.Client.
+func (k *h248Call) CallRejected(id string, cause int, wait time.Duration) {
 	k.front.forget(k)
 	code := h248.TemporaryFailure
 	if cause == call.CauseNoCircuit {
@@ -467,11 +467,11 @@
 	k.fail(code, text)
 }
 
-// Waived implements call.Client. What gives an H.248 call up replies to its transaction itself.
-func (k *h248Call) Waived(string) {}
+// CallForgotten implements call.Client. What gives an H.248 call up replies to its transaction itself.
+func (k *h248Call) CallForgotten(string) {}
 
-// Front implements call.Client.
-func (k *h248Call) Front() call.Front { return k.front }
+// Frontend implements call.Client.
+func (k *h248Call) Frontend() call.Frontend { return k.front }
 
 func (k *h248Call) fail(code int, text string) {
 	k.answer(&h248.Action{Context: "$", Err: &h248.Error{Code: code, Text: text}})
@@ -483,9 +483,9 @@
 	on.reply(k.entry, &h248.Transaction{ID: k.transaction, Actions: []*h248.Action{a}})
 }
 
-// Release implements call.Front: it tells the panel of the call's end, on any of
+// NotifyRelease implements call.Front: it tells the panel of the call's end, on any of
 // its connections, and again on the next until the panel replies.
-func (f *h248Front) Release(_ call.Client, id string, cause int) {
+func (f *h248Front) NotifyRelease(_ call.Client, id string, cause int) {
 	k := f.calls[id]
 	if k == nil {
 		return // of a call that this process never knew: panels learn it by their audit
@@ -550,7 +550,7 @@
 	for _, k := range f.calls {
 		if k.on == p {
 			f.forget(k)
-			f.n.core.Closed(k)
+			f.n.core.CallerDisconnected(k)
 			k.fail(h248.TemporaryFailure, "given up: the connection closed")
 		}
 	}
@@ -568,13 +568,13 @@
 	}
 	k := &n.core.Counters
 	add("requests", k.Requests)
-	add("stood", k.Stood)
-	add("refused", k.Refused)
+	add("stood", k.Established)
+	add("refused", k.Rejected)
 	add("failed", k.Failed)
-	add("givenup", k.GivenUp)
+	add("givenup", k.Abandoned)
 	add("attempts", k.Attempts)
-	add("open", n.core.Open())
-	add("standing", n.core.Standing())
+	add("open", n.core.OpenCalls())
+	add("standing", n.core.EstablishedCalls())
 	add("malformed", n.Malformed)
 	if n.rec != nil {
 		add("recorded", int(n.rec.log.Written()))
--- a/internal/server/link.go
+++ b/internal/server/link.go
@@ -77,7 +77,7 @@
 // dialled: what the same turn brings of its caller or of the exchange still stops it.
 func (l *link) invite(s call.Setup) {
 	if l.draining || l.gone {
-		l.tell(s.ID, s.Attempt, call.Unsent) // guards the drain rule, whatever was decided
+		l.tell(s.ID, s.Attempt, call.NotSent) // guards the drain rule, whatever was decided
 		return
 	}
 	l.queue = append(l.queue, s)
@@ -102,13 +102,13 @@
 
 func (l *link) send(s call.Setup) {
 	now := l.n.now()
-	if now >= s.Expires || l.s.c.OutboundBuffered() > 0 {
+	if now >= s.Deadline || l.s.c.OutboundBuffered() > 0 {
 		// Guards against set-ups whose time ran out while they waited for the link, and against those that would
 		// lie in a buffer, since the exchange reads nothing, and reach it after it drains or their callers left.
-		l.tell(s.ID, s.Attempt, call.Unsent)
+		l.tell(s.ID, s.Attempt, call.NotSent)
 		return
 	}
-	s.Wait = s.Expires - now // the time of a dial is gone
+	s.Timeout = s.Deadline - now // the time of a dial is gone
 	var err error
 	l.n.write(l.s, func(b []byte) []byte {
 		b, err = l.talk.invite(b, s)
@@ -116,7 +116,7 @@
 	})
 	if err != nil {
 		l.n.Unsayable++
-		l.tell(s.ID, s.Attempt, call.Unsent)
+		l.tell(s.ID, s.Attempt, call.NotSent)
 		return
 	}
 	l.out[s.ID] = s.Attempt
@@ -128,8 +128,8 @@
 }
 
 // tell passes an end to the core, but not from within a call of the core.
-func (l *link) tell(id string, attempt int, e call.End) {
-	l.n.later = append(l.n.later, func() { l.n.core.Ended(l.id, id, attempt, e) })
+func (l *link) tell(id string, attempt int, e call.AttemptEnd) {
+	l.n.later = append(l.n.later, func() { l.n.core.AttemptEnded(l.id, id, attempt, e) })
 }
 
 func (l *link) cancel(id string, attempt int) (unsent bool) {
@@ -185,7 +185,7 @@
 	if l.succeeded() { // guards against set-ups and releases for this exchange that would reach another
 		l.unqueue(call.DialRefused)
 		l.dialAt = l.n.now() + lastPause
-		l.n.later = append(l.n.later, func() { l.n.core.Lost(l.id, l.n.now()+1) })
+		l.n.later = append(l.n.later, func() { l.n.core.BackendRestarted(l.id, l.n.now()+1) })
 		return
 	}
 	l.dialing = true
@@ -240,13 +240,13 @@
 		// The connection broke and nobody listens any more: the process is dead and its
 		// calls with it. No release will come from there, so the callers hear it from here.
 		l.broke = false
-		l.n.core.Lost(l.id, l.n.now()+1)
+		l.n.core.BackendRestarted(l.id, l.n.now()+1)
 	}
 	l.pause = min(max(2*l.pause, firstPause), lastPause)
 	l.dialAt = l.n.now() + l.pause
 }
 
-func dialEnd(err error) call.End {
+func dialEnd(err error) call.AttemptEnd {
 	var timeout net.Error
 	switch {
 	case errors.Is(err, syscall.ECONNREFUSED):
@@ -257,7 +257,7 @@
 	return call.DialFailed
 }
 
-func (l *link) unqueue(e call.End) {
+func (l *link) unqueue(e call.AttemptEnd) {
 	queue := l.queue
 	l.queue = nil
 	for _, s := range queue {
@@ -311,10 +311,10 @@
 	case l.s == nil:
 	case l.stuck(now):
 		l.n.malformed("exchange "+l.id, errHalf)
-		l.down(call.Mute)
+		l.down(call.Unresponsive)
 	case l.mute(now):
 		l.n.log.Warnw("mute", "id", l.id, "asked", l.asked, "waiting", len(l.out), "silent", now-l.heard, "gap", l.gap)
-		l.down(call.Mute)
+		l.down(call.Unresponsive)
 	}
 }
 
@@ -329,14 +329,14 @@
 	case errors.Is(err, syscall.ECONNRESET), errors.Is(err, syscall.EPIPE):
 		l.down(call.ConnectionReset)
 	case err == nil, errors.Is(err, io.EOF):
-		l.down(call.ConnectionShut)
+		l.down(call.ConnectionClosed)
 	default:
 		l.down(call.ConnectionReset)
 	}
 }
 
 // down ends the connection and what is open on it, and dials anew.
-func (l *link) down(e call.End) {
+func (l *link) down(e call.AttemptEnd) {
 	if l.s == nil {
 		return
 	}
@@ -348,7 +348,7 @@
 	l.dial()
 }
 
-func (l *link) lose(e call.End) {
+func (l *link) lose(e call.AttemptEnd) {
 	for id, attempt := range l.out {
 		l.tell(id, attempt, e)
 	}
@@ -358,19 +358,19 @@
 // drain stops what is not yet sent; calls that stand go on.
 func (l *link) drain() {
 	l.draining = true
-	l.unqueue(call.Unsent)
+	l.unqueue(call.NotSent)
 }
 
 // end takes the exchange off the list.
 func (l *link) end() {
 	l.gone = true
-	l.unqueue(call.Unsent)
-	l.n.core.Dropped(l.id) // releases go out before the connection is closed
+	l.unqueue(call.NotSent)
+	l.n.core.BackendRemoved(l.id) // releases go out before the connection is closed
 	if l.s != nil {
 		l.n.close(l.s)
 		l.s = nil
 	}
-	l.lose(call.ExchangeLost)
+	l.lose(call.BackendLost)
 }
 
 // succeeded tells whether an exchange's address belongs to another by now, which came later or stays while this one
@@ -387,7 +387,7 @@
 // speaker is the exchange that a release comes from: where the call stands, if that is at this link's address. The
 // danger is an exchange that took over another's address, and speaks on a connection that was made for that one.
 func (l *link) speaker(id string) string {
-	at := l.n.core.Where(id)
+	at := l.n.core.BackendOf(id)
 	if o := l.n.links[at]; o != nil && o.addr == l.addr {
 		return at
 	}
@@ -402,7 +402,7 @@
 	l.addr = addr
 	l.serial++ // a dial that is on its way goes to the old one
 	l.dialing = false
-	l.down(call.ConnectionShut)
+	l.down(call.ConnectionClosed)
 	l.dial()
 }
 
--- a/internal/server/link_h248.go
+++ b/internal/server/link_h248.go
@@ -50,7 +50,7 @@
 		}
 	}
 	for t := range d.ctx { // of calls that ended without a word, such as at a process that died
-		if id, _, ok := callOf(t); ok && !d.n.core.Has(id) {
+		if id, _, ok := callOf(t); ok && !d.n.core.Contains(id) {
 			delete(d.ctx, t)
 		}
 	}
@@ -85,7 +85,7 @@
 	}
 	state := &h248.Node{Name: "TerminationState", Kids: []*h248.Node{
 		{Name: "oc/call", Value: s.ID}, {Name: "oc/class", Value: s.Class}, {Name: "oc/number", Value: s.Number},
-		{Name: "oc/left", Value: strconv.FormatInt(max(s.Wait.Milliseconds(), 1), 10)}}}
+		{Name: "oc/left", Value: strconv.FormatInt(max(s.Timeout.Milliseconds(), 1), 10)}}}
 	return d.ask(b, &ask{add: true, id: s.ID, attempt: s.Attempt}, "$", &h248.Command{Name: "Add",
 		Termination: termination(s.ID, s.Attempt), Descriptors: []*h248.Node{{Name: "Media",
 			Kids: []*h248.Node{state, {Name: "Remote", Octets: append([]byte{}, s.Description...)}}}}})
@@ -153,11 +153,11 @@
 	}
 	context, desc, err := added(t)
 	if err != nil {
-		d.n.core.Ended(l.id, a.id, a.attempt, h248End(err.Code))
+		d.n.core.AttemptEnded(l.id, a.id, a.attempt, h248End(err.Code))
 		return
 	}
 	d.ctx[termination(a.id, a.attempt)] = context
-	d.n.core.Answered(l.id, a.id, a.attempt, desc)
+	d.n.core.AttemptAnswered(l.id, a.id, a.attempt, desc)
 }
 
 // added reads the reply to an Add.
@@ -187,20 +187,20 @@
 }
 
 // h248End tells how a set-up ended by the error code of its reply.
-func h248End(code int) call.End {
+func h248End(code int) call.AttemptEnd {
 	switch code {
 	case h248.Insufficient, h248.ServiceUnavailable:
-		return call.ProcessorFull
+		return call.ProcessorBusy
 	case h248.NoTermination:
 		return call.NoCircuit
 	case h248.TerminationInContext:
-		return call.CalleeBusy
+		return call.DestinationBusy
 	case h248.NotReady:
-		return call.NeverLeft
+		return call.NotForwarded
 	case h248.TemporaryFailure:
-		return call.BrokeOnWay
+		return call.FailedInTransit
 	}
-	return call.Fault
+	return call.BackendError
 }
 
 // request carries out what the server tells, each transaction once.
@@ -250,16 +250,16 @@
 		}
 		delete(d.ctx, c.Termination)
 		delete(l.byes, id)
-		d.n.core.Released(l.id, id, cause, d.n.fronts...)
+		d.n.core.BackendReleased(l.id, id, cause, d.n.fronts...)
 	case "ServiceChange":
 		method := h248.Value(c.Descriptors, "Services", "Method")
 		switch strings.ToLower(method) {
 		case "graceful":
-			d.n.phase(l, admission.Lame)
+			d.n.phase(l, admission.Draining)
 		case "forced":
-			d.n.phase(l, admission.Out)
+			d.n.phase(l, admission.Removed)
 		case "restart":
-			d.n.phase(l, admission.In)
+			d.n.phase(l, admission.Active)
 		default:
 			return &h248.Error{Code: h248.BadValue, Text: "method " + method}
 		}
@@ -271,21 +271,21 @@
 
 // phase takes a server's own news of its state. Nothing is sent to one that
 // drains or is out from here on.
-func (n *Node) phase(l *link, phase admission.Phase) {
-	s := admission.Server{ID: l.id, Pool: l.pool, Phase: phase}
-	if phase == admission.In {
+func (n *Node) phase(l *link, phase admission.ServerState) {
+	s := admission.Server{ID: l.id, Pool: l.pool, State: phase}
+	if phase == admission.Active {
 		s.Started = n.now()
 	}
-	n.core.List([]admission.Server{s}, false)
+	n.core.UpdateServers([]admission.Server{s}, false)
 	switch phase {
-	case admission.Lame:
+	case admission.Draining:
 		l.drain()
-	case admission.Out:
+	case admission.Removed:
 		l.drain()
-		l.lose(call.ExchangeLost)
-		n.core.Lost(l.id, n.now()+1)
+		l.lose(call.BackendLost)
+		n.core.BackendRestarted(l.id, n.now()+1)
 	default:
 		l.draining = false
-		n.core.Lost(l.id, n.now())
+		n.core.BackendRestarted(l.id, n.now())
 	}
 }
--- a/internal/server/link_h248_test.go
+++ b/internal/server/link_h248_test.go
@@ -12,9 +12,9 @@
 )
 
 func TestEndsOfErrorCodes(t *testing.T) {
-	for code, want := range map[int]call.End{h248.Insufficient: call.ProcessorFull, h248.ServiceUnavailable: call.ProcessorFull,
-		h248.NoTermination: call.NoCircuit, h248.TerminationInContext: call.CalleeBusy, h248.NotReady: call.NeverLeft,
-		h248.TemporaryFailure: call.BrokeOnWay, h248.InternalFailure: call.Fault, h248.ProtocolError: call.Fault} {
+	for code, want := range map[int]call.AttemptEnd{h248.Insufficient: call.ProcessorBusy, h248.ServiceUnavailable: call.ProcessorBusy,
+		h248.NoTermination: call.NoCircuit, h248.TerminationInContext: call.DestinationBusy, h248.NotReady: call.NotForwarded,
+		h248.TemporaryFailure: call.FailedInTransit, h248.InternalFailure: call.BackendError, h248.ProtocolError: call.BackendError} {
 		if got := h248End(code); got != want {
 			t.Errorf("%d: %v, want %v", code, got, want)
 		}
@@ -26,7 +26,7 @@
 	n := &Node{}
 	n.loop.start(zap.NewNop(), time.Now)
 	n.cfg = testConfig(t)
-	n.core = call.New(nil, nil, n.now, call.Limits{})
+	n.core = call.NewManager(nil, nil, n.now, call.Limits{})
 	d := newH248(n, "s")
 	l := &link{n: n, id: "s", s: &stream{}, talk: d, byes: make(map[string]bye)}
 	notify := &h248.Transaction{ID: 5, Actions: []*h248.Action{{Context: "1", Commands: []*h248.Command{{Name: "Notify",
--- a/internal/server/link_sip.go
+++ b/internal/server/link_sip.go
@@ -50,7 +50,7 @@
 // that ended without a word, such as at a process that died.
 func (d *sipDialect) sweep(now time.Duration) {
 	for id, g := range d.dialogs {
-		if g.ends > 0 && now > g.ends || g.ends == 0 && !d.n.core.Has(id) {
+		if g.ends > 0 && now > g.ends || g.ends == 0 && !d.n.core.Contains(id) {
 			delete(d.dialogs, id)
 		}
 	}
@@ -73,7 +73,7 @@
 	from := len(b)
 	b = sip.AppendRequest(b, &sip.Request{Method: "INVITE", Number: s.Number, CallID: s.ID, CSeq: s.Attempt + 1,
 		Headers: []sip.Header{{Name: "X-Cos", Value: s.Class},
-			{Name: "X-Timer-Ms", Value: strconv.FormatInt(max(s.Wait.Milliseconds(), 1), 10)}},
+			{Name: "X-Timer-Ms", Value: strconv.FormatInt(max(s.Timeout.Milliseconds(), 1), 10)}},
 		Body: s.Description})
 	if len(b)-from > sip.Limit {
 		return b[:from], sip.ErrTooLong
@@ -144,23 +144,23 @@
 			d.learn(m, attempt)
 		}
 		if m.Status < 300 {
-			d.n.core.Answered(l.id, m.CallID, attempt, m.Body)
+			d.n.core.AttemptAnswered(l.id, m.CallID, attempt, m.Body)
 			return
 		}
 		g.ends = d.n.now() + again
 		if g.before && d.numbers != repeats {
 			// Guards against a second attempt at once: it may be such a copy, and this attempt still out.
 			d.n.write(l.s, func(b []byte) []byte { return d.cancel(b, m.CallID, attempt) })
-			d.n.core.Ended(l.id, m.CallID, attempt, call.BrokeOnWay)
+			d.n.core.AttemptEnded(l.id, m.CallID, attempt, call.FailedInTransit)
 			return
 		}
-		d.n.core.Ended(l.id, m.CallID, attempt, sipEnd(m))
+		d.n.core.AttemptEnded(l.id, m.CallID, attempt, sipEnd(m))
 	case g.answered:
 		d.n.Strays++ // a second copy
 	default:
 		g.answered = true
 		if m.Status < 300 { // it crossed our CANCEL
-			d.n.core.Answered(l.id, m.CallID, g.attempt, m.Body)
+			d.n.core.AttemptAnswered(l.id, m.CallID, g.attempt, m.Body)
 		}
 	}
 }
@@ -184,22 +184,22 @@
 }
 
 // sipEnd tells how a set-up ended by the response to its INVITE.
-func sipEnd(m *sip.Message) call.End {
+func sipEnd(m *sip.Message) call.AttemptEnd {
 	switch note := m.Header("X-Diagnosis"); {
 	case note == "number_busy":
-		return call.CalleeBusy
+		return call.DestinationBusy
 	case m.Status == 503 && note == "all_trunks_busy":
 		return call.NoCircuit
 	}
 	switch m.Status {
 	case 503:
-		return call.ProcessorFull
+		return call.ProcessorBusy
 	case 480:
-		return call.NeverLeft
+		return call.NotForwarded
 	case 504, 487:
-		return call.BrokeOnWay
+		return call.FailedInTransit
 	}
-	return call.Fault
+	return call.BackendError
 }
 
 func (d *sipDialect) request(l *link, m *sip.Message) {
@@ -210,13 +210,13 @@
 	case "ACK": // wants no answer
 	case "NOTIFY": // nor does this
 		if load, ok := occupancy(m.Header("X-Occupancy")); ok {
-			d.n.core.Told(l.id, load)
+			d.n.core.LoadReported(l.id, load)
 		}
 	case "BYE":
 		answer(200, "OK")
 		delete(l.byes, m.CallID)
 		d.forget(l, m.CallID)
-		d.n.core.Released(l.speaker(m.CallID), m.CallID, m.ReleaseCause(), d.n.fronts...)
+		d.n.core.BackendReleased(l.speaker(m.CallID), m.CallID, m.ReleaseCause(), d.n.fronts...)
 	case "OPTIONS":
 		answer(200, "OK")
 	default:
@@ -225,18 +225,18 @@
 }
 
 // occupancy reads the state of a group of lines, such as 'free:305;size:310'.
-func occupancy(text string) (load admission.Load, ok bool) {
+func occupancy(text string) (load admission.LoadReport, ok bool) {
 	for part := range strings.SplitSeq(text, ";") {
 		name, value, _ := strings.Cut(strings.TrimSpace(part), ":")
 		v, err := strconv.ParseFloat(value, 64)
 		if err != nil || v < 0 {
 			continue
 		}
-		switch f := (admission.Figure{Value: v, Given: true}); name {
+		switch f := (admission.Optional{Value: v, Valid: true}); name {
 		case "free":
-			load.Free, ok = f, true
+			load.FreeCircuits, ok = f, true
 		case "size":
-			load.Lines, ok = f, true
+			load.TotalCircuits, ok = f, true
 		}
 	}
 	return load, ok
--- a/internal/server/link_sip_test.go
+++ b/internal/server/link_sip_test.go
@@ -16,7 +16,7 @@
 func TestPairingOfAnswers(t *testing.T) {
 	n := &Node{}
 	n.loop.start(zap.NewNop(), time.Now)
-	n.core = call.New(nil, nil, n.now, call.Limits{})
+	n.core = call.NewManager(nil, nil, n.now, call.Limits{})
 	d := newSIP(n)
 	l := &link{n: n, s: &stream{shut: true}, talk: d, out: make(map[string]int)}
 	for attempt := range 2 {
@@ -51,9 +51,9 @@
 	for _, test := range []struct {
 		status int
 		note   string
-		want   call.End
-	}{{486, "number_busy", call.CalleeBusy}, {486, "", call.Fault}, {500, "", call.Fault}, {503, "cpu_full", call.ProcessorFull},
-		{503, "all_trunks_busy", call.NoCircuit}, {480, "", call.NeverLeft}, {504, "", call.BrokeOnWay}, {302, "", call.Fault}} {
+		want   call.AttemptEnd
+	}{{486, "number_busy", call.DestinationBusy}, {486, "", call.BackendError}, {500, "", call.BackendError}, {503, "cpu_full", call.ProcessorBusy},
+		{503, "all_trunks_busy", call.NoCircuit}, {480, "", call.NotForwarded}, {504, "", call.FailedInTransit}, {302, "", call.BackendError}} {
 		m := &sip.Message{Status: test.status, Headers: []sip.Header{{Name: "X-Diagnosis", Value: test.note}}}
 		if got := sipEnd(m); got != test.want {
 			t.Errorf("%d %s: %v, want %v", test.status, test.note, got, test.want)
--- a/internal/server/load_test.go
+++ b/internal/server/load_test.go
@@ -32,35 +32,35 @@
 	return &straight{left: make(map[string][]int), wait: 150 * time.Millisecond}
 }
 
-func (d *straight) Pick(_ time.Duration, r admission.Request) admission.Order {
-	d.left[r.Call] = r.Pools
-	return d.next(r.Call)
+func (d *straight) Place(_ time.Duration, r admission.Request) admission.Decision {
+	d.left[r.CallID] = r.Pools
+	return d.next(r.CallID)
 }
 
-func (d *straight) next(call string) admission.Order {
+func (d *straight) next(call string) admission.Decision {
 	pools := d.left[call]
 	if len(pools) == 0 {
 		delete(d.left, call)
-		return admission.Order{Call: call, Move: admission.Deny}
+		return admission.Decision{CallID: call, Kind: admission.Reject}
 	}
 	d.left[call] = pools[1:]
-	return admission.Order{Call: call, Move: admission.Try, Server: fmt.Sprint("s-", pools[0]), Wait: d.wait}
+	return admission.Decision{CallID: call, Kind: admission.Send, Server: fmt.Sprint("s-", pools[0]), Wait: d.wait}
 }
 
-func (d *straight) Report(now time.Duration, p admission.Progress) admission.Order {
+func (d *straight) Report(now time.Duration, p admission.AttemptReport) admission.Decision {
 	switch {
-	case p.Stage == admission.Told:
-	case p.Stage != admission.Ended || p.Final:
-		delete(d.left, p.Call)
-	case p.Code == admission.Expired || p.Code == admission.Dropped || p.Code == admission.Revoked:
-		d.held = append(d.held, heldCall{now + guard + 50*time.Millisecond, p.Call})
+	case p.Kind == admission.ReportLoad:
+	case p.Kind != admission.ReportEnded || p.Final:
+		delete(d.left, p.CallID)
+	case p.Result == admission.TimedOut || p.Result == admission.ConnectionLost || p.Result == admission.Canceled:
+		d.held = append(d.held, heldCall{now + guard + 50*time.Millisecond, p.CallID})
 	default:
-		return d.next(p.Call)
+		return d.next(p.CallID)
 	}
-	return admission.Order{Call: p.Call, Move: admission.Hold}
+	return admission.Decision{CallID: p.CallID, Kind: admission.None}
 }
 
-func (d *straight) Tick(now time.Duration) (all []admission.Order) {
+func (d *straight) Tick(now time.Duration) (all []admission.Decision) {
 	for len(d.held) > 0 && d.held[0].at <= now {
 		if _, ok := d.left[d.held[0].call]; ok {
 			all = append(all, d.next(d.held[0].call))
@@ -70,14 +70,14 @@
 	return all
 }
 
-func (d *straight) Next() time.Duration {
+func (d *straight) NextDeadline() time.Duration {
 	if len(d.held) > 0 {
 		return d.held[0].at
 	}
 	return time.Duration(1<<63 - 1)
 }
 
-func (d *straight) List(time.Duration, []admission.Server, bool) {}
+func (d *straight) UpdateServers(time.Duration, []admission.Server, bool) {}
 
 // A load sets calls up on several callers and notes when each heard its first word and its end.
 type load struct {
--- a/internal/server/lookup_test.go
+++ b/internal/server/lookup_test.go
@@ -184,7 +184,7 @@
 	k.close()
 	eventually(t, "nothing is held", func() bool {
 		pins := make(chan int, 1)
-		s.n.exec(func() { pins <- s.n.numbers.desk.List()[0].Pins + s.n.core.Open() })
+		s.n.exec(func() { pins <- s.n.numbers.desk.List()[0].Pins + s.n.core.OpenCalls() })
 		return <-pins == 0
 	})
 	if said := h.of(left); said != "" {
@@ -231,7 +231,7 @@
 			for _, v := range r.s.n.numbers.desk.List() {
 				sum += v.Pins
 			}
-			got <- [2]int{sum, r.s.n.core.Open()}
+			got <- [2]int{sum, r.s.n.core.OpenCalls()}
 		})
 		x := <-got
 		pins, waits = x[0], x[1]
@@ -245,9 +245,9 @@
 	}
 	k := &r.s.n.core.Counters
 	t.Logf("mode %d, %s: %d calls, %d stood, %d turned away; answered after p50 %v us, p99 %v us, at most %v us; look-ups %+v; memory grew by %d KiB",
-		mode, fallback, n, k.Stood, k.Barred+k.Refused, took.ValueAtQuantile(50), took.ValueAtQuantile(99), took.Max(), c, grown>>10)
-	if (k.Stood == n) != (fallback == config.FallbackRoute || mode == good) {
-		t.Errorf("mode %d, %s: %d of %d stood", mode, fallback, k.Stood, n)
+		mode, fallback, n, k.Established, k.ByPolicy+k.Rejected, took.ValueAtQuantile(50), took.ValueAtQuantile(99), took.Max(), c, grown>>10)
+	if (k.Established == n) != (fallback == config.FallbackRoute || mode == good) {
+		t.Errorf("mode %d, %s: %d of %d stood", mode, fallback, k.Established, n)
 	}
 	if n := r.f.r.total(&r.f.r.copies) + r.f.r.total(&r.f.r.early); n != 0 {
 		t.Errorf("%d rules broken", n)
--- a/internal/server/meter.go
+++ b/internal/server/meter.go
@@ -37,7 +37,7 @@
 func newMeter(n *Node, next call.Observer) *meter {
 	m := &meter{n: n, next: next}
 	for _, k := range n.cfg.Settings.Classes {
-		m.classes = append(m.classes, classMeter{name: k.Name, aim: k.Aim})
+		m.classes = append(m.classes, classMeter{name: k.Name, aim: k.LatencyObjective})
 	}
 	m.classes = append(m.classes, classMeter{name: "(others)", aim: math.MaxInt64})
 	return m
@@ -60,84 +60,84 @@
 	return &serverMeter{}
 }
 
-// SetUp implements call.Observer.
-func (m *meter) SetUp(now call.Time, r *call.Request) {
+// CallOffered implements call.Observer.
+func (m *meter) CallOffered(now call.Time, r *call.Request) {
 	m.class(r.Class).offered++
 	if m.next != nil {
-		m.next.SetUp(now, r)
+		m.next.CallOffered(now, r)
 	}
 }
 
-// Ordered implements call.Observer.
-func (m *meter) Ordered(now call.Time, o *admission.Order) {
+// Decided implements call.Observer.
+func (m *meter) Decided(now call.Time, o *admission.Decision) {
 	if m.next != nil {
-		m.next.Ordered(now, o)
+		m.next.Decided(now, o)
 	}
 }
 
-// Tried implements call.Observer.
-func (m *meter) Tried(now call.Time, server string, s *call.Setup) {
+// AttemptStarted implements call.Observer.
+func (m *meter) AttemptStarted(now call.Time, server string, s *call.Setup) {
 	m.class(s.Class).tries++
 	m.server(server).tries++
 	if m.next != nil {
-		m.next.Tried(now, server, s)
+		m.next.AttemptStarted(now, server, s)
 	}
 }
 
 // AttemptEnded implements call.Observer.
-func (m *meter) AttemptEnded(now call.Time, server, id string, attempt int, e call.End, took time.Duration) {
+func (m *meter) AttemptEnded(now call.Time, server, id string, attempt int, e call.AttemptEnd, took time.Duration) {
 	if m.next != nil {
 		m.next.AttemptEnded(now, server, id, attempt, e, took)
 	}
 }
 
-// Answered implements call.Observer.
-func (m *meter) Answered(now call.Time, a *call.Answer) {
+// CallAnswered implements call.Observer.
+func (m *meter) CallAnswered(now call.Time, a *call.Answer) {
 	k := m.class(a.Class)
 	switch a.Outcome {
-	case call.Stood:
+	case call.Established:
 		k.stood++
-		if a.Took > k.aim {
+		if a.Elapsed > k.aim {
 			k.late++
 		}
 		m.server(a.Server).stood++
-	case call.Refused, call.Crowded, call.HaltedOpen, call.Barred:
+	case call.Rejected, call.RejectedOverLimit, call.RejectedShuttingDown, call.RejectedByPolicy:
 		k.refused++
-	case call.GivenUp:
+	case call.Abandoned:
 		k.givenUp++
 	default:
 		k.failed++
 	}
 	if m.next != nil {
-		m.next.Answered(now, a)
+		m.next.CallAnswered(now, a)
 	}
 }
 
-// Released implements call.Observer.
-func (m *meter) Released(now call.Time, r *call.Release) {
-	if r.End == call.Cut || r.End == call.ExchangeLost {
+// CallReleased implements call.Observer.
+func (m *meter) CallReleased(now call.Time, r *call.Release) {
+	if r.End == call.EndedByFault || r.End == call.BackendLost {
 		m.class(r.Class).cut++
 		m.server(r.Server).cut++
 	}
 	if m.next != nil {
-		m.next.Released(now, r)
+		m.next.CallReleased(now, r)
 	}
 }
 
-// Limited implements call.Observer.
-func (m *meter) Limited(now call.Time, l call.Limit, id string) {
+// LimitReached implements call.Observer.
+func (m *meter) LimitReached(now call.Time, l call.Limit, id string) {
 	if m.next != nil {
-		m.next.Limited(now, l, id)
+		m.next.LimitReached(now, l, id)
 	}
 }
 
 // ceiling notes what the module says of a server.
-func (m *meter) ceiling(c admission.Ceiling) {
+func (m *meter) ceiling(c admission.RateLimitChanged) {
 	if m == nil {
 		return
 	}
 	s := m.server(c.Server)
-	if s.ceiling = c.PerSecond; math.IsInf(c.PerSecond, 1) {
+	if s.ceiling = c.AttemptsPerSecond; math.IsInf(c.AttemptsPerSecond, 1) {
 		s.ceiling = 0
 	}
 }
@@ -187,7 +187,7 @@
 		if l.meter.ceiling > 0 {
 			text["ceiling"] = strconv.FormatFloat(l.meter.ceiling, 'f', 2, 64)
 		}
-		if started := l.meter.started; started > 0 && m.n.now()-started < m.n.cfg.Settings.Cold {
+		if started := l.meter.started; started > 0 && m.n.now()-started < m.n.cfg.Settings.SlowStartPeriod {
 			text["cold"] = "1"
 		}
 		node("oc/server", text, []string{"name", "pool", "phase", "cold", "ceiling", "attempts", "stood", "cut"})
--- a/internal/server/moment_test.go
+++ b/internal/server/moment_test.go
@@ -105,7 +105,7 @@
 						if how == "gives up" {
 							k.traffic(line(jsonl.Finish, id))
 						} else {
-							x.n.core.Closed(k)
+							x.n.core.CallerDisconnected(k)
 						}
 					}, x.n.core.Tick)
 				})
@@ -239,7 +239,7 @@
 	if n := len(x.module.codes(open)); n != 1 {
 		t.Errorf("%d ends of attempts of a call that stands", n)
 	}
-	if c := x.module.codes(open)[0]; c == admission.Full || c == admission.Unused || c == admission.DialFailed {
+	if c := x.module.codes(open)[0]; c == admission.ServerBusy || c == admission.NotSent || c == admission.DialFailed {
 		t.Errorf("an attempt that was out counts as one that never ran: %v", c)
 	}
 }
--- a/internal/server/node.go
+++ b/internal/server/node.go
@@ -53,13 +53,13 @@
 	cfg      *config.Config
 	connect  time.Duration
 	dialTo   dialer
-	core     *call.Core
+	core     *call.Manager
 	json     *jsonFront
 	h248     *h248Front // nil: off
 	h248cfg  *config.H248
 	bind     string            // the callers' listener
 	local    map[string]string // the addresses listened on, as configured by as bound
-	fronts   []call.Front
+	fronts   []call.Frontend
 	links    map[string]*link
 	list     *discovery.List
 	names    *resolver
@@ -117,7 +117,7 @@
 	n := &Node{started: make(chan struct{}), cfg: cfg, h248cfg: h, connect: cfg.Connect, dialTo: o.dial, local: make(map[string]string), links: make(map[string]*link), rng: rand.New(rand.NewPCG(cfg.Seed, 1))}
 	n.loop.start(o.Log, o.Clock)
 	n.names = &resolver{n: n, addr: cfg.Names}
-	desk, err := admission.NewDesk(n.now(), cfg.Settings, cfg.Seed, func(line string) {
+	desk, err := admission.NewEngine(n.now(), cfg.Settings, cfg.Seed, func(line string) {
 		n.log.Infow("module", "text", line)
 		n.rec.note(line)
 	})
@@ -128,7 +128,7 @@
 	if o.module != nil {
 		module = o.module
 	}
-	n.core = call.New(module, n, n.now, call.Limits{Open: cfg.MemoryMB << 6, Bytes: cfg.MemoryMB << 17, Recent: cfg.MemoryMB << 7})
+	n.core = call.NewManager(module, n, n.now, call.Limits{OpenCalls: cfg.MemoryMB << 6, DescriptionBytes: cfg.MemoryMB << 17, CompletedIDs: cfg.MemoryMB << 7})
 	if err := n.observe(o, desk); err != nil {
 		return nil, err
 	}
@@ -136,7 +136,7 @@
 		if n.numbers, err = newNumbers(n, o.Numbers); err != nil {
 			return nil, err
 		}
-		n.core.RouteBy(n.numbers)
+		n.core.SetRouter(n.numbers)
 	}
 	if o.Share != nil {
 		if n.share, err = newSharing(n, o.Share, desk); err != nil {
@@ -145,7 +145,7 @@
 	}
 	n.json = &jsonFront{n: n, max: cfg.Sockets*2/3 - reserve}
 	n.unread = cfg.MemoryMB << 20 / 8 / n.json.max
-	n.fronts = []call.Front{n.json}
+	n.fronts = []call.Frontend{n.json}
 	if h != nil { // the fronts share the budget of sockets
 		n.json.max /= 2
 		n.h248 = newH248Front(n, n.json.max)
@@ -169,7 +169,7 @@
 			n.links[s.ID] = n.newLink(s.ID, s.Address, s.Pool, newH248(n, s.ID))
 		}
 	}
-	n.core.List(servers, true)
+	n.core.UpdateServers(servers, true)
 	return n, nil
 }
 
@@ -267,10 +267,10 @@
 		l.dial()
 	}
 	set := n.cfg.Settings
-	n.log.Infow("settings", "group", set.GroupSize, "resend", set.Resend, "release", set.Release, "cold", set.Cold, "attempts", set.MaxAttempts,
+	n.log.Infow("settings", "group", set.ControllerCount, "resend", set.ResendInterval, "release", set.RetryGuard, "cold", set.SlowStartPeriod, "attempts", set.MaxAttempts,
 		"connect", n.connect)
 	for _, k := range set.Classes {
-		n.log.Infow("settings", "class", k.Name, "aim", k.Aim, "deadline", k.Deadline, "credit", k.Credit)
+		n.log.Infow("settings", "class", k.Name, "aim", k.LatencyObjective, "deadline", k.Deadline, "credit", k.Weight)
 	}
 	n.log.Infow("started", "name", n.cfg.Name, "listen", n.cfg.Listen, "exchanges", len(n.links))
 	close(n.started)
@@ -307,7 +307,7 @@
 	if n.timer == nil {
 		return
 	}
-	next := min(n.core.Next(), n.pollAt, n.share.next())
+	next := min(n.core.NextDeadline(), n.pollAt, n.share.next())
 	if n.stopAt > 0 {
 		next = min(next, n.lookAt)
 	}
@@ -370,7 +370,7 @@
 	if n.stopAt == 0 {
 		n.stopAt = n.now()
 		n.rec.stopping()
-		n.log.Infow("stopping", "open", n.core.Open(), "standing", n.core.Standing())
+		n.log.Infow("stopping", "open", n.core.OpenCalls(), "standing", n.core.EstablishedCalls())
 	}
 }
 
@@ -382,7 +382,7 @@
 	}
 	switch out := n.outOfTime(now); {
 	case out:
-		n.core.Stop()
+		n.core.RejectOpenCalls()
 	case n.owes():
 		n.restAt = 0
 		return
@@ -408,7 +408,7 @@
 // owes tells whether anybody waits for something that this process alone can bring: an answer that is not
 // given or not written out, a release that no caller or exchange has been sent.
 func (n *Node) owes() bool {
-	if n.core.Open() > 0 || len(n.json.unsaid) > 0 {
+	if n.core.OpenCalls() > 0 || len(n.json.unsaid) > 0 {
 		return true
 	}
 	for k := range n.json.clients.oldest() {
@@ -466,7 +466,7 @@
 		l.invite(s)
 		return
 	}
-	n.later = append(n.later, func() { n.core.Ended(server, s.ID, s.Attempt, call.Unsent) })
+	n.later = append(n.later, func() { n.core.AttemptEnded(server, s.ID, s.Attempt, call.NotSent) })
 }
 
 // Cancel implements call.Exchanges.
@@ -482,8 +482,8 @@
 	}
 }
 
-// ReleaseAnywhere implements call.Exchanges.
-func (n *Node) ReleaseAnywhere(id string, cause int) {
+// ReleaseEverywhere implements call.Exchanges.
+func (n *Node) ReleaseEverywhere(id string, cause int) {
 	for _, l := range n.links {
 		l.release(id, bye{cause: cause, unknown: true})
 	}
@@ -510,7 +510,7 @@
 		n.rec.server(m.Server(), m.Address)
 		n.log.Infow("exchange", "id", m.ID, "phase", m.Phase, "cell", m.Cell, "addr", m.Address, "started", m.Started)
 	}
-	n.core.List(servers, false) // before the links tell of ends: nothing is to go there again
+	n.core.UpdateServers(servers, false) // before the links tell of ends: nothing is to go there again
 	for _, m := range changed {
 		l := n.links[m.ID]
 		switch {
@@ -531,7 +531,7 @@
 			}
 			l.meter.started = time.Duration(m.Started) * time.Millisecond
 			if m.Started > 0 { // a process that started since has none of the calls
-				n.core.Lost(m.ID, time.Duration(m.Started)*time.Millisecond)
+				n.core.BackendRestarted(m.ID, time.Duration(m.Started)*time.Millisecond)
 			}
 		}
 	}
@@ -613,7 +613,7 @@
 			if failedWrite(err) {
 				n.leftover(c, x.lastWords)
 				for _, id := range x.s.told { // nobody has heard that they stand, and nobody would release them
-					n.core.Hangup(id, call.CauseNormal)
+					n.core.ReleaseByCaller(id, call.CauseNormal)
 				}
 			}
 			x.closed()
@@ -657,11 +657,11 @@
 // Report writes the counters.
 func (n *Node) Report() {
 	c, k := &n.Counters, &n.core.Counters
-	n.log.Infow("counters", "requests", k.Requests, "stood", k.Stood, "refused", k.Refused, "failed", k.Failed, "given_up", k.GivenUp,
-		"repeated", k.Repeated, "reused", k.Reused, "crowded", k.Crowded, "barred", k.Barred, "impossible", c.Impossible, "open", n.core.Open(),
-		"standing", n.core.Standing())
-	n.log.Infow("counters", "attempts", k.Attempts, "invites", c.Invites, "cancels", k.Cancels, "late_answers", k.LateAnswers, "released_by_exchange", k.ReleasedByExchange,
-		"released_by_caller", k.ReleasedByCaller, "released_unknown", k.ReleasedUnknown, "unknown_dropped", k.AliensDropped)
+	n.log.Infow("counters", "requests", k.Requests, "stood", k.Established, "refused", k.Rejected, "failed", k.Failed, "given_up", k.Abandoned,
+		"repeated", k.Repeated, "reused", k.ReusedIDs, "crowded", k.OverLimit, "barred", k.ByPolicy, "impossible", c.Impossible, "open", n.core.OpenCalls(),
+		"standing", n.core.EstablishedCalls())
+	n.log.Infow("counters", "attempts", k.Attempts, "invites", c.Invites, "cancels", k.Cancels, "late_answers", k.LateAnswers, "released_by_exchange", k.ReleasedByBackend,
+		"released_by_caller", k.ReleasedByCaller, "released_unknown", k.ReleasedUnknown, "unknown_dropped", k.UnknownReleasesDropped)
 	n.log.Infow("counters", "clients", c.Clients, "clients_shut", c.ClientsShut, "clients_turned_away", c.ClientsTurnedAway, "clients_silent", c.ClientsSilent, "malformed", c.Malformed,
 		"tests", c.Tests, "repeats", c.Repeats, "unsayable", c.Unsayable, "dials", c.Dials, "dials_failed", c.DialsFailed,
 		"links_lost", c.LinksLost, "strays", c.Strays, "releases_said", c.ReleasesSaid, "releases_lost", c.ReleasesLost)
@@ -671,7 +671,7 @@
 		n.log.Infow("counters", "lookups", l.Asked, "hits", l.Hits, "coalesced", l.Coalesced, "stale", l.StaleHits, "undecided", l.Undecided, "no_room", l.Crowded,
 			"sent", l.Sent, "answered", l.Answered, "timed_out", l.TimedOut, "refused", l.Refused, "strays", l.Strays, "lies", l.Lies, "broken", l.Broken)
 	}
-	for _, e := range call.Ends() {
+	for _, e := range call.AllAttemptEnds() {
 		if k.Ends[e] > 0 {
 			n.log.Infow("ends", "end", e.String(), "count", k.Ends[e])
 		}
--- a/internal/server/numbers.go
+++ b/internal/server/numbers.go
@@ -234,18 +234,18 @@
 const mostKept = 32
 
 // Route implements call.Router.
-func (r *numbers) Route(now call.Time, q *call.Request) call.Routing {
+func (r *numbers) Route(now call.Time, q *call.Request) call.Route {
 	pin := r.desk.Pin()
 	t := pin.Table()
 	ask := numbering.Query{Number: q.Number, Class: q.Class, At: now, Seed: numbering.Seed(q.ID)}
 	d := t.Analyse(&ask)
 	if d.Verdict == numbering.Ask {
 		id := q.ID
-		wait := r.budget(q.Class).Of(q.Until - now)
+		wait := r.budget(q.Class).Of(q.Deadline - now)
 		if r.client != nil && wait > 0 && r.client.Ask(id, d.Number.String(), wait, func(res portability.Result) {
 			r.n.exec(func() { r.n.turn(func() { r.found(id, pin, ask, res) }) })
 		}) {
-			return call.Routing{Pending: true, Table: t.Digest(), Release: func() {
+			return call.Route{Pending: true, Table: t.Digest(), Release: func() {
 				r.client.Cancel(id)
 				pin.Release()
 			}}
@@ -266,15 +266,15 @@
 	}
 	ask.Ported = res.Ported
 	d := t.Analyse(&ask)
-	r.n.core.Routed(id, r.word(&ask, &d))
+	r.n.core.RouteResolved(id, r.word(&ask, &d))
 }
 
 // word is a decision as the core takes it.
-func (r *numbers) word(ask *numbering.Query, d *numbering.Decision) call.Routing {
+func (r *numbers) word(ask *numbering.Query, d *numbering.Decision) call.Route {
 	if ask.Ported.State == numbering.Undecided && r.lookup.Fallback == config.FallbackRefuse {
-		return call.Routing{Cause: call.CauseNoCircuit, Wait: r.n.cfg.Settings.Told(undecidedWait)}
+		return call.Route{Cause: call.CauseNoCircuit, RetryAfter: r.n.cfg.Settings.RetryAfter(undecidedWait)}
 	}
-	return call.Routing{Pools: d.Pools(), Cause: d.Cause, Urgent: d.Emergency}
+	return call.Route{Pools: d.Pools(), Cause: d.Cause, Emergency: d.Emergency}
 }
 
 // undecidedWait is what callers are asked to keep away for where nobody can tell a number's way.
@@ -283,10 +283,10 @@
 // budget is what a look-up for a call of a class may take: two attempts that take half the wanted
 // time each, the release guard between them and the answer must still fit behind it.
 func (r *numbers) budget(class string) portability.Budget {
-	b := portability.Budget{Attempt: 500 * time.Millisecond, Guard: r.n.cfg.Settings.Release, Answer: 10 * margin, Share: r.lookup.Share}
+	b := portability.Budget{Attempt: 500 * time.Millisecond, Guard: r.n.cfg.Settings.RetryGuard, Answer: 10 * margin, Share: r.lookup.Share}
 	for _, k := range r.n.cfg.Settings.Classes {
 		if k.Name == class {
-			b.Attempt = k.Aim / 2
+			b.Attempt = k.LatencyObjective / 2
 		}
 	}
 	return b
--- a/internal/server/numbers_test.go
+++ b/internal/server/numbers_test.go
@@ -100,7 +100,7 @@
 	// The connection of the first call counts as mute, as it does where this test is slow: the call is tried again,
 	// by the table that it began with.
 	again := f.r.tries("100")
-	s.n.exec(func() { s.n.turn(func() { s.n.links["s-0"].down(call.Mute) }) })
+	s.n.exec(func() { s.n.turn(func() { s.n.links["s-0"].down(call.Unresponsive) }) })
 	eventually(t, "it is tried again", func() bool { return f.r.tries("100") > again })
 	if holds(0) == 0 || holds(1) == 0 {
 		t.Errorf("while one is tried again calls hold %+v", status())
--- a/internal/server/owed_test.go
+++ b/internal/server/owed_test.go
@@ -223,7 +223,7 @@
 		return gone
 	})
 	x.turn(func() {
-		if !x.n.core.Has(id) {
+		if !x.n.core.Contains(id) {
 			t.Error("the call was released")
 		}
 	})
@@ -331,7 +331,7 @@
 	id := x.k.setUp("1", 5*time.Second)
 	a.awaits("INVITE", id, 1)
 	x.turn(func() { // its answer crosses our giving it up
-		x.n.core.Ended("s-0", id, 0, call.TimedOut)
+		x.n.core.AttemptEnded("s-0", id, 0, call.TimedOut)
 		x.n.links["s-0"].cancel(id, 0)
 		x.says(0, response(id, "INVITE", 200, 1, "late"))
 	})
