--- a/internal/server/recorder.go
+++ b/internal/server/recorder.go
@@ -52,14 +52,14 @@
 	r := w.put(record.KindStart)
 	r.Flag, r.Text, r.By = found.Clean, found.String(), program
 	w.done()
-	w.configured("settings", n.cfg.Settings)
+	w.configured("settings", newSettingsRecord(n.cfg.Settings))
 	for _, k := range n.cfg.Settings.Classes { // an analysis needs what is late, and what is cold
 		r := w.put(record.KindConfig)
-		r.By, r.Class, r.Wait, r.Took, r.Value = "class", k.Name, k.Aim, k.Deadline, k.Credit
+		r.By, r.Class, r.Wait, r.Took, r.Value = "class", k.Name, k.LatencyObjective, k.Deadline, k.Weight
 		w.done()
 	}
 	r = w.put(record.KindConfig)
-	r.By, r.Wait, r.Value = "cold", n.cfg.Settings.Cold, n.cfg.Settings.Start
+	r.By, r.Wait, r.Value = "cold", n.cfg.Settings.SlowStartPeriod, n.cfg.Settings.SlowStartShare
 	w.done()
 	return w, nil
 }
@@ -88,65 +88,65 @@
 	w.done()
 }
 
-// SetUp implements call.Observer.
-func (w *recorder) SetUp(now call.Time, q *call.Request) {
-	w.r = record.Record{Kind: record.KindSetUp, At: now, Call: q.ID, Class: q.Class, Number: q.Number, Pool: q.First, Flag: q.Cut, Wait: q.Until - now, Text: q.Table}
+// CallOffered implements call.Observer.
+func (w *recorder) CallOffered(now call.Time, q *call.Request) {
+	w.r = record.Record{Kind: record.KindSetUp, At: now, Call: q.ID, Class: q.Class, Number: q.Number, Pool: q.PreferredPool, Flag: q.Reestablish, Wait: q.Deadline - now, Text: q.Table}
 	w.done()
 }
 
-// Ordered implements call.Observer.
-func (w *recorder) Ordered(now call.Time, o *admission.Order) {
-	w.r = record.Record{Kind: record.KindOrder, At: now, Call: o.Call, Code: uint8(moves[o.Move]), Server: o.Server, Attempt: o.Attempt, Wait: o.Wait, Text: string(o.Why)}
+// Decided implements call.Observer.
+func (w *recorder) Decided(now call.Time, o *admission.Decision) {
+	w.r = record.Record{Kind: record.KindOrder, At: now, Call: o.CallID, Code: uint8(moves[o.Kind]), Server: o.Server, Attempt: o.Attempt, Wait: o.Wait, Text: string(o.Reason)}
 	w.done()
 }
 
 // moves are the module's in the numbers of the format, which must stay.
-var moves = map[admission.Move]record.Move{admission.Hold: record.Hold, admission.Try: record.Try, admission.Deny: record.Deny,
-	admission.GiveUp: record.GiveUp, admission.CallOff: record.CallOff}
+var moves = map[admission.DecisionKind]record.Move{admission.None: record.Hold, admission.Send: record.Try, admission.Reject: record.Deny,
+	admission.Fail: record.GiveUp, admission.Cancel: record.CallOff}
 
-// Tried implements call.Observer.
-func (w *recorder) Tried(now call.Time, server string, s *call.Setup) {
-	w.r = record.Record{Kind: record.KindTry, At: now, Call: s.ID, Server: server, Attempt: s.Attempt, Wait: s.Wait}
+// AttemptStarted implements call.Observer.
+func (w *recorder) AttemptStarted(now call.Time, server string, s *call.Setup) {
+	w.r = record.Record{Kind: record.KindTry, At: now, Call: s.ID, Server: server, Attempt: s.Attempt, Wait: s.Timeout}
 	w.done()
 }
 
 // AttemptEnded implements call.Observer.
-func (w *recorder) AttemptEnded(now call.Time, server, id string, attempt int, e call.End, took time.Duration) {
+func (w *recorder) AttemptEnded(now call.Time, server, id string, attempt int, e call.AttemptEnd, took time.Duration) {
 	w.r = record.Record{Kind: record.KindTryEnd, At: now, Call: id, Server: server, Attempt: attempt, End: e.String(), Took: took}
 	w.done()
 }
 
-var outcomes = [...]record.Outcome{call.Stood: record.Stood, call.Refused: record.Refused, call.Failed: record.Failed, call.GivenUp: record.GivenUp,
-	call.Crowded: record.Crowded, call.Reused: record.Reused, call.Impossible: record.Impossible, call.HaltedOpen: record.Stopped, call.Barred: record.Barred}
+var outcomes = [...]record.Outcome{call.Established: record.Stood, call.Rejected: record.Refused, call.Failed: record.Failed, call.Abandoned: record.GivenUp,
+	call.RejectedOverLimit: record.Crowded, call.RejectedReusedID: record.Reused, call.RejectedInvalid: record.Impossible, call.RejectedShuttingDown: record.Stopped, call.RejectedByPolicy: record.Barred}
 
-// Answered implements call.Observer.
-func (w *recorder) Answered(now call.Time, a *call.Answer) {
-	w.r = record.Record{Kind: record.KindAnswer, At: now, Call: a.ID, Class: a.Class, Code: uint8(outcomes[a.Outcome]), Cause: a.Cause, Wait: a.Wait,
-		Took: a.Took, Server: a.Server, Attempt: a.Attempts}
+// CallAnswered implements call.Observer.
+func (w *recorder) CallAnswered(now call.Time, a *call.Answer) {
+	w.r = record.Record{Kind: record.KindAnswer, At: now, Call: a.ID, Class: a.Class, Code: uint8(outcomes[a.Outcome]), Cause: a.Cause, Wait: a.RetryAfter,
+		Took: a.Elapsed, Server: a.Server, Attempt: a.Attempts}
 	w.done()
 }
 
-// Released implements call.Observer.
-func (w *recorder) Released(now call.Time, o *call.Release) {
-	w.r = record.Record{Kind: record.KindRelease, At: now, Call: o.ID, Class: o.Class, Server: o.Server, Cause: o.Cause, End: o.End.String(), Took: o.Stood}
+// CallReleased implements call.Observer.
+func (w *recorder) CallReleased(now call.Time, o *call.Release) {
+	w.r = record.Record{Kind: record.KindRelease, At: now, Call: o.ID, Class: o.Class, Server: o.Server, Cause: o.Cause, End: o.End.String(), Took: o.Duration}
 	w.done()
 }
 
-var limits = [...]string{call.RepeatedSetUp: "repeated_setup", call.ReusedID: "reused_id", call.UnknownRelease: "unknown_release"}
+var limits = [...]string{call.LimitRepeatedSetup: "repeated_setup", call.LimitReusedID: "reused_id", call.LimitUnknownRelease: "unknown_release"}
 
-// Limited implements call.Observer.
-func (w *recorder) Limited(now call.Time, l call.Limit, id string) {
+// LimitReached implements call.Observer.
+func (w *recorder) LimitReached(now call.Time, l call.Limit, id string) {
 	w.r = record.Record{Kind: record.KindLimit, At: now, By: limits[l], Count: 1, Call: id}
 	w.done()
 }
 
 // ceiling tells of a server's ceiling; +Inf is none.
-func (w *recorder) ceiling(c admission.Ceiling) {
+func (w *recorder) ceiling(c admission.RateLimitChanged) {
 	if w == nil {
 		return
 	}
 	r := w.put(record.KindCeiling)
-	r.Server, r.Value, r.Text = c.Server, c.PerSecond, string(c.Why)
+	r.Server, r.Value, r.Text = c.Server, c.AttemptsPerSecond, string(c.Reason)
 	w.done()
 }
 
@@ -166,13 +166,13 @@
 	}
 	r := w.put(record.KindServer)
 	r.Server, r.Pool, r.Since, r.Text = s.ID, s.Pool, s.Started, addr
-	switch s.Phase {
-	case admission.Lame:
+	switch s.State {
+	case admission.Draining:
 		r.Code = uint8(record.Drains)
-	case admission.Out:
+	case admission.Removed:
 		r.Code = uint8(record.Gone)
 	}
-	r.Flag = s.Started > 0 && r.At-s.Started < w.n.cfg.Settings.Cold
+	r.Flag = s.Started > 0 && r.At-s.Started < w.n.cfg.Settings.SlowStartPeriod
 	w.done()
 }
 
@@ -226,9 +226,9 @@
 	for _, c := range [...]struct {
 		name  string
 		count int
-	}{{"requests", k.Requests}, {"stood", k.Stood}, {"refused", k.Refused}, {"failed", k.Failed}, {"given_up", k.GivenUp},
-		{"repeated", k.Repeated}, {"reused", k.Reused}, {"crowded", k.Crowded}, {"impossible", w.n.Impossible}, {"attempts", k.Attempts},
-		{"released_by_exchange", k.ReleasedByExchange}, {"released_by_caller", k.ReleasedByCaller}} {
+	}{{"requests", k.Requests}, {"stood", k.Established}, {"refused", k.Rejected}, {"failed", k.Failed}, {"given_up", k.Abandoned},
+		{"repeated", k.Repeated}, {"reused", k.ReusedIDs}, {"crowded", k.OverLimit}, {"impossible", w.n.Impossible}, {"attempts", k.Attempts},
+		{"released_by_exchange", k.ReleasedByBackend}, {"released_by_caller", k.ReleasedByCaller}} {
 		r := w.put(record.KindTally)
 		r.By, r.Count = c.name, uint64(c.count)
 		w.done()
@@ -261,7 +261,7 @@
 
 // observe has those told of calls that the operator's file asks for; everything that is
 // known at the start is in the records.
-func (n *Node) observe(o Options, desk *admission.Desk) error {
+func (n *Node) observe(o Options, desk *admission.Engine) error {
 	var watch call.Observer
 	if o.Records != nil {
 		w, err := newRecorder(n, o.Records, o.Program)
@@ -277,8 +277,8 @@
 	if watch == nil {
 		return nil
 	}
-	n.core.Observe(watch)
-	desk.Ceilings = func(c admission.Ceiling) {
+	n.core.SetObserver(watch)
+	desk.OnRateLimitChange = func(c admission.RateLimitChanged) {
 		n.rec.ceiling(c)
 		n.meter.ceiling(c)
 	}
--- a/internal/server/recorder_test.go
+++ b/internal/server/recorder_test.go
@@ -229,14 +229,14 @@
 
 	c := &s.n.core.Counters
 	counts, lives := naive(t, dir)
-	for what, want := range map[string]int{"setup": c.Requests, "answer stood": c.Stood, "answer refused": c.Refused, "answer failed": c.Failed,
-		"answer given_up": c.GivenUp, "try": c.Attempts, "release": c.ReleasedByCaller + c.ReleasedByExchange, "start": 1, "stopping": 1, "end": 1, "lost": 0, "gap": 0} {
+	for what, want := range map[string]int{"setup": c.Requests, "answer stood": c.Established, "answer refused": c.Rejected, "answer failed": c.Failed,
+		"answer given_up": c.Abandoned, "try": c.Attempts, "release": c.ReleasedByCaller + c.ReleasedByBackend, "start": 1, "stopping": 1, "end": 1, "lost": 0, "gap": 0} {
 		if counts[what] != uint64(want) {
 			t.Errorf("%d records of %s, the core counted %d", counts[what], what, want)
 		}
 	}
 	for end, n := range c.Ends {
-		if what := "end " + call.End(end).String(); counts[what] != uint64(n) {
+		if what := "end " + call.AttemptEnd(end).String(); counts[what] != uint64(n) {
 			t.Errorf("%d records of %s, the core counted %d", counts[what], what, n)
 		}
 	}
@@ -256,7 +256,7 @@
 		t.Errorf("the life of a call that was kept: %s", got)
 	}
 	r := analyse(t, dir)
-	if r.Total.Offered != uint64(c.Requests) || r.Total.Stood() != uint64(c.Stood) || r.AtLeast || r.Instances[0].Tallies["stood"] != uint64(c.Stood) {
+	if r.Total.Offered != uint64(c.Requests) || r.Total.Stood() != uint64(c.Established) || r.AtLeast || r.Instances[0].Tallies["stood"] != uint64(c.Established) {
 		t.Errorf("the report: %+v", r.Total.Counts)
 	}
 }
@@ -367,7 +367,7 @@
 				t.Errorf("%s: %d %s, one by one %d", in.Name, got, what, n[what])
 			}
 		}
-		if core := &nodes[i].n.core.Counters; (i == 1 || i == 2) && (c.Offered != uint64(core.Requests) || c.Stood() != uint64(core.Stood) || c.Tries != uint64(core.Attempts) || in.AtLeast) {
+		if core := &nodes[i].n.core.Counters; (i == 1 || i == 2) && (c.Offered != uint64(core.Requests) || c.Stood() != uint64(core.Established) || c.Tries != uint64(core.Attempts) || in.AtLeast) {
 			t.Errorf("%s: %+v, the core counted %+v", in.Name, c.Counts, core)
 		}
 		offered, stood, failed, tries = offered+n["setup"], stood+n["answer stood"], failed+n["answer failed"], tries+n["try"]
--- /dev/null
+++ b/internal/server/settings_record.go
@@ -0,0 +1,69 @@
+package server
+
+import (
+	"time"
+
+	"olivedale/internal/admission"
+)
+
+// settingsRecord is the form in which the store keeps the settings in force: its printed text and the digest of
+// that text are stored bytes. Names and order of the fields here must therefore never change, whatever the
+// fields of admission.Settings are called.
+type settingsRecord struct {
+	GroupSize   int
+	Topology    string
+	Classes     []classRecord
+	MaxAttempts int
+	MayCancel   bool
+	NoWait      bool
+	AskList     bool
+	Resend      time.Duration
+	Release     time.Duration
+	Cold        time.Duration
+	Start       float64
+	Multiple    float64
+}
+
+// classRecord is one class of a settingsRecord.
+type classRecord struct {
+	Name      string
+	Aim       time.Duration
+	Deadline  time.Duration
+	Credit    float64
+	LateWorth float64
+	Pools     []int
+	Effect    int
+	Scope     int
+	Window    time.Duration
+}
+
+// newSettingsRecord converts the settings to their stored form.
+func newSettingsRecord(s admission.Settings) settingsRecord {
+	r := settingsRecord{
+		GroupSize:   s.ControllerCount,
+		Topology:    s.Topology,
+		MaxAttempts: s.MaxAttempts,
+		MayCancel:   s.CanCancel,
+		NoWait:      s.OmitRetryAfter,
+		AskList:     s.WatchServersOnRequest,
+		Resend:      s.ResendInterval,
+		Release:     s.RetryGuard,
+		Cold:        s.SlowStartPeriod,
+		Start:       s.SlowStartShare,
+		Multiple:    s.SlowStartFactor,
+	}
+	for _, c := range s.Classes {
+		r.Classes = append(r.Classes, classRecord{
+			Name:      c.Name,
+			Aim:       c.LatencyObjective,
+			Deadline:  c.Deadline,
+			Credit:    c.Weight,
+			LateWorth: c.LateWeightFactor,
+			Pools:     c.Pools,
+			Effect:    int(c.Repeatability),
+			Scope:     int(c.DeduplicationScope),
+			Window:    c.DeduplicationWindow,
+		})
+	}
+	return r
+}
--- a/internal/server/settings_record_test.go
+++ b/internal/server/settings_record_test.go
@@ -38,13 +38,13 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if got := settingsRecord(t, records.Dir); got != strings.TrimSuffix(string(want), "\n") {
+	if got := readSettingsRecord(t, records.Dir); got != strings.TrimSuffix(string(want), "\n") {
 		t.Errorf("got  %s\nwant %s", got, want)
 	}
 }
 
-// settingsRecord returns the text of the record that holds the settings.
-func settingsRecord(t *testing.T, dir string) string {
+// readSettingsRecord returns the text of the record that holds the settings.
+func readSettingsRecord(t *testing.T, dir string) string {
 	t.Helper()
 	reader, err := record.OpenDir(dir)
 	if err != nil {
--- a/internal/server/share.go
+++ b/internal/server/share.go
@@ -31,7 +31,7 @@
 
 // newSharing reads the keys and makes the member; desk is told to ask it. Where the platform's settings bar talk
 // between controllers it says so and is off.
-func newSharing(n *Node, o *config.Share, desk *admission.Desk) (*sharing, error) {
+func newSharing(n *Node, o *config.Share, desk *admission.Engine) (*sharing, error) {
 	if n.cfg.PeersBarred {
 		n.log.Warnw("share_off", "why", "the settings do not permit messages between controllers")
 		return nil, nil
@@ -48,12 +48,12 @@
 		}
 	}
 	boot := uint32((n.now().Milliseconds() - bootEpoch) / 250)
-	s.member, err = overload.New(n.now(), overload.Options{Self: number, Peers: len(o.Peers), Boot: boot, Seed: n.cfg.Seed, Late: desk.Late(),
+	s.member, err = overload.New(n.now(), overload.Options{Self: number, Peers: len(o.Peers), Boot: boot, Seed: n.cfg.Seed, Late: desk.LatencyThreshold(),
 		Period: time.Duration(o.Period), Beat: time.Duration(o.Beat)})
 	if err != nil {
 		return nil, err
 	}
-	desk.Share(s.member)
+	desk.SetOverloadControl(s.member)
 	return s, nil
 }
 
--- a/internal/server/standin_test.go
+++ b/internal/server/standin_test.go
@@ -72,7 +72,7 @@
 	g := &guards{deaf{}, s.r, make(map[string]call.Time), make(map[string]bool)}
 	lag()
 	if s.n.meter == nil {
-		s.n.core.Observe(g)
+		s.n.core.SetObserver(g)
 		return
 	}
 	if s.n.meter.next != nil {
@@ -81,22 +81,22 @@
 	s.n.meter.next = g
 }
 
-func (g *guards) Answered(now call.Time, a *call.Answer) {
-	if a.Outcome == call.GivenUp {
+func (g *guards) CallAnswered(now call.Time, a *call.Answer) {
+	if a.Outcome == call.Abandoned {
 		g.left[a.ID] = true
 	}
-	g.Observer.Answered(now, a)
+	g.Observer.CallAnswered(now, a)
 }
 
-func (g *guards) AttemptEnded(now call.Time, server, id string, attempt int, e call.End, took time.Duration) {
+func (g *guards) AttemptEnded(now call.Time, server, id string, attempt int, e call.AttemptEnd, took time.Duration) {
 	switch e {
-	case call.TimedOut, call.CalledOff, call.BrokeOnWay, call.Mute, call.ConnectionReset, call.ConnectionShut, call.Malformed, call.ExchangeLost:
+	case call.TimedOut, call.Canceled, call.FailedInTransit, call.Unresponsive, call.ConnectionReset, call.ConnectionClosed, call.Malformed, call.BackendLost:
 		g.ended[id] = now
 	}
 	g.Observer.AttemptEnded(now, server, id, attempt, e, took)
 }
 
-func (g *guards) Tried(now call.Time, server string, s *call.Setup) {
+func (g *guards) AttemptStarted(now call.Time, server string, s *call.Setup) {
 	if at, ok := g.ended[s.ID]; ok && now-at < guard {
 		g.r.count(&g.r.early)
 	}
@@ -104,19 +104,19 @@
 		g.r.count(&g.r.after)
 	}
 	delete(g.ended, s.ID)
-	g.Observer.Tried(now, server, s)
+	g.Observer.AttemptStarted(now, server, s)
 }
 
 // deaf is an Observer that does nothing.
 type deaf struct{}
 
-func (deaf) SetUp(call.Time, *call.Request)                                       {}
-func (deaf) Ordered(call.Time, *admission.Order)                                  {}
-func (deaf) Tried(call.Time, string, *call.Setup)                                 {}
-func (deaf) AttemptEnded(call.Time, string, string, int, call.End, time.Duration) {}
-func (deaf) Answered(call.Time, *call.Answer)                                     {}
-func (deaf) Released(call.Time, *call.Release)                                    {}
-func (deaf) Limited(call.Time, call.Limit, string)                                {}
+func (deaf) CallOffered(call.Time, *call.Request)                                        {}
+func (deaf) Decided(call.Time, *admission.Decision)                                      {}
+func (deaf) AttemptStarted(call.Time, string, *call.Setup)                               {}
+func (deaf) AttemptEnded(call.Time, string, string, int, call.AttemptEnd, time.Duration) {}
+func (deaf) CallAnswered(call.Time, *call.Answer)                                        {}
+func (deaf) CallReleased(call.Time, *call.Release)                                       {}
+func (deaf) LimitReached(call.Time, call.Limit, string)                                  {}
 
 func newRules() *rules {
 	return &rules{out: make(map[string]bool), ended: make(map[string]time.Time), attempts: make(map[string]int)}
--- a/internal/simproto/row.go
+++ b/internal/simproto/row.go
@@ -79,26 +79,26 @@
 }
 
 // load reads a report; values that are missing, null or below 0 count as not given.
-func (r *row) load(i int, field string) admission.Load {
+func (r *row) load(i int, field string) admission.LoadReport {
 	if null(r.cells[i]) {
-		return admission.Load{}
+		return admission.LoadReport{}
 	}
 	in := value[map[string]*float64](r, i, field)
-	figure := func(name string, unit float64) admission.Figure {
+	figure := func(name string, unit float64) admission.Optional {
 		v := in[name]
 		if v == nil || *v < 0 {
-			return admission.Figure{}
+			return admission.Optional{}
 		}
-		return admission.Figure{Value: *v * unit, Given: true}
+		return admission.Optional{Value: *v * unit, Valid: true}
 	}
-	return admission.Load{
-		Wait: figure("recent_ms", 1e-3), Backlog: figure("backlog", 1), CanTake: figure("can_take", 1),
-		HoldBack: figure("hold_back", 1), Free: figure("free", 1), Lines: figure("size", 1),
+	return admission.LoadReport{
+		QueueDelay: figure("recent_ms", 1e-3), QueueLength: figure("backlog", 1), Capacity: figure("can_take", 1),
+		ThrottleShare: figure("hold_back", 1), FreeCircuits: figure("free", 1), TotalCircuits: figure("size", 1),
 	}
 }
 
-var phases = map[string]admission.Phase{
-	"IN": admission.In, "LAME": admission.Lame, "OUT": admission.Out,
+var phases = map[string]admission.ServerState{
+	"IN": admission.Active, "LAME": admission.Draining, "OUT": admission.Removed,
 }
 
 func (r *row) entries(i int, field string) []admission.Server {
@@ -115,7 +115,7 @@
 		if !ok {
 			e.fail("phase", fmt.Errorf("want IN, LAME or OUT, got %s", cells[4]))
 		}
-		s.Phase = phase
+		s.State = phase
 		e.optFloat(5, "scale")
 		if !null(cells[6]) {
 			s.Started = e.time(6, "lastStart")
--- a/internal/simproto/settings.go
+++ b/internal/simproto/settings.go
@@ -75,18 +75,18 @@
 		return t
 	}
 	s := admission.Settings{
-		GroupSize: in.GroupSize, Topology: in.Domain.Topology,
-		AskList:     in.Discovery == "ask",
-		MaxAttempts: in.Limits.MaxAttempts, MayCancel: in.Limits.Cancel,
-		NoWait:  in.Limits.RetryAfter != nil && !*in.Limits.RetryAfter,
-		Resend:  dur(in.Domain.Resend, "domain.resend"),
-		Release: dur(in.Domain.ReleaseGuard, "domain.releaseGuard"),
-		Cold:    dur(in.Safety.Cold, "safety.cold"), Start: in.Safety.StartCapacity, Multiple: in.Safety.FallMultiple,
+		ControllerCount: in.GroupSize, Topology: in.Domain.Topology,
+		WatchServersOnRequest: in.Discovery == "ask",
+		MaxAttempts:           in.Limits.MaxAttempts, CanCancel: in.Limits.Cancel,
+		OmitRetryAfter:  in.Limits.RetryAfter != nil && !*in.Limits.RetryAfter,
+		ResendInterval:  dur(in.Domain.Resend, "domain.resend"),
+		RetryGuard:      dur(in.Domain.ReleaseGuard, "domain.releaseGuard"),
+		SlowStartPeriod: dur(in.Safety.Cold, "safety.cold"), SlowStartShare: in.Safety.StartCapacity, SlowStartFactor: in.Safety.FallMultiple,
 	}
 	for i, c := range in.Classes {
-		class := admission.Class{Name: c.Name, Aim: dur(c.Aim, "classes.aim"),
-			Deadline: dur(c.Deadline, "classes.deadline"), Credit: c.Credit, LateWorth: c.LateWorth,
-			Effect: effect(c.Effect), Scope: scope(c.Group), Window: dur(c.Window, "classes.dedupWindow")}
+		class := admission.Class{Name: c.Name, LatencyObjective: dur(c.Aim, "classes.aim"),
+			Deadline: dur(c.Deadline, "classes.deadline"), Weight: c.Credit, LateWeightFactor: c.LateWorth,
+			Repeatability: effect(c.Effect), DeduplicationScope: scope(c.Group), DeduplicationWindow: dur(c.Window, "classes.dedupWindow")}
 		if i < len(in.Domain.SkilledPools) {
 			class.Pools = in.Domain.SkilledPools[i]
 		}
@@ -96,23 +96,23 @@
 }
 
 // effect reads what a repeat does. A word that is not known is taken for the strictest.
-func effect(word string) admission.Effect {
+func effect(word string) admission.Repeatability {
 	switch word {
 	case "", "pure":
-		return admission.Harmless
+		return admission.Idempotent
 	case "token":
-		return admission.Once
+		return admission.Deduplicated
 	}
-	return admission.Never
+	return admission.NonRepeatable
 }
 
 // scope reads which servers know a repeat. A word that is not known is taken for the narrowest.
-func scope(word string) admission.Scope {
+func scope(word string) admission.DeduplicationScope {
 	switch word {
 	case "all":
-		return admission.Everywhere
+		return admission.ScopeFleet
 	case "zone":
-		return admission.WithinZone
+		return admission.ScopeZone
 	}
-	return admission.WithinPool
+	return admission.ScopePool
 }
--- a/internal/simproto/wire.go
+++ b/internal/simproto/wire.go
@@ -150,26 +150,26 @@
 		r.num(4, "units")
 		flags := r.num(6, "flags")
 		r.optNum(9, "via", -1)
-		return event(admission.Ask{
-			Call: r.str(1, "opId"), First: r.num(3, "farEnd"), Until: r.time(5, "validUntil"),
-			Again: flags&2 != 0, Cut: flags&16 != 0,
+		return event(admission.CallOffered{
+			CallID: r.str(1, "opId"), PreferredPool: r.num(3, "farEnd"), Deadline: r.time(5, "validUntil"),
+			Redialed: flags&2 != 0, Reestablish: flags&16 != 0,
 			Number: r.optStr(8, "entity"), Class: r.str(10, "service"),
 		})
 	case "HEADERS":
-		return event(admission.Stands{Call: r.str(1, "opId"), Attempt: r.num(2, "leg"),
-			Server: r.str(3, "server"), Took: r.time(4, "elapsed")})
+		return event(admission.CallEstablished{CallID: r.str(1, "opId"), Attempt: r.num(2, "leg"),
+			Server: r.str(3, "server"), SetupTime: r.time(4, "elapsed")})
 	case "GONE":
-		return event(admission.Gone{Call: r.str(1, "opId")})
+		return event(admission.CallAbandoned{CallID: r.str(1, "opId")})
 	case "PROBED":
 		code := r.str(1, "code")
 		server, _ := r.str(2, "server"), r.time(3, "elapsed")
-		return event(admission.Probed{Server: server, OK: code == "delivered", Load: r.load(4, "telemetry")})
+		return event(admission.LoadReported{Server: server, OK: code == "delivered", Load: r.load(4, "telemetry")})
 	case "RETURNED":
 		return returned(r)
 	case "KILL":
 		return &Item{Kill: true}
 	case "BELL":
-		return event(admission.Bell{Key: r.int64(1, "keyBack")})
+		return event(admission.TimerFired{Key: r.int64(1, "keyBack")})
 	default: // HEARD: the module sends no messages and has no use for them
 		r.num(1, "sender")
 		r.str(2, "content")
@@ -186,14 +186,14 @@
 		return nil
 	}
 	if how == "failed" {
-		return event(admission.List{Failed: true})
+		return event(admission.ServersUpdated{Failed: true})
 	}
 	page, ok := d.pages[number]
 	if !ok {
 		r.fail("rosterId", fmt.Errorf("no PAGE has number %d", number))
 		return nil
 	}
-	list := admission.List{Servers: page}
+	list := admission.ServersUpdated{Servers: page}
 	switch how {
 	case "delta":
 	case "full":
@@ -206,10 +206,10 @@
 	return event(list)
 }
 
-var codes = map[string]admission.Code{
-	"delivered": admission.Delivered, "app_error": admission.Error, "shed": admission.Full,
-	"expired": admission.Expired, "dial_failed": admission.DialFailed,
-	"dropped": admission.Dropped, "revoked": admission.Revoked, "unused": admission.Unused,
+var codes = map[string]admission.AttemptResult{
+	"delivered": admission.Delivered, "app_error": admission.ServerError, "shed": admission.ServerBusy,
+	"expired": admission.TimedOut, "dial_failed": admission.DialFailed,
+	"dropped": admission.ConnectionLost, "revoked": admission.Canceled, "unused": admission.NotSent,
 }
 
 func returned(r *row) *Item {
@@ -219,13 +219,13 @@
 		r.fail("code", fmt.Errorf("unknown code %q", text))
 	}
 	note := r.optNum(7, "clearCode", 0)
-	e := admission.Returned{Call: r.str(1, "opId"), Attempt: r.num(2, "leg"), Server: r.str(3, "server"),
-		Code: code, Took: r.time(5, "elapsed"), Terminal: r.flag(6, "terminal"), Load: r.load(8, "telemetry")}
+	e := admission.AttemptEnded{CallID: r.str(1, "opId"), Attempt: r.num(2, "leg"), Server: r.str(3, "server"),
+		Result: code, Elapsed: r.time(5, "elapsed"), Final: r.flag(6, "terminal"), Load: r.load(8, "telemetry")}
 	if note > 0 {
-		e.Hint = time.Duration(note>>4) * time.Millisecond
+		e.RetryAfter = time.Duration(note>>4) * time.Millisecond
 		switch cause := note & 15; cause {
 		case 1, 2, 3, 4:
-			e.Cause = admission.Cause(cause)
+			e.Cause = admission.FailureCause(cause)
 		}
 	}
 	return event(e)
@@ -246,7 +246,7 @@
 		}
 		n := node{Node: reply.Number}
 		for _, a := range reply.Actions {
-			if _, ok := a.(admission.Ceiling); ok {
+			if _, ok := a.(admission.RateLimitChanged); ok {
 				continue // tells the staff; the simulator has no row for it
 			}
 			cells, err := encode(a)
@@ -270,22 +270,22 @@
 
 func encode(a admission.Action) ([]any, error) {
 	switch a := a.(type) {
-	case admission.Send:
-		return []any{"RELAY", a.Call, a.Server, toMillis(a.Wait)}, nil
-	case admission.Refuse:
-		if a.Wait <= 0 {
-			return []any{"BUSY", a.Call, nil}, nil
+	case admission.SendAttempt:
+		return []any{"RELAY", a.CallID, a.Server, toMillis(a.Timeout)}, nil
+	case admission.RejectCall:
+		if a.RetryAfter <= 0 {
+			return []any{"BUSY", a.CallID, nil}, nil
 		}
-		return []any{"BUSY", a.Call, toMillis(a.Wait)}, nil
-	case admission.Fail:
-		return []any{"RESPOND_ERROR", a.Call}, nil
-	case admission.Cancel:
-		return []any{"ABORT_ATTEMPT", a.Call, a.Attempt}, nil
-	case admission.Defer:
+		return []any{"BUSY", a.CallID, toMillis(a.RetryAfter)}, nil
+	case admission.FailCall:
+		return []any{"RESPOND_ERROR", a.CallID}, nil
+	case admission.CancelAttempt:
+		return []any{"ABORT_ATTEMPT", a.CallID, a.Attempt}, nil
+	case admission.SetTimer:
 		return []any{"DEFER", toMillis(a.At), a.Key}, nil
-	case admission.Watch:
+	case admission.WatchServers:
 		return []any{"TRACK", true}, nil
-	case admission.Log:
+	case admission.LogMessage:
 		return []any{"PRINT", a.Text}, nil
 	}
 	return nil, fmt.Errorf("action %T has no form on the wire", a)
--- a/internal/simproto/wire_test.go
+++ b/internal/simproto/wire_test.go
@@ -30,10 +30,10 @@
 	items := decodeOne(t, &Decoder{}, start)
 	got := items[0].Start
 	want := &Start{Seed: 7, Settings: admission.Settings{
-		GroupSize: 3, Topology: "pools", MaxAttempts: 2, MayCancel: true, Release: 150 * time.Millisecond,
-		Cold: 9 * time.Second, Start: 0.5,
-		Classes: []admission.Class{{Name: "read", Aim: 900500 * time.Microsecond, Deadline: 5 * time.Second, Credit: 1,
-			LateWorth: 0.2, Pools: []int{0, 2}, Scope: admission.WithinPool}},
+		ControllerCount: 3, Topology: "pools", MaxAttempts: 2, CanCancel: true, RetryGuard: 150 * time.Millisecond,
+		SlowStartPeriod: 9 * time.Second, SlowStartShare: 0.5,
+		Classes: []admission.Class{{Name: "read", LatencyObjective: 900500 * time.Microsecond, Deadline: 5 * time.Second, Weight: 1,
+			LateWeightFactor: 0.2, Pools: []int{0, 2}, DeduplicationScope: admission.ScopePool}},
 	}}
 	if !reflect.DeepEqual(got, want) {
 		t.Errorf("got %+v, want %+v", got, want)
@@ -45,15 +45,15 @@
 		text string
 		want admission.Event
 	}{
-		{`["ASK","ab",null,3,1,1500.5,18,null,"n1",-1,"read"]`, admission.Ask{Call: "ab", First: 3,
-			Until: 1500500 * time.Microsecond, Again: true, Cut: true, Number: "n1", Class: "read"}},
-		{`["HEADERS","ab",1,"s",12.5]`, admission.Stands{Call: "ab", Attempt: 1, Server: "s", Took: 12500 * time.Microsecond}},
-		{`["GONE","ab"]`, admission.Gone{Call: "ab"}},
-		{`["BELL",77]`, admission.Bell{Key: 77}},
-		{`["RETURNED","ab",0,"s","shed",2.0,false,4003,{"recent_ms":-1,"backlog":4,"new":1}]`, admission.Returned{
-			Call: "ab", Server: "s", Code: admission.Full, Cause: admission.ProcessorFull, Hint: 250 * time.Millisecond,
-			Took: 2 * time.Millisecond, Load: admission.Load{Backlog: admission.Figure{Value: 4, Given: true}}}},
-		{`["PROBED","delivered","s",0,null]`, admission.Probed{Server: "s", OK: true}},
+		{`["ASK","ab",null,3,1,1500.5,18,null,"n1",-1,"read"]`, admission.CallOffered{CallID: "ab", PreferredPool: 3,
+			Deadline: 1500500 * time.Microsecond, Redialed: true, Reestablish: true, Number: "n1", Class: "read"}},
+		{`["HEADERS","ab",1,"s",12.5]`, admission.CallEstablished{CallID: "ab", Attempt: 1, Server: "s", SetupTime: 12500 * time.Microsecond}},
+		{`["GONE","ab"]`, admission.CallAbandoned{CallID: "ab"}},
+		{`["BELL",77]`, admission.TimerFired{Key: 77}},
+		{`["RETURNED","ab",0,"s","shed",2.0,false,4003,{"recent_ms":-1,"backlog":4,"new":1}]`, admission.AttemptEnded{
+			CallID: "ab", Server: "s", Result: admission.ServerBusy, Cause: admission.CauseProcessorBusy, RetryAfter: 250 * time.Millisecond,
+			Elapsed: 2 * time.Millisecond, Load: admission.LoadReport{QueueLength: admission.Optional{Value: 4, Valid: true}}}},
+		{`["PROBED","delivered","s",0,null]`, admission.LoadReported{Server: "s", OK: true}},
 	} {
 		items := decodeOne(t, &Decoder{}, test.text)
 		if !reflect.DeepEqual(items[0].Event, test.want) {
@@ -66,12 +66,12 @@
 func TestPageNumbersAreReused(t *testing.T) {
 	items := decodeOne(t, &Decoder{}, `["PAGE",0,[["a","z","k",0,"IN",1,null]]],["MEMBERS","full",0,1],`+
 		`["PAGE",0,[["b","z","k",1,"LAME",1,6100.5]]],["MEMBERS","delta",0,2],["MEMBERS","failed",9,2],["KILL"]`)
-	if len(items) != 4 || !items[3].Kill || !items[2].Event.(admission.List).Failed {
+	if len(items) != 4 || !items[3].Kill || !items[2].Event.(admission.ServersUpdated).Failed {
 		t.Fatalf("got %d items, want three lists and a kill", len(items))
 	}
-	one, two := items[0].Event.(admission.List), items[1].Event.(admission.List)
+	one, two := items[0].Event.(admission.ServersUpdated), items[1].Event.(admission.ServersUpdated)
 	if !one.Full || one.Servers[0].ID != "a" || two.Full || two.Servers[0] != (admission.Server{
-		ID: "b", Pool: 1, Zone: "z", Phase: admission.Lame, Started: 6100500 * time.Microsecond}) {
+		ID: "b", Pool: 1, Zone: "z", State: admission.Draining, Started: 6100500 * time.Microsecond}) {
 		t.Errorf("got %+v and %+v", one, two)
 	}
 }
@@ -109,9 +109,9 @@
 
 func TestEncode(t *testing.T) {
 	got, err := Encode([]Reply{{Number: 1}, {Number: 2, Actions: []admission.Action{
-		admission.Send{Call: "ab", Server: "s", Wait: 80500 * time.Microsecond},
-		admission.Refuse{Call: "c"}, admission.Fail{Call: "d"}, admission.Cancel{Call: "e", Attempt: 1},
-		admission.Defer{At: 8912250 * time.Microsecond, Key: 77}, admission.Log{Text: "a<b"}, admission.Watch{},
+		admission.SendAttempt{CallID: "ab", Server: "s", Timeout: 80500 * time.Microsecond},
+		admission.RejectCall{CallID: "c"}, admission.FailCall{CallID: "d"}, admission.CancelAttempt{CallID: "e", Attempt: 1},
+		admission.SetTimer{At: 8912250 * time.Microsecond, Key: 77}, admission.LogMessage{Text: "a<b"}, admission.WatchServers{},
 	}}})
 	want := `{"nodes":[{"node":2,"decisions":[["RELAY","ab","s",80.5],["BUSY","c",null],["RESPOND_ERROR","d"],` +
 		`["ABORT_ATTEMPT","e",1],["DEFER",8912.25,77],["PRINT","a<b"],["TRACK",true]]}]}` + "\n"
@@ -149,17 +149,17 @@
 		t.Fatal(err)
 	}
 	want := map[string]admission.Class{
-		"a": {Effect: admission.Never, Scope: admission.Everywhere, Window: 5 * time.Millisecond},
-		"b": {Effect: admission.Once, Scope: admission.WithinZone, Window: 5000500 * time.Microsecond},
-		"c": {Scope: admission.WithinPool}, "d": {Scope: admission.WithinPool},
-		"e": {Effect: admission.Once}, "f": {Effect: admission.Once, Scope: admission.WithinPool},
-		"g": {Effect: admission.Never, Scope: admission.WithinPool},
+		"a": {Repeatability: admission.NonRepeatable, DeduplicationScope: admission.ScopeFleet, DeduplicationWindow: 5 * time.Millisecond},
+		"b": {Repeatability: admission.Deduplicated, DeduplicationScope: admission.ScopeZone, DeduplicationWindow: 5000500 * time.Microsecond},
+		"c": {DeduplicationScope: admission.ScopePool}, "d": {DeduplicationScope: admission.ScopePool},
+		"e": {Repeatability: admission.Deduplicated}, "f": {Repeatability: admission.Deduplicated, DeduplicationScope: admission.ScopePool},
+		"g": {Repeatability: admission.NonRepeatable, DeduplicationScope: admission.ScopePool},
 	}
-	if len(s.Classes) != len(want) || s.Multiple != 2 {
-		t.Errorf("%d classes, multiple %v", len(s.Classes), s.Multiple)
+	if len(s.Classes) != len(want) || s.SlowStartFactor != 2 {
+		t.Errorf("%d classes, multiple %v", len(s.Classes), s.SlowStartFactor)
 	}
 	for _, k := range s.Classes {
-		if w := want[k.Name]; k.Effect != w.Effect || k.Scope != w.Scope || k.Window != w.Window {
+		if w := want[k.Name]; k.Repeatability != w.Repeatability || k.DeduplicationScope != w.DeduplicationScope || k.DeduplicationWindow != w.DeduplicationWindow {
 			t.Errorf("class %s: %+v, want %+v", k.Name, k, w)
 		}
 	}
