--- a/cmd/olivectl/golden_agent_test.go
+++ b/cmd/olivectl/golden_agent_test.go
@@ -72,21 +72,21 @@
 
 // goldenState is a state of which every value differs from its zero.
 func goldenState() *overload.State {
-	return &overload.State{Self: 3, Peers: 300, Boot: 77, Teller: 5, Since: 3 * time.Second, Heard: 400 * time.Millisecond, Live: 260, Of: 300, Part: true, Often: true, Shunned: 1,
-		Servers:   []overload.ServerState{{ID: "s-1", Waiting: 2, Wait: 130 * time.Millisecond, Obeyed: true, Claim: 900 * time.Millisecond, Hold: [4]float64{0.98, 0.5, 0, 1}, Over: 0.25, Held: 12}},
-		Told:      []overload.SumState{{Key: overload.Key("s-1"), Offered: 40.5, Over: 2, Done: 30, Wait: time.Second, Told: 100, Budget: 28}},
-		Reporters: []overload.PeerState{{Number: 2, Presence: overload.Suspected, Heard: time.Second, Lost: 0.125, Last: 500 * time.Millisecond}},
-		Counters:  overload.Counters{Said: 1, SaidBytes: 2, Heard: 3, Unread: 5, Alien: 6, Held: 8, Passed: 9, Silent: 11, Wrong: 12}}
+	return &overload.State{Self: 3, Peers: 300, Incarnation: 77, Aggregator: 5, AggregatorFor: 3 * time.Second, LimitsAge: 400 * time.Millisecond, AliveMembers: 260, PeakMembers: 300, Partitioned: true, FrequentReports: true, Ejected: 1,
+		Servers:    []overload.ServerState{{ID: "s-1", PendingAttempts: 2, SetupTime: 130 * time.Millisecond, Limited: true, ClaimedWait: 900 * time.Millisecond, ThrottleChance: [4]float64{0.98, 0.5, 0, 1}, OverflowChance: 0.25, Throttled: 12}},
+		Aggregates: []overload.AggregateState{{Key: overload.ServerKey("s-1"), Offered: 40.5, Overflow: 2, Answered: 30, Wait: time.Second, WaitReports: 100, AdmittedRate: 28}},
+		Members:    []overload.MemberState{{Number: 2, Status: overload.Suspect, LastReportAge: time.Second, LossShare: 0.125, ReportSpan: 500 * time.Millisecond}},
+		Counters:   overload.Counters{Sent: 1, SentBytes: 2, Received: 3, Malformed: 5, Misattributed: 6, Throttled: 8, Admitted: 9, AggregatorsUnresponsive: 11, AggregatorsEjected: 12}}
 }
 
 // What olivectl tells of what instances share, and of their versions of numbers, is as committed.
 func TestGoldenInstance(t *testing.T) {
 	admin := serve(t, func(c *h248.Command) ([]*h248.Node, *h248.Error) {
-		if c.Termination == adminapi.ShareTermination {
-			return adminapi.ShareNodes(goldenState()), nil
+		if c.Termination == adminapi.OverloadTermination {
+			return adminapi.OverloadNodes(goldenState()), nil
 		}
 		const begins = 1764547200 * time.Second
-		return adminapi.NumbersNodes([]numbering.Status{
+		return adminapi.NumberingNodes([]numbering.Status{
 			{Digest: "7b3cbfb4b82e4e7b", Name: "of today", State: numbering.InForce, Entries: 12, Pins: 3, Since: begins},
 			{Digest: "00c41f7a00c41f7a", Name: "of tomorrow", State: numbering.Waiting, Entries: 13, Due: begins + time.Hour},
 			{Digest: "11c41f7a00c41f7a", Name: "spare", State: numbering.Loaded, Entries: 1},
@@ -136,16 +136,16 @@
 	admin = free(t)
 	peer, number := free(t), 0
 	o := &config.Operator{H248: &config.H248{Listen: free(t), Admin: admin}, Records: &config.Records{Dir: filepath.Join(dir, "records")},
-		Numbers: &config.Numbers{File: rules, Lookup: config.Lookup{Servers: []string{"127.0.0.1:9"}}},
-		Share:   &config.Share{Listen: peer, Peers: []string{peer, free(t)}, Number: &number}}
-	if err := o.Check(); err != nil {
+		Numbering: &config.Numbering{File: rules, Lookup: config.Lookup{Servers: []string{"127.0.0.1:9"}}},
+		Overload:  &config.OverloadControl{Listen: peer, Peers: []string{peer, free(t)}, Number: &number}}
+	if err := o.Validate(); err != nil {
 		t.Fatal(err)
 	}
 	cfg, err := config.Parse(fmt.Appendf(nil, instanceConfig, free(t)))
 	if err != nil {
 		t.Fatal(err)
 	}
-	n, err := server.New(cfg, server.Options{H248: o.H248, Records: o.Records, Numbers: o.Numbers, Share: o.Share})
+	n, err := server.New(cfg, server.Options{H248: o.H248, Records: o.Records, Numbers: o.Numbering, Share: o.Overload})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -218,7 +218,7 @@
 // The names and types of what olivectl tells of an instance in service are as committed, and so is a replay.
 func TestGoldenService(t *testing.T) {
 	admin := startInstance(t)
-	audit, err := adminapi.Ask(t.Context(), admin, adminapi.Audit("ROOT"))
+	audit, err := adminapi.Send(t.Context(), admin, adminapi.AuditCommand("ROOT"))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/cmd/olivectl/main.go
+++ b/cmd/olivectl/main.go
@@ -71,7 +71,7 @@
 
 // list asks the agent for its instances.
 func list(ctx context.Context, agent string) ([]instance, error) {
-	c, err := adminapi.Ask(ctx, agent, adminapi.Audit("ROOT"))
+	c, err := adminapi.Send(ctx, agent, adminapi.AuditCommand("ROOT"))
 	if err != nil {
 		return nil, err
 	}
@@ -102,7 +102,7 @@
 // status tells what the agent knows of an instance and, where the instance can be
 // asked itself, its state and counters.
 func status(ctx context.Context, out io.Writer, agent, name string, asJSON bool) error {
-	c, err := adminapi.Ask(ctx, agent, adminapi.Audit("instance/"+name))
+	c, err := adminapi.Send(ctx, agent, adminapi.AuditCommand("instance/"+name))
 	if err != nil {
 		return err
 	}
@@ -118,7 +118,7 @@
 		}
 	}
 	if admin := all["admin"]; admin != "" && all["state"] == "running" {
-		if c, err = adminapi.Ask(ctx, admin, adminapi.Audit("ROOT")); err != nil {
+		if c, err = adminapi.Send(ctx, admin, adminapi.AuditCommand("ROOT")); err != nil {
 			return err
 		}
 		note("service", h248.Value(c.Descriptors, "Media", "TerminationState", "ServiceStates"))
@@ -137,7 +137,7 @@
 		Use: "drain NAME", Short: "Take an instance out of service once nothing is owed", Args: cobra.ExactArgs(1),
 		Example: "  olivectl drain panel-east",
 		RunE: func(c *cobra.Command, args []string) error {
-			if _, err := adminapi.Ask(c.Context(), agent, adminapi.Drain("instance/"+args[0])); err != nil {
+			if _, err := adminapi.Send(c.Context(), agent, adminapi.DrainCommand("instance/"+args[0])); err != nil {
 				return err
 			}
 			_, err := fmt.Fprintf(c.OutOrStdout(), "%s drains\n", args[0])
--- a/cmd/olivectl/peers.go
+++ b/cmd/olivectl/peers.go
@@ -42,9 +42,9 @@
 			var lost []error
 			for _, i := range instances {
 				r := peerRow{Instance: i.Name}
-				reply, err := adminapi.Ask(c.Context(), i.Admin, adminapi.Audit(adminapi.ShareTermination))
+				reply, err := adminapi.Send(c.Context(), i.Admin, adminapi.AuditCommand(adminapi.OverloadTermination))
 				if err == nil {
-					if r.State = adminapi.ReadShare(reply.Descriptors); r.State == nil {
+					if r.State = adminapi.ParseOverload(reply.Descriptors); r.State == nil {
 						err = errors.New("it shares nothing; section [share] of its operator's file switches that on")
 					}
 				}
@@ -75,7 +75,7 @@
 	obeyed := make(map[int]int)
 	for _, r := range all {
 		if r.State != nil {
-			obeyed[r.State.Teller]++
+			obeyed[r.State.Aggregator]++
 		}
 	}
 	for _, r := range all {
@@ -85,21 +85,21 @@
 		}
 		pressed := 0
 		for _, v := range s.Servers {
-			if v.Obeyed && v.Hold != ([4]float64{}) {
+			if v.Limited && v.ThrottleChance != ([4]float64{}) {
 				pressed++
 			}
 		}
 		note := ""
 		for teller, n := range obeyed {
-			if n > obeyed[s.Teller] || n == obeyed[s.Teller] && teller < s.Teller {
+			if n > obeyed[s.Aggregator] || n == obeyed[s.Aggregator] && teller < s.Aggregator {
 				note = "most obey another"
 			}
 		}
-		if s.Part {
+		if s.Partitioned {
 			note = strings.TrimPrefix(note+", may be a part", ", ")
 		}
-		rows = append(rows, []string{r.Instance, strconv.Itoa(s.Self), strconv.Itoa(s.Teller), age(s.Heard), fmt.Sprintf("%d of %d", s.Live, s.Peers), strconv.Itoa(pressed),
-			strconv.Itoa(s.Counters.Held), fmt.Sprintf("%d (%d B)", s.Counters.Said, s.Counters.SaidBytes), strconv.Itoa(s.Counters.Silent), strconv.Itoa(s.Counters.Wrong), note})
+		rows = append(rows, []string{r.Instance, strconv.Itoa(s.Self), strconv.Itoa(s.Aggregator), age(s.LimitsAge), fmt.Sprintf("%d of %d", s.AliveMembers, s.Peers), strconv.Itoa(pressed),
+			strconv.Itoa(s.Counters.Throttled), fmt.Sprintf("%d (%d B)", s.Counters.Sent, s.Counters.SentBytes), strconv.Itoa(s.Counters.AggregatorsUnresponsive), strconv.Itoa(s.Counters.AggregatorsEjected), note})
 	}
 	return strings.Fields("INSTANCE NUMBER TELLER HEARD LIVE HOLDS HELD SAID SILENT WRONG NOTE"), rows
 }
@@ -114,7 +114,7 @@
 
 // explainTable tells of one server, by instance; of those that tell, the sums after what they see.
 func explainTable(all []peerRow, server string) (heading []string, rows [][]string) {
-	key := overload.Key(server)
+	key := overload.ServerKey(server)
 	for _, r := range all {
 		if r.State == nil {
 			continue
@@ -122,24 +122,24 @@
 		if i := slices.IndexFunc(r.State.Servers, func(v overload.ServerState) bool { return v.ID == server }); i >= 0 {
 			v := &r.State.Servers[i]
 			word, claim := "none", "-"
-			if v.Obeyed {
+			if v.Limited {
 				var parts []string
-				for k := len(v.Hold) - 1; k >= 0; k-- {
-					parts = append(parts, fmt.Sprintf("%.0f%%", 100*v.Hold[k]))
+				for k := len(v.ThrottleChance) - 1; k >= 0; k-- {
+					parts = append(parts, fmt.Sprintf("%.0f%%", 100*v.ThrottleChance[k]))
 				}
-				word, claim = strings.Join(parts, " "), age(v.Claim)
+				word, claim = strings.Join(parts, " "), age(v.ClaimedWait)
 			}
-			rows = append(rows, []string{r.Instance, "sees", strconv.Itoa(v.Waiting), age(cmp.Or(v.Wait, -1)), strconv.Itoa(r.State.Teller), claim, word, strconv.Itoa(v.Held)})
+			rows = append(rows, []string{r.Instance, "sees", strconv.Itoa(v.PendingAttempts), age(cmp.Or(v.SetupTime, -1)), strconv.Itoa(r.State.Aggregator), claim, word, strconv.Itoa(v.Throttled)})
 		}
-		for _, t := range r.State.Told {
+		for _, t := range r.State.Aggregates {
 			if t.Key != key {
 				continue
 			}
 			budget := "no limit"
-			if !math.IsInf(t.Budget, 1) {
-				budget = fmt.Sprintf("%.1f/s", t.Budget)
+			if !math.IsInf(t.AdmittedRate, 1) {
+				budget = fmt.Sprintf("%.1f/s", t.AdmittedRate)
 			}
-			rows = append(rows, []string{r.Instance, "sums up", fmt.Sprintf("%.1f/s offered, %.1f/s answered", t.Offered+t.Over, t.Done), age(t.Wait), "", "", budget, ""})
+			rows = append(rows, []string{r.Instance, "sums up", fmt.Sprintf("%.1f/s offered, %.1f/s answered", t.Offered+t.Overflow, t.Answered), age(t.Wait), "", "", budget, ""})
 		}
 	}
 	return []string{"INSTANCE", "WHAT", "WAITING", "WAIT", "TELLER", "IT CLAIMS", "HELD BACK: CUT, TOP, CHEAP, AGAIN", "HELD"}, rows
--- a/cmd/olivectl/versions.go
+++ b/cmd/olivectl/versions.go
@@ -72,13 +72,13 @@
 			inForce := make(map[string]int)
 			var lost []error
 			for _, i := range instances {
-				reply, err := adminapi.Ask(c.Context(), i.Admin, adminapi.Audit(adminapi.NumbersTermination))
+				reply, err := adminapi.Send(c.Context(), i.Admin, adminapi.AuditCommand(adminapi.NumberingTermination))
 				if err != nil {
 					lost = append(lost, fmt.Errorf("%s: %w", i.Name, err))
 					all = append(all, row{Instance: i.Name, Err: err.Error()})
 					continue
 				}
-				versions, job := adminapi.ReadNumbers(reply.Descriptors)
+				versions, job := adminapi.ParseNumbering(reply.Descriptors)
 				all = append(all, row{i.Name, versions, job.Order.Op, job.Err})
 				for _, v := range versions {
 					since := "-"
@@ -129,11 +129,11 @@
 // carryOut gives one order and waits for its end.
 func carryOut(ctx context.Context, admin string, make func([]numbering.Status) (numbering.Order, error)) (digest string, err error) {
 	audit := func() ([]numbering.Status, numbering.Job, error) {
-		reply, err := adminapi.Ask(ctx, admin, adminapi.Audit(adminapi.NumbersTermination))
+		reply, err := adminapi.Send(ctx, admin, adminapi.AuditCommand(adminapi.NumberingTermination))
 		if err != nil {
 			return nil, numbering.Job{}, err
 		}
-		versions, job := adminapi.ReadNumbers(reply.Descriptors)
+		versions, job := adminapi.ParseNumbering(reply.Descriptors)
 		return versions, job, nil
 	}
 	versions, _, err := audit()
@@ -144,11 +144,11 @@
 	if err != nil {
 		return "", err
 	}
-	reply, err := adminapi.Ask(ctx, admin, adminapi.NumbersOrder(o))
+	reply, err := adminapi.Send(ctx, admin, adminapi.NumberingCommand(o))
 	if err != nil {
 		return "", err
 	}
-	_, mine := adminapi.ReadNumbers(reply.Descriptors)
+	_, mine := adminapi.ParseNumbering(reply.Descriptors)
 	for end := time.Now().Add(5 * time.Minute); ; time.Sleep(50 * time.Millisecond) {
 		versions, job, err := audit()
 		switch {
--- a/cmd/olivedale/main.go
+++ b/cmd/olivedale/main.go
@@ -85,7 +85,7 @@
 	}
 	runtime.GOMAXPROCS(1) // the platform gives one core, which others share
 	debug.SetMemoryLimit(int64(cfg.MemoryMB) << 20 * 3 / 4)
-	n, err := server.New(cfg, server.Options{H248: o.H248, Records: o.Records, Numbers: o.Numbers, Share: o.Share, Log: zl, Program: cli.Version()})
+	n, err := server.New(cfg, server.Options{H248: o.H248, Records: o.Records, Numbers: o.Numbering, Share: o.Overload, Log: zl, Program: cli.Version()})
 	if err != nil {
 		return failed(log, err)
 	}
--- a/internal/adminapi/clock.go
+++ b/internal/adminapi/clock.go
@@ -10,17 +10,17 @@
 	"olivedale/internal/codec/h248"
 )
 
-// Stamps are the four time stamps of an exchange, Unix nanoseconds, as RFC 5905, section 8,
+// ClockStamps are the four time stamps of an exchange, Unix nanoseconds, as RFC 5905, section 8,
 // names them: T1 and T4 by the one that asks, T2 and T3 by the one that answers.
-type Stamps [4]int64
+type ClockStamps [4]int64
 
 // clockNames are the properties of TerminationState that carry Stamps.
 var clockNames = [4]string{"oc/t1", "oc/t2", "oc/t3", "oc/t4"}
 
-// Clock asks an instance for its time, as a Modify of ROOT. The instance knows all four time
+// ClockCommand asks an instance for its time, as a Modify of ROOT. The instance knows all four time
 // stamps of an exchange only once the one that asked has told it the last: they come with the
 // next exchange, under the name of who asks.
-func Clock(peer string, last Stamps) *h248.Command {
+func ClockCommand(peer string, last ClockStamps) *h248.Command {
 	state := &h248.Node{Name: "TerminationState", Kids: []*h248.Node{{Name: "oc/peer", Value: peer, Quoted: true}}}
 	for i, name := range clockNames {
 		if last[i] != 0 {
@@ -30,8 +30,8 @@
 	return &h248.Command{Name: "Modify", Termination: "ROOT", Descriptors: []*h248.Node{{Name: "Media", Kids: []*h248.Node{state}}}}
 }
 
-// ReadClock reads what Clock and its reply carry; a time stamp that is not there is 0.
-func ReadClock(c *h248.Command) (peer string, s Stamps, err error) {
+// ParseClock reads what Clock and its reply carry; a time stamp that is not there is 0.
+func ParseClock(c *h248.Command) (peer string, s ClockStamps, err error) {
 	state := h248.Find(c.Descriptors, "Media", "TerminationState")
 	if state == nil {
 		return "", s, errors.New("no TerminationState")
@@ -50,17 +50,17 @@
 	return peer, s, nil
 }
 
-// Exchange asks the instance at addr for its time, tells it the last exchange's time stamps
+// ExchangeClocks asks the instance at addr for its time, tells it the last exchange's time stamps
 // and returns the new ones.
-func Exchange(ctx context.Context, addr, peer string, last Stamps) (Stamps, error) {
+func ExchangeClocks(ctx context.Context, addr, peer string, last ClockStamps) (ClockStamps, error) {
 	before := time.Now()
-	c, err := Ask(ctx, addr, Clock(peer, last))
+	c, err := Send(ctx, addr, ClockCommand(peer, last))
 	if err != nil {
-		return Stamps{}, err
+		return ClockStamps{}, err
 	}
-	_, s, err := ReadClock(c)
+	_, s, err := ParseClock(c)
 	if err != nil {
-		return Stamps{}, err
+		return ClockStamps{}, err
 	}
 	// T4 by the monotonic clock: a step in between must not make the way back look short.
 	s[0] = before.UnixNano()
--- a/internal/adminapi/control.go
+++ b/internal/adminapi/control.go
@@ -14,12 +14,12 @@
 	"olivedale/internal/codec/h248"
 )
 
-// Patience is how long one exchange of messages may take.
-const Patience = 5 * time.Second
+// RequestTimeout is how long one exchange of messages may take.
+const RequestTimeout = 5 * time.Second
 
-// Ask sends one command to addr and returns its reply.
-func Ask(ctx context.Context, addr string, c *h248.Command) (*h248.Command, error) {
-	ctx, cancel := context.WithTimeout(ctx, Patience)
+// Send sends one command to addr and returns its reply.
+func Send(ctx context.Context, addr string, c *h248.Command) (*h248.Command, error) {
+	ctx, cancel := context.WithTimeout(ctx, RequestTimeout)
 	defer cancel()
 	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", addr)
 	if err != nil {
@@ -112,13 +112,13 @@
 	}
 }
 
-// Audit asks for the state of a termination.
-func Audit(termination string) *h248.Command {
+// AuditCommand asks for the state of a termination.
+func AuditCommand(termination string) *h248.Command {
 	return &h248.Command{Name: "AuditValue", Termination: termination}
 }
 
-// Drain asks that a termination go out of service once nothing is owed there.
-func Drain(termination string) *h248.Command {
+// DrainCommand asks that a termination go out of service once nothing is owed there.
+func DrainCommand(termination string) *h248.Command {
 	return &h248.Command{Name: "ServiceChange", Termination: termination, Descriptors: []*h248.Node{{Name: "Services",
 		Kids: []*h248.Node{{Name: "Method", Value: "Graceful"}, {Name: "Reason", Value: "905 Termination taken out of service", Quoted: true}}}}}
 }
--- a/internal/adminapi/golden_test.go
+++ b/internal/adminapi/golden_test.go
@@ -16,11 +16,11 @@
 
 // goldenShare is a state of which every value differs from its zero.
 func goldenShare() *overload.State {
-	return &overload.State{Self: 3, Peers: 300, Boot: 77, Teller: 5, Since: 3 * time.Second, Heard: 400 * time.Millisecond, Live: 260, Of: 300, Part: true, Often: true, Shunned: 1,
-		Servers:   []overload.ServerState{{ID: "s-1", Waiting: 2, Wait: 130 * time.Millisecond, Obeyed: true, Claim: 900 * time.Millisecond, Hold: [4]float64{0.98, 0.5, 0, 1}, Over: 0.25, Held: 12}},
-		Told:      []overload.SumState{{Key: 0x0102ff, Offered: 40.5, Over: 2, Done: 30, Wait: time.Second, Told: 100, Budget: 28}, {Key: 9, Budget: math.Inf(1)}},
-		Reporters: []overload.PeerState{{Number: 1, Presence: overload.Live, Heard: time.Second, Lost: 0.125, Last: 500 * time.Millisecond}, {Number: 2, Presence: overload.Suspected}, {Number: 4, Presence: overload.Dead}},
-		Counters:  overload.Counters{Said: 1, SaidBytes: 2, Heard: 3, HeardBytes: 4, Unread: 5, Alien: 6, Stale: 7, Held: 8, Passed: 9, Tellers: 10, Silent: 11, Wrong: 12}}
+	return &overload.State{Self: 3, Peers: 300, Incarnation: 77, Aggregator: 5, AggregatorFor: 3 * time.Second, LimitsAge: 400 * time.Millisecond, AliveMembers: 260, PeakMembers: 300, Partitioned: true, FrequentReports: true, Ejected: 1,
+		Servers:    []overload.ServerState{{ID: "s-1", PendingAttempts: 2, SetupTime: 130 * time.Millisecond, Limited: true, ClaimedWait: 900 * time.Millisecond, ThrottleChance: [4]float64{0.98, 0.5, 0, 1}, OverflowChance: 0.25, Throttled: 12}},
+		Aggregates: []overload.AggregateState{{Key: 0x0102ff, Offered: 40.5, Overflow: 2, Answered: 30, Wait: time.Second, WaitReports: 100, AdmittedRate: 28}, {Key: 9, AdmittedRate: math.Inf(1)}},
+		Members:    []overload.MemberState{{Number: 1, Status: overload.Alive, LastReportAge: time.Second, LossShare: 0.125, ReportSpan: 500 * time.Millisecond}, {Number: 2, Status: overload.Suspect}, {Number: 4, Status: overload.Dead}},
+		Counters:   overload.Counters{Sent: 1, SentBytes: 2, Received: 3, ReceivedBytes: 4, Malformed: 5, Misattributed: 6, Stale: 7, Throttled: 8, Admitted: 9, AggregatorChanges: 10, AggregatorsUnresponsive: 11, AggregatorsEjected: 12}}
 }
 
 // goldenCommands are the commands and replies between instances and those who manage them.
@@ -35,58 +35,58 @@
 	reply := func(name, termination string, nodes ...*h248.Node) {
 		add(name, &h248.Command{Name: "AuditValue", Termination: termination, Descriptors: nodes})
 	}
-	add("audit of ROOT", Audit("ROOT"))
-	add("audit of the share", Audit(ShareTermination))
-	add("drain", Drain("instance/panel-east"))
-	add("clock", Clock("agent-1", Stamps{1764547200000000001, 2, 3, 4}))
-	add("clock without stamps", Clock("", Stamps{}))
-	add("order to load", NumbersOrder(numbering.Order{Op: numbering.OpLoad, File: "/etc/numbers.toml"}))
-	add("order to activate", NumbersOrder(numbering.Order{Op: numbering.OpActivate, Digest: "7b3cbfb4b82e4e7b", Saw: "00", At: 5 * time.Second}))
-	add("order to roll back", NumbersOrder(numbering.Order{Op: numbering.OpRollback, Saw: "00"}))
-	add("order to cancel", NumbersOrder(numbering.Order{Op: numbering.OpCancel}))
+	add("audit of ROOT", AuditCommand("ROOT"))
+	add("audit of the share", AuditCommand(OverloadTermination))
+	add("drain", DrainCommand("instance/panel-east"))
+	add("clock", ClockCommand("agent-1", ClockStamps{1764547200000000001, 2, 3, 4}))
+	add("clock without stamps", ClockCommand("", ClockStamps{}))
+	add("order to load", NumberingCommand(numbering.Order{Op: numbering.OpLoad, File: "/etc/numbers.toml"}))
+	add("order to activate", NumberingCommand(numbering.Order{Op: numbering.OpActivate, Digest: "7b3cbfb4b82e4e7b", Saw: "00", At: 5 * time.Second}))
+	add("order to roll back", NumberingCommand(numbering.Order{Op: numbering.OpRollback, Saw: "00"}))
+	add("order to cancel", NumberingCommand(numbering.Order{Op: numbering.OpCancel}))
 	states := []numbering.Status{}
 	for i, state := range []string{numbering.InForce, numbering.Waiting, numbering.Loaded} {
 		states = append(states, numbering.Status{Digest: fmt.Sprint("d", i), Name: "of today", State: state, Entries: 10 + i, Pins: i, Since: time.Duration(i), Due: time.Duration(2 * i)})
 	}
-	reply("versions while an order runs", NumbersTermination, NumbersNodes(states, numbering.Job{ID: 4, Order: numbering.Order{Op: numbering.OpLoad}, Running: true})...)
-	reply("versions after an order failed", NumbersTermination, NumbersNodes(nil, numbering.Job{ID: 5, Order: numbering.Order{Op: numbering.OpLoad}, Err: "no such file", Digest: "d9"})...)
+	reply("versions while an order runs", NumberingTermination, NumberingNodes(states, numbering.Job{ID: 4, Order: numbering.Order{Op: numbering.OpLoad}, Running: true})...)
+	reply("versions after an order failed", NumberingTermination, NumberingNodes(nil, numbering.Job{ID: 5, Order: numbering.Order{Op: numbering.OpLoad}, Err: "no such file", Digest: "d9"})...)
 	reply("table and look-ups", "ROOT", TableNode("d0", "of today"),
 		LookupsNode(&portability.Counters{Asked: 1, Hits: 2, Coalesced: 3, StaleHits: 4, Undecided: 5, Crowded: 6, Sent: 7, Answered: 8, TimedOut: 9, Refused: 10, Strays: 11, Lies: 12, Broken: 13}))
-	reply("share", ShareTermination, ShareNodes(goldenShare())...)
-	reply("share without values", ShareTermination, ShareNodes(&overload.State{})...)
+	reply("share", OverloadTermination, OverloadNodes(goldenShare())...)
+	reply("share without values", OverloadTermination, OverloadNodes(&overload.State{})...)
 	return all
 }
 
 // dumpCommand writes what each reader makes of a command under labels that are fixed.
 func dumpCommand(b *strings.Builder, c *h248.Command) {
 	_, _ = fmt.Fprintf(b, "command %q termination %q\n", c.Name, c.Termination)
-	if peer, stamps, err := ReadClock(c); err == nil {
+	if peer, stamps, err := ParseClock(c); err == nil {
 		_, _ = fmt.Fprintf(b, "clock peer %q stamps %v\n", peer, [4]int64(stamps))
 	}
-	if o, err := ReadNumbersOrder(c); err == nil && o.Op != "" {
+	if o, err := ParseNumberingOrder(c); err == nil && o.Op != "" {
 		_, _ = fmt.Fprintf(b, "order %q file %q digest %q saw %q at %d\n", o.Op, o.File, o.Digest, o.Saw, o.At)
 	}
-	versions, job := ReadNumbers(c.Descriptors)
+	versions, job := ParseNumbering(c.Descriptors)
 	for _, v := range versions {
 		_, _ = fmt.Fprintf(b, "version %q name %q state %q entries %d calls %d since %d due %d\n", v.Digest, v.Name, v.State, v.Entries, v.Pins, v.Since, v.Due)
 	}
 	if job.ID > 0 {
 		_, _ = fmt.Fprintf(b, "job %d order %q running %v error %q digest %q\n", job.ID, job.Order.Op, job.Running, job.Err, job.Digest)
 	}
-	if s := ReadShare(c.Descriptors); s != nil {
+	if s := ParseOverload(c.Descriptors); s != nil {
 		_, _ = fmt.Fprintf(b, "share %d of %d boot %d teller %d since %v heard %v live %d most %d part %v often %v shunned %d\n",
-			s.Self, s.Peers, s.Boot, s.Teller, s.Since, s.Heard, s.Live, s.Of, s.Part, s.Often, s.Shunned)
+			s.Self, s.Peers, s.Incarnation, s.Aggregator, s.AggregatorFor, s.LimitsAge, s.AliveMembers, s.PeakMembers, s.Partitioned, s.FrequentReports, s.Ejected)
 		k := &s.Counters
 		_, _ = fmt.Fprintf(b, "counters sent %d bytes %d received %d unread %d alien %d held %d passed %d silent %d wrong %d\n",
-			k.Said, k.SaidBytes, k.Heard, k.Unread, k.Alien, k.Held, k.Passed, k.Silent, k.Wrong)
+			k.Sent, k.SentBytes, k.Received, k.Malformed, k.Misattributed, k.Throttled, k.Admitted, k.AggregatorsUnresponsive, k.AggregatorsEjected)
 		for _, v := range s.Servers {
-			_, _ = fmt.Fprintf(b, "server %q waiting %d wait %v obeyed %v claim %v hold %v over %v held %d\n", v.ID, v.Waiting, v.Wait, v.Obeyed, v.Claim, v.Hold, v.Over, v.Held)
+			_, _ = fmt.Fprintf(b, "server %q waiting %d wait %v obeyed %v claim %v hold %v over %v held %d\n", v.ID, v.PendingAttempts, v.SetupTime, v.Limited, v.ClaimedWait, v.ThrottleChance, v.OverflowChance, v.Throttled)
 		}
-		for _, v := range s.Told {
-			_, _ = fmt.Fprintf(b, "sum %06x offered %v over %v answered %v wait %v told %d budget %v\n", v.Key, v.Offered, v.Over, v.Done, v.Wait, v.Told, v.Budget)
+		for _, v := range s.Aggregates {
+			_, _ = fmt.Fprintf(b, "sum %06x offered %v over %v answered %v wait %v told %d budget %v\n", v.Key, v.Offered, v.Overflow, v.Answered, v.Wait, v.WaitReports, v.AdmittedRate)
 		}
-		for _, p := range s.Reporters {
-			_, _ = fmt.Fprintf(b, "reporter %d presence %v heard %v lost %v span %v\n", p.Number, p.Presence, p.Heard, p.Lost, p.Last)
+		for _, p := range s.Members {
+			_, _ = fmt.Fprintf(b, "reporter %d presence %v heard %v lost %v span %v\n", p.Number, p.Status, p.LastReportAge, p.LossShare, p.ReportSpan)
 		}
 	}
 }
--- a/internal/adminapi/numbers.go
+++ b/internal/adminapi/numbers.go
@@ -9,12 +9,12 @@
 	"olivedale/internal/portability"
 )
 
-// NumbersTermination is the termination by which an instance's table of numbers is managed:
+// NumberingTermination is the termination by which an instance's table of numbers is managed:
 // AuditValue lists the versions and the last order, Modify gives an order.
-const NumbersTermination = "numbers"
+const NumberingTermination = "numbers"
 
-// NumbersOrder makes the command of an order.
-func NumbersOrder(o numbering.Order) *h248.Command {
+// NumberingCommand makes the command of an order.
+func NumberingCommand(o numbering.Order) *h248.Command {
 	state := &h248.Node{Name: "TerminationState"}
 	put := func(name, value string) {
 		if value != "" {
@@ -28,11 +28,11 @@
 	if o.At != 0 {
 		put("oc/at", strconv.FormatInt(int64(o.At), 10))
 	}
-	return &h248.Command{Name: "Modify", Termination: NumbersTermination, Descriptors: []*h248.Node{{Name: "Media", Kids: []*h248.Node{state}}}}
+	return &h248.Command{Name: "Modify", Termination: NumberingTermination, Descriptors: []*h248.Node{{Name: "Media", Kids: []*h248.Node{state}}}}
 }
 
-// ReadNumbersOrder reads what NumbersOrder made.
-func ReadNumbersOrder(c *h248.Command) (o numbering.Order, err error) {
+// ParseNumberingOrder reads what NumbersOrder made.
+func ParseNumberingOrder(c *h248.Command) (o numbering.Order, err error) {
 	at := func(name string) string { return h248.Value(c.Descriptors, "Media", "TerminationState", "oc/"+name) }
 	o = numbering.Order{Op: at("do"), File: at("file"), Digest: at("digest"), Saw: at("saw")}
 	if v := at("at"); v != "" {
@@ -44,8 +44,8 @@
 	return o, err
 }
 
-// NumbersNodes tells of versions and the last order.
-func NumbersNodes(all []numbering.Status, job numbering.Job) []*h248.Node {
+// NumberingNodes tells of versions and the last order.
+func NumberingNodes(all []numbering.Status, job numbering.Job) []*h248.Node {
 	stats := &h248.Node{Name: "Statistics"}
 	node := func(kind string, of ...string) { stats.Kids = append(stats.Kids, pairs(kind, of...)) }
 	for _, s := range all {
@@ -62,8 +62,8 @@
 	return []*h248.Node{stats}
 }
 
-// ReadNumbers reads what NumbersNodes made.
-func ReadNumbers(nodes []*h248.Node) (all []numbering.Status, job numbering.Job) {
+// ParseNumbering reads what NumbersNodes made.
+func ParseNumbering(nodes []*h248.Node) (all []numbering.Status, job numbering.Job) {
 	stats := h248.Find(nodes, "Statistics")
 	if stats == nil {
 		return nil, job
--- a/internal/adminapi/share.go
+++ b/internal/adminapi/share.go
@@ -10,8 +10,8 @@
 	"olivedale/internal/overload"
 )
 
-// ShareTermination is the termination by which AuditValue tells what an instance shares with the others.
-const ShareTermination = "share"
+// OverloadTermination is the termination by which AuditValue tells what an instance shares with the others.
+const OverloadTermination = "share"
 
 // pairs is a node of values by name, in their order; those that are empty are left out.
 func pairs(kind string, of ...string) *h248.Node {
@@ -31,36 +31,36 @@
 // mostShareNodes bounds a reply, which is one message of 16 KiB at most.
 const mostShareNodes = 64
 
-// ShareNodes tells of what is shared. Of a large fleet not all reporters fit; those that were not heard for
+// OverloadNodes tells of what is shared. Of a large fleet not all reporters fit; those that were not heard for
 // longest come first.
-func ShareNodes(s *overload.State) []*h248.Node {
+func OverloadNodes(s *overload.State) []*h248.Node {
 	stats := &h248.Node{Name: "Statistics"}
 	put := func(n *h248.Node) { stats.Kids = append(stats.Kids, n) }
 	c := &s.Counters
-	put(pairs("oc/share", "number", whole(s.Self), "peers", whole(s.Peers), "boot", strconv.FormatUint(uint64(s.Boot), 10), "teller", whole(s.Teller), "since", s.Since.String(),
-		"heard", s.Heard.String(), "live", whole(s.Live), "most", whole(s.Of), "part", strconv.FormatBool(s.Part), "often", strconv.FormatBool(s.Often), "shunned", whole(s.Shunned),
-		"said", whole(c.Said), "saidbytes", whole(c.SaidBytes), "taken", whole(c.Heard), "unread", whole(c.Unread), "alien", whole(c.Alien), "held", whole(c.Held),
-		"passed", whole(c.Passed), "silent", whole(c.Silent), "wrong", whole(c.Wrong)))
+	put(pairs("oc/share", "number", whole(s.Self), "peers", whole(s.Peers), "boot", strconv.FormatUint(uint64(s.Incarnation), 10), "teller", whole(s.Aggregator), "since", s.AggregatorFor.String(),
+		"heard", s.LimitsAge.String(), "live", whole(s.AliveMembers), "most", whole(s.PeakMembers), "part", strconv.FormatBool(s.Partitioned), "often", strconv.FormatBool(s.FrequentReports), "shunned", whole(s.Ejected),
+		"said", whole(c.Sent), "saidbytes", whole(c.SentBytes), "taken", whole(c.Received), "unread", whole(c.Malformed), "alien", whole(c.Misattributed), "held", whole(c.Throttled),
+		"passed", whole(c.Admitted), "silent", whole(c.AggregatorsUnresponsive), "wrong", whole(c.AggregatorsEjected)))
 	for _, v := range s.Servers {
 		var hold []string
-		for _, h := range v.Hold {
+		for _, h := range v.ThrottleChance {
 			hold = append(hold, number(h))
 		}
-		put(pairs("oc/server", "name", v.ID, "waiting", whole(v.Waiting), "wait", v.Wait.String(), "obeyed", strconv.FormatBool(v.Obeyed), "claim", v.Claim.String(),
-			"hold", strings.Join(hold, " "), "over", number(v.Over), "held", whole(v.Held)))
+		put(pairs("oc/server", "name", v.ID, "waiting", whole(v.PendingAttempts), "wait", v.SetupTime.String(), "obeyed", strconv.FormatBool(v.Limited), "claim", v.ClaimedWait.String(),
+			"hold", strings.Join(hold, " "), "over", number(v.OverflowChance), "held", whole(v.Throttled)))
 	}
-	for _, t := range s.Told[:min(len(s.Told), mostShareNodes)] {
-		put(pairs("oc/sum", "key", strconv.FormatUint(uint64(t.Key), 16), "offered", number(t.Offered), "over", number(t.Over), "done", number(t.Done), "wait", t.Wait.String(),
-			"told", whole(t.Told), "budget", number(t.Budget)))
+	for _, t := range s.Aggregates[:min(len(s.Aggregates), mostShareNodes)] {
+		put(pairs("oc/sum", "key", strconv.FormatUint(uint64(t.Key), 16), "offered", number(t.Offered), "over", number(t.Overflow), "done", number(t.Answered), "wait", t.Wait.String(),
+			"told", whole(t.WaitReports), "budget", number(t.AdmittedRate)))
 	}
-	for _, p := range s.Reporters[:min(len(s.Reporters), mostShareNodes)] {
-		put(pairs("oc/reporter", "number", whole(p.Number), "presence", p.Presence.String(), "heard", p.Heard.String(), "lost", number(p.Lost), "span", p.Last.String()))
+	for _, p := range s.Members[:min(len(s.Members), mostShareNodes)] {
+		put(pairs("oc/reporter", "number", whole(p.Number), "presence", p.Status.String(), "heard", p.LastReportAge.String(), "lost", number(p.LossShare), "span", p.ReportSpan.String()))
 	}
 	return []*h248.Node{stats}
 }
 
-// ReadShare reads what ShareNodes made; nil: the reply tells nothing of it.
-func ReadShare(nodes []*h248.Node) *overload.State {
+// ParseOverload reads what ShareNodes made; nil: the reply tells nothing of it.
+func ParseOverload(nodes []*h248.Node) *overload.State {
 	stats := h248.Find(nodes, "Statistics")
 	if stats == nil {
 		return nil
@@ -70,16 +70,16 @@
 		r := reading{n}
 		switch n.Name {
 		case "oc/share":
-			s = &overload.State{Self: r.whole("number"), Peers: r.whole("peers"), Boot: uint32(r.whole("boot")), Teller: r.whole("teller"), Since: r.time("since"), Heard: r.time("heard"),
-				Live: r.whole("live"), Of: r.whole("most"), Part: r.at("part") == "true", Often: r.at("often") == "true", Shunned: r.whole("shunned"),
-				Counters: overload.Counters{Said: r.whole("said"), SaidBytes: r.whole("saidbytes"), Heard: r.whole("taken"), Unread: r.whole("unread"), Alien: r.whole("alien"),
-					Held: r.whole("held"), Passed: r.whole("passed"), Silent: r.whole("silent"), Wrong: r.whole("wrong")}}
+			s = &overload.State{Self: r.whole("number"), Peers: r.whole("peers"), Incarnation: uint32(r.whole("boot")), Aggregator: r.whole("teller"), AggregatorFor: r.time("since"), LimitsAge: r.time("heard"),
+				AliveMembers: r.whole("live"), PeakMembers: r.whole("most"), Partitioned: r.at("part") == "true", FrequentReports: r.at("often") == "true", Ejected: r.whole("shunned"),
+				Counters: overload.Counters{Sent: r.whole("said"), SentBytes: r.whole("saidbytes"), Received: r.whole("taken"), Malformed: r.whole("unread"), Misattributed: r.whole("alien"),
+					Throttled: r.whole("held"), Admitted: r.whole("passed"), AggregatorsUnresponsive: r.whole("silent"), AggregatorsEjected: r.whole("wrong")}}
 		case "oc/server":
-			v := overload.ServerState{ID: r.at("name"), Waiting: r.whole("waiting"), Wait: r.time("wait"), Obeyed: r.at("obeyed") == "true", Claim: r.time("claim"),
-				Over: r.number("over"), Held: r.whole("held")}
+			v := overload.ServerState{ID: r.at("name"), PendingAttempts: r.whole("waiting"), SetupTime: r.time("wait"), Limited: r.at("obeyed") == "true", ClaimedWait: r.time("claim"),
+				OverflowChance: r.number("over"), Throttled: r.whole("held")}
 			for i, h := range strings.Fields(r.at("hold")) {
-				if i < len(v.Hold) {
-					v.Hold[i], _ = strconv.ParseFloat(h, 64)
+				if i < len(v.ThrottleChance) {
+					v.ThrottleChance[i], _ = strconv.ParseFloat(h, 64)
 				}
 			}
 			if s != nil {
@@ -88,18 +88,18 @@
 		case "oc/sum":
 			key, _ := strconv.ParseUint(r.at("key"), 16, 32)
 			if s != nil {
-				s.Told = append(s.Told, overload.SumState{Key: uint32(key), Offered: r.number("offered"), Over: r.number("over"), Done: r.number("done"), Wait: r.time("wait"),
-					Told: r.whole("told"), Budget: r.number("budget")})
+				s.Aggregates = append(s.Aggregates, overload.AggregateState{Key: uint32(key), Offered: r.number("offered"), Overflow: r.number("over"), Answered: r.number("done"), Wait: r.time("wait"),
+					WaitReports: r.whole("told"), AdmittedRate: r.number("budget")})
 			}
 		case "oc/reporter":
-			p := overload.PeerState{Number: r.whole("number"), Heard: r.time("heard"), Lost: r.number("lost"), Last: r.time("span")}
-			for _, known := range []overload.Presence{overload.Live, overload.Suspected, overload.Dead} {
+			p := overload.MemberState{Number: r.whole("number"), LastReportAge: r.time("heard"), LossShare: r.number("lost"), ReportSpan: r.time("span")}
+			for _, known := range []overload.MemberStatus{overload.Alive, overload.Suspect, overload.Dead} {
 				if known.String() == r.at("presence") {
-					p.Presence = known
+					p.Status = known
 				}
 			}
 			if s != nil {
-				s.Reporters = append(s.Reporters, p)
+				s.Members = append(s.Members, p)
 			}
 		}
 	}
--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -1,6 +1,5 @@
 // Package admission makes the decisions of a call controller: which call
-// set-ups go to which central server, and which are refused. Its types, events
-// and actions are in api.go; everything that is decided is decided here.
+// set-ups go to which server, and which are rejected. Its types are in api.go.
 package admission
 
 import (
@@ -457,7 +456,8 @@
 // repeats tells whether a call that may have run may go to a server: one that would discard the repeat.
 func (c *StateMachine) repeats(k *call, s *server) bool {
 	scope := k.class.DeduplicationScope
-	same := scope == ScopeFleet || scope == ScopeZone && s.Zone == k.ran.Zone || scope == ScopePool && s.Pool == k.ran.Pool
+	sameZone, samePool := s.Zone == k.ran.Zone, s.Pool == k.ran.Pool
+	same := scope == ScopeFleet || scope == ScopeZone && sameZone || scope == ScopePool && samePool
 	return same && k.class.Repeatability == Deduplicated && c.now-k.ranAt < k.class.DeduplicationWindow
 }
 
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -40,9 +40,9 @@
 	H248   *config.H248    `json:"h248"`   // switches its H.248 front on
 	Log    config.Log      `json:"log"`
 	// Records switches its records on; without a folder they are kept beside its other files.
-	Records *config.Records `json:"records"`
-	Numbers *config.Numbers `json:"numbers"` // switches routing by number on
-	Share   *config.Share   `json:"share"`   // has it share what it knows with others
+	Records *config.Records         `json:"records"`
+	Numbers *config.Numbering       `json:"numbers"` // switches routing by number on
+	Share   *config.OverloadControl `json:"share"`   // has it share what it knows with others
 	// Reach is where its admin door is reached, if not at h248.admin: behind a forwarder.
 	Reach string `json:"reach"`
 }
@@ -174,12 +174,12 @@
 			return fmt.Errorf("reach: %w", err)
 		}
 	}
-	return i.spec.operator().Check()
+	return i.spec.operator().Validate()
 }
 
 // operator is the operator's file of an instance.
 func (s *Spec) operator() *config.Operator {
-	return &config.Operator{Log: s.Log, H248: s.H248, Records: s.Records, Numbers: s.Numbers, Share: s.Share}
+	return &config.Operator{Log: s.Log, H248: s.H248, Records: s.Records, Numbering: s.Numbers, Overload: s.Share}
 }
 
 func (a *Agent) drain(i *instance, why string) {
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -72,7 +72,7 @@
 	}
 }
 
-func watch(t *testing.T, f *etcd.Server, w Wanted) {
+func watch(t *testing.T, f *etcd.Server, w DesiredState) {
 	t.Helper()
 	client, err := clientv3.New(clientv3.Config{Endpoints: []string{f.Addr()}, DialTimeout: 5 * time.Second})
 	if err != nil {
@@ -134,7 +134,7 @@
 }
 
 func stateOf(a *Agent, name string) string {
-	d, err := a.Handle(adminapi.Audit("instance/" + name))
+	d, err := a.Handle(adminapi.AuditCommand("instance/" + name))
 	if err != nil {
 		return ""
 	}
@@ -157,10 +157,10 @@
 	f.Set(prefix+"worse", []byte("{"))
 	watch(t, f, a)
 	ask := func(addr string, c *h248.Command) (*h248.Command, error) {
-		return adminapi.Ask(context.Background(), addr, c)
+		return adminapi.Send(context.Background(), addr, c)
 	}
 	eventually(t, "the instance serves", func() bool {
-		c, err := ask(admin, adminapi.Audit("ROOT"))
+		c, err := ask(admin, adminapi.AuditCommand("ROOT"))
 		return err == nil && h248.Value(c.Descriptors, "Media", "TerminationState", "ServiceStates") == "InService"
 	})
 	if got := stateOf(a, "worse"); !strings.HasPrefix(got, Faulty) {
@@ -172,11 +172,11 @@
 	}
 	defer func() { _ = ln.Close() }()
 	go func() { _ = adminapi.Serve(ln, "<agent>", a.Handle) }()
-	c, err := ask(ln.Addr().String(), adminapi.Audit("ROOT"))
+	c, err := ask(ln.Addr().String(), adminapi.AuditCommand("ROOT"))
 	if err != nil || len(h248.Find(c.Descriptors, "Statistics").Kids) != 3 {
 		t.Fatalf("the list: %+v, %v", c, err)
 	}
-	d, _ := a.Handle(adminapi.Audit("instance/one"))
+	d, _ := a.Handle(adminapi.AuditCommand("instance/one"))
 	var pid int
 	if _, err := fmt.Sscan(h248.Value(d, "oa/instance", "pid"), &pid); err != nil {
 		t.Fatal(err)
@@ -187,11 +187,11 @@
 	}
 	_ = process.Kill()
 	eventually(t, "a process that died is started again", func() bool { return stateOf(a, "one") == Running+" 2" })
-	if _, err := ask(ln.Addr().String(), adminapi.Drain("instance/one")); err != nil {
+	if _, err := ask(ln.Addr().String(), adminapi.DrainCommand("instance/one")); err != nil {
 		t.Fatal(err)
 	}
 	eventually(t, "it drains", func() bool { return strings.HasPrefix(stateOf(a, "one"), Drained) })
-	if _, err := ask(ln.Addr().String(), adminapi.Drain("instance/none")); err == nil {
+	if _, err := ask(ln.Addr().String(), adminapi.DrainCommand("instance/none")); err == nil {
 		t.Error("an unknown instance was drained")
 	}
 	f.Set(prefix+"one", nil)
--- a/internal/agent/clock.go
+++ b/internal/agent/clock.go
@@ -27,7 +27,7 @@
 // clock exchanges time stamps with an instance until ctx is done. An exchange that fails is
 // left out: the next one is as good.
 func (a *Agent) clock(ctx context.Context, i *instance) {
-	var last adminapi.Stamps
+	var last adminapi.ClockStamps
 	pause := clockFirst
 	for {
 		select {
@@ -35,9 +35,9 @@
 			return
 		case <-time.After(pause):
 		}
-		s, err := adminapi.Exchange(ctx, i.spec.admin(), a.peer, last)
+		s, err := adminapi.ExchangeClocks(ctx, i.spec.admin(), a.peer, last)
 		if err != nil {
-			last = adminapi.Stamps{}
+			last = adminapi.ClockStamps{}
 			continue
 		}
 		last = s
--- a/internal/agent/watch.go
+++ b/internal/agent/watch.go
@@ -19,15 +19,15 @@
 	lastPause  = 5 * time.Second
 )
 
-// Wanted takes what etcd says: a value by name, nil for one no longer wanted.
-type Wanted interface {
+// DesiredState takes what etcd says: a value by name, nil for one no longer wanted.
+type DesiredState interface {
 	Replace(all map[string][]byte)
 	Change(name string, value []byte)
 }
 
 // Watch lists the prefix, then follows its changes; after a compaction or a broken
 // watch it lists anew. It returns when ctx is done.
-func Watch(ctx context.Context, client *clientv3.Client, prefix string, w Wanted, log *zap.SugaredLogger) error {
+func Watch(ctx context.Context, client *clientv3.Client, prefix string, w DesiredState, log *zap.SugaredLogger) error {
 	pause := firstPause
 	for ctx.Err() == nil {
 		began := time.Now()
@@ -48,7 +48,7 @@
 	return ctx.Err()
 }
 
-func follow(ctx context.Context, client *clientv3.Client, prefix string, w Wanted) error {
+func follow(ctx context.Context, client *clientv3.Client, prefix string, w DesiredState) error {
 	// A watch that is left must end at the server too.
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -16,66 +16,66 @@
 
 // A Config is the file that RELAY_CONFIG names.
 type Config struct {
-	Name     string
-	Listen   string
-	Seed     uint64
-	MemoryMB int
-	Sockets  int
-	Names    string // address of the name service
-	Known    Known
-	Settings admission.Settings
-	Connect  time.Duration
-	widths   map[string]int // circuits that a call may ask for, by the name of its class
+	Name             string
+	Listen           string
+	Seed             uint64
+	MemoryMB         int
+	Sockets          int
+	DiscoveryAddress string // address of the name service
+	KnownEndpoints   KnownEndpoints
+	Settings         admission.Settings
+	DialTimeout      time.Duration
+	widths           map[string]int // circuits that a call may ask for, by the name of its class
 	// PeerListen and Peers are where datagrams of other controllers arrive, and the addresses of all by their
 	// numbers, this one's too; empty where the platform has controllers not speak to each other.
-	PeerListen  string
-	Peers       []string
-	Number      *int // this one's among them; nil: not told
-	PeersBarred bool // the settings do not permit that they speak
+	PeerListen            string
+	Peers                 []string
+	PeerNumber            *int // this one's among them; nil: not told
+	PeerMessagesForbidden bool // the settings do not permit that they speak
 }
 
-// Known holds the name service's events up to the start.
-type Known struct {
-	N      int     `json:"n"`
-	Events []Event `json:"events"`
+// KnownEndpoints holds the name service's events up to the start.
+type KnownEndpoints struct {
+	LastEvent int             `json:"n"`
+	Events    []EndpointEvent `json:"events"`
 }
 
-// An Event is one change of the list of exchanges.
-type Event struct {
-	N       int  `json:"n"`
-	Members List `json:"members"`
+// An EndpointEvent is one change of the list of exchanges.
+type EndpointEvent struct {
+	N         int          `json:"n"`
+	Endpoints EndpointList `json:"members"`
 }
 
-// A List is the whole list (Complete) or what has changed.
-type List struct {
-	Revision int      `json:"revision"`
-	Complete bool     `json:"complete"`
-	Members  []Member `json:"members"`
+// A EndpointList is the whole list (Complete) or what has changed.
+type EndpointList struct {
+	Revision  int        `json:"revision"`
+	Complete  bool       `json:"complete"`
+	Endpoints []Endpoint `json:"members"`
 }
 
-// A Member is one exchange.
-type Member struct {
+// A Endpoint is one exchange.
+type Endpoint struct {
 	ID      string `json:"id"`
 	Address string `json:"host_port"`
 	Zone    string `json:"locality"`
 	Kind    string `json:"flavor"`
-	Cell    int    `json:"cell"`
+	Pool    int    `json:"cell"`
 	Phase   string `json:"phase"`
 	Started int64  `json:"up_since_ms"` // Unix milliseconds of a late start, or 0
 }
 
 // Phases of a Member.
 const (
-	Ready       = "Ready"
-	Terminating = "Terminating"
-	Gone        = "Gone"
+	PhaseReady       = "Ready"
+	PhaseTerminating = "Terminating"
+	PhaseGone        = "Gone"
 )
 
-// Width is how many circuits a call of a class may ask for.
-func (c *Config) Width(class string) int { return max(c.widths[class], 1) }
+// MaxCircuits is how many circuits a call of a class may ask for.
+func (c *Config) MaxCircuits(class string) int { return max(c.widths[class], 1) }
 
-// Once tells whether calls of a class may not simply run twice.
-func (c *Config) Once(class string) bool {
+// RepeatUnsafe tells whether calls of a class may not simply run twice.
+func (c *Config) RepeatUnsafe(class string) bool {
 	for _, k := range c.Settings.Classes {
 		if k.Name == class {
 			return k.Repeatability != admission.Idempotent
@@ -91,11 +91,11 @@
 			return k.Deadline
 		}
 	}
-	return c.Longest()
+	return c.LongestDeadline()
 }
 
-// Longest is the longest deadline of a class.
-func (c *Config) Longest() (d time.Duration) {
+// LongestDeadline is the longest deadline of a class.
+func (c *Config) LongestDeadline() (d time.Duration) {
 	for _, k := range c.Settings.Classes {
 		d = max(d, k.Deadline)
 	}
@@ -129,7 +129,7 @@
 			Sockets  int `json:"sockets"`
 		} `json:"limits"`
 		Names    string          `json:"names"`
-		Known    Known           `json:"known"`
+		Known    KnownEndpoints  `json:"known"`
 		Listens  string          `json:"peer_listen"`
 		Peers    []string        `json:"peers"`
 		Settings json.RawMessage `json:"settings"`
@@ -138,7 +138,7 @@
 		return nil, err
 	}
 	c := &Config{Name: in.Name, Listen: in.Listen, MemoryMB: in.Limits.MemoryMB, Sockets: in.Limits.Sockets,
-		Names: in.Names, Known: in.Known, PeerListen: in.Listens, Peers: in.Peers}
+		DiscoveryAddress: in.Names, KnownEndpoints: in.Known, PeerListen: in.Listens, Peers: in.Peers}
 	for field, addr := range map[string]string{"listen": in.Listen, "names": in.Names} {
 		if _, err := netip.ParseAddrPort(addr); err != nil {
 			return nil, fmt.Errorf("%s: %w", field, err)
@@ -170,20 +170,20 @@
 	if err := json.Unmarshal(in.Settings, &limits); err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
-	if c.Connect = time.Duration(limits.Limits.ConnectTimeout * float64(time.Millisecond)); c.Connect <= 0 {
+	if c.DialTimeout = time.Duration(limits.Limits.ConnectTimeout * float64(time.Millisecond)); c.DialTimeout <= 0 {
 		return nil, fmt.Errorf("settings: limits.connectTimeout: %v ms", limits.Limits.ConnectTimeout)
 	}
-	c.Number = limits.Number
-	c.PeersBarred = limits.Limits.PeerMessages != nil && !*limits.Limits.PeerMessages
+	c.PeerNumber = limits.Number
+	c.PeerMessagesForbidden = limits.Limits.PeerMessages != nil && !*limits.Limits.PeerMessages
 	c.widths = make(map[string]int)
 	for i, k := range c.Settings.Classes { // the one place where settings go by position, as the platform writes them
 		if i < len(limits.Domain.Circuits) {
 			c.widths[k.Name] = limits.Domain.Circuits[i]
 		}
 	}
-	for _, e := range c.Known.Events {
-		for _, m := range e.Members.Members {
-			if err := m.Check(); err != nil {
+	for _, e := range c.KnownEndpoints.Events {
+		for _, m := range e.Endpoints.Endpoints {
+			if err := m.Validate(); err != nil {
 				return nil, fmt.Errorf("known: event %d: %w", e.N, err)
 			}
 		}
@@ -191,15 +191,15 @@
 	return c, nil
 }
 
-// Check tells what is wrong with a member.
-func (m *Member) Check() error {
+// Validate tells what is wrong with a member.
+func (m *Endpoint) Validate() error {
 	if m.ID == "" {
 		return errors.New("a member without an id")
 	}
 	if _, ok := phases[m.Phase]; !ok {
 		return fmt.Errorf("%s: phase %q", m.ID, m.Phase)
 	}
-	if m.Phase == Gone {
+	if m.Phase == PhaseGone {
 		return nil
 	}
 	if _, err := netip.ParseAddrPort(m.Address); err != nil {
@@ -209,11 +209,11 @@
 }
 
 var phases = map[string]admission.ServerState{
-	Ready: admission.Active, Terminating: admission.Draining, Gone: admission.Removed,
+	PhaseReady: admission.Active, PhaseTerminating: admission.Draining, PhaseGone: admission.Removed,
 }
 
 // Server is the member as the module knows it.
-func (m *Member) Server() admission.Server {
-	return admission.Server{ID: m.ID, Pool: m.Cell, Zone: m.Zone, State: phases[m.Phase],
+func (m *Endpoint) Server() admission.Server {
+	return admission.Server{ID: m.ID, Pool: m.Pool, Zone: m.Zone, State: phases[m.Phase],
 		Started: admission.Time(m.Started) * time.Millisecond}
 }
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -19,10 +19,10 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if c.Seed != 0x8c1f30d27a5be964 || c.Connect != 500*time.Millisecond || c.Settings.RetryGuard != 300*time.Millisecond {
+	if c.Seed != 0x8c1f30d27a5be964 || c.DialTimeout != 500*time.Millisecond || c.Settings.RetryGuard != 300*time.Millisecond {
 		t.Errorf("%+v", c)
 	}
-	m := c.Known.Events[0].Members.Members[0]
+	m := c.KnownEndpoints.Events[0].Endpoints.Endpoints[0]
 	if s := m.Server(); s.Started != 7*time.Millisecond || s.Pool != 2 {
 		t.Errorf("%+v", s)
 	}
--- a/internal/config/h248.go
+++ b/internal/config/h248.go
@@ -39,14 +39,14 @@
 	if unknown := meta.Undecoded(); len(unknown) > 0 {
 		return nil, fmt.Errorf("config: %s: unknown key %s", path, unknown[0])
 	}
-	if err := h.Check(); err != nil {
+	if err := h.Validate(); err != nil {
 		return nil, fmt.Errorf("config: %s: %w", path, err)
 	}
 	return &h, nil
 }
 
-// Check tells what is wrong with the front's settings.
-func (h *H248) Check() error {
+// Validate tells what is wrong with the front's settings.
+func (h *H248) Validate() error {
 	if _, err := netip.ParseAddrPort(h.Listen); err != nil {
 		return &KeyError{"listen", err}
 	}
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -22,15 +22,15 @@
 // An Operator is the operator's own file. A section that is absent is off; the zero value
 // is what the program does without a file.
 type Operator struct {
-	Log     Log      `toml:"log"`
-	H248    *H248    `toml:"h248"`
-	Records *Records `toml:"records"`
-	Numbers *Numbers `toml:"numbers"`
-	Share   *Share   `toml:"share"`
+	Log       Log              `toml:"log"`
+	H248      *H248            `toml:"h248"`
+	Records   *Records         `toml:"records"`
+	Numbering *Numbering       `toml:"numbers"`
+	Overload  *OverloadControl `toml:"share"`
 }
 
-// Numbers switches routing by number on.
-type Numbers struct {
+// Numbering switches routing by number on.
+type Numbering struct {
 	File  string `toml:"file" json:"file"`   // rules, as docs/operate/numbering.md describes them
 	State string `toml:"state" json:"state"` // folder for the versions loaded in service; "": they do not survive a restart
 	// Lookup asks for numbers that may have moved; without servers they are routed as they are.
@@ -51,8 +51,8 @@
 	FallbackRefuse = "refuse"
 )
 
-// Check tells what is wrong with the section; the rules are read by who uses them.
-func (n *Numbers) Check() error {
+// Validate tells what is wrong with the section; the rules are read by who uses them.
+func (n *Numbering) Validate() error {
 	if n.File == "" {
 		return bad("file", "missing; name the file of rules")
 	}
@@ -172,8 +172,8 @@
 	}
 }
 
-// Check fills in the defaults and tells what is wrong with the section.
-func (r *Records) Check() error {
+// Validate fills in the defaults and tells what is wrong with the section.
+func (r *Records) Validate() error {
 	r.defaults()
 	switch {
 	case r.Dir == "":
@@ -192,9 +192,9 @@
 	return nil
 }
 
-// Check fills in the defaults and tells what is wrong with the file, as a KeyError where it
+// Validate fills in the defaults and tells what is wrong with the file, as a KeyError where it
 // is one key.
-func (o *Operator) Check() error {
+func (o *Operator) Validate() error {
 	if err := o.Log.Options().Check(); err != nil {
 		return &KeyError{"log", err}
 	}
@@ -204,16 +204,16 @@
 	}
 	var sections []section
 	if o.H248 != nil {
-		sections = append(sections, section{"h248", o.H248.Check})
+		sections = append(sections, section{"h248", o.H248.Validate})
 	}
 	if o.Records != nil {
-		sections = append(sections, section{"records", o.Records.Check})
+		sections = append(sections, section{"records", o.Records.Validate})
 	}
-	if o.Numbers != nil {
-		sections = append(sections, section{"numbers", o.Numbers.Check})
+	if o.Numbering != nil {
+		sections = append(sections, section{"numbers", o.Numbering.Validate})
 	}
-	if o.Share != nil {
-		sections = append(sections, section{"share", o.Share.Check})
+	if o.Overload != nil {
+		sections = append(sections, section{"share", o.Overload.Validate})
 	}
 	for _, s := range sections {
 		if err := s.check(); err != nil {
@@ -245,7 +245,7 @@
 		key := unknown[0].String()
 		return nil, fmt.Errorf("line %d: %s: unknown key", lineOf(text, key), key)
 	}
-	if err := o.Check(); err != nil {
+	if err := o.Validate(); err != nil {
 		var key *KeyError
 		if errors.As(err, &key) {
 			return nil, fmt.Errorf("line %d: %w", lineOf(text, key.Key), err)
--- a/internal/console/source.go
+++ b/internal/console/source.go
@@ -234,7 +234,7 @@
 
 // agent asks one agent and its instances.
 func (a *Agents) agent(ctx context.Context, addr string) []Instance {
-	c, err := adminapi.Ask(ctx, addr, adminapi.Audit("ROOT"))
+	c, err := adminapi.Send(ctx, addr, adminapi.AuditCommand("ROOT"))
 	if err != nil {
 		var all []Instance
 		for _, in := range a.last {
@@ -280,7 +280,7 @@
 		in.Seen, in.Problem = time.Now().UTC(), "it has no admin address; set h248.admin"
 		return in
 	}
-	c, err := adminapi.Ask(ctx, admin, adminapi.Audit("ROOT"))
+	c, err := adminapi.Send(ctx, admin, adminapi.AuditCommand("ROOT"))
 	if err != nil {
 		in.State, in.Problem = StateSilent, err.Error()
 		return in
--- a/internal/discovery/names.go
+++ b/internal/discovery/names.go
@@ -15,39 +15,39 @@
 	"olivedale/internal/config"
 )
 
-// Service is the name whose SRV records list the exchanges.
-const Service = "_api._tcp.svc.local."
+// ServiceName is the name whose SRV records list the exchanges.
+const ServiceName = "_api._tcp.svc.local."
 
-// Limit is the most bytes an answer may hold.
-const Limit = 8000
+// MaxAnswerBytes is the most bytes an answer may hold.
+const MaxAnswerBytes = 8000
 
-var service = dnsmessage.MustNewName(Service)
+var service = dnsmessage.MustNewName(ServiceName)
 
-// A List is the list of exchanges as far as it has been told.
-type List struct {
+// A EndpointList is the list of exchanges as far as it has been told.
+type EndpointList struct {
 	serial  uint32
-	members map[string]config.Member
+	members map[string]config.Endpoint
 	asked   [32]uint16 // ids of the latest queries; an answer to any of them will do, be it some seconds late
 	next    int
 	hollow  int // the id of the last good answer that named none, -1: the last one named some
 }
 
-// Start takes the list that the configuration holds and returns it.
-func Start(known config.Known) (*List, []config.Member) {
-	l := &List{serial: uint32(known.N), members: make(map[string]config.Member), hollow: -1}
+// NewEndpointList takes the list that the configuration holds and returns it.
+func NewEndpointList(known config.KnownEndpoints) (*EndpointList, []config.Endpoint) {
+	l := &EndpointList{serial: uint32(known.LastEvent), members: make(map[string]config.Endpoint), hollow: -1}
 	for _, e := range known.Events {
-		if e.Members.Complete {
+		if e.Endpoints.Complete {
 			clear(l.members)
 		}
-		for _, m := range e.Members.Members {
-			if m.Phase == config.Gone {
+		for _, m := range e.Endpoints.Endpoints {
+			if m.Phase == config.PhaseGone {
 				delete(l.members, m.ID)
 			} else {
 				l.members[m.ID] = m
 			}
 		}
 	}
-	all := make([]config.Member, 0, len(l.members))
+	all := make([]config.Endpoint, 0, len(l.members))
 	for _, m := range l.members {
 		all = append(all, m)
 	}
@@ -55,15 +55,15 @@
 	return l, all
 }
 
-func sortMembers(m []config.Member) {
-	slices.SortFunc(m, func(a, b config.Member) int { return strings.Compare(a.ID, b.ID) })
+func sortMembers(m []config.Endpoint) {
+	slices.SortFunc(m, func(a, b config.Endpoint) int { return strings.Compare(a.ID, b.ID) })
 }
 
 // Serial is the number of the last event that was told.
-func (l *List) Serial() uint32 { return l.serial }
+func (l *EndpointList) Serial() uint32 { return l.serial }
 
-// Query writes the next query. The id is the caller's, at random.
-func (l *List) Query(id uint16) ([]byte, error) {
+// NewQuery writes the next query. The id is the caller's, at random.
+func (l *EndpointList) NewQuery(id uint16) ([]byte, error) {
 	b := dnsmessage.NewBuilder(make([]byte, 0, 64), dnsmessage.Header{ID: id, RecursionDesired: true})
 	if err := b.StartQuestions(); err != nil {
 		return nil, fmt.Errorf("names: query: %w", err)
@@ -80,9 +80,9 @@
 	return text, nil
 }
 
-// Answer takes an answer and returns the members that have changed, those that
+// HandleAnswer takes an answer and returns the members that have changed, those that
 // are gone among them. An answer that is older than what is known changes nothing.
-func (l *List) Answer(text []byte) ([]config.Member, error) {
+func (l *EndpointList) HandleAnswer(text []byte) ([]config.Endpoint, error) {
 	serial, members, err := l.parse(text)
 	if err != nil {
 		return nil, fmt.Errorf("names: answer: %w", err)
@@ -97,10 +97,10 @@
 		return nil, errors.New("names: answer: an empty list")
 	}
 	l.serial, l.hollow = serial, -1
-	var changed []config.Member
+	var changed []config.Endpoint
 	for id, old := range l.members {
 		if _, ok := members[id]; !ok {
-			old.Phase = config.Gone
+			old.Phase = config.PhaseGone
 			changed = append(changed, old)
 		}
 	}
@@ -114,8 +114,8 @@
 	return changed, nil
 }
 
-func (l *List) parse(text []byte) (serial uint32, members map[string]config.Member, err error) {
-	if len(text) > Limit {
+func (l *EndpointList) parse(text []byte) (serial uint32, members map[string]config.Endpoint, err error) {
+	if len(text) > MaxAnswerBytes {
 		return 0, nil, fmt.Errorf("%d bytes", len(text))
 	}
 	var p dnsmessage.Parser
@@ -213,8 +213,8 @@
 	return nil
 }
 
-func (r *records) members() (map[string]config.Member, error) {
-	all := make(map[string]config.Member, len(r.srv))
+func (r *records) members() (map[string]config.Endpoint, error) {
+	all := make(map[string]config.Endpoint, len(r.srv))
 	for _, s := range r.srv {
 		target := s.Target.String()
 		h, ok := r.hosts[strings.ToLower(target)]
@@ -225,10 +225,10 @@
 		if len(labels) < 3 {
 			return nil, fmt.Errorf("target %q", target)
 		}
-		m := config.Member{ID: labels[0], Zone: labels[1], Kind: h.kind, Cell: h.cell, Started: h.at,
-			Address: netip.AddrPortFrom(h.addr, s.Port).String(), Phase: config.Ready}
+		m := config.Endpoint{ID: labels[0], Zone: labels[1], Kind: h.kind, Pool: h.cell, Started: h.at,
+			Address: netip.AddrPortFrom(h.addr, s.Port).String(), Phase: config.PhaseReady}
 		if s.Priority != 0 {
-			m.Phase = config.Terminating
+			m.Phase = config.PhaseTerminating
 		}
 		all[m.ID] = m
 	}
--- a/internal/lab/demo/demo.go
+++ b/internal/lab/demo/demo.go
@@ -269,7 +269,7 @@
 func (s *stage) killed() error {
 	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
 	defer cancel()
-	c, err := adminapi.Ask(ctx, s.o.Agent, adminapi.Audit("instance/n0"))
+	c, err := adminapi.Send(ctx, s.o.Agent, adminapi.AuditCommand("instance/n0"))
 	if err != nil {
 		return fmt.Errorf("demo: asking the agent: %w", err)
 	}
--- a/internal/lab/rig/instance.go
+++ b/internal/lab/rig/instance.go
@@ -30,11 +30,11 @@
 		classes = append(classes, map[string]any{"name": k.Name, "aim": k.Aim.D().Milliseconds(), "deadline": k.GiveUp.D().Milliseconds(), "credit": k.Worth, "lateWorth": k.Late})
 	}
 	// The platform tells a starting controller the list as it is.
-	var members []config.Member
+	var members []config.Endpoint
 	for _, l := range i.Lines {
-		members = append(members, config.Member{ID: l.ID, Address: l.Addr, Zone: l.Zone, Kind: "std", Cell: l.Pool, Phase: config.Ready})
+		members = append(members, config.Endpoint{ID: l.ID, Address: l.Addr, Zone: l.Zone, Kind: "std", Pool: l.Pool, Phase: config.PhaseReady})
 	}
-	known := config.Known{N: 1, Events: []config.Event{{N: 1, Members: config.List{Complete: true, Members: members}}}}
+	known := config.KnownEndpoints{LastEvent: 1, Events: []config.EndpointEvent{{N: 1, Endpoints: config.EndpointList{Complete: true, Endpoints: members}}}}
 	text, err := json.Marshal(map[string]any{
 		"h248":    map[string]any{"Listen": i.Panel, "Admin": i.Admin},
 		"records": map[string]any{"dir": i.Records},
--- a/internal/lab/rig/run.go
+++ b/internal/lab/rig/run.go
@@ -481,7 +481,7 @@
 		wg.Go(func() {
 			ctx, cancel := context.WithTimeout(ctx, 500*time.Millisecond)
 			defer cancel()
-			c, err := adminapi.Ask(ctx, a.addr, adminapi.Audit("ROOT"))
+			c, err := adminapi.Send(ctx, a.addr, adminapi.AuditCommand("ROOT"))
 			if err != nil {
 				return // it may be stopped, or not listen yet
 			}
@@ -681,7 +681,7 @@
 	if i < 0 {
 		return nil, fmt.Errorf("rig: there is no %s", controller)
 	}
-	return adminapi.Ask(ctx, r.nodes[i].admin, c)
+	return adminapi.Send(ctx, r.nodes[i].admin, c)
 }
 
 // Etcd is the store of the agents.
--- a/internal/lab/rig/run_test.go
+++ b/internal/lab/rig/run_test.go
@@ -85,7 +85,7 @@
 			if starts < 2 {
 				return fmt.Errorf("its agent has started %s %d times", name, starts)
 			}
-			if _, err := r.Ask(ctx, name, adminapi.Audit("ROOT")); err != nil {
+			if _, err := r.Ask(ctx, name, adminapi.AuditCommand("ROOT")); err != nil {
 				return err
 			}
 		}
--- a/internal/lab/rig/share_test.go
+++ b/internal/lab/rig/share_test.go
@@ -12,11 +12,11 @@
 
 // shares asks a controller what it shares.
 func (r *Run) shares(ctx context.Context, name string) (*overload.State, error) {
-	reply, err := r.Ask(ctx, name, adminapi.Audit(adminapi.ShareTermination))
+	reply, err := r.Ask(ctx, name, adminapi.AuditCommand(adminapi.OverloadTermination))
 	if err != nil {
 		return nil, err
 	}
-	s := adminapi.ReadShare(reply.Descriptors)
+	s := adminapi.ParseOverload(reply.Descriptors)
 	if s == nil {
 		return nil, fmt.Errorf("%s shares nothing", name)
 	}
@@ -32,11 +32,11 @@
 		if err != nil {
 			return err
 		}
-		if s.Counters.Wrong > 0 {
+		if s.Counters.AggregatorsEjected > 0 {
 			continue
 		}
-		tellers[s.Teller] = append(tellers[s.Teller], n.name)
-		if s.Heard < 0 && s.Teller != s.Self {
+		tellers[s.Aggregator] = append(tellers[s.Aggregator], n.name)
+		if s.LimitsAge < 0 && s.Aggregator != s.Self {
 			return fmt.Errorf("%s has heard nothing of its teller", n.name)
 		}
 	}
@@ -73,7 +73,7 @@
 			if err != nil {
 				return err
 			}
-			killed = fmt.Sprint("n", s.Teller)
+			killed = fmt.Sprint("n", s.Aggregator)
 			r.onProcess(ctx, &Step{Kind: Kill}, killed)
 		}
 		return nil
@@ -85,7 +85,7 @@
 			if err != nil {
 				return err
 			}
-			if s.Counters.Held > 0 {
+			if s.Counters.Throttled > 0 {
 				n++
 			}
 		}
--- a/internal/lab/rig/strike.go
+++ b/internal/lab/rig/strike.go
@@ -303,12 +303,12 @@
 	sign := func(b []byte) []byte {
 		h := hmac.New(sha256.New, r.key)
 		_, _ = h.Write(b)
-		return append(b, h.Sum(nil)[:transport.Signed]...)
+		return append(b, h.Sum(nil)[:transport.SignatureBytes]...)
 	}
 	var keys []uint32
 	for _, p := range r.places {
 		p.mu.Lock()
-		keys = append(keys, overload.Key(p.line.ID))
+		keys = append(keys, overload.ServerKey(p.line.ID))
 		p.mu.Unlock()
 	}
 	for end, seq := time.Now().Add(s.For.D()), uint32(1); time.Now().Before(end); seq++ {
--- a/internal/lab/socket/socket_test.go
+++ b/internal/lab/socket/socket_test.go
@@ -30,7 +30,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(names.Close)
-	var members []config.Member
+	var members []config.Endpoint
 	for i := range exchanges {
 		x, err := Listen("127.0.0.1:0", set, false, uint64(i))
 		if err != nil {
@@ -39,7 +39,7 @@
 		t.Cleanup(x.Close)
 		all = append(all, x)
 		lines = append(lines, Line{ID: fmt.Sprint("x", i), Addr: x.Addr(), Zone: "east", Pool: i})
-		members = append(members, config.Member{ID: lines[i].ID, Address: lines[i].Addr, Zone: "east", Kind: "std", Cell: i, Phase: config.Ready})
+		members = append(members, config.Endpoint{ID: lines[i].ID, Address: lines[i].Addr, Zone: "east", Kind: "std", Pool: i, Phase: config.PhaseReady})
 	}
 	names.Set(lines...)
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
@@ -49,7 +49,7 @@
 	addr = ln.Addr().String()
 	_ = ln.Close()
 	text, err := json.Marshal(map[string]any{"name": "n0", "listen": addr, "seed": "1f", "names": names.Addr(), "limits": map[string]any{"memory_mb": 192, "sockets": 1024},
-		"known": config.Known{N: 1, Events: []config.Event{{N: 1, Members: config.List{Complete: true, Members: members}}}},
+		"known": config.KnownEndpoints{LastEvent: 1, Events: []config.EndpointEvent{{N: 1, Endpoints: config.EndpointList{Complete: true, Endpoints: members}}}},
 		"settings": json.RawMessage(`{"groupSize":1,"classes":[{"name":"resident-call","aim":1500,"deadline":9000,"credit":1},{"name":"concierge-call","aim":1200,"deadline":9000,"credit":3},
 		{"name":"delivery-call","aim":2000,"deadline":9000,"credit":1}],"domain":{"topology":"pools","releaseGuard":300,"resend":500},"limits":{"maxAttempts":4,"cancel":true,"connectTimeout":500},
 		"safety":{"startCapacity":0.31,"cold":15000}}`)})
--- a/internal/lab/together/liar.go
+++ b/internal/lab/together/liar.go
@@ -25,7 +25,7 @@
 func newLiar(sc *scenario.Scenario, self int, boot uint32, now time.Duration, say func(to int, b []byte)) *liar {
 	l := &liar{self: self, peers: sc.Fleet.Controllers, boot: boot, pressed: sc.Fleet.Lie == scenario.LiePressed, next: now + time.Second, say: say}
 	for i := range sc.Fleet.Exchanges {
-		l.keys = append(l.keys, overload.Key(fmt.Sprint("x", i)))
+		l.keys = append(l.keys, overload.ServerKey(fmt.Sprint("x", i)))
 	}
 	return l
 }
--- a/internal/lab/together/together.go
+++ b/internal/lab/together/together.go
@@ -24,7 +24,7 @@
 	if !ok {
 		return nil // a test has put something else in its place
 	}
-	m, err := overload.New(now, overload.Options{Self: node, Peers: sc.Fleet.Controllers, Boot: uint32(life), Seed: seed, Late: desk.LatencyThreshold()})
+	m, err := overload.New(now, overload.Options{Self: node, Peers: sc.Fleet.Controllers, Incarnation: uint32(life), Seed: seed, LatencyThreshold: desk.LatencyThreshold()})
 	if err != nil {
 		panic(err) // the scenario was checked
 	}
@@ -36,14 +36,14 @@
 }
 
 // Hears implements virtual.Sharer. What cannot be read is counted by the Member.
-func (s *member) Hears(now time.Duration, from int, b []byte) { _ = s.m.Hear(now, from, b) }
+func (s *member) Hears(now time.Duration, from int, b []byte) { _ = s.m.Receive(now, from, b) }
 
 // Tick implements virtual.Sharer.
 func (s *member) Tick(now time.Duration) {
 	for _, p := range s.m.Tick(now) {
-		s.say(p.To, p.B)
+		s.say(p.To, p.Payload)
 	}
 }
 
 // Next implements virtual.Sharer.
-func (s *member) Next() time.Duration { return s.m.Next() }
+func (s *member) Next() time.Duration { return s.m.NextDeadline() }
--- a/internal/lab/together/together_test.go
+++ b/internal/lab/together/together_test.go
@@ -118,7 +118,7 @@
 						return
 					}
 					for _, v := range s.Servers {
-						if v.Hold == ([4]float64{}) || before[v.ID] {
+						if v.ThrottleChance == ([4]float64{}) || before[v.ID] {
 							continue
 						}
 						if at < slow { // it is pressed for another reason
--- a/internal/overload/codec.go
+++ b/internal/overload/codec.go
@@ -7,9 +7,9 @@
 	"google.golang.org/protobuf/encoding/protowire"
 )
 
-// Most is the most bytes that a message takes. The deployment permits datagrams of 256; the rest is left
+// MaxMessageBytes is the most bytes that a message takes. The deployment permits datagrams of 256; the rest is left
 // for a signature.
-const Most = 256 - 16
+const MaxMessageBytes = 256 - 16
 
 // version of the messages. One of another version is not read: its sender counts as silent.
 const version = 1
@@ -125,7 +125,7 @@
 		if s.pressed {
 			mask |= 1 << 7
 		}
-		if b[before+3] = mask; len(b) > Most {
+		if b[before+3] = mask; len(b) > MaxMessageBytes {
 			return b[:before]
 		}
 	}
@@ -135,7 +135,7 @@
 func (w *word) append(b []byte) []byte {
 	b = protowire.AppendVarint(w.head.append(b), uint64(w.live))
 	for _, t := range w.terms {
-		if len(b)+8 > Most {
+		if len(b)+8 > MaxMessageBytes {
 			break // guards the length; a server left out goes by each controller's own evidence
 		}
 		b = append(appendKey(b, t.key), byte(t.tier), byte(t.part), byte(t.over))
@@ -147,7 +147,7 @@
 func (r *roll) append(b []byte) []byte {
 	b = protowire.AppendVarint(r.head.append(b), uint64(r.live))
 	b = protowire.AppendVarint(b, uint64(r.of))
-	return append(b, r.present[:min(len(r.present), Most-len(b))]...)
+	return append(b, r.present[:min(len(r.present), MaxMessageBytes-len(b))]...)
 }
 
 // A scan reads a message; after an error it reads noughts.
@@ -197,8 +197,8 @@
 // decode reads a message: a *report, *word or *roll. Its error says what cannot be read; nothing of such
 // a message is used.
 func decode(b []byte) (any, error) {
-	if len(b) > Most {
-		return nil, fmt.Errorf("share: a message of %d bytes, %d at most", len(b), Most)
+	if len(b) > MaxMessageBytes {
+		return nil, fmt.Errorf("share: a message of %d bytes, %d at most", len(b), MaxMessageBytes)
 	}
 	s := &scan{b: b}
 	first := s.byte()
--- a/internal/overload/golden_test.go
+++ b/internal/overload/golden_test.go
@@ -15,7 +15,7 @@
 	sights := []sight{
 		{key: 0x010203, off: [tiers]int{1, 2, 3, 4}, over: 5, done: 6, wait: 7, pressed: true},
 		{key: 0xffffff, off: [tiers]int{mostCount, 0, 0, mostCount}, wait: mostWait},
-		{key: Key("s-00c41f7a")},
+		{key: ServerKey("s-00c41f7a")},
 	}
 	terms := []term{{key: 0x010203, tier: 2, part: 128, over: 64, wait: 100}, {key: 0xffffff, tier: tiers - 1, part: 255, over: 255, wait: mostWait}, {}}
 	encode := func(name string, m interface{ append([]byte) []byte }) goldentest.Message {
--- a/internal/overload/present.go
+++ b/internal/overload/present.go
@@ -5,19 +5,19 @@
 	"slices"
 )
 
-// A Presence is what is held of a controller.
-type Presence int
+// A MemberStatus is what is held of a controller.
+type MemberStatus int
 
-// Presences. One that has not been heard is Unheard: it may be of an earlier version that says nothing.
+// Presences. One that has not been heard is Unknown: it may be of an earlier version that says nothing.
 const (
-	Unheard Presence = iota
-	Live
-	Suspected // not heard for longer than losses explain
-	Dead      // held for gone until it is heard again
+	Unknown MemberStatus = iota
+	Alive
+	Suspect // not heard for longer than losses explain
+	Dead    // held for gone until it is heard again
 )
 
 // String implements fmt.Stringer.
-func (p Presence) String() string { return [...]string{"unheard", "live", "suspected", "dead"}[p] }
+func (p MemberStatus) String() string { return [...]string{"unheard", "live", "suspected", "dead"}[p] }
 
 // Of silence, in beats: two lost messages in a row are no reason to suspect anybody where three in ten
 // get lost.
@@ -58,14 +58,14 @@
 }
 
 // presence is what is held of the controller now.
-func (p *peer) presence(now, beat Time) Presence {
+func (p *peer) presence(now, beat Time) MemberStatus {
 	switch silent := float64(now - p.heard); {
 	case p.heard == 0:
-		return Unheard
+		return Unknown
 	case silent < suspectAfter*float64(beat):
-		return Live
+		return Alive
 	case silent < deadAfter*float64(beat):
-		return Suspected
+		return Suspect
 	}
 	return Dead
 }
@@ -76,7 +76,7 @@
 func estimate(peers []peer, now, beat Time) (live float64, loss float64) {
 	heard, got, lost := 0, 0.0, 0.0
 	for i := range peers {
-		if p := &peers[i]; p.presence(now, beat) == Live {
+		if p := &peers[i]; p.presence(now, beat) == Alive {
 			heard++
 			got, lost = got+p.got, lost+p.lost
 		}
--- a/internal/overload/share.go
+++ b/internal/overload/share.go
@@ -33,13 +33,13 @@
 
 // Options of a Member.
 type Options struct {
-	Self, Peers int    // number of this controller, and how many numbers there are; at most 1600
-	Boot        uint32 // greater at each start, as the seconds of the clock are
-	Seed        uint64 // of chance
-	Late        Time   // what the module takes for late
-	Period      Time   // between reports while anything is pressed; 0: as Peers ask for, 500 ms up to 300
-	Beat        Time   // between reports while all is calm; 0: 10 s
-	Slot        Time   // a teller keeps its part for so long; 0: 2 min
+	Self, Peers       int    // number of this controller, and how many numbers there are; at most 1600
+	Incarnation       uint32 // greater at each start, as the seconds of the clock are
+	Seed              uint64 // of chance
+	LatencyThreshold  Time   // what the module takes for late
+	ReportInterval    Time   // between reports while anything is pressed; 0: as Peers ask for, 500 ms up to 300
+	HeartbeatInterval Time   // between reports while all is calm; 0: 10 s
+	AggregatorTerm    Time   // a teller keeps its part for so long; 0: 2 min
 }
 
 // Check fills in the defaults and tells what is wrong.
@@ -49,19 +49,19 @@
 		return fmt.Errorf("share: %d controllers, 1 to %d can share", o.Peers, mostPeers)
 	case o.Self < 0 || o.Self >= o.Peers:
 		return fmt.Errorf("share: number %d of %d controllers", o.Self, o.Peers)
-	case o.Late <= 0 || min(o.Period, o.Beat, o.Slot) < 0:
+	case o.LatencyThreshold <= 0 || min(o.ReportInterval, o.HeartbeatInterval, o.AggregatorTerm) < 0:
 		return errors.New("share: a time is nought or negative")
 	}
-	o.Period = cmp.Or(o.Period, max(500*ms, 500*ms*Time(o.Peers)/600))
-	o.Beat = cmp.Or(o.Beat, 10*second)
-	o.Slot = cmp.Or(o.Slot, 2*time.Minute)
+	o.ReportInterval = cmp.Or(o.ReportInterval, max(500*ms, 500*ms*Time(o.Peers)/600))
+	o.HeartbeatInterval = cmp.Or(o.HeartbeatInterval, 10*second)
+	o.AggregatorTerm = cmp.Or(o.AggregatorTerm, 2*time.Minute)
 	return nil
 }
 
-// A Packet is a datagram to another controller.
-type Packet struct {
-	To int
-	B  []byte
+// A Datagram is a datagram to another controller.
+type Datagram struct {
+	To      int
+	Payload []byte
 }
 
 // Bounds and times of a Member.
@@ -103,10 +103,18 @@
 
 // Counters count what a Member did.
 type Counters struct {
-	Said, SaidBytes, Heard, HeardBytes int
-	Unread, Alien, Stale               int // could not be read; from whom they may not come; overtaken
-	Held, Passed                       int // calls that a word held back, and let go
-	Tellers, Silent, Wrong             int // changes of teller; because it was silent; because it was wrong
+	Sent                    int `json:"Said"`
+	SentBytes               int `json:"SaidBytes"`
+	Received                int `json:"Heard"`
+	ReceivedBytes           int `json:"HeardBytes"`
+	Malformed               int `json:"Unread"` // could not be read; from whom they may not come; overtaken
+	Misattributed           int `json:"Alien"`
+	Stale                   int
+	Throttled               int `json:"Held"` // calls that a word held back, and let go
+	Admitted                int `json:"Passed"`
+	AggregatorChanges       int `json:"Tellers"` // changes of teller; because it was silent; because it was wrong
+	AggregatorsUnresponsive int `json:"Silent"`
+	AggregatorsEjected      int `json:"Wrong"`
 }
 
 // A Member is a controller's part. It is not safe for concurrent use.
@@ -141,7 +149,7 @@
 	live    int
 	of      int // controllers there were at most, by the latest roll
 	teller  *teller
-	out     []Packet
+	out     []Datagram
 	outAt   Time
 }
 
@@ -151,17 +159,17 @@
 		return nil, err
 	}
 	m := &Member{o: o, rng: rand.New(rand.NewPCG(o.Seed, 5)), views: make(map[string]*view), byKey: make(map[uint32]*view), now: now, counted: now,
-		shunned: make(map[int]shunned), teller: newTeller(o.Peers, o.Late, o.Beat, o.Period), live: o.Peers, ringOf: -1, since: now}
+		shunned: make(map[int]shunned), teller: newTeller(o.Peers, o.LatencyThreshold, o.HeartbeatInterval, o.ReportInterval), live: o.Peers, ringOf: -1, since: now}
 	m.teller.ran = now
 	// Guards against a fleet that starts together and then always speaks together.
-	m.reportAt = now + Time(m.rng.Float64()*float64(o.Beat)/4)
-	m.tellAt, m.rollAt = now+Time(m.rng.Float64()*float64(o.Period)), now+Time(m.rng.Float64()*float64(o.Beat))
+	m.reportAt = now + Time(m.rng.Float64()*float64(o.HeartbeatInterval)/4)
+	m.tellAt, m.rollAt = now+Time(m.rng.Float64()*float64(o.ReportInterval)), now+Time(m.rng.Float64()*float64(o.HeartbeatInterval))
 	m.choose()
 	return m, nil
 }
 
-// Key is by what a server is named between controllers.
-func Key(server string) uint32 { return uint32(xxhash.Sum64String(server) & 0xffffff) }
+// ServerKey is by what a server is named between controllers.
+func ServerKey(server string) uint32 { return uint32(xxhash.Sum64String(server) & 0xffffff) }
 
 // view is what is seen of a server; nil: there are too many.
 func (m *Member) view(server string) *view {
@@ -178,7 +186,7 @@
 				return nil
 			}
 		}
-		v = &view{server: server, sight: sight{key: Key(server)}}
+		v = &view{server: server, sight: sight{key: ServerKey(server)}}
 		if m.byKey[v.key] != nil {
 			return nil // guards against two servers under one name: the second goes untold
 		}
@@ -263,7 +271,7 @@
 		part = v.term.holds()[tier]
 	}
 	// A word that holds nothing back of a call says nothing of a server that it does not hold to be pressed.
-	if first && v.term.tier == 0 && v.term.part == 0 && !v.term.presses(m.o.Late) {
+	if first && v.term.tier == 0 && v.term.part == 0 && !v.term.presses(m.o.LatencyThreshold) {
 		return "", false
 	}
 	if (m.fits < trusted || m.doubt > 0) && m.at != m.o.Self {
@@ -271,11 +279,11 @@
 		part = min(part, untried)
 	}
 	if m.rng.Float64() < part {
-		m.Held++
+		m.Throttled++
 		v.held++
 		return admission.ReasonFleetThrottle, true
 	}
-	m.Passed++
+	m.Admitted++
 	return "", true
 }
 
@@ -304,7 +312,7 @@
 	}
 	v.compared = true
 	claim, took := float64(Time(v.term.wait)*waitUnit), float64(v.took)
-	floor := float64(m.o.Late) / 8
+	floor := float64(m.o.LatencyThreshold) / 8
 	off := math.Abs(math.Log(max(claim, floor)/max(took, floor))) / math.Log(ratio)
 	if off <= 1 {
 		m.doubt = max(m.doubt-1, 0)
@@ -312,7 +320,7 @@
 		return
 	}
 	if m.doubt += min(off, 4) / 2; m.doubt >= tooMuch {
-		m.Wrong++
+		m.AggregatorsEjected++
 		m.shun(now, true)
 	}
 }
@@ -338,10 +346,10 @@
 }
 
 // wordFor is how long a word holds: some may get lost.
-func (m *Member) wordFor() Time { return max(leastWord, 4*m.o.Period) }
+func (m *Member) wordFor() Time { return max(leastWord, 4*m.o.ReportInterval) }
 
-// Teller is whom this controller reports to and obeys.
-func (m *Member) Teller() int { return m.at }
+// Aggregator is whom this controller reports to and obeys.
+func (m *Member) Aggregator() int { return m.at }
 
 // ranks are the numbers of n controllers in the order in which they are to be the teller of a slot: rendezvous
 // hashing (Thaler and Ravishankar 1998). The registry's go-rendezvous tells the first only, and its Remove leaves
@@ -359,7 +367,7 @@
 // choose names the teller of this slot: the first by rendezvous hashing of those that are not gone or passed
 // over.
 func (m *Member) choose() {
-	slot := int64(m.now / m.o.Slot)
+	slot := int64(m.now / m.o.AggregatorTerm)
 	for i, s := range m.shunned {
 		if m.now >= s.until {
 			delete(m.shunned, i)
@@ -384,7 +392,7 @@
 		}
 	}
 	if m.at != was {
-		m.Tellers++
+		m.AggregatorChanges++
 		m.owed, m.doubt, m.fits, m.wordSeq, m.wordOf, m.since = 0, 0, 0, 0, 0, m.now
 	}
 }
@@ -395,7 +403,7 @@
 }
 
 // Tick does what is due and returns what is to be sent.
-func (m *Member) Tick(now Time) []Packet {
+func (m *Member) Tick(now Time) []Datagram {
 	if m.o.Peers == 1 {
 		return nil
 	}
@@ -405,11 +413,11 @@
 		m.report(now)
 	}
 	if now >= m.tellAt {
-		m.tellAt = now + m.o.Period
+		m.tellAt = now + m.o.ReportInterval
 		m.tell(now)
 	}
 	if now >= m.rollAt {
-		m.rollAt = now + m.o.Beat
+		m.rollAt = now + m.o.HeartbeatInterval
 		m.call(now)
 	}
 	if len(m.out) == 0 || now < m.outAt {
@@ -419,14 +427,14 @@
 	sent := m.out[:n:n]
 	m.out, m.outAt = m.out[n:], now+spread
 	for _, p := range sent {
-		m.Said++
-		m.SaidBytes += len(p.B)
+		m.Sent++
+		m.SentBytes += len(p.Payload)
 	}
 	return sent
 }
 
-// Next is when Tick is due.
-func (m *Member) Next() Time {
+// NextDeadline is when Tick is due.
+func (m *Member) NextDeadline() Time {
 	if m.o.Peers == 1 {
 		return never
 	}
@@ -445,27 +453,27 @@
 	if len(m.out) >= 2*m.o.Peers+16 {
 		return // guards memory where nothing leaves; what is said is soon old
 	}
-	m.out = append(m.out, Packet{to, b})
+	m.out = append(m.out, Datagram{to, b})
 }
 
 // report tells the teller what was seen.
 func (m *Member) report(now Time) {
 	often := m.often(now)
-	gap := m.o.Beat
+	gap := m.o.HeartbeatInterval
 	if often {
-		gap = m.o.Period
+		gap = m.o.ReportInterval
 	}
 	// Even where all began at once, reports come evenly: each draws a little.
 	m.reportAt = now + gap*9/10 + Time(m.rng.Float64()*float64(gap)/5)
 	if m.at != m.o.Self {
 		if m.owed++; m.owed > waitTeller {
-			m.Silent++
+			m.AggregatorsUnresponsive++
 			m.shun(now, false)
 			m.owed = 1
 		}
 	}
 	m.seq++
-	r := &report{head: head{kind: kindReport, from: m.o.Self, boot: m.o.Boot, seq: m.seq}, span: min(int((now-m.counted)/waitUnit), mostWait),
+	r := &report{head: head{kind: kindReport, from: m.o.Self, boot: m.o.Incarnation, seq: m.seq}, span: min(int((now-m.counted)/waitUnit), mostWait),
 		hot: m.hot > 0 && now-m.hot < coolDown}
 	m.counted = now
 	for _, v := range m.views {
@@ -494,7 +502,7 @@
 	if len(m.passed) > 0 && now >= m.knockAt {
 		// One before the teller may be there after all, as after a cut. It is told nothing, so that no sum has this
 		// controller twice; if it answers it is obeyed again, and all come to obey the same.
-		m.knockAt = now + m.o.Beat
+		m.knockAt = now + m.o.HeartbeatInterval
 		r.sights, r.hot = nil, false
 		m.post(m.passed[m.rng.IntN(len(m.passed))], r.append(nil))
 	}
@@ -520,10 +528,10 @@
 		return
 	}
 	t.count(now)
-	live, _ := estimate(t.peers, now, m.o.Beat)
+	live, _ := estimate(t.peers, now, m.o.HeartbeatInterval)
 	t.most = max(t.most, int(live+0.5))
 	t.period++
-	w := word{head: head{kind: kindWord, from: m.o.Self, boot: m.o.Boot, seq: t.period}, live: min(int(live+0.5), mostPeers), terms: t.terms()}
+	w := word{head: head{kind: kindWord, from: m.o.Self, boot: m.o.Incarnation, seq: t.period}, live: min(int(live+0.5), mostPeers), terms: t.terms()}
 	b := w.append(nil)
 	all := now-t.called >= callIn
 	if all {
@@ -532,7 +540,7 @@
 	for i := range t.peers {
 		p := &t.peers[i]
 		// Those who report often are told each time; the others now and then, so that they begin to.
-		if i == m.o.Self || p.heard == 0 || p.presence(now, m.o.Beat) == Dead || now-p.heard > t.freshFor && !all {
+		if i == m.o.Self || p.heard == 0 || p.presence(now, m.o.HeartbeatInterval) == Dead || now-p.heard > t.freshFor && !all {
 			continue
 		}
 		m.post(i, b)
@@ -545,29 +553,29 @@
 // call tells who is there to those who reported within the last beats.
 func (m *Member) call(now Time) {
 	t := m.teller
-	live, _ := estimate(t.peers, now, m.o.Beat)
+	live, _ := estimate(t.peers, now, m.o.HeartbeatInterval)
 	if live < 1 {
 		return
 	}
 	t.most = max(t.most*15/16, int(live+0.5))
-	r := roll{head: head{kind: kindRoll, from: m.o.Self, boot: m.o.Boot, seq: t.period}, live: int(live + 0.5), of: t.most, present: bits(t.peers, now, m.o.Beat)}
+	r := roll{head: head{kind: kindRoll, from: m.o.Self, boot: m.o.Incarnation, seq: t.period}, live: int(live + 0.5), of: t.most, present: bits(t.peers, now, m.o.HeartbeatInterval)}
 	b := r.append(nil)
 	for i := range t.peers {
-		if i != m.o.Self && t.peers[i].presence(now, m.o.Beat) == Live {
+		if i != m.o.Self && t.peers[i].presence(now, m.o.HeartbeatInterval) == Alive {
 			m.post(i, b)
 		}
 	}
 }
 
-// Hear takes a datagram. from is the number that its address or signature stands for, -1 where neither
+// Receive takes a datagram. from is the number that its address or signature stands for, -1 where neither
 // tells one. An error says what is wrong with it; nothing of such a one is used.
-func (m *Member) Hear(now Time, from int, b []byte) error {
+func (m *Member) Receive(now Time, from int, b []byte) error {
 	m.pass(now)
-	m.Heard++
-	m.HeardBytes += len(b)
+	m.Received++
+	m.ReceivedBytes += len(b)
 	x, err := decode(b)
 	if err != nil {
-		m.Unread++
+		m.Malformed++
 		return err
 	}
 	var h *head
@@ -580,7 +588,7 @@
 		h = &x.head
 	}
 	if from >= 0 && h.from != from || h.from >= m.o.Peers || h.from == m.o.Self {
-		m.Alien++
+		m.Misattributed++
 		return fmt.Errorf("share: it says that it is of controller %d and came from %d", h.from, from)
 	}
 	if h.kind != kindReport {
@@ -592,7 +600,7 @@
 		if !m.teller.hear(now, x) {
 			m.Stale++
 		} else if !was && m.teller.reporting(now) {
-			m.tellAt, m.teller.ran = now, now-m.o.Period
+			m.tellAt, m.teller.ran = now, now-m.o.ReportInterval
 		}
 	case *word:
 		if h.from != m.at || h.boot < m.wordOf || h.boot == m.wordOf && h.seq <= m.wordSeq {
@@ -617,7 +625,7 @@
 func (m *Member) obey(now Time, w *word) {
 	if m.asked == 0 || now-m.asked > m.wordFor() {
 		// Called in: the next report comes within a period, not all of them now.
-		m.reportAt = min(m.reportAt, now+Time(m.rng.Float64()*float64(m.o.Period)))
+		m.reportAt = min(m.reportAt, now+Time(m.rng.Float64()*float64(m.o.ReportInterval)))
 	}
 	m.owed, m.wordAt, m.asked, m.live = 0, now, now, w.live
 	for _, v := range m.views {
--- a/internal/overload/share_test.go
+++ b/internal/overload/share_test.go
@@ -49,7 +49,7 @@
 
 func (f *fleet) start(i int) {
 	f.boot[i]++
-	m, err := New(f.now, Options{Self: i, Peers: len(f.all), Boot: f.boot[i], Seed: uint64(i) + 1000*uint64(f.boot[i]), Late: late})
+	m, err := New(f.now, Options{Self: i, Peers: len(f.all), Incarnation: f.boot[i], Seed: uint64(i) + 1000*uint64(f.boot[i]), LatencyThreshold: late})
 	if err != nil {
 		f.t.Fatal(err)
 	}
@@ -64,7 +64,7 @@
 		if c.at > f.now {
 			rest = append(rest, c)
 		} else if m := f.all[c.to]; m != nil {
-			_ = m.Hear(f.now, c.from, c.b) // what cannot be read is counted
+			_ = m.Receive(f.now, c.from, c.b) // what cannot be read is counted
 		}
 	}
 	f.wire = rest
@@ -75,18 +75,18 @@
 		if work != nil {
 			work(i, m)
 		}
-		if m.Next() > f.now {
+		if m.NextDeadline() > f.now {
 			continue
 		}
 		for _, p := range m.Tick(f.now) {
-			if len(p.B) > Most {
-				f.t.Fatalf("a message of %d bytes, %d at most", len(p.B), Most)
+			if len(p.Payload) > MaxMessageBytes {
+				f.t.Fatalf("a message of %d bytes, %d at most", len(p.Payload), MaxMessageBytes)
 			}
 			if f.rng.Float64() < f.lose || f.cut != nil && f.cut(i, p.To) {
 				continue
 			}
 			for range 1 + f.rng.IntN(20)/19 { // one in twenty comes twice
-				f.wire = append(f.wire, carried{f.now + Time(5+f.rng.IntN(35))*ms, i, p.To, p.B})
+				f.wire = append(f.wire, carried{f.now + Time(5+f.rng.IntN(35))*ms, i, p.To, p.Payload})
 			}
 		}
 	}
@@ -159,14 +159,14 @@
 	f.pass(20*second, nil)
 	said, bytes := 0, 0
 	for _, m := range f.all {
-		said, bytes = said-m.Said, bytes-m.SaidBytes
+		said, bytes = said-m.Sent, bytes-m.SentBytes
 		if m.teller.reporting(f.now) {
 			t.Errorf("controller %d still asks for reports", m.o.Self)
 		}
 	}
 	f.pass(100*second, nil)
 	for _, m := range f.all {
-		said, bytes = said+m.Said, bytes+m.SaidBytes
+		said, bytes = said+m.Sent, bytes+m.SentBytes
 	}
 	if each := float64(bytes) / 60 / 100; each > 8 {
 		t.Errorf("%.1f bytes and %.2f messages a second of each controller in calm, 8 bytes at most", each, float64(said)/6000)
@@ -187,7 +187,7 @@
 			f.pass(3*second, nil)
 			for _, m := range f.all[:60] {
 				if m.at == m.o.Self && m.teller.heard > 0 && f.now-m.teller.heard < 2*second && f.now-m.since > 35*second {
-					live, _ := estimate(m.teller.peers, f.now, m.o.Beat)
+					live, _ := estimate(m.teller.peers, f.now, m.o.HeartbeatInterval)
 					sum, n = sum+live, n+1
 				}
 			}
@@ -264,7 +264,7 @@
 	f.cut = func(a, b int) bool { return a%2 != b%2 }
 	f.pass(200*second, nil)
 	f.cut = nil
-	f.pass(Time(retryAll)*2*f.all[0].o.Slot, nil)
+	f.pass(Time(retryAll)*2*f.all[0].o.AggregatorTerm, nil)
 	if n := len(f.tellers()); n > 1 {
 		t.Errorf("after a long cut and %d slots they obey %v", 2*retryAll, f.tellers())
 	}
@@ -284,16 +284,16 @@
 		f := newFleet(t, 2, 1)
 		m := f.all[0]
 		for i := 0; m.at == 0 && i < 100; i++ {
-			f.now += m.o.Slot // the other is to be its teller
+			f.now += m.o.AggregatorTerm // the other is to be its teller
 			m.Tick(f.now)
 		}
 		liar := m.at
-		c.term.key = Key("s")
-		for i := 1; m.Wrong == 0 && i < 100; i++ {
+		c.term.key = ServerKey("s")
+		for i := 1; m.AggregatorsEjected == 0 && i < 100; i++ {
 			f.now += 200 * ms
 			m.Tick(f.now)
 			w := word{head: head{kind: kindWord, from: liar, boot: 9, seq: uint32(i)}, terms: []term{c.term}}
-			if err := m.Hear(f.now, liar, w.append(nil)); err != nil {
+			if err := m.Receive(f.now, liar, w.append(nil)); err != nil {
 				t.Fatal(err)
 			}
 			m.RecordOffered(f.now, "s", 2)
@@ -302,7 +302,7 @@
 				m.RecordResult(f.now, "s", true, c.took)
 			}
 		}
-		if m.Wrong == 0 || m.at == liar {
+		if m.AggregatorsEjected == 0 || m.at == liar {
 			t.Errorf("%s: it is believed after 20 s", c.name)
 		}
 		if why, told := m.Throttle(f.now, "s", 2, true); told {
@@ -356,7 +356,7 @@
 			tl.sums[key] = s
 		}
 		for _, x := range tl.terms() {
-			s, m := tl.sums[x.key], Member{rng: rand.New(rand.NewPCG(1, 1)), o: Options{Late: late}}
+			s, m := tl.sums[x.key], Member{rng: rand.New(rand.NewPCG(1, 1)), o: Options{LatencyThreshold: late}}
 			v := &view{term: x, until: never}
 			m.views = map[string]*view{"s": v}
 			var held [tiers]float64
@@ -398,7 +398,7 @@
 		server := fmt.Sprint("s", i)
 		m.RecordOffered(f.now, server, 1)
 		m.RecordSent(f.now, server, true)
-		_ = m.Hear(f.now, 1, (&report{head: head{kind: kindReport, from: 1, boot: 1, seq: uint32(i + 1)}, span: 1, hot: true,
+		_ = m.Receive(f.now, 1, (&report{head: head{kind: kindReport, from: 1, boot: 1, seq: uint32(i + 1)}, span: 1, hot: true,
 			sights: []sight{{key: uint32(i), off: [tiers]int{5, 5, 5, 5}}}}).append(nil))
 		m.Tick(f.now)
 	}
@@ -441,7 +441,7 @@
 	}
 	m.report(f.now)
 	for _, p := range m.out {
-		x, err := decode(p.B)
+		x, err := decode(p.Payload)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -452,13 +452,13 @@
 }
 
 func TestCheck(t *testing.T) {
-	for _, o := range []Options{{Peers: 0, Late: late}, {Peers: mostPeers + 1, Late: late}, {Peers: 3, Self: 3, Late: late}, {Peers: 3}, {Peers: 3, Late: late, Beat: -1}} {
+	for _, o := range []Options{{Peers: 0, LatencyThreshold: late}, {Peers: mostPeers + 1, LatencyThreshold: late}, {Peers: 3, Self: 3, LatencyThreshold: late}, {Peers: 3}, {Peers: 3, LatencyThreshold: late, HeartbeatInterval: -1}} {
 		if _, err := New(0, o); err == nil {
 			t.Errorf("%+v was taken", o)
 		}
 	}
-	m, err := New(0, Options{Peers: 1, Late: late})
-	if err != nil || m.Next() != never || m.Tick(second) != nil {
+	m, err := New(0, Options{Peers: 1, LatencyThreshold: late})
+	if err != nil || m.NextDeadline() != never || m.Tick(second) != nil {
 		t.Errorf("a controller alone speaks, or %v", err)
 	}
 }
@@ -485,14 +485,14 @@
 		case *roll:
 			again = x.append(nil)
 		}
-		if len(again) > Most {
+		if len(again) > MaxMessageBytes {
 			t.Fatalf("%d bytes were written", len(again))
 		}
 		y, err := decode(again)
 		if err != nil {
 			t.Fatalf("what was written cannot be read: %v", err)
 		}
-		if len(again) < Most-20 && !reflect.DeepEqual(x, y) { // else it may not have fit
+		if len(again) < MaxMessageBytes-20 && !reflect.DeepEqual(x, y) { // else it may not have fit
 			t.Fatalf("%+v was written and %+v read", x, y)
 		}
 	})
@@ -504,7 +504,7 @@
 func TestWordHoldsAtServersNotMetBefore(t *testing.T) {
 	f := newFleet(t, 2, 1)
 	m := f.all[0]
-	w := word{terms: []term{{key: Key("new"), tier: 2, part: 255, over: 255, wait: 100}}}
+	w := word{terms: []term{{key: ServerKey("new"), tier: 2, part: 255, over: 255, wait: 100}}}
 	m.obey(f.now, &w)
 	for _, first := range []bool{true, false} {
 		if why, told := m.Throttle(f.now, "new", 1, first); !told || !first && why == "" {
--- a/internal/overload/teller.go
+++ b/internal/overload/teller.go
@@ -102,7 +102,7 @@
 	hot, there := 0, 0
 	for i := range t.peers {
 		p := &t.peers[i]
-		if p.presence(now, t.beat) == Live {
+		if p.presence(now, t.beat) == Alive {
 			there++
 		}
 		if p.hot > 0 && now-p.hot < coolDown {
--- a/internal/server/client.go
+++ b/internal/server/client.go
@@ -317,7 +317,7 @@
 	if err != nil || !(left >= 0 && left < 1e9) {
 		return r, false, fmt.Errorf("left %.20q", m.Opt("left"))
 	}
-	r.RepeatUnsafe = n.cfg.Once(r.Class)
+	r.RepeatUnsafe = n.cfg.RepeatUnsafe(r.Class)
 	r.Deadline = n.until(r.Class, time.Duration(left*float64(time.Millisecond)))
 	if !sip.Clean(r.Class) || !sip.Clean(r.Number) {
 		return r, false, fmt.Errorf("class %.20q or key %.20q", r.Class, r.Number)
@@ -341,7 +341,7 @@
 			r.Reestablish = v == 1
 		}
 	}
-	return r, width >= 1 && width <= n.cfg.Width(r.Class) && n.possible(r.Class, r.PreferredPool), nil
+	return r, width >= 1 && width <= n.cfg.MaxCircuits(r.Class) && n.possible(r.Class, r.PreferredPool), nil
 }
 
 // until is when a caller of a class who waits for so long gives up. It guards the module's timers
--- a/internal/server/crossing_test.go
+++ b/internal/server/crossing_test.go
@@ -259,16 +259,16 @@
 	t.Helper()
 	x := &scene{site: &site{names: startNames(t), r: newRules(), done: make(chan error, 1)}, t: t, module: module, far: far, h: newHeard()}
 	var lines []nameLine
-	var known []config.Member
+	var known []config.Endpoint
 	for i, f := range far {
 		id := fmt.Sprint("s-", i)
 		lines = append(lines, nameLine{id: id, addr: f.addr(), cell: i})
-		known = append(known, config.Member{ID: id, Address: f.addr(), Zone: "east", Kind: "std", Cell: i, Phase: config.Ready})
+		known = append(known, config.Endpoint{ID: id, Address: f.addr(), Zone: "east", Kind: "std", Pool: i, Phase: config.PhaseReady})
 	}
 	x.names.set(lines...)
 	text, err := json.Marshal(map[string]any{"name": "n0", "listen": "127.0.0.1:0", "seed": "1f", "names": x.names.c.LocalAddr().String(),
 		"limits": map[string]any{"memory_mb": memory, "sockets": 1024}, "settings": json.RawMessage(settings),
-		"known": config.Known{N: 1, Events: []config.Event{{N: 1, Members: config.List{Complete: true, Members: known}}}}})
+		"known": config.KnownEndpoints{LastEvent: 1, Events: []config.EndpointEvent{{N: 1, Endpoints: config.EndpointList{Complete: true, Endpoints: known}}}}})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/server/drain_test.go
+++ b/internal/server/drain_test.go
@@ -25,8 +25,8 @@
 	if err := os.WriteFile(rules, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	f.numbers = &config.Numbers{File: rules}
-	if err := f.numbers.Check(); err != nil {
+	f.numbers = &config.Numbering{File: rules}
+	if err := f.numbers.Validate(); err != nil {
 		t.Fatal(err)
 	}
 	s := f.node(t, "n0", "", new(atomic.Int64))
--- a/internal/server/golden_test.go
+++ b/internal/server/golden_test.go
@@ -162,7 +162,7 @@
 	}
 	x := startScene(t, []*far{exchange}, &fixed{}, func(o *Options) {
 		o.H248 = &config.H248{Listen: "127.0.0.2:0", Admin: "127.0.0.3:0", Servers: []config.H248Server{{ID: "h-0", Address: server.addr(), Pool: 1}}}
-		o.Numbers = &config.Numbers{File: rules}
+		o.Numbers = &config.Numbering{File: rules}
 		o.Records = goldenRecords(t)
 	})
 	s := &script{scene: x, ids: make(map[string]string)}
@@ -175,7 +175,7 @@
 func goldenRecords(t *testing.T) *config.Records {
 	t.Helper()
 	r := &config.Records{Dir: t.TempDir()}
-	if err := (&config.Operator{Records: r}).Check(); err != nil {
+	if err := (&config.Operator{Records: r}).Validate(); err != nil {
 		t.Fatal(err)
 	}
 	return r
@@ -309,7 +309,7 @@
 	s.panel.request(mid, 6, "*", &h248.Command{Name: "Subtract", Termination: "p/5"})
 	s.panel.awaits(`Reply=6`)
 	s.exchange.awaits(`CANCEL sip:204`)
-	for n, c := range []*h248.Command{adminapi.Audit("ROOT"), adminapi.Audit("other"), {Name: "Move", Termination: "p/1"}, {Name: "Subtract", Termination: "p/9"}} {
+	for n, c := range []*h248.Command{adminapi.AuditCommand("ROOT"), adminapi.AuditCommand("other"), {Name: "Move", Termination: "p/1"}, {Name: "Subtract", Termination: "p/9"}} {
 		s.panel.request(mid, uint32(10+n), "*", c)
 		s.panel.awaits(fmt.Sprint("Reply=", 10+n))
 	}
@@ -320,7 +320,7 @@
 // manage asks what olivectl and the agent ask.
 func (s *script) manage() {
 	const mid = "<ctl>"
-	for n, c := range []*h248.Command{adminapi.Audit("ROOT"), adminapi.Audit(adminapi.NumbersTermination), adminapi.Clock("agent-1", adminapi.Stamps{}), adminapi.Drain("ROOT")} {
+	for n, c := range []*h248.Command{adminapi.AuditCommand("ROOT"), adminapi.AuditCommand(adminapi.NumberingTermination), adminapi.ClockCommand("agent-1", adminapi.ClockStamps{}), adminapi.DrainCommand("ROOT")} {
 		s.admin.request(mid, uint32(20+n), "-", c)
 		s.admin.awaits(fmt.Sprint("Reply=", 20+n))
 	}
--- a/internal/server/h248_front.go
+++ b/internal/server/h248_front.go
@@ -284,19 +284,19 @@
 		return done, p.serviceChange(mid, c)
 	case "Modify":
 		var err *h248.Error
-		if p.admin && c.Termination == adminapi.NumbersTermination {
+		if p.admin && c.Termination == adminapi.NumberingTermination {
 			done.Descriptors, err = f.n.orderNumbers(c)
 		} else {
 			done.Descriptors, err = p.clock(c)
 		}
 		return done, err
 	case "AuditValue":
-		if p.admin && c.Termination == adminapi.NumbersTermination && f.n.numbers != nil {
-			done.Descriptors = adminapi.NumbersNodes(f.n.numbers.desk.List(), f.n.numbers.desk.Job())
+		if p.admin && c.Termination == adminapi.NumberingTermination && f.n.numbers != nil {
+			done.Descriptors = adminapi.NumberingNodes(f.n.numbers.desk.List(), f.n.numbers.desk.Job())
 			return done, nil
 		}
-		if p.admin && c.Termination == adminapi.ShareTermination && f.n.share != nil {
-			done.Descriptors = adminapi.ShareNodes(f.n.share.member.State(f.n.now()))
+		if p.admin && c.Termination == adminapi.OverloadTermination && f.n.share != nil {
+			done.Descriptors = adminapi.OverloadNodes(f.n.share.member.State(f.n.now()))
 			return done, nil
 		}
 		if !strings.EqualFold(c.Termination, "ROOT") {
@@ -317,14 +317,14 @@
 	if !p.admin || !strings.EqualFold(c.Termination, "ROOT") {
 		return nil, &h248.Error{Code: h248.NotImplemented, Text: "Modify of " + c.Termination}
 	}
-	peer, last, err := adminapi.ReadClock(c)
+	peer, last, err := adminapi.ParseClock(c)
 	if err != nil {
 		return nil, &h248.Error{Code: h248.BadValue, Text: err.Error()}
 	}
 	if peer != "" && last[0] != 0 && last[3] != 0 {
 		n.rec.clock(peer, last)
 	}
-	return adminapi.Clock("", adminapi.Stamps{1: int64(received), 2: int64(n.now())}).Descriptors, nil
+	return adminapi.ClockCommand("", adminapi.ClockStamps{1: int64(received), 2: int64(n.now())}).Descriptors, nil
 }
 
 func (p *panel) serviceChange(mid string, c *h248.Command) *h248.Error {
@@ -423,7 +423,7 @@
 	if !f.n.possible(r.Class, r.PreferredPool) {
 		return &h248.Error{Code: h248.BadValue, Text: "oc/first"}
 	}
-	r.RepeatUnsafe = f.n.cfg.Once(r.Class)
+	r.RepeatUnsafe = f.n.cfg.RepeatUnsafe(r.Class)
 	r.Deadline = f.n.until(r.Class, time.Duration(left*float64(time.Millisecond)))
 	r.ID = fmt.Sprintf("%016x", f.n.rng.Uint64())
 	k := &h248Call{front: f, on: p, entry: e, mid: mid, transaction: t.ID, termination: c.Termination, id: r.ID}
--- a/internal/server/idle_test.go
+++ b/internal/server/idle_test.go
@@ -39,7 +39,7 @@
 	f.servers[0].lively = true
 	f.sockets = 4*idlers + 4096
 	f.module = newStraight()
-	f.numbers = &config.Numbers{File: filepath.Join(t.TempDir(), "numbers.toml")}
+	f.numbers = &config.Numbering{File: filepath.Join(t.TempDir(), "numbers.toml")}
 	writeFile(t, f.numbers.File, "default = \"r\"\n[[route]]\nname = \"r\"\n[[route.target]]\npool = 0\n")
 	s := f.node(t, "n0", "", new(atomic.Int64))
 	idle(t, s, idlers)
--- a/internal/server/lookup_test.go
+++ b/internal/server/lookup_test.go
@@ -138,8 +138,8 @@
 	}
 	f, h, look := startFleet(t, 2), newHeard(), startENUM(t)
 	node := func(fallback string) *site {
-		f.numbers = &config.Numbers{File: rules, Lookup: config.Lookup{Servers: []string{look.addr}, Fallback: fallback}}
-		if err := f.numbers.Check(); err != nil {
+		f.numbers = &config.Numbering{File: rules, Lookup: config.Lookup{Servers: []string{look.addr}, Fallback: fallback}}
+		if err := f.numbers.Validate(); err != nil {
 			t.Fatal(err)
 		}
 		return f.node(t, "n0", "", new(atomic.Int64))
--- a/internal/server/node.go
+++ b/internal/server/node.go
@@ -61,7 +61,7 @@
 	local    map[string]string // the addresses listened on, as configured by as bound
 	fronts   []call.Frontend
 	links    map[string]*link
-	list     *discovery.List
+	list     *discovery.EndpointList
 	names    *resolver
 	pollAt   time.Duration
 	badAt    time.Duration // when something malformed was last logged
@@ -83,13 +83,13 @@
 
 // Options are what an operator chooses. The zero value is the call controller alone.
 type Options struct {
-	H248    *config.H248     // nil: its front is off
-	Records *config.Records  // nil: nothing is recorded
-	Numbers *config.Numbers  // nil: calls go by their pool of first choice
-	Share   *config.Share    // nil: it decides alone
-	Log     *zap.Logger      // nil: nothing is logged
-	Program string           // version, for the records
-	Clock   func() time.Time // the system's; nil: time.Now
+	H248    *config.H248            // nil: its front is off
+	Records *config.Records         // nil: nothing is recorded
+	Numbers *config.Numbering       // nil: calls go by their pool of first choice
+	Share   *config.OverloadControl // nil: it decides alone
+	Log     *zap.Logger             // nil: nothing is logged
+	Program string                  // version, for the records
+	Clock   func() time.Time        // the system's; nil: time.Now
 
 	module call.Decider // tests of what lies around it put one of their own in; nil: the module
 	dial   dialer       // tests order dials by one of their own; nil: net.DialTimeout
@@ -114,9 +114,9 @@
 		o.dial = dialTCP
 	}
 	h := o.H248
-	n := &Node{started: make(chan struct{}), cfg: cfg, h248cfg: h, connect: cfg.Connect, dialTo: o.dial, local: make(map[string]string), links: make(map[string]*link), rng: rand.New(rand.NewPCG(cfg.Seed, 1))}
+	n := &Node{started: make(chan struct{}), cfg: cfg, h248cfg: h, connect: cfg.DialTimeout, dialTo: o.dial, local: make(map[string]string), links: make(map[string]*link), rng: rand.New(rand.NewPCG(cfg.Seed, 1))}
 	n.loop.start(o.Log, o.Clock)
-	n.names = &resolver{n: n, addr: cfg.Names}
+	n.names = &resolver{n: n, addr: cfg.DiscoveryAddress}
 	desk, err := admission.NewEngine(n.now(), cfg.Settings, cfg.Seed, func(line string) {
 		n.log.Infow("module", "text", line)
 		n.rec.note(line)
@@ -151,8 +151,8 @@
 		n.h248 = newH248Front(n, n.json.max)
 		n.fronts = append(n.fronts, n.h248)
 	}
-	var known []config.Member
-	n.list, known = discovery.Start(cfg.Known)
+	var known []config.Endpoint
+	n.list, known = discovery.NewEndpointList(cfg.KnownEndpoints)
 	servers := make([]admission.Server, 0, len(known))
 	for _, m := range known {
 		servers = append(servers, m.Server())
@@ -173,9 +173,9 @@
 	return n, nil
 }
 
-func (n *Node) addLink(m config.Member) {
-	l := n.newLink(m.ID, m.Address, m.Cell, newSIP(n))
-	l.draining = m.Phase == config.Terminating
+func (n *Node) addLink(m config.Endpoint) {
+	l := n.newLink(m.ID, m.Address, m.Pool, newSIP(n))
+	l.draining = m.Phase == config.PhaseTerminating
 	l.meter.started = time.Duration(m.Started) * time.Millisecond
 	n.links[m.ID] = l
 }
@@ -348,14 +348,14 @@
 func (n *Node) Reload(cfg *config.Config) {
 	n.exec(func() {
 		n.turn(func() {
-			n.log.Infow("reloaded", "names", cfg.Names)
+			n.log.Infow("reloaded", "names", cfg.DiscoveryAddress)
 			if cfg.Name != n.cfg.Name || cfg.Listen != n.cfg.Listen || cfg.MemoryMB != n.cfg.MemoryMB ||
 				cfg.Sockets != n.cfg.Sockets || !reflect.DeepEqual(cfg.Settings, n.cfg.Settings) {
 				n.log.Infow("reload_partial", "err", "name, listen, limits and settings change at a restart only")
 			}
-			if cfg.Names != n.names.addr {
-				n.names.move(cfg.Names)
-				n.rec.configured("names", cfg.Names)
+			if cfg.DiscoveryAddress != n.names.addr {
+				n.names.move(cfg.DiscoveryAddress)
+				n.rec.configured("names", cfg.DiscoveryAddress)
 			}
 		})
 	})
@@ -399,7 +399,7 @@
 
 // outOfTime tells whether SIGKILL is near: whatever is open, or comes, is answered at once.
 func (n *Node) outOfTime(now time.Duration) bool {
-	return n.stopAt > 0 && now-n.stopAt >= min(patience, n.cfg.Longest())+parting
+	return n.stopAt > 0 && now-n.stopAt >= min(patience, n.cfg.LongestDeadline())+parting
 }
 
 // ending tells whether a set-up that comes now would be open when the process ends.
@@ -491,7 +491,7 @@
 
 // news takes an answer of the name service.
 func (n *Node) news(text []byte) {
-	changed, err := n.list.Answer(text)
+	changed, err := n.list.HandleAnswer(text)
 	if err != nil {
 		n.BadNews++
 		if n.BadNews == 1 { // the counter tells how many there were
@@ -508,13 +508,13 @@
 	for _, m := range changed {
 		servers = append(servers, m.Server())
 		n.rec.server(m.Server(), m.Address)
-		n.log.Infow("exchange", "id", m.ID, "phase", m.Phase, "cell", m.Cell, "addr", m.Address, "started", m.Started)
+		n.log.Infow("exchange", "id", m.ID, "phase", m.Phase, "cell", m.Pool, "addr", m.Address, "started", m.Started)
 	}
 	n.core.UpdateServers(servers, false) // before the links tell of ends: nothing is to go there again
 	for _, m := range changed {
 		l := n.links[m.ID]
 		switch {
-		case m.Phase == config.Gone:
+		case m.Phase == config.PhaseGone:
 			if l != nil {
 				l.end()
 				delete(n.links, m.ID)
@@ -526,7 +526,7 @@
 			if l.addr != m.Address {
 				l.move(m.Address)
 			}
-			if l.draining = m.Phase == config.Terminating; l.draining {
+			if l.draining = m.Phase == config.PhaseTerminating; l.draining {
 				l.drain()
 			}
 			l.meter.started = time.Duration(m.Started) * time.Millisecond
--- a/internal/server/node_test.go
+++ b/internal/server/node_test.go
@@ -60,7 +60,7 @@
 	s := &site{names: startNames(t), r: newRules(), done: make(chan error, 1)}
 	h := &config.H248{Listen: "127.0.0.2:0", Admin: "127.0.0.3:0"}
 	var lines []nameLine
-	var known []config.Member
+	var known []config.Endpoint
 	for i, isH248 := range dialects {
 		server := startServer(t, s.r, isH248)
 		s.servers = append(s.servers, server)
@@ -70,12 +70,12 @@
 			continue
 		}
 		lines = append(lines, nameLine{id: id, addr: server.addr(), cell: i})
-		known = append(known, config.Member{ID: id, Address: server.addr(), Zone: "east", Kind: "std", Cell: i, Phase: config.Ready})
+		known = append(known, config.Endpoint{ID: id, Address: server.addr(), Zone: "east", Kind: "std", Pool: i, Phase: config.PhaseReady})
 	}
 	s.names.set(lines...)
 	text, err := json.Marshal(map[string]any{"name": "n0", "listen": "127.0.0.1:0", "seed": "1f", "names": s.names.c.LocalAddr().String(),
 		"limits": map[string]any{"memory_mb": 192, "sockets": 1024}, "settings": json.RawMessage(settings),
-		"known": config.Known{N: 1, Events: []config.Event{{N: 1, Members: config.List{Complete: true, Members: known}}}}})
+		"known": config.KnownEndpoints{LastEvent: 1, Events: []config.EndpointEvent{{N: 1, Endpoints: config.EndpointList{Complete: true, Endpoints: known}}}}})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/server/numbers.go
+++ b/internal/server/numbers.go
@@ -32,7 +32,7 @@
 
 // newNumbers brings back what was in force before, or reads the file. A program that is to route by
 // number does not start without a good table.
-func newNumbers(n *Node, o *config.Numbers) (*numbers, error) {
+func newNumbers(n *Node, o *config.Numbering) (*numbers, error) {
 	r := &numbers{n: n, file: o.File}
 	for _, k := range n.cfg.Settings.Classes {
 		r.env.Classes = append(r.env.Classes, numbering.Class{Name: k.Name, Pools: k.Pools})
@@ -78,7 +78,7 @@
 // torn or damaged gives way to the last good one, and the log says so.
 func (r *numbers) restore() bool {
 	v, err := r.kept.Load(standingName)
-	if errors.Is(err, durable.ErrNone) {
+	if errors.Is(err, durable.ErrNotFound) {
 		return false
 	}
 	for _, bad := range v.Bad {
@@ -88,7 +88,7 @@
 		r.n.log.Errorw("numbers_damaged", "err", err, "instead", r.file)
 		return false
 	}
-	for _, v := range append([]durable.Value{v}, r.kept.Before(standingName, v.Serial)...) {
+	for _, v := range append([]durable.Value{v}, r.kept.History(standingName, v.Serial)...) {
 		s, err := numbering.DecodeStanding(v.Data)
 		if err == nil {
 			for _, digest := range []string{s.Before, s.Next, s.Active} {
@@ -222,7 +222,7 @@
 	}
 	for _, name := range names {
 		if name != standingName && name != s.Active && name != s.Before && name != s.Next && len(names) > mostKept {
-			if r.kept.Drop(name) != nil {
+			if r.kept.Delete(name) != nil {
 				return
 			}
 			names = names[1:]
@@ -355,14 +355,14 @@
 	if n.numbers == nil {
 		return nil, &h248.Error{Code: h248.UnknownTermination, Text: "no section [numbers]"}
 	}
-	o, err := adminapi.ReadNumbersOrder(c)
+	o, err := adminapi.ParseNumberingOrder(c)
 	if err == nil {
 		_, err = n.numbers.order(o, nil)
 	}
 	if err != nil {
 		return nil, &h248.Error{Code: h248.BadValue, Text: err.Error()}
 	}
-	return adminapi.NumbersNodes(nil, n.numbers.desk.Job()), nil
+	return adminapi.NumberingNodes(nil, n.numbers.desk.Job()), nil
 }
 
 var _ call.Router = (*numbers)(nil)
--- a/internal/server/numbers_test.go
+++ b/internal/server/numbers_test.go
@@ -47,7 +47,7 @@
 		digest[table.Digest()] = pool
 	}
 	write(0)
-	f.numbers = &config.Numbers{File: file}
+	f.numbers = &config.Numbering{File: file}
 	dir := t.TempDir()
 	s := f.node(t, "n0", dir, new(atomic.Int64))
 	k := dialJSON(t, s.json(), h, "aaaaaaaa")
@@ -155,19 +155,19 @@
 		}
 		return path
 	}
-	f.numbers = &config.Numbers{File: write("first.toml", numberRules(0)), State: filepath.Join(dir, "state")}
+	f.numbers = &config.Numbering{File: write("first.toml", numberRules(0)), State: filepath.Join(dir, "state")}
 	s := f.node(t, "n0", "", new(atomic.Int64))
 	ask := func(s *site, c *h248.Command) ([]numbering.Status, numbering.Job, error) {
-		reply, err := adminapi.Ask(context.Background(), s.admin(), c)
+		reply, err := adminapi.Send(context.Background(), s.admin(), c)
 		if err != nil {
 			return nil, numbering.Job{}, err
 		}
-		versions, job := adminapi.ReadNumbers(reply.Descriptors)
+		versions, job := adminapi.ParseNumbering(reply.Descriptors)
 		return versions, job, nil
 	}
 	list := func(s *site) ([]numbering.Status, numbering.Job) {
 		t.Helper()
-		versions, job, err := ask(s, adminapi.Audit(adminapi.NumbersTermination))
+		versions, job, err := ask(s, adminapi.AuditCommand(adminapi.NumberingTermination))
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -184,7 +184,7 @@
 	}
 	order := func(s *site, o numbering.Order) numbering.Job {
 		t.Helper()
-		_, begun, err := ask(s, adminapi.NumbersOrder(o))
+		_, begun, err := ask(s, adminapi.NumberingCommand(o))
 		if err != nil {
 			return numbering.Job{Err: err.Error()}
 		}
@@ -215,10 +215,10 @@
 	if versions, _ := list(s); len(versions) != 2 {
 		t.Errorf("%+v", versions)
 	}
-	if _, _, err := ask(&site{n: s.n}, &h248.Command{Name: "Modify", Termination: adminapi.NumbersTermination}); err == nil {
+	if _, _, err := ask(&site{n: s.n}, &h248.Command{Name: "Modify", Termination: adminapi.NumberingTermination}); err == nil {
 		t.Error("an order without a word was taken")
 	}
-	if _, err := adminapi.Ask(context.Background(), s.panel(), adminapi.NumbersOrder(numbering.Order{Op: numbering.OpCancel})); err == nil {
+	if _, err := adminapi.Send(context.Background(), s.panel(), adminapi.NumberingCommand(numbering.Order{Op: numbering.OpCancel})); err == nil {
 		t.Error("a panel may order")
 	}
 
@@ -226,7 +226,7 @@
 	killed := filepath.Join(dir, "killed")
 	copyStore(t, f.numbers.State, killed)
 	s.stop(t)
-	f.numbers = &config.Numbers{File: f.numbers.File, State: killed}
+	f.numbers = &config.Numbering{File: f.numbers.File, State: killed}
 	s = f.node(t, "n0", "", new(atomic.Int64))
 	versions, _ := list(s)
 	waiting := ""
--- a/internal/server/quiet_test.go
+++ b/internal/server/quiet_test.go
@@ -99,7 +99,7 @@
 	next.mu.Unlock()
 	next.set(nameLine{id: "s-0", addr: x.far[0].addr(), draining: true}) // serial 2
 	cfg := *x.n.cfg
-	cfg.Names = next.c.LocalAddr().String()
+	cfg.DiscoveryAddress = next.c.LocalAddr().String()
 	x.n.Reload(&cfg)
 	x.turn(func() {}) // the move is done
 	x.names.mu.Lock()
--- a/internal/server/recorder_test.go
+++ b/internal/server/recorder_test.go
@@ -29,11 +29,11 @@
 	r       *rules
 	servers []*standIn
 	lines   []nameLine
-	numbers *config.Numbers // of nodes started from now on
-	module  call.Decider    // of the next node, in place of the module
-	pools   string          // that calls may go to; "": those of settings
-	queue   config.Size     // of records; 0: the default
-	sockets int             // 0: 1024
+	numbers *config.Numbering // of nodes started from now on
+	module  call.Decider      // of the next node, in place of the module
+	pools   string            // that calls may go to; "": those of settings
+	queue   config.Size       // of records; 0: the default
+	sockets int               // 0: 1024
 }
 
 func startFleet(t testing.TB, servers int) *fleet {
@@ -51,13 +51,13 @@
 // node starts one more node; skew is how far its clock is ahead. Without dir it records nothing.
 func (f *fleet) node(t testing.TB, name, dir string, skew *atomic.Int64) *site {
 	t.Helper()
-	var known []config.Member
+	var known []config.Endpoint
 	for _, l := range f.lines {
-		known = append(known, config.Member{ID: l.id, Address: l.addr, Zone: "east", Kind: "std", Cell: l.cell, Phase: config.Ready})
+		known = append(known, config.Endpoint{ID: l.id, Address: l.addr, Zone: "east", Kind: "std", Pool: l.cell, Phase: config.PhaseReady})
 	}
 	text, err := json.Marshal(map[string]any{"name": name, "listen": "127.0.0.1:0", "seed": "1f", "names": f.names.c.LocalAddr().String(),
 		"limits": map[string]any{"memory_mb": 192, "sockets": cmp.Or(f.sockets, 1024)}, "settings": json.RawMessage(strings.Replace(settings, "[[0,1,2,3]]", cmp.Or(f.pools, "[[0,1,2,3]]"), 1)),
-		"known": config.Known{N: 1, Events: []config.Event{{N: 1, Members: config.List{Complete: true, Members: known}}}}})
+		"known": config.KnownEndpoints{LastEvent: 1, Events: []config.EndpointEvent{{N: 1, Endpoints: config.EndpointList{Complete: true, Endpoints: known}}}}})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -68,7 +68,7 @@
 	var rec *config.Records
 	if dir != "" {
 		rec = &config.Records{Dir: dir, Sync: config.Duration(10 * time.Millisecond), Queue: f.queue}
-		if err := rec.Check(); err != nil {
+		if err := rec.Validate(); err != nil {
 			t.Fatal(err)
 		}
 	}
@@ -203,7 +203,7 @@
 	}
 	silent := k.setUp("silent.1", 300*time.Millisecond)
 	h.wait(t, silent, 1)
-	audit, err := adminapi.Ask(context.Background(), s.admin(), adminapi.Audit("ROOT"))
+	audit, err := adminapi.Send(context.Background(), s.admin(), adminapi.AuditCommand("ROOT"))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -222,7 +222,7 @@
 	if got := h248.Value(audit.Descriptors, "Statistics", "oc/attempts"); got != strconv.Itoa(tries) {
 		t.Errorf("%d attempts by server, %s in all", tries, got)
 	}
-	if audit, err = adminapi.Ask(context.Background(), s.panel(), adminapi.Audit("ROOT")); err != nil || h248.Find(audit.Descriptors, "Statistics", "oc/server") != nil {
+	if audit, err = adminapi.Send(context.Background(), s.panel(), adminapi.AuditCommand("ROOT")); err != nil || h248.Find(audit.Descriptors, "Statistics", "oc/server") != nil {
 		t.Errorf("a panel is told of servers, %v", err)
 	}
 	s.stop(t)
@@ -273,7 +273,7 @@
 	skews[1].Store(int64(3700 * time.Millisecond))
 	var nodes []*site
 	var callers []*jsonCaller
-	var stamps [4]adminapi.Stamps
+	var stamps [4]adminapi.ClockStamps
 	dirs := make([]string, 4)
 	for i := range 4 {
 		dirs[i] = filepath.Join(root, fmt.Sprint("n", i))
@@ -283,7 +283,7 @@
 	exchange := func() {
 		for i, n := range nodes {
 			var err error
-			if stamps[i], err = adminapi.Exchange(context.Background(), n.admin(), "test", stamps[i]); err != nil {
+			if stamps[i], err = adminapi.ExchangeClocks(context.Background(), n.admin(), "test", stamps[i]); err != nil {
 				t.Fatal(err)
 			}
 		}
@@ -302,7 +302,7 @@
 	again := func() { // n0 ends in good order and starts anew: its next records are another segment
 		nodes[0].stop(t)
 		eventually(t, "its store is let go", func() bool { return !record.Live(dirs[0]) }) // a slow disk gets longer than a node waits
-		nodes[0], stamps[0] = f.node(t, "n0", dirs[0], &skews[0]), adminapi.Stamps{}
+		nodes[0], stamps[0] = f.node(t, "n0", dirs[0], &skews[0]), adminapi.ClockStamps{}
 		callers[0] = dialJSON(t, nodes[0].json(), h, fmt.Sprintf("%08x", time.Now().UnixNano()&0xffffffff))
 	}
 	exchange()
--- a/internal/server/replay_test.go
+++ b/internal/server/replay_test.go
@@ -61,8 +61,8 @@
 		r.rules[table.Digest()], r.texts, r.order = rules, append(r.texts, text), append(r.order, table.Digest())
 	}
 	r.put(t, 0)
-	r.f.numbers = &config.Numbers{File: r.file, Lookup: lookup}
-	if err := r.f.numbers.Check(); err != nil {
+	r.f.numbers = &config.Numbering{File: r.file, Lookup: lookup}
+	if err := r.f.numbers.Validate(); err != nil {
 		t.Fatal(err)
 	}
 	r.module = newStraight()
--- a/internal/server/resolver.go
+++ b/internal/server/resolver.go
@@ -124,7 +124,7 @@
 		n.QueriesFailed++
 		return
 	}
-	text, err := n.list.Query(uint16(n.rng.Uint32()))
+	text, err := n.list.NewQuery(uint16(n.rng.Uint32()))
 	if err == nil {
 		n.Queries++
 		_, err = r.c.Write(text)
--- a/internal/server/settings_record_test.go
+++ b/internal/server/settings_record_test.go
@@ -26,7 +26,7 @@
 		t.Fatal(err)
 	}
 	records := &config.Records{Dir: t.TempDir()}
-	if err := records.Check(); err != nil {
+	if err := records.Validate(); err != nil {
 		t.Fatal(err)
 	}
 	node, err := New(cfg, Options{Records: records})
--- a/internal/server/share.go
+++ b/internal/server/share.go
@@ -17,7 +17,7 @@
 // The nil *sharing is off.
 type sharing struct {
 	n      *Node
-	o      *config.Share
+	o      *config.OverloadControl
 	member *overload.Member
 	socket *transport.Conn // nil until the loop runs
 	keys   [][]byte
@@ -31,12 +31,12 @@
 
 // newSharing reads the keys and makes the member; desk is told to ask it. Where the platform's settings bar talk
 // between controllers it says so and is off.
-func newSharing(n *Node, o *config.Share, desk *admission.Engine) (*sharing, error) {
-	if n.cfg.PeersBarred {
+func newSharing(n *Node, o *config.OverloadControl, desk *admission.Engine) (*sharing, error) {
+	if n.cfg.PeerMessagesForbidden {
 		n.log.Warnw("share_off", "why", "the settings do not permit messages between controllers")
 		return nil, nil
 	}
-	number, err := o.Join(n.cfg)
+	number, err := o.ResolvePeers(n.cfg)
 	if err != nil { // whom it could speak to is not known: it decides alone, as the others do if need be
 		n.log.Errorw("share_off", "err", err)
 		return nil, nil
@@ -48,8 +48,8 @@
 		}
 	}
 	boot := uint32((n.now().Milliseconds() - bootEpoch) / 250)
-	s.member, err = overload.New(n.now(), overload.Options{Self: number, Peers: len(o.Peers), Boot: boot, Seed: n.cfg.Seed, Late: desk.LatencyThreshold(),
-		Period: time.Duration(o.Period), Beat: time.Duration(o.Beat)})
+	s.member, err = overload.New(n.now(), overload.Options{Self: number, Peers: len(o.Peers), Incarnation: boot, Seed: n.cfg.Seed, LatencyThreshold: desk.LatencyThreshold(),
+		ReportInterval: time.Duration(o.ReportInterval), HeartbeatInterval: time.Duration(o.HeartbeatInterval)})
 	if err != nil {
 		return nil, err
 	}
@@ -63,7 +63,7 @@
 		return
 	}
 	var err error
-	s.socket, err = transport.Open(transport.Options{Listen: s.o.Listen, Peers: s.o.Peers, Keys: s.keys, Rate: s.o.Rate, Take: func() { s.n.exec(s.take) }})
+	s.socket, err = transport.Open(transport.Options{Listen: s.o.Listen, Peers: s.o.Peers, Keys: s.keys, Rate: s.o.Rate, OnArrival: func() { s.n.exec(s.take) }})
 	if err != nil {
 		s.n.log.Errorw("share_failed", "err", err)
 		return
@@ -75,8 +75,8 @@
 func (s *sharing) take() {
 	s.n.turn(func() {
 		now := s.n.now()
-		for _, d := range s.socket.Arrived() {
-			if err := s.member.Hear(now, d.From, d.B); err != nil && now-s.unread > 10*second {
+		for _, d := range s.socket.Receive() {
+			if err := s.member.Receive(now, d.From, d.Payload); err != nil && now-s.unread > 10*second {
 				s.unread = now
 				s.n.log.Warnw("share_unread", "from", d.From, "err", err)
 			}
@@ -89,7 +89,7 @@
 	if s == nil || s.socket == nil {
 		return math.MaxInt64
 	}
-	return s.member.Next()
+	return s.member.NextDeadline()
 }
 
 func (s *sharing) tick(now time.Duration) {
@@ -97,9 +97,9 @@
 		return
 	}
 	for _, p := range s.member.Tick(now) {
-		s.socket.Send(p.To, p.B)
+		s.socket.Send(p.To, p.Payload)
 	}
-	if at := s.member.Teller(); at != s.teller {
+	if at := s.member.Aggregator(); at != s.teller {
 		s.n.log.Infow("teller", "number", at, "was", s.teller)
 		s.teller = at
 	}
@@ -136,8 +136,8 @@
 	}
 	st := s.member.State(s.n.now())
 	n := &h248.Node{Name: "oc/share"}
-	for _, f := range [][2]string{{"number", strconv.Itoa(st.Self)}, {"teller", strconv.Itoa(st.Teller)}, {"live", strconv.Itoa(st.Live)}, {"of", strconv.Itoa(st.Peers)},
-		{"held", strconv.Itoa(st.Counters.Held)}} {
+	for _, f := range [][2]string{{"number", strconv.Itoa(st.Self)}, {"teller", strconv.Itoa(st.Aggregator)}, {"live", strconv.Itoa(st.AliveMembers)}, {"of", strconv.Itoa(st.Peers)},
+		{"held", strconv.Itoa(st.Counters.Throttled)}} {
 		n.Kids = append(n.Kids, &h248.Node{Name: "oc/" + f[0], Value: f[1]})
 	}
 	return []*h248.Node{n}
@@ -149,7 +149,7 @@
 		return
 	}
 	c, p := s.member.Counters, s.socket.Counters()
-	s.n.log.Infow("counters", "said", c.Said, "said_bytes", c.SaidBytes, "heard", c.Heard, "heard_bytes", c.HeardBytes, "unread", c.Unread, "alien", c.Alien, "stale", c.Stale,
-		"held", c.Held, "passed", c.Passed, "tellers", c.Tellers, "silent", c.Silent, "wrong", c.Wrong)
-	s.n.log.Infow("counters", "sent", p.Sent, "dropped", p.Dropped, "arrived", p.Arrived, "overrun", p.Overrun, "strangers", p.Strangers, "forged", p.Forged, "too_long", p.TooLong)
+	s.n.log.Infow("counters", "said", c.Sent, "said_bytes", c.SentBytes, "heard", c.Received, "heard_bytes", c.ReceivedBytes, "unread", c.Malformed, "alien", c.Misattributed, "stale", c.Stale,
+		"held", c.Throttled, "passed", c.Admitted, "tellers", c.AggregatorChanges, "silent", c.AggregatorsUnresponsive, "wrong", c.AggregatorsEjected)
+	s.n.log.Infow("counters", "sent", p.Sent, "dropped", p.Dropped, "arrived", p.Arrived, "overrun", p.Overrun, "strangers", p.UnknownSenders, "forged", p.Forged, "too_long", p.TooLong)
 }
--- a/internal/store/golden_test.go
+++ b/internal/store/golden_test.go
@@ -66,7 +66,7 @@
 			t.Errorf("%s: %+v, %v", c.name, v, err)
 		}
 	}
-	before := s.Before("standing", 4)
+	before := s.History("standing", 4)
 	if len(before) != 2 || before[0].Serial != 3 || !bytes.Equal(before[0].Data, saves[3].data) ||
 		before[1].Serial != 2 || !bytes.Equal(before[1].Data, saves[1].data) {
 		t.Errorf("to fall back on: %+v", before)
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -18,8 +18,8 @@
 // keep is how many values of a name are there: the one in force and those to fall back on.
 const keep = 3
 
-// MostBytes bounds a value.
-const MostBytes = 256 << 20
+// MaxValueBytes bounds a value.
+const MaxValueBytes = 256 << 20
 
 // A FS is what a Store needs of a file system; names are without a folder. Tests put one in its
 // place that crashes.
@@ -45,8 +45,8 @@
 	aside  = ".writing"
 )
 
-// ErrNone tells that no value is kept under a name.
-var ErrNone = errors.New("store: nothing is kept under that name")
+// ErrNotFound tells that no value is kept under a name.
+var ErrNotFound = errors.New("store: nothing is kept under that name")
 
 // A Store is a folder of values. It is for one process and one goroutine at a time.
 type Store struct{ fs FS }
@@ -59,8 +59,8 @@
 	return &Store{folder(dir)}, nil
 }
 
-// On makes a Store on another file system.
-func On(fs FS) *Store { return &Store{fs} }
+// OpenFS makes a Store on another file system.
+func OpenFS(fs FS) *Store { return &Store{fs} }
 
 // A Value is what is kept.
 type Value struct {
@@ -106,8 +106,8 @@
 	if !usable(name) {
 		return 0, fmt.Errorf("store: %q can't be a name: small letters and digits, at most 63", name)
 	}
-	if len(data) > MostBytes {
-		return 0, fmt.Errorf("store: %s: %d bytes are more than %d", name, len(data), MostBytes)
+	if len(data) > MaxValueBytes {
+		return 0, fmt.Errorf("store: %s: %d bytes are more than %d", name, len(data), MaxValueBytes)
 	}
 	all, err := s.serials(name)
 	if err != nil {
@@ -156,11 +156,11 @@
 	if len(v.Bad) > 0 {
 		return v, fmt.Errorf("store: %s: no value is whole: %s", name, strings.Join(v.Bad, "; "))
 	}
-	return v, ErrNone
+	return v, ErrNotFound
 }
 
-// Before finds the values of a name that are whole and older than a serial, the latest first.
-func (s *Store) Before(name string, serial uint64) (all []Value) {
+// History finds the values of a name that are whole and older than a serial, the latest first.
+func (s *Store) History(name string, serial uint64) (all []Value) {
 	serials, err := s.serials(name)
 	if err != nil {
 		return nil
@@ -178,8 +178,8 @@
 	return all
 }
 
-// Drop removes all values of a name.
-func (s *Store) Drop(name string) error {
+// Delete removes all values of a name.
+func (s *Store) Delete(name string) error {
 	all, err := s.serials(name)
 	if err != nil {
 		return err
@@ -260,7 +260,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if st.Size() > MostBytes+headSize { // no value of ours; it must not fill memory
+	if st.Size() > MaxValueBytes+headSize { // no value of ours; it must not fill memory
 		return nil, fmt.Errorf("%d bytes are too much", st.Size())
 	}
 	return os.ReadFile(f.at(name))
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -118,7 +118,7 @@
 	for seed := range uint64(40) {
 		for steps := range 12 {
 			d := newDisk(seed)
-			s := On(d)
+			s := OpenFS(d)
 			for i := range 5 {
 				if _, err := s.Save("table", value(i)); err != nil {
 					t.Fatal(err)
@@ -162,7 +162,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if _, err := s.Load("table"); !errors.Is(err, ErrNone) {
+	if _, err := s.Load("table"); !errors.Is(err, ErrNotFound) {
 		t.Errorf("nothing kept: %v", err)
 	}
 	for i := range 10 {
@@ -196,7 +196,7 @@
 		t.Errorf("%+v, %v", v, err)
 	}
 	damage(files[0], func([]byte) []byte { return nil })
-	if _, err := s.Load("table"); err == nil || errors.Is(err, ErrNone) {
+	if _, err := s.Load("table"); err == nil || errors.Is(err, ErrNotFound) {
 		t.Errorf("nothing whole: %v", err)
 	}
 	if n, err := s.Save("table", value(1)); err != nil || n != 11 {
--- a/internal/transport/golden_test.go
+++ b/internal/transport/golden_test.go
@@ -18,7 +18,7 @@
 	{"not signed", nil, "hello"},
 	{"signed with the first of two keys", [][]byte{keyA, keyB}, "hello"},
 	{"empty and signed", [][]byte{keyB}, ""},
-	{"the longest that is signed", [][]byte{keyA}, string(make([]byte, Most-Signed))},
+	{"the longest that is signed", [][]byte{keyA}, string(make([]byte, MaxDatagramBytes-SignatureBytes))},
 }
 
 // exchangeWith is a controller whose only peer is a plain socket of the test.
@@ -46,7 +46,7 @@
 		c, raw := exchangeWith(t, g.keys)
 		conns, raws = append(conns, c), append(raws, raw)
 		c.Send(0, []byte(g.payload))
-		b := make([]byte, 2*Most)
+		b := make([]byte, 2*MaxDatagramBytes)
 		if err := raw.SetReadDeadline(time.Now().Add(10 * time.Second)); err != nil {
 			t.Fatal(err)
 		}
@@ -60,8 +60,8 @@
 		if _, err := raws[i].WriteToUDPAddrPort(m.Bytes, netip.MustParseAddrPort(conns[i].Addr())); err != nil {
 			t.Fatal(err)
 		}
-		if d := receive(t, conns[i]); d.From != 0 || string(d.B) != goldenCases[i].payload {
-			t.Errorf("%s: %q came from %d", m.Name, d.B, d.From)
+		if d := receive(t, conns[i]); d.From != 0 || string(d.Payload) != goldenCases[i].payload {
+			t.Errorf("%s: %q came from %d", m.Name, d.Payload, d.From)
 		}
 	}
 }
--- a/internal/transport/peer.go
+++ b/internal/transport/peer.go
@@ -21,9 +21,9 @@
 
 // Bounds of a datagram, as the platform has them.
 const (
-	Most = 256 // bytes; a longer one would void the platform's run
-	// Signed is what a signature takes of it: an HMAC-SHA-256 (RFC 2104), cut to 128 bits (RFC 2104, section 5).
-	Signed = 16
+	MaxDatagramBytes = 256 // bytes; a longer one would void the platform's run
+	// SignatureBytes is what a signature takes of it: an HMAC-SHA-256 (RFC 2104), cut to 128 bits (RFC 2104, section 5).
+	SignatureBytes = 16
 )
 
 // Bounds of what waits.
@@ -36,8 +36,8 @@
 
 // A Datagram is one with whom it is from, by the place in the list of peers; -1: its address is none of these.
 type Datagram struct {
-	From int
-	B    []byte
+	From    int
+	Payload []byte
 }
 
 // Options of a Conn.
@@ -48,16 +48,16 @@
 	// all take two. Without keys datagrams come from the addresses of Peers only.
 	Keys [][]byte
 	Rate int // datagrams a second that leave; 0: 2,000
-	// Take is called on a goroutine of the Conn's own when something has arrived that Arrived gives.
-	Take func()
+	// OnArrival is called on a goroutine of the Conn's own when something has arrived that Arrived gives.
+	OnArrival func()
 }
 
 // Counters count what a Conn did.
 type Counters struct {
-	Sent, Dropped     uint64 // dropped: too many wait to leave, or the system took none
-	Arrived, Overrun  uint64 // overrun: too many wait to be taken
-	Strangers, Forged uint64 // from an address that is no peer's; not signed with a key
-	TooLong           uint64
+	Sent, Dropped          uint64 // dropped: too many wait to leave, or the system took none
+	Arrived, Overrun       uint64 // overrun: too many wait to be taken
+	UnknownSenders, Forged uint64 // from an address that is no peer's; not signed with a key
+	TooLong                uint64
 }
 
 // A Conn is a controller's socket to its peers. Send and Arrived may be called from anywhere.
@@ -180,7 +180,7 @@
 func sign(key, b []byte) []byte {
 	h := hmac.New(sha256.New, key)
 	_, _ = h.Write(b) // it never fails
-	return h.Sum(nil)[:Signed]
+	return h.Sum(nil)[:SignatureBytes]
 }
 
 // Send has a datagram leave. It never blocks: what finds the queue full is dropped and counted.
@@ -215,9 +215,9 @@
 		}
 		b := l.b
 		if keys := p.signing(); len(keys) > 0 {
-			b = append(append(make([]byte, 0, len(b)+Signed), b...), sign(keys[0], b)...)
+			b = append(append(make([]byte, 0, len(b)+SignatureBytes), b...), sign(keys[0], b)...)
 		}
-		if len(b) > Most {
+		if len(b) > MaxDatagramBytes {
 			p.tooLong.Add(1)
 			continue
 		}
@@ -230,7 +230,7 @@
 }
 
 func (p *Conn) read() {
-	b := make([]byte, 2*Most)
+	b := make([]byte, 2*MaxDatagramBytes)
 	for {
 		n, from, err := p.c.ReadFromUDPAddrPort(b)
 		if errors.Is(err, net.ErrClosed) {
@@ -250,7 +250,7 @@
 
 // got checks a datagram and keeps it for Arrived.
 func (p *Conn) got(from netip.AddrPort, b []byte) {
-	if len(b) > Most {
+	if len(b) > MaxDatagramBytes {
 		p.tooLong.Add(1)
 		return
 	}
@@ -259,7 +259,7 @@
 		number = -1
 	}
 	if keys := p.signing(); len(keys) > 0 {
-		at := len(b) - Signed
+		at := len(b) - SignatureBytes
 		good := false
 		for _, k := range keys {
 			good = good || at >= 0 && hmac.Equal(sign(k, b[:at]), b[at:])
@@ -284,13 +284,13 @@
 		return
 	}
 	p.arrived.Add(1)
-	if first && p.o.Take != nil {
-		p.o.Take() // once for all that comes until they are taken: a flood must not fill the loop's queue
+	if first && p.o.OnArrival != nil {
+		p.o.OnArrival() // once for all that comes until they are taken: a flood must not fill the loop's queue
 	}
 }
 
-// Arrived gives what has arrived since it was last called.
-func (p *Conn) Arrived() []Datagram {
+// Receive gives what has arrived since it was last called.
+func (p *Conn) Receive() []Datagram {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	in := p.in
@@ -301,5 +301,5 @@
 // Counters are what it has counted by now.
 func (p *Conn) Counters() Counters {
 	return Counters{Sent: p.sent.Load(), Dropped: p.dropped.Load(), Arrived: p.arrived.Load(), Overrun: p.overrun.Load(),
-		Strangers: p.strangers.Load(), Forged: p.forged.Load(), TooLong: p.tooLong.Load()}
+		UnknownSenders: p.strangers.Load(), Forged: p.forged.Load(), TooLong: p.tooLong.Load()}
 }
--- a/internal/transport/peer_test.go
+++ b/internal/transport/peer_test.go
@@ -60,7 +60,7 @@
 func receive(t *testing.T, c *Conn) Datagram {
 	t.Helper()
 	var in []Datagram
-	until(t, "a datagram", func() bool { in = c.Arrived(); return len(in) > 0 })
+	until(t, "a datagram", func() bool { in = c.Receive(); return len(in) > 0 })
 	return in[0]
 }
 
@@ -70,25 +70,25 @@
 	if _, err := stranger.Write([]byte("forged")); err != nil {
 		t.Fatal(err)
 	}
-	until(t, "the stranger's", func() bool { return y.Counters().Strangers == 1 })
+	until(t, "the stranger's", func() bool { return y.Counters().UnknownSenders == 1 })
 	x.Send(1, []byte("hello"))
-	if d := receive(t, y); d.From != 0 || string(d.B) != "hello" {
-		t.Errorf("%q came from %d, want hello from 0", d.B, d.From)
+	if d := receive(t, y); d.From != 0 || string(d.Payload) != "hello" {
+		t.Errorf("%q came from %d, want hello from 0", d.Payload, d.From)
 	}
 }
 
 // With keys, what is not signed is not heard, whatever address it comes from; a key changes in service.
 func TestKeysChangeInService(t *testing.T) {
 	x, y, stranger := pair(t, [][]byte{keyA}, [][]byte{keyA})
-	if _, err := stranger.Write(append([]byte("forged"), make([]byte, Signed)...)); err != nil {
+	if _, err := stranger.Write(append([]byte("forged"), make([]byte, SignatureBytes)...)); err != nil {
 		t.Fatal(err)
 	}
 	until(t, "the forged", func() bool { return y.Counters().Forged == 1 })
 	if _, err := stranger.Write(append([]byte("relayed"), sign(keyA, []byte("relayed"))...)); err != nil {
 		t.Fatal(err)
 	}
-	if d := receive(t, y); d.From != -1 || string(d.B) != "relayed" {
-		t.Errorf("%q came from %d, want relayed from nobody's address", d.B, d.From)
+	if d := receive(t, y); d.From != -1 || string(d.Payload) != "relayed" {
+		t.Errorf("%q came from %d, want relayed from nobody's address", d.Payload, d.From)
 	}
 	for _, step := range []struct {
 		who  *Conn
@@ -98,8 +98,8 @@
 			t.Fatal(err)
 		}
 		x.Send(1, []byte("still"))
-		if d := receive(t, y); string(d.B) != "still" || d.From != 0 {
-			t.Errorf("%q came from %d", d.B, d.From)
+		if d := receive(t, y); string(d.Payload) != "still" || d.From != 0 {
+			t.Errorf("%q came from %d", d.Payload, d.From)
 		}
 	}
 	if n := y.Counters().Forged; n != 1 {
@@ -113,19 +113,19 @@
 // What is too long leaves nobody, what nobody takes is bounded, and a flood calls the loop once.
 func TestBounds(t *testing.T) {
 	x, y, _ := pair(t, [][]byte{keyA}, [][]byte{keyA})
-	x.Send(1, make([]byte, Most-Signed+1))
+	x.Send(1, make([]byte, MaxDatagramBytes-SignatureBytes+1))
 	until(t, "the long one", func() bool { return x.Counters().TooLong == 1 })
 	calls := 0
 	from := y.peers[0]
 	b := append([]byte("x"), sign(keyA, []byte("x"))...)
-	z := &Conn{o: Options{Take: func() { calls++ }}, keys: y.keys, number: y.number}
+	z := &Conn{o: Options{OnArrival: func() { calls++ }}, keys: y.keys, number: y.number}
 	for range mostArriving + 100 {
 		z.got(from, b)
 	}
-	if c := z.Counters(); calls != 1 || len(z.Arrived()) != mostArriving || c.Overrun != 100 {
+	if c := z.Counters(); calls != 1 || len(z.Receive()) != mostArriving || c.Overrun != 100 {
 		t.Errorf("%d calls, %d overrun", calls, c.Overrun)
 	}
-	z.got(from, make([]byte, Most+1))
+	z.got(from, make([]byte, MaxDatagramBytes+1))
 	z.got(from, nil)
 	if c := z.Counters(); c.TooLong != 1 || c.Forged != 1 {
 		t.Errorf("%+v after one that is too long and one that is empty", c)
