--- /dev/null
+++ b/internal/admission/effect_test.go
@@ -0,0 +1,136 @@
+package admission
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// Calls that may not run twice: after an attempt that may have run, one of Never goes nowhere and is not refused;
+// one of Once goes to servers that know the repeat, within its window, and is refused only where all of them do.
+func TestCallsThatMayNotRunTwice(t *testing.T) {
+	servers := []Server{{ID: "a", Pool: 0, Zone: "n"}, {ID: "b", Pool: 1, Zone: "n"}, {ID: "c", Pool: 2, Zone: "s"}}
+	cases := []struct {
+		what  string
+		class Class
+		code  AttemptResult
+		after time.Duration
+		may   string // servers of the second attempt; "fail" or "refuse" instead
+	}{
+		{"harmless", Class{}, TimedOut, 0, "bc"},
+		{"never, never ran", Class{Repeatability: NonRepeatable}, ServerBusy, 0, "bc"},
+		{"never, not dialled", Class{Repeatability: NonRepeatable}, DialFailed, 0, "bc"},
+		{"never, not sent", Class{Repeatability: NonRepeatable}, NotSent, 0, "abc"},
+		{"never, timed out", Class{Repeatability: NonRepeatable}, TimedOut, 0, "fail"},
+		{"never, broke", Class{Repeatability: NonRepeatable}, ConnectionLost, 0, "fail"},
+		{"never, called off", Class{Repeatability: NonRepeatable}, Canceled, 0, "fail"},
+		{"never, fault", Class{Repeatability: NonRepeatable}, ServerError, 0, "fail"},
+		{"once, everywhere", Class{Repeatability: Deduplicated, DeduplicationWindow: time.Second}, TimedOut, 0, "bc"},
+		{"once, zone", Class{Repeatability: Deduplicated, DeduplicationScope: ScopeZone, DeduplicationWindow: time.Second}, TimedOut, 0, "b"},
+		{"once, pool", Class{Repeatability: Deduplicated, DeduplicationScope: ScopePool, DeduplicationWindow: time.Second}, TimedOut, 0, "fail"},
+		{"once, zone, never ran", Class{Repeatability: Deduplicated, DeduplicationScope: ScopeZone, DeduplicationWindow: time.Second}, ServerBusy, 0, "bc"},
+		{"once, everywhere, too late", Class{Repeatability: Deduplicated, DeduplicationWindow: time.Second}, TimedOut, 2 * time.Second, "refuse"},
+		{"once, zone, too late", Class{Repeatability: Deduplicated, DeduplicationScope: ScopeZone, DeduplicationWindow: time.Second}, TimedOut, 2 * time.Second, "fail"},
+	}
+	for _, k := range cases {
+		seen := make(map[string]bool)
+		for seed := range uint64(60) {
+			class := k.class
+			class.Name, class.LatencyObjective, class.Deadline, class.Weight = "k", 2*time.Second, 20*time.Second, 1
+			c, err := NewStateMachine(Settings{ControllerCount: 1, Topology: "pools", Classes: []Class{class}, MaxAttempts: 4, CanCancel: true,
+				RetryGuard: 300 * time.Millisecond, SlowStartPeriod: time.Second, SlowStartShare: 0.5}, seed)
+			if err != nil {
+				t.Fatal(err)
+			}
+			now := Time(time.Hour)
+			var acts []Action
+			run := func(e Event) { acts = append(acts, c.Handle(now, e)...) }
+			c.Begin(now)
+			run(ServersUpdated{Full: true, Cached: true, Servers: servers})
+			// A period in which the others become used to calls of second choice.
+			for range 30 {
+				now += 100 * time.Millisecond
+				run(TimerFired{Key: 0})
+			}
+			acts = nil
+			run(CallOffered{CallID: "x", Class: "k", PreferredPool: 0, Deadline: now + 15*time.Second})
+			if s, ok := acts[0].(SendAttempt); !ok || s.Server != "a" {
+				t.Fatalf("%s: first %+v", k.what, acts)
+			}
+			for end := now + k.after; now < end; {
+				now += 100 * time.Millisecond
+				run(TimerFired{Key: 0})
+			}
+			acts = nil
+			run(AttemptEnded{CallID: "x", Server: "a", Result: k.code})
+			now += 400 * time.Millisecond
+			for _, a := range acts {
+				if d, ok := a.(SetTimer); ok && d.Key > 0 {
+					run(TimerFired{Key: d.Key})
+				}
+			}
+			what := "nothing"
+			for _, a := range acts {
+				switch a := a.(type) {
+				case SendAttempt:
+					what = a.Server
+				case RejectCall:
+					what = "refuse"
+				case FailCall:
+					what = "fail"
+				}
+			}
+			seen[what] = true
+		}
+		want := make(map[string]bool)
+		if k.may == "fail" || k.may == "refuse" {
+			want[k.may] = true
+		} else {
+			for _, s := range k.may {
+				want[string(s)] = true
+			}
+		}
+		for what := range seen {
+			if !want[what] {
+				t.Errorf("%s: %v, want of %v only", k.what, seen, want)
+				break
+			}
+		}
+		if len(seen) == 0 || k.may != "fail" && k.may != "refuse" && fmt.Sprint(seen) == "map[]" {
+			t.Errorf("%s: nothing seen", k.what)
+		}
+	}
+}
+
+// A lost set-up of a call that may not run twice is not called off: the answer may still come, and nothing else can.
+func TestNeverIsNotCalledOff(t *testing.T) {
+	for _, effect := range []Repeatability{Idempotent, NonRepeatable} {
+		c, err := NewStateMachine(Settings{ControllerCount: 1, Topology: "pools", MaxAttempts: 4, CanCancel: true, RetryGuard: 300 * time.Millisecond, SlowStartPeriod: time.Second, SlowStartShare: 0.5,
+			Classes: []Class{{Name: "k", LatencyObjective: time.Second, Deadline: 9 * time.Second, Weight: 1, Repeatability: effect}}}, 1)
+		if err != nil {
+			t.Fatal(err)
+		}
+		now, off := Time(time.Hour), 0
+		run := func(e Event) {
+			for _, a := range c.Handle(now, e) {
+				if _, ok := a.(CancelAttempt); ok {
+					off++
+				}
+			}
+		}
+		c.Begin(now)
+		run(ServersUpdated{Full: true, Cached: true, Servers: []Server{{ID: "a", Pool: 0}, {ID: "b", Pool: 1}}})
+		run(CallOffered{CallID: "lost", Class: "k", Deadline: now + 8*time.Second})
+		now += 200 * time.Millisecond
+		run(CallOffered{CallID: "next", Class: "k", Deadline: now + 8*time.Second})
+		now += 20 * time.Millisecond
+		run(CallEstablished{CallID: "next", Server: "a", SetupTime: 20 * time.Millisecond}) // it overtook the other
+		for range 30 {
+			now += 100 * time.Millisecond
+			run(TimerFired{Key: 0})
+		}
+		if (off > 0) != (effect == Idempotent) {
+			t.Errorf("effect %v: called off %d times", effect, off)
+		}
+	}
+}
--- a/internal/net/crossing_test.go
+++ b/internal/server/crossing_test.go
@@ -1,4 +1,4 @@
-package net
+package server
 
 import (
 	"encoding/json"
@@ -10,10 +10,10 @@
 	"testing"
 	"time"
 
-	"lapiscourse"
-	"lapiscourse/internal/config"
-	"lapiscourse/internal/net/jsonl"
-	"lapiscourse/internal/net/sip"
+	"olivedale/internal/admission"
+	"olivedale/internal/codec/jsonl"
+	"olivedale/internal/codec/sip"
+	"olivedale/internal/config"
 )
 
 // Crossings: two things happen at one moment, and both orders are forced. Bytes are handed to a
@@ -152,7 +152,7 @@
 	servers []string
 	wait    time.Duration // before what may have run is sent again
 	held    map[string]time.Duration
-	reports []lapiscourse.Progress
+	reports []admission.AttemptReport
 }
 
 // sends says anew where attempts go from now on.
@@ -162,45 +162,45 @@
 	d.servers = servers
 }
 
-func (d *fixed) Pick(now time.Duration, r lapiscourse.Request) lapiscourse.Order {
-	return d.next(r.Call)
+func (d *fixed) Place(now time.Duration, r admission.Request) admission.Decision {
+	return d.next(r.CallID)
 }
 
-func (d *fixed) next(id string) lapiscourse.Order {
+func (d *fixed) next(id string) admission.Decision {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if len(d.servers) == 0 {
-		return lapiscourse.Order{Call: id, Move: lapiscourse.GiveUp}
+		return admission.Decision{CallID: id, Kind: admission.Fail}
 	}
 	s := d.servers[0]
 	d.servers = d.servers[1:]
-	return lapiscourse.Order{Call: id, Move: lapiscourse.Try, Server: s, Wait: 3 * time.Second}
+	return admission.Decision{CallID: id, Kind: admission.Send, Server: s, Wait: 3 * time.Second}
 }
 
-func (d *fixed) Report(now time.Duration, p lapiscourse.Progress) lapiscourse.Order {
+func (d *fixed) Report(now time.Duration, p admission.AttemptReport) admission.Decision {
 	d.mu.Lock()
 	d.reports = append(d.reports, p)
 	d.mu.Unlock()
 	switch {
-	case p.Stage == lapiscourse.Left:
+	case p.Kind == admission.ReportAbandoned:
 		d.mu.Lock()
-		delete(d.held, p.Call)
+		delete(d.held, p.CallID)
 		d.mu.Unlock()
-	case p.Stage != lapiscourse.Ended || p.Final:
-	case p.Code == lapiscourse.Full || p.Code == lapiscourse.Unused || p.Code == lapiscourse.DialFailed || p.Code == lapiscourse.Error:
-		return d.next(p.Call)
+	case p.Kind != admission.ReportEnded || p.Final:
+	case p.Result == admission.ServerBusy || p.Result == admission.NotSent || p.Result == admission.DialFailed || p.Result == admission.ServerError:
+		return d.next(p.CallID)
 	default:
 		d.mu.Lock()
 		if d.held == nil {
 			d.held = make(map[string]time.Duration)
 		}
-		d.held[p.Call] = now + d.wait
+		d.held[p.CallID] = now + d.wait
 		d.mu.Unlock()
 	}
-	return lapiscourse.Order{Call: p.Call}
+	return admission.Decision{CallID: p.CallID}
 }
 
-func (d *fixed) Tick(now time.Duration) (orders []lapiscourse.Order) {
+func (d *fixed) Tick(now time.Duration) (orders []admission.Decision) {
 	d.mu.Lock()
 	var due []string
 	for id, at := range d.held {
@@ -216,7 +216,7 @@
 	return orders
 }
 
-func (d *fixed) Next() time.Duration {
+func (d *fixed) NextDeadline() time.Duration {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	next := time.Duration(1 << 62)
@@ -225,15 +225,15 @@
 	}
 	return next
 }
-func (d *fixed) List(time.Duration, []lapiscourse.Server, bool) {}
+func (d *fixed) UpdateServers(time.Duration, []admission.Server, bool) {}
 
 // codes lists what the module was told of the ends of a call's attempts.
-func (d *fixed) codes(id string) (all []lapiscourse.Code) {
+func (d *fixed) codes(id string) (all []admission.AttemptResult) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, p := range d.reports {
-		if p.Call == id && p.Stage == lapiscourse.Ended {
-			all = append(all, p.Code)
+		if p.CallID == id && p.Kind == admission.ReportEnded {
+			all = append(all, p.Result)
 		}
 	}
 	return all
@@ -259,16 +259,16 @@
 	t.Helper()
 	x := &scene{site: &site{names: startNames(t), r: newRules(), done: make(chan error, 1)}, t: t, module: module, far: far, h: newHeard()}
 	var lines []nameLine
-	var known []config.Member
+	var known []config.Endpoint
 	for i, f := range far {
 		id := fmt.Sprint("s-", i)
 		lines = append(lines, nameLine{id: id, addr: f.addr(), cell: i})
-		known = append(known, config.Member{ID: id, Address: f.addr(), Zone: "east", Kind: "std", Cell: i, Phase: config.Ready})
+		known = append(known, config.Endpoint{ID: id, Address: f.addr(), Zone: "east", Kind: "std", Pool: i, Phase: config.PhaseReady})
 	}
 	x.names.set(lines...)
 	text, err := json.Marshal(map[string]any{"name": "n0", "listen": "127.0.0.1:0", "seed": "1f", "names": x.names.c.LocalAddr().String(),
 		"limits": map[string]any{"memory_mb": memory, "sockets": 1024}, "settings": json.RawMessage(settings),
-		"known": config.Known{N: 1, Events: []config.Event{{N: 1, Members: config.List{Complete: true, Members: known}}}}})
+		"known": config.KnownEndpoints{LastEvent: 1, Events: []config.EndpointEvent{{N: 1, Endpoints: config.EndpointList{Complete: true, Endpoints: known}}}}})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -369,7 +369,7 @@
 	eventually(x.t, "nothing is owed", func() bool {
 		open, waits := 0, 0
 		x.turn(func() {
-			open = x.n.core.Open()
+			open = x.n.core.OpenCalls()
 			for k := range x.n.json.clients.oldest() {
 				waits += len(k.open)
 			}
@@ -395,7 +395,7 @@
 	if n := x.far[0].heard("INVITE", tag) + x.far[0].heard("CANCEL", tag); n != 0 {
 		t.Errorf("a set-up whose caller had left brought the exchange %d messages", n)
 	}
-	if codes := x.module.codes(tag); len(codes) != 1 || codes[0] != lapiscourse.Unused {
+	if codes := x.module.codes(tag); len(codes) != 1 || codes[0] != admission.NotSent {
 		t.Errorf("the module was told %v", codes)
 	}
 }
--- a/internal/net/node.go
+++ b/internal/server/node.go
@@ -1,4 +1,4 @@
-package net
+package server
 
 import (
 	"context"
@@ -16,10 +16,10 @@
 	gerrors "github.com/panjf2000/gnet/v2/pkg/errors"
 	"go.uber.org/zap"
 
-	"lapiscourse"
-	"lapiscourse/internal/call"
-	"lapiscourse/internal/config"
-	"lapiscourse/internal/names"
+	"olivedale/internal/admission"
+	"olivedale/internal/call"
+	"olivedale/internal/config"
+	"olivedale/internal/discovery"
 )
 
 var errShutdown = gerrors.ErrEngineInShutdown
@@ -53,15 +53,15 @@
 	cfg      *config.Config
 	connect  time.Duration
 	dialTo   dialer
-	core     *call.Core
+	core     *call.Manager
 	json     *jsonFront
 	h248     *h248Front // nil: off
 	h248cfg  *config.H248
 	bind     string            // the callers' listener
 	local    map[string]string // the addresses listened on, as configured by as bound
-	fronts   []call.Front
+	fronts   []call.Frontend
 	links    map[string]*link
-	list     *names.List
+	list     *discovery.EndpointList
 	names    *resolver
 	pollAt   time.Duration
 	badAt    time.Duration // when something malformed was last logged
@@ -83,13 +83,13 @@
 
 // Options are what an operator chooses. The zero value is the call controller alone.
 type Options struct {
-	H248    *config.H248     // nil: its front is off
-	Records *config.Records  // nil: nothing is recorded
-	Numbers *config.Numbers  // nil: calls go by their pool of first choice
-	Share   *config.Share    // nil: it decides alone
-	Log     *zap.Logger      // nil: nothing is logged
-	Program string           // version, for the records
-	Clock   func() time.Time // the system's; nil: time.Now
+	H248    *config.H248            // nil: its front is off
+	Records *config.Records         // nil: nothing is recorded
+	Numbers *config.Numbering       // nil: calls go by their pool of first choice
+	Share   *config.OverloadControl // nil: it decides alone
+	Log     *zap.Logger             // nil: nothing is logged
+	Program string                  // version, for the records
+	Clock   func() time.Time        // the system's; nil: time.Now
 
 	module call.Decider // tests of what lies around it put one of their own in; nil: the module
 	dial   dialer       // tests order dials by one of their own; nil: net.DialTimeout
@@ -114,10 +114,10 @@
 		o.dial = dialTCP
 	}
 	h := o.H248
-	n := &Node{started: make(chan struct{}), cfg: cfg, h248cfg: h, connect: cfg.Connect, dialTo: o.dial, local: make(map[string]string), links: make(map[string]*link), rng: rand.New(rand.NewPCG(cfg.Seed, 1))}
+	n := &Node{started: make(chan struct{}), cfg: cfg, h248cfg: h, connect: cfg.DialTimeout, dialTo: o.dial, local: make(map[string]string), links: make(map[string]*link), rng: rand.New(rand.NewPCG(cfg.Seed, 1))}
 	n.loop.start(o.Log, o.Clock)
-	n.names = &resolver{n: n, addr: cfg.Names}
-	desk, err := lapiscourse.NewDesk(n.now(), cfg.Settings, cfg.Seed, func(line string) {
+	n.names = &resolver{n: n, addr: cfg.DiscoveryAddress}
+	desk, err := admission.NewEngine(n.now(), cfg.Settings, cfg.Seed, func(line string) {
 		n.log.Infow("module", "text", line)
 		n.rec.note(line)
 	})
@@ -128,7 +128,7 @@
 	if o.module != nil {
 		module = o.module
 	}
-	n.core = call.New(module, n, n.now, call.Limits{Open: cfg.MemoryMB << 6, Bytes: cfg.MemoryMB << 17, Recent: cfg.MemoryMB << 7})
+	n.core = call.NewManager(module, n, n.now, call.Limits{OpenCalls: cfg.MemoryMB << 6, DescriptionBytes: cfg.MemoryMB << 17, CompletedIDs: cfg.MemoryMB << 7})
 	if err := n.observe(o, desk); err != nil {
 		return nil, err
 	}
@@ -136,7 +136,7 @@
 		if n.numbers, err = newNumbers(n, o.Numbers); err != nil {
 			return nil, err
 		}
-		n.core.RouteBy(n.numbers)
+		n.core.SetRouter(n.numbers)
 	}
 	if o.Share != nil {
 		if n.share, err = newSharing(n, o.Share, desk); err != nil {
@@ -145,15 +145,15 @@
 	}
 	n.json = &jsonFront{n: n, max: cfg.Sockets*2/3 - reserve}
 	n.unread = cfg.MemoryMB << 20 / 8 / n.json.max
-	n.fronts = []call.Front{n.json}
+	n.fronts = []call.Frontend{n.json}
 	if h != nil { // the fronts share the budget of sockets
 		n.json.max /= 2
 		n.h248 = newH248Front(n, n.json.max)
 		n.fronts = append(n.fronts, n.h248)
 	}
-	var known []config.Member
-	n.list, known = names.Start(cfg.Known)
-	servers := make([]lapiscourse.Server, 0, len(known))
+	var known []config.Endpoint
+	n.list, known = discovery.NewEndpointList(cfg.KnownEndpoints)
+	servers := make([]admission.Server, 0, len(known))
 	for _, m := range known {
 		servers = append(servers, m.Server())
 		n.rec.server(m.Server(), m.Address)
@@ -164,18 +164,18 @@
 			if n.links[s.ID] != nil {
 				return nil, fmt.Errorf("the H.248 server %s is on the name service's list as well", s.ID)
 			}
-			servers = append(servers, lapiscourse.Server{ID: s.ID, Pool: s.Pool})
-			n.rec.server(lapiscourse.Server{ID: s.ID, Pool: s.Pool}, s.Address)
+			servers = append(servers, admission.Server{ID: s.ID, Pool: s.Pool})
+			n.rec.server(admission.Server{ID: s.ID, Pool: s.Pool}, s.Address)
 			n.links[s.ID] = n.newLink(s.ID, s.Address, s.Pool, newH248(n, s.ID))
 		}
 	}
-	n.core.List(servers, true)
+	n.core.UpdateServers(servers, true)
 	return n, nil
 }
 
-func (n *Node) addLink(m config.Member) {
-	l := n.newLink(m.ID, m.Address, m.Cell, newSIP(n))
-	l.draining = m.Phase == config.Terminating
+func (n *Node) addLink(m config.Endpoint) {
+	l := n.newLink(m.ID, m.Address, m.Pool, newSIP(n))
+	l.draining = m.Phase == config.PhaseTerminating
 	l.meter.started = time.Duration(m.Started) * time.Millisecond
 	n.links[m.ID] = l
 }
@@ -267,10 +267,10 @@
 		l.dial()
 	}
 	set := n.cfg.Settings
-	n.log.Infow("settings", "group", set.GroupSize, "resend", set.Resend, "release", set.Release, "cold", set.Cold, "attempts", set.MaxAttempts,
+	n.log.Infow("settings", "group", set.ControllerCount, "resend", set.ResendInterval, "release", set.RetryGuard, "cold", set.SlowStartPeriod, "attempts", set.MaxAttempts,
 		"connect", n.connect)
 	for _, k := range set.Classes {
-		n.log.Infow("settings", "class", k.Name, "aim", k.Aim, "deadline", k.Deadline, "credit", k.Credit)
+		n.log.Infow("settings", "class", k.Name, "aim", k.LatencyObjective, "deadline", k.Deadline, "credit", k.Weight)
 	}
 	n.log.Infow("started", "name", n.cfg.Name, "listen", n.cfg.Listen, "exchanges", len(n.links))
 	close(n.started)
@@ -307,7 +307,7 @@
 	if n.timer == nil {
 		return
 	}
-	next := min(n.core.Next(), n.pollAt, n.share.next())
+	next := min(n.core.NextDeadline(), n.pollAt, n.share.next())
 	if n.stopAt > 0 {
 		next = min(next, n.lookAt)
 	}
@@ -348,14 +348,14 @@
 func (n *Node) Reload(cfg *config.Config) {
 	n.exec(func() {
 		n.turn(func() {
-			n.log.Infow("reloaded", "names", cfg.Names)
+			n.log.Infow("reloaded", "names", cfg.DiscoveryAddress)
 			if cfg.Name != n.cfg.Name || cfg.Listen != n.cfg.Listen || cfg.MemoryMB != n.cfg.MemoryMB ||
 				cfg.Sockets != n.cfg.Sockets || !reflect.DeepEqual(cfg.Settings, n.cfg.Settings) {
 				n.log.Infow("reload_partial", "err", "name, listen, limits and settings change at a restart only")
 			}
-			if cfg.Names != n.names.addr {
-				n.names.move(cfg.Names)
-				n.rec.configured("names", cfg.Names)
+			if cfg.DiscoveryAddress != n.names.addr {
+				n.names.move(cfg.DiscoveryAddress)
+				n.rec.configured("names", cfg.DiscoveryAddress)
 			}
 		})
 	})
@@ -370,7 +370,7 @@
 	if n.stopAt == 0 {
 		n.stopAt = n.now()
 		n.rec.stopping()
-		n.log.Infow("stopping", "open", n.core.Open(), "standing", n.core.Standing())
+		n.log.Infow("stopping", "open", n.core.OpenCalls(), "standing", n.core.EstablishedCalls())
 	}
 }
 
@@ -382,7 +382,7 @@
 	}
 	switch out := n.outOfTime(now); {
 	case out:
-		n.core.Stop()
+		n.core.RejectOpenCalls()
 	case n.owes():
 		n.restAt = 0
 		return
@@ -399,7 +399,7 @@
 
 // outOfTime tells whether SIGKILL is near: whatever is open, or comes, is answered at once.
 func (n *Node) outOfTime(now time.Duration) bool {
-	return n.stopAt > 0 && now-n.stopAt >= min(patience, n.cfg.Longest())+parting
+	return n.stopAt > 0 && now-n.stopAt >= min(patience, n.cfg.LongestDeadline())+parting
 }
 
 // ending tells whether a set-up that comes now would be open when the process ends.
@@ -408,7 +408,7 @@
 // owes tells whether anybody waits for something that this process alone can bring: an answer that is not
 // given or not written out, a release that no caller or exchange has been sent.
 func (n *Node) owes() bool {
-	if n.core.Open() > 0 || len(n.json.unsaid) > 0 {
+	if n.core.OpenCalls() > 0 || len(n.json.unsaid) > 0 {
 		return true
 	}
 	for k := range n.json.clients.oldest() {
@@ -466,7 +466,7 @@
 		l.invite(s)
 		return
 	}
-	n.later = append(n.later, func() { n.core.Ended(server, s.ID, s.Attempt, call.Unsent) })
+	n.later = append(n.later, func() { n.core.AttemptEnded(server, s.ID, s.Attempt, call.NotSent) })
 }
 
 // Cancel implements call.Exchanges.
@@ -482,8 +482,8 @@
 	}
 }
 
-// ReleaseAnywhere implements call.Exchanges.
-func (n *Node) ReleaseAnywhere(id string, cause int) {
+// ReleaseEverywhere implements call.Exchanges.
+func (n *Node) ReleaseEverywhere(id string, cause int) {
 	for _, l := range n.links {
 		l.release(id, bye{cause: cause, unknown: true})
 	}
@@ -491,7 +491,7 @@
 
 // news takes an answer of the name service.
 func (n *Node) news(text []byte) {
-	changed, err := n.list.Answer(text)
+	changed, err := n.list.HandleAnswer(text)
 	if err != nil {
 		n.BadNews++
 		if n.BadNews == 1 { // the counter tells how many there were
@@ -504,17 +504,17 @@
 	if len(changed) == 0 {
 		return
 	}
-	servers := make([]lapiscourse.Server, 0, len(changed))
+	servers := make([]admission.Server, 0, len(changed))
 	for _, m := range changed {
 		servers = append(servers, m.Server())
 		n.rec.server(m.Server(), m.Address)
-		n.log.Infow("exchange", "id", m.ID, "phase", m.Phase, "cell", m.Cell, "addr", m.Address, "started", m.Started)
+		n.log.Infow("exchange", "id", m.ID, "phase", m.Phase, "cell", m.Pool, "addr", m.Address, "started", m.Started)
 	}
-	n.core.List(servers, false) // before the links tell of ends: nothing is to go there again
+	n.core.UpdateServers(servers, false) // before the links tell of ends: nothing is to go there again
 	for _, m := range changed {
 		l := n.links[m.ID]
 		switch {
-		case m.Phase == config.Gone:
+		case m.Phase == config.PhaseGone:
 			if l != nil {
 				l.end()
 				delete(n.links, m.ID)
@@ -526,12 +526,12 @@
 			if l.addr != m.Address {
 				l.move(m.Address)
 			}
-			if l.draining = m.Phase == config.Terminating; l.draining {
+			if l.draining = m.Phase == config.PhaseTerminating; l.draining {
 				l.drain()
 			}
 			l.meter.started = time.Duration(m.Started) * time.Millisecond
 			if m.Started > 0 { // a process that started since has none of the calls
-				n.core.Lost(m.ID, time.Duration(m.Started)*time.Millisecond)
+				n.core.BackendRestarted(m.ID, time.Duration(m.Started)*time.Millisecond)
 			}
 		}
 	}
@@ -613,7 +613,7 @@
 			if failedWrite(err) {
 				n.leftover(c, x.lastWords)
 				for _, id := range x.s.told { // nobody has heard that they stand, and nobody would release them
-					n.core.Hangup(id, call.CauseNormal)
+					n.core.ReleaseByCaller(id, call.CauseNormal)
 				}
 			}
 			x.closed()
@@ -657,11 +657,11 @@
 // Report writes the counters.
 func (n *Node) Report() {
 	c, k := &n.Counters, &n.core.Counters
-	n.log.Infow("counters", "requests", k.Requests, "stood", k.Stood, "refused", k.Refused, "failed", k.Failed, "given_up", k.GivenUp,
-		"repeated", k.Repeated, "reused", k.Reused, "crowded", k.Crowded, "barred", k.Barred, "impossible", c.Impossible, "open", n.core.Open(),
-		"standing", n.core.Standing())
-	n.log.Infow("counters", "attempts", k.Attempts, "invites", c.Invites, "cancels", k.Cancels, "late_answers", k.LateAnswers, "released_by_exchange", k.ReleasedByExchange,
-		"released_by_caller", k.ReleasedByCaller, "released_unknown", k.ReleasedUnknown, "unknown_dropped", k.AliensDropped)
+	n.log.Infow("counters", "requests", k.Requests, "stood", k.Established, "refused", k.Rejected, "failed", k.Failed, "given_up", k.Abandoned,
+		"repeated", k.Repeated, "reused", k.ReusedIDs, "crowded", k.OverLimit, "barred", k.ByPolicy, "impossible", c.Impossible, "open", n.core.OpenCalls(),
+		"standing", n.core.EstablishedCalls())
+	n.log.Infow("counters", "attempts", k.Attempts, "invites", c.Invites, "cancels", k.Cancels, "late_answers", k.LateAnswers, "released_by_exchange", k.ReleasedByBackend,
+		"released_by_caller", k.ReleasedByCaller, "released_unknown", k.ReleasedUnknown, "unknown_dropped", k.UnknownReleasesDropped)
 	n.log.Infow("counters", "clients", c.Clients, "clients_shut", c.ClientsShut, "clients_turned_away", c.ClientsTurnedAway, "clients_silent", c.ClientsSilent, "malformed", c.Malformed,
 		"tests", c.Tests, "repeats", c.Repeats, "unsayable", c.Unsayable, "dials", c.Dials, "dials_failed", c.DialsFailed,
 		"links_lost", c.LinksLost, "strays", c.Strays, "releases_said", c.ReleasesSaid, "releases_lost", c.ReleasesLost)
@@ -671,7 +671,7 @@
 		n.log.Infow("counters", "lookups", l.Asked, "hits", l.Hits, "coalesced", l.Coalesced, "stale", l.StaleHits, "undecided", l.Undecided, "no_room", l.Crowded,
 			"sent", l.Sent, "answered", l.Answered, "timed_out", l.TimedOut, "refused", l.Refused, "strays", l.Strays, "lies", l.Lies, "broken", l.Broken)
 	}
-	for _, e := range call.Ends() {
+	for _, e := range call.AllAttemptEnds() {
 		if k.Ends[e] > 0 {
 			n.log.Infow("ends", "end", e.String(), "count", k.Ends[e])
 		}
--- a/internal/net/numbers.go
+++ b/internal/server/numbers.go
@@ -1,18 +1,18 @@
-package net
+package server
 
 import (
 	"errors"
 	"fmt"
 	"time"
 
-	"lapiscourse/internal/call"
-	"lapiscourse/internal/config"
-	"lapiscourse/internal/control"
-	"lapiscourse/internal/enum"
-	"lapiscourse/internal/net/h248"
-	"lapiscourse/internal/numbering"
-	"lapiscourse/internal/portability"
-	durable "lapiscourse/internal/store"
+	"olivedale/internal/adminapi"
+	"olivedale/internal/call"
+	"olivedale/internal/codec/h248"
+	"olivedale/internal/config"
+	"olivedale/internal/enum"
+	"olivedale/internal/numbering"
+	"olivedale/internal/portability"
+	durable "olivedale/internal/store"
 )
 
 // numbers routes calls by the table of numbers in force. The desk belongs to the loop; tables are
@@ -32,7 +32,7 @@
 
 // newNumbers brings back what was in force before, or reads the file. A program that is to route by
 // number does not start without a good table.
-func newNumbers(n *Node, o *config.Numbers) (*numbers, error) {
+func newNumbers(n *Node, o *config.Numbering) (*numbers, error) {
 	r := &numbers{n: n, file: o.File}
 	for _, k := range n.cfg.Settings.Classes {
 		r.env.Classes = append(r.env.Classes, numbering.Class{Name: k.Name, Pools: k.Pools})
@@ -78,7 +78,7 @@
 // torn or damaged gives way to the last good one, and the log says so.
 func (r *numbers) restore() bool {
 	v, err := r.kept.Load(standingName)
-	if errors.Is(err, durable.ErrNone) {
+	if errors.Is(err, durable.ErrNotFound) {
 		return false
 	}
 	for _, bad := range v.Bad {
@@ -88,7 +88,7 @@
 		r.n.log.Errorw("numbers_damaged", "err", err, "instead", r.file)
 		return false
 	}
-	for _, v := range append([]durable.Value{v}, r.kept.Before(standingName, v.Serial)...) {
+	for _, v := range append([]durable.Value{v}, r.kept.History(standingName, v.Serial)...) {
 		s, err := numbering.DecodeStanding(v.Data)
 		if err == nil {
 			for _, digest := range []string{s.Before, s.Next, s.Active} {
@@ -222,7 +222,7 @@
 	}
 	for _, name := range names {
 		if name != standingName && name != s.Active && name != s.Before && name != s.Next && len(names) > mostKept {
-			if r.kept.Drop(name) != nil {
+			if r.kept.Delete(name) != nil {
 				return
 			}
 			names = names[1:]
@@ -234,18 +234,18 @@
 const mostKept = 32
 
 // Route implements call.Router.
-func (r *numbers) Route(now call.Time, q *call.Request) call.Routing {
+func (r *numbers) Route(now call.Time, q *call.Request) call.Route {
 	pin := r.desk.Pin()
 	t := pin.Table()
 	ask := numbering.Query{Number: q.Number, Class: q.Class, At: now, Seed: numbering.Seed(q.ID)}
 	d := t.Analyse(&ask)
 	if d.Verdict == numbering.Ask {
 		id := q.ID
-		wait := r.budget(q.Class).Of(q.Until - now)
+		wait := r.budget(q.Class).Of(q.Deadline - now)
 		if r.client != nil && wait > 0 && r.client.Ask(id, d.Number.String(), wait, func(res portability.Result) {
 			r.n.exec(func() { r.n.turn(func() { r.found(id, pin, ask, res) }) })
 		}) {
-			return call.Routing{Pending: true, Table: t.Digest(), Release: func() {
+			return call.Route{Pending: true, Table: t.Digest(), Release: func() {
 				r.client.Cancel(id)
 				pin.Release()
 			}}
@@ -266,15 +266,15 @@
 	}
 	ask.Ported = res.Ported
 	d := t.Analyse(&ask)
-	r.n.core.Routed(id, r.word(&ask, &d))
+	r.n.core.RouteResolved(id, r.word(&ask, &d))
 }
 
 // word is a decision as the core takes it.
-func (r *numbers) word(ask *numbering.Query, d *numbering.Decision) call.Routing {
+func (r *numbers) word(ask *numbering.Query, d *numbering.Decision) call.Route {
 	if ask.Ported.State == numbering.Undecided && r.lookup.Fallback == config.FallbackRefuse {
-		return call.Routing{Cause: call.CauseNoCircuit, Wait: r.n.cfg.Settings.Told(undecidedWait)}
+		return call.Route{Cause: call.CauseNoCircuit, RetryAfter: r.n.cfg.Settings.RetryAfter(undecidedWait)}
 	}
-	return call.Routing{Pools: d.Pools(), Cause: d.Cause, Urgent: d.Emergency}
+	return call.Route{Pools: d.Pools(), Cause: d.Cause, Emergency: d.Emergency}
 }
 
 // undecidedWait is what callers are asked to keep away for where nobody can tell a number's way.
@@ -283,10 +283,10 @@
 // budget is what a look-up for a call of a class may take: two attempts that take half the wanted
 // time each, the release guard between them and the answer must still fit behind it.
 func (r *numbers) budget(class string) portability.Budget {
-	b := portability.Budget{Attempt: 500 * time.Millisecond, Guard: r.n.cfg.Settings.Release, Answer: 10 * margin, Share: r.lookup.Share}
+	b := portability.Budget{Attempt: 500 * time.Millisecond, Guard: r.n.cfg.Settings.RetryGuard, Answer: 10 * margin, Share: r.lookup.Share}
 	for _, k := range r.n.cfg.Settings.Classes {
 		if k.Name == class {
-			b.Attempt = k.Aim / 2
+			b.Attempt = k.LatencyObjective / 2
 		}
 	}
 	return b
@@ -306,9 +306,9 @@
 		return nil
 	}
 	t := r.desk.Active()
-	all = append(all, control.TableNode(t.Digest(), t.Version))
+	all = append(all, adminapi.TableNode(t.Digest(), t.Version))
 	if c, ok := r.lookups(); ok {
-		all = append(all, control.LookupsNode(&c))
+		all = append(all, adminapi.LookupsNode(&c))
 	}
 	return all
 }
@@ -355,14 +355,14 @@
 	if n.numbers == nil {
 		return nil, &h248.Error{Code: h248.UnknownTermination, Text: "no section [numbers]"}
 	}
-	o, err := control.ReadNumbersOrder(c)
+	o, err := adminapi.ParseNumberingOrder(c)
 	if err == nil {
 		_, err = n.numbers.order(o, nil)
 	}
 	if err != nil {
 		return nil, &h248.Error{Code: h248.BadValue, Text: err.Error()}
 	}
-	return control.NumbersNodes(nil, n.numbers.desk.Job()), nil
+	return adminapi.NumberingNodes(nil, n.numbers.desk.Job()), nil
 }
 
 var _ call.Router = (*numbers)(nil)
--- a/internal/net/numbers_test.go
+++ b/internal/server/numbers_test.go
@@ -1,4 +1,4 @@
-package net
+package server
 
 import (
 	"context"
@@ -10,12 +10,12 @@
 	"testing"
 	"time"
 
-	"lapiscourse/internal/call"
-	"lapiscourse/internal/config"
-	"lapiscourse/internal/control"
-	"lapiscourse/internal/net/h248"
-	"lapiscourse/internal/numbering"
-	"lapiscourse/internal/record"
+	"olivedale/internal/adminapi"
+	"olivedale/internal/call"
+	"olivedale/internal/codec/h248"
+	"olivedale/internal/config"
+	"olivedale/internal/numbering"
+	"olivedale/internal/record"
 )
 
 // numberRules are rules by which all numbers go to one pool, but those that begin with 9, which
@@ -47,7 +47,7 @@
 		digest[table.Digest()] = pool
 	}
 	write(0)
-	f.numbers = &config.Numbers{File: file}
+	f.numbers = &config.Numbering{File: file}
 	dir := t.TempDir()
 	s := f.node(t, "n0", dir, new(atomic.Int64))
 	k := dialJSON(t, s.json(), h, "aaaaaaaa")
@@ -100,7 +100,7 @@
 	// The connection of the first call counts as mute, as it does where this test is slow: the call is tried again,
 	// by the table that it began with.
 	again := f.r.tries("100")
-	s.n.exec(func() { s.n.turn(func() { s.n.links["s-0"].down(call.Mute) }) })
+	s.n.exec(func() { s.n.turn(func() { s.n.links["s-0"].down(call.Unresponsive) }) })
 	eventually(t, "it is tried again", func() bool { return f.r.tries("100") > again })
 	if holds(0) == 0 || holds(1) == 0 {
 		t.Errorf("while one is tried again calls hold %+v", status())
@@ -155,19 +155,19 @@
 		}
 		return path
 	}
-	f.numbers = &config.Numbers{File: write("first.toml", numberRules(0)), State: filepath.Join(dir, "state")}
+	f.numbers = &config.Numbering{File: write("first.toml", numberRules(0)), State: filepath.Join(dir, "state")}
 	s := f.node(t, "n0", "", new(atomic.Int64))
 	ask := func(s *site, c *h248.Command) ([]numbering.Status, numbering.Job, error) {
-		reply, err := control.Ask(context.Background(), s.admin(), c)
+		reply, err := adminapi.Send(context.Background(), s.admin(), c)
 		if err != nil {
 			return nil, numbering.Job{}, err
 		}
-		versions, job := control.ReadNumbers(reply.Descriptors)
+		versions, job := adminapi.ParseNumbering(reply.Descriptors)
 		return versions, job, nil
 	}
 	list := func(s *site) ([]numbering.Status, numbering.Job) {
 		t.Helper()
-		versions, job, err := ask(s, control.Audit(control.NumbersTermination))
+		versions, job, err := ask(s, adminapi.AuditCommand(adminapi.NumberingTermination))
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -184,7 +184,7 @@
 	}
 	order := func(s *site, o numbering.Order) numbering.Job {
 		t.Helper()
-		_, begun, err := ask(s, control.NumbersOrder(o))
+		_, begun, err := ask(s, adminapi.NumberingCommand(o))
 		if err != nil {
 			return numbering.Job{Err: err.Error()}
 		}
@@ -215,10 +215,10 @@
 	if versions, _ := list(s); len(versions) != 2 {
 		t.Errorf("%+v", versions)
 	}
-	if _, _, err := ask(&site{n: s.n}, &h248.Command{Name: "Modify", Termination: control.NumbersTermination}); err == nil {
+	if _, _, err := ask(&site{n: s.n}, &h248.Command{Name: "Modify", Termination: adminapi.NumberingTermination}); err == nil {
 		t.Error("an order without a word was taken")
 	}
-	if _, err := control.Ask(context.Background(), s.panel(), control.NumbersOrder(numbering.Order{Op: numbering.OpCancel})); err == nil {
+	if _, err := adminapi.Send(context.Background(), s.panel(), adminapi.NumberingCommand(numbering.Order{Op: numbering.OpCancel})); err == nil {
 		t.Error("a panel may order")
 	}
 
@@ -226,7 +226,7 @@
 	killed := filepath.Join(dir, "killed")
 	copyStore(t, f.numbers.State, killed)
 	s.stop(t)
-	f.numbers = &config.Numbers{File: f.numbers.File, State: killed}
+	f.numbers = &config.Numbering{File: f.numbers.File, State: killed}
 	s = f.node(t, "n0", "", new(atomic.Int64))
 	versions, _ := list(s)
 	waiting := ""
--- a/internal/net/recorder_test.go
+++ b/internal/server/recorder_test.go
@@ -1,4 +1,4 @@
-package net
+package server
 
 import (
 	"cmp"
@@ -15,12 +15,12 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
-	"lapiscourse/internal/call"
-	"lapiscourse/internal/config"
-	"lapiscourse/internal/control"
-	"lapiscourse/internal/incident"
-	"lapiscourse/internal/net/h248"
-	"lapiscourse/internal/record"
+	"olivedale/internal/adminapi"
+	"olivedale/internal/call"
+	"olivedale/internal/codec/h248"
+	"olivedale/internal/config"
+	"olivedale/internal/incident"
+	"olivedale/internal/record"
 )
 
 // fleet is several nodes with the same stand-in servers and name service.
@@ -29,11 +29,11 @@
 	r       *rules
 	servers []*standIn
 	lines   []nameLine
-	numbers *config.Numbers // of nodes started from now on
-	module  call.Decider    // of the next node, in place of the module
-	pools   string          // that calls may go to; "": those of settings
-	queue   config.Size     // of records; 0: the default
-	sockets int             // 0: 1024
+	numbers *config.Numbering // of nodes started from now on
+	module  call.Decider      // of the next node, in place of the module
+	pools   string            // that calls may go to; "": those of settings
+	queue   config.Size       // of records; 0: the default
+	sockets int               // 0: 1024
 }
 
 func startFleet(t testing.TB, servers int) *fleet {
@@ -51,13 +51,13 @@
 // node starts one more node; skew is how far its clock is ahead. Without dir it records nothing.
 func (f *fleet) node(t testing.TB, name, dir string, skew *atomic.Int64) *site {
 	t.Helper()
-	var known []config.Member
+	var known []config.Endpoint
 	for _, l := range f.lines {
-		known = append(known, config.Member{ID: l.id, Address: l.addr, Zone: "east", Kind: "std", Cell: l.cell, Phase: config.Ready})
+		known = append(known, config.Endpoint{ID: l.id, Address: l.addr, Zone: "east", Kind: "std", Pool: l.cell, Phase: config.PhaseReady})
 	}
 	text, err := json.Marshal(map[string]any{"name": name, "listen": "127.0.0.1:0", "seed": "1f", "names": f.names.c.LocalAddr().String(),
 		"limits": map[string]any{"memory_mb": 192, "sockets": cmp.Or(f.sockets, 1024)}, "settings": json.RawMessage(strings.Replace(settings, "[[0,1,2,3]]", cmp.Or(f.pools, "[[0,1,2,3]]"), 1)),
-		"known": config.Known{N: 1, Events: []config.Event{{N: 1, Members: config.List{Complete: true, Members: known}}}}})
+		"known": config.KnownEndpoints{LastEvent: 1, Events: []config.EndpointEvent{{N: 1, Endpoints: config.EndpointList{Complete: true, Endpoints: known}}}}})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -68,7 +68,7 @@
 	var rec *config.Records
 	if dir != "" {
 		rec = &config.Records{Dir: dir, Sync: config.Duration(10 * time.Millisecond), Queue: f.queue}
-		if err := rec.Check(); err != nil {
+		if err := rec.Validate(); err != nil {
 			t.Fatal(err)
 		}
 	}
@@ -203,7 +203,7 @@
 	}
 	silent := k.setUp("silent.1", 300*time.Millisecond)
 	h.wait(t, silent, 1)
-	audit, err := control.Ask(context.Background(), s.admin(), control.Audit("ROOT"))
+	audit, err := adminapi.Send(context.Background(), s.admin(), adminapi.AuditCommand("ROOT"))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -222,21 +222,21 @@
 	if got := h248.Value(audit.Descriptors, "Statistics", "oc/attempts"); got != strconv.Itoa(tries) {
 		t.Errorf("%d attempts by server, %s in all", tries, got)
 	}
-	if audit, err = control.Ask(context.Background(), s.panel(), control.Audit("ROOT")); err != nil || h248.Find(audit.Descriptors, "Statistics", "oc/server") != nil {
+	if audit, err = adminapi.Send(context.Background(), s.panel(), adminapi.AuditCommand("ROOT")); err != nil || h248.Find(audit.Descriptors, "Statistics", "oc/server") != nil {
 		t.Errorf("a panel is told of servers, %v", err)
 	}
 	s.stop(t)
 
 	c := &s.n.core.Counters
 	counts, lives := naive(t, dir)
-	for what, want := range map[string]int{"setup": c.Requests, "answer stood": c.Stood, "answer refused": c.Refused, "answer failed": c.Failed,
-		"answer given_up": c.GivenUp, "try": c.Attempts, "release": c.ReleasedByCaller + c.ReleasedByExchange, "start": 1, "stopping": 1, "end": 1, "lost": 0, "gap": 0} {
+	for what, want := range map[string]int{"setup": c.Requests, "answer stood": c.Established, "answer refused": c.Rejected, "answer failed": c.Failed,
+		"answer given_up": c.Abandoned, "try": c.Attempts, "release": c.ReleasedByCaller + c.ReleasedByBackend, "start": 1, "stopping": 1, "end": 1, "lost": 0, "gap": 0} {
 		if counts[what] != uint64(want) {
 			t.Errorf("%d records of %s, the core counted %d", counts[what], what, want)
 		}
 	}
 	for end, n := range c.Ends {
-		if what := "end " + call.End(end).String(); counts[what] != uint64(n) {
+		if what := "end " + call.AttemptEnd(end).String(); counts[what] != uint64(n) {
 			t.Errorf("%d records of %s, the core counted %d", counts[what], what, n)
 		}
 	}
@@ -256,7 +256,7 @@
 		t.Errorf("the life of a call that was kept: %s", got)
 	}
 	r := analyse(t, dir)
-	if r.Total.Offered != uint64(c.Requests) || r.Total.Stood() != uint64(c.Stood) || r.AtLeast || r.Instances[0].Tallies["stood"] != uint64(c.Stood) {
+	if r.Total.Offered != uint64(c.Requests) || r.Total.Stood() != uint64(c.Established) || r.AtLeast || r.Instances[0].Tallies["stood"] != uint64(c.Established) {
 		t.Errorf("the report: %+v", r.Total.Counts)
 	}
 }
@@ -273,7 +273,7 @@
 	skews[1].Store(int64(3700 * time.Millisecond))
 	var nodes []*site
 	var callers []*jsonCaller
-	var stamps [4]control.Stamps
+	var stamps [4]adminapi.ClockStamps
 	dirs := make([]string, 4)
 	for i := range 4 {
 		dirs[i] = filepath.Join(root, fmt.Sprint("n", i))
@@ -283,7 +283,7 @@
 	exchange := func() {
 		for i, n := range nodes {
 			var err error
-			if stamps[i], err = control.Exchange(context.Background(), n.admin(), "test", stamps[i]); err != nil {
+			if stamps[i], err = adminapi.ExchangeClocks(context.Background(), n.admin(), "test", stamps[i]); err != nil {
 				t.Fatal(err)
 			}
 		}
@@ -302,7 +302,7 @@
 	again := func() { // n0 ends in good order and starts anew: its next records are another segment
 		nodes[0].stop(t)
 		eventually(t, "its store is let go", func() bool { return !record.Live(dirs[0]) }) // a slow disk gets longer than a node waits
-		nodes[0], stamps[0] = f.node(t, "n0", dirs[0], &skews[0]), control.Stamps{}
+		nodes[0], stamps[0] = f.node(t, "n0", dirs[0], &skews[0]), adminapi.ClockStamps{}
 		callers[0] = dialJSON(t, nodes[0].json(), h, fmt.Sprintf("%08x", time.Now().UnixNano()&0xffffffff))
 	}
 	exchange()
@@ -367,7 +367,7 @@
 				t.Errorf("%s: %d %s, one by one %d", in.Name, got, what, n[what])
 			}
 		}
-		if core := &nodes[i].n.core.Counters; (i == 1 || i == 2) && (c.Offered != uint64(core.Requests) || c.Stood() != uint64(core.Stood) || c.Tries != uint64(core.Attempts) || in.AtLeast) {
+		if core := &nodes[i].n.core.Counters; (i == 1 || i == 2) && (c.Offered != uint64(core.Requests) || c.Stood() != uint64(core.Established) || c.Tries != uint64(core.Attempts) || in.AtLeast) {
 			t.Errorf("%s: %+v, the core counted %+v", in.Name, c.Counts, core)
 		}
 		offered, stood, failed, tries = offered+n["setup"], stood+n["answer stood"], failed+n["answer failed"], tries+n["try"]
--- a/internal/net/settings_record_test.go
+++ b/internal/server/settings_record_test.go
@@ -1,4 +1,4 @@
-package net
+package server
 
 import (
 	"errors"
@@ -8,8 +8,8 @@
 	"strings"
 	"testing"
 
-	"lapiscourse/internal/config"
-	"lapiscourse/internal/record"
+	"olivedale/internal/config"
+	"olivedale/internal/record"
 )
 
 // The store keeps the settings in force as a text with a digest, and analyses compare the digests of
@@ -26,7 +26,7 @@
 		t.Fatal(err)
 	}
 	records := &config.Records{Dir: t.TempDir()}
-	if err := records.Check(); err != nil {
+	if err := records.Validate(); err != nil {
 		t.Fatal(err)
 	}
 	node, err := New(cfg, Options{Records: records})
@@ -38,13 +38,13 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if got := settingsRecord(t, records.Dir); got != strings.TrimSuffix(string(want), "\n") {
+	if got := readSettingsRecord(t, records.Dir); got != strings.TrimSuffix(string(want), "\n") {
 		t.Errorf("got  %s\nwant %s", got, want)
 	}
 }
 
-// settingsRecord returns the text of the record that holds the settings.
-func settingsRecord(t *testing.T, dir string) string {
+// readSettingsRecord returns the text of the record that holds the settings.
+func readSettingsRecord(t *testing.T, dir string) string {
 	t.Helper()
 	reader, err := record.OpenDir(dir)
 	if err != nil {
--- a/internal/wire/settings.go
+++ b/internal/simproto/settings.go
@@ -1,11 +1,11 @@
-package wire
+package simproto
 
 import (
 	"encoding/json"
 	"fmt"
 	"time"
 
-	"lapiscourse"
+	"olivedale/internal/admission"
 )
 
 // ms is a time in milliseconds in the settings.
@@ -51,10 +51,10 @@
 }
 
 // ReadSettings decodes the settings object that START carries.
-func ReadSettings(text []byte) (lapiscourse.Settings, error) {
+func ReadSettings(text []byte) (admission.Settings, error) {
 	var in settings
 	if err := json.Unmarshal(text, &in); err != nil {
-		return lapiscourse.Settings{}, fmt.Errorf("settings: %w", err)
+		return admission.Settings{}, fmt.Errorf("settings: %w", err)
 	}
 	var first error
 	s := in.decode(func(field string, err error) {
@@ -66,7 +66,7 @@
 }
 
 // decode makes the module's settings and calls fail for each value that can't be.
-func (in *settings) decode(fail func(field string, err error)) lapiscourse.Settings {
+func (in *settings) decode(fail func(field string, err error)) admission.Settings {
 	dur := func(v ms, field string) time.Duration {
 		t, err := millis(float64(v))
 		if err != nil {
@@ -74,19 +74,19 @@
 		}
 		return t
 	}
-	s := lapiscourse.Settings{
-		GroupSize: in.GroupSize, Topology: in.Domain.Topology,
-		AskList:     in.Discovery == "ask",
-		MaxAttempts: in.Limits.MaxAttempts, MayCancel: in.Limits.Cancel,
-		NoWait:  in.Limits.RetryAfter != nil && !*in.Limits.RetryAfter,
-		Resend:  dur(in.Domain.Resend, "domain.resend"),
-		Release: dur(in.Domain.ReleaseGuard, "domain.releaseGuard"),
-		Cold:    dur(in.Safety.Cold, "safety.cold"), Start: in.Safety.StartCapacity, Multiple: in.Safety.FallMultiple,
+	s := admission.Settings{
+		ControllerCount: in.GroupSize, Topology: in.Domain.Topology,
+		WatchServersOnRequest: in.Discovery == "ask",
+		MaxAttempts:           in.Limits.MaxAttempts, CanCancel: in.Limits.Cancel,
+		OmitRetryAfter:  in.Limits.RetryAfter != nil && !*in.Limits.RetryAfter,
+		ResendInterval:  dur(in.Domain.Resend, "domain.resend"),
+		RetryGuard:      dur(in.Domain.ReleaseGuard, "domain.releaseGuard"),
+		SlowStartPeriod: dur(in.Safety.Cold, "safety.cold"), SlowStartShare: in.Safety.StartCapacity, SlowStartFactor: in.Safety.FallMultiple,
 	}
 	for i, c := range in.Classes {
-		class := lapiscourse.Class{Name: c.Name, Aim: dur(c.Aim, "classes.aim"),
-			Deadline: dur(c.Deadline, "classes.deadline"), Credit: c.Credit, LateWorth: c.LateWorth,
-			Effect: effect(c.Effect), Scope: scope(c.Group), Window: dur(c.Window, "classes.dedupWindow")}
+		class := admission.Class{Name: c.Name, LatencyObjective: dur(c.Aim, "classes.aim"),
+			Deadline: dur(c.Deadline, "classes.deadline"), Weight: c.Credit, LateWeightFactor: c.LateWorth,
+			Repeatability: effect(c.Effect), DeduplicationScope: scope(c.Group), DeduplicationWindow: dur(c.Window, "classes.dedupWindow")}
 		if i < len(in.Domain.SkilledPools) {
 			class.Pools = in.Domain.SkilledPools[i]
 		}
@@ -96,23 +96,23 @@
 }
 
 // effect reads what a repeat does. A word that is not known is taken for the strictest.
-func effect(word string) lapiscourse.Effect {
+func effect(word string) admission.Repeatability {
 	switch word {
 	case "", "pure":
-		return lapiscourse.Harmless
+		return admission.Idempotent
 	case "token":
-		return lapiscourse.Once
+		return admission.Deduplicated
 	}
-	return lapiscourse.Never
+	return admission.NonRepeatable
 }
 
 // scope reads which servers know a repeat. A word that is not known is taken for the narrowest.
-func scope(word string) lapiscourse.Scope {
+func scope(word string) admission.DeduplicationScope {
 	switch word {
 	case "all":
-		return lapiscourse.Everywhere
+		return admission.ScopeFleet
 	case "zone":
-		return lapiscourse.WithinZone
+		return admission.ScopeZone
 	}
-	return lapiscourse.WithinPool
+	return admission.ScopePool
 }
