--- /dev/null
+++ b/internal/admission/golden_test.go
@@ -0,0 +1,396 @@
+package admission
+
+import (
+	"crypto/sha256"
+	"flag"
+	"fmt"
+	"hash"
+	"math"
+	"math/rand/v2"
+	"os"
+	"regexp"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+)
+
+var updateGolden = flag.Bool("update", false, "write the golden decision traces of this build")
+
+const (
+	goldenFile  = "testdata/decisions.golden"
+	goldenSeeds = 30
+	goldenSteps = 3000
+)
+
+// TestDecisionsAreUnchanged compares hashes of all actions, of all calls of the overload control and of the state
+// of the random generator with those of the build that wrote the golden file. Labels in the trace are fixed text,
+// so that a renamed Go identifier does not change a hash.
+func TestDecisionsAreUnchanged(t *testing.T) {
+	var lines []string
+	for seed := range uint64(goldenSeeds) {
+		lines = append(lines, fmt.Sprintf("storm %d %s", seed, stormTrace(t, seed)))
+	}
+	for seed := range uint64(goldenSeeds) {
+		lines = append(lines, fmt.Sprintf("traffic %d %s", seed, trafficTrace(t, seed)))
+	}
+	got := strings.Join(lines, "\n") + "\n"
+	if *updateGolden {
+		if err := os.WriteFile(goldenFile, []byte(got), 0o644); err != nil {
+			t.Fatal(err)
+		}
+	}
+	text, err := os.ReadFile(goldenFile)
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := strings.Split(strings.TrimSuffix(string(text), "\n"), "\n")
+	if len(want) != len(lines) {
+		t.Fatalf("%d traces, want %d", len(lines), len(want))
+	}
+	for i, line := range lines {
+		if line != want[i] {
+			t.Errorf("trace %q, want %q", line, want[i])
+		}
+	}
+}
+
+// stormTrace hashes the actions that the random events of a storm cause.
+func stormTrace(t *testing.T, seed uint64) string {
+	s := newStorm(t, seed)
+	for range goldenSteps {
+		s.step()
+	}
+	s.drain()
+	h := sha256.New()
+	for _, act := range s.trace {
+		writeAction(h, s.now, act)
+	}
+	fmt.Fprintln(h, s.c.rng.Uint64())
+	return fmt.Sprintf("%d %x", len(s.trace), h.Sum(nil)[:16])
+}
+
+var numberInText = regexp.MustCompile(`[0-9]+(\.[0-9]+)?`)
+
+// writeAction writes an action with labels that do not depend on Go names.
+func writeAction(h hash.Hash, now Time, act Action) {
+	switch x := act.(type) {
+	case SendAttempt:
+		fmt.Fprintln(h, "send", x.CallID, x.Server, int64(x.Timeout))
+	case RejectCall:
+		fmt.Fprintln(h, "reject", x.CallID, int64(x.RetryAfter), string(x.Reason))
+	case FailCall:
+		fmt.Fprintln(h, "fail", x.CallID, int64(x.RetryAfter), string(x.Reason))
+	case CancelAttempt:
+		fmt.Fprintln(h, "cancel", x.CallID, x.Attempt, string(x.Reason))
+	case SetTimer:
+		fmt.Fprintln(h, "timer", int64(x.At), x.Key)
+	case WatchServers:
+		fmt.Fprintln(h, "watch")
+	case LogMessage:
+		fmt.Fprintln(h, "log", numberInText.FindAllString(x.Text, -1))
+	case RateLimitChanged:
+		fmt.Fprintln(h, "limit", x.Server, math.Float64bits(x.AttemptsPerSecond), string(x.Reason))
+	default:
+		fmt.Fprintln(h, "unknown", int64(now))
+	}
+}
+
+// recordingControl writes each call of the overload control to a trace and throttles at random in some of the runs.
+type recordingControl struct {
+	h         hash.Hash
+	rng       *rand.Rand
+	throttles bool
+}
+
+func (r recordingControl) RecordOffered(now Time, server string, tier int) {
+	fmt.Fprintln(r.h, "offered", int64(now), server, tier)
+}
+
+func (r recordingControl) RecordSent(now Time, server string, first bool) {
+	fmt.Fprintln(r.h, "sent", int64(now), server, first)
+}
+
+func (r recordingControl) RecordResult(now Time, server string, established bool, took time.Duration) {
+	fmt.Fprintln(r.h, "result", int64(now), server, established, int64(took))
+}
+
+func (r recordingControl) RecordOverload(now Time, server string) {
+	fmt.Fprintln(r.h, "overload", int64(now), server)
+}
+
+func (r recordingControl) Throttle(now Time, server string, tier int, first bool) (Reason, bool) {
+	fmt.Fprintln(r.h, "throttle", int64(now), server, tier, first)
+	if !r.throttles || r.rng.IntN(4) > 0 {
+		return "", false
+	}
+	if r.rng.IntN(3) > 0 {
+		return "", true
+	}
+	return ReasonFleetThrottle, true
+}
+
+// behavior is how a simulated server treats set-ups for a while.
+type behavior int
+
+const (
+	answersQuickly behavior = iota
+	answersSlowly
+	answersNothing
+	losesSome
+	rejectsSome
+	hasNoCircuit
+	losesConnection
+	failsSome
+	behaviors
+)
+
+type simulatedServer struct {
+	Server
+	behavior behavior
+	circuits float64
+}
+
+// pendingEvent is an event that the simulation delivers at a time.
+type pendingEvent struct {
+	at      Time
+	call    string
+	attempt int
+	event   Event
+}
+
+// traffic drives a state machine with calls, servers that change their behaviour, and reports.
+type traffic struct {
+	c       *StateMachine
+	now     Time
+	rng     *rand.Rand
+	h       hash.Hash
+	servers []*simulatedServer
+	events  []pendingEvent
+	attempt map[string]int
+	calls   int
+	actions int
+}
+
+func trafficSettings(seed uint64) Settings {
+	set := testSettings()
+	set.ControllerCount = []int{1, 4, 100}[seed%3]
+	set.CanCancel = seed%5 != 0
+	set.OmitRetryAfter = seed%7 == 0
+	set.WatchServersOnRequest = seed%4 == 0
+	set.SlowStartFactor = []float64{0, 1.2, 3}[seed%3]
+	set.ResendInterval = []time.Duration{0, 120 * ms, 600 * ms}[(seed/3)%3]
+	set.MaxAttempts = 2 + int(seed%3)
+	set.Classes = append(set.Classes,
+		Class{Name: "zone", LatencyObjective: 900 * ms, Deadline: 5 * time.Second, Weight: 2, Repeatability: Deduplicated,
+			DeduplicationScope: ScopeZone, DeduplicationWindow: time.Second},
+		Class{Name: "pool", LatencyObjective: 900 * ms, Deadline: 5 * time.Second, Weight: 2, Repeatability: Deduplicated,
+			DeduplicationScope: ScopePool, DeduplicationWindow: time.Second},
+		Class{Name: "fleet", LatencyObjective: 900 * ms, Deadline: 5 * time.Second, Weight: 2, Repeatability: Deduplicated,
+			DeduplicationWindow: time.Second},
+		Class{Name: "never", LatencyObjective: 900 * ms, Deadline: 5 * time.Second, Weight: 5, Repeatability: NonRepeatable,
+			Pools: []int{0, 1, 2}})
+	return set
+}
+
+func trafficTrace(t *testing.T, seed uint64) string {
+	c, err := NewStateMachine(trafficSettings(seed), seed)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &traffic{c: c, now: time.Hour, rng: rand.New(rand.NewPCG(seed, 11)), h: sha256.New(), attempt: map[string]int{}}
+	if seed%2 == 1 {
+		c.fleet = recordingControl{h: s.h, rng: rand.New(rand.NewPCG(seed, 13)), throttles: seed%4 == 1}
+	}
+	for i := range 5 {
+		s.servers = append(s.servers, &simulatedServer{circuits: 40,
+			Server: Server{ID: fmt.Sprint("s", i), Pool: i % 4, Zone: fmt.Sprint("z", i%2)}})
+	}
+	s.apply(c.Begin(s.now))
+	var all []Server
+	for _, srv := range s.servers {
+		all = append(all, srv.Server)
+	}
+	s.handle(ServersUpdated{Full: true, Cached: true, Servers: all})
+	for range goldenSteps {
+		s.step()
+	}
+	fmt.Fprintln(s.h, s.c.rng.Uint64())
+	return fmt.Sprintf("%d %x", s.actions, s.h.Sum(nil)[:16])
+}
+
+func (s *traffic) handle(e Event) { s.apply(s.c.Handle(s.now, e)) }
+
+func (s *traffic) schedule(after time.Duration, call string, attempt int, e Event) {
+	s.events = append(s.events, pendingEvent{s.now + after, call, attempt, e})
+}
+
+func (s *traffic) apply(acts []Action) {
+	for _, act := range acts {
+		s.actions++
+		writeAction(s.h, s.now, act)
+		switch x := act.(type) {
+		case SendAttempt:
+			s.start(x)
+		case CancelAttempt:
+			s.cancel(x)
+		case SetTimer:
+			s.schedule(x.At-s.now, "", 0, TimerFired{Key: x.Key})
+		}
+	}
+}
+
+func (s *traffic) server(id string) *simulatedServer {
+	return s.servers[slices.IndexFunc(s.servers, func(srv *simulatedServer) bool { return srv.ID == id })]
+}
+
+// start schedules what becomes of an attempt.
+func (s *traffic) start(x SendAttempt) {
+	attempt := s.attempt[x.CallID]
+	s.attempt[x.CallID]++
+	end := func(after time.Duration, result AttemptResult, cause FailureCause) {
+		s.schedule(min(after, x.Timeout), x.CallID, attempt, AttemptEnded{CallID: x.CallID, Server: x.Server, Attempt: attempt,
+			Result: result, Cause: cause, RetryAfter: time.Duration(s.rng.IntN(3)) * 400 * ms, Load: s.report(x.Server)})
+	}
+	establish := func(after time.Duration) {
+		if after >= x.Timeout {
+			end(x.Timeout, TimedOut, CauseNone)
+			return
+		}
+		s.schedule(after, x.CallID, attempt, CallEstablished{CallID: x.CallID, Server: x.Server, Attempt: attempt, SetupTime: after})
+		s.schedule(after+time.Duration(200+s.rng.IntN(3000))*ms, x.CallID, attempt, AttemptEnded{CallID: x.CallID,
+			Server: x.Server, Attempt: attempt, Result: Delivered, Final: true, Load: s.report(x.Server)})
+	}
+	quick := time.Duration(10+s.rng.IntN(60)) * ms
+	chance := s.rng.IntN(10)
+	switch b := s.server(x.Server).behavior; {
+	case b == answersSlowly:
+		establish(time.Duration(200+s.rng.IntN(1200)) * ms)
+	case b == answersNothing, b == losesSome && chance == 0:
+		end(x.Timeout, TimedOut, CauseNone)
+	case b == rejectsSome && chance < 5:
+		end(quick, ServerBusy, CauseProcessorBusy)
+	case b == hasNoCircuit && chance < 8:
+		end(quick, ServerBusy, CauseNoCircuit)
+	case b == losesConnection:
+		end(time.Duration(300+s.rng.IntN(500))*ms, ConnectionLost, CauseConnectionUnresponsive)
+	case b == failsSome && chance < 6:
+		results := []AttemptResult{ServerError, DialFailed, NotSent, ConnectionLost, ServerError, Canceled}
+		causes := []FailureCause{CauseDestinationBusy, CauseNone, CauseNone, CauseReturned, CauseReturned, CauseNone}
+		end(quick, results[chance], causes[chance])
+	default:
+		establish(quick)
+	}
+}
+
+func (s *traffic) cancel(x CancelAttempt) {
+	i := slices.IndexFunc(s.events, func(e pendingEvent) bool { return e.call == x.CallID && e.attempt == x.Attempt })
+	if i < 0 {
+		return
+	}
+	s.events = slices.DeleteFunc(s.events, func(e pendingEvent) bool { return e.call == x.CallID })
+	s.schedule(20*ms, x.CallID, x.Attempt, AttemptEnded{CallID: x.CallID, Attempt: x.Attempt, Result: Canceled})
+}
+
+func (s *traffic) report(id string) (load LoadReport) {
+	srv := s.server(id)
+	if s.rng.IntN(3) == 0 {
+		load.FreeCircuits = Optional{Value: float64(s.rng.IntN(int(srv.circuits))), Valid: true}
+		load.TotalCircuits = Optional{Value: srv.circuits, Valid: s.rng.IntN(2) == 0}
+	}
+	wait := 0.02
+	if srv.behavior == answersSlowly {
+		wait = 0.9
+	}
+	switch s.rng.IntN(8) {
+	case 0:
+		load.QueueDelay = Optional{Value: wait, Valid: true}
+	case 1:
+		load.QueueLength = Optional{Value: wait * 50, Valid: true}
+		load.Capacity = Optional{Value: 50, Valid: true}
+	case 2:
+		load.ThrottleShare = Optional{Value: wait / 4, Valid: true}
+	}
+	return load
+}
+
+func (s *traffic) step() {
+	s.now += 10 * ms
+	if s.rng.IntN(700) == 0 { // the controller's own process stalls
+		s.now += time.Duration(300+s.rng.IntN(1200)) * ms
+	}
+	for {
+		due := slices.IndexFunc(s.events, func(e pendingEvent) bool { return e.at <= s.now })
+		if due < 0 {
+			break
+		}
+		e := s.events[due]
+		s.events = slices.Delete(s.events, due, due+1)
+		s.handle(e.event)
+	}
+	for range s.rng.IntN(3) {
+		s.offer()
+	}
+	if s.rng.IntN(100) == 0 {
+		s.handle(CallAbandoned{CallID: fmt.Sprint("c", 1+s.rng.IntN(s.calls+1))})
+	}
+	if s.rng.IntN(20) == 0 {
+		id := s.servers[s.rng.IntN(len(s.servers))].ID
+		s.handle(LoadReported{Server: id, OK: true, Load: s.report(id)})
+	}
+	if s.rng.IntN(150) == 0 {
+		s.servers[s.rng.IntN(len(s.servers))].behavior = behavior(s.rng.IntN(int(behaviors)))
+	} else if s.rng.IntN(60) == 0 {
+		s.servers[s.rng.IntN(len(s.servers))].behavior = answersQuickly
+	}
+	if s.rng.IntN(250) == 0 {
+		s.updateServers()
+	}
+}
+
+func (s *traffic) offer() {
+	s.calls++
+	e := CallOffered{
+		CallID: fmt.Sprint("c", s.calls), PreferredPool: s.rng.IntN(4),
+		Class:    []string{"read", "read", "read", "write", "zone", "pool", "fleet", "never"}[s.rng.IntN(8)],
+		Number:   fmt.Sprint("n", s.rng.IntN(1000)),
+		Deadline: s.now + time.Duration(500+s.rng.IntN(5000))*ms, Redialed: s.rng.IntN(10) == 0, Reestablish: s.rng.IntN(30) == 0,
+	}
+	if s.rng.IntN(6) == 0 {
+		e.Pools = []int{e.PreferredPool, (e.PreferredPool + 1) % 4}
+	}
+	if s.rng.IntN(20) == 0 {
+		e.Number = ""
+	}
+	if s.rng.IntN(200) == 0 {
+		e.Class = "unknown"
+	}
+	s.handle(e)
+}
+
+func (s *traffic) updateServers() {
+	srv := s.servers[s.rng.IntN(len(s.servers))]
+	switch s.rng.IntN(5) {
+	case 0:
+		srv.State = Draining
+	case 1:
+		srv.State = Removed
+	case 2:
+		s.handle(ServersUpdated{Failed: true})
+		return
+	default:
+		srv.State = Active
+		srv.Started = s.now - time.Duration(s.rng.IntN(12000))*ms
+	}
+	if s.rng.IntN(4) > 0 {
+		s.handle(ServersUpdated{Servers: []Server{srv.Server}})
+		return
+	}
+	var all []Server
+	for _, o := range s.servers {
+		if o.State != Removed {
+			all = append(all, o.Server)
+		}
+	}
+	s.handle(ServersUpdated{Full: true, Servers: all})
+}
