--- a/internal/call/end.go
+++ b/internal/call/attemptend.go
@@ -6,7 +6,7 @@
 // single attempt can end. All of them are listed here and nowhere else.
 type AttemptEnd int
 
-// The ends. 'NotSent' ones prove that no exchange has seen the set-up.
+// The attemptEndCount. 'NotSent' ones prove that no exchange has seen the set-up.
 const (
 	Completed        AttemptEnd = iota // released in the normal way after it stood
 	EndedByFault                       // released by the exchange for a fault after it stood
@@ -29,16 +29,16 @@
 	CallerReleased                     // the caller gave the set-up up or released the call
 	BackendLost                        // the exchange is gone, or has started anew without its calls
 	ShuttingDown                       // this call controller stops
-	ends
+	attemptEndCount
 )
 
-var attemptEndNames = [ends]string{"completed", "cut", "callee_busy", "fault", "no_circuit", "processor_full",
+var attemptEndNames = [attemptEndCount]string{"completed", "cut", "callee_busy", "fault", "no_circuit", "processor_full",
 	"never_left", "broke_on_way", "unsent", "dial_refused", "dial_timed_out", "dial_failed",
 	"connection_reset", "connection_shut", "mute", "malformed", "timed_out", "called_off", "caller_left",
 	"exchange_lost", "stopped"}
 
 func (e AttemptEnd) String() string {
-	if e < 0 || e >= ends {
+	if e < 0 || e >= attemptEndCount {
 		return "unknown"
 	}
 	return attemptEndNames[e]
@@ -46,17 +46,17 @@
 
 // AllAttemptEnds lists every End, for counters and tests.
 func AllAttemptEnds() []AttemptEnd {
-	all := make([]AttemptEnd, ends)
+	all := make([]AttemptEnd, attemptEndCount)
 	for i := range all {
 		all[i] = AttemptEnd(i)
 	}
 	return all
 }
 
-// outcome is the one place where an End becomes the module's outcome. What may
+// admissionResult is the one place where an End becomes the module's admissionResult. What may
 // have run must not be told as one that proves it never ran: the release guard
 // hangs on it.
-func (e AttemptEnd) outcome() (admission.AttemptResult, admission.FailureCause) {
+func (e AttemptEnd) admissionResult() (admission.AttemptResult, admission.FailureCause) {
 	switch e {
 	case Completed:
 		return admission.Delivered, admission.CauseNone
--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -123,8 +123,8 @@
 	RetryAfter time.Duration // of a refusal: the caller is asked to keep away for; 0: not
 }
 
-// refuses tells whether the word is that the call is refused.
-func (r *Route) refuses() bool { return r.Cause != 0 || len(r.Pools) == 0 }
+// rejects tells whether the word is that the call is refused.
+func (r *Route) rejects() bool { return r.Cause != 0 || len(r.Pools) == 0 }
 
 // An Outcome is how a set-up came to its final answer.
 type Outcome int
@@ -178,60 +178,60 @@
 	ReusedIDs, OverLimit, ByPolicy, UnknownReleasesDropped       int
 	Attempts, Cancels, LateAnswers                               int
 	ReleasedByBackend, ReleasedByCaller, ReleasedUnknown         int
-	Ends                                                         [ends]int
+	Ends                                                         [attemptEndCount]int
 }
 
-type state int
+type callState int
 
 const (
-	waiting  state = iota // no attempt is out
-	trying                // one attempt is out
-	standing              // the call stands
-	routing               // its number is looked up; the module has not heard of it
+	callWaiting     callState = iota // no attempt is out
+	callAttempting                   // one attempt is out
+	callEstablished                  // the call stands
+	callRouting                      // its number is looked up; the module has not heard of it
 )
 
 // A call is open from its set-up until its final answer, or its release if it stood.
 type call struct {
 	Request
-	client  Client
-	front   Frontend
-	asked   Time
-	route   Route
-	state   state
-	server  string
-	attempt int
-	sent    Time
-	expires Time // of the attempt that is out
-	ran     bool // an attempt may have run
-	stood   Time
-}
-
-// memory is how long the ids of calls that are over are remembered. It covers
+	client        Client
+	frontend      Frontend
+	offeredAt     Time
+	route         Route
+	state         callState
+	server        string
+	attempt       int
+	sentAt        Time
+	expires       Time // of the attempt that is out
+	mayHaveRun    bool // an attempt may have run
+	establishedAt Time
+}
+
+// completedCallRetention is how long the ids of calls that are over are remembered. It covers
 // releases that cross each other or come twice.
-const memory = 30 * time.Second
+const completedCallRetention = 30 * time.Second
 
-// aliensASecond bounds the releases of unknown calls that go to the exchanges. After a
+// maxUnknownReleasesPerSecond bounds the releases of unknown calls that go to the exchanges. After a
 // restart in the middle of a mass cut all of a node's calls may be released at once.
-const aliensASecond = 256
+const maxUnknownReleasesPerSecond = 256
 
 // A Manager decides nothing about routes; it keeps the rules of one final answer
 // and of one attempt at a time whatever the two sides do.
 type Manager struct {
-	desk   Decider
-	watch  Observer // nil: none
-	router Router   // nil: calls go by their pool of first choice
-	out    Backends
-	now    func() Time
-	calls  map[string]*call
-	timers timers
-	over   *recent // calls that are over
-	alien  *recent // calls that were released and never known here
-	limits Limits
-	open   int // calls whose final answer is owed
-	bytes  int // of their descriptions
-
-	aliens   int // releases of unknown calls since aliensAt
-	aliensAt Time
+	decider          Decider
+	observer         Observer // nil: none
+	router           Router   // nil: calls go by their pool of first choice
+	backends         Backends
+	now              func() Time
+	calls            map[string]*call
+	timers           deadlineHeap
+	completedCalls   *expiringIDs // calls that are over
+	unknownReleases  *expiringIDs // calls that were released and never known here
+	limits           Limits
+	openCalls        int // calls whose final answer is owed
+	descriptionBytes int // of their descriptions
+
+	unknownReleaseCount  int // releases of unknown calls since aliensAt
+	unknownReleaseWindow Time
 	Counters
 }
 
@@ -244,18 +244,18 @@
 
 // NewManager makes a Core that takes the time from now.
 func NewManager(desk Decider, out Backends, now func() Time, limits Limits) *Manager {
-	return &Manager{desk: desk, out: out, now: now, limits: limits, calls: make(map[string]*call),
-		over: newRecent(limits.CompletedIDs), alien: newRecent(limits.CompletedIDs)}
+	return &Manager{decider: desk, backends: out, now: now, limits: limits, calls: make(map[string]*call),
+		completedCalls: newExpiringIDs(limits.CompletedIDs), unknownReleases: newExpiringIDs(limits.CompletedIDs)}
 }
 
 // SetObserver has o told of everything from now on; nil ends it.
-func (c *Manager) SetObserver(o Observer) { c.watch = o }
+func (c *Manager) SetObserver(o Observer) { c.observer = o }
 
 // SetRouter has calls routed by their numbers from now on; nil ends it.
 func (c *Manager) SetRouter(r Router) { c.router = r }
 
 // OpenCalls counts the calls whose final answer is still owed.
-func (c *Manager) OpenCalls() int { return c.open }
+func (c *Manager) OpenCalls() int { return c.openCalls }
 
 // Contains tells whether a call is open or stands.
 func (c *Manager) Contains(id string) bool { return c.calls[id] != nil }
@@ -271,58 +271,58 @@
 func (c *Manager) Offer(client Client, r Request) error {
 	c.Requests++
 	if k := c.calls[r.ID]; k != nil {
-		if k.state == standing || k.client == client || !k.same(&r) {
+		if k.state == callEstablished || k.client == client || !k.matches(&r) {
 			// Guards against a caller who would get the answer to another's call.
 			c.ReusedIDs++
-			c.limited(LimitReusedID, r.ID)
+			c.notifyLimit(LimitReusedID, r.ID)
 			return ErrReused
 		}
 		// A set-up that crossed the close of its connection is sent once more: it
 		// is answered on the new connection and not started a second time.
 		c.Repeated++
-		c.limited(LimitRepeatedSetup, r.ID)
+		c.notifyLimit(LimitRepeatedSetup, r.ID)
 		k.client.CallForgotten(r.ID)
 		k.client = client
 		return nil
 	}
-	if c.over.has(r.ID) {
+	if c.completedCalls.has(r.ID) {
 		// Every set-up has a new id. This one may have run already, and an attempt of it may
 		// have been given up just now: it is neither sent again nor shown to the module.
 		c.ReusedIDs++
-		c.turnAway(client, &r, RejectedReusedID, CauseFailed)
+		c.rejectUnplaced(client, &r, RejectedReusedID, CauseFailed)
 		return nil
 	}
-	if c.alien.has(r.ID) {
+	if c.unknownReleases.has(r.ID) {
 		// It has been given up already: that came on another connection, and was read first.
 		c.Abandoned++
-		c.turnAway(client, &r, Abandoned, CauseFailed)
+		c.rejectUnplaced(client, &r, Abandoned, CauseFailed)
 		return nil
 	}
-	if c.open >= c.limits.OpenCalls || c.bytes+len(r.Description) > c.limits.DescriptionBytes {
+	if c.openCalls >= c.limits.OpenCalls || c.descriptionBytes+len(r.Description) > c.limits.DescriptionBytes {
 		c.OverLimit++ // guards memory against callers who ask at full speed
-		c.turnAway(client, &r, RejectedOverLimit, CauseNoCircuit)
+		c.rejectUnplaced(client, &r, RejectedOverLimit, CauseNoCircuit)
 		return nil
 	}
 	now := c.now()
-	k := &call{Request: r, client: client, front: client.Frontend(), attempt: -1, asked: now}
+	k := &call{Request: r, client: client, frontend: client.Frontend(), attempt: -1, offeredAt: now}
 	if c.router != nil {
-		if k.route = c.router.Route(now, &r); !k.route.Pending && k.route.refuses() {
-			k.release()
+		if k.route = c.router.Route(now, &r); !k.route.Pending && k.route.rejects() {
+			k.releaseRoute()
 			c.ByPolicy++
-			c.turnAway(client, &r, RejectedByPolicy, cmp.Or(k.route.Cause, CauseFailed))
+			c.rejectUnplaced(client, &r, RejectedByPolicy, cmp.Or(k.route.Cause, CauseFailed))
 			return nil
 		}
 		r.Table = k.route.Table
 	}
 	c.calls[r.ID] = k
-	c.open++
-	c.bytes += len(r.Description)
-	if c.watch != nil {
-		c.watch.CallOffered(now, &r)
+	c.openCalls++
+	c.descriptionBytes += len(r.Description)
+	if c.observer != nil {
+		c.observer.CallOffered(now, &r)
 	}
 	if k.route.Pending {
-		k.state = routing
-		c.mind(k)
+		k.state = callRouting
+		c.scheduleDeadline(k)
 		return nil
 	}
 	c.place(k)
@@ -335,7 +335,7 @@
 	if len(k.route.Pools) > 0 {
 		first = k.route.Pools[0]
 	}
-	c.obey(k, c.desk.Place(c.now(), admission.Request{CallID: k.ID, Class: k.Class, Number: k.Number,
+	c.apply(k, c.decider.Place(c.now(), admission.Request{CallID: k.ID, Class: k.Class, Number: k.Number,
 		PreferredPool: first, Pools: k.route.Pools, Deadline: k.Deadline, Reestablish: k.Reestablish, Emergency: k.route.Emergency}))
 }
 
@@ -343,24 +343,24 @@
 // it changes nothing. What the call holds stays; the word's own Release does not count.
 func (c *Manager) RouteResolved(id string, r Route) {
 	k := c.calls[id]
-	if k == nil || k.state != routing {
+	if k == nil || k.state != callRouting {
 		return
 	}
-	k.state = waiting
+	k.state = callWaiting
 	k.route.Pools, k.route.Cause, k.route.Emergency, k.route.Pending = r.Pools, r.Cause, r.Emergency, false
-	if r.refuses() {
+	if r.rejects() {
 		c.ByPolicy++
-		c.refuse(k, RejectedByPolicy, Canceled, cmp.Or(r.Cause, CauseFailed), r.RetryAfter)
+		c.rejectCall(k, RejectedByPolicy, Canceled, cmp.Or(r.Cause, CauseFailed), r.RetryAfter)
 		return
 	}
 	c.place(k)
 }
 
 // unplaced tells whether no attempt of an open call is out.
-func (k *call) unplaced() bool { return k.state == waiting || k.state == routing }
+func (k *call) unplaced() bool { return k.state == callWaiting || k.state == callRouting }
 
-// release lets go of what the call is routed by.
-func (k *call) release() {
+// releaseRoute lets go of what the call is routed by.
+func (k *call) releaseRoute() {
 	if k.route.Release != nil {
 		k.route.Release()
 		k.route.Release = nil
@@ -369,128 +369,128 @@
 
 // RejectInvalid answers a set-up that can be read and makes no sense; no exchange is troubled with it.
 func (c *Manager) RejectInvalid(client Client, r Request) {
-	c.turnAway(client, &r, RejectedInvalid, CauseFailed)
+	c.rejectUnplaced(client, &r, RejectedInvalid, CauseFailed)
 }
 
 // RejectShuttingDown answers a set-up that comes as the call controller ends.
 func (c *Manager) RejectShuttingDown(client Client, r Request) {
-	c.turnAway(client, &r, RejectedShuttingDown, CauseNoCircuit)
+	c.rejectUnplaced(client, &r, RejectedShuttingDown, CauseNoCircuit)
 }
 
-// turnAway answers a set-up that the module never hears of.
-func (c *Manager) turnAway(client Client, r *Request, o Outcome, cause int) {
-	if c.watch != nil {
+// rejectUnplaced answers a set-up that the module never hears of.
+func (c *Manager) rejectUnplaced(client Client, r *Request, o Outcome, cause int) {
+	if c.observer != nil {
 		now := c.now()
-		c.watch.CallOffered(now, r)
-		c.watch.CallAnswered(now, &Answer{ID: r.ID, Class: r.Class, Outcome: o, Cause: cause})
+		c.observer.CallOffered(now, r)
+		c.observer.CallAnswered(now, &Answer{ID: r.ID, Class: r.Class, Outcome: o, Cause: cause})
 	}
 	client.CallRejected(r.ID, cause, 0)
 }
 
-// refuse gives the final answer to a call that does not stand.
-func (c *Manager) refuse(k *call, o Outcome, e AttemptEnd, cause int, wait time.Duration) {
-	c.finish(k, e)
-	c.tell(k, o, cause, wait)
+// rejectCall gives the final answer to a call that does not stand.
+func (c *Manager) rejectCall(k *call, o Outcome, e AttemptEnd, cause int, wait time.Duration) {
+	c.endOpenCall(k, e)
+	c.notifyAnswered(k, o, cause, wait)
 	k.client.CallRejected(k.ID, cause, wait)
 }
 
-// tell tells the observer of a call's final answer.
-func (c *Manager) tell(k *call, o Outcome, cause int, wait time.Duration) {
-	if c.watch != nil {
+// notifyAnswered tells the observer of a call's final answer.
+func (c *Manager) notifyAnswered(k *call, o Outcome, cause int, wait time.Duration) {
+	if c.observer != nil {
 		now := c.now()
-		c.watch.CallAnswered(now, &Answer{ID: k.ID, Class: k.Class, Outcome: o, Cause: cause, RetryAfter: wait,
-			Elapsed: now - k.asked, Server: k.server, Attempts: k.attempt + 1})
+		c.observer.CallAnswered(now, &Answer{ID: k.ID, Class: k.Class, Outcome: o, Cause: cause, RetryAfter: wait,
+			Elapsed: now - k.offeredAt, Server: k.server, Attempts: k.attempt + 1})
 	}
 }
 
-func (c *Manager) limited(l Limit, id string) {
-	if c.watch != nil {
-		c.watch.LimitReached(c.now(), l, id)
+func (c *Manager) notifyLimit(l Limit, id string) {
+	if c.observer != nil {
+		c.observer.LimitReached(c.now(), l, id)
 	}
 }
 
-// same tells whether a set-up says what the call's own said.
-func (k *call) same(r *Request) bool {
+// matches tells whether a set-up says what the call's own said.
+func (k *call) matches(r *Request) bool {
 	return k.Class == r.Class && k.Number == r.Number && k.PreferredPool == r.PreferredPool && k.Reestablish == r.Reestablish &&
 		bytes.Equal(k.Description, r.Description)
 }
 
-// answered takes a call off those whose final answer is owed.
-func (c *Manager) answered(k *call) {
-	c.open--
-	c.bytes -= len(k.Description)
+// settleAnswer takes a call off those whose final answer is owed.
+func (c *Manager) settleAnswer(k *call) {
+	c.openCalls--
+	c.descriptionBytes -= len(k.Description)
 	k.Description = nil
 }
 
-// obey carries out the module's word on a call.
-func (c *Manager) obey(k *call, o admission.Decision) {
-	if c.watch != nil && o.Kind != admission.None {
-		c.watch.Decided(c.now(), &o)
+// apply carries out the module's word on a call.
+func (c *Manager) apply(k *call, o admission.Decision) {
+	if c.observer != nil && o.Kind != admission.None {
+		c.observer.Decided(c.now(), &o)
 	}
 	switch o.Kind {
 	case admission.Send:
-		c.try(k, o)
+		c.startAttempt(k, o)
 	case admission.Reject:
 		if c.answerable(k) {
 			c.Rejected++
-			c.refuse(k, Rejected, Canceled, CauseNoCircuit, o.Wait)
+			c.rejectCall(k, Rejected, Canceled, CauseNoCircuit, o.Wait)
 		}
 	case admission.Fail:
 		if c.answerable(k) {
 			c.Failed++
-			c.refuse(k, Failed, TimedOut, CauseFailed, o.Wait)
+			c.rejectCall(k, Failed, TimedOut, CauseFailed, o.Wait)
 		}
 	case admission.Cancel:
-		if k.state == trying && o.Attempt == k.attempt {
-			c.give(k, Canceled)
+		if k.state == callAttempting && o.Attempt == k.attempt {
+			c.cancelAttempt(k, Canceled)
 		}
 	}
-	if k.state == waiting && c.calls[k.ID] == k {
-		c.mind(k)
+	if k.state == callWaiting && c.calls[k.ID] == k {
+		c.scheduleDeadline(k)
 	}
 }
 
-// mind has a call without an attempt looked at when its caller's time is over. It guards against a
+// scheduleDeadline has a call without an attempt looked at when its caller's time is over. It guards against a
 // look-up of which nothing is heard any more, and a module that forgets a call.
-func (c *Manager) mind(k *call) {
-	heap.Push(&c.timers, timer{at: k.Deadline, call: k, attempt: k.attempt})
+func (c *Manager) scheduleDeadline(k *call) {
+	heap.Push(&c.timers, deadline{at: k.Deadline, call: k, attempt: k.attempt})
 }
 
-// expire answers a call whose caller's time is over.
-func (c *Manager) expire(k *call) {
+// failExpired answers a call whose caller's time is over.
+func (c *Manager) failExpired(k *call) {
 	c.Failed++
-	c.refuse(k, Failed, TimedOut, CauseFailed, 0)
+	c.rejectCall(k, Failed, TimedOut, CauseFailed, 0)
 }
 
 // answerable guards against a second final answer.
-func (c *Manager) answerable(k *call) bool { return c.calls[k.ID] == k && k.state != standing }
+func (c *Manager) answerable(k *call) bool { return c.calls[k.ID] == k && k.state != callEstablished }
 
-func (c *Manager) try(k *call, o admission.Decision) {
-	if k.state != waiting || c.calls[k.ID] != k {
+func (c *Manager) startAttempt(k *call, o admission.Decision) {
+	if k.state != callWaiting || c.calls[k.ID] != k {
 		return // guards against a second attempt while one is out or the call is over
 	}
 	now := c.now()
 	if now >= k.Deadline { // guards against a module that would try for ever: the attempt would end as it begins
-		c.expire(k)
+		c.failExpired(k)
 		return
 	}
-	k.state, k.server, k.sent = trying, o.Server, now
+	k.state, k.server, k.sentAt = callAttempting, o.Server, now
 	k.attempt++
 	k.expires = min(now+o.Wait, k.Deadline)
 	c.Attempts++
-	heap.Push(&c.timers, timer{at: k.expires, call: k, attempt: k.attempt})
+	heap.Push(&c.timers, deadline{at: k.expires, call: k, attempt: k.attempt})
 	s := Setup{ID: k.ID, Class: k.Class, Number: k.Number, Attempt: k.attempt,
 		Timeout: k.expires - now, Deadline: k.expires, Description: k.Description}
-	if c.watch != nil {
-		c.watch.AttemptStarted(now, k.server, &s)
+	if c.observer != nil {
+		c.observer.AttemptStarted(now, k.server, &s)
 	}
-	c.out.Invite(k.server, s)
+	c.backends.Invite(k.server, s)
 }
 
-// give ends the attempt that is out from this side and tells the module.
-func (c *Manager) give(k *call, e AttemptEnd) {
+// cancelAttempt ends the attempt that is out from this side and tells the module.
+func (c *Manager) cancelAttempt(k *call, e AttemptEnd) {
 	c.Cancels++
-	if c.out.Cancel(k.server, k.ID, k.attempt) {
+	if c.backends.Cancel(k.server, k.ID, k.attempt) {
 		e = NotSent
 	}
 	c.endAttempt(k, e, false)
@@ -499,29 +499,29 @@
 // endAttempt tells the module that the attempt that is out has ended, and goes on with the call.
 func (c *Manager) endAttempt(k *call, e AttemptEnd, final bool) {
 	c.Ends[e]++
-	k.state = waiting
-	code, cause := e.outcome()
-	k.ran = k.ran || code.MayHaveRun()
+	k.state = callWaiting
+	code, cause := e.admissionResult()
+	k.mayHaveRun = k.mayHaveRun || code.MayHaveRun()
 	now := c.now()
-	if c.watch != nil {
-		c.watch.AttemptEnded(now, k.server, k.ID, k.attempt, e, now-k.sent)
+	if c.observer != nil {
+		c.observer.AttemptEnded(now, k.server, k.ID, k.attempt, e, now-k.sentAt)
 	}
-	o := c.desk.Report(now, admission.AttemptReport{CallID: k.ID, Server: k.server, Attempt: k.attempt,
-		Kind: admission.ReportEnded, Result: code, Cause: cause, Elapsed: now - k.sent, Final: final})
+	o := c.decider.Report(now, admission.AttemptReport{CallID: k.ID, Server: k.server, Attempt: k.attempt,
+		Kind: admission.ReportEnded, Result: code, Cause: cause, Elapsed: now - k.sentAt, Final: final})
 	if !final {
-		c.obey(k, o)
+		c.apply(k, o)
 	}
 }
 
-// finish ends a call that does not stand. An attempt that is still out is given up.
-func (c *Manager) finish(k *call, e AttemptEnd) {
+// endOpenCall ends a call that does not stand. An attempt that is still out is given up.
+func (c *Manager) endOpenCall(k *call, e AttemptEnd) {
 	delete(c.calls, k.ID)
-	k.release()
-	c.over.add(k.ID, c.now()+memory)
-	c.answered(k)
-	if k.state == trying {
+	k.releaseRoute()
+	c.completedCalls.add(k.ID, c.now()+completedCallRetention)
+	c.settleAnswer(k)
+	if k.state == callAttempting {
 		c.Cancels++
-		if c.out.Cancel(k.server, k.ID, k.attempt) {
+		if c.backends.Cancel(k.server, k.ID, k.attempt) {
 			e = NotSent
 		}
 		c.endAttempt(k, e, true)
@@ -534,96 +534,96 @@
 	k := c.calls[id]
 	switch {
 	case k == nil:
-		if c.over.has(id) || c.alien.has(id) {
+		if c.completedCalls.has(id) || c.unknownReleases.has(id) {
 			return false // it crossed our release, or comes twice
 		}
 		// After a restart nothing is known of calls that stand; the exchange must hear of it.
 		// So many a second at the most: exchanges must not pay for callers who make up ids.
-		if now := c.now(); now-c.aliensAt > time.Second {
-			c.aliensAt, c.aliens = now, 0
+		if now := c.now(); now-c.unknownReleaseWindow > time.Second {
+			c.unknownReleaseWindow, c.unknownReleaseCount = now, 0
 		}
-		if c.aliens++; c.aliens > aliensASecond {
+		if c.unknownReleaseCount++; c.unknownReleaseCount > maxUnknownReleasesPerSecond {
 			c.UnknownReleasesDropped++
-			c.limited(LimitUnknownRelease, id)
+			c.notifyLimit(LimitUnknownRelease, id)
 			return true
 		}
 		c.ReleasedUnknown++
-		c.alien.add(id, c.now()+memory)
-		c.out.ReleaseEverywhere(id, cause)
+		c.unknownReleases.add(id, c.now()+completedCallRetention)
+		c.backends.ReleaseEverywhere(id, cause)
 		return true
-	case k.state == standing:
+	case k.state == callEstablished:
 		c.ReleasedByCaller++
-		c.out.Release(k.server, id, k.attempt, cause)
-		c.endStanding(k, CallerReleased, cause)
+		c.backends.Release(k.server, id, k.attempt, cause)
+		c.endEstablished(k, CallerReleased, cause)
 		return true
 	}
-	c.leave(k)
+	c.abandonCall(k)
 	return false
 }
 
-// left tells the module that a call's caller waits no more, if it has heard of the call.
-func (c *Manager) left(k *call) {
-	if k.state != routing {
-		c.desk.Report(c.now(), admission.AttemptReport{CallID: k.ID, Kind: admission.ReportAbandoned})
+// reportAbandoned tells the module that a call's caller waits no more, if it has heard of the call.
+func (c *Manager) reportAbandoned(k *call) {
+	if k.state != callRouting {
+		c.decider.Report(c.now(), admission.AttemptReport{CallID: k.ID, Kind: admission.ReportAbandoned})
 	}
 }
 
-// leave ends a set-up whose caller no longer waits; no answer is owed.
-func (c *Manager) leave(k *call) {
+// abandonCall ends a set-up whose caller no longer waits; no answer is owed.
+func (c *Manager) abandonCall(k *call) {
 	c.Abandoned++
-	c.left(k)
-	c.finish(k, CallerReleased)
+	c.reportAbandoned(k)
+	c.endOpenCall(k, CallerReleased)
 	k.client.CallForgotten(k.ID)
-	c.tell(k, Abandoned, 0, 0)
+	c.notifyAnswered(k, Abandoned, 0, 0)
 }
 
 // CallerDisconnected gives up the set-ups that are open on a caller's connection. Calls that
 // stand belong to no connection.
 func (c *Manager) CallerDisconnected(client Client) {
-	for _, k := range c.each(func(k *call) bool { return k.client == client && k.state != standing }) {
-		c.leave(k)
+	for _, k := range c.callsWhere(func(k *call) bool { return k.client == client && k.state != callEstablished }) {
+		c.abandonCall(k)
 	}
 }
 
-// each lists calls in the order in which they came, so that what is done to them does not hang on
+// callsWhere lists calls in the order in which they came, so that what is done to them does not hang on
 // the order of a map: a run in virtual time repeats to the byte.
-func (c *Manager) each(is func(*call) bool) (all []*call) {
+func (c *Manager) callsWhere(is func(*call) bool) (all []*call) {
 	for _, k := range c.calls {
 		if is(k) {
 			all = append(all, k)
 		}
 	}
-	slices.SortFunc(all, func(a, b *call) int { return cmp.Or(cmp.Compare(a.asked, b.asked), cmp.Compare(a.ID, b.ID)) })
+	slices.SortFunc(all, func(a, b *call) int { return cmp.Or(cmp.Compare(a.offeredAt, b.offeredAt), cmp.Compare(a.ID, b.ID)) })
 	return all
 }
 
 // AttemptAnswered takes an exchange's answer to a set-up.
 func (c *Manager) AttemptAnswered(server, id string, attempt int, description []byte) {
 	k := c.calls[id]
-	if k == nil || k.state != trying || k.server != server || k.attempt != attempt {
-		if k != nil && k.state == standing && k.server == server && k.attempt == attempt {
+	if k == nil || k.state != callAttempting || k.server != server || k.attempt != attempt {
+		if k != nil && k.state == callEstablished && k.server == server && k.attempt == attempt {
 			return // repeated
 		}
 		// It crossed our CANCEL: the exchange must not hold the line, and the
 		// caller must not get a second answer.
 		c.LateAnswers++
-		c.out.Release(server, id, attempt, CauseNormal)
+		c.backends.Release(server, id, attempt, CauseNormal)
 		return
 	}
 	now := c.now()
-	k.state, k.stood = standing, now
-	c.desk.Report(now, admission.AttemptReport{CallID: id, Server: server, Attempt: attempt,
-		Kind: admission.ReportEstablished, Elapsed: now - k.sent})
+	k.state, k.establishedAt = callEstablished, now
+	c.decider.Report(now, admission.AttemptReport{CallID: id, Server: server, Attempt: attempt,
+		Kind: admission.ReportEstablished, Elapsed: now - k.sentAt})
 	c.Established++
-	c.tell(k, Established, 0, 0)
+	c.notifyAnswered(k, Established, 0, 0)
 	k.client.CallEstablished(id, description)
-	c.answered(k)
+	c.settleAnswer(k)
 }
 
 // AttemptEnded takes the end of a set-up that did not come to stand.
 func (c *Manager) AttemptEnded(server, id string, attempt int, e AttemptEnd) {
 	k := c.calls[id]
-	if k == nil || k.state != trying || k.server != server || k.attempt != attempt {
+	if k == nil || k.state != callAttempting || k.server != server || k.attempt != attempt {
 		return // it was given up before
 	}
 	c.endAttempt(k, e, false)
@@ -635,47 +635,47 @@
 	k := c.calls[id]
 	switch {
 	case k == nil:
-		if c.over.has(id) || c.alien.has(id) {
+		if c.completedCalls.has(id) || c.unknownReleases.has(id) {
 			return // it comes again on the next connection that is opened
 		}
 		c.ReleasedUnknown++
-		c.alien.add(id, c.now()+memory)
+		c.unknownReleases.add(id, c.now()+completedCallRetention)
 		for _, f := range fronts {
 			f.NotifyRelease(nil, id, cause)
 		}
 	case k.server != server:
 		return // an earlier attempt's, given up since
-	case k.state == standing:
+	case k.state == callEstablished:
 		c.ReleasedByBackend++
 		e := Completed
 		if cause != CauseNormal {
 			e = EndedByFault
 		}
-		c.endStanding(k, e, cause)
-		k.front.NotifyRelease(k.client, id, cause)
-	case k.state == trying:
+		c.endEstablished(k, e, cause)
+		k.frontend.NotifyRelease(k.client, id, cause)
+	case k.state == callAttempting:
 		// Released before it was answered. It may be the release of an earlier attempt there, whose
 		// answer was lost: the one that is out is given up, or the next would be a second one.
 		c.Cancels++
-		c.out.Cancel(server, id, k.attempt)
+		c.backends.Cancel(server, id, k.attempt)
 		c.endAttempt(k, FailedInTransit, false)
 	}
 }
 
-func (c *Manager) endStanding(k *call, e AttemptEnd, cause int) {
-	if c.watch != nil {
+func (c *Manager) endEstablished(k *call, e AttemptEnd, cause int) {
+	if c.observer != nil {
 		now := c.now()
-		c.watch.CallReleased(now, &Release{ID: k.ID, Class: k.Class, Server: k.server, Cause: cause, End: e, Duration: now - k.stood})
+		c.observer.CallReleased(now, &Release{ID: k.ID, Class: k.Class, Server: k.server, Cause: cause, End: e, Duration: now - k.establishedAt})
 	}
 	delete(c.calls, k.ID)
-	k.release()
-	c.over.add(k.ID, c.now()+memory)
+	k.releaseRoute()
+	c.completedCalls.add(k.ID, c.now()+completedCallRetention)
 	c.endAttempt(k, e, true)
 }
 
 // BackendOf tells at which exchange a call stands, "" if it does not.
 func (c *Manager) BackendOf(id string) string {
-	if k := c.calls[id]; k != nil && k.state == standing {
+	if k := c.calls[id]; k != nil && k.state == callEstablished {
 		return k.server
 	}
 	return ""
@@ -683,30 +683,34 @@
 
 // BackendRestarted cuts the calls that have stood at an exchange since before a time: its
 // process is known to have ended since, and no release will come from it.
-func (c *Manager) BackendRestarted(server string, before Time) { c.lost(server, before, false) }
+func (c *Manager) BackendRestarted(server string, before Time) {
+	c.dropEstablished(server, before, false)
+}
 
 // BackendRemoved cuts the calls that stand at an exchange that is not to be used any more. It may live on
 // all the same, and must not hold their lines then.
-func (c *Manager) BackendRemoved(server string) { c.lost(server, c.now()+1, true) }
+func (c *Manager) BackendRemoved(server string) { c.dropEstablished(server, c.now()+1, true) }
 
-func (c *Manager) lost(server string, before Time, alive bool) {
-	for _, k := range c.each(func(k *call) bool { return k.server == server && k.state == standing && k.stood < before }) {
+func (c *Manager) dropEstablished(server string, before Time, alive bool) {
+	for _, k := range c.callsWhere(func(k *call) bool {
+		return k.server == server && k.state == callEstablished && k.establishedAt < before
+	}) {
 		if alive {
-			c.out.Release(server, k.ID, k.attempt, CauseFailed)
+			c.backends.Release(server, k.ID, k.attempt, CauseFailed)
 		}
-		c.endStanding(k, BackendLost, CauseFailed)
-		k.front.NotifyRelease(k.client, k.ID, CauseFailed)
+		c.endEstablished(k, BackendLost, CauseFailed)
+		k.frontend.NotifyRelease(k.client, k.ID, CauseFailed)
 	}
 }
 
 // UpdateServers tells the module of the exchanges.
 func (c *Manager) UpdateServers(servers []admission.Server, full bool) {
-	c.desk.UpdateServers(c.now(), servers, full)
+	c.decider.UpdateServers(c.now(), servers, full)
 }
 
 // LoadReported passes on what an exchange says of its lines.
 func (c *Manager) LoadReported(server string, load admission.LoadReport) {
-	c.desk.Report(c.now(), admission.AttemptReport{Server: server, Kind: admission.ReportLoad, Load: load})
+	c.decider.Report(c.now(), admission.AttemptReport{Server: server, Kind: admission.ReportLoad, Load: load})
 }
 
 // Tick does what is due.
@@ -714,68 +718,68 @@
 	now := c.now()
 	var held []*call // by the module or a look-up, past their time
 	for len(c.timers) > 0 && c.timers[0].at <= now {
-		t := heap.Pop(&c.timers).(timer)
+		t := heap.Pop(&c.timers).(deadline)
 		switch k := t.call; {
 		case c.calls[k.ID] != k:
-		case k.state == trying && k.attempt == t.attempt:
-			c.give(k, TimedOut)
+		case k.state == callAttempting && k.attempt == t.attempt:
+			c.cancelAttempt(k, TimedOut)
 		case k.unplaced() && now >= k.Deadline:
 			held = append(held, k)
 		}
 	}
-	for _, o := range c.desk.Tick(now) {
+	for _, o := range c.decider.Tick(now) {
 		if k := c.calls[o.CallID]; k != nil {
-			c.obey(k, o)
+			c.apply(k, o)
 		}
 	}
 	for _, k := range held { // the module's word, which may ask the caller to wait, comes first
 		if k.unplaced() && c.calls[k.ID] == k {
-			c.left(k)
-			c.expire(k)
+			c.reportAbandoned(k)
+			c.failExpired(k)
 		}
 	}
-	c.over.sweep(now)
-	c.alien.sweep(now)
+	c.completedCalls.sweep(now)
+	c.unknownReleases.sweep(now)
 }
 
 // NextDeadline is when Tick is due.
 func (c *Manager) NextDeadline() Time {
 	if len(c.timers) > 0 {
-		return min(c.timers[0].at, c.desk.NextDeadline())
+		return min(c.timers[0].at, c.decider.NextDeadline())
 	}
-	return c.desk.NextDeadline()
+	return c.decider.NextDeadline()
 }
 
 // RejectOpenCalls answers whatever is still open, at the end of an orderly stop.
 func (c *Manager) RejectOpenCalls() {
-	for _, k := range c.each(func(k *call) bool { return k.state != standing }) {
+	for _, k := range c.callsWhere(func(k *call) bool { return k.state != callEstablished }) {
 		c.Rejected++
 		cause := CauseNoCircuit
-		if c.finish(k, ShuttingDown); k.ran && k.RepeatUnsafe { // against a caller who is told that trying again is harmless
+		if c.endOpenCall(k, ShuttingDown); k.mayHaveRun && k.RepeatUnsafe { // against a caller who is told that trying again is harmless
 			cause = CauseFailed
 		}
-		c.tell(k, RejectedShuttingDown, cause, 0)
+		c.notifyAnswered(k, RejectedShuttingDown, cause, 0)
 		k.client.CallRejected(k.ID, cause, 0)
 	}
 }
 
-// A timer ends an attempt.
-type timer struct {
+// A deadline ends an attempt.
+type deadline struct {
 	at      Time
 	call    *call
 	attempt int
 }
 
-type timers []timer
+type deadlineHeap []deadline
 
-func (t timers) Len() int           { return len(t) }
-func (t timers) Less(i, j int) bool { return t[i].at < t[j].at }
-func (t timers) Swap(i, j int)      { t[i], t[j] = t[j], t[i] }
-func (t *timers) Push(x any)        { *t = append(*t, x.(timer)) }
-func (t *timers) Pop() any {
+func (t deadlineHeap) Len() int           { return len(t) }
+func (t deadlineHeap) Less(i, j int) bool { return t[i].at < t[j].at }
+func (t deadlineHeap) Swap(i, j int)      { t[i], t[j] = t[j], t[i] }
+func (t *deadlineHeap) Push(x any)        { *t = append(*t, x.(deadline)) }
+func (t *deadlineHeap) Pop() any {
 	old := *t
 	x := old[len(old)-1]
-	old[len(old)-1] = timer{}
+	old[len(old)-1] = deadline{}
 	*t = old[:len(old)-1]
 	return x
 }
--- a/internal/call/call_test.go
+++ b/internal/call/call_test.go
@@ -246,21 +246,21 @@
 	for i := range 50 {
 		b.core.ReleaseByCaller(fmt.Sprint("alien", i), CauseNormal)
 	}
-	if n := len(b.core.alien.ids) + len(b.core.alien.queue); n > 12 {
+	if n := len(b.core.unknownReleases.ids) + len(b.core.unknownReleases.queue); n > 12 {
 		t.Errorf("%d entries of releases that nobody knows", n)
 	}
 	b.said = nil
 	b.now += 2 * time.Second
-	for i := range 2 * aliensASecond {
+	for i := range 2 * maxUnknownReleasesPerSecond {
 		b.core.ReleaseByCaller(fmt.Sprint("made up", i), CauseNormal)
 	}
-	if len(b.said) != aliensASecond {
+	if len(b.said) != maxUnknownReleasesPerSecond {
 		t.Errorf("%d releases of unknown calls went to the exchanges in a second", len(b.said))
 	}
-	b.now += memory + 1
+	b.now += completedCallRetention + 1
 	b.core.Tick()
-	if c := b.core; c.open+c.bytes+len(c.calls)+len(c.over.ids)+len(c.alien.ids) != 0 {
-		t.Errorf("left: %d open, %d bytes, %d calls, %d and %d ids", c.open, c.bytes, len(c.calls), len(c.over.ids), len(c.alien.ids))
+	if c := b.core; c.openCalls+c.descriptionBytes+len(c.calls)+len(c.completedCalls.ids)+len(c.unknownReleases.ids) != 0 {
+		t.Errorf("left: %d open, %d bytes, %d calls, %d and %d ids", c.openCalls, c.descriptionBytes, len(c.calls), len(c.completedCalls.ids), len(c.unknownReleases.ids))
 	}
 }
 
@@ -303,7 +303,7 @@
 	proof := map[AttemptEnd]bool{NoCircuit: true, ProcessorBusy: true, NotForwarded: true, NotSent: true,
 		DialRefused: true, DialTimedOut: true, DialFailed: true}
 	for _, e := range AllAttemptEnds() {
-		code, _ := e.outcome()
+		code, _ := e.admissionResult()
 		proves := code == admission.ServerBusy || code == admission.DialFailed || code == admission.NotSent
 		if proves != proof[e] {
 			t.Errorf("%v: told as proof %v", e, proves)
--- a/internal/call/route_test.go
+++ b/internal/call/route_test.go
@@ -37,7 +37,7 @@
 func TestCallsHoldTheirTable(t *testing.T) {
 	b := newBench(try("s"), try("s"), try("s"), admission.Decision{Kind: admission.Reject})
 	desk := &asked{script: &b.script}
-	b.core.desk = desk
+	b.core.decider = desk
 	r := &table{pools: []int{2, 1}}
 	b.core.SetRouter(r)
 	b.setUp("stands")
@@ -99,7 +99,7 @@
 func TestCallsWaitForTheWord(t *testing.T) {
 	b := newBench(try("s"))
 	desk := &asked{script: &b.script}
-	b.core.desk = desk
+	b.core.decider = desk
 	r := &pending{}
 	b.core.SetRouter(r)
 	b.setUp("goes on")
