--- /dev/null
+++ b/internal/call/attempt.go
@@ -0,0 +1,154 @@
+package call
+
+import "olivedale/internal/admission"
+
+// apply carries out a decision on a call. A decision that does not fit the state of the call is ignored.
+func (m *Manager) apply(c *call, d admission.Decision) {
+	m.notifyDecided(&d)
+	switch d.Kind {
+	case admission.Send:
+		if c.state == callWaiting {
+			m.startAttempt(c, d)
+		}
+	case admission.Reject:
+		if c.isOpen() {
+			m.Rejected++
+			m.rejectCall(c, Canceled, finalAnswer{outcome: Rejected, cause: CauseNoCircuit, retryAfter: d.Wait})
+		}
+	case admission.Fail:
+		if c.isOpen() {
+			m.Failed++
+			m.rejectCall(c, TimedOut, finalAnswer{outcome: Failed, cause: CauseFailed, retryAfter: d.Wait})
+		}
+	case admission.Cancel:
+		if c.state == callAttempting && d.Attempt == c.attempt.number {
+			m.cancelAttempt(c, Canceled)
+		}
+	}
+	if c.state == callWaiting {
+		m.scheduleDeadline(c)
+	}
+}
+
+// startAttempt sends the setup of a waiting call to the server of a decision. A call whose deadline has
+// passed fails instead, or a Decider that always sends would never end.
+func (m *Manager) startAttempt(c *call, d admission.Decision) {
+	now := m.now()
+	if now >= c.Deadline {
+		m.failExpired(c)
+		return
+	}
+	c.transition(callAttempting)
+	c.attempt = attempt{server: d.Server, number: c.attempt.number + 1, startedAt: now}
+	m.Attempts++
+	expiresAt := min(now+d.Wait, c.Deadline)
+	m.deadlines.schedule(deadline{at: expiresAt, call: c, attempt: c.attempt.number})
+	s := Setup{
+		ID:          c.ID,
+		Class:       c.Class,
+		Number:      c.Number,
+		Attempt:     c.attempt.number,
+		Timeout:     expiresAt - now,
+		Deadline:    expiresAt,
+		Description: c.Description,
+	}
+	if m.observer != nil {
+		m.observer.AttemptStarted(now, d.Server, &s)
+	}
+	m.backends.Invite(d.Server, s)
+}
+
+// AttemptAnswered takes a backend's answer that establishes a call. An answer to an attempt that is not
+// in progress any more is released at the backend; a repeated answer is ignored.
+func (m *Manager) AttemptAnswered(server, id string, attempt int, description []byte) {
+	c := m.calls[id]
+	switch {
+	case c != nil && c.isAttempting(server, attempt):
+		m.establish(c, description)
+	case c != nil && c.state == callEstablished && c.isLatestAttempt(server, attempt):
+		return
+	default:
+		// The answer crossed the cancellation: the backend must not keep the circuit, and the caller
+		// must not get a second answer.
+		m.LateAnswers++
+		m.backends.Release(server, id, attempt, CauseNormal)
+	}
+}
+
+// establish answers a call whose attempt succeeded.
+func (m *Manager) establish(c *call, description []byte) {
+	now := m.now()
+	c.transition(callEstablished)
+	c.establishedAt = now
+	m.decider.Report(now, admission.AttemptReport{
+		CallID:  c.ID,
+		Server:  c.attempt.server,
+		Attempt: c.attempt.number,
+		Kind:    admission.ReportEstablished,
+		Elapsed: now - c.attempt.startedAt,
+	})
+	m.Established++
+	m.notifyAnswered(c, finalAnswer{outcome: Established})
+	c.client.CallEstablished(c.ID, description)
+	m.settleAnswer(c)
+}
+
+// AttemptEnded takes the end of an attempt that did not establish its call. It does nothing if the
+// attempt is not in progress any more.
+func (m *Manager) AttemptEnded(server, id string, attempt int, e AttemptEnd) {
+	if c := m.calls[id]; c != nil && c.isAttempting(server, attempt) {
+		m.endAttempt(c, e)
+	}
+}
+
+// cancelAttempt cancels the attempt in progress and asks the Decider how the call goes on.
+func (m *Manager) cancelAttempt(c *call, end AttemptEnd) {
+	m.endAttempt(c, m.cancelAtBackend(c, end))
+}
+
+// cancelAtBackend cancels the latest attempt at its backend and returns how the attempt has ended:
+// NotSent if its setup had not been written, end otherwise.
+func (m *Manager) cancelAtBackend(c *call, end AttemptEnd) AttemptEnd {
+	m.Cancels++
+	if m.backends.Cancel(c.attempt.server, c.ID, c.attempt.number) {
+		return NotSent
+	}
+	return end
+}
+
+// endAttempt ends the attempt in progress and asks the Decider how the call goes on.
+func (m *Manager) endAttempt(c *call, end AttemptEnd) {
+	c.transition(callWaiting)
+	m.apply(c, m.reportAttemptEnd(c, end))
+}
+
+// reportAttemptEnd reports the end of the latest attempt to the observer and the Decider and returns the
+// decision on the call. If the call has ended with the attempt, the decision is to be ignored.
+func (m *Manager) reportAttemptEnd(c *call, end AttemptEnd) admission.Decision {
+	m.Ends[end]++
+	result, cause := end.admissionResult()
+	c.mayHaveRun = c.mayHaveRun || result.MayHaveRun()
+	now := m.now()
+	elapsed := now - c.attempt.startedAt
+	if m.observer != nil {
+		m.observer.AttemptEnded(now, c.attempt.server, c.ID, c.attempt.number, end, elapsed)
+	}
+	return m.decider.Report(now, admission.AttemptReport{
+		CallID:  c.ID,
+		Server:  c.attempt.server,
+		Attempt: c.attempt.number,
+		Kind:    admission.ReportEnded,
+		Result:  result,
+		Cause:   cause,
+		Elapsed: elapsed,
+		Final:   c.state == callEnded,
+	})
+}
+
+// reportAbandoned reports to the Decider that a caller waits no longer, if the Decider knows the call.
+func (m *Manager) reportAbandoned(c *call) {
+	if c.state == callRouting {
+		return
+	}
+	m.decider.Report(m.now(), admission.AttemptReport{CallID: c.ID, Kind: admission.ReportAbandoned})
+}
--- a/internal/call/attemptend.go
+++ b/internal/call/attemptend.go
@@ -2,41 +2,64 @@
 
 import "olivedale/internal/admission"
 
-// An AttemptEnd is a way in which a connection, and with it what is out there, or a
-// single attempt can end. All of them are listed here and nowhere else.
+// An AttemptEnd is the way in which an attempt ended, including the ways in which the connection that
+// carried it can end. This list is complete.
 type AttemptEnd int
 
-// The attemptEndCount. 'NotSent' ones prove that no exchange has seen the set-up.
+// The ends of attempts. NoCircuit, ProcessorBusy, NotForwarded, NotSent and the dial errors prove that
+// the call has not run.
 const (
-	Completed        AttemptEnd = iota // released in the normal way after it stood
-	EndedByFault                       // released by the exchange for a fault after it stood
-	DestinationBusy                    // all lines of the number are busy
-	BackendError                       // the exchange reports an error
-	NoCircuit                          // the exchange has no line; it never ran
-	ProcessorBusy                      // the exchange's processor is full; it never ran
-	NotForwarded                       // the exchange reports that the set-up never left
-	FailedInTransit                    // the exchange reports that the set-up broke on its way
-	NotSent                            // given up before its first byte was written
-	DialRefused                        // the exchange's address refused the connection
-	DialTimedOut                       // the connection did not come up in time
-	DialFailed                         // the connection failed in another way before it was up
-	ConnectionReset                    // the connection was reset after the set-up was written
-	ConnectionClosed                   // the exchange closed the connection
-	Unresponsive                       // the connection stayed open and brought nothing, or half a message
-	Malformed                          // what came could not be read; the connection was closed
-	TimedOut                           // no answer in time
-	Canceled                           // the module called it off
-	CallerReleased                     // the caller gave the set-up up or released the call
-	BackendLost                        // the exchange is gone, or has started anew without its calls
-	ShuttingDown                       // this call controller stops
+	Completed        AttemptEnd = iota // released with normal clearing after it was established
+	EndedByFault                       // released by the backend with another cause after it was established
+	DestinationBusy                    // all lines of the called number are busy
+	BackendError                       // the backend reports an error
+	NoCircuit                          // the backend has no free circuit
+	ProcessorBusy                      // the backend's processor is overloaded
+	NotForwarded                       // the backend reports that it has not forwarded the setup
+	FailedInTransit                    // the backend reports that the setup failed after it was forwarded
+	NotSent                            // canceled before the first byte of the setup was written
+	DialRefused                        // the backend's address refused the connection
+	DialTimedOut                       // the connection was not established in time
+	DialFailed                         // the connection could not be established for another reason
+	ConnectionReset                    // the connection was reset after the setup was written
+	ConnectionClosed                   // the backend closed the connection
+	Unresponsive                       // the connection stayed open and carried nothing, or a partial message
+	Malformed                          // a message could not be parsed; the connection was closed
+	TimedOut                           // no answer before the deadline
+	Canceled                           // canceled by the Decider
+	CallerReleased                     // abandoned or released by the caller
+	BackendLost                        // the backend was removed, or has restarted without its calls
+	ShuttingDown                       // this process shuts down
 	attemptEndCount
 )
 
-var attemptEndNames = [attemptEndCount]string{"completed", "cut", "callee_busy", "fault", "no_circuit", "processor_full",
-	"never_left", "broke_on_way", "unsent", "dial_refused", "dial_timed_out", "dial_failed",
-	"connection_reset", "connection_shut", "mute", "malformed", "timed_out", "called_off", "caller_left",
-	"exchange_lost", "stopped"}
+// attemptEndNames are the names of the ends in logs, metrics and records. They are interfaces: the
+// constants were renamed, the names were not.
+var attemptEndNames = [attemptEndCount]string{
+	Completed:        "completed",
+	EndedByFault:     "cut",
+	DestinationBusy:  "callee_busy",
+	BackendError:     "fault",
+	NoCircuit:        "no_circuit",
+	ProcessorBusy:    "processor_full",
+	NotForwarded:     "never_left",
+	FailedInTransit:  "broke_on_way",
+	NotSent:          "unsent",
+	DialRefused:      "dial_refused",
+	DialTimedOut:     "dial_timed_out",
+	DialFailed:       "dial_failed",
+	ConnectionReset:  "connection_reset",
+	ConnectionClosed: "connection_shut",
+	Unresponsive:     "mute",
+	Malformed:        "malformed",
+	TimedOut:         "timed_out",
+	Canceled:         "called_off",
+	CallerReleased:   "caller_left",
+	BackendLost:      "exchange_lost",
+	ShuttingDown:     "stopped",
+}
 
+// String returns the name of the end in logs, metrics and records, "unknown" for a value that is none.
 func (e AttemptEnd) String() string {
 	if e < 0 || e >= attemptEndCount {
 		return "unknown"
@@ -44,7 +67,7 @@
 	return attemptEndNames[e]
 }
 
-// AllAttemptEnds lists every End, for counters and tests.
+// AllAttemptEnds returns every AttemptEnd in the order of their values.
 func AllAttemptEnds() []AttemptEnd {
 	all := make([]AttemptEnd, attemptEndCount)
 	for i := range all {
@@ -53,9 +76,9 @@
 	return all
 }
 
-// admissionResult is the one place where an End becomes the module's admissionResult. What may
-// have run must not be told as one that proves it never ran: the release guard
-// hangs on it.
+// admissionResult is the one place that maps an AttemptEnd to the result that is reported to the
+// Decider. An attempt that may have run must not map to a result that proves the opposite, or the
+// Decider would send the call again without waiting for its retry guard.
 func (e AttemptEnd) admissionResult() (admission.AttemptResult, admission.FailureCause) {
 	switch e {
 	case Completed:
@@ -81,6 +104,6 @@
 	case EndedByFault, FailedInTransit, ConnectionReset, ConnectionClosed, Malformed, BackendLost:
 		return admission.ConnectionLost, admission.CauseNone
 	}
-	// An end that is not known here may have run.
+	// An unknown end may have run.
 	return admission.ConnectionLost, admission.CauseNone
 }
--- a/internal/call/call_test.go
+++ b/internal/call/call_test.go
@@ -246,7 +246,7 @@
 	for i := range 50 {
 		b.core.ReleaseByCaller(fmt.Sprint("alien", i), CauseNormal)
 	}
-	if n := len(b.core.unknownReleases.ids) + len(b.core.unknownReleases.queue); n > 12 {
+	if n := len(b.core.unknownReleases.ids.entries) + len(b.core.unknownReleases.ids.queue); n > 12 {
 		t.Errorf("%d entries of releases that nobody knows", n)
 	}
 	b.said = nil
@@ -259,8 +259,8 @@
 	}
 	b.now += completedCallRetention + 1
 	b.core.Tick()
-	if c := b.core; c.openCalls+c.descriptionBytes+len(c.calls)+len(c.completedCalls.ids)+len(c.unknownReleases.ids) != 0 {
-		t.Errorf("left: %d open, %d bytes, %d calls, %d and %d ids", c.openCalls, c.descriptionBytes, len(c.calls), len(c.completedCalls.ids), len(c.unknownReleases.ids))
+	if c := b.core; c.openCalls+c.descriptionBytes+len(c.calls)+len(c.completedCalls.entries)+len(c.unknownReleases.ids.entries) != 0 {
+		t.Errorf("left: %d open, %d bytes, %d calls, %d and %d ids", c.openCalls, c.descriptionBytes, len(c.calls), len(c.completedCalls.entries), len(c.unknownReleases.ids.entries))
 	}
 }
 
--- a/internal/call/completed.go
+++ b/internal/call/completed.go
@@ -1,48 +1,61 @@
 package call
 
-// expiringIDs remembers ids for a time, the same for all of them, and so many at the most:
-// then the oldest are forgotten first. It guards memory against ever new ids.
+import "time"
+
+// completedCallRetention is how long the ids of completed calls are remembered. It covers releases that
+// cross each other or are repeated.
+const completedCallRetention = 30 * time.Second
+
+// expiringIDs is a set of ids that are forgotten at set times. It holds a bounded number of entries: if
+// it is full, the oldest is forgotten early. Ids must be added in the order of their expiry.
 type expiringIDs struct {
-	ids        map[string]int // how many entries of queue name it
-	queue      []expiringID   // in the order they came, those before head being forgotten
+	entries    map[string]int // number of entries of queue with this id
+	queue      []expiringID   // in the order they were added; those before head are forgotten
 	head       int
 	maxEntries int
 }
 
+// An expiringID is an entry of expiringIDs.
 type expiringID struct {
-	id    string
-	until Time
+	id        string
+	expiresAt Time
 }
 
-func newExpiringIDs(most int) *expiringIDs {
-	return &expiringIDs{ids: make(map[string]int), maxEntries: most}
+func newExpiringIDs(maxEntries int) *expiringIDs {
+	return &expiringIDs{entries: make(map[string]int), maxEntries: maxEntries}
 }
 
-func (r *expiringIDs) has(id string) bool { return r.ids[id] > 0 }
+// has reports whether an id is in the set.
+func (s *expiringIDs) has(id string) bool { return s.entries[id] > 0 }
 
-func (r *expiringIDs) add(id string, until Time) {
-	if n := len(r.queue) - r.head; n > 0 && n >= r.maxEntries {
-		r.drop()
+// add adds an id until a time. An id that is in the set already is kept until the later time.
+func (s *expiringIDs) add(id string, expiresAt Time) {
+	queued := len(s.queue) - s.head
+	if queued > 0 && queued >= s.maxEntries {
+		s.removeOldest()
 	}
-	r.ids[id]++
-	r.queue = append(r.queue, expiringID{id, until})
+	s.entries[id]++
+	s.queue = append(s.queue, expiringID{id: id, expiresAt: expiresAt})
 }
 
-func (r *expiringIDs) drop() {
-	e := &r.queue[r.head]
-	if r.ids[e.id]--; r.ids[e.id] == 0 {
-		delete(r.ids, e.id)
+// removeOldest removes the oldest entry, and compacts the queue when more than half of it is unused.
+func (s *expiringIDs) removeOldest() {
+	oldest := &s.queue[s.head]
+	s.entries[oldest.id]--
+	if s.entries[oldest.id] == 0 {
+		delete(s.entries, oldest.id)
 	}
-	*e = expiringID{}
-	if r.head++; r.head > len(r.queue)/2 {
-		r.queue = append(r.queue[:0], r.queue[r.head:]...)
-		r.head = 0
+	*oldest = expiringID{} // drops the reference to the id
+	s.head++
+	if s.head > len(s.queue)/2 {
+		s.queue = append(s.queue[:0], s.queue[s.head:]...)
+		s.head = 0
 	}
 }
 
-// sweep forgets what is due.
-func (r *expiringIDs) sweep(now Time) {
-	for r.head < len(r.queue) && r.queue[r.head].until < now {
-		r.drop()
+// removeExpired removes the ids that have expired before now.
+func (s *expiringIDs) removeExpired(now Time) {
+	for s.head < len(s.queue) && s.queue[s.head].expiresAt < now {
+		s.removeOldest()
 	}
 }
--- /dev/null
+++ b/internal/call/deadlines.go
@@ -0,0 +1,98 @@
+package call
+
+import "container/heap"
+
+// Tick cancels the attempts and answers the calls whose deadlines have passed, and carries out the
+// decisions that the Decider has by now.
+func (m *Manager) Tick() {
+	now := m.now()
+	overdue := m.expireDeadlines(now)
+	for _, d := range m.decider.Tick(now) {
+		if c := m.calls[d.CallID]; c != nil {
+			m.apply(c, d)
+		}
+	}
+	// Decisions come first: a decision on an overdue call may ask its caller not to retry for a while.
+	for _, c := range overdue {
+		if c.isUnplaced() {
+			m.reportAbandoned(c)
+			m.failExpired(c)
+		}
+	}
+	m.completedCalls.removeExpired(now)
+	m.unknownReleases.ids.removeExpired(now)
+}
+
+// NextDeadline returns the time at which Tick is due next.
+func (m *Manager) NextDeadline() Time {
+	if len(m.deadlines) > 0 {
+		return min(m.deadlines[0].at, m.decider.NextDeadline())
+	}
+	return m.decider.NextDeadline()
+}
+
+// expireDeadlines cancels the attempts whose deadlines have passed. It returns the calls without an
+// attempt whose own deadlines have passed; a call may be listed more than once.
+func (m *Manager) expireDeadlines(now Time) (overdue []*call) {
+	for len(m.deadlines) > 0 && m.deadlines[0].at <= now {
+		d := m.deadlines.next()
+		c := d.call
+		switch {
+		case c.state == callAttempting && c.attempt.number == d.attempt:
+			m.cancelAttempt(c, TimedOut)
+		case c.isUnplaced() && now >= c.Deadline:
+			overdue = append(overdue, c)
+		}
+	}
+	return overdue
+}
+
+// scheduleDeadline schedules the check of a call without an attempt for the time of its deadline. The
+// call is then answered even if its lookup never ends or the Decider has lost it.
+func (m *Manager) scheduleDeadline(c *call) {
+	m.deadlines.schedule(deadline{at: c.Deadline, call: c, attempt: c.attempt.number})
+}
+
+// failExpired answers a call whose deadline has passed.
+func (m *Manager) failExpired(c *call) {
+	m.Failed++
+	m.rejectCall(c, TimedOut, finalAnswer{outcome: Failed, cause: CauseFailed})
+}
+
+// A deadline is the time at which an attempt, or a call without an attempt, is checked. It is not
+// removed when the attempt ends earlier; it then has no effect.
+type deadline struct {
+	at      Time
+	call    *call
+	attempt int // the latest attempt of the call when the deadline was scheduled
+}
+
+// A deadlineHeap holds deadlines, the earliest first. It implements heap.Interface; use schedule and next.
+type deadlineHeap []deadline
+
+func (h *deadlineHeap) schedule(d deadline) { heap.Push(h, d) }
+
+// next removes and returns the earliest deadline.
+func (h *deadlineHeap) next() deadline { return heap.Pop(h).(deadline) }
+
+// Len implements heap.Interface.
+func (h deadlineHeap) Len() int { return len(h) }
+
+// Less implements heap.Interface.
+func (h deadlineHeap) Less(i, j int) bool { return h[i].at < h[j].at }
+
+// Swap implements heap.Interface.
+func (h deadlineHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+
+// Push implements heap.Interface.
+func (h *deadlineHeap) Push(x any) { *h = append(*h, x.(deadline)) }
+
+// Pop implements heap.Interface.
+func (h *deadlineHeap) Pop() any {
+	old := *h
+	last := len(old) - 1
+	d := old[last]
+	old[last] = deadline{} // drops the reference to the call
+	*h = old[:last]
+	return d
+}
--- /dev/null
+++ b/internal/call/manager.go
@@ -0,0 +1,98 @@
+package call
+
+import (
+	"cmp"
+	"slices"
+
+	"olivedale/internal/admission"
+)
+
+// A Manager owns all open and established calls of a process. It is not safe for concurrent use.
+// Create one with NewManager. The Counters are updated as events happen.
+type Manager struct {
+	decider  Decider
+	observer Observer // nil: none
+	router   Router   // nil: calls go by their preferred pool
+	backends Backends
+	now      func() Time
+	limits   Limits
+
+	calls            map[string]*call
+	openCalls        int // calls whose final answer is owed
+	descriptionBytes int // total size of their descriptions
+	deadlines        deadlineHeap
+	completedCalls   *expiringIDs
+	unknownReleases  unknownReleases
+
+	Counters
+}
+
+// NewManager returns a Manager without calls that reads the time from now.
+func NewManager(decider Decider, backends Backends, now func() Time, limits Limits) *Manager {
+	return &Manager{
+		decider:         decider,
+		backends:        backends,
+		now:             now,
+		limits:          limits,
+		calls:           make(map[string]*call),
+		completedCalls:  newExpiringIDs(limits.CompletedIDs),
+		unknownReleases: unknownReleases{ids: newExpiringIDs(limits.CompletedIDs)},
+	}
+}
+
+// SetObserver sets the observer of all later events; nil removes it.
+func (m *Manager) SetObserver(o Observer) { m.observer = o }
+
+// SetRouter sets the router of calls offered later; nil removes it.
+func (m *Manager) SetRouter(r Router) { m.router = r }
+
+// OpenCalls returns the number of calls whose final answer is owed.
+func (m *Manager) OpenCalls() int { return m.openCalls }
+
+// EstablishedCalls returns the number of established calls.
+func (m *Manager) EstablishedCalls() int { return len(m.calls) - m.openCalls }
+
+// Contains reports whether a call is open or established.
+func (m *Manager) Contains(id string) bool { return m.calls[id] != nil }
+
+// BackendOf returns the server of an established call, "" if the call is not established.
+func (m *Manager) BackendOf(id string) string {
+	if c := m.calls[id]; c != nil && c.state == callEstablished {
+		return c.attempt.server
+	}
+	return ""
+}
+
+// UpdateServers passes the list of servers to the Decider: the complete list if full, the changed ones
+// otherwise.
+func (m *Manager) UpdateServers(servers []admission.Server, full bool) {
+	m.decider.UpdateServers(m.now(), servers, full)
+}
+
+// LoadReported passes the load reported by a server to the Decider.
+func (m *Manager) LoadReported(server string, load admission.LoadReport) {
+	m.decider.Report(m.now(), admission.AttemptReport{Server: server, Kind: admission.ReportLoad, Load: load})
+}
+
+// callsWhere returns the calls that satisfy a condition in the order of their offers. The fixed order
+// makes runs in virtual time reproducible.
+func (m *Manager) callsWhere(condition func(*call) bool) []*call {
+	var selected []*call
+	for _, c := range m.calls {
+		if condition(c) {
+			selected = append(selected, c)
+		}
+	}
+	slices.SortFunc(selected, func(a, b *call) int {
+		return cmp.Or(cmp.Compare(a.offeredAt, b.offeredAt), cmp.Compare(a.ID, b.ID))
+	})
+	return selected
+}
+
+// forget removes an ended call and remembers its id.
+func (m *Manager) forget(c *call) {
+	delete(m.calls, c.ID)
+	c.releaseRoute()
+	m.completedCalls.add(c.ID, m.now()+completedCallRetention)
+	c.transition(callEnded)
+}
--- /dev/null
+++ b/internal/call/offer.go
@@ -0,0 +1,133 @@
+package call
+
+import (
+	"cmp"
+
+	"olivedale/internal/admission"
+)
+
+// Offer takes a call from a caller; its final answer goes to client, possibly before Offer returns. It
+// returns ErrReused, and does nothing else, if the id belongs to a call that is established, that
+// client has offered before, or that was offered with other content.
+func (m *Manager) Offer(client Client, r Request) error {
+	m.Requests++
+	if c := m.calls[r.ID]; c != nil {
+		return m.mergeOffer(c, client, &r)
+	}
+	if answer, rejected := m.screenOffer(&r); rejected {
+		m.rejectUnplaced(client, &r, answer)
+		return nil
+	}
+	now := m.now()
+	c := newCall(client, &r, now)
+	if m.router != nil {
+		c.route = m.router.Route(now, &r)
+		if !c.route.Pending && c.route.rejects() {
+			c.releaseRoute()
+			m.ByPolicy++
+			m.rejectUnplaced(client, &r, finalAnswer{outcome: RejectedByPolicy, cause: c.route.rejectionCause()})
+			return nil
+		}
+		r.Table = c.route.Table
+	}
+	m.openCall(c, &r)
+	return nil
+}
+
+// mergeOffer takes an offer under the id of an existing call. An offer that crossed the close of its
+// connection is repeated on another one: the call is answered there and not started a second time.
+func (m *Manager) mergeOffer(c *call, client Client, r *Request) error {
+	isRepeat := c.isOpen() && c.client != client && c.matches(r)
+	if !isRepeat {
+		// The answer to the call must not reach another caller.
+		m.ReusedIDs++
+		m.notifyLimit(LimitReusedID, r.ID)
+		return ErrReused
+	}
+	m.Repeated++
+	m.notifyLimit(LimitRepeatedSetup, r.ID)
+	c.client.CallForgotten(r.ID)
+	c.client = client
+	return nil
+}
+
+// screenOffer returns the answer to an offer that is rejected without being opened, and whether it is.
+func (m *Manager) screenOffer(r *Request) (answer finalAnswer, rejected bool) {
+	switch {
+	case m.completedCalls.has(r.ID):
+		// The call may have run, and an attempt of it may just have been canceled: it must neither be
+		// sent again nor reach the Decider.
+		m.ReusedIDs++
+		return finalAnswer{outcome: RejectedReusedID, cause: CauseFailed}, true
+	case m.unknownReleases.ids.has(r.ID):
+		// The caller has abandoned the call on another connection, whose message was read first.
+		m.Abandoned++
+		return finalAnswer{outcome: Abandoned, cause: CauseFailed}, true
+	case m.exceedsLimits(r):
+		m.OverLimit++
+		return finalAnswer{outcome: RejectedOverLimit, cause: CauseNoCircuit}, true
+	}
+	return finalAnswer{}, false
+}
+
+// exceedsLimits reports whether there is no memory for another open call.
+func (m *Manager) exceedsLimits(r *Request) bool {
+	return m.openCalls >= m.limits.OpenCalls ||
+		m.descriptionBytes+len(r.Description) > m.limits.DescriptionBytes
+}
+
+// rejectionCause returns the cause given to the caller if the decision is to reject the call.
+func (r *Route) rejectionCause() int { return cmp.Or(r.Cause, CauseFailed) }
+
+// openCall takes ownership of a call and places it unless its number is still looked up.
+func (m *Manager) openCall(c *call, r *Request) {
+	m.calls[c.ID] = c
+	m.openCalls++
+	m.descriptionBytes += len(c.Description)
+	m.notifyOffered(c.offeredAt, r)
+	if c.route.Pending {
+		m.scheduleDeadline(c)
+		return
+	}
+	m.place(c)
+}
+
+// place asks the Decider for the first decision on a routed call.
+func (m *Manager) place(c *call) {
+	c.transition(callWaiting)
+	preferred := c.PreferredPool
+	if len(c.route.Pools) > 0 {
+		preferred = c.route.Pools[0]
+	}
+	m.apply(c, m.decider.Place(m.now(), admission.Request{
+		CallID:        c.ID,
+		Class:         c.Class,
+		Number:        c.Number,
+		PreferredPool: preferred,
+		Pools:         c.route.Pools,
+		Deadline:      c.Deadline,
+		Reestablish:   c.Reestablish,
+		Emergency:     c.route.Emergency,
+	}))
+}
+
+// RouteResolved takes the decision on a call whose Route was Pending. It does nothing if the call has
+// ended or the decision was taken before. The Release and Table of the first Route stay in force; those
+// of r are ignored.
+func (m *Manager) RouteResolved(id string, r Route) {
+	c := m.calls[id]
+	if c == nil || c.state != callRouting {
+		return
+	}
+	c.route.Pools = r.Pools
+	c.route.Cause = r.Cause
+	c.route.Emergency = r.Emergency
+	c.route.Pending = false
+	if r.rejects() {
+		m.ByPolicy++
+		answer := finalAnswer{outcome: RejectedByPolicy, cause: r.rejectionCause(), retryAfter: r.RetryAfter}
+		m.rejectCall(c, Canceled, answer)
+		return
+	}
+	m.place(c)
+}
