--- /dev/null
+++ b/internal/call/offer_test.go
@@ -0,0 +1,100 @@
+package call
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+)
+
+func TestRepeatedOfferIsAnsweredOnceOnItsNewConnection(t *testing.T) {
+	f := newFixture(send("s"))
+	f.offer("x")
+	other := &recordingClient{}
+	if err := f.manager.Offer(other, Request{ID: "x", Class: "c"}); err != nil {
+		t.Error(err)
+	}
+	f.manager.CallerDisconnected(f.client)
+	f.manager.AttemptAnswered("s", "x", 0, []byte("sdp"))
+	f.wantMessages(t, "invite s x 0", "forgotten x")
+	if fmt.Sprint(other.messages) != "[established x sdp]" {
+		t.Errorf("the new connection got %q", other.messages)
+	}
+}
+
+// An offer under the id of another call neither gets the answer of that call nor ends it.
+func TestOffersUnderAReusedID(t *testing.T) {
+	f := newFixture(send("s"), send("s"))
+	f.offer("x")
+	other := &recordingClient{}
+	for _, test := range []struct {
+		name   string
+		client Client
+		r      Request
+	}{
+		{"another description", other, Request{ID: "x", Class: "c", Description: []byte("mine")}},
+		{"another number", other, Request{ID: "x", Class: "c", Number: "1"}},
+		{"twice on one connection", f.client, Request{ID: "x", Class: "c"}},
+	} {
+		if err := f.manager.Offer(test.client, test.r); !errors.Is(err, ErrReused) {
+			t.Errorf("%s: %v", test.name, err)
+		}
+	}
+	f.manager.CallerDisconnected(other)
+	f.manager.AttemptAnswered("s", "x", 0, []byte("sdp"))
+	if err := f.manager.Offer(other, Request{ID: "x", Class: "c"}); !errors.Is(err, ErrReused) {
+		t.Errorf("an established call: %v", err)
+	}
+	f.manager.ReleaseByCaller("x", CauseNormal)
+	f.offer("x")
+	f.wantMessages(t, "invite s x 0", "established x sdp", "release s x 16", "rejected x 41 0s")
+	if len(other.messages) > 0 {
+		t.Errorf("the other caller got %q", other.messages)
+	}
+}
+
+// Offers and releases above the limits are rejected, and the memory of all of them is released.
+func TestLimits(t *testing.T) {
+	f := newFixture(send("s"), send("s"), send("s"), send("s"))
+	m := f.manager
+	for _, id := range []string{"1", "2", "3", "4"} {
+		f.offer(id)
+	}
+	m.CallerDisconnected(f.client)
+	if err := m.Offer(f.client, Request{ID: "5", Description: make([]byte, 101)}); err != nil {
+		t.Error(err)
+	}
+	f.offer("6")
+	got := fmt.Sprint(f.client.messages)
+	if strings.Count(got, "invite") != 4 ||
+		strings.Count(got, "cancel") != 3 ||
+		strings.Count(got, "rejected") != 2 ||
+		!strings.Contains(got, "rejected 4 34") ||
+		!strings.Contains(got, "rejected 5 34") {
+		t.Error(got)
+	}
+	m.CallerDisconnected(f.client)
+	for i := range 50 {
+		m.ReleaseByCaller(fmt.Sprint("unknown", i), CauseNormal)
+	}
+	unknown := m.unknownReleases.ids
+	if n := len(unknown.entries) + len(unknown.queue); n > 12 {
+		t.Errorf("%d entries of unknown releases", n)
+	}
+	f.client.messages = nil
+	f.now += 2 * time.Second
+	for i := range 2 * maxUnknownReleasesPerSecond {
+		m.ReleaseByCaller(fmt.Sprint("made up", i), CauseNormal)
+	}
+	if len(f.client.messages) != maxUnknownReleasesPerSecond {
+		t.Errorf("%d releases of unknown calls were forwarded in a second", len(f.client.messages))
+	}
+	f.now += completedCallRetention + 1
+	m.Tick()
+	completed := m.completedCalls
+	if m.openCalls+m.descriptionBytes+len(m.calls)+len(completed.entries)+len(unknown.entries) != 0 {
+		t.Errorf("left: %d open, %d bytes, %d calls, %d and %d ids",
+			m.openCalls, m.descriptionBytes, len(m.calls), len(completed.entries), len(unknown.entries))
+	}
+}
--- /dev/null
+++ b/internal/call/release_test.go
@@ -0,0 +1,63 @@
+package call
+
+import (
+	"testing"
+	"time"
+
+	"olivedale/internal/admission"
+)
+
+func TestCallerReleasesOnAnotherConnection(t *testing.T) {
+	f := newFixture(send("s"), send("s"), send("s"))
+	f.offer("x")
+	if f.manager.ReleaseByCaller("x", CauseNormal) {
+		t.Error("an open call was reported as established")
+	}
+	f.manager.CallerDisconnected(f.client) // has no open calls left
+	f.offer("y")
+	f.manager.AttemptAnswered("s", "y", 0, nil)
+	f.manager.CallerDisconnected(f.client) // an established call belongs to no connection
+	f.manager.ReleaseByCaller("y", CauseNormal)
+	f.manager.ReleaseByCaller("y", CauseNormal)
+	f.manager.BackendReleased("s", "y", CauseNormal, f.client)
+	f.offer("z")
+	f.manager.CallerDisconnected(f.client)
+	f.wantMessages(t,
+		"invite s x 0", "cancel s x 0", "forgotten x",
+		"invite s y 0", "established y ", "release s y 16",
+		"invite s z 0", "cancel s z 0", "forgotten z")
+}
+
+// After a restart releases of unknown calls are forwarded once.
+func TestReleaseOfAnUnknownCall(t *testing.T) {
+	f := newFixture()
+	f.manager.BackendReleased("s", "x", CauseFailed, f.client)
+	f.manager.BackendReleased("s", "x", CauseFailed, f.client)
+	f.manager.ReleaseByCaller("y", CauseNormal)
+	f.manager.ReleaseByCaller("y", CauseNormal)
+	f.wantMessages(t, "notify release x 41", "release everywhere y 16")
+}
+
+func TestBackendRestartDropsCallsEstablishedBefore(t *testing.T) {
+	f := newFixture(send("s"), send("s"))
+	f.offer("x")
+	f.manager.AttemptAnswered("s", "x", 0, nil)
+	restartedAt := f.now + time.Second
+	f.now += 2 * time.Second
+	f.offer("y")
+	f.manager.AttemptAnswered("s", "y", 0, nil)
+	f.manager.BackendRestarted("s", restartedAt)
+	f.wantMessages(t, "invite s x 0", "established x ", "invite s y 0", "established y ", "notify release x 41")
+}
+
+// The release of an earlier attempt at the same server, whose answer was lost, cancels the attempt in
+// progress: the next attempt would run beside it.
+func TestReleaseBeforeTheAnswerCancelsTheAttempt(t *testing.T) {
+	f := newFixture(send("s"), admission.Decision{Kind: admission.None})
+	f.offer("x")
+	f.manager.BackendReleased("s", "x", CauseNormal, f.client)
+	f.wantMessages(t, "invite s x 0", "cancel s x 0")
+	if got := f.decider.lastReport(); got.Result != admission.ConnectionLost {
+		t.Errorf("reported as %+v", got)
+	}
+}
--- a/internal/call/route_test.go
+++ b/internal/call/route_test.go
@@ -9,136 +9,136 @@
 	"olivedale/internal/admission"
 )
 
-// table is a Router whose word changes; it counts who holds it.
-type table struct {
-	pools  []int
-	cause  int
-	urgent bool
-	held   int
+// A fixedRouter is a Router whose decision the test sets; it counts the calls that hold a decision.
+type fixedRouter struct {
+	pools     []int
+	cause     int
+	emergency bool
+	held      int
 }
 
-func (r *table) Route(Time, *Request) Route {
+func (r *fixedRouter) Route(Time, *Request) Route {
 	r.held++
-	return Route{Pools: slices.Clone(r.pools), Cause: r.cause, Emergency: r.urgent, Table: fmt.Sprint(r.pools), Release: func() { r.held-- }}
-}
-
-// asked notes what the module is asked.
-type asked struct {
-	*script
-	all []admission.Request
-}
-
-func (a *asked) Place(now Time, r admission.Request) admission.Decision {
-	a.all = append(a.all, r)
-	return a.script.Place(now, r)
+	return Route{
+		Pools:     slices.Clone(r.pools),
+		Cause:     r.cause,
+		Emergency: r.emergency,
+		Table:     fmt.Sprint(r.pools),
+		Release:   func() { r.held-- },
+	}
 }
 
-// A call holds its table from its set-up to its end, however it ends, and lets go once.
-func TestCallsHoldTheirTable(t *testing.T) {
-	b := newBench(try("s"), try("s"), try("s"), admission.Decision{Kind: admission.Reject})
-	desk := &asked{script: &b.script}
-	b.core.decider = desk
-	r := &table{pools: []int{2, 1}}
-	b.core.SetRouter(r)
-	b.setUp("stands")
-	b.core.AttemptAnswered("s", "stands", 0, nil)
-	b.setUp("left")
-	b.setUp("lost")
-	if r.held != 3 {
-		t.Errorf("%d held, want 3", r.held)
+// A call holds its route from its offer to its end, however it ends, and releases it once.
+func TestCallsHoldTheirRoute(t *testing.T) {
+	f := newFixture(send("s"), send("s"), send("s"), admission.Decision{Kind: admission.Reject})
+	router := &fixedRouter{pools: []int{2, 1}}
+	f.manager.SetRouter(router)
+	f.offer("established")
+	f.manager.AttemptAnswered("s", "established", 0, nil)
+	f.offer("abandoned")
+	f.offer("rejected")
+	if router.held != 3 {
+		t.Errorf("%d held, want 3", router.held)
 	}
-	if q := desk.all[0]; q.PreferredPool != 2 || !slices.Equal(q.Pools, []int{2, 1}) {
-		t.Errorf("the module was asked for %+v", q)
+	if r := f.decider.placed[0]; r.PreferredPool != 2 || !slices.Equal(r.Pools, []int{2, 1}) {
+		t.Errorf("the decider was asked for %+v", r)
 	}
-	if r.urgent = true; desk.all[0].Emergency {
-		t.Error("an ordinary call was urgent to the module")
+	router.emergency = true
+	if f.decider.placed[0].Emergency {
+		t.Error("an ordinary call was placed as an emergency")
 	}
-	b.core.ReleaseByCaller("left", CauseNormal)
-	b.core.ReleaseByCaller("stands", CauseNormal)
-	b.core.AttemptEnded("s", "lost", 0, NoCircuit) // the module denies it
-	if r.held != 0 {
-		t.Errorf("%d held after their ends", r.held)
+	f.manager.ReleaseByCaller("abandoned", CauseNormal)
+	f.manager.ReleaseByCaller("established", CauseNormal)
+	f.manager.AttemptEnded("s", "rejected", 0, NoCircuit) // the decider rejects it
+	if router.held != 0 {
+		t.Errorf("%d held after their ends", router.held)
 	}
-	b.setUp("emergency")
-	if !desk.all[len(desk.all)-1].Emergency {
-		t.Error("an emergency was not urgent to the module")
+	f.offer("emergency")
+	if placed := f.decider.placed; !placed[len(placed)-1].Emergency {
+		t.Error("an emergency call was not placed as an emergency")
 	}
-	b.core.ReleaseByCaller("emergency", CauseNormal)
-	// What a number bars the module never hears of; what comes again is not started twice.
-	r.cause = 21
-	n := len(desk.all)
-	b.said = nil
-	b.setUp("barred")
-	b.want(t, "refused barred 21 0s")
-	if r.held != 0 || len(desk.all) != n || b.core.ByPolicy != 1 || b.core.OpenCalls() != 0 {
-		t.Errorf("%d held, %d asked, %d barred, %d open", r.held, len(desk.all)-n, b.core.ByPolicy, b.core.OpenCalls())
+	f.manager.ReleaseByCaller("emergency", CauseNormal)
+	// A call that the router rejects does not reach the decider.
+	router.cause = 21
+	placedBefore := len(f.decider.placed)
+	f.client.messages = nil
+	f.offer("barred")
+	f.wantMessages(t, "rejected barred 21 0s")
+	placed := len(f.decider.placed) - placedBefore
+	if router.held != 0 || placed != 0 || f.manager.ByPolicy != 1 || f.manager.OpenCalls() != 0 {
+		t.Errorf("%d held, %d placed, %d rejected by policy, %d open",
+			router.held, placed, f.manager.ByPolicy, f.manager.OpenCalls())
 	}
 }
 
-// A set-up that crossed the close of its connection and comes again is known by what the caller
-// said, not by what its number led to.
-func TestRepeatedSetUpOfARoutedCall(t *testing.T) {
-	b := newBench(try("s"))
-	b.core.SetRouter(&table{pools: []int{7}})
-	b.setUp("x")
-	if err := b.core.Offer(&world{}, Request{ID: "x", Class: "c", Deadline: b.now + 3*time.Second}); err != nil || b.core.Repeated != 1 {
-		t.Errorf("%v, %d repeated", err, b.core.Repeated)
+// A repeated offer is recognized by the caller's request, not by the route of its number.
+func TestRepeatedOfferOfARoutedCall(t *testing.T) {
+	f := newFixture(send("s"))
+	f.manager.SetRouter(&fixedRouter{pools: []int{7}})
+	f.offer("x")
+	err := f.manager.Offer(&recordingClient{}, Request{ID: "x", Class: "c", Deadline: f.now + callTimeout})
+	if err != nil || f.manager.Repeated != 1 {
+		t.Errorf("%v, %d repeated", err, f.manager.Repeated)
 	}
 }
 
-// pending is a Router that decides later.
-type pending struct{ held int }
+// A pendingRouter is a Router that decides later; it counts the calls that hold a decision.
+type pendingRouter struct{ held int }
 
-func (r *pending) Route(Time, *Request) Route {
+func (r *pendingRouter) Route(Time, *Request) Route {
 	r.held++
 	return Route{Pending: true, Release: func() { r.held-- }}
 }
 
-// A call whose number is looked up is owed one answer like any other: it goes on with the word, is
-// refused by it, or ends before; whatever comes after that changes nothing.
-func TestCallsWaitForTheWord(t *testing.T) {
-	b := newBench(try("s"))
-	desk := &asked{script: &b.script}
-	b.core.decider = desk
-	r := &pending{}
-	b.core.SetRouter(r)
-	b.setUp("goes on")
-	if len(desk.all) != 0 || r.held != 1 || b.core.OpenCalls() != 1 {
-		t.Errorf("%d asked, %d held, %d open", len(desk.all), r.held, b.core.OpenCalls())
+// A call whose number is looked up gets one answer like any other: it is placed or rejected when the
+// route is resolved, or ends before; what comes later changes nothing.
+func TestCallsWaitForTheirRoute(t *testing.T) {
+	f := newFixture(send("s"))
+	router := &pendingRouter{}
+	f.manager.SetRouter(router)
+	f.offer("placed")
+	if len(f.decider.placed) != 0 || router.held != 1 || f.manager.OpenCalls() != 1 {
+		t.Errorf("%d placed, %d held, %d open", len(f.decider.placed), router.held, f.manager.OpenCalls())
 	}
-	b.core.RouteResolved("goes on", Route{Pools: []int{3}})
-	b.core.RouteResolved("goes on", Route{Cause: 1}) // a second word
-	b.core.AttemptAnswered("s", "goes on", 0, nil)
-	b.want(t, "invite s goes on 0", "stands goes on ")
-	if desk.all[0].PreferredPool != 3 || r.held != 1 {
-		t.Errorf("%+v, %d held", desk.all[0], r.held)
+	f.manager.RouteResolved("placed", Route{Pools: []int{3}})
+	f.manager.RouteResolved("placed", Route{Cause: 1}) // a second decision
+	f.manager.AttemptAnswered("s", "placed", 0, nil)
+	f.wantMessages(t, "invite s placed 0", "established placed ")
+	if f.decider.placed[0].PreferredPool != 3 || router.held != 1 {
+		t.Errorf("%+v, %d held", f.decider.placed[0], router.held)
 	}
-	b.core.ReleaseByCaller("goes on", CauseNormal)
-	b.said = nil
+	f.manager.ReleaseByCaller("placed", CauseNormal)
+	f.client.messages = nil
 
-	b.setUp("refused")
-	b.core.RouteResolved("refused", Route{Cause: 34, RetryAfter: 2 * time.Second})
-	b.setUp("left")
-	b.core.ReleaseByCaller("left", CauseNormal)
-	b.core.RouteResolved("left", Route{Pools: []int{1}})
-	b.setUp("closed")
-	b.core.CallerDisconnected(b.world)
-	b.core.RouteResolved("closed", Route{Pools: []int{1}})
-	b.core.RouteResolved("nobody", Route{Pools: []int{1}})
-	b.want(t, "refused refused 34 2s", "waived left", "waived closed")
-	if r.held != 0 || len(desk.all) != 1 || len(b.progress) != 2 { // it stood, and ended
-		t.Errorf("%d held, %d asked, %+v", r.held, len(desk.all), b.progress)
+	f.offer("rejected")
+	f.manager.RouteResolved("rejected", Route{Cause: 34, RetryAfter: 2 * time.Second})
+	f.offer("abandoned")
+	f.manager.ReleaseByCaller("abandoned", CauseNormal)
+	f.manager.RouteResolved("abandoned", Route{Pools: []int{1}})
+	f.offer("disconnected")
+	f.manager.CallerDisconnected(f.client)
+	f.manager.RouteResolved("disconnected", Route{Pools: []int{1}})
+	f.manager.RouteResolved("unknown", Route{Pools: []int{1}})
+	f.wantMessages(t, "rejected rejected 34 2s", "forgotten abandoned", "forgotten disconnected")
+	// The two reports are those of the first call: established and ended.
+	if router.held != 0 || len(f.decider.placed) != 1 || len(f.decider.reports) != 2 {
+		t.Errorf("%d held, %d placed, %+v", router.held, len(f.decider.placed), f.decider.reports)
 	}
+}
 
-	// Of a look-up nothing is heard any more: the caller is answered when its time is over.
-	b.setUp("forgotten")
-	b.now += 3 * time.Second
-	b.core.Tick()
-	b.want(t, "refused forgotten 41 0s")
-	b.setUp("stop")
-	b.core.RejectOpenCalls()
-	b.want(t, "refused stop 34 0s")
-	if r.held != 0 || b.core.OpenCalls() != 0 {
-		t.Errorf("%d held, %d open", r.held, b.core.OpenCalls())
+// A call whose lookup never ends is answered at its deadline, or at shutdown.
+func TestPendingRouteEndsWithItsCall(t *testing.T) {
+	f := newFixture()
+	router := &pendingRouter{}
+	f.manager.SetRouter(router)
+	f.offer("overdue")
+	f.now += callTimeout
+	f.manager.Tick()
+	f.wantMessages(t, "rejected overdue 41 0s")
+	f.offer("open")
+	f.manager.RejectOpenCalls()
+	f.wantMessages(t, "rejected open 34 0s")
+	if router.held != 0 || f.manager.OpenCalls() != 0 {
+		t.Errorf("%d held, %d open", router.held, f.manager.OpenCalls())
 	}
 }
