--- a/internal/call/offer.go
+++ b/internal/call/offer.go
@@ -1,14 +1,10 @@
 package call
 
-import (
-	"cmp"
+import "olivedale/internal/admission"
 
-	"olivedale/internal/admission"
-)
-
-// Offer takes a call from a caller; its final answer goes to client, possibly before Offer returns. It
-// returns ErrReused, and does nothing else, if the id belongs to a call that is established, that
-// client has offered before, or that was offered with other content.
+// Offer takes a call from a caller; its final answer goes to client, possibly before Offer returns. If
+// the id belongs to a call that is established, that client has offered before, or that was offered with
+// other content, Offer returns ErrReused, gives no answer and leaves that call as it is.
 func (m *Manager) Offer(client Client, r Request) error {
 	m.Requests++
 	if c := m.calls[r.ID]; c != nil {
@@ -18,17 +14,10 @@
 		m.rejectUnplaced(client, &r, answer)
 		return nil
 	}
-	now := m.now()
-	c := newCall(client, &r, now)
-	if m.router != nil {
-		c.route = m.router.Route(now, &r)
-		if !c.route.Pending && c.route.rejects() {
-			c.releaseRoute()
-			m.ByPolicy++
-			m.rejectUnplaced(client, &r, finalAnswer{outcome: RejectedByPolicy, cause: c.route.rejectionCause()})
-			return nil
-		}
-		r.Table = c.route.Table
+	c := newCall(client, &r, m.now())
+	if accepted := m.routeOffer(c, &r); !accepted {
+		m.rejectUnplaced(client, &r, finalAnswer{outcome: RejectedByPolicy, cause: c.route.rejectionCause()})
+		return nil
 	}
 	m.openCall(c, &r)
 	return nil
@@ -76,8 +65,21 @@
 		m.descriptionBytes+len(r.Description) > m.limits.DescriptionBytes
 }
 
-// rejectionCause returns the cause given to the caller if the decision is to reject the call.
-func (r *Route) rejectionCause() int { return cmp.Or(r.Cause, CauseFailed) }
+// routeOffer asks the Router, if there is one, for the route of a call that is not opened yet. It reports
+// false if the Router rejects the call.
+func (m *Manager) routeOffer(c *call, r *Request) (accepted bool) {
+	if m.router == nil {
+		return true
+	}
+	c.route = m.router.Route(c.offeredAt, r)
+	if !c.route.Pending && c.route.rejects() {
+		c.releaseRoute()
+		m.ByPolicy++
+		return false
+	}
+	r.Table = c.route.Table
+	return true
+}
 
 // openCall takes ownership of a call and places it unless its number is still looked up.
 func (m *Manager) openCall(c *call, r *Request) {
--- a/internal/call/state.go
+++ b/internal/call/state.go
@@ -86,10 +86,10 @@
 }
 
 // isOpen reports whether the final answer of the call is owed.
-func (c *call) isOpen() bool { return c.state < callEstablished }
+func (c *call) isOpen() bool { return c.state != callEstablished && c.state != callEnded }
 
 // isUnplaced reports whether the call is open and has no attempt in progress.
-func (c *call) isUnplaced() bool { return c.state < callAttempting }
+func (c *call) isUnplaced() bool { return c.state == callRouting || c.state == callWaiting }
 
 // isAttempting reports whether the given attempt of the call is in progress.
 func (c *call) isAttempting(server string, attempt int) bool {
--- a/internal/call/types.go
+++ b/internal/call/types.go
@@ -1,6 +1,7 @@
 package call
 
 import (
+	"cmp"
 	"errors"
 	"time"
 
@@ -43,7 +44,7 @@
 // A Route is a Router's decision on one call.
 type Route struct {
 	Pools   []int  // permitted pools, the preferred one first; empty: the call is rejected
-	Cause   int    // the Q.850 cause for which the call is rejected; 0: by CauseFailed if Pools is empty
+	Cause   int    // the Q.850 cause for which the call is rejected; 0 with empty Pools: CauseFailed
 	Table   string // version of the routing table, for the records
 	Release func() // releases what the decision holds, called once when the call ends; nil: nothing
 	// Pending means that the number is being looked up. The decision follows by
@@ -58,6 +59,9 @@
 // rejects reports whether the decision is to reject the call.
 func (r *Route) rejects() bool { return r.Cause != 0 || len(r.Pools) == 0 }
 
+// rejectionCause returns the Q.850 cause that a caller gets if the decision is to reject the call.
+func (r *Route) rejectionCause() int { return cmp.Or(r.Cause, CauseFailed) }
+
 // An Outcome is the kind of the final answer to a call.
 type Outcome int
 
