--- /dev/null
+++ b/internal/call/attemptend.go
@@ -0,0 +1,109 @@
+package call
+
+import "olivedale/internal/admission"
+
+// An AttemptEnd is the way in which an attempt ended, including the ways in which the connection that
+// carried it can end. This list is complete.
+type AttemptEnd int
+
+// The ends of attempts. NoCircuit, ProcessorBusy, NotForwarded, NotSent and the dial errors prove that
+// the call has not run.
+const (
+	Completed        AttemptEnd = iota // released with normal clearing after it was established
+	EndedByFault                       // released by the backend with another cause after it was established
+	DestinationBusy                    // all lines of the called number are busy
+	BackendError                       // the backend reports an error
+	NoCircuit                          // the backend has no free circuit
+	ProcessorBusy                      // the backend's processor is overloaded
+	NotForwarded                       // the backend reports that it has not forwarded the setup
+	FailedInTransit                    // the backend reports that the setup failed after it was forwarded
+	NotSent                            // canceled before the first byte of the setup was written
+	DialRefused                        // the backend's address refused the connection
+	DialTimedOut                       // the connection was not established in time
+	DialFailed                         // the connection could not be established for another reason
+	ConnectionReset                    // the connection was reset after the setup was written
+	ConnectionClosed                   // the backend closed the connection
+	Unresponsive                       // the connection stayed open and carried nothing, or a partial message
+	Malformed                          // a message could not be parsed; the connection was closed
+	TimedOut                           // no answer before the deadline
+	Canceled                           // canceled by the Decider
+	CallerReleased                     // abandoned or released by the caller
+	BackendLost                        // the backend was removed, or has restarted without its calls
+	ShuttingDown                       // this process shuts down
+	attemptEndCount
+)
+
+// attemptEndNames are the names of the ends in logs, metrics and records. They are interfaces: the
+// constants were renamed, the names were not.
+var attemptEndNames = [attemptEndCount]string{
+	Completed:        "completed",
+	EndedByFault:     "cut",
+	DestinationBusy:  "callee_busy",
+	BackendError:     "fault",
+	NoCircuit:        "no_circuit",
+	ProcessorBusy:    "processor_full",
+	NotForwarded:     "never_left",
+	FailedInTransit:  "broke_on_way",
+	NotSent:          "unsent",
+	DialRefused:      "dial_refused",
+	DialTimedOut:     "dial_timed_out",
+	DialFailed:       "dial_failed",
+	ConnectionReset:  "connection_reset",
+	ConnectionClosed: "connection_shut",
+	Unresponsive:     "mute",
+	Malformed:        "malformed",
+	TimedOut:         "timed_out",
+	Canceled:         "called_off",
+	CallerReleased:   "caller_left",
+	BackendLost:      "exchange_lost",
+	ShuttingDown:     "stopped",
+}
+
+// String returns the name of the end in logs, metrics and records, "unknown" for a value that is none.
+func (e AttemptEnd) String() string {
+	if e < 0 || e >= attemptEndCount {
+		return "unknown"
+	}
+	return attemptEndNames[e]
+}
+
+// AllAttemptEnds returns every AttemptEnd in the order of their values.
+func AllAttemptEnds() []AttemptEnd {
+	all := make([]AttemptEnd, attemptEndCount)
+	for i := range all {
+		all[i] = AttemptEnd(i)
+	}
+	return all
+}
+
+// admissionResult is the one place that maps an AttemptEnd to the result that is reported to the
+// Decider. An attempt that may have run must not map to a result that proves the opposite, or the
+// Decider would send the call again without waiting for its retry guard.
+func (e AttemptEnd) admissionResult() (admission.AttemptResult, admission.FailureCause) {
+	switch e {
+	case Completed:
+		return admission.Delivered, admission.CauseNone
+	case DestinationBusy:
+		return admission.ServerError, admission.CauseDestinationBusy
+	case BackendError:
+		return admission.ServerError, admission.CauseNone
+	case NoCircuit:
+		return admission.ServerBusy, admission.CauseNoCircuit
+	case ProcessorBusy:
+		return admission.ServerBusy, admission.CauseProcessorBusy
+	case NotForwarded, NotSent:
+		return admission.NotSent, admission.CauseNone
+	case DialRefused, DialTimedOut, DialFailed:
+		return admission.DialFailed, admission.CauseNone
+	case TimedOut:
+		return admission.TimedOut, admission.CauseNone
+	case Canceled, CallerReleased, ShuttingDown:
+		return admission.Canceled, admission.CauseNone
+	case Unresponsive:
+		return admission.ConnectionLost, admission.CauseConnectionUnresponsive
+	case EndedByFault, FailedInTransit, ConnectionReset, ConnectionClosed, Malformed, BackendLost:
+		return admission.ConnectionLost, admission.CauseNone
+	}
+	// An unknown end may have run.
+	return admission.ConnectionLost, admission.CauseNone
+}
