--- a/internal/codec/jsonl/golden_test.go
+++ b/internal/codec/jsonl/golden_test.go
@@ -8,15 +8,15 @@
 	"olivedale/internal/goldentest"
 )
 
-// goldenMessages are messages of every verb in both directions, and lines as other programs write them.
+// goldenMessages returns messages of every verb in both directions, and lines as other programs write them.
 func goldenMessages() []goldentest.Message {
 	const tag = "9b1f03aa5c7e2d41"
 	var all []goldentest.Message
 	add := func(name string, m *Message) {
 		all = append(all, goldentest.Message{Name: name, Bytes: Append(nil, m)})
 	}
-	add("start", &Message{Verb: Start, Tag: tag, Blob: []byte("v=0\r\ns={1} \"\\\t\x01\r\n"), Opts: []Opt{{"class", "voice"}, {"left", "9000"}, {"key", "7f3a"},
-		{"extras", "dest:0;width:1;via:-1"}}})
+	add("start", &Message{Verb: Start, Tag: tag, Blob: []byte("v=0\r\ns={1} \"\\\t\x01\r\n"),
+		Opts: []Opt{{"class", "voice"}, {"left", "9000"}, {"key", "7f3a"}, {"extras", "dest:0;width:1;via:-1"}}})
 	add("pending", &Message{Verb: Pending, Tag: tag})
 	add("started", &Message{Verb: Started, Tag: tag, Blob: []byte("\x00\x1f\x7f\xff\xc3\xa9/")})
 	add("started with an empty blob", &Message{Verb: Started, Tag: tag, Blob: []byte{}})
@@ -36,14 +36,15 @@
 	return all
 }
 
-// Messages are written as the committed bytes, and these are read as the committed dump.
+// TestGoldenMessages compares written messages with the committed bytes, and the parsed bytes with the committed dump.
 func TestGoldenMessages(t *testing.T) {
 	var dump strings.Builder
 	for _, m := range goldentest.Messages(t, "messages.txt", goldenMessages()) {
 		var r Reader
 		_, _ = fmt.Fprintf(&dump, "== %s\n", m.Name)
 		err := r.Feed(m.Bytes, func(m *Message) bool {
-			_, _ = fmt.Fprintf(&dump, "verb %q tag %q rc %d has-rc %v blob %q no-blob %v\n", m.Verb, m.Tag, m.RC, m.HasRC, m.Blob, m.Blob == nil)
+			_, _ = fmt.Fprintf(&dump, "verb %q tag %q rc %d has-rc %v blob %q no-blob %v\n",
+				m.Verb, m.Tag, m.RC, m.HasRC, m.Blob, m.Blob == nil)
 			for _, o := range m.Opts {
 				_, _ = fmt.Fprintf(&dump, "  option %q value %q\n", o.Name, o.Value)
 			}
--- /dev/null
+++ b/internal/codec/jsonl/parser.go
@@ -0,0 +1,74 @@
+package jsonl
+
+import (
+	"errors"
+	"fmt"
+	"strconv"
+)
+
+var errNoVerb = errors.New("no verb")
+
+// Parse parses one line without its line feed. The message does not refer to the line's memory.
+func Parse(line []byte) (*Message, error) {
+	s := scanner{text: line}
+	m := &Message{}
+	if err := s.message(m); err != nil {
+		return nil, fmt.Errorf("jsonl: %w", err)
+	}
+	return m, nil
+}
+
+// message reads a message, which is the whole text.
+func (s *scanner) message(m *Message) error {
+	err := s.object(func(name string) error { return s.member(m, name) })
+	if err != nil {
+		return err
+	}
+	s.skipSpace()
+	if s.pos < len(s.text) {
+		return fmt.Errorf("unexpected text after the object at byte %d", s.pos)
+	}
+	if m.Verb == "" {
+		return errNoVerb
+	}
+	return nil
+}
+
+// member reads the value of a message's member with that name. Values of unknown members are skipped.
+func (s *scanner) member(m *Message, name string) (err error) {
+	switch name {
+	case "verb":
+		m.Verb, err = s.string()
+	case "tag":
+		m.Tag, err = s.string()
+	case "opts":
+		m.Opts, err = s.options(m.Opts[:0])
+	case "rc":
+		m.RC, err = s.resultCode()
+		m.HasRC = err == nil
+	case "blob":
+		m.Blob, err = s.bytes()
+	default:
+		err = s.skipValue(0)
+	}
+	return err
+}
+
+// options appends the members of an object to opts.
+func (s *scanner) options(opts []Opt) ([]Opt, error) {
+	err := s.object(func(name string) error {
+		value, err := s.scalar()
+		opts = append(opts, Opt{name, value})
+		return err
+	})
+	return opts, err
+}
+
+// resultCode reads a whole number, which may be quoted.
+func (s *scanner) resultCode() (int, error) {
+	text, err := s.scalar()
+	if err != nil {
+		return 0, err
+	}
+	return strconv.Atoi(text)
+}
--- /dev/null
+++ b/internal/codec/jsonl/reader.go
@@ -0,0 +1,63 @@
+package jsonl
+
+import (
+	"bytes"
+	"errors"
+)
+
+// ErrTooLong reports a line that is longer than MaxMessageSize.
+var ErrTooLong = errors.New("jsonl: a line is longer than 16 KiB")
+
+// A Reader assembles messages from the pieces in which a connection delivers them. Its zero value is ready to use.
+type Reader struct {
+	partial []byte // the start of a line whose line feed has not arrived
+}
+
+// Half reports whether a partial line is buffered.
+func (r *Reader) Half() bool { return len(r.partial) > 0 }
+
+// Feed reads a piece and calls handle for each line that it completes, until handle returns false. Empty lines are
+// ignored. After an error, or once handle returned false, the reader must not be used again.
+func (r *Reader) Feed(piece []byte, handle func(*Message) bool) error {
+	for len(piece) > 0 {
+		end := bytes.IndexByte(piece, '\n')
+		if end < 0 {
+			return r.buffer(piece)
+		}
+		if len(r.partial)+end+1 > MaxMessageSize {
+			return ErrTooLong
+		}
+		line := r.completeLine(piece[:end])
+		piece = piece[end+1:]
+		if len(line) == 0 {
+			continue
+		}
+		m, err := Parse(line)
+		if err != nil {
+			return err
+		}
+		if !handle(m) {
+			return nil
+		}
+	}
+	return nil
+}
+
+// buffer keeps a piece without a line feed. A line that would exceed MaxMessageSize fails before its end arrives.
+func (r *Reader) buffer(piece []byte) error {
+	if len(r.partial)+len(piece) >= MaxMessageSize {
+		return ErrTooLong
+	}
+	r.partial = append(r.partial, piece...)
+	return nil
+}
+
+// completeLine returns the buffered part of a line followed by its last part, without a carriage return at the end.
+func (r *Reader) completeLine(last []byte) []byte {
+	line := last
+	if len(r.partial) > 0 {
+		line = append(r.partial, last...)
+		r.partial = nil
+	}
+	return bytes.TrimSuffix(line, []byte("\r"))
+}
--- /dev/null
+++ b/internal/codec/jsonl/reader_test.go
@@ -0,0 +1,111 @@
+package jsonl
+
+import (
+	"bytes"
+	"math/rand/v2"
+	"reflect"
+	"strings"
+	"testing"
+)
+
+var samples = []*Message{
+	{Verb: Start, Tag: "9b1f03aa5c7e2d41", Opts: []Opt{{"class", "voice"}, {"left", "1500"}},
+		Blob: []byte("a\r\n\"\\\x01\xff\xc3\xa9")},
+	{Verb: Finish, Tag: "9b1f03aa5c7e2d41", RC: 34, HasRC: true, Opts: []Opt{{"wait", "250"}}},
+	{Verb: Echo, Tag: "", RC: 0, HasRC: true},
+}
+
+// readAll feeds pieces to a reader and returns the messages it delivers.
+func readAll(pieces ...[]byte) (messages []*Message, err error) {
+	var r Reader
+	for _, piece := range pieces {
+		err = r.Feed(piece, func(m *Message) bool {
+			messages = append(messages, m)
+			return true
+		})
+		if err != nil {
+			break
+		}
+	}
+	return messages, err
+}
+
+// splitRandomly splits a text into pieces of 1 to 40 bytes.
+func splitRandomly(rng *rand.Rand, text []byte) (pieces [][]byte) {
+	for len(text) > 0 {
+		n := 1 + rng.IntN(min(len(text), 40))
+		pieces = append(pieces, bytes.Clone(text[:n]))
+		text = text[n:]
+	}
+	return pieces
+}
+
+func TestReaderWithRandomPieces(t *testing.T) {
+	var text []byte
+	for _, m := range samples {
+		text = Append(text, m)
+	}
+	for seed := range uint64(200) {
+		got, err := readAll(splitRandomly(rand.New(rand.NewPCG(seed, 0)), text)...)
+		if err != nil || len(got) != len(samples) {
+			t.Fatalf("seed %d: %d messages, error %v", seed, len(got), err)
+		}
+		for i, m := range got {
+			want := *samples[i]
+			m.Opts = append([]Opt(nil), m.Opts...)
+			if !reflect.DeepEqual(m, &want) {
+				t.Fatalf("seed %d: got %+v, want %+v", seed, m, want)
+			}
+		}
+	}
+}
+
+func TestParse(t *testing.T) {
+	line := ` { "new":[1,{"a":null},true], "opts":{"left":1500,"k":"\u00e9\ud83d\ude00\/"}, "rc":"16", "verb":"X" } `
+	m, err := Parse([]byte(line))
+	if err != nil || m.Opt("left") != "1500" || m.Opt("k") != "é😀/" || m.RC != 16 {
+		t.Errorf("got %+v, %v", m, err)
+	}
+	for _, bad := range []string{
+		`{}`, `[]`, `{"verb":"X"} x`, `{"verb":"X","opts":{"a":true}}`, `{"verb":"\ud83d"}`, `{"verb":"X"`,
+		`{"verb":"X","rc":1.5}`, `{"verb":"` + "\x01" + `"}`, `{"verb":"X","n":` + strings.Repeat("[", 100),
+	} {
+		if m, err := Parse([]byte(bad)); err == nil {
+			t.Errorf("%s is invalid, but was parsed as %+v", bad, m)
+		}
+	}
+}
+
+func TestMaxMessageSize(t *testing.T) {
+	fits := bytes.Repeat([]byte(" "), MaxMessageSize-1-len(`{"verb":"X"}`))
+	fits = append(append(fits, `{"verb":"X"}`...), '\n')
+	if got, err := readAll(fits); err != nil || len(got) != 1 {
+		t.Errorf("a line of 16 KiB: %d messages, %v", len(got), err)
+	}
+	if _, err := readAll(append([]byte(" "), fits...)); err != ErrTooLong {
+		t.Errorf("a longer line: %v", err)
+	}
+	if _, err := readAll(bytes.Repeat([]byte("x"), MaxMessageSize)); err != ErrTooLong {
+		t.Errorf("a line without a line feed: %v", err)
+	}
+}
+
+func FuzzReader(f *testing.F) {
+	for _, m := range samples {
+		f.Add(Append(nil, m), uint64(1))
+	}
+	f.Add([]byte(`{"verb":"X","n":[[{"a":1e5}]],"opts":{"left":1.5}}`+"\n"), uint64(2))
+	f.Fuzz(func(t *testing.T, text []byte, seed uint64) {
+		messages, err := readAll(text)
+		split, splitErr := readAll(splitRandomly(rand.New(rand.NewPCG(seed, 0)), text)...)
+		if (err == nil) != (splitErr == nil) || !reflect.DeepEqual(messages, split) {
+			t.Errorf("in one piece %d messages and %v, in several %d and %v", len(messages), err, len(split), splitErr)
+		}
+		for _, m := range messages {
+			reparsed, err := Parse(bytes.TrimSuffix(Append(nil, m), []byte("\n")))
+			if err != nil || reparsed.Verb != m.Verb || reparsed.Tag != m.Tag || !bytes.Equal(reparsed.Blob, m.Blob) {
+				t.Errorf("%+v was written and parsed as %+v, %v", m, reparsed, err)
+			}
+		}
+	})
+}
