--- a/internal/codec/h248/golden_test.go
+++ b/internal/codec/h248/golden_test.go
@@ -9,11 +9,14 @@
 )
 
 // errorCodes are all codes in their order.
-var errorCodes = []int{SyntaxInMessage, ProtocolError, SyntaxInTransaction, VersionNotSupported, UnknownContext, UnknownAction, SyntaxInAction, UnknownTermination,
-	NoTerminationMatched, NoTermination, TerminationInContext, MissingRemote, SyntaxInCommand, UnknownCommand, UnknownProperty, BadValue, InternalFailure, NotImplemented,
-	NotReady, ServiceUnavailable, Insufficient, TemporaryFailure}
+var errorCodes = []int{
+	SyntaxInMessage, ProtocolError, SyntaxInTransaction, VersionNotSupported, UnknownContext, UnknownAction,
+	SyntaxInAction, UnknownTermination, NoTerminationMatched, NoTermination, TerminationInContext, MissingRemote,
+	SyntaxInCommand, UnknownCommand, UnknownProperty, BadValue, InternalFailure, NotImplemented, NotReady,
+	ServiceUnavailable, Insufficient, TemporaryFailure,
+}
 
-// goldenMessages are frames of every kind of transaction and every command.
+// goldenMessages returns frames of every kind of transaction and every command.
 func goldenMessages(t *testing.T) (all []goldentest.Message) {
 	add := func(name string, m *Message) {
 		m.MID = "[127.0.0.2]:2944"
@@ -24,74 +27,107 @@
 		all = append(all, goldentest.Message{Name: name, Bytes: b})
 	}
 	request := func(name, context string, commands ...*Command) {
-		add(name, &Message{Transactions: []*Transaction{{Kind: Request, ID: 7, Actions: []*Action{{Context: context, Commands: commands}}}}})
+		actions := []*Action{{Context: context, Commands: commands}}
+		add(name, &Message{Transactions: []*Transaction{{Kind: Request, ID: 7, Actions: actions}}})
 	}
 	media := func(kids ...*Node) []*Node { return []*Node{{Name: "Media", Kids: kids}} }
-	state := &Node{Name: "TerminationState", Kids: []*Node{{Name: "oc/class", Value: "voice"}, {Name: "oc/peer", Value: "a \"b\"\n", Quoted: true}, {Name: "oc/none", Quoted: true}}}
-	request("add", "$", &Command{Name: "Add", Termination: "call/9b1f03aa5c7e2d41/0", Descriptors: media(state, &Node{Name: "Remote", Octets: []byte("v=0\r\ns={-} \\x\r\n")})})
-	request("subtract and notify", "5", &Command{Name: "Subtract", Termination: "p/1"}, &Command{Name: "Notify", Termination: "p/2",
-		Descriptors: []*Node{{Name: "ObservedEvents", Value: "1", Kids: []*Node{{Name: "oc/rel", Kids: []*Node{{Name: "cause", Value: "16"}}}}}}})
-	request("modify, move and audits", "-", &Command{Name: "Modify", Termination: "ROOT", Descriptors: media(state)}, &Command{Name: "Move", Termination: "*"},
-		&Command{Name: "AuditValue", Termination: "ROOT"}, &Command{Name: "AuditCapability", Termination: "$"})
-	request("service change", "-", &Command{Name: "ServiceChange", Termination: "ROOT",
-		Descriptors: []*Node{{Name: "Services", Kids: []*Node{{Name: "Method", Value: "Graceful"}, {Name: "Reason", Value: "905", Quoted: true}}}}})
+	state := &Node{Name: "TerminationState", Kids: []*Node{
+		{Name: "oc/class", Value: "voice"},
+		{Name: "oc/peer", Value: "a \"b\"\n", Quoted: true},
+		{Name: "oc/none", Quoted: true},
+	}}
+	remote := &Node{Name: "Remote", Octets: []byte("v=0\r\ns={-} \\x\r\n")}
+	request("add", "$", &Command{Name: "Add", Termination: "call/9b1f03aa5c7e2d41/0", Descriptors: media(state, remote)})
+	release := &Node{Name: "oc/rel", Kids: []*Node{{Name: "cause", Value: "16"}}}
+	request("subtract and notify", "5",
+		&Command{Name: "Subtract", Termination: "p/1"},
+		&Command{Name: "Notify", Termination: "p/2",
+			Descriptors: []*Node{{Name: "ObservedEvents", Value: "1", Kids: []*Node{release}}}})
+	request("modify, move and audits", "-",
+		&Command{Name: "Modify", Termination: "ROOT", Descriptors: media(state)},
+		&Command{Name: "Move", Termination: "*"},
+		&Command{Name: "AuditValue", Termination: "ROOT"},
+		&Command{Name: "AuditCapability", Termination: "$"})
+	services := &Node{Name: "Services", Kids: []*Node{
+		{Name: "Method", Value: "Graceful"},
+		{Name: "Reason", Value: "905", Quoted: true},
+	}}
+	request("service change", "-",
+		&Command{Name: "ServiceChange", Termination: "ROOT", Descriptors: []*Node{services}})
+	reply := func(id uint32, context string, c *Command) *Transaction {
+		return &Transaction{Kind: Reply, ID: id, Actions: []*Action{{Context: context, Commands: []*Command{c}}}}
+	}
+	statistics := &Node{Name: "Statistics", Kids: []*Node{
+		{Name: "oc/requests", Value: "12"},
+		{Name: "oc/server", Kids: []*Node{{Name: "oc/name", Value: "s-1", Quoted: true}}},
+	}}
+	local := &Node{Name: "Local", Octets: []byte{}}
 	add("replies", &Message{Transactions: []*Transaction{
-		{Kind: Reply, ID: 1<<32 - 1, Actions: []*Action{{Context: "9", Commands: []*Command{{Name: "Add", Termination: "p/1", Descriptors: media(&Node{Name: "Local", Octets: []byte{}})}}}}},
-		{Kind: Reply, ID: 0, Actions: []*Action{{Context: "-", Commands: []*Command{{Name: "AuditValue", Termination: "ROOT", Descriptors: []*Node{
-			{Name: "Statistics", Kids: []*Node{{Name: "oc/requests", Value: "12"}, {Name: "oc/server", Kids: []*Node{{Name: "oc/name", Value: "s-1", Quoted: true}}}}}}}}}}},
-		{Kind: Pending, ID: 8}, {Kind: Ack, Acked: [][2]uint32{{1, 3}, {9, 9}}}}})
-	add("errors", &Message{Err: &Error{Code: SyntaxInMessage, Text: "no \"MEGACO\" header"}, Transactions: []*Transaction{
-		{Kind: Reply, ID: 1, Err: &Error{Code: NotImplemented}},
-		{Kind: Reply, ID: 2, Actions: []*Action{{Context: "5", Commands: []*Command{{Name: "Add", Termination: "p/1", Err: &Error{Code: BadValue, Text: "x"}}}, Err: &Error{Code: NotReady}}}}}})
+		reply(1<<32-1, "9", &Command{Name: "Add", Termination: "p/1", Descriptors: media(local)}),
+		reply(0, "-", &Command{Name: "AuditValue", Termination: "ROOT", Descriptors: []*Node{statistics}}),
+		{Kind: Pending, ID: 8},
+		{Kind: Ack, Acked: [][2]uint32{{1, 3}, {9, 9}}},
+	}})
+	failed := reply(2, "5", &Command{Name: "Add", Termination: "p/1", Err: &Error{Code: BadValue, Text: "x"}})
+	failed.Actions[0].Err = &Error{Code: NotReady}
+	add("errors", &Message{
+		Err:          &Error{Code: SyntaxInMessage, Text: "no \"MEGACO\" header"},
+		Transactions: []*Transaction{{Kind: Reply, ID: 1, Err: &Error{Code: NotImplemented}}, failed},
+	})
 	codes := &Transaction{Kind: Reply, ID: 3}
 	for _, code := range errorCodes {
 		codes.Actions = append(codes.Actions, &Action{Context: "$", Err: &Error{Code: code, Text: "e"}})
 	}
 	add("every error code", &Message{Transactions: []*Transaction{codes}})
-	for _, received := range []struct{ name, text string }{{"received in the long form", pretty}, {"received in the short form", compact}} {
-		length := len(received.text) + frameHead
+	for _, received := range []struct{ name, text string }{
+		{"received in the long form", longForm},
+		{"received in the short form", shortForm},
+	} {
+		length := len(received.text) + frameHeaderSize
 		frame := append([]byte{3, 0, byte(length >> 8), byte(length)}, received.text...)
 		all = append(all, goldentest.Message{Name: received.name, Bytes: frame})
 	}
 	return all
 }
 
-// dumpMessage writes a message under labels that are fixed.
-func dumpMessage(b *strings.Builder, m *Message) {
-	fault := func(indent string, e *Error) {
-		if e != nil {
-			_, _ = fmt.Fprintf(b, "%serror %d %q\n", indent, e.Code, e.Text)
-		}
+func dumpError(b *strings.Builder, indent string, e *Error) {
+	if e != nil {
+		_, _ = fmt.Fprintf(b, "%serror %d %q\n", indent, e.Code, e.Text)
 	}
-	var nodes func(indent string, all []*Node)
-	nodes = func(indent string, all []*Node) {
-		for _, n := range all {
-			_, _ = fmt.Fprintf(b, "%snode %q value %q quoted %v octets %q none %v\n", indent, n.Name, n.Value, n.Quoted, n.Octets, n.Octets == nil)
-			nodes(indent+"  ", n.Kids)
-		}
+}
+
+func dumpNodes(b *strings.Builder, indent string, nodes []*Node) {
+	for _, n := range nodes {
+		_, _ = fmt.Fprintf(b, "%snode %q value %q quoted %v octets %q none %v\n",
+			indent, n.Name, n.Value, n.Quoted, n.Octets, n.Octets == nil)
+		dumpNodes(b, indent+"  ", n.Kids)
 	}
+}
+
+// dumpMessage writes a message with fixed labels.
+func dumpMessage(b *strings.Builder, m *Message) {
 	_, _ = fmt.Fprintf(b, "from %q\n", m.MID)
-	fault("", m.Err)
+	dumpError(b, "", m.Err)
 	for _, t := range m.Transactions {
 		_, _ = fmt.Fprintf(b, "transaction kind %d id %d acked %v\n", t.Kind, t.ID, t.Acked)
-		fault("  ", t.Err)
+		dumpError(b, "  ", t.Err)
 		for _, a := range t.Actions {
 			_, _ = fmt.Fprintf(b, "  action context %q\n", a.Context)
-			fault("    ", a.Err)
+			dumpError(b, "    ", a.Err)
 			for _, c := range a.Commands {
 				_, _ = fmt.Fprintf(b, "    command %q termination %q\n", c.Name, c.Termination)
-				fault("      ", c.Err)
-				nodes("      ", c.Descriptors)
+				dumpError(b, "      ", c.Err)
+				dumpNodes(b, "      ", c.Descriptors)
 			}
 		}
 	}
 }
 
-// Messages are written as the committed bytes, and these are read as the committed dump.
+// TestGoldenMessages compares written messages with the committed bytes, and the parsed bytes with the committed dump.
 func TestGoldenMessages(t *testing.T) {
 	var dump strings.Builder
 	for _, m := range goldentest.Messages(t, "messages.txt", goldenMessages(t)) {
-		texts, err := read(m.Bytes)
+		texts, err := readFrames(m.Bytes)
 		if err != nil || len(texts) != 1 {
 			t.Errorf("%s: %d messages, %v", m.Name, len(texts), err)
 			continue
--- /dev/null
+++ b/internal/codec/h248/parser_test.go
@@ -0,0 +1,162 @@
+package h248
+
+import (
+	"bytes"
+	"math/rand/v2"
+	"reflect"
+	"strings"
+	"testing"
+)
+
+// longForm has a message of four transactions with long tokens, white space and a comment.
+const longForm = `MEGACO/1 [10.0.0.4]:2944 ; a panel
+Transaction = 9998 {
+  Context = $ { Add = panel/12 { Media { TerminationState { oc/class = resident-call, oc/number = "7f3a" },
+    Remote {v=0
+s={-\}
+} } } } }
+Reply=3{Context=7{Subtract=panel/12}, Context=8{Error=411{"no such"}}} Pending=4{} TransactionResponseAck{1-3,9}
+`
+
+// shortForm has a message of one transaction with short tokens.
+const shortForm = `!/1 <gw> T=1{C=5{N=p/1{OE=1{oc/rel{cause=16}}},O-S=p/2}}`
+
+// mustParse parses a valid message.
+func mustParse(t testing.TB, text string) *Message {
+	t.Helper()
+	m, err := Parse([]byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return m
+}
+
+func TestParse(t *testing.T) {
+	m := mustParse(t, longForm)
+	add := m.Transactions[0].Actions[0].Commands[0]
+	if m.MID != "[10.0.0.4]:2944" || len(m.Transactions) != 4 || add.Name != CommandAdd || add.Termination != "panel/12" {
+		t.Fatalf("%+v", m)
+	}
+	if got := Find(add.Descriptors, "Media", "Remote").Octets; string(got) != "v=0\ns={-}\n" {
+		t.Errorf("octets %q", got)
+	}
+	if got := Value(add.Descriptors, "Media", "TerminationState", "oc/number"); got != "7f3a" {
+		t.Errorf("number %q", got)
+	}
+	if e := m.Transactions[1].Actions[1].Err; e.Code != UnknownContext || e.Text != "no such" {
+		t.Errorf("%+v", e)
+	}
+	if !reflect.DeepEqual(m.Transactions[3].Acked, [][2]uint32{{1, 3}, {9, 9}}) {
+		t.Errorf("%+v", m.Transactions[3])
+	}
+	c := mustParse(t, shortForm).Transactions[0].Actions[0].Commands
+	if len(c) != 2 || c[0].Name != CommandNotify || c[1].Name != CommandSubtract ||
+		Value(c[0].Descriptors, "ObservedEvents", "oc/rel", "cause") != "16" {
+		t.Errorf("%+v", c)
+	}
+}
+
+func TestParseErrorCodes(t *testing.T) {
+	for text, code := range map[string]int{
+		"": 400, "HELLO": 400, "MEGACO/1 ": 400, "MEGACO/9 <a> T=1{}": 406,
+		"!/1 <a>": 400, "!/1 <a> X=1{}": 400, "!/1 <a> T{}": 403, "!/1 <a> T=x{}": 403,
+		"!/1 <a> T=1{X}": 403, "!/1 <a> T=1{C=x{}}": 422, "!/1 <a> T=1{C=1{A}}": 442,
+		"!/1 <a> T=1{C=1{Q=1}}": 443, "!/1 <a> T=1{C=1{A=": 442,
+		"!/1 <a> T=1{C=1{A=p{M{R{v=0": 442, "!/1 <a> T=1{C=1{S=p}": 403,
+		"!/1 <a> T=1{C=1{A=p{" + strings.Repeat("a{", 50): 442,
+		"!/1 <a> T=1{C=1{A=p{M{L{\x00}}}}}":               442,
+	} {
+		if _, err := Parse([]byte(text)); err == nil || err.Code != code {
+			t.Errorf("%.40q: %v, want %d", text, err, code)
+		}
+	}
+}
+
+// TestTruncatedMessages checks that a truncated message is an error at every length, never a shorter message.
+func TestTruncatedMessages(t *testing.T) {
+	text := strings.TrimRight(strings.Split(longForm, "\nReply")[0], "\n")
+	for length := range text {
+		if m, err := Parse([]byte(text[:length])); err == nil {
+			t.Fatalf("truncated to %d bytes, it was parsed as %+v", length, m)
+		}
+	}
+}
+
+// encodeFrames returns the frames of messages, one after the other.
+func encodeFrames(t testing.TB, texts ...string) (b []byte) {
+	t.Helper()
+	for _, text := range texts {
+		var err error
+		if b, err = AppendFrame(b, mustParse(t, text)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return b
+}
+
+// readFrames feeds pieces to a framer and returns the messages it delivers.
+func readFrames(pieces ...[]byte) (texts []string, err error) {
+	var f Framer
+	for _, piece := range pieces {
+		err = f.Feed(piece, func(text []byte) bool {
+			texts = append(texts, string(text))
+			return true
+		})
+		if err != nil {
+			break
+		}
+	}
+	return texts, err
+}
+
+// splitRandomly splits a text into pieces of 1 to 50 bytes.
+func splitRandomly(rng *rand.Rand, text []byte) (pieces [][]byte) {
+	for len(text) > 0 {
+		n := 1 + rng.IntN(min(len(text), 50))
+		pieces = append(pieces, bytes.Clone(text[:n]))
+		text = text[n:]
+	}
+	return pieces
+}
+
+func TestFramerWithRandomPieces(t *testing.T) {
+	stream := encodeFrames(t, shortForm, shortForm, shortForm)
+	for seed := range uint64(200) {
+		got, err := readFrames(splitRandomly(rand.New(rand.NewPCG(seed, 0)), stream)...)
+		if err != nil || len(got) != 3 || !reflect.DeepEqual(mustParse(t, got[0]), mustParse(t, shortForm)) {
+			t.Fatalf("seed %d: %q, %v", seed, got, err)
+		}
+	}
+}
+
+func TestInvalidFrames(t *testing.T) {
+	for _, bad := range [][]byte{{3, 0, 0, 4}, {3, 0, 0xff, 0xff}, {4}, {3, 1}, []byte("MEGACO")} {
+		if got, err := readFrames(bad); err == nil {
+			t.Errorf("% x is invalid, but was read as %q", bad, got)
+		}
+	}
+	m := mustParse(t, shortForm)
+	m.Transactions[0].Actions[0].Commands[0].Descriptors = []*Node{{Name: "Local", Octets: make([]byte, MaxMessageSize)}}
+	if _, err := AppendFrame(nil, m); err != ErrTooLong {
+		t.Errorf("a long message: %v", err)
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(longForm), uint64(1))
+	f.Add([]byte(shortForm), uint64(2))
+	f.Fuzz(func(t *testing.T, text []byte, seed uint64) {
+		if m, err := Parse(text); err == nil {
+			b := m.appendText(nil)
+			reparsed, err := Parse(b)
+			if err != nil || reparsed.MID != m.MID || len(reparsed.Transactions) != len(m.Transactions) {
+				t.Errorf("%q was written as %q: %v", text, b, err)
+			}
+		}
+		texts, err := readFrames(text)
+		split, splitErr := readFrames(splitRandomly(rand.New(rand.NewPCG(seed, 0)), text)...)
+		if (err == nil) != (splitErr == nil) || !reflect.DeepEqual(texts, split) {
+			t.Errorf("in one piece %q and %v, in several %q and %v", texts, err, split, splitErr)
+		}
+	})
+}
--- a/internal/codec/h248/tpkt.go
+++ b/internal/codec/h248/tpkt.go
@@ -1,67 +1,88 @@
-// Package h248 reads and writes the text form of H.248.1 (RFC 3525, Annex B) and
-// its framing on TCP (TPKT, Annex D). It knows messages, not calls.
 package h248
 
 import (
 	"encoding/binary"
-	"errors"
 	"fmt"
+	"slices"
 )
 
-// Limit is the most bytes a message may hold, its frame's header included.
-const Limit = 16 << 10
+// MaxMessageSize is the largest size of a message in bytes, the header of its TPKT frame included.
+const MaxMessageSize = 16 << 10
 
-const frameHead = 4
-
-// ErrTooLong tells of a message over Limit.
-var ErrTooLong = errors.New("h248: a message is over 16 KiB")
+// The header of a TPKT frame (RFC 1006, section 6) is a version, a reserved byte and the length of the frame in two
+// bytes, the header included.
+const (
+	frameHeaderSize   = 4
+	frameVersion      = 3
+	frameReserved     = 0
+	frameLengthOffset = 2
+)
 
-// A Framer cuts a stream of TPKT frames into messages. Its zero value is ready.
-type Framer struct{ rest []byte }
+// A Framer extracts messages from a stream of TPKT frames. Its zero value is ready to use.
+type Framer struct {
+	buffer []byte // bytes that no message has consumed
+}
 
-// Half tells whether part of a frame waits for the rest.
-func (f *Framer) Half() bool { return len(f.rest) > 0 }
+// Half reports whether a partial frame is buffered.
+func (f *Framer) Half() bool { return len(f.buffer) > 0 }
 
-// Feed takes a piece and calls each for every message that it completes, until
-// each returns false. After an error the connection is of no more use. The text
-// is valid during the call only. Half a message is never handed out.
-func (f *Framer) Feed(p []byte, each func(text []byte) bool) error {
-	f.rest = append(f.rest, p...)
-	used := 0
-	defer func() { f.rest = append(f.rest[:0:0], f.rest[used:]...) }()
+// Feed reads a piece and calls handle with the text of each message that it completes, until handle returns false. The
+// text is valid during the call only. After an error the framer must not be used again.
+func (f *Framer) Feed(piece []byte, handle func(text []byte) bool) error {
+	f.buffer = append(f.buffer, piece...)
+	// The copy releases the memory of the consumed messages.
+	defer func() { f.buffer = slices.Clone(f.buffer) }()
 	for {
-		rest := f.rest[used:]
-		// What is there of the head is checked at once: garbage must not wait for more.
-		if len(rest) > 0 && rest[0] != 3 || len(rest) > 1 && rest[1] != 0 {
-			return fmt.Errorf("h248: no TPKT header: % x", rest[:min(len(rest), frameHead)])
-		}
-		if len(rest) < frameHead {
-			return nil
-		}
-		n := int(binary.BigEndian.Uint16(rest[2:]))
-		switch {
-		case n > Limit:
-			return ErrTooLong
-		case n <= frameHead:
-			return fmt.Errorf("h248: a frame of %d bytes", n)
-		case len(rest) < n:
-			return nil
+		text, err := f.next()
+		if err != nil || text == nil {
+			return err
 		}
-		used += n
-		if !each(rest[frameHead:n]) {
+		if !handle(text) {
 			return nil
 		}
 	}
 }
 
-// AppendFrame writes a message with its frame behind b.
+// next consumes the first frame of the buffer and returns its message, nil if it is incomplete.
+func (f *Framer) next() ([]byte, error) {
+	if !mayBeginFrame(f.buffer) {
+		return nil, fmt.Errorf("h248: invalid TPKT header: % x", f.buffer[:min(len(f.buffer), frameHeaderSize)])
+	}
+	if len(f.buffer) < frameHeaderSize {
+		return nil, nil
+	}
+	length := int(binary.BigEndian.Uint16(f.buffer[frameLengthOffset:]))
+	switch {
+	case length > MaxMessageSize:
+		return nil, ErrTooLong
+	case length <= frameHeaderSize:
+		return nil, fmt.Errorf("h248: invalid frame length %d", length)
+	case len(f.buffer) < length:
+		return nil, nil
+	}
+	text := f.buffer[frameHeaderSize:length]
+	f.buffer = f.buffer[length:]
+	return text, nil
+}
+
+// mayBeginFrame reports whether b can be the prefix of a frame. It checks an incomplete header too, so that a stream
+// without frames fails at once instead of waiting for more bytes.
+func mayBeginFrame(b []byte) bool {
+	if len(b) > 0 && b[0] != frameVersion {
+		return false
+	}
+	return len(b) < 2 || b[1] == frameReserved
+}
+
+// AppendFrame appends a message in its frame to b.
 func AppendFrame(b []byte, m *Message) ([]byte, error) {
-	from := len(b)
-	b = m.append(append(b, 3, 0, 0, 0))
-	n := len(b) - from
-	if n > Limit {
-		return b[:from], ErrTooLong
+	start := len(b)
+	b = append(b, frameVersion, frameReserved, 0, 0)
+	b = m.appendText(b)
+	length := len(b) - start
+	if length > MaxMessageSize {
+		return b[:start], ErrTooLong
 	}
-	binary.BigEndian.PutUint16(b[from+2:], uint16(n))
+	binary.BigEndian.PutUint16(b[start+frameLengthOffset:], uint16(length))
 	return b, nil
 }
