--- a/internal/overload/share_test.go
+++ b/internal/overload/share_test.go
@@ -160,8 +160,8 @@
 	said, bytes := 0, 0
 	for _, m := range f.all {
 		said, bytes = said-m.Sent, bytes-m.SentBytes
-		if m.teller.reporting(f.now) {
-			t.Errorf("controller %d still asks for reports", m.o.Self)
+		if m.aggregator.wantsFrequentReports(f.now) {
+			t.Errorf("controller %d still asks for reports", m.options.Self)
 		}
 	}
 	f.pass(100*second, nil)
@@ -186,8 +186,8 @@
 		for range 60 {
 			f.pass(3*second, nil)
 			for _, m := range f.all[:60] {
-				if m.at == m.o.Self && m.teller.heard > 0 && f.now-m.teller.heard < 2*second && f.now-m.since > 35*second {
-					live, _ := estimate(m.teller.peers, f.now, m.o.HeartbeatInterval)
+				if m.selected == m.options.Self && m.aggregator.lastReportAt > 0 && f.now-m.aggregator.lastReportAt < 2*second && f.now-m.since > 35*second {
+					live, _ := estimateAlive(m.aggregator.members, f.now, m.options.HeartbeatInterval)
 					sum, n = sum+live, n+1
 				}
 			}
@@ -206,8 +206,8 @@
 func (f *fleet) tellers() map[int]int {
 	all := make(map[int]int)
 	for _, m := range f.all {
-		if m != nil && !slices.ContainsFunc(slices.Collect(maps.Values(m.shunned)), func(s shunned) bool { return s.wrong }) {
-			all[m.at]++
+		if m != nil && !slices.ContainsFunc(slices.Collect(maps.Values(m.ejected)), func(s ejection) bool { return s.wrong }) {
+			all[m.selected]++
 		}
 	}
 	return all
@@ -218,14 +218,14 @@
 func TestTellerDies(t *testing.T) {
 	f := newFleet(t, 60, 3)
 	f.jam(15*second, 60, 30)
-	was := f.all[20].at
+	was := f.all[20].selected
 	for i := range f.all {
 		if i%10 < 7 || i == was {
 			f.all[i] = nil
 		}
 	}
 	died := f.now
-	for len(f.tellers()) > 1 || f.all[f.all[58].at] == nil {
+	for len(f.tellers()) > 1 || f.all[f.all[58].selected] == nil {
 		if f.jam(second/2, 60, 30); f.now-died > 15*second {
 			t.Fatalf("15 s after the death of %d they obey %v", was, f.tellers())
 		}
@@ -264,9 +264,9 @@
 	f.cut = func(a, b int) bool { return a%2 != b%2 }
 	f.pass(200*second, nil)
 	f.cut = nil
-	f.pass(Time(retryAll)*2*f.all[0].o.AggregatorTerm, nil)
+	f.pass(Time(digestResetTerms)*2*f.all[0].options.AggregatorTerm, nil)
 	if n := len(f.tellers()); n > 1 {
-		t.Errorf("after a long cut and %d slots they obey %v", 2*retryAll, f.tellers())
+		t.Errorf("after a long cut and %d slots they obey %v", 2*digestResetTerms, f.tellers())
 	}
 }
 
@@ -275,24 +275,24 @@
 func TestLiesAreFoundOut(t *testing.T) {
 	for _, c := range []struct {
 		name string
-		term term
+		term serverLimit
 		took Time
 	}{
-		{"all pressed", term{tier: 2, part: 128, wait: 3000}, 60 * ms},
-		{"all well", term{tier: 0, part: 1, wait: 10}, 900 * ms},
+		{"all pressed", serverLimit{priority: 2, throttle: 128, wait: 3000}, 60 * ms},
+		{"all well", serverLimit{priority: 0, throttle: 1, wait: 10}, 900 * ms},
 	} {
 		f := newFleet(t, 2, 1)
 		m := f.all[0]
-		for i := 0; m.at == 0 && i < 100; i++ {
-			f.now += m.o.AggregatorTerm // the other is to be its teller
+		for i := 0; m.selected == 0 && i < 100; i++ {
+			f.now += m.options.AggregatorTerm // the other is to be its teller
 			m.Tick(f.now)
 		}
-		liar := m.at
+		liar := m.selected
 		c.term.key = ServerKey("s")
 		for i := 1; m.AggregatorsEjected == 0 && i < 100; i++ {
 			f.now += 200 * ms
 			m.Tick(f.now)
-			w := word{head: head{kind: kindWord, from: liar, boot: 9, seq: uint32(i)}, terms: []term{c.term}}
+			w := limitUpdate{messageHeader: messageHeader{kind: kindLimitUpdate, sender: liar, incarnation: 9, sequence: uint32(i)}, limits: []serverLimit{c.term}}
 			if err := m.Receive(f.now, liar, w.append(nil)); err != nil {
 				t.Fatal(err)
 			}
@@ -302,7 +302,7 @@
 				m.RecordResult(f.now, "s", true, c.took)
 			}
 		}
-		if m.AggregatorsEjected == 0 || m.at == liar {
+		if m.AggregatorsEjected == 0 || m.selected == liar {
 			t.Errorf("%s: it is believed after 20 s", c.name)
 		}
 		if why, told := m.Throttle(f.now, "s", 2, true); told {
@@ -315,26 +315,26 @@
 func TestWeightOfOneIsBounded(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		n := rapid.IntRange(5, 60).Draw(rt, "n")
-		honest := func() *teller {
-			tl := newTeller(n, late, 10*second, 500*ms)
-			tl.ran = 99 * second
+		honest := func() *aggregator {
+			tl := newAggregator(n, late, 10*second, 500*ms)
+			tl.aggregatedAt = 99 * second
 			for i := range n - 1 {
-				tl.hear(100*second, &report{head: head{from: i, boot: 1, seq: 1}, span: 100, sights: []sight{{key: 1, off: [tiers]int{0, 2, 1, 0}, done: 3, wait: 10}}})
+				tl.acceptReport(100*second, &loadReport{messageHeader: messageHeader{sender: i, incarnation: 1, sequence: 1}, span: 100, samples: []serverSample{{key: 1, offered: [priorityCount]int{0, 2, 1, 0}, answered: 3, wait: 10}}})
 			}
 			return tl
 		}
-		count := func() int { return rapid.IntRange(0, mostCount).Draw(rt, "count") }
+		count := func() int { return rapid.IntRange(0, maxCount).Draw(rt, "count") }
 		a, b := honest(), honest()
-		b.hear(100*second, &report{head: head{from: n - 1, boot: 1, seq: 1}, span: rapid.IntRange(0, mostWait).Draw(rt, "span"), sights: []sight{
-			{key: 1, off: [tiers]int{count(), count(), count(), count()}, over: count(), done: count(), wait: rapid.IntRange(0, mostWait).Draw(rt, "wait")}}})
-		a.count(100 * second)
-		b.count(100 * second)
-		x, y := a.sums[1], b.sums[1]
-		bound := max(heaviest*3, lightest) + 1e-9
-		if d := y.offered() - x.offered(); d < 0 || d > bound {
+		b.acceptReport(100*second, &loadReport{messageHeader: messageHeader{sender: n - 1, incarnation: 1, sequence: 1}, span: rapid.IntRange(0, maxWait).Draw(rt, "span"), samples: []serverSample{
+			{key: 1, offered: [priorityCount]int{count(), count(), count(), count()}, overflow: count(), answered: count(), wait: rapid.IntRange(0, maxWait).Draw(rt, "wait")}}})
+		a.aggregate(100 * second)
+		b.aggregate(100 * second)
+		x, y := a.servers[1], b.servers[1]
+		bound := max(maxRelativeWeight*3, minClippedRate) + 1e-9
+		if d := y.totalOffered() - x.totalOffered(); d < 0 || d > bound {
 			rt.Errorf("one of %d moved what is offered by %.1f a second, %.1f at most", n, d, bound)
 		}
-		if d := y.done - x.done; d < 0 || d > bound {
+		if d := y.answered - x.answered; d < 0 || d > bound {
 			rt.Errorf("one of %d moved what is answered by %.1f a second", n, d)
 		}
 		if x.wait != y.wait {
@@ -347,19 +347,19 @@
 // were cut never, nobody entirely; and what they let go of what was offered is the budget.
 func TestTermsKeepTheirBounds(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
-		tl := newTeller(3, late, 10*second, 500*ms)
+		tl := newAggregator(3, late, 10*second, 500*ms)
 		for key := range uint32(rapid.IntRange(1, 12).Draw(rt, "servers")) {
-			s := &sum{key: key, budget: rapid.SampledFrom([]float64{math.Inf(1), 0.5, 3, 20}).Draw(rt, "budget"), done: rapid.Float64Range(0, 40).Draw(rt, "done")}
-			for k := range s.off {
-				s.off[k] = rapid.Float64Range(0, 20).Draw(rt, "off")
+			s := &serverAggregate{key: key, admittedRate: rapid.SampledFrom([]float64{math.Inf(1), 0.5, 3, 20}).Draw(rt, "budget"), answered: rapid.Float64Range(0, 40).Draw(rt, "done")}
+			for k := range s.offered {
+				s.offered[k] = rapid.Float64Range(0, 20).Draw(rt, "off")
 			}
-			tl.sums[key] = s
+			tl.servers[key] = s
 		}
-		for _, x := range tl.terms() {
-			s, m := tl.sums[x.key], Member{rng: rand.New(rand.NewPCG(1, 1)), o: Options{LatencyThreshold: late}}
-			v := &view{term: x, until: never}
-			m.views = map[string]*view{"s": v}
-			var held [tiers]float64
+		for _, x := range tl.serverLimits() {
+			s, m := tl.servers[x.key], Member{rng: rand.New(rand.NewPCG(1, 1)), options: Options{LatencyThreshold: late}}
+			v := &serverView{limit: x, limitedUntil: neverDue}
+			m.servers = map[string]*serverView{"s": v}
+			var held [priorityCount]float64
 			for k := range held {
 				for range 2000 {
 					if why, _ := m.Throttle(0, "s", k, true); why != "" {
@@ -367,10 +367,10 @@
 					}
 				}
 			}
-			if held[tiers-1] > 0 {
+			if held[priorityCount-1] > 0 {
 				rt.Errorf("%+v holds back calls that were cut", x)
 			}
-			for k := 1; k < tiers; k++ {
+			for k := 1; k < priorityCount; k++ {
 				if held[k] > held[k-1]+0.02 {
 					rt.Errorf("%+v holds back %v", x, held)
 				}
@@ -380,10 +380,10 @@
 				if held[k] > 0.995 {
 					rt.Errorf("%+v lets nobody through: %v", x, held)
 				}
-				pass += s.off[k] * (1 - held[k])
+				pass += s.offered[k] * (1 - held[k])
 			}
-			if most := max(s.budget, s.off[tiers-1]) + 0.02*s.offered() + 0.6; pass > most {
-				rt.Errorf("%+v lets %.1f a second go, the budget is %.1f", x, pass, s.budget)
+			if most := max(s.admittedRate, s.offered[priorityCount-1]) + 0.02*s.totalOffered() + 0.6; pass > most {
+				rt.Errorf("%+v lets %.1f a second go, the budget is %.1f", x, pass, s.admittedRate)
 			}
 		}
 	})
@@ -398,32 +398,34 @@
 		server := fmt.Sprint("s", i)
 		m.RecordOffered(f.now, server, 1)
 		m.RecordSent(f.now, server, true)
-		_ = m.Receive(f.now, 1, (&report{head: head{kind: kindReport, from: 1, boot: 1, seq: uint32(i + 1)}, span: 1, hot: true,
-			sights: []sight{{key: uint32(i), off: [tiers]int{5, 5, 5, 5}}}}).append(nil))
+		_ = m.Receive(f.now, 1, (&loadReport{messageHeader: messageHeader{kind: kindLoadReport, sender: 1, incarnation: 1, sequence: uint32(i + 1)}, span: 1, overloaded: true,
+			samples: []serverSample{{key: uint32(i), offered: [priorityCount]int{5, 5, 5, 5}}}}).append(nil))
 		m.Tick(f.now)
 	}
-	if a, b, c, d := len(m.views), len(m.byKey), len(m.teller.sums), len(m.out); a > mostServers || b > mostServers || c > mostKept || d > 2*4+16 {
+	if a, b, c, d := len(m.servers), len(m.serversByKey), len(m.aggregator.servers), len(m.outbox); a > maxServers || b > maxServers || c > maxAggregates || d > 2*4+16 {
 		t.Errorf("%d and %d servers, %d sums and %d messages are held", a, b, c, d)
 	}
 }
 
 // Reports that come twice, late or from an earlier start change nothing.
 func TestOldReportsCountForNothing(t *testing.T) {
-	tl := newTeller(2, late, 10*second, 500*ms)
-	at := func(boot, seq uint32) *report { return &report{head: head{from: 1, boot: boot, seq: seq}, span: 50} }
+	tl := newAggregator(2, late, 10*second, 500*ms)
+	at := func(boot, seq uint32) *loadReport {
+		return &loadReport{messageHeader: messageHeader{sender: 1, incarnation: boot, sequence: seq}, span: 50}
+	}
 	now := 100 * second
 	for i, c := range []struct {
-		r    *report
+		r    *loadReport
 		want bool
 	}{{at(5, 1), true}, {at(5, 1), false}, {at(5, 3), true}, {at(5, 2), false}, {at(4, 9), false}, {at(6, 1), true}, {at(5, 4), false}} {
-		if got := tl.hear(now, c.r); got != c.want {
-			t.Errorf("report %d (start %d, number %d): taken %v, want %v", i, c.r.boot, c.r.seq, got, c.want)
+		if got := tl.acceptReport(now, c.r); got != c.want {
+			t.Errorf("report %d (start %d, number %d): taken %v, want %v", i, c.r.incarnation, c.r.sequence, got, c.want)
 		}
 	}
-	if !tl.hear(now+15*second, at(6, 2)) || !tl.hear(now+60*second, at(3, 1)) {
+	if !tl.acceptReport(now+15*second, at(6, 2)) || !tl.acceptReport(now+60*second, at(3, 1)) {
 		t.Error("a controller whose clock was set back is not heard again")
 	}
-	if tl.hear(now, &report{head: head{from: 2, boot: 1, seq: 1}}) {
+	if tl.acceptReport(now, &loadReport{messageHeader: messageHeader{sender: 2, incarnation: 1, sequence: 1}}) {
 		t.Error("a report of a controller that there is not was taken")
 	}
 }
@@ -434,39 +436,39 @@
 	m := f.all[0]
 	m.RecordOffered(f.now, "s", 1)
 	m.RecordSent(f.now, "s", true)
-	m.views["s"].term, m.views["s"].until = term{tier: 3, part: 250, wait: 100}, f.now+60*second
+	m.servers["s"].limit, m.servers["s"].limitedUntil = serverLimit{priority: 3, throttle: 250, wait: 100}, f.now+60*second
 	f.now += 5 * second
 	if _, told := m.Throttle(f.now, "s", 1, true); told {
 		t.Error("a word from before still holds")
 	}
-	m.report(f.now)
-	for _, p := range m.out {
+	m.sendReport(f.now)
+	for _, p := range m.outbox {
 		x, err := decode(p.Payload)
 		if err != nil {
 			t.Fatal(err)
 		}
-		if r, ok := x.(*report); ok && len(r.sights) > 0 && r.sights[0].off != [tiers]int{} {
-			t.Errorf("it tells what it saw before it was stopped: %+v", r.sights[0])
+		if r, ok := x.(*loadReport); ok && len(r.samples) > 0 && r.samples[0].offered != [priorityCount]int{} {
+			t.Errorf("it tells what it saw before it was stopped: %+v", r.samples[0])
 		}
 	}
 }
 
 func TestCheck(t *testing.T) {
-	for _, o := range []Options{{Peers: 0, LatencyThreshold: late}, {Peers: mostPeers + 1, LatencyThreshold: late}, {Peers: 3, Self: 3, LatencyThreshold: late}, {Peers: 3}, {Peers: 3, LatencyThreshold: late, HeartbeatInterval: -1}} {
+	for _, o := range []Options{{Peers: 0, LatencyThreshold: late}, {Peers: maxMembers + 1, LatencyThreshold: late}, {Peers: 3, Self: 3, LatencyThreshold: late}, {Peers: 3}, {Peers: 3, LatencyThreshold: late, HeartbeatInterval: -1}} {
 		if _, err := New(0, o); err == nil {
 			t.Errorf("%+v was taken", o)
 		}
 	}
 	m, err := New(0, Options{Peers: 1, LatencyThreshold: late})
-	if err != nil || m.NextDeadline() != never || m.Tick(second) != nil {
+	if err != nil || m.NextDeadline() != neverDue || m.Tick(second) != nil {
 		t.Errorf("a controller alone speaks, or %v", err)
 	}
 }
 
 func FuzzDecode(f *testing.F) {
-	r := report{head: head{kind: kindReport, from: 3, boot: 1_700_000_000, seq: 9}, span: 50, hot: true, sights: []sight{{key: 0xabcdef, off: [tiers]int{1, 2, 3, 4}, over: 5, done: 6, wait: 7, pressed: true}, {key: 1, done: 300}}}
-	w := word{head: head{kind: kindWord, from: 2, boot: 5, seq: 7}, live: 300, terms: []term{{1, 2, 250, 3, 400}, {5, 0, 0, 255, 0}}}
-	l := roll{head: head{kind: kindRoll, from: 2, boot: 5, seq: 7}, live: 299, of: 300, present: []byte{255, 1}}
+	r := loadReport{messageHeader: messageHeader{kind: kindLoadReport, sender: 3, incarnation: 1_700_000_000, sequence: 9}, span: 50, overloaded: true, samples: []serverSample{{key: 0xabcdef, offered: [priorityCount]int{1, 2, 3, 4}, overflow: 5, answered: 6, wait: 7, overloaded: true}, {key: 1, answered: 300}}}
+	w := limitUpdate{messageHeader: messageHeader{kind: kindLimitUpdate, sender: 2, incarnation: 5, sequence: 7}, aliveMembers: 300, limits: []serverLimit{{1, 2, 250, 3, 400}, {5, 0, 0, 255, 0}}}
+	l := membershipDigest{messageHeader: messageHeader{kind: kindMembershipDigest, sender: 2, incarnation: 5, sequence: 7}, aliveMembers: 299, peakMembers: 300, members: []byte{255, 1}}
 	f.Add(r.append(nil))
 	f.Add(w.append(nil))
 	f.Add(l.append(nil))
@@ -478,11 +480,11 @@
 		}
 		var again []byte
 		switch x := x.(type) {
-		case *report:
+		case *loadReport:
 			again = x.append(nil)
-		case *word:
+		case *limitUpdate:
 			again = x.append(nil)
-		case *roll:
+		case *membershipDigest:
 			again = x.append(nil)
 		}
 		if len(again) > MaxMessageBytes {
@@ -504,14 +506,14 @@
 func TestWordHoldsAtServersNotMetBefore(t *testing.T) {
 	f := newFleet(t, 2, 1)
 	m := f.all[0]
-	w := word{terms: []term{{key: ServerKey("new"), tier: 2, part: 255, over: 255, wait: 100}}}
-	m.obey(f.now, &w)
+	w := limitUpdate{limits: []serverLimit{{key: ServerKey("new"), priority: 2, throttle: 255, overflowThrottle: 255, wait: 100}}}
+	m.applyLimits(f.now, &w)
 	for _, first := range []bool{true, false} {
 		if why, told := m.Throttle(f.now, "new", 1, first); !told || !first && why == "" {
 			t.Errorf("first choice %v: %q, %v", first, why, told)
 		}
 	}
-	if _, told := m.Throttle(f.now+m.wordFor(), "new", 1, true); told {
+	if _, told := m.Throttle(f.now+m.limitLifetime(), "new", 1, true); told {
 		t.Error("the word still holds when its time is over")
 	}
 }
@@ -520,44 +522,44 @@
 // ever: a controller whose teller had no other reporter had all of its calls held back after a cut, 24 of 24 in
 // the last seconds of a run of 24 processes, seed 15.)
 func TestHeldBackServerIsTriedAgain(t *testing.T) {
-	tl := newTeller(2, late, 10*second, 500*ms)
+	tl := newAggregator(2, late, 10*second, 500*ms)
 	now, seq := 100*second, uint32(0)
-	tell := func(s sight) {
+	tell := func(s serverSample) {
 		now, seq = now+500*ms, seq+1
-		tl.hear(now, &report{head: head{from: 1, boot: 1, seq: seq}, span: 50, hot: true, sights: []sight{s}})
-		tl.count(now)
+		tl.acceptReport(now, &loadReport{messageHeader: messageHeader{sender: 1, incarnation: 1, sequence: seq}, span: 50, overloaded: true, samples: []serverSample{s}})
+		tl.aggregate(now)
 	}
-	tl.ran = now
+	tl.aggregatedAt = now
 	for range 6 {
-		tell(sight{key: 1, off: [tiers]int{0, 2, 1, 0}, done: 1, wait: 300})
+		tell(serverSample{key: 1, offered: [priorityCount]int{0, 2, 1, 0}, answered: 1, wait: 300})
 	}
-	if all := tl.terms(); len(all) == 0 || all[0].part == 0 {
+	if all := tl.serverLimits(); len(all) == 0 || all[0].throttle == 0 {
 		t.Fatalf("nothing is held back from a server that answers late: %+v", all)
 	}
-	for i := 0; len(tl.terms()) > 0; i++ {
+	for i := 0; len(tl.serverLimits()) > 0; i++ {
 		if i > 30 {
-			t.Fatalf("15 s after the last that was told of a wait calls are held back: %+v", tl.terms())
+			t.Fatalf("15 s after the last that was told of a wait calls are held back: %+v", tl.serverLimits())
 		}
-		tell(sight{key: 1, off: [tiers]int{0, 2, 1, 0}})
+		tell(serverSample{key: 1, offered: [priorityCount]int{0, 2, 1, 0}})
 	}
 }
 
 // A server that answers nobody is left to each one's own evidence, and once it answers again nothing is held back.
 // (A budget of half a set-up a second was set where a zone fell silent, and outlasted the silence by seconds.)
 func TestSilentServerIsNobodysBudget(t *testing.T) {
-	tl := newTeller(2, late, 10*second, 500*ms)
+	tl := newAggregator(2, late, 10*second, 500*ms)
 	now := 100 * second
-	tl.ran = now
+	tl.aggregatedAt = now
 	for seq := range uint32(40) {
 		now += 500 * ms
-		x := sight{key: 1, off: [tiers]int{0, 2, 1, 0}, wait: int(seq) * 50} // set-ups wait for as long as the silence
+		x := serverSample{key: 1, offered: [priorityCount]int{0, 2, 1, 0}, wait: int(seq) * 50} // set-ups wait for as long as the silence
 		if seq < 4 || seq >= 16 {
-			x.done, x.wait = 3, 8
+			x.answered, x.wait = 3, 8
 		}
-		tl.hear(now, &report{head: head{from: 1, boot: 1, seq: seq + 1}, span: 50, hot: true, sights: []sight{x}})
-		tl.count(now)
+		tl.acceptReport(now, &loadReport{messageHeader: messageHeader{sender: 1, incarnation: 1, sequence: seq + 1}, span: 50, overloaded: true, samples: []serverSample{x}})
+		tl.aggregate(now)
 		if seq >= 12 {
-			if all := tl.terms(); len(all) > 0 {
+			if all := tl.serverLimits(); len(all) > 0 {
 				t.Fatalf("%v after it fell silent, answers back after 6 s: %+v", now-102*second, all)
 			}
 		}
--- a/internal/overload/state.go
+++ b/internal/overload/state.go
@@ -27,13 +27,13 @@
 // A ServerState is what is seen and obeyed of a server.
 type ServerState struct {
 	ID              string
-	PendingAttempts int            `json:"Waiting"` // set-ups unanswered
-	SetupTime       Time           `json:"Wait"`    // of answers, smoothed; 0: none of late
-	Limited         bool           `json:"Obeyed"`  // a word holds
-	ClaimedWait     Time           `json:"Claim"`   // the wait that the word claims
-	ThrottleChance  [tiers]float64 `json:"Hold"`
-	OverflowChance  float64        `json:"Over"` // of calls of second choice
-	Throttled       int            `json:"Held"` // calls held back
+	PendingAttempts int                    `json:"Waiting"` // set-ups unanswered
+	SetupTime       Time                   `json:"Wait"`    // of answers, smoothed; 0: none of late
+	Limited         bool                   `json:"Obeyed"`  // a word holds
+	ClaimedWait     Time                   `json:"Claim"`   // the wait that the word claims
+	ThrottleChance  [priorityCount]float64 `json:"Hold"`
+	OverflowChance  float64                `json:"Over"` // of calls of second choice
+	Throttled       int                    `json:"Held"` // calls held back
 }
 
 // An AggregateState is what a teller holds of a server. Rates are a second.
@@ -57,14 +57,14 @@
 	ReportSpan    Time         `json:"Last"` // span of the last
 }
 
-// holds are the chances that a term holds a call back by, by tier.
-func (t *term) holds() (h [tiers]float64) {
+// throttleChances are the chances that a term throttleChances a call back by, by tier.
+func (t *serverLimit) throttleChances() (h [priorityCount]float64) {
 	for k := range h {
 		switch {
-		case k < t.tier && t.part > 0:
-			h[k] = mostHeld / 255.0
-		case k == t.tier:
-			h[k] = float64(t.part) / 255
+		case k < t.priority && t.throttle > 0:
+			h[k] = maxThrottle / 255.0
+		case k == t.priority:
+			h[k] = float64(t.throttle) / 255
 		}
 	}
 	return h
@@ -72,41 +72,41 @@
 
 // State tells what is known now.
 func (m *Member) State(now Time) *State {
-	s := &State{Self: m.o.Self, Peers: m.o.Peers, Incarnation: m.o.Incarnation, Aggregator: m.at, AggregatorFor: now - m.since, LimitsAge: -1, AliveMembers: m.live, PeakMembers: max(m.of, m.live), FrequentReports: m.often(now),
-		Ejected: len(m.shunned), Counters: m.Counters}
+	s := &State{Self: m.options.Self, Peers: m.options.Peers, Incarnation: m.options.Incarnation, Aggregator: m.selected, AggregatorFor: now - m.since, LimitsAge: -1, AliveMembers: m.aliveMembers, PeakMembers: max(m.peakMembers, m.aliveMembers), FrequentReports: m.reportsFrequently(now),
+		Ejected: len(m.ejected), Counters: m.Counters}
 	s.Partitioned = s.AliveMembers*10 < s.PeakMembers*9
-	if m.wordAt > 0 {
-		s.LimitsAge = now - m.wordAt
+	if m.lastHeardAt > 0 {
+		s.LimitsAge = now - m.lastHeardAt
 	}
-	for _, v := range m.views {
-		x := ServerState{ID: v.server, PendingAttempts: len(v.pending), Limited: now < v.until, Throttled: v.held}
-		if v.wait > 0 && now-v.waitAt < waitFresh {
-			x.SetupTime = v.wait
+	for _, v := range m.servers {
+		x := ServerState{ID: v.id, PendingAttempts: len(v.pendingSince), Limited: now < v.limitedUntil, Throttled: v.throttled}
+		if v.setupTime > 0 && now-v.setupTimeAt < setupTimeLifetime {
+			x.SetupTime = v.setupTime
 		}
 		if x.Limited {
-			x.ClaimedWait, x.ThrottleChance, x.OverflowChance = Time(v.term.wait)*waitUnit, v.term.holds(), float64(v.term.over)/255
+			x.ClaimedWait, x.ThrottleChance, x.OverflowChance = Time(v.limit.wait)*timeUnit, v.limit.throttleChances(), float64(v.limit.overflowThrottle)/255
 		}
 		s.Servers = append(s.Servers, x)
 	}
 	slices.SortFunc(s.Servers, func(a, b ServerState) int { return cmp.Compare(a.ID, b.ID) })
-	t := m.teller
-	if m.at != m.o.Self && (t.heard == 0 || now-t.heard > 2*m.o.HeartbeatInterval) {
+	t := m.aggregator
+	if m.selected != m.options.Self && (t.lastReportAt == 0 || now-t.lastReportAt > 2*m.options.HeartbeatInterval) {
 		return s // it tells nobody
 	}
-	for _, x := range t.sorted() {
-		s.Aggregates = append(s.Aggregates, AggregateState{x.key, x.offered(), x.over, x.done, Time(x.wait * 1e9), x.told, x.budget})
+	for _, x := range t.sortedServers() {
+		s.Aggregates = append(s.Aggregates, AggregateState{x.key, x.totalOffered(), x.overflow, x.answered, Time(x.wait * 1e9), x.waitReports, x.admittedRate})
 	}
-	for i := range t.peers {
-		p := &t.peers[i]
-		if p.heard == 0 {
+	for i := range t.members {
+		p := &t.members[i]
+		if p.lastReportAt == 0 {
 			continue
 		}
-		y := MemberState{Number: i, Status: p.presence(now, m.o.HeartbeatInterval), LastReportAge: now - p.heard, Incarnation: p.boot}
-		if n := p.got + p.lost; n > 0 {
+		y := MemberState{Number: i, Status: p.status(now, m.options.HeartbeatInterval), LastReportAge: now - p.lastReportAt, Incarnation: p.incarnation}
+		if n := p.received + p.lost; n > 0 {
 			y.LossShare = p.lost / n
 		}
-		if p.last != nil {
-			y.ReportSpan = Time(p.last.span) * waitUnit
+		if p.lastReport != nil {
+			y.ReportSpan = Time(p.lastReport.span) * timeUnit
 		}
 		s.Members = append(s.Members, y)
 	}
