--- a/internal/transport/peer.go
+++ b/internal/transport/conn.go
@@ -28,10 +28,10 @@
 
 // Bounds of what waits.
 const (
-	mostLeaving  = 2048 // datagrams; more are dropped and counted
-	mostArriving = 1024
-	mostKeys     = 2
-	leastKey     = 16 // bytes
+	maxOutgoing = 2048 // datagrams; more are dropped and counted
+	maxIncoming = 1024
+	maxKeys     = 2
+	minKeyBytes = 16 // bytes
 )
 
 // A Datagram is one with whom it is from, by the place in the list of peers; -1: its address is none of these.
@@ -62,34 +62,34 @@
 
 // A Conn is a controller's socket to its peers. Send and Arrived may be called from anywhere.
 type Conn struct {
-	o      Options
-	c      *net.UDPConn
-	peers  []netip.AddrPort
-	number map[netip.AddrPort]int
-	leave  chan leaving
-	done   chan struct{}
-	wg     sync.WaitGroup
+	options     Options
+	socket      *net.UDPConn
+	peers       []netip.AddrPort
+	peerNumbers map[netip.AddrPort]int
+	outgoing    chan outgoingDatagram
+	done        chan struct{}
+	wg          sync.WaitGroup
 
-	mu   sync.Mutex
-	keys [][]byte
-	in   []Datagram
+	mu       sync.Mutex
+	keys     [][]byte
+	incoming []Datagram
 
-	sent, dropped, arrived, overrun, strangers, forged, tooLong atomic.Uint64
+	sent, dropped, arrived, overrun, unknownSenders, forged, tooLong atomic.Uint64
 }
 
-type leaving struct {
-	to int
-	b  []byte
+type outgoingDatagram struct {
+	to      int
+	payload []byte
 }
 
 // CheckKeys tells what is wrong with keys.
 func CheckKeys(keys [][]byte) error {
-	if len(keys) > mostKeys {
-		return fmt.Errorf("%d keys, %d at most: the one that signs and the one before or after it", len(keys), mostKeys)
+	if len(keys) > maxKeys {
+		return fmt.Errorf("%d keys, %d at most: the one that signs and the one before or after it", len(keys), maxKeys)
 	}
 	for i, k := range keys {
-		if len(k) < leastKey {
-			return fmt.Errorf("key %d has %d bytes, %d at least", i+1, len(k), leastKey)
+		if len(k) < minKeyBytes {
+			return fmt.Errorf("key %d has %d bytes, %d at least", i+1, len(k), minKeyBytes)
 		}
 	}
 	return nil
@@ -126,37 +126,37 @@
 	if err := CheckKeys(o.Keys); err != nil {
 		return nil, fmt.Errorf("peer: %w", err)
 	}
-	p := &Conn{o: o, keys: o.Keys, number: make(map[netip.AddrPort]int, len(o.Peers)), leave: make(chan leaving, mostLeaving), done: make(chan struct{})}
+	p := &Conn{options: o, keys: o.Keys, peerNumbers: make(map[netip.AddrPort]int, len(o.Peers)), outgoing: make(chan outgoingDatagram, maxOutgoing), done: make(chan struct{})}
 	for i, s := range o.Peers {
 		a, err := netip.ParseAddrPort(s)
 		if err != nil {
 			return nil, fmt.Errorf("peer: %w", err)
 		}
 		p.peers = append(p.peers, a)
-		p.number[a] = i
+		p.peerNumbers[a] = i
 	}
 	at, err := net.ResolveUDPAddr("udp4", o.Listen)
 	if err == nil {
-		p.c, err = net.ListenUDP("udp4", at)
+		p.socket, err = net.ListenUDP("udp4", at)
 	}
 	if err != nil {
 		return nil, fmt.Errorf("peer: %w", err)
 	}
-	if p.o.Rate <= 0 {
-		p.o.Rate = 2000
+	if p.options.Rate <= 0 {
+		p.options.Rate = 2000
 	}
-	p.wg.Go(p.read)
-	p.wg.Go(p.write)
+	p.wg.Go(p.receiveLoop)
+	p.wg.Go(p.sendLoop)
 	return p, nil
 }
 
 // Addr is where it listens.
-func (p *Conn) Addr() string { return p.c.LocalAddr().String() }
+func (p *Conn) Addr() string { return p.socket.LocalAddr().String() }
 
 // Close ends it. What has not left by then does not leave.
 func (p *Conn) Close() {
 	close(p.done)
-	_ = p.c.Close()
+	_ = p.socket.Close()
 	p.wg.Wait()
 }
 
@@ -171,7 +171,7 @@
 	return nil
 }
 
-func (p *Conn) signing() [][]byte {
+func (p *Conn) currentKeys() [][]byte {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.keys
@@ -189,20 +189,20 @@
 		return
 	}
 	select {
-	case p.leave <- leaving{to, b}:
+	case p.outgoing <- outgoingDatagram{to, b}:
 	default:
 		p.dropped.Add(1)
 	}
 }
 
-// write sends what is queued, no faster than the rate: a teller's words to all would fill the buffers of
+// sendLoop sends what is queued, no faster than the rate: a teller's words to all would fill the buffers of
 // the way between, and get lost there together.
-func (p *Conn) write() {
-	pace := rate.NewLimiter(rate.Limit(p.o.Rate), 64)
+func (p *Conn) sendLoop() {
+	pace := rate.NewLimiter(rate.Limit(p.options.Rate), 64)
 	for {
-		var l leaving
+		var l outgoingDatagram
 		select {
-		case l = <-p.leave:
+		case l = <-p.outgoing:
 		case <-p.done:
 			return
 		}
@@ -213,15 +213,15 @@
 				return
 			}
 		}
-		b := l.b
-		if keys := p.signing(); len(keys) > 0 {
+		b := l.payload
+		if keys := p.currentKeys(); len(keys) > 0 {
 			b = append(append(make([]byte, 0, len(b)+SignatureBytes), b...), sign(keys[0], b)...)
 		}
 		if len(b) > MaxDatagramBytes {
 			p.tooLong.Add(1)
 			continue
 		}
-		if _, err := p.c.WriteToUDPAddrPort(b, p.peers[l.to]); err != nil {
+		if _, err := p.socket.WriteToUDPAddrPort(b, p.peers[l.to]); err != nil {
 			p.dropped.Add(1) // nobody listens there, or the socket is closing: datagrams get lost
 			continue
 		}
@@ -229,10 +229,10 @@
 	}
 }
 
-func (p *Conn) read() {
+func (p *Conn) receiveLoop() {
 	b := make([]byte, 2*MaxDatagramBytes)
 	for {
-		n, from, err := p.c.ReadFromUDPAddrPort(b)
+		n, from, err := p.socket.ReadFromUDPAddrPort(b)
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
@@ -244,21 +244,21 @@
 			}
 			continue
 		}
-		p.got(netip.AddrPortFrom(from.Addr().Unmap(), from.Port()), b[:n])
+		p.accept(netip.AddrPortFrom(from.Addr().Unmap(), from.Port()), b[:n])
 	}
 }
 
-// got checks a datagram and keeps it for Arrived.
-func (p *Conn) got(from netip.AddrPort, b []byte) {
+// accept checks a datagram and keeps it for Arrived.
+func (p *Conn) accept(from netip.AddrPort, b []byte) {
 	if len(b) > MaxDatagramBytes {
 		p.tooLong.Add(1)
 		return
 	}
-	number, listed := p.number[from]
+	number, listed := p.peerNumbers[from]
 	if !listed {
 		number = -1
 	}
-	if keys := p.signing(); len(keys) > 0 {
+	if keys := p.currentKeys(); len(keys) > 0 {
 		at := len(b) - SignatureBytes
 		good := false
 		for _, k := range keys {
@@ -270,13 +270,13 @@
 		}
 		b = b[:at]
 	} else if !listed { // without keys the address is all that tells whom it is from
-		p.strangers.Add(1)
+		p.unknownSenders.Add(1)
 		return
 	}
 	p.mu.Lock()
-	full, first := len(p.in) >= mostArriving, len(p.in) == 0
+	full, first := len(p.incoming) >= maxIncoming, len(p.incoming) == 0
 	if !full {
-		p.in = append(p.in, Datagram{number, append([]byte(nil), b...)})
+		p.incoming = append(p.incoming, Datagram{number, append([]byte(nil), b...)})
 	}
 	p.mu.Unlock()
 	if full {
@@ -284,8 +284,8 @@
 		return
 	}
 	p.arrived.Add(1)
-	if first && p.o.OnArrival != nil {
-		p.o.OnArrival() // once for all that comes until they are taken: a flood must not fill the loop's queue
+	if first && p.options.OnArrival != nil {
+		p.options.OnArrival() // once for all that comes until they are taken: a flood must not fill the loop's queue
 	}
 }
 
@@ -293,13 +293,13 @@
 func (p *Conn) Receive() []Datagram {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	in := p.in
-	p.in = nil
+	in := p.incoming
+	p.incoming = nil
 	return in
 }
 
 // Counters are what it has counted by now.
 func (p *Conn) Counters() Counters {
 	return Counters{Sent: p.sent.Load(), Dropped: p.dropped.Load(), Arrived: p.arrived.Load(), Overrun: p.overrun.Load(),
-		UnknownSenders: p.strangers.Load(), Forged: p.forged.Load(), TooLong: p.tooLong.Load()}
+		UnknownSenders: p.unknownSenders.Load(), Forged: p.forged.Load(), TooLong: p.tooLong.Load()}
 }
--- a/internal/transport/peer_test.go
+++ b/internal/transport/conn_test.go
@@ -15,8 +15,8 @@
 
 var keyA, keyB = bytes.Repeat([]byte{1}, 32), bytes.Repeat([]byte{2}, 32)
 
-// pair is two controllers that know each other, and a stranger's socket.
-func pair(t *testing.T, a, b [][]byte) (x, y *Conn, stranger *net.UDPConn) {
+// openPair is two controllers that know each other, and a stranger's socket.
+func openPair(t *testing.T, a, b [][]byte) (x, y *Conn, stranger *net.UDPConn) {
 	t.Helper()
 	free := func() string {
 		c, err := net.ListenPacket("udp4", "127.0.0.1:0")
@@ -47,8 +47,8 @@
 	return x, y, stranger
 }
 
-// until waits for a condition.
-func until(t *testing.T, what string, ok func() bool) {
+// waitFor waits for a condition.
+func waitFor(t *testing.T, what string, ok func() bool) {
 	t.Helper()
 	for end := time.Now().Add(10 * time.Second); !ok(); time.Sleep(time.Millisecond) {
 		if time.Now().After(end) {
@@ -60,17 +60,17 @@
 func receive(t *testing.T, c *Conn) Datagram {
 	t.Helper()
 	var in []Datagram
-	until(t, "a datagram", func() bool { in = c.Receive(); return len(in) > 0 })
+	waitFor(t, "a datagram", func() bool { in = c.Receive(); return len(in) > 0 })
 	return in[0]
 }
 
 // Without keys whom a datagram is from is told by its address, and strangers are not heard.
-func TestAddressesTellWhoSpeaks(t *testing.T) {
-	x, y, stranger := pair(t, nil, nil)
+func TestSenderIsIdentifiedByAddressWithoutKeys(t *testing.T) {
+	x, y, stranger := openPair(t, nil, nil)
 	if _, err := stranger.Write([]byte("forged")); err != nil {
 		t.Fatal(err)
 	}
-	until(t, "the stranger's", func() bool { return y.Counters().UnknownSenders == 1 })
+	waitFor(t, "the stranger's", func() bool { return y.Counters().UnknownSenders == 1 })
 	x.Send(1, []byte("hello"))
 	if d := receive(t, y); d.From != 0 || string(d.Payload) != "hello" {
 		t.Errorf("%q came from %d, want hello from 0", d.Payload, d.From)
@@ -78,12 +78,12 @@
 }
 
 // With keys, what is not signed is not heard, whatever address it comes from; a key changes in service.
-func TestKeysChangeInService(t *testing.T) {
-	x, y, stranger := pair(t, [][]byte{keyA}, [][]byte{keyA})
+func TestKeyRotation(t *testing.T) {
+	x, y, stranger := openPair(t, [][]byte{keyA}, [][]byte{keyA})
 	if _, err := stranger.Write(append([]byte("forged"), make([]byte, SignatureBytes)...)); err != nil {
 		t.Fatal(err)
 	}
-	until(t, "the forged", func() bool { return y.Counters().Forged == 1 })
+	waitFor(t, "the forged", func() bool { return y.Counters().Forged == 1 })
 	if _, err := stranger.Write(append([]byte("relayed"), sign(keyA, []byte("relayed"))...)); err != nil {
 		t.Fatal(err)
 	}
@@ -112,21 +112,21 @@
 
 // What is too long leaves nobody, what nobody takes is bounded, and a flood calls the loop once.
 func TestBounds(t *testing.T) {
-	x, y, _ := pair(t, [][]byte{keyA}, [][]byte{keyA})
+	x, y, _ := openPair(t, [][]byte{keyA}, [][]byte{keyA})
 	x.Send(1, make([]byte, MaxDatagramBytes-SignatureBytes+1))
-	until(t, "the long one", func() bool { return x.Counters().TooLong == 1 })
+	waitFor(t, "the long one", func() bool { return x.Counters().TooLong == 1 })
 	calls := 0
 	from := y.peers[0]
 	b := append([]byte("x"), sign(keyA, []byte("x"))...)
-	z := &Conn{o: Options{OnArrival: func() { calls++ }}, keys: y.keys, number: y.number}
-	for range mostArriving + 100 {
-		z.got(from, b)
+	z := &Conn{options: Options{OnArrival: func() { calls++ }}, keys: y.keys, peerNumbers: y.peerNumbers}
+	for range maxIncoming + 100 {
+		z.accept(from, b)
 	}
-	if c := z.Counters(); calls != 1 || len(z.Receive()) != mostArriving || c.Overrun != 100 {
+	if c := z.Counters(); calls != 1 || len(z.Receive()) != maxIncoming || c.Overrun != 100 {
 		t.Errorf("%d calls, %d overrun", calls, c.Overrun)
 	}
-	z.got(from, make([]byte, MaxDatagramBytes+1))
-	z.got(from, nil)
+	z.accept(from, make([]byte, MaxDatagramBytes+1))
+	z.accept(from, nil)
 	if c := z.Counters(); c.TooLong != 1 || c.Forged != 1 {
 		t.Errorf("%+v after one that is too long and one that is empty", c)
 	}
--- a/internal/transport/golden_test.go
+++ b/internal/transport/golden_test.go
@@ -21,8 +21,8 @@
 	{"the longest that is signed", [][]byte{keyA}, string(make([]byte, MaxDatagramBytes-SignatureBytes))},
 }
 
-// exchangeWith is a controller whose only peer is a plain socket of the test.
-func exchangeWith(t *testing.T, keys [][]byte) (*Conn, *net.UDPConn) {
+// openWithRawPeer is a controller whose only peer is a plain socket of the test.
+func openWithRawPeer(t *testing.T, keys [][]byte) (*Conn, *net.UDPConn) {
 	t.Helper()
 	raw, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
 	if err != nil {
@@ -43,7 +43,7 @@
 	var conns []*Conn
 	var raws []*net.UDPConn
 	for _, g := range goldenCases {
-		c, raw := exchangeWith(t, g.keys)
+		c, raw := openWithRawPeer(t, g.keys)
 		conns, raws = append(conns, c), append(raws, raw)
 		c.Send(0, []byte(g.payload))
 		b := make([]byte, 2*MaxDatagramBytes)
