--- a/internal/overload/codec.go
+++ b/internal/overload/codec.go
@@ -1,257 +1,250 @@
 package overload
 
 import (
-	"errors"
 	"fmt"
+	"math"
 
 	"google.golang.org/protobuf/encoding/protowire"
 )
 
-// MaxMessageBytes is the most bytes that a message takes. The deployment permits datagrams of 256; the rest is left
-// for a signature.
-const MaxMessageBytes = 256 - 16
+// A sampleField numbers a count of a serverSample: its bit in the mask that says which counts follow.
+type sampleField int
 
-// version of the messages. One of another version is not read: its sender counts as silent.
-const version = 1
-
-// Kinds of messages.
+// Fields of a sample in their order in a message.
 const (
-	kindLoadReport       = iota + 1 // a controller tells its teller what it saw
-	kindLimitUpdate                 // a teller tells what the fleet holds back
-	kindMembershipDigest            // a teller tells who is there
+	fieldOffered     sampleField = 0 // the first of priorityCount fields
+	fieldOverflow                = fieldOffered + priorityCount
+	fieldAnswered                = fieldOverflow + 1
+	fieldWait                    = fieldAnswered + 1
+	sampleFieldCount             = fieldWait + 1
 )
 
-// Tiers of calls, as the module has them: the cheapest first.
-const priorityCount = 4
-
-// A messageHeader begins each message.
-type messageHeader struct {
-	kind        int
-	sender      int    // number of the sender
-	incarnation uint32 // of the sender's process; a later one is greater
-	sequence    uint32 // of the sender's message of this kind, from 1 on
-}
-
-// A serverSample is what a controller saw of a server in a span.
-type serverSample struct {
-	key        uint32 // of the server
-	offered    [priorityCount]int
-	overflow   int  // set-ups sent there otherwise than as a call's first choice
-	answered   int  // answers
-	wait       int  // that answers had, or that the oldest set-up has had by now, in units of waitUnit; 0: none
-	overloaded bool // the module found it slow
-}
-
-// timeUnit is 10 ms.
-const timeUnit = 10_000_000
-
-// A loadReport is what a controller saw in the span since the one before.
-type loadReport struct {
-	messageHeader
-	span       int  // in units of waitUnit
-	overloaded bool // it has evidence of pressure
-	samples    []serverSample
-}
-
-// A serverLimit is what the fleet holds back of the calls to a server.
-type serverLimit struct {
-	key              uint32
-	priority         int // the tier of which a part is held back: those below wait, those above go
-	throttle         int // of it, in 255ths
-	overflowThrottle int // of the calls of second choice, in 255ths
-	wait             int // that the fleet's calls have there, in units of waitUnit
-}
-
-// A limitUpdate is what the fleet holds back now. Without terms it only asks for reports.
-type limitUpdate struct {
-	messageHeader
-	aliveMembers int // controllers by the teller's estimate
-	limits       []serverLimit
-}
-
-// A membershipDigest tells who is there: bit n of present is that of controller n.
-type membershipDigest struct {
-	messageHeader
-	aliveMembers, peakMembers int // by the teller's estimate; the most of the last minutes
-	members                   []byte
-}
-
-// Errors of messages.
-var (
-	ErrTruncated   = errors.New("it ends too soon")
-	ErrUnsupported = errors.New("it is of another version")
-	ErrOutOfRange  = errors.New("a figure is out of range")
-)
+// sampleOverloadedBit is the bit of the mask that says that the server is overloaded.
+const sampleOverloadedBit = 7
 
-// Bounds of what is read.
+// Lengths of parts of a message in bytes.
 const (
-	maxMembers = 1600    // bits of a roll that fit a message
-	maxCount   = 1 << 14 // of anything in a span
-	maxWait    = 6000    // a minute
+	serverKeyBytes      = 3
+	maxServerLimitBytes = 8
 )
 
+// field returns the count with a number.
+func (s *serverSample) field(f sampleField) *int {
+	switch f {
+	case fieldOverflow:
+		return &s.overflow
+	case fieldAnswered:
+		return &s.answered
+	case fieldWait:
+		return &s.wait
+	default:
+		return &s.offered[f-fieldOffered]
+	}
+}
+
+// append appends the encoded header.
 func (h *messageHeader) append(b []byte) []byte {
-	b = append(b, version<<4|byte(h.kind))
+	b = append(b, protocolVersion<<4|byte(h.kind))
 	b = protowire.AppendVarint(b, uint64(h.sender))
 	b = protowire.AppendVarint(b, uint64(h.incarnation))
 	return protowire.AppendVarint(b, uint64(h.sequence))
 }
 
-func appendKey(b []byte, key uint32) []byte { return append(b, byte(key>>16), byte(key>>8), byte(key)) }
-
-// fields are a sight's counts in the order of the wire, which has those that are not nought.
-func (s *serverSample) fields() [7]*int {
-	return [...]*int{&s.offered[0], &s.offered[1], &s.offered[2], &s.offered[3], &s.overflow, &s.answered, &s.wait}
+func appendKey(b []byte, key uint32) []byte {
+	return append(b, byte(key>>16), byte(key>>8), byte(key))
 }
 
-// append writes the report. Sights that do not fit are left out: the caller puts those that matter first.
+// append appends the encoded report. Samples that do not fit are left out: the important ones must come first.
 func (r *loadReport) append(b []byte) []byte {
 	b = r.messageHeader.append(b)
-	hot := uint64(0)
+	overloaded := uint64(0)
 	if r.overloaded {
-		hot = 1
+		overloaded = 1
 	}
-	b = protowire.AppendVarint(b, uint64(r.span)<<1|hot)
+	b = protowire.AppendVarint(b, uint64(r.span)<<1|overloaded)
 	for i := range r.samples {
-		s := &r.samples[i]
-		before, mask := len(b), byte(0)
-		b = append(appendKey(b, s.key), 0)
-		for i, f := range s.fields() {
-			if *f > 0 {
-				mask |= 1 << i
-				b = protowire.AppendVarint(b, uint64(*f))
-			}
-		}
-		if s.overloaded {
-			mask |= 1 << 7
+		start := len(b)
+		b = r.samples[i].append(b)
+		if len(b) > MaxMessageBytes {
+			return b[:start]
 		}
-		if b[before+3] = mask; len(b) > MaxMessageBytes {
-			return b[:before]
+	}
+	return b
+}
+
+// append appends the encoded sample: the server's key, a mask and the counts that are not 0.
+func (s *serverSample) append(b []byte) []byte {
+	maskIndex := len(b) + serverKeyBytes
+	mask := byte(0)
+	b = append(appendKey(b, s.key), mask)
+	for f := range sampleFieldCount {
+		count := *s.field(f)
+		if count > 0 {
+			mask |= 1 << f
+			b = protowire.AppendVarint(b, uint64(count))
 		}
 	}
+	if s.overloaded {
+		mask |= 1 << sampleOverloadedBit
+	}
+	b[maskIndex] = mask
 	return b
 }
 
-func (w *limitUpdate) append(b []byte) []byte {
-	b = protowire.AppendVarint(w.messageHeader.append(b), uint64(w.aliveMembers))
-	for _, t := range w.limits {
-		if len(b)+8 > MaxMessageBytes {
-			break // guards the length; a server left out goes by each controller's own evidence
+// append appends the encoded update. Limits that do not fit are left out: there each member relies on its own
+// evidence.
+func (u *limitUpdate) append(b []byte) []byte {
+	b = u.messageHeader.append(b)
+	b = protowire.AppendVarint(b, uint64(u.aliveMembers))
+	for _, l := range u.limits {
+		if len(b)+maxServerLimitBytes > MaxMessageBytes {
+			break
 		}
-		b = append(appendKey(b, t.key), byte(t.priority), byte(t.throttle), byte(t.overflowThrottle))
-		b = protowire.AppendVarint(b, uint64(t.wait))
+		b = appendKey(b, l.key)
+		b = append(b, byte(l.priority), byte(l.throttle), byte(l.overflowThrottle))
+		b = protowire.AppendVarint(b, uint64(l.wait))
 	}
 	return b
 }
 
-func (r *membershipDigest) append(b []byte) []byte {
-	b = protowire.AppendVarint(r.messageHeader.append(b), uint64(r.aliveMembers))
-	b = protowire.AppendVarint(b, uint64(r.peakMembers))
-	return append(b, r.members[:min(len(r.members), MaxMessageBytes-len(b))]...)
+// append appends the encoded digest. Members that do not fit are left out.
+func (d *membershipDigest) append(b []byte) []byte {
+	b = d.messageHeader.append(b)
+	b = protowire.AppendVarint(b, uint64(d.aliveMembers))
+	b = protowire.AppendVarint(b, uint64(d.peakMembers))
+	fitting := min(len(d.members), MaxMessageBytes-len(b))
+	return append(b, d.members[:fitting]...)
+}
+
+// decode decodes a message. It returns an error that wraps ErrTooLong, ErrTruncated, ErrUnsupported or
+// ErrOutOfRange; nothing of such a message is used.
+func decode(b []byte) (message, error) {
+	if len(b) > MaxMessageBytes {
+		return nil, fmt.Errorf("share: %w: %d bytes, %d at most", ErrTooLong, len(b), MaxMessageBytes)
+	}
+	r := &messageReader{rest: b}
+	m := r.readMessage()
+	if r.err != nil {
+		return nil, fmt.Errorf("share: %w", r.err)
+	}
+	return m, nil
 }
 
-// A messageReader reads a message; after an error it reads noughts.
+// A messageReader reads the values of a message. After an error it reads zeros.
 type messageReader struct {
-	b   []byte
-	err error
+	rest []byte // not yet read
+	err  error  // the first error
 }
 
-func (s *messageReader) readByte() byte {
-	if len(s.b) == 0 {
-		s.fail(ErrTruncated)
+// fail records the first error and drops the rest of the message.
+func (r *messageReader) fail(err error) {
+	if r.err == nil {
+		r.err = err
+	}
+	r.rest = nil
+}
+
+func (r *messageReader) readByte() byte {
+	if len(r.rest) == 0 {
+		r.fail(ErrTruncated)
 		return 0
 	}
-	c := s.b[0]
-	s.b = s.b[1:]
+	c := r.rest[0]
+	r.rest = r.rest[1:]
 	return c
 }
 
-// readNumber reads one of at most most.
-func (s *messageReader) readNumber(most uint64) int {
-	v, n := protowire.ConsumeVarint(s.b)
-	switch {
-	case n < 0:
-		s.fail(ErrTruncated)
+// readNumber reads a varint of at most maxValue.
+func (r *messageReader) readNumber(maxValue uint64) int {
+	v, n := protowire.ConsumeVarint(r.rest)
+	if n < 0 {
+		r.fail(ErrTruncated)
 		return 0
-	case v > most:
-		s.fail(ErrOutOfRange)
+	}
+	if v > maxValue {
+		r.fail(ErrOutOfRange)
 		return 0
 	}
-	s.b = s.b[n:]
+	r.rest = r.rest[n:]
 	return int(v)
 }
 
-func (s *messageReader) readKey() uint32 {
-	a, b, c := s.readByte(), s.readByte(), s.readByte()
-	return uint32(a)<<16 | uint32(b)<<8 | uint32(c)
-}
-
-// fail notes the first error, and has nothing more to read.
-func (s *messageReader) fail(err error) {
-	if s.err == nil {
-		s.err = err
-	}
-	s.b = nil
+func (r *messageReader) readKey() uint32 {
+	high, middle, low := r.readByte(), r.readByte(), r.readByte()
+	return uint32(high)<<16 | uint32(middle)<<8 | uint32(low)
 }
 
-// decode reads a message: a *report, *word or *roll. Its error says what cannot be read; nothing of such
-// a message is used.
-func decode(b []byte) (any, error) {
-	if len(b) > MaxMessageBytes {
-		return nil, fmt.Errorf("share: a message of %d bytes, %d at most", len(b), MaxMessageBytes)
+// readMessage reads a message of any kind. The message is valid only if r.err is nil.
+func (r *messageReader) readMessage() message {
+	first := r.readByte()
+	if r.err == nil && first>>4 != protocolVersion {
+		r.fail(ErrUnsupported)
+		return nil
 	}
-	s := &messageReader{b: b}
-	first := s.readByte()
-	if s.err == nil && first>>4 != version {
-		return nil, fmt.Errorf("share: %w", ErrUnsupported)
-	}
-	h := messageHeader{kind: int(first & 15)}
-	h.sender, h.incarnation, h.sequence = s.readNumber(maxMembers-1), uint32(s.readNumber(1<<32-1)), uint32(s.readNumber(1<<32-1))
-	var m any
+	h := messageHeader{kind: messageKind(first & 15)}
+	h.sender = r.readNumber(maxMembers - 1)
+	h.incarnation = uint32(r.readNumber(math.MaxUint32))
+	h.sequence = uint32(r.readNumber(math.MaxUint32))
 	switch h.kind {
 	case kindLoadReport:
-		m = s.readLoadReport(h)
+		return r.readLoadReport(h)
 	case kindLimitUpdate:
-		m = s.readLimitUpdate(h)
+		return r.readLimitUpdate(h)
 	case kindMembershipDigest:
-		r := &membershipDigest{messageHeader: h, aliveMembers: s.readNumber(maxMembers), peakMembers: s.readNumber(maxMembers)}
-		r.members = append(r.members, s.b...)
-		m = r
-	default:
-		s.fail(ErrUnsupported)
+		return r.readMembershipDigest(h)
 	}
-	if s.err != nil {
-		return nil, fmt.Errorf("share: %w", s.err)
+	r.fail(ErrUnsupported)
+	return nil
+}
+
+func (r *messageReader) readLoadReport(h messageHeader) *loadReport {
+	report := &loadReport{messageHeader: h}
+	span := r.readNumber(2*maxWait + 1)
+	report.span = span >> 1
+	report.overloaded = span&1 == 1
+	for len(r.rest) > 0 {
+		report.samples = append(report.samples, r.readSample())
 	}
-	return m, nil
+	return report
 }
 
-func (s *messageReader) readLoadReport(h messageHeader) *loadReport {
-	r := &loadReport{messageHeader: h}
-	span := s.readNumber(2*maxWait + 1)
-	r.span, r.overloaded = span>>1, span&1 == 1
-	for len(s.b) > 0 {
-		x := serverSample{key: s.readKey()}
-		mask := s.readByte()
-		for i, f := range x.fields() {
-			if mask>>i&1 == 1 {
-				*f = s.readNumber(maxCount)
-			}
+func (r *messageReader) readSample() serverSample {
+	s := serverSample{key: r.readKey()}
+	mask := r.readByte()
+	for f := range sampleFieldCount {
+		if mask>>f&1 == 1 {
+			*s.field(f) = r.readNumber(maxCount)
 		}
-		x.wait, x.overloaded = min(x.wait, maxWait), mask>>7 == 1
-		r.samples = append(r.samples, x)
 	}
-	return r
+	s.wait = min(s.wait, maxWait)
+	s.overloaded = mask>>sampleOverloadedBit == 1
+	return s
 }
 
-func (s *messageReader) readLimitUpdate(h messageHeader) *limitUpdate {
-	w := &limitUpdate{messageHeader: h, aliveMembers: s.readNumber(maxMembers)}
-	for len(s.b) > 0 {
-		t := serverLimit{key: s.readKey(), priority: int(s.readByte()), throttle: int(s.readByte()), overflowThrottle: int(s.readByte()), wait: s.readNumber(maxWait)}
-		if t.priority >= priorityCount {
-			s.fail(ErrOutOfRange)
-		}
-		w.limits = append(w.limits, t)
+func (r *messageReader) readLimitUpdate(h messageHeader) *limitUpdate {
+	update := &limitUpdate{messageHeader: h, aliveMembers: r.readNumber(maxMembers)}
+	for len(r.rest) > 0 {
+		update.limits = append(update.limits, r.readServerLimit())
+	}
+	return update
+}
+
+func (r *messageReader) readServerLimit() serverLimit {
+	l := serverLimit{key: r.readKey()}
+	l.priority = int(r.readByte())
+	l.throttle = int(r.readByte())
+	l.overflowThrottle = int(r.readByte())
+	l.wait = r.readNumber(maxWait)
+	if l.priority >= priorityCount {
+		r.fail(ErrOutOfRange)
 	}
-	return w
+	return l
+}
+
+func (r *messageReader) readMembershipDigest(h messageHeader) *membershipDigest {
+	d := &membershipDigest{messageHeader: h}
+	d.aliveMembers = r.readNumber(maxMembers)
+	d.peakMembers = r.readNumber(maxMembers)
+	d.members = append(d.members, r.rest...)
+	return d
 }
--- a/internal/overload/golden_test.go
+++ b/internal/overload/golden_test.go
@@ -10,40 +10,40 @@
 
 // goldenMessages are datagrams of every kind, with edge values and with more than fits.
 func goldenMessages() []goldentest.Message {
-	of := func(kind int) messageHeader {
+	of := func(kind messageKind) messageHeader {
 		return messageHeader{kind: kind, sender: 3, incarnation: 1764547200, sequence: 77}
 	}
-	largest := func(kind int) messageHeader {
+	largest := func(kind messageKind) messageHeader {
 		return messageHeader{kind: kind, sender: maxMembers - 1, incarnation: 1<<32 - 1, sequence: 1<<32 - 1}
 	}
-	sights := []serverSample{
+	samples := []serverSample{
 		{key: 0x010203, offered: [priorityCount]int{1, 2, 3, 4}, overflow: 5, answered: 6, wait: 7, overloaded: true},
 		{key: 0xffffff, offered: [priorityCount]int{maxCount, 0, 0, maxCount}, wait: maxWait},
 		{key: ServerKey("s-00c41f7a")},
 	}
-	terms := []serverLimit{{key: 0x010203, priority: 2, throttle: 128, overflowThrottle: 64, wait: 100}, {key: 0xffffff, priority: priorityCount - 1, throttle: 255, overflowThrottle: 255, wait: maxWait}, {}}
-	encode := func(name string, m interface{ append([]byte) []byte }) goldentest.Message {
+	limits := []serverLimit{{key: 0x010203, priority: 2, throttle: 128, overflowThrottle: 64, wait: 100}, {key: 0xffffff, priority: priorityCount - 1, throttle: 255, overflowThrottle: 255, wait: maxWait}, {}}
+	encode := func(name string, m message) goldentest.Message {
 		return goldentest.Message{Name: name, Bytes: m.append(nil)}
 	}
 	return []goldentest.Message{
-		encode("report", &loadReport{messageHeader: of(kindLoadReport), span: 50, overloaded: true, samples: sights}),
+		encode("report", &loadReport{messageHeader: of(kindLoadReport), span: 50, overloaded: true, samples: samples}),
 		encode("report without sights", &loadReport{messageHeader: largest(kindLoadReport), span: maxWait}),
 		encode("report cut to its limit", &loadReport{messageHeader: of(kindLoadReport), samples: make([]serverSample, 100)}),
-		encode("word", &limitUpdate{messageHeader: of(kindLimitUpdate), aliveMembers: 290, limits: terms}),
+		encode("word", &limitUpdate{messageHeader: of(kindLimitUpdate), aliveMembers: 290, limits: limits}),
 		encode("word without terms", &limitUpdate{messageHeader: largest(kindLimitUpdate), aliveMembers: maxMembers}),
 		encode("word cut to its limit", &limitUpdate{messageHeader: of(kindLimitUpdate), limits: make([]serverLimit, 100)}),
 		encode("roll", &membershipDigest{messageHeader: of(kindMembershipDigest), aliveMembers: 9, peakMembers: 300, members: []byte{0xff, 0x01, 0x80}}),
 		encode("roll cut to its limit", &membershipDigest{messageHeader: largest(kindMembershipDigest), aliveMembers: maxMembers, peakMembers: maxMembers, members: make([]byte, 300)}),
 		{Name: "received empty", Bytes: nil},
-		{Name: "received of another version", Bytes: []byte{2<<4 | kindLoadReport, 1, 1, 1, 0}},
-		{Name: "received of an unknown kind", Bytes: []byte{version<<4 | 9, 1, 1, 1, 0}},
-		{Name: "received cut short", Bytes: []byte{version<<4 | kindLimitUpdate, 1, 1, 1, 0, 1, 2}},
-		{Name: "received with a tier out of range", Bytes: []byte{version<<4 | kindLimitUpdate, 1, 1, 1, 0, 1, 2, 3, priorityCount, 0, 0, 0}},
+		{Name: "received of another version", Bytes: []byte{2<<4 | byte(kindLoadReport), 1, 1, 1, 0}},
+		{Name: "received of an unknown kind", Bytes: []byte{protocolVersion<<4 | 9, 1, 1, 1, 0}},
+		{Name: "received cut short", Bytes: []byte{protocolVersion<<4 | byte(kindLimitUpdate), 1, 1, 1, 0, 1, 2}},
+		{Name: "received with a tier out of range", Bytes: []byte{protocolVersion<<4 | byte(kindLimitUpdate), 1, 1, 1, 0, 1, 2, 3, priorityCount, 0, 0, 0}},
 	}
 }
 
 // dumpMessage writes a decoded datagram under labels that are fixed.
-func dumpMessage(b *strings.Builder, m any) {
+func dumpMessage(b *strings.Builder, m message) {
 	begin := func(what string, h *messageHeader) {
 		_, _ = fmt.Fprintf(b, "%s kind %d from %d boot %d sequence %d", what, h.kind, h.sender, h.incarnation, h.sequence)
 	}
--- a/internal/overload/share_test.go
+++ b/internal/overload/member_test.go
@@ -8,10 +8,16 @@
 	"reflect"
 	"slices"
 	"testing"
+	"time"
 
 	"pgregory.net/rapid"
 )
 
+const (
+	ms     = time.Millisecond
+	second = time.Second
+)
+
 const late = 500 * ms
 
 // A fleet of Members and the way between them.
@@ -186,8 +192,8 @@
 		for range 60 {
 			f.pass(3*second, nil)
 			for _, m := range f.all[:60] {
-				if m.selected == m.options.Self && m.aggregator.lastReportAt > 0 && f.now-m.aggregator.lastReportAt < 2*second && f.now-m.since > 35*second {
-					live, _ := estimateAlive(m.aggregator.members, f.now, m.options.HeartbeatInterval)
+				if m.selection.aggregator == m.options.Self && m.aggregator.lastReportAt > 0 && f.now-m.aggregator.lastReportAt < 2*second && f.now-m.selection.since > 35*second {
+					live := estimateAlive(m.aggregator.members, f.now, m.options.HeartbeatInterval)
 					sum, n = sum+live, n+1
 				}
 			}
@@ -206,8 +212,8 @@
 func (f *fleet) tellers() map[int]int {
 	all := make(map[int]int)
 	for _, m := range f.all {
-		if m != nil && !slices.ContainsFunc(slices.Collect(maps.Values(m.ejected)), func(s ejection) bool { return s.wrong }) {
-			all[m.selected]++
+		if m != nil && !slices.ContainsFunc(slices.Collect(maps.Values(m.selection.ejected)), func(s ejection) bool { return s.reason == ejectedAsWrong }) {
+			all[m.selection.aggregator]++
 		}
 	}
 	return all
@@ -218,14 +224,14 @@
 func TestTellerDies(t *testing.T) {
 	f := newFleet(t, 60, 3)
 	f.jam(15*second, 60, 30)
-	was := f.all[20].selected
+	was := f.all[20].selection.aggregator
 	for i := range f.all {
 		if i%10 < 7 || i == was {
 			f.all[i] = nil
 		}
 	}
 	died := f.now
-	for len(f.tellers()) > 1 || f.all[f.all[58].selected] == nil {
+	for len(f.tellers()) > 1 || f.all[f.all[58].selection.aggregator] == nil {
 		if f.jam(second/2, 60, 30); f.now-died > 15*second {
 			t.Fatalf("15 s after the death of %d they obey %v", was, f.tellers())
 		}
@@ -283,11 +289,11 @@
 	} {
 		f := newFleet(t, 2, 1)
 		m := f.all[0]
-		for i := 0; m.selected == 0 && i < 100; i++ {
+		for i := 0; m.selection.aggregator == 0 && i < 100; i++ {
 			f.now += m.options.AggregatorTerm // the other is to be its teller
 			m.Tick(f.now)
 		}
-		liar := m.selected
+		liar := m.selection.aggregator
 		c.term.key = ServerKey("s")
 		for i := 1; m.AggregatorsEjected == 0 && i < 100; i++ {
 			f.now += 200 * ms
@@ -302,7 +308,7 @@
 				m.RecordResult(f.now, "s", true, c.took)
 			}
 		}
-		if m.AggregatorsEjected == 0 || m.selected == liar {
+		if m.AggregatorsEjected == 0 || m.selection.aggregator == liar {
 			t.Errorf("%s: it is believed after 20 s", c.name)
 		}
 		if why, told := m.Throttle(f.now, "s", 2, true); told {
@@ -349,7 +355,7 @@
 	rapid.Check(t, func(rt *rapid.T) {
 		tl := newAggregator(3, late, 10*second, 500*ms)
 		for key := range uint32(rapid.IntRange(1, 12).Draw(rt, "servers")) {
-			s := &serverAggregate{key: key, admittedRate: rapid.SampledFrom([]float64{math.Inf(1), 0.5, 3, 20}).Draw(rt, "budget"), answered: rapid.Float64Range(0, 40).Draw(rt, "done")}
+			s := &serverAggregate{key: key, admittedRate: rapid.SampledFrom([]float64{math.Inf(1), 0.5, 3, 20}).Draw(rt, "budget"), demand: demand{answered: rapid.Float64Range(0, 40).Draw(rt, "done")}}
 			for k := range s.offered {
 				s.offered[k] = rapid.Float64Range(0, 20).Draw(rt, "off")
 			}
@@ -358,7 +364,7 @@
 		for _, x := range tl.serverLimits() {
 			s, m := tl.servers[x.key], Member{rng: rand.New(rand.NewPCG(1, 1)), options: Options{LatencyThreshold: late}}
 			v := &serverView{limit: x, limitedUntil: neverDue}
-			m.servers = map[string]*serverView{"s": v}
+			m.servers.byID = map[string]*serverView{"s": v}
 			var held [priorityCount]float64
 			for k := range held {
 				for range 2000 {
@@ -402,7 +408,7 @@
 			samples: []serverSample{{key: uint32(i), offered: [priorityCount]int{5, 5, 5, 5}}}}).append(nil))
 		m.Tick(f.now)
 	}
-	if a, b, c, d := len(m.servers), len(m.serversByKey), len(m.aggregator.servers), len(m.outbox); a > maxServers || b > maxServers || c > maxAggregates || d > 2*4+16 {
+	if a, b, c, d := len(m.servers.byID), len(m.servers.byKey), len(m.aggregator.servers), len(m.outbox.queue); a > maxServers || b > maxServers || c > maxAggregates || d > 2*4+16 {
 		t.Errorf("%d and %d servers, %d sums and %d messages are held", a, b, c, d)
 	}
 }
@@ -436,13 +442,13 @@
 	m := f.all[0]
 	m.RecordOffered(f.now, "s", 1)
 	m.RecordSent(f.now, "s", true)
-	m.servers["s"].limit, m.servers["s"].limitedUntil = serverLimit{priority: 3, throttle: 250, wait: 100}, f.now+60*second
+	m.servers.byID["s"].limit, m.servers.byID["s"].limitedUntil = serverLimit{priority: 3, throttle: 250, wait: 100}, f.now+60*second
 	f.now += 5 * second
 	if _, told := m.Throttle(f.now, "s", 1, true); told {
 		t.Error("a word from before still holds")
 	}
 	m.sendReport(f.now)
-	for _, p := range m.outbox {
+	for _, p := range m.outbox.queue {
 		x, err := decode(p.Payload)
 		if err != nil {
 			t.Fatal(err)
@@ -513,7 +519,7 @@
 			t.Errorf("first choice %v: %q, %v", first, why, told)
 		}
 	}
-	if _, told := m.Throttle(f.now+m.limitLifetime(), "new", 1, true); told {
+	if _, told := m.Throttle(f.now+m.options.limitLifetime(), "new", 1, true); told {
 		t.Error("the word still holds when its time is over")
 	}
 }
--- a/internal/overload/state.go
+++ b/internal/overload/state.go
@@ -5,38 +5,38 @@
 	"slices"
 )
 
-// A State is what a Member knows and does, for those who look. Its JSON names are printed by olivectl peers --json
-// and stay as they were first released.
+// A State is a snapshot of a Member. Its JSON names are printed by olivectl peers --json and stay as they were first
+// released.
 type State struct {
 	Self, Peers     int
 	Incarnation     uint32 `json:"Boot"`
 	Aggregator      int    `json:"Teller"`
-	AggregatorFor   Time   `json:"Since"` // for so long it has been this teller
-	LimitsAge       Time   `json:"Heard"` // for so long nothing came of it; negative: nothing has yet
-	AliveMembers    int    `json:"Live"`  // controllers there are, as the teller holds; those it held for there at most, of late
-	PeakMembers     int    `json:"Of"`
-	Partitioned     bool   `json:"Part"`    // far fewer are there than there were: it may be one part of several
-	FrequentReports bool   `json:"Often"`   // reports are sent each period
-	Ejected         int    `json:"Shunned"` // tellers that are passed over
+	AggregatorFor   Time   `json:"Since"` // time since the aggregator was selected
+	LimitsAge       Time   `json:"Heard"` // time since the aggregator was last heard; negative: never
+	AliveMembers    int    `json:"Live"`  // estimated by the aggregator
+	PeakMembers     int    `json:"Of"`    // the most that were alive in the last minutes
+	Partitioned     bool   `json:"Part"`  // far fewer members are alive than before: the network may be partitioned
+	FrequentReports bool   `json:"Often"` // reports are sent each report interval
+	Ejected         int    `json:"Shunned"`
 	Servers         []ServerState
-	Aggregates      []AggregateState `json:"Told"`      // of a teller: what it sums up
-	Members         []MemberState    `json:"Reporters"` // of a teller: who reports to it
+	Aggregates      []AggregateState `json:"Told"`      // of an aggregator
+	Members         []MemberState    `json:"Reporters"` // of an aggregator: the members that have reported
 	Counters        Counters
 }
 
-// A ServerState is what is seen and obeyed of a server.
+// A ServerState is what a member measures at a server and the limit that it applies there.
 type ServerState struct {
 	ID              string
-	PendingAttempts int                    `json:"Waiting"` // set-ups unanswered
-	SetupTime       Time                   `json:"Wait"`    // of answers, smoothed; 0: none of late
-	Limited         bool                   `json:"Obeyed"`  // a word holds
-	ClaimedWait     Time                   `json:"Claim"`   // the wait that the word claims
-	ThrottleChance  [priorityCount]float64 `json:"Hold"`
-	OverflowChance  float64                `json:"Over"` // of calls of second choice
-	Throttled       int                    `json:"Held"` // calls held back
+	PendingAttempts int                    `json:"Waiting"`
+	SetupTime       Time                   `json:"Wait"`   // smoothed; 0: no answer lately
+	Limited         bool                   `json:"Obeyed"` // a limit applies
+	ClaimedWait     Time                   `json:"Claim"`  // set-up time that the aggregator claims
+	ThrottleChance  [priorityCount]float64 `json:"Hold"`   // by priority
+	OverflowChance  float64                `json:"Over"`   // for set-ups that are not a call's first choice
+	Throttled       int                    `json:"Held"`   // calls
 }
 
-// An AggregateState is what a teller holds of a server. Rates are a second.
+// An AggregateState is what an aggregator concludes about a server. Rates are events a second.
 type AggregateState struct {
 	Key          uint32
 	Offered      float64
@@ -44,71 +44,109 @@
 	Answered     float64 `json:"Done"`
 	Wait         Time
 	WaitReports  int     `json:"Told"`
-	AdmittedRate float64 `json:"Budget"` // +Inf: nothing is held back
+	AdmittedRate float64 `json:"Budget"` // +Inf: not limited
 }
 
-// A MemberState is what a teller holds of a controller.
+// A MemberState is what an aggregator knows of a member.
 type MemberState struct {
 	Number        int
 	Status        MemberStatus `json:"Presence"`
-	LastReportAge Time         `json:"Heard"` // ago
+	LastReportAge Time         `json:"Heard"`
 	Incarnation   uint32       `json:"Boot"`
-	LossShare     float64      `json:"Lost"` // share of its reports
-	ReportSpan    Time         `json:"Last"` // span of the last
+	LossShare     float64      `json:"Lost"` // of its reports
+	ReportSpan    Time         `json:"Last"` // of the latest report
 }
 
-// throttleChances are the chances that a term throttleChances a call back by, by tier.
-func (t *serverLimit) throttleChances() (h [priorityCount]float64) {
-	for k := range h {
-		switch {
-		case k < t.priority && t.throttle > 0:
-			h[k] = maxThrottle / 255.0
-		case k == t.priority:
-			h[k] = float64(t.throttle) / 255
-		}
+// State returns a snapshot of the member.
+func (m *Member) State(now Time) *State {
+	s := &State{
+		Self:            m.options.Self,
+		Peers:           m.options.Peers,
+		Incarnation:     m.options.Incarnation,
+		Aggregator:      m.selection.aggregator,
+		AggregatorFor:   now - m.selection.since,
+		LimitsAge:       -1,
+		AliveMembers:    m.membership.aliveMembers,
+		PeakMembers:     max(m.membership.peakMembers, m.membership.aliveMembers),
+		FrequentReports: m.reportsFrequently(now),
+		Ejected:         len(m.selection.ejected),
+		Servers:         m.servers.states(now),
+		Counters:        m.Counters,
+	}
+	s.Partitioned = s.AliveMembers*10 < s.PeakMembers*9
+	if m.selection.lastHeardAt > 0 {
+		s.LimitsAge = now - m.selection.lastHeardAt
+	}
+	hasReporters := m.aggregator.lastReportAt > 0 && now-m.aggregator.lastReportAt <= 2*m.options.HeartbeatInterval
+	if m.isOwnAggregator() || hasReporters {
+		s.Aggregates = m.aggregator.serverStates()
+		s.Members = m.aggregator.memberStates(now)
 	}
-	return h
+	return s
 }
 
-// State tells what is known now.
-func (m *Member) State(now Time) *State {
-	s := &State{Self: m.options.Self, Peers: m.options.Peers, Incarnation: m.options.Incarnation, Aggregator: m.selected, AggregatorFor: now - m.since, LimitsAge: -1, AliveMembers: m.aliveMembers, PeakMembers: max(m.peakMembers, m.aliveMembers), FrequentReports: m.reportsFrequently(now),
-		Ejected: len(m.ejected), Counters: m.Counters}
-	s.Partitioned = s.AliveMembers*10 < s.PeakMembers*9
-	if m.lastHeardAt > 0 {
-		s.LimitsAge = now - m.lastHeardAt
+// states returns the states of all servers, sorted by id.
+func (t *serverTable) states(now Time) []ServerState {
+	var states []ServerState
+	for _, v := range t.byID {
+		states = append(states, v.state(now))
 	}
-	for _, v := range m.servers {
-		x := ServerState{ID: v.id, PendingAttempts: len(v.pendingSince), Limited: now < v.limitedUntil, Throttled: v.throttled}
-		if v.setupTime > 0 && now-v.setupTimeAt < setupTimeLifetime {
-			x.SetupTime = v.setupTime
-		}
-		if x.Limited {
-			x.ClaimedWait, x.ThrottleChance, x.OverflowChance = Time(v.limit.wait)*timeUnit, v.limit.throttleChances(), float64(v.limit.overflowThrottle)/255
-		}
-		s.Servers = append(s.Servers, x)
+	slices.SortFunc(states, func(a, b ServerState) int { return cmp.Compare(a.ID, b.ID) })
+	return states
+}
+
+func (v *serverView) state(now Time) ServerState {
+	s := ServerState{
+		ID:              v.id,
+		PendingAttempts: len(v.pendingSince),
+		SetupTime:       v.recentSetupTime(now),
+		Limited:         v.hasLimit(now),
+		Throttled:       v.throttled,
 	}
-	slices.SortFunc(s.Servers, func(a, b ServerState) int { return cmp.Compare(a.ID, b.ID) })
-	t := m.aggregator
-	if m.selected != m.options.Self && (t.lastReportAt == 0 || now-t.lastReportAt > 2*m.options.HeartbeatInterval) {
-		return s // it tells nobody
+	if s.Limited {
+		s.ClaimedWait = v.limit.claimedWait()
+		s.ThrottleChance = v.limit.throttleChances()
+		s.OverflowChance = v.limit.overflowChance()
 	}
-	for _, x := range t.sortedServers() {
-		s.Aggregates = append(s.Aggregates, AggregateState{x.key, x.totalOffered(), x.overflow, x.answered, Time(x.wait * 1e9), x.waitReports, x.admittedRate})
+	return s
+}
+
+// serverStates returns the states of all aggregates, sorted by key.
+func (a *aggregator) serverStates() []AggregateState {
+	var states []AggregateState
+	for _, s := range a.sortedServers() {
+		states = append(states, AggregateState{
+			Key:          s.key,
+			Offered:      s.totalOffered(),
+			Overflow:     s.overflow,
+			Answered:     s.answered,
+			Wait:         Time(s.wait * 1e9),
+			WaitReports:  s.waitReports,
+			AdmittedRate: s.admittedRate,
+		})
 	}
-	for i := range t.members {
-		p := &t.members[i]
-		if p.lastReportAt == 0 {
+	return states
+}
+
+// memberStates returns the states of all members that have reported, by number.
+func (a *aggregator) memberStates(now Time) []MemberState {
+	var states []MemberState
+	for number := range a.members {
+		r := &a.members[number]
+		if r.lastReportAt == 0 {
 			continue
 		}
-		y := MemberState{Number: i, Status: p.status(now, m.options.HeartbeatInterval), LastReportAge: now - p.lastReportAt, Incarnation: p.incarnation}
-		if n := p.received + p.lost; n > 0 {
-			y.LossShare = p.lost / n
+		state := MemberState{
+			Number:        number,
+			Status:        r.status(now, a.heartbeatInterval),
+			LastReportAge: now - r.lastReportAt,
+			Incarnation:   r.incarnation,
+			LossShare:     r.lossShare(),
 		}
-		if p.lastReport != nil {
-			y.ReportSpan = Time(p.lastReport.span) * timeUnit
+		if r.lastReport != nil {
+			state.ReportSpan = durationOf(r.lastReport.span)
 		}
-		s.Members = append(s.Members, y)
+		states = append(states, state)
 	}
-	return s
+	return states
 }
--- /dev/null
+++ b/internal/overload/throttling.go
@@ -0,0 +1,100 @@
+package overload
+
+import (
+	"cmp"
+	"slices"
+)
+
+// maxThrottle is the greatest throttle that an aggregator sets, of 255: no server is cut off entirely.
+const maxThrottle = 250
+
+// Shares of its peak throughput that a server without a limit may be sent in addition: the reserve that is assumed
+// above the peak, and the least headroom.
+const (
+	peakMargin  = 1.05
+	minHeadroom = 0.05
+)
+
+// An allocation is the distribution of a server's admitted rate over the priorities.
+type allocation struct {
+	server   *serverAggregate
+	limit    serverLimit
+	headroom float64 // set-ups a second that remain for overflow
+}
+
+// A throttlePlan is the distribution of all admitted rates.
+type throttlePlan struct {
+	allocations []allocation
+	throttled   float64 // calls a second that no server admits as their first choice
+}
+
+// serverLimits returns the limits of the servers with a finite admitted rate, the most throttled first, as not all
+// may fit a message.
+func (a *aggregator) serverLimits() []serverLimit {
+	var plan throttlePlan
+	for _, s := range a.sortedServers() {
+		plan.add(s)
+	}
+	limits := plan.limits()
+	slices.SortStableFunc(limits, func(x, y serverLimit) int {
+		return cmp.Or(cmp.Compare(y.priority, x.priority), cmp.Compare(y.throttle, x.throttle))
+	})
+	return limits
+}
+
+// add allocates a server's admitted rate.
+func (p *throttlePlan) add(s *serverAggregate) {
+	a := allocation{
+		server: s,
+		limit:  serverLimit{key: s.key, wait: min(unitsOfSeconds(s.wait), maxWait)},
+	}
+	if s.isLimited() {
+		a.headroom = s.admittedRate
+		p.admitByPriority(&a)
+	} else {
+		// Throughput that the server had and has not now is free for overflow, and a little more, which finds out
+		// whether the server can do more.
+		a.headroom = max(peakMargin*s.peakThroughput-s.answered, minHeadroom*s.peakThroughput)
+	}
+	p.allocations = append(p.allocations, a)
+}
+
+// admitByPriority gives the rate to the highest priorities first. The highest one is never throttled.
+func (p *throttlePlan) admitByPriority(a *allocation) {
+	for priority := priorityCount - 1; priority >= 0; priority-- {
+		offered := a.server.offered[priority]
+		admitted := min(offered, a.headroom)
+		a.headroom -= admitted
+		if priority == priorityCount-1 || admitted >= offered {
+			continue
+		}
+		p.throttled += offered - admitted
+		isHighestThrottled := a.limit.throttle == 0
+		if isHighestThrottled {
+			a.limit.priority = priority
+			a.limit.throttle = throttleByte(1 - admitted/offered)
+		}
+	}
+}
+
+// limits returns the limits of the servers with a finite admitted rate.
+func (p *throttlePlan) limits() []serverLimit {
+	var limits []serverLimit
+	for _, a := range p.allocations {
+		if !a.server.isLimited() {
+			continue
+		}
+		// A throttled call tries all servers in turn, so overflow may use no more than the headroom: an open chance at
+		// each server without headroom would add up.
+		admitted := 1.0
+		if p.throttled > 0 {
+			admitted = min(a.headroom/p.throttled, 1)
+		}
+		a.limit.overflowThrottle = roundToInt((1 - admitted) * maxShare)
+		limits = append(limits, a.limit)
+	}
+	return limits
+}
+
+// throttleByte converts a share to the throttle of a message.
+func throttleByte(share float64) int { return min(roundToInt(share*maxShare), maxThrottle) }
