--- a/internal/overload/codec.go
+++ b/internal/overload/codec.go
@@ -1,257 +1,250 @@
 package overload
 
 import (
-	"errors"
 	"fmt"
+	"math"
 
 	"google.golang.org/protobuf/encoding/protowire"
 )
 
-// MaxMessageBytes is the most bytes that a message takes. The deployment permits datagrams of 256; the rest is left
-// for a signature.
-const MaxMessageBytes = 256 - 16
+// A sampleField numbers a count of a serverSample: its bit in the mask that says which counts follow.
+type sampleField int
 
-// version of the messages. One of another version is not read: its sender counts as silent.
-const version = 1
-
-// Kinds of messages.
+// Fields of a sample in their order in a message.
 const (
-	kindReport = iota + 1 // a controller tells its teller what it saw
-	kindWord              // a teller tells what the fleet holds back
-	kindRoll              // a teller tells who is there
+	fieldOffered     sampleField = 0 // the first of priorityCount fields
+	fieldOverflow                = fieldOffered + priorityCount
+	fieldAnswered                = fieldOverflow + 1
+	fieldWait                    = fieldAnswered + 1
+	sampleFieldCount             = fieldWait + 1
 )
 
-// Tiers of calls, as the module has them: the cheapest first.
-const tiers = 4
-
-// A head begins each message.
-type head struct {
-	kind int
-	from int    // number of the sender
-	boot uint32 // of the sender's process; a later one is greater
-	seq  uint32 // of the sender's message of this kind, from 1 on
-}
+// sampleOverloadedBit is the bit of the mask that says that the server is overloaded.
+const sampleOverloadedBit = 7
 
-// A sight is what a controller saw of a server in a span.
-type sight struct {
-	key     uint32 // of the server
-	off     [tiers]int
-	over    int  // set-ups sent there otherwise than as a call's first choice
-	done    int  // answers
-	wait    int  // that answers had, or that the oldest set-up has had by now, in units of waitUnit; 0: none
-	pressed bool // the module found it slow
-}
-
-// waitUnit is 10 ms.
-const waitUnit = 10_000_000
-
-// A report is what a controller saw in the span since the one before.
-type report struct {
-	head
-	span   int  // in units of waitUnit
-	hot    bool // it has evidence of pressure
-	sights []sight
-}
-
-// A term is what the fleet holds back of the calls to a server.
-type term struct {
-	key  uint32
-	tier int // the tier of which a part is held back: those below wait, those above go
-	part int // of it, in 255ths
-	over int // of the calls of second choice, in 255ths
-	wait int // that the fleet's calls have there, in units of waitUnit
-}
-
-// A word is what the fleet holds back now. Without terms it only asks for reports.
-type word struct {
-	head
-	live  int // controllers by the teller's estimate
-	terms []term
-}
-
-// A roll tells who is there: bit n of present is that of controller n.
-type roll struct {
-	head
-	live, of int // by the teller's estimate; the most of the last minutes
-	present  []byte
-}
-
-// Errors of messages.
-var (
-	errShort   = errors.New("it ends too soon")
-	errVersion = errors.New("it is of another version")
-	errFigure  = errors.New("a figure is out of range")
-)
-
-// Bounds of what is read.
+// Lengths of parts of a message in bytes.
 const (
-	mostPeers = 1600    // bits of a roll that fit a message
-	mostCount = 1 << 14 // of anything in a span
-	mostWait  = 6000    // a minute
+	serverKeyBytes      = 3
+	maxServerLimitBytes = 8
 )
 
-func (h *head) append(b []byte) []byte {
-	b = append(b, version<<4|byte(h.kind))
-	b = protowire.AppendVarint(b, uint64(h.from))
-	b = protowire.AppendVarint(b, uint64(h.boot))
-	return protowire.AppendVarint(b, uint64(h.seq))
+// field returns the count with a number.
+func (s *serverSample) field(f sampleField) *int {
+	switch f {
+	case fieldOverflow:
+		return &s.overflow
+	case fieldAnswered:
+		return &s.answered
+	case fieldWait:
+		return &s.wait
+	default:
+		return &s.offered[f-fieldOffered]
+	}
 }
 
-func appendKey(b []byte, key uint32) []byte { return append(b, byte(key>>16), byte(key>>8), byte(key)) }
+// append appends the encoded header.
+func (h *messageHeader) append(b []byte) []byte {
+	b = append(b, protocolVersion<<4|byte(h.kind))
+	b = protowire.AppendVarint(b, uint64(h.sender))
+	b = protowire.AppendVarint(b, uint64(h.incarnation))
+	return protowire.AppendVarint(b, uint64(h.sequence))
+}
 
-// fields are a sight's counts in the order of the wire, which has those that are not nought.
-func (s *sight) fields() [7]*int {
-	return [...]*int{&s.off[0], &s.off[1], &s.off[2], &s.off[3], &s.over, &s.done, &s.wait}
+func appendKey(b []byte, key uint32) []byte {
+	return append(b, byte(key>>16), byte(key>>8), byte(key))
 }
 
-// append writes the report. Sights that do not fit are left out: the caller puts those that matter first.
-func (r *report) append(b []byte) []byte {
-	b = r.head.append(b)
-	hot := uint64(0)
-	if r.hot {
-		hot = 1
+// append appends the encoded report. Samples that do not fit are left out: the important ones must come first.
+func (r *loadReport) append(b []byte) []byte {
+	b = r.messageHeader.append(b)
+	overloaded := uint64(0)
+	if r.overloaded {
+		overloaded = 1
 	}
-	b = protowire.AppendVarint(b, uint64(r.span)<<1|hot)
-	for i := range r.sights {
-		s := &r.sights[i]
-		before, mask := len(b), byte(0)
-		b = append(appendKey(b, s.key), 0)
-		for i, f := range s.fields() {
-			if *f > 0 {
-				mask |= 1 << i
-				b = protowire.AppendVarint(b, uint64(*f))
-			}
+	b = protowire.AppendVarint(b, uint64(r.span)<<1|overloaded)
+	for i := range r.samples {
+		start := len(b)
+		b = r.samples[i].append(b)
+		if len(b) > MaxMessageBytes {
+			return b[:start]
 		}
-		if s.pressed {
-			mask |= 1 << 7
-		}
-		if b[before+3] = mask; len(b) > MaxMessageBytes {
-			return b[:before]
+	}
+	return b
+}
+
+// append appends the encoded sample: the server's key, a mask and the counts that are not 0.
+func (s *serverSample) append(b []byte) []byte {
+	maskIndex := len(b) + serverKeyBytes
+	mask := byte(0)
+	b = append(appendKey(b, s.key), mask)
+	for f := range sampleFieldCount {
+		count := *s.field(f)
+		if count > 0 {
+			mask |= 1 << f
+			b = protowire.AppendVarint(b, uint64(count))
 		}
 	}
+	if s.overloaded {
+		mask |= 1 << sampleOverloadedBit
+	}
+	b[maskIndex] = mask
 	return b
 }
 
-func (w *word) append(b []byte) []byte {
-	b = protowire.AppendVarint(w.head.append(b), uint64(w.live))
-	for _, t := range w.terms {
-		if len(b)+8 > MaxMessageBytes {
-			break // guards the length; a server left out goes by each controller's own evidence
+// append appends the encoded update. Limits that do not fit are left out: there each member relies on its own
+// evidence.
+func (u *limitUpdate) append(b []byte) []byte {
+	b = u.messageHeader.append(b)
+	b = protowire.AppendVarint(b, uint64(u.aliveMembers))
+	for _, l := range u.limits {
+		if len(b)+maxServerLimitBytes > MaxMessageBytes {
+			break
 		}
-		b = append(appendKey(b, t.key), byte(t.tier), byte(t.part), byte(t.over))
-		b = protowire.AppendVarint(b, uint64(t.wait))
+		b = appendKey(b, l.key)
+		b = append(b, byte(l.priority), byte(l.throttle), byte(l.overflowThrottle))
+		b = protowire.AppendVarint(b, uint64(l.wait))
 	}
 	return b
 }
 
-func (r *roll) append(b []byte) []byte {
-	b = protowire.AppendVarint(r.head.append(b), uint64(r.live))
-	b = protowire.AppendVarint(b, uint64(r.of))
-	return append(b, r.present[:min(len(r.present), MaxMessageBytes-len(b))]...)
+// append appends the encoded digest. Members that do not fit are left out.
+func (d *membershipDigest) append(b []byte) []byte {
+	b = d.messageHeader.append(b)
+	b = protowire.AppendVarint(b, uint64(d.aliveMembers))
+	b = protowire.AppendVarint(b, uint64(d.peakMembers))
+	fitting := min(len(d.members), MaxMessageBytes-len(b))
+	return append(b, d.members[:fitting]...)
 }
 
-// A scan reads a message; after an error it reads noughts.
-type scan struct {
-	b   []byte
-	err error
+// decode decodes a message. It returns an error that wraps ErrTooLong, ErrTruncated, ErrUnsupported or
+// ErrOutOfRange; nothing of such a message is used.
+func decode(b []byte) (message, error) {
+	if len(b) > MaxMessageBytes {
+		return nil, fmt.Errorf("share: %w: %d bytes, %d at most", ErrTooLong, len(b), MaxMessageBytes)
+	}
+	r := &messageReader{rest: b}
+	m := r.readMessage()
+	if r.err != nil {
+		return nil, fmt.Errorf("share: %w", r.err)
+	}
+	return m, nil
 }
 
-func (s *scan) byte() byte {
-	if len(s.b) == 0 {
-		s.fail(errShort)
+// A messageReader reads the values of a message. After an error it reads zeros.
+type messageReader struct {
+	rest []byte // not yet read
+	err  error  // the first error
+}
+
+// fail records the first error and drops the rest of the message.
+func (r *messageReader) fail(err error) {
+	if r.err == nil {
+		r.err = err
+	}
+	r.rest = nil
+}
+
+func (r *messageReader) readByte() byte {
+	if len(r.rest) == 0 {
+		r.fail(ErrTruncated)
 		return 0
 	}
-	c := s.b[0]
-	s.b = s.b[1:]
+	c := r.rest[0]
+	r.rest = r.rest[1:]
 	return c
 }
 
-// number reads one of at most most.
-func (s *scan) number(most uint64) int {
-	v, n := protowire.ConsumeVarint(s.b)
-	switch {
-	case n < 0:
-		s.fail(errShort)
+// readNumber reads a varint of at most maxValue.
+func (r *messageReader) readNumber(maxValue uint64) int {
+	v, n := protowire.ConsumeVarint(r.rest)
+	if n < 0 {
+		r.fail(ErrTruncated)
 		return 0
-	case v > most:
-		s.fail(errFigure)
+	}
+	if v > maxValue {
+		r.fail(ErrOutOfRange)
 		return 0
 	}
-	s.b = s.b[n:]
+	r.rest = r.rest[n:]
 	return int(v)
 }
 
-func (s *scan) key() uint32 {
-	a, b, c := s.byte(), s.byte(), s.byte()
-	return uint32(a)<<16 | uint32(b)<<8 | uint32(c)
+func (r *messageReader) readKey() uint32 {
+	high, middle, low := r.readByte(), r.readByte(), r.readByte()
+	return uint32(high)<<16 | uint32(middle)<<8 | uint32(low)
 }
 
-// fail notes the first error, and has nothing more to read.
-func (s *scan) fail(err error) {
-	if s.err == nil {
-		s.err = err
+// readMessage reads a message of any kind. The message is valid only if r.err is nil.
+func (r *messageReader) readMessage() message {
+	first := r.readByte()
+	if r.err == nil && first>>4 != protocolVersion {
+		r.fail(ErrUnsupported)
+		return nil
 	}
-	s.b = nil
-}
-
-// decode reads a message: a *report, *word or *roll. Its error says what cannot be read; nothing of such
-// a message is used.
-func decode(b []byte) (any, error) {
-	if len(b) > MaxMessageBytes {
-		return nil, fmt.Errorf("share: a message of %d bytes, %d at most", len(b), MaxMessageBytes)
-	}
-	s := &scan{b: b}
-	first := s.byte()
-	if s.err == nil && first>>4 != version {
-		return nil, fmt.Errorf("share: %w", errVersion)
-	}
-	h := head{kind: int(first & 15)}
-	h.from, h.boot, h.seq = s.number(mostPeers-1), uint32(s.number(1<<32-1)), uint32(s.number(1<<32-1))
-	var m any
+	h := messageHeader{kind: messageKind(first & 15)}
+	h.sender = r.readNumber(maxMembers - 1)
+	h.incarnation = uint32(r.readNumber(math.MaxUint32))
+	h.sequence = uint32(r.readNumber(math.MaxUint32))
 	switch h.kind {
-	case kindReport:
-		m = s.report(h)
-	case kindWord:
-		m = s.word(h)
-	case kindRoll:
-		r := &roll{head: h, live: s.number(mostPeers), of: s.number(mostPeers)}
-		r.present = append(r.present, s.b...)
-		m = r
-	default:
-		s.fail(errVersion)
+	case kindLoadReport:
+		return r.readLoadReport(h)
+	case kindLimitUpdate:
+		return r.readLimitUpdate(h)
+	case kindMembershipDigest:
+		return r.readMembershipDigest(h)
 	}
-	if s.err != nil {
-		return nil, fmt.Errorf("share: %w", s.err)
+	r.fail(ErrUnsupported)
+	return nil
+}
+
+func (r *messageReader) readLoadReport(h messageHeader) *loadReport {
+	report := &loadReport{messageHeader: h}
+	span := r.readNumber(2*maxWait + 1)
+	report.span = span >> 1
+	report.overloaded = span&1 == 1
+	for len(r.rest) > 0 {
+		report.samples = append(report.samples, r.readSample())
 	}
-	return m, nil
+	return report
 }
 
-func (s *scan) report(h head) *report {
-	r := &report{head: h}
-	span := s.number(2*mostWait + 1)
-	r.span, r.hot = span>>1, span&1 == 1
-	for len(s.b) > 0 {
-		x := sight{key: s.key()}
-		mask := s.byte()
-		for i, f := range x.fields() {
-			if mask>>i&1 == 1 {
-				*f = s.number(mostCount)
-			}
+func (r *messageReader) readSample() serverSample {
+	s := serverSample{key: r.readKey()}
+	mask := r.readByte()
+	for f := range sampleFieldCount {
+		if mask>>f&1 == 1 {
+			*s.field(f) = r.readNumber(maxCount)
 		}
-		x.wait, x.pressed = min(x.wait, mostWait), mask>>7 == 1
-		r.sights = append(r.sights, x)
 	}
-	return r
+	s.wait = min(s.wait, maxWait)
+	s.overloaded = mask>>sampleOverloadedBit == 1
+	return s
 }
 
-func (s *scan) word(h head) *word {
-	w := &word{head: h, live: s.number(mostPeers)}
-	for len(s.b) > 0 {
-		t := term{key: s.key(), tier: int(s.byte()), part: int(s.byte()), over: int(s.byte()), wait: s.number(mostWait)}
-		if t.tier >= tiers {
-			s.fail(errFigure)
-		}
-		w.terms = append(w.terms, t)
+func (r *messageReader) readLimitUpdate(h messageHeader) *limitUpdate {
+	update := &limitUpdate{messageHeader: h, aliveMembers: r.readNumber(maxMembers)}
+	for len(r.rest) > 0 {
+		update.limits = append(update.limits, r.readServerLimit())
+	}
+	return update
+}
+
+func (r *messageReader) readServerLimit() serverLimit {
+	l := serverLimit{key: r.readKey()}
+	l.priority = int(r.readByte())
+	l.throttle = int(r.readByte())
+	l.overflowThrottle = int(r.readByte())
+	l.wait = r.readNumber(maxWait)
+	if l.priority >= priorityCount {
+		r.fail(ErrOutOfRange)
 	}
-	return w
+	return l
+}
+
+func (r *messageReader) readMembershipDigest(h messageHeader) *membershipDigest {
+	d := &membershipDigest{messageHeader: h}
+	d.aliveMembers = r.readNumber(maxMembers)
+	d.peakMembers = r.readNumber(maxMembers)
+	d.members = append(d.members, r.rest...)
+	return d
 }
