--- /dev/null
+++ b/internal/discovery/answer.go
@@ -0,0 +1,104 @@
+package discovery
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+
+	"golang.org/x/net/dns/dnsmessage"
+
+	"olivedale/internal/config"
+)
+
+// MaxAnswerBytes bounds the size of an answer.
+const MaxAnswerBytes = 8000
+
+// Errors of an answer that does not fit the queries.
+var (
+	ErrUnsolicited   = errors.New("no recent query has its id")
+	ErrWrongQuestion = errors.New("it answers another question")
+	ErrNoSerial      = errors.New("no SOA record")
+)
+
+// An answer is the content of a valid DNS answer.
+type answer struct {
+	queryID   uint16
+	serial    uint32
+	endpoints map[string]config.Endpoint // by Endpoint.ID
+}
+
+// parseAnswer reads the answer to one of the queries.
+func parseAnswer(message []byte, queries *queryLog) (answer, error) {
+	if len(message) > MaxAnswerBytes {
+		return answer{}, fmt.Errorf("%d bytes, more than %d", len(message), MaxAnswerBytes)
+	}
+	var p dnsmessage.Parser
+	header, err := p.Start(message)
+	if err != nil {
+		return answer{}, err
+	}
+	if err := checkHeader(header, queries); err != nil {
+		return answer{}, err
+	}
+	if err := checkQuestion(&p); err != nil {
+		return answer{}, err
+	}
+	r, err := readRecords(&p)
+	if err != nil {
+		return answer{}, err
+	}
+	if !r.hasSerial {
+		return answer{}, ErrNoSerial
+	}
+	endpoints, err := r.endpoints()
+	if err != nil {
+		return answer{}, err
+	}
+	return answer{queryID: header.ID, serial: r.serial, endpoints: endpoints}, nil
+}
+
+func checkHeader(h dnsmessage.Header, queries *queryLog) error {
+	if !h.Response || !queries.contains(h.ID) {
+		return ErrUnsolicited
+	}
+	if h.RCode != dnsmessage.RCodeSuccess || h.Truncated {
+		return fmt.Errorf("rcode %v, truncated %v", h.RCode, h.Truncated)
+	}
+	return nil
+}
+
+func checkQuestion(p *dnsmessage.Parser) error {
+	questions, err := p.AllQuestions()
+	if err != nil {
+		return err
+	}
+	if len(questions) != 1 {
+		return ErrWrongQuestion
+	}
+	question := questions[0]
+	if !equalNames(question.Name, service) || question.Type != dnsmessage.TypeSRV {
+		return ErrWrongQuestion
+	}
+	return nil
+}
+
+// readRecords reads the records of all sections after the questions.
+func readRecords(p *dnsmessage.Parser) (*records, error) {
+	r := &records{hosts: make(map[string]host)}
+	sections := []func() ([]dnsmessage.Resource, error){p.AllAnswers, p.AllAuthorities, p.AllAdditionals}
+	for _, readSection := range sections {
+		resources, err := readSection()
+		if err != nil {
+			return nil, err
+		}
+		for _, resource := range resources {
+			if err := r.add(resource); err != nil {
+				return nil, err
+			}
+		}
+	}
+	return r, nil
+}
+
+// equalNames compares DNS names, which are case-insensitive.
+func equalNames(a, b dnsmessage.Name) bool { return strings.EqualFold(a.String(), b.String()) }
--- /dev/null
+++ b/internal/discovery/discovery.go
@@ -0,0 +1,117 @@
+// Package discovery keeps the list of endpoints that a DNS service announces by SRV records. It writes the
+// queries, reads the answers and returns what changed. It never opens a socket: the caller sends and receives.
+package discovery
+
+import (
+	"cmp"
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+
+	"olivedale/internal/config"
+)
+
+// ErrEmptyList says that an answer lists no endpoint while the current list has some. The answer to a later query
+// has to confirm it.
+var ErrEmptyList = errors.New("an empty list that no second answer confirms yet")
+
+// An EndpointList is the list of endpoints as of the newest accepted answer. It is for one goroutine at a time.
+type EndpointList struct {
+	serial  uint32
+	members map[string]config.Endpoint // by Endpoint.ID
+	queries queryLog
+	empty   emptyAnswer
+}
+
+// An emptyAnswer is the latest answer without endpoints that waits for confirmation by another query's answer.
+type emptyAnswer struct {
+	pending bool
+	queryID uint16
+}
+
+// NewEndpointList applies the events that the configuration holds. It returns the list and its endpoints in the
+// order of their IDs.
+func NewEndpointList(known config.KnownEndpoints) (*EndpointList, []config.Endpoint) {
+	l := &EndpointList{serial: uint32(known.LastEvent), members: make(map[string]config.Endpoint)}
+	for _, event := range known.Events {
+		l.apply(event.Endpoints)
+	}
+	all := slices.Collect(maps.Values(l.members))
+	sortByID(all)
+	return l, all
+}
+
+// apply changes the list by one event of the configuration.
+func (l *EndpointList) apply(update config.EndpointList) {
+	if update.Complete {
+		clear(l.members)
+	}
+	for _, endpoint := range update.Endpoints {
+		if endpoint.Phase == config.PhaseGone {
+			delete(l.members, endpoint.ID)
+		} else {
+			l.members[endpoint.ID] = endpoint
+		}
+	}
+}
+
+func sortByID(endpoints []config.Endpoint) {
+	slices.SortFunc(endpoints, func(a, b config.Endpoint) int { return cmp.Compare(a.ID, b.ID) })
+}
+
+// Serial returns the number of the newest event in the list.
+func (l *EndpointList) Serial() uint32 { return l.serial }
+
+// HandleAnswer reads an answer and returns the endpoints that changed, in the order of their IDs; a removed one has
+// PhaseGone. An answer that is not newer than the list changes nothing, and so does one that comes with an error.
+func (l *EndpointList) HandleAnswer(message []byte) ([]config.Endpoint, error) {
+	received, err := parseAnswer(message, &l.queries)
+	if err != nil {
+		return nil, fmt.Errorf("discovery: answer: %w", err)
+	}
+	if !isNewer(received.serial, l.serial) {
+		return nil, nil
+	}
+	if !l.acceptsSize(received) {
+		return nil, fmt.Errorf("discovery: answer: %w", ErrEmptyList)
+	}
+	changed := l.changes(received.endpoints)
+	l.serial = received.serial
+	l.members = received.endpoints
+	return changed, nil
+}
+
+// isNewer compares serial numbers as RFC 1982 does: they wrap around.
+func isNewer(serial, current uint32) bool { return int32(serial-current) > 0 }
+
+// acceptsSize guards against an answer that has lost its records: an old list is better than none. A list becomes
+// empty only when the answers to two queries in a row say so; a repeated answer to one query is not a confirmation.
+func (l *EndpointList) acceptsSize(received answer) bool {
+	losesAll := len(received.endpoints) == 0 && len(l.members) > 0
+	isConfirmed := l.empty.pending && l.empty.queryID != received.queryID
+	if losesAll && !isConfirmed {
+		l.empty = emptyAnswer{pending: true, queryID: received.queryID}
+		return false
+	}
+	l.empty = emptyAnswer{}
+	return true
+}
+
+// changes compares the list with a newer one.
+func (l *EndpointList) changes(newer map[string]config.Endpoint) []config.Endpoint {
+	var changed []config.Endpoint
+	for id, endpoint := range l.members {
+		if _, isListed := newer[id]; !isListed {
+			endpoint.Phase = config.PhaseGone
+			changed = append(changed, endpoint)
+		}
+	}
+	for id, endpoint := range newer {
+		if l.members[id] != endpoint {
+			changed = append(changed, endpoint)
+		}
+	}
+	sortByID(changed)
+	return changed
+}
--- /dev/null
+++ b/internal/discovery/query.go
@@ -0,0 +1,57 @@
+package discovery
+
+import (
+	"fmt"
+	"slices"
+
+	"golang.org/x/net/dns/dnsmessage"
+)
+
+// ServiceName is the DNS name whose SRV records list the endpoints.
+const ServiceName = "_api._tcp.svc.local."
+
+var service = dnsmessage.MustNewName(ServiceName)
+
+// maxRecentQueries is how many of the latest queries an answer may belong to: answers may be some seconds late.
+const maxRecentQueries = 32
+
+// queryBufferBytes is the initial size of the buffer for a query.
+const queryBufferBytes = 64
+
+// A queryLog holds the IDs of the latest queries.
+type queryLog struct {
+	ids   [maxRecentQueries]uint16 // a ring
+	count int                      // all queries so far
+}
+
+func (q *queryLog) add(id uint16) {
+	q.ids[q.count%maxRecentQueries] = id
+	q.count++
+}
+
+func (q *queryLog) contains(id uint16) bool {
+	return slices.Contains(q.ids[:min(q.count, maxRecentQueries)], id)
+}
+
+// NewQuery returns the next query as a DNS message. The caller draws the ID at random.
+func (l *EndpointList) NewQuery(id uint16) ([]byte, error) {
+	message, err := buildQuery(id)
+	if err != nil {
+		return nil, fmt.Errorf("discovery: query: %w", err)
+	}
+	l.queries.add(id)
+	return message, nil
+}
+
+func buildQuery(id uint16) ([]byte, error) {
+	header := dnsmessage.Header{ID: id, RecursionDesired: true}
+	b := dnsmessage.NewBuilder(make([]byte, 0, queryBufferBytes), header)
+	if err := b.StartQuestions(); err != nil {
+		return nil, err
+	}
+	question := dnsmessage.Question{Name: service, Type: dnsmessage.TypeSRV, Class: dnsmessage.ClassINET}
+	if err := b.Question(question); err != nil {
+		return nil, err
+	}
+	return b.Finish()
+}
