--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -1,80 +1,47 @@
-// Package config reads what the platform tells a call controller at its start.
+// Package config reads the two files that describe a call controller: the platform's JSON file, which RELAY_CONFIG
+// names, and the operator's TOML file. It checks values and fills in defaults. It opens no socket and starts nothing.
+//
+// Errors name the key (KeyError) and, in the operator's file, the line (LineError).
 package config
 
 import (
-	"encoding/json"
 	"errors"
 	"fmt"
-	"net/netip"
 	"os"
-	"strconv"
 	"time"
 
 	"olivedale/internal/admission"
-	"olivedale/internal/simproto"
 )
 
-// A Config is the file that RELAY_CONFIG names.
+// PathVariable is the environment variable that holds the path of the platform's file.
+const PathVariable = "RELAY_CONFIG"
+
+// ErrNoPath says that PathVariable is empty or not set.
+var ErrNoPath = errors.New(PathVariable + " is not set")
+
+// A Config is the content of the platform's file. platform.go maps its fields to the file's keys.
 type Config struct {
 	Name             string
-	Listen           string
-	Seed             uint64
-	MemoryMB         int
-	Sockets          int
-	DiscoveryAddress string // address of the name service
+	Listen           string // host:port for clients
+	Seed             uint64 // of the random numbers
+	MemoryMB         int    // memory limit in MiB
+	Sockets          int    // limit of open sockets
+	DiscoveryAddress string // host:port of the DNS service
 	KnownEndpoints   KnownEndpoints
 	Settings         admission.Settings
 	DialTimeout      time.Duration
-	widths           map[string]int // circuits that a call may ask for, by the name of its class
-	// PeerListen and Peers are where datagrams of other controllers arrive, and the addresses of all by their
-	// numbers, this one's too; empty where the platform has controllers not speak to each other.
-	PeerListen            string
-	Peers                 []string
-	PeerNumber            *int // this one's among them; nil: not told
-	PeerMessagesForbidden bool // the settings do not permit that they speak
-}
-
-// KnownEndpoints holds the name service's events up to the start.
-type KnownEndpoints struct {
-	LastEvent int             `json:"n"`
-	Events    []EndpointEvent `json:"events"`
-}
+	circuitsByClass  map[string]int // circuits that one call may ask for
 
-// An EndpointEvent is one change of the list of exchanges.
-type EndpointEvent struct {
-	N         int          `json:"n"`
-	Endpoints EndpointList `json:"members"`
+	PeerListen            string   // host:port for datagrams of the other controllers; "": there are none
+	Peers                 []string // host:port of all controllers in the order of their numbers, this one included
+	PeerNumber            *int     // index of this controller in Peers; nil: the platform does not say
+	PeerMessagesForbidden bool     // the settings forbid messages between controllers
 }
 
-// A EndpointList is the whole list (Complete) or what has changed.
-type EndpointList struct {
-	Revision  int        `json:"revision"`
-	Complete  bool       `json:"complete"`
-	Endpoints []Endpoint `json:"members"`
-}
-
-// A Endpoint is one exchange.
-type Endpoint struct {
-	ID      string `json:"id"`
-	Address string `json:"host_port"`
-	Zone    string `json:"locality"`
-	Kind    string `json:"flavor"`
-	Pool    int    `json:"cell"`
-	Phase   string `json:"phase"`
-	Started int64  `json:"up_since_ms"` // Unix milliseconds of a late start, or 0
-}
-
-// Phases of a Member.
-const (
-	PhaseReady       = "Ready"
-	PhaseTerminating = "Terminating"
-	PhaseGone        = "Gone"
-)
-
-// MaxCircuits is how many circuits a call of a class may ask for.
-func (c *Config) MaxCircuits(class string) int { return max(c.widths[class], 1) }
+// MaxCircuits returns how many circuits a call of the class may ask for, at least 1.
+func (c *Config) MaxCircuits(class string) int { return max(c.circuitsByClass[class], 1) }
 
-// RepeatUnsafe tells whether calls of a class may not simply run twice.
+// RepeatUnsafe reports whether repeating a call of the class may have an effect. It is false for an unknown class.
 func (c *Config) RepeatUnsafe(class string) bool {
 	for _, k := range c.Settings.Classes {
 		if k.Name == class {
@@ -84,7 +51,7 @@
 	return false
 }
 
-// Deadline is how long callers of a class keep trying; of a class that does not exist, the longest of all.
+// Deadline returns how long callers of the class keep trying; for an unknown class it is LongestDeadline.
 func (c *Config) Deadline(class string) time.Duration {
 	for _, k := range c.Settings.Classes {
 		if k.Name == class {
@@ -94,18 +61,19 @@
 	return c.LongestDeadline()
 }
 
-// LongestDeadline is the longest deadline of a class.
-func (c *Config) LongestDeadline() (d time.Duration) {
+// LongestDeadline returns the longest deadline of all classes.
+func (c *Config) LongestDeadline() time.Duration {
+	var longest time.Duration
 	for _, k := range c.Settings.Classes {
-		d = max(d, k.Deadline)
+		longest = max(longest, k.Deadline)
 	}
-	return d
+	return longest
 }
 
-// Load reads the file at path.
+// Load reads the platform's file at path, which the caller takes from PathVariable.
 func Load(path string) (*Config, error) {
 	if path == "" {
-		return nil, errors.New("config: RELAY_CONFIG is not set")
+		return nil, fmt.Errorf("config: %w", ErrNoPath)
 	}
 	text, err := os.ReadFile(path)
 	if err != nil {
@@ -117,103 +85,3 @@
 	}
 	return c, nil
 }
-
-// Parse reads the text of a configuration.
-func Parse(text []byte) (*Config, error) {
-	var in struct {
-		Name   string `json:"name"`
-		Listen string `json:"listen"`
-		Seed   string `json:"seed"`
-		Limits struct {
-			MemoryMB int `json:"memory_mb"`
-			Sockets  int `json:"sockets"`
-		} `json:"limits"`
-		Names    string          `json:"names"`
-		Known    KnownEndpoints  `json:"known"`
-		Listens  string          `json:"peer_listen"`
-		Peers    []string        `json:"peers"`
-		Settings json.RawMessage `json:"settings"`
-	}
-	if err := json.Unmarshal(text, &in); err != nil {
-		return nil, err
-	}
-	c := &Config{Name: in.Name, Listen: in.Listen, MemoryMB: in.Limits.MemoryMB, Sockets: in.Limits.Sockets,
-		DiscoveryAddress: in.Names, KnownEndpoints: in.Known, PeerListen: in.Listens, Peers: in.Peers}
-	for field, addr := range map[string]string{"listen": in.Listen, "names": in.Names} {
-		if _, err := netip.ParseAddrPort(addr); err != nil {
-			return nil, fmt.Errorf("%s: %w", field, err)
-		}
-	}
-	var err error
-	if c.Seed, err = strconv.ParseUint(in.Seed, 16, 64); err != nil {
-		return nil, fmt.Errorf("seed: %w", err)
-	}
-	if c.MemoryMB <= 0 || c.Sockets < 64 {
-		return nil, fmt.Errorf("limits: %d MB and %d sockets are too little", c.MemoryMB, c.Sockets)
-	}
-	if len(in.Settings) == 0 {
-		return nil, errors.New("settings: missing")
-	}
-	if c.Settings, err = simproto.ReadSettings(in.Settings); err != nil {
-		return nil, err
-	}
-	var limits struct {
-		Number *int `json:"myNumber"`
-		Limits struct {
-			ConnectTimeout float64 `json:"connectTimeout"`
-			PeerMessages   *bool   `json:"peerMessages"`
-		} `json:"limits"`
-		Domain struct {
-			Circuits []int `json:"circuitsByClass"`
-		} `json:"domain"`
-	}
-	if err := json.Unmarshal(in.Settings, &limits); err != nil {
-		return nil, fmt.Errorf("settings: %w", err)
-	}
-	if c.DialTimeout = time.Duration(limits.Limits.ConnectTimeout * float64(time.Millisecond)); c.DialTimeout <= 0 {
-		return nil, fmt.Errorf("settings: limits.connectTimeout: %v ms", limits.Limits.ConnectTimeout)
-	}
-	c.PeerNumber = limits.Number
-	c.PeerMessagesForbidden = limits.Limits.PeerMessages != nil && !*limits.Limits.PeerMessages
-	c.widths = make(map[string]int)
-	for i, k := range c.Settings.Classes { // the one place where settings go by position, as the platform writes them
-		if i < len(limits.Domain.Circuits) {
-			c.widths[k.Name] = limits.Domain.Circuits[i]
-		}
-	}
-	for _, e := range c.KnownEndpoints.Events {
-		for _, m := range e.Endpoints.Endpoints {
-			if err := m.Validate(); err != nil {
-				return nil, fmt.Errorf("known: event %d: %w", e.N, err)
-			}
-		}
-	}
-	return c, nil
-}
-
-// Validate tells what is wrong with a member.
-func (m *Endpoint) Validate() error {
-	if m.ID == "" {
-		return errors.New("a member without an id")
-	}
-	if _, ok := phases[m.Phase]; !ok {
-		return fmt.Errorf("%s: phase %q", m.ID, m.Phase)
-	}
-	if m.Phase == PhaseGone {
-		return nil
-	}
-	if _, err := netip.ParseAddrPort(m.Address); err != nil {
-		return fmt.Errorf("%s: %w", m.ID, err)
-	}
-	return nil
-}
-
-var phases = map[string]admission.ServerState{
-	PhaseReady: admission.Active, PhaseTerminating: admission.Draining, PhaseGone: admission.Removed,
-}
-
-// Server is the member as the module knows it.
-func (m *Endpoint) Server() admission.Server {
-	return admission.Server{ID: m.ID, Pool: m.Pool, Zone: m.Zone, State: phases[m.Phase],
-		Started: admission.Time(m.Started) * time.Millisecond}
-}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"errors"
 	"os"
 	"path/filepath"
 	"strings"
@@ -8,39 +9,68 @@
 	"time"
 )
 
-const good = `{"name":"n3","listen":"10.0.0.4:5060","seed":"8c1f30d27a5be964","limits":{"cores":1.0,"memory_mb":192,"sockets":1024},
- "names":"10.2.0.1:8600","known":{"n":1,"events":[{"n":1,"members":{"revision":1,"complete":true,"members":[{"id":"s","host_port":"10.1.0.9:5060",
+// validConfig is a platform file without errors.
+const validConfig = `{"name":"n3","listen":"10.0.0.4:5060","seed":"8c1f30d27a5be964",
+ "limits":{"cores":1.0,"memory_mb":192,"sockets":1024},"names":"10.2.0.1:8600",
+ "known":{"n":1,"events":[{"n":1,"members":{"revision":1,"complete":true,"members":[{"id":"s","host_port":"10.1.0.9:5060",
  "locality":"east","flavor":"std","cell":2,"phase":"Ready","size":4,"up_since_ms":7}]}}]},
  "settings":{"groupSize":3,"classes":[{"name":"voice","aim":900,"deadline":3000,"credit":1}],
  "domain":{"topology":"pools","releaseGuard":300},"limits":{"maxAttempts":4,"connectTimeout":500}}}`
 
 func TestParse(t *testing.T) {
-	c, err := Parse([]byte(good))
+	c, err := Parse([]byte(validConfig))
 	if err != nil {
 		t.Fatal(err)
 	}
-	if c.Seed != 0x8c1f30d27a5be964 || c.DialTimeout != 500*time.Millisecond || c.Settings.RetryGuard != 300*time.Millisecond {
+	hasTimeouts := c.DialTimeout == 500*time.Millisecond && c.Settings.RetryGuard == 300*time.Millisecond
+	if c.Seed != 0x8c1f30d27a5be964 || !hasTimeouts {
 		t.Errorf("%+v", c)
 	}
-	m := c.KnownEndpoints.Events[0].Endpoints.Endpoints[0]
-	if s := m.Server(); s.Started != 7*time.Millisecond || s.Pool != 2 {
-		t.Errorf("%+v", s)
+	endpoint := c.KnownEndpoints.Events[0].Endpoints.Endpoints[0]
+	if server := endpoint.Server(); server.Started != 7*time.Millisecond || server.Pool != 2 {
+		t.Errorf("%+v", server)
 	}
 }
 
-func TestBadConfigurations(t *testing.T) {
-	for from, to := range map[string]string{`"10.0.0.4:5060"`: `"somewhere"`, `"8c1f30d27a5be964"`: `"x"`, `"memory_mb":192`: `"memory_mb":0`,
-		`"sockets":1024`: `"sockets":3`, `"Ready"`: `"Maybe"`, `"connectTimeout":500`: `"connectTimeout":0`, `"names":"10.2.0.1:8600"`: `"names":""`,
-		`"10.1.0.9:5060"`: `"10.1.0.9"`, `{"name"`: `"name"`} {
-		if _, err := Parse([]byte(strings.Replace(good, from, to, 1))); err == nil {
-			t.Errorf("%s was taken in place of %s", to, from)
+func TestInvalidConfigurations(t *testing.T) {
+	for from, to := range map[string]string{
+		`"10.0.0.4:5060"`:         `"somewhere"`,
+		`"8c1f30d27a5be964"`:      `"x"`,
+		`"memory_mb":192`:         `"memory_mb":0`,
+		`"sockets":1024`:          `"sockets":3`,
+		`"Ready"`:                 `"Maybe"`,
+		`"connectTimeout":500`:    `"connectTimeout":0`,
+		`"names":"10.2.0.1:8600"`: `"names":""`,
+		`"10.1.0.9:5060"`:         `"10.1.0.9"`,
+		`{"name"`:                 `"name"`,
+	} {
+		if _, err := Parse([]byte(strings.Replace(validConfig, from, to, 1))); err == nil {
+			t.Errorf("%s was accepted in place of %s", to, from)
 		}
 	}
-	if _, err := Load(""); err == nil || !strings.Contains(err.Error(), "RELAY_CONFIG") {
+	if _, err := Load(""); !errors.Is(err, ErrNoPath) || !strings.Contains(err.Error(), "RELAY_CONFIG") {
 		t.Errorf("no path: %v", err)
 	}
 }
 
+// Errors of the platform's file name the key.
+func TestConfigurationErrorsNameTheKey(t *testing.T) {
+	for key, change := range map[string][2]string{
+		"listen":                         {`"10.0.0.4:5060"`, `"somewhere"`},
+		"names":                          {`"names":"10.2.0.1:8600"`, `"names":""`},
+		"seed":                           {`"8c1f30d27a5be964"`, `"x"`},
+		"limits":                         {`"sockets":1024`, `"sockets":3`},
+		"settings.limits.connectTimeout": {`"connectTimeout":500`, `"connectTimeout":0`},
+		"known":                          {`"Ready"`, `"Maybe"`},
+	} {
+		_, err := Parse([]byte(strings.Replace(validConfig, change[0], change[1], 1)))
+		var keyError *KeyError
+		if !errors.As(err, &keyError) || keyError.Key != key {
+			t.Errorf("%s: %v", key, err)
+		}
+	}
+}
+
 func TestOperator(t *testing.T) {
 	text, err := os.ReadFile("../../deploy/olivedale.example.toml")
 	if err != nil {
@@ -50,22 +80,26 @@
 	if err != nil || len(o.H248.Servers) != 1 || o.H248.Servers[0].ID != "s-h248-1" || o.Records.Total != 512<<20 {
 		t.Errorf("the example: %+v, %v", o, err)
 	}
-	// Every key of the example has a comment, with its default where it has one.
+	// Every key of the example has a comment with its default, or with "no default".
 	for i, line := range strings.Split(string(text), "\n") {
-		if strings.Contains(line, " = ") && !(strings.Contains(line, "# ") && strings.Contains(line, "default")) {
-			t.Errorf("line %d of the example has no comment that tells the default: %s", i+1, line)
+		hasKey := strings.Contains(line, " = ")
+		namesDefault := strings.Contains(line, "# ") && strings.Contains(line, "default")
+		if hasKey && !namesDefault {
+			t.Errorf("line %d of the example has no comment with the default: %s", i+1, line)
 		}
 	}
-	if o, old, err := LoadOperator(t.TempDir()); o == nil || o.H248 != nil || o.Records != nil || old || err != nil {
-		t.Errorf("no file: %+v, %v, %v", o, old, err)
+	o, usesH248Path, err := LoadOperator(t.TempDir())
+	if o == nil || o.H248 != nil || o.Records != nil || usesH248Path || err != nil {
+		t.Errorf("no file: %+v, %v, %v", o, usesH248Path, err)
 	}
-	if o, err = ParseOperator([]byte("[records]\ndir = \"/x\"")); err != nil || o.Records.Queue != 1<<20 || o.Records.Sync != Duration(200*time.Millisecond) {
+	o, err = ParseOperator([]byte("[records]\ndir = \"/x\""))
+	if err != nil || o.Records.Queue != 1<<20 || o.Records.Sync != Duration(200*time.Millisecond) {
 		t.Errorf("defaults: %+v, %v", o, err)
 	}
 }
 
-// What is wrong is told with line and key.
-func TestBadOperatorFiles(t *testing.T) {
+// Errors of the operator's file name line and key.
+func TestInvalidOperatorFiles(t *testing.T) {
 	for text, want := range map[string]string{
 		"[log]\nlevel = \"loud\"": "line 1: log",
 		"[h248]\n\nlisten = 3":    "line 3 (last key \"h248.listen\")",
@@ -86,8 +120,21 @@
 	}
 }
 
-// A file of the front alone, as it was before, still switches it on; both at once do not.
-func TestOldH248File(t *testing.T) {
+// Programs can find line and key of an error without reading its text.
+func TestOperatorErrorTypes(t *testing.T) {
+	_, err := ParseOperator([]byte("[records]\ndir = \"x\"\nodd = 1"))
+	var lineError *LineError
+	var keyError *KeyError
+	if !errors.Is(err, ErrUnknownKey) || !errors.As(err, &lineError) || !errors.As(err, &keyError) {
+		t.Fatalf("%#v", err)
+	}
+	if lineError.Line != 3 || keyError.Key != "records.odd" {
+		t.Errorf("line %d, key %s", lineError.Line, keyError.Key)
+	}
+}
+
+// The deprecated file of the H.248 frontend still switches it on, but not together with section [h248].
+func TestDeprecatedH248File(t *testing.T) {
 	root := t.TempDir()
 	write := func(name, text string) {
 		t.Helper()
@@ -99,11 +146,11 @@
 		}
 	}
 	write(H248Path, "listen = \"127.0.0.1:1\"")
-	if o, old, err := LoadOperator(root); err != nil || !old || o.H248 == nil {
-		t.Errorf("%+v, %v, %v", o, old, err)
+	if o, usesH248Path, err := LoadOperator(root); err != nil || !usesH248Path || o.H248 == nil {
+		t.Errorf("%+v, %v, %v", o, usesH248Path, err)
 	}
 	write(OperatorPath, "[h248]\nlisten = \"127.0.0.1:2\"")
-	if _, _, err := LoadOperator(root); err == nil || !strings.Contains(err.Error(), "both stand") {
+	if _, _, err := LoadOperator(root); err == nil || !strings.Contains(err.Error(), "both exist") {
 		t.Error(err)
 	}
 }
--- a/internal/config/h248.go
+++ b/internal/config/h248.go
@@ -9,24 +9,24 @@
 	"github.com/BurntSushi/toml"
 )
 
-// H248Path is where the file of the H.248 front stood before there was one operator's file.
+// H248Path is the deprecated file that held the section [h248] alone, from the root.
 const H248Path = "deploy/h248.toml"
 
-// H248 switches the H.248 front on.
+// H248 is the section [h248], which switches the H.248 frontend on.
 type H248 struct {
-	Listen  string       `toml:"listen" json:"listen"` // where panels and gateways connect
-	Admin   string       `toml:"admin" json:"admin"`   // where the agent and olivectl connect; "": nowhere
+	Listen  string       `toml:"listen" json:"listen"` // host:port for media gateways
+	Admin   string       `toml:"admin" json:"admin"`   // loopback host:port for the agent and olivectl; "": none
 	Servers []H248Server `toml:"server" json:"server"` // call servers that speak H.248
 }
 
-// An H248Server is a call server that speaks H.248.
+// An H248Server is one table [[h248.server]]: a call server that speaks H.248.
 type H248Server struct {
 	ID      string `toml:"id" json:"id"`
-	Address string `toml:"address" json:"address"`
+	Address string `toml:"address" json:"address"` // host:port
 	Pool    int    `toml:"pool" json:"pool"`
 }
 
-// LoadH248 reads the file at path; without a file the front is off, and nil returned.
+// LoadH248 reads the deprecated file at path. It returns nil, nil if there is none.
 func LoadH248(path string) (*H248, error) {
 	var h H248
 	meta, err := toml.DecodeFile(path, &h)
@@ -37,7 +37,7 @@
 		return nil, fmt.Errorf("config: %s: %w", path, err)
 	}
 	if unknown := meta.Undecoded(); len(unknown) > 0 {
-		return nil, fmt.Errorf("config: %s: unknown key %s", path, unknown[0])
+		return nil, fmt.Errorf("config: %s: %w", path, &KeyError{unknown[0].String(), ErrUnknownKey})
 	}
 	if err := h.Validate(); err != nil {
 		return nil, fmt.Errorf("config: %s: %w", path, err)
@@ -45,29 +45,42 @@
 	return &h, nil
 }
 
-// Validate tells what is wrong with the front's settings.
+// Validate returns a KeyError for the first invalid key.
 func (h *H248) Validate() error {
 	if _, err := netip.ParseAddrPort(h.Listen); err != nil {
 		return &KeyError{"listen", err}
 	}
-	if h.Admin != "" {
-		addr, err := netip.ParseAddrPort(h.Admin)
-		if err != nil {
-			return &KeyError{"admin", err}
-		}
-		if !addr.Addr().IsLoopback() { // whoever reaches it can drain the program
-			return bad("admin", "%s is no loopback address", h.Admin)
-		}
+	if err := h.checkAdmin(); err != nil {
+		return &KeyError{"admin", err}
+	}
+	return h.checkServers()
+}
+
+// checkAdmin permits loopback addresses only, because a client of this port can drain the program.
+func (h *H248) checkAdmin() error {
+	if h.Admin == "" {
+		return nil
 	}
+	address, err := netip.ParseAddrPort(h.Admin)
+	if err != nil {
+		return err
+	}
+	if !address.Addr().IsLoopback() {
+		return fmt.Errorf("%s is not a loopback address", h.Admin)
+	}
+	return nil
+}
+
+func (h *H248) checkServers() error {
 	seen := make(map[string]bool)
-	for _, s := range h.Servers {
-		if _, err := netip.ParseAddrPort(s.Address); err != nil {
-			return bad("server.address", "server %q: %w", s.ID, err)
+	for _, server := range h.Servers {
+		if _, err := netip.ParseAddrPort(server.Address); err != nil {
+			return keyErrorf("server.address", "server %q: %w", server.ID, err)
 		}
-		if s.ID == "" || seen[s.ID] {
-			return bad("server.id", "%q is missing or there twice", s.ID)
+		if server.ID == "" || seen[server.ID] {
+			return keyErrorf("server.id", "%q is empty or used twice", server.ID)
 		}
-		seen[s.ID] = true
+		seen[server.ID] = true
 	}
 	return nil
 }
