--- a/internal/store/golden_test.go
+++ b/internal/store/golden_test.go
@@ -15,12 +15,12 @@
 	data []byte
 }
 
-// goldenSaves are what is saved, in this order: more values of one name than are kept, one that is empty, and
-// one of all bytes.
+// goldenSaves returns the values in the order in which they are saved: more values of one name than the store
+// keeps, an empty one, and one with every byte.
 func goldenSaves() []goldenSave {
-	bytesOfAll := make([]byte, 256)
-	for i := range bytesOfAll {
-		bytesOfAll[i] = byte(i)
+	everyByte := make([]byte, 256)
+	for i := range everyByte {
+		everyByte[i] = byte(i)
 	}
 	return []goldenSave{
 		{"standing", []byte(`{"active":"1"}`)},
@@ -28,11 +28,11 @@
 		{"empty", nil},
 		{"standing", []byte(`{"active":"3","before":"2"}`)},
 		{"standing", []byte(`{"active":"4","before":"3"}`)},
-		{"7b3cbfb4b82e4e7b", bytesOfAll},
+		{"7b3cbfb4b82e4e7b", everyByte},
 	}
 }
 
-// The same values are saved as the same bytes as when the files were committed.
+// Save writes the committed bytes.
 func TestGoldenStateIsSavedTheSame(t *testing.T) {
 	dir := t.TempDir()
 	s, err := Open(dir)
@@ -47,7 +47,7 @@
 	goldentest.CompareDir(t, goldenState, dir)
 }
 
-// The committed values are found whole, with those to fall back on.
+// Load and History read the committed files.
 func TestGoldenStateIsLoaded(t *testing.T) {
 	s, err := Open(goldenState)
 	if err != nil {
@@ -66,9 +66,9 @@
 			t.Errorf("%s: %+v, %v", c.name, v, err)
 		}
 	}
-	before := s.History("standing", 4)
-	if len(before) != 2 || before[0].Serial != 3 || !bytes.Equal(before[0].Data, saves[3].data) ||
-		before[1].Serial != 2 || !bytes.Equal(before[1].Data, saves[1].data) {
-		t.Errorf("to fall back on: %+v", before)
+	older := s.History("standing", 4)
+	if len(older) != 2 || older[0].Serial != 3 || !bytes.Equal(older[0].Data, saves[3].data) ||
+		older[1].Serial != 2 || !bytes.Equal(older[1].Data, saves[1].data) {
+		t.Errorf("history: %+v", older)
 	}
 }
