--- a/internal/goldentest/files.go
+++ b/internal/goldentest/files.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"errors"
 	"flag"
 	"fmt"
 	"os"
@@ -13,12 +12,12 @@
 
 var update = flag.Bool("update", false, "write the golden files instead of comparing with them")
 
-// CompareFile compares what a test made with a committed file, byte for byte, and reports the first line that
+// CompareFile compares the output of a test with a committed file, byte for byte, and reports the first line that
 // differs. With -update it writes the file.
 func CompareFile(t testing.TB, path string, got []byte) {
 	t.Helper()
 	if *update {
-		if err := errors.Join(os.MkdirAll(filepath.Dir(path), 0o755), os.WriteFile(path, got, 0o644)); err != nil {
+		if err := writeFile(path, got); err != nil {
 			t.Fatal(err)
 		}
 		return
@@ -33,6 +32,14 @@
 	}
 }
 
+// writeFile writes a file and creates its directory.
+func writeFile(path string, data []byte) error {
+	if err := os.MkdirAll(filepath.Dir(path), 0o755); err != nil {
+		return err
+	}
+	return os.WriteFile(path, data, 0o644)
+}
+
 // CompareDir compares the files in a directory with those in a committed one, by name and byte for byte. With
 // -update it replaces the committed files. Neither directory may hold others.
 func CompareDir(t testing.TB, path, got string) {
@@ -62,8 +69,8 @@
 		t.Fatal(err)
 	}
 	var names []string
-	for _, e := range entries {
-		names = append(names, e.Name())
+	for _, entry := range entries {
+		names = append(names, entry.Name())
 	}
 	return names
 }
@@ -71,21 +78,32 @@
 // maxShownBytes bounds how much of a differing line is shown.
 const maxShownBytes = 300
 
-// firstDifference returns the first line in which two texts differ, from shortly before the byte that does.
+// firstDifference describes the first line in which two texts differ, from shortly before the byte that does.
 func firstDifference(got, want []byte) string {
-	gotLines, wantLines := bytes.Split(got, []byte("\n")), bytes.Split(want, []byte("\n"))
+	gotLines := bytes.Split(got, []byte("\n"))
+	wantLines := bytes.Split(want, []byte("\n"))
 	for i := range min(len(gotLines), len(wantLines)) {
-		g, w := gotLines[i], wantLines[i]
-		if bytes.Equal(g, w) {
+		gotLine, wantLine := gotLines[i], wantLines[i]
+		if bytes.Equal(gotLine, wantLine) {
 			continue
 		}
-		same := 0
-		for same < min(len(g), len(w)) && g[same] == w[same] {
-			same++
-		}
-		from := max(same-maxShownBytes/2, 0)
-		g, w = g[from:min(from+maxShownBytes, len(g))], w[from:min(from+maxShownBytes, len(w))]
-		return fmt.Sprintf("line %d differs at byte %d\n got %q\nwant %q", i+1, same+1, g, w)
+		common := commonPrefixLength(gotLine, wantLine)
+		from := max(common-maxShownBytes/2, 0)
+		return fmt.Sprintf("line %d differs at byte %d\n got %q\nwant %q",
+			i+1, common+1, excerpt(gotLine, from), excerpt(wantLine, from))
 	}
 	return fmt.Sprintf("got %d lines, want %d", len(gotLines), len(wantLines))
 }
+
+func commonPrefixLength(a, b []byte) int {
+	n := 0
+	for n < min(len(a), len(b)) && a[n] == b[n] {
+		n++
+	}
+	return n
+}
+
+// excerpt returns at most maxShownBytes of a line.
+func excerpt(line []byte, from int) []byte {
+	return line[from:min(from+maxShownBytes, len(line))]
+}
--- a/internal/goldentest/goldentest.go
+++ b/internal/goldentest/goldentest.go
@@ -18,6 +18,9 @@
 	Bytes []byte
 }
 
+// headingPrefix begins the line with the name of a message.
+const headingPrefix = "== "
+
 // Compare compares a text with a committed file and shows the first line that differs.
 func Compare(t testing.TB, file, got string) {
 	t.Helper()
@@ -39,11 +42,11 @@
 	return committed
 }
 
-// format writes each message as a heading and one quoted string a line of the message.
+// format returns a text with a heading for each message and a quoted string for each of its lines.
 func format(messages []Message) string {
 	var b strings.Builder
 	for _, m := range messages {
-		_, _ = fmt.Fprintf(&b, "== %s\n", m.Name)
+		_, _ = fmt.Fprintf(&b, "%s%s\n", headingPrefix, m.Name)
 		for line := range strings.SplitAfterSeq(string(m.Bytes), "\n") {
 			if line != "" {
 				b.WriteString(strconv.QuoteToASCII(line) + "\n")
@@ -55,11 +58,12 @@
 
 var errNoHeading = errors.New("bytes before the first heading")
 
-// parse reads what format wrote.
-func parse(text string) (messages []Message, err error) {
+// parse reads a text that format returned.
+func parse(text string) ([]Message, error) {
+	var messages []Message
 	for line := range strings.Lines(text) {
 		line = strings.TrimSuffix(line, "\n")
-		if name, ok := strings.CutPrefix(line, "== "); ok {
+		if name, ok := strings.CutPrefix(line, headingPrefix); ok {
 			messages = append(messages, Message{Name: name})
 			continue
 		}
--- a/internal/logging/golden_test.go
+++ b/internal/logging/golden_test.go
@@ -15,7 +15,7 @@
 	"olivedale/internal/goldentest"
 )
 
-// constantText is the value of a string literal; any other expression is no constant here.
+// constantText returns the value of a string literal; other constants do not count.
 func constantText(e ast.Expr) (string, bool) {
 	literal, ok := e.(*ast.BasicLit)
 	if !ok || literal.Kind != token.STRING {
@@ -25,7 +25,7 @@
 	return text, err == nil
 }
 
-// eventOf reads a call of a logger: level, event and keys on one line; "" if it is none.
+// eventOf returns level, event and keys of a logger call on one line, and "" for any other call.
 func eventOf(t *testing.T, call *ast.CallExpr) string {
 	t.Helper()
 	method, ok := call.Fun.(*ast.SelectorExpr)
@@ -34,20 +34,20 @@
 	}
 	event, ok := constantText(call.Args[0])
 	if !ok {
-		t.Errorf("an event of %s is no literal", method.Sel.Name)
+		t.Errorf("an event of %s is not a literal", method.Sel.Name)
 	}
 	line := strings.ToLower(strings.TrimSuffix(method.Sel.Name, "w")) + " " + event + ":"
 	for i := 1; i < len(call.Args); i += 2 {
 		key, ok := constantText(call.Args[i])
 		if !ok {
-			t.Errorf("event %s: argument %d is no literal key", event, i)
+			t.Errorf("event %s: argument %d is not a literal key", event, i)
 		}
 		line += " " + key
 	}
 	return line
 }
 
-// addEvents notes the events that a file of a program writes.
+// addEvents adds the events that a source file logs.
 func addEvents(t *testing.T, path string, events map[string]bool) error {
 	file, err := parser.ParseFile(token.NewFileSet(), path, nil, parser.SkipObjectResolution)
 	if err != nil {
@@ -64,7 +64,7 @@
 	return nil
 }
 
-// Events of all programs, their levels and the keys of their fields are as committed, in whichever package they are.
+// The events of all programs with their levels and field keys are the committed ones, in whichever package.
 func TestGoldenEvents(t *testing.T) {
 	events := make(map[string]bool)
 	for _, folder := range []string{"cmd", "internal"} {
