--- a/internal/simproto/row.go
+++ b/internal/simproto/row.go
@@ -8,26 +8,42 @@
 	"olivedale/internal/admission"
 )
 
-// A row reads the values of one event and keeps the first error.
+// A row reads the values of one row and keeps the first error. Its methods take the index of a value and the name
+// of its field; after an error they return zero values. Index 0 is the row's name.
 type row struct {
 	name  string
 	cells []json.RawMessage
 	err   error
 }
 
+// parseRow splits a row and reads its name.
+func parseRow(text json.RawMessage) (*row, error) {
+	var cells []json.RawMessage
+	if err := json.Unmarshal(text, &cells); err != nil || len(cells) == 0 {
+		return nil, fmt.Errorf("item %.40q: want an array that begins with a name", text)
+	}
+	r := &row{name: "item", cells: cells}
+	name := r.text(0, "name")
+	if r.err != nil {
+		return nil, r.err
+	}
+	r.name = name
+	return r, nil
+}
+
 func (r *row) fail(field string, err error) {
 	if r.err == nil {
-		r.err = fmt.Errorf("%s: %s: %w", r.name, field, err)
+		r.err = &FieldError{Row: r.name, Field: field, Err: err}
 	}
 }
 
-func null(text json.RawMessage) bool { return string(text) == "null" }
+func isNull(text json.RawMessage) bool { return string(text) == "null" }
 
-// value decodes a cell that must be there.
+// value decodes a value that must not be null.
 func value[T any](r *row, i int, field string) T {
 	var v T
-	if null(r.cells[i]) {
-		r.fail(field, fmt.Errorf("want a value, got null"))
+	if isNull(r.cells[i]) {
+		r.fail(field, errNull)
 		return v
 	}
 	if err := json.Unmarshal(r.cells[i], &v); err != nil {
@@ -36,95 +52,79 @@
 	return v
 }
 
-func (r *row) str(i int, field string) string  { return value[string](r, i, field) }
-func (r *row) flag(i int, field string) bool   { return value[bool](r, i, field) }
+func (r *row) text(i int, field string) string { return value[string](r, i, field) }
+
+func (r *row) boolean(i int, field string) bool { return value[bool](r, i, field) }
+
 func (r *row) int64(i int, field string) int64 { return value[int64](r, i, field) }
 
-func (r *row) time(i int, field string) time.Duration {
-	d, err := millis(value[float64](r, i, field))
+// duration reads milliseconds.
+func (r *row) duration(i int, field string) time.Duration {
+	d, err := fromMilliseconds(value[float64](r, i, field))
 	if err != nil {
 		r.fail(field, err)
 	}
 	return d
 }
 
-// num reads a whole number, also one written as 3.0.
-func (r *row) num(i int, field string) int {
+// integer reads an integer, which may be written as 3.0.
+func (r *row) integer(i int, field string) int {
 	v := value[float64](r, i, field)
 	if v != float64(int(v)) {
-		r.fail(field, fmt.Errorf("want a whole number, got %v", v))
+		r.fail(field, fmt.Errorf("want an integer, got %v", v))
 	}
 	return int(v)
 }
 
-func (r *row) optNum(i int, field string, absent int) int {
-	if null(r.cells[i]) {
+// optionalInteger reads an integer, or returns absent for null.
+func (r *row) optionalInteger(i int, field string, absent int) int {
+	if isNull(r.cells[i]) {
 		return absent
 	}
-	return r.num(i, field)
+	return r.integer(i, field)
 }
 
-func (r *row) optFloat(i int, field string) float64 {
-	if null(r.cells[i]) {
+// optionalFloat reads a number, or returns 0 for null.
+func (r *row) optionalFloat(i int, field string) float64 {
+	if isNull(r.cells[i]) {
 		return 0
 	}
 	return value[float64](r, i, field)
 }
 
-func (r *row) optStr(i int, field string) string {
-	if null(r.cells[i]) {
+// optionalText reads a string, or returns "" for null.
+func (r *row) optionalText(i int, field string) string {
+	if isNull(r.cells[i]) {
 		return ""
 	}
 	return value[string](r, i, field)
 }
 
-// load reads a report; values that are missing, null or below 0 count as not given.
-func (r *row) load(i int, field string) admission.LoadReport {
-	if null(r.cells[i]) {
-		return admission.LoadReport{}
-	}
-	in := value[map[string]*float64](r, i, field)
-	figure := func(name string, unit float64) admission.Optional {
-		v := in[name]
-		if v == nil || *v < 0 {
-			return admission.Optional{}
-		}
-		return admission.Optional{Value: *v * unit, Valid: true}
-	}
-	return admission.LoadReport{
-		QueueDelay: figure("recent_ms", 1e-3), QueueLength: figure("backlog", 1), Capacity: figure("can_take", 1),
-		ThrottleShare: figure("hold_back", 1), FreeCircuits: figure("free", 1), TotalCircuits: figure("size", 1),
-	}
-}
+// loadValues is a load report as the protocol writes it. Keys that loadReport does not read are ignored.
+type loadValues map[string]*float64
 
-var phases = map[string]admission.ServerState{
-	"IN": admission.Active, "LAME": admission.Draining, "OUT": admission.Removed,
+// optional returns the value of a key in another unit; one that is missing, null or negative is not valid.
+func (l loadValues) optional(key string, unit float64) admission.Optional {
+	v := l[key]
+	if v == nil || *v < 0 {
+		return admission.Optional{}
+	}
+	return admission.Optional{Value: *v * unit, Valid: true}
 }
 
-func (r *row) entries(i int, field string) []admission.Server {
-	var list []admission.Server
-	for _, cells := range value[[][]json.RawMessage](r, i, field) {
-		if len(cells) != 7 {
-			r.fail(field, fmt.Errorf("want 7 values an entry, got %d", len(cells)))
-			return nil
-		}
-		e := &row{name: r.name, cells: cells}
-		s := admission.Server{ID: e.str(0, "server"), Pool: e.num(3, "pointCode"), Zone: e.optStr(1, "az")}
-		e.optStr(2, "classOfHost")
-		phase, ok := phases[e.str(4, "phase")]
-		if !ok {
-			e.fail("phase", fmt.Errorf("want IN, LAME or OUT, got %s", cells[4]))
-		}
-		s.State = phase
-		e.optFloat(5, "scale")
-		if !null(cells[6]) {
-			s.Started = e.time(6, "lastStart")
-		}
-		if e.err != nil {
-			r.err = e.err
-			return nil
-		}
-		list = append(list, s)
+// loadReport reads a load report; null is one without valid values.
+func (r *row) loadReport(i int, field string) admission.LoadReport {
+	if isNull(r.cells[i]) {
+		return admission.LoadReport{}
+	}
+	const secondsPerMillisecond = 1e-3
+	in := value[loadValues](r, i, field)
+	return admission.LoadReport{
+		QueueDelay:    in.optional("recent_ms", secondsPerMillisecond),
+		QueueLength:   in.optional("backlog", 1),
+		Capacity:      in.optional("can_take", 1),
+		ThrottleShare: in.optional("hold_back", 1),
+		FreeCircuits:  in.optional("free", 1),
+		TotalCircuits: in.optional("size", 1),
 	}
-	return list
 }
--- a/internal/simproto/settings.go
+++ b/internal/simproto/settings.go
@@ -2,102 +2,159 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"time"
 
 	"olivedale/internal/admission"
 )
 
-// ms is a time in milliseconds in the settings.
-type ms float64
+// Keys of the settings and the fields of admission.Settings that they fill. Keys that are not listed are ignored.
+// Times are in milliseconds.
+//
+//	key                   Go field
+//	groupSize             ControllerCount
+//	discovery             WatchServersOnRequest ("ask": true)
+//	domain.topology       Topology
+//	domain.resend         ResendInterval
+//	domain.releaseGuard   RetryGuard
+//	domain.skilledPools   Classes[i].Pools, in the order of the classes
+//	limits.cancel         CanCancel
+//	limits.maxAttempts    MaxAttempts
+//	limits.retryAfter     OmitRetryAfter (false: omit)
+//	safety.cold           SlowStartPeriod
+//	safety.startCapacity  SlowStartShare
+//	safety.fallMultiple   SlowStartFactor
+//	classes.name          Class.Name
+//	classes.aim           Class.LatencyObjective
+//	classes.deadline      Class.Deadline
+//	classes.credit        Class.Weight
+//	classes.lateWorth     Class.LateWeightFactor
+//	classes.effect        Class.Repeatability
+//	classes.group         Class.DeduplicationScope
+//	classes.dedupWindow   Class.DeduplicationWindow
 
-// settings are the keys that are read; all others are ignored.
+// milliseconds is a duration in the settings.
+type milliseconds float64
+
+// settings is the JSON form of the settings.
 type settings struct {
-	GroupSize int `json:"groupSize"`
-	Classes   []struct {
-		Name      string  `json:"name"`
-		Aim       ms      `json:"aim"`
-		Deadline  ms      `json:"deadline"`
-		Credit    float64 `json:"credit"`
-		LateWorth float64 `json:"lateWorth"`
-		Effect    string  `json:"effect"`
-		Group     string  `json:"group"`
-		Window    ms      `json:"dedupWindow"`
-	} `json:"classes"`
-	Discovery string `json:"discovery"`
-	Domain    struct {
-		ReleaseGuard ms      `json:"releaseGuard"`
-		Resend       ms      `json:"resend"`
-		SkilledPools [][]int `json:"skilledPools"`
-		Topology     string  `json:"topology"`
-	} `json:"domain"`
-	Limits struct {
-		Cancel      bool  `json:"cancel"`
-		MaxAttempts int   `json:"maxAttempts"`
-		RetryAfter  *bool `json:"retryAfter"` // absent: waits are told
-	} `json:"limits"`
-	Safety struct {
-		Cold          ms      `json:"cold"`
-		StartCapacity float64 `json:"startCapacity"`
-		FallMultiple  float64 `json:"fallMultiple"`
-	} `json:"safety"`
+	GroupSize int             `json:"groupSize"`
+	Classes   []classSettings `json:"classes"`
+	Discovery string          `json:"discovery"`
+	Domain    domainSettings  `json:"domain"`
+	Limits    limitSettings   `json:"limits"`
+	Safety    safetySettings  `json:"safety"`
+}
+
+type classSettings struct {
+	Name             string       `json:"name"`
+	LatencyObjective milliseconds `json:"aim"`
+	Deadline         milliseconds `json:"deadline"`
+	Weight           float64      `json:"credit"`
+	LateWeightFactor float64      `json:"lateWorth"`
+	Effect           string       `json:"effect"`
+	Group            string       `json:"group"`
+	Window           milliseconds `json:"dedupWindow"`
+}
+
+type domainSettings struct {
+	ReleaseGuard milliseconds `json:"releaseGuard"`
+	Resend       milliseconds `json:"resend"`
+	SkilledPools [][]int      `json:"skilledPools"`
+	Topology     string       `json:"topology"`
 }
 
-func (d *Decoder) start(r *row) *Item {
-	s := &Start{Seed: value[uint64](r, 1, "seed")}
+type limitSettings struct {
+	Cancel      bool  `json:"cancel"`
+	MaxAttempts int   `json:"maxAttempts"`
+	RetryAfter  *bool `json:"retryAfter"` // nil: true
+}
+
+type safetySettings struct {
+	Cold          milliseconds `json:"cold"`
+	StartCapacity float64      `json:"startCapacity"`
+	FallMultiple  float64      `json:"fallMultiple"`
+}
+
+// discoveryOnRequest is the value of discovery for servers that are announced only on request.
+const discoveryOnRequest = "ask"
+
+// readStart reads seed, profileData.
+func readStart(_ *Decoder, r *row) *Item {
+	start := &Start{Seed: value[uint64](r, 1, "seed")}
 	in := value[settings](r, 2, "profileData")
-	s.Settings = in.decode(func(field string, err error) { r.fail("profileData."+field, err) })
-	return &Item{Start: s}
+	var err error
+	start.Settings, err = in.convert()
+	var fieldError *FieldError
+	if errors.As(err, &fieldError) {
+		r.fail("profileData."+fieldError.Field, fieldError.Err)
+	}
+	return &Item{Start: start}
 }
 
-// ReadSettings decodes the settings object that START carries.
+// ReadSettings reads the settings object that START carries. Its errors name the key.
 func ReadSettings(text []byte) (admission.Settings, error) {
 	var in settings
 	if err := json.Unmarshal(text, &in); err != nil {
 		return admission.Settings{}, fmt.Errorf("settings: %w", err)
 	}
-	var first error
-	s := in.decode(func(field string, err error) {
-		if first == nil {
-			first = fmt.Errorf("settings: %s: %w", field, err)
-		}
-	})
-	return s, first
+	return in.convert()
 }
 
-// decode makes the module's settings and calls fail for each value that can't be.
-func (in *settings) decode(fail func(field string, err error)) admission.Settings {
-	dur := func(v ms, field string) time.Duration {
-		t, err := millis(float64(v))
-		if err != nil {
-			fail(field, err)
-		}
-		return t
+// A durationReader converts durations and keeps the first error.
+type durationReader struct{ err error }
+
+func (d *durationReader) read(v milliseconds, key string) time.Duration {
+	duration, err := fromMilliseconds(float64(v))
+	if err != nil && d.err == nil {
+		d.err = &FieldError{Row: "settings", Field: key, Err: err}
 	}
+	return duration
+}
+
+// convert returns the settings of the decision module. Its error is a FieldError.
+func (in *settings) convert() (admission.Settings, error) {
+	var durations durationReader
 	s := admission.Settings{
-		ControllerCount: in.GroupSize, Topology: in.Domain.Topology,
-		WatchServersOnRequest: in.Discovery == "ask",
-		MaxAttempts:           in.Limits.MaxAttempts, CanCancel: in.Limits.Cancel,
-		OmitRetryAfter:  in.Limits.RetryAfter != nil && !*in.Limits.RetryAfter,
-		ResendInterval:  dur(in.Domain.Resend, "domain.resend"),
-		RetryGuard:      dur(in.Domain.ReleaseGuard, "domain.releaseGuard"),
-		SlowStartPeriod: dur(in.Safety.Cold, "safety.cold"), SlowStartShare: in.Safety.StartCapacity, SlowStartFactor: in.Safety.FallMultiple,
+		ControllerCount:       in.GroupSize,
+		Topology:              in.Domain.Topology,
+		WatchServersOnRequest: in.Discovery == discoveryOnRequest,
+		MaxAttempts:           in.Limits.MaxAttempts,
+		CanCancel:             in.Limits.Cancel,
+		OmitRetryAfter:        in.Limits.RetryAfter != nil && !*in.Limits.RetryAfter,
+		ResendInterval:        durations.read(in.Domain.Resend, "domain.resend"),
+		RetryGuard:            durations.read(in.Domain.ReleaseGuard, "domain.releaseGuard"),
+		SlowStartPeriod:       durations.read(in.Safety.Cold, "safety.cold"),
+		SlowStartShare:        in.Safety.StartCapacity,
+		SlowStartFactor:       in.Safety.FallMultiple,
 	}
-	for i, c := range in.Classes {
-		class := admission.Class{Name: c.Name, LatencyObjective: dur(c.Aim, "classes.aim"),
-			Deadline: dur(c.Deadline, "classes.deadline"), Weight: c.Credit, LateWeightFactor: c.LateWorth,
-			Repeatability: effect(c.Effect), DeduplicationScope: scope(c.Group), DeduplicationWindow: dur(c.Window, "classes.dedupWindow")}
+	for i := range in.Classes {
+		class := in.Classes[i].convert(&durations)
 		if i < len(in.Domain.SkilledPools) {
 			class.Pools = in.Domain.SkilledPools[i]
 		}
 		s.Classes = append(s.Classes, class)
 	}
-	return s
+	return s, durations.err
+}
+
+func (in *classSettings) convert(durations *durationReader) admission.Class {
+	return admission.Class{
+		Name:                in.Name,
+		LatencyObjective:    durations.read(in.LatencyObjective, "classes.aim"),
+		Deadline:            durations.read(in.Deadline, "classes.deadline"),
+		Weight:              in.Weight,
+		LateWeightFactor:    in.LateWeightFactor,
+		Repeatability:       repeatability(in.Effect),
+		DeduplicationScope:  deduplicationScope(in.Group),
+		DeduplicationWindow: durations.read(in.Window, "classes.dedupWindow"),
+	}
 }
 
-// effect reads what a repeat does. A word that is not known is taken for the strictest.
-func effect(word string) admission.Repeatability {
-	switch word {
+// repeatability reads classes.effect. An unknown value counts as the strictest.
+func repeatability(effect string) admission.Repeatability {
+	switch effect {
 	case "", "pure":
 		return admission.Idempotent
 	case "token":
@@ -106,9 +163,9 @@
 	return admission.NonRepeatable
 }
 
-// scope reads which servers know a repeat. A word that is not known is taken for the narrowest.
-func scope(word string) admission.DeduplicationScope {
-	switch word {
+// deduplicationScope reads classes.group. An unknown value counts as the narrowest.
+func deduplicationScope(group string) admission.DeduplicationScope {
+	switch group {
 	case "all":
 		return admission.ScopeFleet
 	case "zone":
--- a/internal/simproto/wire_test.go
+++ b/internal/simproto/simproto_test.go
@@ -1,6 +1,7 @@
 package simproto
 
 import (
+	"errors"
 	"reflect"
 	"strings"
 	"testing"
@@ -9,10 +10,12 @@
 	"olivedale/internal/admission"
 )
 
-const start = `["START",7,{"groupSize":3,"future":{"x":1},"classes":[{"name":"read","aim":900.5,"deadline":5000,` +
-	`"credit":1,"lateWorth":0.2}],"domain":{"topology":"pools","releaseGuard":150,"skilledPools":[[0,2]],"thisNode":-1},` +
+const startRow = `["START",7,{"groupSize":3,"future":{"x":1},"classes":[{"name":"read","aim":900.5,"deadline":5000,` +
+	`"credit":1,"lateWorth":0.2}],` +
+	`"domain":{"topology":"pools","releaseGuard":150,"skilledPools":[[0,2]],"thisNode":-1},` +
 	`"limits":{"maxAttempts":2,"cancel":true},"safety":{"startCapacity":0.5,"cold":9000}}]`
 
+// line returns a line with the items of one node.
 func line(items string) []byte {
 	return []byte(`{"atTime":1000.25,"nodes":[{"node":2,"items":[` + items + `]}]}`)
 }
@@ -27,13 +30,14 @@
 }
 
 func TestDecodeStart(t *testing.T) {
-	items := decodeOne(t, &Decoder{}, start)
+	items := decodeOne(t, &Decoder{}, startRow)
 	got := items[0].Start
 	want := &Start{Seed: 7, Settings: admission.Settings{
 		ControllerCount: 3, Topology: "pools", MaxAttempts: 2, CanCancel: true, RetryGuard: 150 * time.Millisecond,
 		SlowStartPeriod: 9 * time.Second, SlowStartShare: 0.5,
-		Classes: []admission.Class{{Name: "read", LatencyObjective: 900500 * time.Microsecond, Deadline: 5 * time.Second, Weight: 1,
-			LateWeightFactor: 0.2, Pools: []int{0, 2}, DeduplicationScope: admission.ScopePool}},
+		Classes: []admission.Class{{Name: "read", LatencyObjective: 900500 * time.Microsecond,
+			Deadline: 5 * time.Second, Weight: 1, LateWeightFactor: 0.2, Pools: []int{0, 2},
+			DeduplicationScope: admission.ScopePool}},
 	}}
 	if !reflect.DeepEqual(got, want) {
 		t.Errorf("got %+v, want %+v", got, want)
@@ -47,12 +51,14 @@
 	}{
 		{`["ASK","ab",null,3,1,1500.5,18,null,"n1",-1,"read"]`, admission.CallOffered{CallID: "ab", PreferredPool: 3,
 			Deadline: 1500500 * time.Microsecond, Redialed: true, Reestablish: true, Number: "n1", Class: "read"}},
-		{`["HEADERS","ab",1,"s",12.5]`, admission.CallEstablished{CallID: "ab", Attempt: 1, Server: "s", SetupTime: 12500 * time.Microsecond}},
+		{`["HEADERS","ab",1,"s",12.5]`, admission.CallEstablished{CallID: "ab", Attempt: 1, Server: "s",
+			SetupTime: 12500 * time.Microsecond}},
 		{`["GONE","ab"]`, admission.CallAbandoned{CallID: "ab"}},
 		{`["BELL",77]`, admission.TimerFired{Key: 77}},
 		{`["RETURNED","ab",0,"s","shed",2.0,false,4003,{"recent_ms":-1,"backlog":4,"new":1}]`, admission.AttemptEnded{
-			CallID: "ab", Server: "s", Result: admission.ServerBusy, Cause: admission.CauseProcessorBusy, RetryAfter: 250 * time.Millisecond,
-			Elapsed: 2 * time.Millisecond, Load: admission.LoadReport{QueueLength: admission.Optional{Value: 4, Valid: true}}}},
+			CallID: "ab", Server: "s", Result: admission.ServerBusy, Cause: admission.CauseProcessorBusy,
+			RetryAfter: 250 * time.Millisecond, Elapsed: 2 * time.Millisecond,
+			Load: admission.LoadReport{QueueLength: admission.Optional{Value: 4, Valid: true}}}},
 		{`["PROBED","delivered","s",0,null]`, admission.LoadReported{Server: "s", OK: true}},
 	} {
 		items := decodeOne(t, &Decoder{}, test.text)
@@ -62,17 +68,18 @@
 	}
 }
 
-// A list number is reused within a batch; it means the list that came last before.
+// A list number is used again within a batch; it means the latest PAGE before the MEMBERS row.
 func TestPageNumbersAreReused(t *testing.T) {
 	items := decodeOne(t, &Decoder{}, `["PAGE",0,[["a","z","k",0,"IN",1,null]]],["MEMBERS","full",0,1],`+
 		`["PAGE",0,[["b","z","k",1,"LAME",1,6100.5]]],["MEMBERS","delta",0,2],["MEMBERS","failed",9,2],["KILL"]`)
 	if len(items) != 4 || !items[3].Kill || !items[2].Event.(admission.ServersUpdated).Failed {
 		t.Fatalf("got %d items, want three lists and a kill", len(items))
 	}
-	one, two := items[0].Event.(admission.ServersUpdated), items[1].Event.(admission.ServersUpdated)
-	if !one.Full || one.Servers[0].ID != "a" || two.Full || two.Servers[0] != (admission.Server{
-		ID: "b", Pool: 1, Zone: "z", State: admission.Draining, Started: 6100500 * time.Microsecond}) {
-		t.Errorf("got %+v and %+v", one, two)
+	first := items[0].Event.(admission.ServersUpdated)
+	second := items[1].Event.(admission.ServersUpdated)
+	want := admission.Server{ID: "b", Pool: 1, Zone: "z", State: admission.Draining, Started: 6100500 * time.Microsecond}
+	if !first.Full || first.Servers[0].ID != "a" || second.Full || second.Servers[0] != want {
+		t.Errorf("got %+v and %+v", first, second)
 	}
 }
 
@@ -107,11 +114,28 @@
 	}
 }
 
+// Programs can find row and field of an error without reading its text.
+func TestFieldError(t *testing.T) {
+	_, err := (&Decoder{}).Decode(line(`["GONE",null]`))
+	var fieldError *FieldError
+	if !errors.As(err, &fieldError) || fieldError.Row != "GONE" || fieldError.Field != "opId" {
+		t.Errorf("row: %v", err)
+	}
+	_, err = ReadSettings([]byte(`{"classes":[{"aim":1e300}]}`))
+	if !errors.As(err, &fieldError) || fieldError.Row != "settings" || fieldError.Field != "classes.aim" {
+		t.Errorf("settings: %v", err)
+	}
+}
+
 func TestEncode(t *testing.T) {
 	got, err := Encode([]Reply{{Number: 1}, {Number: 2, Actions: []admission.Action{
 		admission.SendAttempt{CallID: "ab", Server: "s", Timeout: 80500 * time.Microsecond},
-		admission.RejectCall{CallID: "c"}, admission.FailCall{CallID: "d"}, admission.CancelAttempt{CallID: "e", Attempt: 1},
-		admission.SetTimer{At: 8912250 * time.Microsecond, Key: 77}, admission.LogMessage{Text: "a<b"}, admission.WatchServers{},
+		admission.RejectCall{CallID: "c"},
+		admission.FailCall{CallID: "d"},
+		admission.CancelAttempt{CallID: "e", Attempt: 1},
+		admission.SetTimer{At: 8912250 * time.Microsecond, Key: 77},
+		admission.LogMessage{Text: "a<b"},
+		admission.WatchServers{},
 	}}})
 	want := `{"nodes":[{"node":2,"decisions":[["RELAY","ab","s",80.5],["BUSY","c",null],["RESPOND_ERROR","d"],` +
 		`["ABORT_ATTEMPT","e",1],["DEFER",8912.25,77],["PRINT","a<b"],["TRACK",true]]}]}` + "\n"
@@ -124,7 +148,7 @@
 }
 
 func FuzzDecode(f *testing.F) {
-	f.Add(line(start))
+	f.Add(line(startRow))
 	f.Add(line(`["PAGE",0,[["a","z","k",0,"IN",1,null]]],["MEMBERS","full",0,1]`))
 	f.Add(line(`["ASK","ab",null,3,1,1500.5,18,null,"n1",-1,"read"]`))
 	f.Fuzz(func(t *testing.T, text []byte) {
@@ -134,14 +158,15 @@
 	})
 }
 
-// What a class's calls do when they run twice stands by the class's own words; one that is not known counts as the
-// strictest, and one that is absent as what a deployment without any means.
-func TestEffectsOfClasses(t *testing.T) {
+// The settings say what a repeated call of a class does. An unknown value counts as the strictest; an absent one has
+// the meaning of a deployment without the keys.
+func TestRepeatabilityOfClasses(t *testing.T) {
 	const text = `{"groupSize":1,"classes":[
 		{"name":"a","aim":1,"deadline":2,"effect":"side_effect","group":"all","dedupWindow":5},
 		{"name":"b","aim":1,"deadline":2,"effect":"token","group":"zone","dedupWindow":5000.5},
 		{"name":"c","aim":1,"deadline":2},{"name":"d","aim":1,"deadline":2,"effect":"pure"},
-		{"name":"e","aim":1,"deadline":2,"effect":"token","group":"all"},{"name":"f","aim":1,"deadline":2,"effect":"token","group":"cell"},
+		{"name":"e","aim":1,"deadline":2,"effect":"token","group":"all"},
+		{"name":"f","aim":1,"deadline":2,"effect":"token","group":"cell"},
 		{"name":"g","aim":1,"deadline":2,"effect":"twofold","group":"rack"}],
 		"domain":{"topology":"pools"},"limits":{"maxAttempts":2},"safety":{"startCapacity":0.5,"fallMultiple":2}}`
 	s, err := ReadSettings([]byte(text))
@@ -149,18 +174,24 @@
 		t.Fatal(err)
 	}
 	want := map[string]admission.Class{
-		"a": {Repeatability: admission.NonRepeatable, DeduplicationScope: admission.ScopeFleet, DeduplicationWindow: 5 * time.Millisecond},
-		"b": {Repeatability: admission.Deduplicated, DeduplicationScope: admission.ScopeZone, DeduplicationWindow: 5000500 * time.Microsecond},
-		"c": {DeduplicationScope: admission.ScopePool}, "d": {DeduplicationScope: admission.ScopePool},
-		"e": {Repeatability: admission.Deduplicated}, "f": {Repeatability: admission.Deduplicated, DeduplicationScope: admission.ScopePool},
+		"a": {Repeatability: admission.NonRepeatable, DeduplicationScope: admission.ScopeFleet,
+			DeduplicationWindow: 5 * time.Millisecond},
+		"b": {Repeatability: admission.Deduplicated, DeduplicationScope: admission.ScopeZone,
+			DeduplicationWindow: 5000500 * time.Microsecond},
+		"c": {DeduplicationScope: admission.ScopePool},
+		"d": {DeduplicationScope: admission.ScopePool},
+		"e": {Repeatability: admission.Deduplicated},
+		"f": {Repeatability: admission.Deduplicated, DeduplicationScope: admission.ScopePool},
 		"g": {Repeatability: admission.NonRepeatable, DeduplicationScope: admission.ScopePool},
 	}
 	if len(s.Classes) != len(want) || s.SlowStartFactor != 2 {
 		t.Errorf("%d classes, multiple %v", len(s.Classes), s.SlowStartFactor)
 	}
 	for _, k := range s.Classes {
-		if w := want[k.Name]; k.Repeatability != w.Repeatability || k.DeduplicationScope != w.DeduplicationScope || k.DeduplicationWindow != w.DeduplicationWindow {
-			t.Errorf("class %s: %+v, want %+v", k.Name, k, w)
+		got := admission.Class{Repeatability: k.Repeatability, DeduplicationScope: k.DeduplicationScope,
+			DeduplicationWindow: k.DeduplicationWindow}
+		if !reflect.DeepEqual(got, want[k.Name]) {
+			t.Errorf("class %s: %+v, want %+v", k.Name, k, want[k.Name])
 		}
 	}
 }
