--- a/cmd/benchlink/main.go
+++ b/cmd/benchlink/main.go
@@ -1,6 +1,5 @@
-// Command benchlink hosts access nodes for a simulator: it reads batches of
-// events on standard input and writes each reply to standard output. The
-// nodes share nothing.
+// Command benchlink hosts nodes for a simulator: it reads batches of events from standard input and writes the
+// decisions on each to standard output. The nodes share no state.
 package main
 
 import (
@@ -15,6 +14,9 @@
 	"olivedale/internal/simproto"
 )
 
+// readBufferBytes is the initial size of the buffer for a line.
+const readBufferBytes = 1 << 20
+
 func main() {
 	if err := run(os.Stdin, os.Stdout); err != nil {
 		fmt.Fprintln(os.Stderr, "benchlink:", err)
@@ -22,71 +24,81 @@
 	}
 }
 
-// run answers each line of in until its end.
+// run answers each line of in until its end. Empty lines have no answer.
 func run(in io.Reader, out io.Writer) error {
-	r := bufio.NewReaderSize(in, 1<<20)
-	h := host{nodes: make(map[int]*admission.StateMachine)}
+	reader := bufio.NewReaderSize(in, readBufferBytes)
+	h := newHost()
 	for {
-		line, err := r.ReadBytes('\n')
+		line, readErr := reader.ReadBytes('\n')
 		if text := bytes.TrimSpace(line); len(text) > 0 {
-			reply, err := h.answer(text)
-			if err != nil {
+			if err := h.answerTo(text, out); err != nil {
 				return err
 			}
-			if _, err := out.Write(reply); err != nil {
-				return fmt.Errorf("writing a reply: %w", err)
-			}
 		}
-		if errors.Is(err, io.EOF) {
+		if errors.Is(readErr, io.EOF) {
 			return nil
 		}
-		if err != nil {
-			return fmt.Errorf("reading: %w", err)
+		if readErr != nil {
+			return fmt.Errorf("reading: %w", readErr)
 		}
 	}
 }
 
-// A host keeps one Controller for each node that runs.
+// A host runs the state machine of each node that has started.
 type host struct {
-	dec   simproto.Decoder
-	nodes map[int]*admission.StateMachine
+	decoder simproto.Decoder
+	nodes   map[int]*admission.StateMachine
+}
+
+func newHost() *host { return &host{nodes: make(map[int]*admission.StateMachine)} }
+
+// answerTo handles one line and writes the reply.
+func (h *host) answerTo(line []byte, out io.Writer) error {
+	reply, err := h.answer(line)
+	if err != nil {
+		return err
+	}
+	if _, err := out.Write(reply); err != nil {
+		return fmt.Errorf("writing a reply: %w", err)
+	}
+	return nil
 }
 
 func (h *host) answer(line []byte) ([]byte, error) {
-	batch, err := h.dec.Decode(line)
+	batch, err := h.decoder.Decode(line)
 	if err != nil {
 		return nil, err
 	}
 	var replies []simproto.Reply
-	for _, n := range batch.Nodes {
-		actions, err := h.feed(batch.Now, n)
+	for _, node := range batch.Nodes {
+		actions, err := h.handle(batch.Now, node)
 		if err != nil {
-			return nil, fmt.Errorf("node %d: %w", n.Number, err)
+			return nil, fmt.Errorf("node %d: %w", node.Number, err)
 		}
-		replies = append(replies, simproto.Reply{Number: n.Number, Actions: actions})
+		replies = append(replies, simproto.Reply{Number: node.Number, Actions: actions})
 	}
 	return simproto.Encode(replies)
 }
 
-// feed hands a node its items. What it had to say before a kill in the same
-// batch is void, like all else it knew.
-func (h *host) feed(now admission.Time, n simproto.Node) ([]admission.Action, error) {
+// handle passes the items to the node's state machine and returns its actions. Actions before a Kill or a Start in
+// the same batch are void. Events of a node that has not started are ignored.
+func (h *host) handle(now admission.Time, node simproto.Node) ([]admission.Action, error) {
 	var actions []admission.Action
-	for _, it := range n.Items {
+	for _, item := range node.Items {
 		switch {
-		case it.Kill:
-			delete(h.nodes, n.Number)
+		case item.Kill:
+			delete(h.nodes, node.Number)
 			actions = nil
-		case it.Start != nil:
-			c, err := admission.NewStateMachine(it.Start.Settings, it.Start.Seed)
+		case item.Start != nil:
+			machine, err := admission.NewStateMachine(item.Start.Settings, item.Start.Seed)
 			if err != nil {
 				return nil, fmt.Errorf("START: %w", err)
 			}
-			h.nodes[n.Number] = c
-			actions = append(actions[:0], c.Begin(now)...)
+			h.nodes[node.Number] = machine
+			actions = append(actions[:0], machine.Begin(now)...)
 		default:
-			if c := h.nodes[n.Number]; c != nil {
-				actions = append(actions, c.Handle(now, it.Event)...)
+			if machine := h.nodes[node.Number]; machine != nil {
+				actions = append(actions, machine.Handle(now, item.Event)...)
 			}
 		}
 	}
--- a/cmd/benchlink/main_test.go
+++ b/cmd/benchlink/main_test.go
@@ -8,18 +8,23 @@
 	"testing"
 )
 
-const begin = `["START",7,{"groupSize":2,"classes":[{"name":"read","aim":1000,"deadline":5000,"credit":1}],` +
+// startItems start a node with an empty cached server list.
+const startItems = `["START",7,{"groupSize":2,"classes":[{"name":"read","aim":1000,"deadline":5000,"credit":1}],` +
 	`"domain":{"topology":"pools","releaseGuard":150},"limits":{"maxAttempts":2},"safety":{"startCapacity":0.5}}],` +
 	`["MEMBERS","cached",0,1]`
 
-const page = `["PAGE",0,[["srv","z","k",0,"IN",1,null]]],`
+// pageItem gives a list of one server the number 0.
+const pageItem = `["PAGE",0,[["srv","z","k",0,"IN",1,null]]],`
 
-func ask(id, until string) string {
+// callItem offers a call.
+func callItem(id, until string) string {
 	return `["ASK","` + id + `",null,0,1,` + until + `,0,null,"` + id + `",-1,"read"]`
 }
 
+// batch returns a line.
 func batch(at, nodes string) string { return `{"atTime":` + at + `,"nodes":[` + nodes + "]}\n" }
 
+// node returns the entry of one node in a line.
 func node(n, items string) string { return `{"node":` + n + `,"items":[` + items + `]}` }
 
 // TestPipe drives the built program over a pipe.
@@ -30,10 +35,10 @@
 	}
 	cmd := exec.Command(bin)
 	cmd.Stdin = strings.NewReader(batch("1", "") +
-		batch("2", node("0", page+begin)+","+node("1", begin)) +
-		batch("3", node("1", ask("aa", "2000"))) +
-		batch("4", node("0", `["KILL"],`+begin+","+ask("bb", "2000"))+","+node("1", `["KILL"]`)) +
-		batch("5", node("1", ask("cc", "2000"))))
+		batch("2", node("0", pageItem+startItems)+","+node("1", startItems)) +
+		batch("3", node("1", callItem("aa", "2000"))) +
+		batch("4", node("0", `["KILL"],`+startItems+","+callItem("bb", "2000"))+","+node("1", `["KILL"]`)) +
+		batch("5", node("1", callItem("cc", "2000"))))
 	out, err := cmd.Output()
 	if err != nil {
 		t.Fatal(err)
@@ -51,11 +56,11 @@
 	}
 }
 
-func TestBadInput(t *testing.T) {
+func TestInvalidInput(t *testing.T) {
 	for text, want := range map[string]string{
-		batch("1", node("0", `["BELL","x"]`)):                                  "line 1: BELL: keyBack",
-		batch("1", "") + "{\n":                                                 "line 2: batch",
-		batch("1", node("0", page+strings.Replace(begin, "pools", "ring", 1))): `topology "ring"`,
+		batch("1", node("0", `["BELL","x"]`)): "line 1: BELL: keyBack",
+		batch("1", "") + "{\n":                "line 2: batch",
+		batch("1", node("0", pageItem+strings.Replace(startItems, "pools", "ring", 1))): `topology "ring"`,
 	} {
 		var out bytes.Buffer
 		err := run(strings.NewReader(text), &out)
@@ -63,7 +68,7 @@
 			t.Errorf("%s: error %v, want %q", text, err, want)
 		}
 		if strings.Count(out.String(), "\n") != strings.Count(text, "\n")-1 {
-			t.Errorf("%s: half an answer: %q", text, out.String())
+			t.Errorf("%s: a partial answer: %q", text, out.String())
 		}
 	}
 }
