--- a/internal/lab/rig/relay_test.go
+++ b/internal/lab/rig/relay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"io"
 	"math/rand/v2"
@@ -325,3 +326,38 @@
 		}
 	}
 }
+
+// A script that was written a moment ago can be executed while other processes are being started.
+func TestTetherScriptStartsDuringForks(t *testing.T) {
+	t.Parallel()
+	lab, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stopForks := context.WithCancel(t.Context())
+	var forks sync.WaitGroup
+	for range 8 {
+		forks.Go(func() {
+			for ctx.Err() == nil {
+				if err := exec.Command("/bin/true").Run(); err != nil {
+					t.Error(err)
+					return
+				}
+			}
+		})
+	}
+	for range 100 {
+		tether, err := newTether(t.TempDir(), lab, "/bin/true")
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := exec.Command(tether.script).Run(); err != nil {
+			t.Errorf("start of a script that was just written: %v", err)
+		}
+		if err := tether.close(); err != nil {
+			t.Error(err)
+		}
+	}
+	stopForks()
+	forks.Wait()
+}
--- a/internal/lab/rig/tether.go
+++ b/internal/lab/rig/tether.go
@@ -74,12 +74,21 @@
 	}
 	t.w = w
 	text := fmt.Sprintf("#!/bin/sh\n%q hold %q $$ &\nexec %q \"$@\"\n", lab, t.path, program)
-	if err := os.WriteFile(t.script, []byte(text), 0o700); err != nil {
+	if err := writeExecutable(t.script, text); err != nil {
 		return nil, errors.Join(fmt.Errorf("tether: %w", err), w.Close())
 	}
 	return t, nil
 }
 
+// writeExecutable writes a file that can be executed as soon as writeExecutable returns. It lets no other
+// goroutine start a process meanwhile: between fork and exec such a process holds a copy of the descriptor
+// that is open for writing, and until its exec the kernel refuses to execute the file (ETXTBSY).
+func writeExecutable(path, text string) error {
+	syscall.ForkLock.RLock()
+	defer syscall.ForkLock.RUnlock()
+	return os.WriteFile(path, []byte(text), 0o700)
+}
+
 // command is one that ends with the rig.
 func (t *tether) command(program string, args ...string) *exec.Cmd {
 	c := exec.Command("/bin/sh", append([]string{"-c", `"$0" hold "$1" $$ & shift; exec "$@"`, t.lab, t.path, program}, args...)...)
