--- /dev/null
+++ b/tools/lint/linters.go
@@ -0,0 +1,217 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+
+	"golang.org/x/sync/errgroup"
+)
+
+// A linter is a program that finds violations in a whole module.
+type linter struct {
+	command []string
+	// parse reads the findings from what the program printed; files may be absolute.
+	parse func(output []byte) ([]Finding, error)
+	// skipsTests says that the linter's rules do not hold for test files.
+	skipsTests bool
+}
+
+// linters returns the project's linters; programs is the directory of those that are no part of Go.
+func linters(programs, configPath string) []linter {
+	analyzers := filepath.Join(programs, "analyzers")
+	staticcheck := filepath.Join(programs, "staticcheck")
+	revive := filepath.Join(programs, "revive")
+	return []linter{
+		{command: []string{"gofmt", "-l", "."}, parse: parseGofmt},
+		{command: []string{"go", "vet", "-json", "./..."}, parse: parseVet},
+		{command: []string{"go", "vet", "-json", "-vettool=" + analyzers, "-errorlint", "./..."}, parse: parseVet},
+		{
+			command:    []string{"go", "vet", "-json", "-vettool=" + analyzers, "-exhaustive", "./..."},
+			parse:      parseVet,
+			skipsTests: true,
+		},
+		{command: []string{staticcheck, "-checks", "all", "-f", "json", "./..."}, parse: parseStaticcheck},
+		{
+			command:    []string{revive, "-config", configPath, "-formatter", "json", "./..."},
+			parse:      parseRevive,
+			skipsTests: true,
+		},
+	}
+}
+
+// runLinters runs all linters over the module at root and returns their findings, sorted by place.
+func runLinters(ctx context.Context, root, programs, configPath string) ([]Finding, error) {
+	absoluteRoot, err := filepath.Abs(root)
+	if err != nil {
+		return nil, err
+	}
+	all := linters(programs, configPath)
+	results := make([][]Finding, len(all))
+	group, ctx := errgroup.WithContext(ctx)
+	for i, l := range all {
+		group.Go(func() error {
+			findings, err := l.run(ctx, absoluteRoot)
+			results[i] = findings
+			return err
+		})
+	}
+	if err := group.Wait(); err != nil {
+		return nil, err
+	}
+	var findings []Finding
+	for _, result := range results {
+		findings = append(findings, result...)
+	}
+	return sortFindings(findings), nil
+}
+
+// run runs the linter and returns its findings with files relative to root.
+func (l linter) run(ctx context.Context, root string) ([]Finding, error) {
+	command := exec.CommandContext(ctx, l.command[0], l.command[1:]...)
+	command.Dir = root
+	var stderr bytes.Buffer
+	command.Stderr = &stderr
+	output, runErr := command.Output()
+	findings, err := l.parse(output)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w\n%s", strings.Join(l.command, " "), err, stderr.Bytes())
+	}
+	// Linters end with an error status for findings too; without findings it is a failure.
+	if runErr != nil && len(findings) == 0 {
+		return nil, fmt.Errorf("%s: %w\n%s", strings.Join(l.command, " "), runErr, stderr.Bytes())
+	}
+	var kept []Finding
+	for _, f := range findings {
+		if f.File, err = relativeTo(root, f.File); err != nil {
+			return nil, err
+		}
+		if !l.skipsTests || !f.IsInTest() {
+			kept = append(kept, f)
+		}
+	}
+	return kept, nil
+}
+
+func relativeTo(root, file string) (string, error) {
+	if !filepath.IsAbs(file) {
+		return filepath.ToSlash(filepath.Clean(file)), nil
+	}
+	relative, err := filepath.Rel(root, file)
+	return filepath.ToSlash(relative), err
+}
+
+// parseGofmt reads a list of files.
+func parseGofmt(output []byte) ([]Finding, error) {
+	var findings []Finding
+	for file := range strings.Lines(string(output)) {
+		findings = append(findings, Finding{
+			File:    strings.TrimSpace(file),
+			Line:    1,
+			Rule:    "gofmt",
+			Message: "file is not formatted: run gofmt -w",
+		})
+	}
+	return findings, nil
+}
+
+// parseVet reads one JSON object a package: package path, then analyzer, then a list of diagnostics.
+func parseVet(output []byte) ([]Finding, error) {
+	type diagnostic struct {
+		Position string `json:"posn"`
+		Message  string `json:"message"`
+	}
+	var findings []Finding
+	for decoder := json.NewDecoder(bytes.NewReader(output)); ; {
+		var packages map[string]map[string][]diagnostic
+		if err := decoder.Decode(&packages); errors.Is(err, io.EOF) {
+			return findings, nil
+		} else if err != nil {
+			return nil, fmt.Errorf("read diagnostics: %w", err)
+		}
+		for _, analyzers := range packages {
+			for analyzer, diagnostics := range analyzers {
+				for _, d := range diagnostics {
+					file, line := splitPosition(d.Position)
+					findings = append(findings, Finding{File: file, Line: line, Rule: analyzer, Message: d.Message})
+				}
+			}
+		}
+	}
+}
+
+// splitPosition splits "file:line:column".
+func splitPosition(position string) (file string, line int) {
+	parts := strings.Split(position, ":")
+	if len(parts) < 3 {
+		return position, 0
+	}
+	line, err := strconv.Atoi(parts[len(parts)-2])
+	if err != nil {
+		return position, 0
+	}
+	return strings.Join(parts[:len(parts)-2], ":"), line
+}
+
+// parseStaticcheck reads one JSON object a finding.
+func parseStaticcheck(output []byte) ([]Finding, error) {
+	var findings []Finding
+	for decoder := json.NewDecoder(bytes.NewReader(output)); ; {
+		var problem struct {
+			Code     string `json:"code"`
+			Message  string `json:"message"`
+			Location struct {
+				File string `json:"file"`
+				Line int    `json:"line"`
+			} `json:"location"`
+		}
+		if err := decoder.Decode(&problem); errors.Is(err, io.EOF) {
+			return findings, nil
+		} else if err != nil {
+			return nil, fmt.Errorf("read problems: %w", err)
+		}
+		findings = append(findings, Finding{
+			File:    problem.Location.File,
+			Line:    problem.Location.Line,
+			Rule:    problem.Code,
+			Message: problem.Message,
+		})
+	}
+}
+
+// parseRevive reads a JSON array of failures.
+func parseRevive(output []byte) ([]Finding, error) {
+	if len(bytes.TrimSpace(output)) == 0 {
+		return nil, nil
+	}
+	var failures []struct {
+		RuleName string
+		Failure  string
+		Position struct {
+			Start struct {
+				Filename string
+				Line     int
+			}
+		}
+	}
+	if err := json.Unmarshal(output, &failures); err != nil {
+		return nil, fmt.Errorf("read failures: %w", err)
+	}
+	var findings []Finding
+	for _, f := range failures {
+		findings = append(findings, Finding{
+			File:    f.Position.Start.Filename,
+			Line:    f.Position.Start.Line,
+			Rule:    f.RuleName,
+			Message: f.Failure,
+		})
+	}
+	return findings, nil
+}
--- /dev/null
+++ b/tools/lint/main.go
@@ -0,0 +1,77 @@
+// Command lint runs the project's linters over the Go module in the working directory and prints each
+// finding by file and line. It ends with status 1 if there is a finding, and with 2 if a linter did not run.
+//
+// The other linters are read from the directory of the command's own executable file. Their rules, and the
+// packages that do not keep a rule yet, are in one configuration file.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"slices"
+)
+
+// The command's exit statuses.
+const (
+	statusClean    = 0
+	statusFindings = 1
+	statusFailed   = 2
+)
+
+func main() {
+	configPath := flag.String("config", "tools/lint.toml", "configuration file")
+	listPackages := flag.Bool("packages", false, "print for each rule the packages that break it, exceptions or not")
+	flag.Parse()
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	defer stop()
+
+	executable, err := os.Executable()
+	if err != nil {
+		exitWith(err)
+	}
+	config, err := readConfig(*configPath)
+	if err != nil {
+		exitWith(err)
+	}
+	findings, err := runLinters(ctx, ".", filepath.Dir(executable), *configPath)
+	if err != nil {
+		exitWith(err)
+	}
+	if *listPackages {
+		printPackages(os.Stdout, findings)
+		return
+	}
+	remaining := config.apply(findings)
+	for _, f := range remaining {
+		fmt.Println(f)
+	}
+	if len(remaining) > 0 {
+		fmt.Fprintf(os.Stderr, "lint: %d findings\n", len(remaining))
+		os.Exit(statusFindings)
+	}
+	os.Exit(statusClean)
+}
+
+func exitWith(err error) {
+	fmt.Fprintln(os.Stderr, "lint:", err)
+	os.Exit(statusFailed)
+}
+
+// printPackages prints one line a rule: its name, and the packages that break it.
+func printPackages(w io.Writer, findings []Finding) {
+	packagesByRule := map[string][]string{}
+	for _, f := range findings {
+		if !slices.Contains(packagesByRule[f.Rule], f.Package()) {
+			packagesByRule[f.Rule] = append(packagesByRule[f.Rule], f.Package())
+		}
+	}
+	for _, rule := range sortedKeys(packagesByRule) {
+		slices.Sort(packagesByRule[rule])
+		fmt.Fprintf(w, "%s %q\n", rule, packagesByRule[rule])
+	}
+}
