--- a/internal/incident/clock.go
+++ b/internal/incident/clock.go
@@ -10,39 +10,39 @@
 // Time is a Unix clock reading of some instance, or of the reference.
 type Time = record.Time
 
-// phi bounds how fast two clocks that nobody steps drift apart: RFC 5905 takes 15 ppm for
+// maxDriftRate bounds how fast two clocks that nobody steps drift apart: RFC 5905 takes 15 ppm for
 // one that is disciplined, crystals are sold with 100 ppm.
-const phi = 100e-6
+const maxDriftRate = 100e-6
 
 // An Offset is how far an instance's clock is ahead of the reference: no figure but an
 // interval, since the way there and the way back of an exchange may have taken any share of
 // its time. The zero value is not known.
 type Offset struct {
-	Known  bool
-	Lo, Hi time.Duration
-	At     Time // by the instance's clock, when it was tightest
-	Peer   string
-	Steps  int // exchanges that contradicted all before them: one of the clocks was set
+	Known    bool
+	Min, Max time.Duration
+	At       Time // by the instance's clock, when it was tightest
+	Peer     string
+	Steps    int // exchanges that contradicted all before them: one of the clocks was set
 }
 
-// exchanged takes the four time stamps of an exchange, as RFC 5905, section 8, names them: the
+// addExchange takes the four time stamps of an exchange, as RFC 5905, section 8, names them: the
 // peer sent at T1, the instance received at T2 and sent at T3, the peer received at T4. No
 // message arrives before it was sent, so T2-T1 is at least the offset and T3-T4 at most.
-func (o *Offset) exchanged(peer string, t [4]int64) {
+func (o *Offset) addExchange(peer string, t [4]int64) {
 	lo, hi, at := time.Duration(t[2]-t[3]), time.Duration(t[1]-t[0]), Time(t[2])
 	if lo > hi || t[0] > t[3] {
 		return // time stamps that cannot be: they say nothing
 	}
 	if !o.Known || o.Peer != peer {
-		*o = Offset{Known: true, Lo: lo, Hi: hi, At: at, Peer: peer, Steps: o.Steps}
+		*o = Offset{Known: true, Min: lo, Max: hi, At: at, Peer: peer, Steps: o.Steps}
 		return
 	}
 	old := o.at(at)
-	if max(lo, old.Lo) > min(hi, old.Hi) {
-		*o = Offset{Known: true, Lo: lo, Hi: hi, At: at, Peer: peer, Steps: o.Steps + 1}
+	if max(lo, old.Min) > min(hi, old.Max) {
+		*o = Offset{Known: true, Min: lo, Max: hi, At: at, Peer: peer, Steps: o.Steps + 1}
 		return
 	}
-	o.Lo, o.Hi, o.At = max(lo, old.Lo), min(hi, old.Hi), at
+	o.Min, o.Max, o.At = max(lo, old.Min), min(hi, old.Max), at
 }
 
 // at is what is known of the offset at another time: less, the further away.
@@ -54,8 +54,8 @@
 	if far < 0 {
 		far = -far
 	}
-	wide := time.Duration(math.Ceil(phi * float64(far)))
-	o.Lo, o.Hi = o.Lo-wide, o.Hi+wide
+	wide := time.Duration(math.Ceil(maxDriftRate * float64(far)))
+	o.Min, o.Max = o.Min-wide, o.Max+wide
 	return o
 }
 
@@ -64,39 +64,39 @@
 	if !o.Known {
 		return 0
 	}
-	return o.Lo + (o.Hi-o.Lo)/2
+	return o.Min + (o.Max-o.Min)/2
 }
 
 // A Moment is a time by the reference's clock, as far as it is known.
 type Moment struct {
-	Lo, Hi Time
-	Known  bool   // Lo and Hi bound it; otherwise they are the instance's own reading
-	Peer   string // the reference
-	Source int    // the instance
-	Own    Time   // by its own clock
+	Earliest, Latest Time
+	Known            bool   // Lo and Hi bound it; otherwise they are the instance's own reading
+	Peer             string // the reference
+	Source           int    // the instance
+	Own              Time   // by its own clock
 }
 
 // moment is when something happened that an instance saw at own.
 func (o Offset) moment(source int, own Time) Moment {
-	m := Moment{Lo: own, Hi: own, Known: o.Known, Peer: o.Peer, Source: source, Own: own}
+	m := Moment{Earliest: own, Latest: own, Known: o.Known, Peer: o.Peer, Source: source, Own: own}
 	if o.Known {
 		now := o.at(own)
-		m.Lo, m.Hi = own-now.Hi, own-now.Lo
+		m.Earliest, m.Latest = own-now.Max, own-now.Min
 	}
 	return m
 }
 
 // Mid is the middle of what is known.
-func (m Moment) Mid() Time { return m.Lo + (m.Hi-m.Lo)/2 }
+func (m Moment) Mid() Time { return m.Earliest + (m.Latest-m.Earliest)/2 }
 
 // An Order is what is known of two moments.
 type Order int
 
 // Orders.
 const (
-	Unknown Order = iota
-	Before
-	After
+	OrderUnknown Order = iota
+	OrderBefore
+	OrderAfter
 )
 
 var orderNames = [...]string{"order unknown", "before", "after"}
@@ -110,21 +110,21 @@
 	if a.Source == b.Source {
 		switch {
 		case a.Own < b.Own:
-			return Before
+			return OrderBefore
 		case a.Own > b.Own:
-			return After
+			return OrderAfter
 		}
-		return Unknown
+		return OrderUnknown
 	}
 	switch {
 	case !a.Known || !b.Known || a.Peer != b.Peer:
-		return Unknown
-	case a.Hi < b.Lo:
-		return Before
-	case b.Hi < a.Lo:
-		return After
+		return OrderUnknown
+	case a.Latest < b.Earliest:
+		return OrderBefore
+	case b.Latest < a.Earliest:
+		return OrderAfter
 	}
-	return Unknown
+	return OrderUnknown
 }
 
 // Delay is how long after a moment another was: an interval, if it is known at all.
@@ -135,5 +135,5 @@
 	if !from.Known || !to.Known || from.Peer != to.Peer {
 		return 0, 0, false
 	}
-	return to.Lo - from.Hi, to.Hi - from.Lo, true
+	return to.Earliest - from.Latest, to.Latest - from.Earliest, true
 }
--- a/internal/incident/count.go
+++ b/internal/incident/count.go
@@ -14,10 +14,10 @@
 	Offered  uint64                  `json:"offered"`  // set-ups taken
 	Outcomes [record.Outcomes]uint64 `json:"-"`        // final answers
 	Late     uint64                  `json:"late"`     // stood, but later than the class wants
-	Cut      uint64                  `json:"cut"`      // stood and ended by a fault
+	Dropped  uint64                  `json:"cut"`      // stood and ended by a fault
 	Released uint64                  `json:"released"` // stood and ended, the cut ones included
-	Tries    uint64                  `json:"tries"`    // attempts at servers
-	Retried  uint64                  `json:"retried"`  // attempts beyond a call's first
+	Attempts uint64                  `json:"tries"`    // attempts at servers
+	Retries  uint64                  `json:"retried"`  // attempts beyond a call's first
 }
 
 // add sums up.
@@ -27,20 +27,20 @@
 		c.Outcomes[i] += n
 	}
 	c.Late += o.Late
-	c.Cut += o.Cut
+	c.Dropped += o.Dropped
 	c.Released += o.Released
-	c.Tries += o.Tries
-	c.Retried += o.Retried
+	c.Attempts += o.Attempts
+	c.Retries += o.Retries
 }
 
-// Of is how many came to an outcome.
-func (c *Counts) Of(o record.Outcome) uint64 { return c.Outcomes[o] }
+// Outcome is how many came to an outcome.
+func (c *Counts) Outcome(o record.Outcome) uint64 { return c.Outcomes[o] }
 
-// Stood is how many calls stood.
-func (c *Counts) Stood() uint64 { return c.Outcomes[record.Stood] }
+// Established is how many calls stood.
+func (c *Counts) Established() uint64 { return c.Outcomes[record.Stood] }
 
-// TurnedAway is how many were refused, by the module or past a limit.
-func (c *Counts) TurnedAway() uint64 {
+// Rejected is how many were refused, by the module or past a limit.
+func (c *Counts) Rejected() uint64 {
 	return c.Outcomes[record.Refused] + c.Outcomes[record.Crowded] + c.Outcomes[record.Stopped]
 }
 
@@ -55,89 +55,89 @@
 // A Tally is Counts with how long calls took to stand.
 type Tally struct {
 	Counts
-	took *hdrhistogram.Histogram
+	setupTimes *hdrhistogram.Histogram
 }
 
 // Bounds of a histogram, in units of 10 µs: what is longer counts as the most.
 const (
-	unit     = 10 * time.Microsecond
-	leastHDR = 1
-	mostHDR  = int64(2 * time.Minute / unit)
-	digits   = 2 // significant; a histogram takes some 16 KiB
+	histogramUnit     = 10 * time.Microsecond
+	minHistogramValue = 1
+	maxHistogramValue = int64(2 * time.Minute / histogramUnit)
+	histogramDigits   = 2 // significant; a histogram takes some 16 KiB
 )
 
-func (t *Tally) stood(took time.Duration) {
-	if t.took == nil {
-		t.took = hdrhistogram.New(leastHDR, mostHDR, digits)
+func (t *Tally) recordSetupTime(took time.Duration) {
+	if t.setupTimes == nil {
+		t.setupTimes = hdrhistogram.New(minHistogramValue, maxHistogramValue, histogramDigits)
 	}
-	_ = t.took.RecordValue(min(max(int64(took/unit), leastHDR), mostHDR)) // within its bounds, so never an error
+	_ = t.setupTimes.RecordValue(min(max(int64(took/histogramUnit), minHistogramValue), maxHistogramValue)) // within its bounds, so never an error
 }
 
 func (t *Tally) merge(o *Tally) {
 	t.add(&o.Counts)
-	if o.took == nil {
+	if o.setupTimes == nil {
 		return
 	}
-	if t.took == nil {
-		t.took = hdrhistogram.New(leastHDR, mostHDR, digits)
+	if t.setupTimes == nil {
+		t.setupTimes = hdrhistogram.New(minHistogramValue, maxHistogramValue, histogramDigits)
 	}
-	t.took.Merge(o.took)
+	t.setupTimes.Merge(o.setupTimes)
 }
 
 // Percentile is the time within which a share (in percent) of the calls that stood did so,
 // to about one percent; 0 where none stood.
 func (t *Tally) Percentile(p float64) time.Duration {
-	if t.took == nil {
+	if t.setupTimes == nil {
 		return 0
 	}
-	return time.Duration(t.took.ValueAtQuantile(p)) * unit
+	return time.Duration(t.setupTimes.ValueAtQuantile(p)) * histogramUnit
 }
 
-// tallies are Tallies by name, so many at the most: what comes after shares one.
-type tallies struct {
-	most int
-	by   map[string]*Tally
+// boundedTallies are Tallies by name, so many at the most: what comes after shares one.
+type boundedTallies struct {
+	maxNames int
+	byName   map[string]*Tally
 }
 
 // Other is where names past the bound are counted.
 const Other = "(others)"
 
-func (t *tallies) of(name string) *Tally {
-	if k := t.by[name]; k != nil {
+func (t *boundedTallies) get(name string) *Tally {
+	if k := t.byName[name]; k != nil {
 		return k
 	}
-	if t.by == nil {
-		t.by = make(map[string]*Tally)
+	if t.byName == nil {
+		t.byName = make(map[string]*Tally)
 	}
-	if len(t.by) >= t.most {
-		if name = Other; t.by[name] != nil {
-			return t.by[name]
+	if len(t.byName) >= t.maxNames {
+		if name = Other; t.byName[name] != nil {
+			return t.byName[name]
 		}
 	}
 	k := &Tally{}
-	t.by[name] = k
+	t.byName[name] = k
 	return k
 }
 
-func (t *tallies) merge(o *tallies) {
-	for _, name := range sorted(o.by) {
-		t.of(name).merge(o.by[name])
+func (t *boundedTallies) merge(o *boundedTallies) {
+	for _, name := range sortedKeys(o.byName) {
+		t.get(name).merge(o.byName[name])
 	}
 }
 
 // A bin is what happened in one stretch of time of one start of an instance.
 type bin struct {
 	Counts
-	took time.Duration // sum over those that stood
-	most time.Duration
-	gap  bool // records of that time are lost
+	setupTimeSum time.Duration // sum over those that stood
+	maxSetupTime time.Duration
+	hasGap       bool // records of that time are lost
 }
 
 func (b *bin) add(o *bin) {
 	b.Counts.add(&o.Counts)
-	b.took += o.took
-	b.most = max(b.most, o.most)
-	b.gap = b.gap || o.gap
+	b.setupTimeSum += o.setupTimeSum
+	b.maxSetupTime = max(b.maxSetupTime, o.maxSetupTime)
+	b.hasGap = b.hasGap || o.hasGap
 }
 
 // A series is bins of one width from a first on.
@@ -146,8 +146,8 @@
 	bins  []bin
 }
 
-// at finds or makes the bin of a number; nil if the series would become too long.
-func (s *series) at(n int64, most int) *bin {
+// get finds or makes the bin of a number; nil if the series would become too long.
+func (s *series) get(n int64, most int) *bin {
 	if len(s.bins) == 0 {
 		s.first, s.bins = n, append(s.bins, bin{})
 		return &s.bins[0]
@@ -176,7 +176,7 @@
 	old := *s
 	*s = series{}
 	for i := range old.bins {
-		s.at(floorDiv(old.first+int64(i), 2), len(old.bins)+1).add(&old.bins[i])
+		s.get(floorDiv(old.first+int64(i), 2), len(old.bins)+1).add(&old.bins[i])
 	}
 }
 
--- a/internal/incident/incident_test.go
+++ b/internal/incident/incident_test.go
@@ -81,7 +81,7 @@
 	rapid.Check(t, func(rt *rapid.T) {
 		way := rapid.Int64Range(0, int64(300*time.Millisecond))
 		skew := rapid.Int64Range(int64(-10*time.Second), int64(10*time.Second))
-		rate := rapid.Float64Range(-phi/2, phi/2) // of one clock against the other
+		rate := rapid.Float64Range(-maxDriftRate/2, maxDriftRate/2) // of one clock against the other
 		type clock struct {
 			offset time.Duration
 			drift  float64
@@ -98,7 +98,7 @@
 				t1 := day + Time(n)*time.Minute
 				t2 := t1 + Time(way.Draw(rt, "there"))
 				t4 := t2 + Time(way.Draw(rt, "back"))
-				c.o.exchanged("agent", [4]int64{int64(t1), int64(read(c, t2)), int64(read(c, t2)), int64(t4)})
+				c.o.addExchange("agent", [4]int64{int64(t1), int64(read(c, t2)), int64(read(c, t2)), int64(t4)})
 			}
 		}
 		var at [2]Time
@@ -106,14 +106,14 @@
 		for i := range all {
 			at[i] = day + Time(rapid.Int64Range(0, int64(10*time.Minute)).Draw(rt, "at"))
 			m[i] = all[i].o.moment(i, read(&all[i], at[i]))
-			if at[i] < m[i].Lo-time.Microsecond || at[i] > m[i].Hi+time.Microsecond {
-				rt.Fatalf("clock %d: %v is not within %v to %v", i, at[i]-day, m[i].Lo-day, m[i].Hi-day)
+			if at[i] < m[i].Earliest-time.Microsecond || at[i] > m[i].Latest+time.Microsecond {
+				rt.Fatalf("clock %d: %v is not within %v to %v", i, at[i]-day, m[i].Earliest-day, m[i].Latest-day)
 			}
 		}
 		switch o := Compare(m[0], m[1]); {
-		case o == Before && at[0] > at[1], o == After && at[0] < at[1]:
+		case o == OrderBefore && at[0] > at[1], o == OrderAfter && at[0] < at[1]:
 			rt.Fatalf("%v, but %v and %v", o, at[0]-day, at[1]-day)
-		case Compare(m[1], m[0]) != map[Order]Order{Before: After, After: Before, Unknown: Unknown}[o]:
+		case Compare(m[1], m[0]) != map[Order]Order{OrderBefore: OrderAfter, OrderAfter: OrderBefore, OrderUnknown: OrderUnknown}[o]:
 			rt.Fatal("the order depends on who is asked first")
 		}
 	})
@@ -122,17 +122,17 @@
 func TestOrderIsUnknownWithoutExchanges(t *testing.T) {
 	var none Offset
 	a, b := none.moment(0, day), none.moment(1, day+time.Hour)
-	if Compare(a, b) != Unknown {
+	if Compare(a, b) != OrderUnknown {
 		t.Error("clocks that nobody compared were compared")
 	}
-	if Compare(a, none.moment(0, day+1)) != Before {
+	if Compare(a, none.moment(0, day+1)) != OrderBefore {
 		t.Error("an instance's own order is not known")
 	}
 	if _, _, known := Delay(a, b); known {
 		t.Error("a delay between clocks that nobody compared")
 	}
 	x, y := Offset{Known: true, Peer: "one"}, Offset{Known: true, Peer: "two"}
-	if Compare(x.moment(0, day), y.moment(1, day+time.Hour)) != Unknown {
+	if Compare(x.moment(0, day), y.moment(1, day+time.Hour)) != OrderUnknown {
 		t.Error("clocks that were compared with different ones were compared")
 	}
 }
@@ -144,24 +144,24 @@
 		p.Starts = append(p.Starts, Start{})
 		times := rapid.SliceOfN(rapid.Int64Range(int64(-time.Hour), int64(30*24*time.Hour)), 1, 200).Draw(rt, "times")
 		for _, at := range times {
-			p.bin(Time(at)).Offered++
+			p.currentBin(Time(at)).Offered++
 		}
 		s := &p.Starts[0].series
 		sum := uint64(0)
 		for i, b := range s.bins {
 			sum += b.Offered
-			lo := Time(s.first+int64(i)) * p.width
+			lo := Time(s.first+int64(i)) * p.binWidth
 			n := uint64(0)
 			for _, at := range times {
-				if Time(at) >= lo && Time(at) < lo+p.width {
+				if Time(at) >= lo && Time(at) < lo+p.binWidth {
 					n++
 				}
 			}
 			if n != b.Offered {
-				rt.Fatalf("bin %d of %v holds %d, want %d", i, p.width, b.Offered, n)
+				rt.Fatalf("bin %d of %v holds %d, want %d", i, p.binWidth, b.Offered, n)
 			}
 		}
-		if sum != uint64(len(times)) || len(s.bins) > mostBins {
+		if sum != uint64(len(times)) || len(s.bins) > maxBinsOfStart {
 			rt.Fatalf("%d bins hold %d of %d", len(s.bins), sum, len(times))
 		}
 	})
@@ -183,10 +183,10 @@
 		at += 10 * time.Second
 	}
 	r := Combine([]*Part{f.done()})
-	if i := r.Instances[0]; len(i.Starts) != 4 || i.Vague != 3 || !i.AtLeast || i.Live || i.Lost != 0 {
+	if i := r.Instances[0]; len(i.Starts) != 4 || i.UnknownLosses != 3 || !i.Incomplete || i.Live || i.Lost != 0 {
 		t.Errorf("%+v", i)
 	}
-	if r.Total.Offered != 8 || r.Total.Answered() != 5 || r.NoAnswer[WhyKilled] != 3 || len(r.of(FoundKilled)) != 3 {
+	if r.Total.Offered != 8 || r.Total.Answered() != 5 || r.NoAnswer[ReasonKilled] != 3 || len(r.of(FoundKilled)) != 3 {
 		t.Errorf("%+v, %v", r.Total.Counts, r.NoAnswer)
 	}
 	if len(r.Unanswered) != 3 || r.Unanswered[0].Call != "b0" {
@@ -205,7 +205,7 @@
 	f.put(record.Record{Kind: record.KindAnswer, At: day + 5*time.Second, Call: "before", Class: "voice", Code: uint8(record.Stood), Server: "s"})
 	f.put(record.Record{Kind: record.KindEnd, At: day + 6*time.Second})
 	r := Combine([]*Part{f.done()})
-	if !r.AtLeast || r.Lost != 7 || r.NoAnswer[WhyGap] != 1 || r.NoSetUp != 1 {
+	if !r.Incomplete || r.Lost != 7 || r.NoAnswer[ReasonGap] != 1 || r.AnswersWithoutSetup != 1 {
 		t.Errorf("%+v", r)
 	}
 	for i, w := range r.Windows {
@@ -221,7 +221,7 @@
 	f.put(record.Record{Kind: record.KindSetUp, At: day, Call: "x", Class: "voice"})
 	f.call("y", day+2*time.Minute, "s", time.Millisecond)
 	f.put(record.Record{Kind: record.KindEnd, At: day + 3*time.Minute})
-	if r = Combine([]*Part{f.done()}); r.NoAnswer[WhyNone] != 1 || len(r.of(FoundUnanswered)) != 1 {
+	if r = Combine([]*Part{f.done()}); r.NoAnswer[ReasonUnknown] != 1 || len(r.of(FoundUnanswered)) != 1 {
 		t.Errorf("%v", r.NoAnswer)
 	}
 }
@@ -258,23 +258,23 @@
 		parts = append(parts, f.done())
 	}
 	r := Combine(parts)
-	p := r.of(FoundPressure)
-	if len(p) != 1 || p[0].Server != "s" || len(p[0].Noticed) != 2 || p[0].Open || !strings.Contains(p[0].Text, "2 of 3 instances noticed; 60 turned away") {
+	p := r.of(FoundOverload)
+	if len(p) != 1 || p[0].Server != "s" || len(p[0].Noticed) != 2 || p[0].Ongoing || !strings.Contains(p[0].Text, "2 of 3 instances noticed; 60 turned away") {
 		t.Fatalf("%+v", p)
 	}
-	if n := p[0].Noticed[1]; n.Instance != "n1" || n.Order != After || n.Lo < 250*time.Millisecond || n.Hi > 350*time.Millisecond || n.Least != 2 || len(p[0].Refs) != 4 {
+	if n := p[0].Noticed[1]; n.Instance != "n1" || n.Order != OrderAfter || n.MinDelay < 250*time.Millisecond || n.MaxDelay > 350*time.Millisecond || n.MinRate != 2 || len(p[0].Refs) != 4 {
 		t.Errorf("%+v", n)
 	}
-	if d := r.of(FoundDrain); len(d) != 1 || len(d[0].Noticed) != 2 || d[0].Noticed[1].Order != Unknown {
+	if d := r.of(FoundDrain); len(d) != 1 || len(d[0].Noticed) != 2 || d[0].Noticed[1].Order != OrderUnknown {
 		t.Errorf("news within 10 ms of clocks known to 22 ms: %+v", d)
 	}
-	if d := r.of(FoundLateSend); len(d) != 1 || d[0].Instance != "n1" || !d[0].Bad || !strings.Contains(d[0].Text, "1 of them later than 2s") {
+	if d := r.of(FoundLateSend); len(d) != 1 || d[0].Instance != "n1" || !d[0].IsFault || !strings.Contains(d[0].Text, "1 of them later than 2s") {
 		t.Errorf("%+v", d)
 	}
 	if s := r.of(FoundSkew); len(s) != 2 {
 		t.Errorf("%+v", s)
 	}
-	if away := r.of(FoundTurnedAway); len(away) != 1 || !strings.HasPrefix(away[0].Text, "60 of 60 offered") {
+	if away := r.of(FoundRejections); len(away) != 1 || !strings.HasPrefix(away[0].Text, "60 of 60 offered") {
 		t.Errorf("%+v", away)
 	}
 	if got := r.Total.Percentile(50); got < 19*time.Millisecond || got > 21*time.Millisecond {
@@ -292,8 +292,8 @@
 		at   func(i int) time.Duration // of 100 sends, in a second
 		kind string
 	}{
-		"evenly":    {func(i int) time.Duration { return Time(i) * 10 * time.Millisecond }, FoundPushed},
-		"at once":   {func(i int) time.Duration { return Time(i) * time.Millisecond }, FoundPushed},
+		"evenly":    {func(i int) time.Duration { return Time(i) * 10 * time.Millisecond }, FoundColdOverload},
+		"at once":   {func(i int) time.Duration { return Time(i) * time.Millisecond }, FoundColdOverload},
 		"by and by": {func(i int) time.Duration { return time.Duration(math.Sqrt(float64(i)/100) * float64(time.Second)) }, FoundCold},
 	} {
 		f := newFeed("n0")
@@ -316,7 +316,7 @@
 	if r := Combine(nil); r.Total.Offered != 0 || len(r.Windows) != 0 {
 		t.Errorf("%+v", r)
 	}
-	if r := Combine([]*Part{newFeed("n0").done()}); len(r.Instances) != 1 || r.AtLeast {
+	if r := Combine([]*Part{newFeed("n0").done()}); len(r.Instances) != 1 || r.Incomplete {
 		t.Errorf("%+v", r)
 	}
 	far, near := newFeed("far"), newFeed("near")
@@ -326,7 +326,7 @@
 		near.call(fmt.Sprint(i), day+Time(i)*time.Second, "s", time.Millisecond)
 	}
 	r := Combine([]*Part{far.done(), near.done()})
-	if !r.Truncated || r.Width != firstWidth || r.Total.Offered != 4 {
+	if !r.Truncated || r.Width != initialBinWidth || r.Total.Offered != 4 {
 		t.Errorf("%+v", r)
 	}
 	f := newFeed("n0")
@@ -337,16 +337,16 @@
 		f.put(record.Record{Kind: record.KindServer, At: day, Server: fmt.Sprint("s", i), Code: uint8(record.Drains)})
 		f.ceiling(day, fmt.Sprint("s", i), 1)
 	}
-	for i := range mostStarts + 100 {
+	for i := range maxStarts + 100 {
 		f.restart()
 		f.put(record.Record{Kind: record.KindStart, At: day + Time(i)*time.Second})
 	}
 	p := f.done()
-	if classes := len(p.classes.by); classes > mostClasses+1 || len(p.servers.by) > mostServers+1 || len(p.Drains) > mostEvents || len(p.Pressures) > mostEvents ||
-		len(p.Starts) > mostStarts || len(p.Ends) > 257 || p.Merged != 101 || p.bins > mostAllBins || len(p.Gaps) > mostEvents {
-		t.Errorf("%d classes, %d servers, %d drains, %d starts, %d ends, %d bins", len(p.classes.by), len(p.servers.by), len(p.Drains), len(p.Starts), len(p.Ends), p.bins)
+	if classes := len(p.classes.byName); classes > maxClasses+1 || len(p.servers.byName) > maxServers+1 || len(p.Drains) > maxEvents || len(p.OverloadPeriods) > maxEvents ||
+		len(p.Starts) > maxStarts || len(p.AttemptEnds) > 257 || p.MergedStarts != 101 || p.binCount > maxBins || len(p.Gaps) > maxEvents {
+		t.Errorf("%d classes, %d servers, %d drains, %d starts, %d ends, %d bins", len(p.classes.byName), len(p.servers.byName), len(p.Drains), len(p.Starts), len(p.AttemptEnds), p.binCount)
 	}
-	if r := Combine([]*Part{p}); r.Total.Offered != 20000 || len(r.Findings) > mostFindings || r.Skipped == 0 {
+	if r := Combine([]*Part{p}); r.Total.Offered != 20000 || len(r.Findings) > maxFindings || r.OmittedEntries == 0 {
 		t.Errorf("%+v", r.Total.Counts)
 	}
 }
@@ -368,7 +368,7 @@
 		fleet.Add(f.done())
 	}
 	r := fleet.Report()
-	if len(r.Windows) > mostWindows || len(r.Instances) != 500 || r.Total.Offered != offered || r.Total.Stood() != offered {
+	if len(r.Windows) > maxWindows || len(r.Instances) != 500 || r.Total.Offered != offered || r.Total.Established() != offered {
 		t.Errorf("%d windows, %+v", len(r.Windows), r.Total.Counts)
 	}
 	sum := uint64(0)
--- a/internal/incident/part.go
+++ b/internal/incident/part.go
@@ -13,18 +13,18 @@
 
 // Bounds of a Part, whatever its records say.
 const (
-	mostClasses  = 64
-	mostServers  = 4096
-	mostOpen     = 1 << 18 // calls whose final answer is awaited
-	mostBins     = 512     // of one start
-	mostAllBins  = 8192    // of all starts together; at least two for each start
-	mostStarts   = 4096    // those that come after share one account
-	mostEvents   = 4096    // of each list: gaps, drains, cold starts, pressure
-	mostSlowest  = 20
-	mostUnanswer = 100
-	firstWidth   = time.Second
-	news         = 2 * time.Second  // BRIEF: nothing new goes to a server longer than this after news
-	patience     = 60 * time.Second // for an answer, where no class tells a deadline
+	maxClasses           = 64
+	maxServers           = 4096
+	maxOpenCalls         = 1 << 18 // calls whose final answer is awaited
+	maxBinsOfStart       = 512     // of one start
+	maxBins              = 8192    // of all starts together; at least two for each start
+	maxStarts            = 4096    // those that come after share one account
+	maxEvents            = 4096    // of each list: gaps, drains, cold starts, pressure
+	maxSlowest           = 20
+	maxUnanswered        = 100
+	initialBinWidth      = time.Second
+	drainGrace           = 2 * time.Second  // BRIEF: nothing new goes to a server longer than this after news
+	defaultAnswerTimeout = 60 * time.Second // for an answer, where no class tells a deadline
 )
 
 // A Ref names a record.
@@ -36,31 +36,31 @@
 
 // A Start is one run of an instance's program.
 type Start struct {
-	Boot     uint64
-	Program  string
-	From, To Time // of its records, by its own clock
-	Clean    bool // it ended in good order
-	Stopping Time // when SIGTERM came, 0: it did not
-	Offset   Offset
-	Steps    []Step
-	stepped  time.Duration // the system's clock against ours when last told
-	told     bool
-	series   series
-}
-
-// A Step is a jump of the system's clock, which the instance's own does not follow.
-type Step struct {
+	Boot            uint64
+	Program         string
+	From, To        Time // of its records, by its own clock
+	Clean           bool // it ended in good order
+	Stopping        Time // when SIGTERM came, 0: it did not
+	Offset          Offset
+	Steps           []ClockStep
+	wallClockOffset time.Duration // the system's clock against ours when last told
+	hasWallClock    bool
+	series          series
+}
+
+// A ClockStep is a jump of the system's clock, which the instance's own does not follow.
+type ClockStep struct {
 	At Time
 	By time.Duration
 }
 
 // A Gap is a range of records that are lost.
 type Gap struct {
-	From, To uint64 // 0: the number is not known
-	Cause    string
-	Since    Time // last that is known before it
-	Until    Time
-	start    int
+	From, To   uint64 // 0: the number is not known
+	Cause      string
+	Since      Time // last that is known before it
+	Until      Time
+	startIndex int
 }
 
 // A Drain is news that a server drains or is gone, with what the instance sent there after.
@@ -68,121 +68,121 @@
 	Server, Phase string
 	At            Time
 	Sent          uint64        // after the news
-	Past          uint64        // of these, more than 2 s after it
-	Last          time.Duration // the last, after the news
+	SentLate      uint64        // of these, more than 2 s after it
+	LastSend      time.Duration // the last, after the news
 	Ref           Ref
-	start         int
-}
-
-// A Cold is a server that had just started when the instance heard of it.
-type Cold struct {
-	Server  string
-	Pool    int
-	Started Time
-	Heard   Time
-	Sent    uint64    // until it was warm
-	Steps   [5]uint64 // of these, by fifths of the time it was cold
-	Warm    time.Duration
-	Ref     Ref
-	start   int
+	startIndex    int
+}
+
+// A ColdStart is a server that had just started when the instance heard of it.
+type ColdStart struct {
+	Server      string
+	Pool        int
+	Started     Time
+	NoticedAt   Time
+	Sent        uint64    // until it was warm
+	SentByFifth [5]uint64 // of these, by fifths of the time it was cold
+	Period      time.Duration
+	Ref         Ref
+	startIndex  int
 }
 
-// A Pressure is a time in which an instance held a server for slow.
-type Pressure struct {
-	Server   string
-	From, To Time // To 0: it was not over at the end of the records
-	Least    float64
-	Ref, End Ref
-	start    int
+// A OverloadPeriod is a time in which an instance held a server for slow.
+type OverloadPeriod struct {
+	Server     string
+	From, To   Time // To 0: it was not over at the end of the records
+	MinRate    float64
+	Ref, End   Ref
+	startIndex int
 }
 
-// A Slow is a call that took long to stand.
-type Slow struct {
+// A SlowSetup is a call that took long to stand.
+type SlowSetup struct {
 	Call, Class, Server string
 	At                  Time
-	Took                time.Duration
+	SetupTime           time.Duration
 	Attempts            int
 	Ref                 Ref
-	start               int
+	startIndex          int
 }
 
-// An Unanswered is a set-up without a final answer in the records.
-type Unanswered struct {
+// An UnansweredCall is a set-up without a final answer in the records.
+type UnansweredCall struct {
 	Call, Class string
 	At          Time
-	Why         string
+	Reason      string
 	Ref         Ref
-	start       int
+	startIndex  int
 }
 
 // Why a set-up has no final answer in the records.
 const (
-	WhyKilled = "the instance ended without a word"
-	WhyGap    = "records are lost behind it"
-	WhyEnd    = "the records end"
-	WhyNone   = "no answer though no record is lost"
+	ReasonKilled     = "the instance ended without a word"
+	ReasonGap        = "records are lost behind it"
+	ReasonRecordsEnd = "the records end"
+	ReasonUnknown    = "no answer though no record is lost"
 )
 
-// open is a call whose answer is awaited.
-type open struct {
-	class string
-	at    Time
-	seq   uint64
+// openCall is a call whose answer is awaited.
+type openCall struct {
+	class     string
+	offeredAt Time
+	seq       uint64
 }
 
 // A Part is what one store tells. Its zero value is not ready; use NewPart.
 type Part struct {
-	Instance   string
-	Store      uint64
-	Records    uint64
-	Lost       uint64 // numbers that are lost for sure
-	Vague      uint64 // losses of unknown size
-	Total      Tally
-	Starts     []Start
-	Gaps       []Gap
-	Drains     []Drain
-	Colds      []Cold
-	Pressures  []Pressure
-	Slowest    []Slow // the slowest first
-	Unanswered []Unanswered
-	NoAnswer   map[string]uint64 // how many, by why
-	NoSetUp    uint64            // answers to set-ups that are not in the records
-	Limits     map[string]uint64
-	Ends       map[string]uint64 // attempts by how they ended
-	Reasons    map[string]uint64 // orders that turned a call down, by the module's reason
-	Tallies    map[string]uint64 // the core's own counters, of all starts
-	Skipped    uint64            // list entries past a bound
-	Merged     uint64            // starts past the bound, which share the account of the last
-	Unfinished bool              // the last start has no orderly end: it runs, or was killed
+	Instance            string
+	Store               uint64
+	Records             uint64
+	Lost                uint64 // numbers that are lost for sure
+	UnknownLosses       uint64 // losses of unknown size
+	Total               Tally
+	Starts              []Start
+	Gaps                []Gap
+	Drains              []Drain
+	ColdStarts          []ColdStart
+	OverloadPeriods     []OverloadPeriod
+	Slowest             []SlowSetup // the slowest first
+	Unanswered          []UnansweredCall
+	NoAnswer            map[string]uint64 // how many, by why
+	AnswersWithoutSetup uint64            // answers to set-ups that are not in the records
+	Limits              map[string]uint64
+	AttemptEnds         map[string]uint64 // attempts by how they ended
+	Reasons             map[string]uint64 // orders that turned a call down, by the module's reason
+	Tallies             map[string]uint64 // the core's own counters, of all starts
+	OmittedEntries      uint64            // list entries past a bound
+	MergedStarts        uint64            // starts past the bound, which share the account of the last
+	Unfinished          bool              // the last start has no orderly end: it runs, or was killed
 
 	From, To Time // calls are counted within these by the instance's clock; 0: no bound
 
-	classes  tallies
-	servers  tallies
-	width    time.Duration
-	bins     int
-	aims     map[string]time.Duration
-	deadline time.Duration
-	warm     time.Duration
-	open     map[string]open
-	queue    []string // open calls in the order they came
-	lost     Time     // the last gap ended
-	drains   map[string]int
-	colds    map[string]int
-	pressed  map[string]int
-	counted  map[string]uint64 // the core's counters in this start
+	classes         boundedTallies
+	servers         boundedTallies
+	binWidth        time.Duration
+	binCount        int
+	objectives      map[string]time.Duration
+	longestDeadline time.Duration
+	slowStartPeriod time.Duration
+	open            map[string]openCall
+	openOrder       []string // open calls in the order they came
+	lastGapEnd      Time     // the last gap ended
+	openDrains      map[string]int
+	openColdStarts  map[string]int
+	openOverloads   map[string]int
+	lastCounters    map[string]uint64 // the core's counters in this start
 }
 
 // NewPart begins the account of one store.
 func NewPart() *Part {
-	return &Part{classes: tallies{most: mostClasses}, servers: tallies{most: mostServers}, width: firstWidth, warm: time.Second,
-		aims: make(map[string]time.Duration), open: make(map[string]open), NoAnswer: make(map[string]uint64), Limits: make(map[string]uint64),
-		Ends: make(map[string]uint64), Reasons: make(map[string]uint64), Tallies: make(map[string]uint64),
-		drains: make(map[string]int), colds: make(map[string]int), pressed: make(map[string]int), counted: make(map[string]uint64)}
+	return &Part{classes: boundedTallies{maxNames: maxClasses}, servers: boundedTallies{maxNames: maxServers}, binWidth: initialBinWidth, slowStartPeriod: time.Second,
+		objectives: make(map[string]time.Duration), open: make(map[string]openCall), NoAnswer: make(map[string]uint64), Limits: make(map[string]uint64),
+		AttemptEnds: make(map[string]uint64), Reasons: make(map[string]uint64), Tallies: make(map[string]uint64),
+		openDrains: make(map[string]int), openColdStarts: make(map[string]int), openOverloads: make(map[string]int), lastCounters: make(map[string]uint64)}
 }
 
-// bump counts under a name, so many at the most.
-func bump(m map[string]uint64, name string, n uint64) {
+// addBounded counts under a name, so many at the most.
+func addBounded(m map[string]uint64, name string, n uint64) {
 	if _, ok := m[name]; !ok && len(m) >= 256 {
 		name = Other
 	}
@@ -196,61 +196,61 @@
 	}
 	p.Records++
 	if len(p.Starts) == 0 || p.Starts[len(p.Starts)-1].Boot != h.Boot {
-		p.begin(h, r)
+		p.beginStart(h, r)
 	}
 	s := &p.Starts[len(p.Starts)-1]
 	s.To = max(s.To, r.At)
 	ref := Ref{p.Instance, fmt.Sprintf("%016x", h.Boot), r.Seq}
-	if !p.counts(r) {
+	if !p.isCounted(r) {
 		return
 	}
 	if r.Kind != record.KindGap {
-		p.bin(r.At) // it was alive then, whether it had calls or not
+		p.currentBin(r.At) // it was alive then, whether it had calls or not
 	}
 	switch r.Kind {
 	case record.KindGap:
 		p.Records-- // it stands for others
-		p.gap(Gap{From: r.From, To: r.Seq, Cause: record.GapCause(r.Code).String(), Since: r.Since, Until: r.At})
+		p.addGap(Gap{From: r.From, To: r.Seq, Cause: record.GapCause(r.Code).String(), Since: r.Since, Until: r.At})
 		p.Lost += r.Lost()
 	case record.KindStart:
-		p.started(r)
+		p.noteStart(r)
 	case record.KindStopping:
 		s.Stopping = r.At
 	case record.KindEnd:
 		s.Clean = true
 	case record.KindSetUp:
-		p.setUp(r)
+		p.addSetup(r)
 	case record.KindOrder:
 		if m := record.Move(r.Code); r.Text != "" && m != record.Try && m != record.Hold {
-			bump(p.Reasons, r.Text, 1)
+			addBounded(p.Reasons, r.Text, 1)
 		}
 	case record.KindTry:
-		p.try(r)
+		p.addAttempt(r)
 	case record.KindTryEnd:
-		bump(p.Ends, r.End, 1)
+		addBounded(p.AttemptEnds, r.End, 1)
 	case record.KindAnswer:
-		p.answer(r, ref)
+		p.addAnswer(r, ref)
 	case record.KindRelease:
-		p.release(r)
+		p.addRelease(r)
 	case record.KindServer:
-		p.server(r, ref)
+		p.addServerUpdate(r, ref)
 	case record.KindCeiling:
-		p.ceiling(r, ref)
+		p.addRateLimit(r, ref)
 	case record.KindConfig:
-		p.config(r)
+		p.addConfig(r)
 	case record.KindLimit:
-		bump(p.Limits, r.By, r.Count)
+		addBounded(p.Limits, r.By, r.Count)
 	case record.KindClock:
-		p.clock(s, r)
+		p.addClockReading(s, r)
 	case record.KindTally:
-		p.tally(r)
+		p.addCounter(r)
 	}
-	p.sweep(r.At)
+	p.expireOpenCalls(r.At)
 }
 
-// counts tells whether a record counts: outside of From and To only what tells of the state of
+// isCounted tells whether a record isCounted: outside of From and To only what tells of the state of
 // things does.
-func (p *Part) counts(r *record.Record) bool {
+func (p *Part) isCounted(r *record.Record) bool {
 	if (p.From == 0 || r.At >= p.From) && (p.To == 0 || r.At <= p.To) {
 		return true
 	}
@@ -261,219 +261,219 @@
 	return true
 }
 
-// begin opens the account of another start.
-func (p *Part) begin(h *record.Header, r *record.Record) {
+// beginStart opens the account of another start.
+func (p *Part) beginStart(h *record.Header, r *record.Record) {
 	if n := len(p.Starts); n > 0 {
-		p.close(n - 1)
-		if n >= mostStarts { // a program that crashes in a loop
+		p.endStart(n - 1)
+		if n >= maxStarts { // a program that crashes in a loop
 			s := &p.Starts[n-1]
-			s.Boot, s.Clean, s.Stopping, s.Offset, s.told = h.Boot, false, 0, Offset{}, false
-			p.Merged++
+			s.Boot, s.Clean, s.Stopping, s.Offset, s.hasWallClock = h.Boot, false, 0, Offset{}, false
+			p.MergedStarts++
 			return
 		}
 	}
 	p.Starts = append(p.Starts, Start{Boot: h.Boot, Program: h.Program, From: r.At, To: r.At})
 }
 
-// close ends the account of a start that another follows: what it did not answer it never will.
-func (p *Part) close(n int) {
+// endStart ends the account of a start that another follows: what it did not answer it never will.
+func (p *Part) endStart(n int) {
 	s := &p.Starts[n]
-	why := WhyKilled
+	why := ReasonKilled
 	if s.Clean {
-		why = WhyNone
+		why = ReasonUnknown
 	}
-	p.unanswered(why)
-	p.ended(s.To)
+	p.giveUpOpenCalls(why)
+	p.closeOngoing(s.To)
 	if !s.Clean {
 		// What was still on its way to the disk is gone, and nobody knows how much that was.
-		p.Vague++
-		p.gap(Gap{Cause: "killed", Since: s.To, Until: s.To})
+		p.UnknownLosses++
+		p.addGap(Gap{Cause: "killed", Since: s.To, Until: s.To})
 	}
 }
 
-// ended closes what a start held for true.
-func (p *Part) ended(at Time) {
-	for _, i := range p.pressed {
-		if p.Pressures[i].To == 0 {
-			p.Pressures[i].To = at
+// closeOngoing closes what a start held for true.
+func (p *Part) closeOngoing(at Time) {
+	for _, i := range p.openOverloads {
+		if p.OverloadPeriods[i].To == 0 {
+			p.OverloadPeriods[i].To = at
 		}
 	}
-	clear(p.pressed)
-	clear(p.drains)
-	clear(p.colds)
-	clear(p.counted)
+	clear(p.openOverloads)
+	clear(p.openDrains)
+	clear(p.openColdStarts)
+	clear(p.lastCounters)
 }
 
 // Close ends the account; the Part is ready for Combine.
 func (p *Part) Close() {
 	p.Unfinished = len(p.Starts) > 0 && !p.Starts[len(p.Starts)-1].Clean
 	if n := len(p.Starts); n > 0 {
-		why := WhyEnd
+		why := ReasonRecordsEnd
 		if p.Starts[n-1].Clean {
-			why = WhyNone
+			why = ReasonUnknown
 		}
-		p.unanswered(why)
+		p.giveUpOpenCalls(why)
 	}
 }
 
-func (p *Part) started(r *record.Record) {
+func (p *Part) noteStart(r *record.Record) {
 	if n := len(p.Starts); n < 2 && !r.Flag {
 		// The start before this one is not in the records, but it did not end in good order.
-		p.Vague++
+		p.UnknownLosses++
 	}
 }
 
-// unanswered ends the wait for all open calls.
-func (p *Part) unanswered(why string) {
-	for _, id := range p.queue {
+// giveUpOpenCalls ends the wait for all open calls.
+func (p *Part) giveUpOpenCalls(why string) {
+	for _, id := range p.openOrder {
 		if o, ok := p.open[id]; ok {
-			p.noAnswer(id, o, why)
+			p.recordUnanswered(id, o, why)
 		}
 	}
 	clear(p.open)
-	p.queue = p.queue[:0]
+	p.openOrder = p.openOrder[:0]
 }
 
-func (p *Part) noAnswer(id string, o open, why string) {
-	if p.lost >= o.at {
-		why = WhyGap
+func (p *Part) recordUnanswered(id string, o openCall, why string) {
+	if p.lastGapEnd >= o.offeredAt {
+		why = ReasonGap
 	}
 	p.NoAnswer[why]++
-	if len(p.Unanswered) >= mostUnanswer {
-		p.Skipped++
+	if len(p.Unanswered) >= maxUnanswered {
+		p.OmittedEntries++
 		return
 	}
 	s := len(p.Starts) - 1
-	p.Unanswered = append(p.Unanswered, Unanswered{Call: id, Class: o.class, At: o.at, Why: why,
-		Ref: Ref{p.Instance, fmt.Sprintf("%016x", p.Starts[s].Boot), o.seq}, start: s})
+	p.Unanswered = append(p.Unanswered, UnansweredCall{Call: id, Class: o.class, At: o.offeredAt, Reason: why,
+		Ref: Ref{p.Instance, fmt.Sprintf("%016x", p.Starts[s].Boot), o.seq}, startIndex: s})
 }
 
-// sweep ends the wait for calls that are open for longer than any may be.
-func (p *Part) sweep(now Time) {
-	limit := patience
-	if p.deadline > 0 {
-		limit = 2*p.deadline + time.Second
+// expireOpenCalls ends the wait for calls that are open for longer than any may be.
+func (p *Part) expireOpenCalls(now Time) {
+	limit := defaultAnswerTimeout
+	if p.longestDeadline > 0 {
+		limit = 2*p.longestDeadline + time.Second
 	}
-	for len(p.queue) > 0 {
-		id := p.queue[0]
+	for len(p.openOrder) > 0 {
+		id := p.openOrder[0]
 		o, ok := p.open[id]
-		if ok && now-o.at < limit && len(p.open) < mostOpen {
+		if ok && now-o.offeredAt < limit && len(p.open) < maxOpenCalls {
 			return
 		}
-		p.queue = p.queue[1:]
+		p.openOrder = p.openOrder[1:]
 		if ok {
 			delete(p.open, id)
-			p.noAnswer(id, o, WhyNone)
+			p.recordUnanswered(id, o, ReasonUnknown)
 		}
 	}
 }
 
-// bin finds the bin of a time in the start at hand; all bins become wider when they are too
+// currentBin finds the currentBin of a time in the start at hand; all bins become wider when they are too
 // many.
-func (p *Part) bin(at Time) *bin { return p.binOf(len(p.Starts)-1, at) }
+func (p *Part) currentBin(at Time) *bin { return p.binOfStart(len(p.Starts)-1, at) }
 
-func (p *Part) binOf(start int, at Time) *bin {
+func (p *Part) binOfStart(start int, at Time) *bin {
 	for {
 		s := &p.Starts[start].series
 		before := len(s.bins)
-		b := s.at(floorDiv(int64(at), int64(p.width)), mostBins)
-		if p.bins += len(s.bins) - before; b != nil && p.bins <= mostAllBins {
+		b := s.get(floorDiv(int64(at), int64(p.binWidth)), maxBinsOfStart)
+		if p.binCount += len(s.bins) - before; b != nil && p.binCount <= maxBins {
 			return b
 		}
-		p.widen()
+		p.widenBins()
 	}
 }
 
-func (p *Part) widen() {
-	p.width *= 2
-	p.bins = 0
+func (p *Part) widenBins() {
+	p.binWidth *= 2
+	p.binCount = 0
 	for i := range p.Starts {
 		p.Starts[i].series.fold()
-		p.bins += len(p.Starts[i].series.bins)
+		p.binCount += len(p.Starts[i].series.bins)
 	}
 }
 
-func (p *Part) gap(g Gap) {
-	g.start = len(p.Starts) - 1
-	p.lost = g.Until
-	if g.start > 0 && g.Since < p.Starts[g.start].From { // it began in the start before
-		before := &p.Starts[g.start-1]
-		p.binOf(g.start-1, before.To).gap = true
+func (p *Part) addGap(g Gap) {
+	g.startIndex = len(p.Starts) - 1
+	p.lastGapEnd = g.Until
+	if g.startIndex > 0 && g.Since < p.Starts[g.startIndex].From { // it began in the start before
+		before := &p.Starts[g.startIndex-1]
+		p.binOfStart(g.startIndex-1, before.To).hasGap = true
 	}
-	for at := max(g.Since, p.Starts[g.start].From); ; at += p.width {
-		if p.bin(min(at, g.Until)).gap = true; at >= g.Until {
+	for at := max(g.Since, p.Starts[g.startIndex].From); ; at += p.binWidth {
+		if p.currentBin(min(at, g.Until)).hasGap = true; at >= g.Until {
 			break
 		}
 	}
-	if len(p.Gaps) >= mostEvents {
-		p.Skipped++
+	if len(p.Gaps) >= maxEvents {
+		p.OmittedEntries++
 		return
 	}
 	p.Gaps = append(p.Gaps, g)
 }
 
-func (p *Part) setUp(r *record.Record) {
+func (p *Part) addSetup(r *record.Record) {
 	p.Total.Offered++
-	p.classes.of(r.Class).Offered++
-	p.bin(r.At).Offered++
+	p.classes.get(r.Class).Offered++
+	p.currentBin(r.At).Offered++
 	if _, ok := p.open[r.Call]; !ok {
-		p.queue = append(p.queue, r.Call)
+		p.openOrder = append(p.openOrder, r.Call)
 	}
-	p.open[r.Call] = open{class: r.Class, at: r.At, seq: r.Seq}
+	p.open[r.Call] = openCall{class: r.Class, offeredAt: r.At, seq: r.Seq}
 }
 
-func (p *Part) try(r *record.Record) {
-	b, k := p.bin(r.At), p.servers.of(r.Server)
+func (p *Part) addAttempt(r *record.Record) {
+	b, k := p.currentBin(r.At), p.servers.get(r.Server)
 	retried := uint64(0)
 	if r.Attempt > 0 {
 		retried = 1
 	}
-	name := Unseen
+	name := UnknownClass
 	if o, ok := p.open[r.Call]; ok {
 		name = o.class
 	}
-	class := p.classes.of(name)
+	class := p.classes.get(name)
 	for _, c := range [...]*Counts{&p.Total.Counts, &class.Counts, &k.Counts, &b.Counts} {
-		c.Tries++
-		c.Retried += retried
+		c.Attempts++
+		c.Retries += retried
 	}
-	if i, ok := p.drains[r.Server]; ok {
+	if i, ok := p.openDrains[r.Server]; ok {
 		d := &p.Drains[i]
 		d.Sent++
-		if d.Last = max(d.Last, r.At-d.At); r.At-d.At > news {
-			d.Past++
+		if d.LastSend = max(d.LastSend, r.At-d.At); r.At-d.At > drainGrace {
+			d.SentLate++
 		}
 	}
-	if i, ok := p.colds[r.Server]; ok {
-		c := &p.Colds[i]
-		if age := r.At - c.Started; age < c.Warm {
+	if i, ok := p.openColdStarts[r.Server]; ok {
+		c := &p.ColdStarts[i]
+		if age := r.At - c.Started; age < c.Period {
 			c.Sent++
-			c.Steps[min(max(int(5*age/c.Warm), 0), 4)]++
+			c.SentByFifth[min(max(int(5*age/c.Period), 0), 4)]++
 		} else {
-			delete(p.colds, r.Server)
+			delete(p.openColdStarts, r.Server)
 		}
 	}
 }
 
-// Unseen is the class of attempts and answers whose set-up is not in the records.
-const Unseen = "(set-up not recorded)"
+// UnknownClass is the class of attempts and answers whose set-up is not in the records.
+const UnknownClass = "(set-up not recorded)"
 
-func (p *Part) answer(r *record.Record, ref Ref) {
+func (p *Part) addAnswer(r *record.Record, ref Ref) {
 	o, known := p.open[r.Call]
 	if !known {
-		p.NoSetUp++
+		p.AnswersWithoutSetup++
 	} else {
 		delete(p.open, r.Call)
 	}
 	outcome := min(int(r.Code), record.Outcomes-1)
-	b, class := p.bin(r.At), p.classes.of(r.Class)
+	b, class := p.currentBin(r.At), p.classes.get(r.Class)
 	counts := [4]*Counts{&p.Total.Counts, &class.Counts, &b.Counts}
 	n := 3
 	if outcome == int(record.Stood) && r.Server != "" {
-		counts[n] = &p.servers.of(r.Server).Counts
+		counts[n] = &p.servers.get(r.Server).Counts
 		n++
 	}
-	aim, wanted := p.aims[r.Class]
+	aim, wanted := p.objectives[r.Class]
 	late := outcome == int(record.Stood) && wanted && r.Took > aim
 	for _, c := range counts[:n] {
 		c.Outcomes[outcome]++
@@ -484,29 +484,29 @@
 	if outcome != int(record.Stood) {
 		return
 	}
-	p.Total.stood(r.Took)
-	class.stood(r.Took)
-	p.servers.of(r.Server).stood(r.Took)
-	b.took += r.Took
-	b.most = max(b.most, r.Took)
-	if n := len(p.Slowest); n < mostSlowest || r.Took > p.Slowest[n-1].Took {
+	p.Total.recordSetupTime(r.Took)
+	class.recordSetupTime(r.Took)
+	p.servers.get(r.Server).recordSetupTime(r.Took)
+	b.setupTimeSum += r.Took
+	b.maxSetupTime = max(b.maxSetupTime, r.Took)
+	if n := len(p.Slowest); n < maxSlowest || r.Took > p.Slowest[n-1].SetupTime {
 		at := r.At - r.Took
 		if known {
-			at = o.at
+			at = o.offeredAt
 		}
-		s := Slow{Call: r.Call, Class: r.Class, Server: r.Server, At: at, Took: r.Took, Attempts: r.Attempt, Ref: ref, start: len(p.Starts) - 1}
-		i, _ := slices.BinarySearchFunc(p.Slowest, s, slower)
+		s := SlowSetup{Call: r.Call, Class: r.Class, Server: r.Server, At: at, SetupTime: r.Took, Attempts: r.Attempt, Ref: ref, startIndex: len(p.Starts) - 1}
+		i, _ := slices.BinarySearchFunc(p.Slowest, s, compareSlowest)
 		p.Slowest = slices.Insert(p.Slowest, i, s)
-		p.Slowest = p.Slowest[:min(len(p.Slowest), mostSlowest)]
+		p.Slowest = p.Slowest[:min(len(p.Slowest), maxSlowest)]
 	}
 }
 
-// slower sorts the slowest first, and those that took as long by their place.
-func slower(a, b Slow) int {
+// compareSlowest sorts the slowest first, and those that took as long by their place.
+func compareSlowest(a, b SlowSetup) int {
 	switch {
-	case a.Took > b.Took:
+	case a.SetupTime > b.SetupTime:
 		return -1
-	case a.Took < b.Took:
+	case a.SetupTime < b.SetupTime:
 		return 1
 	case a.At != b.At:
 		return int(min(max(a.At-b.At, -1), 1))
@@ -514,88 +514,88 @@
 	return strings.Compare(a.Ref.Instance+a.Call, b.Ref.Instance+b.Call)
 }
 
-func (p *Part) release(r *record.Record) {
+func (p *Part) addRelease(r *record.Record) {
 	cut := uint64(0)
 	if r.End == "cut" || r.End == "exchange_lost" {
 		cut = 1
 	}
-	for _, c := range [...]*Counts{&p.Total.Counts, &p.classes.of(r.Class).Counts, &p.servers.of(r.Server).Counts, &p.bin(r.At).Counts} {
+	for _, c := range [...]*Counts{&p.Total.Counts, &p.classes.get(r.Class).Counts, &p.servers.get(r.Server).Counts, &p.currentBin(r.At).Counts} {
 		c.Released++
-		c.Cut += cut
+		c.Dropped += cut
 	}
 }
 
-func (p *Part) server(r *record.Record, ref Ref) {
+func (p *Part) addServerUpdate(r *record.Record, ref Ref) {
 	start := len(p.Starts) - 1
 	if record.Phase(r.Code) == record.Listed {
-		delete(p.drains, r.Server)
-		if _, there := p.colds[r.Server]; r.Flag && !there {
-			if len(p.Colds) >= mostEvents {
-				p.Skipped++
+		delete(p.openDrains, r.Server)
+		if _, there := p.openColdStarts[r.Server]; r.Flag && !there {
+			if len(p.ColdStarts) >= maxEvents {
+				p.OmittedEntries++
 				return
 			}
-			p.colds[r.Server] = len(p.Colds)
-			p.Colds = append(p.Colds, Cold{Server: r.Server, Pool: r.Pool, Started: r.Since, Heard: r.At, Warm: p.warm, Ref: ref, start: start})
+			p.openColdStarts[r.Server] = len(p.ColdStarts)
+			p.ColdStarts = append(p.ColdStarts, ColdStart{Server: r.Server, Pool: r.Pool, Started: r.Since, NoticedAt: r.At, Period: p.slowStartPeriod, Ref: ref, startIndex: start})
 		}
 		return
 	}
-	if i, ok := p.drains[r.Server]; ok {
+	if i, ok := p.openDrains[r.Server]; ok {
 		p.Drains[i].Phase = record.Phase(r.Code).String() // the news began with the first
 		return
 	}
-	if len(p.Drains) >= mostEvents {
-		p.Skipped++
+	if len(p.Drains) >= maxEvents {
+		p.OmittedEntries++
 		return
 	}
-	p.drains[r.Server] = len(p.Drains)
-	p.Drains = append(p.Drains, Drain{Server: r.Server, Phase: record.Phase(r.Code).String(), At: r.At, Ref: ref, start: start})
+	p.openDrains[r.Server] = len(p.Drains)
+	p.Drains = append(p.Drains, Drain{Server: r.Server, Phase: record.Phase(r.Code).String(), At: r.At, Ref: ref, startIndex: start})
 }
 
-func (p *Part) ceiling(r *record.Record, ref Ref) {
-	i, on := p.pressed[r.Server]
+func (p *Part) addRateLimit(r *record.Record, ref Ref) {
+	i, on := p.openOverloads[r.Server]
 	switch none := math.IsInf(r.Value, 1); {
 	case none && on:
-		p.Pressures[i].To, p.Pressures[i].End = r.At, ref
-		delete(p.pressed, r.Server)
+		p.OverloadPeriods[i].To, p.OverloadPeriods[i].End = r.At, ref
+		delete(p.openOverloads, r.Server)
 	case none:
 	case on:
-		p.Pressures[i].Least = min(p.Pressures[i].Least, r.Value)
-	case len(p.Pressures) >= mostEvents:
-		p.Skipped++
+		p.OverloadPeriods[i].MinRate = min(p.OverloadPeriods[i].MinRate, r.Value)
+	case len(p.OverloadPeriods) >= maxEvents:
+		p.OmittedEntries++
 	default:
-		p.pressed[r.Server] = len(p.Pressures)
-		p.Pressures = append(p.Pressures, Pressure{Server: r.Server, From: r.At, Least: r.Value, Ref: ref, start: len(p.Starts) - 1})
+		p.openOverloads[r.Server] = len(p.OverloadPeriods)
+		p.OverloadPeriods = append(p.OverloadPeriods, OverloadPeriod{Server: r.Server, From: r.At, MinRate: r.Value, Ref: ref, startIndex: len(p.Starts) - 1})
 	}
 }
 
-func (p *Part) config(r *record.Record) {
+func (p *Part) addConfig(r *record.Record) {
 	switch {
-	case r.By == "class" && len(p.aims) < mostClasses:
-		p.aims[r.Class] = r.Wait
-		p.deadline = max(p.deadline, r.Took)
+	case r.By == "class" && len(p.objectives) < maxClasses:
+		p.objectives[r.Class] = r.Wait
+		p.longestDeadline = max(p.longestDeadline, r.Took)
 	case r.By == "cold" && r.Wait > 0:
-		p.warm = r.Wait
+		p.slowStartPeriod = r.Wait
 	}
 }
 
-func (p *Part) clock(s *Start, r *record.Record) {
+func (p *Part) addClockReading(s *Start, r *record.Record) {
 	if r.By != "" {
-		s.Offset.exchanged(r.By, r.T)
+		s.Offset.addExchange(r.By, r.T)
 		return
 	}
 	ahead := time.Duration(r.T[0] - r.T[1])
-	if by := ahead - s.stepped; s.told && len(s.Steps) < mostEvents {
-		s.Steps = append(s.Steps, Step{At: r.At, By: by})
+	if by := ahead - s.wallClockOffset; s.hasWallClock && len(s.Steps) < maxEvents {
+		s.Steps = append(s.Steps, ClockStep{At: r.At, By: by})
 	}
-	s.stepped, s.told = ahead, true
+	s.wallClockOffset, s.hasWallClock = ahead, true
 }
 
-// tally sums the core's counters over starts; within one they only grow.
-func (p *Part) tally(r *record.Record) {
-	old := p.counted[r.By]
-	p.counted[r.By] = r.Count
-	bump(p.Tallies, r.By, r.Count-min(old, r.Count))
+// addCounter sums the core's counters over starts; within one they only grow.
+func (p *Part) addCounter(r *record.Record) {
+	old := p.lastCounters[r.By]
+	p.lastCounters[r.By] = r.Count
+	addBounded(p.Tallies, r.By, r.Count-min(old, r.Count))
 }
 
-// sorted are the keys of a map in order.
-func sorted[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
+// sortedKeys are the keys of a map in order.
+func sortedKeys[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
--- a/internal/report/html.go
+++ b/internal/report/html.go
@@ -1,13 +1,13 @@
 package report
 
 import (
+	"cmp"
 	_ "embed" // the page
 	"fmt"
 	"html/template"
 	"io"
 	"maps"
 	"slices"
-	"strconv"
 	"strings"
 	"time"
 
@@ -19,82 +19,54 @@
 var pageText string
 
 var page = template.Must(template.New("page").Funcs(template.FuncMap{
-	"text": record.Printable, "count": grouped, "ms": milli, "stamp": stamp, "clock": clock, "pairs": pairs,
+	"text":  record.Printable,
+	"count": formatCount,
+	"ms":    formatMilliseconds,
+	"stamp": stamp,
+	"clock": formatMoment,
+	"pairs": sortedCounts,
 }).Parse(pageText))
 
-// grouped writes a number with thin gaps between thousands.
-func grouped(n uint64) string {
-	s := strconv.FormatUint(n, 10)
-	for i := len(s) - 3; i > 0; i -= 3 {
-		s = s[:i] + "\u202f" + s[i:]
-	}
-	return s
-}
-
-// milli writes a duration in milliseconds, or seconds where it is long.
-func milli(d time.Duration) string {
-	switch {
-	case d == 0:
-		return "–"
-	case d >= 10*time.Second:
-		return fmt.Sprintf("%.1f s", d.Seconds())
-	case d < 10*time.Millisecond:
-		return fmt.Sprintf("%.1f ms", ms(d))
-	}
-	return fmt.Sprintf("%.0f ms", ms(d))
+// pageData is what page.html shows.
+type pageData struct {
+	*Result
+	Made      string
+	Span      string
+	Plots     pagePlots
+	Sum       Row
+	ByClass   []Row
+	ByServer  []Row
+	ByInst    []instanceRow
+	Found     []findingRow
+	Bad       int // findings that are faults
+	GapRows   []string
+	Compared  int // instances whose clocks were compared with the reference
+	WidthText string
+	Answered  uint64
 }
 
-// clock writes a moment with how sure it is.
-func clock(m incident.Moment) string {
-	s := record.Unix(m.Mid()).Format("01-02 15:04:05.000")
-	if half := (m.Hi - m.Lo) / 2; half >= time.Millisecond {
-		s += " ±" + milli(half)
-	}
-	return s
-}
-
-// A pair is a name with its count.
-type pair struct {
-	Name string
-	N    uint64
-}
-
-// pairs sorts counts, the most first.
-func pairs(m map[string]uint64) []pair {
-	var all []pair
-	for _, name := range slices.Sorted(maps.Keys(m)) {
-		if m[name] > 0 {
-			all = append(all, pair{name, m[name]})
-		}
-	}
-	slices.SortStableFunc(all, func(a, b pair) int {
-		switch {
-		case a.N > b.N:
-			return -1
-		case a.N < b.N:
-			return 1
-		}
-		return 0
-	})
-	return all
+// pagePlots are the plots as SVG elements; empty if there is nothing to plot.
+type pagePlots struct {
+	Calls, Delays, Servers template.HTML
 }
 
 // A Row is one line of a table of counts.
 type Row struct {
-	Name                                                                       string
-	Note                                                                       string // "at least"
-	Offered, Stood, Late, Refused, Failed, GivenUp, Other, Cut, Tries, Retried uint64
-	P50, P95, P99                                                              time.Duration
-}
-
-func rowOf(name string, t *incident.Tally, atLeast bool) Row {
-	r := Row{Name: name, Offered: t.Offered, Stood: t.Stood(), Late: t.Late, Refused: t.TurnedAway(), Failed: t.Of(record.Failed), GivenUp: t.Of(record.GivenUp),
-		Other: t.Of(record.Reused) + t.Of(record.Impossible) + t.Of(record.Barred), Cut: t.Cut, Tries: t.Tries, Retried: t.Retried,
-		P50: t.Percentile(50), P95: t.Percentile(95), P99: t.Percentile(99)}
-	if atLeast {
-		r.Note = "at least"
-	}
-	return r
+	Name    string
+	Note    string // "at least" if records are lost
+	Offered uint64
+	Stood   uint64
+	Late    uint64
+	Refused uint64
+	Failed  uint64
+	GivenUp uint64
+	Other   uint64
+	Cut     uint64
+	Tries   uint64
+	Retried uint64
+	P50     time.Duration
+	P95     time.Duration
+	P99     time.Duration
 }
 
 // An instanceRow is one line of the table of instances.
@@ -109,8 +81,8 @@
 	End     string
 }
 
-// A foundRow is one line of the table of findings.
-type foundRow struct {
+// A findingRow is one line of the table of findings.
+type findingRow struct {
 	N          int
 	Kind       string
 	Who        string
@@ -123,124 +95,186 @@
 	Incomplete bool
 }
 
-// WriteHTML writes the account as one file that needs nothing else. All that comes from
-// records is escaped by html/template and by the drawing of plots.
+// WriteHTML writes the report as one HTML file that needs no other file. Texts that come from records are escaped
+// by html/template and by the drawing of plots. It fails if w does, or if a plot cannot be drawn.
 func (r *Result) WriteHTML(w io.Writer, made time.Time) error {
-	type plots struct{ Calls, Delays, Servers template.HTML }
-	v := struct {
-		*Result
-		Made      string
-		Span      string
-		Plots     plots
-		Sum       Row
-		ByClass   []Row
-		ByServer  []Row
-		ByInst    []instanceRow
-		Found     []foundRow
-		Bad       int
-		GapRows   []string
-		Compared  int
-		WidthText string
-		Answered  uint64
-	}{Result: r, Made: made.UTC().Format("2006-01-02 15:04:05 UTC"), Sum: rowOf("all", &r.Total, r.AtLeast), Answered: r.Total.Answered(), WidthText: r.Width.String()}
-	if len(r.Windows) > 0 {
-		v.Span = (r.To - r.From).Round(time.Millisecond).String()
-		var err error
-		if v.Plots.Calls, err = r.calls(); err != nil {
-			return err
-		}
-		if v.Plots.Delays, err = r.delays(); err != nil {
-			return err
-		}
-		if v.Plots.Servers, err = r.servers(); err != nil {
-			return err
-		}
-	}
-	for _, c := range r.Classes {
-		v.ByClass = append(v.ByClass, rowOf(c.Name, c.Tally, r.AtLeast))
-	}
-	for _, s := range r.Servers {
-		v.ByServer = append(v.ByServer, rowOf(s.Name, s.Tally, r.AtLeast))
+	data := pageData{
+		Result:    r,
+		Made:      made.UTC().Format("2006-01-02 15:04:05 UTC"),
+		Sum:       newRow("all", &r.Total, r.Incomplete),
+		ByClass:   r.newRows(r.Classes),
+		ByServer:  r.newRows(r.Servers),
+		GapRows:   formatGaps(r.Gaps),
+		WidthText: r.Width.String(),
+		Answered:  r.Total.Answered(),
 	}
 	for _, i := range r.Instances {
-		v.ByInst = append(v.ByInst, instanceOf(i))
-		if offset(i) != "" {
-			v.Compared++
+		data.ByInst = append(data.ByInst, newInstanceRow(i))
+		if formatOffset(i) != "" {
+			data.Compared++
 		}
 	}
 	for n, f := range r.Findings {
-		v.Found = append(v.Found, foundOf(n+1, f))
-		if f.Bad {
-			v.Bad++
+		data.Found = append(data.Found, newFindingRow(n+1, f))
+		if f.IsFault {
+			data.Bad++
 		}
 	}
-	for _, g := range r.Gaps {
-		what := "an unknown number of records"
-		if g.From > 0 {
-			what = fmt.Sprintf("%s records, %d to %d", grouped(g.To-g.From+1), g.From, g.To)
+	if len(r.Windows) > 0 {
+		data.Span = (r.To - r.From).Round(time.Millisecond).String()
+		plots, err := r.drawPlots()
+		if err != nil {
+			return err
 		}
-		v.GapRows = append(v.GapRows, fmt.Sprintf("%s: %s (%s), between %s and %s", record.Printable(g.Instance), what, g.Cause, clock(g.Begin), clock(g.End)))
+		data.Plots = plots
 	}
-	if err := page.Execute(w, v); err != nil {
+	if err := page.Execute(w, data); err != nil {
 		return fmt.Errorf("report: %w", err)
 	}
 	return nil
 }
 
-func instanceOf(i incident.Instance) instanceRow {
-	x := instanceRow{Row: rowOf(i.Name, i.Total, i.AtLeast), Starts: len(i.Starts), Records: i.Records, Lost: i.Lost, Ahead: "not compared", End: "in good order"}
+// drawPlots draws all plots of the page.
+func (r *Result) drawPlots() (plots pagePlots, err error) {
+	if plots.Calls, err = r.drawCalls(); err != nil {
+		return plots, err
+	}
+	if plots.Delays, err = r.drawSetupTimes(); err != nil {
+		return plots, err
+	}
+	plots.Servers, err = r.drawServers()
+	return plots, err
+}
+
+func newRow(name string, t *incident.Tally, incomplete bool) Row {
+	row := Row{
+		Name:    name,
+		Offered: t.Offered,
+		Stood:   t.Established(),
+		Late:    t.Late,
+		Refused: t.Rejected(),
+		Failed:  t.Outcome(record.Failed),
+		GivenUp: t.Outcome(record.GivenUp),
+		Other:   t.Outcome(record.Reused) + t.Outcome(record.Impossible) + t.Outcome(record.Barred),
+		Cut:     t.Dropped,
+		Tries:   t.Attempts,
+		Retried: t.Retries,
+		P50:     t.Percentile(50),
+		P95:     t.Percentile(95),
+		P99:     t.Percentile(99),
+	}
+	if incomplete {
+		row.Note = "at least"
+	}
+	return row
+}
+
+func (r *Result) newRows(tallies []incident.NamedTally) (rows []Row) {
+	for _, t := range tallies {
+		rows = append(rows, newRow(t.Name, t.Tally, r.Incomplete))
+	}
+	return rows
+}
+
+func newInstanceRow(i incident.Instance) instanceRow {
+	row := instanceRow{
+		Row:     newRow(i.Name, i.Total, i.Incomplete),
+		Starts:  len(i.Starts),
+		Records: i.Records,
+		Lost:    i.Lost,
+		Ahead:   cmp.Or(formatOffset(i), "not compared"),
+		End:     "in good order",
+	}
 	for n, s := range i.Starts {
-		x.Steps += len(s.Steps)
+		row.Steps += len(s.Steps)
 		if !s.Clean && n < len(i.Starts)-1 {
-			x.Killed++
+			row.Killed++
 		}
 	}
-	if o := offset(i); o != "" {
-		x.Ahead = o
-	}
 	if i.Live {
-		x.End = "none: runs or was killed"
+		row.End = "none: runs or was killed"
+	}
+	return row
+}
+
+func newFindingRow(n int, f incident.Finding) findingRow {
+	row := findingRow{
+		N:          n,
+		Kind:       f.Kind,
+		Who:        formatSubjects(f),
+		From:       formatMoment(f.From),
+		To:         formatMoment(f.To),
+		Text:       record.Printable(f.Text),
+		Bad:        f.IsFault,
+		Incomplete: f.Incomplete,
+	}
+	if shortest, longest, known := incident.Delay(f.From, f.To); known && longest > 0 {
+		row.Took = formatMilliseconds((shortest + longest) / 2)
+	}
+	if f.Ongoing {
+		row.To = "not over"
+	}
+	for i, notice := range f.Noticed {
+		row.Noticed = append(row.Noticed, formatNotice(notice, i == 0))
+	}
+	for _, ref := range f.Refs {
+		row.Refs = append(row.Refs, fmt.Sprintf("%s/%s/%d", record.Printable(ref.Instance), ref.Boot, ref.Seq))
 	}
-	return x
+	return row
 }
 
-func foundOf(n int, f incident.Finding) foundRow {
-	who := []string{}
+// formatSubjects names the server and the instance that a finding is about.
+func formatSubjects(f incident.Finding) string {
+	var subjects []string
 	for _, name := range []string{f.Server, f.Instance} {
 		if name != "" {
-			who = append(who, record.Printable(name))
+			subjects = append(subjects, record.Printable(name))
 		}
 	}
-	x := foundRow{N: n, Kind: f.Kind, Who: strings.Join(who, ", "), From: clock(f.From), To: clock(f.To), Text: record.Printable(f.Text), Bad: f.Bad, Incomplete: f.AtLeast}
-	if lo, hi, known := incident.Delay(f.From, f.To); known && hi > 0 {
-		x.Took = milli((lo + hi) / 2)
-	}
-	if f.Open {
-		x.To = "not over"
-	}
-	for i, k := range f.Noticed {
-		text := record.Printable(k.Instance)
-		switch {
-		case i == 0:
-			text += " first"
-		case k.Order == incident.Unknown && k.Lo == 0 && k.Hi == 0:
-			text += ": order unknown, clocks were not compared"
-		case k.Order == incident.Unknown:
-			text += fmt.Sprintf(": order unknown (%s to %s after)", signed(k.Lo), signed(k.Hi))
-		default:
-			text += fmt.Sprintf(" %s to %s after", signed(k.Lo), signed(k.Hi))
-		}
-		x.Noticed = append(x.Noticed, text)
+	return strings.Join(subjects, ", ")
+}
+
+// formatNotice says when an instance noticed a finding, relative to the first one.
+func formatNotice(n incident.Notice, isFirst bool) string {
+	name := record.Printable(n.Instance)
+	delay := formatSigned(n.MinDelay) + " to " + formatSigned(n.MaxDelay)
+	switch {
+	case isFirst:
+		return name + " first"
+	case n.Order == incident.OrderUnknown && n.MinDelay == 0 && n.MaxDelay == 0:
+		return name + ": order unknown, clocks were not compared"
+	case n.Order == incident.OrderUnknown:
+		return fmt.Sprintf("%s: order unknown (%s after)", name, delay)
 	}
-	for _, ref := range f.Refs {
-		x.Refs = append(x.Refs, fmt.Sprintf("%s/%s/%d", record.Printable(ref.Instance), ref.Boot, ref.Seq))
+	return fmt.Sprintf("%s %s after", name, delay)
+}
+
+func formatGaps(gaps []incident.PlacedGap) (rows []string) {
+	for _, g := range gaps {
+		what := "an unknown number of records"
+		if g.From > 0 {
+			what = fmt.Sprintf("%s records, %d to %d", formatCount(g.To-g.From+1), g.From, g.To)
+		}
+		rows = append(rows, fmt.Sprintf("%s: %s (%s), between %s and %s",
+			record.Printable(g.Instance), what, g.Cause, formatMoment(g.Begin), formatMoment(g.End)))
 	}
-	return x
+	return rows
+}
+
+// A namedCount is a name with its count.
+type namedCount struct {
+	Name string
+	N    uint64
 }
 
-func signed(d time.Duration) string {
-	if d < 0 {
-		return "-" + milli(-d)
+// sortedCounts returns the counts above 0, the largest first, equal ones by name.
+func sortedCounts(m map[string]uint64) []namedCount {
+	var all []namedCount
+	for _, name := range slices.Sorted(maps.Keys(m)) {
+		if m[name] > 0 {
+			all = append(all, namedCount{name, m[name]})
+		}
 	}
-	return milli(d)
+	slices.SortStableFunc(all, func(a, b namedCount) int { return cmp.Compare(b.N, a.N) })
+	return all
 }
--- a/internal/report/json.go
+++ b/internal/report/json.go
@@ -10,155 +10,273 @@
 	"olivedale/internal/record"
 )
 
-// Totals are counts as JSON shows them; every figure is a plain count of records.
+// The types of this file define the JSON form of a report. Their keys are an interface to operators' scripts and
+// keep their first names; docs/glossary.md maps them to the terms used in the code.
+
+// Totals are the counts of a group of calls. Each count is a plain count of records.
 type Totals struct {
 	incident.Counts
 	Outcomes map[string]uint64 `json:"outcomes"`
-	P50      float64           `json:"p50_ms"` // of the calls that stood, to about a percent
+	P50      float64           `json:"p50_ms"` // set-up time of established calls, to about one percent
 	P95      float64           `json:"p95_ms"`
 	P99      float64           `json:"p99_ms"`
 }
 
-func totals(t *incident.Tally) Totals {
-	out := Totals{Counts: t.Counts, Outcomes: make(map[string]uint64), P50: ms(t.Percentile(50)), P95: ms(t.Percentile(95)), P99: ms(t.Percentile(99))}
-	for i, n := range t.Outcomes {
-		if n > 0 {
-			out.Outcomes[record.Outcome(i).String()] = n
-		}
-	}
-	return out
+// jsonDocument is the whole report.
+type jsonDocument struct {
+	From           string            `json:"from"`
+	To             string            `json:"to"`
+	ClockReference string            `json:"clock_reference,omitempty"`
+	Incomplete     bool              `json:"at_least"`
+	Records        uint64            `json:"records"`
+	Lost           uint64            `json:"lost"`
+	Total          Totals            `json:"total"`
+	Classes        []jsonNamedTotals `json:"classes"`
+	Servers        []jsonNamedTotals `json:"servers"`
+	Instances      []jsonInstance    `json:"instances"`
+	NoAnswer       map[string]uint64 `json:"no_answer"`
+	Reasons        map[string]uint64 `json:"reasons"`
+	AttemptEnds    map[string]uint64 `json:"attempt_ends"`
+	Limits         map[string]uint64 `json:"limits"`
+	WindowMS       float64           `json:"window_ms"`
+	Windows        []jsonWindow      `json:"windows"`
+	Findings       []jsonFinding     `json:"findings"`
+	Gaps           []jsonGap         `json:"gaps"`
+	Damages        []Damage          `json:"damages"`
+	Truncated      bool              `json:"clock_years_off"`
+}
+
+// jsonNamedTotals are the totals of a class or a server.
+type jsonNamedTotals struct {
+	Name string `json:"name"`
+	Totals
 }
 
-func ms(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+// jsonInstance is one instance with its totals.
+type jsonInstance struct {
+	Name        string `json:"name"`
+	Store       string `json:"store"`
+	Incomplete  bool   `json:"at_least"`
+	Live        bool   `json:"without_end"`
+	Starts      int    `json:"starts"`
+	Records     uint64 `json:"records"`
+	Lost        uint64 `json:"lost"`
+	ClockOffset string `json:"clock_ahead,omitempty"`
+	Totals
+}
 
-func stamp(t incident.Time) string { return record.Unix(t).Format("2006-01-02T15:04:05.000Z") }
+// jsonWindow is one interval of the time line.
+type jsonWindow struct {
+	At string `json:"at"`
+	incident.Counts
+	Established     uint64  `json:"stood"`
+	Rejected        uint64  `json:"turned_away"`
+	Failed          uint64  `json:"failed"`
+	MeanSetupTimeMS float64 `json:"mean_ms"`
+	MaxSetupTimeMS  float64 `json:"most_ms"`
+	Gap             bool    `json:"gap"`
+	Instances       int     `json:"instances"`
+}
+
+// jsonMoment is a time with the error of the clock comparison.
+type jsonMoment struct {
+	At       string  `json:"at"`                 // middle of the interval that is known
+	ErrorMS  float64 `json:"error_ms,omitempty"` // to either side
+	Compared bool    `json:"compared"`           // with the reference's clock
+}
+
+// jsonNotice is when one instance noticed a finding.
+type jsonNotice struct {
+	Instance   string     `json:"instance"`
+	At         jsonMoment `json:"at"`
+	Order      string     `json:"order,omitempty"`
+	MinDelayMS float64    `json:"after_first_ms_least"`
+	MaxDelayMS float64    `json:"after_first_ms_most"`
+}
 
-// A moment is when something was, as JSON shows it.
-type moment struct {
-	At    string  `json:"at"`                 // middle of what is known
-	Error float64 `json:"error_ms,omitempty"` // to either side
-	Known bool    `json:"compared"`           // with the reference's clock
+// jsonFinding is one finding with the records that it rests on.
+type jsonFinding struct {
+	Kind       string         `json:"kind"`
+	Server     string         `json:"server,omitempty"`
+	Instance   string         `json:"instance,omitempty"`
+	From       jsonMoment     `json:"from"`
+	To         jsonMoment     `json:"to"`
+	Ongoing    bool           `json:"open,omitempty"`
+	IsFault    bool           `json:"bad"`
+	Incomplete bool           `json:"at_least,omitempty"`
+	Text       string         `json:"text"`
+	Noticed    []jsonNotice   `json:"noticed,omitempty"`
+	Records    []incident.Ref `json:"records"`
 }
 
-func when(m incident.Moment) moment {
-	return moment{At: stamp(m.Mid()), Error: ms((m.Hi - m.Lo) / 2), Known: m.Known}
+// jsonGap is a range of lost records.
+type jsonGap struct {
+	Instance string     `json:"instance"`
+	From     uint64     `json:"from,omitempty"`
+	To       uint64     `json:"to,omitempty"`
+	Cause    string     `json:"cause"`
+	Begin    jsonMoment `json:"begin"`
+	End      jsonMoment `json:"end"`
 }
 
-// WriteJSON writes the account as JSON.
+// WriteJSON writes the report as JSON. It fails only if w does.
 func (r *Result) WriteJSON(w io.Writer) error {
-	type named struct {
-		Name string `json:"name"`
-		Totals
-	}
-	type instance struct {
-		Name    string `json:"name"`
-		Store   string `json:"store"`
-		AtLeast bool   `json:"at_least"`
-		Live    bool   `json:"without_end"`
-		Starts  int    `json:"starts"`
-		Records uint64 `json:"records"`
-		Lost    uint64 `json:"lost"`
-		Offset  string `json:"clock_ahead,omitempty"`
-		Totals
-	}
-	type window struct {
-		At string `json:"at"`
-		incident.Counts
-		Stood  uint64  `json:"stood"`
-		Away   uint64  `json:"turned_away"`
-		Failed uint64  `json:"failed"`
-		Mean   float64 `json:"mean_ms"`
-		Most   float64 `json:"most_ms"`
-		Gap    bool    `json:"gap"`
-		Runs   int     `json:"instances"`
-	}
-	type notice struct {
-		Instance string  `json:"instance"`
-		At       moment  `json:"at"`
-		Order    string  `json:"order,omitempty"`
-		Lo       float64 `json:"after_first_ms_least"`
-		Hi       float64 `json:"after_first_ms_most"`
+	enc := json.NewEncoder(w)
+	enc.SetIndent("", " ")
+	return enc.Encode(r.jsonDocument())
+}
+
+func (r *Result) jsonDocument() *jsonDocument {
+	return &jsonDocument{
+		From:           stamp(r.From),
+		To:             stamp(r.To),
+		ClockReference: r.Reference,
+		Incomplete:     r.Incomplete,
+		Records:        r.Records,
+		Lost:           r.Lost,
+		Total:          newTotals(&r.Total),
+		Classes:        newJSONNamedTotals(r.Classes),
+		Servers:        newJSONNamedTotals(r.Servers),
+		Instances:      newJSONInstances(r.Instances),
+		NoAnswer:       r.NoAnswer,
+		Reasons:        r.Reasons,
+		AttemptEnds:    r.AttemptEnds,
+		Limits:         r.Limits,
+		WindowMS:       milliseconds(r.Width),
+		Windows:        newJSONWindows(r.Windows),
+		Findings:       newJSONFindings(r.Findings),
+		Gaps:           newJSONGaps(r.Gaps),
+		Damages:        r.Damages,
+		Truncated:      r.Truncated,
 	}
-	type finding struct {
-		Kind     string         `json:"kind"`
-		Server   string         `json:"server,omitempty"`
-		Instance string         `json:"instance,omitempty"`
-		From     moment         `json:"from"`
-		To       moment         `json:"to"`
-		Open     bool           `json:"open,omitempty"`
-		Bad      bool           `json:"bad"`
-		AtLeast  bool           `json:"at_least,omitempty"`
-		Text     string         `json:"text"`
-		Noticed  []notice       `json:"noticed,omitempty"`
-		Refs     []incident.Ref `json:"records"`
+}
+
+func newTotals(t *incident.Tally) Totals {
+	totals := Totals{
+		Counts:   t.Counts,
+		Outcomes: make(map[string]uint64),
+		P50:      milliseconds(t.Percentile(50)),
+		P95:      milliseconds(t.Percentile(95)),
+		P99:      milliseconds(t.Percentile(99)),
 	}
-	type gap struct {
-		Instance string `json:"instance"`
-		From     uint64 `json:"from,omitempty"`
-		To       uint64 `json:"to,omitempty"`
-		Cause    string `json:"cause"`
-		Begin    moment `json:"begin"`
-		End      moment `json:"end"`
+	for i, n := range t.Outcomes {
+		if n > 0 {
+			totals.Outcomes[record.Outcome(i).String()] = n
+		}
 	}
-	out := struct {
-		From       string            `json:"from"`
-		To         string            `json:"to"`
-		Reference  string            `json:"clock_reference,omitempty"`
-		AtLeast    bool              `json:"at_least"`
-		Records    uint64            `json:"records"`
-		Lost       uint64            `json:"lost"`
-		Total      Totals            `json:"total"`
-		Classes    []named           `json:"classes"`
-		Servers    []named           `json:"servers"`
-		Instances  []instance        `json:"instances"`
-		NoAnswer   map[string]uint64 `json:"no_answer"`
-		Reasons    map[string]uint64 `json:"reasons"`
-		Ends       map[string]uint64 `json:"attempt_ends"`
-		Limits     map[string]uint64 `json:"limits"`
-		WidthMS    float64           `json:"window_ms"`
-		Windows    []window          `json:"windows"`
-		Findings   []finding         `json:"findings"`
-		Gaps       []gap             `json:"gaps"`
-		Damages    []Damage          `json:"damages"`
-		OffTheLine bool              `json:"clock_years_off"`
-	}{From: stamp(r.From), To: stamp(r.To), Reference: r.Reference, AtLeast: r.AtLeast, Records: r.Records, Lost: r.Lost, Total: totals(&r.Total),
-		Classes: []named{}, Servers: []named{}, Instances: []instance{}, Findings: []finding{}, Gaps: []gap{}, Windows: []window{}, Damages: r.Damages,
-		NoAnswer: r.NoAnswer, Reasons: r.Reasons, Ends: r.Ends, Limits: r.Limits, WidthMS: ms(r.Width), OffTheLine: r.Truncated}
-	for _, c := range r.Classes {
-		out.Classes = append(out.Classes, named{c.Name, totals(c.Tally)})
+	return totals
+}
+
+func newJSONNamedTotals(tallies []incident.NamedTally) []jsonNamedTotals {
+	all := []jsonNamedTotals{} // JSON shows an empty list, not null
+	for _, t := range tallies {
+		all = append(all, jsonNamedTotals{t.Name, newTotals(t.Tally)})
 	}
-	for _, s := range r.Servers {
-		out.Servers = append(out.Servers, named{s.Name, totals(s.Tally)})
+	return all
+}
+
+func newJSONInstances(instances []incident.Instance) []jsonInstance {
+	all := []jsonInstance{}
+	for _, i := range instances {
+		all = append(all, jsonInstance{
+			Name:        i.Name,
+			Store:       fmt.Sprintf("%016x", i.Store),
+			Incomplete:  i.Incomplete,
+			Live:        i.Live,
+			Starts:      len(i.Starts),
+			Records:     i.Records,
+			Lost:        i.Lost,
+			ClockOffset: formatOffset(i),
+			Totals:      newTotals(i.Total),
+		})
 	}
-	for _, i := range r.Instances {
-		out.Instances = append(out.Instances, instance{i.Name, fmt.Sprintf("%016x", i.Store), i.AtLeast, i.Live, len(i.Starts), i.Records, i.Lost,
-			offset(i), totals(i.Total)})
+	return all
+}
+
+func newJSONWindows(windows []incident.Window) []jsonWindow {
+	all := []jsonWindow{}
+	for _, w := range windows {
+		all = append(all, jsonWindow{
+			At:              stamp(w.At),
+			Counts:          w.Counts,
+			Established:     w.Established(),
+			Rejected:        w.Rejected(),
+			Failed:          w.Outcome(record.Failed),
+			MeanSetupTimeMS: milliseconds(w.MeanSetupTime),
+			MaxSetupTimeMS:  milliseconds(w.MaxSetupTime),
+			Gap:             w.Gap,
+			Instances:       w.Sources,
+		})
 	}
-	for _, w := range r.Windows {
-		out.Windows = append(out.Windows, window{stamp(w.At), w.Counts, w.Stood(), w.TurnedAway(), w.Of(record.Failed), ms(w.Mean), ms(w.Most), w.Gap, w.Runs})
+	return all
+}
+
+func newJSONFindings(findings []incident.Finding) []jsonFinding {
+	all := []jsonFinding{}
+	for _, f := range findings {
+		all = append(all, jsonFinding{
+			Kind:       f.Kind,
+			Server:     f.Server,
+			Instance:   f.Instance,
+			From:       newJSONMoment(f.From),
+			To:         newJSONMoment(f.To),
+			Ongoing:    f.Ongoing,
+			IsFault:    f.IsFault,
+			Incomplete: f.Incomplete,
+			Text:       f.Text,
+			Noticed:    newJSONNotices(f.Noticed),
+			Records:    f.Refs,
+		})
 	}
-	for _, f := range r.Findings {
-		x := finding{Kind: f.Kind, Server: f.Server, Instance: f.Instance, From: when(f.From), To: when(f.To), Open: f.Open, Bad: f.Bad, AtLeast: f.AtLeast,
-			Text: f.Text, Refs: f.Refs}
-		for i, n := range f.Noticed {
-			y := notice{Instance: n.Instance, At: when(n.At), Lo: ms(n.Lo), Hi: ms(n.Hi)}
-			if i > 0 {
-				y.Order = n.Order.String()
-			}
-			x.Noticed = append(x.Noticed, y)
+	return all
+}
+
+func newJSONNotices(notices []incident.Notice) (all []jsonNotice) {
+	for i, n := range notices {
+		notice := jsonNotice{
+			Instance:   n.Instance,
+			At:         newJSONMoment(n.At),
+			MinDelayMS: milliseconds(n.MinDelay),
+			MaxDelayMS: milliseconds(n.MaxDelay),
+		}
+		if i > 0 {
+			notice.Order = n.Order.String()
 		}
-		out.Findings = append(out.Findings, x)
+		all = append(all, notice)
 	}
-	for _, g := range r.Gaps {
-		out.Gaps = append(out.Gaps, gap{g.Instance, g.From, g.To, g.Cause, when(g.Begin), when(g.End)})
+	return all
+}
+
+func newJSONGaps(gaps []incident.PlacedGap) []jsonGap {
+	all := []jsonGap{}
+	for _, g := range gaps {
+		all = append(all, jsonGap{
+			Instance: g.Instance,
+			From:     g.From,
+			To:       g.To,
+			Cause:    g.Cause,
+			Begin:    newJSONMoment(g.Begin),
+			End:      newJSONMoment(g.End),
+		})
 	}
-	enc := json.NewEncoder(w)
-	enc.SetIndent("", " ")
-	return enc.Encode(out)
+	return all
 }
 
-// offset is how far an instance's clock was ahead in its last start, "" where nobody knows.
-func offset(i incident.Instance) string {
+func newJSONMoment(m incident.Moment) jsonMoment {
+	return jsonMoment{
+		At:       stamp(m.Mid()),
+		ErrorMS:  milliseconds((m.Latest - m.Earliest) / 2),
+		Compared: m.Known,
+	}
+}
+
+func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+// stamp formats a time in UTC, to the millisecond.
+func stamp(t incident.Time) string { return record.Unix(t).Format("2006-01-02T15:04:05.000Z") }
+
+// formatOffset returns how far an instance's clock was ahead in its last start, or "" if it was never compared.
+func formatOffset(i incident.Instance) string {
 	if len(i.Starts) == 0 {
 		return ""
 	}
@@ -166,5 +284,5 @@
 	if !o.Known {
 		return ""
 	}
-	return fmt.Sprintf("%v to %v", o.Lo.Round(time.Microsecond), o.Hi.Round(time.Microsecond))
+	return fmt.Sprintf("%v to %v", o.Min.Round(time.Microsecond), o.Max.Round(time.Microsecond))
 }
--- a/internal/server/recorder_test.go
+++ b/internal/server/recorder_test.go
@@ -256,7 +256,7 @@
 		t.Errorf("the life of a call that was kept: %s", got)
 	}
 	r := analyse(t, dir)
-	if r.Total.Offered != uint64(c.Requests) || r.Total.Stood() != uint64(c.Established) || r.AtLeast || r.Instances[0].Tallies["stood"] != uint64(c.Established) {
+	if r.Total.Offered != uint64(c.Requests) || r.Total.Established() != uint64(c.Established) || r.Incomplete || r.Instances[0].Tallies["stood"] != uint64(c.Established) {
 		t.Errorf("the report: %+v", r.Total.Counts)
 	}
 }
@@ -361,29 +361,29 @@
 	var offered, stood, failed, tries uint64
 	for i, in := range r.Instances {
 		n, c := sum[i], in.Total
-		for what, got := range map[string]uint64{"setup": c.Offered, "answer stood": c.Stood(), "answer refused": c.Of(record.Refused),
-			"answer failed": c.Of(record.Failed), "try": c.Tries, "retry": c.Retried, "cut": c.Cut, "release": c.Released} {
+		for what, got := range map[string]uint64{"setup": c.Offered, "answer stood": c.Established(), "answer refused": c.Outcome(record.Refused),
+			"answer failed": c.Outcome(record.Failed), "try": c.Attempts, "retry": c.Retries, "cut": c.Dropped, "release": c.Released} {
 			if got != n[what] {
 				t.Errorf("%s: %d %s, one by one %d", in.Name, got, what, n[what])
 			}
 		}
-		if core := &nodes[i].n.core.Counters; (i == 1 || i == 2) && (c.Offered != uint64(core.Requests) || c.Stood() != uint64(core.Established) || c.Tries != uint64(core.Attempts) || in.AtLeast) {
+		if core := &nodes[i].n.core.Counters; (i == 1 || i == 2) && (c.Offered != uint64(core.Requests) || c.Established() != uint64(core.Established) || c.Attempts != uint64(core.Attempts) || in.Incomplete) {
 			t.Errorf("%s: %+v, the core counted %+v", in.Name, c.Counts, core)
 		}
 		offered, stood, failed, tries = offered+n["setup"], stood+n["answer stood"], failed+n["answer failed"], tries+n["try"]
 	}
-	if r.Total.Offered != offered || r.Total.Stood() != stood || r.Total.Of(record.Failed) != failed || r.Total.Tries != tries {
+	if r.Total.Offered != offered || r.Total.Established() != stood || r.Total.Outcome(record.Failed) != failed || r.Total.Attempts != tries {
 		t.Errorf("in all %+v, one by one %d %d %d %d", r.Total.Counts, offered, stood, failed, tries)
 	}
-	if !r.Instances[3].AtLeast || !r.AtLeast {
+	if !r.Instances[3].Incomplete || !r.Incomplete {
 		t.Error("records without an end are taken for whole")
 	}
-	if n0 := r.Instances[0]; !n0.AtLeast || n0.Lost != sum[0]["lost"] || n0.Lost == 0 || len(n0.Starts) != 2 {
+	if n0 := r.Instances[0]; !n0.Incomplete || n0.Lost != sum[0]["lost"] || n0.Lost == 0 || len(n0.Starts) != 2 {
 		t.Errorf("a segment is gone: %+v", n0)
 	}
 	o := r.Instances[1].Starts[0].Offset
-	if !o.Known || o.Lo > 3700*time.Millisecond || o.Hi < 3700*time.Millisecond || o.Hi-o.Lo > time.Second {
-		t.Errorf("the skewed clock: %v to %v", o.Lo, o.Hi)
+	if !o.Known || o.Min > 3700*time.Millisecond || o.Max < 3700*time.Millisecond || o.Max-o.Min > time.Second {
+		t.Errorf("the skewed clock: %v to %v", o.Min, o.Max)
 	}
 	found := make(map[string]int)
 	for _, f := range r.Findings {
@@ -401,8 +401,8 @@
 				t.Errorf("%+v", f)
 			}
 			for _, n := range f.Noticed[1:] {
-				if n.Lo > time.Second || n.Hi < -time.Second {
-					t.Errorf("%s heard %v to %v after the first", n.Instance, n.Lo, n.Hi)
+				if n.MinDelay > time.Second || n.MaxDelay < -time.Second {
+					t.Errorf("%s heard %v to %v after the first", n.Instance, n.MinDelay, n.MaxDelay)
 				}
 			}
 		case incident.FoundSkew:
@@ -417,12 +417,12 @@
 	var windows incident.Counts
 	for _, w := range r.Windows {
 		windows.Offered += w.Offered
-		windows.Cut += w.Cut
+		windows.Dropped += w.Dropped
 		for i, n := range w.Outcomes {
 			windows.Outcomes[i] += n
 		}
 	}
-	if windows.Offered != offered || windows.Outcomes != r.Total.Outcomes || windows.Cut != r.Total.Cut {
+	if windows.Offered != offered || windows.Outcomes != r.Total.Outcomes || windows.Dropped != r.Total.Dropped {
 		t.Errorf("windows hold %+v of %+v", windows, r.Total.Counts)
 	}
 	if n := f.r.total(&f.r.copies) + f.r.total(&f.r.early); n != 0 {
