--- /dev/null
+++ b/internal/incident/counts.go
@@ -0,0 +1,131 @@
+package incident
+
+import (
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"olivedale/internal/record"
+)
+
+// Counts are the counts of a group of calls: of all, or of a class, a server, an instance or a window. Each is a plain
+// count of records, so that it can be checked by counting. The JSON keys are an interface and keep their first names.
+type Counts struct {
+	Offered  uint64                  `json:"offered"`  // calls offered
+	Outcomes [record.Outcomes]uint64 `json:"-"`        // final answers
+	Late     uint64                  `json:"late"`     // established later than the latency objective of their class
+	Dropped  uint64                  `json:"cut"`      // established and ended by a fault
+	Released uint64                  `json:"released"` // established and ended, the dropped ones included
+	Attempts uint64                  `json:"tries"`    // attempts at servers
+	Retries  uint64                  `json:"retried"`  // attempts after a call's first
+}
+
+// add adds other counts.
+func (c *Counts) add(o *Counts) {
+	c.Offered += o.Offered
+	for i, n := range o.Outcomes {
+		c.Outcomes[i] += n
+	}
+	c.Late += o.Late
+	c.Dropped += o.Dropped
+	c.Released += o.Released
+	c.Attempts += o.Attempts
+	c.Retries += o.Retries
+}
+
+// Outcome is the number of calls with an outcome.
+func (c *Counts) Outcome(o record.Outcome) uint64 { return c.Outcomes[o] }
+
+// Established is the number of calls that were established.
+func (c *Counts) Established() uint64 { return c.Outcomes[record.Stood] }
+
+// Rejected is the number of calls that were rejected, by the decision module, past a limit or at shutdown.
+func (c *Counts) Rejected() uint64 {
+	return c.Outcomes[record.Refused] + c.Outcomes[record.Crowded] + c.Outcomes[record.Stopped]
+}
+
+// Answered is the number of calls with any outcome.
+func (c *Counts) Answered() (n uint64) {
+	for _, v := range c.Outcomes {
+		n += v
+	}
+	return n
+}
+
+// A Tally is Counts with the distribution of set-up times.
+type Tally struct {
+	Counts
+	setupTimes *hdrhistogram.Histogram
+}
+
+// Bounds of a histogram, in units of 10 µs. Longer times count as the maximum.
+const (
+	histogramUnit     = 10 * time.Microsecond
+	minHistogramValue = 1
+	maxHistogramValue = int64(2 * time.Minute / histogramUnit)
+	histogramDigits   = 2 // significant decimal digits; a histogram takes some 16 KiB
+)
+
+func (t *Tally) recordSetupTime(took time.Duration) {
+	if t.setupTimes == nil {
+		t.setupTimes = hdrhistogram.New(minHistogramValue, maxHistogramValue, histogramDigits)
+	}
+	_ = t.setupTimes.RecordValue(min(max(int64(took/histogramUnit), minHistogramValue), maxHistogramValue)) // an error is impossible within the bounds
+}
+
+func (t *Tally) merge(o *Tally) {
+	t.add(&o.Counts)
+	if o.setupTimes == nil {
+		return
+	}
+	if t.setupTimes == nil {
+		t.setupTimes = hdrhistogram.New(minHistogramValue, maxHistogramValue, histogramDigits)
+	}
+	t.setupTimes.Merge(o.setupTimes)
+}
+
+// Percentile is the set-up time that p percent of the established calls did not exceed, to about one percent; 0 if
+// none was established.
+func (t *Tally) Percentile(p float64) time.Duration {
+	if t.setupTimes == nil {
+		return 0
+	}
+	return time.Duration(t.setupTimes.ValueAtQuantile(p)) * histogramUnit
+}
+
+// boundedTallies are Tallies by name. Names past the bound share one, under Other.
+type boundedTallies struct {
+	maxNames int
+	byName   map[string]*Tally
+}
+
+func (t *boundedTallies) get(name string) *Tally {
+	if k := t.byName[name]; k != nil {
+		return k
+	}
+	if t.byName == nil {
+		t.byName = make(map[string]*Tally)
+	}
+	if len(t.byName) >= t.maxNames {
+		if name = Other; t.byName[name] != nil {
+			return t.byName[name]
+		}
+	}
+	k := &Tally{}
+	t.byName[name] = k
+	return k
+}
+
+func (t *boundedTallies) merge(o *boundedTallies) {
+	for _, name := range sortedKeys(o.byName) {
+		t.get(name).merge(o.byName[name])
+	}
+}
+
+// named returns the tallies in the order of their names.
+func (t *boundedTallies) named() (all []NamedTally) {
+	for _, name := range sortedKeys(t.byName) {
+		all = append(all, NamedTally{name, t.byName[name]})
+	}
+	return all
+}
--- /dev/null
+++ b/internal/incident/findservers.go
@@ -0,0 +1,155 @@
+package incident
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+)
+
+const (
+	drainMergeGap      = 10 * time.Second // announcements of one drain come within this
+	coldOverloadFactor = 1.5              // reported from this multiple of what a cold server may get
+	minColdSends       = 20
+)
+
+const nothingSent = "nothing was sent after the news"
+
+// findDrains finds, for each server that drained, the last attempt after the announcement, over all instances.
+func (r *Report) findDrains(parts []*Part) {
+	byServer := make(map[string][]Finding)
+	for n, p := range parts {
+		for _, d := range p.Drains {
+			f := r.newDrain(n, p.Instance, d)
+			if f.IsFault {
+				r.add(f)
+				continue
+			}
+			byServer[d.Server] = append(byServer[d.Server], f)
+		}
+	}
+	for _, server := range sortedKeys(byServer) {
+		drains := byServer[server]
+		slices.SortStableFunc(drains, func(a, b Finding) int { return compareMid(a.From, b.From) })
+		for len(drains) > 0 {
+			f, n := mergeDrains(drains)
+			drains = drains[n:]
+			r.add(f)
+		}
+	}
+}
+
+// newDrain makes the finding of one instance's drain. It is a fault if something was sent too late.
+func (r *Report) newDrain(part int, instance string, d Drain) Finding {
+	f := Finding{
+		Kind:     FoundDrain,
+		Server:   d.Server,
+		Instance: instance,
+		From:     r.moment(part, d.startIndex, d.At),
+		To:       r.moment(part, d.startIndex, d.At+d.LastSend),
+		Refs:     []Ref{d.Ref},
+		Text:     d.Phase + "; " + nothingSent,
+	}
+	if d.Sent > 0 {
+		f.Text = fmt.Sprintf("%s; %d sent after the news, the last after %v",
+			d.Phase, d.Sent, d.LastSend.Round(time.Millisecond))
+	}
+	if d.SentLate > 0 {
+		f.Kind, f.IsFault = FoundLateSend, true
+		f.Text += fmt.Sprintf("; %d of them later than %v", d.SentLate, drainGrace)
+	}
+	return f
+}
+
+// mergeDrains makes one finding of the announcements of one drain to several instances, and returns how many those are.
+func mergeDrains(drains []Finding) (f Finding, n int) {
+	f = drains[0]
+	f.Instance = ""
+	lastSend := time.Duration(0)
+	for ; n < len(drains) && drains[n].From.Mid()-f.From.Mid() < drainMergeGap; n++ {
+		d := drains[n]
+		notice := Notice{Instance: d.Instance, At: d.From, End: d.To}
+		notice.MinDelay, notice.MaxDelay, _ = Delay(f.From, d.From)
+		if n > 0 {
+			notice.Order = Compare(d.From, f.From)
+			f.addRef(d.Refs...)
+		}
+		f.Noticed = append(f.Noticed, notice)
+		lastSend = max(lastSend, d.To.Own-d.From.Own)
+		if d.To.Mid() > f.To.Mid() {
+			f.To = d.To
+		}
+	}
+	if n == 1 {
+		return f, n
+	}
+	phase, _, _ := strings.Cut(f.Text, ";")
+	sent := nothingSent
+	if lastSend > 0 {
+		sent = fmt.Sprintf("the last send was %v after the news", lastSend.Round(time.Millisecond))
+	}
+	f.Text = fmt.Sprintf("%s; %d instances heard of it, %s", phase, n, sent)
+	return f, n
+}
+
+// A serverStart identifies one start of a server: its time is the endpoint list's, the same for all instances.
+type serverStart struct {
+	server string
+	at     Time
+}
+
+// A coldStartSum is what all instances sent to a server during its slow-start period.
+type coldStartSum struct {
+	Finding
+	sentByFifth [slowStartFifths]uint64
+}
+
+// findColdStarts finds cold starts, and compares what all instances sent with what the time allowed. The share that a
+// starting server can take grows linearly, so each fifth of the period is compared with the last one.
+func (r *Report) findColdStarts(parts []*Part) {
+	sums := make(map[serverStart]*coldStartSum)
+	var order []*coldStartSum
+	for n, p := range parts {
+		for _, c := range p.ColdStarts {
+			key := serverStart{c.Server, c.Started}
+			sum := sums[key]
+			if sum == nil {
+				from := r.moment(n, c.startIndex, c.NoticedAt)
+				sum = &coldStartSum{Finding: Finding{Kind: FoundCold, Server: c.Server, From: from}}
+				sums[key] = sum
+				order = append(order, sum)
+			}
+			sum.addRef(c.Ref)
+			sum.To = r.moment(n, c.startIndex, max(c.Started+c.Period, c.NoticedAt))
+			for i, sent := range c.SentByFifth {
+				sum.sentByFifth[i] += sent
+			}
+		}
+	}
+	for _, sum := range order {
+		sum.judge()
+		r.add(sum.Finding)
+	}
+}
+
+// judge words the finding and decides whether the server got more than it could take.
+func (s *coldStartSum) judge() {
+	total := uint64(0)
+	for _, sent := range s.sentByFifth {
+		total += sent
+	}
+	s.Text = fmt.Sprintf("%d sent while it was cold, by fifths of that time %v", total, s.sentByFifth)
+	if total < minColdSends {
+		return
+	}
+	const last = slowStartFifths - 1
+	for i, sent := range s.sentByFifth[:last] {
+		// The middles of the fifths stand to each other as the shares that the server can take in them.
+		allowed := coldOverloadFactor * float64(s.sentByFifth[last]) * (float64(i) + 0.5) / (last + 0.5)
+		if float64(sent) > max(allowed, float64(minColdSends)/2) {
+			s.Kind = FoundColdOverload
+			s.Text += fmt.Sprintf("; %d in fifth %d, %.0f allowed", sent, i+1, allowed)
+			return
+		}
+	}
+}
--- a/internal/incident/incident_test.go
+++ b/internal/incident/incident_test.go
@@ -150,15 +150,15 @@
 		sum := uint64(0)
 		for i, b := range s.bins {
 			sum += b.Offered
-			lo := Time(s.first+int64(i)) * p.binWidth
+			lo := Time(s.first+int64(i)) * p.timeline.width
 			n := uint64(0)
 			for _, at := range times {
-				if Time(at) >= lo && Time(at) < lo+p.binWidth {
+				if Time(at) >= lo && Time(at) < lo+p.timeline.width {
 					n++
 				}
 			}
 			if n != b.Offered {
-				rt.Fatalf("bin %d of %v holds %d, want %d", i, p.binWidth, b.Offered, n)
+				rt.Fatalf("bin %d of %v holds %d, want %d", i, p.timeline.width, b.Offered, n)
 			}
 		}
 		if sum != uint64(len(times)) || len(s.bins) > maxBinsOfStart {
@@ -343,8 +343,8 @@
 	}
 	p := f.done()
 	if classes := len(p.classes.byName); classes > maxClasses+1 || len(p.servers.byName) > maxServers+1 || len(p.Drains) > maxEvents || len(p.OverloadPeriods) > maxEvents ||
-		len(p.Starts) > maxStarts || len(p.AttemptEnds) > 257 || p.MergedStarts != 101 || p.binCount > maxBins || len(p.Gaps) > maxEvents {
-		t.Errorf("%d classes, %d servers, %d drains, %d starts, %d ends, %d bins", len(p.classes.byName), len(p.servers.byName), len(p.Drains), len(p.Starts), len(p.AttemptEnds), p.binCount)
+		len(p.Starts) > maxStarts || len(p.AttemptEnds) > 257 || p.MergedStarts != 101 || p.timeline.bins > maxBins || len(p.Gaps) > maxEvents {
+		t.Errorf("%d classes, %d servers, %d drains, %d starts, %d ends, %d bins", len(p.classes.byName), len(p.servers.byName), len(p.Drains), len(p.Starts), len(p.AttemptEnds), p.timeline.bins)
 	}
 	if r := Combine([]*Part{p}); r.Total.Offered != 20000 || len(r.Findings) > maxFindings || r.OmittedEntries == 0 {
 		t.Errorf("%+v", r.Total.Counts)
