--- a/internal/call/attemptend_test.go
+++ b/internal/call/attemptend_test.go
@@ -28,3 +28,25 @@
 		}
 	}
 }
+
+// The names of the ends are stored in records and read from logs and metrics, so they must not change.
+func TestAttemptEndNamesAreStable(t *testing.T) {
+	want := []string{
+		"completed", "cut", "callee_busy", "fault", "no_circuit", "processor_full", "never_left",
+		"broke_on_way", "unsent", "dial_refused", "dial_timed_out", "dial_failed", "connection_reset",
+		"connection_shut", "mute", "malformed", "timed_out", "called_off", "caller_left",
+		"exchange_lost", "stopped",
+	}
+	all := AllAttemptEnds()
+	if len(all) != len(want) {
+		t.Fatalf("%d ends, want %d", len(all), len(want))
+	}
+	for i, e := range all {
+		if e.String() != want[i] {
+			t.Errorf("end %d is named %q, want %q", i, e, want[i])
+		}
+	}
+	if got := attemptEndCount.String(); got != "unknown" {
+		t.Errorf("an undefined end is named %q", got)
+	}
+}
--- a/internal/call/route_test.go
+++ b/internal/call/route_test.go
@@ -62,8 +62,8 @@
 	router.cause = 21
 	placedBefore := len(f.decider.placed)
 	f.client.messages = nil
-	f.offer("barred")
-	f.wantMessages(t, "rejected barred 21 0s")
+	f.offer("disallowed")
+	f.wantMessages(t, "rejected disallowed 21 0s")
 	placed := len(f.decider.placed) - placedBefore
 	if router.held != 0 || placed != 0 || f.manager.ByPolicy != 1 || f.manager.OpenCalls() != 0 {
 		t.Errorf("%d held, %d placed, %d rejected by policy, %d open",
--- a/internal/call/types.go
+++ b/internal/call/types.go
@@ -14,7 +14,7 @@
 // Causes of releases and rejections, as defined by Q.850.
 const (
 	CauseNormal    = 16 // normal call clearing
-	CauseNoCircuit = 34 // no circuit available: the call has not run, a retry is safe
+	CauseNoCircuit = 34 // no circuit available: the caller may retry safely
 	CauseFailed    = 41 // temporary failure, or an established call that was dropped
 )
 
