--- /dev/null
+++ b/cmd/olivedale/check.go
@@ -0,0 +1,57 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+
+	"github.com/spf13/cobra"
+
+	"olivedale/internal/config"
+)
+
+// Results of check.
+const (
+	fileValid      = "good"
+	fileAbsent     = "not there, all it could switch on is off"
+	fileDeprecated = "not there, " + config.H248Path + " is used; move it to section [h248]"
+)
+
+func checkCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "check [FILE]",
+		Short: "Read the operator's file and start nothing",
+		Long: "check reads the operator's file, " + config.OperatorPath +
+			" if none is named, and reports the line and key of the first error.",
+		Example: "  olivedale check deploy/olivedale.toml",
+		Args:    cobra.MaximumNArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			path, result, err := check(args)
+			if err != nil {
+				return err
+			}
+			_, err = fmt.Fprintf(c.OutOrStdout(), "%s: %s\n", filepath.Clean(path), result)
+			return err
+		},
+	}
+}
+
+// check reads the file that args name, or the operator's file in its place.
+func check(args []string) (path, result string, err error) {
+	if len(args) == 1 {
+		path = args[0]
+		return path, fileValid, config.CheckOperator(path)
+	}
+	path = config.OperatorPath
+	_, usesH248Path, err := config.LoadOperator("")
+	if err != nil {
+		return path, "", err
+	}
+	if _, err := os.Stat(path); err == nil {
+		return path, fileValid, nil
+	}
+	if usesH248Path {
+		return path, fileDeprecated, nil
+	}
+	return path, fileAbsent, nil
+}
--- a/cmd/olivedale/deploy_test.go
+++ b/cmd/olivedale/deploy_test.go
@@ -12,8 +12,8 @@
 	"github.com/BurntSushi/toml"
 )
 
-// The platform loads a library of its own into the process that `run` starts. That works only
-// where `run` ends in one process that is linked dynamically against the C library.
+// The platform loads a library into the process that `run` starts. This works only if `run` ends in a single process
+// that is linked dynamically against the C library.
 func TestDeployBuildsOneDynamicProcess(t *testing.T) {
 	root := filepath.Join("..", "..")
 	var deploy struct{ Build, Run string }
@@ -69,8 +69,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	// Go's own linker also makes programs that load the C library, but enters them by itself: only the
-	// system's linker puts the C library's start before Go's.
+	// Go's own linker can also make a program that loads the C library, but the entry point is Go's then. Only the
+	// system's linker starts the program with the C library.
 	if !slices.ContainsFunc(symbols, func(s elf.ImportedSymbol) bool { return s.Name == "__libc_start_main" }) {
 		t.Error("the program was not linked externally with cgo: it does not start by the C library")
 	}
--- a/cmd/olivedale/golden_test.go
+++ b/cmd/olivedale/golden_test.go
@@ -14,20 +14,20 @@
 	"olivedale/internal/goldentest"
 )
 
-// output executes one command and returns what it printed, with its error as the last line.
+// output executes a command and returns its output with the error as the last line.
 func output(c *cobra.Command, args ...string) []byte {
 	var out bytes.Buffer
 	c.SilenceErrors, c.SilenceUsage = true, true
 	c.SetOut(&out)
 	c.SetErr(&out)
-	c.SetArgs(append([]string{}, args...)) // nil would be those of the test
+	c.SetArgs(append([]string{}, args...)) // nil would mean the arguments of the test binary
 	if err := c.Execute(); err != nil {
 		out.WriteString(err.Error() + "\n")
 	}
 	return out.Bytes()
 }
 
-// check tells the same of a good file, of one with faults and of one that is not there as when it was committed.
+// The output of check for valid, invalid and absent files is the committed one.
 func TestGoldenCheck(t *testing.T) {
 	golden, err := filepath.Abs(filepath.Join("testdata", "golden"))
 	if err != nil {
@@ -45,7 +45,7 @@
 	goldentest.CompareFile(t, filepath.Join(golden, "check.txt"), append(all, output(checkCommand())...))
 }
 
-// version prints one line that ends with the toolchain's version; the rest differs from build to build.
+// version prints one line that ends with the version of the toolchain; the rest differs between builds.
 func TestGoldenVersion(t *testing.T) {
 	out := string(output(cli.VersionCommand()))
 	if !strings.HasSuffix(out, " "+runtime.Version()+"\n") || strings.Count(out, "\n") != 1 {
--- a/cmd/olivedale/main_test.go
+++ b/cmd/olivedale/main_test.go
@@ -14,6 +14,7 @@
 	"time"
 )
 
+// build builds the program and returns its path.
 func build(t *testing.T) string {
 	t.Helper()
 	bin := filepath.Join(t.TempDir(), "olivedale")
@@ -23,202 +24,216 @@
 	return bin
 }
 
-// running is the built program, started with a configuration of its own.
-type running struct {
+// A process is the built program with a configuration of its own.
+type process struct {
 	*exec.Cmd
-	path, listen string
-	said         bytes.Buffer
+	configPath string
+	listen     string
+	log        bytes.Buffer
 }
 
-func start(t *testing.T, names string) *running {
+// start runs the program with the address of a DNS service.
+func start(t *testing.T, discoveryAddress string) *process {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	r := &running{Cmd: exec.Command(build(t)), path: filepath.Join(t.TempDir(), "config.json"), listen: ln.Addr().String()}
-	_ = ln.Close()
-	r.configure(t, names)
-	r.Dir, r.Env, r.Stderr = t.TempDir(), []string{"RELAY_CONFIG=" + r.path}, &r.said
-	if err := r.Start(); err != nil {
+	p := &process{
+		Cmd:        exec.Command(build(t)),
+		configPath: filepath.Join(t.TempDir(), "config.json"),
+		listen:     listener.Addr().String(),
+	}
+	_ = listener.Close()
+	p.configure(t, discoveryAddress)
+	p.Dir = t.TempDir()
+	p.Env = []string{"RELAY_CONFIG=" + p.configPath}
+	p.Stderr = &p.log
+	if err := p.Start(); err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { _ = r.Process.Kill() })
-	return r
+	t.Cleanup(func() { _ = p.Process.Kill() })
+	return p
 }
 
-func (r *running) configure(t *testing.T, names string) {
+// configure writes the configuration.
+func (p *process) configure(t *testing.T, discoveryAddress string) {
 	t.Helper()
 	text := fmt.Sprintf(`{"name":"n0","listen":%q,"seed":"1f","names":%q,"limits":{"memory_mb":192,"sockets":1024},
 		"settings":{"groupSize":1,"classes":[{"name":"voice","aim":1000,"deadline":3000,"credit":1}],
-		"domain":{"topology":"pools","releaseGuard":300},"limits":{"maxAttempts":2,"connectTimeout":500}}}`, r.listen, names)
-	if err := os.WriteFile(r.path, []byte(text), 0o600); err != nil {
+		"domain":{"topology":"pools","releaseGuard":300},"limits":{"maxAttempts":2,"connectTimeout":500}}}`, p.listen, discoveryAddress)
+	if err := os.WriteFile(p.configPath, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
 }
 
-func (r *running) signal(t *testing.T, all ...os.Signal) {
+// signal sends signals in order.
+func (p *process) signal(t *testing.T, signals ...os.Signal) {
 	t.Helper()
-	for _, s := range all {
-		if err := r.Process.Signal(s); err != nil {
+	for _, s := range signals {
+		if err := p.Process.Signal(s); err != nil {
 			t.Fatal(err)
 		}
 	}
 }
 
-// test dials until somebody listens, and returns the connection after a test has passed on it.
-func (r *running) test(t *testing.T) net.Conn {
+// connect dials until the program listens, and returns the connection after an echo test on it.
+func (p *process) connect(t *testing.T) net.Conn {
 	t.Helper()
-	var c net.Conn
-	var err error
-	for end := time.Now().Add(10 * time.Second); ; time.Sleep(10 * time.Millisecond) {
-		if c, err = net.Dial("tcp", r.listen); err == nil {
-			break
-		}
-		if time.Now().After(end) {
+	deadline := time.Now().Add(10 * time.Second)
+	conn, err := net.Dial("tcp", p.listen)
+	for err != nil {
+		if time.Now().After(deadline) {
 			t.Fatal(err)
 		}
+		time.Sleep(10 * time.Millisecond)
+		conn, err = net.Dial("tcp", p.listen)
 	}
-	t.Cleanup(func() { _ = c.Close() })
-	r.echo(t, c)
-	return c
+	t.Cleanup(func() { _ = conn.Close() })
+	p.echo(t, conn)
+	return conn
 }
 
-func (r *running) echo(t *testing.T, c net.Conn) {
+// echo sends an echo request and checks the response.
+func (p *process) echo(t *testing.T, conn net.Conn) {
 	t.Helper()
-	_ = c.SetDeadline(time.Now().Add(10 * time.Second))
-	_, _ = c.Write([]byte(`{"verb":"ECHO","tag":"1","opts":{},"rc":0}` + "\n"))
-	if line, err := bufio.NewReader(c).ReadString('\n'); err != nil || !strings.Contains(line, `"ECHOED"`) || !strings.Contains(line, `"rc":1`) {
-		t.Fatalf("the test was answered by %q, %v", line, err)
+	_ = conn.SetDeadline(time.Now().Add(10 * time.Second))
+	_, _ = conn.Write([]byte(`{"verb":"ECHO","tag":"1","opts":{},"rc":0}` + "\n"))
+	line, err := bufio.NewReader(conn).ReadString('\n')
+	if err != nil || !strings.Contains(line, `"ECHOED"`) || !strings.Contains(line, `"rc":1`) {
+		t.Fatalf("the response to an echo request is %q, %v", line, err)
 	}
 }
 
-// The built program passes a test, counts on request, and after SIGTERM ends with 0.
+// The program answers an echo request, logs its counters on request, and exits with 0 after SIGTERM.
 func TestStartAndStop(t *testing.T) {
-	r := start(t, "127.0.0.1:9")
-	r.test(t)
-	r.signal(t, syscall.SIGUSR1, syscall.SIGTERM)
-	if err := r.Wait(); err != nil {
+	p := start(t, "127.0.0.1:9")
+	p.connect(t)
+	p.signal(t, syscall.SIGUSR1, syscall.SIGTERM)
+	if err := p.Wait(); err != nil {
 		t.Errorf("after SIGTERM: %v", err)
 	}
-	if n := strings.Count(r.said.String(), "event=counters requests=0"); n != 2 {
-		t.Errorf("counters were written %d times, want on request and at exit:\n%s", n, r.said.String())
+	if n := strings.Count(p.log.String(), "event=counters requests=0"); n != 2 {
+		t.Errorf("counters were written %d times, want on request and at exit:\n%s", n, p.log.String())
 	}
 }
 
-// asked waits for a query at a name service.
-func asked(t *testing.T, names net.PacketConn) {
+// awaitQuery waits for a query at a DNS service.
+func awaitQuery(t *testing.T, service net.PacketConn) {
 	t.Helper()
-	_ = names.SetReadDeadline(time.Now().Add(10 * time.Second))
-	if _, _, err := names.ReadFrom(make([]byte, 512)); err != nil {
+	_ = service.SetReadDeadline(time.Now().Add(10 * time.Second))
+	if _, _, err := service.ReadFrom(make([]byte, 512)); err != nil {
 		t.Fatal(err)
 	}
 }
 
-// twoNames opens two name services.
-func twoNames(t *testing.T) (names [2]net.PacketConn) {
+// openTwoServices opens the sockets of two DNS services.
+func openTwoServices(t *testing.T) [2]net.PacketConn {
 	t.Helper()
-	for i := range names {
+	var services [2]net.PacketConn
+	for i := range services {
 		var err error
-		if names[i], err = net.ListenPacket("udp", "127.0.0.1:0"); err != nil {
+		if services[i], err = net.ListenPacket("udp", "127.0.0.1:0"); err != nil {
 			t.Fatal(err)
 		}
-		t.Cleanup(func() { _ = names[i].Close() })
+		t.Cleanup(func() { _ = services[i].Close() })
 	}
-	return names
+	return services
 }
 
-// rereads puts a pipe in the configuration's place and sends SIGHUP: the program is reading it when this returns.
-func (r *running) rereads(t *testing.T) *os.File {
+// startReload replaces the configuration by a pipe and sends SIGHUP. When it returns, the program is reading the
+// pipe.
+func (p *process) startReload(t *testing.T) *os.File {
 	t.Helper()
-	if err := os.Remove(r.path); err != nil {
+	if err := os.Remove(p.configPath); err != nil {
 		t.Fatal(err)
 	}
-	if err := syscall.Mkfifo(r.path, 0o600); err != nil {
+	if err := syscall.Mkfifo(p.configPath, 0o600); err != nil {
 		t.Fatal(err)
 	}
-	r.signal(t, syscall.SIGHUP)
-	pipe, err := os.OpenFile(r.path, os.O_WRONLY, 0) // waits for the reader
+	p.signal(t, syscall.SIGHUP)
+	pipe, err := os.OpenFile(p.configPath, os.O_WRONLY, 0) // waits for the reader
 	if err != nil {
 		t.Fatal(err)
 	}
 	return pipe
 }
 
-// After SIGHUP the name service that the file names now is asked, connections stay, and a
-// bad file changes nothing.
+// After SIGHUP the program queries the new DNS service and keeps its connections. An invalid file changes nothing.
 func TestReload(t *testing.T) {
-	names := twoNames(t)
-	r := start(t, names[0].LocalAddr().String())
-	c := r.test(t)
-	asked(t, names[0])
-	_ = names[0].Close()
-	r.configure(t, names[1].LocalAddr().String())
-	r.signal(t, syscall.SIGHUP)
-	asked(t, names[1])
-	if err := os.WriteFile(r.path, []byte(`{"listen":`), 0o600); err != nil {
+	services := openTwoServices(t)
+	p := start(t, services[0].LocalAddr().String())
+	conn := p.connect(t)
+	awaitQuery(t, services[0])
+	_ = services[0].Close()
+	p.configure(t, services[1].LocalAddr().String())
+	p.signal(t, syscall.SIGHUP)
+	awaitQuery(t, services[1])
+	if err := os.WriteFile(p.configPath, []byte(`{"listen":`), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	r.signal(t, syscall.SIGHUP)
-	r.echo(t, c)
-	asked(t, names[1])
-	r.signal(t, syscall.SIGTERM)
-	if err := r.Wait(); err != nil {
+	p.signal(t, syscall.SIGHUP)
+	p.echo(t, conn)
+	awaitQuery(t, services[1])
+	p.signal(t, syscall.SIGTERM)
+	if err := p.Wait(); err != nil {
 		t.Errorf("after SIGTERM: %v", err)
 	}
-	for _, want := range []string{"event=reloaded names=" + names[1].LocalAddr().String(), "event=reload_failed"} {
-		if strings.Count(r.said.String(), want) != 1 {
-			t.Errorf("want one %q in:\n%s", want, r.said.String())
+	for _, want := range []string{"event=reloaded names=" + services[1].LocalAddr().String(), "event=reload_failed"} {
+		if strings.Count(p.log.String(), want) != 1 {
+			t.Errorf("want one %q in:\n%s", want, p.log.String())
 		}
 	}
 }
 
-// SIGHUP finds a file that is not whole yet: what it says once it is counts.
+// After SIGHUP the program reads an incomplete file again until it is complete.
 func TestReloadOfAFileBeingWritten(t *testing.T) {
-	names := twoNames(t)
-	r := start(t, names[0].LocalAddr().String())
-	r.test(t)
-	asked(t, names[0])
-	pipe := r.rereads(t)
-	if err := os.Remove(r.path); err != nil { // before the reader can look again
+	services := openTwoServices(t)
+	p := start(t, services[0].LocalAddr().String())
+	p.connect(t)
+	awaitQuery(t, services[0])
+	pipe := p.startReload(t)
+	if err := os.Remove(p.configPath); err != nil { // before the program reads it again
 		t.Fatal(err)
 	}
 	_, _ = pipe.WriteString(`{"listen":`)
 	_ = pipe.Close()
-	r.configure(t, names[1].LocalAddr().String())
-	asked(t, names[1])
+	p.configure(t, services[1].LocalAddr().String())
+	awaitQuery(t, services[1])
 }
 
-// SIGTERM is heard while the file that SIGHUP asked for is still being read.
+// SIGTERM shuts the program down while a reload is still reading the file.
 func TestStopDoesNotWaitForAReload(t *testing.T) {
-	r := start(t, "127.0.0.1:9")
-	r.test(t)
-	pipe := r.rereads(t)
+	p := start(t, "127.0.0.1:9")
+	p.connect(t)
+	pipe := p.startReload(t)
 	defer func() { _ = pipe.Close() }()
-	r.signal(t, syscall.SIGTERM)
-	ended := make(chan error, 1)
-	go func() { ended <- r.Wait() }()
+	p.signal(t, syscall.SIGTERM)
+	exited := make(chan error, 1)
+	go func() { exited <- p.Wait() }()
 	select {
-	case err := <-ended:
+	case err := <-exited:
 		if err != nil {
 			t.Error(err)
 		}
 	case <-time.After(8 * time.Second):
-		t.Error("it did not end")
+		t.Error("the program did not exit")
 	}
 }
 
-// A bad configuration stops the start with a plain message.
-func TestBadConfigurationStopsTheStart(t *testing.T) {
+// With an invalid configuration the program exits with a readable message.
+func TestInvalidConfigurationStopsTheStart(t *testing.T) {
 	cmd := exec.Command(build(t))
 	cmd.Env = []string{"RELAY_CONFIG=/does/not/exist.json"}
 	out, err := cmd.CombinedOutput()
-	if err == nil || !strings.Contains(string(out), "does/not/exist.json") || strings.Contains(string(out), "goroutine") {
-		t.Errorf("error %v, said %q", err, out)
+	namesFile := strings.Contains(string(out), "does/not/exist.json")
+	hasStackTrace := strings.Contains(string(out), "goroutine")
+	if err == nil || !namesFile || hasStackTrace {
+		t.Errorf("error %v, output %q", err, out)
 	}
 }
 
-// The packages of etcd belong to the agent alone.
+// Only the agent depends on the packages of etcd.
 func TestNoEtcdInside(t *testing.T) {
 	out, err := exec.Command("go", "list", "-deps", ".").CombinedOutput()
 	if err != nil {
--- /dev/null
+++ b/cmd/olivedale/serve.go
@@ -0,0 +1,76 @@
+package main
+
+import (
+	"os"
+	"runtime"
+	"runtime/debug"
+
+	"go.uber.org/zap"
+
+	"olivedale/internal/cli"
+	"olivedale/internal/config"
+	"olivedale/internal/logging"
+	"olivedale/internal/server"
+)
+
+// maxProcs is how many threads run Go code at once: the platform gives the process one core, which others share.
+const maxProcs = 1
+
+// serve runs the controller until a signal shuts it down. An error is logged as soon as there is a logger.
+func serve() error {
+	signals := subscribe() // first, so that no signal kills the program while it starts
+	operator, usesH248Path, err := config.LoadOperator("")
+	if err != nil {
+		return err
+	}
+	logger := logging.New(os.Stderr, operator.Log.Options())
+	log := logger.Sugar()
+	if usesH248Path {
+		log.Warnw("deprecated", "file", config.H248Path, "instead", "section [h248] of "+config.OperatorPath)
+	}
+	node, err := newNode(operator, logger)
+	if err != nil {
+		return logFailure(log, err)
+	}
+	go signals.shutDown(node)
+	go signals.handleRequests(node, log)
+	err = node.Run()
+	node.Report()
+	return logFailure(log, err)
+}
+
+// newNode reads the platform's configuration, applies its limits to the process and builds the node.
+func newNode(operator *config.Operator, logger *zap.Logger) (*server.Node, error) {
+	cfg, err := loadConfig()
+	if err != nil {
+		return nil, err
+	}
+	limitResources(cfg.MemoryMB)
+	return server.New(cfg, server.Options{
+		H248:    operator.H248,
+		Records: operator.Records,
+		Numbers: operator.Numbering,
+		Share:   operator.Overload,
+		Log:     logger,
+		Program: cli.Version(),
+	})
+}
+
+func loadConfig() (*config.Config, error) { return config.Load(os.Getenv(config.PathVariable)) }
+
+// limitResources keeps the Go runtime within the platform's limits. It leaves a quarter of the memory to what the
+// runtime does not count.
+func limitResources(memoryMB int) {
+	runtime.GOMAXPROCS(maxProcs)
+	memoryBytes := int64(memoryMB) << 20
+	debug.SetMemoryLimit(memoryBytes * 3 / 4)
+}
+
+// logFailure logs the error that ends the program. It returns nil if there is none.
+func logFailure(log *zap.SugaredLogger, err error) error {
+	if err == nil {
+		return nil
+	}
+	log.Errorw("failed", "err", err)
+	return cli.ErrReported
+}
