--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -12,7 +12,8 @@
 // validConfig is a platform file without errors.
 const validConfig = `{"name":"n3","listen":"10.0.0.4:5060","seed":"8c1f30d27a5be964",
  "limits":{"cores":1.0,"memory_mb":192,"sockets":1024},"names":"10.2.0.1:8600",
- "known":{"n":1,"events":[{"n":1,"members":{"revision":1,"complete":true,"members":[{"id":"s","host_port":"10.1.0.9:5060",
+ "known":{"n":1,"events":[{"n":1,"members":{"revision":1,"complete":true,"members":[
+ {"id":"s","host_port":"10.1.0.9:5060",
  "locality":"east","flavor":"std","cell":2,"phase":"Ready","size":4,"up_since_ms":7}]}}]},
  "settings":{"groupSize":3,"classes":[{"name":"voice","aim":900,"deadline":3000,"credit":1}],
  "domain":{"topology":"pools","releaseGuard":300},"limits":{"maxAttempts":4,"connectTimeout":500}}}`
--- a/internal/simproto/event.go
+++ b/internal/simproto/event.go
@@ -128,7 +128,7 @@
 	return newEvent(e)
 }
 
-// failureCause reads a cause, for which the protocol uses the numbers of the constants. An unknown one counts as none.
+// failureCause reads a cause; the protocol uses the numbers of the constants. An unknown one counts as none.
 func failureCause(code int) admission.FailureCause {
 	switch cause := admission.FailureCause(code); cause {
 	case admission.CauseNoCircuit, admission.CauseReturned, admission.CauseProcessorBusy, admission.CauseDestinationBusy:
