--- a/cmd/olivedale/deploy_test.go
+++ b/cmd/olivedale/deploy_test.go
@@ -12,34 +12,30 @@
 	"github.com/BurntSushi/toml"
 )
 
-// The platform loads a library into the process that `run` starts. This works only if `run` ends in a single process
-// that is linked dynamically against the C library.
-func TestDeployBuildsOneDynamicProcess(t *testing.T) {
-	root := filepath.Join("..", "..")
-	var deploy struct{ Build, Run string }
+// deployFile is the part of deploy/balancer.toml that the test reads.
+type deployFile struct{ Build, Run string }
+
+func readDeployFile(t *testing.T, root string) deployFile {
+	t.Helper()
+	var deploy deployFile
 	if _, err := toml.DecodeFile(filepath.Join(root, "deploy", "balancer.toml"), &deploy); err != nil {
 		t.Fatal(err)
 	}
-	if deploy.Run != "exec bin/olivedale" {
-		t.Errorf("run = %q does not end in the program's own process", deploy.Run)
-	}
-	makefile, err := os.ReadFile(filepath.Join(root, "Makefile"))
-	if err != nil {
-		t.Fatal(err)
-	}
-	if !strings.Contains(string(makefile), "\nbuild:\n\t"+deploy.Build+"\n") {
-		t.Errorf("make build is not the deploy file's build, %q", deploy.Build)
-	}
-	_, command, ok := strings.Cut(deploy.Build, "&& ")
-	if !ok || !strings.HasPrefix(command, "go build ") {
-		t.Fatalf("build = %q: want a folder made, then go build", deploy.Build)
+	return deploy
+}
+
+// buildAs runs the go build of a deploy command for cmd/olivedale alone and writes the program to path.
+func buildAs(t *testing.T, root, deployBuild, path string) {
+	t.Helper()
+	_, command, found := strings.Cut(deployBuild, "&& ")
+	if !found || !strings.HasPrefix(command, "go build ") {
+		t.Fatalf("build = %q: want a directory made, then go build", deployBuild)
 	}
-	bin := filepath.Join(t.TempDir(), "olivedale")
 	var args []string
 	for _, arg := range strings.Fields(command)[1:] {
 		switch arg {
 		case "bin/":
-			arg = bin
+			arg = path
 		case "./cmd/...":
 			arg = "./cmd/olivedale"
 		}
@@ -50,20 +46,46 @@
 	if out, err := build.CombinedOutput(); err != nil {
 		t.Fatalf("%v: %v\n%s", build.Args, err, out)
 	}
-	program, err := elf.Open(bin)
+}
+
+// The platform loads a library into the process that `run` starts. This works only if `run` ends in a single process
+// that is linked dynamically against the C library.
+func TestDeployBuildsOneDynamicProcess(t *testing.T) {
+	root := filepath.Join("..", "..")
+	deploy := readDeployFile(t, root)
+	if deploy.Run != "exec bin/olivedale" {
+		t.Errorf("run = %q does not end in the program's own process", deploy.Run)
+	}
+	makefile, err := os.ReadFile(filepath.Join(root, "Makefile"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !strings.Contains(string(makefile), "\nbuild:\n\t"+deploy.Build+"\n") {
+		t.Errorf("make build is not the deploy file's build, %q", deploy.Build)
+	}
+	path := filepath.Join(t.TempDir(), "olivedale")
+	buildAs(t, root, deploy.Build, path)
+	program, err := elf.Open(path)
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer program.Close()
-	if !slices.ContainsFunc(program.Progs, func(p *elf.Prog) bool { return p.Type == elf.PT_INTERP }) {
+	checkDynamicLinking(t, program)
+}
+
+func checkDynamicLinking(t *testing.T, program *elf.File) {
+	t.Helper()
+	isInterpreter := func(p *elf.Prog) bool { return p.Type == elf.PT_INTERP }
+	if !slices.ContainsFunc(program.Progs, isInterpreter) {
 		t.Error("the program names no interpreter: it is linked statically")
 	}
-	needed, err := program.ImportedLibraries()
+	libraries, err := program.ImportedLibraries()
 	if err != nil {
 		t.Fatal(err)
 	}
-	if !slices.ContainsFunc(needed, func(lib string) bool { return strings.HasPrefix(lib, "libc.so") }) {
-		t.Errorf("the program needs %v, not the C library", needed)
+	isLibc := func(library string) bool { return strings.HasPrefix(library, "libc.so") }
+	if !slices.ContainsFunc(libraries, isLibc) {
+		t.Errorf("the program needs %v, not the C library", libraries)
 	}
 	symbols, err := program.ImportedSymbols()
 	if err != nil {
@@ -71,7 +93,8 @@
 	}
 	// Go's own linker can also make a program that loads the C library, but the entry point is Go's then. Only the
 	// system's linker starts the program with the C library.
-	if !slices.ContainsFunc(symbols, func(s elf.ImportedSymbol) bool { return s.Name == "__libc_start_main" }) {
+	isLibcStart := func(s elf.ImportedSymbol) bool { return s.Name == "__libc_start_main" }
+	if !slices.ContainsFunc(symbols, isLibcStart) {
 		t.Error("the program was not linked externally with cgo: it does not start by the C library")
 	}
 }
--- a/cmd/olivedale/main_test.go
+++ b/cmd/olivedale/main_test.go
@@ -59,9 +59,10 @@
 // configure writes the configuration.
 func (p *process) configure(t *testing.T, discoveryAddress string) {
 	t.Helper()
-	text := fmt.Sprintf(`{"name":"n0","listen":%q,"seed":"1f","names":%q,"limits":{"memory_mb":192,"sockets":1024},
+	const format = `{"name":"n0","listen":%q,"seed":"1f","names":%q,"limits":{"memory_mb":192,"sockets":1024},
 		"settings":{"groupSize":1,"classes":[{"name":"voice","aim":1000,"deadline":3000,"credit":1}],
-		"domain":{"topology":"pools","releaseGuard":300},"limits":{"maxAttempts":2,"connectTimeout":500}}}`, p.listen, discoveryAddress)
+		"domain":{"topology":"pools","releaseGuard":300},"limits":{"maxAttempts":2,"connectTimeout":500}}}`
+	text := fmt.Sprintf(format, p.listen, discoveryAddress)
 	if err := os.WriteFile(p.configPath, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/config/overload.go
+++ b/internal/config/overload.go
@@ -7,7 +7,7 @@
 	"time"
 )
 
-// OverloadControl is the section [share], which switches on that controllers exchange what they know of the load.
+// OverloadControl is the section [share], which switches on the exchange of load reports between controllers.
 type OverloadControl struct {
 	Listen            string   `toml:"listen" json:"listen"` // host:port for datagrams; "": Config.PeerListen
 	Peers             []string `toml:"peers" json:"peers"`   // of all controllers, by number; empty: Config.Peers
--- a/internal/config/platform.go
+++ b/internal/config/platform.go
@@ -82,16 +82,7 @@
 	if err := file.checkAddresses(); err != nil {
 		return nil, err
 	}
-	c := &Config{
-		Name:             file.Name,
-		Listen:           file.Listen,
-		MemoryMB:         file.Limits.MemoryMB,
-		Sockets:          file.Limits.Sockets,
-		DiscoveryAddress: file.DiscoveryAddress,
-		KnownEndpoints:   file.KnownEndpoints,
-		PeerListen:       file.PeerListen,
-		Peers:            file.Peers,
-	}
+	c := file.config()
 	var err error
 	if c.Seed, err = strconv.ParseUint(file.Seed, 16, 64); err != nil {
 		return nil, &KeyError{"seed", err}
@@ -108,6 +99,20 @@
 	return c, nil
 }
 
+// config returns the values that need no conversion.
+func (f *platformFile) config() *Config {
+	return &Config{
+		Name:             f.Name,
+		Listen:           f.Listen,
+		MemoryMB:         f.Limits.MemoryMB,
+		Sockets:          f.Limits.Sockets,
+		DiscoveryAddress: f.DiscoveryAddress,
+		KnownEndpoints:   f.KnownEndpoints,
+		PeerListen:       f.PeerListen,
+		Peers:            f.Peers,
+	}
+}
+
 func (f *platformFile) checkAddresses() error {
 	if _, err := netip.ParseAddrPort(f.Listen); err != nil {
 		return &KeyError{"listen", err}
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -123,38 +123,9 @@
 	crashes := 0
 	for seed := range uint64(40) {
 		for steps := range 12 {
-			d := newCrashingDisk(seed)
-			s := OpenFS(d)
-			for i := range 5 {
-				if _, err := s.Save("table", value(i)); err != nil {
-					t.Fatal(err)
-				}
-			}
-			d.stepsLeft = steps
-			_, err := s.Save("table", value(5))
-			if err != nil && !errors.Is(err, errCrash) {
-				t.Fatal(err)
-			}
-			if err != nil {
+			if crashDuringSave(t, seed, steps) {
 				crashes++
 			}
-			d.crash()
-			v, loaded := s.Load("table")
-			if loaded != nil {
-				t.Fatalf("seed %d, step %d: %v", seed, steps, loaded)
-			}
-			isOld := bytes.Equal(v.Data, value(4))
-			isNew := bytes.Equal(v.Data, value(5))
-			isLost := err == nil && !isNew
-			if !isOld && !isNew || isLost {
-				t.Fatalf("seed %d, step %d (%v): %q", seed, steps, err, v.Data)
-			}
-			if _, err := s.Save("table", value(6)); err != nil {
-				t.Fatal(err)
-			}
-			if v, err = s.Load("table"); err != nil || !bytes.Equal(v.Data, value(6)) {
-				t.Fatalf("seed %d, step %d: after the crash %q, %v", seed, steps, v.Data, err)
-			}
 		}
 	}
 	if crashes < 100 {
@@ -162,10 +133,60 @@
 	}
 }
 
-// Load skips damaged values, names them and returns the newest intact one. Save removes the oldest values.
-func TestFallback(t *testing.T) {
-	dir := t.TempDir()
-	s, err := Open(filepath.Join(dir, "state"))
+// crashDuringSave saves values, crashes after some steps of the sixth Save, and checks what is left. It reports
+// whether the crash came before the end of Save.
+func crashDuringSave(t *testing.T, seed uint64, steps int) (crashed bool) {
+	t.Helper()
+	d := newCrashingDisk(seed)
+	s := OpenFS(d)
+	for i := range 5 {
+		if _, err := s.Save("table", value(i)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	d.stepsLeft = steps
+	_, err := s.Save("table", value(5))
+	if err != nil && !errors.Is(err, errCrash) {
+		t.Fatal(err)
+	}
+	crashed = err != nil
+	d.crash()
+	v, err := s.Load("table")
+	if err != nil {
+		t.Fatalf("seed %d, step %d: %v", seed, steps, err)
+	}
+	isOld := bytes.Equal(v.Data, value(4))
+	isNew := bytes.Equal(v.Data, value(5))
+	isLost := !crashed && !isNew
+	if !isOld && !isNew || isLost {
+		t.Fatalf("seed %d, step %d (crashed: %v): %q", seed, steps, crashed, v.Data)
+	}
+	if _, err := s.Save("table", value(6)); err != nil {
+		t.Fatal(err)
+	}
+	if v, err = s.Load("table"); err != nil || !bytes.Equal(v.Data, value(6)) {
+		t.Fatalf("seed %d, step %d: after the crash %q, %v", seed, steps, v.Data, err)
+	}
+	return crashed
+}
+
+// changeFile replaces the content of a file.
+func changeFile(t *testing.T, path string, change func(content []byte) []byte) {
+	t.Helper()
+	content, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(path, change(content), 0o600); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// openWithTen returns a store with ten values of the name table, and one of another name with that prefix.
+func openWithTen(t *testing.T) (s *Store, dir string) {
+	t.Helper()
+	dir = filepath.Join(t.TempDir(), "state")
+	s, err := Open(dir)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -177,40 +198,44 @@
 			t.Fatal(n, err)
 		}
 	}
-	if _, err := s.Save("tables", value(99)); err != nil { // a name with the same prefix
+	if _, err := s.Save("tables", value(99)); err != nil {
 		t.Fatal(err)
 	}
-	files, err := filepath.Glob(filepath.Join(dir, "state", "table-*"))
+	return s, dir
+}
+
+// Load skips damaged values, names them and returns the newest intact one. Save removes the oldest values.
+func TestFallback(t *testing.T) {
+	s, dir := openWithTen(t)
+	files, err := filepath.Glob(filepath.Join(dir, "table-*"))
 	if err != nil || len(files) != maxVersions {
 		t.Fatal(files, err)
 	}
-	damage := func(file string, change func(b []byte) []byte) {
-		t.Helper()
-		b, err := os.ReadFile(file)
-		if err != nil {
-			t.Fatal(err)
-		}
-		if err := os.WriteFile(file, change(b), 0o600); err != nil {
-			t.Fatal(err)
-		}
-	}
-	damage(files[2], func(b []byte) []byte { b[len(b)-1] ^= 1; return b })
+	flipLastBit := func(b []byte) []byte { b[len(b)-1] ^= 1; return b }
+	truncate := func(b []byte) []byte { return b[:len(b)-3] }
+	empty := func([]byte) []byte { return nil }
+	changeFile(t, files[2], flipLastBit)
 	v, err := s.Load("table")
 	if err != nil || !bytes.Equal(v.Data, value(8)) || len(v.Bad) != 1 || !strings.Contains(v.Bad[0], "damaged") {
 		t.Errorf("%+v, %v", v, err)
 	}
-	damage(files[1], func(b []byte) []byte { return b[:len(b)-3] })
+	changeFile(t, files[1], truncate)
 	v, err = s.Load("table")
 	if err != nil || !bytes.Equal(v.Data, value(7)) || len(v.Bad) != 2 || !strings.Contains(v.Bad[1], "torn") {
 		t.Errorf("%+v, %v", v, err)
 	}
-	damage(files[0], func([]byte) []byte { return nil })
+	changeFile(t, files[0], empty)
 	if _, err := s.Load("table"); !errors.Is(err, ErrNoIntactValue) || errors.Is(err, ErrNotFound) {
 		t.Errorf("no intact value: %v", err)
 	}
 	if n, err := s.Save("table", value(1)); err != nil || n != 11 {
 		t.Errorf("%d, %v", n, err)
 	}
+}
+
+// A name with another character than lower-case letters and digits, or of a wrong length, is rejected.
+func TestInvalidNames(t *testing.T) {
+	s, _ := openWithTen(t)
 	for _, name := range []string{"", "../x", "A", strings.Repeat("x", 64)} {
 		if _, err := s.Save(name, nil); err == nil {
 			t.Errorf("%q was accepted as a name", name)
