--- a/cmd/benchlink/main_test.go
+++ b/cmd/benchlink/main_test.go
@@ -62,13 +62,15 @@
 		batch("1", "") + "{\n":                "line 2: batch",
 		batch("1", node("0", pageItem+strings.Replace(startItems, "pools", "ring", 1))): `topology "ring"`,
 	} {
-		var out bytes.Buffer
-		err := run(strings.NewReader(text), &out)
-		if err == nil || !strings.Contains(err.Error(), want) {
-			t.Errorf("%s: error %v, want %q", text, err, want)
-		}
-		if strings.Count(out.String(), "\n") != strings.Count(text, "\n")-1 {
-			t.Errorf("%s: a partial answer: %q", text, out.String())
-		}
+		t.Run(want, func(t *testing.T) {
+			var out bytes.Buffer
+			err := run(strings.NewReader(text), &out)
+			if err == nil || !strings.Contains(err.Error(), want) {
+				t.Errorf("%s: error %v, want %q", text, err, want)
+			}
+			if strings.Count(out.String(), "\n") != strings.Count(text, "\n")-1 {
+				t.Errorf("%s: a partial answer: %q", text, out.String())
+			}
+		})
 	}
 }
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -45,9 +45,11 @@
 		`"10.1.0.9:5060"`:         `"10.1.0.9"`,
 		`{"name"`:                 `"name"`,
 	} {
-		if _, err := Parse([]byte(strings.Replace(validConfig, from, to, 1))); err == nil {
-			t.Errorf("%s was accepted in place of %s", to, from)
-		}
+		t.Run(from, func(t *testing.T) {
+			if _, err := Parse([]byte(strings.Replace(validConfig, from, to, 1))); err == nil {
+				t.Errorf("%s was accepted in place of %s", to, from)
+			}
+		})
 	}
 	if _, err := Load(""); !errors.Is(err, ErrNoPath) || !strings.Contains(err.Error(), "RELAY_CONFIG") {
 		t.Errorf("no path: %v", err)
@@ -56,19 +58,25 @@
 
 // Errors of the platform's file name the key.
 func TestConfigurationErrorsNameTheKey(t *testing.T) {
-	for key, change := range map[string][2]string{
-		"listen":                         {`"10.0.0.4:5060"`, `"somewhere"`},
-		"names":                          {`"names":"10.2.0.1:8600"`, `"names":""`},
-		"seed":                           {`"8c1f30d27a5be964"`, `"x"`},
-		"limits":                         {`"sockets":1024`, `"sockets":3`},
-		"settings.limits.connectTimeout": {`"connectTimeout":500`, `"connectTimeout":0`},
-		"known":                          {`"Ready"`, `"Maybe"`},
+	for _, c := range []struct {
+		key  string
+		from string
+		to   string
+	}{
+		{"listen", `"10.0.0.4:5060"`, `"somewhere"`},
+		{"names", `"names":"10.2.0.1:8600"`, `"names":""`},
+		{"seed", `"8c1f30d27a5be964"`, `"x"`},
+		{"limits", `"sockets":1024`, `"sockets":3`},
+		{"settings.limits.connectTimeout", `"connectTimeout":500`, `"connectTimeout":0`},
+		{"known", `"Ready"`, `"Maybe"`},
 	} {
-		_, err := Parse([]byte(strings.Replace(validConfig, change[0], change[1], 1)))
-		var keyError *KeyError
-		if !errors.As(err, &keyError) || keyError.Key != key {
-			t.Errorf("%s: %v", key, err)
-		}
+		t.Run(c.key, func(t *testing.T) {
+			_, err := Parse([]byte(strings.Replace(validConfig, c.from, c.to, 1)))
+			var keyError *KeyError
+			if !errors.As(err, &keyError) || keyError.Key != c.key {
+				t.Errorf("%v, want key %s", err, c.key)
+			}
+		})
 	}
 }
 
@@ -115,9 +123,11 @@
 		"[recods]\ndir = \"x\"":                                                             "line 1: recods",
 		"[records\n":                                                                        "line 2:",
 	} {
-		if o, err := ParseOperator([]byte(text)); err == nil || !strings.HasPrefix(err.Error(), want) {
-			t.Errorf("%q: want %q, got %+v, %v", text, want, o, err)
-		}
+		t.Run(want, func(t *testing.T) {
+			if o, err := ParseOperator([]byte(text)); err == nil || !strings.HasPrefix(err.Error(), want) {
+				t.Errorf("%q: want %q, got %+v, %v", text, want, o, err)
+			}
+		})
 	}
 }
 
--- a/internal/config/overload_test.go
+++ b/internal/config/overload_test.go
@@ -27,13 +27,15 @@
 		{name: "out of range", file: OverloadControl{Number: &nine}, cfg: Config{PeerListen: three[0], Peers: three},
 			wantError: "there are 3 peers"},
 	} {
-		got, err := c.file.ResolvePeers(&c.cfg)
-		switch {
-		case c.wantError == "" && (err != nil || got != c.want):
-			t.Errorf("%s: number %d, %v; want %d", c.name, got, err, c.want)
-		case c.wantError != "" && (err == nil || !strings.Contains(err.Error(), c.wantError)):
-			t.Errorf("%s: %v, want an error with %q", c.name, err, c.wantError)
-		}
+		t.Run(c.name, func(t *testing.T) {
+			got, err := c.file.ResolvePeers(&c.cfg)
+			switch {
+			case c.wantError == "" && (err != nil || got != c.want):
+				t.Errorf("number %d, %v; want %d", got, err, c.want)
+			case c.wantError != "" && (err == nil || !strings.Contains(err.Error(), c.wantError)):
+				t.Errorf("%v, want an error with %q", err, c.wantError)
+			}
+		})
 	}
 }
 
@@ -51,14 +53,18 @@
 		"[share]\nnumber = 3\nrate = 10\n":      "",
 		"[share]\nperiod = \"1s\"\nbeat=\"5s\"": "",
 	} {
-		o, err := ParseOperator([]byte(text))
-		switch {
-		case wantError == "" && err != nil,
-			wantError == "" && (o.Overload == nil || o.Overload.Rate == 0 || o.Overload.HeartbeatInterval == 0):
-			t.Errorf("%q: %+v, %v", text, o, err)
-		case wantError != "" && (err == nil || !strings.Contains(err.Error(), wantError)):
-			t.Errorf("%q: %v, want %q", text, err, wantError)
-		}
+		t.Run(text, func(t *testing.T) {
+			o, err := ParseOperator([]byte(text))
+			if wantError != "" {
+				if err == nil || !strings.Contains(err.Error(), wantError) {
+					t.Errorf("%v, want %q", err, wantError)
+				}
+				return
+			}
+			if err != nil || o.Overload == nil || o.Overload.Rate == 0 || o.Overload.HeartbeatInterval == 0 {
+				t.Errorf("%+v, %v", o, err)
+			}
+		})
 	}
 }
 
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -126,9 +126,11 @@
 		"server failure": serverFailure,
 	}
 	for name, message := range invalid {
-		if got, err := l.HandleAnswer(message); err == nil || l.Serial() != 3 {
-			t.Errorf("%s: %+v, serial %d", name, got, l.Serial())
-		}
+		t.Run(name, func(t *testing.T) {
+			if got, err := l.HandleAnswer(message); err == nil || l.Serial() != 3 {
+				t.Errorf("%+v, serial %d", got, l.Serial())
+			}
+		})
 	}
 	rng := rand.New(rand.NewPCG(1, 1))
 	for range 5000 { // a few bytes of a valid answer are overwritten
--- a/internal/simproto/simproto_test.go
+++ b/internal/simproto/simproto_test.go
@@ -61,10 +61,12 @@
 			Load: admission.LoadReport{QueueLength: admission.Optional{Value: 4, Valid: true}}}},
 		{`["PROBED","delivered","s",0,null]`, admission.LoadReported{Server: "s", OK: true}},
 	} {
-		items := decodeOne(t, &Decoder{}, test.text)
-		if !reflect.DeepEqual(items[0].Event, test.want) {
-			t.Errorf("%s\n got %+v\nwant %+v", test.text, items[0].Event, test.want)
-		}
+		t.Run(test.text, func(t *testing.T) {
+			items := decodeOne(t, &Decoder{}, test.text)
+			if !reflect.DeepEqual(items[0].Event, test.want) {
+				t.Errorf("got %+v\nwant %+v", items[0].Event, test.want)
+			}
+		})
 	}
 }
 
@@ -98,14 +100,16 @@
 		`{}`:                        "item",
 		`["START",1,{"classes":3}]`: "START: profileData",
 	} {
-		d := &Decoder{}
-		if _, err := d.Decode([]byte(`{"atTime":1,"nodes":[]}`)); err != nil {
-			t.Fatal(err)
-		}
-		_, err := d.Decode(line(text))
-		if err == nil || !strings.HasPrefix(err.Error(), "line 2: ") || !strings.Contains(err.Error(), want) {
-			t.Errorf("%s: error %v, want line 2 and %q", text, err, want)
-		}
+		t.Run(text, func(t *testing.T) {
+			d := &Decoder{}
+			if _, err := d.Decode([]byte(`{"atTime":1,"nodes":[]}`)); err != nil {
+				t.Fatal(err)
+			}
+			_, err := d.Decode(line(text))
+			if err == nil || !strings.HasPrefix(err.Error(), "line 2: ") || !strings.Contains(err.Error(), want) {
+				t.Errorf("error %v, want line 2 and %q", err, want)
+			}
+		})
 	}
 	for _, text := range []string{``, `[]`, `{"nodes":[]}`, `{"atTime":1,"nodes":[{"items":[]}]}`} {
 		if _, err := (&Decoder{}).Decode([]byte(text)); err == nil {
