--- /dev/null
+++ b/internal/adminapi/client.go
@@ -0,0 +1,118 @@
+// Package adminapi is the management protocol between instances, the agent that runs them, and the operators' programs.
+//
+// It carries H.248 commands: AuditValue reads state and counters, ServiceChange drains an instance, Modify orders a
+// change of the numbering tables or exchanges clock readings. The package owns the client, the agent's server, and the
+// conversion of the carried state to descriptors and back. It never changes the state of an instance. The client and
+// the server block; the event loop of an instance uses the conversions only.
+package adminapi
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"strconv"
+	"time"
+
+	"olivedale/internal/codec/h248"
+)
+
+// RequestTimeout bounds one request: the dial, the command and its reply.
+const RequestTimeout = 5 * time.Second
+
+// rootTermination addresses the instance or the agent as a whole.
+const rootTermination = "ROOT"
+
+// nullContext is the context of commands that concern no call.
+const nullContext = "-"
+
+var errEmptyReply = errors.New("the reply is empty")
+
+// Send sends one command to addr on a connection of its own and returns the reply. An error descriptor in the reply is
+// returned as an *h248.Error.
+func Send(ctx context.Context, addr string, c *h248.Command) (*h248.Command, error) {
+	reply, err := send(ctx, addr, c)
+	if err != nil {
+		return nil, fmt.Errorf("admin request to %s: %w", addr, err)
+	}
+	return reply, nil
+}
+
+func send(ctx context.Context, addr string, c *h248.Command) (*h248.Command, error) {
+	ctx, cancel := context.WithTimeout(ctx, RequestTimeout)
+	defer cancel()
+	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = conn.Close() }()
+	if deadline, ok := ctx.Deadline(); ok {
+		if err := conn.SetDeadline(deadline); err != nil {
+			return nil, err
+		}
+	}
+	id := uint32(time.Now().UnixNano())
+	frame, err := h248.AppendFrame(nil, newRequest(conn, id, c))
+	if err != nil {
+		return nil, err
+	}
+	if _, err := conn.Write(frame); err != nil {
+		return nil, err
+	}
+	return readReply(conn, id)
+}
+
+// newRequest returns a message with one command. The local port makes the message identifier unique: the server does
+// not take the transaction for a repetition of one on an earlier connection.
+func newRequest(conn net.Conn, id uint32, c *h248.Command) *h248.Message {
+	port := conn.LocalAddr().(*net.TCPAddr).Port
+	action := &h248.Action{Context: nullContext, Commands: []*h248.Command{c}}
+	return &h248.Message{
+		MID:          "<ctl>:" + strconv.Itoa(port),
+		Transactions: []*h248.Transaction{{ID: id, Actions: []*h248.Action{action}}},
+	}
+}
+
+// readReply reads messages until one contains the reply to the transaction with that id.
+func readReply(conn net.Conn, id uint32) (*h248.Command, error) {
+	var reply *h248.Command
+	err := readMessages(conn, func(m *h248.Message) error {
+		if m.Err != nil {
+			return m.Err
+		}
+		for _, t := range m.Transactions {
+			if t.Kind != h248.Reply || t.ID != id {
+				continue
+			}
+			var err error
+			if reply, err = firstCommand(t); err != nil {
+				return err
+			}
+			return errStopReading
+		}
+		return nil
+	})
+	return reply, err
+}
+
+// firstCommand returns the first command of a reply, or the error that the reply contains in its place.
+func firstCommand(t *h248.Transaction) (*h248.Command, error) {
+	if t.Err != nil {
+		return nil, t.Err
+	}
+	if len(t.Actions) == 0 {
+		return nil, errEmptyReply
+	}
+	action := t.Actions[0]
+	if action.Err != nil {
+		return nil, action.Err
+	}
+	if len(action.Commands) == 0 {
+		return nil, errEmptyReply
+	}
+	c := action.Commands[0]
+	if c.Err != nil {
+		return nil, c.Err
+	}
+	return c, nil
+}
--- a/internal/adminapi/clock.go
+++ b/internal/adminapi/clock.go
@@ -10,60 +10,91 @@
 	"olivedale/internal/codec/h248"
 )
 
-// ClockStamps are the four time stamps of an exchange, Unix nanoseconds, as RFC 5905, section 8,
-// names them: T1 and T4 by the one that asks, T2 and T3 by the one that answers.
+// ClockStamps are the four timestamps of a clock exchange (RFC 5905, section 8), in nanoseconds since the Unix epoch. A
+// timestamp that is not known is 0.
 type ClockStamps [4]int64
 
-// clockNames are the properties of TerminationState that carry Stamps.
-var clockNames = [4]string{"oc/t1", "oc/t2", "oc/t3", "oc/t4"}
+// Indexes of ClockStamps.
+const (
+	OriginTime      = iota // T1: the client sends the request
+	ReceiveTime            // T2: the server receives the request
+	TransmitTime           // T3: the server sends the reply
+	DestinationTime        // T4: the client receives the reply
+)
+
+// Properties of TerminationState that carry a clock exchange.
+const peerProperty = "oc/peer"
+
+var stampProperties = [len(ClockStamps{})]string{
+	OriginTime:      "oc/t1",
+	ReceiveTime:     "oc/t2",
+	TransmitTime:    "oc/t3",
+	DestinationTime: "oc/t4",
+}
+
+const maxPeerNameLength = 64
 
-// ClockCommand asks an instance for its time, as a Modify of ROOT. The instance knows all four time
-// stamps of an exchange only once the one that asked has told it the last: they come with the
-// next exchange, under the name of who asks.
-func ClockCommand(peer string, last ClockStamps) *h248.Command {
-	state := &h248.Node{Name: "TerminationState", Kids: []*h248.Node{{Name: "oc/peer", Value: peer, Quoted: true}}}
-	for i, name := range clockNames {
-		if last[i] != 0 {
-			state.Kids = append(state.Kids, &h248.Node{Name: name, Value: strconv.FormatInt(last[i], 10)})
+// Errors of ParseClock. Their texts are sent to the peer.
+var (
+	errNoTerminationState = errors.New("no TerminationState")
+	errInvalidPeerName    = errors.New("oc/peer is no name")
+)
+
+// ClockCommand returns the command that reads an instance's clock, a Modify of ROOT. It carries the timestamps of the
+// previous exchange under the name of the client: the instance learns all four timestamps of an exchange only with the
+// next one.
+func ClockCommand(peer string, previous ClockStamps) *h248.Command {
+	properties := []*h248.Node{{Name: peerProperty, Value: peer, Quoted: true}}
+	for i, name := range stampProperties {
+		if previous[i] != 0 {
+			properties = append(properties, &h248.Node{Name: name, Value: strconv.FormatInt(previous[i], 10)})
 		}
 	}
-	return &h248.Command{Name: "Modify", Termination: "ROOT", Descriptors: []*h248.Node{{Name: "Media", Kids: []*h248.Node{state}}}}
+	return modifyCommand(rootTermination, properties)
 }
 
-// ParseClock reads what Clock and its reply carry; a time stamp that is not there is 0.
-func ParseClock(c *h248.Command) (peer string, s ClockStamps, err error) {
-	state := h248.Find(c.Descriptors, "Media", "TerminationState")
+// ParseClock returns what a ClockCommand or its reply carries.
+func ParseClock(c *h248.Command) (peer string, stamps ClockStamps, err error) {
+	state := h248.Find(c.Descriptors, h248.DescriptorMedia, h248.DescriptorTerminationState)
 	if state == nil {
-		return "", s, errors.New("no TerminationState")
+		return "", stamps, errNoTerminationState
 	}
-	peer = h248.Value(state.Kids, "oc/peer")
-	if len(peer) > 64 || strings.ContainsFunc(peer, func(c rune) bool { return c <= ' ' || c > '~' }) {
-		return "", s, errors.New("oc/peer is no name")
+	peer = h248.Value(state.Kids, peerProperty)
+	if !isPeerName(peer) {
+		return "", stamps, errInvalidPeerName
 	}
-	for i, name := range clockNames {
-		if v := h248.Value(state.Kids, name); v != "" {
-			if s[i], err = strconv.ParseInt(v, 10, 64); err != nil {
-				return "", s, err
-			}
+	for i, name := range stampProperties {
+		text := h248.Value(state.Kids, name)
+		if text == "" {
+			continue
+		}
+		if stamps[i], err = strconv.ParseInt(text, 10, 64); err != nil {
+			return "", stamps, err
 		}
 	}
-	return peer, s, nil
+	return peer, stamps, nil
+}
+
+// isPeerName reports whether a text, which may be empty, consists of visible ASCII characters.
+func isPeerName(s string) bool {
+	isInvisible := func(c rune) bool { return c <= ' ' || c > '~' }
+	return len(s) <= maxPeerNameLength && !strings.ContainsFunc(s, isInvisible)
 }
 
-// ExchangeClocks asks the instance at addr for its time, tells it the last exchange's time stamps
-// and returns the new ones.
-func ExchangeClocks(ctx context.Context, addr, peer string, last ClockStamps) (ClockStamps, error) {
-	before := time.Now()
-	c, err := Send(ctx, addr, ClockCommand(peer, last))
+// ExchangeClocks reads the clock of the instance at addr. It sends the timestamps of the previous exchange and returns
+// those of the new one.
+func ExchangeClocks(ctx context.Context, addr, peer string, previous ClockStamps) (ClockStamps, error) {
+	start := time.Now()
+	reply, err := Send(ctx, addr, ClockCommand(peer, previous))
 	if err != nil {
 		return ClockStamps{}, err
 	}
-	_, s, err := ParseClock(c)
+	_, stamps, err := ParseClock(reply)
 	if err != nil {
 		return ClockStamps{}, err
 	}
-	// T4 by the monotonic clock: a step in between must not make the way back look short.
-	s[0] = before.UnixNano()
-	s[3] = s[0] + int64(time.Since(before))
-	return s, nil
+	// T4 is taken by the monotonic clock: a step of the wall clock during the exchange must not change its duration.
+	stamps[OriginTime] = start.UnixNano()
+	stamps[DestinationTime] = stamps[OriginTime] + int64(time.Since(start))
+	return stamps, nil
 }
--- /dev/null
+++ b/internal/adminapi/connection.go
@@ -0,0 +1,47 @@
+package adminapi
+
+import (
+	"errors"
+	"net"
+
+	"olivedale/internal/codec/h248"
+)
+
+const readBufferSize = 4096
+
+// errStopReading is returned by a handler of readMessages that needs no more messages.
+var errStopReading = errors.New("stop reading")
+
+// readMessages calls handle for each message that conn delivers, until handle returns an error or the connection fails.
+// It returns nil if that error is errStopReading.
+func readMessages(conn net.Conn, handle func(*h248.Message) error) error {
+	var framer h248.Framer
+	buffer := make([]byte, readBufferSize)
+	for {
+		n, err := conn.Read(buffer)
+		if err != nil {
+			return err
+		}
+		var handleErr error
+		err = framer.Feed(buffer[:n], func(text []byte) bool {
+			handleErr = parseAndHandle(text, handle)
+			return handleErr == nil
+		})
+		switch {
+		case errors.Is(handleErr, errStopReading):
+			return nil
+		case handleErr != nil:
+			return handleErr
+		case err != nil:
+			return err
+		}
+	}
+}
+
+func parseAndHandle(text []byte, handle func(*h248.Message) error) error {
+	m, err := h248.Parse(text)
+	if err != nil {
+		return err
+	}
+	return handle(m)
+}
--- a/internal/adminapi/golden_test.go
+++ b/internal/adminapi/golden_test.go
@@ -14,19 +14,51 @@
 	"olivedale/internal/portability"
 )
 
-// goldenShare is a state of which every value differs from its zero.
-func goldenShare() *overload.State {
-	return &overload.State{Self: 3, Peers: 300, Incarnation: 77, Aggregator: 5, AggregatorFor: 3 * time.Second, LimitsAge: 400 * time.Millisecond, AliveMembers: 260, PeakMembers: 300, Partitioned: true, FrequentReports: true, Ejected: 1,
-		Servers:    []overload.ServerState{{ID: "s-1", PendingAttempts: 2, SetupTime: 130 * time.Millisecond, Limited: true, ClaimedWait: 900 * time.Millisecond, ThrottleChance: [4]float64{0.98, 0.5, 0, 1}, OverflowChance: 0.25, Throttled: 12}},
-		Aggregates: []overload.AggregateState{{Key: 0x0102ff, Offered: 40.5, Overflow: 2, Answered: 30, Wait: time.Second, WaitReports: 100, AdmittedRate: 28}, {Key: 9, AdmittedRate: math.Inf(1)}},
-		Members:    []overload.MemberState{{Number: 1, Status: overload.Alive, LastReportAge: time.Second, LossShare: 0.125, ReportSpan: 500 * time.Millisecond}, {Number: 2, Status: overload.Suspect}, {Number: 4, Status: overload.Dead}},
-		Counters:   overload.Counters{Sent: 1, SentBytes: 2, Received: 3, ReceivedBytes: 4, Malformed: 5, Misattributed: 6, Stale: 7, Throttled: 8, Admitted: 9, AggregatorChanges: 10, AggregatorsUnresponsive: 11, AggregatorsEjected: 12}}
+// goldenState returns a state in which every value differs from its zero value.
+func goldenState() *overload.State {
+	return &overload.State{
+		Self: 3, Peers: 300, Incarnation: 77,
+		Aggregator: 5, AggregatorFor: 3 * time.Second, LimitsAge: 400 * time.Millisecond,
+		AliveMembers: 260, PeakMembers: 300, Partitioned: true, FrequentReports: true, Ejected: 1,
+		Servers: []overload.ServerState{{
+			ID: "s-1", PendingAttempts: 2, SetupTime: 130 * time.Millisecond,
+			Limited: true, ClaimedWait: 900 * time.Millisecond,
+			ThrottleChance: [4]float64{0.98, 0.5, 0, 1}, OverflowChance: 0.25, Throttled: 12,
+		}},
+		Aggregates: []overload.AggregateState{
+			{Key: 0x0102ff, Offered: 40.5, Overflow: 2, Answered: 30, Wait: time.Second, WaitReports: 100, AdmittedRate: 28},
+			{Key: 9, AdmittedRate: math.Inf(1)},
+		},
+		Members: []overload.MemberState{
+			{Number: 1, Status: overload.Alive, LastReportAge: time.Second, LossShare: 0.125, ReportSpan: 500 * time.Millisecond},
+			{Number: 2, Status: overload.Suspect},
+			{Number: 4, Status: overload.Dead},
+		},
+		Counters: overload.Counters{
+			Sent: 1, SentBytes: 2, Received: 3, ReceivedBytes: 4, Malformed: 5, Misattributed: 6, Stale: 7,
+			Throttled: 8, Admitted: 9,
+			AggregatorChanges: 10, AggregatorsUnresponsive: 11, AggregatorsEjected: 12,
+		},
+	}
+}
+
+// goldenVersions returns a version in each state.
+func goldenVersions() (versions []numbering.Status) {
+	for i, state := range []string{numbering.InForce, numbering.Waiting, numbering.Loaded} {
+		versions = append(versions, numbering.Status{
+			Digest: fmt.Sprint("d", i), Name: "of today", State: state,
+			Entries: 10 + i, Pins: i, Since: time.Duration(i), Due: time.Duration(2 * i),
+		})
+	}
+	return versions
 }
 
-// goldenCommands are the commands and replies between instances and those who manage them.
+// goldenCommands returns the commands and replies between instances and their managers.
 func goldenCommands(t *testing.T) (all []goldentest.Message) {
 	add := func(name string, c *h248.Command) {
-		b, err := h248.AppendFrame(nil, &h248.Message{MID: "<ctl>:1", Transactions: []*h248.Transaction{{ID: 1, Actions: []*h248.Action{{Context: "-", Commands: []*h248.Command{c}}}}}})
+		action := &h248.Action{Context: "-", Commands: []*h248.Command{c}}
+		transaction := &h248.Transaction{ID: 1, Actions: []*h248.Action{action}}
+		b, err := h248.AppendFrame(nil, &h248.Message{MID: "<ctl>:1", Transactions: []*h248.Transaction{transaction}})
 		if err != nil {
 			t.Fatalf("%s: %v", name, err)
 		}
@@ -41,23 +73,25 @@
 	add("clock", ClockCommand("agent-1", ClockStamps{1764547200000000001, 2, 3, 4}))
 	add("clock without stamps", ClockCommand("", ClockStamps{}))
 	add("order to load", NumberingCommand(numbering.Order{Op: numbering.OpLoad, File: "/etc/numbers.toml"}))
-	add("order to activate", NumberingCommand(numbering.Order{Op: numbering.OpActivate, Digest: "7b3cbfb4b82e4e7b", Saw: "00", At: 5 * time.Second}))
+	add("order to activate", NumberingCommand(numbering.Order{
+		Op: numbering.OpActivate, Digest: "7b3cbfb4b82e4e7b", Saw: "00", At: 5 * time.Second}))
 	add("order to roll back", NumberingCommand(numbering.Order{Op: numbering.OpRollback, Saw: "00"}))
 	add("order to cancel", NumberingCommand(numbering.Order{Op: numbering.OpCancel}))
-	states := []numbering.Status{}
-	for i, state := range []string{numbering.InForce, numbering.Waiting, numbering.Loaded} {
-		states = append(states, numbering.Status{Digest: fmt.Sprint("d", i), Name: "of today", State: state, Entries: 10 + i, Pins: i, Since: time.Duration(i), Due: time.Duration(2 * i)})
-	}
-	reply("versions while an order runs", NumberingTermination, NumberingNodes(states, numbering.Job{ID: 4, Order: numbering.Order{Op: numbering.OpLoad}, Running: true})...)
-	reply("versions after an order failed", NumberingTermination, NumberingNodes(nil, numbering.Job{ID: 5, Order: numbering.Order{Op: numbering.OpLoad}, Err: "no such file", Digest: "d9"})...)
-	reply("table and look-ups", "ROOT", TableNode("d0", "of today"),
-		LookupsNode(&portability.Counters{Asked: 1, Hits: 2, Coalesced: 3, StaleHits: 4, Undecided: 5, Crowded: 6, Sent: 7, Answered: 8, TimedOut: 9, Refused: 10, Strays: 11, Lies: 12, Broken: 13}))
-	reply("share", OverloadTermination, OverloadNodes(goldenShare())...)
+	load := numbering.Order{Op: numbering.OpLoad}
+	runningJob := numbering.Job{ID: 4, Order: load, Running: true}
+	failedJob := numbering.Job{ID: 5, Order: load, Err: "no such file", Digest: "d9"}
+	reply("versions while an order runs", NumberingTermination, NumberingNodes(goldenVersions(), runningJob)...)
+	reply("versions after an order failed", NumberingTermination, NumberingNodes(nil, failedJob)...)
+	reply("table and look-ups", "ROOT", TableNode("d0", "of today"), LookupsNode(&portability.Counters{
+		Asked: 1, Hits: 2, Coalesced: 3, StaleHits: 4, Undecided: 5, Crowded: 6,
+		Sent: 7, Answered: 8, TimedOut: 9, Refused: 10, Strays: 11, Lies: 12, Broken: 13,
+	}))
+	reply("share", OverloadTermination, OverloadNodes(goldenState())...)
 	reply("share without values", OverloadTermination, OverloadNodes(&overload.State{})...)
 	return all
 }
 
-// dumpCommand writes what each reader makes of a command under labels that are fixed.
+// dumpCommand writes the result of each parser for a command, with fixed labels.
 func dumpCommand(b *strings.Builder, c *h248.Command) {
 	_, _ = fmt.Fprintf(b, "command %q termination %q\n", c.Name, c.Termination)
 	if peer, stamps, err := ParseClock(c); err == nil {
@@ -68,36 +102,50 @@
 	}
 	versions, job := ParseNumbering(c.Descriptors)
 	for _, v := range versions {
-		_, _ = fmt.Fprintf(b, "version %q name %q state %q entries %d calls %d since %d due %d\n", v.Digest, v.Name, v.State, v.Entries, v.Pins, v.Since, v.Due)
+		_, _ = fmt.Fprintf(b, "version %q name %q state %q entries %d calls %d since %d due %d\n",
+			v.Digest, v.Name, v.State, v.Entries, v.Pins, v.Since, v.Due)
 	}
 	if job.ID > 0 {
-		_, _ = fmt.Fprintf(b, "job %d order %q running %v error %q digest %q\n", job.ID, job.Order.Op, job.Running, job.Err, job.Digest)
+		_, _ = fmt.Fprintf(b, "job %d order %q running %v error %q digest %q\n",
+			job.ID, job.Order.Op, job.Running, job.Err, job.Digest)
 	}
 	if s := ParseOverload(c.Descriptors); s != nil {
-		_, _ = fmt.Fprintf(b, "share %d of %d boot %d teller %d since %v heard %v live %d most %d part %v often %v shunned %d\n",
-			s.Self, s.Peers, s.Incarnation, s.Aggregator, s.AggregatorFor, s.LimitsAge, s.AliveMembers, s.PeakMembers, s.Partitioned, s.FrequentReports, s.Ejected)
-		k := &s.Counters
-		_, _ = fmt.Fprintf(b, "counters sent %d bytes %d received %d unread %d alien %d held %d passed %d silent %d wrong %d\n",
-			k.Sent, k.SentBytes, k.Received, k.Malformed, k.Misattributed, k.Throttled, k.Admitted, k.AggregatorsUnresponsive, k.AggregatorsEjected)
-		for _, v := range s.Servers {
-			_, _ = fmt.Fprintf(b, "server %q waiting %d wait %v obeyed %v claim %v hold %v over %v held %d\n", v.ID, v.PendingAttempts, v.SetupTime, v.Limited, v.ClaimedWait, v.ThrottleChance, v.OverflowChance, v.Throttled)
-		}
-		for _, v := range s.Aggregates {
-			_, _ = fmt.Fprintf(b, "sum %06x offered %v over %v answered %v wait %v told %d budget %v\n", v.Key, v.Offered, v.Overflow, v.Answered, v.Wait, v.WaitReports, v.AdmittedRate)
-		}
-		for _, p := range s.Members {
-			_, _ = fmt.Fprintf(b, "reporter %d presence %v heard %v lost %v span %v\n", p.Number, p.Status, p.LastReportAge, p.LossShare, p.ReportSpan)
-		}
+		dumpState(b, s)
+	}
+}
+
+func dumpState(b *strings.Builder, s *overload.State) {
+	_, _ = fmt.Fprintf(b,
+		"share %d of %d boot %d teller %d since %v heard %v live %d most %d part %v often %v shunned %d\n",
+		s.Self, s.Peers, s.Incarnation, s.Aggregator, s.AggregatorFor, s.LimitsAge,
+		s.AliveMembers, s.PeakMembers, s.Partitioned, s.FrequentReports, s.Ejected)
+	c := &s.Counters
+	_, _ = fmt.Fprintf(b,
+		"counters sent %d bytes %d received %d unread %d alien %d held %d passed %d silent %d wrong %d\n",
+		c.Sent, c.SentBytes, c.Received, c.Malformed, c.Misattributed,
+		c.Throttled, c.Admitted, c.AggregatorsUnresponsive, c.AggregatorsEjected)
+	for _, v := range s.Servers {
+		_, _ = fmt.Fprintf(b, "server %q waiting %d wait %v obeyed %v claim %v hold %v over %v held %d\n",
+			v.ID, v.PendingAttempts, v.SetupTime, v.Limited, v.ClaimedWait,
+			v.ThrottleChance, v.OverflowChance, v.Throttled)
+	}
+	for _, v := range s.Aggregates {
+		_, _ = fmt.Fprintf(b, "sum %06x offered %v over %v answered %v wait %v told %d budget %v\n",
+			v.Key, v.Offered, v.Overflow, v.Answered, v.Wait, v.WaitReports, v.AdmittedRate)
+	}
+	for _, m := range s.Members {
+		_, _ = fmt.Fprintf(b, "reporter %d presence %v heard %v lost %v span %v\n",
+			m.Number, m.Status, m.LastReportAge, m.LossShare, m.ReportSpan)
 	}
 }
 
-// Commands are written as the committed frames, and these are read as the committed dump.
+// TestGoldenCommands compares written commands with the committed frames, and the parsed frames with the committed dump.
 func TestGoldenCommands(t *testing.T) {
 	var dump strings.Builder
 	for _, m := range goldentest.Messages(t, "commands.txt", goldenCommands(t)) {
 		_, _ = fmt.Fprintf(&dump, "== %s\n", m.Name)
-		var in h248.Framer
-		if err := in.Feed(m.Bytes, func(text []byte) bool {
+		var framer h248.Framer
+		if err := framer.Feed(m.Bytes, func(text []byte) bool {
 			parsed, bad := h248.Parse(text)
 			if bad != nil {
 				t.Fatalf("%s: %v", m.Name, bad)
--- /dev/null
+++ b/internal/adminapi/numbering.go
@@ -0,0 +1,134 @@
+package adminapi
+
+import (
+	"time"
+
+	"olivedale/internal/codec/h248"
+	"olivedale/internal/numbering"
+	"olivedale/internal/portability"
+)
+
+// NumberingTermination is the termination that manages an instance's numbering tables: AuditValue lists the versions
+// and the last order, Modify gives an order.
+const NumberingTermination = "numbers"
+
+// Names of the nodes that carry the state of the numbering tables.
+const (
+	versionNode = "oc/version"
+	jobNode     = "oc/job"
+	tableNode   = "oc/table"
+	lookupsNode = "oc/lookups"
+)
+
+// States of a job.
+const (
+	jobRunning = "running"
+	jobDone    = "done"
+)
+
+var orderProperties = propertyList[numbering.Order]{
+	textProperty("do", func(o *numbering.Order) *string { return &o.Op }),
+	textProperty("file", func(o *numbering.Order) *string { return &o.File }),
+	textProperty("digest", func(o *numbering.Order) *string { return &o.Digest }),
+	textProperty("saw", func(o *numbering.Order) *string { return &o.Saw }),
+	omitZero(nanosecondsProperty("at", func(o *numbering.Order) *time.Duration { return &o.At })),
+}
+
+var versionProperties = propertyList[numbering.Status]{
+	textProperty("digest", func(s *numbering.Status) *string { return &s.Digest }),
+	textProperty("name", func(s *numbering.Status) *string { return &s.Name }),
+	textProperty("state", func(s *numbering.Status) *string { return &s.State }),
+	intProperty("entries", func(s *numbering.Status) *int { return &s.Entries }),
+	intProperty("pins", func(s *numbering.Status) *int { return &s.Pins }),
+	nanosecondsProperty("since", func(s *numbering.Status) *time.Duration { return &s.Since }),
+	nanosecondsProperty("due", func(s *numbering.Status) *time.Duration { return &s.Due }),
+}
+
+var jobProperties = propertyList[numbering.Job]{
+	uintProperty("id", 10, func(j *numbering.Job) *uint64 { return &j.ID }),
+	textProperty("op", func(j *numbering.Job) *string { return &j.Order.Op }),
+	{name: "state", format: formatJobState, parse: parseJobState},
+	textProperty("err", func(j *numbering.Job) *string { return &j.Err }),
+	textProperty("digest", func(j *numbering.Job) *string { return &j.Digest }),
+}
+
+func formatJobState(j *numbering.Job) string {
+	if j.Running {
+		return jobRunning
+	}
+	return jobDone
+}
+
+func parseJobState(j *numbering.Job, text string) error {
+	j.Running = text == jobRunning
+	return nil
+}
+
+// lookupProperties are the counters of look-ups that an audit of ROOT reports.
+var lookupProperties = propertyList[portability.Counters]{
+	intProperty("asked", func(c *portability.Counters) *int { return &c.Asked }),
+	intProperty("hits", func(c *portability.Counters) *int { return &c.Hits }),
+	intProperty("undecided", func(c *portability.Counters) *int { return &c.Undecided }),
+	intProperty("sent", func(c *portability.Counters) *int { return &c.Sent }),
+	intProperty("answered", func(c *portability.Counters) *int { return &c.Answered }),
+	intProperty("timedout", func(c *portability.Counters) *int { return &c.TimedOut }),
+	intProperty("strays", func(c *portability.Counters) *int { return &c.Strays }),
+	intProperty("lies", func(c *portability.Counters) *int { return &c.Lies }),
+	intProperty("broken", func(c *portability.Counters) *int { return &c.Broken }),
+}
+
+// NumberingCommand returns the command that gives an order to the numbering tables of an instance.
+func NumberingCommand(o numbering.Order) *h248.Command {
+	return modifyCommand(NumberingTermination, orderProperties.nodes(&o, true))
+}
+
+// ParseNumberingOrder returns the order that a command carries.
+func ParseNumberingOrder(c *h248.Command) (numbering.Order, error) {
+	var o numbering.Order
+	err := orderProperties.parse(&o, func(name string) string {
+		return h248.Value(c.Descriptors, h248.DescriptorMedia, h248.DescriptorTerminationState, name)
+	})
+	return o, err
+}
+
+// NumberingNodes returns the descriptors that report the versions of the numbering table and the last order.
+func NumberingNodes(versions []numbering.Status, job numbering.Job) []*h248.Node {
+	statistics := &h248.Node{Name: h248.DescriptorStatistics}
+	for i := range versions {
+		statistics.Kids = append(statistics.Kids, versionProperties.node(versionNode, &versions[i]))
+	}
+	if job.ID > 0 {
+		statistics.Kids = append(statistics.Kids, jobProperties.node(jobNode, &job))
+	}
+	return []*h248.Node{statistics}
+}
+
+// ParseNumbering returns the versions and the last order that descriptors of NumberingNodes report.
+func ParseNumbering(nodes []*h248.Node) (versions []numbering.Status, job numbering.Job) {
+	statistics := h248.Find(nodes, h248.DescriptorStatistics)
+	if statistics == nil {
+		return nil, job
+	}
+	for _, n := range statistics.Kids {
+		switch n.Name {
+		case versionNode:
+			versions = append(versions, versionProperties.parseNode(n))
+		case jobNode:
+			job = jobProperties.parseNode(n)
+		}
+	}
+	return versions, job
+}
+
+// TableNode returns the node that reports the numbering table in use.
+func TableNode(digest, version string) *h248.Node {
+	return &h248.Node{Name: tableNode, Kids: []*h248.Node{
+		{Name: "oc/digest", Value: digest, Quoted: true},
+		{Name: "oc/name", Value: version, Quoted: true},
+	}}
+}
+
+// LookupsNode returns the node that reports the look-ups of ported numbers.
+func LookupsNode(c *portability.Counters) *h248.Node {
+	return &h248.Node{Name: lookupsNode, Kids: lookupProperties.nodes(c, false)}
+}
