--- a/cmd/olivectl/golden_agent_test.go
+++ b/cmd/olivectl/golden_agent_test.go
@@ -61,8 +61,8 @@
 func TestGoldenAgent(t *testing.T) {
 	a := agent.New(filepath.Join(t.TempDir(), "none"), t.TempDir(), zap.NewNop())
 	t.Cleanup(a.Close)
-	a.Change("east", []byte(`{"config":{},"h248":{"listen":"127.0.0.1:2944","admin":"127.0.0.1:2945"}}`))
-	a.Change("west", []byte(`{`))
+	a.Apply("east", []byte(`{"config":{},"h248":{"listen":"127.0.0.1:2944","admin":"127.0.0.1:2945"}}`))
+	a.Apply("west", []byte(`{`))
 	addr := serve(t, a.Handle)
 	goldentest.Compare(t, "list.json", mustRun(t, "list", "--agent", addr, "--json"))
 	goldentest.Compare(t, "list.txt", mustRun(t, "list", "--agent", addr))
--- a/internal/adminapi/client.go
+++ b/internal/adminapi/client.go
@@ -51,6 +51,9 @@
 			return nil, err
 		}
 	}
+	// A deadline in the past ends reads and writes that are in progress when ctx is canceled.
+	stop := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(0, 1)) })
+	defer stop()
 	id := uint32(time.Now().UnixNano())
 	frame, err := h248.AppendFrame(nil, newRequest(conn, id, c))
 	if err != nil {
--- a/internal/adminapi/golden_test.go
+++ b/internal/adminapi/golden_test.go
@@ -30,7 +30,8 @@
 			{Key: 9, AdmittedRate: math.Inf(1)},
 		},
 		Members: []overload.MemberState{
-			{Number: 1, Status: overload.Alive, LastReportAge: time.Second, LossShare: 0.125, ReportSpan: 500 * time.Millisecond},
+			{Number: 1, Status: overload.Alive, LastReportAge: time.Second,
+				LossShare: 0.125, ReportSpan: 500 * time.Millisecond},
 			{Number: 2, Status: overload.Suspect},
 			{Number: 4, Status: overload.Dead},
 		},
@@ -139,7 +140,7 @@
 	}
 }
 
-// TestGoldenCommands compares written commands with the committed frames, and the parsed frames with the committed dump.
+// TestGoldenCommands compares written commands with the committed frames, and parsed frames with the committed dump.
 func TestGoldenCommands(t *testing.T) {
 	var dump strings.Builder
 	for _, m := range goldentest.Messages(t, "commands.txt", goldenCommands(t)) {
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -18,7 +18,6 @@
 
 	"olivedale/internal/adminapi"
 	"olivedale/internal/codec/h248"
-	"olivedale/internal/config"
 	"olivedale/internal/lab/etcd"
 )
 
@@ -26,55 +25,61 @@
 
 func startEtcd(t *testing.T) *etcd.Server {
 	t.Helper()
-	f, err := etcd.Start("127.0.0.1:0")
+	server, err := etcd.Start("127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { f.Stop() })
-	return f
+	t.Cleanup(func() { server.Stop() })
+	return server
 }
 
-// record is a Wanted that keeps what it was told.
-type record struct {
-	mu  sync.Mutex
-	all map[string]string
+// fakeDesiredState is a DesiredState that stores what it receives.
+type fakeDesiredState struct {
+	mu     sync.Mutex
+	values map[string]string
 }
 
-func (r *record) Replace(all map[string][]byte) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.all = make(map[string]string)
-	for name, v := range all {
-		r.all[name] = string(v)
+func (f *fakeDesiredState) ReplaceAll(values map[string][]byte) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.values = make(map[string]string)
+	for name, value := range values {
+		f.values[name] = string(value)
 	}
 }
 
-func (r *record) Change(name string, value []byte) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.all[name] = string(value); value == nil {
-		delete(r.all, name)
-	}
+func (f *fakeDesiredState) Apply(name string, value []byte) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if value == nil {
+		delete(f.values, name)
+		return
+	}
+	f.values[name] = string(value)
 }
 
-func (r *record) String() string {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return fmt.Sprint(r.all)
+func (f *fakeDesiredState) String() string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return fmt.Sprint(f.values)
 }
 
-func eventually(t *testing.T, what string, ok func() bool) {
+// eventually waits until a condition holds.
+func eventually(t *testing.T, condition string, holds func() bool) {
 	t.Helper()
-	for end := time.Now().Add(20 * time.Second); !ok(); time.Sleep(10 * time.Millisecond) {
-		if time.Now().After(end) {
-			t.Fatalf("never: %s", what)
+	deadline := time.Now().Add(20 * time.Second)
+	for !holds() {
+		if time.Now().After(deadline) {
+			t.Fatalf("timed out waiting until %s", condition)
 		}
+		time.Sleep(10 * time.Millisecond)
 	}
 }
 
-func watch(t *testing.T, f *etcd.Server, w DesiredState) {
+// startWatch watches the instances until the test ends.
+func startWatch(t *testing.T, server *etcd.Server, desired DesiredState) {
 	t.Helper()
-	client, err := clientv3.New(clientv3.Config{Endpoints: []string{f.Addr()}, DialTimeout: 5 * time.Second})
+	client, err := clientv3.New(clientv3.Config{Endpoints: []string{server.Addr()}, DialTimeout: 5 * time.Second})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -82,7 +87,7 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		_ = Watch(ctx, client, prefix, w, zap.NewNop().Sugar())
+		_ = Watch(ctx, client, prefix, desired, zap.NewNop().Sugar())
 	}()
 	t.Cleanup(func() {
 		cancel()
@@ -91,48 +96,56 @@
 	})
 }
 
-func TestWatchListsAnewAfterCompactionAndReconnects(t *testing.T) {
-	f, r := startEtcd(t), &record{}
-	f.Set(prefix+"a", []byte("1"))
-	watch(t, f, r)
-	eventually(t, "the list is there", func() bool { return r.String() == "map[a:1]" })
-	f.Set(prefix+"b", []byte("1"))
-	f.Set(prefix+"a", nil)
-	eventually(t, "changes are followed", func() bool { return r.String() == "map[b:1]" })
-	f.Stop() // changes are missed, and their history is gone
-	f.Set(prefix+"c", []byte("1"))
-	f.Set(prefix+"b", []byte("2"))
-	f.Forget()
-	if err := f.Serve(); err != nil {
+func TestWatchListsAgainAfterCompaction(t *testing.T) {
+	server := startEtcd(t)
+	desired := &fakeDesiredState{}
+	server.Set(prefix+"a", []byte("1"))
+	startWatch(t, server, desired)
+	eventually(t, "the keys are listed", func() bool { return desired.String() == "map[a:1]" })
+	server.Set(prefix+"b", []byte("1"))
+	server.Set(prefix+"a", nil)
+	eventually(t, "changes are followed", func() bool { return desired.String() == "map[b:1]" })
+	server.Stop() // the watch misses changes, and their history is compacted
+	server.Set(prefix+"c", []byte("1"))
+	server.Set(prefix+"b", []byte("2"))
+	server.Forget()
+	if err := server.Serve(); err != nil {
 		t.Fatal(err)
 	}
-	eventually(t, "the list is read anew", func() bool { return r.String() == "map[b:2 c:1]" })
-	f.Set(prefix+"c", nil)
-	eventually(t, "changes are followed again", func() bool { return r.String() == "map[b:2]" })
+	eventually(t, "the keys are listed again", func() bool { return desired.String() == "map[b:2 c:1]" })
+	server.Set(prefix+"c", nil)
+	eventually(t, "changes are followed again", func() bool { return desired.String() == "map[b:2]" })
 }
 
-// spec is an instance on ports that are free just now.
-func spec(t *testing.T) ([]byte, string) {
+// freeAddr returns a loopback address whose port is free.
+func freeAddr(t *testing.T) string {
 	t.Helper()
-	free := func() string {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer func() { _ = ln.Close() }()
-		return ln.Addr().String()
-	}
-	h := &config.H248{Listen: free(), Admin: free()}
-	text, err := json.Marshal(map[string]any{"h248": map[string]any{"Listen": h.Listen, "Admin": h.Admin}, "config": json.RawMessage(`{"name":"n0","listen":"` + free() +
-		`","seed":"1f","names":"127.0.0.1:9","limits":{"memory_mb":192,"sockets":1024},"known":{"n":0,"events":[]},
-		"settings":{"groupSize":1,"classes":[{"name":"voice","aim":1000,"deadline":3000,"credit":1}],
-		"domain":{"topology":"pools","releaseGuard":300},"limits":{"maxAttempts":2,"connectTimeout":500}}}`)})
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = ln.Close() }()
+	return ln.Addr().String()
+}
+
+// testSpec returns the specification of an instance on free ports, and its admin address.
+func testSpec(t *testing.T) (value []byte, adminAddr string) {
+	t.Helper()
+	adminAddr = freeAddr(t)
+	value, err := json.Marshal(map[string]any{
+		"h248": map[string]any{"Listen": freeAddr(t), "Admin": adminAddr},
+		"config": json.RawMessage(`{"name":"n0","listen":"` + freeAddr(t) + `","seed":"1f","names":"127.0.0.1:9",
+			"limits":{"memory_mb":192,"sockets":1024},"known":{"n":0,"events":[]},
+			"settings":{"groupSize":1,"classes":[{"name":"voice","aim":1000,"deadline":3000,"credit":1}],
+			"domain":{"topology":"pools","releaseGuard":300},"limits":{"maxAttempts":2,"connectTimeout":500}}}`),
+	})
 	if err != nil {
 		t.Fatal(err)
 	}
-	return text, h.Admin
+	return value, adminAddr
 }
 
+// stateOf returns the state of an instance and the number of its starts, "" if there is no such instance.
 func stateOf(a *Agent, name string) string {
 	d, err := a.Handle(adminapi.AuditCommand("instance/" + name))
 	if err != nil {
@@ -141,30 +154,39 @@
 	return h248.Value(d, "oa/instance", "state") + " " + h248.Value(d, "oa/instance", "starts")
 }
 
-// TestAgent has the agent run the real program as the stand-in etcd wants it, and
-// asks both as olivectl does.
-func TestAgent(t *testing.T) {
-	dir := t.TempDir()
-	program := filepath.Join(dir, "olivedale")
-	if out, err := exec.Command("go", "build", "-o", program, "olivedale/cmd/olivedale").CombinedOutput(); err != nil {
+// buildProgram builds olivedale into dir.
+func buildProgram(t *testing.T, dir string) (path string) {
+	t.Helper()
+	path = filepath.Join(dir, "olivedale")
+	out, err := exec.Command("go", "build", "-o", path, "olivedale/cmd/olivedale").CombinedOutput()
+	if err != nil {
 		t.Fatalf("%v\n%s", err, out)
 	}
-	f, a := startEtcd(t), New(program, dir, zap.NewNop())
+	return path
+}
+
+// TestAgent runs the real program under an agent that watches a fake etcd, and sends the admin requests of olivectl to
+// both.
+func TestAgent(t *testing.T) {
+	dir := t.TempDir()
+	program := buildProgram(t, dir)
+	server := startEtcd(t)
+	a := New(program, dir, zap.NewNop())
 	t.Cleanup(a.Close)
-	text, admin := spec(t)
-	f.Set(prefix+"one", text)
-	f.Set(prefix+"../bad", text)
-	f.Set(prefix+"worse", []byte("{"))
-	watch(t, f, a)
-	ask := func(addr string, c *h248.Command) (*h248.Command, error) {
+	text, admin := testSpec(t)
+	server.Set(prefix+"one", text)
+	server.Set(prefix+"../bad", text)
+	server.Set(prefix+"worse", []byte("{"))
+	startWatch(t, server, a)
+	send := func(addr string, c *h248.Command) (*h248.Command, error) {
 		return adminapi.Send(context.Background(), addr, c)
 	}
-	eventually(t, "the instance serves", func() bool {
-		c, err := ask(admin, adminapi.AuditCommand("ROOT"))
+	eventually(t, "the instance is in service", func() bool {
+		c, err := send(admin, adminapi.AuditCommand("ROOT"))
 		return err == nil && h248.Value(c.Descriptors, "Media", "TerminationState", "ServiceStates") == "InService"
 	})
-	if got := stateOf(a, "worse"); !strings.HasPrefix(got, Faulty) {
-		t.Errorf("a specification that can't be read: %q", got)
+	if got := stateOf(a, "worse"); !strings.HasPrefix(got, Invalid.String()) {
+		t.Errorf("state of an instance with an invalid specification: %q", got)
 	}
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -172,9 +194,9 @@
 	}
 	defer func() { _ = ln.Close() }()
 	go func() { _ = adminapi.Serve(ln, "<agent>", a.Handle) }()
-	c, err := ask(ln.Addr().String(), adminapi.AuditCommand("ROOT"))
+	c, err := send(ln.Addr().String(), adminapi.AuditCommand("ROOT"))
 	if err != nil || len(h248.Find(c.Descriptors, "Statistics").Kids) != 3 {
-		t.Fatalf("the list: %+v, %v", c, err)
+		t.Fatalf("list of instances: %+v, %v", c, err)
 	}
 	d, _ := a.Handle(adminapi.AuditCommand("instance/one"))
 	var pid int
@@ -186,14 +208,16 @@
 		t.Fatal(err)
 	}
 	_ = process.Kill()
-	eventually(t, "a process that died is started again", func() bool { return stateOf(a, "one") == Running+" 2" })
-	if _, err := ask(ln.Addr().String(), adminapi.DrainCommand("instance/one")); err != nil {
+	eventually(t, "the killed process is restarted", func() bool { return stateOf(a, "one") == Running.String()+" 2" })
+	if _, err := send(ln.Addr().String(), adminapi.DrainCommand("instance/one")); err != nil {
 		t.Fatal(err)
 	}
-	eventually(t, "it drains", func() bool { return strings.HasPrefix(stateOf(a, "one"), Drained) })
-	if _, err := ask(ln.Addr().String(), adminapi.DrainCommand("instance/none")); err == nil {
+	eventually(t, "the instance is drained", func() bool {
+		return strings.HasPrefix(stateOf(a, "one"), Drained.String())
+	})
+	if _, err := send(ln.Addr().String(), adminapi.DrainCommand("instance/none")); err == nil {
 		t.Error("an unknown instance was drained")
 	}
-	f.Set(prefix+"one", nil)
-	eventually(t, "it is forgotten", func() bool { return stateOf(a, "one") == "" })
+	server.Set(prefix+"one", nil)
+	eventually(t, "the instance is removed", func() bool { return stateOf(a, "one") == "" })
 }
--- /dev/null
+++ b/internal/agent/backoff.go
@@ -0,0 +1,29 @@
+package agent
+
+import (
+	"context"
+	"time"
+)
+
+// A backoff is a delay that doubles from a minimum up to a maximum.
+type backoff struct {
+	delay, minDelay, maxDelay time.Duration
+}
+
+func newBackoff(minDelay, maxDelay time.Duration) *backoff {
+	return &backoff{delay: minDelay, minDelay: minDelay, maxDelay: maxDelay}
+}
+
+func (b *backoff) reset() { b.delay = b.minDelay }
+
+func (b *backoff) increase() { b.delay = min(2*b.delay, b.maxDelay) }
+
+// wait waits for the delay. It returns false at once when ctx is done.
+func (b *backoff) wait(ctx context.Context) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(b.delay):
+		return true
+	}
+}
--- a/internal/agent/clock.go
+++ b/internal/agent/clock.go
@@ -3,20 +3,21 @@
 import (
 	"context"
 	"os"
+	"sync"
 	"time"
 
 	"olivedale/internal/adminapi"
 )
 
-// Times of the exchanges by which an instance's records can be laid beside those of others.
+// Intervals of the clock exchanges by which the records of instances on several machines are aligned.
 const (
-	clockFirst = 200 * time.Millisecond // between the first exchanges of a start
-	clockLast  = 15 * time.Second       // doubling up to this
+	minClockInterval = 200 * time.Millisecond // after a start of the instance
+	maxClockInterval = 15 * time.Second
 )
 
-// peerName is under what name instances record the exchanges: clocks can be compared by way
-// of a machine's agent, so it is the machine's.
-func peerName() string {
+// machineName returns the name under which instances record clock exchanges. All instances of a machine record the same
+// name, so that their clocks can be compared.
+func machineName() string {
 	name, err := os.Hostname()
 	if err != nil || name == "" {
 		name = "agent"
@@ -24,23 +25,30 @@
 	return name
 }
 
-// clock exchanges time stamps with an instance until ctx is done. An exchange that fails is
-// left out: the next one is as good.
-func (a *Agent) clock(ctx context.Context, i *instance) {
-	var last adminapi.ClockStamps
-	pause := clockFirst
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-time.After(pause):
-		}
-		s, err := adminapi.ExchangeClocks(ctx, i.spec.admin(), a.peer, last)
+// startClockExchange exchanges clock readings with an instance in a goroutine. The function that it returns ends the
+// goroutine and waits for it.
+func (a *Agent) startClockExchange(i *instance) (stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var exchange sync.WaitGroup
+	exchange.Go(func() { a.exchangeClocks(ctx, i.spec.adminAddr()) })
+	return func() {
+		cancel()
+		exchange.Wait()
+	}
+}
+
+// exchangeClocks exchanges clock readings with the instance at addr until ctx is done. After a failed exchange it
+// forgets the previous timestamps and does not increase the interval.
+func (a *Agent) exchangeClocks(ctx context.Context, addr string) {
+	var previous adminapi.ClockStamps
+	interval := newBackoff(minClockInterval, maxClockInterval)
+	for interval.wait(ctx) {
+		stamps, err := adminapi.ExchangeClocks(ctx, addr, a.peerName, previous)
 		if err != nil {
-			last = adminapi.ClockStamps{}
+			previous = adminapi.ClockStamps{}
 			continue
 		}
-		last = s
-		pause = min(2*pause, clockLast)
+		previous = stamps
+		interval.increase()
 	}
 }
--- a/internal/agent/watch.go
+++ b/internal/agent/watch.go
@@ -1,5 +1,3 @@
-// Package agent keeps the instances running that etcd says are wanted: it watches a
-// prefix, starts, supervises and drains olivedale processes, and answers olivectl.
 package agent
 
 import (
@@ -13,69 +11,88 @@
 	"go.uber.org/zap"
 )
 
-// Times of the watch after a failure, doubling.
+// Times of the watch.
 const (
-	firstPause = 100 * time.Millisecond
-	lastPause  = 5 * time.Second
+	minWatchDelay   = 100 * time.Millisecond // before a failed watch is repeated
+	maxWatchDelay   = 5 * time.Second
+	stableWatchTime = 5 * time.Second // a watch that has lasted longer is repeated after minWatchDelay
+	listTimeout     = 5 * time.Second
 )
 
-// DesiredState takes what etcd says: a value by name, nil for one no longer wanted.
+var errWatchEnded = errors.New("the watch ended")
+
+// A DesiredState receives the specifications of instances that are stored in etcd.
 type DesiredState interface {
-	Replace(all map[string][]byte)
-	Change(name string, value []byte)
+	// ReplaceAll replaces all specifications. The keys of values are the names of the instances.
+	ReplaceAll(values map[string][]byte)
+	// Apply sets the specification of one instance, or removes it if value is nil.
+	Apply(name string, value []byte)
 }
 
-// Watch lists the prefix, then follows its changes; after a compaction or a broken
-// watch it lists anew. It returns when ctx is done.
-func Watch(ctx context.Context, client *clientv3.Client, prefix string, w DesiredState, log *zap.SugaredLogger) error {
-	pause := firstPause
+// Watch lists the keys below prefix and then follows their changes. After a compaction or a failure it lists them
+// anew. It returns when ctx is done.
+func Watch(
+	ctx context.Context, client *clientv3.Client, prefix string, desired DesiredState, log *zap.SugaredLogger,
+) error {
+	delay := newBackoff(minWatchDelay, maxWatchDelay)
 	for ctx.Err() == nil {
-		began := time.Now()
-		err := follow(ctx, client, prefix, w)
+		start := time.Now()
+		err := listAndFollow(ctx, client, prefix, desired)
 		if ctx.Err() != nil {
 			break
 		}
 		log.Warnw("watch_broken", "prefix", prefix, "err", err)
-		if time.Since(began) > lastPause {
-			pause = firstPause
-		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(pause):
+		if time.Since(start) > stableWatchTime {
+			delay.reset()
 		}
-		pause = min(2*pause, lastPause)
+		delay.wait(ctx)
+		delay.increase()
 	}
 	return ctx.Err()
 }
 
-func follow(ctx context.Context, client *clientv3.Client, prefix string, w DesiredState) error {
-	// A watch that is left must end at the server too.
+// listAndFollow delivers the keys below prefix and their changes until the watch fails.
+func listAndFollow(ctx context.Context, client *clientv3.Client, prefix string, desired DesiredState) error {
 	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	asking, done := context.WithTimeout(ctx, lastPause)
-	list, err := client.Get(asking, prefix, clientv3.WithPrefix())
-	done()
+	defer cancel() // ends the watch at the server too
+	values, revision, err := list(ctx, client, prefix)
 	if err != nil {
 		return fmt.Errorf("listing %s: %w", prefix, err)
 	}
-	all := make(map[string][]byte, len(list.Kvs))
-	for _, kv := range list.Kvs {
-		all[string(kv.Key[len(prefix):])] = kv.Value
-	}
-	w.Replace(all)
-	events := client.Watch(clientv3.WithRequireLeader(ctx), prefix, clientv3.WithPrefix(), clientv3.WithRev(list.Header.Revision+1))
-	for r := range events {
-		if err := r.Err(); err != nil { // a compaction among them: what was missed is in a new list
+	desired.ReplaceAll(values)
+	responses := client.Watch(clientv3.WithRequireLeader(ctx), prefix, clientv3.WithPrefix(),
+		clientv3.WithRev(revision+1))
+	for response := range responses {
+		if err := response.Err(); err != nil { // after a compaction, the missed changes are in a new list
 			return fmt.Errorf("watching %s: %w", prefix, err)
 		}
-		for _, e := range r.Events {
-			name := string(e.Kv.Key[len(prefix):])
-			if e.Type == mvccpb.DELETE {
-				w.Change(name, nil)
-			} else {
-				w.Change(name, e.Kv.Value)
-			}
+		for _, event := range response.Events {
+			applyEvent(desired, prefix, event)
 		}
 	}
-	return errors.New("the watch ended")
+	return errWatchEnded
+}
+
+// list returns the values of the keys below prefix, by the rest of their key, and the revision of etcd.
+func list(ctx context.Context, client *clientv3.Client, prefix string) (map[string][]byte, int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	response, err := client.Get(ctx, prefix, clientv3.WithPrefix())
+	if err != nil {
+		return nil, 0, err
+	}
+	values := make(map[string][]byte, len(response.Kvs))
+	for _, kv := range response.Kvs {
+		values[string(kv.Key[len(prefix):])] = kv.Value
+	}
+	return values, response.Header.Revision, nil
+}
+
+func applyEvent(desired DesiredState, prefix string, event *clientv3.Event) {
+	name := string(event.Kv.Key[len(prefix):])
+	if event.Type == mvccpb.DELETE {
+		desired.Apply(name, nil)
+		return
+	}
+	desired.Apply(name, event.Kv.Value)
 }
