--- a/cmd/oliveagent/main.go
+++ b/cmd/oliveagent/main.go
@@ -1,4 +1,4 @@
-// Command oliveagent keeps the olivedale processes of a machine as etcd wants them.
+// Command oliveagent keeps the olivedale processes of a machine as etcd lists them.
 package main
 
 import (
@@ -13,6 +13,7 @@
 
 	"github.com/spf13/cobra"
 	clientv3 "go.etcd.io/etcd/client/v3"
+	"go.uber.org/zap"
 
 	"olivedale/internal/adminapi"
 	"olivedale/internal/agent"
@@ -20,69 +21,100 @@
 	"olivedale/internal/logging"
 )
 
-// flags are what the command line says.
-type flags struct {
-	etcd                         []string
-	prefix, program, dir, listen string
-	log                          logging.Options
+// messageID is the message identifier of the agent in the admin protocol.
+const messageID = "<agent>"
+
+// Times of the connection to etcd.
+const (
+	etcdDialTimeout       = 5 * time.Second
+	etcdKeepaliveInterval = 5 * time.Second
+	etcdKeepaliveTimeout  = 3 * time.Second
+)
+
+// An options value is the options of the command line.
+type options struct {
+	etcdAddrs  []string
+	prefix     string
+	program    string
+	dir        string
+	listenAddr string
+	log        logging.Options
 }
 
 func main() {
-	var f flags
+	os.Exit(cli.Run(newCommand()))
+}
+
+func newCommand() *cobra.Command {
+	var o options
 	root := &cobra.Command{
 		Use:     "oliveagent",
 		Short:   "Keep the instances of this machine as etcd wants them",
 		Example: "  oliveagent --etcd 127.0.0.1:2379 --dir /var/lib/olivedale --program bin/olivedale",
-		RunE:    func(*cobra.Command, []string) error { return run(f) },
+		RunE:    func(*cobra.Command, []string) error { return run(o) },
 	}
 	set := root.Flags()
-	set.StringSliceVar(&f.etcd, "etcd", []string{"127.0.0.1:2379"}, "addresses of etcd")
-	set.StringVar(&f.prefix, "prefix", "/olivedale/instances/", "keys below it are wanted instances")
-	set.StringVar(&f.program, "program", "bin/olivedale", "the program to run")
-	set.StringVar(&f.dir, "dir", "", "folder for the files of the instances (needed)")
-	set.StringVar(&f.listen, "listen", "127.0.0.1:2950", "where olivectl connects")
-	set.StringVar(&f.log.Form, "log-form", logging.Text, "form of log lines: text or json")
-	set.StringVar(&f.log.Level, "log-level", "info", "least level of log lines: debug, info, warn, error")
+	set.StringSliceVar(&o.etcdAddrs, "etcd", []string{"127.0.0.1:2379"}, "addresses of etcd")
+	set.StringVar(&o.prefix, "prefix", "/olivedale/instances/", "keys below it are wanted instances")
+	set.StringVar(&o.program, "program", "bin/olivedale", "the program to run")
+	set.StringVar(&o.dir, "dir", "", "folder for the files of the instances (needed)")
+	set.StringVar(&o.listenAddr, "listen", "127.0.0.1:2950", "where olivectl connects")
+	set.StringVar(&o.log.Form, "log-form", logging.Text, "form of log lines: text or json")
+	set.StringVar(&o.log.Level, "log-level", "info", "least level of log lines: debug, info, warn, error")
 	root.AddCommand(cli.VersionCommand())
-	os.Exit(cli.Run(root))
+	return root
 }
 
-func run(f flags) error {
-	if f.dir == "" {
+// run keeps the instances running until the program is signaled to stop, and then drains them.
+func run(o options) error {
+	if o.dir == "" {
 		return cli.Usage("--dir is missing: name a folder for the files of the instances")
 	}
-	if err := f.log.Check(); err != nil {
+	if err := o.log.Check(); err != nil {
 		return cli.Usage("--log-%w", err)
 	}
-	zl := logging.New(os.Stderr, f.log)
-	log := zl.Sugar()
-	// A relative path would be taken from the instance's folder.
-	program, err := filepath.Abs(f.program)
+	logger := logging.New(os.Stderr, o.log)
+	log := logger.Sugar()
+	// A relative path would refer to the working directory of the instance.
+	program, err := filepath.Abs(o.program)
 	if err != nil {
 		return fmt.Errorf("--program: %w", err)
 	}
-	client, err := clientv3.New(clientv3.Config{Endpoints: f.etcd, DialTimeout: 5 * time.Second, Logger: zl.Named("etcd"),
-		DialKeepAliveTime: 5 * time.Second, DialKeepAliveTimeout: 3 * time.Second})
+	client, err := connectEtcd(o.etcdAddrs, logger)
 	if err != nil {
 		return fmt.Errorf("etcd: %w", err)
 	}
 	defer func() { _ = client.Close() }()
-	ln, err := net.Listen("tcp", f.listen)
+	ln, err := net.Listen("tcp", o.listenAddr)
 	if err != nil {
 		return err
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	a := agent.New(program, f.dir, zl)
+	a := agent.New(program, o.dir, logger)
+	served := make(chan struct{})
 	go func() {
-		if err := adminapi.Serve(ln, "<agent>", a.Handle); err != nil {
+		defer close(served)
+		if err := adminapi.Serve(ln, messageID, a.Handle); err != nil {
 			log.Errorw("control_failed", "err", err)
 			stop()
 		}
 	}()
-	log.Infow("started", "listen", ln.Addr().String(), "prefix", f.prefix)
-	_ = agent.Watch(ctx, client, f.prefix, a, log) // it ends with ctx only
+	log.Infow("started", "listen", ln.Addr().String(), "prefix", o.prefix)
+	_ = agent.Watch(ctx, client, o.prefix, a, log) // returns only when ctx is done
 	log.Infow("stopping")
 	a.Close()
-	return ln.Close()
+	err = ln.Close()
+	<-served
+	return err
+}
+
+func connectEtcd(addrs []string, logger *zap.Logger) (*clientv3.Client, error) {
+	return clientv3.New(clientv3.Config{
+		Endpoints:            addrs,
+		DialTimeout:          etcdDialTimeout,
+		DialKeepAliveTime:    etcdKeepaliveInterval,
+		DialKeepAliveTimeout: etcdKeepaliveTimeout,
+		Logger:               logger.Named("etcd"),
+	})
 }
