--- a/internal/adminapi/overload_test.go
+++ b/internal/adminapi/overload_test.go
@@ -10,6 +10,23 @@
 	"olivedale/internal/overload"
 )
 
+// parseState returns the state that a reply in a frame carries.
+func parseState(t *testing.T, frame []byte) (s *overload.State) {
+	t.Helper()
+	var framer h248.Framer
+	if err := framer.Feed(frame, func(text []byte) bool {
+		m, bad := h248.Parse(text)
+		if bad != nil {
+			t.Fatal(bad)
+		}
+		s = ParseOverload(m.Transactions[0].Actions[0].Commands[0].Descriptors)
+		return true
+	}); err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
 // TestOverloadStateRoundTrip checks that a state passes through a message unchanged, and that a large fleet fits.
 func TestOverloadStateRoundTrip(t *testing.T) {
 	s := &overload.State{
@@ -43,18 +60,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	var got *overload.State
-	var framer h248.Framer
-	if err := framer.Feed(frame, func(text []byte) bool {
-		m, bad := h248.Parse(text)
-		if bad != nil {
-			t.Fatal(bad)
-		}
-		got = ParseOverload(m.Transactions[0].Actions[0].Commands[0].Descriptors)
-		return true
-	}); err != nil {
-		t.Fatal(err)
-	}
+	got := parseState(t, frame)
 	s.Members = s.Members[:maxReportedNodes]
 	if !reflect.DeepEqual(got, s) {
 		t.Errorf("sent %+v, received %+v", s, got)
--- a/internal/codec/h248/golden_test.go
+++ b/internal/codec/h248/golden_test.go
@@ -17,20 +17,44 @@
 }
 
 // goldenMessages returns frames of every kind of transaction and every command.
-func goldenMessages(t *testing.T) (all []goldentest.Message) {
-	add := func(name string, m *Message) {
-		m.MID = "[127.0.0.2]:2944"
-		b, err := AppendFrame(nil, m)
-		if err != nil {
-			t.Fatalf("%s: %v", name, err)
-		}
-		all = append(all, goldentest.Message{Name: name, Bytes: b})
+func goldenMessages(t *testing.T) []goldentest.Message {
+	messages := goldenRequests(t)
+	messages = append(messages, goldenReplies(t)...)
+	messages = append(messages, goldenErrors(t)...)
+	for _, received := range []struct{ name, text string }{
+		{"received in the long form", longForm},
+		{"received in the short form", shortForm},
+	} {
+		length := len(received.text) + frameHeaderSize
+		frame := append([]byte{3, 0, byte(length >> 8), byte(length)}, received.text...)
+		messages = append(messages, goldentest.Message{Name: received.name, Bytes: frame})
 	}
+	return messages
+}
+
+// encode returns the frame of a message.
+func encode(t *testing.T, name string, m *Message) goldentest.Message {
+	t.Helper()
+	m.MID = "[127.0.0.2]:2944"
+	b, err := AppendFrame(nil, m)
+	if err != nil {
+		t.Fatalf("%s: %v", name, err)
+	}
+	return goldentest.Message{Name: name, Bytes: b}
+}
+
+func media(children ...*Node) []*Node { return []*Node{{Name: "Media", Kids: children}} }
+
+func reply(id uint32, context string, c *Command) *Transaction {
+	return &Transaction{Kind: Reply, ID: id, Actions: []*Action{{Context: context, Commands: []*Command{c}}}}
+}
+
+func goldenRequests(t *testing.T) (messages []goldentest.Message) {
 	request := func(name, context string, commands ...*Command) {
 		actions := []*Action{{Context: context, Commands: commands}}
-		add(name, &Message{Transactions: []*Transaction{{Kind: Request, ID: 7, Actions: actions}}})
+		m := &Message{Transactions: []*Transaction{{Kind: Request, ID: 7, Actions: actions}}}
+		messages = append(messages, encode(t, name, m))
 	}
-	media := func(kids ...*Node) []*Node { return []*Node{{Name: "Media", Kids: kids}} }
 	state := &Node{Name: "TerminationState", Kids: []*Node{
 		{Name: "oc/class", Value: "voice"},
 		{Name: "oc/peer", Value: "a \"b\"\n", Quoted: true},
@@ -54,40 +78,38 @@
 	}}
 	request("service change", "-",
 		&Command{Name: "ServiceChange", Termination: "ROOT", Descriptors: []*Node{services}})
-	reply := func(id uint32, context string, c *Command) *Transaction {
-		return &Transaction{Kind: Reply, ID: id, Actions: []*Action{{Context: context, Commands: []*Command{c}}}}
-	}
+	return messages
+}
+
+func goldenReplies(t *testing.T) []goldentest.Message {
 	statistics := &Node{Name: "Statistics", Kids: []*Node{
 		{Name: "oc/requests", Value: "12"},
 		{Name: "oc/server", Kids: []*Node{{Name: "oc/name", Value: "s-1", Quoted: true}}},
 	}}
 	local := &Node{Name: "Local", Octets: []byte{}}
-	add("replies", &Message{Transactions: []*Transaction{
+	return []goldentest.Message{encode(t, "replies", &Message{Transactions: []*Transaction{
 		reply(1<<32-1, "9", &Command{Name: "Add", Termination: "p/1", Descriptors: media(local)}),
 		reply(0, "-", &Command{Name: "AuditValue", Termination: "ROOT", Descriptors: []*Node{statistics}}),
 		{Kind: Pending, ID: 8},
 		{Kind: Ack, Acked: [][2]uint32{{1, 3}, {9, 9}}},
-	}})
+	}})}
+}
+
+func goldenErrors(t *testing.T) []goldentest.Message {
 	failed := reply(2, "5", &Command{Name: "Add", Termination: "p/1", Err: &Error{Code: BadValue, Text: "x"}})
 	failed.Actions[0].Err = &Error{Code: NotReady}
-	add("errors", &Message{
+	errorReplies := &Message{
 		Err:          &Error{Code: SyntaxInMessage, Text: "no \"MEGACO\" header"},
 		Transactions: []*Transaction{{Kind: Reply, ID: 1, Err: &Error{Code: NotImplemented}}, failed},
-	})
+	}
 	codes := &Transaction{Kind: Reply, ID: 3}
 	for _, code := range errorCodes {
 		codes.Actions = append(codes.Actions, &Action{Context: "$", Err: &Error{Code: code, Text: "e"}})
 	}
-	add("every error code", &Message{Transactions: []*Transaction{codes}})
-	for _, received := range []struct{ name, text string }{
-		{"received in the long form", longForm},
-		{"received in the short form", shortForm},
-	} {
-		length := len(received.text) + frameHeaderSize
-		frame := append([]byte{3, 0, byte(length >> 8), byte(length)}, received.text...)
-		all = append(all, goldentest.Message{Name: received.name, Bytes: frame})
+	return []goldentest.Message{
+		encode(t, "errors", errorReplies),
+		encode(t, "every error code", &Message{Transactions: []*Transaction{codes}}),
 	}
-	return all
 }
 
 func dumpError(b *strings.Builder, indent string, e *Error) {
