--- a/internal/overload/member_test.go
+++ b/internal/overload/member_test.go
@@ -18,63 +18,63 @@
 	second = time.Second
 )
 
-const late = 500 * ms
+const latencyThreshold = 500 * ms
 
-// A fleet of Members and the way between them.
-type fleet struct {
-	t      testing.TB
-	now    Time
-	rng    *rand.Rand
-	all    []*Member // nil: it is down
-	boot   []uint32
-	wire   []carried
-	lose   float64
-	cut    func(a, b int) bool
-	queue  []waiting // set-ups at the server
-	credit float64
+// A cluster of Members and the way between them.
+type cluster struct {
+	t             testing.TB
+	now           Time
+	rng           *rand.Rand
+	members       []*Member // nil: it is down
+	incarnations  []uint32
+	inFlight      []delayedDatagram
+	lossRate      float64
+	isPartitioned func(a, b int) bool
+	serverQueue   []pendingAttempt // set-ups at the server
+	serverTokens  float64
 }
 
-type waiting struct {
-	m  *Member
-	at Time
+type pendingAttempt struct {
+	member *Member
+	sentAt Time
 }
 
-type carried struct {
-	at       Time
+type delayedDatagram struct {
+	arrival  Time
 	from, to int
-	b        []byte
+	payload  []byte
 }
 
-func newFleet(t testing.TB, n int, seed uint64) *fleet {
-	f := &fleet{t: t, now: 1000 * second, rng: rand.New(rand.NewPCG(seed, 3)), all: make([]*Member, n), boot: make([]uint32, n)}
-	for i := range f.all {
+func newCluster(t testing.TB, n int, seed uint64) *cluster {
+	f := &cluster{t: t, now: 1000 * second, rng: rand.New(rand.NewPCG(seed, 3)), members: make([]*Member, n), incarnations: make([]uint32, n)}
+	for i := range f.members {
 		f.start(i)
 	}
 	return f
 }
 
-func (f *fleet) start(i int) {
-	f.boot[i]++
-	m, err := New(f.now, Options{Self: i, Peers: len(f.all), Incarnation: f.boot[i], Seed: uint64(i) + 1000*uint64(f.boot[i]), LatencyThreshold: late})
+func (f *cluster) start(i int) {
+	f.incarnations[i]++
+	m, err := New(f.now, Options{Self: i, Peers: len(f.members), Incarnation: f.incarnations[i], Seed: uint64(i) + 1000*uint64(f.incarnations[i]), LatencyThreshold: latencyThreshold})
 	if err != nil {
 		f.t.Fatal(err)
 	}
-	f.all[i] = m
+	f.members[i] = m
 }
 
 // step lets 10 ms pass: work is done by each Member, and messages arrive 5 to 40 ms late, in any order.
-func (f *fleet) step(work func(i int, m *Member)) {
+func (f *cluster) step(work func(i int, m *Member)) {
 	f.now += 10 * ms
-	var rest []carried
-	for _, c := range f.wire {
-		if c.at > f.now {
+	var rest []delayedDatagram
+	for _, c := range f.inFlight {
+		if c.arrival > f.now {
 			rest = append(rest, c)
-		} else if m := f.all[c.to]; m != nil {
-			_ = m.Receive(f.now, c.from, c.b) // what cannot be read is counted
+		} else if m := f.members[c.to]; m != nil {
+			_ = m.Receive(f.now, c.from, c.payload) // what cannot be read is counted
 		}
 	}
-	f.wire = rest
-	for i, m := range f.all {
+	f.inFlight = rest
+	for i, m := range f.members {
 		if m == nil {
 			continue
 		}
@@ -88,27 +88,27 @@
 			if len(p.Payload) > MaxMessageBytes {
 				f.t.Fatalf("a message of %d bytes, %d at most", len(p.Payload), MaxMessageBytes)
 			}
-			if f.rng.Float64() < f.lose || f.cut != nil && f.cut(i, p.To) {
+			if f.rng.Float64() < f.lossRate || f.isPartitioned != nil && f.isPartitioned(i, p.To) {
 				continue
 			}
 			for range 1 + f.rng.IntN(20)/19 { // one in twenty comes twice
-				f.wire = append(f.wire, carried{f.now + Time(5+f.rng.IntN(35))*ms, i, p.To, p.Payload})
+				f.inFlight = append(f.inFlight, delayedDatagram{f.now + Time(5+f.rng.IntN(35))*ms, i, p.To, p.Payload})
 			}
 		}
 	}
 }
 
-func (f *fleet) pass(d Time, work func(i int, m *Member)) {
+func (f *cluster) run(d Time, work func(i int, m *Member)) {
 	for end := f.now + d; f.now < end; {
 		f.step(work)
 	}
 }
 
-// jam offers calls to server "s" and answers them as an exchange of so many a second would, late while there
+// runOverload offers calls to server "s" and answers them as an exchange of so many a second would, late while there
 // are more. It returns how many were let go of those offered, a second, over the last half of the time.
-func (f *fleet) jam(d Time, offered, capacity float64) (passed float64) {
+func (f *cluster) runOverload(d Time, offered, capacity float64) (passed float64) {
 	from, n, up := f.now+d/2, 0, 0
-	for _, m := range f.all {
+	for _, m := range f.members {
 		if m != nil {
 			up++
 		}
@@ -125,53 +125,53 @@
 			if m.RecordSent(f.now, "s", true); f.now > from {
 				n++
 			}
-			f.queue = append(f.queue, waiting{m, f.now})
+			f.serverQueue = append(f.serverQueue, pendingAttempt{m, f.now})
 		})
-		for f.credit += capacity * 0.01; f.credit >= 1 && len(f.queue) > 0; f.credit-- {
-			x := f.queue[0]
-			f.queue = f.queue[1:]
-			took := f.now - x.at + 60*ms
-			x.m.RecordResult(f.now, "s", true, took) // of one that is dead it tells nobody
-			if took > late {
-				x.m.RecordOverload(f.now, "s")
+		for f.serverTokens += capacity * 0.01; f.serverTokens >= 1 && len(f.serverQueue) > 0; f.serverTokens-- {
+			x := f.serverQueue[0]
+			f.serverQueue = f.serverQueue[1:]
+			took := f.now - x.sentAt + 60*ms
+			x.member.RecordResult(f.now, "s", true, took) // of one that is dead it tells nobody
+			if took > latencyThreshold {
+				x.member.RecordOverload(f.now, "s")
 			}
 		}
-		f.credit = min(f.credit, 1)
+		f.serverTokens = min(f.serverTokens, 1)
 	}
 	return float64(n) / (d / 2).Seconds()
 }
 
 // What the fleet lets go comes to what the server answers, with any loss of messages.
-func TestFleetSendsWhatTheServerAnswers(t *testing.T) {
+func TestAdmittedRateMatchesServerCapacity(t *testing.T) {
 	for _, c := range []struct {
 		n    int
 		lose float64
 	}{{2, 0}, {40, 0}, {40, 0.3}, {300, 0}, {300, 0.3}} {
-		f := newFleet(t, c.n, 7)
-		f.lose = c.lose
-		if got := f.jam(40*second, 60, 30); got < (0.85-c.lose/3)*30 || got > 1.15*30 {
+		f := newCluster(t, c.n, 7)
+		f.lossRate = c.lose
+		if got := f.runOverload(40*second, 60, 30); got < (0.85-c.lose/3)*30 || got > 1.15*30 {
 			t.Errorf("%d controllers, %.0f%% lost: %.1f set-ups a second go to a server that answers 30 of 60 offered", c.n, 100*c.lose, got)
 		}
 	}
 }
 
 // Once the jam is over nothing is held back, and hardly anything is said.
-func TestCalmIsCheap(t *testing.T) {
-	f := newFleet(t, 60, 5)
-	f.jam(20*second, 60, 30)
-	if got := f.jam(20*second, 20, 30); got < 18 {
+func TestThrottlingAndFrequentReportsEndWithTheOverload(t *testing.T) {
+	f := newCluster(t, 60, 5)
+	f.runOverload(20*second, 60, 30)
+	if got := f.runOverload(20*second, 20, 30); got < 18 {
 		t.Errorf("%.1f of 20 calls a second are let go after the jam", got)
 	}
-	f.pass(20*second, nil)
+	f.run(20*second, nil)
 	said, bytes := 0, 0
-	for _, m := range f.all {
+	for _, m := range f.members {
 		said, bytes = said-m.Sent, bytes-m.SentBytes
 		if m.aggregator.wantsFrequentReports(f.now) {
 			t.Errorf("controller %d still asks for reports", m.options.Self)
 		}
 	}
-	f.pass(100*second, nil)
-	for _, m := range f.all {
+	f.run(100*second, nil)
+	for _, m := range f.members {
 		said, bytes = said+m.Sent, bytes+m.SentBytes
 	}
 	if each := float64(bytes) / 60 / 100; each > 8 {
@@ -183,15 +183,15 @@
 func TestEstimateIsUnbiasedUnderLoss(t *testing.T) {
 	for _, lose := range []float64{0, 0.1, 0.3} {
 		sum, n := 0.0, 0
-		f := newFleet(t, 80, 11)
-		f.lose = lose
+		f := newCluster(t, 80, 11)
+		f.lossRate = lose
 		for i := 60; i < 80; i++ {
-			f.all[i] = nil // twenty never start
+			f.members[i] = nil // twenty never start
 		}
-		f.pass(60*second, nil)
+		f.run(60*second, nil)
 		for range 60 {
-			f.pass(3*second, nil)
-			for _, m := range f.all[:60] {
+			f.run(3*second, nil)
+			for _, m := range f.members[:60] {
 				if m.selection.aggregator == m.options.Self && m.aggregator.lastReportAt > 0 && f.now-m.aggregator.lastReportAt < 2*second && f.now-m.selection.since > 35*second {
 					live := estimateAlive(m.aggregator.members, f.now, m.options.HeartbeatInterval)
 					sum, n = sum+live, n+1
@@ -207,11 +207,11 @@
 	}
 }
 
-// tellers are those whom controllers that are up obey, by how many do. Those that hold one for wrong, who pass it
+// aggregators are those whom controllers that are up obey, by how many do. Those that hold one for wrong, who pass it
 // over for half a minute, do not count: at a jam's edge one in some hundreds does.
-func (f *fleet) tellers() map[int]int {
+func (f *cluster) aggregators() map[int]int {
 	all := make(map[int]int)
-	for _, m := range f.all {
+	for _, m := range f.members {
 		if m != nil && !slices.ContainsFunc(slices.Collect(maps.Values(m.selection.ejected)), func(s ejection) bool { return s.reason == ejectedAsWrong }) {
 			all[m.selection.aggregator]++
 		}
@@ -221,64 +221,64 @@
 
 // When the teller dies in a jam another takes its part, though seven in ten die with it, and those that come
 // back join.
-func TestTellerDies(t *testing.T) {
-	f := newFleet(t, 60, 3)
-	f.jam(15*second, 60, 30)
-	was := f.all[20].selection.aggregator
-	for i := range f.all {
+func TestFailedAggregatorIsReplaced(t *testing.T) {
+	f := newCluster(t, 60, 3)
+	f.runOverload(15*second, 60, 30)
+	was := f.members[20].selection.aggregator
+	for i := range f.members {
 		if i%10 < 7 || i == was {
-			f.all[i] = nil
+			f.members[i] = nil
 		}
 	}
 	died := f.now
-	for len(f.tellers()) > 1 || f.all[f.all[58].selection.aggregator] == nil {
-		if f.jam(second/2, 60, 30); f.now-died > 15*second {
-			t.Fatalf("15 s after the death of %d they obey %v", was, f.tellers())
+	for len(f.aggregators()) > 1 || f.members[f.members[58].selection.aggregator] == nil {
+		if f.runOverload(second/2, 60, 30); f.now-died > 15*second {
+			t.Fatalf("15 s after the death of %d they obey %v", was, f.aggregators())
 		}
 	}
-	if got := f.jam(20*second, 60, 30); got > 1.15*30 {
+	if got := f.runOverload(20*second, 60, 30); got > 1.15*30 {
 		t.Errorf("%.1f set-ups a second go to a server that answers 30", got)
 	}
-	for i := range f.all {
-		if f.all[i] == nil {
+	for i := range f.members {
+		if f.members[i] == nil {
 			f.start(i)
 		}
 	}
-	f.jam(20*second, 60, 30)
-	if n := len(f.tellers()); n > 1 {
-		t.Errorf("after all came back they obey %v", f.tellers())
+	f.runOverload(20*second, 60, 30)
+	if n := len(f.aggregators()); n > 1 {
+		t.Errorf("after all came back they obey %v", f.aggregators())
 	}
 }
 
 // Halves that do not hear each other go on, each by its own sums, and are one again some time after.
-func TestHalvesMeetAgain(t *testing.T) {
-	f := newFleet(t, 40, 9)
-	f.jam(10*second, 60, 30)
-	f.cut = func(a, b int) bool { return a%2 != b%2 }
-	if got := f.jam(20*second, 60, 30); got > 1.2*30 {
+func TestPartitionedMembersConvergeAfterwards(t *testing.T) {
+	f := newCluster(t, 40, 9)
+	f.runOverload(10*second, 60, 30)
+	f.isPartitioned = func(a, b int) bool { return a%2 != b%2 }
+	if got := f.runOverload(20*second, 60, 30); got > 1.2*30 {
 		t.Errorf("%.1f set-ups a second of two halves go to a server that answers 30", got)
 	}
-	if n := len(f.tellers()); n < 2 {
-		t.Errorf("halves that do not hear each other obey %v", f.tellers())
+	if n := len(f.aggregators()); n < 2 {
+		t.Errorf("halves that do not hear each other obey %v", f.aggregators())
 	}
-	f.cut = nil
-	f.jam(40*second, 60, 30)
-	if n := len(f.tellers()); n > 1 {
-		t.Errorf("40 s after they met they obey %v", f.tellers())
+	f.isPartitioned = nil
+	f.runOverload(40*second, 60, 30)
+	if n := len(f.aggregators()); n > 1 {
+		t.Errorf("40 s after they met they obey %v", f.aggregators())
 	}
 	// A cut of minutes, after which each half holds the other for gone.
-	f.cut = func(a, b int) bool { return a%2 != b%2 }
-	f.pass(200*second, nil)
-	f.cut = nil
-	f.pass(Time(digestResetTerms)*2*f.all[0].options.AggregatorTerm, nil)
-	if n := len(f.tellers()); n > 1 {
-		t.Errorf("after a long cut and %d slots they obey %v", 2*digestResetTerms, f.tellers())
+	f.isPartitioned = func(a, b int) bool { return a%2 != b%2 }
+	f.run(200*second, nil)
+	f.isPartitioned = nil
+	f.run(Time(digestResetTerms)*2*f.members[0].options.AggregatorTerm, nil)
+	if n := len(f.aggregators()); n > 1 {
+		t.Errorf("after a long cut and %d slots they obey %v", 2*digestResetTerms, f.aggregators())
 	}
 }
 
 // A teller that is wrong is passed over by what each sees for itself: one that says that all is held back
 // where answers come at once, and one that says that calls hardly wait where they wait for long.
-func TestLiesAreFoundOut(t *testing.T) {
+func TestWrongAggregatorIsEjected(t *testing.T) {
 	for _, c := range []struct {
 		name string
 		term serverLimit
@@ -287,8 +287,8 @@
 		{"all pressed", serverLimit{priority: 2, throttle: 128, wait: 3000}, 60 * ms},
 		{"all well", serverLimit{priority: 0, throttle: 1, wait: 10}, 900 * ms},
 	} {
-		f := newFleet(t, 2, 1)
-		m := f.all[0]
+		f := newCluster(t, 2, 1)
+		m := f.members[0]
 		for i := 0; m.selection.aggregator == 0 && i < 100; i++ {
 			f.now += m.options.AggregatorTerm // the other is to be its teller
 			m.Tick(f.now)
@@ -318,11 +318,11 @@
 }
 
 // What one controller tells moves no sum by more than its weight, whatever it tells.
-func TestWeightOfOneIsBounded(t *testing.T) {
+func TestInfluenceOfOneMemberIsBounded(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		n := rapid.IntRange(5, 60).Draw(rt, "n")
 		honest := func() *aggregator {
-			tl := newAggregator(n, late, 10*second, 500*ms)
+			tl := newAggregator(n, latencyThreshold, 10*second, 500*ms)
 			tl.aggregatedAt = 99 * second
 			for i := range n - 1 {
 				tl.acceptReport(100*second, &loadReport{messageHeader: messageHeader{sender: i, incarnation: 1, sequence: 1}, span: 100, samples: []serverSample{{key: 1, offered: [priorityCount]int{0, 2, 1, 0}, answered: 3, wait: 10}}})
@@ -351,9 +351,9 @@
 
 // Chances keep their order and bounds: dearer tiers are never held back more than cheaper ones, calls that
 // were cut never, nobody entirely; and what they let go of what was offered is the budget.
-func TestTermsKeepTheirBounds(t *testing.T) {
+func TestServerLimitsAreBounded(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
-		tl := newAggregator(3, late, 10*second, 500*ms)
+		tl := newAggregator(3, latencyThreshold, 10*second, 500*ms)
 		for key := range uint32(rapid.IntRange(1, 12).Draw(rt, "servers")) {
 			s := &serverAggregate{key: key, admittedRate: rapid.SampledFrom([]float64{math.Inf(1), 0.5, 3, 20}).Draw(rt, "budget"), demand: demand{answered: rapid.Float64Range(0, 40).Draw(rt, "done")}}
 			for k := range s.offered {
@@ -362,7 +362,7 @@
 			tl.servers[key] = s
 		}
 		for _, x := range tl.serverLimits() {
-			s, m := tl.servers[x.key], Member{rng: rand.New(rand.NewPCG(1, 1)), options: Options{LatencyThreshold: late}}
+			s, m := tl.servers[x.key], Member{rng: rand.New(rand.NewPCG(1, 1)), options: Options{LatencyThreshold: latencyThreshold}}
 			v := &serverView{limit: x, limitedUntil: neverDue}
 			m.servers.byID = map[string]*serverView{"s": v}
 			var held [priorityCount]float64
@@ -397,8 +397,8 @@
 
 // Memory stays bounded whatever names come in.
 func TestMemoryIsBounded(t *testing.T) {
-	f := newFleet(t, 4, 2)
-	m := f.all[0]
+	f := newCluster(t, 4, 2)
+	m := f.members[0]
 	for i := range 100_000 {
 		f.now += ms
 		server := fmt.Sprint("s", i)
@@ -414,8 +414,8 @@
 }
 
 // Reports that come twice, late or from an earlier start change nothing.
-func TestOldReportsCountForNothing(t *testing.T) {
-	tl := newAggregator(2, late, 10*second, 500*ms)
+func TestStaleReportsAreRejected(t *testing.T) {
+	tl := newAggregator(2, latencyThreshold, 10*second, 500*ms)
 	at := func(boot, seq uint32) *loadReport {
 		return &loadReport{messageHeader: messageHeader{sender: 1, incarnation: boot, sequence: seq}, span: 50}
 	}
@@ -437,9 +437,9 @@
 }
 
 // A controller that stood still says nothing of the time before, and obeys no word from then.
-func TestStoppedControllerForgets(t *testing.T) {
-	f := newFleet(t, 2, 1)
-	m := f.all[0]
+func TestClockJumpVoidsMeasurements(t *testing.T) {
+	f := newCluster(t, 2, 1)
+	m := f.members[0]
 	m.RecordOffered(f.now, "s", 1)
 	m.RecordSent(f.now, "s", true)
 	m.servers.byID["s"].limit, m.servers.byID["s"].limitedUntil = serverLimit{priority: 3, throttle: 250, wait: 100}, f.now+60*second
@@ -459,13 +459,13 @@
 	}
 }
 
-func TestCheck(t *testing.T) {
-	for _, o := range []Options{{Peers: 0, LatencyThreshold: late}, {Peers: maxMembers + 1, LatencyThreshold: late}, {Peers: 3, Self: 3, LatencyThreshold: late}, {Peers: 3}, {Peers: 3, LatencyThreshold: late, HeartbeatInterval: -1}} {
+func TestOptionsCheck(t *testing.T) {
+	for _, o := range []Options{{Peers: 0, LatencyThreshold: latencyThreshold}, {Peers: maxMembers + 1, LatencyThreshold: latencyThreshold}, {Peers: 3, Self: 3, LatencyThreshold: latencyThreshold}, {Peers: 3}, {Peers: 3, LatencyThreshold: latencyThreshold, HeartbeatInterval: -1}} {
 		if _, err := New(0, o); err == nil {
 			t.Errorf("%+v was taken", o)
 		}
 	}
-	m, err := New(0, Options{Peers: 1, LatencyThreshold: late})
+	m, err := New(0, Options{Peers: 1, LatencyThreshold: latencyThreshold})
 	if err != nil || m.NextDeadline() != neverDue || m.Tick(second) != nil {
 		t.Errorf("a controller alone speaks, or %v", err)
 	}
@@ -509,9 +509,9 @@
 // A word holds at servers that a controller meets for the first time. (It held at those only that it had sent
 // something to: with a thousand controllers, calls held back went to all the others, 20 a second at each of a
 // dozen servers that answered 33.)
-func TestWordHoldsAtServersNotMetBefore(t *testing.T) {
-	f := newFleet(t, 2, 1)
-	m := f.all[0]
+func TestLimitAppliesToServersUsedForTheFirstTime(t *testing.T) {
+	f := newCluster(t, 2, 1)
+	m := f.members[0]
 	w := limitUpdate{limits: []serverLimit{{key: ServerKey("new"), priority: 2, throttle: 255, overflowThrottle: 255, wait: 100}}}
 	m.applyLimits(f.now, &w)
 	for _, first := range []bool{true, false} {
@@ -527,8 +527,8 @@
 // A server of which nobody tells a wait any more is tried again, whatever was told last. (The last wait stood for
 // ever: a controller whose teller had no other reporter had all of its calls held back after a cut, 24 of 24 in
 // the last seconds of a run of 24 processes, seed 15.)
-func TestHeldBackServerIsTriedAgain(t *testing.T) {
-	tl := newAggregator(2, late, 10*second, 500*ms)
+func TestServerWithoutReportedWaitRecovers(t *testing.T) {
+	tl := newAggregator(2, latencyThreshold, 10*second, 500*ms)
 	now, seq := 100*second, uint32(0)
 	tell := func(s serverSample) {
 		now, seq = now+500*ms, seq+1
@@ -552,8 +552,8 @@
 
 // A server that answers nobody is left to each one's own evidence, and once it answers again nothing is held back.
 // (A budget of half a set-up a second was set where a zone fell silent, and outlasted the silence by seconds.)
-func TestSilentServerIsNobodysBudget(t *testing.T) {
-	tl := newAggregator(2, late, 10*second, 500*ms)
+func TestUnresponsiveServerIsNotLimited(t *testing.T) {
+	tl := newAggregator(2, latencyThreshold, 10*second, 500*ms)
 	now := 100 * second
 	tl.aggregatedAt = now
 	for seq := range uint32(40) {
