--- a/internal/overload/golden_test.go
+++ b/internal/overload/golden_test.go
@@ -8,7 +8,8 @@
 	"olivedale/internal/goldentest"
 )
 
-// goldenMessages are datagrams of every kind, with edge values and with more than fits.
+// goldenMessages returns messages of every kind, with edge values and with more than fits. Their names are those of
+// the golden files.
 func goldenMessages() []goldentest.Message {
 	of := func(kind messageKind) messageHeader {
 		return messageHeader{kind: kind, sender: 3, incarnation: 1764547200, sequence: 77}
@@ -21,7 +22,11 @@
 		{key: 0xffffff, offered: [priorityCount]int{maxCount, 0, 0, maxCount}, wait: maxWait},
 		{key: ServerKey("s-00c41f7a")},
 	}
-	limits := []serverLimit{{key: 0x010203, priority: 2, throttle: 128, overflowThrottle: 64, wait: 100}, {key: 0xffffff, priority: priorityCount - 1, throttle: 255, overflowThrottle: 255, wait: maxWait}, {}}
+	limits := []serverLimit{
+		{key: 0x010203, priority: 2, throttle: 128, overflowThrottle: 64, wait: 100},
+		{key: 0xffffff, priority: priorityCount - 1, throttle: 255, overflowThrottle: 255, wait: maxWait},
+		{},
+	}
 	encode := func(name string, m message) goldentest.Message {
 		return goldentest.Message{Name: name, Bytes: m.append(nil)}
 	}
@@ -32,17 +37,30 @@
 		encode("word", &limitUpdate{messageHeader: of(kindLimitUpdate), aliveMembers: 290, limits: limits}),
 		encode("word without terms", &limitUpdate{messageHeader: largest(kindLimitUpdate), aliveMembers: maxMembers}),
 		encode("word cut to its limit", &limitUpdate{messageHeader: of(kindLimitUpdate), limits: make([]serverLimit, 100)}),
-		encode("roll", &membershipDigest{messageHeader: of(kindMembershipDigest), aliveMembers: 9, peakMembers: 300, members: []byte{0xff, 0x01, 0x80}}),
-		encode("roll cut to its limit", &membershipDigest{messageHeader: largest(kindMembershipDigest), aliveMembers: maxMembers, peakMembers: maxMembers, members: make([]byte, 300)}),
+		encode("roll", &membershipDigest{
+			messageHeader: of(kindMembershipDigest),
+			aliveMembers:  9,
+			peakMembers:   300,
+			members:       []byte{0xff, 0x01, 0x80},
+		}),
+		encode("roll cut to its limit", &membershipDigest{
+			messageHeader: largest(kindMembershipDigest),
+			aliveMembers:  maxMembers,
+			peakMembers:   maxMembers,
+			members:       make([]byte, 300),
+		}),
 		{Name: "received empty", Bytes: nil},
 		{Name: "received of another version", Bytes: []byte{2<<4 | byte(kindLoadReport), 1, 1, 1, 0}},
 		{Name: "received of an unknown kind", Bytes: []byte{protocolVersion<<4 | 9, 1, 1, 1, 0}},
 		{Name: "received cut short", Bytes: []byte{protocolVersion<<4 | byte(kindLimitUpdate), 1, 1, 1, 0, 1, 2}},
-		{Name: "received with a tier out of range", Bytes: []byte{protocolVersion<<4 | byte(kindLimitUpdate), 1, 1, 1, 0, 1, 2, 3, priorityCount, 0, 0, 0}},
+		{
+			Name:  "received with a tier out of range",
+			Bytes: []byte{protocolVersion<<4 | byte(kindLimitUpdate), 1, 1, 1, 0, 1, 2, 3, priorityCount, 0, 0, 0},
+		},
 	}
 }
 
-// dumpMessage writes a decoded datagram under labels that are fixed.
+// dumpMessage writes a decoded message with the labels of the golden file.
 func dumpMessage(b *strings.Builder, m message) {
 	begin := func(what string, h *messageHeader) {
 		_, _ = fmt.Fprintf(b, "%s kind %d from %d boot %d sequence %d", what, h.kind, h.sender, h.incarnation, h.sequence)
@@ -52,13 +70,15 @@
 		begin("report", &m.messageHeader)
 		_, _ = fmt.Fprintf(b, " span %d pressed %v\n", m.span, m.overloaded)
 		for _, s := range m.samples {
-			_, _ = fmt.Fprintf(b, "  server %06x offered %v second-choice %d answered %d wait %d pressed %v\n", s.key, s.offered, s.overflow, s.answered, s.wait, s.overloaded)
+			_, _ = fmt.Fprintf(b, "  server %06x offered %v second-choice %d answered %d wait %d pressed %v\n",
+				s.key, s.offered, s.overflow, s.answered, s.wait, s.overloaded)
 		}
 	case *limitUpdate:
 		begin("word", &m.messageHeader)
 		_, _ = fmt.Fprintf(b, " live %d\n", m.aliveMembers)
-		for _, t := range m.limits {
-			_, _ = fmt.Fprintf(b, "  server %06x tier %d part %d second-choice %d wait %d\n", t.key, t.priority, t.throttle, t.overflowThrottle, t.wait)
+		for _, l := range m.limits {
+			_, _ = fmt.Fprintf(b, "  server %06x tier %d part %d second-choice %d wait %d\n",
+				l.key, l.priority, l.throttle, l.overflowThrottle, l.wait)
 		}
 	case *membershipDigest:
 		begin("roll", &m.messageHeader)
@@ -66,7 +86,7 @@
 	}
 }
 
-// Datagrams are written as the committed bytes, and these are read as the committed dump.
+// Messages are encoded as the committed bytes, and these are decoded as the committed dump.
 func TestGoldenDatagrams(t *testing.T) {
 	var dump strings.Builder
 	for _, m := range goldentest.Messages(t, "datagrams.txt", goldenMessages()) {
--- a/internal/overload/selection.go
+++ b/internal/overload/selection.go
@@ -10,7 +10,9 @@
 
 // Parameters of the selection of an aggregator.
 const (
-	maxUnansweredReports = 6 // after which the aggregator is ejected; where three datagrams in ten are lost, 1 run in 1,400
+	// maxUnansweredReports is the number after which the aggregator is ejected. Where three datagrams in ten are lost,
+	// one run in 1,400 is longer.
+	maxUnansweredReports = 6
 	maxBypassed          = 8 // higher-ranked members that are probed
 	digestResetTerms     = 4 // terms after which all members are tried again
 )
