--- a/internal/overload/aggregator_test.go
+++ b/internal/overload/aggregator_test.go
@@ -29,7 +29,8 @@
 			a := newTestAggregator(n, 99*second)
 			sample := serverSample{key: 1, offered: [priorityCount]int{0, 2, 1, 0}, answered: 3, wait: 10}
 			for i := range n - 1 {
-				a.acceptReport(100*second, newReport(messageHeader{sender: i, incarnation: 1, sequence: 1}, 100, sample))
+				header := messageHeader{sender: i, incarnation: 1, sequence: 1}
+				a.acceptReport(100*second, newReport(header, 100, sample))
 			}
 			return a
 		}
--- a/internal/overload/golden_test.go
+++ b/internal/overload/golden_test.go
@@ -33,10 +33,16 @@
 	return []goldentest.Message{
 		encode("report", &loadReport{messageHeader: of(kindLoadReport), span: 50, overloaded: true, samples: samples}),
 		encode("report without sights", &loadReport{messageHeader: largest(kindLoadReport), span: maxWait}),
-		encode("report cut to its limit", &loadReport{messageHeader: of(kindLoadReport), samples: make([]serverSample, 100)}),
+		encode("report cut to its limit", &loadReport{
+			messageHeader: of(kindLoadReport),
+			samples:       make([]serverSample, 100),
+		}),
 		encode("word", &limitUpdate{messageHeader: of(kindLimitUpdate), aliveMembers: 290, limits: limits}),
 		encode("word without terms", &limitUpdate{messageHeader: largest(kindLimitUpdate), aliveMembers: maxMembers}),
-		encode("word cut to its limit", &limitUpdate{messageHeader: of(kindLimitUpdate), limits: make([]serverLimit, 100)}),
+		encode("word cut to its limit", &limitUpdate{
+			messageHeader: of(kindLimitUpdate),
+			limits:        make([]serverLimit, 100),
+		}),
 		encode("roll", &membershipDigest{
 			messageHeader: of(kindMembershipDigest),
 			aliveMembers:  9,
@@ -63,7 +69,8 @@
 // dumpMessage writes a decoded message with the labels of the golden file.
 func dumpMessage(b *strings.Builder, m message) {
 	begin := func(what string, h *messageHeader) {
-		_, _ = fmt.Fprintf(b, "%s kind %d from %d boot %d sequence %d", what, h.kind, h.sender, h.incarnation, h.sequence)
+		_, _ = fmt.Fprintf(b, "%s kind %d from %d boot %d sequence %d",
+			what, h.kind, h.sender, h.incarnation, h.sequence)
 	}
 	switch m := m.(type) {
 	case *loadReport:
--- a/internal/overload/member_test.go
+++ b/internal/overload/member_test.go
@@ -22,7 +22,7 @@
 		c.lossRate = test.lossRate
 		got := c.runOverload(40*second, 60, 30)
 		if got < (0.85-test.lossRate/3)*30 || got > 1.15*30 {
-			t.Errorf("%d members, %.0f%% lost: %.1f of 60 offered set-ups a second were sent to a server that answers 30",
+			t.Errorf("%d members, %.0f%% lost: %.1f of 60 set-ups a second were sent to a server that answers 30",
 				test.members, 100*test.lossRate, got)
 		}
 	}
--- a/internal/overload/trust.go
+++ b/internal/overload/trust.go
@@ -7,11 +7,11 @@
 
 // Parameters of the comparison of an aggregator's claims with own measurements.
 const (
-	comparisonWindow     = 1000 * time.Millisecond // a claim is compared with an answer that came this long before at most
-	claimTolerance       = 4                       // factor between claimed wait and set-up time that is no contradiction
+	comparisonWindow     = 1000 * time.Millisecond // greatest age of an answer that a claim is compared with
+	claimTolerance       = 4                       // factor between claimed wait and set-up time that is a match
 	maxDeviation         = 4                       // a greater deviation counts as this
 	suspicionThreshold   = 4.0                     // suspicion at which the aggregator is ejected
-	minMatchingResults   = 3                       // matching answers without which an aggregator is not trusted
+	minMatchingResults   = 3                       // matches that establish trust
 	maxUntrustedThrottle = 0.8                     // greatest throttle probability without trust
 )
 
--- a/internal/transport/golden_test.go
+++ b/internal/transport/golden_test.go
@@ -9,7 +9,7 @@
 	"olivedale/internal/goldentest"
 )
 
-// goldenCases are payloads with the keys that sign them.
+// goldenCases are payloads with the keys that sign them. Their names are those of the golden file.
 var goldenCases = []struct {
 	name    string
 	keys    [][]byte
@@ -21,7 +21,7 @@
 	{"the longest that is signed", [][]byte{keyA}, string(make([]byte, MaxDatagramBytes-SignatureBytes))},
 }
 
-// openWithRawPeer is a controller whose only peer is a plain socket of the test.
+// openWithRawPeer opens a Conn whose only peer is a plain socket of the test.
 func openWithRawPeer(t *testing.T, keys [][]byte) (*Conn, *net.UDPConn) {
 	t.Helper()
 	raw, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
@@ -37,7 +37,7 @@
 	return c, raw
 }
 
-// Datagrams leave as the committed bytes, and these are taken for what was sent.
+// Datagrams are sent as the committed bytes, and these are received as what was sent.
 func TestGoldenDatagrams(t *testing.T) {
 	var sent []goldentest.Message
 	var conns []*Conn
--- a/internal/transport/keys.go
+++ b/internal/transport/keys.go
@@ -21,7 +21,7 @@
 // CheckKeys returns an error if there are too many keys or one is too short.
 func CheckKeys(keys [][]byte) error {
 	if len(keys) > maxKeys {
-		return fmt.Errorf("%d keys, %d at most: the one that signs and its predecessor or successor", len(keys), maxKeys)
+		return fmt.Errorf("%d keys, %d at most: the signing one and its predecessor or successor", len(keys), maxKeys)
 	}
 	for i, key := range keys {
 		if len(key) < minKeyBytes {
