--- a/internal/lab/together/liar.go
+++ b/internal/lab/together/liar.go
@@ -11,7 +11,7 @@
 )
 
 // A liar has the fleet's key and tells all others, as one who reports and as a teller, that no server is
-// pressed or that all are. Its messages are written here by the form that docs/design/share.md gives, so
+// pressed or that all are. Its messages are written here by the form that docs/design/overload.md gives, so
 // that the product has no code for lies.
 type liar struct {
 	self, peers int
