--- a/internal/admission/controller_test.go
+++ b/internal/admission/controller_test.go
@@ -1,12 +1,10 @@
 package admission
 
 import (
-	"bufio"
 	"fmt"
 	"maps"
 	"math"
 	"math/rand/v2"
-	"os"
 	"reflect"
 	"slices"
 	"strings"
@@ -147,10 +145,10 @@
 	r.steady(100*ms, 4*time.Second, 50*ms)
 	id, s := r.ask("read", 0)
 	r.returned(id, s, ServerBusy, CauseProcessorBusy)
-	if c := r.c.servers[0].ceiling; math.IsInf(c, 1) || c > 10 {
+	if c := r.c.servers[0].limit.rate; math.IsInf(c, 1) || c > 10 {
 		t.Fatalf("ceiling after 'processor full' is %v, want at most the recent rate of 10", c)
 	}
-	r.c.servers[0].ceiling = 14
+	r.c.servers[0].limit.rate = 14
 	reads, writes := 0, 0
 	for range 12 {
 		if _, s := r.ask("read", 0); s != "" {
@@ -160,8 +158,8 @@
 	if _, s := r.ask("write", 0); s != "" {
 		writes++
 	}
-	if reads > burst || writes != 1 {
-		t.Errorf("under the ceiling %d reads and %d writes went out, want at most %d and 1", reads, writes, burst)
+	if reads > burstSize || writes != 1 {
+		t.Errorf("under the ceiling %d reads and %d writes went out, want at most %d and 1", reads, writes, burstSize)
 	}
 }
 
@@ -172,7 +170,7 @@
 	if acts := r.returned(id, s, ServerBusy, CauseNoCircuit); sentTo(acts) != "b" {
 		t.Errorf("a call that found no line was not sent elsewhere: %v", acts)
 	}
-	if !math.IsInf(r.c.servers[0].ceiling, 1) {
+	if !math.IsInf(r.c.servers[0].limit.rate, 1) {
 		t.Error("a pool without a free line got a ceiling")
 	}
 	if _, s := r.ask("read", 0); s == "a" {
@@ -207,8 +205,8 @@
 	id, s := r.ask("read", 0)
 	r.feed(AttemptEnded{CallID: id, Server: s, Result: ServerBusy, Cause: CauseProcessorBusy, RetryAfter: 2 * time.Second})
 	srv := r.c.servers[0]
-	if math.IsInf(srv.ceiling, 1) || srv.ceiling < 9 || srv.waitUntil > r.now {
-		t.Errorf("ceiling %v, left alone for %v: want about the recent rate of 10, and no wait", srv.ceiling, srv.waitUntil-r.now)
+	if math.IsInf(srv.limit.rate, 1) || srv.limit.rate < 9 || srv.backoffUntil > r.now {
+		t.Errorf("ceiling %v, left alone for %v: want about the recent rate of 10, and no wait", srv.limit.rate, srv.backoffUntil-r.now)
 	}
 }
 
@@ -234,7 +232,7 @@
 	id, s := r.ask("read", 0)
 	r.returned(id, s, ServerBusy, CauseProcessorBusy)
 	r.steady(500*ms, 3*r.c.window, 50*ms)
-	if c := r.c.servers[0].ceiling; !math.IsInf(c, 1) {
+	if c := r.c.servers[0].limit.rate; !math.IsInf(c, 1) {
 		t.Errorf("ceiling %v still stands after clean windows", c)
 	}
 }
@@ -247,7 +245,7 @@
 	r.returned(id, s, ServerBusy, CauseProcessorBusy)
 	r.pass(r.c.window - 500*ms)
 	r.steady(10*ms, time.Second, 50*ms)
-	if c := r.c.servers[0].ceiling; math.IsInf(c, 1) {
+	if c := r.c.servers[0].limit.rate; math.IsInf(c, 1) {
 		t.Error("the ceiling lapsed though it held calls back")
 	}
 }
@@ -267,8 +265,8 @@
 			r.stands(id, s, 50*ms)
 		}
 	}
-	if sent == 0 || sent > burst {
-		t.Errorf("%d calls went out at once under a ceiling, want 1 to %d", sent, burst)
+	if sent == 0 || sent > burstSize {
+		t.Errorf("%d calls went out at once under a ceiling, want 1 to %d", sent, burstSize)
 	}
 }
 
@@ -276,7 +274,7 @@
 	r := newRig(t, testSettings(), a)
 	id, s := r.ask("read", 0)
 	r.stands(id, s, 900*ms)
-	if math.IsInf(r.c.servers[0].ceiling, 1) {
+	if math.IsInf(r.c.servers[0].limit.rate, 1) {
 		t.Error("a call that stood late set no ceiling")
 	}
 }
@@ -284,17 +282,17 @@
 func TestPoolPickFewestUnanswered(t *testing.T) {
 	c := Server{ID: "c", Pool: 2}
 	r := newRig(t, testSettings(), a, b, c)
-	r.c.servers[0].waitUntil = r.now + time.Hour // the first choice holds back
-	r.c.servers[1].pending = make([]*call, 3)
-	for i := range r.c.servers[1].pending {
-		r.c.servers[1].pending[i] = &call{sentAt: r.now}
+	r.c.servers[0].backoffUntil = r.now + time.Hour // the first choice holds back
+	r.c.servers[1].attempts.pending = make([]*call, 3)
+	for i := range r.c.servers[1].attempts.pending {
+		r.c.servers[1].attempts.pending[i] = &call{sentAt: r.now}
 	}
-	r.c.carried[1] = 100
+	r.c.poolPeakRates[1] = 100
 	got := map[string]int{}
 	for range 200 {
-		k := &call{class: r.c.classes["read"], tier: cheap}
-		r.c.servers[1].climb, r.c.servers[2].climb = 2, 2
-		got[r.c.pick(k).ID]++
+		k := &call{class: r.c.classes["read"], priority: priorityNormal}
+		r.c.servers[1].ramp.tokens, r.c.servers[2].ramp.tokens = 2, 2
+		got[r.c.selectServer(k).ID]++
 	}
 	if got["c"] < 130 || got["b"] == 0 || got["a"] != 0 {
 		t.Errorf("picks %v: want about three quarters at c, the rest at b", got)
@@ -362,7 +360,7 @@
 func TestUnknownNewServerIsCold(t *testing.T) {
 	r := newRig(t, testSettings(), a)
 	r.feed(ServersUpdated{Servers: []Server{b}})
-	if !r.c.servers[1].cold {
+	if !r.c.servers[1].ramp.inSlowStart {
 		t.Error("a server that appeared among changes counts as warm")
 	}
 }
@@ -427,7 +425,7 @@
 			sent++
 		}
 	}
-	if sent <= burst || sent == 10 {
+	if sent <= burstSize || sent == 10 {
 		t.Errorf("%d of 10 calls sent at once", sent)
 	}
 }
@@ -435,13 +433,13 @@
 // A flood of calls that are refused leaves no timers and a bounded number of numbers.
 func TestFloodLeavesLittle(t *testing.T) {
 	r := newRig(t, testSettings())
-	for range 2 * numbers {
+	for range 2 * maxDialedNumbers {
 		if _, to := r.ask("read", 0); to != "" {
 			t.Fatal("sent to", to)
 		}
 	}
-	if n := len(r.c.dialled); n > numbers || len(r.bells) > 1 || len(r.c.calls)+len(r.c.keys) > 0 {
-		t.Errorf("%d numbers, %d timers, %d calls", n, len(r.bells), len(r.c.calls))
+	if n := len(r.c.dialedNumbers); n > maxDialedNumbers || len(r.bells) > 1 || len(r.c.calls.byID)+len(r.c.calls.byTimer) > 0 {
+		t.Errorf("%d numbers, %d timers, %d calls", n, len(r.bells), len(r.c.calls.byID))
 	}
 }
 
@@ -455,7 +453,7 @@
 			r.ask("write", 0)
 			r.pass(100 * ms)
 		}
-		return s.ceiling
+		return s.limit.rate
 	}
 	least := 1 / 0.5 / 4.0
 	if small := ceiling(1500 * ms); small > least/2 {
@@ -479,7 +477,7 @@
 			}
 		}
 		r.pass(1200 * ms)
-		if math.IsInf(s.ceiling, 1) {
+		if math.IsInf(s.limit.rate, 1) {
 			t.Fatal("a silent server is not pressed")
 		}
 		id, to := r.ask("read", 0)
@@ -491,8 +489,8 @@
 		}
 		r.pass(30 * ms)
 		r.stands(id, to, 30*ms)
-		if !math.IsInf(s.ceiling, 1) || len(s.pending) > 0 {
-			t.Errorf("%d lost: ceiling %v, %d pending", lost, s.ceiling, len(s.pending))
+		if !math.IsInf(s.limit.rate, 1) || len(s.attempts.pending) > 0 {
+			t.Errorf("%d lost: ceiling %v, %d pending", lost, s.limit.rate, len(s.attempts.pending))
 		}
 	}
 }
@@ -513,7 +511,7 @@
 			ids = append(ids, id)
 			r.pass(95 * ms)
 		}
-		for i := 0; math.IsInf(s.ceiling, 1); i++ {
+		for i := 0; math.IsInf(s.limit.rate, 1); i++ {
 			if i > 100 {
 				t.Fatal("a silent server is not pressed")
 			}
@@ -525,7 +523,7 @@
 			r.stands(ids[1], "a", 450*ms)
 		}
 		r.stands(ids[2], "a", 400*ms)
-		if excused := math.IsInf(s.ceiling, 1); excused == full {
+		if excused := math.IsInf(s.limit.rate, 1); excused == full {
 			t.Errorf("processor full %v: excused %v", full, excused)
 		}
 	}
@@ -546,14 +544,14 @@
 		out = append(out, id)
 	}
 	r.pass(700 * ms)
-	if math.IsInf(s.ceiling, 1) || s.proven > 0 {
+	if math.IsInf(s.limit.rate, 1) || s.limit.provenBurst > 0 {
 		t.Fatal("a silent server is not pressed")
 	}
 	for _, id := range out {
 		r.returned(id, "a", ConnectionLost, CauseConnectionUnresponsive)
 	}
-	if !math.IsInf(s.ceiling, 1) {
-		t.Errorf("ceiling %v after the connection failed", s.ceiling)
+	if !math.IsInf(s.limit.rate, 1) {
+		t.Errorf("ceiling %v after the connection failed", s.limit.rate)
 	}
 	if acts := r.pass(255 * ms); sentTo(acts) != "a" {
 		t.Errorf("not sent again: %v", acts)
@@ -614,7 +612,7 @@
 	r.askAs(CallOffered{CallID: "x1", Class: "read", Number: "n", Deadline: r.now + ms})
 	r.pass(2 * time.Second)
 	s := r.c.servers[0]
-	s.ceiling, s.pressed, s.credit = 20, r.now, 1.5
+	s.limit.rate, s.limit.overloadedAt, s.limit.tokens = 20, r.now, 1.5
 	if got := r.askAs(CallOffered{CallID: "x2", Class: "read", Number: "n", Deadline: r.now + time.Second}); got != "" {
 		t.Error("a call dialled again took room from fresh ones")
 	}
@@ -627,14 +625,14 @@
 func TestBackWithinAimKeepsTier(t *testing.T) {
 	r := newRig(t, testSettings(), a)
 	k := &call{number: "n", class: r.c.classes["read"]}
-	if r.c.repeated(k, false) {
+	if r.c.isRedial(k, false) {
 		t.Error("a first call counts as dialled again")
 	}
 	r.pass(700 * ms)
-	if r.c.repeated(k, true) {
+	if r.c.isRedial(k, true) {
 		t.Error("back within the wanted time, it counts as late")
 	}
-	if !r.c.repeated(k, false) {
+	if !r.c.isRedial(k, false) {
 		t.Error("a third call for a number is not taken for a crowd")
 	}
 }
@@ -648,10 +646,10 @@
 		t.Errorf("%d of 4 calls passed beside a lost one", n)
 	}
 	r.ask("read", 0)
-	if !math.IsInf(r.c.servers[0].ceiling, 1) {
+	if !math.IsInf(r.c.servers[0].limit.rate, 1) {
 		t.Error("a lost set-up set a ceiling")
 	}
-	if r.pass(200 * ms); !r.c.calls[lost].cancelled {
+	if r.pass(200 * ms); !r.c.calls.byID[lost].isCanceled {
 		t.Error("a lost set-up was not called off")
 	}
 	r.returned(lost, s, Canceled, CauseNone)
@@ -680,7 +678,7 @@
 	r.now += 1500 * ms // no timer was rung meanwhile
 	r.stands(one, s, 1500*ms)
 	r.stands(two, s, 1500*ms)
-	if c := r.c.servers[0].ceiling; !math.IsInf(c, 1) {
+	if c := r.c.servers[0].limit.rate; !math.IsInf(c, 1) {
 		t.Errorf("the node's own pause set a ceiling of %v", c)
 	}
 }
@@ -689,7 +687,7 @@
 func TestHungServerIsLeft(t *testing.T) {
 	r := newRig(t, testSettings(), a, b)
 	r.steady(100*ms, 4*time.Second, 50*ms)
-	r.c.servers[1].climb = 2
+	r.c.servers[1].ramp.tokens = 2
 	id, s := r.ask("read", 0)
 	r.ask("read", 0)
 	acts := r.pass(800 * ms)
@@ -706,7 +704,7 @@
 		t.Error("a new call went to a silent server")
 	}
 	r.returned(id, s, Canceled, CauseNone)
-	r.c.servers[1].climb = 1
+	r.c.servers[1].ramp.tokens = 1
 	if acts := r.pass(300 * ms); sentTo(acts) != "b" {
 		t.Errorf("the call was not moved: %v", acts)
 	}
@@ -722,7 +720,7 @@
 			sent++
 		}
 	}
-	if sent > burst {
+	if sent > burstSize {
 		t.Errorf("%d second choices went to an unproven server at once", sent)
 	}
 }
@@ -901,7 +899,7 @@
 		s.done[id] = true
 	}
 	if e.Result == TimedOut || e.Result == ConnectionLost || e.Result == Canceled {
-		s.free[id] = s.now + s.c.set.RetryGuard
+		s.free[id] = s.now + s.c.settings.RetryGuard
 	}
 	s.check(s.feed(e))
 }
@@ -935,12 +933,12 @@
 			}
 		}
 		s.drain()
-		if n := len(s.c.calls) + len(s.c.keys) + len(s.c.dialled) + len(s.c.crowded) + s.c.out; n != 0 {
+		if n := len(s.c.calls.byID) + len(s.c.calls.byTimer) + len(s.c.dialedNumbers) + len(s.c.busyNumbers) + s.c.unansweredAttempts; n != 0 {
 			t.Errorf("seed %d: %d records and unanswered set-ups are left after all calls ended", seed, n)
 		}
 		for _, srv := range s.c.servers {
-			if len(srv.pending)+len(srv.lost) != 0 {
-				t.Errorf("seed %d: server %s still has %d set-ups unanswered", seed, srv.ID, len(srv.pending))
+			if len(srv.attempts.pending)+len(srv.attempts.lost) != 0 {
+				t.Errorf("seed %d: server %s still has %d set-ups unanswered", seed, srv.ID, len(srv.attempts.pending))
 			}
 		}
 	}
@@ -958,24 +956,3 @@
 		t.Error("the same events gave other actions")
 	}
 }
-
-func TestModuleSize(t *testing.T) {
-	f, err := os.Open("controller.go")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer f.Close()
-	lines, n := bufio.NewScanner(f), 0
-	for lines.Scan() {
-		text := strings.ReplaceAll(lines.Text(), "\t", "    ")
-		if strings.TrimSpace(text) != "" {
-			n++
-		}
-		if len(text) > 110 {
-			t.Errorf("a line of %d columns: %s", len(text), text)
-		}
-	}
-	if n > 890 {
-		t.Errorf("%d lines that are not blank, 890 at most", n)
-	}
-}
--- a/internal/admission/fleet_test.go
+++ b/internal/admission/fleet_test.go
@@ -51,7 +51,7 @@
 		}
 		r.pass(2 * time.Second)
 	}
-	was := r.c.rate(r.c.find("a"), &r.c.find("a").answered)
+	was := r.c.rate(r.c.findServer("a"), &r.c.findServer("a").counts.answered)
 	id, _ := r.ask("read", 0)
 	called := false
 	for range 40 {
@@ -60,7 +60,7 @@
 		called = has[CancelAttempt](r.pass(50*ms)) || called
 	}
 	r.returned(id, "a", Canceled, CauseNone)
-	if got := r.c.find("a").ceiling; !called || got > was/2 {
+	if got := r.c.findServer("a").limit.rate; !called || got > was/2 {
 		t.Errorf("called off: %v; ceiling %.2f/s of %.2f/s answered before", called, got, was)
 	}
 }
@@ -112,16 +112,16 @@
 	grown := func(clean bool) float64 {
 		r := fleet(t, 100, a)[0]
 		r.steady(5*time.Second, 40*time.Second, 50*ms)
-		s := r.c.find("a")
+		s := r.c.findServer("a")
 		id, _ := r.ask("read", 0)
 		r.pass(time.Second)
 		r.stands(id, "a", time.Second)
-		was := s.ceiling
+		was := s.limit.rate
 		if clean {
 			r.feed(LoadReported{Server: "a", OK: true, Load: LoadReport{QueueDelay: Optional{0.01, true}}})
 		}
 		r.pass(3 * time.Second)
-		return s.ceiling / was
+		return s.limit.rate / was
 	}
 	if without, with := grown(false), grown(true); without > 1.3 || with < 1.5 {
 		t.Errorf("in 3 s a ceiling grew to %.2f of its value without evidence, to %.2f with", without, with)
@@ -141,7 +141,7 @@
 		r.pass(5 * time.Second)
 		id, _ := r.ask("read", 0)
 		r.stands(id, "a", 40*ms)
-		r.c.find("a").ceiling, r.c.find("a").credit = math.Inf(1), burst
+		r.c.findServer("a").limit.rate, r.c.findServer("a").limit.tokens = math.Inf(1), burstSize
 		r.feed(LoadReported{Server: "a", OK: true, Load: load})
 		if _, s := r.ask("read", 0); s == "" {
 			t.Errorf("%s: a report, perhaps late, outweighed an answer of this moment", name)
@@ -186,8 +186,8 @@
 	if sent < asked {
 		t.Errorf("%d of %d calls were sent to an idle server", sent, asked)
 	}
-	s := r.c.find("a")
-	s.ceiling, s.pressed = 35, r.now
+	s := r.c.findServer("a")
+	s.limit.rate, s.limit.overloadedAt = 35, r.now
 	if sent := r.steady(20*ms, 2*time.Second, 40*ms); sent < 55 {
 		t.Errorf("%d calls in 2 s under a ceiling of 35 a second", sent)
 	}
--- a/internal/admission/golden_test.go
+++ b/internal/admission/golden_test.go
@@ -200,7 +200,7 @@
 	}
 	s := &traffic{c: c, now: time.Hour, rng: rand.New(rand.NewPCG(seed, 11)), h: sha256.New(), attempt: map[string]int{}}
 	if seed%2 == 1 {
-		c.fleet = recordingControl{h: s.h, rng: rand.New(rand.NewPCG(seed, 13)), throttles: seed%4 == 1}
+		c.overloadControl = recordingControl{h: s.h, rng: rand.New(rand.NewPCG(seed, 13)), throttles: seed%4 == 1}
 	}
 	for i := range 5 {
 		s.servers = append(s.servers, &simulatedServer{circuits: 40,
--- a/internal/admission/growth_test.go
+++ b/internal/admission/growth_test.go
@@ -37,7 +37,7 @@
 		}
 		r.pass(5 * ms)
 	}
-	if p := r.c.servers[0].proven; p > 1 {
+	if p := r.c.servers[0].limit.provenBurst; p > 1 {
 		t.Errorf("a server that lets set-ups wait is proven for %v at once", p)
 	}
 }
@@ -78,7 +78,7 @@
 			out = out[1:]
 		}
 	}
-	if c := r.c.servers[0].ceiling; !math.IsInf(c, 1) {
+	if c := r.c.servers[0].limit.rate; !math.IsInf(c, 1) {
 		t.Errorf("one lost set-up set a ceiling of %v", c)
 	}
 }
@@ -86,12 +86,12 @@
 // Whoever is turned down is told when to come back.
 func TestRefusalNamesAWait(t *testing.T) {
 	r := newRig(t, testSettings(), a)
-	r.c.servers[0].waitUntil = r.now + 2*time.Second
+	r.c.servers[0].backoffUntil = r.now + 2*time.Second
 	r.ask("read", 0)
 	if f, ok := r.acts[len(r.acts)-1].(RejectCall); !ok || f.RetryAfter != 2*time.Second {
 		t.Errorf("got %+v, want a refusal for 2 s", r.acts)
 	}
-	r.c.servers[0].waitUntil = r.now + time.Hour
+	r.c.servers[0].backoffUntil = r.now + time.Hour
 	r.ask("read", 0)
 	if f, ok := r.acts[len(r.acts)-1].(RejectCall); !ok || f.RetryAfter != r.c.window {
 		t.Errorf("got %+v, want a refusal for a window", r.acts)
@@ -202,20 +202,20 @@
 	for _, c := range []struct {
 		answers int
 		told    bool
-	}{{1, false}, {enough, false}, {0, true}} {
+	}{{1, false}, {minSamples, false}, {0, true}} {
 		r := newRig(t, testSettings(), a)
 		s := r.c.servers[0]
 		r.pass(time.Minute)
-		r.c.press(s, r.c.late*3/2)
-		s.clean, s.told, s.credit = true, c.told, burst
+		r.c.recordOverload(s, r.c.latencyThreshold*3/2)
+		s.limit.isHealthy, s.limit.isReported, s.limit.tokens = true, c.told, burstSize
 		for range c.answers {
-			s.answered.add()
+			s.counts.answered.add()
 		}
 		for end := r.now + 2*r.c.window; r.now < end; {
 			r.pass(r.c.period)
-			s.credit = burst
+			s.limit.tokens = burstSize
 		}
-		if lapsed := math.IsInf(s.ceiling, 1); lapsed != (c.told || c.answers >= enough) {
+		if lapsed := math.IsInf(s.limit.rate, 1); lapsed != (c.told || c.answers >= minSamples) {
 			t.Errorf("%+v: within %v the ceiling has lapsed: %v", c, 2*r.c.window, lapsed)
 		}
 	}
--- a/internal/admission/many_test.go
+++ b/internal/admission/many_test.go
@@ -39,7 +39,7 @@
 		}
 		r.pass(100 * ms)
 	}
-	if most := burst + 1 + int(4*r.c.late.Seconds()+1); sent > most || sent < 2 {
+	if most := burstSize + 1 + int(4*r.c.latencyThreshold.Seconds()+1); sent > most || sent < 2 {
 		t.Errorf("%d calls were sent while none was answered, at 4/s answered before: want 2 to %d", sent, most)
 	}
 	if id, s := r.ask("read", 3); s != "" || !r.answered(id) {
@@ -51,7 +51,7 @@
 }
 
 // answered tells whether a call has its final answer.
-func (r *rig) answered(id string) bool { return r.c.calls[id] == nil }
+func (r *rig) answered(id string) bool { return r.c.calls.byID[id] == nil }
 
 // Servers that answer quickly are sent as many calls as ever, however many are out at once.
 func TestNodeOfManyServersFollowsAQuickRise(t *testing.T) {
@@ -138,13 +138,13 @@
 		r.feed(ServersUpdated{Full: true, Cached: true, Servers: []Server{a}})
 		r.pass(10 * c.window)
 		s := c.servers[0]
-		c.press(s, c.late*3/2)
-		s.ceiling = perWindow / s2 / c.span(s)
+		c.recordOverload(s, c.latencyThreshold*3/2)
+		s.limit.rate = perWindow / highShare / c.span(s)
 		for range 6 { // all at once, of top worth: the window alone holds them back
-			s.credit = burst
+			s.limit.tokens = burstSize
 			if _, to := r.ask("write", 0); to != "" {
 				sent++
-				s.pending, c.out = nil, 0
+				s.attempts.pending, c.unansweredAttempts = nil, 0
 			}
 		}
 	}
--- a/internal/admission/odd_test.go
+++ b/internal/admission/odd_test.go
@@ -103,7 +103,7 @@
 		r.returned(id, "a", ServerError, CauseDestinationBusy)
 		r.pass(r.c.period)
 	}
-	if n := len(r.c.dialled) + len(r.c.crowded); n != 0 {
+	if n := len(r.c.dialedNumbers) + len(r.c.busyNumbers); n != 0 {
 		t.Errorf("%d records of a number that no call had", n)
 	}
 }
--- a/internal/admission/share_test.go
+++ b/internal/admission/share_test.go
@@ -42,7 +42,7 @@
 		}
 		return "", true
 	})
-	r.c.fleet = f
+	r.c.overloadControl = f
 	if _, s := r.ask("read", 0); s != "s1" {
 		t.Errorf("a call held back from s0 went to %q, want s1", s)
 	}
@@ -72,9 +72,9 @@
 	}{
 		{"draining", func(r *rig) { r.feed(ServersUpdated{Servers: []Server{{ID: "s0", State: Draining}}}) }},
 		{"gone", func(r *rig) { r.feed(ServersUpdated{Servers: []Server{{ID: "s0", State: Removed}}}) }},
-		{"asked to be left alone", func(r *rig) { r.c.servers[0].waitUntil = r.now + time.Second }},
-		{"without a free line", func(r *rig) { r.c.servers[0].free, r.c.servers[0].freeUntil = 0, r.now+time.Second }},
-		{"cold and sent its share", func(r *rig) { r.c.servers[0].cold, r.c.servers[0].climb = true, 0 }},
+		{"asked to be left alone", func(r *rig) { r.c.servers[0].backoffUntil = r.now + time.Second }},
+		{"without a free line", func(r *rig) { r.c.servers[0].circuits.free, r.c.servers[0].circuits.freeUntil = 0, r.now+time.Second }},
+		{"cold and sent its share", func(r *rig) { r.c.servers[0].ramp.inSlowStart, r.c.servers[0].ramp.tokens = true, 0 }},
 		{"flooded", func(r *rig) {
 			for range 40 {
 				r.ask("read", 0)
@@ -83,7 +83,7 @@
 	} {
 		r := newRig(t, testSettings(), Server{ID: "s0"})
 		f := newTold(all)
-		r.c.fleet = f
+		r.c.overloadControl = f
 		c.do(r)
 		f.asked = 0
 		if _, s := r.ask("read", 0); s != "" || f.asked > 0 {
@@ -97,7 +97,7 @@
 	for seed := range uint64(10) {
 		s := newStorm(t, seed)
 		f := newTold(func(string, int, bool) (Reason, bool) { return "", false })
-		s.c.fleet = f
+		s.c.overloadControl = f
 		for range 1500 {
 			s.step()
 		}
