--- a/internal/admission/callstate.go
+++ b/internal/admission/callstate.go
@@ -5,12 +5,14 @@
 // This file holds what a StateMachine remembers of a call, and the states of its life. The decisions that
 // lead from one state to another are in the files listed under policy in deploy/balancer.toml.
 
-// A callState says whether an attempt of a call is open.
+// A callState says whether an attempt of a call is open. The methods of call change it:
 //
-//	placing -> attempting -> established
-//	   ^   \       |             |
-//	   |    waiting|             |
-//	   +-----------+-------------+
+//	from                       to           method
+//	placing                    attempting   startAttempt
+//	attempting                 established  establish
+//	attempting or established  placing      endAttempt
+//	placing                    waiting      startRetryGuard
+//	waiting                    placing      endRetryGuard
 //
 // The final answer, call.isDecided, is independent of it: the caller's deadline may pass while an attempt is
 // open. A decided call is forgotten as soon as no attempt is open.
--- a/internal/admission/ratelimit.go
+++ b/internal/admission/ratelimit.go
@@ -26,7 +26,7 @@
 	limit.recordOverload(rate, m.rng.Float64(), m.now)
 	m.overloadControl.RecordOverload(m.now, s.ID)
 	m.emit(RateLimitChanged{s.ID, rate, ReasonOverloaded})
-	m.logServer(s, "ceiling %.1f/s of %.1f/s offered, wait %v", rate,
+	m.logServer(s, "rate limit %.1f/s of %.1f/s offered, wait %v", rate,
 		m.rate(s, &s.counts.offered), wait.Round(time.Millisecond))
 }
 
@@ -86,7 +86,7 @@
 	if sinceOverload > recoveryTime && limit.tokens >= burstSize {
 		limit.rate = math.Inf(1)
 		m.emit(RateLimitChanged{s.ID, limit.rate, ReasonLimitExpired})
-		m.logServer(s, "ceiling lapsed")
+		m.logServer(s, "rate limit expired")
 	}
 }
 
