--- a/internal/admission/golden_test.go
+++ b/internal/admission/golden_test.go
@@ -57,16 +57,16 @@
 
 // stormTrace hashes the actions that the random events of a storm cause.
 func stormTrace(t *testing.T, seed uint64) string {
-	s := newStorm(t, seed)
+	s := newRandomEvents(t, seed)
 	for range goldenSteps {
 		s.step()
 	}
-	s.drain()
+	s.endAll()
 	h := sha256.New()
 	for _, act := range s.trace {
 		writeAction(h, s.now, act)
 	}
-	fmt.Fprintln(h, s.c.rng.Uint64())
+	fmt.Fprintln(h, s.machine.rng.Uint64())
 	return fmt.Sprintf("%d %x", len(s.trace), h.Sum(nil)[:16])
 }
 
@@ -179,16 +179,16 @@
 	set.OmitRetryAfter = seed%7 == 0
 	set.WatchServersOnRequest = seed%4 == 0
 	set.SlowStartFactor = []float64{0, 1.2, 3}[seed%3]
-	set.ResendInterval = []time.Duration{0, 120 * ms, 600 * ms}[(seed/3)%3]
+	set.ResendInterval = []time.Duration{0, 120 * millisecond, 600 * millisecond}[(seed/3)%3]
 	set.MaxAttempts = 2 + int(seed%3)
 	set.Classes = append(set.Classes,
-		Class{Name: "zone", LatencyObjective: 900 * ms, Deadline: 5 * time.Second, Weight: 2, Repeatability: Deduplicated,
+		Class{Name: "zone", LatencyObjective: 900 * millisecond, Deadline: 5 * time.Second, Weight: 2, Repeatability: Deduplicated,
 			DeduplicationScope: ScopeZone, DeduplicationWindow: time.Second},
-		Class{Name: "pool", LatencyObjective: 900 * ms, Deadline: 5 * time.Second, Weight: 2, Repeatability: Deduplicated,
+		Class{Name: "pool", LatencyObjective: 900 * millisecond, Deadline: 5 * time.Second, Weight: 2, Repeatability: Deduplicated,
 			DeduplicationScope: ScopePool, DeduplicationWindow: time.Second},
-		Class{Name: "fleet", LatencyObjective: 900 * ms, Deadline: 5 * time.Second, Weight: 2, Repeatability: Deduplicated,
+		Class{Name: "fleet", LatencyObjective: 900 * millisecond, Deadline: 5 * time.Second, Weight: 2, Repeatability: Deduplicated,
 			DeduplicationWindow: time.Second},
-		Class{Name: "never", LatencyObjective: 900 * ms, Deadline: 5 * time.Second, Weight: 5, Repeatability: NonRepeatable,
+		Class{Name: "never", LatencyObjective: 900 * millisecond, Deadline: 5 * time.Second, Weight: 5, Repeatability: NonRepeatable,
 			Pools: []int{0, 1, 2}})
 	return set
 }
@@ -250,7 +250,7 @@
 	s.attempt[x.CallID]++
 	end := func(after time.Duration, result AttemptResult, cause FailureCause) {
 		s.schedule(min(after, x.Timeout), x.CallID, attempt, AttemptEnded{CallID: x.CallID, Server: x.Server, Attempt: attempt,
-			Result: result, Cause: cause, RetryAfter: time.Duration(s.rng.IntN(3)) * 400 * ms, Load: s.report(x.Server)})
+			Result: result, Cause: cause, RetryAfter: time.Duration(s.rng.IntN(3)) * 400 * millisecond, Load: s.report(x.Server)})
 	}
 	establish := func(after time.Duration) {
 		if after >= x.Timeout {
@@ -258,14 +258,14 @@
 			return
 		}
 		s.schedule(after, x.CallID, attempt, CallEstablished{CallID: x.CallID, Server: x.Server, Attempt: attempt, SetupTime: after})
-		s.schedule(after+time.Duration(200+s.rng.IntN(3000))*ms, x.CallID, attempt, AttemptEnded{CallID: x.CallID,
+		s.schedule(after+time.Duration(200+s.rng.IntN(3000))*millisecond, x.CallID, attempt, AttemptEnded{CallID: x.CallID,
 			Server: x.Server, Attempt: attempt, Result: Delivered, Final: true, Load: s.report(x.Server)})
 	}
-	quick := time.Duration(10+s.rng.IntN(60)) * ms
+	quick := time.Duration(10+s.rng.IntN(60)) * millisecond
 	chance := s.rng.IntN(10)
 	switch b := s.server(x.Server).behavior; {
 	case b == answersSlowly:
-		establish(time.Duration(200+s.rng.IntN(1200)) * ms)
+		establish(time.Duration(200+s.rng.IntN(1200)) * millisecond)
 	case b == answersNothing, b == losesSome && chance == 0:
 		end(x.Timeout, TimedOut, CauseNone)
 	case b == rejectsSome && chance < 5:
@@ -273,7 +273,7 @@
 	case b == hasNoCircuit && chance < 8:
 		end(quick, ServerBusy, CauseNoCircuit)
 	case b == losesConnection:
-		end(time.Duration(300+s.rng.IntN(500))*ms, ConnectionLost, CauseConnectionUnresponsive)
+		end(time.Duration(300+s.rng.IntN(500))*millisecond, ConnectionLost, CauseConnectionUnresponsive)
 	case b == failsSome && chance < 6:
 		results := []AttemptResult{ServerError, DialFailed, NotSent, ConnectionLost, ServerError, Canceled}
 		causes := []FailureCause{CauseDestinationBusy, CauseNone, CauseNone, CauseReturned, CauseReturned, CauseNone}
@@ -289,7 +289,7 @@
 		return
 	}
 	s.events = slices.DeleteFunc(s.events, func(e pendingEvent) bool { return e.call == x.CallID })
-	s.schedule(20*ms, x.CallID, x.Attempt, AttemptEnded{CallID: x.CallID, Attempt: x.Attempt, Result: Canceled})
+	s.schedule(20*millisecond, x.CallID, x.Attempt, AttemptEnded{CallID: x.CallID, Attempt: x.Attempt, Result: Canceled})
 }
 
 func (s *traffic) report(id string) (load LoadReport) {
@@ -315,9 +315,9 @@
 }
 
 func (s *traffic) step() {
-	s.now += 10 * ms
+	s.now += 10 * millisecond
 	if s.rng.IntN(700) == 0 { // the controller's own process stalls
-		s.now += time.Duration(300+s.rng.IntN(1200)) * ms
+		s.now += time.Duration(300+s.rng.IntN(1200)) * millisecond
 	}
 	for {
 		due := slices.IndexFunc(s.events, func(e pendingEvent) bool { return e.at <= s.now })
@@ -354,7 +354,7 @@
 		CallID: fmt.Sprint("c", s.calls), PreferredPool: s.rng.IntN(4),
 		Class:    []string{"read", "read", "read", "write", "zone", "pool", "fleet", "never"}[s.rng.IntN(8)],
 		Number:   fmt.Sprint("n", s.rng.IntN(1000)),
-		Deadline: s.now + time.Duration(500+s.rng.IntN(5000))*ms, Redialed: s.rng.IntN(10) == 0, Reestablish: s.rng.IntN(30) == 0,
+		Deadline: s.now + time.Duration(500+s.rng.IntN(5000))*millisecond, Redialed: s.rng.IntN(10) == 0, Reestablish: s.rng.IntN(30) == 0,
 	}
 	if s.rng.IntN(6) == 0 {
 		e.Pools = []int{e.PreferredPool, (e.PreferredPool + 1) % 4}
@@ -380,7 +380,7 @@
 		return
 	default:
 		srv.State = Active
-		srv.Started = s.now - time.Duration(s.rng.IntN(12000))*ms
+		srv.Started = s.now - time.Duration(s.rng.IntN(12000))*millisecond
 	}
 	if s.rng.IntN(4) > 0 {
 		s.handle(ServersUpdated{Servers: []Server{srv.Server}})
--- /dev/null
+++ b/internal/admission/randomevents_test.go
@@ -0,0 +1,164 @@
+package admission
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"reflect"
+	"slices"
+	"testing"
+	"time"
+)
+
+// A randomEvents draws odd but legal orders of events and checks the rules on every action.
+type randomEvents struct {
+	*testController
+	rng         *rand.Rand
+	deadlines   map[string]Time
+	decided     map[string]bool
+	open        map[string]SendAttempt
+	attempts    map[string]int
+	established map[string]bool
+	guardEnds   map[string]Time // release guard
+	closed      map[string]bool
+	trace       []Action
+}
+
+func (s *randomEvents) check(acts []Action) {
+	s.trace = append(s.trace, acts...)
+	for _, act := range acts {
+		switch x := act.(type) {
+		case SendAttempt:
+			if s.decided[x.CallID] {
+				s.t.Fatalf("%v: sent after the end", x)
+			}
+			if _, ok := s.open[x.CallID]; ok {
+				s.t.Fatalf("%v: two attempts out", x)
+			}
+			if s.now < s.guardEnds[x.CallID] {
+				s.t.Fatalf("%v: sent within the release guard", x)
+			}
+			if s.closed[x.Server] {
+				s.t.Fatalf("%v: sent to a draining or gone server", x)
+			}
+			s.open[x.CallID] = x
+			s.attempts[x.CallID]++
+		case RejectCall:
+			s.decide(x.CallID)
+		case FailCall:
+			s.decide(x.CallID)
+		}
+	}
+}
+
+func (s *randomEvents) decide(id string) {
+	if s.decided[id] {
+		s.t.Fatalf("call %s: two final answers", id)
+	}
+	s.decided[id] = true
+}
+
+func (s *randomEvents) step() {
+	s.check(s.advance(time.Duration(s.rng.IntN(8)) * 5 * millisecond))
+	ids := make([]string, 0, len(s.open))
+	for id := range s.open {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	switch n := s.rng.IntN(10); {
+	case n < 4:
+		s.offeredCalls++
+		id := fmt.Sprint("c", s.offeredCalls)
+		s.deadlines[id] = s.now + time.Duration(200+s.rng.IntN(3000))*millisecond
+		s.check(s.handle(CallOffered{CallID: id, Class: []string{"read", "write"}[s.rng.IntN(2)], PreferredPool: s.rng.IntN(4),
+			Number: fmt.Sprint(s.rng.IntN(300)), Deadline: s.deadlines[id], Reestablish: s.rng.IntN(9) == 0}))
+	case n < 8 && len(ids) > 0:
+		s.answer(ids[s.rng.IntN(len(ids))])
+	case n == 8:
+		id := fmt.Sprint("s", s.rng.IntN(4))
+		phase := ServerState(s.rng.IntN(3))
+		l := Server{ID: id, Pool: int(id[1] - '0'), State: phase}
+		if phase == Active && s.closed[id] {
+			l.Started = s.now
+		}
+		s.closed[id] = phase != Active
+		s.check(s.handle(ServersUpdated{Servers: []Server{l}}))
+	case len(ids) > 0 && s.rng.IntN(4) == 0:
+		id := ids[s.rng.IntN(len(ids))]
+		s.decided[id] = true
+		s.check(s.handle(CallAbandoned{CallID: id}))
+	}
+}
+
+// answer lets an attempt stand or end.
+func (s *randomEvents) answer(id string) {
+	x := s.open[id]
+	if !s.established[id] && !s.decided[id] && s.rng.IntN(2) == 0 {
+		s.established[id], s.decided[id] = true, true
+		s.check(s.handle(CallEstablished{CallID: id, Server: x.Server, Attempt: s.attempts[id] - 1, SetupTime: time.Duration(s.rng.IntN(2000)) * millisecond}))
+		return
+	}
+	delete(s.open, id)
+	e := AttemptEnded{CallID: id, Server: x.Server, Attempt: s.attempts[id] - 1, Result: AttemptResult(s.rng.IntN(8)), Final: s.decided[id]}
+	if e.Result == Delivered {
+		e.Final = true
+		s.decided[id] = true
+	}
+	if e.Result == TimedOut || e.Result == ConnectionLost || e.Result == Canceled {
+		s.guardEnds[id] = s.now + s.machine.settings.RetryGuard
+	}
+	s.check(s.handle(e))
+}
+
+// endAll ends all attempts, and those that the release guard had put off.
+func (s *randomEvents) endAll() {
+	for s.check(s.advance(10 * time.Second)); len(s.open) > 0; s.check(s.advance(10 * time.Second)) {
+		for _, id := range slices.Sorted(maps.Keys(s.open)) {
+			s.answer(id)
+		}
+	}
+}
+
+func newRandomEvents(t *testing.T, seed uint64) *randomEvents {
+	return &randomEvents{
+		testController: newTestController(t, testSettings(), Server{ID: "s0"}, Server{ID: "s1", Pool: 1}, Server{ID: "s2", Pool: 2}),
+		rng:            rand.New(rand.NewPCG(seed, 7)), deadlines: map[string]Time{}, decided: map[string]bool{},
+		open: map[string]SendAttempt{}, attempts: map[string]int{}, established: map[string]bool{}, guardEnds: map[string]Time{}, closed: map[string]bool{},
+	}
+}
+
+func TestRulesUnderRandomEvents(t *testing.T) {
+	for seed := range uint64(40) {
+		s := newRandomEvents(t, seed)
+		for range 1500 {
+			s.step()
+			for id, until := range s.deadlines {
+				if s.now > until+20*millisecond && !s.decided[id] {
+					t.Fatalf("seed %d: call %s has no answer in time", seed, id)
+				}
+			}
+		}
+		s.endAll()
+		if n := len(s.machine.calls.byID) + len(s.machine.calls.byTimer) + len(s.machine.dialedNumbers) + len(s.machine.busyNumbers) + s.machine.unansweredAttempts; n != 0 {
+			t.Errorf("seed %d: %d records and unanswered set-ups are left after all calls ended", seed, n)
+		}
+		for _, srv := range s.machine.servers {
+			if len(srv.attempts.pending)+len(srv.attempts.lost) != 0 {
+				t.Errorf("seed %d: server %s still has %d set-ups unanswered", seed, srv.ID, len(srv.attempts.pending))
+			}
+		}
+	}
+}
+
+func TestSameEventsSameActions(t *testing.T) {
+	run := func() []Action {
+		s := newRandomEvents(t, 5)
+		for range 1500 {
+			s.step()
+		}
+		return s.trace
+	}
+	if !reflect.DeepEqual(run(), run()) {
+		t.Error("the same events gave other actions")
+	}
+}
--- a/internal/admission/effect_test.go
+++ b/internal/admission/repeatability_test.go
@@ -103,7 +103,7 @@
 }
 
 // A lost set-up of a call that may not run twice is not called off: the answer may still come, and nothing else can.
-func TestNeverIsNotCalledOff(t *testing.T) {
+func TestNonRepeatableIsNotCanceled(t *testing.T) {
 	for _, effect := range []Repeatability{Idempotent, NonRepeatable} {
 		c, err := NewStateMachine(Settings{ControllerCount: 1, Topology: "pools", MaxAttempts: 4, CanCancel: true, RetryGuard: 300 * time.Millisecond, SlowStartPeriod: time.Second, SlowStartShare: 0.5,
 			Classes: []Class{{Name: "k", LatencyObjective: time.Second, Deadline: 9 * time.Second, Weight: 1, Repeatability: effect}}}, 1)
