--- /dev/null
+++ b/internal/backend/h248.go
@@ -0,0 +1,319 @@
+package backend
+
+import (
+	"strconv"
+	"strings"
+	"time"
+
+	"olivedale/internal/admission"
+	"olivedale/internal/call"
+	"olivedale/internal/codec/callid"
+	"olivedale/internal/codec/h248"
+	"olivedale/internal/codec/h248/transaction"
+)
+
+// maxTransactionsShift bounds the transactions of one exchange that are remembered: 1<<maxTransactionsShift for each
+// MB of memory.
+const maxTransactionsShift = 4
+
+// h248Protocol speaks H.248 with one call server: an Add sets a call up there, a Subtract cancels or releases it, and
+// the server notifies of its end.
+type h248Protocol struct {
+	conn     *Conn
+	framer   h248.Framer
+	lastID   uint32                     // of our transactions
+	requests map[uint32]*pendingRequest // our transactions without a reply
+	contexts map[string]string          // by termination, while the call is established there
+	received *transaction.Store
+}
+
+// A pendingRequest is a transaction of ours that has no reply.
+type pendingRequest struct {
+	isAdd   bool
+	callID  string
+	attempt int
+	sentAt  time.Duration
+}
+
+func newH248(c *Conn) *h248Protocol {
+	return &h248Protocol{
+		conn:     c,
+		requests: make(map[uint32]*pendingRequest),
+		contexts: make(map[string]string),
+		received: transaction.NewStore(c.set.memoryMB << maxTransactionsShift),
+	}
+}
+
+// reset forgets what was requested on another connection: Adds were given up with it on both sides, and releases that
+// are not confirmed are requested again on this one. It bounds the memory where connections break again and again.
+func (p *h248Protocol) reset() {
+	p.framer = h248.Framer{}
+	clear(p.requests)
+}
+
+func (p *h248Protocol) hasPartialMessage() bool { return p.framer.Half() }
+func (p *h248Protocol) rememberedCalls() int    { return len(p.contexts) }
+
+// expire drops requests without a reply, and contexts of calls that ended without a message, such as at a process
+// that died.
+func (p *h248Protocol) expire(now time.Duration) {
+	for id, r := range p.requests {
+		if now-r.sentAt > transaction.LongTimer {
+			delete(p.requests, id)
+		}
+	}
+	for termination := range p.contexts {
+		id, _, ok := ParseTermination(termination)
+		if ok && !p.conn.set.calls.Contains(id) {
+			delete(p.contexts, termination)
+		}
+	}
+}
+
+// terminationPrefix begins the names of all terminations of calls.
+const terminationPrefix = "call"
+
+// TerminationName returns the name of the termination of an attempt at the server.
+func TerminationName(id string, attempt int) string {
+	return terminationPrefix + "/" + id + "/" + strconv.Itoa(attempt)
+}
+
+// ParseTermination reads the call and the attempt from the name of a termination.
+func ParseTermination(name string) (id string, attempt int, ok bool) {
+	parts := strings.Split(name, "/")
+	if len(parts) != 3 || parts[0] != terminationPrefix || !callid.Valid(parts[1]) {
+		return "", 0, false
+	}
+	attempt, err := strconv.Atoi(parts[2])
+	return parts[1], attempt, err == nil
+}
+
+// appendRequest appends a transaction of one command and remembers it until its reply.
+func (p *h248Protocol) appendRequest(b []byte, r *pendingRequest, context string, c *h248.Command) ([]byte, error) {
+	p.lastID++
+	t := &h248.Transaction{
+		ID:      p.lastID,
+		Actions: []*h248.Action{{Context: context, Commands: []*h248.Command{c}}},
+	}
+	b, err := h248.AppendFrame(b, &h248.Message{MID: p.conn.set.messageID, Transactions: []*h248.Transaction{t}})
+	if err == nil {
+		r.sentAt = p.conn.set.loop.Now()
+		p.requests[p.lastID] = r
+	}
+	return b, err
+}
+
+func (p *h248Protocol) appendInvite(b []byte, s call.Setup) ([]byte, error) {
+	if !h248.Fits(s.Description) || !h248.Words(s.Class) || !h248.Words(s.Number) {
+		return b, &h248.Error{Code: h248.BadValue, Text: "the set-up has no form in H.248"}
+	}
+	timeout := max(s.Timeout.Milliseconds(), 1)
+	state := &h248.Node{Name: "TerminationState", Kids: []*h248.Node{
+		{Name: "oc/call", Value: s.ID},
+		{Name: "oc/class", Value: s.Class},
+		{Name: "oc/number", Value: s.Number},
+		{Name: "oc/left", Value: strconv.FormatInt(timeout, 10)},
+	}}
+	remote := &h248.Node{Name: "Remote", Octets: append([]byte{}, s.Description...)}
+	add := &h248.Command{
+		Name:        "Add",
+		Termination: TerminationName(s.ID, s.Attempt),
+		Descriptors: []*h248.Node{{Name: "Media", Kids: []*h248.Node{state, remote}}},
+	}
+	return p.appendRequest(b, &pendingRequest{isAdd: true, callID: s.ID, attempt: s.Attempt}, "$", add)
+}
+
+func (p *h248Protocol) appendCancel(b []byte, id string, attempt int) []byte {
+	return p.appendSubtract(b, id, attempt)
+}
+
+func (p *h248Protocol) appendRelease(b []byte, id string, attempt, cause int) []byte {
+	return p.appendSubtract(b, id, attempt)
+}
+
+// appendSubtract names the context where it is known; an Add without a reply has none yet.
+func (p *h248Protocol) appendSubtract(b []byte, id string, attempt int) []byte {
+	termination := TerminationName(id, attempt)
+	context := p.contexts[termination]
+	if context == "" {
+		context = "*"
+	}
+	delete(p.contexts, termination)
+	subtract := &h248.Command{Name: "Subtract", Termination: termination}
+	b, _ = p.appendRequest(b, &pendingRequest{callID: id, attempt: attempt}, context, subtract)
+	return b
+}
+
+func (p *h248Protocol) handleData(data []byte) (complete bool, err error) {
+	var parseErr *h248.Error
+	err = p.framer.Feed(data, func(text []byte) bool {
+		complete = true
+		m, e := h248.Parse(text)
+		if e != nil {
+			parseErr = e
+			return false
+		}
+		for _, t := range m.Transactions {
+			p.handleTransaction(m.MID, t)
+		}
+		return p.conn.IsConnected()
+	})
+	if parseErr != nil {
+		return complete, parseErr
+	}
+	return complete, err
+}
+
+func (p *h248Protocol) handleTransaction(messageID string, t *h248.Transaction) {
+	switch t.Kind {
+	case h248.Reply:
+		p.handleReply(t)
+	case h248.Request:
+		p.handleRequest(messageID, t)
+	case h248.Ack:
+		p.received.Acknowledge(messageID, t.Acked)
+	}
+}
+
+func (p *h248Protocol) handleReply(t *h248.Transaction) {
+	r := p.requests[t.ID]
+	if r == nil {
+		return // a copy, or its Add was given up with its connection
+	}
+	delete(p.requests, t.ID)
+	if !r.isAdd {
+		p.conn.releases.remove(r.callID)
+		return
+	}
+	if attempt, ok := p.conn.openAttempts[r.callID]; ok && attempt == r.attempt {
+		delete(p.conn.openAttempts, r.callID)
+	}
+	context, description, err := parseAddReply(t)
+	if err != nil {
+		p.conn.set.calls.AttemptEnded(p.conn.id, r.callID, r.attempt, attemptEndOfError(err.Code))
+		return
+	}
+	p.contexts[TerminationName(r.callID, r.attempt)] = context
+	p.conn.set.calls.AttemptAnswered(p.conn.id, r.callID, r.attempt, description)
+}
+
+// parseAddReply reads the context and the description from the reply to an Add.
+func parseAddReply(t *h248.Transaction) (context string, description []byte, err *h248.Error) {
+	if t.Err != nil {
+		return "", nil, t.Err
+	}
+	if len(t.Actions) != 1 {
+		return "", nil, &h248.Error{Code: h248.ProtocolError}
+	}
+	a := t.Actions[0]
+	if a.Err != nil {
+		return "", nil, a.Err
+	}
+	if len(a.Commands) != 1 || a.Commands[0].Name != "Add" {
+		return "", nil, &h248.Error{Code: h248.ProtocolError}
+	}
+	c := a.Commands[0]
+	if c.Err != nil {
+		return "", nil, c.Err
+	}
+	description, ok := transaction.Description(c, "Local")
+	if _, parseErr := strconv.ParseUint(a.Context, 10, 32); parseErr != nil || !ok {
+		return "", nil, &h248.Error{Code: h248.ProtocolError}
+	}
+	return a.Context, description, nil
+}
+
+// attemptEndOfError returns how an attempt ended by the error code of its reply.
+func attemptEndOfError(code int) call.AttemptEnd {
+	switch code {
+	case h248.Insufficient, h248.ServiceUnavailable:
+		return call.ProcessorBusy
+	case h248.NoTermination:
+		return call.NoCircuit
+	case h248.TerminationInContext:
+		return call.DestinationBusy
+	case h248.NotReady:
+		return call.NotForwarded
+	case h248.TemporaryFailure:
+		return call.FailedInTransit
+	}
+	return call.BackendError
+}
+
+// handleRequest carries out a transaction of the server, each once. One that cannot be remembered gets no reply, and
+// the server repeats it.
+func (p *h248Protocol) handleRequest(messageID string, t *h248.Transaction) {
+	set := p.conn.set
+	entry, isNew := p.received.Begin(messageID, t.ID, set.loop.Now())
+	if entry == nil {
+		set.Counters.Strays++
+		return
+	}
+	if isNew {
+		reply := &h248.Transaction{Kind: h248.Reply, ID: t.ID, Actions: p.runActions(t.Actions)}
+		p.received.Complete(entry, transaction.Frame(set.messageID, reply), set.loop.Now())
+	} else {
+		set.Counters.RepeatedRequests++
+	}
+	if p.conn.IsConnected() {
+		set.loop.Write(p.conn.conn, func(b []byte) []byte { return append(b, entry.Reply()...) })
+	}
+}
+
+// runActions runs commands up to the first that fails and returns the actions of the reply.
+func (p *h248Protocol) runActions(actions []*h248.Action) (replies []*h248.Action) {
+	for _, a := range actions {
+		reply := &h248.Action{Context: a.Context}
+		replies = append(replies, reply)
+		for _, c := range a.Commands {
+			if reply.Err = p.runCommand(c); reply.Err != nil {
+				return replies
+			}
+			reply.Commands = append(reply.Commands, &h248.Command{Name: c.Name, Termination: c.Termination})
+		}
+	}
+	return replies
+}
+
+func (p *h248Protocol) runCommand(c *h248.Command) *h248.Error {
+	switch c.Name {
+	case "Notify":
+		cause, ok := transaction.ParseReleaseEvent(c)
+		if !ok {
+			return &h248.Error{Code: h248.BadValue, Text: "no release is told"}
+		}
+		return p.releaseCall(c.Termination, cause)
+	case "Subtract":
+		return p.releaseCall(c.Termination, call.CauseNormal)
+	case "ServiceChange":
+		return p.changeService(h248.Value(c.Descriptors, "Services", "Method"))
+	}
+	return &h248.Error{Code: h248.NotImplemented, Text: c.Name}
+}
+
+// releaseCall handles the release of a call by the server.
+func (p *h248Protocol) releaseCall(termination string, cause int) *h248.Error {
+	id, _, ok := ParseTermination(termination)
+	if !ok {
+		return &h248.Error{Code: h248.UnknownTermination, Text: termination}
+	}
+	delete(p.contexts, termination)
+	p.conn.releases.remove(id)
+	p.conn.set.calls.BackendReleased(p.conn.id, id, cause, p.conn.set.frontends...)
+	return nil
+}
+
+// changeService applies what the server says of its own state.
+func (p *h248Protocol) changeService(method string) *h248.Error {
+	switch strings.ToLower(method) {
+	case "graceful":
+		p.conn.applyServerState(admission.Draining)
+	case "forced":
+		p.conn.applyServerState(admission.Removed)
+	case "restart":
+		p.conn.applyServerState(admission.Active)
+	default:
+		return &h248.Error{Code: h248.BadValue, Text: "method " + method}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/backend/h248_test.go
@@ -0,0 +1,81 @@
+package backend
+
+import (
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"olivedale/internal/call"
+	"olivedale/internal/codec/h248"
+	"olivedale/internal/codec/h248/transaction"
+	"olivedale/internal/eventloop"
+)
+
+// newTestConn returns a connected exchange of a set that has no event loop and no other exchanges.
+func newTestConn() *Conn {
+	loop := eventloop.New(zap.NewNop(), time.Now)
+	set := NewSet(Options{Loop: loop, Name: "n0", MemoryMB: 192})
+	set.Attach(call.NewManager(nil, nil, loop.Now, call.Limits{}))
+	c := set.newConn("s", "", 0)
+	c.conn = eventloop.NewConn(nil, 0)
+	return c
+}
+
+func TestAttemptEndOfError(t *testing.T) {
+	for code, want := range map[int]call.AttemptEnd{
+		h248.Insufficient:         call.ProcessorBusy,
+		h248.ServiceUnavailable:   call.ProcessorBusy,
+		h248.NoTermination:        call.NoCircuit,
+		h248.TerminationInContext: call.DestinationBusy,
+		h248.NotReady:             call.NotForwarded,
+		h248.TemporaryFailure:     call.FailedInTransit,
+		h248.InternalFailure:      call.BackendError,
+		h248.ProtocolError:        call.BackendError,
+	} {
+		if got := attemptEndOfError(code); got != want {
+			t.Errorf("%d: %v, want %v", code, got, want)
+		}
+	}
+}
+
+// A server's transaction that is repeated after a reset gets its reply again and is done once.
+func TestServerTransactionIsDoneOnce(t *testing.T) {
+	c := newTestConn()
+	p := newH248(c)
+	c.protocol = p
+	notify := &h248.Transaction{ID: 5, Actions: []*h248.Action{{Context: "1", Commands: []*h248.Command{{Name: "Notify",
+		Termination: TerminationName("00000000000000aa", 0),
+		Descriptors: []*h248.Node{transaction.ReleaseEvent(16)}}}}}}
+	p.handleRequest("<s>", notify)
+	first := string(c.conn.PendingOutput())
+	p.reset()
+	c.conn = eventloop.NewConn(nil, 0)
+	p.handleRequest("<s>", notify)
+	second := string(c.conn.PendingOutput())
+	released, repeated := c.set.calls.Counters.ReleasedUnknown, c.set.Counters.RepeatedRequests
+	if second != first || first == "" || released != 1 || repeated != 1 {
+		t.Errorf("replies %q and %q, released %d times, %d repeats", first, second, released, repeated)
+	}
+}
+
+// A release that is not confirmed is requested again on each new connection; what was requested on those before is
+// forgotten.
+func TestReleasesRequestedOnManyConnections(t *testing.T) {
+	c := newTestConn()
+	p := newH248(c)
+	c.protocol = p
+	for range 100 {
+		p.reset()
+		p.appendRelease(nil, "00000000000000aa", 0, 16)
+		p.appendCancel(nil, "00000000000000ab", 0)
+	}
+	if len(p.requests) != 2 {
+		t.Errorf("%d transactions are remembered", len(p.requests))
+	}
+	c.releases.add("00000000000000aa", pendingRelease{})
+	p.handleReply(&h248.Transaction{Kind: h248.Reply, ID: p.lastID - 1})
+	if c.PendingReleases() != 0 || len(p.requests) != 1 {
+		t.Errorf("the latest of them is not confirmed: %d releases, %d transactions", c.PendingReleases(), len(p.requests))
+	}
+}
--- /dev/null
+++ b/internal/backend/release.go
@@ -0,0 +1,82 @@
+package backend
+
+import "time"
+
+const (
+	// confirmationTimeout is when a release that is not confirmed is dropped.
+	confirmationTimeout = 32 * time.Second
+	// maxReleasesShift bounds the releases that wait for one exchange: 1<<maxReleasesShift for each MB of memory.
+	maxReleasesShift = 5
+)
+
+// A pendingRelease is a release that the exchange has not confirmed. It is sent again on each new connection.
+type pendingRelease struct {
+	attempt, cause int
+	requestedAt    time.Duration
+	isUnknownCall  bool // nobody here has known the call: its id may be made up
+}
+
+// pendingReleases are the releases that one exchange has not confirmed, by the call's id.
+type pendingReleases struct {
+	byID map[string]pendingRelease
+	max  int
+}
+
+func newPendingReleases(max int) pendingReleases {
+	return pendingReleases{byID: make(map[string]pendingRelease), max: max}
+}
+
+func (p *pendingReleases) len() int { return len(p.byID) }
+
+func (p *pendingReleases) remove(id string) { delete(p.byID, id) }
+
+// add remembers a release and reports whether there was room. Releases of unknown calls give way to those of calls
+// that were established here, since callers may make up ids while an exchange is away.
+func (p *pendingReleases) add(id string, r pendingRelease) bool {
+	if len(p.byID) >= p.max && (r.isUnknownCall || !p.evictUnknownCall()) {
+		return false
+	}
+	p.byID[id] = r
+	return true
+}
+
+// evictUnknownCall drops the release of one unknown call; false: there is none.
+func (p *pendingReleases) evictUnknownCall() bool {
+	for id, r := range p.byID {
+		if r.isUnknownCall {
+			delete(p.byID, id)
+			return true
+		}
+	}
+	return false
+}
+
+// expire drops the releases that were not confirmed in time.
+func (p *pendingReleases) expire(now time.Duration) {
+	for id, r := range p.byID {
+		if now-r.requestedAt > confirmationTimeout {
+			delete(p.byID, id)
+		}
+	}
+}
+
+// PendingReleases returns the number of releases that the exchange has not confirmed.
+func (c *Conn) PendingReleases() int { return c.releases.len() }
+
+// release ends a call at the exchange.
+func (c *Conn) release(id string, r pendingRelease) {
+	r.requestedAt = c.set.loop.Now()
+	isKept := c.releases.add(id, r)
+	switch {
+	case c.conn != nil:
+		c.writeRelease(id, r)
+	case !isKept && !r.isUnknownCall:
+		c.set.Counters.ReleasesDiscarded++
+	}
+}
+
+func (c *Conn) writeRelease(id string, r pendingRelease) {
+	c.set.loop.Write(c.conn, func(b []byte) []byte {
+		return c.protocol.appendRelease(b, id, r.attempt, r.cause)
+	})
+}
