--- /dev/null
+++ b/internal/frontend/gateway/call.go
@@ -0,0 +1,216 @@
+package gateway
+
+import (
+	"fmt"
+	"strconv"
+	"time"
+
+	"olivedale/internal/call"
+	"olivedale/internal/codec/h248"
+	"olivedale/internal/codec/h248/transaction"
+	"olivedale/internal/codec/sip"
+	"olivedale/internal/frontend"
+)
+
+// A gatewayCall is the frontend's side of a call. It is the client that gets the call's answer.
+type gatewayCall struct {
+	frontend      *Frontend
+	answerTo      *Gateway // where the answer goes; nil once it is given
+	entry         *transaction.Entry
+	transactionID uint32
+	messageID     string // of the gateway
+	termination   string
+	id            string
+	context       string // "": the call is not established
+}
+
+var _ call.Client = (*gatewayCall)(nil)
+
+// A terminationKey names a gateway's termination.
+type terminationKey struct{ messageID, termination string }
+
+// A callTable holds the calls of all gateways.
+type callTable struct {
+	byID          map[string]*gatewayCall
+	byTermination map[terminationKey]*gatewayCall
+	byContext     map[string]*gatewayCall // established calls
+}
+
+func newCallTable() callTable {
+	return callTable{
+		byID:          make(map[string]*gatewayCall),
+		byTermination: make(map[terminationKey]*gatewayCall),
+		byContext:     make(map[string]*gatewayCall),
+	}
+}
+
+func (c *gatewayCall) key() terminationKey { return terminationKey{c.messageID, c.termination} }
+
+func (t *callTable) add(c *gatewayCall) {
+	t.byID[c.id] = c
+	t.byTermination[c.key()] = c
+}
+
+func (t *callTable) remove(c *gatewayCall) {
+	delete(t.byID, c.id)
+	delete(t.byContext, c.context)
+	if t.byTermination[c.key()] == c {
+		delete(t.byTermination, c.key())
+	}
+}
+
+// find returns the call that a command means: by its context, or by its termination alone while the set-up is open and
+// its context not known.
+func (t *callTable) find(messageID string, a *h248.Action, c *h248.Command) (*gatewayCall, *h248.Error) {
+	switch a.Context {
+	case "-", "$":
+		return nil, &h248.Error{Code: h248.UnknownAction, Text: c.Name + " in context " + a.Context}
+	case "*":
+		for _, found := range t.byID {
+			if found.messageID == messageID && found.termination == c.Termination {
+				return found, nil
+			}
+		}
+		return nil, &h248.Error{Code: h248.NoTerminationMatched, Text: "no such call"}
+	}
+	found := t.byContext[a.Context]
+	if found == nil {
+		return nil, &h248.Error{Code: h248.UnknownContext, Text: "context " + a.Context}
+	}
+	if c.Termination != found.termination && c.Termination != "*" {
+		return nil, &h248.Error{Code: h248.UnknownTermination, Text: "not in context " + a.Context}
+	}
+	return found, nil
+}
+
+// addCall sets a call up. Everything is checked before anything is done.
+func (g *Gateway) addCall(messageID string, entry *transaction.Entry, t *h248.Transaction, a *h248.Action) *h248.Error {
+	f := g.frontend
+	command := a.Commands[0]
+	if err := f.checkAdd(messageID, a.Context, command.Termination); err != nil {
+		return err
+	}
+	request, err := f.parseRequest(command)
+	if err != nil {
+		return err
+	}
+	request.ID = fmt.Sprintf("%016x", f.host.Random.Uint64())
+	c := &gatewayCall{
+		frontend:      f,
+		answerTo:      g,
+		entry:         entry,
+		transactionID: t.ID,
+		messageID:     messageID,
+		termination:   command.Termination,
+		id:            request.ID,
+	}
+	f.calls.add(c)
+	if f.host.IsShuttingDown() {
+		f.host.Calls.RejectShuttingDown(c, request)
+		return nil
+	}
+	if err := f.host.Calls.Offer(c, request); err != nil {
+		f.calls.remove(c)
+		return &h248.Error{Code: h248.InternalFailure, Text: err.Error()}
+	}
+	return nil
+}
+
+// checkAdd checks that an Add names a new context and a termination that is free.
+func (f *Frontend) checkAdd(messageID, context, termination string) *h248.Error {
+	if context != "$" {
+		return &h248.Error{Code: h248.NotImplemented, Text: "an Add goes to a new context"}
+	}
+	if termination == "$" || termination == "*" || isRoot(termination) {
+		return &h248.Error{Code: h248.UnknownTermination, Text: "an Add names its termination"}
+	}
+	if f.calls.byTermination[terminationKey{messageID, termination}] != nil {
+		return &h248.Error{Code: h248.TerminationInContext, Text: termination}
+	}
+	return nil
+}
+
+// parseRequest reads a set-up, which has no id yet.
+func (f *Frontend) parseRequest(c *h248.Command) (r call.Request, parseErr *h248.Error) {
+	description, ok := transaction.Description(c, "Remote")
+	if !ok {
+		return r, &h248.Error{Code: h248.MissingRemote, Text: "no Remote descriptor"}
+	}
+	value := func(name string) string {
+		return h248.Value(c.Descriptors, "Media", "TerminationState", "oc/"+name)
+	}
+	r = call.Request{
+		Class:         value("class"),
+		Number:        value("number"),
+		PreferredPool: frontend.AnyPool,
+		Description:   description,
+		Reestablish:   value("again") == "1",
+	}
+	if !sip.Clean(r.Class) || !sip.Clean(r.Number) {
+		return r, &h248.Error{Code: h248.BadValue, Text: "oc/class or oc/number"}
+	}
+	wait, err := strconv.ParseFloat(value("left"), 64)
+	if err != nil || !frontend.IsValidWait(wait) {
+		return r, &h248.Error{Code: h248.BadValue, Text: "oc/left"}
+	}
+	if first := value("first"); first != "" {
+		if r.PreferredPool, err = strconv.Atoi(first); err != nil {
+			return r, &h248.Error{Code: h248.BadValue, Text: "oc/first"}
+		}
+	}
+	if !f.host.IsPoolAllowed(r.Class, r.PreferredPool) {
+		return r, &h248.Error{Code: h248.BadValue, Text: "oc/first"}
+	}
+	r.RepeatUnsafe = f.host.Config.RepeatUnsafe(r.Class)
+	r.Deadline = f.host.Deadline(r.Class, frontend.Milliseconds(wait))
+	return r, nil
+}
+
+// CallEstablished implements call.Client.
+func (c *gatewayCall) CallEstablished(id string, description []byte) {
+	f := c.frontend
+	if !h248.Fits(description) {
+		f.host.Loop.Defer(func() { f.releaseCall(c, call.CauseFailed) })
+		return
+	}
+	c.context = f.newContext()
+	f.calls.byContext[c.context] = c
+	local := &h248.Node{Name: "Local", Octets: description}
+	add := &h248.Command{
+		Name:        "Add",
+		Termination: c.termination,
+		Descriptors: []*h248.Node{{Name: "Media", Kids: []*h248.Node{local}}},
+	}
+	c.answer(&h248.Action{Context: c.context, Commands: []*h248.Command{add}})
+}
+
+// CallRejected implements call.Client.
+func (c *gatewayCall) CallRejected(id string, cause int, wait time.Duration) {
+	c.frontend.calls.remove(c)
+	code := h248.TemporaryFailure
+	if cause == call.CauseNoCircuit {
+		code = h248.Insufficient
+	}
+	text := "cause=" + strconv.Itoa(cause)
+	if wait > 0 {
+		text += " wait=" + strconv.FormatInt(wait.Milliseconds(), 10)
+	}
+	c.fail(code, text)
+}
+
+// CallForgotten implements call.Client. What gives an H.248 call up replies to its transaction itself.
+func (c *gatewayCall) CallForgotten(string) {}
+
+// Frontend implements call.Client.
+func (c *gatewayCall) Frontend() call.Frontend { return c.frontend }
+
+func (c *gatewayCall) fail(code int, text string) {
+	c.answer(&h248.Action{Context: "$", Err: &h248.Error{Code: code, Text: text}})
+}
+
+// answer replies to the transaction of the set-up.
+func (c *gatewayCall) answer(a *h248.Action) {
+	g := c.answerTo
+	c.answerTo = nil
+	g.reply(c.entry, &h248.Transaction{ID: c.transactionID, Actions: []*h248.Action{a}})
+}
--- /dev/null
+++ b/internal/frontend/gateway/command.go
@@ -0,0 +1,131 @@
+package gateway
+
+import (
+	"strings"
+
+	"olivedale/internal/adminapi"
+	"olivedale/internal/call"
+	"olivedale/internal/codec/h248"
+	"olivedale/internal/codec/h248/transaction"
+)
+
+// rootTermination names the controller itself, in any case.
+const rootTermination = "ROOT"
+
+func isRoot(termination string) bool { return strings.EqualFold(termination, rootTermination) }
+
+// runActions runs commands that are done at once, up to the first that fails, and returns the actions of the reply.
+func (g *Gateway) runActions(messageID string, actions []*h248.Action) (replies []*h248.Action) {
+	for _, a := range actions {
+		reply := &h248.Action{Context: a.Context}
+		replies = append(replies, reply)
+		for _, c := range a.Commands {
+			done, err := g.runCommand(messageID, a, c)
+			if err != nil {
+				reply.Err = err
+				return replies
+			}
+			reply.Commands = append(reply.Commands, done)
+		}
+	}
+	return replies
+}
+
+func (g *Gateway) runCommand(messageID string, a *h248.Action, c *h248.Command) (*h248.Command, *h248.Error) {
+	done := &h248.Command{Name: c.Name, Termination: c.Termination}
+	var err *h248.Error
+	switch c.Name {
+	case "Subtract":
+		err = g.runRelease(messageID, a, c, call.CauseNormal)
+	case "Notify":
+		cause, ok := transaction.ParseReleaseEvent(c)
+		if !ok {
+			return nil, &h248.Error{Code: h248.BadValue, Text: "no release is told"}
+		}
+		err = g.runRelease(messageID, a, c, cause)
+	case "ServiceChange":
+		err = g.changeService(messageID, c)
+	case "Modify":
+		done.Descriptors, err = g.modify(c)
+	case "AuditValue":
+		done.Descriptors, err = g.audit(c)
+	default:
+		err = &h248.Error{Code: h248.NotImplemented, Text: c.Name}
+	}
+	if err != nil {
+		return nil, err
+	}
+	return done, nil
+}
+
+// runRelease ends the call that a command names.
+func (g *Gateway) runRelease(messageID string, a *h248.Action, c *h248.Command, cause int) *h248.Error {
+	found, err := g.frontend.calls.find(messageID, a, c)
+	if err != nil {
+		return err
+	}
+	g.frontend.releaseCall(found, cause)
+	return nil
+}
+
+// changeService handles what a gateway says of its own state, or the agent's order to shut down.
+func (g *Gateway) changeService(messageID string, c *h248.Command) *h248.Error {
+	f := g.frontend
+	method := h248.Value(c.Descriptors, "Services", "Method")
+	switch {
+	case method == "":
+		return &h248.Error{Code: h248.SyntaxInCommand, Text: "no method"}
+	case g.isAdmin && strings.EqualFold(method, "Graceful"):
+		f.host.Loop.Defer(f.admin.BeginShutdown)
+	case strings.EqualFold(method, "Restart"), strings.EqualFold(method, "Forced"):
+		f.releaseAllOf(messageID)
+	}
+	return nil
+}
+
+// modify handles an order on the table of numbers, or an exchange of clocks.
+func (g *Gateway) modify(c *h248.Command) ([]*h248.Node, *h248.Error) {
+	if g.isAdmin && c.Termination == adminapi.NumberingTermination {
+		return g.frontend.admin.OrderNumbering(c)
+	}
+	return g.exchangeClocks(c)
+}
+
+// exchangeClocks answers the agent's question for our time, and records the time stamps of its last exchange. It does
+// so on the admin address only: others could forge records.
+func (g *Gateway) exchangeClocks(c *h248.Command) ([]*h248.Node, *h248.Error) {
+	loop := g.frontend.host.Loop
+	receivedAt := loop.Now()
+	if !g.isAdmin || !isRoot(c.Termination) {
+		return nil, &h248.Error{Code: h248.NotImplemented, Text: "Modify of " + c.Termination}
+	}
+	peer, last, err := adminapi.ParseClock(c)
+	if err != nil {
+		return nil, &h248.Error{Code: h248.BadValue, Text: err.Error()}
+	}
+	isComplete := last[0] != 0 && last[3] != 0
+	if peer != "" && isComplete {
+		g.frontend.admin.RecordClock(peer, last)
+	}
+	stamps := adminapi.ClockStamps{1: int64(receivedAt), 2: int64(loop.Now())}
+	return adminapi.ClockCommand("", stamps).Descriptors, nil
+}
+
+// audit returns the state of the controller, or on the admin address of one of its parts.
+func (g *Gateway) audit(c *h248.Command) ([]*h248.Node, *h248.Error) {
+	admin := g.frontend.admin
+	if g.isAdmin && c.Termination == adminapi.NumberingTermination {
+		if nodes, ok := admin.AuditNumbering(); ok {
+			return nodes, nil
+		}
+	}
+	if g.isAdmin && c.Termination == adminapi.OverloadTermination {
+		if nodes, ok := admin.AuditOverload(); ok {
+			return nodes, nil
+		}
+	}
+	if !isRoot(c.Termination) {
+		return nil, &h248.Error{Code: h248.UnknownTermination, Text: "only ROOT can be audited"}
+	}
+	return admin.Audit(g.isAdmin), nil
+}
--- /dev/null
+++ b/internal/frontend/jsonclient/setup.go
@@ -0,0 +1,86 @@
+package jsonclient
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+
+	"olivedale/internal/call"
+	"olivedale/internal/codec/callid"
+	"olivedale/internal/codec/jsonl"
+	"olivedale/internal/codec/sip"
+	"olivedale/internal/frontend"
+)
+
+// A setup is a set-up as a caller asks for it.
+type setup struct {
+	request call.Request
+	// isPossible is false for a set-up that can be read and that no exchange could carry: it is rejected, and no
+	// exchange gets it.
+	isPossible bool
+}
+
+// extras are the further options of a set-up.
+type extras struct {
+	preferredPool int
+	circuits      int
+	reestablish   bool
+}
+
+// parseSetup reads a set-up. An error means that its connection is to be closed.
+func (f *Frontend) parseSetup(m *jsonl.Message) (s setup, err error) {
+	s.request = call.Request{
+		ID:            m.Tag,
+		Class:         m.Opt("class"),
+		Number:        m.Opt("key"),
+		PreferredPool: frontend.AnyPool,
+		Description:   m.Blob,
+	}
+	r := &s.request
+	if !callid.Valid(r.ID) {
+		return s, fmt.Errorf("tag %.20q", m.Tag)
+	}
+	wait, err := strconv.ParseFloat(m.Opt("left"), 64)
+	if err != nil || !frontend.IsValidWait(wait) {
+		return s, fmt.Errorf("left %.20q", m.Opt("left"))
+	}
+	cfg := f.host.Config
+	r.RepeatUnsafe = cfg.RepeatUnsafe(r.Class)
+	r.Deadline = f.host.Deadline(r.Class, frontend.Milliseconds(wait))
+	if !sip.Clean(r.Class) || !sip.Clean(r.Number) {
+		return s, fmt.Errorf("class %.20q or key %.20q", r.Class, r.Number)
+	}
+	e, err := parseExtras(m.Opt("extras"))
+	if err != nil {
+		return s, err
+	}
+	r.PreferredPool = e.preferredPool
+	r.Reestablish = e.reestablish
+	hasCircuits := e.circuits >= 1 && e.circuits <= cfg.MaxCircuits(r.Class)
+	s.isPossible = hasCircuits && f.host.IsPoolAllowed(r.Class, r.PreferredPool)
+	return s, nil
+}
+
+// parseExtras reads options such as 'dest:2;width:1'. Unknown names are ignored if their values are numbers.
+func parseExtras(text string) (e extras, err error) {
+	e = extras{preferredPool: frontend.AnyPool, circuits: 1}
+	for part := range strings.SplitSeq(text, ";") {
+		name, value, _ := strings.Cut(part, ":")
+		if name == "" {
+			continue
+		}
+		number, err := strconv.Atoi(value)
+		if err != nil {
+			return e, fmt.Errorf("extras %.40q", text)
+		}
+		switch name {
+		case "dest":
+			e.preferredPool = number
+		case "width":
+			e.circuits = number
+		case "again":
+			e.reestablish = number == 1
+		}
+	}
+	return e, nil
+}
