--- a/cmd/olivedale/main.go
+++ b/cmd/olivedale/main.go
@@ -123,7 +123,7 @@
 
 // reload reads the configuration again. One that is bad changes nothing; it is read some times more, against a
 // file that is still being written: the name service's new address would never be heard of.
-func reload(n *server.Node, log *zap.SugaredLogger) {
+func reload(n *server.Server, log *zap.SugaredLogger) {
 	for i := range rereads {
 		cfg, err := config.Load(os.Getenv("RELAY_CONFIG"))
 		if err == nil {
--- /dev/null
+++ b/internal/server/audit.go
@@ -0,0 +1,99 @@
+package server
+
+import (
+	"strconv"
+
+	"olivedale/internal/adminapi"
+	"olivedale/internal/codec/h248"
+	"olivedale/internal/frontend/gateway"
+)
+
+// An administrator serves what gateways and operators may ask of the server over H.248.
+type administrator struct{ server *Server }
+
+var _ gateway.Administrator = (*administrator)(nil)
+
+// BeginShutdown implements gateway.Administrator.
+func (a *administrator) BeginShutdown() { a.server.beginShutdown() }
+
+// RecordClock implements gateway.Administrator.
+func (a *administrator) RecordClock(peer string, stamps [4]int64) {
+	a.server.recorder.clock(peer, stamps)
+}
+
+// OrderNumbering implements gateway.Administrator. The reply names the order's job; an audit shows how that ends.
+func (a *administrator) OrderNumbering(c *h248.Command) ([]*h248.Node, *h248.Error) {
+	router := a.server.numbering
+	if router == nil {
+		return nil, &h248.Error{Code: h248.UnknownTermination, Text: "no section [numbers]"}
+	}
+	order, err := adminapi.ParseNumberingOrder(c)
+	if err == nil {
+		err = router.beginOrder(order, nil)
+	}
+	if err != nil {
+		return nil, &h248.Error{Code: h248.BadValue, Text: err.Error()}
+	}
+	return adminapi.NumberingNodes(nil, router.desk.Job()), nil
+}
+
+// AuditNumbering implements gateway.Administrator.
+func (a *administrator) AuditNumbering() (nodes []*h248.Node, ok bool) {
+	router := a.server.numbering
+	if router == nil {
+		return nil, false
+	}
+	return adminapi.NumberingNodes(router.desk.List(), router.desk.Job()), true
+}
+
+// AuditOverload implements gateway.Administrator.
+func (a *administrator) AuditOverload() (nodes []*h248.Node, ok bool) {
+	control := a.server.overload
+	if control == nil {
+		return nil, false
+	}
+	return adminapi.OverloadNodes(control.member.State(a.server.loop.Now())), true
+}
+
+// Audit implements gateway.Administrator. Classes and exchanges are shown on the admin address only: where calls go is
+// no business of a gateway.
+func (a *administrator) Audit(isAdmin bool) []*h248.Node {
+	s := a.server
+	serviceState := "InService"
+	if s.lifecycle.state != stateRunning {
+		serviceState = "OutOfService"
+	}
+	stats := &h248.Node{Name: "Statistics", Kids: s.auditCounters()}
+	if s.metrics != nil && isAdmin {
+		stats.Kids = append(stats.Kids, s.metrics.audit()...)
+		stats.Kids = append(stats.Kids, s.numbering.audit()...)
+		stats.Kids = append(stats.Kids, s.overload.audit()...)
+	}
+	termination := &h248.Node{
+		Name: "TerminationState",
+		Kids: []*h248.Node{{Name: "ServiceStates", Value: serviceState}},
+	}
+	return []*h248.Node{{Name: "Media", Kids: []*h248.Node{termination}}, stats}
+}
+
+// auditCounters returns the counters of calls and records as statistics.
+func (s *Server) auditCounters() (nodes []*h248.Node) {
+	add := func(name string, value int) {
+		nodes = append(nodes, &h248.Node{Name: "oc/" + name, Value: strconv.Itoa(value)})
+	}
+	c := &s.calls.Counters
+	add("requests", c.Requests)
+	add("stood", c.Established)
+	add("refused", c.Rejected)
+	add("failed", c.Failed)
+	add("givenup", c.Abandoned)
+	add("attempts", c.Attempts)
+	add("open", s.calls.OpenCalls())
+	add("standing", s.calls.EstablishedCalls())
+	add("malformed", s.malformed.count)
+	if s.recorder != nil {
+		add("recorded", int(s.recorder.log.Written()))
+		add("recordslost", int(s.recorder.log.Lost()))
+	}
+	return nodes
+}
--- a/internal/server/chance_test.go
+++ b/internal/server/chance_test.go
@@ -123,7 +123,7 @@
 		if id, ok := pick(c.rng, c.open); ok {
 			c.left(id)
 			if k := c.scene.client(id); k != nil && c.rng.IntN(2) == 0 {
-				k.traffic(line(jsonl.Finish, id))
+				k.HandleData(line(jsonl.Finish, id))
 			} else {
 				_, _ = c.callers[c.rng.IntN(len(c.callers))].c.Write(line(jsonl.Finish, id)) // on whatever connection
 			}
@@ -246,7 +246,7 @@
 			}
 		}
 		open, standing := 0, 0
-		x.turn(func() { open, standing = x.n.core.OpenCalls(), x.n.core.EstablishedCalls() })
+		x.turn(func() { open, standing = x.n.calls.OpenCalls(), x.n.calls.EstablishedCalls() })
 		left = fmt.Sprintf("%d open, %d standing, %v stand at exchanges", open, standing, c.stands())
 		return open == 0 && standing == 0 && len(c.stands()) == 0
 	})
--- a/internal/server/crossing_test.go
+++ b/internal/server/crossing_test.go
@@ -11,9 +11,11 @@
 	"time"
 
 	"olivedale/internal/admission"
+	"olivedale/internal/backend"
 	"olivedale/internal/codec/jsonl"
 	"olivedale/internal/codec/sip"
 	"olivedale/internal/config"
+	"olivedale/internal/frontend/jsonclient"
 )
 
 // Crossings: two things happen at one moment, and both orders are forced. Bytes are handed to a
@@ -278,7 +280,7 @@
 	}
 	o := Options{}
 	if module != nil {
-		o.module = module
+		o.decider = module
 	}
 	for _, f := range more {
 		f(&o)
@@ -312,7 +314,7 @@
 func (x *scene) up(i int) {
 	x.t.Helper()
 	eventually(x.t, "the link is up", func() (up bool) {
-		x.turn(func() { l := x.n.links[fmt.Sprint("s-", i)]; up = l != nil && l.s != nil })
+		x.turn(func() { l := x.n.backends.Get(fmt.Sprint("s-", i)); up = l != nil && l.IsConnected() })
 		return up
 	})
 }
@@ -330,7 +332,7 @@
 // turn runs f as one turn of the loop; once the node has ended, it does nothing.
 func (x *scene) turn(f func()) {
 	done := make(chan struct{})
-	x.n.exec(func() { x.n.turn(f); close(done) })
+	x.n.loop.Execute(func() { x.n.loop.RunIteration(f); close(done) })
 	select {
 	case <-done:
 	case <-x.done:
@@ -339,13 +341,13 @@
 
 // says hands bytes of an exchange in, as if they had come in this turn.
 func (x *scene) says(i int, b []byte) {
-	x.n.links[fmt.Sprint("s-", i)].traffic(b)
+	x.n.backends.Get(fmt.Sprint("s-", i)).HandleData(b)
 }
 
 // client is the node's side of the caller that has a set-up open, else of the one that came last.
-func (x *scene) client(id string) (found *client) {
-	for k := range x.n.json.clients.oldest() {
-		if id == "" || k.open[id] {
+func (x *scene) client(id string) (found *jsonclient.Client) {
+	for k := range x.n.frontends.json.Clients().Oldest() {
+		if id == "" || k.HasSetup(id) {
 			found = k
 		}
 	}
@@ -369,12 +371,12 @@
 	eventually(x.t, "nothing is owed", func() bool {
 		open, waits := 0, 0
 		x.turn(func() {
-			open = x.n.core.OpenCalls()
-			for k := range x.n.json.clients.oldest() {
-				waits += len(k.open)
+			open = x.n.calls.OpenCalls()
+			for k := range x.n.frontends.json.Clients().Oldest() {
+				waits += k.OpenSetups()
 			}
-			for _, l := range x.n.links {
-				waits += len(l.queue) + len(l.out)
+			for l := range x.n.backends.All() {
+				waits += l.QueuedSetups() + l.OpenAttempts()
 			}
 		})
 		return open == 0 && waits == 0
@@ -388,9 +390,9 @@
 func TestGivenUpInTheTurnOfTheSend(t *testing.T) {
 	t.Parallel()
 	x := startScene(t, []*far{startFar(t, "127.0.0.1:0")}, &fixed{servers: []string{"s-0", "s-0"}})
-	x.turn(func() { x.client("").traffic(append(start(tag, time.Second), line(jsonl.Finish, tag)...)) })
+	x.turn(func() { x.client("").HandleData(append(start(tag, time.Second), line(jsonl.Finish, tag)...)) })
 	x.settled()
-	x.turn(func() { x.client("").traffic(start("00000000000000ab", 300*time.Millisecond)) })
+	x.turn(func() { x.client("").HandleData(start("00000000000000ab", 300*time.Millisecond)) })
 	x.far[0].awaits("INVITE", "00000000000000ab", 1) // what came behind it is there
 	if n := x.far[0].heard("INVITE", tag) + x.far[0].heard("CANCEL", tag); n != 0 {
 		t.Errorf("a set-up whose caller had left brought the exchange %d messages", n)
@@ -485,10 +487,10 @@
 	a.send(finish(stands, 16))
 	x.h.wait(t, stands, 2)
 	x.turn(func() {
-		x.n.links["s-0"].talk.sweep(x.n.now() + time.Hour)
+		x.n.backends.Get("s-0").Tick(x.n.loop.Now() + time.Hour)
 		x.says(0, response(stands, "INVITE", 200, 1, "d"))
 		x.says(0, response(refused, "INVITE", 200, 1, "e"))
-		if n := len(x.n.links["s-0"].talk.(*sipDialect).dialogs); n != 0 {
+		if n := x.n.backends.Get("s-0").RememberedCalls(); n != 0 {
 			t.Errorf("%d dialogs are left", n)
 		}
 	})
@@ -508,11 +510,11 @@
 			a := startFar(t, "127.0.0.1:0")
 			gate := make(chan struct{})
 			x := startScene(t, nil, &fixed{servers: []string{"s-0", "s-0", "s-0"}}, func(o *Options) {
-				o.dial = func(addr string, limit time.Duration) (net.Conn, error) { <-gate; return dialTCP(addr, limit) }
+				o.dial = func(addr string, limit time.Duration) (net.Conn, error) { <-gate; return backend.DialTCP(addr, limit) }
 			})
 			x.names.set(nameLine{id: "s-0", addr: a.addr()})
 			eventually(t, "the exchange is known", func() (known bool) {
-				x.turn(func() { known = x.n.links["s-0"] != nil })
+				x.turn(func() { known = x.n.backends.Get("s-0") != nil })
 				return known
 			})
 			k := x.dial("cccccccc")
@@ -529,9 +531,9 @@
 				close(gate)
 			} else {
 				x.turn(func() { // the connection is handed to the loop while it stands, and before its timer
-					until := x.n.now() + 450*time.Millisecond
+					until := x.n.loop.Now() + 450*time.Millisecond
 					close(gate)
-					for x.n.now() < until {
+					for x.n.loop.Now() < until {
 						time.Sleep(time.Millisecond)
 					}
 				})
@@ -540,7 +542,7 @@
 				}
 			}
 			eventually(t, "the link is up", func() (up bool) {
-				x.turn(func() { up = x.n.links["s-0"].s != nil })
+				x.turn(func() { up = x.n.backends.Get("s-0").IsConnected() })
 				return up
 			})
 			x.settled()
@@ -559,8 +561,8 @@
 	eventually(x.t, fmt.Sprint(n, " set-ups wait"), func() bool {
 		got := 0
 		x.turn(func() {
-			for _, l := range x.n.links {
-				got += len(l.queue)
+			for l := range x.n.backends.All() {
+				got += l.QueuedSetups()
 			}
 		})
 		return got == n
--- a/internal/server/drain_test.go
+++ b/internal/server/drain_test.go
@@ -47,10 +47,10 @@
 		f.names.set(lines...)
 		eventually(t, "the node is told", func() bool {
 			got := make(chan bool, 1)
-			s.n.exec(func() {
+			s.n.loop.Execute(func() {
 				same := true
 				for i, l := range lines {
-					same = same && s.n.links[l.id].draining == lines[i].draining
+					same = same && s.n.backends.Get(l.id).IsDraining() == lines[i].draining
 				}
 				got <- same
 			})
--- a/internal/server/ending_test.go
+++ b/internal/server/ending_test.go
@@ -8,7 +8,9 @@
 	"testing"
 	"time"
 
+	"olivedale/internal/backend"
 	"olivedale/internal/codec/jsonl"
+	"olivedale/internal/eventloop"
 )
 
 // ends waits until the node has ended by itself.
@@ -26,7 +28,7 @@
 
 // running tells whether the node still serves and means to.
 func (x *scene) running() (serves bool) {
-	x.turn(func() { serves = !x.n.stopping })
+	x.turn(func() { serves = x.n.lifecycle.state != stateStopping })
 	return serves
 }
 
@@ -52,7 +54,7 @@
 				x.turn(func() {
 					_, _ = c.Write(response(id, "INVITE", 200, 1, "a"))
 					reset(c)
-					x.client("").traffic(start(tag, 2*time.Second)) // goes to the same exchange
+					x.client("").HandleData(start(tag, 2*time.Second)) // goes to the same exchange
 				})
 			} else {
 				_, _ = c.Write(response(id, "INVITE", 200, 1, "a"))
@@ -92,7 +94,7 @@
 					_, _ = k.c.Write(said)
 					reset(k.c)
 					mine := x.client("")
-					x.n.write(mine.s, func(b []byte) []byte { return append(b, line(jsonl.Echoed, "t")...) })
+					x.n.loop.Write(mine.Conn(), func(b []byte) []byte { return append(b, line(jsonl.Echoed, "t")...) })
 				})
 			} else {
 				_, _ = k.c.Write(said[:len(line(jsonl.Finish, id))])
@@ -115,14 +117,14 @@
 	x := startScene(t, []*far{a}, &fixed{servers: []string{"s-0"}})
 	x.turn(func() {
 		_, _ = x.k.c.Write(start(tag, 2*time.Second))
-		for k := x.n.json.idlest(); k != nil; k = x.n.json.idlest() {
-			if k == x.client(tag) || x.n.core.Contains(tag) && k.open[tag] {
+		for k := x.n.frontends.json.EvictionCandidate(); k != nil; k = x.n.frontends.json.EvictionCandidate() {
+			if k == x.client(tag) || x.n.calls.Contains(tag) && k.HasSetup(tag) {
 				t.Error("a connection with a set-up on it is to be closed")
 				return
 			}
-			k.s.shut = true // as it would be closed: the next
+			x.n.loop.Close(k.Conn()) // as it would be closed: the next
 		}
-		if !x.n.core.Contains(tag) {
+		if !x.n.calls.Contains(tag) {
 			t.Error("the set-up was not taken")
 		}
 	})
@@ -156,8 +158,8 @@
 	x.turn(func() {})
 	eventually(t, "nothing is owed", func() (at bool) {
 		x.turn(func() {
-			if at = x.n.restAt > 0; at {
-				x.client("").traffic(start(tag, 2*time.Second))
+			if at = x.n.lifecycle.quietSince > 0; at {
+				x.client("").HandleData(start(tag, 2*time.Second))
 			}
 		})
 		return at
@@ -191,7 +193,7 @@
 			<-g.open
 		default:
 		}
-		return dialTCP(addr, limit)
+		return backend.DialTCP(addr, limit)
 	}
 }
 
@@ -214,7 +216,9 @@
 	x.n.Stop()
 	eventually(x.t, "the linger is over", func() (over bool) {
 		over = !x.running()
-		x.turn(func() { over = x.n.stopAt > 0 && x.n.now()-x.n.stopAt > linger+2*quiet })
+		x.turn(func() {
+			over = x.n.lifecycle.drainingSince > 0 && x.n.loop.Now()-x.n.lifecycle.drainingSince > lingerTime+2*quietTime
+		})
 		return over
 	})
 	return x.running()
@@ -229,7 +233,7 @@
 	id := x.standsAsItBreaks(a, g)
 	x.k.hangUp(id)
 	eventually(t, "the release waits", func() (waits bool) {
-		x.turn(func() { waits = len(x.n.links["s-0"].byes) == 1 })
+		x.turn(func() { waits = x.n.backends.Get("s-0").PendingReleases() == 1 })
 		return waits
 	})
 	if !x.outlivesTheLinger() {
@@ -260,28 +264,28 @@
 	}
 	defer func() { _ = c.Close() }()
 	_ = c.(*net.TCPConn).SetReadBuffer(4 << 10)
-	var mine *stream
+	var mine *eventloop.Conn
 	eventually(t, "the connection is there", func() bool {
 		x.turn(func() {
-			for k := range x.n.json.clients.oldest() {
-				if k.s.c.RemoteAddr().String() == c.LocalAddr().String() {
-					mine = k.s
+			for k := range x.n.frontends.json.Clients().Oldest() {
+				if k.Conn().Socket().RemoteAddr().String() == c.LocalAddr().String() {
+					mine = k.Conn()
 				}
 			}
-			for p := range x.n.h248.panels.oldest() {
-				mine = p.s
+			for p := range x.n.frontends.gateway.Gateways().Oldest() {
+				mine = p.Conn()
 			}
 		})
 		return mine != nil
 	})
 	lines := 0
 	x.turn(func() {
-		_ = mine.c.SetWriteBuffer(4 << 10)
-		mine.caller = false // the bound on what waits for a caller is not what is looked at,
-		mine.spoke = true   // nor how long one may say nothing
-		for ; mine.c.OutboundBuffered() < 64<<10; lines++ {
-			x.n.write(mine, func(b []byte) []byte { return append(b, line(jsonl.Finish, fmt.Sprintf("%016x", lines))...) })
-			x.n.flush()
+		_ = mine.Socket().SetWriteBuffer(4 << 10)
+		mine.LimitUnread(false)                       // the bound on what waits for a caller is not what is looked at,
+		mine.RecordInput(x.n.loop.Now(), true, false) // nor how long one may say nothing
+		for ; mine.Socket().OutboundBuffered() < 64<<10; lines++ {
+			x.n.loop.Write(mine, func(b []byte) []byte { return append(b, line(jsonl.Finish, fmt.Sprintf("%016x", lines))...) })
+			x.n.loop.Flush()
 		}
 	})
 	if !x.outlivesTheLinger() {
@@ -308,8 +312,8 @@
 	x.n.Stop()
 	eventually(t, "time is out", func() (out bool) {
 		x.turn(func() {
-			if out = x.n.outOfTime(x.n.now()); out {
-				x.client("").traffic(start(tag, 2*time.Second))
+			if out = x.n.isOutOfTime(x.n.loop.Now()); out {
+				x.client("").HandleData(start(tag, 2*time.Second))
 			}
 		})
 		return out
--- a/internal/server/golden_test.go
+++ b/internal/server/golden_test.go
@@ -12,7 +12,9 @@
 	"time"
 
 	"olivedale/internal/adminapi"
+	"olivedale/internal/backend"
 	"olivedale/internal/codec/h248"
+	"olivedale/internal/codec/h248/transaction"
 	"olivedale/internal/codec/jsonl"
 	"olivedale/internal/codec/sip"
 	"olivedale/internal/config"
@@ -252,7 +254,7 @@
 		if context == "$" {
 			a.Err = &h248.Error{Code: h248.TerminationInContext, Text: "busy"}
 		} else {
-			a.Commands = []*h248.Command{{Name: "Add", Termination: termination(id, 0), Descriptors: []*h248.Node{{Name: "Media", Kids: []*h248.Node{{Name: "Local", Octets: []byte(accept("1"))}}}}}}
+			a.Commands = []*h248.Command{{Name: "Add", Termination: backend.TerminationName(id, 0), Descriptors: []*h248.Node{{Name: "Media", Kids: []*h248.Node{{Name: "Local", Octets: []byte(accept("1"))}}}}}}
 		}
 		s.server.sendTransaction(mid, &h248.Transaction{Kind: h248.Reply, ID: n, Actions: []*h248.Action{a}})
 	}
@@ -263,7 +265,7 @@
 	s.caller.awaits(`FINISHED","tag":"` + hungUp)
 	answer(released, "6")
 	s.caller.awaits(`STARTED","tag":"` + released)
-	s.server.request(mid, 91, "6", &h248.Command{Name: "Notify", Termination: termination(released, 0), Descriptors: []*h248.Node{observed(17)}})
+	s.server.request(mid, 91, "6", &h248.Command{Name: "Notify", Termination: backend.TerminationName(released, 0), Descriptors: []*h248.Node{transaction.ReleaseEvent(17)}})
 	s.caller.awaits(`FINISH","tag":"` + released)
 	s.server.awaits(`Reply=91`)
 	answer(refused, "$")
--- /dev/null
+++ b/internal/server/handler.go
@@ -0,0 +1,91 @@
+package server
+
+import (
+	"github.com/panjf2000/gnet/v2"
+
+	"olivedale/internal/backend"
+	"olivedale/internal/frontend"
+)
+
+// The context of a socket says whose it is: a discoverySocket, a *backend.Dialed until the socket is opened and then
+// a *backend.Conn, or a frontend.Connection.
+
+// OnOpen implements gnet.EventHandler.
+func (s *Server) OnOpen(socket gnet.Conn) (out []byte, action gnet.Action) {
+	s.loop.RunIteration(func() {
+		if !s.loop.IsAttached() {
+			s.start(socket.EventLoop())
+		}
+		if !s.accept(socket) {
+			socket.SetContext(nil)
+			action = gnet.Close
+		}
+	})
+	return nil, action
+}
+
+// accept hands a new socket to its owner; false: it is to be closed.
+func (s *Server) accept(socket gnet.Conn) bool {
+	switch owner := socket.Context().(type) {
+	case discoverySocket: // gnet opens a connected datagram socket like a connection
+		return s.discovery.handleOpen(owner.serial, socket)
+	case *backend.Dialed:
+		return owner.HandleOpen(socket)
+	}
+	switch s.listeners.byBound[socket.LocalAddr().String()] {
+	case gatewayListener:
+		return s.frontends.gateway.Accept(socket, false)
+	case adminListener:
+		return s.frontends.gateway.Accept(socket, true)
+	}
+	return s.frontends.json.Accept(socket)
+}
+
+// OnTraffic implements gnet.EventHandler.
+func (s *Server) OnTraffic(socket gnet.Conn) (action gnet.Action) {
+	data, err := socket.Next(-1)
+	if err != nil {
+		return gnet.None
+	}
+	s.loop.RunIteration(func() {
+		switch owner := socket.Context().(type) {
+		case *backend.Conn:
+			owner.HandleSocketData(socket, data)
+		case frontend.Connection:
+			owner.HandleData(data)
+		case discoverySocket:
+			if s.discovery.owns(socket) {
+				s.handleDiscoveryAnswer(data)
+			}
+		}
+	})
+	return gnet.None
+}
+
+// OnClose implements gnet.EventHandler.
+func (s *Server) OnClose(socket gnet.Conn, err error) gnet.Action {
+	if s.lifecycle.state == stateStopping && !s.loop.InIteration() {
+		s.readPending(socket)
+	}
+	s.loop.RunIteration(func() {
+		switch owner := socket.Context().(type) {
+		case *backend.Conn:
+			owner.HandleClose(socket, err)
+		case frontend.Connection:
+			owner.HandleClose(err)
+		case discoverySocket:
+			s.discovery.handleClose(socket)
+		}
+	})
+	return gnet.None
+}
+
+// readPending handles what a caller's connection has received since the last iteration, and answers it before the
+// engine closes the connection.
+func (s *Server) readPending(socket gnet.Conn) {
+	c, ok := socket.Context().(frontend.Connection)
+	if !ok {
+		return
+	}
+	s.loop.RunIteration(func() { c.Conn().ReadPending(c.HandleData) })
+}
--- /dev/null
+++ b/internal/server/lifecycle.go
@@ -0,0 +1,138 @@
+package server
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"reflect"
+	"time"
+
+	"github.com/panjf2000/gnet/v2"
+
+	"olivedale/internal/config"
+)
+
+// pollInterval is the time between two queries of the discovery service; each also repeats one that was lost.
+const pollInterval = 150 * time.Millisecond
+
+// Run serves until Stop has done its work.
+func (s *Server) Run() error {
+	err := gnet.Rotate(s, s.listeners.urls(), gnet.WithNumEventLoop(1), gnet.WithLogger(gnetLog{s.loop.Log}),
+		gnet.WithLoadBalancing(gnet.LeastConnections), gnet.WithReuseAddr(true))
+	s.overload.close()
+	s.numbering.close()
+	s.recorder.close() // the loop has ended, so this goroutine may use its state
+	if err != nil {
+		return fmt.Errorf("serving %s: %w", s.cfg.Listen, err)
+	}
+	return s.lifecycle.startError
+}
+
+// Started is closed once the server serves.
+func (s *Server) Started() <-chan struct{} { return s.lifecycle.started }
+
+// OnBoot implements gnet.EventHandler.
+func (s *Server) OnBoot(engine gnet.Engine) gnet.Action {
+	s.engine = engine
+	if err := s.listeners.bind(engine); err != nil {
+		s.lifecycle.startError = err
+		return gnet.Shutdown
+	}
+	go s.connectToSelf()
+	return gnet.None
+}
+
+// connectToSelf opens a first connection to this server itself. It brings the event loop, which gnet shows by a
+// connection only: Engine.Register at the start is a data race with the start of the loops (found by the race detector
+// with gnet 2.9.7).
+func (s *Server) connectToSelf() {
+	c, err := net.DialTimeout("tcp", s.listeners.first, s.cfg.DialTimeout)
+	if err != nil {
+		s.lifecycle.startError = fmt.Errorf("starting: %w", err)
+		_ = s.engine.Stop(context.Background())
+		return
+	}
+	<-s.lifecycle.started
+	_ = c.Close()
+}
+
+// start starts what needs the event loop, on its first connection.
+func (s *Server) start(engine gnet.EventLoop) {
+	s.loop.Attach(engine)
+	s.loop.StartTimer(s.tick)
+	s.discovery.open()
+	s.overload.open()
+	s.backends.Dial()
+	s.logStart()
+	close(s.lifecycle.started)
+}
+
+func (s *Server) logStart() {
+	log, settings := s.loop.Log, s.cfg.Settings
+	log.Infow("settings", "group", settings.ControllerCount, "resend", settings.ResendInterval,
+		"release", settings.RetryGuard, "cold", settings.SlowStartPeriod, "attempts", settings.MaxAttempts,
+		"connect", s.cfg.DialTimeout)
+	for _, c := range settings.Classes {
+		log.Infow("settings", "class", c.Name, "aim", c.LatencyObjective, "deadline", c.Deadline, "credit", c.Weight)
+	}
+	log.Infow("started", "name", s.cfg.Name, "listen", s.cfg.Listen, "exchanges", s.backends.Len())
+}
+
+// setTimer sets the timer to what is due next. It runs after each iteration of the loop.
+func (s *Server) setTimer() {
+	next := min(s.calls.NextDeadline(), s.pollAt, s.overload.nextDeadline())
+	if s.lifecycle.state != stateRunning {
+		next = min(next, s.lifecycle.checkAt)
+	}
+	s.loop.SetTimer(next)
+}
+
+// tick does what is due, on the loop.
+func (s *Server) tick() {
+	s.loop.RunIteration(func() {
+		now := s.loop.Now()
+		s.calls.Tick()
+		s.overload.tick(now)
+		s.backends.CheckResponsiveness(now)
+		if now >= s.pollAt {
+			s.pollAt = now + pollInterval
+			s.poll(now)
+		}
+		if s.lifecycle.isCheckDue(now) {
+			s.checkShutdown(now)
+		}
+	})
+}
+
+// poll does what is due in each pollInterval.
+func (s *Server) poll(now time.Duration) {
+	s.discovery.poll(now)
+	s.recorder.tick(now)
+	s.numbering.tick(now)
+	s.backends.Tick(now)
+	for _, f := range s.frontends.all() {
+		f.CloseOverdue(now)
+	}
+}
+
+// Reload takes a configuration that was read again; it may be called from anywhere once the server has started.
+// Connections, calls and the list of endpoints stay. Only the discovery service's address can change while the program
+// runs.
+func (s *Server) Reload(cfg *config.Config) {
+	s.loop.ExecuteIteration(func() {
+		s.loop.Log.Infow("reloaded", "names", cfg.DiscoveryAddress)
+		if needsRestart(s.cfg, cfg) {
+			s.loop.Log.Infow("reload_partial", "err", "name, listen, limits and settings change at a restart only")
+		}
+		if cfg.DiscoveryAddress != s.discovery.address {
+			s.discovery.move(cfg.DiscoveryAddress)
+			s.recorder.configured("names", cfg.DiscoveryAddress)
+		}
+	})
+}
+
+// needsRestart reports whether two configurations differ in what changes at a restart only.
+func needsRestart(running, read *config.Config) bool {
+	return read.Name != running.Name || read.Listen != running.Listen || read.MemoryMB != running.MemoryMB ||
+		read.Sockets != running.Sockets || !reflect.DeepEqual(read.Settings, running.Settings)
+}
--- a/internal/server/lookup_test.go
+++ b/internal/server/lookup_test.go
@@ -184,7 +184,7 @@
 	k.close()
 	eventually(t, "nothing is held", func() bool {
 		pins := make(chan int, 1)
-		s.n.exec(func() { pins <- s.n.numbers.desk.List()[0].Pins + s.n.core.OpenCalls() })
+		s.n.loop.Execute(func() { pins <- s.n.numbering.desk.List()[0].Pins + s.n.calls.OpenCalls() })
 		return <-pins == 0
 	})
 	if said := h.of(left); said != "" {
@@ -226,24 +226,24 @@
 	var pins, waits int
 	eventually(t, "nothing is held", func() bool {
 		got := make(chan [2]int, 1)
-		r.s.n.exec(func() {
+		r.s.n.loop.Execute(func() {
 			sum := 0
-			for _, v := range r.s.n.numbers.desk.List() {
+			for _, v := range r.s.n.numbering.desk.List() {
 				sum += v.Pins
 			}
-			got <- [2]int{sum, r.s.n.core.OpenCalls()}
+			got <- [2]int{sum, r.s.n.calls.OpenCalls()}
 		})
 		x := <-got
 		pins, waits = x[0], x[1]
 		return pins+waits == 0
 	})
 	grown := inUse() - before
-	c := r.s.n.numbers.client.Counters()
+	c := r.s.n.numbering.client.Counters()
 	r.s.stop(t)
 	if c.Asked != n {
 		t.Errorf("%d look-ups of %d calls", c.Asked, n)
 	}
-	k := &r.s.n.core.Counters
+	k := &r.s.n.calls.Counters
 	t.Logf("mode %d, %s: %d calls, %d stood, %d turned away; answered after p50 %v us, p99 %v us, at most %v us; look-ups %+v; memory grew by %d KiB",
 		mode, fallback, n, k.Established, k.ByPolicy+k.Rejected, took.ValueAtQuantile(50), took.ValueAtQuantile(99), took.Max(), c, grown>>10)
 	if (k.Established == n) != (fallback == config.FallbackRoute || mode == good) {
--- a/internal/server/moment_test.go
+++ b/internal/server/moment_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"olivedale/internal/admission"
+	"olivedale/internal/backend"
 	"olivedale/internal/codec/jsonl"
 )
 
@@ -40,10 +41,10 @@
 		id := x.k.setUp("1", 400*time.Millisecond)
 		a.awaits("INVITE", id, 1)
 		x.turn(func() { // its time passes while the loop is held
-			for until := x.n.now() + 420*time.Millisecond; x.n.now() < until; {
+			for until := x.n.loop.Now() + 420*time.Millisecond; x.n.loop.Now() < until; {
 				time.Sleep(time.Millisecond)
 			}
-			order(timeOut, x.n.core.Tick, func() { x.says(0, response(id, "INVITE", 200, 1, "a")) })
+			order(timeOut, x.n.calls.Tick, func() { x.says(0, response(id, "INVITE", 200, 1, "a")) })
 		})
 		x.h.wait(t, id, 1)
 		x.settled()
@@ -68,7 +69,7 @@
 		a.awaits("INVITE", id, 1)
 		x.turn(func() {
 			k := x.client(id)
-			order(giveUp, func() { k.traffic(line(jsonl.Finish, id)) },
+			order(giveUp, func() { k.HandleData(line(jsonl.Finish, id)) },
 				func() { x.says(0, response(id, "INVITE", 200, 1, "a")) })
 		})
 		a.awaits("BYE", id, 1)
@@ -97,17 +98,17 @@
 				a.awaits("INVITE", id, 1)
 				x.turn(func() {
 					x.says(0, response(id, "INVITE", 504, 1, ""))
-					for until := x.n.now() + guard + 20*time.Millisecond; x.n.now() < until; {
+					for until := x.n.loop.Now() + guard + 20*time.Millisecond; x.n.loop.Now() < until; {
 						time.Sleep(time.Millisecond)
 					}
 					k := x.client(id)
 					order(caller, func() {
 						if how == "gives up" {
-							k.traffic(line(jsonl.Finish, id))
+							k.HandleData(line(jsonl.Finish, id))
 						} else {
-							x.n.core.CallerDisconnected(k)
+							x.n.calls.CallerDisconnected(k)
 						}
-					}, x.n.core.Tick)
+					}, x.n.calls.Tick)
 				})
 				x.settled()
 				x.module.sends("s-0")
@@ -149,7 +150,7 @@
 			if addr == a.addr() {
 				<-gate
 			}
-			return dialTCP(addr, limit)
+			return backend.DialTCP(addr, limit)
 		}
 	})
 	x.far = []*far{a, b}
@@ -166,8 +167,8 @@
 		t.Error(got)
 	}
 	x.turn(func() { // the set-up is ordered, and the drain read, before the turn ends
-		x.client("").traffic(start(tag, time.Second))
-		x.n.links["s-1"].drain()
+		x.client("").HandleData(start(tag, time.Second))
+		x.n.backends.Get("s-1").Drain()
 	})
 	x.settled()
 	if a.heard("INVITE", id)+b.heard("INVITE", tag) != 0 {
@@ -196,10 +197,14 @@
 	if got := x.h.wait(t, id, 2); got != "stands b end 16" {
 		t.Error(got)
 	}
-	x.turn(func() { x.n.links["s-0"].dialAt = 0 })
+	var redialAt time.Duration
+	x.turn(func() { redialAt = x.n.backends.Get("s-0").RedialAt() })
 	reset(old)
 	eventually(t, "the old link is down", func() (down bool) {
-		x.turn(func() { l := x.n.links["s-0"]; down = l.s == nil && !l.dialing && l.dialAt > 0 })
+		x.turn(func() {
+			l := x.n.backends.Get("s-0")
+			down = !l.IsConnected() && !l.IsDialing() && l.RedialAt() > redialAt
+		})
 		return down
 	})
 	b.mu.Lock()
@@ -255,10 +260,10 @@
 		most = x.n.cfg.MemoryMB << 5
 		for i := range 8 * most { // no caller is sure to pass these on
 			x.says(0, finish(fmt.Sprintf("d%015x", i), 16))
-			x.n.links["s-0"].s.out = x.n.links["s-0"].s.out[:0]
+			x.n.backends.Get("s-0").Connection().DiscardPendingOutput()
 		}
-		if n := len(x.n.json.unsaid); n != 4*most || x.n.ReleasesLost != 4*most {
-			t.Errorf("%d unsaid, %d counted as lost", n, x.n.ReleasesLost)
+		if n := x.n.frontends.json.QueuedReleases(); n != 4*most || x.n.frontends.host.Counters.ReleasesDiscarded != 4*most {
+			t.Errorf("%d unsaid, %d counted as lost", n, x.n.frontends.host.Counters.ReleasesDiscarded)
 		}
 	})
 	x.module.sends("s-0", "s-0", "s-0")
@@ -270,14 +275,14 @@
 		k := x.client(open)
 		for i := range 8 * most { // ids of calls that are over, releases of unknown calls, releases that nobody confirms
 			id := fmt.Sprintf("%016x", 0x1000+i)
-			k.traffic(start(id, time.Second))
-			k.traffic(line(jsonl.Finish, fmt.Sprintf("f%015x", i)))
+			k.HandleData(start(id, time.Second))
+			k.HandleData(line(jsonl.Finish, fmt.Sprintf("f%015x", i)))
 			x.says(0, finish(fmt.Sprintf("e%015x", i), 16))
-			k.s.out = k.s.out[:0] // nobody reads them here
-			x.n.links["s-0"].s.out = x.n.links["s-0"].s.out[:0]
+			k.Conn().DiscardPendingOutput() // nobody reads them here
+			x.n.backends.Get("s-0").Connection().DiscardPendingOutput()
 		}
-		if l := x.n.links["s-0"]; len(l.byes) > most || len(x.n.json.unsaid) > 4*most || len(l.talk.(*sipDialect).dialogs) > 16 {
-			t.Errorf("%d releases, %d unsaid, %d dialogs", len(l.byes), len(x.n.json.unsaid), len(l.talk.(*sipDialect).dialogs))
+		if l := x.n.backends.Get("s-0"); l.PendingReleases() > most || x.n.frontends.json.QueuedReleases() > 4*most || l.RememberedCalls() > 16 {
+			t.Errorf("%d releases, %d unsaid, %d dialogs", l.PendingReleases(), x.n.frontends.json.QueuedReleases(), l.RememberedCalls())
 		}
 	})
 	a.send(finish(stands, 16))
--- a/internal/server/node_test.go
+++ b/internal/server/node_test.go
@@ -19,7 +19,7 @@
 
 // site is a running node with its stand-ins.
 type site struct {
-	n       *Node
+	n       *Server
 	names   *nameServer
 	r       *rules
 	servers []*standIn
@@ -27,33 +27,24 @@
 }
 
 func (s *site) addr(configured string) string {
-	for real, as := range s.n.local {
-		if as == configured && real != configured {
-			return real
+	for _, l := range s.n.listeners.all {
+		for bound, kind := range s.n.listeners.byBound {
+			if kind == l.kind && l.configured == configured && bound != configured {
+				return bound
+			}
 		}
 	}
 	return ""
 }
 
 func (s *site) json() string  { return s.addr(s.n.cfg.Listen) }
-func (s *site) panel() string { return s.addr(s.n.h248cfg.Listen) }
-func (s *site) admin() string { return s.addr(s.n.h248cfg.Admin) }
+func (s *site) panel() string { return s.addr(s.n.h248.Listen) }
+func (s *site) admin() string { return s.addr(s.n.h248.Admin) }
 
 const settings = `{"groupSize":1,"classes":[{"name":"voice","aim":2000,"deadline":9000,"credit":1,"lateWorth":0.2}],
  "domain":{"topology":"pools","releaseGuard":300,"resend":1500,"skilledPools":[[0,1,2,3]]},
  "limits":{"maxAttempts":4,"cancel":true,"connectTimeout":500},"safety":{"startCapacity":0.5,"cold":1000}}`
 
-// testConfig is a configuration without a name service or exchanges.
-func testConfig(t *testing.T) *config.Config {
-	t.Helper()
-	cfg, err := config.Parse([]byte(`{"name":"n0","listen":"127.0.0.1:0","seed":"1f","names":"127.0.0.1:9",
-		"limits":{"memory_mb":192,"sockets":1024},"settings":` + settings + "}"))
-	if err != nil {
-		t.Fatal(err)
-	}
-	return cfg
-}
-
 // startSite starts a node with a stand-in server a flag: true for H.248.
 func startSite(t *testing.T, dialects ...bool) *site {
 	t.Helper()
@@ -374,7 +365,7 @@
 	s.names.set(lines...)
 	eventually(t, "the drain is known", func() bool {
 		drained := make(chan bool, 1)
-		s.n.exec(func() { drained <- s.n.links["s-0"].draining })
+		s.n.loop.Execute(func() { drained <- s.n.backends.Get("s-0").IsDraining() })
 		return <-drained
 	})
 	invited := func() int {
@@ -417,13 +408,13 @@
 		t.Run(kind, func(t *testing.T) {
 			s, h := startSite(t, false), newHeard()
 			k := dialJSON(t, s.json(), h, "aaaaaaaa")
-			first := s.n.links["s-0"].serial
+			first := s.n.backends.Get("s-0").DialSerial()
 			stood := k.setUp("keep.1", 5*time.Second)
 			h.wait(t, stood, 1)
 			k.setUp(kind+".1", 200*time.Millisecond)
 			eventually(t, "the link is dialled anew", func() bool {
 				serial := make(chan int, 1)
-				s.n.exec(func() { serial <- s.n.links["s-0"].serial })
+				s.n.loop.Execute(func() { serial <- s.n.backends.Get("s-0").DialSerial() })
 				return <-serial > first
 			})
 			eventually(t, "there is service", func() bool { return strings.HasPrefix(h.wait(t, k.setUp("keep.2", 5*time.Second), 1), "stands") })
@@ -441,13 +432,13 @@
 	k := dialJSON(t, s.json(), h, "aaaaaaaa")
 	eventually(t, "answers are read", func() bool {
 		n := make(chan int, 1)
-		s.n.exec(func() { n <- s.n.Answers })
+		s.n.loop.Execute(func() { n <- s.n.discovery.counters.answers })
 		return <-n > 2
 	})
 	k.send(&jsonl.Message{Verb: jsonl.Echo, HasRC: true})
 	h.wait(t, "echo", 1)
 	n := make(chan int, 1)
-	s.n.exec(func() { n <- s.n.Clients + 100*s.n.Malformed })
+	s.n.loop.Execute(func() { n <- s.n.frontends.host.Counters.Accepted + 100*s.n.malformed.count })
 	if got := <-n; got != 2 { // the first is the node's own
 		t.Errorf("clients + 100 malformed: %d, want 2", got)
 	}
@@ -554,28 +545,6 @@
 	}
 }
 
-// Every transaction is remembered, so past the limits none is taken, until replies are
-// acknowledged or forgotten.
-func TestStoreIsBounded(t *testing.T) {
-	t.Parallel()
-	for _, size := range []int{1, 2000} {
-		s := newStore(10)
-		taken := 0
-		for id := range uint32(100) {
-			if e, _ := s.begin("<p>", id, 1); e != nil {
-				taken++
-				s.keep(e, make([]byte, size), 1)
-			}
-		}
-		if want := min(10, 10<<9/size+1); taken != want {
-			t.Errorf("%d replies of %d bytes, want %d", taken, size, want)
-		}
-		if s.forget("<p>", [][2]uint32{{0, 9}}); len(s.seen)+s.bytes != 0 {
-			t.Errorf("left: %d entries, %d bytes", len(s.seen), s.bytes)
-		}
-	}
-}
-
 // After a restart nothing is known of calls that stand: a BYE is passed on, once.
 func TestReleaseOfAnUnknownCall(t *testing.T) {
 	t.Parallel()
@@ -584,7 +553,7 @@
 	const id = "00000000000000aa"
 	eventually(t, "the link is up", func() bool {
 		up := make(chan bool, 1)
-		s.n.exec(func() { up <- s.n.links["s-0"].s != nil && s.n.json.clients.len() > 0 })
+		s.n.loop.Execute(func() { up <- s.n.backends.Get("s-0").IsConnected() && s.n.frontends.json.Clients().Len() > 0 })
 		return <-up
 	})
 	s.servers[0].mu.Lock()
@@ -617,7 +586,7 @@
 	other.close()
 	eventually(t, "two that never asked are left", func() bool {
 		n := make(chan int, 1)
-		s.n.exec(func() { n <- s.n.json.clients.len() })
+		s.n.loop.Execute(func() { n <- s.n.frontends.json.Clients().Len() })
 		return <-n == 3
 	})
 	s.servers[0].stop()
@@ -641,13 +610,13 @@
 	k.close()
 	eventually(t, "no caller is connected", func() bool {
 		n := make(chan int, 1)
-		s.n.exec(func() { n <- s.n.json.clients.len() })
+		s.n.loop.Execute(func() { n <- s.n.frontends.json.Clients().Len() })
 		return <-n == 0
 	})
 	s.servers[0].stop()
 	eventually(t, "the call is cut", func() bool {
 		n := make(chan int, 1)
-		s.n.exec(func() { n <- len(s.n.json.unsaid) })
+		s.n.loop.Execute(func() { n <- s.n.frontends.json.QueuedReleases() })
 		return <-n == 1
 	})
 	dialJSON(t, s.json(), h, "bbbbbbbb")
@@ -661,7 +630,7 @@
 	t.Parallel()
 	s, h := startSite(t, false), newHeard()
 	done := make(chan bool)
-	s.n.exec(func() { s.n.json.max = 2; done <- true })
+	s.n.loop.Execute(func() { s.n.frontends.json.Clients().Max = 2; done <- true })
 	<-done
 	busy := dialJSON(t, s.json(), h, "aaaaaaaa")
 	busy.setUp("silent.1", 5*time.Second)
@@ -717,7 +686,7 @@
 		if err != nil {
 			t.Error(err)
 		}
-	case <-time.After(patience + 700*time.Millisecond):
+	case <-time.After(shutdownTimeout + 700*time.Millisecond):
 		t.Error("the node has not stopped when SIGKILL may come")
 	}
 	if got := h.wait(t, open, 1); got != "end 34" {
--- /dev/null
+++ b/internal/server/numbering.go
@@ -0,0 +1,230 @@
+package server
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	"olivedale/internal/adminapi"
+	"olivedale/internal/call"
+	"olivedale/internal/codec/h248"
+	"olivedale/internal/config"
+	"olivedale/internal/enum"
+	"olivedale/internal/frontend"
+	"olivedale/internal/numbering"
+	"olivedale/internal/portability"
+	"olivedale/internal/store"
+)
+
+const (
+	// stateName is the name in the store of which versions are in force; rules are stored by their digest.
+	stateName = "standing"
+	// undecidedRetryAfter is how long callers are asked to wait where nobody can tell a number's route.
+	undecidedRetryAfter = 2 * time.Second
+	// defaultAttemptTime is the share of a call's time for one attempt if its class is not known.
+	defaultAttemptTime = 500 * time.Millisecond
+	// answerTime is the time that must be left for the answer behind a look-up and the attempts.
+	answerTime = 10 * frontend.AnswerMargin
+)
+
+// A numberRouter routes calls by the table of numbers in force. The desk belongs to the loop; tables are read,
+// compiled and saved elsewhere, one order at a time, and handed in complete. The nil *numberRouter is off.
+type numberRouter struct {
+	server  *Server
+	file    string
+	classes []numbering.Class
+	desk    numbering.Desk
+	store   *store.Store // nil: versions do not survive a restart
+	lookup  config.Lookup
+	client  *enum.Client // nil: no numbers are looked up
+}
+
+var _ call.Router = (*numberRouter)(nil)
+
+// newNumberRouter restores what was in force before, or reads the file. A program that is to route by number does not
+// start without a good table.
+func newNumberRouter(s *Server, o *config.Numbering) (*numberRouter, error) {
+	r := &numberRouter{server: s, file: o.File, lookup: o.Lookup}
+	for _, c := range s.cfg.Settings.Classes {
+		r.classes = append(r.classes, numbering.Class{Name: c.Name, Pools: c.Pools})
+	}
+	var err error
+	if servers := o.Lookup.Servers; len(servers) > 0 {
+		r.client, err = enum.Dial(servers, o.Lookup.Suffix, portability.Defaults(len(servers)))
+		if err != nil {
+			return nil, err
+		}
+	}
+	if o.State != "" {
+		if r.store, err = store.Open(o.State); err != nil {
+			return nil, err
+		}
+		if r.restore() {
+			r.logActive("restored")
+			return r, nil
+		}
+	}
+	if err := r.loadFile(); err != nil {
+		return nil, err
+	}
+	r.logActive("file")
+	return r, nil
+}
+
+// loadFile reads the table of the file and puts it in force.
+func (r *numberRouter) loadFile() error {
+	now := r.server.loop.Now
+	table, text, err := numbering.Read(r.file, r.environment(now()))
+	if err != nil {
+		return err
+	}
+	if err := r.saveRules(table, text); err != nil {
+		return err
+	}
+	if err := r.desk.Load(now(), table); err != nil {
+		return err
+	}
+	if err := r.desk.Activate(now(), table.Digest(), "", 0); err != nil {
+		return err
+	}
+	return r.saveState(r.desk.Standing())
+}
+
+// restore restores the versions of before; false where there are none that are good. A torn or damaged state gives way
+// to the last good one, which is logged.
+func (r *numberRouter) restore() bool {
+	log := r.server.loop.Log
+	latest, err := r.store.Load(stateName)
+	if errors.Is(err, store.ErrNotFound) {
+		return false
+	}
+	for _, file := range latest.Bad {
+		log.Errorw("numbers_damaged", "file", file)
+	}
+	if err != nil {
+		log.Errorw("numbers_damaged", "err", err, "instead", r.file)
+		return false
+	}
+	states := append([]store.Value{latest}, r.store.History(stateName, latest.Serial)...)
+	for _, state := range states {
+		err := r.restoreState(state.Data)
+		if err == nil {
+			return true
+		}
+		log.Errorw("numbers_damaged", "standing", state.Serial, "err", err, "instead", "the one before")
+	}
+	return false
+}
+
+// restoreState restores the versions that one stored state names.
+func (r *numberRouter) restoreState(data []byte) error {
+	state, err := numbering.DecodeStanding(data)
+	if err != nil {
+		return err
+	}
+	for _, digest := range []string{state.Before, state.Next, state.Active} {
+		if digest == "" {
+			continue
+		}
+		if err := r.loadRules(digest); err != nil {
+			r.server.loop.Log.Errorw("numbers_damaged", "digest", digest, "err", err)
+		}
+	}
+	return r.desk.Restore(r.server.loop.Now(), state)
+}
+
+// environment is what rules are checked against, as of a time.
+func (r *numberRouter) environment(now time.Duration) numbering.Env {
+	return numbering.Env{Classes: r.classes, Now: now}
+}
+
+// loadRules loads one version from the store.
+func (r *numberRouter) loadRules(digest string) error {
+	v, err := r.store.Load(digest)
+	if err != nil {
+		return err
+	}
+	table, err := numbering.Make(v.Data, r.environment(r.server.loop.Now()))
+	if err != nil {
+		return err
+	}
+	if table.Digest() != digest {
+		return fmt.Errorf("its digest is %s", table.Digest())
+	}
+	return r.desk.Load(r.server.loop.Now(), table)
+}
+
+// saveRules stores the rules of a version, unless they are stored already.
+func (r *numberRouter) saveRules(table *numbering.Table, text []byte) error {
+	if r.store == nil {
+		return nil
+	}
+	if _, err := r.store.Load(table.Digest()); err == nil {
+		return nil
+	}
+	_, err := r.store.Save(table.Digest(), text)
+	return err
+}
+
+// saveState stores which versions are in force.
+func (r *numberRouter) saveState(state numbering.Standing) error {
+	if r.store == nil {
+		return nil
+	}
+	_, err := r.store.Save(stateName, state.Encode())
+	return err
+}
+
+// logActive logs and records the table in force.
+func (r *numberRouter) logActive(reason string) {
+	table := r.desk.Active()
+	r.server.loop.Log.Infow("numbers", "digest", table.Digest(), "version", table.Version,
+		"entries", table.Entries(), "why", reason)
+	r.server.recorder.configuredTable("numbers", table.Digest(), table.Version)
+}
+
+// tick puts in force what is due.
+func (r *numberRouter) tick(now time.Duration) {
+	if r != nil && r.desk.Tick(now) {
+		r.logActive("due")
+	}
+}
+
+// lookups returns the counters of look-ups; ok is false where numbers are not looked up.
+func (r *numberRouter) lookups() (c portability.Counters, ok bool) {
+	if r == nil || r.client == nil {
+		return c, false
+	}
+	return r.client.Counters(), true
+}
+
+// audit returns the table in force and the counters of look-ups.
+func (r *numberRouter) audit() (nodes []*h248.Node) {
+	if r == nil {
+		return nil
+	}
+	table := r.desk.Active()
+	nodes = append(nodes, adminapi.TableNode(table.Digest(), table.Version))
+	if c, ok := r.lookups(); ok {
+		nodes = append(nodes, adminapi.LookupsNode(&c))
+	}
+	return nodes
+}
+
+// report writes the counters of look-ups.
+func (r *numberRouter) report() {
+	c, ok := r.lookups()
+	if !ok {
+		return
+	}
+	r.server.loop.Log.Infow("counters", "lookups", c.Asked, "hits", c.Hits, "coalesced", c.Coalesced,
+		"stale", c.StaleHits, "undecided", c.Undecided, "no_room", c.Crowded, "sent", c.Sent, "answered", c.Answered,
+		"timed_out", c.TimedOut, "refused", c.Refused, "strays", c.Strays, "lies", c.Lies, "broken", c.Broken)
+}
+
+// close ends the look-ups once the loop has ended.
+func (r *numberRouter) close() {
+	if r != nil && r.client != nil {
+		r.client.Close()
+	}
+}
--- /dev/null
+++ b/internal/server/numbering_order.go
@@ -0,0 +1,126 @@
+package server
+
+import (
+	"errors"
+
+	"olivedale/internal/numbering"
+)
+
+// maxStoredVersions bounds the versions of the table in the store.
+const maxStoredVersions = 32
+
+// beginOrder begins an operator's order on the table of numbers, on the loop. Its disk work is done beside the loop;
+// then done, which may be nil, is called on the loop with how the order ended.
+func (r *numberRouter) beginOrder(o numbering.Order, done func(error)) error {
+	_, state, err := r.desk.Begin(r.server.loop.Now(), o)
+	if err != nil {
+		return err
+	}
+	if o.Op == numbering.OpLoad {
+		environment := r.environment(r.server.loop.Now())
+		go r.loadVersion(o, environment, done)
+	} else {
+		go r.changeState(o, *state, done)
+	}
+	return nil
+}
+
+// loadVersion reads a file and loads its table. It runs beside the loop.
+func (r *numberRouter) loadVersion(o numbering.Order, environment numbering.Env, done func(error)) {
+	table, text, err := numbering.Read(o.File, environment)
+	if err == nil {
+		err = r.saveRules(table, text)
+	}
+	r.finishOrder(o, done, func() error {
+		r.desk.Loaded(r.server.loop.Now(), table, err)
+		if reason := r.desk.Job().Err; reason != "" {
+			return errors.New(reason)
+		}
+		return nil
+	})
+}
+
+// changeState saves which versions are to be in force and puts them in force. It runs beside the loop.
+func (r *numberRouter) changeState(o numbering.Order, state numbering.Standing, done func(error)) {
+	err := r.saveState(state)
+	if err == nil && r.store != nil {
+		r.deleteOldRules(state)
+	}
+	r.finishOrder(o, done, func() error {
+		before := r.desk.Active()
+		err := r.desk.Finish(r.server.loop.Now(), err)
+		if r.desk.Active() != before {
+			r.logActive(o.Op)
+		}
+		return err
+	})
+}
+
+// finishOrder ends an order on the loop. It may be called from anywhere.
+func (r *numberRouter) finishOrder(o numbering.Order, done func(error), finish func() error) {
+	r.server.loop.ExecuteIteration(func() {
+		err := finish()
+		if err != nil {
+			r.server.loop.Log.Warnw("numbers_refused", "order", o.Op, "err", err)
+		}
+		if done != nil {
+			done(err)
+		}
+	})
+}
+
+// deleteOldRules deletes stored rules that the state does not name, except the latest few: they may be loaded.
+func (r *numberRouter) deleteOldRules(state numbering.Standing) {
+	names, err := r.store.Names()
+	if err != nil {
+		return
+	}
+	surplus := len(names) - maxStoredVersions
+	for _, name := range names {
+		if surplus <= 0 {
+			return
+		}
+		isUsed := name == stateName || name == state.Active || name == state.Before || name == state.Next
+		if isUsed {
+			continue
+		}
+		if r.store.Delete(name) != nil {
+			return
+		}
+		surplus--
+	}
+}
+
+// ReloadNumbers reads the table of numbers again, as SIGHUP asks for, and puts it in force for calls from then on: a
+// load and an activation, as an operator would order them. A bad table is logged and changes nothing. It may be called
+// from anywhere once the server has started.
+func (s *Server) ReloadNumbers() {
+	r := s.numbering
+	if r == nil {
+		return
+	}
+	s.loop.ExecuteIteration(func() {
+		load := numbering.Order{Op: numbering.OpLoad, File: r.file}
+		r.logReloadFailure(r.beginOrder(load, r.activateLoaded))
+	})
+}
+
+// activateLoaded puts in force what the last order has loaded, unless that failed.
+func (r *numberRouter) activateLoaded(loadErr error) {
+	if loadErr != nil {
+		r.logReloadFailure(loadErr)
+		return
+	}
+	activate := numbering.Order{
+		Op:     numbering.OpActivate,
+		Digest: r.desk.Job().Digest,
+		Saw:    r.desk.Active().Digest(),
+	}
+	r.logReloadFailure(r.beginOrder(activate, r.logReloadFailure))
+}
+
+func (r *numberRouter) logReloadFailure(err error) {
+	if err != nil {
+		r.server.loop.Log.Warnw("reload_failed", "err", err)
+	}
+}
--- /dev/null
+++ b/internal/server/numbering_route.go
@@ -0,0 +1,83 @@
+package server
+
+import (
+	"olivedale/internal/call"
+	"olivedale/internal/config"
+	"olivedale/internal/numbering"
+	"olivedale/internal/portability"
+)
+
+// Route implements call.Router.
+func (r *numberRouter) Route(now call.Time, q *call.Request) call.Route {
+	id := q.ID
+	pin := r.desk.Pin()
+	table := pin.Table()
+	query := numbering.Query{Number: q.Number, Class: q.Class, At: now, Seed: numbering.Seed(id)}
+	decision := table.Analyse(&query)
+	if decision.Verdict == numbering.Ask {
+		if r.startLookup(now, q, pin, query, &decision) {
+			return call.Route{Pending: true, Table: table.Digest(), Release: func() {
+				r.client.Cancel(id)
+				pin.Release()
+			}}
+		}
+		query.Ported.State = numbering.Undecided
+		decision = table.Analyse(&query)
+	}
+	route := r.newRoute(&query, &decision)
+	route.Table = table.Digest()
+	route.Release = pin.Release
+	return route
+}
+
+// startLookup looks a call's number up; false: it cannot be looked up, or not in time.
+func (r *numberRouter) startLookup(now call.Time, q *call.Request, pin *numbering.Pin, query numbering.Query,
+	decision *numbering.Decision) bool {
+	wait := r.lookupBudget(q.Class).Of(q.Deadline - now)
+	if r.client == nil || wait <= 0 {
+		return false
+	}
+	id := q.ID
+	return r.client.Ask(id, decision.Number.String(), wait, func(result portability.Result) {
+		r.server.loop.ExecuteIteration(func() { r.resolve(id, pin, query, result) })
+	})
+}
+
+// resolve goes on with a call whose number was looked up, by the table that it began with.
+func (r *numberRouter) resolve(id string, pin *numbering.Pin, query numbering.Query, result portability.Result) {
+	table := pin.Table()
+	if table == nil {
+		return // the call has ended meanwhile
+	}
+	query.Ported = result.Ported
+	decision := table.Analyse(&query)
+	r.server.calls.RouteResolved(id, r.newRoute(&query, &decision))
+}
+
+// newRoute converts a decision for the manager of calls.
+func (r *numberRouter) newRoute(query *numbering.Query, d *numbering.Decision) call.Route {
+	isUndecided := query.Ported.State == numbering.Undecided
+	if isUndecided && r.lookup.Fallback == config.FallbackRefuse {
+		retryAfter := r.server.cfg.Settings.RetryAfter(undecidedRetryAfter)
+		return call.Route{Cause: call.CauseNoCircuit, RetryAfter: retryAfter}
+	}
+	return call.Route{Pools: d.Pools(), Cause: d.Cause, Emergency: d.Emergency}
+}
+
+// lookupBudget returns what a look-up for a call of a class may take: two attempts of half the latency objective each,
+// the retry guard between them and the answer must still fit behind it.
+func (r *numberRouter) lookupBudget(class string) portability.Budget {
+	settings := r.server.cfg.Settings
+	attempt := defaultAttemptTime
+	for _, c := range settings.Classes {
+		if c.Name == class {
+			attempt = c.LatencyObjective / 2
+		}
+	}
+	return portability.Budget{
+		Attempt: attempt,
+		Guard:   settings.RetryGuard,
+		Answer:  answerTime,
+		Share:   r.lookup.Share,
+	}
+}
--- a/internal/server/numbers_test.go
+++ b/internal/server/numbers_test.go
@@ -53,7 +53,7 @@
 	k := dialJSON(t, s.json(), h, "aaaaaaaa")
 	status := func() []numbering.Status {
 		got := make(chan []numbering.Status, 1)
-		s.n.exec(func() { got <- s.n.numbers.desk.List() })
+		s.n.loop.Execute(func() { got <- s.n.numbering.desk.List() })
 		return <-got
 	}
 	holds := func(pool int) (n int) {
@@ -100,7 +100,7 @@
 	// The connection of the first call counts as mute, as it does where this test is slow: the call is tried again,
 	// by the table that it began with.
 	again := f.r.tries("100")
-	s.n.exec(func() { s.n.turn(func() { s.n.links["s-0"].down(call.Unresponsive) }) })
+	s.n.loop.Execute(func() { s.n.loop.RunIteration(func() { s.n.backends.Get("s-0").Disconnect(call.Unresponsive) }) })
 	eventually(t, "it is tried again", func() bool { return f.r.tries("100") > again })
 	if holds(0) == 0 || holds(1) == 0 {
 		t.Errorf("while one is tried again calls hold %+v", status())
--- a/internal/server/owed_test.go
+++ b/internal/server/owed_test.go
@@ -8,11 +8,15 @@
 	"testing"
 	"time"
 
+	"olivedale/internal/backend"
 	"olivedale/internal/call"
 	"olivedale/internal/codec/h248"
 	"olivedale/internal/codec/jsonl"
 	"olivedale/internal/codec/sip"
 	"olivedale/internal/config"
+	"olivedale/internal/eventloop"
+	"olivedale/internal/frontend/gateway"
+	"olivedale/internal/frontend/jsonclient"
 )
 
 // An exchange reads nothing and what it was sent waits here: a set-up is not left in that buffer, where nothing takes
@@ -25,28 +29,28 @@
 	a.mu.Unlock()
 	x := startScene(t, []*far{a, b}, &fixed{servers: []string{"s-0", "s-1"}})
 	x.turn(func() {
-		s := x.n.links["s-0"].s
-		_ = s.c.SetWriteBuffer(4 << 10)
-		for s.c.OutboundBuffered() == 0 {
-			x.n.write(s, func(b []byte) []byte {
+		s := x.n.backends.Get("s-0").Connection()
+		_ = s.Socket().SetWriteBuffer(4 << 10)
+		for s.Socket().OutboundBuffered() == 0 {
+			x.n.loop.Write(s, func(b []byte) []byte {
 				for range 100 {
 					b = sip.AppendRequest(b, &sip.Request{Method: "OPTIONS", Number: "ping", CallID: tag, CSeq: 1})
 				}
 				return b
 			})
-			x.n.flush()
+			x.n.loop.Flush()
 		}
 	})
 	id := x.k.setUp("1", 3*time.Second)
 	eventually(t, "the attempt is out", func() (out bool) {
-		x.turn(func() { out = len(x.n.links["s-0"].out)+len(x.n.links["s-1"].out) > 0 })
+		x.turn(func() { out = x.n.backends.Get("s-0").OpenAttempts()+x.n.backends.Get("s-1").OpenAttempts() > 0 })
 		return out
 	})
 	x.k.hangUp(id)
 	x.settled()
 	go a.read(a.connected())
 	eventually(t, "the buffer is empty", func() (empty bool) {
-		x.turn(func() { empty = x.n.links["s-0"].s.c.OutboundBuffered() == 0 })
+		x.turn(func() { empty = x.n.backends.Get("s-0").Connection().Socket().OutboundBuffered() == 0 })
 		return empty
 	})
 	x.module.sends("s-0")
@@ -67,12 +71,12 @@
 		id := x.standsAsItBreaks(a, g)
 		x.turn(func() {
 			k := x.client("")
-			order(own, func() { k.traffic(line(jsonl.Finish, id)) }, func() {
+			order(own, func() { k.HandleData(line(jsonl.Finish, id)) }, func() {
 				for i := range 2 * x.n.cfg.MemoryMB << 5 {
-					k.traffic(line(jsonl.Finish, fmt.Sprintf("f%015x", i)))
+					k.HandleData(line(jsonl.Finish, fmt.Sprintf("f%015x", i)))
 				}
 			})
-			if n := len(x.n.links["s-0"].byes); n != x.n.cfg.MemoryMB<<5 {
+			if n := x.n.backends.Get("s-0").PendingReleases(); n != x.n.cfg.MemoryMB<<5 {
 				t.Errorf("%d releases are remembered", n)
 			}
 		})
@@ -95,19 +99,19 @@
 			answer := response(id, "INVITE", 200, 1, "a")
 			c := a.connected()
 			x.turn(func() {
-				l, now := x.n.links["s-0"], x.n.now()
+				l, now := x.n.backends.Get("s-0"), x.n.loop.Now()
 				if how == "half way" {
 					x.says(0, answer[:20])
 					answer = answer[20:]
-					l.half -= 2 * halfAnswer
+					now += 2 * backend.PartialMessageTimeout
 				} else {
-					l.askedAt -= 2 * l.patience()
+					now += 2 * l.ResponseTimeout()
 				}
 				_, _ = c.Write(answer)
 				if how == "moved" {
-					l.move(b.addr())
+					l.Move(b.addr())
 				} else {
-					l.listen(now)
+					l.CheckResponsiveness(now)
 				}
 			})
 			if got := x.h.wait(t, id, 1); got != "stands a" {
@@ -127,23 +131,23 @@
 	t.Parallel()
 	x := startScene(t, []*far{startFar(t, "127.0.0.1:0")}, &fixed{})
 	x.turn(func() {
-		l, m := x.n.links["s-0"], response(tag, "INVITE", 486, 1, "")
-		s := l.s
+		l, m := x.n.backends.Get("s-0"), response(tag, "INVITE", 486, 1, "")
+		s := l.Connection()
 		x.says(0, m[:20])
 		for range 5 {
-			l.half -= halfAnswer * 3 / 4
+			time.Sleep(backend.PartialMessageTimeout * 3 / 4)
 			x.says(0, append(m[20:len(m):len(m)], m[:20]...))
-			l.listen(x.n.now())
+			l.CheckResponsiveness(x.n.loop.Now())
 		}
-		if l.s != s {
+		if l.Connection() != s {
 			t.Error("a connection that brings whole messages was closed")
 		}
 		for range 5 {
-			l.half -= halfAnswer * 3 / 4
+			time.Sleep(backend.PartialMessageTimeout * 3 / 4)
 			x.says(0, []byte("x"))
-			l.listen(x.n.now())
+			l.CheckResponsiveness(x.n.loop.Now())
 		}
-		if l.s == s {
+		if l.Connection() == s {
 			t.Error("a connection that brings nothing whole stays")
 		}
 	})
@@ -216,14 +220,14 @@
 	x.turn(func() {
 		mine := x.client("")
 		reset(k.c)
-		x.n.write(mine.s, func(b []byte) []byte { return append(b, line(jsonl.Echoed, "t")...) })
+		x.n.loop.Write(mine.Conn(), func(b []byte) []byte { return append(b, line(jsonl.Echoed, "t")...) })
 	})
 	eventually(t, "the connection is gone", func() (gone bool) {
-		x.turn(func() { gone = x.n.json.clients.len() == 1 })
+		x.turn(func() { gone = x.n.frontends.json.Clients().Len() == 1 })
 		return gone
 	})
 	x.turn(func() {
-		if !x.n.core.Contains(id) {
+		if !x.n.calls.Contains(id) {
 			t.Error("the call was released")
 		}
 	})
@@ -278,29 +282,29 @@
 				_, _ = c.Write(text[:len(text)/2])
 				x.n.Stop()
 				done := make(chan struct{})
-				x.n.exec(func() {
+				x.n.loop.Execute(func() {
 					defer close(done)
-					var mine *stream
-					x.n.turn(func() {
-						x.n.stopAt -= linger
-						x.n.restAt = x.n.now() - 2*quiet
-						order(decision, func() { x.n.stop(x.n.now()) }, func() {
+					var mine *eventloop.Conn
+					x.n.loop.RunIteration(func() {
+						x.n.lifecycle.drainingSince -= lingerTime
+						x.n.lifecycle.quietSince = x.n.loop.Now() - 2*quietTime
+						order(decision, func() { x.n.checkShutdown(x.n.loop.Now()) }, func() {
 							_, _ = c.Write(text[len(text)/2:])
 							p, k := x.latestPanel(), x.client("")
-							if mine = k.s; p != nil {
-								mine = p.s
+							if mine = k.Conn(); p != nil {
+								mine = p.Conn()
 							}
 							switch {
 							case decision: // it is not read before the connections are closed
 							case p != nil:
-								x.n.speaks(p.s, p.traffic)
+								p.Conn().ReadPending(p.HandleData)
 							default:
-								x.n.speaks(k.s, k.traffic)
+								k.Conn().ReadPending(k.HandleData)
 							}
 						})
 					})
 					if decision {
-						_ = x.n.el.Close(mine.c) // as the engine closes them all
+						x.n.loop.CloseSocket(mine.Socket()) // as the engine closes them all
 					}
 				})
 				<-done
@@ -331,8 +335,8 @@
 	id := x.k.setUp("1", 5*time.Second)
 	a.awaits("INVITE", id, 1)
 	x.turn(func() { // its answer crosses our giving it up
-		x.n.core.AttemptEnded("s-0", id, 0, call.TimedOut)
-		x.n.links["s-0"].cancel(id, 0)
+		x.n.calls.AttemptEnded("s-0", id, 0, call.TimedOut)
+		x.n.backends.Get("s-0").Cancel(id, 0)
 		x.says(0, response(id, "INVITE", 200, 1, "late"))
 	})
 	a.awaits("BYE", id, 1)
@@ -361,11 +365,11 @@
 		x := startScene(t, []*far{a}, &fixed{servers: []string{"s-0", "s-0"}})
 		other := x.dial("cccccccc")
 		x.turn(func() {
-			var all []*client
-			for k := range x.n.json.clients.oldest() {
+			var all []*jsonclient.Client
+			for k := range x.n.frontends.json.Clients().Oldest() {
 				all = append(all, k)
 			}
-			order(giveUp, func() { all[1].traffic(line(jsonl.Finish, tag)) }, func() { all[0].traffic(start(tag, 2*time.Second)) })
+			order(giveUp, func() { all[1].HandleData(line(jsonl.Finish, tag)) }, func() { all[0].HandleData(start(tag, 2*time.Second)) })
 		})
 		x.settled()
 		x.module.sends("s-0")
@@ -392,8 +396,8 @@
 }
 
 // latestPanel is the node's side of the panel that spoke last.
-func (x *scene) latestPanel() *panel {
-	for p := range x.n.h248.panels.latest() {
+func (x *scene) latestPanel() *gateway.Gateway {
+	for p := range x.n.frontends.gateway.Gateways().Latest() {
 		return p
 	}
 	return nil
@@ -454,7 +458,7 @@
 			x.turn(func() {
 				_, _ = p.c.Write(framed(t, "<p>", off, add))
 				reset(p.c)
-				x.latestPanel().send([]byte("x"))
+				x.n.loop.Write(x.latestPanel().Conn(), func(b []byte) []byte { return append(b, 'x') })
 			})
 			a.awaits("BYE", id, 1)
 		}
@@ -464,7 +468,7 @@
 		if other := a.invited(2); other == id || a.heard("BYE", id) != 1 {
 			t.Errorf("%d releases, then %s", a.heard("BYE", id), other)
 		}
-		x.turn(func() { x.latestPanel().closed() })
+		x.turn(func() { x.latestPanel().HandleClose(nil) })
 	})
 }
 
@@ -484,10 +488,9 @@
 	})
 	x.turn(func() {
 		p := x.latestPanel()
-		p.s.born -= 2 * firstWord
 		_, _ = c.Write(framed(t, "<p>", addTransaction("p/1", 1, "1", 3*time.Second)))
-		x.n.h248.sweep(x.n.now())
-		if p.s.shut {
+		x.n.frontends.gateway.CloseOverdue(x.n.loop.Now() + 2*eventloop.InputTimeout)
+		if !p.Conn().IsOpen() {
 			t.Error("it is closed with a set-up on it")
 		}
 	})
@@ -511,7 +514,7 @@
 	})
 	a.send(finish(id, 16))
 	eventually(t, "the release waits", func() (waits bool) {
-		x.turn(func() { waits = len(x.n.h248.owed) == 1 })
+		x.turn(func() { waits = x.n.frontends.gateway.PendingNotifies() == 1 })
 		return waits
 	})
 	if !x.outlivesTheLinger() {
@@ -535,8 +538,8 @@
 	x.n.Stop()
 	eventually(t, "time is out", func() (out bool) {
 		x.turn(func() {
-			if out = x.n.outOfTime(x.n.now()); out {
-				x.latestPanel().traffic(framed(t, "<p>", addTransaction("p/200", 200, "1", 3*time.Second)))
+			if out = x.n.isOutOfTime(x.n.loop.Now()); out {
+				x.latestPanel().HandleData(framed(t, "<p>", addTransaction("p/200", 200, "1", 3*time.Second)))
 			}
 		})
 		return out
--- a/internal/server/quiet_test.go
+++ b/internal/server/quiet_test.go
@@ -7,7 +7,7 @@
 
 // serial is that of the list the node goes by.
 func (x *scene) serial() (n uint32) {
-	x.turn(func() { n = x.n.list.Serial() })
+	x.turn(func() { n = x.n.endpoints.Serial() })
 	return n
 }
 
@@ -34,7 +34,7 @@
 	began := time.Now()
 	x.names.set(nameLine{id: "s-0", addr: x.far[0].addr(), draining: true})
 	eventually(t, "the drain is heard", func() (draining bool) {
-		x.turn(func() { draining = x.n.links["s-0"].draining })
+		x.turn(func() { draining = x.n.backends.Get("s-0").IsDraining() })
 		return draining
 	})
 	if took := time.Since(began); took > 3500*time.Millisecond {
@@ -42,8 +42,8 @@
 	}
 }
 
-func (n *Node) namesAnswers(x *scene) (answers int) {
-	x.turn(func() { answers = n.Answers })
+func (n *Server) namesAnswers(x *scene) (answers int) {
+	x.turn(func() { answers = n.discovery.counters.answers })
 	return answers
 }
 
@@ -63,8 +63,8 @@
 		return len(x.names.given) >= 3
 	})
 	x.turn(func() {
-		if r := x.n.names; r.quiet < 3*time.Second || r.quiet > lastQuiet*11/10 {
-			t.Errorf("after three the next may be silent for %v", r.quiet)
+		if r := x.n.discovery; r.silenceTimeout < 3*time.Second || r.silenceTimeout > maxSilenceTimeout*11/10 {
+			t.Errorf("after three the next may be silent for %v", r.silenceTimeout)
 		}
 	})
 	id := x.k.setUp("1", 2*time.Second)
@@ -107,8 +107,8 @@
 	x.names.mu.Unlock()
 	eventually(t, "the new list", func() bool { return x.serial() == 2 })
 	x.turn(func() {
-		if l := x.n.links["s-0"]; l == nil || !l.draining || x.n.links["s-9"] != nil {
-			t.Errorf("the links are %v", x.n.links)
+		if l := x.n.backends.Get("s-0"); l == nil || !l.IsDraining() || x.n.backends.Get("s-9") != nil {
+			t.Errorf("%d exchanges are known, s-0 is %+v", x.n.backends.Len(), l)
 		}
 	})
 }
--- a/internal/server/recorder_test.go
+++ b/internal/server/recorder_test.go
@@ -73,7 +73,7 @@
 		}
 	}
 	s := &site{names: f.names, r: f.r, servers: f.servers, done: make(chan error, 1)}
-	s.n, err = New(cfg, Options{Records: rec, Numbers: f.numbers, Program: "test", module: f.module, H248: &config.H248{Listen: "127.0.0.2:0", Admin: "127.0.0.3:0"},
+	s.n, err = New(cfg, Options{Records: rec, Numbers: f.numbers, Program: "test", decider: f.module, H248: &config.H248{Listen: "127.0.0.2:0", Admin: "127.0.0.3:0"},
 		Clock: func() time.Time { return time.Now().Add(time.Duration(skew.Load())) }})
 	if err != nil {
 		t.Fatal(err)
@@ -227,7 +227,7 @@
 	}
 	s.stop(t)
 
-	c := &s.n.core.Counters
+	c := &s.n.calls.Counters
 	counts, lives := naive(t, dir)
 	for what, want := range map[string]int{"setup": c.Requests, "answer stood": c.Established, "answer refused": c.Rejected, "answer failed": c.Failed,
 		"answer given_up": c.Abandoned, "try": c.Attempts, "release": c.ReleasedByCaller + c.ReleasedByBackend, "start": 1, "stopping": 1, "end": 1, "lost": 0, "gap": 0} {
@@ -318,7 +318,7 @@
 	for _, n := range nodes {
 		eventually(t, "the drain is known", func() bool {
 			drained := make(chan bool, 1)
-			n.n.exec(func() { drained <- n.n.links["s-1"].draining })
+			n.n.loop.Execute(func() { drained <- n.n.backends.Get("s-1").IsDraining() })
 			return <-drained
 		})
 	}
@@ -327,7 +327,7 @@
 	dial("keep", 2)
 	eventually(t, "the records of n3 are on disk", func() bool {
 		open := make(chan bool, 1)
-		nodes[3].n.exec(func() { open <- nodes[3].n.rec.log.Written() == nodes[3].n.rec.log.Records() })
+		nodes[3].n.loop.Execute(func() { open <- nodes[3].n.recorder.log.Written() == nodes[3].n.recorder.log.Records() })
 		return <-open
 	})
 	killed := filepath.Join(root, "killed")
@@ -367,7 +367,7 @@
 				t.Errorf("%s: %d %s, one by one %d", in.Name, got, what, n[what])
 			}
 		}
-		if core := &nodes[i].n.core.Counters; (i == 1 || i == 2) && (c.Offered != uint64(core.Requests) || c.Stood() != uint64(core.Established) || c.Tries != uint64(core.Attempts) || in.AtLeast) {
+		if core := &nodes[i].n.calls.Counters; (i == 1 || i == 2) && (c.Offered != uint64(core.Requests) || c.Stood() != uint64(core.Established) || c.Tries != uint64(core.Attempts) || in.AtLeast) {
 			t.Errorf("%s: %+v, the core counted %+v", in.Name, c.Counts, core)
 		}
 		offered, stood, failed, tries = offered+n["setup"], stood+n["answer stood"], failed+n["answer failed"], tries+n["try"]
--- a/internal/server/replay_test.go
+++ b/internal/server/replay_test.go
@@ -80,7 +80,7 @@
 
 func (r *replayer) active() string {
 	got := make(chan string, 1)
-	r.s.n.exec(func() { got <- r.s.n.numbers.desk.Active().Digest() })
+	r.s.n.loop.Execute(func() { got <- r.s.n.numbering.desk.Active().Digest() })
 	return <-got
 }
 
--- a/internal/server/settings_record_test.go
+++ b/internal/server/settings_record_test.go
@@ -33,7 +33,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	node.rec.close()
+	node.recorder.close()
 	want, err := os.ReadFile(filepath.Join("testdata", "settings_record.txt"))
 	if err != nil {
 		t.Fatal(err)
--- a/internal/server/standin_test.go
+++ b/internal/server/standin_test.go
@@ -12,8 +12,10 @@
 	"golang.org/x/net/dns/dnsmessage"
 
 	"olivedale/internal/admission"
+	"olivedale/internal/backend"
 	"olivedale/internal/call"
 	"olivedale/internal/codec/h248"
+	"olivedale/internal/codec/h248/transaction"
 	"olivedale/internal/codec/jsonl"
 	"olivedale/internal/codec/sip"
 )
@@ -71,14 +73,14 @@
 func (s *site) watched() {
 	g := &guards{deaf{}, s.r, make(map[string]call.Time), make(map[string]bool)}
 	lag()
-	if s.n.meter == nil {
-		s.n.core.SetObserver(g)
+	if s.n.metrics == nil {
+		s.n.calls.SetObserver(g)
 		return
 	}
-	if s.n.meter.next != nil {
-		g.Observer = s.n.meter.next
+	if s.n.metrics.next != nil {
+		g.Observer = s.n.metrics.next
 	}
-	s.n.meter.next = g
+	s.n.metrics.next = g
 }
 
 func (g *guards) CallAnswered(now call.Time, a *call.Answer) {
@@ -375,7 +377,7 @@
 				}
 				a := t.Actions[0]
 				cmd := a.Commands[0]
-				id, _, _ := callOf(cmd.Termination)
+				id, _, _ := backend.ParseTermination(cmd.Termination)
 				reply := func(context string, err *h248.Error, d ...*h248.Node) {
 					done := &h248.Action{Context: context, Err: err}
 					if err == nil {
@@ -394,7 +396,7 @@
 					reply(a.Context, nil)
 					continue
 				}
-				desc, _ := description(cmd, "Remote")
+				desc, _ := transaction.Description(cmd, "Remote")
 				number := h248.Value(cmd.Descriptors, "Media", "TerminationState", "oc/number")
 				s.mu.Lock()
 				s.invited++
@@ -412,7 +414,7 @@
 						time.AfterFunc(20*time.Millisecond, func() {
 							s.r.end(id, false)
 							send(&h248.Transaction{ID: t.ID, Actions: []*h248.Action{{Context: context, Commands: []*h248.Command{
-								{Name: "Notify", Termination: cmd.Termination, Descriptors: []*h248.Node{observed(16)}}}}}})
+								{Name: "Notify", Termination: cmd.Termination, Descriptors: []*h248.Node{transaction.ReleaseEvent(16)}}}}}})
 						})
 					}
 					continue
@@ -620,7 +622,7 @@
 				k.add(key, what)
 			}
 			for _, c := range a.Commands {
-				if desc, ok := description(c, "Local"); ok {
+				if desc, ok := transaction.Description(c, "Local"); ok {
 					k.mu.Lock()
 					k.ctx[c.Termination] = a.Context
 					k.mu.Unlock()
@@ -632,7 +634,7 @@
 		}
 	case h248.Request:
 		c := t.Actions[0].Commands[0]
-		cause, _ := released(c)
+		cause, _ := transaction.ParseReleaseEvent(c)
 		k.add(c.Termination, fmt.Sprint("end ", cause))
 		k.send(&h248.Transaction{Kind: h248.Reply, ID: t.ID, Actions: []*h248.Action{{Context: t.Actions[0].Context,
 			Commands: []*h248.Command{{Name: c.Name, Termination: c.Termination}}}}})
