--- a/internal/server/chance_test.go
+++ b/internal/server/chance_test.go
@@ -15,69 +15,69 @@
 // loop, and what is owed is checked at the end as exchanges and callers saw it. Times come from the machine: a seed
 // repeats what was done, not the moment at which each side reads of it.
 
-// A seen is one thing on the exchanges' side, in the order in which it happened there.
-type seen struct {
-	at   time.Time
-	far  int
-	what string // INVITE, CANCEL, BYE, CLOSED; "answered N", "released" by the exchange; "left" by the caller
-	id   string
-	cseq int
-	via  int // the connection to the exchange
+// A exchangeEvent is one thing on the exchanges' side, in the order in which it happened there.
+type exchangeEvent struct {
+	at       time.Time
+	exchange int
+	what     string // INVITE, CANCEL, BYE, CLOSED; "answered N", "released" by the exchange; "left" by the caller
+	id       string
+	cseq     int
+	conn     int // the connection to the exchange
 }
 
-// A chance is a run.
-type chance struct {
-	*scene
-	rng     *rand.Rand
-	log     []seen
-	read    []int // so much of what came to each exchange has been taken down
-	callers []*jsonCaller
-	asked   map[string]int // by id: the caller
-	open    []string       // asked for and not left; it may have been answered
-	drained int            // the exchange that drains, -1: none
-	next    int
-	lag     time.Duration // the most there was
+// A randomRun is a run.
+type randomRun struct {
+	*testbed
+	rng              *rand.Rand
+	events           []exchangeEvent
+	collected        []int // so much of what came to each exchange has been taken down
+	callers          []*jsonCaller
+	callerOf         map[string]int // by id: the caller
+	openCalls        []string       // asked for and not left; it may have been answered
+	drainingExchange int            // the exchange that drains, -1: none
+	lastCall         int
+	maxDelay         time.Duration // the most there was
 }
 
-func (c *chance) note(s seen) {
+func (c *randomRun) record(s exchangeEvent) {
 	if s.at.IsZero() {
 		s.at = time.Now()
 	}
-	c.log = append(c.log, s)
+	c.events = append(c.events, s)
 }
 
-// collect takes down what came to the exchanges since.
-func (c *chance) collect() {
-	for i, f := range c.far {
+// collectReceived takes down what came to the exchanges since.
+func (c *randomRun) collectReceived() {
+	for i, f := range c.exchanges {
 		f.mu.Lock()
-		came, via, when := f.came[c.read[i]:], f.via[c.read[i]:], f.when[c.read[i]:]
-		c.read[i] = len(f.came)
+		came, via, when := f.received[c.collected[i]:], f.receivedOn[c.collected[i]:], f.receivedAt[c.collected[i]:]
+		c.collected[i] = len(f.received)
 		f.mu.Unlock()
 		for j, s := range came {
-			e := seen{far: i, via: via[j], at: when[j]}
+			e := exchangeEvent{exchange: i, conn: via[j], at: when[j]}
 			_, _ = fmt.Sscan(s, &e.what, &e.id, &e.cseq)
-			c.note(e)
+			c.record(e)
 		}
 	}
 }
 
-// waiting are the attempts that an exchange has not answered.
-func (c *chance) waiting() (all []seen) {
-	c.collect()
-	for _, e := range c.log {
+// unansweredAttempts are the attempts that an exchange has not answered.
+func (c *randomRun) unansweredAttempts() (all []exchangeEvent) {
+	c.collectReceived()
+	for _, e := range c.events {
 		switch {
 		case e.what == "INVITE":
 			all = append(all, e)
 		case e.what == "CANCEL" || strings.HasPrefix(e.what, "answered"):
-			all = without(all, func(o seen) bool { return o.id == e.id && o.far == e.far })
+			all = removeEvents(all, func(o exchangeEvent) bool { return o.id == e.id && o.exchange == e.exchange })
 		case e.what == "CLOSED": // what is open on a connection ends with it
-			all = without(all, func(o seen) bool { return o.far == e.far && o.via == e.via })
+			all = removeEvents(all, func(o exchangeEvent) bool { return o.exchange == e.exchange && o.conn == e.conn })
 		}
 	}
 	return all
 }
 
-func without(all []seen, is func(seen) bool) (left []seen) {
+func removeEvents(all []exchangeEvent, is func(exchangeEvent) bool) (left []exchangeEvent) {
 	for _, s := range all {
 		if !is(s) {
 			left = append(left, s)
@@ -86,24 +86,26 @@
 	return left
 }
 
-// stands are the calls that an exchange answered and of which it has heard no end, nor told one. Those whose connection
+// establishedCalls are the calls that an exchange answered and of which it has heard no end, nor told one. Those whose connection
 // ended just after are left out: the answer may be lost on the way, and then nobody else knows of the call.
-func (c *chance) stands() (all []seen) {
-	c.collect()
-	for _, e := range c.log {
+func (c *randomRun) establishedCalls() (all []exchangeEvent) {
+	c.collectReceived()
+	for _, e := range c.events {
 		switch {
 		case e.what == "answered 200":
 			all = append(all, e)
 		case e.what == "BYE" || e.what == "released":
-			all = without(all, func(o seen) bool { return o.id == e.id && o.far == e.far })
+			all = removeEvents(all, func(o exchangeEvent) bool { return o.id == e.id && o.exchange == e.exchange })
 		case e.what == "CLOSED":
-			all = without(all, func(o seen) bool { return o.far == e.far && o.via == e.via && e.at.Sub(o.at) < time.Second })
+			all = removeEvents(all, func(o exchangeEvent) bool {
+				return o.exchange == e.exchange && o.conn == e.conn && e.at.Sub(o.at) < time.Second
+			})
 		}
 	}
 	return all
 }
 
-func pick[T any](rng *rand.Rand, all []T) (v T, ok bool) {
+func pickRandom[T any](rng *rand.Rand, all []T) (v T, ok bool) {
 	if len(all) == 0 {
 		return v, false
 	}
@@ -111,159 +113,159 @@
 }
 
 // callers' side of a step, within a turn.
-func (c *chance) caller() {
+func (c *randomRun) caller() {
 	switch i := c.rng.IntN(len(c.callers)); c.rng.IntN(5) {
 	case 0, 1, 2:
-		c.next++
-		id := fmt.Sprintf("%016x", c.next)
-		c.asked[id] = i
-		c.open = append(c.open, id)
-		_, _ = c.callers[i].c.Write(start(id, time.Duration(100+c.rng.IntN(2500))*time.Millisecond))
+		c.lastCall++
+		id := fmt.Sprintf("%016x", c.lastCall)
+		c.callerOf[id] = i
+		c.openCalls = append(c.openCalls, id)
+		_, _ = c.callers[i].conn.Write(jsonSetup(id, time.Duration(100+c.rng.IntN(2500))*time.Millisecond))
 	case 3:
-		if id, ok := pick(c.rng, c.open); ok {
-			c.left(id)
-			if k := c.scene.client(id); k != nil && c.rng.IntN(2) == 0 {
-				k.HandleData(line(jsonl.Finish, id))
+		if id, ok := pickRandom(c.rng, c.openCalls); ok {
+			c.recordLeft(id)
+			if k := c.testbed.findClient(id); k != nil && c.rng.IntN(2) == 0 {
+				k.HandleData(jsonMessage(jsonl.Finish, id))
 			} else {
-				_, _ = c.callers[c.rng.IntN(len(c.callers))].c.Write(line(jsonl.Finish, id)) // on whatever connection
+				_, _ = c.callers[c.rng.IntN(len(c.callers))].conn.Write(jsonMessage(jsonl.Finish, id)) // on whatever connection
 			}
 		}
 	default:
-		for _, id := range c.open {
-			if c.asked[id] == i {
-				c.left(id)
+		for _, id := range c.openCalls {
+			if c.callerOf[id] == i {
+				c.recordLeft(id)
 			}
 		}
 		if c.rng.IntN(2) == 0 {
-			reset(c.callers[i].c)
+			resetConn(c.callers[i].conn)
 		} else {
 			c.callers[i].close()
 		}
-		c.callers[i] = dialJSON(c.t, c.json(), c.h, "cccccccc")
+		c.callers[i] = dialJSONCaller(c.t, c.jsonAddress(), c.answers, "cccccccc")
 		c.callers[i].send(&jsonl.Message{Verb: jsonl.Finished, Tag: "0"}) // who says nothing is closed after a while
 	}
 }
 
-func (c *chance) left(id string) {
-	for i, o := range c.open {
+func (c *randomRun) recordLeft(id string) {
+	for i, o := range c.openCalls {
 		if o == id {
-			c.open = append(c.open[:i:i], c.open[i+1:]...)
-			c.note(seen{far: -1, what: "left", id: id})
+			c.openCalls = append(c.openCalls[:i:i], c.openCalls[i+1:]...)
+			c.record(exchangeEvent{exchange: -1, what: "left", id: id})
 			return
 		}
 	}
 }
 
-// exchange is the exchanges' side of a step.
-func (c *chance) exchange() {
+// stepExchange is the exchanges' side of a step.
+func (c *randomRun) stepExchange() {
 	switch c.rng.IntN(8) {
 	case 0, 1, 2, 3:
-		if a, ok := pick(c.rng, c.waiting()); ok {
+		if a, ok := pickRandom(c.rng, c.unansweredAttempts()); ok {
 			status := []int{200, 200, 503, 504, 486}[c.rng.IntN(5)]
-			c.note(seen{far: a.far, what: fmt.Sprint("answered ", status), id: a.id, cseq: a.cseq, via: a.via})
-			b := response(a.id, "INVITE", status, a.cseq, "x")
+			c.record(exchangeEvent{exchange: a.exchange, what: fmt.Sprint("answered ", status), id: a.id, cseq: a.cseq, conn: a.conn})
+			b := sipResponse(a.id, "INVITE", status, a.cseq, "x")
 			if c.rng.IntN(4) == 0 {
 				b = append(b, b...) // twice
 			}
-			c.far[a.far].mu.Lock()
-			conn := c.far[a.far].all[a.via]
-			c.far[a.far].mu.Unlock()
+			c.exchanges[a.exchange].mu.Lock()
+			conn := c.exchanges[a.exchange].conns[a.conn]
+			c.exchanges[a.exchange].mu.Unlock()
 			_, _ = conn.Write(b)
 		}
 	case 4, 5:
-		if a, ok := pick(c.rng, c.stands()); ok {
-			c.note(seen{far: a.far, what: "released", id: a.id})
-			c.far[a.far].send(finish(a.id, 16))
+		if a, ok := pickRandom(c.rng, c.establishedCalls()); ok {
+			c.record(exchangeEvent{exchange: a.exchange, what: "released", id: a.id})
+			c.exchanges[a.exchange].send(sipRelease(a.id, 16))
 		}
 	case 6:
-		reset(c.far[c.rng.IntN(len(c.far))].connected())
+		resetConn(c.exchanges[c.rng.IntN(len(c.exchanges))].awaitConn())
 	default:
-		if c.drained++; c.drained == len(c.far) {
-			c.drained = -1
+		if c.drainingExchange++; c.drainingExchange == len(c.exchanges) {
+			c.drainingExchange = -1
 		}
-		var lines []nameLine
-		for i, f := range c.far {
-			lines = append(lines, nameLine{id: fmt.Sprint("s-", i), addr: f.addr(), cell: i, draining: i == c.drained})
+		var lines []endpointLine
+		for i, f := range c.exchanges {
+			lines = append(lines, endpointLine{id: fmt.Sprint("s-", i), addr: f.addr(), pool: i, draining: i == c.drainingExchange})
 		}
-		c.names.set(lines...)
+		c.discovery.set(lines...)
 	}
 }
 
-func TestCrossingsByChance(t *testing.T) {
+func TestRandomCrossings(t *testing.T) {
 	for seed := range uint64(12) {
-		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) { t.Parallel(); crossByChance(t, seed) })
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) { t.Parallel(); runRandomCrossings(t, seed) })
 	}
 }
 
-func crossByChance(t *testing.T, seed uint64) {
+func runRandomCrossings(t *testing.T, seed uint64) {
 	rng := rand.New(rand.NewPCG(seed, 5))
-	module := &fixed{wait: guard}
+	module := &scriptedDecider{retryDelay: retryGuard}
 	for range 20_000 {
 		module.servers = append(module.servers, fmt.Sprint("s-", rng.IntN(3)))
 	}
-	far := []*far{startFar(t, "127.0.0.1:0"), startFar(t, "127.0.0.1:0"), startFar(t, "127.0.0.1:0")}
-	x := startScene(t, far, module)
-	c := &chance{scene: x, rng: rng, read: make([]int, len(far)), asked: make(map[string]int), drained: -1}
+	far := []*fakeExchange{startFakeExchange(t, "127.0.0.1:0"), startFakeExchange(t, "127.0.0.1:0"), startFakeExchange(t, "127.0.0.1:0")}
+	x := startTestbed(t, far, module)
+	c := &randomRun{testbed: x, rng: rng, collected: make([]int, len(far)), callerOf: make(map[string]int), drainingExchange: -1}
 	for range 4 {
-		c.callers = append(c.callers, x.dial("cccccccc"))
+		c.callers = append(c.callers, x.dialCaller("cccccccc"))
 	}
 	for range 250 {
-		x.turn(func() {
+		x.runIteration(func() {
 			for range 1 + rng.IntN(3) {
 				if rng.IntN(2) == 0 {
 					c.caller()
 				} else {
-					c.exchange()
+					c.stepExchange()
 				}
 			}
 		})
 		for range rng.IntN(3) {
-			x.turn(func() {}) // what has come is read
+			x.runIteration(func() {}) // what has come is read
 		}
-		c.lag = max(c.lag, lag())
+		c.maxDelay = max(c.maxDelay, schedulingDelay())
 		if rng.IntN(8) == 0 {
 			time.Sleep(time.Duration(rng.IntN(60)) * time.Millisecond) // guards and time-outs pass
 		}
 	}
 	// Everything comes to its end: calls that stand are released by whoever can.
-	quit, left := x.dial("dddddddd"), ""
+	quit, left := x.dialCaller("dddddddd"), ""
 	defer func() {
 		if left != "" {
 			t.Log(left)
 		}
 	}()
 	eventually(t, "every call is over", func() bool {
-		for _, id := range slices.Clone(c.open) {
-			if got := x.h.of(id); strings.HasPrefix(got, "stands") && !strings.Contains(got, "end") {
+		for _, id := range slices.Clone(c.openCalls) {
+			if got := x.answers.of(id); strings.HasPrefix(got, "stands") && !strings.Contains(got, "end") {
 				quit.hangUp(id)
-				c.left(id)
+				c.recordLeft(id)
 			}
 		}
-		for _, e := range c.log { // and by their exchanges, again, since a release may be lost with its connection
+		for _, e := range c.events { // and by their exchanges, again, since a release may be lost with its connection
 			if e.what == "answered 200" && rng.IntN(10) == 0 {
-				c.note(seen{far: e.far, what: "released", id: e.id})
-				c.far[e.far].send(finish(e.id, 16))
+				c.record(exchangeEvent{exchange: e.exchange, what: "released", id: e.id})
+				c.exchanges[e.exchange].send(sipRelease(e.id, 16))
 			}
 		}
 		open, standing := 0, 0
-		x.turn(func() { open, standing = x.n.calls.OpenCalls(), x.n.calls.EstablishedCalls() })
-		left = fmt.Sprintf("%d open, %d standing, %v stand at exchanges", open, standing, c.stands())
-		return open == 0 && standing == 0 && len(c.stands()) == 0
+		x.runIteration(func() { open, standing = x.server.calls.OpenCalls(), x.server.calls.EstablishedCalls() })
+		left = fmt.Sprintf("%d open, %d standing, %v stand at exchanges", open, standing, c.establishedCalls())
+		return open == 0 && standing == 0 && len(c.establishedCalls()) == 0
 	})
 	left = ""
-	x.settled()
+	x.awaitNoPendingWork()
 	for _, k := range append(c.callers, quit) { // what is on its way to a caller comes before the echo
-		n := len(strings.Fields(x.h.of("echo")))
+		n := len(strings.Fields(x.answers.of("echo")))
 		k.send(&jsonl.Message{Verb: jsonl.Echo, Tag: "t"})
-		x.h.wait(t, "echo", n+1)
+		x.answers.await(t, "echo", n+1)
 	}
 	c.check()
 }
 
 // check looks at all that was seen.
-func (c *chance) check() {
-	c.collect()
-	slices.SortStableFunc(c.log, func(a, b seen) int { return a.at.Compare(b.at) })
+func (c *randomRun) check() {
+	c.collectReceived()
+	slices.SortStableFunc(c.events, func(a, b exchangeEvent) int { return a.at.Compare(b.at) })
 	type life struct {
 		far  int // where an attempt is out, -1: none
 		via  int
@@ -273,10 +275,10 @@
 	}
 	lives := make(map[string]*life)
 	attempts, resent := 0, 0
-	for _, e := range c.log {
+	for _, e := range c.events {
 		if e.what == "CLOSED" {
 			for _, l := range lives {
-				if l.far == e.far && l.via == e.via {
+				if l.far == e.exchange && l.via == e.conn {
 					l.far, l.ends = -1, e.at
 				}
 			}
@@ -295,28 +297,28 @@
 			if l.cseq > 0 {
 				resent++
 			}
-			if l.far >= 0 && c.lag < guard { // else a CANCEL may be read after the next attempt
-				c.t.Errorf("%s: attempt %d at s-%d while %d is out at s-%d", e.id, e.cseq, e.far, l.cseq, l.far)
+			if l.far >= 0 && c.maxDelay < retryGuard { // else a CANCEL may be read after the next attempt
+				c.t.Errorf("%s: attempt %d at s-%d while %d is out at s-%d", e.id, e.cseq, e.exchange, l.cseq, l.far)
 			}
-			if !l.left.IsZero() && e.at.Sub(l.left) > 300*time.Millisecond+c.lag {
+			if !l.left.IsZero() && e.at.Sub(l.left) > 300*time.Millisecond+c.maxDelay {
 				c.t.Errorf("%s: sent on %v after its caller had left", e.id, e.at.Sub(l.left))
 			}
-			if !l.ends.IsZero() && e.at.Sub(l.ends) < guard-c.lag {
+			if !l.ends.IsZero() && e.at.Sub(l.ends) < retryGuard-c.maxDelay {
 				c.t.Errorf("%s: sent again %v after an attempt that may have run", e.id, e.at.Sub(l.ends))
 			}
-			l.far, l.via, l.cseq, l.ends = e.far, e.via, e.cseq, time.Time{}
+			l.far, l.via, l.cseq, l.ends = e.exchange, e.conn, e.cseq, time.Time{}
 		case e.what == "CANCEL" || e.what == "answered 504":
-			if l.far == e.far {
+			if l.far == e.exchange {
 				l.far, l.ends = -1, e.at
 			}
 		case strings.HasPrefix(e.what, "answered"):
-			if l.far == e.far {
+			if l.far == e.exchange {
 				l.far = -1
 			}
 		}
 	}
-	for id := range c.asked {
-		got, l := c.h.of(id), lives[id]
+	for id := range c.callerOf {
+		got, l := c.answers.of(id), lives[id]
 		left := l != nil && !l.left.IsZero()
 		stands, ends := strings.Count(got, "stands"), strings.Count(got, "end ")
 		// The end of a call that stood may be told again, on another connection, where the first has closed.
@@ -324,7 +326,7 @@
 			c.t.Errorf("%s: its caller heard %q", id, got)
 		}
 	}
-	if early, after := c.r.total(&c.r.early), c.r.total(&c.r.after); early+after != 0 { // to the millisecond, at the node
+	if early, after := c.observations.total(&c.observations.earlyRetries), c.observations.total(&c.observations.abandonedAttempts); early+after != 0 { // to the millisecond, at the node
 		c.t.Errorf("%d attempts sent again too early, %d for callers who had left", early, after)
 	}
 	if attempts < 30 || resent == 0 {
--- a/internal/server/drain_test.go
+++ b/internal/server/drain_test.go
@@ -16,9 +16,9 @@
 // them, to no other pool, and are answered at once where nothing is left. What comes back is used.
 func TestPoolsThatDrain(t *testing.T) {
 	t.Parallel()
-	f, h := startFleet(t, 3), newHeard()
-	for _, s := range f.servers {
-		s.lively = true
+	f, h := startFleet(t, 3), newAnswerLog()
+	for _, s := range f.exchanges {
+		s.behavesByDigit = true
 	}
 	rules := filepath.Join(t.TempDir(), "numbers.toml")
 	text := "default = \"r\"\n[[route]]\nname = \"r\"\n[[route.target]]\npool = 0\n[[route.target]]\npool = 1\nstep = 1\n"
@@ -29,10 +29,10 @@
 	if err := f.numbers.Validate(); err != nil {
 		t.Fatal(err)
 	}
-	s := f.node(t, "n0", "", new(atomic.Int64))
-	callers := []caller{dialJSON(t, s.json(), h, "aaaaaaaa"), dialH248(t, s.panel(), h, "<one>")}
+	s := f.startServer(t, "n0", "", new(atomic.Int64))
+	callers := []testCaller{dialJSONCaller(t, s.jsonAddress(), h, "aaaaaaaa"), dialGatewayCaller(t, s.gatewayAddress(), h, "<one>")}
 	invited := func() (all [3]int) {
-		for i, x := range f.servers {
+		for i, x := range f.exchanges {
 			x.mu.Lock()
 			all[i] = x.invited
 			x.mu.Unlock()
@@ -40,17 +40,17 @@
 		return all
 	}
 	drains := func(which ...int) {
-		lines := append([]nameLine(nil), f.lines...)
+		lines := append([]endpointLine(nil), f.lines...)
 		for _, i := range which {
 			lines[i].draining = true
 		}
-		f.names.set(lines...)
+		f.discovery.set(lines...)
 		eventually(t, "the node is told", func() bool {
 			got := make(chan bool, 1)
-			s.n.loop.Execute(func() {
+			s.server.loop.Execute(func() {
 				same := true
 				for i, l := range lines {
-					same = same && s.n.backends.Get(l.id).IsDraining() == lines[i].draining
+					same = same && s.server.backends.Get(l.id).IsDraining() == lines[i].draining
 				}
 				got <- same
 			})
@@ -101,7 +101,7 @@
 		t.Errorf("%d calls to a pool that the route does not have", n)
 	}
 	s.stop(t)
-	if n := f.r.total(&f.r.copies) + f.r.total(&f.r.early); n != 0 {
+	if n := f.observations.total(&f.observations.simultaneousAttempts) + f.observations.total(&f.observations.earlyRetries); n != 0 {
 		t.Errorf("%d rules broken", n)
 	}
 }
--- a/internal/server/golden_test.go
+++ b/internal/server/golden_test.go
@@ -21,18 +21,18 @@
 	"olivedale/internal/goldentest"
 )
 
-// A tap notes every byte that the node sends on a connection.
-type tap struct {
-	t      *testing.T
-	conn   net.Conn
-	framed bool // TPKT frames are stripped: their lengths change with ports
-	in     h248.Framer
-	mu     sync.Mutex
-	stream []byte
+// A capture notes every byte that the node sends on a connection.
+type capture struct {
+	t        *testing.T
+	conn     net.Conn
+	isFramed bool // TPKT frames are stripped: their lengths change with ports
+	framer   h248.Framer
+	mu       sync.Mutex
+	stream   []byte
 }
 
-func newTap(t *testing.T, c net.Conn, framed bool) *tap {
-	p := &tap{t: t, conn: c, framed: framed}
+func newCapture(t *testing.T, c net.Conn, framed bool) *capture {
+	p := &capture{t: t, conn: c, isFramed: framed}
 	go func() {
 		buf := make([]byte, 4096)
 		for {
@@ -40,44 +40,44 @@
 			if err != nil {
 				return
 			}
-			p.take(buf[:n])
+			p.append(buf[:n])
 		}
 	}()
 	t.Cleanup(func() { _ = c.Close() })
 	return p
 }
 
-// dialTap connects to an address of the node.
-func dialTap(t *testing.T, addr string, framed bool) *tap {
+// dialCapture connects to an address of the node.
+func dialCapture(t *testing.T, addr string, framed bool) *capture {
 	t.Helper()
 	c, err := net.Dial("tcp", addr)
 	if err != nil {
 		t.Fatal(err)
 	}
-	return newTap(t, c, framed)
+	return newCapture(t, c, framed)
 }
 
-func (p *tap) take(b []byte) {
+func (p *capture) append(b []byte) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if !p.framed {
+	if !p.isFramed {
 		p.stream = append(p.stream, b...)
 		return
 	}
-	_ = p.in.Feed(b, func(text []byte) bool {
+	_ = p.framer.Feed(b, func(text []byte) bool {
 		p.stream = append(p.stream, text...)
 		return true
 	})
 }
 
-func (p *tap) text() string {
+func (p *capture) text() string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return string(p.stream)
 }
 
-// awaits waits until what came matches a pattern, and returns the first group of the last match.
-func (p *tap) awaits(pattern string) (group string) {
+// await waits until what came matches a pattern, and returns the first group of the last match.
+func (p *capture) await(pattern string) (group string) {
 	p.t.Helper()
 	re := regexp.MustCompile("(?s)" + pattern)
 	eventually(p.t, pattern, func() bool {
@@ -92,14 +92,14 @@
 	return group
 }
 
-func (p *tap) send(b []byte) {
+func (p *capture) send(b []byte) {
 	if _, err := p.conn.Write(b); err != nil {
 		p.t.Error(err)
 	}
 }
 
 // sendTransaction sends a transaction of an H.248 peer.
-func (p *tap) sendTransaction(mid string, tr *h248.Transaction) {
+func (p *capture) sendTransaction(mid string, tr *h248.Transaction) {
 	b, err := h248.AppendFrame(nil, &h248.Message{MID: mid, Transactions: []*h248.Transaction{tr}})
 	if err != nil {
 		p.t.Error(err)
@@ -108,7 +108,7 @@
 }
 
 // request sends a request of one command.
-func (p *tap) request(mid string, id uint32, context string, c *h248.Command) {
+func (p *capture) request(mid string, id uint32, context string, c *h248.Command) {
 	p.sendTransaction(mid, &h248.Transaction{ID: id, Actions: []*h248.Action{{Context: context, Commands: []*h248.Command{c}}}})
 }
 
@@ -126,7 +126,7 @@
 }
 
 // transcript is what came on a connection with placeholders for what is volatile, ids in the order they came in.
-func (p *tap) transcript(name string, ids map[string]string) goldentest.Message {
+func (p *capture) transcript(name string, ids map[string]string) goldentest.Message {
 	text := p.text()
 	for _, v := range volatile {
 		text = v.pattern.ReplaceAllString(text, v.with)
@@ -137,39 +137,39 @@
 	return goldentest.Message{Name: name, Bytes: []byte(text)}
 }
 
-// A script is a node with an exchange of each dialect and a connection of each kind of caller.
-type script struct {
-	*scene
-	exchange, server     *tap // SIP, H.248
-	caller, panel, admin *tap
-	ids                  map[string]string
+// A goldenScript is a node with an exchange of each dialect and a connection of each kind of caller.
+type goldenScript struct {
+	*testbed
+	exchange, server       *capture // SIP, H.248
+	caller, gateway, admin *capture
+	ids                    map[string]string
 }
 
-// startHeld is an exchange whose connections the test reads itself.
-func startHeld(t *testing.T) *far {
+// startUnreadExchange is an exchange whose connections the test reads itself.
+func startUnreadExchange(t *testing.T) *fakeExchange {
 	t.Helper()
-	x := startFar(t, "127.0.0.1:0")
+	x := startFakeExchange(t, "127.0.0.1:0")
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	x.held = true
+	x.readsNothing = true
 	return x
 }
 
-func startScript(t *testing.T) *script {
+func startGoldenScript(t *testing.T) *goldenScript {
 	t.Helper()
-	exchange, server := startHeld(t), startHeld(t)
+	exchange, server := startUnreadExchange(t), startUnreadExchange(t)
 	rules := filepath.Join(t.TempDir(), "numbers.toml")
 	if err := os.WriteFile(rules, []byte(numberRules(0)), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	x := startScene(t, []*far{exchange}, &fixed{}, func(o *Options) {
+	x := startTestbed(t, []*fakeExchange{exchange}, &scriptedDecider{}, func(o *Options) {
 		o.H248 = &config.H248{Listen: "127.0.0.2:0", Admin: "127.0.0.3:0", Servers: []config.H248Server{{ID: "h-0", Address: server.addr(), Pool: 1}}}
 		o.Numbers = &config.Numbering{File: rules}
 		o.Records = goldenRecords(t)
 	})
-	s := &script{scene: x, ids: make(map[string]string)}
-	s.exchange, s.server = newTap(t, exchange.connected(), false), newTap(t, server.connected(), true)
-	s.caller, s.panel, s.admin = dialTap(t, x.json(), false), dialTap(t, x.panel(), true), dialTap(t, x.admin(), true)
+	s := &goldenScript{testbed: x, ids: make(map[string]string)}
+	s.exchange, s.server = newCapture(t, exchange.awaitConn(), false), newCapture(t, server.awaitConn(), true)
+	s.caller, s.gateway, s.admin = dialCapture(t, x.jsonAddress(), false), dialCapture(t, x.gatewayAddress(), true), dialCapture(t, x.adminAddress(), true)
 	return s
 }
 
@@ -184,160 +184,160 @@
 }
 
 // callJSON sets a call up whose attempts go to these servers.
-func (s *script) callJSON(id string, servers ...string) {
-	s.module.sends(servers...)
-	s.caller.send(start(id, 5*time.Second))
+func (s *goldenScript) callJSON(id string, servers ...string) {
+	s.decider.setServers(servers...)
+	s.caller.send(jsonSetup(id, 5*time.Second))
 }
 
-// came waits until a request for a call has come to the exchange.
-func (s *script) came(method, id string) {
+// awaitRequest waits until a request for a call has come to the exchange.
+func (s *goldenScript) awaitRequest(method, id string) {
 	s.t.Helper()
-	s.exchange.awaits(method + ` sip:[^\n]*\n[^\n]*\nCall-ID: ` + id)
+	s.exchange.await(method + ` sip:[^\n]*\n[^\n]*\nCall-ID: ` + id)
 }
 
-// refused is a refusal by the exchange.
-func refused(id string, status, cseq int, diagnosis string) []byte {
+// sipRejection is a refusal by the exchange.
+func sipRejection(id string, status, cseq int, diagnosis string) []byte {
 	return fmt.Appendf(nil, "SIP/2.0 %d X\r\nCall-ID: %s\r\nCSeq: %d INVITE\r\nX-Diagnosis: %s\r\nContent-Length: 0\r\n\r\n", status, id, cseq, diagnosis)
 }
 
 // jsonToSIP plays calls of the JSON front to the SIP exchange.
-func (s *script) jsonToSIP() {
+func (s *goldenScript) jsonToSIP() {
 	s.caller.send(jsonl.Append(nil, &jsonl.Message{Verb: jsonl.Echo, Tag: "t"}))
-	s.caller.awaits(`ECHOED`)
+	s.caller.await(`ECHOED`)
 	const released, hungUp, busy, full, givenUp = "00000000000000a1", "00000000000000a2", "00000000000000a3", "00000000000000a4", "00000000000000a5"
 	for _, id := range []string{released, hungUp} {
 		s.callJSON(id, "s-0")
-		s.came("INVITE", id)
-		s.exchange.send(append(response(id, "INVITE", 180, 1, ""), response(id, "INVITE", 200, 1, "v=0\r\na="+id+"\r\n")...))
-		s.caller.awaits(`STARTED","tag":"` + id)
+		s.awaitRequest("INVITE", id)
+		s.exchange.send(append(sipResponse(id, "INVITE", 180, 1, ""), sipResponse(id, "INVITE", 200, 1, "v=0\r\na="+id+"\r\n")...))
+		s.caller.await(`STARTED","tag":"` + id)
 	}
-	s.exchange.send(finish(released, 16))
-	s.caller.awaits(`FINISH","tag":"` + released)
-	s.caller.send(line(jsonl.Finished, released))
-	s.exchange.awaits(`SIP/2.0 200 OK`)
-	s.caller.send(line(jsonl.Finish, hungUp))
-	s.caller.awaits(`FINISHED","tag":"` + hungUp)
-	s.came("BYE", hungUp)
-	s.exchange.send(response(hungUp, "BYE", 200, 2, ""))
+	s.exchange.send(sipRelease(released, 16))
+	s.caller.await(`FINISH","tag":"` + released)
+	s.caller.send(jsonMessage(jsonl.Finished, released))
+	s.exchange.await(`SIP/2.0 200 OK`)
+	s.caller.send(jsonMessage(jsonl.Finish, hungUp))
+	s.caller.await(`FINISHED","tag":"` + hungUp)
+	s.awaitRequest("BYE", hungUp)
+	s.exchange.send(sipResponse(hungUp, "BYE", 200, 2, ""))
 	s.callJSON(busy, "s-0")
-	s.came("INVITE", busy)
-	s.exchange.send(refused(busy, 486, 1, "number_busy"))
-	s.caller.awaits(`FINISH","tag":"` + busy)
+	s.awaitRequest("INVITE", busy)
+	s.exchange.send(sipRejection(busy, 486, 1, "number_busy"))
+	s.caller.await(`FINISH","tag":"` + busy)
 	s.callJSON(full, "s-0", "s-0")
-	s.came("INVITE", full)
-	s.exchange.send(refused(full, 503, 1, "cpu_full"))
-	s.exchange.awaits(`Call-ID: ` + full + `\r\nCSeq: 2 INVITE`)
-	s.exchange.send(refused(full, 503, 2, "all_trunks_busy"))
-	s.caller.awaits(`FINISH","tag":"` + full)
+	s.awaitRequest("INVITE", full)
+	s.exchange.send(sipRejection(full, 503, 1, "cpu_full"))
+	s.exchange.await(`Call-ID: ` + full + `\r\nCSeq: 2 INVITE`)
+	s.exchange.send(sipRejection(full, 503, 2, "all_trunks_busy"))
+	s.caller.await(`FINISH","tag":"` + full)
 	s.callJSON(givenUp, "s-0")
-	s.came("INVITE", givenUp)
-	s.caller.send(line(jsonl.Finish, givenUp))
-	s.came("CANCEL", givenUp)
-	s.exchange.send(append(response(givenUp, "CANCEL", 200, 1, ""), response(givenUp, "INVITE", 487, 1, "")...))
-	s.came("ACK", givenUp)
+	s.awaitRequest("INVITE", givenUp)
+	s.caller.send(jsonMessage(jsonl.Finish, givenUp))
+	s.awaitRequest("CANCEL", givenUp)
+	s.exchange.send(append(sipResponse(givenUp, "CANCEL", 200, 1, ""), sipResponse(givenUp, "INVITE", 487, 1, "")...))
+	s.awaitRequest("ACK", givenUp)
 	for _, method := range []string{"OPTIONS", "INFO"} {
 		s.exchange.send(sip.AppendRequest(nil, &sip.Request{Method: method, Number: "1", CallID: "x" + method, CSeq: 7}))
-		s.exchange.awaits(`Call-ID: x` + method)
+		s.exchange.await(`Call-ID: x` + method)
 	}
 }
 
 // jsonToH248 plays calls of the JSON front to the H.248 server.
-func (s *script) jsonToH248() {
+func (s *goldenScript) jsonToH248() {
 	const hungUp, released, refused = "00000000000000b1", "00000000000000b2", "00000000000000b3"
 	const mid = "<server>"
 	answer := func(id, context string) {
 		s.callJSON(id, "h-0")
-		transaction := s.server.awaits(`Transaction=(\d+)\{Context=\$\{Add=call/` + id)
+		transaction := s.server.await(`Transaction=(\d+)\{Context=\$\{Add=call/` + id)
 		var n uint32
 		_, _ = fmt.Sscan(transaction, &n)
 		a := &h248.Action{Context: context}
 		if context == "$" {
 			a.Err = &h248.Error{Code: h248.TerminationInContext, Text: "busy"}
 		} else {
-			a.Commands = []*h248.Command{{Name: "Add", Termination: backend.TerminationName(id, 0), Descriptors: []*h248.Node{{Name: "Media", Kids: []*h248.Node{{Name: "Local", Octets: []byte(accept("1"))}}}}}}
+			a.Commands = []*h248.Command{{Name: "Add", Termination: backend.TerminationName(id, 0), Descriptors: []*h248.Node{{Name: "Media", Kids: []*h248.Node{{Name: "Local", Octets: []byte(acceptedDescription("1"))}}}}}}
 		}
 		s.server.sendTransaction(mid, &h248.Transaction{Kind: h248.Reply, ID: n, Actions: []*h248.Action{a}})
 	}
 	answer(hungUp, "5")
-	s.caller.awaits(`STARTED","tag":"` + hungUp)
-	s.caller.send(line(jsonl.Finish, hungUp))
-	s.server.awaits(`Context=5\{Subtract=call/` + hungUp)
-	s.caller.awaits(`FINISHED","tag":"` + hungUp)
+	s.caller.await(`STARTED","tag":"` + hungUp)
+	s.caller.send(jsonMessage(jsonl.Finish, hungUp))
+	s.server.await(`Context=5\{Subtract=call/` + hungUp)
+	s.caller.await(`FINISHED","tag":"` + hungUp)
 	answer(released, "6")
-	s.caller.awaits(`STARTED","tag":"` + released)
+	s.caller.await(`STARTED","tag":"` + released)
 	s.server.request(mid, 91, "6", &h248.Command{Name: "Notify", Termination: backend.TerminationName(released, 0), Descriptors: []*h248.Node{transaction.ReleaseEvent(17)}})
-	s.caller.awaits(`FINISH","tag":"` + released)
-	s.server.awaits(`Reply=91`)
+	s.caller.await(`FINISH","tag":"` + released)
+	s.server.await(`Reply=91`)
 	answer(refused, "$")
-	s.caller.awaits(`FINISH","tag":"` + refused)
+	s.caller.await(`FINISH","tag":"` + refused)
 	s.server.request(mid, 92, "-", &h248.Command{Name: "Move", Termination: "ROOT"})
-	s.server.awaits(`Reply=92`)
+	s.server.await(`Reply=92`)
 }
 
-// invited waits for the set-up of a number at the exchange and gives its id a placeholder.
-func (s *script) invited(number string) (id string) {
-	id = s.exchange.awaits(`INVITE sip:` + number + `@[^\n]*\n[^\n]*\nCall-ID: (\w+)`)
+// awaitInvite waits for the set-up of a number at the exchange and gives its id a placeholder.
+func (s *goldenScript) awaitInvite(number string) (id string) {
+	id = s.exchange.await(`INVITE sip:` + number + `@[^\n]*\n[^\n]*\nCall-ID: (\w+)`)
 	s.ids[id] = "ID-OF-" + number
 	return id
 }
 
-// panelToSIP plays calls of the H.248 front to the SIP exchange.
-func (s *script) panelToSIP() {
+// gatewayToSIP plays calls of the H.248 front to the SIP exchange.
+func (s *goldenScript) gatewayToSIP() {
 	const mid = "<panel>"
 	add := func(n uint32, number string) (id string) {
-		s.module.sends("s-0")
-		s.panel.sendTransaction(mid, addTransaction(fmt.Sprint("p/", n), n, number, 5*time.Second))
-		return s.invited(number)
+		s.decider.setServers("s-0")
+		s.gateway.sendTransaction(mid, addTransaction(fmt.Sprint("p/", n), n, number, 5*time.Second))
+		return s.awaitInvite(number)
 	}
 	subtracted, released := add(1, "201"), add(2, "202")
-	s.panel.sendTransaction(mid, addTransaction("p/2", 2, "202", 5*time.Second))
-	s.panel.awaits(`Pending=2`)
-	s.exchange.send(response(subtracted, "INVITE", 200, 1, accept("201")))
-	context := s.panel.awaits(`Reply=1\{Context=(\d+)`)
-	s.exchange.send(response(released, "INVITE", 200, 1, accept("202")))
-	s.panel.awaits(`Reply=2`)
-	s.panel.request(mid, 3, context, &h248.Command{Name: "Subtract", Termination: "p/1"})
-	s.panel.awaits(`Reply=3`)
-	s.came("BYE", subtracted)
-	s.exchange.send(response(subtracted, "BYE", 200, 2, ""))
-	s.exchange.send(finish(released, 41))
-	s.panel.awaits(`Transaction=1\{Context=\d+\{Notify`)
-	s.exchange.awaits(`200 OK\r\nVia[^\n]*\nCall-ID: ` + released)
-	s.panel.sendTransaction(mid, &h248.Transaction{Kind: h248.Reply, ID: 1, Actions: []*h248.Action{{Context: "2", Commands: []*h248.Command{{Name: "Notify", Termination: "p/2"}}}}})
+	s.gateway.sendTransaction(mid, addTransaction("p/2", 2, "202", 5*time.Second))
+	s.gateway.await(`Pending=2`)
+	s.exchange.send(sipResponse(subtracted, "INVITE", 200, 1, acceptedDescription("201")))
+	context := s.gateway.await(`Reply=1\{Context=(\d+)`)
+	s.exchange.send(sipResponse(released, "INVITE", 200, 1, acceptedDescription("202")))
+	s.gateway.await(`Reply=2`)
+	s.gateway.request(mid, 3, context, &h248.Command{Name: "Subtract", Termination: "p/1"})
+	s.gateway.await(`Reply=3`)
+	s.awaitRequest("BYE", subtracted)
+	s.exchange.send(sipResponse(subtracted, "BYE", 200, 2, ""))
+	s.exchange.send(sipRelease(released, 41))
+	s.gateway.await(`Transaction=1\{Context=\d+\{Notify`)
+	s.exchange.await(`200 OK\r\nVia[^\n]*\nCall-ID: ` + released)
+	s.gateway.sendTransaction(mid, &h248.Transaction{Kind: h248.Reply, ID: 1, Actions: []*h248.Action{{Context: "2", Commands: []*h248.Command{{Name: "Notify", Termination: "p/2"}}}}})
 	busy := add(4, "203")
-	s.exchange.send(refused(busy, 486, 1, "number_busy"))
-	s.panel.awaits(`Reply=4`)
+	s.exchange.send(sipRejection(busy, 486, 1, "number_busy"))
+	s.gateway.await(`Reply=4`)
 	add(5, "204")
-	s.panel.request(mid, 6, "*", &h248.Command{Name: "Subtract", Termination: "p/5"})
-	s.panel.awaits(`Reply=6`)
-	s.exchange.awaits(`CANCEL sip:204`)
+	s.gateway.request(mid, 6, "*", &h248.Command{Name: "Subtract", Termination: "p/5"})
+	s.gateway.await(`Reply=6`)
+	s.exchange.await(`CANCEL sip:204`)
 	for n, c := range []*h248.Command{adminapi.AuditCommand("ROOT"), adminapi.AuditCommand("other"), {Name: "Move", Termination: "p/1"}, {Name: "Subtract", Termination: "p/9"}} {
-		s.panel.request(mid, uint32(10+n), "*", c)
-		s.panel.awaits(fmt.Sprint("Reply=", 10+n))
+		s.gateway.request(mid, uint32(10+n), "*", c)
+		s.gateway.await(fmt.Sprint("Reply=", 10+n))
 	}
-	s.panel.send([]byte("\x03\x00\x00\x0bMEGACO?"))
-	s.panel.awaits(`Error=400`)
+	s.gateway.send([]byte("\x03\x00\x00\x0bMEGACO?"))
+	s.gateway.await(`Error=400`)
 }
 
-// manage asks what olivectl and the agent ask.
-func (s *script) manage() {
+// administer asks what olivectl and the agent ask.
+func (s *goldenScript) administer() {
 	const mid = "<ctl>"
 	for n, c := range []*h248.Command{adminapi.AuditCommand("ROOT"), adminapi.AuditCommand(adminapi.NumberingTermination), adminapi.ClockCommand("agent-1", adminapi.ClockStamps{}), adminapi.DrainCommand("ROOT")} {
 		s.admin.request(mid, uint32(20+n), "-", c)
-		s.admin.awaits(fmt.Sprint("Reply=", 20+n))
+		s.admin.await(fmt.Sprint("Reply=", 20+n))
 	}
 }
 
 // What exchanges, callers and operators receive over sockets in a fixed script of calls is as committed.
 func TestGoldenTranscript(t *testing.T) {
 	t.Parallel()
-	s := startScript(t)
+	s := startGoldenScript(t)
 	s.jsonToSIP()
 	s.jsonToH248()
-	s.panelToSIP()
-	s.settled()
+	s.gatewayToSIP()
+	s.awaitNoPendingWork()
 	transcripts := []goldentest.Message{s.exchange.transcript("to the exchange", s.ids), s.server.transcript("to the H.248 server", s.ids),
-		s.caller.transcript("to the caller", s.ids), s.panel.transcript("to the panel", s.ids)}
-	s.manage()
+		s.caller.transcript("to the caller", s.ids), s.gateway.transcript("to the panel", s.ids)}
+	s.administer()
 	goldentest.Messages(t, "transcript.txt", append(transcripts, s.admin.transcript("to the operator", s.ids)))
 }
--- a/internal/server/h248_server_test.go
+++ b/internal/server/h248_server_test.go
@@ -11,10 +11,10 @@
 // A server that says that it drains gets nothing new from then on; one that is out
 // has lost its calls, and one that returns is used again.
 func TestServerServiceChange(t *testing.T) {
-	s, h := startSite(t, true, true), newHeard()
-	k := dialH248(t, s.panel(), h, "<p>")
+	s, h := startTestServer(t, true, true), newAnswerLog()
+	k := dialGatewayCaller(t, s.gatewayAddress(), h, "<p>")
 	key := k.setUp("keep.1", 4*time.Second)
-	h.wait(t, key, 1)
+	h.await(t, key, 1)
 	id := uint32(100)
 	say := func(method string) {
 		id++
@@ -24,30 +24,30 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		s.servers[0].mu.Lock()
-		defer s.servers[0].mu.Unlock()
-		for c := range s.servers[0].conn {
+		s.exchanges[0].mu.Lock()
+		defer s.exchanges[0].mu.Unlock()
+		for c := range s.exchanges[0].conns {
 			_, _ = c.Write(b)
 		}
 	}
 	draining := func() bool {
 		ch := make(chan bool, 1)
-		s.n.loop.Execute(func() { ch <- s.n.backends.Get("s-0").IsDraining() })
+		s.server.loop.Execute(func() { ch <- s.server.backends.Get("s-0").IsDraining() })
 		return <-ch
 	}
 	invites := func() string {
-		s.servers[0].mu.Lock()
-		defer s.servers[0].mu.Unlock()
-		return fmt.Sprint(s.servers[0].invited)
+		s.exchanges[0].mu.Lock()
+		defer s.exchanges[0].mu.Unlock()
+		return fmt.Sprint(s.exchanges[0].invited)
 	}
 	say("Graceful")
 	eventually(t, "it drains", draining)
 	before := invites()
-	if got := h.wait(t, k.setUp("keep.2", 4*time.Second), 1); got != "stands "+accept("keep.2") {
+	if got := h.await(t, k.setUp("keep.2", 4*time.Second), 1); got != "stands "+acceptedDescription("keep.2") {
 		t.Errorf("while one server drains: %q", got)
 	}
 	say("Forced")
-	if got := h.wait(t, key, 2); got != "stands "+accept("keep.1")+" end 41" {
+	if got := h.await(t, key, 2); got != "stands "+acceptedDescription("keep.1")+" end 41" {
 		t.Errorf("the call at the server that is out: %q", got)
 	}
 	if got := invites(); got != before {
--- a/internal/server/idle_test.go
+++ b/internal/server/idle_test.go
@@ -13,12 +13,12 @@
 	"olivedale/internal/config"
 )
 
-// idle opens connections to the front of the platform's protocol that test it once, and stay.
-func idle(t testing.TB, s *site, n int) {
+// openIdleConnections opens connections to the front of the platform's protocol that test it once, and stay.
+func openIdleConnections(t testing.TB, s *testServer, n int) {
 	t.Helper()
 	buf := make([]byte, 256)
 	for range n {
-		c, err := net.Dial("tcp", s.json())
+		c, err := net.Dial("tcp", s.jsonAddress())
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -32,23 +32,23 @@
 	}
 }
 
-// amid sets so many calls up on both fronts, a thousand a second, amid idle connections, and tells
+// runCallsAmidIdleConnections sets so many calls up on both fronts, a thousand a second, runCallsAmidIdleConnections idle connections, and tells
 // how long they took.
-func amid(t testing.TB, idlers, calls int) {
+func runCallsAmidIdleConnections(t testing.TB, idlers, calls int) {
 	f := startFleet(t, 1)
-	f.servers[0].lively = true
+	f.exchanges[0].behavesByDigit = true
 	f.sockets = 4*idlers + 4096
-	f.module = newStraight()
+	f.decider = newUnlimitedDecider()
 	f.numbers = &config.Numbering{File: filepath.Join(t.TempDir(), "numbers.toml")}
 	writeFile(t, f.numbers.File, "default = \"r\"\n[[route]]\nname = \"r\"\n[[route.target]]\npool = 0\n")
-	s := f.node(t, "n0", "", new(atomic.Int64))
-	idle(t, s, idlers)
-	h := newHeard()
-	panel := dialH248(t, s.panel(), h, "<one>")
-	panel.acks = true
-	l := newLoad(h, 5*time.Second, 4096, dialJSON(t, s.json(), h, "aaaaaaaa"), panel)
+	s := f.startServer(t, "n0", "", new(atomic.Int64))
+	openIdleConnections(t, s, idlers)
+	h := newAnswerLog()
+	panel := dialGatewayCaller(t, s.gatewayAddress(), h, "<one>")
+	panel.acknowledges = true
+	l := newLoad(h, 5*time.Second, 4096, dialJSONCaller(t, s.jsonAddress(), h, "aaaaaaaa"), panel)
 	l.run(calls, 1000, func(int) string { return "1230" })
-	took := l.settle(t)
+	took := l.awaitEnds(t)
 	s.stop(t)
 	t.Logf("%d idle connections: stands after p50 %v us, p99 %v us, at most %v us", idlers, took.ValueAtQuantile(50), took.ValueAtQuantile(99), took.Max())
 }
@@ -56,7 +56,7 @@
 // Calls find their way amid idle connections, and releases find theirs.
 func TestCallsAmidIdleConnections(t *testing.T) {
 	t.Parallel()
-	amid(t, 200, 300)
+	runCallsAmidIdleConnections(t, 200, 300)
 }
 
 // What a message costs does not hang on how many connections there are:
@@ -72,7 +72,7 @@
 				b.Skipf("%d descriptors are allowed, both ends of %d connections need more", limit.Cur, n)
 			}
 			for range b.N {
-				amid(b, n, 10_000)
+				runCallsAmidIdleConnections(b, n, 10_000)
 			}
 		})
 	}
--- a/internal/server/load_test.go
+++ b/internal/server/load_test.go
@@ -13,106 +13,106 @@
 	"olivedale/internal/admission"
 )
 
-// straight is a module without limits: a call goes to its pools in their order, one after another;
+// unlimitedDecider is a module without limits: a call goes to its pools in their order, one after another;
 // after an attempt that may have run the release guard passes first. It shows what lies around the
 // module at rates that the module would not let through to servers it does not know.
-type straight struct {
-	left map[string][]int // pools of an open call that were not tried yet
-	held []heldCall       // by time
-	wait time.Duration    // of an attempt
+type unlimitedDecider struct {
+	untriedPools   map[string][]int // pools of an open call that were not tried yet
+	delayed        []delayedCall    // by time
+	attemptTimeout time.Duration    // of an attempt
 }
 
-type heldCall struct {
+type delayedCall struct {
 	at   time.Duration
 	call string
 }
 
-// newStraight makes one whose attempts end before a link that brings nothing counts as mute.
-func newStraight() *straight {
-	return &straight{left: make(map[string][]int), wait: 150 * time.Millisecond}
+// newUnlimitedDecider makes one whose attempts end before a link that brings nothing counts as mute.
+func newUnlimitedDecider() *unlimitedDecider {
+	return &unlimitedDecider{untriedPools: make(map[string][]int), attemptTimeout: 150 * time.Millisecond}
 }
 
-func (d *straight) Place(_ time.Duration, r admission.Request) admission.Decision {
-	d.left[r.CallID] = r.Pools
+func (d *unlimitedDecider) Place(_ time.Duration, r admission.Request) admission.Decision {
+	d.untriedPools[r.CallID] = r.Pools
 	return d.next(r.CallID)
 }
 
-func (d *straight) next(call string) admission.Decision {
-	pools := d.left[call]
+func (d *unlimitedDecider) next(call string) admission.Decision {
+	pools := d.untriedPools[call]
 	if len(pools) == 0 {
-		delete(d.left, call)
+		delete(d.untriedPools, call)
 		return admission.Decision{CallID: call, Kind: admission.Reject}
 	}
-	d.left[call] = pools[1:]
-	return admission.Decision{CallID: call, Kind: admission.Send, Server: fmt.Sprint("s-", pools[0]), Wait: d.wait}
+	d.untriedPools[call] = pools[1:]
+	return admission.Decision{CallID: call, Kind: admission.Send, Server: fmt.Sprint("s-", pools[0]), Wait: d.attemptTimeout}
 }
 
-func (d *straight) Report(now time.Duration, p admission.AttemptReport) admission.Decision {
+func (d *unlimitedDecider) Report(now time.Duration, p admission.AttemptReport) admission.Decision {
 	switch {
 	case p.Kind == admission.ReportLoad:
 	case p.Kind != admission.ReportEnded || p.Final:
-		delete(d.left, p.CallID)
+		delete(d.untriedPools, p.CallID)
 	case p.Result == admission.TimedOut || p.Result == admission.ConnectionLost || p.Result == admission.Canceled:
-		d.held = append(d.held, heldCall{now + guard + 50*time.Millisecond, p.CallID})
+		d.delayed = append(d.delayed, delayedCall{now + retryGuard + 50*time.Millisecond, p.CallID})
 	default:
 		return d.next(p.CallID)
 	}
 	return admission.Decision{CallID: p.CallID, Kind: admission.None}
 }
 
-func (d *straight) Tick(now time.Duration) (all []admission.Decision) {
-	for len(d.held) > 0 && d.held[0].at <= now {
-		if _, ok := d.left[d.held[0].call]; ok {
-			all = append(all, d.next(d.held[0].call))
+func (d *unlimitedDecider) Tick(now time.Duration) (all []admission.Decision) {
+	for len(d.delayed) > 0 && d.delayed[0].at <= now {
+		if _, ok := d.untriedPools[d.delayed[0].call]; ok {
+			all = append(all, d.next(d.delayed[0].call))
 		}
-		d.held = d.held[1:]
+		d.delayed = d.delayed[1:]
 	}
 	return all
 }
 
-func (d *straight) NextDeadline() time.Duration {
-	if len(d.held) > 0 {
-		return d.held[0].at
+func (d *unlimitedDecider) NextDeadline() time.Duration {
+	if len(d.delayed) > 0 {
+		return d.delayed[0].at
 	}
 	return time.Duration(1<<63 - 1)
 }
 
-func (d *straight) UpdateServers(time.Duration, []admission.Server, bool) {}
+func (d *unlimitedDecider) UpdateServers(time.Duration, []admission.Server, bool) {}
 
 // A load sets calls up on several callers and notes when each heard its first word and its end.
 type load struct {
-	h       *heard
-	callers []caller
-	left    time.Duration // the callers' time
+	answers *answerLog
+	callers []testCaller
+	timeout time.Duration // the callers' time
 	slots   chan struct{} // calls that are open, at the most
 
-	mu     sync.Mutex
-	sent   map[string]time.Time // when it was to be sent: a stall of this side counts
-	first  map[string]time.Time
-	ended  map[string]bool
-	twice  int // words after the end
-	number map[string]string
+	mu              sync.Mutex
+	sentAt          map[string]time.Time // when it was to be sent: a stall of this side counts
+	answeredAt      map[string]time.Time
+	ended           map[string]bool
+	answersAfterEnd int // words after the end
+	number          map[string]string
 }
 
-func newLoad(h *heard, left time.Duration, open int, callers ...caller) *load {
-	l := &load{h: h, callers: callers, left: left, slots: make(chan struct{}, open), sent: make(map[string]time.Time),
-		first: make(map[string]time.Time), ended: make(map[string]bool), number: make(map[string]string)}
-	h.hook = l.hear
+func newLoad(h *answerLog, left time.Duration, open int, callers ...testCaller) *load {
+	l := &load{answers: h, callers: callers, timeout: left, slots: make(chan struct{}, open), sentAt: make(map[string]time.Time),
+		answeredAt: make(map[string]time.Time), ended: make(map[string]bool), number: make(map[string]string)}
+	h.onAnswer = l.recordAnswer
 	return l
 }
 
-func (l *load) hear(key, what string) {
+func (l *load) recordAnswer(key, what string) {
 	if strings.HasSuffix(key, "/pending") || strings.HasPrefix(what, "done") {
 		return
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.ended[key] {
-		l.twice++
+		l.answersAfterEnd++
 		return
 	}
-	if _, ok := l.first[key]; !ok {
-		l.first[key] = time.Now()
+	if _, ok := l.answeredAt[key]; !ok {
+		l.answeredAt[key] = time.Now()
 	}
 	if !strings.HasPrefix(what, "stands") {
 		l.ended[key] = true
@@ -131,36 +131,36 @@
 		}
 		l.slots <- struct{}{}
 		to := number(i)
-		key := l.callers[i%len(l.callers)].setUp(to, l.left)
+		key := l.callers[i%len(l.callers)].setUp(to, l.timeout)
 		l.mu.Lock()
-		l.sent[key], l.number[key] = at, to
+		l.sentAt[key], l.number[key] = at, to
 		l.mu.Unlock()
 	}
 }
 
-// settle waits until all calls have ended; each must have heard its first word within its time. It
+// awaitEnds waits until all calls have ended; each must have heard its first word within its time. It
 // returns how long that took for those whose first attempt stands.
-func (l *load) settle(t testing.TB) *hdrhistogram.Histogram {
+func (l *load) awaitEnds(t testing.TB) *hdrhistogram.Histogram {
 	t.Helper()
 	open := func() int {
 		l.mu.Lock()
 		defer l.mu.Unlock()
-		return len(l.sent) - len(l.ended)
+		return len(l.sentAt) - len(l.ended)
 	}
-	for end := time.Now().Add(l.left + 10*time.Second); open() > 0 && time.Now().Before(end); {
+	for end := time.Now().Add(l.timeout + 10*time.Second); open() > 0 && time.Now().Before(end); {
 		time.Sleep(5 * time.Millisecond)
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	took := hdrhistogram.New(1, 60_000_000, 3)
 	silent, late := 0, 0
-	for key, sent := range l.sent {
-		first, ok := l.first[key]
+	for key, sent := range l.sentAt {
+		first, ok := l.answeredAt[key]
 		if !ok || !l.ended[key] {
 			silent++
 			continue
 		}
-		if first.Sub(sent) > l.left {
+		if first.Sub(sent) > l.timeout {
 			late++
 		}
 		if l.number[key][len(l.number[key])-1] >= '5' {
@@ -168,8 +168,8 @@
 		}
 		_ = took.RecordValue(max(first.Sub(sent).Microseconds(), 1))
 	}
-	if silent > 0 || late > 0 || l.twice > 0 {
-		t.Errorf("of %d calls %d have no answer or no end, %d were answered late, %d words came after the end", len(l.sent), silent, late, l.twice)
+	if silent > 0 || late > 0 || l.answersAfterEnd > 0 {
+		t.Errorf("of %d calls %d have no answer or no end, %d were answered late, %d words came after the end", len(l.sentAt), silent, late, l.answersAfterEnd)
 	}
 	return took
 }
--- a/internal/server/lookup_test.go
+++ b/internal/server/lookup_test.go
@@ -31,10 +31,10 @@
 
 // enumServer is a server of ENUM; it tells where numbers have moved to.
 type enumServer struct {
-	addr  string
-	mode  atomic.Int32
-	seen  atomic.Int64
-	moves func(number string) string // "": it stays
+	addr    string
+	mode    atomic.Int32
+	queries atomic.Int64
+	moves   func(number string) string // "": it stays
 }
 
 func startENUM(t testing.TB) *enumServer {
@@ -54,7 +54,7 @@
 			if err != nil {
 				return
 			}
-			s.seen.Add(1)
+			s.queries.Add(1)
 			mode, wait := s.mode.Load(), time.Duration(0)
 			switch {
 			case mode == silent, mode == flapping && time.Since(began)/(50*time.Millisecond)%2 == 1:
@@ -136,29 +136,29 @@
 	if err := os.WriteFile(rules, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	f, h, look := startFleet(t, 2), newHeard(), startENUM(t)
-	node := func(fallback string) *site {
+	f, h, look := startFleet(t, 2), newAnswerLog(), startENUM(t)
+	node := func(fallback string) *testServer {
 		f.numbers = &config.Numbering{File: rules, Lookup: config.Lookup{Servers: []string{look.addr}, Fallback: fallback}}
 		if err := f.numbers.Validate(); err != nil {
 			t.Fatal(err)
 		}
-		return f.node(t, "n0", "", new(atomic.Int64))
+		return f.startServer(t, "n0", "", new(atomic.Int64))
 	}
 	at := func(i int) int {
-		f.servers[i].mu.Lock()
-		defer f.servers[i].mu.Unlock()
-		return f.servers[i].invited
+		f.exchanges[i].mu.Lock()
+		defer f.exchanges[i].mu.Unlock()
+		return f.exchanges[i].invited
 	}
 	s := node(config.FallbackRoute)
-	callers := []caller{dialJSON(t, s.json(), h, "aaaaaaaa"), dialH248(t, s.panel(), h, "<one>")}
+	callers := []testCaller{dialJSONCaller(t, s.jsonAddress(), h, "aaaaaaaa"), dialGatewayCaller(t, s.gatewayAddress(), h, "<one>")}
 	for i, k := range callers {
 		number := fmt.Sprint("561", i)
 		key := k.setUp(number, 8*time.Second)
 		eventually(t, "it is where the number has moved", func() bool { return at(1) == i+1 })
 		k.hangUp(key)
 	}
-	if at(0) != 0 || look.seen.Load() != 2 {
-		t.Errorf("%d went where the numbers were, %d look-ups", at(0), look.seen.Load())
+	if at(0) != 0 || look.queries.Load() != 2 {
+		t.Errorf("%d went where the numbers were, %d look-ups", at(0), look.queries.Load())
 	}
 	look.mode.Store(silent)
 	began := time.Now()
@@ -174,8 +174,8 @@
 	s.stop(t)
 
 	s = node(config.FallbackRefuse)
-	k := dialJSON(t, s.json(), h, "bbbbbbbb")
-	if said := h.wait(t, k.setUp("5630", 8*time.Second), 1); said != "end 34" {
+	k := dialJSONCaller(t, s.jsonAddress(), h, "bbbbbbbb")
+	if said := h.await(t, k.setUp("5630", 8*time.Second), 1); said != "end 34" {
 		t.Errorf("undecided: %q", said)
 	}
 	left := k.setUp("5631", 8*time.Second)
@@ -184,14 +184,14 @@
 	k.close()
 	eventually(t, "nothing is held", func() bool {
 		pins := make(chan int, 1)
-		s.n.loop.Execute(func() { pins <- s.n.numbering.desk.List()[0].Pins + s.n.calls.OpenCalls() })
+		s.server.loop.Execute(func() { pins <- s.server.numbering.desk.List()[0].Pins + s.server.calls.OpenCalls() })
 		return <-pins == 0
 	})
 	if said := h.of(left); said != "" {
 		t.Errorf("a caller who left was answered: %q", said)
 	}
 	s.stop(t)
-	if n := f.r.total(&f.r.copies) + f.r.total(&f.r.early); n != 0 {
+	if n := f.observations.total(&f.observations.simultaneousAttempts) + f.observations.total(&f.observations.earlyRetries); n != 0 {
 		t.Errorf("%d rules broken", n)
 	}
 }
@@ -211,8 +211,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	r.s.n.ReloadNumbers()
-	eventually(t, "the table is in force", func() bool { return r.active() == table.Digest() })
+	r.node.server.ReloadNumbers()
+	eventually(t, "the table is in force", func() bool { return r.activeDigest() == table.Digest() })
 	inUse := func() int64 {
 		var mem runtime.MemStats
 		runtime.GC()
@@ -220,36 +220,36 @@
 		return int64(mem.HeapAlloc)
 	}
 	before := inUse()
-	l := newLoad(r.h, 5*time.Second, 4096, dialJSON(t, r.s.json(), r.h, "aaaaaaaa"), dialH248(t, r.s.panel(), r.h, "<one>"))
+	l := newLoad(r.answers, 5*time.Second, 4096, dialJSONCaller(t, r.node.jsonAddress(), r.answers, "aaaaaaaa"), dialGatewayCaller(t, r.node.gatewayAddress(), r.answers, "<one>"))
 	l.run(n, rate, func(i int) string { return fmt.Sprintf("56%06d0", i) })
-	took := l.settle(t)
+	took := l.awaitEnds(t)
 	var pins, waits int
 	eventually(t, "nothing is held", func() bool {
 		got := make(chan [2]int, 1)
-		r.s.n.loop.Execute(func() {
+		r.node.server.loop.Execute(func() {
 			sum := 0
-			for _, v := range r.s.n.numbering.desk.List() {
+			for _, v := range r.node.server.numbering.desk.List() {
 				sum += v.Pins
 			}
-			got <- [2]int{sum, r.s.n.calls.OpenCalls()}
+			got <- [2]int{sum, r.node.server.calls.OpenCalls()}
 		})
 		x := <-got
 		pins, waits = x[0], x[1]
 		return pins+waits == 0
 	})
 	grown := inUse() - before
-	c := r.s.n.numbering.client.Counters()
-	r.s.stop(t)
+	c := r.node.server.numbering.client.Counters()
+	r.node.stop(t)
 	if c.Asked != n {
 		t.Errorf("%d look-ups of %d calls", c.Asked, n)
 	}
-	k := &r.s.n.calls.Counters
+	k := &r.node.server.calls.Counters
 	t.Logf("mode %d, %s: %d calls, %d stood, %d turned away; answered after p50 %v us, p99 %v us, at most %v us; look-ups %+v; memory grew by %d KiB",
 		mode, fallback, n, k.Established, k.ByPolicy+k.Rejected, took.ValueAtQuantile(50), took.ValueAtQuantile(99), took.Max(), c, grown>>10)
 	if (k.Established == n) != (fallback == config.FallbackRoute || mode == good) {
 		t.Errorf("mode %d, %s: %d of %d stood", mode, fallback, k.Established, n)
 	}
-	if n := r.f.r.total(&r.f.r.copies) + r.f.r.total(&r.f.r.early); n != 0 {
+	if n := r.fleet.observations.total(&r.fleet.observations.simultaneousAttempts) + r.fleet.observations.total(&r.fleet.observations.earlyRetries); n != 0 {
 		t.Errorf("%d rules broken", n)
 	}
 	return grown
--- a/internal/server/numbers_test.go
+++ b/internal/server/numbers_test.go
@@ -29,9 +29,9 @@
 // goes by the table that it began with, and by no other, as its records tell.
 func TestTableSwappedInService(t *testing.T) {
 	t.Parallel()
-	f, h := startFleet(t, 2), newHeard()
-	for _, s := range f.servers {
-		s.deaf = true // a call whose connection counts as mute is tried again: it must not come to stand then
+	f, h := startFleet(t, 2), newAnswerLog()
+	for _, s := range f.exchanges {
+		s.answersNothing = true // a call whose connection counts as mute is tried again: it must not come to stand then
 	}
 	file := filepath.Join(t.TempDir(), "numbers.toml")
 	digest := make(map[string]int) // pool by digest
@@ -49,11 +49,11 @@
 	write(0)
 	f.numbers = &config.Numbering{File: file}
 	dir := t.TempDir()
-	s := f.node(t, "n0", dir, new(atomic.Int64))
-	k := dialJSON(t, s.json(), h, "aaaaaaaa")
+	s := f.startServer(t, "n0", dir, new(atomic.Int64))
+	k := dialJSONCaller(t, s.jsonAddress(), h, "aaaaaaaa")
 	status := func() []numbering.Status {
 		got := make(chan []numbering.Status, 1)
-		s.n.loop.Execute(func() { got <- s.n.numbering.desk.List() })
+		s.server.loop.Execute(func() { got <- s.server.numbering.desk.List() })
 		return <-got
 	}
 	holds := func(pool int) (n int) {
@@ -64,15 +64,15 @@
 		}
 		return n
 	}
-	if said := h.wait(t, k.setUp("911", 4*time.Second), 1); said != "end 17" {
+	if said := h.await(t, k.setUp("911", 4*time.Second), 1); said != "end 17" {
 		t.Errorf("a barred number: %q", said)
 	}
 	held := k.setUp("100", 8*time.Second)
-	eventually(t, "it is at the server of pool 0", func() bool { return f.r.tries("100") >= 1 })
+	eventually(t, "it is at the server of pool 0", func() bool { return f.observations.attemptsTo("100") >= 1 })
 	for i := range 6 {
 		pool := (i + 1) % 2
 		write(pool)
-		s.n.ReloadNumbers()
+		s.server.ReloadNumbers()
 		eventually(t, "the table is in force", func() bool {
 			for _, v := range status() {
 				if v.State == numbering.InForce {
@@ -83,7 +83,7 @@
 		})
 		number := fmt.Sprint("20", i)
 		key := k.setUp(number, 8*time.Second)
-		eventually(t, "it is at a server or refused", func() bool { return f.r.tries(number) >= 1 || h.of(key) != "" })
+		eventually(t, "it is at a server or refused", func() bool { return f.observations.attemptsTo(number) >= 1 || h.of(key) != "" })
 	}
 	if holds(0) == 0 || holds(1) == 0 {
 		t.Errorf("calls hold %+v", status())
@@ -93,15 +93,17 @@
 		t.Fatal(err)
 	}
 	before := status()
-	s.n.ReloadNumbers()
+	s.server.ReloadNumbers()
 	if after := status(); len(after) != len(before) || after[0].Digest != before[0].Digest || after[0].State != before[0].State {
 		t.Errorf("a bad table: %+v, before %+v", after, before)
 	}
 	// The connection of the first call counts as mute, as it does where this test is slow: the call is tried again,
 	// by the table that it began with.
-	again := f.r.tries("100")
-	s.n.loop.Execute(func() { s.n.loop.RunIteration(func() { s.n.backends.Get("s-0").Disconnect(call.Unresponsive) }) })
-	eventually(t, "it is tried again", func() bool { return f.r.tries("100") > again })
+	again := f.observations.attemptsTo("100")
+	s.server.loop.Execute(func() {
+		s.server.loop.RunIteration(func() { s.server.backends.Get("s-0").Disconnect(call.Unresponsive) })
+	})
+	eventually(t, "it is tried again", func() bool { return f.observations.attemptsTo("100") > again })
 	if holds(0) == 0 || holds(1) == 0 {
 		t.Errorf("while one is tried again calls hold %+v", status())
 	}
@@ -156,16 +158,16 @@
 		return path
 	}
 	f.numbers = &config.Numbering{File: write("first.toml", numberRules(0)), State: filepath.Join(dir, "state")}
-	s := f.node(t, "n0", "", new(atomic.Int64))
-	ask := func(s *site, c *h248.Command) ([]numbering.Status, numbering.Job, error) {
-		reply, err := adminapi.Send(context.Background(), s.admin(), c)
+	s := f.startServer(t, "n0", "", new(atomic.Int64))
+	ask := func(s *testServer, c *h248.Command) ([]numbering.Status, numbering.Job, error) {
+		reply, err := adminapi.Send(context.Background(), s.adminAddress(), c)
 		if err != nil {
 			return nil, numbering.Job{}, err
 		}
 		versions, job := adminapi.ParseNumbering(reply.Descriptors)
 		return versions, job, nil
 	}
-	list := func(s *site) ([]numbering.Status, numbering.Job) {
+	list := func(s *testServer) ([]numbering.Status, numbering.Job) {
 		t.Helper()
 		versions, job, err := ask(s, adminapi.AuditCommand(adminapi.NumberingTermination))
 		if err != nil {
@@ -173,7 +175,7 @@
 		}
 		return versions, job
 	}
-	inForce := func(s *site) (digest string) {
+	inForce := func(s *testServer) (digest string) {
 		versions, _ := list(s)
 		for _, v := range versions {
 			if v.State == numbering.InForce {
@@ -182,7 +184,7 @@
 		}
 		return digest
 	}
-	order := func(s *site, o numbering.Order) numbering.Job {
+	order := func(s *testServer, o numbering.Order) numbering.Job {
 		t.Helper()
 		_, begun, err := ask(s, adminapi.NumberingCommand(o))
 		if err != nil {
@@ -215,10 +217,10 @@
 	if versions, _ := list(s); len(versions) != 2 {
 		t.Errorf("%+v", versions)
 	}
-	if _, _, err := ask(&site{n: s.n}, &h248.Command{Name: "Modify", Termination: adminapi.NumberingTermination}); err == nil {
+	if _, _, err := ask(&testServer{server: s.server}, &h248.Command{Name: "Modify", Termination: adminapi.NumberingTermination}); err == nil {
 		t.Error("an order without a word was taken")
 	}
-	if _, err := adminapi.Send(context.Background(), s.panel(), adminapi.NumberingCommand(numbering.Order{Op: numbering.OpCancel})); err == nil {
+	if _, err := adminapi.Send(context.Background(), s.gatewayAddress(), adminapi.NumberingCommand(numbering.Order{Op: numbering.OpCancel})); err == nil {
 		t.Error("a panel may order")
 	}
 
@@ -227,7 +229,7 @@
 	copyStore(t, f.numbers.State, killed)
 	s.stop(t)
 	f.numbers = &config.Numbering{File: f.numbers.File, State: killed}
-	s = f.node(t, "n0", "", new(atomic.Int64))
+	s = f.startServer(t, "n0", "", new(atomic.Int64))
 	versions, _ := list(s)
 	waiting := ""
 	for _, v := range versions {
@@ -259,7 +261,7 @@
 	if err := os.WriteFile(last, b[:len(b)/2], 0o600); err != nil {
 		t.Fatal(err)
 	}
-	s = f.node(t, "n0", "", new(atomic.Int64))
+	s = f.startServer(t, "n0", "", new(atomic.Int64))
 	if got := inForce(s); got != second.Digest {
 		t.Errorf("after a torn standing %s is in force", got)
 	}
@@ -272,7 +274,7 @@
 	if err := os.WriteFile(rules[0], []byte("torn"), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	s = f.node(t, "n0", "", new(atomic.Int64))
+	s = f.startServer(t, "n0", "", new(atomic.Int64))
 	if got := inForce(s); got != first {
 		t.Errorf("with damaged rules %s is in force", got)
 	}
--- a/internal/server/owed_test.go
+++ b/internal/server/owed_test.go
@@ -21,87 +21,89 @@
 
 // An exchange reads nothing and what it was sent waits here: a set-up is not left in that buffer, where nothing takes
 // it back. It goes elsewhere, and its caller leaves: when the exchange reads on, it hears nothing of that call.
-func TestSetUpNotLeftInABuffer(t *testing.T) {
+func TestSetupIsNotLeftInWriteBuffer(t *testing.T) {
 	t.Parallel()
-	a, b := startFar(t, "127.0.0.1:0"), startFar(t, "127.0.0.1:0")
+	a, b := startFakeExchange(t, "127.0.0.1:0"), startFakeExchange(t, "127.0.0.1:0")
 	a.mu.Lock()
-	a.held = true
+	a.readsNothing = true
 	a.mu.Unlock()
-	x := startScene(t, []*far{a, b}, &fixed{servers: []string{"s-0", "s-1"}})
-	x.turn(func() {
-		s := x.n.backends.Get("s-0").Connection()
+	x := startTestbed(t, []*fakeExchange{a, b}, &scriptedDecider{servers: []string{"s-0", "s-1"}})
+	x.runIteration(func() {
+		s := x.server.backends.Get("s-0").Connection()
 		_ = s.Socket().SetWriteBuffer(4 << 10)
 		for s.Socket().OutboundBuffered() == 0 {
-			x.n.loop.Write(s, func(b []byte) []byte {
+			x.server.loop.Write(s, func(b []byte) []byte {
 				for range 100 {
-					b = sip.AppendRequest(b, &sip.Request{Method: "OPTIONS", Number: "ping", CallID: tag, CSeq: 1})
+					b = sip.AppendRequest(b, &sip.Request{Method: "OPTIONS", Number: "ping", CallID: testCallID, CSeq: 1})
 				}
 				return b
 			})
-			x.n.loop.Flush()
+			x.server.loop.Flush()
 		}
 	})
-	id := x.k.setUp("1", 3*time.Second)
+	id := x.caller.setUp("1", 3*time.Second)
 	eventually(t, "the attempt is out", func() (out bool) {
-		x.turn(func() { out = x.n.backends.Get("s-0").OpenAttempts()+x.n.backends.Get("s-1").OpenAttempts() > 0 })
+		x.runIteration(func() {
+			out = x.server.backends.Get("s-0").OpenAttempts()+x.server.backends.Get("s-1").OpenAttempts() > 0
+		})
 		return out
 	})
-	x.k.hangUp(id)
-	x.settled()
-	go a.read(a.connected())
+	x.caller.hangUp(id)
+	x.awaitNoPendingWork()
+	go a.readFrom(a.awaitConn())
 	eventually(t, "the buffer is empty", func() (empty bool) {
-		x.turn(func() { empty = x.n.backends.Get("s-0").Connection().Socket().OutboundBuffered() == 0 })
+		x.runIteration(func() { empty = x.server.backends.Get("s-0").Connection().Socket().OutboundBuffered() == 0 })
 		return empty
 	})
-	x.module.sends("s-0")
-	last := x.k.setUp("1", 3*time.Second)
-	a.awaits("INVITE", last, 1)
-	if n := a.heard("INVITE", id); n != 0 {
+	x.decider.setServers("s-0")
+	last := x.caller.setUp("1", 3*time.Second)
+	a.awaitReceived("INVITE", last, 1)
+	if n := a.countReceived("INVITE", id); n != 0 {
 		t.Fatalf("%d set-ups of a caller that had left", n)
 	}
-	b.awaits("CANCEL", id, 1)
+	b.awaitReceived("CANCEL", id, 1)
 }
 
 // An exchange is away, and callers release as many calls that nobody knows as are remembered for it. The release of a
 // call that stands there is said when it is back, whether it came before those or after.
-func TestReleaseAmidReleasesOfUnknownCalls(t *testing.T) {
-	both(t, "the call's own", "the others", func(t *testing.T, own bool) {
-		a, g := startFar(t, "127.0.0.1:0"), newGate()
-		x := startSceneOf(t, settings, 2, []*far{a}, &fixed{servers: []string{"s-0"}}, g.option)
-		id := x.standsAsItBreaks(a, g)
-		x.turn(func() {
-			k := x.client("")
-			order(own, func() { k.HandleData(line(jsonl.Finish, id)) }, func() {
-				for i := range 2 * x.n.cfg.MemoryMB << 5 {
-					k.HandleData(line(jsonl.Finish, fmt.Sprintf("f%015x", i)))
+func TestReleaseAmongReleasesOfUnknownCalls(t *testing.T) {
+	testBothOrders(t, "the call's own", "the others", func(t *testing.T, own bool) {
+		a, g := startFakeExchange(t, "127.0.0.1:0"), newDialGate()
+		x := startTestbedWith(t, settings, 2, []*fakeExchange{a}, &scriptedDecider{servers: []string{"s-0"}}, g.configure)
+		id := x.establishAndDisconnect(a, g)
+		x.runIteration(func() {
+			k := x.findClient("")
+			runInOrder(own, func() { k.HandleData(jsonMessage(jsonl.Finish, id)) }, func() {
+				for i := range 2 * x.server.cfg.MemoryMB << 5 {
+					k.HandleData(jsonMessage(jsonl.Finish, fmt.Sprintf("f%015x", i)))
 				}
 			})
-			if n := x.n.backends.Get("s-0").PendingReleases(); n != x.n.cfg.MemoryMB<<5 {
+			if n := x.server.backends.Get("s-0").PendingReleases(); n != x.server.cfg.MemoryMB<<5 {
 				t.Errorf("%d releases are remembered", n)
 			}
 		})
-		close(g.open)
-		a.awaits("BYE", id, 1)
+		close(g.opened)
+		a.awaitReceived("BYE", id, 1)
 	})
 }
 
 // The node stands still, and an answer comes meanwhile to a connection that looks mute or stuck half way once it goes
 // on, or that is to be closed for a new address: the answer counts, and the call is tried nowhere else.
-func TestAnswerWhileTheNodeStoodStill(t *testing.T) {
+func TestAnswerWhileProcessWasStopped(t *testing.T) {
 	t.Parallel()
 	for _, how := range []string{"mute", "half way", "moved"} {
 		t.Run(how, func(t *testing.T) {
 			t.Parallel()
-			a, b := startFar(t, "127.0.0.1:0"), startFar(t, "127.0.0.1:0")
-			x := startScene(t, []*far{a, b}, &fixed{servers: []string{"s-0", "s-1", "s-1"}})
-			id := x.k.setUp("1", 5*time.Second)
-			a.awaits("INVITE", id, 1)
-			answer := response(id, "INVITE", 200, 1, "a")
-			c := a.connected()
-			x.turn(func() {
-				l, now := x.n.backends.Get("s-0"), x.n.loop.Now()
+			a, b := startFakeExchange(t, "127.0.0.1:0"), startFakeExchange(t, "127.0.0.1:0")
+			x := startTestbed(t, []*fakeExchange{a, b}, &scriptedDecider{servers: []string{"s-0", "s-1", "s-1"}})
+			id := x.caller.setUp("1", 5*time.Second)
+			a.awaitReceived("INVITE", id, 1)
+			answer := sipResponse(id, "INVITE", 200, 1, "a")
+			c := a.awaitConn()
+			x.runIteration(func() {
+				l, now := x.server.backends.Get("s-0"), x.server.loop.Now()
 				if how == "half way" {
-					x.says(0, answer[:20])
+					x.deliver(0, answer[:20])
 					answer = answer[20:]
 					now += 2 * backend.PartialMessageTimeout
 				} else {
@@ -114,11 +116,11 @@
 					l.CheckResponsiveness(now)
 				}
 			})
-			if got := x.h.wait(t, id, 1); got != "stands a" {
+			if got := x.answers.await(t, id, 1); got != "stands a" {
 				t.Error(got)
 			}
-			x.settled()
-			if n := len(x.module.codes(id)); n != 0 {
+			x.awaitNoPendingWork()
+			if n := len(x.decider.results(id)); n != 0 {
 				t.Errorf("%d ends of attempts of a call that stands", n)
 			}
 		})
@@ -127,25 +129,25 @@
 
 // Pieces of an exchange's messages each bring the rest of one and part of the next, for longer than the rest of one may
 // take: the connection stays. Where no message ends any more it does not.
-func TestPiecesThatEndWithinMessages(t *testing.T) {
+func TestInputThatEndsWithinMessages(t *testing.T) {
 	t.Parallel()
-	x := startScene(t, []*far{startFar(t, "127.0.0.1:0")}, &fixed{})
-	x.turn(func() {
-		l, m := x.n.backends.Get("s-0"), response(tag, "INVITE", 486, 1, "")
+	x := startTestbed(t, []*fakeExchange{startFakeExchange(t, "127.0.0.1:0")}, &scriptedDecider{})
+	x.runIteration(func() {
+		l, m := x.server.backends.Get("s-0"), sipResponse(testCallID, "INVITE", 486, 1, "")
 		s := l.Connection()
-		x.says(0, m[:20])
+		x.deliver(0, m[:20])
 		for range 5 {
 			time.Sleep(backend.PartialMessageTimeout * 3 / 4)
-			x.says(0, append(m[20:len(m):len(m)], m[:20]...))
-			l.CheckResponsiveness(x.n.loop.Now())
+			x.deliver(0, append(m[20:len(m):len(m)], m[:20]...))
+			l.CheckResponsiveness(x.server.loop.Now())
 		}
 		if l.Connection() != s {
 			t.Error("a connection that brings whole messages was closed")
 		}
 		for range 5 {
 			time.Sleep(backend.PartialMessageTimeout * 3 / 4)
-			x.says(0, []byte("x"))
-			l.CheckResponsiveness(x.n.loop.Now())
+			x.deliver(0, []byte("x"))
+			l.CheckResponsiveness(x.server.loop.Now())
 		}
 		if l.Connection() == s {
 			t.Error("a connection that brings nothing whole stays")
@@ -156,49 +158,49 @@
 // A caller's connection is gone, in whatever way, as the answer to its set-up comes: nobody has heard that the call
 // stands, and the exchange hears that it is over. Half closed counts as gone: on the wire it is the same until
 // something is written, and a set-up of a caller that left must not be sent on.
-func TestCallerIsGoneAsTheAnswerComes(t *testing.T) {
+func TestCallerLeavesAsAnswerArrives(t *testing.T) {
 	for _, how := range []string{"reset", "closed", "half closed"} {
 		t.Run(how, func(t *testing.T) {
-			both(t, "the end", "the answer", func(t *testing.T, end bool) {
-				a := startFar(t, "127.0.0.1:0")
-				x := startScene(t, []*far{a}, &fixed{servers: []string{"s-0"}})
-				k := x.dial("cccccccc")
+			testBothOrders(t, "the end", "the answer", func(t *testing.T, end bool) {
+				a := startFakeExchange(t, "127.0.0.1:0")
+				x := startTestbed(t, []*fakeExchange{a}, &scriptedDecider{servers: []string{"s-0"}})
+				k := x.dialCaller("cccccccc")
 				id := k.setUp("1", 3*time.Second)
-				a.awaits("INVITE", id, 1)
+				a.awaitReceived("INVITE", id, 1)
 				leave := func() {
 					switch how {
 					case "reset":
-						reset(k.c)
+						resetConn(k.conn)
 					case "closed":
 						k.close()
 					default:
-						_ = k.c.(*net.TCPConn).CloseWrite()
+						_ = k.conn.(*net.TCPConn).CloseWrite()
 					}
 				}
 				if end {
 					leave()
-					a.awaits("CANCEL", id, 1)
-					x.settled()
-					a.send(response(id, "INVITE", 200, 1, "a"))
-					a.awaits("BYE", id, 1)
+					a.awaitReceived("CANCEL", id, 1)
+					x.awaitNoPendingWork()
+					a.send(sipResponse(id, "INVITE", 200, 1, "a"))
+					a.awaitReceived("BYE", id, 1)
 					return
 				}
-				x.turn(func() { // the connection has ended before the answer is written to it
+				x.runIteration(func() { // the connection has ended before the answer is written to it
 					leave()
-					x.says(0, response(id, "INVITE", 200, 1, "a"))
+					x.deliver(0, sipResponse(id, "INVITE", 200, 1, "a"))
 				})
-				x.settled()
+				x.awaitNoPendingWork()
 				switch how {
 				case "reset":
-					a.awaits("BYE", id, 1)
+					a.awaitReceived("BYE", id, 1)
 				case "half closed": // it hears the answer, and may release the call on another connection
-					if got := x.h.wait(t, id, 1); got != "stands a" {
+					if got := x.answers.await(t, id, 1); got != "stands a" {
 						t.Error(got)
 					}
-					x.k.hangUp(id)
-					a.awaits("BYE", id, 1)
+					x.caller.hangUp(id)
+					a.awaitReceived("BYE", id, 1)
 				}
-				if n := a.heard("CANCEL", id); n != 0 {
+				if n := a.countReceived("CANCEL", id); n != 0 {
 					t.Errorf("a call that stands was given up %d times", n)
 				}
 			})
@@ -208,40 +210,40 @@
 
 // The word that a call stands has been written, and its caller's connection breaks later, under another write: the call
 // goes on, for no connection owns it.
-func TestCallStandsThoughItsConnectionBreaks(t *testing.T) {
+func TestEstablishedCallSurvivesItsConnection(t *testing.T) {
 	t.Parallel()
-	a := startFar(t, "127.0.0.1:0")
-	x := startScene(t, []*far{a}, &fixed{servers: []string{"s-0"}})
-	k := x.dial("cccccccc")
+	a := startFakeExchange(t, "127.0.0.1:0")
+	x := startTestbed(t, []*fakeExchange{a}, &scriptedDecider{servers: []string{"s-0"}})
+	k := x.dialCaller("cccccccc")
 	id := k.setUp("1", 3*time.Second)
-	a.awaits("INVITE", id, 1)
-	a.send(response(id, "INVITE", 200, 1, "a"))
-	x.h.wait(t, id, 1)
-	x.turn(func() {
-		mine := x.client("")
-		reset(k.c)
-		x.n.loop.Write(mine.Conn(), func(b []byte) []byte { return append(b, line(jsonl.Echoed, "t")...) })
+	a.awaitReceived("INVITE", id, 1)
+	a.send(sipResponse(id, "INVITE", 200, 1, "a"))
+	x.answers.await(t, id, 1)
+	x.runIteration(func() {
+		mine := x.findClient("")
+		resetConn(k.conn)
+		x.server.loop.Write(mine.Conn(), func(b []byte) []byte { return append(b, jsonMessage(jsonl.Echoed, "t")...) })
 	})
 	eventually(t, "the connection is gone", func() (gone bool) {
-		x.turn(func() { gone = x.n.frontends.json.Clients().Len() == 1 })
+		x.runIteration(func() { gone = x.server.frontends.json.Clients().Len() == 1 })
 		return gone
 	})
-	x.turn(func() {
-		if !x.n.calls.Contains(id) {
+	x.runIteration(func() {
+		if !x.server.calls.Contains(id) {
 			t.Error("the call was released")
 		}
 	})
-	a.send(finish(id, 16))
-	if got := x.h.wait(t, id, 2); got != "stands a end 16" { // on the connection that is there
+	a.send(sipRelease(id, 16))
+	if got := x.answers.await(t, id, 2); got != "stands a end 16" { // on the connection that is there
 		t.Error(got)
 	}
 }
 
 // A caller who never lets the loop rest owes and is owed nothing: the node ends all the same, and in good time.
-func TestStopAmidSteadyTraffic(t *testing.T) {
+func TestShutdownUnderSteadyTraffic(t *testing.T) {
 	t.Parallel()
-	x := startScene(t, []*far{startFar(t, "127.0.0.1:0")}, &fixed{})
-	c, err := net.Dial("tcp", x.json())
+	x := startTestbed(t, []*fakeExchange{startFakeExchange(t, "127.0.0.1:0")}, &scriptedDecider{})
+	c, err := net.Dial("tcp", x.jsonAddress())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -250,7 +252,7 @@
 	go func() {
 		buf, n := make([]byte, 256), 0
 		for ; ; n++ {
-			if _, err := c.Write(line(jsonl.Echo, "t")); err != nil {
+			if _, err := c.Write(jsonMessage(jsonl.Echo, "t")); err != nil {
 				break
 			}
 			if _, err := c.Read(buf); err != nil {
@@ -259,8 +261,8 @@
 		}
 		rounds <- n
 	}()
-	x.n.Stop()
-	x.ends()
+	x.server.Stop()
+	x.awaitEnd()
 	if n := <-rounds; n < 100 {
 		t.Errorf("%d rounds are no steady traffic", n)
 	}
@@ -268,29 +270,29 @@
 
 // A set-up lies whole in the socket as the node decides to end: it is answered, as one that trying again does not harm,
 // and not sent. Where it comes first it is served. Half a line is no set-up, until the rest comes.
-func TestStopCrossesASetUp(t *testing.T) {
+func TestShutdownCrossesSetup(t *testing.T) {
 	for _, front := range []string{"JSON", "H.248"} {
 		t.Run(front, func(t *testing.T) {
-			both(t, "the decision", "the set-up", func(t *testing.T, decision bool) {
-				a := startFar(t, "127.0.0.1:0")
-				x := startScene(t, []*far{a}, &fixed{servers: []string{"s-0"}}, panels)
-				c, key, text := x.k.c, tag, start(tag, 2*time.Second)
+			testBothOrders(t, "the decision", "the set-up", func(t *testing.T, decision bool) {
+				a := startFakeExchange(t, "127.0.0.1:0")
+				x := startTestbed(t, []*fakeExchange{a}, &scriptedDecider{servers: []string{"s-0"}}, withGateways)
+				c, key, text := x.caller.conn, testCallID, jsonSetup(testCallID, 2*time.Second)
 				if front == "H.248" {
-					p := x.dialPanel("<p>")
-					c, key, text = p.c, "p/8", framed(t, "<p>", addTransaction("p/8", 8, "1", 2*time.Second))
+					p := x.dialGateway("<p>")
+					c, key, text = p.conn, "p/8", frameTransactions(t, "<p>", addTransaction("p/8", 8, "1", 2*time.Second))
 				}
 				_, _ = c.Write(text[:len(text)/2])
-				x.n.Stop()
+				x.server.Stop()
 				done := make(chan struct{})
-				x.n.loop.Execute(func() {
+				x.server.loop.Execute(func() {
 					defer close(done)
 					var mine *eventloop.Conn
-					x.n.loop.RunIteration(func() {
-						x.n.lifecycle.drainingSince -= lingerTime
-						x.n.lifecycle.quietSince = x.n.loop.Now() - 2*quietTime
-						order(decision, func() { x.n.checkShutdown(x.n.loop.Now()) }, func() {
+					x.server.loop.RunIteration(func() {
+						x.server.lifecycle.drainingSince -= lingerTime
+						x.server.lifecycle.quietSince = x.server.loop.Now() - 2*quietTime
+						runInOrder(decision, func() { x.server.checkShutdown(x.server.loop.Now()) }, func() {
 							_, _ = c.Write(text[len(text)/2:])
-							p, k := x.latestPanel(), x.client("")
+							p, k := x.latestGateway(), x.findClient("")
 							if mine = k.Conn(); p != nil {
 								mine = p.Conn()
 							}
@@ -304,22 +306,22 @@
 						})
 					})
 					if decision {
-						x.n.loop.CloseSocket(mine.Socket()) // as the engine closes them all
+						x.server.loop.CloseSocket(mine.Socket()) // as the engine closes them all
 					}
 				})
 				<-done
 				if !decision {
-					a.send(response(a.invited(1), "INVITE", 486, 1, ""))
+					a.send(sipResponse(a.awaitInvite(1), "INVITE", 486, 1, ""))
 				}
-				x.ends()
+				x.awaitEnd()
 				want := map[bool]string{true: "end 34", false: "end 41"}[decision]
-				if got := x.h.wait(t, key, 1); got != want {
+				if got := x.answers.await(t, key, 1); got != want {
 					t.Error(got)
 				}
 				a.mu.Lock()
 				defer a.mu.Unlock()
-				if decision && slices.ContainsFunc(a.came, func(s string) bool { return s != "CLOSED" }) {
-					t.Errorf("the exchange heard %v", a.came)
+				if decision && slices.ContainsFunc(a.received, func(s string) bool { return s != "CLOSED" }) {
+					t.Errorf("the exchange heard %v", a.received)
 				}
 			})
 		})
@@ -328,83 +330,83 @@
 
 // An earlier attempt was released at an exchange that confirms nothing, and a later one stands there, under the same id
 // on the wire. When the connection breaks and comes up again, the old release is not said again: it would end the call.
-func TestOldReleaseEndsNoLaterAttempt(t *testing.T) {
+func TestOldReleaseDoesNotEndLaterAttempt(t *testing.T) {
 	t.Parallel()
-	a := startFar(t, "127.0.0.1:0")
-	x := startScene(t, []*far{a}, &fixed{wait: guard, servers: []string{"s-0", "s-0", "s-0"}})
-	id := x.k.setUp("1", 5*time.Second)
-	a.awaits("INVITE", id, 1)
-	x.turn(func() { // its answer crosses our giving it up
-		x.n.calls.AttemptEnded("s-0", id, 0, call.TimedOut)
-		x.n.backends.Get("s-0").Cancel(id, 0)
-		x.says(0, response(id, "INVITE", 200, 1, "late"))
+	a := startFakeExchange(t, "127.0.0.1:0")
+	x := startTestbed(t, []*fakeExchange{a}, &scriptedDecider{retryDelay: retryGuard, servers: []string{"s-0", "s-0", "s-0"}})
+	id := x.caller.setUp("1", 5*time.Second)
+	a.awaitReceived("INVITE", id, 1)
+	x.runIteration(func() { // its answer crosses our giving it up
+		x.server.calls.AttemptEnded("s-0", id, 0, call.TimedOut)
+		x.server.backends.Get("s-0").Cancel(id, 0)
+		x.deliver(0, sipResponse(id, "INVITE", 200, 1, "late"))
 	})
-	a.awaits("BYE", id, 1)
-	a.awaits("INVITE", id, 2)
-	a.send(response(id, "INVITE", 200, 2, "b"))
-	if got := x.h.wait(t, id, 1); got != "stands b" {
+	a.awaitReceived("BYE", id, 1)
+	a.awaitReceived("INVITE", id, 2)
+	a.send(sipResponse(id, "INVITE", 200, 2, "b"))
+	if got := x.answers.await(t, id, 1); got != "stands b" {
 		t.Fatal(got)
 	}
-	reset(a.connected())
-	last := x.k.setUp("1", 3*time.Second)
-	a.awaits("INVITE", last, 1)
-	if n := a.heard("BYE", id); n != 1 {
+	resetConn(a.awaitConn())
+	last := x.caller.setUp("1", 3*time.Second)
+	a.awaitReceived("INVITE", last, 1)
+	if n := a.countReceived("BYE", id); n != 1 {
 		t.Errorf("%d releases of a call that stands", n-1)
 	}
-	x.k.hangUp(id) // its own release is said, and again on the next connection
-	a.awaits("BYE", id, 2)
-	reset(a.connected())
-	a.awaits("BYE", id, 3)
+	x.caller.hangUp(id) // its own release is said, and again on the next connection
+	a.awaitReceived("BYE", id, 2)
+	resetConn(a.awaitConn())
+	a.awaitReceived("BYE", id, 3)
 }
 
 // A set-up and its give-up come on two connections, and either may be read first: nothing is sent on, or the exchange
 // hears at once that it is over.
-func TestGiveUpIsReadBeforeItsSetUp(t *testing.T) {
-	both(t, "the give-up", "the set-up", func(t *testing.T, giveUp bool) {
-		a := startFar(t, "127.0.0.1:0")
-		x := startScene(t, []*far{a}, &fixed{servers: []string{"s-0", "s-0"}})
-		other := x.dial("cccccccc")
-		x.turn(func() {
+func TestCancelIsReadBeforeItsSetup(t *testing.T) {
+	testBothOrders(t, "the give-up", "the set-up", func(t *testing.T, giveUp bool) {
+		a := startFakeExchange(t, "127.0.0.1:0")
+		x := startTestbed(t, []*fakeExchange{a}, &scriptedDecider{servers: []string{"s-0", "s-0"}})
+		other := x.dialCaller("cccccccc")
+		x.runIteration(func() {
 			var all []*jsonclient.Client
-			for k := range x.n.frontends.json.Clients().Oldest() {
+			for k := range x.server.frontends.json.Clients().Oldest() {
 				all = append(all, k)
 			}
-			order(giveUp, func() { all[1].HandleData(line(jsonl.Finish, tag)) }, func() { all[0].HandleData(start(tag, 2*time.Second)) })
+			runInOrder(giveUp, func() { all[1].HandleData(jsonMessage(jsonl.Finish, testCallID)) }, func() { all[0].HandleData(jsonSetup(testCallID, 2*time.Second)) })
 		})
-		x.settled()
-		x.module.sends("s-0")
+		x.awaitNoPendingWork()
+		x.decider.setServers("s-0")
 		last := other.setUp("1", 2*time.Second)
-		a.awaits("INVITE", last, 1)
-		if n := a.heard("INVITE", tag); n != 0 {
+		a.awaitReceived("INVITE", last, 1)
+		if n := a.countReceived("INVITE", testCallID); n != 0 {
 			t.Errorf("%d set-ups of a caller that had left", n)
 		}
 	})
 }
 
-// panels opens the front of H.248.
-func panels(o *Options) { o.H248 = &config.H248{Listen: "127.0.0.2:0", Admin: "127.0.0.3:0"} }
+// withGateways opens the front of H.248.
+func withGateways(o *Options) { o.H248 = &config.H248{Listen: "127.0.0.2:0", Admin: "127.0.0.3:0"} }
 
-// dialPanel brings a panel, which has said its name when it returns.
-func (x *scene) dialPanel(mid string) *h248Caller {
+// dialGateway brings a panel, which has said its name when it returns.
+func (x *testbed) dialGateway(mid string) *gatewayCaller {
 	x.t.Helper()
-	p := dialH248(x.t, x.panel(), x.h, mid)
-	p.last = 100
-	before := len(strings.Fields(x.h.of(strings.Trim(mid, "<>")+"/100"))) / 2
+	p := dialGatewayCaller(x.t, x.gatewayAddress(), x.answers, mid)
+	p.lastID = 100
+	before := len(strings.Fields(x.answers.of(strings.Trim(mid, "<>")+"/100"))) / 2
 	p.send(&h248.Transaction{ID: 100, Actions: []*h248.Action{{Context: "-", Commands: []*h248.Command{{Name: "AuditValue", Termination: "ROOT"}}}}})
-	x.h.wait(x.t, strings.Trim(mid, "<>")+"/100", before+1)
+	x.answers.await(x.t, strings.Trim(mid, "<>")+"/100", before+1)
 	return p
 }
 
-// latestPanel is the node's side of the panel that spoke last.
-func (x *scene) latestPanel() *gateway.Gateway {
-	for p := range x.n.frontends.gateway.Gateways().Latest() {
+// latestGateway is the node's side of the panel that spoke last.
+func (x *testbed) latestGateway() *gateway.Gateway {
+	for p := range x.server.frontends.gateway.Gateways().Latest() {
 		return p
 	}
 	return nil
 }
 
-// framed is transactions as they go over the wire.
-func framed(t *testing.T, mid string, all ...*h248.Transaction) (b []byte) {
+// frameTransactions is transactions as they go over the wire.
+func frameTransactions(t *testing.T, mid string, all ...*h248.Transaction) (b []byte) {
 	t.Helper()
 	for _, tr := range all {
 		var err error
@@ -415,14 +417,14 @@
 	return b
 }
 
-// invited waits for the nth set-up to come and tells its id.
-func (x *far) invited(n int) (id string) {
+// awaitInvite waits for the nth set-up to come and tells its id.
+func (x *fakeExchange) awaitInvite(n int) (id string) {
 	x.t.Helper()
 	eventually(x.t, fmt.Sprint(n, " set-ups"), func() bool {
 		x.mu.Lock()
 		defer x.mu.Unlock()
 		seen := 0
-		for _, s := range x.came {
+		for _, s := range x.received {
 			if f := strings.Fields(s); f[0] == "INVITE" {
 				if seen++; seen == n {
 					id = f[1]
@@ -436,125 +438,125 @@
 
 // A panel releases a call that stands and its connection breaks, as something is written to it: the exchange hears of
 // the release in either order. A set-up behind it has lost its caller, and counts as one that never came.
-func TestPanelsReleaseBesideTheBreak(t *testing.T) {
-	both(t, "the release", "the failed write", func(t *testing.T, release bool) {
-		a := startFar(t, "127.0.0.1:0")
-		x := startScene(t, []*far{a}, &fixed{servers: []string{"s-0", "s-0"}}, panels)
-		p := x.dialPanel("<p>")
+func TestGatewayReleaseAndConnectionFailure(t *testing.T) {
+	testBothOrders(t, "the release", "the failed write", func(t *testing.T, release bool) {
+		a := startFakeExchange(t, "127.0.0.1:0")
+		x := startTestbed(t, []*fakeExchange{a}, &scriptedDecider{servers: []string{"s-0", "s-0"}}, withGateways)
+		p := x.dialGateway("<p>")
 		key := p.setUp("1", 3*time.Second)
-		id := a.invited(1)
-		a.send(response(id, "INVITE", 200, 1, "a"))
-		x.h.wait(t, key, 1)
+		id := a.awaitInvite(1)
+		a.send(sipResponse(id, "INVITE", 200, 1, "a"))
+		x.answers.await(t, key, 1)
 		p.mu.Lock()
-		context := p.ctx[key]
+		context := p.contexts[key]
 		p.mu.Unlock()
 		off := &h248.Transaction{ID: 7, Actions: []*h248.Action{{Context: context, Commands: []*h248.Command{{Name: "Subtract", Termination: key}}}}}
 		add := addTransaction("p/8", 8, "1", 3*time.Second)
 		if release {
 			p.send(off)
-			a.awaits("BYE", id, 1)
-			reset(p.c)
+			a.awaitReceived("BYE", id, 1)
+			resetConn(p.conn)
 		} else {
-			x.turn(func() {
-				_, _ = p.c.Write(framed(t, "<p>", off, add))
-				reset(p.c)
-				x.n.loop.Write(x.latestPanel().Conn(), func(b []byte) []byte { return append(b, 'x') })
+			x.runIteration(func() {
+				_, _ = p.conn.Write(frameTransactions(t, "<p>", off, add))
+				resetConn(p.conn)
+				x.server.loop.Write(x.latestGateway().Conn(), func(b []byte) []byte { return append(b, 'x') })
 			})
-			a.awaits("BYE", id, 1)
+			a.awaitReceived("BYE", id, 1)
 		}
-		x.settled()
-		again := dialH248(t, x.panel(), x.h, "<p>")
+		x.awaitNoPendingWork()
+		again := dialGatewayCaller(t, x.gatewayAddress(), x.answers, "<p>")
 		again.send(add) // on a new connection it is one that has not run
-		if other := a.invited(2); other == id || a.heard("BYE", id) != 1 {
-			t.Errorf("%d releases, then %s", a.heard("BYE", id), other)
+		if other := a.awaitInvite(2); other == id || a.countReceived("BYE", id) != 1 {
+			t.Errorf("%d releases, then %s", a.countReceived("BYE", id), other)
 		}
-		x.turn(func() { x.latestPanel().HandleClose(nil) })
+		x.runIteration(func() { x.latestGateway().HandleClose(nil) })
 	})
 }
 
 // A panel that has been silent for too long speaks as its connection is to be closed: it is heard, and stays.
-func TestPanelsIdleCloseCrossesASetUp(t *testing.T) {
+func TestGatewaySetupCrossesIdleClose(t *testing.T) {
 	t.Parallel()
-	a := startFar(t, "127.0.0.1:0")
-	x := startScene(t, []*far{a}, &fixed{servers: []string{"s-0"}}, panels)
-	c, err := net.Dial("tcp", x.panel())
+	a := startFakeExchange(t, "127.0.0.1:0")
+	x := startTestbed(t, []*fakeExchange{a}, &scriptedDecider{servers: []string{"s-0"}}, withGateways)
+	c, err := net.Dial("tcp", x.gatewayAddress())
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer func() { _ = c.Close() }()
 	eventually(t, "the panel is there", func() (there bool) {
-		x.turn(func() { there = x.latestPanel() != nil })
+		x.runIteration(func() { there = x.latestGateway() != nil })
 		return there
 	})
-	x.turn(func() {
-		p := x.latestPanel()
-		_, _ = c.Write(framed(t, "<p>", addTransaction("p/1", 1, "1", 3*time.Second)))
-		x.n.frontends.gateway.CloseOverdue(x.n.loop.Now() + 2*eventloop.InputTimeout)
+	x.runIteration(func() {
+		p := x.latestGateway()
+		_, _ = c.Write(frameTransactions(t, "<p>", addTransaction("p/1", 1, "1", 3*time.Second)))
+		x.server.frontends.gateway.CloseOverdue(x.server.loop.Now() + 2*eventloop.InputTimeout)
 		if !p.Conn().IsOpen() {
 			t.Error("it is closed with a set-up on it")
 		}
 	})
-	a.invited(1)
+	a.awaitInvite(1)
 }
 
 // The node stops while the release of a call waits for its panel to come back: it is said before the end.
-func TestStopWaitsForAPanel(t *testing.T) {
+func TestShutdownWaitsForGateway(t *testing.T) {
 	t.Parallel()
-	a := startFar(t, "127.0.0.1:0")
-	x := startScene(t, []*far{a}, &fixed{servers: []string{"s-0"}}, panels)
-	p := x.dialPanel("<p>")
+	a := startFakeExchange(t, "127.0.0.1:0")
+	x := startTestbed(t, []*fakeExchange{a}, &scriptedDecider{servers: []string{"s-0"}}, withGateways)
+	p := x.dialGateway("<p>")
 	key := p.setUp("1", 3*time.Second)
-	id := a.invited(1)
-	a.send(response(id, "INVITE", 200, 1, "a"))
-	x.h.wait(t, key, 1)
+	id := a.awaitInvite(1)
+	a.send(sipResponse(id, "INVITE", 200, 1, "a"))
+	x.answers.await(t, key, 1)
 	p.close()
 	eventually(t, "the panel has left", func() (left bool) {
-		x.turn(func() { left = x.latestPanel() == nil })
+		x.runIteration(func() { left = x.latestGateway() == nil })
 		return left
 	})
-	a.send(finish(id, 16))
+	a.send(sipRelease(id, 16))
 	eventually(t, "the release waits", func() (waits bool) {
-		x.turn(func() { waits = x.n.frontends.gateway.PendingNotifies() == 1 })
+		x.runIteration(func() { waits = x.server.frontends.gateway.PendingNotifies() == 1 })
 		return waits
 	})
-	if !x.outlivesTheLinger() {
+	if !x.servesAfterLinger() {
 		t.Fatal("the node ended and took the release along")
 	}
-	x.dialPanel("<p>")
-	if got := x.h.wait(t, key, 2); !strings.HasSuffix(got, "end 16") {
+	x.dialGateway("<p>")
+	if got := x.answers.await(t, key, 2); !strings.HasSuffix(got, "end 16") {
 		t.Error(got)
 	}
-	x.ends()
+	x.awaitEnd()
 }
 
 // SIGKILL is near: what a panel has open, and what it sends now, is answered at once, each once.
-func TestStopRunsOutOfTimeForPanels(t *testing.T) {
+func TestShutdownTimeoutForGateways(t *testing.T) {
 	t.Parallel()
-	a := startFar(t, "127.0.0.1:0")
-	x := startScene(t, []*far{a}, &fixed{servers: []string{"s-0", "s-0"}}, panels)
-	p := x.dialPanel("<p>")
+	a := startFakeExchange(t, "127.0.0.1:0")
+	x := startTestbed(t, []*fakeExchange{a}, &scriptedDecider{servers: []string{"s-0", "s-0"}}, withGateways)
+	p := x.dialGateway("<p>")
 	key := p.setUp("1", 8*time.Second)
-	id := a.invited(1)
-	x.n.Stop()
+	id := a.awaitInvite(1)
+	x.server.Stop()
 	eventually(t, "time is out", func() (out bool) {
-		x.turn(func() {
-			if out = x.n.isOutOfTime(x.n.loop.Now()); out {
-				x.latestPanel().HandleData(framed(t, "<p>", addTransaction("p/200", 200, "1", 3*time.Second)))
+		x.runIteration(func() {
+			if out = x.server.isOutOfTime(x.server.loop.Now()); out {
+				x.latestGateway().HandleData(frameTransactions(t, "<p>", addTransaction("p/200", 200, "1", 3*time.Second)))
 			}
 		})
 		return out
 	})
-	x.ends()
-	eventually(t, "both are answered", func() bool { return x.h.of(key) != "" && x.h.of("p/200") != "" })
-	if got := x.h.of(key) + " " + x.h.of("p/200"); got != "end 34 end 34" {
+	x.awaitEnd()
+	eventually(t, "both are answered", func() bool { return x.answers.of(key) != "" && x.answers.of("p/200") != "" })
+	if got := x.answers.of(key) + " " + x.answers.of("p/200"); got != "end 34 end 34" {
 		t.Errorf("the panel heard %q", got)
 	}
-	if n := a.heard("CANCEL", id); n != 1 {
+	if n := a.countReceived("CANCEL", id); n != 1 {
 		t.Errorf("%d given up", n)
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	for _, s := range a.came {
+	for _, s := range a.received {
 		if s != "CLOSED" && !strings.Contains(s, id) {
 			t.Errorf("the exchange heard %s", s)
 		}
--- a/internal/server/quiet_test.go
+++ b/internal/server/quiet_test.go
@@ -5,26 +5,26 @@
 	"time"
 )
 
-// serial is that of the list the node goes by.
-func (x *scene) serial() (n uint32) {
-	x.turn(func() { n = x.n.endpoints.Serial() })
+// listSerial is that of the list the node goes by.
+func (x *testbed) listSerial() (n uint32) {
+	x.runIteration(func() { n = x.server.endpoints.Serial() })
 	return n
 }
 
 // The name service answers each socket once and never again: a drain that comes later is heard over another
 // socket, in time to stop new work 2 s after it counts as told.
-func TestNamesFallSilentOnASocket(t *testing.T) {
+func TestDiscoverySilentOnOneSocket(t *testing.T) {
 	t.Parallel()
-	x := startScene(t, []*far{startFar(t, "127.0.0.1:0")}, nil)
-	eventually(t, "a first answer", func() bool { return x.n.namesAnswers(x) > 0 })
-	x.names.mu.Lock()
-	x.names.each = 1
-	clear(x.names.given)
-	x.names.mu.Unlock()
+	x := startTestbed(t, []*fakeExchange{startFakeExchange(t, "127.0.0.1:0")}, nil)
+	eventually(t, "a first answer", func() bool { return x.server.discoveryAnswers(x) > 0 })
+	x.discovery.mu.Lock()
+	x.discovery.maxAnswersPerClient = 1
+	clear(x.discovery.answersByClient)
+	x.discovery.mu.Unlock()
 	eventually(t, "a last answer on this socket", func() bool {
-		x.names.mu.Lock()
-		defer x.names.mu.Unlock()
-		for _, n := range x.names.given {
+		x.discovery.mu.Lock()
+		defer x.discovery.mu.Unlock()
+		for _, n := range x.discovery.answersByClient {
 			if n > 1 {
 				return true
 			}
@@ -32,9 +32,9 @@
 		return false
 	})
 	began := time.Now()
-	x.names.set(nameLine{id: "s-0", addr: x.far[0].addr(), draining: true})
+	x.discovery.set(endpointLine{id: "s-0", addr: x.exchanges[0].addr(), draining: true})
 	eventually(t, "the drain is heard", func() (draining bool) {
-		x.turn(func() { draining = x.n.backends.Get("s-0").IsDraining() })
+		x.runIteration(func() { draining = x.server.backends.Get("s-0").IsDraining() })
 		return draining
 	})
 	if took := time.Since(began); took > 3500*time.Millisecond {
@@ -42,73 +42,73 @@
 	}
 }
 
-func (n *Server) namesAnswers(x *scene) (answers int) {
-	x.turn(func() { answers = n.discovery.counters.answers })
+func (n *Server) discoveryAnswers(x *testbed) (answers int) {
+	x.runIteration(func() { answers = n.discovery.counters.answers })
 	return answers
 }
 
 // The name service says nothing more at all: the list at hand goes on serving, and sockets are neither piled up nor
 // opened ever faster.
-func TestNamesSilentForGood(t *testing.T) {
+func TestDiscoverySilentForGood(t *testing.T) {
 	t.Parallel()
-	x := startScene(t, []*far{startFar(t, "127.0.0.1:0")}, nil)
-	eventually(t, "a first answer", func() bool { return x.n.namesAnswers(x) > 0 })
-	x.names.mu.Lock()
-	x.names.drop = 1 << 30
-	clear(x.names.given)
-	x.names.mu.Unlock()
+	x := startTestbed(t, []*fakeExchange{startFakeExchange(t, "127.0.0.1:0")}, nil)
+	eventually(t, "a first answer", func() bool { return x.server.discoveryAnswers(x) > 0 })
+	x.discovery.mu.Lock()
+	x.discovery.queriesToDrop = 1 << 30
+	clear(x.discovery.answersByClient)
+	x.discovery.mu.Unlock()
 	eventually(t, "two sockets after the first", func() bool {
-		x.names.mu.Lock()
-		defer x.names.mu.Unlock()
-		return len(x.names.given) >= 3
+		x.discovery.mu.Lock()
+		defer x.discovery.mu.Unlock()
+		return len(x.discovery.answersByClient) >= 3
 	})
-	x.turn(func() {
-		if r := x.n.discovery; r.silenceTimeout < 3*time.Second || r.silenceTimeout > maxSilenceTimeout*11/10 {
+	x.runIteration(func() {
+		if r := x.server.discovery; r.silenceTimeout < 3*time.Second || r.silenceTimeout > maxSilenceTimeout*11/10 {
 			t.Errorf("after three the next may be silent for %v", r.silenceTimeout)
 		}
 	})
-	id := x.k.setUp("1", 2*time.Second)
-	x.far[0].awaits("INVITE", id, 1)
-	x.far[0].send(response(id, "INVITE", 200, 1, "a"))
-	if got := x.h.wait(t, id, 1); got != "stands a" {
+	id := x.caller.setUp("1", 2*time.Second)
+	x.exchanges[0].awaitReceived("INVITE", id, 1)
+	x.exchanges[0].send(sipResponse(id, "INVITE", 200, 1, "a"))
+	if got := x.answers.await(t, id, 1); got != "stands a" {
 		t.Error(got)
 	}
 }
 
 // SIGHUP moves the name service between question and answer: what the old one still says is not read, also where its
 // serial is the higher one.
-func TestNamesMovedBeforeTheAnswer(t *testing.T) {
+func TestDiscoveryAddressChangesBeforeAnswer(t *testing.T) {
 	t.Parallel()
-	x := startScene(t, []*far{startFar(t, "127.0.0.1:0")}, nil)
-	eventually(t, "a first answer", func() bool { return x.n.namesAnswers(x) > 0 })
-	x.names.mu.Lock()
-	x.names.keep = true
-	x.names.mu.Unlock()
-	x.names.set(nameLine{id: "s-9", addr: x.far[0].addr()})
+	x := startTestbed(t, []*fakeExchange{startFakeExchange(t, "127.0.0.1:0")}, nil)
+	eventually(t, "a first answer", func() bool { return x.server.discoveryAnswers(x) > 0 })
+	x.discovery.mu.Lock()
+	x.discovery.holdsAnswers = true
+	x.discovery.mu.Unlock()
+	x.discovery.set(endpointLine{id: "s-9", addr: x.exchanges[0].addr()})
 	for range 7 {
-		x.names.set(nameLine{id: "s-9", addr: x.far[0].addr()})
+		x.discovery.set(endpointLine{id: "s-9", addr: x.exchanges[0].addr()})
 	}
 	eventually(t, "an answer held back", func() bool {
-		x.names.mu.Lock()
-		defer x.names.mu.Unlock()
-		return len(x.names.kept) > 0
+		x.discovery.mu.Lock()
+		defer x.discovery.mu.Unlock()
+		return len(x.discovery.heldAnswers) > 0
 	})
-	next := startNames(t)
+	next := startDiscoveryServer(t)
 	next.mu.Lock()
 	next.serial = 1
 	next.mu.Unlock()
-	next.set(nameLine{id: "s-0", addr: x.far[0].addr(), draining: true}) // serial 2
-	cfg := *x.n.cfg
-	cfg.DiscoveryAddress = next.c.LocalAddr().String()
-	x.n.Reload(&cfg)
-	x.turn(func() {}) // the move is done
-	x.names.mu.Lock()
-	_, _ = x.names.c.WriteTo(x.names.kept[0], x.names.asker)
-	x.names.mu.Unlock()
-	eventually(t, "the new list", func() bool { return x.serial() == 2 })
-	x.turn(func() {
-		if l := x.n.backends.Get("s-0"); l == nil || !l.IsDraining() || x.n.backends.Get("s-9") != nil {
-			t.Errorf("%d exchanges are known, s-0 is %+v", x.n.backends.Len(), l)
+	next.set(endpointLine{id: "s-0", addr: x.exchanges[0].addr(), draining: true}) // serial 2
+	cfg := *x.server.cfg
+	cfg.DiscoveryAddress = next.conn.LocalAddr().String()
+	x.server.Reload(&cfg)
+	x.runIteration(func() {}) // the move is done
+	x.discovery.mu.Lock()
+	_, _ = x.discovery.conn.WriteTo(x.discovery.heldAnswers[0], x.discovery.lastClient)
+	x.discovery.mu.Unlock()
+	eventually(t, "the new list", func() bool { return x.listSerial() == 2 })
+	x.runIteration(func() {
+		if l := x.server.backends.Get("s-0"); l == nil || !l.IsDraining() || x.server.backends.Get("s-9") != nil {
+			t.Errorf("%d exchanges are known, s-0 is %+v", x.server.backends.Len(), l)
 		}
 	})
 }
--- a/internal/server/recorder_test.go
+++ b/internal/server/recorder_test.go
@@ -25,37 +25,37 @@
 
 // fleet is several nodes with the same stand-in servers and name service.
 type fleet struct {
-	names   *nameServer
-	r       *rules
-	servers []*standIn
-	lines   []nameLine
-	numbers *config.Numbering // of nodes started from now on
-	module  call.Decider      // of the next node, in place of the module
-	pools   string            // that calls may go to; "": those of settings
-	queue   config.Size       // of records; 0: the default
-	sockets int               // 0: 1024
+	discovery    *discoveryServer
+	observations *callObservations
+	exchanges    []*simulatedExchange
+	lines        []endpointLine
+	numbers      *config.Numbering // of nodes started from now on
+	decider      call.Decider      // of the next node, in place of the module
+	pools        string            // that calls may go to; "": those of settings
+	recordQueue  config.Size       // of records; 0: the default
+	sockets      int               // 0: 1024
 }
 
 func startFleet(t testing.TB, servers int) *fleet {
 	t.Helper()
-	f := &fleet{names: startNames(t), r: newRules()}
+	f := &fleet{discovery: startDiscoveryServer(t), observations: newCallObservations()}
 	for i := range servers {
-		s := startServer(t, f.r, false)
-		f.servers = append(f.servers, s)
-		f.lines = append(f.lines, nameLine{id: fmt.Sprint("s-", i), addr: s.addr(), cell: i})
+		s := startSimulatedExchange(t, f.observations, false)
+		f.exchanges = append(f.exchanges, s)
+		f.lines = append(f.lines, endpointLine{id: fmt.Sprint("s-", i), addr: s.addr(), pool: i})
 	}
-	f.names.set(f.lines...)
+	f.discovery.set(f.lines...)
 	return f
 }
 
-// node starts one more node; skew is how far its clock is ahead. Without dir it records nothing.
-func (f *fleet) node(t testing.TB, name, dir string, skew *atomic.Int64) *site {
+// startServer starts one more startServer; skew is how far its clock is ahead. Without dir it records nothing.
+func (f *fleet) startServer(t testing.TB, name, dir string, skew *atomic.Int64) *testServer {
 	t.Helper()
 	var known []config.Endpoint
 	for _, l := range f.lines {
-		known = append(known, config.Endpoint{ID: l.id, Address: l.addr, Zone: "east", Kind: "std", Pool: l.cell, Phase: config.PhaseReady})
+		known = append(known, config.Endpoint{ID: l.id, Address: l.addr, Zone: "east", Kind: "std", Pool: l.pool, Phase: config.PhaseReady})
 	}
-	text, err := json.Marshal(map[string]any{"name": name, "listen": "127.0.0.1:0", "seed": "1f", "names": f.names.c.LocalAddr().String(),
+	text, err := json.Marshal(map[string]any{"name": name, "listen": "127.0.0.1:0", "seed": "1f", "names": f.discovery.conn.LocalAddr().String(),
 		"limits": map[string]any{"memory_mb": 192, "sockets": cmp.Or(f.sockets, 1024)}, "settings": json.RawMessage(strings.Replace(settings, "[[0,1,2,3]]", cmp.Or(f.pools, "[[0,1,2,3]]"), 1)),
 		"known": config.KnownEndpoints{LastEvent: 1, Events: []config.EndpointEvent{{N: 1, Endpoints: config.EndpointList{Complete: true, Endpoints: known}}}}})
 	if err != nil {
@@ -67,21 +67,21 @@
 	}
 	var rec *config.Records
 	if dir != "" {
-		rec = &config.Records{Dir: dir, Sync: config.Duration(10 * time.Millisecond), Queue: f.queue}
+		rec = &config.Records{Dir: dir, Sync: config.Duration(10 * time.Millisecond), Queue: f.recordQueue}
 		if err := rec.Validate(); err != nil {
 			t.Fatal(err)
 		}
 	}
-	s := &site{names: f.names, r: f.r, servers: f.servers, done: make(chan error, 1)}
-	s.n, err = New(cfg, Options{Records: rec, Numbers: f.numbers, Program: "test", decider: f.module, H248: &config.H248{Listen: "127.0.0.2:0", Admin: "127.0.0.3:0"},
+	s := &testServer{discovery: f.discovery, observations: f.observations, exchanges: f.exchanges, done: make(chan error, 1)}
+	s.server, err = New(cfg, Options{Records: rec, Numbers: f.numbers, Program: "test", decider: f.decider, H248: &config.H248{Listen: "127.0.0.2:0", Admin: "127.0.0.3:0"},
 		Clock: func() time.Time { return time.Now().Add(time.Duration(skew.Load())) }})
 	if err != nil {
 		t.Fatal(err)
 	}
-	s.watched()
-	go func() { s.done <- s.n.Run() }()
+	s.observeRetries()
+	go func() { s.done <- s.server.Run() }()
 	select {
-	case <-s.n.Started():
+	case <-s.server.Started():
 	case <-time.After(10 * time.Second):
 		t.Fatal("the node did not start")
 	}
@@ -89,9 +89,9 @@
 }
 
 // stop ends a node in good order.
-func (s *site) stop(t testing.TB) {
+func (s *testServer) stop(t testing.TB) {
 	t.Helper()
-	s.n.Stop()
+	s.server.Stop()
 	select {
 	case <-s.done:
 	case <-time.After(10 * time.Second):
@@ -120,8 +120,8 @@
 	}
 }
 
-// naive counts a store's records one by one, without the analysis.
-func naive(t testing.TB, dir string) (counts map[string]uint64, lives map[string]string) {
+// countRecords counts a store's records one by one, without the analysis.
+func countRecords(t testing.TB, dir string) (counts map[string]uint64, lives map[string]string) {
 	t.Helper()
 	counts, lives = make(map[string]uint64), make(map[string]string)
 	r, err := record.OpenDir(dir)
@@ -158,8 +158,8 @@
 	return counts, lives
 }
 
-// analyse makes the report of stores.
-func analyse(t testing.TB, dirs ...string) *incident.Report {
+// analyzeStores makes the report of stores.
+func analyzeStores(t testing.TB, dirs ...string) *incident.Report {
 	t.Helper()
 	var parts []*incident.Part
 	for _, dir := range dirs {
@@ -183,27 +183,27 @@
 // What the records tell of calls is what the core counted and what the servers saw, call by call.
 func TestRecordsTellEveryCall(t *testing.T) {
 	t.Parallel()
-	f, h := startFleet(t, 2), newHeard()
+	f, h := startFleet(t, 2), newAnswerLog()
 	dir := t.TempDir()
-	s := f.node(t, "n0", dir, new(atomic.Int64))
-	k := dialJSON(t, s.json(), h, "aaaaaaaa")
+	s := f.startServer(t, "n0", dir, new(atomic.Int64))
+	k := dialJSONCaller(t, s.jsonAddress(), h, "aaaaaaaa")
 	for i := range 10 {
-		h.wait(t, k.setUp(fmt.Sprint("ok.", i), 4*time.Second), 2)
+		h.await(t, k.setUp(fmt.Sprint("ok.", i), 4*time.Second), 2)
 	}
 	kept := k.setUp("keep.1", 4*time.Second)
-	h.wait(t, kept, 1)
+	h.await(t, kept, 1)
 	k.hangUp(kept)
-	eventually(t, "the release went out", func() bool { return f.r.total(&f.r.released) == 1 })
+	eventually(t, "the release went out", func() bool { return f.observations.total(&f.observations.released) == 1 })
 	left := k.setUp("silent.2", 4*time.Second)
-	eventually(t, "it is out", func() bool { return f.r.tries("silent.2") == 1 })
+	eventually(t, "it is out", func() bool { return f.observations.attemptsTo("silent.2") == 1 })
 	k.hangUp(left)
-	eventually(t, "it is given up", func() bool { return f.r.total(&f.r.gaveUp) == 1 })
+	eventually(t, "it is given up", func() bool { return f.observations.total(&f.observations.canceled) == 1 })
 	for _, number := range []string{"busy.1", "full.1", "moot.1", "reset.1"} {
-		h.wait(t, k.setUp(number, 4*time.Second), 1)
+		h.await(t, k.setUp(number, 4*time.Second), 1)
 	}
 	silent := k.setUp("silent.1", 300*time.Millisecond)
-	h.wait(t, silent, 1)
-	audit, err := adminapi.Send(context.Background(), s.admin(), adminapi.AuditCommand("ROOT"))
+	h.await(t, silent, 1)
+	audit, err := adminapi.Send(context.Background(), s.adminAddress(), adminapi.AuditCommand("ROOT"))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -222,13 +222,13 @@
 	if got := h248.Value(audit.Descriptors, "Statistics", "oc/attempts"); got != strconv.Itoa(tries) {
 		t.Errorf("%d attempts by server, %s in all", tries, got)
 	}
-	if audit, err = adminapi.Send(context.Background(), s.panel(), adminapi.AuditCommand("ROOT")); err != nil || h248.Find(audit.Descriptors, "Statistics", "oc/server") != nil {
+	if audit, err = adminapi.Send(context.Background(), s.gatewayAddress(), adminapi.AuditCommand("ROOT")); err != nil || h248.Find(audit.Descriptors, "Statistics", "oc/server") != nil {
 		t.Errorf("a panel is told of servers, %v", err)
 	}
 	s.stop(t)
 
-	c := &s.n.calls.Counters
-	counts, lives := naive(t, dir)
+	c := &s.server.calls.Counters
+	counts, lives := countRecords(t, dir)
 	for what, want := range map[string]int{"setup": c.Requests, "answer stood": c.Established, "answer refused": c.Rejected, "answer failed": c.Failed,
 		"answer given_up": c.Abandoned, "try": c.Attempts, "release": c.ReleasedByCaller + c.ReleasedByBackend, "start": 1, "stopping": 1, "end": 1, "lost": 0, "gap": 0} {
 		if counts[what] != uint64(want) {
@@ -240,7 +240,7 @@
 			t.Errorf("%d records of %s, the core counted %d", counts[what], what, n)
 		}
 	}
-	for i, server := range f.servers {
+	for i, server := range f.exchanges {
 		server.mu.Lock()
 		if got := counts[fmt.Sprint("try s-", i)]; got != uint64(server.invited) {
 			t.Errorf("%d attempts recorded at server %d, it saw %d", got, i, server.invited)
@@ -255,7 +255,7 @@
 	if got := lives[kept]; got != "setup,order,try,answer stood,release,try_end," {
 		t.Errorf("the life of a call that was kept: %s", got)
 	}
-	r := analyse(t, dir)
+	r := analyzeStores(t, dir)
 	if r.Total.Offered != uint64(c.Requests) || r.Total.Stood() != uint64(c.Established) || r.AtLeast || r.Instances[0].Tallies["stood"] != uint64(c.Established) {
 		t.Errorf("the report: %+v", r.Total.Counts)
 	}
@@ -267,23 +267,23 @@
 // cores counted.
 func TestIncident(t *testing.T) {
 	t.Parallel()
-	f, h := startFleet(t, 3), newHeard()
+	f, h := startFleet(t, 3), newAnswerLog()
 	root := t.TempDir()
 	var skews [4]atomic.Int64
 	skews[1].Store(int64(3700 * time.Millisecond))
-	var nodes []*site
+	var nodes []*testServer
 	var callers []*jsonCaller
 	var stamps [4]adminapi.ClockStamps
 	dirs := make([]string, 4)
 	for i := range 4 {
 		dirs[i] = filepath.Join(root, fmt.Sprint("n", i))
-		nodes = append(nodes, f.node(t, fmt.Sprint("n", i), dirs[i], &skews[i]))
-		callers = append(callers, dialJSON(t, nodes[i].json(), h, fmt.Sprintf("%08x", i)))
+		nodes = append(nodes, f.startServer(t, fmt.Sprint("n", i), dirs[i], &skews[i]))
+		callers = append(callers, dialJSONCaller(t, nodes[i].jsonAddress(), h, fmt.Sprintf("%08x", i)))
 	}
 	exchange := func() {
 		for i, n := range nodes {
 			var err error
-			if stamps[i], err = adminapi.ExchangeClocks(context.Background(), n.admin(), "test", stamps[i]); err != nil {
+			if stamps[i], err = adminapi.ExchangeClocks(context.Background(), n.adminAddress(), "test", stamps[i]); err != nil {
 				t.Fatal(err)
 			}
 		}
@@ -296,14 +296,14 @@
 			}
 		}
 		for _, key := range keys {
-			h.wait(t, key, 1)
+			h.await(t, key, 1)
 		}
 	}
 	again := func() { // n0 ends in good order and starts anew: its next records are another segment
 		nodes[0].stop(t)
 		eventually(t, "its store is let go", func() bool { return !record.Live(dirs[0]) }) // a slow disk gets longer than a node waits
-		nodes[0], stamps[0] = f.node(t, "n0", dirs[0], &skews[0]), adminapi.ClockStamps{}
-		callers[0] = dialJSON(t, nodes[0].json(), h, fmt.Sprintf("%08x", time.Now().UnixNano()&0xffffffff))
+		nodes[0], stamps[0] = f.startServer(t, "n0", dirs[0], &skews[0]), adminapi.ClockStamps{}
+		callers[0] = dialJSONCaller(t, nodes[0].jsonAddress(), h, fmt.Sprintf("%08x", time.Now().UnixNano()&0xffffffff))
 	}
 	exchange()
 	dial("ok", 10)
@@ -312,13 +312,13 @@
 	skews[2].Add(int64(-2 * time.Second))
 	dial("busy", 3)
 	dial("full", 3)
-	lines := append([]nameLine(nil), f.lines...)
+	lines := append([]endpointLine(nil), f.lines...)
 	lines[1].draining = true
-	f.names.set(lines...)
+	f.discovery.set(lines...)
 	for _, n := range nodes {
 		eventually(t, "the drain is known", func() bool {
 			drained := make(chan bool, 1)
-			n.n.loop.Execute(func() { drained <- n.n.backends.Get("s-1").IsDraining() })
+			n.server.loop.Execute(func() { drained <- n.server.backends.Get("s-1").IsDraining() })
 			return <-drained
 		})
 	}
@@ -327,12 +327,12 @@
 	dial("keep", 2)
 	eventually(t, "the records of n3 are on disk", func() bool {
 		open := make(chan bool, 1)
-		nodes[3].n.loop.Execute(func() { open <- nodes[3].n.recorder.log.Written() == nodes[3].n.recorder.log.Records() })
+		nodes[3].server.loop.Execute(func() { open <- nodes[3].server.recorder.log.Written() == nodes[3].server.recorder.log.Records() })
 		return <-open
 	})
 	killed := filepath.Join(root, "killed")
 	copyStore(t, dirs[3], killed)
-	f.servers[2].stop()
+	f.exchanges[2].stop()
 	dial("ok", 5)
 	time.Sleep(1100 * time.Millisecond) // clocks are looked at once a second
 	exchange()
@@ -355,9 +355,9 @@
 
 	var sum [4]map[string]uint64
 	for i, dir := range dirs {
-		sum[i], _ = naive(t, dir)
+		sum[i], _ = countRecords(t, dir)
 	}
-	r := analyse(t, dirs...)
+	r := analyzeStores(t, dirs...)
 	var offered, stood, failed, tries uint64
 	for i, in := range r.Instances {
 		n, c := sum[i], in.Total
@@ -367,7 +367,7 @@
 				t.Errorf("%s: %d %s, one by one %d", in.Name, got, what, n[what])
 			}
 		}
-		if core := &nodes[i].n.calls.Counters; (i == 1 || i == 2) && (c.Offered != uint64(core.Requests) || c.Stood() != uint64(core.Established) || c.Tries != uint64(core.Attempts) || in.AtLeast) {
+		if core := &nodes[i].server.calls.Counters; (i == 1 || i == 2) && (c.Offered != uint64(core.Requests) || c.Stood() != uint64(core.Established) || c.Tries != uint64(core.Attempts) || in.AtLeast) {
 			t.Errorf("%s: %+v, the core counted %+v", in.Name, c.Counts, core)
 		}
 		offered, stood, failed, tries = offered+n["setup"], stood+n["answer stood"], failed+n["answer failed"], tries+n["try"]
@@ -425,7 +425,7 @@
 	if windows.Offered != offered || windows.Outcomes != r.Total.Outcomes || windows.Cut != r.Total.Cut {
 		t.Errorf("windows hold %+v of %+v", windows, r.Total.Counts)
 	}
-	if n := f.r.total(&f.r.copies) + f.r.total(&f.r.early); n != 0 {
+	if n := f.observations.total(&f.observations.simultaneousAttempts) + f.observations.total(&f.observations.earlyRetries); n != 0 {
 		t.Errorf("%d rules broken", n)
 	}
 }
@@ -435,13 +435,13 @@
 func BenchmarkSetUp(b *testing.B) {
 	for _, on := range []bool{false, true} {
 		b.Run(fmt.Sprint("records=", on), func(b *testing.B) {
-			f, h := startFleet(b, 1), newHeard()
+			f, h := startFleet(b, 1), newAnswerLog()
 			dir := ""
 			if on {
 				dir = b.TempDir()
 			}
-			s := f.node(b, "n0", dir, new(atomic.Int64))
-			k := dialJSON(b, s.json(), h, "aaaaaaaa")
+			s := f.startServer(b, "n0", dir, new(atomic.Int64))
+			k := dialJSONCaller(b, s.jsonAddress(), h, "aaaaaaaa")
 			took := hdrhistogram.New(1, int64(time.Second), 3)
 			refused := 0
 			for b.Loop() {
@@ -449,7 +449,7 @@
 					time.Sleep(20 * time.Millisecond) // the module lets no more go at once than it has seen answered
 					began := time.Now()
 					key := k.setUp("keep.1", 4*time.Second)
-					if said := h.wait(b, key, 1); strings.HasPrefix(said, "stands") {
+					if said := h.await(b, key, 1); strings.HasPrefix(said, "stands") {
 						_ = took.RecordValue(int64(time.Since(began)))
 						k.hangUp(key)
 						break
--- a/internal/server/replay_test.go
+++ b/internal/server/replay_test.go
@@ -19,30 +19,30 @@
 
 // A replayer is a node with servers for a dozen pools, whose table of numbers is swapped all the time.
 type replayer struct {
-	f      *fleet
-	module *straight
-	s      *site
-	h      *heard
-	dir    string
-	file   string
-	rules  map[string]*numberingtest.Rules // by digest
-	texts  [][]byte
-	order  []string // digests of texts
-	swaps  int
-	stop   chan struct{}
-	done   chan struct{}
+	fleet   *fleet
+	decider *unlimitedDecider
+	node    *testServer
+	answers *answerLog
+	dir     string
+	file    string
+	rules   map[string]*numberingtest.Rules // by digest
+	texts   [][]byte
+	digests []string // digests of texts
+	swaps   int
+	stop    chan struct{}
+	done    chan struct{}
 }
 
 const replayPools = 12
 
 func startReplay(t testing.TB, lookup config.Lookup) *replayer {
 	t.Helper()
-	r := &replayer{f: startFleet(t, replayPools), h: newHeard(), dir: t.TempDir(), file: filepath.Join(t.TempDir(), "numbers.toml"),
+	r := &replayer{fleet: startFleet(t, replayPools), answers: newAnswerLog(), dir: t.TempDir(), file: filepath.Join(t.TempDir(), "numbers.toml"),
 		rules: make(map[string]*numberingtest.Rules), stop: make(chan struct{}), done: make(chan struct{})}
-	r.f.queue = 16 << 20
-	r.f.pools = "[[0,1,2,3,4,5,6,7,8,9,10,11]]"
-	for _, s := range r.f.servers {
-		s.lively = true
+	r.fleet.recordQueue = 16 << 20
+	r.fleet.pools = "[[0,1,2,3,4,5,6,7,8,9,10,11]]"
+	for _, s := range r.fleet.exchanges {
+		s.behavesByDigit = true
 	}
 	rng := rand.New(rand.NewPCG(21, 22))
 	for n := range 5 {
@@ -58,34 +58,34 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		r.rules[table.Digest()], r.texts, r.order = rules, append(r.texts, text), append(r.order, table.Digest())
+		r.rules[table.Digest()], r.texts, r.digests = rules, append(r.texts, text), append(r.digests, table.Digest())
 	}
-	r.put(t, 0)
-	r.f.numbers = &config.Numbering{File: r.file, Lookup: lookup}
-	if err := r.f.numbers.Validate(); err != nil {
+	r.writeTable(t, 0)
+	r.fleet.numbers = &config.Numbering{File: r.file, Lookup: lookup}
+	if err := r.fleet.numbers.Validate(); err != nil {
 		t.Fatal(err)
 	}
-	r.module = newStraight()
-	r.f.module = r.module
-	r.s = r.f.node(t, "n0", r.dir, new(atomic.Int64))
+	r.decider = newUnlimitedDecider()
+	r.fleet.decider = r.decider
+	r.node = r.fleet.startServer(t, "n0", r.dir, new(atomic.Int64))
 	return r
 }
 
-func (r *replayer) put(t testing.TB, n int) {
+func (r *replayer) writeTable(t testing.TB, n int) {
 	t.Helper()
 	if err := os.WriteFile(r.file, r.texts[n], 0o600); err != nil {
 		t.Fatal(err)
 	}
 }
 
-func (r *replayer) active() string {
+func (r *replayer) activeDigest() string {
 	got := make(chan string, 1)
-	r.s.n.loop.Execute(func() { got <- r.s.n.numbering.desk.Active().Digest() })
+	r.node.server.loop.Execute(func() { got <- r.node.server.numbering.desk.Active().Digest() })
 	return <-got
 }
 
-// swap puts another table in force every so often until stop is closed.
-func (r *replayer) swap(t testing.TB, every time.Duration) {
+// swapTables puts another table in force every so often until stop is closed.
+func (r *replayer) swapTables(t testing.TB, every time.Duration) {
 	defer close(r.done)
 	tick := time.NewTicker(every)
 	defer tick.Stop()
@@ -96,9 +96,9 @@
 		case <-tick.C:
 		}
 		k := n % len(r.texts)
-		r.put(t, k)
-		r.s.n.ReloadNumbers()
-		for end := time.Now().Add(5 * time.Second); r.active() != r.order[k]; time.Sleep(time.Millisecond) {
+		r.writeTable(t, k)
+		r.node.server.ReloadNumbers()
+		for end := time.Now().Add(5 * time.Second); r.activeDigest() != r.digests[k]; time.Sleep(time.Millisecond) {
 			if time.Now().After(end) {
 				t.Error("a table did not come into force")
 				return
@@ -154,7 +154,7 @@
 			if k.digest != inForce {
 				across++
 			}
-			pool := slices.IndexFunc(r.f.lines, func(l nameLine) bool { return l.id == rec.Server })
+			pool := slices.IndexFunc(r.fleet.lines, func(l endpointLine) bool { return l.id == rec.Server })
 			k.pools = append(k.pools, pool)
 		case record.KindAnswer:
 			k := open[rec.Call]
@@ -193,27 +193,27 @@
 // replay plays so many calls on both fronts, so many of them open at once, while tables are swapped.
 func replay(t testing.TB, n, open int, rate float64, every time.Duration, look config.Lookup) {
 	r := startReplay(t, look)
-	panel := dialH248(t, r.s.panel(), r.h, "<one>")
-	panel.acks = true // replies that are not acknowledged are kept for 30 s, so many at the most
-	l := newLoad(r.h, 20*time.Second, open, dialJSON(t, r.s.json(), r.h, "aaaaaaaa"), panel)
+	panel := dialGatewayCaller(t, r.node.gatewayAddress(), r.answers, "<one>")
+	panel.acknowledges = true // replies that are not acknowledged are kept for 30 s, so many at the most
+	l := newLoad(r.answers, 20*time.Second, open, dialJSONCaller(t, r.node.jsonAddress(), r.answers, "aaaaaaaa"), panel)
 	rng := rand.New(rand.NewPCG(31, 32))
 	if every > 0 {
-		go r.swap(t, every)
+		go r.swapTables(t, every)
 	} else {
 		close(r.done)
 	}
 	began := time.Now()
 	l.run(n, rate, func(int) string { return fmt.Sprint(1_000_000 + rng.IntN(9_000_000)) })
-	took := l.settle(t)
+	took := l.awaitEnds(t)
 	whole := time.Since(began)
 	close(r.stop)
 	<-r.done
-	r.s.stop(t)
+	r.node.stop(t)
 	calls, across, moved := r.check(t)
 	if calls != n || (across > 0) != (every > 0) || (r.swaps > 0) != (every > 0) || (moved > 0) != (len(look.Servers) > 0) {
 		t.Errorf("%d calls in the records of %d, %d attempts after a swap, %d swaps", calls, n, across, r.swaps)
 	}
-	if copies, early, changed, after := r.f.r.total(&r.f.r.copies), r.f.r.total(&r.f.r.early), r.f.r.total(&r.f.r.tampered), r.f.r.total(&r.f.r.after); copies+early+changed+after != 0 {
+	if copies, early, changed, after := r.fleet.observations.total(&r.fleet.observations.simultaneousAttempts), r.fleet.observations.total(&r.fleet.observations.earlyRetries), r.fleet.observations.total(&r.fleet.observations.corrupted), r.fleet.observations.total(&r.fleet.observations.abandonedAttempts); copies+early+changed+after != 0 {
 		t.Errorf("%d second attempts at once, %d resends too early, %d descriptions changed, %d sent on for nobody", copies, early, changed, after)
 	}
 	t.Logf("%d calls in %v, %d swaps, %d moved, %d attempts by a table that was no longer in force; answered after p50 %v us, p99 %v us, at most %v us",
--- a/internal/server/settings_test.go
+++ b/internal/server/settings_test.go
@@ -12,8 +12,8 @@
 	"olivedale/internal/codec/jsonl"
 )
 
-// deployment writes settings whose classes stand in the order given.
-func deployment(classes, pools, circuits string) string {
+// deploymentSettings writes settings whose classes stand in the order given.
+func deploymentSettings(classes, pools, circuits string) string {
 	return fmt.Sprintf(`{"groupSize":1,"classes":[%s],"domain":{"topology":"pools","releaseGuard":300,"resend":1500,"skilledPools":[%s],
 		"circuitsByClass":[%s]},"limits":{"maxAttempts":4,"cancel":true,"connectTimeout":500},"safety":{"startCapacity":0.5,"cold":1000}}`,
 		classes, pools, circuits)
@@ -22,7 +22,7 @@
 // Two deployments are served one after the other in one process, with classes of the same names in another order, an
 // absent and an unknown one. Each call goes by its own class of its own deployment: how long it may take, how wide it
 // may be, and where it may go.
-func TestDeploymentsFindNothingOfEachOther(t *testing.T) {
+func TestDeploymentsAreIndependent(t *testing.T) {
 	const (
 		long  = `{"name":"long","aim":2000,"deadline":9000,"credit":1}`
 		short = `{"name":"short","aim":300,"deadline":800,"credit":1}`
@@ -35,40 +35,40 @@
 		width    map[string]int
 		pool     map[string]int // the only one
 	}{
-		{deployment(long+","+short, "[0],[1]", "1,3"), map[string]int{"long": 9000, "short": 800}, map[string]int{"long": 1, "short": 3}, map[string]int{"long": 0, "short": 1}},
-		{deployment(swap+","+other, "[0],[1]", "2"), map[string]int{"long": 700, "short": 6000}, map[string]int{"long": 1, "short": 2}, map[string]int{"long": 1, "short": 0}},
-		{deployment(short+","+long, "[1],[0]", "3,1"), map[string]int{"long": 9000, "short": 800}, map[string]int{"long": 1, "short": 3}, map[string]int{"long": 0, "short": 1}},
+		{deploymentSettings(long+","+short, "[0],[1]", "1,3"), map[string]int{"long": 9000, "short": 800}, map[string]int{"long": 1, "short": 3}, map[string]int{"long": 0, "short": 1}},
+		{deploymentSettings(swap+","+other, "[0],[1]", "2"), map[string]int{"long": 700, "short": 6000}, map[string]int{"long": 1, "short": 2}, map[string]int{"long": 1, "short": 0}},
+		{deploymentSettings(short+","+long, "[1],[0]", "3,1"), map[string]int{"long": 9000, "short": 800}, map[string]int{"long": 1, "short": 3}, map[string]int{"long": 0, "short": 1}},
 	} {
-		far := []*far{startFar(t, "127.0.0.1:0"), startFar(t, "127.0.0.1:0")}
-		x := startSceneOf(t, d.settings, 192, far, nil)
+		far := []*fakeExchange{startFakeExchange(t, "127.0.0.1:0"), startFakeExchange(t, "127.0.0.1:0")}
+		x := startTestbedWith(t, d.settings, 192, far, nil)
 		ask := func(class string, width, dest, n int) string {
 			id := fmt.Sprintf("%016x", 0x100*i+n)
-			x.k.send(&jsonl.Message{Verb: jsonl.Start, Tag: id, Blob: []byte("o"), Opts: []jsonl.Opt{{Name: "class", Value: class}, {Name: "left", Value: "60000"},
+			x.caller.send(&jsonl.Message{Verb: jsonl.Start, Tag: id, Blob: []byte("o"), Opts: []jsonl.Opt{{Name: "class", Value: class}, {Name: "left", Value: "60000"},
 				{Name: "key", Value: fmt.Sprint(n)}, {Name: "extras", Value: fmt.Sprintf("dest:%d;width:%d;via:-1", dest, width)}}})
 			return id
 		}
 		for n, class := range []string{"long", "short"} {
 			pool := d.pool[class]
 			id := ask(class, d.width[class], pool, 10*n)
-			far[pool].awaits("INVITE", id, 1)
+			far[pool].awaitReceived("INVITE", id, 1)
 			far[pool].mu.Lock()
-			m := far[pool].last["INVITE"+id]
+			m := far[pool].latestMessage["INVITE"+id]
 			far[pool].mu.Unlock()
 			if ms, err := strconv.Atoi(m.Header("X-Timer-Ms")); err != nil || ms > d.deadline[class] || ms < d.deadline[class]-100 || m.Header("X-Cos") != class {
 				t.Errorf("deployment %d, %s: class %s, %s ms, want %d", i, class, m.Header("X-Cos"), m.Header("X-Timer-Ms"), d.deadline[class])
 			}
-			far[pool].send(response(id, "INVITE", 200, 1, "a"))
-			x.h.wait(t, id, 1)
+			far[pool].send(sipResponse(id, "INVITE", 200, 1, "a"))
+			x.answers.await(t, id, 1)
 			for what, id := range map[string]string{"too wide": ask(class, d.width[class]+1, pool, 10*n+1), "another's pool": ask(class, 1, 1-pool, 10*n+2)} {
-				if got := x.h.wait(t, id, 1); got != "end 41" {
+				if got := x.answers.await(t, id, 1); got != "end 41" {
 					t.Errorf("deployment %d, %s, %s: %q", i, class, what, got)
 				}
 			}
 		}
-		if got := x.h.wait(t, ask("nobody", 1, 0, 99), 1); got != "end 34" {
+		if got := x.answers.await(t, ask("nobody", 1, 0, 99), 1); got != "end 34" {
 			t.Errorf("deployment %d, a class that does not exist: %q", i, got)
 		}
-		x.n.Stop()
+		x.server.Stop()
 		select {
 		case <-x.done:
 		case <-time.After(8 * time.Second):
@@ -78,21 +78,21 @@
 }
 
 // Who is turned down is told how long to keep away, unless the settings say that callers are not told.
-func TestWaitIsToldWhereSettingsAllow(t *testing.T) {
+func TestRetryAfterIsSentWhereSettingsAllow(t *testing.T) {
 	t.Parallel()
 	for key, want := range map[string]bool{"": true, `"retryAfter":true,`: true, `"retryAfter":false,`: false} {
-		x := startSceneOf(t, strings.Replace(settings, `"limits":{`, `"limits":{`+key, 1), 192, nil, nil)
-		c, err := net.Dial("tcp", x.json())
+		x := startTestbedWith(t, strings.Replace(settings, `"limits":{`, `"limits":{`+key, 1), 192, nil, nil)
+		c, err := net.Dial("tcp", x.jsonAddress())
 		if err != nil {
 			t.Fatal(err)
 		}
 		defer func() { _ = c.Close() }()
 		_ = c.SetDeadline(time.Now().Add(8 * time.Second))
-		if _, err := c.Write(start(tag, 2*time.Second)); err != nil {
+		if _, err := c.Write(jsonSetup(testCallID, 2*time.Second)); err != nil {
 			t.Fatal(err)
 		}
 		text, err := bufio.NewReader(c).ReadString('\n')
-		if err != nil || !strings.Contains(text, tag) || strings.Contains(text, `"wait"`) != want {
+		if err != nil || !strings.Contains(text, testCallID) || strings.Contains(text, `"wait"`) != want {
 			t.Errorf("%q: %s, %v", key, text, err)
 		}
 	}
--- a/internal/server/standin_test.go
+++ b/internal/server/standin_test.go
@@ -20,177 +20,177 @@
 	"olivedale/internal/codec/sip"
 )
 
-const guard = 300 * time.Millisecond
-
-// rules is what all stand-in servers see together.
-type rules struct {
-	mu       sync.Mutex
-	out      map[string]bool      // an attempt is out
-	ended    map[string]time.Time // when one ended so that the guard holds
-	attempts map[string]int       // by the number called
-	copies   int                  // second attempts at once
-	early    int                  // resends within the guard
-	after    int                  // attempts of calls whose callers had left
-	gaveUp   int                  // set-ups given up by the call controller
-	released int                  // calls released by it
-	tampered int                  // descriptions that came changed
-}
-
-// lag is by how much something that was due may have come late of late, on this machine: three times as much as a
+const retryGuard = 300 * time.Millisecond
+
+// callObservations is what all stand-in servers see together.
+type callObservations struct {
+	mu                   sync.Mutex
+	openAttempts         map[string]bool      // an attempt is out
+	guardedSince         map[string]time.Time // when one ended so that the guard holds
+	attempts             map[string]int       // by the number called
+	simultaneousAttempts int                  // second attempts at once
+	earlyRetries         int                  // resends within the guard
+	abandonedAttempts    int                  // attempts of calls whose callers had left
+	canceled             int                  // set-ups given up by the call controller
+	released             int                  // calls released by it
+	corrupted            int                  // descriptions that came changed
+}
+
+// schedulingDelay is by how much something that was due may have come late of late, on this machine: three times as much as a
 // goroutine that does nothing but wait has seen within the last seconds.
-func lag() time.Duration {
-	late.once.Do(func() {
+func schedulingDelay() time.Duration {
+	delayMeter.once.Do(func() {
 		go func() {
 			for n := 0; ; n++ {
 				began := time.Now()
 				time.Sleep(5 * time.Millisecond)
 				over := int64(time.Since(began) - 5*time.Millisecond)
-				late.now.Store(max(late.now.Load(), over))
+				delayMeter.now.Store(max(delayMeter.now.Load(), over))
 				if n%200 == 0 { // a second at the least
-					late.before.Store(late.now.Swap(0))
+					delayMeter.before.Store(delayMeter.now.Swap(0))
 				}
 			}
 		}()
 	})
-	return 3 * time.Duration(max(late.now.Load(), late.before.Load()))
+	return 3 * time.Duration(max(delayMeter.now.Load(), delayMeter.before.Load()))
 }
 
-var late struct {
+var delayMeter struct {
 	once        sync.Once
 	now, before atomic.Int64
 }
 
-// guards counts, by the node's own clock, what is sent again within the guard of an attempt that may have run, and what
+// retryObserver counts, by the node's own clock, what is sent again within the guard of an attempt that may have run, and what
 // is sent on for a caller who has left.
-type guards struct {
+type retryObserver struct {
 	call.Observer
-	r     *rules
-	ended map[string]call.Time // on the loop alone, as left
-	left  map[string]bool
+	observations *callObservations
+	guardedSince map[string]call.Time // on the loop alone, as left
+	abandoned    map[string]bool
 }
 
-// watched puts one in, before the node runs.
-func (s *site) watched() {
-	g := &guards{deaf{}, s.r, make(map[string]call.Time), make(map[string]bool)}
-	lag()
-	if s.n.metrics == nil {
-		s.n.calls.SetObserver(g)
+// observeRetries puts one in, before the node runs.
+func (s *testServer) observeRetries() {
+	g := &retryObserver{nopObserver{}, s.observations, make(map[string]call.Time), make(map[string]bool)}
+	schedulingDelay()
+	if s.server.metrics == nil {
+		s.server.calls.SetObserver(g)
 		return
 	}
-	if s.n.metrics.next != nil {
-		g.Observer = s.n.metrics.next
+	if s.server.metrics.next != nil {
+		g.Observer = s.server.metrics.next
 	}
-	s.n.metrics.next = g
+	s.server.metrics.next = g
 }
 
-func (g *guards) CallAnswered(now call.Time, a *call.Answer) {
+func (g *retryObserver) CallAnswered(now call.Time, a *call.Answer) {
 	if a.Outcome == call.Abandoned {
-		g.left[a.ID] = true
+		g.abandoned[a.ID] = true
 	}
 	g.Observer.CallAnswered(now, a)
 }
 
-func (g *guards) AttemptEnded(now call.Time, server, id string, attempt int, e call.AttemptEnd, took time.Duration) {
+func (g *retryObserver) AttemptEnded(now call.Time, server, id string, attempt int, e call.AttemptEnd, took time.Duration) {
 	switch e {
 	case call.TimedOut, call.Canceled, call.FailedInTransit, call.Unresponsive, call.ConnectionReset, call.ConnectionClosed, call.Malformed, call.BackendLost:
-		g.ended[id] = now
+		g.guardedSince[id] = now
 	}
 	g.Observer.AttemptEnded(now, server, id, attempt, e, took)
 }
 
-func (g *guards) AttemptStarted(now call.Time, server string, s *call.Setup) {
-	if at, ok := g.ended[s.ID]; ok && now-at < guard {
-		g.r.count(&g.r.early)
+func (g *retryObserver) AttemptStarted(now call.Time, server string, s *call.Setup) {
+	if at, ok := g.guardedSince[s.ID]; ok && now-at < retryGuard {
+		g.observations.increment(&g.observations.earlyRetries)
 	}
-	if g.left[s.ID] {
-		g.r.count(&g.r.after)
+	if g.abandoned[s.ID] {
+		g.observations.increment(&g.observations.abandonedAttempts)
 	}
-	delete(g.ended, s.ID)
+	delete(g.guardedSince, s.ID)
 	g.Observer.AttemptStarted(now, server, s)
 }
 
-// deaf is an Observer that does nothing.
-type deaf struct{}
+// nopObserver is an Observer that does nothing.
+type nopObserver struct{}
 
-func (deaf) CallOffered(call.Time, *call.Request)                                        {}
-func (deaf) Decided(call.Time, *admission.Decision)                                      {}
-func (deaf) AttemptStarted(call.Time, string, *call.Setup)                               {}
-func (deaf) AttemptEnded(call.Time, string, string, int, call.AttemptEnd, time.Duration) {}
-func (deaf) CallAnswered(call.Time, *call.Answer)                                        {}
-func (deaf) CallReleased(call.Time, *call.Release)                                       {}
-func (deaf) LimitReached(call.Time, call.Limit, string)                                  {}
+func (nopObserver) CallOffered(call.Time, *call.Request)                                        {}
+func (nopObserver) Decided(call.Time, *admission.Decision)                                      {}
+func (nopObserver) AttemptStarted(call.Time, string, *call.Setup)                               {}
+func (nopObserver) AttemptEnded(call.Time, string, string, int, call.AttemptEnd, time.Duration) {}
+func (nopObserver) CallAnswered(call.Time, *call.Answer)                                        {}
+func (nopObserver) CallReleased(call.Time, *call.Release)                                       {}
+func (nopObserver) LimitReached(call.Time, call.Limit, string)                                  {}
 
-func newRules() *rules {
-	return &rules{out: make(map[string]bool), ended: make(map[string]time.Time), attempts: make(map[string]int)}
+func newCallObservations() *callObservations {
+	return &callObservations{openAttempts: make(map[string]bool), guardedSince: make(map[string]time.Time), attempts: make(map[string]int)}
 }
 
-// begin notes an attempt and tells the how-manieth it is of those under a key.
-func (r *rules) begin(id, number, key string, desc []byte) (nth int) {
+// beginAttempt notes an attempt and tells the how-manieth it is of those under a key.
+func (r *callObservations) beginAttempt(id, number, key string, desc []byte) (nth int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.out[id] {
-		r.copies++
+	if r.openAttempts[id] {
+		r.simultaneousAttempts++
 	}
 	// Each server reads in a goroutine of its own, when it gets to: between two of them time is told as well as the
 	// machine lets it be. What the guard is to the millisecond, guards sees at the node.
-	if at, ok := r.ended[id]; ok && time.Since(at) < guard-lag() {
-		r.early++
+	if at, ok := r.guardedSince[id]; ok && time.Since(at) < retryGuard-schedulingDelay() {
+		r.earlyRetries++
 	}
-	if string(desc) != offer(number) {
-		r.tampered++
+	if string(desc) != offeredDescription(number) {
+		r.corrupted++
 	}
-	r.out[id] = true
+	r.openAttempts[id] = true
 	r.attempts[key]++
 	return r.attempts[key]
 }
 
-func (r *rules) end(id string, guarded bool) {
+func (r *callObservations) endAttempt(id string, guarded bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	delete(r.out, id)
+	delete(r.openAttempts, id)
 	if guarded {
-		r.ended[id] = time.Now()
+		r.guardedSince[id] = time.Now()
 	}
 }
 
-func (r *rules) count(n *int) {
+func (r *callObservations) increment(n *int) {
 	r.mu.Lock()
 	*n++
 	r.mu.Unlock()
 }
 
-func (r *rules) tries(number string) int {
+func (r *callObservations) attemptsTo(number string) int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.attempts[number]
 }
 
-// offer and accept are the descriptions of a call; they must pass as they are.
-func offer(number string) string  { return "v=0\r\ns={" + number + "} \"\\\r\n" }
-func accept(number string) string { return "v=0\r\na=\\}" + number + "\r\n" }
+// offeredDescription and accept are the descriptions of a call; they must pass as they are.
+func offeredDescription(number string) string  { return "v=0\r\ns={" + number + "} \"\\\r\n" }
+func acceptedDescription(number string) string { return "v=0\r\na=\\}" + number + "\r\n" }
 
-// standIn is a call server of either dialect. What it does is said by the number called:
+// simulatedExchange is a call server of either dialect. What it does is said by the number called:
 // 'ok' stands and is released from there, 'keep' stands, 'busy', 'full', 'moot' and
 // 'reset' (on the first attempt) are turned down, 'silent' is not answered. After 'half', whose
 // answer stops half way, and 'mute' the connection stays open and brings nothing more.
-type standIn struct {
-	r    *rules
-	ln   net.Listener
-	mu   sync.Mutex
-	conn map[net.Conn]bool
+type simulatedExchange struct {
+	observations *callObservations
+	listener     net.Listener
+	mu           sync.Mutex
+	conns        map[net.Conn]bool
 
-	invited int  // set-ups that came, by mu
-	lively  bool // numbers of digits say by their last what becomes of a call, see digits
-	deaf    bool // no set-up is answered, whichever attempt it is; set before the node starts
+	invited        int  // set-ups that came, by mu
+	behavesByDigit bool // numbers of digits say by their last what becomes of a call, see digits
+	answersNothing bool // no set-up is answered, whichever attempt it is; set before the node starts
 }
 
-func startServer(t testing.TB, r *rules, h248 bool) *standIn {
+func startSimulatedExchange(t testing.TB, r *callObservations, h248 bool) *simulatedExchange {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := &standIn{r: r, ln: ln, conn: make(map[net.Conn]bool)}
+	s := &simulatedExchange{observations: r, listener: ln, conns: make(map[net.Conn]bool)}
 	go func() {
 		for {
 			c, err := ln.Accept()
@@ -198,7 +198,7 @@
 				return
 			}
 			s.mu.Lock()
-			s.conn[c] = true
+			s.conns[c] = true
 			s.mu.Unlock()
 			if h248 {
 				go s.serveH248(c)
@@ -211,20 +211,20 @@
 	return s
 }
 
-func (s *standIn) addr() string { return s.ln.Addr().String() }
+func (s *simulatedExchange) addr() string { return s.listener.Addr().String() }
 
 // stop ends the process: nobody listens, and its connections are reset.
-func (s *standIn) stop() {
-	_ = s.ln.Close()
+func (s *simulatedExchange) stop() {
+	_ = s.listener.Close()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for c := range s.conn {
+	for c := range s.conns {
 		_ = c.(*net.TCPConn).SetLinger(0)
 		_ = c.Close()
 	}
 }
 
-func (s *standIn) serveSIP(c net.Conn) {
+func (s *simulatedExchange) serveSIP(c net.Conn) {
 	var mu sync.Mutex
 	send := func(b []byte) {
 		mu.Lock()
@@ -237,7 +237,7 @@
 	mine := make(map[string]bool) // set-ups that are out on this connection end with it
 	defer func() {
 		for id := range mine {
-			s.r.end(id, true)
+			s.observations.endAttempt(id, true)
 		}
 	}()
 	for {
@@ -263,19 +263,19 @@
 				s.invited++
 				s.mu.Unlock()
 				key := number
-				if s.lively {
+				if s.behavesByDigit {
 					key = m.CallID
 				}
-				nth := s.r.begin(m.CallID, number, key, m.Body)
-				if s.lively {
+				nth := s.observations.beginAttempt(m.CallID, number, key, m.Body)
+				if s.behavesByDigit {
 					mine[m.CallID] = true
 				}
-				status, note, kind := 0, "", kindOf(number)
-				if s.lively {
-					kind = digits(number, nth)
+				status, note, kind := 0, "", behaviorByName(number)
+				if s.behavesByDigit {
+					kind = behaviorByDigit(number, nth)
 				}
 				switch {
-				case s.deaf:
+				case s.answersNothing:
 					return true
 				case kind == "half":
 					send(fmt.Appendf(nil, "SIP/2.0 200 OK\r\nCall-ID: %s\r\nCSeq: %d INVITE\r\nContent-Length: 3000000000\r\n", m.CallID, m.CSeq))
@@ -284,13 +284,13 @@
 				case kind == "mute":
 					mute = true
 					return true
-				case kind == "ok" || kind == "keep" || nth > 1 && !s.lively && kind != "silent" && kind != "busy":
+				case kind == "ok" || kind == "keep" || nth > 1 && !s.behavesByDigit && kind != "silent" && kind != "busy":
 					delete(mine, m.CallID)
 					respond(180, nil, nil)
-					respond(200, nil, []byte(accept(number)))
+					respond(200, nil, []byte(acceptedDescription(number)))
 					if kind == "ok" {
 						time.AfterFunc(20*time.Millisecond, func() {
-							s.r.end(m.CallID, false)
+							s.observations.endAttempt(m.CallID, false)
 							send(sip.AppendRequest(nil, &sip.Request{Method: "BYE", Number: number, CallID: m.CallID, CSeq: 9,
 								Headers: []sip.Header{{Name: "Reason", Value: "Q.850;cause=16"}}}))
 						})
@@ -307,19 +307,19 @@
 				default:
 					return true
 				}
-				s.r.end(m.CallID, kindOf(number) == "reset")
+				s.observations.endAttempt(m.CallID, behaviorByName(number) == "reset")
 				delete(mine, m.CallID)
 				respond(status, []sip.Header{{Name: "X-Diagnosis", Value: note}}, nil)
 			case "CANCEL":
-				s.r.end(m.CallID, true)
+				s.observations.endAttempt(m.CallID, true)
 				delete(mine, m.CallID)
-				s.r.count(&s.r.gaveUp)
+				s.observations.increment(&s.observations.canceled)
 				respond(200, nil, nil)
 				m.CSeqMethod = "INVITE"
 				respond(487, nil, nil)
 			case "BYE":
-				s.r.end(m.CallID, false)
-				s.r.count(&s.r.released)
+				s.observations.endAttempt(m.CallID, false)
+				s.observations.increment(&s.observations.released)
 				respond(200, nil, nil)
 			}
 			return true
@@ -327,9 +327,9 @@
 	}
 }
 
-// digits says what becomes of the nth attempt of a call to a number of digits: 5 is busy at every
+// behaviorByDigit says what becomes of the nth attempt of a call to a number of behaviorByDigit: 5 is busy at every
 // server, 6, 7 and 8 are turned down once or twice, 9 is not answered at first.
-func digits(number string, nth int) string {
+func behaviorByDigit(number string, nth int) string {
 	switch number[len(number)-1] {
 	case '5':
 		return "busy"
@@ -343,12 +343,12 @@
 	return "ok"
 }
 
-func kindOf(number string) string {
+func behaviorByName(number string) string {
 	kind, _, _ := strings.Cut(number, ".")
 	return kind
 }
 
-func (s *standIn) serveH248(c net.Conn) {
+func (s *simulatedExchange) serveH248(c net.Conn) {
 	var mu sync.Mutex
 	var last uint32
 	contexts := make(map[string]string) // by termination
@@ -368,7 +368,7 @@
 		_ = in.Feed(buf[:n], func(text []byte) bool {
 			m, bad := h248.Parse(text)
 			if bad != nil {
-				s.r.count(&s.r.tampered)
+				s.observations.increment(&s.observations.corrupted)
 				return false
 			}
 			for _, t := range m.Transactions {
@@ -387,11 +387,11 @@
 				}
 				if cmd.Name == "Subtract" {
 					_, stood := contexts[cmd.Termination]
-					s.r.end(id, !stood)
+					s.observations.endAttempt(id, !stood)
 					if stood {
-						s.r.count(&s.r.released)
+						s.observations.increment(&s.observations.released)
 					} else {
-						s.r.count(&s.r.gaveUp)
+						s.observations.increment(&s.observations.canceled)
 					}
 					reply(a.Context, nil)
 					continue
@@ -401,18 +401,18 @@
 				s.mu.Lock()
 				s.invited++
 				s.mu.Unlock()
-				nth := s.r.begin(id, number, number, desc)
+				nth := s.observations.beginAttempt(id, number, number, desc)
 				code := 0
-				switch kind := kindOf(number); {
+				switch kind := behaviorByName(number); {
 				case kind == "ok" || kind == "keep" || nth > 1 && kind != "silent" && kind != "busy":
 					last++
 					context := fmt.Sprint(last)
 					contexts[cmd.Termination] = context
 					send(&h248.Transaction{Kind: h248.Pending, ID: t.ID})
-					reply(context, nil, &h248.Node{Name: "Media", Kids: []*h248.Node{{Name: "Local", Octets: []byte(accept(number))}}})
+					reply(context, nil, &h248.Node{Name: "Media", Kids: []*h248.Node{{Name: "Local", Octets: []byte(acceptedDescription(number))}}})
 					if kind == "ok" {
 						time.AfterFunc(20*time.Millisecond, func() {
-							s.r.end(id, false)
+							s.observations.endAttempt(id, false)
 							send(&h248.Transaction{ID: t.ID, Actions: []*h248.Action{{Context: context, Commands: []*h248.Command{
 								{Name: "Notify", Termination: cmd.Termination, Descriptors: []*h248.Node{transaction.ReleaseEvent(16)}}}}}})
 						})
@@ -429,7 +429,7 @@
 				default:
 					continue
 				}
-				s.r.end(id, code == h248.TemporaryFailure)
+				s.observations.endAttempt(id, code == h248.TemporaryFailure)
 				reply("$", &h248.Error{Code: code})
 			}
 			return true
@@ -437,55 +437,57 @@
 	}
 }
 
-// A caller is the callers' side of either dialect.
-type caller interface {
+// A testCaller is the callers' side of either dialect.
+type testCaller interface {
 	setUp(number string, left time.Duration) (key string)
 	hangUp(key string)
 	close()
 }
 
-// heard is what callers were told: key and what, in order.
-type heard struct {
-	mu   sync.Mutex
-	said map[string][]string
-	wake chan struct{}
-	hook func(key, what string) // if set, before anything is heard
+// answerLog is what callers were told: key and what, in order.
+type answerLog struct {
+	mu       sync.Mutex
+	byKey    map[string][]string
+	changed  chan struct{}
+	onAnswer func(key, what string) // if set, before anything is heard
 }
 
-func newHeard() *heard { return &heard{said: make(map[string][]string), wake: make(chan struct{}, 1)} }
+func newAnswerLog() *answerLog {
+	return &answerLog{byKey: make(map[string][]string), changed: make(chan struct{}, 1)}
+}
 
-func (h *heard) add(key, what string) {
+func (h *answerLog) add(key, what string) {
 	h.mu.Lock()
-	h.said[key] = append(h.said[key], what)
+	h.byKey[key] = append(h.byKey[key], what)
 	h.mu.Unlock()
-	if h.hook != nil {
-		h.hook(key, what)
+	if h.onAnswer != nil {
+		h.onAnswer(key, what)
 	}
 	select {
-	case h.wake <- struct{}{}:
+	case h.changed <- struct{}{}:
 	default:
 	}
 }
 
-func (h *heard) of(key string) string {
+func (h *answerLog) of(key string) string {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return strings.Join(h.said[key], " ")
+	return strings.Join(h.byKey[key], " ")
 }
 
-// wait waits until a key has heard so many things.
-func (h *heard) wait(t testing.TB, key string, n int) string {
+// await waits until a key has heard so many things.
+func (h *answerLog) await(t testing.TB, key string, n int) string {
 	t.Helper()
 	end := time.After(6 * time.Second)
 	for {
 		h.mu.Lock()
-		got := len(h.said[key])
+		got := len(h.byKey[key])
 		h.mu.Unlock()
 		if got >= n {
 			return h.of(key)
 		}
 		select {
-		case <-h.wake:
+		case <-h.changed:
 		case <-time.After(20 * time.Millisecond):
 		case <-end:
 			t.Fatalf("%s heard %q, want %d things", key, h.of(key), n)
@@ -494,19 +496,19 @@
 }
 
 type jsonCaller struct {
-	*heard
-	c    net.Conn
-	last int
-	salt string
+	*answerLog
+	conn     net.Conn
+	lastID   int
+	idPrefix string
 }
 
-func dialJSON(t testing.TB, addr string, h *heard, salt string) *jsonCaller {
+func dialJSONCaller(t testing.TB, addr string, h *answerLog, salt string) *jsonCaller {
 	t.Helper()
 	c, err := net.Dial("tcp", addr)
 	if err != nil {
 		t.Fatal(err)
 	}
-	k := &jsonCaller{heard: h, c: c, salt: salt}
+	k := &jsonCaller{answerLog: h, conn: c, idPrefix: salt}
 	go func() {
 		var in jsonl.Reader
 		buf := make([]byte, 4096)
@@ -533,13 +535,13 @@
 	return k
 }
 
-func (k *jsonCaller) close()                { _ = k.c.Close() }
-func (k *jsonCaller) send(m *jsonl.Message) { _, _ = k.c.Write(jsonl.Append(nil, m)) }
+func (k *jsonCaller) close()                { _ = k.conn.Close() }
+func (k *jsonCaller) send(m *jsonl.Message) { _, _ = k.conn.Write(jsonl.Append(nil, m)) }
 
 func (k *jsonCaller) setUp(number string, left time.Duration) string {
-	k.last++
-	tag := fmt.Sprintf("%8s%08x", k.salt, k.last)
-	k.send(&jsonl.Message{Verb: jsonl.Start, Tag: tag, Blob: []byte(offer(number)), Opts: []jsonl.Opt{{Name: "class", Value: "voice"},
+	k.lastID++
+	tag := fmt.Sprintf("%8s%08x", k.idPrefix, k.lastID)
+	k.send(&jsonl.Message{Verb: jsonl.Start, Tag: tag, Blob: []byte(offeredDescription(number)), Opts: []jsonl.Opt{{Name: "class", Value: "voice"},
 		{Name: "left", Value: fmt.Sprint(left.Milliseconds())}, {Name: "key", Value: number}, {Name: "extras", Value: "dest:0;width:1;via:-1"}}})
 	return tag
 }
@@ -548,24 +550,24 @@
 	k.send(&jsonl.Message{Verb: jsonl.Finish, Tag: tag, RC: 16, HasRC: true})
 }
 
-type h248Caller struct {
-	*heard
-	c    net.Conn
-	mid  string
-	last uint32
-	mu   sync.Mutex
-	ctx  map[string]string // by termination
-	raw  map[uint32]int    // replies to a transaction
-	acks bool              // it acknowledges replies, set before its first call
+type gatewayCaller struct {
+	*answerLog
+	conn         net.Conn
+	messageID    string
+	lastID       uint32
+	mu           sync.Mutex
+	contexts     map[string]string // by termination
+	replies      map[uint32]int    // replies to a transaction
+	acknowledges bool              // it acknowledges replies, set before its first call
 }
 
-func dialH248(t testing.TB, addr string, h *heard, mid string) *h248Caller {
+func dialGatewayCaller(t testing.TB, addr string, h *answerLog, mid string) *gatewayCaller {
 	t.Helper()
 	c, err := net.Dial("tcp", addr)
 	if err != nil {
 		t.Fatal(err)
 	}
-	k := &h248Caller{heard: h, c: c, mid: mid, ctx: make(map[string]string), raw: make(map[uint32]int)}
+	k := &gatewayCaller{answerLog: h, conn: c, messageID: mid, contexts: make(map[string]string), replies: make(map[uint32]int)}
 	go func() {
 		var in h248.Framer
 		buf := make([]byte, 4096)
@@ -584,7 +586,7 @@
 					h.add("error", m.Err.Error())
 				}
 				for _, tr := range m.Transactions {
-					k.take(tr)
+					k.handleTransaction(tr)
 				}
 				return true
 			})
@@ -594,16 +596,16 @@
 	return k
 }
 
-func (k *h248Caller) take(t *h248.Transaction) {
-	key := fmt.Sprintf("%s/%d", strings.Trim(k.mid, "<>"), t.ID)
+func (k *gatewayCaller) handleTransaction(t *h248.Transaction) {
+	key := fmt.Sprintf("%s/%d", strings.Trim(k.messageID, "<>"), t.ID)
 	switch t.Kind {
 	case h248.Pending:
 		k.add(key+"/pending", "pending")
 	case h248.Reply:
 		k.mu.Lock()
-		k.raw[t.ID]++
+		k.replies[t.ID]++
 		k.mu.Unlock()
-		if k.acks {
+		if k.acknowledges {
 			k.send(&h248.Transaction{Kind: h248.Ack, Acked: [][2]uint32{{t.ID, t.ID}}})
 		}
 		if t.Err != nil {
@@ -624,7 +626,7 @@
 			for _, c := range a.Commands {
 				if desc, ok := transaction.Description(c, "Local"); ok {
 					k.mu.Lock()
-					k.ctx[c.Termination] = a.Context
+					k.contexts[c.Termination] = a.Context
 					k.mu.Unlock()
 					k.add(key, "stands "+string(desc))
 				} else {
@@ -641,12 +643,12 @@
 	}
 }
 
-func (k *h248Caller) close() { _ = k.c.Close() }
+func (k *gatewayCaller) close() { _ = k.conn.Close() }
 
-func (k *h248Caller) send(t *h248.Transaction) {
-	b, err := h248.AppendFrame(nil, &h248.Message{MID: k.mid, Transactions: []*h248.Transaction{t}})
+func (k *gatewayCaller) send(t *h248.Transaction) {
+	b, err := h248.AppendFrame(nil, &h248.Message{MID: k.messageID, Transactions: []*h248.Transaction{t}})
 	if err == nil {
-		_, _ = k.c.Write(b)
+		_, _ = k.conn.Write(b)
 	}
 }
 
@@ -655,55 +657,55 @@
 	state := &h248.Node{Name: "TerminationState", Kids: []*h248.Node{{Name: "oc/class", Value: "voice"}, {Name: "oc/first", Value: "0"},
 		{Name: "oc/number", Value: number}, {Name: "oc/left", Value: fmt.Sprint(left.Milliseconds())}}}
 	return &h248.Transaction{ID: id, Actions: []*h248.Action{{Context: "$", Commands: []*h248.Command{{Name: "Add", Termination: key,
-		Descriptors: []*h248.Node{{Name: "Media", Kids: []*h248.Node{state, {Name: "Remote", Octets: []byte(offer(number))}}}}}}}}}
+		Descriptors: []*h248.Node{{Name: "Media", Kids: []*h248.Node{state, {Name: "Remote", Octets: []byte(offeredDescription(number))}}}}}}}}}
 }
 
-func (k *h248Caller) setUp(number string, left time.Duration) string {
-	k.last++
-	key := fmt.Sprintf("%s/%d", strings.Trim(k.mid, "<>"), k.last)
-	k.send(addTransaction(key, k.last, number, left))
+func (k *gatewayCaller) setUp(number string, left time.Duration) string {
+	k.lastID++
+	key := fmt.Sprintf("%s/%d", strings.Trim(k.messageID, "<>"), k.lastID)
+	k.send(addTransaction(key, k.lastID, number, left))
 	return key
 }
 
-func (k *h248Caller) hangUp(key string) {
+func (k *gatewayCaller) hangUp(key string) {
 	k.mu.Lock()
-	context := k.ctx[key]
+	context := k.contexts[key]
 	k.mu.Unlock()
 	if context == "" {
 		context = "*"
 	}
-	k.last++
-	k.send(&h248.Transaction{ID: k.last, Actions: []*h248.Action{{Context: context, Commands: []*h248.Command{{Name: "Subtract", Termination: key}}}}})
+	k.lastID++
+	k.send(&h248.Transaction{ID: k.lastID, Actions: []*h248.Action{{Context: context, Commands: []*h248.Command{{Name: "Subtract", Termination: key}}}}})
 }
 
-// nameServer answers queries with the list that it holds.
-type nameServer struct {
-	c      net.PacketConn
-	mu     sync.Mutex
-	serial uint32
-	lines  []nameLine
-	drop   int // queries to leave without an answer
-	each   int // so many answers to each address that asks, then none; 0: no limit
-	given  map[string]int
-	kept   [][]byte // answers held back, while keep
-	keep   bool
-	asker  net.Addr // the last
+// discoveryServer answers queries with the list that it holds.
+type discoveryServer struct {
+	conn                net.PacketConn
+	mu                  sync.Mutex
+	serial              uint32
+	lines               []endpointLine
+	queriesToDrop       int // queries to leave without an answer
+	maxAnswersPerClient int // so many answers to each address that asks, then none; 0: no limit
+	answersByClient     map[string]int
+	heldAnswers         [][]byte // answers held back, while keep
+	holdsAnswers        bool
+	lastClient          net.Addr // the last
 }
 
-type nameLine struct {
+type endpointLine struct {
 	id, addr string
 	draining bool
-	cell     int
+	pool     int
 	started  int64
 }
 
-func startNames(t testing.TB) *nameServer {
+func startDiscoveryServer(t testing.TB) *discoveryServer {
 	t.Helper()
 	c, err := net.ListenPacket("udp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := &nameServer{c: c, given: make(map[string]int)}
+	s := &discoveryServer{conn: c, answersByClient: make(map[string]int)}
 	go func() {
 		buf := make([]byte, 1024)
 		for {
@@ -713,12 +715,12 @@
 			}
 			b := s.answer(buf[:n])
 			s.mu.Lock()
-			s.asker = from
-			if s.given[from.String()]++; s.each > 0 && s.given[from.String()] > s.each {
+			s.lastClient = from
+			if s.answersByClient[from.String()]++; s.maxAnswersPerClient > 0 && s.answersByClient[from.String()] > s.maxAnswersPerClient {
 				b = nil
 			}
-			if s.keep && b != nil {
-				s.kept = append(s.kept, b)
+			if s.holdsAnswers && b != nil {
+				s.heldAnswers = append(s.heldAnswers, b)
 				b = nil
 			}
 			s.mu.Unlock()
@@ -731,18 +733,18 @@
 	return s
 }
 
-func (s *nameServer) set(lines ...nameLine) {
+func (s *discoveryServer) set(lines ...endpointLine) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.serial++
 	s.lines = lines
 }
 
-func (s *nameServer) answer(query []byte) []byte {
+func (s *discoveryServer) answer(query []byte) []byte {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.drop > 0 {
-		s.drop--
+	if s.queriesToDrop > 0 {
+		s.queriesToDrop--
 		return nil
 	}
 	var p dnsmessage.Parser
@@ -775,7 +777,7 @@
 	_ = b.StartAdditionals()
 	for _, l := range s.lines {
 		_ = b.AResource(head(l.id+".east.hosts."), dnsmessage.AResource{A: [4]byte{127, 0, 0, 1}})
-		_ = b.TXTResource(head(l.id+".east.hosts."), dnsmessage.TXTResource{TXT: []string{"kind=std", fmt.Sprint("cell=", l.cell), fmt.Sprint("started=", l.started)}})
+		_ = b.TXTResource(head(l.id+".east.hosts."), dnsmessage.TXTResource{TXT: []string{"kind=std", fmt.Sprint("cell=", l.pool), fmt.Sprint("started=", l.started)}})
 	}
 	out, err := b.Finish()
 	if err != nil {
