--- a/cmd/olivedale/serve.go
+++ b/cmd/olivedale/serve.go
@@ -40,7 +40,7 @@
 }
 
 // newNode reads the platform's configuration, applies its limits to the process and builds the node.
-func newNode(operator *config.Operator, logger *zap.Logger) (*server.Node, error) {
+func newNode(operator *config.Operator, logger *zap.Logger) (*server.Server, error) {
 	cfg, err := loadConfig()
 	if err != nil {
 		return nil, err
--- a/cmd/olivedale/signals.go
+++ b/cmd/olivedale/signals.go
@@ -41,7 +41,7 @@
 }
 
 // shutDown stops the node at each signal to shut down.
-func (s processSignals) shutDown(node *server.Node) {
+func (s processSignals) shutDown(node *server.Server) {
 	<-node.Started()
 	for range s.shutdowns {
 		node.Stop()
@@ -49,7 +49,7 @@
 }
 
 // handleRequests handles SIGUSR1 and SIGHUP one after the other.
-func (s processSignals) handleRequests(node *server.Node, log *zap.SugaredLogger) {
+func (s processSignals) handleRequests(node *server.Server, log *zap.SugaredLogger) {
 	<-node.Started()
 	for request := range s.requests {
 		if request == syscall.SIGUSR1 {
@@ -64,7 +64,7 @@
 
 // reloadConfig reads the platform's configuration again. It logs the first failure and keeps the old configuration
 // if all attempts fail.
-func reloadConfig(node *server.Node, log *zap.SugaredLogger) {
+func reloadConfig(node *server.Server, log *zap.SugaredLogger) {
 	for attempt := range maxReloadAttempts {
 		cfg, err := loadConfig()
 		if err == nil {
