--- a/cmd/olivelab/compare.go
+++ b/cmd/olivelab/compare.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"os"
 	"os/exec"
 	"strconv"
@@ -11,100 +12,139 @@
 	"github.com/spf13/cobra"
 
 	"olivedale/internal/cli"
-	"olivedale/internal/lab/base"
 	"olivedale/internal/lab/experiment"
 	"olivedale/internal/lab/result"
+	"olivedale/internal/lab/revision"
 	"olivedale/internal/lab/scenario"
 	"olivedale/internal/lab/show"
 )
 
+// comparison is what compare prints of a scenario.
+type comparison struct {
+	Scenario    string                  `json:"scenario"`
+	Base        string                  `json:"base"`
+	Differences []experiment.Difference `json:"differences"`
+}
+
 func compareCommand() *cobra.Command {
-	var d days
-	var rev, repo string
-	var module bool
+	var days days
+	var base revision.Options
 	c := &cobra.Command{
-		Use: "compare SCENARIO.toml... --base REV", Short: "Play the same days with this program and with an earlier commit", Args: cobra.MinimumNArgs(1),
-		Long: "compare builds core and module of an earlier commit under today's laboratory, in a work tree that it removes after, and\n" +
-			"plays the same seeds with both. Differences are taken day by day; where the interval takes in nought it says so.",
+		Use:   "compare SCENARIO.toml... --base REV",
+		Short: "Play the same days with this program and with an earlier commit",
+		Args:  cobra.MinimumNArgs(1),
+		Long: "compare builds the product of an earlier commit with today's laboratory, in a work tree that it removes afterwards,\n" +
+			"and plays the same seeds with both. A commit from before a change of the module path plays with its own laboratory;\n" +
+			"standard error says which of the two was built. Differences are taken day by day; where the interval includes zero,\n" +
+			"the table says so.",
 		Example: "  olivelab compare deploy/lab/*.toml --base HEAD~3 --days 24",
-		RunE: func(c *cobra.Command, args []string) error {
-			seeds, err := d.seeds()
-			if err != nil {
-				return err
-			}
-			if rev == "" {
-				return cli.Usage("--base names the commit to compare with")
-			}
-			ctx, stop := cli.Interruptible(c)
-			defer stop()
-			old, err := base.Make(ctx, repo, rev, module)
-			if err != nil {
-				return err
-			}
-			defer func() { _ = old.Remove() }()
-			type comparison struct {
-				Scenario    string                  `json:"scenario"`
-				Base        string                  `json:"base"`
-				Differences []experiment.Difference `json:"differences"`
-			}
-			var out []comparison
-			for _, path := range args {
-				sc, err := scenario.Load(path)
-				if err != nil {
-					return err
-				}
-				before, err := playOld(ctx, old, path, d)
-				if err != nil {
-					return err
-				}
-				now, err := experiment.Play(ctx, sc, seeds, options())
-				if err != nil {
-					return err
-				}
-				diffs, err := experiment.Compare(before, now)
-				if err != nil {
-					return err
-				}
-				out = append(out, comparison{sc.Name, old.Commit, diffs})
-				if d.json {
-					continue
-				}
-				var rows [][]string
-				for _, x := range diffs {
-					rows = append(rows, []string{x.Figure, show.Number(x.Base), show.Number(x.Now), fmt.Sprintf("%+.3f", x.Diff.Mean), fmt.Sprintf("%+.3f to %+.3f", x.Diff.Low, x.Diff.High),
-						show.Number(x.WorstBase), show.Number(x.WorstNow), x.Verdict})
-				}
-				if _, err := fmt.Fprintf(c.OutOrStdout(), "%s, %d days, base %.12s\n", sc.Name, len(seeds), old.Commit); err != nil {
-					return err
-				}
-				if err := cli.Table(c.OutOrStdout(), false, nil, []string{"FIGURE", "BASE", "NOW", "DIFFERENCE", "95%", "WORST BASE", "WORST NOW", ""}, rows); err != nil {
-					return err
-				}
-			}
-			if d.json {
-				return json.NewEncoder(c.OutOrStdout()).Encode(out)
-			}
-			return nil
+		RunE: func(c *cobra.Command, scenarios []string) error {
+			return runCompare(c, scenarios, days, base)
 		},
 	}
-	d.flags(c, 16)
-	c.Flags().StringVar(&rev, "base", "", "commit, branch or tag to compare with")
-	c.Flags().StringVar(&repo, "repository", ".", "the repository")
-	c.Flags().BoolVar(&module, "module", false, "take the module alone from that commit, and all else from HEAD")
+	days.flags(c, 16)
+	c.Flags().StringVar(&base.Revision, "base", "", "commit, branch or tag to compare with")
+	c.Flags().StringVar(&base.Repository, "repository", ".", "the repository")
+	c.Flags().BoolVar(&base.PolicyOnly, "module", false, "take the module alone from that commit, and all else from HEAD")
 	return c
 }
 
-// playOld has the earlier program play the days.
-func playOld(ctx context.Context, b *base.Build, path string, d days) ([]*result.Result, error) {
-	p := exec.CommandContext(ctx, b.Program, "run", path, "--json", "--seed", strconv.FormatUint(d.first, 10), "--days", strconv.Itoa(d.n))
-	p.Stderr = os.Stderr
-	text, err := p.Output()
+// runCompare builds the base and compares it with this program, one scenario after the other.
+func runCompare(c *cobra.Command, scenarios []string, days days, base revision.Options) error {
+	seeds, err := days.seeds()
+	if err != nil {
+		return err
+	}
+	if base.Revision == "" {
+		return cli.Usage("--base names the commit to compare with")
+	}
+	ctx, stop := cli.Interruptible(c)
+	defer stop()
+	build, err := revision.New(ctx, base)
+	if err != nil {
+		return fmt.Errorf("base: %w", err)
+	}
+	defer func() { _ = build.Remove() }()
+	if _, err := fmt.Fprintf(c.ErrOrStderr(), "base %.12s: %v\n", build.Commit, build.Method); err != nil {
+		return err
+	}
+	var comparisons []comparison
+	for _, path := range scenarios {
+		compared, err := compareScenario(ctx, build, path, days, seeds)
+		if err != nil {
+			return err
+		}
+		comparisons = append(comparisons, *compared)
+		if days.json {
+			continue
+		}
+		if err := compared.print(c.OutOrStdout(), len(seeds)); err != nil {
+			return err
+		}
+	}
+	if days.json {
+		return json.NewEncoder(c.OutOrStdout()).Encode(comparisons)
+	}
+	return nil
+}
+
+// compareScenario plays the days of a scenario with the base and with this program.
+func compareScenario(
+	ctx context.Context, base *revision.Build, path string, days days, seeds []uint64,
+) (*comparison, error) {
+	sc, err := scenario.Load(path)
+	if err != nil {
+		return nil, err
+	}
+	baseResults, err := playBase(ctx, base, path, days)
+	if err != nil {
+		return nil, err
+	}
+	results, err := experiment.Play(ctx, sc, seeds, options())
+	if err != nil {
+		return nil, err
+	}
+	differences, err := experiment.Compare(baseResults, results)
+	if err != nil {
+		return nil, err
+	}
+	return &comparison{Scenario: sc.Name, Base: base.Commit, Differences: differences}, nil
+}
+
+// playBase has the base's program play the days.
+func playBase(ctx context.Context, base *revision.Build, path string, days days) ([]*result.Result, error) {
+	program := exec.CommandContext(ctx, base.Program, "run", path, "--json",
+		"--seed", strconv.FormatUint(days.first, 10), "--days", strconv.Itoa(days.n))
+	program.Stderr = os.Stderr
+	output, err := program.Output()
 	if err != nil {
-		return nil, fmt.Errorf("playing %s with %.12s: %w", path, b.Commit, err)
+		return nil, fmt.Errorf("playing %s with %.12s: %w", path, base.Commit, err)
+	}
+	var results []*result.Result
+	if err := json.Unmarshal(output, &results); err != nil {
+		return nil, fmt.Errorf("results of %.12s: %w", base.Commit, err)
+	}
+	return results, nil
+}
+
+// print writes the comparison as a table.
+func (c *comparison) print(w io.Writer, days int) error {
+	if _, err := fmt.Fprintf(w, "%s, %d days, base %.12s\n", c.Scenario, days, c.Base); err != nil {
+		return err
 	}
-	var all []*result.Result
-	if err := json.Unmarshal(text, &all); err != nil {
-		return nil, fmt.Errorf("what %.12s said: %w", b.Commit, err)
+	header := []string{"FIGURE", "BASE", "NOW", "DIFFERENCE", "95%", "WORST BASE", "WORST NOW", ""}
+	var rows [][]string
+	for _, d := range c.Differences {
+		rows = append(rows, []string{
+			d.Figure,
+			show.Number(d.Base),
+			show.Number(d.Now),
+			fmt.Sprintf("%+.3f", d.Diff.Mean),
+			fmt.Sprintf("%+.3f to %+.3f", d.Diff.Low, d.Diff.High),
+			show.Number(d.WorstBase),
+			show.Number(d.WorstNow),
+			d.Verdict,
+		})
 	}
-	return all, nil
+	return cli.Table(w, false, nil, header, rows)
 }
--- a/cmd/olivelab/virtual.go
+++ b/cmd/olivelab/virtual.go
@@ -19,6 +19,7 @@
 	"olivedale/internal/lab/rules"
 	"olivedale/internal/lab/scenario"
 	"olivedale/internal/lab/show"
+	"olivedale/internal/lab/together"
 	"olivedale/internal/lab/virtual"
 )
 
@@ -68,10 +69,7 @@
 }
 
 // options are what days are played with.
-func options() virtual.Options { return virtual.Options{Share: sharing} }
-
-// sharing has controllers share what they know; nil: this program is of a commit that cannot.
-var sharing = virtual.Options{}.Share
+func options() virtual.Options { return virtual.Options{Share: together.Start} }
 
 // commit is what results say they are of.
 func commit() string { return cli.Version() }
--- /dev/null
+++ b/internal/lab/revision/revision_test.go
@@ -0,0 +1,193 @@
+package revision
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"olivedale/internal/lab/revision/revisiontest"
+)
+
+// version is the content of a commit: a product and a laboratory that print their labels.
+type version struct {
+	modulePath  string
+	label       string
+	policyFiles []string // of the decision module; the first has its label
+}
+
+// files returns the version as files by path.
+func (v version) files() map[string]string {
+	files := map[string]string{
+		"go.mod":                      "module " + v.modulePath + "\n\ngo 1.26.0\n",
+		"go.sum":                      "",
+		"internal/cli/cli.go":         "package cli\n",
+		"internal/logging/logging.go": "package logging\n",
+		"internal/svg/svg.go":         "package svg\n",
+		"internal/lab/lab.go":         fmt.Sprintf("package lab\n\nconst Label = %q\n", v.label),
+		"internal/lab/lab_test.go":    "package lab\n\nthis is copied by mistake",
+		"internal/call/call.go":       fmt.Sprintf("package call\n\nconst Label = %q\n", v.label),
+		"cmd/olivelab/main.go": strings.ReplaceAll(`package main
+
+import (
+	"fmt"
+
+	"PATH/internal/admission"
+	"PATH/internal/call"
+	"PATH/internal/lab"
+)
+
+func main() { fmt.Println("lab", lab.Label, "core", call.Label, "policy", admission.Label) }
+`, "PATH", v.modulePath),
+	}
+	var list []string
+	for i, name := range v.policyFiles {
+		list = append(list, fmt.Sprintf("%q", name))
+		files[name] = "package admission\n"
+		if i == 0 {
+			files[name] += fmt.Sprintf("\nconst Label = %q\n", v.label)
+		}
+	}
+	files[deployFile] = "policy = [" + strings.Join(list, ", ") + "]\n"
+	return files
+}
+
+var (
+	controllerFile = []string{"internal/admission/controller.go"}
+	splitFiles     = []string{"internal/admission/engine.go", "internal/admission/probe.go"}
+)
+
+func TestNew(t *testing.T) {
+	t.Parallel()
+	current := version{"fixture", "new", splitFiles}
+	tests := []struct {
+		name       string
+		earlier    version
+		policyOnly bool
+		wantMethod Method
+		wantOutput string
+	}{
+		{
+			name:       "same module path",
+			earlier:    version{"fixture", "old", controllerFile},
+			wantMethod: TodaysLaboratory,
+			wantOutput: "lab new core old policy old",
+		},
+		{
+			name:       "decision module alone, in other files",
+			earlier:    version{"fixture", "old", controllerFile},
+			policyOnly: true,
+			wantMethod: TodaysLaboratory,
+			wantOutput: "lab new core new policy old",
+		},
+		{
+			name:       "other module path",
+			earlier:    version{"formerly", "old", controllerFile},
+			wantMethod: OwnLaboratory,
+			wantOutput: "lab old core old policy old",
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			repository := revisiontest.New(t)
+			earlier := repository.Commit(test.earlier.files())
+			repository.Commit(current.files())
+			build, err := New(t.Context(), Options{
+				Repository: filepath.Join(repository.Dir, "internal"),
+				Revision:   "HEAD~1",
+				PolicyOnly: test.policyOnly,
+			})
+			if err != nil {
+				t.Fatal(err)
+			}
+			if build.Commit != earlier || build.Method != test.wantMethod {
+				t.Errorf("build of %s, %v; want %s, %v", build.Commit, build.Method, earlier, test.wantMethod)
+			}
+			output, err := exec.CommandContext(t.Context(), build.Program).Output()
+			if err != nil {
+				t.Fatal(err)
+			}
+			if got := strings.TrimSpace(string(output)); got != test.wantOutput {
+				t.Errorf("the program prints %q, want %q", got, test.wantOutput)
+			}
+			if err := build.Remove(); err != nil {
+				t.Error(err)
+			}
+			if _, err := os.Stat(filepath.Dir(build.Program)); !errors.Is(err, os.ErrNotExist) {
+				t.Errorf("the build's directory is left: %v", err)
+			}
+			checkUntouched(t, repository)
+		})
+	}
+}
+
+func TestNewErrors(t *testing.T) {
+	t.Parallel()
+	withoutLaboratory := version{"formerly", "old", controllerFile}.files()
+	delete(withoutLaboratory, "cmd/olivelab/main.go")
+	broken := version{"fixture", "old", controllerFile}.files()
+	broken["internal/call/call.go"] = "package call\n"
+	withoutPolicy := version{"fixture", "old", nil}.files()
+	tests := []struct {
+		name       string
+		earlier    map[string]string
+		revision   string
+		policyOnly bool
+		want       string
+	}{
+		{"no such commit", withoutPolicy, "nowhere", false, `"nowhere" names no commit`},
+		{"no laboratory", withoutLaboratory, "HEAD~1", false, "has no laboratory (cmd/olivelab)"},
+		{"does not compile", broken, "HEAD~1", false, "built with today's laboratory, does not compile"},
+		{"no policy files", withoutPolicy, "HEAD~1", true, "policy names no file"},
+		{"decision module of another module path", withoutLaboratory, "HEAD~1", true, "without --module"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			repository := revisiontest.New(t)
+			repository.Commit(test.earlier)
+			repository.Commit(version{"fixture", "new", splitFiles}.files())
+			_, err := New(t.Context(), Options{
+				Repository: repository.Dir,
+				Revision:   test.revision,
+				PolicyOnly: test.policyOnly,
+			})
+			if err == nil || !strings.Contains(err.Error(), test.want) {
+				t.Errorf("error %v, want one with %q", err, test.want)
+			}
+			var pathError *ModulePathError
+			if isPathError := errors.As(err, &pathError); isPathError != (test.want == "without --module") {
+				t.Errorf("error %v is a ModulePathError: %v", err, isPathError)
+			}
+			checkUntouched(t, repository)
+		})
+	}
+}
+
+func TestModulePath(t *testing.T) {
+	t.Parallel()
+	for text, want := range map[string]string{
+		"module olivedale\n\ngo 1.26.0\n":             "olivedale",
+		"// The product.\nmodule \"a/b\" // quoted\n": "a/b",
+		"go 1.26.0\n": "",
+	} {
+		if got := modulePath(text); got != want {
+			t.Errorf("module path of %q: %q, want %q", text, got, want)
+		}
+	}
+}
+
+// checkUntouched checks that a build left no work tree behind and changed nothing in the repository.
+func checkUntouched(t *testing.T, repository *revisiontest.Repository) {
+	t.Helper()
+	if trees := repository.Git("worktree", "list"); strings.Count(trees, "\n") != 0 {
+		t.Errorf("work trees are left:\n%s", trees)
+	}
+	if status := repository.Git("status", "--porcelain"); status != "" {
+		t.Errorf("the repository was changed:\n%s", status)
+	}
+}
