--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 lint:
 	@hidden="$$(git ls-files --others --ignored --exclude-standard -- '*.go' go.mod go.sum)"; if [ -n "$$hidden" ]; then echo "kept out by .gitignore: $$hidden" >&2; exit 1; fi
 	go -C tools build -o ../bin/tools/ tool ./...
-	bin/tools/lint
+	bin/tools/lint . tools
 
 test: build lint
 	go test -race -count=1 ./...
--- a/tools/lint/config.go
+++ b/tools/lint/config.go
@@ -22,7 +22,7 @@
 type Exception struct {
 	Rule     string   `toml:"rule"`
 	Reason   string   `toml:"reason"`
-	Packages []string `toml:"packages"` // directories, relative to the module's root
+	Packages []string `toml:"packages"` // directories, relative to the working directory
 }
 
 func readConfig(path string) (*Config, error) {
--- a/tools/lint/finding.go
+++ b/tools/lint/finding.go
@@ -11,7 +11,7 @@
 
 // A Finding is one violation of a rule.
 type Finding struct {
-	File    string // relative to the module's root, with slashes
+	File    string // relative to the working directory, with slashes
 	Line    int    // 0 if the finding is about the whole file
 	Rule    string
 	Message string
@@ -22,7 +22,7 @@
 	return fmt.Sprintf("%s:%d: %s (%s)", f.File, f.Line, f.Message, f.Rule)
 }
 
-// Package returns the directory of the finding's package, relative to the module's root.
+// Package returns the directory of the finding's package, relative to the working directory.
 func (f Finding) Package() string { return path.Dir(f.File) }
 
 // IsInTest reports whether the finding is in a test file.
--- a/tools/lint/lint_test.go
+++ b/tools/lint/lint_test.go
@@ -114,11 +114,7 @@
 		t.Fatal(err)
 	}
 	root := writeSeededModule(t)
-	absoluteConfig, err := filepath.Abs(configPath)
-	if err != nil {
-		t.Fatal(err)
-	}
-	findings, err := runLinters(t.Context(), root, buildLinters(t), absoluteConfig)
+	findings, err := lintModules(t.Context(), []string{root}, buildLinters(t), configPath)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -126,7 +122,7 @@
 	for _, seeded := range seededFiles {
 		rulesWithFile[seeded.rule] = true
 		reported := slices.ContainsFunc(findings, func(f Finding) bool {
-			return f.File == seeded.path() && f.Rule == seeded.rule && f.Line > 0
+			return f.File == root+"/"+seeded.path() && f.Rule == seeded.rule && f.Line > 0
 		})
 		if !reported {
 			t.Errorf("%s: no finding of rule %s", seeded.path(), seeded.rule)
--- a/tools/lint/linters.go
+++ b/tools/lint/linters.go
@@ -9,6 +9,7 @@
 	"io"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -47,18 +48,34 @@
 	}
 }
 
-// runLinters runs all linters over the module at root and returns their findings, sorted by place.
-func runLinters(ctx context.Context, root, programs, configPath string) ([]Finding, error) {
-	absoluteRoot, err := filepath.Abs(root)
+// lintModules runs all linters over the modules at roots and returns their findings, sorted by place.
+func lintModules(ctx context.Context, roots []string, programs, configPath string) ([]Finding, error) {
+	absolutePrograms, err := filepath.Abs(programs)
 	if err != nil {
 		return nil, err
 	}
-	all := linters(programs, configPath)
-	results := make([][]Finding, len(all))
+	absoluteConfig, err := filepath.Abs(configPath)
+	if err != nil {
+		return nil, err
+	}
+	var findings []Finding
+	for _, root := range roots {
+		found, err := runLinters(ctx, root, linters(absolutePrograms, absoluteConfig))
+		if err != nil {
+			return nil, err
+		}
+		findings = append(findings, found...)
+	}
+	return sortFindings(findings), nil
+}
+
+// runLinters runs linters at the same time over the module at root.
+func runLinters(ctx context.Context, root string, linters []linter) ([]Finding, error) {
+	results := make([][]Finding, len(linters))
 	group, ctx := errgroup.WithContext(ctx)
-	for i, l := range all {
+	for i, l := range linters {
 		group.Go(func() error {
-			findings, err := l.run(ctx, absoluteRoot)
+			findings, err := l.run(ctx, root)
 			results[i] = findings
 			return err
 		})
@@ -66,14 +83,11 @@
 	if err := group.Wait(); err != nil {
 		return nil, err
 	}
-	var findings []Finding
-	for _, result := range results {
-		findings = append(findings, result...)
-	}
-	return sortFindings(findings), nil
+	return slices.Concat(results...), nil
 }
 
-// run runs the linter and returns its findings with files relative to root.
+// run runs the linter over the module at root and returns its findings, with files relative to the working
+// directory.
 func (l linter) run(ctx context.Context, root string) ([]Finding, error) {
 	command := exec.CommandContext(ctx, l.command[0], l.command[1:]...)
 	command.Dir = root
@@ -100,12 +114,18 @@
 	return kept, nil
 }
 
+// relativeTo turns a file that a linter named, absolute or relative to root, into one relative to the working
+// directory.
 func relativeTo(root, file string) (string, error) {
 	if !filepath.IsAbs(file) {
-		return filepath.ToSlash(filepath.Clean(file)), nil
+		return filepath.ToSlash(filepath.Join(root, file)), nil
+	}
+	absoluteRoot, err := filepath.Abs(root)
+	if err != nil {
+		return "", err
 	}
-	relative, err := filepath.Rel(root, file)
-	return filepath.ToSlash(relative), err
+	relative, err := filepath.Rel(absoluteRoot, file)
+	return filepath.ToSlash(filepath.Join(root, relative)), err
 }
 
 // parseGofmt reads a list of files.
--- a/tools/lint/main.go
+++ b/tools/lint/main.go
@@ -1,5 +1,6 @@
-// Command lint runs the project's linters over the Go module in the working directory and prints each
-// finding by file and line. It ends with status 1 if there is a finding, and with 2 if a linter did not run.
+// Command lint runs the project's linters over Go modules, named by their directories (by default the working
+// directory), and prints each finding by file and line. It ends with status 1 if there is a finding, and with 2
+// if a linter did not run.
 //
 // The other linters are read from the directory of the command's own executable file. Their rules, and the
 // packages that do not keep a rule yet, are in one configuration file.
@@ -38,7 +39,11 @@
 	if err != nil {
 		exitWith(err)
 	}
-	findings, err := runLinters(ctx, ".", filepath.Dir(executable), *configPath)
+	roots := flag.Args()
+	if len(roots) == 0 {
+		roots = []string{"."}
+	}
+	findings, err := lintModules(ctx, roots, filepath.Dir(executable), *configPath)
 	if err != nil {
 		exitWith(err)
 	}
