--- a/cmd/oliveagent/main.go
+++ b/cmd/oliveagent/main.go
@@ -65,7 +65,7 @@
 	return root
 }
 
-// run keeps the instances running until the program is signaled to stop, and then drains them.
+// run checks the options, connects to etcd and keeps the instances running.
 func run(o options) error {
 	if o.dir == "" {
 		return cli.Usage("--dir is missing: name a folder for the files of the instances")
@@ -74,7 +74,6 @@
 		return cli.Usage("--log-%w", err)
 	}
 	logger := logging.New(os.Stderr, o.log)
-	log := logger.Sugar()
 	// A relative path would refer to the working directory of the instance.
 	program, err := filepath.Abs(o.program)
 	if err != nil {
@@ -89,9 +88,16 @@
 	if err != nil {
 		return err
 	}
+	return keepRunning(agent.New(program, o.dir, logger), client, o.prefix, ln, logger.Sugar())
+}
+
+// keepRunning runs the agent and its admin server until the program is signaled to stop or the server fails. It then
+// drains the instances.
+func keepRunning(
+	a *agent.Agent, client *clientv3.Client, prefix string, ln net.Listener, log *zap.SugaredLogger,
+) error {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	a := agent.New(program, o.dir, logger)
 	served := make(chan struct{})
 	go func() {
 		defer close(served)
@@ -100,11 +106,11 @@
 			stop()
 		}
 	}()
-	log.Infow("started", "listen", ln.Addr().String(), "prefix", o.prefix)
-	_ = agent.Watch(ctx, client, o.prefix, a, log) // returns only when ctx is done
+	log.Infow("started", "listen", ln.Addr().String(), "prefix", prefix)
+	_ = agent.Watch(ctx, client, prefix, a, log) // returns only when ctx is done
 	log.Infow("stopping")
 	a.Close()
-	err = ln.Close()
+	err := ln.Close()
 	<-served
 	return err
 }
