--- /dev/null
+++ b/internal/server/callers_test.go
@@ -0,0 +1,255 @@
+package server
+
+import (
+	"fmt"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"olivedale/internal/codec/h248"
+	"olivedale/internal/codec/h248/transaction"
+	"olivedale/internal/codec/jsonl"
+)
+
+// A testCaller is the callers' side of either dialect.
+type testCaller interface {
+	setUp(number string, left time.Duration) (key string)
+	hangUp(key string)
+	close()
+}
+
+// answerLog is what callers were told: key and what, in order.
+type answerLog struct {
+	mu       sync.Mutex
+	byKey    map[string][]string
+	changed  chan struct{}
+	onAnswer func(key, what string) // if set, before anything is heard
+}
+
+func newAnswerLog() *answerLog {
+	return &answerLog{byKey: make(map[string][]string), changed: make(chan struct{}, 1)}
+}
+
+func (h *answerLog) add(key, what string) {
+	h.mu.Lock()
+	h.byKey[key] = append(h.byKey[key], what)
+	h.mu.Unlock()
+	if h.onAnswer != nil {
+		h.onAnswer(key, what)
+	}
+	select {
+	case h.changed <- struct{}{}:
+	default:
+	}
+}
+
+func (h *answerLog) of(key string) string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return strings.Join(h.byKey[key], " ")
+}
+
+// await waits until a key has heard so many things.
+func (h *answerLog) await(t testing.TB, key string, n int) string {
+	t.Helper()
+	end := time.After(6 * time.Second)
+	for {
+		h.mu.Lock()
+		got := len(h.byKey[key])
+		h.mu.Unlock()
+		if got >= n {
+			return h.of(key)
+		}
+		select {
+		case <-h.changed:
+		case <-time.After(20 * time.Millisecond):
+		case <-end:
+			t.Fatalf("%s heard %q, want %d things", key, h.of(key), n)
+		}
+	}
+}
+
+type jsonCaller struct {
+	*answerLog
+	conn     net.Conn
+	lastID   int
+	idPrefix string
+}
+
+func dialJSONCaller(t testing.TB, addr string, h *answerLog, salt string) *jsonCaller {
+	t.Helper()
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	k := &jsonCaller{answerLog: h, conn: c, idPrefix: salt}
+	go func() {
+		var in jsonl.Reader
+		buf := make([]byte, 4096)
+		for {
+			n, err := c.Read(buf)
+			if err != nil {
+				return
+			}
+			_ = in.Feed(buf[:n], func(m *jsonl.Message) bool {
+				switch m.Verb {
+				case jsonl.Started:
+					h.add(m.Tag, "stands "+string(m.Blob))
+				case jsonl.Finish:
+					h.add(m.Tag, fmt.Sprint("end ", m.RC))
+					k.send(&jsonl.Message{Verb: jsonl.Finished, Tag: m.Tag})
+				case jsonl.Echoed:
+					h.add("echo", fmt.Sprint(m.RC))
+				}
+				return true
+			})
+		}
+	}()
+	t.Cleanup(k.close)
+	return k
+}
+
+func (k *jsonCaller) close()                { _ = k.conn.Close() }
+func (k *jsonCaller) send(m *jsonl.Message) { _, _ = k.conn.Write(jsonl.Append(nil, m)) }
+
+func (k *jsonCaller) setUp(number string, left time.Duration) string {
+	k.lastID++
+	tag := fmt.Sprintf("%8s%08x", k.idPrefix, k.lastID)
+	k.send(&jsonl.Message{Verb: jsonl.Start, Tag: tag, Blob: []byte(offeredDescription(number)), Opts: []jsonl.Opt{{Name: "class", Value: "voice"},
+		{Name: "left", Value: fmt.Sprint(left.Milliseconds())}, {Name: "key", Value: number}, {Name: "extras", Value: "dest:0;width:1;via:-1"}}})
+	return tag
+}
+
+func (k *jsonCaller) hangUp(tag string) {
+	k.send(&jsonl.Message{Verb: jsonl.Finish, Tag: tag, RC: 16, HasRC: true})
+}
+
+type gatewayCaller struct {
+	*answerLog
+	conn         net.Conn
+	messageID    string
+	lastID       uint32
+	mu           sync.Mutex
+	contexts     map[string]string // by termination
+	replies      map[uint32]int    // replies to a transaction
+	acknowledges bool              // it acknowledges replies, set before its first call
+}
+
+func dialGatewayCaller(t testing.TB, addr string, h *answerLog, mid string) *gatewayCaller {
+	t.Helper()
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	k := &gatewayCaller{answerLog: h, conn: c, messageID: mid, contexts: make(map[string]string), replies: make(map[uint32]int)}
+	go func() {
+		var in h248.Framer
+		buf := make([]byte, 4096)
+		for {
+			n, err := c.Read(buf)
+			if err != nil {
+				return
+			}
+			_ = in.Feed(buf[:n], func(text []byte) bool {
+				m, bad := h248.Parse(text)
+				if bad != nil {
+					h.add("error", bad.Error())
+					return false
+				}
+				if m.Err != nil {
+					h.add("error", m.Err.Error())
+				}
+				for _, tr := range m.Transactions {
+					k.handleTransaction(tr)
+				}
+				return true
+			})
+		}
+	}()
+	t.Cleanup(k.close)
+	return k
+}
+
+func (k *gatewayCaller) handleTransaction(t *h248.Transaction) {
+	key := fmt.Sprintf("%s/%d", strings.Trim(k.messageID, "<>"), t.ID)
+	switch t.Kind {
+	case h248.Pending:
+		k.add(key+"/pending", "pending")
+	case h248.Reply:
+		k.mu.Lock()
+		k.replies[t.ID]++
+		k.mu.Unlock()
+		if k.acknowledges {
+			k.send(&h248.Transaction{Kind: h248.Ack, Acked: [][2]uint32{{t.ID, t.ID}}})
+		}
+		if t.Err != nil {
+			k.add(key, fmt.Sprint("error ", t.Err.Code))
+			return
+		}
+		for _, a := range t.Actions {
+			if a.Err != nil {
+				what := fmt.Sprint("error ", a.Err.Code)
+				switch a.Err.Code { // as the callers of the other dialect hear it
+				case h248.Insufficient:
+					what = "end 34"
+				case h248.TemporaryFailure:
+					what = "end 41"
+				}
+				k.add(key, what)
+			}
+			for _, c := range a.Commands {
+				if desc, ok := transaction.Description(c, "Local"); ok {
+					k.mu.Lock()
+					k.contexts[c.Termination] = a.Context
+					k.mu.Unlock()
+					k.add(key, "stands "+string(desc))
+				} else {
+					k.add(key, "done "+c.Name)
+				}
+			}
+		}
+	case h248.Request:
+		c := t.Actions[0].Commands[0]
+		cause, _ := transaction.ParseReleaseEvent(c)
+		k.add(c.Termination, fmt.Sprint("end ", cause))
+		k.send(&h248.Transaction{Kind: h248.Reply, ID: t.ID, Actions: []*h248.Action{{Context: t.Actions[0].Context,
+			Commands: []*h248.Command{{Name: c.Name, Termination: c.Termination}}}}})
+	}
+}
+
+func (k *gatewayCaller) close() { _ = k.conn.Close() }
+
+func (k *gatewayCaller) send(t *h248.Transaction) {
+	b, err := h248.AppendFrame(nil, &h248.Message{MID: k.messageID, Transactions: []*h248.Transaction{t}})
+	if err == nil {
+		_, _ = k.conn.Write(b)
+	}
+}
+
+// addTransaction sets a call up on the termination that is the transaction's key.
+func addTransaction(key string, id uint32, number string, left time.Duration) *h248.Transaction {
+	state := &h248.Node{Name: "TerminationState", Kids: []*h248.Node{{Name: "oc/class", Value: "voice"}, {Name: "oc/first", Value: "0"},
+		{Name: "oc/number", Value: number}, {Name: "oc/left", Value: fmt.Sprint(left.Milliseconds())}}}
+	return &h248.Transaction{ID: id, Actions: []*h248.Action{{Context: "$", Commands: []*h248.Command{{Name: "Add", Termination: key,
+		Descriptors: []*h248.Node{{Name: "Media", Kids: []*h248.Node{state, {Name: "Remote", Octets: []byte(offeredDescription(number))}}}}}}}}}
+}
+
+func (k *gatewayCaller) setUp(number string, left time.Duration) string {
+	k.lastID++
+	key := fmt.Sprintf("%s/%d", strings.Trim(k.messageID, "<>"), k.lastID)
+	k.send(addTransaction(key, k.lastID, number, left))
+	return key
+}
+
+func (k *gatewayCaller) hangUp(key string) {
+	k.mu.Lock()
+	context := k.contexts[key]
+	k.mu.Unlock()
+	if context == "" {
+		context = "*"
+	}
+	k.lastID++
+	k.send(&h248.Transaction{ID: k.lastID, Actions: []*h248.Action{{Context: context, Commands: []*h248.Command{{Name: "Subtract", Termination: key}}}}})
+}
--- a/internal/server/quiet_test.go
+++ b/internal/server/discovery_test.go
@@ -3,12 +3,27 @@
 import (
 	"testing"
 	"time"
+
+	"olivedale/internal/codec/jsonl"
 )
 
-// listSerial is that of the list the node goes by.
-func (x *testbed) listSerial() (n uint32) {
-	x.runIteration(func() { n = x.server.endpoints.Serial() })
-	return n
+// The name service's socket must not be taken for a caller's connection.
+func TestDiscoverySocketIsNoCaller(t *testing.T) {
+	t.Parallel()
+	s, h := startTestServer(t, false), newAnswerLog()
+	k := dialJSONCaller(t, s.jsonAddress(), h, "aaaaaaaa")
+	eventually(t, "answers are read", func() bool {
+		n := make(chan int, 1)
+		s.server.loop.Execute(func() { n <- s.server.discovery.counters.answers })
+		return <-n > 2
+	})
+	k.send(&jsonl.Message{Verb: jsonl.Echo, HasRC: true})
+	h.await(t, "echo", 1)
+	n := make(chan int, 1)
+	s.server.loop.Execute(func() { n <- s.server.frontends.host.Counters.Accepted + 100*s.server.malformed.count })
+	if got := <-n; got != 2 { // the first is the node's own
+		t.Errorf("clients + 100 malformed: %d, want 2", got)
+	}
 }
 
 // The name service answers each socket once and never again: a drain that comes later is heard over another
@@ -42,11 +57,6 @@
 	}
 }
 
-func (n *Server) discoveryAnswers(x *testbed) (answers int) {
-	x.runIteration(func() { answers = n.discovery.counters.answers })
-	return answers
-}
-
 // The name service says nothing more at all: the list at hand goes on serving, and sockets are neither piled up nor
 // opened ever faster.
 func TestDiscoverySilentForGood(t *testing.T) {
--- a/internal/server/load_test.go
+++ b/internal/server/load_test.go
@@ -1,84 +1,14 @@
 package server
 
 import (
-	"fmt"
-	"os"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
-
-	"olivedale/internal/admission"
 )
 
-// unlimitedDecider is a module without limits: a call goes to its pools in their order, one after another;
-// after an attempt that may have run the release guard passes first. It shows what lies around the
-// module at rates that the module would not let through to servers it does not know.
-type unlimitedDecider struct {
-	untriedPools   map[string][]int // pools of an open call that were not tried yet
-	delayed        []delayedCall    // by time
-	attemptTimeout time.Duration    // of an attempt
-}
-
-type delayedCall struct {
-	at   time.Duration
-	call string
-}
-
-// newUnlimitedDecider makes one whose attempts end before a link that brings nothing counts as mute.
-func newUnlimitedDecider() *unlimitedDecider {
-	return &unlimitedDecider{untriedPools: make(map[string][]int), attemptTimeout: 150 * time.Millisecond}
-}
-
-func (d *unlimitedDecider) Place(_ time.Duration, r admission.Request) admission.Decision {
-	d.untriedPools[r.CallID] = r.Pools
-	return d.next(r.CallID)
-}
-
-func (d *unlimitedDecider) next(call string) admission.Decision {
-	pools := d.untriedPools[call]
-	if len(pools) == 0 {
-		delete(d.untriedPools, call)
-		return admission.Decision{CallID: call, Kind: admission.Reject}
-	}
-	d.untriedPools[call] = pools[1:]
-	return admission.Decision{CallID: call, Kind: admission.Send, Server: fmt.Sprint("s-", pools[0]), Wait: d.attemptTimeout}
-}
-
-func (d *unlimitedDecider) Report(now time.Duration, p admission.AttemptReport) admission.Decision {
-	switch {
-	case p.Kind == admission.ReportLoad:
-	case p.Kind != admission.ReportEnded || p.Final:
-		delete(d.untriedPools, p.CallID)
-	case p.Result == admission.TimedOut || p.Result == admission.ConnectionLost || p.Result == admission.Canceled:
-		d.delayed = append(d.delayed, delayedCall{now + retryGuard + 50*time.Millisecond, p.CallID})
-	default:
-		return d.next(p.CallID)
-	}
-	return admission.Decision{CallID: p.CallID, Kind: admission.None}
-}
-
-func (d *unlimitedDecider) Tick(now time.Duration) (all []admission.Decision) {
-	for len(d.delayed) > 0 && d.delayed[0].at <= now {
-		if _, ok := d.untriedPools[d.delayed[0].call]; ok {
-			all = append(all, d.next(d.delayed[0].call))
-		}
-		d.delayed = d.delayed[1:]
-	}
-	return all
-}
-
-func (d *unlimitedDecider) NextDeadline() time.Duration {
-	if len(d.delayed) > 0 {
-		return d.delayed[0].at
-	}
-	return time.Duration(1<<63 - 1)
-}
-
-func (d *unlimitedDecider) UpdateServers(time.Duration, []admission.Server, bool) {}
-
 // A load sets calls up on several callers and notes when each heard its first word and its end.
 type load struct {
 	answers *answerLog
@@ -173,10 +103,3 @@
 	}
 	return took
 }
-
-func writeFile(t testing.TB, path, text string) {
-	t.Helper()
-	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
-		t.Fatal(err)
-	}
-}
--- /dev/null
+++ b/internal/server/protocols_test.go
@@ -0,0 +1,249 @@
+package server
+
+import (
+	"fmt"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"olivedale/internal/codec/h248"
+)
+
+// callResults is what a day of calls came to.
+type callResults struct {
+	Heard                   map[string]string
+	Attempts                map[string]int
+	Copies, Early, Tampered int
+	GaveUp, Released        int
+}
+
+// runCalls makes the same calls in either dialect, one after the other.
+func runCalls(t *testing.T, s *testServer, dial func(name string) testCaller, h *answerLog) callResults {
+	t.Helper()
+	p := callResults{Heard: make(map[string]string), Attempts: make(map[string]int)}
+	k, other := dial("aaaaaaaa"), dial("bbbbbbbb")
+	gone := k.setUp("silent.2", 5*time.Second)
+	eventually(t, "the set-up is at a server", func() bool { return s.observations.attemptsTo("silent.2") == 1 })
+	k.hangUp(gone)
+	eventually(t, "the set-up is given up", func() bool { return s.observations.total(&s.observations.canceled) == 1 })
+	other.setUp("silent.3", 5*time.Second)
+	eventually(t, "the set-up is at a server", func() bool { return s.observations.attemptsTo("silent.3") == 1 })
+	other.close()
+	eventually(t, "the set-up is given up with its connection", func() bool { return s.observations.total(&s.observations.canceled) == 2 })
+	for _, kind := range []string{"ok", "keep", "moot", "reset", "busy"} {
+		number := kind + ".1"
+		if kind == "reset" {
+			// At this rate the module lets a call a second go to a server of second choice.
+			time.Sleep(1500 * time.Millisecond)
+		}
+		key := k.setUp(number, 4*time.Second)
+		said := h.await(t, key, 1)
+		if kind == "ok" {
+			said = h.await(t, key, 2)
+		}
+		p.Heard[kind] = strings.ReplaceAll(said, acceptedDescription(number), "")
+		if strings.Contains(said, "stands") {
+			k.hangUp(key)
+		}
+		p.Attempts[kind] = s.observations.attemptsTo(number)
+		time.Sleep(30 * time.Millisecond) // let the release pass before the next call
+	}
+	silent := k.setUp("silent.1", 400*time.Millisecond)
+	p.Heard["silent"] = h.await(t, silent, 1)
+	p.Attempts["silent"] = s.observations.attemptsTo("silent.1")
+	eventually(t, "the set-up that timed out is given up", func() bool { return s.observations.total(&s.observations.canceled) == 3 })
+	for end := time.Now().Add(2 * time.Second); s.observations.total(&s.observations.released) < 3 && time.Now().Before(end); {
+		time.Sleep(5 * time.Millisecond)
+	}
+	p.Copies, p.Early, p.Tampered = s.observations.total(&s.observations.simultaneousAttempts), s.observations.total(&s.observations.earlyRetries), s.observations.total(&s.observations.corrupted)
+	p.GaveUp, p.Released = s.observations.total(&s.observations.canceled), s.observations.total(&s.observations.released)
+	return p
+}
+
+// TestBothProtocolsBehaveAlike plays the same calls with either dialect on either side: the
+// rules must be kept alike and the service be the same.
+func TestBothProtocolsBehaveAlike(t *testing.T) {
+	t.Parallel()
+	want := callResults{
+		Heard: map[string]string{"ok": "stands  end 16", "keep": "stands ", "moot": "stands ", "reset": "stands ",
+			"busy": "end 41", "silent": "end 41"},
+		Attempts: map[string]int{"ok": 1, "keep": 1, "moot": 2, "reset": 2, "busy": 1, "silent": 1},
+		GaveUp:   3, Released: 3,
+	}
+	for _, back := range []bool{false, true} {
+		for _, front := range []bool{false, true} {
+			t.Run(fmt.Sprintf("front H.248 %v, back H.248 %v", front, back), func(t *testing.T) {
+				t.Parallel()
+				s, h := startTestServer(t, back, back), newAnswerLog()
+				got := runCalls(t, s, func(name string) testCaller {
+					if front {
+						return dialGatewayCaller(t, s.gatewayAddress(), h, "<"+name+">")
+					}
+					return dialJSONCaller(t, s.jsonAddress(), h, name)
+				}, h)
+				if fmt.Sprint(got) != fmt.Sprint(want) {
+					t.Errorf("got  %+v\nwant %+v", got, want)
+				}
+			})
+		}
+	}
+}
+
+// TestMixedProtocols has both dialects on both sides at once on one node.
+func TestMixedProtocols(t *testing.T) {
+	t.Parallel()
+	s := startTestServer(t, false, true)
+	h := newAnswerLog()
+	callers := []testCaller{dialJSONCaller(t, s.jsonAddress(), h, "aaaaaaaa"), dialGatewayCaller(t, s.gatewayAddress(), h, "<one>"),
+		dialJSONCaller(t, s.jsonAddress(), h, "bbbbbbbb"), dialGatewayCaller(t, s.gatewayAddress(), h, "<two>")}
+	stood := make([]int, len(callers))
+	for i := range 15 {
+		for j, k := range callers {
+			key := k.setUp(fmt.Sprintf("ok.%d.%d", i, j), 4*time.Second)
+			if said := h.await(t, key, 2); said == "stands "+acceptedDescription(fmt.Sprintf("ok.%d.%d", i, j))+" end 16" {
+				stood[j]++
+			} else {
+				t.Errorf("caller %d, call %d: %q", j, i, said)
+			}
+		}
+	}
+	for j, n := range stood {
+		if n != stood[0] {
+			t.Errorf("caller %d had %d calls, caller 0 %d", j, n, stood[0])
+		}
+	}
+	if n := s.observations.total(&s.observations.simultaneousAttempts) + s.observations.total(&s.observations.earlyRetries) + s.observations.total(&s.observations.corrupted); n != 0 {
+		t.Errorf("%d rules broken", n)
+	}
+}
+
+// A repeated transaction gets the stored reply and starts nothing, on the same
+// connection, while it runs, and after a reset on a new one.
+func TestRepeatedTransaction(t *testing.T) {
+	t.Parallel()
+	s, h := startTestServer(t, true), newAnswerLog()
+	k := dialGatewayCaller(t, s.gatewayAddress(), h, "<panel>")
+	add := addTransaction("panel/7", 7, "keep.1", 4*time.Second)
+	k.send(add)
+	first := h.await(t, "panel/7", 1)
+	k.send(add)
+	if got := h.await(t, "panel/7", 2); got != first+" "+first {
+		t.Errorf("the repeat got %q", got)
+	}
+	open := addTransaction("panel/8", 8, "silent.1", 5*time.Second)
+	k.send(open)
+	eventually(t, "the set-up is out", func() bool { return s.observations.attemptsTo("silent.1") == 1 })
+	k.send(open)
+	h.await(t, "panel/8/pending", 1)
+	_ = k.conn.(*net.TCPConn).SetLinger(0) // reset
+	k.close()
+	eventually(t, "the open set-up is given up", func() bool { return s.observations.total(&s.observations.canceled) == 1 })
+	again := dialGatewayCaller(t, s.gatewayAddress(), h, "<panel>")
+	again.send(add)
+	if got := h.await(t, "panel/7", 3); got != first+" "+first+" "+first {
+		t.Errorf("the repeat after a reset got %q", got)
+	}
+	again.send(open)
+	if got := h.await(t, "panel/8", 1); got != "end 41" {
+		t.Errorf("the repeat of the set-up that was given up got %q", got)
+	}
+	if a, b := s.observations.attemptsTo("keep.1"), s.observations.attemptsTo("silent.1"); a != 1 || b != 1 {
+		t.Errorf("repeats started %d and %d attempts, want one each", a, b)
+	}
+}
+
+// A command that is cut at any byte never runs, and runs once when the rest comes.
+func TestInputSplitAtEveryByte(t *testing.T) {
+	t.Parallel()
+	s, h := startTestServer(t, true), newAnswerLog()
+	frame, err := h248.AppendFrame(nil, &h248.Message{MID: "<cut>", Transactions: []*h248.Transaction{
+		addTransaction("cut/1", 1, "keep.1", 4*time.Second)}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for cut := range frame {
+		c, err := net.Dial("tcp", s.gatewayAddress())
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = c.Write(frame[:cut])
+		_ = c.Close()
+	}
+	k := dialGatewayCaller(t, s.gatewayAddress(), h, "<cut>")
+	for _, b := range frame {
+		if n := s.observations.attemptsTo("keep.1"); n != 0 {
+			t.Fatalf("half a command ran %d times", n)
+		}
+		_, _ = k.conn.Write([]byte{b})
+	}
+	h.await(t, "cut/1", 1)
+	if n := s.observations.attemptsTo("keep.1"); n != 1 {
+		t.Errorf("%d attempts", n)
+	}
+}
+
+func TestH248Errors(t *testing.T) {
+	t.Parallel()
+	s, h := startTestServer(t, true), newAnswerLog()
+	k := dialGatewayCaller(t, s.gatewayAddress(), h, "<p>")
+	one := func(context, name, termination string, d ...*h248.Node) *h248.Transaction {
+		return &h248.Transaction{Actions: []*h248.Action{{Context: context, Commands: []*h248.Command{{Name: name, Termination: termination, Descriptors: d}}}}}
+	}
+	two := one("$", "Add", "x")
+	two.Actions[0].Commands = append(two.Actions[0].Commands, two.Actions[0].Commands[0])
+	for i, test := range []struct {
+		t    *h248.Transaction
+		want string
+	}{
+		{one("5", "Subtract", "x"), "error 411"}, {one("*", "Subtract", "x"), "error 431"}, {one("-", "Subtract", "x"), "error 421"},
+		{one("$", "Add", "x"), "error 441"}, {one("9", "Add", "x"), "error 501"}, {one("$", "Add", "$"), "error 430"},
+		{one("1", "Move", "x"), "error 501"}, {one("-", "AuditValue", "x"), "error 430"}, {two, "error 501"},
+		{one("-", "ServiceChange", "ROOT"), "error 442"}, {addTransaction("t", 0, "keep.1", -time.Second), "error 449"},
+	} {
+		test.t.ID = uint32(i + 1)
+		k.send(test.t)
+		if got := h.await(t, fmt.Sprintf("p/%d", i+1), 1); got != test.want {
+			t.Errorf("transaction %d: %q, want %q", i+1, got, test.want)
+		}
+	}
+	unknown := addTransaction("t", 90, "keep.1", time.Second)
+	unknown.Actions[0].Commands[0].Descriptors[0].Kids[0].Kids[0].Value = "nobody"
+	k.send(unknown)
+	if got := h.await(t, "p/90", 1); got != "end 34" {
+		t.Errorf("an unknown class: %q", got)
+	}
+	_, _ = k.conn.Write([]byte{3, 0, 0, 9, 'x', '{', '}', '=', '='})
+	if got := h.await(t, "error", 1); !strings.Contains(got, "400") {
+		t.Errorf("garbage: %q", got)
+	}
+}
+
+func TestAuditAndDrain(t *testing.T) {
+	t.Parallel()
+	s, h := startTestServer(t, true), newAnswerLog()
+	k := dialGatewayCaller(t, s.adminAddress(), h, "<ctl>")
+	graceful := &h248.Node{Name: "Services", Kids: []*h248.Node{{Name: "Method", Value: "Graceful"}, {Name: "Reason", Quoted: true, Value: "905"}}}
+	drain := &h248.Transaction{ID: 2, Actions: []*h248.Action{{Context: "-", Commands: []*h248.Command{{Name: "ServiceChange", Termination: "ROOT", Descriptors: []*h248.Node{graceful}}}}}}
+	p := dialGatewayCaller(t, s.gatewayAddress(), h, "<panel>")
+	p.send(drain) // a panel that goes out of service takes nobody along
+	h.await(t, "panel/2", 1)
+	k.send(&h248.Transaction{ID: 1, Actions: []*h248.Action{{Context: "-", Commands: []*h248.Command{{Name: "AuditValue", Termination: "ROOT"}}}}})
+	if got := h.await(t, "ctl/1", 1); got != "done AuditValue" {
+		t.Errorf("audit: %q", got)
+	}
+	if key := p.setUp("keep.1", time.Second); h.await(t, key, 1) == "" {
+		t.Error("no service before the drain")
+	}
+	k.send(drain)
+	h.await(t, "ctl/2", 1)
+	select {
+	case err := <-s.done:
+		s.done <- err
+		if err != nil {
+			t.Error(err)
+		}
+	case <-time.After(10 * time.Second):
+		t.Error("the node did not drain")
+	}
+}
--- a/internal/server/recorder_test.go
+++ b/internal/server/recorder_test.go
@@ -1,9 +1,7 @@
 package server
 
 import (
-	"cmp"
 	"context"
-	"encoding/json"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -18,87 +16,10 @@
 	"olivedale/internal/adminapi"
 	"olivedale/internal/call"
 	"olivedale/internal/codec/h248"
-	"olivedale/internal/config"
 	"olivedale/internal/incident"
 	"olivedale/internal/record"
 )
 
-// fleet is several nodes with the same stand-in servers and name service.
-type fleet struct {
-	discovery    *discoveryServer
-	observations *callObservations
-	exchanges    []*simulatedExchange
-	lines        []endpointLine
-	numbers      *config.Numbering // of nodes started from now on
-	decider      call.Decider      // of the next node, in place of the module
-	pools        string            // that calls may go to; "": those of settings
-	recordQueue  config.Size       // of records; 0: the default
-	sockets      int               // 0: 1024
-}
-
-func startFleet(t testing.TB, servers int) *fleet {
-	t.Helper()
-	f := &fleet{discovery: startDiscoveryServer(t), observations: newCallObservations()}
-	for i := range servers {
-		s := startSimulatedExchange(t, f.observations, false)
-		f.exchanges = append(f.exchanges, s)
-		f.lines = append(f.lines, endpointLine{id: fmt.Sprint("s-", i), addr: s.addr(), pool: i})
-	}
-	f.discovery.set(f.lines...)
-	return f
-}
-
-// startServer starts one more startServer; skew is how far its clock is ahead. Without dir it records nothing.
-func (f *fleet) startServer(t testing.TB, name, dir string, skew *atomic.Int64) *testServer {
-	t.Helper()
-	var known []config.Endpoint
-	for _, l := range f.lines {
-		known = append(known, config.Endpoint{ID: l.id, Address: l.addr, Zone: "east", Kind: "std", Pool: l.pool, Phase: config.PhaseReady})
-	}
-	text, err := json.Marshal(map[string]any{"name": name, "listen": "127.0.0.1:0", "seed": "1f", "names": f.discovery.conn.LocalAddr().String(),
-		"limits": map[string]any{"memory_mb": 192, "sockets": cmp.Or(f.sockets, 1024)}, "settings": json.RawMessage(strings.Replace(settings, "[[0,1,2,3]]", cmp.Or(f.pools, "[[0,1,2,3]]"), 1)),
-		"known": config.KnownEndpoints{LastEvent: 1, Events: []config.EndpointEvent{{N: 1, Endpoints: config.EndpointList{Complete: true, Endpoints: known}}}}})
-	if err != nil {
-		t.Fatal(err)
-	}
-	cfg, err := config.Parse(text)
-	if err != nil {
-		t.Fatal(err)
-	}
-	var rec *config.Records
-	if dir != "" {
-		rec = &config.Records{Dir: dir, Sync: config.Duration(10 * time.Millisecond), Queue: f.recordQueue}
-		if err := rec.Validate(); err != nil {
-			t.Fatal(err)
-		}
-	}
-	s := &testServer{discovery: f.discovery, observations: f.observations, exchanges: f.exchanges, done: make(chan error, 1)}
-	s.server, err = New(cfg, Options{Records: rec, Numbers: f.numbers, Program: "test", decider: f.decider, H248: &config.H248{Listen: "127.0.0.2:0", Admin: "127.0.0.3:0"},
-		Clock: func() time.Time { return time.Now().Add(time.Duration(skew.Load())) }})
-	if err != nil {
-		t.Fatal(err)
-	}
-	s.observeRetries()
-	go func() { s.done <- s.server.Run() }()
-	select {
-	case <-s.server.Started():
-	case <-time.After(10 * time.Second):
-		t.Fatal("the node did not start")
-	}
-	return s
-}
-
-// stop ends a node in good order.
-func (s *testServer) stop(t testing.TB) {
-	t.Helper()
-	s.server.Stop()
-	select {
-	case <-s.done:
-	case <-time.After(10 * time.Second):
-		t.Fatal("the node did not stop")
-	}
-}
-
 // copyStore copies a store as it is just now: what a kill at this moment would leave.
 func copyStore(t testing.TB, from, to string) {
 	t.Helper()
