--- a/cmd/olivedale/main.go
+++ b/cmd/olivedale/main.go
@@ -8,6 +8,7 @@
 
 import (
 	"os"
+	"runtime"
 
 	"github.com/spf13/cobra"
 
@@ -15,7 +16,13 @@
 	"olivedale/internal/config"
 )
 
+// maxProcs is how many threads run Go code at once: the platform gives the process one core, which others share.
+const maxProcs = 1
+
 func main() {
+	// First, so that no garbage collection runs with more: its background sweeper can loop without a system call until
+	// a thread on another processor goes on, which never happens where threads take turns by their waits.
+	runtime.GOMAXPROCS(maxProcs)
 	root := serveCommand()
 	root.AddCommand(checkCommand(), cli.VersionCommand())
 	os.Exit(cli.Run(root))
--- a/cmd/olivedale/main_test.go
+++ b/cmd/olivedale/main_test.go
@@ -34,6 +34,14 @@
 
 // start runs the program with the address of a DNS service.
 func start(t *testing.T, discoveryAddress string) *process {
+	t.Helper()
+	p := prepare(t, discoveryAddress)
+	p.run(t)
+	return p
+}
+
+// prepare builds the program and writes its configuration.
+func prepare(t *testing.T, discoveryAddress string) *process {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -49,11 +57,16 @@
 	p.Dir = t.TempDir()
 	p.Env = []string{"RELAY_CONFIG=" + p.configPath}
 	p.Stderr = &p.log
+	return p
+}
+
+// run starts the program that was prepared.
+func (p *process) run(t *testing.T) {
+	t.Helper()
 	if err := p.Start(); err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = p.Process.Kill() })
-	return p
 }
 
 // configure writes the configuration.
--- a/cmd/olivedale/serve.go
+++ b/cmd/olivedale/serve.go
@@ -2,7 +2,6 @@
 
 import (
 	"os"
-	"runtime"
 	"runtime/debug"
 
 	"go.uber.org/zap"
@@ -13,9 +12,6 @@
 	"olivedale/internal/server"
 )
 
-// maxProcs is how many threads run Go code at once: the platform gives the process one core, which others share.
-const maxProcs = 1
-
 // serve runs the controller until a signal shuts it down. An error is logged as soon as there is a logger.
 func serve() error {
 	signals := subscribe() // first, so that no signal kills the program while it starts
@@ -39,13 +35,13 @@
 	return logFailure(log, err)
 }
 
-// newNode reads the platform's configuration, applies its limits to the process and builds the node.
+// newNode reads the platform's configuration, applies its memory limit to the process and builds the node.
 func newNode(operator *config.Operator, logger *zap.Logger) (*server.Server, error) {
 	cfg, err := loadConfig()
 	if err != nil {
 		return nil, err
 	}
-	limitResources(cfg.MemoryMB)
+	limitMemory(cfg.MemoryMB)
 	return server.New(cfg, server.Options{
 		H248:    operator.H248,
 		Records: operator.Records,
@@ -58,10 +54,9 @@
 
 func loadConfig() (*config.Config, error) { return config.Load(os.Getenv(config.PathVariable)) }
 
-// limitResources keeps the Go runtime within the platform's limits. It leaves a quarter of the memory to what the
-// runtime does not count.
-func limitResources(memoryMB int) {
-	runtime.GOMAXPROCS(maxProcs)
+// limitMemory keeps the Go runtime within the platform's limit. It leaves a quarter of the memory to what the runtime
+// does not count.
+func limitMemory(memoryMB int) {
 	memoryBytes := int64(memoryMB) << 20
 	debug.SetMemoryLimit(memoryBytes * 3 / 4)
 }
