--- a/internal/overload/reporting.go
+++ b/internal/overload/reporting.go
@@ -5,8 +5,8 @@
 	"slices"
 )
 
-// reportJitter is the share of a report interval over which reports are spread at random.
-const reportJitter = 5 // one fifth
+// reportJitter is the divisor of the report interval that gives the time over which reports are spread at random.
+const reportJitter = 5
 
 // A reportSchedule says when and how often load reports are sent.
 type reportSchedule struct {
@@ -146,7 +146,8 @@
 
 // probeBypassed sends an empty report to a random one of the members that were bypassed when the aggregator was
 // selected. If it answers it is selected again, so that all members converge on one aggregator after a partition.
-// The report is emptied so that no two aggregators count it.
+// The report is emptied so that no two aggregators count it; an aggregator that probes empties its own latest report
+// as well.
 func (m *Member) probeBypassed(now Time, report *loadReport) {
 	m.reporting.nextProbe = now + m.options.HeartbeatInterval
 	report.samples = nil
