--- a/internal/admission/example_test.go
+++ b/internal/admission/example_test.go
@@ -7,18 +7,21 @@
 	"olivedale/internal/admission"
 )
 
-// An access node tells its controller what happens and carries out what it says.
+// The host hands events to the state machine and carries out the actions.
 func Example() {
 	c, err := admission.NewStateMachine(admission.Settings{
 		ControllerCount: 5, Topology: "pools", MaxAttempts: 3, CanCancel: true,
-		ResendInterval: 500 * time.Millisecond, RetryGuard: 200 * time.Millisecond, SlowStartPeriod: 12 * time.Second, SlowStartShare: 0.3,
-		Classes: []admission.Class{{Name: "balance", LatencyObjective: time.Second, Deadline: 6 * time.Second, Weight: 1}},
+		ResendInterval: 500 * time.Millisecond, RetryGuard: 200 * time.Millisecond,
+		SlowStartPeriod: 12 * time.Second, SlowStartShare: 0.3,
+		Classes: []admission.Class{{
+			Name: "balance", LatencyObjective: time.Second, Deadline: 6 * time.Second, Weight: 1,
+		}},
 	}, 42)
 	if err != nil {
 		fmt.Println(err)
 		return
 	}
-	now := 10 * time.Second // any clock that does not go backwards
+	now := 10 * time.Second // any clock that does not go back
 	do := func(actions []admission.Action) {
 		for _, a := range actions {
 			fmt.Printf("%T %+v\n", a, a)
@@ -26,11 +29,15 @@
 	}
 	do(c.Begin(now))
 	do(c.Handle(now, admission.ServersUpdated{Full: true, Servers: []admission.Server{{ID: "core-1", Pool: 0}}}))
-	do(c.Handle(now, admission.CallOffered{CallID: "c1", Class: "balance", Number: "n1", Deadline: now + 2*time.Second}))
+	do(c.Handle(now, admission.CallOffered{
+		CallID: "c1", Class: "balance", Number: "n1", Deadline: now + 2*time.Second,
+	}))
 	now += 80 * time.Millisecond
 	do(c.Handle(now, admission.CallEstablished{CallID: "c1", Server: "core-1", SetupTime: 80 * time.Millisecond}))
 	now += 4 * time.Second
-	do(c.Handle(now, admission.AttemptEnded{CallID: "c1", Server: "core-1", Result: admission.Delivered, Final: true}))
+	do(c.Handle(now, admission.AttemptEnded{
+		CallID: "c1", Server: "core-1", Result: admission.Delivered, Final: true,
+	}))
 	// Output:
 	// admission.SetTimer {At:10.1s Key:0}
 	// admission.SendAttempt {CallID:c1 Server:core-1 Timeout:2s}
--- a/internal/admission/golden_test.go
+++ b/internal/admission/golden_test.go
@@ -130,7 +130,7 @@
 	return ReasonFleetThrottle, true
 }
 
-// behavior is how a simulated server treats set-ups for a while.
+// behavior is how a simulated server treats attempts for a while.
 type behavior int
 
 const (
@@ -181,15 +181,19 @@
 	set.SlowStartFactor = []float64{0, 1.2, 3}[seed%3]
 	set.ResendInterval = []time.Duration{0, 120 * millisecond, 600 * millisecond}[(seed/3)%3]
 	set.MaxAttempts = 2 + int(seed%3)
-	set.Classes = append(set.Classes,
-		Class{Name: "zone", LatencyObjective: 900 * millisecond, Deadline: 5 * time.Second, Weight: 2, Repeatability: Deduplicated,
-			DeduplicationScope: ScopeZone, DeduplicationWindow: time.Second},
-		Class{Name: "pool", LatencyObjective: 900 * millisecond, Deadline: 5 * time.Second, Weight: 2, Repeatability: Deduplicated,
-			DeduplicationScope: ScopePool, DeduplicationWindow: time.Second},
-		Class{Name: "fleet", LatencyObjective: 900 * millisecond, Deadline: 5 * time.Second, Weight: 2, Repeatability: Deduplicated,
-			DeduplicationWindow: time.Second},
-		Class{Name: "never", LatencyObjective: 900 * millisecond, Deadline: 5 * time.Second, Weight: 5, Repeatability: NonRepeatable,
-			Pools: []int{0, 1, 2}})
+	deduplicated := Class{
+		LatencyObjective: 900 * millisecond, Deadline: 5 * time.Second, Weight: 2,
+		Repeatability: Deduplicated, DeduplicationWindow: time.Second,
+	}
+	zone, pool, fleet := deduplicated, deduplicated, deduplicated
+	zone.Name, zone.DeduplicationScope = "zone", ScopeZone
+	pool.Name, pool.DeduplicationScope = "pool", ScopePool
+	fleet.Name = "fleet"
+	never := Class{
+		Name: "never", LatencyObjective: 900 * millisecond, Deadline: 5 * time.Second, Weight: 5,
+		Repeatability: NonRepeatable, Pools: []int{0, 1, 2},
+	}
+	set.Classes = append(set.Classes, zone, pool, fleet, never)
 	return set
 }
 
@@ -198,7 +202,10 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := &traffic{c: c, now: time.Hour, rng: rand.New(rand.NewPCG(seed, 11)), h: sha256.New(), attempt: map[string]int{}}
+	s := &traffic{
+		c: c, now: time.Hour, rng: rand.New(rand.NewPCG(seed, 11)), h: sha256.New(),
+		attempt: map[string]int{},
+	}
 	if seed%2 == 1 {
 		c.overloadControl = recordingControl{h: s.h, rng: rand.New(rand.NewPCG(seed, 13)), throttles: seed%4 == 1}
 	}
@@ -249,17 +256,25 @@
 	attempt := s.attempt[x.CallID]
 	s.attempt[x.CallID]++
 	end := func(after time.Duration, result AttemptResult, cause FailureCause) {
-		s.schedule(min(after, x.Timeout), x.CallID, attempt, AttemptEnded{CallID: x.CallID, Server: x.Server, Attempt: attempt,
-			Result: result, Cause: cause, RetryAfter: time.Duration(s.rng.IntN(3)) * 400 * millisecond, Load: s.report(x.Server)})
+		retryAfter := time.Duration(s.rng.IntN(3)) * 400 * millisecond
+		s.schedule(min(after, x.Timeout), x.CallID, attempt, AttemptEnded{
+			CallID: x.CallID, Server: x.Server, Attempt: attempt,
+			Result: result, Cause: cause, RetryAfter: retryAfter, Load: s.report(x.Server),
+		})
 	}
 	establish := func(after time.Duration) {
 		if after >= x.Timeout {
 			end(x.Timeout, TimedOut, CauseNone)
 			return
 		}
-		s.schedule(after, x.CallID, attempt, CallEstablished{CallID: x.CallID, Server: x.Server, Attempt: attempt, SetupTime: after})
-		s.schedule(after+time.Duration(200+s.rng.IntN(3000))*millisecond, x.CallID, attempt, AttemptEnded{CallID: x.CallID,
-			Server: x.Server, Attempt: attempt, Result: Delivered, Final: true, Load: s.report(x.Server)})
+		s.schedule(after, x.CallID, attempt, CallEstablished{
+			CallID: x.CallID, Server: x.Server, Attempt: attempt, SetupTime: after,
+		})
+		duration := time.Duration(200+s.rng.IntN(3000)) * millisecond
+		s.schedule(after+duration, x.CallID, attempt, AttemptEnded{
+			CallID: x.CallID, Server: x.Server, Attempt: attempt,
+			Result: Delivered, Final: true, Load: s.report(x.Server),
+		})
 	}
 	quick := time.Duration(10+s.rng.IntN(60)) * millisecond
 	chance := s.rng.IntN(10)
@@ -289,7 +304,9 @@
 		return
 	}
 	s.events = slices.DeleteFunc(s.events, func(e pendingEvent) bool { return e.call == x.CallID })
-	s.schedule(20*millisecond, x.CallID, x.Attempt, AttemptEnded{CallID: x.CallID, Attempt: x.Attempt, Result: Canceled})
+	s.schedule(20*millisecond, x.CallID, x.Attempt, AttemptEnded{
+		CallID: x.CallID, Attempt: x.Attempt, Result: Canceled,
+	})
 }
 
 func (s *traffic) report(id string) (load LoadReport) {
@@ -354,7 +371,8 @@
 		CallID: fmt.Sprint("c", s.calls), PreferredPool: s.rng.IntN(4),
 		Class:    []string{"read", "read", "read", "write", "zone", "pool", "fleet", "never"}[s.rng.IntN(8)],
 		Number:   fmt.Sprint("n", s.rng.IntN(1000)),
-		Deadline: s.now + time.Duration(500+s.rng.IntN(5000))*millisecond, Redialed: s.rng.IntN(10) == 0, Reestablish: s.rng.IntN(30) == 0,
+		Deadline: s.now + time.Duration(500+s.rng.IntN(5000))*millisecond,
+		Redialed: s.rng.IntN(10) == 0, Reestablish: s.rng.IntN(30) == 0,
 	}
 	if s.rng.IntN(6) == 0 {
 		e.Pools = []int{e.PreferredPool, (e.PreferredPool + 1) % 4}
--- a/internal/admission/overloadcontrol_test.go
+++ b/internal/admission/overloadcontrol_test.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// fakeOverloadControl is a Fleet that says what a test has it say, and notes what it is fakeOverloadControl.
+// A fakeOverloadControl throttles as a test decides and counts what is recorded.
 type fakeOverloadControl struct {
 	throttle      func(server string, tier int, first bool) (Reason, bool)
 	throttleCalls int
@@ -30,13 +30,16 @@
 }
 
 func newFakeOverloadControl(holds func(server string, tier int, first bool) (Reason, bool)) *fakeOverloadControl {
-	return &fakeOverloadControl{throttle: holds, offered: map[string]int{}, sent: map[string]int{}, unanswered: map[string]int{}}
+	return &fakeOverloadControl{
+		throttle: holds, offered: map[string]int{}, sent: map[string]int{},
+		unanswered: map[string]int{},
+	}
 }
 
-// The fleet's word holds a call back from its first choice; the call goes to another, and is refused with
-// the fleet as the reason where there is none.
+// The overload control holds a call back from its preferred server. The call goes to another server, or is
+// rejected with ReasonFleetThrottle if there is none.
 func TestOverloadControlHoldsBack(t *testing.T) {
-	r := newTestController(t, testSettings(), Server{ID: "s0"}, Server{ID: "s1", Pool: 1})
+	tc := newTestController(t, testSettings(), Server{ID: "s0"}, Server{ID: "s1", Pool: 1})
 	held := map[string]bool{"s0": true}
 	f := newFakeOverloadControl(func(server string, _ int, _ bool) (Reason, bool) {
 		if held[server] {
@@ -44,12 +47,12 @@
 		}
 		return "", true
 	})
-	r.machine.overloadControl = f
-	if _, s := r.offer("read", 0); s != "s1" {
+	tc.machine.overloadControl = f
+	if _, s := tc.offer("read", 0); s != "s1" {
 		t.Errorf("a call held back from s0 went to %q, want s1", s)
 	}
 	held["s1"] = true
-	acts := r.handle(CallOffered{CallID: "x", Class: "read", Number: "9", Deadline: r.now + time.Second})
+	acts := tc.handle(CallOffered{CallID: "x", Class: "read", Number: "9", Deadline: tc.now + time.Second})
 	why := Reason("none")
 	for _, a := range acts {
 		if a, is := a.(RejectCall); is {
@@ -57,48 +60,55 @@
 		}
 	}
 	if why != ReasonFleetThrottle {
-		t.Errorf("a call held back from both was answered %v, want a refusal with reason %q", acts, ReasonFleetThrottle)
+		t.Errorf("a call held back from both was answered %v, want a rejection with reason %q",
+			acts, ReasonFleetThrottle)
 	}
 	if f.offered["s0"] != 2 || f.sent["s1"] != 1 {
-		t.Errorf("the fleet was told of %v offered and %v sent", f.offered, f.sent)
+		t.Errorf("the overload control recorded %v offered and %v sent", f.offered, f.sent)
 	}
 }
 
-// No word of the fleet has a set-up sent where this node's own list or evidence forbids it: it is not even
-// asked.
+// The overload control cannot open a server that the list or the controller's own evidence forbids: it is not
+// even asked about it.
 func TestOverloadControlOpensNothing(t *testing.T) {
 	all := func(string, int, bool) (Reason, bool) { return "", true }
 	for _, c := range []struct {
 		name string
-		do   func(r *testController)
+		do   func(tc *testController)
 	}{
-		{"draining", func(r *testController) { r.handle(ServersUpdated{Servers: []Server{{ID: "s0", State: Draining}}}) }},
-		{"gone", func(r *testController) { r.handle(ServersUpdated{Servers: []Server{{ID: "s0", State: Removed}}}) }},
-		{"asked to be left alone", func(r *testController) { r.machine.servers[0].backoffUntil = r.now + time.Second }},
-		{"without a free line", func(r *testController) {
-			r.machine.servers[0].circuits.free, r.machine.servers[0].circuits.freeUntil = 0, r.now+time.Second
+		{
+			"draining",
+			func(tc *testController) { tc.handle(ServersUpdated{Servers: []Server{{ID: "s0", State: Draining}}}) },
+		},
+		{
+			"removed",
+			func(tc *testController) { tc.handle(ServersUpdated{Servers: []Server{{ID: "s0", State: Removed}}}) },
+		},
+		{"backing off", func(tc *testController) { tc.machine.servers[0].backoffUntil = tc.now + time.Second }},
+		{"without a free circuit", func(tc *testController) {
+			tc.machine.servers[0].circuits.free, tc.machine.servers[0].circuits.freeUntil = 0, tc.now+time.Second
 		}},
-		{"cold and sent its share", func(r *testController) {
-			r.machine.servers[0].ramp.inSlowStart, r.machine.servers[0].ramp.tokens = true, 0
+		{"in slow start and sent its share", func(tc *testController) {
+			tc.machine.servers[0].ramp.inSlowStart, tc.machine.servers[0].ramp.tokens = true, 0
 		}},
-		{"flooded", func(r *testController) {
+		{"with a full queue", func(tc *testController) {
 			for range 40 {
-				r.offer("read", 0)
+				tc.offer("read", 0)
 			}
 		}},
 	} {
-		r := newTestController(t, testSettings(), Server{ID: "s0"})
+		tc := newTestController(t, testSettings(), Server{ID: "s0"})
 		f := newFakeOverloadControl(all)
-		r.machine.overloadControl = f
-		c.do(r)
+		tc.machine.overloadControl = f
+		c.do(tc)
 		f.throttleCalls = 0
-		if _, s := r.offer("read", 0); s != "" || f.throttleCalls > 0 {
-			t.Errorf("%s: the call went to %q, the fleet was asked %d times", c.name, s, f.throttleCalls)
+		if _, s := tc.offer("read", 0); s != "" || f.throttleCalls > 0 {
+			t.Errorf("%s: the call went to %q, the overload control was asked %d times", c.name, s, f.throttleCalls)
 		}
 	}
 }
 
-// Each set-up that is sent comes back once, however it ends; slow answers are told as pressure.
+// Each attempt that is sent has exactly one result, and late answers are recorded as overload.
 func TestOverloadControlGetsEachResult(t *testing.T) {
 	for seed := range uint64(10) {
 		s := newRandomEvents(t, seed)
@@ -110,11 +120,11 @@
 		s.endAll()
 		for server, n := range f.unanswered {
 			if n != 0 {
-				t.Errorf("seed %d: %d set-ups sent to %s did not come back, or came twice", seed, n, server)
+				t.Errorf("seed %d: %d attempts sent to %s have no result, or two", seed, n, server)
 			}
 		}
 		if f.overloads == 0 {
-			t.Errorf("seed %d: no pressure was told", seed)
+			t.Errorf("seed %d: no overload was recorded", seed)
 		}
 	}
 }
--- a/internal/admission/priority_test.go
+++ b/internal/admission/priority_test.go
@@ -6,14 +6,17 @@
 	"time"
 )
 
-// Calls that were cut come again all at once; more than can stand in time only jam the server.
+// Interrupted calls are offered again all at once. A server receives no more of them than it can answer in time.
 func TestBurstIsHeldBack(t *testing.T) {
-	r := newTestController(t, testSettings(), serverA)
-	r.offerSteadily(100*millisecond, 4*time.Second, 40*millisecond)
+	tc := newTestController(t, testSettings(), serverA)
+	tc.offerSteadily(100*millisecond, 4*time.Second, 40*millisecond)
 	sent := 0
 	for i := range 60 {
 		id := fmt.Sprint("f", i)
-		if r.offerCall(CallOffered{CallID: id, Number: id, Class: "read", Deadline: r.now + 3*time.Second, Reestablish: true}) != "" {
+		if tc.offerCall(CallOffered{
+			CallID: id, Number: id, Class: "read", Deadline: tc.now + 3*time.Second,
+			Reestablish: true,
+		}) != "" {
 			sent++
 		}
 	}
@@ -23,62 +26,64 @@
 }
 
 func TestBusyDestination(t *testing.T) {
-	r := newTestController(t, testSettings(), serverA)
+	tc := newTestController(t, testSettings(), serverA)
 	ask := func(id string) string {
-		return r.offerCall(CallOffered{CallID: id, Class: "read", Number: "crowd", Deadline: r.now + 3*time.Second})
+		return tc.offerCall(CallOffered{CallID: id, Class: "read", Number: "busy", Deadline: tc.now + 3*time.Second})
 	}
-	r.endAttempt("1", ask("1"), ServerError, CauseDestinationBusy)
-	if !hasAction[FailCall](r.actions) {
-		t.Errorf("a busy number is the end of the call: %v", r.actions)
+	tc.endAttempt("1", ask("1"), ServerError, CauseDestinationBusy)
+	if !hasAction[FailCall](tc.actions) {
+		t.Errorf("a busy destination did not fail the call: %v", tc.actions)
 	}
 	if ask("2") != "" {
-		t.Error("a call to a busy number was sent")
+		t.Error("a call to a busy destination was sent")
 	}
-	r.advance(r.machine.window)
+	tc.advance(tc.machine.window)
 	if ask("3") == "" {
-		t.Error("a window later no call finds out whether a line is free")
+		t.Error("a window later no call probes the destination")
 	}
 	if ask("4") != "" {
-		t.Error("two calls went to a busy number in a window")
+		t.Error("two calls went to a busy destination in a window")
 	}
 }
 
-// Unmarked calls dialled again are known by their number.
+// A redialed call without a mark is recognized by its number.
 func TestRedialIsHeldBackFirst(t *testing.T) {
-	r := newTestController(t, testSettings(), serverA)
-	r.offerSteadily(100*millisecond, 4*time.Second, 50*millisecond)
-	r.offerCall(CallOffered{CallID: "x1", Class: "read", Number: "n", Deadline: r.now + millisecond})
-	r.advance(2 * time.Second)
-	s := r.machine.servers[0]
-	s.limit.rate, s.limit.overloadedAt, s.limit.tokens = 20, r.now, 1.5
-	if got := r.offerCall(CallOffered{CallID: "x2", Class: "read", Number: "n", Deadline: r.now + time.Second}); got != "" {
-		t.Error("a call dialled again took room from fresh ones")
-	}
-	if _, got := r.offer("read", 0); got == "" {
-		t.Error("a fresh call found no room")
+	tc := newTestController(t, testSettings(), serverA)
+	tc.offerSteadily(100*millisecond, 4*time.Second, 50*millisecond)
+	tc.offerCall(CallOffered{CallID: "x1", Class: "read", Number: "n", Deadline: tc.now + millisecond})
+	tc.advance(2 * time.Second)
+	s := tc.machine.servers[0]
+	s.limit.rate, s.limit.overloadedAt, s.limit.tokens = 20, tc.now, 1.5
+	if got := tc.offerCall(CallOffered{
+		CallID: "x2", Class: "read", Number: "n", Deadline: tc.now + time.Second,
+	}); got != "" {
+		t.Error("a redialed call took the room of new ones")
+	}
+	if _, got := tc.offer("read", 0); got == "" {
+		t.Error("a new call found no room")
 	}
 }
 
-// A caller who was refused and is back within the wanted time is as good as new.
+// A caller who was rejected and redials within the latency objective keeps the priority.
 func TestEarlyRedialKeepsPriority(t *testing.T) {
-	r := newTestController(t, testSettings(), serverA)
-	k := &call{number: "n", class: r.machine.classes["read"]}
-	if r.machine.isRedial(k, false) {
-		t.Error("a first call counts as dialled again")
+	tc := newTestController(t, testSettings(), serverA)
+	k := &call{number: "n", class: tc.machine.classes["read"]}
+	if tc.machine.isRedial(k, false) {
+		t.Error("a first call counts as redialed")
 	}
-	r.advance(700 * millisecond)
-	if r.machine.isRedial(k, true) {
-		t.Error("back within the wanted time, it counts as late")
+	tc.advance(700 * millisecond)
+	if tc.machine.isRedial(k, true) {
+		t.Error("a call redialed within the latency objective counts as late")
 	}
-	if !r.machine.isRedial(k, false) {
-		t.Error("a third call for a number is not taken for a crowd")
+	if !tc.machine.isRedial(k, false) {
+		t.Error("a third call to a number counts as the first caller's")
 	}
 }
 
-// An emergency goes where an ordinary call is held back, as a call that was cut does.
+// An emergency call is sent where a normal call is held back.
 func TestEmergencyPriority(t *testing.T) {
 	settings := testSettings()
-	for _, urgent := range []bool{false, true} {
+	for _, isEmergency := range []bool{false, true} {
 		d, err := NewEngine(Time(time.Hour), settings, 1, func(string) {})
 		if err != nil {
 			t.Fatal(err)
@@ -86,23 +91,27 @@
 		now := Time(time.Hour)
 		d.UpdateServers(now, []Server{{ID: "a", Pool: 0}}, true)
 		sent := 0
-		for i := range 20 { // a burst: ordinary calls are held to what the server has shown
-			o := d.Place(now, Request{CallID: string(rune('a' + i)), Class: settings.Classes[0].Name, Deadline: now + time.Second, Emergency: urgent})
+		for i := range 20 { // a burst: normal calls are held to the server's proven burst
+			o := d.Place(now, Request{
+				CallID: string(rune('a' + i)), Class: settings.Classes[0].Name,
+				Deadline: now + time.Second, Emergency: isEmergency,
+			})
 			if o.Kind == Send {
 				sent++
 			}
-			// Not as quick as the first: that proves nothing, and credit runs out.
+			// Not as quick as the first: the burst does not grow, and the tokens run out.
 			took := min(time.Duration(1+99*i), 100) * time.Millisecond
-			d.Report(now, AttemptReport{CallID: string(rune('a' + i)), Server: "a", Kind: ReportEstablished, Elapsed: took})
+			d.Report(now, AttemptReport{
+				CallID: string(rune('a' + i)), Server: "a", Kind: ReportEstablished, Elapsed: took,
+			})
 		}
-		if urgent != (sent == 20) {
-			t.Errorf("urgent %v: %d of 20 sent", urgent, sent)
+		if isEmergency != (sent == 20) {
+			t.Errorf("emergency %v: %d of 20 sent", isEmergency, sent)
 		}
 	}
 }
 
-// An emergency is not turned away for its number's lines having all been busy of late, as a crowd
-// that dials that number is.
+// An emergency call is not rejected because its destination was busy recently, as a normal call is.
 func TestEmergencyToBusyDestination(t *testing.T) {
 	now := Time(time.Hour)
 	settings := testSettings()
@@ -111,92 +120,101 @@
 		t.Fatal(err)
 	}
 	d.UpdateServers(now, []Server{{ID: "a", Pool: 0}}, true)
-	ask := func(id string, urgent bool) Decision {
+	ask := func(id string, isEmergency bool) Decision {
 		now += 5 * time.Millisecond
-		return d.Place(now, Request{CallID: id, Class: settings.Classes[0].Name, Number: "133", Deadline: now + time.Second, Emergency: urgent})
+		return d.Place(now, Request{
+			CallID: id, Class: settings.Classes[0].Name, Number: "133", Deadline: now + time.Second,
+			Emergency: isEmergency,
+		})
 	}
-	jammed := ""
-	for i := range 12 { // callers find all lines busy
+	rejectedCall := ""
+	for i := range 12 { // callers find the destination busy
 		id := string(rune('a' + i))
 		o := ask(id, false)
 		if o.Kind == Reject && o.Reason == ReasonDestinationCongested {
-			jammed = id
+			rejectedCall = id
 			break
 		}
 		if o.Kind == Send {
-			d.Report(now, AttemptReport{CallID: id, Server: o.Server, Kind: ReportEnded, Result: ServerError, Cause: CauseDestinationBusy, Elapsed: time.Millisecond})
+			d.Report(now, AttemptReport{
+				CallID: id, Server: o.Server, Kind: ReportEnded, Result: ServerError,
+				Cause: CauseDestinationBusy, Elapsed: time.Millisecond,
+			})
 		}
 	}
-	if jammed == "" {
-		t.Fatal("no call was turned away for its number")
+	if rejectedCall == "" {
+		t.Fatal("no call was rejected for its busy destination")
 	}
-	if o := ask("urgent", true); o.Kind != Send {
-		t.Errorf("an emergency to the same number: %+v", o)
+	if o := ask("emergency", true); o.Kind != Send {
+		t.Errorf("an emergency call to the same number: %+v", o)
 	}
 }
 
-// Where all servers are in a jam, a node of many servers and few calls at each does not wait until each
-// of them looks slow to it: what it has out in all goes by what was answered to it in all. (Each of a
-// hundred nodes once sent every server the calls that it could not know to be too many: 330 calls a
-// second stood where 450 had, for 12 s after a burst of 4.)
+// Where all servers are overloaded, a controller of many servers and few calls at each does not wait until each
+// of them looks slow to it: its unanswered attempts are bounded by the answers of all servers together. (When
+// each of a hundred controllers sent every server calls that were too many in all, 330 calls a second were
+// established where 450 had been, for 12 s after a burst of 4.)
 func TestManyServersOverloaded(t *testing.T) {
-	r := newControllerOfManyServers(t)
+	tc := newControllerOfManyServers(t)
 	sent := 0
-	for i := range 24 { // a call for each in 2.4 s, and nobody answers any more
-		if _, s := r.offer("read", i); s != "" {
+	for i := range 24 { // a call for each in 2.4 s, and no server answers any more
+		if _, s := tc.offer("read", i); s != "" {
 			sent++
 		}
-		r.advance(100 * millisecond)
+		tc.advance(100 * millisecond)
 	}
-	if most := burstSize + 1 + int(4*r.machine.latencyThreshold.Seconds()+1); sent > most || sent < 2 {
+	if most := burstSize + 1 + int(4*tc.machine.latencyThreshold.Seconds()+1); sent > most || sent < 2 {
 		t.Errorf("%d calls were sent while none was answered, at 4/s answered before: want 2 to %d", sent, most)
 	}
-	if id, s := r.offer("read", 3); s != "" || !r.isForgotten(id) {
-		t.Errorf("a further call went to %q, or was not refused at once", s)
+	if id, s := tc.offer("read", 3); s != "" || !tc.isForgotten(id) {
+		t.Errorf("a further call went to %q, or was not rejected at once", s)
 	}
-	if s := r.offerCall(CallOffered{CallID: "cut", Class: "read", Number: "7", PreferredPool: 3, Deadline: r.now + 3*time.Second, Reestablish: true}); s == "" {
-		t.Error("a call that was cut and comes again was held back")
+	if s := tc.offerCall(CallOffered{
+		CallID: "interrupted", Class: "read", Number: "7", PreferredPool: 3,
+		Deadline: tc.now + 3*time.Second, Reestablish: true,
+	}); s == "" {
+		t.Error("an interrupted call that is established again was held back")
 	}
 }
 
-// Servers that answer quickly are sent as many calls as ever, however many are out at once.
+// Servers that answer quickly receive all calls, however many are unanswered at once.
 func TestManyServersQuickRise(t *testing.T) {
-	r := newControllerOfManyServers(t)
+	tc := newControllerOfManyServers(t)
 	type out struct {
 		id, server string
 		due        Time
 	}
 	var under []out
-	refused := 0
+	rejected := 0
 	for i := range 240 { // twenty calls a second where there were four
-		if id, s := r.offer("read", i%24); s != "" {
-			under = append(under, out{id, s, r.now + 120*millisecond})
+		if id, s := tc.offer("read", i%24); s != "" {
+			under = append(under, out{id, s, tc.now + 120*millisecond})
 		} else {
-			refused++
+			rejected++
 		}
-		r.advance(50 * millisecond)
-		for len(under) > 0 && under[0].due <= r.now {
-			r.establish(under[0].id, under[0].server, 120*millisecond)
+		tc.advance(50 * millisecond)
+		for len(under) > 0 && under[0].due <= tc.now {
+			tc.establish(under[0].id, under[0].server, 120*millisecond)
 			under = under[1:]
 		}
 	}
-	if refused > 0 {
-		t.Errorf("%d of 240 calls were refused while all were answered within 120 ms", refused)
+	if rejected > 0 {
+		t.Errorf("%d of 240 calls were rejected while all were answered within 120 ms", rejected)
 	}
 }
 
-// A call without a number is nobody's second try, and leaves no record of a number.
+// A call without a number never counts as redialed and leaves no record of a number.
 func TestCallWithoutNumber(t *testing.T) {
-	r := newTestController(t, testSettings(), serverA)
+	tc := newTestController(t, testSettings(), serverA)
 	for i := range 5 {
 		id := fmt.Sprint("x", i)
-		if s := r.offerCall(CallOffered{CallID: id, Class: "read", Deadline: r.now + time.Second}); s != "a" {
+		if s := tc.offerCall(CallOffered{CallID: id, Class: "read", Deadline: tc.now + time.Second}); s != "a" {
 			t.Fatalf("call %d without a number went to %q", i, s)
 		}
-		r.endAttempt(id, "a", ServerError, CauseDestinationBusy)
-		r.advance(r.machine.period)
+		tc.endAttempt(id, "a", ServerError, CauseDestinationBusy)
+		tc.advance(tc.machine.period)
 	}
-	if n := len(r.machine.dialedNumbers) + len(r.machine.busyNumbers); n != 0 {
+	if n := len(tc.machine.dialedNumbers) + len(tc.machine.busyNumbers); n != 0 {
 		t.Errorf("%d records of a number that no call had", n)
 	}
 }
--- a/internal/admission/randomevents_test.go
+++ b/internal/admission/randomevents_test.go
@@ -10,7 +10,7 @@
 	"time"
 )
 
-// A randomEvents draws odd but legal orders of events and checks the rules on every action.
+// randomEvents draws unusual but legal sequences of events and checks each action against the rules.
 type randomEvents struct {
 	*testController
 	rng         *rand.Rand
@@ -19,7 +19,7 @@
 	open        map[string]SendAttempt
 	attempts    map[string]int
 	established map[string]bool
-	guardEnds   map[string]Time // release guard
+	guardEnds   map[string]Time // end of the retry guard
 	closed      map[string]bool
 	trace       []Action
 }
@@ -36,10 +36,10 @@
 				s.t.Fatalf("%v: two attempts out", x)
 			}
 			if s.now < s.guardEnds[x.CallID] {
-				s.t.Fatalf("%v: sent within the release guard", x)
+				s.t.Fatalf("%v: sent within the retry guard", x)
 			}
 			if s.closed[x.Server] {
-				s.t.Fatalf("%v: sent to a draining or gone server", x)
+				s.t.Fatalf("%v: sent to a draining or removed server", x)
 			}
 			s.open[x.CallID] = x
 			s.attempts[x.CallID]++
@@ -70,7 +70,9 @@
 		s.offeredCalls++
 		id := fmt.Sprint("c", s.offeredCalls)
 		s.deadlines[id] = s.now + time.Duration(200+s.rng.IntN(3000))*millisecond
-		s.check(s.handle(CallOffered{CallID: id, Class: []string{"read", "write"}[s.rng.IntN(2)], PreferredPool: s.rng.IntN(4),
+		s.check(s.handle(CallOffered{CallID: id, Class: []string{
+			"read", "write",
+		}[s.rng.IntN(2)], PreferredPool: s.rng.IntN(4),
 			Number: fmt.Sprint(s.rng.IntN(300)), Deadline: s.deadlines[id], Reestablish: s.rng.IntN(9) == 0}))
 	case n < 8 && len(ids) > 0:
 		s.answer(ids[s.rng.IntN(len(ids))])
@@ -90,16 +92,22 @@
 	}
 }
 
-// answer lets an attempt stand or end.
+// answer establishes the call of an attempt, or ends the attempt.
 func (s *randomEvents) answer(id string) {
 	x := s.open[id]
 	if !s.established[id] && !s.decided[id] && s.rng.IntN(2) == 0 {
 		s.established[id], s.decided[id] = true, true
-		s.check(s.handle(CallEstablished{CallID: id, Server: x.Server, Attempt: s.attempts[id] - 1, SetupTime: time.Duration(s.rng.IntN(2000)) * millisecond}))
+		s.check(s.handle(CallEstablished{
+			CallID: id, Server: x.Server, Attempt: s.attempts[id] - 1,
+			SetupTime: time.Duration(s.rng.IntN(2000)) * millisecond,
+		}))
 		return
 	}
 	delete(s.open, id)
-	e := AttemptEnded{CallID: id, Server: x.Server, Attempt: s.attempts[id] - 1, Result: AttemptResult(s.rng.IntN(8)), Final: s.decided[id]}
+	e := AttemptEnded{
+		CallID: id, Server: x.Server, Attempt: s.attempts[id] - 1,
+		Result: AttemptResult(s.rng.IntN(8)), Final: s.decided[id],
+	}
 	if e.Result == Delivered {
 		e.Final = true
 		s.decided[id] = true
@@ -110,7 +118,7 @@
 	s.check(s.handle(e))
 }
 
-// endAll ends all attempts, and those that the release guard had put off.
+// endAll ends all attempts, those that the retry guard delays included.
 func (s *randomEvents) endAll() {
 	for s.check(s.advance(10 * time.Second)); len(s.open) > 0; s.check(s.advance(10 * time.Second)) {
 		for _, id := range slices.Sorted(maps.Keys(s.open)) {
@@ -121,9 +129,12 @@
 
 func newRandomEvents(t *testing.T, seed uint64) *randomEvents {
 	return &randomEvents{
-		testController: newTestController(t, testSettings(), Server{ID: "s0"}, Server{ID: "s1", Pool: 1}, Server{ID: "s2", Pool: 2}),
-		rng:            rand.New(rand.NewPCG(seed, 7)), deadlines: map[string]Time{}, decided: map[string]bool{},
-		open: map[string]SendAttempt{}, attempts: map[string]int{}, established: map[string]bool{}, guardEnds: map[string]Time{}, closed: map[string]bool{},
+		testController: newTestController(t, testSettings(), Server{ID: "s0"}, Server{ID: "s1", Pool: 1}, Server{
+			ID: "s2", Pool: 2,
+		}),
+		rng: rand.New(rand.NewPCG(seed, 7)), deadlines: map[string]Time{}, decided: map[string]bool{},
+		open: map[string]SendAttempt{}, attempts: map[string]int{}, established: map[string]bool{},
+		guardEnds: map[string]Time{}, closed: map[string]bool{},
 	}
 }
 
@@ -139,12 +150,15 @@
 			}
 		}
 		s.endAll()
-		if n := len(s.machine.calls.byID) + len(s.machine.calls.byTimer) + len(s.machine.dialedNumbers) + len(s.machine.busyNumbers) + s.machine.unansweredAttempts; n != 0 {
-			t.Errorf("seed %d: %d records and unanswered set-ups are left after all calls ended", seed, n)
+		calls := len(s.machine.calls.byID) + len(s.machine.calls.byTimer)
+		numbers := len(s.machine.dialedNumbers) + len(s.machine.busyNumbers)
+		if n := calls + numbers + s.machine.unansweredAttempts; n != 0 {
+			t.Errorf("seed %d: %d records and unanswered attempts are left after all calls ended", seed, n)
 		}
 		for _, srv := range s.machine.servers {
 			if len(srv.attempts.pending)+len(srv.attempts.lost) != 0 {
-				t.Errorf("seed %d: server %s still has %d set-ups unanswered", seed, srv.ID, len(srv.attempts.pending))
+				t.Errorf("seed %d: server %s still has %d unanswered attempts",
+					seed, srv.ID, len(srv.attempts.pending))
 			}
 		}
 	}
@@ -159,6 +173,6 @@
 		return s.trace
 	}
 	if !reflect.DeepEqual(run(), run()) {
-		t.Error("the same events gave other actions")
+		t.Error("equal events led to different actions")
 	}
 }
--- a/internal/admission/ratelimit_test.go
+++ b/internal/admission/ratelimit_test.go
@@ -7,267 +7,274 @@
 )
 
 func TestRateLimitRejectsLowPriorityFirst(t *testing.T) {
-	r := newTestController(t, testSettings(), serverA)
-	r.offerSteadily(100*millisecond, 4*time.Second, 50*millisecond)
-	id, s := r.offer("read", 0)
-	r.endAttempt(id, s, ServerBusy, CauseProcessorBusy)
-	if c := r.machine.servers[0].limit.rate; math.IsInf(c, 1) || c > 10 {
-		t.Fatalf("ceiling after 'processor full' is %v, want at most the recent rate of 10", c)
+	tc := newTestController(t, testSettings(), serverA)
+	tc.offerSteadily(100*millisecond, 4*time.Second, 50*millisecond)
+	id, s := tc.offer("read", 0)
+	tc.endAttempt(id, s, ServerBusy, CauseProcessorBusy)
+	if c := tc.machine.servers[0].limit.rate; math.IsInf(c, 1) || c > 10 {
+		t.Fatalf("rate limit after a rejection for overload is %v, want at most the recent rate of 10", c)
 	}
-	r.machine.servers[0].limit.rate = 14
+	tc.machine.servers[0].limit.rate = 14
 	reads, writes := 0, 0
 	for range 12 {
-		if _, s := r.offer("read", 0); s != "" {
+		if _, s := tc.offer("read", 0); s != "" {
 			reads++
 		}
 	}
-	if _, s := r.offer("write", 0); s != "" {
+	if _, s := tc.offer("write", 0); s != "" {
 		writes++
 	}
 	if reads > burstSize || writes != 1 {
-		t.Errorf("under the ceiling %d reads and %d writes went out, want at most %d and 1", reads, writes, burstSize)
+		t.Errorf("under the rate limit %d reads and %d writes were sent, want at most %d and 1",
+			reads, writes, burstSize)
 	}
 }
 
-// An idle server that turns a few calls away at random must not be left by all.
+// An idle server that rejects a few calls at random must not be abandoned by all controllers.
 func TestBusyServerThatAnswersQuickly(t *testing.T) {
-	r := newTestController(t, testSettings(), serverA)
-	r.offerSteadily(100*millisecond, 4*time.Second, 40*millisecond)
-	id, s := r.offer("read", 0)
-	r.handle(AttemptEnded{CallID: id, Server: s, Result: ServerBusy, Cause: CauseProcessorBusy, RetryAfter: 2 * time.Second})
-	srv := r.machine.servers[0]
-	if math.IsInf(srv.limit.rate, 1) || srv.limit.rate < 9 || srv.backoffUntil > r.now {
-		t.Errorf("ceiling %v, left alone for %v: want about the recent rate of 10, and no wait", srv.limit.rate, srv.backoffUntil-r.now)
+	tc := newTestController(t, testSettings(), serverA)
+	tc.offerSteadily(100*millisecond, 4*time.Second, 40*millisecond)
+	id, s := tc.offer("read", 0)
+	tc.handle(AttemptEnded{
+		CallID: id, Server: s, Result: ServerBusy, Cause: CauseProcessorBusy,
+		RetryAfter: 2 * time.Second,
+	})
+	srv := tc.machine.servers[0]
+	if math.IsInf(srv.limit.rate, 1) || srv.limit.rate < 9 || srv.backoffUntil > tc.now {
+		t.Errorf("rate limit %v, back-off %v: want about the recent rate of 10, and no back-off",
+			srv.limit.rate, srv.backoffUntil-tc.now)
 	}
 }
 
 func TestRateLimitExpiresWithoutOverload(t *testing.T) {
-	r := newTestController(t, testSettings(), serverA)
-	r.offerSteadily(200*millisecond, 4*time.Second, 50*millisecond)
-	id, s := r.offer("read", 0)
-	r.endAttempt(id, s, ServerBusy, CauseProcessorBusy)
-	r.offerSteadily(500*millisecond, 3*r.machine.window, 50*millisecond)
-	if c := r.machine.servers[0].limit.rate; !math.IsInf(c, 1) {
-		t.Errorf("ceiling %v still stands after clean windows", c)
+	tc := newTestController(t, testSettings(), serverA)
+	tc.offerSteadily(200*millisecond, 4*time.Second, 50*millisecond)
+	id, s := tc.offer("read", 0)
+	tc.endAttempt(id, s, ServerBusy, CauseProcessorBusy)
+	tc.offerSteadily(500*millisecond, 3*tc.machine.window, 50*millisecond)
+	if c := tc.machine.servers[0].limit.rate; !math.IsInf(c, 1) {
+		t.Errorf("rate limit %v has not expired after windows without overload", c)
 	}
 }
 
-// A ceiling that lapses while callers queue for it lets the jam back in.
+// A rate limit that expires while calls are held back would admit the overload again.
 func TestRateLimitStaysWhileUsedUp(t *testing.T) {
-	r := newTestController(t, testSettings(), serverA)
-	r.offerSteadily(200*millisecond, 4*time.Second, 50*millisecond)
-	id, s := r.offer("read", 0)
-	r.endAttempt(id, s, ServerBusy, CauseProcessorBusy)
-	r.advance(r.machine.window - 500*millisecond)
-	r.offerSteadily(10*millisecond, time.Second, 50*millisecond)
-	if c := r.machine.servers[0].limit.rate; math.IsInf(c, 1) {
-		t.Error("the ceiling lapsed though it held calls back")
+	tc := newTestController(t, testSettings(), serverA)
+	tc.offerSteadily(200*millisecond, 4*time.Second, 50*millisecond)
+	id, s := tc.offer("read", 0)
+	tc.endAttempt(id, s, ServerBusy, CauseProcessorBusy)
+	tc.advance(tc.machine.window - 500*millisecond)
+	tc.offerSteadily(10*millisecond, time.Second, 50*millisecond)
+	if c := tc.machine.servers[0].limit.rate; math.IsInf(c, 1) {
+		t.Error("the rate limit expired though it held calls back")
 	}
 }
 
-// After a pause all nodes would send their whole window at once.
+// After a pause, a controller must not send the calls of a whole window at once.
 func TestRateLimitBoundsBursts(t *testing.T) {
-	r := newTestController(t, testSettings(), serverA)
-	r.offerSteadily(100*millisecond, 4*time.Second, 50*millisecond)
-	r.advance(time.Second)
-	id, s := r.offer("read", 0)
-	r.endAttempt(id, s, ServerBusy, CauseProcessorBusy)
-	r.advance(r.machine.window - 200*millisecond)
+	tc := newTestController(t, testSettings(), serverA)
+	tc.offerSteadily(100*millisecond, 4*time.Second, 50*millisecond)
+	tc.advance(time.Second)
+	id, s := tc.offer("read", 0)
+	tc.endAttempt(id, s, ServerBusy, CauseProcessorBusy)
+	tc.advance(tc.machine.window - 200*millisecond)
 	sent := 0
 	for range 20 {
-		if id, s := r.offer("read", 0); s != "" {
+		if id, s := tc.offer("read", 0); s != "" {
 			sent++
-			r.establish(id, s, 50*millisecond)
+			tc.establish(id, s, 50*millisecond)
 		}
 	}
 	if sent == 0 || sent > burstSize {
-		t.Errorf("%d calls went out at once under a ceiling, want 1 to %d", sent, burstSize)
+		t.Errorf("%d calls were sent at once under a rate limit, want 1 to %d", sent, burstSize)
 	}
 }
 
 func TestLateAnswerSetsRateLimit(t *testing.T) {
-	r := newTestController(t, testSettings(), serverA)
-	id, s := r.offer("read", 0)
-	r.establish(id, s, 900*millisecond)
-	if math.IsInf(r.machine.servers[0].limit.rate, 1) {
-		t.Error("a call that stood late set no ceiling")
+	tc := newTestController(t, testSettings(), serverA)
+	id, s := tc.offer("read", 0)
+	tc.establish(id, s, 900*millisecond)
+	if math.IsInf(tc.machine.servers[0].limit.rate, 1) {
+		t.Error("a call that was established late set no rate limit")
 	}
 }
 
-// A small server that has become slow must not be kept so by calls that find it out.
+// Probes must not keep a small server slow that has become slow.
 func TestProbeRateFollowsPoolPeak(t *testing.T) {
-	ceiling := func(gap time.Duration) float64 {
-		r := newTestController(t, testSettings(), serverA)
-		r.offerSteadily(gap, 8*time.Second, 30*millisecond)
-		s := r.machine.servers[0]
-		for range 60 { // it answers nothing any more
-			r.offer("write", 0)
-			r.advance(100 * millisecond)
+	rateLimitAfter := func(gap time.Duration) float64 {
+		tc := newTestController(t, testSettings(), serverA)
+		tc.offerSteadily(gap, 8*time.Second, 30*millisecond)
+		s := tc.machine.servers[0]
+		for range 60 { // the server does not answer any more
+			tc.offer("write", 0)
+			tc.advance(100 * millisecond)
 		}
 		return s.limit.rate
 	}
 	least := 1 / 0.5 / 4.0
-	if small := ceiling(1500 * millisecond); small > least/2 {
+	if small := rateLimitAfter(1500 * millisecond); small > least/2 {
 		t.Errorf("a small server still gets %.2f calls a second of %.2f", small, least)
 	}
-	if large := ceiling(20 * millisecond); large < least {
+	if large := rateLimitAfter(20 * millisecond); large < least {
 		t.Errorf("a large server gets %.2f calls a second of %.2f", large, least)
 	}
 }
 
 func TestNewRateLimitDiscardsTokens(t *testing.T) {
 	sent := 0
-	for _, r := range newTestControllers(t, 200, serverA) {
-		r.offerSteadily(10*time.Second, 40*time.Second, 50*millisecond)
-		id, s := r.offer("read", 0)
-		r.advance(800 * millisecond)
-		r.endAttempt(id, s, TimedOut, CauseNone)
-		r.advance(r.machine.window)
-		if _, s := r.offer("read", 0); s != "" {
+	for _, tc := range newTestControllers(t, 200, serverA) {
+		tc.offerSteadily(10*time.Second, 40*time.Second, 50*millisecond)
+		id, s := tc.offer("read", 0)
+		tc.advance(800 * millisecond)
+		tc.endAttempt(id, s, TimedOut, CauseNone)
+		tc.advance(tc.machine.window)
+		if _, s := tc.offer("read", 0); s != "" {
 			sent++
 		}
 	}
 	if sent > 120 {
-		t.Errorf("%d of 200 nodes sent a call within a window to a server that had just let theirs expire", sent)
+		t.Errorf("%d of 200 controllers sent a call within a window to a server where theirs had just timed out",
+			sent)
 	}
 }
 
 func TestRecoveryWaitsForEvidence(t *testing.T) {
 	grown := func(clean bool) float64 {
-		r := newTestControllers(t, 100, serverA)[0]
-		r.offerSteadily(5*time.Second, 40*time.Second, 50*millisecond)
-		s := r.machine.findServer("a")
-		id, _ := r.offer("read", 0)
-		r.advance(time.Second)
-		r.establish(id, "a", time.Second)
+		tc := newTestControllers(t, 100, serverA)[0]
+		tc.offerSteadily(5*time.Second, 40*time.Second, 50*millisecond)
+		s := tc.machine.findServer("a")
+		id, _ := tc.offer("read", 0)
+		tc.advance(time.Second)
+		tc.establish(id, "a", time.Second)
 		was := s.limit.rate
 		if clean {
-			r.handle(LoadReported{Server: "a", OK: true, Load: LoadReport{QueueDelay: Optional{0.01, true}}})
+			tc.handle(LoadReported{Server: "a", OK: true, Load: LoadReport{QueueDelay: Optional{0.01, true}}})
 		}
-		r.advance(3 * time.Second)
+		tc.advance(3 * time.Second)
 		return s.limit.rate / was
 	}
 	if without, with := grown(false), grown(true); without > 1.3 || with < 1.5 {
-		t.Errorf("in 3 s a ceiling grew to %.2f of its value without evidence, to %.2f with", without, with)
+		t.Errorf("in 3 s a rate limit grew to %.2f of its value without evidence of health, to %.2f with it",
+			without, with)
 	}
 }
 
-// A node of many calls must not be held to a few a period where nothing is pressed.
+// A controller of many calls must not be held to a few a period if no server is overloaded.
 func TestManyCallsWithoutRateLimit(t *testing.T) {
 	set := testSettings()
 	set.ControllerCount = 1
-	r := newTestController(t, set, serverA)
-	r.offerSteadily(100*millisecond, 5*time.Second, 40*millisecond)
+	tc := newTestController(t, set, serverA)
+	tc.offerSteadily(100*millisecond, 5*time.Second, 40*millisecond)
 	asked, sent := 0, 0
-	for end := r.now + 10*time.Second; r.now < end; r.advance(100 * millisecond) {
+	for end := tc.now + 10*time.Second; tc.now < end; tc.advance(100 * millisecond) {
 		for range 4 { // all within one period
 			asked++
-			if id, s := r.offer("read", 0); s != "" {
+			if id, s := tc.offer("read", 0); s != "" {
 				sent++
-				r.establish(id, s, 40*millisecond)
+				tc.establish(id, s, 40*millisecond)
 			}
 		}
 	}
 	if sent < asked {
 		t.Errorf("%d of %d calls were sent to an idle server", sent, asked)
 	}
-	s := r.machine.findServer("a")
-	s.limit.rate, s.limit.overloadedAt = 35, r.now
-	if sent := r.offerSteadily(20*millisecond, 2*time.Second, 40*millisecond); sent < 55 {
-		t.Errorf("%d calls in 2 s under a ceiling of 35 a second", sent)
+	s := tc.machine.findServer("a")
+	s.limit.rate, s.limit.overloadedAt = 35, tc.now
+	if sent := tc.offerSteadily(20*millisecond, 2*time.Second, 40*millisecond); sent < 55 {
+		t.Errorf("%d calls in 2 s under a rate limit of 35 a second", sent)
 	}
 }
 
-// A node of many calls must not be held for seconds to the few calls a period that
-// suit one of few calls, while every answer comes at once.
+// A controller of many calls must not be held for seconds to the few calls a period that suit one of few
+// calls, while each answer comes at once.
 func TestProvenBurst(t *testing.T) {
-	r := newTestController(t, testSettings(), serverA)
+	tc := newTestController(t, testSettings(), serverA)
 	asked, sent := 0, 0
-	for end := r.now + time.Second; r.now < end; r.advance(5 * millisecond) {
+	for end := tc.now + time.Second; tc.now < end; tc.advance(5 * millisecond) {
 		for range 2 { // 400 a second
 			asked++
-			if id, s := r.offer("read", 0); s != "" {
+			if id, s := tc.offer("read", 0); s != "" {
 				sent++
-				r.establish(id, s, 20*millisecond)
-				r.handle(AttemptEnded{CallID: id, Server: s, Result: Delivered, Final: true})
+				tc.establish(id, s, 20*millisecond)
+				tc.handle(AttemptEnded{CallID: id, Server: s, Result: Delivered, Final: true})
 			}
 		}
 	}
 	if sent < asked*3/4 {
-		t.Errorf("in its first second a node sent %d of %d calls to a server that answers at once", sent, asked)
+		t.Errorf("in its first second a controller sent %d of %d calls to a server that answers at once", sent, asked)
 	}
 }
 
-// Answers that take longer than the quickest prove nothing: the set-ups wait for each other.
+// Answers that take longer than the quickest show a queue, and do not widen the burst.
 func TestQueueingServerHasNoProvenBurst(t *testing.T) {
-	r := newTestController(t, testSettings(), serverA)
-	id, s := r.offer("read", 0)
-	r.establish(id, s, 20*millisecond)
+	tc := newTestController(t, testSettings(), serverA)
+	id, s := tc.offer("read", 0)
+	tc.establish(id, s, 20*millisecond)
 	for range 40 {
-		if id, s := r.offer("read", 0); s != "" {
-			r.establish(id, s, 120*millisecond)
+		if id, s := tc.offer("read", 0); s != "" {
+			tc.establish(id, s, 120*millisecond)
 		}
-		r.advance(5 * millisecond)
+		tc.advance(5 * millisecond)
 	}
-	if p := r.machine.servers[0].limit.provenBurst; p > 1 {
-		t.Errorf("a server that lets set-ups wait is proven for %v at once", p)
+	if p := tc.machine.servers[0].limit.provenBurst; p > 1 {
+		t.Errorf("a server with a queue has a proven burst of %v", p)
 	}
 }
 
-// Where calls are few a single quick answer does not end a ceiling early: of hundreds of nodes each
-// would be back at full rate a moment after the other. A server's own word does.
+// Where calls are few, a single quick answer does not end a rate limit early: of hundreds of controllers each
+// would return to its full rate a moment after the other. A load report of the server does end it.
 func TestSingleQuickAnswerKeepsRateLimit(t *testing.T) {
 	for _, c := range []struct {
-		answers int
-		told    bool
+		answers    int
+		isReported bool
 	}{{1, false}, {minSamples, false}, {0, true}} {
-		r := newTestController(t, testSettings(), serverA)
-		s := r.machine.servers[0]
-		r.advance(time.Minute)
-		r.machine.recordOverload(s, r.machine.latencyThreshold*3/2)
-		s.limit.isHealthy, s.limit.isReported, s.limit.tokens = true, c.told, burstSize
+		tc := newTestController(t, testSettings(), serverA)
+		s := tc.machine.servers[0]
+		tc.advance(time.Minute)
+		tc.machine.recordOverload(s, tc.machine.latencyThreshold*3/2)
+		s.limit.isHealthy, s.limit.isReported, s.limit.tokens = true, c.isReported, burstSize
 		for range c.answers {
 			s.counts.answered.add()
 		}
-		for end := r.now + 2*r.machine.window; r.now < end; {
-			r.advance(r.machine.period)
+		for end := tc.now + 2*tc.machine.window; tc.now < end; {
+			tc.advance(tc.machine.period)
 			s.limit.tokens = burstSize
 		}
-		if lapsed := math.IsInf(s.limit.rate, 1); lapsed != (c.told || c.answers >= minSamples) {
-			t.Errorf("%+v: within %v the ceiling has lapsed: %v", c, 2*r.machine.window, lapsed)
+		if hasExpired := math.IsInf(s.limit.rate, 1); hasExpired != (c.isReported || c.answers >= minSamples) {
+			t.Errorf("%+v: within %v the rate limit has expired: %v", c, 2*tc.machine.window, hasExpired)
 		}
 	}
 }
 
-// A ceiling of so many set-ups a window and a part of one more lets that part of the nodes send one more.
-// (All rounded it down: a fleet of 300 that could send 2.2 in each window sent 2, and exchanges worked 91%
-// of the time where 97% were to be had.)
+// If a window admits a whole number of attempts and a fraction, that fraction of the controllers sends one more.
+// (When all rounded it down, a fleet of 300 that could send 2.2 in each window sent 2, and exchanges were busy
+// 91% of the time instead of 97%.)
 func TestRateLimitRoundingOfManyControllers(t *testing.T) {
-	const nodes, perWindow = 400, 2.4
+	const controllers, perWindow = 400, 2.4
 	sent := 0
-	for seed := range uint64(nodes) {
+	for seed := range uint64(controllers) {
 		set := testSettings()
-		set.ControllerCount = nodes
+		set.ControllerCount = controllers
 		c, err := NewStateMachine(set, seed)
 		if err != nil {
 			t.Fatal(err)
 		}
-		r := &testController{t: t, machine: c, now: time.Hour}
-		r.collect(c.Begin(r.now))
-		r.handle(ServersUpdated{Full: true, Cached: true, Servers: []Server{serverA}})
-		r.advance(10 * c.window)
+		tc := &testController{t: t, machine: c, now: time.Hour}
+		tc.collect(c.Begin(tc.now))
+		tc.handle(ServersUpdated{Full: true, Cached: true, Servers: []Server{serverA}})
+		tc.advance(10 * c.window)
 		s := c.servers[0]
 		c.recordOverload(s, c.latencyThreshold*3/2)
 		s.limit.rate = perWindow / highShare / c.span(s)
-		for range 6 { // all at once, of top worth: the window alone holds them back
+		for range 6 { // at once and of high priority: only the window holds them back
 			s.limit.tokens = burstSize
-			if _, to := r.offer("write", 0); to != "" {
+			if _, to := tc.offer("write", 0); to != "" {
 				sent++
 				s.attempts.pending, c.unansweredAttempts = nil, 0
 			}
 		}
 	}
-	if mean := float64(sent) / nodes; mean < perWindow-0.15 || mean > perWindow+0.15 {
-		t.Errorf("%.2f set-ups a node in a window that may hold %.1f", mean, perWindow)
+	if mean := float64(sent) / controllers; mean < perWindow-0.15 || mean > perWindow+0.15 {
+		t.Errorf("%.2f attempts a controller in a window that admits %.1f", mean, perWindow)
 	}
 }
--- a/internal/admission/repeatability_test.go
+++ b/internal/admission/repeatability_test.go
@@ -6,8 +6,8 @@
 	"time"
 )
 
-// Calls that may not run twice: after an attempt that may have run, one of Never goes nowhere and is not refused;
-// one of Once goes to servers that know the repeat, within its window, and is refused only where all of them do.
+// After an attempt that may have run, a NonRepeatable call goes nowhere and is not rejected. A Deduplicated one goes
+// to servers that recognize the repeat, within its window, and is rejected only if all servers recognize it.
 func TestCallsThatMayNotRunTwice(t *testing.T) {
 	servers := []Server{{ID: "a", Pool: 0, Zone: "n"}, {ID: "b", Pool: 1, Zone: "n"}, {ID: "c", Pool: 2, Zone: "s"}}
 	cases := []struct {
@@ -15,29 +15,53 @@
 		class Class
 		code  AttemptResult
 		after time.Duration
-		may   string // servers of the second attempt; "fail" or "refuse" instead
+		may   string // servers of the second attempt, or "fail" or "reject" instead
 	}{
-		{"harmless", Class{}, TimedOut, 0, "bc"},
-		{"never, never ran", Class{Repeatability: NonRepeatable}, ServerBusy, 0, "bc"},
-		{"never, not dialled", Class{Repeatability: NonRepeatable}, DialFailed, 0, "bc"},
-		{"never, not sent", Class{Repeatability: NonRepeatable}, NotSent, 0, "abc"},
-		{"never, timed out", Class{Repeatability: NonRepeatable}, TimedOut, 0, "fail"},
-		{"never, broke", Class{Repeatability: NonRepeatable}, ConnectionLost, 0, "fail"},
-		{"never, called off", Class{Repeatability: NonRepeatable}, Canceled, 0, "fail"},
-		{"never, fault", Class{Repeatability: NonRepeatable}, ServerError, 0, "fail"},
-		{"once, everywhere", Class{Repeatability: Deduplicated, DeduplicationWindow: time.Second}, TimedOut, 0, "bc"},
-		{"once, zone", Class{Repeatability: Deduplicated, DeduplicationScope: ScopeZone, DeduplicationWindow: time.Second}, TimedOut, 0, "b"},
-		{"once, pool", Class{Repeatability: Deduplicated, DeduplicationScope: ScopePool, DeduplicationWindow: time.Second}, TimedOut, 0, "fail"},
-		{"once, zone, never ran", Class{Repeatability: Deduplicated, DeduplicationScope: ScopeZone, DeduplicationWindow: time.Second}, ServerBusy, 0, "bc"},
-		{"once, everywhere, too late", Class{Repeatability: Deduplicated, DeduplicationWindow: time.Second}, TimedOut, 2 * time.Second, "refuse"},
-		{"once, zone, too late", Class{Repeatability: Deduplicated, DeduplicationScope: ScopeZone, DeduplicationWindow: time.Second}, TimedOut, 2 * time.Second, "fail"},
+		{"idempotent", Class{}, TimedOut, 0, "bc"},
+		{"non-repeatable, never ran", Class{Repeatability: NonRepeatable}, ServerBusy, 0, "bc"},
+		{"non-repeatable, dial failed", Class{Repeatability: NonRepeatable}, DialFailed, 0, "bc"},
+		{"non-repeatable, not sent", Class{Repeatability: NonRepeatable}, NotSent, 0, "abc"},
+		{"non-repeatable, timed out", Class{Repeatability: NonRepeatable}, TimedOut, 0, "fail"},
+		{"non-repeatable, connection lost", Class{Repeatability: NonRepeatable}, ConnectionLost, 0, "fail"},
+		{"non-repeatable, canceled", Class{Repeatability: NonRepeatable}, Canceled, 0, "fail"},
+		{"non-repeatable, server error", Class{Repeatability: NonRepeatable}, ServerError, 0, "fail"},
+		{
+			"deduplicated by the fleet",
+			Class{Repeatability: Deduplicated, DeduplicationWindow: time.Second}, TimedOut, 0, "bc",
+		},
+		{
+			"deduplicated by the zone",
+			Class{Repeatability: Deduplicated, DeduplicationScope: ScopeZone, DeduplicationWindow: time.Second},
+			TimedOut, 0, "b",
+		},
+		{
+			"deduplicated by the pool",
+			Class{Repeatability: Deduplicated, DeduplicationScope: ScopePool, DeduplicationWindow: time.Second},
+			TimedOut, 0, "fail",
+		},
+		{
+			"deduplicated by the zone, never ran",
+			Class{Repeatability: Deduplicated, DeduplicationScope: ScopeZone, DeduplicationWindow: time.Second},
+			ServerBusy, 0, "bc",
+		},
+		{
+			"deduplicated by the fleet, too late",
+			Class{Repeatability: Deduplicated, DeduplicationWindow: time.Second}, TimedOut,
+			2 * time.Second, "reject",
+		},
+		{
+			"deduplicated by the zone, too late",
+			Class{Repeatability: Deduplicated, DeduplicationScope: ScopeZone, DeduplicationWindow: time.Second},
+			TimedOut, 2 * time.Second, "fail",
+		},
 	}
 	for _, k := range cases {
 		seen := make(map[string]bool)
 		for seed := range uint64(60) {
 			class := k.class
 			class.Name, class.LatencyObjective, class.Deadline, class.Weight = "k", 2*time.Second, 20*time.Second, 1
-			c, err := NewStateMachine(Settings{ControllerCount: 1, Topology: "pools", Classes: []Class{class}, MaxAttempts: 4, CanCancel: true,
+			c, err := NewStateMachine(Settings{
+				ControllerCount: 1, Topology: "pools", Classes: []Class{class}, MaxAttempts: 4, CanCancel: true,
 				RetryGuard: 300 * time.Millisecond, SlowStartPeriod: time.Second, SlowStartShare: 0.5}, seed)
 			if err != nil {
 				t.Fatal(err)
@@ -47,7 +71,7 @@
 			run := func(e Event) { acts = append(acts, c.Handle(now, e)...) }
 			c.Begin(now)
 			run(ServersUpdated{Full: true, Cached: true, Servers: servers})
-			// A period in which the others become used to calls of second choice.
+			// Time for the other servers to gain tokens of their ramps.
 			for range 30 {
 				now += 100 * time.Millisecond
 				run(TimerFired{Key: 0})
@@ -75,7 +99,7 @@
 				case SendAttempt:
 					what = a.Server
 				case RejectCall:
-					what = "refuse"
+					what = "reject"
 				case FailCall:
 					what = "fail"
 				}
@@ -83,7 +107,7 @@
 			seen[what] = true
 		}
 		want := make(map[string]bool)
-		if k.may == "fail" || k.may == "refuse" {
+		if k.may == "fail" || k.may == "reject" {
 			want[k.may] = true
 		} else {
 			for _, s := range k.may {
@@ -96,17 +120,22 @@
 				break
 			}
 		}
-		if len(seen) == 0 || k.may != "fail" && k.may != "refuse" && fmt.Sprint(seen) == "map[]" {
+		if len(seen) == 0 || k.may != "fail" && k.may != "reject" && fmt.Sprint(seen) == "map[]" {
 			t.Errorf("%s: nothing seen", k.what)
 		}
 	}
 }
 
-// A lost set-up of a call that may not run twice is not called off: the answer may still come, and nothing else can.
+// A lost attempt of a NonRepeatable call is not canceled: only its own answer can still establish the call.
 func TestNonRepeatableIsNotCanceled(t *testing.T) {
 	for _, effect := range []Repeatability{Idempotent, NonRepeatable} {
-		c, err := NewStateMachine(Settings{ControllerCount: 1, Topology: "pools", MaxAttempts: 4, CanCancel: true, RetryGuard: 300 * time.Millisecond, SlowStartPeriod: time.Second, SlowStartShare: 0.5,
-			Classes: []Class{{Name: "k", LatencyObjective: time.Second, Deadline: 9 * time.Second, Weight: 1, Repeatability: effect}}}, 1)
+		c, err := NewStateMachine(Settings{
+			ControllerCount: 1, Topology: "pools", MaxAttempts: 4, CanCancel: true,
+			RetryGuard: 300 * time.Millisecond, SlowStartPeriod: time.Second, SlowStartShare: 0.5,
+			Classes: []Class{{
+				Name: "k", LatencyObjective: time.Second, Deadline: 9 * time.Second, Weight: 1,
+				Repeatability: effect,
+			}}}, 1)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -124,13 +153,13 @@
 		now += 200 * time.Millisecond
 		run(CallOffered{CallID: "next", Class: "k", Deadline: now + 8*time.Second})
 		now += 20 * time.Millisecond
-		run(CallEstablished{CallID: "next", Server: "a", SetupTime: 20 * time.Millisecond}) // it overtook the other
+		run(CallEstablished{CallID: "next", Server: "a", SetupTime: 20 * time.Millisecond}) // it overtakes the other
 		for range 30 {
 			now += 100 * time.Millisecond
 			run(TimerFired{Key: 0})
 		}
 		if (off > 0) != (effect == Idempotent) {
-			t.Errorf("effect %v: called off %d times", effect, off)
+			t.Errorf("repeatability %v: canceled %d times", effect, off)
 		}
 	}
 }
--- a/internal/admission/statemachine_test.go
+++ b/internal/admission/statemachine_test.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"errors"
 	"fmt"
 	"math"
 	"slices"
@@ -9,73 +10,74 @@
 	"time"
 )
 
-// Rule 1: an answer by the node's own timer, though nothing returns.
+// A call gets its final answer at its deadline though its attempt is still open.
 func TestFailAtDeadline(t *testing.T) {
-	r := newTestController(t, testSettings(), serverA)
-	id, _ := r.offer("read", 0)
-	acts := r.advance(3*time.Second + 5*millisecond)
+	tc := newTestController(t, testSettings(), serverA)
+	id, _ := tc.offer("read", 0)
+	acts := tc.advance(3*time.Second + 5*millisecond)
 	if !slices.ContainsFunc(acts, func(a Action) bool { f, ok := a.(FailCall); return ok && f.CallID == id }) {
-		t.Errorf("no final answer when the caller's time was up: %v", acts)
+		t.Errorf("no final answer at the deadline: %v", acts)
 	}
-	if acts := r.endAttempt(id, "a", TimedOut, CauseNone); len(acts) != 0 {
+	if acts := tc.endAttempt(id, "a", TimedOut, CauseNone); len(acts) != 0 {
 		t.Errorf("actions after the final answer: %v", acts)
 	}
 }
 
 func TestFailOnTimeoutAtDeadline(t *testing.T) {
-	r := newTestController(t, testSettings(), serverA)
-	id, _ := r.offer("read", 0)
-	r.now += 3 * time.Second // the outcome comes before the timer
-	if acts := r.endAttempt(id, "a", TimedOut, CauseNone); !hasAction[FailCall](acts) {
+	tc := newTestController(t, testSettings(), serverA)
+	id, _ := tc.offer("read", 0)
+	tc.now += 3 * time.Second // the result comes before the timer
+	if acts := tc.endAttempt(id, "a", TimedOut, CauseNone); !hasAction[FailCall](acts) {
 		t.Errorf("an expired attempt at the deadline left the call open: %v", acts)
 	}
 }
 
-// A flood of calls that are refused leaves no timers and a bounded number of numbers.
+// A flood of rejected calls leaves no timers and a bounded number of dialed numbers.
 func TestRejectedCallsLeaveNoState(t *testing.T) {
-	r := newTestController(t, testSettings())
+	tc := newTestController(t, testSettings())
 	for range 2 * maxDialedNumbers {
-		if _, to := r.offer("read", 0); to != "" {
+		if _, to := tc.offer("read", 0); to != "" {
 			t.Fatal("sent to", to)
 		}
 	}
-	if n := len(r.machine.dialedNumbers); n > maxDialedNumbers || len(r.timers) > 1 || len(r.machine.calls.byID)+len(r.machine.calls.byTimer) > 0 {
-		t.Errorf("%d numbers, %d timers, %d calls", n, len(r.timers), len(r.machine.calls.byID))
+	calls := len(tc.machine.calls.byID) + len(tc.machine.calls.byTimer)
+	if n := len(tc.machine.dialedNumbers); n > maxDialedNumbers || len(tc.timers) > 1 || calls > 0 {
+		t.Errorf("%d numbers, %d timers, %d calls", n, len(tc.timers), len(tc.machine.calls.byID))
 	}
 }
 
-// A node's first calls were refused until the first period had ended.
+// A controller's first call is sent before the first period has ended.
 func TestFirstCallOfController(t *testing.T) {
-	r := newTestController(t, testSettings(), serverA)
-	if _, s := r.offer("read", 0); s != "a" {
-		t.Error("the first call of a node was refused")
+	tc := newTestController(t, testSettings(), serverA)
+	if _, s := tc.offer("read", 0); s != "a" {
+		t.Error("the first call of a controller was rejected")
 	}
 }
 
 func TestLogMessagesAreLimited(t *testing.T) {
-	r := newTestController(t, testSettings(), serverA)
+	tc := newTestController(t, testSettings(), serverA)
 	logs := 0
 	for range 50 {
-		id, s := r.offer("read", 0)
+		id, s := tc.offer("read", 0)
 		if s != "" {
-			r.establish(id, s, 900*millisecond)
+			tc.establish(id, s, 900*millisecond)
 		}
-		for _, act := range r.actions {
+		for _, act := range tc.actions {
 			if l, ok := act.(LogMessage); ok {
 				logs++
 				if !strings.HasPrefix(l.Text, "server a: rate limit ") {
-					t.Errorf("log line %q", l.Text)
+					t.Errorf("log message %q", l.Text)
 				}
 			}
 		}
-		r.advance(100 * millisecond)
+		tc.advance(100 * millisecond)
 	}
 	if logs != 1 {
-		t.Errorf("%d log lines in five seconds of pressure, want 1", logs)
+		t.Errorf("%d log messages in five seconds of overload, want 1", logs)
 	}
 }
 
-// Where the list must be asked for, a failed call is made again, but not at once.
+// Where the server list must be watched on request, a failed watch is repeated, but not at once.
 func TestFailedWatchIsRepeated(t *testing.T) {
 	set := testSettings()
 	set.WatchServersOnRequest = true
@@ -84,120 +86,138 @@
 		t.Fatal(err)
 	}
 	if !hasAction[WatchServers](c.Begin(0)) {
-		t.Error("the list was not asked for at the start")
+		t.Error("the server list was not watched at the start")
 	}
-	r := newTestController(t, set, serverA)
-	if acts := r.handle(ServersUpdated{Failed: true}); hasAction[WatchServers](acts) {
-		t.Error("asked again at once")
+	tc := newTestController(t, set, serverA)
+	if acts := tc.handle(ServersUpdated{Failed: true}); hasAction[WatchServers](acts) {
+		t.Error("watched again at once")
 	}
-	if !hasAction[WatchServers](r.advance(r.machine.window + 5*millisecond)) {
-		t.Error("not asked again after a failed call")
+	if !hasAction[WatchServers](tc.advance(tc.machine.window + 5*millisecond)) {
+		t.Error("not watched again after a failed watch")
 	}
-	if _, s := r.offer("read", 0); s != "a" {
-		t.Error("a failed call emptied the list")
+	if _, s := tc.offer("read", 0); s != "a" {
+		t.Error("a failed watch emptied the server list")
 	}
 }
 
+// An error about settings says what is wrong, and names the field.
 func TestInvalidSettings(t *testing.T) {
-	for name, spoil := range map[string]func(*Settings){
-		"topology":       func(s *Settings) { s.Topology = "mesh" },
-		"no classes":     func(s *Settings) { s.Classes = nil },
-		"group size":     func(s *Settings) { s.ControllerCount = 0 },
-		"max attempts":   func(s *Settings) { s.MaxAttempts = 0 },
-		"negative":       func(s *Settings) { s.RetryGuard = -1 },
-		"start share":    func(s *Settings) { s.SlowStartShare = math.NaN() },
-		"class \"read\"": func(s *Settings) { s.Classes[0].LatencyObjective = 0 },
+	for _, c := range []struct {
+		text, field string
+		spoil       func(*Settings)
+	}{
+		{"topology", "Topology", func(s *Settings) { s.Topology = "mesh" }},
+		{"no classes", "Classes", func(s *Settings) { s.Classes = nil }},
+		{"group size", "ControllerCount", func(s *Settings) { s.ControllerCount = 0 }},
+		{"max attempts", "MaxAttempts", func(s *Settings) { s.MaxAttempts = 0 }},
+		{"negative", "RetryGuard", func(s *Settings) { s.RetryGuard = -1 }},
+		{"negative", "ResendInterval", func(s *Settings) { s.ResendInterval = -1 }},
+		{"negative", "SlowStartPeriod", func(s *Settings) { s.SlowStartPeriod = -1 }},
+		{"start share", "SlowStartShare", func(s *Settings) { s.SlowStartShare = math.NaN() }},
+		{"class \"read\"", "Classes", func(s *Settings) { s.Classes[0].LatencyObjective = 0 }},
 	} {
-		set := testSettings()
-		spoil(&set)
-		if _, err := NewStateMachine(set, 1); err == nil || !strings.Contains(err.Error(), name) {
-			t.Errorf("%s: error %v does not name it", name, err)
-		}
+		t.Run(c.field, func(t *testing.T) {
+			set := testSettings()
+			c.spoil(&set)
+			_, err := NewStateMachine(set, 1)
+			if err == nil || !strings.Contains(err.Error(), c.text) {
+				t.Errorf("error %v does not say %q", err, c.text)
+			}
+			var invalid *SettingsError
+			if !errors.As(err, &invalid) || invalid.Field != c.field {
+				t.Errorf("error %v does not name the field %s", err, c.field)
+			}
+		})
 	}
 }
 
 func TestUnknownIdentifiersAreIgnored(t *testing.T) {
-	r := newTestController(t, testSettings(), serverA)
+	tc := newTestController(t, testSettings(), serverA)
 	for _, e := range []Event{
-		CallEstablished{CallID: "?"}, AttemptEnded{CallID: "?", Final: true}, CallAbandoned{CallID: "?"}, TimerFired{Key: 99},
+		CallEstablished{CallID: "?"}, AttemptEnded{
+			CallID: "?", Final: true,
+		}, CallAbandoned{CallID: "?"}, TimerFired{Key: 99},
 		LoadReported{Server: "?"}, ServersUpdated{Servers: []Server{{ID: "z", State: Removed}}},
 	} {
-		if acts := r.handle(e); len(acts) != 0 {
+		if acts := tc.handle(e); len(acts) != 0 {
 			t.Errorf("%T: %v", e, acts)
 		}
 	}
-	if acts := r.handle(CallOffered{CallID: "u", Class: "?", Deadline: r.now + time.Second}); !hasAction[RejectCall](acts) {
+	if acts := tc.handle(CallOffered{
+		CallID: "u", Class: "?", Deadline: tc.now + time.Second,
+	}); !hasAction[RejectCall](acts) {
 		t.Errorf("a call of an unknown class: %v", acts)
 	}
 }
 
-// TestExtremeSettings plays a calm minute under settings at the ends of what may come.
+// A minute without overload passes under settings at the ends of their ranges.
 func TestExtremeSettings(t *testing.T) {
 	many := make([]Server, 50)
 	for i := range many {
 		many[i] = Server{ID: fmt.Sprint("s", i), Pool: i}
 	}
 	for name, spoil := range map[string]func(*Settings){
-		"as usual":            func(*Settings) {},
-		"alone":               func(s *Settings) { s.ControllerCount = 1 },
-		"one of a thousand":   func(s *Settings) { s.ControllerCount = 1000 },
-		"start share 0":       func(s *Settings) { s.SlowStartShare = 0 },
-		"never cold":          func(s *Settings) { s.SlowStartPeriod = 0 },
-		"no repeats":          func(s *Settings) { s.ResendInterval = 0 },
-		"no release guard":    func(s *Settings) { s.RetryGuard = 0 },
-		"aim is all there is": func(s *Settings) { s.Classes[0].Deadline = s.Classes[0].LatencyObjective },
-		"worthless":           func(s *Settings) { s.Classes[0].Weight, s.Classes[1].Weight = 0, 0 },
-		"one attempt":         func(s *Settings) { s.MaxAttempts = 1 },
-		"may not cancel":      func(s *Settings) { s.CanCancel = false },
+		"default":                   func(*Settings) {},
+		"alone":                     func(s *Settings) { s.ControllerCount = 1 },
+		"one of a thousand":         func(s *Settings) { s.ControllerCount = 1000 },
+		"start share 0":             func(s *Settings) { s.SlowStartShare = 0 },
+		"no slow start":             func(s *Settings) { s.SlowStartPeriod = 0 },
+		"no resends":                func(s *Settings) { s.ResendInterval = 0 },
+		"no retry guard":            func(s *Settings) { s.RetryGuard = 0 },
+		"deadline is the objective": func(s *Settings) { s.Classes[0].Deadline = s.Classes[0].LatencyObjective },
+		"no weights":                func(s *Settings) { s.Classes[0].Weight, s.Classes[1].Weight = 0, 0 },
+		"one attempt":               func(s *Settings) { s.MaxAttempts = 1 },
+		"may not cancel":            func(s *Settings) { s.CanCancel = false },
 	} {
 		for _, servers := range [][]Server{{serverA}, {serverA, serverB}, many} {
 			set := testSettings()
 			spoil(&set)
-			r := newTestController(t, set, servers...)
-			asked, stood := 0, 0
-			for end := r.now + time.Minute; r.now < end; r.advance(500 * millisecond) {
-				asked++
-				id, s := r.offer("read", asked%len(servers))
+			tc := newTestController(t, set, servers...)
+			offered, established := 0, 0
+			for end := tc.now + time.Minute; tc.now < end; tc.advance(500 * millisecond) {
+				offered++
+				id, s := tc.offer("read", offered%len(servers))
 				if s == "" {
 					continue
 				}
-				stood++
-				r.establish(id, s, 40*millisecond)
-				r.handle(AttemptEnded{CallID: id, Server: s, Result: Delivered, Final: true})
+				established++
+				tc.establish(id, s, 40*millisecond)
+				tc.handle(AttemptEnded{CallID: id, Server: s, Result: Delivered, Final: true})
 			}
-			if stood < asked*9/10 {
-				t.Errorf("%s, %d servers: %d of %d calls were sent on a calm day", name, len(servers), stood, asked)
+			if established < offered*9/10 {
+				t.Errorf("%s, %d servers: %d of %d calls were sent without overload",
+					name, len(servers), established, offered)
 			}
 		}
 	}
 }
 
-// Figures that are no figures, empty names and a clock that goes back change nothing.
+// Numbers that are not finite, empty identifiers and a clock that goes back have no effect.
 func TestInvalidEvents(t *testing.T) {
-	r := newTestController(t, testSettings(), serverA, serverB)
-	r.offerSteadily(100*millisecond, 4*time.Second, 40*millisecond)
+	tc := newTestController(t, testSettings(), serverA, serverB)
+	tc.offerSteadily(100*millisecond, 4*time.Second, 40*millisecond)
 	for _, v := range []float64{math.NaN(), math.Inf(1), math.Inf(-1), -1} {
 		f := Optional{v, true}
-		r.handle(LoadReported{Server: "a", OK: true, Load: LoadReport{f, f, f, f, f, f}})
-		id, s := r.offer("read", 0)
+		tc.handle(LoadReported{Server: "a", OK: true, Load: LoadReport{f, f, f, f, f, f}})
+		id, s := tc.offer("read", 0)
 		if s != "a" {
 			t.Errorf("a report of %v sent a call to %q", v, s)
 		}
-		r.establish(id, s, 40*millisecond)
-		r.advance(r.machine.period)
+		tc.establish(id, s, 40*millisecond)
+		tc.advance(tc.machine.period)
 	}
-	r.now -= time.Hour
-	if acts := r.handle(TimerFired{}); len(acts) != 0 {
+	tc.now -= time.Hour
+	if acts := tc.handle(TimerFired{}); len(acts) != 0 {
 		t.Errorf("a clock that went back: %v", acts)
 	}
-	r.now += time.Hour
-	if acts := r.handle(nil); len(acts) != 0 {
+	tc.now += time.Hour
+	if acts := tc.handle(nil); len(acts) != 0 {
 		t.Errorf("no event: %v", acts)
 	}
-	r.handle(CallEstablished{CallID: "", SetupTime: -time.Second})
-	r.handle(AttemptEnded{CallID: "", Result: AttemptResult(99), Cause: FailureCause(-1), RetryAfter: -time.Hour})
-	r.handle(ServersUpdated{Servers: []Server{{}}})
-	if _, s := r.offer("read", 0); s != "a" {
-		t.Errorf("empty names sent a call to %q", s)
+	tc.handle(CallEstablished{CallID: "", SetupTime: -time.Second})
+	tc.handle(AttemptEnded{CallID: "", Result: AttemptResult(99), Cause: FailureCause(-1), RetryAfter: -time.Hour})
+	tc.handle(ServersUpdated{Servers: []Server{{}}})
+	if _, s := tc.offer("read", 0); s != "a" {
+		t.Errorf("empty identifiers sent a call to %q", s)
 	}
 }
