--- a/internal/record/disk.go
+++ b/internal/record/disk.go
@@ -28,16 +28,16 @@
 	Close() error
 }
 
-// dir is a Disk on a real folder.
-type dir string
+// directory is a Disk on a real folder.
+type directory string
 
-func (d dir) Create(name string) (File, error) {
+func (d directory) Create(name string) (File, error) {
 	return os.OpenFile(filepath.Join(string(d), name), os.O_WRONLY|os.O_CREATE|os.O_EXCL|os.O_APPEND, 0o600)
 }
 
-func (d dir) Remove(name string) error { return os.Remove(filepath.Join(string(d), name)) }
+func (d directory) Remove(name string) error { return os.Remove(filepath.Join(string(d), name)) }
 
-func (d dir) SyncDir() error {
+func (d directory) SyncDir() error {
 	f, err := os.Open(string(d))
 	if err != nil {
 		return err
@@ -45,8 +45,8 @@
 	return errors.Join(f.Sync(), f.Close())
 }
 
-// causeOf sorts an error of the disk.
-func causeOf(err error) GapCause {
+// gapCauseOf sorts an error of the disk.
+func gapCauseOf(err error) GapCause {
 	switch {
 	case errors.Is(err, syscall.ENOSPC), errors.Is(err, syscall.EDQUOT):
 		return DiskFull
@@ -58,9 +58,9 @@
 
 // Names of files in a store.
 const (
-	suffix   = ".rec"
-	aside    = ".aside" // behind suffix: a segment that recovery has set aside
-	lockName = "lock"
+	segmentSuffix   = ".rec"
+	setAsideSuffix    = ".aside" // behind suffix: a segment that recovery has set aside
+	lockFileName = "lock"
 )
 
 // A segment is a file of a store as its name tells.
@@ -69,19 +69,19 @@
 	first uint64
 	boot  uint64
 	index uint64
-	aside bool
+	isSetAside bool
 }
 
 // segmentName names a segment: names sort as their records do.
 func segmentName(first, boot, index uint64) string {
-	return fmt.Sprintf("%020d-%016x-%06d%s", first, boot, index, suffix)
+	return fmt.Sprintf("%020d-%016x-%06d%s", first, boot, index, segmentSuffix)
 }
 
-func parseName(name string) (s segment, ok bool) {
+func parseSegmentName(name string) (s segment, ok bool) {
 	s.name = name
-	base, set := strings.CutSuffix(name, aside)
-	s.aside = set
-	base, ok = strings.CutSuffix(base, suffix)
+	base, set := strings.CutSuffix(name, setAsideSuffix)
+	s.isSetAside = set
+	base, ok = strings.CutSuffix(base, segmentSuffix)
 	parts := strings.Split(base, "-")
 	if !ok || len(parts) != 3 || len(parts[0]) != 20 {
 		return s, false
@@ -93,15 +93,15 @@
 	return s, errors.Join(errs[:]...) == nil
 }
 
-// segments lists a store's segments in the order of their records.
-func segments(dir string) ([]segment, error) {
+// listSegments lists a store's listSegments in the order of their records.
+func listSegments(dir string) ([]segment, error) {
 	entries, err := os.ReadDir(dir)
 	if err != nil {
 		return nil, fmt.Errorf("record: %w", err)
 	}
 	var all []segment
 	for _, e := range entries {
-		if s, ok := parseName(e.Name()); ok && e.Type().IsRegular() {
+		if s, ok := parseSegmentName(e.Name()); ok && e.Type().IsRegular() {
 			all = append(all, s)
 		}
 	}
@@ -109,9 +109,9 @@
 	return all, nil
 }
 
-// lock makes a store this process's own until the file is closed.
-func lock(dir string) (*os.File, error) {
-	f, err := os.OpenFile(filepath.Join(dir, lockName), os.O_RDWR|os.O_CREATE, 0o600)
+// lockStore makes a store this process's own until the file is closed.
+func lockStore(dir string) (*os.File, error) {
+	f, err := os.OpenFile(filepath.Join(dir, lockFileName), os.O_RDWR|os.O_CREATE, 0o600)
 	if err != nil {
 		return nil, fmt.Errorf("record: %w", err)
 	}
@@ -124,7 +124,7 @@
 
 // Live tells whether a process is writing to a store.
 func Live(dir string) bool {
-	f, err := os.OpenFile(filepath.Join(dir, lockName), os.O_RDONLY, 0)
+	f, err := os.OpenFile(filepath.Join(dir, lockFileName), os.O_RDONLY, 0)
 	if err != nil {
 		return false
 	}
--- a/internal/record/frame.go
+++ b/internal/record/frame.go
@@ -12,18 +12,18 @@
 
 // The layout of a segment, in bytes.
 //
-//	header: magic 6, version 2, length 2, CRC32C 4, payload; once at 0, once at headerCopy
+//	header: magic 6, formatVersion 2, length 2, CRC32C 4, payload; once at 0, once at headerCopySize
 //	frame:  mark 2, length 2, CRC32C of nonce and payload 4, payload; from headerSize on
 //
 // Figures are little-endian.
 const (
-	version    = 1
-	headerCopy = 256
+	formatVersion    = 1
+	headerCopySize = 256
 	headerSize = 512
-	headerHead = 14
-	frameHead  = 8
-	markA      = 0xf5 // no byte of a UTF-8 text
-	markB      = 0xc1 // nor is this one
+	headerPrefixSize = 14
+	framePrefixSize  = 8
+	frameMark0      = 0xf5 // no byte of a UTF-8 text
+	frameMark1      = 0xc1 // nor is this one
 )
 
 var (
@@ -47,10 +47,10 @@
 type VersionError struct{ Version int }
 
 func (e *VersionError) Error() string {
-	return fmt.Sprintf("format version %d; this program reads up to %d", e.Version, version)
+	return fmt.Sprintf("format version %d; this program reads up to %d", e.Version, formatVersion)
 }
 
-var errHeader = errors.New("no intact header")
+var errNoIntactHeader = errors.New("no intact header")
 
 func cut(s string, n int) string {
 	if len(s) > n {
@@ -70,51 +70,51 @@
 	p = appendInt(p, 6, int64(h.Wall))
 	p = appendString(p, 7, cut(h.Program, 64))
 	p = appendUint(p, 8, h.Index)
-	var one [headerCopy]byte
+	var one [headerCopySize]byte
 	copy(one[:], magic[:])
-	binary.LittleEndian.PutUint16(one[6:], version)
+	binary.LittleEndian.PutUint16(one[6:], formatVersion)
 	binary.LittleEndian.PutUint16(one[8:], uint16(len(p)))
-	copy(one[headerHead:], p)
-	binary.LittleEndian.PutUint32(one[10:], headerSum(one[:], len(p)))
+	copy(one[headerPrefixSize:], p)
+	binary.LittleEndian.PutUint32(one[10:], headerChecksum(one[:], len(p)))
 	return append(append(b, one[:]...), one[:]...)
 }
 
-func headerSum(one []byte, size int) uint32 {
-	return crc32.Update(crc32.Checksum(one[:10], castagnoli), castagnoli, one[headerHead:headerHead+size])
+func headerChecksum(one []byte, size int) uint32 {
+	return crc32.Update(crc32.Checksum(one[:10], castagnoli), castagnoli, one[headerPrefixSize:headerPrefixSize+size])
 }
 
 // decodeHeader reads the header from a segment's first headerSize bytes: the first copy
 // that is intact.
 func decodeHeader(b []byte) (h Header, err error) {
 	if len(b) < headerSize {
-		return h, errHeader
+		return h, errNoIntactHeader
 	}
-	for _, one := range [][]byte{b[:headerCopy], b[headerCopy:headerSize]} {
+	for _, one := range [][]byte{b[:headerCopySize], b[headerCopySize:headerSize]} {
 		size := int(binary.LittleEndian.Uint16(one[8:]))
-		if [6]byte(one[:6]) != magic || size > headerCopy-headerHead ||
-			binary.LittleEndian.Uint32(one[10:]) != headerSum(one, size) {
+		if [6]byte(one[:6]) != magic || size > headerCopySize-headerPrefixSize ||
+			binary.LittleEndian.Uint32(one[10:]) != headerChecksum(one, size) {
 			continue
 		}
-		if v := binary.LittleEndian.Uint16(one[6:]); v != version {
+		if v := binary.LittleEndian.Uint16(one[6:]); v != formatVersion {
 			return h, &VersionError{int(v)}
 		}
-		return h, h.decode(one[headerHead : headerHead+size])
+		return h, h.decode(one[headerPrefixSize : headerPrefixSize+size])
 	}
 	// A later version may lay out the rest in another way. Both copies must say so: a
 	// single flipped bit does not make a version.
-	if a, b := b[:headerCopy], b[headerCopy:]; bytes.Equal(a[:8], b[:8]) && [6]byte(a[:6]) == magic {
-		if v := binary.LittleEndian.Uint16(a[6:]); v > version {
+	if a, b := b[:headerCopySize], b[headerCopySize:]; bytes.Equal(a[:8], b[:8]) && [6]byte(a[:6]) == magic {
+		if v := binary.LittleEndian.Uint16(a[6:]); v > formatVersion {
 			return h, &VersionError{int(v)}
 		}
 	}
-	return h, errHeader
+	return h, errNoIntactHeader
 }
 
 func (h *Header) decode(b []byte) error {
 	for len(b) > 0 {
 		n, v, s, size := consumeField(b)
 		if size < 0 {
-			return errHeader
+			return errNoIntactHeader
 		}
 		b = b[size:]
 		switch n {
@@ -148,39 +148,39 @@
 
 // appendFrame encodes one frame.
 func appendFrame(b, payload []byte, seed uint32) []byte {
-	b = append(b, markA, markB)
+	b = append(b, frameMark0, frameMark1)
 	b = binary.LittleEndian.AppendUint16(b, uint16(len(payload)))
 	b = binary.LittleEndian.AppendUint32(b, crc32.Update(seed, castagnoli, payload))
 	return append(b, payload...)
 }
 
 // What frameAt finds.
-type found int
+type frameStatus int
 
 const (
-	intact found = iota
-	short        // it may be a frame; more bytes are needed to tell
-	broken       // it is none
+	frameIntact frameStatus = iota
+	frameIncomplete        // it may be a frame; more bytes are needed to tell
+	frameInvalid       // it is none
 )
 
-// frameAt looks for a frame at the start of b.
-func frameAt(b []byte, seed uint32) (payload []byte, size int, what found) {
+// parseFrame looks for a frame at the start of b.
+func parseFrame(b []byte, seed uint32) (payload []byte, size int, what frameStatus) {
 	switch {
-	case len(b) > 0 && b[0] != markA, len(b) > 1 && b[1] != markB:
-		return nil, 0, broken
-	case len(b) < frameHead:
-		return nil, 0, short
+	case len(b) > 0 && b[0] != frameMark0, len(b) > 1 && b[1] != frameMark1:
+		return nil, 0, frameInvalid
+	case len(b) < framePrefixSize:
+		return nil, 0, frameIncomplete
 	}
 	n := int(binary.LittleEndian.Uint16(b[2:]))
 	switch {
-	case n == 0 || n > mostPayload:
-		return nil, 0, broken
-	case len(b) < frameHead+n:
-		return nil, 0, short
+	case n == 0 || n > maxPayloadSize:
+		return nil, 0, frameInvalid
+	case len(b) < framePrefixSize+n:
+		return nil, 0, frameIncomplete
 	}
-	payload = b[frameHead : frameHead+n]
+	payload = b[framePrefixSize : framePrefixSize+n]
 	if binary.LittleEndian.Uint32(b[4:]) != crc32.Update(seed, castagnoli, payload) {
-		return nil, 0, broken
+		return nil, 0, frameInvalid
 	}
-	return payload, frameHead + n, intact
+	return payload, framePrefixSize + n, frameIntact
 }
--- a/internal/record/log.go
+++ b/internal/record/log.go
@@ -32,7 +32,7 @@
 // a goroutine of the Log's own owns the files.
 type Log struct {
 	// The loop's.
-	ring  *ring
+	queue  *ringQueue
 	next  uint64 // number of the next record
 	from  uint64 // first of those that found no room, 0: none
 	since Time
@@ -62,29 +62,29 @@
 	if err := os.MkdirAll(o.Dir, 0o700); err != nil {
 		return nil, Recovery{}, fmt.Errorf("record: %w", err)
 	}
-	held, err := lock(o.Dir)
+	held, err := lockStore(o.Dir)
 	if err != nil {
 		return nil, Recovery{}, err
 	}
-	found, err := repair(o.Dir)
+	found, err := recoverStore(o.Dir)
 	if err != nil {
 		_ = held.Close()
 		return nil, Recovery{}, err
 	}
 	if o.Disk == nil {
-		o.Disk = dir(o.Dir)
+		o.Disk = directory(o.Dir)
 	}
 	if found.store == 0 {
 		found.store = rand.Uint64()
 	}
-	l := &Log{ring: newRing(o.Queue), next: found.Last + 1, base: o.Wall, buf: make([]byte, 0, mostPayload+256),
+	l := &Log{queue: newRingQueue(o.Queue), next: found.LastSeq + 1, base: o.Wall, buf: make([]byte, 0, maxPayloadSize+256),
 		wake: make(chan struct{}, 1), closing: make(chan struct{}), done: make(chan struct{})}
-	l.w = writer{l: l, o: o, held: held, kept: found.kept, batch: make([]byte, 0, batchSize+frameHead+mostPayload), scratch: make([]byte, mostPayload),
+	l.w = writer{l: l, o: o, held: held, kept: found.kept, batch: make([]byte, 0, batchSize+framePrefixSize+maxPayloadSize), scratch: make([]byte, maxPayloadSize),
 		header: Header{Name: o.Name, Store: found.store, Boot: rand.Uint64(), Wall: o.Wall, Program: o.Program}}
-	if found.Leap > 0 { // numbers that the part set aside may have used
-		l.next += found.Leap
-		l.push(&Record{Kind: KindGap, From: found.Last + 1, Seq: l.next - 1, At: o.Wall, Since: o.Wall, Code: uint8(SetAside), Text: found.Aside})
-		l.lost.Add(found.Leap)
+	if found.SkippedNumbers > 0 { // numbers that the part set aside may have used
+		l.next += found.SkippedNumbers
+		l.push(&Record{Kind: KindGap, From: found.LastSeq + 1, Seq: l.next - 1, At: o.Wall, Since: o.Wall, Code: uint8(SetAside), Text: found.SetAsideFile})
+		l.lost.Add(found.SkippedNumbers)
 	}
 	go l.w.run()
 	return l, found, nil
@@ -101,7 +101,7 @@
 	if l.from > 0 && !l.fill() || !l.push(r) {
 		l.drop(r)
 	}
-	if l.ring.used() > uint64(len(l.ring.buf))/2 && l.full.CompareAndSwap(false, true) {
+	if l.queue.usedBytes() > uint64(len(l.queue.buf))/2 && l.full.CompareAndSwap(false, true) {
 		select {
 		case l.wake <- struct{}{}:
 		default: // it has been woken and has not got up yet
@@ -112,7 +112,7 @@
 // push encodes a record and queues it.
 func (l *Log) push(r *Record) bool {
 	l.buf = appendRecord(l.buf[:0], r, l.base)
-	return l.ring.put(l.buf)
+	return l.queue.append(l.buf)
 }
 
 // drop counts a record that found no room.
@@ -243,7 +243,7 @@
 func (w *writer) tell(err error) {
 	cause := NoGap
 	if err != nil {
-		cause = causeOf(err)
+		cause = gapCauseOf(err)
 	}
 	was := GapCause(w.l.failing.Swap(uint32(cause)))
 	if w.o.Trouble != nil && (was == NoGap) != (cause == NoGap) {
@@ -256,17 +256,17 @@
 // that is not: after a failed sync nobody knows what of the rest the disk has, and a second
 // sync that succeeds does not tell either. What is there twice a Reader passes over.
 func (w *writer) commit() error {
-	ring := w.l.ring
-	pos := ring.head.Load()
-	if pos == ring.tail.Load() {
+	ring := w.l.queue
+	pos := ring.released.Load()
+	if pos == ring.appended.Load() {
 		return nil
 	}
 	records, last := uint64(0), w.last
 	for {
-		p, next, ok := ring.at(pos, w.scratch)
+		p, next, ok := ring.read(pos, w.scratch)
 		if ok {
 			seq := seqOf(p)
-			if full := w.size + int64(len(w.batch)); w.file != nil && full > headerSize && full+int64(frameHead+len(p)) > w.o.Segment {
+			if full := w.size + int64(len(w.batch)); w.file != nil && full > headerSize && full+int64(framePrefixSize+len(p)) > w.o.Segment {
 				if err := w.flush(); err != nil {
 					return w.fail(err)
 				}
@@ -293,7 +293,7 @@
 			}
 		}
 		// The queue is emptied while it is filled: sync by portions, or it would never be safe.
-		if !ok || pos-ring.head.Load() > uint64(len(ring.buf))/4 {
+		if !ok || pos-ring.released.Load() > uint64(len(ring.buf))/4 {
 			if err := w.sync(pos, records, last); err != nil {
 				return w.fail(err)
 			}
@@ -337,7 +337,7 @@
 	}
 	w.safe, w.last = w.size, last
 	w.l.written.Add(records)
-	w.l.ring.head.Store(pos)
+	w.l.queue.released.Store(pos)
 	return nil
 }
 
--- a/internal/record/reader.go
+++ b/internal/record/reader.go
@@ -32,7 +32,7 @@
 	seg    segment
 	scan   scanner
 	header Header
-	names  names
+	names  internedStrings
 
 	last    uint64 // number of the last record that was returned
 	lastAt  Time   // its time
@@ -48,9 +48,9 @@
 
 // OpenDir opens a store for reading. A folder without segments is a store without records.
 func OpenDir(dir string) (*Reader, error) {
-	r := &Reader{dir: dir, names: names{}}
+	r := &Reader{dir: dir, names: internedStrings{}}
 	var err error
-	if r.queue, err = segments(dir); err != nil {
+	if r.queue, err = listSegments(dir); err != nil {
 		return nil, err
 	}
 	return r, nil
@@ -118,7 +118,7 @@
 			r.damaged(Damage{File: r.seg.name, Offset: at - skipped, Bytes: skipped, Cause: Damaged, Text: "no intact records"})
 		}
 		if decodeRecord(p, &r.record, r.header.Wall, r.names) != nil {
-			r.damaged(Damage{File: r.seg.name, Offset: at, Bytes: int64(frameHead + len(p)), Cause: Damaged, Text: "a frame that holds no record"})
+			r.damaged(Damage{File: r.seg.name, Offset: at, Bytes: int64(framePrefixSize + len(p)), Cause: Damaged, Text: "a frame that holds no record"})
 			continue
 		}
 		if r.take(rec) {
@@ -188,7 +188,7 @@
 	if len(r.queue) > 0 {
 		return true, nil
 	}
-	all, err := segments(r.dir)
+	all, err := listSegments(r.dir)
 	if err != nil {
 		return false, err
 	}
@@ -202,8 +202,8 @@
 
 // leave closes the segment at hand.
 func (r *Reader) leave() error {
-	if n := r.scan.rest(); n > 0 {
-		r.damaged(Damage{File: r.seg.name, Offset: r.scan.at - r.scan.bad, Bytes: n, Cause: Damaged, Text: "a torn tail"})
+	if n := r.scan.trailingBytes(); n > 0 {
+		r.damaged(Damage{File: r.seg.name, Offset: r.scan.offset - r.scan.invalidBytes, Bytes: n, Cause: Damaged, Text: "a torn tail"})
 	}
 	return r.Close()
 }
@@ -214,7 +214,7 @@
 	if r.cur == nil {
 		return "", 0, 0
 	}
-	return r.seg.name, r.scan.at - r.scan.bad, r.scan.rest()
+	return r.seg.name, r.scan.offset - r.scan.invalidBytes, r.scan.trailingBytes()
 }
 
 // start notes the segment at hand. The name of the first one tells where the store begins, though nothing
@@ -242,18 +242,18 @@
 		if errors.Is(err, os.ErrNotExist) {
 			// Retention was faster, or recovery has set it aside: the list is read anew.
 			r.queue = r.queue[1:]
-			if f, err = os.Open(filepath.Join(r.dir, s.name+aside)); err != nil {
+			if f, err = os.Open(filepath.Join(r.dir, s.name+setAsideSuffix)); err != nil {
 				r.seg = s
 				continue
 			}
-			s.name += aside
+			s.name += setAsideSuffix
 		} else if err != nil {
 			return fmt.Errorf("record: %w", err)
 		} else {
 			r.queue = r.queue[1:]
 		}
 		scan := scanner{f: f, buf: r.scan.buf[:0]}
-		h, err := scan.begin()
+		h, err := scan.readHeader()
 		if err != nil {
 			size := int64(0)
 			if st, err := f.Stat(); err == nil {
@@ -264,9 +264,9 @@
 			switch {
 			case errors.As(err, &newer):
 				r.damaged(Damage{File: s.name, Offset: -1, Bytes: size, Cause: NewerFormat, Text: newer.Error()})
-			case !errors.Is(err, errHeader):
+			case !errors.Is(err, errNoIntactHeader):
 				return fmt.Errorf("record: %s: %w", filepath.Join(r.dir, s.name), err)
-			case size < headerSize && len(r.queue) == 0 && !s.aside:
+			case size < headerSize && len(r.queue) == 0 && !s.isSetAside:
 				// It is being made just now; it is looked at again.
 				r.queue = append(r.queue, s)
 				return io.EOF
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -76,10 +76,10 @@
 	CallOff
 )
 
-var moveNames = []string{"hold", "try", "deny", "give_up", "call_off"}
+var decisionNames = []string{"hold", "try", "deny", "give_up", "call_off"}
 
 // String implements fmt.Stringer.
-func (m Move) String() string { return nameOf(moveNames, uint8(m)) }
+func (m Move) String() string { return nameOf(decisionNames, uint8(m)) }
 
 // An Outcome is how a set-up came to its final answer.
 type Outcome uint8
@@ -117,10 +117,10 @@
 	Gone
 )
 
-var phaseNames = []string{"listed", "drains", "gone"}
+var serverPhaseNames = []string{"listed", "drains", "gone"}
 
 // String implements fmt.Stringer.
-func (p Phase) String() string { return nameOf(phaseNames, uint8(p)) }
+func (p Phase) String() string { return nameOf(serverPhaseNames, uint8(p)) }
 
 // A GapCause says why records are lost.
 type GapCause uint8
@@ -138,10 +138,10 @@
 	NewerFormat           // a segment of a newer format version
 )
 
-var gapNames = []string{"none", "queue_full", "disk_full", "disk_read_only", "disk_failed", "set_aside", "missing", "damaged", "newer_format"}
+var gapCauseNames = []string{"none", "queue_full", "disk_full", "disk_read_only", "disk_failed", "set_aside", "missing", "damaged", "newer_format"}
 
 // String implements fmt.Stringer.
-func (g GapCause) String() string { return nameOf(gapNames, uint8(g)) }
+func (g GapCause) String() string { return nameOf(gapCauseNames, uint8(g)) }
 
 // MarshalText implements encoding.TextMarshaler.
 func (g GapCause) MarshalText() ([]byte, error) { return []byte(g.String()), nil }
@@ -182,8 +182,8 @@
 
 // Bounds of what a record takes on disk, in bytes.
 const (
-	mostText    = 512  // of one string; more is cut off
-	mostPayload = 4096 // of a record; more cannot be
+	maxStringSize    = 512  // of one string; more is cut off
+	maxPayloadSize = 4096 // of a record; more cannot be
 )
 
 // Field numbers of record.proto.
@@ -232,8 +232,8 @@
 	if s == "" {
 		return b
 	}
-	if len(s) > mostText {
-		s = s[:mostText]
+	if len(s) > maxStringSize {
+		s = s[:maxStringSize]
 	}
 	return protowire.AppendString(protowire.AppendTag(b, n, protowire.BytesType), s)
 }
@@ -276,15 +276,15 @@
 	return appendString(b, fBy, r.By)
 }
 
-var errRecord = errors.New("record: a payload that is no record")
+var errMalformedRecord = errors.New("record: a payload that is no record")
 
-// names keeps the strings that come again and again, so many at the most: servers,
+// internedStrings keeps the strings that come again and again, so many at the most: servers,
 // classes and ends are few, and an adversary's must not fill memory.
-type names map[string]string
+type internedStrings map[string]string
 
 const mostNames = 4096
 
-func (n names) of(b []byte) string {
+func (n internedStrings) of(b []byte) string {
 	if s, ok := n[string(b)]; ok { // does not allocate
 		return s
 	}
@@ -321,18 +321,18 @@
 
 // decodeRecord reads a payload; times count from base. Unknown fields are passed over, so
 // that an older program reads what a newer one has added.
-func decodeRecord(b []byte, r *Record, base Time, known names) error {
+func decodeRecord(b []byte, r *Record, base Time, known internedStrings) error {
 	*r = Record{}
 	for len(b) > 0 {
 		n, v, s, size := consumeField(b)
 		if size < 0 {
-			return errRecord
+			return errMalformedRecord
 		}
 		b = b[size:]
 		r.set(n, v, s, known)
 	}
 	if r.Seq == 0 || r.From > r.Seq || r.Kind == KindGap && r.From == 0 {
-		return errRecord
+		return errMalformedRecord
 	}
 	r.At += base
 	if r.Kind == KindGap {
@@ -342,7 +342,7 @@
 }
 
 // set takes one field.
-func (r *Record) set(n protowire.Number, v uint64, s []byte, known names) {
+func (r *Record) set(n protowire.Number, v uint64, s []byte, known internedStrings) {
 	switch n {
 	case fSeq:
 		r.Seq = v
--- a/internal/record/record_test.go
+++ b/internal/record/record_test.go
@@ -84,13 +84,13 @@
 	gap := Record{Seq: 9, From: 3, At: wall + 6, Since: wall + 2, Kind: KindGap, Code: uint8(QueueFull)}
 	for _, r := range []Record{full, gap} {
 		var got Record
-		if err := decodeRecord(appendRecord(nil, &r, wall), &got, wall, names{}); err != nil || got != r {
+		if err := decodeRecord(appendRecord(nil, &r, wall), &got, wall, internedStrings{}); err != nil || got != r {
 			t.Errorf("got  %+v, %v\nwant %+v", got, err, r)
 		}
 	}
 	long := full
 	long.Text, long.Number = strings.Repeat("x", 1<<16), strings.Repeat("y", 1<<16)
-	if n := len(appendRecord(nil, &long, wall)); n > mostPayload {
+	if n := len(appendRecord(nil, &long, wall)); n > maxPayloadSize {
 		t.Errorf("a record of %d bytes", n)
 	}
 	if got := Printable("a\n\x1b[2J\xff\u009bé"); got != "a\ufffd\ufffd[2J\ufffd\ufffdé" {
@@ -104,7 +104,7 @@
 	var want []string
 	for start := range 4 { // each in the middle of a frame but the first
 		l, found := open(t, options(dir))
-		if (found.Cut > 0) != (start > 0) || found.Clean != (start == 0) || found.Last != uint64(len(want)) {
+		if (found.TruncatedBytes > 0) != (start > 0) || found.Clean != (start == 0) || found.LastSeq != uint64(len(want)) {
 			t.Errorf("start %d: %+v", start, found)
 		}
 		for i := range 100 {
@@ -113,7 +113,7 @@
 			want = append(want, line(r))
 		}
 		shut(t, l)
-		all, err := segments(dir)
+		all, err := listSegments(dir)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -131,7 +131,7 @@
 	if got, _ := readAll(t, dir); !slices.Equal(got, want) {
 		t.Errorf("got %d lines, want %d: %q", len(got), len(want), got[max(0, len(got)-3):])
 	}
-	if l, found = open(t, options(dir)); !found.Clean || found.Last != uint64(len(want)) {
+	if l, found = open(t, options(dir)); !found.Clean || found.LastSeq != uint64(len(want)) {
 		t.Errorf("after an orderly end: %+v", found)
 	}
 	if _, _, err := Open(options(dir)); err == nil || !strings.Contains(err.Error(), "in use") {
@@ -240,7 +240,7 @@
 		for _, many := range []int{50, 5000} { // within the queue, and past it
 			t.Run(fmt.Sprint(name, " ", many), func(t *testing.T) {
 				o := options(t.TempDir())
-				d := &faulty{Disk: dir(o.Dir)}
+				d := &faulty{Disk: directory(o.Dir)}
 				o.Disk = d
 				l, _ := open(t, o)
 				i := 0
@@ -266,7 +266,7 @@
 				if hold != nil {
 					close(hold)
 				}
-				eventually(t, "the disk works again", func() bool { return l.Failing() == NoGap && l.ring.used() == 0 })
+				eventually(t, "the disk works again", func() bool { return l.Failing() == NoGap && l.queue.usedBytes() == 0 })
 				put(20)
 				lost := l.Lost()
 				shut(t, l)
@@ -366,7 +366,7 @@
 	l, _ = open(t, o)
 	l.Put(sample(1))
 	shut(t, l)
-	if all, err := segments(o.Dir); err != nil || len(all) != 1 {
+	if all, err := listSegments(o.Dir); err != nil || len(all) != 1 {
 		t.Errorf("%v, %v", all, err)
 	}
 }
@@ -401,7 +401,7 @@
 		l.Put(sample(i))
 	}
 	shut(t, l)
-	all, err := segments(dir)
+	all, err := listSegments(dir)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -417,8 +417,8 @@
 		var at []int
 		for pos := headerSize; pos < len(b); {
 			at = append(at, pos)
-			_, size, what := frameAt(b[pos:], frameSeed(h.Nonce))
-			if what != intact {
+			_, size, what := parseFrame(b[pos:], frameSeed(h.Nonce))
+			if what != frameIntact {
 				t.Fatal("a store that was written is damaged")
 			}
 			pos += size
@@ -486,7 +486,7 @@
 				clear(b[from:to])
 				changed()
 			case "header": // one copy is enough
-				b[rapid.IntRange(0, headerCopy-1).Draw(rt, "at")] ^= 1
+				b[rapid.IntRange(0, headerCopySize-1).Draw(rt, "at")] ^= 1
 			case "remove":
 				b = nil
 				lose(0, len(frames))
@@ -538,12 +538,12 @@
 	last := len(files) - 1
 	path := filepath.Join(dir, files[last])
 	b := slices.Clone(data[last])
-	b[starts[last][2]+frameHead] ^= 0x10
+	b[starts[last][2]+framePrefixSize] ^= 0x10
 	if err := os.WriteFile(path, b, 0o600); err != nil {
 		t.Fatal(err)
 	}
 	l, found := open(t, options(dir))
-	if found.Aside != files[last]+aside || found.Last != 20 || found.Clean {
+	if found.SetAsideFile != files[last]+setAsideSuffix || found.LastSeq != 20 || found.Clean {
 		t.Errorf("%+v", found)
 	}
 	l.Put(sample(0))
@@ -559,7 +559,7 @@
 		t.Errorf("%+v", d)
 	}
 	// One of a newer format is left alone and told of.
-	all, err := segments(dir)
+	all, err := listSegments(dir)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -567,12 +567,12 @@
 	if b, err = os.ReadFile(path); err != nil {
 		t.Fatal(err)
 	}
-	b[6], b[headerCopy+6] = 2, 2
+	b[6], b[headerCopySize+6] = 2, 2
 	if err := os.WriteFile(path, b, 0o600); err != nil {
 		t.Fatal(err)
 	}
 	l, found = open(t, options(dir))
-	if found.Aside == "" || found.Leap == 0 {
+	if found.SetAsideFile == "" || found.SkippedNumbers == 0 {
 		t.Errorf("%+v", found)
 	}
 	l.Put(sample(5))
@@ -592,7 +592,7 @@
 	o := options(t.TempDir())
 	l, _ := open(t, o)
 	shut(t, l)
-	if l, found := open(t, o); !found.Clean || found.Last != 0 {
+	if l, found := open(t, o); !found.Clean || found.LastSeq != 0 {
 		t.Errorf("%+v", found)
 	} else {
 		shut(t, l)
@@ -621,22 +621,22 @@
 	f.Add(appendHeader(nil, &Header{}))
 	f.Fuzz(func(t *testing.T, b []byte) {
 		s := scanner{f: bytes.NewReader(b)}
-		if _, err := s.begin(); err != nil {
+		if _, err := s.readHeader(); err != nil {
 			return
 		}
 		end := int64(headerSize)
 		for {
 			p, at, skipped, err := s.next()
 			if err != nil {
-				if end+s.rest() != int64(len(b)) {
-					t.Fatalf("%d bytes: the last frame ends at %d, %d are left", len(b), end, s.rest())
+				if end+s.trailingBytes() != int64(len(b)) {
+					t.Fatalf("%d bytes: the last frame ends at %d, %d are left", len(b), end, s.trailingBytes())
 				}
 				return
 			}
 			if at-skipped != end {
 				t.Fatalf("a frame at %d behind %d bytes, the last ended at %d", at, skipped, end)
 			}
-			end = at + int64(frameHead+len(p))
+			end = at + int64(framePrefixSize+len(p))
 		}
 	})
 }
@@ -646,10 +646,10 @@
 	f.Add([]byte{0x08, 1})
 	f.Fuzz(func(t *testing.T, b []byte) {
 		var r, again Record
-		if decodeRecord(b, &r, 0, names{}) != nil {
+		if decodeRecord(b, &r, 0, internedStrings{}) != nil {
 			return
 		}
-		if err := decodeRecord(appendRecord(nil, &r, 0), &again, 0, names{}); err != nil {
+		if err := decodeRecord(appendRecord(nil, &r, 0), &again, 0, internedStrings{}); err != nil {
 			t.Fatalf("%+v: %v", r, err)
 		}
 	})
@@ -675,7 +675,7 @@
 	l, _ := open(b, o)
 	r := sample(1)
 	for b.Loop() {
-		for l.ring.used() > uint64(len(l.ring.buf))*3/4 {
+		for l.queue.usedBytes() > uint64(len(l.queue.buf))*3/4 {
 			time.Sleep(20 * time.Microsecond)
 		}
 		l.Put(r)
--- a/internal/record/recover.go
+++ b/internal/record/recover.go
@@ -11,11 +11,11 @@
 
 // A Recovery tells what a start found in its store.
 type Recovery struct {
-	Last  uint64 // number of the last record, 0: the store is new
+	LastSeq  uint64 // number of the last record, 0: the store is new
 	Clean bool   // the last start had ended in good order, or there was none
-	Cut   int64  // bytes of a torn tail that were cut off
-	Aside string // segment that was set aside
-	Leap  uint64 // numbers that it may have used beyond Last
+	TruncatedBytes   int64  // bytes of a torn tail that were cut off
+	SetAsideFile string // segment that was set aside
+	SkippedNumbers  uint64 // numbers that it may have used beyond Last
 
 	store uint64
 	kept  []keptFile
@@ -23,32 +23,32 @@
 
 // String implements fmt.Stringer.
 func (r Recovery) String() string {
-	s := fmt.Sprintf("last record %d", r.Last)
-	if r.Last == 0 {
+	s := fmt.Sprintf("last record %d", r.LastSeq)
+	if r.LastSeq == 0 {
 		s = "a new store"
 	} else if !r.Clean {
 		s += "; the last start did not end in good order"
 	}
-	if r.Cut > 0 {
-		s += fmt.Sprintf("; cut a torn tail of %d bytes", r.Cut)
+	if r.TruncatedBytes > 0 {
+		s += fmt.Sprintf("; cut a torn tail of %d bytes", r.TruncatedBytes)
 	}
-	if r.Aside != "" {
-		s += "; set aside " + r.Aside
+	if r.SetAsideFile != "" {
+		s += "; set aside " + r.SetAsideFile
 	}
 	return s
 }
 
-// leastFrame is the least that a record takes, by which a segment that cannot be read bounds
+// minFrameSize is the least that a record takes, by which a segment that cannot be read bounds
 // how many it held.
-const leastFrame = frameHead + 4
+const minFrameSize = framePrefixSize + 4
 
-// repair finds where a store ended and makes it fit to go on. Only the last segment can be
+// recoverStore finds where a store ended and makes it fit to go on. Only the last segment can be
 // torn: all others were synced before the next began. A torn tail is cut off. Damage with
 // intact frames behind it is no torn tail: the segment is set aside under another name, where
 // Readers still find what is intact, and so is one that cannot be read at all. Its numbers are
 // not used again.
-func repair(dir string) (r Recovery, err error) {
-	all, err := segments(dir)
+func recoverStore(dir string) (r Recovery, err error) {
+	all, err := listSegments(dir)
 	if err != nil {
 		return r, err
 	}
@@ -76,32 +76,32 @@
 			r.Clean = false
 			continue
 		case tail.unreadable != nil || tail.damaged:
-			r.Last = max(r.Last, tail.last)
+			r.LastSeq = max(r.LastSeq, tail.last)
 			if tail.unreadable != nil {
-				r.Last = max(r.Last, s.first-1)
+				r.LastSeq = max(r.LastSeq, s.first-1)
 			}
-			if !s.aside {
-				if err := os.Rename(path, path+aside); err != nil {
+			if !s.isSetAside {
+				if err := os.Rename(path, path+setAsideSuffix); err != nil {
 					return r, fmt.Errorf("record: %w", err)
 				}
-				s.name += aside
+				s.name += setAsideSuffix
 			}
-			r.Aside = s.name
-			r.Leap = uint64(max(size-tail.good, 0))/leastFrame + 1
+			r.SetAsideFile = s.name
+			r.SkippedNumbers = uint64(max(size-tail.good, 0))/minFrameSize + 1
 		default:
-			r.Last = max(r.Last, tail.last)
+			r.LastSeq = max(r.LastSeq, tail.last)
 			if tail.torn > 0 {
 				if err := os.Truncate(path, tail.good); err != nil {
 					return r, fmt.Errorf("record: %w", err)
 				}
-				r.Cut = tail.torn
+				r.TruncatedBytes = tail.torn
 			}
 		}
 		all[i].name = s.name
 		all = all[:i+1]
 		break
 	}
-	if r.Last == 0 && r.Aside == "" {
+	if r.LastSeq == 0 && r.SetAsideFile == "" {
 		r.Clean = true
 	}
 	for _, s := range all {
@@ -135,9 +135,9 @@
 		size = st.Size()
 	}
 	s := scanner{f: f}
-	if t.header, err = s.begin(); err != nil {
+	if t.header, err = s.readHeader(); err != nil {
 		var newer *VersionError
-		if errors.Is(err, errHeader) || errors.As(err, &newer) {
+		if errors.Is(err, errNoIntactHeader) || errors.As(err, &newer) {
 			t.unreadable = err
 			return size, t, nil
 		}
@@ -145,7 +145,7 @@
 	}
 	t.good = headerSize
 	var r Record
-	known := names{}
+	known := internedStrings{}
 	hole := false
 	for {
 		p, at, skipped, err := s.next()
@@ -166,7 +166,7 @@
 			t.last, t.kind = max(t.last, r.Seq), r.Kind
 		}
 		if !hole {
-			t.good = at + int64(frameHead+len(p))
+			t.good = at + int64(framePrefixSize+len(p))
 		}
 	}
 }
--- a/internal/record/scan.go
+++ b/internal/record/scan.go
@@ -5,28 +5,28 @@
 	"io"
 )
 
-// window is how much of a segment a scanner holds; it bounds a Reader's memory.
-const window = 256 << 10
+// scanBufferSize is how much of a segment a scanner holds; it bounds a Reader's memory.
+const scanBufferSize = 256 << 10
 
 // A scanner reads a segment frame by frame and, after damage, finds the next that is intact.
 type scanner struct {
 	f    io.Reader
 	buf  []byte
-	lo   int   // buf[lo:] is not read yet
-	at   int64 // of buf[lo] in the file
+	start   int   // buf[lo:] is not read yet
+	offset   int64 // of buf[lo] in the file
 	seed uint32
-	bad  int64 // bytes before it that are no frame
+	invalidBytes  int64 // bytes before it that are no frame
 	eof  bool  // nothing more could be read just now
 }
 
-// begin reads the header.
-func (s *scanner) begin() (Header, error) {
-	for len(s.buf)-s.lo < headerSize && !s.eof {
-		if err := s.more(); err != nil {
+// readHeader reads the header.
+func (s *scanner) readHeader() (Header, error) {
+	for len(s.buf)-s.start < headerSize && !s.eof {
+		if err := s.fill(); err != nil {
 			return Header{}, err
 		}
 	}
-	h, err := decodeHeader(s.buf[s.lo:])
+	h, err := decodeHeader(s.buf[s.start:])
 	if err == nil {
 		s.skip(headerSize)
 		s.seed = frameSeed(h.Nonce)
@@ -35,18 +35,18 @@
 }
 
 func (s *scanner) skip(n int) {
-	s.lo += n
-	s.at += int64(n)
+	s.start += n
+	s.offset += int64(n)
 }
 
-// more reads on; eof is set where nothing came.
-func (s *scanner) more() error {
+// fill reads on; eof is set where nothing came.
+func (s *scanner) fill() error {
 	if s.buf == nil {
-		s.buf = make([]byte, 0, window)
+		s.buf = make([]byte, 0, scanBufferSize)
 	}
-	if s.lo > 0 {
-		s.buf = s.buf[:copy(s.buf, s.buf[s.lo:])]
-		s.lo = 0
+	if s.start > 0 {
+		s.buf = s.buf[:copy(s.buf, s.buf[s.start:])]
+		s.start = 0
 	}
 	n, err := s.f.Read(s.buf[len(s.buf):cap(s.buf)])
 	s.buf = s.buf[:len(s.buf)+n]
@@ -64,32 +64,32 @@
 func (s *scanner) next() (p []byte, at, skipped int64, err error) {
 	s.eof = false
 	for {
-		p, size, what := frameAt(s.buf[s.lo:], s.seed)
-		if what == short && s.eof {
+		p, size, what := parseFrame(s.buf[s.start:], s.seed)
+		if what == frameIncomplete && s.eof {
 			// Half a frame, or damage whose length points past the end: then there may be an
 			// intact frame behind it.
 			ahead := s.ahead()
 			if ahead == 0 {
-				return nil, s.at, 0, io.EOF
+				return nil, s.offset, 0, io.EOF
 			}
 			s.pass(ahead)
 			continue
 		}
 		switch what {
-		case intact:
-			at, skipped = s.at, s.bad
+		case frameIntact:
+			at, skipped = s.offset, s.invalidBytes
 			s.skip(size)
-			s.bad = 0
+			s.invalidBytes = 0
 			return p, at, skipped, nil
-		case broken:
-			i := bytes.IndexByte(s.buf[s.lo+1:], markA)
+		case frameInvalid:
+			i := bytes.IndexByte(s.buf[s.start+1:], frameMark0)
 			if i < 0 {
-				i = len(s.buf) - s.lo - 1
+				i = len(s.buf) - s.start - 1
 			}
 			s.pass(1 + i)
-		case short:
-			if err := s.more(); err != nil {
-				return nil, s.at, 0, err
+		case frameIncomplete:
+			if err := s.fill(); err != nil {
+				return nil, s.offset, 0, err
 			}
 		}
 	}
@@ -98,19 +98,19 @@
 // pass goes past bytes that are no frame.
 func (s *scanner) pass(n int) {
 	s.skip(n)
-	s.bad += int64(n)
+	s.invalidBytes += int64(n)
 }
 
 // ahead finds an intact frame behind the place in what is read, 0 if there is none.
 func (s *scanner) ahead() int {
-	rest := s.buf[s.lo:]
+	rest := s.buf[s.start:]
 	for i := 1; i < len(rest); i++ {
-		if _, _, what := frameAt(rest[i:], s.seed); what == intact {
+		if _, _, what := parseFrame(rest[i:], s.seed); what == frameIntact {
 			return i
 		}
 	}
 	return 0
 }
 
-// rest is how many bytes at the end of the file are no frame.
-func (s *scanner) rest() int64 { return s.bad + int64(len(s.buf)-s.lo) }
+// trailingBytes is how many bytes at the end of the file are no frame.
+func (s *scanner) trailingBytes() int64 { return s.invalidBytes + int64(len(s.buf)-s.start) }
--- a/internal/record/union.go
+++ b/internal/record/union.go
@@ -28,7 +28,7 @@
 func Find(paths ...string) ([]Store, error) {
 	var dirs []string
 	for _, path := range paths {
-		all, err := segments(path)
+		all, err := listSegments(path)
 		if err != nil {
 			return nil, err
 		}
@@ -46,26 +46,26 @@
 			if st, err := os.Stat(sub); err != nil || !st.IsDir() {
 				continue
 			}
-			if all, err := segments(sub); err == nil && (len(all) > 0 || holds(sub)) {
+			if all, err := listSegments(sub); err == nil && (len(all) > 0 || hasLockFile(sub)) {
 				dirs = append(dirs, sub)
-			} else if nested := filepath.Join(sub, "records"); holds(nested) { // as the agent lays instances out
+			} else if nested := filepath.Join(sub, "records"); hasLockFile(nested) { // as the agent lays instances out
 				dirs = append(dirs, nested)
 			}
 		}
-		if found == len(dirs) && holds(path) {
+		if found == len(dirs) && hasLockFile(path) {
 			dirs = append(dirs, path)
 		}
 	}
-	return group(dirs)
+	return groupCopies(dirs)
 }
 
-// holds tells whether a folder is a store, though it may have no segment yet.
-func holds(dir string) bool {
-	_, err := os.Stat(filepath.Join(dir, lockName))
+// hasLockFile tells whether a folder is a store, though it may have no segment yet.
+func hasLockFile(dir string) bool {
+	_, err := os.Stat(filepath.Join(dir, lockFileName))
 	return err == nil
 }
 
-func group(dirs []string) ([]Store, error) {
+func groupCopies(dirs []string) ([]Store, error) {
 	var stores []Store
 	seen := make(map[string]bool)
 	for _, dir := range dirs {
@@ -76,7 +76,7 @@
 			seen[real] = true
 		}
 		s := Store{Dirs: []string{dir}, Live: Live(dir)}
-		all, err := segments(dir)
+		all, err := listSegments(dir)
 		if err != nil {
 			return nil, err
 		}
@@ -86,7 +86,7 @@
 				s.Bytes += st.Size()
 			}
 			if s.ID == 0 {
-				s.Name, s.ID = whose(filepath.Join(dir, g.name))
+				s.Name, s.ID = readStoreIdentity(filepath.Join(dir, g.name))
 			}
 		}
 		i := slices.IndexFunc(stores, func(o Store) bool { return s.ID != 0 && o.ID == s.ID })
@@ -102,8 +102,8 @@
 	return stores, nil
 }
 
-// whose reads a segment's header.
-func whose(path string) (name string, id uint64) {
+// readStoreIdentity reads a segment's header.
+func readStoreIdentity(path string) (name string, id uint64) {
 	f, err := os.Open(path)
 	if err != nil {
 		return "", 0
@@ -123,7 +123,7 @@
 // A Union reads the copies of one store as one: a record that any of them has is there, and
 // a gap is left only where all of them have one.
 type Union struct {
-	from      []*copied
+	from      []*storeCopy
 	last      uint64
 	lastAt    Time
 	begun     bool
@@ -131,7 +131,7 @@
 	conflicts uint64
 }
 
-type copied struct {
+type storeCopy struct {
 	r    *Reader
 	head Record
 	h    Header
@@ -146,7 +146,7 @@
 		if err != nil {
 			return nil, errors.Join(err, u.Close())
 		}
-		u.from = append(u.from, &copied{r: r})
+		u.from = append(u.from, &storeCopy{r: r})
 	}
 	return u, nil
 }
@@ -185,7 +185,7 @@
 
 // Next reads the next record, io.EOF at the end of all copies, as Reader.Next.
 func (u *Union) Next(rec *Record) error {
-	var best *copied
+	var best *storeCopy
 	for _, c := range u.from {
 		if err := u.fill(c); err != nil {
 			return err
@@ -229,7 +229,7 @@
 }
 
 // fill reads a copy's next record that is not passed yet.
-func (u *Union) fill(c *copied) error {
+func (u *Union) fill(c *storeCopy) error {
 	for {
 		if c.full && u.begun && c.head.Seq <= u.last {
 			c.full = false
@@ -254,10 +254,10 @@
 // A Merger reads several stores as one, in the order of their own clocks: what two instances'
 // clocks say of an order between them is for internal/incident to judge.
 type Merger struct {
-	from []*merged
+	from []*storeInput
 }
 
-type merged struct {
+type storeInput struct {
 	u    *Union
 	head Record
 	h    Header
@@ -272,7 +272,7 @@
 		if err != nil {
 			return nil, errors.Join(err, m.Close())
 		}
-		m.from = append(m.from, &merged{u: u})
+		m.from = append(m.from, &storeInput{u: u})
 	}
 	return m, nil
 }
@@ -287,7 +287,7 @@
 
 // Next reads the next record and the header that it came under, io.EOF at the end of all.
 func (m *Merger) Next(rec *Record, h *Header) error {
-	var best *merged
+	var best *storeInput
 	for _, s := range m.from {
 		if !s.full {
 			err := s.u.Next(&s.head)
