--- a/internal/record/doc.go
+++ b/internal/record/doc.go
@@ -1,12 +1,13 @@
-// Package record keeps what happened in an instance on disk and reads it back.
+// Package record stores the events of an instance on disk and reads them back.
 //
-// A store is a folder that one process at a time writes to (Log) and any number read
-// (Reader), also while it is written. It consists of segments, files that are only ever
-// appended to. A segment begins with a header, kept twice, and goes on with frames; a frame
-// holds one Record as protobuf (record.proto) with its length and a CRC32C. Every record has
-// a sequence number; numbers never repeat, and a number is skipped only by a gap record that
-// stands in its place and names what is lost and why.
+// A store is a directory that one process at a time writes to (Log) and any number of processes read (Reader), also
+// while it is written. It consists of segments: files to which records are only appended. A segment begins with a
+// header, stored twice, followed by frames. A frame holds one Record as protobuf (record.proto) with its size and a
+// CRC32C. Each record has a sequence number. Sequence numbers never repeat; where records are lost, a gap record
+// stands for their range and names the cause.
 //
-// The package owns the codec, the queue between the loop and the disk, recovery at start
-// and retention. It never judges what it keeps: analysis is in internal/incident.
+// The package owns the encoding (codec.go, header.go, frame.go, names.go), the queue between event loop and disk
+// (ring.go), the writer with retention (writer.go, commit.go, retention.go), the recovery at start (recover.go), and
+// the readers of one store, of its copies and of many stores (reader.go, union.go, merge.go). It never interprets
+// what it stores: that is the subject of internal/incident.
 package record
--- a/internal/record/golden_test.go
+++ b/internal/record/golden_test.go
@@ -34,12 +34,12 @@
 	add(Record{Kind: KindConfig, By: "class", Class: "voice", Wait: time.Second, Took: 3 * time.Second})
 	add(Record{Kind: KindConfig, By: "cold", Wait: 30 * time.Second, Value: 0.25})
 	add(Record{Kind: KindConfig, By: "settings", Text: `{"groupSize":1}`})
-	for code := range uint8(len(serverPhaseNames) + 1) { // the last is one that a newer program may write
+	for code := range uint8(len(phaseNames) + 1) { // the last is one that a newer program may write
 		add(Record{Kind: KindServer, Server: "s-1", Code: code, Pool: int(code) - 1, Flag: code == 0, Since: wall - time.Minute, Text: "127.0.0.1:9"})
 	}
 	add(Record{Kind: KindSetUp, Call: "0123456789abcdef", Class: "voice", Number: "+56 2 2555 0100", Pool: -1, Wait: 3 * time.Second, Text: "7b3cbfb4b82e4e7b"})
 	add(Record{Kind: KindSetUp, Call: "c-2", Class: "alarm", Number: "133\xff", Pool: 2, Flag: true})
-	for code := range uint8(len(decisionNames) + 1) {
+	for code := range uint8(len(moveNames) + 1) {
 		add(Record{Kind: KindOrder, Call: "0123456789abcdef", Code: code, Server: "s-1", Wait: 500 * time.Millisecond, Text: "no_server"})
 	}
 	add(Record{Kind: KindTry, Call: "0123456789abcdef", Server: "s-1", Attempt: 1, Wait: 500 * time.Millisecond})
@@ -169,12 +169,12 @@
 	}
 	out := appendHeader(nil, h)
 	for rest := raw[headerSize:]; len(rest) > 0; {
-		payload, size, what := parseFrame(rest, frameSeed(old.Nonce))
-		if what != frameIntact {
+		payload, status := parseFrame(rest, frameSeed(old.Nonce))
+		if status != frameIntact {
 			t.Fatalf("no intact frame %d bytes before the end", len(rest))
 		}
 		out = appendFrame(out, payload, frameSeed(h.Nonce))
-		rest = rest[size:]
+		rest = rest[frameSize(payload):]
 	}
 	return out
 }
--- a/internal/record/reader.go
+++ b/internal/record/reader.go
@@ -8,276 +8,208 @@
 	"path/filepath"
 )
 
-// A Damage is a place in a store where records are lost or bytes are no record.
-type Damage struct {
-	File   string   `json:"file"`
-	Offset int64    `json:"offset"`         // in bytes; -1: the whole file
-	Bytes  int64    `json:"bytes"`          // that are no record
-	From   uint64   `json:"from,omitempty"` // numbers that are lost; 0: none, or not known
-	To     uint64   `json:"to,omitempty"`
-	Cause  GapCause `json:"cause"`
-	Text   string   `json:"text"`
-}
-
-// mostDamages bounds the list of them; behind it they are only counted.
-const mostDamages = 1000
-
-// A Reader reads a store's records in the order of their numbers, also while it is written.
-// Where records are lost it returns gap records of its own, so that numbers never skip.
-// A segment that retention removes while it is being read is a gap only if it was not read yet.
+// A Reader reads the records of a store in the order of their sequence numbers, also while the store is written. It
+// returns gap records of its own where records are lost, so that sequence numbers never skip. A segment that
+// retention removes while it is read is a gap only if it was not open yet. A Reader belongs to one goroutine.
 type Reader struct {
-	dir    string
-	queue  []segment // not read yet
-	cur    *os.File
-	seg    segment
-	scan   scanner
-	header Header
-	names  internedStrings
+	dir     string
+	pending []segment // segments to be read after the open one
+	strings internedStrings
+
+	// The segment that was opened last.
+	file    *os.File // nil: closed
+	segment segment
+	scan    scanner
+	header  Header
+
+	position  readPosition
+	decoded   Record  // the record read last, before take decides about it
+	following *Record // the record behind a gap that was returned, nil: none
+
+	damages    damageList
+	duplicates uint64
+}
 
-	last    uint64 // number of the last record that was returned
-	lastAt  Time   // its time
-	begun   bool
-	ahead   *Record // to be returned behind a gap
-	cause   GapCause
-	where   string
-	damages []Damage
-	more    int // damages past the list
-	twice   uint64
-	record  Record
+// A readPosition is the last record that was returned.
+type readPosition struct {
+	isKnown bool // false: nothing was returned, and it is not known where the store begins
+	seq     uint64
+	at      Time
 }
 
-// OpenDir opens a store for reading. A folder without segments is a store without records.
+// OpenDir opens a store for reading. A directory without segments is a store without records.
 func OpenDir(dir string) (*Reader, error) {
-	r := &Reader{dir: dir, names: internedStrings{}}
-	var err error
-	if r.queue, err = listSegments(dir); err != nil {
+	pending, err := listSegments(dir)
+	if err != nil {
 		return nil, err
 	}
-	return r, nil
+	return &Reader{dir: dir, pending: pending, strings: internedStrings{}}, nil
 }
 
-// Dir is the store's folder.
+// Dir returns the directory of the store.
 func (r *Reader) Dir() string { return r.dir }
 
-// Header is that of the segment that the last record came from.
+// Header returns the header of the segment that the last record came from.
 func (r *Reader) Header() Header { return r.header }
 
-// Damages are the places found so far where something is wrong, and how many more there were
-// than the list holds.
-func (r *Reader) Damages() (list []Damage, more int) { return r.damages, r.more }
+// Damages returns the damages detected so far, and how many more there were than the list holds.
+func (r *Reader) Damages() (list []Damage, more int) { return r.damages.list, r.damages.omitted }
 
-// Twice is how many records were there more than once and passed over.
-func (r *Reader) Twice() uint64 { return r.twice }
+// Twice returns how many records were ignored because they were stored more than once.
+func (r *Reader) Twice() uint64 { return r.duplicates }
 
-// Close closes the file that is open.
+// Torn returns the bytes at the end of the open segment that are not a record. In a store that is being written they
+// may become one, in any other they are a torn tail. size is 0 if there are none.
+func (r *Reader) Torn() (file string, offset, size int64) {
+	if r.file == nil {
+		return "", 0, 0
+	}
+	return r.segment.name, r.scan.trailingOffset(), r.scan.trailingBytes()
+}
+
+// Close closes the open segment.
 func (r *Reader) Close() error {
-	if r.cur == nil {
+	if r.file == nil {
 		return nil
 	}
-	err := r.cur.Close()
-	r.cur = nil
+	err := r.file.Close()
+	r.file = nil
 	return err
 }
 
-// Next reads the next record; it stays valid. At the end it returns io.EOF, and where the
-// store is still written Next may be called again later on.
+// Next reads the next record into rec, which stays valid. At the end it returns io.EOF; if the store is still being
+// written, Next may be called again later.
 func (r *Reader) Next(rec *Record) error {
 	for {
-		if r.ahead != nil {
-			*rec, r.ahead = *r.ahead, nil
-			r.took(rec)
+		if r.following != nil {
+			*rec = *r.following
+			r.following = nil
+			r.returned(rec)
 			return nil
 		}
-		if r.cur == nil {
-			if err := r.open(); err != nil {
-				return err
-			}
-		}
-		p, at, skipped, err := r.scan.next()
-		if errors.Is(err, io.EOF) {
-			next, err := r.newer()
-			if err != nil {
+		if r.file == nil {
+			if err := r.openNextSegment(); err != nil {
 				return err
 			}
-			if !next {
-				return io.EOF
-			}
-			// There is a later segment: nothing more comes in this one, but what came since.
-			if p, at, skipped, err = r.scan.next(); errors.Is(err, io.EOF) {
-				if err := r.leave(); err != nil {
-					return err
-				}
-				continue
-			} else if err != nil {
-				return fmt.Errorf("record: %s: %w", r.path(), err)
-			}
-		} else if err != nil {
-			return fmt.Errorf("record: %s: %w", r.path(), err)
-		}
-		if skipped > 0 {
-			r.damaged(Damage{File: r.seg.name, Offset: at - skipped, Bytes: skipped, Cause: Damaged, Text: "no intact records"})
 		}
-		if decodeRecord(p, &r.record, r.header.Wall, r.names) != nil {
-			r.damaged(Damage{File: r.seg.name, Offset: at, Bytes: int64(framePrefixSize + len(p)), Cause: Damaged, Text: "a frame that holds no record"})
+		frame, err := r.nextFrame()
+		if errors.Is(err, errSegmentEnd) {
 			continue
 		}
-		if r.take(rec) {
+		if err != nil {
+			return err
+		}
+		if r.decode(&frame) && r.take(rec) {
 			return nil
 		}
 	}
 }
 
-// take decides what becomes of r.record: it is returned, behind a gap where numbers are
-// missing, or passed over if it was there before.
-func (r *Reader) take(rec *Record) bool {
-	first := r.record.Seq
-	if r.record.Kind == KindGap {
-		first = r.record.From
+// errSegmentEnd is returned by nextFrame when it has closed a segment that was read to its end.
+var errSegmentEnd = errors.New("record: end of the segment")
+
+// nextFrame returns the next frame of the open segment. At its end it returns io.EOF if it is the last segment, and
+// errSegmentEnd otherwise.
+func (r *Reader) nextFrame() (scannedFrame, error) {
+	frame, err := r.scan.next()
+	if !errors.Is(err, io.EOF) {
+		return frame, r.readError(err)
 	}
-	switch {
-	case r.begun && r.record.Seq <= r.last:
-		r.twice++ // written again after a failed sync
-		return false
-	case r.begun && r.record.Kind == KindGap && first <= r.last:
-		// A gap that recovery wrote for a segment of which some is intact after all.
-		r.record.From = r.last + 1
-	case r.begun && first > r.last+1:
-		gap := Record{Kind: KindGap, From: r.last + 1, Seq: first - 1, At: r.record.At, Since: r.lastAt, Code: uint8(Missing), Text: r.where}
-		if r.cause != NoGap {
-			gap.Code = uint8(r.cause)
-		}
-		if gap.Since > gap.At || gap.Since == 0 { // the clock was set back between two starts, or nothing is known from before
-			gap.Since = gap.At
-		}
-		if n := len(r.damages); n > 0 && r.more == 0 && r.cause != NoGap && r.damages[n-1].From == 0 {
-			r.damages[n-1].From, r.damages[n-1].To = gap.From, gap.Seq
-		} else if r.cause == NoGap {
-			r.damaged(Damage{File: r.seg.name, Offset: -1, From: gap.From, To: gap.Seq, Cause: Missing, Text: "the records before it are not there"})
-		}
-		next := r.record
-		r.ahead = &next
-		*rec = gap
-		r.took(rec)
-		return true
+	hasNewer, err := r.findNewerSegments()
+	if err != nil {
+		return scannedFrame{}, err
 	}
-	*rec = r.record
-	r.took(rec)
-	return true
-}
-
-// took notes what is returned.
-func (r *Reader) took(rec *Record) {
-	r.begun, r.last, r.lastAt = true, rec.Seq, rec.At
-	r.cause, r.where = NoGap, ""
+	if !hasNewer {
+		return scannedFrame{}, io.EOF
+	}
+	// A later segment exists, so this one does not grow any more. What was added since the first attempt counts.
+	frame, err = r.scan.next()
+	if !errors.Is(err, io.EOF) {
+		return frame, r.readError(err)
+	}
+	if err := r.finishSegment(); err != nil {
+		return scannedFrame{}, err
+	}
+	return scannedFrame{}, errSegmentEnd
 }
 
-func (r *Reader) path() string { return filepath.Join(r.dir, r.seg.name) }
-
-// damaged notes a damage and lets the next gap name it as its cause.
-func (r *Reader) damaged(d Damage) {
-	r.cause, r.where = d.Cause, d.File
-	if len(r.damages) >= mostDamages {
-		r.more++
-		return
+// readError adds the path of the open segment to an error of its file.
+func (r *Reader) readError(err error) error {
+	if err == nil {
+		return nil
 	}
-	r.damages = append(r.damages, d)
+	return fmt.Errorf("record: %s: %w", filepath.Join(r.dir, r.segment.name), err)
 }
 
-// newer looks for segments behind the one at hand, and tells whether there are any.
-func (r *Reader) newer() (bool, error) {
-	if len(r.queue) > 0 {
-		return true, nil
+// decode decodes a frame into r.decoded and reports whether it holds a record. It notes the damages.
+func (r *Reader) decode(frame *scannedFrame) bool {
+	if frame.skippedBytes > 0 {
+		r.damages.add(Damage{
+			File:   r.segment.name,
+			Offset: frame.offset - frame.skippedBytes,
+			Bytes:  frame.skippedBytes,
+			Cause:  Damaged,
+			Text:   "no intact records",
+		})
 	}
-	all, err := listSegments(r.dir)
-	if err != nil {
-		return false, err
-	}
-	for _, s := range all {
-		if s.name > r.seg.name && !(s.first == r.seg.first && s.boot == r.seg.boot && s.index == r.seg.index) {
-			r.queue = append(r.queue, s)
-		}
+	if decodeRecord(frame.payload, &r.decoded, r.header.Wall, r.strings) == nil {
+		return true
 	}
-	return len(r.queue) > 0, nil
+	r.damages.add(Damage{
+		File:   r.segment.name,
+		Offset: frame.offset,
+		Bytes:  int64(frameSize(frame.payload)),
+		Cause:  Damaged,
+		Text:   "a frame that holds no record",
+	})
+	return false
 }
 
-// leave closes the segment at hand.
-func (r *Reader) leave() error {
-	if n := r.scan.trailingBytes(); n > 0 {
-		r.damaged(Damage{File: r.seg.name, Offset: r.scan.offset - r.scan.invalidBytes, Bytes: n, Cause: Damaged, Text: "a torn tail"})
+// take decides about r.decoded: it is returned, or returned behind a gap where sequence numbers are missing, or
+// ignored if it was returned before. It reports whether rec was set.
+func (r *Reader) take(rec *Record) bool {
+	first := r.decoded.firstSeq()
+	switch {
+	case !r.position.isKnown:
+		*rec = r.decoded
+	case r.decoded.Seq <= r.position.seq:
+		r.duplicates++ // written again after a failed sync
+		return false
+	case first > r.position.seq+1:
+		*rec = r.gapBefore(first)
+		following := r.decoded
+		r.following = &following
+	default:
+		*rec = r.decoded
+		if rec.Kind == KindGap {
+			// Recovery wrote the gap for a segment of which a part is intact after all.
+			rec.From = r.position.seq + 1
+		}
 	}
-	return r.Close()
+	r.returned(rec)
+	return true
 }
 
-// Torn is how many bytes at the end of the segment at hand are no record: of a store that
-// is written they may become one, of any other they are a torn tail.
-func (r *Reader) Torn() (file string, offset, n int64) {
-	if r.cur == nil {
-		return "", 0, 0
+// gapBefore returns the gap between the last record returned and r.decoded, which begins with number first.
+func (r *Reader) gapBefore(first uint64) Record {
+	gap := Record{
+		Kind:  KindGap,
+		From:  r.position.seq + 1,
+		Seq:   first - 1,
+		At:    r.decoded.At,
+		Since: r.position.at,
 	}
-	return r.seg.name, r.scan.offset - r.scan.invalidBytes, r.scan.trailingBytes()
-}
-
-// start notes the segment at hand. The name of the first one tells where the store begins, though nothing
-// of its beginning may be intact.
-func (r *Reader) start(s segment) {
-	r.seg = s
-	if !r.begun && s.first > 0 {
-		r.begun, r.last = true, s.first-1
+	hasClockGoneBack := gap.Since > gap.At // between two runs
+	isStartUnknown := gap.Since == 0
+	if hasClockGoneBack || isStartUnknown {
+		gap.Since = gap.At
 	}
+	r.damages.explainGap(&gap, r.segment.name)
+	return gap
 }
 
-// open opens the next segment that can be read.
-func (r *Reader) open() error {
-	for {
-		if len(r.queue) == 0 {
-			if more, err := r.newer(); err != nil || !more {
-				if err == nil {
-					err = io.EOF
-				}
-				return err
-			}
-		}
-		s := r.queue[0]
-		f, err := os.Open(filepath.Join(r.dir, s.name))
-		if errors.Is(err, os.ErrNotExist) {
-			// Retention was faster, or recovery has set it aside: the list is read anew.
-			r.queue = r.queue[1:]
-			if f, err = os.Open(filepath.Join(r.dir, s.name+setAsideSuffix)); err != nil {
-				r.seg = s
-				continue
-			}
-			s.name += setAsideSuffix
-		} else if err != nil {
-			return fmt.Errorf("record: %w", err)
-		} else {
-			r.queue = r.queue[1:]
-		}
-		scan := scanner{f: f, buf: r.scan.buf[:0]}
-		h, err := scan.readHeader()
-		if err != nil {
-			size := int64(0)
-			if st, err := f.Stat(); err == nil {
-				size = st.Size()
-			}
-			_ = f.Close()
-			var newer *VersionError
-			switch {
-			case errors.As(err, &newer):
-				r.damaged(Damage{File: s.name, Offset: -1, Bytes: size, Cause: NewerFormat, Text: newer.Error()})
-			case !errors.Is(err, errNoIntactHeader):
-				return fmt.Errorf("record: %s: %w", filepath.Join(r.dir, s.name), err)
-			case size < headerSize && len(r.queue) == 0 && !s.isSetAside:
-				// It is being made just now; it is looked at again.
-				r.queue = append(r.queue, s)
-				return io.EOF
-			default:
-				r.damaged(Damage{File: s.name, Offset: 0, Bytes: size, Cause: Damaged, Text: "no intact header"})
-			}
-			r.start(s)
-			continue
-		}
-		r.start(s)
-		r.cur, r.scan, r.header = f, scan, h
-		return nil
-	}
+// returned notes the record that Next returns.
+func (r *Reader) returned(rec *Record) {
+	r.position = readPosition{isKnown: true, seq: rec.Seq, at: rec.At}
+	r.damages.recordReturned()
 }
--- a/internal/record/record_test.go
+++ b/internal/record/record_test.go
@@ -273,7 +273,7 @@
 				lines, r := readAll(t, o.Dir)
 				check(t, lines, i, lost, c.cause)
 				// What is left of the failure is damage in a file, never records twice or out of order.
-				for _, g := range r.damages {
+				for _, g := range r.damages.list {
 					if g.From > 0 {
 						t.Errorf("the reader misses records itself: %+v", g)
 					}
@@ -417,11 +417,11 @@
 		var at []int
 		for pos := headerSize; pos < len(b); {
 			at = append(at, pos)
-			_, size, what := parseFrame(b[pos:], frameSeed(h.Nonce))
-			if what != frameIntact {
+			payload, status := parseFrame(b[pos:], frameSeed(h.Nonce))
+			if status != frameIntact {
 				t.Fatal("a store that was written is damaged")
 			}
-			pos += size
+			pos += frameSize(payload)
 		}
 		files, data, starts = append(files, s.name), append(data, b), append(starts, at)
 	}
@@ -577,8 +577,8 @@
 	}
 	l.Put(sample(5))
 	shut(t, l)
-	if _, r = readAll(t, dir); len(r.damages) != 2 || r.damages[1].Cause != NewerFormat || !strings.Contains(r.damages[1].Text, "version 2") {
-		t.Errorf("%+v", r.damages)
+	if _, r = readAll(t, dir); len(r.damages.list) != 2 || r.damages.list[1].Cause != NewerFormat || !strings.Contains(r.damages.list[1].Text, "version 2") {
+		t.Errorf("%+v", r.damages.list)
 	}
 }
 
@@ -620,23 +620,23 @@
 	f.Add(slices.Concat(b[:headerSize+20], b[headerSize:]))
 	f.Add(appendHeader(nil, &Header{}))
 	f.Fuzz(func(t *testing.T, b []byte) {
-		s := scanner{f: bytes.NewReader(b)}
+		s := scanner{file: bytes.NewReader(b)}
 		if _, err := s.readHeader(); err != nil {
 			return
 		}
 		end := int64(headerSize)
 		for {
-			p, at, skipped, err := s.next()
+			frame, err := s.next()
 			if err != nil {
 				if end+s.trailingBytes() != int64(len(b)) {
 					t.Fatalf("%d bytes: the last frame ends at %d, %d are left", len(b), end, s.trailingBytes())
 				}
 				return
 			}
-			if at-skipped != end {
-				t.Fatalf("a frame at %d behind %d bytes, the last ended at %d", at, skipped, end)
+			if frame.offset-frame.skippedBytes != end {
+				t.Fatalf("a frame at %d behind %d bytes, the last ended at %d", frame.offset, frame.skippedBytes, end)
 			}
-			end = at + int64(framePrefixSize+len(p))
+			end = frame.end()
 		}
 	})
 }
--- /dev/null
+++ b/internal/record/retention.go
@@ -0,0 +1,53 @@
+package record
+
+import (
+	"errors"
+	"os"
+	"time"
+)
+
+// maxSegments bounds the segments of a store: a program that restarts every second must not fill the directory with
+// small files.
+const maxSegments = 1024
+
+// A closedSegment is a segment that is no longer written.
+type closedSegment struct {
+	name         string
+	size         int64
+	lastModified time.Time
+}
+
+// The closedSegments of a store, the oldest first.
+type closedSegments struct {
+	files []closedSegment
+}
+
+// add appends a segment that is closed now.
+func (c *closedSegments) add(name string, size int64) {
+	c.files = append(c.files, closedSegment{name: name, size: size, lastModified: time.Now()})
+}
+
+// makeRoom removes the oldest segments until the bounds of the options hold with one full segment more. If a segment
+// cannot be removed, it returns the error, and nothing may be written.
+func (c *closedSegments) makeRoom(o *Options) error {
+	total := o.Segment
+	for _, s := range c.files {
+		total += s.size
+	}
+	now := time.Now()
+	for len(c.files) > 0 {
+		oldest := c.files[0]
+		isTooLarge := total > o.Total
+		isTooMany := len(c.files) >= maxSegments
+		isTooOld := o.Age != 0 && now.Sub(oldest.lastModified) > o.Age
+		if !isTooLarge && !isTooMany && !isTooOld {
+			return nil
+		}
+		if err := o.Disk.Remove(oldest.name); err != nil && !errors.Is(err, os.ErrNotExist) {
+			return err
+		}
+		total -= oldest.size
+		c.files = c.files[1:]
+	}
+	return nil
+}
--- a/internal/record/ring.go
+++ b/internal/record/ring.go
@@ -5,62 +5,71 @@
 	"sync/atomic"
 )
 
-// A ringQueue carries payloads from one goroutine, the event loop, to one other, the writer. It
-// takes no lock: the loop moves tail, the writer moves head, and each only reads the
-// other's. What the writer has read stays in the ringQueue until it says that it is safe, so a
-// disk that fails between write and sync loses nothing that is still in memory.
+// lengthSize is the size in bytes of the length that precedes a payload in a ringQueue.
+const lengthSize = 2
+
+// A ringQueue is a lock-free queue of payloads in a ring buffer, from one producer, the event loop, to one consumer,
+// the writer. The producer advances appended, the consumer advances released, and each only reads the other's. A
+// payload that was read stays in the queue until its position is released, so a disk that fails between write and
+// sync loses nothing that is still in memory.
 type ringQueue struct {
-	buf  []byte // its length is a power of two
-	mask uint64
-	released atomic.Uint64 // bytes that are safe
-	appended atomic.Uint64 // bytes that were put in
+	buf      []byte        // its length is a power of two
+	mask     uint64        // len(buf) - 1
+	released atomic.Uint64 // position up to which the room is free again
+	appended atomic.Uint64 // position behind the last payload
 }
 
-func newRingQueue(size int) *ringQueue {
-	n := 1
-	for n < size {
-		n <<= 1
+// newRingQueue returns a queue of at least minSize bytes.
+func newRingQueue(minSize int) *ringQueue {
+	size := 1
+	for size < minSize {
+		size <<= 1
 	}
-	return &ringQueue{buf: make([]byte, n), mask: uint64(n - 1)}
+	return &ringQueue{buf: make([]byte, size), mask: uint64(size - 1)}
 }
 
-// usedBytes is how many bytes are not safe yet.
-func (r *ringQueue) usedBytes() uint64 { return r.appended.Load() - r.released.Load() }
+// size returns the capacity in bytes.
+func (q *ringQueue) size() uint64 { return uint64(len(q.buf)) }
+
+// usedBytes returns how many bytes are not released.
+func (q *ringQueue) usedBytes() uint64 { return q.appended.Load() - q.released.Load() }
 
-// append appends a payload and tells whether there was room.
-func (r *ringQueue) append(p []byte) bool {
-	tail := r.appended.Load()
-	need := uint64(2 + len(p))
-	if tail+need-r.released.Load() > uint64(len(r.buf)) {
+// append adds a payload and reports whether there was room for it. Only the producer calls it.
+func (q *ringQueue) append(payload []byte) bool {
+	position := q.appended.Load()
+	end := position + uint64(lengthSize+len(payload))
+	if end-q.released.Load() > q.size() {
 		return false
 	}
-	var size [2]byte
-	binary.LittleEndian.PutUint16(size[:], uint16(len(p)))
-	r.copyIn(tail, size[:])
-	r.copyIn(tail+2, p)
-	r.appended.Store(tail + need)
+	var length [lengthSize]byte
+	binary.LittleEndian.PutUint16(length[:], uint16(len(payload)))
+	q.copyIn(position, length[:])
+	q.copyIn(position+lengthSize, payload)
+	q.appended.Store(end)
 	return true
 }
 
-func (r *ringQueue) copyIn(at uint64, p []byte) {
-	n := copy(r.buf[at&r.mask:], p)
-	copy(r.buf, p[n:])
+// read copies the payload at a position into buffer and returns it with the position of the next payload. ok is
+// false at the end of the queue. Only the consumer calls it.
+func (q *ringQueue) read(position uint64, buffer []byte) (payload []byte, next uint64, ok bool) {
+	if position == q.appended.Load() {
+		return nil, position, false
+	}
+	var length [lengthSize]byte
+	q.copyOut(position, length[:])
+	payload = buffer[:binary.LittleEndian.Uint16(length[:])]
+	q.copyOut(position+lengthSize, payload)
+	return payload, position + lengthSize + uint64(len(payload)), true
 }
 
-func (r *ringQueue) copyOut(at uint64, p []byte) {
-	n := copy(p, r.buf[at&r.mask:])
-	copy(p[n:], r.buf)
+// copyIn copies b into the buffer from a position on, past its end if need be.
+func (q *ringQueue) copyIn(position uint64, b []byte) {
+	n := copy(q.buf[position&q.mask:], b)
+	copy(q.buf, b[n:])
 }
 
-// read returns the payload read a position, into scratch, and the position behind it; ok is
-// false read the tail. Only the writer may ask.
-func (r *ringQueue) read(pos uint64, scratch []byte) (p []byte, next uint64, ok bool) {
-	if pos == r.appended.Load() {
-		return nil, pos, false
-	}
-	var size [2]byte
-	r.copyOut(pos, size[:])
-	p = scratch[:binary.LittleEndian.Uint16(size[:])]
-	r.copyOut(pos+2, p)
-	return p, pos + 2 + uint64(len(p)), true
+// copyOut fills b from the buffer from a position on, past its end if need be.
+func (q *ringQueue) copyOut(position uint64, b []byte) {
+	n := copy(b, q.buf[position&q.mask:])
+	copy(b[n:], q.buf)
 }
--- a/internal/record/scan.go
+++ b/internal/record/scan.go
@@ -2,44 +2,87 @@
 
 import (
 	"bytes"
+	"errors"
 	"io"
 )
 
-// scanBufferSize is how much of a segment a scanner holds; it bounds a Reader's memory.
+// scanBufferSize is how much of a segment a scanner holds. It must exceed the size of the largest frame.
 const scanBufferSize = 256 << 10
 
-// A scanner reads a segment frame by frame and, after damage, finds the next that is intact.
+// A scanner reads a segment frame by frame. Behind damage it finds the next intact frame.
 type scanner struct {
-	f    io.Reader
-	buf  []byte
-	start   int   // buf[lo:] is not read yet
-	offset   int64 // of buf[lo] in the file
-	seed uint32
-	invalidBytes  int64 // bytes before it that are no frame
-	eof  bool  // nothing more could be read just now
+	file         io.Reader
+	buf          []byte
+	start        int   // buf[start:] has not been consumed
+	offset       int64 // of buf[start] in the file
+	seed         uint32
+	invalidBytes int64 // bytes before offset, behind the last frame, that are not a frame
+	isAtEnd      bool  // the last read returned nothing
 }
 
-// readHeader reads the header.
+// A scannedFrame is an intact frame of a segment.
+type scannedFrame struct {
+	payload      []byte // valid until the next call of the scanner
+	offset       int64  // of the frame in the file
+	skippedBytes int64  // bytes before it that are not a frame
+}
+
+// end returns the offset behind the frame.
+func (f *scannedFrame) end() int64 { return f.offset + int64(frameSize(f.payload)) }
+
+// readHeader reads the header. It returns the errors of decodeHeader and of the file.
 func (s *scanner) readHeader() (Header, error) {
-	for len(s.buf)-s.start < headerSize && !s.eof {
+	for len(s.buf)-s.start < headerSize && !s.isAtEnd {
 		if err := s.fill(); err != nil {
 			return Header{}, err
 		}
 	}
 	h, err := decodeHeader(s.buf[s.start:])
-	if err == nil {
-		s.skip(headerSize)
-		s.seed = frameSeed(h.Nonce)
+	if err != nil {
+		return h, err
 	}
-	return h, err
+	s.consume(headerSize)
+	s.seed = frameSeed(h.Nonce)
+	return h, nil
 }
 
-func (s *scanner) skip(n int) {
-	s.start += n
-	s.offset += int64(n)
+// next returns the next intact frame. At the end of the file it returns io.EOF and stays before what may be a frame
+// that is being written; it may be called again when the file has grown.
+func (s *scanner) next() (scannedFrame, error) {
+	s.isAtEnd = false
+	for {
+		payload, status := parseFrame(s.buf[s.start:], s.seed)
+		switch {
+		case status == frameIntact:
+			frame := scannedFrame{payload: payload, offset: s.offset, skippedBytes: s.invalidBytes}
+			s.consume(frameSize(payload))
+			s.invalidBytes = 0
+			return frame, nil
+		case status == frameInvalid:
+			s.skipInvalid(s.distanceToMark())
+		case s.isAtEnd:
+			// Either a frame that is not complete yet, or damage with a size that points past the end of the file.
+			// Behind damage there may be an intact frame.
+			distance := s.distanceToIntactFrame()
+			if distance == 0 {
+				return scannedFrame{}, io.EOF
+			}
+			s.skipInvalid(distance)
+		default:
+			if err := s.fill(); err != nil {
+				return scannedFrame{}, err
+			}
+		}
+	}
 }
 
-// fill reads on; eof is set where nothing came.
+// trailingBytes returns how many bytes at the end of the file are not a frame.
+func (s *scanner) trailingBytes() int64 { return s.invalidBytes + int64(len(s.buf)-s.start) }
+
+// trailingOffset returns where the trailing bytes begin in the file.
+func (s *scanner) trailingOffset() int64 { return s.offset - s.invalidBytes }
+
+// fill reads more of the file and sets isAtEnd if there is no more.
 func (s *scanner) fill() error {
 	if s.buf == nil {
 		s.buf = make([]byte, 0, scanBufferSize)
@@ -48,69 +91,44 @@
 		s.buf = s.buf[:copy(s.buf, s.buf[s.start:])]
 		s.start = 0
 	}
-	n, err := s.f.Read(s.buf[len(s.buf):cap(s.buf)])
+	n, err := s.file.Read(s.buf[len(s.buf):cap(s.buf)])
 	s.buf = s.buf[:len(s.buf)+n]
-	s.eof = n == 0
-	if err != nil && err != io.EOF {
-		return err
+	s.isAtEnd = n == 0
+	if errors.Is(err, io.EOF) {
+		return nil
 	}
-	return nil
+	return err
 }
 
-// next returns the payload of the next intact frame, valid until the next call, where it
-// begins, and how many bytes before it were no frame. At the end of the file it returns
-// io.EOF and stays before what may be half of a frame that is being written; it may be called
-// again when the file has grown.
-func (s *scanner) next() (p []byte, at, skipped int64, err error) {
-	s.eof = false
-	for {
-		p, size, what := parseFrame(s.buf[s.start:], s.seed)
-		if what == frameIncomplete && s.eof {
-			// Half a frame, or damage whose length points past the end: then there may be an
-			// intact frame behind it.
-			ahead := s.ahead()
-			if ahead == 0 {
-				return nil, s.offset, 0, io.EOF
-			}
-			s.pass(ahead)
-			continue
-		}
-		switch what {
-		case frameIntact:
-			at, skipped = s.offset, s.invalidBytes
-			s.skip(size)
-			s.invalidBytes = 0
-			return p, at, skipped, nil
-		case frameInvalid:
-			i := bytes.IndexByte(s.buf[s.start+1:], frameMark0)
-			if i < 0 {
-				i = len(s.buf) - s.start - 1
-			}
-			s.pass(1 + i)
-		case frameIncomplete:
-			if err := s.fill(); err != nil {
-				return nil, s.offset, 0, err
-			}
-		}
-	}
+// consume advances by n bytes.
+func (s *scanner) consume(n int) {
+	s.start += n
+	s.offset += int64(n)
 }
 
-// pass goes past bytes that are no frame.
-func (s *scanner) pass(n int) {
-	s.skip(n)
+// skipInvalid advances by n bytes that are not a frame.
+func (s *scanner) skipInvalid(n int) {
+	s.consume(n)
 	s.invalidBytes += int64(n)
 }
 
-// ahead finds an intact frame behind the place in what is read, 0 if there is none.
-func (s *scanner) ahead() int {
-	rest := s.buf[s.start:]
-	for i := 1; i < len(rest); i++ {
-		if _, _, what := parseFrame(rest[i:], s.seed); what == frameIntact {
+// distanceToMark returns the distance to the next byte that may begin a frame, or to the end of the buffer.
+func (s *scanner) distanceToMark() int {
+	following := s.buf[s.start+1:]
+	i := bytes.IndexByte(following, frameMark0)
+	if i < 0 {
+		i = len(following)
+	}
+	return 1 + i
+}
+
+// distanceToIntactFrame returns the distance to the next intact frame in the buffer, 0 if there is none.
+func (s *scanner) distanceToIntactFrame() int {
+	unread := s.buf[s.start:]
+	for i := 1; i < len(unread); i++ {
+		if _, status := parseFrame(unread[i:], s.seed); status == frameIntact {
 			return i
 		}
 	}
 	return 0
 }
-
-// trailingBytes is how many bytes at the end of the file are no frame.
-func (s *scanner) trailingBytes() int64 { return s.invalidBytes + int64(len(s.buf)-s.start) }
--- /dev/null
+++ b/internal/record/segment.go
@@ -0,0 +1,69 @@
+package record
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+)
+
+const (
+	segmentSuffix = ".rec"
+	// setAsideSuffix follows segmentSuffix in the name of a segment that recovery has set aside.
+	setAsideSuffix = ".aside"
+)
+
+// A segment is a file of a store, described by its name.
+type segment struct {
+	name       string
+	first      uint64 // first sequence number
+	boot       uint64 // Header.Boot
+	index      uint64 // number within the run, from 0
+	isSetAside bool
+}
+
+// segmentName returns the name of a segment. Names sort in the order of the records.
+func segmentName(first, boot, index uint64) string {
+	return fmt.Sprintf("%020d-%016x-%06d%s", first, boot, index, segmentSuffix)
+}
+
+// parseSegmentName parses a name made by segmentName, with or without setAsideSuffix.
+func parseSegmentName(name string) (s segment, isSegment bool) {
+	base, isSetAside := strings.CutSuffix(name, setAsideSuffix)
+	base, hasSuffix := strings.CutSuffix(base, segmentSuffix)
+	parts := strings.Split(base, "-")
+	if !hasSuffix || len(parts) != 3 || len(parts[0]) != 20 {
+		return segment{}, false
+	}
+	first, firstErr := strconv.ParseUint(parts[0], 10, 64)
+	boot, bootErr := strconv.ParseUint(parts[1], 16, 64)
+	index, indexErr := strconv.ParseUint(parts[2], 10, 64)
+	if errors.Join(firstErr, bootErr, indexErr) != nil {
+		return segment{}, false
+	}
+	return segment{name: name, first: first, boot: boot, index: index, isSetAside: isSetAside}, true
+}
+
+// isSameAs reports whether both names are of the same segment, set aside or not.
+func (s segment) isSameAs(other segment) bool {
+	return s.first == other.first && s.boot == other.boot && s.index == other.index
+}
+
+// listSegments returns the segments of a store in the order of their records.
+func listSegments(dir string) ([]segment, error) {
+	entries, err := os.ReadDir(dir)
+	if err != nil {
+		return nil, fmt.Errorf("record: %w", err)
+	}
+	var all []segment
+	for _, entry := range entries {
+		s, isSegment := parseSegmentName(entry.Name())
+		if isSegment && entry.Type().IsRegular() {
+			all = append(all, s)
+		}
+	}
+	slices.SortFunc(all, func(a, b segment) int { return strings.Compare(a.name, b.name) })
+	return all, nil
+}
--- a/internal/record/show.go
+++ b/internal/record/show.go
@@ -9,8 +9,8 @@
 	"time"
 )
 
-// shown is a record as JSON shows it. Times are RFC 3339 with nanoseconds, durations seconds.
-type shown struct {
+// jsonRecord is the JSON form of a record. Times are RFC 3339 with nanoseconds, durations seconds.
+type jsonRecord struct {
 	Instance string   `json:"instance"`
 	Boot     string   `json:"boot"`
 	Seq      uint64   `json:"seq"`
@@ -37,118 +37,157 @@
 	Text     string   `json:"text,omitempty"`
 }
 
-// CodeName is what a record's Code means at its kind, "" where it means nothing.
-func (r *Record) CodeName() string {
-	switch r.Kind {
-	case KindGap:
-		return GapCause(r.Code).String()
-	case KindOrder:
-		return Move(r.Code).String()
-	case KindAnswer:
-		return Outcome(r.Code).String()
-	case KindServer:
-		return Phase(r.Code).String()
+// AppendJSON appends a record as one line of JSON. Invalid UTF-8 in strings is replaced.
+func (r *Record) AppendJSON(b []byte, h *Header) ([]byte, error) {
+	line, err := json.Marshal(r.toJSON(h))
+	if err != nil {
+		return b, fmt.Errorf("record %d: %w", r.Seq, err)
 	}
-	return ""
+	b = append(b, line...)
+	return append(b, '\n'), nil
 }
 
-func (r *Record) flagName() string {
-	if !r.Flag {
-		return ""
+func (r *Record) toJSON(h *Header) *jsonRecord {
+	j := &jsonRecord{
+		Instance: h.Name,
+		Boot:     fmt.Sprintf("%016x", h.Boot),
+		Seq:      r.Seq,
+		From:     r.From,
+		At:       formatJSONTime(r.At),
+		Kind:     r.Kind.String(),
+		Call:     r.Call,
+		Class:    r.Class,
+		Number:   r.Number,
+		Server:   r.Server,
+		Code:     r.CodeName(),
+		End:      r.End,
+		Cause:    r.Cause,
+		Wait:     r.Wait.Seconds(),
+		Flag:     r.flagName(),
+		Value:    jsonNumber(r.Value),
+		Count:    r.Count,
+		By:       r.By,
+		Text:     r.Text,
 	}
-	switch r.Kind {
-	case KindStart:
-		return "clean"
-	case KindSetUp:
-		return "cut"
-	case KindServer:
-		return "cold"
+	if r.Since != 0 {
+		j.Since = formatJSONTime(r.Since)
 	}
-	return "set"
+	r.setKindFields(j)
+	return j
 }
 
-func (r *Record) shown(h *Header) *shown {
-	stamp := func(t Time) string { return Unix(t).Format(time.RFC3339Nano) }
-	s := &shown{Instance: h.Name, Boot: fmt.Sprintf("%016x", h.Boot), Seq: r.Seq, From: r.From, At: stamp(r.At), Kind: r.Kind.String(), Call: r.Call,
-		Class: r.Class, Number: r.Number, Server: r.Server, Code: r.CodeName(), End: r.End, Cause: r.Cause, Wait: r.Wait.Seconds(),
-		Flag: r.flagName(), Count: r.Count, By: r.By, Text: r.Text}
-	if r.Since != 0 {
-		s.Since = stamp(r.Since)
+// setKindFields sets the fields that are printed for some kinds only, and there also if they are 0.
+func (r *Record) setKindFields(j *jsonRecord) {
+	if r.hasAttempt() {
+		j.Attempt = &r.Attempt
 	}
 	switch r.Kind {
-	case KindTry, KindTryEnd, KindAnswer:
-		s.Attempt = &r.Attempt
+	case KindTryEnd, KindAnswer, KindRelease:
+		took := r.Took.Seconds()
+		j.Took = &took
 	case KindSetUp, KindServer:
-		s.Pool = &r.Pool
+		j.Pool = &r.Pool
 	case KindClock:
-		s.T = r.T[:]
+		j.T = r.T[:]
+	default:
 	}
-	switch r.Kind {
-	case KindTryEnd, KindAnswer, KindRelease:
-		took := r.Took.Seconds()
-		s.Took = &took
+}
+
+func formatJSONTime(t Time) string { return Unix(t).Format(time.RFC3339Nano) }
+
+// jsonNumber returns v for JSON: nil, which is left out, for 0, and "none" for what JSON has no number for.
+func jsonNumber(v float64) any {
+	if v == 0 {
+		return nil
 	}
-	if r.Value != 0 {
-		if s.Value = r.Value; math.IsInf(r.Value, 0) || math.IsNaN(r.Value) {
-			s.Value = "none" // JSON has no infinity
-		}
+	if math.IsInf(v, 0) || math.IsNaN(v) {
+		return "none"
 	}
-	return s
+	return v
 }
 
-// AppendJSON appends a record as one line of JSON. Strings that are no UTF-8 are made so.
-func (r *Record) AppendJSON(b []byte, h *Header) ([]byte, error) {
-	line, err := json.Marshal(r.shown(h))
-	if err != nil {
-		return b, fmt.Errorf("record %d: %w", r.Seq, err)
+// hasAttempt reports whether Attempt has a meaning for the record's kind wherever it is printed.
+func (r *Record) hasAttempt() bool {
+	return r.Kind == KindTry || r.Kind == KindTryEnd || r.Kind == KindAnswer
+}
+
+// flagName returns the printed name of the record's Flag by its kind, "" if it is not set.
+func (r *Record) flagName() string {
+	if !r.Flag {
+		return ""
+	}
+	switch r.Kind {
+	case KindStart:
+		return "clean"
+	case KindSetUp:
+		return "cut"
+	case KindServer:
+		return "cold"
+	default:
+		return "set"
 	}
-	return append(append(b, line...), '\n'), nil
 }
 
-// Line is a record as one line for people; nothing in it can steer a terminal.
+// lineTimeFormat is the time format of Record.Line, in microseconds.
+const lineTimeFormat = "2006-01-02T15:04:05.000000Z"
+
+// Line returns a record as one line for people. It contains no control characters.
 func (r *Record) Line(h *Header) string {
-	var b strings.Builder
-	fmt.Fprintf(&b, "%s %-10s %8d %-8s", Unix(r.At).Format("2006-01-02T15:04:05.000000Z"), Printable(h.Name), r.Seq, r.Kind)
-	put := func(name, value string) {
-		if value != "" {
-			if value = Printable(value); strings.ContainsAny(value, " \"") {
-				value = strconv.Quote(value)
-			}
-			fmt.Fprintf(&b, " %s=%s", name, value)
-		}
-	}
-	put("call", r.Call)
-	put("code", r.CodeName())
-	put("class", r.Class)
-	put("number", r.Number)
-	put("server", r.Server)
+	var l lineBuilder
+	at := Unix(r.At).Format(lineTimeFormat)
+	fmt.Fprintf(&l.text, "%s %-10s %8d %-8s", at, Printable(h.Name), r.Seq, r.Kind)
+	l.field("call", r.Call)
+	l.field("code", r.CodeName())
+	l.field("class", r.Class)
+	l.field("number", r.Number)
+	l.field("server", r.Server)
 	if r.Kind == KindGap {
-		put("lost", fmt.Sprintf("%d to %d", r.From, r.Seq))
+		l.field("lost", fmt.Sprintf("%d to %d", r.From, r.Seq))
 	}
-	if r.Kind == KindTry || r.Kind == KindTryEnd || r.Kind == KindAnswer {
-		put("attempt", strconv.Itoa(r.Attempt))
+	if r.hasAttempt() {
+		l.field("attempt", strconv.Itoa(r.Attempt))
 	}
-	put("end", r.End)
+	l.field("end", r.End)
 	if r.Cause != 0 {
-		put("cause", strconv.Itoa(r.Cause))
-	}
-	if r.Wait != 0 {
-		put("wait", r.Wait.String())
-	}
-	if r.Took != 0 {
-		put("took", r.Took.String())
+		l.field("cause", strconv.Itoa(r.Cause))
 	}
+	l.duration("wait", r.Wait)
+	l.duration("took", r.Took)
 	if r.Value != 0 {
-		put("value", strconv.FormatFloat(r.Value, 'f', 2, 64))
+		l.field("value", strconv.FormatFloat(r.Value, 'f', 2, 64))
 	}
-	put("by", r.By)
+	l.field("by", r.By)
 	if r.Count != 0 {
-		put("count", strconv.FormatUint(r.Count, 10))
+		l.field("count", strconv.FormatUint(r.Count, 10))
 	}
-	put("flag", r.flagName())
+	l.field("flag", r.flagName())
 	if r.Kind == KindClock {
-		put("t", fmt.Sprint(r.T))
+		l.field("t", fmt.Sprint(r.T))
+	}
+	l.field("text", r.Text)
+	return l.text.String()
+}
+
+// A lineBuilder builds the text of Record.Line.
+type lineBuilder struct {
+	text strings.Builder
+}
+
+// field appends " name=value", with the value quoted if need be, unless the value is empty.
+func (l *lineBuilder) field(name, value string) {
+	if value == "" {
+		return
+	}
+	value = Printable(value)
+	if strings.ContainsAny(value, " \"") {
+		value = strconv.Quote(value)
+	}
+	fmt.Fprintf(&l.text, " %s=%s", name, value)
+}
+
+// duration appends a duration unless it is 0.
+func (l *lineBuilder) duration(name string, d time.Duration) {
+	if d != 0 {
+		l.field(name, d.String())
 	}
-	put("text", r.Text)
-	return b.String()
 }
--- /dev/null
+++ b/internal/record/writer.go
@@ -0,0 +1,109 @@
+package record
+
+import (
+	"errors"
+	"math/rand/v2"
+	"os"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+)
+
+const (
+	// batchSize is the size in bytes from which on a batch of frames is written.
+	batchSize = 64 << 10
+
+	// Bounds of the time between commits while the disk fails.
+	minRetryDelay      = 50 * time.Millisecond
+	maxRetryDelay      = 5 * time.Second
+	retryRandomization = 0.2
+)
+
+// A writer moves payloads from the queue to the segments of a store. Its goroutine, run, owns it and all files.
+type writer struct {
+	options  Options
+	lockFile *os.File
+	queue    *ringQueue
+	shared   *writerState
+
+	header  Header      // of the open segment
+	open    openSegment // the segment being written
+	closed  closedSegments
+	batch   []byte // frames that are not written yet
+	payload []byte // buffer of the payload being read from the queue
+}
+
+// newWriter returns a writer that goes on behind what the recovery found.
+func newWriter(o Options, lockFile *os.File, recovery *Recovery, queue *ringQueue, shared *writerState) *writer {
+	return &writer{
+		options:  o,
+		lockFile: lockFile,
+		queue:    queue,
+		shared:   shared,
+		header:   Header{Name: o.Name, Store: recovery.store, Boot: rand.Uint64(), Wall: o.Wall, Program: o.Program},
+		closed:   closedSegments{files: recovery.segments},
+		batch:    make([]byte, 0, batchSize+framePrefixSize+maxPayloadSize),
+		payload:  make([]byte, maxPayloadSize),
+	}
+}
+
+// run commits at each sync interval, when the queue is half full, and once more before it ends.
+func (w *writer) run() {
+	defer close(w.shared.done)
+	defer func() { _ = w.lockFile.Close() }()
+	ticker := time.NewTicker(w.options.Sync)
+	defer ticker.Stop()
+	retryDelay := newRetryBackOff(w.options.Sync)
+	var retryAt time.Time
+	for {
+		isClosing := w.waitForWork(ticker.C)
+		if !isClosing && time.Now().Before(retryAt) {
+			continue
+		}
+		err := w.commit()
+		// Cleared only now: until the queue is emptier, further records need not wake the writer.
+		w.shared.wakeRequested.Store(false)
+		if err != nil {
+			retryAt = time.Now().Add(retryDelay.NextBackOff())
+		} else {
+			retryAt = time.Time{}
+			retryDelay.Reset()
+		}
+		w.reportHealth(err)
+		if isClosing {
+			w.shared.closeErr = errors.Join(err, w.open.close())
+			return
+		}
+	}
+}
+
+// waitForWork waits for a reason to commit and reports whether the Log is being closed.
+func (w *writer) waitForWork(tick <-chan time.Time) (isClosing bool) {
+	select {
+	case <-w.shared.wake:
+		return false
+	case <-tick:
+		return false
+	case <-w.shared.closing:
+		return true
+	}
+}
+
+// newRetryBackOff returns the delays between commits while the disk fails.
+func newRetryBackOff(syncInterval time.Duration) *backoff.ExponentialBackOff {
+	b := backoff.NewExponentialBackOff()
+	b.InitialInterval = max(syncInterval, minRetryDelay)
+	b.MaxInterval = maxRetryDelay
+	b.RandomizationFactor = retryRandomization
+	return b
+}
+
+// reportHealth publishes the result of a commit and calls Options.Trouble when the disk begins or ceases to fail.
+func (w *writer) reportHealth(err error) {
+	cause := gapCauseOf(err)
+	previous := w.shared.setFailing(cause)
+	hasChanged := (previous == NoGap) != (cause == NoGap)
+	if hasChanged && w.options.Trouble != nil {
+		w.options.Trouble(err)
+	}
+}
