--- a/internal/record/golden_test.go
+++ b/internal/record/golden_test.go
@@ -55,7 +55,7 @@
 	add(Record{Kind: KindClock, T: [4]int64{int64(wall) + 5, int64(wall)}})
 	add(Record{Kind: KindNote, Text: "a line with \"quotes\", \x1b[2J, \xff and é", Server: "s-1"})
 	add(Record{Kind: KindTally, By: "requests", Count: math.MaxUint64})
-	for code := range uint8(len(gapNames) + 1) {
+	for code := range uint8(len(gapCauseNames) + 1) {
 		add(Record{Kind: KindGap, From: uint64(len(first) + 1), Since: wall + 1, Code: code, Text: "set aside"})
 	}
 	add(Record{Kind: Kind(200), By: "a kind of a newer program"})
@@ -129,7 +129,7 @@
 // fixDrawnNumbers copies a store with fixed numbers in place of those that its writer drew at random.
 func fixDrawnNumbers(t *testing.T, from, to string) {
 	t.Helper()
-	all, err := segments(from)
+	all, err := listSegments(from)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -169,12 +169,12 @@
 	}
 	out := appendHeader(nil, h)
 	for rest := raw[headerSize:]; len(rest) > 0; {
-		payload, size, what := frameAt(rest, frameSeed(old.Nonce))
-		if what != intact {
+		payload, status := parseFrame(rest, frameSeed(old.Nonce))
+		if status != frameIntact {
 			t.Fatalf("no intact frame %d bytes before the end", len(rest))
 		}
 		out = appendFrame(out, payload, frameSeed(h.Nonce))
-		rest = rest[size:]
+		rest = rest[frameSize(payload):]
 	}
 	return out
 }
