--- a/internal/enum/client.go
+++ b/internal/enum/client.go
@@ -44,7 +44,7 @@
 		return nil, fmt.Errorf("enum: %w", err)
 	}
 	ctx, stop := context.WithCancel(context.Background())
-	c := &Client{suffix: suffix, res: portability.New(set, rand.New(rand.NewChaCha8(seed))), in: make(chan func(), queue),
+	c := &Client{suffix: suffix, res: portability.NewResolver(set, rand.New(rand.NewChaCha8(seed))), in: make(chan func(), queue),
 		tells: make(map[string]func(portability.Result)), stop: stop, done: make(chan struct{})}
 	for _, addr := range servers {
 		conn, err := net.Dial("udp", addr)
@@ -90,7 +90,7 @@
 	return c.post(func() {
 		if c.tells[call] == nil {
 			c.tells[call] = tell
-			c.carry(c.res.Ask(now(), call, number, until))
+			c.carry(c.res.LookUp(now(), call, number, until))
 		}
 	})
 }
@@ -126,7 +126,7 @@
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
 	for {
-		if next := c.res.Next(); next-now() < time.Hour {
+		if next := c.res.NextDeadline(); next-now() < time.Hour {
 			timer.Reset(max(time.Duration(next-now()), 0))
 		} else {
 			timer.Reset(time.Hour)
@@ -137,7 +137,7 @@
 		case f := <-c.in:
 			f()
 		case <-timer.C:
-			c.carry(c.res.Tick(now()))
+			c.carry(c.res.HandleTimeouts(now()))
 		}
 		n := c.res.Counters
 		c.latest.Store(&n)
@@ -148,15 +148,15 @@
 func (c *Client) carry(acts []portability.Action) {
 	for _, a := range acts {
 		switch a := a.(type) {
-		case portability.Send:
-			b, err := Query(a.ID, a.Number, c.suffix)
+		case portability.SendQuery:
+			b, err := EncodeQuery(a.ID, a.Number, c.suffix)
 			if err == nil {
 				_, err = c.socks[a.Server].Write(b)
 			}
 			if err != nil { // a port that is refused, as the last datagram found; the next is asked
-				c.carry(c.res.Fail(now(), a.Server, a.ID))
+				c.carry(c.res.HandleFailure(now(), a.Server, a.ID))
 			}
-		case portability.Tell:
+		case portability.DeliverResult:
 			if tell := c.tells[a.Call]; tell != nil {
 				delete(c.tells, a.Call)
 				tell(a.Result)
@@ -168,7 +168,7 @@
 // read takes what comes on one socket. Where more comes than can be looked at it is dropped: the
 // question is asked again.
 func (c *Client) read(ctx context.Context, server int, conn net.Conn) {
-	buf := make([]byte, MostBytes+1) // one byte more tells a message that is too large
+	buf := make([]byte, MaxMessageBytes+1) // one byte more tells a message that is too large
 	for ctx.Err() == nil {
 		n, err := conn.Read(buf)
 		if errors.Is(err, net.ErrClosed) {
@@ -182,18 +182,18 @@
 			}
 			continue
 		}
-		id, number, answer, err := Read(buf[:n], c.suffix)
-		if n > MostBytes {
+		id, number, answer, err := DecodeAnswer(buf[:n], c.suffix)
+		if n > MaxMessageBytes {
 			id = binary.BigEndian.Uint16(buf)
 		}
 		c.post(func() {
 			switch {
-			case errors.Is(err, ErrNoReply) && n <= MostBytes, number == "" && err == nil:
-				c.carry(c.res.Reply(now(), server, id, "", answer)) // no question of ours: a stray, or a lie under an id that is out
+			case errors.Is(err, ErrNotAnAnswer) && n <= MaxMessageBytes, number == "" && err == nil:
+				c.carry(c.res.HandleAnswer(now(), server, id, "", answer)) // no question of ours: a stray, or a lie under an id that is out
 			case err != nil:
-				c.carry(c.res.Fail(now(), server, id))
+				c.carry(c.res.HandleFailure(now(), server, id))
 			default:
-				c.carry(c.res.Reply(now(), server, id, number, answer))
+				c.carry(c.res.HandleAnswer(now(), server, id, number, answer))
 			}
 		})
 	}
--- a/internal/enum/client_test.go
+++ b/internal/enum/client_test.go
@@ -89,7 +89,7 @@
 					b.mode.Store(mode)
 				}
 				set := portability.Defaults(2)
-				set.Timeout = 200 * time.Millisecond
+				set.QueryTimeout = 200 * time.Millisecond
 				c, err := Dial([]string{a.c.LocalAddr().String(), b.c.LocalAddr().String()}, suffix, set)
 				if err != nil {
 					t.Fatal(err)
--- a/internal/enum/enum.go
+++ b/internal/enum/enum.go
@@ -15,15 +15,15 @@
 	"olivedale/internal/portability"
 )
 
-// MostBytes bounds an answer; EDNS asks for no more, so that nothing comes in pieces.
-const MostBytes = 1232
+// MaxMessageBytes bounds an answer; EDNS asks for no more, so that nothing comes in pieces.
+const MaxMessageBytes = 1232
 
 // Errors of an answer. All of them mean that the server could not tell.
 var (
-	ErrCut     = errors.New("cut short (TC)")
-	ErrServer  = errors.New("the server reports an error")
-	ErrNoUse   = errors.New("records that are of no use")
-	ErrNoReply = errors.New("no answer to a question of ours")
+	ErrTruncated       = errors.New("cut short (TC)")
+	ErrServer          = errors.New("the server reports an error")
+	ErrUnusableRecords = errors.New("records that are of no use")
+	ErrNotAnAnswer     = errors.New("no answer to a question of ours")
 )
 
 // domain is a number's under a suffix: its digits turned round, a label each.
@@ -35,15 +35,15 @@
 	return dns.Fqdn(string(b) + suffix)
 }
 
-// Query makes the question for a number of E.164 digits.
-func Query(id uint16, number, suffix string) ([]byte, error) {
+// EncodeQuery makes the question for a number of E.164 digits.
+func EncodeQuery(id uint16, number, suffix string) ([]byte, error) {
 	if _, ok := numbering.MakeDigits(number); !ok {
 		return nil, fmt.Errorf("enum: %q is no number", number)
 	}
 	m := &dns.Msg{}
 	m.SetQuestion(domain(number, suffix), dns.TypeNAPTR)
 	m.Id = id
-	m.SetEdns0(MostBytes, false)
+	m.SetEdns0(MaxMessageBytes, false)
 	b, err := m.Pack()
 	if err != nil {
 		return nil, fmt.Errorf("enum: %w", err)
@@ -51,11 +51,11 @@
 	return b, nil
 }
 
-// Read reads a message as the answer to a question: under which id, for which number. Where err is
+// DecodeAnswer reads a message as the answer to a question: under which id, for which number. Where err is
 // not nil id and number are told as far as they could be read; an answer without an id is a stray.
-func Read(b []byte, suffix string) (id uint16, number string, a portability.Answer, err error) {
-	if len(b) < 12 || len(b) > MostBytes {
-		return 0, "", a, ErrNoReply
+func DecodeAnswer(b []byte, suffix string) (id uint16, number string, a portability.Answer, err error) {
+	if len(b) < 12 || len(b) > MaxMessageBytes {
+		return 0, "", a, ErrNotAnAnswer
 	}
 	id = uint16(b[0])<<8 | uint16(b[1])
 	var m dns.Msg
@@ -63,14 +63,14 @@
 		return id, "", a, fmt.Errorf("enum: %w", err)
 	}
 	if !m.Response || len(m.Question) != 1 || m.Question[0].Qtype != dns.TypeNAPTR || m.Question[0].Qclass != dns.ClassINET {
-		return id, "", a, ErrNoReply
+		return id, "", a, ErrNotAnAnswer
 	}
 	if number = numberOf(m.Question[0].Name, suffix); number == "" {
-		return id, "", a, ErrNoReply
+		return id, "", a, ErrNotAnAnswer
 	}
 	switch {
 	case m.Truncated:
-		return id, number, a, ErrCut
+		return id, number, a, ErrTruncated
 	case m.Rcode == dns.RcodeNameError:
 		return id, number, a, nil // there is no record: it has not moved
 	case m.Rcode != dns.RcodeSuccess:
@@ -116,7 +116,7 @@
 	}
 	if best == nil {
 		if seen || len(all) > 0 {
-			return a, ErrNoUse
+			return a, ErrUnusableRecords
 		}
 		return a, nil // no records: it has not moved
 	}
@@ -127,7 +127,7 @@
 	a.TTL = time.Duration(best.Hdr.Ttl) * time.Second
 	params := strings.Split(uri, ";")
 	if !strings.HasPrefix(strings.ToLower(params[0]), "tel:") {
-		return a, ErrNoUse
+		return a, ErrUnusableRecords
 	}
 	for _, p := range params[1:] {
 		key, value, _ := strings.Cut(p, "=")
@@ -141,9 +141,9 @@
 			return c
 		}, strings.TrimPrefix(value, "+")))
 		if !ok {
-			return a, ErrNoUse
+			return a, ErrUnusableRecords
 		}
-		a.Moved, a.Routing = true, digits
+		a.Ported, a.Routing = true, digits
 	}
 	return a, nil
 }
@@ -166,11 +166,11 @@
 // other kind are not run: they are of no use here, and one meant to hang must not.
 func replacement(regexp string) (string, error) {
 	if len(regexp) < 3 {
-		return "", ErrNoUse
+		return "", ErrUnusableRecords
 	}
 	parts := strings.Split(regexp[1:], regexp[:1])
 	if len(parts) != 3 || parts[0] != "^.*$" && parts[0] != "^(.*)$" || strings.Contains(parts[1], `\`) {
-		return "", ErrNoUse
+		return "", ErrUnusableRecords
 	}
 	return parts[1], nil
 }
--- a/internal/enum/enum_test.go
+++ b/internal/enum/enum_test.go
@@ -14,7 +14,7 @@
 // reply packs an answer to the question for 56221.
 func reply(t testing.TB, change func(m *dns.Msg), records ...string) []byte {
 	t.Helper()
-	b, err := Query(7, "56221", suffix)
+	b, err := EncodeQuery(7, "56221", suffix)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -51,33 +51,33 @@
 		"no records":   {reply(t, nil), "", nil},
 		"no name":      {reply(t, func(m *dns.Msg) { m.Rcode = dns.RcodeNameError }), "", nil},
 		"server fails": {reply(t, func(m *dns.Msg) { m.Rcode = dns.RcodeServerFailure }), "", ErrServer},
-		"cut":          {reply(t, func(m *dns.Msg) { m.Truncated = true }), "", ErrCut},
-		"a loop":       {reply(t, nil, `NAPTR 10 10 "" "E2U+pstn:tel" "" 1.2.2.6.5.e164.test.`), "", ErrNoUse},
-		"an alias":     {reply(t, nil, `CNAME 1.2.2.6.5.e164.test.`), "", ErrNoUse},
-		"to hang":      {reply(t, nil, `NAPTR 10 10 "u" "E2U+pstn:tel" "!^((a+)+)+$!tel:+1;rn=+1!" .`), "", ErrNoUse},
-		"a backref":    {reply(t, nil, `NAPTR 10 10 "u" "E2U+pstn:tel" "!^(.*)$!tel:\\1;rn=+1!" .`), "", ErrNoUse},
-		"no digits":    {reply(t, nil, `NAPTR 10 10 "u" "E2U+pstn:tel" "!^.*$!tel:+1;rn=+1x!" .`), "", ErrNoUse},
-		"mail":         {reply(t, nil, `NAPTR 10 10 "u" "E2U+pstn:tel" "!^.*$!mailto:a@b;rn=+1!" .`), "", ErrNoUse},
-		"a question":   {reply(t, func(m *dns.Msg) { m.Response = false }), "", ErrNoReply},
-		"other domain": {reply(t, func(m *dns.Msg) { m.Question[0].Name = "1.2.2.6.5.e164.arpa." }), "", ErrNoReply},
+		"cut":          {reply(t, func(m *dns.Msg) { m.Truncated = true }), "", ErrTruncated},
+		"a loop":       {reply(t, nil, `NAPTR 10 10 "" "E2U+pstn:tel" "" 1.2.2.6.5.e164.test.`), "", ErrUnusableRecords},
+		"an alias":     {reply(t, nil, `CNAME 1.2.2.6.5.e164.test.`), "", ErrUnusableRecords},
+		"to hang":      {reply(t, nil, `NAPTR 10 10 "u" "E2U+pstn:tel" "!^((a+)+)+$!tel:+1;rn=+1!" .`), "", ErrUnusableRecords},
+		"a backref":    {reply(t, nil, `NAPTR 10 10 "u" "E2U+pstn:tel" "!^(.*)$!tel:\\1;rn=+1!" .`), "", ErrUnusableRecords},
+		"no digits":    {reply(t, nil, `NAPTR 10 10 "u" "E2U+pstn:tel" "!^.*$!tel:+1;rn=+1x!" .`), "", ErrUnusableRecords},
+		"mail":         {reply(t, nil, `NAPTR 10 10 "u" "E2U+pstn:tel" "!^.*$!mailto:a@b;rn=+1!" .`), "", ErrUnusableRecords},
+		"a question":   {reply(t, func(m *dns.Msg) { m.Response = false }), "", ErrNotAnAnswer},
+		"other domain": {reply(t, func(m *dns.Msg) { m.Question[0].Name = "1.2.2.6.5.e164.arpa." }), "", ErrNotAnAnswer},
 	} {
-		id, number, a, err := Read(c.b, suffix)
-		if !errors.Is(err, c.err) || id != 7 || a.Moved != (c.moved != "") || a.Moved && a.Routing.String() != c.moved {
+		id, number, a, err := DecodeAnswer(c.b, suffix)
+		if !errors.Is(err, c.err) || id != 7 || a.Ported != (c.moved != "") || a.Ported && a.Routing.String() != c.moved {
 			t.Errorf("%s: %d %q %+v, %v", name, id, number, a, err)
 		}
-		if err == nil && number != "56221" || a.Moved && a.TTL != time.Minute {
+		if err == nil && number != "56221" || a.Ported && a.TTL != time.Minute {
 			t.Errorf("%s: %q, %v", name, number, a.TTL)
 		}
 	}
 	// Another question is told as such: it is for the resolver to see the lie.
-	if _, number, _, err := Read(reply(t, func(m *dns.Msg) { m.Question[0].Name = "2.2.2.6.5.e164.test." }), suffix); err != nil || number != "56222" {
+	if _, number, _, err := DecodeAnswer(reply(t, func(m *dns.Msg) { m.Question[0].Name = "2.2.2.6.5.e164.test." }), suffix); err != nil || number != "56222" {
 		t.Errorf("%q, %v", number, err)
 	}
-	if _, _, _, err := Read(make([]byte, 65535), suffix); !errors.Is(err, ErrNoReply) {
+	if _, _, _, err := DecodeAnswer(make([]byte, 65535), suffix); !errors.Is(err, ErrNotAnAnswer) {
 		t.Error(err)
 	}
 	for _, number := range []string{"", "+56", strings.Repeat("1", 100)} {
-		if _, err := Query(1, number, suffix); err == nil {
+		if _, err := EncodeQuery(1, number, suffix); err == nil {
 			t.Errorf("%q was asked for", number)
 		}
 	}
@@ -88,8 +88,8 @@
 	f.Add(reply(f, nil))
 	f.Add([]byte{0, 7, 0x80})
 	f.Fuzz(func(t *testing.T, b []byte) {
-		_, number, a, err := Read(b, suffix)
-		if err == nil && number == "" || err != nil && a.Moved || a.Moved && a.Routing.String() == "" {
+		_, number, a, err := DecodeAnswer(b, suffix)
+		if err == nil && number == "" || err != nil && a.Ported || a.Ported && a.Routing.String() == "" {
 			t.Fatalf("%q %+v %v", number, a, err)
 		}
 	})
--- a/internal/numbering/analyse.go
+++ b/internal/numbering/analyse.go
@@ -19,24 +19,24 @@
 
 // Ported is what is known of a number that may have moved.
 type Ported struct {
-	State   PortedState
+	State   PortingState
 	Routing Digits // routing number in E.164 digits, where it has moved
 }
 
-// A PortedState says how far a look-up is.
-type PortedState uint8
+// A PortingState says how far a look-up is.
+type PortingState uint8
 
 // States of a look-up.
 const (
-	NotAsked  PortedState = iota
-	Stays                 // it has not moved
-	Moved                 // to Routing
-	Undecided             // nobody could tell in time: it is routed by the number itself
+	NotLookedUp PortingState = iota
+	NotPorted                // it has not moved
+	Moved                    // to Routing
+	Undecided                // nobody could tell in time: it is routed by the number itself
 )
 
 // Digits is a number without the plus. The zero value is none.
 type Digits struct {
-	b [mostDigits]byte
+	b [maxDigits]byte
 	n uint8
 }
 
@@ -57,9 +57,9 @@
 
 // Verdicts.
 const (
-	Routed  Verdict = iota
-	Refused         // at once, with Cause
-	Ask             // the number may have moved: a look-up comes first
+	Routed   Verdict = iota
+	Rejected         // at once, with Cause
+	Ask              // the number may have moved: a look-up comes first
 )
 
 var verdictNames = [...]string{"routed", "refused", "ask"}
@@ -67,8 +67,8 @@
 // String implements fmt.Stringer.
 func (v Verdict) String() string { return verdictNames[v] }
 
-// MostPools bounds the pools of one decision; targets past it are left out.
-const MostPools = 16
+// MaxPools bounds the pools of one decision; targets past it are left out.
+const MaxPools = 16
 
 // A Decision is a table's word on a number.
 type Decision struct {
@@ -77,7 +77,7 @@
 	Emergency bool
 	Number    Digits // as it is routed
 	Route     string
-	pools     [MostPools]int16
+	pools     [MaxPools]int16
 	n         uint8
 }
 
@@ -112,11 +112,11 @@
 type tell func(format string, args ...any)
 
 func (t *Table) analyse(q *Query, say tell) (d Decision) {
-	var buf [mostDigits]byte
+	var buf [maxDigits]byte
 	digits, plus, ok := clean(buf[:0], q.Number)
 	if !ok {
 		if say != nil {
-			say("%q is no number of at most %d digits: cause %d", q.Number, mostDigits, CauseUnallocated)
+			say("%q is no number of at most %d digits: cause %d", q.Number, maxDigits, CauseUnallocated)
 		}
 		return refuse(d, CauseUnallocated)
 	}
@@ -170,7 +170,7 @@
 	}
 	if x.ported {
 		switch q.Ported.State {
-		case NotAsked:
+		case NotLookedUp:
 			if say != nil {
 				say("its numbers may have moved: a look-up comes first")
 			}
@@ -197,7 +197,7 @@
 }
 
 func refuse(d Decision, cause int) Decision {
-	d.Verdict, d.Cause = Refused, cause
+	d.Verdict, d.Cause = Rejected, cause
 	return d
 }
 
@@ -253,7 +253,7 @@
 		if rest+len(x.Add) > cap(digits) {
 			return digits[:0] // too long for any plan
 		}
-		var out [mostDigits]byte
+		var out [maxDigits]byte
 		n := copy(out[:], x.Add)
 		n += copy(out[n:], digits[x.Strip:])
 		digits = append(digits[:0], out[:n]...)
@@ -284,12 +284,12 @@
 		if say != nil {
 			say("international, without %s: %s", p.International, string(digits))
 		}
-	case national && rest >= p.Least && rest <= p.Most:
+	case national && rest >= p.MinDigits && rest <= p.MaxDigits:
 		digits = front(digits[:0], p.Country, digits[len(p.National):])
 		if say != nil {
 			say("national, without %s: %s", p.National, string(digits))
 		}
-	case p.National == "" && len(digits) >= p.Least && len(digits) <= p.Most:
+	case p.National == "" && len(digits) >= p.MinDigits && len(digits) <= p.MaxDigits:
 		digits = front(digits[:0], p.Country, digits)
 		if say != nil {
 			say("national: %s", string(digits))
@@ -304,7 +304,7 @@
 
 // front writes a and rest into b, which may share rest's memory.
 func front(b []byte, a string, rest []byte) []byte {
-	var out [2 * mostDigits]byte
+	var out [2 * maxDigits]byte
 	n := copy(out[:], a)
 	n += copy(out[n:], rest)
 	return append(b, out[:min(n, cap(b))]...)
@@ -317,7 +317,7 @@
 	r := &t.routes[n]
 	d.Route = r.name
 	for s := range r.steps {
-		var live [mostTargets]*target
+		var live [maxTargets]*target
 		k, sum := 0, 0
 		for i := range r.steps[s] {
 			g := &r.steps[s][i]
@@ -371,7 +371,7 @@
 			return
 		}
 	}
-	if int(d.n) < MostPools {
+	if int(d.n) < MaxPools {
 		d.pools[d.n] = int16(pool)
 		d.n++
 	}
--- a/internal/numbering/diff.go
+++ b/internal/numbering/diff.go
@@ -14,8 +14,8 @@
 	New    string `json:"new"`
 }
 
-// mostChanges bounds a list of them.
-const mostChanges = 100_000
+// maxChanges bounds a list of them.
+const maxChanges = 100_000
 
 // Diff lists the prefixes whose destination changes from one table to another, as pools and
 // times, not as names: a route that is only renamed changes nothing. A prefix is listed where the
@@ -50,7 +50,7 @@
 		if x == y || inherited {
 			continue
 		}
-		if len(changes) >= mostChanges {
+		if len(changes) >= maxChanges {
 			return changes, true
 		}
 		changes = append(changes, Change{p, x, y})
@@ -76,7 +76,7 @@
 			}
 		}
 	}
-	at(0, make([]byte, 0, mostDigits))
+	at(0, make([]byte, 0, maxDigits))
 }
 
 // leads says in words where the numbers that begin with a prefix go, as far as that is the same
--- a/internal/numbering/golden_test.go
+++ b/internal/numbering/golden_test.go
@@ -50,7 +50,7 @@
 			{Number: "+56 600 123", At: now},
 			{Number: "+56 9 0123 4567", At: now, Class: "alarm"},
 			{Number: "+56 9 1234 5678", At: now},
-			{Number: "+56 9 1234 5678", At: now, Ported: Ported{State: Stays}},
+			{Number: "+56 9 1234 5678", At: now, Ported: Ported{State: NotPorted}},
 			{Number: "+56 9 1234 5678", At: now, Ported: Ported{State: Moved, Routing: moved}},
 			{Number: "+56 9 1234 5678", At: now, Ported: Ported{State: Undecided}},
 			{Number: "0056 2 2555 0150", At: now},
--- a/internal/numbering/life.go
+++ b/internal/numbering/life.go
@@ -163,7 +163,7 @@
 func (d *Desk) Restore(now Time, s Standing) error {
 	v := d.find(s.Active)
 	if v == nil {
-		return fmt.Errorf("%w: %s", ErrUnknown, s.Active)
+		return fmt.Errorf("%w: %s", ErrUnknownVersion, s.Active)
 	}
 	d.active, d.before, d.next = v, d.find(s.Before), d.find(s.Next)
 	v.since, d.due = now, s.Due
--- a/internal/numbering/numbering_test.go
+++ b/internal/numbering/numbering_test.go
@@ -130,7 +130,7 @@
 		{Query{Number: "+56900123"}, "refused 21"},
 		{Query{Number: "+569123", Class: "alarm"}, "refused 17"},
 		{Query{Number: "+569123"}, "ask"},
-		{Query{Number: "+569123", Ported: Ported{State: Stays}}, "routed 569123 mobile [5]"},
+		{Query{Number: "+569123", Ported: Ported{State: NotPorted}}, "routed 569123 mobile [5]"},
 		{Query{Number: "+569123", Ported: Ported{State: Undecided}}, "routed 569123 mobile [5]"},
 		{Query{Number: "+569123", Ported: Ported{State: Moved, Routing: moved}}, "routed 569123 centre [2 4]"},
 		{Query{Number: "+4912345"}, "routed 4912345 rest [6]"},
@@ -167,7 +167,7 @@
 		urgent = "emergency "
 	}
 	switch d.Verdict {
-	case Refused:
+	case Rejected:
 		return fmt.Sprint(urgent, "refused ", d.Cause)
 	case Ask:
 		return "ask"
@@ -244,7 +244,7 @@
 		{Condition{Dates: []string{"2026-12-24/2026-12-31"}, Not: true}, "2026-12-31T23:59:59Z", false},
 		{Condition{Zone: "Asia/Kolkata", Dates: []string{"2027-01-01"}}, "2026-12-31T18:30:00Z", true},
 	} {
-		w, err := compileWhen(&c.when)
+		w, err := compileCondition(&c.when)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -298,7 +298,7 @@
 		}
 		lo := rapid.IntRange(0, most-1).Draw(rt, "first")
 		hi := rapid.IntRange(lo, most-1).Draw(rt, "last")
-		all := blocks(fmt.Sprintf("%0*d", n, lo), fmt.Sprintf("%0*d", n, hi))
+		all := rangePrefixes(fmt.Sprintf("%0*d", n, lo), fmt.Sprintf("%0*d", n, hi))
 		for v := range most {
 			hits := 0
 			for _, p := range all {
@@ -334,7 +334,7 @@
 		}
 		for range 50 {
 			q := Query{Number: fmt.Sprintf("+56%d", rng.IntN(100000)), Class: []string{"voice", "alarm"}[rng.IntN(2)], At: now + Time(rng.Int64N(int64(48*time.Hour))),
-				Seed: rng.Uint64(), Ported: Ported{State: PortedState(rng.IntN(2))}}
+				Seed: rng.Uint64(), Ported: Ported{State: PortingState(rng.IntN(2))}}
 			d := base.Analyse(&q)
 			e, steps := other.Explain(&q)
 			if word(d) != word(e) {
@@ -346,7 +346,7 @@
 				if last != "pools "+strings.Trim(fmt.Sprint(d.Pools()), "[]") {
 					t.Fatalf("%q does not tell of %v", last, d.Pools())
 				}
-			case Refused:
+			case Rejected:
 				if !strings.Contains(last, fmt.Sprintf("cause %d", d.Cause)) {
 					t.Fatalf("%q does not tell of %d", last, d.Cause)
 				}
--- a/internal/numbering/registry.go
+++ b/internal/numbering/registry.go
@@ -8,20 +8,20 @@
 	"slices"
 )
 
-// mostVersions bounds the tables that are loaded at once.
-const mostVersions = 8
+// maxVersions bounds the tables that are loaded at once.
+const maxVersions = 8
 
 // Errors of a Registry.
 var (
-	// ErrStale tells that another version has come into force, or is about to, since the operator
+	// ErrVersionConflict tells that another version has come into force, or is about to, since the operator
 	// looked: of two who activate at once, one wins and the other gets this.
-	ErrStale = errors.New("the version in force is not the one you saw")
-	// ErrUnknown tells that no version of that digest is loaded.
-	ErrUnknown = errors.New("no such version is loaded")
-	// ErrFull tells that all places are taken by versions that calls hold or that may be needed.
-	ErrFull = errors.New("no room for another version")
-	// ErrNoOther tells that there is nothing to go back to.
-	ErrNoOther = errors.New("there was no other version in force")
+	ErrVersionConflict = errors.New("the version in force is not the one you saw")
+	// ErrUnknownVersion tells that no version of that digest is loaded.
+	ErrUnknownVersion = errors.New("no such version is loaded")
+	// ErrTooManyVersions tells that all places are taken by versions that calls hold or that may be needed.
+	ErrTooManyVersions = errors.New("no room for another version")
+	// ErrNoPrevious tells that there is nothing to go back to.
+	ErrNoPrevious = errors.New("there was no other version in force")
 )
 
 // A Registry keeps the versions of a table: which are loaded, which is in force, which comes into
@@ -94,8 +94,8 @@
 	if v := r.find(t.Digest()); v != nil {
 		return nil
 	}
-	if len(r.all) >= mostVersions && !r.evict() {
-		return fmt.Errorf("%w: %d are loaded, all in use", ErrFull, len(r.all))
+	if len(r.all) >= maxVersions && !r.evict() {
+		return fmt.Errorf("%w: %d are loaded, all in use", ErrTooManyVersions, len(r.all))
 	}
 	r.serial++
 	r.all = append(r.all, &version{table: t, serial: r.serial, loaded: now})
@@ -120,11 +120,11 @@
 	v := r.find(digest)
 	switch {
 	case v == nil:
-		return fmt.Errorf("%w: %s", ErrUnknown, digest)
+		return fmt.Errorf("%w: %s", ErrUnknownVersion, digest)
 	case r.digest(r.active) != saw:
-		return fmt.Errorf("%w: %s is in force", ErrStale, cmp.Or(r.digest(r.active), "none"))
+		return fmt.Errorf("%w: %s is in force", ErrVersionConflict, cmp.Or(r.digest(r.active), "none"))
 	case r.next != nil && r.next != v:
-		return fmt.Errorf("%w: %s is to come into force; cancel that first", ErrStale, r.digest(r.next))
+		return fmt.Errorf("%w: %s is to come into force; cancel that first", ErrVersionConflict, r.digest(r.next))
 	}
 	if at > now {
 		r.next, r.due = v, at
@@ -141,9 +141,9 @@
 func (r *Registry) Rollback(now Time, saw string) error {
 	switch {
 	case r.digest(r.active) != saw:
-		return fmt.Errorf("%w: %s is in force", ErrStale, cmp.Or(r.digest(r.active), "none"))
+		return fmt.Errorf("%w: %s is in force", ErrVersionConflict, cmp.Or(r.digest(r.active), "none"))
 	case r.before == nil:
-		return ErrNoOther
+		return ErrNoPrevious
 	}
 	r.put(now, r.before)
 	return nil
@@ -185,18 +185,22 @@
 
 // States of a version.
 const (
-	InForce = "in force"
-	Before  = "before"  // Rollback leads there
-	Waiting = "waiting" // comes into force at Due
-	Loaded  = "loaded"
+	InForce  = "in force"
+	Previous = "before"  // Rollback leads there
+	Waiting  = "waiting" // comes into force at Due
+	Loaded   = "loaded"
 )
 
-// A Status is what is known of one version.
+// Status is the state of one loaded version. Its JSON names are an interface of olivectl and stay.
 type Status struct {
-	Digest, Name, State string
-	Entries             int
-	Pins                int  // calls that hold it
-	Loaded, Since, Due  Time // Since 0: it never was in force
+	Digest  string `json:"Digest"`
+	Name    string `json:"Name"`
+	State   string `json:"State"`
+	Entries int    `json:"Entries"` // prefixes of the table
+	Pins    int    `json:"Pins"`    // calls that use the version
+	Loaded  Time   `json:"Loaded"`
+	Since   Time   `json:"Since"` // in force since; 0: it has never been in force
+	Due     Time   `json:"Due"`   // of a waiting version
 }
 
 // List tells of all versions, the last loaded first.
@@ -210,7 +214,7 @@
 		case r.next:
 			s.State, s.Due = Waiting, r.due
 		case r.before:
-			s.State = Before
+			s.State = Previous
 		}
 		all = append(all, s)
 	}
--- a/internal/numbering/registry_test.go
+++ b/internal/numbering/registry_test.go
@@ -39,13 +39,13 @@
 	if err := r.Activate(now, b.Digest(), a.Digest(), 0); err != nil {
 		t.Fatal(err)
 	}
-	if err := r.Activate(now, a.Digest(), a.Digest(), 0); !errors.Is(err, ErrStale) {
+	if err := r.Activate(now, a.Digest(), a.Digest(), 0); !errors.Is(err, ErrVersionConflict) {
 		t.Errorf("the second of two: %v", err)
 	}
 	if call.Table() != a || r.Pin().Table() != b {
 		t.Error("a call does not keep its table")
 	}
-	if err := r.Activate(now, c.Digest(), b.Digest(), 0); !errors.Is(err, ErrUnknown) {
+	if err := r.Activate(now, c.Digest(), b.Digest(), 0); !errors.Is(err, ErrUnknownVersion) {
 		t.Errorf("what is not loaded: %v", err)
 	}
 	// At a time: nothing changes before, and another must not slip in between.
@@ -55,7 +55,7 @@
 	if err := r.Activate(now, c.Digest(), b.Digest(), now+time.Hour); err != nil {
 		t.Fatal(err)
 	}
-	if err := r.Activate(now, a.Digest(), b.Digest(), 0); !errors.Is(err, ErrStale) {
+	if err := r.Activate(now, a.Digest(), b.Digest(), 0); !errors.Is(err, ErrVersionConflict) {
 		t.Errorf("over one that waits: %v", err)
 	}
 	if r.Tick(now+time.Hour-1) || r.Active() != b || r.Next() != now+time.Hour {
@@ -64,7 +64,7 @@
 	if !r.Tick(now+time.Hour) || r.Active() != c || r.Tick(now+2*time.Hour) {
 		t.Error("it did not come into force once")
 	}
-	if err := r.Rollback(now, b.Digest()); !errors.Is(err, ErrStale) {
+	if err := r.Rollback(now, b.Digest()); !errors.Is(err, ErrVersionConflict) {
 		t.Errorf("a rollback over another's: %v", err)
 	}
 	if err := r.Rollback(now, c.Digest()); err != nil || r.Active() != b {
@@ -104,7 +104,7 @@
 			before := r.Active()
 			switch rapid.IntRange(0, 6).Draw(rt, "do") {
 			case 0, 1:
-				if err := r.Load(at, x); err != nil && !errors.Is(err, ErrFull) {
+				if err := r.Load(at, x); err != nil && !errors.Is(err, ErrTooManyVersions) {
 					rt.Fatal(err)
 				}
 			case 2:
@@ -140,7 +140,7 @@
 				pins[c.want.Digest()]++
 			}
 			list := r.List()
-			if len(list) > mostVersions {
+			if len(list) > maxVersions {
 				rt.Fatalf("%d versions", len(list))
 			}
 			for _, s := range list {
@@ -192,7 +192,7 @@
 	// Diff tells of exactly the numbers that are decided otherwise.
 	for n := range 10000 {
 		number := fmt.Sprintf("56%04d", n)
-		q := Query{Number: "+" + number, Class: "alarm", At: now, Ported: Ported{State: Stays}}
+		q := Query{Number: "+" + number, Class: "alarm", At: now, Ported: Ported{State: NotPorted}}
 		told := slices.ContainsFunc(got, func(p string) bool { return len(p) <= len(number) && number[:len(p)] == p })
 		if x, y := a.Analyse(&q), b.Analyse(&q); (fmt.Sprint(x.Verdict, x.Cause, x.Pools()) != fmt.Sprint(y.Verdict, y.Cause, y.Pools())) && !told {
 			t.Errorf("%s: %s, then %s, and no word of it", number, word(x), word(y))
--- a/internal/numbering/replay_test.go
+++ b/internal/numbering/replay_test.go
@@ -11,7 +11,7 @@
 
 // differs tells whether a decision is another than a reader of the file comes to.
 func differs(d *Decision, w numberingtest.Word) bool {
-	if d.Verdict == Refused {
+	if d.Verdict == Rejected {
 		return w.Cause != d.Cause
 	}
 	return w.Cause != 0 || d.Verdict != Routed || len(d.Pools()) != w.Pools() || !w.Begins(d.Pools())
--- a/internal/numbering/rules.go
+++ b/internal/numbering/rules.go
@@ -30,8 +30,8 @@
 	Country       string `toml:"country"`       // "56"
 	International string `toml:"international"` // "00"
 	National      string `toml:"national"`      // "0"; "": national numbers are dialled as they are
-	Least         int    `toml:"min_digits"`    // of a national number; what is shorter is a short form
-	Most          int    `toml:"max_digits"`
+	MinDigits     int    `toml:"min_digits"`    // of a national number; what is shorter is a short form
+	MaxDigits     int    `toml:"max_digits"`
 }
 
 // A Translation changes digits before analysis: a number that begins with Match loses Strip
@@ -100,13 +100,13 @@
 
 // Bounds of rules, so that a file cannot fill memory.
 const (
-	mostPrefixes = 2_000_000
-	mostRoutes   = 4096
-	mostTargets  = 64 // of a route
-	mostWhen     = 1024
-	mostPlans    = 16
-	mostDigits   = 24
-	mostPool     = 1<<15 - 1
+	maxPrefixes   = 2_000_000
+	maxRoutes     = 4096
+	maxTargets    = 64 // of a route
+	maxConditions = 1024
+	maxPlans      = 16
+	maxDigits     = 24
+	maxPool       = 1<<15 - 1
 )
 
 // Parse reads rules from TOML text. Unknown keys are errors.
@@ -126,20 +126,20 @@
 	return &r, nil
 }
 
-// A Fault is one thing wrong with rules.
-type Fault struct {
+// A RuleError is one thing wrong with rules.
+type RuleError struct {
 	Entry string // "prefix 3 (569)"
 	Err   error
 }
 
-func (f *Fault) Error() string { return f.Entry + ": " + f.Err.Error() }
+func (f *RuleError) Error() string { return f.Entry + ": " + f.Err.Error() }
 
 // Unwrap implements errors.Unwrap.
-func (f *Fault) Unwrap() error { return f.Err }
+func (f *RuleError) Unwrap() error { return f.Err }
 
 // isDigits tells whether a text is digits alone, so many at the most.
 func isDigits(s string) bool {
-	if s == "" || len(s) > mostDigits {
+	if s == "" || len(s) > maxDigits {
 		return false
 	}
 	for i := range len(s) {
--- a/internal/numbering/table.go
+++ b/internal/numbering/table.go
@@ -90,7 +90,7 @@
 
 func (c *compiler) fault(entry string, format string, args ...any) {
 	if len(c.faults) < maxFaults {
-		c.faults = append(c.faults, &Fault{entry, fmt.Errorf(format, args...)})
+		c.faults = append(c.faults, &RuleError{entry, fmt.Errorf(format, args...)})
 	}
 }
 
@@ -102,14 +102,14 @@
 		t.most = 15 // E.164
 	}
 	c := &compiler{t: t, env: env, used: make(map[string]bool), whens: make(map[string]int32), usedW: make(map[string]bool)}
-	if t.most < 1 || t.most > mostDigits {
-		c.fault("max_digits", "%d is not between 1 and %d", t.most, mostDigits)
+	if t.most < 1 || t.most > maxDigits {
+		c.fault("max_digits", "%d is not between 1 and %d", t.most, maxDigits)
 	}
 	for _, n := range []struct {
 		what    string
 		n, most int
-	}{{"prefix and range", len(r.Prefix) + len(r.Range), mostPrefixes}, {"barred", len(r.Barred), mostPrefixes}, {"route", len(r.Route), mostRoutes}, {"when", len(r.When), mostWhen},
-		{"plan", len(r.Plan), mostPlans}, {"translate", len(r.Translate), mostRoutes}, {"emergency", len(r.Emergency), mostRoutes}} {
+	}{{"prefix and range", len(r.Prefix) + len(r.Range), maxPrefixes}, {"barred", len(r.Barred), maxPrefixes}, {"route", len(r.Route), maxRoutes}, {"when", len(r.When), maxConditions},
+		{"plan", len(r.Plan), maxPlans}, {"translate", len(r.Translate), maxRoutes}, {"emergency", len(r.Emergency), maxRoutes}} {
 		if n.n > n.most {
 			c.fault(n.what, "%d entries are more than %d", n.n, n.most)
 		}
@@ -148,7 +148,7 @@
 	for i := range r.When {
 		x := &r.When[i]
 		name := fmt.Sprintf("when %d (%s)", i+1, x.Name)
-		w, err := compileWhen(x)
+		w, err := compileCondition(x)
 		if err != nil {
 			c.fault(name, "%w", err)
 		}
@@ -166,8 +166,8 @@
 		if _, there := c.t.byName[x.Name]; there || x.Name == "" {
 			c.fault(name, "the name is missing or there twice")
 		}
-		if len(x.Target) == 0 || len(x.Target) > mostTargets {
-			c.fault(name, "%d targets; there must be 1 to %d", len(x.Target), mostTargets)
+		if len(x.Target) == 0 || len(x.Target) > maxTargets {
+			c.fault(name, "%d targets; there must be 1 to %d", len(x.Target), maxTargets)
 		}
 		out := route{name: x.Name, seed: Seed(x.Name)}
 		targets := slices.Clone(x.Target)
@@ -177,8 +177,8 @@
 			if w.weight == 0 {
 				w.weight = 1
 			}
-			if g.Pool < 0 || g.Pool > mostPool || w.weight < 0 || w.weight > 1<<20 {
-				c.fault(name, "pool %d, weight %d: neither may be negative, a pool at most %d, a weight at most %d", g.Pool, g.Weight, mostPool, 1<<20)
+			if g.Pool < 0 || g.Pool > maxPool || w.weight < 0 || w.weight > 1<<20 {
+				c.fault(name, "pool %d, weight %d: neither may be negative, a pool at most %d, a weight at most %d", g.Pool, g.Weight, maxPool, 1<<20)
 			} else if !c.usable(g.Pool) {
 				c.fault(name, "pool %d: no class may use it", g.Pool)
 			}
@@ -269,8 +269,8 @@
 		if p.Country != "" && !isDigits(p.Country) || p.International != "" && !isDigits(p.International) || p.National != "" && !isDigits(p.National) {
 			c.fault(name, "country, international and national are digits")
 		}
-		if p.Least < 0 || p.Most < p.Least || len(p.Country)+p.Most > c.t.most {
-			c.fault(name, "national numbers of %d to %d digits do not fit %d in all", p.Least, p.Most, c.t.most)
+		if p.MinDigits < 0 || p.MaxDigits < p.MinDigits || len(p.Country)+p.MaxDigits > c.t.most {
+			c.fault(name, "national numbers of %d to %d digits do not fit %d in all", p.MinDigits, p.MaxDigits, c.t.most)
 		}
 		if p.International != "" && p.International == p.National {
 			c.fault(name, "the national and the international prefix are the same")
@@ -421,7 +421,7 @@
 			c.fault(names(line), "first and last are digits, as many of each, in their order")
 			continue
 		}
-		for _, p := range blocks(x.First, x.Last) {
+		for _, p := range rangePrefixes(x.First, x.Last) {
 			add(line, p, x.Route, x.Ported)
 		}
 	}
@@ -435,8 +435,8 @@
 		}
 	}
 	c.across(r, order)
-	if len(entries) > mostPrefixes {
-		c.fault("range", "ranges take %d prefixes, more than %d", len(entries), mostPrefixes)
+	if len(entries) > maxPrefixes {
+		c.fault("range", "ranges take %d prefixes, more than %d", len(entries), maxPrefixes)
 		return
 	}
 	t, err := b.build(entries)
@@ -477,9 +477,9 @@
 	}
 }
 
-// blocks are the prefixes that cover the numbers from first to last, both of one length: as few
+// rangePrefixes are the prefixes that cover the numbers from first to last, both of one length: as few
 // as can be, two for each digit and step at the most.
-func blocks(first, last string) []string {
+func rangePrefixes(first, last string) []string {
 	common := 0
 	for common < len(first) && first[common] == last[common] {
 		common++
@@ -491,7 +491,7 @@
 	head := first[:common]
 	lo, hi := first[common], last[common]
 	if rest := first[common+1:]; !allDigits(rest, '0') {
-		out = append(out, blocks(first, head+string(lo)+strings.Repeat("9", len(rest)))...)
+		out = append(out, rangePrefixes(first, head+string(lo)+strings.Repeat("9", len(rest)))...)
 		lo++
 	}
 	tail := last[common+1:]
@@ -503,7 +503,7 @@
 		out = append(out, head+string(d))
 	}
 	if end < hi {
-		out = append(out, blocks(head+string(hi)+strings.Repeat("0", len(tail)), last)...)
+		out = append(out, rangePrefixes(head+string(hi)+strings.Repeat("0", len(tail)), last)...)
 	}
 	return out
 }
@@ -523,7 +523,7 @@
 	put := func(format string, args ...any) { lines = append(lines, fmt.Sprintf(format, args...)) }
 	put("max %d default %q", most, r.Default)
 	for _, x := range r.Plan {
-		put("plan %q %q %q %q %d %d", x.Name, x.Country, x.International, x.National, x.Least, x.Most)
+		put("plan %q %q %q %q %d %d", x.Name, x.Country, x.International, x.National, x.MinDigits, x.MaxDigits)
 	}
 	for _, x := range r.Translate {
 		put("translate %q %v %d %q", x.Match, x.Exact, x.Strip, x.Add)
--- a/internal/numbering/when.go
+++ b/internal/numbering/when.go
@@ -27,7 +27,7 @@
 
 var weekdayNames = map[string]time.Weekday{"sun": time.Sunday, "mon": time.Monday, "tue": time.Tuesday, "wed": time.Wednesday, "thu": time.Thursday, "fri": time.Friday, "sat": time.Saturday}
 
-func compileWhen(c *Condition) (w when, err error) {
+func compileCondition(c *Condition) (w when, err error) {
 	w = when{name: c.Name, zone: time.UTC, not: c.Not, holidays: make(map[int32]bool)}
 	if c.Zone != "" {
 		// "Local" would be another zone on each machine.
--- a/internal/portability/resolver.go
+++ b/internal/portability/resolver.go
@@ -19,25 +19,25 @@
 
 // Settings bound a Resolver.
 type Settings struct {
-	Servers    int           // asked in their order
-	Timeout    time.Duration // of one question to one server
-	Tries      int           // questions of one look-up, over all servers
-	InFlight   int           // look-ups at once; past it numbers are undecided at once
-	Waiters    int           // calls that may wait, over all look-ups
-	Entries    int           // remembered, of all kinds
-	Bytes      int           // of them, about
-	Floor      time.Duration // a shorter TTL counts as this
-	Ceiling    time.Duration // a longer one as this
-	Negative   time.Duration // so long it is remembered that a number has not moved
-	Stale      time.Duration // so long past its TTL an answer still counts where nobody answers
-	BreakAfter int           // failures in a row by which a server is left alone
-	BreakFor   time.Duration // so long; then one question tells whether it is back
+	Servers          int           // asked in their order
+	QueryTimeout     time.Duration // of one question to one server
+	MaxTries         int           // questions of one look-up, over all servers
+	MaxLookups       int           // look-ups at once; past it numbers are undecided at once
+	MaxWaiters       int           // calls that may wait, over all look-ups
+	MaxCacheEntries  int           // remembered, of all kinds
+	MaxCacheBytes    int           // of them, about
+	MinTTL           time.Duration // a shorter TTL counts as this
+	MaxTTL           time.Duration // a longer one as this
+	NegativeTTL      time.Duration // so long it is remembered that a number has not moved
+	StaleTTL         time.Duration // so long past its TTL an answer still counts where nobody answers
+	BreakerThreshold int           // failures in a row by which a server is left alone
+	BreakerCooldown  time.Duration // so long; then one question tells whether it is back
 }
 
 // Defaults are settings for a few hundred calls a second.
 func Defaults(servers int) Settings {
-	return Settings{Servers: servers, Timeout: 150 * time.Millisecond, Tries: 3, InFlight: 256, Waiters: 4096, Entries: 65536, Bytes: 8 << 20,
-		Floor: 30 * time.Second, Ceiling: 24 * time.Hour, Negative: 10 * time.Minute, Stale: time.Hour, BreakAfter: 5, BreakFor: 2 * time.Second}
+	return Settings{Servers: servers, QueryTimeout: 150 * time.Millisecond, MaxTries: 3, MaxLookups: 256, MaxWaiters: 4096, MaxCacheEntries: 65536, MaxCacheBytes: 8 << 20,
+		MinTTL: 30 * time.Second, MaxTTL: 24 * time.Hour, NegativeTTL: 10 * time.Minute, StaleTTL: time.Hour, BreakerThreshold: 5, BreakerCooldown: 2 * time.Second}
 }
 
 // A Budget says how much of a caller's time a look-up may take: what is left when an attempt, a
@@ -57,7 +57,7 @@
 
 // An Answer is what a server said, read by others.
 type Answer struct {
-	Moved   bool
+	Ported  bool
 	Routing numbering.Digits
 	TTL     time.Duration
 }
@@ -67,10 +67,10 @@
 
 // Origins.
 const (
-	Nobody Origin = iota // nobody could tell in time
-	Server
-	Cache
-	Stale // an answer past its time, since nobody answers
+	OriginNone Origin = iota // nobody could tell in time
+	OriginServer
+	OriginCache
+	OriginStaleCache // an answer past its time, since nobody answers
 )
 
 // A Result is what a call gets.
@@ -82,21 +82,21 @@
 // An Action is what is to be done: a Send or a Tell.
 type Action interface{ action() }
 
-// Send asks a server.
-type Send struct {
+// SendQuery asks a server.
+type SendQuery struct {
 	Server int
 	ID     uint16 // of the DNS message
 	Number string
 }
 
-// Tell gives a call its result; it gets one, unless it was cancelled.
-type Tell struct {
+// DeliverResult gives a call its result; it gets one, unless it was cancelled.
+type DeliverResult struct {
 	Call string
 	Result
 }
 
-func (Send) action() {}
-func (Tell) action() {}
+func (SendQuery) action()     {}
+func (DeliverResult) action() {}
 
 // Counters count what happens.
 type Counters struct {
@@ -108,14 +108,14 @@
 
 // A Resolver carries look-ups. It is for one goroutine.
 type Resolver struct {
-	set     Settings
-	rng     *rand.Rand
-	open    map[string]*lookup // by number
-	byID    map[uint16]*lookup
-	calls   map[string]*lookup // by the call that waits
-	servers []server
-	cache   cache
-	out     []Action
+	settings      Settings
+	rng           *rand.Rand
+	lookups       map[string]*lookup // by number
+	lookupsByID   map[uint16]*lookup
+	lookupsByCall map[string]*lookup // by the call that waits
+	breakers      []breaker
+	cache         cache
+	actions       []Action
 	Counters
 }
 
@@ -134,41 +134,41 @@
 	until Time
 }
 
-// A server is what is known of one.
-type server struct {
-	failures int
-	closed   Time // it is left alone until then; 0: it is not
-	probing  bool // one question is out that tells whether it is back
+// A breaker is what is known of one.
+type breaker struct {
+	failures  int
+	openUntil Time // it is left alone until then; 0: it is not
+	isProbing bool // one question is out that tells whether it is back
 }
 
-// New makes a Resolver. Ids of questions come from rng; who can guess them can forge answers, so in
+// NewResolver makes a Resolver. Ids of questions come from rng; who can guess them can forge answers, so in
 // service its seed must not be known.
-func New(set Settings, rng *rand.Rand) *Resolver {
-	return &Resolver{set: set, rng: rng, open: make(map[string]*lookup), byID: make(map[uint16]*lookup), calls: make(map[string]*lookup),
-		servers: make([]server, set.Servers), cache: newCache(set.Entries, set.Bytes)}
+func NewResolver(set Settings, rng *rand.Rand) *Resolver {
+	return &Resolver{settings: set, rng: rng, lookups: make(map[string]*lookup), lookupsByID: make(map[uint16]*lookup), lookupsByCall: make(map[string]*lookup),
+		breakers: make([]breaker, set.Servers), cache: newCache(set.MaxCacheEntries, set.MaxCacheBytes)}
 }
 
 // done returns what is to be done and begins anew.
 func (r *Resolver) done() []Action {
-	out := r.out
-	r.out = nil
+	out := r.actions
+	r.actions = nil
 	return out
 }
 
-// Ask has a number looked up for a call, that waits until a time at the most. What is remembered is
+// LookUp has a number looked up for a call, that waits until a time at the most. What is remembered is
 // told at once. The number is in E.164 digits.
-func (r *Resolver) Ask(now Time, call, number string, until Time) []Action {
+func (r *Resolver) LookUp(now Time, call, number string, until Time) []Action {
 	r.Asked++
-	if p, fresh, ok := r.cache.get(now, number, r.set.Stale); ok && fresh {
+	if p, fresh, ok := r.cache.get(now, number, r.settings.StaleTTL); ok && fresh {
 		r.Hits++
-		r.tell(call, Result{p, Cache})
+		r.tell(call, Result{p, OriginCache})
 		return r.done()
 	}
-	k := r.open[number]
+	k := r.lookups[number]
 	switch {
-	case r.calls[call] != nil:
+	case r.lookupsByCall[call] != nil:
 		return r.done() // it waits already: it is told once
-	case until <= now, len(r.calls) >= r.set.Waiters, k == nil && len(r.open) >= r.set.InFlight:
+	case until <= now, len(r.lookupsByCall) >= r.settings.MaxWaiters, k == nil && len(r.lookups) >= r.settings.MaxLookups:
 		if until > now {
 			r.Crowded++
 		}
@@ -178,63 +178,65 @@
 		r.Coalesced++
 	default:
 		k = &lookup{number: number, server: -1}
-		r.open[number] = k
+		r.lookups[number] = k
 	}
 	k.waiters = append(k.waiters, waiter{call, until})
-	r.calls[call] = k
+	r.lookupsByCall[call] = k
 	if k.tries == 0 {
 		r.ask(now, k)
 	}
 	return r.done()
 }
 
-func (r *Resolver) tell(call string, res Result) { r.out = append(r.out, Tell{call, res}) }
+func (r *Resolver) tell(call string, res Result) {
+	r.actions = append(r.actions, DeliverResult{call, res})
+}
 
 // fallBack tells a call what there is without an answer: one past its time, or that nobody can tell.
 func (r *Resolver) fallBack(now Time, call, number string) {
-	if p, _, ok := r.cache.get(now, number, r.set.Stale); ok {
+	if p, _, ok := r.cache.get(now, number, r.settings.StaleTTL); ok {
 		r.StaleHits++
-		r.tell(call, Result{p, Stale})
+		r.tell(call, Result{p, OriginStaleCache})
 		return
 	}
 	r.Undecided++
-	r.tell(call, Result{numbering.Ported{State: numbering.Undecided}, Nobody})
+	r.tell(call, Result{numbering.Ported{State: numbering.Undecided}, OriginNone})
 }
 
 // ask puts the question to the next server that is not left alone, or gives the look-up up.
 func (r *Resolver) ask(now Time, k *lookup) {
 	if k.tries > 0 {
-		delete(r.byID, k.id)
+		delete(r.lookupsByID, k.id)
 	}
-	for n := 1; n <= len(r.servers) && k.tries < r.set.Tries; n++ {
-		at := (max(k.server, -1) + n) % len(r.servers)
+	for n := 1; n <= len(r.breakers) && k.tries < r.settings.MaxTries; n++ {
+		at := (max(k.server, -1) + n) % len(r.breakers)
 		if k.tries == 0 {
 			at = n - 1 // in their order
 		}
-		s := &r.servers[at]
-		if s.probing || now < s.closed {
+		s := &r.breakers[at]
+		if s.isProbing || now < s.openUntil {
 			continue
 		}
-		s.probing = s.closed > 0 // it was left alone: this one question tells
+		s.isProbing = s.openUntil > 0 // it was left alone: this one question tells
 		k.tries++
-		k.server, k.due = at, now+r.set.Timeout
+		k.server, k.due = at, now+r.settings.QueryTimeout
 		k.id = r.freeID()
-		r.byID[k.id] = k
+		r.lookupsByID[k.id] = k
 		r.Sent++
-		r.out = append(r.out, Send{at, k.id, k.number})
+		r.actions = append(r.actions, SendQuery{at, k.id, k.number})
 		return
 	}
 	for _, w := range k.waiters {
-		delete(r.calls, w.call)
+		delete(r.lookupsByCall, w.call)
 		r.fallBack(now, w.call, k.number)
 	}
-	delete(r.open, k.number)
+	delete(r.lookups, k.number)
 }
 
 // freeID draws an id that no question at hand has; there are far fewer of them than ids.
 func (r *Resolver) freeID() uint16 {
 	for {
-		if id := uint16(r.rng.Uint32()); r.byID[id] == nil {
+		if id := uint16(r.rng.Uint32()); r.lookupsByID[id] == nil {
 			return id
 		}
 	}
@@ -242,59 +244,59 @@
 
 // failed counts against a server.
 func (r *Resolver) failed(now Time, at int) {
-	s := &r.servers[at]
+	s := &r.breakers[at]
 	s.failures++
-	if s.probing || s.failures >= r.set.BreakAfter {
-		if s.closed <= now {
+	if s.isProbing || s.failures >= r.settings.BreakerThreshold {
+		if s.openUntil <= now {
 			r.Broken++
 		}
-		s.closed, s.failures, s.probing = now+r.set.BreakFor, 0, false
+		s.openUntil, s.failures, s.isProbing = now+r.settings.BreakerCooldown, 0, false
 	}
 }
 
-// Reply takes an answer as it was read: from which server, under which id, to which question. One
+// HandleAnswer takes an answer as it was read: from which server, under which id, to which question. One
 // that cannot be to a question at hand is dropped and changes nothing but the count; one that lies
 // about its question counts against its server, and the question stays open for the true one.
-func (r *Resolver) Reply(now Time, at int, id uint16, number string, a Answer) []Action {
-	k := r.byID[id]
+func (r *Resolver) HandleAnswer(now Time, at int, id uint16, number string, a Answer) []Action {
+	k := r.lookupsByID[id]
 	if k == nil {
 		r.Strays++
 		return r.done()
 	}
 	if k.server != at || k.number != number {
 		r.Lies++
-		if at >= 0 && at < len(r.servers) {
+		if at >= 0 && at < len(r.breakers) {
 			r.failed(now, at)
 		}
 		return r.done()
 	}
 	r.Answered++
-	r.servers[at] = server{}
-	p := numbering.Ported{State: numbering.Stays}
-	ttl := r.set.Negative
-	if a.Moved {
+	r.breakers[at] = breaker{}
+	p := numbering.Ported{State: numbering.NotPorted}
+	ttl := r.settings.NegativeTTL
+	if a.Ported {
 		p = numbering.Ported{State: numbering.Moved, Routing: a.Routing}
-		ttl = min(max(a.TTL, r.set.Floor), r.set.Ceiling)
+		ttl = min(max(a.TTL, r.settings.MinTTL), r.settings.MaxTTL)
 	}
 	r.cache.put(now, k.number, p, now+ttl)
-	r.close(k, Result{p, Server})
+	r.close(k, Result{p, OriginServer})
 	return r.done()
 }
 
 // close ends a look-up with a result for all who wait.
 func (r *Resolver) close(k *lookup, res Result) {
 	for _, w := range k.waiters {
-		delete(r.calls, w.call)
+		delete(r.lookupsByCall, w.call)
 		r.tell(w.call, res)
 	}
-	delete(r.open, k.number)
-	delete(r.byID, k.id)
+	delete(r.lookups, k.number)
+	delete(r.lookupsByID, k.id)
 }
 
-// Fail takes word that a server could not answer a question (SERVFAIL, a message that cannot be
+// HandleFailure takes word that a server could not answer a question (SERVFAIL, a message that cannot be
 // read or was cut short, a refused port). The next is asked.
-func (r *Resolver) Fail(now Time, at int, id uint16) []Action {
-	k := r.byID[id]
+func (r *Resolver) HandleFailure(now Time, at int, id uint16) []Action {
+	k := r.lookupsByID[id]
 	if k == nil || k.server != at {
 		r.Strays++
 		return r.done()
@@ -308,11 +310,11 @@
 // Cancel forgets a call that does not wait any more. A look-up for which nobody waits ends: its
 // answer, if it comes, changes nothing.
 func (r *Resolver) Cancel(call string) {
-	k := r.calls[call]
+	k := r.lookupsByCall[call]
 	if k == nil {
 		return
 	}
-	delete(r.calls, call)
+	delete(r.lookupsByCall, call)
 	k.waiters = slices.DeleteFunc(k.waiters, func(w waiter) bool { return w.call == call })
 	r.abandon(k)
 }
@@ -322,17 +324,17 @@
 	if len(k.waiters) > 0 {
 		return
 	}
-	delete(r.open, k.number)
-	delete(r.byID, k.id)
-	if s := &r.servers[k.server]; s.probing {
-		s.probing = false // the question that was to tell is gone; the next one tells
+	delete(r.lookups, k.number)
+	delete(r.lookupsByID, k.id)
+	if s := &r.breakers[k.server]; s.isProbing {
+		s.isProbing = false // the question that was to tell is gone; the next one tells
 	}
 }
 
-// Tick does what is due: questions that nobody answered, calls that can wait no longer.
-func (r *Resolver) Tick(now Time) []Action {
+// HandleTimeouts does what is due: questions that nobody answered, calls that can wait no longer.
+func (r *Resolver) HandleTimeouts(now Time) []Action {
 	var due []*lookup
-	for _, k := range r.open {
+	for _, k := range r.lookups {
 		due = append(due, k)
 	}
 	slices.SortFunc(due, func(a, b *lookup) int { return int(a.id) - int(b.id) })
@@ -341,7 +343,7 @@
 			if now < w.until {
 				return false
 			}
-			delete(r.calls, w.call)
+			delete(r.lookupsByCall, w.call)
 			r.fallBack(now, w.call, k.number)
 			return true
 		})
@@ -361,10 +363,10 @@
 	return r.done()
 }
 
-// Next is when Tick is due.
-func (r *Resolver) Next() Time {
+// NextDeadline is when Tick is due.
+func (r *Resolver) NextDeadline() Time {
 	next := Time(math.MaxInt64)
-	for _, k := range r.open {
+	for _, k := range r.lookups {
 		next = min(next, k.due)
 		for _, w := range k.waiters {
 			next = min(next, w.until)
@@ -375,11 +377,11 @@
 
 // A cache remembers answers, so many and so much at the most; what was put in first goes first.
 type cache struct {
-	by    map[string]*list.Element
-	order *list.List
-	most  int
-	bytes int
-	used  int
+	entries    map[string]*list.Element
+	order      *list.List
+	maxEntries int
+	maxBytes   int
+	size       int
 }
 
 type remembered struct {
@@ -392,12 +394,12 @@
 const perEntry = 200
 
 func newCache(most, bytes int) cache {
-	return cache{by: make(map[string]*list.Element), order: list.New(), most: most, bytes: bytes}
+	return cache{entries: make(map[string]*list.Element), order: list.New(), maxEntries: most, maxBytes: bytes}
 }
 
 // get finds what is remembered of a number: fresh within its time, or for so long past it.
 func (c *cache) get(now Time, number string, stale time.Duration) (p numbering.Ported, fresh, ok bool) {
-	e := c.by[number]
+	e := c.entries[number]
 	if e == nil {
 		return p, false, false
 	}
@@ -410,18 +412,18 @@
 }
 
 func (c *cache) put(now Time, number string, p numbering.Ported, until Time) {
-	if e := c.by[number]; e != nil {
+	if e := c.entries[number]; e != nil {
 		c.drop(e)
 	}
-	c.by[number] = c.order.PushBack(&remembered{number, p, until})
-	c.used += perEntry + len(number)
-	for len(c.by) > c.most || c.used > c.bytes {
+	c.entries[number] = c.order.PushBack(&remembered{number, p, until})
+	c.size += perEntry + len(number)
+	for len(c.entries) > c.maxEntries || c.size > c.maxBytes {
 		c.drop(c.order.Front())
 	}
 }
 
 func (c *cache) drop(e *list.Element) {
 	m := c.order.Remove(e).(*remembered)
-	delete(c.by, m.number)
-	c.used -= perEntry + len(m.number)
+	delete(c.entries, m.number)
+	c.size -= perEntry + len(m.number)
 }
