--- a/Makefile
+++ b/Makefile
@@ -19,4 +19,4 @@
 
 # Shows the product on this machine for a minute; ends by itself or on Ctrl-C.
 demo: build
-	bin/olivelab demo --report bin/demo.html
+	bin/olivesim demo --report bin/demo.html
--- a/cmd/olivelab/compare.go
+++ b/cmd/olivesim/compare.go
@@ -12,11 +12,11 @@
 	"github.com/spf13/cobra"
 
 	"olivedale/internal/cli"
-	"olivedale/internal/lab/experiment"
-	"olivedale/internal/lab/result"
-	"olivedale/internal/lab/revision"
-	"olivedale/internal/lab/scenario"
-	"olivedale/internal/lab/show"
+	"olivedale/internal/sim/experiment"
+	"olivedale/internal/sim/plot"
+	"olivedale/internal/sim/result"
+	"olivedale/internal/sim/revision"
+	"olivedale/internal/sim/scenario"
 )
 
 // comparison is what compare prints of a scenario.
@@ -37,7 +37,7 @@
 			"and plays the same seeds with both. A commit from before a change of the module path plays with its own laboratory;\n" +
 			"standard error says which of the two was built. Differences are taken day by day; where the interval includes zero,\n" +
 			"the table says so.",
-		Example: "  olivelab compare deploy/lab/*.toml --base HEAD~3 --days 24",
+		Example: "  olivesim compare deploy/sim/*.toml --base HEAD~3 --days 24",
 		RunE: func(c *cobra.Command, scenarios []string) error {
 			return runCompare(c, scenarios, days, base)
 		},
@@ -137,12 +137,12 @@
 	for _, d := range c.Differences {
 		rows = append(rows, []string{
 			d.Figure,
-			show.Number(d.Base),
-			show.Number(d.Now),
+			plot.Number(d.Base),
+			plot.Number(d.Now),
 			fmt.Sprintf("%+.3f", d.Diff.Mean),
 			fmt.Sprintf("%+.3f to %+.3f", d.Diff.Low, d.Diff.High),
-			show.Number(d.WorstBase),
-			show.Number(d.WorstNow),
+			plot.Number(d.WorstBase),
+			plot.Number(d.WorstNow),
 			d.Verdict,
 		})
 	}
--- a/cmd/olivelab/compare_test.go
+++ b/cmd/olivesim/compare_test.go
@@ -9,10 +9,10 @@
 	"strings"
 	"testing"
 
-	"olivedale/internal/lab/experiment"
-	"olivedale/internal/lab/result"
-	"olivedale/internal/lab/revision"
-	"olivedale/internal/lab/revision/revisiontest"
+	"olivedale/internal/sim/experiment"
+	"olivedale/internal/sim/result"
+	"olivedale/internal/sim/revision"
+	"olivedale/internal/sim/revision/revisiontest"
 )
 
 // printsGolden is a program that prints the committed results of a day, whatever its arguments.
@@ -38,7 +38,7 @@
 	c.SetOut(&stdout)
 	c.SetErr(&stderr)
 	c.SetArgs([]string{
-		"../../deploy/lab/sever.toml", "--repository", repository, "--base", base, "--seed", "7", "--days", "1", "--json",
+		"../../deploy/sim/sever.toml", "--repository", repository, "--base", base, "--seed", "7", "--days", "1", "--json",
 	})
 	if err := c.Execute(); err != nil {
 		t.Fatal(err)
@@ -67,7 +67,7 @@
 	c := compareCommand()
 	c.SilenceUsage = true
 	c.SetErr(&bytes.Buffer{})
-	c.SetArgs([]string{"../../deploy/lab/sever.toml", "--repository", repository, "--base", base, "--module"})
+	c.SetArgs([]string{"../../deploy/sim/sever.toml", "--repository", repository, "--base", base, "--module"})
 	err := c.Execute()
 	var pathError *revision.ModulePathError
 	if !errors.As(err, &pathError) {
--- a/cmd/olivelab/golden_test.go
+++ b/cmd/olivesim/golden_test.go
@@ -18,7 +18,7 @@
 			c := runCommand()
 			var out bytes.Buffer
 			c.SetOut(&out)
-			c.SetArgs(append([]string{"../../deploy/lab/" + name + ".toml", "--json", "--days", "1"}, args...))
+			c.SetArgs(append([]string{"../../deploy/sim/" + name + ".toml", "--json", "--days", "1"}, args...))
 			if err := c.Execute(); err != nil {
 				t.Fatal(err)
 			}
--- a/cmd/olivelab/rig.go
+++ b/cmd/olivesim/rig.go
@@ -13,9 +13,9 @@
 	"github.com/spf13/cobra"
 
 	"olivedale/internal/cli"
-	"olivedale/internal/lab/rig"
-	"olivedale/internal/lab/scenario"
-	"olivedale/internal/lab/show"
+	"olivedale/internal/sim/cluster"
+	"olivedale/internal/sim/plot"
+	"olivedale/internal/sim/scenario"
 )
 
 // sockets are the flags of runs with many processes.
@@ -35,17 +35,17 @@
 }
 
 // options are those of a day; done removes what is not to be kept.
-func (f *sockets) options(sc *scenario.Scenario, seed uint64, out io.Writer) (o rig.Options, done func() error, err error) {
-	t := rig.Topology{Controllers: sc.Fleet.Controllers, Exchanges: sc.Fleet.Exchanges, Zones: sc.Fleet.Zones, Share: sc.Fleet.Share}
+func (f *sockets) options(sc *scenario.Scenario, seed uint64, out io.Writer) (o cluster.Options, done func() error, err error) {
+	t := cluster.Topology{Controllers: sc.Fleet.Controllers, Exchanges: sc.Fleet.Exchanges, Zones: sc.Fleet.Zones, Share: sc.Fleet.Share}
 	if err := t.Check(); err != nil {
 		return o, nil, err
 	}
 	if f.faults < 0 || f.faults > 64 || f.length < time.Second || f.length > 10*time.Minute {
 		return o, nil, cli.Usage("--faults is 0 to 64, --for 1s to 10m")
 	}
-	o = rig.Options{Bin: f.bin, Topology: t, Scenario: sc, For: f.length, Out: out, Schedule: rig.Draw(&t, f.faults, f.length, seed)}
+	o = cluster.Options{Bin: f.bin, Topology: t, Scenario: sc, For: f.length, Out: out, Schedule: cluster.Draw(&t, f.faults, f.length, seed)}
 	if f.schedule != "" {
-		if o.Schedule, err = rig.Load(f.schedule); err != nil {
+		if o.Schedule, err = cluster.Load(f.schedule); err != nil {
 			return o, nil, err
 		}
 	}
@@ -58,7 +58,7 @@
 	}
 	done = func() error { return nil }
 	if f.dir == "" {
-		if o.Dir, err = os.MkdirTemp("", "olivelab-rig-"); err != nil {
+		if o.Dir, err = os.MkdirTemp("", "olivesim-rig-"); err != nil {
 			return o, nil, err
 		}
 		done = func() error { return os.RemoveAll(o.Dir) }
@@ -70,7 +70,7 @@
 
 // play plays days on sockets and tells of each.
 func (f *sockets) play(ctx context.Context, c *cobra.Command, path string, sc *scenario.Scenario, seeds []uint64, asJSON bool) error {
-	var all []*rig.Result
+	var all []*cluster.Result
 	broken := 0
 	progress := c.OutOrStdout()
 	if asJSON {
@@ -84,7 +84,7 @@
 		if err != nil {
 			return err
 		}
-		res, err := rig.Play(ctx, o)
+		res, err := cluster.Play(ctx, o)
 		if err != nil {
 			return fmt.Errorf("seed %d: %w", seed, err)
 		}
@@ -99,14 +99,14 @@
 			return err
 		}
 		if res.Broken > 0 {
-			_, _ = fmt.Fprintf(c.ErrOrStderr(), "again: olivelab run %s --floor sockets --schedule %s\n", path, filepath.Join(o.Dir, "schedule.toml"))
+			_, _ = fmt.Fprintf(c.ErrOrStderr(), "again: olivesim run %s --floor sockets --schedule %s\n", path, filepath.Join(o.Dir, "schedule.toml"))
 		}
 		if err := done(); err != nil {
 			return err
 		}
 	}
 	if f.page != "" {
-		var parts []show.Part
+		var parts []plot.Part
 		for _, res := range all {
 			p, err := res.Part()
 			if err != nil {
@@ -144,14 +144,14 @@
 	if err := done(); err != nil {
 		return err
 	}
-	small, err := rig.Shrink(ctx, first.Schedule, tries, func(s *rig.Schedule) (bool, error) {
+	small, err := cluster.Shrink(ctx, first.Schedule, tries, func(s *cluster.Schedule) (bool, error) {
 		o := first
-		if o.Dir, err = os.MkdirTemp("", "olivelab-rig-"); err != nil {
+		if o.Dir, err = os.MkdirTemp("", "olivesim-rig-"); err != nil {
 			return false, err
 		}
 		defer func() { _ = os.RemoveAll(o.Dir) }()
 		o.Schedule = s
-		res, err := rig.Play(ctx, o)
+		res, err := cluster.Play(ctx, o)
 		if err != nil {
 			return false, err
 		}
@@ -167,7 +167,7 @@
 	return small.Save(out)
 }
 
-func tellDay(c *cobra.Command, res *rig.Result, asJSON bool) error {
+func tellDay(c *cobra.Command, res *cluster.Result, asJSON bool) error {
 	for _, b := range res.Breaches {
 		_, _ = fmt.Fprintln(c.ErrOrStderr(), b)
 		for _, e := range b.Around {
@@ -194,7 +194,7 @@
 			if err != nil || pid <= 1 {
 				return cli.Usage("%q is not the number of a process", args[1])
 			}
-			return rig.Hold(args[0], pid)
+			return cluster.Hold(args[0], pid)
 		},
 	}
 }
--- a/cmd/olivelab/sockets.go
+++ b/cmd/olivesim/sockets.go
@@ -9,9 +9,9 @@
 	"github.com/spf13/cobra"
 
 	"olivedale/internal/cli"
-	"olivedale/internal/lab/demo"
-	"olivedale/internal/lab/scenario"
-	"olivedale/internal/lab/socket"
+	"olivedale/internal/sim/demo"
+	"olivedale/internal/sim/loopback"
+	"olivedale/internal/sim/scenario"
 )
 
 func demoCommand() *cobra.Command {
@@ -20,7 +20,7 @@
 		Use: "demo", Short: "Run the product for a minute on this machine, with things going wrong", Args: cobra.NoArgs,
 		Long: "demo starts emulated exchanges, a directory, a stand-in of etcd, the agent, two call controllers and a light load on loopback\n" +
 			"addresses, has a processor slow down, an exchange replaced, a controller killed and calls cut, and stops everything.",
-		Example: "  olivelab demo --for 30s --report demo.html",
+		Example: "  olivesim demo --for 30s --report demo.html",
 		RunE: func(c *cobra.Command, _ []string) error {
 			if o.Bin == "" {
 				self, err := os.Executable()
@@ -62,7 +62,7 @@
 	var seed uint64
 	c := &cobra.Command{
 		Use: "serve", Short: "Serve emulated exchanges and their directory on loopback", Args: cobra.NoArgs,
-		Example: "  olivelab serve --exchanges 3 --names 127.0.0.1:8600",
+		Example: "  olivesim serve --exchanges 3 --names 127.0.0.1:8600",
 		RunE: func(c *cobra.Command, _ []string) error {
 			sc := scenario.Default()
 			if file != "" {
@@ -77,24 +77,24 @@
 			}
 			ctx, stop := cli.Interruptible(c)
 			defer stop()
-			dir, err := socket.ListenNames(names)
+			dir, err := loopback.ListenNames(names)
 			if err != nil {
 				return err
 			}
 			defer dir.Close()
-			var lines []socket.Line
-			var all []*socket.Exchange
+			var lines []loopback.Line
+			var all []*loopback.Exchange
 			for i := range n {
 				addr := "127.0.0.1:0"
 				if i == 0 && first != "" {
 					addr = first
 				}
-				x, err := socket.Listen(addr, sc.Model(), cold, seed+uint64(i))
+				x, err := loopback.Listen(addr, sc.Model(), cold, seed+uint64(i))
 				if err != nil {
 					return err
 				}
 				defer x.Close()
-				l := socket.Line{ID: fmt.Sprint("x", i), Addr: x.Addr(), Zone: "east", Pool: i}
+				l := loopback.Line{ID: fmt.Sprint("x", i), Addr: x.Addr(), Zone: "east", Pool: i}
 				if cold {
 					l.Started = time.Now()
 				}
@@ -127,12 +127,12 @@
 }
 
 func loadCommand() *cobra.Command {
-	l := socket.Load{}
+	l := loopback.Load{}
 	var asJSON bool
 	c := &cobra.Command{
 		Use: "load", Short: "Send calls to call controllers in an open loop", Args: cobra.NoArgs,
 		Long:    "load sends calls by a Poisson process, whether or not those before were answered. Times count from when a call was to be sent.",
-		Example: "  olivelab load --to 127.0.0.1:5060 --to 127.0.0.1:5061 --rate 200 --for 1m",
+		Example: "  olivesim load --to 127.0.0.1:5060 --to 127.0.0.1:5061 --rate 200 --for 1m",
 		RunE: func(c *cobra.Command, _ []string) error {
 			if len(l.Addrs) == 0 {
 				return cli.Usage("--to names a call controller")
--- a/cmd/olivelab/virtual.go
+++ b/cmd/olivesim/virtual.go
@@ -14,13 +14,13 @@
 	"github.com/spf13/cobra"
 
 	"olivedale/internal/cli"
-	"olivedale/internal/lab/experiment"
-	"olivedale/internal/lab/result"
-	"olivedale/internal/lab/rules"
-	"olivedale/internal/lab/scenario"
-	"olivedale/internal/lab/show"
-	"olivedale/internal/lab/together"
-	"olivedale/internal/lab/virtual"
+	"olivedale/internal/sim/experiment"
+	"olivedale/internal/sim/invariant"
+	"olivedale/internal/sim/overloadpeers"
+	"olivedale/internal/sim/plot"
+	"olivedale/internal/sim/result"
+	"olivedale/internal/sim/scenario"
+	"olivedale/internal/sim/virtualtime"
 )
 
 // days are the flags that say which days are played.
@@ -65,11 +65,11 @@
 
 // interval is a figure with its interval and its worst day, as a table has them.
 func interval(iv experiment.Interval) []string {
-	return []string{show.Number(iv.Mean), show.Number(iv.Low) + " to " + show.Number(iv.High), show.Number(iv.Worst)}
+	return []string{plot.Number(iv.Mean), plot.Number(iv.Low) + " to " + plot.Number(iv.High), plot.Number(iv.Worst)}
 }
 
 // options are what days are played with.
-func options() virtual.Options { return virtual.Options{Share: together.Start} }
+func options() virtualtime.Options { return virtualtime.Options{Share: overloadpeers.Start} }
 
 // commit is what results say they are of.
 func commit() string { return cli.Version() }
@@ -84,7 +84,7 @@
 		Long: "run plays a scenario. In virtual time its own faults are played, and a seed repeats a day to the byte. With --floor sockets\n" +
 			"call controllers and agents are real processes; a relay stands on each way between them, and faults between any two of\n" +
 			"them are drawn from the seed, or read from a schedule. Each day leaves its schedule, by which it is played again.",
-		Example: "  olivelab run deploy/lab/zones.toml --floor sockets --days 3 --dir days\n  olivelab run deploy/lab/coldstart.toml --days 20\n  olivelab run deploy/lab/coldstart.toml --days 1 --seed 7 --until 12s --call c1234",
+		Example: "  olivesim run deploy/sim/zones.toml --floor sockets --days 3 --dir days\n  olivesim run deploy/sim/coldstart.toml --days 20\n  olivesim run deploy/sim/coldstart.toml --days 1 --seed 7 --until 12s --call c1234",
 		RunE: func(c *cobra.Command, args []string) error {
 			sc, seeds, err := d.read(args[0])
 			if err != nil {
@@ -105,7 +105,7 @@
 				if len(seeds) > 1 {
 					return cli.Usage("--call shows a call of one day: add --days 1")
 				}
-				opt.Watch = func(e rules.Event) {
+				opt.Watch = func(e invariant.Event) {
 					if e.Call == call {
 						_, _ = fmt.Fprintln(c.ErrOrStderr(), e)
 					}
@@ -157,7 +157,7 @@
 			for _, e := range b.Around {
 				_, _ = fmt.Fprintln(c.ErrOrStderr(), "  ", e)
 			}
-			_, _ = fmt.Fprintf(c.ErrOrStderr(), "again: olivelab run %s --days 1 --seed %d --until %v\n", path, r.Seed, (b.At + time.Second).Truncate(time.Second))
+			_, _ = fmt.Fprintf(c.ErrOrStderr(), "again: olivesim run %s --days 1 --seed %d --until %v\n", path, r.Seed, (b.At + time.Second).Truncate(time.Second))
 		}
 		n += r.Breached()
 	}
@@ -174,7 +174,7 @@
 		Use: "sweep SCENARIO.toml --vary KEY --values A,B,...", Short: "Play a scenario over values of a setting, or of two", Args: cobra.ExactArgs(1),
 		Long: "sweep plays a scenario over values of a setting, named as in its file (callers.load, fault.1.factor: faults are counted from 1).\n" +
 			"With --beside each value is played with each of the second setting's.",
-		Example: "  olivelab sweep deploy/lab/slow.toml --vary fault.1.factor --values 2,4,8 --beside fleet.controllers --besides 8,60 -o slow.json\n  olivelab sweep deploy/lab/quiet.toml --vary callers.load --values 0.6,0.8,1,1.2,1.6,2 -o load.json",
+		Example: "  olivesim sweep deploy/sim/slow.toml --vary fault.1.factor --values 2,4,8 --beside fleet.controllers --besides 8,60 -o slow.json\n  olivesim sweep deploy/sim/quiet.toml --vary callers.load --values 0.6,0.8,1,1.2,1.6,2 -o load.json",
 		RunE: func(c *cobra.Command, args []string) error {
 			sc, seeds, err := d.read(args[0])
 			if err != nil {
@@ -249,7 +249,7 @@
 		Use: "shrink SCENARIO.toml --seed N", Short: "Find the fewest faults by which a day still breaks its rule", Args: cobra.ExactArgs(1),
 		Long: "shrink leaves faults out while a rule is still broken. In virtual time it is the scenario's faults; with --floor sockets those\n" +
 			"of a schedule, each smaller one played --tries times, as real processes do not repeat themselves.",
-		Example: "  olivelab shrink bad.toml --seed 17 -o small.toml\n  olivelab shrink deploy/lab/zones.toml --floor sockets --schedule days/seed-3/schedule.toml -o small.toml",
+		Example: "  olivesim shrink bad.toml --seed 17 -o small.toml\n  olivesim shrink deploy/sim/zones.toml --floor sockets --schedule days/seed-3/schedule.toml -o small.toml",
 		RunE: func(c *cobra.Command, args []string) error {
 			sc, err := scenario.Load(args[0])
 			if err != nil {
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -18,14 +18,14 @@
 
 	"olivedale/internal/adminapi"
 	"olivedale/internal/codec/h248"
-	"olivedale/internal/lab/etcd"
+	"olivedale/internal/sim/fakeetcd"
 )
 
 const prefix = "/olivedale/instances/"
 
-func startEtcd(t *testing.T) *etcd.Server {
+func startEtcd(t *testing.T) *fakeetcd.Server {
 	t.Helper()
-	server, err := etcd.Start("127.0.0.1:0")
+	server, err := fakeetcd.Start("127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -77,7 +77,7 @@
 }
 
 // startWatch watches the instances until the test ends.
-func startWatch(t *testing.T, server *etcd.Server, desired DesiredState) {
+func startWatch(t *testing.T, server *fakeetcd.Server, desired DesiredState) {
 	t.Helper()
 	client, err := clientv3.New(clientv3.Config{Endpoints: []string{server.Addr()}, DialTimeout: 5 * time.Second})
 	if err != nil {
--- a/internal/lab/rig/floors_test.go
+++ b/internal/sim/cluster/floors_test.go
@@ -1,18 +1,18 @@
-package rig
+package cluster
 
 import (
 	"slices"
 	"testing"
 	"time"
 
-	"olivedale/internal/lab/experiment"
-	"olivedale/internal/lab/result"
-	"olivedale/internal/lab/scenario"
-	"olivedale/internal/lab/virtual"
+	"olivedale/internal/sim/experiment"
+	"olivedale/internal/sim/result"
+	"olivedale/internal/sim/scenario"
+	"olivedale/internal/sim/virtualtime"
 )
 
 // The same scenario on both floors: twelve controllers, twelve exchanges, nobody tries twice.
-// go test -run '^$' -bench Floors -benchtime 1x ./internal/lab/rig
+// go test -run '^$' -bench Floors -benchtime 1x ./internal/sim/cluster
 func BenchmarkFloors(b *testing.B) {
 	for range b.N {
 		for _, load := range []float64{0.6, 0.9, 1.2} {
@@ -25,7 +25,7 @@
 			sc.Callers.Load, sc.Callers.Lean, sc.Callers.Shift, sc.Callers.Tries, sc.Callers.Patience = load, 1, scenario.Span{}, 0, [2]float64{1.0 / 3, 1.0 / 3}
 			near := scenario.Span{scenario.Duration(50 * time.Microsecond), scenario.Duration(150 * time.Microsecond)} // as loopback has it
 			sc.Wire.Near, sc.Wire.Far, sc.Wire.Client = near, near, scenario.Duration(100*time.Microsecond)
-			days, err := experiment.Play(b.Context(), &sc, experiment.Seeds(1, 12), virtual.Options{})
+			days, err := experiment.Play(b.Context(), &sc, experiment.Seeds(1, 12), virtualtime.Options{})
 			if err != nil {
 				b.Fatal(err)
 			}
--- a/internal/lab/rig/instance.go
+++ b/internal/sim/cluster/instance.go
@@ -1,4 +1,4 @@
-package rig
+package cluster
 
 import (
 	"encoding/json"
@@ -7,8 +7,8 @@
 	"net"
 
 	"olivedale/internal/config"
-	"olivedale/internal/lab/scenario"
-	"olivedale/internal/lab/socket"
+	"olivedale/internal/sim/loopback"
+	"olivedale/internal/sim/scenario"
 )
 
 // An Instance is a call controller that an agent is to run.
@@ -20,7 +20,7 @@
 	Seed                              uint64
 	Group                             int            // controllers of the fleet
 	Share                             map[string]any // section [share] of its operator's file; nil: it decides alone
-	Lines                             []socket.Line
+	Lines                             []loopback.Line
 }
 
 // Spec is the value by which etcd says that it is wanted.
--- a/internal/lab/rig/page.go
+++ b/internal/sim/cluster/page.go
@@ -1,15 +1,15 @@
-package rig
+package cluster
 
 import (
 	"fmt"
 	"html/template"
 
-	"olivedale/internal/lab/show"
+	"olivedale/internal/sim/plot"
 )
 
 // Part is the run as a part of a page: what went wrong beside what callers of each zone got.
-func (res *Result) Part() (show.Part, error) {
-	p := show.Part{Title: fmt.Sprintf("Seed %d", res.Seed), About: fmt.Sprintf("%d call controllers, %d exchanges, %d zones with an agent each; calls for %.0f s. %d events on the wires, rules broken %d times.",
+func (res *Result) Part() (plot.Part, error) {
+	p := plot.Part{Title: fmt.Sprintf("Seed %d", res.Seed), About: fmt.Sprintf("%d call controllers, %d exchanges, %d zones with an agent each; calls for %.0f s. %d events on the wires, rules broken %d times.",
 		res.Topology.Controllers, res.Topology.Exchanges, res.Topology.Zones, res.For, res.Seen, res.Broken)}
 	for _, s := range res.Struck {
 		p.Facts = append(p.Facts, s.Step.String())
@@ -18,9 +18,9 @@
 		p.Facts = append(p.Facts, "broken: "+b.String())
 	}
 	p.Heading, p.Rows = res.Rows()
-	var curves []show.Curve
+	var curves []plot.Curve
 	for z := range res.Topology.Zones {
-		c := show.Curve{Name: fmt.Sprint("z", z)}
+		c := plot.Curve{Name: fmt.Sprint("z", z)}
 		for _, now := range res.Course { // a rise that stays is calls lost; one that passes, calls that wait
 			c.X, c.Y = append(c.X, now.At), append(c.Y, float64(now.Sent[z]-now.Stood[z]))
 		}
@@ -29,7 +29,7 @@
 	if len(res.Course) < 3 {
 		return p, nil
 	}
-	svg, err := show.Plot("calls sent that did not stand, so far", "s", "", curves)
+	svg, err := plot.Plot("calls sent that did not stand, so far", "s", "", curves)
 	if err != nil {
 		return p, err
 	}
--- a/internal/lab/rig/relay_test.go
+++ b/internal/sim/cluster/relay_test.go
@@ -1,4 +1,4 @@
-package rig
+package cluster
 
 import (
 	"bufio"
@@ -17,7 +17,7 @@
 	"time"
 )
 
-// TestMain lets the test's own program stand for olivelab's command "hold".
+// TestMain lets the test's own program stand for olivesim's command "hold".
 func TestMain(m *testing.M) {
 	if len(os.Args) == 4 && os.Args[1] == "hold" {
 		pid, err := strconv.Atoi(os.Args[3])
--- a/internal/lab/rig/run.go
+++ b/internal/sim/cluster/run.go
@@ -1,4 +1,4 @@
-package rig
+package cluster
 
 import (
 	"cmp"
@@ -21,15 +21,15 @@
 
 	"olivedale/internal/adminapi"
 	"olivedale/internal/codec/h248"
-	"olivedale/internal/lab/etcd"
-	"olivedale/internal/lab/rules"
-	"olivedale/internal/lab/scenario"
-	"olivedale/internal/lab/socket"
+	"olivedale/internal/sim/fakeetcd"
+	"olivedale/internal/sim/invariant"
+	"olivedale/internal/sim/loopback"
+	"olivedale/internal/sim/scenario"
 )
 
 // Options say what is run.
 type Options struct {
-	Bin      string // folder of olivedale, oliveagent and olivelab
+	Bin      string // folder of olivedale, oliveagent and olivesim
 	Dir      string // for files and records; it is made, and kept
 	Topology Topology
 	Scenario *scenario.Scenario // exchanges and callers; its fleet and faults are not used
@@ -60,8 +60,8 @@
 	key    []byte // that controllers sign with
 	log    *os.File
 	watch  *watch
-	etcd   *etcd.Server
-	load   *socket.Load
+	etcd   *fakeetcd.Server
+	load   *loopback.Load
 	nodes  []*node
 	agents []*agent
 	places []*place
@@ -87,7 +87,7 @@
 type node struct {
 	name, listen, admin string
 	zone                int
-	names               *socket.Names
+	names               *loopback.Names
 	ask                 *datagrams // the way to its directory
 	door                *stream    // the way from its agent to its admin door
 	to                  map[string]*stream
@@ -116,9 +116,9 @@
 	pool  int
 	zone  int
 	mu    sync.Mutex
-	x     *socket.Exchange
-	line  socket.Line // of x; its address is another for each controller
-	old   *socket.Line
+	x     *loopback.Exchange
+	line  loopback.Line // of x; its address is another for each controller
+	old   *loopback.Line
 	next  int
 	fell  bool
 	clear bool // nothing is there
@@ -130,7 +130,7 @@
 	if err := cmp.Or(o.Topology.Check(), o.Schedule.Check(&o.Topology)); err != nil {
 		return nil, err
 	}
-	for _, name := range []string{"olivedale", "oliveagent", "olivelab"} {
+	for _, name := range []string{"olivedale", "oliveagent", "olivesim"} {
 		if _, err := os.Stat(filepath.Join(o.Bin, name)); err != nil {
 			return nil, fmt.Errorf("rig: %s is not in %s; build it first: make build", name, o.Bin)
 		}
@@ -180,10 +180,10 @@
 	if r.log, err = os.Create(filepath.Join(o.Dir, "log")); err != nil {
 		return fmt.Errorf("rig: %w", err)
 	}
-	if r.tether, err = newTether(o.Dir, filepath.Join(o.Bin, "olivelab"), filepath.Join(o.Bin, "olivedale")); err != nil {
+	if r.tether, err = newTether(o.Dir, filepath.Join(o.Bin, "olivesim"), filepath.Join(o.Bin, "olivedale")); err != nil {
 		return err
 	}
-	if r.etcd, err = etcd.Start("127.0.0.1:0"); err != nil {
+	if r.etcd, err = fakeetcd.Start("127.0.0.1:0"); err != nil {
 		return err
 	}
 	for i := range t.Exchanges {
@@ -200,7 +200,7 @@
 			return err
 		}
 	}
-	r.load = &socket.Load{Rate: r.sc.Rate() * r.sc.Callers.Load, For: o.For, Left: 3 * time.Second, Pools: t.Exchanges, Classes: r.sc.Class, Seed: o.Schedule.Seed, Saw: r.watch.see}
+	r.load = &loopback.Load{Rate: r.sc.Rate() * r.sc.Callers.Load, For: o.For, Left: 3 * time.Second, Pools: t.Exchanges, Classes: r.sc.Class, Seed: o.Schedule.Seed, Saw: r.watch.see}
 	for i := range t.Controllers {
 		n := &node{name: fmt.Sprint("n", i), zone: i % t.Zones, to: make(map[string]*stream)}
 		r.nodes = append(r.nodes, n)
@@ -241,7 +241,7 @@
 }
 
 func (r *Run) startNode(n *node, i uint64) (err error) {
-	if n.names, err = socket.ListenNames("127.0.0.1:0"); err != nil {
+	if n.names, err = loopback.ListenNames("127.0.0.1:0"); err != nil {
 		return err
 	}
 	n.ask, err = relayDatagrams(n.name, "names", n.names.Addr(), rand.New(rand.NewPCG(r.o.Schedule.Seed, 100+i)), func(w Way, b []byte) {
@@ -317,7 +317,7 @@
 }
 
 // lead puts a relay on the way from a controller to an exchange.
-func (r *Run) lead(n *node, l socket.Line, place string) error {
+func (r *Run) lead(n *node, l loopback.Line, place string) error {
 	s, err := relayStream(n.name, place, func() string { return l.Addr }, func() tap { return r.watch.signalling(n.name, l.ID) })
 	if err != nil {
 		return err
@@ -347,12 +347,12 @@
 }
 
 // lines are the exchanges as a controller reaches them.
-func (r *Run) lines(n *node) (all []socket.Line) {
+func (r *Run) lines(n *node) (all []loopback.Line) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, p := range r.places {
 		p.mu.Lock()
-		lines := []socket.Line{p.line}
+		lines := []loopback.Line{p.line}
 		if p.clear {
 			lines = nil
 		}
@@ -390,7 +390,7 @@
 
 // put starts an exchange in a place.
 func (r *Run) put(p *place, cold bool) error {
-	x, err := socket.Listen("127.0.0.1:0", r.sc.Model(), cold, r.o.Schedule.Seed+uint64(p.pool)*31+uint64(p.next)*7)
+	x, err := loopback.Listen("127.0.0.1:0", r.sc.Model(), cold, r.o.Schedule.Seed+uint64(p.pool)*31+uint64(p.next)*7)
 	if err != nil {
 		return err
 	}
@@ -398,7 +398,7 @@
 	if p.next > 0 {
 		id = fmt.Sprintf("%s.%d", p.name, p.next)
 	}
-	l := socket.Line{ID: id, Addr: x.Addr(), Zone: fmt.Sprint("z", p.zone), Pool: p.pool}
+	l := loopback.Line{ID: id, Addr: x.Addr(), Zone: fmt.Sprint("z", p.zone), Pool: p.pool}
 	if cold {
 		l.Started = time.Now()
 	}
@@ -536,7 +536,7 @@
 	watch, unwatch := context.WithCancel(ctx)
 	var watching sync.WaitGroup
 	watching.Go(func() { r.guard(watch) })
-	var half []socket.LoadStats
+	var half []loopback.LoadStats
 	watching.Go(func() {
 		if r.sleep(watch, r.o.For*4/5) {
 			r.mu.Lock()
@@ -584,7 +584,7 @@
 }
 
 // each is what callers of each controller got.
-func (r *Run) each() (all []socket.LoadStats) {
+func (r *Run) each() (all []loopback.LoadStats) {
 	for i := range r.nodes {
 		all = append(all, r.load.StatsOf(i))
 	}
@@ -592,7 +592,7 @@
 }
 
 // recovered checks that, once all faults are over, calls stand through every controller again.
-func (r *Run) recovered(before []socket.LoadStats) {
+func (r *Run) recovered(before []loopback.LoadStats) {
 	if before == nil {
 		return
 	}
@@ -658,7 +658,7 @@
 			n.mu.Unlock()
 			if crashed {
 				r.breach("no_crash", n.name, "%s ended though nobody had it end; its log is in %s", n.name, r.log.Name())
-				r.watch.see(rules.Event{Kind: rules.Killed, Node: n.name})
+				r.watch.see(invariant.Event{Kind: invariant.Killed, Node: n.name})
 				go r.back(ctx, n)
 			}
 		}
@@ -668,7 +668,7 @@
 			p.fell = p.fell || fell
 			p.mu.Unlock()
 			if fell {
-				r.watch.see(rules.Event{Kind: rules.PushedOver, Server: p.line.ID})
+				r.watch.see(invariant.Event{Kind: invariant.PushedOver, Server: p.line.ID})
 				r.refuse(p.line.ID)
 			}
 		}
@@ -685,7 +685,7 @@
 }
 
 // Etcd is the store of the agents.
-func (r *Run) Etcd() *etcd.Server { return r.etcd }
+func (r *Run) Etcd() *fakeetcd.Server { return r.etcd }
 
 // stop ends all that runs, in order where it can be.
 func (r *Run) stop() error {
@@ -774,7 +774,7 @@
 	defer r.mu.Unlock()
 	res := &Result{Seed: r.o.Schedule.Seed, Topology: r.o.Topology, For: r.o.For.Seconds(), Struck: r.struck, Course: r.course, Schedule: r.o.Schedule}
 	for z := range r.o.Topology.Zones {
-		s := socket.NewLoadStats()
+		s := loopback.NewLoadStats()
 		for i, n := range r.nodes {
 			if n.zone == z {
 				s.Add(r.load.StatsOf(i))
--- a/internal/lab/rig/run_test.go
+++ b/internal/sim/cluster/run_test.go
@@ -1,4 +1,4 @@
-package rig
+package cluster
 
 import (
 	"bytes"
@@ -19,8 +19,8 @@
 	"golang.org/x/sys/unix"
 
 	"olivedale/internal/adminapi"
-	"olivedale/internal/lab/scenario"
 	"olivedale/internal/record"
+	"olivedale/internal/sim/scenario"
 )
 
 // built is the folder of programs, "": none was needed.
@@ -35,11 +35,11 @@
 	if out, err := exec.Command("go", "build", "-o", dir+"/", "olivedale/cmd/olivedale", "olivedale/cmd/oliveagent").CombinedOutput(); err != nil {
 		return "", errors.New(string(out))
 	}
-	lab, err := os.Executable() // it has the command that the rig wants of olivelab
+	lab, err := os.Executable() // it has the command that the rig wants of olivesim
 	if err != nil {
 		return "", err
 	}
-	return dir, os.Symlink(lab, filepath.Join(dir, "olivelab"))
+	return dir, os.Symlink(lab, filepath.Join(dir, "olivesim"))
 })
 
 func options(t *testing.T, s *Schedule, long time.Duration) Options {
--- a/internal/lab/rig/schedule.go
+++ b/internal/sim/cluster/schedule.go
@@ -1,4 +1,4 @@
-package rig
+package cluster
 
 import (
 	"cmp"
@@ -13,7 +13,7 @@
 
 	"github.com/BurntSushi/toml"
 
-	"olivedale/internal/lab/scenario"
+	"olivedale/internal/sim/scenario"
 )
 
 // Kinds of steps on a path. Each ends after For, but for reset, which has no length.
--- a/internal/lab/rig/schedule_test.go
+++ b/internal/sim/cluster/schedule_test.go
@@ -1,4 +1,4 @@
-package rig
+package cluster
 
 import (
 	"path/filepath"
@@ -8,8 +8,8 @@
 	"testing"
 	"time"
 
-	"olivedale/internal/lab/rules"
-	"olivedale/internal/lab/scenario"
+	"olivedale/internal/sim/invariant"
+	"olivedale/internal/sim/scenario"
 )
 
 func TestDrawnSchedulesCanBePlayedAndWritten(t *testing.T) {
@@ -94,7 +94,7 @@
 	for _, c := range []struct {
 		name string
 		play func(w *watch, a, b tap)
-		want rules.Rule
+		want invariant.Rule
 	}{
 		{"one attempt", func(_ *watch, a, _ tap) { a(There, []byte(invite("1"))) }, ""},
 		{"turned away, and sent elsewhere at once", func(_ *watch, a, b tap) {
@@ -107,30 +107,30 @@
 				a(There, []byte{c})
 			}
 			b(There, []byte(invite("2")))
-		}, rules.OneAttempt},
+		}, invariant.OneAttempt},
 		{"sent again at once after it was given up", func(_ *watch, a, b tap) {
 			a(There, []byte(invite("1")+cancel))
 			b(There, []byte(invite("2")))
-		}, rules.ReleaseKept},
+		}, invariant.ReleaseKept},
 		{"sent again at once after its connection broke", func(_ *watch, a, b tap) {
 			a(There, []byte(invite("1")))
 			a(There, nil)
 			b(There, []byte(invite("2")))
-		}, rules.ReleaseKept},
+		}, invariant.ReleaseKept},
 		{"sent to one that drains", func(w *watch, a, _ tap) {
 			w.began = w.began.Add(-time.Minute)
-			w.check.See(rules.Event{At: time.Second, Kind: rules.Told, Node: "n0", Server: "x0", On: true})
+			w.check.See(invariant.Event{At: time.Second, Kind: invariant.Told, Node: "n0", Server: "x0", On: true})
 			a(There, []byte(invite("1")))
-		}, rules.DrainsKept},
+		}, invariant.DrainsKept},
 		{"the answer twice", func(w *watch, a, _ tap) {
-			w.see(rules.Event{Kind: rules.Stands, Node: "n0", Call: "c1"})
-			w.see(rules.Event{Kind: rules.Stands, Node: "n0", Call: "c1"})
-		}, rules.OneAnswer},
+			w.see(invariant.Event{Kind: invariant.Stands, Node: "n0", Call: "c1"})
+			w.see(invariant.Event{Kind: invariant.Stands, Node: "n0", Call: "c1"})
+		}, invariant.OneAnswer},
 	} {
 		w := newWatch(time.Now())
-		w.see(rules.Event{Kind: rules.SetUp, Node: "n0", Call: "c1", Until: time.Hour})
+		w.see(invariant.Event{Kind: invariant.SetUp, Node: "n0", Call: "c1", Until: time.Hour})
 		c.play(w, w.signalling("n0", "x0"), w.signalling("n0", "x1"))
-		got := rules.Rule("")
+		got := invariant.Rule("")
 		if all := w.check.Breaches(); len(all) > 0 {
 			got = all[0].Rule
 		}
@@ -144,23 +144,23 @@
 // counts as before.
 func TestStoppedControllerIsExcused(t *testing.T) {
 	t.Parallel()
-	c := rules.New(rules.Defaults())
-	at := func(s float64, k rules.Kind, on bool) {
-		c.See(rules.Event{At: time.Duration(s * float64(time.Second)), Kind: k, Node: "n0", Call: "c1", Server: "x0", On: on, Until: 2 * time.Second})
+	c := invariant.New(invariant.Defaults())
+	at := func(s float64, k invariant.Kind, on bool) {
+		c.See(invariant.Event{At: time.Duration(s * float64(time.Second)), Kind: k, Node: "n0", Call: "c1", Server: "x0", On: on, Until: 2 * time.Second})
 	}
-	at(1, rules.SetUp, false)
-	at(1.5, rules.Told, true)
-	at(1.5, rules.Paused, true)
-	at(6, rules.Paused, false)
-	at(6.1, rules.Invite, false)
-	at(6.2, rules.Refused, false)
+	at(1, invariant.SetUp, false)
+	at(1.5, invariant.Told, true)
+	at(1.5, invariant.Paused, true)
+	at(6, invariant.Paused, false)
+	at(6.1, invariant.Invite, false)
+	at(6.2, invariant.Refused, false)
 	for _, b := range c.Breaches() { // that it was sent on after its caller's time among them
 		t.Errorf("%v", b)
 	}
-	c.See(rules.Event{At: 7 * time.Second, Kind: rules.SetUp, Node: "n0", Call: "c2", Until: 8 * time.Second})
-	c.See(rules.Event{At: 8500 * time.Millisecond, Kind: rules.Invite, Node: "n0", Call: "c2", Server: "x0"})
-	if c.Count(rules.InTime) != 1 || c.Count(rules.DrainsKept) != 1 {
-		t.Errorf("after it went on: %d in_time, %d drains_kept, want 1 each", c.Count(rules.InTime), c.Count(rules.DrainsKept))
+	c.See(invariant.Event{At: 7 * time.Second, Kind: invariant.SetUp, Node: "n0", Call: "c2", Until: 8 * time.Second})
+	c.See(invariant.Event{At: 8500 * time.Millisecond, Kind: invariant.Invite, Node: "n0", Call: "c2", Server: "x0"})
+	if c.Count(invariant.InTime) != 1 || c.Count(invariant.DrainsKept) != 1 {
+		t.Errorf("after it went on: %d in_time, %d drains_kept, want 1 each", c.Count(invariant.InTime), c.Count(invariant.DrainsKept))
 	}
 }
 
@@ -186,11 +186,11 @@
 // The schedules that come with the product can be played on the scenario that they name.
 func TestKeptSchedules(t *testing.T) {
 	t.Parallel()
-	kept, err := filepath.Glob("../../../deploy/lab/schedules/*.toml")
+	kept, err := filepath.Glob("../../../deploy/sim/schedules/*.toml")
 	if err != nil || len(kept) == 0 {
 		t.Fatalf("%v, %v", kept, err)
 	}
-	sc, err := scenario.Load("../../../deploy/lab/zones.toml")
+	sc, err := scenario.Load("../../../deploy/sim/zones.toml")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/lab/rig/strike.go
+++ b/internal/sim/cluster/strike.go
@@ -1,4 +1,4 @@
-package rig
+package cluster
 
 import (
 	"context"
@@ -12,11 +12,11 @@
 
 	"golang.org/x/sys/unix"
 
-	"olivedale/internal/lab/exchange"
-	"olivedale/internal/lab/rules"
-	"olivedale/internal/lab/socket"
-	"olivedale/internal/lab/together"
 	"olivedale/internal/overload"
+	"olivedale/internal/sim/exchange"
+	"olivedale/internal/sim/invariant"
+	"olivedale/internal/sim/loopback"
+	"olivedale/internal/sim/overloadpeers"
 	"olivedale/internal/transport"
 )
 
@@ -223,7 +223,7 @@
 }
 
 // end ends an exchange's process: its connections are reset, and nobody listens there.
-func (r *Run) end(x *socket.Exchange, l socket.Line) {
+func (r *Run) end(x *loopback.Exchange, l loopback.Line) {
 	x.Close()
 	r.refuse(l.ID)
 }
@@ -264,10 +264,10 @@
 	}
 	switch s.Kind {
 	case Stop:
-		r.watch.see(rules.Event{Kind: rules.Paused, Node: name, On: true})
+		r.watch.see(invariant.Event{Kind: invariant.Paused, Node: name, On: true})
 		_ = h.signal(syscall.SIGSTOP)
 		r.pause(ctx, s.For.D())
-		r.watch.see(rules.Event{Kind: rules.Paused, Node: name})
+		r.watch.see(invariant.Event{Kind: invariant.Paused, Node: name})
 		_ = h.signal(syscall.SIGCONT)
 		n.mu.Lock()
 		n.away = false
@@ -275,7 +275,7 @@
 		return
 	case Kill:
 		r.load.Away(i, true)
-		r.watch.see(rules.Event{Kind: rules.Killed, Node: name})
+		r.watch.see(invariant.Event{Kind: invariant.Killed, Node: name})
 		_ = h.signal(syscall.SIGKILL)
 	case End:
 		// New set-ups come for a while yet, as the platform says.
@@ -286,7 +286,7 @@
 	for !h.gone() && r.pause(ctx, 5*time.Millisecond) { // till then it seems to serve
 	}
 	if s.Kind == End {
-		r.watch.see(rules.Event{Kind: rules.Killed, Node: name})
+		r.watch.see(invariant.Event{Kind: invariant.Killed, Node: name})
 	}
 	r.back(ctx, n)
 }
@@ -317,8 +317,8 @@
 			if err != nil || i == as {
 				continue
 			}
-			_, _ = c.WriteTo(sign(together.Report(as, 1<<31, seq, keys, s.Share > 0)), to) // of the losses of a liar nobody hears
-			_, _ = c.WriteTo(sign(together.Word(as, 1<<31, seq, keys, s.Share > 0)), to)
+			_, _ = c.WriteTo(sign(overloadpeers.Report(as, 1<<31, seq, keys, s.Share > 0)), to) // of the losses of a liar nobody hears
+			_, _ = c.WriteTo(sign(overloadpeers.Word(as, 1<<31, seq, keys, s.Share > 0)), to)
 		}
 		if !r.pause(ctx, 500*time.Millisecond) {
 			return
--- a/internal/lab/rig/taps.go
+++ b/internal/sim/cluster/taps.go
@@ -1,4 +1,4 @@
-package rig
+package cluster
 
 import (
 	"fmt"
@@ -8,8 +8,8 @@
 	"github.com/miekg/dns"
 
 	"olivedale/internal/codec/sip"
-	"olivedale/internal/lab/exchange"
-	"olivedale/internal/lab/rules"
+	"olivedale/internal/sim/exchange"
+	"olivedale/internal/sim/invariant"
 )
 
 // A watch sees what passes over the wires of a run and has the rules checked. What it knows of the
@@ -18,8 +18,8 @@
 	change sync.Mutex // of the directory
 
 	mu      sync.Mutex
-	check   *rules.Checker
-	last    rules.Time
+	check   *invariant.Checker
+	last    invariant.Time
 	known   map[string]map[string]bool // by controller: exchanges told as draining or gone
 	serials map[uint32]news
 	serial  uint32
@@ -35,19 +35,19 @@
 const slack = 150 * time.Millisecond
 
 func newWatch(began time.Time) *watch {
-	limits := rules.Defaults()
+	limits := invariant.Defaults()
 	limits.Slack = slack
-	return &watch{began: began, check: rules.New(limits), known: make(map[string]map[string]bool), serials: make(map[uint32]news)}
+	return &watch{began: began, check: invariant.New(limits), known: make(map[string]map[string]bool), serials: make(map[uint32]news)}
 }
 
 // see takes an event as of now. Until is taken as a time from now.
-func (w *watch) see(e rules.Event) {
+func (w *watch) see(e invariant.Event) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.seeLocked(e)
 }
 
-func (w *watch) seeLocked(e rules.Event) {
+func (w *watch) seeLocked(e invariant.Event) {
 	w.last = max(time.Since(w.began), w.last)
 	e.At = w.last
 	e.Until += e.At
@@ -105,7 +105,7 @@
 		for id := range all {
 			if out := !now[id]; out != known[id] {
 				known[id] = out
-				w.seeLocked(rules.Event{Kind: rules.Told, Node: node, Server: id, On: out})
+				w.seeLocked(invariant.Event{Kind: invariant.Told, Node: node, Server: id, On: out})
 			}
 		}
 	}
@@ -127,24 +127,24 @@
 		if b == nil {
 			dead = [2]bool{true, true}
 			for a := range out {
-				w.see(rules.Event{Kind: rules.Broke, Node: node, Call: a.Call, Server: server, N: a.N})
+				w.see(invariant.Event{Kind: invariant.Broke, Node: node, Call: a.Call, Server: server, N: a.N})
 			}
 			return
 		}
 		err := readers[way].Feed(b, func(m *sip.Message) bool {
-			e := rules.Event{Node: node, Call: m.CallID, Server: server, N: m.CSeq - 1}
+			e := invariant.Event{Node: node, Call: m.CallID, Server: server, N: m.CSeq - 1}
 			a := exchange.Attempt{Call: e.Call, N: e.N}
 			switch {
 			case way == There && m.Method == "INVITE":
-				e.Kind = rules.Invite
+				e.Kind = invariant.Invite
 				out[a] = true
 			case way == There && m.Method == "CANCEL":
-				e.Kind = rules.Cancel
+				e.Kind = invariant.Cancel
 				delete(out, a)
 			case way == Back && m.Method == "" && m.CSeqMethod == "INVITE" && m.Status >= 200 && out[a]:
-				e.Kind = rules.Answer
+				e.Kind = invariant.Answer
 				if m.Status >= 300 {
-					e.Kind = rules.TurnedBack
+					e.Kind = invariant.TurnedBack
 				}
 				delete(out, a)
 			default:
--- a/internal/lab/rig/tether.go
+++ b/internal/sim/cluster/tether.go
@@ -1,4 +1,4 @@
-package rig
+package cluster
 
 import (
 	"errors"
--- a/internal/lab/demo/demo.go
+++ b/internal/sim/demo/demo.go
@@ -19,11 +19,11 @@
 
 	"olivedale/internal/adminapi"
 	"olivedale/internal/codec/h248"
-	"olivedale/internal/lab/etcd"
-	"olivedale/internal/lab/exchange"
-	"olivedale/internal/lab/rig"
-	"olivedale/internal/lab/scenario"
-	"olivedale/internal/lab/socket"
+	"olivedale/internal/sim/cluster"
+	"olivedale/internal/sim/exchange"
+	"olivedale/internal/sim/fakeetcd"
+	"olivedale/internal/sim/loopback"
+	"olivedale/internal/sim/scenario"
 )
 
 // Options say what is run.
@@ -48,15 +48,15 @@
 	o         Options
 	dir       string
 	sc        scenario.Scenario
-	names     *socket.Names
-	etcd      *etcd.Server
-	lines     []socket.Line
-	exchanges []*socket.Exchange
+	names     *loopback.Names
+	etcd      *fakeetcd.Server
+	lines     []loopback.Line
+	exchanges []*loopback.Exchange
 	agent     *exec.Cmd
 	ended     chan error
 	listen    []string // of the controllers' fronts
 	log       *os.File
-	ports     rig.Ports
+	ports     cluster.Ports
 	began     time.Time
 }
 
@@ -67,10 +67,10 @@
 			return fmt.Errorf("demo: %s is not in %s; build it first: make build", name, o.Bin)
 		}
 	}
-	s := &stage{o: o, dir: o.Dir, sc: scenario.Default(), ports: rig.Ports{Host: "127.0.0.1"}, began: time.Now()}
+	s := &stage{o: o, dir: o.Dir, sc: scenario.Default(), ports: cluster.Ports{Host: "127.0.0.1"}, began: time.Now()}
 	s.sc.Fleet.Controllers, s.sc.Fleet.Exchanges = o.Controllers, o.Exchanges
 	if s.dir == "" {
-		if s.dir, err = os.MkdirTemp("", "olivelab-demo-"); err != nil {
+		if s.dir, err = os.MkdirTemp("", "olivesim-demo-"); err != nil {
 			return fmt.Errorf("demo: %w", err)
 		}
 		defer func() { err = errors.Join(err, os.RemoveAll(s.dir)) }()
@@ -95,12 +95,12 @@
 	_, _ = fmt.Fprintf(s.o.Out, "%5.1fs  "+format+"\n", append([]any{time.Since(s.began).Seconds()}, args...)...)
 }
 
-func (s *stage) exchange(id string, pool int, cold bool) (*socket.Exchange, error) {
-	x, err := socket.Listen("127.0.0.1:0", s.sc.Model(), cold, s.o.Seed+uint64(len(s.exchanges))*7)
+func (s *stage) exchange(id string, pool int, cold bool) (*loopback.Exchange, error) {
+	x, err := loopback.Listen("127.0.0.1:0", s.sc.Model(), cold, s.o.Seed+uint64(len(s.exchanges))*7)
 	if err != nil {
 		return nil, err
 	}
-	l := socket.Line{ID: id, Addr: x.Addr(), Zone: "east", Pool: pool}
+	l := loopback.Line{ID: id, Addr: x.Addr(), Zone: "east", Pool: pool}
 	if cold {
 		l.Started = time.Now()
 	}
@@ -109,7 +109,7 @@
 }
 
 func (s *stage) start(ctx context.Context) (err error) {
-	if s.names, err = socket.ListenNames("127.0.0.1:0"); err != nil {
+	if s.names, err = loopback.ListenNames("127.0.0.1:0"); err != nil {
 		return err
 	}
 	for i := range s.o.Exchanges {
@@ -118,7 +118,7 @@
 		}
 	}
 	s.names.Set(s.lines...)
-	if s.etcd, err = etcd.Start("127.0.0.1:0"); err != nil {
+	if s.etcd, err = fakeetcd.Start("127.0.0.1:0"); err != nil {
 		return err
 	}
 	s.say("%d emulated exchanges, a directory at %s, a stand-in of etcd at %s", s.o.Exchanges, s.names.Addr(), s.etcd.Addr())
@@ -156,7 +156,7 @@
 			return fmt.Errorf("demo: %w", err)
 		}
 	}
-	text, err := (&rig.Instance{Name: name, Listen: addr[0], Admin: addr[1], Panel: addr[2], Names: s.names.Addr(), Records: filepath.Join(s.dir, "records", name),
+	text, err := (&cluster.Instance{Name: name, Listen: addr[0], Admin: addr[1], Panel: addr[2], Names: s.names.Addr(), Records: filepath.Join(s.dir, "records", name),
 		Seed: s.o.Seed*31 + uint64(i) + 1, Group: s.o.Controllers, Lines: s.lines}).Spec(&s.sc)
 	if err != nil {
 		return fmt.Errorf("demo: %w", err)
@@ -196,7 +196,7 @@
 
 // play has calls come, and things go wrong.
 func (s *stage) play(ctx context.Context) error {
-	load := &socket.Load{Addrs: s.listen, Rate: s.o.Rate, For: s.o.For, Left: 3 * time.Second, Pools: s.o.Exchanges, Classes: s.sc.Class, Seed: s.o.Seed}
+	load := &loopback.Load{Addrs: s.listen, Rate: s.o.Rate, For: s.o.For, Left: 3 * time.Second, Pools: s.o.Exchanges, Classes: s.sc.Class, Seed: s.o.Seed}
 	done := make(chan error, 1)
 	go func() { done <- load.Run(ctx) }()
 	s.say("%v calls a second for %v; beside it, look with", s.o.Rate, s.o.For)
@@ -230,7 +230,7 @@
 	}
 }
 
-func (s *stage) figures(l socket.LoadStats) {
+func (s *stage) figures(l loopback.LoadStats) {
 	p := func(q float64) time.Duration {
 		if l.Took == nil || l.Took.TotalCount() == 0 {
 			return 0
@@ -257,7 +257,7 @@
 		return err
 	}
 	s.names.Set(s.lines...)
-	gone := append(append([]socket.Line(nil), s.lines[:last]...), s.lines[last+1:]...)
+	gone := append(append([]loopback.Line(nil), s.lines[:last]...), s.lines[last+1:]...)
 	time.AfterFunc(s.o.For/5, func() {
 		old.Close()
 		s.names.Set(gone...)
--- a/internal/lab/demo/demo_test.go
+++ b/internal/sim/demo/demo_test.go
@@ -11,7 +11,7 @@
 	"testing"
 	"time"
 
-	"olivedale/internal/lab/rig"
+	"olivedale/internal/sim/cluster"
 )
 
 // The demo runs to its end, says what happened, makes its report, and leaves nothing running or lying
@@ -27,7 +27,7 @@
 	}
 	run := func(ctx context.Context, long time.Duration) (string, string) {
 		t.Helper()
-		agent, err := (&rig.Ports{Host: "127.0.0.1"}).Free()
+		agent, err := (&cluster.Ports{Host: "127.0.0.1"}).Free()
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/lab/agenda/agenda.go
+++ b/internal/sim/eventqueue/agenda.go
@@ -1,6 +1,6 @@
 // Package agenda keeps things by the time at which they are due. Of two that are due at one time the
 // one that was put down first comes first, so that a run repeats to the byte.
-package agenda
+package eventqueue
 
 import (
 	"math"
--- a/internal/lab/agenda/agenda_test.go
+++ b/internal/sim/eventqueue/agenda_test.go
@@ -1,4 +1,4 @@
-package agenda
+package eventqueue
 
 import (
 	"slices"
--- a/internal/lab/exchange/exchange.go
+++ b/internal/sim/exchange/exchange.go
@@ -12,7 +12,7 @@
 
 	"gonum.org/v1/gonum/stat/distuv"
 
-	"olivedale/internal/lab/agenda"
+	"olivedale/internal/sim/eventqueue"
 )
 
 // A Time is a reading of the clock that the host keeps.
@@ -183,7 +183,7 @@
 	busy   bool
 	now    job
 	ends   Time // of the job at hand
-	timers agenda.Agenda[timer]
+	timers eventqueue.Agenda[timer]
 	out    []Message
 	// set-ups of the last FallFor, while it is cold
 	recent []Time
@@ -389,7 +389,7 @@
 // Stop ends it for good, without a word to anybody.
 func (x *Exchange) Stop() {
 	x.state = Down
-	x.calls, x.up, x.timers = make(map[Attempt]*call), nil, agenda.Agenda[timer]{}
+	x.calls, x.up, x.timers = make(map[Attempt]*call), nil, eventqueue.Agenda[timer]{}
 	x.reject, x.front, x.back = queue{}, queue{}, queue{}
 	x.busy, x.ahead, x.taken = false, 0, 0
 }
@@ -497,7 +497,7 @@
 	next := x.timers.Next()
 	switch {
 	case x.state != Running:
-		return agenda.Never
+		return eventqueue.Never
 	case x.busy:
 		next = min(next, x.ends)
 	}
--- a/internal/lab/exchange/exchange_test.go
+++ b/internal/sim/exchange/exchange_test.go
@@ -58,7 +58,7 @@
 	}
 }
 
-// The same at length, and closer to full: go test -run '^$' -bench MG1 -benchtime 1x ./internal/lab/exchange
+// The same at length, and closer to full: go test -run '^$' -bench MG1 -benchtime 1x ./internal/sim/exchange
 func BenchmarkMG1(b *testing.B) {
 	for range b.N {
 		for _, vary := range []float64{0, 0.5, 1, 1.5} {
--- a/internal/lab/experiment/experiment.go
+++ b/internal/sim/experiment/experiment.go
@@ -19,9 +19,9 @@
 	"golang.org/x/sync/errgroup"
 	"gonum.org/v1/gonum/stat"
 
-	"olivedale/internal/lab/result"
-	"olivedale/internal/lab/scenario"
-	"olivedale/internal/lab/virtual"
+	"olivedale/internal/sim/result"
+	"olivedale/internal/sim/scenario"
+	"olivedale/internal/sim/virtualtime"
 )
 
 // Seeds are n seeds that begin with first.
@@ -35,7 +35,7 @@
 
 // Play plays a scenario with each seed in virtual time, as many at once as there are cores, and
 // returns the results in the order of the seeds. It ends early with ctx.
-func Play(ctx context.Context, sc *scenario.Scenario, seeds []uint64, opt virtual.Options) ([]*result.Result, error) {
+func Play(ctx context.Context, sc *scenario.Scenario, seeds []uint64, opt virtualtime.Options) ([]*result.Result, error) {
 	all := make([]*result.Result, len(seeds))
 	g, ctx := errgroup.WithContext(ctx)
 	g.SetLimit(runtime.GOMAXPROCS(0))
@@ -44,7 +44,7 @@
 			if ctx.Err() != nil {
 				return ctx.Err()
 			}
-			all[i] = virtual.Run(sc, seed, opt)
+			all[i] = virtualtime.Run(sc, seed, opt)
 			return nil
 		})
 	}
@@ -268,9 +268,9 @@
 // Shrink takes faults out of a scenario that breaks a rule with a seed, one after the other, for as
 // long as the rule stays broken, and then makes the run as short as it can be. It returns nil if the
 // rule is not broken to begin with.
-func Shrink(ctx context.Context, sc *scenario.Scenario, seed uint64, opt virtual.Options) *scenario.Scenario {
+func Shrink(ctx context.Context, sc *scenario.Scenario, seed uint64, opt virtualtime.Options) *scenario.Scenario {
 	broken := func(s *scenario.Scenario) *result.Result {
-		if r := virtual.Run(s, seed, opt); len(r.Broken) > 0 {
+		if r := virtualtime.Run(s, seed, opt); len(r.Broken) > 0 {
 			return r
 		}
 		return nil
--- a/internal/lab/experiment/experiment_test.go
+++ b/internal/sim/experiment/experiment_test.go
@@ -11,9 +11,9 @@
 
 	"olivedale/internal/admission"
 	"olivedale/internal/call"
-	"olivedale/internal/lab/result"
-	"olivedale/internal/lab/scenario"
-	"olivedale/internal/lab/virtual"
+	"olivedale/internal/sim/result"
+	"olivedale/internal/sim/scenario"
+	"olivedale/internal/sim/virtualtime"
 )
 
 // Of intervals of 95% about as many hold the true mean.
@@ -107,7 +107,7 @@
 	}
 	sc.Fault = nil
 	sc.Length = scenario.Duration(3 * time.Second)
-	all, err := Play(context.Background(), &sc, Seeds(1, 3), virtual.Options{})
+	all, err := Play(context.Background(), &sc, Seeds(1, 3), virtualtime.Options{})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -140,12 +140,12 @@
 	at := func(s float64) scenario.Duration { return scenario.Duration(s * float64(time.Second)) }
 	sc.Fault = []scenario.Fault{{Kind: scenario.Slow, At: at(2), For: at(3), Share: 0.3, Factor: 2}, {Kind: scenario.Reset, At: at(8), Share: 1},
 		{Kind: scenario.Burst, At: at(4), For: at(2), Factor: 1.5}, {Kind: scenario.NamesLate, At: at(1), For: at(5), By: at(1)}}
-	opt := virtual.Options{Module: func(_ string, d call.Decider) call.Decider { return hasty{d} }}
+	opt := virtualtime.Options{Module: func(_ string, d call.Decider) call.Decider { return hasty{d} }}
 	small := Shrink(context.Background(), &sc, 4, opt)
 	if small == nil || len(small.Fault) != 1 || small.Fault[0].Kind != scenario.Reset || small.Length.D() > 11*time.Second {
 		t.Errorf("%+v", small)
 	}
-	if Shrink(context.Background(), &sc, 4, virtual.Options{}) != nil {
+	if Shrink(context.Background(), &sc, 4, virtualtime.Options{}) != nil {
 		t.Error("a healthy run was shrunk")
 	}
 }
--- a/internal/lab/etcd/etcd.go
+++ b/internal/sim/fakeetcd/etcd.go
@@ -1,7 +1,7 @@
 // Package etcd is a stand-in for etcd, by its published API alone: KV, Lease and Watch over a bounded
 // history, on loopback gRPC. It is one member that keeps nothing on disk, and it goes wrong as it is
 // told to: watches that stall, answers that get lost, a leader that is away, a restore from backup.
-package etcd
+package fakeetcd
 
 import (
 	"cmp"
--- a/internal/lab/etcd/kv.go
+++ b/internal/sim/fakeetcd/kv.go
@@ -1,4 +1,4 @@
-package etcd
+package fakeetcd
 
 import (
 	"bytes"
--- a/internal/lab/rules/rules.go
+++ b/internal/sim/invariant/rules.go
@@ -2,7 +2,7 @@
 // answer a call and in time, never two attempts out, nothing new to a server long after the news that
 // it drains, no cold server pushed over, no resend soon after an attempt that may have run. It shares
 // no code with the call controller and does not know how that decides.
-package rules
+package invariant
 
 import (
 	"fmt"
@@ -10,7 +10,7 @@
 	"strings"
 	"time"
 
-	"olivedale/internal/lab/agenda"
+	"olivedale/internal/sim/eventqueue"
 )
 
 // A Time is a reading of the clock that all that is seen is told by.
@@ -126,7 +126,7 @@
 	breaches []*Breach
 	counts   map[Rule]int
 	seen     int
-	due      agenda.Agenda[key]
+	due      eventqueue.Agenda[key]
 }
 
 type key struct{ node, call string }
--- a/internal/lab/rules/rules_test.go
+++ b/internal/sim/invariant/rules_test.go
@@ -1,4 +1,4 @@
-package rules
+package invariant
 
 import (
 	"testing"
--- a/internal/lab/socket/exchange.go
+++ b/internal/sim/loopback/exchange.go
@@ -1,7 +1,7 @@
 // Package socket puts the laboratory's exchanges, directory and callers behind real sockets on
-// loopback, for real call controllers to work with. What exchanges do is lab/exchange's; here are
+// loopback, for real call controllers to work with. What exchanges do is sim/exchange's; here are
 // connections, SIP and DNS.
-package socket
+package loopback
 
 import (
 	"cmp"
@@ -13,8 +13,8 @@
 	"time"
 
 	"olivedale/internal/codec/sip"
-	"olivedale/internal/lab/agenda"
-	"olivedale/internal/lab/exchange"
+	"olivedale/internal/sim/eventqueue"
+	"olivedale/internal/sim/exchange"
 )
 
 // An Exchange serves SIP over TCP on a loopback address. Its methods may be called from anywhere.
@@ -103,7 +103,7 @@
 		e.shut()
 		return
 	}
-	if next := e.x.Next(); next < agenda.Never {
+	if next := e.x.Next(); next < eventqueue.Never {
 		e.timer.Reset(max(next-now, 0))
 	}
 }
--- a/internal/lab/socket/load.go
+++ b/internal/sim/loopback/load.go
@@ -1,4 +1,4 @@
-package socket
+package loopback
 
 import (
 	"context"
@@ -12,8 +12,8 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"olivedale/internal/codec/jsonl"
-	"olivedale/internal/lab/rules"
-	"olivedale/internal/lab/scenario"
+	"olivedale/internal/sim/invariant"
+	"olivedale/internal/sim/scenario"
 )
 
 // A Load sets calls up on call controllers in an open loop: calls come whether or not those before were
@@ -30,7 +30,7 @@
 	Open    int // set-ups that may be open at once; past it calls are counted as not sent
 	// Saw, if set, is told what passes at controllers' fronts, in the order of each call: Nodes are the
 	// names of those at Addrs.
-	Saw   func(rules.Event)
+	Saw   func(invariant.Event)
 	Nodes []string
 
 	mu    sync.Mutex
@@ -101,7 +101,7 @@
 }
 
 // saw tells of an event.
-func (l *Load) saw(i int, e rules.Event) {
+func (l *Load) saw(i int, e invariant.Event) {
 	if l.Saw != nil {
 		e.Node = l.Nodes[i]
 		l.Saw(e)
@@ -183,7 +183,7 @@
 	l.calls[id] = call
 	l.stats[conn.i].Sent++
 	l.mu.Unlock()
-	l.saw(conn.i, rules.Event{Kind: rules.SetUp, Call: id, Until: l.Left})
+	l.saw(conn.i, invariant.Event{Kind: invariant.SetUp, Call: id, Until: l.Left})
 	err := conn.send(&jsonl.Message{Verb: jsonl.Start, Tag: id, Blob: []byte("v=0\r\ns=" + number + "\r\n"), Opts: []jsonl.Opt{{Name: "class", Value: class},
 		{Name: "left", Value: fmt.Sprint(l.Left.Milliseconds())}, {Name: "key", Value: number}, {Name: "extras", Value: fmt.Sprintf("dest:%d;width:1;via:-1", pool)}}})
 	l.mu.Lock()
@@ -191,7 +191,7 @@
 	if err != nil {
 		l.stats[conn.i].Lost++
 		delete(l.calls, id)
-		l.saw(conn.i, rules.Event{Kind: rules.CallerEnd, Call: id}) // it was not taken
+		l.saw(conn.i, invariant.Event{Kind: invariant.CallerEnd, Call: id}) // it was not taken
 		return
 	}
 	call.timer = time.AfterFunc(l.Left, func() { l.giveUp(id) })
@@ -216,7 +216,7 @@
 	call := l.calls[m.Tag]
 	switch m.Verb {
 	case jsonl.Started:
-		l.saw(k.i, rules.Event{Kind: rules.Stands, Call: m.Tag})
+		l.saw(k.i, invariant.Event{Kind: invariant.Stands, Call: m.Tag})
 		if call != nil && !call.stands {
 			call.stands = true
 			l.stats[k.i].Stood++
@@ -236,7 +236,7 @@
 				s.Failed++
 			}
 			if !call.stands {
-				l.saw(k.i, rules.Event{Kind: rules.Refused, Call: m.Tag})
+				l.saw(k.i, invariant.Event{Kind: invariant.Refused, Call: m.Tag})
 			}
 			delete(l.calls, m.Tag)
 		}
--- a/internal/lab/socket/names.go
+++ b/internal/sim/loopback/names.go
@@ -1,4 +1,4 @@
-package socket
+package loopback
 
 import (
 	"fmt"
--- a/internal/lab/socket/socket_test.go
+++ b/internal/sim/loopback/socket_test.go
@@ -1,4 +1,4 @@
-package socket
+package loopback
 
 import (
 	"context"
@@ -11,12 +11,12 @@
 
 	"olivedale/internal/codec/sip"
 	"olivedale/internal/config"
-	"olivedale/internal/lab/exchange"
-	"olivedale/internal/lab/experiment"
-	"olivedale/internal/lab/result"
-	"olivedale/internal/lab/scenario"
-	"olivedale/internal/lab/virtual"
 	node "olivedale/internal/server"
+	"olivedale/internal/sim/exchange"
+	"olivedale/internal/sim/experiment"
+	"olivedale/internal/sim/result"
+	"olivedale/internal/sim/scenario"
+	"olivedale/internal/sim/virtualtime"
 )
 
 // brief is what calls hold where a test must not wait for them.
@@ -123,7 +123,7 @@
 }
 
 // The same scenario on both floors: one controller, three exchanges, calls by chance, nobody tries twice.
-// go test -run '^$' -bench Floors -benchtime 1x ./internal/lab/socket
+// go test -run '^$' -bench Floors -benchtime 1x ./internal/sim/loopback
 func BenchmarkFloors(b *testing.B) {
 	for range b.N {
 		for _, load := range []float64{0.6, 0.9, 1.3} {
@@ -135,7 +135,7 @@
 			if err := sc.Check(); err != nil {
 				b.Fatal(err)
 			}
-			days, err := experiment.Play(context.Background(), &sc, experiment.Seeds(1, 12), virtual.Options{})
+			days, err := experiment.Play(context.Background(), &sc, experiment.Seeds(1, 12), virtualtime.Options{})
 			if err != nil {
 				b.Fatal(err)
 			}
--- a/internal/lab/explore/explore.go
+++ b/internal/sim/modelcheck/explore.go
@@ -2,7 +2,7 @@
 // between them can come in, up to a bound, over the transitions of the call controller's core, and
 // checks what must hold in each state. The module is free to say anything at any time: what holds here
 // holds whatever it decides.
-package explore
+package modelcheck
 
 import (
 	"fmt"
--- a/internal/lab/explore/explore_test.go
+++ b/internal/sim/modelcheck/explore_test.go
@@ -1,4 +1,4 @@
-package explore
+package modelcheck
 
 import (
 	"testing"
@@ -38,7 +38,7 @@
 	}
 }
 
-// Deeper: go test -run '^$' -bench EveryOrder -benchtime 1x ./internal/lab/explore
+// Deeper: go test -run '^$' -bench EveryOrder -benchtime 1x ./internal/sim/modelcheck
 func BenchmarkEveryOrder(b *testing.B) {
 	for range b.N {
 		r := Run(Bounds{Calls: 2, Servers: 2, Attempts: 2, Depth: 7, States: 1_000_000})
--- a/internal/lab/together/liar.go
+++ b/internal/sim/overloadpeers/liar.go
@@ -1,4 +1,4 @@
-package together
+package overloadpeers
 
 import (
 	"fmt"
@@ -6,8 +6,8 @@
 
 	"google.golang.org/protobuf/encoding/protowire"
 
-	"olivedale/internal/lab/scenario"
 	"olivedale/internal/overload"
+	"olivedale/internal/sim/scenario"
 )
 
 // A liar has the fleet's key and tells all others, as one who reports and as a teller, that no server is
--- a/internal/lab/together/together.go
+++ b/internal/sim/overloadpeers/together.go
@@ -1,16 +1,16 @@
 // Package together has the virtual floor's controllers share what they know by internal/overload, as the
 // product has it, and hostile ones among them. It is apart from the floor, so that the floor can play
 // versions of the product that share nothing.
-package together
+package overloadpeers
 
 import (
 	"time"
 
 	"olivedale/internal/admission"
 	"olivedale/internal/call"
-	"olivedale/internal/lab/scenario"
-	"olivedale/internal/lab/virtual"
 	"olivedale/internal/overload"
+	"olivedale/internal/sim/scenario"
+	"olivedale/internal/sim/virtualtime"
 )
 
 type member struct {
@@ -19,7 +19,7 @@
 }
 
 // Start is a virtual.Options.Share.
-func Start(sc *scenario.Scenario, node, life int, seed uint64, now time.Duration, d call.Decider, say func(to int, b []byte)) virtual.Sharer {
+func Start(sc *scenario.Scenario, node, life int, seed uint64, now time.Duration, d call.Decider, say func(to int, b []byte)) virtualtime.Sharer {
 	desk, ok := d.(*admission.Engine)
 	if !ok {
 		return nil // a test has put something else in its place
--- a/internal/lab/together/together_test.go
+++ b/internal/sim/overloadpeers/together_test.go
@@ -1,4 +1,4 @@
-package together
+package overloadpeers
 
 import (
 	"encoding/json"
@@ -10,16 +10,16 @@
 	"time"
 
 	"olivedale/internal/call"
-	"olivedale/internal/lab/result"
-	"olivedale/internal/lab/scenario"
-	"olivedale/internal/lab/virtual"
 	"olivedale/internal/overload"
+	"olivedale/internal/sim/result"
+	"olivedale/internal/sim/scenario"
+	"olivedale/internal/sim/virtualtime"
 )
 
 // many are the scenarios of large fleets, made small.
 func many(t testing.TB, controllers int, length time.Duration) (all []*scenario.Scenario) {
 	t.Helper()
-	paths, err := filepath.Glob("../../../deploy/lab/many/*.toml")
+	paths, err := filepath.Glob("../../../deploy/sim/many/*.toml")
 	if err != nil || len(paths) < 5 {
 		t.Fatalf("%d scenarios: %v", len(paths), err)
 	}
@@ -59,14 +59,14 @@
 			kills := scenario.Fault{Kind: scenario.Kill, At: scenario.Duration(8 * time.Second), Share: 0.7, By: scenario.Duration(2 * time.Second)}
 			one := *sc
 			one.Fault = append(slices.Clone(sc.Fault), kills, scenario.Fault{Kind: scenario.Sever, At: scenario.Duration(4 * time.Second), For: scenario.Duration(3 * time.Second)})
-			r := virtual.Run(&one, seed, virtual.Options{Share: Start})
+			r := virtualtime.Run(&one, seed, virtualtime.Options{Share: Start})
 			if len(r.Broken) > 0 {
 				t.Errorf("%s, seed %d, %.0f%% lost, %.0f%% liars: %v", sc.Name, seed, 100*sc.Wire.Lose, 100*sc.Fleet.Liars, r.Broken)
 			}
 			if r.Datagrams == 0 {
 				t.Errorf("%s, seed %d: nothing was said", sc.Name, seed)
 			}
-			if seed == 0 && text(t, r) != text(t, virtual.Run(&one, seed, virtual.Options{Share: Start})) {
+			if seed == 0 && text(t, r) != text(t, virtualtime.Run(&one, seed, virtualtime.Options{Share: Start})) {
 				t.Errorf("%s, seed %d: played again it is another day", sc.Name, seed)
 			}
 		}
@@ -78,7 +78,7 @@
 	t.Parallel()
 	sc := many(t, 100, 20*time.Second)[2]
 	sc.Callers.Load = 1.4
-	r := virtual.Run(sc, 1, virtual.Options{Share: Start})
+	r := virtualtime.Run(sc, 1, virtualtime.Options{Share: Start})
 	if r.Fairness < 0.95 {
 		t.Errorf("%s: Jain's index of what controllers' callers got is %.3f, want 0.95", sc.Name, r.Fairness)
 	}
@@ -86,7 +86,7 @@
 
 // A holder notes when half of the controllers hold calls back from a server.
 type holder struct {
-	virtual.Sharer
+	virtualtime.Sharer
 	self int
 	see  func(now time.Duration, self int, s *overload.State)
 }
@@ -99,19 +99,19 @@
 }
 
 // BenchmarkHalfHoldsBack tells how long after servers slow down half of 300 controllers hold calls back from one of
-// them: go test -run '^$' -bench HalfHolds -benchtime 1x ./internal/lab/together
+// them: go test -run '^$' -bench HalfHolds -benchtime 1x ./internal/sim/overloadpeers
 func BenchmarkHalfHoldsBack(b *testing.B) {
 	for range b.N {
 		var took []float64
 		for seed := range uint64(12) {
-			sc, err := scenario.Load("../../../deploy/lab/many/slow.toml")
+			sc, err := scenario.Load("../../../deploy/sim/many/slow.toml")
 			if err != nil {
 				b.Fatal(err)
 			}
 			sc.Length = scenario.Duration(32 * time.Second)
 			slow, half := sc.Fault[0].At.D(), time.Duration(0)
 			first, before := make(map[string]map[int]bool), make(map[string]bool)
-			opt := virtual.Options{Share: func(sc *scenario.Scenario, node, life int, seed uint64, now time.Duration, d call.Decider, say func(int, []byte)) virtual.Sharer {
+			opt := virtualtime.Options{Share: func(sc *scenario.Scenario, node, life int, seed uint64, now time.Duration, d call.Decider, say func(int, []byte)) virtualtime.Sharer {
 				return holder{Start(sc, node, life, seed, now, d, say), node, func(now time.Duration, self int, s *overload.State) {
 					at := now - 1000*time.Hour
 					if at < slow-3*time.Second || half > 0 {
@@ -134,7 +134,7 @@
 					}
 				}}
 			}}
-			virtual.Run(sc, seed, opt)
+			virtualtime.Run(sc, seed, opt)
 			took = append(took, half.Seconds())
 		}
 		slices.Sort(took)
--- a/internal/lab/show/show.go
+++ b/internal/sim/plot/show.go
@@ -1,6 +1,6 @@
 // Package show makes pictures and pages of experiments: one self-contained HTML file with inline SVG,
 // no script and nothing from elsewhere. It counts nothing on its own.
-package show
+package plot
 
 import (
 	_ "embed"
@@ -16,8 +16,8 @@
 	"gonum.org/v1/plot/plotter"
 	"gonum.org/v1/plot/vg"
 
-	"olivedale/internal/lab/experiment"
-	"olivedale/internal/lab/result"
+	"olivedale/internal/sim/experiment"
+	"olivedale/internal/sim/result"
 	"olivedale/internal/svg"
 )
 
--- a/internal/lab/show/show_test.go
+++ b/internal/sim/plot/show_test.go
@@ -1,4 +1,4 @@
-package show
+package plot
 
 import (
 	"bytes"
@@ -7,9 +7,9 @@
 	"testing"
 	"time"
 
-	"olivedale/internal/lab/experiment"
-	"olivedale/internal/lab/scenario"
-	"olivedale/internal/lab/virtual"
+	"olivedale/internal/sim/experiment"
+	"olivedale/internal/sim/scenario"
+	"olivedale/internal/sim/virtualtime"
 )
 
 // A page is whole, refers to nothing outside, and nothing from a scenario breaks out of it.
@@ -23,7 +23,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		all, err := experiment.Play(context.Background(), one, experiment.Seeds(1, 3), virtual.Options{})
+		all, err := experiment.Play(context.Background(), one, experiment.Seeds(1, 3), virtualtime.Options{})
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/lab/result/result.go
+++ b/internal/sim/result/result.go
@@ -13,9 +13,9 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
-	"olivedale/internal/lab/exchange"
-	"olivedale/internal/lab/rules"
-	"olivedale/internal/lab/scenario"
+	"olivedale/internal/sim/exchange"
+	"olivedale/internal/sim/invariant"
+	"olivedale/internal/sim/scenario"
 )
 
 // A Time is the time since the start of the run.
@@ -125,14 +125,14 @@
 	P95 float64 `json:"setup_p95_ms"`
 	P99 float64 `json:"setup_p99_ms"`
 
-	Classes    []Class         `json:"classes"`
-	Seconds    []float64       `json:"seconds"` // service of each second, -1: nothing was offered
-	Recoveries []Recovery      `json:"recoveries,omitempty"`
-	Exchanges  Exchanges       `json:"exchanges"`
-	Cold       []Cold          `json:"cold,omitempty"`
-	Broken     map[string]int  `json:"broken,omitempty"`
-	Breaches   []*rules.Breach `json:"-"`
-	Events     uint64          `json:"events"`
+	Classes    []Class             `json:"classes"`
+	Seconds    []float64           `json:"seconds"` // service of each second, -1: nothing was offered
+	Recoveries []Recovery          `json:"recoveries,omitempty"`
+	Exchanges  Exchanges           `json:"exchanges"`
+	Cold       []Cold              `json:"cold,omitempty"`
+	Broken     map[string]int      `json:"broken,omitempty"`
+	Breaches   []*invariant.Breach `json:"-"`
+	Events     uint64              `json:"events"`
 }
 
 // NewTally counts a scenario's run.
--- a/internal/lab/revision/overlay.go
+++ b/internal/sim/revision/overlay.go
@@ -14,7 +14,7 @@
 // laboratoryPaths are the files and directories that a build takes from today's work tree: the laboratory,
 // and the packages that it needs in today's form.
 var laboratoryPaths = []string{
-	"internal/lab",
+	"internal/sim",
 	programPackage,
 	"internal/cli",
 	"internal/logging",
--- a/internal/lab/revision/revision.go
+++ b/internal/sim/revision/revision.go
@@ -1,4 +1,4 @@
-// Package revision builds the laboratory's program, cmd/olivelab, at an earlier commit of the repository, so that
+// Package revision builds the laboratory's program, cmd/olivesim, at an earlier commit of the repository, so that
 // two versions of the product can play the same days. It builds in a work tree of its own and leaves the
 // repository's work tree and index as they are.
 package revision
@@ -14,8 +14,11 @@
 	"strings"
 )
 
-// programPackage is the directory of the laboratory's program.
-const programPackage = "cmd/olivelab"
+// programPackage is the directory of the simulation's program.
+const programPackage = "cmd/olivesim"
+
+// formerProgramPackage is that directory in commits from before the program got its name.
+const formerProgramPackage = "cmd/olivelab"
 
 // maxBuildOutput bounds the part of a failed build's output that an error quotes, in bytes.
 const maxBuildOutput = 2000
@@ -90,12 +93,12 @@
 	if err != nil {
 		return nil, err
 	}
-	directory, err := os.MkdirTemp("", "olivelab-revision-")
+	directory, err := os.MkdirTemp("", "olivesim-revision-")
 	if err != nil {
 		return nil, fmt.Errorf("make a directory for the build: %w", err)
 	}
 	b := &Build{
-		Program:    filepath.Join(directory, "olivelab"),
+		Program:    filepath.Join(directory, "olivesim"),
 		Commit:     commit,
 		Method:     method,
 		repository: top,
@@ -171,21 +174,27 @@
 		return fmt.Errorf("put today's laboratory around %.12s: %w", b.Commit, err)
 	}
 	// The go.mod of today may lack what only the commit's product requires: -mod=mod adds it.
-	return b.compile(ctx, "-mod=mod")
+	return b.compile(ctx, programPackage, "-mod=mod")
 }
 
+// compileOwn builds the program that the commit itself has.
 func (b *Build) compileOwn(ctx context.Context) error {
-	_, err := os.Stat(filepath.Join(b.tree(), programPackage))
-	if errors.Is(err, fs.ErrNotExist) {
-		return fmt.Errorf("%.12s has no laboratory (%s): compare with a later commit", b.Commit, programPackage)
+	for _, program := range []string{programPackage, formerProgramPackage} {
+		_, err := os.Stat(filepath.Join(b.tree(), program))
+		if err == nil {
+			return b.compile(ctx, program)
+		}
+		if !errors.Is(err, fs.ErrNotExist) {
+			return err
+		}
 	}
-	return b.compile(ctx)
+	return fmt.Errorf("%.12s has no laboratory (%s): compare with a later commit", b.Commit, programPackage)
 }
 
-// compile builds the program in the work tree, with more flags of go build.
-func (b *Build) compile(ctx context.Context, flags ...string) error {
+// compile builds a program in the work tree, with more flags of go build.
+func (b *Build) compile(ctx context.Context, program string, flags ...string) error {
 	args := append([]string{"build"}, flags...)
-	args = append(args, "-o", b.Program, "./"+programPackage)
+	args = append(args, "-o", b.Program, "./"+program)
 	command := exec.CommandContext(ctx, "go", args...)
 	command.Dir = b.tree()
 	output, err := command.CombinedOutput()
--- a/internal/lab/revision/revision_test.go
+++ b/internal/sim/revision/revision_test.go
@@ -9,7 +9,7 @@
 	"strings"
 	"testing"
 
-	"olivedale/internal/lab/revision/revisiontest"
+	"olivedale/internal/sim/revision/revisiontest"
 )
 
 // version is the content of a commit: a product and a laboratory that print their labels.
@@ -27,20 +27,20 @@
 		"internal/cli/cli.go":         "package cli\n",
 		"internal/logging/logging.go": "package logging\n",
 		"internal/svg/svg.go":         "package svg\n",
-		"internal/lab/lab.go":         fmt.Sprintf("package lab\n\nconst Label = %q\n", v.label),
-		"internal/lab/lab_test.go":    "package lab\n\nthis is copied by mistake",
+		"internal/sim/lab.go":         fmt.Sprintf("package sim\n\nconst Label = %q\n", v.label),
+		"internal/sim/lab_test.go":    "package sim\n\nthis is copied by mistake",
 		"internal/call/call.go":       fmt.Sprintf("package call\n\nconst Label = %q\n", v.label),
-		"cmd/olivelab/main.go": strings.ReplaceAll(`package main
+		"cmd/olivesim/main.go": strings.ReplaceAll(`package main
 
 import (
 	"fmt"
 
 	"PATH/internal/admission"
 	"PATH/internal/call"
-	"PATH/internal/lab"
+	"PATH/internal/sim"
 )
 
-func main() { fmt.Println("lab", lab.Label, "core", call.Label, "policy", admission.Label) }
+func main() { fmt.Println("lab", sim.Label, "core", call.Label, "policy", admission.Label) }
 `, "PATH", v.modulePath),
 	}
 	var list []string
@@ -128,7 +128,7 @@
 func TestNewErrors(t *testing.T) {
 	t.Parallel()
 	withoutLaboratory := version{"formerly", "old", controllerFile}.files()
-	delete(withoutLaboratory, "cmd/olivelab/main.go")
+	delete(withoutLaboratory, "cmd/olivesim/main.go")
 	broken := version{"fixture", "old", controllerFile}.files()
 	broken["internal/call/call.go"] = "package call\n"
 	withoutPolicy := version{"fixture", "old", nil}.files()
@@ -140,7 +140,7 @@
 		want       string
 	}{
 		{"no such commit", withoutPolicy, "nowhere", false, `"nowhere" names no commit`},
-		{"no laboratory", withoutLaboratory, "HEAD~1", false, "has no laboratory (cmd/olivelab)"},
+		{"no laboratory", withoutLaboratory, "HEAD~1", false, "has no laboratory (cmd/olivesim)"},
 		{"does not compile", broken, "HEAD~1", false, "built with today's laboratory, does not compile"},
 		{"no policy files", withoutPolicy, "HEAD~1", true, "policy names no file"},
 		{"decision module of another module path", withoutLaboratory, "HEAD~1", true, "without --module"},
--- a/internal/lab/sabourin/curve.go
+++ b/internal/sim/sabourin/curve.go
@@ -7,7 +7,7 @@
 	"math/rand/v2"
 	"time"
 
-	"olivedale/internal/lab/exchange"
+	"olivedale/internal/sim/exchange"
 )
 
 // A Mix is the kinds of calls in the order in which they are turned away: non-urgent outgoing calls
--- a/internal/lab/scenario/scenario.go
+++ b/internal/sim/scenario/scenario.go
@@ -16,7 +16,7 @@
 	"github.com/BurntSushi/toml"
 
 	"olivedale/internal/admission"
-	"olivedale/internal/lab/exchange"
+	"olivedale/internal/sim/exchange"
 )
 
 // A Duration is written as Go writes it: "300ms", "1m". It is not the operator's file's, whose form is
--- a/internal/lab/scenario/scenario_test.go
+++ b/internal/sim/scenario/scenario_test.go
@@ -9,7 +9,7 @@
 
 // The scenarios that come with the program can be read, and say what they are for.
 func TestDeployed(t *testing.T) {
-	files, err := filepath.Glob("../../../deploy/lab/*.toml")
+	files, err := filepath.Glob("../../../deploy/sim/*.toml")
 	if err != nil || len(files) < 6 {
 		t.Fatal(files, err)
 	}
--- a/internal/lab/virtual/crowd.go
+++ b/internal/sim/virtualtime/crowd.go
@@ -1,4 +1,4 @@
-package virtual
+package virtualtime
 
 import (
 	"cmp"
@@ -9,10 +9,10 @@
 	"time"
 
 	"olivedale/internal/call"
-	"olivedale/internal/lab/exchange"
-	"olivedale/internal/lab/result"
-	"olivedale/internal/lab/rules"
-	"olivedale/internal/lab/scenario"
+	"olivedale/internal/sim/exchange"
+	"olivedale/internal/sim/invariant"
+	"olivedale/internal/sim/result"
+	"olivedale/internal/sim/scenario"
 )
 
 // A crowd is all callers. Calls come whether or not those before were answered (an open loop); what
@@ -173,7 +173,7 @@
 			c.failed(t, 0) // its connection was reset
 			return
 		}
-		w.see(rules.Event{Kind: rules.SetUp, Node: n.name, Call: t.id, Until: w.now + patience - wire})
+		w.see(invariant.Event{Kind: invariant.SetUp, Node: n.name, Call: t.id, Until: w.now + patience - wire})
 		var client call.Client = n.conns[c.rng.IntN(len(n.conns))]
 		if w.opt.Client != nil {
 			client = w.opt.Client(n.name, client)
@@ -191,7 +191,7 @@
 			if n.core == nil || n.life != life {
 				return
 			}
-			w.see(rules.Event{Kind: rules.CallerEnd, Node: n.name, Call: t.id})
+			w.see(invariant.Event{Kind: invariant.CallerEnd, Node: n.name, Call: t.id})
 			n.core.ReleaseByCaller(t.id, call.CauseNormal)
 			n.settle()
 		})
--- a/internal/lab/virtual/faults.go
+++ b/internal/sim/virtualtime/faults.go
@@ -1,4 +1,4 @@
-package virtual
+package virtualtime
 
 import (
 	"fmt"
@@ -6,8 +6,8 @@
 
 	"olivedale/internal/admission"
 	"olivedale/internal/call"
-	"olivedale/internal/lab/exchange"
-	"olivedale/internal/lab/scenario"
+	"olivedale/internal/sim/exchange"
+	"olivedale/internal/sim/scenario"
 )
 
 // some draws so many of the exchanges that run.
--- a/internal/lab/virtual/links.go
+++ b/internal/sim/virtualtime/links.go
@@ -1,4 +1,4 @@
-package virtual
+package virtualtime
 
 import (
 	"fmt"
@@ -6,8 +6,8 @@
 	"time"
 
 	"olivedale/internal/call"
-	"olivedale/internal/lab/exchange"
-	"olivedale/internal/lab/rules"
+	"olivedale/internal/sim/exchange"
+	"olivedale/internal/sim/invariant"
 )
 
 // Times of connections and restarts.
@@ -48,7 +48,7 @@
 				return
 			}
 			delete(n.out, a)
-			n.w.see(rules.Event{Kind: rules.TurnedBack, Node: n.name, Call: a.Call, Server: s.id, N: a.N})
+			n.w.see(invariant.Event{Kind: invariant.TurnedBack, Node: n.name, Call: a.Call, Server: s.id, N: a.N})
 			n.core.AttemptEnded(s.id, a.Call, a.N, call.DialTimedOut)
 			n.settle()
 		})
--- a/internal/lab/virtual/node.go
+++ b/internal/sim/virtualtime/node.go
@@ -1,4 +1,4 @@
-package virtual
+package virtualtime
 
 import (
 	"cmp"
@@ -8,9 +8,9 @@
 
 	"olivedale/internal/admission"
 	"olivedale/internal/call"
-	"olivedale/internal/lab/agenda"
-	"olivedale/internal/lab/exchange"
-	"olivedale/internal/lab/rules"
+	"olivedale/internal/sim/eventqueue"
+	"olivedale/internal/sim/exchange"
+	"olivedale/internal/sim/invariant"
 )
 
 // A node is a call controller: the product's core and module on the run's clock.
@@ -48,7 +48,7 @@
 	w := n.w
 	n.life++
 	n.out, n.to, n.back = make(map[exchange.Attempt]*site), make(map[*site]*wire), make(map[*site]*wire)
-	n.gone, n.missed, n.wake = make(map[string]bool), nil, agenda.Never
+	n.gone, n.missed, n.wake = make(map[string]bool), nil, eventqueue.Never
 	n.dead, n.leaves = make(map[*site]bool), false
 	n.newsAt = w.now
 	seed := w.seed*1_000_003 + uint64(n.i)*101 + uint64(n.life)
@@ -85,7 +85,7 @@
 			}
 		})
 	}
-	n.shares, n.turn = nil, agenda.Never
+	n.shares, n.turn = nil, eventqueue.Never
 	if w.opt.Share != nil && w.sc.Fleet.Share {
 		life := n.life
 		n.shares = w.opt.Share(w.sc, n.i, n.life, seed, n.clock(), desk, func(to int, b []byte) {
@@ -111,7 +111,7 @@
 	life := n.life
 	n.w.plan.Add(next, func() {
 		if n.life == life && n.turn == next && n.core != nil {
-			n.turn = agenda.Never
+			n.turn = eventqueue.Never
 			n.shares.Tick(n.clock())
 			n.settle()
 		}
@@ -140,7 +140,7 @@
 	life := n.life
 	n.w.plan.Add(next, func() {
 		if n.life == life && n.wake == next {
-			n.wake, n.ticked = agenda.Never, next
+			n.wake, n.ticked = eventqueue.Never, next
 			n.core.Tick()
 			n.settle()
 		}
@@ -154,7 +154,7 @@
 	}
 	n.life++
 	n.core = nil
-	n.w.see(rules.Event{Kind: rules.Killed, Node: n.name})
+	n.w.see(invariant.Event{Kind: invariant.Killed, Node: n.name})
 	for _, s := range n.w.sites {
 		n.reset(s)
 	}
@@ -194,7 +194,7 @@
 		out := m.State != admission.Active
 		if out != n.gone[m.ID] {
 			n.gone[m.ID] = out
-			n.w.see(rules.Event{Kind: rules.Told, Node: n.name, Server: m.ID, On: out})
+			n.w.see(invariant.Event{Kind: invariant.Told, Node: n.name, Server: m.ID, On: out})
 		}
 		n.core.UpdateServers([]admission.Server{m}, false)
 		if m.State == admission.Removed {
@@ -237,22 +237,22 @@
 }
 
 func (n *node) take(s *site, m exchange.Message) {
-	see := func(k rules.Kind) {
+	see := func(k invariant.Kind) {
 		delete(n.out, m.Attempt)
-		n.w.see(rules.Event{Kind: k, Node: n.name, Call: m.Call, Server: s.id, N: m.N})
+		n.w.see(invariant.Event{Kind: k, Node: n.name, Call: m.Call, Server: s.id, N: m.N})
 	}
 	switch m.Kind {
 	case exchange.Answered:
-		see(rules.Answer)
+		see(invariant.Answer)
 		if t := n.w.crowd.tries[m.Call]; t != nil && !t.over {
 			t.at = s
 		}
 		n.core.AttemptAnswered(s.id, m.Call, m.N, nil)
 	case exchange.Full:
-		see(rules.TurnedBack)
+		see(invariant.TurnedBack)
 		n.core.AttemptEnded(s.id, m.Call, m.N, call.ProcessorBusy)
 	case exchange.NoLine:
-		see(rules.TurnedBack)
+		see(invariant.TurnedBack)
 		n.core.AttemptEnded(s.id, m.Call, m.N, call.NoCircuit)
 	case exchange.Released:
 		n.core.BackendReleased(s.id, m.Call, m.Cause, n.front)
@@ -272,7 +272,7 @@
 		slices.SortFunc(all, func(a, b exchange.Attempt) int { return cmp.Or(cmp.Compare(a.Call, b.Call), a.N-b.N) })
 		for _, a := range all {
 			delete(n.out, a)
-			n.w.see(rules.Event{Kind: rules.Broke, Node: n.name, Call: a.Call, Server: s.id, N: a.N})
+			n.w.see(invariant.Event{Kind: invariant.Broke, Node: n.name, Call: a.Call, Server: s.id, N: a.N})
 			n.core.AttemptEnded(s.id, a.Call, a.N, e)
 		}
 		n.settle()
@@ -291,7 +291,7 @@
 	w := n.w
 	to := w.bySite[server]
 	a := exchange.Attempt{Call: s.ID, N: s.Attempt}
-	w.see(rules.Event{Kind: rules.Invite, Node: n.name, Call: s.ID, Server: server, N: s.Attempt})
+	w.see(invariant.Event{Kind: invariant.Invite, Node: n.name, Call: s.ID, Server: server, N: s.Attempt})
 	w.tally.Sent()
 	if to == nil {
 		return // the directory never named it: a breach put in by a test
@@ -303,7 +303,7 @@
 				return
 			}
 			delete(n.out, a)
-			w.see(rules.Event{Kind: rules.TurnedBack, Node: n.name, Call: a.Call, Server: to.id, N: a.N})
+			w.see(invariant.Event{Kind: invariant.TurnedBack, Node: n.name, Call: a.Call, Server: to.id, N: a.N})
 			n.core.AttemptEnded(to.id, a.Call, a.N, call.DialRefused)
 			n.settle()
 		})
@@ -325,7 +325,7 @@
 		to.do(func(x *exchange.Exchange, now Time) { x.Invite(now, n.name, a, class) })
 		if was == exchange.Running && to.x.State() == exchange.Down {
 			to.fell = true
-			w.see(rules.Event{Kind: rules.PushedOver, Node: n.name, Server: to.id})
+			w.see(invariant.Event{Kind: invariant.PushedOver, Node: n.name, Server: to.id})
 			to.crash()
 		}
 	})
@@ -336,7 +336,7 @@
 	n := (*node)(p)
 	a := exchange.Attempt{Call: id, N: attempt}
 	delete(n.out, a)
-	n.w.see(rules.Event{Kind: rules.Cancel, Node: n.name, Call: id, Server: server, N: attempt})
+	n.w.see(invariant.Event{Kind: invariant.Cancel, Node: n.name, Call: id, Server: server, N: attempt})
 	if to := n.w.bySite[server]; to == nil || !n.mute(to) { // else it goes down with its connection
 		n.send(server, func(x *exchange.Exchange, now Time) { x.Cancel(now, a) })
 	}
@@ -391,14 +391,14 @@
 // CallEstablished implements call.Client.
 func (c *conn) CallEstablished(id string, _ []byte) {
 	w := c.n.w
-	w.see(rules.Event{Kind: rules.Stands, Node: c.n.name, Call: id})
+	w.see(invariant.Event{Kind: invariant.Stands, Node: c.n.name, Call: id})
 	w.after(w.sc.Wire.Client.D(), func() { w.crowd.stands(id) })
 }
 
 // CallRejected implements call.Client.
 func (c *conn) CallRejected(id string, cause int, wait time.Duration) {
 	w := c.n.w
-	w.see(rules.Event{Kind: rules.Refused, Node: c.n.name, Call: id})
+	w.see(invariant.Event{Kind: invariant.Refused, Node: c.n.name, Call: id})
 	w.after(w.sc.Wire.Client.D(), func() { w.crowd.refused(id, cause, wait) })
 }
 
--- a/internal/lab/virtual/world.go
+++ b/internal/sim/virtualtime/world.go
@@ -1,8 +1,8 @@
 // Package virtual plays a scenario in virtual time: core and module of every call controller, the
 // exchanges, the wires, the directory and the callers in one process and on one clock. It is
 // deterministic: a scenario and a seed give the same run to the byte. The rules are checked by
-// internal/lab/rules from what passes over the wires.
-package virtual
+// internal/sim/invariant from what passes over the wires.
+package virtualtime
 
 import (
 	"cmp"
@@ -13,11 +13,11 @@
 
 	"olivedale/internal/admission"
 	"olivedale/internal/call"
-	"olivedale/internal/lab/agenda"
-	"olivedale/internal/lab/exchange"
-	"olivedale/internal/lab/result"
-	"olivedale/internal/lab/rules"
-	"olivedale/internal/lab/scenario"
+	"olivedale/internal/sim/eventqueue"
+	"olivedale/internal/sim/exchange"
+	"olivedale/internal/sim/invariant"
+	"olivedale/internal/sim/result"
+	"olivedale/internal/sim/scenario"
 )
 
 // A Time is the time since the start of the run.
@@ -42,7 +42,7 @@
 	// start of one, with what it decides by and the way to say something.
 	Share func(sc *scenario.Scenario, node, life int, seed uint64, now time.Duration, d call.Decider, say func(to int, b []byte)) Sharer
 	// Watch is told of everything that the checker sees.
-	Watch func(rules.Event)
+	Watch func(invariant.Event)
 }
 
 // A Sharer is a controller's part in what controllers share. Times are of the controllers' clocks.
@@ -64,7 +64,7 @@
 	opt    Options
 	seed   uint64
 	now    Time
-	plan   agenda.Agenda[func()]
+	plan   eventqueue.Agenda[func()]
 	rng    *rand.Rand // of the wires and the faults
 	nodes  []*node
 	sites  []*site // all that there ever were, in the order of their start
@@ -73,7 +73,7 @@
 	byName map[string]*node
 	model  exchange.Settings // of every exchange
 	rate   float64           // of calls a second, as planned
-	check  *rules.Checker
+	check  *invariant.Checker
 	tally  *result.Tally
 	crowd  *crowd
 
@@ -101,7 +101,7 @@
 	w.check.End(w.now)
 	r := w.tally.Result(end)
 	r.Scenario, r.Seed, r.Events = sc.Name, seed, w.events
-	for _, rule := range rules.All {
+	for _, rule := range invariant.All {
 		if n := w.check.Count(rule); n > 0 {
 			if r.Broken == nil {
 				r.Broken = make(map[string]int)
@@ -117,7 +117,7 @@
 
 func newWorld(sc *scenario.Scenario, seed uint64, opt Options) *World {
 	w := &World{sc: sc, opt: opt, seed: seed, rng: rand.New(rand.NewPCG(seed, 1)), bySite: make(map[string]*site), byName: make(map[string]*node), severed: make(map[int]int),
-		check: rules.New(rules.Defaults()), model: sc.Model(), rate: sc.Rate()}
+		check: invariant.New(invariant.Defaults()), model: sc.Model(), rate: sc.Rate()}
 	w.tally = result.NewTally(sc)
 	for i := range sc.Fleet.Exchanges {
 		s := w.start(fmt.Sprint("x", i), i, false)
@@ -154,7 +154,7 @@
 // draw draws from a range.
 func (w *World) draw(s scenario.Span) time.Duration { return s.Draw(w.rng) }
 
-func (w *World) see(e rules.Event) {
+func (w *World) see(e invariant.Event) {
 	e.At = w.now
 	w.check.See(e)
 	if w.opt.Watch != nil {
@@ -194,7 +194,7 @@
 
 // start starts an exchange in a place.
 func (w *World) start(id string, pool int, cold bool) *site {
-	s := &site{w: w, id: id, pool: pool, zone: pool % w.sc.Fleet.Zones, born: w.now, cold: cold, wake: agenda.Never}
+	s := &site{w: w, id: id, pool: pool, zone: pool % w.sc.Fleet.Zones, born: w.now, cold: cold, wake: eventqueue.Never}
 	s.x = exchange.New(w.model, w.now, cold, rand.New(rand.NewPCG(w.seed, uint64(len(w.sites))+1000)))
 	if cold {
 		s.sends = make(map[int]int)
@@ -233,7 +233,7 @@
 		s.wake = next
 		s.w.plan.Add(next, func() {
 			if s.wake == next {
-				s.wake = agenda.Never
+				s.wake = eventqueue.Never
 				s.x.Tick(s.w.now)
 				s.pump()
 			}
--- a/internal/lab/virtual/world_test.go
+++ b/internal/sim/virtualtime/world_test.go
@@ -1,4 +1,4 @@
-package virtual
+package virtualtime
 
 import (
 	"bytes"
@@ -11,9 +11,9 @@
 
 	"olivedale/internal/admission"
 	"olivedale/internal/call"
-	"olivedale/internal/lab/result"
-	"olivedale/internal/lab/rules"
-	"olivedale/internal/lab/scenario"
+	"olivedale/internal/sim/invariant"
+	"olivedale/internal/sim/result"
+	"olivedale/internal/sim/scenario"
 )
 
 func secs(s float64) scenario.Duration { return scenario.Duration(s * float64(time.Second)) }
@@ -71,16 +71,16 @@
 		sc := rough(seed, 15)
 		sc.Callers.Leave = 0.5
 		left, out := make(map[string]bool), make(map[string]bool)
-		r := Run(sc, seed, Options{Watch: func(e rules.Event) {
+		r := Run(sc, seed, Options{Watch: func(e invariant.Event) {
 			switch id := e.Node + " " + e.Call; e.Kind {
-			case rules.Invite:
+			case invariant.Invite:
 				if left[id] {
 					t.Errorf("seed %d: sent on for who has left: %v", seed, e)
 				}
 				out[id] = true
-			case rules.Cancel, rules.Unsent, rules.TurnedBack, rules.Broke, rules.Answer:
+			case invariant.Cancel, invariant.Unsent, invariant.TurnedBack, invariant.Broke, invariant.Answer:
 				delete(out, id)
-			case rules.CallerEnd:
+			case invariant.CallerEnd:
 				if left[id] = true; !out[id] {
 					held++
 				}
@@ -96,7 +96,7 @@
 	}
 }
 
-// The same on 200 days: go test -run '^$' -bench Healthy -benchtime 1x ./internal/lab/virtual
+// The same on 200 days: go test -run '^$' -bench Healthy -benchtime 1x ./internal/sim/virtualtime
 func BenchmarkHealthy(b *testing.B) {
 	for range b.N {
 		healthy(b, 200, 30)
@@ -129,7 +129,7 @@
 type defect struct {
 	call.Decider
 	call.Backends
-	rule  rules.Rule
+	rule  invariant.Rule
 	every int
 	n     int
 	list  map[string]admission.ServerState // what the directory says
@@ -155,13 +155,13 @@
 func (d *defect) Place(now call.Time, r admission.Request) admission.Decision {
 	o := d.Decider.Place(now, r)
 	switch {
-	case d.rule == rules.DrainsKept && o.Kind == admission.Send:
+	case d.rule == invariant.DrainsKept && o.Kind == admission.Send:
 		for id, phase := range d.list {
 			if phase == admission.Draining {
 				o.Server = id
 			}
 		}
-	case d.rule == rules.ColdSpared && d.first != "":
+	case d.rule == invariant.ColdSpared && d.first != "":
 		return admission.Decision{CallID: r.CallID, Kind: admission.Send, Server: d.first, Wait: time.Second}
 	}
 	return o
@@ -170,7 +170,7 @@
 // Report sends again at once what has timed out.
 func (d *defect) Report(now call.Time, p admission.AttemptReport) admission.Decision {
 	o := d.Decider.Report(now, p)
-	if d.rule == rules.ReleaseKept && p.Kind == admission.ReportEnded && !p.Final && (p.Result == admission.TimedOut || p.Result == admission.Canceled) {
+	if d.rule == invariant.ReleaseKept && p.Kind == admission.ReportEnded && !p.Final && (p.Result == admission.TimedOut || p.Result == admission.Canceled) {
 		return admission.Decision{CallID: p.CallID, Kind: admission.Send, Server: p.Server, Wait: time.Second}
 	}
 	return o
@@ -179,7 +179,7 @@
 // Invite sends a set-up twice.
 func (d *defect) Invite(server string, s call.Setup) {
 	d.Backends.Invite(server, s)
-	if d.rule == rules.OneAttempt && d.due() {
+	if d.rule == invariant.OneAttempt && d.due() {
 		s.Attempt += 5
 		d.Backends.Invite(server, s)
 	}
@@ -194,9 +194,9 @@
 // CallEstablished answers twice, or not at all.
 func (a *answering) CallEstablished(id string, description []byte) {
 	switch {
-	case a.d.rule == rules.InTime && a.d.due():
+	case a.d.rule == invariant.InTime && a.d.due():
 		return
-	case a.d.rule == rules.OneAnswer && a.d.due():
+	case a.d.rule == invariant.OneAnswer && a.d.due():
 		a.CallRejected(id, 41, 0)
 	}
 	a.Client.CallEstablished(id, description)
@@ -205,7 +205,7 @@
 // Each rule has its breach put in, and the checker of that rule finds it.
 func TestSeededDefects(t *testing.T) {
 	t.Parallel()
-	for _, rule := range rules.All {
+	for _, rule := range invariant.All {
 		t.Run(string(rule), func(t *testing.T) {
 			t.Parallel()
 			sc := scenario.Default()
@@ -238,7 +238,7 @@
 }
 
 // Fleets of a large size, for the time and the memory of a minute:
-// go test -run '^$' -bench Large -benchtime 1x ./internal/lab/virtual
+// go test -run '^$' -bench Large -benchtime 1x ./internal/sim/virtualtime
 func BenchmarkLarge(b *testing.B) {
 	for range b.N {
 		sc := scenario.Default()
@@ -260,9 +260,9 @@
 	sc.Fault = []scenario.Fault{{Kind: scenario.Sever, At: secs(3), For: secs(4)}}
 	type zones struct{ from, to int }
 	during, after := make(map[zones]int), make(map[zones]int)
-	r := Run(&sc, 3, Options{Watch: func(e rules.Event) {
+	r := Run(&sc, 3, Options{Watch: func(e invariant.Event) {
 		var n, x int
-		if _, err := fmt.Sscanf(e.Node+" "+e.Server, "n%d x%d", &n, &x); err != nil || e.Kind != rules.Answer {
+		if _, err := fmt.Sscanf(e.Node+" "+e.Server, "n%d x%d", &n, &x); err != nil || e.Kind != invariant.Answer {
 			return
 		}
 		switch z := (zones{n % 3, x % 3}); {
@@ -282,8 +282,8 @@
 		one := whole
 		one.Fault = []scenario.Fault{{Kind: kind, At: secs(3), For: secs(5), Share: 0.4, By: secs(0.3)}}
 		ended := 0
-		r := Run(&one, 3, Options{Watch: func(e rules.Event) {
-			if e.Kind == rules.Killed {
+		r := Run(&one, 3, Options{Watch: func(e invariant.Event) {
+			if e.Kind == invariant.Killed {
 				ended++
 			}
 		}})
@@ -316,7 +316,7 @@
 					heard[[2]int{from, node}] = append(heard[[2]int{from, node}], now)
 				}
 			},
-			Watch: func(e rules.Event) { // what passes sets the pace: everyone speaks ten times a second
+			Watch: func(e invariant.Event) { // what passes sets the pace: everyone speaks ten times a second
 				if now = e.At; now-said < 100*time.Millisecond {
 					return
 				}
