--- /dev/null
+++ b/internal/backend/release_test.go
@@ -0,0 +1,31 @@
+package backend
+
+import (
+	"testing"
+	"time"
+)
+
+// Releases of unknown calls give way to those of known calls, never the other way round.
+func TestPendingReleasesAreBounded(t *testing.T) {
+	p := newPendingReleases(2)
+	if !p.add("unknown1", pendingRelease{isUnknownCall: true}) || !p.add("unknown2", pendingRelease{isUnknownCall: true}) {
+		t.Fatal("a release within the bound was not remembered")
+	}
+	if p.add("unknown3", pendingRelease{isUnknownCall: true}) {
+		t.Error("the release of an unknown call exceeds the bound")
+	}
+	if !p.add("known1", pendingRelease{}) || !p.add("known2", pendingRelease{}) {
+		t.Error("the releases of unknown calls did not give way")
+	}
+	if p.add("known3", pendingRelease{}) || p.len() != 2 {
+		t.Errorf("%d releases are remembered, want 2", p.len())
+	}
+	p.expire(confirmationTimeout)
+	if p.len() != 2 {
+		t.Errorf("%d releases are left within the timeout, want 2", p.len())
+	}
+	p.expire(confirmationTimeout + time.Millisecond)
+	if p.len() != 0 {
+		t.Errorf("%d releases are left after the timeout", p.len())
+	}
+}
--- a/internal/server/backends_test.go
+++ b/internal/server/backends_test.go
@@ -14,26 +14,26 @@
 	"olivedale/internal/codec/sip"
 )
 
-// A set-up waits for a dial. Its caller leaves, by a give-up, by closing its connection, or as its time runs out
-// in the very turn in which the dial comes up: nothing is sent on.
+// A set-up waits for a dial. Its caller leaves, by a cancellation, by closing its connection, or because its time runs
+// out in the very iteration in which the dial completes: nothing is sent on.
 func TestDialCompletesAfterCallerLeft(t *testing.T) {
 	t.Parallel()
 	for _, how := range []string{"gives up", "closes", "runs out"} {
 		t.Run(how, func(t *testing.T) {
 			t.Parallel()
-			a := startFakeExchange(t, "127.0.0.1:0")
+			exchange := startFakeExchange(t, "127.0.0.1:0")
 			gate := make(chan struct{})
-			x := startTestbed(t, nil, &scriptedDecider{servers: []string{"s-0", "s-0", "s-0"}}, func(o *Options) {
+			bed := startTestbed(t, nil, &scriptedDecider{servers: []string{"s-0", "s-0", "s-0"}}, func(o *Options) {
 				o.dial = func(addr string, limit time.Duration) (net.Conn, error) { <-gate; return backend.DialTCP(addr, limit) }
 			})
-			x.discovery.set(endpointLine{id: "s-0", addr: a.addr()})
+			bed.discovery.set(endpointLine{id: "s-0", addr: exchange.addr()})
 			eventually(t, "the exchange is known", func() (known bool) {
-				x.runIteration(func() { known = x.server.backends.Get("s-0") != nil })
+				bed.runIteration(func() { known = bed.server.backends.Get("s-0") != nil })
 				return known
 			})
-			k := x.dialCaller("cccccccc")
+			k := bed.dialCaller("cccccccc")
 			id := k.setUp("1", 400*time.Millisecond)
-			x.awaitQueuedSetups(1)
+			bed.awaitQueuedSetups(1)
 			switch how {
 			case "gives up":
 				k.hangUp(id)
@@ -41,28 +41,28 @@
 				k.close()
 			}
 			if how != "runs out" {
-				x.awaitQueuedSetups(0)
+				bed.awaitQueuedSetups(0)
 				close(gate)
 			} else {
-				x.runIteration(func() { // the connection is handed to the loop while it stands, and before its timer
-					until := x.server.loop.Now() + 450*time.Millisecond
+				bed.runIteration(func() { // the connection is handed to the loop while that is blocked, and before its timer
+					until := bed.server.loop.Now() + 450*time.Millisecond
 					close(gate)
-					for x.server.loop.Now() < until {
+					for bed.server.loop.Now() < until {
 						time.Sleep(time.Millisecond)
 					}
 				})
-				if got := x.answers.await(t, id, 1); got != "end 41" {
+				if got := bed.answers.await(t, id, 1); got != "end 41" {
 					t.Error(got)
 				}
 			}
 			eventually(t, "the link is up", func() (up bool) {
-				x.runIteration(func() { up = x.server.backends.Get("s-0").IsConnected() })
+				bed.runIteration(func() { up = bed.server.backends.Get("s-0").IsConnected() })
 				return up
 			})
-			x.awaitNoPendingWork()
-			last := x.caller.setUp("1", 2*time.Second)
-			a.awaitReceived("INVITE", last, 1)
-			if n := a.countReceived("INVITE", id) + a.countReceived("CANCEL", id); n != 0 {
+			bed.awaitNoPendingWork()
+			last := bed.caller.setUp("1", 2*time.Second)
+			exchange.awaitReceived("INVITE", last, 1)
+			if n := exchange.countReceived("INVITE", id) + exchange.countReceived("CANCEL", id); n != 0 {
 				t.Errorf("%d messages of a set-up whose caller had left", n)
 			}
 		})
@@ -71,140 +71,143 @@
 
 func TestDrainAndRemovalStopSetups(t *testing.T) {
 	t.Parallel()
-	s, h := startTestServer(t, false, false), newAnswerLog()
-	k := dialJSONCaller(t, s.jsonAddress(), h, "aaaaaaaa")
-	key := k.setUp("keep.1", 4*time.Second)
-	h.await(t, key, 1)
-	s.discovery.mu.Lock()
-	lines := append([]endpointLine(nil), s.discovery.lines...)
-	s.discovery.queriesToDrop = 2 // lost on the way: it is asked again
-	s.discovery.mu.Unlock()
+	server, answers := startTestServer(t, false, false), newAnswerLog()
+	client := dialJSONCaller(t, server.jsonAddress(), answers, "aaaaaaaa")
+	key := client.setUp("keep.1", 4*time.Second)
+	answers.await(t, key, 1)
+	server.discovery.mu.Lock()
+	lines := append([]endpointLine(nil), server.discovery.lines...)
+	server.discovery.queriesToDrop = 2 // lost on the way: the query is repeated
+	server.discovery.mu.Unlock()
 	lines[0].draining = true
-	s.discovery.set(lines...)
+	server.discovery.set(lines...)
 	eventually(t, "the drain is known", func() bool {
 		drained := make(chan bool, 1)
-		s.server.loop.Execute(func() { drained <- s.server.backends.Get("s-0").IsDraining() })
+		server.server.loop.Execute(func() { drained <- server.server.backends.Get("s-0").IsDraining() })
 		return <-drained
 	})
 	invited := func() int {
-		s.exchanges[0].mu.Lock()
-		defer s.exchanges[0].mu.Unlock()
-		return s.exchanges[0].invited
+		server.exchanges[0].mu.Lock()
+		defer server.exchanges[0].mu.Unlock()
+		return server.exchanges[0].invited
 	}
 	before := invited()
-	h.await(t, k.setUp("keep.2", 4*time.Second), 1)
+	answers.await(t, client.setUp("keep.2", 4*time.Second), 1)
 	if n := invited(); n != before {
 		t.Errorf("%d set-ups went to a server that drains", n-before)
 	}
-	s.discovery.set(lines[1])
-	if got := h.await(t, key, 2); got != "stands "+acceptedDescription("keep.1")+" end 41" {
+	server.discovery.set(lines[1])
+	if got := answers.await(t, key, 2); got != "stands "+acceptedDescription("keep.1")+" end 41" {
 		t.Errorf("the call at the server that is gone: %q", got)
 	}
 }
 
-// A process that dies cuts its calls: its connection is reset and nobody listens.
+// A process that dies drops its calls: its connection is reset and nobody listens.
 func TestDeadExchangeDropsItsCalls(t *testing.T) {
 	t.Parallel()
-	s, h := startTestServer(t, false, false), newAnswerLog()
-	k := dialJSONCaller(t, s.jsonAddress(), h, "aaaaaaaa")
-	key := k.setUp("keep.1", 4*time.Second)
-	h.await(t, key, 1)
-	s.exchanges[0].stop()
-	if got := h.await(t, key, 2); got != "stands "+acceptedDescription("keep.1")+" end 41" {
+	server, answers := startTestServer(t, false, false), newAnswerLog()
+	client := dialJSONCaller(t, server.jsonAddress(), answers, "aaaaaaaa")
+	key := client.setUp("keep.1", 4*time.Second)
+	answers.await(t, key, 1)
+	server.exchanges[0].stop()
+	if got := answers.await(t, key, 2); got != "stands "+acceptedDescription("keep.1")+" end 41" {
 		t.Errorf("heard %q", got)
 	}
-	if got := h.await(t, k.setUp("keep.2", 4*time.Second), 1); got != "stands "+acceptedDescription("keep.2") {
+	if got := answers.await(t, client.setUp("keep.2", 4*time.Second), 1); got != "stands "+acceptedDescription("keep.2") {
 		t.Errorf("the next call: %q", got)
 	}
 }
 
-// A connection to an exchange that stops half way in an answer, or brings nothing any more,
-// and stays open is given up for a new one; so is what is open on it.
+// A connection to an exchange that stops within an answer, or brings nothing any more, and stays open is replaced by a
+// new one; the attempts on it end.
 func TestUnresponsiveExchangeIsRedialed(t *testing.T) {
 	t.Parallel()
 	for _, kind := range []string{"half", "mute"} {
 		t.Run(kind, func(t *testing.T) {
-			s, h := startTestServer(t, false), newAnswerLog()
-			k := dialJSONCaller(t, s.jsonAddress(), h, "aaaaaaaa")
-			first := s.server.backends.Get("s-0").DialSerial()
-			stood := k.setUp("keep.1", 5*time.Second)
-			h.await(t, stood, 1)
-			k.setUp(kind+".1", 200*time.Millisecond)
+			server, answers := startTestServer(t, false), newAnswerLog()
+			client := dialJSONCaller(t, server.jsonAddress(), answers, "aaaaaaaa")
+			first := server.server.backends.Get("s-0").DialSerial()
+			stood := client.setUp("keep.1", 5*time.Second)
+			answers.await(t, stood, 1)
+			client.setUp(kind+".1", 200*time.Millisecond)
 			eventually(t, "the link is dialled anew", func() bool {
 				serial := make(chan int, 1)
-				s.server.loop.Execute(func() { serial <- s.server.backends.Get("s-0").DialSerial() })
+				server.server.loop.Execute(func() { serial <- server.server.backends.Get("s-0").DialSerial() })
 				return <-serial > first
 			})
-			eventually(t, "there is service", func() bool { return strings.HasPrefix(h.await(t, k.setUp("keep.2", 5*time.Second), 1), "stands") })
-			if got := h.of(stood); got != "stands "+acceptedDescription("keep.1") {
+			eventually(t, "there is service", func() bool {
+				return strings.HasPrefix(answers.await(t, client.setUp("keep.2", 5*time.Second), 1), "stands")
+			})
+			if got := answers.of(stood); got != "stands "+acceptedDescription("keep.1") {
 				t.Errorf("the call that stood: %q", got) // it belongs to no connection
 			}
 		})
 	}
 }
 
-// An exchange reads nothing and what it was sent waits here: a set-up is not left in that buffer, where nothing takes
-// it back. It goes elsewhere, and its caller leaves: when the exchange reads on, it hears nothing of that call.
+// An exchange reads nothing and its output waits here: a set-up is not left in that buffer, where nothing could take
+// it back. It goes elsewhere, and its caller leaves: when the exchange reads on, it receives nothing of that call.
 func TestSetupIsNotLeftInWriteBuffer(t *testing.T) {
 	t.Parallel()
-	a, b := startFakeExchange(t, "127.0.0.1:0"), startFakeExchange(t, "127.0.0.1:0")
-	a.mu.Lock()
-	a.readsNothing = true
-	a.mu.Unlock()
-	x := startTestbed(t, []*fakeExchange{a, b}, &scriptedDecider{servers: []string{"s-0", "s-1"}})
-	x.runIteration(func() {
-		s := x.server.backends.Get("s-0").Connection()
+	first, second := startFakeExchange(t, "127.0.0.1:0"), startFakeExchange(t, "127.0.0.1:0")
+	first.mu.Lock()
+	first.readsNothing = true
+	first.mu.Unlock()
+	bed := startTestbed(t, []*fakeExchange{first, second}, &scriptedDecider{servers: []string{"s-0", "s-1"}})
+	bed.runIteration(func() {
+		s := bed.server.backends.Get("s-0").Connection()
 		_ = s.Socket().SetWriteBuffer(4 << 10)
 		for s.Socket().OutboundBuffered() == 0 {
-			x.server.loop.Write(s, func(b []byte) []byte {
+			bed.server.loop.Write(s, func(b []byte) []byte {
 				for range 100 {
 					b = sip.AppendRequest(b, &sip.Request{Method: "OPTIONS", Number: "ping", CallID: testCallID, CSeq: 1})
 				}
 				return b
 			})
-			x.server.loop.Flush()
+			bed.server.loop.Flush()
 		}
 	})
-	id := x.caller.setUp("1", 3*time.Second)
+	id := bed.caller.setUp("1", 3*time.Second)
 	eventually(t, "the attempt is out", func() (out bool) {
-		x.runIteration(func() {
-			out = x.server.backends.Get("s-0").OpenAttempts()+x.server.backends.Get("s-1").OpenAttempts() > 0
+		bed.runIteration(func() {
+			out = bed.server.backends.Get("s-0").OpenAttempts()+bed.server.backends.Get("s-1").OpenAttempts() > 0
 		})
 		return out
 	})
-	x.caller.hangUp(id)
-	x.awaitNoPendingWork()
-	go a.readFrom(a.awaitConn())
+	bed.caller.hangUp(id)
+	bed.awaitNoPendingWork()
+	go first.readFrom(first.awaitConn())
 	eventually(t, "the buffer is empty", func() (empty bool) {
-		x.runIteration(func() { empty = x.server.backends.Get("s-0").Connection().Socket().OutboundBuffered() == 0 })
+		bed.runIteration(func() { empty = bed.server.backends.Get("s-0").Connection().Socket().OutboundBuffered() == 0 })
 		return empty
 	})
-	x.decider.setServers("s-0")
-	last := x.caller.setUp("1", 3*time.Second)
-	a.awaitReceived("INVITE", last, 1)
-	if n := a.countReceived("INVITE", id); n != 0 {
+	bed.decider.setServers("s-0")
+	last := bed.caller.setUp("1", 3*time.Second)
+	first.awaitReceived("INVITE", last, 1)
+	if n := first.countReceived("INVITE", id); n != 0 {
 		t.Fatalf("%d set-ups of a caller that had left", n)
 	}
-	b.awaitReceived("CANCEL", id, 1)
+	second.awaitReceived("CANCEL", id, 1)
 }
 
-// The node stands still, and an answer comes meanwhile to a connection that looks mute or stuck half way once it goes
-// on, or that is to be closed for a new address: the answer counts, and the call is tried nowhere else.
+// The process was stopped, and an answer came meanwhile on a connection that looks unresponsive or stalled within a
+// message once the process goes on, or that is to be closed for a new address: the answer counts, and the call is
+// tried nowhere else.
 func TestAnswerWhileProcessWasStopped(t *testing.T) {
 	t.Parallel()
 	for _, how := range []string{"mute", "half way", "moved"} {
 		t.Run(how, func(t *testing.T) {
 			t.Parallel()
-			a, b := startFakeExchange(t, "127.0.0.1:0"), startFakeExchange(t, "127.0.0.1:0")
-			x := startTestbed(t, []*fakeExchange{a, b}, &scriptedDecider{servers: []string{"s-0", "s-1", "s-1"}})
-			id := x.caller.setUp("1", 5*time.Second)
-			a.awaitReceived("INVITE", id, 1)
+			first, second := startFakeExchange(t, "127.0.0.1:0"), startFakeExchange(t, "127.0.0.1:0")
+			bed := startTestbed(t, []*fakeExchange{first, second}, &scriptedDecider{servers: []string{"s-0", "s-1", "s-1"}})
+			id := bed.caller.setUp("1", 5*time.Second)
+			first.awaitReceived("INVITE", id, 1)
 			answer := sipResponse(id, "INVITE", 200, 1, "a")
-			c := a.awaitConn()
-			x.runIteration(func() {
-				l, now := x.server.backends.Get("s-0"), x.server.loop.Now()
+			c := first.awaitConn()
+			bed.runIteration(func() {
+				l, now := bed.server.backends.Get("s-0"), bed.server.loop.Now()
 				if how == "half way" {
-					x.deliver(0, answer[:20])
+					bed.deliver(0, answer[:20])
 					answer = answer[20:]
 					now += 2 * backend.PartialMessageTimeout
 				} else {
@@ -212,43 +215,43 @@
 				}
 				_, _ = c.Write(answer)
 				if how == "moved" {
-					l.Move(b.addr())
+					l.Move(second.addr())
 				} else {
 					l.CheckResponsiveness(now)
 				}
 			})
-			if got := x.answers.await(t, id, 1); got != "stands a" {
+			if got := bed.answers.await(t, id, 1); got != "stands a" {
 				t.Error(got)
 			}
-			x.awaitNoPendingWork()
-			if n := len(x.decider.results(id)); n != 0 {
+			bed.awaitNoPendingWork()
+			if n := len(bed.decider.results(id)); n != 0 {
 				t.Errorf("%d ends of attempts of a call that stands", n)
 			}
 		})
 	}
 }
 
-// Pieces of an exchange's messages each bring the rest of one and part of the next, for longer than the rest of one may
-// take: the connection stays. Where no message ends any more it does not.
+// Pieces of an exchange's input each bring the rest of one message and part of the next, for longer than the rest of
+// one may take: the connection stays. Where no message is completed any more it is closed.
 func TestInputThatEndsWithinMessages(t *testing.T) {
 	t.Parallel()
-	x := startTestbed(t, []*fakeExchange{startFakeExchange(t, "127.0.0.1:0")}, &scriptedDecider{})
-	x.runIteration(func() {
-		l, m := x.server.backends.Get("s-0"), sipResponse(testCallID, "INVITE", 486, 1, "")
+	bed := startTestbed(t, []*fakeExchange{startFakeExchange(t, "127.0.0.1:0")}, &scriptedDecider{})
+	bed.runIteration(func() {
+		l, m := bed.server.backends.Get("s-0"), sipResponse(testCallID, "INVITE", 486, 1, "")
 		s := l.Connection()
-		x.deliver(0, m[:20])
+		bed.deliver(0, m[:20])
 		for range 5 {
 			time.Sleep(backend.PartialMessageTimeout * 3 / 4)
-			x.deliver(0, append(m[20:len(m):len(m)], m[:20]...))
-			l.CheckResponsiveness(x.server.loop.Now())
+			bed.deliver(0, append(m[20:len(m):len(m)], m[:20]...))
+			l.CheckResponsiveness(bed.server.loop.Now())
 		}
 		if l.Connection() != s {
 			t.Error("a connection that brings whole messages was closed")
 		}
 		for range 5 {
 			time.Sleep(backend.PartialMessageTimeout * 3 / 4)
-			x.deliver(0, []byte("x"))
-			l.CheckResponsiveness(x.server.loop.Now())
+			bed.deliver(0, []byte("x"))
+			l.CheckResponsiveness(bed.server.loop.Now())
 		}
 		if l.Connection() == s {
 			t.Error("a connection that brings nothing whole stays")
@@ -256,100 +259,102 @@
 	})
 }
 
-// An earlier attempt was released at an exchange that confirms nothing, and a later one stands there, under the same id
-// on the wire. When the connection breaks and comes up again, the old release is not said again: it would end the call.
+// An earlier attempt was released at an exchange that confirms nothing, and a later one is established there, under
+// the same id. When the connection breaks and is dialled again, the old release is not sent again: it would end the
+// call.
 func TestOldReleaseDoesNotEndLaterAttempt(t *testing.T) {
 	t.Parallel()
-	a := startFakeExchange(t, "127.0.0.1:0")
-	x := startTestbed(t, []*fakeExchange{a}, &scriptedDecider{retryDelay: retryGuard, servers: []string{"s-0", "s-0", "s-0"}})
-	id := x.caller.setUp("1", 5*time.Second)
-	a.awaitReceived("INVITE", id, 1)
-	x.runIteration(func() { // its answer crosses our giving it up
-		x.server.calls.AttemptEnded("s-0", id, 0, call.TimedOut)
-		x.server.backends.Get("s-0").Cancel(id, 0)
-		x.deliver(0, sipResponse(id, "INVITE", 200, 1, "late"))
+	exchange := startFakeExchange(t, "127.0.0.1:0")
+	bed := startTestbed(t, []*fakeExchange{exchange}, &scriptedDecider{retryDelay: retryGuard, servers: []string{"s-0", "s-0", "s-0"}})
+	id := bed.caller.setUp("1", 5*time.Second)
+	exchange.awaitReceived("INVITE", id, 1)
+	bed.runIteration(func() { // its answer crosses our cancellation
+		bed.server.calls.AttemptEnded("s-0", id, 0, call.TimedOut)
+		bed.server.backends.Get("s-0").Cancel(id, 0)
+		bed.deliver(0, sipResponse(id, "INVITE", 200, 1, "late"))
 	})
-	a.awaitReceived("BYE", id, 1)
-	a.awaitReceived("INVITE", id, 2)
-	a.send(sipResponse(id, "INVITE", 200, 2, "b"))
-	if got := x.answers.await(t, id, 1); got != "stands b" {
+	exchange.awaitReceived("BYE", id, 1)
+	exchange.awaitReceived("INVITE", id, 2)
+	exchange.send(sipResponse(id, "INVITE", 200, 2, "b"))
+	if got := bed.answers.await(t, id, 1); got != "stands b" {
 		t.Fatal(got)
 	}
-	resetConn(a.awaitConn())
-	last := x.caller.setUp("1", 3*time.Second)
-	a.awaitReceived("INVITE", last, 1)
-	if n := a.countReceived("BYE", id); n != 1 {
+	resetConn(exchange.awaitConn())
+	last := bed.caller.setUp("1", 3*time.Second)
+	exchange.awaitReceived("INVITE", last, 1)
+	if n := exchange.countReceived("BYE", id); n != 1 {
 		t.Errorf("%d releases of a call that stands", n-1)
 	}
-	x.caller.hangUp(id) // its own release is said, and again on the next connection
-	a.awaitReceived("BYE", id, 2)
-	resetConn(a.awaitConn())
-	a.awaitReceived("BYE", id, 3)
+	bed.caller.hangUp(id) // its own release is sent, and again on the next connection
+	exchange.awaitReceived("BYE", id, 2)
+	resetConn(exchange.awaitConn())
+	exchange.awaitReceived("BYE", id, 3)
 }
 
-// News that an exchange drains comes while a set-up is held for its dial, and in the turn of the send: it goes elsewhere.
+// An exchange drains while a set-up is queued for its dial, and in the iteration of the set-up: the set-up goes
+// elsewhere.
 func TestDrainWhileSetupIsQueued(t *testing.T) {
 	t.Parallel()
-	a, b := startFakeExchange(t, "127.0.0.1:0"), startFakeExchange(t, "127.0.0.1:0")
+	first, second := startFakeExchange(t, "127.0.0.1:0"), startFakeExchange(t, "127.0.0.1:0")
 	gate := make(chan struct{})
-	x := startTestbed(t, nil, &scriptedDecider{servers: []string{"s-0", "s-1", "s-1", "s-1"}}, func(o *Options) {
+	bed := startTestbed(t, nil, &scriptedDecider{servers: []string{"s-0", "s-1", "s-1", "s-1"}}, func(o *Options) {
 		o.dial = func(addr string, limit time.Duration) (net.Conn, error) {
-			if addr == a.addr() {
+			if addr == first.addr() {
 				<-gate
 			}
 			return backend.DialTCP(addr, limit)
 		}
 	})
-	x.exchanges = []*fakeExchange{a, b}
-	x.discovery.set(endpointLine{id: "s-0", addr: a.addr()}, endpointLine{id: "s-1", addr: b.addr()})
-	x.awaitConnected(1)
-	id := x.caller.setUp("1", 2*time.Second)
-	x.awaitQueuedSetups(1)
-	x.discovery.set(endpointLine{id: "s-0", addr: a.addr(), draining: true}, endpointLine{id: "s-1", addr: b.addr()})
-	b.awaitReceived("INVITE", id, 1)
+	bed.exchanges = []*fakeExchange{first, second}
+	bed.discovery.set(endpointLine{id: "s-0", addr: first.addr()}, endpointLine{id: "s-1", addr: second.addr()})
+	bed.awaitConnected(1)
+	id := bed.caller.setUp("1", 2*time.Second)
+	bed.awaitQueuedSetups(1)
+	bed.discovery.set(endpointLine{id: "s-0", addr: first.addr(), draining: true}, endpointLine{id: "s-1", addr: second.addr()})
+	second.awaitReceived("INVITE", id, 1)
 	close(gate)
-	x.awaitConnected(0)
-	b.send(sipResponse(id, "INVITE", 200, 2, "b"))
-	if got := x.answers.await(t, id, 1); got != "stands b" {
+	bed.awaitConnected(0)
+	second.send(sipResponse(id, "INVITE", 200, 2, "b"))
+	if got := bed.answers.await(t, id, 1); got != "stands b" {
 		t.Error(got)
 	}
-	x.runIteration(func() { // the set-up is ordered, and the drain read, before the turn ends
-		x.findClient("").HandleData(jsonSetup(testCallID, time.Second))
-		x.server.backends.Get("s-1").Drain()
+	bed.runIteration(func() { // the set-up is decided, and the drain read, before the iteration ends
+		bed.findClient("").HandleData(jsonSetup(testCallID, time.Second))
+		bed.server.backends.Get("s-1").Drain()
 	})
-	x.awaitNoPendingWork()
-	if a.countReceived("INVITE", id)+b.countReceived("INVITE", testCallID) != 0 {
+	bed.awaitNoPendingWork()
+	if first.countReceived("INVITE", id)+second.countReceived("INVITE", testCallID) != 0 {
 		t.Error("a set-up went to an exchange that drains")
 	}
 }
 
-// A new exchange has the address of one that drains or is gone. The old one's link is not dialled there, and a release
-// of the new one that comes over a connection made for the old one ends its call.
+// A new exchange has the address of one that drains or is gone. The old one is not dialled there, and a release of the
+// new one that arrives on a connection made for the old one ends its call.
 func TestAddressTakenOver(t *testing.T) {
 	t.Parallel()
-	a := startFakeExchange(t, "127.0.0.1:0")
-	addr := a.addr()
-	x := startTestbed(t, []*fakeExchange{a}, &scriptedDecider{servers: []string{"s-1", "s-1"}})
-	a.stop()
-	b := startFakeExchange(t, addr) // the old link redials, and reaches the new process before any news of it
+	exchange := startFakeExchange(t, "127.0.0.1:0")
+	addr := exchange.addr()
+	bed := startTestbed(t, []*fakeExchange{exchange}, &scriptedDecider{servers: []string{"s-1", "s-1"}})
+	exchange.stop()
+	b := startFakeExchange(t, addr) // the old one is redialled, and reaches the new process before the list names that
 	old := b.awaitConn()
-	x.exchanges = append(x.exchanges, b)
-	x.discovery.set(endpointLine{id: "s-0", addr: addr, draining: true}, endpointLine{id: "s-1", addr: addr, started: time.Now().UnixMilli()})
-	x.awaitConnected(1)
-	id := x.caller.setUp("1", 2*time.Second)
+	bed.exchanges = append(bed.exchanges, b)
+	bed.discovery.set(endpointLine{id: "s-0", addr: addr, draining: true}, endpointLine{id: "s-1", addr: addr, started: time.Now().UnixMilli()})
+	bed.awaitConnected(1)
+	id := bed.caller.setUp("1", 2*time.Second)
 	b.awaitReceived("INVITE", id, 1)
 	b.send(sipResponse(id, "INVITE", 200, 1, "b"))
-	x.answers.await(t, id, 1)
+	bed.answers.await(t, id, 1)
 	_, _ = old.Write(sipRelease(id, 16))
-	if got := x.answers.await(t, id, 2); got != "stands b end 16" {
+	if got := bed.answers.await(t, id, 2); got != "stands b end 16" {
 		t.Error(got)
 	}
 	var redialAt time.Duration
-	x.runIteration(func() { redialAt = x.server.backends.Get("s-0").RedialAt() })
+	bed.runIteration(func() { redialAt = bed.server.backends.Get("s-0").RedialAt() })
 	resetConn(old)
 	eventually(t, "the old link is down", func() (down bool) {
-		x.runIteration(func() {
-			l := x.server.backends.Get("s-0")
+		bed.runIteration(func() {
+			l := bed.server.backends.Get("s-0")
 			down = !l.IsConnected() && !l.IsDialing() && l.RedialAt() > redialAt
 		})
 		return down
@@ -362,47 +367,47 @@
 	}
 }
 
-// An exchange is taken off the list and lives on: it hears that the calls are over of which their callers are told so.
-// Under the same id it is another one when it comes again.
+// An exchange is taken off the list and lives on: it is notified of the end of the calls whose callers are notified of
+// it. Under the same id it is another one when it is added again.
 func TestExchangeRemovedAndAddedAgain(t *testing.T) {
 	t.Parallel()
-	a, b := startFakeExchange(t, "127.0.0.1:0"), startFakeExchange(t, "127.0.0.1:0")
-	x := startTestbed(t, []*fakeExchange{a}, &scriptedDecider{retryDelay: time.Second, servers: []string{"s-0", "s-0", "s-0"}})
-	id := x.caller.setUp("1", 5*time.Second)
-	a.awaitReceived("INVITE", id, 1)
-	a.send(sipResponse(id, "INVITE", 200, 1, "a"))
-	x.answers.await(t, id, 1)
-	open := x.caller.setUp("1", 5*time.Second)
-	a.awaitReceived("INVITE", open, 1)
-	x.discovery.set(endpointLine{id: "s-9", addr: b.addr()})
-	if got := x.answers.await(t, id, 2); got != "stands a end 41" {
+	first, second := startFakeExchange(t, "127.0.0.1:0"), startFakeExchange(t, "127.0.0.1:0")
+	bed := startTestbed(t, []*fakeExchange{first}, &scriptedDecider{retryDelay: time.Second, servers: []string{"s-0", "s-0", "s-0"}})
+	id := bed.caller.setUp("1", 5*time.Second)
+	first.awaitReceived("INVITE", id, 1)
+	first.send(sipResponse(id, "INVITE", 200, 1, "a"))
+	bed.answers.await(t, id, 1)
+	open := bed.caller.setUp("1", 5*time.Second)
+	first.awaitReceived("INVITE", open, 1)
+	bed.discovery.set(endpointLine{id: "s-9", addr: second.addr()})
+	if got := bed.answers.await(t, id, 2); got != "stands a end 41" {
 		t.Error(got)
 	}
-	a.awaitReceived("BYE", id, 1)
-	eventually(t, "the attempt has ended", func() bool { return len(x.decider.results(open)) == 1 })
-	x.discovery.set(endpointLine{id: "s-0", addr: b.addr(), started: time.Now().UnixMilli()})
-	x.awaitConnected(0)
-	b.awaitReceived("INVITE", open, 1) // once the guard is over
-	x.exchanges[0] = b
-	x.runIteration(func() { x.deliver(0, sipResponse(open, "INVITE", 200, 2, "b")) })
-	if got := x.answers.await(t, open, 1); got != "stands b" {
+	first.awaitReceived("BYE", id, 1)
+	eventually(t, "the attempt has ended", func() bool { return len(bed.decider.results(open)) == 1 })
+	bed.discovery.set(endpointLine{id: "s-0", addr: second.addr(), started: time.Now().UnixMilli()})
+	bed.awaitConnected(0)
+	second.awaitReceived("INVITE", open, 1) // once the retry guard is over
+	bed.exchanges[0] = second
+	bed.runIteration(func() { bed.deliver(0, sipResponse(open, "INVITE", 200, 2, "b")) })
+	if got := bed.answers.await(t, open, 1); got != "stands b" {
 		t.Error(got)
 	}
-	if n := len(x.decider.results(open)); n != 1 {
+	if n := len(bed.decider.results(open)); n != 1 {
 		t.Errorf("%d ends of attempts of a call that stands", n)
 	}
-	if c := x.decider.results(open)[0]; c == admission.ServerBusy || c == admission.NotSent || c == admission.DialFailed {
+	if c := bed.decider.results(open)[0]; c == admission.ServerBusy || c == admission.NotSent || c == admission.DialFailed {
 		t.Errorf("an attempt that was out counts as one that never ran: %v", c)
 	}
 }
 
-// A server that says that it drains gets nothing new from then on; one that is out
-// has lost its calls, and one that returns is used again.
+// An exchange that says that it drains gets nothing new from then on; one that is out of service has lost its calls,
+// and one that returns is used again.
 func TestServerServiceChange(t *testing.T) {
-	s, h := startTestServer(t, true, true), newAnswerLog()
-	k := dialGatewayCaller(t, s.gatewayAddress(), h, "<p>")
-	key := k.setUp("keep.1", 4*time.Second)
-	h.await(t, key, 1)
+	server, answers := startTestServer(t, true, true), newAnswerLog()
+	client := dialGatewayCaller(t, server.gatewayAddress(), answers, "<p>")
+	key := client.setUp("keep.1", 4*time.Second)
+	answers.await(t, key, 1)
 	id := uint32(100)
 	say := func(method string) {
 		id++
@@ -412,30 +417,30 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		s.exchanges[0].mu.Lock()
-		defer s.exchanges[0].mu.Unlock()
-		for c := range s.exchanges[0].conns {
+		server.exchanges[0].mu.Lock()
+		defer server.exchanges[0].mu.Unlock()
+		for c := range server.exchanges[0].conns {
 			_, _ = c.Write(b)
 		}
 	}
 	draining := func() bool {
 		ch := make(chan bool, 1)
-		s.server.loop.Execute(func() { ch <- s.server.backends.Get("s-0").IsDraining() })
+		server.server.loop.Execute(func() { ch <- server.server.backends.Get("s-0").IsDraining() })
 		return <-ch
 	}
 	invites := func() string {
-		s.exchanges[0].mu.Lock()
-		defer s.exchanges[0].mu.Unlock()
-		return fmt.Sprint(s.exchanges[0].invited)
+		server.exchanges[0].mu.Lock()
+		defer server.exchanges[0].mu.Unlock()
+		return fmt.Sprint(server.exchanges[0].invited)
 	}
 	say("Graceful")
 	eventually(t, "it drains", draining)
 	before := invites()
-	if got := h.await(t, k.setUp("keep.2", 4*time.Second), 1); got != "stands "+acceptedDescription("keep.2") {
+	if got := answers.await(t, client.setUp("keep.2", 4*time.Second), 1); got != "stands "+acceptedDescription("keep.2") {
 		t.Errorf("while one server drains: %q", got)
 	}
 	say("Forced")
-	if got := h.await(t, key, 2); got != "stands "+acceptedDescription("keep.1")+" end 41" {
+	if got := answers.await(t, key, 2); got != "stands "+acceptedDescription("keep.1")+" end 41" {
 		t.Errorf("the call at the server that is out: %q", got)
 	}
 	if got := invites(); got != before {
--- a/internal/server/callers_test.go
+++ b/internal/server/callers_test.go
@@ -13,19 +13,19 @@
 	"olivedale/internal/codec/jsonl"
 )
 
-// A testCaller is the callers' side of either dialect.
+// A testCaller is a caller of either protocol.
 type testCaller interface {
 	setUp(number string, left time.Duration) (key string)
 	hangUp(key string)
 	close()
 }
 
-// answerLog is what callers were told: key and what, in order.
+// answerLog is what callers were answered, by key and in order.
 type answerLog struct {
 	mu       sync.Mutex
 	byKey    map[string][]string
 	changed  chan struct{}
-	onAnswer func(key, what string) // if set, before anything is heard
+	onAnswer func(key, what string) // if set, before the first answer
 }
 
 func newAnswerLog() *answerLog {
@@ -51,7 +51,7 @@
 	return strings.Join(h.byKey[key], " ")
 }
 
-// await waits until a key has heard so many things.
+// await waits until so many answers have come under a key.
 func (h *answerLog) await(t testing.TB, key string, n int) string {
 	t.Helper()
 	end := time.After(6 * time.Second)
@@ -78,13 +78,13 @@
 	idPrefix string
 }
 
-func dialJSONCaller(t testing.TB, addr string, h *answerLog, salt string) *jsonCaller {
+func dialJSONCaller(t testing.TB, addr string, answers *answerLog, salt string) *jsonCaller {
 	t.Helper()
 	c, err := net.Dial("tcp", addr)
 	if err != nil {
 		t.Fatal(err)
 	}
-	k := &jsonCaller{answerLog: h, conn: c, idPrefix: salt}
+	k := &jsonCaller{answerLog: answers, conn: c, idPrefix: salt}
 	go func() {
 		var in jsonl.Reader
 		buf := make([]byte, 4096)
@@ -96,12 +96,12 @@
 			_ = in.Feed(buf[:n], func(m *jsonl.Message) bool {
 				switch m.Verb {
 				case jsonl.Started:
-					h.add(m.Tag, "stands "+string(m.Blob))
+					answers.add(m.Tag, "stands "+string(m.Blob))
 				case jsonl.Finish:
-					h.add(m.Tag, fmt.Sprint("end ", m.RC))
+					answers.add(m.Tag, fmt.Sprint("end ", m.RC))
 					k.send(&jsonl.Message{Verb: jsonl.Finished, Tag: m.Tag})
 				case jsonl.Echoed:
-					h.add("echo", fmt.Sprint(m.RC))
+					answers.add("echo", fmt.Sprint(m.RC))
 				}
 				return true
 			})
@@ -137,13 +137,13 @@
 	acknowledges bool              // it acknowledges replies, set before its first call
 }
 
-func dialGatewayCaller(t testing.TB, addr string, h *answerLog, mid string) *gatewayCaller {
+func dialGatewayCaller(t testing.TB, addr string, answers *answerLog, mid string) *gatewayCaller {
 	t.Helper()
 	c, err := net.Dial("tcp", addr)
 	if err != nil {
 		t.Fatal(err)
 	}
-	k := &gatewayCaller{answerLog: h, conn: c, messageID: mid, contexts: make(map[string]string), replies: make(map[uint32]int)}
+	k := &gatewayCaller{answerLog: answers, conn: c, messageID: mid, contexts: make(map[string]string), replies: make(map[uint32]int)}
 	go func() {
 		var in h248.Framer
 		buf := make([]byte, 4096)
@@ -155,11 +155,11 @@
 			_ = in.Feed(buf[:n], func(text []byte) bool {
 				m, bad := h248.Parse(text)
 				if bad != nil {
-					h.add("error", bad.Error())
+					answers.add("error", bad.Error())
 					return false
 				}
 				if m.Err != nil {
-					h.add("error", m.Err.Error())
+					answers.add("error", m.Err.Error())
 				}
 				for _, tr := range m.Transactions {
 					k.handleTransaction(tr)
@@ -191,7 +191,7 @@
 		for _, a := range t.Actions {
 			if a.Err != nil {
 				what := fmt.Sprint("error ", a.Err.Code)
-				switch a.Err.Code { // as the callers of the other dialect hear it
+				switch a.Err.Code { // as the callers of the other protocol get it
 				case h248.Insufficient:
 					what = "end 34"
 				case h248.TemporaryFailure:
@@ -228,7 +228,7 @@
 	}
 }
 
-// addTransaction sets a call up on the termination that is the transaction's key.
+// addTransaction returns a set-up on the termination that is the transaction's key.
 func addTransaction(key string, id uint32, number string, left time.Duration) *h248.Transaction {
 	state := &h248.Node{Name: "TerminationState", Kids: []*h248.Node{{Name: "oc/class", Value: "voice"}, {Name: "oc/first", Value: "0"},
 		{Name: "oc/number", Value: number}, {Name: "oc/left", Value: fmt.Sprint(left.Milliseconds())}}}
--- a/internal/server/deciders_test.go
+++ b/internal/server/deciders_test.go
@@ -8,16 +8,16 @@
 	"olivedale/internal/admission"
 )
 
-// A scriptedDecider module sends attempts where the test says, in turn, and repeats at once what ended.
+// A scriptedDecider sends attempts where the test says, in turn, and retries at once what has ended.
 type scriptedDecider struct {
 	mu         sync.Mutex
 	servers    []string
-	retryDelay time.Duration // before what may have run is sent again
+	retryDelay time.Duration // before an attempt that may have run is repeated
 	retryAt    map[string]time.Duration
 	reports    []admission.AttemptReport
 }
 
-// setServers says anew where attempts go from now on.
+// setServers replaces the exchanges that the next attempts go to.
 func (d *scriptedDecider) setServers(servers ...string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -89,7 +89,7 @@
 }
 func (d *scriptedDecider) UpdateServers(time.Duration, []admission.Server, bool) {}
 
-// results lists what the module was told of the ends of a call's attempts.
+// results returns the reported results of a call's attempts.
 func (d *scriptedDecider) results(id string) (all []admission.AttemptResult) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -101,9 +101,9 @@
 	return all
 }
 
-// unlimitedDecider is a module without limits: a call goes to its pools in their order, one after another;
-// after an attempt that may have run the release guard passes first. It shows what lies around the
-// module at rates that the module would not let through to servers it does not know.
+// unlimitedDecider decides without limits: a call goes to its pools in their order, one after another; after an
+// attempt that may have run the retry guard passes first. It shows what surrounds the admission control at rates that
+// this would not admit to exchanges it does not know.
 type unlimitedDecider struct {
 	untriedPools   map[string][]int // pools of an open call that were not tried yet
 	delayed        []delayedCall    // by time
@@ -115,7 +115,7 @@
 	call string
 }
 
-// newUnlimitedDecider makes one whose attempts end before a link that brings nothing counts as mute.
+// newUnlimitedDecider returns one whose attempts end before an unresponsive connection is closed.
 func newUnlimitedDecider() *unlimitedDecider {
 	return &unlimitedDecider{untriedPools: make(map[string][]int), attemptTimeout: 150 * time.Millisecond}
 }
--- a/internal/server/discovery_server_test.go
+++ b/internal/server/discovery_server_test.go
@@ -9,16 +9,16 @@
 	"golang.org/x/net/dns/dnsmessage"
 )
 
-// discoveryServer answers queries with the list that it holds.
+// discoveryServer answers queries with the list of endpoints that it holds.
 type discoveryServer struct {
 	conn                net.PacketConn
 	mu                  sync.Mutex
 	serial              uint32
 	lines               []endpointLine
-	queriesToDrop       int // queries to leave without an answer
-	maxAnswersPerClient int // so many answers to each address that asks, then none; 0: no limit
+	queriesToDrop       int // queries that are not answered
+	maxAnswersPerClient int // so many answers to each address, then none; 0: no limit
 	answersByClient     map[string]int
-	heldAnswers         [][]byte // answers held back, while keep
+	heldAnswers         [][]byte // answers that are not sent while holdsAnswers
 	holdsAnswers        bool
 	lastClient          net.Addr // the last
 }
--- a/internal/server/drain_test.go
+++ b/internal/server/drain_test.go
@@ -12,12 +12,12 @@
 	"olivedale/internal/config"
 )
 
-// The pools of a number drain one after the other, the fallback first: calls go to what is left of
-// them, to no other pool, and are answered at once where nothing is left. What comes back is used.
+// The pools of a number drain one after the other, the fallback first: calls go to the pools that are left, to no
+// other, and are answered at once where none is left. A pool that returns is used.
 func TestPoolsThatDrain(t *testing.T) {
 	t.Parallel()
-	f, h := startFleet(t, 3), newAnswerLog()
-	for _, s := range f.exchanges {
+	nodes, answers := startFleet(t, 3), newAnswerLog()
+	for _, s := range nodes.exchanges {
 		s.behavesByDigit = true
 	}
 	rules := filepath.Join(t.TempDir(), "numbers.toml")
@@ -25,14 +25,14 @@
 	if err := os.WriteFile(rules, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	f.numbers = &config.Numbering{File: rules}
-	if err := f.numbers.Validate(); err != nil {
+	nodes.numbers = &config.Numbering{File: rules}
+	if err := nodes.numbers.Validate(); err != nil {
 		t.Fatal(err)
 	}
-	s := f.startServer(t, "n0", "", new(atomic.Int64))
-	callers := []testCaller{dialJSONCaller(t, s.jsonAddress(), h, "aaaaaaaa"), dialGatewayCaller(t, s.gatewayAddress(), h, "<one>")}
+	s := nodes.startServer(t, "n0", "", new(atomic.Int64))
+	callers := []testCaller{dialJSONCaller(t, s.jsonAddress(), answers, "aaaaaaaa"), dialGatewayCaller(t, s.gatewayAddress(), answers, "<one>")}
 	invited := func() (all [3]int) {
-		for i, x := range f.exchanges {
+		for i, x := range nodes.exchanges {
 			x.mu.Lock()
 			all[i] = x.invited
 			x.mu.Unlock()
@@ -40,11 +40,11 @@
 		return all
 	}
 	drains := func(which ...int) {
-		lines := append([]endpointLine(nil), f.lines...)
+		lines := append([]endpointLine(nil), nodes.lines...)
 		for _, i := range which {
 			lines[i].draining = true
 		}
-		f.discovery.set(lines...)
+		nodes.discovery.set(lines...)
 		eventually(t, "the node is told", func() bool {
 			got := make(chan bool, 1)
 			s.server.loop.Execute(func() {
@@ -57,9 +57,9 @@
 			return <-got
 		})
 	}
-	// goes sets calls up on both fronts until two have gone to one of the servers that may have
-	// them, or where none may until two have been answered at once. None may go elsewhere. What the
-	// module turns away since it does not know a server well yet is tried again.
+	// goes sets calls up on both frontends until two have gone to one of the exchanges that may have
+	// them, or where none may until two have been answered at once. None may go elsewhere. Calls that
+	// the admission control rejects since it does not know an exchange well yet are tried again.
 	goes := func(what, number string, may ...int) {
 		t.Helper()
 		for good, end := 0, time.Now().Add(10*time.Second); good < 2; {
@@ -68,7 +68,7 @@
 			}
 			before, began := invited(), time.Now()
 			key := callers[good%2].setUp(number, 4*time.Second)
-			eventually(t, what+": it ends", func() bool { return strings.Contains(h.of(key), "end") })
+			eventually(t, what+": it ends", func() bool { return strings.Contains(answers.of(key), "end") })
 			took, to := time.Since(began), -1
 			for i, n := range invited() {
 				if n == before[i] {
@@ -101,7 +101,7 @@
 		t.Errorf("%d calls to a pool that the route does not have", n)
 	}
 	s.stop(t)
-	if n := f.observations.total(&f.observations.simultaneousAttempts) + f.observations.total(&f.observations.earlyRetries); n != 0 {
+	if n := nodes.observations.total(&nodes.observations.simultaneousAttempts) + nodes.observations.total(&nodes.observations.earlyRetries); n != 0 {
 		t.Errorf("%d rules broken", n)
 	}
 }
--- a/internal/server/golden_test.go
+++ b/internal/server/golden_test.go
@@ -21,7 +21,7 @@
 	"olivedale/internal/goldentest"
 )
 
-// A capture notes every byte that the node sends on a connection.
+// A capture records every byte that the server sends on a connection.
 type capture struct {
 	t        *testing.T
 	conn     net.Conn
@@ -47,7 +47,7 @@
 	return p
 }
 
-// dialCapture connects to an address of the node.
+// dialCapture connects to an address of the server.
 func dialCapture(t *testing.T, addr string, framed bool) *capture {
 	t.Helper()
 	c, err := net.Dial("tcp", addr)
@@ -76,7 +76,7 @@
 	return string(p.stream)
 }
 
-// await waits until what came matches a pattern, and returns the first group of the last match.
+// await waits until what has come matches a pattern, and returns the first group of the last match.
 func (p *capture) await(pattern string) (group string) {
 	p.t.Helper()
 	re := regexp.MustCompile("(?s)" + pattern)
@@ -112,7 +112,7 @@
 	p.sendTransaction(mid, &h248.Transaction{ID: id, Actions: []*h248.Action{{Context: context, Commands: []*h248.Command{c}}}})
 }
 
-// volatile are what differs between two runs, and what stands for it.
+// volatile are the parts that differ between two runs, and their placeholders.
 var volatile = []struct {
 	pattern *regexp.Regexp
 	with    string
@@ -125,7 +125,7 @@
 	{regexp.MustCompile(`oc/recorded=\d+`), `oc/recorded=COUNT`},
 }
 
-// transcript is what came on a connection with placeholders for what is volatile, ids in the order they came in.
+// transcript returns what has come on a connection with placeholders for volatile parts and for ids.
 func (p *capture) transcript(name string, ids map[string]string) goldentest.Message {
 	text := p.text()
 	for _, v := range volatile {
@@ -137,7 +137,7 @@
 	return goldentest.Message{Name: name, Bytes: []byte(text)}
 }
 
-// A goldenScript is a node with an exchange of each dialect and a connection of each kind of caller.
+// A goldenScript is a server with an exchange of each protocol and a connection of each kind of caller.
 type goldenScript struct {
 	*testbed
 	exchange, server       *capture // SIP, H.248
@@ -145,7 +145,7 @@
 	ids                    map[string]string
 }
 
-// startUnreadExchange is an exchange whose connections the test reads itself.
+// startUnreadExchange starts an exchange whose connections the test reads itself.
 func startUnreadExchange(t *testing.T) *fakeExchange {
 	t.Helper()
 	x := startFakeExchange(t, "127.0.0.1:0")
@@ -162,18 +162,18 @@
 	if err := os.WriteFile(rules, []byte(numberRules(0)), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	x := startTestbed(t, []*fakeExchange{exchange}, &scriptedDecider{}, func(o *Options) {
+	bed := startTestbed(t, []*fakeExchange{exchange}, &scriptedDecider{}, func(o *Options) {
 		o.H248 = &config.H248{Listen: "127.0.0.2:0", Admin: "127.0.0.3:0", Servers: []config.H248Server{{ID: "h-0", Address: server.addr(), Pool: 1}}}
 		o.Numbers = &config.Numbering{File: rules}
 		o.Records = goldenRecords(t)
 	})
-	s := &goldenScript{testbed: x, ids: make(map[string]string)}
+	s := &goldenScript{testbed: bed, ids: make(map[string]string)}
 	s.exchange, s.server = newCapture(t, exchange.awaitConn(), false), newCapture(t, server.awaitConn(), true)
-	s.caller, s.gateway, s.admin = dialCapture(t, x.jsonAddress(), false), dialCapture(t, x.gatewayAddress(), true), dialCapture(t, x.adminAddress(), true)
+	s.caller, s.gateway, s.admin = dialCapture(t, bed.jsonAddress(), false), dialCapture(t, bed.gatewayAddress(), true), dialCapture(t, bed.adminAddress(), true)
 	return s
 }
 
-// goldenRecords switches records on with their defaults, since the counters of records are statistics too.
+// goldenRecords turns records on with their defaults, since the counters of records are statistics too.
 func goldenRecords(t *testing.T) *config.Records {
 	t.Helper()
 	r := &config.Records{Dir: t.TempDir()}
@@ -183,7 +183,7 @@
 	return r
 }
 
-// callJSON sets a call up whose attempts go to these servers.
+// callJSON sends a set-up whose attempts go to these exchanges.
 func (s *goldenScript) callJSON(id string, servers ...string) {
 	s.decider.setServers(servers...)
 	s.caller.send(jsonSetup(id, 5*time.Second))
@@ -195,12 +195,12 @@
 	s.exchange.await(method + ` sip:[^\n]*\n[^\n]*\nCall-ID: ` + id)
 }
 
-// sipRejection is a refusal by the exchange.
+// sipRejection returns a rejection by the exchange as it is sent.
 func sipRejection(id string, status, cseq int, diagnosis string) []byte {
 	return fmt.Appendf(nil, "SIP/2.0 %d X\r\nCall-ID: %s\r\nCSeq: %d INVITE\r\nX-Diagnosis: %s\r\nContent-Length: 0\r\n\r\n", status, id, cseq, diagnosis)
 }
 
-// jsonToSIP plays calls of the JSON front to the SIP exchange.
+// jsonToSIP makes calls of the JSON frontend to the SIP exchange.
 func (s *goldenScript) jsonToSIP() {
 	s.caller.send(jsonl.Append(nil, &jsonl.Message{Verb: jsonl.Echo, Tag: "t"}))
 	s.caller.await(`ECHOED`)
@@ -241,7 +241,7 @@
 	}
 }
 
-// jsonToH248 plays calls of the JSON front to the H.248 server.
+// jsonToH248 makes calls of the JSON frontend to the H.248 exchange.
 func (s *goldenScript) jsonToH248() {
 	const hungUp, released, refused = "00000000000000b1", "00000000000000b2", "00000000000000b3"
 	const mid = "<server>"
@@ -281,7 +281,7 @@
 	return id
 }
 
-// gatewayToSIP plays calls of the H.248 front to the SIP exchange.
+// gatewayToSIP makes calls of the H.248 frontend to the SIP exchange.
 func (s *goldenScript) gatewayToSIP() {
 	const mid = "<panel>"
 	add := func(n uint32, number string) (id string) {
@@ -319,7 +319,7 @@
 	s.gateway.await(`Error=400`)
 }
 
-// administer asks what olivectl and the agent ask.
+// administer sends what olivectl and the agent send.
 func (s *goldenScript) administer() {
 	const mid = "<ctl>"
 	for n, c := range []*h248.Command{adminapi.AuditCommand("ROOT"), adminapi.AuditCommand(adminapi.NumberingTermination), adminapi.ClockCommand("agent-1", adminapi.ClockStamps{}), adminapi.DrainCommand("ROOT")} {
@@ -328,7 +328,7 @@
 	}
 }
 
-// What exchanges, callers and operators receive over sockets in a fixed script of calls is as committed.
+// The bytes that exchanges, callers and operators receive in a fixed script of calls are as committed.
 func TestGoldenTranscript(t *testing.T) {
 	t.Parallel()
 	s := startGoldenScript(t)
--- a/internal/server/idle_test.go
+++ b/internal/server/idle_test.go
@@ -13,12 +13,12 @@
 	"olivedale/internal/config"
 )
 
-// openIdleConnections opens connections to the front of the platform's protocol that test it once, and stay.
-func openIdleConnections(t testing.TB, s *testServer, n int) {
+// openIdleConnections opens connections to the JSON frontend that test it once, and stay.
+func openIdleConnections(t testing.TB, server *testServer, n int) {
 	t.Helper()
 	buf := make([]byte, 256)
 	for range n {
-		c, err := net.Dial("tcp", s.jsonAddress())
+		c, err := net.Dial("tcp", server.jsonAddress())
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -32,34 +32,34 @@
 	}
 }
 
-// runCallsAmidIdleConnections sets so many calls up on both fronts, a thousand a second, runCallsAmidIdleConnections idle connections, and tells
-// how long they took.
+// runCallsAmidIdleConnections sets so many calls up on both frontends, a thousand a second, beside idle connections,
+// and logs how long they took.
 func runCallsAmidIdleConnections(t testing.TB, idlers, calls int) {
-	f := startFleet(t, 1)
-	f.exchanges[0].behavesByDigit = true
-	f.sockets = 4*idlers + 4096
-	f.decider = newUnlimitedDecider()
-	f.numbers = &config.Numbering{File: filepath.Join(t.TempDir(), "numbers.toml")}
-	writeFile(t, f.numbers.File, "default = \"r\"\n[[route]]\nname = \"r\"\n[[route.target]]\npool = 0\n")
-	s := f.startServer(t, "n0", "", new(atomic.Int64))
+	nodes := startFleet(t, 1)
+	nodes.exchanges[0].behavesByDigit = true
+	nodes.sockets = 4*idlers + 4096
+	nodes.decider = newUnlimitedDecider()
+	nodes.numbers = &config.Numbering{File: filepath.Join(t.TempDir(), "numbers.toml")}
+	writeFile(t, nodes.numbers.File, "default = \"r\"\n[[route]]\nname = \"r\"\n[[route.target]]\npool = 0\n")
+	s := nodes.startServer(t, "n0", "", new(atomic.Int64))
 	openIdleConnections(t, s, idlers)
-	h := newAnswerLog()
-	panel := dialGatewayCaller(t, s.gatewayAddress(), h, "<one>")
+	answers := newAnswerLog()
+	panel := dialGatewayCaller(t, s.gatewayAddress(), answers, "<one>")
 	panel.acknowledges = true
-	l := newLoad(h, 5*time.Second, 4096, dialJSONCaller(t, s.jsonAddress(), h, "aaaaaaaa"), panel)
+	l := newLoad(answers, 5*time.Second, 4096, dialJSONCaller(t, s.jsonAddress(), answers, "aaaaaaaa"), panel)
 	l.run(calls, 1000, func(int) string { return "1230" })
 	took := l.awaitEnds(t)
 	s.stop(t)
 	t.Logf("%d idle connections: stands after p50 %v us, p99 %v us, at most %v us", idlers, took.ValueAtQuantile(50), took.ValueAtQuantile(99), took.Max())
 }
 
-// Calls find their way amid idle connections, and releases find theirs.
+// Calls and releases are served beside idle connections.
 func TestCallsAmidIdleConnections(t *testing.T) {
 	t.Parallel()
 	runCallsAmidIdleConnections(t, 200, 300)
 }
 
-// What a message costs does not hang on how many connections there are:
+// BenchmarkIdleConnections shows that the cost of a message does not depend on the number of connections:
 // go test -run '^$' -bench Idle -benchtime 1x ./internal/server
 func BenchmarkIdleConnections(b *testing.B) {
 	var limit syscall.Rlimit
--- a/internal/server/load_test.go
+++ b/internal/server/load_test.go
@@ -9,7 +9,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 )
 
-// A load sets calls up on several callers and notes when each heard its first word and its end.
+// A load sets calls up on several callers and records when each gets its first answer and its end.
 type load struct {
 	answers *answerLog
 	callers []testCaller
@@ -17,17 +17,17 @@
 	slots   chan struct{} // calls that are open, at the most
 
 	mu              sync.Mutex
-	sentAt          map[string]time.Time // when it was to be sent: a stall of this side counts
+	sentAt          map[string]time.Time // when it was due: a stall of this side counts
 	answeredAt      map[string]time.Time
 	ended           map[string]bool
-	answersAfterEnd int // words after the end
+	answersAfterEnd int // answers after the end of a call
 	number          map[string]string
 }
 
-func newLoad(h *answerLog, left time.Duration, open int, callers ...testCaller) *load {
-	l := &load{answers: h, callers: callers, timeout: left, slots: make(chan struct{}, open), sentAt: make(map[string]time.Time),
+func newLoad(answers *answerLog, left time.Duration, open int, callers ...testCaller) *load {
+	l := &load{answers: answers, callers: callers, timeout: left, slots: make(chan struct{}, open), sentAt: make(map[string]time.Time),
 		answeredAt: make(map[string]time.Time), ended: make(map[string]bool), number: make(map[string]string)}
-	h.onAnswer = l.recordAnswer
+	answers.onAnswer = l.recordAnswer
 	return l
 }
 
@@ -68,8 +68,8 @@
 	}
 }
 
-// awaitEnds waits until all calls have ended; each must have heard its first word within its time. It
-// returns how long that took for those whose first attempt stands.
+// awaitEnds waits until all calls have ended; each must have its first answer in time. It returns how long that took
+// for those whose first attempt is established.
 func (l *load) awaitEnds(t testing.TB) *hdrhistogram.Histogram {
 	t.Helper()
 	open := func() int {
@@ -94,7 +94,7 @@
 			late++
 		}
 		if l.number[key][len(l.number[key])-1] >= '5' {
-			continue // its first attempt does not stand: how long that takes is the server's doing
+			continue // its first attempt is rejected: how long that takes is up to the exchange
 		}
 		_ = took.RecordValue(max(first.Sub(sent).Microseconds(), 1))
 	}
--- a/internal/server/lookup_test.go
+++ b/internal/server/lookup_test.go
@@ -24,12 +24,12 @@
 	good     = iota
 	silent   // it answers nothing
 	slow     // it takes 5 to 60 ms
-	sluggish // it takes longer than anybody asks
+	sluggish // it takes longer than anybody waits
 	flapping // it is silent every other 50 ms
 	lying    // to another question, with another id, cut short, with a response code, or no DNS at all
 )
 
-// enumServer is a server of ENUM; it tells where numbers have moved to.
+// enumServer is an ENUM server; its answers say where numbers have been ported to.
 type enumServer struct {
 	addr    string
 	mode    atomic.Int32
@@ -104,7 +104,7 @@
 	return b
 }
 
-// numberOf reads a number from its domain, where it stands digit by digit from the end.
+// numberOf reads a number from its domain, which has its digits in reverse.
 func numberOf(domain string) string {
 	var digits []byte
 	for _, label := range strings.Split(domain, ".") {
@@ -116,8 +116,8 @@
 	return string(digits)
 }
 
-// movedTo says where numbers of the replay have moved to: those with an even digit in their middle
-// to another first digit.
+// movedTo returns where numbers of the replay have been ported to: those with an even digit in their middle to another
+// first digit.
 func movedTo(number string) string {
 	if len(number) != 7 || number[3]%2 == 1 {
 		return ""
@@ -125,9 +125,9 @@
 	return string('1'+(number[0]-'1'+3)%9) + number[1:]
 }
 
-// Numbers that may have moved are looked up before the module is asked, on both fronts; where the
-// look-up server is silent each call still gets its one answer in time, by the fallback; a caller
-// who leaves meanwhile, or a connection that closes, frees everything.
+// Numbers that may have been ported are looked up before the admission control is asked, on both frontends; where the
+// ENUM server is silent each call still gets its one answer in time, by the fallback; a caller who leaves meanwhile,
+// or a connection that closes, frees everything.
 func TestPortedNumbers(t *testing.T) {
 	t.Parallel()
 	rules := filepath.Join(t.TempDir(), "numbers.toml")
@@ -136,7 +136,7 @@
 	if err := os.WriteFile(rules, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	f, h, look := startFleet(t, 2), newAnswerLog(), startENUM(t)
+	f, answers, look := startFleet(t, 2), newAnswerLog(), startENUM(t)
 	node := func(fallback string) *testServer {
 		f.numbers = &config.Numbering{File: rules, Lookup: config.Lookup{Servers: []string{look.addr}, Fallback: fallback}}
 		if err := f.numbers.Validate(); err != nil {
@@ -150,7 +150,7 @@
 		return f.exchanges[i].invited
 	}
 	s := node(config.FallbackRoute)
-	callers := []testCaller{dialJSONCaller(t, s.jsonAddress(), h, "aaaaaaaa"), dialGatewayCaller(t, s.gatewayAddress(), h, "<one>")}
+	callers := []testCaller{dialJSONCaller(t, s.jsonAddress(), answers, "aaaaaaaa"), dialGatewayCaller(t, s.gatewayAddress(), answers, "<one>")}
 	for i, k := range callers {
 		number := fmt.Sprint("561", i)
 		key := k.setUp(number, 8*time.Second)
@@ -165,7 +165,7 @@
 	for i, k := range callers {
 		number := fmt.Sprint("562", i)
 		key := k.setUp(number, 8*time.Second)
-		eventually(t, "it is routed as it is", func() bool { return at(0) == i+1 || strings.Contains(h.of(key), "end") })
+		eventually(t, "it is routed as it is", func() bool { return at(0) == i+1 || strings.Contains(answers.of(key), "end") })
 		k.hangUp(key)
 	}
 	if at(0) == 0 || time.Since(began) > 8*time.Second {
@@ -174,20 +174,20 @@
 	s.stop(t)
 
 	s = node(config.FallbackRefuse)
-	k := dialJSONCaller(t, s.jsonAddress(), h, "bbbbbbbb")
-	if said := h.await(t, k.setUp("5630", 8*time.Second), 1); said != "end 34" {
+	client := dialJSONCaller(t, s.jsonAddress(), answers, "bbbbbbbb")
+	if said := answers.await(t, client.setUp("5630", 8*time.Second), 1); said != "end 34" {
 		t.Errorf("undecided: %q", said)
 	}
-	left := k.setUp("5631", 8*time.Second)
-	k.hangUp(left)
-	k.setUp("5632", 8*time.Second)
-	k.close()
+	left := client.setUp("5631", 8*time.Second)
+	client.hangUp(left)
+	client.setUp("5632", 8*time.Second)
+	client.close()
 	eventually(t, "nothing is held", func() bool {
 		pins := make(chan int, 1)
 		s.server.loop.Execute(func() { pins <- s.server.numbering.desk.List()[0].Pins + s.server.calls.OpenCalls() })
 		return <-pins == 0
 	})
-	if said := h.of(left); said != "" {
+	if said := answers.of(left); said != "" {
 		t.Errorf("a caller who left was answered: %q", said)
 	}
 	s.stop(t)
@@ -196,9 +196,9 @@
 	}
 }
 
-// lookupRun has so many calls to numbers that are all looked up, at a rate a second and on both fronts,
-// with a server in some mode, and checks that each gets its answer in time and that nothing is held
-// when they have ended. It returns by how much the memory in use has grown, callers and servers included.
+// lookupRun makes so many calls to numbers that are all looked up, at a rate a second and on both frontends, with a
+// server in some mode, and checks that each is answered in time and that nothing is held when they have ended. It
+// returns by how much the memory in use has grown, callers and exchanges included.
 func lookupRun(t testing.TB, mode int32, fallback string, n int, rate float64) int64 {
 	look := startENUM(t)
 	look.mode.Store(mode)
@@ -255,7 +255,7 @@
 	return grown
 }
 
-// Whatever a look-up server does, each call gets its one answer before its caller gives up.
+// Whatever an ENUM server does, each call gets its one answer before its caller gives up.
 func TestLookupServersThatFail(t *testing.T) {
 	t.Parallel()
 	for _, mode := range []int32{silent, sluggish, flapping, lying} {
@@ -270,8 +270,8 @@
 	})
 }
 
-// The server is silent for a minute at 200 set-ups a second; the memory is set against that of the
-// same minute with one that answers:
+// The ENUM server is silent for a minute at 200 set-ups a second; the memory is compared with that of the same minute
+// with one that answers:
 // go test -run '^$' -bench SilentLookups -benchtime 1x -timeout 10m ./internal/server
 func BenchmarkSilentLookups(b *testing.B) {
 	for range b.N {
--- a/internal/server/numbers_test.go
+++ b/internal/server/numbers_test.go
@@ -18,20 +18,19 @@
 	"olivedale/internal/record"
 )
 
-// numberRules are rules by which all numbers go to one pool, but those that begin with 9, which
-// are barred. Numbers of stand-in calls are words, so the classes of calls stand in for digits:
-// the key is made of digits, and a stand-in server answers every one of them.
+// numberRules are rules by which all numbers go to one pool, except those that begin with 9, which are barred. The
+// numbers consist of digits, and a simulated exchange answers every one of them.
 func numberRules(pool int) string {
 	return fmt.Sprintf("version = \"to %d\"\ndefault = \"r\"\n[[barred]]\nprefix = \"9\"\ncause = 17\n[[route]]\nname = \"r\"\n[[route.target]]\npool = %d\n", pool, pool)
 }
 
-// Tables are swapped while calls are in the middle of their set-up and others come: each call
-// goes by the table that it began with, and by no other, as its records tell.
+// Tables are changed while calls are being set up and others arrive: each call goes by the table that it began with,
+// and by no other, as its records show.
 func TestTableSwappedInService(t *testing.T) {
 	t.Parallel()
-	f, h := startFleet(t, 2), newAnswerLog()
-	for _, s := range f.exchanges {
-		s.answersNothing = true // a call whose connection counts as mute is tried again: it must not come to stand then
+	nodes, answers := startFleet(t, 2), newAnswerLog()
+	for _, s := range nodes.exchanges {
+		s.answersNothing = true // a call on an unresponsive connection is tried again: it must not be established then
 	}
 	file := filepath.Join(t.TempDir(), "numbers.toml")
 	digest := make(map[string]int) // pool by digest
@@ -47,10 +46,10 @@
 		digest[table.Digest()] = pool
 	}
 	write(0)
-	f.numbers = &config.Numbering{File: file}
+	nodes.numbers = &config.Numbering{File: file}
 	dir := t.TempDir()
-	s := f.startServer(t, "n0", dir, new(atomic.Int64))
-	k := dialJSONCaller(t, s.jsonAddress(), h, "aaaaaaaa")
+	s := nodes.startServer(t, "n0", dir, new(atomic.Int64))
+	client := dialJSONCaller(t, s.jsonAddress(), answers, "aaaaaaaa")
 	status := func() []numbering.Status {
 		got := make(chan []numbering.Status, 1)
 		s.server.loop.Execute(func() { got <- s.server.numbering.desk.List() })
@@ -64,11 +63,11 @@
 		}
 		return n
 	}
-	if said := h.await(t, k.setUp("911", 4*time.Second), 1); said != "end 17" {
+	if said := answers.await(t, client.setUp("911", 4*time.Second), 1); said != "end 17" {
 		t.Errorf("a barred number: %q", said)
 	}
-	held := k.setUp("100", 8*time.Second)
-	eventually(t, "it is at the server of pool 0", func() bool { return f.observations.attemptsTo("100") >= 1 })
+	held := client.setUp("100", 8*time.Second)
+	eventually(t, "it is at the server of pool 0", func() bool { return nodes.observations.attemptsTo("100") >= 1 })
 	for i := range 6 {
 		pool := (i + 1) % 2
 		write(pool)
@@ -82,8 +81,8 @@
 			return false
 		})
 		number := fmt.Sprint("20", i)
-		key := k.setUp(number, 8*time.Second)
-		eventually(t, "it is at a server or refused", func() bool { return f.observations.attemptsTo(number) >= 1 || h.of(key) != "" })
+		key := client.setUp(number, 8*time.Second)
+		eventually(t, "it is at a server or refused", func() bool { return nodes.observations.attemptsTo(number) >= 1 || answers.of(key) != "" })
 	}
 	if holds(0) == 0 || holds(1) == 0 {
 		t.Errorf("calls hold %+v", status())
@@ -97,22 +96,22 @@
 	if after := status(); len(after) != len(before) || after[0].Digest != before[0].Digest || after[0].State != before[0].State {
 		t.Errorf("a bad table: %+v, before %+v", after, before)
 	}
-	// The connection of the first call counts as mute, as it does where this test is slow: the call is tried again,
-	// by the table that it began with.
-	again := f.observations.attemptsTo("100")
+	// The connection of the first call counts as unresponsive, as it does where this test is slow: the call is tried
+	// again, by the table that it began with.
+	again := nodes.observations.attemptsTo("100")
 	s.server.loop.Execute(func() {
 		s.server.loop.RunIteration(func() { s.server.backends.Get("s-0").Disconnect(call.Unresponsive) })
 	})
-	eventually(t, "it is tried again", func() bool { return f.observations.attemptsTo("100") > again })
+	eventually(t, "it is tried again", func() bool { return nodes.observations.attemptsTo("100") > again })
 	if holds(0) == 0 || holds(1) == 0 {
 		t.Errorf("while one is tried again calls hold %+v", status())
 	}
-	k.hangUp(held)
-	k.close()
+	client.hangUp(held)
+	client.close()
 	eventually(t, "all calls have let go", func() bool { return holds(0)+holds(1) == 0 })
 	s.stop(t)
 
-	// What the records tell, call by call, against what each table says in so many words.
+	// The records, call by call, are compared with the tables.
 	r, err := record.OpenDir(dir)
 	if err != nil {
 		t.Fatal(err)
@@ -144,11 +143,11 @@
 	}
 }
 
-// Versions are loaded and put in force over the admin address; of two operators one wins; what is in
-// force survives a kill, and a damaged one gives way to the last good one.
+// Versions are loaded and put in force over the admin address; of two operators one wins; what is in force survives a
+// kill, and a damaged version gives way to the last good one.
 func TestVersionsInService(t *testing.T) {
 	t.Parallel()
-	f, dir := startFleet(t, 2), t.TempDir()
+	nodes, dir := startFleet(t, 2), t.TempDir()
 	write := func(name, text string) string {
 		t.Helper()
 		path := filepath.Join(dir, name)
@@ -157,8 +156,8 @@
 		}
 		return path
 	}
-	f.numbers = &config.Numbering{File: write("first.toml", numberRules(0)), State: filepath.Join(dir, "state")}
-	s := f.startServer(t, "n0", "", new(atomic.Int64))
+	nodes.numbers = &config.Numbering{File: write("first.toml", numberRules(0)), State: filepath.Join(dir, "state")}
+	s := nodes.startServer(t, "n0", "", new(atomic.Int64))
 	ask := func(s *testServer, c *h248.Command) ([]numbering.Status, numbering.Job, error) {
 		reply, err := adminapi.Send(context.Background(), s.adminAddress(), c)
 		if err != nil {
@@ -224,12 +223,12 @@
 		t.Error("a panel may order")
 	}
 
-	// What a kill leaves: the folder as it is just now.
+	// What a kill leaves: the folder as it is now.
 	killed := filepath.Join(dir, "killed")
-	copyStore(t, f.numbers.State, killed)
+	copyStore(t, nodes.numbers.State, killed)
 	s.stop(t)
-	f.numbers = &config.Numbering{File: f.numbers.File, State: killed}
-	s = f.startServer(t, "n0", "", new(atomic.Int64))
+	nodes.numbers = &config.Numbering{File: nodes.numbers.File, State: killed}
+	s = nodes.startServer(t, "n0", "", new(atomic.Int64))
 	versions, _ := list(s)
 	waiting := ""
 	for _, v := range versions {
@@ -248,7 +247,7 @@
 	}
 	s.stop(t)
 
-	// The last standing is torn: the one before holds, in which the second was in force.
+	// The last state is torn: the one before holds, in which the second was in force.
 	files, err := filepath.Glob(filepath.Join(killed, "standing-*"))
 	if err != nil || len(files) < 2 {
 		t.Fatal(files, err)
@@ -261,12 +260,12 @@
 	if err := os.WriteFile(last, b[:len(b)/2], 0o600); err != nil {
 		t.Fatal(err)
 	}
-	s = f.startServer(t, "n0", "", new(atomic.Int64))
+	s = nodes.startServer(t, "n0", "", new(atomic.Int64))
 	if got := inForce(s); got != second.Digest {
 		t.Errorf("after a torn standing %s is in force", got)
 	}
 	s.stop(t)
-	// The rules of the version in force are damaged: the standing before that names another holds.
+	// The rules of the version in force are damaged: the state before, which names another, holds.
 	rules, err := filepath.Glob(filepath.Join(killed, second.Digest+"-*"))
 	if err != nil || len(rules) != 1 {
 		t.Fatal(rules, err)
@@ -274,7 +273,7 @@
 	if err := os.WriteFile(rules[0], []byte("torn"), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	s = f.startServer(t, "n0", "", new(atomic.Int64))
+	s = nodes.startServer(t, "n0", "", new(atomic.Int64))
 	if got := inForce(s); got != first {
 		t.Errorf("with damaged rules %s is in force", got)
 	}
--- a/internal/server/observations_test.go
+++ b/internal/server/observations_test.go
@@ -11,22 +11,22 @@
 
 const retryGuard = 300 * time.Millisecond
 
-// callObservations is what all stand-in servers see together.
+// callObservations is what all simulated exchanges observe together.
 type callObservations struct {
 	mu                   sync.Mutex
-	openAttempts         map[string]bool      // an attempt is out
-	guardedSince         map[string]time.Time // when one ended so that the guard holds
+	openAttempts         map[string]bool      // an attempt is open
+	guardedSince         map[string]time.Time // when an attempt ended after which the retry guard holds
 	attempts             map[string]int       // by the number called
-	simultaneousAttempts int                  // second attempts at once
-	earlyRetries         int                  // resends within the guard
+	simultaneousAttempts int                  // attempts beside another open one
+	earlyRetries         int                  // attempts within the retry guard
 	abandonedAttempts    int                  // attempts of calls whose callers had left
-	canceled             int                  // set-ups given up by the call controller
-	released             int                  // calls released by it
-	corrupted            int                  // descriptions that came changed
+	canceled             int                  // set-ups cancelled by the server
+	released             int                  // calls released by the server
+	corrupted            int                  // descriptions that were changed on the way
 }
 
-// schedulingDelay is by how much something that was due may have come late of late, on this machine: three times as much as a
-// goroutine that does nothing but wait has seen within the last seconds.
+// schedulingDelay returns by how much an event that was due may be late on this machine: three times the delay that a
+// goroutine which only sleeps has seen within the last seconds.
 func schedulingDelay() time.Duration {
 	delayMeter.once.Do(func() {
 		go func() {
@@ -35,7 +35,7 @@
 				time.Sleep(5 * time.Millisecond)
 				over := int64(time.Since(began) - 5*time.Millisecond)
 				delayMeter.now.Store(max(delayMeter.now.Load(), over))
-				if n%200 == 0 { // a second at the least
+				if n%200 == 0 { // at least a second
 					delayMeter.before.Store(delayMeter.now.Swap(0))
 				}
 			}
@@ -49,16 +49,16 @@
 	now, before atomic.Int64
 }
 
-// retryObserver counts, by the node's own clock, what is sent again within the guard of an attempt that may have run, and what
-// is sent on for a caller who has left.
+// retryObserver counts, by the server's own clock, attempts that start within the retry guard of one that may have
+// run, and attempts for callers who have left.
 type retryObserver struct {
 	call.Observer
 	observations *callObservations
-	guardedSince map[string]call.Time // on the loop alone, as left
+	guardedSince map[string]call.Time // used on the loop alone, as abandoned
 	abandoned    map[string]bool
 }
 
-// observeRetries puts one in, before the node runs.
+// observeRetries installs a retryObserver, before the server runs.
 func (s *testServer) observeRetries() {
 	g := &retryObserver{nopObserver{}, s.observations, make(map[string]call.Time), make(map[string]bool)}
 	schedulingDelay()
@@ -98,7 +98,7 @@
 	g.Observer.AttemptStarted(now, server, s)
 }
 
-// nopObserver is an Observer that does nothing.
+// nopObserver is a call.Observer that does nothing.
 type nopObserver struct{}
 
 func (nopObserver) CallOffered(call.Time, *call.Request)                                        {}
@@ -113,15 +113,15 @@
 	return &callObservations{openAttempts: make(map[string]bool), guardedSince: make(map[string]time.Time), attempts: make(map[string]int)}
 }
 
-// beginAttempt notes an attempt and tells the how-manieth it is of those under a key.
+// beginAttempt records an attempt and returns the number of attempts under a key so far.
 func (r *callObservations) beginAttempt(id, number, key string, desc []byte) (nth int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.openAttempts[id] {
 		r.simultaneousAttempts++
 	}
-	// Each server reads in a goroutine of its own, when it gets to: between two of them time is told as well as the
-	// machine lets it be. What the guard is to the millisecond, guards sees at the node.
+	// Each exchange reads in a goroutine of its own, when that is scheduled: times of two of them are compared only as
+	// exactly as the machine allows. The retryObserver checks the guard to the millisecond, at the server.
 	if at, ok := r.guardedSince[id]; ok && time.Since(at) < retryGuard-schedulingDelay() {
 		r.earlyRetries++
 	}
--- a/internal/server/protocols_test.go
+++ b/internal/server/protocols_test.go
@@ -10,7 +10,7 @@
 	"olivedale/internal/codec/h248"
 )
 
-// callResults is what a day of calls came to.
+// callResults are the outcomes of one run of calls.
 type callResults struct {
 	Heard                   map[string]string
 	Attempts                map[string]int
@@ -18,51 +18,51 @@
 	GaveUp, Released        int
 }
 
-// runCalls makes the same calls in either dialect, one after the other.
-func runCalls(t *testing.T, s *testServer, dial func(name string) testCaller, h *answerLog) callResults {
+// runCalls makes the same calls in either protocol, one after the other.
+func runCalls(t *testing.T, server *testServer, dial func(name string) testCaller, answers *answerLog) callResults {
 	t.Helper()
 	p := callResults{Heard: make(map[string]string), Attempts: make(map[string]int)}
 	k, other := dial("aaaaaaaa"), dial("bbbbbbbb")
 	gone := k.setUp("silent.2", 5*time.Second)
-	eventually(t, "the set-up is at a server", func() bool { return s.observations.attemptsTo("silent.2") == 1 })
+	eventually(t, "the set-up is at a server", func() bool { return server.observations.attemptsTo("silent.2") == 1 })
 	k.hangUp(gone)
-	eventually(t, "the set-up is given up", func() bool { return s.observations.total(&s.observations.canceled) == 1 })
+	eventually(t, "the set-up is given up", func() bool { return server.observations.total(&server.observations.canceled) == 1 })
 	other.setUp("silent.3", 5*time.Second)
-	eventually(t, "the set-up is at a server", func() bool { return s.observations.attemptsTo("silent.3") == 1 })
+	eventually(t, "the set-up is at a server", func() bool { return server.observations.attemptsTo("silent.3") == 1 })
 	other.close()
-	eventually(t, "the set-up is given up with its connection", func() bool { return s.observations.total(&s.observations.canceled) == 2 })
+	eventually(t, "the set-up is given up with its connection", func() bool { return server.observations.total(&server.observations.canceled) == 2 })
 	for _, kind := range []string{"ok", "keep", "moot", "reset", "busy"} {
 		number := kind + ".1"
 		if kind == "reset" {
-			// At this rate the module lets a call a second go to a server of second choice.
+			// At this rate the admission control lets a call a second go to an exchange of second choice.
 			time.Sleep(1500 * time.Millisecond)
 		}
 		key := k.setUp(number, 4*time.Second)
-		said := h.await(t, key, 1)
+		said := answers.await(t, key, 1)
 		if kind == "ok" {
-			said = h.await(t, key, 2)
+			said = answers.await(t, key, 2)
 		}
 		p.Heard[kind] = strings.ReplaceAll(said, acceptedDescription(number), "")
 		if strings.Contains(said, "stands") {
 			k.hangUp(key)
 		}
-		p.Attempts[kind] = s.observations.attemptsTo(number)
+		p.Attempts[kind] = server.observations.attemptsTo(number)
 		time.Sleep(30 * time.Millisecond) // let the release pass before the next call
 	}
 	silent := k.setUp("silent.1", 400*time.Millisecond)
-	p.Heard["silent"] = h.await(t, silent, 1)
-	p.Attempts["silent"] = s.observations.attemptsTo("silent.1")
-	eventually(t, "the set-up that timed out is given up", func() bool { return s.observations.total(&s.observations.canceled) == 3 })
-	for end := time.Now().Add(2 * time.Second); s.observations.total(&s.observations.released) < 3 && time.Now().Before(end); {
+	p.Heard["silent"] = answers.await(t, silent, 1)
+	p.Attempts["silent"] = server.observations.attemptsTo("silent.1")
+	eventually(t, "the set-up that timed out is given up", func() bool { return server.observations.total(&server.observations.canceled) == 3 })
+	for end := time.Now().Add(2 * time.Second); server.observations.total(&server.observations.released) < 3 && time.Now().Before(end); {
 		time.Sleep(5 * time.Millisecond)
 	}
-	p.Copies, p.Early, p.Tampered = s.observations.total(&s.observations.simultaneousAttempts), s.observations.total(&s.observations.earlyRetries), s.observations.total(&s.observations.corrupted)
-	p.GaveUp, p.Released = s.observations.total(&s.observations.canceled), s.observations.total(&s.observations.released)
+	p.Copies, p.Early, p.Tampered = server.observations.total(&server.observations.simultaneousAttempts), server.observations.total(&server.observations.earlyRetries), server.observations.total(&server.observations.corrupted)
+	p.GaveUp, p.Released = server.observations.total(&server.observations.canceled), server.observations.total(&server.observations.released)
 	return p
 }
 
-// TestBothProtocolsBehaveAlike plays the same calls with either dialect on either side: the
-// rules must be kept alike and the service be the same.
+// TestBothProtocolsBehaveAlike makes the same calls with either protocol on either side: the rules must be kept alike
+// and the service be the same.
 func TestBothProtocolsBehaveAlike(t *testing.T) {
 	t.Parallel()
 	want := callResults{
@@ -75,13 +75,13 @@
 		for _, front := range []bool{false, true} {
 			t.Run(fmt.Sprintf("front H.248 %v, back H.248 %v", front, back), func(t *testing.T) {
 				t.Parallel()
-				s, h := startTestServer(t, back, back), newAnswerLog()
-				got := runCalls(t, s, func(name string) testCaller {
+				server, answers := startTestServer(t, back, back), newAnswerLog()
+				got := runCalls(t, server, func(name string) testCaller {
 					if front {
-						return dialGatewayCaller(t, s.gatewayAddress(), h, "<"+name+">")
+						return dialGatewayCaller(t, server.gatewayAddress(), answers, "<"+name+">")
 					}
-					return dialJSONCaller(t, s.jsonAddress(), h, name)
-				}, h)
+					return dialJSONCaller(t, server.jsonAddress(), answers, name)
+				}, answers)
 				if fmt.Sprint(got) != fmt.Sprint(want) {
 					t.Errorf("got  %+v\nwant %+v", got, want)
 				}
@@ -90,18 +90,18 @@
 	}
 }
 
-// TestMixedProtocols has both dialects on both sides at once on one node.
+// TestMixedProtocols has both protocols on both sides at once on one server.
 func TestMixedProtocols(t *testing.T) {
 	t.Parallel()
-	s := startTestServer(t, false, true)
-	h := newAnswerLog()
-	callers := []testCaller{dialJSONCaller(t, s.jsonAddress(), h, "aaaaaaaa"), dialGatewayCaller(t, s.gatewayAddress(), h, "<one>"),
-		dialJSONCaller(t, s.jsonAddress(), h, "bbbbbbbb"), dialGatewayCaller(t, s.gatewayAddress(), h, "<two>")}
+	server := startTestServer(t, false, true)
+	answers := newAnswerLog()
+	callers := []testCaller{dialJSONCaller(t, server.jsonAddress(), answers, "aaaaaaaa"), dialGatewayCaller(t, server.gatewayAddress(), answers, "<one>"),
+		dialJSONCaller(t, server.jsonAddress(), answers, "bbbbbbbb"), dialGatewayCaller(t, server.gatewayAddress(), answers, "<two>")}
 	stood := make([]int, len(callers))
 	for i := range 15 {
 		for j, k := range callers {
 			key := k.setUp(fmt.Sprintf("ok.%d.%d", i, j), 4*time.Second)
-			if said := h.await(t, key, 2); said == "stands "+acceptedDescription(fmt.Sprintf("ok.%d.%d", i, j))+" end 16" {
+			if said := answers.await(t, key, 2); said == "stands "+acceptedDescription(fmt.Sprintf("ok.%d.%d", i, j))+" end 16" {
 				stood[j]++
 			} else {
 				t.Errorf("caller %d, call %d: %q", j, i, said)
@@ -113,80 +113,80 @@
 			t.Errorf("caller %d had %d calls, caller 0 %d", j, n, stood[0])
 		}
 	}
-	if n := s.observations.total(&s.observations.simultaneousAttempts) + s.observations.total(&s.observations.earlyRetries) + s.observations.total(&s.observations.corrupted); n != 0 {
+	if n := server.observations.total(&server.observations.simultaneousAttempts) + server.observations.total(&server.observations.earlyRetries) + server.observations.total(&server.observations.corrupted); n != 0 {
 		t.Errorf("%d rules broken", n)
 	}
 }
 
-// A repeated transaction gets the stored reply and starts nothing, on the same
-// connection, while it runs, and after a reset on a new one.
+// A repeated transaction gets the stored reply and starts nothing: on the same connection, while it runs, and after a
+// reset on a new one.
 func TestRepeatedTransaction(t *testing.T) {
 	t.Parallel()
-	s, h := startTestServer(t, true), newAnswerLog()
-	k := dialGatewayCaller(t, s.gatewayAddress(), h, "<panel>")
+	server, answers := startTestServer(t, true), newAnswerLog()
+	client := dialGatewayCaller(t, server.gatewayAddress(), answers, "<panel>")
 	add := addTransaction("panel/7", 7, "keep.1", 4*time.Second)
-	k.send(add)
-	first := h.await(t, "panel/7", 1)
-	k.send(add)
-	if got := h.await(t, "panel/7", 2); got != first+" "+first {
+	client.send(add)
+	first := answers.await(t, "panel/7", 1)
+	client.send(add)
+	if got := answers.await(t, "panel/7", 2); got != first+" "+first {
 		t.Errorf("the repeat got %q", got)
 	}
 	open := addTransaction("panel/8", 8, "silent.1", 5*time.Second)
-	k.send(open)
-	eventually(t, "the set-up is out", func() bool { return s.observations.attemptsTo("silent.1") == 1 })
-	k.send(open)
-	h.await(t, "panel/8/pending", 1)
-	_ = k.conn.(*net.TCPConn).SetLinger(0) // reset
-	k.close()
-	eventually(t, "the open set-up is given up", func() bool { return s.observations.total(&s.observations.canceled) == 1 })
-	again := dialGatewayCaller(t, s.gatewayAddress(), h, "<panel>")
+	client.send(open)
+	eventually(t, "the set-up is out", func() bool { return server.observations.attemptsTo("silent.1") == 1 })
+	client.send(open)
+	answers.await(t, "panel/8/pending", 1)
+	_ = client.conn.(*net.TCPConn).SetLinger(0) // reset
+	client.close()
+	eventually(t, "the open set-up is given up", func() bool { return server.observations.total(&server.observations.canceled) == 1 })
+	again := dialGatewayCaller(t, server.gatewayAddress(), answers, "<panel>")
 	again.send(add)
-	if got := h.await(t, "panel/7", 3); got != first+" "+first+" "+first {
+	if got := answers.await(t, "panel/7", 3); got != first+" "+first+" "+first {
 		t.Errorf("the repeat after a reset got %q", got)
 	}
 	again.send(open)
-	if got := h.await(t, "panel/8", 1); got != "end 41" {
+	if got := answers.await(t, "panel/8", 1); got != "end 41" {
 		t.Errorf("the repeat of the set-up that was given up got %q", got)
 	}
-	if a, b := s.observations.attemptsTo("keep.1"), s.observations.attemptsTo("silent.1"); a != 1 || b != 1 {
+	if a, b := server.observations.attemptsTo("keep.1"), server.observations.attemptsTo("silent.1"); a != 1 || b != 1 {
 		t.Errorf("repeats started %d and %d attempts, want one each", a, b)
 	}
 }
 
-// A command that is cut at any byte never runs, and runs once when the rest comes.
+// A command that is split at any byte never runs in part, and runs once when the rest comes.
 func TestInputSplitAtEveryByte(t *testing.T) {
 	t.Parallel()
-	s, h := startTestServer(t, true), newAnswerLog()
+	server, answers := startTestServer(t, true), newAnswerLog()
 	frame, err := h248.AppendFrame(nil, &h248.Message{MID: "<cut>", Transactions: []*h248.Transaction{
 		addTransaction("cut/1", 1, "keep.1", 4*time.Second)}})
 	if err != nil {
 		t.Fatal(err)
 	}
 	for cut := range frame {
-		c, err := net.Dial("tcp", s.gatewayAddress())
+		c, err := net.Dial("tcp", server.gatewayAddress())
 		if err != nil {
 			t.Fatal(err)
 		}
 		_, _ = c.Write(frame[:cut])
 		_ = c.Close()
 	}
-	k := dialGatewayCaller(t, s.gatewayAddress(), h, "<cut>")
+	client := dialGatewayCaller(t, server.gatewayAddress(), answers, "<cut>")
 	for _, b := range frame {
-		if n := s.observations.attemptsTo("keep.1"); n != 0 {
+		if n := server.observations.attemptsTo("keep.1"); n != 0 {
 			t.Fatalf("half a command ran %d times", n)
 		}
-		_, _ = k.conn.Write([]byte{b})
+		_, _ = client.conn.Write([]byte{b})
 	}
-	h.await(t, "cut/1", 1)
-	if n := s.observations.attemptsTo("keep.1"); n != 1 {
+	answers.await(t, "cut/1", 1)
+	if n := server.observations.attemptsTo("keep.1"); n != 1 {
 		t.Errorf("%d attempts", n)
 	}
 }
 
 func TestH248Errors(t *testing.T) {
 	t.Parallel()
-	s, h := startTestServer(t, true), newAnswerLog()
-	k := dialGatewayCaller(t, s.gatewayAddress(), h, "<p>")
+	server, answers := startTestServer(t, true), newAnswerLog()
+	client := dialGatewayCaller(t, server.gatewayAddress(), answers, "<p>")
 	one := func(context, name, termination string, d ...*h248.Node) *h248.Transaction {
 		return &h248.Transaction{Actions: []*h248.Action{{Context: context, Commands: []*h248.Command{{Name: name, Termination: termination, Descriptors: d}}}}}
 	}
@@ -202,44 +202,44 @@
 		{one("-", "ServiceChange", "ROOT"), "error 442"}, {addTransaction("t", 0, "keep.1", -time.Second), "error 449"},
 	} {
 		test.t.ID = uint32(i + 1)
-		k.send(test.t)
-		if got := h.await(t, fmt.Sprintf("p/%d", i+1), 1); got != test.want {
+		client.send(test.t)
+		if got := answers.await(t, fmt.Sprintf("p/%d", i+1), 1); got != test.want {
 			t.Errorf("transaction %d: %q, want %q", i+1, got, test.want)
 		}
 	}
 	unknown := addTransaction("t", 90, "keep.1", time.Second)
 	unknown.Actions[0].Commands[0].Descriptors[0].Kids[0].Kids[0].Value = "nobody"
-	k.send(unknown)
-	if got := h.await(t, "p/90", 1); got != "end 34" {
+	client.send(unknown)
+	if got := answers.await(t, "p/90", 1); got != "end 34" {
 		t.Errorf("an unknown class: %q", got)
 	}
-	_, _ = k.conn.Write([]byte{3, 0, 0, 9, 'x', '{', '}', '=', '='})
-	if got := h.await(t, "error", 1); !strings.Contains(got, "400") {
+	_, _ = client.conn.Write([]byte{3, 0, 0, 9, 'x', '{', '}', '=', '='})
+	if got := answers.await(t, "error", 1); !strings.Contains(got, "400") {
 		t.Errorf("garbage: %q", got)
 	}
 }
 
 func TestAuditAndDrain(t *testing.T) {
 	t.Parallel()
-	s, h := startTestServer(t, true), newAnswerLog()
-	k := dialGatewayCaller(t, s.adminAddress(), h, "<ctl>")
+	server, answers := startTestServer(t, true), newAnswerLog()
+	client := dialGatewayCaller(t, server.adminAddress(), answers, "<ctl>")
 	graceful := &h248.Node{Name: "Services", Kids: []*h248.Node{{Name: "Method", Value: "Graceful"}, {Name: "Reason", Quoted: true, Value: "905"}}}
 	drain := &h248.Transaction{ID: 2, Actions: []*h248.Action{{Context: "-", Commands: []*h248.Command{{Name: "ServiceChange", Termination: "ROOT", Descriptors: []*h248.Node{graceful}}}}}}
-	p := dialGatewayCaller(t, s.gatewayAddress(), h, "<panel>")
-	p.send(drain) // a panel that goes out of service takes nobody along
-	h.await(t, "panel/2", 1)
-	k.send(&h248.Transaction{ID: 1, Actions: []*h248.Action{{Context: "-", Commands: []*h248.Command{{Name: "AuditValue", Termination: "ROOT"}}}}})
-	if got := h.await(t, "ctl/1", 1); got != "done AuditValue" {
+	p := dialGatewayCaller(t, server.gatewayAddress(), answers, "<panel>")
+	p.send(drain) // a gateway that goes out of service does not stop the server
+	answers.await(t, "panel/2", 1)
+	client.send(&h248.Transaction{ID: 1, Actions: []*h248.Action{{Context: "-", Commands: []*h248.Command{{Name: "AuditValue", Termination: "ROOT"}}}}})
+	if got := answers.await(t, "ctl/1", 1); got != "done AuditValue" {
 		t.Errorf("audit: %q", got)
 	}
-	if key := p.setUp("keep.1", time.Second); h.await(t, key, 1) == "" {
+	if key := p.setUp("keep.1", time.Second); answers.await(t, key, 1) == "" {
 		t.Error("no service before the drain")
 	}
-	k.send(drain)
-	h.await(t, "ctl/2", 1)
+	client.send(drain)
+	answers.await(t, "ctl/2", 1)
 	select {
-	case err := <-s.done:
-		s.done <- err
+	case err := <-server.done:
+		server.done <- err
 		if err != nil {
 			t.Error(err)
 		}
--- a/internal/server/chance_test.go
+++ b/internal/server/random_crossings_test.go
@@ -11,11 +11,11 @@
 	"olivedale/internal/codec/jsonl"
 )
 
-// Crossings by chance: what callers, exchanges and the list do is drawn from a seed, several things in one turn of the
-// loop, and what is owed is checked at the end as exchanges and callers saw it. Times come from the machine: a seed
-// repeats what was done, not the moment at which each side reads of it.
+// Random crossings: what callers, exchanges and the list do is drawn from a seed, several events in one iteration of the
+// loop, and the rules are checked at the end as exchanges and callers saw them. Times come from the machine: a seed
+// repeats the events, not the moment at which each side reads of them.
 
-// A exchangeEvent is one thing on the exchanges' side, in the order in which it happened there.
+// An exchangeEvent is one event at the exchanges, in the order in which it happened there.
 type exchangeEvent struct {
 	at       time.Time
 	exchange int
@@ -25,18 +25,18 @@
 	conn     int // the connection to the exchange
 }
 
-// A randomRun is a run.
+// A randomRun is one run of random crossings.
 type randomRun struct {
 	*testbed
 	rng              *rand.Rand
 	events           []exchangeEvent
-	collected        []int // so much of what came to each exchange has been taken down
+	collected        []int // the number of messages of each exchange that are recorded
 	callers          []*jsonCaller
 	callerOf         map[string]int // by id: the caller
-	openCalls        []string       // asked for and not left; it may have been answered
+	openCalls        []string       // asked for and not abandoned; they may have been answered
 	drainingExchange int            // the exchange that drains, -1: none
 	lastCall         int
-	maxDelay         time.Duration // the most there was
+	maxDelay         time.Duration // the longest scheduling delay
 }
 
 func (c *randomRun) record(s exchangeEvent) {
@@ -46,7 +46,7 @@
 	c.events = append(c.events, s)
 }
 
-// collectReceived takes down what came to the exchanges since.
+// collectReceived records what has come to the exchanges since the last time.
 func (c *randomRun) collectReceived() {
 	for i, f := range c.exchanges {
 		f.mu.Lock()
@@ -61,7 +61,7 @@
 	}
 }
 
-// unansweredAttempts are the attempts that an exchange has not answered.
+// unansweredAttempts returns the attempts that an exchange has not answered.
 func (c *randomRun) unansweredAttempts() (all []exchangeEvent) {
 	c.collectReceived()
 	for _, e := range c.events {
@@ -86,8 +86,9 @@
 	return left
 }
 
-// establishedCalls are the calls that an exchange answered and of which it has heard no end, nor told one. Those whose connection
-// ended just after are left out: the answer may be lost on the way, and then nobody else knows of the call.
+// establishedCalls returns the calls that an exchange answered and of which it has neither got nor sent a release.
+// Those whose connection ended just after are left out: the answer may be lost on the way, and then nobody else knows
+// of the call.
 func (c *randomRun) establishedCalls() (all []exchangeEvent) {
 	c.collectReceived()
 	for _, e := range c.events {
@@ -112,7 +113,7 @@
 	return all[rng.IntN(len(all))], true
 }
 
-// callers' side of a step, within a turn.
+// caller does the callers' part of a step, within an iteration.
 func (c *randomRun) caller() {
 	switch i := c.rng.IntN(len(c.callers)); c.rng.IntN(5) {
 	case 0, 1, 2:
@@ -142,7 +143,7 @@
 			c.callers[i].close()
 		}
 		c.callers[i] = dialJSONCaller(c.t, c.jsonAddress(), c.answers, "cccccccc")
-		c.callers[i].send(&jsonl.Message{Verb: jsonl.Finished, Tag: "0"}) // who says nothing is closed after a while
+		c.callers[i].send(&jsonl.Message{Verb: jsonl.Finished, Tag: "0"}) // a silent connection is closed after a while
 	}
 }
 
@@ -156,7 +157,7 @@
 	}
 }
 
-// stepExchange is the exchanges' side of a step.
+// stepExchange does the exchanges' part of a step.
 func (c *randomRun) stepExchange() {
 	switch c.rng.IntN(8) {
 	case 0, 1, 2, 3:
@@ -204,13 +205,13 @@
 		module.servers = append(module.servers, fmt.Sprint("s-", rng.IntN(3)))
 	}
 	far := []*fakeExchange{startFakeExchange(t, "127.0.0.1:0"), startFakeExchange(t, "127.0.0.1:0"), startFakeExchange(t, "127.0.0.1:0")}
-	x := startTestbed(t, far, module)
-	c := &randomRun{testbed: x, rng: rng, collected: make([]int, len(far)), callerOf: make(map[string]int), drainingExchange: -1}
+	bed := startTestbed(t, far, module)
+	c := &randomRun{testbed: bed, rng: rng, collected: make([]int, len(far)), callerOf: make(map[string]int), drainingExchange: -1}
 	for range 4 {
-		c.callers = append(c.callers, x.dialCaller("cccccccc"))
+		c.callers = append(c.callers, bed.dialCaller("cccccccc"))
 	}
 	for range 250 {
-		x.runIteration(func() {
+		bed.runIteration(func() {
 			for range 1 + rng.IntN(3) {
 				if rng.IntN(2) == 0 {
 					c.caller()
@@ -220,15 +221,15 @@
 			}
 		})
 		for range rng.IntN(3) {
-			x.runIteration(func() {}) // what has come is read
+			bed.runIteration(func() {}) // what has come is read
 		}
 		c.maxDelay = max(c.maxDelay, schedulingDelay())
 		if rng.IntN(8) == 0 {
-			time.Sleep(time.Duration(rng.IntN(60)) * time.Millisecond) // guards and time-outs pass
+			time.Sleep(time.Duration(rng.IntN(60)) * time.Millisecond) // retry guards and timeouts pass
 		}
 	}
-	// Everything comes to its end: calls that stand are released by whoever can.
-	quit, left := x.dialCaller("dddddddd"), ""
+	// All calls end: established calls are released by whoever can.
+	quit, left := bed.dialCaller("dddddddd"), ""
 	defer func() {
 		if left != "" {
 			t.Log(left)
@@ -236,38 +237,38 @@
 	}()
 	eventually(t, "every call is over", func() bool {
 		for _, id := range slices.Clone(c.openCalls) {
-			if got := x.answers.of(id); strings.HasPrefix(got, "stands") && !strings.Contains(got, "end") {
+			if got := bed.answers.of(id); strings.HasPrefix(got, "stands") && !strings.Contains(got, "end") {
 				quit.hangUp(id)
 				c.recordLeft(id)
 			}
 		}
-		for _, e := range c.events { // and by their exchanges, again, since a release may be lost with its connection
+		for _, e := range c.events { // and again by their exchanges, since a release may be lost with its connection
 			if e.what == "answered 200" && rng.IntN(10) == 0 {
 				c.record(exchangeEvent{exchange: e.exchange, what: "released", id: e.id})
 				c.exchanges[e.exchange].send(sipRelease(e.id, 16))
 			}
 		}
 		open, standing := 0, 0
-		x.runIteration(func() { open, standing = x.server.calls.OpenCalls(), x.server.calls.EstablishedCalls() })
+		bed.runIteration(func() { open, standing = bed.server.calls.OpenCalls(), bed.server.calls.EstablishedCalls() })
 		left = fmt.Sprintf("%d open, %d standing, %v stand at exchanges", open, standing, c.establishedCalls())
 		return open == 0 && standing == 0 && len(c.establishedCalls()) == 0
 	})
 	left = ""
-	x.awaitNoPendingWork()
+	bed.awaitNoPendingWork()
 	for _, k := range append(c.callers, quit) { // what is on its way to a caller comes before the echo
-		n := len(strings.Fields(x.answers.of("echo")))
+		n := len(strings.Fields(bed.answers.of("echo")))
 		k.send(&jsonl.Message{Verb: jsonl.Echo, Tag: "t"})
-		x.answers.await(t, "echo", n+1)
+		bed.answers.await(t, "echo", n+1)
 	}
 	c.check()
 }
 
-// check looks at all that was seen.
+// check verifies the rules against all that was observed.
 func (c *randomRun) check() {
 	c.collectReceived()
 	slices.SortStableFunc(c.events, func(a, b exchangeEvent) int { return a.at.Compare(b.at) })
 	type life struct {
-		far  int // where an attempt is out, -1: none
+		far  int // where an attempt is open, -1: none
 		via  int
 		cseq int
 		left time.Time
@@ -321,12 +322,12 @@
 		got, l := c.answers.of(id), lives[id]
 		left := l != nil && !l.left.IsZero()
 		stands, ends := strings.Count(got, "stands"), strings.Count(got, "end ")
-		// The end of a call that stood may be told again, on another connection, where the first has closed.
+		// The release of an established call may be sent again, on another connection, where the first has closed.
 		if stands > 1 || !left && (stands == 0 && ends != 1 || stands == 1 && (ends == 0 || strings.HasPrefix(got, "end"))) {
 			c.t.Errorf("%s: its caller heard %q", id, got)
 		}
 	}
-	if early, after := c.observations.total(&c.observations.earlyRetries), c.observations.total(&c.observations.abandonedAttempts); early+after != 0 { // to the millisecond, at the node
+	if early, after := c.observations.total(&c.observations.earlyRetries), c.observations.total(&c.observations.abandonedAttempts); early+after != 0 { // to the millisecond, at the server
 		c.t.Errorf("%d attempts sent again too early, %d for callers who had left", early, after)
 	}
 	if attempts < 30 || resent == 0 {
--- a/internal/server/recorder_test.go
+++ b/internal/server/recorder_test.go
@@ -20,7 +20,7 @@
 	"olivedale/internal/record"
 )
 
-// copyStore copies a store as it is just now: what a kill at this moment would leave.
+// copyStore copies a store as it is now: what a kill at this moment would leave.
 func copyStore(t testing.TB, from, to string) {
 	t.Helper()
 	if err := os.MkdirAll(to, 0o700); err != nil {
@@ -79,7 +79,7 @@
 	return counts, lives
 }
 
-// analyzeStores makes the report of stores.
+// analyzeStores returns the report on stores.
 func analyzeStores(t testing.TB, dirs ...string) *incident.Report {
 	t.Helper()
 	var parts []*incident.Part
@@ -101,29 +101,29 @@
 	return incident.Combine(parts)
 }
 
-// What the records tell of calls is what the core counted and what the servers saw, call by call.
+// The records of calls agree with what the manager of calls counted and the exchanges saw, call by call.
 func TestRecordsTellEveryCall(t *testing.T) {
 	t.Parallel()
-	f, h := startFleet(t, 2), newAnswerLog()
+	nodes, answers := startFleet(t, 2), newAnswerLog()
 	dir := t.TempDir()
-	s := f.startServer(t, "n0", dir, new(atomic.Int64))
-	k := dialJSONCaller(t, s.jsonAddress(), h, "aaaaaaaa")
+	s := nodes.startServer(t, "n0", dir, new(atomic.Int64))
+	client := dialJSONCaller(t, s.jsonAddress(), answers, "aaaaaaaa")
 	for i := range 10 {
-		h.await(t, k.setUp(fmt.Sprint("ok.", i), 4*time.Second), 2)
-	}
-	kept := k.setUp("keep.1", 4*time.Second)
-	h.await(t, kept, 1)
-	k.hangUp(kept)
-	eventually(t, "the release went out", func() bool { return f.observations.total(&f.observations.released) == 1 })
-	left := k.setUp("silent.2", 4*time.Second)
-	eventually(t, "it is out", func() bool { return f.observations.attemptsTo("silent.2") == 1 })
-	k.hangUp(left)
-	eventually(t, "it is given up", func() bool { return f.observations.total(&f.observations.canceled) == 1 })
+		answers.await(t, client.setUp(fmt.Sprint("ok.", i), 4*time.Second), 2)
+	}
+	kept := client.setUp("keep.1", 4*time.Second)
+	answers.await(t, kept, 1)
+	client.hangUp(kept)
+	eventually(t, "the release went out", func() bool { return nodes.observations.total(&nodes.observations.released) == 1 })
+	left := client.setUp("silent.2", 4*time.Second)
+	eventually(t, "it is out", func() bool { return nodes.observations.attemptsTo("silent.2") == 1 })
+	client.hangUp(left)
+	eventually(t, "it is given up", func() bool { return nodes.observations.total(&nodes.observations.canceled) == 1 })
 	for _, number := range []string{"busy.1", "full.1", "moot.1", "reset.1"} {
-		h.await(t, k.setUp(number, 4*time.Second), 1)
+		answers.await(t, client.setUp(number, 4*time.Second), 1)
 	}
-	silent := k.setUp("silent.1", 300*time.Millisecond)
-	h.await(t, silent, 1)
+	silent := client.setUp("silent.1", 300*time.Millisecond)
+	answers.await(t, silent, 1)
 	audit, err := adminapi.Send(context.Background(), s.adminAddress(), adminapi.AuditCommand("ROOT"))
 	if err != nil {
 		t.Fatal(err)
@@ -161,7 +161,7 @@
 			t.Errorf("%d records of %s, the core counted %d", counts[what], what, n)
 		}
 	}
-	for i, server := range f.exchanges {
+	for i, server := range nodes.exchanges {
 		server.mu.Lock()
 		if got := counts[fmt.Sprint("try s-", i)]; got != uint64(server.invited) {
 			t.Errorf("%d attempts recorded at server %d, it saw %d", got, i, server.invited)
@@ -182,13 +182,12 @@
 	}
 }
 
-// TestIncident plays an incident on four nodes: one is killed, one's clock is 3.7 s ahead, one's
-// is set back by 2 s in the middle, one loses a segment; a server drains, another dies. The
-// report must equal a count of the records one by one, and for nodes without gaps what the
-// cores counted.
+// TestIncident runs an incident on four servers: one is killed, one's clock is 3.7 s ahead, one's is set back by 2 s
+// in the middle, one loses a segment; an exchange drains, another dies. The report must equal a count of the records
+// one by one, and for servers without gaps what the managers of calls counted.
 func TestIncident(t *testing.T) {
 	t.Parallel()
-	f, h := startFleet(t, 3), newAnswerLog()
+	shared, answers := startFleet(t, 3), newAnswerLog()
 	root := t.TempDir()
 	var skews [4]atomic.Int64
 	skews[1].Store(int64(3700 * time.Millisecond))
@@ -198,8 +197,8 @@
 	dirs := make([]string, 4)
 	for i := range 4 {
 		dirs[i] = filepath.Join(root, fmt.Sprint("n", i))
-		nodes = append(nodes, f.startServer(t, fmt.Sprint("n", i), dirs[i], &skews[i]))
-		callers = append(callers, dialJSONCaller(t, nodes[i].jsonAddress(), h, fmt.Sprintf("%08x", i)))
+		nodes = append(nodes, shared.startServer(t, fmt.Sprint("n", i), dirs[i], &skews[i]))
+		callers = append(callers, dialJSONCaller(t, nodes[i].jsonAddress(), answers, fmt.Sprintf("%08x", i)))
 	}
 	exchange := func() {
 		for i, n := range nodes {
@@ -217,14 +216,14 @@
 			}
 		}
 		for _, key := range keys {
-			h.await(t, key, 1)
+			answers.await(t, key, 1)
 		}
 	}
-	again := func() { // n0 ends in good order and starts anew: its next records are another segment
+	again := func() { // n0 ends in good order and starts again: its next records are another segment
 		nodes[0].stop(t)
-		eventually(t, "its store is let go", func() bool { return !record.Live(dirs[0]) }) // a slow disk gets longer than a node waits
-		nodes[0], stamps[0] = f.startServer(t, "n0", dirs[0], &skews[0]), adminapi.ClockStamps{}
-		callers[0] = dialJSONCaller(t, nodes[0].jsonAddress(), h, fmt.Sprintf("%08x", time.Now().UnixNano()&0xffffffff))
+		eventually(t, "its store is let go", func() bool { return !record.Live(dirs[0]) }) // a slow disk may take longer than a server waits
+		nodes[0], stamps[0] = shared.startServer(t, "n0", dirs[0], &skews[0]), adminapi.ClockStamps{}
+		callers[0] = dialJSONCaller(t, nodes[0].jsonAddress(), answers, fmt.Sprintf("%08x", time.Now().UnixNano()&0xffffffff))
 	}
 	exchange()
 	dial("ok", 10)
@@ -233,9 +232,9 @@
 	skews[2].Add(int64(-2 * time.Second))
 	dial("busy", 3)
 	dial("full", 3)
-	lines := append([]endpointLine(nil), f.lines...)
+	lines := append([]endpointLine(nil), shared.lines...)
 	lines[1].draining = true
-	f.discovery.set(lines...)
+	shared.discovery.set(lines...)
 	for _, n := range nodes {
 		eventually(t, "the drain is known", func() bool {
 			drained := make(chan bool, 1)
@@ -253,7 +252,7 @@
 	})
 	killed := filepath.Join(root, "killed")
 	copyStore(t, dirs[3], killed)
-	f.exchanges[2].stop()
+	shared.exchanges[2].stop()
 	dial("ok", 5)
 	time.Sleep(1100 * time.Millisecond) // clocks are looked at once a second
 	exchange()
@@ -311,7 +310,7 @@
 		found[f.Kind]++
 		switch f.Kind {
 		case incident.FoundStep:
-			// Two clocks are read one after the other, and the process may be put aside between the two.
+			// Two clocks are read one after the other, and the process may be descheduled between the two.
 			_, text, _ := strings.Cut(f.Text, "set by ")
 			text, _, _ = strings.Cut(text, ";")
 			if by, err := time.ParseDuration(text); f.Instance != "n2" || err != nil || (by+2*time.Second).Abs() > 50*time.Millisecond {
@@ -346,33 +345,33 @@
 	if windows.Offered != offered || windows.Outcomes != r.Total.Outcomes || windows.Cut != r.Total.Cut {
 		t.Errorf("windows hold %+v of %+v", windows, r.Total.Counts)
 	}
-	if n := f.observations.total(&f.observations.simultaneousAttempts) + f.observations.total(&f.observations.earlyRetries); n != 0 {
+	if n := shared.observations.total(&shared.observations.simultaneousAttempts) + shared.observations.total(&shared.observations.earlyRetries); n != 0 {
 		t.Errorf("%d rules broken", n)
 	}
 }
 
-// BenchmarkSetUp times set-ups one by one with records off and on; about five a second are let
-// through, so run it with -benchtime 200x.
+// BenchmarkSetUp times set-ups one by one with records off and on; about five a second are admitted, so run it with
+// -benchtime 200x.
 func BenchmarkSetUp(b *testing.B) {
 	for _, on := range []bool{false, true} {
 		b.Run(fmt.Sprint("records=", on), func(b *testing.B) {
-			f, h := startFleet(b, 1), newAnswerLog()
+			nodes, answers := startFleet(b, 1), newAnswerLog()
 			dir := ""
 			if on {
 				dir = b.TempDir()
 			}
-			s := f.startServer(b, "n0", dir, new(atomic.Int64))
-			k := dialJSONCaller(b, s.jsonAddress(), h, "aaaaaaaa")
+			s := nodes.startServer(b, "n0", dir, new(atomic.Int64))
+			client := dialJSONCaller(b, s.jsonAddress(), answers, "aaaaaaaa")
 			took := hdrhistogram.New(1, int64(time.Second), 3)
 			refused := 0
 			for b.Loop() {
 				for {
-					time.Sleep(20 * time.Millisecond) // the module lets no more go at once than it has seen answered
+					time.Sleep(20 * time.Millisecond) // the admission control admits no more at once than it has seen answered
 					began := time.Now()
-					key := k.setUp("keep.1", 4*time.Second)
-					if said := h.await(b, key, 1); strings.HasPrefix(said, "stands") {
+					key := client.setUp("keep.1", 4*time.Second)
+					if said := answers.await(b, key, 1); strings.HasPrefix(said, "stands") {
 						_ = took.RecordValue(int64(time.Since(began)))
-						k.hangUp(key)
+						client.hangUp(key)
 						break
 					}
 					refused++
--- a/internal/server/replay_test.go
+++ b/internal/server/replay_test.go
@@ -17,7 +17,7 @@
 	"olivedale/internal/record"
 )
 
-// A replayer is a node with servers for a dozen pools, whose table of numbers is swapped all the time.
+// A replayer is a server with exchanges for a dozen pools, whose table of numbers changes all the time.
 type replayer struct {
 	fleet   *fleet
 	decider *unlimitedDecider
@@ -84,7 +84,7 @@
 	return <-got
 }
 
-// swapTables puts another table in force every so often until stop is closed.
+// swapTables puts another table in force at an interval until stop is closed.
 func (r *replayer) swapTables(t testing.TB, every time.Duration) {
 	defer close(r.done)
 	tick := time.NewTicker(every)
@@ -108,12 +108,11 @@
 	}
 }
 
-// check goes through the records of the replay: each call must have gone by the table that was in
-// force when it came, to the pools that a reader of that file finds, in their order, and to its end.
-// Where its number may have moved and was looked up the answer may have come in time or not: the call
-// goes where it has moved to, or as it is.
-// It returns how many calls there are, how many attempts were made when another table was in force
-// already, and how many calls can have gone where their number has moved to.
+// check goes through the records of the replay: each call must have gone by the table that was in force when it came,
+// to the pools that a reader of that file finds, in their order, and to its end. Where its number may have been ported
+// and was looked up the answer may have come in time or not: the call goes where the number was ported to, or as it
+// is. It returns how many calls there are, how many attempts were made when another table was in force already, and
+// how many calls can have gone where their number was ported to.
 func (r *replayer) check(t testing.TB) (calls, across, moved int) {
 	t.Helper()
 	in, err := record.OpenDir(r.dir)
@@ -146,7 +145,7 @@
 			if rec.Text != "" && rec.Text != inForce {
 				fail("%s was pinned to %s, in force was %s", rec.Call, rec.Text, inForce)
 			}
-			if rec.Text == "" { // it is refused by its number
+			if rec.Text == "" { // it is rejected by its number
 				open[rec.Call].digest = inForce
 			}
 		case record.KindTry:
@@ -190,11 +189,11 @@
 	return calls, across, moved
 }
 
-// replay plays so many calls on both fronts, so many of them open at once, while tables are swapped.
+// replay makes so many calls on both frontends, so many of them open at once, while tables change.
 func replay(t testing.TB, n, open int, rate float64, every time.Duration, look config.Lookup) {
 	r := startReplay(t, look)
 	panel := dialGatewayCaller(t, r.node.gatewayAddress(), r.answers, "<one>")
-	panel.acknowledges = true // replies that are not acknowledged are kept for 30 s, so many at the most
+	panel.acknowledges = true // replies that are not acknowledged are kept for 30 s, within a bound
 	l := newLoad(r.answers, 20*time.Second, open, dialJSONCaller(t, r.node.jsonAddress(), r.answers, "aaaaaaaa"), panel)
 	rng := rand.New(rand.NewPCG(31, 32))
 	if every > 0 {
@@ -220,13 +219,13 @@
 		calls, whole.Round(time.Millisecond), r.swaps, moved, across, took.ValueAtQuantile(50), took.ValueAtQuantile(99), took.Max())
 }
 
-// Numbers are replayed by both fronts while tables change in the middle of set-ups.
+// Numbers are replayed by both frontends while tables change during set-ups.
 func TestReplayByBothFronts(t *testing.T) {
 	t.Parallel()
 	replay(t, 1500, 32, 0, 50*time.Millisecond, config.Lookup{})
 }
 
-// So they are while every third number is looked up, by a server that is in no hurry.
+// Numbers are replayed while every third is looked up, by a slow ENUM server.
 func TestReplayWithLookups(t *testing.T) {
 	t.Parallel()
 	look := startENUM(t)
@@ -242,7 +241,8 @@
 	}
 }
 
-// Swaps under 2,000 set-ups a second, for ten seconds, beside the same load without any.
+// BenchmarkSwapUnderLoad changes tables under 2,000 set-ups a second, for ten seconds, and compares with the same load
+// without any change.
 func BenchmarkSwapUnderLoad(b *testing.B) {
 	for range b.N {
 		replay(b, 20_000, 4096, 2000, 0, config.Lookup{})
--- a/internal/server/settings_record_test.go
+++ b/internal/server/settings_record_test.go
@@ -12,8 +12,8 @@
 	"olivedale/internal/record"
 )
 
-// The store keeps the settings in force as a text with a digest, and analyses compare the digests of
-// instances of different versions: these bytes must not follow the names in the source.
+// The store keeps the settings in force as a text with a digest, and analyses compare the digests of instances of
+// different versions: these bytes must not follow the names in the source.
 func TestSettingsRecordKeepsItsBytes(t *testing.T) {
 	cfg, err := config.Parse([]byte(`{"name":"n0","listen":"127.0.0.1:0","seed":"1f","names":"127.0.0.1:9",
 		"limits":{"memory_mb":192,"sockets":1024},"settings":{"groupSize":3,"discovery":"ask","classes":[
--- a/internal/server/settings_test.go
+++ b/internal/server/settings_test.go
@@ -12,7 +12,7 @@
 	"olivedale/internal/codec/jsonl"
 )
 
-// deploymentSettings writes settings whose classes stand in the order given.
+// deploymentSettings returns settings with the classes in the order given.
 func deploymentSettings(classes, pools, circuits string) string {
 	return fmt.Sprintf(`{"groupSize":1,"classes":[%s],"domain":{"topology":"pools","releaseGuard":300,"resend":1500,"skilledPools":[%s],
 		"circuitsByClass":[%s]},"limits":{"maxAttempts":4,"cancel":true,"connectTimeout":500},"safety":{"startCapacity":0.5,"cold":1000}}`,
@@ -40,10 +40,10 @@
 		{deploymentSettings(short+","+long, "[1],[0]", "3,1"), map[string]int{"long": 9000, "short": 800}, map[string]int{"long": 1, "short": 3}, map[string]int{"long": 0, "short": 1}},
 	} {
 		far := []*fakeExchange{startFakeExchange(t, "127.0.0.1:0"), startFakeExchange(t, "127.0.0.1:0")}
-		x := startTestbedWith(t, d.settings, 192, far, nil)
+		bed := startTestbedWith(t, d.settings, 192, far, nil)
 		ask := func(class string, width, dest, n int) string {
 			id := fmt.Sprintf("%016x", 0x100*i+n)
-			x.caller.send(&jsonl.Message{Verb: jsonl.Start, Tag: id, Blob: []byte("o"), Opts: []jsonl.Opt{{Name: "class", Value: class}, {Name: "left", Value: "60000"},
+			bed.caller.send(&jsonl.Message{Verb: jsonl.Start, Tag: id, Blob: []byte("o"), Opts: []jsonl.Opt{{Name: "class", Value: class}, {Name: "left", Value: "60000"},
 				{Name: "key", Value: fmt.Sprint(n)}, {Name: "extras", Value: fmt.Sprintf("dest:%d;width:%d;via:-1", dest, width)}}})
 			return id
 		}
@@ -58,31 +58,31 @@
 				t.Errorf("deployment %d, %s: class %s, %s ms, want %d", i, class, m.Header("X-Cos"), m.Header("X-Timer-Ms"), d.deadline[class])
 			}
 			far[pool].send(sipResponse(id, "INVITE", 200, 1, "a"))
-			x.answers.await(t, id, 1)
+			bed.answers.await(t, id, 1)
 			for what, id := range map[string]string{"too wide": ask(class, d.width[class]+1, pool, 10*n+1), "another's pool": ask(class, 1, 1-pool, 10*n+2)} {
-				if got := x.answers.await(t, id, 1); got != "end 41" {
+				if got := bed.answers.await(t, id, 1); got != "end 41" {
 					t.Errorf("deployment %d, %s, %s: %q", i, class, what, got)
 				}
 			}
 		}
-		if got := x.answers.await(t, ask("nobody", 1, 0, 99), 1); got != "end 34" {
+		if got := bed.answers.await(t, ask("nobody", 1, 0, 99), 1); got != "end 34" {
 			t.Errorf("deployment %d, a class that does not exist: %q", i, got)
 		}
-		x.server.Stop()
+		bed.server.Stop()
 		select {
-		case <-x.done:
+		case <-bed.done:
 		case <-time.After(8 * time.Second):
 			t.Fatal("the node did not end")
 		}
 	}
 }
 
-// Who is turned down is told how long to keep away, unless the settings say that callers are not told.
+// A rejected caller is asked to wait before it tries again, unless the settings forbid that.
 func TestRetryAfterIsSentWhereSettingsAllow(t *testing.T) {
 	t.Parallel()
 	for key, want := range map[string]bool{"": true, `"retryAfter":true,`: true, `"retryAfter":false,`: false} {
-		x := startTestbedWith(t, strings.Replace(settings, `"limits":{`, `"limits":{`+key, 1), 192, nil, nil)
-		c, err := net.Dial("tcp", x.jsonAddress())
+		bed := startTestbedWith(t, strings.Replace(settings, `"limits":{`, `"limits":{`+key, 1), 192, nil, nil)
+		c, err := net.Dial("tcp", bed.jsonAddress())
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/server/simulated_exchange_test.go
+++ b/internal/server/simulated_exchange_test.go
@@ -14,23 +14,23 @@
 	"olivedale/internal/codec/sip"
 )
 
-// offeredDescription and accept are the descriptions of a call; they must pass as they are.
+// offeredDescription and acceptedDescription are the descriptions of a call; they must pass unchanged.
 func offeredDescription(number string) string  { return "v=0\r\ns={" + number + "} \"\\\r\n" }
 func acceptedDescription(number string) string { return "v=0\r\na=\\}" + number + "\r\n" }
 
-// simulatedExchange is a call server of either dialect. What it does is said by the number called:
-// 'ok' stands and is released from there, 'keep' stands, 'busy', 'full', 'moot' and
-// 'reset' (on the first attempt) are turned down, 'silent' is not answered. After 'half', whose
-// answer stops half way, and 'mute' the connection stays open and brings nothing more.
+// simulatedExchange is an exchange of either protocol. The number called says what it does: 'ok' is established and
+// released by the exchange, 'keep' is established, 'busy', 'full', 'moot' and 'reset' are rejected (the last three at
+// the first attempt only), 'silent' is not answered. After 'half', whose answer stops within the message, and after
+// 'mute' the connection stays open and brings nothing more.
 type simulatedExchange struct {
 	observations *callObservations
 	listener     net.Listener
 	mu           sync.Mutex
 	conns        map[net.Conn]bool
 
-	invited        int  // set-ups that came, by mu
-	behavesByDigit bool // numbers of digits say by their last what becomes of a call, see digits
-	answersNothing bool // no set-up is answered, whichever attempt it is; set before the node starts
+	invited        int  // set-ups that came, guarded by mu
+	behavesByDigit bool // the last digit of a number says what becomes of a call, see behaviorByDigit
+	answersNothing bool // no set-up is answered, whichever attempt it is; set before the server starts
 }
 
 func startSimulatedExchange(t testing.TB, r *callObservations, h248 bool) *simulatedExchange {
@@ -83,7 +83,7 @@
 	var in sip.Reader
 	buf := make([]byte, 4096)
 	mute := false
-	mine := make(map[string]bool) // set-ups that are out on this connection end with it
+	mine := make(map[string]bool) // set-ups that are open on this connection end with it
 	defer func() {
 		for id := range mine {
 			s.observations.endAttempt(id, true)
@@ -176,8 +176,8 @@
 	}
 }
 
-// behaviorByDigit says what becomes of the nth attempt of a call to a number of behaviorByDigit: 5 is busy at every
-// server, 6, 7 and 8 are turned down once or twice, 9 is not answered at first.
+// behaviorByDigit returns what becomes of the nth attempt of a call by the last digit of its number: 5 is busy at
+// every exchange, 6, 7 and 8 are rejected once or twice, 9 is not answered at first.
 func behaviorByDigit(number string, nth int) string {
 	switch number[len(number)-1] {
 	case '5':
--- a/internal/server/testbed_test.go
+++ b/internal/server/testbed_test.go
@@ -16,7 +16,7 @@
 	"olivedale/internal/frontend/jsonclient"
 )
 
-// A testbed is a node, its exchanges s-0, s-1, ... and one caller.
+// A testbed is a server, its exchanges s-0, s-1, ... and one caller.
 type testbed struct {
 	*testServer
 	t         *testing.T
@@ -31,7 +31,7 @@
 	return startTestbedWith(t, settings, 192, far, module, more...)
 }
 
-// startTestbedWith serves a deployment of other settings, with so many MB of memory.
+// startTestbedWith starts a testbed with other settings and so many MB of memory.
 func startTestbedWith(t *testing.T, settings string, memory int, far []*fakeExchange, module *scriptedDecider, more ...func(*Options)) *testbed {
 	t.Helper()
 	x := &testbed{testServer: &testServer{discovery: startDiscoveryServer(t), observations: newCallObservations(), done: make(chan error, 1)}, t: t, decider: module, exchanges: far, answers: newAnswerLog()}
@@ -85,43 +85,43 @@
 	return x
 }
 
-// awaitConnected waits until the link to an exchange is awaitConnected.
-func (x *testbed) awaitConnected(i int) {
-	x.t.Helper()
-	eventually(x.t, "the link is up", func() (up bool) {
-		x.runIteration(func() { l := x.server.backends.Get(fmt.Sprint("s-", i)); up = l != nil && l.IsConnected() })
+// awaitConnected waits until an exchange is connected.
+func (b *testbed) awaitConnected(i int) {
+	b.t.Helper()
+	eventually(b.t, "the link is up", func() (up bool) {
+		b.runIteration(func() { l := b.server.backends.Get(fmt.Sprint("s-", i)); up = l != nil && l.IsConnected() })
 		return up
 	})
 }
 
-// dialCaller brings one more caller, whose connection is there when it returns.
-func (x *testbed) dialCaller(salt string) *jsonCaller {
-	x.t.Helper()
-	before := len(strings.Fields(x.answers.of("echo")))
-	k := dialJSONCaller(x.t, x.jsonAddress(), x.answers, salt)
-	k.send(&jsonl.Message{Verb: jsonl.Echo, Tag: "t"})
-	x.answers.await(x.t, "echo", before+1)
-	return k
+// dialCaller connects one more caller; the server has accepted it when it returns.
+func (b *testbed) dialCaller(salt string) *jsonCaller {
+	b.t.Helper()
+	before := len(strings.Fields(b.answers.of("echo")))
+	client := dialJSONCaller(b.t, b.jsonAddress(), b.answers, salt)
+	client.send(&jsonl.Message{Verb: jsonl.Echo, Tag: "t"})
+	b.answers.await(b.t, "echo", before+1)
+	return client
 }
 
-// runIteration runs f as one runIteration of the loop; once the node has ended, it does nothing.
-func (x *testbed) runIteration(f func()) {
+// runIteration runs f as one iteration of the event loop; once the server has ended, it does nothing.
+func (b *testbed) runIteration(f func()) {
 	done := make(chan struct{})
-	x.server.loop.Execute(func() { x.server.loop.RunIteration(f); close(done) })
+	b.server.loop.Execute(func() { b.server.loop.RunIteration(f); close(done) })
 	select {
 	case <-done:
-	case <-x.done:
+	case <-b.done:
 	}
 }
 
-// deliver hands bytes of an exchange in, as if they had come in this turn.
-func (x *testbed) deliver(i int, b []byte) {
-	x.server.backends.Get(fmt.Sprint("s-", i)).HandleData(b)
+// deliver hands data of an exchange in, as if it had been received in this iteration.
+func (b *testbed) deliver(i int, data []byte) {
+	b.server.backends.Get(fmt.Sprint("s-", i)).HandleData(data)
 }
 
-// findClient is the node's side of the caller that has a set-up open, else of the one that came last.
-func (x *testbed) findClient(id string) (found *jsonclient.Client) {
-	for k := range x.server.frontends.json.Clients().Oldest() {
+// findClient returns the server's side of the caller that has a set-up open, or of the latest caller for no id.
+func (b *testbed) findClient(id string) (found *jsonclient.Client) {
+	for k := range b.server.frontends.json.Clients().Oldest() {
 		if id == "" || k.HasSetup(id) {
 			found = k
 		}
@@ -129,28 +129,28 @@
 	return found
 }
 
-// jsonMessage is a message of a caller as it goes over the wire.
+// jsonMessage returns a message of a caller as it is sent.
 func jsonMessage(verb, id string) []byte {
 	return jsonl.Append(nil, &jsonl.Message{Verb: verb, Tag: id, RC: 16, HasRC: true})
 }
 
-// jsonSetup is a set-up as it goes over the wire.
+// jsonSetup returns a set-up of a caller as it is sent.
 func jsonSetup(id string, left time.Duration) []byte {
 	return jsonl.Append(nil, &jsonl.Message{Verb: jsonl.Start, Tag: id, Blob: []byte("o"), Opts: []jsonl.Opt{{Name: "class", Value: "voice"},
 		{Name: "left", Value: fmt.Sprint(left.Milliseconds())}, {Name: "key", Value: "1"}, {Name: "extras", Value: "dest:0;width:1;via:-1"}}})
 }
 
-// awaitNoPendingWork checks that nothing is owed any more: no call is open, no connection waits for an answer.
-func (x *testbed) awaitNoPendingWork() {
-	x.t.Helper()
-	eventually(x.t, "nothing is owed", func() bool {
+// awaitNoPendingWork waits until no call is open and no connection waits for an answer.
+func (b *testbed) awaitNoPendingWork() {
+	b.t.Helper()
+	eventually(b.t, "there is no pending work", func() bool {
 		open, waits := 0, 0
-		x.runIteration(func() {
-			open = x.server.calls.OpenCalls()
-			for k := range x.server.frontends.json.Clients().Oldest() {
+		b.runIteration(func() {
+			open = b.server.calls.OpenCalls()
+			for k := range b.server.frontends.json.Clients().Oldest() {
 				waits += k.OpenSetups()
 			}
-			for l := range x.server.backends.All() {
+			for l := range b.server.backends.All() {
 				waits += l.QueuedSetups() + l.OpenAttempts()
 			}
 		})
@@ -160,13 +160,13 @@
 
 const testCallID = "00000000000000aa"
 
-// awaitQueuedSetups waits until so many set-ups wait for links.
-func (x *testbed) awaitQueuedSetups(n int) {
-	x.t.Helper()
-	eventually(x.t, fmt.Sprint(n, " set-ups wait"), func() bool {
+// awaitQueuedSetups waits until so many set-ups are queued for exchanges.
+func (b *testbed) awaitQueuedSetups(n int) {
+	b.t.Helper()
+	eventually(b.t, fmt.Sprint(n, " set-ups wait"), func() bool {
 		got := 0
-		x.runIteration(func() {
-			for l := range x.server.backends.All() {
+		b.runIteration(func() {
+			for l := range b.server.backends.All() {
 				got += l.QueuedSetups()
 			}
 		})
@@ -174,29 +174,29 @@
 	})
 }
 
-// awaitEnd waits until the node has ended by itself.
-func (x *testbed) awaitEnd() {
-	x.t.Helper()
+// awaitEnd waits until the server has ended by itself.
+func (b *testbed) awaitEnd() {
+	b.t.Helper()
 	select {
-	case err := <-x.done:
+	case err := <-b.done:
 		if err != nil {
-			x.t.Error(err)
+			b.t.Error(err)
 		}
 	case <-time.After(8 * time.Second):
-		x.t.Fatal("the node did not end")
+		b.t.Fatal("the node did not end")
 	}
 }
 
-// isServing tells whether the node still serves and means to.
-func (x *testbed) isServing() (serves bool) {
-	x.runIteration(func() { serves = x.server.lifecycle.state != stateStopping })
+// isServing reports whether the server has not decided to end.
+func (b *testbed) isServing() (serves bool) {
+	b.runIteration(func() { serves = b.server.lifecycle.state != stateStopping })
 	return serves
 }
 
-// A dialGate holds dials from a moment on.
+// A dialGate blocks dials from a moment on.
 type dialGate struct {
-	closed, opened chan struct{} // closed: dials are held, they go on
-	blockedDials   chan bool     // a dial is held
+	closed, opened chan struct{} // closed: dials block, blocked dials go on
+	blockedDials   chan bool     // a dial is blocked
 }
 
 func newDialGate() *dialGate {
@@ -215,56 +215,56 @@
 	}
 }
 
-// establishAndDisconnect sets a call up that stands at an exchange whose connection then breaks; its next dial is held.
-func (x *testbed) establishAndDisconnect(a *fakeExchange, g *dialGate) (id string) {
-	x.t.Helper()
+// establishAndDisconnect establishes a call at an exchange and then breaks the connection; its next dial is blocked.
+func (b *testbed) establishAndDisconnect(a *fakeExchange, g *dialGate) (id string) {
+	b.t.Helper()
 	close(g.closed)
-	id = x.caller.setUp("1", 3*time.Second)
+	id = b.caller.setUp("1", 3*time.Second)
 	a.awaitReceived("INVITE", id, 1)
 	a.send(sipResponse(id, "INVITE", 200, 1, "a"))
-	x.answers.await(x.t, id, 1)
+	b.answers.await(b.t, id, 1)
 	resetConn(a.awaitConn())
 	<-g.blockedDials
 	return id
 }
 
-// servesAfterLinger stops the node and tells whether it still serves once it could have ended.
-func (x *testbed) servesAfterLinger() bool {
-	x.t.Helper()
-	x.server.Stop()
-	eventually(x.t, "the linger is over", func() (over bool) {
-		over = !x.isServing()
-		x.runIteration(func() {
-			over = x.server.lifecycle.drainingSince > 0 && x.server.loop.Now()-x.server.lifecycle.drainingSince > lingerTime+2*quietTime
+// servesAfterLinger begins a shutdown and reports whether the server still serves once it could have ended.
+func (b *testbed) servesAfterLinger() bool {
+	b.t.Helper()
+	b.server.Stop()
+	eventually(b.t, "the linger is over", func() (over bool) {
+		over = !b.isServing()
+		b.runIteration(func() {
+			over = b.server.lifecycle.drainingSince > 0 && b.server.loop.Now()-b.server.lifecycle.drainingSince > lingerTime+2*quietTime
 		})
 		return over
 	})
-	return x.isServing()
+	return b.isServing()
 }
 
-// withGateways opens the front of H.248.
+// withGateways turns the H.248 frontend on.
 func withGateways(o *Options) { o.H248 = &config.H248{Listen: "127.0.0.2:0", Admin: "127.0.0.3:0"} }
 
-// dialGateway brings a panel, which has said its name when it returns.
-func (x *testbed) dialGateway(mid string) *gatewayCaller {
-	x.t.Helper()
-	p := dialGatewayCaller(x.t, x.gatewayAddress(), x.answers, mid)
+// dialGateway connects a gateway, which has sent its message id when it returns.
+func (b *testbed) dialGateway(mid string) *gatewayCaller {
+	b.t.Helper()
+	p := dialGatewayCaller(b.t, b.gatewayAddress(), b.answers, mid)
 	p.lastID = 100
-	before := len(strings.Fields(x.answers.of(strings.Trim(mid, "<>")+"/100"))) / 2
+	before := len(strings.Fields(b.answers.of(strings.Trim(mid, "<>")+"/100"))) / 2
 	p.send(&h248.Transaction{ID: 100, Actions: []*h248.Action{{Context: "-", Commands: []*h248.Command{{Name: "AuditValue", Termination: "ROOT"}}}}})
-	x.answers.await(x.t, strings.Trim(mid, "<>")+"/100", before+1)
+	b.answers.await(b.t, strings.Trim(mid, "<>")+"/100", before+1)
 	return p
 }
 
-// latestGateway is the node's side of the panel that spoke last.
-func (x *testbed) latestGateway() *gateway.Gateway {
-	for p := range x.server.frontends.gateway.Gateways().Latest() {
+// latestGateway returns the server's side of the gateway that was used last.
+func (b *testbed) latestGateway() *gateway.Gateway {
+	for p := range b.server.frontends.gateway.Gateways().Latest() {
 		return p
 	}
 	return nil
 }
 
-// frameTransactions is transactions as they go over the wire.
+// frameTransactions returns transactions as they are sent.
 func frameTransactions(t *testing.T, mid string, all ...*h248.Transaction) (b []byte) {
 	t.Helper()
 	for _, tr := range all {
@@ -276,7 +276,7 @@
 	return b
 }
 
-// testBothOrders plays a crossing in its two orders, each on a node of its own.
+// testBothOrders tests two events in both orders, each on a server of its own.
 func testBothOrders(t *testing.T, one, other string, play func(t *testing.T, oneFirst bool)) {
 	t.Parallel()
 	for _, first := range []string{one, other} {
@@ -287,7 +287,7 @@
 	}
 }
 
-// runInOrder runs two things one behind the other, in the runInOrder asked for.
+// runInOrder runs two functions one after the other, in the order asked for.
 func runInOrder(oneFirst bool, one, other func()) {
 	if !oneFirst {
 		one, other = other, one
@@ -296,9 +296,9 @@
 	other()
 }
 
-// listSerial is that of the list the node goes by.
-func (x *testbed) listSerial() (n uint32) {
-	x.runIteration(func() { n = x.server.endpoints.Serial() })
+// listSerial returns the serial of the server's list of endpoints.
+func (b *testbed) listSerial() (n uint32) {
+	b.runIteration(func() { n = b.server.endpoints.Serial() })
 	return n
 }
 
--- a/internal/server/testserver_test.go
+++ b/internal/server/testserver_test.go
@@ -14,7 +14,7 @@
 	"olivedale/internal/config"
 )
 
-// testServer is a running node with its stand-ins.
+// testServer is a running server with its simulated exchanges.
 type testServer struct {
 	server       *Server
 	discovery    *discoveryServer
@@ -42,7 +42,7 @@
  "domain":{"topology":"pools","releaseGuard":300,"resend":1500,"skilledPools":[[0,1,2,3]]},
  "limits":{"maxAttempts":4,"cancel":true,"connectTimeout":500},"safety":{"startCapacity":0.5,"cold":1000}}`
 
-// startTestServer starts a node with a stand-in server a flag: true for H.248.
+// startTestServer starts a server with a simulated exchange for each flag: true for H.248.
 func startTestServer(t *testing.T, dialects ...bool) *testServer {
 	t.Helper()
 	s := &testServer{discovery: startDiscoveryServer(t), observations: newCallObservations(), done: make(chan error, 1)}
@@ -94,7 +94,7 @@
 	return s
 }
 
-// eventually waits for what needs no more than a moment.
+// eventually waits for a condition that should soon hold.
 func eventually(t testing.TB, what string, ok func() bool) {
 	t.Helper()
 	for end := time.Now().Add(10 * time.Second); !ok(); time.Sleep(5 * time.Millisecond) {
@@ -111,14 +111,14 @@
 	}
 }
 
-// fleet is several nodes with the same stand-in servers and name service.
+// fleet is several servers with the same simulated exchanges and discovery service.
 type fleet struct {
 	discovery    *discoveryServer
 	observations *callObservations
 	exchanges    []*simulatedExchange
 	lines        []endpointLine
-	numbers      *config.Numbering // of nodes started from now on
-	decider      call.Decider      // of the next node, in place of the module
+	numbers      *config.Numbering // of servers started from now on
+	decider      call.Decider      // of the next server, in place of the admission control
 	pools        string            // that calls may go to; "": those of settings
 	recordQueue  config.Size       // of records; 0: the default
 	sockets      int               // 0: 1024
@@ -136,7 +136,7 @@
 	return f
 }
 
-// startServer starts one more startServer; skew is how far its clock is ahead. Without dir it records nothing.
+// startServer starts one more server; skew is how far its clock is ahead. Without dir it records nothing.
 func (f *fleet) startServer(t testing.TB, name, dir string, skew *atomic.Int64) *testServer {
 	t.Helper()
 	var known []config.Endpoint
@@ -176,7 +176,7 @@
 	return s
 }
 
-// stop ends a node in good order.
+// stop shuts a server down in good order.
 func (s *testServer) stop(t testing.TB) {
 	t.Helper()
 	s.server.Stop()
