--- a/internal/backend/h248_test.go
+++ b/internal/backend/h248_test.go
@@ -39,6 +39,19 @@
 	}
 }
 
+func TestParseTermination(t *testing.T) {
+	const callID = "00000000000000aa"
+	id, attempt, ok := ParseTermination(TerminationName(callID, 3))
+	if id != callID || attempt != 3 || !ok {
+		t.Errorf("%q, %d, %v", id, attempt, ok)
+	}
+	for _, name := range []string{"", "call", "call/" + callID, "call/x/0", "call/" + callID + "/x", "other/" + callID + "/0"} {
+		if _, _, ok := ParseTermination(name); ok {
+			t.Errorf("%q was read", name)
+		}
+	}
+}
+
 // A server's transaction that is repeated after a reset gets its reply again and is done once.
 func TestServerTransactionIsDoneOnce(t *testing.T) {
 	c := newTestConn()
--- a/internal/server/discovery_test.go
+++ b/internal/server/discovery_test.go
@@ -31,7 +31,7 @@
 func TestDiscoverySilentOnOneSocket(t *testing.T) {
 	t.Parallel()
 	bed := startTestbed(t, []*fakeExchange{startFakeExchange(t, "127.0.0.1:0")}, nil)
-	eventually(t, "a first answer", func() bool { return bed.server.discoveryAnswers(bed) > 0 })
+	eventually(t, "a first answer", func() bool { return bed.discoveryAnswers() > 0 })
 	bed.discovery.mu.Lock()
 	bed.discovery.maxAnswersPerClient = 1
 	clear(bed.discovery.answersByClient)
@@ -62,7 +62,7 @@
 func TestDiscoverySilentForGood(t *testing.T) {
 	t.Parallel()
 	bed := startTestbed(t, []*fakeExchange{startFakeExchange(t, "127.0.0.1:0")}, nil)
-	eventually(t, "a first answer", func() bool { return bed.server.discoveryAnswers(bed) > 0 })
+	eventually(t, "a first answer", func() bool { return bed.discoveryAnswers() > 0 })
 	bed.discovery.mu.Lock()
 	bed.discovery.queriesToDrop = 1 << 30
 	clear(bed.discovery.answersByClient)
@@ -90,7 +90,7 @@
 func TestDiscoveryAddressChangesBeforeAnswer(t *testing.T) {
 	t.Parallel()
 	bed := startTestbed(t, []*fakeExchange{startFakeExchange(t, "127.0.0.1:0")}, nil)
-	eventually(t, "a first answer", func() bool { return bed.server.discoveryAnswers(bed) > 0 })
+	eventually(t, "a first answer", func() bool { return bed.discoveryAnswers() > 0 })
 	bed.discovery.mu.Lock()
 	bed.discovery.holdsAnswers = true
 	bed.discovery.mu.Unlock()
--- a/internal/server/testbed_test.go
+++ b/internal/server/testbed_test.go
@@ -1,7 +1,6 @@
 package server
 
 import (
-	"encoding/json"
 	"fmt"
 	"net"
 	"strings"
@@ -11,7 +10,6 @@
 	"olivedale/internal/backend"
 	"olivedale/internal/codec/h248"
 	"olivedale/internal/codec/jsonl"
-	"olivedale/internal/config"
 	"olivedale/internal/frontend/gateway"
 	"olivedale/internal/frontend/jsonclient"
 )
@@ -26,63 +24,51 @@
 	caller    *jsonCaller
 }
 
-func startTestbed(t *testing.T, far []*fakeExchange, module *scriptedDecider, more ...func(*Options)) *testbed {
+func startTestbed(t *testing.T, exchanges []*fakeExchange, decider *scriptedDecider, more ...func(*Options)) *testbed {
 	t.Helper()
-	return startTestbedWith(t, settings, 192, far, module, more...)
+	return startTestbedWith(t, settings, defaultDeployment.memoryMB, exchanges, decider, more...)
 }
 
 // startTestbedWith starts a testbed with other settings and so many MB of memory.
-func startTestbedWith(t *testing.T, settings string, memory int, far []*fakeExchange, module *scriptedDecider, more ...func(*Options)) *testbed {
+func startTestbedWith(t *testing.T, settings string, memoryMB int, exchanges []*fakeExchange, decider *scriptedDecider,
+	more ...func(*Options)) *testbed {
 	t.Helper()
-	x := &testbed{testServer: &testServer{discovery: startDiscoveryServer(t), observations: newCallObservations(), done: make(chan error, 1)}, t: t, decider: module, exchanges: far, answers: newAnswerLog()}
-	var lines []endpointLine
-	var known []config.Endpoint
-	for i, f := range far {
-		id := fmt.Sprint("s-", i)
-		lines = append(lines, endpointLine{id: id, addr: f.addr(), pool: i})
-		known = append(known, config.Endpoint{ID: id, Address: f.addr(), Zone: "east", Kind: "std", Pool: i, Phase: config.PhaseReady})
-	}
-	x.discovery.set(lines...)
-	text, err := json.Marshal(map[string]any{"name": "n0", "listen": "127.0.0.1:0", "seed": "1f", "names": x.discovery.conn.LocalAddr().String(),
-		"limits": map[string]any{"memory_mb": memory, "sockets": 1024}, "settings": json.RawMessage(settings),
-		"known": config.KnownEndpoints{LastEvent: 1, Events: []config.EndpointEvent{{N: 1, Endpoints: config.EndpointList{Complete: true, Endpoints: known}}}}})
-	if err != nil {
-		t.Fatal(err)
+	b := &testbed{
+		testServer: &testServer{
+			discovery:    startDiscoveryServer(t),
+			observations: newCallObservations(),
+			done:         make(chan error, 1),
+		},
+		t:         t,
+		decider:   decider,
+		exchanges: exchanges,
+		answers:   newAnswerLog(),
 	}
-	cfg, err := config.Parse(text)
-	if err != nil {
-		t.Fatal(err)
+	var lines []endpointLine
+	for i, e := range exchanges {
+		lines = append(lines, endpointLine{id: fmt.Sprint("s-", i), addr: e.addr(), pool: i})
 	}
+	b.discovery.set(lines...)
 	o := Options{}
-	if module != nil {
-		o.decider = module
+	if decider != nil {
+		o.decider = decider
 	}
-	for _, f := range more {
-		f(&o)
+	for _, configure := range more {
+		configure(&o)
 	}
-	if x.server, err = New(cfg, o); err != nil {
-		t.Fatal(err)
+	deployment := testDeployment{
+		name:     defaultDeployment.name,
+		settings: settings,
+		memoryMB: memoryMB,
+		sockets:  defaultDeployment.sockets,
 	}
-	x.observeRetries()
-	go func() { x.done <- x.server.Run(); close(x.done) }()
-	select {
-	case <-x.server.Started():
-	case <-time.After(10 * time.Second):
-		t.Fatal("the node did not start")
+	b.run(t, deployment.config(t, b.discovery, lines), o, func() { close(b.done) })
+	b.stopAtCleanup(t)
+	for i := range exchanges {
+		b.awaitConnected(i)
 	}
-	t.Cleanup(func() {
-		x.server.Stop()
-		select {
-		case <-x.done:
-		case <-time.After(10 * time.Second):
-			t.Error("the node did not stop")
-		}
-	})
-	for i := range far {
-		x.awaitConnected(i)
-	}
-	x.caller = x.dialCaller("aaaaaaaa")
-	return x
+	b.caller = b.dialCaller("aaaaaaaa")
+	return b
 }
 
 // awaitConnected waits until an exchange is connected.
@@ -243,7 +229,7 @@
 }
 
 // withGateways turns the H.248 frontend on.
-func withGateways(o *Options) { o.H248 = &config.H248{Listen: "127.0.0.2:0", Admin: "127.0.0.3:0"} }
+func withGateways(o *Options) { o.H248 = h248Config() }
 
 // dialGateway connects a gateway, which has sent its message id when it returns.
 func (b *testbed) dialGateway(mid string) *gatewayCaller {
@@ -302,7 +288,8 @@
 	return n
 }
 
-func (n *Server) discoveryAnswers(x *testbed) (answers int) {
-	x.runIteration(func() { answers = n.discovery.counters.answers })
+// discoveryAnswers returns the number of answers that the server has accepted from the discovery service.
+func (b *testbed) discoveryAnswers() (answers int) {
+	b.runIteration(func() { answers = b.server.discovery.counters.answers })
 	return answers
 }
--- a/internal/server/testserver_test.go
+++ b/internal/server/testserver_test.go
@@ -42,28 +42,41 @@
  "domain":{"topology":"pools","releaseGuard":300,"resend":1500,"skilledPools":[[0,1,2,3]]},
  "limits":{"maxAttempts":4,"cancel":true,"connectTimeout":500},"safety":{"startCapacity":0.5,"cold":1000}}`
 
-// startTestServer starts a server with a simulated exchange for each flag: true for H.248.
-func startTestServer(t *testing.T, dialects ...bool) *testServer {
+// A testDeployment is what the configurations of test servers differ in.
+type testDeployment struct {
+	name     string
+	settings string
+	memoryMB int
+	sockets  int
+}
+
+// defaultDeployment is the deployment of a single server.
+var defaultDeployment = testDeployment{name: "n0", settings: settings, memoryMB: 192, sockets: 1024}
+
+// config returns the configuration of a server that knows some exchanges from the start.
+func (d testDeployment) config(t testing.TB, discovery *discoveryServer, lines []endpointLine) *config.Config {
 	t.Helper()
-	s := &testServer{discovery: startDiscoveryServer(t), observations: newCallObservations(), done: make(chan error, 1)}
-	h := &config.H248{Listen: "127.0.0.2:0", Admin: "127.0.0.3:0"}
-	var lines []endpointLine
-	var known []config.Endpoint
-	for i, isH248 := range dialects {
-		server := startSimulatedExchange(t, s.observations, isH248)
-		s.exchanges = append(s.exchanges, server)
-		id := fmt.Sprint("s-", i)
-		if isH248 {
-			h.Servers = append(h.Servers, config.H248Server{ID: id, Address: server.addr(), Pool: i})
-			continue
-		}
-		lines = append(lines, endpointLine{id: id, addr: server.addr(), pool: i})
-		known = append(known, config.Endpoint{ID: id, Address: server.addr(), Zone: "east", Kind: "std", Pool: i, Phase: config.PhaseReady})
-	}
-	s.discovery.set(lines...)
-	text, err := json.Marshal(map[string]any{"name": "n0", "listen": "127.0.0.1:0", "seed": "1f", "names": s.discovery.conn.LocalAddr().String(),
-		"limits": map[string]any{"memory_mb": 192, "sockets": 1024}, "settings": json.RawMessage(settings),
-		"known": config.KnownEndpoints{LastEvent: 1, Events: []config.EndpointEvent{{N: 1, Endpoints: config.EndpointList{Complete: true, Endpoints: known}}}}})
+	var endpoints []config.Endpoint
+	for _, l := range lines {
+		endpoints = append(endpoints, config.Endpoint{
+			ID:      l.id,
+			Address: l.addr,
+			Zone:    "east",
+			Kind:    "std",
+			Pool:    l.pool,
+			Phase:   config.PhaseReady,
+		})
+	}
+	list := config.EndpointList{Complete: true, Endpoints: endpoints}
+	text, err := json.Marshal(map[string]any{
+		"name":     d.name,
+		"listen":   "127.0.0.1:0",
+		"seed":     "1f",
+		"names":    discovery.conn.LocalAddr().String(),
+		"limits":   map[string]any{"memory_mb": d.memoryMB, "sockets": d.sockets},
+		"settings": json.RawMessage(d.settings),
+		"known":    config.KnownEndpoints{LastEvent: 1, Events: []config.EndpointEvent{{N: 1, Endpoints: list}}},
+	})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -71,26 +84,68 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if s.server, err = New(cfg, Options{H248: h}); err != nil {
+	return cfg
+}
+
+// h248Config turns the H.248 frontend and the admin address on.
+func h248Config() *config.H248 { return &config.H248{Listen: "127.0.0.2:0", Admin: "127.0.0.3:0"} }
+
+// run makes the server and runs it; ended is called when it has ended.
+func (s *testServer) run(t testing.TB, cfg *config.Config, o Options, ended func()) {
+	t.Helper()
+	var err error
+	if s.server, err = New(cfg, o); err != nil {
 		t.Fatal(err)
 	}
 	s.observeRetries()
-	go func() { s.done <- s.server.Run() }()
+	go func() {
+		s.done <- s.server.Run()
+		ended()
+	}()
 	select {
 	case <-s.server.Started():
 	case err := <-s.done:
 		t.Fatal(err)
 	case <-time.After(10 * time.Second):
-		t.Fatal("the node did not start")
+		t.Fatal("the server did not start")
 	}
+}
+
+// stopAtCleanup shuts the server down at the end of the test.
+func (s *testServer) stopAtCleanup(t testing.TB) {
 	t.Cleanup(func() {
 		s.server.Stop()
 		select {
 		case <-s.done:
 		case <-time.After(10 * time.Second):
-			t.Error("the node did not stop")
+			t.Error("the server did not stop")
 		}
 	})
+}
+
+// startTestServer starts a server with a simulated exchange for each flag: true for H.248.
+func startTestServer(t *testing.T, isH248 ...bool) *testServer {
+	t.Helper()
+	s := &testServer{
+		discovery:    startDiscoveryServer(t),
+		observations: newCallObservations(),
+		done:         make(chan error, 1),
+	}
+	h := h248Config()
+	var lines []endpointLine
+	for i, isH248 := range isH248 {
+		exchange := startSimulatedExchange(t, s.observations, isH248)
+		s.exchanges = append(s.exchanges, exchange)
+		id := fmt.Sprint("s-", i)
+		if isH248 {
+			h.Servers = append(h.Servers, config.H248Server{ID: id, Address: exchange.addr(), Pool: i})
+			continue
+		}
+		lines = append(lines, endpointLine{id: id, addr: exchange.addr(), pool: i})
+	}
+	s.discovery.set(lines...)
+	s.run(t, defaultDeployment.config(t, s.discovery, lines), Options{H248: h}, func() {})
+	s.stopAtCleanup(t)
 	return s
 }
 
@@ -139,40 +194,34 @@
 // startServer starts one more server; skew is how far its clock is ahead. Without dir it records nothing.
 func (f *fleet) startServer(t testing.TB, name, dir string, skew *atomic.Int64) *testServer {
 	t.Helper()
-	var known []config.Endpoint
-	for _, l := range f.lines {
-		known = append(known, config.Endpoint{ID: l.id, Address: l.addr, Zone: "east", Kind: "std", Pool: l.pool, Phase: config.PhaseReady})
-	}
-	text, err := json.Marshal(map[string]any{"name": name, "listen": "127.0.0.1:0", "seed": "1f", "names": f.discovery.conn.LocalAddr().String(),
-		"limits": map[string]any{"memory_mb": 192, "sockets": cmp.Or(f.sockets, 1024)}, "settings": json.RawMessage(strings.Replace(settings, "[[0,1,2,3]]", cmp.Or(f.pools, "[[0,1,2,3]]"), 1)),
-		"known": config.KnownEndpoints{LastEvent: 1, Events: []config.EndpointEvent{{N: 1, Endpoints: config.EndpointList{Complete: true, Endpoints: known}}}}})
-	if err != nil {
-		t.Fatal(err)
-	}
-	cfg, err := config.Parse(text)
-	if err != nil {
-		t.Fatal(err)
-	}
-	var rec *config.Records
+	const allPools = "[[0,1,2,3]]"
+	deployment := testDeployment{
+		name:     name,
+		settings: strings.Replace(settings, allPools, cmp.Or(f.pools, allPools), 1),
+		memoryMB: defaultDeployment.memoryMB,
+		sockets:  cmp.Or(f.sockets, defaultDeployment.sockets),
+	}
+	var records *config.Records
 	if dir != "" {
-		rec = &config.Records{Dir: dir, Sync: config.Duration(10 * time.Millisecond), Queue: f.recordQueue}
-		if err := rec.Validate(); err != nil {
+		records = &config.Records{Dir: dir, Sync: config.Duration(10 * time.Millisecond), Queue: f.recordQueue}
+		if err := records.Validate(); err != nil {
 			t.Fatal(err)
 		}
 	}
-	s := &testServer{discovery: f.discovery, observations: f.observations, exchanges: f.exchanges, done: make(chan error, 1)}
-	s.server, err = New(cfg, Options{Records: rec, Numbers: f.numbers, Program: "test", decider: f.decider, H248: &config.H248{Listen: "127.0.0.2:0", Admin: "127.0.0.3:0"},
-		Clock: func() time.Time { return time.Now().Add(time.Duration(skew.Load())) }})
-	if err != nil {
-		t.Fatal(err)
-	}
-	s.observeRetries()
-	go func() { s.done <- s.server.Run() }()
-	select {
-	case <-s.server.Started():
-	case <-time.After(10 * time.Second):
-		t.Fatal("the node did not start")
-	}
+	s := &testServer{
+		discovery:    f.discovery,
+		observations: f.observations,
+		exchanges:    f.exchanges,
+		done:         make(chan error, 1),
+	}
+	s.run(t, deployment.config(t, f.discovery, f.lines), Options{
+		Records: records,
+		Numbers: f.numbers,
+		Program: "test",
+		decider: f.decider,
+		H248:    h248Config(),
+		Clock:   func() time.Time { return time.Now().Add(time.Duration(skew.Load())) },
+	}, func() {})
 	return s
 }
 
