--- a/internal/server/backends_test.go
+++ b/internal/server/backends_test.go
@@ -55,7 +55,7 @@
 					t.Error(got)
 				}
 			}
-			eventually(t, "the link is up", func() (up bool) {
+			eventually(t, "the exchange is connected", func() (up bool) {
 				bed.runIteration(func() { up = bed.server.backends.Get("s-0").IsConnected() })
 				return up
 			})
@@ -111,7 +111,7 @@
 	answers.await(t, key, 1)
 	server.exchanges[0].stop()
 	if got := answers.await(t, key, 2); got != "stands "+acceptedDescription("keep.1")+" end 41" {
-		t.Errorf("heard %q", got)
+		t.Errorf("got %q", got)
 	}
 	if got := answers.await(t, client.setUp("keep.2", 4*time.Second), 1); got != "stands "+acceptedDescription("keep.2") {
 		t.Errorf("the next call: %q", got)
@@ -352,7 +352,7 @@
 	var redialAt time.Duration
 	bed.runIteration(func() { redialAt = bed.server.backends.Get("s-0").RedialAt() })
 	resetConn(old)
-	eventually(t, "the old link is down", func() (down bool) {
+	eventually(t, "the old exchange is disconnected", func() (down bool) {
 		bed.runIteration(func() {
 			l := bed.server.backends.Get("s-0")
 			down = !l.IsConnected() && !l.IsDialing() && l.RedialAt() > redialAt
--- a/internal/server/callers_test.go
+++ b/internal/server/callers_test.go
@@ -66,7 +66,7 @@
 		case <-h.changed:
 		case <-time.After(20 * time.Millisecond):
 		case <-end:
-			t.Fatalf("%s heard %q, want %d things", key, h.of(key), n)
+			t.Fatalf("%s got %q, want %d things", key, h.of(key), n)
 		}
 	}
 }
--- a/internal/server/crossings_test.go
+++ b/internal/server/crossings_test.go
@@ -29,7 +29,7 @@
 		t.Errorf("a set-up whose caller had left brought the exchange %d messages", n)
 	}
 	if codes := bed.decider.results(testCallID); len(codes) != 1 || codes[0] != admission.NotSent {
-		t.Errorf("the module was told %v", codes)
+		t.Errorf("the decider got %v", codes)
 	}
 }
 
@@ -127,7 +127,7 @@
 	})
 	bed.awaitNoPendingWork()
 	if one, two := bed.answers.of(stands), bed.answers.of(refused); one != "stands a end 16" || two != "end 41" {
-		t.Errorf("the callers heard %q and %q", one, two)
+		t.Errorf("the callers got %q and %q", one, two)
 	}
 }
 
@@ -155,13 +155,13 @@
 				resetConn(c)
 			}
 			if got := bed.answers.await(t, id, 1); got != "stands a" {
-				t.Errorf("the caller heard %q", got)
+				t.Errorf("the caller got %q", got)
 			}
 			if n := exchange0.countReceived("INVITE", id) + exchange1.countReceived("INVITE", id); n != 1 {
 				t.Errorf("%d attempts", n)
 			}
 			if bed.answers.of(id) != "stands a" {
-				t.Errorf("the caller heard %q", bed.answers.of(id))
+				t.Errorf("the caller got %q", bed.answers.of(id))
 			}
 		})
 	}
@@ -322,7 +322,7 @@
 		}
 		bed.awaitNoPendingWork()
 		if got := bed.answers.of(id); giveUp && got != "" || !giveUp && got != "stands a" {
-			t.Errorf("the caller heard %q", got)
+			t.Errorf("the caller got %q", got)
 		}
 		if n := exchange.countReceived("BYE", id); n != 1 {
 			t.Errorf("%d releases", n)
@@ -359,7 +359,7 @@
 				last := bed.caller.setUp("1", 2*time.Second)
 				exchange.awaitReceived("INVITE", last, 1)
 				if n := exchange.countReceived("INVITE", id); n != 1 || bed.answers.of(id) != "" {
-					t.Errorf("%d attempts, the caller heard %q", n, bed.answers.of(id))
+					t.Errorf("%d attempts, the caller got %q", n, bed.answers.of(id))
 				}
 			})
 		})
--- a/internal/server/drain_test.go
+++ b/internal/server/drain_test.go
@@ -45,7 +45,7 @@
 			lines[i].draining = true
 		}
 		nodes.discovery.set(lines...)
-		eventually(t, "the node is told", func() bool {
+		eventually(t, "the server is notified", func() bool {
 			got := make(chan bool, 1)
 			s.server.loop.Execute(func() {
 				same := true
--- a/internal/server/frontends_test.go
+++ b/internal/server/frontends_test.go
@@ -172,7 +172,7 @@
 		t.Fatal(err)
 	}
 	defer func() { _ = c.Close() }()
-	eventually(t, "the panel is there", func() (there bool) {
+	eventually(t, "the gateway is there", func() (there bool) {
 		bed.runIteration(func() { there = bed.latestGateway() != nil })
 		return there
 	})
--- a/internal/server/numbers_test.go
+++ b/internal/server/numbers_test.go
@@ -220,7 +220,7 @@
 		t.Error("an order without a word was taken")
 	}
 	if _, err := adminapi.Send(context.Background(), s.gatewayAddress(), adminapi.NumberingCommand(numbering.Order{Op: numbering.OpCancel})); err == nil {
-		t.Error("a panel may order")
+		t.Error("a gateway may order")
 	}
 
 	// What a kill leaves: the folder as it is now.
--- a/internal/server/protocols_test.go
+++ b/internal/server/protocols_test.go
@@ -244,6 +244,6 @@
 			t.Error(err)
 		}
 	case <-time.After(10 * time.Second):
-		t.Error("the node did not drain")
+		t.Error("the server did not drain")
 	}
 }
--- a/internal/server/random_crossings_test.go
+++ b/internal/server/random_crossings_test.go
@@ -324,7 +324,7 @@
 		stands, ends := strings.Count(got, "stands"), strings.Count(got, "end ")
 		// The release of an established call may be sent again, on another connection, where the first has closed.
 		if stands > 1 || !left && (stands == 0 && ends != 1 || stands == 1 && (ends == 0 || strings.HasPrefix(got, "end"))) {
-			c.t.Errorf("%s: its caller heard %q", id, got)
+			c.t.Errorf("%s: its caller got %q", id, got)
 		}
 	}
 	if early, after := c.observations.total(&c.observations.earlyRetries), c.observations.total(&c.observations.abandonedAttempts); early+after != 0 { // to the millisecond, at the server
--- a/internal/server/recorder_test.go
+++ b/internal/server/recorder_test.go
@@ -144,7 +144,7 @@
 		t.Errorf("%d attempts by server, %s in all", tries, got)
 	}
 	if audit, err = adminapi.Send(context.Background(), s.gatewayAddress(), adminapi.AuditCommand("ROOT")); err != nil || h248.Find(audit.Descriptors, "Statistics", "oc/server") != nil {
-		t.Errorf("a panel is told of servers, %v", err)
+		t.Errorf("a gateway is shown exchanges, %v", err)
 	}
 	s.stop(t)
 
--- a/internal/server/releases_test.go
+++ b/internal/server/releases_test.go
@@ -17,7 +17,7 @@
 	server, answers := startTestServer(t, false), newAnswerLog()
 	dialJSONCaller(t, server.jsonAddress(), answers, "aaaaaaaa")
 	const id = "00000000000000aa"
-	eventually(t, "the link is up", func() bool {
+	eventually(t, "the exchange is connected", func() bool {
 		up := make(chan bool, 1)
 		server.server.loop.Execute(func() {
 			up <- server.server.backends.Get("s-0").IsConnected() && server.server.frontends.json.Clients().Len() > 0
@@ -32,7 +32,7 @@
 	}
 	server.exchanges[0].mu.Unlock()
 	if got := answers.await(t, id, 1); got != "end 41" {
-		t.Errorf("heard %q", got)
+		t.Errorf("got %q", got)
 	}
 }
 
@@ -60,10 +60,10 @@
 	server.exchanges[0].stop()
 	for i, key := range keys {
 		if got := answers.await(t, key, 2); got != "stands "+acceptedDescription(fmt.Sprintf("keep.%d", i))+" end 41" {
-			t.Errorf("heard %q", got)
+			t.Errorf("got %q", got)
 		}
 		if got := tester.of(key); got != "" {
-			t.Errorf("a connection that never asked heard %q", got)
+			t.Errorf("a connection that never asked got %q", got)
 		}
 	}
 }
@@ -89,7 +89,7 @@
 	})
 	dialJSONCaller(t, server.jsonAddress(), answers, "bbbbbbbb")
 	if got := answers.await(t, key, 2); got != "stands "+acceptedDescription("keep.1")+" end 41" {
-		t.Errorf("heard %q", got)
+		t.Errorf("got %q", got)
 	}
 }
 
--- a/internal/server/settings_test.go
+++ b/internal/server/settings_test.go
@@ -72,7 +72,7 @@
 		select {
 		case <-bed.done:
 		case <-time.After(8 * time.Second):
-			t.Fatal("the node did not end")
+			t.Fatal("the server did not end")
 		}
 	}
 }
--- a/internal/server/shutdown_test.go
+++ b/internal/server/shutdown_test.go
@@ -35,7 +35,7 @@
 			t.Error(err)
 		}
 	case <-time.After(10 * time.Second):
-		t.Error("the node did not stop")
+		t.Error("the server did not stop")
 	}
 }
 
@@ -53,7 +53,7 @@
 			t.Error(err)
 		}
 	case <-time.After(shutdownTimeout + 700*time.Millisecond):
-		t.Error("the node has not stopped when SIGKILL may come")
+		t.Error("the server has not stopped when SIGKILL may come")
 	}
 	if got := answers.await(t, open, 1); got != "end 34" {
 		t.Errorf("the open set-up got %q", got)
@@ -91,7 +91,7 @@
 	})
 	exchange.awaitReceived("INVITE", testCallID, 1)
 	if !bed.isServing() {
-		t.Fatal("the node ended with a set-up open")
+		t.Fatal("the server ended with a set-up open")
 	}
 	exchange.send(sipResponse(testCallID, "INVITE", 200, 1, "last"))
 	if got := bed.answers.await(t, testCallID, 1); got != "stands last" {
@@ -113,7 +113,7 @@
 		return waits
 	})
 	if !bed.servesAfterLinger() {
-		t.Error("the node ended and took the release along")
+		t.Error("the server ended and took the release along")
 	}
 	close(gate.opened)
 	exchange.awaitReceived("BYE", id, 1)
@@ -165,7 +165,7 @@
 		}
 	})
 	if !bed.servesAfterLinger() {
-		t.Error("the node ended with answers in its buffer")
+		t.Error("the server ended with answers in its buffer")
 	}
 	_ = c.SetReadDeadline(time.Now().Add(8 * time.Second))
 	all, err := io.ReadAll(c)
@@ -197,7 +197,7 @@
 	bed.awaitEnd()
 	eventually(t, "both are answered", func() bool { return bed.answers.of(id) != "" && bed.answers.of(testCallID) != "" })
 	if !strings.HasPrefix(bed.answers.of(id), "end ") || strings.Count(bed.answers.of(id), "end") != 1 || bed.answers.of(testCallID) != "end 34" {
-		t.Errorf("the callers heard %q and %q", bed.answers.of(id), bed.answers.of(testCallID))
+		t.Errorf("the callers got %q and %q", bed.answers.of(id), bed.answers.of(testCallID))
 	}
 	if exchange.countReceived("CANCEL", id) != 1 || exchange.countReceived("INVITE", testCallID) != 0 {
 		t.Errorf("%d given up, %d sent", exchange.countReceived("CANCEL", id), exchange.countReceived("INVITE", testCallID))
@@ -286,7 +286,7 @@
 				exchange.mu.Lock()
 				defer exchange.mu.Unlock()
 				if decision && slices.ContainsFunc(exchange.received, func(s string) bool { return s != "CLOSED" }) {
-					t.Errorf("the exchange heard %v", exchange.received)
+					t.Errorf("the exchange got %v", exchange.received)
 				}
 			})
 		})
@@ -304,7 +304,7 @@
 	exchange.send(sipResponse(id, "INVITE", 200, 1, "a"))
 	bed.answers.await(t, key, 1)
 	gatewayClient.close()
-	eventually(t, "the panel has left", func() (left bool) {
+	eventually(t, "the gateway has left", func() (left bool) {
 		bed.runIteration(func() { left = bed.latestGateway() == nil })
 		return left
 	})
@@ -314,7 +314,7 @@
 		return waits
 	})
 	if !bed.servesAfterLinger() {
-		t.Fatal("the node ended and took the release along")
+		t.Fatal("the server ended and took the release along")
 	}
 	bed.dialGateway("<p>")
 	if got := bed.answers.await(t, key, 2); !strings.HasSuffix(got, "end 16") {
@@ -343,7 +343,7 @@
 	bed.awaitEnd()
 	eventually(t, "both are answered", func() bool { return bed.answers.of(key) != "" && bed.answers.of("p/200") != "" })
 	if got := bed.answers.of(key) + " " + bed.answers.of("p/200"); got != "end 34 end 34" {
-		t.Errorf("the panel heard %q", got)
+		t.Errorf("the gateway got %q", got)
 	}
 	if n := exchange.countReceived("CANCEL", id); n != 1 {
 		t.Errorf("%d given up", n)
@@ -352,7 +352,7 @@
 	defer exchange.mu.Unlock()
 	for _, s := range exchange.received {
 		if s != "CLOSED" && !strings.Contains(s, id) {
-			t.Errorf("the exchange heard %s", s)
+			t.Errorf("the exchange got %s", s)
 		}
 	}
 }
--- a/internal/server/testbed_test.go
+++ b/internal/server/testbed_test.go
@@ -74,7 +74,7 @@
 // awaitConnected waits until an exchange is connected.
 func (b *testbed) awaitConnected(i int) {
 	b.t.Helper()
-	eventually(b.t, "the link is up", func() (up bool) {
+	eventually(b.t, "the exchange is connected", func() (up bool) {
 		b.runIteration(func() { l := b.server.backends.Get(fmt.Sprint("s-", i)); up = l != nil && l.IsConnected() })
 		return up
 	})
@@ -169,7 +169,7 @@
 			b.t.Error(err)
 		}
 	case <-time.After(8 * time.Second):
-		b.t.Fatal("the node did not end")
+		b.t.Fatal("the server did not end")
 	}
 }
 
--- a/internal/server/testserver_test.go
+++ b/internal/server/testserver_test.go
@@ -232,6 +232,6 @@
 	select {
 	case <-s.done:
 	case <-time.After(10 * time.Second):
-		t.Fatal("the node did not stop")
+		t.Fatal("the server did not stop")
 	}
 }
