--- a/internal/admission/doc.go
+++ b/internal/admission/doc.go
@@ -5,9 +5,8 @@
 // A StateMachine takes events and returns actions. CallOffered brings a call; the actions for it are SendAttempt,
 // or the final answer RejectCall or FailCall. CallEstablished and AttemptEnded say what became of an attempt,
 // ServersUpdated brings the server list, LoadReported a server's report, and TimerFired follows each SetTimer. The
-// package reads no clock, opens no connection and starts no goroutine: each event carries the time, the host
-// carries out the actions, and equal events with an equal seed give equal actions. An Engine wraps a StateMachine
-// for hosts that prefer calls and return values to events and actions.
+// package reads no clock, opens no connection and starts no goroutine: equal events with an equal seed give equal
+// actions. An Engine wraps a StateMachine for hosts that prefer calls and return values to events and actions.
 //
 // The decision on a call follows from:
 //
@@ -24,10 +23,9 @@
 //   - Responsiveness. A server that stops answering receives a probe call from time to time only, and its open
 //     attempts are canceled if another server would take the calls.
 //
-// An OverloadControl connects the decisions of all controllers. The StateMachine reports to it what it offers,
-// sends and learns, and asks it whether the controllers together hold a call back from a server. The overload
-// control can hold back more than the controller's own evidence, and can replace its rate limit, but it cannot
-// open a server that the controller knows to be draining, unresponsive, in slow start or out of circuits.
+// An OverloadControl connects the decisions of all controllers: it learns what each offers, sends and observes, and
+// says whether they together hold a call back from a server. Its answer replaces the controller's own rate limit,
+// but cannot open a server that is draining, unresponsive, held to its slow start or out of circuits.
 //
 // docs/design.md gives the reasons for the rules and their figures. The files that hold the rules are listed under
 // policy in deploy/balancer.toml.
--- a/internal/admission/events.go
+++ b/internal/admission/events.go
@@ -40,7 +40,7 @@
 	Servers []Server // all servers, or those that have changed
 }
 
-// CallOffered brings a call, which gets exactly one final answer: it is established, rejected or failed.
+// CallOffered brings a call. It ends with exactly one RejectCall or FailCall unless it is established or abandoned.
 type CallOffered struct {
 	CallID        string // unique among the open calls; a repeated one is ignored
 	Class         string // name of a Class; a call of an unknown one is rejected
