--- /dev/null
+++ b/internal/record/damage_test.go
@@ -0,0 +1,133 @@
+package record
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// A damagedSegment is a segment after a damage that a test has drawn.
+type damagedSegment struct {
+	data      []byte
+	isRemoved bool
+	isLost    []bool // by frame: it is not intact any more
+}
+
+// drawDamage damages a copy of a segment.
+func drawDamage(rt *rapid.T, s *testSegment) damagedSegment {
+	d := damagedSegment{data: slices.Clone(s.data), isLost: make([]bool, len(s.frames))}
+	kinds := []string{"nothing", "flip", "flips", "cut", "remove", "header", "zeros"}
+	switch rapid.SampledFrom(kinds).Draw(rt, "damage") {
+	case "flip", "flips":
+		for range rapid.IntRange(1, 3).Draw(rt, "flips") {
+			offset := rapid.IntRange(headerSize, len(d.data)-1).Draw(rt, "at")
+			d.data[offset] ^= 1 << rapid.IntRange(0, 7).Draw(rt, "bit")
+		}
+		d.loseChangedFrames(s)
+	case "cut":
+		size := rapid.IntRange(0, len(d.data)-1).Draw(rt, "to")
+		d.data = d.data[:size]
+		if size < headerSize {
+			d.loseFramesFrom(0)
+		} else {
+			d.loseFramesFrom(s.frameAt(size))
+		}
+	case "zeros":
+		from := rapid.IntRange(headerSize, len(d.data)-1).Draw(rt, "from")
+		to := rapid.IntRange(from+1, len(d.data)).Draw(rt, "to")
+		clear(d.data[from:to])
+		d.loseChangedFrames(s)
+	case "header": // the other copy of the header suffices
+		d.data[rapid.IntRange(0, headerCopySize-1).Draw(rt, "at")] ^= 1
+	case "remove":
+		d.isRemoved = true
+		d.loseFramesFrom(0)
+	}
+	return d
+}
+
+// loseFramesFrom marks the frames from an index on as lost.
+func (d *damagedSegment) loseFramesFrom(first int) {
+	for i := first; i < len(d.isLost); i++ {
+		d.isLost[i] = true
+	}
+}
+
+// loseChangedFrames marks the frames that differ from the original: two flips may cancel each other, and zeros may
+// replace zeros.
+func (d *damagedSegment) loseChangedFrames(original *testSegment) {
+	for i := range original.frames {
+		if !slices.Equal(original.frameData(d.data, i), original.frameData(original.data, i)) {
+			d.isLost[i] = true
+		}
+	}
+}
+
+// Any flip, truncation or removal yields exactly the records that are intact, and gaps for exactly the others that
+// have an intact one behind them, from the sequence number on that the first remaining file names.
+func TestAnyDamage(t *testing.T) {
+	const records = 300
+	store := writeStore(t, records)
+	rapid.Check(t, func(rt *rapid.T) {
+		var isLost []bool // by sequence number - 1
+		firstSeq := 0     // that a remaining file names; 0: no file remains
+		for i := range store.segments {
+			s := &store.segments[i]
+			damaged := drawDamage(rt, s)
+			if !damaged.isRemoved && firstSeq == 0 {
+				firstSeq = len(isLost) + 1
+			}
+			isLost = append(isLost, damaged.isLost...)
+			path := filepath.Join(store.dir, s.name)
+			if damaged.isRemoved {
+				_ = os.Remove(path)
+			} else if err := os.WriteFile(path, damaged.data, 0o600); err != nil {
+				rt.Fatal(err)
+			}
+		}
+		if len(isLost) != records {
+			rt.Fatalf("the store has %d frames, want %d", len(isLost), records)
+		}
+		got, _ := readAll(t, store.dir)
+		want := expectedSummaries(isLost, max(firstSeq, 1))
+		if difference := firstDifference(withoutCauses(got), want); difference != "" {
+			rt.Fatal(difference)
+		}
+	})
+}
+
+// expectedSummaries returns what a reader yields from number firstSeq on. Gaps have no cause.
+func expectedSummaries(isLost []bool, firstSeq int) []string {
+	var want []string
+	gapFrom := 0
+	for seq := firstSeq; seq <= len(isLost); seq++ {
+		if isLost[seq-1] {
+			if gapFrom == 0 {
+				gapFrom = seq
+			}
+			continue
+		}
+		if gapFrom > 0 {
+			want = append(want, fmt.Sprintf("gap %d-%d", gapFrom, seq-1))
+		}
+		gapFrom = 0
+		want = append(want, sampleSummary(seq))
+	}
+	return want
+}
+
+// withoutCauses removes the causes from the summaries of gaps.
+func withoutCauses(lines []string) []string {
+	stripped := slices.Clone(lines)
+	for i, line := range stripped {
+		if strings.HasPrefix(line, "gap") {
+			stripped[i] = line[:strings.LastIndexByte(line, ' ')]
+		}
+	}
+	return stripped
+}
--- /dev/null
+++ b/internal/record/diskfailure_test.go
@@ -0,0 +1,181 @@
+package record
+
+import (
+	"fmt"
+	"sync"
+	"syscall"
+	"testing"
+)
+
+// A diskFailure says how a faultyDisk fails. The zero value is a disk that works.
+type diskFailure struct {
+	write    func(p []byte) (int, error) // replaces File.Write
+	sync     error
+	create   error
+	truncate error
+	hang     chan struct{} // writes wait until it is closed
+}
+
+// A faultyDisk is a disk whose failure a test sets.
+type faultyDisk struct {
+	Disk
+	mu      sync.Mutex
+	failure diskFailure
+}
+
+// setFailure sets how the disk fails from now on.
+func (d *faultyDisk) setFailure(f diskFailure) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.failure = f
+}
+
+func (d *faultyDisk) currentFailure() diskFailure {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.failure
+}
+
+func (d *faultyDisk) Create(name string) (File, error) {
+	if err := d.currentFailure().create; err != nil {
+		return nil, err
+	}
+	f, err := d.Disk.Create(name)
+	return faultyFile{f, d}, err
+}
+
+// A faultyFile is a file of a faultyDisk.
+type faultyFile struct {
+	File
+	disk *faultyDisk
+}
+
+func (f faultyFile) Write(p []byte) (int, error) {
+	failure := f.disk.currentFailure()
+	if failure.hang != nil {
+		<-failure.hang
+	}
+	if failure.write != nil {
+		n, err := failure.write(p)
+		_, _ = f.File.Write(p[:n])
+		return n, err
+	}
+	return f.File.Write(p)
+}
+
+func (f faultyFile) Sync() error {
+	if err := f.disk.currentFailure().sync; err != nil {
+		return err
+	}
+	return f.File.Sync()
+}
+
+func (f faultyFile) Truncate(size int64) error {
+	if err := f.disk.currentFailure().truncate; err != nil {
+		return err
+	}
+	return f.File.Truncate(size)
+}
+
+// writeHalf returns a write function that writes half of the bytes and fails.
+func writeHalf(err error) func(p []byte) (int, error) {
+	return func(p []byte) (int, error) { return len(p) / 2, err }
+}
+
+// Whatever the disk does, no sequence number is missing without a gap that names the cause, what fits the queue is
+// not lost, and Put goes on.
+func TestDiskFails(t *testing.T) {
+	for name, c := range map[string]struct {
+		failure diskFailure
+		cause   GapCause
+	}{
+		"full, in the middle of a frame":     {diskFailure{write: writeHalf(syscall.ENOSPC)}, DiskFull},
+		"an I/O error that can't be cut":     {diskFailure{write: writeHalf(syscall.EIO), truncate: syscall.EIO}, DiskFailed},
+		"read-only":                          {diskFailure{sync: syscall.EROFS, create: syscall.EROFS}, DiskReadOnly},
+		"a sync that fails after a write":    {diskFailure{sync: syscall.EIO, truncate: syscall.EIO}, DiskFailed},
+		"slow for longer than there is room": {diskFailure{hang: make(chan struct{})}, QueueFull},
+	} {
+		for _, records := range []int{50, 5000} { // within the queue, and past it
+			t.Run(fmt.Sprint(name, " ", records), func(t *testing.T) {
+				failure := c.failure
+				if failure.hang != nil {
+					failure.hang = make(chan struct{})
+				}
+				testDiskFailure(t, failure, c.cause, records)
+			})
+		}
+	}
+}
+
+// testDiskFailure puts records before, during and after a failure of the disk.
+func testDiskFailure(t *testing.T, failure diskFailure, cause GapCause, records int) {
+	o := testOptions(t.TempDir())
+	disk := &faultyDisk{Disk: directory(o.Dir)}
+	o.Disk = disk
+	l, _ := openLog(t, o)
+	total := 0
+	put := func(n int) {
+		for range n {
+			l.Put(sampleRecord(total))
+			total++
+		}
+	}
+	put(20)
+	waitUntil(t, "the first are durable", func() bool { return l.Written() == 20 })
+	disk.setFailure(failure)
+	put(20)
+	if failure.hang == nil {
+		waitUntil(t, "the failure shows", func() bool { return l.Failing() == cause })
+	}
+	put(records)
+	if (l.Lost() > 0) != (records == 5000) {
+		t.Errorf("%d lost of %d", l.Lost(), records)
+	}
+	disk.setFailure(diskFailure{})
+	if failure.hang != nil {
+		close(failure.hang)
+	}
+	waitUntil(t, "the disk works again", func() bool { return l.Failing() == NoGap && l.queue.usedBytes() == 0 })
+	put(20)
+	lost := l.Lost()
+	closeLog(t, l)
+	lines, r := readAll(t, o.Dir)
+	checkComplete(t, lines, total, lost, cause)
+	// The failure may leave damage in a file, never records that are lost without the log's gap.
+	for _, damage := range r.damages.list {
+		if damage.From > 0 {
+			t.Errorf("the reader misses records itself: %+v", damage)
+		}
+	}
+}
+
+// checkComplete checks that the lines hold all sequence numbers up to total, as sample records or in gaps of the
+// given cause, and that the gaps stand for as many records as were lost.
+func checkComplete(t *testing.T, lines []string, total int, lost uint64, wantCause GapCause) {
+	t.Helper()
+	next, inGaps := uint64(1), uint64(0)
+	for _, line := range lines {
+		var from, to uint64
+		var cause string
+		if _, err := fmt.Sscanf(line, "gap %d-%d %s", &from, &to, &cause); err == nil {
+			if cause != wantCause.String() {
+				t.Errorf("%s, want %v", line, wantCause)
+			}
+			inGaps += to - from + 1
+		} else if _, err := fmt.Sscanf(line, "%d", &from); err != nil {
+			t.Fatal(line)
+		} else {
+			to = from
+			if want := sampleSummary(int(from)); line != want {
+				t.Errorf("got %q, want %q", line, want)
+			}
+		}
+		if from != next {
+			t.Fatalf("%q follows %d", line, next-1)
+		}
+		next = to + 1
+	}
+	if next != uint64(total+1) || inGaps != lost {
+		t.Errorf("ends with %d of %d; %d in gaps, %d lost", next-1, total, inGaps, lost)
+	}
+}
--- a/internal/record/golden_test.go
+++ b/internal/record/golden_test.go
@@ -73,17 +73,17 @@
 func TestGoldenStoreIsWrittenTheSame(t *testing.T) {
 	written, fixed := t.TempDir(), t.TempDir()
 	for i, records := range goldenStarts() {
-		o := options(written)
+		o := testOptions(written)
 		o.Segment = 1 << 10
 		o.Wall = records[0].At
-		l, found := open(t, o)
+		l, found := openLog(t, o)
 		if !found.Clean {
 			t.Errorf("start %d: %v", i, found)
 		}
 		for _, r := range records {
 			l.Put(&r)
 		}
-		shut(t, l)
+		closeLog(t, l)
 	}
 	fixDrawnNumbers(t, written, fixed)
 	goldentest.CompareDir(t, goldenStore, fixed)
--- /dev/null
+++ b/internal/record/scan_test.go
@@ -0,0 +1,39 @@
+package record
+
+import (
+	"bytes"
+	"slices"
+	"testing"
+)
+
+// Frames and the bytes skipped before them cover any file without a hole.
+func FuzzFrames(f *testing.F) {
+	b := appendHeader(nil, &Header{Name: "n0", Nonce: 5, Wall: wall})
+	for i := range 5 {
+		b = appendFrame(b, appendRecord(nil, sampleRecord(i), wall), frameSeed(5))
+	}
+	f.Add(b)
+	f.Add(b[:len(b)-3])
+	f.Add(slices.Concat(b[:headerSize+20], b[headerSize:]))
+	f.Add(appendHeader(nil, &Header{}))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		s := scanner{file: bytes.NewReader(b)}
+		if _, err := s.readHeader(); err != nil {
+			return
+		}
+		end := int64(headerSize)
+		for {
+			frame, err := s.next()
+			if err != nil {
+				if end+s.trailingBytes() != int64(len(b)) {
+					t.Fatalf("%d bytes: the last frame ends at %d, %d are left", len(b), end, s.trailingBytes())
+				}
+				return
+			}
+			if frame.offset-frame.skippedBytes != end {
+				t.Fatalf("a frame at %d behind %d bytes, the last ended at %d", frame.offset, frame.skippedBytes, end)
+			}
+			end = frame.end()
+		}
+	})
+}
