--- a/internal/record/codec.go
+++ b/internal/record/codec.go
@@ -84,14 +84,14 @@
 
 // decodeRecord decodes a payload into r; stored times are relative to base. Unknown fields are ignored, so that an
 // older program reads the records of a newer one.
-func decodeRecord(payload []byte, r *Record, base Time, strings internedStrings) error {
+func decodeRecord(payload []byte, r *Record, base Time, interned internTable) error {
 	*r = Record{}
 	for len(payload) > 0 {
 		field, rest, err := consumeField(payload)
 		if err != nil {
 			return errMalformedRecord
 		}
-		r.setField(field, strings)
+		r.setField(field, interned)
 		payload = rest
 	}
 	isGap := r.Kind == KindGap
@@ -106,7 +106,7 @@
 }
 
 // setField sets the field of r that a decoded field holds.
-func (r *Record) setField(field wireField, strings internedStrings) {
+func (r *Record) setField(field wireField, interned internTable) {
 	switch field.number {
 	case fieldSeq:
 		r.Seq = field.value
@@ -119,11 +119,11 @@
 	case fieldCall:
 		r.Call = string(field.text)
 	case fieldClass:
-		r.Class = strings.intern(field.text)
+		r.Class = interned.intern(field.text)
 	case fieldNumber:
 		r.Number = string(field.text)
 	case fieldServer:
-		r.Server = strings.intern(field.text)
+		r.Server = interned.intern(field.text)
 	case fieldText:
 		r.Text = string(field.text)
 	case fieldAttempt:
@@ -131,7 +131,7 @@
 	case fieldCode:
 		r.Code = uint8(min(field.value, math.MaxUint8))
 	case fieldEnd:
-		r.End = strings.intern(field.text)
+		r.End = interned.intern(field.text)
 	case fieldCause:
 		r.Cause = int(int32(field.value))
 	case fieldWait:
@@ -151,7 +151,7 @@
 	case fieldT1, fieldT2, fieldT3, fieldT4:
 		r.T[field.number-fieldT1] = protowire.DecodeZigZag(field.value)
 	case fieldBy:
-		r.By = strings.intern(field.text)
+		r.By = interned.intern(field.text)
 	default: // a field of a newer program
 	}
 }
--- a/internal/record/codec_test.go
+++ b/internal/record/codec_test.go
@@ -14,7 +14,7 @@
 	gap := Record{Seq: 9, From: 3, At: wall + 6, Since: wall + 2, Kind: KindGap, Code: uint8(QueueFull)}
 	for _, r := range []Record{full, gap} {
 		var got Record
-		err := decodeRecord(appendRecord(nil, &r, wall), &got, wall, internedStrings{})
+		err := decodeRecord(appendRecord(nil, &r, wall), &got, wall, internTable{})
 		if err != nil || got != r {
 			t.Errorf("got  %+v, %v\nwant %+v", got, err, r)
 		}
@@ -38,11 +38,11 @@
 	f.Add([]byte{0x08, 1})
 	f.Fuzz(func(t *testing.T, b []byte) {
 		var decoded, decodedAgain Record
-		if decodeRecord(b, &decoded, 0, internedStrings{}) != nil {
+		if decodeRecord(b, &decoded, 0, internTable{}) != nil {
 			return
 		}
 		encoded := appendRecord(nil, &decoded, 0)
-		if err := decodeRecord(encoded, &decodedAgain, 0, internedStrings{}); err != nil {
+		if err := decodeRecord(encoded, &decodedAgain, 0, internTable{}); err != nil {
 			t.Fatalf("%+v: %v", decoded, err)
 		}
 	})
--- a/internal/record/find.go
+++ b/internal/record/find.go
@@ -121,8 +121,8 @@
 	if err != nil {
 		return Store{}, err
 	}
-	for _, segment := range all {
-		path := filepath.Join(dir, segment.name)
+	for _, file := range all {
+		path := filepath.Join(dir, file.name)
 		if info, err := os.Stat(path); err == nil {
 			s.Files++
 			s.Bytes += info.Size()
--- a/internal/record/frame.go
+++ b/internal/record/frame.go
@@ -13,8 +13,8 @@
 	frameSizeOffset     = 2
 	frameChecksumOffset = 4
 	// The mark consists of two bytes that never occur in UTF-8.
-	frameMark0 = 0xf5
-	frameMark1 = 0xc1
+	frameMarkByte0 = 0xf5
+	frameMarkByte1 = 0xc1
 )
 
 // frameSize returns the size in bytes of a frame with the given payload.
@@ -29,7 +29,7 @@
 
 // appendFrame encodes one frame.
 func appendFrame(b, payload []byte, seed uint32) []byte {
-	b = append(b, frameMark0, frameMark1)
+	b = append(b, frameMarkByte0, frameMarkByte1)
 	b = binary.LittleEndian.AppendUint16(b, uint16(len(payload)))
 	b = binary.LittleEndian.AppendUint32(b, crc32.Update(seed, castagnoli, payload))
 	return append(b, payload...)
@@ -46,7 +46,7 @@
 
 // parseFrame checks whether b begins with a frame, and returns the payload of an intact one as part of b.
 func parseFrame(b []byte, seed uint32) ([]byte, frameStatus) {
-	if len(b) > 0 && b[0] != frameMark0 || len(b) > 1 && b[1] != frameMark1 {
+	if len(b) > 0 && b[0] != frameMarkByte0 || len(b) > 1 && b[1] != frameMarkByte1 {
 		return nil, frameInvalid
 	}
 	if len(b) < framePrefixSize {
--- a/internal/record/inspect.go
+++ b/internal/record/inspect.go
@@ -63,7 +63,7 @@
 // readFrames reads the frames behind the header.
 func (t *segmentTail) readFrames(s *scanner) error {
 	t.intactSize = headerSize
-	strings := internedStrings{}
+	interned := internTable{}
 	var r Record
 	for {
 		frame, err := s.next()
@@ -79,7 +79,7 @@
 		if !t.isDamaged {
 			t.intactSize = frame.end()
 		}
-		if decodeRecord(frame.payload, &r, 0, strings) == nil && r.Seq < maxPlausibleSeq {
+		if decodeRecord(frame.payload, &r, 0, interned) == nil && r.Seq < maxPlausibleSeq {
 			t.lastSeq = max(t.lastSeq, r.Seq)
 			t.lastKind = r.Kind
 		}
--- a/internal/record/reader.go
+++ b/internal/record/reader.go
@@ -12,9 +12,9 @@
 // returns gap records of its own where records are lost, so that sequence numbers never skip. A segment that
 // retention removes while it is read is a gap only if it was not open yet. A Reader belongs to one goroutine.
 type Reader struct {
-	dir     string
-	pending []segment // segments to be read after the open one
-	strings internedStrings
+	dir      string
+	pending  []segment // segments to be read after the open one
+	interned internTable
 
 	// The segment that was opened last.
 	file    *os.File // nil: closed
@@ -43,7 +43,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Reader{dir: dir, pending: pending, strings: internedStrings{}}, nil
+	return &Reader{dir: dir, pending: pending, interned: internTable{}}, nil
 }
 
 // Dir returns the directory of the store.
@@ -152,7 +152,7 @@
 			Text:   "no intact records",
 		})
 	}
-	if decodeRecord(frame.payload, &r.decoded, r.header.Wall, r.strings) == nil {
+	if decodeRecord(frame.payload, &r.decoded, r.header.Wall, r.interned) == nil {
 		return true
 	}
 	r.damages.add(Damage{
--- a/internal/record/scan.go
+++ b/internal/record/scan.go
@@ -115,7 +115,7 @@
 // distanceToMark returns the distance to the next byte that may begin a frame, or to the end of the buffer.
 func (s *scanner) distanceToMark() int {
 	following := s.buf[s.start+1:]
-	i := bytes.IndexByte(following, frameMark0)
+	i := bytes.IndexByte(following, frameMarkByte0)
 	if i < 0 {
 		i = len(following)
 	}
--- a/internal/record/wire.go
+++ b/internal/record/wire.go
@@ -92,15 +92,15 @@
 	return field, b[size:], nil
 }
 
-// maxInternedStrings bounds an internedStrings. Servers, classes and ends of attempts are few; strings that an
+// maxInternedStrings bounds an internTable. Servers, classes and ends of attempts are few; strings that an
 // adversary chooses must not fill the memory.
 const maxInternedStrings = 4096
 
-// internedStrings holds one copy of each string that occurs in many records.
-type internedStrings map[string]string
+// internTable holds one copy of each string that occurs in many records.
+type internTable map[string]string
 
 // intern returns b as a string, without an allocation if the string is known.
-func (s internedStrings) intern(b []byte) string {
+func (s internTable) intern(b []byte) string {
 	if known, ok := s[string(b)]; ok { // the compiler converts b without an allocation here
 		return known
 	}
