--- a/internal/record/commit.go
+++ b/internal/record/commit.go
@@ -10,7 +10,7 @@
 
 // commit writes and syncs all queued records. After an error it abandons the segment, truncated to what is known to
 // be durable, and the next commit begins another segment with everything that is not: after a failed sync it is
-// unknown which pages reached the disk, and a second sync that succeeds does not tell. A Reader ignores records that
+// unknown which pages reached the disk, and a second sync that succeeds does not show it. A Reader ignores records that
 // are stored twice.
 func (w *writer) commit() error {
 	progress := commitProgress{position: w.queue.released.Load()}
--- a/internal/record/golden_test.go
+++ b/internal/record/golden_test.go
@@ -23,38 +23,24 @@
 	goldenNonce     = 0x4053_0000_0000_0001
 )
 
-// goldenStarts are the records of two starts of one instance: all kinds, and all codes of those that have codes.
+const (
+	goldenCall   = "0123456789abcdef"
+	goldenServer = "s-1"
+)
+
+// goldenStarts returns the records of two runs of one instance: all kinds, all codes of the kinds that have codes, and
+// a kind and codes that a newer program may write.
 func goldenStarts() [][]Record {
 	var first []Record
-	add := func(r Record) {
-		r.At = wall + Time(len(first))*1_234_567
-		first = append(first, r)
-	}
-	add(Record{Kind: KindStart, Flag: true, Text: "a new store"})
-	add(Record{Kind: KindConfig, By: "class", Class: "voice", Wait: time.Second, Took: 3 * time.Second})
-	add(Record{Kind: KindConfig, By: "cold", Wait: 30 * time.Second, Value: 0.25})
-	add(Record{Kind: KindConfig, By: "settings", Text: `{"groupSize":1}`})
-	for code := range uint8(len(phaseNames) + 1) { // the last is one that a newer program may write
-		add(Record{Kind: KindServer, Server: "s-1", Code: code, Pool: int(code) - 1, Flag: code == 0, Since: wall - time.Minute, Text: "127.0.0.1:9"})
-	}
-	add(Record{Kind: KindSetUp, Call: "0123456789abcdef", Class: "voice", Number: "+56 2 2555 0100", Pool: -1, Wait: 3 * time.Second, Text: "7b3cbfb4b82e4e7b"})
-	add(Record{Kind: KindSetUp, Call: "c-2", Class: "alarm", Number: "133\xff", Pool: 2, Flag: true})
-	for code := range uint8(len(moveNames) + 1) {
-		add(Record{Kind: KindOrder, Call: "0123456789abcdef", Code: code, Server: "s-1", Wait: 500 * time.Millisecond, Text: "no_server"})
+	add := func(records ...Record) {
+		for _, r := range records {
+			r.At = wall + Time(len(first))*1_234_567
+			first = append(first, r)
+		}
 	}
-	add(Record{Kind: KindTry, Call: "0123456789abcdef", Server: "s-1", Attempt: 1, Wait: 500 * time.Millisecond})
-	add(Record{Kind: KindTryEnd, Call: "0123456789abcdef", Server: "s-1", Attempt: 1, End: "connected", Took: 1500 * time.Microsecond})
-	for code := range uint8(len(outcomeNames) + 1) {
-		add(Record{Kind: KindAnswer, Call: "0123456789abcdef", Class: "voice", Code: code, Cause: 41, Wait: time.Second, Took: 20 * time.Millisecond, Server: "s-1", Attempt: -1})
-	}
-	add(Record{Kind: KindRelease, Call: "0123456789abcdef", Class: "voice", Server: "s-1", Cause: 16, End: "completed", Took: time.Hour})
-	add(Record{Kind: KindCeiling, Server: "s-1", Text: "pressed", Value: 12.5})
-	add(Record{Kind: KindCeiling, Server: "s-1", Text: "lapsed", Value: math.Inf(1)})
-	add(Record{Kind: KindLimit, By: "calls", Count: 3, Call: "c-3"})
-	add(Record{Kind: KindClock, By: "agent", T: [4]int64{int64(wall), int64(wall) + 2, -3, math.MaxInt64}})
-	add(Record{Kind: KindClock, T: [4]int64{int64(wall) + 5, int64(wall)}})
-	add(Record{Kind: KindNote, Text: "a line with \"quotes\", \x1b[2J, \xff and é", Server: "s-1"})
-	add(Record{Kind: KindTally, By: "requests", Count: math.MaxUint64})
+	add(goldenConfiguration()...)
+	add(goldenCalls()...)
+	add(goldenMeasurements()...)
 	for code := range uint8(len(gapCauseNames) + 1) {
 		add(Record{Kind: KindGap, From: uint64(len(first) + 1), Since: wall + 1, Code: code, Text: "set aside"})
 	}
@@ -69,7 +55,68 @@
 	return [][]Record{first, second}
 }
 
-// The same records are written as the same bytes as when the store was committed.
+func goldenConfiguration() []Record {
+	records := []Record{
+		{Kind: KindStart, Flag: true, Text: "a new store"},
+		{Kind: KindConfig, By: "class", Class: "voice", Wait: time.Second, Took: 3 * time.Second},
+		{Kind: KindConfig, By: "cold", Wait: 30 * time.Second, Value: 0.25},
+		{Kind: KindConfig, By: "settings", Text: `{"groupSize":1}`},
+	}
+	for code := range uint8(len(phaseNames) + 1) {
+		records = append(records, Record{
+			Kind: KindServer, Server: goldenServer, Code: code, Pool: int(code) - 1, Flag: code == 0,
+			Since: wall - time.Minute, Text: "127.0.0.1:9",
+		})
+	}
+	return records
+}
+
+func goldenCalls() []Record {
+	records := []Record{
+		{
+			Kind: KindSetUp, Call: goldenCall, Class: "voice", Number: "+56 2 2555 0100", Pool: -1, Wait: 3 * time.Second,
+			Text: "7b3cbfb4b82e4e7b",
+		},
+		{Kind: KindSetUp, Call: "c-2", Class: "alarm", Number: "133\xff", Pool: 2, Flag: true},
+	}
+	for code := range uint8(len(moveNames) + 1) {
+		records = append(records, Record{
+			Kind: KindOrder, Call: goldenCall, Code: code, Server: goldenServer, Wait: 500 * time.Millisecond,
+			Text: "no_server",
+		})
+	}
+	records = append(records,
+		Record{Kind: KindTry, Call: goldenCall, Server: goldenServer, Attempt: 1, Wait: 500 * time.Millisecond},
+		Record{
+			Kind: KindTryEnd, Call: goldenCall, Server: goldenServer, Attempt: 1, End: "connected",
+			Took: 1500 * time.Microsecond,
+		},
+	)
+	for code := range uint8(len(outcomeNames) + 1) {
+		records = append(records, Record{
+			Kind: KindAnswer, Call: goldenCall, Class: "voice", Code: code, Cause: 41, Wait: time.Second,
+			Took: 20 * time.Millisecond, Server: goldenServer, Attempt: -1,
+		})
+	}
+	return append(records, Record{
+		Kind: KindRelease, Call: goldenCall, Class: "voice", Server: goldenServer, Cause: 16, End: "completed",
+		Took: time.Hour,
+	})
+}
+
+func goldenMeasurements() []Record {
+	return []Record{
+		{Kind: KindCeiling, Server: goldenServer, Text: "pressed", Value: 12.5},
+		{Kind: KindCeiling, Server: goldenServer, Text: "lapsed", Value: math.Inf(1)},
+		{Kind: KindLimit, By: "calls", Count: 3, Call: "c-3"},
+		{Kind: KindClock, By: "agent", T: [4]int64{int64(wall), int64(wall) + 2, -3, math.MaxInt64}},
+		{Kind: KindClock, T: [4]int64{int64(wall) + 5, int64(wall)}},
+		{Kind: KindNote, Text: "a line with \"quotes\", \x1b[2J, \xff and é", Server: goldenServer},
+		{Kind: KindTally, By: "requests", Count: math.MaxUint64},
+	}
+}
+
+// The records are written as the bytes of the committed store.
 func TestGoldenStoreIsWrittenTheSame(t *testing.T) {
 	written, fixed := t.TempDir(), t.TempDir()
 	for i, records := range goldenStarts() {
@@ -89,7 +136,7 @@
 	goldentest.CompareDir(t, goldenStore, fixed)
 }
 
-// The committed store is read as the records that were written, and shown in the same words.
+// The committed store is read as the records that were written, and printed as the committed text and JSON.
 func TestGoldenStoreIsRead(t *testing.T) {
 	r, err := OpenDir(goldenStore)
 	if err != nil {
--- a/internal/record/reader.go
+++ b/internal/record/reader.go
@@ -165,7 +165,7 @@
 	return false
 }
 
-// take decides about r.decoded: it is returned, or returned behind a gap where sequence numbers are missing, or
+// take decides about r.decoded: it is returned, or returned after a gap where sequence numbers are missing, or
 // ignored if it was returned before. It reports whether rec was set.
 func (r *Reader) take(rec *Record) bool {
 	first := r.decoded.firstSeq()
--- a/internal/record/recover_test.go
+++ b/internal/record/recover_test.go
@@ -35,7 +35,8 @@
 		t.Error(text)
 	}
 	d, _ := r.Damages()
-	if len(d) != 1 || d[0].Offset != int64(last.frames[damagedFrame]) || d[0].From != uint64(lostSeq) || d[0].To != d[0].From {
+	if len(d) != 1 || d[0].Offset != int64(last.frames[damagedFrame]) ||
+		d[0].From != uint64(lostSeq) || d[0].To != d[0].From {
 		t.Errorf("%+v", d)
 	}
 	testRecoveryOfANewerFormat(t, store.dir)
--- a/internal/record/union.go
+++ b/internal/record/union.go
@@ -141,8 +141,8 @@
 	}
 }
 
-// endOfGap returns the last sequence number that the gap of source stands for, until another copy has a record or
-// the end of a gap that begins with it.
+// endOfGap returns the last sequence number of the gap of source that no other copy can fill: the gap ends before
+// another copy's next record, and with a shorter gap of another copy that begins at the same number.
 func (u *Union) endOfGap(source *storeCopy) uint64 {
 	first := source.next.record.firstSeq()
 	end := source.next.record.Seq
--- a/internal/record/writer.go
+++ b/internal/record/writer.go
@@ -33,7 +33,7 @@
 	payload []byte // buffer of the payload being read from the queue
 }
 
-// newWriter returns a writer that goes on behind what the recovery found.
+// newWriter returns a writer that continues the recovered store.
 func newWriter(o Options, lockFile *os.File, recovery *Recovery, queue *ringQueue, shared *writerState) *writer {
 	return &writer{
 		options:  o,
