--- a/internal/numbering/doc.go
+++ b/internal/numbering/doc.go
@@ -1,8 +1,11 @@
-// Package numbering says to which pools a call may go, and in which order of preference, by
-// the number called: plans and translations, barred and emergency numbers, prefixes and ranges,
-// portability, routes by time of day. The decision module still picks the server.
+// Package numbering decides by the called number which pools a call may go to, and in which order of preference: by
+// dialling plans and translations, barred and emergency numbers, prefixes and ranges, number portability, and routes
+// by time of day. The admission module chooses the server.
 //
-// It is pure: no sockets, no files, no goroutines, and no clock but the Time handed in. Rules as an
-// operator writes them become a Table by Compile, once and for good: a Table never changes and may
-// be read by anybody. What is wrong with rules is found then, never in service.
+// Rules as an operator writes them are compiled into a Table, which never changes and may be read by any goroutine.
+// Errors in rules are found by Compile and never in service. A Registry keeps the versions of a table, and a Desk
+// carries out the operator's orders on them: load, activate, roll back, cancel.
+//
+// The package opens no sockets, starts no goroutines, writes no files and reads no clock but the Time passed in; Read
+// is the only function that reads a file.
 package numbering
--- a/internal/numbering/numbering_test.go
+++ b/internal/numbering/numbering_test.go
@@ -264,7 +264,7 @@
 // The trie finds what a look at every prefix finds.
 func TestTrieEqualsLinearScan(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
-		var b builder
+		var b trieBuilder
 		set := rapid.SliceOfNDistinct(digitsOf, 0, 60, rapid.ID).Draw(rt, "prefixes")
 		for i, p := range set {
 			b.add(p, int32(i))
--- a/internal/numbering/registry.go
+++ b/internal/numbering/registry.go
@@ -13,58 +13,64 @@
 
 // Errors of a Registry.
 var (
-	// ErrVersionConflict tells that another version has come into force, or is about to, since the operator
-	// looked: of two who activate at once, one wins and the other gets this.
+	// ErrVersionConflict means that another version has become active, or has been scheduled, since the operator
+	// looked: of two operators who activate at the same time, one gets this error.
 	ErrVersionConflict = errors.New("the version in force is not the one you saw")
-	// ErrUnknownVersion tells that no version of that digest is loaded.
+	// ErrUnknownVersion means that no version with the digest is loaded.
 	ErrUnknownVersion = errors.New("no such version is loaded")
-	// ErrTooManyVersions tells that all places are taken by versions that calls hold or that may be needed.
+	// ErrTooManyVersions means that all loaded versions are in use or may be needed.
 	ErrTooManyVersions = errors.New("no room for another version")
-	// ErrNoPrevious tells that there is nothing to go back to.
+	// ErrNoPrevious means that there is no version to roll back to.
 	ErrNoPrevious = errors.New("there was no other version in force")
 )
 
-// A Registry keeps the versions of a table: which are loaded, which is in force, which comes into
-// force when, and how many calls hold which. It is a pure state machine for one goroutine; the zero
-// value has no version, and Pin gives none.
+// Registry keeps the versions of a table: which are loaded, which is active, which is scheduled, and how many calls use
+// each. It is a state machine without I/O for one goroutine. The zero value has no versions.
 type Registry struct {
-	all    []*version
-	active *version
-	before *version // in force before it; kept for a rollback
-	next   *version // to come into force at due
-	due    Time
-	serial uint64
+	versions    []*version // in the order of loading
+	active      *version
+	previous    *version // active before, kept for a rollback
+	scheduled   *version // to be activated at scheduledAt
+	scheduledAt Time
 }
 
+// version is a loaded table.
 type version struct {
-	table  *Table
-	serial uint64
-	loaded Time
-	since  Time // in force since, 0: never was
-	pins   int
+	table       *Table
+	loadedAt    Time
+	activatedAt Time // 0: it has never been active
+	pins        int
 }
 
-// A Pin is one call's hold on one version. Whatever comes into force meanwhile, the call's table
-// stays. The nil Pin holds none.
-type Pin struct{ v *version }
+// digest returns the digest of the version's table, "" for nil.
+func (v *version) digest() string {
+	if v == nil {
+		return ""
+	}
+	return v.table.Digest()
+}
+
+// Pin is the reference of one call to one version: the call uses this table to its end, whatever is activated
+// meanwhile. A nil Pin refers to no version.
+type Pin struct{ version *version }
 
-// Table is the one that is held; nil if none is.
+// Table returns the table of the version; nil if there is none or the pin has been released.
 func (p *Pin) Table() *Table {
-	if p == nil || p.v == nil {
+	if p == nil || p.version == nil {
 		return nil
 	}
-	return p.v.table
+	return p.version.table
 }
 
-// Release ends the hold. A second Release does nothing: it must not free what another call holds.
+// Release ends the reference. A second Release has no effect.
 func (p *Pin) Release() {
-	if p != nil && p.v != nil {
-		p.v.pins--
-		p.v = nil
+	if p != nil && p.version != nil {
+		p.version.pins--
+		p.version = nil
 	}
 }
 
-// Pin holds the version in force; nil if there is none.
+// Pin returns a reference to the active version; nil if there is none.
 func (r *Registry) Pin() *Pin {
 	if r.active == nil {
 		return nil
@@ -73,7 +79,7 @@
 	return &Pin{r.active}
 }
 
-// Active is the table in force, nil if there is none.
+// Active returns the active table; nil if there is none.
 func (r *Registry) Active() *Table {
 	if r.active == nil {
 		return nil
@@ -81,142 +87,115 @@
 	return r.active.table
 }
 
+// find returns the version with a digest; nil if it is not loaded.
 func (r *Registry) find(digest string) *version {
-	if i := slices.IndexFunc(r.all, func(v *version) bool { return v.table.Digest() == digest }); i >= 0 {
-		return r.all[i]
+	for _, v := range r.versions {
+		if v.digest() == digest {
+			return v
+		}
 	}
 	return nil
 }
 
-// Load takes a compiled table and puts nothing in force. A table that is loaded already is not
-// loaded twice. Where there is no room the oldest that nobody holds or needs gives way.
+// Load adds a compiled table and activates nothing. A table that is loaded already is not added again. If there are too
+// many, the oldest version that is not in use is removed.
 func (r *Registry) Load(now Time, t *Table) error {
-	if v := r.find(t.Digest()); v != nil {
+	if r.find(t.Digest()) != nil {
 		return nil
 	}
-	if len(r.all) >= maxVersions && !r.evict() {
-		return fmt.Errorf("%w: %d are loaded, all in use", ErrTooManyVersions, len(r.all))
+	if len(r.versions) >= maxVersions && !r.evictOldest() {
+		return fmt.Errorf("%w: %d are loaded, all in use", ErrTooManyVersions, len(r.versions))
 	}
-	r.serial++
-	r.all = append(r.all, &version{table: t, serial: r.serial, loaded: now})
+	r.versions = append(r.versions, &version{table: t, loadedAt: now})
 	return nil
 }
 
-// evict lets the oldest version go that nobody holds or needs.
-func (r *Registry) evict() bool {
-	for i, v := range r.all {
-		if v.pins == 0 && v != r.active && v != r.before && v != r.next {
-			r.all = slices.Delete(r.all, i, i+1)
-			return true
-		}
+// evictOldest removes the oldest version that is not in use; false if there is none.
+func (r *Registry) evictOldest() bool {
+	i := slices.IndexFunc(r.versions, func(v *version) bool { return !r.isInUse(v) })
+	if i < 0 {
+		return false
 	}
-	return false
+	r.versions = slices.Delete(r.versions, i, i+1)
+	return true
+}
+
+// isInUse reports whether calls use a version, or an activation or a rollback may need it.
+func (r *Registry) isInUse(v *version) bool {
+	return v.pins > 0 || v == r.active || v == r.previous || v == r.scheduled
 }
 
-// Activate puts a loaded version in force, at once or at a later time. saw is the digest of the
-// version that the operator saw in force, "" for none. Another activation that waits is an ErrStale
-// too, unless it is of the same version: then its time is changed.
-func (r *Registry) Activate(now Time, digest, saw string, at Time) error {
+// Activate activates a loaded version at once, or schedules it if at is later than now. seen is the digest of the
+// version that the operator saw as active, "" for none. If another version is scheduled, the error is an
+// ErrVersionConflict; if the same one is, its time is changed.
+func (r *Registry) Activate(now Time, digest, seen string, at Time) error {
 	v := r.find(digest)
-	switch {
-	case v == nil:
+	if v == nil {
 		return fmt.Errorf("%w: %s", ErrUnknownVersion, digest)
-	case r.digest(r.active) != saw:
-		return fmt.Errorf("%w: %s is in force", ErrVersionConflict, cmp.Or(r.digest(r.active), "none"))
-	case r.next != nil && r.next != v:
-		return fmt.Errorf("%w: %s is to come into force; cancel that first", ErrVersionConflict, r.digest(r.next))
+	}
+	if err := r.checkActive(seen); err != nil {
+		return err
+	}
+	if r.scheduled != nil && r.scheduled != v {
+		return fmt.Errorf("%w: %s is to come into force; cancel that first", ErrVersionConflict, r.scheduled.digest())
 	}
 	if at > now {
-		r.next, r.due = v, at
+		r.scheduled = v
+		r.scheduledAt = at
 		return nil
 	}
-	r.put(now, v)
+	r.setActive(now, v)
 	return nil
 }
 
-// Cancel drops an activation that waits.
-func (r *Registry) Cancel() { r.next = nil }
+// Cancel drops a scheduled activation.
+func (r *Registry) Cancel() { r.scheduled = nil }
 
-// Rollback puts the version in force that was before; saw as for Activate.
-func (r *Registry) Rollback(now Time, saw string) error {
-	switch {
-	case r.digest(r.active) != saw:
-		return fmt.Errorf("%w: %s is in force", ErrVersionConflict, cmp.Or(r.digest(r.active), "none"))
-	case r.before == nil:
+// Rollback activates the version that was active before; seen as for Activate.
+func (r *Registry) Rollback(now Time, seen string) error {
+	if err := r.checkActive(seen); err != nil {
+		return err
+	}
+	if r.previous == nil {
 		return ErrNoPrevious
 	}
-	r.put(now, r.before)
+	r.setActive(now, r.previous)
 	return nil
 }
 
-// put makes a version the one in force. What waits was asked for over another and is dropped.
-func (r *Registry) put(now Time, v *version) {
-	r.next = nil
+// checkActive returns an ErrVersionConflict unless the active version has a digest.
+func (r *Registry) checkActive(digest string) error {
+	active := r.active.digest()
+	if active == digest {
+		return nil
+	}
+	return fmt.Errorf("%w: %s is in force", ErrVersionConflict, cmp.Or(active, "none"))
+}
+
+// setActive makes a version the active one. It drops a scheduled activation, which was ordered over another version.
+func (r *Registry) setActive(now Time, v *version) {
+	r.scheduled = nil
 	if v == r.active {
 		return
 	}
-	r.before, r.active = r.active, v
-	v.since = now
+	r.previous = r.active
+	r.active = v
+	v.activatedAt = now
 }
 
-// Tick puts in force what is due, and tells whether something was.
+// Tick performs a scheduled activation that is due and reports whether there was one.
 func (r *Registry) Tick(now Time) bool {
-	if r.next == nil || now < r.due {
+	if r.scheduled == nil || now < r.scheduledAt {
 		return false
 	}
-	r.put(now, r.next)
+	r.setActive(now, r.scheduled)
 	return true
 }
 
-// Next is when Tick is due.
+// Next returns the time at which Tick is due, math.MaxInt64 if nothing is scheduled.
 func (r *Registry) Next() Time {
-	if r.next == nil {
+	if r.scheduled == nil {
 		return math.MaxInt64
 	}
-	return r.due
-}
-
-func (*Registry) digest(v *version) string {
-	if v == nil {
-		return ""
-	}
-	return v.table.Digest()
-}
-
-// States of a version.
-const (
-	InForce  = "in force"
-	Previous = "before"  // Rollback leads there
-	Waiting  = "waiting" // comes into force at Due
-	Loaded   = "loaded"
-)
-
-// Status is the state of one loaded version. Its JSON names are an interface of olivectl and stay.
-type Status struct {
-	Digest  string `json:"Digest"`
-	Name    string `json:"Name"`
-	State   string `json:"State"`
-	Entries int    `json:"Entries"` // prefixes of the table
-	Pins    int    `json:"Pins"`    // calls that use the version
-	Loaded  Time   `json:"Loaded"`
-	Since   Time   `json:"Since"` // in force since; 0: it has never been in force
-	Due     Time   `json:"Due"`   // of a waiting version
-}
-
-// List tells of all versions, the last loaded first.
-func (r *Registry) List() []Status {
-	var all []Status
-	for _, v := range slices.Backward(r.all) {
-		s := Status{Digest: v.table.Digest(), Name: v.table.Version, Entries: v.table.Entries(), Pins: v.pins, Loaded: v.loaded, Since: v.since, State: Loaded}
-		switch v {
-		case r.active:
-			s.State = InForce
-		case r.next:
-			s.State, s.Due = Waiting, r.due
-		case r.before:
-			s.State = Previous
-		}
-		all = append(all, s)
-	}
-	return all
+	return r.scheduledAt
 }
--- a/internal/numbering/trie.go
+++ b/internal/numbering/trie.go
@@ -4,119 +4,156 @@
 	"fmt"
 	"math/bits"
 	"slices"
+	"strings"
 )
 
-// An entry is what a prefix leads to.
+// entry is the value of a prefix.
 type entry struct {
-	route  int32 // -1: none
-	cause  int16 // barred; 0: not
-	ported bool
-	only   int32 // index into the table's lists of classes that a bar is for; -1: all
-	line   int32 // number of the entry among its kind, for explanations
+	route     int32 // -1: none
+	cause     int16 // Q.850 cause of a bar; 0: not barred
+	ported    bool  // numbers may have moved: they have to be looked up
+	classList int32 // index into Table.barredClasses; -1: all classes
+	line      int32 // number of the entry among its kind in the rules, from 1
 }
 
-// A trie finds the longest prefix of a number. Its nodes are one slice, and children of a node
-// stand side by side in another, so that a million prefixes are two large blocks without pointers:
-// the collector has nothing to follow.
+// trie finds the longest prefix of a number. Its nodes are one slice, in which the children of a node are adjacent, so
+// that a million prefixes are two large blocks without pointers, which the garbage collector does not scan.
 type trie struct {
 	nodes   []node
 	entries []entry
 }
 
-// A node stands for a prefix. Which digits go on is a bit each; the child of a digit stands at
-// first and as many places behind as lower digits go on.
+// node is a prefix. The child of a digit is at firstChild plus the number of lower digits that have a child.
 type node struct {
-	first int32
-	entry int32 // -1: no prefix ends here
-	mask  uint16
+	firstChild int32
+	entry      int32  // -1: no prefix ends here
+	children   uint16 // one bit a digit
 }
 
-// A builder collects prefixes and lays them out.
-type builder struct {
-	keys []keyed
+// Sizes in bytes.
+const (
+	nodeSize  = 12
+	entrySize = 16
+)
+
+// size returns about how many bytes the trie takes.
+func (t *trie) size() int { return nodeSize*len(t.nodes) + entrySize*len(t.entries) }
+
+// hasChild reports whether a prefix goes on with a digit, 0 to 9.
+func (n *node) hasChild(digit byte) bool { return n.children&(1<<digit) != 0 }
+
+// child returns the index of the child of a digit, which must exist.
+func (n *node) child(digit byte) int32 {
+	return n.firstChild + int32(bits.OnesCount16(n.children&(1<<digit-1)))
+}
+
+// find returns the entry of the longest prefix of a number and the length of the prefix; -1 if there is none.
+func (t *trie) find(digits []byte) (index int32, length int) {
+	if len(t.nodes) == 0 {
+		return -1, 0
+	}
+	current := &t.nodes[0]
+	index = current.entry
+	for i := range len(digits) {
+		digit := digits[i] - '0'
+		if digit > 9 || !current.hasChild(digit) {
+			break
+		}
+		current = &t.nodes[current.child(digit)]
+		if current.entry >= 0 {
+			index, length = current.entry, i+1
+		}
+	}
+	return index, length
+}
+
+// walk calls visit with each prefix, in order.
+func (t *trie) walk(visit func(prefix string)) {
+	if len(t.nodes) > 0 {
+		t.walkNode(0, make([]byte, 0, maxDigits), visit)
+	}
+}
+
+func (t *trie) walkNode(index int32, prefix []byte, visit func(prefix string)) {
+	n := &t.nodes[index]
+	if n.entry >= 0 {
+		visit(string(prefix))
+	}
+	for digit := range byte(10) {
+		if n.hasChild(digit) {
+			t.walkNode(n.child(digit), append(prefix, '0'+digit), visit)
+		}
+	}
+}
+
+// trieBuilder collects prefixes and builds a trie.
+type trieBuilder struct {
+	prefixes []builderPrefix
 }
 
-type keyed struct {
+type builderPrefix struct {
 	digits string
 	entry  int32
 }
 
-func (b *builder) add(digits string, e int32) { b.keys = append(b.keys, keyed{digits, e}) }
+func (b *trieBuilder) add(digits string, entry int32) {
+	b.prefixes = append(b.prefixes, builderPrefix{digits, entry})
+}
+
+// duplicatePrefixError reports two entries for one prefix.
+type duplicatePrefixError struct {
+	digits        string
+	first, second int32 // indexes of the entries
+}
 
-// build makes the trie. Two equal prefixes are an error, told by the numbers of their entries.
-func (b *builder) build(entries []entry) (trie, error) {
-	slices.SortFunc(b.keys, func(x, y keyed) int {
-		switch {
-		case x.digits < y.digits:
-			return -1
-		case x.digits > y.digits:
-			return 1
+// Error implements error.
+func (e *duplicatePrefixError) Error() string { return fmt.Sprintf("%s is there twice", e.digits) }
+
+// build returns the trie. The error is a *duplicatePrefixError if two prefixes are equal.
+func (b *trieBuilder) build(entries []entry) (trie, error) {
+	slices.SortFunc(b.prefixes, func(x, y builderPrefix) int {
+		if c := strings.Compare(x.digits, y.digits); c != 0 {
+			return c
 		}
 		return int(x.entry - y.entry)
 	})
-	for i := 1; i < len(b.keys); i++ {
-		if b.keys[i].digits == b.keys[i-1].digits {
-			return trie{}, &equal{b.keys[i].digits, b.keys[i-1].entry, b.keys[i].entry}
+	for i := 1; i < len(b.prefixes); i++ {
+		previous, current := b.prefixes[i-1], b.prefixes[i]
+		if previous.digits == current.digits {
+			return trie{}, &duplicatePrefixError{current.digits, previous.entry, current.entry}
 		}
 	}
-	t := trie{entries: entries, nodes: []node{{entry: -1}}}
-	// Breadth first: all children of a node are laid out at once, so they stand side by side.
-	type span struct{ node, from, to, depth int }
-	queue := []span{{0, 0, len(b.keys), 0}}
+	return trie{entries: entries, nodes: b.buildNodes()}, nil
+}
+
+// subtree is a node whose prefix has depth digits and begins the sorted prefixes from index from up to to.
+type subtree struct {
+	node, from, to, depth int
+}
+
+// buildNodes lays out the nodes of the sorted prefixes breadth first, so that the children of a node are adjacent.
+func (b *trieBuilder) buildNodes() []node {
+	nodes := []node{{entry: -1}}
+	queue := []subtree{{to: len(b.prefixes)}}
 	for len(queue) > 0 {
 		s := queue[0]
 		queue = queue[1:]
-		if s.from < s.to && len(b.keys[s.from].digits) == s.depth {
-			t.nodes[s.node].entry = b.keys[s.from].entry
+		if s.from < s.to && len(b.prefixes[s.from].digits) == s.depth {
+			nodes[s.node].entry = b.prefixes[s.from].entry
 			s.from++
 		}
-		t.nodes[s.node].first = int32(len(t.nodes))
+		nodes[s.node].firstChild = int32(len(nodes))
 		for s.from < s.to {
-			d := b.keys[s.from].digits[s.depth]
+			digit := b.prefixes[s.from].digits[s.depth]
 			end := s.from
-			for end < s.to && b.keys[end].digits[s.depth] == d {
+			for end < s.to && b.prefixes[end].digits[s.depth] == digit {
 				end++
 			}
-			t.nodes[s.node].mask |= 1 << (d - '0')
-			t.nodes = append(t.nodes, node{entry: -1})
-			queue = append(queue, span{len(t.nodes) - 1, s.from, end, s.depth + 1})
+			nodes[s.node].children |= 1 << (digit - '0')
+			nodes = append(nodes, node{entry: -1})
+			queue = append(queue, subtree{len(nodes) - 1, s.from, end, s.depth + 1})
 			s.from = end
 		}
 	}
-	t.nodes = slices.Clip(t.nodes)
-	return t, nil
-}
-
-// equal tells of two entries for one prefix.
-type equal struct {
-	digits string
-	a, b   int32
-}
-
-func (e *equal) Error() string { return fmt.Sprintf("%s is there twice", e.digits) }
-
-// below counts the children that stand in front of a digit's.
-func below(mask uint16, digit byte) int32 { return int32(bits.OnesCount16(mask & (1<<digit - 1))) }
-
-// find returns the entry of the longest prefix of a number and its length; -1 if there is none.
-func (t *trie) find(digits []byte) (e int32, length int) {
-	e = -1
-	if len(t.nodes) == 0 {
-		return e, 0
-	}
-	at := &t.nodes[0]
-	if at.entry >= 0 {
-		e = at.entry
-	}
-	for i := range len(digits) {
-		d := digits[i] - '0'
-		if d > 9 || at.mask&(1<<d) == 0 {
-			break
-		}
-		at = &t.nodes[at.first+below(at.mask, d)]
-		if at.entry >= 0 {
-			e, length = at.entry, i+1
-		}
-	}
-	return e, length
+	return slices.Clip(nodes)
 }
