--- a/internal/numbering/compile_test.go
+++ b/internal/numbering/compile_test.go
@@ -28,7 +28,7 @@
 }
 
 func TestAnalyseDoesNotAllocate(t *testing.T) {
-	table := compiled(t, rules)
+	table := compileText(t, rules)
 	for _, number := range []string{"7", "0 2 2123 4567", "+5641249", "+56900123", "133", "abc"} {
 		q := Query{Number: number, At: now}
 		if n := testing.AllocsPerRun(100, func() { table.Analyse(&q) }); n > 0 {
--- a/internal/numbering/golden_test.go
+++ b/internal/numbering/golden_test.go
@@ -58,7 +58,7 @@
 			{Number: "abc", At: now},
 		} {
 			d, steps := table.Explain(&q)
-			fmt.Fprintf(&b, "\n%q class=%q at=%d seed=%016x\n%s\n", q.Number, q.Class, q.At, q.Seed, word(d))
+			fmt.Fprintf(&b, "\n%q class=%q at=%d seed=%016x\n%s\n", q.Number, q.Class, q.At, q.Seed, describeDecision(d))
 			for _, s := range steps {
 				fmt.Fprintln(&b, " ", s)
 			}
@@ -84,7 +84,7 @@
 			t.Fatal(err)
 		}
 	}
-	third := compiled(t, rules)
+	third := compileText(t, rules)
 	if err := d.Load(now, third); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/numbering/numbering_test.go
+++ b/internal/numbering/numbering_test.go
@@ -97,7 +97,7 @@
 holidays = ["2026-12-25"]
 `
 
-func compiled(t testing.TB, text string) *Table {
+func compileText(t testing.TB, text string) *Table {
 	t.Helper()
 	r, err := Parse([]byte(text))
 	if err != nil {
@@ -110,8 +110,8 @@
 	return table
 }
 
-func TestAnalysis(t *testing.T) {
-	table := compiled(t, rules)
+func TestAnalyse(t *testing.T) {
+	table := compileText(t, rules)
 	night := Time(time.Date(2026, 12, 1, 3, 0, 0, 0, time.UTC).UnixNano())
 	moved, _ := MakeDigits("56221")
 	for _, c := range []struct {
@@ -142,7 +142,7 @@
 		if c.q.At == 0 {
 			c.q.At = now
 		}
-		if got := word(table.Analyse(&c.q)); !strings.HasPrefix(got, c.want) {
+		if got := describeDecision(table.Analyse(&c.q)); !strings.HasPrefix(got, c.want) {
 			t.Errorf("%q: %s, want %s", c.q.Number, got, c.want)
 		}
 	}
@@ -161,7 +161,7 @@
 	}
 }
 
-func word(d Decision) string {
+func describeDecision(d Decision) string {
 	urgent := ""
 	if d.Emergency {
 		urgent = "emergency "
@@ -176,7 +176,7 @@
 }
 
 // What is wrong is told with its entry, all at once.
-func TestFaults(t *testing.T) {
+func TestCompileErrors(t *testing.T) {
 	route := "[[route]]\nname = \"r\"\n[[route.target]]\npool = 1\n"
 	for text, want := range map[string]string{
 		route: "route 1 (r): nothing leads to it",
@@ -221,7 +221,7 @@
 
 // The hour that comes twice is in both times, the one that never comes in none; midnight ends what
 // ends at 24:00; a zone's rule is its own, whatever the machine's.
-func TestTimeConditions(t *testing.T) {
+func TestConditionHolds(t *testing.T) {
 	for _, c := range []struct {
 		when Condition
 		at   string // UTC
@@ -258,14 +258,14 @@
 	}
 }
 
-// digitsOf draws short numbers, so that prefixes of one another are many.
-var digitsOf = rapid.StringMatching(`[0-3]{1,6}`)
+// shortDigits draws short numbers, so that prefixes of one another are many.
+var shortDigits = rapid.StringMatching(`[0-3]{1,6}`)
 
 // The trie finds what a look at every prefix finds.
 func TestTrieEqualsLinearScan(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		var b trieBuilder
-		set := rapid.SliceOfNDistinct(digitsOf, 0, 60, rapid.ID).Draw(rt, "prefixes")
+		set := rapid.SliceOfNDistinct(shortDigits, 0, 60, rapid.ID).Draw(rt, "prefixes")
 		for i, p := range set {
 			b.add(p, int32(i))
 		}
@@ -289,7 +289,7 @@
 }
 
 // The blocks of a range cover its numbers and no other, each once.
-func TestBlocksCoverTheRange(t *testing.T) {
+func TestRangePrefixesCoverRange(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		n := rapid.IntRange(1, 3).Draw(rt, "digits")
 		most := 1
@@ -320,7 +320,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	base := compiled(t, rules)
+	base := compileText(t, rules)
 	rng := rand.New(rand.NewPCG(1, 2))
 	for range 20 {
 		shuffle := *r
@@ -337,8 +337,8 @@
 				Seed: rng.Uint64(), Ported: Ported{State: PortingState(rng.IntN(2))}}
 			d := base.Analyse(&q)
 			e, steps := other.Explain(&q)
-			if word(d) != word(e) {
-				t.Fatalf("%s: %s, reordered %s", q.Number, word(d), word(e))
+			if describeDecision(d) != describeDecision(e) {
+				t.Fatalf("%s: %s, reordered %s", q.Number, describeDecision(d), describeDecision(e))
 			}
 			last := steps[len(steps)-1]
 			switch d.Verdict {
@@ -364,7 +364,7 @@
 }
 
 func FuzzNumber(f *testing.F) {
-	table := compiled(f, rules)
+	table := compileText(f, rules)
 	for _, s := range []string{"+56 2 2123", "0056", "133", "7", "", "+", strings.Repeat("9", 30)} {
 		f.Add(s)
 	}
@@ -391,8 +391,8 @@
 	})
 }
 
-// many makes rules of so many prefixes.
-func many(n int) *Rules {
+// randomRules makes rules of so randomRules prefixes.
+func randomRules(n int) *Rules {
 	rng := rand.New(rand.NewPCG(3, 4))
 	r := &Rules{Route: []Route{{Name: "a", Target: []Target{{Pool: 1}}}, {Name: "b", Target: []Target{{Pool: 2}}}}, Default: "a"}
 	seen := make(map[string]bool, n)
@@ -410,7 +410,7 @@
 // BenchmarkAnalyse tells what an analysis costs, beside a map a length of prefix.
 func BenchmarkAnalyse(b *testing.B) {
 	for _, n := range []int{1000, 100_000, 1_000_000} {
-		r := many(n)
+		r := randomRules(n)
 		runtime.GC()
 		var before, after runtime.MemStats
 		runtime.ReadMemStats(&before)
@@ -474,7 +474,7 @@
 	var d Desk
 	digests := make([]string, 2)
 	for i := range digests {
-		r := many(1_000_000)
+		r := randomRules(1_000_000)
 		r.Version, r.Default = fmt.Sprint(i), []string{"a", "b"}[i]
 		t, err := Compile(r, Env{Now: now})
 		if err != nil {
--- /dev/null
+++ b/internal/numbering/numberingtest/random.go
@@ -0,0 +1,79 @@
+package numberingtest
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+)
+
+// Sizes of the rules that Any draws.
+const (
+	routeCount   = 6
+	prefixCount  = 80
+	numberLength = 7
+	maxWeight    = 4
+)
+
+// Any draws the nth rules over numbers of seven digits to pools 0 to pools-1, of which there are six at least. Prefixes
+// lie within one another, one range lies among them, some numbers are barred, some for one class only. Rules with an
+// odd n leave numbers without a match unallocated.
+func Any(rng *rand.Rand, n, pools int, class string) *Rules {
+	r := &Rules{
+		Version: fmt.Sprint(n),
+		When:    []Condition{{Name: Office, Hours: []string{"08:00-18:00"}}},
+	}
+	for i := range routeCount {
+		route := randomRoute(rng, i, pools)
+		r.Route = append(r.Route, route)
+		r.Prefix = append(r.Prefix, Prefix{Prefix: fmt.Sprint(1 + i), Route: route.Name})
+	}
+	first := 2_000_000 + rng.IntN(500_000)
+	last := first + rng.IntN(300_000)
+	r.Range = []Range{{First: fmt.Sprint(first), Last: fmt.Sprint(last), Route: "r1"}}
+	for len(r.Prefix) < prefixCount {
+		prefix := fmt.Sprint(10 + rng.IntN(90000))
+		if r.isPrefixFree(prefix) {
+			r.Prefix = append(r.Prefix, Prefix{Prefix: prefix, Route: routeName(rng.IntN(routeCount))})
+		}
+	}
+	r.Barred = []Bar{
+		{Prefix: "98"},
+		{Prefix: "97", Cause: 17, Classes: []string{class}},
+		{Prefix: "9712", Cause: 18},
+	}
+	if n%2 == 0 {
+		r.Default = "r2"
+	}
+	return r
+}
+
+func routeName(index int) string { return fmt.Sprint("r", index) }
+
+// randomRoute draws a route in which no pool occurs twice. In every other route, the first step is open in office hours.
+func randomRoute(rng *rand.Rand, index, pools int) Route {
+	route := Route{Name: routeName(index)}
+	order := rng.Perm(pools)
+	for step := range stepCount {
+		for range 1 + rng.IntN(2) {
+			target := Target{Pool: order[0], Step: step, Weight: 1 + rng.IntN(maxWeight)}
+			order = order[1:]
+			if step == 0 && index%2 == 0 {
+				target.When = Office
+			}
+			route.Target = append(route.Target, target)
+		}
+	}
+	return route
+}
+
+// isPrefixFree reports whether a prefix can be added: it is new, not barred, and has no numbers in common with a range,
+// since such rules do not compile.
+func (r *Rules) isPrefixFree(prefix string) bool {
+	padding := numberLength - len(prefix)
+	low, high := prefix+strings.Repeat("0", padding), prefix+strings.Repeat("9", padding)
+	isInRange := high >= r.Range[0].First && low <= r.Range[0].Last
+	isBarred := strings.HasPrefix(prefix, "9")
+	exists := slices.ContainsFunc(r.Prefix, func(other Prefix) bool { return other.Prefix == prefix })
+	return !isInRange && !isBarred && !exists
+}
--- /dev/null
+++ b/internal/numbering/numberingtest/reference.go
@@ -0,0 +1,219 @@
+// Package numberingtest is a reference implementation of number analysis for tests. It reads rules one by one, without
+// an index or a compiled form, and shares no code with the package numbering, so that the decisions of that package, and
+// the records of a program that uses it, can be checked against it.
+package numberingtest
+
+import (
+	"bytes"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/BurntSushi/toml"
+)
+
+// Rules are the part of a file of rules that the reference supports. The only condition is Office.
+type Rules struct {
+	Version string      `toml:"version"`
+	Default string      `toml:"default,omitempty"`
+	Barred  []Bar       `toml:"barred"`
+	Prefix  []Prefix    `toml:"prefix"`
+	Range   []Range     `toml:"range"`
+	Route   []Route     `toml:"route"`
+	When    []Condition `toml:"when"`
+}
+
+// Bar rejects calls of the listed classes, or of all, to numbers with a prefix.
+type Bar struct {
+	Prefix  string   `toml:"prefix"`
+	Cause   int      `toml:"cause,omitempty"` // Q.850; 0: call rejected
+	Classes []string `toml:"classes,omitempty"`
+}
+
+// Prefix is a prefix of numbers with their route.
+type Prefix struct {
+	Prefix string `toml:"prefix"`
+	Route  string `toml:"route"`
+	Ported bool   `toml:"ported,omitempty"`
+}
+
+// Range is a block of numbers, First to Last, with their route.
+type Range struct {
+	First string `toml:"first"`
+	Last  string `toml:"last"`
+	Route string `toml:"route"`
+}
+
+// Route is a list of targets.
+type Route struct {
+	Name   string   `toml:"name"`
+	Target []Target `toml:"target"`
+}
+
+// Target is a pool in a step, open always or in office hours.
+type Target struct {
+	Pool   int    `toml:"pool"`
+	Step   int    `toml:"step"`
+	Weight int    `toml:"weight"`
+	When   string `toml:"when,omitempty"`
+}
+
+// isOpen reports whether the target is open at a time.
+func (t *Target) isOpen(at time.Time) bool {
+	hour := at.UTC().Hour()
+	return t.When == "" || hour >= 8 && hour < 18
+}
+
+// Condition is a condition of time.
+type Condition struct {
+	Name  string   `toml:"name"`
+	Hours []string `toml:"hours"`
+}
+
+// Office is the name of the only condition: 08:00 to 18:00 UTC.
+const Office = "office"
+
+// stepCount is the number of steps of a route that are read.
+const stepCount = 3
+
+// Q.850 causes of rejections.
+const (
+	causeUnallocated = 1
+	causeNoRoute     = 3
+	causeRejected    = 21
+)
+
+// TOML returns the text of the file of rules.
+func (r *Rules) TOML() ([]byte, error) {
+	var b bytes.Buffer
+	err := toml.NewEncoder(&b).Encode(r)
+	return b.Bytes(), err
+}
+
+// Expectation is the expected decision on a number: a rejection with a Q.850 cause, or else the pools of each step, in
+// order of the steps. The pools of one step may be tried in any order.
+type Expectation struct {
+	Cause int // 0: the call is routed
+	Steps [][]int
+}
+
+// String describes the expectation.
+func (e Expectation) String() string {
+	if e.Cause != 0 {
+		return fmt.Sprint("refused ", e.Cause)
+	}
+	return fmt.Sprint("routed ", e.Steps)
+}
+
+// Begins reports whether pools, which were tried one after the other, are in an order that the expectation allows. The
+// last pools of the expectation need not have been tried.
+func (e Expectation) Begins(pools []int) bool {
+	for _, step := range e.Steps {
+		n := min(len(step), len(pools))
+		tried := slices.Sorted(slices.Values(pools[:n]))
+		isInStep := func(pool int) bool { return slices.Contains(step, pool) }
+		if len(slices.Compact(tried)) < n || !allOf(pools[:n], isInStep) {
+			return false
+		}
+		pools = pools[n:]
+	}
+	return len(pools) == 0
+}
+
+func allOf(pools []int, holds func(int) bool) bool {
+	return !slices.ContainsFunc(pools, func(pool int) bool { return !holds(pool) })
+}
+
+// Pools returns the number of pools.
+func (e Expectation) Pools() (n int) {
+	for _, step := range e.Steps {
+		n += len(step)
+	}
+	return n
+}
+
+// Decide returns the expected decision on a number in E.164 form, without the plus, that has not moved.
+func (r *Rules) Decide(number, class string, at time.Time) Expectation {
+	return r.DecideMoved(number, "", class, at)
+}
+
+// DecideMoved is Decide with the routing number that a look-up returned; "": the number has not moved. It only counts
+// if the rules mark the number as ported.
+func (r *Rules) DecideMoved(number, routingNumber, class string, at time.Time) Expectation {
+	if cause := r.barredCause(number, class); cause != 0 {
+		return Expectation{Cause: cause}
+	}
+	match, found := r.longestMatch(number)
+	if !found {
+		match.Route = r.Default
+	}
+	if match.Ported && routingNumber != "" {
+		if match, found = r.longestMatch(routingNumber); !found {
+			return Expectation{Cause: causeNoRoute}
+		}
+	}
+	if match.Route == "" {
+		return Expectation{Cause: causeUnallocated}
+	}
+	return Expectation{Steps: r.openSteps(match.Route, at)}
+}
+
+// barredCause returns the cause of the longest bar that matches a number, 0 if calls of the class are not barred.
+func (r *Rules) barredCause(number, class string) int {
+	cause, length := 0, 0
+	for _, b := range r.Barred {
+		if len(b.Prefix) <= length || !strings.HasPrefix(number, b.Prefix) {
+			continue
+		}
+		cause, length = 0, len(b.Prefix)
+		if len(b.Classes) > 0 && !slices.Contains(b.Classes, class) {
+			continue
+		}
+		cause = b.Cause
+		if cause == 0 {
+			cause = causeRejected
+		}
+	}
+	return cause
+}
+
+// longestMatch returns the longest prefix, or the range, that a number belongs to.
+func (r *Rules) longestMatch(number string) (match Prefix, found bool) {
+	for _, p := range r.Prefix {
+		if strings.HasPrefix(number, p.Prefix) && (!found || len(p.Prefix) > len(match.Prefix)) {
+			match, found = p, true
+		}
+	}
+	for _, x := range r.Range { // longer than any prefix in the rules of Any
+		if len(number) < len(x.First) {
+			continue
+		}
+		if head := number[:len(x.First)]; head >= x.First && head <= x.Last {
+			match, found = Prefix{Route: x.Route}, true
+		}
+	}
+	return match, found
+}
+
+// openSteps returns the open pools of a route by step, without empty steps.
+func (r *Rules) openSteps(name string, at time.Time) [][]int {
+	var steps [][]int
+	for _, route := range r.Route {
+		if route.Name != name {
+			continue
+		}
+		for step := range stepCount {
+			var open []int
+			for _, g := range route.Target {
+				if g.Step == step && g.isOpen(at) {
+					open = append(open, g.Pool)
+				}
+			}
+			if len(open) > 0 {
+				steps = append(steps, open)
+			}
+		}
+	}
+	return steps
+}
--- a/internal/numbering/registry_test.go
+++ b/internal/numbering/registry_test.go
@@ -11,15 +11,15 @@
 	"pgregory.net/rapid"
 )
 
-// variant is a table that differs from others by its default's pool.
-func variant(t testing.TB, pool int) *Table {
+// tableWithPool is a table that differs from others by its default's pool.
+func tableWithPool(t testing.TB, pool int) *Table {
 	t.Helper()
-	return compiled(t, fmt.Sprintf("version = \"v%d\"\ndefault = \"r\"\n[[route]]\nname = \"r\"\n[[route.target]]\npool = %d\n", pool, pool))
+	return compileText(t, fmt.Sprintf("version = \"v%d\"\ndefault = \"r\"\n[[route]]\nname = \"r\"\n[[route.target]]\npool = %d\n", pool, pool))
 }
 
-func TestLifeOfAVersion(t *testing.T) {
+func TestRegistryActivation(t *testing.T) {
 	var r Registry
-	a, b, c := variant(t, 0), variant(t, 1), variant(t, 2)
+	a, b, c := tableWithPool(t, 0), tableWithPool(t, 1), tableWithPool(t, 2)
 	if p := r.Pin(); p.Table() != nil {
 		t.Error("a pin of nothing")
 	}
@@ -81,10 +81,10 @@
 
 // Whatever is loaded, put in force and held in whatever order: a call's table never changes, what
 // a call holds is never let go, counts are right, and there are never too many.
-func TestRegistryKeepsItsPromises(t *testing.T) {
+func TestRegistryInvariants(t *testing.T) {
 	var tables []*Table
 	for i := range 12 {
-		tables = append(tables, variant(t, i))
+		tables = append(tables, tableWithPool(t, i))
 	}
 	rapid.Check(t, func(rt *rapid.T) {
 		var r Registry
@@ -157,7 +157,7 @@
 }
 
 func TestDiff(t *testing.T) {
-	a := compiled(t, rules)
+	a := compileText(t, rules)
 	if changes, _ := Diff(a, a); len(changes) > 0 {
 		t.Errorf("%+v", changes)
 	}
@@ -195,7 +195,7 @@
 		q := Query{Number: "+" + number, Class: "alarm", At: now, Ported: Ported{State: NotPorted}}
 		told := slices.ContainsFunc(got, func(p string) bool { return len(p) <= len(number) && number[:len(p)] == p })
 		if x, y := a.Analyse(&q), b.Analyse(&q); (fmt.Sprint(x.Verdict, x.Cause, x.Pools()) != fmt.Sprint(y.Verdict, y.Cause, y.Pools())) && !told {
-			t.Errorf("%s: %s, then %s, and no word of it", number, word(x), word(y))
+			t.Errorf("%s: %s, then %s, and no word of it", number, describeDecision(x), describeDecision(y))
 		}
 	}
 }
@@ -203,10 +203,10 @@
 // What is written down before an order comes into force is what the registry comes to, whatever
 // the order; an order whose saving fails changes nothing; and a restart from what was last written
 // down finds the version that was in force.
-func TestOrdersSurviveACrash(t *testing.T) {
+func TestOrdersSurviveRestart(t *testing.T) {
 	var tables []*Table
 	for i := range 4 {
-		tables = append(tables, variant(t, i))
+		tables = append(tables, tableWithPool(t, i))
 	}
 	rapid.Check(t, func(rt *rapid.T) {
 		var d Desk
--- a/internal/numbering/replay_test.go
+++ b/internal/numbering/replay_test.go
@@ -9,8 +9,8 @@
 	"olivedale/internal/numbering/numberingtest"
 )
 
-// differs tells whether a decision is another than a reader of the file comes to.
-func differs(d *Decision, w numberingtest.Word) bool {
+// differsFromReference tells whether a decision is another than a reader of the file comes to.
+func differsFromReference(d *Decision, w numberingtest.Expectation) bool {
 	if d.Verdict == Rejected {
 		return w.Cause != d.Cause
 	}
@@ -52,7 +52,7 @@
 	check := func(c *open) string {
 		d := c.pin.Table().Analyse(&c.q)
 		r := rules[c.digest]
-		if want := r.Decide(c.number, c.q.Class, time.Unix(0, int64(c.q.At))); differs(&d, want) {
+		if want := r.Decide(c.number, c.q.Class, time.Unix(0, int64(c.q.At))); differsFromReference(&d, want) {
 			t.Fatalf("%s by %s: %v %d %v, a reader says %v", c.number, r.Version, d.Verdict, d.Cause, d.Pools(), want)
 		}
 		return fmt.Sprint(d.Verdict, d.Cause, d.Pools())
