--- /dev/null
+++ b/internal/portability/cache.go
@@ -0,0 +1,78 @@
+package portability
+
+import (
+	"container/list"
+	"time"
+
+	"olivedale/internal/numbering"
+)
+
+// answerCache stores answers by number, within a number of entries and of bytes. The entries that were added first are
+// evicted first.
+type answerCache struct {
+	entries    map[string]*list.Element // of *cacheEntry
+	order      *list.List               // by time of addition, the oldest in front
+	maxEntries int
+	maxBytes   int
+	size       int // in bytes, approximate
+}
+
+type cacheEntry struct {
+	number    string
+	ported    numbering.Ported
+	expiresAt Time
+}
+
+// entryOverhead is the approximate size of an entry without its number, in bytes.
+const entryOverhead = 200
+
+func (e *cacheEntry) size() int { return entryOverhead + len(e.number) }
+
+func newAnswerCache(maxEntries, maxBytes int) answerCache {
+	return answerCache{
+		entries:    make(map[string]*list.Element),
+		order:      list.New(),
+		maxEntries: maxEntries,
+		maxBytes:   maxBytes,
+	}
+}
+
+// cachedAnswer is the result of a look in the cache. The zero value means that there is no entry.
+type cachedAnswer struct {
+	ported  numbering.Ported
+	exists  bool
+	isFresh bool // within its TTL
+}
+
+// get returns the answer for a number, until staleTTL after it expires. Later the entry is removed.
+func (c *answerCache) get(now Time, number string, staleTTL time.Duration) cachedAnswer {
+	element := c.entries[number]
+	if element == nil {
+		return cachedAnswer{}
+	}
+	entry := element.Value.(*cacheEntry)
+	if now >= entry.expiresAt+staleTTL {
+		c.remove(element)
+		return cachedAnswer{}
+	}
+	return cachedAnswer{ported: entry.ported, exists: true, isFresh: now < entry.expiresAt}
+}
+
+// put adds an answer, in place of an older one for the number, and evicts the oldest entries over the bounds.
+func (c *answerCache) put(number string, ported numbering.Ported, expiresAt Time) {
+	if element := c.entries[number]; element != nil {
+		c.remove(element)
+	}
+	entry := &cacheEntry{number, ported, expiresAt}
+	c.entries[number] = c.order.PushBack(entry)
+	c.size += entry.size()
+	for len(c.entries) > c.maxEntries || c.size > c.maxBytes {
+		c.remove(c.order.Front())
+	}
+}
+
+func (c *answerCache) remove(element *list.Element) {
+	entry := c.order.Remove(element).(*cacheEntry)
+	delete(c.entries, entry.number)
+	c.size -= entry.size()
+}
--- /dev/null
+++ b/internal/portability/lookup.go
@@ -0,0 +1,105 @@
+package portability
+
+import "slices"
+
+// lookup is the look-up of one number, for all calls that wait for it.
+type lookup struct {
+	number       string
+	queryID      uint16
+	server       int // of the last query; -1: no query has been sent
+	tries        int
+	queryTimeout Time // of the last query
+	waiters      []waiter
+}
+
+// waiter is a call that waits for a look-up, until its deadline.
+type waiter struct {
+	call     string
+	deadline Time
+}
+
+// removeWaiter removes a call.
+func (l *lookup) removeWaiter(call string) {
+	l.waiters = slices.DeleteFunc(l.waiters, func(w waiter) bool { return w.call == call })
+}
+
+// removeExpired removes the waiters whose deadline has passed and returns them.
+func (l *lookup) removeExpired(now Time) []waiter {
+	var expired []waiter
+	l.waiters = slices.DeleteFunc(l.waiters, func(w waiter) bool {
+		isExpired := now >= w.deadline
+		if isExpired {
+			expired = append(expired, w)
+		}
+		return isExpired
+	})
+	return expired
+}
+
+// nextDeadline returns the earliest time at which the query or a waiter expires.
+func (l *lookup) nextDeadline() Time {
+	next := l.queryTimeout
+	for _, w := range l.waiters {
+		next = min(next, w.deadline)
+	}
+	return next
+}
+
+// lookupTable finds open look-ups by number, by the ID of their query and by waiting call.
+type lookupTable struct {
+	byNumber map[string]*lookup
+	byID     map[uint16]*lookup
+	byCall   map[string]*lookup
+}
+
+func newLookupTable() lookupTable {
+	return lookupTable{
+		byNumber: make(map[string]*lookup),
+		byID:     make(map[uint16]*lookup),
+		byCall:   make(map[string]*lookup),
+	}
+}
+
+// add adds a look-up of a number, without a query or waiters.
+func (t *lookupTable) add(number string) *lookup {
+	l := &lookup{number: number, server: -1}
+	t.byNumber[number] = l
+	return l
+}
+
+func (t *lookupTable) addWaiter(l *lookup, w waiter) {
+	l.waiters = append(l.waiters, w)
+	t.byCall[w.call] = l
+}
+
+// setQueryID changes the ID of the look-up's query.
+func (t *lookupTable) setQueryID(l *lookup, id uint16) {
+	l.queryID = id
+	t.byID[id] = l
+}
+
+// removeQuery forgets the query of a look-up: its answer is unexpected from now on.
+func (t *lookupTable) removeQuery(l *lookup) {
+	if l.tries > 0 {
+		delete(t.byID, l.queryID)
+	}
+}
+
+// remove removes a look-up and its waiters.
+func (t *lookupTable) remove(l *lookup) {
+	t.removeQuery(l)
+	delete(t.byNumber, l.number)
+	for _, w := range l.waiters {
+		delete(t.byCall, w.call)
+	}
+}
+
+// sorted returns all look-ups in the order of their query IDs.
+func (t *lookupTable) sorted() []*lookup {
+	all := make([]*lookup, 0, len(t.byNumber))
+	for _, l := range t.byNumber {
+		all = append(all, l)
+	}
+	slices.SortFunc(all, func(a, b *lookup) int { return int(a.queryID) - int(b.queryID) })
+	return all
+}
