--- a/internal/enum/client_test.go
+++ b/internal/enum/client_test.go
@@ -14,157 +14,198 @@
 	"olivedale/internal/portability"
 )
 
-// standIn is a server of the tests: it does what mode says.
-type standIn struct {
-	c    net.PacketConn
-	mode atomic.Value // string
-	seen atomic.Int64
+// answerDelay is the delay of a slow server: longer than a query or a call waits.
+const answerDelay = 5 * time.Second
+
+// fakeServer is a DNS server whose behavior is named by mode.
+type fakeServer struct {
+	conn net.PacketConn
+	mode string
 }
 
-func startServer(t *testing.T, mode string) *standIn {
+func startServer(t *testing.T, mode string) *fakeServer {
 	t.Helper()
-	c, err := net.ListenPacket("udp", "127.0.0.1:0")
+	conn, err := net.ListenPacket("udp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := &standIn{c: c}
-	s.mode.Store(mode)
-	t.Cleanup(func() { _ = c.Close() })
-	go func() {
-		buf := make([]byte, 2048)
-		for {
-			n, from, err := c.ReadFrom(buf)
-			if err != nil {
-				return
-			}
-			s.seen.Add(1)
-			var q, m dns.Msg
-			if q.Unpack(buf[:n]) != nil {
-				continue
-			}
-			m.SetReply(&q)
-			rr, err := dns.NewRR(m.Question[0].Name + ` 60 IN NAPTR 1 1 "u" "E2U+pstn:tel" "!^.*$!tel:+1;rn=+56999!" .`)
-			if err != nil {
-				continue
-			}
-			m.Answer = []dns.RR{rr}
-			delay := time.Duration(0)
-			switch s.mode.Load() {
-			case "silent":
-				continue
-			case "slow":
-				delay = 5 * time.Second
-			case "fails":
-				m.Rcode, m.Answer = dns.RcodeServerFailure, nil
-			case "cut":
-				m.Truncated = true
-			case "lies: question":
-				m.Question[0].Name = "9." + m.Question[0].Name
-			case "lies: id":
-				m.Id++
-			case "lies: noise":
-				_, _ = c.WriteTo([]byte("noise"), from)
-				continue
-			case "lies: 64 KB":
-				_, _ = c.WriteTo(append(buf[:2:2], make([]byte, 60000)...), from)
-				continue
-			}
-			if b, err := m.Pack(); err == nil {
-				time.AfterFunc(delay, func() { _, _ = c.WriteTo(b, from) })
-			}
-		}
-	}()
+	s := &fakeServer{conn: conn, mode: mode}
+	t.Cleanup(func() { _ = conn.Close() })
+	go s.serve()
 	return s
 }
 
-// Whatever the first server does, each call is told once and in time, by the second where it can be;
-// with both of a kind, at the end of its time at the latest.
-func TestClientAgainstStandIns(t *testing.T) {
-	for _, mode := range []string{"works", "silent", "slow", "fails", "cut", "lies: question", "lies: id", "lies: noise", "lies: 64 KB"} {
+func (s *fakeServer) address() string { return s.conn.LocalAddr().String() }
+
+func (s *fakeServer) serve() {
+	buffer := make([]byte, 2048)
+	for {
+		n, client, err := s.conn.ReadFrom(buffer)
+		if err != nil {
+			return
+		}
+		s.answer(buffer[:n], client)
+	}
+}
+
+func (s *fakeServer) answer(query []byte, client net.Addr) {
+	var q, m dns.Msg
+	if q.Unpack(query) != nil {
+		return
+	}
+	m.SetReply(&q)
+	record, err := dns.NewRR(m.Question[0].Name + ` 60 IN NAPTR 1 1 "u" "E2U+pstn:tel" "!^.*$!tel:+1;rn=+56999!" .`)
+	if err != nil {
+		return
+	}
+	m.Answer = []dns.RR{record}
+	delay := time.Duration(0)
+	switch s.mode {
+	case "silent":
+		return
+	case "slow":
+		delay = answerDelay
+	case "failure":
+		m.Rcode, m.Answer = dns.RcodeServerFailure, nil
+	case "truncated":
+		m.Truncated = true
+	case "other question":
+		m.Question[0].Name = "9." + m.Question[0].Name
+	case "other ID":
+		m.Id++
+	case "malformed":
+		_, _ = s.conn.WriteTo([]byte("noise"), client)
+		return
+	case "60 KB":
+		_, _ = s.conn.WriteTo(append(query[:2:2], make([]byte, 60000)...), client)
+		return
+	}
+	if b, err := m.Pack(); err == nil {
+		time.AfterFunc(delay, func() { _, _ = s.conn.WriteTo(b, client) })
+	}
+}
+
+// Whatever the first server does, each call gets one result in time: from the second server if that one works, else
+// no answer, by its deadline at the latest.
+func TestClientWithFaultyServers(t *testing.T) {
+	for _, mode := range []string{
+		"works", "silent", "slow", "failure", "truncated", "other question", "other ID", "malformed", "60 KB",
+	} {
 		for _, both := range []bool{false, true} {
 			t.Run(fmt.Sprint(mode, " ", both), func(t *testing.T) {
 				t.Parallel()
-				a, b := startServer(t, mode), startServer(t, "works")
+				secondMode := "works"
 				if both {
-					b.mode.Store(mode)
-				}
-				set := portability.Defaults(2)
-				set.QueryTimeout = 200 * time.Millisecond
-				c, err := Dial([]string{a.c.LocalAddr().String(), b.c.LocalAddr().String()}, suffix, set)
-				if err != nil {
-					t.Fatal(err)
-				}
-				defer c.Close()
-				const calls, wait = 40, 2 * time.Second
-				var mu sync.Mutex
-				told := make(map[string]portability.Result)
-				late, twice := 0, 0
-				var all sync.WaitGroup
-				for i := range calls {
-					all.Add(1)
-					call, began := fmt.Sprint(i), time.Now()
-					if !c.Ask(call, fmt.Sprintf("56%04d", i%20), wait, func(r portability.Result) {
-						mu.Lock()
-						defer mu.Unlock()
-						if _, there := told[call]; there {
-							twice++
-							return
-						}
-						if told[call] = r; time.Since(began) > wait+2*time.Second { // no tight timings: the resolver's own test has those
-							late++
-						}
-						all.Done()
-					}) {
-						t.Fatal("the queue is full")
-					}
-				}
-				ended := make(chan struct{})
-				go func() { all.Wait(); close(ended) }()
-				select {
-				case <-ended:
-				case <-time.After(20 * time.Second):
-					t.Fatal("a call was not told")
-				}
-				mu.Lock()
-				defer mu.Unlock()
-				for call, r := range told {
-					works := mode == "works" || !both
-					if works && (r.Ported.State != numbering.Moved || r.Ported.Routing.String() != "56999") || !works && r.Ported.State != numbering.Undecided {
-						t.Errorf("call %s: %+v", call, r)
-					}
-				}
-				if late+twice > 0 {
-					t.Errorf("%d late, %d told twice", late, twice)
-				}
-				if n := c.Counters(); n.Asked != calls || mode == "works" && n.Coalesced+n.Hits < calls/2 {
-					t.Errorf("%+v", n)
+					secondMode = mode
 				}
+				testClient(t, mode, secondMode)
 			})
 		}
 	}
 }
 
-// A call that is cancelled is not told, and a client that ends leaves nothing behind.
+// results collects the results of calls.
+type results struct {
+	mu        sync.Mutex
+	byCall    map[string]portability.Result
+	late      int
+	duplicate int
+	pending   sync.WaitGroup
+}
+
+func (r *results) add(call string, result portability.Result, isLate bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if _, exists := r.byCall[call]; exists {
+		r.duplicate++
+		return
+	}
+	r.byCall[call] = result
+	if isLate {
+		r.late++
+	}
+	r.pending.Done()
+}
+
+// wait waits until each call has a result.
+func (r *results) wait(t *testing.T) {
+	t.Helper()
+	done := make(chan struct{})
+	go func() {
+		r.pending.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-time.After(20 * time.Second):
+		t.Fatal("a call got no result")
+	}
+}
+
+func testClient(t *testing.T, firstMode, secondMode string) {
+	const (
+		calls     = 40
+		timeout   = 2 * time.Second
+		tolerance = 2 * time.Second // the resolver's own test checks exact times
+	)
+	first, second := startServer(t, firstMode), startServer(t, secondMode)
+	settings := portability.Defaults(2)
+	settings.QueryTimeout = 200 * time.Millisecond
+	c, err := Dial([]string{first.address(), second.address()}, suffix, settings)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	got := results{byCall: make(map[string]portability.Result)}
+	for i := range calls {
+		got.pending.Add(1)
+		call, startedAt := fmt.Sprint(i), time.Now()
+		deliver := func(r portability.Result) { got.add(call, r, time.Since(startedAt) > timeout+tolerance) }
+		if !c.Ask(call, fmt.Sprintf("56%04d", i%20), timeout, deliver) {
+			t.Fatal("the queue is full")
+		}
+	}
+	got.wait(t)
+	got.mu.Lock()
+	defer got.mu.Unlock()
+	for call, r := range got.byCall {
+		isPorted := r.Ported.State == numbering.Moved && r.Ported.Routing.String() == "56999"
+		hasAnswer := firstMode == "works" || secondMode == "works"
+		if hasAnswer && !isPorted || !hasAnswer && r.Ported.State != numbering.Undecided {
+			t.Errorf("call %s: %+v", call, r)
+		}
+	}
+	if got.late+got.duplicate > 0 {
+		t.Errorf("%d late, %d duplicate results", got.late, got.duplicate)
+	}
+	n := c.Counters()
+	if n.Asked != calls || firstMode == "works" && n.Coalesced+n.Hits < calls/2 {
+		t.Errorf("%+v", n)
+	}
+}
+
+// A canceled call gets no result, and a client that is closed leaves no goroutine.
 func TestCancelAndClose(t *testing.T) {
-	s := startServer(t, "silent")
-	set := portability.Defaults(1)
-	c, err := Dial([]string{s.c.LocalAddr().String()}, suffix, set)
+	server := startServer(t, "silent")
+	c, err := Dial([]string{server.address()}, suffix, portability.Defaults(1))
 	if err != nil {
 		t.Fatal(err)
 	}
-	var told atomic.Int64
-	c.Ask("a", "561", time.Minute, func(portability.Result) { told.Add(1) })
+	var results atomic.Int64
+	c.Ask("a", "561", time.Minute, func(portability.Result) { results.Add(1) })
 	c.Cancel("a")
 	done := make(chan struct{})
 	c.Ask("b", "562", 30*time.Millisecond, func(portability.Result) { close(done) })
 	<-done
-	if told.Load() != 0 {
-		t.Error("a cancelled call was told")
+	if results.Load() != 0 {
+		t.Error("a canceled call got a result")
 	}
-	for end := time.Now().Add(5 * time.Second); c.Counters().Asked != 2 || c.Counters().Undecided != 1; time.Sleep(time.Millisecond) {
-		if time.Now().After(end) {
+	deadline := time.Now().Add(5 * time.Second)
+	for c.Counters().Asked != 2 || c.Counters().Undecided != 1 {
+		if time.Now().After(deadline) {
 			t.Fatalf("%+v", c.Counters())
 		}
+		time.Sleep(time.Millisecond)
 	}
 	c.Close()
 	c.Close()
