--- a/internal/numbering/numberingtest/random.go
+++ b/internal/numbering/numberingtest/random.go
@@ -50,7 +50,8 @@
 
 func routeName(index int) string { return fmt.Sprint("r", index) }
 
-// randomRoute draws a route in which no pool occurs twice. In every other route, the first step is open in office hours.
+// randomRoute draws a route in which no pool occurs twice. In every other route, the first step is open in office
+// hours.
 func randomRoute(rng *rand.Rand, index, pools int) Route {
 	route := Route{Name: routeName(index)}
 	order := rng.Perm(pools)
--- a/internal/numbering/numberingtest/reference.go
+++ b/internal/numbering/numberingtest/reference.go
@@ -1,6 +1,6 @@
 // Package numberingtest is a reference implementation of number analysis for tests. It reads rules one by one, without
-// an index or a compiled form, and shares no code with the package numbering, so that the decisions of that package, and
-// the records of a program that uses it, can be checked against it.
+// an index or a compiled form, and shares no code with the package numbering. The decisions of that package, and the
+// records of a program that uses it, are checked against it.
 package numberingtest
 
 import (
