--- a/internal/numbering/golden_test.go
+++ b/internal/numbering/golden_test.go
@@ -12,18 +12,18 @@
 	"olivedale/internal/goldentest"
 )
 
-func golden(name string) string { return filepath.Join("testdata", "golden", name) }
+func goldenPath(name string) string { return filepath.Join("testdata", "golden", name) }
 
 func goldenTable(t *testing.T, name string) *Table {
 	t.Helper()
-	table, _, err := Read(golden(name), env)
+	table, _, err := Read(goldenPath(name), env)
 	if err != nil {
 		t.Fatal(err)
 	}
 	return table
 }
 
-func indented(t *testing.T, value any) []byte {
+func indentedJSON(t *testing.T, value any) []byte {
 	t.Helper()
 	b, err := json.MarshalIndent(value, "", "  ")
 	if err != nil {
@@ -32,7 +32,7 @@
 	return append(b, '\n')
 }
 
-// A table has the digest and decides as when the rules were committed, step by step.
+// The digests, decisions and explanations of tables are the same as when the files were committed.
 func TestGoldenDecisions(t *testing.T) {
 	night := Time(time.Date(2026, 12, 1, 3, 0, 0, 0, time.UTC).UnixNano())
 	moved, ok := MakeDigits("56225550101")
@@ -65,41 +65,36 @@
 		}
 		b.WriteByte('\n')
 	}
-	goldentest.CompareFile(t, golden("decisions.txt"), b.Bytes())
+	goldentest.CompareFile(t, goldenPath("decisions.txt"), b.Bytes())
 	changes, more := Diff(goldenTable(t, "rules.toml"), goldenTable(t, "next.toml"))
 	if more {
 		t.Error("the list of changes is cut")
 	}
-	goldentest.CompareFile(t, golden("changes.json"), indented(t, changes))
+	goldentest.CompareFile(t, goldenPath("changes.json"), indentedJSON(t, changes))
 }
 
-// The standing that survives a restart is written and read as before, and so are the versions' states.
+// The stored state and the states of versions are encoded and decoded as when the files were committed.
 func TestGoldenStanding(t *testing.T) {
 	var d Desk
 	var digests []string
-	for _, name := range []string{"rules.toml", "next.toml"} {
-		table := goldenTable(t, name)
+	for _, table := range []*Table{goldenTable(t, "rules.toml"), goldenTable(t, "next.toml"), compileText(t, rules)} {
 		digests = append(digests, table.Digest())
 		if err := d.Load(now, table); err != nil {
 			t.Fatal(err)
 		}
 	}
-	third := compileText(t, rules)
-	if err := d.Load(now, third); err != nil {
-		t.Fatal(err)
-	}
 	for _, step := range []error{
 		d.Activate(now+1, digests[0], "", 0),
 		d.Activate(now+2, digests[1], digests[0], 0),
-		d.Activate(now+3, third.Digest(), digests[1], now+Time(time.Hour)),
+		d.Activate(now+3, digests[2], digests[1], now+Time(time.Hour)),
 	} {
 		if step != nil {
 			t.Fatal(step)
 		}
 	}
-	goldentest.CompareFile(t, golden("versions.json"), indented(t, d.List()))
-	goldentest.CompareFile(t, golden("standing.json"), d.Standing().Encode())
-	text, err := os.ReadFile(golden("standing.json"))
+	goldentest.CompareFile(t, goldenPath("versions.json"), indentedJSON(t, d.List()))
+	goldentest.CompareFile(t, goldenPath("standing.json"), d.Standing().Encode())
+	text, err := os.ReadFile(goldenPath("standing.json"))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/numbering/registry.go
+++ b/internal/numbering/registry.go
@@ -192,8 +192,8 @@
 	return true
 }
 
-// Next returns the time at which Tick is due, math.MaxInt64 if nothing is scheduled.
-func (r *Registry) Next() Time {
+// NextActivation returns the time at which Tick is due, math.MaxInt64 if nothing is scheduled.
+func (r *Registry) NextActivation() Time {
 	if r.scheduled == nil {
 		return math.MaxInt64
 	}
--- /dev/null
+++ b/internal/numbering/registry_property_test.go
@@ -0,0 +1,113 @@
+package numbering
+
+import (
+	"errors"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// registryTest drives a Registry with random operations and checks its invariants.
+type registryTest struct {
+	*rapid.T
+	registry Registry
+	tables   []*Table
+	calls    []pinnedCall
+	now      Time
+}
+
+// pinnedCall is a call with the table that it must keep.
+type pinnedCall struct {
+	pin   *Pin
+	table *Table
+}
+
+// Whatever is loaded, activated and pinned in whatever order: the table of a call never changes, a version that a call
+// uses is never removed, the numbers of calls are right, and there are never too many versions.
+func TestRegistryInvariants(t *testing.T) {
+	var tables []*Table
+	for i := range 12 {
+		tables = append(tables, tableWithPool(t, i))
+	}
+	rapid.Check(t, func(rt *rapid.T) {
+		test := &registryTest{T: rt, tables: tables, now: now}
+		for range rapid.IntRange(1, 80).Draw(rt, "steps") {
+			test.now += Time(rapid.IntRange(0, 1000).Draw(rt, "pass"))
+			test.step()
+			test.checkInvariants()
+		}
+	})
+}
+
+func (t *registryTest) step() {
+	r := &t.registry
+	table := t.tables[rapid.IntRange(0, len(t.tables)-1).Draw(t.T, "table")]
+	switch rapid.IntRange(0, 6).Draw(t.T, "operation") {
+	case 0, 1:
+		if err := r.Load(t.now, table); err != nil && !errors.Is(err, ErrTooManyVersions) {
+			t.Fatal(err)
+		}
+	case 2:
+		t.activate(table)
+	case 3:
+		before := r.Active()
+		if err := r.Rollback(t.now, activeDigest(r)); err != nil && r.Active() != before {
+			t.Fatal("a failed rollback changed the active version")
+		}
+	case 4:
+		if p := r.Pin(); p != nil {
+			t.calls = append(t.calls, pinnedCall{p, r.Active()})
+		}
+	case 5:
+		t.endCall()
+	case 6:
+		r.Tick(t.now)
+	}
+}
+
+func (t *registryTest) activate(table *Table) {
+	r := &t.registry
+	before := r.Active()
+	at := t.now + Time(rapid.IntRange(0, 500).Draw(t.T, "in"))
+	err := r.Activate(t.now, table.Digest(), activeDigest(r), at)
+	if err == nil && at <= t.now && r.Active() != table {
+		t.Fatal("activated, and not active")
+	} else if err != nil && r.Active() != before {
+		t.Fatal("a failed activation changed the active version")
+	}
+}
+
+// endCall releases the pin of a call, twice: the second release must have no effect.
+func (t *registryTest) endCall() {
+	if len(t.calls) == 0 {
+		return
+	}
+	i := rapid.IntRange(0, len(t.calls)-1).Draw(t.T, "call")
+	t.calls[i].pin.Release()
+	t.calls[i].pin.Release()
+	t.calls = slices.Delete(t.calls, i, i+1)
+}
+
+func (t *registryTest) checkInvariants() {
+	pins := make(map[string]int)
+	for _, c := range t.calls {
+		if c.pin.Table() != c.table {
+			t.Fatal("the table of a call changed")
+		}
+		pins[c.table.Digest()]++
+	}
+	versions := t.registry.List()
+	if len(versions) > maxVersions {
+		t.Fatalf("%d versions", len(versions))
+	}
+	for _, s := range versions {
+		if s.Pins != pins[s.Digest] {
+			t.Fatalf("%d calls use %s, %d are listed", pins[s.Digest], s.Digest, s.Pins)
+		}
+		delete(pins, s.Digest)
+	}
+	if len(pins) > 0 {
+		t.Fatalf("removed while in use: %v", pins)
+	}
+}
--- a/internal/numbering/replay_test.go
+++ b/internal/numbering/replay_test.go
@@ -9,25 +9,80 @@
 	"olivedale/internal/numbering/numberingtest"
 )
 
-// differsFromReference tells whether a decision is another than a reader of the file comes to.
-func differsFromReference(d *Decision, w numberingtest.Expectation) bool {
-	if d.Verdict == Rejected {
-		return w.Cause != d.Cause
-	}
-	return w.Cause != 0 || d.Verdict != Routed || len(d.Pools()) != w.Pools() || !w.Begins(d.Pools())
+const (
+	replayedCalls   = 100_000
+	callsPerTable   = 500  // calls between two activations
+	retryAfterCalls = 1000 // calls between the first and the second analysis of a call
+)
+
+// replay analyses calls while the active table changes.
+type replay struct {
+	*testing.T
+	random  *rand.Rand
+	desk    Desk
+	rules   map[string]*numberingtest.Rules // by digest
+	digests []string
+	now     Time
+}
+
+// replayedCall is a call that has been analysed once.
+type replayedCall struct {
+	pin    *Pin
+	digest string // of the table that was active at the first analysis
+	query  Query
+	number string
+	first  string // result of the first analysis
 }
 
-// A replay of 100,000 numbers over tables that change every 500 calls: each call is decided twice,
-// at its set-up and at a later attempt, when another table may be in force. Both are by the table
-// that it began with, and equal what a reader of that table's rules would say.
+// Each of 100,000 calls is analysed twice, while the active table changes every 500 calls. Both analyses use the table
+// that was active at the first one, and give what the reference implementation gives for the rules of that table.
 func TestReplayAcrossTableChanges(t *testing.T) {
-	rng := rand.New(rand.NewPCG(11, 12))
-	var desk Desk
-	rules := make(map[string]*numberingtest.Rules)
-	var digests []string
+	test := &replay{
+		T:      t,
+		random: rand.New(rand.NewPCG(11, 12)),
+		rules:  make(map[string]*numberingtest.Rules),
+		now:    now,
+	}
+	test.loadTables()
+	var calls []replayedCall
+	differentResults, otherTable := 0, 0
+	for n := range replayedCalls {
+		test.now += time.Second
+		if n%callsPerTable == 0 {
+			test.activateRandomTable()
+		}
+		calls = append(calls, test.newCall(uint64(n)))
+		if len(calls) < retryAfterCalls {
+			continue
+		}
+		oldest := &calls[0]
+		if test.desk.Active().Digest() != oldest.digest {
+			otherTable++
+		}
+		if test.analyse(oldest) != oldest.first {
+			differentResults++
+		}
+		oldest.pin.Release()
+		calls = calls[1:]
+	}
+	if differentResults > 0 || otherTable < replayedCalls/2 {
+		t.Errorf("%d results changed; at %d second analyses another table was active", differentResults, otherTable)
+	}
+	for i := range calls {
+		calls[i].pin.Release()
+	}
+	for _, s := range test.desk.List() {
+		if s.Pins != 0 {
+			t.Errorf("%d calls use %s after all have ended", s.Pins, s.Name)
+		}
+	}
+}
+
+func (t *replay) loadTables() {
+	t.Helper()
 	for n := range 6 {
-		r := numberingtest.Any(rng, n, 40, "alarm")
-		text, err := r.TOML()
+		rules := numberingtest.Any(t.random, n, 40, "alarm")
+		text, err := rules.TOML()
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -35,70 +90,60 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		rules[table.Digest()] = r
-		digests = append(digests, table.Digest())
-		if err := desk.Load(now, table); err != nil {
+		if err := t.desk.Load(now, table); err != nil {
 			t.Fatal(err)
 		}
+		t.rules[table.Digest()] = rules
+		t.digests = append(t.digests, table.Digest())
 	}
-	type open struct {
-		pin    *Pin
-		digest string // in force when it began
-		q      Query
-		number string
-		first  string // decided at its set-up
+}
+
+func (t *replay) activateRandomTable() {
+	t.Helper()
+	order := Order{
+		Op:     OpActivate,
+		Digest: t.digests[t.random.IntN(len(t.digests))],
+		Saw:    activeDigest(&t.desk.Registry),
 	}
-	var calls []open
-	check := func(c *open) string {
-		d := c.pin.Table().Analyse(&c.q)
-		r := rules[c.digest]
-		if want := r.Decide(c.number, c.q.Class, time.Unix(0, int64(c.q.At))); differsFromReference(&d, want) {
-			t.Fatalf("%s by %s: %v %d %v, a reader says %v", c.number, r.Version, d.Verdict, d.Cause, d.Pools(), want)
-		}
-		return fmt.Sprint(d.Verdict, d.Cause, d.Pools())
+	if _, _, err := t.desk.Begin(t.now, order); err != nil {
+		t.Fatal(err)
 	}
-	at, mixed, elsewhere := now, 0, 0
-	for n := range 100_000 {
-		at += time.Second
-		if n%500 == 0 {
-			saw := ""
-			if desk.Active() != nil {
-				saw = desk.Active().Digest()
-			}
-			if _, _, err := desk.Begin(at, Order{Op: OpActivate, Digest: digests[rng.IntN(len(digests))], Saw: saw}); err != nil {
-				t.Fatal(err)
-			}
-			if err := desk.Finish(at, nil); err != nil {
-				t.Fatal(err)
-			}
-		}
-		number := fmt.Sprint(1_000_000 + rng.IntN(9_000_000))
-		c := open{pin: desk.Pin(), digest: desk.Active().Digest(), number: number,
-			q: Query{Number: "+" + number, Class: []string{"voice", "alarm"}[rng.IntN(2)], At: at, Seed: uint64(n)}}
-		c.first = check(&c)
-		calls = append(calls, c)
-		if len(calls) < 1000 {
-			continue
-		}
-		old := &calls[0] // another attempt, a thousand calls later
-		if desk.Active().Digest() != old.digest {
-			elsewhere++
-		}
-		if check(old) != old.first {
-			mixed++
-		}
-		old.pin.Release()
-		calls = calls[1:]
+	if err := t.desk.Finish(t.now, nil); err != nil {
+		t.Fatal(err)
 	}
-	if mixed > 0 || elsewhere < 50_000 {
-		t.Errorf("%d mixed; of %d calls another table was in force at a later attempt", mixed, elsewhere)
+}
+
+func (t *replay) newCall(seed uint64) replayedCall {
+	t.Helper()
+	number := fmt.Sprint(1_000_000 + t.random.IntN(9_000_000))
+	class := []string{"voice", "alarm"}[t.random.IntN(2)]
+	c := replayedCall{
+		pin:    t.desk.Pin(),
+		digest: t.desk.Active().Digest(),
+		query:  Query{Number: "+" + number, Class: class, At: t.now, Seed: seed},
+		number: number,
 	}
-	for i := range calls {
-		calls[i].pin.Release()
+	c.first = t.analyse(&c)
+	return c
+}
+
+// analyse analyses a call by the table that it has pinned and compares the decision with the reference.
+func (t *replay) analyse(c *replayedCall) string {
+	t.Helper()
+	d := c.pin.Table().Analyse(&c.query)
+	rules := t.rules[c.digest]
+	want := rules.Decide(c.number, c.query.Class, time.Unix(0, int64(c.query.At)))
+	if !matchesReference(&d, want) {
+		t.Fatalf("%s by table %s: %v %d %v, the reference gives %v",
+			c.number, rules.Version, d.Verdict, d.Cause, d.Pools(), want)
 	}
-	for _, s := range desk.List() {
-		if s.Pins != 0 {
-			t.Errorf("%d calls hold %s after all have ended", s.Pins, s.Name)
-		}
+	return fmt.Sprint(d.Verdict, d.Cause, d.Pools())
+}
+
+func matchesReference(d *Decision, want numberingtest.Expectation) bool {
+	if d.Verdict == Rejected {
+		return want.Cause == d.Cause
 	}
+	isRouted := d.Verdict == Routed && want.Cause == 0
+	return isRouted && len(d.Pools()) == want.Pools() && want.Begins(d.Pools())
 }
