--- /dev/null
+++ b/internal/sim/cluster/result_golden_test.go
@@ -0,0 +1,62 @@
+package cluster
+
+import (
+	"encoding/json"
+	"testing"
+
+	"olivedale/internal/sim/scenario"
+)
+
+const goldenResult = `{"seed":7,"topology":{"Controllers":2,"Exchanges":1,"Zones":1},"for_s":10,` +
+	`"zones":[{"name":"z0","sent":1,"stood":2,"refused":3,"failed":4,"cut":5,"p50_ms":6.5,"p99_ms":7.5}],` +
+	`"struck":[{"at_s":1.25,"step":{"at":"1s","for":"2s","kind":"delay","name":"zone","from":["z0"],"to":["x*"],` +
+	`"by":"10ms","spread":"5ms","share":0.5,"factor":2,"rate":3}}],` +
+	`"breaches":[{"rule":"no_crash","text":"n0 ended","node":"n0","call":"c1","at_s":2.5,"step":"1s delay z0","around":["a"]}],` +
+	`"broken":1,"seen":8,"unread":9,"course":[{"at_s":1,"sent":[1],"stood":[2]}],` +
+	`"schedule":{"seed":7,"step":[{"at":"1s","for":"2s","kind":"delay","name":"zone","from":["z0"],"to":["x*"],` +
+	`"by":"10ms","spread":"5ms","share":0.5,"factor":2,"rate":3}]}}`
+
+// TestResultMatchesGolden compares the keys of a result's JSON, which is the output of `olivesim run --json`.
+func TestResultMatchesGolden(t *testing.T) {
+	t.Parallel()
+	step := &Step{
+		At: at(1), For: at(2), Kind: Delay, Name: "zone", From: []string{"z0"}, To: []string{"x*"},
+		By: at(0.01), Spread: at(0.005), Share: 0.5, Factor: 2, Rate: 3,
+	}
+	res := &Result{
+		Seed: 7, Topology: Topology{Controllers: 2, Exchanges: 1, Zones: 1}, For: 10,
+		Zones:    []Zone{{Name: "z0", Sent: 1, Stood: 2, Refused: 3, Failed: 4, Cut: 5, P50: 6.5, P99: 7.5}},
+		Struck:   []Struck{{At: 1.25, Step: step}},
+		Breaches: []Breach{{Rule: "no_crash", Text: "n0 ended", Node: "n0", Call: "c1", At: 2.5, Step: "1s delay z0", Around: []string{"a"}}},
+		Broken:   1, Seen: 8, Unread: 9, Course: []Second{{At: 1, Sent: []int{1}, Stood: []int{2}}},
+		Schedule: &Schedule{Seed: 7, Step: []*Step{step}},
+	}
+	got, err := json.Marshal(res)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if string(got) != goldenResult {
+		t.Errorf("result is\n%s, want\n%s", got, goldenResult)
+	}
+	sc := scenario.Default()
+	instance := &Instance{
+		Name: "n0", Listen: "l", Panel: "p", Admin: "a", Names: "d", Records: "r", Reach: "c", Zone: "z0", Seed: 255, Group: 2,
+		Share: map[string]any{"number": 1},
+	}
+	text, err := instance.Spec(&sc)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if string(text) != goldenInstance {
+		t.Errorf("instance is\n%s, want\n%s", text, goldenInstance)
+	}
+}
+
+const goldenInstance = `{"config":{"known":{"n":1,"events":[{"n":1,"members":{"revision":0,"complete":true,"members":nu` +
+	`ll}}]},"limits":{"memory_mb":192,"sockets":1024},"listen":"l","name":"n0","names":"d","seed":"f` +
+	`f","settings":{"classes":[{"aim":1500,"credit":1,"deadline":9000,"lateWorth":0.25,"name":"resid` +
+	`ent-call"},{"aim":1200,"credit":3,"deadline":9000,"lateWorth":0.25,"name":"concierge-call"},{"a` +
+	`im":2000,"credit":1,"deadline":9000,"lateWorth":0.25,"name":"delivery-call"}],"domain":{"releas` +
+	`eGuard":300,"resend":500,"topology":"pools"},"groupSize":2,"limits":{"cancel":true,"connectTime` +
+	`out":500,"maxAttempts":4},"myZone":"z0","safety":{"cold":15000,"startCapacity":0.31}}},"h248":{` +
+	`"Admin":"a","Listen":"p"},"reach":"c","records":{"dir":"r"},"share":{"number":1}}`
