--- a/internal/sim/cluster/floors_test.go
+++ b/internal/sim/cluster/floors_test.go
@@ -40,8 +40,8 @@
 				of      func(r *result.Result) float64
 				sockets float64
 			}{
-				{"stood", func(r *result.Result) float64 { return share(r.Stood, r.Offered) }, share(z.Stood, z.Sent)},
-				{"refused", func(r *result.Result) float64 { return share(r.Refused, r.Offered) }, share(z.Refused, z.Sent)},
+				{"stood", func(r *result.Result) float64 { return share(r.Stood, r.Offered) }, share(z.Established, z.Sent)},
+				{"refused", func(r *result.Result) float64 { return share(r.Refused, r.Offered) }, share(z.Rejected, z.Sent)},
 				{"p50 ms", func(r *result.Result) float64 { return r.P50 }, z.P50},
 				{"p99 ms", func(r *result.Result) float64 { return r.P99 }, z.P99},
 			} {
--- a/internal/sim/cluster/instance.go
+++ b/internal/sim/cluster/instance.go
@@ -13,14 +13,14 @@
 
 // An Instance is a call controller that an agent is to run.
 type Instance struct {
-	Name, Listen, Panel, Admin, Names string // addresses: of callers, of the H.248 front, of its admin door, of the directory
-	Records                           string // folder
-	Reach                             string // where its agent reaches its admin door; "": at Admin
-	Zone                              string
-	Seed                              uint64
-	Group                             int            // controllers of the fleet
-	Share                             map[string]any // section [share] of its operator's file; nil: it decides alone
-	Lines                             []loopback.Line
+	Name, Listen, GatewayListen, Admin, Discovery string // addresses: of callers, of the H.248 front, of its admin door, of the directory
+	Records                                       string // folder
+	AdminProxy                                    string // where its agent reaches its admin door; "": at Admin
+	Zone                                          string
+	Seed                                          uint64
+	FleetSize                                     int            // controllers of the fleet
+	OverloadControl                               map[string]any // section [share] of its operator's file; nil: it decides alone
+	Endpoints                                     []loopback.Line
 }
 
 // Spec is the value by which etcd says that it is wanted.
@@ -31,18 +31,18 @@
 	}
 	// The platform tells a starting controller the list as it is.
 	var members []config.Endpoint
-	for _, l := range i.Lines {
+	for _, l := range i.Endpoints {
 		members = append(members, config.Endpoint{ID: l.ID, Address: l.Addr, Zone: l.Zone, Kind: "std", Pool: l.Pool, Phase: config.PhaseReady})
 	}
 	known := config.KnownEndpoints{LastEvent: 1, Events: []config.EndpointEvent{{N: 1, Endpoints: config.EndpointList{Complete: true, Endpoints: members}}}}
 	text, err := json.Marshal(map[string]any{
-		"h248":    map[string]any{"Listen": i.Panel, "Admin": i.Admin},
+		"h248":    map[string]any{"Listen": i.GatewayListen, "Admin": i.Admin},
 		"records": map[string]any{"dir": i.Records},
-		"reach":   i.Reach,
-		"share":   i.Share,
-		"config": map[string]any{"name": i.Name, "listen": i.Listen, "seed": fmt.Sprintf("%x", i.Seed), "names": i.Names,
+		"reach":   i.AdminProxy,
+		"share":   i.OverloadControl,
+		"config": map[string]any{"name": i.Name, "listen": i.Listen, "seed": fmt.Sprintf("%x", i.Seed), "names": i.Discovery,
 			"limits": map[string]any{"memory_mb": 192, "sockets": 1024}, "known": known,
-			"settings": map[string]any{"groupSize": i.Group, "classes": classes, "myZone": i.Zone,
+			"settings": map[string]any{"groupSize": i.FleetSize, "classes": classes, "myZone": i.Zone,
 				"domain": map[string]any{"topology": "pools", "releaseGuard": 300, "resend": sc.Exchange.Again.D().Milliseconds()},
 				"limits": map[string]any{"maxAttempts": 4, "cancel": true, "connectTimeout": 500},
 				"safety": map[string]any{"startCapacity": sc.Exchange.Start, "cold": sc.Exchange.Warm.D().Milliseconds()}}}})
--- a/internal/sim/cluster/relay.go
+++ b/internal/sim/cluster/relay.go
@@ -10,34 +10,34 @@
 	"time"
 )
 
-// A Way is a direction on a path.
-type Way int
+// A Direction is a direction on a path.
+type Direction int
 
 // Directions: from the side that dials or asks, and back.
 const (
-	There Way = iota
-	Back
+	Forward Direction = iota
+	Backward
 )
 
-// A Shape is what happens to what passes a path one way. The zero Shape lets it pass.
-type Shape struct {
-	Cut    bool          // nothing passes, and nobody is told
-	Delay  time.Duration // added to each piece
-	Spread time.Duration // and up to so much more; datagrams overtake each other by it
-	Rate   int           // bytes a second of a stream; 0: as fast as it comes
-	Lose   float64       // share of datagrams that get lost
-	Twice  float64       // share of datagrams that come twice
+// A Impairment is what happens to what passes a path one way. The zero Impairment lets it pass.
+type Impairment struct {
+	Blocked         bool          // nothing passes, and nobody is told
+	Delay           time.Duration // added to each piece
+	Jitter          time.Duration // and up to so much more; datagrams overtake each other by it
+	BytesPerSecond  int           // bytes a second of a stream; 0: as fast as it comes
+	LossRate        float64       // share of datagrams that get lost
+	DuplicationRate float64       // share of datagrams that come twice
 }
 
 // with is both shapes at once.
-func (s Shape) with(o Shape) Shape {
-	s.Cut = s.Cut || o.Cut
+func (s Impairment) with(o Impairment) Impairment {
+	s.Blocked = s.Blocked || o.Blocked
 	s.Delay += o.Delay
-	s.Spread += o.Spread
-	if o.Rate > 0 && (s.Rate == 0 || o.Rate < s.Rate) {
-		s.Rate = o.Rate
+	s.Jitter += o.Jitter
+	if o.BytesPerSecond > 0 && (s.BytesPerSecond == 0 || o.BytesPerSecond < s.BytesPerSecond) {
+		s.BytesPerSecond = o.BytesPerSecond
 	}
-	s.Lose, s.Twice = max(s.Lose, o.Lose), max(s.Twice, o.Twice)
+	s.LossRate, s.DuplicationRate = max(s.LossRate, o.LossRate), max(s.DuplicationRate, o.DuplicationRate)
 	return s
 }
 
@@ -46,21 +46,21 @@
 type path struct {
 	from, to string // who dials or asks, who serves
 
-	mu      sync.Mutex
-	shapes  [2]map[*Step]Shape
-	held    map[*Step]bool // new connections come up and lead nowhere
-	changed chan struct{}  // closed when the faults are others
-	closed  bool
-	reset   func() // resets all connections; nil: there are none
-	close   func()
+	mu          sync.Mutex
+	impairments [2]map[*Fault]Impairment
+	halfOpen    map[*Fault]bool // new connections come up and lead nowhere
+	changed     chan struct{}   // closed when the faults are others
+	closed      bool
+	reset       func() // resets all connections; nil: there are none
+	close       func()
 }
 
 func newPath(from, to string) *path {
-	return &path{from: from, to: to, shapes: [2]map[*Step]Shape{{}, {}}, held: make(map[*Step]bool), changed: make(chan struct{})}
+	return &path{from: from, to: to, impairments: [2]map[*Fault]Impairment{{}, {}}, halfOpen: make(map[*Fault]bool), changed: make(chan struct{})}
 }
 
-// alter changes the faults.
-func (p *path) alter(f func()) {
+// update changes the faults.
+func (p *path) update(f func()) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	f()
@@ -69,10 +69,10 @@
 }
 
 // shape is what happens one way now, and a channel that is closed when it is another.
-func (p *path) shape(w Way) (s Shape, changed <-chan struct{}) {
+func (p *path) shape(w Direction) (s Impairment, changed <-chan struct{}) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, o := range p.shapes[w] {
+	for _, o := range p.impairments[w] {
 		s = s.with(o)
 	}
 	return s, p.changed
@@ -82,12 +82,12 @@
 func (p *path) leadsOn() (bool, <-chan struct{}) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return len(p.held) == 0, p.changed
+	return len(p.halfOpen) == 0, p.changed
 }
 
-// A tap sees what passes: bytes of one connection of a stream, or a datagram, before they go on to where
-// they are sent; nil: that side of the connection has ended. A tap of a stream is made for each connection.
-type tap func(w Way, b []byte)
+// A observer sees what passes: bytes of one connection of a stream, or a datagram, before they go on to where
+// they are sent; nil: that side of the connection has ended. A observer of a stream is made for each connection.
+type observer func(w Direction, b []byte)
 
 // Bounds of a relay.
 const (
@@ -100,24 +100,24 @@
 	dialLimit    = 2 * time.Second
 )
 
-// A stream relays connections to where addr says.
-type stream struct {
+// A streamProxy relays connections to where addr says.
+type streamProxy struct {
 	*path
-	ln   net.Listener
-	addr func() string
-	taps func() tap
+	listener net.Listener
+	addr     func() string
+	taps     func() observer
 
 	mu    sync.Mutex
 	conns map[net.Conn]bool
 }
 
-// relayStream listens on loopback and relays connections to addr; taps, if not nil, makes the tap of each.
-func relayStream(from, to string, addr func() string, taps func() tap) (*stream, error) {
+// newStreamProxy listens on loopback and relays connections to addr; taps, if not nil, makes the tap of each.
+func newStreamProxy(from, to string, addr func() string, taps func() observer) (*streamProxy, error) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, fmt.Errorf("relay %s to %s: %w", from, to, err)
 	}
-	s := &stream{path: newPath(from, to), ln: ln, addr: addr, taps: taps, conns: make(map[net.Conn]bool)}
+	s := &streamProxy{path: newPath(from, to), listener: ln, addr: addr, taps: taps, conns: make(map[net.Conn]bool)}
 	s.reset = s.resetAll
 	s.close = func() {
 		s.path.mu.Lock()
@@ -130,9 +130,9 @@
 	return s, nil
 }
 
-func (s *stream) accept() {
+func (s *streamProxy) accept() {
 	for {
-		c, err := s.ln.Accept()
+		c, err := s.listener.Accept()
 		if err != nil {
 			return
 		}
@@ -141,7 +141,7 @@
 }
 
 // keep notes a connection for resets; false: the relay is closed.
-func (s *stream) keep(c net.Conn) bool {
+func (s *streamProxy) keep(c net.Conn) bool {
 	s.path.mu.Lock()
 	closed := s.closed
 	s.path.mu.Unlock()
@@ -151,7 +151,7 @@
 	return !closed
 }
 
-func (s *stream) drop(c net.Conn) {
+func (s *streamProxy) drop(c net.Conn) {
 	s.mu.Lock()
 	delete(s.conns, c)
 	s.mu.Unlock()
@@ -159,7 +159,7 @@
 }
 
 // resetAll resets what is connected, on both sides.
-func (s *stream) resetAll() {
+func (s *streamProxy) resetAll() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
@@ -181,12 +181,12 @@
 	err error
 }
 
-func (s *stream) serve(near net.Conn) {
+func (s *streamProxy) serve(near net.Conn) {
 	defer s.drop(near)
 	if !s.keep(near) {
 		return
 	}
-	see := func(Way, []byte) {}
+	see := func(Direction, []byte) {}
 	if s.taps != nil {
 		see = s.taps()
 	}
@@ -195,7 +195,7 @@
 	end := func() { once.Do(func() { close(done) }) }
 	defer end()
 	there := make(chan piece, mostPieces)
-	go read(near, there, done, func(b []byte) { see(There, b) })
+	go read(near, there, done, func(b []byte) { see(Forward, b) })
 	for { // a connection that is held has come up and leads nowhere
 		ok, changed := s.leadsOn()
 		if ok {
@@ -209,7 +209,7 @@
 	}
 	far, err := net.DialTimeout("tcp", s.addr(), dialLimit)
 	if err != nil {
-		see(Back, nil)
+		see(Backward, nil)
 		resetConn(near)
 		return
 	}
@@ -221,9 +221,9 @@
 	go read(far, back, done, func([]byte) {})
 	go func() {
 		defer end()
-		s.write(There, far, there, done, func([]byte) {})
+		s.write(Forward, far, there, done, func([]byte) {})
 	}()
-	s.write(Back, near, back, done, func(b []byte) { see(Back, b) })
+	s.write(Backward, near, back, done, func(b []byte) { see(Backward, b) })
 }
 
 // read puts what comes into a queue until the stream ends. A full queue stops the sender, as a network does.
@@ -248,7 +248,7 @@
 }
 
 // write passes a queue on as the path's shape has it, until either side ends.
-func (s *stream) write(w Way, c net.Conn, in <-chan piece, done <-chan struct{}, see func([]byte)) {
+func (s *streamProxy) write(w Direction, c net.Conn, in <-chan piece, done <-chan struct{}, see func([]byte)) {
 	var busy time.Time // until then the throttled way is taken
 	for {
 		var p piece
@@ -260,18 +260,18 @@
 		for {
 			shape, changed := s.shape(w)
 			due := p.at.Add(shape.Delay)
-			if shape.Rate > 0 {
+			if shape.BytesPerSecond > 0 {
 				due = latest(due, busy)
 			}
 			wait := time.Until(due)
-			if !shape.Cut && wait <= 0 {
-				if shape.Rate > 0 {
-					busy = time.Now().Add(time.Duration(len(p.b)) * time.Second / time.Duration(shape.Rate))
+			if !shape.Blocked && wait <= 0 {
+				if shape.BytesPerSecond > 0 {
+					busy = time.Now().Add(time.Duration(len(p.b)) * time.Second / time.Duration(shape.BytesPerSecond))
 				}
 				break
 			}
 			var timer <-chan time.Time
-			if !shape.Cut {
+			if !shape.Blocked {
 				timer = time.After(wait)
 			}
 			select {
@@ -304,12 +304,12 @@
 	return b
 }
 
-// A datagrams relays datagrams to addr, and the answers back to whom asked.
-type datagrams struct {
+// A datagramProxy relays datagramProxy to addr, and the answers back to whom asked.
+type datagramProxy struct {
 	*path
-	in   net.PacketConn
-	addr string
-	see  tap
+	socket net.PacketConn
+	addr   string
+	see    observer
 
 	mu      sync.Mutex
 	rng     *rand.Rand
@@ -317,13 +317,13 @@
 	waiting int
 }
 
-// relayDatagrams listens on loopback and relays datagrams to addr. Chance comes from rng.
-func relayDatagrams(from, to, addr string, rng *rand.Rand, see tap) (*datagrams, error) {
+// newDatagramProxy listens on loopback and relays datagrams to addr. Chance comes from rng.
+func newDatagramProxy(from, to, addr string, rng *rand.Rand, see observer) (*datagramProxy, error) {
 	in, err := net.ListenPacket("udp", "127.0.0.1:0")
 	if err != nil {
 		return nil, fmt.Errorf("relay %s to %s: %w", from, to, err)
 	}
-	d := &datagrams{path: newPath(from, to), in: in, addr: addr, see: see, rng: rng, flows: make(map[string]net.Conn)}
+	d := &datagramProxy{path: newPath(from, to), socket: in, addr: addr, see: see, rng: rng, flows: make(map[string]net.Conn)}
 	d.path.close = func() {
 		_ = in.Close()
 		d.mu.Lock()
@@ -340,7 +340,7 @@
 				return
 			}
 			if flow := d.flow(asker); flow != nil {
-				d.pass(There, append([]byte(nil), b[:n]...), func(b []byte) { _, _ = flow.Write(b) })
+				d.pass(Forward, append([]byte(nil), b[:n]...), func(b []byte) { _, _ = flow.Write(b) })
 			}
 		}
 	}()
@@ -348,7 +348,7 @@
 }
 
 // flow is the socket by which an asker's datagrams go on; nil: there are too many askers.
-func (d *datagrams) flow(asker net.Addr) net.Conn {
+func (d *datagramProxy) flow(asker net.Addr) net.Conn {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if c := d.flows[asker.String()]; c != nil || len(d.flows) >= mostFlows {
@@ -369,14 +369,14 @@
 			if err != nil { // nobody listens there just now
 				continue
 			}
-			d.pass(Back, append([]byte(nil), b[:n]...), func(b []byte) { _, _ = d.in.WriteTo(b, asker) })
+			d.pass(Backward, append([]byte(nil), b[:n]...), func(b []byte) { _, _ = d.socket.WriteTo(b, asker) })
 		}
 	}()
 	return c
 }
 
 // pass sends a datagram on as the path's shape has it.
-func (d *datagrams) pass(w Way, b []byte, send func([]byte)) {
+func (d *datagramProxy) pass(w Direction, b []byte, send func([]byte)) {
 	shape, _ := d.shape(w)
 	for range d.copies(shape) {
 		arrive := func() {
@@ -397,13 +397,13 @@
 }
 
 // copies draws how often a datagram arrives, and counts it as under way.
-func (d *datagrams) copies(s Shape) (n int) {
+func (d *datagramProxy) copies(s Impairment) (n int) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	switch {
-	case s.Cut || d.waiting >= mostWaiting || d.rng.Float64() < s.Lose:
+	case s.Blocked || d.waiting >= mostWaiting || d.rng.Float64() < s.LossRate:
 		return 0
-	case d.rng.Float64() < s.Twice:
+	case d.rng.Float64() < s.DuplicationRate:
 		n++
 	}
 	n++
@@ -411,8 +411,8 @@
 	return n
 }
 
-func (d *datagrams) wait(s Shape) time.Duration {
+func (d *datagramProxy) wait(s Impairment) time.Duration {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return s.Delay + time.Duration(d.rng.Float64()*float64(s.Spread))
+	return s.Delay + time.Duration(d.rng.Float64()*float64(s.Jitter))
 }
--- a/internal/sim/cluster/relay_test.go
+++ b/internal/sim/cluster/relay_test.go
@@ -66,7 +66,7 @@
 	end [2]int
 }
 
-func (s *seen) tap(w Way, b []byte) {
+func (s *seen) tap(w Direction, b []byte) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if b == nil {
@@ -75,7 +75,7 @@
 	s.way[w].Write(b)
 }
 
-func (s *seen) text(w Way) string {
+func (s *seen) text(w Direction) string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.way[w].String()
@@ -95,9 +95,9 @@
 	in *bufio.Reader
 }
 
-func dial(t *testing.T, s *stream) *line {
+func dial(t *testing.T, s *streamProxy) *line {
 	t.Helper()
-	c, err := net.Dial("tcp", s.ln.Addr().String())
+	c, err := net.Dial("tcp", s.listener.Addr().String())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -127,14 +127,14 @@
 	t.Parallel()
 	addr := echo(t)
 	saw := &seen{}
-	s, err := relayStream("n0", "x0", func() string { return addr }, func() tap { return saw.tap })
+	s, err := newStreamProxy("n0", "x0", func() string { return addr }, func() observer { return saw.tap })
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer s.close()
-	put := func(f *Step, w Way, shape Shape) { s.alter(func() { s.shapes[w][f] = shape }) }
-	lift := func(f *Step) {
-		s.alter(func() { delete(s.shapes[There], f); delete(s.shapes[Back], f); delete(s.held, f) })
+	put := func(f *Fault, w Direction, shape Impairment) { s.update(func() { s.impairments[w][f] = shape }) }
+	lift := func(f *Fault) {
+		s.update(func() { delete(s.impairments[Forward], f); delete(s.impairments[Backward], f); delete(s.halfOpen, f) })
 	}
 	c := dial(t, s)
 	c.say(t, "one")
@@ -142,11 +142,11 @@
 		t.Fatalf("without a fault %q came back", got)
 	}
 
-	cut := &Step{Kind: OneWay}
-	put(cut, Back, Shape{Cut: true})
+	cut := &Fault{Kind: FaultOneWayPartition}
+	put(cut, Backward, Impairment{Blocked: true})
 	c.say(t, "two")
-	until(t, "the way there is open", func() bool { return strings.Contains(saw.text(There), "two") })
-	if got := c.hears(t, 100*time.Millisecond); got != "" || strings.Contains(saw.text(Back), "two") {
+	until(t, "the way there is open", func() bool { return strings.Contains(saw.text(Forward), "two") })
+	if got := c.hears(t, 100*time.Millisecond); got != "" || strings.Contains(saw.text(Backward), "two") {
 		t.Errorf("while the way back was cut %q came back", got)
 	}
 	lift(cut)
@@ -154,9 +154,9 @@
 		t.Errorf("after the cut %q came back", got)
 	}
 
-	slow := &Step{Kind: Delay}
-	put(slow, There, Shape{Delay: 150 * time.Millisecond})
-	put(slow, Back, Shape{Delay: 150 * time.Millisecond})
+	slow := &Fault{Kind: FaultDelay}
+	put(slow, Forward, Impairment{Delay: 150 * time.Millisecond})
+	put(slow, Backward, Impairment{Delay: 150 * time.Millisecond})
 	began := time.Now()
 	c.say(t, "three")
 	if got := c.hears(t, 10*time.Second); got != "three" || time.Since(began) < 300*time.Millisecond {
@@ -164,8 +164,8 @@
 	}
 	lift(slow)
 
-	thin := &Step{Kind: Throttle}
-	put(thin, There, Shape{Rate: 20_000})
+	thin := &Fault{Kind: FaultBandwidthLimit}
+	put(thin, Forward, Impairment{BytesPerSecond: 20_000})
 	began = time.Now()
 	for range 3 {
 		c.say(t, strings.Repeat("x", 4000))
@@ -176,8 +176,8 @@
 	}
 	lift(thin)
 
-	hold := &Step{Kind: HalfOpen}
-	s.alter(func() { s.held[hold] = true })
+	hold := &Fault{Kind: FaultHalfOpen}
+	s.update(func() { s.halfOpen[hold] = true })
 	d := dial(t, s)
 	d.say(t, "four")
 	if got := d.hears(t, 100*time.Millisecond); got != "" {
@@ -195,7 +195,7 @@
 	until(t, "the tap sees both ends", func() bool {
 		saw.mu.Lock()
 		defer saw.mu.Unlock()
-		return saw.end[There] >= 2
+		return saw.end[Forward] >= 2
 	})
 	if e := dial(t, s); e != nil {
 		e.say(t, "five")
@@ -222,21 +222,21 @@
 			_, _ = server.WriteTo(b[:n], from)
 		}
 	}()
-	d, err := relayDatagrams("n0", "names", server.LocalAddr().String(), rand.New(rand.NewPCG(1, 1)), nil)
+	d, err := newDatagramProxy("n0", "names", server.LocalAddr().String(), rand.New(rand.NewPCG(1, 1)), nil)
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer d.path.close()
-	c, err := net.Dial("udp", d.in.LocalAddr().String())
+	c, err := net.Dial("udp", d.socket.LocalAddr().String())
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer func() { _ = c.Close() }()
 	// came counts what comes back of a hundred datagrams, and those that came out of order.
-	came := func(way Way, shape Shape) (n, disorder int) {
-		f := &Step{}
-		d.alter(func() { d.shapes[way][f] = shape })
-		defer d.alter(func() { delete(d.shapes[way], f) })
+	came := func(way Direction, shape Impairment) (n, disorder int) {
+		f := &Fault{}
+		d.update(func() { d.impairments[way][f] = shape })
+		defer d.update(func() { delete(d.impairments[way], f) })
 		for i := range 100 {
 			if _, err := c.Write([]byte{byte(i)}); err != nil {
 				t.Fatal(err)
@@ -256,19 +256,19 @@
 			last = int(b[0])
 		}
 	}
-	if n, disorder := came(There, Shape{}); n != 100 || disorder != 0 {
+	if n, disorder := came(Forward, Impairment{}); n != 100 || disorder != 0 {
 		t.Errorf("without a fault %d of 100 came back, %d out of order", n, disorder)
 	}
-	if n, _ := came(There, Shape{Lose: 0.5}); n < 25 || n > 75 {
+	if n, _ := came(Forward, Impairment{LossRate: 0.5}); n < 25 || n > 75 {
 		t.Errorf("with half lost %d of 100 came back", n)
 	}
-	if n, _ := came(Back, Shape{Twice: 0.5}); n < 125 || n > 175 {
+	if n, _ := came(Backward, Impairment{DuplicationRate: 0.5}); n < 125 || n > 175 {
 		t.Errorf("with half of them twice %d of 100 came back", n)
 	}
-	if n, disorder := came(Back, Shape{Spread: 100 * time.Millisecond}); n != 100 || disorder < 10 {
+	if n, disorder := came(Backward, Impairment{Jitter: 100 * time.Millisecond}); n != 100 || disorder < 10 {
 		t.Errorf("with up to 100 ms of their own %d of 100 came back, %d out of order", n, disorder)
 	}
-	if n, _ := came(Back, Shape{Cut: true}); n != 0 {
+	if n, _ := came(Backward, Impairment{Blocked: true}); n != 0 {
 		t.Errorf("through a cut %d of 100 came back", n)
 	}
 }
@@ -285,7 +285,7 @@
 	if err != nil {
 		t.Skip("no sleep here")
 	}
-	tie, err := newTether(t.TempDir(), lab, sleep)
+	tie, err := newParentWatch(t.TempDir(), lab, sleep)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -298,8 +298,8 @@
 		go func() { ended <- c.Wait() }()
 		return ended
 	}
-	short := start(exec.Command(tie.script, "0.05"))
-	held := []chan error{start(tie.command(sleep, "60")), start(exec.Command(tie.script, "60"))}
+	short := start(exec.Command(tie.wrapperScript, "0.05"))
+	held := []chan error{start(tie.command(sleep, "60")), start(exec.Command(tie.wrapperScript, "60"))}
 	if err := <-short; err != nil {
 		t.Errorf("one that ends by itself: %v", err)
 	}
@@ -347,11 +347,11 @@
 		})
 	}
 	for range 100 {
-		tether, err := newTether(t.TempDir(), lab, "/bin/true")
+		tether, err := newParentWatch(t.TempDir(), lab, "/bin/true")
 		if err != nil {
 			t.Fatal(err)
 		}
-		if err := exec.Command(tether.script).Run(); err != nil {
+		if err := exec.Command(tether.wrapperScript).Run(); err != nil {
 			t.Errorf("start of a script that was just written: %v", err)
 		}
 		if err := tether.close(); err != nil {
--- a/internal/sim/cluster/result_golden_test.go
+++ b/internal/sim/cluster/result_golden_test.go
@@ -19,17 +19,17 @@
 // TestResultMatchesGolden compares the keys of a result's JSON, which is the output of `olivesim run --json`.
 func TestResultMatchesGolden(t *testing.T) {
 	t.Parallel()
-	step := &Step{
-		At: at(1), For: at(2), Kind: Delay, Name: "zone", From: []string{"z0"}, To: []string{"x*"},
-		By: at(0.01), Spread: at(0.005), Share: 0.5, Factor: 2, Rate: 3,
+	step := &Fault{
+		At: at(1), Duration: at(2), Kind: FaultDelay, Name: "zone", From: []string{"z0"}, To: []string{"x*"},
+		Latency: at(0.01), Jitter: at(0.005), Fraction: 0.5, Factor: 2, BytesPerSecond: 3,
 	}
 	res := &Result{
-		Seed: 7, Topology: Topology{Controllers: 2, Exchanges: 1, Zones: 1}, For: 10,
-		Zones:    []Zone{{Name: "z0", Sent: 1, Stood: 2, Refused: 3, Failed: 4, Cut: 5, P50: 6.5, P99: 7.5}},
-		Struck:   []Struck{{At: 1.25, Step: step}},
-		Breaches: []Breach{{Rule: "no_crash", Text: "n0 ended", Node: "n0", Call: "c1", At: 2.5, Step: "1s delay z0", Around: []string{"a"}}},
-		Broken:   1, Seen: 8, Unread: 9, Course: []Second{{At: 1, Sent: []int{1}, Stood: []int{2}}},
-		Schedule: &Schedule{Seed: 7, Step: []*Step{step}},
+		Seed: 7, Topology: Topology{Controllers: 2, Exchanges: 1, Zones: 1}, Duration: 10,
+		Zones:    []ZoneStats{{Name: "z0", Sent: 1, Established: 2, Rejected: 3, Failed: 4, Dropped: 5, P50: 6.5, P99: 7.5}},
+		Struck:   []InjectedFault{{At: 1.25, Fault: step}},
+		Breaches: []Violation{{Rule: "no_crash", Text: "n0 ended", Node: "n0", Call: "c1", At: 2.5, LatestFault: "1s delay z0", Around: []string{"a"}}},
+		Broken:   1, Seen: 8, UnreadableStreams: 9, Samples: []Sample{{At: 1, Sent: []int{1}, Established: []int{2}}},
+		Schedule: &Schedule{Seed: 7, Step: []*Fault{step}},
 	}
 	got, err := json.Marshal(res)
 	if err != nil {
@@ -40,8 +40,8 @@
 	}
 	sc := scenario.Default()
 	instance := &Instance{
-		Name: "n0", Listen: "l", Panel: "p", Admin: "a", Names: "d", Records: "r", Reach: "c", Zone: "z0", Seed: 255, Group: 2,
-		Share: map[string]any{"number": 1},
+		Name: "n0", Listen: "l", GatewayListen: "p", Admin: "a", Discovery: "d", Records: "r", AdminProxy: "c", Zone: "z0", Seed: 255, FleetSize: 2,
+		OverloadControl: map[string]any{"number": 1},
 	}
 	text, err := instance.Spec(&sc)
 	if err != nil {
--- a/internal/sim/cluster/run.go
+++ b/internal/sim/cluster/run.go
@@ -29,22 +29,22 @@
 
 // Options say what is run.
 type Options struct {
-	Bin      string // folder of olivedale, oliveagent and olivesim
-	Dir      string // for files and records; it is made, and kept
-	Topology Topology
-	Scenario *scenario.Scenario // exchanges and callers; its fleet and faults are not used
-	Schedule *Schedule
-	For      time.Duration // calls come for so long
-	Holds    []Holds
-	Out      io.Writer // what happens, as it does
+	Bin        string // folder of olivedale, oliveagent and olivesim
+	Dir        string // for files and records; it is made, and kept
+	Topology   Topology
+	Scenario   *scenario.Scenario // exchanges and callers; its fleet and faults are not used
+	Schedule   *Schedule
+	For        time.Duration // calls come for so long
+	Conditions []Condition
+	Out        io.Writer // what happens, as it does
 }
 
-// Holds is something that must hold across processes: Check is asked from After on until it finds
+// Condition is something that must hold across processes: Check is asked from After on until it finds
 // nothing wrong, and what it says at By is a breach. Both count as the times of steps do.
-type Holds struct {
-	Name      string
-	After, By time.Duration
-	Check     func(ctx context.Context, r *Run) error
+type Condition struct {
+	Name            string
+	After, Deadline time.Duration
+	Check           func(ctx context.Context, r *Run) error
 }
 
 // prefix is that of wanted instances in etcd; below it is a part for each agent.
@@ -52,35 +52,35 @@
 
 // A Run is what is running. Its exported methods may be called from anywhere while it does.
 type Run struct {
-	o      Options
-	sc     scenario.Scenario
-	rng    *rand.Rand
-	ports  Ports
-	tether *tether
-	key    []byte // that controllers sign with
-	log    *os.File
-	watch  *watch
-	etcd   *fakeetcd.Server
-	load   *loopback.Load
-	nodes  []*node
-	agents []*agent
-	places []*place
-	began  time.Time // calls began to come
+	options     Options
+	sc          scenario.Scenario
+	rng         *rand.Rand
+	ports       Ports
+	tether      *parentWatch
+	key         []byte // that controllers sign with
+	log         *os.File
+	watch       *monitor
+	etcd        *fakeetcd.Server
+	load        *loopback.Load
+	controllers []*node
+	agents      []*agent
+	places      []*place
+	startTime   time.Time // calls began to come
 
 	saying sync.Mutex // Options.Out
 
 	mu     sync.Mutex
 	paths  []*path
-	active map[*Step]bool
-	struck []Struck
-	extra  []Breach
-	course []Second
+	active map[*Fault]bool
+	struck []InjectedFault
+	extra  []Violation
+	course []Sample
 }
 
-// Struck is a fault that has begun.
-type Struck struct {
-	At   float64 `json:"at_s"`
-	Step *Step   `json:"step"`
+// InjectedFault is a fault that has begun.
+type InjectedFault struct {
+	At    float64 `json:"at_s"`
+	Fault *Fault  `json:"step"`
 }
 
 // A node is a call controller.
@@ -88,17 +88,17 @@
 	name, listen, admin string
 	zone                int
 	names               *loopback.Names
-	ask                 *datagrams // the way to its directory
-	door                *stream    // the way from its agent to its admin door
-	to                  map[string]*stream
-	hears               string       // where datagrams of the others arrive
-	peers               []*datagrams // the ways to the others, by number
+	ask                 *datagramProxy // the way to its directory
+	door                *streamProxy   // the way from its agent to its admin door
+	to                  map[string]*streamProxy
+	hears               string           // where datagrams of the others arrive
+	peers               []*datagramProxy // the ways to the others, by number
 
-	mu     sync.Mutex
-	proc   *handle
-	starts int
-	asked  bool // the rig ends it: that it ends is no crash
-	away   bool // stopped
+	mu      sync.Mutex
+	process *handle
+	starts  int
+	asked   bool // the rig ends it: that it ends is no crash
+	away    bool // stopped
 }
 
 // An agent runs the controllers of its zone.
@@ -107,7 +107,7 @@
 	cmd        *exec.Cmd
 	ended      chan error
 	dead       bool
-	way        *stream // to etcd
+	way        *streamProxy // to etcd
 }
 
 // A place is where an exchange is, and after it the one that takes its place.
@@ -146,8 +146,8 @@
 	if o.Out == nil {
 		o.Out = io.Discard
 	}
-	r := &Run{o: o, sc: *o.Scenario, rng: rand.New(rand.NewPCG(o.Schedule.Seed, 17)), active: make(map[*Step]bool), began: time.Now()}
-	r.watch = newWatch(r.began)
+	r := &Run{options: o, sc: *o.Scenario, rng: rand.New(rand.NewPCG(o.Schedule.Seed, 17)), active: make(map[*Fault]bool), startTime: time.Now()}
+	r.watch = newMonitor(r.startTime)
 	// Listeners are on an address of the run's own, so that no connection from elsewhere takes their ports.
 	host := rand.Uint32()
 	r.ports.Host = fmt.Sprintf("127.%d.%d.%d", 64+host%128, host>>8%256, 1+host>>16%250)
@@ -162,7 +162,7 @@
 func (r *Run) say(format string, args ...any) {
 	r.saying.Lock() // steps may begin at the same moment
 	defer r.saying.Unlock()
-	_, _ = fmt.Fprintf(r.o.Out, "%6.2fs  "+format+"\n", append([]any{time.Since(r.began).Seconds()}, args...)...)
+	_, _ = fmt.Fprintf(r.options.Out, "%6.2fs  "+format+"\n", append([]any{time.Since(r.startTime).Seconds()}, args...)...)
 }
 
 // join notes a path, and puts the faults on it that are on now.
@@ -176,11 +176,11 @@
 }
 
 func (r *Run) start(ctx context.Context) (err error) {
-	o, t := &r.o, &r.o.Topology
+	o, t := &r.options, &r.options.Topology
 	if r.log, err = os.Create(filepath.Join(o.Dir, "log")); err != nil {
 		return fmt.Errorf("rig: %w", err)
 	}
-	if r.tether, err = newTether(o.Dir, filepath.Join(o.Bin, "olivesim"), filepath.Join(o.Bin, "olivedale")); err != nil {
+	if r.tether, err = newParentWatch(o.Dir, filepath.Join(o.Bin, "olivesim"), filepath.Join(o.Bin, "olivedale")); err != nil {
 		return err
 	}
 	if r.etcd, err = fakeetcd.Start("127.0.0.1:0"); err != nil {
@@ -200,10 +200,10 @@
 			return err
 		}
 	}
-	r.load = &loopback.Load{Rate: r.sc.Rate() * r.sc.Callers.Load, For: o.For, Left: 3 * time.Second, Pools: t.Exchanges, Classes: r.sc.Class, Seed: o.Schedule.Seed, Saw: r.watch.see}
+	r.load = &loopback.Load{Rate: r.sc.Rate() * r.sc.Callers.Load, For: o.For, Left: 3 * time.Second, Pools: t.Exchanges, Classes: r.sc.Class, Seed: o.Schedule.Seed, Saw: r.watch.record}
 	for i := range t.Controllers {
-		n := &node{name: fmt.Sprint("n", i), zone: i % t.Zones, to: make(map[string]*stream)}
-		r.nodes = append(r.nodes, n)
+		n := &node{name: fmt.Sprint("n", i), zone: i % t.Zones, to: make(map[string]*streamProxy)}
+		r.controllers = append(r.controllers, n)
 		if err := r.startNode(n, uint64(i)); err != nil {
 			return err
 		}
@@ -213,7 +213,7 @@
 		return err
 	}
 	r.tell()
-	for _, n := range r.nodes {
+	for _, n := range r.controllers {
 		if err := r.want(n); err != nil {
 			return err
 		}
@@ -222,15 +222,15 @@
 }
 
 func (r *Run) startAgent(a *agent) (err error) {
-	if a.way, err = relayStream(a.name, "etcd", r.etcd.Addr, nil); err != nil {
+	if a.way, err = newStreamProxy(a.name, "etcd", r.etcd.Addr, nil); err != nil {
 		return err
 	}
 	r.join(a.way.path)
 	if a.addr, err = r.ports.Free(); err != nil {
 		return err
 	}
-	a.cmd = r.tether.command(filepath.Join(r.o.Bin, "oliveagent"), "--etcd", a.way.ln.Addr().String(), "--prefix", prefix+a.name+"/", "--dir", filepath.Join(r.o.Dir, a.name),
-		"--program", r.tether.script, "--listen", a.addr)
+	a.cmd = r.tether.command(filepath.Join(r.options.Bin, "oliveagent"), "--etcd", a.way.listener.Addr().String(), "--prefix", prefix+a.name+"/", "--dir", filepath.Join(r.options.Dir, a.name),
+		"--program", r.tether.wrapperScript, "--listen", a.addr)
 	a.cmd.Stdout, a.cmd.Stderr = r.log, r.log
 	if err := a.cmd.Start(); err != nil {
 		return fmt.Errorf("rig: %w", err)
@@ -244,8 +244,8 @@
 	if n.names, err = loopback.ListenNames("127.0.0.1:0"); err != nil {
 		return err
 	}
-	n.ask, err = relayDatagrams(n.name, "names", n.names.Addr(), rand.New(rand.NewPCG(r.o.Schedule.Seed, 100+i)), func(w Way, b []byte) {
-		if w == Back {
+	n.ask, err = newDatagramProxy(n.name, "names", n.names.Addr(), rand.New(rand.NewPCG(r.options.Schedule.Seed, 100+i)), func(w Direction, b []byte) {
+		if w == Backward {
 			r.watch.told(n.name, b)
 		}
 	})
@@ -258,7 +258,7 @@
 			return err
 		}
 	}
-	if n.door, err = relayStream(r.agents[n.zone].name, n.name, func() string { return n.admin }, nil); err != nil {
+	if n.door, err = newStreamProxy(r.agents[n.zone].name, n.name, func() string { return n.admin }, nil); err != nil {
 		return err
 	}
 	r.join(n.door.path)
@@ -271,11 +271,11 @@
 }
 
 // keys is the file of the fleet's keys.
-func (r *Run) keys() string { return filepath.Join(r.o.Dir, "share.keys") }
+func (r *Run) keys() string { return filepath.Join(r.options.Dir, "share.keys") }
 
 // introduce puts a relay on each way from a controller to another, where they share what they know.
 func (r *Run) introduce() (err error) {
-	if !r.o.Topology.Share {
+	if !r.options.Topology.Share {
 		return nil
 	}
 	r.key = make([]byte, 32)
@@ -285,15 +285,15 @@
 	if err := os.WriteFile(r.keys(), []byte(hex.EncodeToString(r.key)+"\n"), 0o600); err != nil {
 		return fmt.Errorf("rig: %w", err)
 	}
-	for _, n := range r.nodes {
+	for _, n := range r.controllers {
 		if n.hears, err = r.ports.Free(); err != nil {
 			return err
 		}
 	}
-	for i, a := range r.nodes {
-		for j, b := range r.nodes {
-			rng := rand.New(rand.NewPCG(r.o.Schedule.Seed, uint64(1000+i*len(r.nodes)+j)))
-			d, err := relayDatagrams(a.name, b.name, b.hears, rng, nil)
+	for i, a := range r.controllers {
+		for j, b := range r.controllers {
+			rng := rand.New(rand.NewPCG(r.options.Schedule.Seed, uint64(1000+i*len(r.controllers)+j)))
+			d, err := newDatagramProxy(a.name, b.name, b.hears, rng, nil)
 			if err != nil {
 				return err
 			}
@@ -306,19 +306,19 @@
 
 // sharing is a controller's section [share].
 func (r *Run) sharing(n *node) map[string]any {
-	if !r.o.Topology.Share {
+	if !r.options.Topology.Share {
 		return nil
 	}
 	var peers []string
 	for _, d := range n.peers {
-		peers = append(peers, d.in.LocalAddr().String())
+		peers = append(peers, d.socket.LocalAddr().String())
 	}
-	return map[string]any{"listen": n.hears, "peers": peers, "number": slices.Index(r.nodes, n), "keys": r.keys(), "beat": "2s"}
+	return map[string]any{"listen": n.hears, "peers": peers, "number": slices.Index(r.controllers, n), "keys": r.keys(), "beat": "2s"}
 }
 
 // lead puts a relay on the way from a controller to an exchange.
 func (r *Run) lead(n *node, l loopback.Line, place string) error {
-	s, err := relayStream(n.name, place, func() string { return l.Addr }, func() tap { return r.watch.signalling(n.name, l.ID) })
+	s, err := newStreamProxy(n.name, place, func() string { return l.Addr }, func() observer { return r.watch.observeSIP(n.name, l.ID) })
 	if err != nil {
 		return err
 	}
@@ -335,9 +335,9 @@
 	if err != nil {
 		return err
 	}
-	i := &Instance{Name: n.name, Listen: n.listen, Admin: n.admin, Panel: panel, Names: n.ask.in.LocalAddr().String(), Records: filepath.Join(r.o.Dir, "records", n.name),
-		Reach: n.door.ln.Addr().String(), Zone: fmt.Sprint("z", n.zone), Seed: r.rng.Uint64(), Group: r.o.Topology.Controllers, Lines: r.lines(n),
-		Share: r.sharing(n)}
+	i := &Instance{Name: n.name, Listen: n.listen, Admin: n.admin, GatewayListen: panel, Discovery: n.ask.socket.LocalAddr().String(), Records: filepath.Join(r.options.Dir, "records", n.name),
+		AdminProxy: n.door.listener.Addr().String(), Zone: fmt.Sprint("z", n.zone), Seed: r.rng.Uint64(), FleetSize: r.options.Topology.Controllers, Endpoints: r.lines(n),
+		OverloadControl: r.sharing(n)}
 	text, err := i.Spec(&r.sc)
 	if err != nil {
 		return err
@@ -362,7 +362,7 @@
 		p.mu.Unlock()
 		for _, l := range lines {
 			if s := n.to[l.ID]; s != nil {
-				l.Addr = s.ln.Addr().String()
+				l.Addr = s.listener.Addr().String()
 				all = append(all, l)
 			}
 		}
@@ -382,7 +382,7 @@
 		p.mu.Unlock()
 	}
 	r.watch.telling(takes, func() {
-		for _, n := range r.nodes {
+		for _, n := range r.controllers {
 			n.names.Set(r.lines(n)...)
 		}
 	})
@@ -390,7 +390,7 @@
 
 // put starts an exchange in a place.
 func (r *Run) put(p *place, cold bool) error {
-	x, err := loopback.Listen("127.0.0.1:0", r.sc.Model(), cold, r.o.Schedule.Seed+uint64(p.pool)*31+uint64(p.next)*7)
+	x, err := loopback.Listen("127.0.0.1:0", r.sc.Model(), cold, r.options.Schedule.Seed+uint64(p.pool)*31+uint64(p.next)*7)
 	if err != nil {
 		return err
 	}
@@ -402,7 +402,7 @@
 	if cold {
 		l.Started = time.Now()
 	}
-	for _, n := range r.nodes {
+	for _, n := range r.controllers {
 		if err := r.lead(n, l, p.name); err != nil {
 			return err
 		}
@@ -418,7 +418,7 @@
 func (r *Run) refuse(id string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for _, n := range r.nodes {
+	for _, n := range r.controllers {
 		if s := n.to[id]; s != nil {
 			s.path.close()
 		}
@@ -431,19 +431,19 @@
 // serving waits until all controllers take calls.
 func (r *Run) serving(ctx context.Context) error {
 	for end := time.Now().Add(startLimit); ; {
-		r.look(ctx)
+		r.pollAgents(ctx)
 		up := 0
-		for _, n := range r.nodes {
+		for _, n := range r.controllers {
 			if n.serves() {
 				up++
 			}
 		}
 		switch {
-		case up == len(r.nodes):
+		case up == len(r.controllers):
 			r.say("%d call controllers in %d zones take calls", up, len(r.agents))
 			return nil
 		case time.Now().After(end):
-			return fmt.Errorf("rig: %d of %d call controllers take calls; the log is %s", up, len(r.nodes), r.log.Name())
+			return fmt.Errorf("rig: %d of %d call controllers take calls; the log is %s", up, len(r.controllers), r.log.Name())
 		}
 		select {
 		case <-ctx.Done():
@@ -456,7 +456,7 @@
 // serves tells whether a controller runs and takes connections.
 func (n *node) serves() bool {
 	n.mu.Lock()
-	up := n.proc != nil && !n.proc.gone()
+	up := n.process != nil && !n.process.gone()
 	n.mu.Unlock()
 	if !up {
 		return false
@@ -468,8 +468,8 @@
 	return err == nil
 }
 
-// look asks the agents which processes run.
-func (r *Run) look(ctx context.Context) {
+// pollAgents asks the agents which processes run.
+func (r *Run) pollAgents(ctx context.Context) {
 	var wg sync.WaitGroup
 	for _, a := range r.agents {
 		r.mu.Lock()
@@ -497,40 +497,40 @@
 
 // found takes what an agent says of an instance.
 func (r *Run) found(name, pid, starts string) {
-	i := slices.IndexFunc(r.nodes, func(n *node) bool { return n.name == name })
+	i := slices.IndexFunc(r.controllers, func(n *node) bool { return n.name == name })
 	var p, s int
 	if _, err := fmt.Sscan(pid+" "+starts, &p, &s); i < 0 || err != nil || p <= 1 {
 		return
 	}
-	n := r.nodes[i]
+	n := r.controllers[i]
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.proc != nil && n.proc.pid == p && !n.proc.gone() {
+	if n.process != nil && n.process.pid == p && !n.process.gone() {
 		return
 	}
 	h, err := open(p)
 	if err != nil {
 		return // it has ended since; the next look finds another
 	}
-	if n.proc != nil {
-		n.proc.close()
+	if n.process != nil {
+		n.process.close()
 	}
-	n.proc, n.starts = h, s
+	n.process, n.starts = h, s
 }
 
 // play has calls come and things go wrong, and collects what there is to say.
 func (r *Run) play(ctx context.Context) (*Result, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	r.began = time.Now()
-	r.watch.begin(r.began)
+	r.startTime = time.Now()
+	r.watch.begin(r.startTime)
 	calls := make(chan error, 1)
 	go func() { calls <- r.load.Run(ctx) }()
 	var wg sync.WaitGroup
-	for _, s := range r.o.Schedule.Step {
+	for _, s := range r.options.Schedule.Step {
 		wg.Go(func() { r.step(ctx, s) })
 	}
-	for _, h := range r.o.Holds {
+	for _, h := range r.options.Conditions {
 		wg.Go(func() { r.holds(ctx, h) })
 	}
 	watch, unwatch := context.WithCancel(ctx)
@@ -538,7 +538,7 @@
 	watching.Go(func() { r.guard(watch) })
 	var half []loopback.LoadStats
 	watching.Go(func() {
-		if r.sleep(watch, r.o.For*4/5) {
+		if r.sleep(watch, r.options.For*4/5) {
 			r.mu.Lock()
 			half = r.each()
 			r.mu.Unlock()
@@ -563,20 +563,20 @@
 	return r.result(), nil
 }
 
-// A Second is what callers of each zone had got until then, since calls began.
-type Second struct {
-	At    float64 `json:"at_s"`
-	Sent  []int   `json:"sent"`
-	Stood []int   `json:"stood"`
+// A Sample is what callers of each zone had got until then, since calls began.
+type Sample struct {
+	At          float64 `json:"at_s"`
+	Sent        []int   `json:"sent"`
+	Established []int   `json:"stood"`
 }
 
 // sample notes what callers have got until now.
 func (r *Run) sample() {
-	s := Second{At: time.Since(r.began).Seconds(), Sent: make([]int, r.o.Topology.Zones), Stood: make([]int, r.o.Topology.Zones)}
+	s := Sample{At: time.Since(r.startTime).Seconds(), Sent: make([]int, r.options.Topology.Zones), Established: make([]int, r.options.Topology.Zones)}
 	for i, l := range r.each() {
-		z := r.nodes[i].zone
+		z := r.controllers[i].zone
 		s.Sent[z] += l.Sent
-		s.Stood[z] += l.Stood
+		s.Established[z] += l.Stood
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -585,7 +585,7 @@
 
 // each is what callers of each controller got.
 func (r *Run) each() (all []loopback.LoadStats) {
-	for i := range r.nodes {
+	for i := range r.controllers {
 		all = append(all, r.load.StatsOf(i))
 	}
 	return all
@@ -599,7 +599,7 @@
 	for i, now := range r.each() {
 		sent, stood := now.Sent-before[i].Sent, now.Stood-before[i].Stood
 		if sent >= 20 && stood*2 < sent {
-			r.breach("recovers", r.nodes[i].name, "%d of the last %d calls stood through %s, after all faults were over", stood, sent, r.nodes[i].name)
+			r.breach("recovers", r.controllers[i].name, "%d of the last %d calls stood through %s, after all faults were over", stood, sent, r.controllers[i].name)
 		}
 	}
 }
@@ -607,15 +607,15 @@
 func (r *Run) breach(rule, node, format string, args ...any) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	b := Breach{Rule: rule, Node: node, Text: fmt.Sprintf(format, args...), At: time.Since(r.began).Seconds()}
+	b := Violation{Rule: rule, Node: node, Text: fmt.Sprintf(format, args...), At: time.Since(r.startTime).Seconds()}
 	if n := len(r.struck); n > 0 {
-		b.Step = r.struck[n-1].Step.String()
+		b.LatestFault = r.struck[n-1].Fault.String()
 	}
 	r.extra = append(r.extra, b)
 }
 
 // holds asks until nothing is wrong, or By is over.
-func (r *Run) holds(ctx context.Context, h Holds) {
+func (r *Run) holds(ctx context.Context, h Condition) {
 	if !r.sleep(ctx, h.After) {
 		return
 	}
@@ -624,7 +624,7 @@
 		switch {
 		case err == nil || ctx.Err() != nil:
 			return
-		case time.Since(r.began) > h.By:
+		case time.Since(r.startTime) > h.Deadline:
 			r.breach(h.Name, "", "%v", err)
 			return
 		}
@@ -634,7 +634,7 @@
 
 // sleep waits until a time of the run; false: ctx ended.
 func (r *Run) sleep(ctx context.Context, until time.Duration) bool {
-	return r.pause(ctx, time.Until(r.began.Add(until)))
+	return r.pause(ctx, time.Until(r.startTime.Add(until)))
 }
 
 func (r *Run) pause(ctx context.Context, d time.Duration) bool {
@@ -649,16 +649,16 @@
 // guard looks for processes that ended though nobody had them end, and for cold exchanges that fell.
 func (r *Run) guard(ctx context.Context) {
 	for r.pause(ctx, 100*time.Millisecond) {
-		for _, n := range r.nodes {
+		for _, n := range r.controllers {
 			n.mu.Lock()
-			crashed := n.proc != nil && n.proc.gone() && !n.asked
+			crashed := n.process != nil && n.process.gone() && !n.asked
 			if crashed {
 				n.asked = true
 			}
 			n.mu.Unlock()
 			if crashed {
 				r.breach("no_crash", n.name, "%s ended though nobody had it end; its log is in %s", n.name, r.log.Name())
-				r.watch.see(invariant.Event{Kind: invariant.Killed, Node: n.name})
+				r.watch.record(invariant.Event{Kind: invariant.Killed, Node: n.name})
 				go r.back(ctx, n)
 			}
 		}
@@ -668,7 +668,7 @@
 			p.fell = p.fell || fell
 			p.mu.Unlock()
 			if fell {
-				r.watch.see(invariant.Event{Kind: invariant.PushedOver, Server: p.line.ID})
+				r.watch.record(invariant.Event{Kind: invariant.PushedOver, Server: p.line.ID})
 				r.refuse(p.line.ID)
 			}
 		}
@@ -677,11 +677,11 @@
 
 // Ask sends a command to a controller's admin door.
 func (r *Run) Ask(ctx context.Context, controller string, c *h248.Command) (*h248.Command, error) {
-	i := slices.IndexFunc(r.nodes, func(n *node) bool { return n.name == controller })
+	i := slices.IndexFunc(r.controllers, func(n *node) bool { return n.name == controller })
 	if i < 0 {
 		return nil, fmt.Errorf("rig: there is no %s", controller)
 	}
-	return adminapi.Send(ctx, r.nodes[i].admin, c)
+	return adminapi.Send(ctx, r.controllers[i].admin, c)
 }
 
 // Etcd is the store of the agents.
@@ -695,11 +695,11 @@
 			_ = a.cmd.Process.Signal(syscall.SIGTERM)
 		}
 	}
-	for _, n := range r.nodes {
+	for _, n := range r.controllers {
 		n.mu.Lock()
-		if n.proc != nil {
-			_ = n.proc.signal(syscall.SIGCONT)
-			_ = n.proc.signal(syscall.SIGTERM)
+		if n.process != nil {
+			_ = n.process.signal(syscall.SIGCONT)
+			_ = n.process.signal(syscall.SIGTERM)
 		}
 		n.mu.Unlock()
 	}
@@ -722,12 +722,12 @@
 	for _, p := range r.paths {
 		p.close()
 	}
-	for _, n := range r.nodes {
+	for _, n := range r.controllers {
 		if n.names != nil {
 			n.names.Close()
 		}
-		if n.proc != nil {
-			n.proc.close()
+		if n.process != nil {
+			n.process.close()
 		}
 	}
 	for _, p := range r.places {
@@ -742,50 +742,50 @@
 	return err
 }
 
-// A Zone is what its callers got.
-type Zone struct {
-	Name    string  `json:"name"`
-	Sent    int     `json:"sent"`
-	Stood   int     `json:"stood"`
-	Refused int     `json:"refused"`
-	Failed  int     `json:"failed"` // failed, lost with their connection, or given up
-	Cut     int     `json:"cut"`
-	P50     float64 `json:"p50_ms"`
-	P99     float64 `json:"p99_ms"`
+// A ZoneStats is what its callers got.
+type ZoneStats struct {
+	Name        string  `json:"name"`
+	Sent        int     `json:"sent"`
+	Established int     `json:"stood"`
+	Rejected    int     `json:"refused"`
+	Failed      int     `json:"failed"` // failed, lost with their connection, or given up
+	Dropped     int     `json:"cut"`
+	P50         float64 `json:"p50_ms"`
+	P99         float64 `json:"p99_ms"`
 }
 
 // A Result is a run's.
 type Result struct {
-	Seed     uint64    `json:"seed"`
-	Topology Topology  `json:"topology"`
-	For      float64   `json:"for_s"`
-	Zones    []Zone    `json:"zones"`
-	Struck   []Struck  `json:"struck"`
-	Breaches []Breach  `json:"breaches"`
-	Broken   int       `json:"broken"` // rules and what must hold, all told
-	Seen     int       `json:"seen"`   // events on the wires
-	Unread   int       `json:"unread"` // streams that could not be read to their end
-	Course   []Second  `json:"course"`
-	Schedule *Schedule `json:"schedule"`
+	Seed              uint64          `json:"seed"`
+	Topology          Topology        `json:"topology"`
+	Duration          float64         `json:"for_s"`
+	Zones             []ZoneStats     `json:"zones"`
+	Struck            []InjectedFault `json:"struck"`
+	Breaches          []Violation     `json:"breaches"`
+	Broken            int             `json:"broken"` // rules and what must hold, all told
+	Seen              int             `json:"seen"`   // events on the wires
+	UnreadableStreams int             `json:"unread"` // streams that could not be read to their end
+	Samples           []Sample        `json:"course"`
+	Schedule          *Schedule       `json:"schedule"`
 }
 
 func (r *Run) result() *Result {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	res := &Result{Seed: r.o.Schedule.Seed, Topology: r.o.Topology, For: r.o.For.Seconds(), Struck: r.struck, Course: r.course, Schedule: r.o.Schedule}
-	for z := range r.o.Topology.Zones {
+	res := &Result{Seed: r.options.Schedule.Seed, Topology: r.options.Topology, Duration: r.options.For.Seconds(), Struck: r.struck, Samples: r.course, Schedule: r.options.Schedule}
+	for z := range r.options.Topology.Zones {
 		s := loopback.NewLoadStats()
-		for i, n := range r.nodes {
+		for i, n := range r.controllers {
 			if n.zone == z {
 				s.Add(r.load.StatsOf(i))
 			}
 		}
 		ms := func(q float64) float64 { return float64(s.Took.ValueAtQuantile(q)) / 1000 }
-		res.Zones = append(res.Zones, Zone{fmt.Sprint("z", z), s.Sent, s.Stood, s.Refused, s.Failed + s.Lost + s.GaveUp, s.Cut, ms(50), ms(99)})
+		res.Zones = append(res.Zones, ZoneStats{fmt.Sprint("z", z), s.Sent, s.Stood, s.Refused, s.Failed + s.Lost + s.GaveUp, s.Cut, ms(50), ms(99)})
 	}
 	res.Breaches = append(r.watch.breaches(r.struck), r.extra...)
-	res.Broken = r.watch.check.Total() + len(r.extra)
-	res.Seen, res.Unread = r.watch.check.Seen(), r.watch.unread
+	res.Broken = r.watch.checker.Total() + len(r.extra)
+	res.Seen, res.UnreadableStreams = r.watch.checker.Seen(), r.watch.unreadableStreams
 	return res
 }
 
@@ -804,7 +804,7 @@
 // Rows are its zones as a table.
 func (res *Result) Rows() (heading []string, rows [][]string) {
 	for _, z := range res.Zones {
-		rows = append(rows, []string{z.Name, fmt.Sprint(z.Sent), fmt.Sprint(z.Stood), fmt.Sprint(z.Refused), fmt.Sprint(z.Failed), fmt.Sprint(z.Cut), fmt.Sprintf("%.0f", z.P50), fmt.Sprintf("%.0f", z.P99)})
+		rows = append(rows, []string{z.Name, fmt.Sprint(z.Sent), fmt.Sprint(z.Established), fmt.Sprint(z.Rejected), fmt.Sprint(z.Failed), fmt.Sprint(z.Dropped), fmt.Sprintf("%.0f", z.P50), fmt.Sprintf("%.0f", z.P99)})
 	}
 	return strings.Fields("ZONE SENT STOOD REFUSED FAILED CUT P50_MS P99_MS"), rows
 }
--- a/internal/sim/cluster/run_test.go
+++ b/internal/sim/cluster/run_test.go
@@ -61,24 +61,24 @@
 	if testing.Short() {
 		t.Skip("starts processes")
 	}
-	s := &Schedule{Seed: 3, Step: []*Step{
-		{At: at(0.5), For: at(2), Kind: Cut, Name: "zone", From: []string{"z1"}, To: []string{"x0", "x2"}},
-		{At: at(1), Kind: Kill, From: []string{"n0"}},
-		{At: at(1.5), For: at(1.5), Kind: Stop, From: []string{"n1"}},
-		{At: at(2), For: at(2.6), Kind: Swap, From: []string{"x0"}},
-		{At: at(2.5), For: at(1), Kind: Cut, Name: "directory", From: []string{"z2"}, To: []string{"names"}},
-		{At: at(3), Kind: Reset, From: []string{"n*"}, To: []string{"x1"}},
-		{At: at(3.2), For: at(1.5), Kind: OneWay, From: []string{"x2"}, To: []string{"n4"}},
-		{At: at(3.5), For: at(1.5), Kind: Cut, Name: "agent", From: []string{"a2"}, To: []string{"etcd"}},
-		{At: at(4), Kind: End, From: []string{"n5"}},
-		{At: at(5), For: at(1), Kind: Hang, From: []string{"x1"}},
-		{At: at(5.5), For: at(1.5), Kind: Disk, From: []string{"n3"}},
+	s := &Schedule{Seed: 3, Step: []*Fault{
+		{At: at(0.5), Duration: at(2), Kind: FaultPartition, Name: "zone", From: []string{"z1"}, To: []string{"x0", "x2"}},
+		{At: at(1), Kind: FaultKill, From: []string{"n0"}},
+		{At: at(1.5), Duration: at(1.5), Kind: FaultPause, From: []string{"n1"}},
+		{At: at(2), Duration: at(2.6), Kind: FaultReplace, From: []string{"x0"}},
+		{At: at(2.5), Duration: at(1), Kind: FaultPartition, Name: "directory", From: []string{"z2"}, To: []string{"names"}},
+		{At: at(3), Kind: FaultConnectionReset, From: []string{"n*"}, To: []string{"x1"}},
+		{At: at(3.2), Duration: at(1.5), Kind: FaultOneWayPartition, From: []string{"x2"}, To: []string{"n4"}},
+		{At: at(3.5), Duration: at(1.5), Kind: FaultPartition, Name: "agent", From: []string{"a2"}, To: []string{"etcd"}},
+		{At: at(4), Kind: FaultTerminate, From: []string{"n5"}},
+		{At: at(5), Duration: at(1), Kind: FaultHang, From: []string{"x1"}},
+		{At: at(5.5), Duration: at(1.5), Kind: FaultDiskFull, From: []string{"n3"}},
 	}}
 	o := options(t, s, 10*time.Second)
 	started := func(ctx context.Context, r *Run) error {
 		for _, name := range []string{"n0", "n5"} {
-			n := r.nodes[r.index(name)]
-			r.look(ctx)
+			n := r.controllers[r.index(name)]
+			r.pollAgents(ctx)
 			n.mu.Lock()
 			starts := n.starts
 			n.mu.Unlock()
@@ -91,21 +91,21 @@
 		}
 		return nil
 	}
-	o.Holds = []Holds{{Name: "started_again", After: 4500 * time.Millisecond, By: 9 * time.Second, Check: started}}
+	o.Conditions = []Condition{{Name: "started_again", After: 4500 * time.Millisecond, Deadline: 9 * time.Second, Check: started}}
 	res := unbroken(t, o)
-	if len(res.Struck) != len(s.Step) || res.Seen < 1000 || res.Unread != 0 {
-		t.Errorf("%d of %d faults, %d events, %d streams unread", len(res.Struck), len(s.Step), res.Seen, res.Unread)
+	if len(res.Struck) != len(s.Step) || res.Seen < 1000 || res.UnreadableStreams != 0 {
+		t.Errorf("%d of %d faults, %d events, %d streams unread", len(res.Struck), len(s.Step), res.Seen, res.UnreadableStreams)
 	}
 	for _, z := range res.Zones {
-		if z.Sent < 100 || z.Stood*10 < z.Sent*6 {
+		if z.Sent < 100 || z.Established*10 < z.Sent*6 {
 			t.Errorf("%+v", z)
 		}
 	}
 	if err := res.Save(o.Dir); err != nil {
 		t.Fatal(err)
 	}
-	if p, err := res.Part(); err != nil || len(p.Plots) != 1 || len(p.Facts) != len(s.Step) || len(res.Course) < 8 {
-		t.Errorf("as a page: %v, %d plots, %q, %d seconds", err, len(p.Plots), p.Facts, len(res.Course))
+	if p, err := res.Part(); err != nil || len(p.Plots) != 1 || len(p.Facts) != len(s.Step) || len(res.Samples) < 8 {
+		t.Errorf("as a page: %v, %d plots, %q, %d seconds", err, len(p.Plots), p.Facts, len(res.Samples))
 	}
 	if again, err := Load(filepath.Join(o.Dir, "schedule.toml")); err != nil || len(again.Step) != len(s.Step) {
 		t.Errorf("the schedule it leaves: %v", err)
@@ -143,7 +143,7 @@
 
 // index of a controller.
 func (r *Run) index(name string) int {
-	for i, n := range r.nodes {
+	for i, n := range r.controllers {
 		if n.name == name {
 			return i
 		}
@@ -157,17 +157,17 @@
 	if testing.Short() {
 		t.Skip("starts processes")
 	}
-	o := options(t, &Schedule{Seed: 1, Step: []*Step{{At: at(0.1), For: at(0.2), Kind: Slow, From: []string{"x0"}, Factor: 2}}}, 3*time.Second)
+	o := options(t, &Schedule{Seed: 1, Step: []*Fault{{At: at(0.1), Duration: at(0.2), Kind: FaultSlowdown, From: []string{"x0"}, Factor: 2}}}, 3*time.Second)
 	o.Topology = Topology{Controllers: 2, Exchanges: 2, Zones: 1}
-	o.Holds = []Holds{
-		{Name: "never", After: 500 * time.Millisecond, By: time.Second, Check: func(context.Context, *Run) error { return errors.New("it does not") }},
-		{Name: "soon", By: 2 * time.Second, Check: func(_ context.Context, r *Run) error {
-			if time.Since(r.began) < time.Second {
+	o.Conditions = []Condition{
+		{Name: "never", After: 500 * time.Millisecond, Deadline: time.Second, Check: func(context.Context, *Run) error { return errors.New("it does not") }},
+		{Name: "soon", Deadline: 2 * time.Second, Check: func(_ context.Context, r *Run) error {
+			if time.Since(r.startTime) < time.Second {
 				return errors.New("not yet")
 			}
-			r.nodes[1].mu.Lock()
-			defer r.nodes[1].mu.Unlock()
-			return r.nodes[1].proc.signal(9)
+			r.controllers[1].mu.Lock()
+			defer r.controllers[1].mu.Unlock()
+			return r.controllers[1].process.signal(9)
 		}},
 	}
 	res, err := Play(t.Context(), o)
@@ -177,7 +177,7 @@
 	var found []string
 	for _, b := range res.Breaches {
 		found = append(found, b.Rule)
-		if !strings.Contains(b.Step, "slow x0") {
+		if !strings.Contains(b.LatestFault, "slow x0") {
 			t.Errorf("%v does not name the fault before it", b)
 		}
 	}
--- a/internal/sim/cluster/schedule.go
+++ b/internal/sim/cluster/schedule.go
@@ -18,69 +18,69 @@
 
 // Kinds of steps on a path. Each ends after For, but for reset, which has no length.
 const (
-	Cut      = "cut"       // nothing passes between From and To, and nobody is told
-	OneWay   = "one_way"   // nothing passes from From to To; the way back is open
-	Delay    = "delay"     // By later both ways, and up to Spread more
-	Lose     = "lose"      // Share of the datagrams get lost
-	Twice    = "twice"     // Share of the datagrams come twice
-	Reorder  = "reorder"   // datagrams are up to Spread late, each its own time
-	Reset    = "reset"     // connections are reset
-	HalfOpen = "half_open" // new connections come up and lead nowhere
-	Throttle = "throttle"  // streams carry Rate bytes a second
+	FaultPartition           = "cut"       // nothing passes between From and To, and nobody is told
+	FaultOneWayPartition     = "one_way"   // nothing passes from From to To; the way back is open
+	FaultDelay               = "delay"     // By later both ways, and up to Spread more
+	FaultDatagramLoss        = "lose"      // Share of the datagrams get lost
+	FaultDatagramDuplication = "twice"     // Share of the datagrams come twice
+	FaultReorder             = "reorder"   // datagrams are up to Spread late, each its own time
+	FaultConnectionReset     = "reset"     // connections are reset
+	FaultHalfOpen            = "half_open" // new connections come up and lead nowhere
+	FaultBandwidthLimit      = "throttle"  // streams carry Rate bytes a second
 )
 
 // Kinds of steps on processes and exchanges named by From.
 const (
-	Stop  = "stop"  // SIGSTOP, and SIGCONT after For
-	Kill  = "kill"  // SIGKILL; the agent starts it again
-	End   = "end"   // SIGTERM; the agent starts it again
-	Disk  = "disk"  // a controller's writes to files fail, as on a full disk
-	Slow  = "slow"  // an exchange's processor takes Factor times longer
-	Hang  = "hang"  // an exchange takes everything and does nothing
-	Crash = "crash" // an exchange ends; after For a cold one takes its place
-	Swap  = "swap"  // an exchange drains for For and ends; a cold one starts at once
-	Lie   = "lie"   // a hostile process that has the fleet's keys tells all, under a controller's number, that all is well or, by Share 1, pressed
-	Drop  = "drop"  // Share of an exchange's standing calls is cut
+	FaultPause         = "stop"  // SIGSTOP, and SIGCONT after For
+	FaultKill          = "kill"  // SIGKILL; the agent starts it again
+	FaultTerminate     = "end"   // SIGTERM; the agent starts it again
+	FaultDiskFull      = "disk"  // a controller's writes to files fail, as on a full disk
+	FaultSlowdown      = "slow"  // an exchange's processor takes Factor times longer
+	FaultHang          = "hang"  // an exchange takes everything and does nothing
+	FaultCrash         = "crash" // an exchange ends; after For a cold one takes its place
+	FaultReplace       = "swap"  // an exchange drains for For and ends; a cold one starts at once
+	FaultByzantinePeer = "lie"   // a hostile process that has the fleet's keys tells all, under a controller's number, that all is well or, by Share 1, pressed
+	FaultDropCalls     = "drop"  // Share of an exchange's standing calls is cut
 )
 
 // Kinds of steps on the store, "etcd".
 const (
-	Stall    = "watch_stall"  // watches bring nothing, without an error
-	Compact  = "compact"      // its history is forgotten
-	Stale    = "stale"        // serializable reads are three revisions behind
-	NoLeader = "no_leader"    // requests fail
-	LoseSome = "lose_answers" // the answers to the next writes are lost, though they take hold
-	Mute     = "mute_leases"  // leases are not kept alive
-	Restore  = "restore"      // it goes back by a revision, as another cluster
+	FaultWatchStall    = "watch_stall"  // watches bring nothing, without an error
+	FaultCompaction    = "compact"      // its history is forgotten
+	FaultStaleReads    = "stale"        // serializable reads are three revisions behind
+	FaultNoLeader      = "no_leader"    // requests fail
+	FaultLostResponses = "lose_answers" // the answers to the next writes are lost, though they take hold
+	FaultKeepAliveLoss = "mute_leases"  // leases are not kept alive
+	FaultRestore       = "restore"      // it goes back by a revision, as another cluster
 )
 
-// onPaths, onParts and onStore list the kinds.
+// pathFaults, partFaults and storeFaults list the kinds.
 var (
-	onPaths = []string{Cut, OneWay, Delay, Lose, Twice, Reorder, Reset, HalfOpen, Throttle}
-	onParts = []string{Stop, Kill, End, Disk, Slow, Hang, Crash, Swap, Drop, Lie}
-	onStore = []string{Stall, Compact, Stale, NoLeader, LoseSome, Mute, Restore}
+	pathFaults  = []string{FaultPartition, FaultOneWayPartition, FaultDelay, FaultDatagramLoss, FaultDatagramDuplication, FaultReorder, FaultConnectionReset, FaultHalfOpen, FaultBandwidthLimit}
+	partFaults  = []string{FaultPause, FaultKill, FaultTerminate, FaultDiskFull, FaultSlowdown, FaultHang, FaultCrash, FaultReplace, FaultDropCalls, FaultByzantinePeer}
+	storeFaults = []string{FaultWatchStall, FaultCompaction, FaultStaleReads, FaultNoLeader, FaultLostResponses, FaultKeepAliveLoss, FaultRestore}
 	// atOnce are those that have no length.
-	atOnce = []string{Reset, Kill, End, Drop, Compact, Restore}
+	atOnce = []string{FaultConnectionReset, FaultKill, FaultTerminate, FaultDropCalls, FaultCompaction, FaultRestore}
 )
 
-// A Step is a fault. Its times count from when the stage was ready and calls began to come, so that a
+// A Fault is a fault. Its times count from when the stage was ready and calls began to come, so that a
 // schedule means the same on a slow machine.
-type Step struct {
-	At     scenario.Duration `toml:"at" json:"at"`
-	For    scenario.Duration `toml:"for" json:"for,omitempty"`
-	Kind   string            `toml:"kind" json:"kind"`
-	Name   string            `toml:"name,omitempty" json:"name,omitempty"` // of the cut, for the report: a zone, an agent, a half
-	From   []string          `toml:"from" json:"from"`                     // names, or "z1" for a zone, "n*" for all of a kind
-	To     []string          `toml:"to,omitempty" json:"to,omitempty"`
-	By     scenario.Duration `toml:"by,omitempty" json:"by,omitempty"`
-	Spread scenario.Duration `toml:"spread,omitempty" json:"spread,omitempty"`
-	Share  float64           `toml:"share,omitempty" json:"share,omitempty"`
-	Factor float64           `toml:"factor,omitempty" json:"factor,omitempty"`
-	Rate   int               `toml:"rate,omitempty" json:"rate,omitempty"`
+type Fault struct {
+	At             scenario.Duration `toml:"at" json:"at"`
+	Duration       scenario.Duration `toml:"for" json:"for,omitempty"`
+	Kind           string            `toml:"kind" json:"kind"`
+	Name           string            `toml:"name,omitempty" json:"name,omitempty"` // of the cut, for the report: a zone, an agent, a half
+	From           []string          `toml:"from" json:"from"`                     // names, or "z1" for a zone, "n*" for all of a kind
+	To             []string          `toml:"to,omitempty" json:"to,omitempty"`
+	Latency        scenario.Duration `toml:"by,omitempty" json:"by,omitempty"`
+	Jitter         scenario.Duration `toml:"spread,omitempty" json:"spread,omitempty"`
+	Fraction       float64           `toml:"share,omitempty" json:"share,omitempty"`
+	Factor         float64           `toml:"factor,omitempty" json:"factor,omitempty"`
+	BytesPerSecond int               `toml:"rate,omitempty" json:"rate,omitempty"`
 }
 
 // String implements fmt.Stringer.
-func (s *Step) String() string {
+func (s *Fault) String() string {
 	var b strings.Builder
 	fmt.Fprintf(&b, "%v %s", s.At.D(), s.Kind)
 	if s.Name != "" {
@@ -90,16 +90,16 @@
 	if len(s.To) > 0 {
 		fmt.Fprintf(&b, " - %s", strings.Join(s.To, ","))
 	}
-	if s.For > 0 {
-		fmt.Fprintf(&b, " for %v", s.For.D())
+	if s.Duration > 0 {
+		fmt.Fprintf(&b, " for %v", s.Duration.D())
 	}
 	return b.String()
 }
 
 // A Schedule is what goes wrong in a run. Written to a file it plays the run again.
 type Schedule struct {
-	Seed uint64  `toml:"seed" json:"seed"` // it was drawn from; also of callers and relays
-	Step []*Step `toml:"step" json:"step"`
+	Seed uint64   `toml:"seed" json:"seed"` // it was drawn from; also of callers and relays
+	Step []*Fault `toml:"step" json:"step"`
 }
 
 // mostSteps bounds a schedule.
@@ -118,28 +118,28 @@
 	return nil
 }
 
-func (s *Step) check(t *Topology) error {
-	path := slices.Contains(onPaths, s.Kind)
+func (s *Fault) check(t *Topology) error {
+	path := slices.Contains(pathFaults, s.Kind)
 	from, err := t.Match(s.From)
 	if err != nil {
 		return fmt.Errorf("from: %w", err)
 	}
 	switch {
-	case !path && !slices.Contains(onParts, s.Kind) && !slices.Contains(onStore, s.Kind):
-		return fmt.Errorf("none of %s", strings.Join(slices.Concat(onPaths, onParts, onStore), ", "))
-	case s.At < 0 || s.For < 0 || s.By < 0 || s.Spread < 0 || s.Rate < 0:
+	case !path && !slices.Contains(partFaults, s.Kind) && !slices.Contains(storeFaults, s.Kind):
+		return fmt.Errorf("none of %s", strings.Join(slices.Concat(pathFaults, partFaults, storeFaults), ", "))
+	case s.At < 0 || s.Duration < 0 || s.Latency < 0 || s.Jitter < 0 || s.BytesPerSecond < 0:
 		return errors.New("times and rate must not be negative")
-	case s.Share < 0 || s.Share > 1:
+	case s.Fraction < 0 || s.Fraction > 1:
 		return errors.New("share is between 0 and 1")
-	case (s.Kind == Lose || s.Kind == Twice || s.Kind == Drop) && s.Share == 0:
+	case (s.Kind == FaultDatagramLoss || s.Kind == FaultDatagramDuplication || s.Kind == FaultDropCalls) && s.Fraction == 0:
 		return errors.New("share is missing")
-	case s.Kind == Throttle && s.Rate == 0:
+	case s.Kind == FaultBandwidthLimit && s.BytesPerSecond == 0:
 		return errors.New("rate is missing")
-	case s.Kind == Slow && s.Factor <= 0:
+	case s.Kind == FaultSlowdown && s.Factor <= 0:
 		return errors.New("factor is missing")
-	case s.For == 0 && !slices.Contains(atOnce, s.Kind):
+	case s.Duration == 0 && !slices.Contains(atOnce, s.Kind):
 		return errors.New("for is missing: nothing would end it")
-	case s.Kind == Lie && !t.Share:
+	case s.Kind == FaultByzantinePeer && !t.Share:
 		return errors.New("controllers share nothing here")
 	case path:
 		to, err := t.Match(s.To)
@@ -163,15 +163,15 @@
 func able(name string) []string {
 	switch {
 	case name == "etcd":
-		return onStore
+		return storeFaults
 	case name == "names":
 		return nil
 	case name[0] == 'x':
-		return []string{Slow, Hang, Crash, Swap, Drop}
+		return []string{FaultSlowdown, FaultHang, FaultCrash, FaultReplace, FaultDropCalls}
 	case name[0] == 'a': // one that ends in order has its controllers end
-		return []string{Stop, Kill}
+		return []string{FaultPause, FaultKill}
 	}
-	return []string{Stop, Kill, End, Disk, Lie}
+	return []string{FaultPause, FaultKill, FaultTerminate, FaultDiskFull, FaultByzantinePeer}
 }
 
 // Load reads a schedule's file; an unknown key is an error.
@@ -232,8 +232,8 @@
 	return -1
 }
 
-// parts are the names of a kind.
-func (t *Topology) parts(kind byte) (all []string) {
+// namesOfKind are the names of a kind.
+func (t *Topology) namesOfKind(kind byte) (all []string) {
 	n := map[byte]int{'n': t.Controllers, 'x': t.Exchanges, 'a': t.Zones}[kind]
 	for i := range n {
 		all = append(all, fmt.Sprintf("%c%d", kind, i))
@@ -242,7 +242,7 @@
 }
 
 func (t *Topology) all() []string {
-	return slices.Concat(t.parts('n'), t.parts('x'), t.parts('a'), []string{"names", "etcd"})
+	return slices.Concat(t.namesOfKind('n'), t.namesOfKind('x'), t.namesOfKind('a'), []string{"names", "etcd"})
 }
 
 // Match is the parts that patterns name: a name, a zone, "n*" for all of a kind, "*" for everything.
@@ -308,9 +308,9 @@
 		d := low + time.Duration(rng.Float64()*float64(high-low))
 		return scenario.Duration(d.Round(time.Millisecond))
 	}
-	one := func(kind byte) []string { all := t.parts(kind); return []string{all[rng.IntN(len(all))]} }
+	one := func(kind byte) []string { all := t.namesOfKind(kind); return []string{all[rng.IntN(len(all))]} }
 	for range n {
-		x := &Step{At: within(0, over*3/5), For: within(over/20, over/5)}
+		x := &Fault{At: within(0, over*3/5), Duration: within(over/20, over/5)}
 		zone := fmt.Sprint("z", rng.IntN(t.Zones))
 		// By how a part is named, so that a file says what was meant.
 		kinds := 20
@@ -319,8 +319,8 @@
 		}
 		switch rng.IntN(kinds) {
 		case 0: // a zone's controllers cut off from the exchanges of the others
-			x.Kind, x.Name, x.From = Cut, "zone", []string{zone}
-			for _, other := range t.parts('x') {
+			x.Kind, x.Name, x.From = FaultPartition, "zone", []string{zone}
+			for _, other := range t.namesOfKind('x') {
 				if fmt.Sprint("z", t.zoneOf(other)) != zone {
 					x.To = append(x.To, other)
 				}
@@ -329,60 +329,60 @@
 				x.To = []string{"x*"}
 			}
 		case 1:
-			x.Kind, x.From, x.To = OneWay, one('n'), one('x')
+			x.Kind, x.From, x.To = FaultOneWayPartition, one('n'), one('x')
 		case 2:
-			x.Kind, x.From, x.To = OneWay, one('x'), []string{"n*"}
+			x.Kind, x.From, x.To = FaultOneWayPartition, one('x'), []string{"n*"}
 		case 3:
-			x.Kind, x.From, x.To, x.By, x.Spread = Delay, []string{zone}, []string{"x*"}, within(10*time.Millisecond, 400*time.Millisecond), within(0, 50*time.Millisecond)
+			x.Kind, x.From, x.To, x.Latency, x.Jitter = FaultDelay, []string{zone}, []string{"x*"}, within(10*time.Millisecond, 400*time.Millisecond), within(0, 50*time.Millisecond)
 		case 4:
-			x.Kind, x.From, x.To, x.For = Reset, one('x'), []string{"n*"}, 0
+			x.Kind, x.From, x.To, x.Duration = FaultConnectionReset, one('x'), []string{"n*"}, 0
 		case 5:
-			x.Kind, x.From, x.To = HalfOpen, []string{"n*"}, one('x')
+			x.Kind, x.From, x.To = FaultHalfOpen, []string{"n*"}, one('x')
 		case 6:
-			x.Kind, x.From, x.To, x.Rate = Throttle, one('n'), []string{"x*"}, 2000+rng.IntN(20_000)
+			x.Kind, x.From, x.To, x.BytesPerSecond = FaultBandwidthLimit, one('n'), []string{"x*"}, 2000+rng.IntN(20_000)
 		case 7:
-			x.Kind, x.From, x.To, x.Share = Lose, []string{"n*"}, []string{"names"}, 0.2+0.7*rng.Float64()
+			x.Kind, x.From, x.To, x.Fraction = FaultDatagramLoss, []string{"n*"}, []string{"names"}, 0.2+0.7*rng.Float64()
 		case 8:
-			x.Kind, x.From, x.To, x.Spread = Reorder, []string{"n*"}, []string{"names"}, within(200*time.Millisecond, time.Second)
+			x.Kind, x.From, x.To, x.Jitter = FaultReorder, []string{"n*"}, []string{"names"}, within(200*time.Millisecond, time.Second)
 		case 9:
-			x.Kind, x.Name, x.From, x.To = Cut, "directory", []string{zone}, []string{"names"}
+			x.Kind, x.Name, x.From, x.To = FaultPartition, "directory", []string{zone}, []string{"names"}
 		case 10:
-			x.Kind, x.Name, x.From, x.To = Cut, "agent", one('a'), []string{"etcd"}
+			x.Kind, x.Name, x.From, x.To = FaultPartition, "agent", one('a'), []string{"etcd"}
 			if rng.IntN(2) == 0 {
 				x.To = []string{fmt.Sprint("z", t.zoneOf(x.From[0]))} // its controllers
 			}
 		case 11:
-			x.Kind, x.From = Stop, one('n')
+			x.Kind, x.From = FaultPause, one('n')
 		case 12:
-			x.Kind, x.From, x.For = Kill, one('n'), 0
+			x.Kind, x.From, x.Duration = FaultKill, one('n'), 0
 			if rng.IntN(4) == 0 {
-				x.Kind = End
+				x.Kind = FaultTerminate
 			}
 		case 13:
-			x.Kind, x.From, x.Factor = Slow, one('x'), 2+4*rng.Float64()
+			x.Kind, x.From, x.Factor = FaultSlowdown, one('x'), 2+4*rng.Float64()
 		case 14:
-			x.Kind, x.From = Hang, one('x')
+			x.Kind, x.From = FaultHang, one('x')
 		case 15:
-			x.Kind, x.From = Crash, one('x')
+			x.Kind, x.From = FaultCrash, one('x')
 			if rng.IntN(2) == 0 {
-				x.Kind, x.For = Swap, within(2500*time.Millisecond, 4*time.Second)
+				x.Kind, x.Duration = FaultReplace, within(2500*time.Millisecond, 4*time.Second)
 			}
 		case 16:
-			x.Kind, x.From, x.Share, x.For = Drop, one('x'), 0.2+0.5*rng.Float64(), 0
+			x.Kind, x.From, x.Fraction, x.Duration = FaultDropCalls, one('x'), 0.2+0.5*rng.Float64(), 0
 		case 17:
-			x.Kind, x.From = onStore[rng.IntN(len(onStore))], []string{"etcd"}
+			x.Kind, x.From = storeFaults[rng.IntN(len(storeFaults))], []string{"etcd"}
 			if slices.Contains(atOnce, x.Kind) {
-				x.For = 0
+				x.Duration = 0
 			}
 		case 18:
-			x.Kind, x.From, x.To, x.Share = Twice, []string{"n*"}, []string{"names"}, 0.3+0.6*rng.Float64()
+			x.Kind, x.From, x.To, x.Fraction = FaultDatagramDuplication, []string{"n*"}, []string{"names"}, 0.3+0.6*rng.Float64()
 		case 19:
-			x.Kind, x.From = Disk, one('n')
+			x.Kind, x.From = FaultDiskFull, one('n')
 		case 20:
-			x.Kind, x.From, x.To, x.Share = Lose, []string{"n*"}, []string{"n*"}, 0.3
+			x.Kind, x.From, x.To, x.Fraction = FaultDatagramLoss, []string{"n*"}, []string{"n*"}, 0.3
 		case 21: // halves that do not hear each other
-			x.Kind, x.Name = Cut, "half"
-			for i, name := range t.parts('n') {
+			x.Kind, x.Name = FaultPartition, "half"
+			for i, name := range t.namesOfKind('n') {
 				if i%2 == 0 {
 					x.From = append(x.From, name)
 				} else {
@@ -390,16 +390,16 @@
 				}
 			}
 		case 22:
-			x.Kind, x.From, x.To, x.Spread = Reorder, []string{"n*"}, []string{"n*"}, within(200*time.Millisecond, 2*time.Second)
+			x.Kind, x.From, x.To, x.Jitter = FaultReorder, []string{"n*"}, []string{"n*"}, within(200*time.Millisecond, 2*time.Second)
 		case 23:
-			x.Kind, x.From, x.To = OneWay, one('n'), []string{"n*"}
+			x.Kind, x.From, x.To = FaultOneWayPartition, one('n'), []string{"n*"}
 		case 24:
-			x.Kind, x.From, x.To, x.Share = Twice, []string{"n*"}, []string{"n*"}, 0.5
+			x.Kind, x.From, x.To, x.Fraction = FaultDatagramDuplication, []string{"n*"}, []string{"n*"}, 0.5
 		case 25:
-			x.Kind, x.From, x.Share = Lie, one('n'), float64(rng.IntN(2))
+			x.Kind, x.From, x.Fraction = FaultByzantinePeer, one('n'), float64(rng.IntN(2))
 		}
 		s.Step = append(s.Step, x)
 	}
-	slices.SortFunc(s.Step, func(a, b *Step) int { return cmp.Compare(a.At, b.At) })
+	slices.SortFunc(s.Step, func(a, b *Fault) int { return cmp.Compare(a.At, b.At) })
 	return s
 }
--- a/internal/sim/cluster/schedule_test.go
+++ b/internal/sim/cluster/schedule_test.go
@@ -35,12 +35,12 @@
 		}
 		for _, x := range s.Step {
 			kinds[x.Kind] = true
-			if end := x.At.D() + x.For.D(); end > 16*time.Second {
+			if end := x.At.D() + x.Duration.D(); end > 16*time.Second {
 				t.Errorf("seed %d: %v ends at %v, the last fifth is for recovery", seed, x, end)
 			}
 		}
 	}
-	for _, k := range slices.Concat(onPaths, onParts, onStore) {
+	for _, k := range slices.Concat(pathFaults, partFaults, storeFaults) {
 		if !kinds[k] {
 			t.Errorf("no schedule has %s", k)
 		}
@@ -52,20 +52,20 @@
 	top := &Topology{Controllers: 4, Exchanges: 2, Zones: 2}
 	long := scenario.Duration(time.Second)
 	for _, c := range []struct {
-		step Step
+		step Fault
 		want string
 	}{
-		{Step{Kind: "melt", From: []string{"n0"}}, "none of cut"},
-		{Step{Kind: Cut, From: []string{"n9"}, To: []string{"x0"}, For: long}, `"n9" names nothing`},
-		{Step{Kind: Cut, From: []string{"n0"}, To: []string{"n1"}, For: long}, "no path stands between"},
-		{Step{Kind: Cut, From: []string{"n0"}, To: []string{"x0"}}, "for is missing"},
-		{Step{Kind: Lose, From: []string{"n*"}, To: []string{"names"}, For: long}, "share is missing"},
-		{Step{Kind: Throttle, From: []string{"n*"}, To: []string{"x*"}, For: long}, "rate is missing"},
-		{Step{Kind: Stop, From: []string{"x0"}, For: long}, "x0 is nothing that can stop"},
-		{Step{Kind: Hang, From: []string{"a0"}, For: long}, "a0 is nothing that can hang"},
-		{Step{Kind: NoLeader, From: []string{"n0"}, For: long}, "n0 is nothing that can no_leader"},
+		{Fault{Kind: "melt", From: []string{"n0"}}, "none of cut"},
+		{Fault{Kind: FaultPartition, From: []string{"n9"}, To: []string{"x0"}, Duration: long}, `"n9" names nothing`},
+		{Fault{Kind: FaultPartition, From: []string{"n0"}, To: []string{"n1"}, Duration: long}, "no path stands between"},
+		{Fault{Kind: FaultPartition, From: []string{"n0"}, To: []string{"x0"}}, "for is missing"},
+		{Fault{Kind: FaultDatagramLoss, From: []string{"n*"}, To: []string{"names"}, Duration: long}, "share is missing"},
+		{Fault{Kind: FaultBandwidthLimit, From: []string{"n*"}, To: []string{"x*"}, Duration: long}, "rate is missing"},
+		{Fault{Kind: FaultPause, From: []string{"x0"}, Duration: long}, "x0 is nothing that can stop"},
+		{Fault{Kind: FaultHang, From: []string{"a0"}, Duration: long}, "a0 is nothing that can hang"},
+		{Fault{Kind: FaultNoLeader, From: []string{"n0"}, Duration: long}, "n0 is nothing that can no_leader"},
 	} {
-		err := (&Schedule{Step: []*Step{&c.step}}).Check(top)
+		err := (&Schedule{Step: []*Fault{&c.step}}).Check(top)
 		if err == nil || !strings.Contains(err.Error(), c.want) || !strings.Contains(err.Error(), "step 1") {
 			t.Errorf("%+v: %v, want %q", c.step, err, c.want)
 		}
@@ -93,49 +93,49 @@
 	}
 	for _, c := range []struct {
 		name string
-		play func(w *watch, a, b tap)
+		play func(w *monitor, a, b observer)
 		want invariant.Rule
 	}{
-		{"one attempt", func(_ *watch, a, _ tap) { a(There, []byte(invite("1"))) }, ""},
-		{"turned away, and sent elsewhere at once", func(_ *watch, a, b tap) {
-			a(There, []byte(invite("1")))
-			a(Back, []byte(answer("503")))
-			b(There, []byte(invite("2")))
+		{"one attempt", func(_ *monitor, a, _ observer) { a(Forward, []byte(invite("1"))) }, ""},
+		{"turned away, and sent elsewhere at once", func(_ *monitor, a, b observer) {
+			a(Forward, []byte(invite("1")))
+			a(Backward, []byte(answer("503")))
+			b(Forward, []byte(invite("2")))
 		}, ""},
-		{"two attempts, in pieces", func(_ *watch, a, b tap) {
+		{"two attempts, in pieces", func(_ *monitor, a, b observer) {
 			for _, c := range []byte(invite("1")) {
-				a(There, []byte{c})
+				a(Forward, []byte{c})
 			}
-			b(There, []byte(invite("2")))
+			b(Forward, []byte(invite("2")))
 		}, invariant.OneAttempt},
-		{"sent again at once after it was given up", func(_ *watch, a, b tap) {
-			a(There, []byte(invite("1")+cancel))
-			b(There, []byte(invite("2")))
+		{"sent again at once after it was given up", func(_ *monitor, a, b observer) {
+			a(Forward, []byte(invite("1")+cancel))
+			b(Forward, []byte(invite("2")))
 		}, invariant.ReleaseKept},
-		{"sent again at once after its connection broke", func(_ *watch, a, b tap) {
-			a(There, []byte(invite("1")))
-			a(There, nil)
-			b(There, []byte(invite("2")))
+		{"sent again at once after its connection broke", func(_ *monitor, a, b observer) {
+			a(Forward, []byte(invite("1")))
+			a(Forward, nil)
+			b(Forward, []byte(invite("2")))
 		}, invariant.ReleaseKept},
-		{"sent to one that drains", func(w *watch, a, _ tap) {
-			w.began = w.began.Add(-time.Minute)
-			w.check.See(invariant.Event{At: time.Second, Kind: invariant.Told, Node: "n0", Server: "x0", On: true})
-			a(There, []byte(invite("1")))
+		{"sent to one that drains", func(w *monitor, a, _ observer) {
+			w.startTime = w.startTime.Add(-time.Minute)
+			w.checker.See(invariant.Event{At: time.Second, Kind: invariant.Told, Node: "n0", Server: "x0", On: true})
+			a(Forward, []byte(invite("1")))
 		}, invariant.DrainsKept},
-		{"the answer twice", func(w *watch, a, _ tap) {
-			w.see(invariant.Event{Kind: invariant.Stands, Node: "n0", Call: "c1"})
-			w.see(invariant.Event{Kind: invariant.Stands, Node: "n0", Call: "c1"})
+		{"the answer twice", func(w *monitor, a, _ observer) {
+			w.record(invariant.Event{Kind: invariant.Stands, Node: "n0", Call: "c1"})
+			w.record(invariant.Event{Kind: invariant.Stands, Node: "n0", Call: "c1"})
 		}, invariant.OneAnswer},
 	} {
-		w := newWatch(time.Now())
-		w.see(invariant.Event{Kind: invariant.SetUp, Node: "n0", Call: "c1", Until: time.Hour})
-		c.play(w, w.signalling("n0", "x0"), w.signalling("n0", "x1"))
+		w := newMonitor(time.Now())
+		w.record(invariant.Event{Kind: invariant.SetUp, Node: "n0", Call: "c1", Until: time.Hour})
+		c.play(w, w.observeSIP("n0", "x0"), w.observeSIP("n0", "x1"))
 		got := invariant.Rule("")
-		if all := w.check.Breaches(); len(all) > 0 {
+		if all := w.checker.Breaches(); len(all) > 0 {
 			got = all[0].Rule
 		}
-		if got != c.want || w.unread != 0 {
-			t.Errorf("%s: %q is broken, want %q; %d streams unread", c.name, got, c.want, w.unread)
+		if got != c.want || w.unreadableStreams != 0 {
+			t.Errorf("%s: %q is broken, want %q; %d streams unread", c.name, got, c.want, w.unreadableStreams)
 		}
 	}
 }
@@ -168,7 +168,7 @@
 func TestShrinkFindsWhatItTakes(t *testing.T) {
 	t.Parallel()
 	whole := Draw(&Topology{Controllers: 4, Exchanges: 2, Zones: 2}, 12, 20*time.Second, 5)
-	need := []*Step{whole.Step[2], whole.Step[9]}
+	need := []*Fault{whole.Step[2], whole.Step[9]}
 	plays := 0
 	small, err := Shrink(t.Context(), whole, 3, func(s *Schedule) (bool, error) {
 		plays++
--- a/internal/sim/cluster/share_test.go
+++ b/internal/sim/cluster/share_test.go
@@ -27,7 +27,7 @@
 // wrong, who pass it over for half a minute.
 func one(ctx context.Context, r *Run) error {
 	tellers := make(map[int][]string)
-	for _, n := range r.nodes {
+	for _, n := range r.controllers {
 		s, err := r.shares(ctx, n.name)
 		if err != nil {
 			return err
@@ -54,14 +54,14 @@
 	if testing.Short() {
 		t.Skip("starts processes")
 	}
-	s := &Schedule{Seed: 5, Step: []*Step{
-		{At: at(2), For: at(8), Kind: Lose, From: []string{"n*"}, To: []string{"n*"}, Share: 0.3},
-		{At: at(2.5), For: at(3), Kind: Stop, From: []string{"n4"}},
-		{At: at(3), For: at(3), Kind: Cut, Name: "half", From: []string{"n0", "n2", "n6", "n8"}, To: []string{"n1", "n3", "n5", "n7"}},
-		{At: at(5), For: at(4), Kind: Reorder, From: []string{"n*"}, To: []string{"n*"}, Spread: at(0.7)},
-		{At: at(5), For: at(4), Kind: Twice, From: []string{"n*"}, To: []string{"n*"}, Share: 0.5},
-		{At: at(6), For: at(3), Kind: Lie, From: []string{"n3"}, Share: 1},
-		{At: at(7), For: at(3), Kind: Lie, From: []string{"n7"}},
+	s := &Schedule{Seed: 5, Step: []*Fault{
+		{At: at(2), Duration: at(8), Kind: FaultDatagramLoss, From: []string{"n*"}, To: []string{"n*"}, Fraction: 0.3},
+		{At: at(2.5), Duration: at(3), Kind: FaultPause, From: []string{"n4"}},
+		{At: at(3), Duration: at(3), Kind: FaultPartition, Name: "half", From: []string{"n0", "n2", "n6", "n8"}, To: []string{"n1", "n3", "n5", "n7"}},
+		{At: at(5), Duration: at(4), Kind: FaultReorder, From: []string{"n*"}, To: []string{"n*"}, Jitter: at(0.7)},
+		{At: at(5), Duration: at(4), Kind: FaultDatagramDuplication, From: []string{"n*"}, To: []string{"n*"}, Fraction: 0.5},
+		{At: at(6), Duration: at(3), Kind: FaultByzantinePeer, From: []string{"n3"}, Fraction: 1},
+		{At: at(7), Duration: at(3), Kind: FaultByzantinePeer, From: []string{"n7"}},
 	}}
 	o := options(t, s, 16*time.Second)
 	o.Scenario.Callers.Load = 1.5
@@ -74,13 +74,13 @@
 				return err
 			}
 			killed = fmt.Sprint("n", s.Aggregator)
-			r.onProcess(ctx, &Step{Kind: Kill}, killed)
+			r.injectProcessFault(ctx, &Fault{Kind: FaultKill}, killed)
 		}
 		return nil
 	}
 	held := func(ctx context.Context, r *Run) error {
 		n := 0
-		for _, name := range r.o.Topology.parts('n') {
+		for _, name := range r.options.Topology.namesOfKind('n') {
 			s, err := r.shares(ctx, name)
 			if err != nil {
 				return err
@@ -89,23 +89,23 @@
 				n++
 			}
 		}
-		if n < len(r.nodes)*2/3 {
-			return fmt.Errorf("%d of %d have held a call back by the fleet's word", n, len(r.nodes))
+		if n < len(r.controllers)*2/3 {
+			return fmt.Errorf("%d of %d have held a call back by the fleet's word", n, len(r.controllers))
 		}
 		return nil
 	}
-	o.Holds = []Holds{
-		{Name: "one_teller_at_first", After: 500 * time.Millisecond, By: 9 * time.Second, Check: one},
-		{Name: "teller_killed", After: 6500 * time.Millisecond, By: 9 * time.Second, Check: kill},
-		{Name: "holds_back", After: 2 * time.Second, By: 15 * time.Second, Check: held},
-		{Name: "one_teller", After: 11 * time.Second, By: 16 * time.Second, Check: one},
+	o.Conditions = []Condition{
+		{Name: "one_teller_at_first", After: 500 * time.Millisecond, Deadline: 9 * time.Second, Check: one},
+		{Name: "teller_killed", After: 6500 * time.Millisecond, Deadline: 9 * time.Second, Check: kill},
+		{Name: "holds_back", After: 2 * time.Second, Deadline: 15 * time.Second, Check: held},
+		{Name: "one_teller", After: 11 * time.Second, Deadline: 16 * time.Second, Check: one},
 	}
 	res := unbroken(t, o)
 	if killed == "" || len(res.Struck) != len(s.Step) {
 		t.Errorf("%q was killed, %d of %d faults struck", killed, len(res.Struck), len(s.Step))
 	}
 	for _, z := range res.Zones {
-		if z.Stood*10 < z.Sent*3 {
+		if z.Established*10 < z.Sent*3 {
 			t.Errorf("%+v", z)
 		}
 	}
--- a/internal/sim/cluster/shrink.go
+++ b/internal/sim/cluster/shrink.go
@@ -10,7 +10,7 @@
 // counts as good if none of them goes wrong. It halves first, then leaves out one by one; nil: the whole
 // schedule did not go wrong either.
 func Shrink(ctx context.Context, s *Schedule, tries int, bad func(*Schedule) (bool, error)) (*Schedule, error) {
-	fails := func(steps []*Step) (bool, error) {
+	fails := func(steps []*Fault) (bool, error) {
 		for range tries {
 			if err := ctx.Err(); err != nil {
 				return false, err
--- a/internal/sim/cluster/strike.go
+++ b/internal/sim/cluster/strike.go
@@ -21,19 +21,19 @@
 )
 
 // step has a fault begin, and end.
-func (r *Run) step(ctx context.Context, s *Step) {
+func (r *Run) step(ctx context.Context, s *Fault) {
 	if !r.sleep(ctx, s.At.D()) {
 		return
 	}
 	r.mu.Lock()
-	r.struck = append(r.struck, Struck{time.Since(r.began).Seconds(), s})
+	r.struck = append(r.struck, InjectedFault{time.Since(r.startTime).Seconds(), s})
 	r.mu.Unlock()
 	r.say("-> %v", s)
-	if slices.Contains(onPaths, s.Kind) {
+	if slices.Contains(pathFaults, s.Kind) {
 		r.onPaths(ctx, s)
 		return
 	}
-	names, _ := r.o.Topology.Match(s.From) // the schedule was checked
+	names, _ := r.options.Topology.Match(s.From) // the schedule was checked
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	for _, name := range names {
@@ -44,17 +44,17 @@
 			case name[0] == 'x':
 				r.onExchange(ctx, s, name)
 			default:
-				r.onProcess(ctx, s, name)
+				r.injectProcessFault(ctx, s, name)
 			}
 		})
 	}
 }
 
 // onStore has the store go wrong for a while.
-func (r *Run) onStore(ctx context.Context, s *Step) {
+func (r *Run) onStore(ctx context.Context, s *Fault) {
 	while := func(set func(on bool)) {
 		set(true)
-		r.pause(ctx, s.For.D())
+		r.pause(ctx, s.Duration.D())
 		set(false)
 	}
 	some := func(n int, set func(int)) func(on bool) {
@@ -66,19 +66,19 @@
 		}
 	}
 	switch s.Kind {
-	case Stall:
+	case FaultWatchStall:
 		while(r.etcd.Stall)
-	case NoLeader:
+	case FaultNoLeader:
 		while(r.etcd.NoLeader)
-	case Mute:
+	case FaultKeepAliveLoss:
 		while(r.etcd.MuteLeases)
-	case Stale:
+	case FaultStaleReads:
 		while(some(3, func(n int) { r.etcd.Stale(int64(n)) }))
-	case LoseSome:
+	case FaultLostResponses:
 		while(some(5, r.etcd.LoseAnswers))
-	case Compact:
+	case FaultCompaction:
 		r.etcd.Forget()
-	case Restore:
+	case FaultRestore:
 		r.etcd.Set("/rig/mark", []byte(s.String())) // what the restore loses: no controller stops being wanted
 		if err := r.etcd.Restore(r.etcd.Revision()-1, true); err != nil {
 			r.say("%v is not done: %v", s, err) // its history is too short
@@ -86,8 +86,8 @@
 	}
 }
 
-func (r *Run) onPaths(ctx context.Context, s *Step) {
-	if s.Kind == Reset {
+func (r *Run) onPaths(ctx context.Context, s *Fault) {
+	if s.Kind == FaultConnectionReset {
 		for _, p := range r.between(s) {
 			if p.reset != nil {
 				p.reset()
@@ -107,11 +107,11 @@
 	}
 	set(true)
 	defer set(false)
-	r.pause(ctx, s.For.D())
+	r.pause(ctx, s.Duration.D())
 }
 
 // between are the paths that a step is about.
-func (r *Run) between(s *Step) (all []*path) {
+func (r *Run) between(s *Fault) (all []*path) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, p := range r.paths {
@@ -123,49 +123,49 @@
 }
 
 // touches tells which ways of a path lie from From to To of a step.
-func (r *Run) touches(p *path, s *Step) (there, back bool) {
-	from, _ := r.o.Topology.Match(s.From)
-	to, _ := r.o.Topology.Match(s.To)
+func (r *Run) touches(p *path, s *Fault) (there, back bool) {
+	from, _ := r.options.Topology.Match(s.From)
+	to, _ := r.options.Topology.Match(s.To)
 	there = slices.Contains(from, p.from) && slices.Contains(to, p.to)
 	back = slices.Contains(from, p.to) && slices.Contains(to, p.from)
 	return there, back
 }
 
 // shape puts a step's fault on a path, or takes it off; the lock is held.
-func (r *Run) shape(p *path, s *Step, on bool) {
+func (r *Run) shape(p *path, s *Fault, on bool) {
 	there, back := r.touches(p, s)
 	if !there && !back {
 		return
 	}
-	var f Shape
+	var f Impairment
 	switch s.Kind {
-	case Cut, OneWay:
-		f.Cut = true
-	case Delay:
-		f.Delay, f.Spread = s.By.D(), s.Spread.D()
-	case Lose:
-		f.Lose = s.Share
-	case Twice:
-		f.Twice = s.Share
-	case Reorder:
-		f.Spread = s.Spread.D()
-	case Throttle:
-		f.Rate = s.Rate
+	case FaultPartition, FaultOneWayPartition:
+		f.Blocked = true
+	case FaultDelay:
+		f.Delay, f.Jitter = s.Latency.D(), s.Jitter.D()
+	case FaultDatagramLoss:
+		f.LossRate = s.Fraction
+	case FaultDatagramDuplication:
+		f.DuplicationRate = s.Fraction
+	case FaultReorder:
+		f.Jitter = s.Jitter.D()
+	case FaultBandwidthLimit:
+		f.BytesPerSecond = s.BytesPerSecond
 	}
-	p.alter(func() {
+	p.update(func() {
 		switch {
 		case !on:
-			delete(p.shapes[There], s)
-			delete(p.shapes[Back], s)
-			delete(p.held, s)
-		case s.Kind == HalfOpen:
-			p.held[s] = true
-		case s.Kind == OneWay && there:
-			p.shapes[There][s] = f
-		case s.Kind == OneWay:
-			p.shapes[Back][s] = f
+			delete(p.impairments[Forward], s)
+			delete(p.impairments[Backward], s)
+			delete(p.halfOpen, s)
+		case s.Kind == FaultHalfOpen:
+			p.halfOpen[s] = true
+		case s.Kind == FaultOneWayPartition && there:
+			p.impairments[Forward][s] = f
+		case s.Kind == FaultOneWayPartition:
+			p.impairments[Backward][s] = f
 		default:
-			p.shapes[There][s], p.shapes[Back][s] = f, f
+			p.impairments[Forward][s], p.impairments[Backward][s] = f, f
 		}
 	})
 }
@@ -174,23 +174,23 @@
 	return r.places[slices.IndexFunc(r.places, func(p *place) bool { return p.name == name })]
 }
 
-func (r *Run) onExchange(ctx context.Context, s *Step, name string) {
+func (r *Run) onExchange(ctx context.Context, s *Fault, name string) {
 	p := r.place(name)
 	p.mu.Lock()
 	x, line, busy := p.x, p.line, p.clear || p.old != nil
 	p.mu.Unlock()
 	switch s.Kind {
-	case Slow:
+	case FaultSlowdown:
 		x.Do(func(m *exchange.Exchange, _ exchange.Time) { m.Slow(s.Factor) })
-		r.pause(ctx, s.For.D())
+		r.pause(ctx, s.Duration.D())
 		x.Do(func(m *exchange.Exchange, _ exchange.Time) { m.Slow(1) })
-	case Hang:
+	case FaultHang:
 		x.Do(func(m *exchange.Exchange, now exchange.Time) { m.Hang(now, true) })
-		r.pause(ctx, s.For.D())
+		r.pause(ctx, s.Duration.D())
 		x.Do(func(m *exchange.Exchange, now exchange.Time) { m.Hang(now, false) })
-	case Drop:
-		x.Do(func(m *exchange.Exchange, now exchange.Time) { m.Cutting(now, int(s.Share*float64(m.Standing()))) })
-	case Crash:
+	case FaultDropCalls:
+		x.Do(func(m *exchange.Exchange, now exchange.Time) { m.Cutting(now, int(s.Fraction*float64(m.Standing()))) })
+	case FaultCrash:
 		if busy {
 			return // another fault is about to replace it
 		}
@@ -199,9 +199,9 @@
 		p.mu.Unlock()
 		r.end(x, line)
 		r.tell()
-		r.pause(ctx, s.For.D())
+		r.pause(ctx, s.Duration.D())
 		r.replace(p)
-	case Swap:
+	case FaultReplace:
 		if busy {
 			return
 		}
@@ -211,7 +211,7 @@
 		p.old = &old
 		p.mu.Unlock()
 		r.replace(p)
-		r.pause(ctx, s.For.D())
+		r.pause(ctx, s.Duration.D())
 		x.Do(func(m *exchange.Exchange, now exchange.Time) { m.Cutting(now, m.Standing()) })
 		r.pause(ctx, 200*time.Millisecond)
 		p.mu.Lock()
@@ -237,47 +237,47 @@
 	r.tell()
 }
 
-func (r *Run) onProcess(ctx context.Context, s *Step, name string) {
+func (r *Run) injectProcessFault(ctx context.Context, s *Fault, name string) {
 	if name[0] == 'a' {
 		r.onAgent(ctx, s, name)
 		return
 	}
-	i := slices.IndexFunc(r.nodes, func(n *node) bool { return n.name == name })
-	n := r.nodes[i]
+	i := slices.IndexFunc(r.controllers, func(n *node) bool { return n.name == name })
+	n := r.controllers[i]
 	switch s.Kind {
-	case Disk:
+	case FaultDiskFull:
 		r.fullDisk(ctx, s, n)
 		return
-	case Lie:
+	case FaultByzantinePeer:
 		r.lie(ctx, s, i)
 		return
 	}
 	n.mu.Lock()
-	busy := n.asked || n.away || n.proc == nil
+	busy := n.asked || n.away || n.process == nil
 	if !busy {
-		n.asked, n.away = s.Kind != Stop, s.Kind == Stop
+		n.asked, n.away = s.Kind != FaultPause, s.Kind == FaultPause
 	}
-	h := n.proc
+	h := n.process
 	n.mu.Unlock()
 	if busy {
 		return // another fault has it
 	}
 	switch s.Kind {
-	case Stop:
-		r.watch.see(invariant.Event{Kind: invariant.Paused, Node: name, On: true})
+	case FaultPause:
+		r.watch.record(invariant.Event{Kind: invariant.Paused, Node: name, On: true})
 		_ = h.signal(syscall.SIGSTOP)
-		r.pause(ctx, s.For.D())
-		r.watch.see(invariant.Event{Kind: invariant.Paused, Node: name})
+		r.pause(ctx, s.Duration.D())
+		r.watch.record(invariant.Event{Kind: invariant.Paused, Node: name})
 		_ = h.signal(syscall.SIGCONT)
 		n.mu.Lock()
 		n.away = false
 		n.mu.Unlock()
 		return
-	case Kill:
+	case FaultKill:
 		r.load.Away(i, true)
-		r.watch.see(invariant.Event{Kind: invariant.Killed, Node: name})
+		r.watch.record(invariant.Event{Kind: invariant.Killed, Node: name})
 		_ = h.signal(syscall.SIGKILL)
-	case End:
+	case FaultTerminate:
 		// New set-ups come for a while yet, as the platform says.
 		_ = h.signal(syscall.SIGTERM)
 		r.pause(ctx, 250*time.Millisecond)
@@ -285,15 +285,15 @@
 	}
 	for !h.gone() && r.pause(ctx, 5*time.Millisecond) { // till then it seems to serve
 	}
-	if s.Kind == End {
-		r.watch.see(invariant.Event{Kind: invariant.Killed, Node: name})
+	if s.Kind == FaultTerminate {
+		r.watch.record(invariant.Event{Kind: invariant.Killed, Node: name})
 	}
 	r.back(ctx, n)
 }
 
 // lie has a hostile process speak under a controller's number: it has the fleet's keys, and says twice a second
 // to all others, as one who reports and as a teller, that all servers are well, or that all are pressed.
-func (r *Run) lie(ctx context.Context, s *Step, as int) {
+func (r *Run) lie(ctx context.Context, s *Fault, as int) {
 	c, err := net.ListenPacket("udp4", "127.0.0.1:0")
 	if err != nil {
 		r.breach("rig", "", "no socket for a hostile process: %v", err)
@@ -311,14 +311,14 @@
 		keys = append(keys, overload.ServerKey(p.line.ID))
 		p.mu.Unlock()
 	}
-	for end, seq := time.Now().Add(s.For.D()), uint32(1); time.Now().Before(end); seq++ {
-		for i, n := range r.nodes {
+	for end, seq := time.Now().Add(s.Duration.D()), uint32(1); time.Now().Before(end); seq++ {
+		for i, n := range r.controllers {
 			to, err := net.ResolveUDPAddr("udp4", n.hears)
 			if err != nil || i == as {
 				continue
 			}
-			_, _ = c.WriteTo(sign(overloadpeers.Report(as, 1<<31, seq, keys, s.Share > 0)), to) // of the losses of a liar nobody hears
-			_, _ = c.WriteTo(sign(overloadpeers.Word(as, 1<<31, seq, keys, s.Share > 0)), to)
+			_, _ = c.WriteTo(sign(overloadpeers.Report(as, 1<<31, seq, keys, s.Fraction > 0)), to) // of the losses of a liar nobody hears
+			_, _ = c.WriteTo(sign(overloadpeers.Word(as, 1<<31, seq, keys, s.Fraction > 0)), to)
 		}
 		if !r.pause(ctx, 500*time.Millisecond) {
 			return
@@ -328,9 +328,9 @@
 
 // fullDisk has a controller's writes to files fail, by the limit of their size: its records and its log.
 // A process that is started meanwhile has room again.
-func (r *Run) fullDisk(ctx context.Context, s *Step, n *node) {
+func (r *Run) fullDisk(ctx context.Context, s *Fault, n *node) {
 	n.mu.Lock()
-	h := n.proc
+	h := n.process
 	n.mu.Unlock()
 	if h == nil {
 		return
@@ -345,7 +345,7 @@
 		r.breach("rig", n.name, "no limit could be set: %v", err)
 		return
 	}
-	r.pause(ctx, s.For.D())
+	r.pause(ctx, s.Duration.D())
 	if err := limit(unix.RLIM_INFINITY); err != nil {
 		r.breach("rig", n.name, "no limit could be lifted: %v", err)
 	}
@@ -353,7 +353,7 @@
 
 // back waits until a controller that was ended serves again, and has calls go there.
 func (r *Run) back(ctx context.Context, n *node) {
-	i := slices.Index(r.nodes, n)
+	i := slices.Index(r.controllers, n)
 	r.load.Away(i, true)
 	r.watch.started(n.name)
 	began := time.Now()
@@ -365,7 +365,7 @@
 		if !r.pause(ctx, 50*time.Millisecond) {
 			return
 		}
-		r.look(ctx)
+		r.pollAgents(ctx)
 	}
 	n.mu.Lock()
 	n.asked = false
@@ -373,14 +373,14 @@
 	r.load.Away(i, false)
 }
 
-func (r *Run) onAgent(ctx context.Context, s *Step, name string) {
+func (r *Run) onAgent(ctx context.Context, s *Fault, name string) {
 	a := r.agents[slices.IndexFunc(r.agents, func(a *agent) bool { return a.name == name })]
 	switch s.Kind {
-	case Stop:
+	case FaultPause:
 		_ = a.cmd.Process.Signal(syscall.SIGSTOP)
-		r.pause(ctx, s.For.D())
+		r.pause(ctx, s.Duration.D())
 		_ = a.cmd.Process.Signal(syscall.SIGCONT)
-	case Kill: // its controllers go on; nobody starts them again
+	case FaultKill: // its controllers go on; nobody starts them again
 		r.mu.Lock()
 		a.dead = true
 		r.mu.Unlock()
--- a/internal/sim/cluster/taps.go
+++ b/internal/sim/cluster/taps.go
@@ -12,19 +12,19 @@
 	"olivedale/internal/sim/invariant"
 )
 
-// A watch sees what passes over the wires of a run and has the rules checked. What it knows of the
+// A monitor sees what passes over the wires of a run and has the rules checked. What it knows of the
 // processes comes from the relays and the callers alone. It may be used from anywhere.
-type watch struct {
+type monitor struct {
 	change sync.Mutex // of the directory
 
-	mu      sync.Mutex
-	check   *invariant.Checker
-	last    invariant.Time
-	known   map[string]map[string]bool // by controller: exchanges told as draining or gone
-	serials map[uint32]news
-	serial  uint32
-	began   time.Time
-	unread  int // streams that could not be read any further
+	mu                sync.Mutex
+	checker           *invariant.Checker
+	last              invariant.Time
+	known             map[string]map[string]bool // by controller: exchanges told as draining or gone
+	serials           map[uint32]news
+	serial            uint32
+	startTime         time.Time
+	unreadableStreams int // streams that could not be read any further
 }
 
 // news is what the directory says with a serial number: the exchanges that take calls.
@@ -34,29 +34,29 @@
 // all the processes, and a verdict must not hang on how busy it is.
 const slack = 150 * time.Millisecond
 
-func newWatch(began time.Time) *watch {
+func newMonitor(began time.Time) *monitor {
 	limits := invariant.Defaults()
 	limits.Slack = slack
-	return &watch{began: began, check: invariant.New(limits), known: make(map[string]map[string]bool), serials: make(map[uint32]news)}
+	return &monitor{startTime: began, checker: invariant.New(limits), known: make(map[string]map[string]bool), serials: make(map[uint32]news)}
 }
 
-// see takes an event as of now. Until is taken as a time from now.
-func (w *watch) see(e invariant.Event) {
+// record takes an event as of now. Until is taken as a time from now.
+func (w *monitor) record(e invariant.Event) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.seeLocked(e)
 }
 
-func (w *watch) seeLocked(e invariant.Event) {
-	w.last = max(time.Since(w.began), w.last)
+func (w *monitor) seeLocked(e invariant.Event) {
+	w.last = max(time.Since(w.startTime), w.last)
 	e.At = w.last
 	e.Until += e.At
-	w.check.See(e)
+	w.checker.See(e)
 }
 
 // telling has the directory change, with what it says from then on. One change follows another, so that
 // the serial number is the same for all controllers.
-func (w *watch) telling(all news, change func()) {
+func (w *monitor) telling(all news, change func()) {
 	w.change.Lock()
 	defer w.change.Unlock()
 	w.mu.Lock()
@@ -67,21 +67,21 @@
 }
 
 // begin sets the clock to nought as calls begin to come.
-func (w *watch) begin(at time.Time) {
+func (w *monitor) begin(at time.Time) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.began = at
+	w.startTime = at
 }
 
 // started notes that a controller begins, or begins again, and has been told nothing.
-func (w *watch) started(node string) {
+func (w *monitor) started(node string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	delete(w.known, node)
 }
 
 // told sees an answer of the directory as it reaches a controller.
-func (w *watch) told(node string, b []byte) {
+func (w *monitor) told(node string, b []byte) {
 	var m dns.Msg
 	if m.Unpack(b) != nil || len(m.Ns) == 0 {
 		return
@@ -111,14 +111,14 @@
 	}
 }
 
-// signalling makes the tap of a connection between a controller and an exchange. What has been sent on
+// observeSIP makes the tap of a connection between a controller and an exchange. What has been sent on
 // it and not answered has broken when the connection ends.
-func (w *watch) signalling(node, server string) tap {
+func (w *monitor) observeSIP(node, server string) observer {
 	var readers [2]sip.Reader
 	var dead [2]bool
 	var mu sync.Mutex
 	out := make(map[exchange.Attempt]bool)
-	return func(way Way, b []byte) {
+	return func(way Direction, b []byte) {
 		mu.Lock()
 		defer mu.Unlock()
 		if dead[way] {
@@ -127,7 +127,7 @@
 		if b == nil {
 			dead = [2]bool{true, true}
 			for a := range out {
-				w.see(invariant.Event{Kind: invariant.Broke, Node: node, Call: a.Call, Server: server, N: a.N})
+				w.record(invariant.Event{Kind: invariant.Broke, Node: node, Call: a.Call, Server: server, N: a.N})
 			}
 			return
 		}
@@ -135,13 +135,13 @@
 			e := invariant.Event{Node: node, Call: m.CallID, Server: server, N: m.CSeq - 1}
 			a := exchange.Attempt{Call: e.Call, N: e.N}
 			switch {
-			case way == There && m.Method == "INVITE":
+			case way == Forward && m.Method == "INVITE":
 				e.Kind = invariant.Invite
 				out[a] = true
-			case way == There && m.Method == "CANCEL":
+			case way == Forward && m.Method == "CANCEL":
 				e.Kind = invariant.Cancel
 				delete(out, a)
-			case way == Back && m.Method == "" && m.CSeqMethod == "INVITE" && m.Status >= 200 && out[a]:
+			case way == Backward && m.Method == "" && m.CSeqMethod == "INVITE" && m.Status >= 200 && out[a]:
 				e.Kind = invariant.Answer
 				if m.Status >= 300 {
 					e.Kind = invariant.TurnedBack
@@ -150,49 +150,49 @@
 			default:
 				return true
 			}
-			w.see(e)
+			w.record(e)
 			return true
 		})
 		if err != nil {
 			dead[way] = true
 			w.mu.Lock()
-			w.unread++
+			w.unreadableStreams++
 			w.mu.Unlock()
 		}
 	}
 }
 
-// A Breach is a rule broken, or something that does not hold across processes, and what it takes to see
+// A Violation is a rule broken, or something that does not hold across processes, and what it takes to see
 // it again.
-type Breach struct {
-	Rule   string   `json:"rule"`
-	Text   string   `json:"text"`
-	Node   string   `json:"node,omitempty"`
-	Call   string   `json:"call,omitempty"`
-	At     float64  `json:"at_s"`
-	Step   string   `json:"step,omitempty"` // the latest fault that had begun
-	Around []string `json:"around,omitempty"`
+type Violation struct {
+	Rule        string   `json:"rule"`
+	Text        string   `json:"text"`
+	Node        string   `json:"node,omitempty"`
+	Call        string   `json:"call,omitempty"`
+	At          float64  `json:"at_s"`
+	LatestFault string   `json:"step,omitempty"` // the latest fault that had begun
+	Around      []string `json:"around,omitempty"`
 }
 
 // String implements fmt.Stringer.
-func (b Breach) String() string {
+func (b Violation) String() string {
 	s := fmt.Sprintf("%s broken at %.3f s: %s", b.Rule, b.At, b.Text)
-	if b.Step != "" {
-		s += " (latest fault: " + b.Step + ")"
+	if b.LatestFault != "" {
+		s += " (latest fault: " + b.LatestFault + ")"
 	}
 	return s
 }
 
 // breaches are those found, with the fault that had begun latest before each.
-func (w *watch) breaches(begun []Struck) (all []Breach) {
+func (w *monitor) breaches(begun []InjectedFault) (all []Violation) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.check.End(time.Since(w.began))
-	for _, b := range w.check.Breaches() {
-		x := Breach{Rule: string(b.Rule), Text: b.Text, Node: b.Node, Call: b.Call, At: b.At.Seconds()}
+	w.checker.End(time.Since(w.startTime))
+	for _, b := range w.checker.Breaches() {
+		x := Violation{Rule: string(b.Rule), Text: b.Text, Node: b.Node, Call: b.Call, At: b.At.Seconds()}
 		for _, s := range begun {
 			if s.At <= x.At {
-				x.Step = s.Step.String()
+				x.LatestFault = s.Fault.String()
 			}
 		}
 		for _, e := range b.Around {
--- a/internal/sim/cluster/tether.go
+++ b/internal/sim/cluster/tether.go
@@ -11,14 +11,14 @@
 	"golang.org/x/sys/unix"
 )
 
-// A tether ends processes with the rig, however that ends: each process has a small one beside it
+// A parentWatch ends processes with the rig, however that ends: each process has a small one beside it
 // (Hold), which holds the process by a descriptor of its own, so that no other that gets its number
 // later is ever meant, and reads a pipe whose other end the rig alone has open.
-type tether struct {
-	path   string // of the pipe
-	lab    string // program that has the command "hold"
-	script string
-	w      *os.File
+type parentWatch struct {
+	path          string // of the pipe
+	lab           string // program that has the command "hold"
+	wrapperScript string
+	w             *os.File
 }
 
 // Hold ends the process of a number when the pipe at path ends, and returns when that process is gone.
@@ -60,10 +60,10 @@
 	return nil
 }
 
-// newTether makes the pipe in dir, and there a script that stands for program wherever a path is wanted:
+// newParentWatch makes the pipe in dir, and there a script that stands for program wherever a path is wanted:
 // it puts a holder beside the process that it becomes.
-func newTether(dir, lab, program string) (*tether, error) {
-	t := &tether{path: filepath.Join(dir, "alive"), lab: lab, script: filepath.Join(dir, "held.sh")}
+func newParentWatch(dir, lab, program string) (*parentWatch, error) {
+	t := &parentWatch{path: filepath.Join(dir, "alive"), lab: lab, wrapperScript: filepath.Join(dir, "held.sh")}
 	if err := unix.Mkfifo(t.path, 0o600); err != nil {
 		return nil, fmt.Errorf("tether: %s: %w", t.path, err)
 	}
@@ -74,7 +74,7 @@
 	}
 	t.w = w
 	text := fmt.Sprintf("#!/bin/sh\n%q hold %q $$ &\nexec %q \"$@\"\n", lab, t.path, program)
-	if err := writeExecutable(t.script, text); err != nil {
+	if err := writeExecutable(t.wrapperScript, text); err != nil {
 		return nil, errors.Join(fmt.Errorf("tether: %w", err), w.Close())
 	}
 	return t, nil
@@ -90,7 +90,7 @@
 }
 
 // command is one that ends with the rig.
-func (t *tether) command(program string, args ...string) *exec.Cmd {
+func (t *parentWatch) command(program string, args ...string) *exec.Cmd {
 	c := exec.Command("/bin/sh", append([]string{"-c", `"$0" hold "$1" $$ & shift; exec "$@"`, t.lab, t.path, program}, args...)...)
 	// In a group of its own: Ctrl-C reaches the rig alone, which then stops the others in order.
 	c.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
@@ -98,7 +98,7 @@
 }
 
 // close lets go: whatever still runs is ended.
-func (t *tether) close() error { return t.w.Close() }
+func (t *parentWatch) close() error { return t.w.Close() }
 
 // A handle is a process that somebody else started, held by a descriptor.
 type handle struct{ pid, fd int }
--- a/internal/sim/demo/demo.go
+++ b/internal/sim/demo/demo.go
@@ -156,8 +156,8 @@
 			return fmt.Errorf("demo: %w", err)
 		}
 	}
-	text, err := (&cluster.Instance{Name: name, Listen: addr[0], Admin: addr[1], Panel: addr[2], Names: s.names.Addr(), Records: filepath.Join(s.dir, "records", name),
-		Seed: s.o.Seed*31 + uint64(i) + 1, Group: s.o.Controllers, Lines: s.lines}).Spec(&s.sc)
+	text, err := (&cluster.Instance{Name: name, Listen: addr[0], Admin: addr[1], GatewayListen: addr[2], Discovery: s.names.Addr(), Records: filepath.Join(s.dir, "records", name),
+		Seed: s.o.Seed*31 + uint64(i) + 1, FleetSize: s.o.Controllers, Endpoints: s.lines}).Spec(&s.sc)
 	if err != nil {
 		return fmt.Errorf("demo: %w", err)
 	}
