--- /dev/null
+++ b/internal/sim/cluster/draw_faults.go
@@ -0,0 +1,214 @@
+package cluster
+
+import (
+	"slices"
+	"time"
+)
+
+// Patterns of all parts of a kind.
+const (
+	allControllers = "n*"
+	allExchanges   = "x*"
+)
+
+// Names of partitions in reports.
+const (
+	partitionZone      = "zone"
+	partitionDiscovery = "directory"
+	partitionAgent     = "agent"
+	partitionHalf      = "half"
+)
+
+// drawZonePartition separates the controllers of a zone from the exchanges of all other zones.
+func drawZonePartition(d *drawer, f *Fault) {
+	f.Kind = FaultPartition
+	f.Name = partitionZone
+	f.From = []string{d.zone}
+	for _, exchange := range d.topology.namesOfKind(partExchange) {
+		if zoneName(d.topology.zoneOf(exchange)) != d.zone {
+			f.To = append(f.To, exchange)
+		}
+	}
+	if len(f.To) == 0 {
+		f.To = []string{allExchanges}
+	}
+}
+
+func drawOneWayToExchange(d *drawer, f *Fault) {
+	f.Kind = FaultOneWayPartition
+	f.From = d.one(partController)
+	f.To = d.one(partExchange)
+}
+
+func drawOneWayFromExchange(d *drawer, f *Fault) {
+	f.Kind = FaultOneWayPartition
+	f.From = d.one(partExchange)
+	f.To = []string{allControllers}
+}
+
+func drawZoneDelay(d *drawer, f *Fault) {
+	f.Kind = FaultDelay
+	f.From = []string{d.zone}
+	f.To = []string{allExchanges}
+	f.Latency = d.between(10*time.Millisecond, 400*time.Millisecond)
+	f.Jitter = d.between(0, 50*time.Millisecond)
+}
+
+func drawExchangeReset(d *drawer, f *Fault) {
+	f.Kind = FaultConnectionReset
+	f.From = d.one(partExchange)
+	f.To = []string{allControllers}
+	f.Duration = 0
+}
+
+func drawHalfOpenExchange(d *drawer, f *Fault) {
+	f.Kind = FaultHalfOpen
+	f.From = []string{allControllers}
+	f.To = d.one(partExchange)
+}
+
+func drawBandwidthLimit(d *drawer, f *Fault) {
+	f.Kind = FaultBandwidthLimit
+	f.From = d.one(partController)
+	f.To = []string{allExchanges}
+	f.BytesPerSecond = 2000 + d.rng.IntN(20_000)
+}
+
+func drawDiscoveryLoss(d *drawer, f *Fault) {
+	f.Kind = FaultDatagramLoss
+	f.From = []string{allControllers}
+	f.To = []string{discoveryName}
+	f.Fraction = d.fraction(0.2, 0.7)
+}
+
+func drawDiscoveryReorder(d *drawer, f *Fault) {
+	f.Kind = FaultReorder
+	f.From = []string{allControllers}
+	f.To = []string{discoveryName}
+	f.Jitter = d.between(200*time.Millisecond, time.Second)
+}
+
+func drawDiscoveryPartition(d *drawer, f *Fault) {
+	f.Kind = FaultPartition
+	f.Name = partitionDiscovery
+	f.From = []string{d.zone}
+	f.To = []string{discoveryName}
+}
+
+// drawAgentPartition separates an agent from the store, or from the controllers of its zone.
+func drawAgentPartition(d *drawer, f *Fault) {
+	f.Kind = FaultPartition
+	f.Name = partitionAgent
+	f.From = d.one(partAgent)
+	f.To = []string{storeName}
+	if d.chance(2) {
+		f.To = []string{zoneName(d.topology.zoneOf(f.From[0]))}
+	}
+}
+
+func drawPause(d *drawer, f *Fault) {
+	f.Kind = FaultPause
+	f.From = d.one(partController)
+}
+
+func drawKillOrTerminate(d *drawer, f *Fault) {
+	f.Kind = FaultKill
+	f.From = d.one(partController)
+	f.Duration = 0
+	if d.chance(4) {
+		f.Kind = FaultTerminate
+	}
+}
+
+func drawSlowdown(d *drawer, f *Fault) {
+	f.Kind = FaultSlowdown
+	f.From = d.one(partExchange)
+	f.Factor = d.fraction(2, 4)
+}
+
+func drawHang(d *drawer, f *Fault) {
+	f.Kind = FaultHang
+	f.From = d.one(partExchange)
+}
+
+func drawCrashOrReplace(d *drawer, f *Fault) {
+	f.Kind = FaultCrash
+	f.From = d.one(partExchange)
+	if d.chance(2) {
+		f.Kind = FaultReplace
+		f.Duration = d.between(2500*time.Millisecond, 4*time.Second)
+	}
+}
+
+func drawDroppedCalls(d *drawer, f *Fault) {
+	f.Kind = FaultDropCalls
+	f.From = d.one(partExchange)
+	f.Fraction = d.fraction(0.2, 0.5)
+	f.Duration = 0
+}
+
+func drawStoreFault(d *drawer, f *Fault) {
+	f.Kind = storeFaults[d.rng.IntN(len(storeFaults))]
+	f.From = []string{storeName}
+	if slices.Contains(instantFaults, f.Kind) {
+		f.Duration = 0
+	}
+}
+
+func drawDiscoveryDuplication(d *drawer, f *Fault) {
+	f.Kind = FaultDatagramDuplication
+	f.From = []string{allControllers}
+	f.To = []string{discoveryName}
+	f.Fraction = d.fraction(0.3, 0.6)
+}
+
+func drawDiskFull(d *drawer, f *Fault) {
+	f.Kind = FaultDiskFull
+	f.From = d.one(partController)
+}
+
+func drawPeerLoss(_ *drawer, f *Fault) {
+	f.Kind = FaultDatagramLoss
+	f.From = []string{allControllers}
+	f.To = []string{allControllers}
+	f.Fraction = 0.3
+}
+
+// drawPeerPartition separates the controllers of even numbers from those of odd numbers.
+func drawPeerPartition(d *drawer, f *Fault) {
+	f.Kind = FaultPartition
+	f.Name = partitionHalf
+	for i, name := range d.topology.namesOfKind(partController) {
+		if i%2 == 0 {
+			f.From = append(f.From, name)
+		} else {
+			f.To = append(f.To, name)
+		}
+	}
+}
+
+func drawPeerReorder(d *drawer, f *Fault) {
+	f.Kind = FaultReorder
+	f.From = []string{allControllers}
+	f.To = []string{allControllers}
+	f.Jitter = d.between(200*time.Millisecond, 2*time.Second)
+}
+
+func drawPeerOneWayPartition(d *drawer, f *Fault) {
+	f.Kind = FaultOneWayPartition
+	f.From = d.one(partController)
+	f.To = []string{allControllers}
+}
+
+func drawPeerDuplication(_ *drawer, f *Fault) {
+	f.Kind = FaultDatagramDuplication
+	f.From = []string{allControllers}
+	f.To = []string{allControllers}
+	f.Fraction = 0.5
+}
+
+func drawByzantinePeer(d *drawer, f *Fault) {
+	f.Kind = FaultByzantinePeer
+	f.From = d.one(partController)
+	f.Fraction = float64(d.rng.IntN(2))
+}
--- /dev/null
+++ b/internal/sim/cluster/inject.go
@@ -0,0 +1,125 @@
+package cluster
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"olivedale/internal/sim/exchange"
+	"olivedale/internal/sim/loopback"
+)
+
+// An InjectedFault is a fault that began.
+type InjectedFault struct {
+	At    float64 `json:"at_s"`
+	Fault *Fault  `json:"step"`
+}
+
+// dropNoticePeriod is how long a replaced exchange goes on, to report the calls that it dropped.
+const dropNoticePeriod = 200 * time.Millisecond
+
+// inject waits for a fault's time, begins it and ends it.
+func (r *Run) inject(ctx context.Context, f *Fault) {
+	if !r.sleepUntil(ctx, f.At.D()) {
+		return
+	}
+	r.mu.Lock()
+	r.injected = append(r.injected, InjectedFault{time.Since(r.startTime).Seconds(), f})
+	r.mu.Unlock()
+	r.logf("-> %v", f)
+	if f.Kind.isOnPath() {
+		r.injectPathFault(ctx, f)
+		return
+	}
+	names, _ := r.options.Topology.Match(f.From) // the schedule was checked
+	var parts sync.WaitGroup
+	defer parts.Wait()
+	for _, name := range names {
+		parts.Go(func() { r.injectPartFault(ctx, f, name) })
+	}
+}
+
+// injectPartFault injects a fault into one part.
+func (r *Run) injectPartFault(ctx context.Context, f *Fault, name string) {
+	switch kindOf(name) {
+	case partStore:
+		r.injectStoreFault(ctx, f)
+	case partExchange:
+		r.injectExchangeFault(ctx, f, r.slot(name))
+	case partAgent:
+		r.injectAgentFault(ctx, f, name)
+	default:
+		r.injectControllerFault(ctx, f, r.controller(name))
+	}
+}
+
+// injectExchangeFault injects a fault into an exchange.
+func (r *Run) injectExchangeFault(ctx context.Context, f *Fault, s *exchangeSlot) {
+	server, _, _ := s.current()
+	during := f.Duration.D()
+	switch f.Kind {
+	case FaultSlowdown:
+		server.Do(func(x *exchange.Exchange, _ exchange.Time) { x.Slow(f.Factor) })
+		pause(ctx, during)
+		server.Do(func(x *exchange.Exchange, _ exchange.Time) { x.Slow(1) })
+	case FaultHang:
+		server.Do(func(x *exchange.Exchange, now exchange.Time) { x.Hang(now, true) })
+		pause(ctx, during)
+		server.Do(func(x *exchange.Exchange, now exchange.Time) { x.Hang(now, false) })
+	case FaultDropCalls:
+		server.Do(func(x *exchange.Exchange, now exchange.Time) {
+			x.Cutting(now, int(f.Fraction*float64(x.Standing())))
+		})
+	case FaultCrash:
+		r.crashExchange(ctx, f, s)
+	case FaultReplace:
+		r.replaceExchange(ctx, f, s)
+	default: // no fault of exchanges
+	}
+}
+
+// crashExchange ends an exchange, and starts a cold one after the fault's duration.
+func (r *Run) crashExchange(ctx context.Context, f *Fault, s *exchangeSlot) {
+	server, endpoint, isReplaceable := s.current()
+	if !isReplaceable {
+		return
+	}
+	s.setEmpty()
+	r.endExchange(server, endpoint)
+	r.publishEndpoints()
+	pause(ctx, f.Duration.D())
+	r.startSuccessor(s)
+}
+
+// replaceExchange starts a cold exchange, drains the old one for the fault's duration and ends it.
+func (r *Run) replaceExchange(ctx context.Context, f *Fault, s *exchangeSlot) {
+	server, endpoint, isReplaceable := s.current()
+	if !isReplaceable {
+		return
+	}
+	draining := endpoint
+	draining.Drains = true
+	s.setDraining(&draining)
+	r.startSuccessor(s)
+	pause(ctx, f.Duration.D())
+	server.Do(func(x *exchange.Exchange, now exchange.Time) { x.Cutting(now, x.Standing()) })
+	pause(ctx, dropNoticePeriod)
+	s.setDraining(nil)
+	r.endExchange(server, endpoint)
+	r.publishEndpoints()
+}
+
+// endExchange ends an exchange: its connections are reset, and nothing listens at its addresses.
+func (r *Run) endExchange(server *loopback.Exchange, endpoint loopback.Line) {
+	server.Close()
+	r.closeExchangeProxies(endpoint.ID)
+}
+
+// startSuccessor starts a cold exchange in a slot and publishes it.
+func (r *Run) startSuccessor(s *exchangeSlot) {
+	if err := r.startExchange(s, true); err != nil {
+		r.violation(ruleHarness, "", "no exchange could be started: %v", err)
+		return
+	}
+	r.publishEndpoints()
+}
--- /dev/null
+++ b/internal/sim/cluster/inject_store.go
@@ -0,0 +1,45 @@
+package cluster
+
+import "context"
+
+const (
+	// staleRevisions is how far stale reads lag behind.
+	staleRevisions = 3
+	// lostResponses is how many responses FaultLostResponses loses.
+	lostResponses = 5
+	// restoreMarkKey is the key whose write a restore loses, so that no controller stops being desired.
+	restoreMarkKey = "/rig/mark"
+)
+
+// injectStoreFault injects a fault into the store.
+func (r *Run) injectStoreFault(ctx context.Context, f *Fault) {
+	during := func(set func(active bool)) {
+		set(true)
+		pause(ctx, f.Duration.D())
+		set(false)
+	}
+	switch f.Kind {
+	case FaultWatchStall:
+		during(r.etcd.Stall)
+	case FaultNoLeader:
+		during(r.etcd.NoLeader)
+	case FaultKeepAliveLoss:
+		during(r.etcd.MuteLeases)
+	case FaultStaleReads:
+		r.etcd.Stale(staleRevisions)
+		pause(ctx, f.Duration.D())
+		r.etcd.Stale(0)
+	case FaultLostResponses:
+		r.etcd.LoseAnswers(lostResponses)
+		pause(ctx, f.Duration.D())
+		r.etcd.LoseAnswers(0)
+	case FaultCompaction:
+		r.etcd.Forget()
+	case FaultRestore:
+		r.etcd.Set(restoreMarkKey, []byte(f.String()))
+		if err := r.etcd.Restore(r.etcd.Revision()-1, true); err != nil {
+			r.logf("%v is not done: %v", f, err) // the history is too short
+		}
+	default: // no fault of the store
+	}
+}
--- /dev/null
+++ b/internal/sim/cluster/proxy_test.go
@@ -0,0 +1,271 @@
+package cluster
+
+import (
+	"bufio"
+	"io"
+	"math/rand/v2"
+	"net"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// TestMain implements the command "hold" of olivesim in the program of the tests.
+func TestMain(m *testing.M) {
+	if len(os.Args) == 4 && os.Args[1] == "hold" {
+		pid, err := strconv.Atoi(os.Args[3])
+		if err == nil {
+			err = Hold(os.Args[2], pid)
+		}
+		if err != nil {
+			os.Exit(1)
+		}
+		os.Exit(0)
+	}
+	code := m.Run()
+	if programsDir != "" {
+		_ = os.RemoveAll(programsDir)
+	}
+	os.Exit(code)
+}
+
+// echo answers each line on a connection with the same line.
+func echo(t *testing.T) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = ln.Close() })
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				_, _ = io.Copy(c, c)
+				_ = c.Close()
+			}()
+		}
+	}()
+	return ln.Addr().String()
+}
+
+// captured keeps what an observer saw.
+type captured struct {
+	mu  sync.Mutex
+	way [2]strings.Builder
+	end [2]int
+}
+
+func (s *captured) observe(w Direction, b []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if b == nil {
+		s.end[w]++
+	}
+	s.way[w].Write(b)
+}
+
+func (s *captured) text(w Direction) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.way[w].String()
+}
+
+func until(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(10 * time.Second); !ok(); time.Sleep(2 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%s: not within 10 s", what)
+		}
+	}
+}
+
+// A lineConn is a client connection that sends and receives lines.
+type lineConn struct {
+	net.Conn
+	in *bufio.Reader
+}
+
+func dial(t *testing.T, s *streamProxy) *lineConn {
+	t.Helper()
+	c, err := net.Dial("tcp", s.listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	return &lineConn{c, bufio.NewReader(c)}
+}
+
+func (l *lineConn) send(t *testing.T, text string) {
+	t.Helper()
+	if _, err := io.WriteString(l, text+"\n"); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// receive waits for a line for a duration and returns "" if none arrives.
+func (l *lineConn) receive(t *testing.T, d time.Duration) string {
+	t.Helper()
+	_ = l.SetReadDeadline(time.Now().Add(d))
+	text, err := l.in.ReadString('\n')
+	if err != nil {
+		return ""
+	}
+	return strings.TrimSpace(text)
+}
+
+func TestStreamFaults(t *testing.T) {
+	t.Parallel()
+	addr := echo(t)
+	saw := &captured{}
+	s, err := newStreamProxy("n0", "x0", func() string { return addr }, func() observer { return saw.observe })
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.close()
+	addFault := func(f *Fault, w Direction, i Impairment) { s.update(func() { s.impairments[w][f] = i }) }
+	removeFault := func(f *Fault) {
+		s.update(func() { delete(s.impairments[Forward], f); delete(s.impairments[Backward], f); delete(s.halfOpen, f) })
+	}
+	c := dial(t, s)
+	c.send(t, "one")
+	if got := c.receive(t, 10*time.Second); got != "one" {
+		t.Fatalf("without a fault %q came back", got)
+	}
+
+	partition := &Fault{Kind: FaultOneWayPartition}
+	addFault(partition, Backward, Impairment{Blocked: true})
+	c.send(t, "two")
+	until(t, "the forward direction is open", func() bool { return strings.Contains(saw.text(Forward), "two") })
+	if got := c.receive(t, 100*time.Millisecond); got != "" || strings.Contains(saw.text(Backward), "two") {
+		t.Errorf("while the backward direction was blocked %q came back", got)
+	}
+	removeFault(partition)
+	if got := c.receive(t, 10*time.Second); got != "two" {
+		t.Errorf("after the partition %q came back", got)
+	}
+
+	slow := &Fault{Kind: FaultDelay}
+	addFault(slow, Forward, Impairment{Delay: 150 * time.Millisecond})
+	addFault(slow, Backward, Impairment{Delay: 150 * time.Millisecond})
+	began := time.Now()
+	c.send(t, "three")
+	if got := c.receive(t, 10*time.Second); got != "three" || time.Since(began) < 300*time.Millisecond {
+		t.Errorf("with 150 ms each way %q came back after %v", got, time.Since(began))
+	}
+	removeFault(slow)
+
+	narrow := &Fault{Kind: FaultBandwidthLimit}
+	addFault(narrow, Forward, Impairment{BytesPerSecond: 20_000})
+	began = time.Now()
+	for range 3 {
+		c.send(t, strings.Repeat("x", 4000))
+		c.receive(t, 10*time.Second)
+	}
+	if took := time.Since(began); took < 300*time.Millisecond {
+		t.Errorf("12 kB at 20 kB a second took %v", took)
+	}
+	removeFault(narrow)
+
+	halfOpen := &Fault{Kind: FaultHalfOpen}
+	s.update(func() { s.halfOpen[halfOpen] = true })
+	d := dial(t, s)
+	d.send(t, "four")
+	if got := d.receive(t, 100*time.Millisecond); got != "" {
+		t.Errorf("a half-open connection delivered %q", got)
+	}
+	removeFault(halfOpen)
+	if got := d.receive(t, 10*time.Second); got != "four" {
+		t.Errorf("once connections are forwarded, %q came back", got)
+	}
+
+	s.reset()
+	if _, err := d.in.ReadByte(); err == nil {
+		t.Error("a connection outlived its reset")
+	}
+	until(t, "the observer sees both ends", func() bool {
+		saw.mu.Lock()
+		defer saw.mu.Unlock()
+		return saw.end[Forward] >= 2
+	})
+	if e := dial(t, s); e != nil {
+		e.send(t, "five")
+		if got := e.receive(t, 10*time.Second); got != "five" {
+			t.Errorf("after a reset %q came back on a new connection", got)
+		}
+	}
+}
+
+func TestDatagramFaults(t *testing.T) {
+	t.Parallel()
+	server, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = server.Close() }()
+	go func() {
+		b := make([]byte, 100)
+		for {
+			n, from, err := server.ReadFrom(b)
+			if err != nil {
+				return
+			}
+			_, _ = server.WriteTo(b[:n], from)
+		}
+	}()
+	d, err := newDatagramProxy("n0", "names", server.LocalAddr().String(), rand.New(rand.NewPCG(1, 1)), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer d.close()
+	c, err := net.Dial("udp", d.socket.LocalAddr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	// echoed counts how many of a hundred datagrams come back, and how many out of order.
+	echoed := func(direction Direction, impairment Impairment) (n, disorder int) {
+		f := &Fault{}
+		d.update(func() { d.impairments[direction][f] = impairment })
+		defer d.update(func() { delete(d.impairments[direction], f) })
+		for i := range 100 {
+			if _, err := c.Write([]byte{byte(i)}); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(time.Millisecond)
+		}
+		b, last := make([]byte, 10), -1
+		for {
+			_ = c.SetReadDeadline(time.Now().Add(500 * time.Millisecond))
+			if _, err := c.Read(b); err != nil {
+				return n, disorder
+			}
+			n++
+			if int(b[0]) < last {
+				disorder++
+			}
+			last = int(b[0])
+		}
+	}
+	if n, disorder := echoed(Forward, Impairment{}); n != 100 || disorder != 0 {
+		t.Errorf("without a fault %d of 100 came back, %d out of order", n, disorder)
+	}
+	if n, _ := echoed(Forward, Impairment{LossRate: 0.5}); n < 25 || n > 75 {
+		t.Errorf("with half lost %d of 100 came back", n)
+	}
+	if n, _ := echoed(Backward, Impairment{DuplicationRate: 0.5}); n < 125 || n > 175 {
+		t.Errorf("with half of them duplicated %d of 100 came back", n)
+	}
+	if n, disorder := echoed(Backward, Impairment{Jitter: 100 * time.Millisecond}); n != 100 || disorder < 10 {
+		t.Errorf("with up to 100 ms of jitter %d of 100 came back, %d out of order", n, disorder)
+	}
+	if n, _ := echoed(Backward, Impairment{Blocked: true}); n != 0 {
+		t.Errorf("through a partition %d of 100 came back", n)
+	}
+}
--- /dev/null
+++ b/internal/sim/cluster/pump.go
@@ -0,0 +1,83 @@
+package cluster
+
+import (
+	"errors"
+	"io"
+	"net"
+	"time"
+)
+
+// A pump forwards one direction of a connection, with the impairment of the path.
+type pump struct {
+	conn      *proxiedConn
+	direction Direction
+	to        net.Conn
+	in        <-chan piece
+	observe   func([]byte)
+	busyUntil time.Time // a limited bandwidth is in use until then
+}
+
+// run forwards pieces until either side ends.
+func (p *pump) run() {
+	for {
+		select {
+		case next := <-p.in:
+			if !p.awaitDue(&next) || !p.forward(&next) {
+				return
+			}
+		case <-p.conn.done:
+			return
+		}
+	}
+}
+
+// awaitDue waits until the impairment lets a piece pass. It reports false if the connection ends before.
+func (p *pump) awaitDue(next *piece) bool {
+	for {
+		impairment, changed := p.conn.proxy.impairment(p.direction)
+		due := next.readAt.Add(impairment.Delay)
+		if impairment.BytesPerSecond > 0 && p.busyUntil.After(due) {
+			due = p.busyUntil
+		}
+		wait := time.Until(due)
+		if !impairment.Blocked && wait <= 0 {
+			p.occupy(len(next.data), impairment.BytesPerSecond)
+			return true
+		}
+		var timer <-chan time.Time
+		if !impairment.Blocked {
+			timer = time.After(wait)
+		}
+		select {
+		case <-timer:
+		case <-changed:
+		case <-p.conn.done:
+			return false
+		}
+	}
+}
+
+// occupy reserves the bandwidth for a number of bytes; a bandwidth of 0 is unlimited.
+func (p *pump) occupy(bytes, bytesPerSecond int) {
+	if bytesPerSecond > 0 {
+		p.busyUntil = time.Now().Add(time.Duration(bytes) * time.Second / time.Duration(bytesPerSecond))
+	}
+}
+
+// forward writes a piece. It reports false if the connection has ended.
+func (p *pump) forward(next *piece) bool {
+	if len(next.data) > 0 {
+		p.observe(next.data)
+		if _, err := p.to.Write(next.data); err != nil {
+			return false
+		}
+	}
+	if next.err == nil {
+		return true
+	}
+	p.observe(nil)
+	if !errors.Is(next.err, io.EOF) {
+		resetConn(p.to)
+	}
+	return false
+}
--- /dev/null
+++ b/internal/sim/cluster/result.go
@@ -0,0 +1,111 @@
+package cluster
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"olivedale/internal/sim/loopback"
+)
+
+// ZoneStats are what the callers of a zone got.
+type ZoneStats struct {
+	Name        string  `json:"name"`
+	Sent        int     `json:"sent"`
+	Established int     `json:"stood"`
+	Rejected    int     `json:"refused"`
+	Failed      int     `json:"failed"` // failed, lost with their connection, or abandoned
+	Dropped     int     `json:"cut"`
+	P50         float64 `json:"p50_ms"`
+	P99         float64 `json:"p99_ms"`
+}
+
+// A Result is the outcome of a run. Its JSON is the output of `olivesim run --json`.
+type Result struct {
+	Seed     uint64          `json:"seed"`
+	Topology Topology        `json:"topology"`
+	Duration float64         `json:"for_s"` // how long calls were offered
+	Zones    []ZoneStats     `json:"zones"`
+	Struck   []InjectedFault `json:"struck"`
+	Breaches []Violation     `json:"breaches"`
+	// Broken counts all violations, also those that are not among Breaches.
+	Broken            int       `json:"broken"`
+	Seen              int       `json:"seen"`   // events captured
+	UnreadableStreams int       `json:"unread"` // streams that could not be parsed to their end
+	Samples           []Sample  `json:"course"`
+	Schedule          *Schedule `json:"schedule"`
+}
+
+// result collects the result of a run that has ended.
+func (r *Run) result() *Result {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	res := &Result{
+		Seed:              r.options.Schedule.Seed,
+		Topology:          r.options.Topology,
+		Duration:          r.options.For.Seconds(),
+		Struck:            r.injected,
+		Breaches:          append(r.monitor.violations(r.injected), r.violations...),
+		Broken:            r.monitor.checker.Total() + len(r.violations),
+		Seen:              r.monitor.checker.Seen(),
+		UnreadableStreams: r.monitor.unreadableStreams,
+		Samples:           r.samples,
+		Schedule:          r.options.Schedule,
+	}
+	for zone := range r.options.Topology.Zones {
+		res.Zones = append(res.Zones, r.zoneStats(zone))
+	}
+	return res
+}
+
+// zoneStats returns what the callers of a zone got.
+func (r *Run) zoneStats(zone int) ZoneStats {
+	s := loopback.NewLoadStats()
+	for _, c := range r.controllers {
+		if c.zone == zone {
+			s.Add(r.load.StatsOf(c.number))
+		}
+	}
+	milliseconds := func(percentile float64) float64 { return float64(s.Took.ValueAtQuantile(percentile)) / 1000 }
+	return ZoneStats{
+		Name:        zoneName(zone),
+		Sent:        s.Sent,
+		Established: s.Stood,
+		Rejected:    s.Refused,
+		Failed:      s.Failed + s.Lost + s.GaveUp,
+		Dropped:     s.Cut,
+		P50:         milliseconds(50),
+		P99:         milliseconds(99),
+	}
+}
+
+// Save writes the result and its schedule to files in dir: result.json and schedule.toml.
+func (r *Result) Save(dir string) error {
+	text, err := json.MarshalIndent(r, "", "  ")
+	if err != nil {
+		return fmt.Errorf("cluster: %w", err)
+	}
+	if err := os.WriteFile(filepath.Join(dir, "result.json"), append(text, '\n'), 0o600); err != nil {
+		return fmt.Errorf("cluster: %w", err)
+	}
+	return r.Schedule.Save(filepath.Join(dir, "schedule.toml"))
+}
+
+// Rows returns the zones as a table.
+func (r *Result) Rows() (heading []string, rows [][]string) {
+	for _, z := range r.Zones {
+		rows = append(rows, []string{
+			z.Name,
+			fmt.Sprint(z.Sent),
+			fmt.Sprint(z.Established),
+			fmt.Sprint(z.Rejected),
+			fmt.Sprint(z.Failed),
+			fmt.Sprint(z.Dropped),
+			fmt.Sprintf("%.0f", z.P50),
+			fmt.Sprintf("%.0f", z.P99),
+		})
+	}
+	return strings.Fields("ZONE SENT STOOD REFUSED FAILED CUT P50_MS P99_MS"), rows
+}
--- /dev/null
+++ b/internal/sim/cluster/sip_observer.go
@@ -0,0 +1,87 @@
+package cluster
+
+import (
+	"sync"
+
+	"olivedale/internal/codec/sip"
+	"olivedale/internal/sim/exchange"
+	"olivedale/internal/sim/invariant"
+)
+
+// First SIP status codes of final responses and of failures.
+const (
+	firstFinalStatus   = 200
+	firstFailureStatus = 300
+)
+
+// A sipObserver records the SIP messages of one connection between a controller and an exchange.
+type sipObserver struct {
+	monitor            *monitor
+	controller, server string
+
+	mu      sync.Mutex
+	readers [directions]sip.Reader
+	ended   [directions]bool
+	open    map[exchange.Attempt]bool // attempts without a final response
+}
+
+// observeSIP returns the observer of a connection between a controller and an exchange. Attempts that are open when
+// the connection ends are recorded as broken.
+func (m *monitor) observeSIP(controller, server string) observer {
+	o := &sipObserver{monitor: m, controller: controller, server: server, open: make(map[exchange.Attempt]bool)}
+	return o.observe
+}
+
+func (o *sipObserver) observe(direction Direction, data []byte) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.ended[direction] {
+		return
+	}
+	if data == nil {
+		o.end()
+		return
+	}
+	err := o.readers[direction].Feed(data, func(m *sip.Message) bool {
+		o.take(direction, m)
+		return true
+	})
+	if err != nil {
+		o.ended[direction] = true
+		o.monitor.countUnreadable()
+	}
+}
+
+// end records the open attempts as broken.
+func (o *sipObserver) end() {
+	o.ended = [directions]bool{true, true}
+	for a := range o.open {
+		o.monitor.record(invariant.Event{
+			Kind: invariant.Broke, Node: o.controller, Call: a.Call, Server: o.server, N: a.N,
+		})
+	}
+}
+
+// take records a message that concerns an attempt.
+func (o *sipObserver) take(direction Direction, m *sip.Message) {
+	event := invariant.Event{Node: o.controller, Call: m.CallID, Server: o.server, N: m.CSeq - 1}
+	attempt := exchange.Attempt{Call: event.Call, N: event.N}
+	isInviteResponse := direction == Backward && m.Method == "" && m.CSeqMethod == "INVITE"
+	switch {
+	case direction == Forward && m.Method == "INVITE":
+		event.Kind = invariant.Invite
+		o.open[attempt] = true
+	case direction == Forward && m.Method == "CANCEL":
+		event.Kind = invariant.Cancel
+		delete(o.open, attempt)
+	case isInviteResponse && m.Status >= firstFinalStatus && o.open[attempt]:
+		event.Kind = invariant.Answer
+		if m.Status >= firstFailureStatus {
+			event.Kind = invariant.TurnedBack
+		}
+		delete(o.open, attempt)
+	default:
+		return
+	}
+	o.monitor.record(event)
+}
