--- a/internal/sim/exchange/exchange.go
+++ b/internal/sim/exchange/exchange.go
@@ -183,7 +183,7 @@
 	busy   bool
 	now    job
 	ends   Time // of the job at hand
-	timers eventqueue.Agenda[timer]
+	timers eventqueue.Queue[timer]
 	out    []Message
 	// set-ups of the last FallFor, while it is cold
 	recent []Time
@@ -276,7 +276,7 @@
 	x.calls[a] = k
 	x.enqueue(workSetUp, k)
 	if x.set.Again > 0 {
-		x.timers.Add(now+x.set.Again, timer{timerAgain, k, x.set.Again})
+		x.timers.Push(now+x.set.Again, timer{timerAgain, k, x.set.Again})
 	}
 	x.serve(now)
 }
@@ -389,7 +389,7 @@
 // Stop ends it for good, without a word to anybody.
 func (x *Exchange) Stop() {
 	x.state = Down
-	x.calls, x.up, x.timers = make(map[Attempt]*call), nil, eventqueue.Agenda[timer]{}
+	x.calls, x.up, x.timers = make(map[Attempt]*call), nil, eventqueue.Queue[timer]{}
 	x.reject, x.front, x.back = queue{}, queue{}, queue{}
 	x.busy, x.ahead, x.taken = false, 0, 0
 }
@@ -494,7 +494,7 @@
 
 // Next is when Tick is due.
 func (x *Exchange) Next() Time {
-	next := x.timers.Next()
+	next := x.timers.NextTime()
 	switch {
 	case x.state != Running:
 		return eventqueue.Never
@@ -508,11 +508,11 @@
 func (x *Exchange) Tick(now Time) {
 	for x.state == Running {
 		switch {
-		case x.busy && x.ends <= now && x.ends <= x.timers.Next():
+		case x.busy && x.ends <= now && x.ends <= x.timers.NextTime():
 			x.busy = false
 			x.finished(x.ends, x.now)
 			x.serve(x.ends)
-		case x.timers.Next() <= now:
+		case x.timers.NextTime() <= now:
 			at, t := x.timers.Pop()
 			x.due(at, t)
 			x.serve(at)
@@ -542,7 +542,7 @@
 		}
 		x.taken++
 		k.line, k.phase = true, ringing
-		x.timers.Add(now+x.exp(x.set.Ring), timer{timerRung, k, 0})
+		x.timers.Push(now+x.exp(x.set.Ring), timer{timerRung, k, 0})
 	case workAnswer:
 		if k.phase != answering {
 			return
@@ -551,7 +551,7 @@
 		k.phase, k.index = stands, len(x.up)
 		x.up = append(x.up, k)
 		x.say(k, Answered, 0)
-		x.timers.Add(now+x.exp(x.set.Holding[k.class]), timer{timerHeld, k, 0})
+		x.timers.Push(now+x.exp(x.set.Holding[k.class]), timer{timerHeld, k, 0})
 	case workRelease:
 		cause := CauseNormal
 		if x.Ended++; k.cut {
@@ -575,7 +575,7 @@
 	case t.kind == timerAgain && k.phase == queued:
 		x.Repeats++
 		x.enqueue(workRepeat, k)
-		x.timers.Add(now+2*t.gap, timer{timerAgain, k, 2 * t.gap})
+		x.timers.Push(now+2*t.gap, timer{timerAgain, k, 2 * t.gap})
 	case t.kind == timerRung && k.phase == ringing:
 		k.phase = answering
 		x.back.push(job{workAnswer, k})
--- a/internal/sim/invariant/rules.go
+++ b/internal/sim/invariant/rules.go
@@ -126,7 +126,7 @@
 	breaches []*Breach
 	counts   map[Rule]int
 	seen     int
-	due      eventqueue.Agenda[key]
+	due      eventqueue.Queue[key]
 }
 
 type key struct{ node, call string }
@@ -235,7 +235,7 @@
 	case SetUp:
 		if !l.owed && !l.over {
 			l.owed, l.until, l.excused = true, e.Until, c.paused[e.Node]
-			c.due.Add(e.Until+c.limits.Slack, k)
+			c.due.Push(e.Until+c.limits.Slack, k)
 		}
 	case Stands, Refused:
 		switch {
@@ -299,7 +299,7 @@
 
 // expire looks for calls that are still owed their answer, and forgets those long over.
 func (c *Checker) expire(now Time) {
-	for c.due.Next() < now {
+	for c.due.NextTime() < now {
 		at, k := c.due.Pop()
 		l := c.calls[k]
 		if l == nil {
@@ -315,7 +315,7 @@
 			delete(c.calls, k)
 			continue
 		}
-		c.due.Add(l.until+keep+c.limits.Slack, k)
+		c.due.Push(l.until+keep+c.limits.Slack, k)
 	}
 }
 
--- a/internal/sim/virtualtime/crowd.go
+++ b/internal/sim/virtualtime/crowd.go
@@ -88,7 +88,7 @@
 			gap = time.Duration(c.rng.ExpFloat64() / top * float64(time.Second))
 		}
 		if c.w.now+gap >= until {
-			c.w.plan.Add(until, c.arrive)
+			c.w.plan.Push(until, c.arrive)
 			return
 		}
 		c.w.after(gap, func() {
--- a/internal/sim/virtualtime/node.go
+++ b/internal/sim/virtualtime/node.go
@@ -109,7 +109,7 @@
 	}
 	n.turn = next
 	life := n.life
-	n.w.plan.Add(next, func() {
+	n.w.plan.Push(next, func() {
 		if n.life == life && n.turn == next && n.core != nil {
 			n.turn = eventqueue.Never
 			n.shares.Tick(n.clock())
@@ -138,7 +138,7 @@
 	}
 	n.wake = next
 	life := n.life
-	n.w.plan.Add(next, func() {
+	n.w.plan.Push(next, func() {
 		if n.life == life && n.wake == next {
 			n.wake, n.ticked = eventqueue.Never, next
 			n.core.Tick()
--- a/internal/sim/virtualtime/world.go
+++ b/internal/sim/virtualtime/world.go
@@ -64,7 +64,7 @@
 	opt    Options
 	seed   uint64
 	now    Time
-	plan   eventqueue.Agenda[func()]
+	plan   eventqueue.Queue[func()]
 	rng    *rand.Rand // of the wires and the faults
 	nodes  []*node
 	sites  []*site // all that there ever were, in the order of their start
@@ -132,14 +132,14 @@
 	}
 	w.crowd = newCrowd(w)
 	for _, f := range sc.Fault {
-		w.plan.Add(f.At.D(), func() { w.strike(f) })
+		w.plan.Push(f.At.D(), func() { w.strike(f) })
 	}
 	return w
 }
 
 // run plays until a time.
 func (w *World) run(end Time) {
-	for w.plan.Next() <= end {
+	for w.plan.NextTime() <= end {
 		at, f := w.plan.Pop()
 		w.now = at
 		w.events++
@@ -149,7 +149,7 @@
 }
 
 // after has something done so much later.
-func (w *World) after(d time.Duration, f func()) { w.plan.Add(w.now+max(d, 0), f) }
+func (w *World) after(d time.Duration, f func()) { w.plan.Push(w.now+max(d, 0), f) }
 
 // draw draws from a range.
 func (w *World) draw(s scenario.Span) time.Duration { return s.Draw(w.rng) }
@@ -173,7 +173,7 @@
 		d = w.sc.Wire.Near
 	}
 	l.last = max(w.now+w.draw(d), l.last+1)
-	w.plan.Add(l.last, f)
+	w.plan.Push(l.last, f)
 }
 
 // A site is an exchange in its place.
@@ -231,7 +231,7 @@
 	}
 	if next := s.x.Next(); next < s.wake {
 		s.wake = next
-		s.w.plan.Add(next, func() {
+		s.w.plan.Push(next, func() {
 			if s.wake == next {
 				s.wake = eventqueue.Never
 				s.x.Tick(s.w.now)
@@ -258,7 +258,7 @@
 func (w *World) newsTo(n *node, v admission.Server) {
 	life := n.life
 	n.newsAt = max(w.now+w.draw(w.sc.Wire.News)+w.namesLate, n.newsAt+1) // in order
-	w.plan.Add(n.newsAt, func() {
+	w.plan.Push(n.newsAt, func() {
 		switch {
 		case n.life != life || n.core == nil:
 		case w.namesLost: // it comes with the next that gets through
