--- /dev/null
+++ b/internal/sim/exchange/faults.go
@@ -0,0 +1,55 @@
+package exchange
+
+import (
+	"math"
+
+	"olivedale/internal/sim/eventqueue"
+)
+
+// minSlowdown keeps the speed of the processor finite.
+const minSlowdown = 0.01
+
+// Slow makes all jobs that start from now on take factor times longer; 1 ends the fault.
+func (x *Exchange) Slow(factor float64) { x.slowdown = max(factor, minSlowdown) }
+
+// Hang makes a running exchange accept messages and handle none, or makes a hung one continue.
+func (x *Exchange) Hang(now Time, isHung bool) {
+	switch {
+	case x.state == Down:
+	case isHung:
+		x.state = Hung
+	case x.state == Hung:
+		x.state = Running
+		x.startNextJob(now)
+	}
+}
+
+// Stop ends the exchange for good, without a message to anybody.
+func (x *Exchange) Stop() {
+	x.state = Down
+	x.calls = make(map[Attempt]*call)
+	x.established = nil
+	x.circuitsInUse = 0
+	x.processor = processor{settings: &x.settings}
+	x.timers = eventqueue.Queue[timer]{}
+}
+
+// SetCircuitShare puts a share of the circuits into service, from 0 to 1. Calls on lost circuits are dropped.
+func (x *Exchange) SetCircuitShare(now Time, share float64) {
+	x.circuits = int(math.Round(share * float64(x.settings.Lines)))
+	dropped := 0
+	if share < 1 {
+		dropped = int(math.Round((1 - share) * float64(len(x.established))))
+	}
+	x.Cutting(now, dropped)
+}
+
+// Cutting drops n established calls that are drawn at random, or all if there are fewer.
+func (x *Exchange) Cutting(now Time, n int) {
+	for range min(n, len(x.established)) {
+		c := x.established[x.rng.IntN(len(x.established))]
+		c.isDropped = true
+		x.beginRelease(c)
+	}
+	x.startNextJob(now)
+}
--- a/internal/sim/virtualtime/faults.go
+++ b/internal/sim/virtualtime/faults.go
@@ -83,8 +83,8 @@
 		zone := w.rng.IntN(w.sc.Fleet.Zones)
 		for _, s := range w.places {
 			if s.zone == zone && s.x.State() == exchange.Running {
-				s.do(func(x *exchange.Exchange, now Time) { x.KeepLines(now, f.Keep) })
-				end(func() { s.do(func(x *exchange.Exchange, now Time) { x.KeepLines(now, 1) }) })
+				s.do(func(x *exchange.Exchange, now Time) { x.SetCircuitShare(now, f.Keep) })
+				end(func() { s.do(func(x *exchange.Exchange, now Time) { x.SetCircuitShare(now, 1) }) })
 			}
 		}
 	case scenario.Cut:
