--- /dev/null
+++ b/internal/sim/virtualtime/clientconn.go
@@ -0,0 +1,40 @@
+package virtualtime
+
+import (
+	"time"
+
+	"olivedale/internal/call"
+	"olivedale/internal/sim/invariant"
+)
+
+// frontend is the callers' side of a controller. It implements call.Frontend.
+type frontend struct{ sim *simulation }
+
+// NotifyRelease implements call.Frontend.
+func (f *frontend) NotifyRelease(_ call.Client, id string, cause int) {
+	s := f.sim
+	s.after(s.scenario.Wire.Client.D(), func() { s.callers.onReleased(id, cause) })
+}
+
+// clientConn is a connection of callers to a controller. It implements call.Client.
+type clientConn struct{ controller *controller }
+
+// CallEstablished implements call.Client.
+func (cc *clientConn) CallEstablished(id string, _ []byte) {
+	s := cc.controller.sim
+	cc.controller.record(invariant.Event{Kind: invariant.Stands, Call: id})
+	s.after(s.scenario.Wire.Client.D(), func() { s.callers.onEstablished(id) })
+}
+
+// CallRejected implements call.Client.
+func (cc *clientConn) CallRejected(id string, cause int, retryAfter time.Duration) {
+	s := cc.controller.sim
+	cc.controller.record(invariant.Event{Kind: invariant.Refused, Call: id})
+	s.after(s.scenario.Wire.Client.D(), func() { s.callers.onRejected(id, cause, retryAfter) })
+}
+
+// CallForgotten implements call.Client.
+func (*clientConn) CallForgotten(string) {}
+
+// Frontend implements call.Client.
+func (cc *clientConn) Frontend() call.Frontend { return cc.controller.frontend }
--- a/internal/sim/virtualtime/faults.go
+++ b/internal/sim/virtualtime/faults.go
@@ -1,198 +1,106 @@
 package virtualtime
 
 import (
-	"fmt"
+	"math"
 	"time"
 
-	"olivedale/internal/admission"
-	"olivedale/internal/call"
-	"olivedale/internal/sim/exchange"
 	"olivedale/internal/sim/scenario"
 )
 
-// some draws so many of the exchanges that run.
-func (w *World) some(of float64) (all []*site) {
-	var live []*site
-	for _, s := range w.places {
-		if s.x.State() == exchange.Running && s.state == admission.Active {
-			live = append(live, s)
-		}
-	}
-	for range share(len(live), of) {
-		i := w.rng.IntN(len(live))
-		all = append(all, live[i])
-		live[i] = live[len(live)-1]
-		live = live[:len(live)-1]
-	}
-	return all
+const (
+	minDowntime    = 100 * time.Millisecond // of a controller that is restarted
+	minDrainPeriod = 5 * time.Second        // of an exchange that is replaced
+	minResetShare  = 0.001                  // a reset without a share hits one exchange
+	rollBatches    = 10                     // a rolling restart takes the controllers in so many batches
+)
+
+// activeFaults are the faults of the environment that are in effect.
+type activeFaults struct {
+	lostSetUpShare       float64
+	partialAnswerShare   float64 // answers that never arrive whole, which is as good as lost
+	malformedAnswerShare float64
+	duplicateAnswerShare float64
+	partitions           map[int]int // by zone: number of faults that separate it from the others
+	isDiscoveryDown      bool
+	discoveryDelay       time.Duration
+	clockSkew            time.Duration // of the exchanges
 }
 
-// strike has a fault begin, and end if it does.
-func (w *World) strike(f scenario.Fault) {
-	w.tally.Fault(w.now, f)
-	end := func(undo func()) {
-		if f.For > 0 {
-			w.after(f.For.D(), undo)
-		}
-	}
+// inject begins a fault and schedules its end.
+func (s *simulation) inject(f scenario.Fault) {
+	s.tally.Fault(s.now, f)
 	switch f.Kind {
-	case scenario.Slow:
-		all := w.some(f.Share)
-		for _, s := range all {
-			s.x.Slow(f.Factor)
-		}
-		end(func() {
-			for _, s := range all {
-				s.x.Slow(1)
-			}
-		})
-	case scenario.Crash:
-		for _, s := range w.some(f.Share) {
-			s.crash()
-			if f.By > 0 { // another starts in its place
-				w.after(f.By.D(), func() { w.replace(s) })
-			}
-		}
-	case scenario.Vanish:
-		all := w.some(f.Share)
-		for _, s := range all {
-			s.vanished = true
-		}
-		end(func() {
-			for _, s := range all {
-				s.vanished = false
-				s.pump()
-			}
-		})
-	case scenario.Hang:
-		all := w.some(f.Share)
-		for _, s := range all {
-			s.do(func(x *exchange.Exchange, now Time) { x.Hang(now, true) })
-		}
-		end(func() {
-			for _, s := range all {
-				s.do(func(x *exchange.Exchange, now Time) { x.Hang(now, false) })
-			}
-		})
-	case scenario.Replace:
-		all := w.some(f.Share)
-		for i, s := range all { // one after the other over the time that it takes
-			w.after(f.For.D()*time.Duration(i)/time.Duration(len(all)), func() { w.deploy(s, max(f.By.D(), 5*time.Second)) })
-		}
-	case scenario.LoseLines:
-		zone := w.rng.IntN(w.sc.Fleet.Zones)
-		for _, s := range w.places {
-			if s.zone == zone && s.x.State() == exchange.Running {
-				s.do(func(x *exchange.Exchange, now Time) { x.SetCircuitShare(now, f.Keep) })
-				end(func() { s.do(func(x *exchange.Exchange, now Time) { x.SetCircuitShare(now, 1) }) })
-			}
-		}
-	case scenario.Cut:
-		for _, s := range w.places {
-			s.do(func(x *exchange.Exchange, now Time) { x.Cutting(now, share(x.Standing(), f.Share)) })
-		}
-	case scenario.Burst:
-		w.crowd.burst *= f.Factor
-		end(func() { w.crowd.burst /= f.Factor })
-	case scenario.NamesLost:
-		w.namesLost = true
-		end(func() {
-			w.namesLost = false
-			for _, n := range w.nodes { // the directory's next word brings what was missed
-				if n.core != nil && len(n.missed) > 0 {
-					last := n.missed[len(n.missed)-1]
-					n.missed = n.missed[:len(n.missed)-1]
-					n.told(last)
-				}
-			}
-		})
-	case scenario.NamesLate:
-		w.namesLate += f.By.D()
-		end(func() { w.namesLate -= f.By.D() })
-	case scenario.NamesLie:
-		all := w.some(f.Share)
-		for _, s := range all {
-			s.set(admission.Removed)
-		}
-		end(func() {
-			for _, s := range all {
-				if s.x.State() == exchange.Running {
-					s.set(admission.Active)
-				}
-			}
-		})
-	case scenario.Reset:
-		for _, s := range w.some(max(f.Share, 0.001)) {
-			for _, n := range w.nodes {
-				n.lostLink(s, call.ConnectionReset)
-			}
-		}
-	case scenario.Half:
-		w.half += f.Share
-		end(func() { w.half -= f.Share })
-	case scenario.Spoil:
-		w.spoil += f.Share
-		end(func() { w.spoil -= f.Share })
-	case scenario.Twice:
-		w.twice += f.Share
-		end(func() { w.twice -= f.Share })
-	case scenario.Skew:
-		w.skew += f.By.D()
-		end(func() { w.skew -= f.By.D() })
-	case scenario.Lost:
-		w.lost += f.Share
-		end(func() { w.lost -= f.Share })
-	case scenario.Dead:
-		for _, s := range w.some(f.Share) {
-			for _, n := range w.nodes {
-				if n.core != nil {
-					n.dead[s] = false
-				}
-			}
-		}
-	case scenario.Sever:
-		zone := w.rng.IntN(w.sc.Fleet.Zones)
-		w.severed[zone]++
-		end(func() { w.severed[zone]-- })
+	case scenario.Slow, scenario.Crash, scenario.Vanish, scenario.Hang, scenario.Replace, scenario.LoseLines,
+		scenario.Cut, scenario.Burst:
+		s.injectLoadFault(f)
+	case scenario.NamesLost, scenario.NamesLate, scenario.NamesLie, scenario.Skew:
+		s.injectDiscoveryFault(f)
+	case scenario.Reset, scenario.Half, scenario.Spoil, scenario.Twice, scenario.Lost, scenario.Dead, scenario.Sever:
+		s.injectLinkFault(f)
 	case scenario.Roll:
-		w.roll(f)
+		s.restartControllers(f)
 	case scenario.Kill:
-		for range share(len(w.nodes), f.Share) {
-			n := w.nodes[w.rng.IntN(len(w.nodes))]
-			n.kill()
-			w.after(max(f.By.D(), 100*time.Millisecond), func() {
-				if n.core == nil {
-					n.begin()
-				}
-			})
+		s.killControllers(f)
+	}
+}
+
+// afterFault schedules the end of a fault. A fault without a duration does not end.
+func (s *simulation) afterFault(f scenario.Fault, end func()) {
+	if f.For > 0 {
+		s.after(f.For.D(), end)
+	}
+}
+
+// raiseShare adds the share of a fault to a value while the fault lasts.
+func (s *simulation) raiseShare(f scenario.Fault, value *float64) {
+	*value += f.Share
+	s.afterFault(f, func() { *value -= f.Share })
+}
+
+// raiseDuration adds the duration By of a fault to a value while the fault lasts.
+func (s *simulation) raiseDuration(f scenario.Fault, value *time.Duration) {
+	*value += f.By.D()
+	s.afterFault(f, func() { *value -= f.By.D() })
+}
+
+// drawExchanges draws a share of the exchanges that serve.
+func (s *simulation) drawExchanges(share float64) (drawn []*exchangeInstance) {
+	var candidates []*exchangeInstance
+	for _, e := range s.exchangesByPool {
+		if e.isServing() {
+			candidates = append(candidates, e)
 		}
 	}
+	for range countOf(len(candidates), share) {
+		i, last := s.rng.IntN(len(candidates)), len(candidates)-1
+		drawn = append(drawn, candidates[i])
+		candidates[i] = candidates[last]
+		candidates = candidates[:last]
+	}
+	return drawn
 }
 
-// roll restarts all controllers in order, a tenth at a time.
-func (w *World) roll(f scenario.Fault) {
-	for i, n := range w.nodes {
-		tenth := Time(i*10/len(w.nodes)) * f.For.D() / 10
-		w.after(tenth, func() { n.leave(max(f.By.D(), 100*time.Millisecond)) })
+// countOf returns the share of n, rounded. A positive share is at least one.
+func countOf(n int, share float64) int {
+	if share <= 0 {
+		return 0
 	}
+	return min(max(int(math.Round(share*float64(n))), 1), n)
 }
 
-// deploy has an exchange drain and stop, and another start cold in its place at once.
-func (w *World) deploy(s *site, drain time.Duration) {
-	if s.x.State() != exchange.Running || s.state != admission.Active {
-		return
+// restartControllers shuts all controllers down and starts them again, in batches over the duration of the fault.
+func (s *simulation) restartControllers(f scenario.Fault) {
+	for i, c := range s.controllers {
+		batch := time.Duration(i * rollBatches / len(s.controllers))
+		s.after(batch*f.For.D()/rollBatches, func() { c.restart(max(f.By.D(), minDowntime)) })
 	}
-	s.set(admission.Draining)
-	w.replace(s)
-	w.after(drain, func() { // what still stands there is cut as it stops
-		s.do(func(x *exchange.Exchange, now Time) { x.Cutting(now, x.Standing()) })
-		w.after(500*time.Millisecond, s.crash)
-	})
 }
 
-// replace starts an exchange in the place of another.
-func (w *World) replace(old *site) {
-	s := w.start(fmt.Sprintf("x%d.%d", old.pool, len(w.sites)), old.pool, true)
-	w.places[old.pool] = s
-	w.news(s)
+// killControllers kills a share of the controllers and starts them again after a downtime.
+func (s *simulation) killControllers(f scenario.Fault) {
+	for range countOf(len(s.controllers), f.Share) {
+		c := s.controllers[s.rng.IntN(len(s.controllers))]
+		c.kill()
+		c.startAfter(max(f.By.D(), minDowntime))
+	}
 }
--- a/internal/sim/virtualtime/links.go
+++ b/internal/sim/virtualtime/links.go
@@ -1,7 +1,7 @@
 package virtualtime
 
 import (
-	"fmt"
+	"cmp"
 	"slices"
 	"time"
 
@@ -10,106 +10,156 @@
 	"olivedale/internal/sim/invariant"
 )
 
-// Times of connections and restarts.
 const (
-	findMute  = 250 * time.Millisecond // a connection that brings nothing while set-ups wait is given up after this
-	dialLimit = 500 * time.Millisecond // a connection that is not up by then has failed
-	sayAgain  = 200 * time.Millisecond // a release that did not get through is said again after this
-	answerBy  = 3 * time.Second        // a controller that is being stopped ends by then, whatever it owes
-	lookOwed  = 50 * time.Millisecond
+	responseTimeout = 250 * time.Millisecond // a connection without an answer for this long is given up
+	dialTimeout     = 500 * time.Millisecond
+	releaseRetry    = 200 * time.Millisecond // a release that was not delivered is sent again after this
 )
 
-// apart tells whether a cut between zones lies on the way to an exchange.
-func (n *node) apart(s *site) bool {
-	return n.w.apart(n.zone, s.zone)
+// link is one direction of a connection. It delivers in the order of sending.
+type link struct{ lastArrival Time }
+
+// deadConn is the state of a connection that stays open and carries nothing.
+type deadConn uint8
+
+const (
+	deadUndetected deadConn = iota
+	deadDetected            // a new connection is dialed as soon as the network allows
+)
+
+// exchangeLinks are the connections of a controller to the exchanges.
+type exchangeLinks struct {
+	toExchange   map[*exchangeInstance]*link
+	fromExchange map[*exchangeInstance]*link
+	dead         map[*exchangeInstance]deadConn
 }
 
-// apart tells whether a cut lies between two zones.
-func (w *World) apart(a, b int) bool { return a != b && (w.severed[a] > 0 || w.severed[b] > 0) }
+func newExchangeLinks() exchangeLinks {
+	return exchangeLinks{
+		toExchange:   make(map[*exchangeInstance]*link),
+		fromExchange: make(map[*exchangeInstance]*link),
+		dead:         make(map[*exchangeInstance]deadConn),
+	}
+}
+
+// isDetectedDead reports whether the controller knows that its connection carries nothing.
+func (l *exchangeLinks) isDetectedDead(e *exchangeInstance) bool {
+	state, isDead := l.dead[e]
+	return isDead && state == deadDetected
+}
 
-// mute tells whether the connection to an exchange carries nothing. One that was found out is made anew
-// as soon as the way is open.
-func (n *node) mute(s *site) bool {
-	found, dead := n.dead[s]
-	if dead && found && !n.apart(s) {
-		delete(n.dead, s)
-		dead = false
+// linkTo returns the link of a map, which it creates if there is none.
+func linkTo(links map[*exchangeInstance]*link, e *exchangeInstance) *link {
+	if links[e] == nil {
+		links[e] = &link{}
 	}
-	return dead || n.apart(s)
+	return links[e]
 }
 
-// intoNothing has a set-up go where nothing arrives: down a connection that is found to be mute after a
-// while, or to a dial that is not answered.
-func (n *node) intoNothing(s *site, a exchange.Attempt) {
-	life := n.life
-	if n.dead[s] { // found out before: this one waits for a connection
-		n.w.after(dialLimit, func() {
-			if n.life != life || n.out[a] != s {
-				return
-			}
-			delete(n.out, a)
-			n.w.see(invariant.Event{Kind: invariant.TurnedBack, Node: n.name, Call: a.Call, Server: s.id, N: a.N})
-			n.core.AttemptEnded(s.id, a.Call, a.N, call.DialTimedOut)
-			n.settle()
-		})
-		return
+// isPartitioned reports whether a network partition separates two zones.
+func (s *simulation) isPartitioned(zone, other int) bool {
+	partitions := s.faults.partitions
+	return zone != other && (partitions[zone] > 0 || partitions[other] > 0)
+}
+
+// transmit schedules the arrival of a message on a link.
+func (s *simulation) transmit(l *link, isSameZone bool, arrive func()) {
+	delay := s.scenario.Wire.Far
+	if isSameZone {
+		delay = s.scenario.Wire.Near
 	}
-	n.w.after(findMute, func() {
-		if n.life != life || n.dead[s] || !n.mute(s) {
-			return
+	l.lastArrival = max(s.now+s.draw(delay), l.lastArrival+1)
+	s.queue.Push(l.lastArrival, arrive)
+}
+
+// transmitTo schedules the arrival of a message at an exchange.
+func (c *controller) transmitTo(e *exchangeInstance, arrive func()) {
+	c.sim.transmit(linkTo(c.links.toExchange, e), c.zone == e.zone, arrive)
+}
+
+// transmitFrom schedules the arrival of a message of an exchange. The message is lost if the controller has ended by
+// then; one that survives a restart arrives if the controller has been started again.
+func (c *controller) transmitFrom(e *exchangeInstance, survivesRestart bool, arrive func()) {
+	incarnation := c.incarnation
+	c.sim.transmit(linkTo(c.links.fromExchange, e), c.zone == e.zone, func() {
+		isExpected := c.isRunningAs(incarnation) || survivesRestart && c.isRunning()
+		if isExpected {
+			arrive()
 		}
-		n.dead[s] = true
-		n.lostLink(s, call.Unresponsive)
 	})
 }
 
-// leave stops the controller in order: no new calls come, and it ends when it owes no answer; it starts
-// again after a while.
-func (n *node) leave(away time.Duration) {
-	if n.core == nil || n.leaves {
+// isUnresponsive reports whether the connection to an exchange carries nothing. A connection that is known to be dead
+// is replaced here once no partition is in the way.
+func (c *controller) isUnresponsive(e *exchangeInstance) bool {
+	isPartitioned := c.sim.isPartitioned(c.zone, e.zone)
+	if c.links.isDetectedDead(e) && !isPartitioned {
+		delete(c.links.dead, e)
+	}
+	_, isDead := c.links.dead[e]
+	return isDead || isPartitioned
+}
+
+// loseSetUp handles a set-up on a connection that carries nothing. The controller detects the dead connection after
+// responseTimeout; if it knows about it already, the set-up waits for a dial that times out.
+func (c *controller) loseSetUp(e *exchangeInstance, a exchange.Attempt) {
+	if c.links.isDetectedDead(e) {
+		c.after(dialTimeout, func() { c.failUnsentAttempt(e, a, call.DialTimedOut) })
 		return
 	}
-	n.leaves = true
-	life, end := n.life, n.w.now+answerBy
-	var look func()
-	look = func() {
-		switch {
-		case n.life != life:
-		case len(n.out) > 0 && n.w.now < end:
-			n.w.after(lookOwed, look)
-		default:
-			n.kill()
-			n.w.after(away, func() {
-				if n.core == nil {
-					n.begin()
-				}
-			})
+	c.after(responseTimeout, func() {
+		if !c.links.isDetectedDead(e) && c.isUnresponsive(e) {
+			c.links.dead[e] = deadDetected
+			c.breakConnection(e, call.Unresponsive)
 		}
+	})
+}
+
+// failUnsentAttempt ends an attempt that never reached its exchange, unless it has ended already.
+func (c *controller) failUnsentAttempt(e *exchangeInstance, a exchange.Attempt, end call.AttemptEnd) {
+	if c.openAttempts[a] != e {
+		return
 	}
-	n.w.after(lookOwed, look)
+	c.endAttempt(invariant.TurnedBack, e, a)
+	c.manager.AttemptEnded(e.id, a.Call, a.N, end)
+	c.settle()
+}
+
+// endAttempt removes an attempt from the open ones and records its end.
+func (c *controller) endAttempt(kind invariant.Kind, e *exchangeInstance, a exchange.Attempt) {
+	delete(c.openAttempts, a)
+	c.record(invariant.Event{Kind: kind, Call: a.Call, Server: e.id, N: a.N})
 }
 
-// say sends a datagram to another controller, or to all others. It comes late or not at all, and does not
-// pass a cut between zones; it counts as told for each who was meant, as the platform prices it.
-func (n *node) say(to int, b []byte) {
-	w := n.w
-	if len(b) > mostSaid {
-		panic(fmt.Sprintf("a datagram of %d bytes between controllers, %d at most", len(b), mostSaid)) // it would void a run
+// breakConnection breaks the connection to an exchange. Its open attempts end.
+func (c *controller) breakConnection(e *exchangeInstance, end call.AttemptEnd) {
+	c.transmitFrom(e, false, func() { c.failOpenAttempts(e, end) })
+	if e.model.State() != exchange.Down {
+		c.resetExchange(e)
 	}
-	for _, o := range w.nodes {
-		if o == n || to != Everyone && o.i != to {
-			continue
-		}
-		w.tally.Told(len(b))
-		if w.apart(n.zone, o.zone) || w.rng.Float64() < w.sc.Wire.Lose {
-			continue
+}
+
+// failOpenAttempts ends the open attempts at an exchange, in the order of their names.
+func (c *controller) failOpenAttempts(e *exchangeInstance, end call.AttemptEnd) {
+	var attempts []exchange.Attempt
+	for a, at := range c.openAttempts {
+		if at == e {
+			attempts = append(attempts, a)
 		}
-		got := slices.Clone(b)
-		w.after(w.draw(w.sc.Wire.Peer), func() {
-			if o.core != nil && o.hears != nil {
-				o.hears(n.i, got)
-				o.settle()
-			}
-		})
 	}
+	slices.SortFunc(attempts, func(a, b exchange.Attempt) int {
+		return cmp.Or(cmp.Compare(a.Call, b.Call), cmp.Compare(a.N, b.N))
+	})
+	for _, a := range attempts {
+		c.endAttempt(invariant.Broke, e, a)
+		c.manager.AttemptEnded(e.id, a.Call, a.N, end)
+	}
+	c.settle()
+}
+
+// resetExchange lets an exchange see that its connection to the controller is lost.
+func (c *controller) resetExchange(e *exchangeInstance) {
+	c.transmitTo(e, func() {
+		e.apply(func(x *exchange.Exchange, now Time) { x.Reset(now, c.name) })
+	})
 }
--- /dev/null
+++ b/internal/sim/virtualtime/options.go
@@ -0,0 +1,64 @@
+package virtualtime
+
+import (
+	"time"
+
+	"olivedale/internal/admission"
+	"olivedale/internal/call"
+	"olivedale/internal/sim/invariant"
+	"olivedale/internal/sim/scenario"
+)
+
+// Options change a run. The zero value runs the scenario as it is. A controller is named "n" and its index.
+type Options struct {
+	// Until ends the run early; 0 means the length of the scenario.
+	Until Time
+
+	// Module, Backends and Client wrap the interfaces between the call manager of a controller and its surroundings.
+	// Tests violate invariants with them, to see that the checker finds the violations.
+	Module   func(controller string, d call.Decider) call.Decider
+	Backends func(controller string, b call.Backends) call.Backends
+	Client   func(controller string, c call.Client) call.Client
+
+	// Datagrams gives a test access to the datagrams between controllers. It is called at each start of a controller
+	// and returns the function that receives the controller's datagrams.
+	Datagrams func(controller int, send SendFunc) ReceiveFunc
+
+	// Share starts the distributed overload control of a controller, at each start of the controller. It is not called
+	// if the scenario does without.
+	Share func(PeerConfig) Peer
+
+	// Watch is called with each event that the invariant checker records.
+	Watch func(invariant.Event)
+}
+
+// Everyone addresses a datagram to all controllers but the sender.
+const Everyone = -1
+
+// SendFunc sends a datagram to the controller with an index, or to Everyone.
+type SendFunc func(to int, payload []byte)
+
+// ReceiveFunc handles a datagram of the controller with an index.
+type ReceiveFunc func(from int, payload []byte)
+
+// PeerConfig is what Options.Share gets to start the overload control of one controller.
+type PeerConfig struct {
+	Scenario    *scenario.Scenario
+	Controller  int    // index of the controller
+	Incarnation int    // grows with each start of the controller
+	Seed        uint64 // differs for each start of each controller
+	Now         time.Duration
+	Engine      *admission.Engine
+	Send        SendFunc
+}
+
+// Peer is the part of one controller in distributed overload control. All times are readings of the controller's
+// clock.
+type Peer interface {
+	// Receive handles a datagram of another controller.
+	Receive(now time.Duration, from int, payload []byte)
+	// Tick does what is due.
+	Tick(now time.Duration)
+	// NextDeadline returns the time at which Tick is due next.
+	NextDeadline() time.Duration
+}
--- /dev/null
+++ b/internal/sim/virtualtime/result.go
@@ -0,0 +1,72 @@
+package virtualtime
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"olivedale/internal/sim/invariant"
+	"olivedale/internal/sim/result"
+)
+
+// extraCurveSeconds is how long past the warm-up the load of a cold exchange is reported.
+const extraCurveSeconds = 5
+
+// result sums up a run whose load ended at end.
+func (s *simulation) result(end Time) *result.Result {
+	r := s.tally.Result(end)
+	r.Scenario, r.Seed, r.Events = s.scenario.Name, s.seed, s.eventCount
+	r.Broken = s.violationCounts()
+	r.Breaches = s.checker.Breaches()
+	s.addExchanges(r)
+	r.Finish()
+	return r
+}
+
+// violationCounts counts violations by rule; it is nil if there are none.
+func (s *simulation) violationCounts() map[string]int {
+	var counts map[string]int
+	for _, rule := range invariant.All {
+		n := s.checker.Count(rule)
+		if n == 0 {
+			continue
+		}
+		if counts == nil {
+			counts = make(map[string]int)
+		}
+		counts[string(rule)] = n
+	}
+	return counts
+}
+
+// addExchanges adds the counters of all exchanges to a result, and the load of those that started cold.
+func (s *simulation) addExchanges(r *result.Result) {
+	for _, e := range s.exchanges {
+		r.Exchanges.Add(&e.model.Counters)
+		if !e.isColdStart {
+			continue
+		}
+		r.Cold = append(r.Cold, result.Cold{
+			Exchange: e.id,
+			Born:     e.startedAt.Seconds(),
+			Fell:     e.isCrashedByLoad,
+			Sends:    e.relativeLoad(),
+		})
+	}
+	slices.SortFunc(r.Cold, func(a, b result.Cold) int {
+		return cmp.Or(cmp.Compare(a.Born, b.Born), cmp.Compare(a.Exchange, b.Exchange))
+	})
+}
+
+// relativeLoad returns the set-ups that reached a cold exchange in each second, over its capacity at that time.
+func (e *exchangeInstance) relativeLoad() (shares []float64) {
+	settings := &e.sim.model
+	for second := range int(settings.Warm/time.Second) + extraCurveSeconds {
+		age := time.Duration(second) * time.Second
+		if e.startedAt+age > e.sim.now {
+			break
+		}
+		shares = append(shares, float64(e.setUpsBySecond[second])/(settings.Capacity()*settings.Warmth(age)))
+	}
+	return shares
+}
--- /dev/null
+++ b/internal/sim/virtualtime/simulation.go
@@ -0,0 +1,139 @@
+// Package virtualtime runs a scenario as a discrete-event simulation in virtual time. One process and one clock hold a
+// fleet of call controllers, each with the product's own call.Manager and admission.Engine, and models of the
+// exchanges, the links, service discovery, the callers and the injected faults.
+//
+// A run is deterministic: a scenario and a seed give the same result byte for byte. So all events come from one queue,
+// all random numbers from seeded sources, and nothing depends on the iteration order of a map. Invariants are checked
+// by package invariant from the messages on the links. The package starts no goroutine and opens no socket.
+package virtualtime
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"olivedale/internal/sim/eventqueue"
+	"olivedale/internal/sim/exchange"
+	"olivedale/internal/sim/invariant"
+	"olivedale/internal/sim/result"
+	"olivedale/internal/sim/scenario"
+)
+
+// Time is the time since the start of the run.
+type Time = time.Duration
+
+// epoch is what the clocks of the controllers show at the start of a run. They show Unix time in the product; a server
+// that started before the epoch is past its slow start.
+const epoch = 1000 * time.Hour
+
+// Streams of random numbers, the second word of the seed.
+const (
+	environmentStream   = 1    // links, discovery and faults
+	callerStream        = 2    // the callers
+	firstExchangeStream = 1000 // the first exchange; each further one has the next stream
+)
+
+type simulation struct {
+	scenario    *scenario.Scenario
+	options     Options
+	seed        uint64
+	model       exchange.Settings // of every exchange
+	plannedRate float64           // calls a second at load 1
+
+	now        Time
+	queue      eventqueue.Queue[func()]
+	eventCount uint64
+	rng        *rand.Rand // environmentStream
+
+	controllers       []*controller
+	controllersByName map[string]*controller
+	exchanges         []*exchangeInstance // all of the run, in the order of their start
+	exchangesByID     map[string]*exchangeInstance
+	exchangesByPool   []*exchangeInstance // the instance that started last in each pool
+	callers           *callerPool
+	faults            activeFaults
+
+	checker *invariant.Checker
+	tally   *result.Tally
+}
+
+// Run simulates a scenario, which must be valid, and returns the result.
+func Run(sc *scenario.Scenario, seed uint64, opt Options) *result.Result {
+	s := newSimulation(sc, seed, opt)
+	end := sc.Length.D()
+	if opt.Until > 0 {
+		end = min(end, opt.Until)
+	}
+	s.runUntil(end)
+	// The open calls get their final answers, or the checker finds that they do not.
+	s.callers.isClosed = true
+	s.runUntil(end + s.callers.maxCallDuration())
+	s.checker.End(s.now)
+	return s.result(end)
+}
+
+func newSimulation(sc *scenario.Scenario, seed uint64, opt Options) *simulation {
+	s := &simulation{
+		scenario:          sc,
+		options:           opt,
+		seed:              seed,
+		model:             sc.Model(),
+		plannedRate:       sc.Rate(),
+		rng:               rand.New(rand.NewPCG(seed, environmentStream)),
+		controllersByName: make(map[string]*controller),
+		exchangesByID:     make(map[string]*exchangeInstance),
+		faults:            activeFaults{partitions: make(map[int]int)},
+		checker:           invariant.New(invariant.Defaults()),
+		tally:             result.NewTally(sc),
+	}
+	for pool := range sc.Fleet.Exchanges {
+		e := s.startExchange(fmt.Sprint("x", pool), pool, false)
+		s.exchangesByPool = append(s.exchangesByPool, e)
+	}
+	for i := range sc.Fleet.Controllers {
+		c := newController(s, i)
+		s.controllers = append(s.controllers, c)
+		s.controllersByName[c.name] = c
+	}
+	for _, c := range s.controllers {
+		c.start()
+	}
+	s.callers = newCallerPool(s)
+	for _, f := range sc.Fault {
+		s.queue.Push(f.At.D(), func() { s.inject(f) })
+	}
+	return s
+}
+
+// runUntil runs all events that are due by end.
+func (s *simulation) runUntil(end Time) {
+	for s.queue.NextTime() <= end {
+		due, event := s.queue.Pop()
+		s.now = due
+		s.eventCount++
+		event()
+	}
+	s.now = end
+}
+
+// after schedules an event after a delay. A negative delay counts as none.
+func (s *simulation) after(delay time.Duration, event func()) {
+	s.queue.Push(s.now+max(delay, 0), event)
+}
+
+// draw draws a duration for the environment.
+func (s *simulation) draw(span scenario.Span) time.Duration { return span.Draw(s.rng) }
+
+// occurs draws whether something of a probability happens. It draws nothing if the probability is 0.
+func (s *simulation) occurs(probability float64) bool {
+	return probability > 0 && s.rng.Float64() < probability
+}
+
+// record passes an event to the invariant checker.
+func (s *simulation) record(e invariant.Event) {
+	e.At = s.now
+	s.checker.See(e)
+	if s.options.Watch != nil {
+		s.options.Watch(e)
+	}
+}
