--- a/internal/sim/scenario/scenario_test.go
+++ b/internal/sim/scenario/scenario_test.go
@@ -7,7 +7,7 @@
 	"time"
 )
 
-// The scenarios that come with the program can be read, and say what they are for.
+// The scenarios of deploy/sim are valid and have a description.
 func TestDeployed(t *testing.T) {
 	files, err := filepath.Glob("../../../deploy/sim/*.toml")
 	if err != nil || len(files) < 6 {
@@ -25,11 +25,27 @@
 	}
 }
 
-// What a file leaves out is as by default; what makes no sense names its key.
+// Keys that a file leaves out have their default; an invalid value is reported with its key.
 func TestParse(t *testing.T) {
-	s, err := Parse([]byte("[callers]\nload = 1.5\n[[class]]\nname = \"a\"\nshare = 1.0\nholding = \"2s\"\naim = \"1s\"\ngive_up = \"5s\"\nworth = 2.0\n"))
-	if err != nil || s.Callers.Load != 1.5 || len(s.Class) != 1 || s.Fleet.Controllers != Default().Fleet.Controllers || s.Exchange.Warm.D() != 15*time.Second {
-		t.Errorf("%+v, %v", s, err)
+	s, err := Parse([]byte(`
+[callers]
+load = 1.5
+[[class]]
+name = "a"
+share = 1.0
+holding = "2s"
+aim = "1s"
+give_up = "5s"
+worth = 2.0
+`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s.Callers.Load != 1.5 || len(s.Class) != 1 {
+		t.Errorf("load %v and %d classes, want 1.5 and 1", s.Callers.Load, len(s.Class))
+	}
+	if s.Fleet.Controllers != Default().Fleet.Controllers || s.Exchange.Warm.D() != 15*time.Second {
+		t.Errorf("%+v, want the default fleet and slow start", s)
 	}
 	for text, want := range map[string]string{
 		"lenght = \"1s\"":                                   "lenght: unknown key",
@@ -50,10 +66,10 @@
 	}
 }
 
-// A wave and a ramp offer what they say.
+// The offered load follows the shape of the load.
 func TestOffered(t *testing.T) {
 	s := Default()
-	s.Callers.Load, s.Callers.Shape, s.Callers.Swing, s.Callers.Period = 1, "wave", 0.5, ms(40000)
+	s.Callers.Load, s.Callers.Shape, s.Callers.Swing, s.Callers.Period = 1, "wave", 0.5, milliseconds(40000)
 	for at, want := range map[time.Duration]float64{0: 1, 10 * time.Second: 1.5, 30 * time.Second: 0.5} {
 		if got := s.Offered(at); got < want-0.01 || got > want+0.01 {
 			t.Errorf("wave at %v: %v", at, got)
