--- /dev/null
+++ b/internal/sim/result/figure.go
@@ -0,0 +1,52 @@
+package result
+
+import (
+	"fmt"
+	"slices"
+)
+
+// A Figure is a number of a result by which runs are compared.
+type Figure struct {
+	Name string // as in tables and flags
+	Of   func(*Result) float64
+	Less bool // a lower value is better
+}
+
+// Figures lists the figures in the order of the tables; the first is the score.
+var Figures = []Figure{
+	{Name: "score", Of: func(r *Result) float64 { return r.Score }},
+	{Name: "service", Of: func(r *Result) float64 { return r.Service }},
+	{Name: "worst_10s", Of: func(r *Result) float64 { return r.Worst }},
+	{Name: "worst_class", Of: func(r *Result) float64 { return r.WorstClass }},
+	{Name: "refused", Of: func(r *Result) float64 { return perCall(r.Refused, r.Offered) }, Less: true},
+	{Name: "failed", Of: func(r *Result) float64 { return perCall(r.Failed, r.Offered) }, Less: true},
+	{Name: "sends", Of: func(r *Result) float64 { return perCall(r.Sends, r.Offered) }, Less: true},
+	{Name: "waste", Of: func(r *Result) float64 { return r.Waste }, Less: true},
+	{Name: "second", Of: func(r *Result) float64 { return r.Second }, Less: true},
+	{Name: "setup_p50_ms", Of: func(r *Result) float64 { return r.P50 }, Less: true},
+	{Name: "setup_p99_ms", Of: func(r *Result) float64 { return r.P99 }, Less: true},
+	{Name: "fairness", Of: func(r *Result) float64 { return r.Fairness }},
+	{Name: "cold_sends", Of: (*Result).ColdSends, Less: true},
+}
+
+// An UnknownFigureError is the name of a figure that does not exist.
+type UnknownFigureError struct{ Name string }
+
+// Error names the figure.
+func (e *UnknownFigureError) Error() string { return fmt.Sprintf("no figure is named %q", e.Name) }
+
+// FigureNamed returns the figure of a name; the error is an *UnknownFigureError.
+func FigureNamed(name string) (Figure, error) {
+	i := slices.IndexFunc(Figures, func(f Figure) bool { return f.Name == name })
+	if i < 0 {
+		return Figure{}, &UnknownFigureError{Name: name}
+	}
+	return Figures[i], nil
+}
+
+func perCall(n, calls int) float64 {
+	if calls == 0 {
+		return 0
+	}
+	return float64(n) / float64(calls)
+}
