--- a/cmd/olivesim/compare.go
+++ b/cmd/olivesim/compare.go
@@ -143,7 +143,7 @@
 			fmt.Sprintf("%+.3f to %+.3f", d.Diff.Low, d.Diff.High),
 			plot.Number(d.WorstBase),
 			plot.Number(d.WorstNow),
-			d.Verdict,
+			string(d.Verdict),
 		})
 	}
 	return cli.Table(w, false, nil, header, rows)
--- /dev/null
+++ b/internal/sim/experiment/file.go
@@ -0,0 +1,52 @@
+package experiment
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+
+	"olivedale/internal/sim/result"
+	"olivedale/internal/sim/scenario"
+)
+
+// A File is the stored form of an experiment.
+type File struct {
+	Scenario *scenario.Scenario `json:"scenario"`
+	Commit   string             `json:"commit"`
+	Machine  string             `json:"machine"`
+	Vary     string             `json:"vary,omitempty"`   // key that a sweep varied
+	Beside   string             `json:"beside,omitempty"` // second key that it varied
+	Points   []Point            `json:"points"`
+}
+
+// A Point is the results for one value of the varied key, or for a pair of values of both keys.
+type Point struct {
+	Value   string           `json:"value,omitempty"`
+	Beside  string           `json:"beside,omitempty"` // value of the second key
+	Results []*result.Result `json:"results"`
+}
+
+// Save writes the file as JSON.
+func (f *File) Save(path string) error {
+	text, err := json.MarshalIndent(f, "", " ")
+	if err != nil {
+		return fmt.Errorf("experiment: %w", err)
+	}
+	if err := os.WriteFile(path, append(text, '\n'), 0o644); err != nil {
+		return fmt.Errorf("experiment: %w", err)
+	}
+	return nil
+}
+
+// Load reads a file that Save wrote.
+func Load(path string) (*File, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("experiment: %w", err)
+	}
+	var f File
+	if err := json.Unmarshal(text, &f); err != nil {
+		return nil, fmt.Errorf("experiment: %s: %w", path, err)
+	}
+	return &f, nil
+}
