--- a/internal/svg/svg.go
+++ b/internal/svg/svg.go
@@ -1,4 +1,5 @@
-// Package svg makes plots into elements that stand in a page. What is plotted is others'.
+// Package svg renders gonum plots as SVG elements for HTML pages. It owns the default font of plots and nothing of
+// their content.
 package svg
 
 import (
@@ -13,20 +14,23 @@
 	"gonum.org/v1/plot/vg/vgsvg"
 )
 
-// Axes and legends in the pages' manner; a browser takes what it has in place of it.
+// init sets the font of plots to that of the pages; a browser without it takes its own substitute.
 func init() { plot.DefaultFont = font.Font{Typeface: "Liberation", Variant: "Sans"} }
 
-// Draw draws a plot as an element to stand in a page.
+// elementStart is the begin of the SVG element in an SVG document.
+var elementStart = []byte("<svg")
+
+// Draw renders a plot of the given size as an SVG element, without the prolog of an SVG document.
 func Draw(p *plot.Plot, width, height vg.Length) (template.HTML, error) {
-	c := vgsvg.New(width, height)
-	p.Draw(draw.New(c))
-	var b bytes.Buffer
-	if _, err := c.WriteTo(&b); err != nil {
+	canvas := vgsvg.New(width, height)
+	p.Draw(draw.New(canvas))
+	var document bytes.Buffer
+	if _, err := canvas.WriteTo(&document); err != nil {
 		return "", fmt.Errorf("svg: %w", err)
 	}
-	text := b.Bytes()
-	if i := bytes.Index(text, []byte("<svg")); i > 0 { // what is before it belongs to a file of its own
-		text = text[i:]
+	element := document.Bytes()
+	if i := bytes.Index(element, elementStart); i > 0 {
+		element = element[i:]
 	}
-	return template.HTML(text), nil //nolint:gosec // vgsvg escapes all texts
+	return template.HTML(element), nil //nolint:gosec // vgsvg escapes all texts
 }
