--- a/cmd/olivesim/compare.go
+++ b/cmd/olivesim/compare.go
@@ -27,30 +27,31 @@
 }
 
 func compareCommand() *cobra.Command {
-	var days days
+	var days dayFlags
 	var base revision.Options
 	c := &cobra.Command{
 		Use:   "compare SCENARIO.toml... --base REV",
 		Short: "Play the same days with this program and with an earlier commit",
 		Args:  cobra.MinimumNArgs(1),
-		Long: "compare builds the product of an earlier commit with today's laboratory, in a work tree that it removes afterwards,\n" +
-			"and plays the same seeds with both. A commit from before a change of the module path plays with its own laboratory;\n" +
-			"standard error says which of the two was built. Differences are taken day by day; where the interval includes zero,\n" +
-			"the table says so.",
+		Long: "compare builds the product of an earlier commit with today's simulator, in a work tree that it\n" +
+			"removes afterwards, and plays the same seeds with both. A commit from before a change of the module\n" +
+			"path plays with its own simulator; standard error says which of the two was built. Differences are\n" +
+			"taken day by day; where the interval includes zero, the table says so.",
 		Example: "  olivesim compare deploy/sim/*.toml --base HEAD~3 --days 24",
 		RunE: func(c *cobra.Command, scenarios []string) error {
 			return runCompare(c, scenarios, days, base)
 		},
 	}
-	days.flags(c, 16)
+	days.register(c, 16)
 	c.Flags().StringVar(&base.Revision, "base", "", "commit, branch or tag to compare with")
 	c.Flags().StringVar(&base.Repository, "repository", ".", "the repository")
-	c.Flags().BoolVar(&base.PolicyOnly, "module", false, "take the module alone from that commit, and all else from HEAD")
+	c.Flags().BoolVar(&base.PolicyOnly, "module", false,
+		"take the decision module only from that commit, and all else from HEAD")
 	return c
 }
 
 // runCompare builds the base and compares it with this program, one scenario after the other.
-func runCompare(c *cobra.Command, scenarios []string, days days, base revision.Options) error {
+func runCompare(c *cobra.Command, scenarios []string, days dayFlags, base revision.Options) error {
 	seeds, err := days.seeds()
 	if err != nil {
 		return err
@@ -75,14 +76,14 @@
 			return err
 		}
 		comparisons = append(comparisons, *compared)
-		if days.json {
+		if days.asJSON {
 			continue
 		}
 		if err := compared.print(c.OutOrStdout(), len(seeds)); err != nil {
 			return err
 		}
 	}
-	if days.json {
+	if days.asJSON {
 		return json.NewEncoder(c.OutOrStdout()).Encode(comparisons)
 	}
 	return nil
@@ -90,7 +91,7 @@
 
 // compareScenario plays the days of a scenario with the base and with this program.
 func compareScenario(
-	ctx context.Context, base *revision.Build, path string, days days, seeds []uint64,
+	ctx context.Context, base *revision.Build, path string, days dayFlags, seeds []uint64,
 ) (*comparison, error) {
 	sc, err := scenario.Load(path)
 	if err != nil {
@@ -100,7 +101,7 @@
 	if err != nil {
 		return nil, err
 	}
-	results, err := experiment.Play(ctx, sc, seeds, options())
+	results, err := experiment.Play(ctx, sc, seeds, simulationOptions())
 	if err != nil {
 		return nil, err
 	}
@@ -112,9 +113,9 @@
 }
 
 // playBase has the base's program play the days.
-func playBase(ctx context.Context, base *revision.Build, path string, days days) ([]*result.Result, error) {
+func playBase(ctx context.Context, base *revision.Build, path string, days dayFlags) ([]*result.Result, error) {
 	program := exec.CommandContext(ctx, base.Program, "run", path, "--json",
-		"--seed", strconv.FormatUint(days.first, 10), "--days", strconv.Itoa(days.n))
+		"--seed", strconv.FormatUint(days.firstSeed, 10), "--days", strconv.Itoa(days.count))
 	program.Stderr = os.Stderr
 	output, err := program.Output()
 	if err != nil {
--- /dev/null
+++ b/cmd/olivesim/curve.go
@@ -0,0 +1,100 @@
+package main
+
+import (
+	"fmt"
+	"html/template"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"olivedale/internal/sim/plot"
+	"olivedale/internal/sim/sabourin"
+)
+
+// Parameters of the curves. An offered load of maxOfferedLoad is included.
+const (
+	offeredLoadStep  = 0.1
+	maxOfferedLoad   = 2.5
+	simulationLength = 400 * time.Second
+	simulationSeed   = 1
+)
+
+// rejectionCosts are the costs of a rejected call over that of an accepted one, a curve for each.
+var rejectionCosts = []float64{0, 0.3, 0.5}
+
+const curveDescription = "Sabourin's control by counting calls in front of the emulated exchange (lines) and " +
+	"his theory (dashed), for rejected calls that cost nothing, 30% and 50% of an accepted one. Thresholds 0.8 and " +
+	"0.9, periods of 100 ms and a window of 3 s as in the paper; half of the calls outgoing, four in ten incoming " +
+	"and one in ten urgent, which is the project's choice."
+
+func curveCommand() *cobra.Command {
+	var file string
+	c := &cobra.Command{
+		Use:     "curve -o FILE.html",
+		Short:   "Reproduce Sabourin's curves of handled load against offered load",
+		Args:    cobra.NoArgs,
+		Example: "  olivesim curve -o curve.html",
+		RunE: func(*cobra.Command, []string) error {
+			if file == "" {
+				return errNoOutputFile
+			}
+			part, err := curvePart()
+			if err != nil {
+				return err
+			}
+			return writePage(file, "Overload control by counting calls", []plot.Part{part})
+		},
+	}
+	c.Flags().StringVarP(&file, "out", "o", "", "the file to write")
+	return c
+}
+
+// curvePart computes the curves and their table.
+func curvePart() (plot.Part, error) {
+	part := plot.Part{
+		Title:   "Handled load against offered load",
+		About:   curveDescription,
+		Heading: []string{"offered", "cost of a rejected call", "handled", "theory", "total", "theory"},
+	}
+	var curves []plot.Curve
+	for _, cost := range rejectionCosts {
+		simulated, theory, rows := curvesForCost(cost)
+		curves = append(curves, simulated, theory)
+		part.Rows = append(part.Rows, rows...)
+	}
+	chart, err := plot.Plot("handled load", "offered load", "", curves)
+	if err != nil {
+		return part, err
+	}
+	part.Plots = []template.HTML{chart}
+	return part, nil
+}
+
+// curvesForCost returns the handled load by simulation and by theory for a cost of rejections, with the rows of
+// the table. Loads without a steady state are not simulated.
+func curvesForCost(cost float64) (simulated, theory plot.Curve, rows [][]string) {
+	mix := sabourin.Paper(cost)
+	simulated.Name = fmt.Sprintf("rejected calls cost %v", cost)
+	theory.Name = fmt.Sprintf("theory, %v", cost)
+	theory.Dashed = true
+	for offered := offeredLoadStep; offered < maxOfferedLoad+offeredLoadStep/2; offered += offeredLoadStep {
+		expected := mix.Theory(offered)
+		theory.X = append(theory.X, offered)
+		theory.Y = append(theory.Y, expected.Handled)
+		if expected.Total > 1 {
+			continue
+		}
+		measured := mix.Run(offered, simulationLength, simulationSeed)
+		simulated.X = append(simulated.X, offered)
+		simulated.Y = append(simulated.Y, measured.Handled)
+		rows = append(rows, []string{
+			fmt.Sprintf("%.1f", offered),
+			fmt.Sprint(cost),
+			plot.Number(measured.Handled),
+			plot.Number(expected.Handled),
+			plot.Number(measured.Total),
+			plot.Number(expected.Total),
+		})
+	}
+	return simulated, theory, rows
+}
--- /dev/null
+++ b/cmd/olivesim/days.go
@@ -0,0 +1,80 @@
+package main
+
+import (
+	"github.com/spf13/cobra"
+
+	"olivedale/internal/cli"
+	"olivedale/internal/sim/experiment"
+	"olivedale/internal/sim/overloadpeers"
+	"olivedale/internal/sim/plot"
+	"olivedale/internal/sim/scenario"
+	"olivedale/internal/sim/virtualtime"
+)
+
+// maxDays bounds the days of a command.
+const maxDays = 10000
+
+// dayFlags are the flags that select the days to play and the output of the results. A day is one run of a
+// scenario with a seed.
+type dayFlags struct {
+	firstSeed uint64
+	count     int
+	file      string
+	asJSON    bool
+}
+
+// register adds the flags to a command.
+func (d *dayFlags) register(c *cobra.Command, defaultCount int) {
+	c.Flags().Uint64Var(&d.firstSeed, "seed", 1, "first seed")
+	c.Flags().IntVar(&d.count, "days", defaultCount, "days to play, each with its own seed")
+	c.Flags().StringVarP(&d.file, "out", "o", "", "file for the results")
+	c.Flags().BoolVar(&d.asJSON, "json", false, "print JSON")
+}
+
+// seeds returns the seeds of the days.
+func (d *dayFlags) seeds() ([]uint64, error) {
+	if d.count < 1 || d.count > maxDays {
+		return nil, cli.Usage("--days %d is not between 1 and %d", d.count, maxDays)
+	}
+	return experiment.Seeds(d.firstSeed, d.count), nil
+}
+
+// load reads a scenario and returns it with the seeds of the days.
+func (d *dayFlags) load(path string) (*scenario.Scenario, []uint64, error) {
+	sc, err := scenario.Load(path)
+	if err != nil {
+		return nil, nil, err
+	}
+	seeds, err := d.seeds()
+	return sc, seeds, err
+}
+
+// save writes the results to the file, if one is named.
+func (d *dayFlags) save(f *experiment.File) error {
+	if d.file == "" {
+		return nil
+	}
+	return f.Save(d.file)
+}
+
+// newFile returns an experiment of this program on this machine, without results.
+func newFile(sc *scenario.Scenario) *experiment.File {
+	return &experiment.File{Scenario: sc, Commit: cli.Version(), Machine: experiment.Machine()}
+}
+
+// simulationOptions are the options of runs in virtual time.
+func simulationOptions() virtualtime.Options {
+	return virtualtime.Options{Share: overloadpeers.Start}
+}
+
+// intervalHeading are the columns of intervalCells, after the name of the figure.
+var intervalHeading = []string{"95%", "WORST DAY"}
+
+// intervalCells formats the mean, the confidence interval and the worst day of a figure for a table.
+func intervalCells(interval experiment.Interval) []string {
+	return []string{
+		plot.Number(interval.Mean),
+		plot.Number(interval.Low) + " to " + plot.Number(interval.High),
+		plot.Number(interval.Worst),
+	}
+}
--- /dev/null
+++ b/cmd/olivesim/load.go
@@ -0,0 +1,105 @@
+package main
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"olivedale/internal/cli"
+	"olivedale/internal/sim/loopback"
+	"olivedale/internal/sim/scenario"
+)
+
+// Bounds of the flags of load.
+const (
+	maxLoadRate   = 100_000 // calls a second
+	maxLoadLength = time.Hour
+)
+
+func loadCommand() *cobra.Command {
+	var generator loopback.Load
+	var asJSON bool
+	c := &cobra.Command{
+		Use:   "load",
+		Short: "Send calls to call controllers in an open loop",
+		Args:  cobra.NoArgs,
+		Long: "load sends calls by a Poisson process, whether or not earlier calls were answered. Set-up times are\n" +
+			"measured from the scheduled time of a call.",
+		Example: "  olivesim load --to 127.0.0.1:5060 --to 127.0.0.1:5061 --rate 200 --for 1m",
+		RunE: func(c *cobra.Command, _ []string) error {
+			if err := checkLoad(&generator); err != nil {
+				return err
+			}
+			generator.Classes = scenario.Default().Class
+			ctx, stop := cli.Interruptible(c)
+			defer stop()
+			if err := generator.Run(ctx); err != nil {
+				return err
+			}
+			summary := summarize(generator.Stats())
+			return cli.Table(c.OutOrStdout(), asJSON, summary, loadHeading, [][]string{summary.row()})
+		},
+	}
+	f := c.Flags()
+	f.StringArrayVar(&generator.Addrs, "to", nil,
+		"address of a call controller's frontend of the platform's protocol (repeat for more)")
+	f.Float64Var(&generator.Rate, "rate", 50, "calls a second, to all controllers together")
+	f.DurationVar(&generator.For, "for", 10*time.Second, "how long calls are sent")
+	f.DurationVar(&generator.Left, "left", 3*time.Second, "deadline of the calls")
+	f.IntVar(&generator.Pools, "pools", 3, "number of preferred pools")
+	f.Uint64Var(&generator.Seed, "seed", 1, "seed of the calls")
+	f.BoolVar(&asJSON, "json", false, "print JSON")
+	return c
+}
+
+func checkLoad(generator *loopback.Load) error {
+	switch {
+	case len(generator.Addrs) == 0:
+		return cli.Usage("--to names a call controller")
+	case generator.Rate <= 0 || generator.Rate > maxLoadRate:
+		return cli.Usage("--rate is up to %d calls a second", maxLoadRate)
+	case generator.For <= 0 || generator.For > maxLoadLength:
+		return cli.Usage("--for is up to %v", maxLoadLength)
+	}
+	return nil
+}
+
+// loadSummary is the outcome of a load. Its field names are the keys of the JSON.
+type loadSummary struct {
+	Sent, Stood, Refused, Failed, GaveUp, Lost, NotSent int
+	P50, P99, P999                                      string // set-up times
+}
+
+// loadHeading are the columns of loadSummary.row.
+var loadHeading = []string{
+	"SENT", "ESTABLISHED", "REJECTED", "FAILED", "ABANDONED", "LOST", "NOT SENT", "P50", "P99", "P99.9",
+}
+
+func summarize(stats loopback.LoadStats) loadSummary {
+	quantile := func(percent float64) string {
+		setUpTime := time.Duration(stats.Took.ValueAtQuantile(percent)) * time.Microsecond
+		return setUpTime.Round(100 * time.Microsecond).String()
+	}
+	return loadSummary{
+		Sent:    stats.Sent,
+		Stood:   stats.Stood,
+		Refused: stats.Refused,
+		Failed:  stats.Failed,
+		GaveUp:  stats.GaveUp,
+		Lost:    stats.Lost,
+		NotSent: stats.NotSent,
+		P50:     quantile(50),
+		P99:     quantile(99),
+		P999:    quantile(99.9),
+	}
+}
+
+func (s loadSummary) row() []string {
+	counts := []int{s.Sent, s.Stood, s.Refused, s.Failed, s.GaveUp, s.Lost, s.NotSent}
+	var row []string
+	for _, count := range counts {
+		row = append(row, strconv.Itoa(count))
+	}
+	return append(row, s.P50, s.P99, s.P999)
+}
--- a/cmd/olivesim/main.go
+++ b/cmd/olivesim/main.go
@@ -1,5 +1,5 @@
-// Command olivesim is the laboratory: it plays call controllers, exchanges and callers in virtual time
-// or on sockets, breaks things, and says what a change does.
+// Command olivesim plays scenarios against call controllers, in virtual time or with real processes on loopback
+// addresses, injects faults, checks invariants and measures what a change of the product does.
 package main
 
 import (
@@ -13,12 +13,23 @@
 func main() {
 	root := &cobra.Command{
 		Use:   "olivesim",
-		Short: "Try the call controller against emulated exchanges, callers and faults",
-		Long: "olivesim plays scenarios: fleets of call controllers with emulated exchanges and callers, and what goes wrong.\n" +
-			"In virtual time a minute takes a fraction of a second, and a seed repeats it to the byte. Load on sockets is bounded\n" +
-			"and stops by itself; everything stays on loopback addresses.",
+		Short: "Simulate call controllers with emulated exchanges, callers and faults",
+		Long: "olivesim plays scenarios: fleets of call controllers with emulated exchanges, callers and faults. In\n" +
+			"virtual time a minute takes a fraction of a second, and a seed reproduces it to the byte. Load on\n" +
+			"sockets is bounded and ends by itself; all traffic stays on loopback addresses.",
 	}
-	root.AddCommand(runCommand(), sweepCommand(), compareCommand(), reportCommand(), shrinkCommand(), curveCommand(),
-		demoCommand(), serveCommand(), loadCommand(), holdCommand(), cli.VersionCommand())
+	root.AddCommand(
+		runCommand(),
+		sweepCommand(),
+		compareCommand(),
+		reportCommand(),
+		shrinkCommand(),
+		curveCommand(),
+		demoCommand(),
+		serveCommand(),
+		loadCommand(),
+		holdCommand(),
+		cli.VersionCommand(),
+	)
 	os.Exit(cli.Run(root))
 }
