--- a/internal/sim/experiment/set.go
+++ b/internal/sim/experiment/set.go
@@ -63,7 +63,8 @@
 		number, _ = strconv.Atoi(path[1])
 	}
 	if number < 1 || number > len(sc.Fault) {
-		return nil, fmt.Errorf("%s: the scenario has %d faults; the first is named like fault.1.factor", key, len(sc.Fault))
+		return nil, fmt.Errorf("%s: the scenario has %d faults; the first is named like fault.1.factor",
+			key, len(sc.Fault))
 	}
 	return &sc.Fault[number-1], nil
 }
