--- a/cmd/olivesim/compare_test.go
+++ b/cmd/olivesim/compare_test.go
@@ -43,8 +43,8 @@
 	if err := c.Execute(); err != nil {
 		t.Fatal(err)
 	}
-	if !strings.Contains(stderr.String(), "built with its own laboratory") {
-		t.Errorf("standard error does not say which laboratory was built: %q", stderr.String())
+	if !strings.Contains(stderr.String(), "built with its own simulator") {
+		t.Errorf("standard error does not say which simulator was built: %q", stderr.String())
 	}
 	var comparisons []comparison
 	if err := json.Unmarshal(stdout.Bytes(), &comparisons); err != nil {
--- a/internal/sim/revision/overlay.go
+++ b/internal/sim/revision/overlay.go
@@ -11,9 +11,9 @@
 	"github.com/BurntSushi/toml"
 )
 
-// laboratoryPaths are the files and directories that a build takes from today's work tree: the laboratory,
+// simulatorPaths are the files and directories that a build takes from today's work tree: the simulator,
 // and the packages that it needs in today's form.
-var laboratoryPaths = []string{
+var simulatorPaths = []string{
 	"internal/sim",
 	programPackage,
 	"internal/cli",
@@ -26,9 +26,9 @@
 // deployFile lists, among others, the files of the decision module.
 const deployFile = "deploy/balancer.toml"
 
-// overlayLaboratory replaces the laboratory in a work tree by that of the repository.
-func overlayLaboratory(repository, tree string) error {
-	for _, path := range laboratoryPaths {
+// overlaySimulator replaces the simulator in a work tree by that of the repository.
+func overlaySimulator(repository, tree string) error {
+	for _, path := range simulatorPaths {
 		if err := replacePath(filepath.Join(repository, path), filepath.Join(tree, path)); err != nil {
 			return err
 		}
--- a/internal/sim/revision/revision.go
+++ b/internal/sim/revision/revision.go
@@ -1,4 +1,4 @@
-// Package revision builds the laboratory's program, cmd/olivesim, at an earlier commit of the repository, so that
+// Package revision builds the simulator's program, cmd/olivesim, at an earlier commit of the repository, so that
 // two versions of the product can play the same days. It builds in a work tree of its own and leaves the
 // repository's work tree and index as they are.
 package revision
@@ -27,20 +27,20 @@
 type Method int
 
 const (
-	// TodaysLaboratory puts the laboratory's packages of the repository's work tree around the commit's product.
-	TodaysLaboratory Method = iota
-	// OwnLaboratory builds the commit's own program. It serves commits from before a change of the module path,
-	// whose packages today's laboratory cannot import.
-	OwnLaboratory
+	// CurrentSimulator puts the simulator's packages of the repository's work tree around the commit's product.
+	CurrentSimulator Method = iota
+	// OwnSimulator builds the commit's own program. It serves commits from before a change of the module path,
+	// whose packages today's simulator cannot import.
+	OwnSimulator
 )
 
 // String describes the method for messages.
 func (m Method) String() string {
 	switch m {
-	case TodaysLaboratory:
-		return "built with today's laboratory"
-	case OwnLaboratory:
-		return "built with its own laboratory, since its module path differs from today's"
+	case CurrentSimulator:
+		return "built with today's simulator"
+	case OwnSimulator:
+		return "built with its own simulator, since its module path differs from today's"
 	default:
 		return fmt.Sprintf("Method(%d)", int(m))
 	}
@@ -78,7 +78,7 @@
 	directory  string // holds the program and the work tree
 }
 
-// New builds the program of a revision. It takes today's laboratory if the revision has today's module path,
+// New builds the program of a revision. It takes today's simulator if the revision has today's module path,
 // and the revision's own otherwise; with PolicyOnly, another module path is a *ModulePathError.
 func New(ctx context.Context, o Options) (*Build, error) {
 	top, err := git(ctx, o.Repository, "rev-parse", "--show-toplevel")
@@ -132,11 +132,11 @@
 	current, path := modulePath(string(currentFile)), modulePath(commitFile)
 	switch {
 	case path == current:
-		return TodaysLaboratory, nil
+		return CurrentSimulator, nil
 	case policyOnly:
 		return 0, &ModulePathError{Commit: commit, Path: path, Current: current}
 	default:
-		return OwnLaboratory, nil
+		return OwnSimulator, nil
 	}
 }
 
@@ -162,7 +162,7 @@
 	if _, err := git(ctx, b.repository, "worktree", "add", "--detach", "--force", b.tree(), checkout); err != nil {
 		return err
 	}
-	if b.Method == OwnLaboratory {
+	if b.Method == OwnSimulator {
 		return b.compileOwn(ctx)
 	}
 	if policyOnly {
@@ -170,8 +170,8 @@
 			return err
 		}
 	}
-	if err := overlayLaboratory(b.repository, b.tree()); err != nil {
-		return fmt.Errorf("put today's laboratory around %.12s: %w", b.Commit, err)
+	if err := overlaySimulator(b.repository, b.tree()); err != nil {
+		return fmt.Errorf("put today's simulator around %.12s: %w", b.Commit, err)
 	}
 	// The go.mod of today may lack what only the commit's product requires: -mod=mod adds it.
 	return b.compile(ctx, programPackage, "-mod=mod")
@@ -188,7 +188,7 @@
 			return err
 		}
 	}
-	return fmt.Errorf("%.12s has no laboratory (%s): compare with a later commit", b.Commit, programPackage)
+	return fmt.Errorf("%.12s has no simulator (%s): compare with a later commit", b.Commit, programPackage)
 }
 
 // compile builds a program in the work tree, with more flags of go build.
--- a/internal/sim/revision/revision_test.go
+++ b/internal/sim/revision/revision_test.go
@@ -12,7 +12,7 @@
 	"olivedale/internal/sim/revision/revisiontest"
 )
 
-// version is the content of a commit: a product and a laboratory that print their labels.
+// version is the content of a commit: a product and a simulator that print their labels.
 type version struct {
 	modulePath  string
 	label       string
@@ -73,20 +73,20 @@
 		{
 			name:       "same module path",
 			earlier:    version{"fixture", "old", controllerFile},
-			wantMethod: TodaysLaboratory,
+			wantMethod: CurrentSimulator,
 			wantOutput: "lab new core old policy old",
 		},
 		{
 			name:       "decision module alone, in other files",
 			earlier:    version{"fixture", "old", controllerFile},
 			policyOnly: true,
-			wantMethod: TodaysLaboratory,
+			wantMethod: CurrentSimulator,
 			wantOutput: "lab new core new policy old",
 		},
 		{
 			name:       "other module path",
 			earlier:    version{"formerly", "old", controllerFile},
-			wantMethod: OwnLaboratory,
+			wantMethod: OwnSimulator,
 			wantOutput: "lab old core old policy old",
 		},
 	}
@@ -127,8 +127,8 @@
 
 func TestNewErrors(t *testing.T) {
 	t.Parallel()
-	withoutLaboratory := version{"formerly", "old", controllerFile}.files()
-	delete(withoutLaboratory, "cmd/olivesim/main.go")
+	withoutSimulator := version{"formerly", "old", controllerFile}.files()
+	delete(withoutSimulator, "cmd/olivesim/main.go")
 	broken := version{"fixture", "old", controllerFile}.files()
 	broken["internal/call/call.go"] = "package call\n"
 	withoutPolicy := version{"fixture", "old", nil}.files()
@@ -140,10 +140,10 @@
 		want       string
 	}{
 		{"no such commit", withoutPolicy, "nowhere", false, `"nowhere" names no commit`},
-		{"no laboratory", withoutLaboratory, "HEAD~1", false, "has no laboratory (cmd/olivesim)"},
-		{"does not compile", broken, "HEAD~1", false, "built with today's laboratory, does not compile"},
+		{"no simulator", withoutSimulator, "HEAD~1", false, "has no simulator (cmd/olivesim)"},
+		{"does not compile", broken, "HEAD~1", false, "built with today's simulator, does not compile"},
 		{"no policy files", withoutPolicy, "HEAD~1", true, "policy names no file"},
-		{"decision module of another module path", withoutLaboratory, "HEAD~1", true, "without --module"},
+		{"decision module of another module path", withoutSimulator, "HEAD~1", true, "without --module"},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
