--- a/cmd/olivectl/top.go
+++ b/cmd/olivectl/top.go
@@ -64,7 +64,7 @@
 	}
 	dirs := append(f.records, f.replay...)
 	if len(dirs) == 0 {
-		return console.Ask(f.agents, f.every), nil
+		return console.NewPoller(f.agents, f.every), nil
 	}
 	stores, err := record.Find(dirs...)
 	if err != nil {
@@ -74,7 +74,7 @@
 		return nil, fmt.Errorf("no records in %v", dirs)
 	}
 	if len(f.records) > 0 {
-		return console.Follow(stores, f.every)
+		return console.NewFollower(stores, f.every)
 	}
 	from := record.Time(0)
 	if !at.IsZero() {
@@ -82,7 +82,7 @@
 	} else if f.once || f.asJSON {
 		from = record.Time(time.Now().UnixNano()) // one look at a replay is one at its end
 	}
-	return console.Replay(stores, from, f.speed, f.every)
+	return console.NewReplay(stores, from, f.speed, f.every)
 }
 
 func top(c *cobra.Command, f topFlags) (err error) {
@@ -124,8 +124,7 @@
 	if f.asJSON {
 		return s.WriteJSON(out)
 	}
-	_, err = io.WriteString(out, s.Plain(160))
-	return err
+	return s.WriteText(out, 160)
 }
 
 // plain writes tables one after the other for a terminal that can do nothing.
@@ -138,10 +137,13 @@
 		if err != nil {
 			return err
 		}
-		if _, err := fmt.Fprintln(out, s.Plain(79)); err != nil {
+		if err := s.WriteText(out, 79); err != nil {
 			return err
 		}
-		if s.Over {
+		if _, err := fmt.Fprintln(out); err != nil {
+			return err
+		}
+		if s.AtEnd {
 			return nil
 		}
 	}
--- a/internal/console/snapshot.go
+++ b/internal/console/snapshot.go
@@ -1,287 +1,115 @@
-// Package console shows a fleet of call controllers on a terminal: as it is now, asked of
-// agents or read from live stores, or as it was, played from records. What is shown is a
-// Snapshot; the sources make them, the model turns keys into views, and nothing here decides
-// anything about calls.
+// Package console shows a fleet of call controllers on a terminal: its present state, polled from agents or read from
+// live stores, or its past state, replayed from records.
+//
+// A Source produces Snapshots, and the Model turns a Snapshot and the operator's keys into a screen. The package owns
+// the sources, the rates, the tables and the screen. It only reads: it never changes an instance or a store.
 package console
 
-import (
-	"cmp"
-	"math"
-	"slices"
-	"strings"
-	"time"
-)
+import "time"
 
-// Counts are calls since an instance's start.
-type Counts struct {
-	Offered uint64 `json:"offered"`
-	Stood   uint64 `json:"stood"`
-	Late    uint64 `json:"late"`
-	Refused uint64 `json:"refused"`
-	Failed  uint64 `json:"failed"`
-	GivenUp uint64 `json:"given_up"`
-	Cut     uint64 `json:"cut"`
-	Tries   uint64 `json:"attempts"`
-}
+// State is the state of an instance. An agent may report further states, which are shown as they are.
+type State string
 
-func (c *Counts) fields() [8]*uint64 {
-	return [...]*uint64{&c.Offered, &c.Stood, &c.Late, &c.Refused, &c.Failed, &c.GivenUp, &c.Cut, &c.Tries}
-}
+// The states that the console tells apart.
+const (
+	StateRunning  State = "running"
+	StateDraining State = "draining" // as an agent reports a shutdown in progress
+	StateStopping State = "stopping" // as the instance reports it
+	StateEnded    State = "ended"
+	StateKilled   State = "killed"
+	StateSilent   State = "silent" // unresponsive: the figures are those of the time Seen
+)
 
-func (c *Counts) add(o Counts) {
-	from := o.fields()
-	for i, f := range c.fields() {
-		*f += *from[i]
-	}
-}
+// String implements fmt.Stringer.
+func (s State) String() string { return string(s) }
 
-// Rates are the same a second. A rate that is not known is NaN: at the first look, over a
-// restart, and over a gap in the records.
-type Rates struct{ Offered, Stood, Refused, Failed, Cut, Tries float64 }
+// isTerminal reports whether an instance in this state takes no more calls.
+func (s State) isTerminal() bool { return s == StateEnded || s == StateKilled }
 
-var unknownRates = Rates{math.NaN(), math.NaN(), math.NaN(), math.NaN(), math.NaN(), math.NaN()}
+// isFault reports whether the state is marked on the screen.
+func (s State) isFault() bool { return s == StateSilent || s == StateKilled }
 
-// between is the rates from one count to the next.
-func between(old, now Counts, took time.Duration) Rates {
-	if took <= 0 || now.Offered < old.Offered || now.Tries < old.Tries || now.Stood < old.Stood {
-		return unknownRates // it has started anew
-	}
-	r := func(a, b uint64) float64 { return float64(b-min(a, b)) / took.Seconds() }
-	return Rates{r(old.Offered, now.Offered), r(old.Stood, now.Stood), r(old.Refused, now.Refused), r(old.Failed, now.Failed), r(old.Cut, now.Cut), r(old.Tries, now.Tries)}
-}
+// Phase is the state of a server in the endpoint list, by its name in records and statistics.
+type Phase string
 
-// plus adds rates; what is not known makes the sum unknown.
-func (r Rates) plus(o Rates) Rates {
-	return Rates{r.Offered + o.Offered, r.Stood + o.Stood, r.Refused + o.Refused, r.Failed + o.Failed, r.Cut + o.Cut, r.Tries + o.Tries}
-}
+// phaseActive is the phase of a server that takes calls.
+const phaseActive Phase = "listed"
 
-// States of an instance beside those that an agent tells.
-const (
-	StateRunning  = "running"
-	StateStopping = "stopping"
-	StateEnded    = "ended"
-	StateKilled   = "killed"
-	StateSilent   = "silent" // it does not answer; what is shown is of the time given as Seen
-)
+// String implements fmt.Stringer.
+func (p Phase) String() string { return string(p) }
 
 // An Instance is one call controller.
 type Instance struct {
-	Name     string
-	Agent    string // by which it is known; "" from records
-	State    string
-	Problem  string // why it could not be asked
-	PID      string
-	Starts   int
-	Seen     time.Time // of this age is what is shown
-	Total    Counts
-	Rates    Rates
-	Open     int // calls whose answer is owed
-	Standing int
-	Lost     uint64 // records
-	Numbers  string // digest of the table of numbers in force; "": none, or not told
-	Gap      bool   // records are lost just before Seen
-	Classes  []Class
-	Servers  []Server
-}
-
-// A Class is a kind of call at an instance or in the fleet.
+	Name             string
+	Agent            string // address of its agent, "" if the figures come from records
+	State            State
+	Problem          string // why the instance could not be polled, "" if it could
+	PID              string
+	Starts           int
+	Seen             time.Time // when the figures were valid
+	Total            Counts
+	Rates            Rates
+	OpenCalls        int
+	EstablishedCalls int
+	LostRecords      uint64
+	NumberingDigest  string // of the numbering table in force, "" if there is none or it is not known
+	HasGap           bool   // records are lost shortly before Seen
+	Classes          []Class
+	Servers          []Server
+}
+
+// hasOtherNumbering reports whether a running instance has another numbering table than the majority.
+func (i *Instance) hasOtherNumbering(majority string) bool {
+	return majority != "" && i.State == StateRunning && i.NumberingDigest != majority
+}
+
+// A Class is a class of calls of one instance or of the fleet.
 type Class struct {
 	Name string
 	Counts
 	Rates Rates
 }
 
-// A Server is what an instance, or the fleet, knows of one.
+// A Server is a backend as one instance, or the fleet, knows it.
 type Server struct {
-	Name    string
-	Pool    int
-	Phase   string // listed, drains, gone
-	Cold    bool
-	Ceiling float64 // set-ups a second; +Inf none, NaN not told
-	Pressed int     // instances that have set one (fleet)
-	Heard   int     // instances that know it (fleet)
-	Tries   uint64
-	Stood   uint64
-	Cut     uint64
-	Rate    float64 // attempts a second, NaN: not known
-}
-
-// An Event is something that happened of late.
-type Event struct {
-	At       time.Time
+	Name        string
+	Pool        int
+	Phase       Phase
+	InSlowStart bool
+	RateLimit   float64 // attempts a second, +Inf for no limit
+	LimitedBy   int     // instances that limit their rate, in the view of the fleet
+	KnownBy     int     // instances that know the server, in the view of the fleet
+	Attempts    uint64
+	Established uint64
+	Dropped     uint64
+	AttemptRate float64 // attempts a second, NaN if not known
+}
+
+// A Call is one call as far as its records are known.
+type Call struct {
+	ID       string
+	Class    string
+	Server   string // of the last attempt
+	Outcome  string // outcome of the final answer, then how the call ended; outcomeOpen before
 	Instance string
-	Server   string
-	Kind     string
-	Text     string
-	Bad      bool
+	At       time.Time // when it was offered
+	Took     time.Duration
+	Attempts int
+	Lines    []string // the records of the call, as text
 }
 
-// A Call is the life of one call as far as it is known.
-type Call struct {
-	ID, Class, Server, Outcome string
-	Instance                   string
-	At                         time.Time
-	Took                       time.Duration
-	Tries                      int
-	Lines                      []string
-}
+// key identifies the call in the fleet.
+func (c *Call) key() string { return c.Instance + "/" + c.ID }
 
-// A Snapshot is a fleet at one time.
+// A Snapshot is the state of a fleet at one time.
 type Snapshot struct {
 	At        time.Time
-	Source    string
-	Replay    bool
-	Speed     float64 // of a replay; 0: it is held
-	Over      bool    // the replay is at its end
+	Source    string // where the figures come from, for the operator
+	HasCalls  bool   // the source knows single calls
+	IsReplay  bool
+	Speed     float64 // of a replay; 0 if it is paused
+	AtEnd     bool    // the replay has reached the last record
 	Instances []Instance
 	Events    []Event // the latest first
-	Calls     []Call  // the latest first; only from records
-}
-
-// Totals sums the fleet up. Rates sum over the instances that answer; not over those whose
-// state is an end. The second result is how many instances are left out of the rates.
-func (s *Snapshot) Totals() (c Counts, r Rates, left int) {
-	for i := range s.Instances {
-		in := &s.Instances[i]
-		c.add(in.Total)
-		switch {
-		case in.State == StateEnded || in.State == StateKilled:
-		case math.IsNaN(in.Rates.Offered):
-			left++
-		default:
-			r = r.plus(in.Rates)
-		}
-	}
-	return c, r, left
-}
-
-// Numbers is the digest of the table of numbers that most instances have in force; of two that are
-// equally many the one that comes first in the alphabet. An instance with another is a straggler, or
-// the first of a change.
-func (s *Snapshot) Numbers() (most string) {
-	have := make(map[string]int)
-	for _, in := range s.Instances {
-		if in.Numbers != "" {
-			have[in.Numbers]++
-		}
-	}
-	for digest, n := range have {
-		if most == "" || n > have[most] || n == have[most] && digest < most {
-			most = digest
-		}
-	}
-	return most
-}
-
-// strays tells whether an instance that runs has another table than most have.
-func (in *Instance) strays(most string) bool {
-	return most != "" && in.State == StateRunning && in.Numbers != most
-}
-
-// Servers puts together what the instances know of each server.
-func (s *Snapshot) Servers() []Server {
-	by := make(map[string]*Server)
-	for _, in := range s.Instances {
-		for _, x := range in.Servers {
-			k := by[x.Name]
-			if k == nil {
-				k = &Server{Name: x.Name, Pool: x.Pool, Phase: x.Phase, Ceiling: math.Inf(1)}
-				by[x.Name] = k
-			}
-			k.Heard++
-			if x.Phase != "listed" {
-				k.Phase = x.Phase
-			}
-			k.Cold = k.Cold || x.Cold
-			if !math.IsNaN(x.Ceiling) && !math.IsInf(x.Ceiling, 1) {
-				if k.Pressed++; k.Pressed == 1 {
-					k.Ceiling = 0
-				}
-				k.Ceiling += x.Ceiling
-			}
-			k.Tries, k.Stood, k.Cut, k.Rate = k.Tries+x.Tries, k.Stood+x.Stood, k.Cut+x.Cut, k.Rate+x.Rate
-		}
-	}
-	return values(by, func(x *Server) string { return x.Name })
-}
-
-// Classes puts together what the instances know of each class.
-func (s *Snapshot) Classes() []Class {
-	by := make(map[string]*Class)
-	for _, in := range s.Instances {
-		for _, x := range in.Classes {
-			k := by[x.Name]
-			if k == nil {
-				k = &Class{Name: x.Name}
-				by[x.Name] = k
-			}
-			k.add(x.Counts)
-			k.Rates = k.Rates.plus(x.Rates)
-		}
-	}
-	return values(by, func(x *Class) string { return x.Name })
-}
-
-// values are a map's in the order of their names.
-func values[V any](by map[string]*V, name func(*V) string) []V {
-	all := make([]V, 0, len(by))
-	for _, v := range by {
-		all = append(all, *v)
-	}
-	slices.SortFunc(all, func(a, b V) int { return strings.Compare(name(&a), name(&b)) })
-	return all
-}
-
-// A rater turns snapshots' counts into rates by the snapshot before.
-type rater struct{ last map[string]Instance }
-
-// rate fills in the rates of a snapshot.
-func (r *rater) rate(s *Snapshot) {
-	next := make(map[string]Instance, len(s.Instances))
-	for i := range s.Instances {
-		in := &s.Instances[i]
-		key := in.Agent + "/" + in.Name
-		old, known := r.last[key]
-		took := in.Seen.Sub(old.Seen)
-		if known && took <= 0 { // nothing new was heard: what was known stays, and its age shows
-			in.Rates = old.Rates
-			copy(in.Classes, old.Classes)
-			copy(in.Servers, old.Servers)
-			next[key] = old
-			continue
-		}
-		fresh := known && !in.Gap && old.Starts == in.Starts
-		in.Rates = unknownRates
-		if fresh {
-			in.Rates = between(old.Total, in.Total, took)
-		}
-		for k := range in.Classes {
-			c := &in.Classes[k]
-			c.Rates = unknownRates
-			if j := slices.IndexFunc(old.Classes, func(o Class) bool { return o.Name == c.Name }); fresh && j >= 0 {
-				c.Rates = between(old.Classes[j].Counts, c.Counts, took)
-			} else if fresh {
-				c.Rates = between(Counts{}, c.Counts, took)
-			}
-		}
-		for k := range in.Servers {
-			x := &in.Servers[k]
-			x.Rate = math.NaN()
-			if !fresh {
-				continue
-			}
-			before := uint64(0)
-			if j := slices.IndexFunc(old.Servers, func(o Server) bool { return o.Name == x.Name }); j >= 0 {
-				before = old.Servers[j].Tries
-			}
-			if x.Tries >= before {
-				x.Rate = float64(x.Tries-before) / took.Seconds()
-			}
-		}
-		next[key] = *in
-	}
-	r.last = next
-	slices.SortStableFunc(s.Instances, func(a, b Instance) int {
-		return cmp.Or(strings.Compare(a.Name, b.Name), strings.Compare(a.Agent, b.Agent))
-	})
+	Calls     []Call  // the latest first
 }
--- /dev/null
+++ b/internal/console/terminal_test.go
@@ -0,0 +1,72 @@
+package console
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	tea "charm.land/bubbletea/v2"
+)
+
+// Control sequences of a terminal (xterm).
+const (
+	enterAltScreen = "\x1b[?1049h"
+	leaveAltScreen = "\x1b[?1049l"
+	hideCursor     = "\x1b[?25l"
+	showCursor     = "\x1b[?25h"
+)
+
+// panickingSource is a source that panics once the console is on the screen.
+type panickingSource struct{ isShown func() bool }
+
+func (*panickingSource) Close() error { return nil }
+
+func (p *panickingSource) Next(context.Context) (*Snapshot, error) {
+	if p.isShown() {
+		panic("a crash")
+	}
+	time.Sleep(time.Millisecond)
+	return &Snapshot{At: time.Unix(0, 0)}, nil
+}
+
+// lockedBuffer is a buffer for several goroutines.
+type lockedBuffer struct {
+	mu     sync.Mutex
+	buffer bytes.Buffer
+}
+
+func (l *lockedBuffer) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.buffer.Write(p)
+}
+
+func (l *lockedBuffer) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.buffer.String()
+}
+
+func TestPanicRestoresTerminal(t *testing.T) {
+	var output lockedBuffer
+	src := &panickingSource{func() bool { return strings.Contains(output.String(), enterAltScreen) }}
+	program := tea.NewProgram(NewModel(context.Background(), src),
+		tea.WithOutput(&output), tea.WithInput(nil), tea.WithWindowSize(80, 24),
+		tea.WithEnvironment([]string{"TERM=xterm"}))
+	if _, err := program.Run(); !errors.Is(err, tea.ErrProgramPanic) {
+		t.Errorf("%v", err)
+	}
+	text := output.String()
+	entered := strings.LastIndex(text, enterAltScreen)
+	left := strings.LastIndex(text, leaveAltScreen)
+	if entered < 0 || left < entered {
+		t.Error("the alternate screen was not left")
+	}
+	if hidden, shown := strings.LastIndex(text, hideCursor), strings.LastIndex(text, showCursor); hidden > shown {
+		t.Error("the cursor stays hidden")
+	}
+}
--- a/internal/console/tracker.go
+++ b/internal/console/tracker.go
@@ -1,262 +1,154 @@
 package console
 
 import (
-	"fmt"
 	"math"
-	"slices"
-	"strings"
 	"time"
 
 	"olivedale/internal/record"
 )
 
-// Bounds of what a tracker keeps.
+// Bounds of what a tracker keeps. Records beyond them count in the totals only.
 const (
-	mostEvents    = 200
-	mostCalls     = 500 // lives of calls, the latest
-	mostLines     = 24  // of one life
-	mostServers   = 1024
-	mostClasses   = 64
-	mostInstances = 4096
+	maxInstances      = 4096
+	maxServers        = 1024    // of an instance
+	maxClasses        = 64      // of an instance
+	maxOpenCalls      = 1 << 18 // of an instance
+	gapDisplayPeriod  = 2 * time.Second
+	maxClockDeviation = time.Second // of the wall clock from the monotonic clock, beyond which it has been set
 )
 
-// A tracker follows records and always knows the state of the fleet that they tell of.
+// A tracker keeps the state of the fleet that the records applied so far describe.
 type tracker struct {
-	at     record.Time
-	by     map[string]*tracked
-	order  []string
-	events []Event
-	calls  map[string]*Call // by instance and id
-	queue  []string         // of them, in the order they came
+	latest    record.Time // of all records
+	instances map[string]*trackedInstance
+	order     []string // names of the instances as they were first seen
+	events    eventLog
+	calls     callHistory
 }
 
-// tracked is one instance.
-type tracked struct {
+// A trackedInstance is the state of one instance. What belongs to one run is cleared at a restart.
+type trackedInstance struct {
 	Instance
-	boot    uint64
-	at      record.Time
-	gap     record.Time // the last gap ended
-	aims    map[string]time.Duration
-	open    map[string]string // class by call
-	classes map[string]*Class
-	servers map[string]*Server
+	bootID     uint64
+	latest     record.Time
+	gapAt      record.Time // when the last gap ended, 0 for never
+	objectives map[string]time.Duration
+	run        run
+}
+
+// run is the part of an instance's state that a restart clears.
+type run struct {
+	openCalls map[string]string // class by call id
+	classes   map[string]*Class
+	servers   map[string]*Server
+}
+
+func newRun() run {
+	return run{
+		openCalls: make(map[string]string),
+		classes:   make(map[string]*Class),
+		servers:   make(map[string]*Server),
+	}
 }
 
 func newTracker() *tracker {
-	return &tracker{by: make(map[string]*tracked), calls: make(map[string]*Call)}
+	return &tracker{instances: make(map[string]*trackedInstance), calls: newCallHistory()}
 }
 
-// take follows one record.
-func (t *tracker) take(h *record.Header, r *record.Record) {
-	name := h.Name
-	k := t.by[name]
-	if k == nil {
-		if len(t.by) >= mostInstances {
-			return
-		}
-		k = &tracked{Instance: Instance{Name: name, State: StateRunning}, aims: make(map[string]time.Duration)}
-		t.by[name] = k
-		t.order = append(t.order, name)
+// apply updates the state by one record.
+func (t *tracker) apply(h *record.Header, r *record.Record) {
+	i := t.instance(h.Name)
+	if i == nil {
+		return
 	}
-	if k.boot != h.Boot {
-		if k.boot != 0 && k.State != StateEnded {
-			t.event(r, name, "", "ended without a word", "it has started anew", true)
-		}
-		k.boot, k.State, k.Total, k.Standing = h.Boot, StateRunning, Counts{}, 0
-		k.Starts++
-		k.open, k.classes, k.servers = make(map[string]string), make(map[string]*Class), make(map[string]*Server)
+	if i.bootID != h.Boot {
+		t.restart(i, h.Boot, r)
 	}
-	k.at = max(k.at, r.At)
-	t.at = max(t.at, r.At)
-	t.follow(k, r)
+	i.latest = max(i.latest, r.At)
+	t.latest = max(t.latest, r.At)
+	t.applyKind(i, r)
 	if r.Call != "" {
-		t.life(k, h, r)
+		t.calls.add(i.Name, h, r)
 	}
 }
 
-func (t *tracker) follow(k *tracked, r *record.Record) {
-	switch r.Kind {
-	case record.KindGap:
-		k.Lost += r.Lost()
-		k.gap = r.At
-		t.event(r, k.Name, "", "records lost", fmt.Sprintf("%d to %d: %v", r.From, r.Seq, record.GapCause(r.Code)), true)
-	case record.KindStart:
-		t.event(r, k.Name, "", "start", r.Text, false)
-	case record.KindStopping:
-		k.State = StateStopping
-		t.event(r, k.Name, "", "stopping", "SIGTERM", false)
-	case record.KindEnd:
-		k.State = StateEnded
-		t.event(r, k.Name, "", "end", "in good order", false)
-	case record.KindConfig:
-		if r.By == "class" && len(k.aims) < mostClasses {
-			k.aims[r.Class] = r.Wait
-		}
-		if r.By == "numbers" {
-			digest, _, _ := strings.Cut(r.Text, " ")
-			if k.Numbers != "" && k.Numbers != digest {
-				t.event(r, k.Name, "", "numbers", "table "+brief(digest)+" is in force", false)
-			}
-			k.Numbers = digest
-		}
-	case record.KindSetUp:
-		if len(k.open) < 1<<18 {
-			k.open[r.Call] = r.Class
-		}
-		k.Total.Offered++
-		k.class(r.Class).Offered++
-	case record.KindTry:
-		k.Total.Tries++
-		if class, ok := k.open[r.Call]; ok {
-			k.class(class).Tries++
-		}
-		k.server(r.Server).Tries++
-	case record.KindAnswer:
-		k.answer(r)
-	case record.KindRelease:
-		k.Standing = max(k.Standing-1, 0)
-		if r.End == "cut" || r.End == "exchange_lost" {
-			k.Total.Cut++
-			k.class(r.Class).Cut++
-			k.server(r.Server).Cut++
-		}
-	case record.KindServer:
-		s := k.server(r.Server)
-		phase := record.Phase(r.Code).String()
-		if s.Phase != phase && (s.Phase != "" || phase != "listed") {
-			t.event(r, k.Name, r.Server, phase, "", false)
-		}
-		s.Phase, s.Pool, s.Cold = phase, r.Pool, r.Flag
-		if r.Flag {
-			t.event(r, k.Name, r.Server, "cold start", "", false)
-		}
-	case record.KindCeiling:
-		s := k.server(r.Server)
-		was := s.Ceiling
-		s.Ceiling = r.Value
-		switch none := math.IsInf(r.Value, 1); {
-		case math.IsInf(was, 1) && !none:
-			t.event(r, k.Name, r.Server, "under pressure", fmt.Sprintf("ceiling %.1f/s (%s)", r.Value, r.Text), true)
-		case !math.IsInf(was, 1) && none:
-			t.event(r, k.Name, r.Server, "pressure over", r.Text, false)
-		}
-	case record.KindLimit:
-		t.event(r, k.Name, "", "limit", fmt.Sprintf("%s: %d", r.By, r.Count), false)
-	case record.KindClock:
-		if r.By == "" && r.T[1] != 0 {
-			if off := time.Duration(r.T[0] - r.T[1]); off > time.Second || off < -time.Second {
-				t.event(r, k.Name, "", "clock set", off.Round(time.Millisecond).String(), true)
-			}
-		}
+// instance returns the instance with a name, nil if there are too many.
+func (t *tracker) instance(name string) *trackedInstance {
+	if i := t.instances[name]; i != nil {
+		return i
 	}
-}
-
-func (k *tracked) answer(r *record.Record) {
-	delete(k.open, r.Call)
-	c := k.class(r.Class)
-	count := func(f func(*Counts) *uint64) {
-		*f(&k.Total)++
-		*f(&c.Counts)++
+	if len(t.instances) >= maxInstances {
+		return nil
 	}
-	switch record.Outcome(r.Code) {
-	case record.Stood:
-		count(func(c *Counts) *uint64 { return &c.Stood })
-		k.server(r.Server).Stood++
-		k.Standing++
-		if aim, ok := k.aims[r.Class]; ok && r.Took > aim {
-			count(func(c *Counts) *uint64 { return &c.Late })
-		}
-	case record.Refused, record.Crowded, record.Stopped, record.Barred:
-		count(func(c *Counts) *uint64 { return &c.Refused })
-	case record.GivenUp:
-		count(func(c *Counts) *uint64 { return &c.GivenUp })
-	default:
-		count(func(c *Counts) *uint64 { return &c.Failed })
+	i := &trackedInstance{
+		Instance:   Instance{Name: name, State: StateRunning},
+		objectives: make(map[string]time.Duration),
 	}
+	t.instances[name] = i
+	t.order = append(t.order, name)
+	return i
 }
 
-func (k *tracked) class(name string) *Class {
-	c := k.classes[name]
-	if c == nil {
-		if len(k.classes) >= mostClasses {
-			return &Class{}
-		}
-		c = &Class{Name: name}
-		k.classes[name] = c
+// restart begins a new run of an instance.
+func (t *tracker) restart(i *trackedInstance, bootID uint64, r *record.Record) {
+	isFirstRun := i.bootID == 0
+	if !isFirstRun && i.State != StateEnded {
+		t.addEvent(i, r, Event{Kind: EventCrashed, Text: "it has started anew", IsFault: true})
 	}
-	return c
+	i.bootID = bootID
+	i.State = StateRunning
+	i.Total = Counts{}
+	i.EstablishedCalls = 0
+	i.Starts++
+	i.run = newRun()
 }
 
-func (k *tracked) server(name string) *Server {
-	s := k.servers[name]
-	if s == nil {
-		s = &Server{Name: name, Ceiling: math.Inf(1)}
-		if len(k.servers) < mostServers {
-			k.servers[name] = s
-		}
-	}
-	return s
+// addEvent adds an event of an instance at the time of a record.
+func (t *tracker) addEvent(i *trackedInstance, r *record.Record, e Event) {
+	e.At = record.Unix(r.At)
+	e.Instance = i.Name
+	t.events.add(e)
 }
 
-func (t *tracker) event(r *record.Record, instance, server, kind, text string, bad bool) {
-	t.events = append(t.events, Event{At: record.Unix(r.At), Instance: instance, Server: server, Kind: kind, Text: text, Bad: bad})
-	if len(t.events) > 2*mostEvents {
-		t.events = slices.Delete(t.events, 0, len(t.events)-mostEvents)
+// class returns the counts of a class. Those of a class over the limit are not kept.
+func (i *trackedInstance) class(name string) *Class {
+	if c := i.run.classes[name]; c != nil {
+		return c
+	}
+	c := &Class{Name: name}
+	if len(i.run.classes) < maxClasses {
+		i.run.classes[name] = c
 	}
+	return c
 }
 
-// life adds a record to the life of its call.
-func (t *tracker) life(k *tracked, h *record.Header, r *record.Record) {
-	key := k.Name + "/" + r.Call
-	c := t.calls[key]
-	if c == nil {
-		if len(t.queue) >= mostCalls {
-			delete(t.calls, t.queue[0])
-			t.queue = t.queue[1:]
-		}
-		c = &Call{ID: r.Call, Instance: k.Name, At: record.Unix(r.At), Outcome: "open"}
-		t.calls[key] = c
-		t.queue = append(t.queue, key)
+// server returns the state of a server. That of a server over the limit is not kept.
+func (i *trackedInstance) server(name string) *Server {
+	if s := i.run.servers[name]; s != nil {
+		return s
 	}
-	switch r.Kind {
-	case record.KindSetUp:
-		c.Class, c.At = r.Class, record.Unix(r.At)
-	case record.KindTry:
-		c.Server = r.Server
-		c.Tries++
-	case record.KindAnswer:
-		c.Outcome, c.Took = record.Outcome(r.Code).String(), r.Took
-	case record.KindRelease:
-		c.Outcome += ", " + strings.ReplaceAll(r.End, "_", " ")
-	}
-	if len(c.Lines) < mostLines {
-		c.Lines = append(c.Lines, r.Line(h))
+	s := &Server{Name: name, RateLimit: math.Inf(1)}
+	if len(i.run.servers) < maxServers {
+		i.run.servers[name] = s
 	}
+	return s
 }
 
-// snapshot is the fleet as the records tell it up to here.
+// snapshot returns the state as a copy that later records do not change.
 func (t *tracker) snapshot() *Snapshot {
-	s := &Snapshot{At: record.Unix(t.at)}
+	s := &Snapshot{At: record.Unix(t.latest), HasCalls: true, Events: t.events.latest(), Calls: t.calls.latest()}
 	for _, name := range t.order {
-		k := t.by[name]
-		in := k.Instance
-		in.Seen = record.Unix(k.at)
-		in.Open = len(k.open)
-		in.Gap = k.gap > 0 && k.at-k.gap < 2*time.Second
-		in.Classes = values(k.classes, func(c *Class) string { return c.Name })
-		in.Servers = values(k.servers, func(s *Server) string { return s.Name })
-		s.Instances = append(s.Instances, in)
-	}
-	for _, e := range slices.Backward(t.events) {
-		if len(s.Events) >= mostEvents {
-			break
-		}
-		s.Events = append(s.Events, e)
-	}
-	for _, key := range slices.Backward(t.queue) {
-		c := *t.calls[key]
-		c.Lines = slices.Clone(c.Lines)
-		s.Calls = append(s.Calls, c)
+		s.Instances = append(s.Instances, t.instances[name].snapshot())
 	}
 	return s
 }
+
+func (i *trackedInstance) snapshot() Instance {
+	instance := i.Instance
+	instance.Seen = record.Unix(i.latest)
+	instance.OpenCalls = len(i.run.openCalls)
+	instance.HasGap = i.gapAt > 0 && i.latest-i.gapAt < gapDisplayPeriod
+	instance.Classes = sortedByName(i.run.classes)
+	instance.Servers = sortedByName(i.run.servers)
+	return instance
+}
