--- a/cmd/olivectl/numbers.go
+++ b/cmd/olivectl/numbers.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"fmt"
-	"strconv"
 	"strings"
 	"time"
 
@@ -15,22 +14,38 @@
 	"olivedale/internal/numbering"
 )
 
-func numbersCommand() *cobra.Command {
+// defaultRulesFile is where the rules are in the repository.
+const defaultRulesFile = "deploy/numbers.toml"
+
+func newNumbersCommand() *cobra.Command {
 	c := &cobra.Command{
-		Use: "numbers", Short: "Check, compare and try tables of numbers",
-		Long:    "check, show and diff work on files of rules, as [numbers] of olivedale.toml names one; what they tell is\nwhat a call controller with the same file does: both run the same analysis. list, load, activate,\nrollback and cancel manage the versions of instances in service, over their admin addresses.",
+		Use:   "numbers",
+		Short: "Check numbering rules and manage the numbering tables of instances",
+		Long: "check, show and diff read files of rules, such as the one that [numbers] of olivedale.toml names.\n" +
+			"They run the same number analysis as a call controller. list, load, activate, rollback and cancel\n" +
+			"manage the numbering tables of running instances, over their admin addresses.",
 		Example: "  olivectl numbers show --file deploy/numbers.toml --explain \"+56 2 2555 0100\"",
 	}
-	c.AddCommand(numbersCheck(), numbersShow(), numbersDiff(), numbersList(), numbersLoad(), numbersActivate(), numbersRollback(), numbersCancel())
+	c.AddCommand(
+		newNumbersCheckCommand(),
+		newNumbersShowCommand(),
+		newNumbersDiffCommand(),
+		newNumbersListCommand(),
+		newNumbersLoadCommand(),
+		newNumbersActivateCommand(),
+		newNumbersRollbackCommand(),
+		newNumbersCancelCommand(),
+	)
 	return c
 }
 
-// settingsFlag names a configuration whose classes and pools rules must fit.
-func settingsFlag(c *cobra.Command, path *string) {
-	c.Flags().StringVar(path, "config", "", "a file as RELAY_CONFIG names it: rules must fit its classes and their pools")
+// addSettingsFlag adds the flag with the configuration that rules are checked against.
+func addSettingsFlag(c *cobra.Command, path *string) {
+	c.Flags().StringVar(path, "config", "",
+		"configuration file (as RELAY_CONFIG) whose classes and pools the rules must fit")
 }
 
-// readTable reads and compiles rules.
+// readTable reads and compiles a file of rules. The argument settings is the path of a configuration, or "".
 func readTable(path, settings string, now time.Time) (*numbering.Table, error) {
 	env := numbering.Env{Now: numbering.Time(now.UnixNano())}
 	if settings != "" {
@@ -38,146 +53,95 @@
 		if err != nil {
 			return nil, err
 		}
-		for _, k := range cfg.Settings.Classes {
-			env.Classes = append(env.Classes, numbering.Class{Name: k.Name, Pools: k.Pools})
+		for _, class := range cfg.Settings.Classes {
+			env.Classes = append(env.Classes, numbering.Class{Name: class.Name, Pools: class.Pools})
 		}
 	}
-	t, _, err := numbering.Read(path, env)
+	table, _, err := numbering.Read(path, env)
 	if err != nil {
 		return nil, errors.New(strings.ReplaceAll(err.Error(), "\n", "\n  "))
 	}
-	return t, nil
+	return table, nil
 }
 
-func numbersCheck() *cobra.Command {
+func newNumbersCheckCommand() *cobra.Command {
 	var settings string
 	c := &cobra.Command{
-		Use: "check FILE...", Short: "Tell by entry what is wrong with rules", Args: cobra.MinimumNArgs(1),
+		Use:     "check FILE...",
+		Short:   "Check files of rules and report the errors of each entry",
+		Args:    cobra.MinimumNArgs(1),
 		Example: "  olivectl numbers check --config /etc/olivedale/config.json deploy/numbers.toml",
 		RunE: func(c *cobra.Command, args []string) error {
 			for _, path := range args {
-				began := time.Now()
-				t, err := readTable(path, settings, began)
-				if err != nil {
-					return err
-				}
-				if _, err := fmt.Fprintf(c.OutOrStdout(), "%s: good; digest %s, %d prefixes, %s of memory, compiled in %v\n", path, t.Digest(), t.Entries(),
-					humanize.IBytes(uint64(t.Size())), time.Since(began).Round(time.Millisecond)); err != nil {
+				if err := checkRules(c, path, settings); err != nil {
 					return err
 				}
 			}
 			return nil
 		},
 	}
-	settingsFlag(c, &settings)
+	addSettingsFlag(c, &settings)
 	return c
 }
 
-func numbersShow() *cobra.Command {
-	var file, settings, at, class, call, moved string
-	var explain, asJSON bool
-	c := &cobra.Command{
-		Use: "show NUMBER", Short: "Tell where a number goes, and why", Args: cobra.ExactArgs(1),
-		Example: "  olivectl numbers show --file deploy/numbers.toml --at \"2026-12-24 23:30\" --class voice --explain 133",
-		RunE: func(c *cobra.Command, args []string) error {
-			now := time.Now()
-			when, err := cli.When(at, now)
-			if err != nil {
-				return cli.Usage("--at: %w", err)
-			}
-			if when.IsZero() {
-				when = now
-			}
-			q := numbering.Query{Number: args[0], Class: class, At: numbering.Time(when.UnixNano()), Seed: numbering.Seed(call), Ported: numbering.Ported{State: numbering.Undecided}}
-			if moved != "" {
-				digits, ok := numbering.MakeDigits(strings.TrimPrefix(moved, "+"))
-				if !ok {
-					return cli.Usage("--moved: %q is no routing number", moved)
-				}
-				q.Ported = numbering.Ported{State: numbering.Moved, Routing: digits}
-			}
-			t, err := readTable(file, settings, now)
-			if err != nil {
-				return err
-			}
-			d, steps := t.Explain(&q)
-			out := struct {
-				Number    string   `json:"number"`
-				Verdict   string   `json:"verdict"`
-				Cause     int      `json:"cause,omitempty"`
-				Emergency bool     `json:"emergency,omitempty"`
-				Route     string   `json:"route,omitempty"`
-				Pools     []int    `json:"pools,omitempty"`
-				Digest    string   `json:"digest"`
-				Steps     []string `json:"steps,omitempty"`
-			}{d.Number.String(), d.Verdict.String(), d.Cause, d.Emergency, d.Route, d.Pools(), t.Digest(), nil}
-			rows := [][]string{{"number", out.Number}, {"verdict", out.Verdict}}
-			if d.Cause != 0 {
-				rows = append(rows, []string{"cause", strconv.Itoa(d.Cause)})
-			}
-			if d.Route != "" {
-				rows = append(rows, []string{"route", d.Route}, []string{"pools", strings.Trim(fmt.Sprint(out.Pools), "[]")})
-			}
-			if explain {
-				out.Steps = steps
-				for i, s := range steps {
-					rows = append(rows, []string{fmt.Sprintf("step %d", i+1), s})
-				}
-			}
-			return cli.Table(c.OutOrStdout(), asJSON, out, []string{"WHAT", "VALUE"}, rows)
-		},
+func checkRules(c *cobra.Command, path, settings string) error {
+	start := time.Now()
+	table, err := readTable(path, settings, start)
+	if err != nil {
+		return err
 	}
-	set := c.Flags()
-	set.StringVar(&file, "file", "deploy/numbers.toml", "the rules")
-	set.StringVar(&at, "at", "", "the time of the call (default now)")
-	set.StringVar(&class, "class", "", "the class of the call")
-	set.StringVar(&call, "call", "", "id of the call: settles what is drawn by weight")
-	set.StringVar(&moved, "moved", "", "routing number of a number that has moved")
-	set.BoolVar(&explain, "explain", false, "tell each step from digits to pools")
-	set.BoolVar(&asJSON, "json", false, "print JSON")
-	settingsFlag(c, &settings)
-	return c
+	_, err = fmt.Fprintf(c.OutOrStdout(), "%s: good; digest %s, %d prefixes, %s of memory, compiled in %v\n",
+		path, table.Digest(), table.Entries(), humanize.IBytes(uint64(table.Size())),
+		time.Since(start).Round(time.Millisecond))
+	return err
 }
 
-func numbersDiff() *cobra.Command {
+func newNumbersDiffCommand() *cobra.Command {
 	var settings string
 	var asJSON bool
 	c := &cobra.Command{
-		Use: "diff OLD NEW", Short: "List the prefixes whose numbers go another way", Args: cobra.ExactArgs(2),
-		Long:    "diff compares where numbers go, not how rules are written: a route that is only renamed changes nothing.\nA prefix is listed where a change begins; below it only what differs from that.",
+		Use:   "diff OLD NEW",
+		Short: "List the prefixes whose numbers are routed differently",
+		Args:  cobra.ExactArgs(2),
+		Long: "diff compares the routing of numbers, not the text of rules: renaming a route is no difference.\n" +
+			"A prefix is listed where a difference begins; longer prefixes only if they differ from that.",
 		Example: "  olivectl numbers diff deploy/numbers.toml deploy/numbers.next.toml",
 		RunE: func(c *cobra.Command, args []string) error {
 			now := time.Now()
-			a, err := readTable(args[0], settings, now)
+			before, err := readTable(args[0], settings, now)
 			if err != nil {
 				return err
 			}
-			b, err := readTable(args[1], settings, now)
+			after, err := readTable(args[1], settings, now)
 			if err != nil {
 				return err
 			}
-			changes, more := numbering.Diff(a, b)
-			rows := [][]string{}
-			for _, x := range changes {
-				prefix := x.Prefix
-				if prefix == "" {
-					prefix = "(all others)"
-				}
-				rows = append(rows, []string{prefix, x.Old, x.New})
-			}
-			if changes == nil {
-				changes = []numbering.Change{}
-			}
-			if err := cli.Table(c.OutOrStdout(), asJSON, changes, []string{"PREFIX", "OLD", "NEW"}, rows); err != nil {
-				return err
-			}
-			if more {
-				return fmt.Errorf("more than %d prefixes change; the list is cut there", len(changes))
-			}
-			return nil
+			return writeDiff(c, before, after, asJSON)
 		},
 	}
-	c.Flags().BoolVar(&asJSON, "json", false, "print JSON")
-	settingsFlag(c, &settings)
+	addJSONFlag(c, &asJSON)
+	addSettingsFlag(c, &settings)
 	return c
 }
+
+func writeDiff(c *cobra.Command, before, after *numbering.Table, asJSON bool) error {
+	changes, isTruncated := numbering.Diff(before, after)
+	rows := [][]string{}
+	for _, change := range changes {
+		prefix := change.Prefix
+		if prefix == "" {
+			prefix = "(all others)"
+		}
+		rows = append(rows, []string{prefix, change.Old, change.New})
+	}
+	if changes == nil {
+		changes = []numbering.Change{} // JSON shows an empty list, not null
+	}
+	if err := cli.Table(c.OutOrStdout(), asJSON, changes, []string{"PREFIX", "OLD", "NEW"}, rows); err != nil {
+		return err
+	}
+	if isTruncated {
+		return fmt.Errorf("more than %d prefixes differ; the list is truncated", len(changes))
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/olivectl/numbers_order.go
@@ -0,0 +1,193 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"path/filepath"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"olivedale/internal/adminapi"
+	"olivedale/internal/cli"
+	"olivedale/internal/numbering"
+)
+
+const (
+	// orderTimeout bounds how long a command waits for the end of an order.
+	orderTimeout = 5 * time.Minute
+	// orderPollInterval is the time between two looks at an order in progress.
+	orderPollInterval = 50 * time.Millisecond
+)
+
+var (
+	errOrderReplaced = errors.New("another order has replaced this one; see 'olivectl numbers list'")
+	errOrderTimeout  = errors.New("the order is still in progress; see 'olivectl numbers list'")
+)
+
+// newOrder returns the order for an instance with these versions.
+type newOrder func(versions []numbering.Status) numbering.Order
+
+// executeOnAll sends an order to all targets, one after the other, and stops at the first that fails: the others would
+// most likely fail too.
+func executeOnAll(c *cobra.Command, f *targetFlags, order newOrder) error {
+	targets, err := f.targets(c.Context())
+	if err != nil {
+		return err
+	}
+	for done, t := range targets {
+		result, err := execute(c.Context(), t.admin, order)
+		if err != nil {
+			return fmt.Errorf("%s: %w (%d of %d instances were done before)", t.name, err, done, len(targets))
+		}
+		if _, err := fmt.Fprintf(c.OutOrStdout(), "%s: done, %s\n", t.name, result); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// execute sends an order to an instance, waits for its end and returns the result as text.
+func execute(ctx context.Context, admin string, newOrder newOrder) (result string, err error) {
+	versions, _, err := auditNumbering(ctx, admin)
+	if err != nil {
+		return "", err
+	}
+	order := newOrder(versions)
+	reply, err := adminapi.Send(ctx, admin, adminapi.NumberingCommand(order))
+	if err != nil {
+		return "", err
+	}
+	_, accepted := adminapi.ParseNumbering(reply.Descriptors)
+	return awaitOrder(ctx, admin, accepted.ID, order.Op)
+}
+
+// awaitOrder polls the instance until the order with that id has ended.
+func awaitOrder(ctx context.Context, admin string, id uint64, operation string) (result string, err error) {
+	for deadline := time.Now().Add(orderTimeout); ; time.Sleep(orderPollInterval) {
+		versions, job, err := auditNumbering(ctx, admin)
+		switch {
+		case err != nil:
+			return "", err
+		case job.ID != id:
+			return "", errOrderReplaced
+		case job.Err != "":
+			return "", errors.New(job.Err)
+		case !job.Running && operation == numbering.OpLoad:
+			return job.Digest + " is loaded", nil
+		case !job.Running:
+			return digestInForce(versions) + " is in force", nil
+		case time.Now().After(deadline):
+			return "", errOrderTimeout
+		}
+	}
+}
+
+// digestInForce returns the digest of the version in force, "" if there is none.
+func digestInForce(versions []numbering.Status) string {
+	for _, v := range versions {
+		if v.State == numbering.InForce {
+			return v.Digest
+		}
+	}
+	return ""
+}
+
+func newNumbersLoadCommand() *cobra.Command {
+	var f targetFlags
+	c := &cobra.Command{
+		Use:   "load FILE",
+		Short: "Load rules into instances without putting them in force",
+		Args:  cobra.ExactArgs(1),
+		Long: "load makes instances read, check and keep FILE, which is a path on their own machine. activate puts\n" +
+			"it in force.",
+		Example: "  olivectl numbers load /etc/olivedale/numbers.next.toml",
+		RunE: func(c *cobra.Command, args []string) error {
+			path, err := filepath.Abs(args[0]) // an instance has another working directory
+			if err != nil {
+				return err
+			}
+			return executeOnAll(c, &f, func([]numbering.Status) numbering.Order {
+				return numbering.Order{Op: numbering.OpLoad, File: path}
+			})
+		},
+	}
+	f.register(c)
+	return c
+}
+
+func newNumbersActivateCommand() *cobra.Command {
+	var f targetFlags
+	var at, expected string
+	c := &cobra.Command{
+		Use:   "activate DIGEST",
+		Short: "Put a loaded version in force, now or at a time",
+		Args:  cobra.ExactArgs(1),
+		Long: "activate puts a version in force for calls that are offered later. It fails if another version is in\n" +
+			"force than the one that --saw names, so that of two operators who saw the same version only one\n" +
+			"succeeds. Without --saw it is the version that is in force now.",
+		Example: "  olivectl numbers activate 7b3cbfb4b82e4e7b --at 2026-12-02T03:00:00Z",
+		RunE: func(c *cobra.Command, args []string) error {
+			due, err := parseDue(at)
+			if err != nil {
+				return err
+			}
+			return executeOnAll(c, &f, func(versions []numbering.Status) numbering.Order {
+				order := numbering.Order{Op: numbering.OpActivate, Digest: args[0], Saw: expected, At: due}
+				if expected == "" {
+					order.Saw = digestInForce(versions)
+				}
+				return order
+			})
+		},
+	}
+	f.register(c)
+	c.Flags().StringVar(&at, "at", "", "when the version comes into force (default at once)")
+	c.Flags().StringVar(&expected, "saw", "", "digest of the version that must be in force now")
+	return c
+}
+
+// parseDue parses the time of an activation; the empty text is 0, which is at once.
+func parseDue(text string) (numbering.Time, error) {
+	if text == "" {
+		return 0, nil
+	}
+	t, err := time.Parse(time.RFC3339, text)
+	if err != nil {
+		return 0, cli.Usage("--at: %q is no time such as 2026-12-02T03:00:00Z", text)
+	}
+	return numbering.Time(t.UnixNano()), nil
+}
+
+func newNumbersRollbackCommand() *cobra.Command {
+	var f targetFlags
+	c := &cobra.Command{
+		Use:     "rollback",
+		Short:   "Put the previous version in force",
+		Example: "  olivectl numbers rollback --agent 127.0.0.1:2950",
+		RunE: func(c *cobra.Command, _ []string) error {
+			return executeOnAll(c, &f, func(versions []numbering.Status) numbering.Order {
+				return numbering.Order{Op: numbering.OpRollback, Saw: digestInForce(versions)}
+			})
+		},
+	}
+	f.register(c)
+	return c
+}
+
+func newNumbersCancelCommand() *cobra.Command {
+	var f targetFlags
+	c := &cobra.Command{
+		Use:     "cancel",
+		Short:   "Cancel an activation that waits for its time",
+		Example: "  olivectl numbers cancel",
+		RunE: func(c *cobra.Command, _ []string) error {
+			return executeOnAll(c, &f, func([]numbering.Status) numbering.Order {
+				return numbering.Order{Op: numbering.OpCancel}
+			})
+		},
+	}
+	f.register(c)
+	return c
+}
--- a/cmd/olivectl/peers.go
+++ b/cmd/olivectl/peers.go
@@ -1,11 +1,10 @@
 package main
 
 import (
-	"cmp"
+	"context"
 	"errors"
 	"fmt"
 	"math"
-	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -17,130 +16,221 @@
 	"olivedale/internal/overload"
 )
 
-// A peerRow is what an instance says of what it shares.
-type peerRow struct {
+var errNoOverloadControl = errors.New(
+	"distributed overload control is off; section [share] of its operator's file switches it on")
+
+// jsonPeer is the overload control state of an instance, as JSON shows it.
+type jsonPeer struct {
 	Instance string          `json:"instance"`
 	State    *overload.State `json:"state,omitempty"`
-	Err      string          `json:"error,omitempty"`
+	Error    string          `json:"error,omitempty"`
 }
 
-func peersCommand() *cobra.Command {
-	var a admins
+func newPeersCommand() *cobra.Command {
+	var f targetFlags
 	var asJSON bool
-	var explain string
+	var server string
 	c := &cobra.Command{
-		Use: "peers", Short: "Tell whom instances obey, who is there, and what is held back together", Args: cobra.NoArgs,
-		Long: "peers asks instances what they share with the others (section [share] of the operator's file). With --explain it tells of one\n" +
-			"server: what each instance sees of it, what its teller's word is, and of a teller the sums that the word comes from.",
-		Example: "  olivectl peers --agent 127.0.0.1:2950\n  olivectl peers --explain s-00c41f7a --admin 127.0.0.1:2945",
-		RunE: func(c *cobra.Command, _ []string) error {
-			instances, err := a.find(c.Context())
-			if err != nil {
-				return err
-			}
-			var all []peerRow
-			var lost []error
-			for _, i := range instances {
-				r := peerRow{Instance: i.Name}
-				reply, err := adminapi.Send(c.Context(), i.Admin, adminapi.AuditCommand(adminapi.OverloadTermination))
-				if err == nil {
-					if r.State = adminapi.ParseOverload(reply.Descriptors); r.State == nil {
-						err = errors.New("it shares nothing; section [share] of its operator's file switches that on")
-					}
-				}
-				if err != nil {
-					r.Err = err.Error()
-					lost = append(lost, fmt.Errorf("%s: %w", i.Name, err))
-				}
-				all = append(all, r)
-			}
-			heading, rows := peerTable(all)
-			if explain != "" {
-				heading, rows = explainTable(all, explain)
-				if len(rows) == 0 && len(lost) == 0 {
-					return fmt.Errorf("no instance has sent anything to %s of late", explain)
-				}
-			}
-			return errors.Join(append([]error{cli.Table(c.OutOrStdout(), asJSON, all, heading, rows)}, lost...)...)
-		},
+		Use:   "peers",
+		Short: "Show the overload control between instances: aggregator, members and throttled servers",
+		Args:  cobra.NoArgs,
+		Long: "peers shows the state of distributed overload control (section [share] of the operator's file). With\n" +
+			"--explain it shows one server: the load that each instance sees there, the limits that the aggregator\n" +
+			"sends, and the sums from which the aggregator computes them.",
+		Example: "  olivectl peers --agent 127.0.0.1:2950\n" +
+			"  olivectl peers --explain s-00c41f7a --admin 127.0.0.1:2945",
+		RunE: func(c *cobra.Command, _ []string) error { return showPeers(c, &f, server, asJSON) },
 	}
-	a.flags(c)
-	c.Flags().BoolVar(&asJSON, "json", false, "print JSON")
-	c.Flags().StringVar(&explain, "explain", "", "a server: what is seen and held back there")
+	f.register(c)
+	addJSONFlag(c, &asJSON)
+	c.Flags().StringVar(&server, "explain", "", "show the load and the limits of this server")
 	return c
 }
 
-// peerTable is a row an instance. Whom most obey is what the others are held against.
-func peerTable(all []peerRow) (heading []string, rows [][]string) {
-	obeyed := make(map[int]int)
-	for _, r := range all {
-		if r.State != nil {
-			obeyed[r.State.Aggregator]++
+// showPeers prints the state of all targets. An instance without one is an error after the output.
+func showPeers(c *cobra.Command, f *targetFlags, server string, asJSON bool) error {
+	targets, err := f.targets(c.Context())
+	if err != nil {
+		return err
+	}
+	var peers []jsonPeer
+	var failures []error
+	for _, t := range targets {
+		state, err := auditOverload(c.Context(), t.admin)
+		peer := jsonPeer{Instance: t.name, State: state}
+		if err != nil {
+			peer.Error = err.Error()
+			failures = append(failures, fmt.Errorf("%s: %w", t.name, err))
 		}
+		peers = append(peers, peer)
 	}
-	for _, r := range all {
-		s := r.State
-		if s == nil {
-			continue
+	heading, rows := peerTable(peers)
+	if server != "" {
+		heading, rows = explainTable(peers, server)
+		if len(rows) == 0 && len(failures) == 0 {
+			return fmt.Errorf("no instance has sent attempts to %s recently", server)
 		}
-		pressed := 0
-		for _, v := range s.Servers {
-			if v.Limited && v.ThrottleChance != ([4]float64{}) {
-				pressed++
-			}
+	}
+	err = cli.Table(c.OutOrStdout(), asJSON, peers, heading, rows)
+	return errors.Join(append([]error{err}, failures...)...)
+}
+
+// auditOverload asks an instance for its overload control state.
+func auditOverload(ctx context.Context, admin string) (*overload.State, error) {
+	reply, err := adminapi.Send(ctx, admin, adminapi.AuditCommand(adminapi.OverloadTermination))
+	if err != nil {
+		return nil, err
+	}
+	state := adminapi.ParseOverload(reply.Descriptors)
+	if state == nil {
+		return nil, errNoOverloadControl
+	}
+	return state, nil
+}
+
+// peerTable returns a row for each instance with a state.
+func peerTable(peers []jsonPeer) (heading []string, rows [][]string) {
+	majority := majorityAggregator(peers)
+	for _, peer := range peers {
+		if peer.State != nil {
+			rows = append(rows, peerRow(peer.Instance, peer.State, majority))
 		}
-		note := ""
-		for teller, n := range obeyed {
-			if n > obeyed[s.Aggregator] || n == obeyed[s.Aggregator] && teller < s.Aggregator {
-				note = "most obey another"
-			}
+	}
+	return strings.Fields("INSTANCE NUMBER TELLER HEARD LIVE HOLDS HELD SAID SILENT WRONG NOTE"), rows
+}
+
+func peerRow(instance string, s *overload.State, majority int) []string {
+	return []string{
+		instance,
+		strconv.Itoa(s.Self),
+		strconv.Itoa(s.Aggregator),
+		formatAge(s.LimitsAge),
+		fmt.Sprintf("%d of %d", s.AliveMembers, s.Peers),
+		strconv.Itoa(countThrottledServers(s)),
+		strconv.Itoa(s.Counters.Throttled),
+		fmt.Sprintf("%d (%d B)", s.Counters.Sent, s.Counters.SentBytes),
+		strconv.Itoa(s.Counters.AggregatorsUnresponsive),
+		strconv.Itoa(s.Counters.AggregatorsEjected),
+		peerNote(s, majority),
+	}
+}
+
+func peerNote(s *overload.State, majority int) string {
+	var notes []string
+	if s.Aggregator != majority {
+		notes = append(notes, "most obey another")
+	}
+	if s.Partitioned {
+		notes = append(notes, "may be a part")
+	}
+	return strings.Join(notes, ", ")
+}
+
+// majorityAggregator returns the aggregator that most instances follow; of two equally frequent ones the lower number.
+func majorityAggregator(peers []jsonPeer) int {
+	followers := make(map[int]int)
+	for _, peer := range peers {
+		if peer.State != nil {
+			followers[peer.State.Aggregator]++
 		}
-		if s.Partitioned {
-			note = strings.TrimPrefix(note+", may be a part", ", ")
+	}
+	majority := 0
+	maxFollowers := 0
+	for aggregator, count := range followers {
+		isTieWithLower := count == maxFollowers && aggregator < majority
+		if count > maxFollowers || isTieWithLower {
+			majority = aggregator
+			maxFollowers = count
 		}
-		rows = append(rows, []string{r.Instance, strconv.Itoa(s.Self), strconv.Itoa(s.Aggregator), age(s.LimitsAge), fmt.Sprintf("%d of %d", s.AliveMembers, s.Peers), strconv.Itoa(pressed),
-			strconv.Itoa(s.Counters.Throttled), fmt.Sprintf("%d (%d B)", s.Counters.Sent, s.Counters.SentBytes), strconv.Itoa(s.Counters.AggregatorsUnresponsive), strconv.Itoa(s.Counters.AggregatorsEjected), note})
 	}
-	return strings.Fields("INSTANCE NUMBER TELLER HEARD LIVE HOLDS HELD SAID SILENT WRONG NOTE"), rows
+	return majority
+}
+
+func countThrottledServers(s *overload.State) int {
+	count := 0
+	for i := range s.Servers {
+		server := &s.Servers[i]
+		isThrottled := server.ThrottleChance != [len(server.ThrottleChance)]float64{}
+		if server.Limited && isThrottled {
+			count++
+		}
+	}
+	return count
 }
 
-// age is how long ago, "-" for never.
-func age(d time.Duration) string {
-	if d < 0 {
+// formatAge formats how long ago something was; a negative age is never.
+func formatAge(age time.Duration) string {
+	if age < 0 {
 		return "-"
 	}
-	return d.Round(10 * time.Millisecond).String()
+	return age.Round(10 * time.Millisecond).String()
 }
 
-// explainTable tells of one server, by instance; of those that tell, the sums after what they see.
-func explainTable(all []peerRow, server string) (heading []string, rows [][]string) {
+// explainTable returns what each instance sees of one server and, of an aggregator, the sums for it.
+func explainTable(peers []jsonPeer, server string) (heading []string, rows [][]string) {
 	key := overload.ServerKey(server)
-	for _, r := range all {
-		if r.State == nil {
+	for _, peer := range peers {
+		if peer.State == nil {
 			continue
 		}
-		if i := slices.IndexFunc(r.State.Servers, func(v overload.ServerState) bool { return v.ID == server }); i >= 0 {
-			v := &r.State.Servers[i]
-			word, claim := "none", "-"
-			if v.Limited {
-				var parts []string
-				for k := len(v.ThrottleChance) - 1; k >= 0; k-- {
-					parts = append(parts, fmt.Sprintf("%.0f%%", 100*v.ThrottleChance[k]))
-				}
-				word, claim = strings.Join(parts, " "), age(v.ClaimedWait)
+		for i := range peer.State.Servers {
+			if s := &peer.State.Servers[i]; s.ID == server {
+				rows = append(rows, sampleRow(peer.Instance, peer.State.Aggregator, s))
+				break
 			}
-			rows = append(rows, []string{r.Instance, "sees", strconv.Itoa(v.PendingAttempts), age(cmp.Or(v.SetupTime, -1)), strconv.Itoa(r.State.Aggregator), claim, word, strconv.Itoa(v.Throttled)})
 		}
-		for _, t := range r.State.Aggregates {
-			if t.Key != key {
-				continue
+		for i := range peer.State.Aggregates {
+			if a := &peer.State.Aggregates[i]; a.Key == key {
+				rows = append(rows, aggregateRow(peer.Instance, a))
 			}
-			budget := "no limit"
-			if !math.IsInf(t.AdmittedRate, 1) {
-				budget = fmt.Sprintf("%.1f/s", t.AdmittedRate)
-			}
-			rows = append(rows, []string{r.Instance, "sums up", fmt.Sprintf("%.1f/s offered, %.1f/s answered", t.Offered+t.Overflow, t.Answered), age(t.Wait), "", "", budget, ""})
 		}
 	}
-	return []string{"INSTANCE", "WHAT", "WAITING", "WAIT", "TELLER", "IT CLAIMS", "HELD BACK: CUT, TOP, CHEAP, AGAIN", "HELD"}, rows
+	heading = []string{
+		"INSTANCE", "WHAT", "WAITING", "WAIT", "TELLER", "IT CLAIMS", "HELD BACK: CUT, TOP, CHEAP, AGAIN", "HELD",
+	}
+	return heading, rows
+}
+
+// sampleRow returns what an instance sees of a server, and the limit that it applies there.
+func sampleRow(instance string, aggregator int, s *overload.ServerState) []string {
+	setupTime := s.SetupTime
+	if setupTime == 0 {
+		setupTime = -1 // not known
+	}
+	claimedWait := "-"
+	if s.Limited {
+		claimedWait = formatAge(s.ClaimedWait)
+	}
+	return []string{
+		instance,
+		"sees",
+		strconv.Itoa(s.PendingAttempts),
+		formatAge(setupTime),
+		strconv.Itoa(aggregator),
+		claimedWait,
+		formatThrottle(s),
+		strconv.Itoa(s.Throttled),
+	}
+}
+
+// formatThrottle formats the throttle probabilities of a server, the highest priority first.
+func formatThrottle(s *overload.ServerState) string {
+	if !s.Limited {
+		return "none"
+	}
+	var parts []string
+	for priority := len(s.ThrottleChance) - 1; priority >= 0; priority-- {
+		parts = append(parts, fmt.Sprintf("%.0f%%", 100*s.ThrottleChance[priority]))
+	}
+	return strings.Join(parts, " ")
+}
+
+// aggregateRow returns the sums of an aggregator for a server, and the rate that it admits.
+func aggregateRow(instance string, a *overload.AggregateState) []string {
+	admittedRate := "no limit"
+	if !math.IsInf(a.AdmittedRate, 1) {
+		admittedRate = fmt.Sprintf("%.1f/s", a.AdmittedRate)
+	}
+	load := fmt.Sprintf("%.1f/s offered, %.1f/s answered", a.Offered+a.Overflow, a.Answered)
+	return []string{instance, "sums up", load, formatAge(a.Wait), "", "", admittedRate, ""}
 }
--- a/cmd/olivectl/records_test.go
+++ b/cmd/olivectl/records_test.go
@@ -16,7 +16,7 @@
 // run executes a command line and returns what it printed.
 func run(t *testing.T, args ...string) (string, error) {
 	t.Helper()
-	c := commands()
+	c := newRootCommand()
 	var out bytes.Buffer
 	c.SetOut(&out)
 	c.SetErr(&out)
@@ -100,5 +100,5 @@
 			look(k)
 		}
 	}
-	look(commands())
+	look(newRootCommand())
 }
--- a/cmd/olivectl/report.go
+++ b/cmd/olivectl/report.go
@@ -17,84 +17,116 @@
 	"olivedale/internal/report"
 )
 
-func reportCommand() *cobra.Command {
-	var html, asJSON, from, to string
-	var workers int
+const (
+	// standardOutput is the file name that means standard output.
+	standardOutput = "-"
+	// progressInterval is the time between two updates of the progress on a terminal.
+	progressInterval = 200 * time.Millisecond
+	// clearLine moves the cursor to the start of a terminal's line and clears it.
+	clearLine = "\r\033[K"
+)
+
+// reportFlags are the flags of `report`.
+type reportFlags struct {
+	html     string
+	json     string
+	from, to string
+	workers  int
+}
+
+func newReportCommand() *cobra.Command {
+	var f reportFlags
 	c := &cobra.Command{
-		Use: "report DIR... -o FILE.html", Short: "Make the report of an incident out of records", Args: cobra.MinimumNArgs(1),
-		Long: "report reads stores and writes one HTML file that needs nothing else, and the same as JSON where\n" +
+		Use:   "report DIR... -o FILE.html",
+		Short: "Write an incident report from records",
+		Args:  cobra.MinimumNArgs(1),
+		Long: "report reads stores and writes one HTML file that needs no other file, and the same as JSON if\n" +
 			"--json names a file (- for standard output). DIR is a store or a folder of stores.",
-		Example: "  olivectl report /var/lib/olivedale -o incident.html --from 2026-12-01T17:00:00Z --to 2026-12-01T18:00:00Z",
-		RunE: func(c *cobra.Command, args []string) error {
-			if html == "" && asJSON == "" {
-				return cli.Usage("name a file: -o FILE.html, --json FILE, or both")
-			}
-			var o report.Options
-			o.Workers = workers
-			for text, at := range map[*string]*record.Time{&from: &o.From, &to: &o.To} {
-				var err error
-				if *at, err = moment(*text); err != nil {
-					return err
-				}
-			}
-			ctx, stop := cli.Interruptible(c)
-			defer stop()
-			return makeReport(ctx, c, args, o, html, asJSON)
-		},
+		Example: "  olivectl report /var/lib/olivedale -o incident.html" +
+			" --from 2026-12-01T17:00:00Z --to 2026-12-01T18:00:00Z",
+		RunE: func(c *cobra.Command, args []string) error { return makeReport(c, &f, args) },
 	}
-	c.Flags().StringVarP(&html, "output", "o", "", "write HTML to this file")
-	c.Flags().StringVar(&asJSON, "json", "", "write JSON to this file, - for standard output")
-	c.Flags().StringVar(&from, "from", "", "count calls from this time on, by their instance's clock")
-	c.Flags().StringVar(&to, "to", "", "count calls up to this time")
-	c.Flags().IntVar(&workers, "workers", 0, "stores read side by side (default one a core)")
+	set := c.Flags()
+	set.StringVarP(&f.html, "output", "o", "", "write HTML to this file")
+	set.StringVar(&f.json, "json", "", "write JSON to this file, - for standard output")
+	set.StringVar(&f.from, "from", "", "count calls from this time on, by the clock of their instance")
+	set.StringVar(&f.to, "to", "", "count calls up to this time")
+	set.IntVar(&f.workers, "workers", 0, "stores that are read in parallel (default: one per core)")
 	return c
 }
 
-func makeReport(ctx context.Context, c *cobra.Command, args []string, o report.Options, html, asJSON string) error {
-	stores, err := record.Find(args...)
+func makeReport(c *cobra.Command, f *reportFlags, dirs []string) error {
+	if f.html == "" && f.json == "" {
+		return cli.Usage("name a file: -o FILE.html, --json FILE, or both")
+	}
+	period, err := parseTimeRange(f.from, f.to)
 	if err != nil {
 		return err
 	}
-	if len(stores) == 0 {
-		return fmt.Errorf("no records in %v", args)
-	}
-	if cli.Terminal(os.Stderr) {
-		began, last := time.Now(), time.Time{}
-		o.Progress = func(done int, records uint64) {
-			if now := time.Now(); now.Sub(last) > 200*time.Millisecond {
-				last = now
-				_, _ = fmt.Fprintf(os.Stderr, "\r%d of %d stores, %s records, %s a second ", done, len(stores), humanize.Comma(int64(records)),
-					humanize.Comma(int64(float64(records)/now.Sub(began).Seconds())))
-			}
-		}
-		defer func() { _, _ = fmt.Fprint(os.Stderr, "\r\033[K") }()
+	stores, err := findStores(dirs)
+	if err != nil {
+		return err
 	}
-	res, err := report.Read(ctx, stores, o)
+	ctx, stop := cli.Interruptible(c)
+	defer stop()
+	result, err := readReport(ctx, stores, report.Options{From: period.from, To: period.to, Workers: f.workers})
 	if err != nil {
 		return err
 	}
-	if html != "" {
-		if err := toFile(html, func(w io.Writer) error { return res.WriteHTML(w, time.Now()) }); err != nil {
+	return f.write(c.OutOrStdout(), result)
+}
+
+// readReport reads stores, with a display of the progress if standard error is a terminal.
+func readReport(ctx context.Context, stores []record.Store, o report.Options) (*report.Result, error) {
+	if cli.IsTerminal(os.Stderr) {
+		o.Progress = newProgressDisplay(os.Stderr, len(stores))
+		defer func() { _, _ = fmt.Fprint(os.Stderr, clearLine) }()
+	}
+	return report.Read(ctx, stores, o)
+}
+
+// newProgressDisplay returns a function that shows how many stores and records have been read.
+func newProgressDisplay(terminal io.Writer, stores int) func(done int, records uint64) {
+	start := time.Now()
+	var lastUpdate time.Time
+	return func(done int, records uint64) {
+		now := time.Now()
+		if now.Sub(lastUpdate) <= progressInterval {
+			return
+		}
+		lastUpdate = now
+		rate := float64(records) / now.Sub(start).Seconds()
+		_, _ = fmt.Fprintf(terminal, "\r%d of %d stores, %s records, %s a second ",
+			done, stores, humanize.Comma(int64(records)), humanize.Comma(int64(rate)))
+	}
+}
+
+// write writes the report in the forms that the flags name.
+func (f *reportFlags) write(out io.Writer, result *report.Result) error {
+	if f.html != "" {
+		writeHTML := func(w io.Writer) error { return result.WriteHTML(w, time.Now()) }
+		if err := writeFile(f.html, writeHTML); err != nil {
 			return err
 		}
 	}
-	switch asJSON {
+	switch f.json {
 	case "":
 		return nil
-	case "-":
-		return res.WriteJSON(c.OutOrStdout())
+	case standardOutput:
+		return result.WriteJSON(out)
+	default:
+		return writeFile(f.json, result.WriteJSON)
 	}
-	return toFile(asJSON, res.WriteJSON)
 }
 
-// toFile writes a file whole or not at all.
-func toFile(path string, write func(io.Writer) error) error {
-	f, err := renameio.NewPendingFile(path, renameio.WithPermissions(0o644))
+// writeFile writes a file atomically.
+func writeFile(path string, write func(io.Writer) error) error {
+	file, err := renameio.NewPendingFile(path, renameio.WithPermissions(0o644))
 	if err != nil {
 		return err
 	}
-	if err := write(f); err != nil {
-		return errors.Join(err, f.Cleanup())
+	if err := write(file); err != nil {
+		return errors.Join(err, file.Cleanup())
 	}
-	return f.CloseAtomicallyReplace()
+	return file.CloseAtomicallyReplace()
 }
--- a/cmd/olivectl/top.go
+++ b/cmd/olivectl/top.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"os"
+	"slices"
 	"time"
 
 	tea "charm.land/bubbletea/v2"
@@ -16,106 +17,141 @@
 	"olivedale/internal/record"
 )
 
-// topFlags are what the command line says.
+// Bounds of --interval.
+const (
+	minTopInterval = 100 * time.Millisecond
+	maxTopInterval = time.Minute
+)
+
+// Widths of tables without a terminal, in columns.
+const (
+	singleTableWidth   = 160 // of --once
+	repeatedTableWidth = 79
+)
+
+// topFlags are the flags of `top`.
 type topFlags struct {
-	agents          []string
-	records, replay []string
-	speed           float64
-	at              string
-	every           time.Duration
-	once, asJSON    bool
+	agents   []string
+	records  []string
+	replay   []string
+	speed    float64
+	at       string
+	interval time.Duration
+	once     bool
+	asJSON   bool
 }
 
-func topCommand() *cobra.Command {
+func newTopCommand() *cobra.Command {
 	var f topFlags
 	c := &cobra.Command{
 		Use:   "top",
-		Short: "Watch a fleet on the terminal",
-		Long: "top shows instances, servers, classes, events and calls: of agents (--agent), of live stores on this\n" +
-			"machine (--records), or of an incident played from records (--replay). Single calls are seen in\n" +
-			"records only. Where the terminal can do nothing a table is written again and again.",
-		Example: "  olivectl top --agent 10.0.0.4:2950 --agent 10.0.0.5:2950\n  olivectl top --replay /var/lib/olivedale --at 2026-12-01T17:30:00Z --speed 10",
-		RunE:    func(c *cobra.Command, _ []string) error { return top(c, f) },
+		Short: "Monitor a fleet on the terminal",
+		Long: "top shows instances, servers, classes, events and calls: as agents report them (--agent), from live\n" +
+			"stores on this machine (--records), or from recorded stores (--replay). Single calls are in records\n" +
+			"only. Without a terminal, or on one without cursor control, it prints tables one after the other.",
+		Example: "  olivectl top --agent 10.0.0.4:2950 --agent 10.0.0.5:2950\n" +
+			"  olivectl top --replay /var/lib/olivedale --at 2026-12-01T17:30:00Z --speed 10",
+		RunE: func(c *cobra.Command, _ []string) error { return runTop(c, &f) },
 	}
 	set := c.Flags()
-	set.StringSliceVar(&f.agents, "agent", []string{"127.0.0.1:2950"}, "addresses of agents")
+	set.StringSliceVar(&f.agents, "agent", []string{defaultAgent}, "addresses of agents")
 	set.StringSliceVar(&f.records, "records", nil, "follow these stores, or the stores in these folders")
 	set.StringSliceVar(&f.replay, "replay", nil, "play these stores, or the stores in these folders")
-	set.Float64Var(&f.speed, "speed", 1, "of the replay, 1/16 to 4096")
-	set.StringVar(&f.at, "at", "", "where the replay begins (2026-12-01T17:30:00Z, or 90m for so long ago)")
-	set.DurationVar(&f.every, "interval", time.Second, "between two looks")
-	set.BoolVar(&f.once, "once", false, "print one table and end")
-	set.BoolVar(&f.asJSON, "json", false, "print one look as JSON and end")
+	set.Float64Var(&f.speed, "speed", 1, "speed of the replay, 1/16 to 4096")
+	set.StringVar(&f.at, "at", "", "start of the replay (2026-12-01T17:30:00Z, or 90m for 90 minutes ago)")
+	set.DurationVar(&f.interval, "interval", time.Second, "time between two updates")
+	set.BoolVar(&f.once, "once", false, "print one table and exit")
+	set.BoolVar(&f.asJSON, "json", false, "print one snapshot as JSON and exit")
 	c.MarkFlagsMutuallyExclusive("agent", "records", "replay")
 	return c
 }
 
-// source opens what is to be shown.
-func (f *topFlags) source() (console.Source, error) {
-	if f.every < 100*time.Millisecond || f.every > time.Minute {
-		return nil, cli.Usage("--interval: %v is not between 100ms and 1m", f.every)
+// isSingle reports whether one snapshot is printed.
+func (f *topFlags) isSingle() bool { return f.once || f.asJSON }
+
+// newSource checks the flags and opens the source that they name.
+func (f *topFlags) newSource() (console.Source, error) {
+	if f.interval < minTopInterval || f.interval > maxTopInterval {
+		return nil, cli.Usage("--interval: %v is not between 100ms and 1m", f.interval)
 	}
-	if f.speed < 1.0/16 || f.speed > 4096 {
+	if f.speed < console.MinSpeed || f.speed > console.MaxSpeed {
 		return nil, cli.Usage("--speed: %v is not between 1/16 and 4096", f.speed)
 	}
-	at, err := cli.When(f.at, time.Now())
+	start, err := f.replayStart()
 	if err != nil {
-		return nil, cli.Usage("--at: %w", err)
+		return nil, err
 	}
-	dirs := append(f.records, f.replay...)
+	dirs := slices.Concat(f.records, f.replay)
 	if len(dirs) == 0 {
-		return console.NewPoller(f.agents, f.every), nil
+		return console.NewPoller(f.agents, f.interval), nil
 	}
-	stores, err := record.Find(dirs...)
+	stores, err := findStores(dirs)
 	if err != nil {
 		return nil, err
 	}
-	if len(stores) == 0 {
-		return nil, fmt.Errorf("no records in %v", dirs)
-	}
 	if len(f.records) > 0 {
-		return console.NewFollower(stores, f.every)
+		return console.NewFollower(stores, f.interval)
 	}
-	from := record.Time(0)
-	if !at.IsZero() {
-		from = record.Time(at.UnixNano())
-	} else if f.once || f.asJSON {
-		from = record.Time(time.Now().UnixNano()) // one look at a replay is one at its end
+	return console.NewReplay(stores, start, f.speed, f.interval)
+}
+
+// replayStart returns where the replay starts, 0 for the first record. A single snapshot is one of the end.
+func (f *topFlags) replayStart() (record.Time, error) {
+	now := time.Now()
+	at, err := cli.ParseTime(f.at, now)
+	if err != nil {
+		return 0, cli.Usage("--at: %w", err)
+	}
+	switch {
+	case !at.IsZero():
+		return record.Time(at.UnixNano()), nil
+	case f.isSingle():
+		return record.Time(now.UnixNano()), nil
+	default:
+		return 0, nil
 	}
-	return console.NewReplay(stores, from, f.speed, f.every)
 }
 
-func top(c *cobra.Command, f topFlags) (err error) {
-	src, err := f.source()
+func runTop(c *cobra.Command, f *topFlags) (err error) {
+	src, err := f.newSource()
 	if err != nil {
 		return err
 	}
 	defer func() { err = errors.Join(err, src.Close()) }()
 	ctx, stop := cli.Interruptible(c)
 	defer stop()
+	hasTerminal := cli.IsTerminal(os.Stdout) && cli.IsTerminal(os.Stdin)
 	switch {
-	case f.once || f.asJSON:
-		return once(ctx, c.OutOrStdout(), src, f)
-	case !cli.Terminal(os.Stdout) || !cli.Terminal(os.Stdin):
-		return plain(ctx, c.OutOrStdout(), src)
+	case f.isSingle():
+		return writeSnapshot(ctx, c.OutOrStdout(), src, f)
+	case hasTerminal:
+		return runConsole(ctx, src)
+	default:
+		return writeTables(ctx, c.OutOrStdout(), src)
 	}
-	m, err := tea.NewProgram(console.NewModel(ctx, src), tea.WithContext(ctx)).Run()
-	if errors.Is(err, tea.ErrProgramKilled) && ctx.Err() != nil {
-		return nil // ended by a signal; the terminal is as it was
+}
+
+// runConsole shows the console until the operator or a signal ends it.
+func runConsole(ctx context.Context, src console.Source) error {
+	final, err := tea.NewProgram(console.NewModel(ctx, src), tea.WithContext(ctx)).Run()
+	isInterrupted := ctx.Err() != nil
+	if isInterrupted && errors.Is(err, tea.ErrProgramKilled) {
+		return nil
 	}
 	if err != nil {
 		return err
 	}
-	if err := m.(console.Model).Err(); err != nil && ctx.Err() == nil {
-		return err
+	if isInterrupted {
+		return nil
 	}
-	return nil
+	return final.(console.Model).Err()
 }
 
-// once prints one look. Rates need two: the first is thrown away where it is cheap to wait.
-func once(ctx context.Context, out io.Writer, src console.Source, f topFlags) error {
+// writeSnapshot writes one snapshot. Rates need two: of a source other than a replay the second one is written.
+func writeSnapshot(ctx context.Context, out io.Writer, src console.Source, f *topFlags) error {
 	s, err := src.Next(ctx)
-	if err == nil && len(f.replay) == 0 {
+	isReplay := len(f.replay) > 0
+	if err == nil && !isReplay {
 		s, err = src.Next(ctx)
 	}
 	if err != nil {
@@ -124,11 +160,11 @@
 	if f.asJSON {
 		return s.WriteJSON(out)
 	}
-	return s.WriteText(out, 160)
+	return s.WriteText(out, singleTableWidth)
 }
 
-// plain writes tables one after the other for a terminal that can do nothing.
-func plain(ctx context.Context, out io.Writer, src console.Source) error {
+// writeTables writes snapshots one after the other until a signal or the end of a replay.
+func writeTables(ctx context.Context, out io.Writer, src console.Source) error {
 	for {
 		s, err := src.Next(ctx)
 		if ctx.Err() != nil {
@@ -137,7 +173,7 @@
 		if err != nil {
 			return err
 		}
-		if err := s.WriteText(out, 79); err != nil {
+		if err := s.WriteText(out, repeatedTableWidth); err != nil {
 			return err
 		}
 		if _, err := fmt.Fprintln(out); err != nil {
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -1,143 +1,109 @@
-// Package cli is what the programs' commands share: exit codes, errors that say how to mend
-// things, tables that can be had as JSON. It owns no command of its own.
+// Package cli is what the commands of all programs share: exit codes, usage errors, tables with a JSON form, and the
+// version.
+//
+// Run is the only place that turns an error into an exit code. The package defines no command but the version command.
 package cli
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
-	"os"
-	"os/signal"
-	"runtime/debug"
 	"strings"
-	"syscall"
-	"text/tabwriter"
 
 	"github.com/spf13/cobra"
 )
 
-// Exit codes.
+// Exit codes of the programs.
 const (
 	Done   = 0
 	Failed = 1
-	Misuse = 2 // a command or flag that does not exist, or arguments that make no sense
+	Misuse = 2 // an unknown command or flag, or invalid arguments
 )
 
-// A usageError is the user's own.
-type usageError struct{ err error }
+// ErrReported ends a program with Failed without an error message, because its log has one.
+var ErrReported = errors.New("reported already")
 
-func (e usageError) Error() string { return e.err.Error() }
-func (e usageError) Unwrap() error { return e.err }
+// A usageError is an error in the command line. The cause is the message.
+type usageError struct{ cause error }
 
-// ErrReported ends a program with Failed and without another word: its log tells why.
-var ErrReported = errors.New("reported already")
+func (e usageError) Error() string { return e.cause.Error() }
+func (e usageError) Unwrap() error { return e.cause }
 
-// Usage makes an error that exits with Misuse and points to the command's help.
+// Usage returns an error in the command line, for which Run returns Misuse and points to the help of the command.
 func Usage(format string, args ...any) error { return usageError{fmt.Errorf(format, args...)} }
 
-// Run executes a program's commands on its arguments and returns its exit code. Errors go
-// to the command's standard error as one line, with the way to the help where the use was wrong.
+// Run executes the commands of a program and returns its exit code. An error is written to the command's standard error
+// as one line; a usage error is followed by a line that points to the help.
 func Run(root *cobra.Command) int {
-	root.SilenceErrors, root.SilenceUsage = true, true
-	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usageError{err} })
-	arrange(root)
-	c, err := root.ExecuteContextC(context.Background())
-	if err == nil {
-		return Done
+	prepare(root)
+	executed, err := root.ExecuteContextC(context.Background())
+	if err != nil && !errors.Is(err, ErrReported) {
+		printError(executed.ErrOrStderr(), executed.CommandPath(), err)
 	}
-	if errors.Is(err, ErrReported) {
+	return exitCode(err)
+}
+
+// exitCode returns the exit code of a program that ends with an error, or with nil.
+func exitCode(err error) int {
+	var usage usageError
+	switch {
+	case err == nil:
+		return Done
+	case errors.Is(err, ErrReported):
 		return Failed
-	}
-	_, _ = fmt.Fprintf(c.ErrOrStderr(), "%s: %v\n", c.CommandPath(), err)
-	var use usageError
-	if errors.As(err, &use) {
-		_, _ = fmt.Fprintf(c.ErrOrStderr(), "Try '%s --help'.\n", c.CommandPath())
+	case errors.As(err, &usage):
 		return Misuse
+	default:
+		return Failed
 	}
-	return Failed
 }
 
-// arrange makes wrong arguments usage errors, and groups of commands say what they hold.
-func arrange(c *cobra.Command) {
-	args := c.Args
-	if args == nil {
-		args = cobra.NoArgs
-	}
-	c.Args = func(c *cobra.Command, given []string) error {
-		if err := args(c, given); err != nil {
-			return usageError{err}
-		}
-		return nil
+func printError(w io.Writer, command string, err error) {
+	_, _ = fmt.Fprintf(w, "%s: %v\n", command, err)
+	if exitCode(err) == Misuse {
+		_, _ = fmt.Fprintf(w, "Try '%s --help'.\n", command)
 	}
+}
+
+// prepare makes all errors in the use of the commands usage errors, and leaves their output to Run.
+func prepare(root *cobra.Command) {
+	root.SilenceErrors = true
+	root.SilenceUsage = true
+	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usageError{err} })
+	prepareCommands(root)
+}
+
+func prepareCommands(c *cobra.Command) {
+	c.Args = usageArgs(c.Args)
 	if !c.Runnable() {
-		c.RunE = func(c *cobra.Command, _ []string) error {
-			var names []string
-			for _, k := range c.Commands() {
-				if k.IsAvailableCommand() {
-					names = append(names, k.Name())
-				}
-			}
-			return Usage("a command is missing: %s", strings.Join(names, ", "))
-		}
+		c.RunE = requireSubcommand
 	}
-	for _, k := range c.Commands() {
-		arrange(k)
+	for _, subcommand := range c.Commands() {
+		prepareCommands(subcommand)
 	}
 }
 
-// Table writes rows under a heading, or the value as JSON.
-func Table(out io.Writer, asJSON bool, value any, heading []string, rows [][]string) error {
-	if asJSON {
-		enc := json.NewEncoder(out)
-		enc.SetIndent("", "  ")
-		return enc.Encode(value)
+// usageArgs returns a validation of arguments whose errors are usage errors. Without a validation there must be none.
+func usageArgs(validate cobra.PositionalArgs) cobra.PositionalArgs {
+	if validate == nil {
+		validate = cobra.NoArgs
 	}
-	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
-	for _, row := range append([][]string{heading}, rows...) {
-		if _, err := fmt.Fprintln(w, strings.Join(row, "\t")); err != nil {
-			return err
+	return func(c *cobra.Command, args []string) error {
+		if err := validate(c, args); err != nil {
+			return usageError{err}
 		}
+		return nil
 	}
-	return w.Flush()
 }
 
-// Version is the module's version and revision as the build noted them.
-func Version() string {
-	info, ok := debug.ReadBuildInfo()
-	if !ok {
-		return "unknown"
-	}
-	v, revision, dirty := info.Main.Version, "", ""
-	for _, s := range info.Settings {
-		switch {
-		case s.Key == "vcs.revision" && len(s.Value) >= 12:
-			revision = " " + s.Value[:12]
-		case s.Key == "vcs.modified" && s.Value == "true":
-			dirty = " (changed)"
+// requireSubcommand is what a group of commands does: it names the commands of the group.
+func requireSubcommand(c *cobra.Command, _ []string) error {
+	var names []string
+	for _, subcommand := range c.Commands() {
+		if subcommand.IsAvailableCommand() {
+			names = append(names, subcommand.Name())
 		}
 	}
-	return v + revision + dirty + " " + info.GoVersion
-}
-
-// VersionCommand prints the version.
-func VersionCommand() *cobra.Command {
-	return &cobra.Command{Use: "version", Short: "Print the version and the revision it was built from",
-		Example: "  olivedale version",
-		RunE: func(c *cobra.Command, _ []string) error {
-			_, err := fmt.Fprintln(c.OutOrStdout(), Version())
-			return err
-		}}
-}
-
-// Interruptible is a command's context that ends with Ctrl-C or SIGTERM.
-func Interruptible(c *cobra.Command) (context.Context, context.CancelFunc) {
-	return signal.NotifyContext(c.Context(), syscall.SIGINT, syscall.SIGTERM)
-}
-
-// Terminal tells whether a file is a terminal that wants colour and progress.
-func Terminal(f *os.File) bool {
-	st, err := f.Stat()
-	return err == nil && st.Mode()&os.ModeCharDevice != 0 && os.Getenv("TERM") != "dumb"
+	return Usage("a command is missing: %s", strings.Join(names, ", "))
 }
