--- a/cmd/olivectl/golden_agent_test.go
+++ b/cmd/olivectl/golden_agent_test.go
@@ -22,24 +22,29 @@
 	"olivedale/internal/server"
 )
 
-// serve answers commands on a port of its own.
-func serve(t *testing.T, handle adminapi.Handler) (addr string) {
+// serveAdmin serves admin commands on a free port until the test ends.
+func serveAdmin(t *testing.T, handle adminapi.Handler) (addr string) {
 	t.Helper()
 	ln, err := stdnet.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = ln.Close() })
-	go func() { _ = adminapi.Serve(ln, "<stand-in>", handle) }()
+	go func() { _ = adminapi.Serve(ln, "<fake>", handle) }()
 	return ln.Addr().String()
 }
 
-// serveAgent is a stand-in for an agent that runs one instance, n0, with that admin address.
+// serveAgent serves a fake agent with the running instance n0, which has that admin address.
 func serveAgent(t *testing.T, admin string) (addr string) {
 	t.Helper()
-	return serve(t, func(c *h248.Command) ([]*h248.Node, *h248.Error) {
-		n := &h248.Node{Name: "oa/instance", Kids: []*h248.Node{{Name: "name", Value: "n0", Quoted: true}, {Name: "state", Value: "running"},
-			{Name: "pid", Value: "7"}, {Name: "starts", Value: "1"}, {Name: "admin", Value: admin, Quoted: true}}}
+	return serveAdmin(t, func(c *h248.Command) ([]*h248.Node, *h248.Error) {
+		n := &h248.Node{Name: "oa/instance", Kids: []*h248.Node{
+			{Name: "name", Value: "n0", Quoted: true},
+			{Name: "state", Value: "running"},
+			{Name: "pid", Value: "7"},
+			{Name: "starts", Value: "1"},
+			{Name: "admin", Value: admin, Quoted: true},
+		}}
 		if c.Termination == "ROOT" {
 			return []*h248.Node{{Name: "Statistics", Kids: []*h248.Node{n}}}, nil
 		}
@@ -47,7 +52,7 @@
 	})
 }
 
-// mustRun executes a command line that must succeed.
+// mustRun executes a command line, which must succeed, and returns what it printed.
 func mustRun(t *testing.T, args ...string) string {
 	t.Helper()
 	out, err := run(t, args...)
@@ -57,31 +62,48 @@
 	return out
 }
 
-// What olivectl tells of an agent's instances is as committed. Their specification is faulty, so that no process runs.
+// The output about an agent's instances is the committed one. Their specifications are invalid, so that no process runs.
 func TestGoldenAgent(t *testing.T) {
 	a := agent.New(filepath.Join(t.TempDir(), "none"), t.TempDir(), zap.NewNop())
 	t.Cleanup(a.Close)
 	a.Apply("east", []byte(`{"config":{},"h248":{"listen":"127.0.0.1:2944","admin":"127.0.0.1:2945"}}`))
 	a.Apply("west", []byte(`{`))
-	addr := serve(t, a.Handle)
+	addr := serveAdmin(t, a.Handle)
 	goldentest.Compare(t, "list.json", mustRun(t, "list", "--agent", addr, "--json"))
 	goldentest.Compare(t, "list.txt", mustRun(t, "list", "--agent", addr))
 	goldentest.Compare(t, "status_faulty.json", mustRun(t, "status", "east", "--agent", addr, "--json"))
 	goldentest.Compare(t, "drain.txt", mustRun(t, "drain", "east", "--agent", addr))
 }
 
-// goldenState is a state of which every value differs from its zero.
+// goldenState returns a state of which every value differs from its zero.
 func goldenState() *overload.State {
-	return &overload.State{Self: 3, Peers: 300, Incarnation: 77, Aggregator: 5, AggregatorFor: 3 * time.Second, LimitsAge: 400 * time.Millisecond, AliveMembers: 260, PeakMembers: 300, Partitioned: true, FrequentReports: true, Ejected: 1,
-		Servers:    []overload.ServerState{{ID: "s-1", PendingAttempts: 2, SetupTime: 130 * time.Millisecond, Limited: true, ClaimedWait: 900 * time.Millisecond, ThrottleChance: [4]float64{0.98, 0.5, 0, 1}, OverflowChance: 0.25, Throttled: 12}},
-		Aggregates: []overload.AggregateState{{Key: overload.ServerKey("s-1"), Offered: 40.5, Overflow: 2, Answered: 30, Wait: time.Second, WaitReports: 100, AdmittedRate: 28}},
-		Members:    []overload.MemberState{{Number: 2, Status: overload.Suspect, LastReportAge: time.Second, LossShare: 0.125, ReportSpan: 500 * time.Millisecond}},
-		Counters:   overload.Counters{Sent: 1, SentBytes: 2, Received: 3, Malformed: 5, Misattributed: 6, Throttled: 8, Admitted: 9, AggregatorsUnresponsive: 11, AggregatorsEjected: 12}}
+	return &overload.State{
+		Self: 3, Peers: 300, Incarnation: 77, Aggregator: 5, AggregatorFor: 3 * time.Second,
+		LimitsAge: 400 * time.Millisecond, AliveMembers: 260, PeakMembers: 300,
+		Partitioned: true, FrequentReports: true, Ejected: 1,
+		Servers: []overload.ServerState{{
+			ID: "s-1", PendingAttempts: 2, SetupTime: 130 * time.Millisecond, Limited: true,
+			ClaimedWait: 900 * time.Millisecond, ThrottleChance: [4]float64{0.98, 0.5, 0, 1},
+			OverflowChance: 0.25, Throttled: 12,
+		}},
+		Aggregates: []overload.AggregateState{{
+			Key: overload.ServerKey("s-1"), Offered: 40.5, Overflow: 2, Answered: 30,
+			Wait: time.Second, WaitReports: 100, AdmittedRate: 28,
+		}},
+		Members: []overload.MemberState{{
+			Number: 2, Status: overload.Suspect, LastReportAge: time.Second, LossShare: 0.125,
+			ReportSpan: 500 * time.Millisecond,
+		}},
+		Counters: overload.Counters{
+			Sent: 1, SentBytes: 2, Received: 3, Malformed: 5, Misattributed: 6, Throttled: 8, Admitted: 9,
+			AggregatorsUnresponsive: 11, AggregatorsEjected: 12,
+		},
+	}
 }
 
-// What olivectl tells of what instances share, and of their versions of numbers, is as committed.
+// The output about overload control and numbering tables of instances is the committed one.
 func TestGoldenInstance(t *testing.T) {
-	admin := serve(t, func(c *h248.Command) ([]*h248.Node, *h248.Error) {
+	admin := serveAdmin(t, func(c *h248.Command) ([]*h248.Node, *h248.Error) {
 		if c.Termination == adminapi.OverloadTermination {
 			return adminapi.OverloadNodes(goldenState()), nil
 		}
@@ -94,15 +116,18 @@
 	})
 	addr := serveAgent(t, admin)
 	for file, args := range map[string][]string{
-		"peers.json": {"peers", "--json"}, "peers.txt": {"peers"}, "peers_explain.txt": {"peers", "--explain", "s-1"},
-		"numbers_list.json": {"numbers", "list", "--json"}, "numbers_list.txt": {"numbers", "list"},
+		"peers.json":        {"peers", "--json"},
+		"peers.txt":         {"peers"},
+		"peers_explain.txt": {"peers", "--explain", "s-1"},
+		"numbers_list.json": {"numbers", "list", "--json"},
+		"numbers_list.txt":  {"numbers", "list"},
 	} {
 		goldentest.Compare(t, file, mustRun(t, append(args, "--agent", addr)...))
 	}
 }
 
-// free is an address of this machine that nobody listens on just now.
-func free(t *testing.T) string {
+// freeAddr returns an address of this machine on which nobody listens.
+func freeAddr(t *testing.T) string {
 	t.Helper()
 	ln, err := stdnet.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -125,7 +150,7 @@
 pool = 0
 `
 
-// startInstance runs an instance with all that has statistics, and returns its admin address.
+// startInstance runs an instance with all optional parts that have statistics, and returns its admin address.
 func startInstance(t *testing.T) (admin string) {
 	t.Helper()
 	dir := t.TempDir()
@@ -133,15 +158,15 @@
 	if err := os.WriteFile(rules, []byte(instanceRules), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	admin = free(t)
-	peer, number := free(t), 0
-	o := &config.Operator{H248: &config.H248{Listen: free(t), Admin: admin}, Records: &config.Records{Dir: filepath.Join(dir, "records")},
+	admin = freeAddr(t)
+	peer, number := freeAddr(t), 0
+	o := &config.Operator{H248: &config.H248{Listen: freeAddr(t), Admin: admin}, Records: &config.Records{Dir: filepath.Join(dir, "records")},
 		Numbering: &config.Numbering{File: rules, Lookup: config.Lookup{Servers: []string{"127.0.0.1:9"}}},
-		Overload:  &config.OverloadControl{Listen: peer, Peers: []string{peer, free(t)}, Number: &number}}
+		Overload:  &config.OverloadControl{Listen: peer, Peers: []string{peer, freeAddr(t)}, Number: &number}}
 	if err := o.Validate(); err != nil {
 		t.Fatal(err)
 	}
-	cfg, err := config.Parse(fmt.Appendf(nil, instanceConfig, free(t)))
+	cfg, err := config.Parse(fmt.Appendf(nil, instanceConfig, freeAddr(t)))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -167,8 +192,8 @@
 	return admin
 }
 
-// shape writes the names of a JSON value's members in their order, with types; of an array, the first element's.
-func shape(t *testing.T, text string) string {
+// jsonShape returns the names of a JSON value's members in their order, with types; of an array, the first element's.
+func jsonShape(t *testing.T, text string) string {
 	t.Helper()
 	var b strings.Builder
 	in := json.NewDecoder(strings.NewReader(text))
@@ -207,15 +232,15 @@
 	return b.String()
 }
 
-// statistics writes the names of nodes below each other.
-func statistics(b *strings.Builder, path string, nodes []*h248.Node) {
+// writeNodeNames writes the names of nodes and of the nodes in them.
+func writeNodeNames(b *strings.Builder, path string, nodes []*h248.Node) {
 	for _, n := range nodes {
 		_, _ = fmt.Fprintf(b, "%s%s\n", path, n.Name)
-		statistics(b, path+n.Name+" ", n.Kids)
+		writeNodeNames(b, path+n.Name+" ", n.Kids)
 	}
 }
 
-// The names and types of what olivectl tells of an instance in service are as committed, and so is a replay.
+// The names and types in the output about a running instance are the committed ones, and so is a replay.
 func TestGoldenService(t *testing.T) {
 	admin := startInstance(t)
 	audit, err := adminapi.Send(t.Context(), admin, adminapi.AuditCommand("ROOT"))
@@ -223,10 +248,10 @@
 		t.Fatal(err)
 	}
 	var names strings.Builder
-	statistics(&names, "", audit.Descriptors)
+	writeNodeNames(&names, "", audit.Descriptors)
 	goldentest.Compare(t, "statistics.txt", names.String())
 	addr := serveAgent(t, admin)
-	goldentest.Compare(t, "status_fields.txt", shape(t, mustRun(t, "status", "n0", "--agent", addr, "--json")))
-	goldentest.Compare(t, "top_fields.txt", shape(t, mustRun(t, "top", "--agent", addr, "--interval", "100ms", "--json")))
-	goldentest.Compare(t, "top_replay.json", mustRun(t, "top", "--replay", kept, "--json"))
+	goldentest.Compare(t, "status_fields.txt", jsonShape(t, mustRun(t, "status", "n0", "--agent", addr, "--json")))
+	goldentest.Compare(t, "top_fields.txt", jsonShape(t, mustRun(t, "top", "--agent", addr, "--interval", "100ms", "--json")))
+	goldentest.Compare(t, "top_replay.json", mustRun(t, "top", "--replay", incidentDir, "--json"))
 }
--- a/cmd/olivectl/golden_test.go
+++ b/cmd/olivectl/golden_test.go
@@ -26,7 +26,7 @@
 	}
 	dir := t.TempDir()
 	for to, from := range map[string]string{
-		"incident":  kept,
+		"incident":  incidentDir,
 		"all-kinds": "../../internal/record/testdata/golden/store",
 		"rules":     "../../internal/numbering/testdata/golden",
 	} {
@@ -38,7 +38,7 @@
 	return golden
 }
 
-// Commands that read files print the same bytes as when their outputs were committed.
+// The output of commands that read files is the committed one.
 func TestGoldenOutputs(t *testing.T) {
 	golden := workOnCopies(t)
 	for _, c := range []struct {
@@ -62,7 +62,7 @@
 		if c.err == "" && err != nil || c.err != "" && (err == nil || err.Error() != c.err) {
 			t.Errorf("%s: %v, want error %q", c.args, err, c.err)
 		}
-		out, _, _ = strings.Cut(out, "Error: ") // the command line's own words on errors are not compared
+		out, _, _ = strings.Cut(out, "Error: ") // the text that cobra adds to an error is not compared
 		goldentest.CompareFile(t, filepath.Join(golden, c.file), []byte(compileTime.ReplaceAllString(out, "compiled in TIME")))
 	}
 }
@@ -70,7 +70,7 @@
 // records tail prints the last records and ends with SIGINT.
 func TestGoldenTail(t *testing.T) {
 	golden := workOnCopies(t)
-	caught := make(chan os.Signal, 1) // so that a signal before the command listens does not end the test
+	caught := make(chan os.Signal, 1) // a signal before the command handles it must not end the test
 	signal.Notify(caught, syscall.SIGINT)
 	defer signal.Stop(caught)
 	done := make(chan struct{})
--- a/cmd/olivectl/numbers_test.go
+++ b/cmd/olivectl/numbers_test.go
@@ -9,16 +9,18 @@
 
 const exampleRules = "../../deploy/numbers.example.toml"
 
-// The example is good, and what is wrong with a file is told all at once, by entry.
+// The example is valid, and all errors of an invalid file are reported at once, by entry.
 func TestNumbers(t *testing.T) {
 	if out, err := run(t, "numbers", "check", exampleRules); err != nil || !strings.Contains(out, "good; digest") {
 		t.Errorf("%v: %s", err, out)
 	}
 	out, err := run(t, "numbers", "show", "--file", exampleRules, "--explain", "--at", "2026-12-25 15:00", "9")
-	if err != nil || !strings.Contains(out, "translated by 9") || !strings.Contains(out, "pool 0 is closed by day") || !strings.Contains(out, "pools    2\n") {
+	if err != nil || !strings.Contains(out, "translated by 9") ||
+		!strings.Contains(out, "pool 0 is closed by day") || !strings.Contains(out, "pools    2\n") {
 		t.Errorf("%v:\n%s", err, out)
 	}
-	if out, err = run(t, "numbers", "show", "--file", exampleRules, "--json", "--moved", "56225550101", "+56 9 1234 5678"); err != nil || !strings.Contains(out, `"route": "house"`) {
+	out, err = run(t, "numbers", "show", "--file", exampleRules, "--json", "--moved", "56225550101", "+56 9 1234 5678")
+	if err != nil || !strings.Contains(out, `"route": "house"`) {
 		t.Errorf("%v:\n%s", err, out)
 	}
 	text, err := os.ReadFile(exampleRules)
@@ -26,17 +28,22 @@
 		t.Fatal(err)
 	}
 	next := filepath.Join(t.TempDir(), "next.toml")
-	if err := os.WriteFile(next, []byte(strings.Replace(string(text), "cause = 17", "cause = 18", 1)), 0o600); err != nil {
+	changed := strings.Replace(string(text), "cause = 17", "cause = 18", 1)
+	if err := os.WriteFile(next, []byte(changed), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	if out, err = run(t, "numbers", "diff", exampleRules, next); err != nil || !strings.Contains(out, "5690") || strings.Count(out, "\n") != 2 {
+	out, err = run(t, "numbers", "diff", exampleRules, next)
+	if err != nil || !strings.Contains(out, "5690") || strings.Count(out, "\n") != 2 {
 		t.Errorf("%v:\n%s", err, out)
 	}
-	bad := strings.Replace(strings.Replace(string(text), "default = \"city\"", "default = \"nowhere\"", 1), "prefix = \"562\"", "prefix = \"566001\"", 1)
-	if err := os.WriteFile(next, []byte(bad), 0o600); err != nil {
+	invalid := strings.Replace(string(text), "default = \"city\"", "default = \"nowhere\"", 1)
+	invalid = strings.Replace(invalid, "prefix = \"562\"", "prefix = \"566001\"", 1)
+	if err := os.WriteFile(next, []byte(invalid), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	if _, err = run(t, "numbers", "check", next); err == nil || !strings.Contains(err.Error(), "unreachable: barred 1") || !strings.Contains(err.Error(), `there is no route "nowhere"`) {
+	if _, err = run(t, "numbers", "check", next); err == nil ||
+		!strings.Contains(err.Error(), "unreachable: barred 1") ||
+		!strings.Contains(err.Error(), `there is no route "nowhere"`) {
 		t.Error(err)
 	}
 }
--- a/cmd/olivectl/records_test.go
+++ b/cmd/olivectl/records_test.go
@@ -11,7 +11,8 @@
 	"github.com/spf13/cobra"
 )
 
-const kept = "../../internal/report/testdata/incident"
+// incidentDir has the stores of a recorded incident.
+const incidentDir = "../../internal/report/testdata/incident"
 
 // run executes a command line and returns what it printed.
 func run(t *testing.T, args ...string) (string, error) {
@@ -26,7 +27,7 @@
 }
 
 func TestRecords(t *testing.T) {
-	all, err := run(t, "records", "cat", "--json", "--kind", "answer,gap", "--instance", "n0", kept)
+	all, err := run(t, "records", "cat", "--json", "--kind", "answer,gap", "--instance", "n0", incidentDir)
 	if err != nil || strings.Count(all, "\n") != 18 || strings.Count(all, `"kind":"gap"`) != 1 {
 		t.Errorf("%d lines, %v", strings.Count(all, "\n"), err)
 	}
@@ -35,21 +36,22 @@
 			t.Errorf("no JSON: %s", line)
 		}
 	}
-	if out, err := run(t, "records", "verify", kept); err == nil || !strings.Contains(out, "records 78 to 164 are lost") || err.Error() != "1 damages found" {
+	if out, err := run(t, "records", "verify", incidentDir); err == nil ||
+		!strings.Contains(out, "records 78 to 164 are lost") || err.Error() != "1 damages found" {
 		t.Errorf("%v:\n%s", err, out)
 	}
-	if out, err := run(t, "records", "verify", filepath.Join(kept, "n1")); err != nil {
+	if out, err := run(t, "records", "verify", filepath.Join(incidentDir, "n1")); err != nil {
 		t.Errorf("%v:\n%s", err, out)
 	}
-	if out, err := run(t, "records", "ls", "--json", kept); err != nil || strings.Count(out, `"instance"`) != 4 {
+	if out, err := run(t, "records", "ls", "--json", incidentDir); err != nil || strings.Count(out, `"instance"`) != 4 {
 		t.Errorf("%v:\n%s", err, out)
 	}
-	if out, err := run(t, "records", "cat", "--from", "soon", kept); err == nil || !strings.Contains(err.Error(), "no time") {
+	if out, err := run(t, "records", "cat", "--from", "soon", incidentDir); err == nil || !strings.Contains(err.Error(), "no time") {
 		t.Errorf("%v:\n%s", err, out)
 	}
-	// A flipped bit is told with its offset.
+	// A flipped bit is reported with its offset.
 	dir := t.TempDir()
-	if err := os.CopyFS(dir, os.DirFS(filepath.Join(kept, "n2"))); err != nil {
+	if err := os.CopyFS(dir, os.DirFS(filepath.Join(incidentDir, "n2"))); err != nil {
 		t.Fatal(err)
 	}
 	files, err := filepath.Glob(filepath.Join(dir, "*.rec"))
@@ -64,7 +66,8 @@
 	if err := os.WriteFile(files[0], b, 0o600); err != nil {
 		t.Fatal(err)
 	}
-	if out, err := run(t, "records", "verify", dir); err == nil || !strings.Contains(out, " at byte 5") || !strings.Contains(out, "damaged") {
+	if out, err := run(t, "records", "verify", dir); err == nil ||
+		!strings.Contains(out, " at byte 5") || !strings.Contains(out, "damaged") {
 		t.Errorf("%v:\n%s", err, out)
 	}
 }
@@ -72,7 +75,7 @@
 func TestReport(t *testing.T) {
 	dir := t.TempDir()
 	page, obj := filepath.Join(dir, "r.html"), filepath.Join(dir, "r.json")
-	if out, err := run(t, "report", kept, "-o", page, "--json", obj); err != nil {
+	if out, err := run(t, "report", incidentDir, "-o", page, "--json", obj); err != nil {
 		t.Fatalf("%v\n%s", err, out)
 	}
 	if b, err := os.ReadFile(page); err != nil || !bytes.Contains(b, []byte("</html>")) {
@@ -81,24 +84,24 @@
 	if b, err := os.ReadFile(obj); err != nil || !json.Valid(b) {
 		t.Error(err)
 	}
-	if _, err := run(t, "report", kept); err == nil {
-		t.Error("a report to nowhere was made")
+	if _, err := run(t, "report", incidentDir); err == nil {
+		t.Error("a report without an output file was made")
 	}
 	if _, err := run(t, "report", t.TempDir(), "-o", page); err == nil || !strings.Contains(err.Error(), "no records") {
 		t.Error(err)
 	}
 }
 
-// Every command has an example and a short account.
+// Every command has an example, and one line that says what it does.
 func TestEveryCommandHasHelp(t *testing.T) {
-	var look func(c *cobra.Command)
-	look = func(c *cobra.Command) {
+	var check func(c *cobra.Command)
+	check = func(c *cobra.Command) {
 		if c.Short == "" || c.Example == "" {
-			t.Errorf("%s has no short account or no example", c.CommandPath())
+			t.Errorf("%s has no short description or no example", c.CommandPath())
 		}
-		for _, k := range c.Commands() {
-			look(k)
+		for _, subcommand := range c.Commands() {
+			check(subcommand)
 		}
 	}
-	look(newRootCommand())
+	check(newRootCommand())
 }
