--- a/internal/console/changes.go
+++ b/internal/console/changes.go
@@ -9,7 +9,7 @@
 // recordChanges adds an event for each change of an instance since its last poll.
 func (p *Poller) recordChanges(i Instance) {
 	earlier, isKnown := p.known[i.key()]
-	isUnresponsive := i.State == StateSilent
+	isUnresponsive := i.State == StateUnresponsive
 	if !isKnown && !isUnresponsive {
 		return
 	}
--- a/internal/console/keys.go
+++ b/internal/console/keys.go
@@ -1,16 +1,12 @@
 package console
 
-import (
-	tea "charm.land/bubbletea/v2"
-)
+import tea "charm.land/bubbletea/v2"
 
 const (
 	// speedStep is the factor by which one key changes the speed of a replay.
 	speedStep = 2
 	// maxFilterLength bounds the filter, in bytes.
 	maxFilterLength = 40
-	// linesAroundRows are the lines of the screen that a page of rows does not have.
-	linesAroundRows = 5
 )
 
 // handleKey applies a key press.
@@ -67,7 +63,7 @@
 
 // moveSelection applies the keys that select a row.
 func (m *Model) moveSelection(key string, t *table) {
-	page := max(m.height-linesAroundRows, 1)
+	page := m.visibleRows()
 	switch key {
 	case "down", "j":
 		m.location.row++
--- a/internal/console/poller.go
+++ b/internal/console/poller.go
@@ -113,13 +113,13 @@
 	var all []Instance
 	for _, i := range p.known {
 		if i.Agent == agent {
-			i.State = StateSilent
+			i.State = StateUnresponsive
 			i.Problem = "its agent does not answer: " + err.Error()
 			all = append(all, i)
 		}
 	}
 	if len(all) == 0 {
-		all = []Instance{{Name: "(agent)", Agent: agent, State: StateSilent, Problem: err.Error()}}
+		all = []Instance{{Name: "(agent)", Agent: agent, State: StateUnresponsive, Problem: err.Error()}}
 	}
 	return all
 }
@@ -144,7 +144,7 @@
 	}
 	audit, err := AuditInstance(ctx, entry.Admin)
 	if err != nil {
-		instance.State = StateSilent
+		instance.State = StateUnresponsive
 		instance.Problem = err.Error()
 		return instance
 	}
--- a/internal/console/poller_test.go
+++ b/internal/console/poller_test.go
@@ -79,13 +79,13 @@
 	}
 	_ = instance.Close()
 	s = next()
-	if i := s.Instances[0]; i.State != StateSilent || i.Problem == "" || i.Total.Established != 20 ||
+	if i := s.Instances[0]; i.State != StateUnresponsive || i.Problem == "" || i.Total.Established != 20 ||
 		s.At.Sub(i.Seen) <= 0 || len(s.Events) == 0 {
 		t.Errorf("%+v", i)
 	}
 	_ = agent.Close()
 	s = next()
-	if i := s.Instances[0]; i.Name != "n0" || i.State != StateSilent || !strings.Contains(i.Problem, "agent") {
+	if i := s.Instances[0]; i.Name != "n0" || i.State != StateUnresponsive || !strings.Contains(i.Problem, "agent") {
 		t.Errorf("%+v", i)
 	}
 	m := newTestModel(s, 80, 24)
--- a/internal/console/screen.go
+++ b/internal/console/screen.go
@@ -17,8 +17,9 @@
 	faultStyle    = lipgloss.NewStyle().Foreground(lipgloss.Color("1")).Bold(true)
 )
 
-// linesAroundTable are the lines of the screen above and below a table: summary, tabs, an empty line and the footer.
-const linesAroundTable = 4
+// linesAroundRows are the lines of the screen that a table's rows do not have: the summary, the tabs, the headings, the
+// problem of an instance, and the footer.
+const linesAroundRows = 5
 
 // continuationIndent is how far the further lines of a long record are indented.
 const continuationIndent = 4
@@ -48,6 +49,9 @@
 // fitLine returns a text that fills a line but for its last column, in which some terminals wrap.
 func (m *Model) fitLine(s string) string { return fit(s, m.width-1, alignLeft) }
 
+// visibleRows returns how many rows of a table fit.
+func (m *Model) visibleRows() int { return max(m.height-linesAroundRows, 1) }
+
 func (m *Model) body() []string {
 	switch {
 	case m.isHelpShown:
@@ -100,7 +104,7 @@
 	if len(t.rows) == 0 {
 		return append(lines, m.fitLine(m.emptyText()))
 	}
-	visible := max(m.height-linesAroundTable, 1) - 1
+	visible := m.visibleRows()
 	selected := min(m.location.row, len(t.rows)-1)
 	first := max(0, min(selected-visible/2, len(t.rows)-visible))
 	for i := first; i < min(first+visible, len(t.rows)); i++ {
--- a/internal/console/snapshot.go
+++ b/internal/console/snapshot.go
@@ -12,12 +12,12 @@
 
 // The states that the console tells apart.
 const (
-	StateRunning  State = "running"
-	StateDraining State = "draining" // as an agent reports a shutdown in progress
-	StateStopping State = "stopping" // as the instance reports it
-	StateEnded    State = "ended"
-	StateKilled   State = "killed"
-	StateSilent   State = "silent" // unresponsive: the figures are those of the time Seen
+	StateRunning      State = "running"
+	StateDraining     State = "draining" // as an agent reports a shutdown in progress
+	StateStopping     State = "stopping" // as the instance reports it
+	StateEnded        State = "ended"
+	StateKilled       State = "killed"
+	StateUnresponsive State = "silent" // it does not answer; the figures are those of the time Seen
 )
 
 // String implements fmt.Stringer.
@@ -27,7 +27,7 @@
 func (s State) isTerminal() bool { return s == StateEnded || s == StateKilled }
 
 // isFault reports whether the state is marked on the screen.
-func (s State) isFault() bool { return s == StateSilent || s == StateKilled }
+func (s State) isFault() bool { return s == StateUnresponsive || s == StateKilled }
 
 // Phase is the state of a server in the endpoint list, by its name in records and statistics.
 type Phase string
--- a/internal/console/summary.go
+++ b/internal/console/summary.go
@@ -70,7 +70,7 @@
 // instancesText returns how many instances there are, and how many of them need attention.
 func (s *Snapshot) instancesText() string {
 	text := fmt.Sprintf("  %d inst", len(s.Instances))
-	if silent := s.countInState(StateSilent); silent > 0 {
+	if silent := s.countInState(StateUnresponsive); silent > 0 {
 		text += fmt.Sprintf(" (%d silent)", silent)
 	}
 	majority := s.MajorityNumbering()
