--- /dev/null
+++ b/internal/server/incident_test.go
@@ -0,0 +1,295 @@
+package server
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"olivedale/internal/adminapi"
+	"olivedale/internal/incident"
+	"olivedale/internal/record"
+)
+
+const (
+	incidentServers = 4
+	skewedServer    = 1 // its clock is clockSkew ahead
+	steppedServer   = 2 // its clock is set back by clockStep
+	killedServer    = 3
+	clockSkew       = 3700 * time.Millisecond
+	clockStep       = 2 * time.Second
+)
+
+// An incidentRun is an incident on several servers with the same exchanges.
+type incidentRun struct {
+	t       *testing.T
+	shared  *fleet
+	answers *answerLog
+	root    string
+	skews   [incidentServers]atomic.Int64
+	servers [incidentServers]*testServer
+	callers [incidentServers]*jsonCaller
+	stamps  [incidentServers]adminapi.ClockStamps
+	dirs    [incidentServers]string // of the records
+}
+
+// An incidentSum is the sum of the records of all servers.
+type incidentSum struct{ offered, established, failed, attempts uint64 }
+
+func startIncident(t *testing.T) *incidentRun {
+	t.Helper()
+	r := &incidentRun{t: t, shared: startFleet(t, 3), answers: newAnswerLog(), root: t.TempDir()}
+	r.skews[skewedServer].Store(int64(clockSkew))
+	for i := range incidentServers {
+		r.dirs[i] = filepath.Join(r.root, fmt.Sprint("n", i))
+		r.start(i, fmt.Sprintf("%08x", i))
+	}
+	return r
+}
+
+func (r *incidentRun) start(i int, idPrefix string) {
+	r.t.Helper()
+	r.servers[i] = r.shared.startServer(r.t, fmt.Sprint("n", i), r.dirs[i], &r.skews[i])
+	r.callers[i] = dialJSONCaller(r.t, r.servers[i].jsonAddress(), r.answers, idPrefix)
+}
+
+// restart ends the first server in good order and starts it again: its next records are another segment.
+func (r *incidentRun) restart() {
+	r.t.Helper()
+	r.servers[0].stop(r.t)
+	// A slow disk may take longer than a server waits.
+	eventually(r.t, "its store is let go", func() bool { return !record.Live(r.dirs[0]) })
+	r.stamps[0] = adminapi.ClockStamps{}
+	r.start(0, fmt.Sprintf("%08x", time.Now().UnixNano()&0xffffffff))
+}
+
+// exchangeClocks exchanges time stamps with all servers.
+func (r *incidentRun) exchangeClocks() {
+	r.t.Helper()
+	for i, s := range r.servers {
+		var err error
+		r.stamps[i], err = adminapi.ExchangeClocks(context.Background(), s.adminAddress(), "test", r.stamps[i])
+		if err != nil {
+			r.t.Fatal(err)
+		}
+	}
+}
+
+// call sets so many calls up at each server and awaits their answers.
+func (r *incidentRun) call(number string, n int) {
+	r.t.Helper()
+	var keys []string
+	for i, caller := range r.callers {
+		for j := range n {
+			keys = append(keys, caller.setUp(fmt.Sprintf("%s.%d.%d", number, i, j), 4*time.Second))
+		}
+	}
+	for _, key := range keys {
+		r.answers.await(r.t, key, 1)
+	}
+}
+
+// drainExchange drains an exchange and waits until all servers know.
+func (r *incidentRun) drainExchange(i int) {
+	r.t.Helper()
+	lines := append([]endpointLine(nil), r.shared.lines...)
+	lines[i].draining = true
+	r.shared.discovery.set(lines...)
+	for _, s := range r.servers {
+		eventually(r.t, "the drain is known", func() bool {
+			drained := make(chan bool, 1)
+			s.server.loop.Execute(func() { drained <- s.server.backends.Get(lines[i].id).IsDraining() })
+			return <-drained
+		})
+	}
+}
+
+// kill copies the records of a server as a kill at this moment would leave them. The server itself goes on.
+func (r *incidentRun) kill(i int) (dir string) {
+	r.t.Helper()
+	eventually(r.t, "the records of the server are on disk", func() bool {
+		written := make(chan bool, 1)
+		server := r.servers[i].server
+		server.loop.Execute(func() { written <- server.recorder.log.Written() == server.recorder.log.Records() })
+		return <-written
+	})
+	dir = filepath.Join(r.root, "killed")
+	copyStore(r.t, r.dirs[i], dir)
+	return dir
+}
+
+// run runs the incident.
+func (r *incidentRun) run() {
+	r.t.Helper()
+	r.exchangeClocks()
+	r.call("ok", 10)
+	r.exchangeClocks()
+	r.restart()
+	r.skews[steppedServer].Add(-int64(clockStep))
+	r.call("busy", 3)
+	r.call("full", 3)
+	r.drainExchange(1)
+	r.call("ok", 5)
+	r.restart()
+	r.call("keep", 2)
+	killed := r.kill(killedServer)
+	r.shared.exchanges[2].stop()
+	r.call("ok", 5)
+	time.Sleep(checkInterval + 100*time.Millisecond) // clocks are checked once in checkInterval
+	r.exchangeClocks()
+	for _, s := range r.servers {
+		s.stop(r.t)
+	}
+	r.dirs[killedServer] = killed
+	r.loseSegment()
+}
+
+// loseSegment deletes the second of the three segments of the first server.
+func (r *incidentRun) loseSegment() {
+	r.t.Helper()
+	files, err := filepath.Glob(filepath.Join(r.dirs[0], "*.rec"))
+	if err != nil || len(files) != 3 {
+		r.t.Fatal(files, err)
+	}
+	if err := os.Remove(files[1]); err != nil {
+		r.t.Fatal(err)
+	}
+}
+
+// keep copies the records to the folder that KEEP_INCIDENT names.
+func (r *incidentRun) keep() {
+	keep := os.Getenv("KEEP_INCIDENT")
+	if keep == "" {
+		return
+	}
+	for i, dir := range r.dirs {
+		copyStore(r.t, dir, filepath.Join(keep, fmt.Sprint("n", i)))
+	}
+}
+
+// checkInstance compares the report on a server with a count of its records, and where its records are complete with
+// what its manager of calls counted.
+func (r *incidentRun) checkInstance(i int, in *incident.Instance, counts map[string]uint64) {
+	c := in.Total
+	for what, got := range map[string]uint64{
+		"setup":          c.Offered,
+		"answer stood":   c.Stood(),
+		"answer refused": c.Of(record.Refused),
+		"answer failed":  c.Of(record.Failed),
+		"try":            c.Tries,
+		"retry":          c.Retried,
+		"cut":            c.Cut,
+		"release":        c.Released,
+	} {
+		if got != counts[what] {
+			r.t.Errorf("%s: %d %s, one by one %d", in.Name, got, what, counts[what])
+		}
+	}
+	if i != skewedServer && i != steppedServer {
+		return
+	}
+	counted := &r.servers[i].server.calls.Counters
+	if c.Offered != uint64(counted.Requests) || c.Stood() != uint64(counted.Established) ||
+		c.Tries != uint64(counted.Attempts) || in.AtLeast {
+		r.t.Errorf("%s: %+v, the manager of calls counted %+v", in.Name, c.Counts, counted)
+	}
+}
+
+// checkFindings compares what the report has found with what has happened.
+func (r *incidentRun) checkFindings(findings []incident.Finding) {
+	found := make(map[string]int)
+	for _, f := range findings {
+		found[f.Kind]++
+		switch f.Kind {
+		case incident.FoundStep:
+			// Two clocks are read one after the other, and the process may be descheduled between the two.
+			_, text, _ := strings.Cut(f.Text, "set by ")
+			text, _, _ = strings.Cut(text, ";")
+			by, err := time.ParseDuration(text)
+			if f.Instance != "n2" || err != nil || (by+clockStep).Abs() > 50*time.Millisecond {
+				r.t.Errorf("%+v, %v", f, err)
+			}
+		case incident.FoundDrain:
+			if f.Server != "s-1" || len(f.Noticed) != incidentServers {
+				r.t.Errorf("%+v", f)
+			}
+			for _, n := range f.Noticed[1:] {
+				if n.Lo > time.Second || n.Hi < -time.Second {
+					r.t.Errorf("%s noticed it %v to %v after the first", n.Instance, n.Lo, n.Hi)
+				}
+			}
+		case incident.FoundSkew:
+			if f.Instance != "n1" {
+				r.t.Errorf("%+v", f)
+			}
+		}
+	}
+	if found[incident.FoundStep] != 1 || found[incident.FoundDrain] != 1 || found[incident.FoundSkew] != 1 ||
+		found[incident.FoundLateSend] != 0 {
+		r.t.Errorf("found %v", found)
+	}
+}
+
+// checkTotal compares the totals of the report with the sum of all records.
+func (r *incidentRun) checkTotal(report *incident.Report, sum incidentSum) {
+	total := report.Total
+	if total.Offered != sum.offered || total.Stood() != sum.established ||
+		total.Of(record.Failed) != sum.failed || total.Tries != sum.attempts {
+		r.t.Errorf("in all %+v, one by one %+v", total.Counts, sum)
+	}
+	var windows incident.Counts
+	for _, w := range report.Windows {
+		windows.Offered += w.Offered
+		windows.Cut += w.Cut
+		for i, n := range w.Outcomes {
+			windows.Outcomes[i] += n
+		}
+	}
+	if windows.Offered != sum.offered || windows.Outcomes != total.Outcomes || windows.Cut != total.Cut {
+		r.t.Errorf("windows hold %+v of %+v", windows, total.Counts)
+	}
+}
+
+// TestIncident runs an incident on four servers: one is killed, one's clock is 3.7 s ahead, one's is set back by 2 s
+// in the middle, one loses a segment; an exchange drains, another dies. The report must equal a count of the records
+// one by one, and for servers without gaps what the managers of calls counted.
+func TestIncident(t *testing.T) {
+	t.Parallel()
+	r := startIncident(t)
+	r.run()
+	r.keep()
+	var counts [incidentServers]map[string]uint64
+	for i, dir := range r.dirs {
+		counts[i], _ = countRecords(t, dir)
+	}
+	report := analyzeStores(t, r.dirs[:]...)
+	var sum incidentSum
+	for i := range report.Instances {
+		r.checkInstance(i, &report.Instances[i], counts[i])
+		sum.offered += counts[i]["setup"]
+		sum.established += counts[i]["answer stood"]
+		sum.failed += counts[i]["answer failed"]
+		sum.attempts += counts[i]["try"]
+	}
+	r.checkTotal(report, sum)
+	if !report.Instances[killedServer].AtLeast || !report.AtLeast {
+		t.Error("records without an end are taken for complete")
+	}
+	first := report.Instances[0]
+	if !first.AtLeast || first.Lost != counts[0]["lost"] || first.Lost == 0 || len(first.Starts) != 2 {
+		t.Errorf("a segment is gone: %+v", first)
+	}
+	o := report.Instances[skewedServer].Starts[0].Offset
+	if !o.Known || o.Lo > clockSkew || o.Hi < clockSkew || o.Hi-o.Lo > time.Second {
+		t.Errorf("the skewed clock: %v to %v", o.Lo, o.Hi)
+	}
+	r.checkFindings(report.Findings)
+	seen := r.shared.observations
+	if n := seen.total(&seen.simultaneousAttempts) + seen.total(&seen.earlyRetries); n != 0 {
+		t.Errorf("%d rules broken", n)
+	}
+}
