--- a/internal/enum/message_test.go
+++ b/internal/enum/message_test.go
@@ -80,28 +80,48 @@
 			packAnswer(t, func(m *dns.Msg) { m.Question[0].Name = "1.2.2.6.5.e164.arpa." }), "", ErrNotAnAnswer,
 		},
 	} {
-		m, err := DecodeAnswer(c.b, suffix)
-		a := m.Answer
-		if !errors.Is(err, c.err) || m.ID != 7 || a.Ported != (c.routing != "") || a.Ported && a.Routing.String() != c.routing {
-			t.Errorf("%s: %+v, %v", name, m, err)
-		}
-		if err == nil && m.Number != "56221" || a.Ported && a.TTL != time.Minute {
-			t.Errorf("%s: %q, %v", name, m.Number, a.TTL)
-		}
+		t.Run(name, func(t *testing.T) {
+			m, err := DecodeAnswer(c.b, suffix)
+			if !errors.Is(err, c.err) || m.ID != 7 {
+				t.Errorf("%+v, %v", m, err)
+			}
+			if m.Answer.Ported != (c.routing != "") || m.Answer.Routing.String() != c.routing {
+				t.Errorf("%+v, want routing number %q", m, c.routing)
+			}
+			if err == nil && m.Number != "56221" {
+				t.Errorf("number %q", m.Number)
+			}
+			if m.Answer.Ported && m.Answer.TTL != time.Minute {
+				t.Errorf("TTL %v", m.Answer.TTL)
+			}
+		})
 	}
-	// The answer to another question is decoded: the resolver finds that it does not match the query.
+}
+
+// The answer to another question is decoded: the resolver finds that it does not match the query.
+func TestDecodeAnswerToOtherQuestion(t *testing.T) {
 	otherQuestion := func(m *dns.Msg) { m.Question[0].Name = "2.2.2.6.5.e164.test." }
 	if m, err := DecodeAnswer(packAnswer(t, otherQuestion), suffix); err != nil || m.Number != "56222" {
 		t.Errorf("%q, %v", m.Number, err)
 	}
-	var codeErr *ResponseCodeError
+}
+
+func TestResponseCodeError(t *testing.T) {
 	serverFailure := func(m *dns.Msg) { m.Rcode = dns.RcodeServerFailure }
-	if _, err := DecodeAnswer(packAnswer(t, serverFailure), suffix); !errors.As(err, &codeErr) || codeErr.Code != dns.RcodeServerFailure {
+	_, err := DecodeAnswer(packAnswer(t, serverFailure), suffix)
+	var codeErr *ResponseCodeError
+	if !errors.As(err, &codeErr) || codeErr.Code != dns.RcodeServerFailure {
 		t.Errorf("%v", err)
 	}
+}
+
+func TestDecodeTooLargeMessage(t *testing.T) {
 	if _, err := DecodeAnswer(make([]byte, 65535), suffix); !errors.Is(err, ErrNotAnAnswer) {
 		t.Error(err)
 	}
+}
+
+func TestEncodeQueryRejectsInvalidNumbers(t *testing.T) {
 	for _, number := range []string{"", "+56", strings.Repeat("1", 100)} {
 		if _, err := EncodeQuery(1, number, suffix); err == nil {
 			t.Errorf("a query for %q", number)
@@ -115,7 +135,10 @@
 	f.Add([]byte{0, 7, 0x80})
 	f.Fuzz(func(t *testing.T, b []byte) {
 		m, err := DecodeAnswer(b, suffix)
-		if err == nil && m.Number == "" || err != nil && m.Answer.Ported || m.Answer.Ported && m.Answer.Routing.String() == "" {
+		hasNoNumber := err == nil && m.Number == ""
+		isPortedWithError := err != nil && m.Answer.Ported
+		hasNoRouting := m.Answer.Ported && m.Answer.Routing.String() == ""
+		if hasNoNumber || isPortedWithError || hasNoRouting {
 			t.Fatalf("%+v %v", m, err)
 		}
 	})
