--- a/internal/server/numbers_test.go
+++ b/internal/server/numbers_test.go
@@ -24,258 +24,377 @@
 	return fmt.Sprintf("version = \"to %d\"\ndefault = \"r\"\n[[barred]]\nprefix = \"9\"\ncause = 17\n[[route]]\nname = \"r\"\n[[route.target]]\npool = %d\n", pool, pool)
 }
 
-// Tables are changed while calls are being set up and others arrive: each call goes by the table that it began with,
-// and by no other, as its records show.
-func TestTableSwappedInService(t *testing.T) {
-	t.Parallel()
-	nodes, answers := startFleet(t, 2), newAnswerLog()
-	for _, s := range nodes.exchanges {
+// A tableRun is a server whose table of numbers changes while calls are being set up.
+type tableRun struct {
+	*testServer
+	t      *testing.T
+	fleet  *fleet
+	file   string
+	dir    string         // of the records
+	pools  map[string]int // that all numbers go to, by the digest of a table
+	caller *jsonCaller
+	log    *answerLog
+}
+
+func startTableRun(t *testing.T) *tableRun {
+	t.Helper()
+	r := &tableRun{
+		t:     t,
+		fleet: startFleet(t, 2),
+		file:  filepath.Join(t.TempDir(), "numbers.toml"),
+		dir:   t.TempDir(),
+		pools: make(map[string]int),
+		log:   newAnswerLog(),
+	}
+	for _, s := range r.fleet.exchanges {
 		s.answersNothing = true // a call on an unresponsive connection is tried again: it must not be established then
 	}
-	file := filepath.Join(t.TempDir(), "numbers.toml")
-	digest := make(map[string]int) // pool by digest
-	write := func(pool int) {
-		t.Helper()
-		if err := os.WriteFile(file, []byte(numberRules(pool)), 0o600); err != nil {
-			t.Fatal(err)
-		}
-		table, _, err := numbering.Read(file, numbering.Env{Now: time.Duration(time.Now().UnixNano())})
-		if err != nil {
-			t.Fatal(err)
-		}
-		digest[table.Digest()] = pool
-	}
-	write(0)
-	nodes.numbers = &config.Numbering{File: file}
-	dir := t.TempDir()
-	s := nodes.startServer(t, "n0", dir, new(atomic.Int64))
-	client := dialJSONCaller(t, s.jsonAddress(), answers, "aaaaaaaa")
-	status := func() []numbering.Status {
-		got := make(chan []numbering.Status, 1)
-		s.server.loop.Execute(func() { got <- s.server.numbering.desk.List() })
-		return <-got
-	}
-	holds := func(pool int) (n int) {
-		for _, v := range status() {
-			if digest[v.Digest] == pool {
-				n += v.Pins
-			}
-		}
-		return n
-	}
-	if said := answers.await(t, client.setUp("911", 4*time.Second), 1); said != "end 17" {
-		t.Errorf("a barred number: %q", said)
-	}
-	held := client.setUp("100", 8*time.Second)
-	eventually(t, "it is at the server of pool 0", func() bool { return nodes.observations.attemptsTo("100") >= 1 })
-	for i := range 6 {
-		pool := (i + 1) % 2
-		write(pool)
-		s.server.ReloadNumbers()
-		eventually(t, "the table is in force", func() bool {
-			for _, v := range status() {
-				if v.State == numbering.InForce {
-					return digest[v.Digest] == pool
-				}
-			}
-			return false
-		})
-		number := fmt.Sprint("20", i)
-		key := client.setUp(number, 8*time.Second)
-		eventually(t, "it is at a server or refused", func() bool { return nodes.observations.attemptsTo(number) >= 1 || answers.of(key) != "" })
-	}
-	if holds(0) == 0 || holds(1) == 0 {
-		t.Errorf("calls hold %+v", status())
+	r.writeTable(0)
+	r.fleet.numbers = &config.Numbering{File: r.file}
+	r.testServer = r.fleet.startServer(t, "n0", r.dir, new(atomic.Int64))
+	r.caller = dialJSONCaller(t, r.jsonAddress(), r.log, "aaaaaaaa")
+	return r
+}
+
+// writeTable writes a table by which all numbers go to one pool.
+func (r *tableRun) writeTable(pool int) {
+	r.t.Helper()
+	if err := os.WriteFile(r.file, []byte(numberRules(pool)), 0o600); err != nil {
+		r.t.Fatal(err)
 	}
-	// A bad table changes nothing.
-	if err := os.WriteFile(file, []byte("default = \"none\""), 0o600); err != nil {
-		t.Fatal(err)
+	table, _, err := numbering.Read(r.file, numbering.Env{Now: time.Duration(time.Now().UnixNano())})
+	if err != nil {
+		r.t.Fatal(err)
 	}
-	before := status()
-	s.server.ReloadNumbers()
-	if after := status(); len(after) != len(before) || after[0].Digest != before[0].Digest || after[0].State != before[0].State {
-		t.Errorf("a bad table: %+v, before %+v", after, before)
+	r.pools[table.Digest()] = pool
+}
+
+// versions returns the versions of the table that the server holds.
+func (r *tableRun) versions() []numbering.Status {
+	versions := make(chan []numbering.Status, 1)
+	r.server.loop.Execute(func() { versions <- r.server.numbering.desk.List() })
+	return <-versions
+}
+
+// callsOf returns the number of calls that go by the tables of a pool.
+func (r *tableRun) callsOf(pool int) (calls int) {
+	for _, v := range r.versions() {
+		if r.pools[v.Digest] == pool {
+			calls += v.Pins
+		}
 	}
-	// The connection of the first call counts as unresponsive, as it does where this test is slow: the call is tried
-	// again, by the table that it began with.
-	again := nodes.observations.attemptsTo("100")
-	s.server.loop.Execute(func() {
-		s.server.loop.RunIteration(func() { s.server.backends.Get("s-0").Disconnect(call.Unresponsive) })
+	return calls
+}
+
+// swapTable puts the table of a pool in force.
+func (r *tableRun) swapTable(pool int) {
+	r.t.Helper()
+	r.writeTable(pool)
+	r.server.ReloadNumbers()
+	eventually(r.t, "the table is in force", func() bool {
+		for _, v := range r.versions() {
+			if v.State == numbering.InForce {
+				return r.pools[v.Digest] == pool
+			}
+		}
+		return false
 	})
-	eventually(t, "it is tried again", func() bool { return nodes.observations.attemptsTo("100") > again })
-	if holds(0) == 0 || holds(1) == 0 {
-		t.Errorf("while one is tried again calls hold %+v", status())
-	}
-	client.hangUp(held)
-	client.close()
-	eventually(t, "all calls have let go", func() bool { return holds(0)+holds(1) == 0 })
-	s.stop(t)
+}
 
-	// The records, call by call, are compared with the tables.
-	r, err := record.OpenDir(dir)
+// reloadBadTable checks that a bad table changes nothing.
+func (r *tableRun) reloadBadTable() {
+	r.t.Helper()
+	writeFile(r.t, r.file, "default = \"none\"")
+	before := r.versions()
+	r.server.ReloadNumbers()
+	after := r.versions()
+	if len(after) != len(before) || after[0].Digest != before[0].Digest || after[0].State != before[0].State {
+		r.t.Errorf("a bad table: %+v, before %+v", after, before)
+	}
+}
+
+// checkRecords compares the records, call by call, with the tables.
+func (r *tableRun) checkRecords() {
+	r.t.Helper()
+	reader, err := record.OpenDir(r.dir)
 	if err != nil {
-		t.Fatal(err)
+		r.t.Fatal(err)
 	}
-	defer func() { _ = r.Close() }()
+	defer func() { _ = reader.Close() }()
 	var rec record.Record
-	pools := make(map[string]int)
-	tries := make(map[int]int)
-	for r.Next(&rec) == nil {
+	pools := make(map[string]int) // by call
+	attempts := make(map[int]int) // by pool
+	for reader.Next(&rec) == nil {
 		switch rec.Kind {
 		case record.KindSetUp:
 			if strings.HasPrefix(rec.Number, "9") {
 				continue
 			}
-			pool, ok := digest[rec.Text]
+			pool, ok := r.pools[rec.Text]
 			if !ok {
-				t.Errorf("%s went by a table that there is not: %q", rec.Call, rec.Text)
+				r.t.Errorf("%s went by a table that there is not: %q", rec.Call, rec.Text)
 			}
 			pools[rec.Call] = pool
 		case record.KindTry:
 			if want := fmt.Sprint("s-", pools[rec.Call]); rec.Server != want {
-				t.Errorf("%s went to %s, its table says %s", rec.Call, rec.Server, want)
+				r.t.Errorf("%s went to %s, its table says %s", rec.Call, rec.Server, want)
 			}
-			tries[pools[rec.Call]]++
+			attempts[pools[rec.Call]]++
 		}
 	}
-	if tries[0] == 0 || tries[1] == 0 {
-		t.Errorf("attempts by pool: %v", tries)
+	if attempts[0] == 0 || attempts[1] == 0 {
+		r.t.Errorf("attempts by pool: %v", attempts)
 	}
 }
 
-// Versions are loaded and put in force over the admin address; of two operators one wins; what is in force survives a
-// kill, and a damaged version gives way to the last good one.
-func TestVersionsInService(t *testing.T) {
+// Tables are changed while calls are being set up and others arrive: each call goes by the table that it began with,
+// and by no other, as its records show.
+func TestTableSwappedInService(t *testing.T) {
 	t.Parallel()
-	nodes, dir := startFleet(t, 2), t.TempDir()
-	write := func(name, text string) string {
-		t.Helper()
-		path := filepath.Join(dir, name)
-		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
-			t.Fatal(err)
-		}
-		return path
-	}
-	nodes.numbers = &config.Numbering{File: write("first.toml", numberRules(0)), State: filepath.Join(dir, "state")}
-	s := nodes.startServer(t, "n0", "", new(atomic.Int64))
-	ask := func(s *testServer, c *h248.Command) ([]numbering.Status, numbering.Job, error) {
-		reply, err := adminapi.Send(context.Background(), s.adminAddress(), c)
-		if err != nil {
-			return nil, numbering.Job{}, err
-		}
-		versions, job := adminapi.ParseNumbering(reply.Descriptors)
-		return versions, job, nil
-	}
-	list := func(s *testServer) ([]numbering.Status, numbering.Job) {
-		t.Helper()
-		versions, job, err := ask(s, adminapi.AuditCommand(adminapi.NumberingTermination))
-		if err != nil {
-			t.Fatal(err)
-		}
-		return versions, job
-	}
-	inForce := func(s *testServer) (digest string) {
-		versions, _ := list(s)
-		for _, v := range versions {
-			if v.State == numbering.InForce {
-				digest = v.Digest
-			}
-		}
-		return digest
-	}
-	order := func(s *testServer, o numbering.Order) numbering.Job {
-		t.Helper()
-		_, begun, err := ask(s, adminapi.NumberingCommand(o))
-		if err != nil {
-			return numbering.Job{Err: err.Error()}
-		}
-		var job numbering.Job
-		eventually(t, "the order ends", func() bool {
-			_, job = list(s)
-			return job.ID == begun.ID && !job.Running
+	r := startTableRun(t)
+	attemptsTo := r.fleet.observations.attemptsTo
+	if got := r.log.await(t, r.caller.setUp("911", 4*time.Second), 1); got != "end 17" {
+		t.Errorf("a barred number: %q", got)
+	}
+	const number = "100"
+	first := r.caller.setUp(number, 8*time.Second)
+	eventually(t, "it is at the exchange of pool 0", func() bool { return attemptsTo(number) >= 1 })
+	for i := range 6 {
+		r.swapTable((i + 1) % 2)
+		number := fmt.Sprint("20", i)
+		key := r.caller.setUp(number, 8*time.Second)
+		eventually(t, "it is at an exchange or rejected", func() bool {
+			return attemptsTo(number) >= 1 || r.log.of(key) != ""
 		})
-		return job
-	}
-	first := inForce(s)
-	if job := order(s, numbering.Order{Op: numbering.OpLoad, File: write("bad.toml", "default = \"none\"")}); !strings.Contains(job.Err, "there is no route") {
-		t.Errorf("a bad file: %+v", job)
-	}
-	second := order(s, numbering.Order{Op: numbering.OpLoad, File: write("second.toml", numberRules(1))})
-	if second.Err != "" || second.Digest == "" || inForce(s) != first {
-		t.Fatalf("%+v; in force %s", second, inForce(s))
 	}
-	if job := order(s, numbering.Order{Op: numbering.OpActivate, Digest: second.Digest, Saw: first}); job.Err != "" || inForce(s) != second.Digest {
-		t.Fatalf("%+v; in force %s", job, inForce(s))
-	}
-	if job := order(s, numbering.Order{Op: numbering.OpActivate, Digest: first, Saw: first}); !strings.Contains(job.Err, "not the one you saw") || inForce(s) != second.Digest {
-		t.Errorf("the second of two operators: %+v", job)
-	}
-	if job := order(s, numbering.Order{Op: numbering.OpActivate, Digest: first, Saw: second.Digest, At: time.Duration(time.Now().Add(time.Hour).UnixNano())}); job.Err != "" {
-		t.Errorf("%+v", job)
+	if r.callsOf(0) == 0 || r.callsOf(1) == 0 {
+		t.Errorf("calls hold %+v", r.versions())
 	}
-	if versions, _ := list(s); len(versions) != 2 {
-		t.Errorf("%+v", versions)
-	}
-	if _, _, err := ask(&testServer{server: s.server}, &h248.Command{Name: "Modify", Termination: adminapi.NumberingTermination}); err == nil {
-		t.Error("an order without a word was taken")
+	r.reloadBadTable()
+	// The connection of the first call counts as unresponsive, as it does where this test is slow: the call is tried
+	// again, by the table that it began with.
+	before := attemptsTo(number)
+	r.server.loop.ExecuteIteration(func() { r.server.backends.Get("s-0").Disconnect(call.Unresponsive) })
+	eventually(t, "it is tried again", func() bool { return attemptsTo(number) > before })
+	if r.callsOf(0) == 0 || r.callsOf(1) == 0 {
+		t.Errorf("while one is tried again calls hold %+v", r.versions())
+	}
+	r.caller.hangUp(first)
+	r.caller.close()
+	eventually(t, "no call holds a table", func() bool { return r.callsOf(0)+r.callsOf(1) == 0 })
+	r.stop(t)
+	r.checkRecords()
+}
+
+// A versionRun is a server whose versions of the table are changed over the admin address.
+type versionRun struct {
+	*testServer
+	t     *testing.T
+	fleet *fleet
+	dir   string
+}
+
+func startVersionRun(t *testing.T) *versionRun {
+	t.Helper()
+	r := &versionRun{t: t, fleet: startFleet(t, 2), dir: t.TempDir()}
+	r.fleet.numbers = &config.Numbering{
+		File:  r.writeRules("first.toml", numberRules(0)),
+		State: filepath.Join(r.dir, "state"),
+	}
+	r.start()
+	return r
+}
+
+func (r *versionRun) start() {
+	r.t.Helper()
+	r.testServer = r.fleet.startServer(r.t, "n0", "", new(atomic.Int64))
+}
+
+// writeRules writes rules to a file and returns its path.
+func (r *versionRun) writeRules(name, text string) (path string) {
+	r.t.Helper()
+	path = filepath.Join(r.dir, name)
+	writeFile(r.t, path, text)
+	return path
+}
+
+// ask sends a command to the admin address.
+func (r *versionRun) ask(c *h248.Command) ([]numbering.Status, numbering.Job, error) {
+	reply, err := adminapi.Send(context.Background(), r.adminAddress(), c)
+	if err != nil {
+		return nil, numbering.Job{}, err
 	}
-	if _, err := adminapi.Send(context.Background(), s.gatewayAddress(), adminapi.NumberingCommand(numbering.Order{Op: numbering.OpCancel})); err == nil {
-		t.Error("a gateway may order")
+	versions, job := adminapi.ParseNumbering(reply.Descriptors)
+	return versions, job, nil
+}
+
+// list returns the versions that the server holds, and the last order.
+func (r *versionRun) list() ([]numbering.Status, numbering.Job) {
+	r.t.Helper()
+	versions, job, err := r.ask(adminapi.AuditCommand(adminapi.NumberingTermination))
+	if err != nil {
+		r.t.Fatal(err)
 	}
+	return versions, job
+}
 
-	// What a kill leaves: the folder as it is now.
-	killed := filepath.Join(dir, "killed")
-	copyStore(t, nodes.numbers.State, killed)
-	s.stop(t)
-	nodes.numbers = &config.Numbering{File: nodes.numbers.File, State: killed}
-	s = nodes.startServer(t, "n0", "", new(atomic.Int64))
-	versions, _ := list(s)
-	waiting := ""
+// digestWhere returns the digest of the version that matches; "": there is none.
+func (r *versionRun) digestWhere(matches func(numbering.Status) bool) (digest string) {
+	r.t.Helper()
+	versions, _ := r.list()
 	for _, v := range versions {
-		if v.State == numbering.Waiting {
-			waiting = v.Digest
+		if matches(v) {
+			digest = v.Digest
 		}
 	}
-	if inForce(s) != second.Digest || waiting != first {
-		t.Errorf("after a kill: %+v", versions)
+	return digest
+}
+
+// inForce returns the digest of the version in force.
+func (r *versionRun) inForce() string {
+	return r.digestWhere(func(v numbering.Status) bool { return v.State == numbering.InForce })
+}
+
+// waiting returns the digest of the version that is to come into force later.
+func (r *versionRun) waiting() string {
+	return r.digestWhere(func(v numbering.Status) bool { return v.State == numbering.Waiting })
+}
+
+// order gives an order and waits for its end.
+func (r *versionRun) order(o numbering.Order) numbering.Job {
+	r.t.Helper()
+	_, begun, err := r.ask(adminapi.NumberingCommand(o))
+	if err != nil {
+		return numbering.Job{Err: err.Error()}
 	}
-	if job := order(s, numbering.Order{Op: numbering.OpCancel}); job.Err != "" {
-		t.Errorf("%+v", job)
+	var job numbering.Job
+	eventually(r.t, "the order ends", func() bool {
+		_, job = r.list()
+		return job.ID == begun.ID && !job.Running
+	})
+	return job
+}
+
+// changeVersions loads a second version and puts it in force, and the first again in an hour. It returns their digests.
+func (r *versionRun) changeVersions() (first, second string) {
+	r.t.Helper()
+	first = r.inForce()
+	bad := numbering.Order{Op: numbering.OpLoad, File: r.writeRules("bad.toml", "default = \"none\"")}
+	if job := r.order(bad); !strings.Contains(job.Err, "there is no route") {
+		r.t.Errorf("a bad file: %+v", job)
+	}
+	load := numbering.Order{Op: numbering.OpLoad, File: r.writeRules("second.toml", numberRules(1))}
+	loaded := r.order(load)
+	second = loaded.Digest
+	if loaded.Err != "" || second == "" || r.inForce() != first {
+		r.t.Fatalf("%+v; in force %s", loaded, r.inForce())
+	}
+	job := r.order(numbering.Order{Op: numbering.OpActivate, Digest: second, Saw: first})
+	if job.Err != "" || r.inForce() != second {
+		r.t.Fatalf("%+v; in force %s", job, r.inForce())
+	}
+	job = r.order(numbering.Order{Op: numbering.OpActivate, Digest: first, Saw: first})
+	if !strings.Contains(job.Err, "not the one you saw") || r.inForce() != second {
+		r.t.Errorf("the second of two operators: %+v", job)
+	}
+	inAnHour := time.Duration(time.Now().Add(time.Hour).UnixNano())
+	job = r.order(numbering.Order{Op: numbering.OpActivate, Digest: first, Saw: second, At: inAnHour})
+	if job.Err != "" {
+		r.t.Errorf("%+v", job)
+	}
+	if versions, _ := r.list(); len(versions) != 2 {
+		r.t.Errorf("%+v", versions)
+	}
+	return first, second
+}
+
+// checkInvalidOrders checks that an order needs a form and the admin address.
+func (r *versionRun) checkInvalidOrders() {
+	r.t.Helper()
+	empty := &h248.Command{Name: "Modify", Termination: adminapi.NumberingTermination}
+	if _, _, err := r.ask(empty); err == nil {
+		r.t.Error("an empty order was taken")
 	}
-	if job := order(s, numbering.Order{Op: numbering.OpRollback, Saw: second.Digest}); job.Err != "" || inForce(s) != first {
-		t.Errorf("%+v; in force %s", job, inForce(s))
+	cancel := adminapi.NumberingCommand(numbering.Order{Op: numbering.OpCancel})
+	if _, err := adminapi.Send(context.Background(), r.gatewayAddress(), cancel); err == nil {
+		r.t.Error("a gateway may order")
 	}
-	s.stop(t)
+}
 
-	// The last state is torn: the one before holds, in which the second was in force.
-	files, err := filepath.Glob(filepath.Join(killed, "standing-*"))
+// restartAfterKill starts the server from what a kill leaves: the folder as it is now.
+func (r *versionRun) restartAfterKill() {
+	r.t.Helper()
+	killed := filepath.Join(r.dir, "killed")
+	copyStore(r.t, r.fleet.numbers.State, killed)
+	r.stop(r.t)
+	r.fleet.numbers = &config.Numbering{File: r.fleet.numbers.File, State: killed}
+	r.start()
+}
+
+// tearState cuts the last state of the store in half.
+func (r *versionRun) tearState() {
+	r.t.Helper()
+	files, err := filepath.Glob(filepath.Join(r.fleet.numbers.State, stateName+"-*"))
 	if err != nil || len(files) < 2 {
-		t.Fatal(files, err)
+		r.t.Fatal(files, err)
 	}
 	last := files[len(files)-1]
 	b, err := os.ReadFile(last)
 	if err != nil {
-		t.Fatal(err)
+		r.t.Fatal(err)
 	}
 	if err := os.WriteFile(last, b[:len(b)/2], 0o600); err != nil {
-		t.Fatal(err)
+		r.t.Fatal(err)
 	}
-	s = nodes.startServer(t, "n0", "", new(atomic.Int64))
-	if got := inForce(s); got != second.Digest {
-		t.Errorf("after a torn standing %s is in force", got)
-	}
-	s.stop(t)
-	// The rules of the version in force are damaged: the state before, which names another, holds.
-	rules, err := filepath.Glob(filepath.Join(killed, second.Digest+"-*"))
+}
+
+// damageRules destroys the stored rules of a version.
+func (r *versionRun) damageRules(digest string) {
+	r.t.Helper()
+	rules, err := filepath.Glob(filepath.Join(r.fleet.numbers.State, digest+"-*"))
 	if err != nil || len(rules) != 1 {
-		t.Fatal(rules, err)
+		r.t.Fatal(rules, err)
 	}
 	if err := os.WriteFile(rules[0], []byte("torn"), 0o600); err != nil {
-		t.Fatal(err)
+		r.t.Fatal(err)
+	}
+}
+
+// Versions are loaded and put in force over the admin address; of two operators one wins; what is in force survives a
+// kill, and a damaged version gives way to the last good one.
+func TestVersionsInService(t *testing.T) {
+	t.Parallel()
+	r := startVersionRun(t)
+	first, second := r.changeVersions()
+	r.checkInvalidOrders()
+
+	r.restartAfterKill()
+	if r.inForce() != second || r.waiting() != first {
+		versions, _ := r.list()
+		t.Errorf("after a kill: %+v", versions)
+	}
+	if job := r.order(numbering.Order{Op: numbering.OpCancel}); job.Err != "" {
+		t.Errorf("%+v", job)
+	}
+	job := r.order(numbering.Order{Op: numbering.OpRollback, Saw: second})
+	if job.Err != "" || r.inForce() != first {
+		t.Errorf("%+v; in force %s", job, r.inForce())
 	}
-	s = nodes.startServer(t, "n0", "", new(atomic.Int64))
-	if got := inForce(s); got != first {
+	r.stop(t)
+
+	// The last state is torn: the one before holds, in which the second was in force.
+	r.tearState()
+	r.start()
+	if got := r.inForce(); got != second {
+		t.Errorf("after a torn state %s is in force", got)
+	}
+	r.stop(t)
+
+	// The rules of the version in force are damaged: the state before, which names another, holds.
+	r.damageRules(second)
+	r.start()
+	if got := r.inForce(); got != first {
 		t.Errorf("with damaged rules %s is in force", got)
 	}
-	s.stop(t)
+	r.stop(t)
 }
