--- a/cmd/olivesim/cluster.go
+++ b/cmd/olivesim/cluster.go
@@ -190,7 +190,8 @@
 		_, _ = fmt.Fprintf(c.ErrOrStderr(), "reproduce: olivesim run %s --floor sockets --schedule %s\n",
 			days.path, filepath.Join(options.Dir, "schedule.toml"))
 	}
-	if isTemporary := f.dir == ""; isTemporary && res.Broken == 0 {
+	isTemporary := f.dir == ""
+	if isTemporary && res.Broken == 0 {
 		return res, os.RemoveAll(options.Dir)
 	}
 	return res, nil
