--- /dev/null
+++ b/internal/sim/invariant/callstate.go
@@ -0,0 +1,41 @@
+package invariant
+
+import "slices"
+
+// maxEvents bounds the events that are kept for each call.
+const maxEvents = 32
+
+// callState is what the checker knows about one call of one controller.
+type callState struct {
+	answer  answerState
+	attempt attemptState
+	events  []Event
+}
+
+// answerState follows the final answer of a call.
+type answerState struct {
+	isDue     bool
+	isOver    bool // the final answer was given or missed, or the caller abandoned the call
+	isMissed  bool // it was not given when the caller abandoned the call; a late answer is not reported as well
+	isExcused bool // the controller was paused while the answer was due: it may be late
+	deadline  Time // the caller abandons the call then
+}
+
+// attemptState follows the attempts of a call.
+type attemptState struct {
+	openAt     string // server of the open attempt; "": none is open
+	number     int    // of the latest attempt
+	mayHaveRun bool   // the latest attempt has ended and may have run
+	endedAt    Time   // set with mayHaveRun
+}
+
+// isOpen reports whether an event belongs to the open attempt.
+func (a *attemptState) isOpen(e Event) bool { return a.openAt == e.Server && a.number == e.N }
+
+// keep appends an event. The first event, the offer, is never dropped.
+func (c *callState) keep(e Event) {
+	if len(c.events) == maxEvents {
+		c.events = slices.Delete(c.events, 1, 2)
+	}
+	c.events = append(c.events, e)
+}
--- /dev/null
+++ b/internal/sim/invariant/checkcall.go
@@ -0,0 +1,98 @@
+package invariant
+
+// seeCall checks an event of a call.
+func (c *Checker) seeCall(e Event) {
+	call := c.callOf(e)
+	if call == nil {
+		return
+	}
+	call.keep(e)
+	switch e.Kind {
+	case SetUp:
+		c.offer(e, call)
+	case Stands, Refused:
+		c.finalAnswer(e, call)
+	case CallerEnd:
+		call.answer.isDue, call.answer.isOver = false, true
+	case Invite:
+		c.startAttempt(e, call)
+	case Cancel, Broke:
+		if call.attempt.isOpen(e) {
+			call.attempt.openAt = ""
+			call.attempt.mayHaveRun, call.attempt.endedAt = true, e.At
+		}
+	case Unsent, TurnedBack, Answer:
+		if call.attempt.isOpen(e) {
+			call.attempt.openAt = ""
+		}
+	case Told, Killed, PushedOver, Paused: // events of no call, see Checker.See
+	}
+}
+
+// callOf returns the state of the event's call. An offer creates it. Otherwise it returns nil for an unknown call, and
+// reports the event if it needs a call that is known.
+func (c *Checker) callOf(e Event) *callState {
+	key := callKey{e.Node, e.Call}
+	call := c.calls[key]
+	if call != nil {
+		return call
+	}
+	switch e.Kind {
+	case SetUp:
+		call = &callState{}
+		c.calls[key] = call
+	case Stands, Refused, Invite:
+		c.report(OneAnswer, e, nil, "%v of a call that nobody asked for, or that is long over", e.Kind)
+	default: // late messages about a call that is over are harmless
+	}
+	return call
+}
+
+// offer begins a call. A repeated offer changes nothing.
+func (c *Checker) offer(e Event, call *callState) {
+	answer := &call.answer
+	if answer.isDue || answer.isOver {
+		return
+	}
+	answer.isDue = true
+	answer.deadline = e.Until
+	answer.isExcused = c.isPaused[e.Node]
+	c.deadlines.Push(e.Until+c.limits.Slack, callKey{e.Node, e.Call})
+}
+
+func (c *Checker) finalAnswer(e Event, call *callState) {
+	answer := &call.answer
+	isLate := e.At > answer.deadline+c.limits.Slack && !answer.isExcused
+	switch {
+	case answer.isMissed:
+		answer.isMissed = false
+	case !answer.isDue:
+		c.report(OneAnswer, e, call, "a second final answer to %s: %v", e.Call, e.Kind)
+	case isLate:
+		c.report(InTime, e, call, "the answer to %s came %v after its caller had given up", e.Call, e.At-answer.deadline)
+	}
+	answer.isDue, answer.isOver = false, true
+}
+
+// startAttempt checks a new attempt against all rules on attempts.
+func (c *Checker) startAttempt(e Event, call *callState) {
+	attempt := &call.attempt
+	if attempt.openAt != "" {
+		c.report(OneAttempt, e, call, "%s was sent to %s while its attempt %d was out at %s",
+			e.Call, e.Server, attempt.number, attempt.openAt)
+	}
+	if call.answer.isOver {
+		c.report(OneAnswer, e, call, "%s was sent to %s after its final answer", e.Call, e.Server)
+	}
+	isWithinRetryGuard := e.At-attempt.endedAt < c.limits.Release-c.limits.Slack
+	if attempt.mayHaveRun && isWithinRetryGuard {
+		c.report(ReleaseKept, e, call, "%s was sent again %v after an attempt that may have run",
+			e.Call, e.At-attempt.endedAt)
+	}
+	since, isInactive := c.inactiveSince[serverKey{e.Node, e.Server}]
+	if isInactive && e.At-since > c.limits.Drain+c.limits.Slack {
+		c.report(DrainsKept, e, call, "%s was sent to %s %v after the news that it drains or is gone",
+			e.Call, e.Server, e.At-since)
+	}
+	attempt.openAt, attempt.number, attempt.mayHaveRun = e.Server, e.N, false
+}
--- /dev/null
+++ b/internal/sim/invariant/checker_test.go
@@ -0,0 +1,130 @@
+package invariant
+
+import (
+	"testing"
+	"time"
+)
+
+const ms = time.Millisecond
+
+// check passes events of one call to a new Checker. Events without a time follow each other after 1 ms; other times
+// are relative to the start.
+func check(events ...Event) *Checker {
+	const start = time.Second
+	c := New(Defaults())
+	now := start
+	for _, e := range events {
+		now += ms
+		if e.At > 0 {
+			now = start + e.At
+		}
+		e.At = now
+		if e.Node == "" {
+			e.Node = "n"
+		}
+		if e.Call == "" && e.Kind != Told && e.Kind != Killed {
+			e.Call = "c"
+		}
+		if e.Kind == SetUp {
+			e.Until = now + 3*time.Second
+		}
+		c.See(e)
+	}
+	c.End(now)
+	return c
+}
+
+func invite(server string, attempt int, at time.Duration) Event {
+	return on(Invite, server, attempt, at)
+}
+
+// on returns an event of an attempt.
+func on(kind Kind, server string, attempt int, at time.Duration) Event {
+	return Event{Kind: kind, Server: server, N: attempt, At: at}
+}
+
+// inactive returns an endpoint update that a server drains.
+func inactive(server string, at time.Duration) Event {
+	return Event{Kind: Told, Server: server, On: true, At: at}
+}
+
+// A violation is reported under the name of its rule only, and nothing else is reported.
+func TestRules(t *testing.T) {
+	setUp, established, rejected := Event{Kind: SetUp}, Event{Kind: Stands}, Event{Kind: Refused}
+	callerEnd := Event{Kind: CallerEnd}
+	lateSetUp := Event{Kind: SetUp, At: 1990 * ms}
+	for name, test := range map[string]struct {
+		want   Rule // "": no violation
+		events []Event
+	}{
+		"answered":              {"", []Event{setUp, invite("x", 0, 0), on(Answer, "x", 0, 0), established}},
+		"answered twice":        {OneAnswer, []Event{setUp, established, rejected}},
+		"answer to no call":     {OneAnswer, []Event{established}},
+		"no answer":             {InTime, []Event{setUp, invite("x", 0, 0)}},
+		"late answer":           {InTime, []Event{setUp, {Kind: Stands, At: 4 * time.Second}}},
+		"abandoned":             {"", []Event{setUp, callerEnd}},
+		"controller killed":     {"", []Event{setUp, {Kind: Killed}}},
+		"two open attempts":     {OneAttempt, []Event{setUp, invite("x", 0, 0), invite("y", 1, 0), established}},
+		"attempts in sequence":  {"", []Event{setUp, invite("x", 0, 0), on(TurnedBack, "x", 0, 0), invite("y", 1, 0), established}},
+		"attempt after answer":  {OneAnswer, []Event{setUp, rejected, invite("x", 0, 0)}},
+		"attempt after abandon": {OneAnswer, []Event{setUp, callerEnd, invite("x", 0, 0)}},
+		"cold server crashed":   {ColdSpared, []Event{{Kind: PushedOver, Server: "x"}}},
+		"retry within the guard after a cancel": {ReleaseKept, []Event{
+			setUp, invite("x", 0, 10*ms), on(Cancel, "x", 0, 20*ms), invite("y", 1, 319*ms), established,
+		}},
+		"retry after the guard": {"", []Event{
+			setUp, invite("x", 0, 10*ms), on(Cancel, "x", 0, 20*ms), invite("y", 1, 320*ms), established,
+		}},
+		"retry within the guard after a reset": {ReleaseKept, []Event{
+			setUp, invite("x", 0, 10*ms), on(Broke, "x", 0, 20*ms), invite("x", 1, 30*ms), established,
+		}},
+		"retry of an unsent attempt": {"", []Event{
+			setUp, invite("x", 0, 10*ms), on(Unsent, "x", 0, 20*ms), invite("x", 1, 21*ms), established,
+		}},
+		"draining server, soon": {"", []Event{
+			inactive("x", ms), lateSetUp, invite("x", 0, 2*time.Second), established,
+		}},
+		"draining server": {DrainsKept, []Event{
+			inactive("x", ms), lateSetUp, invite("x", 0, 2002*ms), established,
+		}},
+		"draining server, updated twice": {DrainsKept, []Event{
+			inactive("x", ms), inactive("x", 1900*ms), lateSetUp, invite("x", 0, 2002*ms), established,
+		}},
+		"server that is active again": {"", []Event{
+			inactive("x", ms), {Kind: Told, Server: "x", At: 1900 * ms}, lateSetUp, invite("x", 0, 2500*ms), established,
+		}},
+		"cancel of an earlier attempt": {OneAttempt, []Event{
+			setUp, invite("x", 0, 0), on(TurnedBack, "x", 0, 0), invite("x", 1, 0), on(Cancel, "x", 0, 0),
+			invite("y", 2, 0), established,
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := check(test.events...)
+			for _, r := range All {
+				if n := c.Count(r); (n > 0) != (r == test.want) {
+					t.Errorf("%s: %d violations", r, n)
+				}
+			}
+			if test.want != "" && len(c.Breaches()[0].Around) == 0 {
+				t.Error("the violation has no events")
+			}
+		})
+	}
+}
+
+// A long run keeps no more than the open calls and those that ended within the retention.
+func TestBounds(t *testing.T) {
+	c := New(Defaults())
+	for i := range 100_000 {
+		at := time.Duration(i) * ms
+		id := string(rune('a'+i%26)) + time.Duration(i).String()
+		c.See(Event{Kind: SetUp, At: at, Node: "n", Call: id, Until: at + 100*ms})
+		c.See(Event{Kind: Refused, At: at, Node: "n", Call: id})
+	}
+	if n := len(c.calls); n > 11_000 {
+		t.Errorf("%d calls are kept", n)
+	}
+	if c.Total() != 0 {
+		t.Errorf("%d violations", c.Total())
+	}
+}
--- /dev/null
+++ b/internal/sim/invariant/rule.go
@@ -0,0 +1,48 @@
+package invariant
+
+import (
+	"fmt"
+	"time"
+)
+
+// Rule names an invariant.
+type Rule string
+
+// The rules.
+const (
+	OneAnswer   Rule = "one_answer"   // an offered call gets exactly one final answer
+	InTime      Rule = "in_time"      // the final answer comes before the caller abandons the call
+	OneAttempt  Rule = "one_attempt"  // at most one attempt of a call is open at a time
+	DrainsKept  Rule = "drains_kept"  // no attempt at a server that drains or is removed, Limits.Drain after the update
+	ColdSpared  Rule = "cold_spared"  // no server crashes by overload during its slow start
+	ReleaseKept Rule = "release_kept" // no attempt within Limits.Release of a timeout, reset or cancel (retry guard)
+)
+
+// All lists the rules.
+var All = []Rule{OneAnswer, InTime, OneAttempt, DrainsKept, ColdSpared, ReleaseKept}
+
+// Limits are the time limits of the rules.
+type Limits struct {
+	Drain   time.Duration // how long attempts may go on after the update that a server drains or is removed
+	Release time.Duration // the retry guard
+	Slack   time.Duration // tolerance for clocks and transmission times; 0 in virtual time
+}
+
+// Defaults returns the limits that the operators require.
+func Defaults() Limits { return Limits{Drain: 2 * time.Second, Release: 300 * time.Millisecond} }
+
+// Breach is a violation of a rule. It implements error.
+type Breach struct {
+	Rule   Rule
+	At     Time
+	Node   string // name of the controller
+	Call   string
+	Server string
+	Text   string
+	Around []Event // the latest events of the call, or the event itself if it belongs to no known call
+}
+
+// Error implements error.
+func (b *Breach) Error() string {
+	return fmt.Sprintf("%s broken at %.6f by %s: %s", b.Rule, b.At.Seconds(), b.Node, b.Text)
+}
