--- a/internal/sim/cluster/inject_store.go
+++ b/internal/sim/cluster/inject_store.go
@@ -20,19 +20,19 @@
 	}
 	switch f.Kind {
 	case FaultWatchStall:
-		during(r.etcd.Stall)
+		during(r.etcd.StallWatches)
 	case FaultNoLeader:
-		during(r.etcd.NoLeader)
+		during(r.etcd.SetNoLeader)
 	case FaultKeepAliveLoss:
-		during(r.etcd.MuteLeases)
+		during(r.etcd.IgnoreKeepAlives)
 	case FaultStaleReads:
-		r.etcd.Stale(staleRevisions)
+		r.etcd.SetStaleReads(staleRevisions)
 		pause(ctx, f.Duration.D())
-		r.etcd.Stale(0)
+		r.etcd.SetStaleReads(0)
 	case FaultLostResponses:
-		r.etcd.LoseAnswers(lostResponses)
+		r.etcd.LoseResponses(lostResponses)
 		pause(ctx, f.Duration.D())
-		r.etcd.LoseAnswers(0)
+		r.etcd.LoseResponses(0)
 	case FaultCompaction:
 		r.etcd.Forget()
 	case FaultRestore:
--- /dev/null
+++ b/internal/sim/fakeetcd/faults.go
@@ -0,0 +1,109 @@
+package fakeetcd
+
+import (
+	"time"
+
+	"go.etcd.io/etcd/api/v3/v3rpc/rpctypes"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+)
+
+// faults are the faults that are active.
+type faults struct {
+	watchesStalled    bool  // watches are accepted and deliver nothing, without an error
+	noLeader          bool  // requests fail, and watches that require a leader end
+	keepAlivesIgnored bool  // leases are not renewed, and clients get no response
+	staleRevisions    int64 // serializable reads are so many revisions behind
+	lostResponses     int   // so many responses to the next writes are lost
+}
+
+// setFaults changes the active faults.
+func (s *Server) setFaults(change func(*faults)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change(&s.faults)
+	s.notifyWatches()
+}
+
+// StallWatches has watches deliver nothing, without an error, while on is true.
+func (s *Server) StallWatches(on bool) { s.setFaults(func(f *faults) { f.watchesStalled = on }) }
+
+// SetNoLeader has requests fail for want of a leader while on is true.
+func (s *Server) SetNoLeader(on bool) {
+	s.setFaults(func(f *faults) {
+		f.noLeader = on
+		s.term++
+	})
+}
+
+// IgnoreKeepAlives has keep-alive requests get no response and no effect while on is true.
+func (s *Server) IgnoreKeepAlives(on bool) { s.setFaults(func(f *faults) { f.keepAlivesIgnored = on }) }
+
+// SetStaleReads has serializable reads return the state of so many revisions ago, as a member does that lags.
+func (s *Server) SetStaleReads(revisions int64) {
+	s.setFaults(func(f *faults) { f.staleRevisions = revisions })
+}
+
+// LoseResponses loses the responses to the next n writes, which take effect.
+func (s *Server) LoseResponses(n int) { s.setFaults(func(f *faults) { f.lostResponses = n }) }
+
+// Forget compacts the whole history; watches that are behind it get an error.
+func (s *Server) Forget() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.compact(s.revision)
+	s.notifyWatches()
+}
+
+// AdvanceClock moves the server's clock, by which leases expire.
+func (s *Server) AdvanceClock(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.clockShift += d
+	s.revokeExpired()
+}
+
+// Restore goes back to the state at a revision, as a restore from a backup does: the revision is lower from then on,
+// there are no leases, and the cluster has another id if newCluster. Connections are reset.
+func (s *Server) Restore(revision int64, newCluster bool) error {
+	if err := s.resetTo(revision, newCluster); err != nil {
+		return err
+	}
+	s.Stop()
+	return s.Serve()
+}
+
+func (s *Server) resetTo(revision int64, newCluster bool) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	keys, err := s.keysAt(revision)
+	if err != nil {
+		return err
+	}
+	s.keys = keys
+	s.revision = revision
+	s.compacted = min(s.compacted, revision)
+	s.events = nil
+	s.leases = make(map[int64]*lease)
+	if newCluster {
+		s.clusterID++
+	}
+	return nil
+}
+
+// checkLeader returns an error if there is no leader. Server.mu is held.
+func (s *Server) checkLeader() error {
+	if s.faults.noLeader {
+		return rpctypes.ErrGRPCNoLeader
+	}
+	return nil
+}
+
+// loseResponse returns an error in place of the response to a write, if that is to be lost. Server.mu is held.
+func (s *Server) loseResponse() error {
+	if s.faults.lostResponses == 0 {
+		return nil
+	}
+	s.faults.lostResponses--
+	return status.Error(codes.Unavailable, "the response was lost")
+}
--- a/internal/sim/fakeetcd/kv.go
+++ b/internal/sim/fakeetcd/kv.go
@@ -16,21 +16,23 @@
 func (s *Server) Range(_ context.Context, r *pb.RangeRequest) (*pb.RangeResponse, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if err := s.ready(); err != nil && !r.Serializable {
+	if err := s.checkLeader(); err != nil && !r.Serializable {
 		return nil, err
 	}
-	if r.Serializable && s.faults.stale > 0 && r.Revision == 0 { // of a member that lags
-		r.Revision = max(s.revision-s.faults.stale, s.compacted, 1)
-		out, err := s.read(r)
-		if err == nil {
-			out.Header.Revision = r.Revision
-		}
-		return out, err
+	isStale := r.Serializable && s.faults.staleRevisions > 0 && r.Revision == 0
+	if !isStale {
+		return s.read(r)
+	}
+	r.Revision = max(s.revision-s.faults.staleRevisions, s.compacted, 1)
+	response, err := s.read(r)
+	if err != nil {
+		return nil, err
 	}
-	return s.read(r)
+	response.Header.Revision = r.Revision
+	return response, nil
 }
 
-// read answers a Range; the lock is held.
+// read answers a range request. Server.mu is held.
 func (s *Server) read(r *pb.RangeRequest) (*pb.RangeResponse, error) {
 	if len(r.Key) == 0 {
 		return nil, rpctypes.ErrGRPCEmptyKey
@@ -38,19 +40,47 @@
 	keys := s.keys
 	if r.Revision > 0 {
 		var err error
-		if keys, err = s.at(r.Revision); err != nil {
+		if keys, err = s.keysAt(r.Revision); err != nil {
 			return nil, err
 		}
 	}
-	all := slices.DeleteFunc(slices.Collect(maps.Values(keys)), func(kv *mvccpb.KeyValue) bool {
-		return !within(kv.Key, r.Key, r.RangeEnd)
+	found := slices.DeleteFunc(slices.Collect(maps.Values(keys)), func(kv *mvccpb.KeyValue) bool {
+		return !inRange(kv.Key, r.Key, r.RangeEnd)
 	})
-	out := &pb.RangeResponse{Header: s.header(), Count: int64(len(all))}
-	all = slices.DeleteFunc(all, func(kv *mvccpb.KeyValue) bool {
-		return kv.ModRevision < r.MinModRevision || r.MaxModRevision > 0 && kv.ModRevision > r.MaxModRevision ||
-			kv.CreateRevision < r.MinCreateRevision || r.MaxCreateRevision > 0 && kv.CreateRevision > r.MaxCreateRevision
-	})
-	slices.SortFunc(all, byKey)
+	response := &pb.RangeResponse{Header: s.header(), Count: int64(len(found))}
+	found = slices.DeleteFunc(found, func(kv *mvccpb.KeyValue) bool { return !inRevisionBounds(r, kv) })
+	sortKeys(r, found)
+	isLimited := r.Limit > 0 && int64(len(found)) > r.Limit
+	if isLimited {
+		found = found[:r.Limit]
+	}
+	if r.CountOnly {
+		return response, nil
+	}
+	response.More = isLimited
+	response.Kvs = found
+	if r.KeysOnly {
+		response.Kvs = withoutValues(found)
+	}
+	return response, nil
+}
+
+// inRevisionBounds reports whether a key is within the bounds of revisions of a request.
+func inRevisionBounds(r *pb.RangeRequest, kv *mvccpb.KeyValue) bool {
+	switch {
+	case kv.ModRevision < r.MinModRevision, kv.CreateRevision < r.MinCreateRevision:
+		return false
+	case r.MaxModRevision > 0 && kv.ModRevision > r.MaxModRevision:
+		return false
+	case r.MaxCreateRevision > 0 && kv.CreateRevision > r.MaxCreateRevision:
+		return false
+	}
+	return true
+}
+
+// sortKeys sorts by what the request names, and by key where that is equal.
+func sortKeys(r *pb.RangeRequest, all []*mvccpb.KeyValue) {
+	slices.SortFunc(all, compareKeys)
 	slices.SortStableFunc(all, func(a, b *mvccpb.KeyValue) int {
 		if r.SortOrder == pb.RangeRequest_DESCEND {
 			a, b = b, a
@@ -64,267 +94,145 @@
 			return cmp.Compare(a.ModRevision, b.ModRevision)
 		case pb.RangeRequest_VALUE:
 			return bytes.Compare(a.Value, b.Value)
+		default:
+			return compareKeys(a, b)
 		}
-		return byKey(a, b)
 	})
-	if out.More = r.Limit > 0 && int64(len(all)) > r.Limit; out.More {
-		all = all[:r.Limit]
-	}
-	switch {
-	case r.CountOnly:
-		out.More = false
-	case r.KeysOnly:
-		for _, kv := range all {
-			out.Kvs = append(out.Kvs, &mvccpb.KeyValue{Key: kv.Key, CreateRevision: kv.CreateRevision, ModRevision: kv.ModRevision, Version: kv.Version, Lease: kv.Lease})
-		}
-	default:
-		out.Kvs = all
-	}
-	return out, nil
 }
 
-// write has a transaction done, and its answer get lost if it is to be.
-func (s *Server) write(f func(t *change) error) error {
-	if err := s.ready(); err != nil {
+func compareKeys(a, b *mvccpb.KeyValue) int { return bytes.Compare(a.Key, b.Key) }
+
+// withoutValues returns copies of the keys without their values.
+func withoutValues(all []*mvccpb.KeyValue) []*mvccpb.KeyValue {
+	var keys []*mvccpb.KeyValue
+	for _, kv := range all {
+		keys = append(keys, &mvccpb.KeyValue{
+			Key:            kv.Key,
+			CreateRevision: kv.CreateRevision,
+			ModRevision:    kv.ModRevision,
+			Version:        kv.Version,
+			Lease:          kv.Lease,
+		})
+	}
+	return keys
+}
+
+// write makes a change, and loses its response if that is to be lost. apply checks what can fail before it changes
+// anything. Server.mu is held.
+func (s *Server) write(apply func(c *change) error) error {
+	if err := s.checkLeader(); err != nil {
 		return err
 	}
-	t := s.begin()
-	if err := f(t); err != nil {
-		return err // nothing was done: what can fail is looked at first
+	c := s.begin()
+	if err := apply(c); err != nil {
+		return err
 	}
-	t.end()
-	return s.lost()
+	c.commit()
+	return s.loseResponse()
 }
 
 // Put implements the KV service.
-func (s *Server) Put(_ context.Context, r *pb.PutRequest) (out *pb.PutResponse, err error) {
+func (s *Server) Put(_ context.Context, r *pb.PutRequest) (*pb.PutResponse, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	err = s.write(func(t *change) error {
-		if err := s.puts(r); err != nil {
+	var response *pb.PutResponse
+	err := s.write(func(c *change) error {
+		if err := s.checkPut(r); err != nil {
 			return err
 		}
-		out = t.putAs(r)
+		response = c.applyPut(r)
 		return nil
 	})
 	if err != nil {
 		return nil, err
 	}
-	out.Header = s.header()
-	return out, nil
+	response.Header = s.header()
+	return response, nil
 }
 
-// puts tells why a Put cannot be done.
-func (s *Server) puts(r *pb.PutRequest) error {
+// checkPut returns why a put cannot be applied.
+func (s *Server) checkPut(r *pb.PutRequest) error {
 	switch {
 	case len(r.Key) == 0:
 		return rpctypes.ErrGRPCEmptyKey
 	case r.IgnoreValue && len(r.Value) > 0:
 		return rpctypes.ErrGRPCValueProvided
-	case r.IgnoreLease && r.Lease != 0:
+	case r.IgnoreLease && r.Lease != noLease:
 		return rpctypes.ErrGRPCLeaseProvided
 	case (r.IgnoreValue || r.IgnoreLease) && s.keys[string(r.Key)] == nil:
 		return rpctypes.ErrGRPCKeyNotFound
-	case r.Lease != 0 && s.leases[r.Lease] == nil:
+	case r.Lease != noLease && s.leases[r.Lease] == nil:
 		return rpctypes.ErrGRPCLeaseNotFound
 	}
 	return nil
 }
 
-func (c *change) putAs(r *pb.PutRequest) *pb.PutResponse {
-	value, to := r.Value, r.Lease
-	if old := c.s.keys[string(r.Key)]; old != nil {
+func (c *change) applyPut(r *pb.PutRequest) *pb.PutResponse {
+	value, leaseID := r.Value, r.Lease
+	if previous := c.server.keys[string(r.Key)]; previous != nil {
 		if r.IgnoreValue {
-			value = old.Value
+			value = previous.Value
 		}
 		if r.IgnoreLease {
-			to = old.Lease
+			leaseID = previous.Lease
 		}
 	}
-	out := &pb.PutResponse{}
-	if old := c.put(string(r.Key), value, to); r.PrevKv {
-		out.PrevKv = old
+	response := &pb.PutResponse{}
+	previous := c.put(string(r.Key), value, leaseID)
+	if r.PrevKv {
+		response.PrevKv = previous
 	}
-	return out
+	return response
 }
 
 // DeleteRange implements the KV service.
-func (s *Server) DeleteRange(_ context.Context, r *pb.DeleteRangeRequest) (out *pb.DeleteRangeResponse, err error) {
+func (s *Server) DeleteRange(_ context.Context, r *pb.DeleteRangeRequest) (*pb.DeleteRangeResponse, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	err = s.write(func(t *change) error {
+	var response *pb.DeleteRangeResponse
+	err := s.write(func(c *change) error {
 		if len(r.Key) == 0 {
 			return rpctypes.ErrGRPCEmptyKey
 		}
-		out = t.removeAs(r)
+		response = c.applyDelete(r)
 		return nil
 	})
 	if err != nil {
 		return nil, err
 	}
-	out.Header = s.header()
-	return out, nil
+	response.Header = s.header()
+	return response, nil
 }
 
-func (c *change) removeAs(r *pb.DeleteRangeRequest) *pb.DeleteRangeResponse {
-	out := &pb.DeleteRangeResponse{}
-	for _, key := range slices.Sorted(maps.Keys(c.s.keys)) {
-		if !within([]byte(key), r.Key, r.RangeEnd) {
+func (c *change) applyDelete(r *pb.DeleteRangeRequest) *pb.DeleteRangeResponse {
+	response := &pb.DeleteRangeResponse{}
+	for _, key := range slices.Sorted(maps.Keys(c.server.keys)) {
+		if !inRange([]byte(key), r.Key, r.RangeEnd) {
 			continue
 		}
-		out.Deleted++
-		if old := c.remove(key); r.PrevKv {
-			out.PrevKvs = append(out.PrevKvs, old)
+		response.Deleted++
+		previous := c.remove(key)
+		if r.PrevKv {
+			response.PrevKvs = append(response.PrevKvs, previous)
 		}
 	}
-	return out
+	return response
 }
 
 // Compact implements the KV service.
 func (s *Server) Compact(_ context.Context, r *pb.CompactionRequest) (*pb.CompactionResponse, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if err := s.checkLeader(); err != nil {
+		return nil, err
+	}
 	switch {
-	case s.faults.noLeader:
-		return nil, s.ready()
 	case r.Revision > s.revision:
 		return nil, rpctypes.ErrGRPCFutureRev
 	case r.Revision <= s.compacted:
 		return nil, rpctypes.ErrGRPCCompacted
 	}
 	s.compact(r.Revision)
-	s.touch()
+	s.notifyWatches()
 	return &pb.CompactionResponse{Header: s.header()}, nil
 }
-
-// Txn implements the KV service.
-func (s *Server) Txn(_ context.Context, r *pb.TxnRequest) (out *pb.TxnResponse, err error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	err = s.write(func(t *change) error {
-		put := make(map[string]bool)
-		if err := cmp.Or(s.txns(r.Success, put), s.txns(r.Failure, make(map[string]bool))); err != nil {
-			return err
-		}
-		out, err = t.txn(r)
-		return err
-	})
-	if err != nil {
-		return nil, err
-	}
-	out.Header = s.header()
-	return out, nil
-}
-
-// mostOps bounds a transaction, as etcd does.
-const mostOps = 128
-
-// txns tells why operations cannot be done: above all a key that is put twice.
-func (s *Server) txns(ops []*pb.RequestOp, put map[string]bool) error {
-	if len(ops) > mostOps {
-		return rpctypes.ErrGRPCTooManyOps
-	}
-	for _, op := range ops {
-		switch r := op.Request.(type) {
-		case *pb.RequestOp_RequestPut:
-			if err := s.puts(r.RequestPut); err != nil {
-				return err
-			}
-			key := string(r.RequestPut.Key)
-			if put[key] {
-				return rpctypes.ErrGRPCDuplicateKey
-			}
-			put[key] = true
-		case *pb.RequestOp_RequestTxn:
-			if err := cmp.Or(s.txns(r.RequestTxn.Success, maps.Clone(put)), s.txns(r.RequestTxn.Failure, maps.Clone(put))); err != nil {
-				return err
-			}
-		case *pb.RequestOp_RequestRange:
-			if len(r.RequestRange.Key) == 0 {
-				return rpctypes.ErrGRPCEmptyKey
-			}
-			if n := r.RequestRange.Revision; n > s.revision {
-				return rpctypes.ErrGRPCFutureRev
-			} else if n > 0 && n < s.compacted {
-				return rpctypes.ErrGRPCCompacted
-			}
-		case *pb.RequestOp_RequestDeleteRange:
-			if len(r.RequestDeleteRange.Key) == 0 {
-				return rpctypes.ErrGRPCEmptyKey
-			}
-		}
-	}
-	return nil
-}
-
-func (c *change) txn(r *pb.TxnRequest) (*pb.TxnResponse, error) {
-	out := &pb.TxnResponse{Succeeded: !slices.ContainsFunc(r.Compare, func(x *pb.Compare) bool { return !c.s.holds(x) })}
-	ops := r.Failure
-	if out.Succeeded {
-		ops = r.Success
-	}
-	for _, op := range ops {
-		var one pb.ResponseOp
-		switch r := op.Request.(type) {
-		case *pb.RequestOp_RequestRange:
-			got, err := c.s.read(r.RequestRange)
-			if err != nil {
-				return nil, err
-			}
-			one.Response = &pb.ResponseOp_ResponseRange{ResponseRange: got}
-		case *pb.RequestOp_RequestPut:
-			one.Response = &pb.ResponseOp_ResponsePut{ResponsePut: c.putAs(r.RequestPut)}
-		case *pb.RequestOp_RequestDeleteRange:
-			one.Response = &pb.ResponseOp_ResponseDeleteRange{ResponseDeleteRange: c.removeAs(r.RequestDeleteRange)}
-		case *pb.RequestOp_RequestTxn:
-			got, err := c.txn(r.RequestTxn)
-			if err != nil {
-				return nil, err
-			}
-			one.Response = &pb.ResponseOp_ResponseTxn{ResponseTxn: got}
-		}
-		out.Responses = append(out.Responses, &one)
-	}
-	return out, nil
-}
-
-// holds tells whether a comparison does, for every key that it is about; a key that is not there has
-// noughts, and no value that anything could be compared with.
-func (s *Server) holds(x *pb.Compare) bool {
-	compare := func(kv *mvccpb.KeyValue) bool {
-		n := 0
-		switch x.Target {
-		case pb.Compare_VERSION:
-			n = cmp.Compare(kv.Version, x.GetVersion())
-		case pb.Compare_CREATE:
-			n = cmp.Compare(kv.CreateRevision, x.GetCreateRevision())
-		case pb.Compare_MOD:
-			n = cmp.Compare(kv.ModRevision, x.GetModRevision())
-		case pb.Compare_LEASE:
-			n = cmp.Compare(kv.Lease, x.GetLease())
-		case pb.Compare_VALUE:
-			if kv.Key == nil {
-				return false
-			}
-			n = bytes.Compare(kv.Value, x.GetValue())
-		}
-		switch x.Result {
-		case pb.Compare_EQUAL:
-			return n == 0
-		case pb.Compare_NOT_EQUAL:
-			return n != 0
-		case pb.Compare_GREATER:
-			return n > 0
-		}
-		return n < 0
-	}
-	found := false
-	for _, kv := range s.keys {
-		if within(kv.Key, x.Key, x.RangeEnd) {
-			if found = true; !compare(kv) {
-				return false
-			}
-		}
-	}
-	return found || compare(&mvccpb.KeyValue{})
-}
--- a/internal/sim/fakeetcd/lease.go
+++ b/internal/sim/fakeetcd/lease.go
@@ -13,56 +13,66 @@
 	"go.etcd.io/etcd/api/v3/v3rpc/rpctypes"
 )
 
-// A lease is what keys are tied to.
+// A lease ends after its TTL unless it is kept alive; its keys are deleted then.
 type lease struct {
-	id   int64
-	ttl  time.Duration
-	ends time.Time
-	keys map[string]bool
+	id      int64
+	ttl     time.Duration
+	expires time.Time
+	keys    map[string]bool
 }
 
-// mostLeases bounds them.
-const mostLeases = 4096
+// Bounds of leases.
+const (
+	maxLeases = 4096
+	// maxRequestedTTL is etcd's bound of the TTL that a client requests, in seconds.
+	maxRequestedTTL = 9_000_000_000
+	// maxTTL bounds the TTL that a lease has, in seconds: a year.
+	maxTTL              = 365 * 24 * 3600
+	leaseExpiryInterval = 20 * time.Millisecond
+	// ttlOfNoLease is the TTL in the response for a lease that does not exist.
+	ttlOfNoLease = -1
+)
 
-func (s *Server) now() time.Time { return time.Now().Add(s.ahead) }
+func (s *Server) now() time.Time { return time.Now().Add(s.clockShift) }
 
-// clock ends leases whose time is over.
-func (s *Server) clock(stop <-chan struct{}) {
-	t := time.NewTicker(20 * time.Millisecond)
-	defer t.Stop()
+// expireLeases revokes expired leases until the server stops.
+func (s *Server) expireLeases(stopped <-chan struct{}) {
+	ticker := time.NewTicker(leaseExpiryInterval)
+	defer ticker.Stop()
 	for {
 		select {
-		case <-stop:
+		case <-stopped:
 			return
-		case <-t.C:
+		case <-ticker.C:
 			s.mu.Lock()
-			s.expire()
+			s.revokeExpired()
 			s.mu.Unlock()
 		}
 	}
 }
 
-// expire ends leases; the lock is held.
-func (s *Server) expire() {
+// revokeExpired revokes expired leases. Server.mu is held.
+func (s *Server) revokeExpired() {
 	now := s.now()
 	for _, id := range slices.Sorted(maps.Keys(s.leases)) {
-		if l := s.leases[id]; now.After(l.ends) {
+		if l := s.leases[id]; now.After(l.expires) {
 			s.revoke(l)
 		}
 	}
 }
 
+// revoke deletes a lease and its keys. Server.mu is held.
 func (s *Server) revoke(l *lease) {
-	t := s.begin()
+	c := s.begin()
 	for _, key := range slices.Sorted(maps.Keys(l.keys)) {
-		t.remove(key)
+		c.remove(key)
 	}
 	delete(s.leases, l.id)
-	t.end()
+	c.commit()
 }
 
-// untie takes a key off its lease.
-func (s *Server) untie(kv *mvccpb.KeyValue) {
+// detachLease detaches a key from its lease. Server.mu is held.
+func (s *Server) detachLease(kv *mvccpb.KeyValue) {
 	if l := s.leases[kv.Lease]; l != nil {
 		delete(l.keys, string(kv.Key))
 	}
@@ -72,35 +82,44 @@
 func (s *Server) LeaseGrant(_ context.Context, r *pb.LeaseGrantRequest) (*pb.LeaseGrantResponse, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if err := s.ready(); err != nil {
+	if err := s.checkLeader(); err != nil {
 		return nil, err
 	}
 	id := r.ID
-	for id == 0 || r.ID == 0 && s.leases[id] != nil {
-		s.nextLease++
-		id = s.nextLease
+	if id == noLease {
+		id = s.newLeaseID()
 	}
 	switch {
 	case s.leases[id] != nil:
 		return nil, rpctypes.ErrGRPCLeaseExist
-	case r.TTL <= 0 || r.TTL > 9_000_000_000:
+	case r.TTL <= 0 || r.TTL > maxRequestedTTL:
 		return nil, rpctypes.ErrGRPCLeaseTTLTooLarge
-	case len(s.leases) >= mostLeases:
+	case len(s.leases) >= maxLeases:
 		return nil, rpctypes.ErrGRPCNoSpace
 	}
-	ttl := time.Duration(min(r.TTL, 3600*24*365)) * time.Second
-	s.leases[id] = &lease{id: id, ttl: ttl, ends: s.now().Add(ttl), keys: make(map[string]bool)}
-	if err := s.lost(); err != nil {
+	ttl := time.Duration(min(r.TTL, maxTTL)) * time.Second
+	s.leases[id] = &lease{id: id, ttl: ttl, expires: s.now().Add(ttl), keys: make(map[string]bool)}
+	if err := s.loseResponse(); err != nil {
 		return nil, err
 	}
 	return &pb.LeaseGrantResponse{Header: s.header(), ID: id, TTL: r.TTL}, nil
 }
 
+// newLeaseID returns an id that no lease has. Server.mu is held.
+func (s *Server) newLeaseID() int64 {
+	for {
+		s.nextLease++
+		if s.leases[s.nextLease] == nil {
+			return s.nextLease
+		}
+	}
+}
+
 // LeaseRevoke implements the Lease service.
 func (s *Server) LeaseRevoke(_ context.Context, r *pb.LeaseRevokeRequest) (*pb.LeaseRevokeResponse, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if err := s.ready(); err != nil {
+	if err := s.checkLeader(); err != nil {
 		return nil, err
 	}
 	l := s.leases[r.ID]
@@ -111,7 +130,7 @@
 	return &pb.LeaseRevokeResponse{Header: s.header()}, nil
 }
 
-// LeaseKeepAlive implements the Lease service. While leases are mute it takes requests and says nothing.
+// LeaseKeepAlive implements the Lease service. While keep-alives are ignored it receives requests and sends nothing.
 func (s *Server) LeaseKeepAlive(stream pb.Lease_LeaseKeepAliveServer) error {
 	for {
 		r, err := stream.Recv()
@@ -121,50 +140,66 @@
 		if err != nil {
 			return err
 		}
-		s.mu.Lock()
-		if err := s.ready(); err != nil {
-			s.mu.Unlock()
+		response, err := s.keepAlive(r.ID)
+		if err != nil {
 			return err
 		}
-		out := &pb.LeaseKeepAliveResponse{Header: s.header(), ID: r.ID} // no time left: there is none
-		mute := s.faults.muteLease
-		if l := s.leases[r.ID]; l != nil && !mute {
-			l.ends = s.now().Add(l.ttl)
-			out.TTL = int64(l.ttl / time.Second)
-		}
-		s.mu.Unlock()
-		if mute {
+		if response == nil {
 			continue
 		}
-		if err := stream.Send(out); err != nil {
+		if err := stream.Send(response); err != nil {
 			return err
 		}
 	}
 }
 
+// keepAlive renews a lease. The response is nil while keep-alives are ignored; it has the TTL 0 if there is no such
+// lease.
+func (s *Server) keepAlive(id int64) (*pb.LeaseKeepAliveResponse, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.checkLeader(); err != nil {
+		return nil, err
+	}
+	if s.faults.keepAlivesIgnored {
+		return nil, nil
+	}
+	response := &pb.LeaseKeepAliveResponse{Header: s.header(), ID: id}
+	if l := s.leases[id]; l != nil {
+		l.expires = s.now().Add(l.ttl)
+		response.TTL = int64(l.ttl / time.Second)
+	}
+	return response, nil
+}
+
 // LeaseTimeToLive implements the Lease service.
-func (s *Server) LeaseTimeToLive(_ context.Context, r *pb.LeaseTimeToLiveRequest) (*pb.LeaseTimeToLiveResponse, error) {
+func (s *Server) LeaseTimeToLive(
+	_ context.Context, r *pb.LeaseTimeToLiveRequest,
+) (*pb.LeaseTimeToLiveResponse, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	out := &pb.LeaseTimeToLiveResponse{Header: s.header(), ID: r.ID, TTL: -1}
-	if l := s.leases[r.ID]; l != nil {
-		out.TTL, out.GrantedTTL = int64(l.ends.Sub(s.now())/time.Second), int64(l.ttl/time.Second)
-		if r.Keys {
-			for _, key := range slices.Sorted(maps.Keys(l.keys)) {
-				out.Keys = append(out.Keys, []byte(key))
-			}
+	response := &pb.LeaseTimeToLiveResponse{Header: s.header(), ID: r.ID, TTL: ttlOfNoLease}
+	l := s.leases[r.ID]
+	if l == nil {
+		return response, nil
+	}
+	response.TTL = int64(l.expires.Sub(s.now()) / time.Second)
+	response.GrantedTTL = int64(l.ttl / time.Second)
+	if r.Keys {
+		for _, key := range slices.Sorted(maps.Keys(l.keys)) {
+			response.Keys = append(response.Keys, []byte(key))
 		}
 	}
-	return out, nil
+	return response, nil
 }
 
 // LeaseLeases implements the Lease service.
 func (s *Server) LeaseLeases(context.Context, *pb.LeaseLeasesRequest) (*pb.LeaseLeasesResponse, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	out := &pb.LeaseLeasesResponse{Header: s.header()}
+	response := &pb.LeaseLeasesResponse{Header: s.header()}
 	for _, id := range slices.Sorted(maps.Keys(s.leases)) {
-		out.Leases = append(out.Leases, &pb.LeaseStatus{ID: id})
+		response.Leases = append(response.Leases, &pb.LeaseStatus{ID: id})
 	}
-	return out, nil
+	return response, nil
 }
--- a/internal/sim/fakeetcd/etcd_test.go
+++ b/internal/sim/fakeetcd/server_test.go
@@ -19,7 +19,8 @@
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
-func begin(t *testing.T) (*Server, *clientv3.Client) {
+// startServer starts a server and a client, and ends both with the test.
+func startServer(t *testing.T) (*Server, *clientv3.Client) {
 	t.Helper()
 	s, err := Start("127.0.0.1:0")
 	if err != nil {
@@ -36,8 +37,8 @@
 	return s, c
 }
 
-// do fails the test where an answer was to come.
-func do[R any](t *testing.T) func(r R, err error) R {
+// must returns a function that returns a response and fails the test on an error.
+func must[R any](t *testing.T) func(r R, err error) R {
 	t.Helper()
 	return func(r R, err error) R {
 		t.Helper()
@@ -48,7 +49,8 @@
 	}
 }
 
-func texts(r *clientv3.GetResponse) string {
+// pairs returns the keys and values of a response as text.
+func pairs(r *clientv3.GetResponse) string {
 	var all []string
 	for _, kv := range r.Kvs {
 		all = append(all, fmt.Sprintf("%s=%s", kv.Key, kv.Value))
@@ -57,21 +59,21 @@
 }
 
 func TestKeysRevisionsAndTransactions(t *testing.T) {
-	_, c := begin(t)
+	_, c := startServer(t)
 	ctx := t.Context()
-	put, get, txn := do[*clientv3.PutResponse](t), do[*clientv3.GetResponse](t), do[*clientv3.TxnResponse](t)
+	put, get, txn := must[*clientv3.PutResponse](t), must[*clientv3.GetResponse](t), must[*clientv3.TxnResponse](t)
 	first := put(c.Put(ctx, "a/1", "x")).Header.Revision
 	put(c.Put(ctx, "a/2", "y"))
 	if old := put(c.Put(ctx, "a/1", "z", clientv3.WithPrevKV())).PrevKv; string(old.Value) != "x" {
 		t.Errorf("before it was %q", old.Value)
 	}
-	if got := texts(get(c.Get(ctx, "a/", clientv3.WithPrefix()))); got != "a/1=z a/2=y" {
+	if got := pairs(get(c.Get(ctx, "a/", clientv3.WithPrefix()))); got != "a/1=z a/2=y" {
 		t.Errorf("the prefix holds %s", got)
 	}
-	if got := texts(get(c.Get(ctx, "a/", clientv3.WithPrefix(), clientv3.WithRev(first)))); got != "a/1=x" {
+	if got := pairs(get(c.Get(ctx, "a/", clientv3.WithPrefix(), clientv3.WithRev(first)))); got != "a/1=x" {
 		t.Errorf("at revision %d it held %s", first, got)
 	}
-	if got := texts(get(c.Get(ctx, "a/", clientv3.WithPrefix(), clientv3.WithSort(clientv3.SortByModRevision, clientv3.SortDescend), clientv3.WithLimit(1)))); got != "a/1=z" {
+	if got := pairs(get(c.Get(ctx, "a/", clientv3.WithPrefix(), clientv3.WithSort(clientv3.SortByModRevision, clientv3.SortDescend), clientv3.WithLimit(1)))); got != "a/1=z" {
 		t.Errorf("the latest is %s", got)
 	}
 	create := func(key, value string) *clientv3.TxnResponse {
@@ -110,46 +112,47 @@
 	}
 }
 
-func TestLeasesEndByTheServersClock(t *testing.T) {
-	s, c := begin(t)
+func TestLeasesExpireByTheServersClock(t *testing.T) {
+	s, c := startServer(t)
 	ctx := t.Context()
-	grant, put := do[*clientv3.LeaseGrantResponse](t), do[*clientv3.PutResponse](t)
+	grant, put := must[*clientv3.LeaseGrantResponse](t), must[*clientv3.PutResponse](t)
 	l := grant(c.Grant(ctx, 10))
 	put(c.Put(ctx, "n0", "up", clientv3.WithLease(l.ID)))
 	put(c.Put(ctx, "n1", "up", clientv3.WithLease(l.ID)))
-	put(c.Put(ctx, "n1", "stays")) // tied to none any more
-	held := func() string { return texts(do[*clientv3.GetResponse](t)(c.Get(ctx, "n", clientv3.WithPrefix()))) }
-	s.Advance(9 * time.Second)
+	put(c.Put(ctx, "n1", "stays")) // attached to no lease any more
+	stored := func() string { return pairs(must[*clientv3.GetResponse](t)(c.Get(ctx, "n", clientv3.WithPrefix()))) }
+	s.AdvanceClock(9 * time.Second)
 	if _, err := c.KeepAliveOnce(ctx, l.ID); err != nil {
 		t.Fatal(err)
 	}
-	s.Advance(9 * time.Second)
-	if got := held(); got != "n0=up n1=stays" {
+	s.AdvanceClock(9 * time.Second)
+	if got := stored(); got != "n0=up n1=stays" {
 		t.Errorf("kept alive it holds %s", got)
 	}
-	s.Advance(2 * time.Second)
-	if got := held(); got != "n1=stays" {
+	s.AdvanceClock(2 * time.Second)
+	if got := stored(); got != "n1=stays" {
 		t.Errorf("once it has ended it holds %s", got)
 	}
 	if _, err := c.Put(ctx, "n0", "up", clientv3.WithLease(l.ID)); !errors.Is(err, rpctypes.ErrLeaseNotFound) {
 		t.Errorf("a key of a lease that has ended: %v", err)
 	}
-	// One whose client keeps it alive ends all the same while that does not get through.
+	// A lease expires while keep-alive requests have no effect.
 	l = grant(c.Grant(ctx, 10))
-	s.MuteLeases(true)
+	s.IgnoreKeepAlives(true)
 	asking, cancel := context.WithTimeout(ctx, 100*time.Millisecond)
 	defer cancel()
 	if _, err := c.KeepAliveOnce(asking, l.ID); err == nil {
-		t.Error("a mute lease was kept alive")
+		t.Error("a lease was kept alive though requests are ignored")
 	}
-	s.Advance(11 * time.Second)
-	s.MuteLeases(false)
-	if left := do[*clientv3.LeaseTimeToLiveResponse](t)(c.TimeToLive(ctx, l.ID)).TTL; left != -1 {
+	s.AdvanceClock(11 * time.Second)
+	s.IgnoreKeepAlives(false)
+	if left := must[*clientv3.LeaseTimeToLiveResponse](t)(c.TimeToLive(ctx, l.ID)).TTL; left != -1 {
 		t.Errorf("it has %d s left", left)
 	}
 }
 
-func next(t *testing.T, w clientv3.WatchChan) clientv3.WatchResponse {
+// nextResponse waits for the next response of a watch.
+func nextResponse(t *testing.T, w clientv3.WatchChan) clientv3.WatchResponse {
 	t.Helper()
 	select {
 	case r, ok := <-w:
@@ -158,44 +161,44 @@
 		}
 		return r
 	case <-time.After(10 * time.Second):
-		t.Fatal("the watch brings nothing")
+		t.Fatal("the watch delivers nothing")
 	}
 	return clientv3.WatchResponse{}
 }
 
 func TestWatches(t *testing.T) {
-	s, c := begin(t)
+	s, c := startServer(t)
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
 	one := c.Watch(ctx, "a", clientv3.WithPrefix(), clientv3.WithPrevKV(), clientv3.WithFragment())
 	two := c.Watch(ctx, "b", clientv3.WithProgressNotify(), clientv3.WithFilterPut())
-	if r := next(t, two); !r.IsProgressNotify() {
-		t.Errorf("%+v is no word of progress", r)
+	if r := nextResponse(t, two); !r.IsProgressNotify() {
+		t.Errorf("%+v is no progress notification", r)
 	}
 	big := strings.Repeat("x", fragmentBytes)
 	var ops []clientv3.Op
-	for i := range 4 { // one revision, several pieces, put together by the client
+	for i := range 4 { // one revision in several fragments, which the client assembles
 		ops = append(ops, clientv3.OpPut(fmt.Sprint("a", i), big))
 	}
-	done := do[*clientv3.TxnResponse](t)(c.Txn(ctx).Then(append(ops, clientv3.OpPut("b", "1"))...).Commit())
-	if r := next(t, one); len(r.Events) != 4 || r.Events[0].PrevKv != nil || r.Events[3].Kv.ModRevision != done.Header.Revision {
+	done := must[*clientv3.TxnResponse](t)(c.Txn(ctx).Then(append(ops, clientv3.OpPut("b", "1"))...).Commit())
+	if r := nextResponse(t, one); len(r.Events) != 4 || r.Events[0].PrevKv != nil || r.Events[3].Kv.ModRevision != done.Header.Revision {
 		t.Errorf("of four puts came %d events", len(r.Events))
 	}
 	s.Set("a0", nil)
-	if r := next(t, one); len(r.Events) != 1 || r.Events[0].Type != clientv3.EventTypeDelete || string(r.Events[0].PrevKv.Value) != big {
+	if r := nextResponse(t, one); len(r.Events) != 1 || r.Events[0].Type != clientv3.EventTypeDelete || string(r.Events[0].PrevKv.Value) != big {
 		t.Errorf("of a delete came %+v", r.Events)
 	}
 	s.Set("b", nil)
-	r := next(t, two)
+	r := nextResponse(t, two)
 	for r.IsProgressNotify() {
-		r = next(t, two)
+		r = nextResponse(t, two)
 	}
 	if len(r.Events) != 1 || r.Events[0].Type != clientv3.EventTypeDelete {
 		t.Errorf("puts were not wanted, %+v came", r.Events)
 	}
 
-	// A stalled watch brings nothing and no error, and all of it afterwards.
-	s.Stall(true)
+	// A stalled watch delivers neither events nor an error, and all events afterwards.
+	s.StallWatches(true)
 	s.Set("a1", []byte("1"))
 	s.Set("a1", []byte("2"))
 	select {
@@ -203,52 +206,52 @@
 		t.Errorf("while stalled came %+v", r)
 	case <-time.After(100 * time.Millisecond):
 	}
-	s.Stall(false)
-	if r := next(t, one); len(r.Events) != 2 || string(r.Events[1].Kv.Value) != "2" {
+	s.StallWatches(false)
+	if r := nextResponse(t, one); len(r.Events) != 2 || string(r.Events[1].Kv.Value) != "2" {
 		t.Errorf("after a stall came %+v", r.Events)
 	}
 
-	// A watch from what is compacted is told so.
+	// A watch from a compacted revision gets an error.
 	s.Forget()
-	old := next(t, c.Watch(ctx, "a", clientv3.WithRev(2)))
+	old := nextResponse(t, c.Watch(ctx, "a", clientv3.WithRev(2)))
 	if !errors.Is(old.Err(), rpctypes.ErrCompacted) || old.CompactRevision != s.Revision()+1 {
 		t.Errorf("from a compacted revision: %v at %d, now is %d", old.Err(), old.CompactRevision, s.Revision())
 	}
 
 	// Without a leader a watch that asked for one ends.
-	led := c.Watch(clientv3.WithRequireLeader(ctx), "a")
-	next(t, c.Watch(ctx, "none", clientv3.WithProgressNotify())) // both stand
-	s.NoLeader(true)
-	if r := next(t, led); !errors.Is(r.Err(), rpctypes.ErrNoLeader) {
+	requiring := c.Watch(clientv3.WithRequireLeader(ctx), "a")
+	nextResponse(t, c.Watch(ctx, "none", clientv3.WithProgressNotify())) // both watches exist
+	s.SetNoLeader(true)
+	if r := nextResponse(t, requiring); !errors.Is(r.Err(), rpctypes.ErrNoLeader) {
 		t.Errorf("without a leader: %v", r.Err())
 	}
-	s.NoLeader(false)
+	s.SetNoLeader(false)
 }
 
-func TestAnswersThatGetLostTakeHold(t *testing.T) {
-	s, c := begin(t)
+func TestWritesWithLostResponsesTakeEffect(t *testing.T) {
+	s, c := startServer(t)
 	ctx := t.Context()
-	s.LoseAnswers(1)
+	s.LoseResponses(1)
 	if _, err := c.Txn(ctx).If(clientv3.Compare(clientv3.CreateRevision("k"), "=", 0)).Then(clientv3.OpPut("k", "1")).Commit(); err == nil {
-		t.Error("the answer was to get lost")
+		t.Error("the response was to be lost")
 	}
-	if got := texts(do[*clientv3.GetResponse](t)(c.Get(ctx, "k"))); got != "k=1" {
-		t.Errorf("the transaction did not take hold: %q", got)
+	if got := pairs(must[*clientv3.GetResponse](t)(c.Get(ctx, "k"))); got != "k=1" {
+		t.Errorf("the transaction did not take effect: %q", got)
 	}
 	s.Set("k", []byte("2"))
-	s.Stale(1)
-	if got := texts(do[*clientv3.GetResponse](t)(c.Get(ctx, "k", clientv3.WithSerializable()))); got != "k=1" {
+	s.SetStaleReads(1)
+	if got := pairs(must[*clientv3.GetResponse](t)(c.Get(ctx, "k", clientv3.WithSerializable()))); got != "k=1" {
 		t.Errorf("a member that lags by one revision says %q", got)
 	}
-	if got := texts(do[*clientv3.GetResponse](t)(c.Get(ctx, "k"))); got != "k=2" {
+	if got := pairs(must[*clientv3.GetResponse](t)(c.Get(ctx, "k"))); got != "k=2" {
 		t.Errorf("a linearizable read says %q", got)
 	}
 	was := s.Revision()
-	cluster := do[*clientv3.GetResponse](t)(c.Get(ctx, "k")).Header.ClusterId
+	cluster := must[*clientv3.GetResponse](t)(c.Get(ctx, "k")).Header.ClusterId
 	if err := s.Restore(was-1, true); err != nil {
 		t.Fatal(err)
 	}
-	s.Stale(0)
+	s.SetStaleReads(0)
 	var r *clientv3.GetResponse
 	for end := time.Now().Add(10 * time.Second); r == nil; time.Sleep(10 * time.Millisecond) {
 		got, err := c.Get(ctx, "k")
@@ -258,12 +261,12 @@
 			t.Fatal(err)
 		}
 	}
-	if texts(r) != "k=1" || r.Header.Revision != was-1 || r.Header.ClusterId == cluster {
-		t.Errorf("after a restore: %s at %d of cluster %d", texts(r), r.Header.Revision, r.Header.ClusterId)
+	if pairs(r) != "k=1" || r.Header.Revision != was-1 || r.Header.ClusterId == cluster {
+		t.Errorf("after a restore: %s at %d of cluster %d", pairs(r), r.Header.Revision, r.Header.ClusterId)
 	}
 }
 
-// A register of one key, by the operations of the test below.
+// An op is an operation on a register of one key.
 type op struct {
 	kind     string // put, get, swap
 	key      string
@@ -298,8 +301,8 @@
 	},
 }
 
-// history has clients put, read and swap at once, and tells what they saw.
-func history(t *testing.T, c *clientv3.Client, get func(ctx context.Context, key string) (string, error)) (all []porcupine.Operation) {
+// recordHistory has clients put, read and swap concurrently, and returns what they saw.
+func recordHistory(t *testing.T, c *clientv3.Client, get func(ctx context.Context, key string) (string, error)) (all []porcupine.Operation) {
 	t.Helper()
 	var mu sync.Mutex
 	var wg sync.WaitGroup
@@ -337,10 +340,10 @@
 	return all
 }
 
-// Without faults its answers are those of one register a key, one after the other; and the check
-// finds a member that lags.
-func TestAnswersAreLinearizable(t *testing.T) {
-	s, c := begin(t)
+// TestResponsesAreLinearizable checks that without faults each key behaves as a linearizable register, and that the
+// check detects a member that lags.
+func TestResponsesAreLinearizable(t *testing.T) {
+	s, c := startServer(t)
 	read := func(opts ...clientv3.OpOption) func(ctx context.Context, key string) (string, error) {
 		return func(ctx context.Context, key string) (string, error) {
 			r, err := c.Get(ctx, key, opts...)
@@ -350,14 +353,14 @@
 			return string(r.Kvs[0].Value), nil
 		}
 	}
-	if all := history(t, c, read()); len(all) != 360 || !porcupine.CheckOperations(register, all) {
+	if all := recordHistory(t, c, read()); len(all) != 360 || !porcupine.CheckOperations(register, all) {
 		t.Errorf("%d operations are not linearizable", len(all))
 	}
 	for _, key := range []string{"k0", "k1", "k2"} {
 		s.Set(key, nil)
 	}
-	s.Stale(5)
-	if porcupine.CheckOperations(register, history(t, c, read(clientv3.WithSerializable()))) {
+	s.SetStaleReads(5)
+	if porcupine.CheckOperations(register, recordHistory(t, c, read(clientv3.WithSerializable()))) {
 		t.Error("reads that are five revisions behind pass for linearizable")
 	}
 }
--- a/internal/sim/fakeetcd/watch.go
+++ b/internal/sim/fakeetcd/watch.go
@@ -3,70 +3,58 @@
 import (
 	"context"
 	"sync"
-	"time"
 
 	pb "go.etcd.io/etcd/api/v3/etcdserverpb"
-	"go.etcd.io/etcd/api/v3/mvccpb"
 	"go.etcd.io/etcd/api/v3/v3rpc/rpctypes"
 	"google.golang.org/grpc/metadata"
 )
 
-// Times and sizes of watches.
-const (
-	progressEach  = 500 * time.Millisecond // without an event; etcd takes ten minutes
-	fragmentBytes = 1 << 10                // etcd takes its limit of a message, 1.5 MiB
-	mostWatches   = 256                    // a stream
-)
+// maxWatches bounds the watches of a stream.
+const maxWatches = 256
+
+// noWatchID is the watch id in responses that concern no watch, or one that could not be created.
+const noWatchID = -1
 
-// A stream is a client's: it carries several watches.
-type stream struct {
-	s     *Server
-	out   pb.Watch_WatchServer
-	need  bool // of a leader
-	mu    sync.Mutex
-	next  int64
-	watch map[int64]context.CancelFunc
-	wg    sync.WaitGroup
+// A watchStream is a client's stream, which carries several watches.
+type watchStream struct {
+	server         *Server
+	stream         pb.Watch_WatchServer
+	requiresLeader bool
+
+	mu      sync.Mutex // also of Send: one message at a time
+	nextID  int64
+	cancels map[int64]context.CancelFunc // by watch id
+	watches sync.WaitGroup
 }
 
 // Watch implements the Watch service.
-func (s *Server) Watch(out pb.Watch_WatchServer) error {
-	ctx, cancel := context.WithCancel(out.Context())
+func (s *Server) Watch(stream pb.Watch_WatchServer) error {
+	ctx, cancel := context.WithCancel(stream.Context())
 	md, _ := metadata.FromIncomingContext(ctx)
-	t := &stream{s: s, out: out, need: len(md.Get(rpctypes.MetadataRequireLeaderKey)) > 0, watch: make(map[int64]context.CancelFunc)}
-	defer t.wg.Wait()
+	w := &watchStream{
+		server:         s,
+		stream:         stream,
+		requiresLeader: len(md.Get(rpctypes.MetadataRequireLeaderKey)) > 0,
+		cancels:        make(map[int64]context.CancelFunc),
+	}
+	defer w.watches.Wait()
 	defer cancel()
 	requests := make(chan *pb.WatchRequest)
-	broken := make(chan error, 1)
-	go func() {
-		for {
-			r, err := out.Recv()
-			if err != nil {
-				broken <- err
-				return
-			}
-			select {
-			case requests <- r:
-			case <-ctx.Done():
-				return
-			}
-		}
-	}()
+	failed := make(chan error, 1)
+	go w.receive(ctx, requests, failed) // it ends with the stream
 	for {
-		s.mu.Lock()
-		changed, lost := s.changed, t.need && s.faults.noLeader
-		s.mu.Unlock()
-		if lost {
-			return rpctypes.ErrGRPCNoLeader
+		changed, err := w.checkLeader()
+		if err != nil {
+			return err
 		}
 		select {
-		case err := <-broken:
+		case err := <-failed:
 			if ctx.Err() != nil {
 				return nil
 			}
 			return err
 		case r := <-requests:
-			if err := t.take(ctx, r); err != nil {
+			if err := w.take(ctx, r); err != nil {
 				return err
 			}
 		case <-changed:
@@ -74,157 +62,139 @@
 	}
 }
 
-func (t *stream) take(ctx context.Context, r *pb.WatchRequest) error {
+// receive passes on the client's requests until the stream ends.
+func (w *watchStream) receive(ctx context.Context, requests chan<- *pb.WatchRequest, failed chan<- error) {
+	for {
+		r, err := w.stream.Recv()
+		if err != nil {
+			failed <- err
+			return
+		}
+		select {
+		case requests <- r:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// checkLeader returns an error if the stream requires a leader and there is none, and a channel that is closed when
+// the server changes.
+func (w *watchStream) checkLeader() (<-chan struct{}, error) {
+	w.server.mu.Lock()
+	defer w.server.mu.Unlock()
+	if w.requiresLeader {
+		return w.server.changed, w.server.checkLeader()
+	}
+	return w.server.changed, nil
+}
+
+// take handles one request.
+func (w *watchStream) take(ctx context.Context, r *pb.WatchRequest) error {
 	switch r := r.RequestUnion.(type) {
 	case *pb.WatchRequest_CreateRequest:
-		return t.create(ctx, r.CreateRequest)
+		return w.create(ctx, r.CreateRequest)
 	case *pb.WatchRequest_CancelRequest:
-		id := r.CancelRequest.WatchId
-		t.mu.Lock()
-		cancel := t.watch[id]
-		delete(t.watch, id)
-		t.mu.Unlock()
-		if cancel != nil {
-			cancel()
-			return t.send(&pb.WatchResponse{Header: t.header(), WatchId: id, Canceled: true})
-		}
+		return w.cancel(r.CancelRequest.WatchId)
 	case *pb.WatchRequest_ProgressRequest:
-		if t.stalled() {
+		if w.isStalled() {
 			return nil
 		}
-		return t.send(&pb.WatchResponse{Header: t.header(), WatchId: -1})
+		return w.send(&pb.WatchResponse{Header: w.header(), WatchId: noWatchID})
 	}
 	return nil
 }
 
-func (t *stream) stalled() bool {
-	t.s.mu.Lock()
-	defer t.s.mu.Unlock()
-	return t.s.faults.stalled
+func (w *watchStream) isStalled() bool {
+	w.server.mu.Lock()
+	defer w.server.mu.Unlock()
+	return w.server.faults.watchesStalled
 }
 
-func (t *stream) header() *pb.ResponseHeader {
-	t.s.mu.Lock()
-	defer t.s.mu.Unlock()
-	return t.s.header()
+func (w *watchStream) header() *pb.ResponseHeader {
+	w.server.mu.Lock()
+	defer w.server.mu.Unlock()
+	return w.server.header()
 }
 
-// send is one message at a time; watches of a stream share it.
-func (t *stream) send(r *pb.WatchResponse) error {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.out.Send(r)
+// send sends a message; the watches of a stream share it.
+func (w *watchStream) send(r *pb.WatchResponse) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.stream.Send(r)
 }
 
-func (t *stream) create(ctx context.Context, r *pb.WatchCreateRequest) error {
-	t.mu.Lock()
-	id := r.WatchId
-	for id == 0 || r.WatchId == 0 && t.watch[id] != nil {
-		t.next++
-		id = t.next
+// cancel ends a watch on the client's request.
+func (w *watchStream) cancel(id int64) error {
+	cancel := w.forget(id)
+	if cancel == nil {
+		return nil
 	}
-	taken := t.watch[id] != nil || len(t.watch) >= mostWatches
+	cancel()
+	return w.send(&pb.WatchResponse{Header: w.header(), WatchId: id, Canceled: true})
+}
+
+// forget removes a watch and returns the function that cancels it, or nil if there is no such watch.
+func (w *watchStream) forget(id int64) context.CancelFunc {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	cancel := w.cancels[id]
+	delete(w.cancels, id)
+	return cancel
+}
+
+// create starts a watch.
+func (w *watchStream) create(ctx context.Context, r *pb.WatchCreateRequest) error {
 	ctx, cancel := context.WithCancel(ctx)
-	if !taken {
-		t.watch[id] = cancel
-	}
-	t.mu.Unlock()
-	if taken {
+	id, ok := w.register(r.WatchId, cancel)
+	if !ok {
 		cancel()
-		return t.send(&pb.WatchResponse{Header: t.header(), WatchId: -1, Created: true, Canceled: true, CancelReason: "the watch id is taken, or there are too many"})
+		return w.send(&pb.WatchResponse{
+			Header:       w.header(),
+			WatchId:      noWatchID,
+			Created:      true,
+			Canceled:     true,
+			CancelReason: "the watch id is taken, or there are too many watches",
+		})
 	}
 	from := r.StartRevision
 	if from == 0 {
-		from = t.header().Revision + 1
+		from = w.header().Revision + 1
 	}
-	if err := t.send(&pb.WatchResponse{Header: t.header(), WatchId: id, Created: true}); err != nil {
+	if err := w.send(&pb.WatchResponse{Header: w.header(), WatchId: id, Created: true}); err != nil {
 		cancel()
 		return err
 	}
-	t.wg.Go(func() {
+	created := &watch{stream: w, id: id, next: from, request: r}
+	w.watches.Go(func() {
 		defer cancel()
-		t.follow(ctx, id, from, r)
+		created.run(ctx)
 	})
 	return nil
 }
 
-// follow brings a watch its events until it ends.
-func (t *stream) follow(ctx context.Context, id, from int64, r *pb.WatchCreateRequest) {
-	s := t.s
-	for {
-		s.mu.Lock()
-		changed, stalled := s.changed, s.faults.stalled
-		out := &pb.WatchResponse{Header: s.header(), WatchId: id}
-		behind := from <= s.compacted
-		if behind {
-			out.Canceled, out.CompactRevision = true, s.compacted+1
-		}
-		for _, e := range s.events {
-			if e.Kv.ModRevision >= from && wanted(r, e) {
-				out.Events = append(out.Events, event(r, e))
-			}
-		}
-		next := max(s.revision+1, from)
-		s.mu.Unlock()
-		if !stalled {
-			if behind {
-				t.mu.Lock()
-				delete(t.watch, id)
-				t.mu.Unlock()
-				out.Events = nil
-				_ = t.send(out)
-				return
-			}
-			if len(out.Events) > 0 && t.fragments(r, out) != nil {
-				return
-			}
-			from = next
-		}
-		var progress <-chan time.Time
-		if r.ProgressNotify && !stalled {
-			progress = time.After(progressEach)
-		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-changed:
-		case <-progress:
-			if t.send(&pb.WatchResponse{Header: t.header(), WatchId: id}) != nil {
-				return
-			}
-		}
+// register registers a watch under the requested id, or under a free one if that is 0. It reports false if the id is
+// taken, or there are too many watches.
+func (w *watchStream) register(requested int64, cancel context.CancelFunc) (int64, bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	id := requested
+	if id == 0 {
+		id = w.newID()
 	}
-}
-
-// fragments sends events, in pieces if the client can put them together.
-func (t *stream) fragments(r *pb.WatchCreateRequest, out *pb.WatchResponse) error {
-	for all := out.Events; ; {
-		n, size := 0, 0
-		for n < len(all) && (n == 0 || !r.Fragment || size+len(all[n].Kv.Value) < fragmentBytes) {
-			size += len(all[n].Kv.Key) + len(all[n].Kv.Value)
-			n++
-		}
-		piece := &pb.WatchResponse{Header: out.Header, WatchId: out.WatchId, Events: all[:n], Fragment: n < len(all)}
-		if err := t.send(piece); err != nil || n == len(all) {
-			return err
-		}
-		all = all[n:]
+	if w.cancels[id] != nil || len(w.cancels) >= maxWatches {
+		return 0, false
 	}
+	w.cancels[id] = cancel
+	return id, true
 }
 
-func wanted(r *pb.WatchCreateRequest, e *mvccpb.Event) bool {
-	for _, f := range r.Filters {
-		if f == pb.WatchCreateRequest_NOPUT && e.Type == mvccpb.PUT || f == pb.WatchCreateRequest_NODELETE && e.Type == mvccpb.DELETE {
-			return false
+// newID returns an id that no watch has. watchStream.mu is held.
+func (w *watchStream) newID() int64 {
+	for {
+		w.nextID++
+		if w.cancels[w.nextID] == nil {
+			return w.nextID
 		}
 	}
-	return within(e.Kv.Key, r.Key, r.RangeEnd)
-}
-
-// event is one as a watch is to see it.
-func event(r *pb.WatchCreateRequest, e *mvccpb.Event) *mvccpb.Event {
-	if r.PrevKv {
-		return e
-	}
-	return &mvccpb.Event{Type: e.Type, Kv: e.Kv}
 }
