--- a/internal/sim/cluster/exchange_slot.go
+++ b/internal/sim/cluster/exchange_slot.go
@@ -26,7 +26,7 @@
 	endpoint   loopback.Line  // of exchange; its address differs for each controller
 	draining   *loopback.Line // the predecessor while it drains
 	generation int            // number of the next exchange
-	overloaded bool           // the exchange went down while it was cold
+	collapsed  bool           // the exchange went down while it was cold
 	empty      bool           // no exchange runs
 }
 
@@ -76,14 +76,14 @@
 	s.draining = endpoint
 }
 
-// detectOverload reports once whether the exchange went down by overload while it was cold.
-func (s *exchangeSlot) detectOverload() (string, bool) {
+// detectCollapse reports once whether the exchange went down by overload while it was cold.
+func (s *exchangeSlot) detectCollapse() (string, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.empty || s.overloaded || !s.exchange.Fell() {
+	if s.empty || s.collapsed || !s.exchange.HasCollapsed() {
 		return "", false
 	}
-	s.overloaded = true
+	s.collapsed = true
 	return s.endpoint.ID, true
 }
 
@@ -117,7 +117,7 @@
 	s.exchange = exchange
 	s.endpoint = endpoint
 	s.empty = false
-	s.overloaded = false
+	s.collapsed = false
 	s.generation++
 	return nil
 }
--- a/internal/sim/cluster/inject.go
+++ b/internal/sim/cluster/inject.go
@@ -98,7 +98,7 @@
 		return
 	}
 	draining := endpoint
-	draining.Drains = true
+	draining.Draining = true
 	s.setDraining(&draining)
 	r.startSuccessor(s)
 	pause(ctx, f.Duration.D())
--- a/internal/sim/cluster/inject_process.go
+++ b/internal/sim/cluster/inject_process.go
@@ -54,7 +54,7 @@
 	if p == nil {
 		return
 	}
-	r.load.Away(c.number, true)
+	r.load.Pause(c.number, true)
 	r.monitor.record(invariant.Event{Kind: invariant.Killed, Node: c.name})
 	_ = p.signal(syscall.SIGKILL)
 	awaitExit(ctx, p)
@@ -69,7 +69,7 @@
 	}
 	_ = p.signal(syscall.SIGTERM)
 	pause(ctx, terminationNotice)
-	r.load.Away(c.number, true)
+	r.load.Pause(c.number, true)
 	awaitExit(ctx, p)
 	r.monitor.record(invariant.Event{Kind: invariant.Killed, Node: c.name})
 	r.awaitRestart(ctx, c)
--- a/internal/sim/cluster/play.go
+++ b/internal/sim/cluster/play.go
@@ -126,7 +126,7 @@
 			}
 		}
 		for _, s := range r.slots {
-			if id, ok := s.detectOverload(); ok {
+			if id, ok := s.detectCollapse(); ok {
 				r.monitor.record(invariant.Event{Kind: invariant.PushedOver, Server: id})
 				r.closeExchangeProxies(id)
 			}
@@ -136,7 +136,7 @@
 
 // awaitRestart waits until a controller that ended serves again, and then sends calls to it.
 func (r *Run) awaitRestart(ctx context.Context, c *controller) {
-	r.load.Away(c.number, true)
+	r.load.Pause(c.number, true)
 	r.monitor.forgetController(c.name)
 	start := time.Now()
 	for !c.isServing() {
@@ -150,5 +150,5 @@
 		r.pollAgents(ctx)
 	}
 	c.endFault(controllerRestarting)
-	r.load.Away(c.number, false)
+	r.load.Pause(c.number, false)
 }
--- a/internal/sim/cluster/result.go
+++ b/internal/sim/cluster/result.go
@@ -75,7 +75,7 @@
 		Established: s.Stood,
 		Rejected:    s.Refused,
 		Failed:      s.Failed + s.Lost + s.GaveUp,
-		Dropped:     s.Cut,
+		Dropped:     s.Dropped,
 		P50:         milliseconds(50),
 		P99:         milliseconds(99),
 	}
--- a/internal/sim/demo/demo_test.go
+++ b/internal/sim/demo/demo_test.go
@@ -14,8 +14,8 @@
 	"olivedale/internal/sim/cluster"
 )
 
-// The demo runs to its end, says what happened, makes its report, and leaves nothing running or lying
-// about; broken off it does the same.
+// TestDemo checks that the demonstration runs to its end, writes what happened, makes its report and leaves nothing
+// running, and that it does the same when its context ends early.
 func TestDemo(t *testing.T) {
 	t.Parallel()
 	dir := t.TempDir()
@@ -25,7 +25,7 @@
 	if err := Run(context.Background(), Options{Bin: t.TempDir()}); err == nil || !strings.Contains(err.Error(), "make build") {
 		t.Errorf("without programs: %v", err)
 	}
-	run := func(ctx context.Context, long time.Duration) (string, string) {
+	run := func(ctx context.Context, length time.Duration) (string, string) {
 		t.Helper()
 		agent, err := (&cluster.Ports{Host: "127.0.0.1"}).Free()
 		if err != nil {
@@ -33,7 +33,7 @@
 		}
 		var out bytes.Buffer
 		report := filepath.Join(dir, "report.html")
-		if err := Run(ctx, Options{Bin: dir, Dir: filepath.Join(t.TempDir(), "files"), Report: report, Agent: agent, Controllers: 2, Exchanges: 2, Rate: 30, For: long, Seed: 1, Out: &out}); err != nil {
+		if err := Run(ctx, Options{Bin: dir, Dir: filepath.Join(t.TempDir(), "files"), Report: report, Agent: agent, Controllers: 2, Exchanges: 2, Rate: 30, For: length, Seed: 1, Out: &out}); err != nil {
 			t.Fatalf("%v\n%s", err, out.String())
 		}
 		if c, err := net.DialTimeout("tcp", agent, 200*time.Millisecond); err == nil {
@@ -42,10 +42,10 @@
 		}
 		return out.String(), report
 	}
-	said, report := run(context.Background(), 5*time.Second)
+	output, report := run(context.Background(), 5*time.Second)
 	for _, want := range []string{"three times slower", "drains", "is killed", "are cut", "have stopped", "the report is"} {
-		if !strings.Contains(said, want) {
-			t.Errorf("it does not say %q:\n%s", want, said)
+		if !strings.Contains(output, want) {
+			t.Errorf("the output lacks %q:\n%s", want, output)
 		}
 	}
 	if page, err := os.ReadFile(report); err != nil || !bytes.Contains(page, []byte("</html>")) {
@@ -53,7 +53,7 @@
 	}
 	ctx, stop := context.WithTimeout(context.Background(), 1500*time.Millisecond)
 	defer stop()
-	if said, _ := run(ctx, time.Minute); !strings.Contains(said, "have stopped") {
-		t.Errorf("broken off:\n%s", said)
+	if output, _ := run(ctx, time.Minute); !strings.Contains(output, "have stopped") {
+		t.Errorf("ended early:\n%s", output)
 	}
 }
--- /dev/null
+++ b/internal/sim/demo/play.go
@@ -0,0 +1,176 @@
+package demo
+
+import (
+	"context"
+	"fmt"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strings"
+	"syscall"
+	"time"
+
+	"olivedale/internal/adminapi"
+	"olivedale/internal/codec/h248"
+	"olivedale/internal/sim/exchange"
+	"olivedale/internal/sim/loopback"
+)
+
+const (
+	// callerTimeout is how long callers wait for the final answer.
+	callerTimeout = 3 * time.Second
+	// minStatsInterval bounds how often statistics are written.
+	minStatsInterval = 500 * time.Millisecond
+	agentTimeout     = 2 * time.Second
+	slowdownFactor   = 3
+)
+
+// A fault is injected at a time since the load began.
+type fault struct {
+	at     time.Duration
+	inject func() error
+}
+
+// play offers calls and injects the faults.
+func (d *demo) play(ctx context.Context) error {
+	load := &loopback.Load{
+		Addrs:   d.listen,
+		Rate:    d.options.Rate,
+		For:     d.options.For,
+		Left:    callerTimeout,
+		Pools:   d.options.Exchanges,
+		Classes: d.scenario.Class,
+		Seed:    d.options.Seed,
+	}
+	done := make(chan error, 1)
+	go func() { done <- load.Run(ctx) }()
+	d.logHints()
+	part := d.options.For / 5
+	faults := []fault{
+		{part, d.slowDown},
+		{2 * part, d.replaceExchange},
+		{3 * part, d.killController},
+		{4 * part, d.dropCalls},
+	}
+	start := time.Now()
+	ticker := time.NewTicker(max(d.options.For/10, minStatsInterval))
+	defer ticker.Stop()
+	for {
+		var due <-chan time.Time
+		if len(faults) > 0 {
+			due = time.After(time.Until(start.Add(faults[0].at)))
+		}
+		select {
+		case err := <-done:
+			d.logStats(load.Stats())
+			return err
+		case <-due:
+			if err := faults[0].inject(); err != nil {
+				return err
+			}
+			faults = faults[1:]
+		case <-ticker.C:
+			d.logStats(load.Stats())
+		}
+	}
+}
+
+// logHints writes how to look at the controllers while they run.
+func (d *demo) logHints() {
+	olivectl := filepath.Join(d.options.Bin, "olivectl")
+	d.logf("%v calls a second for %v; beside it, look with", d.options.Rate, d.options.For)
+	d.logf("    %s top --agent %s", olivectl, d.options.Agent)
+	d.logf("    %s list --agent %s", olivectl, d.options.Agent)
+}
+
+// logStats writes what callers got until now.
+func (d *demo) logStats(s loopback.LoadStats) {
+	percentile := func(p float64) time.Duration {
+		if s.Took == nil || s.Took.TotalCount() == 0 {
+			return 0
+		}
+		return (time.Duration(s.Took.ValueAtQuantile(p)) * time.Microsecond).Round(time.Millisecond)
+	}
+	d.logf("%5d calls: %d stood (half within %v, 99 of 100 within %v), %d refused, %d failed, %d given up, %d cut",
+		s.Sent, s.Stood, percentile(50), percentile(99), s.Refused, s.Failed+s.Lost, s.GaveUp, s.Dropped)
+}
+
+// slowDown slows the processor of an exchange down for a while.
+func (d *demo) slowDown() error {
+	d.logf("-> the processor of x0 runs three times slower for a while")
+	x := d.exchanges[0]
+	setFactor := func(factor float64) {
+		x.Do(func(m *exchange.Exchange, _ exchange.Time) { m.Slow(factor) })
+	}
+	setFactor(slowdownFactor)
+	time.AfterFunc(d.options.For/5, func() { setFactor(1) })
+	return nil
+}
+
+// replaceExchange drains the last exchange and starts a cold one in its place.
+func (d *demo) replaceExchange() error {
+	last := d.options.Exchanges - 1
+	d.logf("-> %s drains, x%d.1 starts cold in its place", d.endpoints[last].ID, last)
+	d.endpoints[last].Draining = true
+	old := d.exchanges[last]
+	if err := d.startExchange(fmt.Sprintf("x%d.1", last), last, true); err != nil {
+		return err
+	}
+	d.names.Set(d.endpoints...)
+	remaining := slices.Delete(slices.Clone(d.endpoints), last, last+1)
+	time.AfterFunc(d.options.For/5, func() {
+		old.Close()
+		d.names.Set(remaining...)
+	})
+	return nil
+}
+
+// killController kills a controller; the agent starts it again.
+func (d *demo) killController() error {
+	ctx, cancel := context.WithTimeout(context.Background(), agentTimeout)
+	defer cancel()
+	reply, err := adminapi.Send(ctx, d.options.Agent, adminapi.AuditCommand("instance/n0"))
+	if err != nil {
+		return fmt.Errorf("demo: asking the agent: %w", err)
+	}
+	var pid int
+	_, err = fmt.Sscan(h248.Value(reply.Descriptors, "oa/instance", "pid"), &pid)
+	if err != nil || pid <= 1 {
+		return fmt.Errorf("demo: the agent reports no process of n0")
+	}
+	d.logf("-> n0 is killed (process %d); the agent starts it again", pid)
+	if err := syscall.Kill(pid, syscall.SIGKILL); err != nil {
+		return fmt.Errorf("demo: %w", err)
+	}
+	return nil
+}
+
+// dropCalls drops two fifths of the established calls.
+func (d *demo) dropCalls() error {
+	d.logf("-> four in ten of the calls that stand are cut")
+	for _, x := range d.exchanges {
+		x.Do(func(m *exchange.Exchange, now exchange.Time) { m.Cutting(now, m.Standing()*2/5) })
+	}
+	return nil
+}
+
+// report makes the report from the records, once the controllers have ended.
+func (d *demo) report() error {
+	if err := d.stopAgent(); err != nil {
+		return err
+	}
+	if d.options.Report == "" {
+		return nil
+	}
+	dirs, err := filepath.Glob(filepath.Join(d.dir, "records", "*"))
+	if err != nil {
+		return fmt.Errorf("demo: %w", err)
+	}
+	args := append([]string{"report", "-o", d.options.Report}, dirs...)
+	c := exec.Command(filepath.Join(d.options.Bin, "olivectl"), args...)
+	if out, err := c.CombinedOutput(); err != nil {
+		return fmt.Errorf("demo: the report: %w: %s", err, strings.TrimSpace(string(out)))
+	}
+	d.logf("the report is %s; open it in a browser", d.options.Report)
+	return nil
+}
--- a/internal/sim/loopback/load.go
+++ b/internal/sim/loopback/load.go
@@ -5,310 +5,207 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"sync"
 	"time"
 
-	"github.com/HdrHistogram/hdrhistogram-go"
-
 	"olivedale/internal/codec/jsonl"
 	"olivedale/internal/sim/invariant"
 	"olivedale/internal/sim/scenario"
 )
 
-// A Load sets calls up on call controllers in an open loop: calls come whether or not those before were
-// answered, and how long one took counts from when it was to be sent, so that a stall of either side
-// shows. It stops by itself.
+// A Load offers calls to controllers in an open loop: calls arrive whether or not earlier ones were answered, and the
+// time of a call counts from when it was to be sent, so that a stall of either side shows. Run ends by itself.
 type Load struct {
-	Addrs   []string // of the platform's front of the controllers
-	Rate    float64  // calls a second over all
+	Addrs   []string // addresses of the controllers for clients
+	Rate    float64  // calls a second to all controllers together
 	For     time.Duration
-	Left    time.Duration // that callers wait
-	Pools   int
+	Left    time.Duration // how long callers wait for the final answer
+	Pools   int           // number of pools to prefer
 	Classes []scenario.Class
 	Seed    uint64
-	Open    int // set-ups that may be open at once; past it calls are counted as not sent
-	// Saw, if set, is told what passes at controllers' fronts, in the order of each call: Nodes are the
-	// names of those at Addrs.
+	MaxOpen int // bound of calls that are open or established; calls beyond it are not sent. 0: defaultMaxOpen
+	// Saw, if not nil, gets an event for each message, in the order of each call.
 	Saw   func(invariant.Event)
-	Nodes []string
-
-	mu    sync.Mutex
-	calls map[string]*loadCall
-	stats []LoadStats // by address
-	away  []bool      // by address: no calls go there
-	conns []*loadConn
-}
-
-// LoadStats are what callers got.
-type LoadStats struct {
-	Sent, Stood, Refused, Failed, GaveUp, Ended, Cut, NotSent, Lost int
-	Took                                                            *hdrhistogram.Histogram // in microseconds, until calls stood
-}
-
-type loadCall struct {
-	due    time.Time
-	conn   *loadConn
-	stands bool
-	timer  *time.Timer
-}
-
-type loadConn struct {
-	l    *Load
-	i    int // of Addrs
-	addr string
-	mu   sync.Mutex
-	c    net.Conn
-}
+	Nodes []string // names of the controllers at Addrs, for Saw
+
+	mu     sync.Mutex
+	calls  map[string]*loadCall
+	stats  []LoadStats // by address
+	paused []bool      // by address: no calls are sent there
+	conns  []*loadConn
+}
+
+const (
+	defaultMaxOpen = 10_000
+	// loadStream is the stream of the random generator of a load.
+	loadStream = 3
+	// drainPollInterval is how often Run looks whether calls are still open.
+	drainPollInterval = 10 * time.Millisecond
+	// drainMargin is how long Run waits for open calls beyond the callers' own time.
+	drainMargin = time.Second
+)
 
-// Stats are those of now, of all addresses.
-func (l *Load) Stats() LoadStats {
-	all := NewLoadStats()
-	for i := range l.Addrs {
-		all.Add(l.StatsOf(i))
+// Run sends calls until its time is over or ctx ends, and then waits for the open calls.
+func (l *Load) Run(ctx context.Context) error {
+	if len(l.Addrs) == 0 || l.Rate <= 0 || len(l.Classes) == 0 {
+		return errors.New("load: addresses, a rate and classes are needed")
 	}
-	return all
-}
-
-// StatsOf are those of now of one address.
-func (l *Load) StatsOf(i int) LoadStats {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if i >= len(l.stats) {
-		return NewLoadStats()
+	l.init()
+	defer l.closeConns()
+	if l.sendAll(ctx) {
+		l.awaitOpenCalls(ctx)
 	}
-	s := l.stats[i]
-	s.Took = hdrhistogram.Import(s.Took.Export())
-	return s
-}
-
-// Add adds what other callers got.
-func (s *LoadStats) Add(o LoadStats) {
-	s.Sent, s.Stood, s.Refused, s.Failed = s.Sent+o.Sent, s.Stood+o.Stood, s.Refused+o.Refused, s.Failed+o.Failed
-	s.GaveUp, s.Ended, s.Cut, s.NotSent, s.Lost = s.GaveUp+o.GaveUp, s.Ended+o.Ended, s.Cut+o.Cut, s.NotSent+o.NotSent, s.Lost+o.Lost
-	s.Took.Merge(o.Took)
+	return nil
 }
 
-// NewLoadStats are those of nobody.
-func NewLoadStats() LoadStats { return LoadStats{Took: hdrhistogram.New(1, 120_000_000, 3)} }
-
-// Away has no calls go to an address, as a front does with a call controller that is being stopped, or
-// has them go there again.
-func (l *Load) Away(i int, on bool) {
+func (l *Load) init() {
+	if l.MaxOpen == 0 {
+		l.MaxOpen = defaultMaxOpen
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.away[i] = on
+	l.calls = make(map[string]*loadCall)
+	l.stats = make([]LoadStats, len(l.Addrs))
+	l.paused = make([]bool, len(l.Addrs))
+	for i, addr := range l.Addrs {
+		l.stats[i] = NewLoadStats()
+		l.conns = append(l.conns, &loadConn{load: l, index: i, addr: addr})
+	}
 }
 
-// saw tells of an event.
-func (l *Load) saw(i int, e invariant.Event) {
-	if l.Saw != nil {
-		e.Node = l.Nodes[i]
-		l.Saw(e)
+func (l *Load) closeConns() {
+	for _, c := range l.conns {
+		c.close()
 	}
 }
 
-// Run sends until its time is over or ctx ends, and then waits for what is open.
-func (l *Load) Run(ctx context.Context) error {
-	if len(l.Addrs) == 0 || l.Rate <= 0 || len(l.Classes) == 0 {
-		return errors.New("load: addresses, a rate and classes are needed")
-	}
-	if l.Open == 0 {
-		l.Open = 10_000
-	}
-	l.mu.Lock()
-	l.calls, l.stats, l.away = make(map[string]*loadCall), make([]LoadStats, len(l.Addrs)), make([]bool, len(l.Addrs))
-	for i, addr := range l.Addrs {
-		l.stats[i] = NewLoadStats()
-		l.conns = append(l.conns, &loadConn{l: l, i: i, addr: addr})
-	}
-	l.mu.Unlock()
-	defer func() {
-		for _, k := range l.conns {
-			k.close()
-		}
-	}()
-	rng := rand.New(rand.NewPCG(l.Seed, 3))
-	began := time.Now()
-	due := began
+// sendAll sends the calls of a Poisson process. It reports false if ctx ended before the last.
+func (l *Load) sendAll(ctx context.Context) bool {
+	rng := rand.New(rand.NewPCG(l.Seed, loadStream))
+	start := time.Now()
+	due := start
 	salt := rng.Uint32()
 	for n := uint32(0); ; n++ {
 		due = due.Add(time.Duration(rng.ExpFloat64() / l.Rate * float64(time.Second)))
-		if due.Sub(began) > l.For {
-			break
+		if due.Sub(start) > l.For {
+			return true
 		}
-		if wait := time.Until(due); wait > 0 {
-			select {
-			case <-ctx.Done():
-				return nil
-			case <-time.After(wait):
-			}
-		} else if ctx.Err() != nil {
-			return nil
+		if !sleepUntil(ctx, due) {
+			return false
 		}
 		l.send(rng, due, fmt.Sprintf("%08x%08x", salt, n))
 	}
-	for end := time.Now().Add(l.Left + time.Second); time.Now().Before(end) && ctx.Err() == nil; time.Sleep(10 * time.Millisecond) {
-		if l.open() == 0 {
-			break
-		}
+}
+
+// sleepUntil waits until a time. It reports false if ctx has ended.
+func sleepUntil(ctx context.Context, due time.Time) bool {
+	wait := time.Until(due)
+	if wait <= 0 {
+		return ctx.Err() == nil
+	}
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(wait):
+		return true
+	}
+}
+
+// awaitOpenCalls waits until no call is open, or the callers' time is over.
+func (l *Load) awaitOpenCalls(ctx context.Context) {
+	end := time.Now().Add(l.Left + drainMargin)
+	for time.Now().Before(end) && ctx.Err() == nil && l.openCalls() > 0 {
+		time.Sleep(drainPollInterval)
 	}
-	return nil
 }
 
-// open counts the calls that have no answer yet.
-func (l *Load) open() (n int) {
+// openCalls counts the calls without a final answer.
+func (l *Load) openCalls() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	n := 0
 	for _, c := range l.calls {
-		if !c.stands {
+		if !c.established {
 			n++
 		}
 	}
 	return n
 }
 
-func (l *Load) send(rng *rand.Rand, due time.Time, id string) {
+// Pause stops sending calls to an address, as a client does with a controller that shuts down, or sends them again.
+func (l *Load) Pause(address int, on bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.paused[address] = on
+}
+
+// observe passes an event at a controller to Saw.
+func (l *Load) observe(address int, e invariant.Event) {
+	if l.Saw != nil {
+		e.Node = l.Nodes[address]
+		l.Saw(e)
+	}
+}
+
+// A callDraw is what the random generator decides of a call.
+type callDraw struct {
+	class  string
+	conn   *loadConn
+	pool   int
+	number string
+}
+
+// draw draws a call; the order of the draws decides which calls a seed gives.
+func (l *Load) draw(rng *rand.Rand) callDraw {
 	class := l.Classes[scenario.Pick(l.Classes, rng.Float64())].Name
 	conn := l.conns[rng.IntN(len(l.conns))]
 	pool := rng.IntN(max(l.Pools, 1))
 	number := fmt.Sprint("5", 100_000+rng.IntN(900_000))
-	l.mu.Lock()
-	if len(l.calls) >= l.Open || l.away[conn.i] {
-		l.stats[conn.i].NotSent++
-		l.mu.Unlock()
+	return callDraw{class: class, conn: conn, pool: pool, number: number}
+}
+
+// send sends a call that was due at a time.
+func (l *Load) send(rng *rand.Rand, due time.Time, id string) {
+	d := l.draw(rng)
+	conn := d.conn
+	call := l.open(id, due, conn)
+	if call == nil {
 		return
 	}
-	call := &loadCall{due: due, conn: conn}
-	l.calls[id] = call
-	l.stats[conn.i].Sent++
-	l.mu.Unlock()
-	l.saw(conn.i, invariant.Event{Kind: invariant.SetUp, Call: id, Until: l.Left})
-	err := conn.send(&jsonl.Message{Verb: jsonl.Start, Tag: id, Blob: []byte("v=0\r\ns=" + number + "\r\n"), Opts: []jsonl.Opt{{Name: "class", Value: class},
-		{Name: "left", Value: fmt.Sprint(l.Left.Milliseconds())}, {Name: "key", Value: number}, {Name: "extras", Value: fmt.Sprintf("dest:%d;width:1;via:-1", pool)}}})
+	l.observe(conn.index, invariant.Event{Kind: invariant.SetUp, Call: id, Until: l.Left})
+	err := conn.send(&jsonl.Message{
+		Verb: jsonl.Start,
+		Tag:  id,
+		Blob: []byte("v=0\r\ns=" + d.number + "\r\n"),
+		Opts: []jsonl.Opt{
+			{Name: "class", Value: d.class},
+			{Name: "left", Value: fmt.Sprint(l.Left.Milliseconds())},
+			{Name: "key", Value: d.number},
+			{Name: "extras", Value: fmt.Sprintf("dest:%d;width:1;via:-1", d.pool)},
+		},
+	})
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if err != nil {
-		l.stats[conn.i].Lost++
+		l.stats[conn.index].Lost++
 		delete(l.calls, id)
-		l.saw(conn.i, invariant.Event{Kind: invariant.CallerEnd, Call: id}) // it was not taken
-		return
-	}
-	call.timer = time.AfterFunc(l.Left, func() { l.giveUp(id) })
-}
-
-// giveUp ends a call whose answer did not come in time.
-func (l *Load) giveUp(id string) {
-	l.mu.Lock()
-	call := l.calls[id]
-	if call == nil || call.stands {
-		l.mu.Unlock()
+		l.observe(conn.index, invariant.Event{Kind: invariant.CallerEnd, Call: id})
 		return
 	}
-	l.stats[call.conn.i].GaveUp++
-	delete(l.calls, id)
-	l.mu.Unlock()
-	_ = call.conn.send(&jsonl.Message{Verb: jsonl.Finish, Tag: id, RC: 16, HasRC: true})
+	call.timer = time.AfterFunc(l.Left, func() { l.abandon(id) })
 }
 
-func (l *Load) take(k *loadConn, m *jsonl.Message) {
-	l.mu.Lock()
-	call := l.calls[m.Tag]
-	switch m.Verb {
-	case jsonl.Started:
-		l.saw(k.i, invariant.Event{Kind: invariant.Stands, Call: m.Tag})
-		if call != nil && !call.stands {
-			call.stands = true
-			l.stats[k.i].Stood++
-			_ = l.stats[k.i].Took.RecordValue(max(time.Since(call.due).Microseconds(), 1))
-		}
-	case jsonl.Finish:
-		if call != nil {
-			s := &l.stats[k.i]
-			switch {
-			case call.stands && m.RC == 16:
-				s.Ended++
-			case call.stands:
-				s.Cut++
-			case m.RC == 34:
-				s.Refused++
-			default:
-				s.Failed++
-			}
-			if !call.stands {
-				l.saw(k.i, invariant.Event{Kind: invariant.Refused, Call: m.Tag})
-			}
-			delete(l.calls, m.Tag)
-		}
-		l.mu.Unlock()
-		_ = k.send(&jsonl.Message{Verb: jsonl.Finished, Tag: m.Tag})
-		return
-	}
-	l.mu.Unlock()
-}
-
-// dropped takes that a connection is gone: what was open on it has no answer.
-func (l *Load) dropped(k *loadConn) {
+// open registers a call, or returns nil if it must not be sent.
+func (l *Load) open(id string, due time.Time, conn *loadConn) *loadCall {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for id, c := range l.calls {
-		if c.conn == k && !c.stands {
-			l.stats[k.i].Lost++
-			delete(l.calls, id)
-		}
-	}
-}
-
-// send writes a message, on a new connection if there is none.
-func (k *loadConn) send(m *jsonl.Message) error {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	if k.c == nil {
-		c, err := net.DialTimeout("tcp", k.addr, time.Second)
-		if err != nil {
-			return fmt.Errorf("load: %w", err)
-		}
-		k.c = c
-		go k.read(c)
-	}
-	_ = k.c.SetWriteDeadline(time.Now().Add(time.Second))
-	if _, err := k.c.Write(jsonl.Append(nil, m)); err != nil {
-		_ = k.c.Close()
-		k.c = nil
-		return fmt.Errorf("load: %w", err)
-	}
-	return nil
-}
-
-func (k *loadConn) read(c net.Conn) {
-	var in jsonl.Reader
-	buf := make([]byte, 16<<10)
-	for {
-		n, err := c.Read(buf)
-		if err == nil {
-			err = in.Feed(buf[:n], func(m *jsonl.Message) bool {
-				k.l.take(k, m)
-				return true
-			})
-		}
-		if err != nil {
-			break
-		}
-	}
-	k.mu.Lock()
-	if k.c == c {
-		k.c = nil
-	}
-	k.mu.Unlock()
-	_ = c.Close()
-	k.l.dropped(k)
-}
-
-func (k *loadConn) close() {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	if k.c != nil {
-		_ = k.c.Close()
-		k.c = nil
+	stats := &l.stats[conn.index]
+	if len(l.calls) >= l.MaxOpen || l.paused[conn.index] {
+		stats.NotSent++
+		return nil
 	}
+	call := &loadCall{due: due, conn: conn}
+	l.calls[id] = call
+	stats.Sent++
+	return call
 }
--- /dev/null
+++ b/internal/sim/loopback/load_call.go
@@ -0,0 +1,108 @@
+package loopback
+
+import (
+	"time"
+
+	"olivedale/internal/codec/jsonl"
+	"olivedale/internal/sim/invariant"
+)
+
+// Release causes of ITU-T Q.850.
+const (
+	causeNormalClearing = 16
+	causeNoCircuit      = 34
+)
+
+// A loadCall is a call that is open or established.
+type loadCall struct {
+	due         time.Time // when it was to be sent
+	conn        *loadConn
+	established bool
+	timer       *time.Timer
+}
+
+// abandon ends a call whose final answer did not come in time.
+func (l *Load) abandon(id string) {
+	call := l.removeOpen(id)
+	if call == nil {
+		return
+	}
+	_ = call.conn.send(&jsonl.Message{Verb: jsonl.Finish, Tag: id, RC: causeNormalClearing, HasRC: true})
+}
+
+// removeOpen removes a call that is open and counts it as abandoned; nil: it is not open.
+func (l *Load) removeOpen(id string) *loadCall {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	call := l.calls[id]
+	if call == nil || call.established {
+		return nil
+	}
+	l.stats[call.conn.index].GaveUp++
+	delete(l.calls, id)
+	return call
+}
+
+// take handles a message from a controller.
+func (l *Load) take(c *loadConn, m *jsonl.Message) {
+	switch m.Verb {
+	case jsonl.Started:
+		l.establish(c, m.Tag)
+	case jsonl.Finish:
+		l.finish(c, m)
+		_ = c.send(&jsonl.Message{Verb: jsonl.Finished, Tag: m.Tag})
+	default: // nothing else concerns callers
+	}
+}
+
+// establish handles the final answer of a call that is established.
+func (l *Load) establish(c *loadConn, id string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.observe(c.index, invariant.Event{Kind: invariant.Stands, Call: id})
+	call := l.calls[id]
+	if call == nil || call.established {
+		return
+	}
+	call.established = true
+	stats := &l.stats[c.index]
+	stats.Stood++
+	_ = stats.Took.RecordValue(max(time.Since(call.due).Microseconds(), 1))
+}
+
+// finish handles the end of a call, or its rejection or failure.
+func (l *Load) finish(c *loadConn, m *jsonl.Message) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	call := l.calls[m.Tag]
+	if call == nil {
+		return
+	}
+	stats := &l.stats[c.index]
+	switch {
+	case call.established && m.RC == causeNormalClearing:
+		stats.Released++
+	case call.established:
+		stats.Dropped++
+	case m.RC == causeNoCircuit:
+		stats.Refused++
+	default:
+		stats.Failed++
+	}
+	if !call.established {
+		l.observe(c.index, invariant.Event{Kind: invariant.Refused, Call: m.Tag})
+	}
+	delete(l.calls, m.Tag)
+}
+
+// loseOpenCalls handles the end of a connection: its open calls get no answer.
+func (l *Load) loseOpenCalls(c *loadConn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for id, call := range l.calls {
+		if call.conn == c && !call.established {
+			l.stats[c.index].Lost++
+			delete(l.calls, id)
+		}
+	}
+}
--- /dev/null
+++ b/internal/sim/loopback/load_conn.go
@@ -0,0 +1,86 @@
+package loopback
+
+import (
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"olivedale/internal/codec/jsonl"
+)
+
+// Timeouts of a load's connections.
+const (
+	loadDialTimeout  = time.Second
+	loadWriteTimeout = time.Second
+)
+
+// A loadConn is the connection of all callers to one controller; it is dialed when there is something to send.
+type loadConn struct {
+	load  *Load
+	index int // of the address
+	addr  string
+	mu    sync.Mutex
+	conn  net.Conn // nil: not connected
+}
+
+// send writes a message, on a new connection if there is none.
+func (c *loadConn) send(m *jsonl.Message) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.conn == nil {
+		conn, err := net.DialTimeout("tcp", c.addr, loadDialTimeout)
+		if err != nil {
+			return fmt.Errorf("load: %w", err)
+		}
+		c.conn = conn
+		go c.read(conn)
+	}
+	_ = c.conn.SetWriteDeadline(time.Now().Add(loadWriteTimeout))
+	if _, err := c.conn.Write(jsonl.Append(nil, m)); err != nil {
+		_ = c.conn.Close()
+		c.conn = nil
+		return fmt.Errorf("load: %w", err)
+	}
+	return nil
+}
+
+// read handles the messages of a connection until it ends.
+func (c *loadConn) read(conn net.Conn) {
+	var reader jsonl.Reader
+	buffer := make([]byte, readBufferBytes)
+	for {
+		n, err := conn.Read(buffer)
+		if err == nil {
+			err = reader.Feed(buffer[:n], func(m *jsonl.Message) bool {
+				c.load.take(c, m)
+				return true
+			})
+		}
+		if err != nil {
+			break
+		}
+	}
+	c.forget(conn)
+	_ = conn.Close()
+	c.load.loseOpenCalls(c)
+}
+
+// forget has the next message dial a new connection, if this one is current.
+func (c *loadConn) forget(conn net.Conn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.conn == conn {
+		c.conn = nil
+	}
+}
+
+// close closes the connection, by which its reader ends.
+func (c *loadConn) close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.conn != nil {
+		_ = c.conn.Close()
+		c.conn = nil
+	}
+}
--- a/internal/sim/loopback/loopback_test.go
+++ b/internal/sim/loopback/loopback_test.go
@@ -11,7 +11,7 @@
 
 	"olivedale/internal/codec/sip"
 	"olivedale/internal/config"
-	node "olivedale/internal/server"
+	"olivedale/internal/server"
 	"olivedale/internal/sim/exchange"
 	"olivedale/internal/sim/experiment"
 	"olivedale/internal/sim/result"
@@ -19,10 +19,10 @@
 	"olivedale/internal/sim/virtualtime"
 )
 
-// brief is what calls hold where a test must not wait for them.
-var brief = map[string]time.Duration{"resident-call": 200 * time.Millisecond, "concierge-call": 200 * time.Millisecond, "delivery-call": 200 * time.Millisecond}
+// shortHolding are holding times of calls for tests that must not wait for them.
+var shortHolding = map[string]time.Duration{"resident-call": 200 * time.Millisecond, "concierge-call": 200 * time.Millisecond, "delivery-call": 200 * time.Millisecond}
 
-// start runs a real call controller, with so many emulated exchanges and their directory.
+// start runs a real controller with a number of emulated exchanges and their name service.
 func start(t testing.TB, set exchange.Settings, exchanges int) (addr string, names *Names, all []*Exchange, lines []Line) {
 	t.Helper()
 	names, err := ListenNames("127.0.0.1:0")
@@ -60,7 +60,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	n, err := node.New(cfg, node.Options{})
+	n, err := server.New(cfg, server.Options{})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -74,20 +74,20 @@
 	return addr, names, all, lines
 }
 
-// Calls pass through a real call controller to emulated exchanges and back: what callers got is what the
-// exchanges counted, also when calls are cut and an exchange dies.
+// TestLoadAndExchanges sends calls through a real controller to emulated exchanges: what callers got is what the
+// exchanges counted, also when calls are dropped and an exchange ends.
 func TestLoadAndExchanges(t *testing.T) {
 	t.Parallel()
 	sc := scenario.Default()
 	set := sc.Model()
-	set.Holding = brief
+	set.Holding = shortHolding
 	addr, names, all, lines := start(t, set, 2)
 	l := &Load{Addrs: []string{addr}, Rate: 30, For: 3 * time.Second, Left: 3 * time.Second, Pools: 2, Classes: scenario.Default().Class, Seed: 1}
 	done := make(chan error, 1)
 	go func() { done <- l.Run(context.Background()) }()
-	for end := time.Now().Add(10 * time.Second); all[0].Standing() == 0 || all[1].Standing() == 0; time.Sleep(5 * time.Millisecond) {
+	for end := time.Now().Add(10 * time.Second); all[0].EstablishedCalls() == 0 || all[1].EstablishedCalls() == 0; time.Sleep(5 * time.Millisecond) {
 		if time.Now().After(end) {
-			t.Fatal("no call stands at each exchange")
+			t.Fatal("no call is established at each exchange")
 		}
 	}
 	all[0].Do(func(x *exchange.Exchange, now exchange.Time) { x.Cutting(now, x.Standing()) })
@@ -100,14 +100,14 @@
 		stood, ups = stood+c.Stood, ups+c.SetUps
 	}
 	s := l.Stats()
-	if s.Sent < 60 || s.Stood != stood || s.Stood+s.Refused+s.Failed+s.GaveUp != s.Sent || s.Cut == 0 || s.Stood < s.Sent*8/10 || ups < stood {
-		t.Errorf("callers %+v, exchanges have %d stand of %d set-ups", s, stood, ups)
+	if s.Sent < 60 || s.Stood != stood || s.Stood+s.Refused+s.Failed+s.GaveUp != s.Sent || s.Dropped == 0 || s.Stood < s.Sent*8/10 || ups < stood {
+		t.Errorf("callers %+v, exchanges established %d of %d calls", s, stood, ups)
 	}
 	if s.Took.TotalCount() != int64(s.Stood) {
 		t.Errorf("%d times of %d calls", s.Took.TotalCount(), s.Stood)
 	}
 
-	// One dies, and the directory says so: what comes goes to the other.
+	// One exchange ends, and discovery publishes it: calls go to the other.
 	all[0].Close()
 	names.Set(lines[1])
 	l = &Load{Addrs: []string{addr}, Rate: 20, For: 2 * time.Second, Left: 3 * time.Second, Pools: 2, Classes: scenario.Default().Class, Seed: 2}
@@ -122,7 +122,7 @@
 	}
 }
 
-// The same scenario on both floors: one controller, three exchanges, calls by chance, nobody tries twice.
+// BenchmarkFloors compares virtual time with sockets: one controller, three exchanges, no caller tries twice.
 // go test -run '^$' -bench Floors -benchtime 1x ./internal/sim/loopback
 func BenchmarkFloors(b *testing.B) {
 	for range b.N {
@@ -174,12 +174,13 @@
 	return v
 }
 
-// What a controller had out on a connection that closes is forgotten. (It once stayed for good.)
+// TestClosedConnectionIsForgotten checks that attempts are forgotten when their connection closes. (They were once
+// kept for ever.)
 func TestClosedConnectionIsForgotten(t *testing.T) {
 	t.Parallel()
 	sc := scenario.Default()
 	set := sc.Model()
-	set.SetUp = time.Hour // none comes to stand
+	set.SetUp = time.Hour // no call is established
 	x, err := Listen("127.0.0.1:0", set, false, 1)
 	if err != nil {
 		t.Fatal(err)
@@ -192,15 +193,15 @@
 	if _, err := c.Write(sip.AppendRequest(nil, &sip.Request{Method: "INVITE", Number: "5", CallID: "a", CSeq: 1})); err != nil {
 		t.Fatal(err)
 	}
-	known := func() int {
+	openAttempts := func() int {
 		x.mu.Lock()
 		defer x.mu.Unlock()
 		return len(x.calls)
 	}
 	for want := 1; want >= 0; want-- {
-		for end := time.Now().Add(5 * time.Second); known() != want; time.Sleep(time.Millisecond) {
+		for end := time.Now().Add(5 * time.Second); openAttempts() != want; time.Sleep(time.Millisecond) {
 			if time.Now().After(end) {
-				t.Fatalf("%d set-ups are known, want %d", known(), want)
+				t.Fatalf("%d attempts are open, want %d", openAttempts(), want)
 			}
 		}
 		_ = c.Close()
--- a/internal/sim/loopback/names.go
+++ b/internal/sim/loopback/names.go
@@ -3,133 +3,203 @@
 import (
 	"fmt"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
 	"golang.org/x/net/dns/dnsmessage"
 )
 
-// A Line is one exchange as the directory tells of it.
+// A Line is the entry of one exchange in discovery.
 type Line struct {
-	ID      string
-	Addr    string // host:port on loopback
-	Zone    string
-	Pool    int
-	Drains  bool
-	Started time.Time // zero: long ago
+	ID       string
+	Addr     string // host:port on loopback
+	Zone     string
+	Pool     int
+	Draining bool
+	Started  time.Time // zero: long ago
 }
 
-// Names is the platform's name service: it answers each query with the whole list, whose serial number
-// grows with each change. Its methods may be called from anywhere.
+// Names is the platform's name service: it answers each query with the whole list of exchanges, whose serial number
+// grows with each change. Its methods are safe for concurrent use.
 type Names struct {
-	c      net.PacketConn
+	conn   net.PacketConn
 	mu     sync.Mutex
 	serial uint32
 	lines  []Line
-	silent bool
 }
 
-// ListenNames starts a name service on an address; port 0 takes a free one.
+// Fields of the DNS answer.
+const (
+	maxQueryBytes    = 1024
+	srvWeight        = 10
+	drainingPriority = 1
+	hostSuffix       = ".hosts."
+	kindText         = "kind=std"
+)
+
+// ListenNames starts a name service on an address; port 0 takes a free one. Close ends its goroutine.
 func ListenNames(addr string) (*Names, error) {
-	c, err := net.ListenPacket("udp", addr)
+	conn, err := net.ListenPacket("udp", addr)
 	if err != nil {
 		return nil, fmt.Errorf("names: %w", err)
 	}
-	s := &Names{c: c}
-	go func() {
-		buf := make([]byte, 1024)
-		for {
-			n, from, err := c.ReadFrom(buf)
-			if err != nil {
-				return
-			}
-			if b, err := s.answer(buf[:n]); err == nil && b != nil {
-				_, _ = c.WriteTo(b, from)
-			}
+	n := &Names{conn: conn}
+	go n.serve()
+	return n, nil
+}
+
+// serve answers queries until the socket is closed.
+func (n *Names) serve() {
+	buffer := make([]byte, maxQueryBytes)
+	for {
+		length, from, err := n.conn.ReadFrom(buffer)
+		if err != nil {
+			return
+		}
+		if answer, err := n.answer(buffer[:length]); err == nil {
+			_, _ = n.conn.WriteTo(answer, from)
 		}
-	}()
-	return s, nil
+	}
 }
 
-// Addr is where it listens.
-func (s *Names) Addr() string { return s.c.LocalAddr().String() }
+// Addr returns the address on which the service listens, as host:port.
+func (n *Names) Addr() string { return n.conn.LocalAddr().String() }
 
-// Close ends it.
-func (s *Names) Close() { _ = s.c.Close() }
+// Close ends the service.
+func (n *Names) Close() { _ = n.conn.Close() }
 
 // Set changes the list.
-func (s *Names) Set(lines ...Line) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.serial++
-	s.lines = append([]Line(nil), lines...)
+func (n *Names) Set(lines ...Line) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.serial++
+	n.lines = slices.Clone(lines)
 }
 
-// Silence has it leave queries without an answer, or answer again.
-func (s *Names) Silence(on bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.silent = on
-}
-
-func (s *Names) answer(query []byte) ([]byte, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.silent {
-		return nil, nil
-	}
-	var p dnsmessage.Parser
-	h, err := p.Start(query)
+// answer returns the answer to a query.
+func (n *Names) answer(query []byte) ([]byte, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	var parser dnsmessage.Parser
+	header, err := parser.Start(query)
 	if err != nil {
 		return nil, err
 	}
-	q, err := p.Question()
+	question, err := parser.Question()
 	if err != nil {
 		return nil, err
 	}
-	b := dnsmessage.NewBuilder(nil, dnsmessage.Header{ID: h.ID, Response: true, Authoritative: true})
-	b.EnableCompression()
-	head := func(name dnsmessage.Name) dnsmessage.ResourceHeader {
-		return dnsmessage.ResourceHeader{Name: name, Class: dnsmessage.ClassINET}
+	a := newAnswerBuilder(header.ID, question)
+	if err := a.addQuestion(); err != nil {
+		return nil, err
+	}
+	if err := a.addServices(n.lines); err != nil {
+		return nil, err
+	}
+	if err := a.addSerial(n.serial); err != nil {
+		return nil, err
+	}
+	if err := a.addHosts(n.lines); err != nil {
+		return nil, err
+	}
+	return a.builder.Finish()
+}
+
+// An answerBuilder builds the answer to one query.
+type answerBuilder struct {
+	builder  dnsmessage.Builder
+	question dnsmessage.Question
+}
+
+func newAnswerBuilder(id uint16, question dnsmessage.Question) *answerBuilder {
+	header := dnsmessage.Header{ID: id, Response: true, Authoritative: true}
+	a := &answerBuilder{builder: dnsmessage.NewBuilder(nil, header), question: question}
+	a.builder.EnableCompression()
+	return a
+}
+
+func (a *answerBuilder) addQuestion() error {
+	if err := a.builder.StartQuestions(); err != nil {
+		return err
+	}
+	return a.builder.Question(a.question)
+}
+
+// addServices adds an SRV record for each line.
+func (a *answerBuilder) addServices(lines []Line) error {
+	if err := a.builder.StartAnswers(); err != nil {
+		return err
 	}
-	steps := []func() error{b.StartQuestions, func() error { return b.Question(q) }, b.StartAnswers}
-	hosts := make([]dnsmessage.Name, len(s.lines))
-	for i, l := range s.lines {
+	for _, l := range lines {
 		addr, err := net.ResolveTCPAddr("tcp", l.Addr)
 		if err != nil {
-			return nil, err
+			return err
 		}
-		if hosts[i], err = dnsmessage.NewName(l.ID + "." + l.Zone + ".hosts."); err != nil {
-			return nil, err
+		host, err := l.hostName()
+		if err != nil {
+			return err
 		}
-		srv := dnsmessage.SRVResource{Port: uint16(addr.Port), Weight: 10, Target: hosts[i]}
-		if l.Drains {
-			srv.Priority = 1
+		srv := dnsmessage.SRVResource{Port: uint16(addr.Port), Weight: srvWeight, Target: host}
+		if l.Draining {
+			srv.Priority = drainingPriority
 		}
-		steps = append(steps, func() error { return b.SRVResource(head(q.Name), srv) })
-	}
-	steps = append(steps, b.StartAuthorities, func() error {
-		return b.SOAResource(head(q.Name), dnsmessage.SOAResource{NS: q.Name, MBox: q.Name, Serial: s.serial})
-	}, b.StartAdditionals)
-	for i, l := range s.lines {
-		started := int64(0)
-		if !l.Started.IsZero() {
-			started = l.Started.UnixMilli()
+		if err := a.builder.SRVResource(resourceHeader(a.question.Name), srv); err != nil {
+			return err
 		}
-		addr, err := net.ResolveTCPAddr("tcp", l.Addr)
-		if err != nil {
-			return nil, err
-		}
-		var ip [4]byte
-		copy(ip[:], addr.IP.To4())
-		steps = append(steps, func() error { return b.AResource(head(hosts[i]), dnsmessage.AResource{A: ip}) }, func() error {
-			return b.TXTResource(head(hosts[i]), dnsmessage.TXTResource{TXT: []string{"kind=std", fmt.Sprint("cell=", l.Pool), fmt.Sprint("started=", started)}})
-		})
-	}
-	for _, step := range steps {
-		if err := step(); err != nil {
-			return nil, err
+	}
+	return nil
+}
+
+// addSerial adds an SOA record with the serial number of the list.
+func (a *answerBuilder) addSerial(serial uint32) error {
+	if err := a.builder.StartAuthorities(); err != nil {
+		return err
+	}
+	name := a.question.Name
+	return a.builder.SOAResource(resourceHeader(name), dnsmessage.SOAResource{NS: name, MBox: name, Serial: serial})
+}
+
+// addHosts adds an A and a TXT record for each line.
+func (a *answerBuilder) addHosts(lines []Line) error {
+	if err := a.builder.StartAdditionals(); err != nil {
+		return err
+	}
+	for _, l := range lines {
+		if err := a.addHost(l); err != nil {
+			return err
 		}
 	}
-	return b.Finish()
+	return nil
+}
+
+func (a *answerBuilder) addHost(l Line) error {
+	host, err := l.hostName()
+	if err != nil {
+		return err
+	}
+	addr, err := net.ResolveTCPAddr("tcp", l.Addr)
+	if err != nil {
+		return err
+	}
+	var ip [4]byte
+	copy(ip[:], addr.IP.To4())
+	if err := a.builder.AResource(resourceHeader(host), dnsmessage.AResource{A: ip}); err != nil {
+		return err
+	}
+	started := int64(0)
+	if !l.Started.IsZero() {
+		started = l.Started.UnixMilli()
+	}
+	texts := []string{kindText, fmt.Sprint("cell=", l.Pool), fmt.Sprint("started=", started)}
+	return a.builder.TXTResource(resourceHeader(host), dnsmessage.TXTResource{TXT: texts})
+}
+
+// hostName returns the DNS name of the exchange.
+func (l Line) hostName() (dnsmessage.Name, error) {
+	return dnsmessage.NewName(l.ID + "." + l.Zone + hostSuffix)
+}
+
+func resourceHeader(name dnsmessage.Name) dnsmessage.ResourceHeader {
+	return dnsmessage.ResourceHeader{Name: name, Class: dnsmessage.ClassINET}
 }
