--- a/internal/frontend/gateway/gateway.go
+++ b/internal/frontend/gateway/gateway.go
@@ -6,6 +6,7 @@
 	"olivedale/internal/codec/h248/transaction"
 	"olivedale/internal/eventloop"
 	"olivedale/internal/frontend"
+	"slices"
 )
 
 // A Gateway is one connection from a media gateway, or from the agent on the admin address.
@@ -178,7 +179,7 @@
 	case !isNew:
 		g.handleRepeat(entry, t)
 	case adds == 1 && commands == 1:
-		err := g.addCall(messageID, entry, t, t.Actions[len(t.Actions)-1])
+		err := g.addCall(messageID, entry, t, onlyCommandAction(t))
 		if err != nil {
 			failed := &h248.Action{Context: t.Actions[0].Context, Err: err}
 			g.reply(entry, &h248.Transaction{ID: t.ID, Actions: []*h248.Action{failed}})
@@ -204,6 +205,13 @@
 	return adds, commands
 }
 
+// onlyCommandAction returns the action that holds the only command of a transaction. Actions without a command may stand
+// before and behind it.
+func onlyCommandAction(t *h248.Transaction) *h248.Action {
+	i := slices.IndexFunc(t.Actions, func(a *h248.Action) bool { return len(a.Commands) > 0 })
+	return t.Actions[i]
+}
+
 // handleRepeat replies to a transaction that has come before. Where that still runs, its answer follows the gateway to
 // this connection.
 func (g *Gateway) handleRepeat(entry *transaction.Entry, t *h248.Transaction) {
--- a/internal/server/protocols_test.go
+++ b/internal/server/protocols_test.go
@@ -192,6 +192,10 @@
 	}
 	two := one("$", "Add", "x")
 	two.Actions[0].Commands = append(two.Actions[0].Commands, two.Actions[0].Commands[0])
+	empty := &h248.Action{Context: "$"}
+	addBeforeEmpty, addBehindEmpty := one("$", "Add", "x"), one("$", "Add", "x")
+	addBeforeEmpty.Actions = append(addBeforeEmpty.Actions, empty)
+	addBehindEmpty.Actions = append([]*h248.Action{empty}, addBehindEmpty.Actions...)
 	for i, test := range []struct {
 		t    *h248.Transaction
 		want string
@@ -200,6 +204,7 @@
 		{one("$", "Add", "x"), "error 441"}, {one("9", "Add", "x"), "error 501"}, {one("$", "Add", "$"), "error 430"},
 		{one("1", "Move", "x"), "error 501"}, {one("-", "AuditValue", "x"), "error 430"}, {two, "error 501"},
 		{one("-", "ServiceChange", "ROOT"), "error 442"}, {addTransaction("t", 0, "keep.1", -time.Second), "error 449"},
+		{addBeforeEmpty, "error 441"}, {addBehindEmpty, "error 441"},
 	} {
 		test.t.ID = uint32(i + 1)
 		client.send(test.t)
