--- a/internal/record/commit.go
+++ b/internal/record/commit.go
@@ -44,7 +44,7 @@
 		}
 		// The queue is filled while it is drained. Without syncs in between, nothing might ever become durable.
 		if progress.position-w.queue.released.Load() > w.queue.size()/4 {
-			if err := w.sync(progress); err != nil {
+			if err := w.flushAndSync(progress); err != nil {
 				return err
 			}
 		}
@@ -92,7 +92,7 @@
 	return err
 }
 
-// sync makes the written records durable and releases their room in the queue.
+// sync makes the written records durable and releases their room in the queue. The batch must be flushed before.
 func (w *writer) sync(progress *commitProgress) error {
 	records := progress.records
 	progress.records = 0
--- a/internal/record/diskfailure_test.go
+++ b/internal/record/diskfailure_test.go
@@ -5,6 +5,7 @@
 	"sync"
 	"syscall"
 	"testing"
+	"time"
 )
 
 // A diskFailure says how a faultyDisk fails. The zero value is a disk that works.
@@ -107,6 +108,42 @@
 	}
 }
 
+// Records that the writer has read from the queue and not written yet are not released: they survive a failed write,
+// also if the batch spans more than the part of the queue after which the writer syncs.
+func TestUnwrittenBatchStaysInTheQueue(t *testing.T) {
+	const records = 400
+	o := testOptions(t.TempDir())
+	o.Segment = 1 << 20
+	o.Sync = 100 * time.Millisecond
+	disk := &faultyDisk{Disk: directory(o.Dir)}
+	o.Disk = disk
+	disk.setFailure(diskFailure{write: func(p []byte) (int, error) {
+		if len(p) == headerSize {
+			return len(p), nil
+		}
+		return 0, syscall.EIO
+	}})
+	l, _ := openLog(t, o)
+	for i := range records {
+		l.Put(sampleRecord(i))
+	}
+	if used := l.queue.usedBytes(); used <= l.queue.size()/4 || used >= batchSize {
+		t.Fatalf("%d bytes in a queue of %d", used, l.queue.size())
+	}
+	waitUntil(t, "the failure shows", func() bool { return l.Failing() == DiskFailed })
+	if l.Written() > 0 {
+		t.Errorf("%d records are reported as durable, and none was written", l.Written())
+	}
+	disk.setFailure(diskFailure{})
+	waitUntil(t, "the disk works again", func() bool { return l.Failing() == NoGap && l.queue.usedBytes() == 0 })
+	if l.Written() != records {
+		t.Errorf("%d records are reported as durable, want %d", l.Written(), records)
+	}
+	closeLog(t, l)
+	lines, _ := readAll(t, o.Dir)
+	checkComplete(t, lines, records, 0, NoGap)
+}
+
 // testDiskFailure puts records before, during and after a failure of the disk.
 func testDiskFailure(t *testing.T, failure diskFailure, cause GapCause, records int) {
 	o := testOptions(t.TempDir())
