--- a/internal/agent/spec.go
+++ b/internal/agent/spec.go
@@ -24,7 +24,7 @@
 	Config    json.RawMessage         `json:"config"` // content of the file that RELAY_CONFIG names
 	H248      *config.H248            `json:"h248"`   // nil disables the H.248 front end
 	Log       config.Log              `json:"log"`
-	Records   *config.Records         `json:"records"` // nil disables records; without a directory they have a default one
+	Records   *config.Records         `json:"records"` // nil disables records; the directory has a default
 	Numbering *config.Numbering       `json:"numbers"` // nil disables routing by number
 	Overload  *config.OverloadControl `json:"share"`   // nil disables overload control between instances
 	AdminAddr string                  `json:"reach"`   // admin address behind a forwarder; empty: H248.Admin
--- a/internal/backend/h248.go
+++ b/internal/backend/h248.go
@@ -127,7 +127,7 @@
 	return p.appendSubtract(b, id, attempt)
 }
 
-func (p *h248Protocol) appendRelease(b []byte, id string, attempt, cause int) []byte {
+func (p *h248Protocol) appendRelease(b []byte, id string, attempt, _ int) []byte {
 	return p.appendSubtract(b, id, attempt)
 }
 
@@ -172,6 +172,7 @@
 		p.handleRequest(messageID, t)
 	case h248.Ack:
 		p.received.Acknowledge(messageID, t.Acked)
+	case h248.Pending: // the reply follows
 	}
 }
 
--- a/internal/backend/release.go
+++ b/internal/backend/release.go
@@ -22,8 +22,8 @@
 	max  int
 }
 
-func newPendingReleases(max int) pendingReleases {
-	return pendingReleases{byID: make(map[string]pendingRelease), max: max}
+func newPendingReleases(maxReleases int) pendingReleases {
+	return pendingReleases{byID: make(map[string]pendingRelease), max: maxReleases}
 }
 
 func (p *pendingReleases) len() int { return len(p.byID) }
--- a/internal/call/attempt.go
+++ b/internal/call/attempt.go
@@ -24,6 +24,7 @@
 		if c.state == callAttempting && d.Attempt == c.attempt.number {
 			m.cancelAttempt(c, Canceled)
 		}
+	case admission.None: // a later decision follows
 	}
 	if c.state == callWaiting {
 		m.scheduleDeadline(c)
--- a/internal/call/attemptend.go
+++ b/internal/call/attemptend.go
@@ -103,7 +103,7 @@
 		return admission.ConnectionLost, admission.CauseConnectionUnresponsive
 	case EndedByFault, FailedInTransit, ConnectionReset, ConnectionClosed, Malformed, BackendLost:
 		return admission.ConnectionLost, admission.CauseNone
+	default: // an unknown end may have run
+		return admission.ConnectionLost, admission.CauseNone
 	}
-	// An unknown end may have run.
-	return admission.ConnectionLost, admission.CauseNone
 }
--- a/internal/codec/h248/parser.go
+++ b/internal/codec/h248/parser.go
@@ -135,7 +135,7 @@
 }
 
 // errorDescriptor reads an error descriptor, whose token is consumed.
-func (p *parser) errorDescriptor(code int) (*Error, *Error) {
+func (p *parser) errorDescriptor(code int) (descriptor, parseErr *Error) {
 	n, err := p.number(code)
 	if err != nil {
 		return nil, err
--- a/internal/codec/h248/parser_test.go
+++ b/internal/codec/h248/parser_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"math/rand/v2"
 	"reflect"
 	"strings"
@@ -137,7 +138,7 @@
 	}
 	m := mustParse(t, shortForm)
 	m.Transactions[0].Actions[0].Commands[0].Descriptors = []*Node{{Name: "Local", Octets: make([]byte, MaxMessageSize)}}
-	if _, err := AppendFrame(nil, m); err != ErrTooLong {
+	if _, err := AppendFrame(nil, m); !errors.Is(err, ErrTooLong) {
 		t.Errorf("a long message: %v", err)
 	}
 }
--- a/internal/codec/jsonl/reader_test.go
+++ b/internal/codec/jsonl/reader_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"math/rand/v2"
 	"reflect"
 	"strings"
@@ -82,10 +83,10 @@
 	if got, err := readAll(fits); err != nil || len(got) != 1 {
 		t.Errorf("a line of 16 KiB: %d messages, %v", len(got), err)
 	}
-	if _, err := readAll(append([]byte(" "), fits...)); err != ErrTooLong {
+	if _, err := readAll(append([]byte(" "), fits...)); !errors.Is(err, ErrTooLong) {
 		t.Errorf("a longer line: %v", err)
 	}
-	if _, err := readAll(bytes.Repeat([]byte("x"), MaxMessageSize)); err != ErrTooLong {
+	if _, err := readAll(bytes.Repeat([]byte("x"), MaxMessageSize)); !errors.Is(err, ErrTooLong) {
 		t.Errorf("a line without a line feed: %v", err)
 	}
 }
--- a/internal/codec/sip/reader_test.go
+++ b/internal/codec/sip/reader_test.go
@@ -92,7 +92,7 @@
 	}
 	tooLong := head + "Call-ID: x\r\nCSeq: 1 BYE\r\nContent-Length: 16384\r\n\r\n"
 	for _, text := range []string{tooLong, strings.Repeat("x", Limit)} {
-		if _, err := readAll([]byte(text)); err != ErrTooLong {
+		if _, err := readAll([]byte(text)); !errors.Is(err, ErrTooLong) {
 			t.Errorf("%.30q: %v", text, err)
 		}
 	}
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -125,7 +125,8 @@
 		return o, false, nil
 	}
 	if o.H248 != nil {
-		return nil, false, fmt.Errorf("config: %s and section [h248] of %s both exist; remove the former", H248Path, path)
+		return nil, false, fmt.Errorf("config: %s and section [h248] of %s both exist; remove the former",
+			H248Path, path)
 	}
 	o.H248 = deprecated
 	return o, true, nil
--- a/internal/frontend/gateway/call.go
+++ b/internal/frontend/gateway/call.go
@@ -167,7 +167,7 @@
 }
 
 // CallEstablished implements call.Client.
-func (c *gatewayCall) CallEstablished(id string, description []byte) {
+func (c *gatewayCall) CallEstablished(_ string, description []byte) {
 	f := c.frontend
 	if !h248.Fits(description) {
 		f.host.Loop.Defer(func() { f.releaseCall(c, call.CauseFailed) })
@@ -185,7 +185,7 @@
 }
 
 // CallRejected implements call.Client.
-func (c *gatewayCall) CallRejected(id string, cause int, wait time.Duration) {
+func (c *gatewayCall) CallRejected(_ string, cause int, wait time.Duration) {
 	c.frontend.calls.remove(c)
 	code := h248.TemporaryFailure
 	if cause == call.CauseNoCircuit {
--- a/internal/frontend/gateway/gateway.go
+++ b/internal/frontend/gateway/gateway.go
@@ -151,6 +151,7 @@
 			delete(f.pendingNotify, t.ID)
 		case h248.Ack:
 			f.received.Acknowledge(m.MID, t.Acked)
+		case h248.Pending: // the reply follows
 		}
 	}
 }
@@ -205,8 +206,8 @@
 	return adds, commands
 }
 
-// onlyCommandAction returns the action that holds the only command of a transaction. Actions without a command may stand
-// before and behind it.
+// onlyCommandAction returns the action that holds the only command of a transaction. Actions without a command may come
+// before and after it.
 func onlyCommandAction(t *h248.Transaction) *h248.Action {
 	i := slices.IndexFunc(t.Actions, func(a *h248.Action) bool { return len(a.Commands) > 0 })
 	return t.Actions[i]
--- a/internal/frontend/registry.go
+++ b/internal/frontend/registry.go
@@ -24,8 +24,8 @@
 func (m *Membership) IsRegistered() bool { return m.place != nil }
 
 // NewRegistry returns an empty registry.
-func NewRegistry[T Connection](host *Host, max int) *Registry[T] {
-	return &Registry[T]{Max: max, host: host}
+func NewRegistry[T Connection](host *Host, maxConnections int) *Registry[T] {
+	return &Registry[T]{Max: maxConnections, host: host}
 }
 
 // Len returns the number of connections.
--- a/internal/incident/counts.go
+++ b/internal/incident/counts.go
@@ -70,7 +70,8 @@
 	if t.setupTimes == nil {
 		t.setupTimes = hdrhistogram.New(minHistogramValue, maxHistogramValue, histogramDigits)
 	}
-	_ = t.setupTimes.RecordValue(min(max(int64(took/histogramUnit), minHistogramValue), maxHistogramValue)) // an error is impossible within the bounds
+	value := min(max(int64(took/histogramUnit), minHistogramValue), maxHistogramValue)
+	_ = t.setupTimes.RecordValue(value) // within the bounds it returns no error
 }
 
 func (t *Tally) merge(o *Tally) {
--- a/internal/incident/part.go
+++ b/internal/incident/part.go
@@ -13,7 +13,7 @@
 const (
 	initialBinWidth      = time.Second
 	initialSlowStart     = time.Second      // until the records tell the setting
-	drainGrace           = 2 * time.Second  // nothing new may go to a server later than this after its drain is announced
+	drainGrace           = 2 * time.Second  // from the announcement of a drain to the last attempt that is permitted
 	defaultAnswerTimeout = 60 * time.Second // for a final answer, until the records tell a deadline
 )
 
@@ -160,6 +160,7 @@
 		p.addClockReading(r)
 	case record.KindTally:
 		p.addCounter(r)
+	case record.KindNote, record.KindNone: // not analysed
 	}
 }
 
@@ -186,8 +187,9 @@
 	case record.KindSetUp, record.KindOrder, record.KindTry, record.KindTryEnd, record.KindAnswer,
 		record.KindRelease, record.KindLimit, record.KindTally:
 		return false
+	default:
+		return true
 	}
-	return true
 }
 
 // addConfig notes the settings that the analysis needs.
--- a/internal/report/report_test.go
+++ b/internal/report/report_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"os"
@@ -255,7 +256,7 @@
 	for {
 		kind := z.Next()
 		if kind == html.ErrorToken {
-			if z.Err() != io.EOF {
+			if !errors.Is(z.Err(), io.EOF) {
 				t.Fatal(z.Err())
 			}
 			break
--- a/internal/server/handler.go
+++ b/internal/server/handler.go
@@ -37,8 +37,9 @@
 		return s.frontends.gateway.Accept(socket, false)
 	case adminListener:
 		return s.frontends.gateway.Accept(socket, true)
+	default:
+		return s.frontends.json.Accept(socket)
 	}
-	return s.frontends.json.Accept(socket)
 }
 
 // OnTraffic implements gnet.EventHandler.
--- a/internal/server/recorder.go
+++ b/internal/server/recorder.go
@@ -158,6 +158,8 @@
 		r.Code = uint8(record.Drains)
 	case admission.Removed:
 		r.Code = uint8(record.Gone)
+	case admission.Active:
+		r.Code = uint8(record.Listed)
 	}
 	r.Flag = server.Started > 0 && r.At-server.Started < w.server.cfg.Settings.SlowStartPeriod
 	w.put()
--- a/internal/simproto/event.go
+++ b/internal/simproto/event.go
@@ -131,10 +131,12 @@
 // failureCause reads a cause; the protocol uses the numbers of the constants. An unknown one counts as none.
 func failureCause(code int) admission.FailureCause {
 	switch cause := admission.FailureCause(code); cause {
-	case admission.CauseNoCircuit, admission.CauseReturned, admission.CauseProcessorBusy, admission.CauseDestinationBusy:
+	case admission.CauseNoCircuit, admission.CauseReturned, admission.CauseProcessorBusy,
+		admission.CauseDestinationBusy:
 		return cause
+	default:
+		return admission.CauseNone
 	}
-	return admission.CauseNone
 }
 
 // readTimerFired reads keyBack.
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -50,7 +50,8 @@
 // error, the value before it is still there.
 func (s *Store) Save(name string, data []byte) (uint64, error) {
 	if !isValidName(name) {
-		return 0, fmt.Errorf("store: %q is not a name: use at most %d lower-case letters and digits", name, maxNameBytes)
+		return 0, fmt.Errorf("store: %q is not a name: use at most %d lower-case letters and digits",
+			name, maxNameBytes)
 	}
 	if len(data) > MaxValueBytes {
 		return 0, fmt.Errorf("store: %s: %d bytes are more than %d", name, len(data), MaxValueBytes)
