--- a/internal/sim/cluster/datagram_proxy.go
+++ b/internal/sim/cluster/datagram_proxy.go
@@ -24,10 +24,13 @@
 	target  string
 	observe observer // nil: there is none
 
+	goroutines sync.WaitGroup
+
 	stateMu sync.Mutex
 	rng     *rand.Rand
 	flows   map[string]net.Conn // by address of the sender
 	pending int                 // datagrams on their way
+	closed  bool
 }
 
 // newDatagramProxy listens on loopback and forwards datagrams to target. Loss, duplication and jitter are drawn from
@@ -45,7 +48,7 @@
 		rng:         rng,
 		flows:       make(map[string]net.Conn),
 	}
-	go d.readRequests()
+	d.goroutines.Go(d.readRequests)
 	return d, nil
 }
 
@@ -58,8 +61,15 @@
 // close implements proxy.
 func (d *datagramProxy) close() {
 	_ = d.socket.Close()
+	d.closeFlows()
+	d.goroutines.Wait()
+}
+
+// closeFlows closes the flows and has no new ones opened.
+func (d *datagramProxy) closeFlows() {
 	d.stateMu.Lock()
 	defer d.stateMu.Unlock()
+	d.closed = true
 	for _, flow := range d.flows {
 		_ = flow.Close()
 	}
@@ -79,7 +89,8 @@
 	}
 }
 
-// flowOf returns the socket that forwards a sender's datagrams, or nil if there are too many senders.
+// flowOf returns the socket that forwards a sender's datagrams, or nil if there are too many senders or the proxy is
+// closed.
 func (d *datagramProxy) flowOf(sender net.Addr) net.Conn {
 	d.stateMu.Lock()
 	defer d.stateMu.Unlock()
@@ -87,7 +98,7 @@
 	if flow := d.flows[key]; flow != nil {
 		return flow
 	}
-	if len(d.flows) >= maxFlows {
+	if d.closed || len(d.flows) >= maxFlows {
 		return nil
 	}
 	flow, err := net.Dial("udp", d.target)
@@ -95,7 +106,7 @@
 		return nil
 	}
 	d.flows[key] = flow
-	go d.readAnswers(flow, sender)
+	d.goroutines.Go(func() { d.readAnswers(flow, sender) })
 	return flow
 }
 
--- a/internal/sim/cluster/exchange_slot.go
+++ b/internal/sim/cluster/exchange_slot.go
@@ -139,10 +139,11 @@
 
 // closeExchangeProxies has nothing listen any more where controllers reach an exchange.
 func (r *Run) closeExchangeProxies(id string) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
 	for _, c := range r.controllers {
-		if p := c.exchangeProxies[id]; p != nil {
+		r.mu.Lock()
+		p := c.exchangeProxies[id]
+		r.mu.Unlock()
+		if p != nil {
 			p.close()
 		}
 	}
--- a/internal/sim/cluster/path.go
+++ b/internal/sim/cluster/path.go
@@ -47,7 +47,7 @@
 	network() *networkPath
 	// reset resets the open connections.
 	reset()
-	// close stops listening and resets the open connections.
+	// close stops listening, resets the open connections and waits for the proxy's goroutines. It may be called again.
 	close()
 }
 
@@ -60,7 +60,6 @@
 	impairments [directions]map[*Fault]Impairment
 	halfOpen    map[*Fault]bool // faults by which new connections are accepted and not forwarded
 	changed     chan struct{}   // closed when the active faults change
-	closed      bool
 }
 
 func newNetworkPath(from, to string) *networkPath {
@@ -101,15 +100,3 @@
 	defer p.mu.Unlock()
 	return len(p.halfOpen) == 0, p.changed
 }
-
-func (p *networkPath) markClosed() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.closed = true
-}
-
-func (p *networkPath) isClosed() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.closed
-}
--- a/internal/sim/cluster/proxy_test.go
+++ b/internal/sim/cluster/proxy_test.go
@@ -94,7 +94,7 @@
 
 func dial(t *testing.T, s *streamProxy) *lineConn {
 	t.Helper()
-	c, err := net.Dial("tcp", s.listener.Addr().String())
+	c, err := net.Dial("tcp", s.address())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -224,7 +224,7 @@
 		t.Fatal(err)
 	}
 	defer d.close()
-	c, err := net.Dial("udp", d.socket.LocalAddr().String())
+	c, err := net.Dial("udp", d.address())
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/sim/cluster/pump.go
+++ b/internal/sim/cluster/pump.go
@@ -25,7 +25,7 @@
 			if !p.awaitDue(&next) || !p.forward(&next) {
 				return
 			}
-		case <-p.conn.done:
+		case <-p.conn.ctx.Done():
 			return
 		}
 	}
@@ -51,7 +51,7 @@
 		select {
 		case <-timer:
 		case <-changed:
-		case <-p.conn.done:
+		case <-p.conn.ctx.Done():
 			return false
 		}
 	}
--- a/internal/sim/cluster/stream_proxy.go
+++ b/internal/sim/cluster/stream_proxy.go
@@ -1,6 +1,7 @@
 package cluster
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"sync"
@@ -22,9 +23,13 @@
 	listener    net.Listener
 	target      func() string
 	newObserver func() observer
+	ctx         context.Context // done when the proxy is closed
+	cancel      context.CancelFunc
+	goroutines  sync.WaitGroup
 
 	connsMu sync.Mutex
 	conns   map[net.Conn]bool
+	closed  bool
 }
 
 // newStreamProxy listens on loopback and forwards connections to the address that target returns at each connection.
@@ -34,14 +39,17 @@
 	if err != nil {
 		return nil, fmt.Errorf("proxy from %s to %s: %w", from, to, err)
 	}
+	ctx, cancel := context.WithCancel(context.Background())
 	s := &streamProxy{
 		networkPath: newNetworkPath(from, to),
 		listener:    listener,
 		target:      target,
 		newObserver: newObserver,
+		ctx:         ctx,
+		cancel:      cancel,
 		conns:       make(map[net.Conn]bool),
 	}
-	go s.accept()
+	s.goroutines.Go(s.accept)
 	return s, nil
 }
 
@@ -54,17 +62,19 @@
 		if err != nil {
 			return
 		}
-		go s.serve(client)
+		s.goroutines.Go(func() { s.serve(client) })
 	}
 }
 
 // register remembers a connection for resets. It reports false if the proxy is closed.
 func (s *streamProxy) register(conn net.Conn) bool {
-	closed := s.isClosed()
 	s.connsMu.Lock()
 	defer s.connsMu.Unlock()
+	if s.closed {
+		return false
+	}
 	s.conns[conn] = true
-	return !closed
+	return true
 }
 
 // release forgets and closes a connection.
@@ -79,6 +89,11 @@
 func (s *streamProxy) reset() {
 	s.connsMu.Lock()
 	defer s.connsMu.Unlock()
+	s.resetLocked()
+}
+
+// resetLocked resets all connections. streamProxy.connsMu is held.
+func (s *streamProxy) resetLocked() {
 	for conn := range s.conns {
 		resetConn(conn)
 	}
@@ -86,9 +101,18 @@
 
 // close implements proxy.
 func (s *streamProxy) close() {
-	s.markClosed()
 	_ = s.listener.Close()
-	s.reset()
+	s.refuseConns()
+	s.cancel() // after the reset: the end of a goroutine closes its connection without one
+	s.goroutines.Wait()
+}
+
+// refuseConns resets all connections and accepts no new ones.
+func (s *streamProxy) refuseConns() {
+	s.connsMu.Lock()
+	defer s.connsMu.Unlock()
+	s.closed = true
+	s.resetLocked()
 }
 
 // resetConn closes a connection with a TCP reset.
@@ -108,11 +132,14 @@
 	c := newProxiedConn(s)
 	defer c.end()
 	requests := make(chan piece, maxQueuedPieces)
-	go c.read(client, requests, func(data []byte) { c.observe(Forward, data) })
+	s.goroutines.Go(func() {
+		c.read(client, requests, func(data []byte) { c.observe(Forward, data) })
+	})
 	if !c.awaitForwarding() {
 		return
 	}
-	server, err := net.DialTimeout("tcp", s.target(), proxyDialTimeout)
+	dialer := net.Dialer{Timeout: proxyDialTimeout}
+	server, err := dialer.DialContext(c.ctx, "tcp", s.target())
 	if err != nil {
 		c.observe(Backward, nil)
 		resetConn(client)
@@ -123,12 +150,12 @@
 		return
 	}
 	responses := make(chan piece, maxQueuedPieces)
-	go c.read(server, responses, func([]byte) {})
-	go func() {
+	s.goroutines.Go(func() { c.read(server, responses, func([]byte) {}) })
+	s.goroutines.Go(func() {
 		defer c.end()
 		forward := pump{conn: c, direction: Forward, to: server, in: requests, observe: func([]byte) {}}
 		forward.run()
-	}()
+	})
 	backward := pump{
 		conn:      c,
 		direction: Backward,
@@ -143,22 +170,21 @@
 type proxiedConn struct {
 	proxy   *streamProxy
 	observe observer
-	done    chan struct{} // closed when one side has ended
-	endOnce sync.Once
+	ctx     context.Context // done when one side has ended, or the proxy is closed
+	end     context.CancelFunc
 }
 
 func newProxiedConn(s *streamProxy) *proxiedConn {
-	c := &proxiedConn{proxy: s, observe: func(Direction, []byte) {}, done: make(chan struct{})}
+	c := &proxiedConn{proxy: s, observe: func(Direction, []byte) {}}
+	c.ctx, c.end = context.WithCancel(s.ctx)
 	if s.newObserver != nil {
 		c.observe = s.newObserver()
 	}
 	return c
 }
 
-// end ends the connection's goroutines.
-func (c *proxiedConn) end() { c.endOnce.Do(func() { close(c.done) }) }
-
-// awaitForwarding waits while connections are half-open. It reports false after maxHalfOpen without a change.
+// awaitForwarding waits while connections are half-open. It reports false after maxHalfOpen without a change, or when
+// the proxy is closed.
 func (c *proxiedConn) awaitForwarding() bool {
 	for {
 		forwards, changed := c.proxy.forwardsConnections()
@@ -167,6 +193,8 @@
 		}
 		select {
 		case <-changed:
+		case <-c.ctx.Done():
+			return false
 		case <-time.After(maxHalfOpen):
 			return false
 		}
@@ -192,7 +220,7 @@
 		}
 		select {
 		case queue <- piece{buffer[:n], time.Now(), err}:
-		case <-c.done:
+		case <-c.ctx.Done():
 			return
 		}
 		if err != nil {
