--- a/internal/sim/cluster/proxy_test.go
+++ b/internal/sim/cluster/proxy_test.go
@@ -120,50 +120,83 @@
 	return strings.TrimSpace(text)
 }
 
-func TestStreamFaults(t *testing.T) {
-	t.Parallel()
+// A streamFixture is a stream proxy in front of an echo server, with what its observers saw.
+type streamFixture struct {
+	*streamProxy
+	seen *captured
+}
+
+func newStreamFixture(t *testing.T) *streamFixture {
+	t.Helper()
 	addr := echo(t)
-	saw := &captured{}
-	s, err := newStreamProxy("n0", "x0", func() string { return addr }, func() observer { return saw.observe })
+	seen := &captured{}
+	target := func() string { return addr }
+	s, err := newStreamProxy("n0", "x0", target, func() observer { return seen.observe })
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer s.close()
-	addFault := func(f *Fault, w Direction, i Impairment) { s.update(func() { s.impairments[w][f] = i }) }
-	removeFault := func(f *Fault) {
-		s.update(func() { delete(s.impairments[Forward], f); delete(s.impairments[Backward], f); delete(s.halfOpen, f) })
+	t.Cleanup(s.close)
+	return &streamFixture{s, seen}
+}
+
+// impair adds a fault to the proxy and returns the function that removes it.
+func (s *streamFixture) impair(i Impairment, directions ...Direction) (remove func()) {
+	f := &Fault{}
+	s.update(func() {
+		for _, d := range directions {
+			s.impairments[d][f] = i
+		}
+	})
+	return func() {
+		s.update(func() {
+			for _, d := range directions {
+				delete(s.impairments[d], f)
+			}
+		})
 	}
-	c := dial(t, s)
+}
+
+func TestStreamFaults(t *testing.T) {
+	t.Parallel()
+	s := newStreamFixture(t)
+	c := dial(t, s.streamProxy)
 	c.send(t, "one")
 	if got := c.receive(t, 10*time.Second); got != "one" {
 		t.Fatalf("without a fault %q came back", got)
 	}
+	t.Run("one-way partition", func(t *testing.T) { testOneWayPartition(t, s, c) })
+	t.Run("delay", func(t *testing.T) { testDelay(t, s, c) })
+	t.Run("bandwidth limit", func(t *testing.T) { testBandwidthLimit(t, s, c) })
+	t.Run("half-open, then reset", func(t *testing.T) { testHalfOpenAndReset(t, s) })
+}
 
-	partition := &Fault{Kind: FaultOneWayPartition}
-	addFault(partition, Backward, Impairment{Blocked: true})
+func testOneWayPartition(t *testing.T, s *streamFixture, c *lineConn) {
+	remove := s.impair(Impairment{Blocked: true}, Backward)
 	c.send(t, "two")
-	until(t, "the forward direction is open", func() bool { return strings.Contains(saw.text(Forward), "two") })
-	if got := c.receive(t, 100*time.Millisecond); got != "" || strings.Contains(saw.text(Backward), "two") {
+	until(t, "the forward direction is open", func() bool { return strings.Contains(s.seen.text(Forward), "two") })
+	if got := c.receive(t, 100*time.Millisecond); got != "" || strings.Contains(s.seen.text(Backward), "two") {
 		t.Errorf("while the backward direction was blocked %q came back", got)
 	}
-	removeFault(partition)
+	remove()
 	if got := c.receive(t, 10*time.Second); got != "two" {
 		t.Errorf("after the partition %q came back", got)
 	}
+}
 
-	slow := &Fault{Kind: FaultDelay}
-	addFault(slow, Forward, Impairment{Delay: 150 * time.Millisecond})
-	addFault(slow, Backward, Impairment{Delay: 150 * time.Millisecond})
+func testDelay(t *testing.T, s *streamFixture, c *lineConn) {
+	remove := s.impair(Impairment{Delay: 150 * time.Millisecond}, Forward, Backward)
+	defer remove()
 	began := time.Now()
 	c.send(t, "three")
 	if got := c.receive(t, 10*time.Second); got != "three" || time.Since(began) < 300*time.Millisecond {
 		t.Errorf("with 150 ms each way %q came back after %v", got, time.Since(began))
 	}
-	removeFault(slow)
+}
 
-	narrow := &Fault{Kind: FaultBandwidthLimit}
-	addFault(narrow, Forward, Impairment{BytesPerSecond: 20_000})
-	began = time.Now()
+func testBandwidthLimit(t *testing.T, s *streamFixture, c *lineConn) {
+	remove := s.impair(Impairment{BytesPerSecond: 20_000}, Forward)
+	defer remove()
+	began := time.Now()
 	for range 3 {
 		c.send(t, strings.Repeat("x", 4000))
 		c.receive(t, 10*time.Second)
@@ -171,34 +204,35 @@
 	if took := time.Since(began); took < 300*time.Millisecond {
 		t.Errorf("12 kB at 20 kB a second took %v", took)
 	}
-	removeFault(narrow)
+}
 
+// testHalfOpenAndReset runs last: it resets all connections.
+func testHalfOpenAndReset(t *testing.T, s *streamFixture) {
 	halfOpen := &Fault{Kind: FaultHalfOpen}
 	s.update(func() { s.halfOpen[halfOpen] = true })
-	d := dial(t, s)
-	d.send(t, "four")
-	if got := d.receive(t, 100*time.Millisecond); got != "" {
+	c := dial(t, s.streamProxy)
+	c.send(t, "four")
+	if got := c.receive(t, 100*time.Millisecond); got != "" {
 		t.Errorf("a half-open connection delivered %q", got)
 	}
-	removeFault(halfOpen)
-	if got := d.receive(t, 10*time.Second); got != "four" {
+	s.update(func() { delete(s.halfOpen, halfOpen) })
+	if got := c.receive(t, 10*time.Second); got != "four" {
 		t.Errorf("once connections are forwarded, %q came back", got)
 	}
 
 	s.reset()
-	if _, err := d.in.ReadByte(); err == nil {
+	if _, err := c.in.ReadByte(); err == nil {
 		t.Error("a connection outlived its reset")
 	}
 	until(t, "the observer sees both ends", func() bool {
-		saw.mu.Lock()
-		defer saw.mu.Unlock()
-		return saw.end[Forward] >= 2
+		s.seen.mu.Lock()
+		defer s.seen.mu.Unlock()
+		return s.seen.end[Forward] >= 2
 	})
-	if e := dial(t, s); e != nil {
-		e.send(t, "five")
-		if got := e.receive(t, 10*time.Second); got != "five" {
-			t.Errorf("after a reset %q came back on a new connection", got)
-		}
+	next := dial(t, s.streamProxy)
+	next.send(t, "five")
+	if got := next.receive(t, 10*time.Second); got != "five" {
+		t.Errorf("after a reset %q came back on a new connection", got)
 	}
 }
 
--- a/internal/sim/loopback/loopback_test.go
+++ b/internal/sim/loopback/loopback_test.go
@@ -20,7 +20,24 @@
 )
 
 // shortHolding are holding times of calls for tests that must not wait for them.
-var shortHolding = map[string]time.Duration{"resident-call": 200 * time.Millisecond, "concierge-call": 200 * time.Millisecond, "delivery-call": 200 * time.Millisecond}
+var shortHolding = map[string]time.Duration{
+	"resident-call":  200 * time.Millisecond,
+	"concierge-call": 200 * time.Millisecond,
+	"delivery-call":  200 * time.Millisecond,
+}
+
+// controllerSettings are the platform's settings of the controller under test.
+const controllerSettings = `{
+	"groupSize": 1,
+	"classes": [
+		{"name": "resident-call", "aim": 1500, "deadline": 9000, "credit": 1},
+		{"name": "concierge-call", "aim": 1200, "deadline": 9000, "credit": 3},
+		{"name": "delivery-call", "aim": 2000, "deadline": 9000, "credit": 1}
+	],
+	"domain": {"topology": "pools", "releaseGuard": 300, "resend": 500},
+	"limits": {"maxAttempts": 4, "cancel": true, "connectTimeout": 500},
+	"safety": {"startCapacity": 0.31, "cold": 15000}
+}`
 
 // start runs a real controller with a number of emulated exchanges and their name service.
 func start(t testing.TB, set exchange.Settings, exchanges int) (addr string, names *Names, all []*Exchange, lines []Line) {
@@ -48,11 +65,16 @@
 	}
 	addr = ln.Addr().String()
 	_ = ln.Close()
-	text, err := json.Marshal(map[string]any{"name": "n0", "listen": addr, "seed": "1f", "names": names.Addr(), "limits": map[string]any{"memory_mb": 192, "sockets": 1024},
-		"known": config.KnownEndpoints{LastEvent: 1, Events: []config.EndpointEvent{{N: 1, Endpoints: config.EndpointList{Complete: true, Endpoints: members}}}},
-		"settings": json.RawMessage(`{"groupSize":1,"classes":[{"name":"resident-call","aim":1500,"deadline":9000,"credit":1},{"name":"concierge-call","aim":1200,"deadline":9000,"credit":3},
-		{"name":"delivery-call","aim":2000,"deadline":9000,"credit":1}],"domain":{"topology":"pools","releaseGuard":300,"resend":500},"limits":{"maxAttempts":4,"cancel":true,"connectTimeout":500},
-		"safety":{"startCapacity":0.31,"cold":15000}}`)})
+	list := config.EndpointList{Complete: true, Endpoints: members}
+	text, err := json.Marshal(map[string]any{
+		"name":     "n0",
+		"listen":   addr,
+		"seed":     "1f",
+		"names":    names.Addr(),
+		"limits":   map[string]any{"memory_mb": 192, "sockets": 1024},
+		"known":    config.KnownEndpoints{LastEvent: 1, Events: []config.EndpointEvent{{N: 1, Endpoints: list}}},
+		"settings": json.RawMessage(controllerSettings),
+	})
 	if err != nil {
 		t.Fatal(err)
 	}
