--- a/internal/sim/invariant/checkcall.go
+++ b/internal/sim/invariant/checkcall.go
@@ -69,7 +69,8 @@
 	case !answer.isDue:
 		c.report(OneAnswer, e, call, "a second final answer to %s: %v", e.Call, e.Kind)
 	case isLate:
-		c.report(InTime, e, call, "the answer to %s came %v after its caller had given up", e.Call, e.At-answer.deadline)
+		c.report(InTime, e, call, "the answer to %s came %v after its caller had given up",
+			e.Call, e.At-answer.deadline)
 	}
 	answer.isDue, answer.isOver = false, true
 }
--- a/internal/sim/invariant/checker_test.go
+++ b/internal/sim/invariant/checker_test.go
@@ -57,15 +57,17 @@
 		want   Rule // "": no violation
 		events []Event
 	}{
-		"answered":              {"", []Event{setUp, invite("x", 0, 0), on(Answer, "x", 0, 0), established}},
-		"answered twice":        {OneAnswer, []Event{setUp, established, rejected}},
-		"answer to no call":     {OneAnswer, []Event{established}},
-		"no answer":             {InTime, []Event{setUp, invite("x", 0, 0)}},
-		"late answer":           {InTime, []Event{setUp, {Kind: Stands, At: 4 * time.Second}}},
-		"abandoned":             {"", []Event{setUp, callerEnd}},
-		"controller killed":     {"", []Event{setUp, {Kind: Killed}}},
-		"two open attempts":     {OneAttempt, []Event{setUp, invite("x", 0, 0), invite("y", 1, 0), established}},
-		"attempts in sequence":  {"", []Event{setUp, invite("x", 0, 0), on(TurnedBack, "x", 0, 0), invite("y", 1, 0), established}},
+		"answered":          {"", []Event{setUp, invite("x", 0, 0), on(Answer, "x", 0, 0), established}},
+		"answered twice":    {OneAnswer, []Event{setUp, established, rejected}},
+		"answer to no call": {OneAnswer, []Event{established}},
+		"no answer":         {InTime, []Event{setUp, invite("x", 0, 0)}},
+		"late answer":       {InTime, []Event{setUp, {Kind: Stands, At: 4 * time.Second}}},
+		"abandoned":         {"", []Event{setUp, callerEnd}},
+		"controller killed": {"", []Event{setUp, {Kind: Killed}}},
+		"two open attempts": {OneAttempt, []Event{setUp, invite("x", 0, 0), invite("y", 1, 0), established}},
+		"attempts in sequence": {"", []Event{
+			setUp, invite("x", 0, 0), on(TurnedBack, "x", 0, 0), invite("y", 1, 0), established,
+		}},
 		"attempt after answer":  {OneAnswer, []Event{setUp, rejected, invite("x", 0, 0)}},
 		"attempt after abandon": {OneAnswer, []Event{setUp, callerEnd, invite("x", 0, 0)}},
 		"cold server crashed":   {ColdSpared, []Event{{Kind: PushedOver, Server: "x"}}},
--- a/internal/sim/virtualtime/callerpool.go
+++ b/internal/sim/virtualtime/callerpool.go
@@ -71,6 +71,12 @@
 	return p.sim.plannedRate * p.sim.scenario.Offered(at) * p.burstFactor
 }
 
+// burst multiplies the call rate while a fault lasts.
+func (p *callerPool) burst(f scenario.Fault) {
+	p.burstFactor *= f.Factor
+	p.sim.afterFault(f, func() { p.burstFactor /= f.Factor })
+}
+
 // startArrivalWindow generates a Poisson process of changing rate by thinning: candidates arrive at the peak rate of
 // the window, and each is accepted with the ratio of the rate at its time to the peak rate.
 func (p *callerPool) startArrivalWindow() {
--- a/internal/sim/virtualtime/faults.go
+++ b/internal/sim/virtualtime/faults.go
@@ -7,17 +7,10 @@
 	"olivedale/internal/sim/scenario"
 )
 
-const (
-	minDowntime    = 100 * time.Millisecond // of a controller that is restarted
-	minDrainPeriod = 5 * time.Second        // of an exchange that is replaced
-	minResetShare  = 0.001                  // a reset without a share hits one exchange
-	rollBatches    = 10                     // a rolling restart takes the controllers in so many batches
-)
-
 // activeFaults are the faults of the environment that are in effect.
 type activeFaults struct {
 	lostSetUpShare       float64
-	partialAnswerShare   float64 // answers that never arrive whole, which is as good as lost
+	partialAnswerShare   float64 // answers of which only a part arrives; they count as lost
 	malformedAnswerShare float64
 	duplicateAnswerShare float64
 	partitions           map[int]int // by zone: number of faults that separate it from the others
@@ -30,13 +23,44 @@
 func (s *simulation) inject(f scenario.Fault) {
 	s.tally.Fault(s.now, f)
 	switch f.Kind {
-	case scenario.Slow, scenario.Crash, scenario.Vanish, scenario.Hang, scenario.Replace, scenario.LoseLines,
-		scenario.Cut, scenario.Burst:
-		s.injectLoadFault(f)
-	case scenario.NamesLost, scenario.NamesLate, scenario.NamesLie, scenario.Skew:
-		s.injectDiscoveryFault(f)
-	case scenario.Reset, scenario.Half, scenario.Spoil, scenario.Twice, scenario.Lost, scenario.Dead, scenario.Sever:
-		s.injectLinkFault(f)
+	case scenario.Slow:
+		s.slowExchanges(f)
+	case scenario.Crash:
+		s.crashExchanges(f)
+	case scenario.Vanish:
+		s.isolateExchanges(f)
+	case scenario.Hang:
+		s.hangExchanges(f)
+	case scenario.Replace:
+		s.replaceExchanges(f)
+	case scenario.LoseLines:
+		s.loseCircuits(f)
+	case scenario.Cut:
+		s.dropCalls(f)
+	case scenario.Burst:
+		s.callers.burst(f)
+	case scenario.NamesLost:
+		s.stopDiscovery(f)
+	case scenario.NamesLate:
+		s.raiseDuration(f, &s.faults.discoveryDelay)
+	case scenario.NamesLie:
+		s.announceRemoval(f)
+	case scenario.Skew:
+		s.raiseDuration(f, &s.faults.clockSkew)
+	case scenario.Reset:
+		s.resetConnections(f)
+	case scenario.Half:
+		s.raiseShare(f, &s.faults.partialAnswerShare)
+	case scenario.Spoil:
+		s.raiseShare(f, &s.faults.malformedAnswerShare)
+	case scenario.Twice:
+		s.raiseShare(f, &s.faults.duplicateAnswerShare)
+	case scenario.Lost:
+		s.raiseShare(f, &s.faults.lostSetUpShare)
+	case scenario.Dead:
+		s.killConnections(f)
+	case scenario.Sever:
+		s.partitionZone(f)
 	case scenario.Roll:
 		s.restartControllers(f)
 	case scenario.Kill:
@@ -87,20 +111,3 @@
 	}
 	return min(max(int(math.Round(share*float64(n))), 1), n)
 }
-
-// restartControllers shuts all controllers down and starts them again, in batches over the duration of the fault.
-func (s *simulation) restartControllers(f scenario.Fault) {
-	for i, c := range s.controllers {
-		batch := time.Duration(i * rollBatches / len(s.controllers))
-		s.after(batch*f.For.D()/rollBatches, func() { c.restart(max(f.By.D(), minDowntime)) })
-	}
-}
-
-// killControllers kills a share of the controllers and starts them again after a downtime.
-func (s *simulation) killControllers(f scenario.Fault) {
-	for range countOf(len(s.controllers), f.Share) {
-		c := s.controllers[s.rng.IntN(len(s.controllers))]
-		c.kill()
-		c.startAfter(max(f.By.D(), minDowntime))
-	}
-}
--- a/internal/sim/virtualtime/simulation_test.go
+++ b/internal/sim/virtualtime/simulation_test.go
@@ -113,7 +113,8 @@
 		withoutAttempt += calls.withoutAttempt
 	}
 	if abandoned < 1000 || withoutAttempt < 50 {
-		t.Errorf("%d calls abandoned, %d of them without an open attempt: too few to show anything", abandoned, withoutAttempt)
+		t.Errorf("%d calls abandoned, %d of them without an open attempt: too few to show anything",
+			abandoned, withoutAttempt)
 	}
 }
 
