--- a/internal/sim/cluster/page.go
+++ b/internal/sim/cluster/page.go
@@ -14,7 +14,7 @@
 func (r *Result) Part() (plot.Part, error) {
 	t := &r.Topology
 	about := fmt.Sprintf("%d call controllers, %d exchanges, %d zones with an agent each; calls for %.0f s. "+
-		"%d events on the wires, rules broken %d times.",
+		"%d events captured, rules violated %d times.",
 		t.Controllers, t.Exchanges, t.Zones, r.Duration, r.Seen, r.Broken)
 	p := plot.Part{Title: fmt.Sprintf("Seed %d", r.Seed), About: about}
 	for _, f := range r.Struck {
@@ -27,7 +27,7 @@
 	if len(r.Samples) < minPlotSamples {
 		return p, nil
 	}
-	svg, err := plot.Plot("calls sent that did not stand, so far", "s", "", r.curves())
+	svg, err := plot.Plot("calls sent and not established, so far", "s", "", r.curves())
 	if err != nil {
 		return p, err
 	}
--- a/internal/sim/cluster/play.go
+++ b/internal/sim/cluster/play.go
@@ -120,7 +120,7 @@
 		for _, c := range r.controllers {
 			if c.detectCrash() {
 				r.violation(ruleNoCrash, c.name,
-					"%s ended though nobody had it end; its log is in %s", c.name, r.logFile.Name())
+					"%s ended though the run did not end it; its log is in %s", c.name, r.logFile.Name())
 				r.monitor.record(invariant.Event{Kind: invariant.Killed, Node: c.name})
 				restarts.Go(func() { r.awaitRestart(ctx, c) })
 			}
--- a/internal/sim/cluster/proxy_test.go
+++ b/internal/sim/cluster/proxy_test.go
@@ -57,9 +57,9 @@
 
 // captured keeps what an observer saw.
 type captured struct {
-	mu  sync.Mutex
-	way [2]strings.Builder
-	end [2]int
+	mu   sync.Mutex
+	data [2]strings.Builder
+	end  [2]int
 }
 
 func (s *captured) observe(w Direction, b []byte) {
@@ -68,15 +68,16 @@
 	if b == nil {
 		s.end[w]++
 	}
-	s.way[w].Write(b)
+	s.data[w].Write(b)
 }
 
 func (s *captured) text(w Direction) string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.way[w].String()
+	return s.data[w].String()
 }
 
+// until waits until a condition is true, for 10 s at most.
 func until(t *testing.T, what string, ok func() bool) {
 	t.Helper()
 	for end := time.Now().Add(10 * time.Second); !ok(); time.Sleep(2 * time.Millisecond) {
--- a/internal/sim/cluster/run_test.go
+++ b/internal/sim/cluster/run_test.go
@@ -76,23 +76,7 @@
 		{At: at(5.5), Duration: at(1.5), Kind: FaultDiskFull, From: []string{"n3"}},
 	}}
 	o := options(t, s, 10*time.Second)
-	started := func(ctx context.Context, r *Run) error {
-		for _, name := range []string{"n0", "n5"} {
-			n := r.controller(name)
-			r.pollAgents(ctx)
-			n.mu.Lock()
-			starts := n.starts
-			n.mu.Unlock()
-			if starts < 2 {
-				return fmt.Errorf("its agent has started %s %d times", name, starts)
-			}
-			if _, err := r.Ask(ctx, name, adminapi.AuditCommand("ROOT")); err != nil {
-				return err
-			}
-		}
-		return nil
-	}
-	o.Conditions = []Condition{{Name: "started_again", After: 4500 * time.Millisecond, Deadline: 9 * time.Second, Check: started}}
+	o.Conditions = []Condition{{Name: "started_again", After: 4500 * time.Millisecond, Deadline: 9 * time.Second, Check: checkStartedAgain}}
 	res := playWithoutViolations(t, o)
 	if len(res.Struck) != len(s.Step) || res.Seen < 1000 || res.UnreadableStreams != 0 {
 		t.Errorf("%d of %d faults, %d events, %d streams unread", len(res.Struck), len(s.Step), res.Seen, res.UnreadableStreams)
@@ -111,20 +95,43 @@
 	if saved, err := Load(filepath.Join(o.Dir, "schedule.toml")); err != nil || len(saved.Step) != len(s.Step) {
 		t.Errorf("the saved schedule: %v", err)
 	}
-	// Records end in order after a kill and after a full disk.
-	for _, n := range []string{"n0", "n3"} {
-		var last record.Record
-		in, err := record.OpenDir(filepath.Join(o.Dir, "records", n))
-		if err != nil {
-			t.Fatal(err)
-		}
-		for err == nil {
-			err = in.Next(&last)
+	for _, name := range []string{"n0", "n3"} { // killed, and with a full disk
+		checkRecordsEnd(t, filepath.Join(o.Dir, "records", name))
+	}
+}
+
+// checkStartedAgain returns an error unless the agents have started the controllers that ended again.
+func checkStartedAgain(ctx context.Context, r *Run) error {
+	for _, name := range []string{"n0", "n5"} {
+		c := r.controller(name)
+		r.pollAgents(ctx)
+		c.mu.Lock()
+		starts := c.starts
+		c.mu.Unlock()
+		if starts < 2 {
+			return fmt.Errorf("its agent has started %s %d times", name, starts)
 		}
-		if _ = in.Close(); !errors.Is(err, io.EOF) || last.Kind != record.KindEnd || last.Seq < 100 {
-			t.Errorf("%s: %d records, the last is of kind %v: %v", n, last.Seq, last.Kind, err)
+		if _, err := r.Ask(ctx, name, adminapi.AuditCommand("ROOT")); err != nil {
+			return err
 		}
 	}
+	return nil
+}
+
+// checkRecordsEnd checks that a controller's records in dir end in order.
+func checkRecordsEnd(t *testing.T, dir string) {
+	t.Helper()
+	var last record.Record
+	in, err := record.OpenDir(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for err == nil {
+		err = in.Next(&last)
+	}
+	if _ = in.Close(); !errors.Is(err, io.EOF) || last.Kind != record.KindEnd || last.Seq < 100 {
+		t.Errorf("%s: %d records, the last is of kind %v: %v", dir, last.Seq, last.Kind, err)
+	}
 }
 
 // playWithoutViolations plays a run, and fails the test for each violation.
--- a/internal/sim/loopback/loopback_test.go
+++ b/internal/sim/loopback/loopback_test.go
@@ -149,37 +149,72 @@
 func BenchmarkFloors(b *testing.B) {
 	for range b.N {
 		for _, load := range []float64{0.6, 0.9, 1.3} {
-			sc := scenario.Default()
-			sc.Length, sc.Fleet.Controllers = scenario.Duration(30*time.Second), 1
-			sc.Callers.Load, sc.Callers.Lean, sc.Callers.Shift, sc.Callers.Tries, sc.Callers.Patience = load, 1, scenario.Span{}, 0, [2]float64{1.0 / 3, 1.0 / 3}
-			near := scenario.Span{scenario.Duration(50 * time.Microsecond), scenario.Duration(150 * time.Microsecond)} // as loopback has it
-			sc.Wire.Near, sc.Wire.Far, sc.Wire.Client = near, near, scenario.Duration(100*time.Microsecond)
-			if err := sc.Check(); err != nil {
-				b.Fatal(err)
-			}
-			days, err := experiment.Play(context.Background(), &sc, experiment.Seeds(1, 12), virtualtime.Options{})
-			if err != nil {
-				b.Fatal(err)
-			}
-			share := func(n, m int) float64 { return float64(n) / float64(max(m, 1)) }
-			addr, _, _, _ := start(b, sc.Model(), 3)
-			l := &Load{Addrs: []string{addr}, Rate: load * sc.Rate(), For: sc.Length.D(), Left: 3 * time.Second, Pools: 3, Classes: sc.Class, Seed: 1}
-			if err := l.Run(context.Background()); err != nil {
-				b.Fatal(err)
-			}
-			s := l.Stats()
-			for _, x := range []struct {
-				name   string
-				socket float64
-			}{{"stood", share(s.Stood, s.Sent)}, {"refused", share(s.Refused, s.Sent)},
-				{"p50 ms", float64(s.Took.ValueAtQuantile(50)) / 1000}, {"p99 ms", float64(s.Took.ValueAtQuantile(99)) / 1000}} {
-				v := daysOf(days, x.name)
-				b.Logf("load %v, %s: virtual %.3f, days from %.3f to %.3f; sockets %.3f", load, x.name, experiment.Bootstrap(v, false).Mean, slices.Min(v), slices.Max(v), x.socket)
-			}
+			compareFloors(b, load)
 		}
 	}
 }
 
+// comparisonScenario is a scenario that means the same in virtual time and on sockets.
+func comparisonScenario(b *testing.B, load float64) scenario.Scenario {
+	b.Helper()
+	sc := scenario.Default()
+	sc.Length = scenario.Duration(30 * time.Second)
+	sc.Fleet.Controllers = 1
+	sc.Callers.Load = load
+	sc.Callers.Lean = 1
+	sc.Callers.Shift = scenario.Span{}
+	sc.Callers.Tries = 0
+	sc.Callers.Patience = [2]float64{1.0 / 3, 1.0 / 3}
+	// The latency of loopback.
+	near := scenario.Span{scenario.Duration(50 * time.Microsecond), scenario.Duration(150 * time.Microsecond)}
+	sc.Wire.Near = near
+	sc.Wire.Far = near
+	sc.Wire.Client = scenario.Duration(100 * time.Microsecond)
+	if err := sc.Check(); err != nil {
+		b.Fatal(err)
+	}
+	return sc
+}
+
+// compareFloors logs the figures of 12 runs in virtual time and of one on sockets.
+func compareFloors(b *testing.B, load float64) {
+	b.Helper()
+	sc := comparisonScenario(b, load)
+	days, err := experiment.Play(context.Background(), &sc, experiment.Seeds(1, 12), virtualtime.Options{})
+	if err != nil {
+		b.Fatal(err)
+	}
+	addr, _, _, _ := start(b, sc.Model(), 3)
+	l := &Load{
+		Addrs:   []string{addr},
+		Rate:    load * sc.Rate(),
+		For:     sc.Length.D(),
+		Left:    3 * time.Second,
+		Pools:   3,
+		Classes: sc.Class,
+		Seed:    1,
+	}
+	if err := l.Run(context.Background()); err != nil {
+		b.Fatal(err)
+	}
+	s := l.Stats()
+	fraction := func(n, of int) float64 { return float64(n) / float64(max(of, 1)) }
+	for _, figure := range []struct {
+		name    string
+		sockets float64
+	}{
+		{"stood", fraction(s.Stood, s.Sent)},
+		{"refused", fraction(s.Refused, s.Sent)},
+		{"p50 ms", float64(s.Took.ValueAtQuantile(50)) / 1000},
+		{"p99 ms", float64(s.Took.ValueAtQuantile(99)) / 1000},
+	} {
+		values := daysOf(days, figure.name)
+		b.Logf("load %v, %s: virtual %.3f, days from %.3f to %.3f; sockets %.3f", load, figure.name,
+			experiment.Bootstrap(values, false).Mean, slices.Min(values), slices.Max(values), figure.sockets)
+	}
+}
+
+// daysOf returns a figure of each run.
 func daysOf(all []*result.Result, name string) (v []float64) {
 	for _, r := range all {
 		switch name {
