--- a/internal/sim/cluster/condition.go
+++ b/internal/sim/cluster/condition.go
@@ -95,7 +95,8 @@
 		established := now.Stood - before[i].Stood
 		if sent >= minRecoveryCalls && established*2 < sent {
 			name := r.controllers[i].name
-			r.violation(ruleRecovers, name, "%d of the last %d calls through %s were established, after all faults were over",
+			r.violation(ruleRecovers, name,
+				"%d of the last %d calls through %s were established, after all faults were over",
 				established, sent, name)
 		}
 	}
