--- a/internal/sim/eventqueue/eventqueue.go
+++ b/internal/sim/eventqueue/eventqueue.go
@@ -4,7 +4,6 @@
 package eventqueue
 
 import (
-	"cmp"
 	"container/heap"
 	"math"
 	"time"
@@ -37,12 +36,12 @@
 // Push adds an event that is due at the given time.
 func (q *Queue[T]) Push(due Time, event T) {
 	q.sequence++
-	heap.Push(&q.entries, entry[T]{due: due, sequence: q.sequence, event: event})
+	heap.Push(&q.entries, &entry[T]{due: due, sequence: q.sequence, event: event})
 }
 
 // Pop removes the first event and returns it with its due time. It panics if the queue is empty.
 func (q *Queue[T]) Pop() (due Time, event T) {
-	first := heap.Pop(&q.entries).(entry[T])
+	first := heap.Pop(&q.entries).(*entry[T])
 	return first.due, first.event
 }
 
@@ -53,22 +52,25 @@
 }
 
 // entryHeap implements heap.Interface, ordered by due time and then by sequence.
-type entryHeap[T any] []entry[T]
+type entryHeap[T any] []*entry[T]
 
 func (h entryHeap[T]) Len() int { return len(h) }
 
 func (h entryHeap[T]) Less(i, j int) bool {
-	return cmp.Or(cmp.Compare(h[i].due, h[j].due), cmp.Compare(h[i].sequence, h[j].sequence)) < 0
+	if h[i].due != h[j].due {
+		return h[i].due < h[j].due
+	}
+	return h[i].sequence < h[j].sequence
 }
 
 func (h entryHeap[T]) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
 
-func (h *entryHeap[T]) Push(x any) { *h = append(*h, x.(entry[T])) }
+func (h *entryHeap[T]) Push(x any) { *h = append(*h, x.(*entry[T])) }
 
 func (h *entryHeap[T]) Pop() any {
 	last := len(*h) - 1
 	popped := (*h)[last]
-	(*h)[last] = entry[T]{} // release the event to the garbage collector
+	(*h)[last] = nil // release the event to the garbage collector
 	*h = (*h)[:last]
 	return popped
 }
