--- a/internal/sim/exchange/exchange.go
+++ b/internal/sim/exchange/exchange.go
@@ -19,21 +19,21 @@
 // Time is a reading of the clock of the program that runs the model.
 type Time = time.Duration
 
-// Counters count calls and processor time since the start.
+// Counters count calls and processor time since the start. The JSON keys are part of the --json output.
 type Counters struct {
-	SetUps   int // set-ups received
-	Repeats  int // retransmissions of queued set-ups
-	Rejected int // set-ups rejected because the processor was overloaded
-	NoLines  int // set-ups rejected because no circuit was free
-	GivenUp  int // set-ups canceled, or dropped with the controller's connection
-	Stood    int // calls established
-	Ended    int // established calls that ended for any reason
-	Cut      int // established calls that a fault ended
-
-	Work   time.Duration // processor time of all jobs
-	Wasted time.Duration // processor time of attempts that were not established
-	Waited time.Duration // queueing delay of all set-ups that were served
-	Served int           // set-ups that the processor started
+	SetUps   int `json:"SetUps"`   // set-ups received
+	Repeats  int `json:"Repeats"`  // retransmissions of queued set-ups
+	Rejected int `json:"Rejected"` // set-ups rejected because the processor was overloaded
+	NoLines  int `json:"NoLines"`  // set-ups rejected because no circuit was free
+	GivenUp  int `json:"GivenUp"`  // set-ups canceled, or dropped with the controller's connection
+	Stood    int `json:"Stood"`    // calls established
+	Ended    int `json:"Ended"`    // established calls that ended for any reason
+	Cut      int `json:"Cut"`      // established calls that a fault ended
+
+	Work   time.Duration `json:"Work"`   // processor time of all jobs
+	Wasted time.Duration `json:"Wasted"` // processor time of attempts that were not established
+	Waited time.Duration `json:"Waited"` // queueing delay of all set-ups that were served
+	Served int           `json:"Served"` // set-ups that the processor started
 }
 
 // State is the state of an Exchange.
--- a/internal/sim/invariant/event.go
+++ b/internal/sim/invariant/event.go
@@ -38,16 +38,17 @@
 	}[k]
 }
 
-// Event is one message or state change that was observed at a call controller.
+// Event is one message or state change that was observed at a call controller. The JSON keys are part of the --json
+// output.
 type Event struct {
-	At     Time
-	Kind   Kind
-	Node   string // name of the controller
-	Call   string
-	Server string
-	N      int  // number of the attempt
-	On     bool // set for Told and Paused
-	Until  Time // set for SetUp
+	At     Time   `json:"At"`
+	Kind   Kind   `json:"Kind"`
+	Node   string `json:"Node"` // name of the controller
+	Call   string `json:"Call"`
+	Server string `json:"Server"`
+	N      int    `json:"N"`     // number of the attempt
+	On     bool   `json:"On"`    // set for Told and Paused
+	Until  Time   `json:"Until"` // set for SetUp
 }
 
 // String formats the event as a line of a log.
--- a/internal/sim/invariant/rule.go
+++ b/internal/sim/invariant/rule.go
@@ -31,15 +31,15 @@
 // Defaults returns the limits that the operators require.
 func Defaults() Limits { return Limits{Drain: 2 * time.Second, Release: 300 * time.Millisecond} }
 
-// Breach is a violation of a rule. It implements error.
+// Breach is a violation of a rule. It implements error. The JSON keys and the text are part of the --json output.
 type Breach struct {
-	Rule   Rule
-	At     Time
-	Node   string // name of the controller
-	Call   string
-	Server string
-	Text   string
-	Around []Event // the latest events of the call, or the event itself if it belongs to no known call
+	Rule   Rule    `json:"Rule"`
+	At     Time    `json:"At"`
+	Node   string  `json:"Node"` // name of the controller
+	Call   string  `json:"Call"`
+	Server string  `json:"Server"`
+	Text   string  `json:"Text"`
+	Around []Event `json:"Around"` // the latest events of the call, or the event itself if it belongs to no known call
 }
 
 // Error implements error.
