--- a/internal/backend/attempts.go
+++ b/internal/backend/attempts.go
@@ -68,7 +68,8 @@
 	c.set.endAttempt(c.id, s.ID, s.Attempt, end)
 }
 
-// Cancel gives an attempt up. It reports whether the set-up had not been written.
+// Cancel gives an attempt up. A set-up that waits in the queue, for the dial or for the end of the iteration, is
+// removed; for one that was written a cancel is written. It reports whether the set-up had not been written.
 func (c *Conn) Cancel(id string, attempt int) (unsent bool) {
 	i := slices.IndexFunc(c.queue, func(s call.Setup) bool { return s.ID == id && s.Attempt == attempt })
 	if i >= 0 {
