--- a/cmd/olivectl/golden_agent_test.go
+++ b/cmd/olivectl/golden_agent_test.go
@@ -38,7 +38,7 @@
 func serveAgent(t *testing.T, admin string) (addr string) {
 	t.Helper()
 	return serveAdmin(t, func(c *h248.Command) ([]*h248.Node, *h248.Error) {
-		n := &h248.Node{Name: "oa/instance", Kids: []*h248.Node{
+		n := &h248.Node{Name: "oa/instance", Children: []*h248.Node{
 			{Name: "name", Value: "n0", Quoted: true},
 			{Name: "state", Value: "running"},
 			{Name: "pid", Value: "7"},
@@ -46,7 +46,7 @@
 			{Name: "admin", Value: admin, Quoted: true},
 		}}
 		if c.Termination == "ROOT" {
-			return []*h248.Node{{Name: "Statistics", Kids: []*h248.Node{n}}}, nil
+			return []*h248.Node{{Name: "Statistics", Children: []*h248.Node{n}}}, nil
 		}
 		return []*h248.Node{n}, nil
 	})
@@ -108,11 +108,11 @@
 			return adminapi.OverloadNodes(goldenState()), nil
 		}
 		const begins = 1764547200 * time.Second
-		return adminapi.NumberingNodes([]numbering.Status{
-			{Digest: "7b3cbfb4b82e4e7b", Name: "of today", State: numbering.InForce, Entries: 12, Pins: 3, Since: begins},
-			{Digest: "00c41f7a00c41f7a", Name: "of tomorrow", State: numbering.Waiting, Entries: 13, Due: begins + time.Hour},
-			{Digest: "11c41f7a00c41f7a", Name: "spare", State: numbering.Loaded, Entries: 1},
-		}, numbering.Job{ID: 4, Order: numbering.Order{Op: numbering.OpLoad}, Err: "no such file"}), nil
+		return adminapi.NumberingNodes([]numbering.VersionStatus{
+			{Digest: "7b3cbfb4b82e4e7b", Name: "of today", State: numbering.StateActive, Prefixes: 12, Calls: 3, ActivatedAt: begins},
+			{Digest: "00c41f7a00c41f7a", Name: "of tomorrow", State: numbering.StateScheduled, Prefixes: 13, ScheduledAt: begins + time.Hour},
+			{Digest: "11c41f7a00c41f7a", Name: "spare", State: numbering.StateLoaded, Prefixes: 1},
+		}, numbering.Job{ID: 4, Command: numbering.Command{Op: numbering.OpLoad}, Error: "no such file"}), nil
 	})
 	addr := serveAgent(t, admin)
 	for file, args := range map[string][]string{
@@ -170,7 +170,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	n, err := server.New(cfg, server.Options{H248: o.H248, Records: o.Records, Numbers: o.Numbering, Share: o.Overload})
+	n, err := server.New(cfg, server.Options{H248: o.H248, Records: o.Records, Numbering: o.Numbering, Overload: o.Overload})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -236,7 +236,7 @@
 func writeNodeNames(b *strings.Builder, path string, nodes []*h248.Node) {
 	for _, n := range nodes {
 		_, _ = fmt.Fprintf(b, "%s%s\n", path, n.Name)
-		writeNodeNames(b, path+n.Name+" ", n.Kids)
+		writeNodeNames(b, path+n.Name+" ", n.Children)
 	}
 }
 
--- a/cmd/olivectl/instances.go
+++ b/cmd/olivectl/instances.go
@@ -94,7 +94,7 @@
 }
 
 func (s *instanceStatus) addProperties(n *h248.Node) {
-	for _, property := range n.Kids {
+	for _, property := range n.Children {
 		s.add(property.Name, property.Value)
 	}
 }
--- a/cmd/olivectl/numbers.go
+++ b/cmd/olivectl/numbers.go
@@ -47,7 +47,7 @@
 
 // readTable reads and compiles a file of rules. The argument settings is the path of a configuration, or "".
 func readTable(path, settings string, now time.Time) (*numbering.Table, error) {
-	env := numbering.Env{Now: numbering.Time(now.UnixNano())}
+	env := numbering.Deployment{Now: numbering.Time(now.UnixNano())}
 	if settings != "" {
 		cfg, err := config.Load(settings)
 		if err != nil {
@@ -57,7 +57,7 @@
 			env.Classes = append(env.Classes, numbering.Class{Name: class.Name, Pools: class.Pools})
 		}
 	}
-	table, _, err := numbering.Read(path, env)
+	table, _, err := numbering.CompileFile(path, env)
 	if err != nil {
 		return nil, errors.New(strings.ReplaceAll(err.Error(), "\n", "\n  "))
 	}
@@ -91,7 +91,7 @@
 		return err
 	}
 	_, err = fmt.Fprintf(c.OutOrStdout(), "%s: good; digest %s, %d prefixes, %s of memory, compiled in %v\n",
-		path, table.Digest(), table.Entries(), humanize.IBytes(uint64(table.Size())),
+		path, table.Digest(), table.PrefixCount(), humanize.IBytes(uint64(table.MemoryBytes())),
 		time.Since(start).Round(time.Millisecond))
 	return err
 }
--- a/cmd/olivectl/numbers_list.go
+++ b/cmd/olivectl/numbers_list.go
@@ -17,14 +17,14 @@
 
 // jsonVersions are the numbering tables of an instance, as JSON shows them.
 type jsonVersions struct {
-	Instance  string             `json:"instance"`
-	Versions  []numbering.Status `json:"versions"`
-	LastOrder string             `json:"last_order,omitempty"`
-	Error     string             `json:"error,omitempty"` // of the last order, or why there is no answer
+	Instance  string                    `json:"instance"`
+	Versions  []numbering.VersionStatus `json:"versions"`
+	LastOrder string                    `json:"last_order,omitempty"`
+	Error     string                    `json:"error,omitempty"` // of the last order, or why there is no answer
 }
 
 // auditNumbering asks an instance for its numbering tables and its last order.
-func auditNumbering(ctx context.Context, admin string) ([]numbering.Status, numbering.Job, error) {
+func auditNumbering(ctx context.Context, admin string) ([]numbering.VersionStatus, numbering.Job, error) {
 	reply, err := adminapi.Send(ctx, admin, adminapi.AuditCommand(adminapi.NumberingTermination))
 	if err != nil {
 		return nil, numbering.Job{}, err
@@ -63,7 +63,7 @@
 			all = append(all, jsonVersions{Instance: t.name, Error: err.Error()})
 			continue
 		}
-		all = append(all, jsonVersions{Instance: t.name, Versions: versions, LastOrder: job.Order.Op, Error: job.Err})
+		all = append(all, jsonVersions{Instance: t.name, Versions: versions, LastOrder: job.Command.Op, Error: job.Error})
 		for i := range versions {
 			rows = append(rows, versionRow(t.name, &versions[i]))
 		}
@@ -78,25 +78,25 @@
 	return errors.Join(failures...)
 }
 
-func versionRow(instance string, v *numbering.Status) []string {
+func versionRow(instance string, v *numbering.VersionStatus) []string {
 	return []string{
 		record.Printable(instance),
 		v.Digest,
 		record.Printable(v.Name),
 		v.State,
 		formatSince(v),
-		strconv.Itoa(v.Entries),
-		strconv.Itoa(v.Pins),
+		strconv.Itoa(v.Prefixes),
+		strconv.Itoa(v.Calls),
 	}
 }
 
 // formatSince formats when a version came into force, or when it will.
-func formatSince(v *numbering.Status) string {
+func formatSince(v *numbering.VersionStatus) string {
 	switch {
-	case v.State == numbering.Waiting:
-		return "at " + record.Unix(v.Due).Format(time.RFC3339)
-	case v.Since > 0:
-		return record.Unix(v.Since).Format(time.RFC3339)
+	case v.State == numbering.StateScheduled:
+		return "at " + record.Unix(v.ScheduledAt).Format(time.RFC3339)
+	case v.ActivatedAt > 0:
+		return record.Unix(v.ActivatedAt).Format(time.RFC3339)
 	default:
 		return "-"
 	}
@@ -107,7 +107,7 @@
 	digests := make(map[string]bool)
 	for _, instance := range all {
 		for _, v := range instance.Versions {
-			if v.State == numbering.InForce {
+			if v.State == numbering.StateActive {
 				digests[v.Digest] = true
 			}
 		}
--- a/cmd/olivectl/numbers_order.go
+++ b/cmd/olivectl/numbers_order.go
@@ -27,7 +27,7 @@
 )
 
 // newOrder returns the order for an instance with these versions.
-type newOrder func(versions []numbering.Status) numbering.Order
+type newOrder func(versions []numbering.VersionStatus) numbering.Command
 
 // executeOnAll sends an order to all targets, one after the other, and stops at the first that fails: the others would
 // most likely fail too.
@@ -72,11 +72,11 @@
 			return "", err
 		case job.ID != id:
 			return "", errOrderReplaced
-		case job.Err != "":
-			return "", errors.New(job.Err)
-		case !job.Running && operation == numbering.OpLoad:
+		case job.Error != "":
+			return "", errors.New(job.Error)
+		case !job.IsRunning && operation == numbering.OpLoad:
 			return job.Digest + " is loaded", nil
-		case !job.Running:
+		case !job.IsRunning:
 			return digestInForce(versions) + " is in force", nil
 		case time.Now().After(deadline):
 			return "", errOrderTimeout
@@ -85,9 +85,9 @@
 }
 
 // digestInForce returns the digest of the version in force, "" if there is none.
-func digestInForce(versions []numbering.Status) string {
+func digestInForce(versions []numbering.VersionStatus) string {
 	for _, v := range versions {
-		if v.State == numbering.InForce {
+		if v.State == numbering.StateActive {
 			return v.Digest
 		}
 	}
@@ -108,8 +108,8 @@
 			if err != nil {
 				return err
 			}
-			return executeOnAll(c, &f, func([]numbering.Status) numbering.Order {
-				return numbering.Order{Op: numbering.OpLoad, File: path}
+			return executeOnAll(c, &f, func([]numbering.VersionStatus) numbering.Command {
+				return numbering.Command{Op: numbering.OpLoad, File: path}
 			})
 		},
 	}
@@ -133,10 +133,10 @@
 			if err != nil {
 				return err
 			}
-			return executeOnAll(c, &f, func(versions []numbering.Status) numbering.Order {
-				order := numbering.Order{Op: numbering.OpActivate, Digest: args[0], Saw: expected, At: due}
+			return executeOnAll(c, &f, func(versions []numbering.VersionStatus) numbering.Command {
+				order := numbering.Command{Op: numbering.OpActivate, Digest: args[0], ExpectedActive: expected, ActivateAt: due}
 				if expected == "" {
-					order.Saw = digestInForce(versions)
+					order.ExpectedActive = digestInForce(versions)
 				}
 				return order
 			})
@@ -167,8 +167,8 @@
 		Short:   "Put the previous version in force",
 		Example: "  olivectl numbers rollback --agent 127.0.0.1:2950",
 		RunE: func(c *cobra.Command, _ []string) error {
-			return executeOnAll(c, &f, func(versions []numbering.Status) numbering.Order {
-				return numbering.Order{Op: numbering.OpRollback, Saw: digestInForce(versions)}
+			return executeOnAll(c, &f, func(versions []numbering.VersionStatus) numbering.Command {
+				return numbering.Command{Op: numbering.OpRollback, ExpectedActive: digestInForce(versions)}
 			})
 		},
 	}
@@ -183,8 +183,8 @@
 		Short:   "Cancel an activation that waits for its time",
 		Example: "  olivectl numbers cancel",
 		RunE: func(c *cobra.Command, _ []string) error {
-			return executeOnAll(c, &f, func([]numbering.Status) numbering.Order {
-				return numbering.Order{Op: numbering.OpCancel}
+			return executeOnAll(c, &f, func([]numbering.VersionStatus) numbering.Command {
+				return numbering.Command{Op: numbering.OpCancel}
 			})
 		},
 	}
--- a/cmd/olivectl/numbers_show.go
+++ b/cmd/olivectl/numbers_show.go
@@ -60,16 +60,16 @@
 		Class:  f.class,
 		At:     numbering.Time(at.UnixNano()),
 		Seed:   numbering.Seed(f.callID),
-		Ported: numbering.Ported{State: numbering.Undecided},
+		Ported: numbering.PortingResult{State: numbering.PortingUnknown},
 	}
 	if f.moved == "" {
 		return q, nil
 	}
-	digits, ok := numbering.MakeDigits(strings.TrimPrefix(f.moved, "+"))
+	digits, ok := numbering.ParseDigits(strings.TrimPrefix(f.moved, "+"))
 	if !ok {
 		return nil, cli.Usage("--moved: %q is no routing number", f.moved)
 	}
-	q.Ported = numbering.Ported{State: numbering.Moved, Routing: digits}
+	q.Ported = numbering.PortingResult{State: numbering.Moved, Routing: digits}
 	return q, nil
 }
 
--- a/cmd/olivectl/records_verify.go
+++ b/cmd/olivectl/records_verify.go
@@ -124,9 +124,9 @@
 	if err := v.countRecords(reader); err != nil {
 		return jsonVerification{}, err
 	}
-	v.Duplicates = reader.Twice()
+	v.Duplicates = reader.Duplicates()
 	v.Damages, v.MoreDamages = reader.Damages()
-	file, offset, size := reader.Torn()
+	file, offset, size := reader.TornTail()
 	isTorn := size > 0 && !record.Live(dir)
 	if isTorn {
 		v.Damages = append(v.Damages, record.Damage{
--- a/cmd/olivedale/serve.go
+++ b/cmd/olivedale/serve.go
@@ -43,12 +43,12 @@
 	}
 	limitMemory(cfg.MemoryMB)
 	return server.New(cfg, server.Options{
-		H248:    operator.H248,
-		Records: operator.Records,
-		Numbers: operator.Numbering,
-		Share:   operator.Overload,
-		Log:     logger,
-		Program: cli.Version(),
+		H248:      operator.H248,
+		Records:   operator.Records,
+		Numbering: operator.Numbering,
+		Overload:  operator.Overload,
+		Log:       logger,
+		Program:   cli.Version(),
 	})
 }
 
--- a/cmd/olivedale/signals.go
+++ b/cmd/olivedale/signals.go
@@ -57,7 +57,7 @@
 			continue
 		}
 		reloadConfig(node, log)
-		node.ReloadNumbers()
+		node.ReloadNumbering()
 		node.ReloadKeys()
 	}
 }
--- a/internal/adminapi/clock.go
+++ b/internal/adminapi/clock.go
@@ -59,12 +59,12 @@
 	if state == nil {
 		return "", stamps, errNoTerminationState
 	}
-	peer = h248.Value(state.Kids, peerProperty)
+	peer = h248.Value(state.Children, peerProperty)
 	if !isPeerName(peer) {
 		return "", stamps, errInvalidPeerName
 	}
 	for i, name := range stampProperties {
-		text := h248.Value(state.Kids, name)
+		text := h248.Value(state.Children, name)
 		if text == "" {
 			continue
 		}
--- a/internal/adminapi/commands.go
+++ b/internal/adminapi/commands.go
@@ -9,7 +9,7 @@
 
 // DrainCommand returns the command that takes a termination out of service once it has no pending work.
 func DrainCommand(termination string) *h248.Command {
-	services := &h248.Node{Name: h248.DescriptorServices, Kids: []*h248.Node{
+	services := &h248.Node{Name: h248.DescriptorServices, Children: []*h248.Node{
 		{Name: "Method", Value: "Graceful"},
 		{Name: "Reason", Value: "905 Termination taken out of service", Quoted: true},
 	}}
@@ -22,8 +22,8 @@
 
 // modifyCommand returns the command that sets properties of a termination's state.
 func modifyCommand(termination string, properties []*h248.Node) *h248.Command {
-	state := &h248.Node{Name: h248.DescriptorTerminationState, Kids: properties}
-	media := &h248.Node{Name: h248.DescriptorMedia, Kids: []*h248.Node{state}}
+	state := &h248.Node{Name: h248.DescriptorTerminationState, Children: properties}
+	media := &h248.Node{Name: h248.DescriptorMedia, Children: []*h248.Node{state}}
 	return &h248.Command{
 		Name:        h248.CommandModify,
 		Termination: termination,
--- a/internal/adminapi/golden_test.go
+++ b/internal/adminapi/golden_test.go
@@ -44,11 +44,11 @@
 }
 
 // goldenVersions returns a version in each state.
-func goldenVersions() (versions []numbering.Status) {
-	for i, state := range []string{numbering.InForce, numbering.Waiting, numbering.Loaded} {
-		versions = append(versions, numbering.Status{
+func goldenVersions() (versions []numbering.VersionStatus) {
+	for i, state := range []string{numbering.StateActive, numbering.StateScheduled, numbering.StateLoaded} {
+		versions = append(versions, numbering.VersionStatus{
 			Digest: fmt.Sprint("d", i), Name: "of today", State: state,
-			Entries: 10 + i, Pins: i, Since: time.Duration(i), Due: time.Duration(2 * i),
+			Prefixes: 10 + i, Calls: i, ActivatedAt: time.Duration(i), ScheduledAt: time.Duration(2 * i),
 		})
 	}
 	return versions
@@ -73,19 +73,19 @@
 	add("drain", DrainCommand("instance/panel-east"))
 	add("clock", ClockCommand("agent-1", ClockStamps{1764547200000000001, 2, 3, 4}))
 	add("clock without stamps", ClockCommand("", ClockStamps{}))
-	add("order to load", NumberingCommand(numbering.Order{Op: numbering.OpLoad, File: "/etc/numbers.toml"}))
-	add("order to activate", NumberingCommand(numbering.Order{
-		Op: numbering.OpActivate, Digest: "7b3cbfb4b82e4e7b", Saw: "00", At: 5 * time.Second}))
-	add("order to roll back", NumberingCommand(numbering.Order{Op: numbering.OpRollback, Saw: "00"}))
-	add("order to cancel", NumberingCommand(numbering.Order{Op: numbering.OpCancel}))
-	load := numbering.Order{Op: numbering.OpLoad}
-	runningJob := numbering.Job{ID: 4, Order: load, Running: true}
-	failedJob := numbering.Job{ID: 5, Order: load, Err: "no such file", Digest: "d9"}
+	add("order to load", NumberingCommand(numbering.Command{Op: numbering.OpLoad, File: "/etc/numbers.toml"}))
+	add("order to activate", NumberingCommand(numbering.Command{
+		Op: numbering.OpActivate, Digest: "7b3cbfb4b82e4e7b", ExpectedActive: "00", ActivateAt: 5 * time.Second}))
+	add("order to roll back", NumberingCommand(numbering.Command{Op: numbering.OpRollback, ExpectedActive: "00"}))
+	add("order to cancel", NumberingCommand(numbering.Command{Op: numbering.OpCancel}))
+	load := numbering.Command{Op: numbering.OpLoad}
+	runningJob := numbering.Job{ID: 4, Command: load, IsRunning: true}
+	failedJob := numbering.Job{ID: 5, Command: load, Error: "no such file", Digest: "d9"}
 	reply("versions while an order runs", NumberingTermination, NumberingNodes(goldenVersions(), runningJob)...)
 	reply("versions after an order failed", NumberingTermination, NumberingNodes(nil, failedJob)...)
 	reply("table and look-ups", "ROOT", TableNode("d0", "of today"), LookupsNode(&portability.Counters{
-		Asked: 1, Hits: 2, Coalesced: 3, StaleHits: 4, Undecided: 5, Crowded: 6,
-		Sent: 7, Answered: 8, TimedOut: 9, Refused: 10, Strays: 11, Lies: 12, Broken: 13,
+		Calls: 1, CacheHits: 2, Coalesced: 3, StaleCacheHits: 4, Unanswered: 5, OverLimit: 6,
+		QueriesSent: 7, QueriesAnswered: 8, QueriesTimedOut: 9, QueriesFailed: 10, UnmatchedAnswers: 11, MismatchedAnswers: 12, BreakerOpenings: 13,
 	}))
 	reply("share", OverloadTermination, OverloadNodes(goldenState())...)
 	reply("share without values", OverloadTermination, OverloadNodes(&overload.State{})...)
@@ -99,16 +99,16 @@
 		_, _ = fmt.Fprintf(b, "clock peer %q stamps %v\n", peer, [4]int64(stamps))
 	}
 	if o, err := ParseNumberingOrder(c); err == nil && o.Op != "" {
-		_, _ = fmt.Fprintf(b, "order %q file %q digest %q saw %q at %d\n", o.Op, o.File, o.Digest, o.Saw, o.At)
+		_, _ = fmt.Fprintf(b, "order %q file %q digest %q saw %q at %d\n", o.Op, o.File, o.Digest, o.ExpectedActive, o.ActivateAt)
 	}
 	versions, job := ParseNumbering(c.Descriptors)
 	for _, v := range versions {
 		_, _ = fmt.Fprintf(b, "version %q name %q state %q entries %d calls %d since %d due %d\n",
-			v.Digest, v.Name, v.State, v.Entries, v.Pins, v.Since, v.Due)
+			v.Digest, v.Name, v.State, v.Prefixes, v.Calls, v.ActivatedAt, v.ScheduledAt)
 	}
 	if job.ID > 0 {
 		_, _ = fmt.Fprintf(b, "job %d order %q running %v error %q digest %q\n",
-			job.ID, job.Order.Op, job.Running, job.Err, job.Digest)
+			job.ID, job.Command.Op, job.IsRunning, job.Error, job.Digest)
 	}
 	if s := ParseOverload(c.Descriptors); s != nil {
 		dumpState(b, s)
--- a/internal/adminapi/numbering.go
+++ b/internal/adminapi/numbering.go
@@ -26,65 +26,65 @@
 	jobDone    = "done"
 )
 
-var orderProperties = propertyList[numbering.Order]{
-	textProperty("do", func(o *numbering.Order) *string { return &o.Op }),
-	textProperty("file", func(o *numbering.Order) *string { return &o.File }),
-	textProperty("digest", func(o *numbering.Order) *string { return &o.Digest }),
-	textProperty("saw", func(o *numbering.Order) *string { return &o.Saw }),
-	omitZero(nanosecondsProperty("at", func(o *numbering.Order) *time.Duration { return &o.At })),
+var orderProperties = propertyList[numbering.Command]{
+	textProperty("do", func(o *numbering.Command) *string { return &o.Op }),
+	textProperty("file", func(o *numbering.Command) *string { return &o.File }),
+	textProperty("digest", func(o *numbering.Command) *string { return &o.Digest }),
+	textProperty("saw", func(o *numbering.Command) *string { return &o.ExpectedActive }),
+	omitZero(nanosecondsProperty("at", func(o *numbering.Command) *time.Duration { return &o.ActivateAt })),
 }
 
-var versionProperties = propertyList[numbering.Status]{
-	textProperty("digest", func(s *numbering.Status) *string { return &s.Digest }),
-	textProperty("name", func(s *numbering.Status) *string { return &s.Name }),
-	textProperty("state", func(s *numbering.Status) *string { return &s.State }),
-	intProperty("entries", func(s *numbering.Status) *int { return &s.Entries }),
-	intProperty("pins", func(s *numbering.Status) *int { return &s.Pins }),
-	nanosecondsProperty("since", func(s *numbering.Status) *time.Duration { return &s.Since }),
-	nanosecondsProperty("due", func(s *numbering.Status) *time.Duration { return &s.Due }),
+var versionProperties = propertyList[numbering.VersionStatus]{
+	textProperty("digest", func(s *numbering.VersionStatus) *string { return &s.Digest }),
+	textProperty("name", func(s *numbering.VersionStatus) *string { return &s.Name }),
+	textProperty("state", func(s *numbering.VersionStatus) *string { return &s.State }),
+	intProperty("entries", func(s *numbering.VersionStatus) *int { return &s.Prefixes }),
+	intProperty("pins", func(s *numbering.VersionStatus) *int { return &s.Calls }),
+	nanosecondsProperty("since", func(s *numbering.VersionStatus) *time.Duration { return &s.ActivatedAt }),
+	nanosecondsProperty("due", func(s *numbering.VersionStatus) *time.Duration { return &s.ScheduledAt }),
 }
 
 var jobProperties = propertyList[numbering.Job]{
 	uintProperty("id", 10, func(j *numbering.Job) *uint64 { return &j.ID }),
-	textProperty("op", func(j *numbering.Job) *string { return &j.Order.Op }),
+	textProperty("op", func(j *numbering.Job) *string { return &j.Command.Op }),
 	{name: "state", format: formatJobState, parse: parseJobState},
-	textProperty("err", func(j *numbering.Job) *string { return &j.Err }),
+	textProperty("err", func(j *numbering.Job) *string { return &j.Error }),
 	textProperty("digest", func(j *numbering.Job) *string { return &j.Digest }),
 }
 
 func formatJobState(j *numbering.Job) string {
-	if j.Running {
+	if j.IsRunning {
 		return jobRunning
 	}
 	return jobDone
 }
 
 func parseJobState(j *numbering.Job, text string) error {
-	j.Running = text == jobRunning
+	j.IsRunning = text == jobRunning
 	return nil
 }
 
 // lookupProperties are the counters of look-ups that an audit of ROOT reports.
 var lookupProperties = propertyList[portability.Counters]{
-	intProperty("asked", func(c *portability.Counters) *int { return &c.Asked }),
-	intProperty("hits", func(c *portability.Counters) *int { return &c.Hits }),
-	intProperty("undecided", func(c *portability.Counters) *int { return &c.Undecided }),
-	intProperty("sent", func(c *portability.Counters) *int { return &c.Sent }),
-	intProperty("answered", func(c *portability.Counters) *int { return &c.Answered }),
-	intProperty("timedout", func(c *portability.Counters) *int { return &c.TimedOut }),
-	intProperty("strays", func(c *portability.Counters) *int { return &c.Strays }),
-	intProperty("lies", func(c *portability.Counters) *int { return &c.Lies }),
-	intProperty("broken", func(c *portability.Counters) *int { return &c.Broken }),
+	intProperty("asked", func(c *portability.Counters) *int { return &c.Calls }),
+	intProperty("hits", func(c *portability.Counters) *int { return &c.CacheHits }),
+	intProperty("undecided", func(c *portability.Counters) *int { return &c.Unanswered }),
+	intProperty("sent", func(c *portability.Counters) *int { return &c.QueriesSent }),
+	intProperty("answered", func(c *portability.Counters) *int { return &c.QueriesAnswered }),
+	intProperty("timedout", func(c *portability.Counters) *int { return &c.QueriesTimedOut }),
+	intProperty("strays", func(c *portability.Counters) *int { return &c.UnmatchedAnswers }),
+	intProperty("lies", func(c *portability.Counters) *int { return &c.MismatchedAnswers }),
+	intProperty("broken", func(c *portability.Counters) *int { return &c.BreakerOpenings }),
 }
 
 // NumberingCommand returns the command that gives an order to the numbering tables of an instance.
-func NumberingCommand(o numbering.Order) *h248.Command {
+func NumberingCommand(o numbering.Command) *h248.Command {
 	return modifyCommand(NumberingTermination, orderProperties.nodes(&o, true))
 }
 
 // ParseNumberingOrder returns the order that a command carries.
-func ParseNumberingOrder(c *h248.Command) (numbering.Order, error) {
-	var o numbering.Order
+func ParseNumberingOrder(c *h248.Command) (numbering.Command, error) {
+	var o numbering.Command
 	err := orderProperties.parse(&o, func(name string) string {
 		return h248.Value(c.Descriptors, h248.DescriptorMedia, h248.DescriptorTerminationState, name)
 	})
@@ -92,24 +92,24 @@
 }
 
 // NumberingNodes returns the descriptors that report the versions of the numbering table and the last order.
-func NumberingNodes(versions []numbering.Status, job numbering.Job) []*h248.Node {
+func NumberingNodes(versions []numbering.VersionStatus, job numbering.Job) []*h248.Node {
 	statistics := &h248.Node{Name: h248.DescriptorStatistics}
 	for i := range versions {
-		statistics.Kids = append(statistics.Kids, versionProperties.node(versionNode, &versions[i]))
+		statistics.Children = append(statistics.Children, versionProperties.node(versionNode, &versions[i]))
 	}
 	if job.ID > 0 {
-		statistics.Kids = append(statistics.Kids, jobProperties.node(jobNode, &job))
+		statistics.Children = append(statistics.Children, jobProperties.node(jobNode, &job))
 	}
 	return []*h248.Node{statistics}
 }
 
 // ParseNumbering returns the versions and the last order that descriptors of NumberingNodes report.
-func ParseNumbering(nodes []*h248.Node) (versions []numbering.Status, job numbering.Job) {
+func ParseNumbering(nodes []*h248.Node) (versions []numbering.VersionStatus, job numbering.Job) {
 	statistics := h248.Find(nodes, h248.DescriptorStatistics)
 	if statistics == nil {
 		return nil, job
 	}
-	for _, n := range statistics.Kids {
+	for _, n := range statistics.Children {
 		switch n.Name {
 		case versionNode:
 			versions = append(versions, versionProperties.parseNode(n))
@@ -122,7 +122,7 @@
 
 // TableNode returns the node that reports the numbering table in use.
 func TableNode(digest, version string) *h248.Node {
-	return &h248.Node{Name: tableNode, Kids: []*h248.Node{
+	return &h248.Node{Name: tableNode, Children: []*h248.Node{
 		{Name: "oc/digest", Value: digest, Quoted: true},
 		{Name: "oc/name", Value: version, Quoted: true},
 	}}
@@ -130,5 +130,5 @@
 
 // LookupsNode returns the node that reports the look-ups of ported numbers.
 func LookupsNode(c *portability.Counters) *h248.Node {
-	return &h248.Node{Name: lookupsNode, Kids: lookupProperties.nodes(c, false)}
+	return &h248.Node{Name: lookupsNode, Children: lookupProperties.nodes(c, false)}
 }
--- a/internal/adminapi/overload.go
+++ b/internal/adminapi/overload.go
@@ -113,7 +113,7 @@
 // age of their last report, the oldest first; only the first maxReportedNodes members and aggregates are reported.
 func OverloadNodes(s *overload.State) []*h248.Node {
 	statistics := &h248.Node{Name: h248.DescriptorStatistics}
-	report := func(n *h248.Node) { statistics.Kids = append(statistics.Kids, n) }
+	report := func(n *h248.Node) { statistics.Children = append(statistics.Children, n) }
 	report(stateProperties.node(stateNode, s))
 	for i := range s.Servers {
 		report(serverProperties.node(serverNode, &s.Servers[i]))
@@ -134,7 +134,7 @@
 		return nil
 	}
 	var s *overload.State
-	for _, n := range statistics.Kids {
+	for _, n := range statistics.Children {
 		if n.Name == stateNode {
 			state := stateProperties.parseNode(n)
 			s = &state
--- a/internal/adminapi/properties.go
+++ b/internal/adminapi/properties.go
@@ -36,7 +36,7 @@
 
 // node returns a node with the properties of v, as quoted strings.
 func (l propertyList[T]) node(name string, v *T) *h248.Node {
-	return &h248.Node{Name: name, Kids: l.nodes(v, true)}
+	return &h248.Node{Name: name, Children: l.nodes(v, true)}
 }
 
 // parse sets the parts of v whose properties are present. The argument lookup returns the text of a property, "" if it
@@ -59,7 +59,7 @@
 // them.
 func (l propertyList[T]) parseNode(n *h248.Node) T {
 	var v T
-	_ = l.parse(&v, func(name string) string { return h248.Value(n.Kids, name) })
+	_ = l.parse(&v, func(name string) string { return h248.Value(n.Children, name) })
 	return v
 }
 
--- a/internal/admission/engine.go
+++ b/internal/admission/engine.go
@@ -58,11 +58,11 @@
 
 // Kinds of decisions.
 const (
-	None   DecisionKind = iota // nothing now; the call stays open, and Tick may return a decision on it
-	Send                       // start an attempt at Server that times out after Wait
-	Reject                     // reject the call, with Wait as its retry-after time
-	Fail                       // fail the call, with Wait as its retry-after time
-	Cancel                     // cancel the open attempt
+	DecisionNone   DecisionKind = iota // nothing now; the call stays open, and Tick may return a decision on it
+	DecisionSend                       // start an attempt at Server that times out after Wait
+	DecisionReject                     // reject the call, with Wait as its retry-after time
+	DecisionFail                       // fail the call, with Wait as its retry-after time
+	DecisionCancel                     // cancel the open attempt
 )
 
 // A Decision says what to do with one call.
@@ -165,7 +165,7 @@
 func (e *Engine) handle(now Time, callID string, event Event) Decision {
 	first := Decision{CallID: callID}
 	for _, decision := range e.apply(e.machine.Handle(now, event)) {
-		if decision.CallID == callID && first.Kind == None {
+		if decision.CallID == callID && first.Kind == DecisionNone {
 			first = decision
 		} else {
 			e.deferred = append(e.deferred, decision)
@@ -180,13 +180,13 @@
 	for _, action := range actions {
 		switch a := action.(type) {
 		case SendAttempt:
-			decide(Decision{CallID: a.CallID, Kind: Send, Server: a.Server, Wait: a.Timeout})
+			decide(Decision{CallID: a.CallID, Kind: DecisionSend, Server: a.Server, Wait: a.Timeout})
 		case RejectCall:
-			decide(Decision{CallID: a.CallID, Kind: Reject, Wait: a.RetryAfter, Reason: a.Reason})
+			decide(Decision{CallID: a.CallID, Kind: DecisionReject, Wait: a.RetryAfter, Reason: a.Reason})
 		case FailCall:
-			decide(Decision{CallID: a.CallID, Kind: Fail, Wait: a.RetryAfter, Reason: a.Reason})
+			decide(Decision{CallID: a.CallID, Kind: DecisionFail, Wait: a.RetryAfter, Reason: a.Reason})
 		case CancelAttempt:
-			decide(Decision{CallID: a.CallID, Kind: Cancel, Attempt: a.Attempt, Reason: a.Reason})
+			decide(Decision{CallID: a.CallID, Kind: DecisionCancel, Attempt: a.Attempt, Reason: a.Reason})
 		case SetTimer:
 			heap.Push(&e.timers, a)
 		case LogMessage:
--- a/internal/admission/events.go
+++ b/internal/admission/events.go
@@ -62,20 +62,22 @@
 // An AttemptResult says how an attempt ended.
 type AttemptResult int
 
-// Results of attempts. ServerBusy, DialFailed and NotSent prove that the server did not run the call.
+// Results of attempts. ResultServerBusy, ResultDialFailed and ResultNotSent prove that the server did not run the call.
 const (
-	Delivered      AttemptResult = iota // the call was established and has ended
-	ServerError                         // the server answered with an error
-	ServerBusy                          // the server rejected the attempt
-	TimedOut                            // no answer came in time
-	DialFailed                          // no connection to the server could be made
-	ConnectionLost                      // the connection was lost before an answer came
-	Canceled                            // the attempt was canceled
-	NotSent                             // the attempt was given up before it was sent
+	ResultDelivered      AttemptResult = iota // the call was established and has ended
+	ResultServerError                         // the server answered with an error
+	ResultServerBusy                          // the server rejected the attempt
+	ResultTimedOut                            // no answer came in time
+	ResultDialFailed                          // no connection to the server could be made
+	ResultConnectionLost                      // the connection was lost before an answer came
+	ResultCanceled                            // the attempt was canceled
+	ResultNotSent                             // the attempt was given up before it was sent
 )
 
 // MayHaveRun reports whether the server may have run the call of an attempt with this result.
-func (r AttemptResult) MayHaveRun() bool { return r != ServerBusy && r != DialFailed && r != NotSent }
+func (r AttemptResult) MayHaveRun() bool {
+	return r != ResultServerBusy && r != ResultDialFailed && r != ResultNotSent
+}
 
 // A FailureCause says more about a failed attempt.
 type FailureCause int
--- a/internal/admission/example_test.go
+++ b/internal/admission/example_test.go
@@ -36,7 +36,7 @@
 	do(c.Handle(now, admission.CallEstablished{CallID: "c1", Server: "core-1", SetupTime: 80 * time.Millisecond}))
 	now += 4 * time.Second
 	do(c.Handle(now, admission.AttemptEnded{
-		CallID: "c1", Server: "core-1", Result: admission.Delivered, Final: true,
+		CallID: "c1", Server: "core-1", Result: admission.ResultDelivered, Final: true,
 	}))
 	// Output:
 	// admission.SetTimer {At:10.1s Key:0}
--- a/internal/admission/golden_test.go
+++ b/internal/admission/golden_test.go
@@ -264,7 +264,7 @@
 	}
 	establish := func(after time.Duration) {
 		if after >= x.Timeout {
-			end(x.Timeout, TimedOut, CauseNone)
+			end(x.Timeout, ResultTimedOut, CauseNone)
 			return
 		}
 		s.schedule(after, x.CallID, attempt, CallEstablished{
@@ -273,7 +273,7 @@
 		duration := time.Duration(200+s.rng.IntN(3000)) * millisecond
 		s.schedule(after+duration, x.CallID, attempt, AttemptEnded{
 			CallID: x.CallID, Server: x.Server, Attempt: attempt,
-			Result: Delivered, Final: true, Load: s.report(x.Server),
+			Result: ResultDelivered, Final: true, Load: s.report(x.Server),
 		})
 	}
 	quick := time.Duration(10+s.rng.IntN(60)) * millisecond
@@ -282,15 +282,15 @@
 	case b == answersSlowly:
 		establish(time.Duration(200+s.rng.IntN(1200)) * millisecond)
 	case b == answersNothing, b == losesSome && chance == 0:
-		end(x.Timeout, TimedOut, CauseNone)
+		end(x.Timeout, ResultTimedOut, CauseNone)
 	case b == rejectsSome && chance < 5:
-		end(quick, ServerBusy, CauseProcessorBusy)
+		end(quick, ResultServerBusy, CauseProcessorBusy)
 	case b == hasNoCircuit && chance < 8:
-		end(quick, ServerBusy, CauseNoCircuit)
+		end(quick, ResultServerBusy, CauseNoCircuit)
 	case b == losesConnection:
-		end(time.Duration(300+s.rng.IntN(500))*millisecond, ConnectionLost, CauseConnectionUnresponsive)
+		end(time.Duration(300+s.rng.IntN(500))*millisecond, ResultConnectionLost, CauseConnectionUnresponsive)
 	case b == failsSome && chance < 6:
-		results := []AttemptResult{ServerError, DialFailed, NotSent, ConnectionLost, ServerError, Canceled}
+		results := []AttemptResult{ResultServerError, ResultDialFailed, ResultNotSent, ResultConnectionLost, ResultServerError, ResultCanceled}
 		causes := []FailureCause{CauseDestinationBusy, CauseNone, CauseNone, CauseReturned, CauseReturned, CauseNone}
 		end(quick, results[chance], causes[chance])
 	default:
@@ -305,7 +305,7 @@
 	}
 	s.events = slices.DeleteFunc(s.events, func(e pendingEvent) bool { return e.call == x.CallID })
 	s.schedule(20*millisecond, x.CallID, x.Attempt, AttemptEnded{
-		CallID: x.CallID, Attempt: x.Attempt, Result: Canceled,
+		CallID: x.CallID, Attempt: x.Attempt, Result: ResultCanceled,
 	})
 }
 
--- a/internal/admission/harness_test.go
+++ b/internal/admission/harness_test.go
@@ -167,7 +167,7 @@
 		if id, s := tc.offer("read", 0); s != "" {
 			sent++
 			tc.establish(id, s, took)
-			tc.handle(AttemptEnded{CallID: id, Server: s, Result: Delivered, Final: true})
+			tc.handle(AttemptEnded{CallID: id, Server: s, Result: ResultDelivered, Final: true})
 		}
 		tc.advance(gap)
 	}
--- a/internal/admission/load_test.go
+++ b/internal/admission/load_test.go
@@ -10,7 +10,7 @@
 func TestNoCircuitSetsNoRateLimit(t *testing.T) {
 	tc := newTestController(t, testSettings(), serverA, serverB)
 	id, s := tc.offer("read", 0)
-	if acts := tc.endAttempt(id, s, ServerBusy, CauseNoCircuit); sentServer(acts) != "b" {
+	if acts := tc.endAttempt(id, s, ResultServerBusy, CauseNoCircuit); sentServer(acts) != "b" {
 		t.Errorf("a call that found no circuit was not sent elsewhere: %v", acts)
 	}
 	if !math.IsInf(tc.machine.servers[0].limit.rate, 1) {
@@ -75,7 +75,7 @@
 			t.Fatalf("call %d found no circuit though all before it had ended", i)
 		}
 		tc.establish(id, s, 20*millisecond)
-		tc.handle(AttemptEnded{CallID: id, Server: s, Result: Delivered, Final: true})
+		tc.handle(AttemptEnded{CallID: id, Server: s, Result: ResultDelivered, Final: true})
 		tc.advance(20 * millisecond)
 	}
 }
--- a/internal/admission/priority_test.go
+++ b/internal/admission/priority_test.go
@@ -30,7 +30,7 @@
 	ask := func(id string) string {
 		return tc.offerCall(CallOffered{CallID: id, Class: "read", Number: "busy", Deadline: tc.now + 3*time.Second})
 	}
-	tc.endAttempt("1", ask("1"), ServerError, CauseDestinationBusy)
+	tc.endAttempt("1", ask("1"), ResultServerError, CauseDestinationBusy)
 	if !hasAction[FailCall](tc.actions) {
 		t.Errorf("a busy destination did not fail the call: %v", tc.actions)
 	}
@@ -96,7 +96,7 @@
 				CallID: string(rune('a' + i)), Class: settings.Classes[0].Name,
 				Deadline: now + time.Second, Emergency: isEmergency,
 			})
-			if o.Kind == Send {
+			if o.Kind == DecisionSend {
 				sent++
 			}
 			// Not as quick as the first: the burst does not grow, and the tokens run out.
@@ -131,13 +131,13 @@
 	for i := range 12 { // callers find the destination busy
 		id := string(rune('a' + i))
 		o := ask(id, false)
-		if o.Kind == Reject && o.Reason == ReasonDestinationCongested {
+		if o.Kind == DecisionReject && o.Reason == ReasonDestinationCongested {
 			rejectedCall = id
 			break
 		}
-		if o.Kind == Send {
+		if o.Kind == DecisionSend {
 			d.Report(now, AttemptReport{
-				CallID: id, Server: o.Server, Kind: ReportEnded, Result: ServerError,
+				CallID: id, Server: o.Server, Kind: ReportEnded, Result: ResultServerError,
 				Cause: CauseDestinationBusy, Elapsed: time.Millisecond,
 			})
 		}
@@ -145,7 +145,7 @@
 	if rejectedCall == "" {
 		t.Fatal("no call was rejected for its busy destination")
 	}
-	if o := ask("emergency", true); o.Kind != Send {
+	if o := ask("emergency", true); o.Kind != DecisionSend {
 		t.Errorf("an emergency call to the same number: %+v", o)
 	}
 }
@@ -211,7 +211,7 @@
 		if s := tc.offerCall(CallOffered{CallID: id, Class: "read", Deadline: tc.now + time.Second}); s != "a" {
 			t.Fatalf("call %d without a number went to %q", i, s)
 		}
-		tc.endAttempt(id, "a", ServerError, CauseDestinationBusy)
+		tc.endAttempt(id, "a", ResultServerError, CauseDestinationBusy)
 		tc.advance(tc.machine.period)
 	}
 	if n := len(tc.machine.dialedNumbers) + len(tc.machine.busyNumbers); n != 0 {
--- a/internal/admission/randomevents_test.go
+++ b/internal/admission/randomevents_test.go
@@ -108,11 +108,11 @@
 		CallID: id, Server: x.Server, Attempt: s.attempts[id] - 1,
 		Result: AttemptResult(s.rng.IntN(8)), Final: s.decided[id],
 	}
-	if e.Result == Delivered {
+	if e.Result == ResultDelivered {
 		e.Final = true
 		s.decided[id] = true
 	}
-	if e.Result == TimedOut || e.Result == ConnectionLost || e.Result == Canceled {
+	if e.Result == ResultTimedOut || e.Result == ResultConnectionLost || e.Result == ResultCanceled {
 		s.guardEnds[id] = s.now + s.machine.settings.RetryGuard
 	}
 	s.check(s.handle(e))
--- a/internal/admission/ratelimit_test.go
+++ b/internal/admission/ratelimit_test.go
@@ -10,7 +10,7 @@
 	tc := newTestController(t, testSettings(), serverA)
 	tc.offerSteadily(100*millisecond, 4*time.Second, 50*millisecond)
 	id, s := tc.offer("read", 0)
-	tc.endAttempt(id, s, ServerBusy, CauseProcessorBusy)
+	tc.endAttempt(id, s, ResultServerBusy, CauseProcessorBusy)
 	if c := tc.machine.servers[0].limit.rate; math.IsInf(c, 1) || c > 10 {
 		t.Fatalf("rate limit after a rejection for overload is %v, want at most the recent rate of 10", c)
 	}
@@ -36,7 +36,7 @@
 	tc.offerSteadily(100*millisecond, 4*time.Second, 40*millisecond)
 	id, s := tc.offer("read", 0)
 	tc.handle(AttemptEnded{
-		CallID: id, Server: s, Result: ServerBusy, Cause: CauseProcessorBusy,
+		CallID: id, Server: s, Result: ResultServerBusy, Cause: CauseProcessorBusy,
 		RetryAfter: 2 * time.Second,
 	})
 	srv := tc.machine.servers[0]
@@ -50,7 +50,7 @@
 	tc := newTestController(t, testSettings(), serverA)
 	tc.offerSteadily(200*millisecond, 4*time.Second, 50*millisecond)
 	id, s := tc.offer("read", 0)
-	tc.endAttempt(id, s, ServerBusy, CauseProcessorBusy)
+	tc.endAttempt(id, s, ResultServerBusy, CauseProcessorBusy)
 	tc.offerSteadily(500*millisecond, 3*tc.machine.window, 50*millisecond)
 	if c := tc.machine.servers[0].limit.rate; !math.IsInf(c, 1) {
 		t.Errorf("rate limit %v has not expired after windows without overload", c)
@@ -62,7 +62,7 @@
 	tc := newTestController(t, testSettings(), serverA)
 	tc.offerSteadily(200*millisecond, 4*time.Second, 50*millisecond)
 	id, s := tc.offer("read", 0)
-	tc.endAttempt(id, s, ServerBusy, CauseProcessorBusy)
+	tc.endAttempt(id, s, ResultServerBusy, CauseProcessorBusy)
 	tc.advance(tc.machine.window - 500*millisecond)
 	tc.offerSteadily(10*millisecond, time.Second, 50*millisecond)
 	if c := tc.machine.servers[0].limit.rate; math.IsInf(c, 1) {
@@ -76,7 +76,7 @@
 	tc.offerSteadily(100*millisecond, 4*time.Second, 50*millisecond)
 	tc.advance(time.Second)
 	id, s := tc.offer("read", 0)
-	tc.endAttempt(id, s, ServerBusy, CauseProcessorBusy)
+	tc.endAttempt(id, s, ResultServerBusy, CauseProcessorBusy)
 	tc.advance(tc.machine.window - 200*millisecond)
 	sent := 0
 	for range 20 {
@@ -126,7 +126,7 @@
 		tc.offerSteadily(10*time.Second, 40*time.Second, 50*millisecond)
 		id, s := tc.offer("read", 0)
 		tc.advance(800 * millisecond)
-		tc.endAttempt(id, s, TimedOut, CauseNone)
+		tc.endAttempt(id, s, ResultTimedOut, CauseNone)
 		tc.advance(tc.machine.window)
 		if _, s := tc.offer("read", 0); s != "" {
 			sent++
@@ -196,7 +196,7 @@
 			if id, s := tc.offer("read", 0); s != "" {
 				sent++
 				tc.establish(id, s, 20*millisecond)
-				tc.handle(AttemptEnded{CallID: id, Server: s, Result: Delivered, Final: true})
+				tc.handle(AttemptEnded{CallID: id, Server: s, Result: ResultDelivered, Final: true})
 			}
 		}
 	}
--- a/internal/admission/repeatability_test.go
+++ b/internal/admission/repeatability_test.go
@@ -17,42 +17,42 @@
 		after time.Duration
 		may   string // servers of the second attempt, or "fail" or "reject" instead
 	}{
-		{"idempotent", Class{}, TimedOut, 0, "bc"},
-		{"non-repeatable, never ran", Class{Repeatability: NonRepeatable}, ServerBusy, 0, "bc"},
-		{"non-repeatable, dial failed", Class{Repeatability: NonRepeatable}, DialFailed, 0, "bc"},
-		{"non-repeatable, not sent", Class{Repeatability: NonRepeatable}, NotSent, 0, "abc"},
-		{"non-repeatable, timed out", Class{Repeatability: NonRepeatable}, TimedOut, 0, "fail"},
-		{"non-repeatable, connection lost", Class{Repeatability: NonRepeatable}, ConnectionLost, 0, "fail"},
-		{"non-repeatable, canceled", Class{Repeatability: NonRepeatable}, Canceled, 0, "fail"},
-		{"non-repeatable, server error", Class{Repeatability: NonRepeatable}, ServerError, 0, "fail"},
+		{"idempotent", Class{}, ResultTimedOut, 0, "bc"},
+		{"non-repeatable, never ran", Class{Repeatability: NonRepeatable}, ResultServerBusy, 0, "bc"},
+		{"non-repeatable, dial failed", Class{Repeatability: NonRepeatable}, ResultDialFailed, 0, "bc"},
+		{"non-repeatable, not sent", Class{Repeatability: NonRepeatable}, ResultNotSent, 0, "abc"},
+		{"non-repeatable, timed out", Class{Repeatability: NonRepeatable}, ResultTimedOut, 0, "fail"},
+		{"non-repeatable, connection lost", Class{Repeatability: NonRepeatable}, ResultConnectionLost, 0, "fail"},
+		{"non-repeatable, canceled", Class{Repeatability: NonRepeatable}, ResultCanceled, 0, "fail"},
+		{"non-repeatable, server error", Class{Repeatability: NonRepeatable}, ResultServerError, 0, "fail"},
 		{
 			"deduplicated by the fleet",
-			Class{Repeatability: Deduplicated, DeduplicationWindow: time.Second}, TimedOut, 0, "bc",
+			Class{Repeatability: Deduplicated, DeduplicationWindow: time.Second}, ResultTimedOut, 0, "bc",
 		},
 		{
 			"deduplicated by the zone",
 			Class{Repeatability: Deduplicated, DeduplicationScope: ScopeZone, DeduplicationWindow: time.Second},
-			TimedOut, 0, "b",
+			ResultTimedOut, 0, "b",
 		},
 		{
 			"deduplicated by the pool",
 			Class{Repeatability: Deduplicated, DeduplicationScope: ScopePool, DeduplicationWindow: time.Second},
-			TimedOut, 0, "fail",
+			ResultTimedOut, 0, "fail",
 		},
 		{
 			"deduplicated by the zone, never ran",
 			Class{Repeatability: Deduplicated, DeduplicationScope: ScopeZone, DeduplicationWindow: time.Second},
-			ServerBusy, 0, "bc",
+			ResultServerBusy, 0, "bc",
 		},
 		{
 			"deduplicated by the fleet, too late",
-			Class{Repeatability: Deduplicated, DeduplicationWindow: time.Second}, TimedOut,
+			Class{Repeatability: Deduplicated, DeduplicationWindow: time.Second}, ResultTimedOut,
 			2 * time.Second, "reject",
 		},
 		{
 			"deduplicated by the zone, too late",
 			Class{Repeatability: Deduplicated, DeduplicationScope: ScopeZone, DeduplicationWindow: time.Second},
-			TimedOut, 2 * time.Second, "fail",
+			ResultTimedOut, 2 * time.Second, "fail",
 		},
 	}
 	for _, k := range cases {
--- a/internal/admission/responsiveness_test.go
+++ b/internal/admission/responsiveness_test.go
@@ -61,7 +61,7 @@
 			tc.advance(5 * millisecond)
 		}
 		if full {
-			tc.endAttempt(ids[1], "a", ServerBusy, CauseProcessorBusy)
+			tc.endAttempt(ids[1], "a", ResultServerBusy, CauseProcessorBusy)
 		} else {
 			tc.establish(ids[1], "a", 450*millisecond)
 		}
@@ -91,7 +91,7 @@
 		t.Fatal("a silent server has no rate limit")
 	}
 	for _, id := range out {
-		tc.endAttempt(id, "a", ConnectionLost, CauseConnectionUnresponsive)
+		tc.endAttempt(id, "a", ResultConnectionLost, CauseConnectionUnresponsive)
 	}
 	if !math.IsInf(s.limit.rate, 1) {
 		t.Errorf("rate limit %v after the connection failed", s.limit.rate)
@@ -116,7 +116,7 @@
 	if tc.advance(200 * millisecond); !tc.machine.calls.byID[lost].isCanceled {
 		t.Error("a lost attempt was not canceled")
 	}
-	tc.endAttempt(lost, s, Canceled, CauseNone)
+	tc.endAttempt(lost, s, ResultCanceled, CauseNone)
 	if acts := tc.advance(260 * millisecond); sentServer(acts) != "a" {
 		t.Errorf("a lost attempt was not repeated: %v", acts)
 	}
@@ -167,7 +167,7 @@
 	if _, s := tc.offer("write", 0); s == "a" {
 		t.Error("a new call went to an unresponsive server")
 	}
-	tc.endAttempt(id, s, Canceled, CauseNone)
+	tc.endAttempt(id, s, ResultCanceled, CauseNone)
 	tc.machine.servers[1].ramp.tokens = 1
 	if acts := tc.advance(300 * millisecond); sentServer(acts) != "b" {
 		t.Errorf("the call was not moved: %v", acts)
@@ -191,7 +191,7 @@
 		tc.establish(other, "b", 50*millisecond)
 		called = hasAction[CancelAttempt](tc.advance(50*millisecond)) || called
 	}
-	tc.endAttempt(id, "a", Canceled, CauseNone)
+	tc.endAttempt(id, "a", ResultCanceled, CauseNone)
 	if got := tc.machine.findServer("a").limit.rate; !called || got > was/2 {
 		t.Errorf("canceled: %v; rate limit %.2f/s of %.2f/s answered before", called, got, was)
 	}
--- a/internal/admission/retry.go
+++ b/internal/admission/retry.go
@@ -5,12 +5,12 @@
 func (m *StateMachine) retryCall(c *call, s *server, e AttemptEnded, wasOvertaken bool) {
 	c.excludeServer(s, e, wasOvertaken)
 	switch e.Result {
-	case NotSent:
-	case DialFailed:
+	case ResultNotSent:
+	case ResultDialFailed:
 		s.backOff(m.now + m.unresponsiveAfter)
-	case ServerBusy:
+	case ResultServerBusy:
 		m.recordBusy(s, e)
-	case TimedOut, ConnectionLost, Canceled:
+	case ResultTimedOut, ResultConnectionLost, ResultCanceled:
 		m.recordNoAnswer(s, c, e, wasOvertaken)
 		m.startRetryGuard(c)
 		return
@@ -54,7 +54,7 @@
 }
 
 func (m *StateMachine) recordNoAnswer(s *server, c *call, e AttemptEnded, wasOvertaken bool) {
-	hasTimedOut := e.Result == TimedOut && !c.isCanceled
+	hasTimedOut := e.Result == ResultTimedOut && !c.isCanceled
 	wasSilent := c.isCanceled && s.responses.lastAnswer < c.sentAt
 	if e.Cause == CauseConnectionUnresponsive {
 		m.clearSuspicion(s)
--- a/internal/admission/retry_test.go
+++ b/internal/admission/retry_test.go
@@ -7,7 +7,7 @@
 
 // A call whose attempt may still be running is sent again after the retry guard only.
 func TestRetryGuard(t *testing.T) {
-	for _, code := range []AttemptResult{TimedOut, ConnectionLost, Canceled} {
+	for _, code := range []AttemptResult{ResultTimedOut, ResultConnectionLost, ResultCanceled} {
 		tc := newTestController(t, testSettings(), serverA, serverB)
 		id, s := tc.offer("write", 0)
 		tc.advance(100 * millisecond)
@@ -26,7 +26,7 @@
 func TestServerErrorIsRetried(t *testing.T) {
 	tc := newTestController(t, testSettings(), serverA, serverB)
 	id, s := tc.offer("read", 0)
-	if acts := tc.endAttempt(id, s, ServerError, CauseNone); sentServer(acts) != "b" {
+	if acts := tc.endAttempt(id, s, ResultServerError, CauseNone); sentServer(acts) != "b" {
 		t.Errorf("a call that met a server error was not sent elsewhere: %v", acts)
 	}
 }
@@ -36,7 +36,7 @@
 	set.MaxAttempts = 1
 	tc := newTestController(t, set, serverA, serverB)
 	id, s := tc.offer("write", 0)
-	acts := tc.endAttempt(id, s, DialFailed, CauseNone)
+	acts := tc.endAttempt(id, s, ResultDialFailed, CauseNone)
 	if hasAction[SendAttempt](acts) || !hasAction[FailCall](acts) {
 		t.Errorf("with one attempt allowed: %v", acts)
 	}
--- a/internal/admission/statemachine_test.go
+++ b/internal/admission/statemachine_test.go
@@ -18,7 +18,7 @@
 	if !slices.ContainsFunc(acts, func(a Action) bool { f, ok := a.(FailCall); return ok && f.CallID == id }) {
 		t.Errorf("no final answer at the deadline: %v", acts)
 	}
-	if acts := tc.endAttempt(id, "a", TimedOut, CauseNone); len(acts) != 0 {
+	if acts := tc.endAttempt(id, "a", ResultTimedOut, CauseNone); len(acts) != 0 {
 		t.Errorf("actions after the final answer: %v", acts)
 	}
 }
@@ -27,7 +27,7 @@
 	tc := newTestController(t, testSettings(), serverA)
 	id, _ := tc.offer("read", 0)
 	tc.now += 3 * time.Second // the result comes before the timer
-	if acts := tc.endAttempt(id, "a", TimedOut, CauseNone); !hasAction[FailCall](acts) {
+	if acts := tc.endAttempt(id, "a", ResultTimedOut, CauseNone); !hasAction[FailCall](acts) {
 		t.Errorf("an expired attempt at the deadline left the call open: %v", acts)
 	}
 }
@@ -182,7 +182,7 @@
 				}
 				established++
 				tc.establish(id, s, 40*millisecond)
-				tc.handle(AttemptEnded{CallID: id, Server: s, Result: Delivered, Final: true})
+				tc.handle(AttemptEnded{CallID: id, Server: s, Result: ResultDelivered, Final: true})
 			}
 			if established < offered*9/10 {
 				t.Errorf("%s, %d servers: %d of %d calls were sent without overload",
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -195,7 +195,7 @@
 	defer func() { _ = ln.Close() }()
 	go func() { _ = adminapi.Serve(ln, "<agent>", a.Handle) }()
 	c, err := send(ln.Addr().String(), adminapi.AuditCommand("ROOT"))
-	if err != nil || len(h248.Find(c.Descriptors, "Statistics").Kids) != 3 {
+	if err != nil || len(h248.Find(c.Descriptors, "Statistics").Children) != 3 {
 		t.Fatalf("list of instances: %+v, %v", c, err)
 	}
 	d, _ := a.Handle(adminapi.AuditCommand("instance/one"))
--- a/internal/agent/handler.go
+++ b/internal/agent/handler.go
@@ -51,7 +51,7 @@
 func (a *Agent) listNode() *h248.Node {
 	statistics := &h248.Node{Name: h248.DescriptorStatistics}
 	for _, name := range slices.Sorted(maps.Keys(a.instances)) {
-		statistics.Kids = append(statistics.Kids, a.instances[name].node())
+		statistics.Children = append(statistics.Children, a.instances[name].node())
 	}
 	return statistics
 }
--- a/internal/agent/instance.go
+++ b/internal/agent/instance.go
@@ -56,14 +56,14 @@
 // node returns the node that reports the instance in the admin protocol.
 func (i *instance) node() *h248.Node {
 	status := i.currentStatus()
-	n := &h248.Node{Name: "oa/instance", Kids: []*h248.Node{
+	n := &h248.Node{Name: "oa/instance", Children: []*h248.Node{
 		{Name: "name", Value: i.name, Quoted: true},
 		{Name: "state", Value: status.state.String()},
 		{Name: "pid", Value: strconv.Itoa(status.pid)},
 		{Name: "starts", Value: strconv.Itoa(status.starts)},
 	}}
 	if addr := i.spec.adminAddr(); addr != "" {
-		n.Kids = append(n.Kids, &h248.Node{Name: "admin", Value: addr, Quoted: true})
+		n.Children = append(n.Children, &h248.Node{Name: "admin", Value: addr, Quoted: true})
 	}
 	return n
 }
--- a/internal/backend/h248.go
+++ b/internal/backend/h248.go
@@ -51,7 +51,7 @@
 	clear(p.requests)
 }
 
-func (p *h248Protocol) hasPartialMessage() bool { return p.framer.Half() }
+func (p *h248Protocol) hasPartialMessage() bool { return p.framer.HasPartial() }
 func (p *h248Protocol) rememberedCalls() int    { return len(p.contexts) }
 
 // expire drops requests without a reply, and contexts of calls that ended without a message, such as at a process
@@ -104,11 +104,11 @@
 }
 
 func (p *h248Protocol) appendInvite(b []byte, s call.Setup) ([]byte, error) {
-	if !h248.Fits(s.Description) || !h248.Words(s.Class) || !h248.Words(s.Number) {
-		return b, &h248.Error{Code: h248.BadValue, Text: "the set-up has no form in H.248"}
+	if !h248.IsEncodable(s.Description) || !h248.IsUnquotedValue(s.Class) || !h248.IsUnquotedValue(s.Number) {
+		return b, &h248.Error{Code: h248.UnsupportedValue, Text: "the set-up has no form in H.248"}
 	}
 	timeout := max(s.Timeout.Milliseconds(), 1)
-	state := &h248.Node{Name: "TerminationState", Kids: []*h248.Node{
+	state := &h248.Node{Name: "TerminationState", Children: []*h248.Node{
 		{Name: "oc/call", Value: s.ID},
 		{Name: "oc/class", Value: s.Class},
 		{Name: "oc/number", Value: s.Number},
@@ -118,7 +118,7 @@
 	add := &h248.Command{
 		Name:        "Add",
 		Termination: TerminationName(s.ID, s.Attempt),
-		Descriptors: []*h248.Node{{Name: "Media", Kids: []*h248.Node{state, remote}}},
+		Descriptors: []*h248.Node{{Name: "Media", Children: []*h248.Node{state, remote}}},
 	}
 	return p.appendRequest(b, &pendingRequest{isAdd: true, callID: s.ID, attempt: s.Attempt}, "$", add)
 }
@@ -227,7 +227,7 @@
 // attemptEndOfError returns how an attempt ended by the error code of its reply.
 func attemptEndOfError(code int) call.AttemptEnd {
 	switch code {
-	case h248.Insufficient, h248.ServiceUnavailable:
+	case h248.InsufficientResources, h248.ServiceUnavailable:
 		return call.ProcessorBusy
 	case h248.NoTermination:
 		return call.NoCircuit
@@ -281,7 +281,7 @@
 	case "Notify":
 		cause, ok := transaction.ParseReleaseEvent(c)
 		if !ok {
-			return &h248.Error{Code: h248.BadValue, Text: "no release is told"}
+			return &h248.Error{Code: h248.UnsupportedValue, Text: "no release is told"}
 		}
 		return p.releaseCall(c.Termination, cause)
 	case "Subtract":
@@ -314,7 +314,7 @@
 	case "restart":
 		p.conn.applyServerState(admission.Active)
 	default:
-		return &h248.Error{Code: h248.BadValue, Text: "method " + method}
+		return &h248.Error{Code: h248.UnsupportedValue, Text: "method " + method}
 	}
 	return nil
 }
--- a/internal/backend/h248_test.go
+++ b/internal/backend/h248_test.go
@@ -24,14 +24,14 @@
 
 func TestAttemptEndOfError(t *testing.T) {
 	for code, want := range map[int]call.AttemptEnd{
-		h248.Insufficient:         call.ProcessorBusy,
-		h248.ServiceUnavailable:   call.ProcessorBusy,
-		h248.NoTermination:        call.NoCircuit,
-		h248.TerminationInContext: call.DestinationBusy,
-		h248.NotReady:             call.NotForwarded,
-		h248.TemporaryFailure:     call.FailedInTransit,
-		h248.InternalFailure:      call.BackendError,
-		h248.ProtocolError:        call.BackendError,
+		h248.InsufficientResources: call.ProcessorBusy,
+		h248.ServiceUnavailable:    call.ProcessorBusy,
+		h248.NoTermination:         call.NoCircuit,
+		h248.TerminationInContext:  call.DestinationBusy,
+		h248.NotReady:              call.NotForwarded,
+		h248.TemporaryFailure:      call.FailedInTransit,
+		h248.InternalFailure:       call.BackendError,
+		h248.ProtocolError:         call.BackendError,
 	} {
 		if got := attemptEndOfError(code); got != want {
 			t.Errorf("%d: %v, want %v", code, got, want)
--- a/internal/backend/sip.go
+++ b/internal/backend/sip.go
@@ -51,7 +51,7 @@
 }
 
 func (p *sipProtocol) reset()                  { p.reader = sip.Reader{} }
-func (p *sipProtocol) hasPartialMessage() bool { return p.reader.Half() }
+func (p *sipProtocol) hasPartialMessage() bool { return p.reader.HasPartial() }
 func (p *sipProtocol) rememberedCalls() int    { return len(p.dialogs) }
 
 // expire drops dialogs whose other side never sent its final response, and those of calls that ended without a
@@ -93,7 +93,7 @@
 		},
 		Body: s.Description,
 	})
-	if len(b)-start > sip.Limit {
+	if len(b)-start > sip.MaxMessageSize {
 		return b[:start], sip.ErrTooLong
 	}
 	d := &dialog{number: s.Number, attempt: s.Attempt}
--- a/internal/call/answer.go
+++ b/internal/call/answer.go
@@ -11,7 +11,7 @@
 
 // RejectInvalid rejects a request that can be read but is not possible, without the Decider.
 func (m *Manager) RejectInvalid(client Client, r Request) {
-	m.rejectUnplaced(client, &r, finalAnswer{outcome: RejectedInvalid, cause: CauseFailed})
+	m.rejectUnplaced(client, &r, finalAnswer{outcome: RejectedInvalid, cause: CauseTemporaryFailure})
 }
 
 // RejectShuttingDown rejects a request that arrives while the process shuts down, without the Decider.
@@ -32,7 +32,7 @@
 // to retry a call that may have run and does harm if it runs twice.
 func shutdownCause(c *call) int {
 	if c.mayHaveRun && c.RepeatUnsafe {
-		return CauseFailed
+		return CauseTemporaryFailure
 	}
 	return CauseNoCircuit
 }
--- a/internal/call/attempt.go
+++ b/internal/call/attempt.go
@@ -6,25 +6,25 @@
 func (m *Manager) apply(c *call, d admission.Decision) {
 	m.notifyDecided(&d)
 	switch d.Kind {
-	case admission.Send:
+	case admission.DecisionSend:
 		if c.state == callWaiting {
 			m.startAttempt(c, d)
 		}
-	case admission.Reject:
+	case admission.DecisionReject:
 		if c.isOpen() {
 			m.Rejected++
 			m.rejectCall(c, Canceled, finalAnswer{outcome: Rejected, cause: CauseNoCircuit, retryAfter: d.Wait})
 		}
-	case admission.Fail:
+	case admission.DecisionFail:
 		if c.isOpen() {
 			m.Failed++
-			m.rejectCall(c, TimedOut, finalAnswer{outcome: Failed, cause: CauseFailed, retryAfter: d.Wait})
+			m.rejectCall(c, TimedOut, finalAnswer{outcome: Failed, cause: CauseTemporaryFailure, retryAfter: d.Wait})
 		}
-	case admission.Cancel:
+	case admission.DecisionCancel:
 		if c.state == callAttempting && d.Attempt == c.attempt.number {
 			m.cancelAttempt(c, Canceled)
 		}
-	case admission.None: // a later decision follows
+	case admission.DecisionNone: // a later decision follows
 	}
 	if c.state == callWaiting {
 		m.scheduleDeadline(c)
--- a/internal/call/attemptend.go
+++ b/internal/call/attemptend.go
@@ -82,28 +82,28 @@
 func (e AttemptEnd) admissionResult() (admission.AttemptResult, admission.FailureCause) {
 	switch e {
 	case Completed:
-		return admission.Delivered, admission.CauseNone
+		return admission.ResultDelivered, admission.CauseNone
 	case DestinationBusy:
-		return admission.ServerError, admission.CauseDestinationBusy
+		return admission.ResultServerError, admission.CauseDestinationBusy
 	case BackendError:
-		return admission.ServerError, admission.CauseNone
+		return admission.ResultServerError, admission.CauseNone
 	case NoCircuit:
-		return admission.ServerBusy, admission.CauseNoCircuit
+		return admission.ResultServerBusy, admission.CauseNoCircuit
 	case ProcessorBusy:
-		return admission.ServerBusy, admission.CauseProcessorBusy
+		return admission.ResultServerBusy, admission.CauseProcessorBusy
 	case NotForwarded, NotSent:
-		return admission.NotSent, admission.CauseNone
+		return admission.ResultNotSent, admission.CauseNone
 	case DialRefused, DialTimedOut, DialFailed:
-		return admission.DialFailed, admission.CauseNone
+		return admission.ResultDialFailed, admission.CauseNone
 	case TimedOut:
-		return admission.TimedOut, admission.CauseNone
+		return admission.ResultTimedOut, admission.CauseNone
 	case Canceled, CallerReleased, ShuttingDown:
-		return admission.Canceled, admission.CauseNone
+		return admission.ResultCanceled, admission.CauseNone
 	case Unresponsive:
-		return admission.ConnectionLost, admission.CauseConnectionUnresponsive
+		return admission.ResultConnectionLost, admission.CauseConnectionUnresponsive
 	case EndedByFault, FailedInTransit, ConnectionReset, ConnectionClosed, Malformed, BackendLost:
-		return admission.ConnectionLost, admission.CauseNone
+		return admission.ResultConnectionLost, admission.CauseNone
 	default: // an unknown end may have run
-		return admission.ConnectionLost, admission.CauseNone
+		return admission.ResultConnectionLost, admission.CauseNone
 	}
 }
--- a/internal/call/attemptend_test.go
+++ b/internal/call/attemptend_test.go
@@ -19,7 +19,7 @@
 	}
 	for _, e := range AllAttemptEnds() {
 		result, _ := e.admissionResult()
-		isProof := result == admission.ServerBusy || result == admission.DialFailed || result == admission.NotSent
+		isProof := result == admission.ResultServerBusy || result == admission.ResultDialFailed || result == admission.ResultNotSent
 		if isProof != wantProof[e] {
 			t.Errorf("%v: reported as proof: %v", e, isProof)
 		}
--- a/internal/call/deadlines.go
+++ b/internal/call/deadlines.go
@@ -56,7 +56,7 @@
 // failExpired answers a call whose deadline has passed.
 func (m *Manager) failExpired(c *call) {
 	m.Failed++
-	m.rejectCall(c, TimedOut, finalAnswer{outcome: Failed, cause: CauseFailed})
+	m.rejectCall(c, TimedOut, finalAnswer{outcome: Failed, cause: CauseTemporaryFailure})
 }
 
 // A deadline is the time at which an attempt, or a call without an attempt, is checked. It is not
--- a/internal/call/fixture_test.go
+++ b/internal/call/fixture_test.go
@@ -139,5 +139,5 @@
 
 // send is the decision to start an attempt of two seconds at a server.
 func send(server string) admission.Decision {
-	return admission.Decision{Kind: admission.Send, Server: server, Wait: 2 * time.Second}
+	return admission.Decision{Kind: admission.DecisionSend, Server: server, Wait: 2 * time.Second}
 }
--- a/internal/call/interfaces.go
+++ b/internal/call/interfaces.go
@@ -71,9 +71,9 @@
 	// CallAnswered reports the final answer to a call, also to one that was abandoned.
 	CallAnswered(now Time, a *Answer)
 	// CallReleased reports the end of an established call.
-	CallReleased(now Time, r *Release)
+	CallReleased(now Time, r *ReleaseEvent)
 	// LimitReached reports a message that was dropped or merged and has no answer of its own.
-	LimitReached(now Time, l Limit, id string)
+	LimitReached(now Time, l LimitEvent, id string)
 }
 
 // A Router chooses by the called number the pools that a call may go to.
--- a/internal/call/manager_test.go
+++ b/internal/call/manager_test.go
@@ -15,15 +15,15 @@
 	f.manager.BackendReleased("s", "x", CauseNormal, f.client)
 	f.manager.BackendReleased("s", "x", CauseNormal, f.client) // repeated on the next connection
 	f.wantMessages(t, "invite s x 0", "established x sdp", "notify release x 16")
-	if got := f.decider.lastReport(); got.Result != admission.Delivered || !got.Final {
+	if got := f.decider.lastReport(); got.Result != admission.ResultDelivered || !got.Final {
 		t.Errorf("the end was reported as %+v", got)
 	}
 }
 
 func TestAnswerCrossingCancelIsReleased(t *testing.T) {
-	f := newFixture(send("s"), admission.Decision{Kind: admission.Reject, Wait: time.Second})
+	f := newFixture(send("s"), admission.Decision{Kind: admission.DecisionReject, Wait: time.Second})
 	f.offer("x")
-	f.decider.tickDecisions = []admission.Decision{{CallID: "x", Kind: admission.Cancel}}
+	f.decider.tickDecisions = []admission.Decision{{CallID: "x", Kind: admission.DecisionCancel}}
 	f.manager.Tick()
 	f.manager.AttemptAnswered("s", "x", 0, []byte("sdp"))
 	f.wantMessages(t, "invite s x 0", "cancel s x 0", "rejected x 34 1s", "release s x 16")
@@ -32,19 +32,19 @@
 func TestOneAttemptAtATime(t *testing.T) {
 	f := newFixture(send("s"))
 	f.offer("x")
-	f.decider.tickDecisions = []admission.Decision{{CallID: "x", Kind: admission.Send, Server: "t", Wait: time.Second}}
+	f.decider.tickDecisions = []admission.Decision{{CallID: "x", Kind: admission.DecisionSend, Server: "t", Wait: time.Second}}
 	f.manager.Tick()
 	f.wantMessages(t, "invite s x 0")
 }
 
 func TestTimeoutIsReportedAndAnswered(t *testing.T) {
-	f := newFixture(send("s"), admission.Decision{Kind: admission.Fail})
+	f := newFixture(send("s"), admission.Decision{Kind: admission.DecisionFail})
 	f.offer("x")
 	f.now += 2 * time.Second
 	f.manager.Tick()
 	f.manager.AttemptEnded("s", "x", 0, ProcessorBusy) // too late
 	f.wantMessages(t, "invite s x 0", "cancel s x 0", "rejected x 41 0s")
-	if got := f.decider.reports[0]; got.Result != admission.TimedOut {
+	if got := f.decider.reports[0]; got.Result != admission.ResultTimedOut {
 		t.Errorf("a time-out was reported as %+v", got)
 	}
 }
@@ -55,7 +55,7 @@
 	f.offer("x")
 	f.now += 2 * time.Second
 	f.manager.Tick()
-	if got := f.decider.reports[0]; got.Result != admission.NotSent {
+	if got := f.decider.reports[0]; got.Result != admission.ResultNotSent {
 		t.Errorf("a setup that was never written was reported as %+v", got)
 	}
 }
@@ -78,7 +78,7 @@
 
 // A call whose Decider returns no decision is answered at its deadline, and the Decider is notified.
 func TestCallWithoutDecisionIsAnsweredAtItsDeadline(t *testing.T) {
-	f := newFixture(admission.Decision{Kind: admission.None})
+	f := newFixture(admission.Decision{Kind: admission.DecisionNone})
 	f.offer("x")
 	if next := f.manager.NextDeadline(); next != f.now+callTimeout {
 		t.Errorf("the next deadline is in %v", next-f.now)
@@ -93,10 +93,10 @@
 
 // A decision that is due at the deadline of the call takes precedence over the deadline.
 func TestDecisionAtTheDeadlineTakesPrecedence(t *testing.T) {
-	f := newFixture(admission.Decision{Kind: admission.None})
+	f := newFixture(admission.Decision{Kind: admission.DecisionNone})
 	f.offer("y")
 	f.now += callTimeout
-	f.decider.tickDecisions = []admission.Decision{{CallID: "y", Kind: admission.Fail, Wait: time.Second}}
+	f.decider.tickDecisions = []admission.Decision{{CallID: "y", Kind: admission.DecisionFail, Wait: time.Second}}
 	f.manager.Tick()
 	f.wantMessages(t, "rejected y 41 1s")
 }
--- a/internal/call/notify.go
+++ b/internal/call/notify.go
@@ -11,7 +11,7 @@
 }
 
 func (m *Manager) notifyDecided(d *admission.Decision) {
-	if m.observer != nil && d.Kind != admission.None {
+	if m.observer != nil && d.Kind != admission.DecisionNone {
 		m.observer.Decided(m.now(), d)
 	}
 }
@@ -50,7 +50,7 @@
 		return
 	}
 	now := m.now()
-	m.observer.CallReleased(now, &Release{
+	m.observer.CallReleased(now, &ReleaseEvent{
 		ID:       c.ID,
 		Class:    c.Class,
 		Server:   c.attempt.server,
@@ -60,7 +60,7 @@
 	})
 }
 
-func (m *Manager) notifyLimit(l Limit, id string) {
+func (m *Manager) notifyLimit(l LimitEvent, id string) {
 	if m.observer != nil {
 		m.observer.LimitReached(m.now(), l, id)
 	}
--- a/internal/call/offer.go
+++ b/internal/call/offer.go
@@ -31,7 +31,7 @@
 		// The answer to the call must not reach another caller.
 		m.ReusedIDs++
 		m.notifyLimit(LimitReusedID, r.ID)
-		return ErrReused
+		return ErrIDInUse
 	}
 	m.Repeated++
 	m.notifyLimit(LimitRepeatedSetup, r.ID)
@@ -47,11 +47,11 @@
 		// The call may have run, and an attempt of it may just have been canceled: it must neither be
 		// sent again nor reach the Decider.
 		m.ReusedIDs++
-		return finalAnswer{outcome: RejectedReusedID, cause: CauseFailed}, true
+		return finalAnswer{outcome: RejectedReusedID, cause: CauseTemporaryFailure}, true
 	case m.unknownReleases.ids.has(r.ID):
 		// The caller has abandoned the call on another connection, whose message was read first.
 		m.Abandoned++
-		return finalAnswer{outcome: Abandoned, cause: CauseFailed}, true
+		return finalAnswer{outcome: Abandoned, cause: CauseTemporaryFailure}, true
 	case m.exceedsLimits(r):
 		m.OverLimit++
 		return finalAnswer{outcome: RejectedOverLimit, cause: CauseNoCircuit}, true
--- a/internal/call/offer_test.go
+++ b/internal/call/offer_test.go
@@ -37,13 +37,13 @@
 		{"another number", other, Request{ID: "x", Class: "c", Number: "1"}},
 		{"twice on one connection", f.client, Request{ID: "x", Class: "c"}},
 	} {
-		if err := f.manager.Offer(test.client, test.r); !errors.Is(err, ErrReused) {
+		if err := f.manager.Offer(test.client, test.r); !errors.Is(err, ErrIDInUse) {
 			t.Errorf("%s: %v", test.name, err)
 		}
 	}
 	f.manager.CallerDisconnected(other)
 	f.manager.AttemptAnswered("s", "x", 0, []byte("sdp"))
-	if err := f.manager.Offer(other, Request{ID: "x", Class: "c"}); !errors.Is(err, ErrReused) {
+	if err := f.manager.Offer(other, Request{ID: "x", Class: "c"}); !errors.Is(err, ErrIDInUse) {
 		t.Errorf("an established call: %v", err)
 	}
 	f.manager.ReleaseByCaller("x", CauseNormal)
--- a/internal/call/release.go
+++ b/internal/call/release.go
@@ -88,7 +88,7 @@
 // the server as well, because it may still run.
 func (m *Manager) BackendRemoved(server string) {
 	for _, c := range m.establishedAt(server, m.now()+1) {
-		m.backends.Release(server, c.ID, c.attempt.number, CauseFailed)
+		m.backends.Release(server, c.ID, c.attempt.number, CauseTemporaryFailure)
 		m.dropEstablished(c)
 	}
 }
@@ -102,8 +102,8 @@
 
 // dropEstablished ends an established call whose backend is lost and notifies the caller.
 func (m *Manager) dropEstablished(c *call) {
-	m.endEstablished(c, BackendLost, CauseFailed)
-	c.frontend.NotifyRelease(c.client, c.ID, CauseFailed)
+	m.endEstablished(c, BackendLost, CauseTemporaryFailure)
+	c.frontend.NotifyRelease(c.client, c.ID, CauseTemporaryFailure)
 }
 
 // endEstablished ends an established call; it releases the call at neither side.
--- a/internal/call/release_test.go
+++ b/internal/call/release_test.go
@@ -31,8 +31,8 @@
 // After a restart releases of unknown calls are forwarded once.
 func TestReleaseOfAnUnknownCall(t *testing.T) {
 	f := newFixture()
-	f.manager.BackendReleased("s", "x", CauseFailed, f.client)
-	f.manager.BackendReleased("s", "x", CauseFailed, f.client)
+	f.manager.BackendReleased("s", "x", CauseTemporaryFailure, f.client)
+	f.manager.BackendReleased("s", "x", CauseTemporaryFailure, f.client)
 	f.manager.ReleaseByCaller("y", CauseNormal)
 	f.manager.ReleaseByCaller("y", CauseNormal)
 	f.wantMessages(t, "notify release x 41", "release everywhere y 16")
@@ -53,11 +53,11 @@
 // The release of an earlier attempt at the same server, whose answer was lost, cancels the attempt in
 // progress: the next attempt would run beside it.
 func TestReleaseBeforeTheAnswerCancelsTheAttempt(t *testing.T) {
-	f := newFixture(send("s"), admission.Decision{Kind: admission.None})
+	f := newFixture(send("s"), admission.Decision{Kind: admission.DecisionNone})
 	f.offer("x")
 	f.manager.BackendReleased("s", "x", CauseNormal, f.client)
 	f.wantMessages(t, "invite s x 0", "cancel s x 0")
-	if got := f.decider.lastReport(); got.Result != admission.ConnectionLost {
+	if got := f.decider.lastReport(); got.Result != admission.ResultConnectionLost {
 		t.Errorf("reported as %+v", got)
 	}
 }
--- a/internal/call/route_test.go
+++ b/internal/call/route_test.go
@@ -24,13 +24,13 @@
 		Cause:     r.cause,
 		Emergency: r.emergency,
 		Table:     fmt.Sprint(r.pools),
-		Release:   func() { r.held-- },
+		Close:     func() { r.held-- },
 	}
 }
 
 // A call holds its route from its offer to its end, however it ends, and releases it once.
 func TestCallsHoldTheirRoute(t *testing.T) {
-	f := newFixture(send("s"), send("s"), send("s"), admission.Decision{Kind: admission.Reject})
+	f := newFixture(send("s"), send("s"), send("s"), admission.Decision{Kind: admission.DecisionReject})
 	router := &fixedRouter{pools: []int{2, 1}}
 	f.manager.SetRouter(router)
 	f.offer("established")
@@ -87,7 +87,7 @@
 
 func (r *pendingRouter) Route(Time, *Request) Route {
 	r.held++
-	return Route{Pending: true, Release: func() { r.held-- }}
+	return Route{Pending: true, Close: func() { r.held-- }}
 }
 
 // A call whose number is looked up gets one answer like any other: it is placed or rejected when the
--- a/internal/call/state.go
+++ b/internal/call/state.go
@@ -113,8 +113,8 @@
 
 // releaseRoute releases what the route of the call holds.
 func (c *call) releaseRoute() {
-	if c.route.Release != nil {
-		c.route.Release()
-		c.route.Release = nil
+	if c.route.Close != nil {
+		c.route.Close()
+		c.route.Close = nil
 	}
 }
--- a/internal/call/types.go
+++ b/internal/call/types.go
@@ -13,13 +13,13 @@
 
 // Causes of releases and rejections, as defined by Q.850.
 const (
-	CauseNormal    = 16 // normal call clearing
-	CauseNoCircuit = 34 // no circuit available: the caller may retry safely
-	CauseFailed    = 41 // temporary failure, or an established call that was dropped
+	CauseNormal           = 16 // normal call clearing
+	CauseNoCircuit        = 34 // no circuit available: the caller may retry safely
+	CauseTemporaryFailure = 41 // temporary failure, or an established call that was dropped
 )
 
-// ErrReused is returned for an offer under the id of another call. Its text is sent to H.248 callers.
-var ErrReused = errors.New("the id is that of another call")
+// ErrIDInUse is returned for an offer under the id of another call. Its text is sent to H.248 callers.
+var ErrIDInUse = errors.New("the id is that of another call")
 
 // A Request is a call offered by a caller.
 type Request struct {
@@ -43,10 +43,10 @@
 
 // A Route is a Router's decision on one call.
 type Route struct {
-	Pools   []int  // permitted pools, the preferred one first; empty: the call is rejected
-	Cause   int    // the Q.850 cause for which the call is rejected; 0 with empty Pools: CauseFailed
-	Table   string // version of the routing table, for the records
-	Release func() // releases what the decision holds, called once when the call ends; nil: nothing
+	Pools []int  // permitted pools, the preferred one first; empty: the call is rejected
+	Cause int    // the Q.850 cause for which the call is rejected; 0 with empty Pools: CauseFailed
+	Table string // version of the routing table, for the records
+	Close func() // releases what the decision holds, called once when the call ends; nil: nothing
 	// Pending means that the number is being looked up. The decision follows by
 	// Manager.RouteResolved; Release cancels the lookup if the call ends first.
 	Pending   bool
@@ -60,7 +60,7 @@
 func (r *Route) rejects() bool { return r.Cause != 0 || len(r.Pools) == 0 }
 
 // rejectionCause returns the Q.850 cause that a caller gets if the decision is to reject the call.
-func (r *Route) rejectionCause() int { return cmp.Or(r.Cause, CauseFailed) }
+func (r *Route) rejectionCause() int { return cmp.Or(r.Cause, CauseTemporaryFailure) }
 
 // An Outcome is the kind of the final answer to a call.
 type Outcome int
@@ -90,22 +90,22 @@
 	Attempts   int           // attempts that were started
 }
 
-// A Release is the end of an established call.
-type Release struct {
+// A ReleaseEvent is the end of an established call.
+type ReleaseEvent struct {
 	ID, Class, Server string
 	Cause             int           // of Q.850
 	End               AttemptEnd    // Completed, EndedByFault, CallerReleased or BackendLost
 	Duration          time.Duration // since the call was established
 }
 
-// A Limit is the reason why a message was dropped or merged.
-type Limit int
+// A LimitEvent is the reason why a message was dropped or merged.
+type LimitEvent int
 
 // The limits.
 const (
-	LimitRepeatedSetup  Limit = iota // the offer of an open call was repeated; the call is not started twice
-	LimitReusedID                    // the id belongs to another call
-	LimitUnknownRelease              // too many releases of unknown calls
+	LimitRepeatedSetup  LimitEvent = iota // the offer of an open call was repeated; the call is not started twice
+	LimitReusedID                         // the id belongs to another call
+	LimitUnknownRelease                   // too many releases of unknown calls
 )
 
 // Limits bound the memory of a Manager, whatever callers send.
--- a/internal/codec/h248/golden_test.go
+++ b/internal/codec/h248/golden_test.go
@@ -12,8 +12,8 @@
 var errorCodes = []int{
 	SyntaxInMessage, ProtocolError, SyntaxInTransaction, VersionNotSupported, UnknownContext, UnknownAction,
 	SyntaxInAction, UnknownTermination, NoTerminationMatched, NoTermination, TerminationInContext, MissingRemote,
-	SyntaxInCommand, UnknownCommand, UnknownProperty, BadValue, InternalFailure, NotImplemented, NotReady,
-	ServiceUnavailable, Insufficient, TemporaryFailure,
+	SyntaxInCommand, UnknownCommand, UnknownProperty, UnsupportedValue, InternalFailure, NotImplemented, NotReady,
+	ServiceUnavailable, InsufficientResources, TemporaryFailure,
 }
 
 // goldenMessages returns frames of every kind of transaction and every command.
@@ -43,7 +43,7 @@
 	return goldentest.Message{Name: name, Bytes: b}
 }
 
-func media(children ...*Node) []*Node { return []*Node{{Name: "Media", Kids: children}} }
+func media(children ...*Node) []*Node { return []*Node{{Name: "Media", Children: children}} }
 
 func reply(id uint32, context string, c *Command) *Transaction {
 	return &Transaction{Kind: Reply, ID: id, Actions: []*Action{{Context: context, Commands: []*Command{c}}}}
@@ -55,24 +55,24 @@
 		m := &Message{Transactions: []*Transaction{{Kind: Request, ID: 7, Actions: actions}}}
 		messages = append(messages, encode(t, name, m))
 	}
-	state := &Node{Name: "TerminationState", Kids: []*Node{
+	state := &Node{Name: "TerminationState", Children: []*Node{
 		{Name: "oc/class", Value: "voice"},
 		{Name: "oc/peer", Value: "a \"b\"\n", Quoted: true},
 		{Name: "oc/none", Quoted: true},
 	}}
 	remote := &Node{Name: "Remote", Octets: []byte("v=0\r\ns={-} \\x\r\n")}
 	request("add", "$", &Command{Name: "Add", Termination: "call/9b1f03aa5c7e2d41/0", Descriptors: media(state, remote)})
-	release := &Node{Name: "oc/rel", Kids: []*Node{{Name: "cause", Value: "16"}}}
+	release := &Node{Name: "oc/rel", Children: []*Node{{Name: "cause", Value: "16"}}}
 	request("subtract and notify", "5",
 		&Command{Name: "Subtract", Termination: "p/1"},
 		&Command{Name: "Notify", Termination: "p/2",
-			Descriptors: []*Node{{Name: "ObservedEvents", Value: "1", Kids: []*Node{release}}}})
+			Descriptors: []*Node{{Name: "ObservedEvents", Value: "1", Children: []*Node{release}}}})
 	request("modify, move and audits", "-",
 		&Command{Name: "Modify", Termination: "ROOT", Descriptors: media(state)},
 		&Command{Name: "Move", Termination: "*"},
 		&Command{Name: "AuditValue", Termination: "ROOT"},
 		&Command{Name: "AuditCapability", Termination: "$"})
-	services := &Node{Name: "Services", Kids: []*Node{
+	services := &Node{Name: "Services", Children: []*Node{
 		{Name: "Method", Value: "Graceful"},
 		{Name: "Reason", Value: "905", Quoted: true},
 	}}
@@ -82,9 +82,9 @@
 }
 
 func goldenReplies(t *testing.T) []goldentest.Message {
-	statistics := &Node{Name: "Statistics", Kids: []*Node{
+	statistics := &Node{Name: "Statistics", Children: []*Node{
 		{Name: "oc/requests", Value: "12"},
-		{Name: "oc/server", Kids: []*Node{{Name: "oc/name", Value: "s-1", Quoted: true}}},
+		{Name: "oc/server", Children: []*Node{{Name: "oc/name", Value: "s-1", Quoted: true}}},
 	}}
 	local := &Node{Name: "Local", Octets: []byte{}}
 	return []goldentest.Message{encode(t, "replies", &Message{Transactions: []*Transaction{
@@ -96,7 +96,7 @@
 }
 
 func goldenErrors(t *testing.T) []goldentest.Message {
-	failed := reply(2, "5", &Command{Name: "Add", Termination: "p/1", Err: &Error{Code: BadValue, Text: "x"}})
+	failed := reply(2, "5", &Command{Name: "Add", Termination: "p/1", Err: &Error{Code: UnsupportedValue, Text: "x"}})
 	failed.Actions[0].Err = &Error{Code: NotReady}
 	errorReplies := &Message{
 		Err:          &Error{Code: SyntaxInMessage, Text: "no \"MEGACO\" header"},
@@ -122,7 +122,7 @@
 	for _, n := range nodes {
 		_, _ = fmt.Fprintf(b, "%snode %q value %q quoted %v octets %q none %v\n",
 			indent, n.Name, n.Value, n.Quoted, n.Octets, n.Octets == nil)
-		dumpNodes(b, indent+"  ", n.Kids)
+		dumpNodes(b, indent+"  ", n.Children)
 	}
 }
 
--- a/internal/codec/h248/message.go
+++ b/internal/codec/h248/message.go
@@ -73,7 +73,7 @@
 	Name, Value string
 	Quoted      bool    // the value is a quoted string
 	Octets      []byte  // the session description of a Local or Remote descriptor; nil elsewhere
-	Kids        []*Node // the parameters
+	Children    []*Node // the parameters
 }
 
 // Find returns the first node with that path of names, nil if there is none. Names are not case-sensitive.
@@ -85,7 +85,7 @@
 		if len(path) == 1 {
 			return n
 		}
-		if found := Find(n.Kids, path[1:]...); found != nil {
+		if found := Find(n.Children, path[1:]...); found != nil {
 			return found
 		}
 	}
@@ -100,14 +100,14 @@
 	return ""
 }
 
-// Fits reports whether the text form can represent a session description. It can represent neither a NUL character nor
+// IsEncodable reports whether the text form can represent a session description. It can represent neither a NUL character nor
 // a backslash directly before the closing brace.
-func Fits(description []byte) bool {
+func IsEncodable(description []byte) bool {
 	return bytes.IndexByte(description, 0) < 0 && !bytes.HasSuffix(description, []byte{'\\'})
 }
 
-// Words reports whether a text can be a value without quotes.
-func Words(s string) bool {
+// IsUnquotedValue reports whether a text can be a value without quotes.
+func IsUnquotedValue(s string) bool {
 	p := parser{text: []byte(s)}
 	return s != "" && p.word() == s
 }
--- a/internal/codec/h248/parser.go
+++ b/internal/codec/h248/parser.go
@@ -222,8 +222,8 @@
 		return p.fail(SyntaxInCommand, "error code %.20q", n.Value)
 	}
 	c.Err = &Error{Code: code}
-	if len(n.Kids) > 0 {
-		c.Err.Text = n.Kids[0].Value
+	if len(n.Children) > 0 {
+		c.Err.Text = n.Children[0].Value
 	}
 	return nil
 }
@@ -274,7 +274,7 @@
 func (p *parser) child(n *Node) *Error {
 	child, err := p.node()
 	if err == nil {
-		n.Kids = append(n.Kids, child)
+		n.Children = append(n.Children, child)
 	}
 	return err
 }
--- a/internal/codec/h248/tpkt.go
+++ b/internal/codec/h248/tpkt.go
@@ -23,8 +23,8 @@
 	buffer []byte // bytes that no message has consumed
 }
 
-// Half reports whether a partial frame is buffered.
-func (f *Framer) Half() bool { return len(f.buffer) > 0 }
+// HasPartial reports whether a partial frame is buffered.
+func (f *Framer) HasPartial() bool { return len(f.buffer) > 0 }
 
 // Feed reads a piece and calls handle with the text of each message that it completes, until handle returns false. The
 // text is valid during the call only. After an error the framer must not be used again.
--- a/internal/codec/h248/transaction/event.go
+++ b/internal/codec/h248/transaction/event.go
@@ -13,10 +13,10 @@
 // ReleaseEvent returns the descriptor that notifies of a release by a cause of Q.850.
 func ReleaseEvent(cause int) *h248.Node {
 	event := &h248.Node{
-		Name: releaseEvent,
-		Kids: []*h248.Node{{Name: "cause", Value: strconv.Itoa(cause)}},
+		Name:     releaseEvent,
+		Children: []*h248.Node{{Name: "cause", Value: strconv.Itoa(cause)}},
 	}
-	return &h248.Node{Name: "ObservedEvents", Value: "1", Kids: []*h248.Node{event}}
+	return &h248.Node{Name: "ObservedEvents", Value: "1", Children: []*h248.Node{event}}
 }
 
 // ParseReleaseEvent reads the cause of a release; ok is false if the command notifies of another event.
--- a/internal/codec/h248/transaction/event_test.go
+++ b/internal/codec/h248/transaction/event_test.go
@@ -13,10 +13,10 @@
 	}
 	for name, descriptors := range map[string][]*h248.Node{
 		"none":           nil,
-		"another event":  {{Name: "ObservedEvents", Kids: []*h248.Node{{Name: "al/of"}}}},
-		"without cause":  {{Name: "ObservedEvents", Kids: []*h248.Node{{Name: releaseEvent}}}},
-		"no number":      {{Name: "ObservedEvents", Kids: []*h248.Node{{Name: releaseEvent, Kids: []*h248.Node{{Name: "cause", Value: "x"}}}}}},
-		"another branch": {{Name: "Signals", Kids: []*h248.Node{{Name: releaseEvent}}}},
+		"another event":  {{Name: "ObservedEvents", Children: []*h248.Node{{Name: "al/of"}}}},
+		"without cause":  {{Name: "ObservedEvents", Children: []*h248.Node{{Name: releaseEvent}}}},
+		"no number":      {{Name: "ObservedEvents", Children: []*h248.Node{{Name: releaseEvent, Children: []*h248.Node{{Name: "cause", Value: "x"}}}}}},
+		"another branch": {{Name: "Signals", Children: []*h248.Node{{Name: releaseEvent}}}},
 	} {
 		if cause, ok := ParseReleaseEvent(&h248.Command{Name: "Notify", Descriptors: descriptors}); ok {
 			t.Errorf("%s: cause %d was read", name, cause)
--- a/internal/codec/h248/writer.go
+++ b/internal/codec/h248/writer.go
@@ -118,11 +118,11 @@
 	if n.Octets != nil {
 		return appendOctets(b, n.Octets)
 	}
-	if len(n.Kids) == 0 {
+	if len(n.Children) == 0 {
 		return b
 	}
 	b = append(b, '{')
-	b = appendItems(b, n.Kids, true)
+	b = appendItems(b, n.Children, true)
 	return append(b, '}')
 }
 
--- a/internal/codec/jsonl/golden_test.go
+++ b/internal/codec/jsonl/golden_test.go
@@ -16,17 +16,17 @@
 		all = append(all, goldentest.Message{Name: name, Bytes: Append(nil, m)})
 	}
 	add("start", &Message{Verb: Start, Tag: tag, Blob: []byte("v=0\r\ns={1} \"\\\t\x01\r\n"),
-		Opts: []Opt{{"class", "voice"}, {"left", "9000"}, {"key", "7f3a"}, {"extras", "dest:0;width:1;via:-1"}}})
+		Options: []Option{{"class", "voice"}, {"left", "9000"}, {"key", "7f3a"}, {"extras", "dest:0;width:1;via:-1"}}})
 	add("pending", &Message{Verb: Pending, Tag: tag})
 	add("started", &Message{Verb: Started, Tag: tag, Blob: []byte("\x00\x1f\x7f\xff\xc3\xa9/")})
 	add("started with an empty blob", &Message{Verb: Started, Tag: tag, Blob: []byte{}})
-	add("finish", &Message{Verb: Finish, Tag: tag, RC: 16, HasRC: true})
-	add("finish with a wait", &Message{Verb: Finish, Tag: tag, RC: 34, HasRC: true, Opts: []Opt{{"wait", "1500"}}})
-	add("finish without a cause", &Message{Verb: Finish, Tag: tag, RC: 16})
+	add("finish", &Message{Verb: Finish, Tag: tag, ResultCode: 16, HasResultCode: true})
+	add("finish with a wait", &Message{Verb: Finish, Tag: tag, ResultCode: 34, HasResultCode: true, Options: []Option{{"wait", "1500"}}})
+	add("finish without a cause", &Message{Verb: Finish, Tag: tag, ResultCode: 16})
 	add("finished", &Message{Verb: Finished, Tag: tag})
 	add("echo", &Message{Verb: Echo, Tag: "t"})
-	add("echoed", &Message{Verb: Echoed, Tag: "t", RC: 1, HasRC: true})
-	add("load", &Message{Verb: Load, RC: -1, HasRC: true, Opts: []Opt{{"a\n", "\"\\"}, {"", ""}}})
+	add("echoed", &Message{Verb: Echoed, Tag: "t", ResultCode: 1, HasResultCode: true})
+	add("load", &Message{Verb: Load, ResultCode: -1, HasResultCode: true, Options: []Option{{"a\n", "\"\\"}, {"", ""}}})
 	received := func(name, line string) {
 		all = append(all, goldentest.Message{Name: name, Bytes: []byte(line)})
 	}
@@ -44,8 +44,8 @@
 		_, _ = fmt.Fprintf(&dump, "== %s\n", m.Name)
 		err := r.Feed(m.Bytes, func(m *Message) bool {
 			_, _ = fmt.Fprintf(&dump, "verb %q tag %q rc %d has-rc %v blob %q no-blob %v\n",
-				m.Verb, m.Tag, m.RC, m.HasRC, m.Blob, m.Blob == nil)
-			for _, o := range m.Opts {
+				m.Verb, m.Tag, m.ResultCode, m.HasResultCode, m.Blob, m.Blob == nil)
+			for _, o := range m.Options {
 				_, _ = fmt.Fprintf(&dump, "  option %q value %q\n", o.Name, o.Value)
 			}
 			return true
--- a/internal/codec/jsonl/message.go
+++ b/internal/codec/jsonl/message.go
@@ -22,19 +22,19 @@
 
 // A Message is the content of one line.
 type Message struct {
-	Verb, Tag string
-	Opts      []Opt
-	RC        int // the result code; it is sent only if HasRC is set
-	HasRC     bool
-	Blob      []byte // the session description; nil if the message has none
+	Verb, Tag     string
+	Options       []Option
+	ResultCode    int // the result code; it is sent only if HasRC is set
+	HasResultCode bool
+	Blob          []byte // the session description; nil if the message has none
 }
 
-// An Opt is one member of a message's options. A number keeps its text.
-type Opt struct{ Name, Value string }
+// An Option is one member of a message's options. A number keeps its text.
+type Option struct{ Name, Value string }
 
-// Opt returns the value of the first option with that name, "" if there is none.
-func (m *Message) Opt(name string) string {
-	for _, o := range m.Opts {
+// Option returns the value of the first option with that name, "" if there is none.
+func (m *Message) Option(name string) string {
+	for _, o := range m.Options {
 		if o.Name == name {
 			return o.Value
 		}
--- a/internal/codec/jsonl/parser.go
+++ b/internal/codec/jsonl/parser.go
@@ -42,10 +42,10 @@
 	case "tag":
 		m.Tag, err = s.string()
 	case "opts":
-		m.Opts, err = s.options(m.Opts[:0])
+		m.Options, err = s.options(m.Options[:0])
 	case "rc":
-		m.RC, err = s.resultCode()
-		m.HasRC = err == nil
+		m.ResultCode, err = s.resultCode()
+		m.HasResultCode = err == nil
 	case "blob":
 		m.Blob, err = s.bytes()
 	default:
@@ -55,10 +55,10 @@
 }
 
 // options appends the members of an object to opts.
-func (s *scanner) options(opts []Opt) ([]Opt, error) {
+func (s *scanner) options(opts []Option) ([]Option, error) {
 	err := s.object(func(name string) error {
 		value, err := s.scalar()
-		opts = append(opts, Opt{name, value})
+		opts = append(opts, Option{name, value})
 		return err
 	})
 	return opts, err
--- a/internal/codec/jsonl/reader.go
+++ b/internal/codec/jsonl/reader.go
@@ -13,8 +13,8 @@
 	partial []byte // the start of a line whose line feed has not arrived
 }
 
-// Half reports whether a partial line is buffered.
-func (r *Reader) Half() bool { return len(r.partial) > 0 }
+// HasPartial reports whether a partial line is buffered.
+func (r *Reader) HasPartial() bool { return len(r.partial) > 0 }
 
 // Feed reads a piece and calls handle for each line that it completes, until handle returns false. Empty lines are
 // ignored. After an error, or once handle returned false, the reader must not be used again.
--- a/internal/codec/jsonl/reader_test.go
+++ b/internal/codec/jsonl/reader_test.go
@@ -10,10 +10,10 @@
 )
 
 var samples = []*Message{
-	{Verb: Start, Tag: "9b1f03aa5c7e2d41", Opts: []Opt{{"class", "voice"}, {"left", "1500"}},
+	{Verb: Start, Tag: "9b1f03aa5c7e2d41", Options: []Option{{"class", "voice"}, {"left", "1500"}},
 		Blob: []byte("a\r\n\"\\\x01\xff\xc3\xa9")},
-	{Verb: Finish, Tag: "9b1f03aa5c7e2d41", RC: 34, HasRC: true, Opts: []Opt{{"wait", "250"}}},
-	{Verb: Echo, Tag: "", RC: 0, HasRC: true},
+	{Verb: Finish, Tag: "9b1f03aa5c7e2d41", ResultCode: 34, HasResultCode: true, Options: []Option{{"wait", "250"}}},
+	{Verb: Echo, Tag: "", ResultCode: 0, HasResultCode: true},
 }
 
 // readAll feeds pieces to a reader and returns the messages it delivers.
@@ -53,7 +53,7 @@
 		}
 		for i, m := range got {
 			want := *samples[i]
-			m.Opts = append([]Opt(nil), m.Opts...)
+			m.Options = append([]Option(nil), m.Options...)
 			if !reflect.DeepEqual(m, &want) {
 				t.Fatalf("seed %d: got %+v, want %+v", seed, m, want)
 			}
@@ -64,7 +64,7 @@
 func TestParse(t *testing.T) {
 	line := ` { "new":[1,{"a":null},true], "opts":{"left":1500,"k":"\u00e9\ud83d\ude00\/"}, "rc":"16", "verb":"X" } `
 	m, err := Parse([]byte(line))
-	if err != nil || m.Opt("left") != "1500" || m.Opt("k") != "é😀/" || m.RC != 16 {
+	if err != nil || m.Option("left") != "1500" || m.Option("k") != "é😀/" || m.ResultCode != 16 {
 		t.Errorf("got %+v, %v", m, err)
 	}
 	for _, bad := range []string{
--- a/internal/codec/jsonl/writer.go
+++ b/internal/codec/jsonl/writer.go
@@ -10,7 +10,7 @@
 	b = append(b, `,"tag":`...)
 	b = appendString(b, m.Tag)
 	b = append(b, `,"opts":{`...)
-	for i, o := range m.Opts {
+	for i, o := range m.Options {
 		if i > 0 {
 			b = append(b, ',')
 		}
@@ -19,9 +19,9 @@
 		b = appendString(b, o.Value)
 	}
 	b = append(b, '}')
-	if m.HasRC {
+	if m.HasResultCode {
 		b = append(b, `,"rc":`...)
-		b = strconv.AppendInt(b, int64(m.RC), 10)
+		b = strconv.AppendInt(b, int64(m.ResultCode), 10)
 	}
 	if m.Blob != nil {
 		b = append(b, `,"blob":`...)
--- a/internal/codec/sip/message.go
+++ b/internal/codec/sip/message.go
@@ -9,8 +9,8 @@
 	"strings"
 )
 
-// Limit is the largest size of a message in bytes, its body included.
-const Limit = 16 << 10
+// MaxMessageSize is the largest size of a message in bytes, its body included.
+const MaxMessageSize = 16 << 10
 
 const protocolVersion = "SIP/2.0"
 
--- a/internal/codec/sip/parser.go
+++ b/internal/codec/sip/parser.go
@@ -101,7 +101,7 @@
 
 func parseContentLength(value string) (int, error) {
 	length, err := strconv.Atoi(value)
-	if err != nil || length < 0 || length > Limit {
+	if err != nil || length < 0 || length > MaxMessageSize {
 		return 0, fmt.Errorf("invalid Content-Length %.40q", value)
 	}
 	return length, nil
--- a/internal/codec/sip/reader.go
+++ b/internal/codec/sip/reader.go
@@ -27,8 +27,8 @@
 	bodyLength int // Content-Length of head
 }
 
-// Half reports whether a partial message is buffered.
-func (r *Reader) Half() bool { return r.head != nil || len(r.buffer) > 0 }
+// HasPartial reports whether a partial message is buffered.
+func (r *Reader) HasPartial() bool { return r.head != nil || len(r.buffer) > 0 }
 
 // Feed reads a piece and calls handle for each message that it completes, until handle returns false. The message
 // belongs to handle. After an error the reader must not be used again.
@@ -74,7 +74,7 @@
 	start := max(0, r.scanned-len(headEnd)+1)
 	end := bytes.Index(r.buffer[start:], headEnd)
 	if end < 0 {
-		if len(r.buffer) >= Limit {
+		if len(r.buffer) >= MaxMessageSize {
 			return ErrTooLong
 		}
 		r.scanned = len(r.buffer)
@@ -85,7 +85,7 @@
 	if err != nil {
 		return fmt.Errorf("sip: %w", err)
 	}
-	if end+len(headEnd)+bodyLength > Limit {
+	if end+len(headEnd)+bodyLength > MaxMessageSize {
 		return ErrTooLong
 	}
 	r.head = head
--- a/internal/codec/sip/reader_test.go
+++ b/internal/codec/sip/reader_test.go
@@ -91,7 +91,7 @@
 		}
 	}
 	tooLong := head + "Call-ID: x\r\nCSeq: 1 BYE\r\nContent-Length: 16384\r\n\r\n"
-	for _, text := range []string{tooLong, strings.Repeat("x", Limit)} {
+	for _, text := range []string{tooLong, strings.Repeat("x", MaxMessageSize)} {
 		if _, err := readAll([]byte(text)); !errors.Is(err, ErrTooLong) {
 			t.Errorf("%.30q: %v", text, err)
 		}
@@ -103,7 +103,7 @@
 		"resident-call": true, "7f3a": true, "": false, "a\r\nX: y": false, "a b": false, "a@b": false,
 	}
 	for text, want := range tests {
-		if Clean(text) != want {
+		if IsSafeValue(text) != want {
 			t.Errorf("%q", text)
 		}
 	}
--- a/internal/codec/sip/writer.go
+++ b/internal/codec/sip/writer.go
@@ -74,9 +74,9 @@
 	return append(b, body...)
 }
 
-// Clean reports whether a text may be used as a header value or as a called number. It prevents callers from inserting
+// IsSafeValue reports whether a text may be used as a header value or as a called number. It prevents callers from inserting
 // header lines or addresses into a message.
-func Clean(s string) bool {
+func IsSafeValue(s string) bool {
 	for i := range len(s) {
 		c := s[i]
 		isVisibleASCII := c > ' ' && c < 0x7f
--- a/internal/console/audit.go
+++ b/internal/console/audit.go
@@ -44,8 +44,8 @@
 	if statistics == nil {
 		return all, nil
 	}
-	for _, n := range statistics.Kids {
-		all = append(all, parseListedInstance(n.Kids))
+	for _, n := range statistics.Children {
+		all = append(all, parseListedInstance(n.Children))
 	}
 	return all, nil
 }
@@ -96,7 +96,7 @@
 	if a.Statistics == nil {
 		return
 	}
-	nodes := a.Statistics.Kids
+	nodes := a.Statistics.Children
 	i.Total = parseCounts(nodes)
 	i.OpenCalls = int(parseCount(nodes, "open"))
 	i.EstablishedCalls = int(parseCount(nodes, "standing"))
@@ -104,15 +104,15 @@
 	for _, n := range nodes {
 		switch n.Name {
 		case classNode:
-			class := Class{Name: parseText(n.Kids, "name"), Counts: parseCounts(n.Kids)}
+			class := Class{Name: parseText(n.Children, "name"), Counts: parseCounts(n.Children)}
 			i.Classes = append(i.Classes, class)
 			// An instance reports these two by class only.
 			i.Total.Late += class.Late
 			i.Total.Dropped += class.Dropped
 		case serverNode:
-			i.Servers = append(i.Servers, parseServer(n.Kids))
+			i.Servers = append(i.Servers, parseServer(n.Children))
 		case numberingNode:
-			i.NumberingDigest = parseText(n.Kids, "digest")
+			i.NumberingDigest = parseText(n.Children, "digest")
 		}
 	}
 }
--- a/internal/console/callhistory.go
+++ b/internal/console/callhistory.go
@@ -29,10 +29,10 @@
 func (c *callHistory) add(instance string, h *record.Header, r *record.Record) {
 	call := c.call(instance, r)
 	switch r.Kind {
-	case record.KindSetUp:
+	case record.KindCallOffered:
 		call.Class = r.Class
 		call.At = record.Unix(r.At)
-	case record.KindTry:
+	case record.KindAttemptStarted:
 		call.Server = r.Server
 		call.Attempts++
 	case record.KindAnswer:
--- a/internal/console/kinds.go
+++ b/internal/console/kinds.go
@@ -35,9 +35,9 @@
 		t.addEvent(i, r, Event{Kind: EventEnded, Text: "in good order"})
 	case record.KindConfig:
 		t.applyConfig(i, r)
-	case record.KindSetUp:
+	case record.KindCallOffered:
 		i.applyOffer(r)
-	case record.KindTry:
+	case record.KindAttemptStarted:
 		i.applyAttempt(r)
 	case record.KindAnswer:
 		i.applyAnswer(r)
@@ -45,9 +45,9 @@
 		i.applyRelease(r)
 	case record.KindServer:
 		t.applyServer(i, r)
-	case record.KindCeiling:
+	case record.KindRateLimit:
 		t.applyRateLimit(i, r)
-	case record.KindLimit:
+	case record.KindLimitReached:
 		t.addEvent(i, r, Event{Kind: EventLimitReached, Text: fmt.Sprintf("%s: %d", r.By, r.Count)})
 	case record.KindClock:
 		t.applyClock(i, r)
@@ -107,15 +107,15 @@
 // countAnswer returns what one final answer adds to the counts.
 func (i *trackedInstance) countAnswer(r *record.Record) Counts {
 	switch record.Outcome(r.Code) {
-	case record.Stood:
+	case record.OutcomeEstablished:
 		objective, hasObjective := i.objectives[r.Class]
 		if hasObjective && r.Took > objective {
 			return Counts{Established: 1, Late: 1}
 		}
 		return Counts{Established: 1}
-	case record.Refused, record.Crowded, record.Stopped, record.Barred:
+	case record.OutcomeRejected, record.OutcomeOverLimit, record.OutcomeShuttingDown, record.OutcomeByPolicy:
 		return Counts{Rejected: 1}
-	case record.GivenUp:
+	case record.OutcomeAbandoned:
 		return Counts{Abandoned: 1}
 	default:
 		return Counts{Failed: 1}
@@ -134,7 +134,7 @@
 
 func (t *tracker) applyServer(i *trackedInstance, r *record.Record) {
 	s := i.server(r.Server)
-	phase := Phase(record.Phase(r.Code).String())
+	phase := Phase(record.ServerState(r.Code).String())
 	isFirstListing := s.Phase == "" && phase == phaseActive
 	if s.Phase != phase && !isFirstListing {
 		t.addEvent(i, r, Event{Server: r.Server, Kind: EventKind(phase)})
--- a/internal/console/poller_test.go
+++ b/internal/console/poller_test.go
@@ -25,13 +25,13 @@
 }
 
 func newStatistics(nodes ...*h248.Node) []*h248.Node {
-	return []*h248.Node{{Name: "Statistics", Kids: nodes}}
+	return []*h248.Node{{Name: "Statistics", Children: nodes}}
 }
 
 // newInstanceHandler returns a fake instance with ten more established calls at each request.
 func newInstanceHandler() adminapi.Handler {
 	established := 0
-	server := &h248.Node{Name: "oc/server", Kids: []*h248.Node{
+	server := &h248.Node{Name: "oc/server", Children: []*h248.Node{
 		{Name: "oc/name", Value: "s-1", Quoted: true},
 		{Name: "oc/phase", Value: "listed"},
 		{Name: "oc/ceiling", Value: "2.50"},
@@ -49,7 +49,7 @@
 
 // newAgentHandler returns a fake agent with the running instance n0.
 func newAgentHandler(admin string) adminapi.Handler {
-	instance := &h248.Node{Name: "oa/instance", Kids: []*h248.Node{
+	instance := &h248.Node{Name: "oa/instance", Children: []*h248.Node{
 		{Name: "name", Value: "n0", Quoted: true},
 		{Name: "state", Value: "running"},
 		{Name: "starts", Value: "1"},
--- a/internal/console/replay_test.go
+++ b/internal/console/replay_test.go
@@ -57,11 +57,11 @@
 	var r record.Record
 	var h record.Header
 	for m.Next(&r, &h) == nil {
-		if bootIDs[h.Name] != h.Boot {
-			bootIDs[h.Name] = h.Boot
+		if bootIDs[h.Name] != h.RunID {
+			bootIDs[h.Name] = h.RunID
 			offers[h.Name] = 0
 		}
-		if r.Kind == record.KindSetUp {
+		if r.Kind == record.KindCallOffered {
 			offers[h.Name]++
 		}
 	}
--- a/internal/console/tracker.go
+++ b/internal/console/tracker.go
@@ -61,8 +61,8 @@
 	if i == nil {
 		return
 	}
-	if i.bootID != h.Boot {
-		t.restart(i, h.Boot, r)
+	if i.bootID != h.RunID {
+		t.restart(i, h.RunID, r)
 	}
 	i.latest = max(i.latest, r.At)
 	t.latest = max(t.latest, r.At)
--- a/internal/console/tracker_test.go
+++ b/internal/console/tracker_test.go
@@ -13,7 +13,7 @@
 
 // applyAll applies records of one run of n0, a millisecond apart.
 func applyAll(t *tracker, bootID uint64, records ...record.Record) {
-	h := &record.Header{Name: "n0", Boot: bootID}
+	h := &record.Header{Name: "n0", RunID: bootID}
 	for _, r := range records {
 		r.At = max(t.latest, trackerAt) + time.Millisecond
 		t.apply(h, &r)
@@ -24,17 +24,17 @@
 	tracker := newTracker()
 	applyAll(tracker, 1,
 		record.Record{Kind: record.KindConfig, By: "class", Class: "voice", Wait: time.Second},
-		record.Record{Kind: record.KindSetUp, Call: "a", Class: "voice"},
-		record.Record{Kind: record.KindTry, Call: "a", Server: "s"},
-		record.Record{Kind: record.KindSetUp, Call: "b", Class: "voice"},
+		record.Record{Kind: record.KindCallOffered, Call: "a", Class: "voice"},
+		record.Record{Kind: record.KindAttemptStarted, Call: "a", Server: "s"},
+		record.Record{Kind: record.KindCallOffered, Call: "b", Class: "voice"},
 		record.Record{
 			Kind: record.KindAnswer, Call: "a", Class: "voice", Server: "s",
-			Code: uint8(record.Stood), Took: 2 * time.Second,
+			Code: uint8(record.OutcomeEstablished), Took: 2 * time.Second,
 		},
 		record.Record{Kind: record.KindRelease, Call: "a", Class: "voice", Server: "s", End: "cut"},
-		record.Record{Kind: record.KindAnswer, Call: "c", Class: "voice", Code: uint8(record.Barred)},
-		record.Record{Kind: record.KindAnswer, Call: "d", Class: "voice", Code: uint8(record.GivenUp)},
-		record.Record{Kind: record.KindAnswer, Call: "e", Class: "voice", Code: uint8(record.Failed)},
+		record.Record{Kind: record.KindAnswer, Call: "c", Class: "voice", Code: uint8(record.OutcomeByPolicy)},
+		record.Record{Kind: record.KindAnswer, Call: "d", Class: "voice", Code: uint8(record.OutcomeAbandoned)},
+		record.Record{Kind: record.KindAnswer, Call: "e", Class: "voice", Code: uint8(record.OutcomeFailed)},
 	)
 	i := tracker.snapshot().Instances[0]
 	want := Counts{
@@ -53,7 +53,7 @@
 
 func TestTrackerRestartWithoutEndIsCrash(t *testing.T) {
 	tracker := newTracker()
-	applyAll(tracker, 1, record.Record{Kind: record.KindSetUp, Call: "a", Class: "voice"})
+	applyAll(tracker, 1, record.Record{Kind: record.KindCallOffered, Call: "a", Class: "voice"})
 	applyAll(tracker, 2, record.Record{Kind: record.KindEnd})
 	applyAll(tracker, 3, record.Record{Kind: record.KindStart})
 	s := tracker.snapshot()
@@ -75,8 +75,8 @@
 	tracker := newTracker()
 	for i := range maxCalls + 1 {
 		applyAll(tracker, 1,
-			record.Record{Kind: record.KindSetUp, Call: fmt.Sprint(i)},
-			record.Record{Kind: record.KindLimit, By: "memory", Count: uint64(i)})
+			record.Record{Kind: record.KindCallOffered, Call: fmt.Sprint(i)},
+			record.Record{Kind: record.KindLimitReached, By: "memory", Count: uint64(i)})
 	}
 	s := tracker.snapshot()
 	if len(s.Calls) != maxCalls || s.Calls[0].ID != fmt.Sprint(maxCalls) || s.Calls[maxCalls-1].ID != "1" {
--- a/internal/enum/client.go
+++ b/internal/enum/client.go
@@ -113,11 +113,11 @@
 // unixNow returns the time of the Unix clock.
 func unixNow() portability.Time { return portability.Time(time.Now().UnixNano()) }
 
-// Ask looks a number of E.164 digits up for a call, which waits for timeout at most. It does not block. deliver is
-// called once with the result, on the client's goroutine, and must not block; it is not called after Cancel. Ask
+// LookUp looks a number of E.164 digits up for a call, which waits for timeout at most. It does not block. deliver is
+// called once with the result, on the client's goroutine, and must not block; it is not called after Cancel. LookUp
 // returns false, and deliver is never called, if too many tasks are queued; then the caller goes on as with a result
 // without an answer.
-func (c *Client) Ask(call, number string, timeout time.Duration, deliver func(portability.Result)) bool {
+func (c *Client) LookUp(call, number string, timeout time.Duration, deliver func(portability.Result)) bool {
 	deadline := unixNow() + timeout
 	return c.enqueue(func() {
 		if c.callbacks[call] != nil {
--- a/internal/enum/client_test.go
+++ b/internal/enum/client_test.go
@@ -149,7 +149,7 @@
 		tolerance = 2 * time.Second // the resolver's own test checks exact times
 	)
 	first, second := startServer(t, firstMode), startServer(t, secondMode)
-	settings := portability.Defaults(2)
+	settings := portability.DefaultSettings(2)
 	settings.QueryTimeout = 200 * time.Millisecond
 	c, err := Dial([]string{first.address(), second.address()}, suffix, settings)
 	if err != nil {
@@ -161,7 +161,7 @@
 		got.pending.Add(1)
 		call, startedAt := fmt.Sprint(i), time.Now()
 		deliver := func(r portability.Result) { got.add(call, r, time.Since(startedAt) > timeout+tolerance) }
-		if !c.Ask(call, fmt.Sprintf("56%04d", i%20), timeout, deliver) {
+		if !c.LookUp(call, fmt.Sprintf("56%04d", i%20), timeout, deliver) {
 			t.Fatal("the queue is full")
 		}
 	}
@@ -171,7 +171,7 @@
 	for call, r := range got.byCall {
 		isPorted := r.Ported.State == numbering.Moved && r.Ported.Routing.String() == "56999"
 		hasAnswer := firstMode == "works" || secondMode == "works"
-		if hasAnswer && !isPorted || !hasAnswer && r.Ported.State != numbering.Undecided {
+		if hasAnswer && !isPorted || !hasAnswer && r.Ported.State != numbering.PortingUnknown {
 			t.Errorf("call %s: %+v", call, r)
 		}
 	}
@@ -179,7 +179,7 @@
 		t.Errorf("%d late, %d duplicate results", got.late, got.duplicate)
 	}
 	n := c.Counters()
-	if n.Asked != calls || firstMode == "works" && n.Coalesced+n.Hits < calls/2 {
+	if n.Calls != calls || firstMode == "works" && n.Coalesced+n.CacheHits < calls/2 {
 		t.Errorf("%+v", n)
 	}
 }
@@ -187,21 +187,21 @@
 // A canceled call gets no result, and a client that is closed leaves no goroutine.
 func TestCancelAndClose(t *testing.T) {
 	server := startServer(t, "silent")
-	c, err := Dial([]string{server.address()}, suffix, portability.Defaults(1))
+	c, err := Dial([]string{server.address()}, suffix, portability.DefaultSettings(1))
 	if err != nil {
 		t.Fatal(err)
 	}
 	var results atomic.Int64
-	c.Ask("a", "561", time.Minute, func(portability.Result) { results.Add(1) })
+	c.LookUp("a", "561", time.Minute, func(portability.Result) { results.Add(1) })
 	c.Cancel("a")
 	done := make(chan struct{})
-	c.Ask("b", "562", 30*time.Millisecond, func(portability.Result) { close(done) })
+	c.LookUp("b", "562", 30*time.Millisecond, func(portability.Result) { close(done) })
 	<-done
 	if results.Load() != 0 {
 		t.Error("a canceled call got a result")
 	}
 	deadline := time.Now().Add(5 * time.Second)
-	for c.Counters().Asked != 2 || c.Counters().Undecided != 1 {
+	for c.Counters().Calls != 2 || c.Counters().Unanswered != 1 {
 		if time.Now().After(deadline) {
 			t.Fatalf("%+v", c.Counters())
 		}
--- a/internal/enum/message.go
+++ b/internal/enum/message.go
@@ -26,7 +26,7 @@
 
 // EncodeQuery returns the query for a number of E.164 digits.
 func EncodeQuery(id uint16, number, suffix string) ([]byte, error) {
-	if _, ok := numbering.MakeDigits(number); !ok {
+	if _, ok := numbering.ParseDigits(number); !ok {
 		return nil, fmt.Errorf("enum: %q is no number", number)
 	}
 	m := &dns.Msg{}
--- a/internal/enum/naptr.go
+++ b/internal/enum/naptr.go
@@ -101,7 +101,7 @@
 		if !strings.EqualFold(key, "rn") {
 			continue
 		}
-		routing, ok := numbering.MakeDigits(removeSeparators(strings.TrimPrefix(value, "+")))
+		routing, ok := numbering.ParseDigits(removeSeparators(strings.TrimPrefix(value, "+")))
 		if !ok {
 			return portability.Answer{}, ErrUnusableRecords
 		}
--- a/internal/frontend/gateway/call.go
+++ b/internal/frontend/gateway/call.go
@@ -146,20 +146,20 @@
 		Description:   description,
 		Reestablish:   value("again") == "1",
 	}
-	if !sip.Clean(r.Class) || !sip.Clean(r.Number) {
-		return r, &h248.Error{Code: h248.BadValue, Text: "oc/class or oc/number"}
+	if !sip.IsSafeValue(r.Class) || !sip.IsSafeValue(r.Number) {
+		return r, &h248.Error{Code: h248.UnsupportedValue, Text: "oc/class or oc/number"}
 	}
 	wait, err := strconv.ParseFloat(value("left"), 64)
 	if err != nil || !frontend.IsValidWait(wait) {
-		return r, &h248.Error{Code: h248.BadValue, Text: "oc/left"}
+		return r, &h248.Error{Code: h248.UnsupportedValue, Text: "oc/left"}
 	}
 	if first := value("first"); first != "" {
 		if r.PreferredPool, err = strconv.Atoi(first); err != nil {
-			return r, &h248.Error{Code: h248.BadValue, Text: "oc/first"}
+			return r, &h248.Error{Code: h248.UnsupportedValue, Text: "oc/first"}
 		}
 	}
 	if !f.host.IsPoolAllowed(r.Class, r.PreferredPool) {
-		return r, &h248.Error{Code: h248.BadValue, Text: "oc/first"}
+		return r, &h248.Error{Code: h248.UnsupportedValue, Text: "oc/first"}
 	}
 	r.RepeatUnsafe = f.host.Config.RepeatUnsafe(r.Class)
 	r.Deadline = f.host.Deadline(r.Class, frontend.Milliseconds(wait))
@@ -169,8 +169,8 @@
 // CallEstablished implements call.Client.
 func (c *gatewayCall) CallEstablished(_ string, description []byte) {
 	f := c.frontend
-	if !h248.Fits(description) {
-		f.host.Loop.Defer(func() { f.releaseCall(c, call.CauseFailed) })
+	if !h248.IsEncodable(description) {
+		f.host.Loop.Defer(func() { f.releaseCall(c, call.CauseTemporaryFailure) })
 		return
 	}
 	c.context = f.newContext()
@@ -179,7 +179,7 @@
 	add := &h248.Command{
 		Name:        "Add",
 		Termination: c.termination,
-		Descriptors: []*h248.Node{{Name: "Media", Kids: []*h248.Node{local}}},
+		Descriptors: []*h248.Node{{Name: "Media", Children: []*h248.Node{local}}},
 	}
 	c.answer(&h248.Action{Context: c.context, Commands: []*h248.Command{add}})
 }
@@ -189,7 +189,7 @@
 	c.frontend.calls.remove(c)
 	code := h248.TemporaryFailure
 	if cause == call.CauseNoCircuit {
-		code = h248.Insufficient
+		code = h248.InsufficientResources
 	}
 	text := "cause=" + strconv.Itoa(cause)
 	if wait > 0 {
--- a/internal/frontend/gateway/command.go
+++ b/internal/frontend/gateway/command.go
@@ -40,7 +40,7 @@
 	case "Notify":
 		cause, ok := transaction.ParseReleaseEvent(c)
 		if !ok {
-			return nil, &h248.Error{Code: h248.BadValue, Text: "no release is told"}
+			return nil, &h248.Error{Code: h248.UnsupportedValue, Text: "no release is told"}
 		}
 		err = g.runRelease(messageID, a, c, cause)
 	case "ServiceChange":
@@ -101,7 +101,7 @@
 	}
 	peer, last, err := adminapi.ParseClock(c)
 	if err != nil {
-		return nil, &h248.Error{Code: h248.BadValue, Text: err.Error()}
+		return nil, &h248.Error{Code: h248.UnsupportedValue, Text: err.Error()}
 	}
 	isComplete := last[0] != 0 && last[3] != 0
 	if peer != "" && isComplete {
--- a/internal/frontend/gateway/gateway.go
+++ b/internal/frontend/gateway/gateway.go
@@ -65,7 +65,7 @@
 	if err != nil {
 		g.closeMalformed(err)
 	}
-	f.gateways.RecordInput(g, &g.membership, isComplete, g.framer.Half())
+	f.gateways.RecordInput(g, &g.membership, isComplete, g.framer.HasPartial())
 }
 
 // rejectMessage answers a message that cannot be read and closes the connection.
@@ -175,7 +175,7 @@
 	entry, isNew := f.received.Begin(messageID, t.ID, f.host.Loop.Now())
 	switch {
 	case entry == nil:
-		tooMany := &h248.Error{Code: h248.Insufficient, Text: "too many transactions"}
+		tooMany := &h248.Error{Code: h248.InsufficientResources, Text: "too many transactions"}
 		g.send(transaction.Frame(f.messageID, &h248.Transaction{Kind: h248.Reply, ID: t.ID, Err: tooMany}))
 	case !isNew:
 		g.handleRepeat(entry, t)
--- a/internal/frontend/jsonclient/client.go
+++ b/internal/frontend/jsonclient/client.go
@@ -128,7 +128,7 @@
 		f.host.Loop.Close(c.conn)
 		return
 	}
-	f.clients.RecordInput(c, &c.membership, isComplete, c.reader.Half())
+	f.clients.RecordInput(c, &c.membership, isComplete, c.reader.HasPartial())
 }
 
 // handleLastData handles what the connection brought before it broke: releases count on whatever connection they
@@ -149,7 +149,7 @@
 		c.handleConfirmation(m.Tag)
 	case jsonl.Echo:
 		c.frontend.host.Counters.Echoes++
-		c.write(&jsonl.Message{Verb: jsonl.Echoed, Tag: m.Tag, RC: 1, HasRC: true})
+		c.write(&jsonl.Message{Verb: jsonl.Echoed, Tag: m.Tag, ResultCode: 1, HasResultCode: true})
 	case jsonl.Pending, jsonl.Load: // mean nothing here
 	default:
 		return fmt.Errorf("verb %.20q", m.Verb)
@@ -189,7 +189,7 @@
 		return fmt.Errorf("tag %.20q", m.Tag)
 	}
 	delete(c.openSetups, m.Tag)
-	if c.frontend.host.Calls.ReleaseByCaller(m.Tag, m.RC) {
+	if c.frontend.host.Calls.ReleaseByCaller(m.Tag, m.ResultCode) {
 		c.write(&jsonl.Message{Verb: jsonl.Finished, Tag: m.Tag})
 	}
 	return nil
@@ -220,9 +220,9 @@
 // CallRejected implements call.Client.
 func (c *Client) CallRejected(id string, cause int, wait time.Duration) {
 	delete(c.openSetups, id)
-	m := &jsonl.Message{Verb: jsonl.Finish, Tag: id, RC: cause, HasRC: true}
+	m := &jsonl.Message{Verb: jsonl.Finish, Tag: id, ResultCode: cause, HasResultCode: true}
 	if wait > 0 {
-		m.Opts = []jsonl.Opt{{Name: "wait", Value: strconv.FormatInt(wait.Milliseconds(), 10)}}
+		m.Options = []jsonl.Option{{Name: "wait", Value: strconv.FormatInt(wait.Milliseconds(), 10)}}
 	}
 	c.write(m)
 }
--- a/internal/frontend/jsonclient/frontend.go
+++ b/internal/frontend/jsonclient/frontend.go
@@ -158,7 +158,7 @@
 	if target != nil && (isReliable || isUnsent) {
 		r.sentOn = target
 		f.host.Counters.ReleasesSent++
-		target.write(&jsonl.Message{Verb: jsonl.Finish, Tag: r.id, RC: r.cause, HasRC: true})
+		target.write(&jsonl.Message{Verb: jsonl.Finish, Tag: r.id, ResultCode: r.cause, HasResultCode: true})
 	}
 	if isReliable {
 		target.addUnconfirmed(r)
--- a/internal/frontend/jsonclient/setup.go
+++ b/internal/frontend/jsonclient/setup.go
@@ -31,8 +31,8 @@
 func (f *Frontend) parseSetup(m *jsonl.Message) (s setup, err error) {
 	s.request = call.Request{
 		ID:            m.Tag,
-		Class:         m.Opt("class"),
-		Number:        m.Opt("key"),
+		Class:         m.Option("class"),
+		Number:        m.Option("key"),
 		PreferredPool: frontend.AnyPool,
 		Description:   m.Blob,
 	}
@@ -40,17 +40,17 @@
 	if !callid.Valid(r.ID) {
 		return s, fmt.Errorf("tag %.20q", m.Tag)
 	}
-	wait, err := strconv.ParseFloat(m.Opt("left"), 64)
+	wait, err := strconv.ParseFloat(m.Option("left"), 64)
 	if err != nil || !frontend.IsValidWait(wait) {
-		return s, fmt.Errorf("left %.20q", m.Opt("left"))
+		return s, fmt.Errorf("left %.20q", m.Option("left"))
 	}
 	cfg := f.host.Config
 	r.RepeatUnsafe = cfg.RepeatUnsafe(r.Class)
 	r.Deadline = f.host.Deadline(r.Class, frontend.Milliseconds(wait))
-	if !sip.Clean(r.Class) || !sip.Clean(r.Number) {
+	if !sip.IsSafeValue(r.Class) || !sip.IsSafeValue(r.Number) {
 		return s, fmt.Errorf("class %.20q or key %.20q", r.Class, r.Number)
 	}
-	e, err := parseExtras(m.Opt("extras"))
+	e, err := parseExtras(m.Option("extras"))
 	if err != nil {
 		return s, err
 	}
--- a/internal/incident/callcounts.go
+++ b/internal/incident/callcounts.go
@@ -70,8 +70,8 @@
 	} else {
 		p.AnswersWithoutSetup++
 	}
-	outcome := min(int(r.Code), record.Outcomes-1)
-	isEstablished := outcome == int(record.Stood)
+	outcome := min(int(r.Code), record.OutcomeCount-1)
+	isEstablished := outcome == int(record.OutcomeEstablished)
 	bin, class := p.currentBin(r.At), p.classes.get(r.Class)
 	counts := []*Counts{&p.Total.Counts, &class.Counts, &bin.Counts}
 	if isEstablished && r.Server != "" {
--- a/internal/incident/counts.go
+++ b/internal/incident/counts.go
@@ -11,13 +11,13 @@
 // Counts are the counts of a group of calls: of all, or of a class, a server, an instance or a window. Each is a plain
 // count of records, so that it can be checked by counting. The JSON keys are an interface and keep their first names.
 type Counts struct {
-	Offered  uint64                  `json:"offered"`  // calls offered
-	Outcomes [record.Outcomes]uint64 `json:"-"`        // final answers
-	Late     uint64                  `json:"late"`     // established later than the latency objective of their class
-	Dropped  uint64                  `json:"cut"`      // established and ended by a fault
-	Released uint64                  `json:"released"` // established and ended, the dropped ones included
-	Attempts uint64                  `json:"tries"`    // attempts at servers
-	Retries  uint64                  `json:"retried"`  // attempts after a call's first
+	Offered  uint64                      `json:"offered"`  // calls offered
+	Outcomes [record.OutcomeCount]uint64 `json:"-"`        // final answers
+	Late     uint64                      `json:"late"`     // established later than the latency objective of their class
+	Dropped  uint64                      `json:"cut"`      // established and ended by a fault
+	Released uint64                      `json:"released"` // established and ended, the dropped ones included
+	Attempts uint64                      `json:"tries"`    // attempts at servers
+	Retries  uint64                      `json:"retried"`  // attempts after a call's first
 }
 
 // add adds other counts.
@@ -37,11 +37,11 @@
 func (c *Counts) Outcome(o record.Outcome) uint64 { return c.Outcomes[o] }
 
 // Established is the number of calls that were established.
-func (c *Counts) Established() uint64 { return c.Outcomes[record.Stood] }
+func (c *Counts) Established() uint64 { return c.Outcomes[record.OutcomeEstablished] }
 
 // Rejected is the number of calls that were rejected, by the decision module, past a limit or at shutdown.
 func (c *Counts) Rejected() uint64 {
-	return c.Outcomes[record.Refused] + c.Outcomes[record.Crowded] + c.Outcomes[record.Stopped]
+	return c.Outcomes[record.OutcomeRejected] + c.Outcomes[record.OutcomeOverLimit] + c.Outcomes[record.OutcomeShuttingDown]
 }
 
 // Answered is the number of calls with any outcome.
--- a/internal/incident/findoverload.go
+++ b/internal/incident/findoverload.go
@@ -31,7 +31,7 @@
 			f.Incomplete = incomplete
 			f.Text = fmt.Sprintf("%d of %d instances noticed; %s turned away of %s offered meanwhile",
 				len(f.Noticed), len(parts),
-				formatCount(counts.Rejected()+counts.Outcome(record.Failed), incomplete),
+				formatCount(counts.Rejected()+counts.Outcome(record.OutcomeFailed), incomplete),
 				formatCount(counts.Offered, incomplete))
 			r.add(f)
 		}
--- a/internal/incident/findsurges.go
+++ b/internal/incident/findsurges.go
@@ -19,7 +19,7 @@
 }
 
 var surgeRules = []surgeRule{
-	{FoundRejections, func(c *Counts) uint64 { return c.Rejected() + c.Outcome(record.Failed) }},
+	{FoundRejections, func(c *Counts) uint64 { return c.Rejected() + c.Outcome(record.OutcomeFailed) }},
 	{FoundDropped, func(c *Counts) uint64 { return c.Dropped }},
 }
 
--- a/internal/incident/incident_test.go
+++ b/internal/incident/incident_test.go
@@ -26,7 +26,7 @@
 }
 
 func newFeed(name string) *feed {
-	return &feed{p: NewPart(), h: record.Header{Name: name, Store: 1, Boot: 1, Wall: day, Program: "test"}}
+	return &feed{p: NewPart(), h: record.Header{Name: name, Store: 1, RunID: 1, StartTime: day, Program: "test"}}
 }
 
 func (f *feed) put(r record.Record) {
@@ -35,24 +35,24 @@
 	f.p.Take(&f.h, &r)
 }
 
-func (f *feed) restart() { f.h.Boot++ }
+func (f *feed) restart() { f.h.RunID++ }
 
 // call puts a call that stands after took.
 func (f *feed) call(id string, at Time, server string, took time.Duration) {
-	f.put(record.Record{Kind: record.KindSetUp, At: at, Call: id, Class: "voice"})
-	f.put(record.Record{Kind: record.KindOrder, At: at, Call: id, Code: uint8(record.Try), Server: server})
-	f.put(record.Record{Kind: record.KindTry, At: at, Call: id, Server: server})
-	f.put(record.Record{Kind: record.KindAnswer, At: at + took, Call: id, Class: "voice", Code: uint8(record.Stood), Server: server, Took: took, Attempt: 1})
+	f.put(record.Record{Kind: record.KindCallOffered, At: at, Call: id, Class: "voice"})
+	f.put(record.Record{Kind: record.KindDecision, At: at, Call: id, Code: uint8(record.DecisionSend), Server: server})
+	f.put(record.Record{Kind: record.KindAttemptStarted, At: at, Call: id, Server: server})
+	f.put(record.Record{Kind: record.KindAnswer, At: at + took, Call: id, Class: "voice", Code: uint8(record.OutcomeEstablished), Server: server, Took: took, Attempt: 1})
 }
 
 func (f *feed) refused(id string, at Time) {
-	f.put(record.Record{Kind: record.KindSetUp, At: at, Call: id, Class: "voice"})
-	f.put(record.Record{Kind: record.KindOrder, At: at, Call: id, Code: uint8(record.Deny), Text: "no_server"})
-	f.put(record.Record{Kind: record.KindAnswer, At: at, Call: id, Class: "voice", Code: uint8(record.Refused), Cause: 34})
+	f.put(record.Record{Kind: record.KindCallOffered, At: at, Call: id, Class: "voice"})
+	f.put(record.Record{Kind: record.KindDecision, At: at, Call: id, Code: uint8(record.DecisionReject), Text: "no_server"})
+	f.put(record.Record{Kind: record.KindAnswer, At: at, Call: id, Class: "voice", Code: uint8(record.OutcomeRejected), Cause: 34})
 }
 
 func (f *feed) ceiling(at Time, server string, v float64) {
-	f.put(record.Record{Kind: record.KindCeiling, At: at, Server: server, Value: v})
+	f.put(record.Record{Kind: record.KindRateLimit, At: at, Server: server, Value: v})
 }
 
 // exchange records four time stamps of an instance that is ahead by offset, with ways of so long.
@@ -174,9 +174,9 @@
 	for start := range 4 {
 		f.put(record.Record{Kind: record.KindStart, At: at, Flag: start == 0})
 		f.call(fmt.Sprint("a", start), at+time.Second, "s", 50*time.Millisecond)
-		f.put(record.Record{Kind: record.KindSetUp, At: at + 2*time.Second, Call: fmt.Sprint("b", start), Class: "voice"})
+		f.put(record.Record{Kind: record.KindCallOffered, At: at + 2*time.Second, Call: fmt.Sprint("b", start), Class: "voice"})
 		if start == 3 {
-			f.put(record.Record{Kind: record.KindAnswer, At: at + 3*time.Second, Call: "b3", Class: "voice", Code: uint8(record.Failed)})
+			f.put(record.Record{Kind: record.KindAnswer, At: at + 3*time.Second, Call: "b3", Class: "voice", Code: uint8(record.OutcomeFailed)})
 			f.put(record.Record{Kind: record.KindEnd, At: at + 4*time.Second})
 		}
 		f.restart()
@@ -199,10 +199,10 @@
 func TestGap(t *testing.T) {
 	f := newFeed("n0")
 	f.put(record.Record{Kind: record.KindStart, At: day, Flag: true})
-	f.put(record.Record{Kind: record.KindSetUp, At: day + time.Second, Call: "lost", Class: "voice"})
+	f.put(record.Record{Kind: record.KindCallOffered, At: day + time.Second, Call: "lost", Class: "voice"})
 	f.p.Take(&f.h, &record.Record{Kind: record.KindGap, From: 3, Seq: 9, Since: day + time.Second, At: day + 4*time.Second, Code: uint8(record.DiskFull)})
 	f.seq = 9
-	f.put(record.Record{Kind: record.KindAnswer, At: day + 5*time.Second, Call: "before", Class: "voice", Code: uint8(record.Stood), Server: "s"})
+	f.put(record.Record{Kind: record.KindAnswer, At: day + 5*time.Second, Call: "before", Class: "voice", Code: uint8(record.OutcomeEstablished), Server: "s"})
 	f.put(record.Record{Kind: record.KindEnd, At: day + 6*time.Second})
 	r := Combine([]*Part{f.done()})
 	if !r.Incomplete || r.Lost != 7 || r.NoAnswer[ReasonGap] != 1 || r.AnswersWithoutSetup != 1 {
@@ -218,7 +218,7 @@
 	}
 	// A set-up that no gap excuses is a broken rule.
 	f = newFeed("n0")
-	f.put(record.Record{Kind: record.KindSetUp, At: day, Call: "x", Class: "voice"})
+	f.put(record.Record{Kind: record.KindCallOffered, At: day, Call: "x", Class: "voice"})
 	f.call("y", day+2*time.Minute, "s", time.Millisecond)
 	f.put(record.Record{Kind: record.KindEnd, At: day + 3*time.Minute})
 	if r = Combine([]*Part{f.done()}); r.NoAnswer[ReasonUnknown] != 1 || len(r.of(FoundUnanswered)) != 1 {
@@ -249,10 +249,10 @@
 		if n != 2 {
 			f.ceiling(at(15*time.Second), "s", math.Inf(1))
 		}
-		f.put(record.Record{Kind: record.KindServer, At: at(20*time.Second + Time(n)*5*time.Millisecond), Server: "t", Code: uint8(record.Drains)})
-		f.put(record.Record{Kind: record.KindTry, At: at(21 * time.Second), Call: "z", Server: "t"})
+		f.put(record.Record{Kind: record.KindServer, At: at(20*time.Second + Time(n)*5*time.Millisecond), Server: "t", Code: uint8(record.ServerDraining)})
+		f.put(record.Record{Kind: record.KindAttemptStarted, At: at(21 * time.Second), Call: "z", Server: "t"})
 		if n == 1 {
-			f.put(record.Record{Kind: record.KindTry, At: at(23 * time.Second), Call: "z", Server: "t", Attempt: 1})
+			f.put(record.Record{Kind: record.KindAttemptStarted, At: at(23 * time.Second), Call: "z", Server: "t", Attempt: 1})
 		}
 		f.put(record.Record{Kind: record.KindEnd, At: at(30 * time.Second)})
 		parts = append(parts, f.done())
@@ -300,9 +300,9 @@
 		f.put(record.Record{Kind: record.KindConfig, At: day, By: "cold", Wait: time.Second, Value: 0.1})
 		f.put(record.Record{Kind: record.KindServer, At: day, Server: "s", Flag: true, Since: day})
 		for i := range 100 {
-			f.put(record.Record{Kind: record.KindTry, At: day + c.at(i), Call: fmt.Sprint(i), Server: "s"})
+			f.put(record.Record{Kind: record.KindAttemptStarted, At: day + c.at(i), Call: fmt.Sprint(i), Server: "s"})
 		}
-		f.put(record.Record{Kind: record.KindTry, At: day + 2*time.Second, Call: "warm", Server: "s"})
+		f.put(record.Record{Kind: record.KindAttemptStarted, At: day + 2*time.Second, Call: "warm", Server: "s"})
 		f.put(record.Record{Kind: record.KindEnd, At: day + 3*time.Second})
 		r := Combine([]*Part{f.done()})
 		if got := r.of(c.kind); len(got) != 1 || !strings.HasPrefix(got[0].Text, "100 sent while it was cold") {
@@ -331,10 +331,10 @@
 	}
 	f := newFeed("n0")
 	for i := range 20000 {
-		f.put(record.Record{Kind: record.KindSetUp, At: day, Call: fmt.Sprint(i), Class: fmt.Sprint("class", i)})
-		f.put(record.Record{Kind: record.KindTry, At: day, Call: fmt.Sprint(i), Server: fmt.Sprint("s", i)})
-		f.put(record.Record{Kind: record.KindTryEnd, At: day, Call: fmt.Sprint(i), End: fmt.Sprint(i)})
-		f.put(record.Record{Kind: record.KindServer, At: day, Server: fmt.Sprint("s", i), Code: uint8(record.Drains)})
+		f.put(record.Record{Kind: record.KindCallOffered, At: day, Call: fmt.Sprint(i), Class: fmt.Sprint("class", i)})
+		f.put(record.Record{Kind: record.KindAttemptStarted, At: day, Call: fmt.Sprint(i), Server: fmt.Sprint("s", i)})
+		f.put(record.Record{Kind: record.KindAttemptEnded, At: day, Call: fmt.Sprint(i), End: fmt.Sprint(i)})
+		f.put(record.Record{Kind: record.KindServer, At: day, Server: fmt.Sprint("s", i), Code: uint8(record.ServerDraining)})
 		f.ceiling(day, fmt.Sprint("s", i), 1)
 	}
 	for i := range maxStarts + 100 {
--- a/internal/incident/part.go
+++ b/internal/incident/part.go
@@ -108,7 +108,7 @@
 		p.Instance, p.Store = h.Name, h.Store
 	}
 	p.Records++
-	if len(p.Starts) == 0 || p.currentStart().Boot != h.Boot {
+	if len(p.Starts) == 0 || p.currentStart().Boot != h.RunID {
 		p.beginStart(h, r)
 	}
 	start := p.currentStart()
@@ -119,7 +119,7 @@
 	if r.Kind != record.KindGap {
 		p.currentBin(r.At) // the instance was alive then, whether it had calls or not
 	}
-	p.add(r, Ref{p.Instance, fmt.Sprintf("%016x", h.Boot), r.Seq})
+	p.add(r, Ref{p.Instance, fmt.Sprintf("%016x", h.RunID), r.Seq})
 	p.expireOpenCalls(r.At)
 }
 
@@ -136,13 +136,13 @@
 		p.currentStart().Stopping = r.At
 	case record.KindEnd:
 		p.currentStart().Clean = true
-	case record.KindSetUp:
+	case record.KindCallOffered:
 		p.addSetup(r)
-	case record.KindOrder:
+	case record.KindDecision:
 		p.addDecision(r)
-	case record.KindTry:
+	case record.KindAttemptStarted:
 		p.addAttempt(r)
-	case record.KindTryEnd:
+	case record.KindAttemptEnded:
 		addBounded(p.AttemptEnds, r.End, 1)
 	case record.KindAnswer:
 		p.addAnswer(r, ref)
@@ -150,15 +150,15 @@
 		p.addRelease(r)
 	case record.KindServer:
 		p.addServerUpdate(r, ref)
-	case record.KindCeiling:
+	case record.KindRateLimit:
 		p.addRateLimit(r, ref)
 	case record.KindConfig:
 		p.addConfig(r)
-	case record.KindLimit:
+	case record.KindLimitReached:
 		addBounded(p.Limits, r.By, r.Count)
 	case record.KindClock:
 		p.addClockReading(r)
-	case record.KindTally:
+	case record.KindCounter:
 		p.addCounter(r)
 	case record.KindNote, record.KindNone: // not analysed
 	}
@@ -184,8 +184,8 @@
 		return true
 	}
 	switch r.Kind {
-	case record.KindSetUp, record.KindOrder, record.KindTry, record.KindTryEnd, record.KindAnswer,
-		record.KindRelease, record.KindLimit, record.KindTally:
+	case record.KindCallOffered, record.KindDecision, record.KindAttemptStarted, record.KindAttemptEnded, record.KindAnswer,
+		record.KindRelease, record.KindLimitReached, record.KindCounter:
 		return false
 	default:
 		return true
@@ -227,16 +227,16 @@
 
 // addDecision counts the reason of a decision other than to send or wait.
 func (p *Part) addDecision(r *record.Record) {
-	move := record.Move(r.Code)
-	if r.Text != "" && move != record.Try && move != record.Hold {
+	move := record.Decision(r.Code)
+	if r.Text != "" && move != record.DecisionSend && move != record.DecisionNone {
 		addBounded(p.Reasons, r.Text, 1)
 	}
 }
 
 // addServerUpdate adds a change of the endpoint list.
 func (p *Part) addServerUpdate(r *record.Record, ref Ref) {
-	phase := record.Phase(r.Code)
-	if phase == record.Listed {
+	phase := record.ServerState(r.Code)
+	if phase == record.ServerActive {
 		delete(p.ongoing.drains, r.Server)
 		_, isKnown := p.ongoing.coldStarts[r.Server]
 		if r.Flag && !isKnown {
--- a/internal/numbering/analyse.go
+++ b/internal/numbering/analyse.go
@@ -90,7 +90,7 @@
 	switch q.Ported.State {
 	case NotLookedUp:
 		e.lookUpFirst()
-		d.Verdict = Ask
+		d.Verdict = LookUpRequired
 		return 0, false
 	case Moved:
 		return t.matchRoutingNumber(d, q.Ported.Routing, e)
--- a/internal/numbering/analyse_test.go
+++ b/internal/numbering/analyse_test.go
@@ -10,7 +10,7 @@
 func TestAnalyse(t *testing.T) {
 	table := compileText(t, rules)
 	night := Time(time.Date(2026, 12, 1, 3, 0, 0, 0, time.UTC).UnixNano())
-	moved, _ := MakeDigits("56221")
+	moved, _ := ParseDigits("56221")
 	for _, c := range []struct {
 		q    Query
 		want string
@@ -27,9 +27,9 @@
 		{Query{Number: "+56900123"}, "refused 21"},
 		{Query{Number: "+569123", Class: "alarm"}, "refused 17"},
 		{Query{Number: "+569123"}, "ask"},
-		{Query{Number: "+569123", Ported: Ported{State: NotPorted}}, "routed 569123 mobile [5]"},
-		{Query{Number: "+569123", Ported: Ported{State: Undecided}}, "routed 569123 mobile [5]"},
-		{Query{Number: "+569123", Ported: Ported{State: Moved, Routing: moved}}, "routed 569123 centre [2 4]"},
+		{Query{Number: "+569123", Ported: PortingResult{State: NotPorted}}, "routed 569123 mobile [5]"},
+		{Query{Number: "+569123", Ported: PortingResult{State: PortingUnknown}}, "routed 569123 mobile [5]"},
+		{Query{Number: "+569123", Ported: PortingResult{State: Moved, Routing: moved}}, "routed 569123 centre [2 4]"},
 		{Query{Number: "+4912345"}, "routed 4912345 rest [6]"},
 		{Query{Number: "abc"}, "refused 1"},
 		{Query{Number: ""}, "refused 1"},
--- a/internal/numbering/bench_test.go
+++ b/internal/numbering/bench_test.go
@@ -56,7 +56,7 @@
 		r := randomRules(count)
 		before := heapInUse()
 		startedAt := time.Now()
-		table, err := Compile(r, Env{Now: now})
+		table, err := Compile(r, Deployment{Now: now})
 		if err != nil {
 			b.Fatal(err)
 		}
@@ -110,13 +110,13 @@
 // BenchmarkSwap measures an activation, from Begin to Finish, between two tables of a million prefixes, and reports the
 // longest one.
 func BenchmarkSwap(b *testing.B) {
-	var d Desk
+	var d VersionManager
 	digests := make([]string, 2)
 	for i := range digests {
 		r := randomRules(1_000_000)
 		r.Version = fmt.Sprint(i)
 		r.Default = []string{"a", "b"}[i]
-		t, err := Compile(r, Env{Now: now})
+		t, err := Compile(r, Deployment{Now: now})
 		if err != nil {
 			b.Fatal(err)
 		}
@@ -133,7 +133,7 @@
 		startedAt := time.Now()
 		seen := d.Active().Digest()
 		i++
-		if _, _, err := d.Begin(now, Order{Op: OpActivate, Digest: digests[i%2], Saw: seen}); err != nil {
+		if _, _, err := d.Begin(now, Command{Op: OpActivate, Digest: digests[i%2], ExpectedActive: seen}); err != nil {
 			b.Fatal(err)
 		}
 		if err := d.Finish(now, nil); err != nil {
--- a/internal/numbering/compile.go
+++ b/internal/numbering/compile.go
@@ -6,8 +6,8 @@
 	"os"
 )
 
-// Env is the deployment that rules have to fit.
-type Env struct {
+// Deployment is the deployment that rules have to fit.
+type Deployment struct {
 	Classes []Class
 	Now     Time // routes are checked for gaps within a year from this time
 }
@@ -36,22 +36,22 @@
 // Unwrap returns the error without its entry.
 func (e *RuleError) Unwrap() error { return e.Err }
 
-// Read reads and compiles a file of rules and returns its text as well. With a million prefixes it takes seconds, so it
+// CompileFile reads and compiles a file of rules and returns its text as well. With a million prefixes it takes seconds, so it
 // must not run on an event loop.
-func Read(path string, env Env) (*Table, []byte, error) {
+func CompileFile(path string, env Deployment) (*Table, []byte, error) {
 	text, err := os.ReadFile(path)
 	if err != nil {
 		return nil, nil, fmt.Errorf("numbers: %w", err)
 	}
-	t, err := Make(text, env)
+	t, err := CompileText(text, env)
 	if err != nil {
 		return nil, nil, fmt.Errorf("numbers: %s: %w", path, err)
 	}
 	return t, text, nil
 }
 
-// Make parses and compiles the text of a file of rules.
-func Make(text []byte, env Env) (*Table, error) {
+// CompileText parses and compiles the text of a file of rules.
+func CompileText(text []byte, env Deployment) (*Table, error) {
 	rules, err := Parse(text)
 	if err != nil {
 		return nil, err
@@ -60,7 +60,7 @@
 }
 
 // Compile makes a Table of rules. The error joins a RuleError for each of the first hundred errors in the rules.
-func Compile(r *Rules, env Env) (*Table, error) {
+func Compile(r *Rules, env Deployment) (*Table, error) {
 	c := newCompiler(r, env)
 	c.checkSizes()
 	if len(c.errs) > 0 { // rules of that size are not looked at
@@ -87,7 +87,7 @@
 // compiler fills a table from rules and collects the errors.
 type compiler struct {
 	rules          *Rules
-	env            Env
+	env            Deployment
 	table          *Table
 	errs           []error
 	routes         map[string]int32 // indexes by name
@@ -96,7 +96,7 @@
 	usedConditions map[string]bool
 }
 
-func newCompiler(r *Rules, env Env) *compiler {
+func newCompiler(r *Rules, env Deployment) *compiler {
 	t := &Table{
 		Version:      r.Version,
 		maxDigits:    r.MaxDigits,
--- a/internal/numbering/compile_test.go
+++ b/internal/numbering/compile_test.go
@@ -89,7 +89,7 @@
 }
 
 func TestCompileChecksPoolsOfClasses(t *testing.T) {
-	narrow := Env{Classes: []Class{{Name: "voice", Pools: []int{2}}}, Now: now}
+	narrow := Deployment{Classes: []Class{{Name: "voice", Pools: []int{2}}}, Now: now}
 	r := parseRules(t, defaultRoute)
 	if _, err := Compile(r, narrow); err == nil || !strings.Contains(err.Error(), "pool 1: no class may use it") {
 		t.Error(err)
--- a/internal/numbering/diff_test.go
+++ b/internal/numbering/diff_test.go
@@ -42,7 +42,7 @@
 	t.Helper()
 	for n := range 10000 {
 		number := fmt.Sprintf("56%04d", n)
-		q := Query{Number: "+" + number, Class: "alarm", At: now, Ported: Ported{State: NotPorted}}
+		q := Query{Number: "+" + number, Class: "alarm", At: now, Ported: PortingResult{State: NotPorted}}
 		x, y := before.Analyse(&q), after.Analyse(&q)
 		isChanged := fmt.Sprint(x.Verdict, x.Cause, x.Pools()) != fmt.Sprint(y.Verdict, y.Cause, y.Pools())
 		isListed := slices.ContainsFunc(prefixes, func(prefix string) bool { return strings.HasPrefix(number, prefix) })
--- a/internal/numbering/digest_test.go
+++ b/internal/numbering/digest_test.go
@@ -46,7 +46,7 @@
 				Class:  []string{"voice", "alarm"}[rng.IntN(2)],
 				At:     now + Time(rng.Int64N(int64(48*time.Hour))),
 				Seed:   rng.Uint64(),
-				Ported: Ported{State: PortingState(rng.IntN(2))},
+				Ported: PortingResult{State: PortingState(rng.IntN(2))},
 			}
 			d := base.Analyse(&q)
 			explained, steps := other.Explain(&q)
@@ -70,7 +70,7 @@
 		if !strings.Contains(last, fmt.Sprintf("cause %d", d.Cause)) {
 			t.Fatalf("%q does not name cause %d", last, d.Cause)
 		}
-	case Ask:
+	case LookUpRequired:
 	}
 }
 
--- a/internal/numbering/digits.go
+++ b/internal/numbering/digits.go
@@ -6,8 +6,8 @@
 	n uint8
 }
 
-// MakeDigits returns the digits of s; ok is false if s is empty, too long or has other characters.
-func MakeDigits(s string) (d Digits, ok bool) {
+// ParseDigits returns the digits of s; ok is false if s is empty, too long or has other characters.
+func ParseDigits(s string) (d Digits, ok bool) {
 	if !isDigits(s) {
 		return d, false
 	}
--- a/internal/numbering/digits_test.go
+++ b/internal/numbering/digits_test.go
@@ -7,12 +7,12 @@
 
 func TestMakeDigits(t *testing.T) {
 	for _, text := range []string{"0", "56221234567", strings.Repeat("9", maxDigits)} {
-		if d, ok := MakeDigits(text); !ok || d.String() != text {
+		if d, ok := ParseDigits(text); !ok || d.String() != text {
 			t.Errorf("%q: %q, %v", text, d, ok)
 		}
 	}
 	for _, text := range []string{"", "+56", "1 2", "12a", strings.Repeat("9", maxDigits+1)} {
-		if d, ok := MakeDigits(text); ok || d != (Digits{}) {
+		if d, ok := ParseDigits(text); ok || d != (Digits{}) {
 			t.Errorf("%q: %q, %v", text, d, ok)
 		}
 	}
@@ -30,9 +30,9 @@
 		{0, strings.Repeat("9", maxDigits-1), strings.Repeat("9", maxDigits-1) + "1"},
 		{5, strings.Repeat("9", maxDigits+1), strings.Repeat("9", maxDigits)},
 	} {
-		d, _ := MakeDigits("12345")
+		d, _ := ParseDigits("12345")
 		d.replacePrefix(c.removed, c.prefix)
-		want, _ := MakeDigits(c.want)
+		want, _ := ParseDigits(c.want)
 		if d != want {
 			t.Errorf("%d digits replaced by %q: %q, want %q", c.removed, c.prefix, d, c.want)
 		}
--- a/internal/numbering/fixture_test.go
+++ b/internal/numbering/fixture_test.go
@@ -13,7 +13,7 @@
 // now is a Tuesday in office hours.
 var now = Time(time.Date(2026, 12, 1, 12, 0, 0, 0, time.UTC).UnixNano())
 
-var env = Env{Classes: []Class{{Name: "voice"}, {Name: "alarm", Pools: []int{0, 1, 2}}}, Now: now}
+var env = Deployment{Classes: []Class{{Name: "voice"}, {Name: "alarm", Pools: []int{0, 1, 2}}}, Now: now}
 
 const rules = `
 version = "test"
@@ -126,7 +126,7 @@
 	switch d.Verdict {
 	case Rejected:
 		return fmt.Sprint(prefix, "refused ", d.Cause)
-	case Ask:
+	case LookUpRequired:
 		return "ask"
 	default:
 		return fmt.Sprint(prefix, "routed ", d.Number, " ", d.Route, " ", d.Pools())
--- a/internal/numbering/golden_test.go
+++ b/internal/numbering/golden_test.go
@@ -16,7 +16,7 @@
 
 func goldenTable(t *testing.T, name string) *Table {
 	t.Helper()
-	table, _, err := Read(goldenPath(name), env)
+	table, _, err := CompileFile(goldenPath(name), env)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -35,14 +35,14 @@
 // The digests, decisions and explanations of tables are the same as when the files were committed.
 func TestGoldenDecisions(t *testing.T) {
 	night := Time(time.Date(2026, 12, 1, 3, 0, 0, 0, time.UTC).UnixNano())
-	moved, ok := MakeDigits("56225550101")
+	moved, ok := ParseDigits("56225550101")
 	if !ok {
 		t.Fatal("no digits")
 	}
 	var b bytes.Buffer
 	for _, name := range []string{"rules.toml", "next.toml"} {
 		table := goldenTable(t, name)
-		fmt.Fprintf(&b, "%s: version %s, digest %s, %d prefixes, %d bytes\n", name, table.Version, table.Digest(), table.Entries(), table.Size())
+		fmt.Fprintf(&b, "%s: version %s, digest %s, %d prefixes, %d bytes\n", name, table.Version, table.Digest(), table.PrefixCount(), table.MemoryBytes())
 		for _, q := range []Query{
 			{Number: "9", At: now, Seed: Seed("c-1")},
 			{Number: "9", At: night, Seed: Seed("c-1")},
@@ -50,9 +50,9 @@
 			{Number: "+56 600 123", At: now},
 			{Number: "+56 9 0123 4567", At: now, Class: "alarm"},
 			{Number: "+56 9 1234 5678", At: now},
-			{Number: "+56 9 1234 5678", At: now, Ported: Ported{State: NotPorted}},
-			{Number: "+56 9 1234 5678", At: now, Ported: Ported{State: Moved, Routing: moved}},
-			{Number: "+56 9 1234 5678", At: now, Ported: Ported{State: Undecided}},
+			{Number: "+56 9 1234 5678", At: now, Ported: PortingResult{State: NotPorted}},
+			{Number: "+56 9 1234 5678", At: now, Ported: PortingResult{State: Moved, Routing: moved}},
+			{Number: "+56 9 1234 5678", At: now, Ported: PortingResult{State: PortingUnknown}},
 			{Number: "0056 2 2555 0150", At: now},
 			{Number: "+49 30 123456", At: now, Seed: Seed("0123456789abcdef")},
 			{Number: "abc", At: now},
@@ -75,7 +75,7 @@
 
 // The stored state and the states of versions are encoded and decoded as when the files were committed.
 func TestGoldenStanding(t *testing.T) {
-	var d Desk
+	var d VersionManager
 	var digests []string
 	for _, table := range []*Table{goldenTable(t, "rules.toml"), goldenTable(t, "next.toml"), compileText(t, rules)} {
 		digests = append(digests, table.Digest())
@@ -93,12 +93,12 @@
 		}
 	}
 	goldentest.CompareFile(t, goldenPath("versions.json"), indentedJSON(t, d.List()))
-	goldentest.CompareFile(t, goldenPath("standing.json"), d.Standing().Encode())
+	goldentest.CompareFile(t, goldenPath("standing.json"), d.ActivationState().Encode())
 	text, err := os.ReadFile(goldenPath("standing.json"))
 	if err != nil {
 		t.Fatal(err)
 	}
-	if s, err := DecodeStanding(text); err != nil || s != d.Standing() {
-		t.Errorf("read %+v, %v; want %+v", s, err, d.Standing())
+	if s, err := DecodeActivationState(text); err != nil || s != d.ActivationState() {
+		t.Errorf("read %+v, %v; want %+v", s, err, d.ActivationState())
 	}
 }
--- a/internal/numbering/manager.go
+++ b/internal/numbering/manager.go
@@ -14,32 +14,32 @@
 	OpCancel   = "cancel"
 )
 
-// Order is a command of an operator.
-type Order struct {
-	Op     string
-	File   string // load: a file on the machine of the instance
-	Digest string // activate: of the version
-	Saw    string // activate, rollback: digest of the version that the operator saw as active
-	At     Time   // activate: when; 0: at once
+// Command is a command of an operator.
+type Command struct {
+	Op             string
+	File           string // load: a file on the machine of the instance
+	Digest         string // activate: of the version
+	ExpectedActive string // activate, rollback: digest of the version that the operator saw as active
+	ActivateAt     Time   // activate: when; 0: at once
 }
 
 // Job is the order that is being carried out, or the last one.
 type Job struct {
-	ID      uint64
-	Order   Order
-	Began   Time
-	Running bool
-	Err     string // why the order failed; "": it has not
-	Digest  string // load: of the loaded table
+	ID        uint64
+	Command   Command
+	StartedAt Time
+	IsRunning bool
+	Error     string // why the order failed; "": it has not
+	Digest    string // load: of the loaded table
 }
 
-// ErrBusy means that another order is being carried out.
-var ErrBusy = errors.New("another order is being carried out")
+// ErrCommandRunning means that another order is being carried out.
+var ErrCommandRunning = errors.New("another order is being carried out")
 
-// Desk carries out orders on a Registry, one at a time and without I/O. An order takes two steps, since a write to disk
+// VersionManager carries out orders on a Registry, one at a time and without I/O. An order takes two steps, since a write to disk
 // is slow and must not block the event loop: Begin checks the order and returns the state to be stored, and Finish
-// applies the order when the state is stored. A Desk belongs to one goroutine.
-type Desk struct {
+// applies the order when the state is stored. A VersionManager belongs to one goroutine.
+type VersionManager struct {
 	Registry
 	job Job
 }
@@ -47,27 +47,27 @@
 // Tick performs a scheduled activation that is due and reports whether there was one. While an order is carried out
 // nothing is activated, so that the state that was checked and stored is the one that Finish finds. The activation need
 // not be stored: after a restart the same Standing leads to the same active version.
-func (d *Desk) Tick(now Time) bool { return !d.job.Running && d.Registry.Tick(now) }
+func (d *VersionManager) Tick(now Time) bool { return !d.job.IsRunning && d.Registry.Tick(now) }
 
 // Job returns the order that is being carried out, or the last one.
-func (d *Desk) Job() Job { return d.job }
+func (d *VersionManager) Job() Job { return d.job }
 
 // Begin starts an order. save is the state that is to be stored before Finish; it is nil for a load, which Loaded ends.
 // The error is an ErrBusy while another order is carried out.
-func (d *Desk) Begin(now Time, o Order) (id uint64, save *Standing, err error) {
-	if d.job.Running {
-		duration := (now - d.job.Began).Round(time.Millisecond)
-		return 0, nil, fmt.Errorf("%w: %s since %v", ErrBusy, d.job.Order.Op, duration)
+func (d *VersionManager) Begin(now Time, o Command) (id uint64, save *ActivationState, err error) {
+	if d.job.IsRunning {
+		duration := (now - d.job.StartedAt).Round(time.Millisecond)
+		return 0, nil, fmt.Errorf("%w: %s since %v", ErrCommandRunning, d.job.Command.Op, duration)
 	}
 	trial := d.copyForTrial()
 	if err := trial.apply(now, o); err != nil {
 		return 0, nil, err
 	}
 	if o.Op != OpLoad {
-		standing := trial.Standing()
+		standing := trial.ActivationState()
 		save = &standing
 	}
-	d.job = Job{ID: d.job.ID + 1, Order: o, Began: now, Running: true}
+	d.job = Job{ID: d.job.ID + 1, Command: o, StartedAt: now, IsRunning: true}
 	return d.job.ID, save, nil
 }
 
@@ -91,14 +91,14 @@
 }
 
 // apply carries out an order on the registry. A load changes nothing: its table comes with Loaded.
-func (r *Registry) apply(now Time, o Order) error {
+func (r *Registry) apply(now Time, o Command) error {
 	switch o.Op {
 	case OpLoad:
 		return nil
 	case OpActivate:
-		return r.Activate(now, o.Digest, o.Saw, o.At)
+		return r.Activate(now, o.Digest, o.ExpectedActive, o.ActivateAt)
 	case OpRollback:
-		return r.Rollback(now, o.Saw)
+		return r.Rollback(now, o.ExpectedActive)
 	case OpCancel:
 		r.Cancel()
 		return nil
@@ -106,8 +106,8 @@
 	return fmt.Errorf("%q is none of load, activate, rollback, cancel", o.Op)
 }
 
-// Loaded ends a load with the table, or with the error for which there is none.
-func (d *Desk) Loaded(now Time, t *Table, err error) {
+// FinishLoad ends a load with the table, or with the error for which there is none.
+func (d *VersionManager) FinishLoad(now Time, t *Table, err error) {
 	if err == nil {
 		err = d.Load(now, t)
 	}
@@ -119,18 +119,18 @@
 
 // Finish ends an order other than a load. saveErr is the error with which its state could not be stored; then the
 // order fails and changes nothing.
-func (d *Desk) Finish(now Time, saveErr error) error {
+func (d *VersionManager) Finish(now Time, saveErr error) error {
 	err := saveErr
 	if err == nil {
-		err = d.apply(now, d.job.Order)
+		err = d.apply(now, d.job.Command)
 	}
 	d.end(err)
 	return err
 }
 
-func (d *Desk) end(err error) {
-	d.job.Running = false
+func (d *VersionManager) end(err error) {
+	d.job.IsRunning = false
 	if err != nil {
-		d.job.Err = err.Error()
+		d.job.Error = err.Error()
 	}
 }
--- a/internal/numbering/manager_test.go
+++ b/internal/numbering/manager_test.go
@@ -11,7 +11,7 @@
 type orderTest struct {
 	*rapid.T
 	tables []*Table
-	desk   *Desk
+	desk   *VersionManager
 	now    Time
 }
 
@@ -37,8 +37,8 @@
 }
 
 // newDesk returns a desk with all tables loaded.
-func (t *orderTest) newDesk() *Desk {
-	var d Desk
+func (t *orderTest) newDesk() *VersionManager {
+	var d VersionManager
 	for _, table := range t.tables {
 		if err := d.Load(t.now, table); err != nil {
 			t.Fatal(err)
@@ -47,29 +47,29 @@
 	return &d
 }
 
-func (t *orderTest) drawOrder() Order {
+func (t *orderTest) drawOrder() Command {
 	ops := []string{OpActivate, OpActivate, OpRollback, OpCancel, "unknown"}
-	o := Order{
-		Op:     rapid.SampledFrom(ops).Draw(t.T, "op"),
-		Digest: t.tables[rapid.IntRange(0, 3).Draw(t.T, "table")].Digest(),
-		Saw:    t.desk.Active().Digest(),
+	o := Command{
+		Op:             rapid.SampledFrom(ops).Draw(t.T, "op"),
+		Digest:         t.tables[rapid.IntRange(0, 3).Draw(t.T, "table")].Digest(),
+		ExpectedActive: t.desk.Active().Digest(),
 	}
 	if rapid.Bool().Draw(t.T, "scheduled") {
-		o.At = t.now + Time(rapid.IntRange(0, 2000).Draw(t.T, "in"))
+		o.ActivateAt = t.now + Time(rapid.IntRange(0, 2000).Draw(t.T, "in"))
 	}
 	return o
 }
 
-func (t *orderTest) carryOut(o Order) {
-	before := t.desk.Standing()
+func (t *orderTest) carryOut(o Command) {
+	before := t.desk.ActivationState()
 	_, save, err := t.desk.Begin(t.now, o)
-	if t.desk.Standing() != before {
+	if t.desk.ActivationState() != before {
 		t.Fatal("Begin changed the state")
 	}
 	if err != nil {
 		return
 	}
-	if _, _, err := t.desk.Begin(t.now, o); !errors.Is(err, ErrBusy) {
+	if _, _, err := t.desk.Begin(t.now, o); !errors.Is(err, ErrCommandRunning) {
 		t.Fatalf("a second order: %v", err)
 	}
 	t.now += Time(rapid.IntRange(0, 3000).Draw(t.T, "saving"))
@@ -77,7 +77,7 @@
 		t.Fatal("a scheduled activation while an order is carried out")
 	}
 	if rapid.Bool().Draw(t.T, "save fails") {
-		if err := t.desk.Finish(t.now, errors.New("disk failure")); err == nil || t.desk.Standing() != before {
+		if err := t.desk.Finish(t.now, errors.New("disk failure")); err == nil || t.desk.ActivationState() != before {
 			t.Fatal("not stored, and applied")
 		}
 		return
@@ -91,7 +91,7 @@
 // checkRestart checks that a restart from the stored state, now or a moment later, leads to the same active version.
 func (t *orderTest) checkRestart(stored []byte) {
 	restarted := t.newDesk()
-	standing, err := DecodeStanding(stored)
+	standing, err := DecodeActivationState(stored)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -107,17 +107,17 @@
 }
 
 func TestLoadOrder(t *testing.T) {
-	var d Desk
+	var d VersionManager
 	table := tableWithPool(t, 0)
-	id, save, err := d.Begin(now, Order{Op: OpLoad, File: "rules.toml"})
+	id, save, err := d.Begin(now, Command{Op: OpLoad, File: "rules.toml"})
 	if err != nil || id != 1 || save != nil {
 		t.Fatalf("%d, %v, %v", id, save, err)
 	}
-	if !d.Job().Running {
+	if !d.Job().IsRunning {
 		t.Error("the order is not running")
 	}
-	d.Loaded(now, table, nil)
-	if job := d.Job(); job.Running || job.Err != "" || job.Digest != table.Digest() {
+	d.FinishLoad(now, table, nil)
+	if job := d.Job(); job.IsRunning || job.Error != "" || job.Digest != table.Digest() {
 		t.Errorf("%+v", job)
 	}
 	if d.Active() != nil || d.find(table.Digest()) == nil {
@@ -126,12 +126,12 @@
 }
 
 func TestFailedLoadOrder(t *testing.T) {
-	var d Desk
-	if _, _, err := d.Begin(now, Order{Op: OpLoad, File: "rules.toml"}); err != nil {
+	var d VersionManager
+	if _, _, err := d.Begin(now, Command{Op: OpLoad, File: "rules.toml"}); err != nil {
 		t.Fatal(err)
 	}
-	d.Loaded(now, nil, errors.New("no such file"))
-	if job := d.Job(); job.Running || job.Err != "no such file" || job.Digest != "" {
+	d.FinishLoad(now, nil, errors.New("no such file"))
+	if job := d.Job(); job.IsRunning || job.Error != "no such file" || job.Digest != "" {
 		t.Errorf("%+v", job)
 	}
 	if len(d.List()) != 0 {
@@ -140,12 +140,12 @@
 }
 
 func TestRestoreWithoutActiveVersion(t *testing.T) {
-	var d Desk
-	if err := d.Restore(now, Standing{Active: "0123456789abcdef"}); !errors.Is(err, ErrUnknownVersion) {
+	var d VersionManager
+	if err := d.Restore(now, ActivationState{Active: "0123456789abcdef"}); !errors.Is(err, ErrUnknownVersion) {
 		t.Error(err)
 	}
 	for _, text := range []string{"", "{}", `{"before":"0123456789abcdef"}`, "[]"} {
-		if _, err := DecodeStanding([]byte(text)); err == nil {
+		if _, err := DecodeActivationState([]byte(text)); err == nil {
 			t.Errorf("%q was accepted", text)
 		}
 	}
--- a/internal/numbering/numberingtest/random.go
+++ b/internal/numbering/numberingtest/random.go
@@ -15,10 +15,10 @@
 	maxWeight    = 4
 )
 
-// Any draws the nth rules over numbers of seven digits to pools 0 to pools-1, of which there are six at least. Prefixes
+// RandomRules draws the nth rules over numbers of seven digits to pools 0 to pools-1, of which there are six at least. Prefixes
 // lie within one another, one range lies among them, some numbers are barred, some for one class only. Rules with an
 // odd n leave numbers without a match unallocated.
-func Any(rng *rand.Rand, n, pools int, class string) *Rules {
+func RandomRules(rng *rand.Rand, n, pools int, class string) *Rules {
 	r := &Rules{
 		Version: fmt.Sprint(n),
 		When:    []Condition{{Name: Office, Hours: []string{"08:00-18:00"}}},
--- a/internal/numbering/numberingtest/reference.go
+++ b/internal/numbering/numberingtest/reference.go
@@ -106,9 +106,9 @@
 	return fmt.Sprint("routed ", e.Steps)
 }
 
-// Begins reports whether pools, which were tried one after the other, are in an order that the expectation allows. The
+// AllowsOrder reports whether pools, which were tried one after the other, are in an order that the expectation allows. The
 // last pools of the expectation need not have been tried.
-func (e Expectation) Begins(pools []int) bool {
+func (e Expectation) AllowsOrder(pools []int) bool {
 	for _, step := range e.Steps {
 		n := min(len(step), len(pools))
 		tried := slices.Sorted(slices.Values(pools[:n]))
@@ -125,8 +125,8 @@
 	return !slices.ContainsFunc(pools, func(pool int) bool { return !holds(pool) })
 }
 
-// Pools returns the number of pools.
-func (e Expectation) Pools() (n int) {
+// PoolCount returns the number of pools.
+func (e Expectation) PoolCount() (n int) {
 	for _, step := range e.Steps {
 		n += len(step)
 	}
@@ -135,12 +135,12 @@
 
 // Decide returns the expected decision on a number in E.164 form, without the plus, that has not moved.
 func (r *Rules) Decide(number, class string, at time.Time) Expectation {
-	return r.DecideMoved(number, "", class, at)
+	return r.DecidePorted(number, "", class, at)
 }
 
-// DecideMoved is Decide with the routing number that a look-up returned; "": the number has not moved. It only counts
+// DecidePorted is Decide with the routing number that a look-up returned; "": the number has not moved. It only counts
 // if the rules mark the number as ported.
-func (r *Rules) DecideMoved(number, routingNumber, class string, at time.Time) Expectation {
+func (r *Rules) DecidePorted(number, routingNumber, class string, at time.Time) Expectation {
 	if cause := r.barredCause(number, class); cause != 0 {
 		return Expectation{Cause: cause}
 	}
--- a/internal/numbering/query.go
+++ b/internal/numbering/query.go
@@ -5,12 +5,12 @@
 	Number string // as dialled; blanks and the characters -./() are ignored
 	Class  string // class of the call; bars may apply to some classes only
 	At     Time
-	Seed   uint64 // seed of the weighted choice of pools, the same for all attempts of a call; see Seed
-	Ported Ported // result of the portability look-up
+	Seed   uint64        // seed of the weighted choice of pools, the same for all attempts of a call; see Seed
+	Ported PortingResult // result of the portability look-up
 }
 
-// Ported is the result of the portability look-up of a number.
-type Ported struct {
+// PortingResult is the result of the portability look-up of a number.
+type PortingResult struct {
 	State   PortingState
 	Routing Digits // routing number in E.164 digits, if State is Moved
 }
@@ -20,10 +20,10 @@
 
 // Values of PortingState.
 const (
-	NotLookedUp PortingState = iota
-	NotPorted                // the number is routed by its own digits
-	Moved                    // the number is routed by its routing number
-	Undecided                // no server answered in time; the number is routed by its own digits
+	NotLookedUp    PortingState = iota
+	NotPorted                   // the number is routed by its own digits
+	Moved                       // the number is routed by its routing number
+	PortingUnknown              // no server answered in time; the number is routed by its own digits
 )
 
 // Verdict is the kind of a Decision.
@@ -31,9 +31,9 @@
 
 // Values of Verdict.
 const (
-	Routed   Verdict = iota
-	Rejected         // with Decision.Cause, without an attempt
-	Ask              // the number may be ported: it has to be looked up first
+	Routed         Verdict = iota
+	Rejected               // with Decision.Cause, without an attempt
+	LookUpRequired         // the number may be ported: it has to be looked up first
 )
 
 var verdictNames = [...]string{"routed", "refused", "ask"}
--- a/internal/numbering/registry.go
+++ b/internal/numbering/registry.go
@@ -50,12 +50,12 @@
 	return v.table.Digest()
 }
 
-// Pin is the reference of one call to one version: the call uses this table to its end, whatever is activated
-// meanwhile. A nil Pin refers to no version.
-type Pin struct{ version *version }
+// TableRef is the reference of one call to one version: the call uses this table to its end, whatever is activated
+// meanwhile. A nil TableRef refers to no version.
+type TableRef struct{ version *version }
 
 // Table returns the table of the version; nil if there is none or the pin has been released.
-func (p *Pin) Table() *Table {
+func (p *TableRef) Table() *Table {
 	if p == nil || p.version == nil {
 		return nil
 	}
@@ -63,20 +63,20 @@
 }
 
 // Release ends the reference. A second Release has no effect.
-func (p *Pin) Release() {
+func (p *TableRef) Release() {
 	if p != nil && p.version != nil {
 		p.version.pins--
 		p.version = nil
 	}
 }
 
-// Pin returns a reference to the active version; nil if there is none.
-func (r *Registry) Pin() *Pin {
+// Acquire returns a reference to the active version; nil if there is none.
+func (r *Registry) Acquire() *TableRef {
 	if r.active == nil {
 		return nil
 	}
 	r.active.pins++
-	return &Pin{r.active}
+	return &TableRef{r.active}
 }
 
 // Active returns the active table; nil if there is none.
--- a/internal/numbering/registry_property_test.go
+++ b/internal/numbering/registry_property_test.go
@@ -19,7 +19,7 @@
 
 // pinnedCall is a call with the table that it must keep.
 type pinnedCall struct {
-	pin   *Pin
+	pin   *TableRef
 	table *Table
 }
 
@@ -56,7 +56,7 @@
 			t.Fatal("a failed rollback changed the active version")
 		}
 	case 4:
-		if p := r.Pin(); p != nil {
+		if p := r.Acquire(); p != nil {
 			t.calls = append(t.calls, pinnedCall{p, r.Active()})
 		}
 	case 5:
@@ -102,8 +102,8 @@
 		t.Fatalf("%d versions", len(versions))
 	}
 	for _, s := range versions {
-		if s.Pins != pins[s.Digest] {
-			t.Fatalf("%d calls use %s, %d are listed", pins[s.Digest], s.Digest, s.Pins)
+		if s.Calls != pins[s.Digest] {
+			t.Fatalf("%d calls use %s, %d are listed", pins[s.Digest], s.Digest, s.Calls)
 		}
 		delete(pins, s.Digest)
 	}
--- a/internal/numbering/registry_test.go
+++ b/internal/numbering/registry_test.go
@@ -35,7 +35,7 @@
 func TestActivate(t *testing.T) {
 	var r Registry
 	a, b, c := tableWithPool(t, 0), tableWithPool(t, 1), tableWithPool(t, 2)
-	if p := r.Pin(); p.Table() != nil {
+	if p := r.Acquire(); p.Table() != nil {
 		t.Error("a pin of an empty registry has a table")
 	}
 	loadAll(t, &r, a, b, a)
@@ -43,13 +43,13 @@
 		t.Errorf("%+v", r.List())
 	}
 	activate(t, &r, a)
-	call := r.Pin()
+	call := r.Acquire()
 	// Of two operators who saw the same active version, the second one gets an error.
 	activate(t, &r, b)
 	if err := r.Activate(now, a.Digest(), a.Digest(), 0); !errors.Is(err, ErrVersionConflict) {
 		t.Errorf("the second of two activations: %v", err)
 	}
-	if call.Table() != a || r.Pin().Table() != b {
+	if call.Table() != a || r.Acquire().Table() != b {
 		t.Error("the table of a call has changed")
 	}
 	if err := r.Activate(now, c.Digest(), b.Digest(), 0); !errors.Is(err, ErrUnknownVersion) {
@@ -58,7 +58,7 @@
 	call.Release()
 	call.Release()
 	for _, s := range r.List() {
-		if s.Digest == a.Digest() && s.Pins != 0 || s.Pins < 0 {
+		if s.Digest == a.Digest() && s.Calls != 0 || s.Calls < 0 {
 			t.Errorf("%+v", s)
 		}
 	}
@@ -100,14 +100,14 @@
 	}
 	loadAll(t, &r, tables[:maxVersions]...)
 	activate(t, &r, tables[0])
-	r.Pin()
+	r.Acquire()
 	loadAll(t, &r, tables[maxVersions])
 	if r.find(tables[1].Digest()) != nil || r.find(tables[0].Digest()) == nil {
 		t.Error("not the oldest unused version was evicted")
 	}
 	for _, table := range tables[2 : maxVersions+1] {
 		activate(t, &r, table)
-		r.Pin()
+		r.Acquire()
 	}
 	if err := r.Load(now, tables[maxVersions+1]); !errors.Is(err, ErrTooManyVersions) {
 		t.Errorf("all versions are in use: %v", err)
--- a/internal/numbering/replay_test.go
+++ b/internal/numbering/replay_test.go
@@ -19,7 +19,7 @@
 type replay struct {
 	*testing.T
 	random  *rand.Rand
-	desk    Desk
+	desk    VersionManager
 	rules   map[string]*numberingtest.Rules // by digest
 	digests []string
 	now     Time
@@ -27,7 +27,7 @@
 
 // replayedCall is a call that has been analysed once.
 type replayedCall struct {
-	pin    *Pin
+	pin    *TableRef
 	digest string // of the table that was active at the first analysis
 	query  Query
 	number string
@@ -72,8 +72,8 @@
 		calls[i].pin.Release()
 	}
 	for _, s := range test.desk.List() {
-		if s.Pins != 0 {
-			t.Errorf("%d calls use %s after all have ended", s.Pins, s.Name)
+		if s.Calls != 0 {
+			t.Errorf("%d calls use %s after all have ended", s.Calls, s.Name)
 		}
 	}
 }
@@ -81,12 +81,12 @@
 func (t *replay) loadTables() {
 	t.Helper()
 	for n := range 6 {
-		rules := numberingtest.Any(t.random, n, 40, "alarm")
+		rules := numberingtest.RandomRules(t.random, n, 40, "alarm")
 		text, err := rules.TOML()
 		if err != nil {
 			t.Fatal(err)
 		}
-		table, err := Make(text, Env{Now: now})
+		table, err := CompileText(text, Deployment{Now: now})
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -100,10 +100,10 @@
 
 func (t *replay) activateRandomTable() {
 	t.Helper()
-	order := Order{
-		Op:     OpActivate,
-		Digest: t.digests[t.random.IntN(len(t.digests))],
-		Saw:    activeDigest(&t.desk.Registry),
+	order := Command{
+		Op:             OpActivate,
+		Digest:         t.digests[t.random.IntN(len(t.digests))],
+		ExpectedActive: activeDigest(&t.desk.Registry),
 	}
 	if _, _, err := t.desk.Begin(t.now, order); err != nil {
 		t.Fatal(err)
@@ -118,7 +118,7 @@
 	number := fmt.Sprint(1_000_000 + t.random.IntN(9_000_000))
 	class := []string{"voice", "alarm"}[t.random.IntN(2)]
 	c := replayedCall{
-		pin:    t.desk.Pin(),
+		pin:    t.desk.Acquire(),
 		digest: t.desk.Active().Digest(),
 		query:  Query{Number: "+" + number, Class: class, At: t.now, Seed: seed},
 		number: number,
@@ -145,5 +145,5 @@
 		return want.Cause == d.Cause
 	}
 	isRouted := d.Verdict == Routed && want.Cause == 0
-	return isRouted && len(d.Pools()) == want.Pools() && want.Begins(d.Pools())
+	return isRouted && len(d.Pools()) == want.PoolCount() && want.AllowsOrder(d.Pools())
 }
--- a/internal/numbering/status.go
+++ b/internal/numbering/status.go
@@ -4,49 +4,49 @@
 
 // States of a version, as printed by olivectl.
 const (
-	InForce       = "in force"
-	StatePrevious = "before"  // active before; Rollback activates it
-	Waiting       = "waiting" // scheduled to be activated at Status.Due
-	Loaded        = "loaded"
+	StateActive    = "in force"
+	StatePrevious  = "before"  // active before; Rollback activates it
+	StateScheduled = "waiting" // scheduled to be activated at Status.Due
+	StateLoaded    = "loaded"
 )
 
-// Status is the state of one loaded version. Its JSON names are an interface of olivectl.
-type Status struct {
-	Digest  string `json:"Digest"`
-	Name    string `json:"Name"`
-	State   string `json:"State"`
-	Entries int    `json:"Entries"` // prefixes of the table
-	Pins    int    `json:"Pins"`    // calls that use the version
-	Loaded  Time   `json:"Loaded"`
-	Since   Time   `json:"Since"` // last activation; 0: it has never been active
-	Due     Time   `json:"Due"`   // scheduled activation, if State is Waiting
+// VersionStatus is the state of one loaded version. Its JSON names are an interface of olivectl.
+type VersionStatus struct {
+	Digest      string `json:"Digest"`
+	Name        string `json:"Name"`
+	State       string `json:"State"`
+	Prefixes    int    `json:"Entries"` // prefixes of the table
+	Calls       int    `json:"Pins"`    // calls that use the version
+	LoadedAt    Time   `json:"Loaded"`
+	ActivatedAt Time   `json:"Since"` // last activation; 0: it has never been active
+	ScheduledAt Time   `json:"Due"`   // scheduled activation, if State is Waiting
 }
 
 // List returns the states of all versions, the last loaded first.
-func (r *Registry) List() []Status {
-	var all []Status
+func (r *Registry) List() []VersionStatus {
+	var all []VersionStatus
 	for _, v := range slices.Backward(r.versions) {
 		all = append(all, r.status(v))
 	}
 	return all
 }
 
-func (r *Registry) status(v *version) Status {
-	s := Status{
-		Digest:  v.digest(),
-		Name:    v.table.Version,
-		State:   Loaded,
-		Entries: v.table.Entries(),
-		Pins:    v.pins,
-		Loaded:  v.loadedAt,
-		Since:   v.activatedAt,
+func (r *Registry) status(v *version) VersionStatus {
+	s := VersionStatus{
+		Digest:      v.digest(),
+		Name:        v.table.Version,
+		State:       StateLoaded,
+		Prefixes:    v.table.PrefixCount(),
+		Calls:       v.pins,
+		LoadedAt:    v.loadedAt,
+		ActivatedAt: v.activatedAt,
 	}
 	switch v {
 	case r.active:
-		s.State = InForce
+		s.State = StateActive
 	case r.scheduled:
-		s.State = Waiting
-		s.Due = r.scheduledAt
+		s.State = StateScheduled
+		s.ScheduledAt = r.scheduledAt
 	case r.previous:
 		s.State = StatePrevious
 	}
--- a/internal/numbering/table.go
+++ b/internal/numbering/table.go
@@ -43,11 +43,11 @@
 // Digest returns the identity of a table: it is equal for rules that differ only in the order of their entries.
 func (t *Table) Digest() string { return hex.EncodeToString(t.digest[:8]) }
 
-// Entries returns the number of prefixes, after ranges are split.
-func (t *Table) Entries() int { return len(t.numbers.entries) }
+// PrefixCount returns the number of prefixes, after ranges are split.
+func (t *Table) PrefixCount() int { return len(t.numbers.entries) }
 
-// Size returns about how many bytes of memory the prefixes take.
-func (t *Table) Size() int { return t.numbers.size() + t.bars.size() }
+// MemoryBytes returns about how many bytes of memory the prefixes take.
+func (t *Table) MemoryBytes() int { return t.numbers.size() + t.bars.size() }
 
 // Q.850 causes of rejections.
 const (
--- a/internal/portability/cache.go
+++ b/internal/portability/cache.go
@@ -19,7 +19,7 @@
 
 type cacheEntry struct {
 	number    string
-	ported    numbering.Ported
+	ported    numbering.PortingResult
 	expiresAt Time
 }
 
@@ -39,7 +39,7 @@
 
 // cachedAnswer is the result of a look in the cache. The zero value means that there is no entry.
 type cachedAnswer struct {
-	ported  numbering.Ported
+	ported  numbering.PortingResult
 	exists  bool
 	isFresh bool // within its TTL
 }
@@ -59,7 +59,7 @@
 }
 
 // put adds an answer, in place of an older one for the number, and evicts the oldest entries over the bounds.
-func (c *answerCache) put(number string, ported numbering.Ported, expiresAt Time) {
+func (c *answerCache) put(number string, ported numbering.PortingResult, expiresAt Time) {
 	if element := c.entries[number]; element != nil {
 		c.remove(element)
 	}
--- a/internal/portability/resolver.go
+++ b/internal/portability/resolver.go
@@ -40,9 +40,9 @@
 // LookUp looks a number of E.164 digits up for a call, which waits until its deadline at most. A cached answer is
 // delivered at once.
 func (r *Resolver) LookUp(now Time, call, number string, deadline Time) []Action {
-	r.Asked++
+	r.Calls++
 	if cached := r.cache.get(now, number, r.settings.StaleTTL); cached.isFresh {
-		r.Hits++
+		r.CacheHits++
 		r.deliver(call, Result{cached.ported, OriginCache})
 		return r.takeActions()
 	}
@@ -62,7 +62,7 @@
 		l == nil && len(r.lookups.byNumber) >= r.settings.MaxLookups
 	if isExpired || isFull {
 		if !isExpired {
-			r.Crowded++
+			r.OverLimit++
 		}
 		r.deliverFallback(now, w.call, number)
 		return
@@ -84,12 +84,12 @@
 // deliverFallback gives a call the result without an answer: a cached answer after its TTL, or none.
 func (r *Resolver) deliverFallback(now Time, call, number string) {
 	if cached := r.cache.get(now, number, r.settings.StaleTTL); cached.exists {
-		r.StaleHits++
+		r.StaleCacheHits++
 		r.deliver(call, Result{cached.ported, OriginStaleCache})
 		return
 	}
-	r.Undecided++
-	r.deliver(call, Result{numbering.Ported{State: numbering.Undecided}, OriginNone})
+	r.Unanswered++
+	r.deliver(call, Result{numbering.PortingResult{State: numbering.PortingUnknown}, OriginNone})
 }
 
 // sendQuery sends the query of a look-up to the next server whose circuit breaker allows it. If there is none, or no
@@ -106,7 +106,7 @@
 	l.server = server
 	l.queryTimeout = now + r.settings.QueryTimeout
 	r.lookups.setQueryID(l, r.unusedID())
-	r.Sent++
+	r.QueriesSent++
 	r.actions = append(r.actions, SendQuery{server, l.queryID, l.number})
 }
 
@@ -138,7 +138,7 @@
 // recordFailure counts a failure of a server.
 func (r *Resolver) recordFailure(now Time, server int) {
 	if r.breakers[server].recordFailure(now, r.settings.BreakerThreshold, r.settings.BreakerCooldown) {
-		r.Broken++
+		r.BreakerOpenings++
 	}
 }
 
@@ -156,17 +156,17 @@
 func (r *Resolver) HandleAnswer(now Time, server int, id uint16, number string, answer Answer) []Action {
 	l := r.lookups.byID[id]
 	if l == nil {
-		r.Strays++
+		r.UnmatchedAnswers++
 		return r.takeActions()
 	}
 	if l.server != server || l.number != number {
-		r.Lies++
+		r.MismatchedAnswers++
 		if server >= 0 && server < len(r.breakers) {
 			r.recordFailure(now, server)
 		}
 		return r.takeActions()
 	}
-	r.Answered++
+	r.QueriesAnswered++
 	r.breakers[server].recordAnswer()
 	r.succeed(now, l, answer)
 	return r.takeActions()
@@ -174,10 +174,10 @@
 
 // succeed ends a look-up with an answer, which is cached.
 func (r *Resolver) succeed(now Time, l *lookup, answer Answer) {
-	ported := numbering.Ported{State: numbering.NotPorted}
+	ported := numbering.PortingResult{State: numbering.NotPorted}
 	ttl := r.settings.NegativeTTL
 	if answer.Ported {
-		ported = numbering.Ported{State: numbering.Moved, Routing: answer.Routing}
+		ported = numbering.PortingResult{State: numbering.Moved, Routing: answer.Routing}
 		ttl = min(max(answer.TTL, r.settings.MinTTL), r.settings.MaxTTL)
 	}
 	r.cache.put(l.number, ported, now+ttl)
@@ -192,10 +192,10 @@
 func (r *Resolver) HandleFailure(now Time, server int, id uint16) []Action {
 	l := r.lookups.byID[id]
 	if l == nil || l.server != server {
-		r.Strays++
+		r.UnmatchedAnswers++
 		return r.takeActions()
 	}
-	r.Refused++
+	r.QueriesFailed++
 	r.recordFailure(now, server)
 	r.sendQuery(now, l)
 	return r.takeActions()
@@ -226,7 +226,7 @@
 	for _, l := range open {
 		r.expireWaiters(now, l)
 		if now >= l.queryTimeout {
-			r.TimedOut++
+			r.QueriesTimedOut++
 			r.recordFailure(now, l.server)
 		}
 	}
--- a/internal/portability/resolver_test.go
+++ b/internal/portability/resolver_test.go
@@ -16,7 +16,7 @@
 const now = Time(1_790_000_000) * time.Second
 
 func testSettings() Settings {
-	s := Defaults(2)
+	s := DefaultSettings(2)
 	s.MaxLookups = 4
 	s.MaxWaiters = 8
 	s.MaxCacheEntries = 6
@@ -29,7 +29,7 @@
 
 func portedAnswer(t testing.TB) Answer {
 	t.Helper()
-	routing, ok := numbering.MakeDigits("56999")
+	routing, ok := numbering.ParseDigits("56999")
 	if !ok {
 		t.Fatal("no digits")
 	}
@@ -77,7 +77,7 @@
 		t.Fatalf("%+v", second)
 	}
 	at := now + 200*time.Millisecond
-	if actions := r.HandleAnswer(at, 0, first[0].ID, "561", portedAnswer(t)); len(actions) != 0 || r.Strays != 1 {
+	if actions := r.HandleAnswer(at, 0, first[0].ID, "561", portedAnswer(t)); len(actions) != 0 || r.UnmatchedAnswers != 1 {
 		t.Errorf("an answer after the time-out: %+v", actions)
 	}
 	got := resultsIn(r.HandleAnswer(at, 1, second[0].ID, "561", portedAnswer(t)))
@@ -117,12 +117,12 @@
 			t.Fatal("the breaker opened too early")
 		}
 		got := resultsIn(r.HandleFailure(at, 0, queries[0].ID))
-		if got[call].Origin != OriginNone || got[call].Ported.State != numbering.Undecided {
+		if got[call].Origin != OriginNone || got[call].Ported.State != numbering.PortingUnknown {
 			t.Errorf("%+v", got)
 		}
 	}
 	actions := r.LookUp(at, "x", "569", at+time.Second)
-	if len(queriesIn(actions)) != 0 || resultsIn(actions)["x"].Origin != OriginNone || r.Broken != 1 {
+	if len(queriesIn(actions)) != 0 || resultsIn(actions)["x"].Origin != OriginNone || r.BreakerOpenings != 1 {
 		t.Errorf("%+v", actions)
 	}
 	at += settings.BreakerCooldown
@@ -153,7 +153,7 @@
 			t.Errorf("with another ID: %+v", actions)
 		}
 	}
-	if r.Lies != 6 || r.Strays != 3 || r.Broken != 2 {
+	if r.MismatchedAnswers != 6 || r.UnmatchedAnswers != 3 || r.BreakerOpenings != 2 {
 		t.Errorf("%+v", r.Counters)
 	}
 	if r.cache.get(now, "562", 0).exists {
@@ -166,7 +166,7 @@
 }
 
 func TestBudget(t *testing.T) {
-	b := Budget{Attempt: 500 * time.Millisecond, Guard: 300 * time.Millisecond, Answer: 50 * time.Millisecond, Share: 0.25}
+	b := Budget{AttemptDuration: 500 * time.Millisecond, RetryGuard: 300 * time.Millisecond, AnswerDuration: 50 * time.Millisecond, MaxShare: 0.25}
 	for left, want := range map[time.Duration]time.Duration{
 		3 * time.Second:         750 * time.Millisecond,
 		1500 * time.Millisecond: 150 * time.Millisecond,
@@ -174,7 +174,7 @@
 		0:                       0,
 		-time.Second:            0,
 	} {
-		if got := b.Of(left); got != want {
+		if got := b.LookUpTime(left); got != want {
 			t.Errorf("of %v: %v, want %v", left, got, want)
 		}
 	}
--- a/internal/portability/settings.go
+++ b/internal/portability/settings.go
@@ -22,8 +22,8 @@
 	BreakerCooldown  time.Duration // how long a circuit breaker stays open before one query probes the server
 }
 
-// Defaults returns settings for a few hundred calls a second.
-func Defaults(servers int) Settings {
+// DefaultSettings returns settings for a few hundred calls a second.
+func DefaultSettings(servers int) Settings {
 	return Settings{
 		Servers:          servers,
 		QueryTimeout:     150 * time.Millisecond,
--- a/internal/portability/types.go
+++ b/internal/portability/types.go
@@ -29,7 +29,7 @@
 
 // Result is what a call gets from its look-up.
 type Result struct {
-	Ported numbering.Ported
+	Ported numbering.PortingResult
 	Origin Origin
 }
 
@@ -54,19 +54,19 @@
 
 // Counters count the events of a Resolver since its start.
 type Counters struct {
-	Asked     int // calls
-	Hits      int // calls with a cached answer within its TTL
-	Coalesced int // calls that joined a look-up of the same number
-	StaleHits int // calls with a cached answer after its TTL
-	Undecided int // calls without an answer
-	Crowded   int // calls over MaxLookups or MaxWaiters
+	Calls          int // calls
+	CacheHits      int // calls with a cached answer within its TTL
+	Coalesced      int // calls that joined a look-up of the same number
+	StaleCacheHits int // calls with a cached answer after its TTL
+	Unanswered     int // calls without an answer
+	OverLimit      int // calls over MaxLookups or MaxWaiters
 
-	Sent     int // queries
-	Answered int
-	TimedOut int
-	Refused  int // queries that a server could not answer
+	QueriesSent     int // queries
+	QueriesAnswered int
+	QueriesTimedOut int
+	QueriesFailed   int // queries that a server could not answer
 
-	Strays int // answers without a query
-	Lies   int // answers from another server or to another question than the query's
-	Broken int // openings of circuit breakers
+	UnmatchedAnswers  int // answers without a query
+	MismatchedAnswers int // answers from another server or to another question than the query's
+	BreakerOpenings   int // openings of circuit breakers
 }
--- a/internal/record/bench_test.go
+++ b/internal/record/bench_test.go
@@ -8,15 +8,15 @@
 // benchmarkOptions returns options under which the writer, not the retention, is measured.
 func benchmarkOptions(dir string) Options {
 	o := testOptions(dir)
-	o.Segment = 64 << 20
-	o.Total = 1 << 30
+	o.SegmentBytes = 64 << 20
+	o.TotalBytes = 1 << 30
 	return o
 }
 
 func BenchmarkPut(b *testing.B) {
 	o := benchmarkOptions(b.TempDir())
-	o.Queue = 64 << 20
-	o.Sync = time.Hour
+	o.QueueBytes = 64 << 20
+	o.SyncInterval = time.Hour
 	l, _ := openLog(b, o)
 	r := sampleRecord(1)
 	b.ReportAllocs()
@@ -30,8 +30,8 @@
 // BenchmarkWriter measures how many records a second become durable.
 func BenchmarkWriter(b *testing.B) {
 	o := benchmarkOptions(b.TempDir())
-	o.Queue = 4 << 20
-	o.Sync = 10 * time.Millisecond
+	o.QueueBytes = 4 << 20
+	o.SyncInterval = 10 * time.Millisecond
 	l, _ := openLog(b, o)
 	r := sampleRecord(1)
 	for b.Loop() {
--- a/internal/record/codes.go
+++ b/internal/record/codes.go
@@ -1,59 +1,59 @@
 package record
 
-// A Move is the Code of a KindOrder record: the decision of the admission engine on a call
+// A Decision is the Code of a KindOrder record: the decision of the admission engine on a call
 // (admission.DecisionKind). Moves are stored by number.
-type Move uint8
+type Decision uint8
 
 // The moves, with the term that the admission engine uses.
 const (
-	Hold    Move = iota // admission.None
-	Try                 // admission.Send
-	Deny                // admission.Reject
-	GiveUp              // admission.Fail
-	CallOff             // admission.Cancel
+	DecisionNone   Decision = iota // admission.None
+	DecisionSend                   // admission.Send
+	DecisionReject                 // admission.Reject
+	DecisionFail                   // admission.Fail
+	DecisionCancel                 // admission.Cancel
 )
 
 // String implements fmt.Stringer by the stored name.
-func (m Move) String() string { return storedName(moveNames, m) }
+func (m Decision) String() string { return storedName(moveNames, m) }
 
 // An Outcome is the Code of a KindAnswer record: how a call came to its final answer (call.Outcome). Outcomes are
 // stored by number.
 type Outcome uint8
 
-// The outcomes. The admission engine decides Refused and Failed. Crowded, Reused and Impossible are answered without
+// The outcomes. The admission engine decides OutcomeRejected and OutcomeFailed. OutcomeOverLimit, OutcomeReusedID and OutcomeInvalid are answered without
 // it.
 const (
-	NoOutcome  Outcome = iota
-	Stood              // established
-	Refused            // rejected by the admission engine
-	Failed             // failed after attempts that may have run
-	GivenUp            // abandoned by the caller
-	Crowded            // rejected over a limit
-	Reused             // rejected because the id is that of a completed call
-	Impossible         // rejected because the offer is not valid
-	Stopped            // rejected because the program shuts down
-	Barred             // rejected by policy because of the called number
+	NoOutcome           Outcome = iota
+	OutcomeEstablished          // established
+	OutcomeRejected             // rejected by the admission engine
+	OutcomeFailed               // failed after attempts that may have run
+	OutcomeAbandoned            // abandoned by the caller
+	OutcomeOverLimit            // rejected over a limit
+	OutcomeReusedID             // rejected because the id is that of a completed call
+	OutcomeInvalid              // rejected because the offer is not valid
+	OutcomeShuttingDown         // rejected because the program shuts down
+	OutcomeByPolicy             // rejected by policy because of the called number
 )
 
-// Outcomes is the number of outcomes, for arrays that count by them.
-const Outcomes = int(Barred) + 1
+// OutcomeCount is the number of outcomes, for arrays that count by them.
+const OutcomeCount = int(OutcomeByPolicy) + 1
 
 // String implements fmt.Stringer by the stored name.
 func (o Outcome) String() string { return storedName(outcomeNames, o) }
 
-// A Phase is the Code of a KindServer record: the state of the server in the endpoint list
+// A ServerState is the Code of a KindServer record: the state of the server in the endpoint list
 // (admission.ServerState). Phases are stored by number.
-type Phase uint8
+type ServerState uint8
 
 // The phases.
 const (
-	Listed Phase = iota // active
-	Drains              // draining
-	Gone                // removed
+	ServerActive   ServerState = iota // active
+	ServerDraining                    // draining
+	ServerRemoved                     // removed
 )
 
 // String implements fmt.Stringer by the stored name.
-func (p Phase) String() string { return storedName(phaseNames, p) }
+func (p ServerState) String() string { return storedName(phaseNames, p) }
 
 // A GapCause is the Code of a KindGap record: why records are lost. Causes are stored by number.
 type GapCause uint8
@@ -82,12 +82,12 @@
 	switch r.Kind {
 	case KindGap:
 		return GapCause(r.Code).String()
-	case KindOrder:
-		return Move(r.Code).String()
+	case KindDecision:
+		return Decision(r.Code).String()
 	case KindAnswer:
 		return Outcome(r.Code).String()
 	case KindServer:
-		return Phase(r.Code).String()
+		return ServerState(r.Code).String()
 	default:
 		return ""
 	}
--- a/internal/record/commit.go
+++ b/internal/record/commit.go
@@ -71,7 +71,7 @@
 // isFullFor reports whether the payload does not fit the open segment. A segment takes at least one record.
 func (w *writer) isFullFor(payload []byte) bool {
 	size := w.open.size + int64(len(w.batch))
-	return size > headerSize && size+int64(frameSize(payload)) > w.options.Segment
+	return size > headerSize && size+int64(frameSize(payload)) > w.options.SegmentBytes
 }
 
 // flushAndSync makes everything that was read from the queue durable.
@@ -114,7 +114,7 @@
 	}
 	w.header.Nonce = rand.Uint64()
 	w.header.First = first
-	name := segmentName(first, w.header.Boot, w.header.Index)
+	name := segmentName(first, w.header.RunID, w.header.Index)
 	w.header.Index++ // the name counts from 0, the stored header from 1
 	file, err := w.options.Disk.Create(name)
 	if err != nil {
--- a/internal/record/diskfailure_test.go
+++ b/internal/record/diskfailure_test.go
@@ -113,8 +113,8 @@
 func TestUnwrittenBatchStaysInTheQueue(t *testing.T) {
 	const records = 400
 	o := testOptions(t.TempDir())
-	o.Segment = 1 << 20
-	o.Sync = 100 * time.Millisecond
+	o.SegmentBytes = 1 << 20
+	o.SyncInterval = 100 * time.Millisecond
 	disk := &faultyDisk{Disk: directory(o.Dir)}
 	o.Disk = disk
 	disk.setFailure(diskFailure{write: func(p []byte) (int, error) {
--- a/internal/record/fixture_test.go
+++ b/internal/record/fixture_test.go
@@ -21,14 +21,14 @@
 // testOptions returns the options of a small store.
 func testOptions(dir string) Options {
 	return Options{
-		Dir:     dir,
-		Name:    "n0",
-		Program: "test",
-		Queue:   64 << 10,
-		Sync:    5 * time.Millisecond,
-		Segment: 4 << 10,
-		Total:   1 << 20,
-		Wall:    wall,
+		Dir:          dir,
+		Name:         "n0",
+		Program:      "test",
+		QueueBytes:   64 << 10,
+		SyncInterval: 5 * time.Millisecond,
+		SegmentBytes: 4 << 10,
+		TotalBytes:   1 << 20,
+		StartTime:    wall,
 	}
 }
 
@@ -51,7 +51,7 @@
 // sampleRecord returns a record that differs from those of other indexes.
 func sampleRecord(i int) *Record {
 	return &Record{
-		Kind:    Kind(int(KindSetUp) + i%5),
+		Kind:    Kind(int(KindCallOffered) + i%5),
 		At:      wall + Time(i)*time.Millisecond,
 		Call:    fmt.Sprintf("%016x", i),
 		Class:   "voice",
--- a/internal/record/golden_test.go
+++ b/internal/record/golden_test.go
@@ -74,21 +74,21 @@
 func goldenCalls() []Record {
 	records := []Record{
 		{
-			Kind: KindSetUp, Call: goldenCall, Class: "voice", Number: "+56 2 2555 0100", Pool: -1, Wait: 3 * time.Second,
+			Kind: KindCallOffered, Call: goldenCall, Class: "voice", Number: "+56 2 2555 0100", Pool: -1, Wait: 3 * time.Second,
 			Text: "7b3cbfb4b82e4e7b",
 		},
-		{Kind: KindSetUp, Call: "c-2", Class: "alarm", Number: "133\xff", Pool: 2, Flag: true},
+		{Kind: KindCallOffered, Call: "c-2", Class: "alarm", Number: "133\xff", Pool: 2, Flag: true},
 	}
 	for code := range uint8(len(moveNames) + 1) {
 		records = append(records, Record{
-			Kind: KindOrder, Call: goldenCall, Code: code, Server: goldenServer, Wait: 500 * time.Millisecond,
+			Kind: KindDecision, Call: goldenCall, Code: code, Server: goldenServer, Wait: 500 * time.Millisecond,
 			Text: "no_server",
 		})
 	}
 	records = append(records,
-		Record{Kind: KindTry, Call: goldenCall, Server: goldenServer, Attempt: 1, Wait: 500 * time.Millisecond},
+		Record{Kind: KindAttemptStarted, Call: goldenCall, Server: goldenServer, Attempt: 1, Wait: 500 * time.Millisecond},
 		Record{
-			Kind: KindTryEnd, Call: goldenCall, Server: goldenServer, Attempt: 1, End: "connected",
+			Kind: KindAttemptEnded, Call: goldenCall, Server: goldenServer, Attempt: 1, End: "connected",
 			Took: 1500 * time.Microsecond,
 		},
 	)
@@ -106,13 +106,13 @@
 
 func goldenMeasurements() []Record {
 	return []Record{
-		{Kind: KindCeiling, Server: goldenServer, Text: "pressed", Value: 12.5},
-		{Kind: KindCeiling, Server: goldenServer, Text: "lapsed", Value: math.Inf(1)},
-		{Kind: KindLimit, By: "calls", Count: 3, Call: "c-3"},
+		{Kind: KindRateLimit, Server: goldenServer, Text: "pressed", Value: 12.5},
+		{Kind: KindRateLimit, Server: goldenServer, Text: "lapsed", Value: math.Inf(1)},
+		{Kind: KindLimitReached, By: "calls", Count: 3, Call: "c-3"},
 		{Kind: KindClock, By: "agent", T: [4]int64{int64(wall), int64(wall) + 2, -3, math.MaxInt64}},
 		{Kind: KindClock, T: [4]int64{int64(wall) + 5, int64(wall)}},
 		{Kind: KindNote, Text: "a line with \"quotes\", \x1b[2J, \xff and é", Server: goldenServer},
-		{Kind: KindTally, By: "requests", Count: math.MaxUint64},
+		{Kind: KindCounter, By: "requests", Count: math.MaxUint64},
 	}
 }
 
@@ -121,8 +121,8 @@
 	written, fixed := t.TempDir(), t.TempDir()
 	for i, records := range goldenStarts() {
 		o := testOptions(written)
-		o.Segment = 1 << 10
-		o.Wall = records[0].At
+		o.SegmentBytes = 1 << 10
+		o.StartTime = records[0].At
 		l, found := openLog(t, o)
 		if !found.Clean {
 			t.Errorf("start %d: %v", i, found)
@@ -190,17 +190,17 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		if h.First != s.first || h.Boot != s.boot {
-			t.Errorf("the header of %s is of first record %d and boot %x", s.name, h.First, h.Boot)
+		if h.First != s.first || h.RunID != s.boot {
+			t.Errorf("the header of %s is of first record %d and boot %x", s.name, h.First, h.RunID)
 		}
 		if !bytes.Equal(reframe(t, raw, &h), raw) {
 			t.Errorf("%s holds more than its header and its frames", s.name)
 		}
-		if _, ok := boots[h.Boot]; !ok {
-			boots[h.Boot] = goldenFirstBoot + uint64(len(boots))
+		if _, ok := boots[h.RunID]; !ok {
+			boots[h.RunID] = goldenFirstBoot + uint64(len(boots))
 		}
-		h.Store, h.Boot, h.Nonce = goldenStoreID, boots[h.Boot], goldenNonce+uint64(i)
-		path := filepath.Join(to, segmentName(h.First, h.Boot, s.index))
+		h.Store, h.RunID, h.Nonce = goldenStoreID, boots[h.RunID], goldenNonce+uint64(i)
+		path := filepath.Join(to, segmentName(h.First, h.RunID, s.index))
 		if err := os.WriteFile(path, reframe(t, raw, &h), 0o600); err != nil {
 			t.Fatal(err)
 		}
--- a/internal/record/header.go
+++ b/internal/record/header.go
@@ -43,14 +43,14 @@
 
 // A Header describes a segment.
 type Header struct {
-	Name    string // name of the instance
-	Store   uint64 // id of the store, random, drawn when the store is created
-	Boot    uint64 // id of the run, random, drawn at each start of the program
-	Nonce   uint64 // random, seeds the CRC of the segment's frames: content of a field cannot pass for a frame
-	First   uint64 // first sequence number in the segment
-	Wall    Time   // start of the program; stored times are relative to it
-	Program string // program version
-	Index   uint64 // number of the segment within the run, from 1
+	Name      string // name of the instance
+	Store     uint64 // id of the store, random, drawn when the store is created
+	RunID     uint64 // id of the run, random, drawn at each start of the program
+	Nonce     uint64 // random, seeds the CRC of the segment's frames: content of a field cannot pass for a frame
+	First     uint64 // first sequence number in the segment
+	StartTime Time   // start of the program; stored times are relative to it
+	Program   string // program version
+	Index     uint64 // number of the segment within the run, from 1
 }
 
 // A VersionError reports a segment of a newer format version.
@@ -83,10 +83,10 @@
 func (h *Header) appendPayload(b []byte) []byte {
 	b = appendString(b, headerFieldName, truncate(h.Name, maxHeaderString))
 	b = appendFixed64(b, headerFieldStore, h.Store)
-	b = appendFixed64(b, headerFieldBoot, h.Boot)
+	b = appendFixed64(b, headerFieldBoot, h.RunID)
 	b = appendFixed64(b, headerFieldNonce, h.Nonce)
 	b = appendUint(b, headerFieldFirst, h.First)
-	b = appendInt(b, headerFieldWall, int64(h.Wall))
+	b = appendInt(b, headerFieldWall, int64(h.StartTime))
 	b = appendString(b, headerFieldProgram, truncate(h.Program, maxHeaderString))
 	return appendUint(b, headerFieldIndex, h.Index)
 }
@@ -156,13 +156,13 @@
 		case headerFieldStore:
 			h.Store = field.value
 		case headerFieldBoot:
-			h.Boot = field.value
+			h.RunID = field.value
 		case headerFieldNonce:
 			h.Nonce = field.value
 		case headerFieldFirst:
 			h.First = field.value
 		case headerFieldWall:
-			h.Wall = Time(protowire.DecodeZigZag(field.value))
+			h.StartTime = Time(protowire.DecodeZigZag(field.value))
 		case headerFieldProgram:
 			h.Program = string(field.text)
 		case headerFieldIndex:
--- a/internal/record/kind.go
+++ b/internal/record/kind.go
@@ -19,17 +19,17 @@
 	KindStopping
 	// KindEnd is the last record of an orderly shutdown. Count: the records of this run.
 	KindEnd
-	// KindSetUp reports an offered call. Call, Class, Number; Pool: the preferred pool; Flag: the call was
+	// KindCallOffered reports an offered call. Call, Class, Number; Pool: the preferred pool; Flag: the call was
 	// established, was dropped and is offered again; Wait: the time until its deadline; Text: the version of the
 	// numbering table.
-	KindSetUp
-	// KindOrder reports a decision of the admission engine. Call, Server, Attempt; Code: a Move; Wait: the attempt's
+	KindCallOffered
+	// KindDecision reports a decision of the admission engine. Call, Server, Attempt; Code: a Move; Wait: the attempt's
 	// time limit or Retry-After; Text: the reason.
-	KindOrder
-	// KindTry reports the start of an attempt. Call, Server, Attempt; Wait: the attempt's time limit.
-	KindTry
-	// KindTryEnd reports the end of an attempt. Call, Server, Attempt; End: how it ended; Took: its duration.
-	KindTryEnd
+	KindDecision
+	// KindAttemptStarted reports the start of an attempt. Call, Server, Attempt; Wait: the attempt's time limit.
+	KindAttemptStarted
+	// KindAttemptEnded reports the end of an attempt. Call, Server, Attempt; End: how it ended; Took: its duration.
+	KindAttemptEnded
 	// KindAnswer reports the final answer of a call. Call, Class, Server; Attempt: the attempts made; Code: an
 	// Outcome; Cause: the release cause; Wait: Retry-After; Took: the set-up time.
 	KindAnswer
@@ -39,23 +39,23 @@
 	// KindServer reports a change of a server. Server, Pool; Code: a Phase; Flag: the server is in slow start;
 	// Since: its start time; Text: its address.
 	KindServer
-	// KindCeiling reports a change of a server's rate limit. Server; Value: the limit in attempts a second, +Inf for
+	// KindRateLimit reports a change of a server's rate limit. Server; Value: the limit in attempts a second, +Inf for
 	// none; Text: the reason ("pressed", "lapsed", "excused").
-	KindCeiling
+	KindRateLimit
 	// KindConfig reports a part of the configuration in force. By: which part; Text: its digest and contents. For
 	// "class": Class; Wait: the latency objective; Took: the deadline; Value: the weight. For "cold": Wait: the
 	// slow-start period; Value: the share of the load at its start.
 	KindConfig
-	// KindLimit reports that a limit rejected calls or clients. By: the limit; Count: how many; Call: the call, if it
+	// KindLimitReached reports that a limit rejected calls or clients. By: the limit; Count: how many; Call: the call, if it
 	// was one.
-	KindLimit
+	KindLimitReached
 	// KindClock reports a clock reading. By: the peer; T: the four timestamps of RFC 5905. Without a peer T[0] is the
 	// system's clock and T[1] the clock of the instance.
 	KindClock
 	// KindNote reports a text of the admission engine. Server, Text.
 	KindNote
-	// KindTally reports the value of a counter. By: the counter; Count: its value.
-	KindTally
+	// KindCounter reports the value of a counter. By: the counter; Count: its value.
+	KindCounter
 	kindCount
 )
 
--- a/internal/record/log.go
+++ b/internal/record/log.go
@@ -11,19 +11,19 @@
 
 // Options of a Log. Sizes are in bytes. The caller has checked them (config.Records).
 type Options struct {
-	Dir     string
-	Name    string // name of the instance
-	Program string // program version
-	Queue   int    // size of the queue to the writer, rounded up to a power of two
-	Sync    time.Duration
-	Segment int64         // maximum size of a segment
-	Total   int64         // maximum size of the store
-	Age     time.Duration // maximum age of a segment; 0: unbounded
-	Wall    Time          // start of the program; stored times are relative to it
-	// Trouble is called with the first failure of the disk after a success, and with nil when the disk works again.
+	Dir          string
+	Name         string // name of the instance
+	Program      string // program version
+	QueueBytes   int    // size of the queue to the writer, rounded up to a power of two
+	SyncInterval time.Duration
+	SegmentBytes int64         // maximum size of a segment
+	TotalBytes   int64         // maximum size of the store
+	MaxAge       time.Duration // maximum age of a segment; 0: unbounded
+	StartTime    Time          // start of the program; stored times are relative to it
+	// OnDiskHealth is called with the first failure of the disk after a success, and with nil when the disk works again.
 	// It runs on the writer's goroutine.
-	Trouble func(error)
-	Disk    Disk // nil: the directory Dir
+	OnDiskHealth func(error)
+	Disk         Disk // nil: the directory Dir
 }
 
 // ErrCloseTimeout is returned by Log.Close if the disk did not take the last records in time.
@@ -79,9 +79,9 @@
 	}
 	l := &Log{
 		nextSeq:  recovery.LastSeq + 1,
-		baseTime: o.Wall,
+		baseTime: o.StartTime,
 		encoded:  make([]byte, 0, maxPayloadSize+256),
-		queue:    newRingQueue(o.Queue),
+		queue:    newRingQueue(o.QueueBytes),
 		shared:   newWriterState(),
 	}
 	l.queueRecoveryGap(&recovery)
--- a/internal/record/log_test.go
+++ b/internal/record/log_test.go
@@ -76,7 +76,7 @@
 func TestRetentionBySize(t *testing.T) {
 	const records = 2000
 	o := testOptions(t.TempDir())
-	o.Total = 4 * o.Segment
+	o.TotalBytes = 4 * o.SegmentBytes
 	l, _ := openLog(t, o)
 	r, err := OpenDir(o.Dir)
 	if err != nil {
@@ -91,8 +91,8 @@
 		}
 		if i%100 == 0 {
 			waitUntil(t, "they are durable", func() bool { return l.Written() == uint64(i+1) })
-			if size := directorySize(t, o.Dir); size > o.Total {
-				t.Fatalf("%d bytes on disk, more than %d", size, o.Total)
+			if size := directorySize(t, o.Dir); size > o.TotalBytes {
+				t.Fatalf("%d bytes on disk, more than %d", size, o.TotalBytes)
 			}
 		}
 	}
@@ -121,7 +121,7 @@
 		t.Fatalf("%d segments", len(store.segments))
 	}
 	o := testOptions(store.dir)
-	o.Age = time.Nanosecond
+	o.MaxAge = time.Nanosecond
 	l, _ := openLog(t, o)
 	l.Put(sampleRecord(1))
 	closeLog(t, l)
@@ -186,8 +186,8 @@
 
 func TestPutAllocatesNothing(t *testing.T) {
 	o := testOptions(t.TempDir())
-	o.Queue = 8 << 20
-	o.Sync = time.Hour
+	o.QueueBytes = 8 << 20
+	o.SyncInterval = time.Hour
 	l, _ := openLog(t, o)
 	r := sampleRecord(1)
 	if n := testing.AllocsPerRun(1000, func() { l.Put(r) }); n > 0 {
--- a/internal/record/reader.go
+++ b/internal/record/reader.go
@@ -55,12 +55,12 @@
 // Damages returns the damages detected so far, and how many more there were than the list holds.
 func (r *Reader) Damages() (list []Damage, more int) { return r.damages.list, r.damages.omitted }
 
-// Twice returns how many records were ignored because they were stored more than once.
-func (r *Reader) Twice() uint64 { return r.duplicates }
+// Duplicates returns how many records were ignored because they were stored more than once.
+func (r *Reader) Duplicates() uint64 { return r.duplicates }
 
-// Torn returns the bytes at the end of the open segment that are not a record. In a store that is being written they
+// TornTail returns the bytes at the end of the open segment that are not a record. In a store that is being written they
 // may become one, in any other they are a torn tail. size is 0 if there are none.
-func (r *Reader) Torn() (file string, offset, size int64) {
+func (r *Reader) TornTail() (file string, offset, size int64) {
 	if r.file == nil {
 		return "", 0, 0
 	}
@@ -152,7 +152,7 @@
 			Text:   "no intact records",
 		})
 	}
-	if decodeRecord(frame.payload, &r.decoded, r.header.Wall, r.interned) == nil {
+	if decodeRecord(frame.payload, &r.decoded, r.header.StartTime, r.interned) == nil {
 		return true
 	}
 	r.damages.add(Damage{
--- a/internal/record/retention.go
+++ b/internal/record/retention.go
@@ -30,16 +30,16 @@
 // makeRoom removes the oldest segments until the bounds of the options hold with one full segment more. If a segment
 // cannot be removed, it returns the error, and nothing may be written.
 func (c *closedSegments) makeRoom(o *Options) error {
-	total := o.Segment
+	total := o.SegmentBytes
 	for _, s := range c.files {
 		total += s.size
 	}
 	now := time.Now()
 	for len(c.files) > 0 {
 		oldest := c.files[0]
-		isTooLarge := total > o.Total
+		isTooLarge := total > o.TotalBytes
 		isTooMany := len(c.files) >= maxSegments
-		isTooOld := o.Age != 0 && now.Sub(oldest.lastModified) > o.Age
+		isTooOld := o.MaxAge != 0 && now.Sub(oldest.lastModified) > o.MaxAge
 		if !isTooLarge && !isTooMany && !isTooOld {
 			return nil
 		}
--- a/internal/record/scan_test.go
+++ b/internal/record/scan_test.go
@@ -8,7 +8,7 @@
 
 // Frames and the bytes skipped before them cover any file without a hole.
 func FuzzFrames(f *testing.F) {
-	b := appendHeader(nil, &Header{Name: "n0", Nonce: 5, Wall: wall})
+	b := appendHeader(nil, &Header{Name: "n0", Nonce: 5, StartTime: wall})
 	for i := range 5 {
 		b = appendFrame(b, appendRecord(nil, sampleRecord(i), wall), frameSeed(5))
 	}
--- a/internal/record/show.go
+++ b/internal/record/show.go
@@ -50,7 +50,7 @@
 func (r *Record) toJSON(h *Header) *jsonRecord {
 	j := &jsonRecord{
 		Instance: h.Name,
-		Boot:     fmt.Sprintf("%016x", h.Boot),
+		Boot:     fmt.Sprintf("%016x", h.RunID),
 		Seq:      r.Seq,
 		From:     r.From,
 		At:       formatJSONTime(r.At),
@@ -82,10 +82,10 @@
 		j.Attempt = &r.Attempt
 	}
 	switch r.Kind {
-	case KindTryEnd, KindAnswer, KindRelease:
+	case KindAttemptEnded, KindAnswer, KindRelease:
 		took := r.Took.Seconds()
 		j.Took = &took
-	case KindSetUp, KindServer:
+	case KindCallOffered, KindServer:
 		j.Pool = &r.Pool
 	case KindClock:
 		j.T = r.T[:]
@@ -108,7 +108,7 @@
 
 // hasAttempt reports whether Attempt has a meaning for the record's kind wherever it is printed.
 func (r *Record) hasAttempt() bool {
-	return r.Kind == KindTry || r.Kind == KindTryEnd || r.Kind == KindAnswer
+	return r.Kind == KindAttemptStarted || r.Kind == KindAttemptEnded || r.Kind == KindAnswer
 }
 
 // flagName returns the printed name of the record's Flag by its kind, "" if it is not set.
@@ -119,7 +119,7 @@
 	switch r.Kind {
 	case KindStart:
 		return "clean"
-	case KindSetUp:
+	case KindCallOffered:
 		return "cut"
 	case KindServer:
 		return "cold"
