--- a/internal/record/union.go
+++ b/internal/record/union.go
@@ -126,7 +126,7 @@
 // conflictsWith reports whether two runs have stored records under the same sequence number.
 func (l *lookahead) conflictsWith(other *lookahead) bool {
 	haveGap := l.record.Kind == KindGap || other.record.Kind == KindGap
-	return !haveGap && l.record.Seq == other.record.Seq && l.header.Boot != other.header.Boot
+	return !haveGap && l.record.Seq == other.record.Seq && l.header.RunID != other.header.RunID
 }
 
 // missingBefore returns the gap before a record: one copy ends before the next begins.
--- a/internal/record/writer.go
+++ b/internal/record/writer.go
@@ -40,7 +40,7 @@
 		lockFile: lockFile,
 		queue:    queue,
 		shared:   shared,
-		header:   Header{Name: o.Name, Store: recovery.store, Boot: rand.Uint64(), Wall: o.Wall, Program: o.Program},
+		header:   Header{Name: o.Name, Store: recovery.store, RunID: rand.Uint64(), StartTime: o.StartTime, Program: o.Program},
 		closed:   closedSegments{files: recovery.segments},
 		batch:    make([]byte, 0, batchSize+framePrefixSize+maxPayloadSize),
 		payload:  make([]byte, maxPayloadSize),
@@ -51,9 +51,9 @@
 func (w *writer) run() {
 	defer close(w.shared.done)
 	defer func() { _ = w.lockFile.Close() }()
-	ticker := time.NewTicker(w.options.Sync)
+	ticker := time.NewTicker(w.options.SyncInterval)
 	defer ticker.Stop()
-	retryDelay := newRetryBackOff(w.options.Sync)
+	retryDelay := newRetryBackOff(w.options.SyncInterval)
 	var retryAt time.Time
 	for {
 		isClosing := w.waitForWork(ticker.C)
@@ -103,7 +103,7 @@
 	cause := gapCauseOf(err)
 	previous := w.shared.setFailing(cause)
 	hasChanged := (previous == NoGap) != (cause == NoGap)
-	if hasChanged && w.options.Trouble != nil {
-		w.options.Trouble(err)
+	if hasChanged && w.options.OnDiskHealth != nil {
+		w.options.OnDiskHealth(err)
 	}
 }
--- a/internal/report/charts.go
+++ b/internal/report/charts.go
@@ -34,7 +34,7 @@
 		{"offered", blue, nil, rate(func(c *incident.Counts) uint64 { return c.Offered })},
 		{"stood", green, nil, rate((*incident.Counts).Established)},
 		{"turned away", orange, nil, rate((*incident.Counts).Rejected)},
-		{"failed", red, nil, rate(func(c *incident.Counts) uint64 { return c.Outcome(record.Failed) })},
+		{"failed", red, nil, rate(func(c *incident.Counts) uint64 { return c.Outcome(record.OutcomeFailed) })},
 		{"cut", purple, dashed, rate(func(c *incident.Counts) uint64 { return c.Dropped })},
 	} {
 		if err := r.addCurve(p, c); err != nil {
--- a/internal/report/json.go
+++ b/internal/report/json.go
@@ -201,7 +201,7 @@
 			Counts:          w.Counts,
 			Established:     w.Established(),
 			Rejected:        w.Rejected(),
-			Failed:          w.Outcome(record.Failed),
+			Failed:          w.Outcome(record.OutcomeFailed),
 			MeanSetupTimeMS: milliseconds(w.MeanSetupTime),
 			MaxSetupTimeMS:  milliseconds(w.MaxSetupTime),
 			Gap:             w.Gap,
--- a/internal/report/report_test.go
+++ b/internal/report/report_test.go
@@ -204,7 +204,7 @@
 // write fills a store.
 func write(t testing.TB, dir, name string, put func(put func(record.Record))) {
 	t.Helper()
-	l, _, err := record.Open(record.Options{Dir: dir, Name: name, Queue: 4 << 20, Sync: 10 * time.Millisecond, Segment: 64 << 20, Total: 4 << 30, Wall: wall})
+	l, _, err := record.Open(record.Options{Dir: dir, Name: name, QueueBytes: 4 << 20, SyncInterval: 10 * time.Millisecond, SegmentBytes: 64 << 20, TotalBytes: 4 << 30, StartTime: wall})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -230,15 +230,15 @@
 		put(record.Record{Kind: record.KindConfig, At: wall, By: "class", Class: evil[1], Wait: time.Millisecond, Took: time.Second})
 		for i, s := range evil {
 			at := wall + record.Time(i)*time.Second
-			put(record.Record{Kind: record.KindSetUp, At: at, Call: s, Class: s, Number: s})
-			put(record.Record{Kind: record.KindOrder, At: at, Call: s, Code: uint8(record.Deny), Text: s})
-			put(record.Record{Kind: record.KindTry, At: at, Call: s, Server: s})
-			put(record.Record{Kind: record.KindTryEnd, At: at, Call: s, Server: s, End: s})
-			put(record.Record{Kind: record.KindAnswer, At: at, Call: s, Class: s, Code: uint8(record.Stood), Server: s, Took: time.Second})
-			put(record.Record{Kind: record.KindSetUp, At: at, Call: s + "2", Class: s})
-			put(record.Record{Kind: record.KindCeiling, At: at, Server: s, Value: 1})
-			put(record.Record{Kind: record.KindServer, At: at, Server: s, Code: uint8(record.Drains)})
-			put(record.Record{Kind: record.KindLimit, At: at, By: s, Count: 1})
+			put(record.Record{Kind: record.KindCallOffered, At: at, Call: s, Class: s, Number: s})
+			put(record.Record{Kind: record.KindDecision, At: at, Call: s, Code: uint8(record.DecisionReject), Text: s})
+			put(record.Record{Kind: record.KindAttemptStarted, At: at, Call: s, Server: s})
+			put(record.Record{Kind: record.KindAttemptEnded, At: at, Call: s, Server: s, End: s})
+			put(record.Record{Kind: record.KindAnswer, At: at, Call: s, Class: s, Code: uint8(record.OutcomeEstablished), Server: s, Took: time.Second})
+			put(record.Record{Kind: record.KindCallOffered, At: at, Call: s + "2", Class: s})
+			put(record.Record{Kind: record.KindRateLimit, At: at, Server: s, Value: 1})
+			put(record.Record{Kind: record.KindServer, At: at, Server: s, Code: uint8(record.ServerDraining)})
+			put(record.Record{Kind: record.KindLimitReached, At: at, By: s, Count: 1})
 			put(record.Record{Kind: record.KindClock, At: at, By: s, T: [4]int64{int64(at), int64(at), int64(at), int64(at)}})
 		}
 	})
@@ -300,9 +300,9 @@
 func TestBounds(t *testing.T) {
 	dir := t.TempDir()
 	write(t, dir, "n0", func(put func(record.Record)) {
-		put(record.Record{Kind: record.KindServer, At: wall, Server: "s", Code: uint8(record.Drains)})
+		put(record.Record{Kind: record.KindServer, At: wall, Server: "s", Code: uint8(record.ServerDraining)})
 		for i := range 10 {
-			put(record.Record{Kind: record.KindSetUp, At: wall + record.Time(i)*time.Second, Call: fmt.Sprint(i), Class: "voice"})
+			put(record.Record{Kind: record.KindCallOffered, At: wall + record.Time(i)*time.Second, Call: fmt.Sprint(i), Class: "voice"})
 		}
 		put(record.Record{Kind: record.KindEnd, At: wall + 10*time.Second})
 	})
@@ -325,12 +325,12 @@
 		write(b, filepath.Join(dir, fmt.Sprint("n", i)), fmt.Sprint("n", i), func(put func(record.Record)) {
 			for n := range total / 8 / 6 {
 				at, id, s := wall+record.Time(n)*time.Millisecond, fmt.Sprintf("%08x%08x", i, n), fmt.Sprint("s-", n%20)
-				put(record.Record{Kind: record.KindSetUp, At: at, Call: id, Class: "voice", Number: "100", Wait: 3 * time.Second})
-				put(record.Record{Kind: record.KindOrder, At: at, Call: id, Code: uint8(record.Try), Server: s, Wait: time.Second})
-				put(record.Record{Kind: record.KindTry, At: at, Call: id, Server: s, Wait: time.Second})
-				put(record.Record{Kind: record.KindAnswer, At: at + 20*time.Millisecond, Call: id, Class: "voice", Code: uint8(record.Stood), Server: s, Took: 20 * time.Millisecond, Attempt: 1})
+				put(record.Record{Kind: record.KindCallOffered, At: at, Call: id, Class: "voice", Number: "100", Wait: 3 * time.Second})
+				put(record.Record{Kind: record.KindDecision, At: at, Call: id, Code: uint8(record.DecisionSend), Server: s, Wait: time.Second})
+				put(record.Record{Kind: record.KindAttemptStarted, At: at, Call: id, Server: s, Wait: time.Second})
+				put(record.Record{Kind: record.KindAnswer, At: at + 20*time.Millisecond, Call: id, Class: "voice", Code: uint8(record.OutcomeEstablished), Server: s, Took: 20 * time.Millisecond, Attempt: 1})
 				put(record.Record{Kind: record.KindRelease, At: at + 30*time.Millisecond, Call: id, Class: "voice", Server: s, End: "completed", Cause: 16, Took: time.Minute})
-				put(record.Record{Kind: record.KindTryEnd, At: at + 30*time.Millisecond, Call: id, Server: s, End: "completed", Took: time.Minute})
+				put(record.Record{Kind: record.KindAttemptEnded, At: at + 30*time.Millisecond, Call: id, Server: s, End: "completed", Took: time.Minute})
 			}
 			put(record.Record{Kind: record.KindEnd, At: wall + 24*time.Hour})
 		})
--- a/internal/server/audit.go
+++ b/internal/server/audit.go
@@ -32,7 +32,7 @@
 		err = router.beginOrder(order, nil)
 	}
 	if err != nil {
-		return nil, &h248.Error{Code: h248.BadValue, Text: err.Error()}
+		return nil, &h248.Error{Code: h248.UnsupportedValue, Text: err.Error()}
 	}
 	return adminapi.NumberingNodes(nil, router.desk.Job()), nil
 }
@@ -63,17 +63,17 @@
 	if s.lifecycle.state != stateRunning {
 		serviceState = "OutOfService"
 	}
-	stats := &h248.Node{Name: "Statistics", Kids: s.auditCounters()}
+	stats := &h248.Node{Name: "Statistics", Children: s.auditCounters()}
 	if s.metrics != nil && isAdmin {
-		stats.Kids = append(stats.Kids, s.metrics.audit()...)
-		stats.Kids = append(stats.Kids, s.numbering.audit()...)
-		stats.Kids = append(stats.Kids, s.overload.audit()...)
+		stats.Children = append(stats.Children, s.metrics.audit()...)
+		stats.Children = append(stats.Children, s.numbering.audit()...)
+		stats.Children = append(stats.Children, s.overload.audit()...)
 	}
 	termination := &h248.Node{
-		Name: "TerminationState",
-		Kids: []*h248.Node{{Name: "ServiceStates", Value: serviceState}},
+		Name:     "TerminationState",
+		Children: []*h248.Node{{Name: "ServiceStates", Value: serviceState}},
 	}
-	return []*h248.Node{{Name: "Media", Kids: []*h248.Node{termination}}, stats}
+	return []*h248.Node{{Name: "Media", Children: []*h248.Node{termination}}, stats}
 }
 
 // auditCounters returns the counters of calls and records as statistics.
--- a/internal/server/backends_test.go
+++ b/internal/server/backends_test.go
@@ -396,7 +396,7 @@
 	if n := len(bed.decider.results(open)); n != 1 {
 		t.Errorf("%d ends of attempts of a call that stands", n)
 	}
-	if c := bed.decider.results(open)[0]; c == admission.ServerBusy || c == admission.NotSent || c == admission.DialFailed {
+	if c := bed.decider.results(open)[0]; c == admission.ResultServerBusy || c == admission.ResultNotSent || c == admission.ResultDialFailed {
 		t.Errorf("an attempt that was out counts as one that never ran: %v", c)
 	}
 }
@@ -413,7 +413,7 @@
 		id++
 		b, err := h248.AppendFrame(nil, &h248.Message{MID: "<server>", Transactions: []*h248.Transaction{{ID: id,
 			Actions: []*h248.Action{{Context: "-", Commands: []*h248.Command{{Name: "ServiceChange", Termination: "ROOT",
-				Descriptors: []*h248.Node{{Name: "Services", Kids: []*h248.Node{{Name: "Method", Value: method}}}}}}}}}}})
+				Descriptors: []*h248.Node{{Name: "Services", Children: []*h248.Node{{Name: "Method", Value: method}}}}}}}}}}})
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/server/callers_test.go
+++ b/internal/server/callers_test.go
@@ -98,10 +98,10 @@
 				case jsonl.Started:
 					answers.add(m.Tag, "stands "+string(m.Blob))
 				case jsonl.Finish:
-					answers.add(m.Tag, fmt.Sprint("end ", m.RC))
+					answers.add(m.Tag, fmt.Sprint("end ", m.ResultCode))
 					k.send(&jsonl.Message{Verb: jsonl.Finished, Tag: m.Tag})
 				case jsonl.Echoed:
-					answers.add("echo", fmt.Sprint(m.RC))
+					answers.add("echo", fmt.Sprint(m.ResultCode))
 				}
 				return true
 			})
@@ -117,13 +117,13 @@
 func (k *jsonCaller) setUp(number string, left time.Duration) string {
 	k.lastID++
 	tag := fmt.Sprintf("%8s%08x", k.idPrefix, k.lastID)
-	k.send(&jsonl.Message{Verb: jsonl.Start, Tag: tag, Blob: []byte(offeredDescription(number)), Opts: []jsonl.Opt{{Name: "class", Value: "voice"},
+	k.send(&jsonl.Message{Verb: jsonl.Start, Tag: tag, Blob: []byte(offeredDescription(number)), Options: []jsonl.Option{{Name: "class", Value: "voice"},
 		{Name: "left", Value: fmt.Sprint(left.Milliseconds())}, {Name: "key", Value: number}, {Name: "extras", Value: "dest:0;width:1;via:-1"}}})
 	return tag
 }
 
 func (k *jsonCaller) hangUp(tag string) {
-	k.send(&jsonl.Message{Verb: jsonl.Finish, Tag: tag, RC: 16, HasRC: true})
+	k.send(&jsonl.Message{Verb: jsonl.Finish, Tag: tag, ResultCode: 16, HasResultCode: true})
 }
 
 type gatewayCaller struct {
@@ -192,7 +192,7 @@
 			if a.Err != nil {
 				what := fmt.Sprint("error ", a.Err.Code)
 				switch a.Err.Code { // as the callers of the other protocol get it
-				case h248.Insufficient:
+				case h248.InsufficientResources:
 					what = "end 34"
 				case h248.TemporaryFailure:
 					what = "end 41"
@@ -230,10 +230,10 @@
 
 // addTransaction returns a set-up on the termination that is the transaction's key.
 func addTransaction(key string, id uint32, number string, left time.Duration) *h248.Transaction {
-	state := &h248.Node{Name: "TerminationState", Kids: []*h248.Node{{Name: "oc/class", Value: "voice"}, {Name: "oc/first", Value: "0"},
+	state := &h248.Node{Name: "TerminationState", Children: []*h248.Node{{Name: "oc/class", Value: "voice"}, {Name: "oc/first", Value: "0"},
 		{Name: "oc/number", Value: number}, {Name: "oc/left", Value: fmt.Sprint(left.Milliseconds())}}}
 	return &h248.Transaction{ID: id, Actions: []*h248.Action{{Context: "$", Commands: []*h248.Command{{Name: "Add", Termination: key,
-		Descriptors: []*h248.Node{{Name: "Media", Kids: []*h248.Node{state, {Name: "Remote", Octets: []byte(offeredDescription(number))}}}}}}}}}
+		Descriptors: []*h248.Node{{Name: "Media", Children: []*h248.Node{state, {Name: "Remote", Octets: []byte(offeredDescription(number))}}}}}}}}}
 }
 
 func (k *gatewayCaller) setUp(number string, left time.Duration) string {
--- a/internal/server/crossings_test.go
+++ b/internal/server/crossings_test.go
@@ -28,7 +28,7 @@
 	if n := bed.exchanges[0].countReceived("INVITE", testCallID) + bed.exchanges[0].countReceived("CANCEL", testCallID); n != 0 {
 		t.Errorf("a set-up whose caller had left brought the exchange %d messages", n)
 	}
-	if codes := bed.decider.results(testCallID); len(codes) != 1 || codes[0] != admission.NotSent {
+	if codes := bed.decider.results(testCallID); len(codes) != 1 || codes[0] != admission.ResultNotSent {
 		t.Errorf("the decider got %v", codes)
 	}
 }
--- a/internal/server/deciders_test.go
+++ b/internal/server/deciders_test.go
@@ -32,11 +32,11 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if len(d.servers) == 0 {
-		return admission.Decision{CallID: id, Kind: admission.Fail}
+		return admission.Decision{CallID: id, Kind: admission.DecisionFail}
 	}
 	s := d.servers[0]
 	d.servers = d.servers[1:]
-	return admission.Decision{CallID: id, Kind: admission.Send, Server: s, Wait: 3 * time.Second}
+	return admission.Decision{CallID: id, Kind: admission.DecisionSend, Server: s, Wait: 3 * time.Second}
 }
 
 func (d *scriptedDecider) Report(now time.Duration, p admission.AttemptReport) admission.Decision {
@@ -49,7 +49,7 @@
 		delete(d.retryAt, p.CallID)
 		d.mu.Unlock()
 	case p.Kind != admission.ReportEnded || p.Final:
-	case p.Result == admission.ServerBusy || p.Result == admission.NotSent || p.Result == admission.DialFailed || p.Result == admission.ServerError:
+	case p.Result == admission.ResultServerBusy || p.Result == admission.ResultNotSent || p.Result == admission.ResultDialFailed || p.Result == admission.ResultServerError:
 		return d.next(p.CallID)
 	default:
 		d.mu.Lock()
@@ -129,10 +129,10 @@
 	pools := d.untriedPools[call]
 	if len(pools) == 0 {
 		delete(d.untriedPools, call)
-		return admission.Decision{CallID: call, Kind: admission.Reject}
+		return admission.Decision{CallID: call, Kind: admission.DecisionReject}
 	}
 	d.untriedPools[call] = pools[1:]
-	return admission.Decision{CallID: call, Kind: admission.Send, Server: fmt.Sprint("s-", pools[0]), Wait: d.attemptTimeout}
+	return admission.Decision{CallID: call, Kind: admission.DecisionSend, Server: fmt.Sprint("s-", pools[0]), Wait: d.attemptTimeout}
 }
 
 func (d *unlimitedDecider) Report(now time.Duration, p admission.AttemptReport) admission.Decision {
@@ -140,12 +140,12 @@
 	case p.Kind == admission.ReportLoad:
 	case p.Kind != admission.ReportEnded || p.Final:
 		delete(d.untriedPools, p.CallID)
-	case p.Result == admission.TimedOut || p.Result == admission.ConnectionLost || p.Result == admission.Canceled:
+	case p.Result == admission.ResultTimedOut || p.Result == admission.ResultConnectionLost || p.Result == admission.ResultCanceled:
 		d.delayed = append(d.delayed, delayedCall{now + retryGuard + 50*time.Millisecond, p.CallID})
 	default:
 		return d.next(p.CallID)
 	}
-	return admission.Decision{CallID: p.CallID, Kind: admission.None}
+	return admission.Decision{CallID: p.CallID, Kind: admission.DecisionNone}
 }
 
 func (d *unlimitedDecider) Tick(now time.Duration) (all []admission.Decision) {
--- a/internal/server/discovery_test.go
+++ b/internal/server/discovery_test.go
@@ -17,7 +17,7 @@
 		server.server.loop.Execute(func() { n <- server.server.discovery.counters.answers })
 		return <-n > 2
 	})
-	client.send(&jsonl.Message{Verb: jsonl.Echo, HasRC: true})
+	client.send(&jsonl.Message{Verb: jsonl.Echo, HasResultCode: true})
 	answers.await(t, "echo", 1)
 	n := make(chan int, 1)
 	server.server.loop.Execute(func() { n <- server.server.frontends.host.Counters.Accepted + 100*server.server.malformed.count })
--- a/internal/server/frontends_test.go
+++ b/internal/server/frontends_test.go
@@ -74,7 +74,7 @@
 	t.Parallel()
 	server, answers := startTestServer(t, false), newAnswerLog()
 	asked := dialJSONCaller(t, server.jsonAddress(), answers, "aaaaaaaa")
-	asked.send(&jsonl.Message{Verb: jsonl.Echo, HasRC: true})
+	asked.send(&jsonl.Message{Verb: jsonl.Echo, HasResultCode: true})
 	answers.await(t, "echo", 1)
 	for i, text := range []string{"", `{"verb":"START"`, `{"verb":"ECHO","tag":"1","opts":{},"rc":0}` + "\n" + `{"ver`} {
 		c, err := net.Dial("tcp", server.jsonAddress())
@@ -88,7 +88,7 @@
 			t.Errorf("connection %d was not closed: %v", i, err)
 		}
 	}
-	asked.send(&jsonl.Message{Verb: jsonl.Echo, HasRC: true})
+	asked.send(&jsonl.Message{Verb: jsonl.Echo, HasResultCode: true})
 	answers.await(t, "echo", 2)
 }
 
--- a/internal/server/golden_test.go
+++ b/internal/server/golden_test.go
@@ -164,7 +164,7 @@
 	}
 	bed := startTestbed(t, []*fakeExchange{exchange}, &scriptedDecider{}, func(o *Options) {
 		o.H248 = &config.H248{Listen: "127.0.0.2:0", Admin: "127.0.0.3:0", Servers: []config.H248Server{{ID: "h-0", Address: server.addr(), Pool: 1}}}
-		o.Numbers = &config.Numbering{File: rules}
+		o.Numbering = &config.Numbering{File: rules}
 		o.Records = goldenRecords(t)
 	})
 	s := &goldenScript{testbed: bed, ids: make(map[string]string)}
@@ -254,7 +254,7 @@
 		if context == "$" {
 			a.Err = &h248.Error{Code: h248.TerminationInContext, Text: "busy"}
 		} else {
-			a.Commands = []*h248.Command{{Name: "Add", Termination: backend.TerminationName(id, 0), Descriptors: []*h248.Node{{Name: "Media", Kids: []*h248.Node{{Name: "Local", Octets: []byte(acceptedDescription("1"))}}}}}}
+			a.Commands = []*h248.Command{{Name: "Add", Termination: backend.TerminationName(id, 0), Descriptors: []*h248.Node{{Name: "Media", Children: []*h248.Node{{Name: "Local", Octets: []byte(acceptedDescription("1"))}}}}}}
 		}
 		s.server.sendTransaction(mid, &h248.Transaction{Kind: h248.Reply, ID: n, Actions: []*h248.Action{a}})
 	}
--- a/internal/server/incident_test.go
+++ b/internal/server/incident_test.go
@@ -178,8 +178,8 @@
 	for what, got := range map[string]uint64{
 		"setup":          c.Offered,
 		"answer stood":   c.Established(),
-		"answer refused": c.Outcome(record.Refused),
-		"answer failed":  c.Outcome(record.Failed),
+		"answer refused": c.Outcome(record.OutcomeRejected),
+		"answer failed":  c.Outcome(record.OutcomeFailed),
 		"try":            c.Attempts,
 		"retry":          c.Retries,
 		"cut":            c.Dropped,
@@ -238,7 +238,7 @@
 func (r *incidentRun) checkTotal(report *incident.Report, sum incidentSum) {
 	total := report.Total
 	if total.Offered != sum.offered || total.Established() != sum.established ||
-		total.Outcome(record.Failed) != sum.failed || total.Attempts != sum.attempts {
+		total.Outcome(record.OutcomeFailed) != sum.failed || total.Attempts != sum.attempts {
 		r.t.Errorf("in all %+v, one by one %+v", total.Counts, sum)
 	}
 	var windows incident.Counts
--- a/internal/server/lookup_test.go
+++ b/internal/server/lookup_test.go
@@ -184,7 +184,7 @@
 	client.close()
 	eventually(t, "nothing is held", func() bool {
 		pins := make(chan int, 1)
-		s.server.loop.Execute(func() { pins <- s.server.numbering.desk.List()[0].Pins + s.server.calls.OpenCalls() })
+		s.server.loop.Execute(func() { pins <- s.server.numbering.desk.List()[0].Calls + s.server.calls.OpenCalls() })
 		return <-pins == 0
 	})
 	if said := answers.of(left); said != "" {
@@ -207,11 +207,11 @@
 	if err := os.WriteFile(r.file, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	table, err := numbering.Make([]byte(text), numbering.Env{})
+	table, err := numbering.CompileText([]byte(text), numbering.Deployment{})
 	if err != nil {
 		t.Fatal(err)
 	}
-	r.node.server.ReloadNumbers()
+	r.node.server.ReloadNumbering()
 	eventually(t, "the table is in force", func() bool { return r.activeDigest() == table.Digest() })
 	inUse := func() int64 {
 		var mem runtime.MemStats
@@ -229,7 +229,7 @@
 		r.node.server.loop.Execute(func() {
 			sum := 0
 			for _, v := range r.node.server.numbering.desk.List() {
-				sum += v.Pins
+				sum += v.Calls
 			}
 			got <- [2]int{sum, r.node.server.calls.OpenCalls()}
 		})
@@ -240,8 +240,8 @@
 	grown := inUse() - before
 	c := r.node.server.numbering.client.Counters()
 	r.node.stop(t)
-	if c.Asked != n {
-		t.Errorf("%d look-ups of %d calls", c.Asked, n)
+	if c.Calls != n {
+		t.Errorf("%d look-ups of %d calls", c.Calls, n)
 	}
 	k := &r.node.server.calls.Counters
 	t.Logf("mode %d, %s: %d calls, %d stood, %d turned away; answered after p50 %v us, p99 %v us, at most %v us; look-ups %+v; memory grew by %d KiB",
--- a/internal/server/metrics.go
+++ b/internal/server/metrics.go
@@ -125,7 +125,7 @@
 }
 
 // CallReleased implements call.Observer.
-func (m *metrics) CallReleased(now call.Time, r *call.Release) {
+func (m *metrics) CallReleased(now call.Time, r *call.ReleaseEvent) {
 	if r.End == call.EndedByFault || r.End == call.BackendLost {
 		m.class(r.Class).dropped++
 		m.backend(r.Server).Dropped++
@@ -136,7 +136,7 @@
 }
 
 // LimitReached implements call.Observer.
-func (m *metrics) LimitReached(now call.Time, l call.Limit, id string) {
+func (m *metrics) LimitReached(now call.Time, l call.LimitEvent, id string) {
 	if m.next != nil {
 		m.next.LimitReached(now, l, id)
 	}
@@ -162,7 +162,7 @@
 	n := &h248.Node{Name: kind}
 	for _, s := range statistics {
 		if s.value != "" {
-			n.Kids = append(n.Kids, &h248.Node{Name: "oc/" + s.name, Value: s.value, Quoted: s.name == "name"})
+			n.Children = append(n.Children, &h248.Node{Name: "oc/" + s.name, Value: s.value, Quoted: s.name == "name"})
 		}
 	}
 	return n
--- a/internal/server/numbering.go
+++ b/internal/server/numbering.go
@@ -33,7 +33,7 @@
 	server  *Server
 	file    string
 	classes []numbering.Class
-	desk    numbering.Desk
+	desk    numbering.VersionManager
 	store   *store.Store // nil: versions do not survive a restart
 	lookup  config.Lookup
 	client  *enum.Client // nil: no numbers are looked up
@@ -50,7 +50,7 @@
 	}
 	var err error
 	if servers := o.Lookup.Servers; len(servers) > 0 {
-		r.client, err = enum.Dial(servers, o.Lookup.Suffix, portability.Defaults(len(servers)))
+		r.client, err = enum.Dial(servers, o.Lookup.Suffix, portability.DefaultSettings(len(servers)))
 		if err != nil {
 			return nil, err
 		}
@@ -74,7 +74,7 @@
 // loadFile reads the table of the file and puts it in force.
 func (r *numberRouter) loadFile() error {
 	now := r.server.loop.Now
-	table, text, err := numbering.Read(r.file, r.environment(now()))
+	table, text, err := numbering.CompileFile(r.file, r.environment(now()))
 	if err != nil {
 		return err
 	}
@@ -87,7 +87,7 @@
 	if err := r.desk.Activate(now(), table.Digest(), "", 0); err != nil {
 		return err
 	}
-	return r.saveState(r.desk.Standing())
+	return r.saveState(r.desk.ActivationState())
 }
 
 // restore restores the versions of before; false where there are none that are good. A torn or damaged state gives way
@@ -98,7 +98,7 @@
 	if errors.Is(err, store.ErrNotFound) {
 		return false
 	}
-	for _, file := range latest.Bad {
+	for _, file := range latest.DamagedFiles {
 		log.Errorw("numbers_damaged", "file", file)
 	}
 	if err != nil {
@@ -118,11 +118,11 @@
 
 // restoreState restores the versions that one stored state names.
 func (r *numberRouter) restoreState(data []byte) error {
-	state, err := numbering.DecodeStanding(data)
+	state, err := numbering.DecodeActivationState(data)
 	if err != nil {
 		return err
 	}
-	for _, digest := range []string{state.Before, state.Next, state.Active} {
+	for _, digest := range []string{state.Previous, state.Scheduled, state.Active} {
 		if digest == "" {
 			continue
 		}
@@ -134,8 +134,8 @@
 }
 
 // environment is what rules are checked against, as of a time.
-func (r *numberRouter) environment(now time.Duration) numbering.Env {
-	return numbering.Env{Classes: r.classes, Now: now}
+func (r *numberRouter) environment(now time.Duration) numbering.Deployment {
+	return numbering.Deployment{Classes: r.classes, Now: now}
 }
 
 // loadRules loads one version from the store.
@@ -144,7 +144,7 @@
 	if err != nil {
 		return err
 	}
-	table, err := numbering.Make(v.Data, r.environment(r.server.loop.Now()))
+	table, err := numbering.CompileText(v.Data, r.environment(r.server.loop.Now()))
 	if err != nil {
 		return err
 	}
@@ -167,7 +167,7 @@
 }
 
 // saveState stores which versions are in force.
-func (r *numberRouter) saveState(state numbering.Standing) error {
+func (r *numberRouter) saveState(state numbering.ActivationState) error {
 	if r.store == nil {
 		return nil
 	}
@@ -179,7 +179,7 @@
 func (r *numberRouter) logActive(reason string) {
 	table := r.desk.Active()
 	r.server.loop.Log.Infow("numbers", "digest", table.Digest(), "version", table.Version,
-		"entries", table.Entries(), "why", reason)
+		"entries", table.PrefixCount(), "why", reason)
 	r.server.recorder.configuredTable("numbers", table.Digest(), table.Version)
 }
 
@@ -217,9 +217,9 @@
 	if !ok {
 		return
 	}
-	r.server.loop.Log.Infow("counters", "lookups", c.Asked, "hits", c.Hits, "coalesced", c.Coalesced,
-		"stale", c.StaleHits, "undecided", c.Undecided, "no_room", c.Crowded, "sent", c.Sent, "answered", c.Answered,
-		"timed_out", c.TimedOut, "refused", c.Refused, "strays", c.Strays, "lies", c.Lies, "broken", c.Broken)
+	r.server.loop.Log.Infow("counters", "lookups", c.Calls, "hits", c.CacheHits, "coalesced", c.Coalesced,
+		"stale", c.StaleCacheHits, "undecided", c.Unanswered, "no_room", c.OverLimit, "sent", c.QueriesSent, "answered", c.QueriesAnswered,
+		"timed_out", c.QueriesTimedOut, "refused", c.QueriesFailed, "strays", c.UnmatchedAnswers, "lies", c.MismatchedAnswers, "broken", c.BreakerOpenings)
 }
 
 // close ends the look-ups once the loop has ended.
--- a/internal/server/numbering_order.go
+++ b/internal/server/numbering_order.go
@@ -11,7 +11,7 @@
 
 // beginOrder begins an operator's order on the table of numbers, on the loop. Its disk work is done beside the loop;
 // then done, which may be nil, is called on the loop with how the order ended.
-func (r *numberRouter) beginOrder(o numbering.Order, done func(error)) error {
+func (r *numberRouter) beginOrder(o numbering.Command, done func(error)) error {
 	_, state, err := r.desk.Begin(r.server.loop.Now(), o)
 	if err != nil {
 		return err
@@ -26,14 +26,14 @@
 }
 
 // loadVersion reads a file and loads its table. It runs beside the loop.
-func (r *numberRouter) loadVersion(o numbering.Order, environment numbering.Env, done func(error)) {
-	table, text, err := numbering.Read(o.File, environment)
+func (r *numberRouter) loadVersion(o numbering.Command, environment numbering.Deployment, done func(error)) {
+	table, text, err := numbering.CompileFile(o.File, environment)
 	if err == nil {
 		err = r.saveRules(table, text)
 	}
 	r.finishOrder(o, done, func() error {
-		r.desk.Loaded(r.server.loop.Now(), table, err)
-		if reason := r.desk.Job().Err; reason != "" {
+		r.desk.FinishLoad(r.server.loop.Now(), table, err)
+		if reason := r.desk.Job().Error; reason != "" {
 			return errors.New(reason)
 		}
 		return nil
@@ -41,7 +41,7 @@
 }
 
 // changeState saves which versions are to be in force and puts them in force. It runs beside the loop.
-func (r *numberRouter) changeState(o numbering.Order, state numbering.Standing, done func(error)) {
+func (r *numberRouter) changeState(o numbering.Command, state numbering.ActivationState, done func(error)) {
 	err := r.saveState(state)
 	if err == nil && r.store != nil {
 		r.deleteOldRules(state)
@@ -57,7 +57,7 @@
 }
 
 // finishOrder ends an order on the loop. It may be called from anywhere.
-func (r *numberRouter) finishOrder(o numbering.Order, done func(error), finish func() error) {
+func (r *numberRouter) finishOrder(o numbering.Command, done func(error), finish func() error) {
 	r.server.loop.ExecuteIteration(func() {
 		err := finish()
 		if err != nil {
@@ -70,7 +70,7 @@
 }
 
 // deleteOldRules deletes stored rules that the state does not name, except the latest few: they may be loaded.
-func (r *numberRouter) deleteOldRules(state numbering.Standing) {
+func (r *numberRouter) deleteOldRules(state numbering.ActivationState) {
 	names, err := r.store.Names()
 	if err != nil {
 		return
@@ -80,7 +80,7 @@
 		if surplus <= 0 {
 			return
 		}
-		isUsed := name == stateName || name == state.Active || name == state.Before || name == state.Next
+		isUsed := name == stateName || name == state.Active || name == state.Previous || name == state.Scheduled
 		if isUsed {
 			continue
 		}
@@ -91,16 +91,16 @@
 	}
 }
 
-// ReloadNumbers reads the table of numbers again, as SIGHUP asks for, and puts it in force for calls from then on: a
+// ReloadNumbering reads the table of numbers again, as SIGHUP asks for, and puts it in force for calls from then on: a
 // load and an activation, as an operator would order them. A bad table is logged and changes nothing. It may be called
 // from anywhere once the server has started.
-func (s *Server) ReloadNumbers() {
+func (s *Server) ReloadNumbering() {
 	r := s.numbering
 	if r == nil {
 		return
 	}
 	s.loop.ExecuteIteration(func() {
-		load := numbering.Order{Op: numbering.OpLoad, File: r.file}
+		load := numbering.Command{Op: numbering.OpLoad, File: r.file}
 		r.logReloadFailure(r.beginOrder(load, r.activateLoaded))
 	})
 }
@@ -111,10 +111,10 @@
 		r.logReloadFailure(loadErr)
 		return
 	}
-	activate := numbering.Order{
-		Op:     numbering.OpActivate,
-		Digest: r.desk.Job().Digest,
-		Saw:    r.desk.Active().Digest(),
+	activate := numbering.Command{
+		Op:             numbering.OpActivate,
+		Digest:         r.desk.Job().Digest,
+		ExpectedActive: r.desk.Active().Digest(),
 	}
 	r.logReloadFailure(r.beginOrder(activate, r.logReloadFailure))
 }
--- a/internal/server/numbering_route.go
+++ b/internal/server/numbering_route.go
@@ -10,41 +10,41 @@
 // Route implements call.Router.
 func (r *numberRouter) Route(now call.Time, q *call.Request) call.Route {
 	id := q.ID
-	pin := r.desk.Pin()
+	pin := r.desk.Acquire()
 	table := pin.Table()
 	query := numbering.Query{Number: q.Number, Class: q.Class, At: now, Seed: numbering.Seed(id)}
 	decision := table.Analyse(&query)
-	if decision.Verdict == numbering.Ask {
+	if decision.Verdict == numbering.LookUpRequired {
 		if r.startLookup(now, q, pin, query, &decision) {
-			return call.Route{Pending: true, Table: table.Digest(), Release: func() {
+			return call.Route{Pending: true, Table: table.Digest(), Close: func() {
 				r.client.Cancel(id)
 				pin.Release()
 			}}
 		}
-		query.Ported.State = numbering.Undecided
+		query.Ported.State = numbering.PortingUnknown
 		decision = table.Analyse(&query)
 	}
 	route := r.newRoute(&query, &decision)
 	route.Table = table.Digest()
-	route.Release = pin.Release
+	route.Close = pin.Release
 	return route
 }
 
 // startLookup looks a call's number up; false: it cannot be looked up, or not in time.
-func (r *numberRouter) startLookup(now call.Time, q *call.Request, pin *numbering.Pin, query numbering.Query,
+func (r *numberRouter) startLookup(now call.Time, q *call.Request, pin *numbering.TableRef, query numbering.Query,
 	decision *numbering.Decision) bool {
-	wait := r.lookupBudget(q.Class).Of(q.Deadline - now)
+	wait := r.lookupBudget(q.Class).LookUpTime(q.Deadline - now)
 	if r.client == nil || wait <= 0 {
 		return false
 	}
 	id := q.ID
-	return r.client.Ask(id, decision.Number.String(), wait, func(result portability.Result) {
+	return r.client.LookUp(id, decision.Number.String(), wait, func(result portability.Result) {
 		r.server.loop.ExecuteIteration(func() { r.resolve(id, pin, query, result) })
 	})
 }
 
 // resolve goes on with a call whose number was looked up, by the table that it began with.
-func (r *numberRouter) resolve(id string, pin *numbering.Pin, query numbering.Query, result portability.Result) {
+func (r *numberRouter) resolve(id string, pin *numbering.TableRef, query numbering.Query, result portability.Result) {
 	table := pin.Table()
 	if table == nil {
 		return // the call has ended meanwhile
@@ -56,7 +56,7 @@
 
 // newRoute converts a decision for the manager of calls.
 func (r *numberRouter) newRoute(query *numbering.Query, d *numbering.Decision) call.Route {
-	isUndecided := query.Ported.State == numbering.Undecided
+	isUndecided := query.Ported.State == numbering.PortingUnknown
 	if isUndecided && r.lookup.Fallback == config.FallbackRefuse {
 		retryAfter := r.server.cfg.Settings.RetryAfter(undecidedRetryAfter)
 		return call.Route{Cause: call.CauseNoCircuit, RetryAfter: retryAfter}
@@ -75,9 +75,9 @@
 		}
 	}
 	return portability.Budget{
-		Attempt: attempt,
-		Guard:   settings.RetryGuard,
-		Answer:  answerTime,
-		Share:   r.lookup.Share,
+		AttemptDuration: attempt,
+		RetryGuard:      settings.RetryGuard,
+		AnswerDuration:  answerTime,
+		MaxShare:        r.lookup.Share,
 	}
 }
--- a/internal/server/numbers_test.go
+++ b/internal/server/numbers_test.go
@@ -62,7 +62,7 @@
 	if err := os.WriteFile(r.file, []byte(numberRules(pool)), 0o600); err != nil {
 		r.t.Fatal(err)
 	}
-	table, _, err := numbering.Read(r.file, numbering.Env{Now: time.Duration(time.Now().UnixNano())})
+	table, _, err := numbering.CompileFile(r.file, numbering.Deployment{Now: time.Duration(time.Now().UnixNano())})
 	if err != nil {
 		r.t.Fatal(err)
 	}
@@ -70,8 +70,8 @@
 }
 
 // versions returns the versions of the table that the server holds.
-func (r *tableRun) versions() []numbering.Status {
-	versions := make(chan []numbering.Status, 1)
+func (r *tableRun) versions() []numbering.VersionStatus {
+	versions := make(chan []numbering.VersionStatus, 1)
 	r.server.loop.Execute(func() { versions <- r.server.numbering.desk.List() })
 	return <-versions
 }
@@ -80,7 +80,7 @@
 func (r *tableRun) callsOf(pool int) (calls int) {
 	for _, v := range r.versions() {
 		if r.pools[v.Digest] == pool {
-			calls += v.Pins
+			calls += v.Calls
 		}
 	}
 	return calls
@@ -90,10 +90,10 @@
 func (r *tableRun) swapTable(pool int) {
 	r.t.Helper()
 	r.writeTable(pool)
-	r.server.ReloadNumbers()
+	r.server.ReloadNumbering()
 	eventually(r.t, "the table is in force", func() bool {
 		for _, v := range r.versions() {
-			if v.State == numbering.InForce {
+			if v.State == numbering.StateActive {
 				return r.pools[v.Digest] == pool
 			}
 		}
@@ -106,7 +106,7 @@
 	r.t.Helper()
 	writeFile(r.t, r.file, "default = \"none\"")
 	before := r.versions()
-	r.server.ReloadNumbers()
+	r.server.ReloadNumbering()
 	after := r.versions()
 	if len(after) != len(before) || after[0].Digest != before[0].Digest || after[0].State != before[0].State {
 		r.t.Errorf("a bad table: %+v, before %+v", after, before)
@@ -126,7 +126,7 @@
 	attempts := make(map[int]int) // by pool
 	for reader.Next(&rec) == nil {
 		switch rec.Kind {
-		case record.KindSetUp:
+		case record.KindCallOffered:
 			if strings.HasPrefix(rec.Number, "9") {
 				continue
 			}
@@ -135,7 +135,7 @@
 				r.t.Errorf("%s went by a table that there is not: %q", rec.Call, rec.Text)
 			}
 			pools[rec.Call] = pool
-		case record.KindTry:
+		case record.KindAttemptStarted:
 			if want := fmt.Sprint("s-", pools[rec.Call]); rec.Server != want {
 				r.t.Errorf("%s went to %s, its table says %s", rec.Call, rec.Server, want)
 			}
@@ -219,7 +219,7 @@
 }
 
 // ask sends a command to the admin address.
-func (r *versionRun) ask(c *h248.Command) ([]numbering.Status, numbering.Job, error) {
+func (r *versionRun) ask(c *h248.Command) ([]numbering.VersionStatus, numbering.Job, error) {
 	reply, err := adminapi.Send(context.Background(), r.adminAddress(), c)
 	if err != nil {
 		return nil, numbering.Job{}, err
@@ -229,7 +229,7 @@
 }
 
 // list returns the versions that the server holds, and the last order.
-func (r *versionRun) list() ([]numbering.Status, numbering.Job) {
+func (r *versionRun) list() ([]numbering.VersionStatus, numbering.Job) {
 	r.t.Helper()
 	versions, job, err := r.ask(adminapi.AuditCommand(adminapi.NumberingTermination))
 	if err != nil {
@@ -239,7 +239,7 @@
 }
 
 // digestWhere returns the digest of the version that matches; "": there is none.
-func (r *versionRun) digestWhere(matches func(numbering.Status) bool) (digest string) {
+func (r *versionRun) digestWhere(matches func(numbering.VersionStatus) bool) (digest string) {
 	r.t.Helper()
 	versions, _ := r.list()
 	for _, v := range versions {
@@ -252,25 +252,25 @@
 
 // inForce returns the digest of the version in force.
 func (r *versionRun) inForce() string {
-	return r.digestWhere(func(v numbering.Status) bool { return v.State == numbering.InForce })
+	return r.digestWhere(func(v numbering.VersionStatus) bool { return v.State == numbering.StateActive })
 }
 
 // waiting returns the digest of the version that is to come into force later.
 func (r *versionRun) waiting() string {
-	return r.digestWhere(func(v numbering.Status) bool { return v.State == numbering.Waiting })
+	return r.digestWhere(func(v numbering.VersionStatus) bool { return v.State == numbering.StateScheduled })
 }
 
 // order gives an order and waits for its end.
-func (r *versionRun) order(o numbering.Order) numbering.Job {
+func (r *versionRun) order(o numbering.Command) numbering.Job {
 	r.t.Helper()
 	_, begun, err := r.ask(adminapi.NumberingCommand(o))
 	if err != nil {
-		return numbering.Job{Err: err.Error()}
+		return numbering.Job{Error: err.Error()}
 	}
 	var job numbering.Job
 	eventually(r.t, "the order ends", func() bool {
 		_, job = r.list()
-		return job.ID == begun.ID && !job.Running
+		return job.ID == begun.ID && !job.IsRunning
 	})
 	return job
 }
@@ -279,27 +279,27 @@
 func (r *versionRun) changeVersions() (first, second string) {
 	r.t.Helper()
 	first = r.inForce()
-	bad := numbering.Order{Op: numbering.OpLoad, File: r.writeRules("bad.toml", "default = \"none\"")}
-	if job := r.order(bad); !strings.Contains(job.Err, "there is no route") {
+	bad := numbering.Command{Op: numbering.OpLoad, File: r.writeRules("bad.toml", "default = \"none\"")}
+	if job := r.order(bad); !strings.Contains(job.Error, "there is no route") {
 		r.t.Errorf("a bad file: %+v", job)
 	}
-	load := numbering.Order{Op: numbering.OpLoad, File: r.writeRules("second.toml", numberRules(1))}
+	load := numbering.Command{Op: numbering.OpLoad, File: r.writeRules("second.toml", numberRules(1))}
 	loaded := r.order(load)
 	second = loaded.Digest
-	if loaded.Err != "" || second == "" || r.inForce() != first {
+	if loaded.Error != "" || second == "" || r.inForce() != first {
 		r.t.Fatalf("%+v; in force %s", loaded, r.inForce())
 	}
-	job := r.order(numbering.Order{Op: numbering.OpActivate, Digest: second, Saw: first})
-	if job.Err != "" || r.inForce() != second {
+	job := r.order(numbering.Command{Op: numbering.OpActivate, Digest: second, ExpectedActive: first})
+	if job.Error != "" || r.inForce() != second {
 		r.t.Fatalf("%+v; in force %s", job, r.inForce())
 	}
-	job = r.order(numbering.Order{Op: numbering.OpActivate, Digest: first, Saw: first})
-	if !strings.Contains(job.Err, "not the one you saw") || r.inForce() != second {
+	job = r.order(numbering.Command{Op: numbering.OpActivate, Digest: first, ExpectedActive: first})
+	if !strings.Contains(job.Error, "not the one you saw") || r.inForce() != second {
 		r.t.Errorf("the second of two operators: %+v", job)
 	}
 	inAnHour := time.Duration(time.Now().Add(time.Hour).UnixNano())
-	job = r.order(numbering.Order{Op: numbering.OpActivate, Digest: first, Saw: second, At: inAnHour})
-	if job.Err != "" {
+	job = r.order(numbering.Command{Op: numbering.OpActivate, Digest: first, ExpectedActive: second, ActivateAt: inAnHour})
+	if job.Error != "" {
 		r.t.Errorf("%+v", job)
 	}
 	if versions, _ := r.list(); len(versions) != 2 {
@@ -315,7 +315,7 @@
 	if _, _, err := r.ask(empty); err == nil {
 		r.t.Error("an empty order was taken")
 	}
-	cancel := adminapi.NumberingCommand(numbering.Order{Op: numbering.OpCancel})
+	cancel := adminapi.NumberingCommand(numbering.Command{Op: numbering.OpCancel})
 	if _, err := adminapi.Send(context.Background(), r.gatewayAddress(), cancel); err == nil {
 		r.t.Error("a gateway may order")
 	}
@@ -373,11 +373,11 @@
 		versions, _ := r.list()
 		t.Errorf("after a kill: %+v", versions)
 	}
-	if job := r.order(numbering.Order{Op: numbering.OpCancel}); job.Err != "" {
+	if job := r.order(numbering.Command{Op: numbering.OpCancel}); job.Error != "" {
 		t.Errorf("%+v", job)
 	}
-	job := r.order(numbering.Order{Op: numbering.OpRollback, Saw: second})
-	if job.Err != "" || r.inForce() != first {
+	job := r.order(numbering.Command{Op: numbering.OpRollback, ExpectedActive: second})
+	if job.Error != "" || r.inForce() != first {
 		t.Errorf("%+v; in force %s", job, r.inForce())
 	}
 	r.stop(t)
--- a/internal/server/observations_test.go
+++ b/internal/server/observations_test.go
@@ -106,8 +106,8 @@
 func (nopObserver) AttemptStarted(call.Time, string, *call.Setup)                               {}
 func (nopObserver) AttemptEnded(call.Time, string, string, int, call.AttemptEnd, time.Duration) {}
 func (nopObserver) CallAnswered(call.Time, *call.Answer)                                        {}
-func (nopObserver) CallReleased(call.Time, *call.Release)                                       {}
-func (nopObserver) LimitReached(call.Time, call.Limit, string)                                  {}
+func (nopObserver) CallReleased(call.Time, *call.ReleaseEvent)                                  {}
+func (nopObserver) LimitReached(call.Time, call.LimitEvent, string)                             {}
 
 func newCallObservations() *callObservations {
 	return &callObservations{openAttempts: make(map[string]bool), guardedSince: make(map[string]time.Time), attempts: make(map[string]int)}
--- a/internal/server/protocols_test.go
+++ b/internal/server/protocols_test.go
@@ -213,7 +213,7 @@
 		}
 	}
 	unknown := addTransaction("t", 90, "keep.1", time.Second)
-	unknown.Actions[0].Commands[0].Descriptors[0].Kids[0].Kids[0].Value = "nobody"
+	unknown.Actions[0].Commands[0].Descriptors[0].Children[0].Children[0].Value = "nobody"
 	client.send(unknown)
 	if got := answers.await(t, "p/90", 1); got != "end 34" {
 		t.Errorf("an unknown class: %q", got)
@@ -228,7 +228,7 @@
 	t.Parallel()
 	server, answers := startTestServer(t, true), newAnswerLog()
 	client := dialGatewayCaller(t, server.adminAddress(), answers, "<ctl>")
-	graceful := &h248.Node{Name: "Services", Kids: []*h248.Node{{Name: "Method", Value: "Graceful"}, {Name: "Reason", Quoted: true, Value: "905"}}}
+	graceful := &h248.Node{Name: "Services", Children: []*h248.Node{{Name: "Method", Value: "Graceful"}, {Name: "Reason", Quoted: true, Value: "905"}}}
 	drain := &h248.Transaction{ID: 2, Actions: []*h248.Action{{Context: "-", Commands: []*h248.Command{{Name: "ServiceChange", Termination: "ROOT", Descriptors: []*h248.Node{graceful}}}}}}
 	p := dialGatewayCaller(t, server.gatewayAddress(), answers, "<panel>")
 	p.send(drain) // a gateway that goes out of service does not stop the server
--- a/internal/server/recorder.go
+++ b/internal/server/recorder.go
@@ -42,16 +42,16 @@
 // newRecorder opens the store and records the start. It fails where the folder cannot be used.
 func newRecorder(s *Server, o *config.Records, program string) (*recorder, error) {
 	log, found, err := record.Open(record.Options{
-		Dir:     o.Dir,
-		Name:    s.cfg.Name,
-		Program: program,
-		Queue:   int(o.Queue),
-		Sync:    time.Duration(o.Sync),
-		Segment: int64(o.Segment),
-		Total:   int64(o.Total),
-		Age:     time.Duration(o.Age),
-		Wall:    s.loop.StartTime(),
-		Trouble: func(err error) { s.logRecordsState(o.Dir, err) },
+		Dir:          o.Dir,
+		Name:         s.cfg.Name,
+		Program:      program,
+		QueueBytes:   int(o.Queue),
+		SyncInterval: time.Duration(o.Sync),
+		SegmentBytes: int64(o.Segment),
+		TotalBytes:   int64(o.Total),
+		MaxAge:       time.Duration(o.Age),
+		StartTime:    s.loop.StartTime(),
+		OnDiskHealth: func(err error) { s.logRecordsState(o.Dir, err) },
 	})
 	if err != nil {
 		return nil, err
@@ -127,7 +127,7 @@
 	if w == nil {
 		return
 	}
-	r := w.begin(record.KindCeiling)
+	r := w.begin(record.KindRateLimit)
 	r.Server = c.Server
 	r.Value = c.AttemptsPerSecond
 	r.Text = string(c.Reason)
@@ -155,11 +155,11 @@
 	r.Text = address
 	switch server.State {
 	case admission.Draining:
-		r.Code = uint8(record.Drains)
+		r.Code = uint8(record.ServerDraining)
 	case admission.Removed:
-		r.Code = uint8(record.Gone)
+		r.Code = uint8(record.ServerRemoved)
 	case admission.Active:
-		r.Code = uint8(record.Listed)
+		r.Code = uint8(record.ServerActive)
 	}
 	r.Flag = server.Started > 0 && r.At-server.Started < w.server.cfg.Settings.SlowStartPeriod
 	w.put()
@@ -210,7 +210,7 @@
 // recordLimit records by how much a counter has grown.
 func (w *recorder) recordLimit(name string, count int) {
 	if increase := count - w.lastCounts[name]; increase > 0 {
-		r := w.begin(record.KindLimit)
+		r := w.begin(record.KindLimitReached)
 		r.By = name
 		r.Count = uint64(increase)
 		w.put()
@@ -238,7 +238,7 @@
 		{"released_by_exchange", c.ReleasedByBackend},
 		{"released_by_caller", c.ReleasedByCaller},
 	} {
-		r := w.begin(record.KindTally)
+		r := w.begin(record.KindCounter)
 		r.By = counter.name
 		r.Count = uint64(counter.count)
 		w.put()
--- a/internal/server/recorder_calls.go
+++ b/internal/server/recorder_calls.go
@@ -9,25 +9,25 @@
 )
 
 // recordedDecisions are the kinds of decisions as the stored format numbers them, which must not change.
-var recordedDecisions = map[admission.DecisionKind]record.Move{
-	admission.None:   record.Hold,
-	admission.Send:   record.Try,
-	admission.Reject: record.Deny,
-	admission.Fail:   record.GiveUp,
-	admission.Cancel: record.CallOff,
+var recordedDecisions = map[admission.DecisionKind]record.Decision{
+	admission.DecisionNone:   record.DecisionNone,
+	admission.DecisionSend:   record.DecisionSend,
+	admission.DecisionReject: record.DecisionReject,
+	admission.DecisionFail:   record.DecisionFail,
+	admission.DecisionCancel: record.DecisionCancel,
 }
 
 // recordedOutcomes are the outcomes of calls as the stored format numbers them, which must not change.
 var recordedOutcomes = [...]record.Outcome{
-	call.Established:          record.Stood,
-	call.Rejected:             record.Refused,
-	call.Failed:               record.Failed,
-	call.Abandoned:            record.GivenUp,
-	call.RejectedOverLimit:    record.Crowded,
-	call.RejectedReusedID:     record.Reused,
-	call.RejectedInvalid:      record.Impossible,
-	call.RejectedShuttingDown: record.Stopped,
-	call.RejectedByPolicy:     record.Barred,
+	call.Established:          record.OutcomeEstablished,
+	call.Rejected:             record.OutcomeRejected,
+	call.Failed:               record.OutcomeFailed,
+	call.Abandoned:            record.OutcomeAbandoned,
+	call.RejectedOverLimit:    record.OutcomeOverLimit,
+	call.RejectedReusedID:     record.OutcomeReusedID,
+	call.RejectedInvalid:      record.OutcomeInvalid,
+	call.RejectedShuttingDown: record.OutcomeShuttingDown,
+	call.RejectedByPolicy:     record.OutcomeByPolicy,
 }
 
 // recordedLimits are the names of limits in records, which must not change.
@@ -40,7 +40,7 @@
 // CallOffered implements call.Observer.
 func (w *recorder) CallOffered(now call.Time, q *call.Request) {
 	w.current = record.Record{
-		Kind:   record.KindSetUp,
+		Kind:   record.KindCallOffered,
 		At:     now,
 		Call:   q.ID,
 		Class:  q.Class,
@@ -56,7 +56,7 @@
 // Decided implements call.Observer.
 func (w *recorder) Decided(now call.Time, d *admission.Decision) {
 	w.current = record.Record{
-		Kind:    record.KindOrder,
+		Kind:    record.KindDecision,
 		At:      now,
 		Call:    d.CallID,
 		Code:    uint8(recordedDecisions[d.Kind]),
@@ -71,7 +71,7 @@
 // AttemptStarted implements call.Observer.
 func (w *recorder) AttemptStarted(now call.Time, server string, s *call.Setup) {
 	w.current = record.Record{
-		Kind:    record.KindTry,
+		Kind:    record.KindAttemptStarted,
 		At:      now,
 		Call:    s.ID,
 		Server:  server,
@@ -84,7 +84,7 @@
 // AttemptEnded implements call.Observer.
 func (w *recorder) AttemptEnded(now call.Time, server, id string, attempt int, e call.AttemptEnd, took time.Duration) {
 	w.current = record.Record{
-		Kind:    record.KindTryEnd,
+		Kind:    record.KindAttemptEnded,
 		At:      now,
 		Call:    id,
 		Server:  server,
@@ -113,7 +113,7 @@
 }
 
 // CallReleased implements call.Observer.
-func (w *recorder) CallReleased(now call.Time, r *call.Release) {
+func (w *recorder) CallReleased(now call.Time, r *call.ReleaseEvent) {
 	w.current = record.Record{
 		Kind:   record.KindRelease,
 		At:     now,
@@ -128,7 +128,7 @@
 }
 
 // LimitReached implements call.Observer.
-func (w *recorder) LimitReached(now call.Time, l call.Limit, id string) {
-	w.current = record.Record{Kind: record.KindLimit, At: now, By: recordedLimits[l], Count: 1, Call: id}
+func (w *recorder) LimitReached(now call.Time, l call.LimitEvent, id string) {
+	w.current = record.Record{Kind: record.KindLimitReached, At: now, By: recordedLimits[l], Count: 1, Call: id}
 	w.put()
 }
--- a/internal/server/recorder_test.go
+++ b/internal/server/recorder_test.go
@@ -56,9 +56,9 @@
 		switch rec.Kind {
 		case record.KindAnswer:
 			what += " " + record.Outcome(rec.Code).String()
-		case record.KindTryEnd:
+		case record.KindAttemptEnded:
 			counts["end "+rec.End]++
-		case record.KindTry:
+		case record.KindAttemptStarted:
 			counts["try "+rec.Server]++
 			if rec.Attempt > 0 {
 				counts["retry"]++
@@ -132,10 +132,10 @@
 		t.Errorf("the class had %s requests, want 17", got)
 	}
 	tries := 0
-	for _, n := range h248.Find(audit.Descriptors, "Statistics").Kids {
+	for _, n := range h248.Find(audit.Descriptors, "Statistics").Children {
 		if n.Name == "oc/server" {
-			v, err := strconv.Atoi(h248.Value(n.Kids, "oc/attempts"))
-			if tries += v; err != nil || h248.Value(n.Kids, "oc/phase") != "listed" {
+			v, err := strconv.Atoi(h248.Value(n.Children, "oc/attempts"))
+			if tries += v; err != nil || h248.Value(n.Children, "oc/phase") != "listed" {
 				t.Errorf("%+v", n)
 			}
 		}
--- a/internal/server/releases_test.go
+++ b/internal/server/releases_test.go
@@ -48,7 +48,7 @@
 		answers.await(t, keys[i], 1)
 	}
 	tester := newAnswerLog()
-	dialJSONCaller(t, server.jsonAddress(), tester, "cccccccc").send(&jsonl.Message{Verb: jsonl.Echo, HasRC: true})
+	dialJSONCaller(t, server.jsonAddress(), tester, "cccccccc").send(&jsonl.Message{Verb: jsonl.Echo, HasResultCode: true})
 	tester.await(t, "echo", 1)
 	dialJSONCaller(t, server.jsonAddress(), tester, "dddddddd")
 	other.close()
--- a/internal/server/replay_test.go
+++ b/internal/server/replay_test.go
@@ -46,7 +46,7 @@
 	}
 	rng := rand.New(rand.NewPCG(21, 22))
 	for n := range 5 {
-		rules := numberingtest.Any(rng, n, replayPools, "voice")
+		rules := numberingtest.RandomRules(rng, n, replayPools, "voice")
 		for i := range rules.Prefix {
 			rules.Prefix[i].Ported = i%3 == 0 && len(lookup.Servers) > 0
 		}
@@ -54,7 +54,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		table, err := numbering.Make(text, numbering.Env{Now: time.Duration(time.Now().UnixNano())})
+		table, err := numbering.CompileText(text, numbering.Deployment{Now: time.Duration(time.Now().UnixNano())})
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -97,7 +97,7 @@
 		}
 		k := n % len(r.texts)
 		r.writeTable(t, k)
-		r.node.server.ReloadNumbers()
+		r.node.server.ReloadNumbering()
 		for end := time.Now().Add(5 * time.Second); r.activeDigest() != r.digests[k]; time.Sleep(time.Millisecond) {
 			if time.Now().After(end) {
 				t.Error("a table did not come into force")
@@ -139,7 +139,7 @@
 			if rec.By == "numbers" {
 				inForce, _, _ = strings.Cut(rec.Text, " ")
 			}
-		case record.KindSetUp:
+		case record.KindCallOffered:
 			calls++
 			open[rec.Call] = &life{digest: rec.Text, number: rec.Number, class: rec.Class, at: rec.At}
 			if rec.Text != "" && rec.Text != inForce {
@@ -148,7 +148,7 @@
 			if rec.Text == "" { // it is rejected by its number
 				open[rec.Call].digest = inForce
 			}
-		case record.KindTry:
+		case record.KindAttemptStarted:
 			k := open[rec.Call]
 			if k.digest != inForce {
 				across++
@@ -166,9 +166,9 @@
 			want := rules.Decide(k.number, k.class, time.Unix(0, int64(k.at)))
 			outcome := record.Outcome(rec.Code).String()
 			if to := movedTo(k.number); to != "" {
-				there := rules.DecideMoved(k.number, to, k.class, time.Unix(0, int64(k.at)))
+				there := rules.DecidePorted(k.number, to, k.class, time.Unix(0, int64(k.at)))
 				// Counted only where it cannot have gone as it is.
-				if !want.Begins(k.pools) && there.Cause == 0 {
+				if !want.AllowsOrder(k.pools) && there.Cause == 0 {
 					want, moved = there, moved+1
 				} else if there.Cause != 0 && outcome == "barred" && len(k.pools) == 0 {
 					want = there
@@ -176,8 +176,8 @@
 			}
 			switch {
 			case want.Cause != 0 && (outcome != "barred" || rec.Cause != want.Cause || len(k.pools) > 0),
-				want.Cause == 0 && !want.Begins(k.pools),
-				outcome == "refused" && len(k.pools) != want.Pools(),
+				want.Cause == 0 && !want.AllowsOrder(k.pools),
+				outcome == "refused" && len(k.pools) != want.PoolCount(),
 				want.Cause == 0 && outcome != "stood" && outcome != "refused":
 				fail("%s to %s: %s with cause %d after pools %v; its table says %v", rec.Call, k.number, outcome, rec.Cause, k.pools, want)
 			}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -75,13 +75,13 @@
 
 // Options are what an operator chooses. The zero value is the call controller alone.
 type Options struct {
-	H248    *config.H248            // nil: its frontend is off
-	Records *config.Records         // nil: nothing is recorded
-	Numbers *config.Numbering       // nil: calls go by their preferred pool
-	Share   *config.OverloadControl // nil: the controller decides alone
-	Log     *zap.Logger             // nil: nothing is logged
-	Program string                  // version, for the records
-	Clock   func() time.Time        // the system's; nil: time.Now
+	H248      *config.H248            // nil: its frontend is off
+	Records   *config.Records         // nil: nothing is recorded
+	Numbering *config.Numbering       // nil: calls go by their preferred pool
+	Overload  *config.OverloadControl // nil: the controller decides alone
+	Log       *zap.Logger             // nil: nothing is logged
+	Program   string                  // version, for the records
+	Clock     func() time.Time        // the system's; nil: time.Now
 
 	decider call.Decider   // replaces the admission control in tests; nil: the admission control
 	dial    backend.Dialer // replaces the dialer in tests; nil: backend.DialTCP
@@ -158,16 +158,16 @@
 	if err := s.observe(o, engine); err != nil {
 		return err
 	}
-	if o.Numbers != nil {
-		router, err := newNumberRouter(s, o.Numbers)
+	if o.Numbering != nil {
+		router, err := newNumberRouter(s, o.Numbering)
 		if err != nil {
 			return err
 		}
 		s.numbering = router
 		s.calls.SetRouter(router)
 	}
-	if o.Share != nil {
-		control, err := newOverloadControl(s, o.Share, engine)
+	if o.Overload != nil {
+		control, err := newOverloadControl(s, o.Overload, engine)
 		if err != nil {
 			return err
 		}
--- a/internal/server/settings_test.go
+++ b/internal/server/settings_test.go
@@ -43,7 +43,7 @@
 		bed := startTestbedWith(t, d.settings, 192, far, nil)
 		ask := func(class string, width, dest, n int) string {
 			id := fmt.Sprintf("%016x", 0x100*i+n)
-			bed.caller.send(&jsonl.Message{Verb: jsonl.Start, Tag: id, Blob: []byte("o"), Opts: []jsonl.Opt{{Name: "class", Value: class}, {Name: "left", Value: "60000"},
+			bed.caller.send(&jsonl.Message{Verb: jsonl.Start, Tag: id, Blob: []byte("o"), Options: []jsonl.Option{{Name: "class", Value: class}, {Name: "left", Value: "60000"},
 				{Name: "key", Value: fmt.Sprint(n)}, {Name: "extras", Value: fmt.Sprintf("dest:%d;width:%d;via:-1", dest, width)}}})
 			return id
 		}
--- a/internal/server/simulated_h248_test.go
+++ b/internal/server/simulated_h248_test.go
@@ -107,7 +107,7 @@
 	s.contexts[termination] = context
 	s.send(&h248.Transaction{Kind: h248.Pending, ID: t.ID})
 	local := &h248.Node{Name: "Local", Octets: []byte(acceptedDescription(number))}
-	s.reply(t, context, &h248.Node{Name: "Media", Kids: []*h248.Node{local}})
+	s.reply(t, context, &h248.Node{Name: "Media", Children: []*h248.Node{local}})
 	if !releases {
 		return
 	}
@@ -132,7 +132,7 @@
 	case behaveBusy:
 		code = h248.TerminationInContext
 	case behaveFull:
-		code = h248.Insufficient
+		code = h248.InsufficientResources
 	case behaveMoot:
 		code = h248.NotReady
 	case behaveReset:
--- a/internal/server/testbed_test.go
+++ b/internal/server/testbed_test.go
@@ -117,12 +117,12 @@
 
 // jsonMessage returns a message of a caller as it is sent.
 func jsonMessage(verb, id string) []byte {
-	return jsonl.Append(nil, &jsonl.Message{Verb: verb, Tag: id, RC: 16, HasRC: true})
+	return jsonl.Append(nil, &jsonl.Message{Verb: verb, Tag: id, ResultCode: 16, HasResultCode: true})
 }
 
 // jsonSetup returns a set-up of a caller as it is sent.
 func jsonSetup(id string, left time.Duration) []byte {
-	return jsonl.Append(nil, &jsonl.Message{Verb: jsonl.Start, Tag: id, Blob: []byte("o"), Opts: []jsonl.Opt{{Name: "class", Value: "voice"},
+	return jsonl.Append(nil, &jsonl.Message{Verb: jsonl.Start, Tag: id, Blob: []byte("o"), Options: []jsonl.Option{{Name: "class", Value: "voice"},
 		{Name: "left", Value: fmt.Sprint(left.Milliseconds())}, {Name: "key", Value: "1"}, {Name: "extras", Value: "dest:0;width:1;via:-1"}}})
 }
 
--- a/internal/server/testserver_test.go
+++ b/internal/server/testserver_test.go
@@ -215,12 +215,12 @@
 		done:         make(chan error, 1),
 	}
 	s.run(t, deployment.config(t, f.discovery, f.lines), Options{
-		Records: records,
-		Numbers: f.numbers,
-		Program: "test",
-		decider: f.decider,
-		H248:    h248Config(),
-		Clock:   func() time.Time { return time.Now().Add(time.Duration(skew.Load())) },
+		Records:   records,
+		Numbering: f.numbers,
+		Program:   "test",
+		decider:   f.decider,
+		H248:      h248Config(),
+		Clock:     func() time.Time { return time.Now().Add(time.Duration(skew.Load())) },
 	}, func() {})
 	return s
 }
--- a/internal/sim/cluster/agent.go
+++ b/internal/sim/cluster/agent.go
@@ -112,7 +112,7 @@
 		return
 	}
 	for _, descriptor := range reply.Descriptors {
-		for _, instance := range descriptor.Kids {
+		for _, instance := range descriptor.Children {
 			r.adoptInstance(instance)
 		}
 	}
--- a/internal/sim/experiment/experiment_test.go
+++ b/internal/sim/experiment/experiment_test.go
@@ -136,8 +136,8 @@
 
 func (r earlyResender) Report(now call.Time, p admission.AttemptReport) admission.Decision {
 	decision := r.Decider.Report(now, p)
-	if p.Kind == admission.ReportEnded && !p.Final && p.Result == admission.ConnectionLost {
-		return admission.Decision{CallID: p.CallID, Kind: admission.Send, Server: p.Server, Wait: time.Second}
+	if p.Kind == admission.ReportEnded && !p.Final && p.Result == admission.ResultConnectionLost {
+		return admission.Decision{CallID: p.CallID, Kind: admission.DecisionSend, Server: p.Server, Wait: time.Second}
 	}
 	return decision
 }
--- a/internal/sim/loopback/load.go
+++ b/internal/sim/loopback/load.go
@@ -177,7 +177,7 @@
 		Verb: jsonl.Start,
 		Tag:  id,
 		Blob: []byte("v=0\r\ns=" + d.number + "\r\n"),
-		Opts: []jsonl.Opt{
+		Options: []jsonl.Option{
 			{Name: "class", Value: d.class},
 			{Name: "left", Value: fmt.Sprint(l.Left.Milliseconds())},
 			{Name: "key", Value: d.number},
--- a/internal/sim/loopback/load_call.go
+++ b/internal/sim/loopback/load_call.go
@@ -27,7 +27,7 @@
 	if call == nil {
 		return
 	}
-	_ = call.conn.send(&jsonl.Message{Verb: jsonl.Finish, Tag: id, RC: causeNormalClearing, HasRC: true})
+	_ = call.conn.send(&jsonl.Message{Verb: jsonl.Finish, Tag: id, ResultCode: causeNormalClearing, HasResultCode: true})
 }
 
 // removeOpen removes a call that is open and counts it as abandoned; nil: it is not open.
@@ -80,11 +80,11 @@
 	}
 	stats := &l.stats[c.index]
 	switch {
-	case call.established && m.RC == causeNormalClearing:
+	case call.established && m.ResultCode == causeNormalClearing:
 		stats.Released++
 	case call.established:
 		stats.Dropped++
-	case m.RC == causeNoCircuit:
+	case m.ResultCode == causeNoCircuit:
 		stats.Refused++
 	default:
 		stats.Failed++
--- a/internal/sim/modelcheck/environment.go
+++ b/internal/sim/modelcheck/environment.go
@@ -12,12 +12,12 @@
 	c := &m.calls[indexOf(id)]
 	d := admission.Decision{CallID: id, Kind: m.nextDecision.kind, Wait: attemptTimeout}
 	switch d.Kind {
-	case admission.Send:
+	case admission.DecisionSend:
 		d.Server = serverID(m.nextDecision.server)
 		if c.attemptCount >= m.bounds.MaxAttempts {
-			d.Kind = admission.None
+			d.Kind = admission.DecisionNone
 		}
-	case admission.Cancel:
+	case admission.DecisionCancel:
 		d.Attempt = c.attemptNumber
 	default: // the other decisions have no arguments
 	}
--- a/internal/sim/modelcheck/event.go
+++ b/internal/sim/modelcheck/event.go
@@ -36,15 +36,15 @@
 
 func (d decision) String() string {
 	switch d.kind {
-	case admission.None:
+	case admission.DecisionNone:
 		return ""
-	case admission.Send:
+	case admission.DecisionSend:
 		return fmt.Sprintf(", decision: send to x%d", d.server)
-	case admission.Reject:
+	case admission.DecisionReject:
 		return ", decision: reject"
-	case admission.Fail:
+	case admission.DecisionFail:
 		return ", decision: fail"
-	case admission.Cancel:
+	case admission.DecisionCancel:
 		return ", decision: cancel"
 	default:
 		return fmt.Sprintf(", decision: %d", d.kind)
@@ -88,9 +88,9 @@
 
 // withDecisions returns an event with each decision that the module can make.
 func (m *model) withDecisions(e event) []event {
-	decisions := []decision{{kind: admission.None}, {kind: admission.Reject}, {kind: admission.Fail}}
+	decisions := []decision{{kind: admission.DecisionNone}, {kind: admission.DecisionReject}, {kind: admission.DecisionFail}}
 	for server := range m.bounds.Servers {
-		decisions = append(decisions, decision{kind: admission.Send, server: server})
+		decisions = append(decisions, decision{kind: admission.DecisionSend, server: server})
 	}
 	events := make([]event, len(decisions))
 	for i, d := range decisions {
@@ -113,7 +113,7 @@
 			due := event{kind: decisionDue, call: i, server: noServer}
 			events = append(events, m.withDecisions(due)...)
 			if c.hasOpenAttempt() {
-				due.decision.kind = admission.Cancel
+				due.decision.kind = admission.DecisionCancel
 				events = append(events, due)
 			}
 		case c.isEstablished && c.isCallerConnected() && !c.isReleased:
--- a/internal/sim/modelcheck/model.go
+++ b/internal/sim/modelcheck/model.go
@@ -177,7 +177,7 @@
 		if m.manager.OpenCalls() == 0 || m.violation != "" {
 			break
 		}
-		m.nextDecision = decision{kind: admission.None}
+		m.nextDecision = decision{kind: admission.DecisionNone}
 		if !m.passTime() {
 			m.fail("%d calls are open and have no deadline", m.manager.OpenCalls())
 			return
--- a/internal/sim/virtualtime/seededdefect_test.go
+++ b/internal/sim/virtualtime/seededdefect_test.go
@@ -46,14 +46,14 @@
 func (d *seededDefect) Place(now call.Time, r admission.Request) admission.Decision {
 	decision := d.Decider.Place(now, r)
 	switch {
-	case d.rule == invariant.DrainsKept && decision.Kind == admission.Send:
+	case d.rule == invariant.DrainsKept && decision.Kind == admission.DecisionSend:
 		for id, state := range d.serverStates {
 			if state == admission.Draining {
 				decision.Server = id
 			}
 		}
 	case d.rule == invariant.ColdSpared && d.coldServer != "":
-		return admission.Decision{CallID: r.CallID, Kind: admission.Send, Server: d.coldServer, Wait: time.Second}
+		return admission.Decision{CallID: r.CallID, Kind: admission.DecisionSend, Server: d.coldServer, Wait: time.Second}
 	}
 	return decision
 }
@@ -61,10 +61,10 @@
 // Report sends a call again at once after a timeout or a cancel.
 func (d *seededDefect) Report(now call.Time, p admission.AttemptReport) admission.Decision {
 	decision := d.Decider.Report(now, p)
-	mayHaveRun := p.Result == admission.TimedOut || p.Result == admission.Canceled
+	mayHaveRun := p.Result == admission.ResultTimedOut || p.Result == admission.ResultCanceled
 	hasEnded := p.Kind == admission.ReportEnded && !p.Final
 	if d.rule == invariant.ReleaseKept && hasEnded && mayHaveRun {
-		return admission.Decision{CallID: p.CallID, Kind: admission.Send, Server: p.Server, Wait: time.Second}
+		return admission.Decision{CallID: p.CallID, Kind: admission.DecisionSend, Server: p.Server, Wait: time.Second}
 	}
 	return decision
 }
--- a/internal/simproto/event.go
+++ b/internal/simproto/event.go
@@ -43,14 +43,14 @@
 
 // attemptResults maps the field code of RETURNED; PROBED uses only codeDelivered.
 var attemptResults = map[string]admission.AttemptResult{
-	codeDelivered: admission.Delivered,
-	"app_error":   admission.ServerError,
-	"shed":        admission.ServerBusy,
-	"expired":     admission.TimedOut,
-	"dial_failed": admission.DialFailed,
-	"dropped":     admission.ConnectionLost,
-	"revoked":     admission.Canceled,
-	"unused":      admission.NotSent,
+	codeDelivered: admission.ResultDelivered,
+	"app_error":   admission.ResultServerError,
+	"shed":        admission.ResultServerBusy,
+	"expired":     admission.ResultTimedOut,
+	"dial_failed": admission.ResultDialFailed,
+	"dropped":     admission.ResultConnectionLost,
+	"revoked":     admission.ResultCanceled,
+	"unused":      admission.ResultNotSent,
 }
 
 const codeDelivered = "delivered"
--- a/internal/simproto/simproto_test.go
+++ b/internal/simproto/simproto_test.go
@@ -56,7 +56,7 @@
 		{`["GONE","ab"]`, admission.CallAbandoned{CallID: "ab"}},
 		{`["BELL",77]`, admission.TimerFired{Key: 77}},
 		{`["RETURNED","ab",0,"s","shed",2.0,false,4003,{"recent_ms":-1,"backlog":4,"new":1}]`, admission.AttemptEnded{
-			CallID: "ab", Server: "s", Result: admission.ServerBusy, Cause: admission.CauseProcessorBusy,
+			CallID: "ab", Server: "s", Result: admission.ResultServerBusy, Cause: admission.CauseProcessorBusy,
 			RetryAfter: 250 * time.Millisecond, Elapsed: 2 * time.Millisecond,
 			Load: admission.LoadReport{QueueLength: admission.Optional{Value: 4, Valid: true}}}},
 		{`["PROBED","delivered","s",0,null]`, admission.LoadReported{Server: "s", OK: true}},
--- a/internal/store/golden_test.go
+++ b/internal/store/golden_test.go
@@ -62,7 +62,7 @@
 		{"standing", 4, saves[4].data}, {"empty", 1, nil}, {"7b3cbfb4b82e4e7b", 1, saves[5].data},
 	} {
 		v, err := s.Load(c.name)
-		if err != nil || v.Serial != c.serial || len(v.Bad) > 0 || !bytes.Equal(v.Data, c.data) {
+		if err != nil || v.Serial != c.serial || len(v.DamagedFiles) > 0 || !bytes.Equal(v.Data, c.data) {
 			t.Errorf("%s: %+v, %v", c.name, v, err)
 		}
 	}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -30,9 +30,9 @@
 
 // A Value is one version of the value of a name.
 type Value struct {
-	Serial uint64 // grows with each Save
-	Data   []byte
-	Bad    []string // newer files that are damaged, each with its error
+	Serial       uint64 // grows with each Save
+	Data         []byte
+	DamagedFiles []string // newer files that are damaged, each with its error
 }
 
 // Open returns the store in a directory, which it creates if necessary.
@@ -117,10 +117,10 @@
 			v.Data = data
 			return v, nil
 		}
-		v.Bad = append(v.Bad, fmt.Sprintf("%s: %v", fileName(name, serial), err))
+		v.DamagedFiles = append(v.DamagedFiles, fmt.Sprintf("%s: %v", fileName(name, serial), err))
 	}
-	if len(v.Bad) > 0 {
-		return v, fmt.Errorf("store: %s: %w: %s", name, ErrNoIntactValue, strings.Join(v.Bad, "; "))
+	if len(v.DamagedFiles) > 0 {
+		return v, fmt.Errorf("store: %s: %w: %s", name, ErrNoIntactValue, strings.Join(v.DamagedFiles, "; "))
 	}
 	return v, ErrNotFound
 }
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -216,12 +216,12 @@
 	empty := func([]byte) []byte { return nil }
 	changeFile(t, files[2], flipLastBit)
 	v, err := s.Load("table")
-	if err != nil || !bytes.Equal(v.Data, value(8)) || len(v.Bad) != 1 || !strings.Contains(v.Bad[0], "damaged") {
+	if err != nil || !bytes.Equal(v.Data, value(8)) || len(v.DamagedFiles) != 1 || !strings.Contains(v.DamagedFiles[0], "damaged") {
 		t.Errorf("%+v, %v", v, err)
 	}
 	changeFile(t, files[1], truncate)
 	v, err = s.Load("table")
-	if err != nil || !bytes.Equal(v.Data, value(7)) || len(v.Bad) != 2 || !strings.Contains(v.Bad[1], "torn") {
+	if err != nil || !bytes.Equal(v.Data, value(7)) || len(v.DamagedFiles) != 2 || !strings.Contains(v.DamagedFiles[1], "torn") {
 		t.Errorf("%+v, %v", v, err)
 	}
 	changeFile(t, files[0], empty)
