--- a/cmd/olivesim/cluster.go
+++ b/cmd/olivesim/cluster.go
@@ -73,12 +73,12 @@
 		return cluster.Options{}, err
 	}
 	return cluster.Options{
-		Bin:      programs,
-		Topology: topology,
-		Scenario: sc,
-		Schedule: schedule,
-		For:      f.length,
-		Out:      progress,
+		Bin:          programs,
+		Topology:     topology,
+		Scenario:     sc,
+		Schedule:     schedule,
+		CallDuration: f.length,
+		Out:          progress,
 	}, nil
 }
 
@@ -95,9 +95,9 @@
 // loadSchedule reads the schedule of --schedule, or draws one from the seed.
 func (f *clusterFlags) loadSchedule(topology *cluster.Topology, seed uint64) (*cluster.Schedule, error) {
 	if f.schedule != "" {
-		return cluster.Load(f.schedule)
+		return cluster.LoadSchedule(f.schedule)
 	}
-	return cluster.Draw(topology, f.faults, f.length, seed), nil
+	return cluster.DrawSchedule(topology, f.faults, f.length, seed), nil
 }
 
 // runDirectory returns the directory of a run: that of the seed in --dir, or a new temporary one.
@@ -143,7 +143,7 @@
 			return err
 		}
 		results = append(results, res)
-		violations += res.Broken
+		violations += res.ViolationCount
 	}
 	if err := f.writePage(results); err != nil {
 		return err
@@ -186,12 +186,12 @@
 			return nil, err
 		}
 	}
-	if res.Broken > 0 {
+	if res.ViolationCount > 0 {
 		_, _ = fmt.Fprintf(c.ErrOrStderr(), "reproduce: olivesim run %s --floor sockets --schedule %s\n",
 			days.path, filepath.Join(options.Dir, "schedule.toml"))
 	}
 	isTemporary := f.dir == ""
-	if isTemporary && res.Broken == 0 {
+	if isTemporary && res.ViolationCount == 0 {
 		return res, os.RemoveAll(options.Dir)
 	}
 	return res, nil
@@ -204,7 +204,7 @@
 	}
 	var parts []plot.Part
 	for _, res := range results {
-		part, err := res.Part()
+		part, err := res.PagePart()
 		if err != nil {
 			return err
 		}
@@ -214,7 +214,7 @@
 }
 
 func printClusterViolations(w io.Writer, res *cluster.Result) {
-	for _, breach := range res.Breaches {
+	for _, breach := range res.Violations {
 		_, _ = fmt.Fprintln(w, breach)
 		for _, event := range breach.Around {
 			_, _ = fmt.Fprintln(w, "  ", event)
@@ -228,6 +228,6 @@
 		return err
 	}
 	_, err := fmt.Fprintf(w, "seed %d: %d faults, %d messages, invariants violated %d times\n",
-		res.Seed, len(res.Struck), res.Seen, res.Broken)
+		res.Seed, len(res.InjectedFaults), res.EventCount, res.ViolationCount)
 	return err
 }
--- a/cmd/olivesim/days.go
+++ b/cmd/olivesim/days.go
@@ -64,7 +64,7 @@
 
 // simulationOptions are the options of runs in virtual time.
 func simulationOptions() virtualtime.Options {
-	return virtualtime.Options{Share: overloadpeers.Start}
+	return virtualtime.Options{StartPeer: overloadpeers.Start}
 }
 
 // intervalHeading are the columns of intervalCells, after the name of the figure.
--- a/cmd/olivesim/hold.go
+++ b/cmd/olivesim/hold.go
@@ -22,7 +22,7 @@
 			if err != nil || pid <= 1 {
 				return cli.Usage("%q is no process id", args[1])
 			}
-			return cluster.Hold(args[0], pid)
+			return cluster.KillWithParent(args[0], pid)
 		},
 	}
 }
--- a/cmd/olivesim/load.go
+++ b/cmd/olivesim/load.go
@@ -45,8 +45,8 @@
 	f.StringArrayVar(&generator.Addrs, "to", nil,
 		"address of a call controller's frontend of the platform's protocol (repeat for more)")
 	f.Float64Var(&generator.Rate, "rate", 50, "calls a second, to all controllers together")
-	f.DurationVar(&generator.For, "for", 10*time.Second, "how long calls are sent")
-	f.DurationVar(&generator.Left, "left", 3*time.Second, "deadline of the calls")
+	f.DurationVar(&generator.Duration, "for", 10*time.Second, "how long calls are sent")
+	f.DurationVar(&generator.CallerTimeout, "left", 3*time.Second, "deadline of the calls")
 	f.IntVar(&generator.Pools, "pools", 3, "number of preferred pools")
 	f.Uint64Var(&generator.Seed, "seed", 1, "seed of the calls")
 	f.BoolVar(&asJSON, "json", false, "print JSON")
@@ -59,7 +59,7 @@
 		return cli.Usage("--to names a call controller")
 	case generator.Rate <= 0 || generator.Rate > maxLoadRate:
 		return cli.Usage("--rate is up to %d calls a second", maxLoadRate)
-	case generator.For <= 0 || generator.For > maxLoadLength:
+	case generator.Duration <= 0 || generator.Duration > maxLoadLength:
 		return cli.Usage("--for is up to %v", maxLoadLength)
 	}
 	return nil
@@ -83,10 +83,10 @@
 	}
 	return loadSummary{
 		Sent:    stats.Sent,
-		Stood:   stats.Stood,
-		Refused: stats.Refused,
+		Stood:   stats.Established,
+		Refused: stats.Rejected,
 		Failed:  stats.Failed,
-		GaveUp:  stats.GaveUp,
+		GaveUp:  stats.Abandoned,
 		Lost:    stats.Lost,
 		NotSent: stats.NotSent,
 		P50:     quantile(50),
--- a/cmd/olivesim/run.go
+++ b/cmd/olivesim/run.go
@@ -135,9 +135,9 @@
 	return violationError(violations)
 }
 
-func printBreach(w io.Writer, path string, seed uint64, breach *invariant.Breach) {
+func printBreach(w io.Writer, path string, seed uint64, breach *invariant.Violation) {
 	_, _ = fmt.Fprintf(w, "seed %d: %v\n", seed, breach)
-	for _, event := range breach.Around {
+	for _, event := range breach.Events {
 		_, _ = fmt.Fprintln(w, "  ", event)
 	}
 	until := (breach.At + time.Second).Truncate(time.Second)
--- a/cmd/olivesim/serve.go
+++ b/cmd/olivesim/serve.go
@@ -62,7 +62,7 @@
 	}
 	ctx, stop := cli.Interruptible(c)
 	defer stop()
-	discovery, err := loopback.ListenNames(f.discoveryAddr)
+	discovery, err := loopback.ListenNameService(f.discoveryAddr)
 	if err != nil {
 		return err
 	}
@@ -104,7 +104,7 @@
 // servedExchange is an exchange that listens, and its entry in discovery.
 type servedExchange struct {
 	exchange *loopback.Exchange
-	endpoint loopback.Line
+	endpoint loopback.Endpoint
 }
 
 // listen starts the exchange of an index, which is its pool too.
@@ -117,15 +117,15 @@
 	if err != nil {
 		return servedExchange{}, err
 	}
-	endpoint := loopback.Line{ID: fmt.Sprint("x", index), Addr: x.Addr(), Zone: servedZone, Pool: index}
+	endpoint := loopback.Endpoint{ID: fmt.Sprint("x", index), Addr: x.Addr(), Zone: servedZone, Pool: index}
 	if f.isSlowStart {
 		endpoint.Started = time.Now()
 	}
 	return servedExchange{exchange: x, endpoint: endpoint}, nil
 }
 
-func endpoints(served []servedExchange) []loopback.Line {
-	var lines []loopback.Line
+func endpoints(served []servedExchange) []loopback.Endpoint {
+	var lines []loopback.Endpoint
 	for _, s := range served {
 		lines = append(lines, s.endpoint)
 	}
@@ -141,10 +141,10 @@
 		rows = append(rows, []string{
 			s.endpoint.ID,
 			strconv.Itoa(counters.SetUps),
-			strconv.Itoa(counters.Stood),
+			strconv.Itoa(counters.Established),
 			strconv.Itoa(counters.Rejected),
-			strconv.Itoa(counters.GivenUp),
-			strconv.Itoa(counters.Cut),
+			strconv.Itoa(counters.Canceled),
+			strconv.Itoa(counters.Dropped),
 			counters.Work.Round(time.Millisecond).String(),
 		})
 	}
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -108,7 +108,7 @@
 	server.Stop() // the watch misses changes, and their history is compacted
 	server.Set(prefix+"c", []byte("1"))
 	server.Set(prefix+"b", []byte("2"))
-	server.Forget()
+	server.CompactAll()
 	if err := server.Serve(); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/sim/cluster/comparison_test.go
+++ b/internal/sim/cluster/comparison_test.go
@@ -53,12 +53,12 @@
 		b.Fatal(err)
 	}
 	res, err := Play(b.Context(), Options{
-		Bin:      bin,
-		Dir:      b.TempDir(),
-		Topology: Topology{Controllers: 12, Exchanges: 12, Zones: 1},
-		Scenario: &sc,
-		Schedule: &Schedule{Seed: 1},
-		For:      sc.Length.D(),
+		Bin:          bin,
+		Dir:          b.TempDir(),
+		Topology:     Topology{Controllers: 12, Exchanges: 12, Zones: 1},
+		Scenario:     &sc,
+		Schedule:     &Schedule{Seed: 1},
+		CallDuration: sc.Length.D(),
 	})
 	if err != nil {
 		b.Fatal(err)
@@ -80,6 +80,6 @@
 			values = append(values, figure.of(day))
 		}
 		b.Logf("load %v, %s: virtual %.3f, days from %.3f to %.3f; sockets %.3f; rules broken %d", load, figure.name,
-			experiment.Bootstrap(values, false).Mean, slices.Min(values), slices.Max(values), figure.sockets, res.Broken)
+			experiment.Bootstrap(values, false).Mean, slices.Min(values), slices.Max(values), figure.sockets, res.ViolationCount)
 	}
 }
--- a/internal/sim/cluster/condition.go
+++ b/internal/sim/cluster/condition.go
@@ -92,7 +92,7 @@
 	}
 	for i, now := range r.loadStats() {
 		sent := now.Sent - before[i].Sent
-		established := now.Stood - before[i].Stood
+		established := now.Established - before[i].Established
 		if sent >= minRecoveryCalls && established*2 < sent {
 			name := r.controllers[i].name
 			r.violation(ruleRecovers, name,
--- a/internal/sim/cluster/controller.go
+++ b/internal/sim/cluster/controller.go
@@ -46,7 +46,7 @@
 	admin          string // address of the admin API
 	overloadListen string // address for datagrams of the other controllers
 
-	names           *loopback.Names
+	names           *loopback.NameService
 	discoveryProxy  *datagramProxy          // from the controller to discovery
 	adminProxy      *streamProxy            // from the agent to the admin API
 	exchangeProxies map[string]*streamProxy // by exchange; guarded by Run.mu
--- a/internal/sim/cluster/draw.go
+++ b/internal/sim/cluster/draw.go
@@ -12,15 +12,15 @@
 // scheduleStream is the stream of the random generator that schedules are drawn from.
 const scheduleStream = 16
 
-// Draw draws a schedule of count faults from a seed. All faults end within the first four fifths of length, so that
+// DrawSchedule draws a schedule of count faults from a seed. All faults end within the first four fifths of length, so that
 // the last fifth is free for recovery.
-func Draw(t *Topology, count int, length time.Duration, seed uint64) *Schedule {
+func DrawSchedule(t *Topology, count int, length time.Duration, seed uint64) *Schedule {
 	d := &drawer{topology: t, length: length, rng: rand.New(rand.NewPCG(seed, scheduleStream))}
 	s := &Schedule{Seed: seed}
 	for range count {
-		s.Step = append(s.Step, d.fault())
+		s.Faults = append(s.Faults, d.fault())
 	}
-	slices.SortFunc(s.Step, func(a, b *Fault) int { return cmp.Compare(a.At, b.At) })
+	slices.SortFunc(s.Faults, func(a, b *Fault) int { return cmp.Compare(a.At, b.At) })
 	return s
 }
 
--- a/internal/sim/cluster/exchange_slot.go
+++ b/internal/sim/cluster/exchange_slot.go
@@ -23,18 +23,18 @@
 
 	mu         sync.Mutex
 	exchange   *loopback.Exchange
-	endpoint   loopback.Line  // of exchange; its address differs for each controller
-	draining   *loopback.Line // the predecessor while it drains
-	generation int            // number of the next exchange
-	collapsed  bool           // the exchange went down while it was cold
-	empty      bool           // no exchange runs
+	endpoint   loopback.Endpoint  // of exchange; its address differs for each controller
+	draining   *loopback.Endpoint // the predecessor while it drains
+	generation int                // number of the next exchange
+	collapsed  bool               // the exchange went down while it was cold
+	empty      bool               // no exchange runs
 }
 
 // endpoints returns the endpoints that discovery lists for the slot.
-func (s *exchangeSlot) endpoints() []loopback.Line {
+func (s *exchangeSlot) endpoints() []loopback.Endpoint {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var all []loopback.Line
+	var all []loopback.Endpoint
 	if !s.empty {
 		all = append(all, s.endpoint)
 	}
@@ -55,7 +55,7 @@
 }
 
 // current returns the exchange and its endpoint, and whether the slot is free for a replacement.
-func (s *exchangeSlot) current() (*loopback.Exchange, loopback.Line, bool) {
+func (s *exchangeSlot) current() (*loopback.Exchange, loopback.Endpoint, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	isReplaceable := !s.empty && s.draining == nil
@@ -70,7 +70,7 @@
 }
 
 // setDraining notes the endpoint that drains; nil: none does.
-func (s *exchangeSlot) setDraining(endpoint *loopback.Line) {
+func (s *exchangeSlot) setDraining(endpoint *loopback.Endpoint) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.draining = endpoint
@@ -103,7 +103,7 @@
 	if s.generation > 0 {
 		id = fmt.Sprintf("%s.%d", s.name, s.generation)
 	}
-	endpoint := loopback.Line{ID: id, Addr: exchange.Addr(), Zone: zoneName(s.zone), Pool: s.pool}
+	endpoint := loopback.Endpoint{ID: id, Addr: exchange.Addr(), Zone: zoneName(s.zone), Pool: s.pool}
 	if cold {
 		endpoint.Started = time.Now()
 	}
@@ -123,7 +123,7 @@
 }
 
 // addExchangeProxy puts a proxy on the path from a controller to an exchange.
-func (r *Run) addExchangeProxy(c *controller, endpoint loopback.Line, slotName string) error {
+func (r *Run) addExchangeProxy(c *controller, endpoint loopback.Endpoint, slotName string) error {
 	target := func() string { return endpoint.Addr }
 	newObserver := func() observer { return r.monitor.observeSIP(c.name, endpoint.ID) }
 	p, err := newStreamProxy(c.name, slotName, target, newObserver)
@@ -150,10 +150,10 @@
 }
 
 // endpoints returns the exchanges as a controller reaches them.
-func (r *Run) endpoints(c *controller) []loopback.Line {
+func (r *Run) endpoints(c *controller) []loopback.Endpoint {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var all []loopback.Line
+	var all []loopback.Endpoint
 	for _, s := range r.slots {
 		for _, endpoint := range s.endpoints() {
 			if p := c.exchangeProxies[endpoint.ID]; p != nil {
--- a/internal/sim/cluster/inject.go
+++ b/internal/sim/cluster/inject.go
@@ -59,16 +59,16 @@
 	during := f.Duration.D()
 	switch f.Kind {
 	case FaultSlowdown:
-		server.Do(func(x *exchange.Exchange, _ exchange.Time) { x.Slow(f.Factor) })
+		server.Do(func(x *exchange.Exchange, _ exchange.Time) { x.SetSlowdown(f.Factor) })
 		pause(ctx, during)
-		server.Do(func(x *exchange.Exchange, _ exchange.Time) { x.Slow(1) })
+		server.Do(func(x *exchange.Exchange, _ exchange.Time) { x.SetSlowdown(1) })
 	case FaultHang:
-		server.Do(func(x *exchange.Exchange, now exchange.Time) { x.Hang(now, true) })
+		server.Do(func(x *exchange.Exchange, now exchange.Time) { x.SetHung(now, true) })
 		pause(ctx, during)
-		server.Do(func(x *exchange.Exchange, now exchange.Time) { x.Hang(now, false) })
+		server.Do(func(x *exchange.Exchange, now exchange.Time) { x.SetHung(now, false) })
 	case FaultDropCalls:
 		server.Do(func(x *exchange.Exchange, now exchange.Time) {
-			x.Cutting(now, int(f.Fraction*float64(x.Standing())))
+			x.DropCalls(now, int(f.Fraction*float64(x.EstablishedCalls())))
 		})
 	case FaultCrash:
 		r.crashExchange(ctx, f, s)
@@ -102,7 +102,7 @@
 	s.setDraining(&draining)
 	r.startSuccessor(s)
 	pause(ctx, f.Duration.D())
-	server.Do(func(x *exchange.Exchange, now exchange.Time) { x.Cutting(now, x.Standing()) })
+	server.Do(func(x *exchange.Exchange, now exchange.Time) { x.DropCalls(now, x.EstablishedCalls()) })
 	pause(ctx, dropNoticePeriod)
 	s.setDraining(nil)
 	r.endExchange(server, endpoint)
@@ -110,7 +110,7 @@
 }
 
 // endExchange ends an exchange: its connections are reset, and nothing listens at its addresses.
-func (r *Run) endExchange(server *loopback.Exchange, endpoint loopback.Line) {
+func (r *Run) endExchange(server *loopback.Exchange, endpoint loopback.Endpoint) {
 	server.Close()
 	r.closeExchangeProxies(endpoint.ID)
 }
--- a/internal/sim/cluster/inject_peer.go
+++ b/internal/sim/cluster/inject_peer.go
@@ -32,8 +32,8 @@
 	overloaded := f.Fraction > 0
 	end := time.Now().Add(f.Duration.D())
 	for sequence := uint32(1); time.Now().Before(end); sequence++ {
-		report := overloadpeers.Report(c.number, forgedIncarnation, sequence, servers, overloaded)
-		update := overloadpeers.Word(c.number, forgedIncarnation, sequence, servers, overloaded)
+		report := overloadpeers.FalseLoadReport(c.number, forgedIncarnation, sequence, servers, overloaded)
+		update := overloadpeers.FalseLimitUpdate(c.number, forgedIncarnation, sequence, servers, overloaded)
 		r.sendToPeers(socket, c, r.sign(report), r.sign(update))
 		if !pause(ctx, forgeryInterval) {
 			return
--- a/internal/sim/cluster/inject_process.go
+++ b/internal/sim/cluster/inject_process.go
@@ -40,10 +40,10 @@
 	if p == nil {
 		return
 	}
-	r.monitor.record(invariant.Event{Kind: invariant.Paused, Node: c.name, On: true})
+	r.monitor.record(invariant.Event{Kind: invariant.ControllerPaused, Controller: c.name, IsSet: true})
 	_ = p.signal(syscall.SIGSTOP)
 	pause(ctx, f.Duration.D())
-	r.monitor.record(invariant.Event{Kind: invariant.Paused, Node: c.name})
+	r.monitor.record(invariant.Event{Kind: invariant.ControllerPaused, Controller: c.name})
 	_ = p.signal(syscall.SIGCONT)
 	c.endFault(controllerPaused)
 }
@@ -55,7 +55,7 @@
 		return
 	}
 	r.load.Pause(c.number, true)
-	r.monitor.record(invariant.Event{Kind: invariant.Killed, Node: c.name})
+	r.monitor.record(invariant.Event{Kind: invariant.ControllerEnded, Controller: c.name})
 	_ = p.signal(syscall.SIGKILL)
 	awaitExit(ctx, p)
 	r.awaitRestart(ctx, c)
@@ -71,7 +71,7 @@
 	pause(ctx, terminationNotice)
 	r.load.Pause(c.number, true)
 	awaitExit(ctx, p)
-	r.monitor.record(invariant.Event{Kind: invariant.Killed, Node: c.name})
+	r.monitor.record(invariant.Event{Kind: invariant.ControllerEnded, Controller: c.name})
 	r.awaitRestart(ctx, c)
 }
 
--- a/internal/sim/cluster/inject_store.go
+++ b/internal/sim/cluster/inject_store.go
@@ -34,7 +34,7 @@
 		pause(ctx, f.Duration.D())
 		r.etcd.LoseResponses(0)
 	case FaultCompaction:
-		r.etcd.Forget()
+		r.etcd.CompactAll()
 	case FaultRestore:
 		r.etcd.Set(restoreMarkKey, []byte(f.String()))
 		if err := r.etcd.Restore(r.etcd.Revision()-1, true); err != nil {
--- a/internal/sim/cluster/instance.go
+++ b/internal/sim/cluster/instance.go
@@ -20,9 +20,9 @@
 	Records         string // folder
 	Zone            string
 	Seed            uint64
-	FleetSize       int             // controllers of the fleet
-	OverloadControl map[string]any  // section [share] of the operator's file; nil: it takes no part
-	Endpoints       []loopback.Line // exchanges, as the platform lists them to a controller that starts
+	FleetSize       int                 // controllers of the fleet
+	OverloadControl map[string]any      // section [share] of the operator's file; nil: it takes no part
+	Endpoints       []loopback.Endpoint // exchanges, as the platform lists them to a controller that starts
 }
 
 // Limits of a controller's process.
--- a/internal/sim/cluster/monitor.go
+++ b/internal/sim/cluster/monitor.go
@@ -32,7 +32,7 @@
 const clockSlack = 150 * time.Millisecond
 
 func newMonitor(startTime time.Time) *monitor {
-	limits := invariant.Defaults()
+	limits := invariant.DefaultLimits()
 	limits.Slack = clockSlack
 	return &monitor{
 		startTime: startTime,
@@ -52,8 +52,8 @@
 func (m *monitor) recordLocked(e invariant.Event) {
 	m.lastEventTime = max(time.Since(m.startTime), m.lastEventTime)
 	e.At = m.lastEventTime
-	e.Until += e.At
-	m.checker.See(e)
+	e.Deadline += e.At
+	m.checker.Record(e)
 }
 
 // publish has discovery publish an update by the function publish. Updates are made one after the other, so that the
@@ -104,7 +104,7 @@
 			isClosed := !update[id]
 			if isClosed != closed[id] {
 				closed[id] = isClosed
-				m.recordLocked(invariant.Event{Kind: invariant.Told, Node: controller, Server: id, On: isClosed})
+				m.recordLocked(invariant.Event{Kind: invariant.ServerUpdated, Controller: controller, Server: id, IsSet: isClosed})
 			}
 		}
 	}
@@ -134,16 +134,16 @@
 func (m *monitor) violations(injected []InjectedFault) []Violation {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.checker.End(time.Since(m.startTime))
+	m.checker.Finish(time.Since(m.startTime))
 	var all []Violation
-	for _, b := range m.checker.Breaches() {
-		v := Violation{Rule: string(b.Rule), Text: b.Text, Node: b.Node, Call: b.Call, At: b.At.Seconds()}
+	for _, b := range m.checker.Violations() {
+		v := Violation{Rule: string(b.Rule), Text: b.Text, Node: b.Controller, Call: b.Call, At: b.At.Seconds()}
 		for _, f := range injected {
 			if f.At <= v.At {
 				v.LatestFault = f.Fault.String()
 			}
 		}
-		for _, e := range b.Around {
+		for _, e := range b.Events {
 			v.Around = append(v.Around, e.String())
 		}
 		all = append(all, v)
--- a/internal/sim/cluster/overload_test.go
+++ b/internal/sim/cluster/overload_test.go
@@ -54,7 +54,7 @@
 	if testing.Short() {
 		t.Skip("starts processes")
 	}
-	s := &Schedule{Seed: 5, Step: []*Fault{
+	s := &Schedule{Seed: 5, Faults: []*Fault{
 		{At: at(2), Duration: at(8), Kind: FaultDatagramLoss, From: []string{"n*"}, To: []string{"n*"}, Fraction: 0.3},
 		{At: at(2.5), Duration: at(3), Kind: FaultPause, From: []string{"n4"}},
 		{At: at(3), Duration: at(3), Kind: FaultPartition, Name: "half", From: []string{"n0", "n2", "n6", "n8"}, To: []string{"n1", "n3", "n5", "n7"}},
@@ -101,8 +101,8 @@
 		{Name: "one_aggregator", After: 11 * time.Second, Deadline: 16 * time.Second, Check: checkOneAggregator},
 	}
 	res := playWithoutViolations(t, o)
-	if killed == "" || len(res.Struck) != len(s.Step) {
-		t.Errorf("%q was killed, %d of %d faults were injected", killed, len(res.Struck), len(s.Step))
+	if killed == "" || len(res.InjectedFaults) != len(s.Faults) {
+		t.Errorf("%q was killed, %d of %d faults were injected", killed, len(res.InjectedFaults), len(s.Faults))
 	}
 	for _, z := range res.Zones {
 		if z.Established*10 < z.Sent*3 {
--- a/internal/sim/cluster/page.go
+++ b/internal/sim/cluster/page.go
@@ -10,17 +10,17 @@
 // minPlotSamples is the number of samples from which a curve is drawn.
 const minPlotSamples = 3
 
-// Part returns the run as a part of a page: its faults and violations beside what the callers of each zone got.
-func (r *Result) Part() (plot.Part, error) {
+// PagePart returns the run as a part of a page: its faults and violations beside what the callers of each zone got.
+func (r *Result) PagePart() (plot.Part, error) {
 	t := &r.Topology
 	about := fmt.Sprintf("%d call controllers, %d exchanges, %d zones with an agent each; calls for %.0f s. "+
 		"%d events captured, rules violated %d times.",
-		t.Controllers, t.Exchanges, t.Zones, r.Duration, r.Seen, r.Broken)
+		t.Controllers, t.Exchanges, t.Zones, r.Duration, r.EventCount, r.ViolationCount)
 	p := plot.Part{Title: fmt.Sprintf("Seed %d", r.Seed), About: about}
-	for _, f := range r.Struck {
+	for _, f := range r.InjectedFaults {
 		p.Facts = append(p.Facts, f.Fault.String())
 	}
-	for _, v := range r.Breaches {
+	for _, v := range r.Violations {
 		p.Facts = append(p.Facts, "broken: "+v.String())
 	}
 	p.Heading, p.Rows = r.Rows()
--- a/internal/sim/cluster/parentwatch.go
+++ b/internal/sim/cluster/parentwatch.go
@@ -21,8 +21,8 @@
 	writeEnd      *os.File
 }
 
-// Hold kills the process pid when the pipe at path ends, and returns when that process has ended.
-func Hold(path string, pid int) error {
+// KillWithParent kills the process pid when the pipe at path ends, and returns when that process has ended.
+func KillWithParent(path string, pid int) error {
 	process, err := unix.PidfdOpen(pid, 0)
 	if err != nil {
 		return fmt.Errorf("hold %d: %w", pid, err)
--- a/internal/sim/cluster/parentwatch_test.go
+++ b/internal/sim/cluster/parentwatch_test.go
@@ -117,7 +117,7 @@
 		t.Fatal(err)
 	}
 	held := make(chan error, 1)
-	go func() { held <- Hold(path, c.Process.Pid) }()
+	go func() { held <- KillWithParent(path, c.Process.Pid) }()
 	select {
 	case err := <-held:
 		if err != nil {
--- a/internal/sim/cluster/play.go
+++ b/internal/sim/cluster/play.go
@@ -25,7 +25,7 @@
 	loadDone := make(chan error, 1)
 	go func() { loadDone <- r.load.Run(ctx) }()
 	var planned sync.WaitGroup
-	for _, f := range r.options.Schedule.Step {
+	for _, f := range r.options.Schedule.Faults {
 		planned.Go(func() { r.inject(ctx, f) })
 	}
 	for _, c := range r.options.Conditions {
@@ -38,7 +38,7 @@
 	observers.Go(func() { r.takeSamples(observing) })
 	var beforeRecovery []loopback.LoadStats
 	observers.Go(func() {
-		if r.sleepUntil(observing, r.options.For*4/5) {
+		if r.sleepUntil(observing, r.options.CallDuration*4/5) {
 			beforeRecovery = r.loadStats()
 		}
 	})
@@ -95,7 +95,7 @@
 	for i, stats := range r.loadStats() {
 		zone := r.controllers[i].zone
 		s.Sent[zone] += stats.Sent
-		s.Established[zone] += stats.Stood
+		s.Established[zone] += stats.Established
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -121,13 +121,13 @@
 			if c.detectCrash() {
 				r.violation(ruleNoCrash, c.name,
 					"%s ended though the run did not end it; its log is in %s", c.name, r.logFile.Name())
-				r.monitor.record(invariant.Event{Kind: invariant.Killed, Node: c.name})
+				r.monitor.record(invariant.Event{Kind: invariant.ControllerEnded, Controller: c.name})
 				restarts.Go(func() { r.awaitRestart(ctx, c) })
 			}
 		}
 		for _, s := range r.slots {
 			if id, ok := s.detectCollapse(); ok {
-				r.monitor.record(invariant.Event{Kind: invariant.PushedOver, Server: id})
+				r.monitor.record(invariant.Event{Kind: invariant.ServerCrashed, Server: id})
 				r.closeExchangeProxies(id)
 			}
 		}
--- a/internal/sim/cluster/proxy_test.go
+++ b/internal/sim/cluster/proxy_test.go
@@ -18,7 +18,7 @@
 	if len(os.Args) == 4 && os.Args[1] == "hold" {
 		pid, err := strconv.Atoi(os.Args[3])
 		if err == nil {
-			err = Hold(os.Args[2], pid)
+			err = KillWithParent(os.Args[2], pid)
 		}
 		if err != nil {
 			os.Exit(1)
--- a/internal/sim/cluster/result.go
+++ b/internal/sim/cluster/result.go
@@ -24,15 +24,15 @@
 
 // A Result is the outcome of a run. Its JSON is the output of `olivesim run --json`.
 type Result struct {
-	Seed     uint64          `json:"seed"`
-	Topology Topology        `json:"topology"`
-	Duration float64         `json:"for_s"` // how long calls were offered
-	Zones    []ZoneStats     `json:"zones"`
-	Struck   []InjectedFault `json:"struck"`
-	Breaches []Violation     `json:"breaches"`
-	// Broken counts all violations, also those that are not among Breaches.
-	Broken            int       `json:"broken"`
-	Seen              int       `json:"seen"`   // events captured
+	Seed           uint64          `json:"seed"`
+	Topology       Topology        `json:"topology"`
+	Duration       float64         `json:"for_s"` // how long calls were offered
+	Zones          []ZoneStats     `json:"zones"`
+	InjectedFaults []InjectedFault `json:"struck"`
+	Violations     []Violation     `json:"breaches"`
+	// ViolationCount counts all violations, also those that are not among Breaches.
+	ViolationCount    int       `json:"broken"`
+	EventCount        int       `json:"seen"`   // events captured
 	UnreadableStreams int       `json:"unread"` // streams that could not be parsed to their end
 	Samples           []Sample  `json:"course"`
 	Schedule          *Schedule `json:"schedule"`
@@ -45,11 +45,11 @@
 	res := &Result{
 		Seed:              r.options.Schedule.Seed,
 		Topology:          r.options.Topology,
-		Duration:          r.options.For.Seconds(),
-		Struck:            r.injected,
-		Breaches:          append(r.monitor.violations(r.injected), r.violations...),
-		Broken:            r.monitor.checker.Total() + len(r.violations),
-		Seen:              r.monitor.checker.Seen(),
+		Duration:          r.options.CallDuration.Seconds(),
+		InjectedFaults:    r.injected,
+		Violations:        append(r.monitor.violations(r.injected), r.violations...),
+		ViolationCount:    r.monitor.checker.Total() + len(r.violations),
+		EventCount:        r.monitor.checker.EventCount(),
 		UnreadableStreams: r.monitor.unreadableStreams,
 		Samples:           r.samples,
 		Schedule:          r.options.Schedule,
@@ -72,9 +72,9 @@
 	return ZoneStats{
 		Name:        zoneName(zone),
 		Sent:        s.Sent,
-		Established: s.Stood,
-		Rejected:    s.Refused,
-		Failed:      s.Failed + s.Lost + s.GaveUp,
+		Established: s.Established,
+		Rejected:    s.Rejected,
+		Failed:      s.Failed + s.Lost + s.Abandoned,
 		Dropped:     s.Dropped,
 		P50:         milliseconds(50),
 		P99:         milliseconds(99),
--- a/internal/sim/cluster/run.go
+++ b/internal/sim/cluster/run.go
@@ -22,14 +22,14 @@
 
 // Options say what Play runs.
 type Options struct {
-	Bin        string // folder of olivedale, oliveagent and olivesim
-	Dir        string // folder for files and records; Play makes it and leaves it
-	Topology   Topology
-	Scenario   *scenario.Scenario // exchanges and callers; its fleet and faults are not used
-	Schedule   *Schedule
-	For        time.Duration // how long calls are offered
-	Conditions []Condition
-	Out        io.Writer // progress, as text; nil: none
+	Bin          string // folder of olivedale, oliveagent and olivesim
+	Dir          string // folder for files and records; Play makes it and leaves it
+	Topology     Topology
+	Scenario     *scenario.Scenario // exchanges and callers; its fleet and faults are not used
+	Schedule     *Schedule
+	CallDuration time.Duration // how long calls are offered
+	Conditions   []Condition
+	Out          io.Writer // progress, as text; nil: none
 }
 
 // A Run is a cluster that runs. Its exported methods are safe for concurrent use while it does.
--- a/internal/sim/cluster/run_test.go
+++ b/internal/sim/cluster/run_test.go
@@ -48,7 +48,7 @@
 	}
 	sc := scenario.Default()
 	sc.Callers.Load = 0.6
-	return Options{Bin: bin, Dir: t.TempDir(), Topology: Topology{Controllers: 6, Exchanges: 3, Zones: 3}, Scenario: &sc, Schedule: s, For: length}
+	return Options{Bin: bin, Dir: t.TempDir(), Topology: Topology{Controllers: 6, Exchanges: 3, Zones: 3}, Scenario: &sc, Schedule: s, CallDuration: length}
 }
 
 // killedRunDir is the environment variable that makes TestKilledRunLeavesNoProcess the run that is killed.
@@ -62,7 +62,7 @@
 	if testing.Short() {
 		t.Skip("starts processes")
 	}
-	s := &Schedule{Seed: 3, Step: []*Fault{
+	s := &Schedule{Seed: 3, Faults: []*Fault{
 		{At: at(0.5), Duration: at(2), Kind: FaultPartition, Name: "zone", From: []string{"z1"}, To: []string{"x0", "x2"}},
 		{At: at(1), Kind: FaultKill, From: []string{"n0"}},
 		{At: at(1.5), Duration: at(1.5), Kind: FaultPause, From: []string{"n1"}},
@@ -78,8 +78,8 @@
 	o := options(t, s, 10*time.Second)
 	o.Conditions = []Condition{{Name: "started_again", After: 4500 * time.Millisecond, Deadline: 9 * time.Second, Check: checkStartedAgain}}
 	res := playWithoutViolations(t, o)
-	if len(res.Struck) != len(s.Step) || res.Seen < 1000 || res.UnreadableStreams != 0 {
-		t.Errorf("%d of %d faults, %d events, %d streams unread", len(res.Struck), len(s.Step), res.Seen, res.UnreadableStreams)
+	if len(res.InjectedFaults) != len(s.Faults) || res.EventCount < 1000 || res.UnreadableStreams != 0 {
+		t.Errorf("%d of %d faults, %d events, %d streams unread", len(res.InjectedFaults), len(s.Faults), res.EventCount, res.UnreadableStreams)
 	}
 	for _, z := range res.Zones {
 		if z.Sent < 100 || z.Established*10 < z.Sent*6 {
@@ -89,10 +89,10 @@
 	if err := res.Save(o.Dir); err != nil {
 		t.Fatal(err)
 	}
-	if p, err := res.Part(); err != nil || len(p.Plots) != 1 || len(p.Facts) != len(s.Step) || len(res.Samples) < 8 {
+	if p, err := res.PagePart(); err != nil || len(p.Plots) != 1 || len(p.Facts) != len(s.Faults) || len(res.Samples) < 8 {
 		t.Errorf("as a page: %v, %d plots, %q, %d seconds", err, len(p.Plots), p.Facts, len(res.Samples))
 	}
-	if saved, err := Load(filepath.Join(o.Dir, "schedule.toml")); err != nil || len(saved.Step) != len(s.Step) {
+	if saved, err := LoadSchedule(filepath.Join(o.Dir, "schedule.toml")); err != nil || len(saved.Faults) != len(s.Faults) {
 		t.Errorf("the saved schedule: %v", err)
 	}
 	for _, name := range []string{"n0", "n3"} { // killed, and with a full disk
@@ -143,7 +143,7 @@
 	if err != nil {
 		t.Fatalf("%v\n%s", err, out.String())
 	}
-	for _, b := range res.Breaches {
+	for _, b := range res.Violations {
 		t.Errorf("%v\n  %s", b, strings.Join(b.Around, "\n  "))
 	}
 	return res
@@ -155,7 +155,7 @@
 	if testing.Short() {
 		t.Skip("starts processes")
 	}
-	o := options(t, &Schedule{Seed: 1, Step: []*Fault{{At: at(0.1), Duration: at(0.2), Kind: FaultSlowdown, From: []string{"x0"}, Factor: 2}}}, 3*time.Second)
+	o := options(t, &Schedule{Seed: 1, Faults: []*Fault{{At: at(0.1), Duration: at(0.2), Kind: FaultSlowdown, From: []string{"x0"}, Factor: 2}}}, 3*time.Second)
 	o.Topology = Topology{Controllers: 2, Exchanges: 2, Zones: 1}
 	o.Conditions = []Condition{
 		{Name: "never", After: 500 * time.Millisecond, Deadline: time.Second, Check: func(context.Context, *Run) error { return errors.New("it does not") }},
@@ -173,7 +173,7 @@
 		t.Fatal(err)
 	}
 	var found []string
-	for _, b := range res.Breaches {
+	for _, b := range res.Violations {
 		found = append(found, b.Rule)
 		if !strings.Contains(b.LatestFault, "slow x0") {
 			t.Errorf("%v does not name the fault before it", b)
--- a/internal/sim/cluster/schedule.go
+++ b/internal/sim/cluster/schedule.go
@@ -11,8 +11,8 @@
 // A Schedule is the faults of a run. Load reads it from a file that Save wrote.
 type Schedule struct {
 	// Seed is the seed that the schedule was drawn from; callers and proxies draw from it as well.
-	Seed uint64   `toml:"seed" json:"seed"`
-	Step []*Fault `toml:"step" json:"step"`
+	Seed   uint64   `toml:"seed" json:"seed"`
+	Faults []*Fault `toml:"step" json:"step"`
 }
 
 // maxFaults bounds a schedule.
@@ -20,10 +20,10 @@
 
 // Check returns why the schedule cannot be played on a topology.
 func (s *Schedule) Check(t *Topology) error {
-	if len(s.Step) > maxFaults {
-		return fmt.Errorf("schedule: %d steps, %d at most", len(s.Step), maxFaults)
+	if len(s.Faults) > maxFaults {
+		return fmt.Errorf("schedule: %d steps, %d at most", len(s.Faults), maxFaults)
 	}
-	for i, f := range s.Step {
+	for i, f := range s.Faults {
 		if err := f.check(t); err != nil {
 			return fmt.Errorf("schedule: step %d (%s): %w", i+1, f.Kind, err)
 		}
@@ -31,8 +31,8 @@
 	return nil
 }
 
-// Load reads a schedule from a file. An unknown key or kind of fault is an error.
-func Load(path string) (*Schedule, error) {
+// LoadSchedule reads a schedule from a file. An unknown key or kind of fault is an error.
+func LoadSchedule(path string) (*Schedule, error) {
 	s := &Schedule{}
 	meta, err := toml.DecodeFile(path, s)
 	if err != nil {
--- a/internal/sim/cluster/schedule_golden_test.go
+++ b/internal/sim/cluster/schedule_golden_test.go
@@ -74,7 +74,7 @@
 		for _, share := range []bool{false, true} {
 			top := &Topology{Controllers: fleet.Controllers, Exchanges: fleet.Exchanges, Zones: fleet.Zones, Share: share}
 			for seed := range uint64(goldenSeeds) {
-				fmt.Fprintf(&lines, "%s share=%t seed=%d %s\n", name, share, seed, scheduleHash(t, Draw(top, 12, 20*time.Second, seed)))
+				fmt.Fprintf(&lines, "%s share=%t seed=%d %s\n", name, share, seed, scheduleHash(t, DrawSchedule(top, 12, 20*time.Second, seed)))
 			}
 		}
 	}
@@ -94,7 +94,7 @@
 	}
 	hash := sha256.New()
 	_, _ = hash.Write(text)
-	for _, fault := range s.Step {
+	for _, fault := range s.Faults {
 		_, _ = fmt.Fprintln(hash, fault)
 	}
 	return hex.EncodeToString(hash.Sum(nil)[:16])
--- a/internal/sim/cluster/schedule_test.go
+++ b/internal/sim/cluster/schedule_test.go
@@ -19,22 +19,22 @@
 	for seed := range uint64(200) {
 		top := &Topology{Controllers: 1 + int(seed%24), Exchanges: 1 + int(seed%7), Zones: 1 + int(seed%3), Share: seed%2 == 0}
 		top.Zones = min(top.Zones, top.Controllers)
-		s := Draw(top, 8, 20*time.Second, seed)
+		s := DrawSchedule(top, 8, 20*time.Second, seed)
 		if err := s.Check(top); err != nil {
 			t.Fatalf("seed %d, %+v: %v", seed, *top, err)
 		}
-		if !reflect.DeepEqual(s, Draw(top, 8, 20*time.Second, seed)) {
+		if !reflect.DeepEqual(s, DrawSchedule(top, 8, 20*time.Second, seed)) {
 			t.Fatalf("seed %d: the second draw differs from the first", seed)
 		}
 		path := filepath.Join(t.TempDir(), "s.toml")
 		if err := s.Save(path); err != nil {
 			t.Fatal(err)
 		}
-		loaded, err := Load(path)
+		loaded, err := LoadSchedule(path)
 		if err != nil || !reflect.DeepEqual(s, loaded) {
 			t.Fatalf("seed %d: the schedule that was read differs from the one written: %v", seed, err)
 		}
-		for _, x := range s.Step {
+		for _, x := range s.Faults {
 			kinds[x.Kind] = true
 			if end := x.At.D() + x.Duration.D(); end > 16*time.Second {
 				t.Errorf("seed %d: %v ends at %v, the last fifth is for recovery", seed, x, end)
@@ -56,7 +56,7 @@
 	if err := os.WriteFile(unknown, []byte("seed = 1\n[[step]]\nkind = \"melt\"\nfrom = [\"n0\"]\n"), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	if _, err := Load(unknown); err == nil || !strings.Contains(err.Error(), `"melt" is none of cut`) {
+	if _, err := LoadSchedule(unknown); err == nil || !strings.Contains(err.Error(), `"melt" is none of cut`) {
 		t.Errorf("a file with an unknown kind of fault: %v", err)
 	}
 	for _, c := range []struct {
@@ -73,7 +73,7 @@
 		{Fault{Kind: FaultHang, From: []string{"a0"}, Duration: long}, "a0 cannot have the fault hang"},
 		{Fault{Kind: FaultNoLeader, From: []string{"n0"}, Duration: long}, "n0 cannot have the fault no_leader"},
 	} {
-		err := (&Schedule{Step: []*Fault{&c.step}}).Check(top)
+		err := (&Schedule{Faults: []*Fault{&c.step}}).Check(top)
 		if err == nil || !strings.Contains(err.Error(), c.want) || !strings.Contains(err.Error(), "step 1") {
 			t.Errorf("%+v: %v, want %q", c.step, err, c.want)
 		}
@@ -119,27 +119,27 @@
 		{"sent again at once after it was abandoned", func(_ *monitor, first, second observer) {
 			first(Forward, []byte(invite("1")+cancel))
 			second(Forward, []byte(invite("2")))
-		}, invariant.ReleaseKept},
+		}, invariant.RetryGuardRespected},
 		{"sent again at once after its connection broke", func(_ *monitor, first, second observer) {
 			first(Forward, []byte(invite("1")))
 			first(Forward, nil)
 			second(Forward, []byte(invite("2")))
-		}, invariant.ReleaseKept},
+		}, invariant.RetryGuardRespected},
 		{"sent to a draining exchange", func(m *monitor, first, _ observer) {
 			m.startTime = m.startTime.Add(-time.Minute)
-			m.checker.See(invariant.Event{At: time.Second, Kind: invariant.Told, Node: "n0", Server: "x0", On: true})
+			m.checker.Record(invariant.Event{At: time.Second, Kind: invariant.ServerUpdated, Controller: "n0", Server: "x0", IsSet: true})
 			first(Forward, []byte(invite("1")))
-		}, invariant.DrainsKept},
+		}, invariant.DrainRespected},
 		{"two final answers", func(m *monitor, first, _ observer) {
-			m.record(invariant.Event{Kind: invariant.Stands, Node: "n0", Call: "c1"})
-			m.record(invariant.Event{Kind: invariant.Stands, Node: "n0", Call: "c1"})
+			m.record(invariant.Event{Kind: invariant.CallEstablished, Controller: "n0", Call: "c1"})
+			m.record(invariant.Event{Kind: invariant.CallEstablished, Controller: "n0", Call: "c1"})
 		}, invariant.OneAnswer},
 	} {
 		m := newMonitor(time.Now())
-		m.record(invariant.Event{Kind: invariant.SetUp, Node: "n0", Call: "c1", Until: time.Hour})
+		m.record(invariant.Event{Kind: invariant.CallOffered, Controller: "n0", Call: "c1", Deadline: time.Hour})
 		c.play(m, m.observeSIP("n0", "x0"), m.observeSIP("n0", "x1"))
 		got := invariant.Rule("")
-		if all := m.checker.Breaches(); len(all) > 0 {
+		if all := m.checker.Violations(); len(all) > 0 {
 			got = all[0].Rule
 		}
 		if got != c.want || m.unreadableStreams != 0 {
@@ -152,37 +152,37 @@
 // meanwhile when it continues; all other rules hold as before.
 func TestPausedControllerIsExcused(t *testing.T) {
 	t.Parallel()
-	c := invariant.New(invariant.Defaults())
+	c := invariant.New(invariant.DefaultLimits())
 	at := func(s float64, k invariant.Kind, on bool) {
-		c.See(invariant.Event{At: time.Duration(s * float64(time.Second)), Kind: k, Node: "n0", Call: "c1", Server: "x0", On: on, Until: 2 * time.Second})
-	}
-	at(1, invariant.SetUp, false)
-	at(1.5, invariant.Told, true)
-	at(1.5, invariant.Paused, true)
-	at(6, invariant.Paused, false)
-	at(6.1, invariant.Invite, false)
-	at(6.2, invariant.Refused, false)
-	for _, b := range c.Breaches() { // that it was sent on after its caller's time among them
+		c.Record(invariant.Event{At: time.Duration(s * float64(time.Second)), Kind: k, Controller: "n0", Call: "c1", Server: "x0", IsSet: on, Deadline: 2 * time.Second})
+	}
+	at(1, invariant.CallOffered, false)
+	at(1.5, invariant.ServerUpdated, true)
+	at(1.5, invariant.ControllerPaused, true)
+	at(6, invariant.ControllerPaused, false)
+	at(6.1, invariant.AttemptSent, false)
+	at(6.2, invariant.CallRejected, false)
+	for _, b := range c.Violations() { // that it was sent on after its caller's time among them
 		t.Errorf("%v", b)
 	}
-	c.See(invariant.Event{At: 7 * time.Second, Kind: invariant.SetUp, Node: "n0", Call: "c2", Until: 8 * time.Second})
-	c.See(invariant.Event{At: 8500 * time.Millisecond, Kind: invariant.Invite, Node: "n0", Call: "c2", Server: "x0"})
-	if c.Count(invariant.InTime) != 1 || c.Count(invariant.DrainsKept) != 1 {
-		t.Errorf("after it continued: %d in_time, %d drains_kept, want 1 each", c.Count(invariant.InTime), c.Count(invariant.DrainsKept))
+	c.Record(invariant.Event{At: 7 * time.Second, Kind: invariant.CallOffered, Controller: "n0", Call: "c2", Deadline: 8 * time.Second})
+	c.Record(invariant.Event{At: 8500 * time.Millisecond, Kind: invariant.AttemptSent, Controller: "n0", Call: "c2", Server: "x0"})
+	if c.Count(invariant.InTime) != 1 || c.Count(invariant.DrainRespected) != 1 {
+		t.Errorf("after it continued: %d in_time, %d drains_kept, want 1 each", c.Count(invariant.InTime), c.Count(invariant.DrainRespected))
 	}
 }
 
 // TestShrinkFindsNecessaryFaults finds the two faults that a failure needs, though one play in three hides it.
 func TestShrinkFindsNecessaryFaults(t *testing.T) {
 	t.Parallel()
-	whole := Draw(&Topology{Controllers: 4, Exchanges: 2, Zones: 2}, 12, 20*time.Second, 5)
-	necessary := []*Fault{whole.Step[2], whole.Step[9]}
+	whole := DrawSchedule(&Topology{Controllers: 4, Exchanges: 2, Zones: 2}, 12, 20*time.Second, 5)
+	necessary := []*Fault{whole.Faults[2], whole.Faults[9]}
 	plays := 0
 	shrunk, err := Shrink(t.Context(), whole, 3, func(s *Schedule) (bool, error) {
 		plays++
-		return plays%3 != 0 && slices.Contains(s.Step, necessary[0]) && slices.Contains(s.Step, necessary[1]), nil
+		return plays%3 != 0 && slices.Contains(s.Faults, necessary[0]) && slices.Contains(s.Faults, necessary[1]), nil
 	})
-	if err != nil || shrunk == nil || !slices.Equal(shrunk.Step, necessary) || shrunk.Seed != whole.Seed {
+	if err != nil || shrunk == nil || !slices.Equal(shrunk.Faults, necessary) || shrunk.Seed != whole.Seed {
 		t.Fatalf("%+v, %v after %d plays", shrunk, err, plays)
 	}
 	shrunk, err = Shrink(t.Context(), whole, 3, func(*Schedule) (bool, error) { return false, nil })
@@ -204,7 +204,7 @@
 	}
 	top := &Topology{Controllers: sc.Fleet.Controllers, Exchanges: sc.Fleet.Exchanges, Zones: sc.Fleet.Zones}
 	for _, path := range paths {
-		s, err := Load(path)
+		s, err := LoadSchedule(path)
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/sim/cluster/shrink.go
+++ b/internal/sim/cluster/shrink.go
@@ -12,7 +12,7 @@
 // played up to tries times, and counts as good if none of the plays fails.
 func Shrink(ctx context.Context, s *Schedule, tries int, fails func(*Schedule) (bool, error)) (*Schedule, error) {
 	k := &shrinker{seed: s.Seed, tries: tries, fails: fails}
-	faults := slices.Clone(s.Step)
+	faults := slices.Clone(s.Faults)
 	if failed, err := k.failsWith(ctx, faults); err != nil || !failed {
 		return nil, err
 	}
@@ -26,7 +26,7 @@
 		}
 		faults = smaller
 	}
-	return &Schedule{Seed: s.Seed, Step: faults}, nil
+	return &Schedule{Seed: s.Seed, Faults: faults}, nil
 }
 
 // A shrinker plays the schedules that Shrink tries.
@@ -59,7 +59,7 @@
 		if err := ctx.Err(); err != nil {
 			return false, err
 		}
-		failed, err := k.fails(&Schedule{Seed: k.seed, Step: faults})
+		failed, err := k.fails(&Schedule{Seed: k.seed, Faults: faults})
 		if err != nil || failed {
 			return failed, err
 		}
--- a/internal/sim/cluster/sip_observer.go
+++ b/internal/sim/cluster/sip_observer.go
@@ -57,27 +57,27 @@
 	o.ended = [directions]bool{true, true}
 	for a := range o.open {
 		o.monitor.record(invariant.Event{
-			Kind: invariant.Broke, Node: o.controller, Call: a.Call, Server: o.server, N: a.N,
+			Kind: invariant.AttemptBroken, Controller: o.controller, Call: a.Call, Server: o.server, Attempt: a.Number,
 		})
 	}
 }
 
 // take records a message that concerns an attempt.
 func (o *sipObserver) take(direction Direction, m *sip.Message) {
-	event := invariant.Event{Node: o.controller, Call: m.CallID, Server: o.server, N: m.CSeq - 1}
-	attempt := exchange.Attempt{Call: event.Call, N: event.N}
+	event := invariant.Event{Controller: o.controller, Call: m.CallID, Server: o.server, Attempt: m.CSeq - 1}
+	attempt := exchange.Attempt{Call: event.Call, Number: event.Attempt}
 	isInviteResponse := direction == Backward && m.Method == "" && m.CSeqMethod == "INVITE"
 	switch {
 	case direction == Forward && m.Method == "INVITE":
-		event.Kind = invariant.Invite
+		event.Kind = invariant.AttemptSent
 		o.open[attempt] = true
 	case direction == Forward && m.Method == "CANCEL":
-		event.Kind = invariant.Cancel
+		event.Kind = invariant.AttemptCanceled
 		delete(o.open, attempt)
 	case isInviteResponse && m.Status >= firstFinalStatus && o.open[attempt]:
-		event.Kind = invariant.Answer
+		event.Kind = invariant.AttemptAnswered
 		if m.Status >= firstFailureStatus {
-			event.Kind = invariant.TurnedBack
+			event.Kind = invariant.AttemptRejected
 		}
 		delete(o.open, attempt)
 	default:
--- a/internal/sim/cluster/start.go
+++ b/internal/sim/cluster/start.go
@@ -93,13 +93,13 @@
 func (r *Run) prepareControllers() error {
 	t := &r.options.Topology
 	r.load = &loopback.Load{
-		Rate:    r.scenario.Rate() * r.scenario.Callers.Load,
-		For:     r.options.For,
-		Left:    callerTimeout,
-		Pools:   t.Exchanges,
-		Classes: r.scenario.Class,
-		Seed:    r.options.Schedule.Seed,
-		Saw:     r.monitor.record,
+		Rate:          r.scenario.Rate() * r.scenario.Callers.Load,
+		Duration:      r.options.CallDuration,
+		CallerTimeout: callerTimeout,
+		Pools:         t.Exchanges,
+		Classes:       r.scenario.Class,
+		Seed:          r.options.Schedule.Seed,
+		Observe:       r.monitor.record,
 	}
 	for i, name := range t.namesOfKind(partController) {
 		c := &controller{name: name, number: i, zone: i % t.Zones, exchangeProxies: make(map[string]*streamProxy)}
@@ -108,7 +108,7 @@
 			return err
 		}
 		r.load.Addrs = append(r.load.Addrs, c.listen)
-		r.load.Nodes = append(r.load.Nodes, c.name)
+		r.load.ControllerNames = append(r.load.ControllerNames, c.name)
 	}
 	return nil
 }
@@ -116,7 +116,7 @@
 // prepareController makes the addresses of a controller, its discovery and the proxies on its paths.
 func (r *Run) prepareController(c *controller) error {
 	var err error
-	if c.names, err = loopback.ListenNames("127.0.0.1:0"); err != nil {
+	if c.names, err = loopback.ListenNameService("127.0.0.1:0"); err != nil {
 		return err
 	}
 	rng := rand.New(rand.NewPCG(r.options.Schedule.Seed, uint64(discoveryProxyStream+c.number)))
--- a/internal/sim/demo/demo.go
+++ b/internal/sim/demo/demo.go
@@ -44,9 +44,9 @@
 	options    Options
 	dir        string
 	scenario   scenario.Scenario
-	names      *loopback.Names
+	names      *loopback.NameService
 	etcd       *fakeetcd.Server
-	endpoints  []loopback.Line
+	endpoints  []loopback.Endpoint
 	exchanges  []*loopback.Exchange
 	agent      *exec.Cmd
 	agentEnded chan error
--- a/internal/sim/demo/play.go
+++ b/internal/sim/demo/play.go
@@ -34,13 +34,13 @@
 // play offers calls and injects the faults.
 func (d *demo) play(ctx context.Context) error {
 	load := &loopback.Load{
-		Addrs:   d.listen,
-		Rate:    d.options.Rate,
-		For:     d.options.For,
-		Left:    callerTimeout,
-		Pools:   d.options.Exchanges,
-		Classes: d.scenario.Class,
-		Seed:    d.options.Seed,
+		Addrs:         d.listen,
+		Rate:          d.options.Rate,
+		Duration:      d.options.For,
+		CallerTimeout: callerTimeout,
+		Pools:         d.options.Exchanges,
+		Classes:       d.scenario.Class,
+		Seed:          d.options.Seed,
 	}
 	done := make(chan error, 1)
 	go func() { done <- load.Run(ctx) }()
@@ -92,7 +92,7 @@
 		return (time.Duration(s.Took.ValueAtQuantile(p)) * time.Microsecond).Round(time.Millisecond)
 	}
 	d.logf("%5d calls: %d stood (half within %v, 99 of 100 within %v), %d refused, %d failed, %d given up, %d cut",
-		s.Sent, s.Stood, percentile(50), percentile(99), s.Refused, s.Failed+s.Lost, s.GaveUp, s.Dropped)
+		s.Sent, s.Established, percentile(50), percentile(99), s.Rejected, s.Failed+s.Lost, s.Abandoned, s.Dropped)
 }
 
 // slowDown slows the processor of an exchange down for a while.
@@ -100,7 +100,7 @@
 	d.logf("-> the processor of x0 runs three times slower for a while")
 	x := d.exchanges[0]
 	setFactor := func(factor float64) {
-		x.Do(func(m *exchange.Exchange, _ exchange.Time) { m.Slow(factor) })
+		x.Do(func(m *exchange.Exchange, _ exchange.Time) { m.SetSlowdown(factor) })
 	}
 	setFactor(slowdownFactor)
 	time.AfterFunc(d.options.For/5, func() { setFactor(1) })
@@ -149,7 +149,7 @@
 func (d *demo) dropCalls() error {
 	d.logf("-> four in ten of the calls that stand are cut")
 	for _, x := range d.exchanges {
-		x.Do(func(m *exchange.Exchange, now exchange.Time) { m.Cutting(now, m.Standing()*2/5) })
+		x.Do(func(m *exchange.Exchange, now exchange.Time) { m.DropCalls(now, m.EstablishedCalls()*2/5) })
 	}
 	return nil
 }
--- a/internal/sim/demo/start.go
+++ b/internal/sim/demo/start.go
@@ -34,7 +34,7 @@
 // start starts all parts and waits until the controllers serve.
 func (d *demo) start(ctx context.Context) error {
 	var err error
-	if d.names, err = loopback.ListenNames("127.0.0.1:0"); err != nil {
+	if d.names, err = loopback.ListenNameService("127.0.0.1:0"); err != nil {
 		return err
 	}
 	for i := range d.options.Exchanges {
@@ -66,7 +66,7 @@
 	if err != nil {
 		return err
 	}
-	endpoint := loopback.Line{ID: id, Addr: x.Addr(), Zone: zoneName, Pool: pool}
+	endpoint := loopback.Endpoint{ID: id, Addr: x.Addr(), Zone: zoneName, Pool: pool}
 	if cold {
 		endpoint.Started = time.Now()
 	}
--- a/internal/sim/exchange/exchange.go
+++ b/internal/sim/exchange/exchange.go
@@ -21,19 +21,19 @@
 
 // Counters count calls and processor time since the start. The JSON keys are part of the --json output.
 type Counters struct {
-	SetUps   int `json:"SetUps"`   // set-ups received
-	Repeats  int `json:"Repeats"`  // retransmissions of queued set-ups
-	Rejected int `json:"Rejected"` // set-ups rejected because the processor was overloaded
-	NoLines  int `json:"NoLines"`  // set-ups rejected because no circuit was free
-	GivenUp  int `json:"GivenUp"`  // set-ups canceled, or dropped with the controller's connection
-	Stood    int `json:"Stood"`    // calls established
-	Ended    int `json:"Ended"`    // established calls that ended for any reason
-	Cut      int `json:"Cut"`      // established calls that a fault ended
-
-	Work   time.Duration `json:"Work"`   // processor time of all jobs
-	Wasted time.Duration `json:"Wasted"` // processor time of attempts that were not established
-	Waited time.Duration `json:"Waited"` // queueing delay of all set-ups that were served
-	Served int           `json:"Served"` // set-ups that the processor started
+	SetUps      int `json:"SetUps"`   // set-ups received
+	Repeats     int `json:"Repeats"`  // retransmissions of queued set-ups
+	Rejected    int `json:"Rejected"` // set-ups rejected because the processor was overloaded
+	NoCircuit   int `json:"NoLines"`  // set-ups rejected because no circuit was free
+	Canceled    int `json:"GivenUp"`  // set-ups canceled, or dropped with the controller's connection
+	Established int `json:"Stood"`    // calls established
+	Ended       int `json:"Ended"`    // established calls that ended for any reason
+	Dropped     int `json:"Cut"`      // established calls that a fault ended
+
+	Work               time.Duration `json:"Work"`   // processor time of all jobs
+	Wasted             time.Duration `json:"Wasted"` // processor time of attempts that were not established
+	TotalQueueingDelay time.Duration `json:"Waited"` // queueing delay of all set-ups that were served
+	Served             int           `json:"Served"` // set-ups that the processor started
 }
 
 // State is the state of an Exchange.
@@ -78,11 +78,11 @@
 		isColdStart: isColdStart,
 		slowdown:    1,
 		calls:       make(map[Attempt]*call),
-		circuits:    settings.Lines,
+		circuits:    settings.Circuits,
 	}
 	x.processor.settings = &x.settings
-	if settings.Vary > 0 {
-		shape := 1 / (settings.Vary * settings.Vary)
+	if settings.WorkVariation > 0 {
+		shape := 1 / (settings.WorkVariation * settings.WorkVariation)
 		x.gamma = distuv.Gamma{Alpha: shape, Beta: shape, Src: rng}
 	}
 	return x
@@ -91,11 +91,11 @@
 // State returns the state of the exchange.
 func (x *Exchange) State() State { return x.state }
 
-// Standing returns the number of established calls.
-func (x *Exchange) Standing() int { return len(x.established) }
+// EstablishedCalls returns the number of established calls.
+func (x *Exchange) EstablishedCalls() int { return len(x.established) }
 
-// Has reports whether the exchange knows an attempt that is not over.
-func (x *Exchange) Has(a Attempt) bool { return x.calls[a] != nil }
+// Contains reports whether the exchange knows an attempt that is not over.
+func (x *Exchange) Contains(a Attempt) bool { return x.calls[a] != nil }
 
 // Speed returns the processor's speed; 1 is the full speed of a warm processor.
 func (x *Exchange) Speed(now Time) float64 {
@@ -118,7 +118,7 @@
 // drawWork draws the time that a job of a kind takes if it starts now.
 func (x *Exchange) drawWork(kind jobKind, now Time) time.Duration {
 	work := x.settings.meanWork(kind)
-	if x.settings.Vary > 0 {
+	if x.settings.WorkVariation > 0 {
 		work = time.Duration(float64(work) * x.gamma.Rand())
 	}
 	return time.Duration(float64(work) / x.Speed(now))
@@ -128,8 +128,8 @@
 	return time.Duration(float64(mean) * x.rng.ExpFloat64())
 }
 
-// Next returns the time at which Tick must be called next, or eventqueue.Never.
-func (x *Exchange) Next() Time {
+// NextDeadline returns the time at which Tick must be called next, or eventqueue.Never.
+func (x *Exchange) NextDeadline() Time {
 	switch {
 	case x.state != Running:
 		return eventqueue.Never
@@ -161,8 +161,8 @@
 	}
 }
 
-// Take returns the messages sent since the last Take. The slice is valid until the next call of any other method.
-func (x *Exchange) Take() []Message {
+// TakeMessages returns the messages sent since the last TakeMessages. The slice is valid until the next call of any other method.
+func (x *Exchange) TakeMessages() []Message {
 	messages := x.outbox
 	x.outbox = x.outbox[:0]
 	return messages
--- a/internal/sim/exchange/exchange_test.go
+++ b/internal/sim/exchange/exchange_test.go
@@ -11,7 +11,7 @@
 
 // setUpOnly returns settings of an exchange in which only set-ups cost work, 10 ms each.
 func setUpOnly() Settings {
-	return Settings{SetUp: 10 * ms, Lines: 1 << 20, Holding: map[string]time.Duration{"c": time.Second}}
+	return Settings{SetUp: 10 * ms, Circuits: 1 << 20, MeanHoldingTime: map[string]time.Duration{"c": time.Second}}
 }
 
 // newExchange returns an exchange with a fixed seed that started at 0.
@@ -26,9 +26,9 @@
 	now := Time(0)
 	for n := 0; now < length; n++ {
 		arrives := now + time.Duration(rng.ExpFloat64()/rate*float64(time.Second))
-		for next := x.Next(); next <= arrives; next = x.Next() {
+		for next := x.NextDeadline(); next <= arrives; next = x.NextDeadline() {
 			x.Tick(next)
-			x.Take()
+			x.TakeMessages()
 		}
 		now = arrives
 		x.Invite(now, "n", Attempt{"", n}, "c")
@@ -37,12 +37,12 @@
 }
 
 // meanDelay returns the mean queueing delay of the set-ups that were served, in seconds.
-func meanDelay(x *Exchange) float64 { return x.Waited.Seconds() / float64(x.Served) }
+func meanDelay(x *Exchange) float64 { return x.TotalQueueingDelay.Seconds() / float64(x.Served) }
 
 // checkMG1 compares the mean queueing delay of set-ups with that of an M/G/1 queue (Pollaczek-Khinchine formula).
 func checkMG1(t testing.TB, variation, load float64, length time.Duration) {
 	settings := setUpOnly()
-	settings.Vary = variation
+	settings.WorkVariation = variation
 	work := settings.SetUp.Seconds()
 	rate := load / work
 	x := runPoisson(settings, rate, length, 7)
@@ -86,7 +86,7 @@
 func TestSetUpsPrecedeReleases(t *testing.T) {
 	t.Parallel()
 	settings := setUpOnly()
-	settings.Release, settings.Vary = 6*ms, 1
+	settings.Release, settings.WorkVariation = 6*ms, 1
 	rate := 50.0 // a load of 0.5 by set-ups and 0.3 by releases
 	x := runPoisson(settings, rate, 4000*time.Second, 8)
 	setUp, release := settings.SetUp.Seconds(), settings.Release.Seconds()
@@ -96,16 +96,16 @@
 	if math.Abs(got-want) > 0.03*want {
 		t.Errorf("mean delay %.2f ms, want %.2f ms", 1000*got, 1000*want)
 	}
-	if x.Ended == 0 || x.Stood-x.Ended-x.Standing() > 100 {
-		t.Errorf("%d established, %d ended, %d still established", x.Stood, x.Ended, x.Standing())
+	if x.Ended == 0 || x.Established-x.Ended-x.EstablishedCalls() > 100 {
+		t.Errorf("%d established, %d ended, %d still established", x.Established, x.Ended, x.EstablishedCalls())
 	}
 }
 
 // runUntil ticks an exchange up to a time and returns the messages it sends.
 func runUntil(x *Exchange, end Time) (messages []Message) {
-	for next := x.Next(); next <= end; next = x.Next() {
+	for next := x.NextDeadline(); next <= end; next = x.NextDeadline() {
 		x.Tick(next)
-		messages = append(messages, x.Take()...)
+		messages = append(messages, x.TakeMessages()...)
 	}
 	return messages
 }
@@ -122,8 +122,8 @@
 // costs work too. A canceled set-up costs none.
 func TestRejectionRetransmissionAndCancel(t *testing.T) {
 	settings := setUpOnly()
-	settings.SetUp, settings.Reject, settings.Repeat = 100*ms, 5*ms, 1*ms
-	settings.Full, settings.Again = 2*time.Second, 500*ms
+	settings.SetUp, settings.Reject, settings.Retransmission = 100*ms, 5*ms, 1*ms
+	settings.MaxQueueingDelay, settings.RetransmissionInterval = 2*time.Second, 500*ms
 	x := newExchange(settings, false)
 	for n := range 30 {
 		x.Invite(0, "n", Attempt{"", n}, "c")
@@ -132,8 +132,8 @@
 		t.Errorf("the queueing delay is %v", delay)
 	}
 	x.Cancel(0, Attempt{"", 20})
-	messages := append(append([]Message(nil), x.Take()...), runUntil(x, 4*time.Second)...)
-	if counts := countKinds(messages); counts[Full] != 9 || counts[Dropped] != 1 || counts[Answered] != 20 {
+	messages := append(append([]Message(nil), x.TakeMessages()...), runUntil(x, 4*time.Second)...)
+	if counts := countKinds(messages); counts[ProcessorBusy] != 9 || counts[Canceled] != 1 || counts[Answered] != 20 {
 		t.Errorf("%v", counts)
 	}
 	// At 500 ms 15 or 16 set-ups are queued, at 1500 ms 4 to 6.
@@ -149,7 +149,7 @@
 // it. A warm processor does not crash.
 func TestSlowStart(t *testing.T) {
 	settings := setUpOnly()
-	settings.Start, settings.Warm, settings.Fall, settings.FallFor = 0.25, 10*time.Second, 3, time.Second
+	settings.SlowStartShare, settings.SlowStartPeriod, settings.CrashFactor, settings.CrashWindow = 0.25, 10*time.Second, 3, time.Second
 	for _, c := range []struct {
 		rate   float64 // set-ups a second
 		at     Time
@@ -175,7 +175,7 @@
 			t.Errorf("at %v its speed is %v", at, got)
 		}
 	}
-	x.Slow(2)
+	x.SetSlowdown(2)
 	if got := x.Speed(time.Minute); got != 0.5 {
 		t.Errorf("slowed down, its speed is %v", got)
 	}
@@ -185,46 +185,46 @@
 // established calls. A hung exchange ignores set-ups, a stopped one has no work.
 func TestCircuitsAndFaults(t *testing.T) {
 	settings := setUpOnly()
-	settings.Lines, settings.Holding = 10, map[string]time.Duration{"c": time.Hour}
+	settings.Circuits, settings.MeanHoldingTime = 10, map[string]time.Duration{"c": time.Hour}
 	x := newExchange(settings, false)
 	invite := func(from string, n int) { x.Invite(0, from, Attempt{from, n}, "c") }
 	for n := range 12 {
 		invite("a", n)
 	}
-	if counts := countKinds(runUntil(x, time.Second)); counts[Answered] != 10 || counts[NoLine] != 2 {
+	if counts := countKinds(runUntil(x, time.Second)); counts[Answered] != 10 || counts[NoCircuit] != 2 {
 		t.Errorf("%v", counts)
 	}
 	x.SetCircuitShare(time.Second, 0.4)
 	counts := countKinds(runUntil(x, 2*time.Second))
-	if counts[Released] != 6 || x.Cut != 6 || x.Standing() != 4 {
-		t.Errorf("%v, %d established", counts, x.Standing())
+	if counts[Released] != 6 || x.Dropped != 6 || x.EstablishedCalls() != 4 {
+		t.Errorf("%v, %d established", counts, x.EstablishedCalls())
 	}
 	x.Invite(2*time.Second, "b", Attempt{"b", 0}, "c")
-	if counts := countKinds(runUntil(x, 3*time.Second)); counts[NoLine] != 1 {
+	if counts := countKinds(runUntil(x, 3*time.Second)); counts[NoCircuit] != 1 {
 		t.Errorf("%v", counts)
 	}
 	x.SetCircuitShare(3*time.Second, 1)
 	x.Invite(3*time.Second, "b", Attempt{"b", 1}, "c")
 	runUntil(x, 4*time.Second)
 	x.Invite(4*time.Second, "b", Attempt{"b", 2}, "c")
-	x.Reset(4*time.Second, "b")
+	x.ConnectionLost(4*time.Second, "b")
 	runUntil(x, 5*time.Second)
-	if x.Standing() != 5 || x.circuitsInUse != 5 {
-		t.Errorf("%d established, %d circuits in use", x.Standing(), x.circuitsInUse)
+	if x.EstablishedCalls() != 5 || x.circuitsInUse != 5 {
+		t.Errorf("%d established, %d circuits in use", x.EstablishedCalls(), x.circuitsInUse)
 	}
 	x.ReleaseCall(5*time.Second, "b")
-	if messages := runUntil(x, 6*time.Second); x.Standing() != 4 || len(messages) != 0 {
-		t.Errorf("%d established, messages %v", x.Standing(), messages)
+	if messages := runUntil(x, 6*time.Second); x.EstablishedCalls() != 4 || len(messages) != 0 {
+		t.Errorf("%d established, messages %v", x.EstablishedCalls(), messages)
 	}
-	x.Hang(6*time.Second, true)
+	x.SetHung(6*time.Second, true)
 	x.Invite(6*time.Second, "b", Attempt{"b", 3}, "c")
-	x.Hang(7*time.Second, false)
+	x.SetHung(7*time.Second, false)
 	if messages := runUntil(x, 8*time.Second); len(messages) != 0 {
 		t.Errorf("messages about a set-up received while it hung: %v", messages)
 	}
 	x.Stop()
 	x.Invite(8*time.Second, "b", Attempt{"b", 4}, "c")
-	if x.Next() != math.MaxInt64 {
+	if x.NextDeadline() != math.MaxInt64 {
 		t.Error("a stopped exchange has work")
 	}
 }
--- a/internal/sim/exchange/faults.go
+++ b/internal/sim/exchange/faults.go
@@ -9,11 +9,11 @@
 // minSlowdown keeps the speed of the processor finite.
 const minSlowdown = 0.01
 
-// Slow makes all jobs that start from now on take factor times longer; 1 ends the fault.
-func (x *Exchange) Slow(factor float64) { x.slowdown = max(factor, minSlowdown) }
+// SetSlowdown makes all jobs that start from now on take factor times longer; 1 ends the fault.
+func (x *Exchange) SetSlowdown(factor float64) { x.slowdown = max(factor, minSlowdown) }
 
-// Hang makes a running exchange accept messages and handle none, or makes a hung one continue.
-func (x *Exchange) Hang(now Time, isHung bool) {
+// SetHung makes a running exchange accept messages and handle none, or makes a hung one continue.
+func (x *Exchange) SetHung(now Time, isHung bool) {
 	switch {
 	case x.state == Down:
 	case isHung:
@@ -36,16 +36,16 @@
 
 // SetCircuitShare puts a share of the circuits into service, from 0 to 1. Calls on lost circuits are dropped.
 func (x *Exchange) SetCircuitShare(now Time, share float64) {
-	x.circuits = int(math.Round(share * float64(x.settings.Lines)))
+	x.circuits = int(math.Round(share * float64(x.settings.Circuits)))
 	dropped := 0
 	if share < 1 {
 		dropped = int(math.Round((1 - share) * float64(len(x.established))))
 	}
-	x.Cutting(now, dropped)
+	x.DropCalls(now, dropped)
 }
 
-// Cutting drops n established calls that are drawn at random, or all if there are fewer.
-func (x *Exchange) Cutting(now Time, n int) {
+// DropCalls drops n established calls that are drawn at random, or all if there are fewer.
+func (x *Exchange) DropCalls(now Time, n int) {
 	for range min(n, len(x.established)) {
 		c := x.established[x.rng.IntN(len(x.established))]
 		c.isDropped = true
--- a/internal/sim/exchange/jobs.go
+++ b/internal/sim/exchange/jobs.go
@@ -10,7 +10,7 @@
 		return
 	}
 	if j.kind == setUpJob {
-		x.Waited += now - j.call.receivedAt
+		x.TotalQueueingDelay += now - j.call.receivedAt
 		x.Served++
 	}
 	work := x.drawWork(j.kind, now)
@@ -26,7 +26,7 @@
 	case rejectJob:
 		x.Rejected++
 		x.Wasted += c.work
-		x.send(c, Full, 0)
+		x.send(c, ProcessorBusy, 0)
 	case setUpJob:
 		if c.phase == phaseSettingUp { // else it was canceled meanwhile
 			x.finishSetUp(now, c)
@@ -44,24 +44,24 @@
 // finishSetUp seizes a circuit for a call and lets the called party's telephone ring.
 func (x *Exchange) finishSetUp(now Time, c *call) {
 	if x.circuitsInUse >= x.circuits {
-		x.NoLines++
-		x.send(c, NoLine, 0)
+		x.NoCircuit++
+		x.send(c, NoCircuit, 0)
 		x.abort(c)
 		return
 	}
 	x.circuitsInUse++
 	c.holdsCircuit = true
 	c.phase = phaseRinging
-	x.scheduleTimer(now, answerTimer, c, x.settings.Ring)
+	x.scheduleTimer(now, answerTimer, c, x.settings.MeanRingTime)
 }
 
 func (x *Exchange) establish(now Time, c *call) {
-	x.Stood++
+	x.Established++
 	c.phase = phaseEstablished
 	c.establishedIndex = len(x.established)
 	x.established = append(x.established, c)
 	x.send(c, Answered, 0)
-	x.scheduleTimer(now, holdingTimer, c, x.settings.Holding[c.class])
+	x.scheduleTimer(now, holdingTimer, c, x.settings.MeanHoldingTime[c.class])
 }
 
 // beginRelease queues the release of an established call.
@@ -80,7 +80,7 @@
 	x.Ended++
 	if c.isDropped {
 		cause = CauseTemporaryFailure
-		x.Cut++
+		x.Dropped++
 	}
 	if !c.isCallerReleased {
 		x.send(c, Released, cause)
--- a/internal/sim/exchange/message.go
+++ b/internal/sim/exchange/message.go
@@ -2,8 +2,8 @@
 
 // Attempt identifies a set-up. Several attempts of one call may pass through the same exchange.
 type Attempt struct {
-	Call string
-	N    int // number of the attempt within its call
+	Call   string
+	Number int // number of the attempt within its call
 }
 
 // Kind is the kind of a Message.
@@ -11,11 +11,11 @@
 
 // Kinds of messages.
 const (
-	Answered Kind = iota // the called party answered: the call is established
-	Full                 // rejected because the processor is overloaded; the set-up did not run
-	NoLine               // rejected because no circuit is free; the set-up did not run
-	Released             // an established call ended, for the reason in Message.Cause
-	Dropped              // the set-up was canceled at the controller's request
+	Answered      Kind = iota // the called party answered: the call is established
+	ProcessorBusy             // rejected because the processor is overloaded; the set-up did not run
+	NoCircuit                 // rejected because no circuit is free; the set-up did not run
+	Released                  // an established call ended, for the reason in Message.Cause
+	Canceled                  // the set-up was canceled at the controller's request
 )
 
 // String returns the name of the kind as it appears in records.
--- a/internal/sim/exchange/settings.go
+++ b/internal/sim/exchange/settings.go
@@ -8,19 +8,19 @@
 
 // Settings describe an exchange. Work is given as the mean time that it takes a warm processor at full speed.
 type Settings struct {
-	SetUp, Answer, Release, Reject, Repeat time.Duration // mean work of each kind of message
+	SetUp, Answer, Release, Reject, Retransmission time.Duration // mean work of each kind of message
 
-	Vary  float64       // coefficient of variation of the work; 0: each message takes its mean
-	Full  time.Duration // set-ups are rejected while the queueing delay exceeds this; 0: never
-	Again time.Duration // a queued set-up is retransmitted after this, then at doubled gaps; 0: never
-	Ring  time.Duration // mean time until the called party answers; exponentially distributed
-	Lines int           // circuits
+	WorkVariation          float64       // coefficient of variation of the work; 0: each message takes its mean
+	MaxQueueingDelay       time.Duration // set-ups are rejected while the queueing delay exceeds this; 0: never
+	RetransmissionInterval time.Duration // a queued set-up is retransmitted after this, then at doubled gaps; 0: never
+	MeanRingTime           time.Duration // mean time until the called party answers; exponentially distributed
+	Circuits               int           // circuits
 
-	Start   float64                  // share of its capacity that a processor has right after a cold start
-	Warm    time.Duration            // the processor has its whole capacity this long after a cold start
-	Fall    float64                  // a cold processor crashes at this multiple of its present capacity; 0: never
-	FallFor time.Duration            // period over which the load is compared with Fall
-	Holding map[string]time.Duration // mean holding time by class; exponentially distributed
+	SlowStartShare  float64                  // share of its capacity that a processor has right after a cold start
+	SlowStartPeriod time.Duration            // the processor has its whole capacity this long after a cold start
+	CrashFactor     float64                  // a cold processor crashes at this multiple of its present capacity; 0: never
+	CrashWindow     time.Duration            // period over which the load is compared with Fall
+	MeanHoldingTime map[string]time.Duration // mean holding time by class; exponentially distributed
 }
 
 // Check returns an error that names the first setting that the model does not support.
@@ -28,14 +28,14 @@
 	switch {
 	case s.SetUp <= 0:
 		return fmt.Errorf("set_up: %v of work is not positive", s.SetUp)
-	case min(s.Answer, s.Release, s.Reject, s.Repeat, s.Ring) < 0:
+	case min(s.Answer, s.Release, s.Reject, s.Retransmission, s.MeanRingTime) < 0:
 		return errors.New("work and times must not be negative")
-	case s.Lines <= 0:
-		return fmt.Errorf("lines: %d is not positive", s.Lines)
-	case s.Start < 0 || s.Start > 1:
-		return fmt.Errorf("start: %v is not between 0 and 1", s.Start)
-	case s.Vary < 0 || s.Vary > 10:
-		return fmt.Errorf("vary: %v is not between 0 and 10", s.Vary)
+	case s.Circuits <= 0:
+		return fmt.Errorf("lines: %d is not positive", s.Circuits)
+	case s.SlowStartShare < 0 || s.SlowStartShare > 1:
+		return fmt.Errorf("start: %v is not between 0 and 1", s.SlowStartShare)
+	case s.WorkVariation < 0 || s.WorkVariation > 10:
+		return fmt.Errorf("vary: %v is not between 0 and 10", s.WorkVariation)
 	}
 	return nil
 }
@@ -47,10 +47,10 @@
 
 // Warmth returns the share of its capacity, from Start to 1, that a processor has at an age since its cold start.
 func (s *Settings) Warmth(age time.Duration) float64 {
-	if age >= s.Warm {
+	if age >= s.SlowStartPeriod {
 		return 1
 	}
-	return s.Start + (1-s.Start)*float64(age)/float64(s.Warm)
+	return s.SlowStartShare + (1-s.SlowStartShare)*float64(age)/float64(s.SlowStartPeriod)
 }
 
 // meanWork returns the mean time that a job of a kind takes a warm processor at full speed.
@@ -59,7 +59,7 @@
 	case setUpJob:
 		return s.SetUp
 	case repeatJob:
-		return s.Repeat
+		return s.Retransmission
 	case answerJob:
 		return s.Answer
 	case releaseJob:
--- a/internal/sim/exchange/signaling.go
+++ b/internal/sim/exchange/signaling.go
@@ -9,7 +9,7 @@
 		return
 	}
 	x.SetUps++
-	if x.state == Hung || x.Has(a) {
+	if x.state == Hung || x.Contains(a) {
 		return
 	}
 	if x.isCrashedByLoad(now) {
@@ -17,21 +17,21 @@
 		return
 	}
 	c := &call{Attempt: a, controller: from, class: class, receivedAt: now}
-	isOverloaded := x.settings.Full > 0 && x.QueueingDelay(now) > x.settings.Full
+	isOverloaded := x.settings.MaxQueueingDelay > 0 && x.QueueingDelay(now) > x.settings.MaxQueueingDelay
 	if isOverloaded {
 		x.reject(now, c)
 		return
 	}
 	x.calls[a] = c
 	x.processor.pushSetUp(setUpJob, c)
-	if x.settings.Again > 0 {
-		x.scheduleRetransmission(now, c, x.settings.Again)
+	if x.settings.RetransmissionInterval > 0 {
+		x.scheduleRetransmission(now, c, x.settings.RetransmissionInterval)
 	}
 	x.startNextJob(now)
 }
 
-// TurnAway receives a set-up and rejects it, whatever the load is. It costs the work of a rejection.
-func (x *Exchange) TurnAway(now Time, from string, a Attempt) {
+// InviteRejected receives a set-up and rejects it, whatever the load is. It costs the work of a rejection.
+func (x *Exchange) InviteRejected(now Time, from string, a Attempt) {
 	if x.state != Running {
 		return
 	}
@@ -49,15 +49,15 @@
 // slow start: they exceed Settings.Fall times its present capacity.
 func (x *Exchange) isCrashedByLoad(now Time) bool {
 	set := &x.settings
-	isSlowStart := x.isColdStart && now-x.startedAt < set.Warm
-	if !isSlowStart || set.Fall <= 0 {
+	isSlowStart := x.isColdStart && now-x.startedAt < set.SlowStartPeriod
+	if !isSlowStart || set.CrashFactor <= 0 {
 		return false
 	}
 	x.recentSetUps = append(x.recentSetUps, now)
-	for now-x.recentSetUps[0] >= set.FallFor {
+	for now-x.recentSetUps[0] >= set.CrashWindow {
 		x.recentSetUps = x.recentSetUps[1:]
 	}
-	limit := max(set.Fall*set.Capacity()*x.Speed(now)*set.FallFor.Seconds(), 1)
+	limit := max(set.CrashFactor*set.Capacity()*x.Speed(now)*set.CrashWindow.Seconds(), 1)
 	return float64(len(x.recentSetUps)) > limit
 }
 
@@ -68,8 +68,8 @@
 	if x.state != Running || c == nil || !c.isOpen() {
 		return
 	}
-	x.GivenUp++
-	x.send(c, Dropped, 0)
+	x.Canceled++
+	x.send(c, Canceled, 0)
 	x.abort(c)
 	x.startNextJob(now)
 }
@@ -94,18 +94,18 @@
 // ReleaseCall calls Release for all attempts of a call.
 func (x *Exchange) ReleaseCall(now Time, id string) {
 	for n := range maxAttempts {
-		a := Attempt{Call: id, N: n}
-		if x.Has(a) {
+		a := Attempt{Call: id, Number: n}
+		if x.Contains(a) {
 			x.Release(now, a)
 		}
 	}
 }
 
-// Reset handles the loss of a controller's connection: its open attempts end, its established calls go on.
-func (x *Exchange) Reset(now Time, from string) {
+// ConnectionLost handles the loss of a controller's connection: its open attempts end, its established calls go on.
+func (x *Exchange) ConnectionLost(now Time, from string) {
 	for _, c := range x.calls {
 		if c.controller == from && c.isOpen() {
-			x.GivenUp++
+			x.Canceled++
 			x.abort(c)
 		}
 	}
--- a/internal/sim/experiment/experiment_test.go
+++ b/internal/sim/experiment/experiment_test.go
@@ -153,7 +153,7 @@
 		{Kind: scenario.Burst, At: seconds(4), For: seconds(2), Factor: 1.5},
 		{Kind: scenario.NamesLate, At: seconds(1), For: seconds(5), By: seconds(1)},
 	}
-	options := virtualtime.Options{Module: func(_ string, d call.Decider) call.Decider { return earlyResender{d} }}
+	options := virtualtime.Options{WrapDecider: func(_ string, d call.Decider) call.Decider { return earlyResender{d} }}
 	small := Shrink(context.Background(), &sc, 4, options)
 	if small == nil || len(small.Fault) != 1 || small.Fault[0].Kind != scenario.Reset || small.Length.D() > 11*time.Second {
 		t.Errorf("%+v", small)
--- a/internal/sim/experiment/shrink.go
+++ b/internal/sim/experiment/shrink.go
@@ -72,7 +72,7 @@
 
 // shorten ends the run in the second after the first violation, if that is early enough and suffices.
 func (s *shrinker) shorten() {
-	i := slices.IndexFunc(s.result.Breaches, func(b *invariant.Breach) bool { return b.Rule == s.invariant })
+	i := slices.IndexFunc(s.result.Breaches, func(b *invariant.Violation) bool { return b.Rule == s.invariant })
 	if i < 0 {
 		return
 	}
--- a/internal/sim/fakeetcd/faults.go
+++ b/internal/sim/fakeetcd/faults.go
@@ -47,8 +47,8 @@
 // LoseResponses loses the responses to the next n writes, which take effect.
 func (s *Server) LoseResponses(n int) { s.setFaults(func(f *faults) { f.lostResponses = n }) }
 
-// Forget compacts the whole history; watches that are behind it get an error.
-func (s *Server) Forget() {
+// CompactAll compacts the whole history; watches that are behind it get an error.
+func (s *Server) CompactAll() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.compact(s.revision)
--- a/internal/sim/fakeetcd/server_test.go
+++ b/internal/sim/fakeetcd/server_test.go
@@ -212,7 +212,7 @@
 	}
 
 	// A watch from a compacted revision gets an error.
-	s.Forget()
+	s.CompactAll()
 	old := nextResponse(t, c.Watch(ctx, "a", clientv3.WithRev(2)))
 	if !errors.Is(old.Err(), rpctypes.ErrCompacted) || old.CompactRevision != s.Revision()+1 {
 		t.Errorf("from a compacted revision: %v at %d, now is %d", old.Err(), old.CompactRevision, s.Revision())
--- a/internal/sim/invariant/callstate.go
+++ b/internal/sim/invariant/callstate.go
@@ -30,7 +30,7 @@
 }
 
 // isOpen reports whether an event belongs to the open attempt.
-func (a *attemptState) isOpen(e Event) bool { return a.openAt == e.Server && a.number == e.N }
+func (a *attemptState) isOpen(e Event) bool { return a.openAt == e.Server && a.number == e.Attempt }
 
 // keep appends an event. The first event, the offer, is never dropped.
 func (c *callState) keep(e Event) {
--- a/internal/sim/invariant/checkcall.go
+++ b/internal/sim/invariant/checkcall.go
@@ -8,40 +8,40 @@
 	}
 	call.keep(e)
 	switch e.Kind {
-	case SetUp:
+	case CallOffered:
 		c.offer(e, call)
-	case Stands, Refused:
+	case CallEstablished, CallRejected:
 		c.finalAnswer(e, call)
-	case CallerEnd:
+	case CallAbandoned:
 		call.answer.isDue, call.answer.isOver = false, true
-	case Invite:
+	case AttemptSent:
 		c.startAttempt(e, call)
-	case Cancel, Broke:
+	case AttemptCanceled, AttemptBroken:
 		if call.attempt.isOpen(e) {
 			call.attempt.openAt = ""
 			call.attempt.mayHaveRun, call.attempt.endedAt = true, e.At
 		}
-	case Unsent, TurnedBack, Answer:
+	case AttemptUnsent, AttemptRejected, AttemptAnswered:
 		if call.attempt.isOpen(e) {
 			call.attempt.openAt = ""
 		}
-	case Told, Killed, PushedOver, Paused: // events of no call, see Checker.See
+	case ServerUpdated, ControllerEnded, ServerCrashed, ControllerPaused: // events of no call, see Checker.See
 	}
 }
 
 // callOf returns the state of the event's call. An offer creates it. Otherwise it returns nil for an unknown call, and
 // reports the event if it needs a call that is known.
 func (c *Checker) callOf(e Event) *callState {
-	key := callKey{e.Node, e.Call}
+	key := callKey{e.Controller, e.Call}
 	call := c.calls[key]
 	if call != nil {
 		return call
 	}
 	switch e.Kind {
-	case SetUp:
+	case CallOffered:
 		call = &callState{}
 		c.calls[key] = call
-	case Stands, Refused, Invite:
+	case CallEstablished, CallRejected, AttemptSent:
 		c.report(OneAnswer, e, nil, "%v of a call that nobody asked for, or that is long over", e.Kind)
 	default: // late messages about a call that is over are harmless
 	}
@@ -55,9 +55,9 @@
 		return
 	}
 	answer.isDue = true
-	answer.deadline = e.Until
-	answer.isExcused = c.isPaused[e.Node]
-	c.deadlines.Push(e.Until+c.limits.Slack, callKey{e.Node, e.Call})
+	answer.deadline = e.Deadline
+	answer.isExcused = c.isPaused[e.Controller]
+	c.deadlines.Push(e.Deadline+c.limits.Slack, callKey{e.Controller, e.Call})
 }
 
 func (c *Checker) finalAnswer(e Event, call *callState) {
@@ -85,15 +85,15 @@
 	if call.answer.isOver {
 		c.report(OneAnswer, e, call, "%s was sent to %s after its final answer", e.Call, e.Server)
 	}
-	isWithinRetryGuard := e.At-attempt.endedAt < c.limits.Release-c.limits.Slack
+	isWithinRetryGuard := e.At-attempt.endedAt < c.limits.RetryGuard-c.limits.Slack
 	if attempt.mayHaveRun && isWithinRetryGuard {
-		c.report(ReleaseKept, e, call, "%s was sent again %v after an attempt that may have run",
+		c.report(RetryGuardRespected, e, call, "%s was sent again %v after an attempt that may have run",
 			e.Call, e.At-attempt.endedAt)
 	}
-	since, isInactive := c.inactiveSince[serverKey{e.Node, e.Server}]
+	since, isInactive := c.inactiveSince[serverKey{e.Controller, e.Server}]
 	if isInactive && e.At-since > c.limits.Drain+c.limits.Slack {
-		c.report(DrainsKept, e, call, "%s was sent to %s %v after the news that it drains or is gone",
+		c.report(DrainRespected, e, call, "%s was sent to %s %v after the news that it drains or is gone",
 			e.Call, e.Server, e.At-since)
 	}
-	attempt.openAt, attempt.number, attempt.mayHaveRun = e.Server, e.N, false
+	attempt.openAt, attempt.number, attempt.mayHaveRun = e.Server, e.Attempt, false
 }
--- a/internal/sim/invariant/checker.go
+++ b/internal/sim/invariant/checker.go
@@ -27,7 +27,7 @@
 	inactiveSince map[serverKey]Time // since when a controller knows that a server drains or is removed
 	isPaused      map[string]bool    // by controller
 	deadlines     eventqueue.Queue[callKey]
-	breaches      []*Breach
+	breaches      []*Violation
 	counts        map[Rule]int
 	eventCount    int
 }
@@ -47,11 +47,11 @@
 	}
 }
 
-// Seen returns the number of events.
-func (c *Checker) Seen() int { return c.eventCount }
+// EventCount returns the number of events.
+func (c *Checker) EventCount() int { return c.eventCount }
 
-// Breaches returns the first violations in the order in which they were found, 100 at most.
-func (c *Checker) Breaches() []*Breach { return c.breaches }
+// Violations returns the first violations in the order in which they were found, 100 at most.
+func (c *Checker) Violations() []*Violation { return c.breaches }
 
 // Count returns how often a rule was violated.
 func (c *Checker) Count(r Rule) int { return c.counts[r] }
@@ -75,41 +75,41 @@
 	if call != nil {
 		around = slices.Clone(call.events)
 	}
-	c.breaches = append(c.breaches, &Breach{
-		Rule:   r,
-		At:     e.At,
-		Node:   e.Node,
-		Call:   e.Call,
-		Server: e.Server,
-		Text:   fmt.Sprintf(format, args...),
-		Around: around,
+	c.breaches = append(c.breaches, &Violation{
+		Rule:       r,
+		At:         e.At,
+		Controller: e.Controller,
+		Call:       e.Call,
+		Server:     e.Server,
+		Text:       fmt.Sprintf(format, args...),
+		Events:     around,
 	})
 }
 
-// See checks an event.
-func (c *Checker) See(e Event) {
+// Record checks an event.
+func (c *Checker) Record(e Event) {
 	c.eventCount++
 	c.expire(e.At)
 	switch e.Kind {
-	case Told:
+	case ServerUpdated:
 		c.updateServer(e)
-	case PushedOver:
-		c.report(ColdSpared, e, nil, "%s was pushed over while it was cold", e.Server)
-	case Paused:
+	case ServerCrashed:
+		c.report(SlowStartRespected, e, nil, "%s was pushed over while it was cold", e.Server)
+	case ControllerPaused:
 		c.pause(e)
-	case Killed:
-		c.forgetController(e.Node)
-	case SetUp, Stands, Refused, CallerEnd, Invite, Cancel, Unsent, Answer, TurnedBack, Broke:
+	case ControllerEnded:
+		c.forgetController(e.Controller)
+	case CallOffered, CallEstablished, CallRejected, CallAbandoned, AttemptSent, AttemptCanceled, AttemptUnsent, AttemptAnswered, AttemptRejected, AttemptBroken:
 		c.seeCall(e)
 	}
 }
 
 // updateServer records since when the controller knows that a server is inactive.
 func (c *Checker) updateServer(e Event) {
-	key := serverKey{e.Node, e.Server}
+	key := serverKey{e.Controller, e.Server}
 	_, isKnown := c.inactiveSince[key]
 	switch {
-	case !e.On:
+	case !e.IsSet:
 		delete(c.inactiveSince, key)
 	case !isKnown:
 		c.inactiveSince[key] = e.At
@@ -119,14 +119,14 @@
 // pause excuses late answers to the calls that are open while a controller is paused. Endpoint updates that it could
 // not read count from the time at which it continues.
 func (c *Checker) pause(e Event) {
-	c.isPaused[e.Node] = e.On
+	c.isPaused[e.Controller] = e.IsSet
 	for key, call := range c.calls {
-		if key.controller == e.Node && call.answer.isDue {
+		if key.controller == e.Controller && call.answer.isDue {
 			call.answer.isExcused = true
 		}
 	}
 	for key, since := range c.inactiveSince {
-		if key.controller == e.Node && !e.On {
+		if key.controller == e.Controller && !e.IsSet {
 			c.inactiveSince[key] = max(since, e.At)
 		}
 	}
@@ -174,9 +174,9 @@
 		return // not over: a controller that was paused learns late that the caller has gone, and may send attempts
 	}
 	call.answer.isOver = true
-	e := Event{At: deadline, Node: key.controller, Call: key.call}
+	e := Event{At: deadline, Controller: key.controller, Call: key.call}
 	c.report(InTime, e, call, "%s has no answer when its caller gives up", key.call)
 }
 
-// End checks the calls that are open at the end of the events.
-func (c *Checker) End(now Time) { c.expire(now + retention + time.Minute) }
+// Finish checks the calls that are open at the end of the events.
+func (c *Checker) Finish(now Time) { c.expire(now + retention + time.Minute) }
--- a/internal/sim/invariant/checker_test.go
+++ b/internal/sim/invariant/checker_test.go
@@ -11,7 +11,7 @@
 // are relative to the start.
 func check(events ...Event) *Checker {
 	const start = time.Second
-	c := New(Defaults())
+	c := New(DefaultLimits())
 	now := start
 	for _, e := range events {
 		now += ms
@@ -19,95 +19,95 @@
 			now = start + e.At
 		}
 		e.At = now
-		if e.Node == "" {
-			e.Node = "n"
+		if e.Controller == "" {
+			e.Controller = "n"
 		}
-		if e.Call == "" && e.Kind != Told && e.Kind != Killed {
+		if e.Call == "" && e.Kind != ServerUpdated && e.Kind != ControllerEnded {
 			e.Call = "c"
 		}
-		if e.Kind == SetUp {
-			e.Until = now + 3*time.Second
+		if e.Kind == CallOffered {
+			e.Deadline = now + 3*time.Second
 		}
-		c.See(e)
+		c.Record(e)
 	}
-	c.End(now)
+	c.Finish(now)
 	return c
 }
 
 func invite(server string, attempt int, at time.Duration) Event {
-	return on(Invite, server, attempt, at)
+	return on(AttemptSent, server, attempt, at)
 }
 
 // on returns an event of an attempt.
 func on(kind Kind, server string, attempt int, at time.Duration) Event {
-	return Event{Kind: kind, Server: server, N: attempt, At: at}
+	return Event{Kind: kind, Server: server, Attempt: attempt, At: at}
 }
 
 // inactive returns an endpoint update that a server drains.
 func inactive(server string, at time.Duration) Event {
-	return Event{Kind: Told, Server: server, On: true, At: at}
+	return Event{Kind: ServerUpdated, Server: server, IsSet: true, At: at}
 }
 
 // A violation is reported under the name of its rule only, and nothing else is reported.
 func TestRules(t *testing.T) {
-	setUp, established, rejected := Event{Kind: SetUp}, Event{Kind: Stands}, Event{Kind: Refused}
-	callerEnd := Event{Kind: CallerEnd}
-	lateSetUp := Event{Kind: SetUp, At: 1990 * ms}
+	setUp, established, rejected := Event{Kind: CallOffered}, Event{Kind: CallEstablished}, Event{Kind: CallRejected}
+	callerEnd := Event{Kind: CallAbandoned}
+	lateSetUp := Event{Kind: CallOffered, At: 1990 * ms}
 	for name, test := range map[string]struct {
 		want   Rule // "": no violation
 		events []Event
 	}{
-		"answered":          {"", []Event{setUp, invite("x", 0, 0), on(Answer, "x", 0, 0), established}},
+		"answered":          {"", []Event{setUp, invite("x", 0, 0), on(AttemptAnswered, "x", 0, 0), established}},
 		"answered twice":    {OneAnswer, []Event{setUp, established, rejected}},
 		"answer to no call": {OneAnswer, []Event{established}},
 		"no answer":         {InTime, []Event{setUp, invite("x", 0, 0)}},
-		"late answer":       {InTime, []Event{setUp, {Kind: Stands, At: 4 * time.Second}}},
+		"late answer":       {InTime, []Event{setUp, {Kind: CallEstablished, At: 4 * time.Second}}},
 		"abandoned":         {"", []Event{setUp, callerEnd}},
-		"controller killed": {"", []Event{setUp, {Kind: Killed}}},
+		"controller killed": {"", []Event{setUp, {Kind: ControllerEnded}}},
 		"two open attempts": {OneAttempt, []Event{setUp, invite("x", 0, 0), invite("y", 1, 0), established}},
 		"attempts in sequence": {"", []Event{
-			setUp, invite("x", 0, 0), on(TurnedBack, "x", 0, 0), invite("y", 1, 0), established,
+			setUp, invite("x", 0, 0), on(AttemptRejected, "x", 0, 0), invite("y", 1, 0), established,
 		}},
 		"attempt after answer":  {OneAnswer, []Event{setUp, rejected, invite("x", 0, 0)}},
 		"attempt after abandon": {OneAnswer, []Event{setUp, callerEnd, invite("x", 0, 0)}},
-		"cold server crashed":   {ColdSpared, []Event{{Kind: PushedOver, Server: "x"}}},
-		"retry within the guard after a cancel": {ReleaseKept, []Event{
-			setUp, invite("x", 0, 10*ms), on(Cancel, "x", 0, 20*ms), invite("y", 1, 319*ms), established,
+		"cold server crashed":   {SlowStartRespected, []Event{{Kind: ServerCrashed, Server: "x"}}},
+		"retry within the guard after a cancel": {RetryGuardRespected, []Event{
+			setUp, invite("x", 0, 10*ms), on(AttemptCanceled, "x", 0, 20*ms), invite("y", 1, 319*ms), established,
 		}},
 		"retry after the guard": {"", []Event{
-			setUp, invite("x", 0, 10*ms), on(Cancel, "x", 0, 20*ms), invite("y", 1, 320*ms), established,
+			setUp, invite("x", 0, 10*ms), on(AttemptCanceled, "x", 0, 20*ms), invite("y", 1, 320*ms), established,
 		}},
-		"retry within the guard after a reset": {ReleaseKept, []Event{
-			setUp, invite("x", 0, 10*ms), on(Broke, "x", 0, 20*ms), invite("x", 1, 30*ms), established,
+		"retry within the guard after a reset": {RetryGuardRespected, []Event{
+			setUp, invite("x", 0, 10*ms), on(AttemptBroken, "x", 0, 20*ms), invite("x", 1, 30*ms), established,
 		}},
 		"retry of an unsent attempt": {"", []Event{
-			setUp, invite("x", 0, 10*ms), on(Unsent, "x", 0, 20*ms), invite("x", 1, 21*ms), established,
+			setUp, invite("x", 0, 10*ms), on(AttemptUnsent, "x", 0, 20*ms), invite("x", 1, 21*ms), established,
 		}},
 		"draining server, soon": {"", []Event{
 			inactive("x", ms), lateSetUp, invite("x", 0, 2*time.Second), established,
 		}},
-		"draining server": {DrainsKept, []Event{
+		"draining server": {DrainRespected, []Event{
 			inactive("x", ms), lateSetUp, invite("x", 0, 2002*ms), established,
 		}},
-		"draining server, updated twice": {DrainsKept, []Event{
+		"draining server, updated twice": {DrainRespected, []Event{
 			inactive("x", ms), inactive("x", 1900*ms), lateSetUp, invite("x", 0, 2002*ms), established,
 		}},
 		"server that is active again": {"", []Event{
-			inactive("x", ms), {Kind: Told, Server: "x", At: 1900 * ms}, lateSetUp, invite("x", 0, 2500*ms), established,
+			inactive("x", ms), {Kind: ServerUpdated, Server: "x", At: 1900 * ms}, lateSetUp, invite("x", 0, 2500*ms), established,
 		}},
 		"cancel of an earlier attempt": {OneAttempt, []Event{
-			setUp, invite("x", 0, 0), on(TurnedBack, "x", 0, 0), invite("x", 1, 0), on(Cancel, "x", 0, 0),
+			setUp, invite("x", 0, 0), on(AttemptRejected, "x", 0, 0), invite("x", 1, 0), on(AttemptCanceled, "x", 0, 0),
 			invite("y", 2, 0), established,
 		}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			c := check(test.events...)
-			for _, r := range All {
+			for _, r := range Rules {
 				if n := c.Count(r); (n > 0) != (r == test.want) {
 					t.Errorf("%s: %d violations", r, n)
 				}
 			}
-			if test.want != "" && len(c.Breaches()[0].Around) == 0 {
+			if test.want != "" && len(c.Violations()[0].Events) == 0 {
 				t.Error("the violation has no events")
 			}
 		})
@@ -116,12 +116,12 @@
 
 // A long run keeps no more than the open calls and those that ended within the retention.
 func TestBounds(t *testing.T) {
-	c := New(Defaults())
+	c := New(DefaultLimits())
 	for i := range 100_000 {
 		at := time.Duration(i) * ms
 		id := string(rune('a'+i%26)) + time.Duration(i).String()
-		c.See(Event{Kind: SetUp, At: at, Node: "n", Call: id, Until: at + 100*ms})
-		c.See(Event{Kind: Refused, At: at, Node: "n", Call: id})
+		c.Record(Event{Kind: CallOffered, At: at, Controller: "n", Call: id, Deadline: at + 100*ms})
+		c.Record(Event{Kind: CallRejected, At: at, Controller: "n", Call: id})
 	}
 	if n := len(c.calls); n > 11_000 {
 		t.Errorf("%d calls are kept", n)
--- a/internal/sim/invariant/rule.go
+++ b/internal/sim/invariant/rule.go
@@ -10,39 +10,41 @@
 
 // The rules.
 const (
-	OneAnswer   Rule = "one_answer"   // an offered call gets exactly one final answer
-	InTime      Rule = "in_time"      // the final answer comes before the caller abandons the call
-	OneAttempt  Rule = "one_attempt"  // at most one attempt of a call is open at a time
-	DrainsKept  Rule = "drains_kept"  // no attempt at a server that drains or is removed, Limits.Drain after the update
-	ColdSpared  Rule = "cold_spared"  // no server crashes by overload during its slow start
-	ReleaseKept Rule = "release_kept" // no attempt within Limits.Release of a timeout, reset or cancel (retry guard)
+	OneAnswer           Rule = "one_answer"   // an offered call gets exactly one final answer
+	InTime              Rule = "in_time"      // the final answer comes before the caller abandons the call
+	OneAttempt          Rule = "one_attempt"  // at most one attempt of a call is open at a time
+	DrainRespected      Rule = "drains_kept"  // no attempt at a server that drains or is removed, Limits.Drain after the update
+	SlowStartRespected  Rule = "cold_spared"  // no server crashes by overload during its slow start
+	RetryGuardRespected Rule = "release_kept" // no attempt within Limits.Release of a timeout, reset or cancel (retry guard)
 )
 
-// All lists the rules.
-var All = []Rule{OneAnswer, InTime, OneAttempt, DrainsKept, ColdSpared, ReleaseKept}
+// Rules lists the rules.
+var Rules = []Rule{OneAnswer, InTime, OneAttempt, DrainRespected, SlowStartRespected, RetryGuardRespected}
 
 // Limits are the time limits of the rules.
 type Limits struct {
-	Drain   time.Duration // how long attempts may go on after the update that a server drains or is removed
-	Release time.Duration // the retry guard
-	Slack   time.Duration // tolerance for clocks and transmission times; 0 in virtual time
+	Drain      time.Duration // how long attempts may go on after the update that a server drains or is removed
+	RetryGuard time.Duration // the retry guard
+	Slack      time.Duration // tolerance for clocks and transmission times; 0 in virtual time
 }
 
-// Defaults returns the limits that the operators require.
-func Defaults() Limits { return Limits{Drain: 2 * time.Second, Release: 300 * time.Millisecond} }
-
-// Breach is a violation of a rule. It implements error. The JSON keys and the text are part of the --json output.
-type Breach struct {
-	Rule   Rule    `json:"Rule"`
-	At     Time    `json:"At"`
-	Node   string  `json:"Node"` // name of the controller
-	Call   string  `json:"Call"`
-	Server string  `json:"Server"`
-	Text   string  `json:"Text"`
-	Around []Event `json:"Around"` // the latest events of the call, or the event itself if it belongs to no known call
+// DefaultLimits returns the limits that the operators require.
+func DefaultLimits() Limits {
+	return Limits{Drain: 2 * time.Second, RetryGuard: 300 * time.Millisecond}
+}
+
+// Violation is a violation of a rule. It implements error. The JSON keys and the text are part of the --json output.
+type Violation struct {
+	Rule       Rule    `json:"Rule"`
+	At         Time    `json:"At"`
+	Controller string  `json:"Node"` // name of the controller
+	Call       string  `json:"Call"`
+	Server     string  `json:"Server"`
+	Text       string  `json:"Text"`
+	Events     []Event `json:"Around"` // the latest events of the call, or the event itself if it belongs to no known call
 }
 
 // Error implements error.
-func (b *Breach) Error() string {
-	return fmt.Sprintf("%s broken at %.6f by %s: %s", b.Rule, b.At.Seconds(), b.Node, b.Text)
+func (b *Violation) Error() string {
+	return fmt.Sprintf("%s broken at %.6f by %s: %s", b.Rule, b.At.Seconds(), b.Controller, b.Text)
 }
--- a/internal/sim/loopback/exchange.go
+++ b/internal/sim/loopback/exchange.go
@@ -77,7 +77,7 @@
 func (e *Exchange) EstablishedCalls() int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.model.Standing()
+	return e.model.EstablishedCalls()
 }
 
 // HasCollapsed reports whether the exchange went down by overload while it was cold.
@@ -94,7 +94,7 @@
 	now := time.Since(e.start)
 	e.model.Tick(now)
 	f(e.model, now)
-	for _, m := range e.model.Take() {
+	for _, m := range e.model.TakeMessages() {
 		e.send(m)
 	}
 	if e.closed {
@@ -105,7 +105,7 @@
 		e.closeConns()
 		return
 	}
-	if next := e.model.Next(); next < eventqueue.Never {
+	if next := e.model.NextDeadline(); next < eventqueue.Never {
 		e.timer.Reset(max(next-now, 0))
 	}
 }
@@ -134,7 +134,7 @@
 // take handles a message from a controller.
 func (e *Exchange) take(c *exchangeConn, m *sip.Message) {
 	e.Do(func(x *exchange.Exchange, now exchange.Time) {
-		attempt := exchange.Attempt{Call: m.CallID, N: m.CSeq - 1}
+		attempt := exchange.Attempt{Call: m.CallID, Number: m.CSeq - 1}
 		switch m.Method {
 		case "INVITE":
 			e.calls[attempt] = &dialog{conn: c.name, number: m.User(), cseq: m.CSeq}
@@ -156,11 +156,11 @@
 func (e *Exchange) forgetConn(c *exchangeConn) {
 	e.Do(func(x *exchange.Exchange, now exchange.Time) {
 		delete(e.conns, c.name)
-		x.Reset(now, c.name)
+		x.ConnectionLost(now, c.name)
 		for attempt, d := range e.calls {
 			switch {
 			case d.conn != c.name:
-			case x.Has(attempt):
+			case x.Contains(attempt):
 				d.conn = ""
 			default:
 				delete(e.calls, attempt)
--- a/internal/sim/loopback/exchange_conn.go
+++ b/internal/sim/loopback/exchange_conn.go
@@ -116,11 +116,11 @@
 	switch m.Kind {
 	case exchange.Answered:
 		return newResponse(statusOK, invite, "INVITE", []byte("v=0\r\ns="+d.number+"\r\n"))
-	case exchange.Full:
+	case exchange.ProcessorBusy:
 		return unavailable(invite, diagnosisProcessorBusy)
-	case exchange.NoLine:
+	case exchange.NoCircuit:
 		return unavailable(invite, diagnosisNoCircuit)
-	case exchange.Dropped:
+	case exchange.Canceled:
 		return newResponse(statusRequestTerminated, invite, "INVITE", nil)
 	case exchange.Released:
 		cause := sip.Header{Name: "Reason", Value: fmt.Sprint("Q.850;cause=", m.Cause)}
--- a/internal/sim/loopback/load.go
+++ b/internal/sim/loopback/load.go
@@ -16,17 +16,17 @@
 // A Load offers calls to controllers in an open loop: calls arrive whether or not earlier ones were answered, and the
 // time of a call counts from when it was to be sent, so that a stall of either side shows. Run ends by itself.
 type Load struct {
-	Addrs   []string // addresses of the controllers for clients
-	Rate    float64  // calls a second to all controllers together
-	For     time.Duration
-	Left    time.Duration // how long callers wait for the final answer
-	Pools   int           // number of pools to prefer
-	Classes []scenario.Class
-	Seed    uint64
-	MaxOpen int // bound of calls that are open or established; calls beyond it are not sent. 0: defaultMaxOpen
-	// Saw, if not nil, gets an event for each message, in the order of each call.
-	Saw   func(invariant.Event)
-	Nodes []string // names of the controllers at Addrs, for Saw
+	Addrs         []string // addresses of the controllers for clients
+	Rate          float64  // calls a second to all controllers together
+	Duration      time.Duration
+	CallerTimeout time.Duration // how long callers wait for the final answer
+	Pools         int           // number of pools to prefer
+	Classes       []scenario.Class
+	Seed          uint64
+	MaxOpen       int // bound of calls that are open or established; calls beyond it are not sent. 0: defaultMaxOpen
+	// Observe, if not nil, gets an event for each message, in the order of each call.
+	Observe         func(invariant.Event)
+	ControllerNames []string // names of the controllers at Addrs, for Saw
 
 	mu     sync.Mutex
 	calls  map[string]*loadCall
@@ -87,7 +87,7 @@
 	salt := rng.Uint32()
 	for n := uint32(0); ; n++ {
 		due = due.Add(time.Duration(rng.ExpFloat64() / l.Rate * float64(time.Second)))
-		if due.Sub(start) > l.For {
+		if due.Sub(start) > l.Duration {
 			return true
 		}
 		if !sleepUntil(ctx, due) {
@@ -113,7 +113,7 @@
 
 // awaitOpenCalls waits until no call is open, or the callers' time is over.
 func (l *Load) awaitOpenCalls(ctx context.Context) {
-	end := time.Now().Add(l.Left + drainMargin)
+	end := time.Now().Add(l.CallerTimeout + drainMargin)
 	for time.Now().Before(end) && ctx.Err() == nil && l.openCalls() > 0 {
 		time.Sleep(drainPollInterval)
 	}
@@ -141,9 +141,9 @@
 
 // observe passes an event at a controller to Saw.
 func (l *Load) observe(address int, e invariant.Event) {
-	if l.Saw != nil {
-		e.Node = l.Nodes[address]
-		l.Saw(e)
+	if l.Observe != nil {
+		e.Controller = l.ControllerNames[address]
+		l.Observe(e)
 	}
 }
 
@@ -172,14 +172,14 @@
 	if call == nil {
 		return
 	}
-	l.observe(conn.index, invariant.Event{Kind: invariant.SetUp, Call: id, Until: l.Left})
+	l.observe(conn.index, invariant.Event{Kind: invariant.CallOffered, Call: id, Deadline: l.CallerTimeout})
 	err := conn.send(&jsonl.Message{
 		Verb: jsonl.Start,
 		Tag:  id,
 		Blob: []byte("v=0\r\ns=" + d.number + "\r\n"),
 		Options: []jsonl.Option{
 			{Name: "class", Value: d.class},
-			{Name: "left", Value: fmt.Sprint(l.Left.Milliseconds())},
+			{Name: "left", Value: fmt.Sprint(l.CallerTimeout.Milliseconds())},
 			{Name: "key", Value: d.number},
 			{Name: "extras", Value: fmt.Sprintf("dest:%d;width:1;via:-1", d.pool)},
 		},
@@ -189,10 +189,10 @@
 	if err != nil {
 		l.stats[conn.index].Lost++
 		delete(l.calls, id)
-		l.observe(conn.index, invariant.Event{Kind: invariant.CallerEnd, Call: id})
+		l.observe(conn.index, invariant.Event{Kind: invariant.CallAbandoned, Call: id})
 		return
 	}
-	call.timer = time.AfterFunc(l.Left, func() { l.abandon(id) })
+	call.timer = time.AfterFunc(l.CallerTimeout, func() { l.abandon(id) })
 }
 
 // open registers a call, or returns nil if it must not be sent.
--- a/internal/sim/loopback/load_call.go
+++ b/internal/sim/loopback/load_call.go
@@ -38,7 +38,7 @@
 	if call == nil || call.established {
 		return nil
 	}
-	l.stats[call.conn.index].GaveUp++
+	l.stats[call.conn.index].Abandoned++
 	delete(l.calls, id)
 	return call
 }
@@ -59,14 +59,14 @@
 func (l *Load) establish(c *loadConn, id string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.observe(c.index, invariant.Event{Kind: invariant.Stands, Call: id})
+	l.observe(c.index, invariant.Event{Kind: invariant.CallEstablished, Call: id})
 	call := l.calls[id]
 	if call == nil || call.established {
 		return
 	}
 	call.established = true
 	stats := &l.stats[c.index]
-	stats.Stood++
+	stats.Established++
 	_ = stats.Took.RecordValue(max(time.Since(call.due).Microseconds(), 1))
 }
 
@@ -85,12 +85,12 @@
 	case call.established:
 		stats.Dropped++
 	case m.ResultCode == causeNoCircuit:
-		stats.Refused++
+		stats.Rejected++
 	default:
 		stats.Failed++
 	}
 	if !call.established {
-		l.observe(c.index, invariant.Event{Kind: invariant.Refused, Call: m.Tag})
+		l.observe(c.index, invariant.Event{Kind: invariant.CallRejected, Call: m.Tag})
 	}
 	delete(l.calls, m.Tag)
 }
--- a/internal/sim/loopback/load_stats.go
+++ b/internal/sim/loopback/load_stats.go
@@ -14,15 +14,15 @@
 
 // LoadStats are what callers got.
 type LoadStats struct {
-	Sent     int
-	NotSent  int // calls that were due and not sent
-	Stood    int // established
-	Refused  int // rejected for want of circuits
-	Failed   int // ended otherwise before they were established
-	GaveUp   int // abandoned by the caller
-	Lost     int // lost with their connection
-	Released int // ended normally
-	Dropped  int // ended otherwise after they were established
+	Sent        int
+	NotSent     int // calls that were due and not sent
+	Established int // established
+	Rejected    int // rejected for want of circuits
+	Failed      int // ended otherwise before they were established
+	Abandoned   int // abandoned by the caller
+	Lost        int // lost with their connection
+	Released    int // ended normally
+	Dropped     int // ended otherwise after they were established
 	// Took has the times until calls were established, in microseconds.
 	Took *hdrhistogram.Histogram
 }
@@ -36,10 +36,10 @@
 func (s *LoadStats) Add(o LoadStats) {
 	s.Sent += o.Sent
 	s.NotSent += o.NotSent
-	s.Stood += o.Stood
-	s.Refused += o.Refused
+	s.Established += o.Established
+	s.Rejected += o.Rejected
 	s.Failed += o.Failed
-	s.GaveUp += o.GaveUp
+	s.Abandoned += o.Abandoned
 	s.Lost += o.Lost
 	s.Released += o.Released
 	s.Dropped += o.Dropped
--- a/internal/sim/loopback/loopback_test.go
+++ b/internal/sim/loopback/loopback_test.go
@@ -40,9 +40,9 @@
 }`
 
 // start runs a real controller with a number of emulated exchanges and their name service.
-func start(t testing.TB, set exchange.Settings, exchanges int) (addr string, names *Names, all []*Exchange, lines []Line) {
+func start(t testing.TB, set exchange.Settings, exchanges int) (addr string, names *NameService, all []*Exchange, lines []Endpoint) {
 	t.Helper()
-	names, err := ListenNames("127.0.0.1:0")
+	names, err := ListenNameService("127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -55,7 +55,7 @@
 		}
 		t.Cleanup(x.Close)
 		all = append(all, x)
-		lines = append(lines, Line{ID: fmt.Sprint("x", i), Addr: x.Addr(), Zone: "east", Pool: i})
+		lines = append(lines, Endpoint{ID: fmt.Sprint("x", i), Addr: x.Addr(), Zone: "east", Pool: i})
 		members = append(members, config.Endpoint{ID: lines[i].ID, Address: lines[i].Addr, Zone: "east", Kind: "std", Pool: i, Phase: config.PhaseReady})
 	}
 	names.Set(lines...)
@@ -102,9 +102,9 @@
 	t.Parallel()
 	sc := scenario.Default()
 	set := sc.Model()
-	set.Holding = shortHolding
+	set.MeanHoldingTime = shortHolding
 	addr, names, all, lines := start(t, set, 2)
-	l := &Load{Addrs: []string{addr}, Rate: 30, For: 3 * time.Second, Left: 3 * time.Second, Pools: 2, Classes: scenario.Default().Class, Seed: 1}
+	l := &Load{Addrs: []string{addr}, Rate: 30, Duration: 3 * time.Second, CallerTimeout: 3 * time.Second, Pools: 2, Classes: scenario.Default().Class, Seed: 1}
 	done := make(chan error, 1)
 	go func() { done <- l.Run(context.Background()) }()
 	for end := time.Now().Add(10 * time.Second); all[0].EstablishedCalls() == 0 || all[1].EstablishedCalls() == 0; time.Sleep(5 * time.Millisecond) {
@@ -112,31 +112,31 @@
 			t.Fatal("no call is established at each exchange")
 		}
 	}
-	all[0].Do(func(x *exchange.Exchange, now exchange.Time) { x.Cutting(now, x.Standing()) })
+	all[0].Do(func(x *exchange.Exchange, now exchange.Time) { x.DropCalls(now, x.EstablishedCalls()) })
 	if err := <-done; err != nil {
 		t.Fatal(err)
 	}
 	var stood, ups int
 	for _, x := range all {
 		c := x.Counters()
-		stood, ups = stood+c.Stood, ups+c.SetUps
+		stood, ups = stood+c.Established, ups+c.SetUps
 	}
 	s := l.Stats()
-	if s.Sent < 60 || s.Stood != stood || s.Stood+s.Refused+s.Failed+s.GaveUp != s.Sent || s.Dropped == 0 || s.Stood < s.Sent*8/10 || ups < stood {
+	if s.Sent < 60 || s.Established != stood || s.Established+s.Rejected+s.Failed+s.Abandoned != s.Sent || s.Dropped == 0 || s.Established < s.Sent*8/10 || ups < stood {
 		t.Errorf("callers %+v, exchanges established %d of %d calls", s, stood, ups)
 	}
-	if s.Took.TotalCount() != int64(s.Stood) {
-		t.Errorf("%d times of %d calls", s.Took.TotalCount(), s.Stood)
+	if s.Took.TotalCount() != int64(s.Established) {
+		t.Errorf("%d times of %d calls", s.Took.TotalCount(), s.Established)
 	}
 
 	// One exchange ends, and discovery publishes it: calls go to the other.
 	all[0].Close()
 	names.Set(lines[1])
-	l = &Load{Addrs: []string{addr}, Rate: 20, For: 2 * time.Second, Left: 3 * time.Second, Pools: 2, Classes: scenario.Default().Class, Seed: 2}
+	l = &Load{Addrs: []string{addr}, Rate: 20, Duration: 2 * time.Second, CallerTimeout: 3 * time.Second, Pools: 2, Classes: scenario.Default().Class, Seed: 2}
 	if err := l.Run(context.Background()); err != nil {
 		t.Fatal(err)
 	}
-	if s := l.Stats(); s.Stood < s.Sent/2 || s.Stood+s.Refused+s.Failed+s.GaveUp != s.Sent {
+	if s := l.Stats(); s.Established < s.Sent/2 || s.Established+s.Rejected+s.Failed+s.Abandoned != s.Sent {
 		t.Errorf("with one exchange: %+v", s)
 	}
 	if err := (&Load{}).Run(context.Background()); err == nil {
@@ -186,13 +186,13 @@
 	}
 	addr, _, _, _ := start(b, sc.Model(), 3)
 	l := &Load{
-		Addrs:   []string{addr},
-		Rate:    load * sc.Rate(),
-		For:     sc.Length.D(),
-		Left:    3 * time.Second,
-		Pools:   3,
-		Classes: sc.Class,
-		Seed:    1,
+		Addrs:         []string{addr},
+		Rate:          load * sc.Rate(),
+		Duration:      sc.Length.D(),
+		CallerTimeout: 3 * time.Second,
+		Pools:         3,
+		Classes:       sc.Class,
+		Seed:          1,
 	}
 	if err := l.Run(context.Background()); err != nil {
 		b.Fatal(err)
@@ -203,8 +203,8 @@
 		name    string
 		sockets float64
 	}{
-		{"stood", fraction(s.Stood, s.Sent)},
-		{"refused", fraction(s.Refused, s.Sent)},
+		{"stood", fraction(s.Established, s.Sent)},
+		{"refused", fraction(s.Rejected, s.Sent)},
 		{"p50 ms", float64(s.Took.ValueAtQuantile(50)) / 1000},
 		{"p99 ms", float64(s.Took.ValueAtQuantile(99)) / 1000},
 	} {
--- a/internal/sim/loopback/names.go
+++ b/internal/sim/loopback/names.go
@@ -10,8 +10,8 @@
 	"golang.org/x/net/dns/dnsmessage"
 )
 
-// A Line is the entry of one exchange in discovery.
-type Line struct {
+// A Endpoint is the entry of one exchange in discovery.
+type Endpoint struct {
 	ID       string
 	Addr     string // host:port on loopback
 	Zone     string
@@ -20,13 +20,13 @@
 	Started  time.Time // zero: long ago
 }
 
-// Names is the platform's name service: it answers each query with the whole list of exchanges, whose serial number
+// NameService is the platform's name service: it answers each query with the whole list of exchanges, whose serial number
 // grows with each change. Its methods are safe for concurrent use.
-type Names struct {
+type NameService struct {
 	conn   net.PacketConn
 	mu     sync.Mutex
 	serial uint32
-	lines  []Line
+	lines  []Endpoint
 }
 
 // Fields of the DNS answer.
@@ -38,19 +38,19 @@
 	kindText         = "kind=std"
 )
 
-// ListenNames starts a name service on an address; port 0 takes a free one. Close ends its goroutine.
-func ListenNames(addr string) (*Names, error) {
+// ListenNameService starts a name service on an address; port 0 takes a free one. Close ends its goroutine.
+func ListenNameService(addr string) (*NameService, error) {
 	conn, err := net.ListenPacket("udp", addr)
 	if err != nil {
 		return nil, fmt.Errorf("names: %w", err)
 	}
-	n := &Names{conn: conn}
+	n := &NameService{conn: conn}
 	go n.serve()
 	return n, nil
 }
 
 // serve answers queries until the socket is closed.
-func (n *Names) serve() {
+func (n *NameService) serve() {
 	buffer := make([]byte, maxQueryBytes)
 	for {
 		length, from, err := n.conn.ReadFrom(buffer)
@@ -64,13 +64,13 @@
 }
 
 // Addr returns the address on which the service listens, as host:port.
-func (n *Names) Addr() string { return n.conn.LocalAddr().String() }
+func (n *NameService) Addr() string { return n.conn.LocalAddr().String() }
 
 // Close ends the service.
-func (n *Names) Close() { _ = n.conn.Close() }
+func (n *NameService) Close() { _ = n.conn.Close() }
 
 // Set changes the list.
-func (n *Names) Set(lines ...Line) {
+func (n *NameService) Set(lines ...Endpoint) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.serial++
@@ -78,7 +78,7 @@
 }
 
 // answer returns the answer to a query.
-func (n *Names) answer(query []byte) ([]byte, error) {
+func (n *NameService) answer(query []byte) ([]byte, error) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	var parser dnsmessage.Parser
@@ -127,7 +127,7 @@
 }
 
 // addServices adds an SRV record for each line.
-func (a *answerBuilder) addServices(lines []Line) error {
+func (a *answerBuilder) addServices(lines []Endpoint) error {
 	if err := a.builder.StartAnswers(); err != nil {
 		return err
 	}
@@ -161,7 +161,7 @@
 }
 
 // addHosts adds an A and a TXT record for each line.
-func (a *answerBuilder) addHosts(lines []Line) error {
+func (a *answerBuilder) addHosts(lines []Endpoint) error {
 	if err := a.builder.StartAdditionals(); err != nil {
 		return err
 	}
@@ -173,7 +173,7 @@
 	return nil
 }
 
-func (a *answerBuilder) addHost(l Line) error {
+func (a *answerBuilder) addHost(l Endpoint) error {
 	host, err := l.hostName()
 	if err != nil {
 		return err
@@ -196,7 +196,7 @@
 }
 
 // hostName returns the DNS name of the exchange.
-func (l Line) hostName() (dnsmessage.Name, error) {
+func (l Endpoint) hostName() (dnsmessage.Name, error) {
 	return dnsmessage.NewName(l.ID + "." + l.Zone + hostSuffix)
 }
 
--- a/internal/sim/overloadpeers/byzantine.go
+++ b/internal/sim/overloadpeers/byzantine.go
@@ -57,7 +57,7 @@
 		if to == p.self {
 			continue
 		}
-		p.send(to, Report(p.self, p.incarnation, p.sequence, p.serverKeys, p.claimsOverloaded))
-		p.send(to, Word(p.self, p.incarnation, p.sequence, p.serverKeys, p.claimsOverloaded))
+		p.send(to, FalseLoadReport(p.self, p.incarnation, p.sequence, p.serverKeys, p.claimsOverloaded))
+		p.send(to, FalseLimitUpdate(p.self, p.incarnation, p.sequence, p.serverKeys, p.claimsOverloaded))
 	}
 }
--- a/internal/sim/overloadpeers/overloadpeers_test.go
+++ b/internal/sim/overloadpeers/overloadpeers_test.go
@@ -53,7 +53,7 @@
 	for i, base := range shrunkScenarios(t, 40, 14*time.Second) {
 		for seed := range uint64(3) {
 			sc := withPeerFaults(base, rand.New(rand.NewPCG(seed, uint64(i))))
-			options := virtualtime.Options{Share: Start}
+			options := virtualtime.Options{StartPeer: Start}
 			r := virtualtime.Run(sc, seed, options)
 			if len(r.Broken) > 0 {
 				t.Errorf("%s, seed %d, %.0f%% lost, %.0f%% byzantine: %v",
@@ -95,7 +95,7 @@
 	t.Parallel()
 	sc := shrunkScenarios(t, 100, 20*time.Second)[2]
 	sc.Callers.Load = 1.4
-	r := virtualtime.Run(sc, 1, virtualtime.Options{Share: Start})
+	r := virtualtime.Run(sc, 1, virtualtime.Options{StartPeer: Start})
 	if r.Fairness < 0.95 {
 		t.Errorf("%s: Jain's fairness index over the controllers is %.3f, want 0.95", sc.Name, r.Fairness)
 	}
@@ -169,7 +169,7 @@
 				throttledBy:  make(map[string]map[int]bool),
 				wasThrottled: make(map[string]bool),
 			}
-			virtualtime.Run(sc, seed, virtualtime.Options{Share: func(cfg virtualtime.PeerConfig) virtualtime.Peer {
+			virtualtime.Run(sc, seed, virtualtime.Options{StartPeer: func(cfg virtualtime.PeerConfig) virtualtime.Peer {
 				return observedPeer{Start(cfg), cfg.Controller, detector.observe}
 			}})
 			delays = append(delays, detector.delay.Seconds())
--- a/internal/sim/result/result.go
+++ b/internal/sim/result/result.go
@@ -50,14 +50,14 @@
 	P95 float64 `json:"setup_p95_ms"`
 	P99 float64 `json:"setup_p99_ms"`
 
-	Classes    []Class             `json:"classes"`
-	Seconds    []float64           `json:"seconds"` // service of each second; noService if nothing was offered
-	Recoveries []Recovery          `json:"recoveries,omitempty"`
-	Exchanges  Exchanges           `json:"exchanges"`
-	Cold       []Cold              `json:"cold,omitempty"`
-	Broken     map[string]int      `json:"broken,omitempty"` // violations by invariant
-	Breaches   []*invariant.Breach `json:"-"`
-	Events     uint64              `json:"events"`
+	Classes    []Class                `json:"classes"`
+	Seconds    []float64              `json:"seconds"` // service of each second; noService if nothing was offered
+	Recoveries []Recovery             `json:"recoveries,omitempty"`
+	Exchanges  Exchanges              `json:"exchanges"`
+	Cold       []Cold                 `json:"cold,omitempty"`
+	Broken     map[string]int         `json:"broken,omitempty"` // violations by invariant
+	Breaches   []*invariant.Violation `json:"-"`
+	Events     uint64                 `json:"events"`
 }
 
 // noService marks a second of Result.Seconds without offered calls.
@@ -85,14 +85,14 @@
 	e.SetUps += c.SetUps
 	e.Repeats += c.Repeats
 	e.Rejected += c.Rejected
-	e.NoLines += c.NoLines
-	e.GivenUp += c.GivenUp
-	e.Stood += c.Stood
+	e.NoCircuit += c.NoCircuit
+	e.Canceled += c.Canceled
+	e.Established += c.Established
 	e.Ended += c.Ended
-	e.Cut += c.Cut
+	e.Dropped += c.Dropped
 	e.Work += c.Work
 	e.Wasted += c.Wasted
-	e.Waited += c.Waited
+	e.TotalQueueingDelay += c.TotalQueueingDelay
 	e.Served += c.Served
 	e.WorkSeconds, e.WastedSeconds = e.Work.Seconds(), e.Wasted.Seconds()
 }
--- a/internal/sim/sabourin/simulate.go
+++ b/internal/sim/sabourin/simulate.go
@@ -61,11 +61,11 @@
 func newSimulation(m Mix, seed uint64) *simulation {
 	rejectedCost := time.Duration(m.Reject * float64(acceptedCost))
 	settings := exchange.Settings{
-		SetUp:   acceptedCost,
-		Reject:  rejectedCost,
-		Lines:   unlimitedCircuits,
-		Vary:    serviceTimeVariation,
-		Holding: map[string]time.Duration{"": callDuration},
+		SetUp:           acceptedCost,
+		Reject:          rejectedCost,
+		Circuits:        unlimitedCircuits,
+		WorkVariation:   serviceTimeVariation,
+		MeanHoldingTime: map[string]time.Duration{"": callDuration},
 	}
 	return &simulation{
 		mix:       m,
@@ -77,9 +77,9 @@
 
 // runProcessor has the exchange process its events up to now, and drops its answers.
 func (s *simulation) runProcessor() {
-	for due := s.processor.Next(); due <= s.now; due = s.processor.Next() {
+	for due := s.processor.NextDeadline(); due <= s.now; due = s.processor.NextDeadline() {
 		s.processor.Tick(due)
-		s.processor.Take()
+		s.processor.TakeMessages()
 	}
 }
 
@@ -95,10 +95,10 @@
 
 // offer sends a call to the processor if the control accepts its kind, and a rejection otherwise.
 func (s *simulation) offer(k kind) {
-	attempt := exchange.Attempt{N: s.offered}
+	attempt := exchange.Attempt{Number: s.offered}
 	s.offered++
 	if !s.control.admit(k) {
-		s.processor.TurnAway(s.now, "", attempt)
+		s.processor.InviteRejected(s.now, "", attempt)
 		return
 	}
 	s.accepted++
--- a/internal/sim/scenario/derive.go
+++ b/internal/sim/scenario/derive.go
@@ -25,24 +25,24 @@
 func (s *Scenario) Model() exchange.Settings {
 	e := &s.Exchange
 	m := exchange.Settings{
-		SetUp:   e.SetUp.D(),
-		Answer:  e.Answer.D(),
-		Release: e.Release.D(),
-		Reject:  e.Reject.D(),
-		Repeat:  e.Repeat.D(),
-		Vary:    e.Vary,
-		Full:    e.Full.D(),
-		Again:   e.Again.D(),
-		Ring:    e.Ring.D(),
-		Lines:   e.Lines,
-		Start:   e.Start,
-		Warm:    e.Warm.D(),
-		Fall:    e.Fall,
-		FallFor: slowStartWindow,
-		Holding: make(map[string]time.Duration),
+		SetUp:                  e.SetUp.D(),
+		Answer:                 e.Answer.D(),
+		Release:                e.Release.D(),
+		Reject:                 e.Reject.D(),
+		Retransmission:         e.Repeat.D(),
+		WorkVariation:          e.Vary,
+		MaxQueueingDelay:       e.Full.D(),
+		RetransmissionInterval: e.Again.D(),
+		MeanRingTime:           e.Ring.D(),
+		Circuits:               e.Lines,
+		SlowStartShare:         e.Start,
+		SlowStartPeriod:        e.Warm.D(),
+		CrashFactor:            e.Fall,
+		CrashWindow:            slowStartWindow,
+		MeanHoldingTime:        make(map[string]time.Duration),
 	}
 	for _, c := range s.Class {
-		m.Holding[c.Name] = c.Holding.D()
+		m.MeanHoldingTime[c.Name] = c.Holding.D()
 	}
 	return m
 }
--- a/internal/sim/virtualtime/backendconns.go
+++ b/internal/sim/virtualtime/backendconns.go
@@ -14,8 +14,8 @@
 func (b *backendConns) Invite(server string, setUp call.Setup) {
 	c := (*controller)(b)
 	s := c.sim
-	a := exchange.Attempt{Call: setUp.ID, N: setUp.Attempt}
-	c.record(invariant.Event{Kind: invariant.Invite, Call: setUp.ID, Server: server, N: setUp.Attempt})
+	a := exchange.Attempt{Call: setUp.ID, Number: setUp.Attempt}
+	c.record(invariant.Event{Kind: invariant.AttemptSent, Call: setUp.ID, Server: server, Attempt: setUp.Attempt})
 	s.tally.Sent()
 	e := s.exchangesByID[server]
 	if e == nil {
@@ -38,9 +38,9 @@
 // Cancel implements call.Backends.
 func (b *backendConns) Cancel(server, id string, attempt int) (unsent bool) {
 	c := (*controller)(b)
-	a := exchange.Attempt{Call: id, N: attempt}
+	a := exchange.Attempt{Call: id, Number: attempt}
 	delete(c.openAttempts, a)
-	c.record(invariant.Event{Kind: invariant.Cancel, Call: id, Server: server, N: attempt})
+	c.record(invariant.Event{Kind: invariant.AttemptCanceled, Call: id, Server: server, Attempt: attempt})
 	e := c.sim.exchangesByID[server]
 	isLost := e == nil || c.isUnresponsive(e) // a lost connection cancels as well
 	if !isLost {
@@ -56,7 +56,7 @@
 	if e == nil {
 		return
 	}
-	c.send(e, func(x *exchange.Exchange, now Time) { x.Release(now, exchange.Attempt{Call: id, N: attempt}) })
+	c.send(e, func(x *exchange.Exchange, now Time) { x.Release(now, exchange.Attempt{Call: id, Number: attempt}) })
 }
 
 // ReleaseEverywhere implements call.Backends.
@@ -117,18 +117,18 @@
 func (c *controller) receive(e *exchangeInstance, m exchange.Message) {
 	switch m.Kind {
 	case exchange.Answered:
-		c.endAttempt(invariant.Answer, e, m.Attempt)
+		c.endAttempt(invariant.AttemptAnswered, e, m.Attempt)
 		c.sim.callers.noteAnswer(m.Call, e)
-		c.manager.AttemptAnswered(e.id, m.Call, m.N, nil)
-	case exchange.Full:
-		c.endAttempt(invariant.TurnedBack, e, m.Attempt)
-		c.manager.AttemptEnded(e.id, m.Call, m.N, call.ProcessorBusy)
-	case exchange.NoLine:
-		c.endAttempt(invariant.TurnedBack, e, m.Attempt)
-		c.manager.AttemptEnded(e.id, m.Call, m.N, call.NoCircuit)
+		c.manager.AttemptAnswered(e.id, m.Call, m.Number, nil)
+	case exchange.ProcessorBusy:
+		c.endAttempt(invariant.AttemptRejected, e, m.Attempt)
+		c.manager.AttemptEnded(e.id, m.Call, m.Number, call.ProcessorBusy)
+	case exchange.NoCircuit:
+		c.endAttempt(invariant.AttemptRejected, e, m.Attempt)
+		c.manager.AttemptEnded(e.id, m.Call, m.Number, call.NoCircuit)
 	case exchange.Released:
 		c.manager.BackendReleased(e.id, m.Call, m.Cause, c.frontend)
-	case exchange.Dropped: // the manager has forgotten the attempt that it canceled
+	case exchange.Canceled: // the manager has forgotten the attempt that it canceled
 	}
 	c.settle()
 }
--- a/internal/sim/virtualtime/clientconn.go
+++ b/internal/sim/virtualtime/clientconn.go
@@ -22,14 +22,14 @@
 // CallEstablished implements call.Client.
 func (cc *clientConn) CallEstablished(id string, _ []byte) {
 	s := cc.controller.sim
-	cc.controller.record(invariant.Event{Kind: invariant.Stands, Call: id})
+	cc.controller.record(invariant.Event{Kind: invariant.CallEstablished, Call: id})
 	s.after(s.scenario.Wire.Client.D(), func() { s.callers.onEstablished(id) })
 }
 
 // CallRejected implements call.Client.
 func (cc *clientConn) CallRejected(id string, cause int, retryAfter time.Duration) {
 	s := cc.controller.sim
-	cc.controller.record(invariant.Event{Kind: invariant.Refused, Call: id})
+	cc.controller.record(invariant.Event{Kind: invariant.CallRejected, Call: id})
 	s.after(s.scenario.Wire.Client.D(), func() { s.callers.onRejected(id, cause, retryAfter) })
 }
 
--- a/internal/sim/virtualtime/controller.go
+++ b/internal/sim/virtualtime/controller.go
@@ -68,12 +68,12 @@
 func (c *controller) startManager(engine *admission.Engine) {
 	s := c.sim
 	var decider call.Decider = engine
-	if s.options.Module != nil {
-		decider = s.options.Module(c.name, decider)
+	if s.options.WrapDecider != nil {
+		decider = s.options.WrapDecider(c.name, decider)
 	}
 	var backends call.Backends = (*backendConns)(c)
-	if s.options.Backends != nil {
-		backends = s.options.Backends(c.name, backends)
+	if s.options.WrapBackends != nil {
+		backends = s.options.WrapBackends(c.name, backends)
 	}
 	c.manager = call.NewManager(decider, backends, c.clock, managerLimits)
 	c.frontend = &frontend{sim: s}
@@ -102,7 +102,7 @@
 
 // record passes an event of this controller to the invariant checker.
 func (c *controller) record(e invariant.Event) {
-	e.Node = c.name
+	e.Controller = c.name
 	c.sim.record(e)
 }
 
@@ -151,7 +151,7 @@
 	}
 	c.incarnation++
 	c.manager = nil
-	c.record(invariant.Event{Kind: invariant.Killed})
+	c.record(invariant.Event{Kind: invariant.ControllerEnded})
 	for _, e := range c.sim.exchanges {
 		c.resetExchange(e)
 	}
--- a/internal/sim/virtualtime/discovery.go
+++ b/internal/sim/virtualtime/discovery.go
@@ -57,7 +57,7 @@
 	isInactive := u.State != admission.Active
 	if isInactive != c.discovery.isInactive[u.ID] {
 		c.discovery.isInactive[u.ID] = isInactive
-		c.record(invariant.Event{Kind: invariant.Told, Server: u.ID, On: isInactive})
+		c.record(invariant.Event{Kind: invariant.ServerUpdated, Server: u.ID, IsSet: isInactive})
 	}
 	c.manager.UpdateServers([]admission.Server{u}, false)
 	if u.State == admission.Removed {
--- a/internal/sim/virtualtime/exchangefaults.go
+++ b/internal/sim/virtualtime/exchangefaults.go
@@ -13,11 +13,11 @@
 func (s *simulation) slowExchanges(f scenario.Fault) {
 	slowed := s.drawExchanges(f.Share)
 	for _, e := range slowed {
-		e.model.Slow(f.Factor)
+		e.model.SetSlowdown(f.Factor)
 	}
 	s.afterFault(f, func() {
 		for _, e := range slowed {
-			e.model.Slow(1)
+			e.model.SetSlowdown(1)
 		}
 	})
 }
@@ -48,11 +48,11 @@
 func (s *simulation) hangExchanges(f scenario.Fault) {
 	hung := s.drawExchanges(f.Share)
 	for _, e := range hung {
-		e.apply(func(x *exchange.Exchange, now Time) { x.Hang(now, true) })
+		e.apply(func(x *exchange.Exchange, now Time) { x.SetHung(now, true) })
 	}
 	s.afterFault(f, func() {
 		for _, e := range hung {
-			e.apply(func(x *exchange.Exchange, now Time) { x.Hang(now, false) })
+			e.apply(func(x *exchange.Exchange, now Time) { x.SetHung(now, false) })
 		}
 	})
 }
@@ -82,6 +82,6 @@
 
 func (s *simulation) dropCalls(f scenario.Fault) {
 	for _, e := range s.exchangesByPool {
-		e.apply(func(x *exchange.Exchange, now Time) { x.Cutting(now, countOf(x.Standing(), f.Share)) })
+		e.apply(func(x *exchange.Exchange, now Time) { x.DropCalls(now, countOf(x.EstablishedCalls(), f.Share)) })
 	}
 }
--- a/internal/sim/virtualtime/exchangeinstance.go
+++ b/internal/sim/virtualtime/exchangeinstance.go
@@ -69,12 +69,12 @@
 
 // flush sends the messages of the model and schedules its next tick.
 func (e *exchangeInstance) flush() {
-	for _, m := range e.model.Take() {
+	for _, m := range e.model.TakeMessages() {
 		if !e.isUnreachable {
 			e.sim.controllersByName[m.To].transmitFromExchange(e, m)
 		}
 	}
-	next := e.model.Next()
+	next := e.model.NextDeadline()
 	if next >= e.nextWake {
 		return
 	}
@@ -99,7 +99,7 @@
 	e.apply(func(x *exchange.Exchange, now Time) { x.Invite(now, c.name, a, class) })
 	if wasRunning && e.model.State() == exchange.Down {
 		e.isCrashedByLoad = true
-		c.record(invariant.Event{Kind: invariant.PushedOver, Server: e.id})
+		c.record(invariant.Event{Kind: invariant.ServerCrashed, Server: e.id})
 		e.crash()
 	}
 }
@@ -127,7 +127,7 @@
 	e.setState(admission.Draining)
 	s.replace(e)
 	s.after(drainPeriod, func() {
-		e.apply(func(x *exchange.Exchange, now Time) { x.Cutting(now, x.Standing()) })
+		e.apply(func(x *exchange.Exchange, now Time) { x.DropCalls(now, x.EstablishedCalls()) })
 		s.after(stopDelay, e.crash)
 	})
 }
--- a/internal/sim/virtualtime/links.go
+++ b/internal/sim/virtualtime/links.go
@@ -120,15 +120,15 @@
 	if c.openAttempts[a] != e {
 		return
 	}
-	c.endAttempt(invariant.TurnedBack, e, a)
-	c.manager.AttemptEnded(e.id, a.Call, a.N, end)
+	c.endAttempt(invariant.AttemptRejected, e, a)
+	c.manager.AttemptEnded(e.id, a.Call, a.Number, end)
 	c.settle()
 }
 
 // endAttempt removes an attempt from the open ones and records its end.
 func (c *controller) endAttempt(kind invariant.Kind, e *exchangeInstance, a exchange.Attempt) {
 	delete(c.openAttempts, a)
-	c.record(invariant.Event{Kind: kind, Call: a.Call, Server: e.id, N: a.N})
+	c.record(invariant.Event{Kind: kind, Call: a.Call, Server: e.id, Attempt: a.Number})
 }
 
 // breakConnection breaks the connection to an exchange. Its open attempts end.
@@ -148,11 +148,11 @@
 		}
 	}
 	slices.SortFunc(attempts, func(a, b exchange.Attempt) int {
-		return cmp.Or(cmp.Compare(a.Call, b.Call), cmp.Compare(a.N, b.N))
+		return cmp.Or(cmp.Compare(a.Call, b.Call), cmp.Compare(a.Number, b.Number))
 	})
 	for _, a := range attempts {
-		c.endAttempt(invariant.Broke, e, a)
-		c.manager.AttemptEnded(e.id, a.Call, a.N, end)
+		c.endAttempt(invariant.AttemptBroken, e, a)
+		c.manager.AttemptEnded(e.id, a.Call, a.Number, end)
 	}
 	c.settle()
 }
@@ -160,6 +160,6 @@
 // resetExchange lets an exchange see that its connection to the controller is lost.
 func (c *controller) resetExchange(e *exchangeInstance) {
 	c.transmitTo(e, func() {
-		e.apply(func(x *exchange.Exchange, now Time) { x.Reset(now, c.name) })
+		e.apply(func(x *exchange.Exchange, now Time) { x.ConnectionLost(now, c.name) })
 	})
 }
--- a/internal/sim/virtualtime/links_test.go
+++ b/internal/sim/virtualtime/links_test.go
@@ -21,8 +21,8 @@
 	during, after := make(map[zonePair]int), make(map[zonePair]int) // answers
 	r := Run(&sc, 3, Options{Watch: func(e invariant.Event) {
 		var controller, exchange int
-		_, err := fmt.Sscanf(e.Node+" "+e.Server, "n%d x%d", &controller, &exchange)
-		if err != nil || e.Kind != invariant.Answer {
+		_, err := fmt.Sscanf(e.Controller+" "+e.Server, "n%d x%d", &controller, &exchange)
+		if err != nil || e.Kind != invariant.AttemptAnswered {
 			return
 		}
 		pair := zonePair{controller % 3, exchange % 3}
@@ -51,7 +51,7 @@
 			sc.Fault = []scenario.Fault{{Kind: kind, At: seconds(3), For: seconds(5), Share: 0.4, By: seconds(0.3)}}
 			ended := 0
 			r := Run(&sc, 3, Options{Watch: func(e invariant.Event) {
-				if e.Kind == invariant.Killed {
+				if e.Kind == invariant.ControllerEnded {
 					ended++
 				}
 			}})
--- a/internal/sim/virtualtime/options.go
+++ b/internal/sim/virtualtime/options.go
@@ -14,19 +14,19 @@
 	// Until ends the run early; 0 means the length of the scenario.
 	Until Time
 
-	// Module, Backends and Client wrap the interfaces between the call manager of a controller and its surroundings.
+	// WrapDecider, Backends and Client wrap the interfaces between the call manager of a controller and its surroundings.
 	// Tests violate invariants with them, to see that the checker finds the violations.
-	Module   func(controller string, d call.Decider) call.Decider
-	Backends func(controller string, b call.Backends) call.Backends
-	Client   func(controller string, c call.Client) call.Client
+	WrapDecider  func(controller string, d call.Decider) call.Decider
+	WrapBackends func(controller string, b call.Backends) call.Backends
+	WrapClient   func(controller string, c call.Client) call.Client
 
 	// Datagrams gives a test access to the datagrams between controllers. It is called at each start of a controller
 	// and returns the function that receives the controller's datagrams.
 	Datagrams func(controller int, send SendFunc) ReceiveFunc
 
-	// Share starts the distributed overload control of a controller, at each start of the controller. It is not called
+	// StartPeer starts the distributed overload control of a controller, at each start of the controller. It is not called
 	// if the scenario does without.
-	Share func(PeerConfig) Peer
+	StartPeer func(PeerConfig) Peer
 
 	// Watch is called with each event that the invariant checker records.
 	Watch func(invariant.Event)
--- a/internal/sim/virtualtime/peers.go
+++ b/internal/sim/virtualtime/peers.go
@@ -30,10 +30,10 @@
 	if s.options.Datagrams != nil {
 		c.overload.receive = s.options.Datagrams(c.index, send)
 	}
-	if s.options.Share == nil || !s.scenario.Fleet.Share {
+	if s.options.StartPeer == nil || !s.scenario.Fleet.Share {
 		return
 	}
-	peer := s.options.Share(PeerConfig{
+	peer := s.options.StartPeer(PeerConfig{
 		Scenario:    s.scenario,
 		Controller:  c.index,
 		Incarnation: incarnation,
--- a/internal/sim/virtualtime/request.go
+++ b/internal/sim/virtualtime/request.go
@@ -78,9 +78,9 @@
 		p.failRequest(r, 0)
 		return
 	}
-	c.record(invariant.Event{Kind: invariant.SetUp, Call: r.id, Until: deadline})
+	c.record(invariant.Event{Kind: invariant.CallOffered, Call: r.id, Deadline: deadline})
 	var client call.Client = c.clients[p.rng.IntN(len(c.clients))]
-	if wrap := p.sim.options.Client; wrap != nil {
+	if wrap := p.sim.options.WrapClient; wrap != nil {
 		client = wrap(c.name, client)
 	}
 	_ = c.manager.Offer(client, call.Request{
@@ -106,7 +106,7 @@
 		if !c.isRunningAs(incarnation) {
 			return
 		}
-		c.record(invariant.Event{Kind: invariant.CallerEnd, Call: r.id})
+		c.record(invariant.Event{Kind: invariant.CallAbandoned, Call: r.id})
 		c.manager.ReleaseByCaller(r.id, call.CauseNormal)
 		c.settle()
 	})
--- a/internal/sim/virtualtime/result.go
+++ b/internal/sim/virtualtime/result.go
@@ -17,7 +17,7 @@
 	r := s.tally.Result(end)
 	r.Scenario, r.Seed, r.Events = s.scenario.Name, s.seed, s.eventCount
 	r.Broken = s.violationCounts()
-	r.Breaches = s.checker.Breaches()
+	r.Breaches = s.checker.Violations()
 	s.addExchanges(r)
 	r.Finish()
 	return r
@@ -26,7 +26,7 @@
 // violationCounts counts violations by rule; it is nil if there are none.
 func (s *simulation) violationCounts() map[string]int {
 	var counts map[string]int
-	for _, rule := range invariant.All {
+	for _, rule := range invariant.Rules {
 		n := s.checker.Count(rule)
 		if n == 0 {
 			continue
@@ -61,7 +61,7 @@
 // relativeLoad returns the set-ups that reached a cold exchange in each second, over its capacity at that time.
 func (e *exchangeInstance) relativeLoad() (shares []float64) {
 	settings := &e.sim.model
-	for second := range int(settings.Warm/time.Second) + extraCurveSeconds {
+	for second := range int(settings.SlowStartPeriod/time.Second) + extraCurveSeconds {
 		age := time.Duration(second) * time.Second
 		if e.startedAt+age > e.sim.now {
 			break
--- a/internal/sim/virtualtime/seededdefect_test.go
+++ b/internal/sim/virtualtime/seededdefect_test.go
@@ -46,13 +46,13 @@
 func (d *seededDefect) Place(now call.Time, r admission.Request) admission.Decision {
 	decision := d.Decider.Place(now, r)
 	switch {
-	case d.rule == invariant.DrainsKept && decision.Kind == admission.DecisionSend:
+	case d.rule == invariant.DrainRespected && decision.Kind == admission.DecisionSend:
 		for id, state := range d.serverStates {
 			if state == admission.Draining {
 				decision.Server = id
 			}
 		}
-	case d.rule == invariant.ColdSpared && d.coldServer != "":
+	case d.rule == invariant.SlowStartRespected && d.coldServer != "":
 		return admission.Decision{CallID: r.CallID, Kind: admission.DecisionSend, Server: d.coldServer, Wait: time.Second}
 	}
 	return decision
@@ -63,7 +63,7 @@
 	decision := d.Decider.Report(now, p)
 	mayHaveRun := p.Result == admission.ResultTimedOut || p.Result == admission.ResultCanceled
 	hasEnded := p.Kind == admission.ReportEnded && !p.Final
-	if d.rule == invariant.ReleaseKept && hasEnded && mayHaveRun {
+	if d.rule == invariant.RetryGuardRespected && hasEnded && mayHaveRun {
 		return admission.Decision{CallID: p.CallID, Kind: admission.DecisionSend, Server: p.Server, Wait: time.Second}
 	}
 	return decision
@@ -98,7 +98,7 @@
 // The checker finds a violation of each rule.
 func TestSeededDefects(t *testing.T) {
 	t.Parallel()
-	for _, rule := range invariant.All {
+	for _, rule := range invariant.Rules {
 		t.Run(string(rule), func(t *testing.T) {
 			t.Parallel()
 			sc := scenario.Default()
@@ -115,15 +115,15 @@
 				return defects[controller]
 			}
 			r := Run(&sc, 3, Options{
-				Module: func(controller string, d call.Decider) call.Decider {
+				WrapDecider: func(controller string, d call.Decider) call.Decider {
 					defectOf(controller).Decider = d
 					return defectOf(controller)
 				},
-				Backends: func(controller string, b call.Backends) call.Backends {
+				WrapBackends: func(controller string, b call.Backends) call.Backends {
 					defectOf(controller).Backends = b
 					return defectOf(controller)
 				},
-				Client: func(controller string, c call.Client) call.Client {
+				WrapClient: func(controller string, c call.Client) call.Client {
 					return &defectiveClient{defectOf(controller), c}
 				},
 			})
@@ -132,8 +132,8 @@
 			}
 			if len(r.Breaches) > 0 {
 				b := r.Breaches[0]
-				if len(b.Around) == 0 || !strings.Contains(b.Error(), string(b.Rule)) {
-					t.Errorf("%v with %v", b, b.Around)
+				if len(b.Events) == 0 || !strings.Contains(b.Error(), string(b.Rule)) {
+					t.Errorf("%v with %v", b, b.Events)
 				}
 			}
 		})
--- a/internal/sim/virtualtime/simulation.go
+++ b/internal/sim/virtualtime/simulation.go
@@ -68,7 +68,7 @@
 	// The open calls get their final answers, or the checker finds that they do not.
 	s.callers.isClosed = true
 	s.runUntil(end + s.callers.maxCallDuration())
-	s.checker.End(s.now)
+	s.checker.Finish(s.now)
 	return s.result(end)
 }
 
@@ -83,7 +83,7 @@
 		controllersByName: make(map[string]*controller),
 		exchangesByID:     make(map[string]*exchangeInstance),
 		faults:            activeFaults{partitions: make(map[int]int)},
-		checker:           invariant.New(invariant.Defaults()),
+		checker:           invariant.New(invariant.DefaultLimits()),
 		tally:             result.NewTally(sc),
 	}
 	for pool := range sc.Fleet.Exchanges {
@@ -132,7 +132,7 @@
 // record passes an event to the invariant checker.
 func (s *simulation) record(e invariant.Event) {
 	e.At = s.now
-	s.checker.See(e)
+	s.checker.Record(e)
 	if s.options.Watch != nil {
 		s.options.Watch(e)
 	}
--- a/internal/sim/virtualtime/simulation_test.go
+++ b/internal/sim/virtualtime/simulation_test.go
@@ -45,7 +45,7 @@
 	t.Errorf("%s, seed %d, %v: %v", r.Scenario, r.Seed, sc.Fault, r.Broken)
 	for _, b := range r.Breaches[:min(len(r.Breaches), 1)] {
 		t.Log(b)
-		for _, e := range b.Around {
+		for _, e := range b.Events {
 			t.Log(e)
 		}
 	}
@@ -77,16 +77,16 @@
 }
 
 func (a *abandonedCalls) watch(e invariant.Event) {
-	id := e.Node + " " + e.Call
+	id := e.Controller + " " + e.Call
 	switch e.Kind {
-	case invariant.Invite:
+	case invariant.AttemptSent:
 		if a.isAbandoned[id] {
 			a.t.Errorf("seed %d: an attempt for an abandoned call: %v", a.seed, e)
 		}
 		a.hasOpenAttempt[id] = true
-	case invariant.Cancel, invariant.Unsent, invariant.TurnedBack, invariant.Broke, invariant.Answer:
+	case invariant.AttemptCanceled, invariant.AttemptUnsent, invariant.AttemptRejected, invariant.AttemptBroken, invariant.AttemptAnswered:
 		delete(a.hasOpenAttempt, id)
-	case invariant.CallerEnd:
+	case invariant.CallAbandoned:
 		a.isAbandoned[id] = true
 		if !a.hasOpenAttempt[id] {
 			a.withoutAttempt++
