--- a/cmd/olivectl/numbers_list.go
+++ b/cmd/olivectl/numbers_list.go
@@ -63,7 +63,12 @@
 			all = append(all, jsonVersions{Instance: t.name, Error: err.Error()})
 			continue
 		}
-		all = append(all, jsonVersions{Instance: t.name, Versions: versions, LastOrder: job.Command.Op, Error: job.Error})
+		all = append(all, jsonVersions{
+			Instance:  t.name,
+			Versions:  versions,
+			LastOrder: job.Command.Op,
+			Error:     job.Error,
+		})
 		for i := range versions {
 			rows = append(rows, versionRow(t.name, &versions[i]))
 		}
--- a/cmd/olivectl/numbers_order.go
+++ b/cmd/olivectl/numbers_order.go
@@ -134,7 +134,12 @@
 				return err
 			}
 			return executeOnAll(c, &f, func(versions []numbering.VersionStatus) numbering.Command {
-				order := numbering.Command{Op: numbering.OpActivate, Digest: args[0], ExpectedActive: expected, ActivateAt: due}
+				order := numbering.Command{
+					Op:             numbering.OpActivate,
+					Digest:         args[0],
+					ExpectedActive: expected,
+					ActivateAt:     due,
+				}
 				if expected == "" {
 					order.ExpectedActive = digestInForce(versions)
 				}
--- a/cmd/olivesim/clustershrink.go
+++ b/cmd/olivesim/clustershrink.go
@@ -58,6 +58,7 @@
 	if err != nil {
 		return false, err
 	}
-	_, err = fmt.Fprintf(progress, "%d faults: invariants violated %d times\n", len(options.Schedule.Faults), res.ViolationCount)
+	_, err = fmt.Fprintf(progress, "%d faults: invariants violated %d times\n",
+		len(options.Schedule.Faults), res.ViolationCount)
 	return res.ViolationCount > 0, err
 }
--- a/internal/codec/h248/message.go
+++ b/internal/codec/h248/message.go
@@ -100,8 +100,8 @@
 	return ""
 }
 
-// IsEncodable reports whether the text form can represent a session description. It can represent neither a NUL character nor
-// a backslash directly before the closing brace.
+// IsEncodable reports whether the text form can represent a session description. It can represent neither a NUL
+// character nor a backslash directly before the closing brace.
 func IsEncodable(description []byte) bool {
 	return bytes.IndexByte(description, 0) < 0 && !bytes.HasSuffix(description, []byte{'\\'})
 }
--- a/internal/codec/sip/writer.go
+++ b/internal/codec/sip/writer.go
@@ -74,8 +74,8 @@
 	return append(b, body...)
 }
 
-// IsSafeValue reports whether a text may be used as a header value or as a called number. It prevents callers from inserting
-// header lines or addresses into a message.
+// IsSafeValue reports whether a text may be used as a header value or as a called number. It prevents callers from
+// inserting header lines or addresses into a message.
 func IsSafeValue(s string) bool {
 	for i := range len(s) {
 		c := s[i]
--- a/internal/incident/counts.go
+++ b/internal/incident/counts.go
@@ -13,7 +13,7 @@
 type Counts struct {
 	Offered  uint64                      `json:"offered"`  // calls offered
 	Outcomes [record.OutcomeCount]uint64 `json:"-"`        // final answers
-	Late     uint64                      `json:"late"`     // established later than the latency objective of their class
+	Late     uint64                      `json:"late"`     // established later than their latency objective
 	Dropped  uint64                      `json:"cut"`      // established and ended by a fault
 	Released uint64                      `json:"released"` // established and ended, the dropped ones included
 	Attempts uint64                      `json:"tries"`    // attempts at servers
@@ -41,7 +41,8 @@
 
 // Rejected is the number of calls that were rejected, by the decision module, past a limit or at shutdown.
 func (c *Counts) Rejected() uint64 {
-	return c.Outcomes[record.OutcomeRejected] + c.Outcomes[record.OutcomeOverLimit] + c.Outcomes[record.OutcomeShuttingDown]
+	return c.Outcomes[record.OutcomeRejected] + c.Outcomes[record.OutcomeOverLimit] +
+		c.Outcomes[record.OutcomeShuttingDown]
 }
 
 // Answered is the number of calls with any outcome.
--- a/internal/incident/part.go
+++ b/internal/incident/part.go
@@ -184,8 +184,8 @@
 		return true
 	}
 	switch r.Kind {
-	case record.KindCallOffered, record.KindDecision, record.KindAttemptStarted, record.KindAttemptEnded, record.KindAnswer,
-		record.KindRelease, record.KindLimitReached, record.KindCounter:
+	case record.KindCallOffered, record.KindDecision, record.KindAttemptStarted, record.KindAttemptEnded,
+		record.KindAnswer, record.KindRelease, record.KindLimitReached, record.KindCounter:
 		return false
 	default:
 		return true
--- a/internal/numbering/compile.go
+++ b/internal/numbering/compile.go
@@ -36,8 +36,8 @@
 // Unwrap returns the error without its entry.
 func (e *RuleError) Unwrap() error { return e.Err }
 
-// CompileFile reads and compiles a file of rules and returns its text as well. With a million prefixes it takes seconds, so it
-// must not run on an event loop.
+// CompileFile reads and compiles a file of rules and returns its text as well. With a million prefixes it takes
+// seconds, so it must not run on an event loop.
 func CompileFile(path string, env Deployment) (*Table, []byte, error) {
 	text, err := os.ReadFile(path)
 	if err != nil {
--- a/internal/numbering/manager.go
+++ b/internal/numbering/manager.go
@@ -23,37 +23,37 @@
 	ActivateAt     Time   // activate: when; 0: at once
 }
 
-// Job is the order that is being carried out, or the last one.
+// Job is the command that is being carried out, or the last one.
 type Job struct {
 	ID        uint64
 	Command   Command
 	StartedAt Time
 	IsRunning bool
-	Error     string // why the order failed; "": it has not
+	Error     string // why the command failed; "": it has not
 	Digest    string // load: of the loaded table
 }
 
-// ErrCommandRunning means that another order is being carried out.
+// ErrCommandRunning means that another command is being carried out.
 var ErrCommandRunning = errors.New("another order is being carried out")
 
-// VersionManager carries out orders on a Registry, one at a time and without I/O. An order takes two steps, since a write to disk
-// is slow and must not block the event loop: Begin checks the order and returns the state to be stored, and Finish
-// applies the order when the state is stored. A VersionManager belongs to one goroutine.
+// VersionManager carries out commands on a Registry, one at a time and without I/O. A command takes two steps, since a
+// write to disk is slow and must not block the event loop: Begin checks the command and returns the state to be stored,
+// and Finish applies the command when the state is stored. A VersionManager belongs to one goroutine.
 type VersionManager struct {
 	Registry
 	job Job
 }
 
-// Tick performs a scheduled activation that is due and reports whether there was one. While an order is carried out
+// Tick performs a scheduled activation that is due and reports whether there was one. While a command is carried out
 // nothing is activated, so that the state that was checked and stored is the one that Finish finds. The activation need
 // not be stored: after a restart the same Standing leads to the same active version.
 func (d *VersionManager) Tick(now Time) bool { return !d.job.IsRunning && d.Registry.Tick(now) }
 
-// Job returns the order that is being carried out, or the last one.
+// Job returns the command that is being carried out, or the last one.
 func (d *VersionManager) Job() Job { return d.job }
 
-// Begin starts an order. save is the state that is to be stored before Finish; it is nil for a load, which Loaded ends.
-// The error is an ErrBusy while another order is carried out.
+// Begin starts a command. save is the state that is to be stored before Finish; it is nil for a load, which Loaded
+// ends. The error is ErrCommandRunning while another command is carried out.
 func (d *VersionManager) Begin(now Time, o Command) (id uint64, save *ActivationState, err error) {
 	if d.job.IsRunning {
 		duration := (now - d.job.StartedAt).Round(time.Millisecond)
@@ -71,7 +71,7 @@
 	return d.job.ID, save, nil
 }
 
-// copyForTrial returns a copy of the registry on which an order can be applied without a change to the original.
+// copyForTrial returns a copy of the registry on which a command can be applied without a change to the original.
 func (r *Registry) copyForTrial() *Registry {
 	trial := &Registry{scheduledAt: r.scheduledAt}
 	for _, v := range r.versions {
@@ -90,7 +90,7 @@
 	return trial
 }
 
-// apply carries out an order on the registry. A load changes nothing: its table comes with Loaded.
+// apply carries out a command on the registry. A load changes nothing: its table comes with Loaded.
 func (r *Registry) apply(now Time, o Command) error {
 	switch o.Op {
 	case OpLoad:
@@ -117,8 +117,8 @@
 	d.end(err)
 }
 
-// Finish ends an order other than a load. saveErr is the error with which its state could not be stored; then the
-// order fails and changes nothing.
+// Finish ends a command other than a load. saveErr is the error with which its state could not be stored; then the
+// command fails and changes nothing.
 func (d *VersionManager) Finish(now Time, saveErr error) error {
 	err := saveErr
 	if err == nil {
--- a/internal/numbering/numberingtest/random.go
+++ b/internal/numbering/numberingtest/random.go
@@ -15,9 +15,9 @@
 	maxWeight    = 4
 )
 
-// RandomRules draws the nth rules over numbers of seven digits to pools 0 to pools-1, of which there are six at least. Prefixes
-// lie within one another, one range lies among them, some numbers are barred, some for one class only. Rules with an
-// odd n leave numbers without a match unallocated.
+// RandomRules draws the nth rules over numbers of seven digits to pools 0 to pools-1, of which there are six at
+// least. Prefixes lie within one another, one range lies among them, some numbers are barred, some for one class
+// only. Rules with an odd n leave numbers without a match unallocated.
 func RandomRules(rng *rand.Rand, n, pools int, class string) *Rules {
 	r := &Rules{
 		Version: fmt.Sprint(n),
--- a/internal/numbering/numberingtest/reference.go
+++ b/internal/numbering/numberingtest/reference.go
@@ -106,8 +106,8 @@
 	return fmt.Sprint("routed ", e.Steps)
 }
 
-// AllowsOrder reports whether pools, which were tried one after the other, are in an order that the expectation allows. The
-// last pools of the expectation need not have been tried.
+// AllowsOrder reports whether pools, which were tried one after the other, are in an order that the expectation
+// allows. The last pools of the expectation need not have been tried.
 func (e Expectation) AllowsOrder(pools []int) bool {
 	for _, step := range e.Steps {
 		n := min(len(step), len(pools))
--- a/internal/record/codes.go
+++ b/internal/record/codes.go
@@ -20,8 +20,8 @@
 // stored by number.
 type Outcome uint8
 
-// The outcomes. The admission engine decides OutcomeRejected and OutcomeFailed. OutcomeOverLimit, OutcomeReusedID and OutcomeInvalid are answered without
-// it.
+// The outcomes. The admission engine decides OutcomeRejected and OutcomeFailed. OutcomeOverLimit, OutcomeReusedID and
+// OutcomeInvalid are answered without it.
 const (
 	NoOutcome           Outcome = iota
 	OutcomeEstablished          // established
--- a/internal/record/kind.go
+++ b/internal/record/kind.go
@@ -46,8 +46,8 @@
 	// "class": Class; Wait: the latency objective; Took: the deadline; Value: the weight. For "cold": Wait: the
 	// slow-start period; Value: the share of the load at its start.
 	KindConfig
-	// KindLimitReached reports that a limit rejected calls or clients. By: the limit; Count: how many; Call: the call, if it
-	// was one.
+	// KindLimitReached reports that a limit rejected calls or clients. By: the limit; Count: how many; Call: the
+	// call, if it was one.
 	KindLimitReached
 	// KindClock reports a clock reading. By: the peer; T: the four timestamps of RFC 5905. Without a peer T[0] is the
 	// system's clock and T[1] the clock of the instance.
--- a/internal/record/log.go
+++ b/internal/record/log.go
@@ -20,8 +20,8 @@
 	TotalBytes   int64         // maximum size of the store
 	MaxAge       time.Duration // maximum age of a segment; 0: unbounded
 	StartTime    Time          // start of the program; stored times are relative to it
-	// OnDiskHealth is called with the first failure of the disk after a success, and with nil when the disk works again.
-	// It runs on the writer's goroutine.
+	// OnDiskHealth is called with the first failure of the disk after a success, and with nil when the disk works
+	// again. It runs on the writer's goroutine.
 	OnDiskHealth func(error)
 	Disk         Disk // nil: the directory Dir
 }
--- a/internal/record/reader.go
+++ b/internal/record/reader.go
@@ -58,8 +58,8 @@
 // Duplicates returns how many records were ignored because they were stored more than once.
 func (r *Reader) Duplicates() uint64 { return r.duplicates }
 
-// TornTail returns the bytes at the end of the open segment that are not a record. In a store that is being written they
-// may become one, in any other they are a torn tail. size is 0 if there are none.
+// TornTail returns the bytes at the end of the open segment that are not a record. In a store that is being written
+// they may become one, in any other they are a torn tail. size is 0 if there are none.
 func (r *Reader) TornTail() (file string, offset, size int64) {
 	if r.file == nil {
 		return "", 0, 0
--- a/internal/record/writer.go
+++ b/internal/record/writer.go
@@ -40,10 +40,16 @@
 		lockFile: lockFile,
 		queue:    queue,
 		shared:   shared,
-		header:   Header{Name: o.Name, Store: recovery.store, RunID: rand.Uint64(), StartTime: o.StartTime, Program: o.Program},
-		closed:   closedSegments{files: recovery.segments},
-		batch:    make([]byte, 0, batchSize+framePrefixSize+maxPayloadSize),
-		payload:  make([]byte, maxPayloadSize),
+		header: Header{
+			Name:      o.Name,
+			Store:     recovery.store,
+			RunID:     rand.Uint64(),
+			StartTime: o.StartTime,
+			Program:   o.Program,
+		},
+		closed:  closedSegments{files: recovery.segments},
+		batch:   make([]byte, 0, batchSize+framePrefixSize+maxPayloadSize),
+		payload: make([]byte, maxPayloadSize),
 	}
 }
 
--- a/internal/report/html.go
+++ b/internal/report/html.go
@@ -155,7 +155,8 @@
 		Refused: t.Rejected(),
 		Failed:  t.Outcome(record.OutcomeFailed),
 		GivenUp: t.Outcome(record.OutcomeAbandoned),
-		Other:   t.Outcome(record.OutcomeReusedID) + t.Outcome(record.OutcomeInvalid) + t.Outcome(record.OutcomeByPolicy),
+		Other: t.Outcome(record.OutcomeReusedID) + t.Outcome(record.OutcomeInvalid) +
+			t.Outcome(record.OutcomeByPolicy),
 		Cut:     t.Dropped,
 		Tries:   t.Attempts,
 		Retried: t.Retries,
--- a/internal/server/numbering.go
+++ b/internal/server/numbering.go
@@ -218,8 +218,9 @@
 		return
 	}
 	r.server.loop.Log.Infow("counters", "lookups", c.Calls, "hits", c.CacheHits, "coalesced", c.Coalesced,
-		"stale", c.StaleCacheHits, "undecided", c.Unanswered, "no_room", c.OverLimit, "sent", c.QueriesSent, "answered", c.QueriesAnswered,
-		"timed_out", c.QueriesTimedOut, "refused", c.QueriesFailed, "strays", c.UnmatchedAnswers, "lies", c.MismatchedAnswers, "broken", c.BreakerOpenings)
+		"stale", c.StaleCacheHits, "undecided", c.Unanswered, "no_room", c.OverLimit, "sent", c.QueriesSent,
+		"answered", c.QueriesAnswered, "timed_out", c.QueriesTimedOut, "refused", c.QueriesFailed,
+		"strays", c.UnmatchedAnswers, "lies", c.MismatchedAnswers, "broken", c.BreakerOpenings)
 }
 
 // close ends the look-ups once the loop has ended.
--- a/internal/sim/cluster/draw.go
+++ b/internal/sim/cluster/draw.go
@@ -12,8 +12,8 @@
 // scheduleStream is the stream of the random generator that schedules are drawn from.
 const scheduleStream = 16
 
-// DrawSchedule draws a schedule of count faults from a seed. All faults end within the first four fifths of length, so that
-// the last fifth is free for recovery.
+// DrawSchedule draws a schedule of count faults from a seed. All faults end within the first four fifths of length,
+// so that the last fifth is free for recovery.
 func DrawSchedule(t *Topology, count int, length time.Duration, seed uint64) *Schedule {
 	d := &drawer{topology: t, length: length, rng: rand.New(rand.NewPCG(seed, scheduleStream))}
 	s := &Schedule{Seed: seed}
--- a/internal/sim/cluster/monitor.go
+++ b/internal/sim/cluster/monitor.go
@@ -104,7 +104,12 @@
 			isClosed := !update[id]
 			if isClosed != closed[id] {
 				closed[id] = isClosed
-				m.recordLocked(invariant.Event{Kind: invariant.ServerUpdated, Controller: controller, Server: id, IsSet: isClosed})
+				m.recordLocked(invariant.Event{
+					Kind:       invariant.ServerUpdated,
+					Controller: controller,
+					Server:     id,
+					IsSet:      isClosed,
+				})
 			}
 		}
 	}
--- a/internal/sim/exchange/exchange.go
+++ b/internal/sim/exchange/exchange.go
@@ -161,7 +161,8 @@
 	}
 }
 
-// TakeMessages returns the messages sent since the last TakeMessages. The slice is valid until the next call of any other method.
+// TakeMessages returns the messages sent since the last TakeMessages. The slice is valid until the next call of any
+// other method.
 func (x *Exchange) TakeMessages() []Message {
 	messages := x.outbox
 	x.outbox = x.outbox[:0]
--- a/internal/sim/exchange/settings.go
+++ b/internal/sim/exchange/settings.go
@@ -18,7 +18,7 @@
 
 	SlowStartShare  float64                  // share of its capacity that a processor has right after a cold start
 	SlowStartPeriod time.Duration            // the processor has its whole capacity this long after a cold start
-	CrashFactor     float64                  // a cold processor crashes at this multiple of its present capacity; 0: never
+	CrashFactor     float64                  // a cold processor crashes at this multiple of its capacity; 0: never
 	CrashWindow     time.Duration            // period over which the load is compared with Fall
 	MeanHoldingTime map[string]time.Duration // mean holding time by class; exponentially distributed
 }
--- a/internal/sim/invariant/checker.go
+++ b/internal/sim/invariant/checker.go
@@ -99,7 +99,8 @@
 		c.pause(e)
 	case ControllerEnded:
 		c.forgetController(e.Controller)
-	case CallOffered, CallEstablished, CallRejected, CallAbandoned, AttemptSent, AttemptCanceled, AttemptUnsent, AttemptAnswered, AttemptRejected, AttemptBroken:
+	case CallOffered, CallEstablished, CallRejected, CallAbandoned, AttemptSent, AttemptCanceled, AttemptUnsent,
+		AttemptAnswered, AttemptRejected, AttemptBroken:
 		c.seeCall(e)
 	}
 }
--- a/internal/sim/invariant/rule.go
+++ b/internal/sim/invariant/rule.go
@@ -13,9 +13,9 @@
 	OneAnswer           Rule = "one_answer"   // an offered call gets exactly one final answer
 	InTime              Rule = "in_time"      // the final answer comes before the caller abandons the call
 	OneAttempt          Rule = "one_attempt"  // at most one attempt of a call is open at a time
-	DrainRespected      Rule = "drains_kept"  // no attempt at a server that drains or is removed, Limits.Drain after the update
+	DrainRespected      Rule = "drains_kept"  // no attempt Limits.Drain after a server drains or is removed
 	SlowStartRespected  Rule = "cold_spared"  // no server crashes by overload during its slow start
-	RetryGuardRespected Rule = "release_kept" // no attempt within Limits.Release of a timeout, reset or cancel (retry guard)
+	RetryGuardRespected Rule = "release_kept" // no attempt within Limits.RetryGuard of a timeout, reset or cancel
 )
 
 // Rules lists the rules.
@@ -41,7 +41,7 @@
 	Call       string  `json:"Call"`
 	Server     string  `json:"Server"`
 	Text       string  `json:"Text"`
-	Events     []Event `json:"Around"` // the latest events of the call, or the event itself if it belongs to no known call
+	Events     []Event `json:"Around"` // the latest events of the call, or the event itself if its call is unknown
 }
 
 // Error implements error.
--- a/internal/sim/loopback/load_call.go
+++ b/internal/sim/loopback/load_call.go
@@ -27,7 +27,12 @@
 	if call == nil {
 		return
 	}
-	_ = call.conn.send(&jsonl.Message{Verb: jsonl.Finish, Tag: id, ResultCode: causeNormalClearing, HasResultCode: true})
+	_ = call.conn.send(&jsonl.Message{
+		Verb:          jsonl.Finish,
+		Tag:           id,
+		ResultCode:    causeNormalClearing,
+		HasResultCode: true,
+	})
 }
 
 // removeOpen removes a call that is open and counts it as abandoned; nil: it is not open.
--- a/internal/sim/loopback/names.go
+++ b/internal/sim/loopback/names.go
@@ -20,8 +20,8 @@
 	Started  time.Time // zero: long ago
 }
 
-// NameService is the platform's name service: it answers each query with the whole list of exchanges, whose serial number
-// grows with each change. Its methods are safe for concurrent use.
+// NameService is the platform's name service: it answers each query with the whole list of exchanges, whose serial
+// number grows with each change. Its methods are safe for concurrent use.
 type NameService struct {
 	conn   net.PacketConn
 	mu     sync.Mutex
--- a/internal/sim/modelcheck/event.go
+++ b/internal/sim/modelcheck/event.go
@@ -88,7 +88,11 @@
 
 // withDecisions returns an event with each decision that the module can make.
 func (m *model) withDecisions(e event) []event {
-	decisions := []decision{{kind: admission.DecisionNone}, {kind: admission.DecisionReject}, {kind: admission.DecisionFail}}
+	decisions := []decision{
+		{kind: admission.DecisionNone},
+		{kind: admission.DecisionReject},
+		{kind: admission.DecisionFail},
+	}
 	for server := range m.bounds.Servers {
 		decisions = append(decisions, decision{kind: admission.DecisionSend, server: server})
 	}
--- a/internal/sim/overloadpeers/datagram.go
+++ b/internal/sim/overloadpeers/datagram.go
@@ -38,9 +38,9 @@
 	minimalThrottle = 1    // in 255ths
 )
 
-// FalseLoadReport returns a false load report of the controller self. It claims that the controller offered many calls of each
-// priority to each server, and that all were answered at once; or, with claimsOverloaded, that none has been answered
-// for half a minute.
+// FalseLoadReport returns a false load report of the controller self. It claims that the controller offered many
+// calls of each priority to each server, and that all were answered at once; or, with claimsOverloaded, that none has
+// been answered for half a minute.
 func FalseLoadReport(self int, incarnation, sequence uint32, serverKeys []uint32, claimsOverloaded bool) []byte {
 	const hasOverloadEvidence = 1
 	b := appendHeader(nil, kindLoadReport, self, incarnation, sequence)
@@ -69,8 +69,8 @@
 	return protowire.AppendVarint(b, shortWait)
 }
 
-// FalseLimitUpdate returns a false limit update of the controller self. It claims that the servers are hardly overloaded and
-// everything may be sent; or, with claimsOverloaded, it throttles nearly all calls.
+// FalseLimitUpdate returns a false limit update of the controller self. It claims that the servers are hardly
+// overloaded and everything may be sent; or, with claimsOverloaded, it throttles nearly all calls.
 func FalseLimitUpdate(self int, incarnation, sequence uint32, serverKeys []uint32, claimsOverloaded bool) []byte {
 	b := appendHeader(nil, kindLimitUpdate, self, incarnation, sequence)
 	b = protowire.AppendVarint(b, claimedMembers)
--- a/internal/sim/virtualtime/options.go
+++ b/internal/sim/virtualtime/options.go
@@ -14,8 +14,8 @@
 	// Until ends the run early; 0 means the length of the scenario.
 	Until Time
 
-	// WrapDecider, Backends and Client wrap the interfaces between the call manager of a controller and its surroundings.
-	// Tests violate invariants with them, to see that the checker finds the violations.
+	// WrapDecider, Backends and Client wrap the interfaces between the call manager of a controller and its
+	// surroundings. Tests violate invariants with them, to see that the checker finds the violations.
 	WrapDecider  func(controller string, d call.Decider) call.Decider
 	WrapBackends func(controller string, b call.Backends) call.Backends
 	WrapClient   func(controller string, c call.Client) call.Client
@@ -24,8 +24,8 @@
 	// and returns the function that receives the controller's datagrams.
 	Datagrams func(controller int, send SendFunc) ReceiveFunc
 
-	// StartPeer starts the distributed overload control of a controller, at each start of the controller. It is not called
-	// if the scenario does without.
+	// StartPeer starts the distributed overload control of a controller, at each start of the controller. It is not
+	// called if the scenario does without.
 	StartPeer func(PeerConfig) Peer
 
 	// Watch is called with each event that the invariant checker records.
