--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -16,8 +16,8 @@
 // has to confirm it.
 var ErrEmptyList = errors.New("an empty list that no second answer confirms yet")
 
-// An EndpointList is the list of endpoints as of the newest accepted answer. It is for one goroutine at a time.
-type EndpointList struct {
+// A Resolver keeps the list of endpoints as of the newest accepted answer. It is for one goroutine at a time.
+type Resolver struct {
 	serial  uint32
 	members map[string]config.Endpoint // by Endpoint.ID
 	queries queryLog
@@ -30,28 +30,28 @@
 	queryID uint16
 }
 
-// NewEndpointList applies the events that the configuration holds. It returns the list and its endpoints in the
+// NewResolver applies the events that the configuration holds. It returns the resolver and its endpoints in the
 // order of their IDs.
-func NewEndpointList(known config.KnownEndpoints) (*EndpointList, []config.Endpoint) {
-	l := &EndpointList{serial: uint32(known.LastEvent), members: make(map[string]config.Endpoint)}
+func NewResolver(known config.KnownEndpoints) (*Resolver, []config.Endpoint) {
+	r := &Resolver{serial: uint32(known.LastEvent), members: make(map[string]config.Endpoint)}
 	for _, event := range known.Events {
-		l.apply(event.Endpoints)
+		r.apply(event.Endpoints)
 	}
-	all := slices.Collect(maps.Values(l.members))
+	all := slices.Collect(maps.Values(r.members))
 	sortByID(all)
-	return l, all
+	return r, all
 }
 
 // apply changes the list by one event of the configuration.
-func (l *EndpointList) apply(update config.EndpointList) {
+func (r *Resolver) apply(update config.EndpointList) {
 	if update.Complete {
-		clear(l.members)
+		clear(r.members)
 	}
 	for _, endpoint := range update.Endpoints {
 		if endpoint.Phase == config.PhaseGone {
-			delete(l.members, endpoint.ID)
+			delete(r.members, endpoint.ID)
 		} else {
-			l.members[endpoint.ID] = endpoint
+			r.members[endpoint.ID] = endpoint
 		}
 	}
 }
@@ -61,24 +61,24 @@
 }
 
 // Serial returns the number of the newest event in the list.
-func (l *EndpointList) Serial() uint32 { return l.serial }
+func (r *Resolver) Serial() uint32 { return r.serial }
 
 // HandleAnswer reads an answer and returns the endpoints that changed, in the order of their IDs; a removed one has
 // PhaseGone. An answer that is not newer than the list changes nothing, and so does one that comes with an error.
-func (l *EndpointList) HandleAnswer(message []byte) ([]config.Endpoint, error) {
-	received, err := parseAnswer(message, &l.queries)
+func (r *Resolver) HandleAnswer(message []byte) ([]config.Endpoint, error) {
+	received, err := parseAnswer(message, &r.queries)
 	if err != nil {
 		return nil, fmt.Errorf("discovery: answer: %w", err)
 	}
-	if !isNewer(received.serial, l.serial) {
+	if !isNewer(received.serial, r.serial) {
 		return nil, nil
 	}
-	if !l.acceptsSize(received) {
+	if !r.acceptsSize(received) {
 		return nil, fmt.Errorf("discovery: answer: %w", ErrEmptyList)
 	}
-	changed := l.changes(received.endpoints)
-	l.serial = received.serial
-	l.members = received.endpoints
+	changed := r.changes(received.endpoints)
+	r.serial = received.serial
+	r.members = received.endpoints
 	return changed, nil
 }
 
@@ -87,28 +87,28 @@
 
 // acceptsSize guards against an answer that has lost its records: an old list is better than none. A list becomes
 // empty only when the answers to two queries in a row say so; a repeated answer to one query is not a confirmation.
-func (l *EndpointList) acceptsSize(received answer) bool {
-	losesAll := len(received.endpoints) == 0 && len(l.members) > 0
-	isConfirmed := l.empty.pending && l.empty.queryID != received.queryID
+func (r *Resolver) acceptsSize(received answer) bool {
+	losesAll := len(received.endpoints) == 0 && len(r.members) > 0
+	isConfirmed := r.empty.pending && r.empty.queryID != received.queryID
 	if losesAll && !isConfirmed {
-		l.empty = emptyAnswer{pending: true, queryID: received.queryID}
+		r.empty = emptyAnswer{pending: true, queryID: received.queryID}
 		return false
 	}
-	l.empty = emptyAnswer{}
+	r.empty = emptyAnswer{}
 	return true
 }
 
 // changes compares the list with a newer one.
-func (l *EndpointList) changes(newer map[string]config.Endpoint) []config.Endpoint {
+func (r *Resolver) changes(newer map[string]config.Endpoint) []config.Endpoint {
 	var changed []config.Endpoint
-	for id, endpoint := range l.members {
+	for id, endpoint := range r.members {
 		if _, isListed := newer[id]; !isListed {
 			endpoint.Phase = config.PhaseGone
 			changed = append(changed, endpoint)
 		}
 	}
 	for id, endpoint := range newer {
-		if l.members[id] != endpoint {
+		if r.members[id] != endpoint {
 			changed = append(changed, endpoint)
 		}
 	}
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -63,12 +63,12 @@
 }
 
 // newQueriedList returns a list of a (ready) and c (terminating) as of serial 3, after a query with ID 7.
-func newQueriedList(t *testing.T) *EndpointList {
+func newQueriedList(t *testing.T) *Resolver {
 	t.Helper()
 	ready := []config.Endpoint{endpoint("a", config.PhaseReady, 0), endpoint("b", config.PhaseReady, 0)}
 	gone := []config.Endpoint{endpoint("b", config.PhaseGone, 0)}
 	terminating := []config.Endpoint{endpoint("c", config.PhaseTerminating, 0)}
-	l, all := NewEndpointList(config.KnownEndpoints{LastEvent: 3, Events: []config.EndpointEvent{
+	l, all := NewResolver(config.KnownEndpoints{LastEvent: 3, Events: []config.EndpointEvent{
 		{N: 1, Endpoints: config.EndpointList{Complete: true, Endpoints: ready}},
 		{N: 2, Endpoints: config.EndpointList{Endpoints: gone}},
 		{N: 3, Endpoints: config.EndpointList{Endpoints: terminating}}}})
--- a/internal/discovery/query.go
+++ b/internal/discovery/query.go
@@ -34,12 +34,12 @@
 }
 
 // NewQuery returns the next query as a DNS message. The caller draws the ID at random.
-func (l *EndpointList) NewQuery(id uint16) ([]byte, error) {
+func (r *Resolver) NewQuery(id uint16) ([]byte, error) {
 	message, err := buildQuery(id)
 	if err != nil {
 		return nil, fmt.Errorf("discovery: query: %w", err)
 	}
-	l.queries.add(id)
+	r.queries.add(id)
 	return message, nil
 }
 
--- a/internal/server/discovery.go
+++ b/internal/server/discovery.go
@@ -159,7 +159,7 @@
 		d.counters.queriesFailed++
 		return
 	}
-	text, err := d.server.endpoints.NewQuery(uint16(d.server.random.Uint32()))
+	text, err := d.server.resolver.NewQuery(uint16(d.server.random.Uint32()))
 	if err == nil {
 		d.counters.queries++
 		_, err = d.socket.Write(text)
@@ -171,7 +171,7 @@
 
 // handleDiscoveryAnswer applies an answer of the discovery service.
 func (s *Server) handleDiscoveryAnswer(text []byte) {
-	changed, err := s.endpoints.HandleAnswer(text)
+	changed, err := s.resolver.HandleAnswer(text)
 	if err != nil {
 		s.discovery.counters.invalidAnswers++
 		if s.discovery.counters.invalidAnswers == 1 { // the counter shows how many there were
--- a/internal/server/report.go
+++ b/internal/server/report.go
@@ -63,5 +63,5 @@
 		"dials_failed", b.DialsFailed, "links_lost", b.ConnectionsLost, "strays", b.Strays,
 		"releases_said", f.ReleasesSent, "releases_lost", f.ReleasesDiscarded+b.ReleasesDiscarded)
 	log.Infow("counters", "queries", d.queries, "queries_failed", d.queriesFailed, "answers", d.answers,
-		"bad_news", d.invalidAnswers, "serial", s.endpoints.Serial())
+		"bad_news", d.invalidAnswers, "serial", s.resolver.Serial())
 }
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -45,7 +45,7 @@
 	calls     *call.Manager
 	backends  *backend.Set
 	frontends frontends
-	endpoints *discovery.EndpointList
+	resolver  *discovery.Resolver
 	discovery *discoveryClient
 	listeners listeners
 	lifecycle lifecycle
@@ -230,7 +230,7 @@
 // addBackends adds the exchanges that are known from the configuration.
 func (s *Server) addBackends() error {
 	var known []config.Endpoint
-	s.endpoints, known = discovery.NewEndpointList(s.cfg.KnownEndpoints)
+	s.resolver, known = discovery.NewResolver(s.cfg.KnownEndpoints)
 	s.discovery = newDiscoveryClient(s)
 	servers := make([]admission.Server, 0, len(known))
 	for _, e := range known {
--- a/internal/server/testbed_test.go
+++ b/internal/server/testbed_test.go
@@ -284,7 +284,7 @@
 
 // listSerial returns the serial of the server's list of endpoints.
 func (b *testbed) listSerial() (n uint32) {
-	b.runIteration(func() { n = b.server.endpoints.Serial() })
+	b.runIteration(func() { n = b.server.resolver.Serial() })
 	return n
 }
 
