--- a/internal/admission/callstate.go
+++ b/internal/admission/callstate.go
@@ -45,7 +45,7 @@
 type call struct {
 	id, number    string
 	class         *class
-	priority      int
+	priority      Priority
 	preferredPool int
 	pools         []int // pools that it may use, the preferred first; nil: those of its class
 	deadline      Time
@@ -122,5 +122,5 @@
 // A class is a Class with the priority of its calls.
 type class struct {
 	Class
-	priority int
+	priority Priority
 }
--- a/internal/admission/golden_test.go
+++ b/internal/admission/golden_test.go
@@ -103,8 +103,8 @@
 	throttles bool
 }
 
-func (r recordingControl) RecordOffered(now Time, server string, tier int) {
-	fmt.Fprintln(r.h, "offered", int64(now), server, tier)
+func (r recordingControl) RecordOffered(now Time, server string, priority Priority) {
+	fmt.Fprintln(r.h, "offered", int64(now), server, priority)
 }
 
 func (r recordingControl) RecordSent(now Time, server string, first bool) {
@@ -119,8 +119,8 @@
 	fmt.Fprintln(r.h, "overload", int64(now), server)
 }
 
-func (r recordingControl) Throttle(now Time, server string, tier int, first bool) (Reason, bool) {
-	fmt.Fprintln(r.h, "throttle", int64(now), server, tier, first)
+func (r recordingControl) Throttle(now Time, server string, priority Priority, first bool) (Reason, bool) {
+	fmt.Fprintln(r.h, "throttle", int64(now), server, priority, first)
 	if !r.throttles || r.rng.IntN(4) > 0 {
 		return "", false
 	}
--- a/internal/admission/overloadcontrol_test.go
+++ b/internal/admission/overloadcontrol_test.go
@@ -7,7 +7,7 @@
 
 // A fakeOverloadControl throttles as a test decides and counts what is recorded.
 type fakeOverloadControl struct {
-	throttle      func(server string, tier int, first bool) (Reason, bool)
+	throttle      func(server string, priority Priority, first bool) (Reason, bool)
 	throttleCalls int
 	offered       map[string]int
 	sent          map[string]int
@@ -15,7 +15,7 @@
 	overloads     int
 }
 
-func (f *fakeOverloadControl) RecordOffered(_ Time, server string, _ int) { f.offered[server]++ }
+func (f *fakeOverloadControl) RecordOffered(_ Time, server string, _ Priority) { f.offered[server]++ }
 func (f *fakeOverloadControl) RecordSent(_ Time, server string, _ bool) {
 	f.sent[server]++
 	f.unanswered[server]++
@@ -24,12 +24,12 @@
 	f.unanswered[server]--
 }
 func (f *fakeOverloadControl) RecordOverload(Time, string) { f.overloads++ }
-func (f *fakeOverloadControl) Throttle(_ Time, server string, tier int, first bool) (Reason, bool) {
+func (f *fakeOverloadControl) Throttle(_ Time, server string, priority Priority, first bool) (Reason, bool) {
 	f.throttleCalls++
-	return f.throttle(server, tier, first)
+	return f.throttle(server, priority, first)
 }
 
-func newFakeOverloadControl(holds func(server string, tier int, first bool) (Reason, bool)) *fakeOverloadControl {
+func newFakeOverloadControl(holds func(server string, priority Priority, first bool) (Reason, bool)) *fakeOverloadControl {
 	return &fakeOverloadControl{
 		throttle: holds, offered: map[string]int{}, sent: map[string]int{},
 		unanswered: map[string]int{},
@@ -41,7 +41,7 @@
 func TestOverloadControlHoldsBack(t *testing.T) {
 	tc := newTestController(t, testSettings(), Server{ID: "s0"}, Server{ID: "s1", Pool: 1})
 	held := map[string]bool{"s0": true}
-	f := newFakeOverloadControl(func(server string, _ int, _ bool) (Reason, bool) {
+	f := newFakeOverloadControl(func(server string, _ Priority, _ bool) (Reason, bool) {
 		if held[server] {
 			return ReasonFleetThrottle, true
 		}
@@ -71,7 +71,7 @@
 // The overload control cannot open a server that the list or the controller's own evidence forbids: it is not
 // even asked about it.
 func TestOverloadControlOpensNothing(t *testing.T) {
-	all := func(string, int, bool) (Reason, bool) { return "", true }
+	all := func(string, Priority, bool) (Reason, bool) { return "", true }
 	for _, c := range []struct {
 		name string
 		do   func(tc *testController)
@@ -112,7 +112,7 @@
 func TestOverloadControlGetsEachResult(t *testing.T) {
 	for seed := range uint64(10) {
 		s := newRandomEvents(t, seed)
-		f := newFakeOverloadControl(func(string, int, bool) (Reason, bool) { return "", false })
+		f := newFakeOverloadControl(func(string, Priority, bool) (Reason, bool) { return "", false })
 		s.machine.overloadControl = f
 		for range 1500 {
 			s.step()
--- a/internal/admission/priority.go
+++ b/internal/admission/priority.go
@@ -10,12 +10,12 @@
 	maxCallsPerNumber = 2    // more calls to a number come from different callers
 )
 
-// Priorities of calls, the lowest first. OverloadControl receives them as its tiers.
+// Priorities of calls, the lowest first.
 const (
-	priorityRedial    = iota // the caller dialed the number before and its latency objective has passed
-	priorityNormal           // a class below the highest weight
-	priorityHigh             // a class of the highest weight
-	priorityEmergency        // an emergency call, or one that is established again after a failure
+	priorityRedial    Priority = iota // redialed by its caller after the latency objective has passed
+	priorityNormal                    // a class below the highest weight
+	priorityHigh                      // a class of the highest weight
+	priorityEmergency                 // an emergency call, or one that is established again after a failure
 )
 
 func prioritizeClasses(classes []Class) map[string]*class {
--- a/internal/admission/ratelimit.go
+++ b/internal/admission/ratelimit.go
@@ -100,6 +100,7 @@
 		share, minTokens = highShare, 0
 	case priorityRedial:
 		minTokens = m.maxTokens(s)
+	case priorityNormal: // keeps the defaults
 	}
 	maxSent := max(1, share*s.limit.rate*m.span(s)+s.limit.rounding)
 	return s.limit.tokens < minTokens || float64(s.counts.sent.sum+1) > maxSent
--- a/internal/overload/aggregator_test.go
+++ b/internal/overload/aggregator_test.go
@@ -6,6 +6,8 @@
 	"testing"
 
 	"pgregory.net/rapid"
+
+	"olivedale/internal/admission"
 )
 
 // newReport returns a load report.
@@ -113,7 +115,7 @@
 	m.servers.byID = map[string]*serverView{"s": {limit: limit, limitedUntil: neverDue}}
 	for priority := range shares {
 		for range 2000 {
-			if reason, _ := m.Throttle(0, "s", priority, true); reason != "" {
+			if reason, _ := m.Throttle(0, "s", admission.Priority(priority), true); reason != "" {
 				shares[priority] += 1. / 2000
 			}
 		}
--- a/internal/overload/limits.go
+++ b/internal/overload/limits.go
@@ -67,7 +67,7 @@
 
 // Throttle implements admission.OverloadControl.
 func (m *Member) Throttle(
-	now Time, server string, priority int, isFirstChoice bool,
+	now Time, server string, priority admission.Priority, isFirstChoice bool,
 ) (reason admission.Reason, isLimited bool) {
 	m.advance(now)
 	v := m.lookupServer(server)
--- a/internal/overload/reporting.go
+++ b/internal/overload/reporting.go
@@ -3,6 +3,8 @@
 import (
 	"cmp"
 	"slices"
+
+	"olivedale/internal/admission"
 )
 
 // reportJitter is the divisor of the report interval that gives the time over which reports are spread at random.
@@ -44,7 +46,7 @@
 }
 
 // RecordOffered implements admission.OverloadControl.
-func (m *Member) RecordOffered(now Time, server string, priority int) {
+func (m *Member) RecordOffered(now Time, server string, priority admission.Priority) {
 	m.advance(now)
 	v := m.lookupServer(server)
 	if v != nil && isPriority(priority) {
@@ -52,8 +54,8 @@
 	}
 }
 
-// isPriority says whether a number is that of a priority.
-func isPriority(number int) bool { return number >= 0 && number < priorityCount }
+// isPriority says whether a number is that of a priority that reports have a field for.
+func isPriority(number admission.Priority) bool { return number >= 0 && number < priorityCount }
 
 // RecordSent implements admission.OverloadControl.
 func (m *Member) RecordSent(now Time, server string, isFirstChoice bool) {
--- a/internal/overload/trace_test.go
+++ b/internal/overload/trace_test.go
@@ -12,6 +12,7 @@
 
 	"google.golang.org/protobuf/encoding/protowire"
 
+	"olivedale/internal/admission"
 	"olivedale/internal/goldentest"
 	"olivedale/internal/overload"
 )
@@ -143,7 +144,7 @@
 		if m == nil || r.rng.Float64() >= r.offeredRate()*traceStep.Seconds()/float64(len(r.members)) {
 			continue
 		}
-		priority := r.rng.IntN(tracePriorities + 1)
+		priority := admission.Priority(r.rng.IntN(tracePriorities + 1))
 		first := r.rng.IntN(len(r.servers)) * r.rng.IntN(2)
 		m.RecordOffered(r.clock(i), r.servers[first].id, priority)
 		for choice := range 3 {
