--- a/cmd/olivesim/cluster.go
+++ b/cmd/olivesim/cluster.go
@@ -56,7 +56,7 @@
 		Controllers: sc.Fleet.Controllers,
 		Exchanges:   sc.Fleet.Exchanges,
 		Zones:       sc.Fleet.Zones,
-		Share:       sc.Fleet.Share,
+		Share:       sc.Fleet.OverloadControl,
 	}
 	if err := topology.Check(); err != nil {
 		return cluster.Options{}, err
--- a/cmd/olivesim/run.go
+++ b/cmd/olivesim/run.go
@@ -127,7 +127,7 @@
 func reportViolations(w io.Writer, path string, results []*result.Result) error {
 	violations := 0
 	for _, r := range results {
-		for _, breach := range r.Breaches[:min(len(r.Breaches), maxPrintedViolations)] {
+		for _, breach := range r.Violations[:min(len(r.Violations), maxPrintedViolations)] {
 			printBreach(w, path, r.Seed, breach)
 		}
 		violations += r.Breached()
--- a/cmd/olivesim/sweep.go
+++ b/cmd/olivesim/sweep.go
@@ -123,7 +123,7 @@
 func (f *sweepFlags) row(value, secondValue string, figure result.Figure, results []*result.Result) []string {
 	violated := 0
 	for _, r := range results {
-		violated += len(r.Broken)
+		violated += len(r.ViolationCounts)
 	}
 	row := []string{value}
 	if f.secondKey != "" {
--- a/internal/overload/cluster_test.go
+++ b/internal/overload/cluster_test.go
@@ -64,7 +64,7 @@
 	c.incarnations[i]++
 	m, err := New(c.now, Options{
 		Self:             i,
-		Peers:            len(c.members),
+		Controllers:      len(c.members),
 		Incarnation:      c.incarnations[i],
 		Seed:             uint64(i) + 1000*uint64(c.incarnations[i]),
 		LatencyThreshold: latencyThreshold,
--- a/internal/overload/member.go
+++ b/internal/overload/member.go
@@ -69,9 +69,9 @@
 		servers:    newServerTable(),
 		reporting:  reportSchedule{spanStart: now},
 		selection:  newAggregatorSelection(now),
-		membership: membershipView{aliveMembers: o.Peers},
-		aggregator: newAggregator(o.Peers, o.LatencyThreshold, o.HeartbeatInterval, o.ReportInterval),
-		outbox:     outbox{capacity: outboxPerMember*o.Peers + outboxReserve},
+		membership: membershipView{aliveMembers: o.Controllers},
+		aggregator: newAggregator(o.Controllers, o.LatencyThreshold, o.HeartbeatInterval, o.ReportInterval),
+		outbox:     outbox{capacity: outboxPerMember*o.Controllers + outboxReserve},
 	}
 	m.aggregator.aggregatedAt = now
 	// Random first deadlines keep members that start together from sending together.
@@ -84,7 +84,7 @@
 
 // Tick does what is due and returns the datagrams to send.
 func (m *Member) Tick(now Time) []Datagram {
-	if m.options.Peers == 1 {
+	if m.options.Controllers == 1 {
 		return nil
 	}
 	m.advance(now)
@@ -110,7 +110,7 @@
 
 // NextDeadline returns when Tick is due.
 func (m *Member) NextDeadline() Time {
-	if m.options.Peers == 1 {
+	if m.options.Controllers == 1 {
 		return neverDue
 	}
 	// Tick advances the clock before a quiet time could be taken for a clock jump.
@@ -172,7 +172,7 @@
 	if actual >= 0 && claimed != actual {
 		return false
 	}
-	return claimed < m.options.Peers && claimed != m.options.Self
+	return claimed < m.options.Controllers && claimed != m.options.Self
 }
 
 // receiveReport processes a load report that is addressed to this controller as an aggregator. If it is the first
@@ -207,6 +207,6 @@
 		return
 	}
 	m.selection.noteHeard(now)
-	m.membership.apply(d, m.options.Peers)
+	m.membership.apply(d, m.options.Controllers)
 	m.selection.invalidate()
 }
--- a/internal/overload/member_test.go
+++ b/internal/overload/member_test.go
@@ -246,17 +246,17 @@
 
 func TestOptionsCheck(t *testing.T) {
 	for _, o := range []Options{
-		{Peers: 0, LatencyThreshold: latencyThreshold},
-		{Peers: maxMembers + 1, LatencyThreshold: latencyThreshold},
-		{Peers: 3, Self: 3, LatencyThreshold: latencyThreshold},
-		{Peers: 3},
-		{Peers: 3, LatencyThreshold: latencyThreshold, HeartbeatInterval: -1},
+		{Controllers: 0, LatencyThreshold: latencyThreshold},
+		{Controllers: maxMembers + 1, LatencyThreshold: latencyThreshold},
+		{Controllers: 3, Self: 3, LatencyThreshold: latencyThreshold},
+		{Controllers: 3},
+		{Controllers: 3, LatencyThreshold: latencyThreshold, HeartbeatInterval: -1},
 	} {
 		if _, err := New(0, o); err == nil {
 			t.Errorf("%+v was accepted", o)
 		}
 	}
-	m, err := New(0, Options{Peers: 1, LatencyThreshold: latencyThreshold})
+	m, err := New(0, Options{Controllers: 1, LatencyThreshold: latencyThreshold})
 	if err != nil || m.NextDeadline() != neverDue || m.Tick(second) != nil {
 		t.Errorf("a single controller sends datagrams, or %v", err)
 	}
--- a/internal/overload/options.go
+++ b/internal/overload/options.go
@@ -24,7 +24,7 @@
 // Options of a Member.
 type Options struct {
 	Self              int    // number of this controller, from 0 on
-	Peers             int    // number of controllers, this one included; 1 to 1600
+	Controllers       int    // number of controllers, this one included; 1 to 1600
 	Incarnation       uint32 // greater at each start of the controller
 	Seed              uint64 // of random numbers
 	LatencyThreshold  Time   // set-up time from which the admission module calls an answer late
@@ -36,16 +36,17 @@
 // Check sets the defaults and returns an error if an option is out of range.
 func (o *Options) Check() error {
 	switch {
-	case o.Peers < 1 || o.Peers > maxMembers:
-		return fmt.Errorf("share: %d controllers, 1 to %d are possible", o.Peers, maxMembers)
-	case o.Self < 0 || o.Self >= o.Peers:
-		return fmt.Errorf("share: controller number %d is not below the number of controllers, %d", o.Self, o.Peers)
+	case o.Controllers < 1 || o.Controllers > maxMembers:
+		return fmt.Errorf("share: %d controllers, 1 to %d are possible", o.Controllers, maxMembers)
+	case o.Self < 0 || o.Self >= o.Controllers:
+		return fmt.Errorf("share: controller number %d is not below the number of controllers, %d",
+			o.Self, o.Controllers)
 	case o.LatencyThreshold <= 0:
 		return errors.New("share: the latency threshold is not positive")
 	case min(o.ReportInterval, o.HeartbeatInterval, o.AggregatorTerm) < 0:
 		return errors.New("share: an interval is negative")
 	}
-	reportInterval := max(defaultReportInterval, defaultReportInterval*Time(o.Peers)/membersPerInterval)
+	reportInterval := max(defaultReportInterval, defaultReportInterval*Time(o.Controllers)/membersPerInterval)
 	o.ReportInterval = cmp.Or(o.ReportInterval, reportInterval)
 	o.HeartbeatInterval = cmp.Or(o.HeartbeatInterval, defaultHeartbeatInterval)
 	o.AggregatorTerm = cmp.Or(o.AggregatorTerm, defaultAggregatorTerm)
--- a/internal/overload/reporting.go
+++ b/internal/overload/reporting.go
@@ -91,7 +91,7 @@
 	if v != nil {
 		v.sample.overloaded = true
 	}
-	if m.options.Peers > 1 && !m.reportsFrequently(now) {
+	if m.options.Controllers > 1 && !m.reportsFrequently(now) {
 		m.reporting.next = min(m.reporting.next, now)
 	}
 	m.reporting.overloadedAt = now
--- a/internal/overload/selection.go
+++ b/internal/overload/selection.go
@@ -90,7 +90,7 @@
 		m.membership.members = nil // after a partition both parts count the other as dead: try all members again
 	}
 	previous := s.aggregator
-	s.selectFrom(rankMembers(term, m.options.Peers), m.options.Self, &m.membership)
+	s.selectFrom(rankMembers(term, m.options.Controllers), m.options.Self, &m.membership)
 	if s.aggregator != previous {
 		m.beginSelection()
 	}
--- a/internal/overload/state.go
+++ b/internal/overload/state.go
@@ -61,7 +61,7 @@
 func (m *Member) State(now Time) *State {
 	s := &State{
 		Self:            m.options.Self,
-		Peers:           m.options.Peers,
+		Peers:           m.options.Controllers,
 		Incarnation:     m.options.Incarnation,
 		Aggregator:      m.selection.aggregator,
 		AggregatorFor:   now - m.selection.since,
--- a/internal/overload/trace_test.go
+++ b/internal/overload/trace_test.go
@@ -87,7 +87,7 @@
 	r.incarnation[i]++
 	m, err := overload.New(r.clock(i), overload.Options{
 		Self:             i,
-		Peers:            len(r.members),
+		Controllers:      len(r.members),
 		Incarnation:      r.incarnation[i],
 		Seed:             uint64(100*i) + uint64(r.incarnation[i]),
 		LatencyThreshold: traceLatencyThreshold,
@@ -340,7 +340,7 @@
 // Recording and throttling allocate nothing for a server that is known.
 func TestRecordingDoesNotAllocate(t *testing.T) {
 	now := 100 * time.Second
-	m, err := overload.New(now, overload.Options{Peers: 3, LatencyThreshold: traceLatencyThreshold})
+	m, err := overload.New(now, overload.Options{Controllers: 3, LatencyThreshold: traceLatencyThreshold})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/overload/trust.go
+++ b/internal/overload/trust.go
@@ -93,7 +93,7 @@
 // eject excludes the selected aggregator from selection, removes its limits and selects another one. If half of all
 // members would be excluded, the fault is probably this member's connection, and the others are admitted again.
 func (m *Member) eject(now Time, reason ejectionReason) {
-	if len(m.selection.ejected) >= m.options.Peers/2 {
+	if len(m.selection.ejected) >= m.options.Controllers/2 {
 		clear(m.selection.ejected)
 	}
 	m.selection.ejected[m.selection.aggregator] = ejection{until: now + ejectionTime, reason: reason}
--- a/internal/server/overload.go
+++ b/internal/server/overload.go
@@ -60,7 +60,7 @@
 	now := s.loop.Now()
 	c.member, err = overload.New(now, overload.Options{
 		Self:              number,
-		Peers:             len(o.Peers),
+		Controllers:       len(o.Peers),
 		Incarnation:       uint32((now.Milliseconds() - incarnationEpoch) / incarnationUnit),
 		Seed:              s.cfg.Seed,
 		LatencyThreshold:  engine.LatencyThreshold(),
--- a/internal/sim/cluster/comparison_test.go
+++ b/internal/sim/cluster/comparison_test.go
@@ -32,15 +32,15 @@
 	sc.Length = scenario.Duration(30 * time.Second)
 	sc.Fleet = scenario.Fleet{Controllers: 12, Exchanges: 12, Zones: 1, Clients: 1}
 	sc.Callers.Load = load
-	sc.Callers.Lean = 1
-	sc.Callers.Shift = scenario.Span{}
-	sc.Callers.Tries = 0
+	sc.Callers.PreferredWeight = 1
+	sc.Callers.PreferenceInterval = scenario.DurationRange{}
+	sc.Callers.MaxRedials = 0
 	sc.Callers.Patience = [2]float64{1.0 / 3, 1.0 / 3}
 	// The latency of loopback.
-	near := scenario.Span{scenario.Duration(50 * time.Microsecond), scenario.Duration(150 * time.Microsecond)}
-	sc.Wire.Near = near
-	sc.Wire.Far = near
-	sc.Wire.Client = scenario.Duration(100 * time.Microsecond)
+	near := scenario.DurationRange{scenario.Duration(50 * time.Microsecond), scenario.Duration(150 * time.Microsecond)}
+	sc.Network.Near = near
+	sc.Network.Far = near
+	sc.Network.Client = scenario.Duration(100 * time.Microsecond)
 	return sc
 }
 
@@ -70,8 +70,8 @@
 		of      func(r *result.Result) float64
 		sockets float64
 	}{
-		{"stood", func(r *result.Result) float64 { return fraction(r.Stood, r.Offered) }, fraction(zone.Established, zone.Sent)},
-		{"refused", func(r *result.Result) float64 { return fraction(r.Refused, r.Offered) }, fraction(zone.Rejected, zone.Sent)},
+		{"stood", func(r *result.Result) float64 { return fraction(r.Established, r.Offered) }, fraction(zone.Established, zone.Sent)},
+		{"refused", func(r *result.Result) float64 { return fraction(r.Rejected, r.Offered) }, fraction(zone.Rejected, zone.Sent)},
 		{"p50 ms", func(r *result.Result) float64 { return r.P50 }, zone.P50},
 		{"p99 ms", func(r *result.Result) float64 { return r.P99 }, zone.P99},
 	} {
--- a/internal/sim/cluster/instance.go
+++ b/internal/sim/cluster/instance.go
@@ -81,10 +81,10 @@
 	for _, class := range sc.Class {
 		classes = append(classes, map[string]any{
 			"name":      class.Name,
-			"aim":       class.Aim.D().Milliseconds(),
-			"deadline":  class.GiveUp.D().Milliseconds(),
-			"credit":    class.Worth,
-			"lateWorth": class.Late,
+			"aim":       class.LatencyObjective.D().Milliseconds(),
+			"deadline":  class.Deadline.D().Milliseconds(),
+			"credit":    class.Weight,
+			"lateWorth": class.LateShare,
 		})
 	}
 	return map[string]any{
@@ -94,12 +94,12 @@
 		"domain": map[string]any{
 			"topology":     instanceTopology,
 			"releaseGuard": retryGuardMS,
-			"resend":       sc.Exchange.Again.D().Milliseconds(),
+			"resend":       sc.Exchange.RetransmitInterval.D().Milliseconds(),
 		},
 		"limits": map[string]any{"maxAttempts": maxAttempts, "cancel": true, "connectTimeout": connectTimeoutMS},
 		"safety": map[string]any{
-			"startCapacity": sc.Exchange.Start,
-			"cold":          sc.Exchange.Warm.D().Milliseconds(),
+			"startCapacity": sc.Exchange.SlowStartShare,
+			"cold":          sc.Exchange.SlowStartPeriod.D().Milliseconds(),
 		},
 	}
 }
--- a/internal/sim/cluster/result.go
+++ b/internal/sim/cluster/result.go
@@ -30,7 +30,7 @@
 	Zones          []ZoneStats     `json:"zones"`
 	InjectedFaults []InjectedFault `json:"struck"`
 	Violations     []Violation     `json:"breaches"`
-	// ViolationCount counts all violations, also those that are not among Breaches.
+	// ViolationCount counts all violations, also those that are not among Violations.
 	ViolationCount    int       `json:"broken"`
 	EventCount        int       `json:"seen"`   // events captured
 	UnreadableStreams int       `json:"unread"` // streams that could not be parsed to their end
--- a/internal/sim/exchange/exchange.go
+++ b/internal/sim/exchange/exchange.go
@@ -51,7 +51,7 @@
 	Counters
 	settings Settings
 	rng      *rand.Rand
-	gamma    distuv.Gamma // distribution of work, with mean 1; used if Settings.Vary is positive
+	gamma    distuv.Gamma // distribution of work, with mean 1; used if Settings.WorkVariation is positive
 
 	state        State
 	startedAt    Time
--- a/internal/sim/experiment/experiment_test.go
+++ b/internal/sim/experiment/experiment_test.go
@@ -102,7 +102,7 @@
 			t.Errorf("%s = %s was accepted", key, value)
 		}
 	}
-	sc.Fault = []scenario.Fault{{Kind: scenario.Cut, Share: 0.1}, {Kind: scenario.Slow, Factor: 2}}
+	sc.Fault = []scenario.Fault{{Kind: scenario.DropCalls, Share: 0.1}, {Kind: scenario.Slow, Factor: 2}}
 	if out, err = Set(&sc, "fault.2.factor", "8"); err != nil || out.Fault[1].Factor != 8 || sc.Fault[1].Factor != 2 {
 		t.Errorf("%+v, %+v, %v", out, sc.Fault, err)
 	}
@@ -151,7 +151,7 @@
 		{Kind: scenario.Slow, At: seconds(2), For: seconds(3), Share: 0.3, Factor: 2},
 		{Kind: scenario.Reset, At: seconds(8), Share: 1},
 		{Kind: scenario.Burst, At: seconds(4), For: seconds(2), Factor: 1.5},
-		{Kind: scenario.NamesLate, At: seconds(1), For: seconds(5), By: seconds(1)},
+		{Kind: scenario.DiscoveryDelay, At: seconds(1), For: seconds(5), By: seconds(1)},
 	}
 	options := virtualtime.Options{WrapDecider: func(_ string, d call.Decider) call.Decider { return earlyResender{d} }}
 	small := Shrink(context.Background(), &sc, 4, options)
--- a/internal/sim/experiment/shrink.go
+++ b/internal/sim/experiment/shrink.go
@@ -18,13 +18,13 @@
 	ctx context.Context, sc *scenario.Scenario, seed uint64, options virtualtime.Options,
 ) *scenario.Scenario {
 	first := virtualtime.Run(sc, seed, options)
-	if len(first.Broken) == 0 {
+	if len(first.ViolationCounts) == 0 {
 		return nil
 	}
 	s := shrinker{
 		seed:      seed,
 		options:   options,
-		invariant: first.Breaches[0].Rule,
+		invariant: first.Violations[0].Rule,
 		smallest:  *sc,
 		result:    first,
 	}
@@ -49,7 +49,7 @@
 // try plays a smaller scenario and keeps it if it still violates the invariant.
 func (s *shrinker) try(candidate scenario.Scenario) bool {
 	r := virtualtime.Run(&candidate, s.seed, s.options)
-	if r.Broken[string(s.invariant)] == 0 {
+	if r.ViolationCounts[string(s.invariant)] == 0 {
 		return false
 	}
 	s.smallest = candidate
@@ -72,11 +72,11 @@
 
 // shorten ends the run in the second after the first violation, if that is early enough and suffices.
 func (s *shrinker) shorten() {
-	i := slices.IndexFunc(s.result.Breaches, func(b *invariant.Violation) bool { return b.Rule == s.invariant })
+	i := slices.IndexFunc(s.result.Violations, func(b *invariant.Violation) bool { return b.Rule == s.invariant })
 	if i < 0 {
 		return
 	}
-	end := s.result.Breaches[i].At.Truncate(time.Second) + time.Second
+	end := s.result.Violations[i].At.Truncate(time.Second) + time.Second
 	candidate := s.smallest
 	candidate.Length = scenario.Duration(end)
 	if candidate.Length < s.smallest.Length {
--- a/internal/sim/invariant/checker.go
+++ b/internal/sim/invariant/checker.go
@@ -14,8 +14,8 @@
 )
 
 const (
-	// maxBreaches bounds the violations that are kept. Further ones are only counted.
-	maxBreaches = 100
+	// maxKeptViolations bounds the violations that are kept. Further ones are only counted.
+	maxKeptViolations = 100
 	// retention is how long a call is remembered after its deadline, to detect a second final answer.
 	retention = 10 * time.Second
 )
@@ -68,7 +68,7 @@
 // report counts a violation. The call is nil if the event belongs to no known call.
 func (c *Checker) report(r Rule, e Event, call *callState, format string, args ...any) {
 	c.counts[r]++
-	if len(c.breaches) >= maxBreaches {
+	if len(c.breaches) >= maxKeptViolations {
 		return
 	}
 	around := []Event{e}
--- a/internal/sim/invariant/event.go
+++ b/internal/sim/invariant/event.go
@@ -14,7 +14,7 @@
 
 // Kinds of events at a call controller.
 const (
-	CallOffered      Kind = iota // a call is offered; Event.Until is the time at which its caller abandons it
+	CallOffered      Kind = iota // a call is offered; Event.Deadline is the time at which its caller abandons it
 	CallEstablished              // final answer: the call is established
 	CallRejected                 // final answer: the call is rejected or has failed
 	CallAbandoned                // the caller abandons the call, or its connection is lost; no final answer is due
@@ -24,10 +24,10 @@
 	AttemptAnswered              // the server answers the attempt
 	AttemptRejected              // the attempt ended and certainly did not run
 	AttemptBroken                // the attempt ended with its connection and may have run
-	ServerUpdated                // an endpoint update: Event.Server drains or is removed (Event.On) or is active
+	ServerUpdated                // an endpoint update: Event.Server drains or is removed (Event.IsSet) or is active
 	ControllerEnded              // the controller ended; its calls need no final answer
 	ServerCrashed                // Event.Server crashed by overload during its slow start
-	ControllerPaused             // the controller's process is stopped (Event.On) or continues
+	ControllerPaused             // the controller's process is stopped (Event.IsSet) or continues
 )
 
 // String returns the name of the kind as it appears in logs.
@@ -47,8 +47,8 @@
 	Call       string `json:"Call"`
 	Server     string `json:"Server"`
 	Attempt    int    `json:"N"`     // number of the attempt
-	IsSet      bool   `json:"On"`    // set for Told and Paused
-	Deadline   Time   `json:"Until"` // set for SetUp
+	IsSet      bool   `json:"On"`    // set for ServerUpdated and ControllerPaused
+	Deadline   Time   `json:"Until"` // set for CallOffered
 }
 
 // String formats the event as a line of a log.
--- a/internal/sim/loopback/load.go
+++ b/internal/sim/loopback/load.go
@@ -26,7 +26,7 @@
 	MaxOpen       int // bound of calls that are open or established; calls beyond it are not sent. 0: defaultMaxOpen
 	// Observe, if not nil, gets an event for each message, in the order of each call.
 	Observe         func(invariant.Event)
-	ControllerNames []string // names of the controllers at Addrs, for Saw
+	ControllerNames []string // names of the controllers at Addrs, for Observe
 
 	mu     sync.Mutex
 	calls  map[string]*loadCall
@@ -139,7 +139,7 @@
 	l.paused[address] = on
 }
 
-// observe passes an event at a controller to Saw.
+// observe passes an event at a controller to Observe.
 func (l *Load) observe(address int, e invariant.Event) {
 	if l.Observe != nil {
 		e.Controller = l.ControllerNames[address]
--- a/internal/sim/loopback/loopback_test.go
+++ b/internal/sim/loopback/loopback_test.go
@@ -161,15 +161,15 @@
 	sc.Length = scenario.Duration(30 * time.Second)
 	sc.Fleet.Controllers = 1
 	sc.Callers.Load = load
-	sc.Callers.Lean = 1
-	sc.Callers.Shift = scenario.Span{}
-	sc.Callers.Tries = 0
+	sc.Callers.PreferredWeight = 1
+	sc.Callers.PreferenceInterval = scenario.DurationRange{}
+	sc.Callers.MaxRedials = 0
 	sc.Callers.Patience = [2]float64{1.0 / 3, 1.0 / 3}
 	// The latency of loopback.
-	near := scenario.Span{scenario.Duration(50 * time.Microsecond), scenario.Duration(150 * time.Microsecond)}
-	sc.Wire.Near = near
-	sc.Wire.Far = near
-	sc.Wire.Client = scenario.Duration(100 * time.Microsecond)
+	near := scenario.DurationRange{scenario.Duration(50 * time.Microsecond), scenario.Duration(150 * time.Microsecond)}
+	sc.Network.Near = near
+	sc.Network.Far = near
+	sc.Network.Client = scenario.Duration(100 * time.Microsecond)
 	if err := sc.Check(); err != nil {
 		b.Fatal(err)
 	}
@@ -219,9 +219,9 @@
 	for _, r := range all {
 		switch name {
 		case "stood":
-			v = append(v, float64(r.Stood)/float64(r.Offered))
+			v = append(v, float64(r.Established)/float64(r.Offered))
 		case "refused":
-			v = append(v, float64(r.Refused)/float64(r.Offered))
+			v = append(v, float64(r.Rejected)/float64(r.Offered))
 		case "p50 ms":
 			v = append(v, r.P50)
 		default:
--- a/internal/sim/overloadpeers/byzantine.go
+++ b/internal/sim/overloadpeers/byzantine.go
@@ -33,7 +33,7 @@
 		self:             cfg.Controller,
 		peers:            fleet.Controllers,
 		incarnation:      uint32(cfg.Incarnation),
-		claimsOverloaded: fleet.Lie == scenario.LiePressed,
+		claimsOverloaded: fleet.ByzantineReport == scenario.ReportOverload,
 		nextRound:        cfg.Now + byzantineStartDelay,
 		send:             cfg.Send,
 	}
--- a/internal/sim/overloadpeers/overloadpeers.go
+++ b/internal/sim/overloadpeers/overloadpeers.go
@@ -17,16 +17,16 @@
 }
 
 // Start starts the overload control of one controller. It is a value for virtualtime.Options.Share. The controllers
-// with the lowest indexes are byzantine, as many as Fleet.Liars of the scenario says.
+// with the lowest indexes are byzantine, as many as Fleet.ByzantineShare of the scenario says.
 func Start(cfg virtualtime.PeerConfig) virtualtime.Peer {
 	fleet := &cfg.Scenario.Fleet
-	byzantinePeers := int(fleet.Liars * float64(fleet.Controllers))
+	byzantinePeers := int(fleet.ByzantineShare * float64(fleet.Controllers))
 	if cfg.Controller < byzantinePeers {
 		return newByzantinePeer(cfg)
 	}
 	member, err := overload.New(cfg.Now, overload.Options{
 		Self:             cfg.Controller,
-		Peers:            fleet.Controllers,
+		Controllers:      fleet.Controllers,
 		Incarnation:      uint32(cfg.Incarnation),
 		Seed:             cfg.Seed,
 		LatencyThreshold: cfg.Engine.LatencyThreshold(),
--- a/internal/sim/overloadpeers/overloadpeers_test.go
+++ b/internal/sim/overloadpeers/overloadpeers_test.go
@@ -55,9 +55,9 @@
 			sc := withPeerFaults(base, rand.New(rand.NewPCG(seed, uint64(i))))
 			options := virtualtime.Options{StartPeer: Start}
 			r := virtualtime.Run(sc, seed, options)
-			if len(r.Broken) > 0 {
+			if len(r.ViolationCounts) > 0 {
 				t.Errorf("%s, seed %d, %.0f%% lost, %.0f%% byzantine: %v",
-					sc.Name, seed, 100*sc.Wire.Lose, 100*sc.Fleet.Liars, r.Broken)
+					sc.Name, seed, 100*sc.Network.PeerLoss, 100*sc.Fleet.ByzantineShare, r.ViolationCounts)
 			}
 			if r.Datagrams == 0 {
 				t.Errorf("%s, seed %d: no datagram was sent", sc.Name, seed)
@@ -72,9 +72,9 @@
 // withPeerFaults returns a copy of a scenario with lost datagrams, byzantine peers, killed controllers and a partition.
 func withPeerFaults(base *scenario.Scenario, rng *rand.Rand) *scenario.Scenario {
 	sc := *base
-	sc.Wire.Lose = 0.4 * rng.Float64()
-	sc.Fleet.Liars = 0.3 * rng.Float64()
-	sc.Fleet.Lie = []string{scenario.LieWell, scenario.LiePressed}[rng.IntN(2)]
+	sc.Network.PeerLoss = 0.4 * rng.Float64()
+	sc.Fleet.ByzantineShare = 0.3 * rng.Float64()
+	sc.Fleet.ByzantineReport = []string{scenario.ReportNoOverload, scenario.ReportOverload}[rng.IntN(2)]
 	kill := scenario.Fault{
 		Kind:  scenario.Kill,
 		At:    scenario.Duration(8 * time.Second),
@@ -82,7 +82,7 @@
 		By:    scenario.Duration(2 * time.Second),
 	}
 	partition := scenario.Fault{
-		Kind: scenario.Sever,
+		Kind: scenario.Partition,
 		At:   scenario.Duration(4 * time.Second),
 		For:  scenario.Duration(3 * time.Second),
 	}
--- a/internal/sim/result/figure.go
+++ b/internal/sim/result/figure.go
@@ -18,7 +18,7 @@
 	{Name: "service", Of: func(r *Result) float64 { return r.Service }},
 	{Name: "worst_10s", Of: func(r *Result) float64 { return r.Worst }},
 	{Name: "worst_class", Of: func(r *Result) float64 { return r.WorstClass }},
-	{Name: "refused", Of: func(r *Result) float64 { return perCall(r.Refused, r.Offered) }, Less: true},
+	{Name: "refused", Of: func(r *Result) float64 { return perCall(r.Rejected, r.Offered) }, Less: true},
 	{Name: "failed", Of: func(r *Result) float64 { return perCall(r.Failed, r.Offered) }, Less: true},
 	{Name: "sends", Of: func(r *Result) float64 { return perCall(r.Sends, r.Offered) }, Less: true},
 	{Name: "waste", Of: func(r *Result) float64 { return r.Waste }, Less: true},
--- a/internal/sim/result/result.go
+++ b/internal/sim/result/result.go
@@ -34,30 +34,30 @@
 	Waste      float64 `json:"waste"`       // processor time spent on calls that failed, over that on the others
 	Fairness   float64 `json:"fairness"`    // Jain's index of the controllers' service
 
-	Offered int `json:"offered"` // calls
-	Tries   int `json:"tries"`   // calls that clients sent, redials included
-	Sends   int `json:"sends"`   // attempts: set-ups sent to exchanges
-	Stood   int `json:"stood"`   // established
-	Refused int `json:"refused"` // rejected
-	Failed  int `json:"failed"`
-	GaveUp  int `json:"gave_up"` // abandoned
-	Cut     int `json:"cut"`     // dropped
-
-	Datagrams int `json:"datagrams,omitempty"`  // sent between controllers, by destination
-	Told      int `json:"told_bytes,omitempty"` // their bytes
+	Offered     int `json:"offered"` // calls
+	Tries       int `json:"tries"`   // calls that clients sent, redials included
+	Sends       int `json:"sends"`   // attempts: set-ups sent to exchanges
+	Established int `json:"stood"`   // established
+	Rejected    int `json:"refused"` // rejected
+	Failed      int `json:"failed"`
+	Abandoned   int `json:"gave_up"` // abandoned
+	Dropped     int `json:"cut"`     // dropped
+
+	Datagrams     int `json:"datagrams,omitempty"`  // sent between controllers, by destination
+	DatagramBytes int `json:"told_bytes,omitempty"` // their bytes
 
 	P50 float64 `json:"setup_p50_ms"`
 	P95 float64 `json:"setup_p95_ms"`
 	P99 float64 `json:"setup_p99_ms"`
 
-	Classes    []Class                `json:"classes"`
-	Seconds    []float64              `json:"seconds"` // service of each second; noService if nothing was offered
-	Recoveries []Recovery             `json:"recoveries,omitempty"`
-	Exchanges  Exchanges              `json:"exchanges"`
-	Cold       []Cold                 `json:"cold,omitempty"`
-	Broken     map[string]int         `json:"broken,omitempty"` // violations by invariant
-	Breaches   []*invariant.Violation `json:"-"`
-	Events     uint64                 `json:"events"`
+	Classes         []Class                `json:"classes"`
+	Seconds         []float64              `json:"seconds"` // service of each second; noService if nothing was offered
+	Recoveries      []Recovery             `json:"recoveries,omitempty"`
+	Exchanges       Exchanges              `json:"exchanges"`
+	Cold            []Cold                 `json:"cold,omitempty"`
+	ViolationCounts map[string]int         `json:"broken,omitempty"` // violations by invariant
+	Violations      []*invariant.Violation `json:"-"`
+	Events          uint64                 `json:"events"`
 }
 
 // noService marks a second of Result.Seconds without offered calls.
@@ -69,7 +69,7 @@
 	Offered int     `json:"offered"`
 	InTime  int     `json:"in_time"` // established within the latency objective
 	Late    int     `json:"late"`    // established later
-	Cut     int     `json:"cut"`     // dropped
+	Dropped int     `json:"cut"`     // dropped
 	Service float64 `json:"service"`
 }
 
@@ -126,7 +126,7 @@
 // Breached returns the number of invariant violations.
 func (r *Result) Breached() int {
 	sum := 0
-	for _, violations := range r.Broken {
+	for _, violations := range r.ViolationCounts {
 		sum += violations
 	}
 	return sum
--- a/internal/sim/result/result_test.go
+++ b/internal/sim/result/result_test.go
@@ -12,8 +12,8 @@
 func oneClass() *scenario.Scenario {
 	sc := scenario.Default()
 	sc.Class = []scenario.Class{{
-		Name: "a", Share: 1, Holding: scenario.Duration(time.Second), Aim: scenario.Duration(time.Second),
-		GiveUp: scenario.Duration(9 * time.Second), Worth: 2, Late: 0.25,
+		Name: "a", Share: 1, Holding: scenario.Duration(time.Second), LatencyObjective: scenario.Duration(time.Second),
+		Deadline: scenario.Duration(9 * time.Second), Weight: 2, LateShare: 0.25,
 	}}
 	sc.Fleet.Controllers = 2
 	return &sc
@@ -26,19 +26,19 @@
 	late := tally.Offered(0, 0, 0)
 	dropped := tally.Offered(time.Second, 0, 1)
 	tally.Offered(time.Second, 0, 1) // never established
-	tally.Stood(inTime, 500*time.Millisecond, false)
-	tally.Stood(late, 2*time.Second, true)
-	tally.Stood(dropped, 500*time.Millisecond, false)
-	tally.Cut(dropped)
+	tally.Established(inTime, 500*time.Millisecond, false)
+	tally.Established(late, 2*time.Second, true)
+	tally.Established(dropped, 500*time.Millisecond, false)
+	tally.Dropped(dropped)
 	r := tally.Result(2 * time.Second)
 	if want := (1 + 0.25) / 4; r.Service != want || r.WorstClass != want {
 		t.Errorf("service %v, worst class %v, want %v", r.Service, r.WorstClass, want)
 	}
-	if want := (Class{Name: "a", Offered: 4, InTime: 1, Late: 1, Cut: 1, Service: r.Service}); r.Classes[0] != want {
+	if want := (Class{Name: "a", Offered: 4, InTime: 1, Late: 1, Dropped: 1, Service: r.Service}); r.Classes[0] != want {
 		t.Errorf("class %+v, want %+v", r.Classes[0], want)
 	}
-	if r.Second != 1.0/3 || r.Stood != 3 || r.Cut != 1 {
-		t.Errorf("%v outside of the preferred pool, %d established, %d dropped", r.Second, r.Stood, r.Cut)
+	if r.Second != 1.0/3 || r.Established != 3 || r.Dropped != 1 {
+		t.Errorf("%v outside of the preferred pool, %d established, %d dropped", r.Second, r.Established, r.Dropped)
 	}
 	if len(r.Seconds) != 2 || r.Seconds[0] != 0.625 || r.Seconds[1] != 0 {
 		t.Errorf("seconds %v", r.Seconds)
--- a/internal/sim/result/tally.go
+++ b/internal/sim/result/tally.go
@@ -65,7 +65,7 @@
 // Offered counts a new call of a class, whose first offer goes to a controller.
 func (t *Tally) Offered(at Time, class, controller int) *Call {
 	c := &Call{class: class, controller: controller, second: t.secondOf(at)}
-	weight := t.scenario.Class[class].Worth
+	weight := t.scenario.Class[class].Weight
 	t.result.Offered++
 	t.classes[class].Offered++
 	t.seconds[c.second].offered += weight
@@ -76,54 +76,54 @@
 // Try counts an offer of a call to a controller, the first one or a redial.
 func (t *Tally) Try() { t.result.Tries++ }
 
-// Told counts a datagram of a controller to another.
-func (t *Tally) Told(bytes int) {
+// Datagram counts a datagram of a controller to another.
+func (t *Tally) Datagram(bytes int) {
 	t.result.Datagrams++
-	t.result.Told += bytes
+	t.result.DatagramBytes += bytes
 }
 
 // Sent counts an attempt: a set-up that a controller sent to an exchange.
 func (t *Tally) Sent() { t.result.Sends++ }
 
-// Refused counts a final answer that a call was rejected, or that it failed.
-func (t *Tally) Refused(isRejected bool) {
+// Rejected counts a final answer that a call was rejected, or that it failed.
+func (t *Tally) Rejected(isRejected bool) {
 	if isRejected {
-		t.result.Refused++
+		t.result.Rejected++
 	} else {
 		t.result.Failed++
 	}
 }
 
-// GaveUp counts an offer that its caller abandoned.
-func (t *Tally) GaveUp() { t.result.GaveUp++ }
+// Abandoned counts an offer that its caller abandoned.
+func (t *Tally) Abandoned() { t.result.Abandoned++ }
 
-// Stood counts an established call with the time since its caller dialled first. isOutsidePreferredPool says
+// Established counts an established call with the time since its caller dialled first. isOutsidePreferredPool says
 // that it is established in another pool than the preferred one.
-func (t *Tally) Stood(c *Call, setUpTime time.Duration, isOutsidePreferredPool bool) {
+func (t *Tally) Established(c *Call, setUpTime time.Duration, isOutsidePreferredPool bool) {
 	class := &t.scenario.Class[c.class]
-	t.result.Stood++
+	t.result.Established++
 	_ = t.setUpTimes.RecordValue(max(setUpTime.Microseconds(), 1))
 	if isOutsidePreferredPool {
 		t.outsidePreferredPool++
 	}
-	c.earned = class.Worth
-	if setUpTime <= class.Aim.D() {
+	c.earned = class.Weight
+	if setUpTime <= class.LatencyObjective.D() {
 		t.classes[c.class].InTime++
 	} else {
-		c.earned *= class.Late
+		c.earned *= class.LateShare
 		t.classes[c.class].Late++
 	}
 	t.seconds[c.second].earned += c.earned
 	t.controllers[c.controller].earned += c.earned
 }
 
-// Cut counts an established call as dropped: it loses what it has earned.
-func (t *Tally) Cut(c *Call) {
-	t.result.Cut++
-	t.classes[c.class].Cut++
+// Dropped counts an established call as dropped: it loses what it has earned.
+func (t *Tally) Dropped(c *Call) {
+	t.result.Dropped++
+	t.classes[c.class].Dropped++
 	t.seconds[c.second].earned -= c.earned
 	t.controllers[c.controller].earned -= c.earned
-	if c.earned == t.scenario.Class[c.class].Worth {
+	if c.earned == t.scenario.Class[c.class].Weight {
 		t.classes[c.class].InTime--
 	} else {
 		t.classes[c.class].Late--
@@ -150,8 +150,8 @@
 	r.Service = sum(t.seconds).ratio()
 	r.Worst = worst(t.seconds, worstWindow)
 	t.computeClasses()
-	if r.Stood > 0 {
-		r.Second = t.outsidePreferredPool / float64(r.Stood)
+	if r.Established > 0 {
+		r.Second = t.outsidePreferredPool / float64(r.Established)
 	}
 	r.Fairness = fairness(t.controllers)
 	r.P50 = t.setUpQuantile(50)
@@ -169,7 +169,7 @@
 	t.result.WorstClass = 1
 	for i := range t.classes {
 		class := &t.classes[i]
-		earned := float64(class.InTime) + t.scenario.Class[i].Late*float64(class.Late)
+		earned := float64(class.InTime) + t.scenario.Class[i].LateShare*float64(class.Late)
 		class.Service = service{offered: float64(class.Offered), earned: earned}.ratio()
 		t.result.WorstClass = min(t.result.WorstClass, class.Service)
 	}
--- a/internal/sim/scenario/check.go
+++ b/internal/sim/scenario/check.go
@@ -27,8 +27,8 @@
 	if err := s.Fleet.check(); err != nil {
 		return err
 	}
-	if s.Wire.Lose < 0 || s.Wire.Lose > 1 {
-		return fmt.Errorf("wire.peer_lose: %v is not between 0 and 1", s.Wire.Lose)
+	if s.Network.PeerLoss < 0 || s.Network.PeerLoss > 1 {
+		return fmt.Errorf("wire.peer_lose: %v is not between 0 and 1", s.Network.PeerLoss)
 	}
 	if s.Exchange.Planned <= 0 || s.Exchange.Planned > 1 {
 		return fmt.Errorf("exchange.planned: %v is not between 0 and 1", s.Exchange.Planned)
@@ -57,9 +57,9 @@
 	case f.Zones < 1 || f.Clients < 1:
 		return errors.New("fleet: zones and clients must be at least 1")
 	}
-	isShare := f.Liars >= 0 && f.Liars <= 1
-	isReportKnown := f.Lie == LieWell || f.Lie == LiePressed
-	if !isShare || f.Liars > 0 && !isReportKnown {
+	isShare := f.ByzantineShare >= 0 && f.ByzantineShare <= 1
+	isReportKnown := f.ByzantineReport == ReportNoOverload || f.ByzantineReport == ReportOverload
+	if !isShare || f.ByzantineShare > 0 && !isReportKnown {
 		return errors.New("fleet: liars is a share between 0 and 1, lie is \"well\" or \"pressed\"")
 	}
 	return nil
@@ -73,9 +73,9 @@
 		return fmt.Errorf("callers.shape: %q is none of poisson, wave, ramp", c.Shape)
 	case c.Shape == shapeWave && (c.Swing < 0 || c.Swing > 1):
 		return fmt.Errorf("callers.swing: %v of a wave is not between 0 and 1", c.Swing)
-	case c.Leave < 0 || c.Leave > 1:
-		return fmt.Errorf("callers.leave: %v is not between 0 and 1", c.Leave)
-	case c.Lean < 0 || c.Hot < 0 || c.Hot > 1:
+	case c.AbandonShare < 0 || c.AbandonShare > 1:
+		return fmt.Errorf("callers.leave: %v is not between 0 and 1", c.AbandonShare)
+	case c.PreferredWeight < 0 || c.HotNumberShare < 0 || c.HotNumberShare > 1:
 		return errors.New("callers: lean must not be negative, hot is a share between 0 and 1")
 	}
 	return nil
@@ -88,7 +88,7 @@
 	sum := 0.0
 	for _, c := range classes {
 		sum += c.Share
-		if c.Aim <= 0 || c.GiveUp < c.Aim || c.Holding <= 0 || c.Share < 0 {
+		if c.LatencyObjective <= 0 || c.Deadline < c.LatencyObjective || c.Holding <= 0 || c.Share < 0 {
 			return fmt.Errorf("class %q: aim, give_up and holding must be positive, give_up not before aim", c.Name)
 		}
 	}
--- a/internal/sim/scenario/derive.go
+++ b/internal/sim/scenario/derive.go
@@ -30,14 +30,14 @@
 		Release:                e.Release.D(),
 		Reject:                 e.Reject.D(),
 		Retransmission:         e.Repeat.D(),
-		WorkVariation:          e.Vary,
-		MaxQueueingDelay:       e.Full.D(),
-		RetransmissionInterval: e.Again.D(),
+		WorkVariation:          e.Variation,
+		MaxQueueingDelay:       e.RejectDelay.D(),
+		RetransmissionInterval: e.RetransmitInterval.D(),
 		MeanRingTime:           e.Ring.D(),
-		Circuits:               e.Lines,
-		SlowStartShare:         e.Start,
-		SlowStartPeriod:        e.Warm.D(),
-		CrashFactor:            e.Fall,
+		Circuits:               e.Circuits,
+		SlowStartShare:         e.SlowStartShare,
+		SlowStartPeriod:        e.SlowStartPeriod.D(),
+		CrashFactor:            e.SlowStartFailure,
 		CrashWindow:            slowStartWindow,
 		MeanHoldingTime:        make(map[string]time.Duration),
 	}
@@ -54,18 +54,18 @@
 		Topology:        controllerTopology,
 		MaxAttempts:     controllerMaxAttempts,
 		CanCancel:       true,
-		ResendInterval:  s.Exchange.Again.D(),
+		ResendInterval:  s.Exchange.RetransmitInterval.D(),
 		RetryGuard:      controllerRetryGuard,
-		SlowStartPeriod: s.Exchange.Warm.D(),
-		SlowStartShare:  s.Exchange.Start,
+		SlowStartPeriod: s.Exchange.SlowStartPeriod.D(),
+		SlowStartShare:  s.Exchange.SlowStartShare,
 	}
 	for _, c := range s.Class {
 		settings.Classes = append(settings.Classes, admission.Class{
 			Name:             c.Name,
-			LatencyObjective: c.Aim.D(),
-			Deadline:         c.GiveUp.D(),
-			Weight:           c.Worth,
-			LateWeightFactor: c.Late,
+			LatencyObjective: c.LatencyObjective.D(),
+			Deadline:         c.Deadline.D(),
+			Weight:           c.Weight,
+			LateWeightFactor: c.LateShare,
 		})
 	}
 	return settings
--- a/internal/sim/scenario/duration.go
+++ b/internal/sim/scenario/duration.go
@@ -27,14 +27,14 @@
 // D returns the Duration as a time.Duration.
 func (d Duration) D() time.Duration { return time.Duration(d) }
 
-// A Span is a range of durations, from the first to the second.
-type Span [2]Duration
+// A DurationRange is a range of durations, from the first to the second.
+type DurationRange [2]Duration
 
 // Draw returns a duration of the span, uniformly distributed.
-func (s Span) Draw(rng *rand.Rand) time.Duration {
+func (s DurationRange) Draw(rng *rand.Rand) time.Duration {
 	return s[0].D() + time.Duration(rng.Float64()*float64(s[1]-s[0]))
 }
 
 func milliseconds(n float64) Duration { return Duration(n * float64(time.Millisecond)) }
 
-func span(from, to float64) Span { return Span{milliseconds(from), milliseconds(to)} }
+func span(from, to float64) DurationRange { return DurationRange{milliseconds(from), milliseconds(to)} }
--- a/internal/sim/scenario/scenario.go
+++ b/internal/sim/scenario/scenario.go
@@ -10,7 +10,7 @@
 	Length   Duration `toml:"length" json:"length"`
 	Fleet    Fleet    `toml:"fleet" json:"fleet"`
 	Exchange Exchange `toml:"exchange" json:"exchange"`
-	Wire     Wire     `toml:"wire" json:"wire"`
+	Network  Network  `toml:"wire" json:"wire"`
 	Callers  Callers  `toml:"callers" json:"callers"`
 	Class    []Class  `toml:"class" json:"class"`
 	Fault    []Fault  `toml:"fault" json:"fault,omitempty"`
@@ -18,8 +18,8 @@
 
 // What byzantine controllers report: that no server is overloaded, or that all are.
 const (
-	LieWell    = "well"
-	LiePressed = "pressed"
+	ReportNoOverload = "well"
+	ReportOverload   = "pressed"
 )
 
 // A Fleet is the size of the simulated deployment.
@@ -28,39 +28,39 @@
 	Exchanges   int `toml:"exchanges" json:"exchanges"`
 	Zones       int `toml:"zones" json:"zones"`
 	Clients     int `toml:"clients" json:"clients"` // client connections to each controller
-	// Share turns the distributed overload control of the controllers on.
-	Share bool `toml:"share" json:"share,omitempty"`
-	// Liars is the share of controllers that are byzantine; their load reports say Lie.
-	Liars float64 `toml:"liars" json:"liars,omitempty"`
-	Lie   string  `toml:"lie" json:"lie,omitempty"` // LieWell or LiePressed
+	// OverloadControl turns the distributed overload control of the controllers on.
+	OverloadControl bool `toml:"share" json:"share,omitempty"`
+	// ByzantineShare is the share of controllers that are byzantine; their load reports say ByzantineReport.
+	ByzantineShare  float64 `toml:"liars" json:"liars,omitempty"`
+	ByzantineReport string  `toml:"lie" json:"lie,omitempty"` // ReportNoOverload or ReportOverload
 }
 
 // An Exchange is the model of each exchange: its service times, its circuits and its slow start.
 type Exchange struct {
-	SetUp   Duration `toml:"set_up" json:"set_up"`   // service time of a set-up
-	Answer  Duration `toml:"answer" json:"answer"`   // service time of an answer
-	Release Duration `toml:"release" json:"release"` // service time of a release
-	Reject  Duration `toml:"reject" json:"reject"`   // service time of a rejected set-up
-	Repeat  Duration `toml:"repeat" json:"repeat"`   // service time of a repeated set-up
-	Vary    float64  `toml:"vary" json:"vary"`       // coefficient of variation of service times
-	Full    Duration `toml:"full" json:"full"`       // queueing delay from which set-ups are rejected
-	Again   Duration `toml:"again" json:"again"`     // first retransmission interval, doubling; 0: never
-	Ring    Duration `toml:"ring" json:"ring"`       // mean time until the called side answers, exponential
-	Lines   int      `toml:"lines" json:"lines"`     // circuits
-	Planned float64  `toml:"planned" json:"planned"` // planned load as a share of the capacity
-	Start   float64  `toml:"start" json:"start"`     // share of the capacity at the begin of slow start
-	Warm    Duration `toml:"warm" json:"warm"`       // slow-start period
-	Fall    float64  `toml:"fall" json:"fall"`       // multiple of the capacity that makes slow start fail; 0: never
+	SetUp              Duration `toml:"set_up" json:"set_up"`   // service time of a set-up
+	Answer             Duration `toml:"answer" json:"answer"`   // service time of an answer
+	Release            Duration `toml:"release" json:"release"` // service time of a release
+	Reject             Duration `toml:"reject" json:"reject"`   // service time of a rejected set-up
+	Repeat             Duration `toml:"repeat" json:"repeat"`   // service time of a repeated set-up
+	Variation          float64  `toml:"vary" json:"vary"`       // coefficient of variation of service times
+	RejectDelay        Duration `toml:"full" json:"full"`       // queueing delay from which set-ups are rejected
+	RetransmitInterval Duration `toml:"again" json:"again"`     // first retransmission interval, doubling; 0: never
+	Ring               Duration `toml:"ring" json:"ring"`       // mean time until the called side answers, exponential
+	Circuits           int      `toml:"lines" json:"lines"`     // circuits
+	Planned            float64  `toml:"planned" json:"planned"` // planned load as a share of the capacity
+	SlowStartShare     float64  `toml:"start" json:"start"`     // share of the capacity at the begin of slow start
+	SlowStartPeriod    Duration `toml:"warm" json:"warm"`       // slow-start period
+	SlowStartFailure   float64  `toml:"fall" json:"fall"`       // multiple of the capacity that fails it; 0: never
 }
 
-// A Wire is the delay and loss of messages on the network.
-type Wire struct {
-	Near   Span     `toml:"near" json:"near"`           // one-way delay within a zone
-	Far    Span     `toml:"far" json:"far"`             // one-way delay between zones
-	News   Span     `toml:"news" json:"news"`           // delay of endpoint updates to each controller
-	Client Duration `toml:"client" json:"client"`       // one-way delay between clients and controllers
-	Peer   Span     `toml:"peer" json:"peer"`           // delay of datagrams between controllers
-	Lose   float64  `toml:"peer_lose" json:"peer_lose"` // share of those datagrams that is lost
+// A Network is the delay and loss of messages on the network.
+type Network struct {
+	Near            DurationRange `toml:"near" json:"near"`           // one-way delay within a zone
+	Far             DurationRange `toml:"far" json:"far"`             // one-way delay between zones
+	EndpointUpdates DurationRange `toml:"news" json:"news"`           // delay of endpoint updates to each controller
+	Client          Duration      `toml:"client" json:"client"`       // one-way delay between clients and controllers
+	Peer            DurationRange `toml:"peer" json:"peer"`           // delay of datagrams between controllers
+	PeerLoss        float64       `toml:"peer_lose" json:"peer_lose"` // share of those datagrams that is lost
 }
 
 // Shapes of the offered load over time.
@@ -75,29 +75,29 @@
 	Load  float64 `toml:"load" json:"load"`   // offered load as a multiple of the planned load at the start
 	Shape string  `toml:"shape" json:"shape"` // poisson (constant rate), wave (sine) or ramp (linear)
 	// Swing is the amplitude of a wave as a share of the load; of a ramp, the load at its end over that at its start.
-	Swing  float64  `toml:"swing" json:"swing"`
-	Period Duration `toml:"period" json:"period"` // of a wave
-	Tries  int      `toml:"tries" json:"tries"`   // maximum number of redials
-	Wait   Span     `toml:"wait" json:"wait"`     // delay of the first redial; it doubles with each
+	Swing       float64       `toml:"swing" json:"swing"`
+	Period      Duration      `toml:"period" json:"period"` // of a wave
+	MaxRedials  int           `toml:"tries" json:"tries"`   // maximum number of redials
+	RedialDelay DurationRange `toml:"wait" json:"wait"`     // delay of the first redial; it doubles with each
 	// Patience is the range of the share of the deadline after which a caller abandons a call.
-	Patience [2]float64 `toml:"patience" json:"patience"`
-	Leave    float64    `toml:"leave" json:"leave,omitempty"` // share of calls that are abandoned before their deadline
-	Heedless bool       `toml:"heedless" json:"heedless"`     // callers ignore Retry-After
-	Roam     bool       `toml:"roam" json:"roam"`             // redials go to any controller, not to the same one
-	Shift    Span       `toml:"shift" json:"shift"`           // interval at which the most preferred pool changes
-	Lean     float64    `toml:"lean" json:"lean"`             // weight of the most preferred pool, others have 1
-	Hot      float64    `toml:"hot" json:"hot"`               // share of calls to one number
+	Patience           [2]float64    `toml:"patience" json:"patience"`
+	AbandonShare       float64       `toml:"leave" json:"leave,omitempty"` // share of calls abandoned early
+	IgnoresRetryAfter  bool          `toml:"heedless" json:"heedless"`     // callers ignore Retry-After
+	RedialsAnywhere    bool          `toml:"roam" json:"roam"`             // redials go to any controller
+	PreferenceInterval DurationRange `toml:"shift" json:"shift"`           // between changes of the preferred pool
+	PreferredWeight    float64       `toml:"lean" json:"lean"`             // weight of that pool, others have 1
+	HotNumberShare     float64       `toml:"hot" json:"hot"`               // share of calls to one number
 }
 
 // A Class is a kind of call.
 type Class struct {
-	Name    string   `toml:"name" json:"name"`
-	Share   float64  `toml:"share" json:"share"`     // of all calls
-	Holding Duration `toml:"holding" json:"holding"` // mean duration of established calls
-	Aim     Duration `toml:"aim" json:"aim"`         // latency objective
-	GiveUp  Duration `toml:"give_up" json:"give_up"` // deadline
-	Worth   float64  `toml:"worth" json:"worth"`     // weight
-	Late    float64  `toml:"late" json:"late"`       // share of the weight that a late call earns
+	Name             string   `toml:"name" json:"name"`
+	Share            float64  `toml:"share" json:"share"`     // of all calls
+	Holding          Duration `toml:"holding" json:"holding"` // mean duration of established calls
+	LatencyObjective Duration `toml:"aim" json:"aim"`         // latency objective
+	Deadline         Duration `toml:"give_up" json:"give_up"` // deadline
+	Weight           float64  `toml:"worth" json:"worth"`     // weight
+	LateShare        float64  `toml:"late" json:"late"`       // share of the weight that a late call earns
 }
 
 // Pick returns the index of the class that a uniform draw between 0 and 1 selects by the classes' shares.
--- a/internal/sim/scenario/scenario_test.go
+++ b/internal/sim/scenario/scenario_test.go
@@ -44,7 +44,7 @@
 	if s.Callers.Load != 1.5 || len(s.Class) != 1 {
 		t.Errorf("load %v and %d classes, want 1.5 and 1", s.Callers.Load, len(s.Class))
 	}
-	if s.Fleet.Controllers != Default().Fleet.Controllers || s.Exchange.Warm.D() != 15*time.Second {
+	if s.Fleet.Controllers != Default().Fleet.Controllers || s.Exchange.SlowStartPeriod.D() != 15*time.Second {
 		t.Errorf("%+v, want the default fleet and slow start", s)
 	}
 	for text, want := range map[string]string{
--- a/internal/sim/virtualtime/callerpool.go
+++ b/internal/sim/virtualtime/callerpool.go
@@ -61,7 +61,7 @@
 func (p *callerPool) maxCallDuration() time.Duration {
 	var longest time.Duration
 	for _, class := range p.sim.scenario.Class {
-		longest = max(longest, class.GiveUp.D())
+		longest = max(longest, class.Deadline.D())
 	}
 	return 2*longest + finalAnswerMargin
 }
@@ -112,7 +112,7 @@
 // shiftPopularPool draws the popular pool, now and at random intervals.
 func (p *callerPool) shiftPopularPool() {
 	p.popularPool = p.rng.IntN(len(p.sim.exchangesByPool))
-	interval := p.sim.scenario.Callers.Shift
+	interval := p.sim.scenario.Callers.PreferenceInterval
 	if interval[1] <= 0 {
 		return
 	}
@@ -130,7 +130,7 @@
 	c.classIndex = scenario.Pick(sc.Class, p.rng.Float64())
 	c.class = &sc.Class[c.classIndex]
 	c.number = numberPrefix + strconv.Itoa(p.rng.IntN(numbersPerServer*sc.Fleet.Exchanges))
-	if p.rng.Float64() < sc.Callers.Hot {
+	if p.rng.Float64() < sc.Callers.HotNumberShare {
 		c.number = popularNumber
 	}
 	c.preferredPool = p.drawPool()
@@ -150,7 +150,7 @@
 		homeController: p.drawController(),
 		isRedial:       true,
 	}
-	if !p.sim.scenario.Callers.Roam {
+	if !p.sim.scenario.Callers.RedialsAnywhere {
 		c.homeController = dropped.homeController
 	}
 	p.sendFirstRequest(c)
@@ -161,9 +161,9 @@
 	p.sendRequest(c, c.homeController)
 }
 
-// drawPool draws a preferred pool: the popular pool has the weight Lean, each other pool has the weight 1.
+// drawPool draws a preferred pool: the popular pool has the weight PreferredWeight, each other pool has the weight 1.
 func (p *callerPool) drawPool() int {
-	popularWeight := p.sim.scenario.Callers.Lean
+	popularWeight := p.sim.scenario.Callers.PreferredWeight
 	pools := len(p.sim.exchangesByPool)
 	x := p.rng.Float64() * (popularWeight + float64(pools-1))
 	if x < popularWeight {
--- a/internal/sim/virtualtime/clientconn.go
+++ b/internal/sim/virtualtime/clientconn.go
@@ -13,7 +13,7 @@
 // NotifyRelease implements call.Frontend.
 func (f *frontend) NotifyRelease(_ call.Client, id string, cause int) {
 	s := f.sim
-	s.after(s.scenario.Wire.Client.D(), func() { s.callers.onReleased(id, cause) })
+	s.after(s.scenario.Network.Client.D(), func() { s.callers.onReleased(id, cause) })
 }
 
 // clientConn is a connection of callers to a controller. It implements call.Client.
@@ -23,14 +23,14 @@
 func (cc *clientConn) CallEstablished(id string, _ []byte) {
 	s := cc.controller.sim
 	cc.controller.record(invariant.Event{Kind: invariant.CallEstablished, Call: id})
-	s.after(s.scenario.Wire.Client.D(), func() { s.callers.onEstablished(id) })
+	s.after(s.scenario.Network.Client.D(), func() { s.callers.onEstablished(id) })
 }
 
 // CallRejected implements call.Client.
 func (cc *clientConn) CallRejected(id string, cause int, retryAfter time.Duration) {
 	s := cc.controller.sim
 	cc.controller.record(invariant.Event{Kind: invariant.CallRejected, Call: id})
-	s.after(s.scenario.Wire.Client.D(), func() { s.callers.onRejected(id, cause, retryAfter) })
+	s.after(s.scenario.Network.Client.D(), func() { s.callers.onRejected(id, cause, retryAfter) })
 }
 
 // CallForgotten implements call.Client.
--- a/internal/sim/virtualtime/discovery.go
+++ b/internal/sim/virtualtime/discovery.go
@@ -32,7 +32,7 @@
 // scheduleUpdate lets an endpoint update arrive after a random delay, in the order of sending.
 func (c *controller) scheduleUpdate(update admission.Server) {
 	s := c.sim
-	arrival := s.now + s.draw(s.scenario.Wire.News) + s.faults.discoveryDelay
+	arrival := s.now + s.draw(s.scenario.Network.EndpointUpdates) + s.faults.discoveryDelay
 	c.discovery.lastUpdateAt = max(arrival, c.discovery.lastUpdateAt+1)
 	c.schedule(c.discovery.lastUpdateAt, func() {
 		if s.faults.isDiscoveryDown {
--- a/internal/sim/virtualtime/faults.go
+++ b/internal/sim/virtualtime/faults.go
@@ -27,41 +27,41 @@
 		s.slowExchanges(f)
 	case scenario.Crash:
 		s.crashExchanges(f)
-	case scenario.Vanish:
+	case scenario.Unreachable:
 		s.isolateExchanges(f)
 	case scenario.Hang:
 		s.hangExchanges(f)
 	case scenario.Replace:
 		s.replaceExchanges(f)
-	case scenario.LoseLines:
+	case scenario.LoseCircuits:
 		s.loseCircuits(f)
-	case scenario.Cut:
+	case scenario.DropCalls:
 		s.dropCalls(f)
 	case scenario.Burst:
 		s.callers.burst(f)
-	case scenario.NamesLost:
+	case scenario.DiscoveryUnavailable:
 		s.stopDiscovery(f)
-	case scenario.NamesLate:
+	case scenario.DiscoveryDelay:
 		s.raiseDuration(f, &s.faults.discoveryDelay)
-	case scenario.NamesLie:
+	case scenario.DiscoveryFalseRemoval:
 		s.announceRemoval(f)
-	case scenario.Skew:
+	case scenario.ClockSkew:
 		s.raiseDuration(f, &s.faults.clockSkew)
 	case scenario.Reset:
 		s.resetConnections(f)
-	case scenario.Half:
+	case scenario.LoseAnswers:
 		s.raiseShare(f, &s.faults.partialAnswerShare)
-	case scenario.Spoil:
+	case scenario.MalformAnswers:
 		s.raiseShare(f, &s.faults.malformedAnswerShare)
-	case scenario.Twice:
+	case scenario.DuplicateAnswers:
 		s.raiseShare(f, &s.faults.duplicateAnswerShare)
-	case scenario.Lost:
+	case scenario.LoseSetUps:
 		s.raiseShare(f, &s.faults.lostSetUpShare)
-	case scenario.Dead:
+	case scenario.DeadConnections:
 		s.killConnections(f)
-	case scenario.Sever:
+	case scenario.Partition:
 		s.partitionZone(f)
-	case scenario.Roll:
+	case scenario.RollingRestart:
 		s.restartControllers(f)
 	case scenario.Kill:
 		s.killControllers(f)
--- a/internal/sim/virtualtime/links.go
+++ b/internal/sim/virtualtime/links.go
@@ -64,9 +64,9 @@
 
 // transmit schedules the arrival of a message on a link.
 func (s *simulation) transmit(l *link, isSameZone bool, arrive func()) {
-	delay := s.scenario.Wire.Far
+	delay := s.scenario.Network.Far
 	if isSameZone {
-		delay = s.scenario.Wire.Near
+		delay = s.scenario.Network.Near
 	}
 	l.lastArrival = max(s.now+s.draw(delay), l.lastArrival+1)
 	s.queue.Push(l.lastArrival, arrive)
--- a/internal/sim/virtualtime/links_test.go
+++ b/internal/sim/virtualtime/links_test.go
@@ -17,7 +17,7 @@
 func TestPartition(t *testing.T) {
 	sc := scenario.Default()
 	sc.Length, sc.Callers.Load = seconds(12), 0.4
-	sc.Fault = []scenario.Fault{{Kind: scenario.Sever, At: seconds(3), For: seconds(4)}}
+	sc.Fault = []scenario.Fault{{Kind: scenario.Partition, At: seconds(3), For: seconds(4)}}
 	during, after := make(map[zonePair]int), make(map[zonePair]int) // answers
 	r := Run(&sc, 3, Options{Watch: func(e invariant.Event) {
 		var controller, exchange int
@@ -33,9 +33,9 @@
 			after[pair]++
 		}
 	}})
-	if len(r.Broken) > 0 || len(during) != 5 || len(after) != 9 {
+	if len(r.ViolationCounts) > 0 || len(during) != 5 || len(after) != 9 {
 		t.Errorf("violations %v; answers between zones during the partition %v, want five pairs of nine; after it %v",
-			r.Broken, during, after)
+			r.ViolationCounts, during, after)
 	}
 }
 
@@ -45,7 +45,7 @@
 	base.Length, base.Callers.Load = seconds(12), 0.4
 	setUpsPerCall := func(r *result.Result) float64 { return float64(r.Sends) / float64(r.Offered) }
 	undisturbed := Run(&base, 3, Options{})
-	for _, kind := range []string{scenario.Lost, scenario.Dead, scenario.Roll} {
+	for _, kind := range []string{scenario.LoseSetUps, scenario.DeadConnections, scenario.RollingRestart} {
 		t.Run(kind, func(t *testing.T) {
 			sc := base
 			sc.Fault = []scenario.Fault{{Kind: kind, At: seconds(3), For: seconds(5), Share: 0.4, By: seconds(0.3)}}
@@ -55,15 +55,15 @@
 					ended++
 				}
 			}})
-			isRoll := kind == scenario.Roll
+			isRoll := kind == scenario.RollingRestart
 			hasMoreSetUps := setUpsPerCall(r) > setUpsPerCall(undisturbed)
 			hasEffect := hasMoreSetUps
 			if isRoll {
 				hasEffect = ended == sc.Fleet.Controllers
 			}
-			if len(r.Broken) > 0 || !hasEffect {
+			if len(r.ViolationCounts) > 0 || !hasEffect {
 				t.Errorf("violations %v, %d set-ups for %d calls, undisturbed %d for %d; %d controllers ended",
-					r.Broken, r.Sends, r.Offered, undisturbed.Sends, undisturbed.Offered, ended)
+					r.ViolationCounts, r.Sends, r.Offered, undisturbed.Sends, undisturbed.Offered, ended)
 			}
 		})
 	}
--- a/internal/sim/virtualtime/peers.go
+++ b/internal/sim/virtualtime/peers.go
@@ -30,7 +30,7 @@
 	if s.options.Datagrams != nil {
 		c.overload.receive = s.options.Datagrams(c.index, send)
 	}
-	if s.options.StartPeer == nil || !s.scenario.Fleet.Share {
+	if s.options.StartPeer == nil || !s.scenario.Fleet.OverloadControl {
 		return
 	}
 	peer := s.options.StartPeer(PeerConfig{
@@ -85,12 +85,12 @@
 // transmitDatagram delays a datagram or loses it, by chance or by a partition.
 func (c *controller) transmitDatagram(receiver *controller, payload []byte) {
 	s := c.sim
-	s.tally.Told(len(payload))
-	if s.isPartitioned(c.zone, receiver.zone) || s.rng.Float64() < s.scenario.Wire.Lose {
+	s.tally.Datagram(len(payload))
+	if s.isPartitioned(c.zone, receiver.zone) || s.rng.Float64() < s.scenario.Network.PeerLoss {
 		return
 	}
 	datagram := slices.Clone(payload)
-	s.after(s.draw(s.scenario.Wire.Peer), func() {
+	s.after(s.draw(s.scenario.Network.Peer), func() {
 		if receiver.isRunning() && receiver.overload.receive != nil {
 			receiver.overload.receive(c.index, datagram)
 			receiver.settle()
--- a/internal/sim/virtualtime/peers_test.go
+++ b/internal/sim/virtualtime/peers_test.go
@@ -66,9 +66,9 @@
 
 func runWithDatagrams(t *testing.T) (*result.Result, *datagramLog) {
 	sc := scenario.Default()
-	sc.Length, sc.Fleet.Controllers, sc.Wire.Lose = seconds(10), testControllers, 0.3
+	sc.Length, sc.Fleet.Controllers, sc.Network.PeerLoss = seconds(10), testControllers, 0.3
 	sc.Fault = []scenario.Fault{
-		{Kind: scenario.Sever, At: seconds(2), For: seconds(4)},
+		{Kind: scenario.Partition, At: seconds(2), For: seconds(4)},
 		{Kind: scenario.Kill, At: seconds(7), Share: 0.1, By: seconds(0.5)},
 	}
 	log := &datagramLog{t: t, senders: make(map[int]SendFunc), arrivals: make(map[controllerPair][]time.Duration)}
@@ -100,12 +100,12 @@
 	// Of the three pairs of zones the partition leaves one open.
 	share := float64(received) / float64(r.Datagrams)
 	hasExpectedShare := share >= 0.4 && share <= 0.75
-	if silentPairs != 16 || log.startCount != 7 || !hasExpectedShare || len(r.Broken) > 0 {
+	if silentPairs != 16 || log.startCount != 7 || !hasExpectedShare || len(r.ViolationCounts) > 0 {
 		t.Errorf("%d of %d datagrams received, %d pairs silent during the partition, %d starts, violations %v",
-			received, r.Datagrams, silentPairs, log.startCount, r.Broken)
+			received, r.Datagrams, silentPairs, log.startCount, r.ViolationCounts)
 	}
 	second, _ := runWithDatagrams(t)
-	if second.Datagrams != r.Datagrams || second.Events != r.Events || second.Told != r.Told {
+	if second.Datagrams != r.Datagrams || second.Events != r.Events || second.DatagramBytes != r.DatagramBytes {
 		t.Errorf("second run: %d datagrams, %d events; first run %d, %d",
 			second.Datagrams, second.Events, r.Datagrams, r.Events)
 	}
--- a/internal/sim/virtualtime/request.go
+++ b/internal/sim/virtualtime/request.go
@@ -36,14 +36,14 @@
 	s.tally.Try()
 	patience := p.patience(c)
 	abandonAfter := patience
-	leavesEarly := s.scenario.Callers.Leave > 0 && p.rng.Float64() < s.scenario.Callers.Leave
+	leavesEarly := s.scenario.Callers.AbandonShare > 0 && p.rng.Float64() < s.scenario.Callers.AbandonShare
 	if leavesEarly {
 		abandonAfter = time.Duration(p.rng.Float64() * float64(patience))
 	}
 	p.requests[r.id] = r
 	incarnation := r.controller.incarnation
 	deadline := s.now + patience
-	s.after(s.scenario.Wire.Client.D(), func() { p.deliverRequest(r, incarnation, deadline) })
+	s.after(s.scenario.Network.Client.D(), func() { p.deliverRequest(r, incarnation, deadline) })
 	s.after(abandonAfter, func() { p.abandonRequest(r, incarnation) })
 }
 
@@ -62,7 +62,7 @@
 // patience returns how long a caller waits for the final answer to a request.
 func (p *callerPool) patience(c *caller) time.Duration {
 	shares := p.sim.scenario.Callers.Patience
-	giveUp := c.class.GiveUp.D()
+	giveUp := c.class.Deadline.D()
 	patience := time.Duration(float64(giveUp) * (shares[0] + (shares[1]-shares[0])*c.patienceDraw))
 	if patience <= 0 {
 		return giveUp
@@ -100,9 +100,9 @@
 		return
 	}
 	s, c := p.sim, r.controller
-	s.tally.GaveUp()
+	s.tally.Abandoned()
 	p.failRequest(r, 0)
-	s.after(s.scenario.Wire.Client.D(), func() {
+	s.after(s.scenario.Network.Client.D(), func() {
 		if !c.isRunningAs(incarnation) {
 			return
 		}
@@ -120,19 +120,19 @@
 	r.isOver = true
 	delete(p.requests, r.id)
 	c, settings := r.caller, &p.sim.scenario.Callers
-	if p.isClosed || c.requestCount > settings.Tries {
+	if p.isClosed || c.requestCount > settings.MaxRedials {
 		return
 	}
-	delay := settings.Wait.Draw(p.rng) << min(c.requestCount-1, maxBackoffDoubling)
-	if !settings.Heedless {
+	delay := settings.RedialDelay.Draw(p.rng) << min(c.requestCount-1, maxBackoffDoubling)
+	if !settings.IgnoresRetryAfter {
 		delay = max(delay, retryAfter)
 	}
-	isTooLate := p.sim.now+delay-c.startedAt >= c.class.GiveUp.D()
+	isTooLate := p.sim.now+delay-c.startedAt >= c.class.Deadline.D()
 	if isTooLate {
 		return
 	}
 	controllerIndex := p.drawController()
-	if !settings.Roam {
+	if !settings.RedialsAnywhere {
 		controllerIndex = c.homeController
 	}
 	p.sim.after(delay, func() {
@@ -155,7 +155,7 @@
 	if r == nil || r.isOver {
 		return
 	}
-	p.sim.tally.Refused(cause == call.CauseNoCircuit)
+	p.sim.tally.Rejected(cause == call.CauseNoCircuit)
 	p.failRequest(r, retryAfter)
 }
 
@@ -168,7 +168,7 @@
 	r.isOver, r.isEstablished = true, true
 	c := r.caller
 	isOtherPool := r.answeredBy != nil && r.answeredBy.pool != c.preferredPool
-	p.sim.tally.Stood(c.record, p.sim.now-c.startedAt, isOtherPool)
+	p.sim.tally.Established(c.record, p.sim.now-c.startedAt, isOtherPool)
 }
 
 // onReleased handles the end of an established call. A caller whose call was dropped redials.
@@ -181,7 +181,7 @@
 	if cause == exchange.CauseNormal {
 		return
 	}
-	p.sim.tally.Cut(r.caller.record)
+	p.sim.tally.Dropped(r.caller.record)
 	delay := p.drawRedialDelay()
 	if p.isClosed || delay <= 0 {
 		return
@@ -195,10 +195,10 @@
 
 // drawRedialDelay draws the time until the caller of a dropped call redials.
 func (p *callerPool) drawRedialDelay() time.Duration {
-	delay := scenario.Back
+	delay := scenario.DefaultRedialDelay
 	for _, f := range p.sim.scenario.Fault {
-		if f.Kind == scenario.Cut && f.Back[1] > 0 {
-			delay = f.Back
+		if f.Kind == scenario.DropCalls && f.RedialDelay[1] > 0 {
+			delay = f.RedialDelay
 		}
 	}
 	return delay.Draw(p.rng)
@@ -216,6 +216,6 @@
 		return cmp.Or(cmp.Compare(len(a.id), len(b.id)), cmp.Compare(a.id, b.id))
 	})
 	for _, r := range lost {
-		p.sim.after(p.sim.scenario.Wire.Client.D(), func() { p.failRequest(r, 0) })
+		p.sim.after(p.sim.scenario.Network.Client.D(), func() { p.failRequest(r, 0) })
 	}
 }
--- a/internal/sim/virtualtime/result.go
+++ b/internal/sim/virtualtime/result.go
@@ -16,8 +16,8 @@
 func (s *simulation) result(end Time) *result.Result {
 	r := s.tally.Result(end)
 	r.Scenario, r.Seed, r.Events = s.scenario.Name, s.seed, s.eventCount
-	r.Broken = s.violationCounts()
-	r.Breaches = s.checker.Violations()
+	r.ViolationCounts = s.violationCounts()
+	r.Violations = s.checker.Violations()
 	s.addExchanges(r)
 	r.Finish()
 	return r
--- a/internal/sim/virtualtime/seededdefect_test.go
+++ b/internal/sim/virtualtime/seededdefect_test.go
@@ -127,11 +127,11 @@
 					return &defectiveClient{defectOf(controller), c}
 				},
 			})
-			if r.Broken[string(rule)] == 0 {
-				t.Errorf("no violation found: %v", r.Broken)
+			if r.ViolationCounts[string(rule)] == 0 {
+				t.Errorf("no violation found: %v", r.ViolationCounts)
 			}
-			if len(r.Breaches) > 0 {
-				b := r.Breaches[0]
+			if len(r.Violations) > 0 {
+				b := r.Violations[0]
 				if len(b.Events) == 0 || !strings.Contains(b.Error(), string(b.Rule)) {
 					t.Errorf("%v with %v", b, b.Events)
 				}
--- a/internal/sim/virtualtime/simulation.go
+++ b/internal/sim/virtualtime/simulation.go
@@ -122,7 +122,7 @@
 }
 
 // draw draws a duration for the environment.
-func (s *simulation) draw(span scenario.Span) time.Duration { return span.Draw(s.rng) }
+func (s *simulation) draw(span scenario.DurationRange) time.Duration { return span.Draw(s.rng) }
 
 // occurs draws whether something of a probability happens. It draws nothing if the probability is 0.
 func (s *simulation) occurs(probability float64) bool {
--- a/internal/sim/virtualtime/simulation_test.go
+++ b/internal/sim/virtualtime/simulation_test.go
@@ -23,8 +23,8 @@
 	sc.Length = seconds(length)
 	sc.Fleet.Controllers, sc.Fleet.Exchanges = 2+rng.IntN(7), 2+rng.IntN(3)
 	sc.Callers.Load = 0.5 + 1.2*rng.Float64()
-	sc.Callers.Heedless = rng.IntN(4) == 0
-	sc.Callers.Hot = []float64{0, 0.1}[rng.IntN(2)]
+	sc.Callers.IgnoresRetryAfter = rng.IntN(4) == 0
+	sc.Callers.HotNumberShare = []float64{0, 0.1}[rng.IntN(2)]
 	for range 2 + rng.IntN(2) {
 		sc.Fault = append(sc.Fault, scenario.Fault{
 			Kind:   scenario.Kinds[rng.IntN(len(scenario.Kinds))],
@@ -42,8 +42,8 @@
 // reportViolations fails the test with the violations of a run and logs the events around the first.
 func reportViolations(t testing.TB, sc *scenario.Scenario, r *result.Result) {
 	t.Helper()
-	t.Errorf("%s, seed %d, %v: %v", r.Scenario, r.Seed, sc.Fault, r.Broken)
-	for _, b := range r.Breaches[:min(len(r.Breaches), 1)] {
+	t.Errorf("%s, seed %d, %v: %v", r.Scenario, r.Seed, sc.Fault, r.ViolationCounts)
+	for _, b := range r.Violations[:min(len(r.Violations), 1)] {
 		t.Log(b)
 		for _, e := range b.Events {
 			t.Log(e)
@@ -55,7 +55,7 @@
 func checkRandomScenarios(t testing.TB, seeds uint64, length float64) {
 	for seed := range seeds {
 		sc := randomScenario(seed, length)
-		if r := Run(sc, seed, Options{}); len(r.Broken) > 0 {
+		if r := Run(sc, seed, Options{}); len(r.ViolationCounts) > 0 {
 			reportViolations(t, sc, r)
 		}
 	}
@@ -101,12 +101,12 @@
 	abandoned, withoutAttempt := 0, 0
 	for seed := range uint64(24) {
 		sc := randomScenario(seed, 15)
-		sc.Callers.Leave = 0.5
+		sc.Callers.AbandonShare = 0.5
 		calls := &abandonedCalls{
 			t: t, seed: seed, isAbandoned: make(map[string]bool), hasOpenAttempt: make(map[string]bool),
 		}
 		r := Run(sc, seed, Options{Watch: calls.watch})
-		if len(r.Broken) > 0 {
+		if len(r.ViolationCounts) > 0 {
 			reportViolations(t, sc, r)
 		}
 		abandoned += len(calls.isAbandoned)
@@ -160,6 +160,6 @@
 		runtime.ReadMemStats(&m)
 		b.Logf("a minute of %d controllers and %d exchanges: %v, %d events, %d calls, service %.3f, %d MB; violations %v",
 			sc.Fleet.Controllers, sc.Fleet.Exchanges, time.Since(began).Round(time.Second), r.Events, r.Offered, r.Service,
-			m.Sys>>20, r.Broken)
+			m.Sys>>20, r.ViolationCounts)
 	}
 }
