--- a/internal/codec/h248/parser_test.go
+++ b/internal/codec/h248/parser_test.go
@@ -1,14 +1,17 @@
 package h248
 
 import (
-	"bytes"
 	"errors"
-	"math/rand/v2"
 	"reflect"
 	"strings"
 	"testing"
+
+	"olivedale/internal/testutil"
 )
 
+// maxPieceSize is the largest size, in bytes, of the pieces in which tests feed a reader.
+const maxPieceSize = 50
+
 // longForm has a message of four transactions with long tokens, white space and a comment.
 const longForm = `MEGACO/1 [10.0.0.4]:2944 ; a panel
 Transaction = 9998 {
@@ -110,20 +113,10 @@
 	return texts, err
 }
 
-// splitRandomly splits a text into pieces of 1 to 50 bytes.
-func splitRandomly(rng *rand.Rand, text []byte) (pieces [][]byte) {
-	for len(text) > 0 {
-		n := 1 + rng.IntN(min(len(text), 50))
-		pieces = append(pieces, bytes.Clone(text[:n]))
-		text = text[n:]
-	}
-	return pieces
-}
-
 func TestFramerWithRandomPieces(t *testing.T) {
 	stream := encodeFrames(t, shortForm, shortForm, shortForm)
 	for seed := range uint64(200) {
-		got, err := readFrames(splitRandomly(rand.New(rand.NewPCG(seed, 0)), stream)...)
+		got, err := readFrames(testutil.SplitRandomly(seed, stream, maxPieceSize)...)
 		if err != nil || len(got) != 3 || !reflect.DeepEqual(mustParse(t, got[0]), mustParse(t, shortForm)) {
 			t.Fatalf("seed %d: %q, %v", seed, got, err)
 		}
@@ -155,7 +148,7 @@
 			}
 		}
 		texts, err := readFrames(text)
-		split, splitErr := readFrames(splitRandomly(rand.New(rand.NewPCG(seed, 0)), text)...)
+		split, splitErr := readFrames(testutil.SplitRandomly(seed, text, maxPieceSize)...)
 		if (err == nil) != (splitErr == nil) || !reflect.DeepEqual(texts, split) {
 			t.Errorf("in one piece %q and %v, in several %q and %v", texts, err, split, splitErr)
 		}
--- a/internal/codec/jsonl/reader_test.go
+++ b/internal/codec/jsonl/reader_test.go
@@ -3,12 +3,16 @@
 import (
 	"bytes"
 	"errors"
-	"math/rand/v2"
 	"reflect"
 	"strings"
 	"testing"
+
+	"olivedale/internal/testutil"
 )
 
+// maxPieceSize is the largest size, in bytes, of the pieces in which tests feed a reader.
+const maxPieceSize = 40
+
 var samples = []*Message{
 	{Verb: Start, Tag: "9b1f03aa5c7e2d41", Options: []Option{{"class", "voice"}, {"left", "1500"}},
 		Blob: []byte("a\r\n\"\\\x01\xff\xc3\xa9")},
@@ -31,23 +35,13 @@
 	return messages, err
 }
 
-// splitRandomly splits a text into pieces of 1 to 40 bytes.
-func splitRandomly(rng *rand.Rand, text []byte) (pieces [][]byte) {
-	for len(text) > 0 {
-		n := 1 + rng.IntN(min(len(text), 40))
-		pieces = append(pieces, bytes.Clone(text[:n]))
-		text = text[n:]
-	}
-	return pieces
-}
-
 func TestReaderWithRandomPieces(t *testing.T) {
 	var text []byte
 	for _, m := range samples {
 		text = Append(text, m)
 	}
 	for seed := range uint64(200) {
-		got, err := readAll(splitRandomly(rand.New(rand.NewPCG(seed, 0)), text)...)
+		got, err := readAll(testutil.SplitRandomly(seed, text, maxPieceSize)...)
 		if err != nil || len(got) != len(samples) {
 			t.Fatalf("seed %d: %d messages, error %v", seed, len(got), err)
 		}
@@ -98,7 +92,7 @@
 	f.Add([]byte(`{"verb":"X","n":[[{"a":1e5}]],"opts":{"left":1.5}}`+"\n"), uint64(2))
 	f.Fuzz(func(t *testing.T, text []byte, seed uint64) {
 		messages, err := readAll(text)
-		split, splitErr := readAll(splitRandomly(rand.New(rand.NewPCG(seed, 0)), text)...)
+		split, splitErr := readAll(testutil.SplitRandomly(seed, text, maxPieceSize)...)
 		if (err == nil) != (splitErr == nil) || !reflect.DeepEqual(messages, split) {
 			t.Errorf("in one piece %d messages and %v, in several %d and %v", len(messages), err, len(split), splitErr)
 		}
--- a/internal/codec/sip/reader_test.go
+++ b/internal/codec/sip/reader_test.go
@@ -1,15 +1,18 @@
 package sip
 
 import (
-	"bytes"
 	"errors"
 	"fmt"
-	"math/rand/v2"
 	"reflect"
 	"strings"
 	"testing"
+
+	"olivedale/internal/testutil"
 )
 
+// maxPieceSize is the largest size, in bytes, of the pieces in which tests feed a reader.
+const maxPieceSize = 60
+
 // compactBye has compact header names, a folded line and two Reason header fields.
 const compactBye = "BYE sip:7f3a@net SIP/2.0\r\ni: x\r\nCSeq:  3 BYE\r\n" +
 	"Reason: SIP;cause=200\r\nReason: Q.850\r\n ;cause=41\r\nl: 0\r\n\r\n"
@@ -42,19 +45,9 @@
 	return messages, err
 }
 
-// splitRandomly splits a text into pieces of 1 to 60 bytes.
-func splitRandomly(rng *rand.Rand, text []byte) (pieces [][]byte) {
-	for len(text) > 0 {
-		n := 1 + rng.IntN(min(len(text), 60))
-		pieces = append(pieces, bytes.Clone(text[:n]))
-		text = text[n:]
-	}
-	return pieces
-}
-
 func TestReaderWithRandomPieces(t *testing.T) {
 	for seed := range uint64(200) {
-		got, err := readAll(splitRandomly(rand.New(rand.NewPCG(seed, 0)), sampleStream())...)
+		got, err := readAll(testutil.SplitRandomly(seed, sampleStream(), maxPieceSize)...)
 		if err != nil || len(got) != 3 {
 			t.Fatalf("seed %d: %d messages, %v", seed, len(got), err)
 		}
@@ -114,7 +107,7 @@
 	f.Add([]byte("SIP/2.0 200\r\nCall-ID: x\r\nCSeq: 1 A\r\nContent-Length: 1\r\n\r\n"), uint64(2))
 	f.Fuzz(func(t *testing.T, text []byte, seed uint64) {
 		messages, err := readAll(text)
-		split, splitErr := readAll(splitRandomly(rand.New(rand.NewPCG(seed, 0)), text)...)
+		split, splitErr := readAll(testutil.SplitRandomly(seed, text, maxPieceSize)...)
 		if errors.Is(err, ErrLength) {
 			return // in pieces, a message is delivered before the text after it arrives
 		}
--- a/internal/testutil/testutil.go
+++ b/internal/testutil/testutil.go
@@ -1,4 +1,4 @@
-// Package testutil is shared by packages with property tests. Only tests import it.
+// Package testutil holds helpers that tests of several packages share. Only tests import it.
 package testutil
 
 import (
