--- a/internal/codec/jsonl/reader_test.go
+++ b/internal/codec/jsonl/reader_test.go
@@ -21,18 +21,9 @@
 }
 
 // readAll feeds pieces to a reader and returns the messages it delivers.
-func readAll(pieces ...[]byte) (messages []*Message, err error) {
+func readAll(pieces ...[]byte) ([]*Message, error) {
 	var r Reader
-	for _, piece := range pieces {
-		err = r.Feed(piece, func(m *Message) bool {
-			messages = append(messages, m)
-			return true
-		})
-		if err != nil {
-			break
-		}
-	}
-	return messages, err
+	return testutil.FeedAll(r.Feed, pieces...)
 }
 
 func TestReaderWithRandomPieces(t *testing.T) {
--- a/internal/testutil/split.go
+++ b/internal/testutil/split.go
@@ -16,3 +16,18 @@
 	}
 	return pieces
 }
+
+// FeedAll feeds pieces of a stream to a reader's Feed method, up to the first error, and returns the messages that it
+// delivers.
+func FeedAll[M any](feed func(piece []byte, deliver func(M) bool) error, pieces ...[]byte) (messages []M, err error) {
+	for _, piece := range pieces {
+		err = feed(piece, func(m M) bool {
+			messages = append(messages, m)
+			return true
+		})
+		if err != nil {
+			break
+		}
+	}
+	return messages, err
+}
