Judge the release of established calls in the invariant checker

Change: rules released_in_time (the caller of a call that ended is notified by the deadline that the event carries) and none_standing (no exchange keeps a call that is over for its caller), off unless Limits.JudgeReleases is set, because virtual time and the cluster do not feed the ends of calls yet. Limits.AbandonGrace allows for messages that cross where callers and servers are observed at their own ends; it is 0 as before unless set.

Result: recorded sequences that keep each rule at the last moment and break it 1 ms later; the packages' tests pass.

--- a/internal/sim/invariant/checkcall.go
+++ b/internal/sim/invariant/checkcall.go
@@ -12,8 +12,9 @@
 		c.offer(e, call)
 	case CallEstablished, CallRejected:
 		c.finalAnswer(e, call)
+		c.beginRelease(e, call)
 	case CallAbandoned:
-		call.answer.isDue, call.answer.isOver = false, true
+		call.answer.isDue, call.answer.isOver, call.answer.overAt = false, true, e.At
 	case AttemptSent:
 		c.startAttempt(e, call)
 	case AttemptCanceled, AttemptBroken:
@@ -25,6 +26,8 @@
 		if call.attempt.isOpen(e) {
 			call.attempt.openAt = ""
 		}
+	case CallEnded, CallerNotified, CallerReleased, CallStanding:
+		c.seeRelease(e, call)
 	case ServerUpdated, ControllerEnded, ServerCrashed, ControllerPaused: // events of no call, see Checker.See
 	}
 }
@@ -82,7 +85,7 @@
 		c.report(OneAttempt, e, call, "%s was sent to %s while its attempt %d was out at %s",
 			e.Call, e.Server, attempt.number, attempt.openAt)
 	}
-	if call.answer.isOver {
+	if call.answer.isOver && e.At-call.answer.overAt >= c.limits.AbandonGrace {
 		c.report(OneAnswer, e, call, "%s was sent to %s after its final answer", e.Call, e.Server)
 	}
 	isWithinRetryGuard := e.At-attempt.endedAt < c.limits.RetryGuard-c.limits.Slack
--- a/internal/sim/invariant/checker.go
+++ b/internal/sim/invariant/checker.go
@@ -27,6 +27,7 @@
 	inactiveSince map[serverKey]Time // since when a controller knows that a server drains or is removed
 	isPaused      map[string]bool    // by controller
 	deadlines     eventqueue.Queue[callKey]
+	releases      eventqueue.Queue[callKey] // deadlines of the notification of callers
 	breaches      []*Violation
 	counts        map[Rule]int
 	eventCount    int
@@ -100,7 +101,7 @@
 	case ControllerEnded:
 		c.forgetController(e.Controller)
 	case CallOffered, CallEstablished, CallRejected, CallAbandoned, AttemptSent, AttemptCanceled, AttemptUnsent,
-		AttemptAnswered, AttemptRejected, AttemptBroken:
+		AttemptAnswered, AttemptRejected, AttemptBroken, CallEnded, CallerNotified, CallerReleased, CallStanding:
 		c.seeCall(e)
 	}
 }
@@ -148,8 +149,9 @@
 	}
 }
 
-// expire reports the calls whose answer is missing at their deadline, and forgets calls after their retention.
+// expire reports the calls whose answer or release is missing at its deadline, and forgets calls after their retention.
 func (c *Checker) expire(now Time) {
+	c.expireReleases(now)
 	for c.deadlines.NextTime() < now {
 		due, key := c.deadlines.Pop()
 		call := c.calls[key]
@@ -159,11 +161,11 @@
 		if call.answer.isDue {
 			c.missAnswer(due, key, call)
 		}
-		if due >= call.answer.deadline+retention {
+		if due >= call.answer.deadline+retention && !c.keepsForRelease(call) {
 			delete(c.calls, key)
 			continue
 		}
-		c.deadlines.Push(call.answer.deadline+retention+c.limits.Slack, key)
+		c.deadlines.Push(max(due, call.answer.deadline)+retention+c.limits.Slack, key)
 	}
 }
 
--- a/internal/sim/invariant/checker_test.go
+++ b/internal/sim/invariant/checker_test.go
@@ -9,9 +9,12 @@
 
 // check passes events of one call to a new Checker. Events without a time follow each other after 1 ms; other times
 // are relative to the start.
-func check(events ...Event) *Checker {
+func check(events ...Event) *Checker { return checkWith(DefaultLimits(), events...) }
+
+// checkWith is check with other limits.
+func checkWith(limits Limits, events ...Event) *Checker {
 	const start = time.Second
-	c := New(DefaultLimits())
+	c := New(limits)
 	now := start
 	for _, e := range events {
 		now += ms
@@ -130,3 +133,77 @@
 		t.Errorf("%d violations", c.Total())
 	}
 }
+
+// endedAt returns the end of a call at its server, of which the caller must know by a time.
+func endedAt(at, notifyBy time.Duration) Event {
+	return Event{Kind: CallEnded, Server: "x", At: at, Deadline: time.Second + notifyBy}
+}
+
+// The rules on established calls: a recorded sequence that keeps each, also at the last moment, and one that breaks it.
+func TestReleaseRules(t *testing.T) {
+	setUp, established := Event{Kind: CallOffered}, Event{Kind: CallEstablished}
+	established2 := Event{Kind: CallEstablished, At: 2 * time.Second}
+	for name, test := range map[string]struct {
+		want   Rule // "": no violation
+		events []Event
+	}{
+		"notified at the last moment": {"", []Event{
+			setUp, established, endedAt(time.Second, 9*time.Second), {Kind: CallerNotified, At: 9 * time.Second},
+		}},
+		"notified late": {ReleasedInTime, []Event{
+			setUp, established, endedAt(time.Second, 9*time.Second), {Kind: CallerNotified, At: 9*time.Second + ms},
+		}},
+		"never notified":                  {ReleasedInTime, []Event{setUp, established, endedAt(time.Second, 2*time.Second)}},
+		"ended before the answer arrived": {ReleasedInTime, []Event{setUp, endedAt(time.Second, 2*time.Second), established2}},
+		"released by the caller":          {"", []Event{setUp, established, {Kind: CallerReleased}, endedAt(time.Second, 2*time.Second)}},
+		"crossing releases": {"", []Event{
+			setUp, established, endedAt(time.Second, 2*time.Second), {Kind: CallerReleased, At: 1900 * ms},
+		}},
+		"never established": {"", []Event{setUp, endedAt(time.Second, 2*time.Second), {Kind: CallRejected, At: 1500 * ms}}},
+		"controller ended": {"", []Event{
+			setUp, established, endedAt(time.Second, 2*time.Second), {Kind: ControllerEnded, At: 1500 * ms},
+		}},
+		"established for long, then not notified": {ReleasedInTime, []Event{
+			setUp, established, {Kind: CallRejected, Call: "other", At: 40 * time.Second},
+			endedAt(60*time.Second, 61*time.Second),
+		}},
+		"standing for its caller": {"", []Event{setUp, established, {Kind: CallStanding, At: 20 * time.Second}}},
+		"standing and just over": {"", []Event{
+			setUp, established, {Kind: CallerReleased, At: time.Second}, {Kind: CallStanding, At: 9 * time.Second},
+		}},
+		"left standing": {NoneStanding, []Event{
+			setUp, established, {Kind: CallerReleased, At: time.Second}, {Kind: CallStanding, At: 9*time.Second + ms},
+		}},
+		"left standing after an abandoned set-up": {NoneStanding, []Event{
+			setUp, {Kind: CallAbandoned, At: time.Second}, {Kind: CallStanding, At: 9*time.Second + ms},
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			limits := DefaultLimits()
+			limits.JudgeReleases = true
+			limits.Standing = 8 * time.Second
+			c := checkWith(limits, test.events...)
+			for _, r := range ReleaseRules {
+				if n := c.Count(r); (n > 0) != (r == test.want) {
+					t.Errorf("%s: %d violations", r, n)
+				}
+			}
+			if check(test.events...).Count(ReleasedInTime) > 0 {
+				t.Error("judged without Limits.JudgeReleases")
+			}
+		})
+	}
+}
+
+// An attempt that arrives after its caller left is a violation from Limits.AbandonGrace on.
+func TestAbandonGrace(t *testing.T) {
+	limits := DefaultLimits()
+	limits.AbandonGrace = 300 * ms
+	for after, want := range map[time.Duration]int{299 * ms: 0, 300 * ms: 1} {
+		c := checkWith(limits, Event{Kind: CallOffered}, Event{Kind: CallAbandoned, At: time.Second},
+			invite("x", 0, time.Second+after))
+		if n := c.Count(OneAnswer); n != want {
+			t.Errorf("%v after the caller left: %d violations, want %d", after, n, want)
+		}
+	}
+}
--- a/internal/sim/invariant/event.go
+++ b/internal/sim/invariant/event.go
@@ -28,13 +28,17 @@
 	ControllerEnded              // the controller ended; its calls need no final answer
 	ServerCrashed                // Event.Server crashed by overload during its slow start
 	ControllerPaused             // the controller's process is stopped (Event.IsSet) or continues
+	CallEnded                    // an established call ended at Event.Server; Event.Deadline: its caller must know by then
+	CallerNotified               // the release of an established call reached its caller
+	CallerReleased               // the caller released an established call
+	CallStanding                 // at the end of a run the call is still established at Event.Server
 )
 
 // String returns the name of the kind as it appears in logs.
 func (k Kind) String() string {
 	return [...]string{
 		"set-up", "stands", "refused", "caller ended", "invite", "cancel", "unsent", "answer", "turned back", "broke",
-		"told", "killed", "pushed over", "paused",
+		"told", "killed", "pushed over", "paused", "ended", "notified", "hung up", "standing",
 	}[k]
 }
 
@@ -48,7 +52,7 @@
 	Server     string `json:"Server"`
 	Attempt    int    `json:"N"`     // number of the attempt
 	IsSet      bool   `json:"On"`    // set for ServerUpdated and ControllerPaused
-	Deadline   Time   `json:"Until"` // set for CallOffered
+	Deadline   Time   `json:"Until"` // set for CallOffered and CallEnded
 }
 
 // String formats the event as a line of a log.
@@ -60,7 +64,7 @@
 	if e.Server != "" {
 		s += fmt.Sprintf(" %s/%d", e.Server, e.Attempt)
 	}
-	if e.Kind == CallOffered {
+	if e.Kind == CallOffered || e.Kind == CallEnded {
 		s += fmt.Sprintf(" until %.6f", e.Deadline.Seconds())
 	}
 	return strings.TrimRight(s, " ")
--- a/internal/sim/invariant/rule.go
+++ b/internal/sim/invariant/rule.go
@@ -18,7 +18,16 @@
 	RetryGuardRespected Rule = "release_kept" // no attempt within Limits.RetryGuard of a timeout, reset or cancel
 )
 
-// Rules lists the rules.
+// The rules on established calls. They are judged with Limits.JudgeReleases only.
+const (
+	ReleasedInTime Rule = "released_in_time" // the caller of a call that ended is notified by CallEnded's deadline
+	NoneStanding   Rule = "none_standing"    // no exchange keeps a call established that is over for its caller
+)
+
+// ReleaseRules lists the rules on established calls.
+var ReleaseRules = []Rule{ReleasedInTime, NoneStanding}
+
+// Rules lists the rules that are judged always.
 var Rules = []Rule{OneAnswer, InTime, OneAttempt, DrainRespected, SlowStartRespected, RetryGuardRespected}
 
 // Limits are the time limits of the rules.
@@ -26,6 +35,14 @@
 	Drain      time.Duration // how long attempts may go on after the update that a server drains or is removed
 	RetryGuard time.Duration // the retry guard
 	Slack      time.Duration // tolerance for clocks and transmission times; 0 in virtual time
+	// AbandonGrace is how long after its caller left an attempt of a call may still arrive at a server: where callers
+	// and servers are observed at their own ends, the messages cross.
+	AbandonGrace time.Duration
+	// JudgeReleases turns ReleaseRules on. The events must then tell the ends of all established calls, or the
+	// checker keeps them for good.
+	JudgeReleases bool
+	// Standing is how long an exchange may keep a call that is over for its caller.
+	Standing time.Duration
 }
 
 // DefaultLimits returns the limits that the operators require.
