--- a/internal/sim/cluster/run.go
+++ b/internal/sim/cluster/run.go
@@ -118,7 +118,7 @@
 		startTime:   time.Now(),
 	}
 	r.monitor = newMonitor(r.startTime)
-	r.ports.Host = randomLoopbackHost()
+	r.ports.Host = loopback.RandomHost()
 	r.scenario.Fleet = scenario.Fleet{
 		Controllers: o.Topology.Controllers,
 		Exchanges:   o.Topology.Exchanges,
@@ -128,12 +128,6 @@
 	return r
 }
 
-// randomLoopbackHost returns an address of the run's own, so that no connection from elsewhere takes its ports.
-func randomLoopbackHost() string {
-	host := rand.Uint32()
-	return fmt.Sprintf("127.%d.%d.%d", 64+host%128, host>>8%256, 1+host>>16%250)
-}
-
 // logf writes a line of progress, with the time of the run.
 func (r *Run) logf(format string, args ...any) {
 	r.outMu.Lock() // faults may begin at the same time
--- a/internal/sim/invariant/checkrelease.go
+++ b/internal/sim/invariant/checkrelease.go
@@ -49,7 +49,8 @@
 		}
 		call.release.isOver, call.release.overAt = true, due
 		e := Event{At: due, Kind: CallEnded, Controller: key.controller, Call: key.call}
-		c.report(ReleasedInTime, e, call, "%s was over and %s did not notify its caller in time", key.call, key.controller)
+		c.report(ReleasedInTime, e, call, "%s was over and %s did not notify its caller in time",
+			key.call, key.controller)
 	}
 }
 
--- a/internal/sim/invariant/event.go
+++ b/internal/sim/invariant/event.go
@@ -28,7 +28,7 @@
 	ControllerEnded              // the controller ended; its calls need no final answer
 	ServerCrashed                // Event.Server crashed by overload during its slow start
 	ControllerPaused             // the controller's process is stopped (Event.IsSet) or continues
-	CallEnded                    // an established call ended at Event.Server; Event.Deadline: its caller must know by then
+	CallEnded                    // an established call ended at Event.Server; its caller must know by Event.Deadline
 	CallerNotified               // the release of an established call reached its caller
 	CallerReleased               // the caller released an established call
 	CallStanding                 // at the end of a run the call is still established at Event.Server
--- /dev/null
+++ b/internal/sim/loopback/host.go
@@ -0,0 +1,12 @@
+package loopback
+
+import (
+	"fmt"
+	"math/rand/v2"
+)
+
+// RandomHost returns a loopback address for one run, so that no connection of another takes its ports.
+func RandomHost() string {
+	host := rand.Uint32()
+	return fmt.Sprintf("127.%d.%d.%d", 64+host%128, host>>8%256, 1+host>>16%250)
+}
--- a/internal/sim/loopback/names.go
+++ b/internal/sim/loopback/names.go
@@ -23,10 +23,12 @@
 // NameService is the platform's name service: it answers each query with the whole list of exchanges, whose serial
 // number grows with each change. Its methods are safe for concurrent use.
 type NameService struct {
-	conn   net.PacketConn
-	mu     sync.Mutex
-	serial uint32
-	lines  []Endpoint
+	conn     net.PacketConn
+	mu       sync.Mutex
+	serial   uint32
+	lines    []Endpoint
+	isSilent bool
+	onAnswer func(serial uint32) // nil: nobody is told
 }
 
 // Fields of the DNS answer.
@@ -57,12 +59,45 @@
 		if err != nil {
 			return
 		}
-		if answer, err := n.answer(buffer[:length]); err == nil {
+		if answer, err := n.answer(buffer[:length]); err == nil && n.mayAnswer() {
 			_, _ = n.conn.WriteTo(answer, from)
 		}
 	}
 }
 
+// mayAnswer reports whether the service answers, and reports the answer to the observer.
+func (n *NameService) mayAnswer() bool {
+	n.mu.Lock()
+	isSilent, serial, observe := n.isSilent, n.serial, n.onAnswer
+	n.mu.Unlock()
+	if !isSilent && observe != nil {
+		observe(serial)
+	}
+	return !isSilent
+}
+
+// SetSilent makes the service ignore queries, or answer them again.
+func (n *NameService) SetSilent(isSilent bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.isSilent = isSilent
+}
+
+// OnAnswer has observe called with the serial number of the list just before each answer is sent.
+func (n *NameService) OnAnswer(observe func(serial uint32)) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.onAnswer = observe
+}
+
+// SetFrom changes the list to the one of a serial number, as a service that takes over from another does.
+func (n *NameService) SetFrom(serial uint32, lines ...Endpoint) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.serial = serial
+	n.lines = slices.Clone(lines)
+}
+
 // Addr returns the address on which the service listens, as host:port.
 func (n *NameService) Addr() string { return n.conn.LocalAddr().String() }
 
--- /dev/null
+++ b/internal/sim/soak/controller.go
@@ -0,0 +1,303 @@
+package soak
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"olivedale/internal/config"
+	"olivedale/internal/sim/invariant"
+	"olivedale/internal/sim/loopback"
+)
+
+const (
+	// startTimeout is how long a process may take until it serves.
+	startTimeout = 10 * time.Second
+	// maxShutdownDeadline bounds the deadline from which the earliest SIGKILL after a SIGTERM follows.
+	maxShutdownDeadline = 3 * time.Second
+	// killDelay is how long after that deadline SIGKILL may come.
+	killDelay = 700 * time.Millisecond
+	// lastSetupMargin is how long before SIGKILL callers send their last set-ups.
+	lastSetupMargin = 150 * time.Millisecond
+	pollInterval    = 10 * time.Millisecond
+	zoneName        = "east"
+	maxLogTail      = 2000
+)
+
+// A controller is a call controller's process, with its name service and its callers.
+type controller struct {
+	run     *Run
+	name    string
+	number  int
+	listen  string
+	dir     string
+	callers *callers
+
+	mu      sync.Mutex
+	process *exec.Cmd
+	exited  chan struct{} // closed when the process has ended
+	isBusy  bool          // a fault is ending or reloading the process
+}
+
+// begin reserves the controller for a fault that concerns its process; false: another one is under way.
+func (c *controller) begin() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.isBusy {
+		return false
+	}
+	c.isBusy = true
+	return true
+}
+
+// finish ends the fault.
+func (c *controller) finish() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.isBusy = false
+}
+
+func (c *controller) configPath() string { return filepath.Join(c.dir, c.name+".json") }
+func (c *controller) logPath() string    { return filepath.Join(c.dir, c.name+".log") }
+
+// writeConfig writes the configuration with the list as of now and a new name service.
+func (c *controller) writeConfig() error {
+	address, err := c.run.directory.serve(c.name)
+	if err != nil {
+		return err
+	}
+	serial, endpoints := c.run.directory.known(c.name)
+	d := &c.run.story.Deployment
+	text, err := json.Marshal(map[string]any{
+		"name":     c.name,
+		"listen":   c.listen,
+		"seed":     strconv.FormatUint(c.run.story.Seed+uint64(c.number), 16),
+		"names":    address,
+		"limits":   map[string]any{"memory_mb": d.MemoryMB, "sockets": d.Sockets},
+		"known":    knownEndpoints(serial, endpoints),
+		"settings": d.settings(c.number),
+	})
+	if err != nil {
+		return err
+	}
+	temporary := c.configPath() + ".new"
+	if err := os.WriteFile(temporary, text, 0o600); err != nil {
+		return err
+	}
+	return os.Rename(temporary, c.configPath())
+}
+
+// knownEndpoints returns the value of the configuration's key "known".
+func knownEndpoints(serial uint32, endpoints []loopback.Endpoint) config.KnownEndpoints {
+	list := config.EndpointList{Complete: true}
+	for _, e := range endpoints {
+		member := config.Endpoint{
+			ID: e.ID, Address: e.Addr, Zone: e.Zone, Kind: "std", Pool: e.Pool, Phase: config.PhaseReady,
+		}
+		if e.Draining {
+			member.Phase = config.PhaseTerminating
+		}
+		if !e.Started.IsZero() {
+			member.Started = e.Started.UnixMilli()
+		}
+		list.Endpoints = append(list.Endpoints, member)
+	}
+	return config.KnownEndpoints{
+		LastEvent: int(serial),
+		Events:    []config.EndpointEvent{{N: int(serial), Endpoints: list}},
+	}
+}
+
+// start starts the process and waits until it serves.
+func (c *controller) start() error {
+	if err := c.writeConfig(); err != nil {
+		return err
+	}
+	log, err := os.OpenFile(c.logPath(), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = log.Close() }()
+	process := exec.Command(c.run.options.Program)
+	process.Env = []string{"RELAY_CONFIG=" + c.configPath()}
+	process.Stdout, process.Stderr = log, log
+	process.Dir = c.dir
+	process.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := process.Start(); err != nil {
+		return fmt.Errorf("soak: %w", err)
+	}
+	exited := make(chan struct{})
+	go func() {
+		_ = process.Wait()
+		close(exited)
+	}()
+	c.mu.Lock()
+	c.process, c.exited = process, exited
+	c.mu.Unlock()
+	return c.awaitServing()
+}
+
+// awaitServing waits until the process accepts connections.
+func (c *controller) awaitServing() error {
+	start := time.Now()
+	for {
+		conn, err := net.DialTimeout("tcp", c.listen, startTimeout)
+		if err == nil {
+			return conn.Close()
+		}
+		if time.Since(start) > startTimeout {
+			c.run.judge.violate(RuleStarts, c.name, "", "%s does not serve after %v; log: %s",
+				c.name, startTimeout, c.logTail())
+			return err
+		}
+		time.Sleep(pollInterval)
+	}
+}
+
+// signal sends signals in order.
+func (c *controller) signal(signals ...os.Signal) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, s := range signals {
+		_ = c.process.Process.Signal(s)
+	}
+}
+
+// hasExited reports whether the process has ended.
+func (c *controller) hasExited() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	select {
+	case <-c.exited:
+		return true
+	default:
+		return false
+	}
+}
+
+// checkRunning reports a process that ended by itself.
+func (c *controller) checkRunning() {
+	if c.begin() {
+		defer c.finish()
+		if c.hasExited() {
+			c.run.judge.violate(RuleNoCrash, c.name, "", "%s ended by itself: %s", c.name, c.logTail())
+		}
+	}
+}
+
+// logTail returns the end of the process's log.
+func (c *controller) logTail() string {
+	text, _ := os.ReadFile(c.logPath())
+	return string(text[max(len(text)-maxLogTail, 0):])
+}
+
+// shutdownTime is how long after SIGTERM the earliest SIGKILL follows.
+func (c *controller) shutdownTime() time.Duration {
+	return min(c.run.story.Deployment.Deadline.D(), maxShutdownDeadline) + killDelay
+}
+
+// terminate sends SIGTERM behind other signals, and SIGKILL at the earliest time. Callers go on with the connections
+// that are open. It returns when the process has ended.
+func (c *controller) terminate(before ...os.Signal) {
+	start := time.Now()
+	c.callers.beginShutdown(c.shutdownTime() - lastSetupMargin)
+	c.signal(append(before, syscall.SIGTERM)...)
+	select {
+	case <-c.exited:
+		if code := c.process.ProcessState.ExitCode(); code != 0 {
+			c.run.judge.violate(RuleStops, c.name, "", "%s ended with code %d after SIGTERM: %s",
+				c.name, code, c.logTail())
+		}
+	case <-time.After(c.shutdownTime()):
+		c.signal(syscall.SIGKILL)
+		<-c.exited
+	}
+	c.run.logf("%s ended %v after SIGTERM", c.name, time.Since(start).Round(time.Millisecond))
+	c.callers.awaitConnectionsLost()
+	c.callers.forget()
+	c.run.judge.record(invariant.Event{Kind: invariant.ControllerEnded, Controller: c.name})
+}
+
+// kill sends SIGKILL.
+func (c *controller) kill() {
+	c.callers.forget()
+	c.signal(syscall.SIGKILL)
+	<-c.exited
+	c.callers.forget()
+	c.run.judge.record(invariant.Event{Kind: invariant.ControllerEnded, Controller: c.name})
+}
+
+// restart starts the process again, after which its callers go on.
+func (c *controller) restart() {
+	if err := c.start(); err != nil {
+		c.run.judge.violate(RuleStarts, c.name, "", "%s: %v", c.name, err)
+		return
+	}
+	c.callers.resume()
+}
+
+// reload has discovery move so many times, each with a new configuration and SIGHUP.
+func (c *controller) reload(count int, interval time.Duration) {
+	for range count {
+		if err := c.writeReloadConfig(); err != nil {
+			c.run.logf("%s: %v", c.name, err)
+			return
+		}
+		c.signal(syscall.SIGHUP)
+		time.Sleep(interval)
+	}
+}
+
+// writeReloadConfig writes a configuration that differs in the address of discovery.
+func (c *controller) writeReloadConfig() error {
+	text, err := os.ReadFile(c.configPath())
+	if err != nil {
+		return err
+	}
+	var values map[string]any
+	if err := json.Unmarshal(text, &values); err != nil {
+		return err
+	}
+	if values["names"], err = c.run.directory.serve(c.name); err != nil {
+		return err
+	}
+	if text, err = json.Marshal(values); err != nil {
+		return err
+	}
+	return os.WriteFile(c.configPath(), text, 0o600)
+}
+
+// checkLimits compares the process's memory and descriptors with its configuration.
+func (c *controller) checkLimits() {
+	c.mu.Lock()
+	pid := c.process.Process.Pid
+	c.mu.Unlock()
+	d := &c.run.story.Deployment
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		return // it has ended: checkRunning reports that
+	}
+	for line := range strings.Lines(string(status)) {
+		fields := strings.Fields(line)
+		if len(fields) < 2 || fields[0] != "VmHWM:" {
+			continue
+		}
+		if peak, err := strconv.Atoi(fields[1]); err == nil && peak > d.MemoryMB<<10 {
+			c.run.judge.violate(RuleWithinLimits, c.name, "", "%s took %d kB, %d MB are permitted",
+				c.name, peak, d.MemoryMB)
+		}
+	}
+	descriptors, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", pid))
+	if err == nil && len(descriptors) > d.Sockets {
+		c.run.judge.violate(RuleWithinLimits, c.name, "", "%s holds %d descriptors, %d are permitted", c.name,
+			len(descriptors), d.Sockets)
+	}
+}
--- /dev/null
+++ b/internal/sim/soak/listener_test.go
@@ -0,0 +1,63 @@
+package soak
+
+import (
+	"errors"
+	"net"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// A listener that cannot be reached neither accepts nor refuses; afterwards it accepts, and once closed it refuses.
+func TestListenerThatCannotBeReached(t *testing.T) {
+	l, err := listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	accepted := make(chan net.Conn, 16)
+	go func() {
+		for {
+			conn, err := l.accept()
+			if err != nil {
+				close(accepted)
+				return
+			}
+			accepted <- conn
+		}
+	}()
+	dial := func() error {
+		conn, err := net.DialTimeout("tcp", l.address(), 200*time.Millisecond)
+		if err == nil {
+			_ = conn.Close()
+		}
+		return err
+	}
+	for range 3 {
+		if err := dial(); err != nil {
+			t.Fatal(err)
+		}
+		<-accepted
+		if err := l.setReachable(false); err != nil {
+			t.Fatal(err)
+		}
+		var timeout net.Error
+		if err := dial(); !errors.As(err, &timeout) || !timeout.Timeout() {
+			t.Fatalf("while it cannot be reached: %v, want a time-out", err)
+		}
+		if err := l.setReachable(true); err != nil {
+			t.Fatal(err)
+		}
+		if err := dial(); err != nil {
+			t.Fatal(err)
+		}
+		for range 2 { // the filler and the connection
+			<-accepted
+		}
+	}
+	l.close()
+	if err := dial(); !errors.Is(err, syscall.ECONNREFUSED) {
+		t.Errorf("once closed: %v, want a refusal", err)
+	}
+	for range accepted {
+	}
+}
