Log why established calls are lost and how connections to exchanges end

Change: log events calls_lost (exchange, reason, count, the first ids, whether it is connected, how long it has been silent) and link_lost (exchange, reason, open attempts, standing calls; at most one a second for each exchange); counter calls_lost. call.Manager counts established calls by server. BackendRemoved is named BackendLost, and both it and BackendRestarted return the calls that they dropped. No call is treated differently.

Result: tests of call, backend, server, modelcheck and commands pass; TestEstablishedAt follows the count through every end.

--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -36,6 +36,8 @@
 	openAttempts map[string]int // set-ups that are written and not answered: the attempt by the call's id
 	releases     pendingReleases
 	activity     activity
+
+	disconnectLoggedAt time.Duration // 0: never
 }
 
 // Stats are counts of one exchange, as an audit shows them.
@@ -136,6 +138,7 @@
 		return
 	}
 	c.set.Counters.ConnectionsLost++
+	c.logDisconnect(reason)
 	c.set.loop.Close(c.conn)
 	c.conn = nil
 	c.dialing.lostConnection = true
@@ -153,7 +156,7 @@
 func (c *Conn) remove() {
 	c.isRemoved = true
 	c.failQueue(call.NotSent)
-	c.set.calls.BackendRemoved(c.id) // releases go out before the connection is closed
+	c.loseCalls(lossRemoved) // releases go out before the connection is closed
 	if c.conn != nil {
 		c.set.loop.Close(c.conn)
 		c.conn = nil
@@ -172,7 +175,7 @@
 	}
 	c.StartedAt = startTime(e)
 	if e.Started > 0 { // a process that started since has none of the calls
-		c.set.calls.BackendRestarted(e.ID, c.StartedAt)
+		c.dropCalls(lossRestarted, c.StartedAt)
 	}
 }
 
@@ -186,10 +189,10 @@
 	case admission.Removed:
 		c.Drain()
 		c.failOpenAttempts(call.BackendLost)
-		c.set.calls.BackendRestarted(c.id, c.set.loop.Now()+1)
+		c.dropCalls(lossOutOfService, c.set.loop.Now()+1)
 	default:
 		c.isDraining = false
-		c.set.calls.BackendRestarted(c.id, c.set.loop.Now())
+		c.dropCalls(lossReset, c.set.loop.Now())
 	}
 }
 
--- a/internal/backend/dial.go
+++ b/internal/backend/dial.go
@@ -69,7 +69,7 @@
 	if c.isAddressTakenOver() { // set-ups and releases for this exchange would reach another
 		c.failQueue(call.DialRefused)
 		c.dialing.redialAt = loop.Now() + maxRedialDelay
-		loop.Defer(func() { c.set.calls.BackendRestarted(c.id, loop.Now()+1) })
+		loop.Defer(func() { c.dropCalls(lossAddressTaken, loop.Now()+1) })
 		return
 	}
 	c.dialing.isDialing = true
@@ -124,7 +124,7 @@
 		// The connection broke and nobody listens any more: the process is dead and its calls with it. It will not
 		// release them, so the callers are notified from here.
 		c.dialing.lostConnection = false
-		c.set.calls.BackendRestarted(c.id, c.set.loop.Now()+1)
+		c.dropCalls(lossRefused, c.set.loop.Now()+1)
 	}
 	c.dialing.backOff(c.set.loop.Now())
 }
--- a/internal/backend/set.go
+++ b/internal/backend/set.go
@@ -34,6 +34,7 @@
 	ConnectionsLost   int
 	Strays            int // answers to nothing that is open
 	RepeatedRequests  int // transactions of exchanges that came again
+	CallsLost         int // established calls that ended without a release by their exchange
 	ReleasesDiscarded int // releases for which there was neither a connection nor memory
 }
 
--- a/internal/call/attempt.go
+++ b/internal/call/attempt.go
@@ -81,6 +81,7 @@
 	now := m.now()
 	c.transition(callEstablished)
 	c.establishedAt = now
+	m.establishedCalls[c.attempt.server]++
 	m.decider.Report(now, admission.AttemptReport{
 		CallID:  c.ID,
 		Server:  c.attempt.server,
--- a/internal/call/manager.go
+++ b/internal/call/manager.go
@@ -18,8 +18,9 @@
 	limits   Limits
 
 	calls            map[string]*call
-	openCalls        int // calls whose final answer is owed
-	descriptionBytes int // total size of their descriptions
+	openCalls        int            // calls whose final answer is owed
+	establishedCalls map[string]int // by server; without those that have none
+	descriptionBytes int            // total size of their descriptions
 	deadlines        deadlineHeap
 	completedCalls   *expiringIDs
 	unknownReleases  unknownReleases
@@ -30,13 +31,14 @@
 // NewManager returns a Manager without calls that reads the time from now.
 func NewManager(decider Decider, backends Backends, now func() Time, limits Limits) *Manager {
 	return &Manager{
-		decider:         decider,
-		backends:        backends,
-		now:             now,
-		limits:          limits,
-		calls:           make(map[string]*call),
-		completedCalls:  newExpiringIDs(limits.CompletedIDs),
-		unknownReleases: unknownReleases{ids: newExpiringIDs(limits.CompletedIDs)},
+		decider:          decider,
+		backends:         backends,
+		now:              now,
+		limits:           limits,
+		calls:            make(map[string]*call),
+		establishedCalls: make(map[string]int),
+		completedCalls:   newExpiringIDs(limits.CompletedIDs),
+		unknownReleases:  unknownReleases{ids: newExpiringIDs(limits.CompletedIDs)},
 	}
 }
 
@@ -52,6 +54,9 @@
 // EstablishedCalls returns the number of established calls.
 func (m *Manager) EstablishedCalls() int { return len(m.calls) - m.openCalls }
 
+// EstablishedAt returns the number of calls that are established at a server.
+func (m *Manager) EstablishedAt(server string) int { return m.establishedCalls[server] }
+
 // Contains reports whether a call is open or established.
 func (m *Manager) Contains(id string) bool { return m.calls[id] != nil }
 
--- a/internal/call/release.go
+++ b/internal/call/release.go
@@ -76,21 +76,25 @@
 	}
 }
 
-// BackendRestarted drops the calls that were established at a server before a time. Its process has
-// ended since, so it sends no releases for them.
-func (m *Manager) BackendRestarted(server string, before Time) {
+// BackendRestarted drops the calls that were established at a server before a time and returns their
+// ids. Its process has ended since, so it sends no releases for them.
+func (m *Manager) BackendRestarted(server string, before Time) (dropped []string) {
 	for _, c := range m.establishedAt(server, before) {
 		m.dropEstablished(c)
+		dropped = append(dropped, c.ID)
 	}
+	return dropped
 }
 
-// BackendRemoved drops all calls established at a server that is not used any more. They are released at
-// the server as well, because it may still run.
-func (m *Manager) BackendRemoved(server string) {
+// BackendLost drops all calls established at a server that is not used any more or cannot be reached, and
+// returns their ids. They are released at the server as well, because it may still run.
+func (m *Manager) BackendLost(server string) (dropped []string) {
 	for _, c := range m.establishedAt(server, m.now()+1) {
 		m.backends.Release(server, c.ID, c.attempt.number, CauseTemporaryFailure)
 		m.dropEstablished(c)
+		dropped = append(dropped, c.ID)
 	}
+	return dropped
 }
 
 // establishedAt returns the calls that were established at a server before a time.
@@ -109,10 +113,19 @@
 // endEstablished ends an established call; it releases the call at neither side.
 func (m *Manager) endEstablished(c *call, end AttemptEnd, cause int) {
 	m.notifyReleased(c, end, cause)
+	m.countEstablishedEnd(c.attempt.server)
 	m.forget(c)
 	m.reportAttemptEnd(c, end)
 }
 
+// countEstablishedEnd counts an established call less. A server without any is forgotten.
+func (m *Manager) countEstablishedEnd(server string) {
+	m.establishedCalls[server]--
+	if m.establishedCalls[server] == 0 {
+		delete(m.establishedCalls, server)
+	}
+}
+
 // isCompleted reports whether a call is known to have ended. The releases of the two sides may cross,
 // and either side may repeat its own on another connection.
 func (m *Manager) isCompleted(id string) bool {
--- a/internal/call/release_test.go
+++ b/internal/call/release_test.go
@@ -61,3 +61,39 @@
 		t.Errorf("reported as %+v", got)
 	}
 }
+
+// The number of calls established at a server follows them through every way in which they end.
+func TestEstablishedAt(t *testing.T) {
+	f := newFixture(send("s"), send("s"), send("s"), send("s"), send("t"))
+	want := func(s, other int) {
+		t.Helper()
+		if got, gotOther := f.manager.EstablishedAt("s"), f.manager.EstablishedAt("t"); got != s || gotOther != other {
+			t.Errorf("%d and %d calls are established, want %d and %d", got, gotOther, s, other)
+		}
+	}
+	for _, id := range []string{"a", "b", "c", "d", "e"} {
+		f.offer(id)
+		server := "s"
+		if id == "e" {
+			server = "t"
+		}
+		f.manager.AttemptAnswered(server, id, 0, nil)
+	}
+	want(4, 1)
+	f.manager.ReleaseByCaller("a", CauseNormal)
+	want(3, 1)
+	f.manager.BackendReleased("s", "b", CauseNormal)
+	f.manager.BackendReleased("s", "b", CauseNormal) // a repetition
+	want(2, 1)
+	if dropped := f.manager.BackendRestarted("s", f.now+1); len(dropped) != 2 || dropped[0] != "c" || dropped[1] != "d" {
+		t.Errorf("dropped %v", dropped)
+	}
+	want(0, 1)
+	if dropped := f.manager.BackendLost("t"); len(dropped) != 1 {
+		t.Errorf("dropped %v", dropped)
+	}
+	want(0, 0)
+	if len(f.manager.establishedCalls) != 0 {
+		t.Error("a server without calls is remembered")
+	}
+}
--- a/internal/server/report.go
+++ b/internal/server/report.go
@@ -60,7 +60,7 @@
 	log.Infow("counters", "clients", f.Accepted, "clients_shut", f.ClosedIdle, "clients_turned_away", f.RejectedFull,
 		"clients_silent", f.ClosedOverdue, "malformed", s.malformed.count, "tests", f.Echoes,
 		"repeats", f.RepeatedTransactions+b.RepeatedRequests, "unsayable", b.Unsayable, "dials", b.Dials,
-		"dials_failed", b.DialsFailed, "links_lost", b.ConnectionsLost, "strays", b.Strays,
+		"dials_failed", b.DialsFailed, "links_lost", b.ConnectionsLost, "strays", b.Strays, "calls_lost", b.CallsLost,
 		"releases_said", f.ReleasesSent, "releases_lost", f.ReleasesDiscarded+b.ReleasesDiscarded)
 	log.Infow("counters", "queries", d.queries, "queries_failed", d.queriesFailed, "answers", d.answers,
 		"bad_news", d.invalidAnswers, "serial", s.resolver.Serial())
