End the calls at an exchange that shows no life for 7.6 s

Cause: nothing ended established calls at a machine that vanishes. Set-ups on its connection made CheckResponsiveness close it, or nobody noticed; then each dial timed out, which Conn.onDialFailed took for no evidence at all, and only discovery's removal (BackendRemoved) was left. Class: an end was derived from messages alone; the absence of messages had no owner and no time.

Change: internal/reachability (pure) counts from the last sign of life: input, or a connection that came up. An exchange at which calls stand and that is quiet for 0.85 s is probed by a new connection, every 0.25 s while it shows no life; after 7.6 s, and 6.4 s of failed probes, its calls are over: callers are notified, releases wait for the exchange's return. So a partition of 6 s cuts nothing and a vanished machine is told of within 8 s, whatever discovery does. A hang on which connections come up is life. A refusal behind an outage means that the process has died. No OPTIONS is sent: limits.probes forbids it here. No set-up goes out on a probe, what an exchange sends on it is handled, and it is closed by its write end, so that nothing on its way is lost. Bounds: 3 probes an exchange, an eighth of the descriptors. A shutdown waits for the verdict until its limit.

Property test: over at 6 to 7.9 s for any moment and tick of 20 to 150 ms, never for partitions up to 6 s.

--- a/internal/backend/attempts.go
+++ b/internal/backend/attempts.go
@@ -49,7 +49,7 @@
 	}
 	s.Timeout = s.Deadline - now // the time of a dial has passed
 	var err error
-	c.set.loop.Write(c.conn, func(b []byte) []byte {
+	c.write(func(b []byte) []byte {
 		b, err = c.protocol.appendInvite(b, s)
 		return b
 	})
@@ -79,7 +79,7 @@
 	open, ok := c.openAttempts[id]
 	if ok && open == attempt && c.conn != nil {
 		delete(c.openAttempts, id)
-		c.set.loop.Write(c.conn, func(b []byte) []byte { return c.protocol.appendCancel(b, id, attempt) })
+		c.write(func(b []byte) []byte { return c.protocol.appendCancel(b, id, attempt) })
 	}
 	return false
 }
--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -12,6 +12,7 @@
 	"olivedale/internal/call"
 	"olivedale/internal/config"
 	"olivedale/internal/eventloop"
+	"olivedale/internal/reachability"
 )
 
 // A Conn is the connection to one exchange: it carries all calls there. It survives the loss of its socket, is dialled
@@ -29,12 +30,15 @@
 	pool         int
 	protocol     protocol
 	conn         *eventloop.Conn // nil while disconnected
+	input        input           // of conn
 	dialing      dialState
 	isDraining   bool
 	isRemoved    bool
 	queue        []call.Setup   // set-ups that are not written
 	openAttempts map[string]int // set-ups that are written and not answered: the attempt by the call's id
 	releases     pendingReleases
+	reach        reachability.Detector
+	probes       []*Probe // those that are dialled or open
 	activity     activity
 
 	disconnectLoggedAt time.Duration // 0: never
@@ -78,6 +82,13 @@
 // RememberedCalls returns the number of calls that the protocol keeps state of.
 func (c *Conn) RememberedCalls() int { return c.protocol.rememberedCalls() }
 
+// write appends to the output of the current connection; without one it does nothing.
+func (c *Conn) write(write func([]byte) []byte) {
+	if c.conn != nil {
+		c.set.loop.Write(c.conn, write)
+	}
+}
+
 // owns reports whether a socket is the current connection's.
 func (c *Conn) owns(socket gnet.Conn) bool { return c.conn != nil && c.conn.Socket() == socket }
 
@@ -94,7 +105,8 @@
 	if conn == nil {
 		return
 	}
-	complete, err := c.protocol.handleData(data)
+	c.recordSign()
+	complete, err := c.input.handleData(data)
 	if err != nil {
 		c.set.reportMalformed("exchange "+c.id, err)
 		c.Disconnect(call.Malformed)
@@ -102,7 +114,7 @@
 	}
 	now := c.set.loop.Now()
 	c.activity.recordInput(now, len(c.openAttempts))
-	conn.RecordInput(now, complete, c.protocol.hasPartialMessage())
+	conn.RecordInput(now, complete, c.input.hasPartialMessage())
 }
 
 // HandleClose handles the end of a socket, if it is the current connection's. The answers that the exchange gave before
@@ -157,6 +169,7 @@
 	c.isRemoved = true
 	c.failQueue(call.NotSent)
 	c.loseCalls(lossRemoved) // releases go out before the connection is closed
+	c.closeProbes()
 	if c.conn != nil {
 		c.set.loop.Close(c.conn)
 		c.conn = nil
@@ -196,12 +209,13 @@
 	}
 }
 
-// hasPendingWork reports whether the exchange waits for something that this process alone can send.
+// hasPendingWork reports whether the exchange waits for something that this process alone can send, or whether callers
+// may have to be notified of the loss of its calls.
 func (c *Conn) hasPendingWork() bool {
-	if c.conn == nil {
-		return c.releases.len() > 0
+	if c.conn == nil && c.releases.len() > 0 {
+		return true
 	}
-	return c.conn.HasUnreadOutput()
+	return c.isSuspect() || c.conn != nil && c.conn.HasUnreadOutput()
 }
 
 // Tick dials when that is due and drops what has expired.
@@ -211,6 +225,7 @@
 	}
 	c.releases.expire(now)
 	c.protocol.expire(now)
+	c.checkReachability(now)
 }
 
 // releaseOrigin returns the id of the exchange that a release comes from: the one where the call is established, if
--- a/internal/backend/dial.go
+++ b/internal/backend/dial.go
@@ -42,10 +42,32 @@
 	d.redialAt = now + d.redialDelay
 }
 
+// A Dialing is the context of a socket to an exchange until it is opened.
+type Dialing interface {
+	// HandleOpen takes the socket and becomes or names its owner; false: the socket is to be closed.
+	HandleOpen(socket gnet.Conn) bool
+}
+
+// A SocketOwner is the context of an open socket to an exchange.
+type SocketOwner interface {
+	// HandleSocketData handles what the socket has received.
+	HandleSocketData(socket gnet.Conn, data []byte)
+	// HandleClose handles the end of the socket, with gnet's error.
+	HandleClose(socket gnet.Conn, err error)
+}
+
+var (
+	_ Dialing     = (*Dialed)(nil)
+	_ Dialing     = (*Probe)(nil)
+	_ SocketOwner = (*Conn)(nil)
+	_ SocketOwner = (*Probe)(nil)
+)
+
 // A Dialed is the context of a socket that was dialled, until it is opened.
 type Dialed struct {
-	conn   *Conn
-	serial int
+	conn      *Conn
+	serial    int
+	startedAt time.Duration
 }
 
 // HandleOpen takes the socket that was dialled and makes the Conn its context; false: the socket is to be closed.
@@ -75,7 +97,9 @@
 	c.dialing.isDialing = true
 	c.dialing.serial++
 	c.set.Counters.Dials++
-	go c.dialAddress(c.address, &Dialed{conn: c, serial: c.dialing.serial})
+	now := loop.Now()
+	c.reach.RecordProbe(now)
+	go c.dialAddress(c.address, &Dialed{conn: c, serial: c.dialing.serial, startedAt: now})
 }
 
 // dialAddress dials and hands the socket, or the error, to the loop. It runs beside the loop.
@@ -88,7 +112,7 @@
 		}
 		_ = socket.Close()
 	}
-	loop.ExecuteIteration(func() { c.onDialFailed(dialed.serial, err) })
+	loop.ExecuteIteration(func() { c.onDialFailed(dialed, err) })
 }
 
 // onConnected takes the socket of a dial; false: it is to be closed.
@@ -97,35 +121,37 @@
 		return false
 	}
 	c.dialing.isDialing = false
+	c.adopt(socket)
+	return true
+}
+
+// adopt makes a socket the current connection, sends the releases that are not confirmed on it and flushes the queue.
+func (c *Conn) adopt(socket gnet.Conn) {
 	c.dialing.lostConnection = false
 	c.dialing.redialDelay = 0
 	now := c.set.loop.Now()
-	c.conn = eventloop.NewConn(socket, now)
+	conn := eventloop.NewConn(socket, now)
+	c.conn = conn
+	c.input = c.protocol.newInput(func() bool { return c.conn == conn })
 	c.activity = activity{receivedAt: now}
 	socket.SetContext(c)
+	c.recordSign()
 	c.protocol.reset()
 	for id, r := range c.releases.byID {
 		c.writeRelease(id, r)
 	}
 	c.flushQueue()
-	return true
 }
 
 // onDialFailed ends the queued set-ups and delays the next dial.
-func (c *Conn) onDialFailed(serial int, err error) {
-	if serial != c.dialing.serial || !c.dialing.isDialing {
+func (c *Conn) onDialFailed(dialed *Dialed, err error) {
+	if dialed.serial != c.dialing.serial || !c.dialing.isDialing {
 		return
 	}
 	c.dialing.isDialing = false
 	c.set.Counters.DialsFailed++
-	end := dialFailure(err)
-	c.failQueue(end)
-	if c.dialing.lostConnection && end == call.DialRefused {
-		// The connection broke and nobody listens any more: the process is dead and its calls with it. It will not
-		// release them, so the callers are notified from here.
-		c.dialing.lostConnection = false
-		c.dropCalls(lossRefused, c.set.loop.Now()+1)
-	}
+	c.failQueue(dialFailure(err))
+	c.recordFailedConnection(dialed.startedAt, err)
 	c.dialing.backOff(c.set.loop.Now())
 }
 
--- a/internal/backend/h248.go
+++ b/internal/backend/h248.go
@@ -20,7 +20,6 @@
 // the server notifies of its end.
 type h248Protocol struct {
 	conn     *Conn
-	framer   h248.Framer
 	lastID   uint32                     // of our transactions
 	requests map[uint32]*pendingRequest // our transactions without a reply
 	contexts map[string]string          // by termination, while the call is established there
@@ -47,12 +46,10 @@
 // reset forgets what was requested on another connection: Adds were given up with it on both sides, and releases that
 // are not confirmed are requested again on this one. It bounds the memory where connections break again and again.
 func (p *h248Protocol) reset() {
-	p.framer = h248.Framer{}
 	clear(p.requests)
 }
 
-func (p *h248Protocol) hasPartialMessage() bool { return p.framer.HasPartial() }
-func (p *h248Protocol) rememberedCalls() int    { return len(p.contexts) }
+func (p *h248Protocol) rememberedCalls() int { return len(p.contexts) }
 
 // expire drops requests without a reply, and contexts of calls that ended without a message, such as at a process
 // that died.
@@ -144,9 +141,22 @@
 	return b
 }
 
-func (p *h248Protocol) handleData(data []byte) (complete bool, err error) {
+// An h248Input reads the messages of one connection.
+type h248Input struct {
+	protocol *h248Protocol
+	isOpen   func() bool
+	framer   h248.Framer
+}
+
+func (p *h248Protocol) newInput(isOpen func() bool) input {
+	return &h248Input{protocol: p, isOpen: isOpen}
+}
+
+func (in *h248Input) hasPartialMessage() bool { return in.framer.HasPartial() }
+
+func (in *h248Input) handleData(data []byte) (complete bool, err error) {
 	var parseErr *h248.Error
-	err = p.framer.Feed(data, func(text []byte) bool {
+	err = in.framer.Feed(data, func(text []byte) bool {
 		complete = true
 		m, e := h248.Parse(text)
 		if e != nil {
@@ -154,9 +164,9 @@
 			return false
 		}
 		for _, t := range m.Transactions {
-			p.handleTransaction(m.MID, t)
+			in.protocol.handleTransaction(m.MID, t)
 		}
-		return p.conn.IsConnected()
+		return in.isOpen()
 	})
 	if parseErr != nil {
 		return complete, parseErr
@@ -256,9 +266,7 @@
 	} else {
 		set.Counters.RepeatedRequests++
 	}
-	if p.conn.IsConnected() {
-		set.loop.Write(p.conn.conn, func(b []byte) []byte { return append(b, entry.Reply()...) })
-	}
+	p.conn.write(func(b []byte) []byte { return append(b, entry.Reply()...) })
 }
 
 // runActions runs commands up to the first that fails and returns the actions of the reply.
--- a/internal/backend/loss.go
+++ b/internal/backend/loss.go
@@ -13,7 +13,8 @@
 const (
 	lossRemoved      lossReason = "removed"        // discovery does not list the exchange any more
 	lossRestarted    lossReason = "restarted"      // discovery lists a later start
-	lossRefused      lossReason = "refused"        // the connection broke and nobody listens any more
+	lossRefused      lossReason = "refused"        // the connection broke, or the machine was away: nobody listens now
+	lossUnreachable  lossReason = "unreachable"    // no sign of life for reachability.MaxSilence
 	lossAddressTaken lossReason = "address_taken"  // another exchange listens at the address
 	lossOutOfService lossReason = "out_of_service" // the exchange says so itself
 	lossReset        lossReason = "reset"          // the exchange says that it has started
--- a/internal/backend/protocol.go
+++ b/internal/backend/protocol.go
@@ -6,7 +6,15 @@
 	"olivedale/internal/call"
 )
 
-// A protocol writes and reads the messages on the connection to one exchange. It may keep state of calls.
+// An input is what one connection brings.
+type input interface {
+	// handleData handles input and reports whether it has completed a message.
+	handleData(data []byte) (complete bool, err error)
+	// hasPartialMessage reports whether part of a message waits for the rest.
+	hasPartialMessage() bool
+}
+
+// A protocol writes and reads the messages on the connections to one exchange. It may keep state of calls.
 type protocol interface {
 	// appendInvite appends a set-up; it fails if the protocol cannot express the set-up.
 	appendInvite(b []byte, s call.Setup) ([]byte, error)
@@ -14,11 +22,9 @@
 	appendCancel(b []byte, id string, attempt int) []byte
 	// appendRelease appends the release of an established call.
 	appendRelease(b []byte, id string, attempt, cause int) []byte
-	// handleData handles input and reports whether it has completed a message.
-	handleData(data []byte) (complete bool, err error)
-	// hasPartialMessage reports whether part of a message waits for the rest.
-	hasPartialMessage() bool
-	// reset prepares for a new connection.
+	// newInput returns the input of a new connection, which is read for as long as isOpen.
+	newInput(isOpen func() bool) input
+	// reset forgets what was requested on an earlier connection.
 	reset()
 	// expire drops the state of calls that are over.
 	expire(now time.Duration)
--- a/internal/backend/release.go
+++ b/internal/backend/release.go
@@ -76,7 +76,7 @@
 }
 
 func (c *Conn) writeRelease(id string, r pendingRelease) {
-	c.set.loop.Write(c.conn, func(b []byte) []byte {
+	c.write(func(b []byte) []byte {
 		return c.protocol.appendRelease(b, id, r.attempt, r.cause)
 	})
 }
--- a/internal/backend/set.go
+++ b/internal/backend/set.go
@@ -31,6 +31,9 @@
 	Unsayable         int // set-ups that the exchange's protocol cannot express
 	Dials             int
 	DialsFailed       int
+	Probes            int // connections that were asked for to find whether an exchange is there
+	ProbesFailed      int
+	ExchangesLost     int // exchanges that showed no life for so long that their calls were over
 	ConnectionsLost   int
 	Strays            int // answers to nothing that is open
 	RepeatedRequests  int // transactions of exchanges that came again
@@ -47,6 +50,8 @@
 	MemoryMB int
 	// DialTimeout bounds each dial; the timeouts of unresponsive connections are multiples of it.
 	DialTimeout time.Duration
+	// MaxProbes bounds the connections to exchanges beyond one for each.
+	MaxProbes int
 	// Dial opens connections; nil: DialTCP.
 	Dial Dialer
 	// ReportMalformed is called for input that cannot be read.
@@ -66,6 +71,8 @@
 	dial            Dialer
 	reportMalformed func(source string, err error)
 	conns           map[string]*Conn
+	maxProbes       int
+	openProbes      int // probes of all exchanges that are dialled or open
 }
 
 var _ call.Backends = (*Set)(nil)
@@ -82,6 +89,7 @@
 		dialTimeout:     o.DialTimeout,
 		dial:            o.Dial,
 		reportMalformed: o.ReportMalformed,
+		maxProbes:       o.MaxProbes,
 		conns:           make(map[string]*Conn),
 	}
 }
--- a/internal/backend/sip.go
+++ b/internal/backend/sip.go
@@ -18,7 +18,6 @@
 // that answer from the one that is waited for, if the exchange has been seen to repeat our numbers.
 type sipProtocol struct {
 	conn          *Conn
-	reader        sip.Reader
 	dialogs       map[string]*dialog // by Call-ID
 	cseqNumbering cseqNumbering
 }
@@ -50,9 +49,8 @@
 	return &sipProtocol{conn: c, dialogs: make(map[string]*dialog)}
 }
 
-func (p *sipProtocol) reset()                  { p.reader = sip.Reader{} }
-func (p *sipProtocol) hasPartialMessage() bool { return p.reader.HasPartial() }
-func (p *sipProtocol) rememberedCalls() int    { return len(p.dialogs) }
+func (p *sipProtocol) reset()               {} // nothing is tied to a connection but its input
+func (p *sipProtocol) rememberedCalls() int { return len(p.dialogs) }
 
 // expire drops dialogs whose other side never sent its final response, and those of calls that ended without a
 // message, such as at a process that died.
@@ -124,15 +122,28 @@
 	})
 }
 
-func (p *sipProtocol) handleData(data []byte) (complete bool, err error) {
-	err = p.reader.Feed(data, func(m *sip.Message) bool {
+// A sipInput reads the messages of one connection.
+type sipInput struct {
+	protocol *sipProtocol
+	isOpen   func() bool
+	reader   sip.Reader
+}
+
+func (p *sipProtocol) newInput(isOpen func() bool) input {
+	return &sipInput{protocol: p, isOpen: isOpen}
+}
+
+func (in *sipInput) hasPartialMessage() bool { return in.reader.HasPartial() }
+
+func (in *sipInput) handleData(data []byte) (complete bool, err error) {
+	err = in.reader.Feed(data, func(m *sip.Message) bool {
 		complete = true
 		if m.Status > 0 {
-			p.handleResponse(m)
+			in.protocol.handleResponse(m)
 		} else {
-			p.handleRequest(m)
+			in.protocol.handleRequest(m)
 		}
-		return p.conn.IsConnected()
+		return in.isOpen()
 	})
 	return complete, err
 }
@@ -217,7 +228,7 @@
 	}
 }
 
-func (p *sipProtocol) write(write func([]byte) []byte) { p.conn.set.loop.Write(p.conn.conn, write) }
+func (p *sipProtocol) write(write func([]byte) []byte) { p.conn.write(write) }
 
 // attemptEndOfResponse returns how an attempt ended by the final response to its INVITE.
 func attemptEndOfResponse(m *sip.Message) call.AttemptEnd {
--- a/internal/server/handler.go
+++ b/internal/server/handler.go
@@ -7,8 +7,8 @@
 	"olivedale/internal/frontend"
 )
 
-// The context of a socket says whose it is: a discoverySocket, a *backend.Dialed until the socket is opened and then
-// a *backend.Conn, or a frontend.Connection.
+// The context of a socket says whose it is: a discoverySocket, a backend.Dialing until the socket is opened and then
+// a backend.SocketOwner, or a frontend.Connection.
 
 // OnOpen implements gnet.EventHandler.
 func (s *Server) OnOpen(socket gnet.Conn) (out []byte, action gnet.Action) {
@@ -29,7 +29,7 @@
 	switch owner := socket.Context().(type) {
 	case discoverySocket: // gnet opens a connected datagram socket like a connection
 		return s.discovery.handleOpen(owner.serial, socket)
-	case *backend.Dialed:
+	case backend.Dialing:
 		return owner.HandleOpen(socket)
 	}
 	switch s.listeners.byBound[socket.LocalAddr().String()] {
@@ -50,7 +50,7 @@
 	}
 	s.loop.RunIteration(func() {
 		switch owner := socket.Context().(type) {
-		case *backend.Conn:
+		case backend.SocketOwner:
 			owner.HandleSocketData(socket, data)
 		case frontend.Connection:
 			owner.HandleData(data)
@@ -70,7 +70,7 @@
 	}
 	s.loop.RunIteration(func() {
 		switch owner := socket.Context().(type) {
-		case *backend.Conn:
+		case backend.SocketOwner:
 			owner.HandleClose(socket, err)
 		case frontend.Connection:
 			owner.HandleClose(err)
--- a/internal/server/report.go
+++ b/internal/server/report.go
@@ -62,6 +62,7 @@
 		"repeats", f.RepeatedTransactions+b.RepeatedRequests, "unsayable", b.Unsayable, "dials", b.Dials,
 		"dials_failed", b.DialsFailed, "links_lost", b.ConnectionsLost, "strays", b.Strays, "calls_lost", b.CallsLost,
 		"releases_said", f.ReleasesSent, "releases_lost", f.ReleasesDiscarded+b.ReleasesDiscarded)
+	log.Infow("counters", "probes", b.Probes, "probes_failed", b.ProbesFailed, "exchanges_lost", b.ExchangesLost)
 	log.Infow("counters", "queries", d.queries, "queries_failed", d.queriesFailed, "answers", d.answers,
 		"bad_news", d.invalidAnswers, "serial", s.resolver.Serial())
 }
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -25,6 +25,10 @@
 // reservedSockets are descriptors that are neither callers' nor exchanges'.
 const reservedSockets = 40
 
+// maxProbesShift bounds the probes of exchanges, as a shift of the descriptors: those that reservedSockets, callers and
+// exchanges leave are more.
+const maxProbesShift = 3
+
 // Bounds by the memory of the process, as shifts of its megabytes.
 const (
 	maxOpenCallsShift        = 6
@@ -115,6 +119,7 @@
 		Name:            cfg.Name,
 		MemoryMB:        cfg.MemoryMB,
 		DialTimeout:     cfg.DialTimeout,
+		MaxProbes:       cfg.Sockets >> maxProbesShift,
 		Dial:            o.dial,
 		ReportMalformed: s.reportMalformed,
 	})
