--- a/cmd/olivesim/main.go
+++ b/cmd/olivesim/main.go
@@ -28,6 +28,7 @@
 		demoCommand(),
 		serveCommand(),
 		loadCommand(),
+		soakCommand(),
 		holdCommand(),
 		cli.VersionCommand(),
 	)
--- a/internal/sim/invariant/callstate.go
+++ b/internal/sim/invariant/callstate.go
@@ -15,21 +15,24 @@
 
 // answerState follows the final answer of a call.
 type answerState struct {
-	isDue     bool
-	overAt    Time // set with isOver, if the caller abandoned the call
-	isOver    bool // the final answer was given or missed, or the caller abandoned the call
-	isMissed  bool // it was not given when the caller abandoned the call; a late answer is not reported as well
-	isExcused bool // the controller was paused while the answer was due: it may be late
-	deadline  Time // the caller abandons the call then
+	isDue        bool
+	overAt       Time // set with isOver, if the answer was given or the caller abandoned the call
+	isOver       bool // the final answer was given or missed, or the caller abandoned the call
+	wasAbandoned bool // set with isOver, if the caller abandoned the call
+	isMissed     bool // it was not given when the caller abandoned the call; a late answer is not reported as well
+	isExcused    bool // the controller was paused while the answer was due: it may be late
+	deadline     Time // the caller abandons the call then
 }
 
 // releaseState follows the end of an established call.
 type releaseState struct {
-	isEstablished bool // the caller was told that the call is established
-	isEnded       bool // the call ended at its server
-	deadline      Time // set with isEnded: the caller must be notified by then
-	isOver        bool // the call is over for its caller: notified, released by the caller, or missed
-	overAt        Time // set with isOver
+	isEstablished bool   // the caller was told that the call is established
+	server        string // set with isEstablished: where it is; "": not known
+	isEnded       bool   // the call ended at its server
+	endedAt       string // set with isEnded: that server
+	deadline      Time   // set with isEnded: the caller must be notified by then
+	isOver        bool   // the call is over for its caller: notified, released by the caller, or missed
+	overAt        Time   // set with isOver
 }
 
 // attemptState follows the attempts of a call.
--- a/internal/sim/invariant/checker_test.go
+++ b/internal/sim/invariant/checker_test.go
@@ -159,6 +159,15 @@
 		"crossing releases": {"", []Event{
 			setUp, established, endedAt(time.Second, 2*time.Second), {Kind: CallerReleased, At: 1900 * ms},
 		}},
+		"ended where an earlier attempt was answered": {"", []Event{
+			setUp, {Kind: CallEstablished, Server: "y"}, endedAt(time.Second, 2*time.Second),
+		}},
+		"ended there before the answer": {"", []Event{
+			setUp, endedAt(time.Second, 2*time.Second), {Kind: CallEstablished, Server: "y", At: 1500 * ms},
+		}},
+		"ended where it stands": {ReleasedInTime, []Event{
+			setUp, {Kind: CallEstablished, Server: "x"}, endedAt(time.Second, 2*time.Second),
+		}},
 		"never established": {"", []Event{setUp, endedAt(time.Second, 2*time.Second), {Kind: CallRejected, At: 1500 * ms}}},
 		"controller ended": {"", []Event{
 			setUp, established, endedAt(time.Second, 2*time.Second), {Kind: ControllerEnded, At: 1500 * ms},
--- a/internal/sim/soak/exchange.go
+++ b/internal/sim/soak/exchange.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"sync"
 	"time"
 
@@ -288,6 +289,13 @@
 	}
 }
 
+// exchangeOf returns the exchange that has made a description for a call; false: none has.
+func exchangeOf(text, callID string) (exchangeID string, ok bool) {
+	rest, hasHead := strings.CutPrefix(text, "v=0\r\ns=")
+	exchangeID, hasTail := strings.CutSuffix(rest, "/"+callID+"\r\n")
+	return exchangeID, hasHead && hasTail
+}
+
 // description returns the description by which an exchange answers a call. Callers check it.
 func description(exchangeID, callID string) string {
 	return fmt.Sprintf("v=0\r\ns=%s/%s\r\n", exchangeID, callID)
--- a/internal/sim/soak/judge.go
+++ b/internal/sim/soak/judge.go
@@ -62,6 +62,18 @@
 	Cut         int `json:"cut"`      // of these, while the call stood at its exchange
 }
 
+// Add adds the totals of another trial.
+func (c *Counts) Add(other *Counts) {
+	c.Offered += other.Offered
+	c.Established += other.Established
+	c.Rejected += other.Rejected
+	c.Abandoned += other.Abandoned
+	c.Ended += other.Ended
+	c.Lost += other.Lost
+	c.Notified += other.Notified
+	c.Cut += other.Cut
+}
+
 func newJudge(startTime time.Time) *judge {
 	limits := invariant.DefaultLimits()
 	limits.Slack = clockSlack
