Release attempts whose answer may be lost with their connection

The first exchange kept the call for nobody: Conn.Disconnect ended attempts and cancellations on this side only.

Change: attempts without a final response, also canceled ones, are released on the next connection to their exchange, unless the call is sent there again first.

--- a/internal/backend/attempts.go
+++ b/internal/backend/attempts.go
@@ -93,6 +93,19 @@
 	}
 }
 
+// releaseUnsettledAttempts has the attempts released on the next connection whose answer may be lost with this one. The
+// exchange may have established them, and would keep a call that nobody knows of.
+func (c *Conn) releaseUnsettledAttempts() {
+	now := c.set.loop.Now()
+	for id, attempt := range c.protocol.unsettledAttempts() {
+		if _, isPending := c.releases.byID[id]; isPending {
+			continue
+		}
+		r := pendingRelease{attempt: attempt, cause: call.CauseNormal, requestedAt: now, isUnknownCall: true}
+		c.releases.add(id, r)
+	}
+}
+
 // failOpenAttempts ends the set-ups that are written and not answered.
 func (c *Conn) failOpenAttempts(end call.AttemptEnd) {
 	for id, attempt := range c.openAttempts {
--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -154,6 +154,7 @@
 	c.set.loop.Close(c.conn)
 	c.conn = nil
 	c.dialing.lostConnection = true
+	c.releaseUnsettledAttempts()
 	c.failOpenAttempts(reason)
 	c.Dial()
 }
@@ -223,7 +224,7 @@
 	if c.dialing.isDue(now) && c.conn == nil {
 		c.Dial()
 	}
-	c.releases.expire(now)
+	c.releases.expire(now, c.IsConnected())
 	c.protocol.expire(now)
 	c.checkReachability(now)
 }
--- a/internal/backend/h248.go
+++ b/internal/backend/h248.go
@@ -49,6 +49,15 @@
 	clear(p.requests)
 }
 
+// unsettledAttempts implements protocol: those whose Add or whose Subtract has no reply.
+func (p *h248Protocol) unsettledAttempts() map[string]int {
+	unsettled := make(map[string]int)
+	for _, r := range p.requests {
+		unsettled[r.callID] = max(unsettled[r.callID], r.attempt)
+	}
+	return unsettled
+}
+
 func (p *h248Protocol) rememberedCalls() int { return len(p.contexts) }
 
 // expire drops requests without a reply, and contexts of calls that ended without a message, such as at a process
--- a/internal/backend/protocol.go
+++ b/internal/backend/protocol.go
@@ -26,6 +26,8 @@
 	newInput(isOpen func() bool) input
 	// reset forgets what was requested on an earlier connection.
 	reset()
+	// unsettledAttempts returns the attempts, by the call's id, of which the exchange has not said how they ended.
+	unsettledAttempts() map[string]int
 	// expire drops the state of calls that are over.
 	expire(now time.Duration)
 	// rememberedCalls returns the number of calls that state is kept of.
--- a/internal/backend/release.go
+++ b/internal/backend/release.go
@@ -13,7 +13,7 @@
 type pendingRelease struct {
 	attempt, cause int
 	requestedAt    time.Duration
-	isUnknownCall  bool // nobody here has known the call: its id may be made up
+	isUnknownCall  bool // nothing here says that the call is established: it gives way to others
 }
 
 // pendingReleases are the releases that one exchange has not confirmed, by the call's id.
@@ -51,10 +51,12 @@
 	return false
 }
 
-// expire drops the releases that were not confirmed in time.
-func (p *pendingReleases) expire(now time.Duration) {
+// expire drops the releases that were not confirmed in time. Those of calls that were established wait for as long as
+// the exchange is not connected: it may keep the calls through an outage of any length.
+func (p *pendingReleases) expire(now time.Duration, isConnected bool) {
 	for id, r := range p.byID {
-		if now-r.requestedAt > confirmationTimeout {
+		mayExpire := isConnected || r.isUnknownCall
+		if mayExpire && now-r.requestedAt > confirmationTimeout {
 			delete(p.byID, id)
 		}
 	}
--- a/internal/backend/sip.go
+++ b/internal/backend/sip.go
@@ -52,6 +52,17 @@
 func (p *sipProtocol) reset()               {} // nothing is tied to a connection but its input
 func (p *sipProtocol) rememberedCalls() int { return len(p.dialogs) }
 
+// unsettledAttempts implements protocol: those that are open, and those that were canceled and had no final response.
+func (p *sipProtocol) unsettledAttempts() map[string]int {
+	unsettled := make(map[string]int)
+	for id, d := range p.dialogs {
+		if !d.isAnswered {
+			unsettled[id] = d.attempt
+		}
+	}
+	return unsettled
+}
+
 // expire drops dialogs whose other side never sent its final response, and those of calls that ended without a
 // message, such as at a process that died.
 func (p *sipProtocol) expire(now time.Duration) {
