Tie the ends of calls to attempts in the soak, and let no connection up as a machine vanishes

Need: violations by the judge's own fault: an earlier attempt at the same exchange that the controller released counted as the end of the call; the queue of a vanished machine was not full where a filler took over 30 ms on a loaded machine, so that a connection still came up (a sign of life) after the exchange counted as gone.

Change: descriptions name the attempt; listeners are filled before the state changes, with 150 ms for each filler.

--- a/internal/sim/invariant/callstate.go
+++ b/internal/sim/invariant/callstate.go
@@ -28,13 +28,20 @@
 type releaseState struct {
 	isEstablished bool   // the caller was told that the call is established
 	server        string // set with isEstablished: where it is; "": not known
+	attempt       int    // set with server
 	isEnded       bool   // the call ended at its server
 	endedAt       string // set with isEnded: that server
+	endedAttempt  int    // set with isEnded
 	deadline      Time   // set with isEnded: the caller must be notified by then
 	isOver        bool   // the call is over for its caller: notified, released by the caller, or missed
 	overAt        Time   // set with isOver
 }
 
+// isElsewhere reports whether an attempt is another than the one by which the call is established, as far as is known.
+func (r *releaseState) isElsewhere(server string, attempt int) bool {
+	return r.isEstablished && r.server != "" && (r.server != server || r.attempt != attempt)
+}
+
 // attemptState follows the attempts of a call.
 type attemptState struct {
 	openAt     string // server of the open attempt; "": none is open
--- a/internal/sim/invariant/checker_test.go
+++ b/internal/sim/invariant/checker_test.go
@@ -165,6 +165,9 @@
 		"ended there before the answer": {"", []Event{
 			setUp, endedAt(time.Second, 2*time.Second), {Kind: CallEstablished, Server: "y", At: 1500 * ms},
 		}},
+		"an earlier attempt at the same server ended": {"", []Event{
+			setUp, endedAt(time.Second, 2*time.Second), {Kind: CallEstablished, Server: "x", Attempt: 1, At: 1500 * ms},
+		}},
 		"ended where it stands": {ReleasedInTime, []Event{
 			setUp, {Kind: CallEstablished, Server: "x"}, endedAt(time.Second, 2*time.Second),
 		}},
--- a/internal/sim/invariant/checkrelease.go
+++ b/internal/sim/invariant/checkrelease.go
@@ -6,7 +6,7 @@
 		return
 	}
 	call.release.isEstablished = true
-	call.release.server = e.Server
+	call.release.server, call.release.attempt = e.Server, e.Attempt
 	c.awaitRelease(e, call)
 }
 
@@ -18,9 +18,8 @@
 	}
 	switch e.Kind {
 	case CallEnded:
-		isElsewhere := r.isEstablished && r.server != "" && r.server != e.Server
-		if !r.isEnded && !isElsewhere {
-			r.isEnded, r.endedAt, r.deadline = true, e.Server, e.Deadline
+		if !r.isEnded && !r.isElsewhere(e.Server, e.Attempt) {
+			r.isEnded, r.endedAt, r.endedAttempt, r.deadline = true, e.Server, e.Attempt, e.Deadline
 			c.awaitRelease(e, call)
 		}
 	case CallerNotified, CallerReleased:
@@ -36,7 +35,7 @@
 // awaitRelease schedules the deadline of the notification of a caller whose call is established and has ended.
 func (c *Checker) awaitRelease(e Event, call *callState) {
 	r := &call.release
-	if r.isEstablished && r.endedAt != "" && r.server != "" && r.endedAt != r.server {
+	if r.isEnded && r.isElsewhere(r.endedAt, r.endedAttempt) {
 		r.isEnded = false // an earlier attempt, whose answer was lost, had ended
 	}
 	if r.isEstablished && r.isEnded && !r.isOver {
--- a/internal/sim/soak/caller_conn.go
+++ b/internal/sim/soak/caller_conn.go
@@ -153,21 +153,21 @@
 	k.mu.Lock()
 	wasOpen := k.calls[c.id] == c && !c.isEstablished
 	c.isEstablished = true
+	server, attempt, isGenuine := parseDescription(string(m.Blob), c.id)
+	c.server = server
 	hangsUp := k.rng.Float64() < hangUpShare
 	hold := minHold + time.Duration(k.rng.ExpFloat64()*float64(k.run.story.Deployment.MeanHold)/2)
 	leaves := k.rng.Float64() < leavingShare && !k.isPersistent(c.conn)
 	k.mu.Unlock()
-	text := string(m.Blob)
-	server, isGenuine := exchangeOf(text, c.id)
 	k.run.judge.record(invariant.Event{
-		Kind: invariant.CallEstablished, Controller: c.controller, Call: c.id, Server: server,
+		Kind: invariant.CallEstablished, Controller: c.controller, Call: c.id, Server: server, Attempt: attempt,
 	})
 	if !wasOpen {
 		return
 	}
 	if !isGenuine {
 		k.run.judge.violate(RuleAnswerGenuine, c.controller, c.id,
-			"established with %q, which no exchange sent for it", text)
+			"established with %q, which no exchange sent for it", m.Blob)
 	}
 	if hangsUp {
 		c.after(k, hold, func() { k.hangUp(c) })
@@ -201,7 +201,7 @@
 	}
 	if k.remove(c, true) {
 		k.record(invariant.CallerNotified, c, 0)
-		if k.run.standsAtExchange(c.id) {
+		if k.run.standsAtExchange(c.id, c.server) {
 			k.run.judge.recordCut()
 		}
 		return
--- a/internal/sim/soak/callers.go
+++ b/internal/sim/soak/callers.go
@@ -66,7 +66,8 @@
 	sentAt        time.Time
 	redials       int
 	isEstablished bool
-	wasResent     bool // it crossed the close of its connection and was sent again
+	server        string // set with isEstablished: the exchange
+	wasResent     bool   // it crossed the close of its connection and was sent again
 	timers        []*time.Timer
 }
 
--- a/internal/sim/soak/exchange.go
+++ b/internal/sim/soak/exchange.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -144,6 +145,11 @@
 	if s == x.state {
 		return nil
 	}
+	if s == exchangeVanished || s == exchangePartitioned {
+		if err := x.setReachable(false); err != nil { // before: a connection that still comes up is a sign of life
+			return err
+		}
+	}
 	previous := x.state
 	x.state = s
 	close(x.changed)
@@ -178,9 +184,13 @@
 
 // setReachable makes new connections come up, or not any more.
 func (x *exchange) setReachable(isReachable bool) error {
-	var err error
+	errs := make(chan error, len(x.listeners))
 	for _, l := range x.listeners {
-		err = errors.Join(err, l.setReachable(isReachable))
+		go func() { errs <- l.setReachable(isReachable) }()
+	}
+	var err error
+	for range x.listeners {
+		err = errors.Join(err, <-errs)
 	}
 	return err
 }
@@ -289,14 +299,24 @@
 	}
 }
 
-// exchangeOf returns the exchange that has made a description for a call; false: none has.
-func exchangeOf(text, callID string) (exchangeID string, ok bool) {
-	rest, hasHead := strings.CutPrefix(text, "v=0\r\ns=")
-	exchangeID, hasTail := strings.CutSuffix(rest, "/"+callID+"\r\n")
-	return exchangeID, hasHead && hasTail
+// Parts of a description. Its second line has the exchange, the attempt and the call.
+const (
+	descriptionHead   = "v=0\r\ns="
+	descriptionFormat = descriptionHead + "%s/%d/%s\r\n"
+	descriptionFields = 3
+)
+
+// description returns the description by which an exchange answers an attempt. Callers check it.
+func (x *exchange) description(c *exchangeCall) string {
+	return fmt.Sprintf(descriptionFormat, x.id, c.attempt, c.id)
 }
 
-// description returns the description by which an exchange answers a call. Callers check it.
-func description(exchangeID, callID string) string {
-	return fmt.Sprintf("v=0\r\ns=%s/%s\r\n", exchangeID, callID)
+// parseDescription returns the exchange and the attempt that have a description for a call; false: none has made it.
+func parseDescription(text, callID string) (exchangeID string, attempt int, ok bool) {
+	fields := strings.Split(strings.TrimSuffix(strings.TrimPrefix(text, descriptionHead), "\r\n"), "/")
+	if len(fields) != descriptionFields || fields[2] != callID {
+		return "", 0, false
+	}
+	attempt, err := strconv.Atoi(fields[1])
+	return fields[0], attempt, err == nil && text == fmt.Sprintf(descriptionFormat, fields[0], attempt, callID)
 }
--- a/internal/sim/soak/exchange_call.go
+++ b/internal/sim/soak/exchange_call.go
@@ -96,7 +96,7 @@
 		}
 		x.record(invariant.AttemptAnswered, c)
 		c.isEstablished = true
-		c.conn.send(response(statusOK, c.id, c.attempt+1, "INVITE", description(x.id, c.id)))
+		c.conn.send(response(statusOK, c.id, c.attempt+1, "INVITE", x.description(c)))
 		hold := minHold + time.Duration(x.rng.ExpFloat64()*float64(x.meanHold))
 		c.timer = time.AfterFunc(hold, func() { x.end(c) })
 	})
--- a/internal/sim/soak/listener.go
+++ b/internal/sim/soak/listener.go
@@ -16,7 +16,7 @@
 	// maxFillers bounds the connections that fill the queue of a machine that cannot be reached.
 	maxFillers = 8
 	// fillTimeout is how long a connection that fills the queue may take; the first that does not come up ends it.
-	fillTimeout = 30 * time.Millisecond
+	fillTimeout = 150 * time.Millisecond
 )
 
 // A listener accepts connections, and can be made unreachable: then connections are neither refused nor established,
--- a/internal/sim/soak/run.go
+++ b/internal/sim/soak/run.go
@@ -142,15 +142,15 @@
 	return r.exchanges[place]
 }
 
-// standsAtExchange reports whether a call is established at an exchange.
-func (r *Run) standsAtExchange(id string) bool {
+// standsAtExchange reports whether a call is established at an exchange that runs.
+func (r *Run) standsAtExchange(id, server string) bool {
 	r.mu.Lock()
 	all := r.all
 	r.mu.Unlock()
 	for _, x := range all {
 		x.mu.Lock()
 		c := x.calls[id]
-		stands := c != nil && c.isEstablished
+		stands := x.id == server && c != nil && c.isEstablished
 		x.mu.Unlock()
 		if stands {
 			return true
