Reject set-ups that connect as the process ends

A set-up that crosses the close of its connection is sent again on a new one; gnet closes connections before its listener, so the kernel accepted that one, and it was reset with the process: lost, though taken.

--- a/internal/server/lifecycle.go
+++ b/internal/server/lifecycle.go
@@ -19,6 +19,9 @@
 func (s *Server) Run() error {
 	err := gnet.Rotate(s, s.listeners.urls(), gnet.WithNumEventLoop(1), gnet.WithLogger(gnetLog{s.loop.Log}),
 		gnet.WithLoadBalancing(gnet.LeastConnections), gnet.WithReuseAddr(true))
+	if rejected := s.lifecycle.late.serve(); rejected > 0 {
+		s.loop.Log.Infow("late_setups", "rejected", rejected)
+	}
 	s.overload.close()
 	s.numbering.close()
 	s.recorder.close() // the loop has ended, so this goroutine may use its state
--- a/internal/server/shutdown.go
+++ b/internal/server/shutdown.go
@@ -50,6 +50,7 @@
 	drainingSince time.Duration
 	checkAt       time.Duration // when to look next whether the process can end
 	quietSince    time.Duration // since when there has been no pending work, 0: there is
+	late          *lateListener // answers those that connect once the event loop has ended; nil until then
 }
 
 func newLifecycle() lifecycle { return lifecycle{started: make(chan struct{})} }
@@ -98,6 +99,7 @@
 		return
 	}
 	l.state = stateStopping
+	l.late = s.duplicateListener()
 	go func() { _ = s.engine.Stop(context.Background()) }()
 }
 
