Send releases of calls that may not stand at most every 2 s

Need: an exchange that hangs is dialled again every 0.3 to 2 s; each connection brought it the releases of all attempts that were canceled there in the last 32 s, which are work for it when it continues.

Change: such a release is sent on the next connection, and then on a later one, or on the one that stays, 2 s after. Releases of established calls go out on each new connection as before.

--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -37,6 +37,7 @@
 	queue        []call.Setup   // set-ups that are not written
 	openAttempts map[string]int // set-ups that are written and not answered: the attempt by the call's id
 	releases     pendingReleases
+	resendAt     time.Duration // when to send releases again that were not due on this connection, 0: there are none
 	reach        reachability.Detector
 	probes       []*Probe // those that are dialled or open
 	activity     activity
@@ -225,6 +226,7 @@
 		c.Dial()
 	}
 	c.releases.expire(now, c.IsConnected())
+	c.resendReleases(now)
 	c.protocol.expire(now)
 	c.checkReachability(now)
 }
--- a/internal/backend/dial.go
+++ b/internal/backend/dial.go
@@ -137,9 +137,7 @@
 	socket.SetContext(c)
 	c.recordSign()
 	c.protocol.reset()
-	for id, r := range c.releases.byID {
-		c.writeRelease(id, r)
-	}
+	c.sendReleases()
 	c.flushQueue()
 }
 
--- a/internal/backend/release.go
+++ b/internal/backend/release.go
@@ -5,6 +5,9 @@
 const (
 	// confirmationTimeout is when a release that is not confirmed is dropped.
 	confirmationTimeout = 32 * time.Second
+	// unknownCallInterval is the least time between two sends of the release of a call that may not stand: an exchange
+	// that hangs is dialled again and again, and must not find all of them on each connection.
+	unknownCallInterval = 2 * time.Second
 	// maxReleasesShift bounds the releases that wait for one exchange: 1<<maxReleasesShift for each MB of memory.
 	maxReleasesShift = 5
 )
@@ -13,7 +16,8 @@
 type pendingRelease struct {
 	attempt, cause int
 	requestedAt    time.Duration
-	isUnknownCall  bool // nothing here says that the call is established: it gives way to others
+	sentAt         time.Duration // of the latest send; 0: it was not sent
+	isUnknownCall  bool          // nothing here says that the call is established: it gives way to others
 }
 
 // pendingReleases are the releases that one exchange has not confirmed, by the call's id.
@@ -62,6 +66,32 @@
 	}
 }
 
+// isDue reports whether a release should be sent on a connection that is new now.
+func (r *pendingRelease) isDue(now time.Duration) bool {
+	return !r.isUnknownCall || r.sentAt == 0 || now-r.sentAt >= unknownCallInterval
+}
+
+// sendReleases sends the releases that are not confirmed on a new connection. Those that are not due yet wait for
+// resendReleases.
+func (c *Conn) sendReleases() {
+	now := c.set.loop.Now()
+	c.resendAt = 0
+	for id, r := range c.releases.byID {
+		if r.isDue(now) {
+			c.writeRelease(id, r)
+		} else {
+			c.resendAt = now + unknownCallInterval
+		}
+	}
+}
+
+// resendReleases sends the releases that were not due when the connection came up.
+func (c *Conn) resendReleases(now time.Duration) {
+	if c.conn != nil && c.resendAt > 0 && now >= c.resendAt {
+		c.sendReleases()
+	}
+}
+
 // PendingReleases returns the number of releases that the exchange has not confirmed.
 func (c *Conn) PendingReleases() int { return c.releases.len() }
 
@@ -78,6 +108,10 @@
 }
 
 func (c *Conn) writeRelease(id string, r pendingRelease) {
+	if _, isKept := c.releases.byID[id]; isKept {
+		r.sentAt = c.set.loop.Now()
+		c.releases.byID[id] = r
+	}
 	c.write(func(b []byte) []byte {
 		return c.protocol.appendRelease(b, id, r.attempt, r.cause)
 	})
--- a/internal/backend/release_test.go
+++ b/internal/backend/release_test.go
@@ -43,3 +43,18 @@
 		t.Error("it is left after the timeout")
 	}
 }
+
+// The release of a call that may not stand is sent on the first connection, and then not on each; that of a call that
+// was established is sent on each.
+func TestReleasesOnManyConnections(t *testing.T) {
+	known, unknown := pendingRelease{sentAt: time.Second}, pendingRelease{sentAt: time.Second, isUnknownCall: true}
+	if !(&pendingRelease{isUnknownCall: true}).isDue(time.Second) {
+		t.Error("a release that was never sent is not due")
+	}
+	if !known.isDue(time.Second) {
+		t.Error("the release of an established call is not due on a new connection")
+	}
+	if unknown.isDue(time.Second+unknownCallInterval-1) || !unknown.isDue(time.Second+unknownCallInterval) {
+		t.Error("the release of an unknown call is not due after its interval")
+	}
+}
