Fill the queue of an unreachable listener until two connections fail

The Accept that was under way took the connection which the filler had found in the queue; the queue was free again.

--- a/internal/sim/soak/listener.go
+++ b/internal/sim/soak/listener.go
@@ -15,8 +15,10 @@
 	listenBacklog = 512
 	// maxFillers bounds the connections that fill the queue of a machine that cannot be reached.
 	maxFillers = 8
-	// fillTimeout is how long a connection that fills the queue may take; the first that does not come up ends it.
-	fillTimeout = 150 * time.Millisecond
+	// fillTimeout is how long a connection that fills the queue may take.
+	fillTimeout = 100 * time.Millisecond
+	// wantedFillFailures is how many connections in a row do not come up where the queue is full.
+	wantedFillFailures = 2
 )
 
 // A listener accepts connections, and can be made unreachable: then connections are neither refused nor established,
@@ -131,14 +133,21 @@
 	return err
 }
 
-// fillQueue connects to the listener until a connection does not come up.
+// fillQueue connects to the listener until two connections in a row do not come up: the first may have found the queue
+// full of one that the Accept which was under way has taken since.
 func (l *listener) fillQueue() error {
+	failures := 0
 	for range maxFillers {
 		filler, err := net.DialTimeout("tcp", l.address(), fillTimeout)
-		if err != nil {
+		if err == nil {
+			failures = 0
+			l.fillers = append(l.fillers, filler)
+			continue
+		}
+		failures++
+		if failures == wantedFillFailures {
 			return nil
 		}
-		l.fillers = append(l.fillers, filler)
 	}
 	return errors.New("the queue of the listener does not fill")
 }
