Do not end calls by probes that failed while this process stood still

Need, found on reading: a controller that is stopped for seconds sees its own dial time out as it continues, with a last sign of life and a first failure of long ago; the calls of a healthy exchange would have ended at once.

Change: a failure that is reported over 0.5 s behind its timeout counts for nothing; calls end only by four failed probes or more, the latest started within the last 2 s. Releases that were not due on a new connection no longer take the others along.

--- a/internal/backend/dial.go
+++ b/internal/backend/dial.go
@@ -149,7 +149,7 @@
 	c.dialing.isDialing = false
 	c.set.Counters.DialsFailed++
 	c.failQueue(dialFailure(err))
-	c.recordFailedConnection(dialed.startedAt, err)
+	c.recordFailedConnection(dialed.startedAt, c.set.dialTimeout, err)
 	c.dialing.backOff(c.set.loop.Now())
 }
 
--- a/internal/backend/probe.go
+++ b/internal/backend/probe.go
@@ -44,13 +44,13 @@
 	c.set.openProbes++
 	p := &Probe{conn: c, address: c.address, startedAt: now}
 	c.probes = append(c.probes, p)
-	go p.dial(min(c.set.dialTimeout, reachability.MaxProbeTimeout))
+	go p.dial()
 }
 
 // dial dials and hands the socket, or the error, to the loop. It runs beside the loop.
-func (p *Probe) dial(timeout time.Duration) {
+func (p *Probe) dial() {
 	loop := p.conn.set.loop
-	socket, err := p.conn.set.dial(p.address, timeout)
+	socket, err := p.conn.set.dial(p.address, p.conn.set.probeTimeout())
 	if err == nil {
 		if err = loop.Enroll(socket, p); err == nil {
 			return // OnOpen follows
@@ -60,6 +60,9 @@
 	loop.ExecuteIteration(func() { p.handleFailure(err) })
 }
 
+// probeTimeout bounds each probe.
+func (s *Set) probeTimeout() time.Duration { return min(s.dialTimeout, reachability.MaxProbeTimeout) }
+
 // isCurrent reports whether the probe still concerns the exchange.
 func (p *Probe) isCurrent() bool { return !p.conn.isRemoved && p.address == p.conn.address }
 
@@ -69,7 +72,7 @@
 		return
 	}
 	p.conn.set.Counters.ProbesFailed++
-	p.conn.recordFailedConnection(p.startedAt, err)
+	p.conn.recordFailedConnection(p.startedAt, p.conn.set.probeTimeout(), err)
 }
 
 // forget removes the probe from those of its exchange.
--- a/internal/backend/reachability.go
+++ b/internal/backend/reachability.go
@@ -32,14 +32,15 @@
 		"probes_failed", outage.FailedProbes, "standing", c.set.calls.EstablishedAt(c.id))
 }
 
-// recordFailedConnection notes that a connection which was asked for at a time did not come up.
-func (c *Conn) recordFailedConnection(startedAt time.Duration, err error) {
+// recordFailedConnection notes that a connection which was asked for at a time did not come up within its timeout.
+func (c *Conn) recordFailedConnection(startedAt, timeout time.Duration, err error) {
 	switch {
 	case errors.Is(err, syscall.ECONNREFUSED):
 		c.handleRefusal()
 	case isOutage(err):
-		if c.reach.RecordFailure(startedAt) {
-			c.set.loop.Log.Warnw("exchange_suspect", "id", c.id, "silent", c.set.loop.Now()-c.reach.Outage().Began,
+		now := c.set.loop.Now()
+		if c.reach.RecordFailure(now, startedAt, timeout) {
+			c.set.loop.Log.Warnw("exchange_suspect", "id", c.id, "silent", now-c.reach.Outage().Began,
 				"connected", c.IsConnected(), "standing", c.set.calls.EstablishedAt(c.id), "err", err)
 		}
 	}
--- a/internal/backend/release.go
+++ b/internal/backend/release.go
@@ -87,8 +87,14 @@
 
 // resendReleases sends the releases that were not due when the connection came up.
 func (c *Conn) resendReleases(now time.Duration) {
-	if c.conn != nil && c.resendAt > 0 && now >= c.resendAt {
-		c.sendReleases()
+	if c.conn == nil || c.resendAt == 0 || now < c.resendAt {
+		return
+	}
+	c.resendAt = 0
+	for id, r := range c.releases.byID {
+		if r.isUnknownCall && r.isDue(now) {
+			c.writeRelease(id, r)
+		}
 	}
 }
 
--- a/internal/reachability/detector.go
+++ b/internal/reachability/detector.go
@@ -28,6 +28,13 @@
 	// MinOutage is the least time from the start of the first failed probe to that decision: a partition that lasts for
 	// 6 s cuts no call, also where this process itself was stopped for a while.
 	MinOutage = 6400 * time.Millisecond
+	// minFailures is how many probes must have failed by then, and maxEvidenceAge how long ago the latest of them may
+	// have been started: where this process itself stood still, it has to ask again.
+	minFailures    = 4
+	maxEvidenceAge = 2 * time.Second
+	// maxReportDelay is how long after its time the failure of a probe may be seen; later, this process stood still
+	// and has not looked for the connection in time.
+	maxReportDelay = 500 * time.Millisecond
 )
 
 // A State is what is known of whether a server can be reached.
@@ -64,6 +71,7 @@
 	state        State
 	lastSign     Time
 	firstFailure Time // start of the first failed probe since lastSign; set in Suspect and Lost
+	lastFailure  Time // start of the latest failed probe since lastSign
 	lastProbe    Time // start of the latest probe
 	failures     int  // failed probes since lastSign
 }
@@ -85,13 +93,15 @@
 // RecordProbe records the start of a probe, which is any attempt to open a connection.
 func (d *Detector) RecordProbe(now Time) { d.lastProbe = now }
 
-// RecordFailure records that a probe that was started at a time has brought nothing. It reports whether the server
-// becomes Suspect by it. A probe from before the last sign of life proves nothing.
-func (d *Detector) RecordFailure(startedAt Time) (becameSuspect bool) {
-	if startedAt < d.lastSign {
+// RecordFailure records at now that a probe has brought nothing within its timeout. It reports whether the server
+// becomes Suspect by it. A probe from before the last sign of life proves nothing, nor does one that is reported late.
+func (d *Detector) RecordFailure(now, startedAt Time, timeout time.Duration) (becameSuspect bool) {
+	isLate := now-startedAt > timeout+maxReportDelay
+	if startedAt < d.lastSign || isLate {
 		return false
 	}
 	d.failures++
+	d.lastFailure = max(d.lastFailure, startedAt)
 	if d.state != Reachable {
 		return false
 	}
@@ -117,9 +127,11 @@
 
 // CheckLost reports whether the server becomes Lost now: the calls that are established there are over.
 func (d *Detector) CheckLost(now Time) bool {
-	isOver := d.state == Suspect && now-d.lastSign >= MaxSilence && now-d.firstFailure >= MinOutage
-	if isOver {
-		d.state = Lost
+	isLong := now-d.lastSign >= MaxSilence && now-d.firstFailure >= MinOutage
+	isProven := d.failures >= minFailures && now-d.lastFailure <= maxEvidenceAge
+	if d.state != Suspect || !isLong || !isProven {
+		return false
 	}
-	return isOver
+	d.state = Lost
+	return true
 }
--- a/internal/reachability/detector_test.go
+++ b/internal/reachability/detector_test.go
@@ -46,7 +46,7 @@
 // expireProbes fails the probes that have waited for their whole time.
 func (p *played) expireProbes(now Time) {
 	for len(p.pending) > 0 && now-p.pending[0] >= p.timeout {
-		p.detector.RecordFailure(p.pending[0])
+		p.detector.RecordFailure(now, p.pending[0], p.timeout)
 		p.pending = p.pending[1:]
 	}
 }
@@ -87,26 +87,69 @@
 	}
 }
 
-// A controller that was stopped has no sign of life for long and must probe before it decides.
+// failProbes records probes that are started in a row at intervals and fail; it returns when the last one has.
+func failProbes(d *Detector, from Time, count int) (now Time) {
+	for i := range count {
+		startedAt := from + time.Duration(i)*ProbeInterval
+		now = startedAt + MaxProbeTimeout
+		d.RecordProbe(startedAt)
+		d.RecordFailure(now, startedAt, MaxProbeTimeout)
+	}
+	return now
+}
+
+// A controller that stood still has no sign of life for long, and must probe before it decides: in whatever state it
+// was stopped, and also if the failure of a probe from before is reported behind it.
 func TestStoppedController(t *testing.T) {
 	t.Parallel()
-	var d Detector
-	d.RecordSign(time.Second)
-	resumed := 20 * time.Second
-	if d.CheckLost(resumed) {
-		t.Fatal("lost without a probe")
+	const resumed = 20 * time.Second
+	for name, beforeStop := range map[string]func(d *Detector){
+		"without a probe":       func(*Detector) {},
+		"with a probe that ran": func(d *Detector) { d.RecordProbe(2 * time.Second) },
+		"suspect":               func(d *Detector) { failProbes(d, 2*time.Second, 8) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			d := &Detector{}
+			d.RecordSign(time.Second)
+			beforeStop(d)
+			d.RecordFailure(resumed, 4*time.Second, MaxProbeTimeout) // of a dial whose time ran out meanwhile
+			if d.CheckLost(resumed) {
+				t.Fatal("lost without a probe since it continued")
+			}
+			if !d.IsProbeDue(resumed) {
+				t.Fatal("no probe is due")
+			}
+			if now := failProbes(d, resumed, minFailures-1); d.State() == Reachable || d.CheckLost(now) && d.failures < minFailures {
+				t.Errorf("%v with %d failed probes", d.State(), d.failures)
+			}
+		})
 	}
-	if !d.IsProbeDue(resumed) {
-		t.Fatal("no probe is due")
+}
+
+// The calls are over only if enough probes have failed for long enough, up to now.
+func TestCheckLost(t *testing.T) {
+	t.Parallel()
+	first := 2 * time.Second
+	few, many := &Detector{}, &Detector{}
+	few.RecordSign(time.Second)
+	failProbes(few, first+MinOutage, minFailures-1)
+	if few.CheckLost(first + MinOutage + time.Minute) {
+		t.Error("lost after few failed probes")
 	}
-	d.RecordFailure(resumed)
-	if d.CheckLost(resumed + MinOutage - ms) {
+	many.RecordSign(time.Second)
+	count := int(MinOutage/ProbeInterval) + 1
+	end := failProbes(many, first, count)
+	if many.CheckLost(first + MinOutage - ms) {
 		t.Error("lost before the outage has lasted for MinOutage")
 	}
-	if !d.CheckLost(resumed + MinOutage) {
-		t.Error("not lost after MinOutage")
+	if many.CheckLost(end + maxEvidenceAge) {
+		t.Error("lost by probes of long ago")
+	}
+	if !many.CheckLost(max(first+MinOutage, time.Second+MaxSilence)) {
+		t.Error("not lost after MinOutage and MaxSilence")
 	}
-	if d.CheckLost(resumed+MinOutage) || d.State() != Lost || d.IsProbeDue(resumed+time.Minute) {
+	if many.CheckLost(end) || many.State() != Lost || many.IsProbeDue(end+time.Minute) {
 		t.Error("a lost server is lost once, and is not probed")
 	}
 }
@@ -117,19 +160,19 @@
 	suspect := func() *Detector {
 		d := &Detector{}
 		d.RecordSign(time.Second)
-		if !d.RecordFailure(2*time.Second) || d.State() != Suspect {
+		if !d.RecordFailure(2500*ms, 2*time.Second, MaxProbeTimeout) || d.State() != Suspect {
 			t.Fatal("a failed probe makes no suspect")
 		}
 		return d
 	}
 	d := suspect()
-	if d.RecordFailure(3 * time.Second) {
+	if d.RecordFailure(3500*ms, 3*time.Second, MaxProbeTimeout) {
 		t.Error("a suspect becomes suspect again")
 	}
 	if previous, outage := d.RecordSign(4 * time.Second); previous != Suspect || outage != (Outage{time.Second, 2}) {
 		t.Errorf("%v, %+v end with a sign of life", previous, outage)
 	}
-	if d.State() != Reachable || d.RecordFailure(3500*ms) {
+	if d.State() != Reachable || d.RecordFailure(4*time.Second, 3500*ms, MaxProbeTimeout) {
 		t.Error("a probe from before the sign of life counts")
 	}
 	if d.RecordRefusal(5 * time.Second) {
