--- a/cmd/olivedale/shutdown_test.go
+++ b/cmd/olivedale/shutdown_test.go
@@ -36,6 +36,16 @@
 	return fmt.Errorf("answered %q, %w", line, err)
 }
 
+// lateLines returns the lines of a log that concern connections at the end.
+func lateLines(log string) (found string) {
+	for line := range strings.Lines(log) {
+		if strings.Contains(line, "event=late_") || strings.Contains(line, "event=stopping") {
+			found += line
+		}
+	}
+	return found
+}
+
 // run returns the error of a set-up that nobody answered. One that crosses the close of its connection is sent again on
 // a new connection; where that is refused, nobody has taken it.
 func (c *shutdownClient) run() error {
@@ -51,6 +61,7 @@
 			time.Sleep(time.Millisecond)
 			continue
 		}
+		lostAt := time.Now()
 		again, err := net.Dial("tcp", c.process.listen)
 		if errors.Is(err, syscall.ECONNREFUSED) {
 			return nil
@@ -59,7 +70,11 @@
 			return err
 		}
 		defer func() { _ = again.Close() }()
-		return c.offer(again, id)
+		dialed := time.Since(lostAt)
+		if err := c.offer(again, id); err != nil {
+			return fmt.Errorf("%w, after %v and %v to connect, at %v", err, time.Since(lostAt), dialed, lostAt)
+		}
+		return nil
 	}
 }
 
@@ -88,6 +103,7 @@
 			if err := p.Wait(); err != nil {
 				t.Errorf("after SIGTERM: %v", err)
 			}
+			t.Logf("%s", lateLines(p.log.String()))
 		})
 	}
 	playing.Wait()
--- a/internal/server/late_connections.go
+++ b/internal/server/late_connections.go
@@ -6,6 +6,7 @@
 	"os"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"olivedale/internal/call"
@@ -15,13 +16,15 @@
 
 // Times of the connections that come as the process ends.
 const (
-	// lateQuietTime is how long no connection must come before nobody is there any more.
-	lateQuietTime = 60 * time.Millisecond
+	// lateLookInterval is the time between two looks for connections; after lateQuietLooks in a row without any nobody
+	// is there any more.
+	lateLookInterval = 5 * time.Millisecond
+	lateQuietLooks   = 12
 	// lateLimit bounds the whole: SIGKILL may be near.
 	lateLimit = 200 * time.Millisecond
 	// lateReadTime bounds the wait for the set-ups of one connection.
 	lateReadTime = 100 * time.Millisecond
-	// maxLateConnections bounds those that are open at the same time.
+	// maxLateConnections bounds those that are taken by one look.
 	maxLateConnections = 64
 )
 
@@ -29,7 +32,7 @@
 // connection is sent again on a new one, which the kernel accepts for as long as there is a listening socket: it would
 // be lost with the process. It is rejected; nothing else is owed to anybody by then.
 type lateListener struct {
-	net.Listener
+	*net.TCPListener
 	rejected atomic.Int64
 }
 
@@ -47,7 +50,12 @@
 		s.loop.Log.Warnw("late_listener", "err", fmt.Errorf("%s: %w", s.cfg.Listen, err))
 		return nil
 	}
-	return &lateListener{Listener: ln}
+	tcp, ok := ln.(*net.TCPListener)
+	if !ok {
+		_ = ln.Close()
+		return nil
+	}
+	return &lateListener{TCPListener: tcp}
 }
 
 // serve rejects set-ups until no connection has come for a while, and closes the listener. The nil *lateListener does
@@ -56,35 +64,47 @@
 	if l == nil {
 		return 0
 	}
-	tcp, ok := l.Listener.(*net.TCPListener)
-	if !ok {
-		return 0
-	}
 	var open sync.WaitGroup
-	permits := make(chan struct{}, maxLateConnections)
 	end := time.Now().Add(lateLimit)
-	for {
-		_ = tcp.SetDeadline(earlier(time.Now().Add(lateQuietTime), end))
-		conn, err := tcp.Accept()
-		if err != nil {
-			break
+	// Quiet is counted in looks, not in time: a process that gets no processor has not looked.
+	for quietLooks := 0; quietLooks < lateQuietLooks && time.Now().Before(end); quietLooks++ {
+		if l.acceptPending(&open) > 0 {
+			quietLooks = 0
 		}
-		permits <- struct{}{}
-		open.Go(func() {
-			l.reject(conn)
-			<-permits
-		})
+		time.Sleep(lateLookInterval)
 	}
-	_ = tcp.Close()
+	l.acceptPending(&open)
+	_ = l.Close()
 	open.Wait()
 	return int(l.rejected.Load())
 }
 
-func earlier(a, b time.Time) time.Time {
-	if a.Before(b) {
-		return a
+// acceptPending takes the connections that are there, without waiting, and returns their number.
+func (l *lateListener) acceptPending(open *sync.WaitGroup) (accepted int) {
+	raw, err := l.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	_ = raw.Control(func(listening uintptr) {
+		for ; accepted < maxLateConnections; accepted++ {
+			socket, _, err := syscall.Accept4(int(listening), syscall.SOCK_NONBLOCK|syscall.SOCK_CLOEXEC)
+			if err != nil {
+				return
+			}
+			open.Go(func() { l.serveSocket(socket) })
+		}
+	})
+	return accepted
+}
+
+// serveSocket answers what a socket brings.
+func (l *lateListener) serveSocket(socket int) {
+	file := os.NewFile(uintptr(socket), "late connection")
+	conn, err := net.FileConn(file)
+	_ = file.Close()
+	if err == nil {
+		l.reject(conn)
 	}
-	return b
 }
 
 // reject answers what a connection brings within lateReadTime.
--- a/internal/server/late_connections_test.go
+++ b/internal/server/late_connections_test.go
@@ -35,7 +35,7 @@
 	echo := dial(string(jsonl.Append(nil, &jsonl.Message{Verb: jsonl.Echo, Tag: "t", HasResultCode: true})))
 	garbage, silent := dial("GET / HTTP/1.1\r\n\r\n"), dial("")
 	start := time.Now()
-	l := &lateListener{Listener: ln}
+	l := &lateListener{TCPListener: ln.(*net.TCPListener)}
 	if rejected := l.serve(); rejected != 1 {
 		t.Errorf("%d set-ups were rejected, want 1", rejected)
 	}
--- a/internal/server/report.go
+++ b/internal/server/report.go
@@ -60,9 +60,10 @@
 	log.Infow("counters", "clients", f.Accepted, "clients_shut", f.ClosedIdle, "clients_turned_away", f.RejectedFull,
 		"clients_silent", f.ClosedOverdue, "malformed", s.malformed.count, "tests", f.Echoes,
 		"repeats", f.RepeatedTransactions+b.RepeatedRequests, "unsayable", b.Unsayable, "dials", b.Dials,
-		"dials_failed", b.DialsFailed, "links_lost", b.ConnectionsLost, "strays", b.Strays, "calls_lost", b.CallsLost,
+		"dials_failed", b.DialsFailed, "links_lost", b.ConnectionsLost, "strays", b.Strays,
 		"releases_said", f.ReleasesSent, "releases_lost", f.ReleasesDiscarded+b.ReleasesDiscarded)
-	log.Infow("counters", "probes", b.Probes, "probes_failed", b.ProbesFailed, "exchanges_lost", b.ExchangesLost)
+	log.Infow("counters", "probes", b.Probes, "probes_failed", b.ProbesFailed, "exchanges_lost", b.ExchangesLost,
+		"calls_lost", b.CallsLost)
 	log.Infow("counters", "queries", d.queries, "queries_failed", d.queriesFailed, "answers", d.answers,
 		"bad_news", d.invalidAnswers, "serial", s.resolver.Serial())
 }
