Report a controller that does not start again once, and drop a wrapper of Sleep in the soak

Need: awaitServing recorded a violation and returned the error, which restart recorded a second time; Run.pause was time.Sleep under another name. The rule and its bound are as before; a first start that fails is an error of Play, as it was.

--- a/internal/sim/soak/controller.go
+++ b/internal/sim/soak/controller.go
@@ -154,9 +154,7 @@
 			return conn.Close()
 		}
 		if time.Since(start) > startTimeout {
-			c.run.judge.violate(RuleStarts, c.name, "", "%s does not serve after %v; log: %s",
-				c.name, startTimeout, c.logTail())
-			return err
+			return fmt.Errorf("%s does not serve after %v: %w; log: %s", c.name, startTimeout, err, c.logTail())
 		}
 		time.Sleep(pollInterval)
 	}
@@ -238,7 +236,7 @@
 // restart starts the process again, after which its callers go on.
 func (c *controller) restart() {
 	if err := c.start(); err != nil {
-		c.run.judge.violate(RuleStarts, c.name, "", "%s: %v", c.name, err)
+		c.run.judge.violate(RuleStarts, c.name, "", "%v", err)
 		return
 	}
 	c.callers.resume()
--- a/internal/sim/soak/inject.go
+++ b/internal/sim/soak/inject.go
@@ -24,13 +24,13 @@
 	switch f.Kind {
 	case FaultSilentDiscovery:
 		r.directory.setSilent(true)
-		r.pause(duration)
+		time.Sleep(duration)
 		r.directory.setSilent(false)
 	case FaultCrowd:
 		for _, c := range r.controllers {
 			c.callers.setCrowd(crowdFactor)
 		}
-		r.pause(duration)
+		time.Sleep(duration)
 		for _, c := range r.controllers {
 			c.callers.setCrowd(1)
 		}
@@ -77,7 +77,7 @@
 		x.resetConns()
 	case FaultSpoil:
 		x.setSpoiltShare(spoiltShare)
-		r.pause(duration)
+		time.Sleep(duration)
 		x.setSpoiltShare(0)
 	case FaultReplace:
 		r.replace(f.Target, x, duration)
@@ -107,7 +107,7 @@
 		})
 		return
 	}
-	r.pause(duration)
+	time.Sleep(duration)
 	r.check(x.setState(exchangeRunning))
 	if s == exchangeCrashed || s == exchangeVanished {
 		r.directory.publish() // with the start of the new process
@@ -121,7 +121,7 @@
 	}
 	r.directory.drain(x)
 	r.directory.publish()
-	r.pause(duration)
+	time.Sleep(duration)
 	x.dropCalls()
 	time.Sleep(dropNoticeTime)
 	_ = x.leaveRunning(exchangeCrashed)
--- a/internal/sim/soak/run.go
+++ b/internal/sim/soak/run.go
@@ -181,9 +181,6 @@
 	time.Sleep(trialSettleTime + r.story.Deployment.Deadline.D()/4)
 }
 
-// pause waits for a duration.
-func (r *Run) pause(d time.Duration) { time.Sleep(d) }
-
 // check logs an error of the harness.
 func (r *Run) check(err error) {
 	if err != nil {
