Accept connections on loops of our own, and close them in order as the process ends

Cause: gnet's acceptor is a goroutine that goes on accepting for an event loop that has ended; what it takes is reset with the process. The second listener on the same queue raced with it.

internal/acceptor accepts instead and hands each connection to gnet's client engine before it takes the next, so the end of accepting can be waited for. While the loop still runs, callers' connections are closed (not those within a message), then those to exchanges, late set-ups are rejected, the queue of the listening socket is emptied and the socket closed; the loop is stopped last. Releases that come when the exchanges are disconnected are not confirmed, so that they are repeated.

The test of the late listener becomes one of a running server with the same assertions.

--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"slices"
 	"syscall"
 	"time"
 
@@ -160,6 +161,18 @@
 	c.Dial()
 }
 
+// closeSockets closes the connection and the probes.
+func (c *Conn) closeSockets() {
+	for _, p := range slices.Clone(c.probes) {
+		if p.socket != nil {
+			c.set.loop.CloseSocket(p.socket.Socket())
+		}
+	}
+	if c.conn != nil {
+		c.set.loop.CloseSocket(c.conn.Socket())
+	}
+}
+
 // Drain stops sending set-ups, also those that are queued; established calls go on.
 func (c *Conn) Drain() {
 	c.isDraining = true
--- a/internal/backend/dial.go
+++ b/internal/backend/dial.go
@@ -85,7 +85,7 @@
 // Dial dials on a goroutine of its own, unless a dial runs or the exchange is connected or removed.
 func (c *Conn) Dial() {
 	loop := c.set.loop
-	if c.dialing.isDialing || c.isRemoved || c.conn != nil || !loop.IsAttached() {
+	if c.dialing.isDialing || c.isRemoved || c.set.isClosed || c.conn != nil || !loop.IsAttached() {
 		return
 	}
 	if c.isAddressTakenOver() { // set-ups and releases for this exchange would reach another
@@ -117,7 +117,7 @@
 
 // onConnected takes the socket of a dial; false: it is to be closed.
 func (c *Conn) onConnected(serial int, socket gnet.Conn) bool {
-	if serial != c.dialing.serial || !c.dialing.isDialing || c.isRemoved {
+	if serial != c.dialing.serial || !c.dialing.isDialing || c.isRemoved || c.set.isClosed {
 		return false
 	}
 	c.dialing.isDialing = false
--- a/internal/backend/probe.go
+++ b/internal/backend/probe.go
@@ -64,7 +64,9 @@
 func (s *Set) probeTimeout() time.Duration { return min(s.dialTimeout, reachability.MaxProbeTimeout) }
 
 // isCurrent reports whether the probe still concerns the exchange.
-func (p *Probe) isCurrent() bool { return !p.conn.isRemoved && p.address == p.conn.address }
+func (p *Probe) isCurrent() bool {
+	return !p.conn.isRemoved && !p.conn.set.isClosed && p.address == p.conn.address
+}
 
 func (p *Probe) handleFailure(err error) {
 	p.forget()
--- a/internal/backend/set.go
+++ b/internal/backend/set.go
@@ -73,6 +73,7 @@
 	conns           map[string]*Conn
 	maxProbes       int
 	openProbes      int // probes of all exchanges that are dialled or open
+	isClosed        bool
 }
 
 var _ call.Backends = (*Set)(nil)
@@ -158,6 +159,19 @@
 	}
 }
 
+// Close closes the connections to all exchanges for good. What they have sent and nobody has read is not read:
+// exchanges repeat releases that are not confirmed on the next connection. It is called outside of an iteration of the
+// loop.
+func (s *Set) Close() {
+	s.isClosed = true
+	for _, c := range s.conns {
+		c.closeSockets()
+	}
+}
+
+// IsClosed reports whether Close has been called.
+func (s *Set) IsClosed() bool { return s.isClosed }
+
 // CheckResponsiveness closes the connections that are unresponsive at a time.
 func (s *Set) CheckResponsiveness(now time.Duration) {
 	for _, c := range s.conns {
--- a/internal/eventloop/conn.go
+++ b/internal/eventloop/conn.go
@@ -104,6 +104,9 @@
 	return c.input.partialSince > 0 && now-c.input.partialSince > limit
 }
 
+// HasPartialMessage reports whether part of a message waits for the rest.
+func (c *Conn) HasPartialMessage() bool { return c.input.partialSince > 0 }
+
 // HasSentMessage reports whether the peer has sent a complete message.
 func (c *Conn) HasSentMessage() bool { return c.input.hasMessage }
 
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -27,6 +27,7 @@
 	ClosedIdle           int // idle connections closed for new ones
 	ClosedOverdue        int // connections closed because they were silent, or stopped within a message
 	InvalidSetups        int // set-ups that no exchange could carry
+	LateSetups           int // set-ups that came when the connections to exchanges were closed
 	Echoes               int // tests of a connection
 	RepeatedTransactions int
 	ReleasesSent         int
@@ -40,6 +41,8 @@
 	CloseOverdue(now time.Duration)
 	// HasPendingWork reports whether a caller waits for something that this process alone can send.
 	HasPendingWork() bool
+	// Connections returns the connections that are open.
+	Connections() []Connection
 }
 
 // A Connection is one connection of a caller. It is the context of its socket.
@@ -64,6 +67,8 @@
 	ReportMalformed func(source string, err error)
 	// IsShuttingDown reports whether a set-up that arrives now would be open when the process ends.
 	IsShuttingDown func() bool
+	// IsDisconnected reports whether the connections to exchanges are closed for good: no release can be passed on.
+	IsDisconnected func() bool
 
 	Counters Counters
 }
@@ -85,6 +90,14 @@
 	return pool >= 0 && (classes[i].Pools == nil || slices.Contains(classes[i].Pools, pool))
 }
 
+// RejectShuttingDown rejects a set-up that would be open when the process ends.
+func (h *Host) RejectShuttingDown(client call.Client, r call.Request) {
+	if h.IsDisconnected() {
+		h.Counters.LateSetups++
+	}
+	h.Calls.RejectShuttingDown(client, r)
+}
+
 // maxWait bounds the milliseconds that a caller may say it waits.
 const maxWait = 1e9
 
--- a/internal/frontend/gateway/call.go
+++ b/internal/frontend/gateway/call.go
@@ -106,7 +106,7 @@
 	}
 	f.calls.add(c)
 	if f.host.IsShuttingDown() {
-		f.host.Calls.RejectShuttingDown(c, request)
+		f.host.RejectShuttingDown(c, request)
 		return nil
 	}
 	if err := f.host.Calls.Offer(c, request); err != nil {
--- a/internal/frontend/gateway/frontend.go
+++ b/internal/frontend/gateway/frontend.go
@@ -112,6 +112,9 @@
 	return f.gateways.HasUnreadOutput()
 }
 
+// Connections implements frontend.Frontend.
+func (f *Frontend) Connections() []frontend.Connection { return f.gateways.Snapshot() }
+
 // NotifyRelease implements call.Frontend: it notifies the gateway of the call's end, on any of its connections, and
 // again on the next until the gateway replies. Gateways learn the end of a call that this process never knew by an
 // audit.
--- a/internal/frontend/gateway/gateway.go
+++ b/internal/frontend/gateway/gateway.go
@@ -172,6 +172,9 @@
 	if adds > 0 && g.conn.State() == eventloop.Closed {
 		return // its caller has left; repeated on another connection it is one that has not run
 	}
+	if adds == 0 && f.host.IsDisconnected() {
+		return // no exchange would get a release; without a reply it is repeated to the next process
+	}
 	entry, isNew := f.received.Begin(messageID, t.ID, f.host.Loop.Now())
 	switch {
 	case entry == nil:
--- a/internal/frontend/jsonclient/client.go
+++ b/internal/frontend/jsonclient/client.go
@@ -148,8 +148,7 @@
 	case jsonl.Finished:
 		c.handleConfirmation(m.Tag)
 	case jsonl.Echo:
-		c.frontend.host.Counters.Echoes++
-		c.write(&jsonl.Message{Verb: jsonl.Echoed, Tag: m.Tag, ResultCode: 1, HasResultCode: true})
+		c.handleTest(m.Tag)
 	case jsonl.Pending, jsonl.Load: // mean nothing here
 	default:
 		return fmt.Errorf("verb %.20q", m.Verb)
@@ -157,6 +156,23 @@
 	return nil
 }
 
+// Results of a test of the connection.
+const (
+	testFailed = 0
+	testPassed = 1
+)
+
+// handleTest answers a test of the connection. It fails where the process is about to end.
+func (c *Client) handleTest(tag string) {
+	host := c.frontend.host
+	host.Counters.Echoes++
+	result := testPassed
+	if host.IsDisconnected() {
+		result = testFailed
+	}
+	c.write(&jsonl.Message{Verb: jsonl.Echoed, Tag: tag, ResultCode: result, HasResultCode: true})
+}
+
 func (c *Client) handleSetup(m *jsonl.Message) error {
 	host := c.frontend.host
 	s, err := c.frontend.parseSetup(m)
@@ -169,7 +185,7 @@
 		return nil
 	}
 	if host.IsShuttingDown() {
-		host.Calls.RejectShuttingDown(c, s.request)
+		host.RejectShuttingDown(c, s.request)
 		return nil
 	}
 	id := s.request.ID
@@ -188,6 +204,9 @@
 	if !callid.Valid(m.Tag) {
 		return fmt.Errorf("tag %.20q", m.Tag)
 	}
+	if c.frontend.host.IsDisconnected() {
+		return nil // no exchange would get it, so it is not confirmed
+	}
 	delete(c.openSetups, m.Tag)
 	if c.frontend.host.Calls.ReleaseByCaller(m.Tag, m.ResultCode) {
 		c.write(&jsonl.Message{Verb: jsonl.Finished, Tag: m.Tag})
--- a/internal/frontend/jsonclient/frontend.go
+++ b/internal/frontend/jsonclient/frontend.go
@@ -113,6 +113,9 @@
 // HasPendingWork implements frontend.Frontend.
 func (f *Frontend) HasPendingWork() bool { return len(f.queued) > 0 || f.clients.HasUnreadOutput() }
 
+// Connections implements frontend.Frontend.
+func (f *Frontend) Connections() []frontend.Connection { return f.clients.Snapshot() }
+
 // NotifyRelease implements call.Frontend.
 func (f *Frontend) NotifyRelease(origin call.Client, id string, cause int) {
 	f.sendRelease(release{id: id, cause: cause, requestedAt: f.host.Loop.Now(), origin: origin})
--- a/internal/frontend/registry.go
+++ b/internal/frontend/registry.go
@@ -40,6 +40,15 @@
 // Latest iterates from the connection that was used last.
 func (r *Registry[T]) Latest() iter.Seq[T] { return r.connections.Latest() }
 
+// Snapshot returns the connections that are open now.
+func (r *Registry[T]) Snapshot() []Connection {
+	all := make([]Connection, 0, r.Len())
+	for c := range r.Oldest() {
+		all = append(all, c)
+	}
+	return all
+}
+
 // Add adds a connection that was just opened.
 func (r *Registry[T]) Add(c T, m *Membership) {
 	m.place = r.connections.Add(c)
--- a/internal/server/handler.go
+++ b/internal/server/handler.go
@@ -8,7 +8,7 @@
 )
 
 // The context of a socket says whose it is: a discoverySocket, a backend.Dialing until the socket is opened and then
-// a backend.SocketOwner, or a frontend.Connection.
+// a backend.SocketOwner, or a listenerKind until the socket is opened and then a frontend.Connection.
 
 // OnOpen implements gnet.EventHandler.
 func (s *Server) OnOpen(socket gnet.Conn) (out []byte, action gnet.Action) {
@@ -31,8 +31,15 @@
 		return s.discovery.handleOpen(owner.serial, socket)
 	case backend.Dialing:
 		return owner.HandleOpen(socket)
+	case listenerKind:
+		return s.acceptClient(owner, socket)
 	}
-	switch s.listeners.byBound[socket.LocalAddr().String()] {
+	return false
+}
+
+// acceptClient hands a connection that a listener has accepted to its frontend; false: it is to be closed.
+func (s *Server) acceptClient(kind listenerKind, socket gnet.Conn) bool {
+	switch kind {
 	case gatewayListener:
 		return s.frontends.gateway.Accept(socket, false)
 	case adminListener:
@@ -65,7 +72,7 @@
 
 // OnClose implements gnet.EventHandler.
 func (s *Server) OnClose(socket gnet.Conn, err error) gnet.Action {
-	if s.lifecycle.state == stateStopping && !s.loop.InIteration() {
+	if s.lifecycle.isEnding() && !s.loop.InIteration() {
 		s.readPending(socket)
 	}
 	s.loop.RunIteration(func() {
@@ -82,7 +89,7 @@
 }
 
 // readPending handles what a caller's connection has received since the last iteration, and answers it before the
-// engine closes the connection.
+// connection is closed.
 func (s *Server) readPending(socket gnet.Conn) {
 	c, ok := socket.Context().(frontend.Connection)
 	if !ok {
--- a/internal/server/late_connections.go
+++ b/internal/server/late_connections.go
@@ -1,144 +1,105 @@
 package server
 
 import (
-	"fmt"
-	"net"
-	"os"
-	"sync"
-	"sync/atomic"
-	"syscall"
 	"time"
 
-	"olivedale/internal/call"
-	"olivedale/internal/codec/callid"
-	"olivedale/internal/codec/jsonl"
+	"olivedale/internal/frontend"
 )
 
 // Times of the connections that come as the process ends.
 const (
 	// lateLookInterval is the time between two looks for connections; after lateQuietLooks in a row without any nobody
-	// is there any more.
+	// is there any more. Looks are counted, not time: a process that gets no processor has not looked.
 	lateLookInterval = 5 * time.Millisecond
 	lateQuietLooks   = 12
-	// lateLimit bounds the whole: SIGKILL may be near.
+	// lateLimit bounds how long connections are accepted: SIGKILL may be near.
 	lateLimit = 200 * time.Millisecond
-	// lateReadTime bounds the wait for the set-ups of one connection.
+	// lateReadTime bounds the wait for the set-ups of connections that were accepted.
 	lateReadTime = 100 * time.Millisecond
-	// maxLateConnections bounds those that are taken by one look.
-	maxLateConnections = 64
 )
 
-// A lateListener answers those that connect once the event loop has ended. A set-up that crosses the close of its
-// connection is sent again on a new one, which the kernel accepts for as long as there is a listening socket: it would
-// be lost with the process. It is rejected; nothing else is owed to anybody by then.
-type lateListener struct {
-	*net.TCPListener
-	rejected atomic.Int64
+// lateConnections is the progress of the state stopping. A set-up that crosses the close of its connection is sent
+// again on a new one, which the kernel accepts for as long as there is a listening socket: it would be lost with the
+// process. So connections are accepted for a while longer, and their set-ups rejected.
+type lateConnections struct {
+	acceptUntil time.Duration
+	quietLooks  int   // looks in a row without a new connection
+	accepted    int64 // connections at the latest look
+	isAccepting bool
+	readUntil   time.Duration // set once accepting has ended
 }
 
-// duplicateListener keeps the callers' listening socket open beyond the event loop; nil: it could not be done.
-func (s *Server) duplicateListener() *lateListener {
-	descriptor, err := s.engine.DupListener("tcp", s.cfg.Listen)
-	if err != nil {
-		s.loop.Log.Warnw("late_listener", "err", err)
-		return nil
-	}
-	file := os.NewFile(uintptr(descriptor), s.cfg.Listen)
-	defer func() { _ = file.Close() }()
-	ln, err := net.FileListener(file)
-	if err != nil {
-		s.loop.Log.Warnw("late_listener", "err", fmt.Errorf("%s: %w", s.cfg.Listen, err))
-		return nil
+// closeConnections closes the connections of callers and then those to exchanges. What callers have sent is handled
+// first: set-ups are rejected, and releases still go to their exchanges. What exchanges have sent is not read: they
+// repeat releases that are not confirmed on the connections of the next process. Connections of callers on which a
+// set-up may be on its way stay. It runs on the loop outside of an iteration, because each close is one of its own.
+func (s *Server) closeConnections() {
+	for _, f := range s.frontends.all() {
+		for _, c := range f.Connections() {
+			if !s.mayBringSetup(c) {
+				s.loop.CloseSocket(c.Conn().Socket())
+			}
+		}
 	}
-	tcp, ok := ln.(*net.TCPListener)
-	if !ok {
-		_ = ln.Close()
-		return nil
+	s.backends.Close()
+	now := s.loop.Now()
+	s.lifecycle.late = lateConnections{
+		acceptUntil: now + lateLimit,
+		accepted:    s.listeners.accepted(),
+		isAccepting: true,
 	}
-	return &lateListener{TCPListener: tcp}
+	s.lifecycle.checkAt = now
+	s.loop.RunIteration(func() {}) // sets the timer
 }
 
-// serve rejects set-ups until no connection has come for a while, and closes the listener. The nil *lateListener does
-// nothing.
-func (l *lateListener) serve() (rejected int) {
-	if l == nil {
-		return 0
-	}
-	var open sync.WaitGroup
-	end := time.Now().Add(lateLimit)
-	// Quiet is counted in looks, not in time: a process that gets no processor has not looked.
-	for quietLooks := 0; quietLooks < lateQuietLooks && time.Now().Before(end); quietLooks++ {
-		if l.acceptPending(&open) > 0 {
-			quietLooks = 0
-		}
-		time.Sleep(lateLookInterval)
-	}
-	l.acceptPending(&open)
-	_ = l.Close()
-	open.Wait()
-	return int(l.rejected.Load())
+// mayBringSetup reports whether part of a message has come on a connection, or its first set-up may be on its way.
+func (s *Server) mayBringSetup(c frontend.Connection) bool {
+	conn := c.Conn()
+	return conn.HasPartialMessage() || !conn.HasSentMessage() && conn.Age(s.loop.Now()) < lateReadTime
 }
 
-// acceptPending takes the connections that are there, without waiting, and returns their number.
-func (l *lateListener) acceptPending(open *sync.WaitGroup) (accepted int) {
-	raw, err := l.SyscallConn()
-	if err != nil {
-		return 0
-	}
-	_ = raw.Control(func(listening uintptr) {
-		for ; accepted < maxLateConnections; accepted++ {
-			socket, _, err := syscall.Accept4(int(listening), syscall.SOCK_NONBLOCK|syscall.SOCK_CLOEXEC)
-			if err != nil {
-				return
-			}
-			open.Go(func() { l.serveSocket(socket) })
+// checkEnd ends accepting once no connection has come for a while, and the event loop once all that was accepted has
+// its answer. Everything that is still open then is read and answered as the loop closes it.
+func (s *Server) checkEnd(now time.Duration) {
+	late := &s.lifecycle.late
+	s.lifecycle.checkAt = now + lateLookInterval
+	switch {
+	case s.lifecycle.state == stateEnded || late.acceptUntil == 0:
+	case late.isAccepting:
+		if late.look(now, s.listeners.accepted()) {
+			return
 		}
-	})
-	return accepted
-}
-
-// serveSocket answers what a socket brings.
-func (l *lateListener) serveSocket(socket int) {
-	file := os.NewFile(uintptr(socket), "late connection")
-	conn, err := net.FileConn(file)
-	_ = file.Close()
-	if err == nil {
-		l.reject(conn)
+		late.isAccepting = false
+		s.listeners.close()
+		go func() {
+			s.listeners.await()
+			s.loop.ExecuteIteration(func() { late.readUntil = s.loop.Now() + lateReadTime })
+		}()
+	case late.readUntil == 0: // the queues of the listening sockets are being emptied
+	case now >= late.readUntil || !s.awaitsSetups():
+		s.lifecycle.state = stateEnded
+		close(s.lifecycle.ended)
 	}
 }
 
-// reject answers what a connection brings within lateReadTime.
-func (l *lateListener) reject(conn net.Conn) {
-	defer func() { _ = conn.Close() }()
-	_ = conn.SetDeadline(time.Now().Add(lateReadTime))
-	var reader jsonl.Reader
-	buffer := make([]byte, jsonl.MaxMessageSize)
-	for {
-		n, err := conn.Read(buffer)
-		if err != nil {
-			return
-		}
-		var answers []byte
-		err = reader.Feed(buffer[:n], func(m *jsonl.Message) bool {
-			answers = l.appendAnswer(answers, m)
-			return true
-		})
-		if _, writeErr := conn.Write(answers); err != nil || writeErr != nil {
-			return
-		}
+// look notes the number of connections at a look, and reports whether to go on accepting.
+func (l *lateConnections) look(now time.Duration, accepted int64) bool {
+	l.quietLooks++
+	if accepted > l.accepted {
+		l.quietLooks = 0
+		l.accepted = accepted
 	}
+	return l.quietLooks < lateQuietLooks && now < l.acceptUntil
 }
 
-// appendAnswer appends the rejection of a set-up, or the failure of a test.
-func (l *lateListener) appendAnswer(b []byte, m *jsonl.Message) []byte {
-	switch {
-	case m.Verb == jsonl.Start && callid.Valid(m.Tag):
-		l.rejected.Add(1)
-		return jsonl.Append(b, &jsonl.Message{
-			Verb: jsonl.Finish, Tag: m.Tag, ResultCode: call.CauseNoCircuit, HasResultCode: true,
-		})
-	case m.Verb == jsonl.Echo:
-		return jsonl.Append(b, &jsonl.Message{Verb: jsonl.Echoed, Tag: m.Tag, HasResultCode: true})
+// awaitsSetups reports whether a connection has not brought a complete message, or has not been sent all answers.
+func (s *Server) awaitsSetups() bool {
+	for _, f := range s.frontends.all() {
+		for _, c := range f.Connections() {
+			if s.mayBringSetup(c) || c.Conn().HasUnreadOutput() {
+				return true
+			}
+		}
 	}
-	return b
+	return false
 }
--- a/internal/server/late_connections_test.go
+++ b/internal/server/late_connections_test.go
@@ -13,16 +13,30 @@
 	"olivedale/internal/codec/jsonl"
 )
 
+// startEnding brings a server without pending work to the state stopping.
+func (b *testbed) startEnding() {
+	b.t.Helper()
+	b.server.Stop()
+	b.runIteration(func() {
+		b.server.lifecycle.drainingSince -= lingerTime
+		b.server.lifecycle.quietSince = b.server.loop.Now() - 2*quietTime
+		b.server.checkShutdown(b.server.loop.Now())
+	})
+	if b.isServing() {
+		b.t.Fatal("the server has not begun to end")
+	}
+}
+
 // Whoever connects as the process ends gets a rejection, a failed test or a close; then nobody listens any more, and
 // all of it ends soon, also beside a client that stays silent.
 func TestLateConnections(t *testing.T) {
 	t.Parallel()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
+	exchange := startFakeExchange(t, "127.0.0.1:0")
+	bed := startTestbed(t, []*fakeExchange{exchange}, &scriptedDecider{})
+	bed.startEnding()
+	address := bed.jsonAddress()
 	dial := func(text string) net.Conn {
-		conn, err := net.Dial("tcp", ln.Addr().String())
+		conn, err := net.Dial("tcp", address)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -35,13 +49,13 @@
 	echo := dial(string(jsonl.Append(nil, &jsonl.Message{Verb: jsonl.Echo, Tag: "t", HasResultCode: true})))
 	garbage, silent := dial("GET / HTTP/1.1\r\n\r\n"), dial("")
 	start := time.Now()
-	l := &lateListener{TCPListener: ln.(*net.TCPListener)}
-	if rejected := l.serve(); rejected != 1 {
-		t.Errorf("%d set-ups were rejected, want 1", rejected)
-	}
+	bed.awaitEnd()
 	if took := time.Since(start); took > lateLimit+lateReadTime+time.Second {
 		t.Errorf("took %v", took)
 	}
+	if rejected := bed.server.frontends.host.Counters.LateSetups; rejected != 1 {
+		t.Errorf("%d set-ups were rejected, want 1", rejected)
+	}
 	for conn, want := range map[net.Conn]string{
 		setup: `"verb":"FINISH","tag":"` + testCallID + `"`,
 		echo:  `"verb":"ECHOED","tag":"t","opts":{},"rc":0`,
@@ -55,10 +69,57 @@
 			t.Errorf("got %d bytes, %v; want a close", n, err)
 		}
 	}
-	if _, err := net.Dial("tcp", ln.Addr().String()); !errors.Is(err, syscall.ECONNREFUSED) {
+	if _, err := net.Dial("tcp", address); !errors.Is(err, syscall.ECONNREFUSED) {
 		t.Errorf("afterwards: %v, want a refusal", err)
 	}
-	if (*lateListener)(nil).serve() != 0 {
-		t.Error("without a listener something is rejected")
+	if exchange.countReceived("INVITE", testCallID) != 0 {
+		t.Error("a late set-up went to an exchange")
+	}
+}
+
+// A set-up of which part has come as the connections are closed is awaited and rejected on its own connection.
+func TestPartialSetupIsAwaitedAtTheEnd(t *testing.T) {
+	t.Parallel()
+	exchange := startFakeExchange(t, "127.0.0.1:0")
+	bed := startTestbed(t, []*fakeExchange{exchange}, &scriptedDecider{})
+	text := jsonSetup(testCallID, 2*time.Second)
+	_, _ = bed.caller.conn.Write(text[:len(text)/2])
+	eventually(t, "half of the set-up has come", func() (has bool) {
+		bed.runIteration(func() { has = bed.findClient("").Conn().HasPartialMessage() })
+		return has
+	})
+	bed.startEnding()
+	_, _ = bed.caller.conn.Write(text[len(text)/2:])
+	if got := bed.answers.await(t, testCallID, 1); got != "end 34" {
+		t.Error(got)
+	}
+	bed.awaitEnd()
+}
+
+// An exchange's release that comes as the process ends is not confirmed, because no caller can be notified any more:
+// the exchange repeats it to the next process. A caller's release is not confirmed either.
+func TestReleasesAreNotConfirmedAtTheEnd(t *testing.T) {
+	t.Parallel()
+	exchange := startFakeExchange(t, "127.0.0.1:0")
+	bed := startTestbed(t, []*fakeExchange{exchange}, &scriptedDecider{servers: []string{"s-0"}})
+	id := bed.caller.setUp("1", 3*time.Second)
+	exchange.awaitReceived("INVITE", id, 1)
+	exchange.send(sipResponse(id, "INVITE", 200, 1, "a"))
+	bed.answers.await(t, id, 1)
+	bed.startEnding()
+	exchange.send(sipRelease(id, 16))
+	conn, err := net.Dial("tcp", bed.jsonAddress())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	_ = conn.SetDeadline(time.Now().Add(5 * time.Second))
+	_, _ = conn.Write(jsonMessage(jsonl.Finish, id))
+	if text, _ := io.ReadAll(conn); len(text) > 0 {
+		t.Errorf("the caller got %q", text)
+	}
+	bed.awaitEnd()
+	if exchange.countReceived("", id) != 0 || exchange.countReceived("BYE", id) != 0 {
+		t.Error("a release was confirmed or sent")
 	}
 }
--- a/internal/server/lifecycle.go
+++ b/internal/server/lifecycle.go
@@ -1,7 +1,6 @@
 package server
 
 import (
-	"context"
 	"fmt"
 	"net"
 	"reflect"
@@ -17,9 +16,8 @@
 
 // Run serves until Stop has done its work.
 func (s *Server) Run() error {
-	err := gnet.Rotate(s, s.listeners.urls(), gnet.WithNumEventLoop(1), gnet.WithLogger(gnetLog{s.loop.Log}),
-		gnet.WithLoadBalancing(gnet.LeastConnections), gnet.WithReuseAddr(true))
-	if rejected := s.lifecycle.late.serve(); rejected > 0 {
+	err := s.serve()
+	if rejected := s.frontends.host.Counters.LateSetups; rejected > 0 {
 		s.loop.Log.Infow("late_setups", "rejected", rejected)
 	}
 	s.overload.close()
@@ -31,28 +29,38 @@
 	return s.lifecycle.startError
 }
 
-// Started is closed once the server serves.
-func (s *Server) Started() <-chan struct{} { return s.lifecycle.started }
-
-// OnBoot implements gnet.EventHandler.
-func (s *Server) OnBoot(engine gnet.Engine) gnet.Action {
-	s.engine = engine
-	if err := s.listeners.bind(engine); err != nil {
-		s.lifecycle.startError = err
-		return gnet.Shutdown
+// serve runs the event loop and accepts connections until the shutdown has ended.
+func (s *Server) serve() error {
+	if err := s.listeners.open(); err != nil {
+		return err
+	}
+	engine, err := gnet.NewClient(s, gnet.WithNumEventLoop(1), gnet.WithLogger(gnetLog{s.loop.Log}))
+	if err != nil {
+		s.listeners.abandon()
+		return err
+	}
+	if err := engine.Start(); err != nil {
+		s.listeners.abandon()
+		return err
 	}
+	s.listeners.accept(engine)
 	go s.connectToSelf()
-	return gnet.None
+	<-s.lifecycle.ended
+	s.listeners.close()
+	s.listeners.await()
+	return engine.Stop()
 }
 
+// Started is closed once the server serves.
+func (s *Server) Started() <-chan struct{} { return s.lifecycle.started }
+
 // connectToSelf opens a first connection to this server itself. It brings the event loop, which gnet shows by a
-// connection only: Engine.Register at the start is a data race with the start of the loops (found by the race detector
-// with gnet 2.9.7).
+// connection only.
 func (s *Server) connectToSelf() {
-	c, err := net.DialTimeout("tcp", s.listeners.first, s.cfg.DialTimeout)
+	c, err := net.DialTimeout("tcp", s.listeners.first(), s.cfg.DialTimeout)
 	if err != nil {
 		s.lifecycle.startError = fmt.Errorf("starting: %w", err)
-		_ = s.engine.Stop(context.Background())
+		close(s.lifecycle.ended)
 		return
 	}
 	<-s.lifecycle.started
@@ -83,6 +91,10 @@
 
 // setTimer sets the timer to what is due next. It runs after each iteration of the loop.
 func (s *Server) setTimer() {
+	if s.lifecycle.isEnding() {
+		s.loop.SetTimer(s.lifecycle.checkAt)
+		return
+	}
 	next := min(s.calls.NextDeadline(), s.pollAt, s.overload.nextDeadline())
 	if s.lifecycle.state != stateRunning {
 		next = min(next, s.lifecycle.checkAt)
@@ -94,6 +106,10 @@
 func (s *Server) tick() {
 	s.loop.RunIteration(func() {
 		now := s.loop.Now()
+		if s.lifecycle.isEnding() {
+			s.checkEnd(now)
+			return
+		}
 		s.calls.Tick()
 		s.overload.tick(now)
 		s.backends.CheckResponsiveness(now)
--- a/internal/server/listeners.go
+++ b/internal/server/listeners.go
@@ -1,16 +1,16 @@
 package server
 
 import (
-	"fmt"
 	"net"
-	"os"
+	"sync"
 
 	"github.com/panjf2000/gnet/v2"
 
+	"olivedale/internal/acceptor"
 	"olivedale/internal/config"
 )
 
-// A listenerKind is whose connections a listener takes.
+// A listenerKind is whose connections a listener takes. It is the context of a socket until that is opened.
 type listenerKind int
 
 const (
@@ -23,66 +23,77 @@
 type listener struct {
 	kind       listenerKind
 	configured string
+	acceptor   *acceptor.Acceptor // nil until open
 }
 
 // listeners are the addresses that the server listens on, the callers' first.
 type listeners struct {
-	all     []listener
-	byBound map[string]listenerKind // by the address that was bound, where the port may be chosen by the system
-	first   string                  // the address that the callers' listener has bound
+	all       []*listener
+	accepting sync.WaitGroup
 }
 
-func newListeners(callers string, h *config.H248) listeners {
-	l := listeners{
-		all:     []listener{{jsonListener, callers}},
-		byBound: make(map[string]listenerKind),
-	}
+func newListeners(callers string, h *config.H248) *listeners {
+	l := &listeners{all: []*listener{{kind: jsonListener, configured: callers}}}
 	if h != nil {
-		l.all = append(l.all, listener{gatewayListener, h.Listen})
+		l.all = append(l.all, &listener{kind: gatewayListener, configured: h.Listen})
 		if h.Admin != "" {
-			l.all = append(l.all, listener{adminListener, h.Admin})
+			l.all = append(l.all, &listener{kind: adminListener, configured: h.Admin})
 		}
 	}
 	return l
 }
 
-// urls returns the addresses as gnet takes them.
-func (l *listeners) urls() []string {
-	urls := make([]string, 0, len(l.all))
+// open opens the listening sockets; connections wait in their queues until accept. After an error none is open.
+func (l *listeners) open() error {
 	for _, each := range l.all {
-		urls = append(urls, "tcp://"+each.configured)
+		a, err := acceptor.Listen(each.configured)
+		if err != nil {
+			l.abandon()
+			return err
+		}
+		each.acceptor = a
 	}
-	return urls
+	return nil
 }
 
-// bind finds the addresses that the listeners have bound, by which their connections are known.
-func (l *listeners) bind(engine gnet.Engine) error {
+// abandon closes the listening sockets that are open, before accept.
+func (l *listeners) abandon() {
 	for _, each := range l.all {
-		bound, err := boundAddress(engine, each.configured)
-		if err != nil {
-			return err
-		}
-		l.byBound[bound] = each.kind
-		l.byBound[each.configured] = each.kind // as gnet names it where the port is chosen by the system
-		if l.first == "" {
-			l.first = bound
+		if each.acceptor != nil {
+			each.acceptor.Close()
+			each.acceptor.Accept(func(conn net.Conn) { _ = conn.Close() })
 		}
 	}
-	return nil
 }
 
-// boundAddress returns the address that a listener has bound.
-func boundAddress(engine gnet.Engine, configured string) (string, error) {
-	fd, err := engine.DupListener("tcp", configured)
-	if err != nil {
-		return "", fmt.Errorf("listener %s: %w", configured, err)
+// first returns the address that the callers' listener has bound.
+func (l *listeners) first() string { return l.all[0].acceptor.Address() }
+
+// accept hands the connections of all listeners to the client engine, on a goroutine for each listener. Each connection
+// is opened on the event loop before the next is accepted.
+func (l *listeners) accept(engine *gnet.Client) {
+	for _, each := range l.all {
+		l.accepting.Go(func() {
+			each.acceptor.Accept(func(conn net.Conn) {
+				_, _ = engine.EnrollContext(conn, each.kind) // after an error it has closed the connection
+			})
+		})
 	}
-	file := os.NewFile(uintptr(fd), configured)
-	defer func() { _ = file.Close() }()
-	ln, err := net.FileListener(file)
-	if err != nil {
-		return "", fmt.Errorf("listener %s: %w", configured, err)
+}
+
+// accepted returns the number of connections that have been accepted.
+func (l *listeners) accepted() (count int64) {
+	for _, each := range l.all {
+		count += each.acceptor.Accepted()
 	}
-	defer func() { _ = ln.Close() }()
-	return ln.Addr().String(), nil
+	return count
 }
+
+// close ends accepting. When await returns, each connection that was accepted has been opened.
+func (l *listeners) close() {
+	for _, each := range l.all {
+		each.acceptor.Close()
+	}
+}
+
+func (l *listeners) await() { l.accepting.Wait() }
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -44,14 +44,13 @@
 	cfg       *config.Config
 	h248      *config.H248 // nil: off
 	loop      *eventloop.Loop
-	engine    gnet.Engine
 	random    *rand.Rand
 	calls     *call.Manager
 	backends  *backend.Set
 	frontends frontends
 	resolver  *discovery.Resolver
 	discovery *discoveryClient
-	listeners listeners
+	listeners *listeners
 	lifecycle lifecycle
 	malformed malformedInput
 	pollAt    time.Duration // when to poll the discovery service next
@@ -216,6 +215,7 @@
 		Random:          s.random,
 		ReportMalformed: s.reportMalformed,
 		IsShuttingDown:  s.isShuttingDown,
+		IsDisconnected:  s.backends.IsClosed,
 	}
 	s.frontends.host = host
 	maxClients := s.cfg.Sockets*2/3 - reservedSockets
--- a/internal/server/shutdown.go
+++ b/internal/server/shutdown.go
@@ -1,9 +1,6 @@
 package server
 
-import (
-	"context"
-	"time"
-)
+import "time"
 
 // Times of an orderly shutdown. SIGKILL follows the SIGTERM that asks for it by the platform's own time.
 const (
@@ -25,7 +22,8 @@
 const (
 	stateRunning  lifecycleState = iota
 	stateDraining                // a shutdown was asked for; set-ups are still served
-	stateStopping                // the engine is being stopped
+	stateStopping                // connections are closed; set-ups that still come are rejected
+	stateEnded                   // the event loop is being stopped
 )
 
 // String returns the state's name.
@@ -37,6 +35,8 @@
 		return "draining"
 	case stateStopping:
 		return "stopping"
+	case stateEnded:
+		return "ended"
 	}
 	return "unknown"
 }
@@ -50,10 +50,16 @@
 	drainingSince time.Duration
 	checkAt       time.Duration // when to look next whether the process can end
 	quietSince    time.Duration // since when there has been no pending work, 0: there is
-	late          *lateListener // answers those that connect once the event loop has ended; nil until then
+	late          lateConnections
+	ended         chan struct{} // closed when the event loop is to be stopped
+}
+
+func newLifecycle() lifecycle {
+	return lifecycle{started: make(chan struct{}), ended: make(chan struct{})}
 }
 
-func newLifecycle() lifecycle { return lifecycle{started: make(chan struct{})} }
+// isEnding reports whether the server serves no more set-ups.
+func (l *lifecycle) isEnding() bool { return l.state >= stateStopping }
 
 // isCheckDue reports whether it is time to look whether the process can end. The next check is due a fixed interval
 // later, not after each iteration: steady traffic would put it off for ever.
@@ -99,8 +105,7 @@
 		return
 	}
 	l.state = stateStopping
-	l.late = s.duplicateListener()
-	go func() { _ = s.engine.Stop(context.Background()) }()
+	s.loop.Execute(s.closeConnections)
 }
 
 // isOutOfTime reports whether SIGKILL is near: whatever is open, or arrives, is answered at once.
@@ -114,7 +119,7 @@
 
 // isShuttingDown reports whether a set-up that arrives now would be open when the process ends.
 func (s *Server) isShuttingDown() bool {
-	return s.lifecycle.state == stateStopping || s.isOutOfTime(s.loop.Now())
+	return s.lifecycle.isEnding() || s.isOutOfTime(s.loop.Now())
 }
 
 // hasPendingWork reports whether anybody waits for something that this process alone can bring: an answer that is not
--- a/internal/server/testserver_test.go
+++ b/internal/server/testserver_test.go
@@ -25,10 +25,8 @@
 
 func (s *testServer) boundAddress(configured string) string {
 	for _, l := range s.server.listeners.all {
-		for bound, kind := range s.server.listeners.byBound {
-			if kind == l.kind && l.configured == configured && bound != configured {
-				return bound
-			}
+		if l.configured == configured {
+			return l.acceptor.Address()
 		}
 	}
 	return ""
