Let the soak's exchanges handle and send nothing from the moment their process stops

The exchange goes on while a listener is filled; a piece of input is handled only if the process runs under the same lock; the time for a release counts from when it is written without waiting, and until then as one that could not be sent. The checker takes an earlier deadline for the same end, never a later one. Tests of each crossing.

--- a/internal/sim/invariant/callstate.go
+++ b/internal/sim/invariant/callstate.go
@@ -37,6 +37,11 @@
 	overAt        Time   // set with isOver
 }
 
+// isEndOf reports whether the end that is known is that of an event.
+func (r *releaseState) isEndOf(e Event) bool {
+	return r.endedAt == e.Server && r.endedAttempt == e.Attempt
+}
+
 // isElsewhere reports whether an attempt is another than the one by which the call is established, as far as is known.
 func (r *releaseState) isElsewhere(server string, attempt int) bool {
 	return r.isEstablished && r.server != "" && (r.server != server || r.attempt != attempt)
--- a/internal/sim/invariant/checker_test.go
+++ b/internal/sim/invariant/checker_test.go
@@ -153,6 +153,14 @@
 		"notified late": {ReleasedInTime, []Event{
 			setUp, established, endedAt(time.Second, 9*time.Second), {Kind: CallerNotified, At: 9*time.Second + ms},
 		}},
+		"released after its end, notified late": {ReleasedInTime, []Event{
+			setUp, established, endedAt(time.Second, 9*time.Second), endedAt(1500*ms, 2500*ms),
+			{Kind: CallerNotified, At: 2501 * ms},
+		}},
+		"ended again, with a later deadline": {ReleasedInTime, []Event{
+			setUp, established, endedAt(time.Second, 2*time.Second), endedAt(1500*ms, 9*time.Second),
+			{Kind: CallerNotified, At: 2001 * ms},
+		}},
 		"never notified":                  {ReleasedInTime, []Event{setUp, established, endedAt(time.Second, 2*time.Second)}},
 		"ended before the answer arrived": {ReleasedInTime, []Event{setUp, endedAt(time.Second, 2*time.Second), established2}},
 		"released by the caller":          {"", []Event{setUp, established, {Kind: CallerReleased}, endedAt(time.Second, 2*time.Second)}},
--- /dev/null
+++ b/internal/sim/soak/exchange_test.go
@@ -0,0 +1,156 @@
+package soak
+
+import (
+	"net"
+	"os"
+	"testing"
+	"time"
+
+	"olivedale/internal/codec/sip"
+	"olivedale/internal/sim/invariant"
+)
+
+const testCall = "00000000000000aa"
+
+// A testExchange is an exchange with one established call, and the controller's end of its connection.
+type testExchange struct {
+	*exchange
+	conn net.Conn
+}
+
+// establishCall establishes a call at a new exchange.
+func establishCall(t *testing.T) *testExchange {
+	t.Helper()
+	j := newJudge(time.Now())
+	x, err := startExchange(exchangeOptions{id: "s-0", controllers: []string{"n0"}, meanHold: time.Hour, seed: 1}, j)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(x.close)
+	conn, err := net.Dial("tcp", x.address("n0"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.Close() })
+	j.register(testCall, setup{controller: "n0", class: "voice", number: "1"})
+	j.record(invariant.Event{Kind: invariant.CallOffered, Controller: "n0", Call: testCall, Deadline: time.Minute})
+	p := &testExchange{exchange: x, conn: conn}
+	p.write(t, invite(testCall))
+	p.await(t, func() bool { return x.calls[testCall] != nil && x.calls[testCall].isEstablished })
+	j.record(invariant.Event{Kind: invariant.CallEstablished, Controller: "n0", Call: testCall, Server: "s-0"})
+	return p
+}
+
+func invite(id string) []byte {
+	return sip.AppendRequest(nil, &sip.Request{
+		Method: "INVITE", Number: "1", CallID: id, CSeq: 1, Headers: []sip.Header{{Name: "X-Cos", Value: "voice"}},
+	})
+}
+
+func (p *testExchange) write(t *testing.T, text []byte) {
+	t.Helper()
+	if _, err := p.conn.Write(text); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// await waits until a condition holds, with exchange.mu held.
+func (p *testExchange) await(t *testing.T, condition func() bool) {
+	t.Helper()
+	for range 500 {
+		p.mu.Lock()
+		holds := condition()
+		p.mu.Unlock()
+		if holds {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatal("waited in vain")
+}
+
+// violations returns how often a rule is violated now.
+func (p *testExchange) violations(r invariant.Rule) int {
+	j := p.judge
+	j.record(invariant.Event{Kind: invariant.ServerUpdated, Controller: "n0", Server: "other"})
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.checker.Count(r)
+}
+
+// A release that was queued as the exchange's process stopped has not been sent: its controller has the longer time.
+// One that was written counts from then.
+func TestReleaseCountsOnceWritten(t *testing.T) {
+	t.Parallel()
+	for name, stops := range map[string]bool{"process runs": false, "process stops": true} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			p := establishCall(t)
+			p.mu.Lock()
+			c := p.calls[testCall]
+			c.stopTimer()
+			delete(p.calls, testCall)
+			p.release(c, false)
+			if stops { // at the moment in which the release waits in the queue
+				p.state = exchangeHung
+			}
+			p.mu.Unlock()
+			time.Sleep(releaseTime + clockSlack + 100*time.Millisecond)
+			want := 1
+			if stops {
+				want = 0
+			}
+			if n := p.violations(invariant.ReleasedInTime); n != want {
+				t.Errorf("%d violations without a notification, want %d", n, want)
+			}
+		})
+	}
+}
+
+// An attempt that arrives as the exchange's process stops has not been handled: its cancel is not read either, and the
+// call may go to another exchange.
+func TestAttemptIsNotHandledWhileStopped(t *testing.T) {
+	t.Parallel()
+	p := establishCall(t)
+	const other = "00000000000000bb"
+	p.mu.Lock()
+	p.write(t, invite(other))
+	time.Sleep(50 * time.Millisecond) // the message is read, and waits for exchange.mu
+	p.state = exchangeHung
+	close(p.changed)
+	p.changed = make(chan struct{})
+	p.mu.Unlock()
+	time.Sleep(50 * time.Millisecond)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.calls[other] != nil {
+		t.Error("the attempt was handled while the process was stopped")
+	}
+}
+
+// While the listener of an exchange that vanishes is being filled, which takes some tenths of a second, the exchange
+// goes on: what controllers give up then is given up then, not as it vanishes.
+func TestExchangeGoesOnUntilItVanishes(t *testing.T) {
+	t.Parallel()
+	p := establishCall(t)
+	changed := make(chan error, 1)
+	go func() { changed <- p.setState(exchangeVanished) }()
+	answered := 0
+	buffer := make([]byte, readBufferBytes)
+	for !p.isInState(exchangeVanished) {
+		p.write(t, sip.AppendRequest(nil, &sip.Request{Method: "OPTIONS", Number: "ping", CallID: "p", CSeq: 1}))
+		_ = p.conn.SetReadDeadline(time.Now().Add(50 * time.Millisecond))
+		if _, err := p.conn.Read(buffer); err == nil {
+			answered++
+		} else if !os.IsTimeout(err) {
+			t.Fatal(err)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	if err := <-changed; err != nil {
+		t.Fatal(err)
+	}
+	if answered < 5 {
+		t.Errorf("%d tests were answered while the listener was being filled", answered)
+	}
+}
--- a/internal/sim/soak/judge.go
+++ b/internal/sim/soak/judge.go
@@ -109,11 +109,23 @@
 func (j *judge) record(e invariant.Event) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
+	j.count(j.recordLocked(e))
+}
+
+// recordReleaseSent notes that the release of a call has been sent whose end was recorded as one without a release.
+func (j *judge) recordReleaseSent(e invariant.Event) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.recordLocked(e)
+	j.counts.Lost--
+}
+
+func (j *judge) recordLocked(e invariant.Event) invariant.Event {
 	j.lastAt = max(time.Since(j.startTime), j.lastAt)
 	e.At = j.lastAt
 	e.Deadline += e.At
-	j.count(e)
 	j.checker.Record(e)
+	return e
 }
 
 func (j *judge) count(e invariant.Event) {
