--- a/internal/sim/soak/exchange.go
+++ b/internal/sim/soak/exchange.go
@@ -151,8 +151,8 @@
 		return nil
 	}
 	if s == exchangeVanished || s == exchangePartitioned {
-		// Before, because a connection that still comes up is a sign of life; and while the exchange goes on, because it
-		// takes some tenths of a second.
+		// Before, because a connection that still comes up is a sign of life; and while the exchange goes on, because
+		// it takes some tenths of a second.
 		if err := x.setReachable(false); err != nil {
 			return err
 		}
