Accept an aggregator's updates again once those of a later start have expired

The partition makes n0 eject n7, the aggregator of the others, as silent; so the kill at 6.5 s hits n2, and n7 stays the aggregator when updates are forged in its name from 7 to 10 s, with a start far in the future. Members take them (claims of 0.1 s contradict nobody, throttle nothing). From 10 s on each genuine update is stale by the rule of currentLimits.isNewer (an earlier incarnation), while the membership digests, which have no such rule, keep n7 selected: no limit applies until the end of the term, 2 minutes. n0, n2, n5, n6 and n8 never throttle.

An earlier incarnation now counts once the latest limits have expired (2 s), as load reports of a member that counts as dead already do (memberRecord.accept). Sequences within an incarnation are as strict as before. Looked at: reports (recover after four heartbeats), digests (no start is compared).

TestLimitsOfALaterStartExpire failed before ('the aggregator's own update does not apply once the limits have expired') and passes now.

--- a/internal/overload/limits.go
+++ b/internal/overload/limits.go
@@ -30,10 +30,12 @@
 	return serverLimit{}, false
 }
 
-// isNewer says whether an update was sent after the latest one.
-func (c *currentLimits) isNewer(u *limitUpdate) bool {
+// isNewer says whether an update counts as sent after the latest one. An earlier incarnation does once the limits have
+// expired: the aggregator's clock, which numbers incarnations, was set back, or the later one was never its own. Its
+// updates would otherwise be stale until the end of the term, while its digests keep it selected.
+func (c *currentLimits) isNewer(now Time, u *limitUpdate) bool {
 	if u.incarnation != c.incarnation {
-		return u.incarnation > c.incarnation
+		return u.incarnation > c.incarnation || now >= c.until
 	}
 	return u.sequence > c.sequence
 }
--- a/internal/overload/member.go
+++ b/internal/overload/member.go
@@ -191,7 +191,7 @@
 
 // receiveLimits applies a limit update of the selected aggregator.
 func (m *Member) receiveLimits(now Time, u *limitUpdate) {
-	if u.sender != m.selection.aggregator || !m.limits.isNewer(u) {
+	if u.sender != m.selection.aggregator || !m.limits.isNewer(now, u) {
 		m.Stale++
 		return
 	}
--- a/internal/overload/member_test.go
+++ b/internal/overload/member_test.go
@@ -198,6 +198,53 @@
 	}
 }
 
+// A limit update that names the aggregator and a later start of it, forged or from before its clock was set back, must
+// not keep its own updates out for good: they apply again once the limits of that update have expired, and not before.
+func TestLimitsOfALaterStartExpire(t *testing.T) {
+	c := newCluster(t, 2, 1)
+	m := c.members[0]
+	for i := 0; m.isOwnAggregator() && i < 100; i++ {
+		c.now += m.options.AggregatorTerm // until it selects the other member
+		m.Tick(c.now)
+	}
+	const genuineStart, laterStart, forgedThrottle, genuineThrottle = 9, 1 << 31, 1, 200
+	receive := func(incarnation, sequence uint32, throttle int) {
+		t.Helper()
+		update := limitUpdate{
+			messageHeader: messageHeader{
+				kind: kindLimitUpdate, sender: m.selection.aggregator, incarnation: incarnation, sequence: sequence,
+			},
+			limits: []serverLimit{{key: ServerKey("s"), priority: 2, throttle: throttle, wait: 100}},
+		}
+		if err := m.Receive(c.now, m.selection.aggregator, update.append(nil)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	throttle := func() int {
+		limit, _ := m.limits.find(ServerKey("s"))
+		return limit.throttle
+	}
+	receive(genuineStart, 1, genuineThrottle)
+	receive(laterStart, 1, forgedThrottle)
+	expiry := c.now + m.options.limitLifetime()
+	for sequence := uint32(2); c.now < expiry; sequence++ {
+		receive(genuineStart, sequence, genuineThrottle)
+		if throttle() != forgedThrottle {
+			t.Fatalf("an update of an earlier start applies %v before the limits expire", expiry-c.now)
+		}
+		c.now += 250 * ms
+		m.Tick(c.now)
+	}
+	receive(genuineStart, 100, genuineThrottle)
+	if throttle() != genuineThrottle {
+		t.Error("the aggregator's own update does not apply once the limits have expired")
+	}
+	receive(genuineStart, 99, forgedThrottle)
+	if throttle() != genuineThrottle {
+		t.Error("an update that was overtaken applies")
+	}
+}
+
 // Memory stays bounded whatever servers are named.
 func TestMemoryIsBounded(t *testing.T) {
 	c := newCluster(t, 4, 2)
