Count an attempt at a soak's exchange from its arrival, if it is canceled

An attempt that arrived before the final answer counts as sent only if it is not canceled until the exchange answers it.

--- a/internal/sim/cluster/inject_process.go
+++ b/internal/sim/cluster/inject_process.go
@@ -55,9 +55,9 @@
 		return
 	}
 	r.load.Pause(c.number, true)
-	r.monitor.record(invariant.Event{Kind: invariant.ControllerEnded, Controller: c.name})
 	_ = p.signal(syscall.SIGKILL)
-	awaitExit(ctx, p)
+	awaitExit(ctx, p) // until then it may send set-ups
+	r.monitor.record(invariant.Event{Kind: invariant.ControllerEnded, Controller: c.name})
 	r.awaitRestart(ctx, c)
 }
 
--- a/internal/sim/soak/exchange.go
+++ b/internal/sim/soak/exchange.go
@@ -82,7 +82,10 @@
 	attempt       int
 	conn          *exchangeConn
 	isEstablished bool
-	timer         *time.Timer // of the answer, then of the end
+	// isLate is set for an attempt that arrived before the final answer of its call and is handled behind it, as by a
+	// process that was stopped: its cancel is on its way.
+	isLate bool
+	timer  *time.Timer // of the answer, then of the end
 }
 
 // exchangeOptions say how an exchange behaves.
--- a/internal/sim/soak/exchange_call.go
+++ b/internal/sim/soak/exchange_call.go
@@ -41,7 +41,10 @@
 func (x *exchange) invite(conn *exchangeConn, m *sip.Message) {
 	c := &exchangeCall{id: m.CallID, number: m.User(), conn: conn, attempt: m.CSeq - 1}
 	c.controller = x.judge.checkSetup(x.id, m)
-	x.record(invariant.AttemptSent, c)
+	c.isLate = x.judge.isOverSince(c.id, conn.receivedAt)
+	if !c.isLate {
+		x.record(invariant.AttemptSent, c)
+	}
 	if existing := x.calls[c.id]; existing != nil {
 		existing.stopTimer()
 	}
@@ -83,6 +86,9 @@
 // answer establishes or rejects an attempt.
 func (x *exchange) answer(c *exchangeCall, isBusy bool) {
 	x.whenRunning(c, func(bool) {
+		if c.isLate { // and nobody has canceled it
+			x.record(invariant.AttemptSent, c)
+		}
 		if isBusy {
 			x.record(invariant.AttemptRejected, c)
 			delete(x.calls, c.id)
--- a/internal/sim/soak/exchange_conn.go
+++ b/internal/sim/soak/exchange_conn.go
@@ -32,8 +32,9 @@
 	isEnded    bool
 	isSilent   bool // it leads to a process that vanished: nothing passes any more
 	isReset    bool
-	isBacklog  bool // it was opened while the process was stopped: what it brought by then is read at once
-	isSpoilt   bool // an answer that cannot be read was sent: nothing that follows can be
+	isBacklog  bool      // it was opened while the process was stopped: what it brought by then is read at once
+	isSpoilt   bool      // an answer that cannot be read was sent: nothing that follows can be
+	receivedAt time.Time // of the latest input; of the goroutine that serves
 }
 
 // A queuedMessage waits to be written.
@@ -167,6 +168,7 @@
 	buffer := make([]byte, readBufferBytes)
 	for {
 		n, err := c.conn.Read(buffer)
+		c.receivedAt = time.Now()
 		input := slices.Clone(buffer[:n])
 		c.note(stepReceived, input)
 		if err != nil || c.process(&reader, input, buffer) != nil {
@@ -206,6 +208,9 @@
 	for {
 		_ = c.conn.SetReadDeadline(time.Now().Add(settleTime))
 		n, err := c.conn.Read(buffer)
+		if n > 0 {
+			c.receivedAt = time.Now()
+		}
 		pending = append(pending, buffer[:n]...)
 		if errors.Is(err, os.ErrDeadlineExceeded) {
 			return pending, nil
