Keep the connections that fill a listener's queue out of a soak's exchange

By its trace two releases were written at 2.547464 and 2.576464, to a connection that the controller did not have: since the exchange goes on while its listener is filled, a release whose own connection was reset before goes to the latest one of its controller, and that was the harness's own filler, which the Accept under way had taken. Fillers come from an address of their own now and are never accepted.

TestFillersAreNotAccepted failed before. TestListenerThatCannotBeReached counted on an accepted filler; it wants exactly the callers' connections now, and reports any other.

--- a/internal/sim/soak/listener.go
+++ b/internal/sim/soak/listener.go
@@ -21,6 +21,9 @@
 	wantedFillFailures = 2
 )
 
+// fillerIP is the address that connections which fill a queue come from, by which accept knows them.
+var fillerIP = net.IPv4(127, 255, 0, 1)
+
 // A listener accepts connections, and can be made unreachable: then connections are neither refused nor established,
 // as at a machine that vanished. The queue of the socket is shortened and filled, so that the kernel drops further SYN
 // segments.
@@ -88,12 +91,22 @@
 		l.mu.Unlock()
 		<-open
 		conn, err := l.Accept()
-		if !errors.Is(err, os.ErrDeadlineExceeded) {
+		switch {
+		case errors.Is(err, os.ErrDeadlineExceeded):
+		case err == nil && isFiller(conn):
+			_ = conn.Close()
+		default:
 			return conn, err
 		}
 	}
 }
 
+// isFiller reports whether a connection is one of those that fill the queue: no controller is behind it.
+func isFiller(conn net.Conn) bool {
+	remote, ok := conn.RemoteAddr().(*net.TCPAddr)
+	return ok && remote.IP.Equal(fillerIP)
+}
+
 // setReachable makes new connections come up again, or not any more.
 func (l *listener) setReachable(isReachable bool) error {
 	l.mu.Lock()
@@ -137,8 +150,9 @@
 // full of one that the Accept which was under way has taken since.
 func (l *listener) fillQueue() error {
 	failures := 0
+	dialer := net.Dialer{Timeout: fillTimeout, LocalAddr: &net.TCPAddr{IP: fillerIP}}
 	for range maxFillers {
-		filler, err := net.DialTimeout("tcp", l.address(), fillTimeout)
+		filler, err := dialer.Dial("tcp", l.address())
 		if err == nil {
 			failures = 0
 			l.fillers = append(l.fillers, filler)
--- a/internal/sim/soak/listener_test.go
+++ b/internal/sim/soak/listener_test.go
@@ -50,14 +50,45 @@
 		if err := dial(); err != nil {
 			t.Fatal(err)
 		}
-		for range 2 { // the filler and the connection
-			<-accepted
-		}
+		<-accepted
 	}
 	l.close()
 	if err := dial(); !errors.Is(err, syscall.ECONNREFUSED) {
 		t.Errorf("once closed: %v, want a refusal", err)
 	}
-	for range accepted {
+	for conn := range accepted {
+		t.Errorf("a connection from %v was accepted as well", conn.RemoteAddr())
+	}
+}
+
+// The connections that fill the queue are never taken for those of a controller, which releases would go to.
+func TestFillersAreNotAccepted(t *testing.T) {
+	t.Parallel()
+	l, err := listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	accepted := make(chan net.Conn, maxFillers)
+	go func() {
+		for {
+			conn, err := l.accept()
+			if err != nil {
+				close(accepted)
+				return
+			}
+			accepted <- conn
+		}
+	}()
+	for range 5 {
+		for _, isReachable := range []bool{false, true} {
+			if err := l.setReachable(isReachable); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
+	l.close()
+	for conn := range accepted {
+		t.Errorf("a connection from %v was accepted", conn.RemoteAddr())
 	}
 }
