--- a/internal/sim/soak/exchange.go
+++ b/internal/sim/soak/exchange.go
@@ -150,6 +150,18 @@
 func (x *exchange) setState(s exchangeState) error {
 	x.stateMu.Lock()
 	defer x.stateMu.Unlock()
+	return x.changeState(s)
+}
+
+// leaveRunning changes the state of an exchange that runs; false: it does not, or another change came first.
+func (x *exchange) leaveRunning(s exchangeState) bool {
+	x.stateMu.Lock()
+	defer x.stateMu.Unlock()
+	return x.isRunning() && x.changeState(s) == nil
+}
+
+// changeState changes the state and whether connections come up. exchange.stateMu is held.
+func (x *exchange) changeState(s exchangeState) error {
 	if x.isInState(s) {
 		return nil
 	}
--- a/internal/sim/soak/exchange_test.go
+++ b/internal/sim/soak/exchange_test.go
@@ -199,3 +199,16 @@
 		t.Errorf("%d tests were answered while the listener was being filled", answered)
 	}
 }
+
+// A fault that comes while the listener is being filled for another one finds the exchange not running any more: a
+// machine that vanished does not come back with the end of a partition.
+func TestOneFaultAtATime(t *testing.T) {
+	t.Parallel()
+	p := establishCall(t)
+	vanished := make(chan bool, 1)
+	go func() { vanished <- p.leaveRunning(exchangeVanished) }()
+	time.Sleep(20 * time.Millisecond)
+	if p.leaveRunning(exchangePartitioned) || !<-vanished || !p.isInState(exchangeVanished) {
+		t.Error("a second fault changed the state of an exchange that was vanishing")
+	}
+}
--- a/internal/sim/soak/inject.go
+++ b/internal/sim/soak/inject.go
@@ -155,11 +155,6 @@
 	return x.state == exchangeRunning
 }
 
-// leaveRunning changes the state of an exchange that runs; false: it does not.
-func (x *exchange) leaveRunning(s exchangeState) bool {
-	return x.isRunning() && x.setState(s) == nil
-}
-
 // dropCalls releases all calls, as an exchange that ends does.
 func (x *exchange) dropCalls() {
 	x.mu.Lock()
