Find H.248 calls by their gateway, also after a restart

With equal seeds two processes also gave their calls the same ids.

Cause: contexts were numbered from 1 in each process, and callTable.find took a call by its context alone, whatever gateway the command came from. A context of an earlier process therefore meant another call. The release was then not notified, since the sender counted as the owner. Call ids came from the configuration's seed.

Change: the sequence number of a context begins at a random one in each process, and its lower 12 bits are a digest of controller, gateway and sequence number. The call id is computed from context and gateway. A command reaches only calls of its own gateway; a context of another gateway gets error 411, whichever process assigned it. The release of a call that the process does not know goes to all exchanges, as it does for JSON clients, and is confirmed; beyond 256 a second it gets error 510 instead of a confirmation.

Why it works: nothing has to survive the process. The next one recomputes owner and call id from what the gateway sends. Rejected: a table on disk (the platform keeps none), and contexts that are random only (no error for the context of another gateway, and no call id to release).

TestGoldenTranscript replaces the contexts by 1 and 2; its golden bytes are unchanged.

--- a/internal/call/release.go
+++ b/internal/call/release.go
@@ -10,7 +10,7 @@
 	c := m.calls[id]
 	switch {
 	case c == nil:
-		return m.releaseUnknownAtBackends(id, cause)
+		return m.ReleaseUnknown(id, cause) != UnknownRepeated
 	case c.isOpen():
 		m.abandonCall(c)
 		return false
@@ -22,21 +22,31 @@
 	}
 }
 
-// releaseUnknownAtBackends forwards a caller's release of an unknown call, which may have been
-// established before a restart. It reports false if the release is a repetition. The rate is limited so
-// that callers that send invented ids cannot overload the backends.
-func (m *Manager) releaseUnknownAtBackends(id string, cause int) bool {
+// An UnknownRelease is the result of a caller's release of an unknown call.
+type UnknownRelease int
+
+// The results.
+const (
+	UnknownForwarded UnknownRelease = iota // the release was sent to all backends
+	UnknownRepeated                        // the call is known to have ended
+	UnknownOverLimit                       // the release was dropped: there are too many
+)
+
+// ReleaseUnknown forwards a caller's release of a call that is neither open nor established, to all backends. The call
+// may have been established before a restart. The rate is limited to 256 per second so that callers that send invented
+// ids cannot overload the backends.
+func (m *Manager) ReleaseUnknown(id string, cause int) UnknownRelease {
 	if m.isCompleted(id) {
-		return false
+		return UnknownRepeated
 	}
 	if !m.unknownReleases.allow(m.now()) {
 		m.UnknownReleasesDropped++
 		m.notifyLimit(LimitUnknownRelease, id)
-		return true
+		return UnknownOverLimit
 	}
 	m.recordUnknownRelease(id)
 	m.backends.ReleaseEverywhere(id, cause)
-	return true
+	return UnknownForwarded
 }
 
 // BackendReleased handles a backend's release of a call and notifies the caller. The release of an unknown
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -4,7 +4,6 @@
 package frontend
 
 import (
-	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -63,7 +62,9 @@
 	Loop   *eventloop.Loop
 	Calls  *call.Manager
 	Config *config.Config
-	Random *rand.Rand
+	// RandomID returns a random number for ids that must differ from those of earlier processes of this controller. It
+	// does not depend on the configuration, whose seed may be the same again.
+	RandomID func() uint32
 	// ReportMalformed is called for input that cannot be parsed.
 	ReportMalformed func(source string, err error)
 	// IsShuttingDown reports whether the process may exit before a set-up that arrives now is answered.
--- a/internal/frontend/gateway/call.go
+++ b/internal/frontend/gateway/call.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"fmt"
 	"strconv"
 	"time"
 
@@ -21,7 +20,7 @@
 	messageID     string // of the gateway
 	termination   string
 	id            string
-	context       string // "" until the call is established
+	context       contextID
 }
 
 var _ call.Client = (*gatewayCall)(nil)
@@ -33,14 +32,12 @@
 type callTable struct {
 	byID          map[string]*gatewayCall
 	byTermination map[terminationKey]*gatewayCall
-	byContext     map[string]*gatewayCall // established calls
 }
 
 func newCallTable() callTable {
 	return callTable{
 		byID:          make(map[string]*gatewayCall),
 		byTermination: make(map[terminationKey]*gatewayCall),
-		byContext:     make(map[string]*gatewayCall),
 	}
 }
 
@@ -53,34 +50,14 @@
 
 func (t *callTable) remove(c *gatewayCall) {
 	delete(t.byID, c.id)
-	delete(t.byContext, c.context)
 	if t.byTermination[c.key()] == c {
 		delete(t.byTermination, c.key())
 	}
 }
 
-// find returns the call that a command refers to. It is found by its context, or with the wildcard context by its
-// termination, because the gateway does not know the context while the set-up is open.
-func (t *callTable) find(messageID string, a *h248.Action, c *h248.Command) (*gatewayCall, *h248.Error) {
-	switch a.Context {
-	case "-", "$":
-		return nil, &h248.Error{Code: h248.UnknownAction, Text: c.Name + " in context " + a.Context}
-	case "*":
-		for _, found := range t.byID {
-			if found.messageID == messageID && found.termination == c.Termination {
-				return found, nil
-			}
-		}
-		return nil, &h248.Error{Code: h248.NoTerminationMatched, Text: "no such call"}
-	}
-	found := t.byContext[a.Context]
-	if found == nil {
-		return nil, &h248.Error{Code: h248.UnknownContext, Text: "context " + a.Context}
-	}
-	if c.Termination != found.termination && c.Termination != "*" {
-		return nil, &h248.Error{Code: h248.UnknownTermination, Text: "not in context " + a.Context}
-	}
-	return found, nil
+// findByTermination returns the call of a gateway on a termination, or nil.
+func (t *callTable) findByTermination(messageID, termination string) *gatewayCall {
+	return t.byTermination[terminationKey{messageID, termination}]
 }
 
 // addCall sets up a call. It validates the whole request before it changes any state.
@@ -94,7 +71,8 @@
 	if err != nil {
 		return err
 	}
-	request.ID = fmt.Sprintf("%016x", f.host.Random.Uint64())
+	context := f.newContext(messageID)
+	request.ID = f.identities.callID(messageID, context)
 	c := &gatewayCall{
 		frontend:      f,
 		replyTo:       g,
@@ -103,6 +81,7 @@
 		messageID:     messageID,
 		termination:   command.Termination,
 		id:            request.ID,
+		context:       context,
 	}
 	f.calls.add(c)
 	if f.host.IsShuttingDown() {
@@ -116,6 +95,16 @@
 	return nil
 }
 
+// newContext returns the context of a new call. It passes over contexts whose calls have not ended.
+func (f *Frontend) newContext(messageID string) contextID {
+	for {
+		context := f.identities.next(messageID)
+		if f.calls.byID[f.identities.callID(messageID, context)] == nil {
+			return context
+		}
+	}
+}
+
 // checkAdd checks that an Add requests a new context and names an unused termination.
 func (f *Frontend) checkAdd(messageID, context, termination string) *h248.Error {
 	if context != "$" {
@@ -124,7 +113,7 @@
 	if termination == "$" || termination == "*" || isRoot(termination) {
 		return &h248.Error{Code: h248.UnknownTermination, Text: "an Add names its termination"}
 	}
-	if f.calls.byTermination[terminationKey{messageID, termination}] != nil {
+	if f.calls.findByTermination(messageID, termination) != nil {
 		return &h248.Error{Code: h248.TerminationInContext, Text: termination}
 	}
 	return nil
@@ -173,15 +162,13 @@
 		f.host.Loop.Defer(func() { f.releaseCall(c, call.CauseTemporaryFailure) })
 		return
 	}
-	c.context = f.newContextID()
-	f.calls.byContext[c.context] = c
 	local := &h248.Node{Name: "Local", Octets: description}
 	add := &h248.Command{
 		Name:        "Add",
 		Termination: c.termination,
 		Descriptors: []*h248.Node{{Name: "Media", Children: []*h248.Node{local}}},
 	}
-	c.answer(&h248.Action{Context: c.context, Commands: []*h248.Command{add}})
+	c.answer(&h248.Action{Context: c.context.String(), Commands: []*h248.Command{add}})
 }
 
 // CallRejected implements call.Client.
--- a/internal/frontend/gateway/command.go
+++ b/internal/frontend/gateway/command.go
@@ -37,13 +37,13 @@
 	var err *h248.Error
 	switch c.Name {
 	case "Subtract":
-		err = g.runRelease(messageID, a, c, call.CauseNormal)
+		err = g.frontend.runRelease(messageID, a, c, call.CauseNormal)
 	case "Notify":
 		cause, ok := transaction.ParseReleaseEvent(c)
 		if !ok {
 			return nil, &h248.Error{Code: h248.UnsupportedValue, Text: "no release is told"}
 		}
-		err = g.runRelease(messageID, a, c, cause)
+		err = g.frontend.runRelease(messageID, a, c, cause)
 	case "ServiceChange":
 		err = g.changeService(messageID, c)
 	case "Modify":
@@ -59,16 +59,6 @@
 	return reply, nil
 }
 
-// runRelease releases the call that a command refers to.
-func (g *Gateway) runRelease(messageID string, a *h248.Action, c *h248.Command, cause int) *h248.Error {
-	found, err := g.frontend.calls.find(messageID, a, c)
-	if err != nil {
-		return err
-	}
-	g.frontend.releaseCall(found, cause)
-	return nil
-}
-
 // changeService handles a state change of a gateway, or a request of the agent to shut down.
 func (g *Gateway) changeService(messageID string, c *h248.Command) *h248.Error {
 	f := g.frontend
--- a/internal/frontend/gateway/frontend.go
+++ b/internal/frontend/gateway/frontend.go
@@ -4,7 +4,6 @@
 package gateway
 
 import (
-	"strconv"
 	"time"
 
 	"github.com/panjf2000/gnet/v2"
@@ -48,7 +47,7 @@
 	byMessageID     map[string]*eventloop.IdleList[*Gateway]
 	received        *transaction.Store
 	calls           callTable
-	lastContextID   uint32
+	identities      identitySource
 	lastNotifyID    uint32
 	pendingNotifies map[uint32]*pendingNotify // by transaction id
 }
@@ -73,6 +72,7 @@
 		byMessageID:     make(map[string]*eventloop.IdleList[*Gateway]),
 		received:        transaction.NewStore(host.Config.MemoryMB << maxTransactionsShift),
 		calls:           newCallTable(),
+		identities:      newIdentitySource(host.Config.Name, host.RandomID()),
 		pendingNotifies: make(map[uint32]*pendingNotify),
 	}
 }
@@ -155,7 +155,7 @@
 	t := &h248.Transaction{
 		Kind:    h248.Request,
 		ID:      f.lastNotifyID,
-		Actions: []*h248.Action{{Context: c.context, Commands: []*h248.Command{command}}},
+		Actions: []*h248.Action{{Context: c.context.String(), Commands: []*h248.Command{command}}},
 	}
 	return &pendingNotify{
 		messageID: c.messageID,
@@ -174,9 +174,3 @@
 		}
 	}
 }
-
-// newContextID returns a new context id.
-func (f *Frontend) newContextID() string {
-	f.lastContextID++
-	return strconv.FormatUint(uint64(f.lastContextID), 10)
-}
--- a/internal/frontend/gateway/gateway.go
+++ b/internal/frontend/gateway/gateway.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"olivedale/internal/call"
 	"olivedale/internal/codec/h248"
 	"olivedale/internal/codec/h248/transaction"
 	"olivedale/internal/eventloop"
@@ -240,22 +239,3 @@
 	f.received.Complete(entry, transaction.Frame(f.messageID, t), f.host.Loop.Now())
 	g.send(entry.Reply())
 }
-
-// releaseCall releases a call on behalf of the gateway. If the set-up is still open, its transaction is completed with
-// an error, because every transaction needs a reply.
-func (f *Frontend) releaseCall(c *gatewayCall, cause int) {
-	f.calls.remove(c)
-	f.host.Calls.ReleaseByCaller(c.id, cause)
-	if c.replyTo != nil {
-		c.fail(h248.TemporaryFailure, "given up by the caller")
-	}
-}
-
-// releaseAllCalls releases all calls of a gateway that has lost its state.
-func (f *Frontend) releaseAllCalls(messageID string) {
-	for _, c := range f.calls.byID {
-		if c.messageID == messageID {
-			f.releaseCall(c, call.CauseNormal)
-		}
-	}
-}
--- a/internal/server/golden_test.go
+++ b/internal/server/golden_test.go
@@ -166,6 +166,7 @@
 		o.H248 = &config.H248{Listen: "127.0.0.2:0", Admin: "127.0.0.3:0", Servers: []config.H248Server{{ID: "h-0", Address: server.addr(), Pool: 1}}}
 		o.Numbering = &config.Numbering{File: rules}
 		o.Records = goldenRecords(t)
+		o.randomID = func() uint32 { return 0 }
 	})
 	s := &goldenScript{testbed: bed, ids: make(map[string]string)}
 	s.exchange, s.server = newCapture(t, exchange.awaitConn(), false), newCapture(t, server.awaitConn(), true)
@@ -294,8 +295,9 @@
 	s.gateway.await(`Pending=2`)
 	s.exchange.send(sipResponse(subtracted, "INVITE", 200, 1, acceptedDescription("201")))
 	context := s.gateway.await(`Reply=1\{Context=(\d+)`)
+	s.ids[context] = "1"
 	s.exchange.send(sipResponse(released, "INVITE", 200, 1, acceptedDescription("202")))
-	s.gateway.await(`Reply=2`)
+	s.ids[s.gateway.await(`Reply=2\{Context=(\d+)`)] = "2"
 	s.gateway.request(mid, 3, context, &h248.Command{Name: "Subtract", Termination: "p/1"})
 	s.gateway.await(`Reply=3`)
 	s.awaitRequest("BYE", subtracted)
--- /dev/null
+++ b/internal/server/restart_test.go
@@ -0,0 +1,78 @@
+package server
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"olivedale/internal/codec/h248"
+)
+
+// restartWith ends the server and starts the next process of the same controller: it has the same name and seed, and nothing
+// of the state.
+func (b *testbed) restartWith(decider *scriptedDecider) *testbed {
+	b.t.Helper()
+	b.server.Stop()
+	b.awaitEnd()
+	return startTestbed(b.t, b.exchanges, decider, withGateways)
+}
+
+// establish sets up a call of a gateway at an exchange and returns its termination, context and call id.
+func (k *gatewayCaller) establish(t *testing.T, answers *answerLog, exchange *fakeExchange, nth int) (termination, context, id string) {
+	t.Helper()
+	termination = k.setUp("1", 3*time.Second)
+	id = exchange.awaitInvite(nth)
+	exchange.send(sipResponse(id, "INVITE", 200, 1, "a"))
+	answers.await(t, termination, 1)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return termination, k.contexts[termination], id
+}
+
+// subtract sends a Subtract and returns the answer to it.
+func (k *gatewayCaller) subtract(t *testing.T, answers *answerLog, context, termination string) string {
+	t.Helper()
+	k.lastID++
+	k.send(&h248.Transaction{ID: k.lastID, Actions: []*h248.Action{{Context: context, Commands: []*h248.Command{{Name: "Subtract", Termination: termination}}}}})
+	return answers.await(t, fmt.Sprintf("%s/%d", k.messageID[1:len(k.messageID)-1], k.lastID), 1)
+}
+
+// Guards against a gateway that ends the call of another: contexts were numbered from 1 in each process and a call was
+// found by its context alone, so that after a restart a gateway which hung up released the call of another gateway.
+func TestGatewayReleasesItsOwnCallAfterRestart(t *testing.T) {
+	t.Parallel()
+	exchange := startFakeExchange(t, "127.0.0.1:0")
+	earlier := startTestbed(t, []*fakeExchange{exchange}, &scriptedDecider{servers: []string{"s-0", "s-0"}}, withGateways)
+	a := earlier.dialGateway("<a>")
+	termination, context, id := a.establish(t, earlier.answers, exchange, 1)
+	_, secondContext, secondID := a.establish(t, earlier.answers, exchange, 2)
+
+	bed := earlier.restartWith(&scriptedDecider{servers: []string{"s-0", "s-0"}})
+	b := bed.dialGateway("<b>")
+	otherTermination, otherContext, otherID := b.establish(t, bed.answers, exchange, 3)
+	again := bed.dialGateway("<a>")
+	if otherID == id || otherID == secondID || otherContext == context || otherContext == secondContext {
+		t.Errorf("contexts %s, %s, %s and call ids %s, %s, %s are not distinct", context, secondContext, otherContext, id, secondID, otherID)
+	}
+	for _, foreign := range []string{otherContext, secondContext} {
+		stranger := bed.dialGateway("<c>")
+		if got := stranger.subtract(t, bed.answers, foreign, "*"); got != "error 411" {
+			t.Errorf("the release of another gateway's call: got %q, want error 411", got)
+		}
+		stranger.close()
+	}
+	if got := again.subtract(t, bed.answers, context, termination); got != "done Subtract" {
+		t.Errorf("the release of a call from before the restart: got %q", got)
+	}
+	exchange.awaitReceived("BYE", id, 1)
+	if got := again.subtract(t, bed.answers, context, termination); got != "error 411" {
+		t.Errorf("the second release of that call: got %q, want error 411", got)
+	}
+	if n := exchange.countReceived("BYE", otherID) + exchange.countReceived("BYE", secondID); n != 0 {
+		t.Errorf("%d calls that their gateways did not release were released", n)
+	}
+	if got := b.subtract(t, bed.answers, otherContext, otherTermination); got != "done Subtract" {
+		t.Errorf("the release of the other gateway's own call: got %q", got)
+	}
+	exchange.awaitReceived("BYE", otherID, 1)
+}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -45,7 +45,8 @@
 	cfg       *config.Config
 	h248      *config.H248 // nil if the H.248 frontend is disabled
 	loop      *eventloop.Loop
-	random    *rand.Rand
+	random    *rand.Rand    // seeded by the configuration
+	randomID  func() uint32 // see frontend.Host
 	calls     *call.Manager
 	backends  *backend.Set
 	frontends frontends
@@ -87,8 +88,9 @@
 	Program   string                  // program version, written to the records
 	Clock     func() time.Time        // system clock; nil means time.Now
 
-	decider call.Decider   // replaces the admission control in tests if not nil
-	dial    backend.Dialer // replaces backend.DialTCP in tests if not nil
+	decider  call.Decider   // replaces the admission control in tests if not nil
+	dial     backend.Dialer // replaces backend.DialTCP in tests if not nil
+	randomID func() uint32  // replaces the system's random numbers in tests if not nil
 }
 
 // withDefaults returns the options with defaults for a missing logger or clock.
@@ -99,6 +101,9 @@
 	if o.Clock == nil {
 		o.Clock = time.Now
 	}
+	if o.randomID == nil {
+		o.randomID = rand.Uint32 // seeded by the operating system
+	}
 	return o
 }
 
@@ -110,9 +115,10 @@
 		cfg:       cfg,
 		h248:      o.H248,
 		loop:      eventloop.New(o.Log, o.Clock),
-		random:    rand.New(rand.NewPCG(cfg.Seed, 1)),
 		listeners: newListeners(cfg.Listen, o.H248),
 		lifecycle: newLifecycle(),
+		random:    rand.New(rand.NewPCG(cfg.Seed, 1)),
+		randomID:  o.randomID,
 	}
 	s.loop.AfterIteration = s.setTimer
 	s.backends = backend.NewSet(backend.Options{
@@ -214,7 +220,7 @@
 		Loop:            s.loop,
 		Calls:           s.calls,
 		Config:          s.cfg,
-		Random:          s.random,
+		RandomID:        s.randomID,
 		ReportMalformed: s.reportMalformed,
 		IsShuttingDown:  s.isShuttingDown,
 		IsDisconnected:  s.backends.IsClosed,
