--- a/internal/frontend/gateway/identity.go
+++ b/internal/frontend/gateway/identity.go
@@ -36,9 +36,9 @@
 	return contextID(value), err == nil
 }
 
-// An identitySource assigns the context ids and call ids of one controller. Gateways keep a context beyond the end of the
-// process that assigned it, so both ids can be traced back to their gateway without any state: a context carries a digest
-// of its gateway, and a call id is computed from the context and the gateway.
+// An identitySource assigns the context ids and call ids of one controller. Gateways keep a context beyond the end of
+// the process that assigned it, so both ids can be traced back to their gateway without any state: a context carries a
+// digest of its gateway, and a call id is computed from the context and the gateway.
 type identitySource struct {
 	controller   string // name of the controller, which stays the same in the next process
 	lastSequence uint32
--- a/internal/frontend/gateway/release.go
+++ b/internal/frontend/gateway/release.go
@@ -41,14 +41,15 @@
 	return nil
 }
 
-// releaseUnknownCall forwards the release of a call that is not open or established here. It may have been established by
-// an earlier process of this controller. The release of a call that ended recently gets the error ended.
+// releaseUnknownCall forwards the release of a call that is not open or established here. It may have been established
+// by an earlier process of this controller. The release of a call that ended recently gets the error ended.
 func (f *Frontend) releaseUnknownCall(callID string, cause int, ended *h248.Error) *h248.Error {
 	switch f.host.Calls.ReleaseUnknown(callID, cause) {
 	case call.UnknownForwarded:
 		return nil
 	case call.UnknownOverLimit:
 		return &h248.Error{Code: h248.InsufficientResources, Text: "too many releases of unknown calls"}
+	case call.UnknownRepeated:
 	}
 	return ended
 }
