Check the platform's file at SIGHUP by the code that checks it at the start

Cause: config.Parse, which both start and reload use, did not look at the values of the settings. Only admission.NewStateMachine did, and it runs at the start alone. So a reload took `names` from files that the next start refuses. Related: a file without a class's credit or name, without releaseGuard (no pause before a call is sent again), name or known was accepted by both; one that lists an H.248 server of the operator's file only by the reload.

A reload that fails takes nothing and is tried again as before.

Why it works: there is one decision on a file. What the start refuses cannot reach the running server, whatever key differs.

Before, 18 of 35 files of TestBrokenPlatformFiles were accepted and TestReloadOfABrokenFileTakesNothing failed ("the discovery address was taken from a broken file"); both pass after. TestValidPlatformFiles holds that other classes, fewer attempts, another address and unknown keys are taken. TestSettingsRecordKeepsItsBytes and the program's tests read files without `known`; their input is complete now, their checks are as they were.

--- a/cmd/olivedale/main_test.go
+++ b/cmd/olivedale/main_test.go
@@ -73,7 +73,7 @@
 func (p *process) configure(t *testing.T, discoveryAddress string) {
 	t.Helper()
 	const format = `{"name":"n0","listen":%q,"seed":"1f","names":%q,"limits":{"memory_mb":192,"sockets":1024},
-		"settings":{"groupSize":1,"classes":[{"name":"voice","aim":1000,"deadline":3000,"credit":1}],
+		"known":{"n":0,"events":[]},"settings":{"groupSize":1,"classes":[{"name":"voice","aim":1000,"deadline":3000,"credit":1}],
 		"domain":{"topology":"pools","releaseGuard":300},"limits":{"maxAttempts":2,"connectTimeout":500}}}`
 	text := fmt.Sprintf(format, p.listen, discoveryAddress)
 	if err := os.WriteFile(p.configPath, []byte(text), 0o600); err != nil {
@@ -200,6 +200,43 @@
 	}
 }
 
+// Guards against a broken file that is taken in part: after SIGHUP the discovery address was taken from a file that the
+// start refuses. The program goes on with the old address, and takes a valid file after it.
+func TestReloadOfABrokenFileTakesNothing(t *testing.T) {
+	services := openTwoServices(t)
+	p := start(t, services[0].LocalAddr().String())
+	conn := p.connect(t)
+	awaitQuery(t, services[0])
+	p.configure(t, services[1].LocalAddr().String())
+	valid, err := os.ReadFile(p.configPath)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, change := range [][2]string{
+		{`"maxAttempts":2`, `"maxAttempts":0`},
+		{`"deadline":3000`, `"deadline":-3000`},
+		{`"releaseGuard":300`, `"other":300`},
+	} {
+		broken := strings.Replace(string(valid), change[0], change[1], 1)
+		if err := os.WriteFile(p.configPath, []byte(broken), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		p.signal(t, syscall.SIGHUP)
+		time.Sleep(reloadRetryInterval)
+	}
+	_ = services[1].SetReadDeadline(time.Now().Add(reloadRetryInterval))
+	if _, _, err := services[1].ReadFrom(make([]byte, 512)); err == nil {
+		t.Error("the discovery address was taken from a broken file")
+	}
+	awaitQuery(t, services[0])
+	p.echo(t, conn)
+	if err := os.WriteFile(p.configPath, valid, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	p.signal(t, syscall.SIGHUP)
+	awaitQuery(t, services[1])
+}
+
 // After SIGHUP the program retries an incomplete configuration file until it is valid.
 func TestReloadOfAFileBeingWritten(t *testing.T) {
 	services := openTwoServices(t)
--- a/cmd/olivedale/signals.go
+++ b/cmd/olivedale/signals.go
@@ -68,7 +68,9 @@
 	for attempt := range maxReloadAttempts {
 		cfg, err := loadConfig()
 		if err == nil {
-			node.Reload(cfg)
+			err = node.Reload(cfg)
+		}
+		if err == nil {
 			return
 		}
 		if attempt == 0 {
--- a/internal/admission/settings.go
+++ b/internal/admission/settings.go
@@ -47,7 +47,7 @@
 	return wait
 }
 
-// A SettingsError describes an invalid setting. NewStateMachine and NewEngine return it wrapped.
+// A SettingsError describes an invalid setting. Validate returns it; NewStateMachine and NewEngine return it wrapped.
 type SettingsError struct {
 	Field   string // name of the field of Settings
 	Problem string
@@ -60,8 +60,8 @@
 	return &SettingsError{Field: field, Problem: fmt.Sprintf(format, args...)}
 }
 
-// validate returns a *SettingsError for the first invalid setting.
-func (s Settings) validate() error {
+// Validate returns a *SettingsError for the first invalid setting.
+func (s Settings) Validate() error {
 	const countsProblem = "group size %d and max attempts %d must be at least 1"
 	switch {
 	case s.Topology != topologyPools:
--- a/internal/admission/statemachine.go
+++ b/internal/admission/statemachine.go
@@ -39,7 +39,7 @@
 // NewStateMachine returns a StateMachine. The seed initializes its random number generator.
 // The error wraps a *SettingsError.
 func NewStateMachine(settings Settings, seed uint64) (*StateMachine, error) {
-	if err := settings.validate(); err != nil {
+	if err := settings.Validate(); err != nil {
 		return nil, fmt.Errorf("admission: settings: %w", err)
 	}
 	return &StateMachine{
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -56,6 +56,83 @@
 	}
 }
 
+// Guards against files that are taken in part: a reload accepted settings that the start refuses. Each broken file names
+// another discovery address, and nothing is taken from it.
+func TestBrokenPlatformFiles(t *testing.T) {
+	moved := strings.Replace(validConfig, "10.2.0.1:8600", "10.2.0.9:8600", 1)
+	for name, text := range map[string]string{
+		"empty":               "",
+		"only white space":    " \n",
+		"null":                "null",
+		"empty object":        "{}",
+		"incomplete":          moved[:len(moved)/2],
+		"last brace missing":  moved[:len(moved)-1],
+		"something behind it": moved + "}",
+		"no name":             strings.Replace(moved, `"name":"n3",`, "", 1),
+		"no listen":           strings.Replace(moved, `"listen":"10.0.0.4:5060",`, "", 1),
+		"no seed":             strings.Replace(moved, `"seed":"8c1f30d27a5be964",`, "", 1),
+		"no limits":           strings.Replace(moved, `"limits":{"cores"`, `"limit":{"cores"`, 1),
+		"no sockets":          strings.Replace(moved, `,"sockets":1024`, "", 1),
+		"no names":            strings.Replace(moved, `"names":"10.2.0.9:8600",`, "", 1),
+		"no known":            strings.Replace(moved, `"known"`, `"unknown"`, 1),
+		"no settings":         strings.Replace(moved, `"settings"`, `"setting"`, 1),
+		"no group size":       strings.Replace(moved, `"groupSize":3,`, "", 1),
+		"no classes":          strings.Replace(moved, `"classes"`, `"class"`, 1),
+		"empty classes":       strings.Replace(moved, `{"name":"voice","aim":900,"deadline":3000,"credit":1}`, "", 1),
+		"no class name":       strings.Replace(moved, `"name":"voice",`, "", 1),
+		"no aim":              strings.Replace(moved, `"aim":900,`, "", 1),
+		"no deadline":         strings.Replace(moved, `"deadline":3000,`, "", 1),
+		"no credit":           strings.Replace(moved, `,"credit":1`, "", 1),
+		"no topology":         strings.Replace(moved, `"topology":"pools",`, "", 1),
+		"no release guard":    strings.Replace(moved, `,"releaseGuard":300`, "", 1),
+		"no attempts":         strings.Replace(moved, `"maxAttempts":4,`, "", 1),
+		"no connect timeout":  strings.Replace(moved, `,"connectTimeout":500`, "", 1),
+		"deadline 0":          strings.Replace(moved, `"deadline":3000`, `"deadline":0`, 1),
+		"negative deadline":   strings.Replace(moved, `"deadline":3000`, `"deadline":-3000`, 1),
+		"deadline as text":    strings.Replace(moved, `"deadline":3000`, `"deadline":"3000"`, 1),
+		"deadline null":       strings.Replace(moved, `"deadline":3000`, `"deadline":null`, 1),
+		"endless deadline":    strings.Replace(moved, `"deadline":3000`, `"deadline":1e999`, 1),
+		"attempts 0":          strings.Replace(moved, `"maxAttempts":4`, `"maxAttempts":0`, 1),
+		"negative attempts":   strings.Replace(moved, `"maxAttempts":4`, `"maxAttempts":-1`, 1),
+		"attempts as text":    strings.Replace(moved, `"maxAttempts":4`, `"maxAttempts":"4"`, 1),
+		"attempts null":       strings.Replace(moved, `"maxAttempts":4`, `"maxAttempts":null`, 1),
+	} {
+		t.Run(name, func(t *testing.T) {
+			if text == moved {
+				t.Fatal("the file is not broken")
+			}
+			if c, err := Parse([]byte(text)); err == nil || c != nil {
+				t.Errorf("the file was accepted: %+v", c)
+			}
+		})
+	}
+}
+
+// Valid files are accepted: with another discovery address, other classes, fewer attempts, unknown and further keys.
+func TestValidPlatformFiles(t *testing.T) {
+	const class = `{"name":"voice","aim":900,"deadline":3000,"credit":1}`
+	for name, change := range map[string][2]string{
+		"another discovery address": {"10.2.0.1:8600", "10.2.0.9:8600"},
+		"another class":             {class, `{"name":"video","aim":500,"deadline":800,"credit":0,"effect":"side_effect"}`},
+		"further classes":           {class, class + `,{"name":"video","aim":1,"deadline":1,"credit":0.5,"effect":"token","group":"zone"}`},
+		"fewer attempts":            {`"maxAttempts":4`, `"maxAttempts":1`},
+		"fractional deadline":       {`"deadline":3000`, `"deadline":3000.5`},
+		"no release guard needed":   {`"releaseGuard":300`, `"releaseGuard":0`},
+		"unknown keys":              {`"settings":{`, `"more":[1],"settings":{"later":{"deadline":0},`},
+		"no endpoints":              {validConfig[strings.Index(validConfig, `"known"`):strings.Index(validConfig, `"settings"`)], `"known":{"n":0,"events":[]},`},
+	} {
+		t.Run(name, func(t *testing.T) {
+			text := strings.Replace(validConfig, change[0], change[1], 1)
+			if text == validConfig {
+				t.Fatal("the file is unchanged")
+			}
+			if _, err := Parse([]byte(text)); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+}
+
 // Errors in the platform's file contain the key as the field of a KeyError.
 func TestConfigurationErrorsNameTheKey(t *testing.T) {
 	for _, c := range []struct {
--- a/internal/config/platform.go
+++ b/internal/config/platform.go
@@ -12,7 +12,10 @@
 	"olivedale/internal/simproto"
 )
 
-// Keys of the platform's file and the fields of Config that they fill. Keys that are not listed are ignored.
+// Keys of the platform's file and the fields of Config that they fill. Keys that are not listed are ignored. Those of
+// settings are listed in package simproto. Required are name, listen, seed, limits, names, known, settings, and in the
+// settings groupSize, classes (each with name, aim, deadline and credit), domain.topology, domain.releaseGuard,
+// limits.maxAttempts and limits.connectTimeout.
 //
 //	key                              Go field
 //	name                             Name
@@ -37,7 +40,7 @@
 	Seed             string          `json:"seed"`
 	Limits           platformLimits  `json:"limits"`
 	DiscoveryAddress string          `json:"names"`
-	KnownEndpoints   KnownEndpoints  `json:"known"`
+	KnownEndpoints   *KnownEndpoints `json:"known"`
 	PeerListen       string          `json:"peer_listen"`
 	Peers            []string        `json:"peers"`
 	Settings         json.RawMessage `json:"settings"`
@@ -51,9 +54,10 @@
 
 // platformSettings are the settings that package simproto does not read, because the decision module does not use them.
 type platformSettings struct {
-	PeerNumber *int              `json:"myNumber"`
-	Limits     connectionLimits  `json:"limits"`
-	Domain     circuitAllowances `json:"domain"`
+	PeerNumber *int             `json:"myNumber"`
+	Limits     connectionLimits `json:"limits"`
+	Domain     domainSettings   `json:"domain"`
+	Classes    []classKeys      `json:"classes"`
 }
 
 type connectionLimits struct {
@@ -61,8 +65,15 @@
 	PeerMessages   *bool   `json:"peerMessages"`   // nil: permitted
 }
 
-type circuitAllowances struct {
-	CircuitsByClass []int `json:"circuitsByClass"` // in the order of the classes
+type domainSettings struct {
+	ReleaseGuard    *float64 `json:"releaseGuard"`
+	CircuitsByClass []int    `json:"circuitsByClass"` // in the order of the classes
+}
+
+// classKeys are the keys of a class whose absence the values do not show.
+type classKeys struct {
+	Name   string   `json:"name"`
+	Credit *float64 `json:"credit"`
 }
 
 // Minimum values of platformLimits.
@@ -73,12 +84,16 @@
 
 var errMissing = errors.New("missing")
 
-// Parse parses and validates the text of the platform's file. Errors in values contain the key.
+// Parse parses and validates the text of the platform's file. Errors in values contain the key. Start and reload both
+// use it, so that a running controller takes nothing from a file that its next start would refuse.
 func Parse(text []byte) (*Config, error) {
 	var file platformFile
 	if err := json.Unmarshal(text, &file); err != nil {
 		return nil, err
 	}
+	if err := file.checkRequired(); err != nil {
+		return nil, err
+	}
 	if err := file.checkAddresses(); err != nil {
 		return nil, err
 	}
@@ -107,12 +122,25 @@
 		MemoryMB:         f.Limits.MemoryMB,
 		Sockets:          f.Limits.Sockets,
 		DiscoveryAddress: f.DiscoveryAddress,
-		KnownEndpoints:   f.KnownEndpoints,
+		KnownEndpoints:   *f.KnownEndpoints,
 		PeerListen:       f.PeerListen,
 		Peers:            f.Peers,
 	}
 }
 
+// checkRequired checks for required keys whose absence their values do not show.
+func (f *platformFile) checkRequired() error {
+	switch {
+	case f.Name == "":
+		return &KeyError{"name", errMissing}
+	case f.KnownEndpoints == nil:
+		return &KeyError{"known", errMissing}
+	case len(f.Settings) == 0:
+		return &KeyError{"settings", errMissing}
+	}
+	return nil
+}
+
 func (f *platformFile) checkAddresses() error {
 	if _, err := netip.ParseAddrPort(f.Listen); err != nil {
 		return &KeyError{"listen", err}
@@ -133,15 +161,18 @@
 
 // readSettings sets the fields of c that the object "settings" supplies.
 func (c *Config) readSettings(text json.RawMessage) error {
-	if len(text) == 0 {
-		return &KeyError{"settings", errMissing}
+	var settings platformSettings
+	if err := json.Unmarshal(text, &settings); err != nil {
+		return &KeyError{"settings", err}
+	}
+	if err := settings.checkRequired(); err != nil {
+		return err
 	}
 	var err error
 	if c.Settings, err = simproto.ReadSettings(text); err != nil {
 		return err
 	}
-	var settings platformSettings
-	if err := json.Unmarshal(text, &settings); err != nil {
+	if err := c.Settings.Validate(); err != nil {
 		return &KeyError{"settings", err}
 	}
 	c.DialTimeout = time.Duration(settings.Limits.ConnectTimeout * float64(time.Millisecond))
@@ -150,16 +181,32 @@
 	}
 	c.PeerNumber = settings.PeerNumber
 	c.PeerMessagesForbidden = settings.Limits.PeerMessages != nil && !*settings.Limits.PeerMessages
-	c.circuitsByClass = settings.Domain.byName(c.Settings.Classes)
+	c.circuitsByClass = settings.Domain.circuitsByName(c.Settings.Classes)
+	return nil
+}
+
+// checkRequired checks for required keys whose absence their values do not show.
+func (s *platformSettings) checkRequired() error {
+	if s.Domain.ReleaseGuard == nil {
+		return &KeyError{"settings.domain.releaseGuard", errMissing}
+	}
+	for _, class := range s.Classes {
+		switch {
+		case class.Name == "":
+			return &KeyError{"settings.classes.name", errMissing}
+		case class.Credit == nil:
+			return &KeyError{"settings.classes.credit", errMissing}
+		}
+	}
 	return nil
 }
 
-// byName returns the allowances keyed by class name. Classes without an allowance are absent.
-func (a circuitAllowances) byName(classes []admission.Class) map[string]int {
+// circuitsByName returns the numbers of circuits keyed by class name. Classes without a number are absent.
+func (d domainSettings) circuitsByName(classes []admission.Class) map[string]int {
 	all := make(map[string]int)
 	for i, class := range classes {
-		if i < len(a.CircuitsByClass) {
-			all[class.Name] = a.CircuitsByClass[i]
+		if i < len(d.CircuitsByClass) {
+			all[class.Name] = d.CircuitsByClass[i]
 		}
 	}
 	return all
--- a/internal/server/discovery_test.go
+++ b/internal/server/discovery_test.go
@@ -110,7 +110,9 @@
 	next.set(endpointLine{id: "s-0", addr: bed.exchanges[0].addr(), draining: true}) // serial 2
 	cfg := *bed.server.cfg
 	cfg.DiscoveryAddress = next.conn.LocalAddr().String()
-	bed.server.Reload(&cfg)
+	if err := bed.server.Reload(&cfg); err != nil {
+		t.Fatal(err)
+	}
 	bed.runIteration(func() {}) // the address has changed
 	bed.discovery.mu.Lock()
 	_, _ = bed.discovery.conn.WriteTo(bed.discovery.heldAnswers[0], bed.discovery.lastClient)
--- a/internal/server/lifecycle.go
+++ b/internal/server/lifecycle.go
@@ -136,8 +136,11 @@
 
 // Reload applies a configuration that was read again. It may be called from any goroutine once the server has started.
 // Connections, calls and the list of endpoints are kept. Only the address of the discovery service can change at
-// runtime.
-func (s *Server) Reload(cfg *config.Config) {
+// runtime. A configuration with which New would fail is not applied, and its error is returned.
+func (s *Server) Reload(cfg *config.Config) error {
+	if err := checkEndpoints(cfg, s.h248); err != nil {
+		return err
+	}
 	s.loop.ExecuteIteration(func() {
 		s.loop.Log.Infow("reloaded", "names", cfg.DiscoveryAddress)
 		if needsRestart(s.cfg, cfg) {
@@ -148,6 +151,7 @@
 			s.recorder.recordConfig("names", cfg.DiscoveryAddress)
 		}
 	})
+	return nil
 }
 
 // needsRestart reports whether two configurations differ in values that only a restart can change.
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -7,6 +7,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/panjf2000/gnet/v2"
@@ -110,6 +111,9 @@
 // New creates a server from its configuration. It opens the record log and reads the numbering table. Run starts
 // everything else.
 func New(cfg *config.Config, o Options) (*Server, error) {
+	if err := checkEndpoints(cfg, o.H248); err != nil {
+		return nil, err
+	}
 	o = o.withDefaults()
 	s := &Server{
 		cfg:       cfg,
@@ -149,6 +153,21 @@
 	return s, nil
 }
 
+// checkEndpoints returns an error if an endpoint of the configuration has the id of an H.248 server of the operator's
+// file. Together with config.Parse it decides whether a controller can start with a configuration.
+func checkEndpoints(cfg *config.Config, h *config.H248) error {
+	if h == nil {
+		return nil
+	}
+	_, known := discovery.NewResolver(cfg.KnownEndpoints)
+	for _, server := range h.Servers {
+		if slices.ContainsFunc(known, func(e config.Endpoint) bool { return e.ID == server.ID }) {
+			return fmt.Errorf("known: %q is the id of an H.248 server", server.ID)
+		}
+	}
+	return nil
+}
+
 // newAdmission returns the admission control. Its messages are logged and recorded.
 func (s *Server) newAdmission() (*admission.Engine, error) {
 	return admission.NewEngine(s.loop.Now(), s.cfg.Settings, s.cfg.Seed, func(line string) {
--- a/internal/server/settings_record_test.go
+++ b/internal/server/settings_record_test.go
@@ -16,7 +16,7 @@
 // different program versions. The stored bytes must therefore not change when names in the source change.
 func TestSettingsRecordKeepsItsBytes(t *testing.T) {
 	cfg, err := config.Parse([]byte(`{"name":"n0","listen":"127.0.0.1:0","seed":"1f","names":"127.0.0.1:9",
-		"limits":{"memory_mb":192,"sockets":1024},"settings":{"groupSize":3,"discovery":"ask","classes":[
+		"limits":{"memory_mb":192,"sockets":1024},"known":{"n":0,"events":[]},"settings":{"groupSize":3,"discovery":"ask","classes":[
 		{"name":"voice","aim":2000,"deadline":9000,"credit":1,"lateWorth":0.2,"effect":"token","group":"zone","dedupWindow":4000},
 		{"name":"alarm","aim":500,"deadline":3000,"credit":12.5,"effect":"no"}],
 		"domain":{"topology":"pools","releaseGuard":300,"resend":1500,"skilledPools":[[0,1],[2]]},
--- a/internal/server/settings_test.go
+++ b/internal/server/settings_test.go
@@ -4,12 +4,14 @@
 	"bufio"
 	"fmt"
 	"net"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
 	"time"
 
 	"olivedale/internal/codec/jsonl"
+	"olivedale/internal/config"
 )
 
 // deploymentSettings returns settings with the given classes, pools and circuits by class.
@@ -77,6 +79,36 @@
 	}
 }
 
+// A configuration that lists an H.248 server of the operator's file is refused by a start and by a reload alike. The reload
+// takes nothing from it.
+func TestEndpointWithTheIDOfAnH248Server(t *testing.T) {
+	t.Parallel()
+	server := startUnreadExchange(t)
+	withServer := func(o *Options) {
+		o.H248 = h248Config()
+		o.H248.Servers = []config.H248Server{{ID: "h-0", Address: server.addr()}}
+	}
+	bed := startTestbed(t, nil, &scriptedDecider{}, withServer)
+	cfg := *bed.server.cfg
+	cfg.DiscoveryAddress = "127.0.0.1:9"
+	endpoint := config.Endpoint{ID: "h-0", Address: server.addr(), Phase: config.PhaseReady}
+	cfg.KnownEndpoints.Events = append(slices.Clone(cfg.KnownEndpoints.Events),
+		config.EndpointEvent{N: 2, Endpoints: config.EndpointList{Endpoints: []config.Endpoint{endpoint}}})
+	var options Options
+	withServer(&options)
+	if _, err := New(&cfg, options); err == nil {
+		t.Error("a start accepts the configuration")
+	}
+	if err := bed.server.Reload(&cfg); err == nil {
+		t.Error("a reload accepts the configuration")
+	}
+	bed.runIteration(func() {
+		if bed.server.discovery.address == cfg.DiscoveryAddress {
+			t.Error("the discovery address was taken from it")
+		}
+	})
+}
+
 // A rejection includes a retry-after time unless the settings forbid it.
 func TestRetryAfterIsSentWhereSettingsAllow(t *testing.T) {
 	t.Parallel()
--- a/internal/server/shutdown_test.go
+++ b/internal/server/shutdown_test.go
@@ -66,7 +66,9 @@
 	exchange := startFakeExchange(t, "127.0.0.1:0")
 	bed := startTestbed(t, []*fakeExchange{exchange}, &scriptedDecider{servers: []string{"s-0", "s-0", "s-0"}})
 	bed.server.Stop()
-	bed.server.Reload(bed.server.cfg)
+	if err := bed.server.Reload(bed.server.cfg); err != nil {
+		t.Error(err)
+	}
 	bed.server.Stop()
 	var ids []string
 	for i, k := range []*jsonCaller{bed.caller, bed.dialCaller("cccccccc")} {
