Number transactions to H.248 call servers from a random id in each process

Cause: h248Protocol numbered transactions from 1 in each process and on each connection object, under the same message id. A server that executes at most once keeps replies for 30 s by message id and transaction id, takes the Adds of the next process for repeats and sends the replies of the earlier ones.

Change: one IDSequence for all servers of a process, which begins at a random id of the operating system, not of the configuration's seed, which may be the same again. Rejected: ids from the clock, which go back when it is set back.

TestCallsAfterRestartGetTheirOwnAnswers (two restarts in a row, a server that executes at most once) gets six answers of other calls with a sequence that begins at 1, and none now. The simulated H.248 server of the tests executes each transaction at most once for all its tests from now on.

--- a/internal/backend/h248.go
+++ b/internal/backend/h248.go
@@ -19,7 +19,6 @@
 // server reports the end of a call by a Notify.
 type h248Protocol struct {
 	conn     *Conn
-	lastID   uint32                     // id of our latest transaction
 	requests map[uint32]*pendingRequest // our transactions that have no reply yet
 	contexts map[string]string          // contexts of established calls, by termination
 	received *transaction.Store
@@ -95,15 +94,15 @@
 
 // appendRequest appends a transaction with a single command and stores it until its reply arrives.
 func (p *h248Protocol) appendRequest(b []byte, r *pendingRequest, context string, c *h248.Command) ([]byte, error) {
-	p.lastID++
+	id := p.conn.set.transactionIDs.Next()
 	t := &h248.Transaction{
-		ID:      p.lastID,
+		ID:      id,
 		Actions: []*h248.Action{{Context: context, Commands: []*h248.Command{c}}},
 	}
 	b, err := h248.AppendFrame(b, &h248.Message{MID: p.conn.set.messageID, Transactions: []*h248.Transaction{t}})
 	if err == nil {
 		r.sentAt = p.conn.set.loop.Now()
-		p.requests[p.lastID] = r
+		p.requests[id] = r
 	}
 	return b, err
 }
--- a/internal/backend/h248_test.go
+++ b/internal/backend/h248_test.go
@@ -87,7 +87,7 @@
 		t.Errorf("%d transactions are stored, want 2", len(p.requests))
 	}
 	c.releases.add("00000000000000aa", pendingRelease{})
-	p.handleReply(&h248.Transaction{Kind: h248.Reply, ID: p.lastID - 1})
+	p.handleReply(&h248.Transaction{Kind: h248.Reply, ID: p.conn.set.transactionIDs.Next() - 2})
 	if c.PendingReleases() != 0 || len(p.requests) != 1 {
 		t.Errorf("after the reply: %d releases and %d transactions left, want 0 and 1", c.PendingReleases(), len(p.requests))
 	}
--- a/internal/backend/set.go
+++ b/internal/backend/set.go
@@ -54,6 +54,8 @@
 	MaxProbes int
 	// Dial opens connections; if nil, DialTCP is used.
 	Dial Dialer
+	// TransactionIDs numbers the transactions sent to exchanges that speak H.248. If nil, the ids begin at 1.
+	TransactionIDs *transaction.IDSequence
 	// ReportMalformed is called for input that cannot be parsed.
 	ReportMalformed func(source string, err error)
 }
@@ -69,6 +71,7 @@
 	memoryMB        int
 	dialTimeout     time.Duration
 	dial            Dialer
+	transactionIDs  *transaction.IDSequence
 	reportMalformed func(source string, err error)
 	conns           map[string]*Conn
 	maxProbes       int
@@ -83,12 +86,16 @@
 	if o.Dial == nil {
 		o.Dial = DialTCP
 	}
+	if o.TransactionIDs == nil {
+		o.TransactionIDs = transaction.NewIDSequence(0)
+	}
 	return &Set{
 		loop:            o.Loop,
 		messageID:       transaction.MessageID(o.Name),
 		memoryMB:        o.MemoryMB,
 		dialTimeout:     o.DialTimeout,
 		dial:            o.Dial,
+		transactionIDs:  o.TransactionIDs,
 		reportMalformed: o.ReportMalformed,
 		maxProbes:       o.MaxProbes,
 		conns:           make(map[string]*Conn),
--- a/internal/server/restart_test.go
+++ b/internal/server/restart_test.go
@@ -76,3 +76,41 @@
 	}
 	exchange.awaitReceived("BYE", otherID, 1)
 }
+
+// restart ends the server and starts the next process of the same controller, with the same exchanges.
+func (s *testServer) restart(t *testing.T) *testServer {
+	t.Helper()
+	s.stop(t)
+	s.done <- nil // for stopAtCleanup
+	next := &testServer{
+		discovery:    s.discovery,
+		observations: s.observations,
+		exchanges:    s.exchanges,
+		done:         make(chan error, 1),
+	}
+	cfg := *s.server.cfg
+	next.run(t, &cfg, Options{H248: s.server.h248}, func() {})
+	next.stopAtCleanup(t)
+	return next
+}
+
+// Guards against answers of other calls: transactions to call servers were numbered from 1 in each process, so that after
+// a restart a server which executes each transaction at most once sent the replies of earlier ones.
+func TestCallsAfterRestartGetTheirOwnAnswers(t *testing.T) {
+	t.Parallel()
+	server, answers := startTestServer(t, true), newAnswerLog()
+	for process := range 3 { // with two restarts in a row
+		if process > 0 {
+			server = server.restart(t)
+		}
+		caller := dialJSONCaller(t, server.jsonAddress(), answers, fmt.Sprintf("%08x", process))
+		for call := range 3 {
+			number := fmt.Sprintf("keep.%d.%d", process, call)
+			key := caller.setUp(number, 2*time.Second)
+			want := "stands " + acceptedDescription(number)
+			if got := answers.await(t, key, 1); got != want || server.observations.attemptsTo(number) != 1 {
+				t.Errorf("process %d, call %d: got %q after %d attempts, want %q", process, call, got, server.observations.attemptsTo(number), want)
+			}
+		}
+	}
+}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -16,6 +16,7 @@
 	"olivedale/internal/admission"
 	"olivedale/internal/backend"
 	"olivedale/internal/call"
+	"olivedale/internal/codec/h248/transaction"
 	"olivedale/internal/config"
 	"olivedale/internal/discovery"
 	"olivedale/internal/eventloop"
@@ -132,6 +133,7 @@
 		DialTimeout:     cfg.DialTimeout,
 		MaxProbes:       cfg.Sockets >> maxProbesShift,
 		Dial:            o.dial,
+		TransactionIDs:  transaction.NewIDSequence(o.randomID()),
 		ReportMalformed: s.reportMalformed,
 	})
 	engine, err := s.newAdmission()
--- a/internal/server/simulated_exchange_test.go
+++ b/internal/server/simulated_exchange_test.go
@@ -50,6 +50,8 @@
 	mu           sync.Mutex
 	conns        map[net.Conn]bool
 
+	replies h248Replies // replies to executed transactions, guarded by mu
+
 	invited        int  // number of received set-ups, guarded by mu
 	behavesByDigit bool // the last digit of a number selects the behavior, see behaviorByDigit
 	answersNothing bool // no attempt is answered; must be set before the server starts
@@ -61,7 +63,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := &simulatedExchange{observations: r, listener: ln, conns: make(map[net.Conn]bool)}
+	s := &simulatedExchange{observations: r, listener: ln, conns: make(map[net.Conn]bool), replies: make(h248Replies)}
 	go func() {
 		for {
 			c, err := ln.Accept()
--- a/internal/server/simulated_h248_test.go
+++ b/internal/server/simulated_h248_test.go
@@ -18,8 +18,18 @@
 	writeMutex  sync.Mutex
 	lastContext uint32
 	contexts    map[string]string // contexts of established calls by termination
+	peer        string            // message id of the controller
 }
 
+// h248TransactionKey identifies a transaction of a controller.
+type h248TransactionKey struct {
+	messageID string
+	id        uint32
+}
+
+// h248Replies holds the replies to the transactions that an exchange has executed.
+type h248Replies map[h248TransactionKey]*h248.Transaction
+
 // serveH248 serves a connection until it is closed.
 func (s *simulatedExchange) serveH248(conn net.Conn) {
 	session := &h248Session{exchange: s, conn: conn, contexts: make(map[string]string)}
@@ -40,14 +50,34 @@
 		s.exchange.observations.increment(&s.exchange.observations.corrupted)
 		return false
 	}
+	s.peer = m.MID
 	for _, t := range m.Transactions {
-		if t.Kind == h248.Request {
+		if t.Kind == h248.Request && !s.repeatReply(t.ID) {
 			s.handleRequest(t)
 		}
 	}
 	return true
 }
 
+// repeatReply sends the reply to a transaction again that was executed before, on whichever connection, and reports
+// whether there is one. Like a sound call server, the exchange executes each transaction at most once.
+func (s *h248Session) repeatReply(id uint32) bool {
+	s.exchange.mu.Lock()
+	reply := s.exchange.replies[h248TransactionKey{s.peer, id}]
+	s.exchange.mu.Unlock()
+	if reply == nil {
+		return false
+	}
+	s.send(reply)
+	return true
+}
+
+func (s *h248Session) storeReply(t *h248.Transaction) {
+	s.exchange.mu.Lock()
+	defer s.exchange.mu.Unlock()
+	s.exchange.replies[h248TransactionKey{s.peer, t.ID}] = t
+}
+
 func (s *h248Session) send(t *h248.Transaction) {
 	s.writeMutex.Lock()
 	defer s.writeMutex.Unlock()
@@ -63,7 +93,9 @@
 }
 
 func (s *h248Session) replyWith(t *h248.Transaction, a *h248.Action) {
-	s.send(&h248.Transaction{Kind: h248.Reply, ID: t.ID, Actions: []*h248.Action{a}})
+	reply := &h248.Transaction{Kind: h248.Reply, ID: t.ID, Actions: []*h248.Action{a}}
+	s.storeReply(reply)
+	s.send(reply)
 }
 
 func (s *h248Session) handleRequest(t *h248.Transaction) {
