Match replies of H.248 call servers on command and termination

Related to the answers of other calls after a restart: a reply was matched by its transaction id alone, whatever command and termination it named. The reply to an Add of another call answered the caller with that call's description, and the reply to another Subtract confirmed a release that the server had not run.

Now a reply that names another command or termination than its transaction leaves the transaction open; it is counted under `strays` and logged as `stray_reply` with both names, at most once a second, so that the log tells a repeated reply from a server that does not answer. An error without a command names nothing else and counts as before.

TestRepliesToOtherCommandsAreIgnored fails without the check (the attempt is answered by the first of four foreign replies) and passes with it.

--- a/internal/backend/h248.go
+++ b/internal/backend/h248.go
@@ -26,12 +26,21 @@
 
 // A pendingRequest is a transaction sent by us that has no reply yet.
 type pendingRequest struct {
-	isAdd   bool
+	isAdd   bool // otherwise it is a Subtract
 	callID  string
 	attempt int
 	sentAt  time.Duration
 }
 
+// checkReply returns an error if a reply belongs to another command, for example one of an earlier process.
+func (r *pendingRequest) checkReply(t *h248.Transaction) error {
+	command := "Subtract"
+	if r.isAdd {
+		command = "Add"
+	}
+	return transaction.CheckReply(t, command, TerminationName(r.callID, r.attempt))
+}
+
 func newH248(c *Conn) *h248Protocol {
 	return &h248Protocol{
 		conn:     c,
@@ -198,6 +207,11 @@
 	if r == nil {
 		return // duplicate, or a reply to an Add that was abandoned with its connection
 	}
+	if err := r.checkReply(t); err != nil {
+		p.conn.set.Counters.Strays++
+		p.conn.set.reportStray("exchange "+p.conn.id, err)
+		return // the transaction still has no reply
+	}
 	delete(p.requests, t.ID)
 	if !r.isAdd {
 		p.conn.releases.remove(r.callID)
--- a/internal/backend/h248_test.go
+++ b/internal/backend/h248_test.go
@@ -92,3 +92,58 @@
 		t.Errorf("after the reply: %d releases and %d transactions left, want 0 and 1", c.PendingReleases(), len(p.requests))
 	}
 }
+
+// latestRequest returns the id of the latest transaction that was sent to the server.
+func latestRequest(p *h248Protocol) uint32 {
+	var latest uint32
+	for id := range p.requests {
+		latest = max(latest, id)
+	}
+	return latest
+}
+
+// addReply returns the reply to an Add.
+func addReply(id uint32, termination string) *h248.Transaction {
+	local := &h248.Node{Name: "Media", Children: []*h248.Node{{Name: "Local", Octets: []byte("a")}}}
+	add := &h248.Command{Name: "Add", Termination: termination, Descriptors: []*h248.Node{local}}
+	return &h248.Transaction{Kind: h248.Reply, ID: id, Actions: []*h248.Action{{Context: "1", Commands: []*h248.Command{add}}}}
+}
+
+// subtractReply returns the reply to a Subtract.
+func subtractReply(id uint32, termination string) *h248.Transaction {
+	subtract := &h248.Command{Name: "Subtract", Termination: termination}
+	return &h248.Transaction{Kind: h248.Reply, ID: id, Actions: []*h248.Action{{Context: "1", Commands: []*h248.Command{subtract}}}}
+}
+
+// Guards against answers of other calls: a reply was matched by its transaction id alone, so that the reply to another
+// command under the same id, for example of an earlier process, answered the attempt or confirmed the release.
+func TestRepliesToOtherCommandsAreIgnored(t *testing.T) {
+	const callID, otherID = "00000000000000aa", "00000000000000ab"
+	c := newTestConn()
+	strays := 0
+	c.set.reportStray = func(string, error) { strays++ }
+	p := newH248(c)
+	c.protocol = p
+	if _, err := p.appendInvite(nil, call.Setup{ID: callID, Class: "voice", Number: "1", Description: []byte("o")}); err != nil {
+		t.Fatal(err)
+	}
+	c.openAttempts[callID] = 0
+	add := latestRequest(p)
+	for _, termination := range []string{TerminationName(otherID, 0), TerminationName(callID, 1), "line/1"} {
+		p.handleReply(addReply(add, termination))
+	}
+	p.handleReply(subtractReply(add, TerminationName(callID, 0)))
+	if _, isOpen := c.openAttempts[callID]; !isOpen || len(p.requests) != 1 || len(p.contexts) != 0 || strays != 4 || c.set.Counters.Strays != 4 {
+		t.Errorf("the attempt is open: %v, %d requests, %d contexts, %d strays logged, %d counted", isOpen, len(p.requests), len(p.contexts), strays, c.set.Counters.Strays)
+	}
+	c.releases.add(callID, pendingRelease{})
+	p.appendRelease(nil, callID, 0, 16)
+	p.handleReply(subtractReply(latestRequest(p), TerminationName(otherID, 0)))
+	if c.PendingReleases() != 1 {
+		t.Error("the reply to the release of another call confirmed the release")
+	}
+	p.handleReply(subtractReply(latestRequest(p), "CALL/"+callID+"/0"))
+	if c.PendingReleases() != 0 {
+		t.Error("the reply to the release did not confirm it")
+	}
+}
--- a/internal/backend/set.go
+++ b/internal/backend/set.go
@@ -58,6 +58,8 @@
 	TransactionIDs *transaction.IDSequence
 	// ReportMalformed is called for input that cannot be parsed.
 	ReportMalformed func(source string, err error)
+	// ReportStray is called for replies that do not belong to the transaction whose id they have.
+	ReportStray func(source string, err error)
 }
 
 // A Set holds the connections to all known exchanges, by the exchange's id. It implements call.Backends.
@@ -73,6 +75,7 @@
 	dial            Dialer
 	transactionIDs  *transaction.IDSequence
 	reportMalformed func(source string, err error)
+	reportStray     func(source string, err error)
 	conns           map[string]*Conn
 	maxProbes       int
 	openProbes      int // probes of all exchanges that are being dialled or are open
@@ -97,6 +100,7 @@
 		dial:            o.Dial,
 		transactionIDs:  o.TransactionIDs,
 		reportMalformed: o.ReportMalformed,
+		reportStray:     o.ReportStray,
 		maxProbes:       o.MaxProbes,
 		conns:           make(map[string]*Conn),
 	}
--- a/internal/server/report.go
+++ b/internal/server/report.go
@@ -6,24 +6,37 @@
 	"olivedale/internal/call"
 )
 
-// malformedLogInterval is the minimum time between two log lines about malformed input.
-const malformedLogInterval = time.Second
+// inputLogInterval is the minimum time between two log lines about input of the same kind.
+const inputLogInterval = time.Second
 
-// malformedInput counts malformed input and limits the log lines about it.
-type malformedInput struct {
+// An inputLog counts input that cannot be used and limits the log lines about it, so that a flood of such input does
+// not flood the log.
+type inputLog struct {
 	count    int
 	loggedAt time.Duration // 0 if never
 }
 
-// reportMalformed counts malformed input and logs at most one line per second, so that a flood of such input does not
-// flood the log.
+// record counts an input and reports whether it is to be logged.
+func (l *inputLog) record(now time.Duration) bool {
+	l.count++
+	if l.loggedAt != 0 && now-l.loggedAt <= inputLogInterval {
+		return false
+	}
+	l.loggedAt = now
+	return true
+}
+
+// reportMalformed counts and logs input that cannot be parsed.
 func (s *Server) reportMalformed(source string, err error) {
-	m := &s.malformed
-	m.count++
-	now := s.loop.Now()
-	if m.loggedAt == 0 || now-m.loggedAt > malformedLogInterval {
-		m.loggedAt = now
-		s.loop.Log.Warnw("malformed", "from", source, "count", m.count, "err", err)
+	if s.malformed.record(s.loop.Now()) {
+		s.loop.Log.Warnw("malformed", "from", source, "count", s.malformed.count, "err", err)
+	}
+}
+
+// reportStray counts and logs a reply that does not belong to the transaction whose id it has.
+func (s *Server) reportStray(source string, err error) {
+	if s.strayReplies.record(s.loop.Now()) {
+		s.loop.Log.Warnw("stray_reply", "from", source, "count", s.strayReplies.count, "err", err)
 	}
 }
 
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -56,9 +56,11 @@
 	discovery *discoveryClient
 	listeners *listeners
 	lifecycle lifecycle
-	malformed malformedInput
 	pollAt    time.Duration // time of the next periodic poll
 
+	malformed    inputLog // input that cannot be parsed
+	strayReplies inputLog // replies that do not belong to the transaction whose id they have
+
 	recorder  *recorder        // nil if disabled
 	metrics   *metrics         // nil if there is no admin address
 	numbering *numberRouter    // nil if disabled
@@ -135,6 +137,7 @@
 		Dial:            o.dial,
 		TransactionIDs:  transaction.NewIDSequence(o.randomID()),
 		ReportMalformed: s.reportMalformed,
+		ReportStray:     s.reportStray,
 	})
 	engine, err := s.newAdmission()
 	if err != nil {
