Number Notifies to gateways from a random id, and match their replies

A gateway that executes at most once takes the first releases after a restart for repeats, so that its user keeps a call that is over. A reply confirmed a Notify by its transaction id alone, whichever gateway sent it and whatever command it named.

Now the ids begin at a random one, apart from those towards call servers, and a reply counts only from the gateway that was notified and for its Notify; any other is counted and logged as stray_reply. The code moves to notify.go, since frontend.go held two subjects.

TestNotifyAfterRestart gets the same id 1 from both processes and two foreign confirmations without the change, and passes with it.

--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -29,6 +29,7 @@
 	LateSetups           int // set-ups that arrived after the connections to the exchanges were closed
 	Echoes               int // liveness probes of a connection
 	RepeatedTransactions int
+	StrayReplies         int // replies that do not belong to the transaction whose id they have
 	ReleasesSent         int
 	ReleasesDiscarded    int // releases that could not be delivered in time or stored
 }
@@ -67,6 +68,8 @@
 	RandomID func() uint32
 	// ReportMalformed is called for input that cannot be parsed.
 	ReportMalformed func(source string, err error)
+	// ReportStray is called for replies that do not belong to the transaction whose id they have.
+	ReportStray func(source string, err error)
 	// IsShuttingDown reports whether the process may exit before a set-up that arrives now is answered.
 	IsShuttingDown func() bool
 	// IsDisconnected reports whether the connections to exchanges are permanently closed, so that releases can no
--- a/internal/frontend/gateway/frontend.go
+++ b/internal/frontend/gateway/frontend.go
@@ -8,7 +8,6 @@
 
 	"github.com/panjf2000/gnet/v2"
 
-	"olivedale/internal/call"
 	"olivedale/internal/codec/h248"
 	"olivedale/internal/codec/h248/transaction"
 	"olivedale/internal/eventloop"
@@ -48,20 +47,12 @@
 	received        *transaction.Store
 	calls           callTable
 	identities      identitySource
-	lastNotifyID    uint32
+	transactionIDs  *transaction.IDSequence   // of the Notifies
 	pendingNotifies map[uint32]*pendingNotify // by transaction id
 }
 
 var _ frontend.Frontend = (*Frontend)(nil)
 
-// A pendingNotify is the notification of a release to which the gateway has not replied.
-type pendingNotify struct {
-	messageID string
-	text      []byte
-	createdAt time.Duration
-	isSent    bool // on any connection
-}
-
 // New returns a frontend that accepts at most maxGateways connections.
 func New(host *frontend.Host, admin Administrator, maxGateways int) *Frontend {
 	return &Frontend{
@@ -73,6 +64,7 @@
 		received:        transaction.NewStore(host.Config.MemoryMB << maxTransactionsShift),
 		calls:           newCallTable(),
 		identities:      newIdentitySource(host.Config.Name, host.RandomID()),
+		transactionIDs:  transaction.NewIDSequence(host.RandomID()),
 		pendingNotifies: make(map[uint32]*pendingNotify),
 	}
 }
@@ -116,54 +108,6 @@
 // Connections implements frontend.Frontend.
 func (f *Frontend) Connections() []frontend.Connection { return f.gateways.Snapshot() }
 
-// NotifyRelease implements call.Frontend. It notifies the gateway of the release on any of its connections, and again
-// on each new connection until the gateway replies. For calls that this process does not know, gateways detect the end
-// by an audit.
-func (f *Frontend) NotifyRelease(_ call.Client, id string, cause int) {
-	c := f.calls.byID[id]
-	if c == nil {
-		return
-	}
-	f.calls.remove(c)
-	n := f.newNotify(c, cause)
-	if len(f.pendingNotifies) < f.host.Config.MemoryMB<<maxNotifiesShift {
-		f.pendingNotifies[f.lastNotifyID] = n
-	} else {
-		f.host.Counters.ReleasesDiscarded++ // limits the memory if gateways do not reply
-	}
-	f.host.Counters.ReleasesSent++
-	connections := f.byMessageID[c.messageID]
-	if connections == nil {
-		return
-	}
-	for g := range connections.Latest() {
-		if g.conn.IsOpen() {
-			g.sendNotify(n)
-			return
-		}
-	}
-}
-
-// newNotify returns the transaction that notifies a gateway of the release of a call.
-func (f *Frontend) newNotify(c *gatewayCall, cause int) *pendingNotify {
-	f.lastNotifyID++
-	command := &h248.Command{
-		Name:        "Notify",
-		Termination: c.termination,
-		Descriptors: []*h248.Node{transaction.ReleaseEvent(cause)},
-	}
-	t := &h248.Transaction{
-		Kind:    h248.Request,
-		ID:      f.lastNotifyID,
-		Actions: []*h248.Action{{Context: c.context.String(), Commands: []*h248.Command{command}}},
-	}
-	return &pendingNotify{
-		messageID: c.messageID,
-		text:      transaction.Frame(f.messageID, t),
-		createdAt: f.host.Loop.Now(),
-	}
-}
-
 // CloseOverdue implements frontend.Frontend. It also drops release notifications that got no reply in time.
 func (f *Frontend) CloseOverdue(now time.Duration) {
 	f.gateways.CloseOverdue(now)
--- a/internal/frontend/gateway/gateway.go
+++ b/internal/frontend/gateway/gateway.go
@@ -148,7 +148,7 @@
 		case h248.Request:
 			g.handleRequest(m.MID, t)
 		case h248.Reply:
-			delete(f.pendingNotifies, t.ID)
+			f.handleReply(m.MID, t)
 		case h248.Ack:
 			f.received.Acknowledge(m.MID, t.Acked)
 		case h248.Pending: // the reply will follow
--- /dev/null
+++ b/internal/frontend/gateway/notify.go
@@ -0,0 +1,103 @@
+package gateway
+
+import (
+	"errors"
+	"time"
+
+	"olivedale/internal/call"
+	"olivedale/internal/codec/h248"
+	"olivedale/internal/codec/h248/transaction"
+)
+
+// errForeignReply reports a reply of a gateway to a transaction that was sent to another one.
+var errForeignReply = errors.New("the reply is not from the gateway that its transaction was sent to")
+
+// notifyCommand is the name of the command that reports a release.
+const notifyCommand = "Notify"
+
+// A pendingNotify is the notification of a release to which the gateway has not replied.
+type pendingNotify struct {
+	messageID   string
+	termination string
+	text        []byte
+	createdAt   time.Duration
+	isSent      bool // on any connection
+}
+
+// checkReply returns an error if a reply is not the answer of the notified gateway.
+func (n *pendingNotify) checkReply(messageID string, t *h248.Transaction) error {
+	if n.messageID != messageID {
+		return errForeignReply
+	}
+	return transaction.CheckReply(t, notifyCommand, n.termination)
+}
+
+// NotifyRelease implements call.Frontend. It notifies the gateway of the release on any of its connections, and again
+// on each new connection until the gateway replies. For calls that this process does not know, gateways detect the end
+// by an audit.
+func (f *Frontend) NotifyRelease(_ call.Client, id string, cause int) {
+	c := f.calls.byID[id]
+	if c == nil {
+		return
+	}
+	f.calls.remove(c)
+	f.notify(c.messageID, c.context, c.termination, cause)
+}
+
+// notify notifies a gateway of the release of a call.
+func (f *Frontend) notify(messageID string, context contextID, termination string, cause int) {
+	id := f.transactionIDs.Next()
+	n := f.newNotify(id, messageID, context, termination, cause)
+	if len(f.pendingNotifies) < f.host.Config.MemoryMB<<maxNotifiesShift {
+		f.pendingNotifies[id] = n
+	} else {
+		f.host.Counters.ReleasesDiscarded++ // limits the memory if gateways do not reply
+	}
+	f.host.Counters.ReleasesSent++
+	connections := f.byMessageID[messageID]
+	if connections == nil {
+		return
+	}
+	for g := range connections.Latest() {
+		if g.conn.IsOpen() {
+			g.sendNotify(n)
+			return
+		}
+	}
+}
+
+// newNotify returns the transaction that notifies a gateway of the release of a call.
+func (f *Frontend) newNotify(
+	id uint32, messageID string, context contextID, termination string, cause int,
+) *pendingNotify {
+	command := &h248.Command{
+		Name:        notifyCommand,
+		Termination: termination,
+		Descriptors: []*h248.Node{transaction.ReleaseEvent(cause)},
+	}
+	t := &h248.Transaction{
+		Kind:    h248.Request,
+		ID:      id,
+		Actions: []*h248.Action{{Context: context.String(), Commands: []*h248.Command{command}}},
+	}
+	return &pendingNotify{
+		messageID:   messageID,
+		termination: termination,
+		text:        transaction.Frame(f.messageID, t),
+		createdAt:   f.host.Loop.Now(),
+	}
+}
+
+// handleReply removes the notification that a gateway has confirmed.
+func (f *Frontend) handleReply(messageID string, t *h248.Transaction) {
+	n := f.pendingNotifies[t.ID]
+	if n == nil {
+		return // duplicate
+	}
+	if err := n.checkReply(messageID, t); err != nil {
+		f.host.Counters.StrayReplies++
+		f.host.ReportStray("gateway "+messageID, err)
+		return
+	}
+	delete(f.pendingNotifies, t.ID)
+}
--- a/internal/server/report.go
+++ b/internal/server/report.go
@@ -73,7 +73,7 @@
 	log.Infow("counters", "clients", f.Accepted, "clients_shut", f.ClosedIdle, "clients_turned_away", f.RejectedFull,
 		"clients_silent", f.ClosedOverdue, "malformed", s.malformed.count, "tests", f.Echoes,
 		"repeats", f.RepeatedTransactions+b.RepeatedRequests, "unsayable", b.UnencodableSetups, "dials", b.Dials,
-		"dials_failed", b.DialsFailed, "links_lost", b.ConnectionsLost, "strays", b.Strays,
+		"dials_failed", b.DialsFailed, "links_lost", b.ConnectionsLost, "strays", f.StrayReplies+b.Strays,
 		"releases_said", f.ReleasesSent, "releases_lost", f.ReleasesDiscarded+b.ReleasesDiscarded)
 	log.Infow("counters", "probes", b.Probes, "probes_failed", b.ProbesFailed, "exchanges_lost", b.ExchangesLost,
 		"calls_lost", b.CallsLost)
--- a/internal/server/restart_test.go
+++ b/internal/server/restart_test.go
@@ -114,3 +114,49 @@
 		}
 	}
 }
+
+// Guards against releases that a gateway takes for repeats: Notifies were numbered from 1 in each process. A reply of
+// another gateway, or to another command, does not confirm a Notify.
+func TestNotifyAfterRestart(t *testing.T) {
+	t.Parallel()
+	exchange := startFakeExchange(t, "127.0.0.1:0")
+	earlier := startTestbed(t, []*fakeExchange{exchange}, &scriptedDecider{servers: []string{"s-0"}}, withGateways)
+	notify := func(bed *testbed, nth int) (transactionID, termination string) {
+		const mid = "<a>"
+		gateway := dialCapture(t, bed.gatewayAddress(), true)
+		termination = fmt.Sprintf("line/%d", nth)
+		gateway.sendTransaction(mid, addTransaction(termination, uint32(nth), "1", 3*time.Second))
+		id := exchange.awaitInvite(nth)
+		exchange.send(sipResponse(id, "INVITE", 200, 1, "a"))
+		gateway.await(`Reply=` + fmt.Sprint(nth))
+		exchange.send(sipRelease(id, 16))
+		return gateway.await(`Transaction=(\d+)\{Context=\d+\{Notify=` + termination), termination
+	}
+	first, _ := notify(earlier, 1)
+	bed := earlier.restartWith(&scriptedDecider{servers: []string{"s-0"}})
+	second, termination := notify(bed, 2)
+	if first == second {
+		t.Errorf("both processes sent a Notify with transaction id %s", first)
+	}
+	var transactionID uint32
+	_, _ = fmt.Sscan(second, &transactionID)
+	confirm := func(mid, command, termination string) (pending int) {
+		gateway := bed.dialGateway(mid)
+		gateway.send(&h248.Transaction{Kind: h248.Reply, ID: transactionID, Actions: []*h248.Action{{Context: "1",
+			Commands: []*h248.Command{{Name: command, Termination: termination}}}}})
+		gateway.subtract(t, bed.answers, "*", "none") // its answer shows that the reply has been handled
+		bed.runIteration(func() { pending = bed.server.frontends.gateway.PendingNotifies() })
+		return pending
+	}
+	for _, stray := range [][3]string{{"<b>", "Notify", termination}, {"<c>", "Subtract", termination}} {
+		if confirm(stray[0], stray[1], stray[2]) != 1 {
+			t.Errorf("the reply %v confirmed the Notify of another gateway", stray)
+		}
+	}
+	if n := bed.server.frontends.host.Counters.StrayReplies; n != 2 {
+		t.Errorf("%d stray replies are counted, want 2", n)
+	}
+	if confirm("<a>", "Notify", termination) != 0 {
+		t.Error("the reply of the gateway did not confirm the Notify")
+	}
+}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -246,6 +246,7 @@
 		Config:          s.cfg,
 		RandomID:        s.randomID,
 		ReportMalformed: s.reportMalformed,
+		ReportStray:     s.reportStray,
 		IsShuttingDown:  s.isShuttingDown,
 		IsDisconnected:  s.backends.IsClosed,
 	}
