Release a call from before a restart at H.248 servers by all its attempts

Related path: the release of a call that this process does not know goes to all exchanges, and named attempt 0 at call servers that speak H.248 (call/ID/0). A call that had been set up by a later attempt stayed up there for good.

Now the release names each attempt that a call can have had, as far as settings.limits.maxAttempts goes, each by a Subtract of its own, and stays pending until the last of them has its reply. Rejected: the wildcard call/ID/*, which not every server supports. For servers that speak SIP nothing changes: they match by Call-ID.

TestReleaseOfAnUnknownCallNamesAllAttempts: before, the release counts as confirmed after the first reply and attempt 1 is never released.

--- a/internal/backend/h248.go
+++ b/internal/backend/h248.go
@@ -140,8 +140,15 @@
 	return p.appendSubtract(b, id, attempt)
 }
 
+// appendRelease appends a Subtract, or one for each attempt that the call can have had.
 func (p *h248Protocol) appendRelease(b []byte, id string, attempt, _ int) []byte {
-	return p.appendSubtract(b, id, attempt)
+	if attempt != anyAttempt {
+		return p.appendSubtract(b, id, attempt)
+	}
+	for n := range max(p.conn.set.maxAttempts, 1) {
+		b = p.appendSubtract(b, id, n)
+	}
+	return b
 }
 
 // appendSubtract appends a Subtract. It names the context if that is known; an Add without a reply has none yet.
@@ -214,7 +221,9 @@
 	}
 	delete(p.requests, t.ID)
 	if !r.isAdd {
-		p.conn.releases.remove(r.callID)
+		if !p.hasOpenSubtract(r.callID) {
+			p.conn.releases.remove(r.callID)
+		}
 		return
 	}
 	if attempt, ok := p.conn.openAttempts[r.callID]; ok && attempt == r.attempt {
@@ -229,6 +238,16 @@
 	p.conn.set.calls.AttemptAnswered(p.conn.id, r.callID, r.attempt, description)
 }
 
+// hasOpenSubtract reports whether a Subtract of a call has no reply yet.
+func (p *h248Protocol) hasOpenSubtract(callID string) bool {
+	for _, r := range p.requests {
+		if !r.isAdd && r.callID == callID {
+			return true
+		}
+	}
+	return false
+}
+
 // parseAddReply extracts the context and the session description from the reply to an Add.
 func parseAddReply(t *h248.Transaction) (context string, description []byte, err *h248.Error) {
 	if t.Err != nil {
--- a/internal/backend/h248_test.go
+++ b/internal/backend/h248_test.go
@@ -147,3 +147,33 @@
 		t.Error("the reply to the release did not confirm it")
 	}
 }
+
+// Guards against calls that are left at a server: the release of a call from before a restart named the first attempt
+// only, though the call can have been set up by a later one.
+func TestReleaseOfAnUnknownCallNamesAllAttempts(t *testing.T) {
+	const callID = "00000000000000aa"
+	c := newTestConn()
+	c.set.maxAttempts = 3
+	p := newH248(c)
+	c.protocol = p
+	c.set.conns["s"] = c
+	c.set.ReleaseEverywhere(callID, 16)
+	for attempt := range 3 {
+		if c.PendingReleases() != 1 {
+			t.Errorf("the release is confirmed after %d of 3 replies", attempt)
+		}
+		var answered *h248.Transaction
+		for id, r := range p.requests {
+			if r.attempt == attempt {
+				answered = subtractReply(id, TerminationName(callID, attempt))
+			}
+		}
+		if answered == nil {
+			t.Fatalf("attempt %d is not released", attempt)
+		}
+		p.handleReply(answered)
+	}
+	if c.PendingReleases() != 0 || len(p.requests) != 0 {
+		t.Errorf("%d releases and %d requests are left", c.PendingReleases(), len(p.requests))
+	}
+}
--- a/internal/backend/release.go
+++ b/internal/backend/release.go
@@ -10,6 +10,8 @@
 	unknownCallInterval = 2 * time.Second
 	// maxReleasesShift limits the pending releases of one exchange to 1<<maxReleasesShift per MB of memory.
 	maxReleasesShift = 5
+	// anyAttempt is the attempt of a release whose attempt is not known: the call was set up by an earlier process.
+	anyAttempt = -1
 )
 
 // A pendingRelease is a release that the exchange has not confirmed. It is resent on each new connection.
--- a/internal/backend/set.go
+++ b/internal/backend/set.go
@@ -50,6 +50,8 @@
 	MemoryMB int
 	// DialTimeout limits each dial. The response timeouts are multiples of it.
 	DialTimeout time.Duration
+	// MaxAttempts is the maximum number of attempts per call.
+	MaxAttempts int
 	// MaxProbes limits the connections to exchanges beyond one per exchange.
 	MaxProbes int
 	// Dial opens connections; if nil, DialTCP is used.
@@ -77,6 +79,7 @@
 	reportMalformed func(source string, err error)
 	reportStray     func(source string, err error)
 	conns           map[string]*Conn
+	maxAttempts     int // of a call
 	maxProbes       int
 	openProbes      int // probes of all exchanges that are being dialled or are open
 	isClosed        bool
@@ -101,6 +104,7 @@
 		transactionIDs:  o.TransactionIDs,
 		reportMalformed: o.ReportMalformed,
 		reportStray:     o.ReportStray,
+		maxAttempts:     o.MaxAttempts,
 		maxProbes:       o.MaxProbes,
 		conns:           make(map[string]*Conn),
 	}
@@ -232,7 +236,7 @@
 // ReleaseEverywhere implements call.Backends.
 func (s *Set) ReleaseEverywhere(id string, cause int) {
 	for _, c := range s.conns {
-		c.release(id, pendingRelease{cause: cause, isUnknownCall: true})
+		c.release(id, pendingRelease{attempt: anyAttempt, cause: cause, isUnknownCall: true})
 	}
 }
 
--- a/internal/backend/sip.go
+++ b/internal/backend/sip.go
@@ -129,7 +129,7 @@
 		Method:  "BYE",
 		Number:  p.number(id),
 		CallID:  id,
-		CSeq:    attempt + 2,
+		CSeq:    max(attempt, 0) + 2,
 		Headers: []sip.Header{{Name: "Reason", Value: "Q.850;cause=" + strconv.Itoa(cause)}},
 	})
 }
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -133,6 +133,7 @@
 		Name:            cfg.Name,
 		MemoryMB:        cfg.MemoryMB,
 		DialTimeout:     cfg.DialTimeout,
+		MaxAttempts:     cfg.Settings.MaxAttempts,
 		MaxProbes:       cfg.Sockets >> maxProbesShift,
 		Dial:            o.dial,
 		TransactionIDs:  transaction.NewIDSequence(o.randomID()),
