Ignore the release of an earlier attempt by an H.248 call server

Related path: a call server that speaks H.248 names the attempt in its Notify or Subtract, but the call was found by its id alone. A release of an attempt that was over, for example one that crossed its cancellation, ended the established call of a later attempt at the same server: the caller was told that the call is over, and nobody released it at the server. It also removed the pending release of a later attempt.

Now a release counts only for the attempt that it names. It is confirmed to the server in any case and counted under `strays`. SIP does not name attempts; there nothing changes.

TestReleaseOfAnEarlierAttempt fails before ("the release of the earlier attempt ended the call") and passes after.

--- a/internal/backend/h248.go
+++ b/internal/backend/h248.go
@@ -340,15 +340,21 @@
 	return &h248.Error{Code: h248.NotImplemented, Text: c.Name}
 }
 
-// releaseCall handles a release of a call by the server.
+// releaseCall handles a release of a call by the server. The release of an earlier attempt, which crossed its
+// cancellation, does not end the current one.
 func (p *h248Protocol) releaseCall(termination string, cause int) *h248.Error {
-	id, _, ok := ParseTermination(termination)
+	id, attempt, ok := ParseTermination(termination)
 	if !ok {
 		return &h248.Error{Code: h248.UnknownTermination, Text: termination}
 	}
 	delete(p.contexts, termination)
-	p.conn.releases.remove(id)
-	p.conn.set.calls.BackendReleased(p.conn.id, id, cause, p.conn.set.frontends...)
+	p.conn.releases.removeAttempt(id, attempt)
+	calls := p.conn.set.calls
+	if latest, isKnown := calls.LatestAttempt(p.conn.id, id); isKnown && latest != attempt {
+		p.conn.set.Counters.Strays++
+		return nil
+	}
+	calls.BackendReleased(p.conn.id, id, cause, p.conn.set.frontends...)
 	return nil
 }
 
--- a/internal/backend/release.go
+++ b/internal/backend/release.go
@@ -36,6 +36,13 @@
 
 func (p *pendingReleases) remove(id string) { delete(p.byID, id) }
 
+// removeAttempt removes the release of an attempt that the exchange has ended.
+func (p *pendingReleases) removeAttempt(id string, attempt int) {
+	if r, ok := p.byID[id]; ok && (r.attempt == attempt || r.attempt == anyAttempt) {
+		p.remove(id)
+	}
+}
+
 // add stores a release and reports whether there was room for it. Releases of unknown calls are evicted in favour of
 // those of calls established here, because callers may send made-up ids while an exchange is unreachable.
 func (p *pendingReleases) add(id string, r pendingRelease) bool {
--- a/internal/call/manager.go
+++ b/internal/call/manager.go
@@ -68,6 +68,16 @@
 	return ""
 }
 
+// LatestAttempt returns the number of the latest attempt of a call. It reports false if that attempt is not at the
+// given server, or the call is neither open nor established.
+func (m *Manager) LatestAttempt(server, id string) (attempt int, ok bool) {
+	c := m.calls[id]
+	if c == nil || c.attempt.server != server {
+		return 0, false
+	}
+	return c.attempt.number, true
+}
+
 // UpdateServers passes the complete list of servers to the Decider if full is set, the changed servers
 // otherwise.
 func (m *Manager) UpdateServers(servers []admission.Server, full bool) {
--- a/internal/server/restart_test.go
+++ b/internal/server/restart_test.go
@@ -5,7 +5,10 @@
 	"testing"
 	"time"
 
+	"olivedale/internal/backend"
 	"olivedale/internal/codec/h248"
+	"olivedale/internal/codec/h248/transaction"
+	"olivedale/internal/config"
 )
 
 // restartWith ends the server and starts the next process of the same controller: it has the same name and seed, and nothing
@@ -160,3 +163,41 @@
 		t.Error("the reply of the gateway did not confirm the Notify")
 	}
 }
+
+// Guards against a release of an earlier attempt that ends the current one: a call server that speaks H.248 names the
+// attempt, but the call was found by its id alone. The earlier attempt was canceled, and its release crossed the Subtract.
+func TestReleaseOfAnEarlierAttempt(t *testing.T) {
+	t.Parallel()
+	server := startUnreadExchange(t)
+	bed := startTestbed(t, nil, &scriptedDecider{servers: []string{"h-0", "h-0"}}, func(o *Options) {
+		o.H248 = h248Config()
+		o.H248.Servers = []config.H248Server{{ID: "h-0", Address: server.addr()}}
+	})
+	peer := newCapture(t, server.awaitConn(), true)
+	id := bed.caller.setUp("1", 3*time.Second)
+	reply := func(attempt int, answer *h248.Action) {
+		var transactionID uint32
+		termination := backend.TerminationName(id, attempt)
+		_, _ = fmt.Sscan(peer.await(`Transaction=(\d+)\{Context=\$\{Add=`+termination), &transactionID)
+		peer.sendTransaction("<server>", &h248.Transaction{Kind: h248.Reply, ID: transactionID, Actions: []*h248.Action{answer}})
+	}
+	reply(0, &h248.Action{Context: "$", Err: &h248.Error{Code: h248.NotReady}})
+	local := &h248.Node{Name: "Media", Children: []*h248.Node{{Name: "Local", Octets: []byte("a")}}}
+	reply(1, &h248.Action{Context: "7", Commands: []*h248.Command{{Name: "Add", Termination: backend.TerminationName(id, 1), Descriptors: []*h248.Node{local}}}})
+	bed.answers.await(t, id, 1)
+	release := func(transactionID uint32, attempt int) {
+		peer.request("<server>", transactionID, "7", &h248.Command{Name: "Notify", Termination: backend.TerminationName(id, attempt),
+			Descriptors: []*h248.Node{transaction.ReleaseEvent(16)}})
+		peer.await(fmt.Sprintf(`Reply=%d\{Context=7\{Notify`, transactionID))
+	}
+	release(91, 0)
+	bed.runIteration(func() {
+		if bed.server.calls.EstablishedCalls() != 1 {
+			t.Error("the release of the earlier attempt ended the call")
+		}
+	})
+	release(92, 1)
+	if got := bed.answers.await(t, id, 2); got != "stands a end 16" {
+		t.Errorf("the caller received %q", got)
+	}
+}
