Notify gateways of releases of calls from before a restart

Related path: when an exchange released a call that an earlier process of the controller had set up for a gateway, the release was not passed on; the comment referred to an audit, which gateways cannot make of their calls. The gateway's user kept a call that was over. JSON clients were notified.

Now the call id tells the gateway: the release is notified to the gateway whose digest it carries, in the call's context and for termination `*`, since the termination is not known any more. If that gateway is not connected, the release waits for it for 30 s, as unconfirmed Notifies do, in a list of 16 entries per MB at most.

TestGatewayIsNotifiedOfReleaseAfterRestart (gateway back before and after the release): before, nothing arrives in either order; both pass now.

--- a/internal/codec/h248/transaction/match.go
+++ b/internal/codec/h248/transaction/match.go
@@ -21,12 +21,17 @@
 		e.ID, e.Got, e.GotTermination, e.Want, e.WantTermination)
 }
 
+// AllTerminations is the wildcard for all terminations of a context.
+const AllTerminations = "*"
+
 // CheckReply returns a *MismatchError if a reply names another command or termination than the only command of its
-// transaction. Names are not case-sensitive (H.248.1, B.2). An error may stand in place of the command.
+// transaction. Names are not case-sensitive (H.248.1, B.2). An error may stand in place of the command, and any
+// termination in place of AllTerminations.
 func CheckReply(reply *h248.Transaction, command, termination string) error {
 	for _, a := range reply.Actions {
 		for _, c := range a.Commands {
-			if c.Name != command || !strings.EqualFold(c.Termination, termination) {
+			isNamed := termination == AllTerminations || strings.EqualFold(c.Termination, termination)
+			if c.Name != command || !isNamed {
 				return &MismatchError{
 					ID:              reply.ID,
 					Want:            command,
--- a/internal/frontend/gateway/frontend.go
+++ b/internal/frontend/gateway/frontend.go
@@ -49,6 +49,7 @@
 	identities      identitySource
 	transactionIDs  *transaction.IDSequence   // of the Notifies
 	pendingNotifies map[uint32]*pendingNotify // by transaction id
+	unknownReleases []unknownRelease          // in the order of their receipt
 }
 
 var _ frontend.Frontend = (*Frontend)(nil)
@@ -108,9 +109,11 @@
 // Connections implements frontend.Frontend.
 func (f *Frontend) Connections() []frontend.Connection { return f.gateways.Snapshot() }
 
-// CloseOverdue implements frontend.Frontend. It also drops release notifications that got no reply in time.
+// CloseOverdue implements frontend.Frontend. It also drops release notifications that got no reply in time
+// or whose gateway did not connect.
 func (f *Frontend) CloseOverdue(now time.Duration) {
 	f.gateways.CloseOverdue(now)
+	f.expireUnknownReleases(now)
 	for id, n := range f.pendingNotifies {
 		if now-n.createdAt > transaction.LongTimer {
 			delete(f.pendingNotifies, id)
--- a/internal/frontend/gateway/gateway.go
+++ b/internal/frontend/gateway/gateway.go
@@ -142,6 +142,7 @@
 	if g.messageID != m.MID {
 		g.setMessageID(m.MID)
 		g.sendPendingNotifies()
+		f.notifyConnected(m.MID)
 	}
 	for _, t := range m.Transactions {
 		switch t.Kind {
--- a/internal/frontend/gateway/identity.go
+++ b/internal/frontend/gateway/identity.go
@@ -24,6 +24,9 @@
 	ownerDigestMask = 1<<ownerDigestBits - 1
 )
 
+// callIDLength is the length of a call id: the context and a digest in hexadecimal.
+const callIDLength = 16
+
 // String returns the id as it is written in messages.
 func (c contextID) String() string { return strconv.FormatUint(uint64(c), 10) }
 
@@ -77,6 +80,16 @@
 	return fmt.Sprintf("%08x%08x", uint32(c), s.digest(messageID, c))
 }
 
+// contextOf returns the context of a call id, if the call can be one of the given gateway.
+func (s *identitySource) contextOf(messageID, callID string) (c contextID, ok bool) {
+	if len(callID) != callIDLength {
+		return 0, false
+	}
+	value, err := strconv.ParseUint(callID[:callIDLength/2], 16, 32)
+	c = contextID(value)
+	return c, err == nil && s.isAssigned(messageID, c) && s.callID(messageID, c) == callID
+}
+
 // digest returns a digest of a context, its gateway and the controller.
 func (s *identitySource) digest(messageID string, c contextID) uint32 {
 	return uint32(xxhash.Sum64String(s.controller+"\n"+messageID+"\n"+c.String()) >> 32)
--- a/internal/frontend/gateway/notify.go
+++ b/internal/frontend/gateway/notify.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"time"
 
 	"olivedale/internal/call"
@@ -32,23 +33,72 @@
 	return transaction.CheckReply(t, notifyCommand, n.termination)
 }
 
+// An unknownRelease is the release of a call that this process does not know and that belongs to none of the connected
+// gateways.
+type unknownRelease struct {
+	callID     string
+	cause      int
+	receivedAt time.Duration
+}
+
 // NotifyRelease implements call.Frontend. It notifies the gateway of the release on any of its connections, and again
-// on each new connection until the gateway replies. For calls that this process does not know, gateways detect the end
-// by an audit.
+// on each new connection until the gateway replies.
 func (f *Frontend) NotifyRelease(_ call.Client, id string, cause int) {
 	c := f.calls.byID[id]
 	if c == nil {
+		f.notifyUnknownRelease(unknownRelease{callID: id, cause: cause, receivedAt: f.host.Loop.Now()})
 		return
 	}
 	f.calls.remove(c)
 	f.notify(c.messageID, c.context, c.termination, cause)
 }
 
+// notifyUnknownRelease notifies the gateway of a call that an earlier process established. If the gateway is not
+// connected, it is notified when it connects.
+func (f *Frontend) notifyUnknownRelease(r unknownRelease) {
+	for messageID := range f.byMessageID {
+		if f.notifyIfOwner(messageID, r) {
+			return
+		}
+	}
+	if len(f.unknownReleases) >= f.maxNotifies() {
+		f.unknownReleases = f.unknownReleases[1:] // most are releases of calls of other frontends
+	}
+	f.unknownReleases = append(f.unknownReleases, r)
+}
+
+// notifyIfOwner notifies a gateway of a release if the call is one of that gateway. The termination is not known any
+// more, so the Notify names all terminations of the context.
+func (f *Frontend) notifyIfOwner(messageID string, r unknownRelease) bool {
+	context, isOwner := f.identities.contextOf(messageID, r.callID)
+	if isOwner {
+		f.notify(messageID, context, transaction.AllTerminations, r.cause)
+	}
+	return isOwner
+}
+
+// notifyConnected notifies a gateway that has connected of the releases that waited for it.
+func (f *Frontend) notifyConnected(messageID string) {
+	f.unknownReleases = slices.DeleteFunc(f.unknownReleases, func(r unknownRelease) bool {
+		return f.notifyIfOwner(messageID, r)
+	})
+}
+
+// expireUnknownReleases drops the releases whose gateways did not connect in time.
+func (f *Frontend) expireUnknownReleases(now time.Duration) {
+	f.unknownReleases = slices.DeleteFunc(f.unknownReleases, func(r unknownRelease) bool {
+		return now-r.receivedAt > transaction.LongTimer
+	})
+}
+
+// maxNotifies limits the stored Notifies, and likewise the stored releases of unknown calls.
+func (f *Frontend) maxNotifies() int { return f.host.Config.MemoryMB << maxNotifiesShift }
+
 // notify notifies a gateway of the release of a call.
 func (f *Frontend) notify(messageID string, context contextID, termination string, cause int) {
 	id := f.transactionIDs.Next()
 	n := f.newNotify(id, messageID, context, termination, cause)
-	if len(f.pendingNotifies) < f.host.Config.MemoryMB<<maxNotifiesShift {
+	if len(f.pendingNotifies) < f.maxNotifies() {
 		f.pendingNotifies[id] = n
 	} else {
 		f.host.Counters.ReleasesDiscarded++ // limits the memory if gateways do not reply
--- a/internal/server/restart_test.go
+++ b/internal/server/restart_test.go
@@ -201,3 +201,32 @@
 		t.Errorf("the caller received %q", got)
 	}
 }
+
+// Guards against gateways that keep a call which is over: the release by an exchange of a call from before a restart was
+// not passed on to its gateway, whether that was connected again or came later.
+func TestGatewayIsNotifiedOfReleaseAfterRestart(t *testing.T) {
+	testBothOrders(t, "the gateway", "the release", func(t *testing.T, gatewayFirst bool) {
+		exchange := startFakeExchange(t, "127.0.0.1:0")
+		earlier := startTestbed(t, []*fakeExchange{exchange}, &scriptedDecider{servers: []string{"s-0", "s-0"}}, withGateways)
+		termination, context, id := earlier.dialGateway("<a>").establish(t, earlier.answers, exchange, 1)
+		bed := earlier.restartWith(&scriptedDecider{})
+		other := bed.dialGateway("<b>")
+		runInOrder(gatewayFirst, func() { bed.dialGateway("<a>") }, func() {
+			exchange.send(sipRelease(id, 17))
+			eventually(t, "the release is received", func() (received bool) {
+				bed.runIteration(func() { received = bed.server.calls.Counters.ReleasedUnknown == 1 })
+				return received
+			})
+		})
+		if got := bed.answers.await(t, transaction.AllTerminations, 1); got != "end 17" {
+			t.Errorf("call on %s in context %s: got %q", termination, context, got)
+		}
+		eventually(t, "the notification is confirmed", func() (confirmed bool) {
+			bed.runIteration(func() { confirmed = bed.server.frontends.gateway.PendingNotifies() == 0 })
+			return confirmed
+		})
+		if got := other.subtract(t, bed.answers, context, "*"); got != "error 411" {
+			t.Errorf("another gateway released the call: %q", got)
+		}
+	})
+}
