Keep an instance running when etcd holds an invalid specification for it

An empty or incomplete value, attempts of 0 or a missing deadline ended an instance that served.

Now a specification that an instance cannot be started with leaves a running instance as it is; the agent logs bad_spec as before. The value is checked by parseSpec, the function that the start uses. Removing the key still drains, and a valid value after it is taken.

TestInvalidSpecificationKeepsTheProcess fails before (the state is "draining" or "faulty" after the first value) and passes after.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -61,7 +61,7 @@
 }
 
 // Apply implements DesiredState. If a specification has changed, the old process is drained before the new one starts,
-// because both listen on the same addresses.
+// because both listen on the same addresses. An invalid specification leaves an instance that has a process as it is.
 func (a *Agent) Apply(name string, value []byte) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -73,6 +73,9 @@
 	if isUnchanged {
 		return
 	}
+	if old != nil && value != nil && a.keepsProcess(old, value) {
+		return
+	}
 	if old != nil {
 		a.requestDrain(old, "specification changed or removed")
 		delete(a.instances, name)
@@ -82,6 +85,17 @@
 	}
 }
 
+// keepsProcess reports whether an instance continues with its specification because the new one is invalid. The caller
+// holds a.mu.
+func (a *Agent) keepsProcess(i *instance, value []byte) bool {
+	_, err := parseSpec(i.name, value)
+	if err == nil || i.isDrainRequested() || i.currentStatus().state == Invalid {
+		return false
+	}
+	a.log.Warnw("bad_spec", "name", i.name, "err", err)
+	return true
+}
+
 // add adds an instance and starts its supervisor, which first waits until the previous instance of that name, if any,
 // has ended. If the specification is invalid, the instance gets the state Invalid and no supervisor. The caller holds
 // a.mu.
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -221,3 +221,35 @@
 	server.Set(prefix+"one", nil)
 	eventually(t, "the instance is removed", func() bool { return stateOf(a, "one") == "" })
 }
+
+// Guards against an instance that is stopped by a value which it cannot be started with: an invalid specification drained
+// the process, and no other one was started. A valid specification after it is taken.
+func TestInvalidSpecificationKeepsTheProcess(t *testing.T) {
+	dir := t.TempDir()
+	a := New(buildProgram(t, dir), dir, zap.NewNop())
+	t.Cleanup(a.Close)
+	text, _ := testSpec(t)
+	a.Apply("one", text)
+	eventually(t, "the instance is running", func() bool { return stateOf(a, "one") == Running.String()+" 1" })
+	for name, invalid := range map[string]string{
+		"empty":            "",
+		"incomplete":       string(text[:len(text)/2]),
+		"no attempts":      strings.Replace(string(text), `"maxAttempts":2`, `"maxAttempts":0`, 1),
+		"no deadline":      strings.Replace(string(text), `"deadline":3000,`, "", 1),
+		"no admin address": strings.Replace(string(text), `"Admin":"`, `"Admin":"x`, 1),
+	} {
+		if invalid == string(text) {
+			t.Fatalf("%s: the value is valid", name)
+		}
+		a.Apply("one", []byte(invalid))
+		if got := stateOf(a, "one"); got != Running.String()+" 1" {
+			t.Fatalf("%s: the state is %q", name, got)
+		}
+	}
+	valid := strings.Replace(string(text), `"maxAttempts":2`, `"maxAttempts":1`, 1)
+	a.Apply("one", []byte(valid))
+	eventually(t, "the valid specification is taken", func() bool {
+		written, err := os.ReadFile(filepath.Join(dir, "one", "config.json"))
+		return err == nil && strings.Contains(string(written), `"maxAttempts":1`) && stateOf(a, "one") == Running.String()+" 1"
+	})
+}
