Draw broken configurations at SIGHUP in the soak, with a drain after them

The soak reloaded valid files only, so that it could not see that a broken one was taken in part. FaultBrokenReload writes a file that is empty, incomplete, without a key, or with a deadline or attempts that are no positive number, with a discovery address at which nobody answers, and sends SIGHUP; the rule that counts is drains_kept. Half of the plans of the combination `discovery` draw it, from a stream of its own, with a drain of 10.5 s after it and calls to its end; other plans of a seed are as they were.

TestBrokenReloadTakesNothing plays the eight kinds.

--- a/internal/sim/soak/generate.go
+++ b/internal/sim/soak/generate.go
@@ -2,13 +2,16 @@
 
 import "math/rand/v2"
 
+// combinationDiscovery is the combination with faults of discovery.
+const combinationDiscovery = "discovery"
+
 // combinations are the kinds of plans of the acceptance test, in the order in which consecutive seeds select them.
 var combinations = []struct {
 	name     string
 	generate func(d *generator)
 }{
 	{"shutdowns", (*generator).shutdowns},
-	{"discovery", (*generator).discovery},
+	{combinationDiscovery, (*generator).discovery},
 	{"bad clients", (*generator).badClients},
 	{"network", (*generator).network},
 	{"pieces", (*generator).pieces},
@@ -17,6 +20,12 @@
 // planStream selects the stream of the random generator that plans are generated from.
 const planStream = 41
 
+// brokenReloadStream selects the stream that broken reloads are drawn from, apart from the other faults.
+const brokenReloadStream = 42
+
+// brokenReloadShare is the share of plans of the combination discovery that have a broken reload.
+const brokenReloadShare = 0.5
+
 // surgeShare is the share of plans with a load surge.
 const surgeShare = 0.4
 
@@ -33,6 +42,10 @@
 	d.plan.Combination = combination.name
 	d.deployment()
 	combination.generate(d)
+	if combination.name == combinationDiscovery {
+		drawn := &generator{rng: rand.New(rand.NewPCG(seed, brokenReloadStream)), plan: d.plan}
+		drawn.brokenReload()
+	}
 	if d.rng.Float64() < surgeShare {
 		d.add(FaultLoadSurge, d.randomBetween(1, 7), 0, d.randomBetween(0.5, 2))
 	}
@@ -112,6 +125,18 @@
 	}
 }
 
+// brokenReload lets a controller reload broken configurations before an exchange drains. The drain lasts, and calls go
+// on, until a controller that has missed it breaks its time limit.
+func (d *generator) brokenReload() {
+	if d.rng.Float64() >= brokenReloadShare {
+		return
+	}
+	d.add(FaultBrokenReload, d.randomBetween(0.2, 0.8), d.randomController(), d.randomBetween(2.2, 3))
+	const drainAt, drainTime = 3.5, 10.5
+	d.add(FaultReplace, drainAt, d.randomExchange(), drainTime)
+	d.plan.CallTime = seconds(drainAt + drainTime)
+}
+
 // badClients adds bad clients, malformed answers and callers that abandon their calls early.
 func (d *generator) badClients() {
 	d.plan.Callers = CallerBehavior{SlowWriters: 0.1, EarlyAbandons: 0.25, ClosesAtOnce: 0.1, HasBadClients: true}
--- a/internal/sim/soak/inject.go
+++ b/internal/sim/soak/inject.go
@@ -34,7 +34,7 @@
 		for _, c := range r.controllers {
 			c.callers.setRateFactor(1)
 		}
-	case FaultReload, FaultTerminate, FaultTerminateInReload, FaultKill:
+	case FaultReload, FaultBrokenReload, FaultTerminate, FaultTerminateInReload, FaultKill:
 		r.injectControllerFault(f)
 	default:
 		r.injectExchangeFault(f)
@@ -54,6 +54,8 @@
 	switch f.Kind {
 	case FaultReload:
 		c.reload(reloadCount, reloadInterval)
+	case FaultBrokenReload:
+		c.reloadBroken(f.Duration.D())
 	case FaultTerminate:
 		c.terminate()
 		c.restart()
--- a/internal/sim/soak/plan.go
+++ b/internal/sim/soak/plan.go
@@ -39,6 +39,10 @@
 	FaultTerminateInReload
 	// FaultKill sends SIGKILL to a controller and restarts it at once.
 	FaultKill
+	// FaultBrokenReload replaces a controller's configuration with a broken one that names another address of
+	// discovery, which does not answer, and sends SIGHUP. The seed selects what is broken. After Duration the valid
+	// configuration is back, without a signal.
+	FaultBrokenReload
 	// FaultLoadSurge multiplies the call rate at all controllers for Duration.
 	FaultLoadSurge
 )
@@ -48,7 +52,7 @@
 	FaultReplace: "replace", FaultReset: "reset", FaultLateConnections: "late_connections",
 	FaultMalformedAnswers: "spoil", FaultSilentDiscovery: "silent_discovery", FaultReload: "reload",
 	FaultTerminate: "terminate", FaultTerminateInReload: "terminate_in_reload", FaultKill: "kill",
-	FaultLoadSurge: "crowd",
+	FaultBrokenReload: "broken_reload", FaultLoadSurge: "crowd",
 }
 
 // String returns the kind's name.
--- a/internal/sim/soak/soak_test.go
+++ b/internal/sim/soak/soak_test.go
@@ -125,6 +125,29 @@
 	}
 }
 
+// Guards against a drain that is missed for good: broken configurations that name another address of discovery were taken
+// at SIGHUP in part, and the controller then sent set-ups to an exchange until that stopped.
+func TestBrokenReloadTakesNothing(t *testing.T) {
+	t.Parallel()
+	for breaker := range configBreakers {
+		t.Run(fmt.Sprint("breaker ", breaker), func(t *testing.T) {
+			t.Parallel()
+			plan := minimalPlan(
+				Fault{At: seconds(0.5), Kind: FaultBrokenReload, Duration: seconds(2.5)},
+				Fault{At: seconds(3), Kind: FaultReplace, Target: 0, Duration: seconds(10.5)},
+			)
+			plan.Seed = uint64(breaker * len(combinations))
+			plan.CallTime = seconds(13.5)
+			plan.Deployment.Rate = 10
+			r := runPlan(t, plan)
+			if r.Counts.Established < 50 {
+				t.Errorf("only %d calls were established, want 50 or more", r.Counts.Established)
+			}
+			reportViolations(t, r.Violations)
+		})
+	}
+}
+
 // Generated plans of all combinations violate no rule.
 func TestGeneratedPlans(t *testing.T) {
 	if testing.Short() {
@@ -154,7 +177,8 @@
 		}
 		generated[first.Combination] = true
 		for _, f := range first.Faults {
-			isController := f.Kind == FaultTerminate || f.Kind == FaultTerminateInReload || f.Kind == FaultKill || f.Kind == FaultReload
+			isController := f.Kind == FaultTerminate || f.Kind == FaultTerminateInReload || f.Kind == FaultKill ||
+				f.Kind == FaultReload || f.Kind == FaultBrokenReload
 			count := first.Deployment.Exchanges
 			if isController {
 				count = first.Deployment.Controllers
