Restore stored number tables without looking for gaps again

Related path of the broken file at SIGHUP: a table with a holiday on which no target of a route is open, more than a year ahead, was taken by the running process and refused by a start some weeks later, as a stored version and as the file: the controller did not start.

Cause: findGap looks a year ahead from the time of compiling. Now versions from the store, which passed the check when they were loaded, are compiled without it. Rejected: looking further ahead at the load, which only moves the date.

TestStoredVersionSurvivesTheYear fails before with a clock 60 days ahead ("no target is open at some times, first on Sat 2028-01-08") and passes after.

--- a/internal/numbering/compile.go
+++ b/internal/numbering/compile.go
@@ -10,6 +10,9 @@
 type Deployment struct {
 	Classes []Class
 	Now     Time // routes are checked for times without a target within a year from this time
+	// SkipGapCheck omits that check, for rules that passed it when they were loaded: as time goes on, a gap that was
+	// more than a year ahead comes into its range.
+	SkipGapCheck bool
 }
 
 // Class is a class of calls.
--- a/internal/numbering/compileroutes.go
+++ b/internal/numbering/compileroutes.go
@@ -39,7 +39,7 @@
 		compiled := route{name: x.Name, seed: Seed(x.Name), steps: c.compileSteps(name, x.Target)}
 		c.routes[x.Name] = int32(len(c.table.routes))
 		c.table.routes = append(c.table.routes, compiled)
-		if len(c.errs) > 0 {
+		if len(c.errs) > 0 || c.deployment.SkipGapCheck {
 			continue // after an error, a condition may have no zone
 		}
 		if at, hasGap := c.findGap(&compiled); hasGap {
--- a/internal/server/numbering.go
+++ b/internal/server/numbering.go
@@ -140,13 +140,15 @@
 	return numbering.Deployment{Classes: r.classes, Now: now}
 }
 
-// loadRules loads one version from the store.
+// loadRules loads one version from the store, which was checked for gaps when it was loaded from its file.
 func (r *numberRouter) loadRules(digest string) error {
 	v, err := r.store.Load(digest)
 	if err != nil {
 		return err
 	}
-	table, err := numbering.CompileText(v.Data, r.deployment(r.server.loop.Now()))
+	deployment := r.deployment(r.server.loop.Now())
+	deployment.SkipGapCheck = true
+	table, err := numbering.CompileText(v.Data, deployment)
 	if err != nil {
 		return err
 	}
--- a/internal/server/numbers_test.go
+++ b/internal/server/numbers_test.go
@@ -362,6 +362,27 @@
 	}
 }
 
+// Guards against a stored table that the next start refuses: a holiday without a target, more than a year ahead when the
+// table was loaded, counted as an error weeks later.
+func TestStoredVersionSurvivesTheYear(t *testing.T) {
+	t.Parallel()
+	const untilHoliday, untilRestart = 400 * 24 * time.Hour, 60 * 24 * time.Hour
+	holiday := time.Now().UTC().Add(untilHoliday).Format(time.DateOnly)
+	rules := numberRules(0) + "when = \"day\"\n[[when]]\nname = \"day\"\nholidays = [\"" + holiday + "\"]\n"
+	r := &versionRun{t: t, fleet: startFleet(t, 2), dir: t.TempDir()}
+	r.fleet.numbers = &config.Numbering{File: r.writeRules("rules.toml", rules), State: filepath.Join(r.dir, "state")}
+	r.start()
+	loaded := r.activeDigest()
+	r.stop(t)
+	var skew atomic.Int64
+	skew.Store(int64(untilRestart))
+	r.testServer = r.fleet.startServer(t, "n0", "", &skew)
+	if got := r.activeDigest(); got != loaded {
+		t.Errorf("after the restart version %s is active, want %s", got, loaded)
+	}
+	r.stop(t)
+}
+
 // Versions are loaded and activated over the admin address. If two operators activate concurrently, only one succeeds.
 // The active version survives a kill, and a damaged version is replaced by the last valid one.
 func TestVersionsInService(t *testing.T) {
