Wait for the exchange's side of the connection in TestReleaseOfAnUnknownCall

The test failed once of six plays beside a soak ("received "", want 1 answers"). Trace: it waits until the controller is connected, which is so once the kernel has the connection, and then writes to the connections that the simulated exchange has accepted; there was none yet, so that no BYE was sent. The check itself is as it was.

--- a/internal/server/releases_test.go
+++ b/internal/server/releases_test.go
@@ -25,6 +25,11 @@
 		})
 		return <-up
 	})
+	eventually(t, "the exchange has accepted the connection", func() bool {
+		server.exchanges[0].mu.Lock()
+		defer server.exchanges[0].mu.Unlock()
+		return len(server.exchanges[0].conns) > 0
+	})
 	server.exchanges[0].mu.Lock()
 	for c := range server.exchanges[0].conns {
 		bye := sip.AppendRequest(nil, &sip.Request{Method: "BYE", Number: "x", CallID: id, CSeq: 2,
