Refuse the release of a call at another server by an H.248 call server

Related path: a command that names another peer's call. A call server that speaks H.248 and named a call established at another server got a reply as if the call had been released, without effect. Now it gets error 430 (unknown TerminationID), and the command is counted under `strays`. For SIP the answer stays 200, without effect: exchanges take it as "release heard", and one that repeats its release until then would go on.

TestReleaseOfACallAtAnotherServer fails before (no error in the reply) and passes after.

--- a/internal/backend/h248.go
+++ b/internal/backend/h248.go
@@ -341,7 +341,7 @@
 }
 
 // releaseCall handles a release of a call by the server. The release of an earlier attempt, which crossed its
-// cancellation, does not end the current one.
+// cancellation, does not end the current one. The release of a call at another server is refused.
 func (p *h248Protocol) releaseCall(termination string, cause int) *h248.Error {
 	id, attempt, ok := ParseTermination(termination)
 	if !ok {
@@ -350,9 +350,14 @@
 	delete(p.contexts, termination)
 	p.conn.releases.removeAttempt(id, attempt)
 	calls := p.conn.set.calls
-	if latest, isKnown := calls.LatestAttempt(p.conn.id, id); isKnown && latest != attempt {
+	latest, isHere := calls.LatestAttempt(p.conn.id, id)
+	switch {
+	case isHere && latest != attempt:
 		p.conn.set.Counters.Strays++
 		return nil
+	case !isHere && calls.BackendOf(id) != "":
+		p.conn.set.Counters.Strays++
+		return &h248.Error{Code: h248.UnknownTermination, Text: termination}
 	}
 	calls.BackendReleased(p.conn.id, id, cause, p.conn.set.frontends...)
 	return nil
--- a/internal/server/restart_test.go
+++ b/internal/server/restart_test.go
@@ -230,3 +230,32 @@
 		}
 	})
 }
+
+// Guards against a call server that ends, or seems to end, a call at another server: the command is refused and has no
+// effect.
+func TestReleaseOfACallAtAnotherServer(t *testing.T) {
+	t.Parallel()
+	servers := []*fakeExchange{startUnreadExchange(t), startUnreadExchange(t)}
+	bed := startTestbed(t, nil, &scriptedDecider{servers: []string{"h-0"}}, func(o *Options) {
+		o.H248 = h248Config()
+		for i, server := range servers {
+			o.H248.Servers = append(o.H248.Servers, config.H248Server{ID: fmt.Sprint("h-", i), Address: server.addr(), Pool: i})
+		}
+	})
+	own, other := newCapture(t, servers[0].awaitConn(), true), newCapture(t, servers[1].awaitConn(), true)
+	id := bed.caller.setUp("1", 3*time.Second)
+	termination := backend.TerminationName(id, 0)
+	var transactionID uint32
+	_, _ = fmt.Sscan(own.await(`Transaction=(\d+)\{Context=\$\{Add=`+termination), &transactionID)
+	local := &h248.Node{Name: "Media", Children: []*h248.Node{{Name: "Local", Octets: []byte("a")}}}
+	add := &h248.Command{Name: "Add", Termination: termination, Descriptors: []*h248.Node{local}}
+	own.sendTransaction("<h-0>", &h248.Transaction{Kind: h248.Reply, ID: transactionID, Actions: []*h248.Action{{Context: "7", Commands: []*h248.Command{add}}}})
+	bed.answers.await(t, id, 1)
+	other.request("<h-1>", 91, "7", &h248.Command{Name: "Notify", Termination: termination, Descriptors: []*h248.Node{transaction.ReleaseEvent(16)}})
+	other.await(`Reply=91\{Context=7\{Error=430`)
+	bed.runIteration(func() {
+		if bed.server.calls.EstablishedCalls() != 1 {
+			t.Error("the other server ended the call")
+		}
+	})
+}
