--- a/internal/frontend/gateway/command.go
+++ b/internal/frontend/gateway/command.go
@@ -14,22 +14,11 @@
 
 func isRoot(termination string) bool { return strings.EqualFold(termination, rootTermination) }
 
-// runActions executes commands that complete immediately, until the first failure, and returns the actions of the
-// reply.
-func (g *Gateway) runActions(messageID string, actions []*h248.Action) (replies []*h248.Action) {
-	for _, a := range actions {
-		reply := &h248.Action{Context: a.Context}
-		replies = append(replies, reply)
-		for _, c := range a.Commands {
-			done, err := g.runCommand(messageID, a, c)
-			if err != nil {
-				reply.Err = err
-				return replies
-			}
-			reply.Commands = append(reply.Commands, done)
-		}
-	}
-	return replies
+// runActions executes commands that complete immediately and returns the actions of the reply.
+func (g *Gateway) runActions(messageID string, actions []*h248.Action) []*h248.Action {
+	return transaction.RunActions(actions, func(a *h248.Action, c *h248.Command) (*h248.Command, *h248.Error) {
+		return g.runCommand(messageID, a, c)
+	})
 }
 
 func (g *Gateway) runCommand(messageID string, a *h248.Action, c *h248.Command) (*h248.Command, *h248.Error) {
