Keep discovery from changing H.248 servers of the operator's file

A start fails if `known` lists the id of a configured H.248 server. A later answer of discovery with that id moved the server to another address, without a look at its protocol, and removed it when the id left the list.

Now such entries are passed over, logged as bad_news and counted; the other entries of the list are taken.

TestDiscoveryListsAnH248Server fails before (h-0 is gone after the second list) and passes after.

--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -33,6 +33,7 @@
 	conn         *eventloop.Conn // nil while disconnected
 	input        inputHandler    // decodes the data received on conn
 	dialing      dialState
+	isConfigured bool // listed in the operator's file and not by the discovery service
 	isDraining   bool
 	isRemoved    bool
 	queue        []call.Setup   // set-ups that have not been written yet
--- a/internal/backend/set.go
+++ b/internal/backend/set.go
@@ -142,10 +142,17 @@
 	}
 	c := s.newConn(server.ID, server.Address, server.Pool)
 	c.protocol = newH248(c)
+	c.isConfigured = true
 	s.conns[server.ID] = c
 	return nil
 }
 
+// IsConfigured reports whether an exchange is listed in the operator's file. The discovery service must not change it.
+func (s *Set) IsConfigured(id string) bool {
+	c := s.conns[id]
+	return c != nil && c.isConfigured
+}
+
 // startTime returns when an endpoint's process started, in Unix time; 0 if unknown.
 func startTime(e config.Endpoint) time.Duration {
 	return time.Duration(e.Started) * time.Millisecond
--- a/internal/server/discovery.go
+++ b/internal/server/discovery.go
@@ -2,11 +2,13 @@
 
 import (
 	"net"
+	"slices"
 	"time"
 
 	"github.com/panjf2000/gnet/v2"
 
 	"olivedale/internal/admission"
+	"olivedale/internal/config"
 )
 
 // Timeouts of the socket to the discovery service.
@@ -180,6 +182,7 @@
 		return
 	}
 	s.discovery.recordAnswer(s.loop.Now())
+	changed = s.withoutConfigured(changed)
 	if len(changed) == 0 {
 		return
 	}
@@ -195,3 +198,16 @@
 		s.backends.UpdateEndpoint(e)
 	}
 }
+
+// withoutConfigured returns the changes without those of H.248 servers of the operator's file, which are logged. A
+// start refuses a list that contains such a server.
+func (s *Server) withoutConfigured(changed []config.Endpoint) []config.Endpoint {
+	return slices.DeleteFunc(changed, func(e config.Endpoint) bool {
+		if !s.backends.IsConfigured(e.ID) {
+			return false
+		}
+		s.discovery.counters.invalidAnswers++
+		s.loop.Log.Warnw("bad_news", "err", &ConfiguredEndpointError{e.ID})
+		return true
+	})
+}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -159,6 +159,14 @@
 	return s, nil
 }
 
+// A ConfiguredEndpointError reports that the discovery service lists an H.248 server of the operator's file.
+type ConfiguredEndpointError struct{ ID string }
+
+// Error returns the description of the problem.
+func (e *ConfiguredEndpointError) Error() string {
+	return fmt.Sprintf("%q is the id of an H.248 server", e.ID)
+}
+
 // checkEndpoints returns an error if an endpoint of the configuration has the id of an H.248 server of the operator's
 // file. Together with config.Parse it decides whether a controller can start with a configuration.
 func checkEndpoints(cfg *config.Config, h *config.H248) error {
@@ -168,7 +176,7 @@
 	_, known := discovery.NewResolver(cfg.KnownEndpoints)
 	for _, server := range h.Servers {
 		if slices.ContainsFunc(known, func(e config.Endpoint) bool { return e.ID == server.ID }) {
-			return fmt.Errorf("known: %q is the id of an H.248 server", server.ID)
+			return fmt.Errorf("known: %w", &ConfiguredEndpointError{server.ID})
 		}
 	}
 	return nil
--- a/internal/server/settings_test.go
+++ b/internal/server/settings_test.go
@@ -109,6 +109,35 @@
 	})
 }
 
+// Guards against a list that a running server takes and a start refuses: discovery moved an H.248 server of the operator's
+// file to another address, and removed it later on. The other endpoints of the list are taken.
+func TestDiscoveryListsAnH248Server(t *testing.T) {
+	t.Parallel()
+	server, other := startUnreadExchange(t), startFakeExchange(t, "127.0.0.1:0")
+	bed := startTestbed(t, nil, &scriptedDecider{}, func(o *Options) {
+		o.H248 = h248Config()
+		o.H248.Servers = []config.H248Server{{ID: "h-0", Address: server.addr()}}
+	})
+	server.awaitConn()
+	own := endpointLine{id: "s-9", addr: other.addr()}
+	for _, lines := range [][]endpointLine{{own, {id: "h-0", addr: other.addr()}}, {own}} {
+		before := bed.listSerial()
+		bed.discovery.set(lines...)
+		eventually(t, "the list is applied", func() bool { return bed.listSerial() > before })
+		bed.runIteration(func() {
+			h := bed.server.backends.Get("h-0")
+			if bed.server.backends.Get("s-9") == nil || h == nil || !h.IsConnected() || h.IsDraining() {
+				t.Errorf("list %v: s-9 %v, h-0 %v", lines, bed.server.backends.Get("s-9"), h)
+			}
+		})
+	}
+	server.mu.Lock()
+	defer server.mu.Unlock()
+	if n := len(server.conns); n != 1 {
+		t.Errorf("%d connections to the H.248 server, want 1", n)
+	}
+}
+
 // A rejection includes a retry-after time unless the settings forbid it.
 func TestRetryAfterIsSentWhereSettingsAllow(t *testing.T) {
 	t.Parallel()
