Refuse the release of a gateway's call by a JSON client

Related path: a command that names another peer's call. A JSON client that sent a release with the id of a gateway's call ended it at the exchange. The gateway was not notified, since the client counted as the caller, and the frontend kept the call's entry, so that the termination stayed in use.

Now the connection of such a client is closed, as it is for a set-up with the id of another's call, and the call stays up. An H.248 server that names a call which is open elsewhere gets error 430 too, not only for an established one.

TestJSONClientDoesNotReleaseAGatewaysCall fails before (the connection is open) and passes after.

--- a/internal/backend/h248_commands.go
+++ b/internal/backend/h248_commands.go
@@ -60,7 +60,7 @@
 	case isHere && latest != attempt:
 		p.conn.set.Counters.Strays++
 		return nil
-	case !isHere && calls.BackendOf(id) != "":
+	case !isHere && calls.Contains(id):
 		p.conn.set.Counters.Strays++
 		return &h248.Error{Code: h248.UnknownTermination, Text: termination}
 	}
--- a/internal/call/manager.go
+++ b/internal/call/manager.go
@@ -68,6 +68,13 @@
 	return ""
 }
 
+// IsCallOfOther reports whether a call is open or established for another frontend, so that clients of the given one
+// must not release it.
+func (m *Manager) IsCallOfOther(frontend Frontend, id string) bool {
+	c := m.calls[id]
+	return c != nil && c.frontend != frontend
+}
+
 // LatestAttempt returns the number of the latest attempt of a call. It reports false if that attempt is not at the
 // given server, or the call is neither open nor established.
 func (m *Manager) LatestAttempt(server, id string) (attempt int, ok bool) {
--- a/internal/frontend/jsonclient/client.go
+++ b/internal/frontend/jsonclient/client.go
@@ -208,6 +208,9 @@
 	if c.frontend.host.IsDisconnected() {
 		return nil // it cannot be forwarded to an exchange, so do not confirm it
 	}
+	if c.frontend.host.Calls.IsCallOfOther(c.frontend, m.Tag) {
+		return fmt.Errorf("release %s: %w", m.Tag, call.ErrIDInUse)
+	}
 	delete(c.openSetups, m.Tag)
 	if c.frontend.host.Calls.ReleaseByCaller(m.Tag, m.ResultCode) {
 		c.write(&jsonl.Message{Verb: jsonl.Finished, Tag: m.Tag})
--- a/internal/server/restart_test.go
+++ b/internal/server/restart_test.go
@@ -8,6 +8,7 @@
 	"olivedale/internal/backend"
 	"olivedale/internal/codec/h248"
 	"olivedale/internal/codec/h248/transaction"
+	"olivedale/internal/codec/jsonl"
 	"olivedale/internal/config"
 )
 
@@ -259,3 +260,27 @@
 		}
 	})
 }
+
+// Guards against a JSON client that ends the call of a gateway, which was not notified of it: the connection is closed, as
+// for any id of another's call, and the call stays up.
+func TestJSONClientDoesNotReleaseAGatewaysCall(t *testing.T) {
+	t.Parallel()
+	exchange := startFakeExchange(t, "127.0.0.1:0")
+	bed := startTestbed(t, []*fakeExchange{exchange}, &scriptedDecider{servers: []string{"s-0"}}, withGateways)
+	gateway := bed.dialGateway("<a>")
+	termination, context, id := gateway.establish(t, bed.answers, exchange, 1)
+	bed.runIteration(func() {
+		client := bed.findClient("")
+		client.HandleData(jsonMessage(jsonl.Finish, id))
+		if client.Conn().IsOpen() {
+			t.Error("the connection of the JSON client is open")
+		}
+	})
+	if got := gateway.subtract(t, bed.answers, context, termination); got != "done Subtract" {
+		t.Errorf("the gateway's own release: got %q", got)
+	}
+	exchange.awaitReceived("BYE", id, 1)
+	if n := exchange.countReceived("BYE", id); n != 1 {
+		t.Errorf("%d releases at the exchange, want 1", n)
+	}
+}
