Parse a specification of an instance once

Apply parsed an invalid value to keep the running process, and add parsed every value again; both logged bad_spec. Apply parses it now, add takes the instance. No change of behaviour; TestAgent and TestInvalidSpecificationKeepsTheProcess pass.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -73,39 +73,40 @@
 	if isUnchanged {
 		return
 	}
-	if old != nil && value != nil && a.keepsProcess(old, value) {
-		return
+	var next *instance
+	if value != nil {
+		next = a.parse(name, value)
 	}
 	if old != nil {
+		keepsProcess := next != nil && next.isInvalid() && !old.isInvalid() && !old.isDrainRequested()
+		if keepsProcess {
+			return
+		}
 		a.requestDrain(old, "specification changed or removed")
 		delete(a.instances, name)
 	}
-	if value != nil {
-		a.add(name, value, old)
-	}
-}
-
-// keepsProcess reports whether an instance continues with its specification because the new one is invalid. The caller
-// holds a.mu.
-func (a *Agent) keepsProcess(i *instance, value []byte) bool {
-	_, err := parseSpec(i.name, value)
-	if err == nil || i.isDrainRequested() || i.currentStatus().state == Invalid {
-		return false
+	if next != nil {
+		a.add(next, old)
 	}
-	a.log.Warnw("bad_spec", "name", i.name, "err", err)
-	return true
 }
 
-// add adds an instance and starts its supervisor, which first waits until the previous instance of that name, if any,
-// has ended. If the specification is invalid, the instance gets the state Invalid and no supervisor. The caller holds
-// a.mu.
-func (a *Agent) add(name string, value []byte, previous *instance) {
+// parse returns an instance with the given specification. If the specification is invalid, the instance has the state
+// Invalid.
+func (a *Agent) parse(name string, value []byte) *instance {
 	i := newInstance(name, value)
-	a.instances[name] = i
 	var err error
 	if i.spec, err = parseSpec(name, value); err != nil {
 		a.log.Warnw("bad_spec", "name", name, "err", err)
 		i.setState(Invalid, 0)
+	}
+	return i
+}
+
+// add adds an instance and starts its supervisor, which first waits until the previous instance of that name, if any,
+// has ended. An instance with the state Invalid gets no supervisor. The caller holds a.mu.
+func (a *Agent) add(i, previous *instance) {
+	a.instances[i.name] = i
+	if i.isInvalid() {
 		close(i.ended)
 		return
 	}
@@ -132,7 +133,7 @@
 	a.mu.Lock()
 	a.isClosed = true
 	for _, i := range a.instances {
-		if i.currentStatus().state != Invalid {
+		if !i.isInvalid() {
 			a.requestDrain(i, "agent shutdown")
 		}
 	}
--- a/internal/agent/instance.go
+++ b/internal/agent/instance.go
@@ -52,6 +52,8 @@
 	return i.status
 }
 
+func (i *instance) isInvalid() bool { return i.currentStatus().state == Invalid }
+
 func (i *instance) isDrainRequested() bool { return i.drain.Err() != nil }
 
 // node returns the H.248 node that reports the instance in the admin protocol.
