Decide in one place whether an H.248 server's id is also an endpoint's

server.checkEndpoints runs first in New, so that the same check in backend.Set.AddH248Server could not fail any more. It goes, with its error. The sequence of transaction ids is required by backend.Options: its default began at 1, which is the fault of the restart; the one test without a server passes it.

--- a/internal/backend/h248_test.go
+++ b/internal/backend/h248_test.go
@@ -15,7 +15,7 @@
 // newTestConn returns a Conn in the connected state, of a set without a running event loop or other exchanges.
 func newTestConn() *Conn {
 	loop := eventloop.New(zap.NewNop(), time.Now)
-	set := NewSet(Options{Loop: loop, Name: "n0", MemoryMB: 192})
+	set := NewSet(Options{Loop: loop, Name: "n0", MemoryMB: 192, TransactionIDs: transaction.NewIDSequence(0)})
 	set.Attach(call.NewManager(nil, nil, loop.Now, call.Limits{}))
 	c := set.newConn("s", "", 0)
 	c.conn = eventloop.NewConn(nil, 0)
--- a/internal/backend/set.go
+++ b/internal/backend/set.go
@@ -4,7 +4,6 @@
 package backend
 
 import (
-	"fmt"
 	"iter"
 	"maps"
 	"net"
@@ -56,7 +55,7 @@
 	MaxProbes int
 	// Dial opens connections; if nil, DialTCP is used.
 	Dial Dialer
-	// TransactionIDs numbers the transactions sent to exchanges that speak H.248. If nil, the ids begin at 1.
+	// TransactionIDs numbers the transactions sent to exchanges that speak H.248.
 	TransactionIDs *transaction.IDSequence
 	// ReportMalformed is called for input that cannot be parsed.
 	ReportMalformed func(source string, err error)
@@ -92,9 +91,6 @@
 	if o.Dial == nil {
 		o.Dial = DialTCP
 	}
-	if o.TransactionIDs == nil {
-		o.TransactionIDs = transaction.NewIDSequence(0)
-	}
 	return &Set{
 		loop:            o.Loop,
 		messageID:       transaction.MessageID(o.Name),
@@ -135,16 +131,13 @@
 	return c
 }
 
-// AddH248Server adds an exchange from the configuration that speaks H.248. It does not dial.
-func (s *Set) AddH248Server(server config.H248Server) error {
-	if s.conns[server.ID] != nil {
-		return fmt.Errorf("H.248 server %q is also listed by the discovery service", server.ID)
-	}
+// AddH248Server adds an exchange from the operator's file that speaks H.248. It does not dial. The id must not be that
+// of an endpoint.
+func (s *Set) AddH248Server(server config.H248Server) {
 	c := s.newConn(server.ID, server.Address, server.Pool)
 	c.protocol = newH248(c)
 	c.isConfigured = true
 	s.conns[server.ID] = c
-	return nil
 }
 
 // IsConfigured reports whether an exchange is listed in the operator's file. The discovery service must not change it.
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -153,9 +153,7 @@
 		return nil, err
 	}
 	s.addFrontends()
-	if err := s.addBackends(); err != nil {
-		return nil, err
-	}
+	s.addBackends()
 	return s, nil
 }
 
@@ -275,7 +273,7 @@
 }
 
 // addBackends adds the exchanges that are listed in the configuration.
-func (s *Server) addBackends() error {
+func (s *Server) addBackends() {
 	var known []config.Endpoint
 	s.resolver, known = discovery.NewResolver(s.cfg.KnownEndpoints)
 	s.discovery = newDiscoveryClient(s)
@@ -287,16 +285,13 @@
 	}
 	if s.h248 != nil {
 		for _, h := range s.h248.Servers {
-			if err := s.backends.AddH248Server(h); err != nil {
-				return err
-			}
+			s.backends.AddH248Server(h)
 			server := admission.Server{ID: h.ID, Pool: h.Pool}
 			servers = append(servers, server)
 			s.recorder.recordServer(server, h.Address)
 		}
 	}
 	s.calls.UpdateServers(servers, true)
-	return nil
 }
 
 // gnetLog forwards the error messages of gnet to the log and drops all others.
