--- a/internal/frontend/gateway/call.go
+++ b/internal/frontend/gateway/call.go
@@ -71,8 +71,8 @@
 	if err != nil {
 		return err
 	}
-	context := f.newContext(messageID)
-	request.ID = f.identities.callID(messageID, context)
+	var context contextID
+	context, request.ID = f.newIdentity(messageID)
 	c := &gatewayCall{
 		frontend:      f,
 		replyTo:       g,
@@ -95,12 +95,13 @@
 	return nil
 }
 
-// newContext returns the context of a new call. It passes over contexts whose calls have not ended.
-func (f *Frontend) newContext(messageID string) contextID {
+// newIdentity returns the context and the id of a new call. It passes over contexts whose calls have not ended.
+func (f *Frontend) newIdentity(messageID string) (context contextID, callID string) {
 	for {
-		context := f.identities.next(messageID)
-		if f.calls.byID[f.identities.callID(messageID, context)] == nil {
-			return context
+		context = f.identities.next(messageID)
+		callID = f.identities.callID(messageID, context)
+		if f.calls.byID[callID] == nil {
+			return context, callID
 		}
 	}
 }
--- a/internal/frontend/gateway/release.go
+++ b/internal/frontend/gateway/release.go
@@ -3,6 +3,7 @@
 import (
 	"olivedale/internal/call"
 	"olivedale/internal/codec/h248"
+	"olivedale/internal/codec/h248/transaction"
 )
 
 // runRelease releases the call that a command of a gateway refers to. The call is found by its context, or with the
@@ -34,7 +35,7 @@
 	if found == nil {
 		return f.releaseUnknownCall(callID, cause, unknown)
 	}
-	if termination != found.termination && termination != "*" {
+	if termination != found.termination && termination != transaction.AllTerminations {
 		return &h248.Error{Code: h248.UnknownTermination, Text: "not in context " + context}
 	}
 	f.releaseCall(found, cause)
