Share the writing of configurations in the soak

Replacing the file as a whole stood twice, and so did a configuration with another address of discovery. No change of behaviour; TestBrokenReloadTakesNothing passes with all eight kinds.

--- a/internal/sim/soak/broken_config.go
+++ b/internal/sim/soak/broken_config.go
@@ -59,20 +59,11 @@
 	c.run.logError(os.WriteFile(c.configPath(), valid, 0o600))
 }
 
-// writeBrokenConfig writes a broken form of a valid configuration with another address of discovery.
+// writeBrokenConfig writes a broken form of a valid configuration with the address deadDiscovery.
 func (c *controller) writeBrokenConfig(valid []byte, breakConfig configBreaker) error {
-	var values map[string]any
-	if err := json.Unmarshal(valid, &values); err != nil {
-		return err
-	}
-	values["names"] = deadDiscovery
-	text, err := json.Marshal(values)
+	text, values, err := withDiscovery(valid, deadDiscovery)
 	if err != nil {
 		return err
 	}
-	temporary := c.configPath() + ".new"
-	if err := os.WriteFile(temporary, breakConfig(text, values), 0o600); err != nil {
-		return err
-	}
-	return os.Rename(temporary, c.configPath())
+	return c.replaceConfig(breakConfig(text, values))
 }
--- a/internal/sim/soak/controller.go
+++ b/internal/sim/soak/controller.go
@@ -88,6 +88,11 @@
 	if err != nil {
 		return err
 	}
+	return c.replaceConfig(text)
+}
+
+// replaceConfig replaces the configuration as a whole, so that it is never read half written.
+func (c *controller) replaceConfig(text []byte) error {
 	temporary := c.configPath() + ".new"
 	if err := os.WriteFile(temporary, text, 0o600); err != nil {
 		return err
@@ -95,6 +100,16 @@
 	return os.Rename(temporary, c.configPath())
 }
 
+// withDiscovery returns a configuration with another address of discovery, as text and as values.
+func withDiscovery(valid []byte, address string) (text []byte, values map[string]any, err error) {
+	if err := json.Unmarshal(valid, &values); err != nil {
+		return nil, nil, err
+	}
+	values["names"] = address
+	text, err = json.Marshal(values)
+	return text, values, err
+}
+
 // knownEndpoints returns the value of the configuration's key "known".
 func knownEndpoints(serial uint32, endpoints []loopback.Endpoint) config.KnownEndpoints {
 	list := config.EndpointList{Complete: true}
@@ -260,14 +275,11 @@
 	if err != nil {
 		return err
 	}
-	var values map[string]any
-	if err := json.Unmarshal(text, &values); err != nil {
-		return err
-	}
-	if values["names"], err = c.run.directory.serve(c.name); err != nil {
+	address, err := c.run.directory.serve(c.name)
+	if err != nil {
 		return err
 	}
-	if text, err = json.Marshal(values); err != nil {
+	if text, _, err = withDiscovery(text, address); err != nil {
 		return err
 	}
 	return os.WriteFile(c.configPath(), text, 0o600)
--- a/internal/sim/soak/generate.go
+++ b/internal/sim/soak/generate.go
@@ -125,7 +125,7 @@
 	}
 }
 
-// brokenReload lets a controller reload broken configurations before an exchange drains. The drain lasts, and calls go
+// brokenReload lets a controller reload a broken configuration before an exchange drains. The drain lasts, and calls go
 // on, until a controller that has missed it breaks its time limit.
 func (d *generator) brokenReload() {
 	if d.rng.Float64() >= brokenReloadShare {
