Review case 7: calls at a living exchange end towards their callers alone

Cause: a refused connection behind a lost one counts as the end of the exchange's process. Callers are told that their calls are over, and nothing is released at the exchange, though an exchange that is full refuses as well.

Change: the case and its claim. Repeats of a Notify are recorded each twentieth time.

--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -4,4 +4,4 @@
 root=$(cd "$here/../.." && pwd) || exit 2
 stand="$root/bin/review-2/stand2"
 [ -x "$stand" ] || { echo "run review/build-2.sh first" >&2; exit 2; }
-exec "$stand" notifies "$root" "$here/record.txt"
+exec "$stand" refusal "$root" "$here/record.txt"
--- a/review/stand2/callserver.go
+++ b/review/stand2/callserver.go
@@ -111,6 +111,9 @@
 	defer x.mu.Unlock()
 	switch t.Kind {
 	case h248.Reply:
+		if c := x.notifies[t.ID]; c != nil && c.notifies > 1 {
+			x.stage.note("%s: Notify %d has a reply, after it was sent %d times", x.name, t.ID, c.notifies)
+		}
 		delete(x.notifies, t.ID)
 	case h248.Request:
 		reply := &h248.Transaction{Kind: h248.Reply, ID: t.ID}
@@ -178,7 +181,9 @@
 // tell sends the Notify of a call, and again until it has a reply. The lock is held.
 func (x *callServer) tell(id uint32, c *serverCall) {
 	c.notifies++
-	x.stage.note("%s: %s is over, Notify %d, sent %d times", x.name, c.termination, id, c.notifies)
+	if c.notifies == 1 || c.notifies%20 == 0 {
+		x.stage.note("%s: %s is over, Notify %d, sent %d times", x.name, c.termination, id, c.notifies)
+	}
 	event := &h248.Node{Name: "oc/rel", Children: []*h248.Node{{Name: "cause", Value: "16"}}}
 	x.write(c.conn, &h248.Transaction{Kind: h248.Request, ID: id, Actions: []*h248.Action{{
 		Context: c.context,
--- a/review/stand2/exchange.go
+++ b/review/stand2/exchange.go
@@ -22,6 +22,7 @@
 	listener net.Listener
 
 	mu       sync.Mutex
+	talking  []net.Conn // connections that have brought a message
 	setups   []heardSetup
 	standing map[string]time.Time // calls that stand, by id
 	released map[string]time.Time // when a release came, by id
@@ -42,18 +43,20 @@
 		id: id, stage: s, listener: listener,
 		standing: make(map[string]time.Time), released: make(map[string]time.Time),
 	}
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go x.serve(conn)
-		}
-	}()
+	go x.accept(listener)
 	return x, nil
 }
 
+func (x *exchange) accept(listener net.Listener) {
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		go x.serve(conn)
+	}
+}
+
 func (x *exchange) member(pool int) member {
 	return member{id: x.id, address: x.listener.Addr().String(), zone: "santiago", pool: pool}
 }
@@ -61,11 +64,16 @@
 func (x *exchange) serve(conn net.Conn) {
 	defer func() { _ = conn.Close() }()
 	reader := textproto.NewReader(bufio.NewReader(conn))
-	for {
+	for isFirst := true; ; isFirst = false {
 		first, err := reader.ReadLine()
 		if err != nil {
 			return
 		}
+		if isFirst {
+			x.mu.Lock()
+			x.talking = append(x.talking, conn)
+			x.mu.Unlock()
+		}
 		if first == "" {
 			continue
 		}
