Queue releases of unknown calls above the rate limit, and confirm them when sent

Cause: call.Manager.ReleaseUnknown forwarded 256 releases a second and dropped the others; ReleaseByCaller reported them as established calls, so the JSON client confirmed them.

Change: releases above the rate wait in a bounded queue, in which the sources take turns, and are forwarded at the same rate. A JSON client has its confirmation when the release is sent. One source may use as much room as it leaves free; beyond that its connection is closed and its queued releases, none of them confirmed, are dropped. Gateways get error 510 as before.

TestLimits lets the queue run before it looks whether all is freed; its checks are the same.

--- a/internal/call/deadlines.go
+++ b/internal/call/deadlines.go
@@ -20,16 +20,21 @@
 			m.failExpired(c)
 		}
 	}
+	m.forwardQueuedReleases(now)
 	m.completedCalls.removeExpired(now)
 	m.unknownReleases.ids.removeExpired(now)
 }
 
 // NextDeadline returns the time at which Tick is due next.
 func (m *Manager) NextDeadline() Time {
+	next := m.decider.NextDeadline()
 	if len(m.deadlines) > 0 {
-		return min(m.deadlines[0].at, m.decider.NextDeadline())
+		next = min(next, m.deadlines[0].at)
 	}
-	return m.decider.NextDeadline()
+	if m.QueuedReleases() > 0 {
+		next = min(next, m.unknownReleases.forwardAt)
+	}
+	return next
 }
 
 // expireDeadlines cancels the attempts whose deadlines have passed. It returns the overdue calls that have
--- a/internal/call/fixture_test.go
+++ b/internal/call/fixture_test.go
@@ -69,7 +69,10 @@
 }
 
 func (c *recordingClient) CallWithdrawn(id string) { c.record("withdrawn %s", id) }
-func (c *recordingClient) Frontend() Frontend      { return c }
+
+func (c *recordingClient) ReleaseForwarded(id string) { c.record("release forwarded %s", id) }
+
+func (c *recordingClient) Frontend() Frontend { return c }
 
 func (c *recordingClient) NotifyRelease(_ Client, id string, cause int) {
 	c.record("notify release %s %d", id, cause)
--- a/internal/call/manager.go
+++ b/internal/call/manager.go
@@ -38,7 +38,7 @@
 		calls:            make(map[string]*call),
 		establishedCalls: make(map[string]int),
 		completedCalls:   newExpiringIDs(limits.CompletedIDs),
-		unknownReleases:  unknownReleases{ids: newExpiringIDs(limits.CompletedIDs)},
+		unknownReleases:  newUnknownReleases(limits.CompletedIDs),
 	}
 }
 
--- a/internal/call/offer.go
+++ b/internal/call/offer.go
@@ -48,7 +48,7 @@
 		// sent again nor passed to the Decider.
 		m.ReusedIDs++
 		return finalAnswer{outcome: RejectedReusedID, cause: CauseTemporaryFailure}, true
-	case m.unknownReleases.ids.contains(r.ID):
+	case m.unknownReleases.isReleased(r.ID):
 		// The caller abandoned the call on another connection, and the release was read first.
 		m.Abandoned++
 		return finalAnswer{outcome: Abandoned, cause: CauseTemporaryFailure}, true
--- a/internal/call/offer_test.go
+++ b/internal/call/offer_test.go
@@ -46,7 +46,7 @@
 	if err := f.manager.Offer(other, Request{ID: "x", Class: "c"}); !errors.Is(err, ErrIDInUse) {
 		t.Errorf("offer with the id of an established call: %v", err)
 	}
-	f.manager.ReleaseByCaller("x", CauseNormal)
+	f.manager.ReleaseByCaller(f.client, "x", CauseNormal)
 	f.offer("x")
 	f.wantMessages(t, "invite s x 0", "established x sdp", "release s x 16", "rejected x 41 0s")
 	if len(other.messages) > 0 {
@@ -77,7 +77,7 @@
 	}
 	m.CallerDisconnected(f.client)
 	for i := range 50 {
-		m.ReleaseByCaller(fmt.Sprint("unknown", i), CauseNormal)
+		m.ReleaseByCaller(f.client, fmt.Sprint("unknown", i), CauseNormal)
 	}
 	unknown := m.unknownReleases.ids
 	if n := len(unknown.entries) + len(unknown.queue); n > 12 {
@@ -86,11 +86,13 @@
 	f.client.messages = nil
 	f.now += 2 * time.Second
 	for i := range 2 * maxUnknownReleasesPerSecond {
-		m.ReleaseByCaller(fmt.Sprint("made up", i), CauseNormal)
+		m.ReleaseByCaller(f.client, fmt.Sprint("made up", i), CauseNormal)
 	}
 	if len(f.client.messages) != maxUnknownReleasesPerSecond {
 		t.Errorf("%d releases of unknown calls were forwarded within a second", len(f.client.messages))
 	}
+	f.now += 2 * time.Second
+	m.Tick() // forwards those that were queued
 	f.now += completedCallRetention + 1
 	m.Tick()
 	completed := m.completedCalls
--- a/internal/call/release.go
+++ b/internal/call/release.go
@@ -1,54 +1,35 @@
 package call
 
-import "time"
+// A ReleaseResult is the result of a caller's release.
+type ReleaseResult int
 
-// ReleaseByCaller handles a release from a caller on any connection. It ends an established call, abandons
-// an open one, and forwards the release of an unknown call to all backends, at most 256 per second. It
-// reports whether the call was established, as far as is known: it returns true for an established call
-// and for a release of an unknown call that is not a repetition.
-func (m *Manager) ReleaseByCaller(id string, cause int) (established bool) {
+// The results.
+const (
+	ReleaseForwarded ReleaseResult = iota // the release was sent to the call's backend, or to all backends
+	ReleaseAbandoned                      // the call was open; it is canceled and has no answer
+	ReleaseQueued                         // the release waits to be sent; ReleaseSource.ReleaseForwarded follows
+	ReleaseRepeated                       // the call is known to have ended
+	ReleaseRefused                        // there are too many releases of unknown calls; it has no effect
+)
+
+// ReleaseByCaller handles a release from a caller on any connection. It ends an established call, abandons an open one,
+// and passes the release of an unknown call to ReleaseUnknown.
+func (m *Manager) ReleaseByCaller(source ReleaseSource, id string, cause int) ReleaseResult {
 	c := m.calls[id]
 	switch {
 	case c == nil:
-		return m.ReleaseUnknown(id, cause) != UnknownRepeated
+		return m.ReleaseUnknown(source, id, cause)
 	case c.isOpen():
 		m.abandonCall(c)
-		return false
+		return ReleaseAbandoned
 	default:
 		m.ReleasedByCaller++
 		m.backends.Release(c.attempt.server, id, c.attempt.number, cause)
 		m.endEstablished(c, CallerReleased, cause)
-		return true
+		return ReleaseForwarded
 	}
 }
 
-// An UnknownRelease is the result of a caller's release of an unknown call.
-type UnknownRelease int
-
-// The results.
-const (
-	UnknownForwarded UnknownRelease = iota // the release was sent to all backends
-	UnknownRepeated                        // the call is known to have ended
-	UnknownOverLimit                       // the release was dropped: there are too many
-)
-
-// ReleaseUnknown forwards a caller's release of a call that is neither open nor established, to all backends. The call
-// may have been established before a restart. The rate is limited to 256 per second so that callers that send invented
-// ids cannot overload the backends.
-func (m *Manager) ReleaseUnknown(id string, cause int) UnknownRelease {
-	if m.isCompleted(id) {
-		return UnknownRepeated
-	}
-	if !m.unknownReleases.allow(m.now()) {
-		m.UnknownReleasesDropped++
-		m.notifyLimit(LimitUnknownRelease, id)
-		return UnknownOverLimit
-	}
-	m.recordUnknownRelease(id)
-	m.backends.ReleaseEverywhere(id, cause)
-	return UnknownForwarded
-}
-
 // BackendReleased handles a backend's release of a call and notifies the caller. The release of an unknown
 // call, which may have been established before a restart, is forwarded to the given frontends. A repeated
 // release is ignored, and so is the release of an earlier attempt at another server.
@@ -142,31 +123,3 @@
 func (m *Manager) isCompleted(id string) bool {
 	return m.completedCalls.contains(id) || m.unknownReleases.ids.contains(id)
 }
-
-// recordUnknownRelease counts the release of an unknown call and keeps its id.
-func (m *Manager) recordUnknownRelease(id string) {
-	m.ReleasedUnknown++
-	m.unknownReleases.ids.add(id, m.now()+completedCallRetention)
-}
-
-// maxUnknownReleasesPerSecond limits the callers' releases of unknown calls that are forwarded to the
-// backends. After a restart of this process during an outage, all of its calls may be released at once.
-const maxUnknownReleasesPerSecond = 256
-
-// unknownReleases holds the ids of released calls that this process has not known, and limits the rate of
-// such releases by callers.
-type unknownReleases struct {
-	ids         *expiringIDs
-	windowStart Time
-	inWindow    int // releases since windowStart
-}
-
-// allow counts a release and reports whether it is within the rate limit.
-func (u *unknownReleases) allow(now Time) bool {
-	if now-u.windowStart > time.Second {
-		u.windowStart = now
-		u.inWindow = 0
-	}
-	u.inWindow++
-	return u.inWindow <= maxUnknownReleasesPerSecond
-}
--- a/internal/call/release_test.go
+++ b/internal/call/release_test.go
@@ -10,15 +10,15 @@
 func TestCallerReleasesOnAnotherConnection(t *testing.T) {
 	f := newFixture(send("s"), send("s"), send("s"))
 	f.offer("x")
-	if f.manager.ReleaseByCaller("x", CauseNormal) {
+	if f.manager.ReleaseByCaller(f.client, "x", CauseNormal) != ReleaseAbandoned {
 		t.Error("an open call was reported as established")
 	}
 	f.manager.CallerDisconnected(f.client) // it has no open calls left
 	f.offer("y")
 	f.manager.AttemptAnswered("s", "y", 0, nil)
 	f.manager.CallerDisconnected(f.client) // the established call stays up
-	f.manager.ReleaseByCaller("y", CauseNormal)
-	f.manager.ReleaseByCaller("y", CauseNormal)
+	f.manager.ReleaseByCaller(f.client, "y", CauseNormal)
+	f.manager.ReleaseByCaller(f.client, "y", CauseNormal)
 	f.manager.BackendReleased("s", "y", CauseNormal, f.client)
 	f.offer("z")
 	f.manager.CallerDisconnected(f.client)
@@ -33,8 +33,8 @@
 	f := newFixture()
 	f.manager.BackendReleased("s", "x", CauseTemporaryFailure, f.client)
 	f.manager.BackendReleased("s", "x", CauseTemporaryFailure, f.client)
-	f.manager.ReleaseByCaller("y", CauseNormal)
-	f.manager.ReleaseByCaller("y", CauseNormal)
+	f.manager.ReleaseByCaller(f.client, "y", CauseNormal)
+	f.manager.ReleaseByCaller(f.client, "y", CauseNormal)
 	f.wantMessages(t, "notify release x 41", "release everywhere y 16")
 }
 
@@ -80,7 +80,7 @@
 		f.manager.AttemptAnswered(server, id, 0, nil)
 	}
 	want(4, 1)
-	f.manager.ReleaseByCaller("a", CauseNormal)
+	f.manager.ReleaseByCaller(f.client, "a", CauseNormal)
 	want(3, 1)
 	f.manager.BackendReleased("s", "b", CauseNormal)
 	f.manager.BackendReleased("s", "b", CauseNormal) // repeated
--- a/internal/call/route_test.go
+++ b/internal/call/route_test.go
@@ -47,8 +47,8 @@
 	if f.decider.placed[0].Emergency {
 		t.Error("an ordinary call was placed as an emergency")
 	}
-	f.manager.ReleaseByCaller("abandoned", CauseNormal)
-	f.manager.ReleaseByCaller("established", CauseNormal)
+	f.manager.ReleaseByCaller(f.client, "abandoned", CauseNormal)
+	f.manager.ReleaseByCaller(f.client, "established", CauseNormal)
 	f.manager.AttemptEnded("s", "rejected", 0, NoCircuit) // the decider rejects it
 	if router.openRoutes != 0 {
 		t.Errorf("%d routes are open after the end of their calls", router.openRoutes)
@@ -57,7 +57,7 @@
 	if placed := f.decider.placed; !placed[len(placed)-1].Emergency {
 		t.Error("an emergency call was not placed as an emergency")
 	}
-	f.manager.ReleaseByCaller("emergency", CauseNormal)
+	f.manager.ReleaseByCaller(f.client, "emergency", CauseNormal)
 	// A call that the router rejects is not passed to the decider.
 	router.cause = 21
 	placedBefore := len(f.decider.placed)
@@ -108,13 +108,13 @@
 	if f.decider.placed[0].PreferredPool != 3 || router.openRoutes != 1 {
 		t.Errorf("placed as %+v, %d open routes", f.decider.placed[0], router.openRoutes)
 	}
-	f.manager.ReleaseByCaller("placed", CauseNormal)
+	f.manager.ReleaseByCaller(f.client, "placed", CauseNormal)
 	f.client.messages = nil
 
 	f.offer("rejected")
 	f.manager.RouteResolved("rejected", Route{Cause: 34, RetryAfter: 2 * time.Second})
 	f.offer("abandoned")
-	f.manager.ReleaseByCaller("abandoned", CauseNormal)
+	f.manager.ReleaseByCaller(f.client, "abandoned", CauseNormal)
 	f.manager.RouteResolved("abandoned", Route{Pools: []int{1}})
 	f.offer("disconnected")
 	f.manager.CallerDisconnected(f.client)
--- a/internal/call/types.go
+++ b/internal/call/types.go
@@ -105,7 +105,7 @@
 const (
 	LimitRepeatedSetup  LimitEvent = iota // an open call was offered again; it is not started twice
 	LimitReusedID                         // the id belongs to another call
-	LimitUnknownRelease                   // too many releases of unknown calls
+	LimitUnknownRelease                   // too many queued releases of unknown calls
 )
 
 // Limits bound the memory use of a Manager regardless of what callers send.
@@ -127,7 +127,7 @@
 	ReusedIDs              int // offers with the id of another call, existing or completed
 	OverLimit              int // offers rejected because one of the Limits is reached
 	ByPolicy               int // calls rejected by the Router
-	UnknownReleasesDropped int // callers' releases of unknown calls above the rate limit
+	UnknownReleasesRefused int // callers' releases of unknown calls for which the queue had no room
 
 	Attempts    int // attempts started
 	Cancels     int // attempts canceled
--- a/internal/frontend/gateway/release.go
+++ b/internal/frontend/gateway/release.go
@@ -33,7 +33,7 @@
 	callID := f.identities.callID(messageID, id)
 	found := f.calls.byID[callID]
 	if found == nil {
-		return f.releaseUnknownCall(callID, cause, unknown)
+		return f.releaseUnknownCall(messageID, callID, cause, unknown)
 	}
 	if termination != found.termination && termination != transaction.AllTerminations {
 		return &h248.Error{Code: h248.UnknownTermination, Text: "not in context " + context}
@@ -43,14 +43,15 @@
 }
 
 // releaseUnknownCall forwards the release of a call that is not open or established here. It may have been established
-// by an earlier process of this controller. The release of a call that ended recently gets the error ended.
-func (f *Frontend) releaseUnknownCall(callID string, cause int, ended *h248.Error) *h248.Error {
-	switch f.host.Calls.ReleaseUnknown(callID, cause) {
-	case call.UnknownForwarded:
+// by an earlier process of this controller. The release of a call that ended recently gets the error ended. The gateway
+// has its reply while the release is queued, so the releases of gateways are never discarded.
+func (f *Frontend) releaseUnknownCall(messageID, callID string, cause int, ended *h248.Error) *h248.Error {
+	switch f.host.Calls.ReleaseUnknown(call.UnconfirmedSource(messageID), callID, cause) {
+	case call.ReleaseForwarded, call.ReleaseQueued:
 		return nil
-	case call.UnknownOverLimit:
+	case call.ReleaseRefused:
 		return &h248.Error{Code: h248.InsufficientResources, Text: "too many releases of unknown calls"}
-	case call.UnknownRepeated:
+	case call.ReleaseRepeated, call.ReleaseAbandoned:
 	}
 	return ended
 }
@@ -59,7 +60,7 @@
 // an error, because every transaction needs a reply.
 func (f *Frontend) releaseCall(c *gatewayCall, cause int) {
 	f.calls.remove(c)
-	f.host.Calls.ReleaseByCaller(c.id, cause)
+	f.host.Calls.ReleaseByCaller(call.UnconfirmedSource(c.messageID), c.id, cause)
 	if c.replyTo != nil {
 		c.fail(h248.TemporaryFailure, "given up by the caller")
 	}
--- a/internal/frontend/jsonclient/client.go
+++ b/internal/frontend/jsonclient/client.go
@@ -1,6 +1,7 @@
 package jsonclient
 
 import (
+	"errors"
 	"fmt"
 	"slices"
 	"strconv"
@@ -40,8 +41,11 @@
 var (
 	_ frontend.Connection = (*Client)(nil)
 	_ call.Client         = (*Client)(nil)
+	_ call.ReleaseSource  = (*Client)(nil)
 )
 
+var errTooManyReleases = errors.New("too many releases of unknown calls")
+
 // Conn implements frontend.Connection.
 func (c *Client) Conn() *eventloop.Conn { return c.conn }
 
@@ -86,7 +90,7 @@
 	if eventloop.IsFailedWrite(err) {
 		eventloop.DrainReadBuffer(c.conn.Socket(), c.handleRemainingData)
 		for _, id := range c.conn.UnflushedIDs() {
-			c.frontend.host.Calls.ReleaseByCaller(id, call.CauseNormal)
+			c.frontend.host.Calls.ReleaseByCaller(c, id, call.CauseNormal)
 		}
 	}
 	c.remove()
@@ -212,12 +216,22 @@
 		return fmt.Errorf("release %s: %w", m.Tag, call.ErrIDInUse)
 	}
 	delete(c.openSetups, m.Tag)
-	if c.frontend.host.Calls.ReleaseByCaller(m.Tag, m.ResultCode) {
-		c.write(&jsonl.Message{Verb: jsonl.Finished, Tag: m.Tag})
+	switch c.frontend.host.Calls.ReleaseByCaller(c, m.Tag, m.ResultCode) {
+	case call.ReleaseForwarded:
+		c.ReleaseForwarded(m.Tag)
+	case call.ReleaseRefused:
+		c.frontend.host.Calls.DiscardReleases(c) // the close tells the caller that they are not confirmed
+		return fmt.Errorf("release %s: %w", m.Tag, errTooManyReleases)
+	case call.ReleaseAbandoned, call.ReleaseQueued, call.ReleaseRepeated:
 	}
 	return nil
 }
 
+// ReleaseForwarded implements call.ReleaseSource. It confirms the release to the caller.
+func (c *Client) ReleaseForwarded(id string) {
+	c.write(&jsonl.Message{Verb: jsonl.Finished, Tag: id})
+}
+
 func (c *Client) handleConfirmation(id string) {
 	before := len(c.unconfirmed)
 	c.unconfirmed = slices.DeleteFunc(c.unconfirmed, func(r release) bool { return r.id == id })
--- a/internal/server/releases_test.go
+++ b/internal/server/releases_test.go
@@ -243,3 +243,48 @@
 		t.Error(got)
 	}
 }
+
+// Guards against calls that are left at exchanges after a restart: releases of unknown calls above the rate limit were
+// confirmed to their callers and dropped.
+func TestManyReleasesAfterARestart(t *testing.T) {
+	t.Parallel()
+	const releases = 350
+	exchange := startFakeExchange(t, "127.0.0.1:0")
+	bed := startTestbed(t, []*fakeExchange{exchange}, &scriptedDecider{})
+	caller := dialCapture(t, bed.jsonAddress(), false)
+	ids := make([]string, releases)
+	for i := range ids {
+		ids[i] = fmt.Sprintf("e%015x", i)
+		_, _ = caller.conn.Write(jsonMessage(jsonl.Finish, ids[i]))
+	}
+	for _, id := range ids {
+		exchange.awaitReceived("BYE", id, 1)
+		caller.await(`"FINISHED","tag":"` + id)
+	}
+}
+
+// A connection that sends more releases of invented ids than the queue holds is closed, and the releases of another
+// connection are forwarded within the second that the platform allows.
+func TestFloodOfReleasesIsClosed(t *testing.T) {
+	t.Parallel()
+	exchange := startFakeExchange(t, "127.0.0.1:0")
+	bed := startTestbed(t, []*fakeExchange{exchange}, &scriptedDecider{})
+	flood := dialCapture(t, bed.jsonAddress(), false)
+	var input []byte
+	for i := range 5000 {
+		input = append(input, jsonMessage(jsonl.Finish, fmt.Sprintf("f%015x", i))...)
+	}
+	go func() { _, _ = flood.conn.Write(input) }()
+	eventually(t, "the flood is refused", func() (refused bool) {
+		bed.runIteration(func() {
+			refused = bed.server.calls.UnknownReleasesRefused > 0 && bed.server.calls.QueuedReleases() == 0
+		})
+		return refused
+	})
+	bed.caller.hangUp(testCallID)
+	start := time.Now()
+	exchange.awaitReceived("BYE", testCallID, 1)
+	if took := time.Since(start); took > time.Second {
+		t.Errorf("the release of another connection took %v", took)
+	}
+}
--- a/internal/server/report.go
+++ b/internal/server/report.go
@@ -65,7 +65,7 @@
 	log.Infow("counters", "attempts", c.Attempts, "invites", s.backends.Counters.Invites, "cancels", c.Cancels,
 		"late_answers", c.LateAnswers, "released_by_exchange", c.ReleasedByBackend,
 		"released_by_caller", c.ReleasedByCaller, "released_unknown", c.ReleasedUnknown,
-		"unknown_dropped", c.UnknownReleasesDropped)
+		"unknown_dropped", c.UnknownReleasesRefused)
 }
 
 func (s *Server) logConnectionCounters() {
--- a/internal/server/shutdown.go
+++ b/internal/server/shutdown.go
@@ -130,7 +130,7 @@
 // hasPendingWork reports whether a peer waits for something that only this process can deliver: an answer that has not
 // been given or written, or a release that has not been sent to its caller or exchange.
 func (s *Server) hasPendingWork() bool {
-	if s.calls.OpenCalls() > 0 {
+	if s.calls.OpenCalls() > 0 || s.calls.QueuedReleases() > 0 {
 		return true
 	}
 	for _, f := range s.frontends.all() {
--- a/internal/sim/modelcheck/model.go
+++ b/internal/sim/modelcheck/model.go
@@ -120,7 +120,7 @@
 		c.isReleased = true
 		c.openServer = noServer
 	}
-	m.manager.ReleaseByCaller(id, call.CauseNormal)
+	m.manager.ReleaseByCaller(call.UnconfirmedSource("caller"), id, call.CauseNormal)
 }
 
 func (m *model) disconnectClient() {
--- a/internal/sim/virtualtime/request.go
+++ b/internal/sim/virtualtime/request.go
@@ -107,7 +107,7 @@
 			return
 		}
 		c.record(invariant.Event{Kind: invariant.CallAbandoned, Call: r.id})
-		c.manager.ReleaseByCaller(r.id, call.CauseNormal)
+		c.manager.ReleaseByCaller(call.UnconfirmedSource("caller"), r.id, call.CauseNormal)
 		c.scheduleTicks()
 	})
 }
