Keep releases for exchanges that are away, in a log that all exchanges share

Each exchange had a table of 32 releases a MB, shared by calls known to be established and unknown ones. When it was full, a confirmed release was dropped without a word; those of unknown calls also expired after 32 s of an outage, and an exchange that was added later (or whose connection came up 3 s later with a full table) got none of them.

Change: releases of unknown calls are kept once for all exchanges, in a log of 256 a MB (32 s at the permitted rate). Each exchange works through it at the pace of new ones when it is connected, skips what it has confirmed, and starts again at the first unconfirmed one on a new connection, at most every 2 s. Confirmation times out on a connection, no longer during an outage. The counter of discarded releases of exchanges has no use any more.

--- a/internal/backend/attempts.go
+++ b/internal/backend/attempts.go
@@ -60,7 +60,7 @@
 		return
 	}
 	c.openAttempts[s.ID] = s.Attempt
-	c.releases.remove(s.ID) // belongs to an earlier attempt; if resent on a new connection, it would end this one
+	c.confirmRelease(s.ID) // belongs to an earlier attempt; if resent on a new connection, it would end this one
 	c.set.Counters.Invites++
 	c.activity.recordSetup(now)
 }
@@ -99,11 +99,11 @@
 func (c *Conn) releaseUnresolvedAttempts() {
 	now := c.set.loop.Now()
 	for id, attempt := range c.protocol.unresolvedAttempts() {
-		if _, isPending := c.releases.byID[id]; isPending {
+		if _, isPending := c.releases[id]; isPending {
 			continue
 		}
 		r := pendingRelease{attempt: attempt, cause: call.CauseNormal, requestedAt: now, isUnknownCall: true}
-		c.releases.add(id, r)
+		c.releases[id] = r
 	}
 }
 
--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -25,24 +25,26 @@
 	// StartedAt is when the exchange's process started, in Unix time; 0 if unknown.
 	StartedAt time.Duration
 
-	set          *Set
-	id           string
-	address      string
-	pool         int
-	protocol     protocol
-	conn         *eventloop.Conn // nil while disconnected
-	input        inputHandler    // decodes the data received on conn
-	dialing      dialState
-	isConfigured bool // listed in the operator's file and not by the discovery service
-	isDraining   bool
-	isRemoved    bool
-	queue        []call.Setup   // set-ups that have not been written yet
-	openAttempts map[string]int // attempts that were written but not answered, by call id
-	releases     pendingReleases
-	resendAt     time.Duration // when to resend releases that were not due when the connection opened; 0 if none
-	detector     reachability.Detector
-	probes       []*Probe // probes that are being dialled or are open
-	activity     activity
+	set             *Set
+	id              string
+	address         string
+	pool            int
+	protocol        protocol
+	conn            *eventloop.Conn // nil while disconnected
+	input           inputHandler    // decodes the data received on conn
+	dialing         dialState
+	isConfigured    bool // listed in the operator's file and not by the discovery service
+	isDraining      bool
+	isRemoved       bool
+	queue           []call.Setup   // set-ups that have not been written yet
+	openAttempts    map[string]int // attempts that were written but not answered, by call id
+	releases        pendingReleases
+	unknownReleases unknownReleaseCursor
+	connectedAt     time.Duration // when the current connection was opened
+	resendAt        time.Duration // when to resend releases that were not due when the connection opened; 0 if none
+	detector        reachability.Detector
+	probes          []*Probe // probes that are being dialled or are open
+	activity        activity
 
 	disconnectLoggedAt time.Duration // 0 if never
 }
@@ -63,7 +65,7 @@
 		address:      address,
 		pool:         pool,
 		openAttempts: make(map[string]int),
-		releases:     newPendingReleases(s.memoryMB << maxReleasesShift),
+		releases:     make(pendingReleases),
 	}
 }
 
@@ -228,7 +230,8 @@
 // hasPendingWork reports whether there are messages for the exchange that only this process can send, or whether
 // callers may still have to be notified that calls at the exchange were lost.
 func (c *Conn) hasPendingWork() bool {
-	if c.conn == nil && c.releases.len() > 0 {
+	hasUnsentRelease := c.conn == nil && len(c.releases) > 0 || c.unknownReleases.hasUnsent(&c.set.unknownReleases)
+	if hasUnsentRelease {
 		return true
 	}
 	return c.isSuspect() || c.conn != nil && c.conn.HasUnreadOutput()
@@ -239,8 +242,11 @@
 	if c.dialing.isDue(now) && c.conn == nil {
 		c.Dial()
 	}
-	c.releases.expire(now, c.IsConnected())
+	if c.IsConnected() {
+		c.releases.expire(now, c.connectedAt)
+	}
 	c.resendReleases(now)
+	c.tickUnknownReleases(now)
 	c.protocol.expire(now)
 	c.checkReachability(now)
 }
--- a/internal/backend/dial.go
+++ b/internal/backend/dial.go
@@ -133,12 +133,15 @@
 	now := c.set.loop.Now()
 	conn := eventloop.NewConn(socket, now)
 	c.conn = conn
+	c.connectedAt = now
 	c.input = c.protocol.newInputHandler(func() bool { return c.conn == conn })
 	c.activity = activity{receivedAt: now}
 	socket.SetContext(c)
 	c.recordSignOfLife()
 	c.protocol.reset()
 	c.sendReleases()
+	c.unknownReleases.scheduleRewind(now)
+	c.tickUnknownReleases(now)
 	c.flushQueue()
 }
 
--- a/internal/backend/h248.go
+++ b/internal/backend/h248.go
@@ -221,7 +221,7 @@
 	delete(p.requests, t.ID)
 	if !r.isAdd {
 		if !p.hasOpenSubtract(r.callID) {
-			p.conn.releases.remove(r.callID)
+			p.conn.confirmRelease(r.callID)
 		}
 		return
 	}
--- a/internal/backend/set.go
+++ b/internal/backend/set.go
@@ -37,7 +37,6 @@
 	Strays            int // messages that match nothing open, and H.248 requests that could not be stored
 	RepeatedRequests  int // transactions repeated by exchanges
 	CallsLost         int // established calls that ended without a release by the exchange
-	ReleasesDiscarded int // releases dropped because there was neither a connection nor room to store them
 }
 
 // Options configures a Set.
@@ -80,6 +79,7 @@
 	conns           map[string]*Conn
 	maxAttempts     int // of a call
 	maxProbes       int
+	unknownReleases unknownReleaseLog
 	openProbes      int // probes of all exchanges that are being dialled or are open
 	isClosed        bool
 }
@@ -103,6 +103,7 @@
 		maxAttempts:     o.MaxAttempts,
 		maxProbes:       o.MaxProbes,
 		conns:           make(map[string]*Conn),
+		unknownReleases: newUnknownReleaseLog(o.MemoryMB << maxUnknownReleasesShift),
 	}
 }
 
@@ -235,8 +236,9 @@
 
 // ReleaseEverywhere implements call.Backends.
 func (s *Set) ReleaseEverywhere(id string, cause int) {
+	s.unknownReleases.add(unknownRelease{id: id, cause: cause, requestedAt: s.loop.Now()})
 	for _, c := range s.conns {
-		c.release(id, pendingRelease{attempt: anyAttempt, cause: cause, isUnknownCall: true})
+		c.sendUnknownReleases(1)
 	}
 }
 
--- a/internal/backend/sip.go
+++ b/internal/backend/sip.go
@@ -164,7 +164,7 @@
 	switch {
 	case m.Status < 200:
 	case m.CSeqMethod == "BYE":
-		p.conn.releases.remove(m.CallID)
+		p.conn.confirmRelease(m.CallID)
 		p.removeDialog(m.CallID)
 	case m.CSeqMethod == "INVITE":
 		p.handleFinalResponse(m)
@@ -274,7 +274,7 @@
 		}
 	case "BYE":
 		p.respond(m, 200, "OK")
-		p.conn.releases.remove(m.CallID)
+		p.conn.confirmRelease(m.CallID)
 		p.removeDialog(m.CallID)
 		origin := p.conn.releaseOrigin(m.CallID)
 		set.calls.BackendReleased(origin, m.CallID, m.ReleaseCause(), set.frontends...)
--- a/internal/server/report.go
+++ b/internal/server/report.go
@@ -74,7 +74,7 @@
 		"clients_silent", f.ClosedOverdue, "malformed", s.malformed.count, "tests", f.Echoes,
 		"repeats", f.RepeatedTransactions+b.RepeatedRequests, "unsayable", b.UnencodableSetups, "dials", b.Dials,
 		"dials_failed", b.DialsFailed, "links_lost", b.ConnectionsLost, "strays", f.StrayReplies+b.Strays,
-		"releases_said", f.ReleasesSent, "releases_lost", f.ReleasesDiscarded+b.ReleasesDiscarded)
+		"releases_said", f.ReleasesSent, "releases_lost", f.ReleasesDiscarded)
 	log.Infow("counters", "probes", b.Probes, "probes_failed", b.ProbesFailed, "exchanges_lost", b.ExchangesLost,
 		"calls_lost", b.CallsLost)
 	log.Infow("counters", "queries", d.queries, "queries_failed", d.queriesFailed, "answers", d.answers,
