Bound the calls that a controller holds, with the releases that wait

Change: a set-up is rejected with cause 42 (switching equipment congestion), before anything is sent for it, when open calls, established calls and unconfirmed releases of known calls together reach 512 a MB. So each accepted call has room for its release.

TestNumberOfCallsIsLimited fails without the check: the ninth to eleventh calls were accepted.

--- a/internal/backend/set.go
+++ b/internal/backend/set.go
@@ -242,6 +242,14 @@
 	}
 }
 
+// PendingReleases implements call.Backends.
+func (s *Set) PendingReleases() (pending int) {
+	for _, c := range s.conns {
+		pending += len(c.releases)
+	}
+	return pending
+}
+
 // endAttempt reports the end of an attempt to the call manager. It defers the report because the manager may be the
 // caller.
 func (s *Set) endAttempt(server, id string, attempt int, end call.AttemptEnd) {
--- a/internal/call/fixture_test.go
+++ b/internal/call/fixture_test.go
@@ -81,7 +81,8 @@
 // recordingBackends records the messages to backends together with those to a client, in one sequence.
 type recordingBackends struct {
 	*recordingClient
-	unsent bool // whether Cancel reports that the setup was not sent
+	unsent          bool // whether Cancel reports that the setup was not sent
+	pendingReleases int
 }
 
 func (b *recordingBackends) Invite(server string, s Setup) {
@@ -101,6 +102,8 @@
 	b.record("release everywhere %s %d", id, cause)
 }
 
+func (b *recordingBackends) PendingReleases() int { return b.pendingReleases }
+
 // A fixture is a Manager with one client, scripted decisions and a clock controlled by the test.
 type fixture struct {
 	manager  *Manager
@@ -121,7 +124,7 @@
 		backends: &recordingBackends{recordingClient: client},
 		now:      time.Hour,
 	}
-	limits := Limits{OpenCalls: 3, DescriptionBytes: 100, CompletedIDs: 3}
+	limits := Limits{Calls: 10, OpenCalls: 3, DescriptionBytes: 100, CompletedIDs: 3}
 	f.manager = NewManager(&f.decider, f.backends, func() Time { return f.now }, limits)
 	return f
 }
--- a/internal/call/offer.go
+++ b/internal/call/offer.go
@@ -52,6 +52,9 @@
 		// The caller abandoned the call on another connection, and the release was read first.
 		m.Abandoned++
 		return finalAnswer{outcome: Abandoned, cause: CauseTemporaryFailure}, true
+	case m.isFull():
+		m.OverLimit++
+		return finalAnswer{outcome: RejectedOverLimit, cause: CauseCongestion}, true
 	case m.exceedsLimits(r):
 		m.OverLimit++
 		return finalAnswer{outcome: RejectedOverLimit, cause: CauseNoCircuit}, true
@@ -59,6 +62,10 @@
 	return finalAnswer{}, false
 }
 
+// isFull reports whether the number of calls has reached its limit. Each call may need room for its release later, so
+// releases that are pending count as well.
+func (m *Manager) isFull() bool { return len(m.calls)+m.backends.PendingReleases() >= m.limits.Calls }
+
 // exceedsLimits reports whether opening the call would exceed the Limits.
 func (m *Manager) exceedsLimits(r *Request) bool {
 	return m.openCalls >= m.limits.OpenCalls ||
--- a/internal/call/offer_test.go
+++ b/internal/call/offer_test.go
@@ -6,6 +6,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"olivedale/internal/admission"
 )
 
 func TestRepeatedOfferIsAnsweredOnceOnItsNewConnection(t *testing.T) {
@@ -101,3 +103,33 @@
 			m.openCalls, m.descriptionBytes, len(m.calls), len(completed.entries), len(unknown.entries))
 	}
 }
+
+// Guards against memory that grows without a bound: nothing limited the established calls, so a client with valid set-ups
+// took the process over its memory limit. Pending releases of earlier calls take room too.
+func TestNumberOfCallsIsLimited(t *testing.T) {
+	var decisions []admission.Decision
+	for range 10 {
+		decisions = append(decisions, send("s"))
+	}
+	f := newFixture(decisions...)
+	establish := func(id string) {
+		f.offer(id)
+		f.manager.AttemptAnswered("s", id, 0, nil)
+	}
+	for i := range 8 {
+		establish(fmt.Sprint("call", i))
+	}
+	f.backends.pendingReleases = 2
+	f.client.messages = nil
+	f.offer("full")
+	f.wantMessages(t, "rejected full 42 0s")
+	f.backends.pendingReleases = 1
+	f.client.messages = nil
+	f.offer("last")
+	f.offer("full again")
+	f.wantMessages(t, "invite s last 0", "rejected full again 42 0s")
+	f.manager.ReleaseByCaller(f.client, "call0", CauseNormal)
+	f.client.messages = nil
+	f.offer("next")
+	f.wantMessages(t, "invite s next 0")
+}
--- a/internal/call/types.go
+++ b/internal/call/types.go
@@ -16,6 +16,7 @@
 	CauseNormal           = 16 // normal call clearing
 	CauseNoCircuit        = 34 // no circuit available; retrying is safe
 	CauseTemporaryFailure = 41 // temporary failure, or an established call was dropped
+	CauseCongestion       = 42 // this controller holds as many calls as it may; retrying is safe
 )
 
 // ErrIDInUse is returned for an offer that uses the id of another call. Its text is sent to H.248 callers.
@@ -110,6 +111,7 @@
 
 // Limits bound the memory use of a Manager regardless of what callers send.
 type Limits struct {
+	Calls            int // open and established calls, and releases of earlier ones that backends have not confirmed
 	OpenCalls        int // calls without a final answer
 	DescriptionBytes int // total size of the session descriptions of the open calls
 	CompletedIDs     int // stored ids of completed calls, and as many of released unknown calls
--- a/internal/frontend/gateway/call.go
+++ b/internal/frontend/gateway/call.go
@@ -176,7 +176,7 @@
 func (c *gatewayCall) CallRejected(_ string, cause int, wait time.Duration) {
 	c.frontend.calls.remove(c)
 	code := h248.TemporaryFailure
-	if cause == call.CauseNoCircuit {
+	if cause == call.CauseNoCircuit || cause == call.CauseCongestion {
 		code = h248.InsufficientResources
 	}
 	text := "cause=" + strconv.Itoa(cause)
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -34,6 +34,7 @@
 
 // Bounds that depend on the memory of the process, as shifts of its size in megabytes.
 const (
+	maxCallsShift            = 9
 	maxOpenCallsShift        = 6
 	maxDescriptionBytesShift = 17
 	maxCompletedIDsShift     = 7
@@ -145,6 +146,7 @@
 		return nil, err
 	}
 	s.calls = call.NewManager(decider(o, engine), s.backends, s.loop.Now, call.Limits{
+		Calls:            cfg.MemoryMB << maxCallsShift,
 		OpenCalls:        cfg.MemoryMB << maxOpenCallsShift,
 		DescriptionBytes: cfg.MemoryMB << maxDescriptionBytesShift,
 		CompletedIDs:     cfg.MemoryMB << maxCompletedIDsShift,
--- a/internal/sim/modelcheck/model.go
+++ b/internal/sim/modelcheck/model.go
@@ -41,7 +41,7 @@
 		out = bounds.WrapBackends(out)
 	}
 	clock := func() call.Time { return m.now }
-	limits := call.Limits{OpenCalls: 8, DescriptionBytes: 1 << 10, CompletedIDs: 64}
+	limits := call.Limits{Calls: 64, OpenCalls: 8, DescriptionBytes: 1 << 10, CompletedIDs: 64}
 	m.manager = call.NewManager(decider{m}, out, clock, limits)
 	return m
 }
--- a/internal/sim/virtualtime/controller.go
+++ b/internal/sim/virtualtime/controller.go
@@ -19,7 +19,7 @@
 )
 
 // managerLimits are the limits of the call manager in production.
-var managerLimits = call.Limits{OpenCalls: 12288, DescriptionBytes: 24 << 20, CompletedIDs: 24576}
+var managerLimits = call.Limits{Calls: 98304, OpenCalls: 12288, DescriptionBytes: 24 << 20, CompletedIDs: 24576}
 
 // controller is a call controller: the product's call manager and admission engine on the clock of the simulation.
 // It may start and end several times in a run; the fields after incarnation belong to the current start.
