Do not take a refused connection for the end of the exchange's process

Cause: backend.Conn.handleRefusal took a refusal behind a lost connection for the end of the process, and endCallsBefore releases nothing at the exchange. A full, a restarting or another process at the address gives the same picture.

Change: reachability.RestartDetector. The process becomes suspect; a release of a call from before shows that it is the same, since another process knows no such call. Without one the calls end 5 s after the loss, towards the callers and at the exchange, whose releases wait until it can be reached. Calls set up since are not touched. A refusal behind an outage ends the calls at once as before (TestRefusalBehindAnOutageEndsCalls wants 2 s), now on both sides. Kept without a release: what discovery or the server itself says of a later start.

--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -43,6 +43,7 @@
 	connectedAt     time.Duration // when the current connection was opened
 	resendAt        time.Duration // when to resend releases that were not due when the connection opened; 0 if none
 	detector        reachability.Detector
+	restart         reachability.RestartDetector
 	probes          []*Probe // probes that are being dialled or are open
 	activity        activity
 
@@ -158,7 +159,7 @@
 	c.logDisconnect(reason)
 	c.set.loop.Close(c.conn)
 	c.conn = nil
-	c.dialing.lostConnection = true
+	c.dialing.lostAt = c.set.loop.Now()
 	c.releaseUnresolvedAttempts()
 	c.failOpenAttempts(reason)
 	c.Dial()
@@ -186,7 +187,7 @@
 func (c *Conn) remove() {
 	c.isRemoved = true
 	c.failQueue(call.NotSent)
-	c.endAllCalls(lossRemoved) // flushes the releases before the connection is closed
+	c.endCallsOnBothSides(lossRemoved, c.set.loop.Now()+1) // flushes the releases before the connection is closed
 	c.closeProbes()
 	if c.conn != nil {
 		c.set.loop.Close(c.conn)
--- a/internal/backend/dial.go
+++ b/internal/backend/dial.go
@@ -20,11 +20,11 @@
 
 // A dialState tracks the dials to one exchange.
 type dialState struct {
-	serial         int // of the latest dial; results of earlier dials are ignored
-	isDialing      bool
-	redialAt       time.Duration
-	redialDelay    time.Duration
-	lostConnection bool // a connection was lost and none has been opened since
+	serial      int // of the latest dial; results of earlier dials are ignored
+	isDialing   bool
+	redialAt    time.Duration
+	redialDelay time.Duration
+	lostAt      time.Duration // when a connection was lost, if none has been opened since; otherwise 0
 }
 
 // isDue reports whether a dial may be started.
@@ -128,7 +128,7 @@
 
 // attach makes a socket the current connection, sends the unconfirmed releases on it and flushes the queue.
 func (c *Conn) attach(socket gnet.Conn) {
-	c.dialing.lostConnection = false
+	c.dialing.lostAt = 0
 	c.dialing.redialDelay = 0
 	now := c.set.loop.Now()
 	conn := eventloop.NewConn(socket, now)
--- a/internal/backend/h248_commands.go
+++ b/internal/backend/h248_commands.go
@@ -64,6 +64,7 @@
 		p.conn.set.Counters.Strays++
 		return &h248.Error{Code: h248.UnknownTermination, Text: termination}
 	}
+	p.conn.recordRelease(id)
 	calls.BackendReleased(p.conn.id, id, cause, p.conn.set.frontends...)
 	return nil
 }
--- a/internal/backend/loss.go
+++ b/internal/backend/loss.go
@@ -13,7 +13,7 @@
 const (
 	lossRemoved      lossReason = "removed"        // the discovery service no longer lists the exchange
 	lossRestarted    lossReason = "restarted"      // the discovery service lists a later start time
-	lossRefused      lossReason = "refused"        // connection refused after a lost connection or an outage
+	lossRefused      lossReason = "refused"        // refused after a lost connection or an outage, and no release since
 	lossUnreachable  lossReason = "unreachable"    // no sign of life for reachability.MaxSilence
 	lossAddressTaken lossReason = "address_taken"  // another exchange uses the address
 	lossOutOfService lossReason = "out_of_service" // reported by the exchange itself
@@ -37,15 +37,16 @@
 		"standing", c.set.calls.EstablishedAt(c.id), "silent", now-c.activity.receivedAt)
 }
 
-// endCallsBefore ends the calls that were established before the given time. The process of the exchange that held them
-// has ended since.
+// endCallsBefore ends the calls that were established before the given time. It is known that the process of the
+// exchange that held them has ended since.
 func (c *Conn) endCallsBefore(reason lossReason, before time.Duration) {
 	c.logLoss(reason, c.set.calls.BackendRestarted(c.id, before))
 }
 
-// endAllCalls ends all calls established at the exchange and also releases them there, because it may still be running.
-func (c *Conn) endAllCalls(reason lossReason) {
-	c.logLoss(reason, c.set.calls.BackendLost(c.id))
+// endCallsOnBothSides ends the calls that were established before the given time and also releases them at the
+// exchange, because its process may still be running.
+func (c *Conn) endCallsOnBothSides(reason lossReason, before time.Duration) {
+	c.logLoss(reason, c.set.calls.BackendLost(c.id, before))
 }
 
 // logLoss counts and logs calls that ended without a release by the exchange.
--- a/internal/backend/sip.go
+++ b/internal/backend/sip.go
@@ -277,6 +277,9 @@
 		p.conn.confirmRelease(m.CallID)
 		p.removeDialog(m.CallID)
 		origin := p.conn.releaseOrigin(m.CallID)
+		if origin == p.conn.id {
+			p.conn.recordRelease(m.CallID)
+		}
 		set.calls.BackendReleased(origin, m.CallID, m.ReleaseCause(), set.frontends...)
 	case "OPTIONS":
 		p.respond(m, 200, "OK")
--- a/internal/call/manager.go
+++ b/internal/call/manager.go
@@ -68,6 +68,15 @@
 	return ""
 }
 
+// EstablishedSince returns when a call was established at a server. It reports false if the call is not established
+// there.
+func (m *Manager) EstablishedSince(server, id string) (Time, bool) {
+	if m.BackendOf(id) != server {
+		return 0, false
+	}
+	return m.calls[id].establishedAt, true
+}
+
 // IsCallOfOther reports whether a call is open or established for another frontend, so that clients of the given one
 // must not release it.
 func (m *Manager) IsCallOfOther(frontend Frontend, id string) bool {
--- a/internal/call/release.go
+++ b/internal/call/release.go
@@ -77,10 +77,11 @@
 	return dropped
 }
 
-// BackendLost drops all calls established at a server that was removed or is unreachable, and returns their
-// ids. They are also released at the server, because it may still be running.
-func (m *Manager) BackendLost(server string) (dropped []string) {
-	for _, c := range m.establishedAt(server, m.now()+1) {
+// BackendLost drops the calls that were established before the given time at a server that was removed, is
+// unreachable or seems to have ended, and returns their ids. They are also released at the server, because it may still
+// be running.
+func (m *Manager) BackendLost(server string, before Time) (dropped []string) {
+	for _, c := range m.establishedAt(server, before) {
 		m.backends.Release(server, c.ID, c.attempt.number, CauseTemporaryFailure)
 		m.dropEstablished(c)
 		dropped = append(dropped, c.ID)
--- a/internal/call/release_test.go
+++ b/internal/call/release_test.go
@@ -89,7 +89,7 @@
 		t.Errorf("dropped %v", dropped)
 	}
 	want(0, 1)
-	if dropped := f.manager.BackendLost("t"); len(dropped) != 1 {
+	if dropped := f.manager.BackendLost("t", f.now+1); len(dropped) != 1 {
 		t.Errorf("dropped %v", dropped)
 	}
 	want(0, 0)
--- a/internal/reachability/detector.go
+++ b/internal/reachability/detector.go
@@ -1,5 +1,5 @@
 // Package reachability is a failure detector: it decides from the activity of a server whether the calls that are
-// established there are over.
+// established there are over. Detector tells servers that have vanished, RestartDetector processes that have ended.
 //
 // A machine that fails sends no notice: its open connections become silent, and new ones are never established. A
 // network partition of a few seconds looks the same, but the calls behind it continue. Only the duration distinguishes
@@ -111,11 +111,9 @@
 	return true
 }
 
-// RecordRefusal records that the server has refused a connection: its machine runs, but no process is listening. It
-// reports whether the process that was listening has ended. This follows if the machine was unreachable before,
-// because its connections would have been reset otherwise. A machine that was always reachable may refuse for other
-// reasons, such as too many connections, so its refusal counts as activity.
-func (d *Detector) RecordRefusal(now Time) (processEnded bool) {
+// RecordRefusal records that the server has refused a connection, which shows that its machine runs. It reports whether
+// the machine was unreachable before, so that the reset of its connections can have been lost.
+func (d *Detector) RecordRefusal(now Time) (wasUnreachable bool) {
 	previous, _ := d.RecordActivity(now)
 	return previous != Reachable
 }
