Keep the release of each attempt at an H.248 server, and send it before a further one

Cause: backend.Conn.send dropped the pending release of the call, which holds for SIP, where the Call-ID names all attempts. In H.248 each attempt is a termination of its own.

Change: releases are kept by call and attempt (SIP: by call). Before a further attempt, releases of earlier ones that were not sent on this connection are sent, on both protocols, so a server that works in order never holds two. H.248 requests of the log of unknown calls are marked, since the log repeats them itself.

--- a/internal/backend/attempts.go
+++ b/internal/backend/attempts.go
@@ -48,6 +48,7 @@
 		c.endAttempt(s, call.NotSent)
 		return
 	}
+	c.releaseEarlierAttempts(s.ID, s.Attempt)
 	s.Timeout = s.Deadline - now // deduct the time spent waiting for a dial
 	var err error
 	c.write(func(b []byte) []byte {
@@ -60,7 +61,6 @@
 		return
 	}
 	c.openAttempts[s.ID] = s.Attempt
-	c.confirmRelease(s.ID) // belongs to an earlier attempt; if resent on a new connection, it would end this one
 	c.set.Counters.Invites++
 	c.activity.recordSetup(now)
 }
@@ -98,12 +98,13 @@
 // been lost with this connection. Otherwise the exchange might keep calls established that no caller knows of.
 func (c *Conn) releaseUnresolvedAttempts() {
 	now := c.set.loop.Now()
-	for id, attempt := range c.protocol.unresolvedAttempts() {
-		if _, isPending := c.releases[id]; isPending {
+	for _, u := range c.protocol.unresolvedAttempts() {
+		key := c.protocol.releaseKey(u.id, u.attempt)
+		if _, isPending := c.releases[key]; isPending {
 			continue
 		}
-		r := pendingRelease{attempt: attempt, cause: call.CauseNormal, requestedAt: now, isUnknownCall: true}
-		c.releases[id] = r
+		r := pendingRelease{attempt: u.attempt, cause: call.CauseNormal, requestedAt: now, isUnknownCall: true}
+		c.releases[key] = r
 	}
 }
 
--- a/internal/backend/h248.go
+++ b/internal/backend/h248.go
@@ -25,10 +25,11 @@
 
 // A pendingRequest is a transaction sent by us that has no reply yet.
 type pendingRequest struct {
-	isAdd   bool // otherwise it is a Subtract
-	callID  string
-	attempt int
-	sentAt  time.Duration
+	isAdd         bool // otherwise it is a Subtract
+	isUnknownCall bool // the Subtract is for a release of the Set's unknownReleaseLog
+	callID        string
+	attempt       int
+	sentAt        time.Duration
 }
 
 // checkReply returns an error if a reply belongs to another command, for example one of an earlier process.
@@ -56,14 +57,19 @@
 }
 
 // unresolvedAttempts implements protocol. It returns the attempts whose Add or Subtract has no reply.
-func (p *h248Protocol) unresolvedAttempts() map[string]int {
-	unsettled := make(map[string]int)
+func (p *h248Protocol) unresolvedAttempts() (unresolved []attemptID) {
 	for _, r := range p.requests {
-		unsettled[r.callID] = max(unsettled[r.callID], r.attempt)
+		if r.isUnknownCall {
+			continue
+		}
+		unresolved = append(unresolved, attemptID{r.callID, r.attempt})
 	}
-	return unsettled
+	return unresolved
 }
 
+// releaseKey implements protocol. Each attempt has a termination of its own.
+func (p *h248Protocol) releaseKey(id string, attempt int) releaseKey { return releaseKey{id, attempt} }
+
 func (p *h248Protocol) trackedCalls() int { return len(p.contexts) }
 
 // expire drops requests that got no reply in time, and contexts of calls that ended without a message, for example
@@ -136,30 +142,30 @@
 }
 
 func (p *h248Protocol) appendCancel(b []byte, id string, attempt int) []byte {
-	return p.appendSubtract(b, id, attempt)
+	return p.appendSubtract(b, &pendingRequest{callID: id, attempt: attempt})
 }
 
 // appendRelease appends a Subtract, or one for each attempt that the call can have had.
 func (p *h248Protocol) appendRelease(b []byte, id string, attempt, _ int) []byte {
 	if attempt != anyAttempt {
-		return p.appendSubtract(b, id, attempt)
+		return p.appendSubtract(b, &pendingRequest{callID: id, attempt: attempt})
 	}
 	for n := range max(p.conn.set.maxAttempts, 1) {
-		b = p.appendSubtract(b, id, n)
+		b = p.appendSubtract(b, &pendingRequest{callID: id, attempt: n, isUnknownCall: true})
 	}
 	return b
 }
 
 // appendSubtract appends a Subtract. It names the context if that is known; an Add without a reply has none yet.
-func (p *h248Protocol) appendSubtract(b []byte, id string, attempt int) []byte {
-	termination := TerminationName(id, attempt)
+func (p *h248Protocol) appendSubtract(b []byte, r *pendingRequest) []byte {
+	termination := TerminationName(r.callID, r.attempt)
 	context := p.contexts[termination]
 	if context == "" {
 		context = "*"
 	}
 	delete(p.contexts, termination)
 	subtract := &h248.Command{Name: "Subtract", Termination: termination}
-	b, _ = p.appendRequest(b, &pendingRequest{callID: id, attempt: attempt}, context, subtract)
+	b, _ = p.appendRequest(b, r, context, subtract)
 	return b
 }
 
@@ -220,9 +226,7 @@
 	}
 	delete(p.requests, t.ID)
 	if !r.isAdd {
-		if !p.hasOpenSubtract(r.callID) {
-			p.conn.confirmRelease(r.callID)
-		}
+		p.conn.confirmRelease(r.callID, r.attempt, !p.hasOpenSubtract(r.callID))
 		return
 	}
 	if attempt, ok := p.conn.openAttempts[r.callID]; ok && attempt == r.attempt {
--- a/internal/backend/h248_commands.go
+++ b/internal/backend/h248_commands.go
@@ -53,7 +53,7 @@
 		return &h248.Error{Code: h248.UnknownTermination, Text: termination}
 	}
 	delete(p.contexts, termination)
-	p.conn.releases.removeAttempt(id, attempt)
+	p.conn.confirmRelease(id, attempt, false)
 	calls := p.conn.set.calls
 	latest, isHere := calls.LatestAttempt(p.conn.id, id)
 	switch {
--- a/internal/backend/h248_test.go
+++ b/internal/backend/h248_test.go
@@ -86,7 +86,7 @@
 	if len(p.requests) != 2 {
 		t.Errorf("%d transactions are stored, want 2", len(p.requests))
 	}
-	c.releases["00000000000000aa"] = pendingRelease{}
+	c.releases[releaseKey{id: "00000000000000aa"}] = pendingRelease{}
 	p.handleReply(&h248.Transaction{Kind: h248.Reply, ID: p.conn.set.transactionIDs.Next() - 2})
 	if c.PendingReleases() != 0 || len(p.requests) != 1 {
 		t.Errorf("after the reply: %d releases and %d transactions left, want 0 and 1", c.PendingReleases(), len(p.requests))
@@ -136,7 +136,7 @@
 	if _, isOpen := c.openAttempts[callID]; !isOpen || len(p.requests) != 1 || len(p.contexts) != 0 || strays != 4 || c.set.Counters.Strays != 4 {
 		t.Errorf("the attempt is open: %v, %d requests, %d contexts, %d strays logged, %d counted", isOpen, len(p.requests), len(p.contexts), strays, c.set.Counters.Strays)
 	}
-	c.releases[callID] = pendingRelease{}
+	c.releases[releaseKey{id: callID}] = pendingRelease{}
 	p.appendRelease(nil, callID, 0, 16)
 	p.handleReply(subtractReply(latestRequest(p), TerminationName(otherID, 0)))
 	if c.PendingReleases() != 1 {
--- a/internal/backend/protocol.go
+++ b/internal/backend/protocol.go
@@ -14,6 +14,12 @@
 	hasPartialMessage() bool
 }
 
+// An attemptID identifies an attempt of a call.
+type attemptID struct {
+	id      string // of the call
+	attempt int
+}
+
 // A protocol writes and reads the messages on the connections to one exchange. It may keep per-call state.
 type protocol interface {
 	// appendInvite appends a set-up. It fails if the protocol cannot encode the set-up.
@@ -27,8 +33,10 @@
 	newInputHandler(isOpen func() bool) inputHandler
 	// reset discards the requests that were sent on an earlier connection.
 	reset()
-	// unresolvedAttempts returns, by call id, the attempts for which the exchange has not sent a final reply.
-	unresolvedAttempts() map[string]int
+	// releaseKey returns the key of the release of an attempt. Releases with the same key end the same.
+	releaseKey(id string, attempt int) releaseKey
+	// unresolvedAttempts returns the attempts for which the exchange has not sent a final reply.
+	unresolvedAttempts() []attemptID
 	// expire drops the state of calls that have ended.
 	expire(now time.Duration)
 	// trackedCalls returns the number of calls for which state is kept.
--- a/internal/backend/release.go
+++ b/internal/backend/release.go
@@ -12,6 +12,12 @@
 	anyAttempt = -1
 )
 
+// A releaseKey identifies what a release ends: an attempt or, if the protocol does not name attempts, a call.
+type releaseKey struct {
+	id      string // of the call
+	attempt int    // 0 if the protocol does not name attempts
+}
+
 // A pendingRelease is a release that the exchange has not confirmed. It is resent on each new connection.
 type pendingRelease struct {
 	attempt, cause int
@@ -20,26 +26,17 @@
 	isUnknownCall  bool          // not known to be established
 }
 
-// pendingReleases holds the unconfirmed releases of one exchange by call id. Each takes the place of a call, whose
-// number is limited by the call manager (call.Limits).
-type pendingReleases map[string]pendingRelease
-
-func (p pendingReleases) remove(id string) { delete(p, id) }
-
-// removeAttempt removes the release of an attempt that the exchange has ended.
-func (p pendingReleases) removeAttempt(id string, attempt int) {
-	if r, ok := p[id]; ok && r.attempt == attempt {
-		p.remove(id)
-	}
-}
+// pendingReleases holds the unconfirmed releases of one exchange. Each takes the place of a call, whose number is
+// limited by the call manager (call.Limits).
+type pendingReleases map[releaseKey]pendingRelease
 
 // expire drops the releases that were not confirmed within confirmationTimeout on a connection that was opened at
 // connectedAt. While the exchange is disconnected they are kept, because it may keep the calls through an outage of any
 // length.
 func (p pendingReleases) expire(now, connectedAt time.Duration) {
-	for id, r := range p {
+	for key, r := range p {
 		if now-max(r.requestedAt, connectedAt) > confirmationTimeout {
-			delete(p, id)
+			delete(p, key)
 		}
 	}
 }
@@ -54,9 +51,9 @@
 func (c *Conn) sendReleases() {
 	now := c.set.loop.Now()
 	c.resendAt = 0
-	for id, r := range c.releases {
+	for key, r := range c.releases {
 		if r.isDue(now) {
-			c.writeRelease(id, r)
+			c.writeRelease(key, r)
 		} else {
 			c.resendAt = now + unknownCallInterval
 		}
@@ -69,9 +66,9 @@
 		return
 	}
 	c.resendAt = 0
-	for id, r := range c.releases {
+	for key, r := range c.releases {
 		if r.isUnknownCall && r.isDue(now) {
-			c.writeRelease(id, r)
+			c.writeRelease(key, r)
 		}
 	}
 }
@@ -84,24 +81,41 @@
 // release releases a call at the exchange, now if it is connected and otherwise on the next connection.
 func (c *Conn) release(id string, r pendingRelease) {
 	r.requestedAt = c.set.loop.Now()
-	c.releases[id] = r
+	key := c.protocol.releaseKey(id, r.attempt)
+	c.releases[key] = r
 	if c.conn != nil {
-		c.writeRelease(id, r)
+		c.writeRelease(key, r)
 	}
 }
 
-// confirmRelease records that the exchange has ended a call, or that a release of it would end a later attempt.
-func (c *Conn) confirmRelease(id string) {
-	c.releases.remove(id)
+// releaseEarlierAttempts prepares a further attempt of a call: releases of earlier ones that were not sent on this
+// connection are sent now, so that the exchange never holds two attempts of a call. A release that would end the new
+// attempt as well is not sent again.
+func (c *Conn) releaseEarlierAttempts(id string, attempt int) {
+	for n := range attempt {
+		key := c.protocol.releaseKey(id, n)
+		r, isPending := c.releases[key]
+		if isPending && (r.sentAt == 0 || r.sentAt < c.connectedAt) {
+			c.writeRelease(key, r)
+		}
+	}
+	delete(c.releases, c.protocol.releaseKey(id, attempt))
 	c.unknownReleases.confirm(&c.set.unknownReleases, id)
 }
 
-func (c *Conn) writeRelease(id string, r pendingRelease) {
-	if _, isStored := c.releases[id]; isStored {
-		r.sentAt = c.set.loop.Now()
-		c.releases[id] = r
+// confirmRelease records that the exchange has ended an attempt. If all attempts of the call have ended, hasEnded is
+// set.
+func (c *Conn) confirmRelease(id string, attempt int, hasEnded bool) {
+	delete(c.releases, c.protocol.releaseKey(id, attempt))
+	if hasEnded {
+		c.unknownReleases.confirm(&c.set.unknownReleases, id)
 	}
+}
+
+func (c *Conn) writeRelease(key releaseKey, r pendingRelease) {
+	r.sentAt = c.set.loop.Now()
+	c.releases[key] = r
 	c.write(func(b []byte) []byte {
-		return c.protocol.appendRelease(b, id, r.attempt, r.cause)
+		return c.protocol.appendRelease(b, key.id, r.attempt, r.cause)
 	})
 }
--- a/internal/backend/release_test.go
+++ b/internal/backend/release_test.go
@@ -9,7 +9,11 @@
 // an outage of any length, whether the call is known to be established or not.
 func TestPendingReleasesExpireOnAConnection(t *testing.T) {
 	const connectedAt = time.Hour
-	p := pendingReleases{"known": {}, "unknown": {isUnknownCall: true}, "later": {requestedAt: connectedAt + time.Second}}
+	p := pendingReleases{
+		{id: "known"}:   {},
+		{id: "unknown"}: {isUnknownCall: true},
+		{id: "later"}:   {requestedAt: connectedAt + time.Second},
+	}
 	p.expire(connectedAt+confirmationTimeout, connectedAt)
 	if len(p) != 3 {
 		t.Errorf("%d releases are left within the timeout, want 3", len(p))
--- a/internal/backend/sip.go
+++ b/internal/backend/sip.go
@@ -54,16 +54,18 @@
 func (p *sipProtocol) trackedCalls() int { return len(p.dialogs) }
 
 // unresolvedAttempts implements protocol. It returns the open attempts and the cancelled ones without a final response.
-func (p *sipProtocol) unresolvedAttempts() map[string]int {
-	unsettled := make(map[string]int)
+func (p *sipProtocol) unresolvedAttempts() (unresolved []attemptID) {
 	for id, d := range p.dialogs {
 		if !d.isAnswered {
-			unsettled[id] = d.attempt
+			unresolved = append(unresolved, attemptID{id, d.attempt})
 		}
 	}
-	return unsettled
+	return unresolved
 }
 
+// releaseKey implements protocol. A Call-ID names all attempts of a call.
+func (p *sipProtocol) releaseKey(id string, _ int) releaseKey { return releaseKey{id: id} }
+
 // expire drops dialogs for which the exchange never sent a final message, and dialogs of calls that ended without one,
 // for example because the exchange's process died.
 func (p *sipProtocol) expire(now time.Duration) {
@@ -164,7 +166,7 @@
 	switch {
 	case m.Status < 200:
 	case m.CSeqMethod == "BYE":
-		p.conn.confirmRelease(m.CallID)
+		p.conn.confirmRelease(m.CallID, 0, true)
 		p.removeDialog(m.CallID)
 	case m.CSeqMethod == "INVITE":
 		p.handleFinalResponse(m)
@@ -274,7 +276,7 @@
 		}
 	case "BYE":
 		p.respond(m, 200, "OK")
-		p.conn.confirmRelease(m.CallID)
+		p.conn.confirmRelease(m.CallID, 0, true)
 		p.removeDialog(m.CallID)
 		origin := p.conn.releaseOrigin(m.CallID)
 		if origin == p.conn.id {
--- a/internal/server/restart_test.go
+++ b/internal/server/restart_test.go
@@ -284,3 +284,31 @@
 		t.Errorf("%d releases at the exchange, want 1", n)
 	}
 }
+
+// Guards against a call that stands twice at an H.248 server, once for good: the release of an attempt whose answer was
+// lost with its connection was dropped as a further attempt was sent, although each attempt is a termination of its own.
+func TestFurtherAttemptAfterTwoResets(t *testing.T) {
+	t.Parallel()
+	server := startUnreadExchange(t)
+	bed := startTestbed(t, nil, &scriptedDecider{servers: []string{"h-0", "h-0", "h-0"}}, func(o *Options) {
+		o.H248 = h248Config()
+		o.H248.Servers = []config.H248Server{{ID: "h-0", Address: server.addr()}}
+	})
+	first := newCapture(t, server.awaitConn(), true)
+	id := bed.caller.setUp("1", 3*time.Second)
+	first.await(`Add=` + backend.TerminationName(id, 0))
+	resetConn(first.conn)
+	server.awaitConnections(2)
+	resetConn(server.awaitConn())
+	server.awaitConnections(3)
+	third := newCapture(t, server.awaitConn(), true)
+	third.await(`Add=` + backend.TerminationName(id, 2))
+	for attempt := range 2 {
+		third.await(`Subtract=` + backend.TerminationName(id, attempt) + `.*Add=` + backend.TerminationName(id, 2))
+	}
+	bed.runIteration(func() {
+		if n := bed.server.backends.Get("h-0").PendingReleases(); n != 2 {
+			t.Errorf("%d releases are pending without a reply, want 2", n)
+		}
+	})
+}
