Execute releases of H.248 servers when their transactions cannot be stored

Cause: the store of an exchange's transactions holds 16 a MB for 30 s, 17 a second at 32 MB. A transaction without room had neither effect nor reply, however often it was repeated.

Change: a transaction whose second execution has no effect (releases) is executed and answered without being stored. A ServiceChange, whose repeat would end later calls, gets error 510.

--- a/internal/backend/h248_commands.go
+++ b/internal/backend/h248_commands.go
@@ -10,21 +10,51 @@
 )
 
 // handleRequest executes a transaction of the server at most once; a repeated one gets the stored reply. If there is no
-// room to store a transaction, it is not executed and gets no reply, so that the server repeats it.
+// room to store a transaction, it is executed only if a second execution has no effect, and refused otherwise.
 func (p *h248Protocol) handleRequest(messageID string, t *h248.Transaction) {
 	set := p.conn.set
 	entry, isNew := p.received.Begin(messageID, t.ID, set.loop.Now())
-	if entry == nil {
+	switch {
+	case entry == nil && isIdempotent(t):
+		p.writeReply(p.execute(t))
+	case entry == nil:
 		set.Counters.Strays++
-		return
-	}
-	if isNew {
-		reply := &h248.Transaction{Kind: h248.Reply, ID: t.ID, Actions: transaction.RunActions(t.Actions, p.runCommand)}
-		p.received.Complete(entry, transaction.Frame(set.messageID, reply), set.loop.Now())
-	} else {
+		tooMany := &h248.Error{Code: h248.InsufficientResources, Text: "too many transactions"}
+		p.writeReply(p.frameReply(&h248.Transaction{ID: t.ID, Err: tooMany}))
+	case isNew:
+		p.received.Complete(entry, p.execute(t), set.loop.Now())
+		p.writeReply(entry.Reply())
+	default:
 		set.Counters.RepeatedRequests++
+		p.writeReply(entry.Reply())
+	}
+}
+
+// isIdempotent reports whether a second execution of a transaction has no effect. A call is released once, however
+// often its release is executed; a ServiceChange ends the calls that were established before it is executed.
+func isIdempotent(t *h248.Transaction) bool {
+	for _, a := range t.Actions {
+		for _, c := range a.Commands {
+			if c.Name == "ServiceChange" {
+				return false
+			}
+		}
 	}
-	p.conn.write(func(b []byte) []byte { return append(b, entry.Reply()...) })
+	return true
+}
+
+// execute executes a transaction and returns the framed reply.
+func (p *h248Protocol) execute(t *h248.Transaction) []byte {
+	return p.frameReply(&h248.Transaction{ID: t.ID, Actions: transaction.RunActions(t.Actions, p.runCommand)})
+}
+
+func (p *h248Protocol) frameReply(t *h248.Transaction) []byte {
+	t.Kind = h248.Reply
+	return transaction.Frame(p.conn.set.messageID, t)
+}
+
+func (p *h248Protocol) writeReply(reply []byte) {
+	p.conn.write(func(b []byte) []byte { return append(b, reply...) })
 }
 
 // runCommand executes a command of the server.
--- a/internal/backend/h248_test.go
+++ b/internal/backend/h248_test.go
@@ -1,6 +1,8 @@
 package backend
 
 import (
+	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -16,7 +18,7 @@
 func newTestConn() *Conn {
 	loop := eventloop.New(zap.NewNop(), time.Now)
 	set := NewSet(Options{Loop: loop, Name: "n0", MemoryMB: 192, TransactionIDs: transaction.NewIDSequence(0)})
-	set.Attach(call.NewManager(nil, nil, loop.Now, call.Limits{}))
+	set.Attach(call.NewManager(nil, nil, loop.Now, call.Limits{CompletedIDs: 16}))
 	c := set.newConn("s", "", 0)
 	c.conn = eventloop.NewConn(nil, 0)
 	return c
@@ -177,3 +179,36 @@
 		t.Errorf("%d releases and %d requests are left", c.PendingReleases(), len(p.requests))
 	}
 }
+
+// Guards against callers that are never told that their call is over: when the store of transactions was full, the
+// Notifies of a server had neither effect nor reply, however often they were repeated. A release is executed without
+// being stored; a ServiceChange, whose repeat would end later calls, is refused.
+func TestServerTransactionsWithoutRoom(t *testing.T) {
+	const releases = 4
+	c := newTestConn()
+	p := newH248(c)
+	p.received = transaction.NewStore(1)
+	c.protocol = p
+	request := func(id uint32, command *h248.Command) (reply string) {
+		c.conn = eventloop.NewConn(nil, 0)
+		p.handleRequest("<s>", &h248.Transaction{ID: id, Actions: []*h248.Action{{Context: "1", Commands: []*h248.Command{command}}}})
+		return string(c.conn.PendingOutput())
+	}
+	for range 2 { // the second time they are repeats
+		for n := range uint32(releases) {
+			notify := &h248.Command{Name: "Notify", Termination: TerminationName(fmt.Sprintf("%016x", n), 0),
+				Descriptors: []*h248.Node{transaction.ReleaseEvent(16)}}
+			if reply := request(n+1, notify); !strings.Contains(reply, "Notify") {
+				t.Errorf("Notify %d has reply %q", n+1, reply)
+			}
+		}
+	}
+	if n := c.set.calls.Counters.ReleasedUnknown; n != releases {
+		t.Errorf("%d releases were executed, want each of %d once", n, releases)
+	}
+	change := &h248.Command{Name: "ServiceChange", Termination: "ROOT",
+		Descriptors: []*h248.Node{{Name: "Services", Children: []*h248.Node{{Name: "Method", Value: "Graceful"}}}}}
+	if reply := request(99, change); !strings.Contains(reply, "Error=510") || c.isDraining {
+		t.Errorf("the ServiceChange has reply %q, and the server drains: %v", reply, c.isDraining)
+	}
+}
--- a/internal/backend/set.go
+++ b/internal/backend/set.go
@@ -34,7 +34,7 @@
 	ProbesFailed      int
 	ExchangesLost     int // exchanges that were silent for so long that their calls were ended
 	ConnectionsLost   int
-	Strays            int // messages that match nothing open, and H.248 requests that could not be stored
+	Strays            int // messages that match nothing open, and H.248 requests that were refused for want of room
 	RepeatedRequests  int // transactions repeated by exchanges
 	CallsLost         int // established calls that ended without a release by the exchange
 }
