Remember discovery queries for the 7 s within which a change must be known

A service that always takes longer was asked on and on, and each answer dropped.

TestAnswerOfASlowService (47 queries, 7 s) fails with 32 and passes with 64.

--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -203,6 +203,21 @@
 	}
 }
 
+// Guards against a slow service whose every answer is dropped: the query that it belongs to was not remembered for the
+// time within which a change must be known.
+func TestAnswerOfASlowService(t *testing.T) {
+	resolver := newQueriedResolver(t)
+	for i := range 47 { // the number of queries sent in 7 s
+		if _, err := resolver.NewQuery(uint16(100 + i)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	got, err := resolver.HandleAnswer(encodeAnswer(t, 100, resolver.Serial()+1, listedHost{id: "b"}))
+	if err != nil || len(got) == 0 {
+		t.Errorf("got changes %+v, %v", got, err)
+	}
+}
+
 func TestQuery(t *testing.T) {
 	message, err := newQueriedResolver(t).NewQuery(9)
 	if err != nil {
--- a/internal/discovery/query.go
+++ b/internal/discovery/query.go
@@ -12,8 +12,9 @@
 
 var srvName = dnsmessage.MustNewName(ServiceName)
 
-// maxRecentQueries is the number of latest queries whose answers are accepted. Answers may be several seconds late.
-const maxRecentQueries = 32
+// maxRecentQueries is the number of latest queries whose answers are accepted. Changes must be known after 7 s, in
+// which 47 queries are sent.
+const maxRecentQueries = 64
 
 // queryBufferBytes is the initial size of the buffer for a query.
 const queryBufferBytes = 64
