Keep the release of every known call for its caller

Releases that wait count towards the limit of calls (Manager.SetReservedRoom, in place of a method of call.Backends), so there is room for the release of each accepted call. Releases of calls from before a restart, which an exchange may invent, keep their smaller bound in a queue of their own and do not count. A Notify is framed when it is sent, which makes a stored one some 150 bytes.

Evidence: TestGatewayIsNotifiedOfAllReleases (40 calls at 2 MB) fails on: the 33rd call's gateway is never notified.

--- a/internal/backend/set.go
+++ b/internal/backend/set.go
@@ -242,7 +242,7 @@
 	}
 }
 
-// PendingReleases implements call.Backends.
+// PendingReleases returns the number of releases of known calls that exchanges have not confirmed.
 func (s *Set) PendingReleases() (pending int) {
 	for _, c := range s.conns {
 		pending += len(c.releases)
--- a/internal/call/fixture_test.go
+++ b/internal/call/fixture_test.go
@@ -81,8 +81,7 @@
 // recordingBackends records the messages to backends together with those to a client, in one sequence.
 type recordingBackends struct {
 	*recordingClient
-	unsent          bool // whether Cancel reports that the setup was not sent
-	pendingReleases int
+	unsent bool // whether Cancel reports that the setup was not sent
 }
 
 func (b *recordingBackends) Invite(server string, s Setup) {
@@ -102,8 +101,6 @@
 	b.record("release everywhere %s %d", id, cause)
 }
 
-func (b *recordingBackends) PendingReleases() int { return b.pendingReleases }
-
 // A fixture is a Manager with one client, scripted decisions and a clock controlled by the test.
 type fixture struct {
 	manager  *Manager
--- a/internal/call/interfaces.go
+++ b/internal/call/interfaces.go
@@ -55,8 +55,6 @@
 	Release(server, id string, attempt, cause int)
 	// ReleaseEverywhere releases a call at all backends, because its own is unknown.
 	ReleaseEverywhere(id string, cause int)
-	// PendingReleases returns the number of releases of known calls that backends have not confirmed.
-	PendingReleases() int
 }
 
 // An Observer receives the events of all calls in the order in which they happen.
--- a/internal/call/manager.go
+++ b/internal/call/manager.go
@@ -16,6 +16,8 @@
 	backends Backends
 	now      func() Time
 	limits   Limits
+	// reservedRoom returns the number of calls for which pending releases take room; may be nil
+	reservedRoom func() int
 
 	calls            map[string]*call
 	openCalls        int            // calls without a final answer
@@ -48,6 +50,10 @@
 // SetRouter sets the router for calls offered from now on; nil removes it.
 func (m *Manager) SetRouter(r Router) { m.router = r }
 
+// SetReservedRoom sets the function that returns the number of pending releases of known calls. They count towards
+// Limits.Calls, so that a call which is accepted has room for its release.
+func (m *Manager) SetReservedRoom(f func() int) { m.reservedRoom = f }
+
 // OpenCalls returns the number of calls without a final answer.
 func (m *Manager) OpenCalls() int { return m.openCalls }
 
--- a/internal/call/offer.go
+++ b/internal/call/offer.go
@@ -64,7 +64,13 @@
 
 // isFull reports whether the number of calls has reached its limit. Each call may need room for its release later, so
 // releases that are pending count as well.
-func (m *Manager) isFull() bool { return len(m.calls)+m.backends.PendingReleases() >= m.limits.Calls }
+func (m *Manager) isFull() bool {
+	used := len(m.calls)
+	if m.reservedRoom != nil {
+		used += m.reservedRoom()
+	}
+	return used >= m.limits.Calls
+}
 
 // exceedsLimits reports whether opening the call would exceed the Limits.
 func (m *Manager) exceedsLimits(r *Request) bool {
--- a/internal/call/offer_test.go
+++ b/internal/call/offer_test.go
@@ -119,11 +119,12 @@
 	for i := range 8 {
 		establish(fmt.Sprint("call", i))
 	}
-	f.backends.pendingReleases = 2
+	pendingReleases := 2
+	f.manager.SetReservedRoom(func() int { return pendingReleases })
 	f.client.messages = nil
 	f.offer("full")
 	f.wantMessages(t, "rejected full 42 0s")
-	f.backends.pendingReleases = 1
+	pendingReleases = 1
 	f.client.messages = nil
 	f.offer("last")
 	f.offer("full again")
--- a/internal/call/types.go
+++ b/internal/call/types.go
@@ -111,7 +111,7 @@
 
 // Limits bound the memory use of a Manager regardless of what callers send.
 type Limits struct {
-	Calls            int // open and established calls, and releases of earlier ones that backends have not confirmed
+	Calls            int // open and established calls, and the room that Manager.SetReservedRoom reports
 	OpenCalls        int // calls without a final answer
 	DescriptionBytes int // total size of the session descriptions of the open calls
 	CompletedIDs     int // stored ids of completed calls, and as many of released unknown calls
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -16,6 +16,10 @@
 // AnswerMargin is how long before the timeout of the caller a set-up is answered at the latest.
 const AnswerMargin = 5 * time.Millisecond
 
+// MaxPendingReleasesShift limits the releases that wait for callers of a frontend to 1<<MaxPendingReleasesShift per MB
+// of memory. That is as many as there are calls.
+const MaxPendingReleasesShift = 9
+
 // AnyPool is the value of the preferred pool in set-ups without a preference.
 const AnyPool = -1
 
@@ -42,6 +46,8 @@
 	CloseOverdue(now time.Duration)
 	// HasPendingWork reports whether there are messages for a caller that only this process can send.
 	HasPendingWork() bool
+	// PendingReleases returns the number of releases that wait for their callers.
+	PendingReleases() int
 	// Connections returns the open connections.
 	Connections() []Connection
 }
--- a/internal/frontend/gateway/frontend.go
+++ b/internal/frontend/gateway/frontend.go
@@ -17,8 +17,8 @@
 const (
 	// maxTransactionsShift limits the stored transactions to 1<<maxTransactionsShift per MB of memory.
 	maxTransactionsShift = 6
-	// maxNotifiesShift limits the stored Notifies without a reply to 1<<maxNotifiesShift per MB of memory.
-	maxNotifiesShift = 4
+	// maxUnknownReleasesShift limits the releases of unknown calls to 1<<maxUnknownReleasesShift per MB of memory.
+	maxUnknownReleasesShift = 4
 )
 
 // An Administrator implements the administrative commands, most of which are available on the admin address only.
@@ -73,8 +73,9 @@
 // Gateways returns the open connections.
 func (f *Frontend) Gateways() *frontend.Registry[*Gateway] { return f.gateways }
 
-// PendingNotifies returns the number of release notifications to which gateways have not replied.
-func (f *Frontend) PendingNotifies() int { return len(f.pendingNotifies) }
+// PendingReleases implements frontend.Frontend. It returns the number of release notifications to which gateways have
+// not replied.
+func (f *Frontend) PendingReleases() int { return len(f.pendingNotifies) }
 
 // Accept accepts a connection; isAdmin tells that it was made to the admin address. It returns false if the limit on
 // connections is reached.
--- a/internal/frontend/gateway/gateway.go
+++ b/internal/frontend/gateway/gateway.go
@@ -39,7 +39,7 @@
 }
 
 func (g *Gateway) sendNotify(n *pendingNotify) {
-	g.send(n.text)
+	g.send(n.frame(g.frontend.messageID))
 	n.isSent = true
 }
 
--- a/internal/frontend/gateway/notify.go
+++ b/internal/frontend/gateway/notify.go
@@ -8,6 +8,7 @@
 	"olivedale/internal/call"
 	"olivedale/internal/codec/h248"
 	"olivedale/internal/codec/h248/transaction"
+	"olivedale/internal/frontend"
 )
 
 // errForeignReply reports a reply of a gateway to a transaction that was sent to another one.
@@ -18,11 +19,13 @@
 
 // A pendingNotify is the notification of a release to which the gateway has not replied.
 type pendingNotify struct {
-	messageID   string
-	termination string
-	text        []byte
-	createdAt   time.Duration
-	isSent      bool // on any connection
+	transactionID uint32
+	messageID     string
+	context       contextID
+	termination   string
+	cause         int
+	createdAt     time.Duration
+	isSent        bool // on any connection
 }
 
 // checkReply returns an error if a reply is not the answer of the notified gateway.
@@ -61,7 +64,7 @@
 			return
 		}
 	}
-	if len(f.unknownReleases) >= f.maxNotifies() {
+	if len(f.unknownReleases) >= f.host.Config.MemoryMB<<maxUnknownReleasesShift {
 		f.unknownReleases = f.unknownReleases[1:] // most are releases of calls of other frontends
 	}
 	f.unknownReleases = append(f.unknownReleases, r)
@@ -91,15 +94,18 @@
 	})
 }
 
-// maxNotifies limits the stored Notifies, and likewise the stored releases of unknown calls.
-func (f *Frontend) maxNotifies() int { return f.host.Config.MemoryMB << maxNotifiesShift }
-
 // notify notifies a gateway of the release of a call.
 func (f *Frontend) notify(messageID string, context contextID, termination string, cause int) {
-	id := f.transactionIDs.Next()
-	n := f.newNotify(id, messageID, context, termination, cause)
-	if len(f.pendingNotifies) < f.maxNotifies() {
-		f.pendingNotifies[id] = n
+	n := &pendingNotify{
+		transactionID: f.transactionIDs.Next(),
+		messageID:     messageID,
+		context:       context,
+		termination:   termination,
+		cause:         cause,
+		createdAt:     f.host.Loop.Now(),
+	}
+	if len(f.pendingNotifies) < f.host.Config.MemoryMB<<frontend.MaxPendingReleasesShift {
+		f.pendingNotifies[n.transactionID] = n
 	} else {
 		f.host.Counters.ReleasesDiscarded++ // limits the memory if gateways do not reply
 	}
@@ -116,26 +122,18 @@
 	}
 }
 
-// newNotify returns the transaction that notifies a gateway of the release of a call.
-func (f *Frontend) newNotify(
-	id uint32, messageID string, context contextID, termination string, cause int,
-) *pendingNotify {
+// frame returns the framed transaction that notifies the gateway.
+func (n *pendingNotify) frame(messageID string) []byte {
 	command := &h248.Command{
 		Name:        notifyCommand,
-		Termination: termination,
-		Descriptors: []*h248.Node{transaction.ReleaseEvent(cause)},
+		Termination: n.termination,
+		Descriptors: []*h248.Node{transaction.ReleaseEvent(n.cause)},
 	}
-	t := &h248.Transaction{
+	return transaction.Frame(messageID, &h248.Transaction{
 		Kind:    h248.Request,
-		ID:      id,
-		Actions: []*h248.Action{{Context: context.String(), Commands: []*h248.Command{command}}},
-	}
-	return &pendingNotify{
-		messageID:   messageID,
-		termination: termination,
-		text:        transaction.Frame(f.messageID, t),
-		createdAt:   f.host.Loop.Now(),
-	}
+		ID:      n.transactionID,
+		Actions: []*h248.Action{{Context: n.context.String(), Commands: []*h248.Command{command}}},
+	})
 }
 
 // handleReply removes the notification that a gateway has confirmed.
--- a/internal/frontend/jsonclient/frontend.go
+++ b/internal/frontend/jsonclient/frontend.go
@@ -4,6 +4,7 @@
 package jsonclient
 
 import (
+	"slices"
 	"time"
 
 	"github.com/panjf2000/gnet/v2"
@@ -20,10 +21,11 @@
 	confirmationTimeout = time.Second
 	// maxReleaseAge is the age at which a release that could not be sent to a reliable connection is dropped.
 	maxReleaseAge = 8 * time.Second
+	// maxUnknownReleasesShift limits the queued releases of unknown calls to 1<<maxUnknownReleasesShift per MB.
+	// Exchanges may send them while no caller is connected.
+	maxUnknownReleasesShift = 7
 	// firstSetupGracePeriod is how long after a connection was opened its first set-up may still be in transit.
 	firstSetupGracePeriod = 50 * time.Millisecond
-	// maxQueuedReleasesShift limits the queued releases to 1<<maxQueuedReleasesShift per MB of memory.
-	maxQueuedReleasesShift = 7
 )
 
 // A Frontend accepts connections from callers that speak JSON lines.
@@ -31,7 +33,8 @@
 	host          *frontend.Host
 	clients       *frontend.Registry[*Client]
 	byReliability [reliabilityLevels]eventloop.IdleList[*Client]
-	queued        []release // releases for which there was no reliable connection
+	queued        []release // releases of known calls for which there was no reliable connection
+	queuedUnknown []release // the same for calls that this process does not know
 }
 
 var _ frontend.Frontend = (*Frontend)(nil)
@@ -53,8 +56,12 @@
 // Clients returns the open connections.
 func (f *Frontend) Clients() *frontend.Registry[*Client] { return f.clients }
 
+// PendingReleases implements frontend.Frontend. It returns the number of releases of known calls that wait for a
+// reliable connection.
+func (f *Frontend) PendingReleases() int { return len(f.queued) }
+
 // QueuedReleases returns the number of releases that wait for a reliable connection.
-func (f *Frontend) QueuedReleases() int { return len(f.queued) }
+func (f *Frontend) QueuedReleases() int { return len(f.queued) + len(f.queuedUnknown) }
 
 // Accept accepts a connection, closing an idle one if the limit is reached. It returns false if there is no room.
 func (f *Frontend) Accept(socket gnet.Conn) bool {
@@ -113,7 +120,9 @@
 }
 
 // HasPendingWork implements frontend.Frontend.
-func (f *Frontend) HasPendingWork() bool { return len(f.queued) > 0 || f.clients.HasUnreadOutput() }
+func (f *Frontend) HasPendingWork() bool {
+	return f.QueuedReleases() > 0 || f.clients.HasUnreadOutput()
+}
 
 // Connections implements frontend.Frontend.
 func (f *Frontend) Connections() []frontend.Connection { return f.clients.Snapshot() }
@@ -125,8 +134,8 @@
 
 // retryReleases retries the queued releases and drops those older than maxReleaseAge.
 func (f *Frontend) retryReleases() {
-	queued := f.queued
-	f.queued = nil
+	queued := slices.Concat(f.queued, f.queuedUnknown)
+	f.queued, f.queuedUnknown = nil, nil
 	now := f.host.Loop.Now()
 	for _, r := range queued {
 		if now-r.requestedAt < maxReleaseAge {
@@ -170,9 +179,19 @@
 		target.addUnconfirmed(r)
 		return
 	}
-	if len(f.queued) >= f.host.Config.MemoryMB<<maxQueuedReleasesShift {
-		f.queued = f.queued[1:] // limits the memory if exchanges release calls while no caller is connected
+	if r.origin != nil {
+		f.enqueue(&f.queued, r, frontend.MaxPendingReleasesShift)
+	} else {
+		f.enqueue(&f.queuedUnknown, r, maxUnknownReleasesShift)
+	}
+}
+
+// enqueue appends a release to a queue of at most 1<<maxShift releases per MB of memory. If the queue is full, the
+// oldest release is dropped.
+func (f *Frontend) enqueue(queue *[]release, r release, maxShift int) {
+	if len(*queue) >= f.host.Config.MemoryMB<<maxShift {
+		*queue = (*queue)[1:]
 		f.host.Counters.ReleasesDiscarded++
 	}
-	f.queued = append(f.queued, r)
+	*queue = append(*queue, r)
 }
--- a/internal/server/restart_test.go
+++ b/internal/server/restart_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -149,7 +150,7 @@
 		gateway.send(&h248.Transaction{Kind: h248.Reply, ID: transactionID, Actions: []*h248.Action{{Context: "1",
 			Commands: []*h248.Command{{Name: command, Termination: termination}}}}})
 		gateway.subtract(t, bed.answers, "*", "none") // its answer shows that the reply has been handled
-		bed.runIteration(func() { pending = bed.server.frontends.gateway.PendingNotifies() })
+		bed.runIteration(func() { pending = bed.server.frontends.gateway.PendingReleases() })
 		return pending
 	}
 	for _, stray := range [][3]string{{"<b>", "Notify", termination}, {"<c>", "Subtract", termination}} {
@@ -223,7 +224,7 @@
 			t.Errorf("call on %s in context %s: got %q", termination, context, got)
 		}
 		eventually(t, "the notification is confirmed", func() (confirmed bool) {
-			bed.runIteration(func() { confirmed = bed.server.frontends.gateway.PendingNotifies() == 0 })
+			bed.runIteration(func() { confirmed = bed.server.frontends.gateway.PendingReleases() == 0 })
 			return confirmed
 		})
 		if got := other.subtract(t, bed.answers, context, "*"); got != "error 411" {
@@ -312,3 +313,40 @@
 		}
 	})
 }
+
+// Guards against gateways that keep calls which are over: while a gateway was away, the releases of its calls beyond a
+// bound smaller than the number of calls were dropped.
+func TestGatewayIsNotifiedOfAllReleases(t *testing.T) {
+	t.Parallel()
+	const calls, memoryMB = 40, 2
+	exchange := startFakeExchange(t, "127.0.0.1:0")
+	decider := &scriptedDecider{}
+	for range calls {
+		decider.servers = append(decider.servers, "s-0")
+	}
+	bed := startTestbedWith(t, settings, memoryMB, []*fakeExchange{exchange}, decider, withGateways)
+	gateway := bed.dialGateway("<a>")
+	var terminations, ids []string
+	for i := range calls {
+		termination, _, id := gateway.establish(t, bed.answers, exchange, i+1)
+		terminations, ids = append(terminations, termination), append(ids, id)
+	}
+	gateway.close()
+	eventually(t, "the gateway is away", func() (away bool) {
+		bed.runIteration(func() { away = bed.server.frontends.gateway.Gateways().Len() == 0 })
+		return away
+	})
+	for _, id := range ids {
+		exchange.send(sipRelease(id, 16))
+	}
+	eventually(t, "the calls are over", func() (over bool) {
+		bed.runIteration(func() { over = bed.server.calls.EstablishedCalls() == 0 })
+		return over
+	})
+	bed.dialGateway("<a>")
+	for _, termination := range terminations {
+		if got := bed.answers.await(t, termination, 2); !strings.HasSuffix(got, "end 16") {
+			t.Errorf("termination %s received %q", termination, got)
+		}
+	}
+}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -272,6 +272,16 @@
 		callFrontends = append(callFrontends, f)
 	}
 	s.backends.Attach(s.calls, callFrontends...)
+	s.calls.SetReservedRoom(s.pendingReleases)
+}
+
+// pendingReleases returns the number of releases of known calls that wait for their exchange or their caller.
+func (s *Server) pendingReleases() int {
+	pending := s.backends.PendingReleases()
+	for _, f := range s.frontends.all() {
+		pending += f.PendingReleases()
+	}
+	return pending
 }
 
 // addBackends adds the exchanges that are listed in the configuration.
--- a/internal/server/shutdown_test.go
+++ b/internal/server/shutdown_test.go
@@ -315,7 +315,7 @@
 	})
 	exchange.send(sipRelease(id, 16))
 	eventually(t, "the release is queued", func() (waits bool) {
-		bed.runIteration(func() { waits = bed.server.frontends.gateway.PendingNotifies() == 1 })
+		bed.runIteration(func() { waits = bed.server.frontends.gateway.PendingReleases() == 1 })
 		return waits
 	})
 	if !bed.servesAfterMinDrainTime() {
--- a/internal/sim/modelcheck/environment.go
+++ b/internal/sim/modelcheck/environment.go
@@ -102,9 +102,6 @@
 // ReleaseEverywhere implements call.Backends.
 func (backends) ReleaseEverywhere(string, int) {}
 
-// PendingReleases implements call.Backends.
-func (backends) PendingReleases() int { return 0 }
-
 // client is the connection of all callers of a model. It implements call.Client.
 type client struct{ m *model }
 
--- a/internal/sim/virtualtime/backendconns.go
+++ b/internal/sim/virtualtime/backendconns.go
@@ -67,9 +67,6 @@
 	}
 }
 
-// PendingReleases implements call.Backends. The simulated connections confirm releases at once.
-func (b *backendConns) PendingReleases() int { return 0 }
-
 // send sends a message to an exchange. While the connection is unresponsive, it retries after releaseRetry.
 func (c *controller) send(e *exchangeInstance, input func(x *exchange.Exchange, now Time)) {
 	if c.isUnresponsive(e) {
