Drop the deadline of a call when it is answered

Cause: the heap of deadlines kept each entry, and with it the ended call, until its time, 9 s at most; a call that waits got one more entry at every decision.

Change: a call has one deadline, which is replaced or removed in place.

--- a/internal/call/answer.go
+++ b/internal/call/answer.go
@@ -83,8 +83,9 @@
 	}
 }
 
-// releaseOpenSlot frees what an open call occupies of the Limits: its slot and its session description.
+// releaseOpenSlot frees what an open call occupies: its slot, its session description and its deadline.
 func (m *Manager) releaseOpenSlot(c *call) {
+	m.deadlines.remove(c)
 	m.openCalls--
 	m.descriptionBytes -= len(c.Description)
 	c.Description = nil
--- a/internal/call/attempt.go
+++ b/internal/call/attempt.go
@@ -43,7 +43,7 @@
 	c.attempt = attempt{server: d.Server, number: c.attempt.number + 1, startedAt: now}
 	m.Attempts++
 	expiresAt := min(now+d.Wait, c.Deadline)
-	m.deadlines.schedule(deadline{at: expiresAt, call: c, attempt: c.attempt.number})
+	m.deadlines.schedule(c, expiresAt)
 	s := Setup{
 		ID:          c.ID,
 		Class:       c.Class,
--- a/internal/call/deadlines.go
+++ b/internal/call/deadlines.go
@@ -29,7 +29,7 @@
 func (m *Manager) NextDeadline() Time {
 	next := m.decider.NextDeadline()
 	if len(m.deadlines) > 0 {
-		next = min(next, m.deadlines[0].at)
+		next = min(next, m.deadlines[0].deadline.at)
 	}
 	if m.QueuedReleases() > 0 {
 		next = min(next, m.unknownReleases.forwardAt)
@@ -38,13 +38,13 @@
 }
 
 // expireDeadlines cancels the attempts whose deadlines have passed. It returns the overdue calls that have
-// no attempt in progress; a call may be listed more than once.
+// no attempt in progress.
 func (m *Manager) expireDeadlines(now Time) (overdue []*call) {
-	for len(m.deadlines) > 0 && m.deadlines[0].at <= now {
-		d := m.deadlines.popEarliest()
-		c := d.call
+	for len(m.deadlines) > 0 && m.deadlines[0].deadline.at <= now {
+		c := m.deadlines[0]
+		m.deadlines.remove(c)
 		switch {
-		case c.state == callAttempting && c.attempt.number == d.attempt:
+		case c.state == callAttempting:
 			m.cancelAttempt(c, TimedOut)
 		case c.awaitsAttempt() && now >= c.Deadline:
 			overdue = append(overdue, c)
@@ -55,9 +55,7 @@
 
 // scheduleDeadline schedules a check at the deadline of a call without an attempt in progress, so that the
 // call is answered even if its number lookup never completes or the Decider never returns a decision.
-func (m *Manager) scheduleDeadline(c *call) {
-	m.deadlines.schedule(deadline{at: c.Deadline, call: c, attempt: c.attempt.number})
-}
+func (m *Manager) scheduleDeadline(c *call) { m.deadlines.schedule(c, c.Deadline) }
 
 // failExpired rejects a call whose deadline has passed.
 func (m *Manager) failExpired(c *call) {
@@ -65,41 +63,64 @@
 	m.rejectCall(c, TimedOut, finalAnswer{outcome: Failed, cause: CauseTemporaryFailure})
 }
 
-// A deadline is the time at which an attempt, or a call without an attempt in progress, is checked. If the
-// attempt ends earlier, the deadline stays in the heap and has no effect.
+// A deadline is the time at which an open call is checked: the end of its attempt or, if it has none in
+// progress, of the call.
 type deadline struct {
-	at      Time
-	call    *call
-	attempt int // the latest attempt of the call when the deadline was scheduled
+	at    Time
+	index int // position in the heap; notScheduled if the call has no deadline
 }
 
-// A deadlineHeap is a heap of deadlines, the earliest first. Use schedule and popEarliest; the exported
-// methods implement heap.Interface.
-type deadlineHeap []deadline
+// notScheduled is the index of a deadline that is not in the heap.
+const notScheduled = -1
+
+// A deadlineHeap is a heap of open calls, the earliest deadline first. Each call is in it at most once. Use
+// schedule and remove; the exported methods implement heap.Interface.
+type deadlineHeap []*call
 
-func (h *deadlineHeap) schedule(d deadline) { heap.Push(h, d) }
+// schedule sets the deadline of a call, in place of an earlier one.
+func (h *deadlineHeap) schedule(c *call, at Time) {
+	c.deadline.at = at
+	if c.deadline.index == notScheduled {
+		heap.Push(h, c)
+	} else {
+		heap.Fix(h, c.deadline.index)
+	}
+}
 
-// popEarliest removes and returns the earliest deadline.
-func (h *deadlineHeap) popEarliest() deadline { return heap.Pop(h).(deadline) }
+// remove removes a call. It does nothing if the call has no deadline.
+func (h *deadlineHeap) remove(c *call) {
+	if c.deadline.index != notScheduled {
+		heap.Remove(h, c.deadline.index)
+	}
+}
 
 // Len implements heap.Interface.
 func (h deadlineHeap) Len() int { return len(h) }
 
 // Less implements heap.Interface.
-func (h deadlineHeap) Less(i, j int) bool { return h[i].at < h[j].at }
+func (h deadlineHeap) Less(i, j int) bool { return h[i].deadline.at < h[j].deadline.at }
 
 // Swap implements heap.Interface.
-func (h deadlineHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h deadlineHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].deadline.index = i
+	h[j].deadline.index = j
+}
 
 // Push implements heap.Interface.
-func (h *deadlineHeap) Push(x any) { *h = append(*h, x.(deadline)) }
+func (h *deadlineHeap) Push(x any) {
+	c := x.(*call)
+	c.deadline.index = len(*h)
+	*h = append(*h, c)
+}
 
 // Pop implements heap.Interface.
 func (h *deadlineHeap) Pop() any {
 	old := *h
 	last := len(old) - 1
-	d := old[last]
-	old[last] = deadline{} // drops the reference to the call
+	c := old[last]
+	c.deadline.index = notScheduled
+	old[last] = nil // drops the reference to the call
 	*h = old[:last]
-	return d
+	return c
 }
--- a/internal/call/offer_test.go
+++ b/internal/call/offer_test.go
@@ -134,3 +134,22 @@
 	f.offer("next")
 	f.wantMessages(t, "invite s next 0")
 }
+
+// Guards against memory that grows with the rate of calls: the deadline of a call that was answered, and with it the call,
+// was kept until its time.
+func TestAnsweredCallsHaveNoDeadline(t *testing.T) {
+	f := newFixture(send("s"), send("s"), send("s"))
+	for _, id := range []string{"established", "rejected", "abandoned"} {
+		f.offer(id)
+	}
+	if n := len(f.manager.deadlines); n != 3 {
+		t.Errorf("%d deadlines of open calls, want 3", n)
+	}
+	f.manager.AttemptAnswered("s", "established", 0, nil)
+	f.decider.decisions = []admission.Decision{{Kind: admission.DecisionReject}}
+	f.manager.AttemptEnded("s", "rejected", 0, ProcessorBusy)
+	f.manager.ReleaseByCaller(f.client, "abandoned", CauseNormal)
+	if n := len(f.manager.deadlines); n != 0 || f.manager.openCalls != 0 {
+		t.Errorf("%d deadlines and %d open calls are left, want none", n, f.manager.openCalls)
+	}
+}
--- a/internal/call/state.go
+++ b/internal/call/state.go
@@ -50,6 +50,7 @@
 	state         callState
 	attempt       attempt // the latest attempt
 	mayHaveRun    bool    // one of the ended attempts may have run at its backend
+	deadline      deadline
 	establishedAt Time
 }
 
@@ -70,6 +71,7 @@
 		frontend:  client.Frontend(),
 		offeredAt: now,
 		attempt:   attempt{number: noAttempt},
+		deadline:  deadline{index: notScheduled},
 	}
 }
 
