Read a new connection before it is closed to make room

Another client's set-up had no answer, twice in a row (1 of 1 run): its connection was closed while its set-up lay unread in the socket.

Cause: jsonclient.Frontend.EvictionCandidate reads idle connections before it selects one, but not those younger than 50 ms, of which the oldest is taken when there are no others.

Evidence: TestSetupOnANewConnectionIsReadBeforeItsClose fails without the read.

--- a/internal/frontend/jsonclient/frontend.go
+++ b/internal/frontend/jsonclient/frontend.go
@@ -89,7 +89,8 @@
 
 // EvictionCandidate returns the connection to close to make room for a new one, or nil if there is none. Only
 // connections without an open set-up are considered: preferably one that never had an established call, otherwise the
-// least recently used. A new connection whose first set-up may still be in transit is the last choice.
+// least recently used. A new connection whose first set-up may still be in transit is the last choice. A connection
+// with data in its socket is read and not selected.
 func (f *Frontend) EvictionCandidate() *Client {
 	now := f.host.Loop.Now()
 	var idle, fresh *Client
@@ -97,7 +98,7 @@
 		switch {
 		case c.HasOpenSetup() || !c.conn.IsOpen():
 		case !c.conn.HasSentMessage() && c.conn.Age(now) < firstSetupGracePeriod:
-			if fresh == nil {
+			if fresh == nil && !c.conn.ReadPending(c.HandleData) {
 				fresh = c
 			}
 		case c.conn.ReadPending(c.HandleData):
--- a/internal/server/frontends_test.go
+++ b/internal/server/frontends_test.go
@@ -163,6 +163,37 @@
 	}
 }
 
+// Guards against a set-up that is never answered while hundreds of clients connect: its connection was closed to make
+// room, since it was the oldest of the new ones, with the set-up unread in its socket.
+func TestSetupOnANewConnectionIsReadBeforeItsClose(t *testing.T) {
+	t.Parallel()
+	exchange := startFakeExchange(t, "127.0.0.1:0")
+	bed := startTestbed(t, []*fakeExchange{exchange}, &scriptedDecider{servers: []string{"s-0"}})
+	bed.caller.close()
+	eventually(t, "no caller is connected", func() (gone bool) {
+		bed.runIteration(func() { gone = bed.server.frontends.json.Clients().Len() == 0 })
+		return gone
+	})
+	client := dialJSONCaller(t, bed.jsonAddress(), bed.answers, "cccccccc")
+	eventually(t, "the connection is accepted", func() (accepted bool) {
+		bed.runIteration(func() {
+			if accepted = bed.server.frontends.json.Clients().Len() == 1; !accepted {
+				return
+			}
+			_, _ = client.conn.Write(jsonSetup(testCallID, 2*time.Second))
+			if k := bed.server.frontends.json.EvictionCandidate(); k != nil {
+				bed.server.loop.Close(k.Conn())
+			}
+		})
+		return accepted
+	})
+	exchange.awaitReceived("INVITE", testCallID, 1)
+	exchange.send(sipResponse(testCallID, "INVITE", 486, 1, ""))
+	if got := bed.answers.await(t, testCallID, 1); got != "end 41" {
+		t.Error(got)
+	}
+}
+
 // A gateway sends a set-up when its connection is about to be closed after a long silence. The set-up is processed, and
 // the connection stays open.
 func TestGatewaySetupCrossesIdleClose(t *testing.T) {
