Bound the work for a message of a gateway, whatever name it bears

Cause: a new identifier is compared with all waiting releases by a digest, and all Notifies of all gateways are walked; a repeat, a close and HasOpenSetup walk all calls of all gateways. At H.248 servers each reply to a Subtract walked all open requests.

Change: at most 16 identifiers on a connection, which is closed beyond that. Notifies are found by gateway, open set-ups by connection and by transaction, open Subtracts of unknown calls by call.

The flood is part of TestFloodOnOneConnection, which fails without the change.

--- a/cmd/olivedale/flood_test.go
+++ b/cmd/olivedale/flood_test.go
@@ -21,6 +21,8 @@
 	name string
 	// message returns the nth message.
 	message func(n int) []byte
+	// prepare puts the process into a state in which the flood is expensive; may be nil.
+	prepare func(p *limitedProcess)
 	h248    bool // it is sent to the H.248 listener
 	admin   bool // or to the admin address
 	unread  bool // the client does not read its answers
@@ -82,6 +84,10 @@
 	{name: "Adds by ever new gateways", h248: true, fillsUp: true, message: func(n int) []byte {
 		return h248Frame(fmt.Sprintf("<g%d>", n), addText(n+1, "line/1"))
 	}},
+	{name: "audits by ever new gateways while releases wait", h248: true,
+		prepare: func(p *limitedProcess) { p.exchange.releaseUnknownCalls(2000) }, message: func(n int) []byte {
+			return h248Frame(fmt.Sprintf("<g%d>", n), fmt.Sprintf("Transaction=%d{Context=-{AuditValue=ROOT}}", n+1))
+		}},
 	{name: "Subtracts of unknown contexts", h248: true, message: func(n int) []byte {
 		return h248Frame("<flood>", fmt.Sprintf("Transaction=%d{Context=%d{Subtract=*}}", n+1, n+1))
 	}},
@@ -166,6 +172,10 @@
 	for _, f := range floods {
 		t.Run(f.name, func(t *testing.T) {
 			p := startLimited(t, limitedSockets)
+			if f.prepare != nil {
+				f.prepare(p)
+				time.Sleep(200 * time.Millisecond)
+			}
 			end := time.Now().Add(*floodTime)
 			var probing sync.WaitGroup
 			probing.Go(func() { p.probe(t, *floodTime) })
--- a/cmd/olivedale/limited_test.go
+++ b/cmd/olivedale/limited_test.go
@@ -40,6 +40,7 @@
 	listener net.Listener
 	invites  atomic.Int64
 	releases atomic.Int64
+	conn     atomic.Pointer[net.TCPConn] // the latest connection
 }
 
 func startAcceptingExchange(t testing.TB) *acceptingExchange {
@@ -56,6 +57,7 @@
 			if err != nil {
 				return
 			}
+			x.conn.Store(conn.(*net.TCPConn))
 			go x.serve(conn)
 		}
 	}()
@@ -85,6 +87,15 @@
 	}
 }
 
+// releaseUnknownCalls sends releases of calls that the process does not know.
+func (x *acceptingExchange) releaseUnknownCalls(calls int) {
+	var b []byte
+	for n := range calls {
+		b = sip.AppendRequest(b, &sip.Request{Method: "BYE", Number: "1", CallID: fmt.Sprintf("8%015x", n), CSeq: 2})
+	}
+	_, _ = x.conn.Load().Write(b)
+}
+
 func (x *acceptingExchange) appendResponse(b []byte, m *sip.Message) []byte {
 	switch m.Method {
 	case "INVITE":
--- a/internal/backend/h248.go
+++ b/internal/backend/h248.go
@@ -17,10 +17,11 @@
 // h248Protocol speaks H.248 with one call server: an Add sets up a call, a Subtract cancels or releases it, and the
 // server reports the end of a call by a Notify.
 type h248Protocol struct {
-	conn     *Conn
-	requests map[uint32]*pendingRequest // our transactions that have no reply yet
-	contexts map[string]string          // contexts of established calls, by termination
-	received *transaction.Store
+	conn         *Conn
+	requests     map[uint32]*pendingRequest // our transactions that have no reply yet
+	unknownCalls map[string]int             // the number of requests for releases of unknown calls, by call id
+	contexts     map[string]string          // contexts of established calls, by termination
+	received     *transaction.Store
 }
 
 // A pendingRequest is a transaction sent by us that has no reply yet.
@@ -43,10 +44,11 @@
 
 func newH248(c *Conn) *h248Protocol {
 	return &h248Protocol{
-		conn:     c,
-		requests: make(map[uint32]*pendingRequest),
-		contexts: make(map[string]string),
-		received: transaction.NewStore(c.set.memoryMB << maxTransactionsShift),
+		conn:         c,
+		requests:     make(map[uint32]*pendingRequest),
+		unknownCalls: make(map[string]int),
+		contexts:     make(map[string]string),
+		received:     transaction.NewStore(c.set.memoryMB << maxTransactionsShift),
 	}
 }
 
@@ -54,6 +56,25 @@
 // unconfirmed releases are requested again on the new connection. This bounds the memory if connections break often.
 func (p *h248Protocol) reset() {
 	clear(p.requests)
+	clear(p.unknownCalls)
+}
+
+func (p *h248Protocol) addRequest(id uint32, r *pendingRequest) {
+	p.requests[id] = r
+	if r.isUnknownCall {
+		p.unknownCalls[r.callID]++
+	}
+}
+
+func (p *h248Protocol) removeRequest(id uint32, r *pendingRequest) {
+	delete(p.requests, id)
+	if !r.isUnknownCall {
+		return
+	}
+	p.unknownCalls[r.callID]--
+	if p.unknownCalls[r.callID] == 0 {
+		delete(p.unknownCalls, r.callID)
+	}
 }
 
 // unresolvedAttempts implements protocol. It returns the attempts whose Add or Subtract has no reply.
@@ -77,7 +98,7 @@
 func (p *h248Protocol) expire(now time.Duration) {
 	for id, r := range p.requests {
 		if now-r.sentAt > transaction.LongTimer {
-			delete(p.requests, id)
+			p.removeRequest(id, r)
 		}
 	}
 	for termination := range p.contexts {
@@ -116,7 +137,7 @@
 	b, err := h248.AppendFrame(b, &h248.Message{MID: p.conn.set.messageID, Transactions: []*h248.Transaction{t}})
 	if err == nil {
 		r.sentAt = p.conn.set.loop.Now()
-		p.requests[id] = r
+		p.addRequest(id, r)
 	}
 	return b, err
 }
@@ -224,9 +245,9 @@
 		p.conn.set.reportStray("exchange "+p.conn.id, err)
 		return // the transaction still has no reply
 	}
-	delete(p.requests, t.ID)
+	p.removeRequest(t.ID, r)
 	if !r.isAdd {
-		p.conn.confirmRelease(r.callID, r.attempt, !p.hasOpenSubtract(r.callID))
+		p.conn.confirmRelease(r.callID, r.attempt, p.unknownCalls[r.callID] == 0)
 		return
 	}
 	if attempt, ok := p.conn.openAttempts[r.callID]; ok && attempt == r.attempt {
@@ -241,16 +262,6 @@
 	p.conn.set.calls.AttemptAnswered(p.conn.id, r.callID, r.attempt, description)
 }
 
-// hasOpenSubtract reports whether a Subtract of a call has no reply yet.
-func (p *h248Protocol) hasOpenSubtract(callID string) bool {
-	for _, r := range p.requests {
-		if !r.isAdd && r.callID == callID {
-			return true
-		}
-	}
-	return false
-}
-
 // parseAddReply extracts the context and the session description from the reply to an Add.
 func parseAddReply(t *h248.Transaction) (context string, description []byte, err *h248.Error) {
 	if t.Err != nil {
--- a/internal/frontend/gateway/call.go
+++ b/internal/frontend/gateway/call.go
@@ -14,7 +14,7 @@
 // A gatewayCall is the frontend's state of one call. It implements call.Client to receive the call's answer.
 type gatewayCall struct {
 	frontend      *Frontend
-	replyTo       *Gateway // connection on which the set-up is answered; nil once answered
+	replyTo       *Gateway // connection on which the set-up is answered; nil once answered; see setReplyTo
 	entry         *transaction.Entry
 	transactionID uint32
 	messageID     string // of the gateway
@@ -32,12 +32,28 @@
 type callTable struct {
 	byID          map[string]*gatewayCall
 	byTermination map[terminationKey]*gatewayCall
+	openByEntry   map[*transaction.Entry]*gatewayCall // calls whose set-up is not answered, by their transaction
 }
 
 func newCallTable() callTable {
 	return callTable{
 		byID:          make(map[string]*gatewayCall),
 		byTermination: make(map[terminationKey]*gatewayCall),
+		openByEntry:   make(map[*transaction.Entry]*gatewayCall),
+	}
+}
+
+// setReplyTo sets the connection on which the set-up is answered; nil means that it is answered.
+func (c *gatewayCall) setReplyTo(g *Gateway) {
+	open := c.frontend.calls.openByEntry
+	if c.replyTo != nil {
+		delete(c.replyTo.openCalls, c)
+		delete(open, c.entry)
+	}
+	c.replyTo = g
+	if g != nil {
+		g.openCalls[c] = true
+		open[c.entry] = c
 	}
 }
 
@@ -75,7 +91,6 @@
 	context, request.ID = f.newIdentity(messageID)
 	c := &gatewayCall{
 		frontend:      f,
-		replyTo:       g,
 		entry:         entry,
 		transactionID: t.ID,
 		messageID:     messageID,
@@ -84,12 +99,14 @@
 		context:       context,
 	}
 	f.calls.add(c)
+	c.setReplyTo(g)
 	if f.host.IsShuttingDown() {
 		f.host.RejectShuttingDown(c, request)
 		return nil
 	}
 	if err := f.host.Calls.Offer(c, request); err != nil {
 		f.calls.remove(c)
+		c.setReplyTo(nil)
 		return &h248.Error{Code: h248.InternalFailure, Text: err.Error()}
 	}
 	return nil
@@ -200,6 +217,6 @@
 // answer sends the reply to the transaction of the set-up.
 func (c *gatewayCall) answer(a *h248.Action) {
 	g := c.replyTo
-	c.replyTo = nil
+	c.setReplyTo(nil)
 	g.reply(c.entry, &h248.Transaction{ID: c.transactionID, Actions: []*h248.Action{a}})
 }
--- a/internal/frontend/gateway/frontend.go
+++ b/internal/frontend/gateway/frontend.go
@@ -47,9 +47,9 @@
 	received        *transaction.Store
 	calls           callTable
 	identities      identitySource
-	transactionIDs  *transaction.IDSequence   // of the Notifies
-	pendingNotifies map[uint32]*pendingNotify // by transaction id
-	unknownReleases []unknownRelease          // in the order of their receipt
+	transactionIDs  *transaction.IDSequence // of the Notifies
+	notifies        notifyTable
+	unknownReleases []unknownRelease // in the order of their receipt
 }
 
 var _ frontend.Frontend = (*Frontend)(nil)
@@ -57,16 +57,16 @@
 // New returns a frontend that accepts at most maxGateways connections.
 func New(host *frontend.Host, admin Administrator, maxGateways int) *Frontend {
 	return &Frontend{
-		host:            host,
-		admin:           admin,
-		messageID:       transaction.MessageID(host.Config.Name),
-		gateways:        frontend.NewRegistry[*Gateway](host, maxGateways),
-		byMessageID:     make(map[string]*eventloop.IdleList[*Gateway]),
-		received:        transaction.NewStore(host.Config.MemoryMB << maxTransactionsShift),
-		calls:           newCallTable(),
-		identities:      newIdentitySource(host.Config.Name, host.RandomID()),
-		transactionIDs:  transaction.NewIDSequence(host.RandomID()),
-		pendingNotifies: make(map[uint32]*pendingNotify),
+		host:           host,
+		admin:          admin,
+		messageID:      transaction.MessageID(host.Config.Name),
+		gateways:       frontend.NewRegistry[*Gateway](host, maxGateways),
+		byMessageID:    make(map[string]*eventloop.IdleList[*Gateway]),
+		received:       transaction.NewStore(host.Config.MemoryMB << maxTransactionsShift),
+		calls:          newCallTable(),
+		identities:     newIdentitySource(host.Config.Name, host.RandomID()),
+		transactionIDs: transaction.NewIDSequence(host.RandomID()),
+		notifies:       newNotifyTable(),
 	}
 }
 
@@ -75,7 +75,7 @@
 
 // PendingReleases implements frontend.Frontend. It returns the number of release notifications to which gateways have
 // not replied.
-func (f *Frontend) PendingReleases() int { return len(f.pendingNotifies) }
+func (f *Frontend) PendingReleases() int { return len(f.notifies.byID) }
 
 // Accept accepts a connection; isAdmin tells that it was made to the admin address. It returns false if the limit on
 // connections is reached.
@@ -86,9 +86,10 @@
 	}
 	f.host.Counters.Accepted++
 	g := &Gateway{
-		frontend: f,
-		conn:     eventloop.NewConn(socket, f.host.Loop.Now()),
-		isAdmin:  isAdmin,
+		frontend:  f,
+		conn:      eventloop.NewConn(socket, f.host.Loop.Now()),
+		isAdmin:   isAdmin,
+		openCalls: make(map[*gatewayCall]bool),
 	}
 	g.conn.LimitUnreadOutput(true)
 	socket.SetContext(g)
@@ -99,7 +100,7 @@
 // HasPendingWork implements frontend.Frontend. It reports whether a gateway has unread replies or there is a release
 // notification that was never sent.
 func (f *Frontend) HasPendingWork() bool {
-	for _, n := range f.pendingNotifies {
+	for _, n := range f.notifies.byID {
 		if !n.isSent {
 			return true
 		}
@@ -115,9 +116,9 @@
 func (f *Frontend) CloseOverdue(now time.Duration) {
 	f.gateways.CloseOverdue(now)
 	f.expireUnknownReleases(now)
-	for id, n := range f.pendingNotifies {
+	for _, n := range f.notifies.byID {
 		if now-n.createdAt > transaction.LongTimer {
-			delete(f.pendingNotifies, id)
+			f.notifies.remove(n)
 			f.host.Counters.ReleasesDiscarded++
 		}
 	}
--- a/internal/frontend/gateway/gateway.go
+++ b/internal/frontend/gateway/gateway.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"errors"
 	"olivedale/internal/codec/h248"
 	"olivedale/internal/codec/h248/transaction"
 	"olivedale/internal/eventloop"
@@ -8,6 +9,12 @@
 	"slices"
 )
 
+// maxMessageIDs is the number of message ids that a connection may use, one after the other. Each is looked up among
+// the releases that wait for a gateway.
+const maxMessageIDs = 16
+
+var errTooManyMessageIDs = errors.New("too many message identifiers on a connection")
+
 // A Gateway is one connection from a media gateway, or from the agent on the admin address.
 type Gateway struct {
 	frontend         *Frontend
@@ -16,7 +23,9 @@
 	messageID        string // of the latest message; "" before the first message
 	isAdmin          bool
 	membership       frontend.Membership
-	messageIDElement eventloop.Element // position among the connections with the same message id
+	messageIDElement eventloop.Element     // position among the connections with the same message id
+	messageIDs       int                   // number of changes of the message id
+	openCalls        map[*gatewayCall]bool // calls whose set-up is answered on this connection
 }
 
 var _ frontend.Connection = (*Gateway)(nil)
@@ -25,14 +34,7 @@
 func (g *Gateway) Conn() *eventloop.Conn { return g.conn }
 
 // HasOpenSetup implements frontend.Connection.
-func (g *Gateway) HasOpenSetup() bool {
-	for _, c := range g.frontend.calls.byID {
-		if c.replyTo == g {
-			return true
-		}
-	}
-	return false
-}
+func (g *Gateway) HasOpenSetup() bool { return len(g.openCalls) > 0 }
 
 func (g *Gateway) send(text []byte) {
 	g.frontend.host.Loop.Write(g.conn, func(b []byte) []byte { return append(b, text...) })
@@ -109,12 +111,10 @@
 	f := g.frontend
 	f.gateways.Remove(&g.membership)
 	g.setMessageID("")
-	for _, c := range f.calls.byID {
-		if c.replyTo == g {
-			f.calls.remove(c)
-			f.host.Calls.CallerDisconnected(c)
-			c.fail(h248.TemporaryFailure, "given up: the connection closed")
-		}
+	for c := range g.openCalls {
+		f.calls.remove(c)
+		f.host.Calls.CallerDisconnected(c)
+		c.fail(h248.TemporaryFailure, "given up: the connection closed")
 	}
 }
 
@@ -140,6 +140,11 @@
 func (g *Gateway) handleMessage(m *h248.Message) {
 	f := g.frontend
 	if g.messageID != m.MID {
+		g.messageIDs++
+		if g.messageIDs > maxMessageIDs {
+			g.closeMalformed(errTooManyMessageIDs)
+			return
+		}
 		g.setMessageID(m.MID)
 		g.sendPendingNotifies()
 		f.notifyConnected(m.MID)
@@ -159,8 +164,8 @@
 
 // sendPendingNotifies sends the release notifications to which the gateway has not replied.
 func (g *Gateway) sendPendingNotifies() {
-	for _, n := range g.frontend.pendingNotifies {
-		if n.messageID == g.messageID && g.conn.IsOpen() {
+	for n := range g.frontend.notifies.ofGateway(g.messageID) {
+		if g.conn.IsOpen() {
 			g.sendNotify(n)
 		}
 	}
@@ -226,10 +231,8 @@
 		g.send(reply)
 		return
 	}
-	for _, c := range f.calls.byID {
-		if c.entry == entry {
-			c.replyTo = g
-		}
+	if c := f.calls.openByEntry[entry]; c != nil {
+		c.setReplyTo(g)
 	}
 	g.send(transaction.Frame(f.messageID, &h248.Transaction{Kind: h248.Pending, ID: t.ID}))
 }
--- a/internal/frontend/gateway/notify.go
+++ b/internal/frontend/gateway/notify.go
@@ -2,6 +2,8 @@
 
 import (
 	"errors"
+	"iter"
+	"maps"
 	"slices"
 	"time"
 
@@ -28,6 +30,40 @@
 	isSent        bool // on any connection
 }
 
+// A notifyTable holds the notifications of all gateways.
+type notifyTable struct {
+	byID      map[uint32]*pendingNotify // by transaction id
+	byGateway map[string]map[*pendingNotify]bool
+}
+
+func newNotifyTable() notifyTable {
+	return notifyTable{
+		byID:      make(map[uint32]*pendingNotify),
+		byGateway: make(map[string]map[*pendingNotify]bool),
+	}
+}
+
+func (t *notifyTable) add(n *pendingNotify) {
+	t.byID[n.transactionID] = n
+	if t.byGateway[n.messageID] == nil {
+		t.byGateway[n.messageID] = make(map[*pendingNotify]bool)
+	}
+	t.byGateway[n.messageID][n] = true
+}
+
+func (t *notifyTable) remove(n *pendingNotify) {
+	delete(t.byID, n.transactionID)
+	delete(t.byGateway[n.messageID], n)
+	if len(t.byGateway[n.messageID]) == 0 {
+		delete(t.byGateway, n.messageID)
+	}
+}
+
+// ofGateway iterates over the notifications of a gateway.
+func (t *notifyTable) ofGateway(messageID string) iter.Seq[*pendingNotify] {
+	return maps.Keys(t.byGateway[messageID])
+}
+
 // checkReply returns an error if a reply is not the answer of the notified gateway.
 func (n *pendingNotify) checkReply(messageID string, t *h248.Transaction) error {
 	if n.messageID != messageID {
@@ -104,8 +140,8 @@
 		cause:         cause,
 		createdAt:     f.host.Loop.Now(),
 	}
-	if len(f.pendingNotifies) < f.host.Config.MemoryMB<<frontend.MaxPendingReleasesShift {
-		f.pendingNotifies[n.transactionID] = n
+	if len(f.notifies.byID) < f.host.Config.MemoryMB<<frontend.MaxPendingReleasesShift {
+		f.notifies.add(n)
 	} else {
 		f.host.Counters.ReleasesDiscarded++ // limits the memory if gateways do not reply
 	}
@@ -138,7 +174,7 @@
 
 // handleReply removes the notification that a gateway has confirmed.
 func (f *Frontend) handleReply(messageID string, t *h248.Transaction) {
-	n := f.pendingNotifies[t.ID]
+	n := f.notifies.byID[t.ID]
 	if n == nil {
 		return // duplicate
 	}
@@ -147,5 +183,5 @@
 		f.host.ReportStray("gateway "+messageID, err)
 		return
 	}
-	delete(f.pendingNotifies, t.ID)
+	f.notifies.remove(n)
 }
