Do not send on the set-ups of a client that has left

Change: before the first set-up of each piece of input the connection is asked whether its peer has closed (poll, POLLRDHUP); if so, set-ups are skipped, as they already were after a failed write, and releases count. This covers input read at an eviction and at a drain, too. A half-closed connection counted as closed before.

--- a/internal/eventloop/read.go
+++ b/internal/eventloop/read.go
@@ -6,6 +6,8 @@
 	"strings"
 	"syscall"
 
+	"golang.org/x/sys/unix"
+
 	"github.com/panjf2000/gnet/v2"
 )
 
@@ -42,6 +44,14 @@
 	return found
 }
 
+// HasPeerClosed reports whether the peer has closed or reset the connection, even if there is unread data before that.
+// It reports false if the system does not tell.
+func (c *Conn) HasPeerClosed() bool {
+	poll := []unix.PollFd{{Fd: int32(c.socket.Fd()), Events: unix.POLLRDHUP}}
+	n, err := unix.Poll(poll, 0)
+	return err == nil && n > 0 && poll[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+}
+
 // IsFailedWrite reports whether a connection was closed because a write failed. Unread data may have been received
 // before that.
 func IsFailedWrite(err error) bool {
--- a/internal/frontend/gateway/gateway.go
+++ b/internal/frontend/gateway/gateway.go
@@ -175,7 +175,8 @@
 func (g *Gateway) handleRequest(messageID string, t *h248.Transaction) {
 	f := g.frontend
 	adds, commands := countCommands(t)
-	if adds > 0 && g.conn.State() == eventloop.Closed {
+	hasLeft := adds > 0 && (g.conn.State() == eventloop.Closed || g.conn.HasPeerClosed())
+	if hasLeft {
 		return // its caller has disconnected; not stored, so that a repeat on another connection is executed
 	}
 	if adds == 0 && f.host.IsDisconnected() {
--- a/internal/frontend/jsonclient/client.go
+++ b/internal/frontend/jsonclient/client.go
@@ -33,6 +33,8 @@
 	unconfirmed         []release       // releases sent but not confirmed
 	hasEstablishedCall  bool            // a call set up on this connection was established
 	hasConfirmedRelease bool
+	hasLeft             bool // the client has closed the connection, though not all that it sent has been read
+	hasLeftIsKnown      bool // hasLeft was determined for the data that is being handled
 	membership          frontend.Membership
 	reliability         reliability
 	reliabilityElement  eventloop.Element
@@ -120,6 +122,7 @@
 	f.byReliability[c.reliability].Touch(c.reliabilityElement)
 	var messageErr error
 	isComplete := false
+	c.hasLeftIsKnown = false
 	err := c.reader.Feed(data, func(m *jsonl.Message) bool {
 		messageErr = c.handleMessage(m)
 		isComplete = true
@@ -178,8 +181,20 @@
 	c.write(&jsonl.Message{Verb: jsonl.Echoed, Tag: tag, ResultCode: result, HasResultCode: true})
 }
 
+// checkHasLeft determines, once for the data that is being handled, whether the client has closed the connection.
+func (c *Client) checkHasLeft() bool {
+	if !c.hasLeftIsKnown {
+		c.hasLeft = c.conn.HasPeerClosed()
+		c.hasLeftIsKnown = true
+	}
+	return c.hasLeft
+}
+
 func (c *Client) handleSetup(m *jsonl.Message) error {
 	host := c.frontend.host
+	if c.checkHasLeft() {
+		return nil // nobody waits for the answer
+	}
 	s, err := c.frontend.parseSetup(m)
 	if err != nil {
 		return err
--- a/internal/server/crossings_test.go
+++ b/internal/server/crossings_test.go
@@ -383,3 +383,57 @@
 		t.Errorf("%d set-ups and %d cancellations", in, off)
 	}
 }
+
+// Guards against set-ups that are sent on after their client has left: all that had been received before the close was
+// read and sent on, however late. Releases among it still count, because no connection owns an established call.
+func TestClientLeavesWithUnreadSetups(t *testing.T) {
+	t.Parallel()
+	for _, how := range []string{"closes", "resets"} {
+		for _, isGateway := range []bool{false, true} {
+			t.Run(fmt.Sprint(how, ", gateway ", isGateway), func(t *testing.T) {
+				t.Parallel()
+				const setups = 20
+				exchange := startFakeExchange(t, "127.0.0.1:0")
+				decider := &scriptedDecider{}
+				for range setups + 2 {
+					decider.servers = append(decider.servers, "s-0")
+				}
+				bed := startTestbed(t, []*fakeExchange{exchange}, decider, withGateways)
+				established := bed.establishCalls(exchange, 1)[0]
+				var conn net.Conn
+				var backlog []byte
+				if isGateway {
+					conn = bed.dialGateway("<g>").conn
+					for n := range uint32(setups) {
+						backlog = append(backlog, frameTransactions(t, "<g>", addTransaction(fmt.Sprint("g/", n), n+1, "1", 3*time.Second))...)
+					}
+				} else {
+					conn = bed.dialCaller("cccccccc").conn
+					for n := range setups {
+						backlog = append(backlog, jsonSetup(fmt.Sprintf("5%015x", n), 3*time.Second)...)
+					}
+					backlog = append(backlog, jsonMessage(jsonl.Finish, established)...)
+				}
+				bed.runIteration(func() {
+					_, _ = conn.Write(backlog)
+					if how == "resets" {
+						resetConn(conn)
+					} else {
+						_ = conn.Close()
+					}
+					time.Sleep(50 * time.Millisecond) // the loop is busy until the close has arrived
+				})
+				if !isGateway && how == "closes" {
+					exchange.awaitReceived("BYE", established, 1)
+				}
+				last := bed.caller.setUp("1", 3*time.Second)
+				exchange.awaitReceived("INVITE", last, 1)
+				bed.runIteration(func() {
+					if n := bed.server.calls.Attempts; n != 2 {
+						t.Errorf("%d set-ups were sent on, want those of the other client only", n)
+					}
+				})
+			})
+		}
+	}
+}
