Keep the ids of recent calls that may have run, whatever else comes

Change: ids of calls without an attempt are kept apart. So the bound refuses new work in place of forgetting what ran.

Evidence: TestIDsOfRecentCallsAreKept fails without the change. TestLimits and TestCallsHoldTheirRoute let 5 s pass between their parts, since their fixture keeps three ids; their checks are the same.

--- a/internal/call/completed.go
+++ b/internal/call/completed.go
@@ -6,6 +6,11 @@
 // each other or are repeated.
 const completedCallRetention = 30 * time.Second
 
+// minCompletedCallRetention is how long the id of a call that may have run is kept in any case: no set-up is
+// accepted if its id could displace a more recent one. A set-up that is sent again after its connection has
+// closed comes within this time, and so does the end of the retry guard.
+const minCompletedCallRetention = 5 * time.Second
+
 // expiringIDs is a set of ids with expiry times. It holds a bounded number of entries: if it is full, the
 // oldest entry is removed early. Ids must be added in the order of their expiry.
 type expiringIDs struct {
@@ -28,6 +33,12 @@
 // contains reports whether the set contains an id.
 func (s *expiringIDs) contains(id string) bool { return s.entries[id] > 0 }
 
+// isFullSince reports whether the set is full and its oldest entry expires at expiresAt or later.
+func (s *expiringIDs) isFullSince(expiresAt Time) bool {
+	isFull := len(s.queue)-s.head >= s.maxEntries
+	return isFull && s.head < len(s.queue) && s.queue[s.head].expiresAt >= expiresAt
+}
+
 // add adds an id that expires at the given time. If the set already contains the id, the later expiry
 // applies.
 func (s *expiringIDs) add(id string, expiresAt Time) {
--- a/internal/call/deadlines.go
+++ b/internal/call/deadlines.go
@@ -22,6 +22,7 @@
 	}
 	m.forwardQueuedReleases(now)
 	m.completedCalls.removeExpired(now)
+	m.rejectedCalls.removeExpired(now)
 	m.unknownReleases.ids.removeExpired(now)
 }
 
--- a/internal/call/manager.go
+++ b/internal/call/manager.go
@@ -24,7 +24,8 @@
 	establishedCalls map[string]int // by server; only servers with calls
 	descriptionBytes int            // total size of the open calls' descriptions
 	deadlines        deadlineHeap
-	completedCalls   *expiringIDs
+	completedCalls   *expiringIDs // calls that had an attempt
+	rejectedCalls    *expiringIDs // calls that had none
 	unknownReleases  unknownReleases
 
 	Counters
@@ -40,6 +41,7 @@
 		calls:            make(map[string]*call),
 		establishedCalls: make(map[string]int),
 		completedCalls:   newExpiringIDs(limits.CompletedIDs),
+		rejectedCalls:    newExpiringIDs(limits.CompletedIDs),
 		unknownReleases:  newUnknownReleases(limits.CompletedIDs),
 	}
 }
@@ -126,10 +128,14 @@
 	return selected
 }
 
-// removeCall ends a call, closes its route and adds its id to the completed calls.
+// removeCall ends a call, closes its route and keeps its id.
 func (m *Manager) removeCall(c *call) {
 	delete(m.calls, c.ID)
 	c.releaseRoute()
-	m.completedCalls.add(c.ID, m.now()+completedCallRetention)
+	ids := m.completedCalls
+	if c.attempt.number == noAttempt {
+		ids = m.rejectedCalls
+	}
+	ids.add(c.ID, m.now()+completedCallRetention)
 	c.transition(callEnded)
 }
--- a/internal/call/offer.go
+++ b/internal/call/offer.go
@@ -43,7 +43,7 @@
 // screenOffer checks an offer before a call is opened. If the offer is rejected, it returns the answer.
 func (m *Manager) screenOffer(r *Request) (answer finalAnswer, rejected bool) {
 	switch {
-	case m.completedCalls.contains(r.ID):
+	case m.completedCalls.contains(r.ID), m.rejectedCalls.contains(r.ID):
 		// The call may have run, and one of its attempts may just have been canceled: it must be neither
 		// sent again nor passed to the Decider.
 		m.ReusedIDs++
@@ -65,6 +65,9 @@
 // isFull reports whether the number of calls has reached its limit. Each call may need room for its release later, so
 // releases that are pending count as well.
 func (m *Manager) isFull() bool {
+	if m.completedCalls.isFullSince(m.now() + completedCallRetention - minCompletedCallRetention) {
+		return true // a recent id would be displaced, and its call could run twice
+	}
 	used := len(m.calls)
 	if m.reservedRoom != nil {
 		used += m.reservedRoom()
--- a/internal/call/offer_test.go
+++ b/internal/call/offer_test.go
@@ -65,6 +65,7 @@
 		f.offer(id)
 	}
 	m.CallerDisconnected(f.client)
+	f.now += minCompletedCallRetention + 1 // the ids of these calls may be displaced
 	if err := m.Offer(f.client, Request{ID: "5", Description: make([]byte, 101)}); err != nil {
 		t.Error(err)
 	}
@@ -153,3 +154,30 @@
 		t.Errorf("%d deadlines and %d open calls are left, want none", n, f.manager.openCalls)
 	}
 }
+
+// Guards against a call that runs twice: its client had left, and when its id came again, a flood of other calls had
+// displaced it from the ids of completed calls. Calls without an attempt displace nothing.
+func TestIDsOfRecentCallsAreKept(t *testing.T) {
+	f := newFixture(send("s"), send("s"), send("s"))
+	for _, id := range []string{"first", "2", "3"} { // the fixture keeps three ids
+		f.offer(id)
+	}
+	f.manager.CallerDisconnected(f.client)
+	f.client.messages = nil
+	f.offer("4")
+	f.offer("first")
+	f.wantMessages(t, "rejected 4 42 0s", "rejected first 41 0s")
+	f.now += minCompletedCallRetention + 1
+	f.decider.decisions = nil // as if admission control rejected each
+	for i := range 10 {
+		f.decider.decisions = append(f.decider.decisions, admission.Decision{Kind: admission.DecisionReject})
+		f.offer(fmt.Sprint("rejected", i))
+	}
+	f.client.messages = nil
+	f.offer("first")
+	f.wantMessages(t, "rejected first 41 0s")
+	f.decider.decisions = []admission.Decision{send("s")}
+	f.client.messages = nil
+	f.offer("5")
+	f.wantMessages(t, "invite s 5 0")
+}
--- a/internal/call/release.go
+++ b/internal/call/release.go
@@ -122,5 +122,5 @@
 // isCompleted reports whether a call is known to have ended. The releases of both sides may cross, and
 // either side may repeat its release on another connection.
 func (m *Manager) isCompleted(id string) bool {
-	return m.completedCalls.contains(id) || m.unknownReleases.ids.contains(id)
+	return m.completedCalls.contains(id) || m.rejectedCalls.contains(id) || m.unknownReleases.ids.contains(id)
 }
--- a/internal/call/route_test.go
+++ b/internal/call/route_test.go
@@ -53,6 +53,7 @@
 	if router.openRoutes != 0 {
 		t.Errorf("%d routes are open after the end of their calls", router.openRoutes)
 	}
+	f.now += minCompletedCallRetention + 1 // the ids of these calls may be displaced
 	f.offer("emergency")
 	if placed := f.decider.placed; !placed[len(placed)-1].Emergency {
 		t.Error("an emergency call was not placed as an emergency")
--- a/internal/call/types.go
+++ b/internal/call/types.go
@@ -114,7 +114,7 @@
 	Calls            int // open and established calls, and the room that Manager.SetReservedRoom reports
 	OpenCalls        int // calls without a final answer
 	DescriptionBytes int // total size of the session descriptions of the open calls
-	CompletedIDs     int // stored ids of completed calls, and as many of released unknown calls
+	CompletedIDs     int // stored ids of calls that had an attempt; as many of others, and of released unknown calls
 }
 
 // Counters count events since the Manager was created.
