Tell the transactions of a peer's next process from repeats

For 30 s each was taken for a repeat by sender and id alone: it got the earlier reply and had no effect. A caller was never told that its call was over, or was told of a context that belongs to another call.

Change: a transaction is a repeat only if it also asks for the same: contexts, commands, terminations and descriptors, by a digest. Otherwise it is new and takes the entry.

--- a/internal/backend/h248_commands.go
+++ b/internal/backend/h248_commands.go
@@ -13,7 +13,7 @@
 // room to store a transaction, it is executed only if a second execution has no effect, and refused otherwise.
 func (p *h248Protocol) handleRequest(messageID string, t *h248.Transaction) {
 	set := p.conn.set
-	entry, isNew := p.received.Begin(messageID, t.ID, set.loop.Now())
+	entry, isNew := p.received.Begin(messageID, t, set.loop.Now())
 	switch {
 	case entry == nil && isIdempotent(t):
 		p.writeReply(p.execute(t))
--- a/internal/backend/h248_test.go
+++ b/internal/backend/h248_test.go
@@ -212,3 +212,19 @@
 		t.Errorf("the ServiceChange has reply %q, and the server drains: %v", reply, c.isDraining)
 	}
 }
+
+// Guards against a caller that is never told that its call is over: a call server's process took the address of another
+// and numbered its Notifies from 1 as that had done, so that they were taken for repeats.
+func TestNotifyOfTheNextServerProcess(t *testing.T) {
+	c := newTestConn()
+	p := newH248(c)
+	c.protocol = p
+	for n := range uint32(3) {
+		notify := &h248.Command{Name: "Notify", Termination: TerminationName(fmt.Sprintf("%016x", n), 0),
+			Descriptors: []*h248.Node{transaction.ReleaseEvent(16)}}
+		p.handleRequest("<s>", &h248.Transaction{ID: 1, Actions: []*h248.Action{{Context: "1", Commands: []*h248.Command{notify}}}})
+	}
+	if n := c.set.calls.Counters.ReleasedUnknown; n != 3 {
+		t.Errorf("%d of 3 releases were executed", n)
+	}
+}
--- a/internal/codec/h248/transaction/store.go
+++ b/internal/codec/h248/transaction/store.go
@@ -30,8 +30,10 @@
 
 // An Entry is a received transaction. updatedAt is when it was received or, later, when its reply was stored.
 type Entry struct {
-	reply     []byte // nil while the transaction is running
-	updatedAt time.Duration
+	reply      []byte // nil while the transaction is running
+	updatedAt  time.Duration
+	digest     uint64 // of the transaction
+	isReplaced bool   // by a transaction of the sender's next process; no longer in the store
 }
 
 // Reply returns the framed reply, or nil while the transaction is running.
@@ -53,18 +55,24 @@
 	return strconv.FormatUint(uint64(id), 10) + " " + messageID
 }
 
-// Begin returns the entry of a transaction and whether it is new. The entry is nil if the store is full. The
-// transaction must not be executed then, because a repeat would be executed again.
-func (s *Store) Begin(messageID string, id uint32, now time.Duration) (e *Entry, isNew bool) {
+// Begin returns the entry of a transaction and whether it is new. A different transaction with the same id comes from
+// another process of its sender, which numbers its transactions anew, and is new. The entry is nil if the store is
+// full. The transaction must not be executed then, because a repeat would be executed again.
+func (s *Store) Begin(messageID string, t *h248.Transaction, now time.Duration) (e *Entry, isNew bool) {
 	s.expire(now)
-	k := key(messageID, id)
+	k := key(messageID, t.ID)
+	digest := digest(t)
 	if e := s.entries[k]; e != nil {
-		return e, false
+		if e.digest == digest {
+			return e, false
+		}
+		s.drop(k, e)
+		e.isReplaced = true
 	}
 	if len(s.entries) >= s.maxEntries || s.replyBytes >= s.maxEntries*replyBytesPerEntry {
 		return nil, false
 	}
-	e = &Entry{updatedAt: now}
+	e = &Entry{updatedAt: now, digest: digest}
 	s.entries[k] = e
 	return e, true
 }
@@ -84,7 +92,9 @@
 
 // Complete stores the framed reply to a transaction.
 func (s *Store) Complete(e *Entry, reply []byte, now time.Duration) {
-	s.replyBytes += len(reply)
+	if !e.isReplaced {
+		s.replyBytes += len(reply)
+	}
 	e.reply = reply
 	e.updatedAt = now
 }
--- a/internal/frontend/gateway/gateway.go
+++ b/internal/frontend/gateway/gateway.go
@@ -182,7 +182,7 @@
 	if adds == 0 && f.host.IsDisconnected() {
 		return // a release cannot be forwarded; without a reply the gateway repeats it to the next process
 	}
-	entry, isNew := f.received.Begin(messageID, t.ID, f.host.Loop.Now())
+	entry, isNew := f.received.Begin(messageID, t, f.host.Loop.Now())
 	switch {
 	case entry == nil:
 		tooMany := &h248.Error{Code: h248.InsufficientResources, Text: "too many transactions"}
