Drop what concerns an exchange's earlier process when a later start is listed

Change: at a later start in discovery, releases requested before it are dropped and the numbering is learned anew; the latter also when a process counts as ended after refusals.

TestReleasesEndWithTheirProcess states both (the code before has no such step).

--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -205,10 +205,21 @@
 	if c.isDraining {
 		c.Drain()
 	}
+	hasRestarted := startTime(e) > c.StartedAt
 	c.StartedAt = startTime(e)
 	if e.Started > 0 { // a restarted process has lost the earlier calls
 		c.endCallsBefore(lossRestarted, c.StartedAt)
 	}
+	if hasRestarted {
+		c.forgetProcessBefore(c.StartedAt)
+	}
+}
+
+// forgetProcessBefore drops what concerns only a process of the exchange that ended before the given time: releases of
+// its calls, and what was learned about its protocol.
+func (c *Conn) forgetProcessBefore(startedAt time.Duration) {
+	c.releases.removeBefore(startedAt)
+	c.protocol.forgetProcess()
 }
 
 // applyServerState applies a state change reported by the exchange itself. No further set-ups are sent to an exchange
--- a/internal/backend/h248.go
+++ b/internal/backend/h248.go
@@ -59,6 +59,9 @@
 	clear(p.unknownCalls)
 }
 
+// forgetProcess implements protocol. Nothing is learned about a server.
+func (p *h248Protocol) forgetProcess() {}
+
 func (p *h248Protocol) addRequest(id uint32, r *pendingRequest) {
 	p.requests[id] = r
 	if r.isUnknownCall {
--- a/internal/backend/protocol.go
+++ b/internal/backend/protocol.go
@@ -35,6 +35,9 @@
 	reset()
 	// releaseKey returns the key of the release of an attempt. Releases with the same key end the same.
 	releaseKey(id string, attempt int) releaseKey
+	// forgetProcess discards what was learned about the process of the exchange, because another one may have its
+	// address.
+	forgetProcess()
 	// unresolvedAttempts returns the attempts for which the exchange has not sent a final reply.
 	unresolvedAttempts() []attemptID
 	// expire drops the state of calls that have ended.
--- a/internal/backend/reachability.go
+++ b/internal/backend/reachability.go
@@ -88,6 +88,7 @@
 	before, hasEnded := c.restart.CheckEnded(now)
 	if hasEnded {
 		c.endCallsOnBothSides(lossRefused, before)
+		c.protocol.forgetProcess() // if it is another one
 	}
 }
 
--- a/internal/backend/release.go
+++ b/internal/backend/release.go
@@ -41,6 +41,15 @@
 	}
 }
 
+// removeBefore removes the releases that were requested before the given time.
+func (p pendingReleases) removeBefore(before time.Duration) {
+	for key, r := range p {
+		if r.requestedAt < before {
+			delete(p, key)
+		}
+	}
+}
+
 // isDue reports whether a release should be sent on a connection opened now.
 func (r *pendingRelease) isDue(now time.Duration) bool {
 	return !r.isUnknownCall || r.sentAt == 0 || now-r.sentAt >= unknownCallInterval
--- a/internal/backend/release_test.go
+++ b/internal/backend/release_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"olivedale/internal/config"
 )
 
 // A release expires when the exchange has not confirmed it for confirmationTimeout on one connection. It is kept through
@@ -42,3 +44,22 @@
 		t.Error("the release of an unknown call is not due exactly from unknownCallInterval on")
 	}
 }
+
+// Guards against work of an earlier process that is sent to the next one at its address: when discovery lists a later
+// start, releases of calls from before it are dropped, later ones are kept, and the numbering of responses is learned
+// anew.
+func TestReleasesEndWithTheirProcess(t *testing.T) {
+	c := newTestConn()
+	sip := newSIP(c)
+	sip.cseqNumbering = cseqEchoed
+	c.protocol = sip
+	startedAt := c.set.loop.Now().Truncate(time.Millisecond)
+	c.releases = pendingReleases{{id: "earlier"}: {requestedAt: startedAt - 1}, {id: "later"}: {requestedAt: startedAt}}
+	c.update(config.Endpoint{ID: "s", Phase: config.PhaseReady, Started: startedAt.Milliseconds()})
+	if _, isKept := c.releases[releaseKey{id: "later"}]; len(c.releases) != 1 || !isKept {
+		t.Errorf("releases %v are pending, want that of the later call", c.releases)
+	}
+	if sip.cseqNumbering != cseqUnknown {
+		t.Errorf("the numbering of the earlier process is kept: %v", sip.cseqNumbering)
+	}
+}
--- a/internal/backend/sip.go
+++ b/internal/backend/sip.go
@@ -53,6 +53,9 @@
 func (p *sipProtocol) reset()            {} // only the input handler is tied to a connection
 func (p *sipProtocol) trackedCalls() int { return len(p.dialogs) }
 
+// forgetProcess implements protocol. Another process may number its responses in another way.
+func (p *sipProtocol) forgetProcess() { p.cseqNumbering = cseqUnknown }
+
 // unresolvedAttempts implements protocol. It returns the open attempts and the cancelled ones without a final response.
 func (p *sipProtocol) unresolvedAttempts() (unresolved []attemptID) {
 	for id, d := range p.dialogs {
