--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"io"
-	"slices"
 	"syscall"
 	"time"
 
@@ -167,10 +166,8 @@
 
 // closeSockets closes the sockets of the connection and of all probes immediately.
 func (c *Conn) closeSockets() {
-	for _, p := range slices.Clone(c.probes) {
-		if p.socket != nil {
-			c.set.loop.CloseSocket(p.socket.Socket())
-		}
+	for _, p := range c.openProbes() {
+		c.set.loop.CloseSocket(p.socket.Socket())
 	}
 	if c.conn != nil {
 		c.set.loop.CloseSocket(c.conn.Socket())
--- a/internal/backend/probe.go
+++ b/internal/backend/probe.go
@@ -125,7 +125,7 @@
 func (p *Probe) expire(now time.Duration) {
 	age := now - p.openedAt
 	switch {
-	case p.socket == nil || age < probeHold:
+	case age < probeHold:
 	case !p.isClosing:
 		// Half-closing the connection loses no data that is still in transit from the exchange.
 		p.isClosing = true
@@ -139,16 +139,24 @@
 }
 
 func (c *Conn) expireProbes(now time.Duration) {
-	for _, p := range slices.Clone(c.probes) {
+	for _, p := range c.openProbes() {
 		p.expire(now)
 	}
 }
 
 // closeProbes closes all open probes. Those still being dialled end on their own.
 func (c *Conn) closeProbes() {
-	for _, p := range slices.Clone(c.probes) {
+	for _, p := range c.openProbes() {
+		c.set.loop.Close(p.socket)
+	}
+}
+
+// openProbes returns the probes that are open. Closing one removes it from the exchange's list.
+func (c *Conn) openProbes() (open []*Probe) {
+	for _, p := range c.probes {
 		if p.socket != nil {
-			c.set.loop.Close(p.socket)
+			open = append(open, p)
 		}
 	}
+	return open
 }
--- a/internal/server/refusals_test.go
+++ b/internal/server/refusals_test.go
@@ -1,12 +1,15 @@
 package server
 
 import (
+	"fmt"
 	"net"
 	"syscall"
 	"testing"
 	"time"
 
 	"olivedale/internal/backend"
+	"olivedale/internal/codec/h248"
+	"olivedale/internal/config"
 	"olivedale/internal/reachability"
 )
 
@@ -170,3 +173,35 @@
 		t.Errorf("%d releases of the request", n)
 	}
 }
+
+// The same for a call server that speaks H.248: it resets its idle connection and refuses others for a second. Nothing
+// shows that its process is the same, so the call ends on both sides.
+func TestCallAtAFullH248ServerEndsOnBothSides(t *testing.T) {
+	t.Parallel()
+	server, dialer := startUnreadExchange(t), newRefusingDialer()
+	bed := startTestbed(t, nil, &scriptedDecider{servers: []string{"h-0"}}, dialer.configure, func(o *Options) {
+		o.H248 = h248Config()
+		o.H248.Servers = []config.H248Server{{ID: "h-0", Address: server.addr()}}
+	})
+	first := newCapture(t, server.awaitConn(), true)
+	id := bed.caller.setUp("1", 3*time.Second)
+	termination := backend.TerminationName(id, 0)
+	var transactionID uint32
+	_, _ = fmt.Sscan(first.await(`Transaction=(\d+)\{Context=\$\{Add=`+termination), &transactionID)
+	local := &h248.Node{Name: "Media", Children: []*h248.Node{{Name: "Local", Octets: []byte("a")}}}
+	add := &h248.Command{Name: "Add", Termination: termination, Descriptors: []*h248.Node{local}}
+	first.sendTransaction("<h-0>", &h248.Transaction{Kind: h248.Reply, ID: transactionID,
+		Actions: []*h248.Action{{Context: "7", Commands: []*h248.Command{add}}}})
+	bed.answers.await(t, id, 1)
+	lostAt := time.Now()
+	dialer.fill(server, time.Second)
+	server.awaitConnections(2)
+	second := newCapture(t, server.awaitConn(), true)
+	if got := bed.answers.await(t, id, 2); got != "stands a end 41" {
+		t.Errorf("the caller received %q", got)
+	}
+	if took := time.Since(lostAt); took > maxNotifyDelay {
+		t.Errorf("the caller was notified after %v", took)
+	}
+	second.await(`Subtract=` + termination)
+}
