Let releases that were sent expire, and count only those that wait for a connection

Change: a release expires after 32 s once it has been sent on the current connection for 2 s; only releases that wait for a connection take the place of calls. TestPendingReleasesExpireOnAConnection states both bounds.

--- a/internal/backend/release.go
+++ b/internal/backend/release.go
@@ -3,8 +3,10 @@
 import "time"
 
 const (
-	// confirmationTimeout is the time after which an unconfirmed release is dropped.
+	// confirmationTimeout is the time after which an unconfirmed release is dropped. Exchanges need not confirm.
 	confirmationTimeout = 32 * time.Second
+	// minConnectedTime is how long the connection must have lasted after the release was sent on it.
+	minConnectedTime = 2 * time.Second
 	// unknownCallInterval is the minimum time between two sends of the release of a call that may not be established.
 	// An exchange that hangs is redialled repeatedly, and must not receive all of these releases on every connection.
 	unknownCallInterval = 2 * time.Second
@@ -30,12 +32,13 @@
 // limited by the call manager (call.Limits).
 type pendingReleases map[releaseKey]pendingRelease
 
-// expire drops the releases that were not confirmed within confirmationTimeout on a connection that was opened at
-// connectedAt. While the exchange is disconnected they are kept, because it may keep the calls through an outage of any
-// length.
+// expire drops the releases that were not confirmed within confirmationTimeout, if they have been sent on the current
+// connection, opened at connectedAt, for long enough. While the exchange is disconnected they are kept, because it may
+// keep the calls through an outage of any length.
 func (p pendingReleases) expire(now, connectedAt time.Duration) {
 	for key, r := range p {
-		if now-max(r.requestedAt, connectedAt) > confirmationTimeout {
+		isRead := r.sentAt >= connectedAt && now-r.sentAt > minConnectedTime
+		if isRead && now-r.requestedAt > confirmationTimeout {
 			delete(p, key)
 		}
 	}
--- a/internal/backend/release_test.go
+++ b/internal/backend/release_test.go
@@ -7,26 +7,24 @@
 	"olivedale/internal/config"
 )
 
-// A release expires when the exchange has not confirmed it for confirmationTimeout on one connection. It is kept through
-// an outage of any length, whether the call is known to be established or not.
+// A release expires when the exchange has not confirmed it for confirmationTimeout and has had time to read it on the
+// current connection. It is kept through an outage of any length, whether the call is known to be established or not.
 func TestPendingReleasesExpireOnAConnection(t *testing.T) {
-	const connectedAt = time.Hour
+	const connectedAt, requestedAt = time.Hour, time.Hour - time.Minute
 	p := pendingReleases{
-		{id: "known"}:   {},
-		{id: "unknown"}: {isUnknownCall: true},
-		{id: "later"}:   {requestedAt: connectedAt + time.Second},
-	}
-	p.expire(connectedAt+confirmationTimeout, connectedAt)
-	if len(p) != 3 {
-		t.Errorf("%d releases are left within the timeout, want 3", len(p))
-	}
-	p.expire(connectedAt+confirmationTimeout+time.Millisecond, connectedAt)
-	if len(p) != 1 {
-		t.Errorf("%d releases are left after the timeout, want 1", len(p))
-	}
-	p.expire(connectedAt+confirmationTimeout+time.Second+time.Millisecond, connectedAt)
-	if len(p) != 0 {
-		t.Errorf("%d releases are left after the timeout of the last, want 0", len(p))
+		{id: "before the connection"}: {requestedAt: requestedAt, sentAt: connectedAt - 1},
+		{id: "known"}:                 {requestedAt: requestedAt, sentAt: connectedAt},
+		{id: "unknown"}:               {requestedAt: requestedAt, sentAt: connectedAt, isUnknownCall: true},
+		{id: "later"}:                 {requestedAt: connectedAt, sentAt: connectedAt},
+	}
+	for _, test := range []struct {
+		after time.Duration // since the connection was opened
+		left  int
+	}{{minConnectedTime, 4}, {minConnectedTime + 1, 2}, {confirmationTimeout, 2}, {confirmationTimeout + 1, 1}, {time.Hour, 1}} {
+		p.expire(connectedAt+test.after, connectedAt)
+		if len(p) != test.left {
+			t.Errorf("%d releases are left %v after the connection was opened, want %d", len(p), test.after, test.left)
+		}
 	}
 }
 
--- a/internal/backend/set.go
+++ b/internal/backend/set.go
@@ -242,12 +242,15 @@
 	}
 }
 
-// PendingReleases returns the number of releases of known calls that exchanges have not confirmed.
-func (s *Set) PendingReleases() (pending int) {
+// WaitingReleases returns the number of releases of known calls that wait for their exchange to be connected. Others
+// have been sent and expire.
+func (s *Set) WaitingReleases() (waiting int) {
 	for _, c := range s.conns {
-		pending += len(c.releases)
+		if c.conn == nil {
+			waiting += len(c.releases)
+		}
 	}
-	return pending
+	return waiting
 }
 
 // endAttempt reports the end of an attempt to the call manager. It defers the report because the manager may be the
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -277,7 +277,7 @@
 
 // pendingReleases returns the number of releases of known calls that wait for their exchange or their caller.
 func (s *Server) pendingReleases() int {
-	pending := s.backends.PendingReleases()
+	pending := s.backends.WaitingReleases()
 	for _, f := range s.frontends.all() {
 		pending += f.PendingReleases()
 	}
