Check a closed peer twice before set-ups are skipped

A connection that is reported closed must also have something to read (data, the end or the error), else its set-ups are taken as before.

--- a/internal/eventloop/read.go
+++ b/internal/eventloop/read.go
@@ -47,9 +47,16 @@
 // HasPeerClosed reports whether the peer has closed or reset the connection, even if there is unread data before that.
 // It reports false if the system does not tell.
 func (c *Conn) HasPeerClosed() bool {
-	poll := []unix.PollFd{{Fd: int32(c.socket.Fd()), Events: unix.POLLRDHUP}}
+	fd := c.socket.Fd()
+	poll := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
 	n, err := unix.Poll(poll, 0)
-	return err == nil && n > 0 && poll[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+	const closed = unix.POLLRDHUP | unix.POLLHUP | unix.POLLERR
+	if err != nil || n <= 0 || poll[0].Revents&closed == 0 {
+		return false
+	}
+	// A closed connection always has something to read: data, the end or the error. Some platforms emulate poll.
+	_, _, err = unix.Recvfrom(fd, make([]byte, 1), unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	return err == nil || errors.Is(err, unix.ECONNRESET) || errors.Is(err, unix.EPIPE)
 }
 
 // IsFailedWrite reports whether a connection was closed because a write failed. Unread data may have been received
