Draw exchanges that are full in the soak

FaultFull resets the connections of an exchange and refuses others for 0.3 to 9 s while its calls go on, in half of the plans, from a random stream of its own, so the other faults of a seed stay.

--- a/internal/sim/soak/exchange.go
+++ b/internal/sim/soak/exchange.go
@@ -21,15 +21,19 @@
 	exchangeHung                      // its process is stopped; connections are still established
 	exchangeVanished                  // gone with its calls, without closing connections; no connection is established
 	exchangeCrashed                   // its process ended: its connections are reset, new ones are refused
+	exchangeFull                      // runs; its connections were reset, and new ones are refused
 )
 
 // String returns the state's name.
 func (s exchangeState) String() string {
-	return [...]string{"running", "partitioned", "hung", "vanished", "crashed"}[s]
+	return [...]string{"running", "partitioned", "hung", "vanished", "crashed", "full"}[s]
 }
 
 // carriesTraffic reports whether an exchange in the state reads and writes.
-func (s exchangeState) carriesTraffic() bool { return s == exchangeRunning }
+func (s exchangeState) carriesTraffic() bool { return s == exchangeRunning || s == exchangeFull }
+
+// refusesConnections reports whether nothing listens at the addresses of an exchange in the state.
+func (s exchangeState) refusesConnections() bool { return s == exchangeCrashed || s == exchangeFull }
 
 // Limits of the time until an exchange answers an INVITE.
 const (
@@ -173,18 +177,26 @@
 			return err
 		}
 	}
-	if x.enterState(s) == exchangeCrashed {
+	if s == exchangeFull {
+		x.closeListeners() // before the connections are reset, or controllers would connect again
+	}
+	if x.enterState(s).refusesConnections() {
 		return x.listenAgain()
 	}
-	if s == exchangeCrashed {
-		for _, l := range x.listeners {
-			l.close()
-		}
+	if s.refusesConnections() {
+		x.closeListeners()
 		return nil
 	}
 	return x.setReachable(s == exchangeRunning || s == exchangeHung)
 }
 
+// closeListeners makes the addresses of the exchange refuse connections.
+func (x *exchange) closeListeners() {
+	for _, l := range x.listeners {
+		l.close()
+	}
+}
+
 func (x *exchange) isInState(s exchangeState) bool {
 	x.mu.Lock()
 	defer x.mu.Unlock()
@@ -205,7 +217,7 @@
 		x.started = time.Now()
 	case exchangeHung:
 		x.resumedAt = time.Now()
-	case exchangeRunning, exchangePartitioned:
+	case exchangeRunning, exchangePartitioned, exchangeFull:
 	}
 	switch s {
 	case exchangeVanished:
@@ -216,6 +228,8 @@
 		x.abandonConns(true)
 	case exchangePartitioned, exchangeHung:
 		x.suspendAttempts()
+	case exchangeFull:
+		x.resetUsableConns()
 	case exchangeRunning:
 	}
 	return previous
@@ -284,6 +298,11 @@
 func (x *exchange) resetConns() {
 	x.mu.Lock()
 	defer x.mu.Unlock()
+	x.resetUsableConns()
+}
+
+// resetUsableConns implements resetConns. exchange.mu is held.
+func (x *exchange) resetUsableConns() {
 	for _, c := range x.conns {
 		if !c.isBlackholed {
 			c.reset()
@@ -301,9 +320,7 @@
 	clear(x.calls)
 	close(x.done)
 	x.abandonConns(true)
-	for _, l := range x.listeners {
-		l.close()
-	}
+	x.closeListeners()
 }
 
 // recordEstablished records the calls that are still established at the end of a run.
--- a/internal/sim/soak/generate.go
+++ b/internal/sim/soak/generate.go
@@ -26,6 +26,13 @@
 // brokenReloadShare is the share of plans of the combination discovery that have a broken reload.
 const brokenReloadShare = 0.5
 
+// fullStream selects the stream that full exchanges are drawn from, apart from the other faults, and fullShare is the
+// share of plans with one.
+const (
+	fullStream = 43
+	fullShare  = 0.5
+)
+
 // surgeShare is the share of plans with a load surge.
 const surgeShare = 0.4
 
@@ -46,6 +53,8 @@
 		drawn := &generator{rng: rand.New(rand.NewPCG(seed, brokenReloadStream)), plan: d.plan}
 		drawn.brokenReload()
 	}
+	drawn := &generator{rng: rand.New(rand.NewPCG(seed, fullStream)), plan: d.plan}
+	drawn.fullExchange()
 	if d.rng.Float64() < surgeShare {
 		d.add(FaultLoadSurge, d.randomBetween(1, 7), 0, d.randomBetween(0.5, 2))
 	}
@@ -137,6 +146,13 @@
 	d.plan.CallTime = seconds(drainAt + drainTime)
 }
 
+// fullExchange makes an exchange full for a time that may be too short or too long for its calls.
+func (d *generator) fullExchange() {
+	if d.rng.Float64() < fullShare {
+		d.add(FaultFull, d.randomBetween(1, 7), d.randomExchange(), d.randomBetween(0.3, 9))
+	}
+}
+
 // badClients adds bad clients, malformed answers and callers that abandon their calls early.
 func (d *generator) badClients() {
 	d.plan.Callers = CallerBehavior{SlowWriters: 0.1, EarlyAbandons: 0.25, ClosesAtOnce: 0.1, HasBadClients: true}
--- a/internal/sim/soak/inject.go
+++ b/internal/sim/soak/inject.go
@@ -87,6 +87,8 @@
 		r.changeState(x, exchangePartitioned, duration)
 	case FaultHang:
 		r.changeState(x, exchangeHung, duration)
+	case FaultFull:
+		r.changeState(x, exchangeFull, duration)
 	case FaultCrash:
 		r.changeState(x, exchangeCrashed, duration)
 	case FaultVanish:
--- a/internal/sim/soak/plan.go
+++ b/internal/sim/soak/plan.go
@@ -43,6 +43,9 @@
 	// discovery, which does not answer, and sends SIGHUP. The seed selects what is broken. After Duration the valid
 	// configuration is back, without a signal.
 	FaultBrokenReload
+	// FaultFull makes an exchange reset its connections and refuse others for Duration, as one does that holds as many
+	// as it accepts. Its calls continue.
+	FaultFull
 	// FaultLoadSurge multiplies the call rate at all controllers for Duration.
 	FaultLoadSurge
 )
@@ -52,7 +55,7 @@
 	FaultReplace: "replace", FaultReset: "reset", FaultLateConnections: "late_connections",
 	FaultMalformedAnswers: "spoil", FaultSilentDiscovery: "silent_discovery", FaultReload: "reload",
 	FaultTerminate: "terminate", FaultTerminateInReload: "terminate_in_reload", FaultKill: "kill",
-	FaultBrokenReload: "broken_reload", FaultLoadSurge: "crowd",
+	FaultBrokenReload: "broken_reload", FaultLoadSurge: "crowd", FaultFull: "full",
 }
 
 // String returns the kind's name.
--- a/internal/sim/soak/soak_test.go
+++ b/internal/sim/soak/soak_test.go
@@ -192,3 +192,24 @@
 		t.Errorf("%d of %d combinations were generated", len(generated), len(combinations))
 	}
 }
+
+// An exchange that is full resets its connections and refuses others, while discovery is silent. Its calls continue, so none
+// of them may be left standing whose caller was told that it is over (case 7 of the second review).
+func TestCallsAtFullExchange(t *testing.T) {
+	t.Parallel()
+	for _, full := range []float64{1, 9} {
+		t.Run(fmt.Sprint(full, " s"), func(t *testing.T) {
+			t.Parallel()
+			plan := minimalPlan(
+				Fault{At: seconds(1), Kind: FaultSilentDiscovery, Duration: seconds(11)},
+				Fault{At: seconds(2.9), Kind: FaultFull, Target: 0, Duration: seconds(full)},
+			)
+			r := runPlan(t, plan)
+			if r.Counts.Established < 20 {
+				t.Errorf("only %d calls were established", r.Counts.Established)
+			}
+			t.Logf("%d callers were notified while their calls stood", r.Counts.Cut)
+			reportViolations(t, r.Violations)
+		})
+	}
+}
