Let the tests of the program listen on loopback addresses of their own

Traced by forcing it: a connection from the port that was chosen for the H.248 listener gives the same picture, and the program's log says "bind: address already in use". The port was free when it was chosen, and one of the thousands of connections of the other packages' tests took it.

The tests of the program take a random address of 127.0.0.0/8 now (loopback.RandomHost), as the simulations do; connections start from 127.0.0.1.

--- a/cmd/olivedale/limited_test.go
+++ b/cmd/olivedale/limited_test.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"olivedale/internal/codec/sip"
+	"olivedale/internal/sim/loopback"
 )
 
 // The smallest deployment of the platform.
@@ -185,15 +186,9 @@
 	return bin, nil
 })
 
-func freeAddress(t testing.TB) string {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
-}
+// freeAddress returns an address that nobody uses. A port of 127.0.0.1 that is free now could be taken by a connection
+// of another test before the program listens there.
+func freeAddress() string { return net.JoinHostPort(loopback.RandomHost(), "5060") }
 
 func startLimited(t *testing.T, sockets int) *limitedProcess {
 	t.Helper()
@@ -206,12 +201,12 @@
 		process: &process{
 			Cmd:        exec.Command(bin),
 			configPath: filepath.Join(dir, "config.json"),
-			listen:     freeAddress(t),
+			listen:     freeAddress(),
 		},
 		sockets:      sockets,
 		exchange:     startAcceptingExchange(t),
-		gateways:     freeAddress(t),
-		admin:        freeAddress(t),
+		gateways:     freeAddress(),
+		admin:        freeAddress(),
 		stopSampling: make(chan struct{}),
 	}
 	p.writeFiles(t, dir)
--- a/cmd/olivedale/main_test.go
+++ b/cmd/olivedale/main_test.go
@@ -43,16 +43,11 @@
 // prepare builds the program and writes its configuration.
 func prepare(t *testing.T, discoveryAddress string) *process {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
 	p := &process{
 		Cmd:        exec.Command(build(t)),
 		configPath: filepath.Join(t.TempDir(), "config.json"),
-		listen:     listener.Addr().String(),
+		listen:     freeAddress(),
 	}
-	_ = listener.Close()
 	p.configure(t, discoveryAddress)
 	p.Dir = t.TempDir()
 	p.Env = []string{"RELAY_CONFIG=" + p.configPath}
