Share the tests' buffer for concurrent use, and correct two comments

Found on reading the change again. The buffer that the tests of floods write the log to stood in the console's tests already; both use testutil.Buffer now. No behaviour and no check is different.

--- a/cmd/olivedale/limited_test.go
+++ b/cmd/olivedale/limited_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -20,6 +19,7 @@
 
 	"olivedale/internal/codec/sip"
 	"olivedale/internal/sim/loopback"
+	"olivedale/internal/testutil"
 )
 
 // The smallest deployment of the platform.
@@ -129,38 +129,13 @@
 	peakMemory    atomic.Int64 // in KB, from the system
 	stopSampling  chan struct{}
 	samplingEnded sync.WaitGroup
-	output        safeBuffer // the log
+	output        testutil.Buffer // the log
 	restingMemory int64
 	probeTimes    []time.Duration // how long the answers to another client took
 	rejected      int             // answers among them that were rejections
 	unanswered    int             // set-ups of the other client without an answer within maxProbeTime
 }
 
-// A safeBuffer is a buffer that may be read while the process writes to it.
-type safeBuffer struct {
-	mu     sync.Mutex
-	buffer bytes.Buffer
-}
-
-// Write implements io.Writer.
-func (b *safeBuffer) Write(p []byte) (int, error) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.buffer.Write(p)
-}
-
-func (b *safeBuffer) len() int {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.buffer.Len()
-}
-
-func (b *safeBuffer) text() string {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.buffer.String()
-}
-
 // buildDir is the directory of the program that buildOnce compiles; "" if it was not called.
 var buildDir string
 
@@ -388,7 +363,7 @@
 	}
 	descriptors := p.descriptors(t)
 	t.Logf("memory %.1f MB at rest, %.1f MB at most; %d descriptors; log of %d bytes", float64(p.restingMemory)/1024,
-		float64(p.peakMemory.Load())/1024, descriptors, p.output.len())
+		float64(p.peakMemory.Load())/1024, descriptors, len(p.output.String()))
 	t.Logf("another client: %d answers, %d of them rejections, the slowest after %v, and %d missing", len(p.probeTimes),
 		p.rejected, slowest, p.unanswered)
 	if p.peakMemory.Load() > limitedMemoryMB<<10 {
@@ -403,7 +378,7 @@
 	if p.rejected > len(p.probeTimes)/10 && !mayReject {
 		t.Errorf("%d of %d set-ups of another client were rejected", p.rejected, len(p.probeTimes))
 	}
-	if maxLogBytes := 64 << 10; p.output.len() > maxLogBytes {
-		t.Errorf("the log grew to %d bytes:\n%.2000s", p.output.len(), p.output.text())
+	if maxLogBytes := 64 << 10; len(p.output.String()) > maxLogBytes {
+		t.Errorf("the log grew to %d bytes:\n%.2000s", len(p.output.String()), p.output.String())
 	}
 }
--- a/internal/backend/release.go
+++ b/internal/backend/release.go
@@ -28,8 +28,8 @@
 	isUnknownCall  bool          // not known to be established
 }
 
-// pendingReleases holds the unconfirmed releases of one exchange. Each takes the place of a call, whose number is
-// limited by the call manager (call.Limits).
+// pendingReleases holds the unconfirmed releases of one exchange. While the exchange is disconnected, each takes the
+// place of a call, whose number is limited by the call manager (call.Limits).
 type pendingReleases map[releaseKey]pendingRelease
 
 // expire drops the releases that were not confirmed within confirmationTimeout, if they have been sent on the current
--- a/internal/call/offer_test.go
+++ b/internal/call/offer_test.go
@@ -56,8 +56,8 @@
 	}
 }
 
-// Offers above the limits are rejected, releases above them are dropped, and the memory of all calls and
-// ids is freed in the end.
+// Offers above the limits are rejected, releases of unknown calls above the rate limit wait, and the memory of all
+// calls and ids is freed in the end.
 func TestLimits(t *testing.T) {
 	f := newFixture(send("s"), send("s"), send("s"), send("s"))
 	m := f.manager
--- a/internal/console/terminal_test.go
+++ b/internal/console/terminal_test.go
@@ -1,15 +1,15 @@
 package console
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"strings"
-	"sync"
 	"testing"
 	"time"
 
 	tea "charm.land/bubbletea/v2"
+
+	"olivedale/internal/testutil"
 )
 
 // Control sequences of a terminal (xterm).
@@ -33,26 +33,8 @@
 	return &Snapshot{At: time.Unix(0, 0)}, nil
 }
 
-// lockedBuffer is a buffer that is safe for concurrent use.
-type lockedBuffer struct {
-	mu     sync.Mutex
-	buffer bytes.Buffer
-}
-
-func (l *lockedBuffer) Write(p []byte) (int, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.buffer.Write(p)
-}
-
-func (l *lockedBuffer) String() string {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.buffer.String()
-}
-
 func TestPanicRestoresTerminal(t *testing.T) {
-	var output lockedBuffer
+	var output testutil.Buffer
 	src := &panickingSource{func() bool { return strings.Contains(output.String(), enterAltScreen) }}
 	program := tea.NewProgram(NewModel(context.Background(), src),
 		tea.WithOutput(&output), tea.WithInput(nil), tea.WithWindowSize(80, 24),
